--- /dev/null
+++ b/saffronworks/documents.py
@@ -0,0 +1,220 @@
+"""Versioned documents (bundles, the VM list) in force on every node: a pure core.
+
+A few watchers per region read the store and push down a tree; heartbeats carry a digest, and
+a mismatch starts an exchange of what is missing. No node takes an older version.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from saffronworks.hashing import hash32, hash64
+
+__all__ = [
+    "BucketDigests",
+    "BucketVersions",
+    "Document",
+    "DocumentPull",
+    "DocumentPush",
+    "DocumentStore",
+    "Fetched",
+    "InForce",
+    "PeerDigest",
+    "SendTo",
+    "overall_digest",
+    "step",
+]
+
+BUCKETS = 64
+TREE_WIDTH = 3
+BUCKETS_PER_MESSAGE = 8
+DOCUMENTS_PER_PULL = 16
+
+
+@attrs.frozen
+class Document:
+    """One object of the store; `version` only grows. `sign_off_id` tells whose change it is."""
+
+    key: str
+    version: int
+    content: str
+
+
+@attrs.frozen
+class DocumentPush:
+    """A document on its way down the tree that starts at `root`; empty: to this node only."""
+
+    document: Document
+    root: str = ""
+
+
+@attrs.frozen
+class DocumentPull:
+    """Ask a peer for documents."""
+
+    sender: str
+    keys: tuple[str, ...]
+
+
+@attrs.frozen
+class BucketDigests:
+    """The digests of all buckets, sent after the overall digests differed."""
+
+    sender: str
+    digests: tuple[int, ...]
+
+
+@attrs.frozen
+class BucketVersions:
+    """The versions in some buckets that differed."""
+
+    sender: str
+    buckets: tuple[int, ...]
+    versions: dict[str, int]
+
+
+@attrs.frozen
+class PeerDigest:
+    """A heartbeat carried a peer's overall digest."""
+
+    sender: str
+    digest: int
+    fresh_age_ms: int = 0
+
+
+@attrs.frozen
+class Fetched:
+    """Documents read from the store, to be relayed down the tree."""
+
+    documents: tuple[Document, ...]
+    relay: bool = True
+
+
+@attrs.frozen
+class SendTo:
+    """Send a message to a member by name."""
+
+    member: str
+    message: DocumentPush | DocumentPull | BucketDigests | BucketVersions
+
+
+@attrs.frozen
+class InForce:
+    """A version is in force on this node from now on."""
+
+    document: Document
+
+
+Event = Fetched | DocumentPush | DocumentPull | BucketDigests | BucketVersions | PeerDigest
+Command = SendTo | InForce
+
+
+@attrs.define
+class DocumentStore:
+    """The highest version seen of each document, with digests for the comparison."""
+
+    node: str
+    documents: dict[str, Document] = attrs.Factory(dict)
+    digests: list[int] = attrs.Factory(lambda: [0] * BUCKETS)
+
+
+def _bucket(key: str) -> int:
+    return hash32(key) % BUCKETS
+
+
+def _hash_version(key: str, version: int) -> int:
+    return hash64(f"{key}@{version}") >> 1
+
+
+def overall_digest(state: DocumentStore) -> int:
+    """One number that is equal where all versions are."""
+    digest = 0
+    for value in state.digests:
+        digest ^= value
+    return digest
+
+
+def step(state: DocumentStore, event: Event, members: Sequence[str]) -> list[Command]:
+    """Apply one event; `members` are the live members of the region, this node among them."""
+    match event:
+        case Fetched():
+            commands: list[Command] = []
+            for document in event.documents:
+                root = state.node if event.relay else ""
+                commands += _take(state, document, root, members)
+            return commands
+        case DocumentPush():
+            return _take(state, event.document, event.root, members)
+        case DocumentPull():
+            return _answer_pull(state, event)
+        case PeerDigest():
+            if event.digest == overall_digest(state):
+                return []
+            return [SendTo(event.sender, BucketDigests(state.node, tuple(state.digests)))]
+        case BucketDigests():
+            return _compare_buckets(state, event)
+        case BucketVersions():
+            return _compare_versions(state, event)
+
+
+def _take(
+    state: DocumentStore, document: Document, root: str, members: Sequence[str]
+) -> list[Command]:
+    known = state.documents.get(document.key)
+    if known is not None and known.version >= document.version:
+        return []
+    bucket = _bucket(document.key)
+    if known is not None:
+        state.digests[bucket] ^= _hash_version(known.key, known.version)
+    state.digests[bucket] ^= _hash_version(document.key, document.version)
+    state.documents[document.key] = document
+    push = DocumentPush(document, root)
+    children = _children(state.node, root, members) if root else []
+    return [InForce(document), *(SendTo(child, push) for child in children)]
+
+
+def _children(node: str, root: str, members: Sequence[str]) -> list[str]:
+    """This node's children in the tree over all members that starts at `root`."""
+    order = sorted(members)
+    if root not in order or node not in order:
+        return []
+    first = order.index(root)
+    order = order[first:] + order[:first]
+    index = order.index(node)
+    return order[TREE_WIDTH * index + 1 : TREE_WIDTH * index + 1 + TREE_WIDTH]
+
+
+def _answer_pull(state: DocumentStore, event: DocumentPull) -> list[Command]:
+    found = [state.documents[key] for key in event.keys if key in state.documents]
+    return [SendTo(event.sender, DocumentPush(document)) for document in found]
+
+
+def _compare_buckets(state: DocumentStore, event: BucketDigests) -> list[Command]:
+    differing = [i for i, value in enumerate(event.digests) if value != state.digests[i]]
+    chosen = tuple(differing[:BUCKETS_PER_MESSAGE])
+    if not chosen:
+        return []
+    versions = {
+        key: document.version for key, document in state.documents.items() if _bucket(key) in chosen
+    }
+    return [SendTo(event.sender, BucketVersions(state.node, chosen, versions))]
+
+
+def _compare_versions(state: DocumentStore, event: BucketVersions) -> list[Command]:
+    newer_there = [
+        key
+        for key, version in event.versions.items()
+        if key not in state.documents or state.documents[key].version < version
+    ]
+    newer_here = [
+        document
+        for key, document in state.documents.items()
+        if _bucket(key) in event.buckets and event.versions.get(key, 0) < document.version
+    ]
+    commands: list[Command] = [
+        SendTo(event.sender, DocumentPush(document)) for document in newer_here[:DOCUMENTS_PER_PULL]
+    ]
+    if newer_there:
+        keys = tuple(newer_there[:DOCUMENTS_PER_PULL])
+        commands.append(SendTo(event.sender, DocumentPull(state.node, keys)))
+    return commands
--- /dev/null
+++ b/saffronworks/engines.py
@@ -0,0 +1,214 @@
+"""The adapter to model engines, over HTTP by httpcore."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from saffronworks.ledgers import LoadReport
+from saffronworks.messages import RequestKey
+
+__all__ = [
+    "Decode",
+    "DecodeLine",
+    "EngineClient",
+    "EngineFailure",
+    "Prefill",
+    "PrefillReply",
+    "Resume",
+    "StreamRow",
+]
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+MOST_CONNECTIONS = 1000
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
+
+
+@attrs.frozen
+class EngineFailure:
+    """Why a call failed; `executed` is False only when the engine cannot have started."""
+
+    kind: str
+    executed: bool
+    status: int = 0
+
+
+@attrs.frozen
+class Prefill:
+    """A prefill call. `delivered` tokens of the answer are computed after the prompt."""
+
+    request_id: str
+    attempt: int
+    holder: str
+    prompt: str
+    prefix_key: str
+    prefix_tokens: int
+    delivered: int
+
+
+@attrs.frozen
+class PrefillReply:
+    """A KV result that stands ready for `expires_in_ms`."""
+
+    kv_id: str
+    prefill_ms: int
+    cached_tokens: int
+    expires_in_ms: int
+
+
+@attrs.frozen
+class Decode:
+    """A decode call: import the KV result from `source`, stream from `offset`."""
+
+    request_id: str
+    attempt: int
+    holder: str
+    prompt: str
+    max_tokens: int
+    source: str
+    kv_id: str
+    offset: int
+
+
+@attrs.frozen
+class Resume:
+    """Attach again to a running stream."""
+
+    request_id: str
+    attempt: int
+    offset: int
+
+
+@attrs.frozen
+class DecodeLine:
+    """One line of a decode stream; which fields are set tells what it says."""
+
+    imported: bool = False
+    transfer_ms: int = 0
+    offset: int = 0
+    tokens: tuple[str, ...] = ()
+    done: bool = False
+    total: int = 0
+    cancelled: bool = False
+
+
+@attrs.frozen
+class StreamRow:
+    """One live stream as the engine lists it."""
+
+    request_id: str
+    attempt: int
+    holder: str
+
+
+@attrs.frozen
+class _RefusalBody:
+    refused: str = ""
+    executed: bool = False
+
+
+_line_decoder = msgspec.json.Decoder(DecodeLine)
+
+
+class EngineClient:
+    """Calls to engines by address, over one connection pool."""
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MOST_CONNECTIONS, max_keepalive_connections=64, keepalive_expiry=20
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def prefill(
+        self, address: str, call: Prefill, limit_ms: int
+    ) -> Result[PrefillReply, EngineFailure]:
+        """Run a prefill to its end."""
+        return await self._call("POST", address, "/engine/prefill", call, PrefillReply, limit_ms)
+
+    async def cancel(self, address: str, key: RequestKey) -> Result[Any, EngineFailure]:
+        """Cancel an attempt; Ok when the engine holds nothing of it any more."""
+        limit_ms = int(CALL_TIMEOUT_S * 1000)
+        return await self._call("POST", address, "/engine/cancel", key, dict, limit_ms)
+
+    async def streams(self, address: str) -> Result[list[StreamRow], EngineFailure]:
+        """The live streams of an engine."""
+        limit_ms = int(CALL_TIMEOUT_S * 1000)
+        kind = list[StreamRow]
+        return await self._call("GET", address, "/engine/streams", None, kind, limit_ms)
+
+    async def report(self, address: str) -> Result[LoadReport, EngineFailure]:
+        """The engine's lagged load report."""
+        limit_ms = int(CALL_TIMEOUT_S * 1000)
+        return await self._call("GET", address, "/engine/report", None, LoadReport, limit_ms)
+
+    async def _call(
+        self, method: str, address: str, path: str, body: object, kind: Any, limit_ms: int
+    ) -> Result[Any, EngineFailure]:
+        content = msgspec.json.encode(body) if body is not None else b""
+        timeout = {"connect": CONNECT_TIMEOUT_S, "read": limit_ms / 1000, "pool": CALL_TIMEOUT_S}
+        try:
+            response = await self._pool.request(
+                method,
+                f"http://{address}{path}",
+                headers=[(b"content-type", b"application/json")],
+                content=content,
+                extensions={"timeout": timeout},
+            )
+            if response.status != 200:
+                return Err(_read_refusal(response.status, response.content))
+            return Ok(msgspec.json.decode(response.content, type=kind))
+        except _NOT_SENT:
+            return Err(EngineFailure("connect", executed=False))
+        except _BROKEN as error:
+            return Err(EngineFailure(type(error).__name__, executed=True))
+        except msgspec.MsgspecError:
+            return Err(EngineFailure("bad reply", executed=True))
+
+    @asynccontextmanager
+    async def open_decode(
+        self, address: str, call: Decode | Resume, stall_ms: int
+    ) -> AsyncIterator[Result[AsyncIterator[DecodeLine], EngineFailure]]:
+        """A decode stream's lines; reading them raises httpcore errors when it breaks."""
+        path = "/engine/decode" if isinstance(call, Decode) else "/engine/resume"
+        timeout = {"connect": CONNECT_TIMEOUT_S, "read": stall_ms / 1000, "pool": CALL_TIMEOUT_S}
+        try:
+            async with self._pool.stream(
+                "POST",
+                f"http://{address}{path}",
+                headers=[(b"content-type", b"application/json")],
+                content=msgspec.json.encode(call),
+                extensions={"timeout": timeout},
+            ) as response:
+                if response.status == 200:
+                    yield Ok(_read_lines(response))
+                else:
+                    await response.aread()
+                    yield Err(_read_refusal(response.status, response.content))
+        except _NOT_SENT:
+            yield Err(EngineFailure("connect", executed=False))
+
+
+async def _read_lines(response: httpcore.Response) -> AsyncIterator[DecodeLine]:
+    rest = b""
+    async for chunk in response.aiter_stream():
+        *lines, rest = (rest + chunk).split(b"\n")
+        for line in lines:
+            yield _line_decoder.decode(line)
+
+
+def _read_refusal(status: int, content: bytes) -> EngineFailure:
+    try:
+        body = msgspec.json.decode(content, type=_RefusalBody)
+    except msgspec.MsgspecError:
+        return EngineFailure(f"status {status}", executed=True, status=status)
+    executed = body.executed or not body.refused
+    return EngineFailure(body.refused or f"status {status}", executed, status)
--- /dev/null
+++ b/saffronworks/messages.py
@@ -0,0 +1,158 @@
+"""Messages between nodes. Times are durations, since clocks of different VMs differ."""
+
+import attrs
+
+__all__ = [
+    "Ask",
+    "Assign",
+    "AssignRefused",
+    "Grant",
+    "HeldKey",
+    "HeldList",
+    "HeldQuery",
+    "LeaseAcknowledged",
+    "LeaseRenewal",
+    "Prefilled",
+    "Refusal",
+    "Release",
+    "RequestKey",
+]
+
+
+@attrs.frozen(order=True)
+class RequestKey:
+    """One attempt at one request; an older attempt of the same id is void."""
+
+    request_id: str
+    attempt: int
+
+
+@attrs.frozen
+class Ask:
+    """Entry to owner: queue this attempt. Sent again until it is answered."""
+
+    key: RequestKey
+    node: str
+    cell: str
+    model: str
+    organisation: str
+    prompt_tokens: int
+    prefix_key: str
+    max_tokens: int
+    priority: int
+    waited_ms: int
+    retry: bool = False
+
+
+@attrs.frozen
+class Grant:
+    """Owner to entry: start the prefill at this endpoint now."""
+
+    key: RequestKey
+    endpoint: str
+
+
+@attrs.frozen
+class Refusal:
+    """Owner to entry: given up before a prefill started; come back after `retry_after_ms`."""
+
+    key: RequestKey
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen
+class Prefilled:
+    """Entry to owner: the KV result waits for a decode slot. Sent again until answered."""
+
+    key: RequestKey
+    node: str
+    cell: str
+    prefill_ms: int
+    cached_tokens: int
+    expires_in_ms: int
+    refused_by: str = ""
+    failure: str = ""
+
+
+@attrs.frozen
+class Assign:
+    """Owner to entry: import the KV result into this decode endpoint now."""
+
+    key: RequestKey
+    endpoint: str
+
+
+@attrs.frozen
+class AssignRefused:
+    """Owner to entry: the KV result expires before any slot comes free."""
+
+    key: RequestKey
+
+
+@attrs.frozen
+class Release:
+    """Entry to owner: this attempt holds nothing any more, and how it went.
+
+    `failed` names an endpoint that broke, `failure` how (see `breakers`).
+    """
+
+    key: RequestKey
+    node: str
+    cell: str
+    organisation: str = ""
+    output_tokens: int = 0
+    decode_ms: int = 0
+    transfer_ms: int = 0
+    finished: bool = False
+    failed: str = ""
+    failure: str = ""
+
+
+@attrs.frozen
+class LeaseRenewal:
+    """Entry to owner, one per heartbeat: renews all that the entry holds in the cell.
+
+    `digest` is the exclusive or of the hashes of the held keys; a mismatch makes the owner ask.
+    """
+
+    node: str
+    cell: str
+    incarnation: int
+    held: int
+    digest: int
+
+
+@attrs.frozen
+class LeaseAcknowledged:
+    """Owner to entry: the lease holds. An entry without it past `lease_ms` stops dispatching."""
+
+    owner: str
+    cell: str
+
+
+@attrs.frozen
+class HeldQuery:
+    """Owner to entry: list what you hold in this cell."""
+
+    cell: str
+
+
+@attrs.frozen
+class HeldKey:
+    """One held attempt; `endpoint` names the decode endpoint, or the prefill endpoint."""
+
+    key: RequestKey
+    endpoint: str
+    stage: str
+    organisation: str
+    output_tokens: int
+
+
+@attrs.frozen
+class HeldList:
+    """Entry to owner: the whole truth about what this entry holds in the cell."""
+
+    node: str
+    cell: str
+    held: tuple[HeldKey, ...]
--- /dev/null
+++ b/saffronworks/nodes.py
@@ -0,0 +1,151 @@
+"""The main class: one node, its services, and its planned stop."""
+
+import logging
+import random
+import time
+
+import anyio
+
+from saffronworks.cancels import CancelDone, CancelService
+from saffronworks.documents import (
+    BucketDigests,
+    BucketVersions,
+    DocumentPull,
+    DocumentPush,
+    Fetched,
+    InForce,
+    PeerDigest,
+)
+from saffronworks.engines import EngineClient
+from saffronworks.entries import EntryService
+from saffronworks.kernel import Kernel
+from saffronworks.members import MemberService
+from saffronworks.membership import Heartbeat, HeartbeatReply, MemberChanged, Status
+from saffronworks.messages import (
+    Ask,
+    Assign,
+    AssignRefused,
+    Grant,
+    HeldList,
+    HeldQuery,
+    LeaseAcknowledged,
+    LeaseRenewal,
+    Prefilled,
+    Refusal,
+    Release,
+)
+from saffronworks.metrics import Metrics
+from saffronworks.operators import OperatorInterface
+from saffronworks.owners import OwnerService
+from saffronworks.peers import PeerService
+from saffronworks.relays import RelayService
+from saffronworks.settings import Settings
+from saffronworks.stores import StoreClient
+from saffronworks.web import HttpServer, bind
+
+__all__ = ["Node", "monotonic_ms"]
+
+logger = logging.getLogger(__name__)
+
+LINGER_S = 0.3
+DRAIN_LOOK_S = 0.05
+
+
+def monotonic_ms() -> int:
+    """The node's clock."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class Node:
+    """One `saffrond` in this process; several may run side by side."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.incarnation = time.time_ns() // 1_000_000
+        self.kernel = Kernel(settings.name, monotonic_ms)
+        rng = random.Random(f"{settings.name}/{self.incarnation}/store")
+        self.engines = EngineClient()
+        self.store = StoreClient(settings.store_address, rng)
+        self.peers = PeerService(settings.peer_address)
+        self.members = MemberService(settings, self.incarnation)
+        self.relays = RelayService(settings.name, self.store, rng)
+        self.owner = OwnerService(settings, self.engines)
+        metrics = Metrics(settings.name)
+        self.entry = EntryService(settings, self.engines, metrics, self.incarnation)
+        self._register()
+        self._callers = HttpServer(bind(settings.caller_address), self.entry.handle)
+        operators = OperatorInterface(self.kernel, self.store)
+        self._operators = HttpServer(bind(settings.admin_address), operators.handle)
+        self._scope: anyio.CancelScope | None = None
+        self._stopping = anyio.Event()
+
+    @property
+    def caller_address(self) -> str:
+        """Where callers are served."""
+        return self._callers.address
+
+    @property
+    def admin_address(self) -> str:
+        """Where operators are served."""
+        return self._operators.address
+
+    def _register(self) -> None:
+        register = self.kernel.register
+        register(self.peers)
+        register(self.members, Heartbeat, HeartbeatReply, InForce)
+        documents = (DocumentPush, DocumentPull, BucketDigests, BucketVersions, Fetched, PeerDigest)
+        register(self.relays, *documents)
+        register(CancelService(self.engines))
+        owner_messages = (Ask, Prefilled, Release, LeaseRenewal, HeldList)
+        register(self.owner, *owner_messages, CancelDone, InForce, MemberChanged)
+        entry_messages = (Grant, Refusal, Assign, AssignRefused, HeldQuery, LeaseAcknowledged)
+        register(self.entry, *entry_messages, InForce)
+
+    async def run(self) -> None:
+        """Serve until `stop` has drained the node, or `kill`."""
+        self.peers.listen()
+        logger.info(
+            "event=node_start node=%s zone=%s callers=%s operators=%s",
+            self.settings.name,
+            self.settings.zone,
+            self.caller_address,
+            self.admin_address,
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._scope = tasks.cancel_scope
+                self.kernel.start(tasks)
+                tasks.start_soon(self._operators.run)
+                tasks.start_soon(self._callers.run)
+                await self._stopping.wait()
+                await self._drain()
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.engines.close()
+                await self.store.close()
+                await self.entry.plain.close()
+        logger.info("event=node_stop node=%s", self.settings.name)
+
+    def stop(self) -> None:
+        """Begin the planned stop: nothing in flight is cut off."""
+        self._stopping.set()
+
+    def kill(self) -> None:
+        """End at once, as a crash does."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+    async def _drain(self) -> None:
+        """Fail readiness, hand ownership over, let accepted requests run to their end."""
+        logger.info("event=drain node=%s live=%d", self.settings.name, len(self.entry.runners))
+        self.entry.draining = True
+        self.members.leave(self.kernel, gone=False)
+        self.kernel.announce(MemberChanged(self.settings.name, Status.LEAVING))
+        until_ms = self.kernel.now_ms() + self.settings.drain_ms
+        quiet = 0
+        while quiet < 3 and self.kernel.now_ms() < until_ms:
+            await anyio.sleep(DRAIN_LOOK_S)
+            quiet = quiet + 1 if self.entry.open_calls == 0 else 0
+        self.members.leave(self.kernel, gone=True)
+        await anyio.sleep(LINGER_S)
--- /dev/null
+++ b/saffronworks/owners.py
@@ -0,0 +1,210 @@
+"""The owner service: runs the cores of the cells that this node owns, and asks their engines."""
+
+import logging
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+from result import Err, Ok
+
+from saffronworks import cells
+from saffronworks.bundles import Endpoint, read_bundle
+from saffronworks.cancels import CancelDone, CancelOrder
+from saffronworks.cells import CellState
+from saffronworks.documents import InForce
+from saffronworks.engines import EngineClient
+from saffronworks.kernel import Kernel, Mailbox
+from saffronworks.members import VMS_KEY, MemberService, read_vms
+from saffronworks.membership import MemberChanged
+from saffronworks.messages import Ask, HeldList, LeaseRenewal, Prefilled, Release, RequestKey
+from saffronworks.ownership import Cell, choose_owner, split_bundle
+from saffronworks.peers import Outgoing
+from saffronworks.settings import Settings
+from saffronworks.signoffs import read_record
+
+__all__ = ["BUNDLE_PREFIX", "OwnerService", "read_cells"]
+
+logger = logging.getLogger(__name__)
+
+BUNDLE_PREFIX = "bundles/"
+TICK_S = 0.02
+LOOK_EVERY_S = 0.1
+
+
+@attrs.frozen
+class _EndpointEvent:
+    """What an engine said, on its way to the core of its cell."""
+
+    cell: str
+    event: cells.Event
+
+
+@attrs.frozen
+class _TickAll:
+    """A tick for every cell."""
+
+
+def read_cells(change: InForce) -> list[Cell]:
+    """The cells of a bundle document; none when it cannot be read."""
+    document = change.document
+    record = read_record(document.content)
+    bundle = read_bundle(record.text, document.key, document.version)
+    if isinstance(bundle, Err):
+        logger.error("event=bad_bundle key=%s findings=%d", document.key, len(bundle.err_value))
+        return []
+    return split_bundle(bundle.ok_value)
+
+
+class OwnerService:
+    """Owns the ledgers of its cells."""
+
+    name = "owner"
+
+    def __init__(self, settings: Settings, engines: EngineClient):
+        self.states: dict[str, CellState] = {}
+        self.known: dict[str, Cell] = {}
+        self._settings = settings
+        self._engines = engines
+        self._leaving: frozenset[str] = frozenset()
+        self._pollers: dict[str, anyio.CancelScope] = {}
+
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
+        """Drive the cores until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tick, kernel)
+            async for message in mailbox:
+                self._take(kernel, tasks, message)
+
+    def owner_of(self, kernel: Kernel, cell: str) -> str | None:
+        """The member that owns a cell, by this node's view."""
+        members: MemberService = kernel.find("members")
+        return choose_owner(members.owners(), cell)
+
+    async def _tick(self, kernel: Kernel) -> None:
+        while True:
+            kernel.post(self.name, _TickAll())
+            busy = any(state.queue.items or state.held for state in self.states.values())
+            await anyio.sleep(TICK_S if busy else LOOK_EVERY_S)
+
+    def _take(self, kernel: Kernel, tasks: TaskGroup, message: object) -> None:
+        match message:
+            case Ask() | Prefilled() | Release() | LeaseRenewal() | HeldList():
+                self._step(kernel, message.cell, message)
+            case _EndpointEvent():
+                self._step(kernel, message.cell, message.event)
+            case CancelDone() if message.cell:
+                self._note_cancel(kernel, message)
+            case _TickAll():
+                for name in list(self.states):
+                    self._step(kernel, name, cells.Tick())
+            case InForce():
+                self._take_document(kernel, tasks, message)
+            case MemberChanged():
+                self._settle(kernel, tasks)
+
+    def _note_cancel(self, kernel: Kernel, done: CancelDone) -> None:
+        if done.gone:
+            self._step(kernel, done.cell, cells.EndpointGone(done.endpoint))
+        else:
+            self._step(kernel, done.cell, cells.CancelAcknowledged(done.endpoint, done.key))
+
+    def _take_document(self, kernel: Kernel, tasks: TaskGroup, change: InForce) -> None:
+        key = change.document.key
+        if key == VMS_KEY:
+            vms = read_vms(change.document.content)
+            self._leaving = frozenset(vm.name for vm in vms if vm.endpoint and vm.leaving)
+            for name in list(self.states):
+                self._step(kernel, name, cells.EndpointsLeaving(self._leaving))
+        elif key.startswith(BUNDLE_PREFIX):
+            found = {cell.name: cell for cell in read_cells(change)}
+            prefix = key.removeprefix(BUNDLE_PREFIX) + "/"
+            for name in [name for name in self.known if name.startswith(prefix)]:
+                if name not in found:
+                    del self.known[name]
+            self.known.update(found)
+            for name in found.keys() & self.states.keys():
+                self._step(kernel, name, cells.CellChanged(found[name]))
+            self._settle(kernel, tasks)
+
+    def _settle(self, kernel: Kernel, tasks: TaskGroup) -> None:
+        """Take up the cells that are this node's now, and lay down those that are not."""
+        for name, cell in self.known.items():
+            mine = self.owner_of(kernel, name) == kernel.node
+            if mine and name not in self.states:
+                self._take_up(kernel, tasks, cell)
+            elif not mine and name in self.states:
+                self._lay_down(kernel, name)
+        for name in [name for name in self.states if name not in self.known]:
+            self._lay_down(kernel, name)
+
+    def _take_up(self, kernel: Kernel, tasks: TaskGroup, cell: Cell) -> None:
+        rebuild_ms = self._settings.heartbeat_ms + 100
+        state = cells.new_cell(
+            cell, kernel.node, self._settings.lease_ms, rebuild_ms, kernel.now_ms()
+        )
+        self.states[cell.name] = state
+        self._step(kernel, cell.name, cells.EndpointsLeaving(self._leaving))
+        scope = anyio.CancelScope()
+        self._pollers[cell.name] = scope
+        tasks.start_soon(self._poll, kernel, cell.name, scope)
+        logger.info("event=cell_taken_up node=%s cell=%s", kernel.node, cell.name)
+
+    def _lay_down(self, kernel: Kernel, name: str) -> None:
+        del self.states[name]
+        self._pollers.pop(name).cancel()
+        logger.info("event=cell_laid_down node=%s cell=%s", kernel.node, name)
+
+    def _step(self, kernel: Kernel, name: str, event: cells.Event) -> None:
+        state = self.states.get(name)
+        if state is None:
+            return
+        for command in cells.step(state, event, kernel.now_ms()):
+            match command:
+                case cells.Tell():
+                    self._tell(kernel, command.node, command.message)
+                case cells.CancelStream():
+                    self._cancel(kernel, state, command.endpoint, command.key)
+
+    def _tell(self, kernel: Kernel, node: str, message: object) -> None:
+        if node == kernel.node:
+            kernel.announce(message)
+            return
+        members: MemberService = kernel.find("members")
+        address = members.address_of(node)
+        if address is not None:
+            kernel.post("peers", Outgoing(address, message))
+
+    def _cancel(self, kernel: Kernel, state: CellState, endpoint: str, key: RequestKey) -> None:
+        ledger = state.ledgers.get(endpoint)
+        if ledger is not None:
+            address = ledger.endpoint.address
+            kernel.post("cancels", CancelOrder(endpoint, address, key, state.cell.name))
+
+    async def _poll(self, kernel: Kernel, name: str, scope: anyio.CancelScope) -> None:
+        """Ask each engine of a cell for its load, and now and then for its streams."""
+        rounds = max(1, self._settings.streams_every_ms // self._settings.report_every_ms)
+        turn = 0
+        with scope:
+            while name in self.states:
+                async with anyio.create_task_group() as tasks:
+                    for ledger in list(self.states[name].ledgers.values()):
+                        endpoint = ledger.endpoint
+                        tasks.start_soon(self._ask_report, kernel, name, endpoint)
+                        if turn % rounds == 0:
+                            tasks.start_soon(self._ask_streams, kernel, name, endpoint)
+                turn += 1
+                await anyio.sleep(self._settings.report_every_ms / 1000)
+
+    async def _ask_report(self, kernel: Kernel, name: str, endpoint: Endpoint) -> None:
+        reply = await self._engines.report(endpoint.address)
+        if isinstance(reply, Ok):
+            event = cells.Reported(endpoint.name, reply.ok_value)
+            kernel.post(self.name, _EndpointEvent(name, event))
+
+    async def _ask_streams(self, kernel: Kernel, name: str, endpoint: Endpoint) -> None:
+        reply = await self._engines.streams(endpoint.address)
+        if isinstance(reply, Ok):
+            rows = tuple(
+                (RequestKey(row.request_id, row.attempt), row.holder) for row in reply.ok_value
+            )
+            kernel.post(self.name, _EndpointEvent(name, cells.StreamsListed(endpoint.name, rows)))
--- /dev/null
+++ b/saffronworks/ownership.py
@@ -0,0 +1,57 @@
+"""Owner of a cell by rendezvous hash, and the split of a pool into cells."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from saffronworks.bundles import Bundle, Endpoint, Model, Pool, Role
+from saffronworks.hashing import hash64
+
+__all__ = ["Cell", "choose_owner", "rank_members", "split_bundle", "split_pool"]
+
+CELL_ENDPOINTS = 16
+
+
+@attrs.frozen
+class Cell:
+    """Prefill and decode endpoints that one owner grants; `name` is unique in the fleet."""
+
+    name: str
+    pool: Pool
+    endpoints: tuple[Endpoint, ...]
+    models: tuple[Model, ...]
+
+
+def _weigh(member: str, key: str) -> int:
+    return hash64(f"{member}|{key}")
+
+
+def rank_members(members: Iterable[str], key: str, count: int) -> list[str]:
+    """The first `count` members for `key`, best first; each node computes the same."""
+    return sorted(members, key=lambda member: _weigh(member, key), reverse=True)[:count]
+
+
+def choose_owner(members: Iterable[str], key: str) -> str | None:
+    """The member that owns `key`, None when there are no members."""
+    return max(members, key=lambda member: _weigh(member, key), default=None)
+
+
+def split_pool(bundle: Bundle, pool: Pool) -> list[Cell]:
+    """Cells of about `CELL_ENDPOINTS`, each with both roles in the proportion of the pool."""
+    models = tuple(model for model in bundle.models if model.pool == pool.name)
+    by_role = {
+        role: sorted((e for e in pool.endpoints if e.role is role), key=lambda e: (e.zone, e.name))
+        for role in Role
+    }
+    wanted = -(-len(pool.endpoints) // CELL_ENDPOINTS)
+    count = max(1, min(wanted, *(len(group) for group in by_role.values())))
+    cells = []
+    for index in range(count):
+        endpoints = tuple(e for group in by_role.values() for e in group[index::count])
+        cells.append(Cell(f"{bundle.name}/{pool.name}/{index}", pool, endpoints, models))
+    return cells
+
+
+def split_bundle(bundle: Bundle) -> list[Cell]:
+    """The cells of all pools of a bundle."""
+    return [cell for pool in bundle.pools for cell in split_pool(bundle, pool)]
--- /dev/null
+++ b/saffronworks/peers.py
@@ -0,0 +1,112 @@
+"""The service that carries messages between nodes, by pynng push and pull sockets.
+
+Messages are one way and may be lost: a full queue drops them. All protocols above bear it.
+"""
+
+import logging
+
+import anyio
+import attrs
+import pynng
+from result import Ok
+
+from saffronworks import wire
+from saffronworks.kernel import Kernel, Mailbox
+
+__all__ = ["CloseTo", "Outgoing", "PeerService"]
+
+logger = logging.getLogger(__name__)
+
+SEND_MESSAGES = 512
+RECEIVE_MESSAGES = 2048
+RECONNECT_MOST_MS = 1000
+
+
+@attrs.frozen
+class Outgoing:
+    """Send a message to a peer's address."""
+
+    address: str
+    message: object
+
+
+@attrs.frozen
+class CloseTo:
+    """Close the socket to an address that is gone."""
+
+    address: str
+
+
+class PeerService:
+    """Owns the sockets to and from other nodes."""
+
+    name = "peers"
+
+    def __init__(self, address: str):
+        self.address = address
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        self.received_bytes = 0
+        self.received_messages = 0
+        self.dropped = 0
+        self.cut_from: set[str] = set()
+        self._sockets: dict[str, pynng.Push0] = {}
+        self._listener: pynng.Pull0 | None = None
+
+    def listen(self) -> None:
+        """Bind the socket; must come before `run`, so that the node fails early."""
+        self._listener = pynng.Pull0(recv_buffer_size=RECEIVE_MESSAGES)
+        self._listener.listen(f"tcp://{self.address}")
+
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
+        """Carry messages both ways until cancelled."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._receive, kernel)
+                async for message in mailbox:
+                    self._take(message)
+        finally:
+            for socket in self._sockets.values():
+                socket.close()
+            if self._listener is not None:
+                self._listener.close()
+
+    def _take(self, message: Outgoing | CloseTo) -> None:
+        match message:
+            case Outgoing():
+                self._send(message)
+            case CloseTo() if message.address in self._sockets:
+                self._sockets.pop(message.address).close()
+
+    def _send(self, outgoing: Outgoing) -> None:
+        if outgoing.address in self.cut_from:
+            return
+        data = wire.encode(outgoing.message)
+        socket = self._sockets.get(outgoing.address)
+        if socket is None:
+            socket = pynng.Push0(
+                send_buffer_size=SEND_MESSAGES,
+                reconnect_time_min=50,
+                reconnect_time_max=RECONNECT_MOST_MS,
+            )
+            socket.dial(f"tcp://{outgoing.address}", block=False)
+            self._sockets[outgoing.address] = socket
+        try:
+            socket.send(data, block=False)
+        except pynng.TryAgain:
+            self.dropped += 1
+            return
+        self.sent_bytes += len(data)
+        self.sent_messages += 1
+
+    async def _receive(self, kernel: Kernel) -> None:
+        assert self._listener is not None
+        while True:
+            data = await self._listener.arecv()
+            self.received_bytes += len(data)
+            self.received_messages += 1
+            decoded = wire.decode(data)
+            if isinstance(decoded, Ok):
+                kernel.announce(decoded.ok_value)
+            else:
+                logger.warning("event=bad_message node=%s problem=%r", kernel.node, decoded.err())
--- /dev/null
+++ b/saffronworks/placement.py
@@ -0,0 +1,107 @@
+"""Choices of a cell: which prefill endpoint, whether a slot will be free, which decode endpoint."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from saffronworks.bundles import Pool, Role
+from saffronworks.ledgers import EndpointLedger, Held, Stage
+from saffronworks.predictors import LengthTable
+
+__all__ = ["PrefillChoice", "choose_decode", "choose_prefill", "expected_free", "transfer_ms"]
+
+PREFILLS_AT_ENDPOINT = 2
+
+
+@attrs.frozen
+class PrefillChoice:
+    """A prefill endpoint with the predicted end of the prefill and of its transfer."""
+
+    ledger: EndpointLedger
+    end_ms: float
+    ready_ms: float
+
+
+def transfer_ms(
+    pool: Pool, tokens: int, source: EndpointLedger, target: EndpointLedger | None, now_ms: int
+) -> float:
+    """Predicted transfer time at the slower of both ends' shares of their links."""
+    rate = source.link_share(now_ms)
+    if target is not None:
+        rate = min(rate, target.link_share(now_ms))
+    return 1000.0 * tokens * pool.kv_bytes_per_token / rate
+
+
+def choose_prefill(
+    pool: Pool,
+    ledgers: Iterable[EndpointLedger],
+    prompt_tokens: int,
+    prefix_key: str,
+    now_ms: int,
+) -> PrefillChoice | None:
+    """The endpoint with the earliest predicted end, among those that can take one more."""
+    best: PrefillChoice | None = None
+    for ledger in ledgers:
+        if ledger.endpoint.role is not Role.PREFILL or not ledger.open(now_ms):
+            continue
+        if len(ledger.prefills) >= PREFILLS_AT_ENDPOINT:
+            continue
+        end_ms = ledger.backlog_end_ms(now_ms)
+        end_ms += ledger.prefill_work_ms(prompt_tokens, prefix_key)
+        ready_ms = end_ms + transfer_ms(pool, prompt_tokens, ledger, None, now_ms)
+        if best is None or ready_ms < best.ready_ms:
+            best = PrefillChoice(ledger, end_ms, ready_ms)
+    return best
+
+
+def expected_free(
+    ledgers: Iterable[EndpointLedger],
+    held: Iterable[Held],
+    lengths: Mapping[str, LengthTable],
+    then_ms: float,
+    now_ms: int,
+) -> float:
+    """Decode slots predicted free at `then_ms`, beyond those that granted prefills will want."""
+    free = 0.0
+    for ledger in ledgers:
+        if ledger.endpoint.role is Role.DECODE:
+            free += max(
+                0.0, ledger.slots(now_ms) - _expected_running(ledger, lengths, then_ms, now_ms)
+            )
+    return free - sum(1 for item in held if item.stage != Stage.DECODE)
+
+
+def _expected_running(
+    ledger: EndpointLedger, lengths: Mapping[str, LengthTable], then_ms: float, now_ms: int
+) -> float:
+    running = 0.0
+    pace_ms = max(0.1, ledger.pace_ms.value)
+    for item in ledger.decodes.values():
+        now_tokens = max(0.0, (now_ms - item.decode_started_ms) / pace_ms)
+        then_tokens = max(0.0, (then_ms - item.decode_started_ms) / pace_ms)
+        table = lengths.get(item.model)
+        if table is None:
+            running += 1.0
+        else:
+            running += table.still_running(now_tokens, then_tokens, item.max_tokens)
+    return running
+
+
+def choose_decode(
+    pool: Pool, ledgers: Mapping[str, EndpointLedger], item: Held, now_ms: int
+) -> tuple[EndpointLedger, float] | None:
+    """A decode endpoint with a free slot: the shortest transfer, then the lightest load."""
+    source = ledgers.get(item.prefill_endpoint)
+    best: tuple[tuple[float, float], EndpointLedger] | None = None
+    for ledger in ledgers.values():
+        if ledger.endpoint.role is not Role.DECODE or ledger.free_slots(now_ms) < 1:
+            continue
+        if ledger.endpoint.name == item.refused_by:
+            continue
+        cost_ms = transfer_ms(pool, item.prompt_tokens, source or ledger, ledger, now_ms)
+        rank = (round(cost_ms / 10), len(ledger.decodes) / ledger.endpoint.slots)
+        if best is None or rank < best[0]:
+            best = (rank, ledger)
+    if best is None:
+        return None
+    return best[1], transfer_ms(pool, item.prompt_tokens, source or best[1], best[1], now_ms)
--- /dev/null
+++ b/saffronworks/plain.py
@@ -0,0 +1,151 @@
+"""Plain services: least outstanding within the availability zone, spill over, safe retries."""
+
+import logging
+from collections.abc import AsyncIterator
+
+import attrs
+import httpcore
+
+from saffronworks.bundles import Endpoint, PlainRoute
+from saffronworks.completions import OUTCOME_HEADER, error_body
+from saffronworks.web import Call
+
+__all__ = ["PlainLoad", "PlainProxy", "choose_plain"]
+
+logger = logging.getLogger(__name__)
+
+SPILL_OVER_AT = 8
+MOST_TRIES = 3
+REPLAY_BYTES = 65_536
+CLOSED_MS = 2000
+TIMEOUTS = {"connect": 1.0, "read": 30.0, "write": 30.0, "pool": 2.0}
+_HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+    ]
+)
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
+
+
+@attrs.define
+class PlainLoad:
+    """What this node knows of plain endpoints: calls under way, and who refused lately."""
+
+    outstanding: dict[str, int] = attrs.Factory(dict)
+    closed_until_ms: dict[str, int] = attrs.Factory(dict)
+
+
+def choose_plain(
+    route: PlainRoute,
+    load: PlainLoad,
+    zone: str,
+    tried: set[str],
+    leaving: frozenset[str],
+    now_ms: int,
+) -> Endpoint | None:
+    """The least loaded endpoint of the zone, another zone's when that one is far busier."""
+
+    def rank(endpoint: Endpoint) -> tuple[bool, float]:
+        outstanding = load.outstanding.get(endpoint.name, 0)
+        away = endpoint.zone != zone
+        closed = load.closed_until_ms.get(endpoint.name, 0) > now_ms
+        return closed, outstanding + (SPILL_OVER_AT if away else 0)
+
+    usable = [e for e in route.endpoints if e.name not in tried and e.name not in leaving]
+    return min(usable, key=rank, default=None)
+
+
+class PlainProxy:
+    """Carries calls to plain services."""
+
+    def __init__(self, zone: str):
+        self.load = PlainLoad()
+        self.leaving: frozenset[str] = frozenset()
+        self._zone = zone
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=500, max_keepalive_connections=64, keepalive_expiry=20
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def carry(self, call: Call, route: PlainRoute, unrepeatable: bool, now_ms: int) -> str:
+        """Send a call on and its response back; returns the outcome."""
+        once = unrepeatable or call.method in route.unrepeatable_methods
+        tried: set[str] = set()
+        sent = False
+        for _ in range(MOST_TRIES):
+            endpoint = choose_plain(route, self.load, self._zone, tried, self.leaving, now_ms)
+            if endpoint is None:
+                break
+            tried.add(endpoint.name)
+            try:
+                await self._try(call, endpoint)
+                return "completed"
+            except _NOT_SENT:
+                self.load.closed_until_ms[endpoint.name] = now_ms + CLOSED_MS
+            except _BROKEN as error:
+                sent = True
+                logger.info(
+                    "event=plain_broken endpoint=%s error=%s", endpoint.name, type(error).__name__
+                )
+                if call.started:
+                    raise
+                if once or call.streamed:
+                    break
+        return await self._refuse(call, sent)
+
+    async def _refuse(self, call: Call, sent: bool) -> str:
+        outcome = "unknown" if sent else "not-run"
+        headers = {OUTCOME_HEADER: outcome}
+        if not sent:
+            headers["retry-after"] = "1"
+        body = error_body(f"{outcome}: no endpoint answered", "server_error", outcome)
+        await call.reply(502 if sent else 503, body, headers)
+        return outcome
+
+    async def _try(self, call: Call, endpoint: Endpoint) -> None:
+        name = endpoint.name
+        self.load.outstanding[name] = self.load.outstanding.get(name, 0) + 1
+        try:
+            await self._exchange(call, endpoint)
+        finally:
+            self.load.outstanding[name] -= 1
+
+    async def _exchange(self, call: Call, endpoint: Endpoint) -> None:
+        path = call.path + (f"?{call.query}" if call.query else "")
+        headers = [
+            (key.encode(), value.encode("latin-1"))
+            for key, value in call.headers.items()
+            if key not in _HOP_HEADERS
+        ]
+        length = call.headers.get("content-length")
+        body: bytes | AsyncIterator[bytes]
+        if length is None or int(length) <= REPLAY_BYTES:
+            body = await call.body(REPLAY_BYTES if length else 64 * REPLAY_BYTES)
+            headers.append((b"content-length", str(len(body)).encode()))
+        else:
+            body = call.chunks()
+            headers.append((b"content-length", length.encode()))
+        url = f"http://{endpoint.address}{path}"
+        async with self._pool.stream(
+            call.method, url, headers=headers, content=body, extensions={"timeout": TIMEOUTS}
+        ) as response:
+            fields = {
+                key.decode().lower(): value.decode("latin-1") for key, value in response.headers
+            }
+            kept = {key: value for key, value in fields.items() if key not in _HOP_HEADERS}
+            await call.start(response.status, {**kept, OUTCOME_HEADER: "completed"})
+            async for chunk in response.aiter_stream():
+                await call.write(chunk)
+            await call.write(b"", more=False)
--- /dev/null
+++ b/saffronworks/requests.py
@@ -0,0 +1,544 @@
+"""The life of one request at its entry node: a pure state machine.
+
+`step(request, event, now_ms)` changes the request and returns typed commands. It decides
+what is dispatched, which late or doubled input is dropped, and the outcome a caller is told.
+"""
+
+import enum
+
+import attrs
+
+from saffronworks.messages import RequestKey
+
+__all__ = [
+    "AskOwner",
+    "AssignReceived",
+    "AssignWithdrawn",
+    "CallerGone",
+    "CancelAt",
+    "Cancelled",
+    "Completed",
+    "DecodeBroken",
+    "DecodeEnded",
+    "DecodeRefused",
+    "DecodeStarted",
+    "Deliver",
+    "Finish",
+    "GrantReceived",
+    "NotRun",
+    "Outcome",
+    "Phase",
+    "PrefillEnded",
+    "PrefillFailed",
+    "RefusalReceived",
+    "ReleaseGrant",
+    "Request",
+    "ResumeDecode",
+    "StartDecode",
+    "StartPrefill",
+    "Started",
+    "TellPrefilled",
+    "Tick",
+    "TokensArrived",
+    "Unknown",
+    "step",
+]
+
+RESUMES_PER_ATTEMPT = 2
+MOST_ATTEMPTS = 6
+RETRY_AFTER_MS = 1000
+
+
+class Phase(enum.StrEnum):
+    """Where a request stands."""
+
+    RECEIVED = "received"
+    WAITING = "waiting"
+    PREFILLING = "prefilling"
+    ASSIGNING = "assigning"
+    TRANSFERRING = "transferring"
+    DECODING = "decoding"
+    FINISHED = "finished"
+
+
+@attrs.frozen
+class Completed:
+    """The whole answer was delivered, each token once."""
+
+
+@attrs.frozen
+class NotRun:
+    """No endpoint can have started the request."""
+
+    reason: str
+    retry_after_ms: int = RETRY_AFTER_MS
+
+
+@attrs.frozen
+class Unknown:
+    """Dispatched, and no one can tell whether it ran, or it ran in part."""
+
+    reason: str
+
+
+@attrs.frozen
+class Cancelled:
+    """The caller left; nobody is told anything."""
+
+
+Outcome = Completed | NotRun | Unknown | Cancelled
+
+
+@attrs.frozen
+class Started:
+    """The request was read and passed its checks."""
+
+
+@attrs.frozen
+class GrantReceived:
+    """The owner lets a prefill start."""
+
+    attempt: int
+    endpoint: str
+
+
+@attrs.frozen
+class RefusalReceived:
+    """The owner gave up on the attempt before its prefill."""
+
+    attempt: int
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen
+class PrefillEnded:
+    """The KV result stands ready at the prefill endpoint."""
+
+    attempt: int
+    kv_id: str
+    prefill_ms: int
+    cached_tokens: int
+    expires_in_ms: int
+
+
+@attrs.frozen
+class PrefillFailed:
+    """`executed` is False only when the endpoint cannot have started."""
+
+    attempt: int
+    executed: bool
+    failure: str
+
+
+@attrs.frozen
+class AssignReceived:
+    """The owner names the decode endpoint."""
+
+    attempt: int
+    endpoint: str
+
+
+@attrs.frozen
+class AssignWithdrawn:
+    """No slot came free before the KV result expired."""
+
+    attempt: int
+
+
+@attrs.frozen
+class DecodeStarted:
+    """The KV result was imported and its slot is held."""
+
+    attempt: int
+    transfer_ms: int
+
+
+@attrs.frozen
+class DecodeRefused:
+    """The decode endpoint took nothing. `kv_lost`: the KV result is gone."""
+
+    attempt: int
+    kv_lost: bool
+    failure: str
+
+
+@attrs.frozen
+class TokensArrived:
+    """Tokens from `offset` on, counted from the start of the answer."""
+
+    attempt: int
+    offset: int
+    tokens: tuple[str, ...]
+
+
+@attrs.frozen
+class DecodeEnded:
+    """The endpoint says the answer has `total` tokens and is whole."""
+
+    attempt: int
+    total: int
+
+
+@attrs.frozen
+class DecodeBroken:
+    """The stream broke. `engine_alive`: the engine still has the stream."""
+
+    attempt: int
+    engine_alive: bool
+    failure: str
+
+
+@attrs.frozen
+class CallerGone:
+    """The caller hung up."""
+
+
+@attrs.frozen
+class Tick:
+    """Time passes."""
+
+
+Event = (
+    Started
+    | GrantReceived
+    | RefusalReceived
+    | PrefillEnded
+    | PrefillFailed
+    | AssignReceived
+    | AssignWithdrawn
+    | DecodeStarted
+    | DecodeRefused
+    | TokensArrived
+    | DecodeEnded
+    | DecodeBroken
+    | CallerGone
+    | Tick
+)
+
+
+@attrs.frozen
+class AskOwner:
+    """Ask the owner for a prefill grant."""
+
+    attempt: int
+    retry: bool
+
+
+@attrs.frozen
+class StartPrefill:
+    """Dispatch the prefill."""
+
+    attempt: int
+    endpoint: str
+    delivered: int
+
+
+@attrs.frozen
+class TellPrefilled:
+    """Tell the owner that the KV result waits; `refused_by` names a full decode endpoint."""
+
+    attempt: int
+    refused_by: str = ""
+    failure: str = ""
+
+
+@attrs.frozen
+class StartDecode:
+    """Import the KV result and stream from `offset`."""
+
+    attempt: int
+    endpoint: str
+    source: str
+    kv_id: str
+    offset: int
+
+
+@attrs.frozen
+class ResumeDecode:
+    """Attach again to the running stream at `offset`."""
+
+    attempt: int
+    endpoint: str
+    offset: int
+
+
+@attrs.frozen
+class CancelAt:
+    """Cancel the attempt at an endpoint until it acknowledges."""
+
+    attempt: int
+    endpoint: str
+
+
+@attrs.frozen
+class ReleaseGrant:
+    """Tell the owner that the attempt holds nothing any more."""
+
+    attempt: int
+    finished: bool = False
+    failed: str = ""
+    failure: str = ""
+
+
+@attrs.frozen
+class Deliver:
+    """Hand tokens to the caller, in order."""
+
+    tokens: tuple[str, ...]
+
+
+@attrs.frozen
+class Finish:
+    """The last command of a request."""
+
+    outcome: Outcome
+
+
+Command = (
+    AskOwner
+    | StartPrefill
+    | TellPrefilled
+    | StartDecode
+    | ResumeDecode
+    | CancelAt
+    | ReleaseGrant
+    | Deliver
+    | Finish
+)
+
+
+@attrs.define
+class Request:
+    """State of one request. `delivered` counts the tokens that the caller was given."""
+
+    request_id: str
+    prompt_tokens: int
+    max_tokens: int
+    arrived_ms: int
+    deadline_ms: int
+    ask_again_ms: int
+    stall_ms: int = 5000
+    unrepeatable: bool = False
+    phase: Phase = Phase.RECEIVED
+    attempt: int = 1
+    dispatched: bool = False
+    dispatched_before: bool = False
+    delivered: int = 0
+    prefill_endpoint: str = ""
+    decode_endpoint: str = ""
+    kv_id: str = ""
+    resumes: int = 0
+    asked_ms: int = 0
+    progress_ms: int = 0
+    first_token_ms: int | None = None
+    last_token_ms: int = 0
+    prefill_ms: int = 0
+    cached_tokens: int = 0
+    kv_expires_ms: int = 0
+    transfer_ms: int = 0
+    prefills: int = 0
+    wasted_prefills: int = 0
+    outcome: Outcome | None = None
+
+    @property
+    def key(self) -> RequestKey:
+        """The current attempt."""
+        return RequestKey(self.request_id, self.attempt)
+
+    @property
+    def holds_prefill(self) -> bool:
+        """Whether prefill work of this attempt would be wasted by a failure now."""
+        return self.phase in (Phase.PREFILLING, Phase.ASSIGNING, Phase.TRANSFERRING)
+
+
+def step(request: Request, event: Event, now_ms: int) -> list[Command]:
+    """Apply one event. Input of an older attempt, or after the end, changes nothing."""
+    if request.phase is Phase.FINISHED:
+        return []
+    if getattr(event, "attempt", request.attempt) != request.attempt:
+        return []
+    match event:
+        case Started():
+            return _ask(request, now_ms, retry=False)
+        case CallerGone():
+            return _end(request, Cancelled())
+        case Tick():
+            return _tick(request, now_ms)
+        case TokensArrived() | DecodeEnded() | DecodeBroken():
+            return _step_decode(request, event, now_ms)
+        case _:
+            return _step_setup(request, event, now_ms)
+
+
+def _step_setup(request: Request, event: Event, now_ms: int) -> list[Command]:
+    match event, request.phase:
+        case GrantReceived(), Phase.WAITING:
+            return _start_prefill(request, event.endpoint, now_ms)
+        case RefusalReceived(), Phase.WAITING:
+            return _end(request, _give_up(request, event.reason, event.retry_after_ms))
+        case PrefillEnded(), Phase.PREFILLING:
+            request.phase = Phase.ASSIGNING
+            request.kv_id = event.kv_id
+            request.prefill_ms = event.prefill_ms
+            request.cached_tokens = event.cached_tokens
+            request.kv_expires_ms = now_ms + event.expires_in_ms
+            request.asked_ms = now_ms
+            return [TellPrefilled(request.attempt)]
+        case PrefillFailed(), Phase.PREFILLING:
+            if not event.executed:
+                request.dispatched = request.dispatched_before
+            return _retry(request, now_ms, request.prefill_endpoint, event.failure, event.executed)
+        case AssignReceived(), Phase.ASSIGNING:
+            request.phase = Phase.TRANSFERRING
+            request.decode_endpoint = event.endpoint
+            request.progress_ms = now_ms
+            return [_start_decode(request)]
+        case AssignWithdrawn(), Phase.ASSIGNING:
+            return _retry(request, now_ms, "", "expired", executed=True)
+        case DecodeStarted(), Phase.TRANSFERRING:
+            request.phase = Phase.DECODING
+            request.transfer_ms = event.transfer_ms
+            request.progress_ms = now_ms
+            return []
+        case DecodeRefused(), Phase.TRANSFERRING:
+            return _decode_refused(request, event, now_ms)
+    return []
+
+
+def _start_prefill(request: Request, endpoint: str, now_ms: int) -> list[Command]:
+    request.phase = Phase.PREFILLING
+    request.prefill_endpoint = endpoint
+    request.prefills += 1
+    request.dispatched_before = request.dispatched
+    request.dispatched = True
+    request.progress_ms = now_ms
+    return [StartPrefill(request.attempt, endpoint, request.delivered)]
+
+
+def _start_decode(request: Request) -> StartDecode:
+    return StartDecode(
+        request.attempt,
+        request.decode_endpoint,
+        request.prefill_endpoint,
+        request.kv_id,
+        request.delivered,
+    )
+
+
+def _decode_refused(request: Request, event: DecodeRefused, now_ms: int) -> list[Command]:
+    refused_by = request.decode_endpoint
+    request.decode_endpoint = ""
+    if event.kv_lost:
+        return _retry(request, now_ms, "", event.failure, executed=True)
+    request.phase = Phase.ASSIGNING
+    request.asked_ms = now_ms
+    return [TellPrefilled(request.attempt, refused_by, event.failure)]
+
+
+def _step_decode(
+    request: Request, event: TokensArrived | DecodeEnded | DecodeBroken, now_ms: int
+) -> list[Command]:
+    if request.phase not in (Phase.TRANSFERRING, Phase.DECODING):
+        return []
+    match event:
+        case TokensArrived():
+            return _deliver(request, event, now_ms)
+        case DecodeEnded():
+            if event.total > request.delivered:
+                return _broken(request, DecodeBroken(event.attempt, True, "gap"), now_ms)
+            return _end(request, Completed())
+        case DecodeBroken():
+            return _broken(request, event, now_ms)
+
+
+def _deliver(request: Request, event: TokensArrived, now_ms: int) -> list[Command]:
+    if event.offset > request.delivered:
+        return _broken(request, DecodeBroken(event.attempt, True, "gap"), now_ms)
+    fresh = event.tokens[request.delivered - event.offset :]
+    if not fresh:
+        return []
+    request.phase = Phase.DECODING
+    request.delivered += len(fresh)
+    if request.first_token_ms is None:
+        request.first_token_ms = now_ms
+    request.last_token_ms = now_ms
+    request.progress_ms = now_ms
+    return [Deliver(fresh)]
+
+
+def _broken(request: Request, event: DecodeBroken, now_ms: int) -> list[Command]:
+    if event.engine_alive and request.resumes < RESUMES_PER_ATTEMPT:
+        request.resumes += 1
+        request.progress_ms = now_ms
+        return [ResumeDecode(request.attempt, request.decode_endpoint, request.delivered)]
+    return _retry(request, now_ms, request.decode_endpoint, event.failure, executed=True)
+
+
+def _retry(
+    request: Request, now_ms: int, failed: str, failure: str, executed: bool
+) -> list[Command]:
+    """Give the attempt up and start another one, where that cannot run anything twice."""
+    commands: list[Command] = _drop_attempt(request, failed, failure)
+    too_many = request.attempt >= MOST_ATTEMPTS
+    if too_many or now_ms >= request.deadline_ms or (request.unrepeatable and executed):
+        return commands + _finish(request, _give_up(request, failure or "failed"))
+    request.attempt += 1
+    request.resumes = 0
+    request.prefill_endpoint = request.decode_endpoint = request.kv_id = ""
+    return commands + _ask(request, now_ms, retry=True)
+
+
+def _ask(request: Request, now_ms: int, retry: bool) -> list[Command]:
+    request.phase = Phase.WAITING
+    request.asked_ms = now_ms
+    return [AskOwner(request.attempt, retry)]
+
+
+def _tick(request: Request, now_ms: int) -> list[Command]:
+    before_first = request.first_token_ms is None
+    if before_first and now_ms >= request.deadline_ms:
+        return _end(request, _give_up(request, "deadline"))
+    if now_ms - request.progress_ms >= request.stall_ms:
+        if request.phase is Phase.PREFILLING:
+            return _retry(request, now_ms, request.prefill_endpoint, "stalled", executed=True)
+        if request.phase in (Phase.TRANSFERRING, Phase.DECODING):
+            return _broken(request, DecodeBroken(request.attempt, True, "stalled"), now_ms)
+    if now_ms - request.asked_ms < request.ask_again_ms:
+        return []
+    if request.phase is Phase.WAITING:
+        return _ask(request, now_ms, retry=request.attempt > 1)
+    if request.phase is Phase.ASSIGNING:
+        if now_ms >= request.kv_expires_ms:
+            return _retry(request, now_ms, "", "expired", executed=True)
+        request.asked_ms = now_ms
+        return [TellPrefilled(request.attempt)]
+    return []
+
+
+def _give_up(request: Request, reason: str, retry_after_ms: int = RETRY_AFTER_MS) -> Outcome:
+    if request.dispatched:
+        return Unknown(reason)
+    return NotRun(reason, retry_after_ms)
+
+
+def _drop_attempt(request: Request, failed: str = "", failure: str = "") -> list[Command]:
+    if request.holds_prefill:
+        request.wasted_prefills += 1
+    held = {request.prefill_endpoint, request.decode_endpoint} - {""}
+    commands: list[Command] = [CancelAt(request.attempt, endpoint) for endpoint in sorted(held)]
+    commands.append(ReleaseGrant(request.attempt, failed=failed, failure=failure))
+    return commands
+
+
+def _end(request: Request, outcome: Outcome) -> list[Command]:
+    if isinstance(outcome, Completed):
+        release = ReleaseGrant(request.attempt, finished=True)
+        return [release, *_finish(request, outcome)]
+    return _drop_attempt(request) + _finish(request, outcome)
+
+
+def _finish(request: Request, outcome: Outcome) -> list[Command]:
+    request.phase = Phase.FINISHED
+    request.outcome = outcome
+    return [Finish(outcome)]
--- /dev/null
+++ b/saffronworks/runners.py
@@ -0,0 +1,283 @@
+"""One task per request at its entry node: performs the core's commands, feeds it events."""
+
+import logging
+from typing import Protocol
+
+import anyio
+import attrs
+import httpcore
+import msgspec
+from anyio.abc import TaskGroup
+from result import Err
+
+from saffronworks import requests
+from saffronworks.bundles import Endpoint, Model
+from saffronworks.cancels import CancelOrder
+from saffronworks.engines import Decode, DecodeLine, EngineClient, EngineFailure, Prefill, Resume
+from saffronworks.kernel import Kernel
+from saffronworks.ledgers import Stage
+from saffronworks.messages import Ask, HeldKey, Prefilled, Release, RequestKey
+from saffronworks.ownership import Cell
+from saffronworks.requests import Phase, Request
+
+__all__ = ["Job", "Owners", "RequestRunner", "Sink"]
+
+logger = logging.getLogger(__name__)
+
+EVENTS_HELD = 1024
+STREAM_IDLE_MS = 3000
+_BROKEN = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    OSError,
+    msgspec.MsgspecError,
+)
+
+
+class Sink(Protocol):
+    """Where the answer goes."""
+
+    async def deliver(self, tokens: tuple[str, ...]) -> None:
+        """Take the next tokens, in order."""
+
+
+class Owners(Protocol):
+    """How a runner reaches the owner of a cell."""
+
+    def tell_owner(self, cell: str, message: object) -> None:
+        """Send to the owner, which may be this node."""
+
+
+@attrs.frozen
+class Job:
+    """What a caller asked for."""
+
+    prompt: str
+    prefix_key: str
+    prefix_tokens: int
+    organisation: str
+    priority: int
+    model: Model
+    cell: Cell
+
+
+class RequestRunner:
+    """Drives one `Request` to its outcome."""
+
+    def __init__(
+        self, kernel: Kernel, owners: Owners, engines: EngineClient, request: Request, job: Job
+    ):
+        self.request = request
+        self.job = job
+        self._kernel = kernel
+        self._owners = owners
+        self._engines = engines
+        self._endpoints = {endpoint.name: endpoint for endpoint in job.cell.endpoints}
+        self._outbox, self._inbox = anyio.create_memory_object_stream[requests.Event](EVENTS_HELD)
+
+    def post(self, event: requests.Event) -> None:
+        """Hand in an event without waiting; a full mailbox drops it, as the network would."""
+        try:
+            self._outbox.send_nowait(event)
+        except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            logger.warning("event=event_dropped request=%s", self.request.request_id)
+
+    def held(self) -> HeldKey | None:
+        """What this request holds at the owner, None while it holds nothing."""
+        request = self.request
+        match request.phase:
+            case Phase.PREFILLING:
+                stage, endpoint = Stage.PREFILL, request.prefill_endpoint
+            case Phase.ASSIGNING:
+                stage, endpoint = Stage.READY, request.prefill_endpoint
+            case Phase.TRANSFERRING | Phase.DECODING:
+                stage, endpoint = Stage.DECODE, request.decode_endpoint
+            case _:
+                return None
+        return HeldKey(request.key, endpoint, stage, self.job.organisation, request.delivered)
+
+    async def run(self, sink: Sink) -> requests.Outcome:
+        """Run to the outcome. On cancellation the engines are told, then it goes on up."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.post(requests.Started())
+                async for event in self._inbox:
+                    commands = requests.step(self.request, event, self._kernel.now_ms())
+                    for command in commands:
+                        await self._perform(command, tasks, sink)
+                    if self.request.phase is Phase.FINISHED:
+                        tasks.cancel_scope.cancel()
+                        break
+        finally:
+            self._abandon()
+        assert self.request.outcome is not None
+        return self.request.outcome
+
+    def _abandon(self) -> None:
+        """Tell engines and owner when the task ends before the request does."""
+        commands = requests.step(self.request, requests.CallerGone(), self._kernel.now_ms())
+        for command in commands:
+            self._perform_now(command)
+
+    async def _perform(self, command: requests.Command, tasks: TaskGroup, sink: Sink) -> None:
+        match command:
+            case requests.Deliver():
+                await sink.deliver(command.tokens)
+            case requests.StartPrefill():
+                tasks.start_soon(self._prefill, command)
+            case requests.StartDecode():
+                tasks.start_soon(self._decode, command)
+            case requests.ResumeDecode():
+                tasks.start_soon(self._resume, command)
+            case _:
+                self._perform_now(command)
+
+    def _perform_now(self, command: requests.Command) -> None:
+        match command:
+            case requests.AskOwner():
+                self._tell(self._ask(command))
+            case requests.TellPrefilled():
+                self._tell(self._prefilled(command))
+            case requests.ReleaseGrant():
+                self._tell(self._release(command))
+            case requests.CancelAt():
+                key = RequestKey(self.request.request_id, command.attempt)
+                address = self._endpoints[command.endpoint].address
+                self._kernel.post("cancels", CancelOrder(command.endpoint, address, key))
+
+    def _tell(self, message: Ask | Prefilled | Release) -> None:
+        self._owners.tell_owner(self.job.cell.name, message)
+
+    def _ask(self, command: requests.AskOwner) -> Ask:
+        request = self.request
+        return Ask(
+            key=RequestKey(request.request_id, command.attempt),
+            node=self._kernel.node,
+            cell=self.job.cell.name,
+            model=self.job.model.name,
+            organisation=self.job.organisation,
+            prompt_tokens=request.prompt_tokens + request.delivered,
+            prefix_key=self.job.prefix_key,
+            max_tokens=max(1, request.max_tokens - request.delivered),
+            priority=self.job.priority,
+            waited_ms=self._kernel.now_ms() - request.arrived_ms,
+            retry=command.retry,
+        )
+
+    def _prefilled(self, command: requests.TellPrefilled) -> Prefilled:
+        request = self.request
+        return Prefilled(
+            key=RequestKey(request.request_id, command.attempt),
+            node=self._kernel.node,
+            cell=self.job.cell.name,
+            prefill_ms=request.prefill_ms,
+            cached_tokens=request.cached_tokens,
+            expires_in_ms=max(0, request.kv_expires_ms - self._kernel.now_ms()),
+            refused_by=command.refused_by,
+            failure=command.failure,
+        )
+
+    def _release(self, command: requests.ReleaseGrant) -> Release:
+        request = self.request
+        decode_ms = 0
+        if request.first_token_ms is not None:
+            decode_ms = request.last_token_ms - request.first_token_ms
+        return Release(
+            key=RequestKey(request.request_id, command.attempt),
+            node=self._kernel.node,
+            cell=self.job.cell.name,
+            organisation=self.job.organisation,
+            output_tokens=request.delivered,
+            decode_ms=decode_ms,
+            transfer_ms=request.transfer_ms,
+            finished=command.finished,
+            failed=command.failed,
+            failure=command.failure,
+        )
+
+    async def _prefill(self, command: requests.StartPrefill) -> None:
+        endpoint = self._endpoints.get(command.endpoint)
+        if endpoint is None:
+            event = requests.PrefillFailed(command.attempt, executed=False, failure="unknown")
+            await self._outbox.send(event)
+            return
+        call = Prefill(
+            request_id=self.request.request_id,
+            attempt=command.attempt,
+            holder=self._kernel.node,
+            prompt=self.job.prompt,
+            prefix_key=self.job.prefix_key,
+            prefix_tokens=self.job.prefix_tokens,
+            delivered=command.delivered,
+        )
+        reply = await self._engines.prefill(endpoint.address, call, self.request.stall_ms)
+        if isinstance(reply, Err):
+            failure = reply.err_value
+            event = requests.PrefillFailed(command.attempt, failure.executed, failure.kind)
+            await self._outbox.send(event)
+            return
+        done = reply.ok_value
+        await self._outbox.send(
+            requests.PrefillEnded(
+                command.attempt, done.kv_id, done.prefill_ms, done.cached_tokens, done.expires_in_ms
+            )
+        )
+
+    async def _decode(self, command: requests.StartDecode) -> None:
+        call = Decode(
+            request_id=self.request.request_id,
+            attempt=command.attempt,
+            holder=self._kernel.node,
+            prompt=self.job.prompt,
+            max_tokens=self.request.max_tokens,
+            source=self._endpoints[command.source].address,
+            kv_id=command.kv_id,
+            offset=command.offset,
+        )
+        await self._follow(command.endpoint, call)
+
+    async def _resume(self, command: requests.ResumeDecode) -> None:
+        call = Resume(self.request.request_id, command.attempt, command.offset)
+        await self._follow(command.endpoint, call)
+
+    async def _follow(self, name: str, call: Decode | Resume) -> None:
+        """Read a stream to its end; whatever breaks it becomes one event."""
+        endpoint: Endpoint | None = self._endpoints.get(name)
+        address = endpoint.address if endpoint else "127.0.0.1:0"
+        opened_ok = isinstance(call, Resume)
+        try:
+            async with self._engines.open_decode(address, call, STREAM_IDLE_MS) as opened:
+                if isinstance(opened, Err):
+                    await self._outbox.send(_refused(call, opened.err_value))
+                    return
+                opened_ok = True
+                async for line in opened.ok_value:
+                    for event in _read_line(call.attempt, line):
+                        await self._outbox.send(event)
+                    if line.done or line.cancelled:
+                        return
+            failure = "ended early"
+        except _BROKEN as error:
+            failure = type(error).__name__
+        broken = requests.DecodeBroken(call.attempt, engine_alive=opened_ok, failure=failure)
+        await self._outbox.send(broken)
+
+
+def _read_line(attempt: int, line: DecodeLine) -> list[requests.Event]:
+    if line.done:
+        return [requests.DecodeEnded(attempt, line.total)]
+    if line.cancelled:
+        return [requests.DecodeBroken(attempt, engine_alive=False, failure="cancelled")]
+    if line.imported:
+        return [requests.DecodeStarted(attempt, line.transfer_ms)]
+    return [requests.TokensArrived(attempt, line.offset, line.tokens)]
+
+
+def _refused(call: Decode | Resume, failure: EngineFailure) -> requests.Event:
+    if isinstance(call, Resume):
+        return requests.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
+    kv_lost = failure.status in (409, 410)
+    if failure.executed:
+        return requests.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
+    return requests.DecodeRefused(call.attempt, kv_lost, failure.kind)
--- /dev/null
+++ b/saffronworks/stores.py
@@ -0,0 +1,140 @@
+"""The adapter to the platform's object API, with a circuit and jittered backoff."""
+
+import random
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from saffronworks.documents import Document
+
+__all__ = ["Moved", "StoreClient", "StoreFailure", "WatchReply"]
+
+TIMEOUT_S = 2.0
+FIRST_BACKOFF_MS = 200
+LONGEST_BACKOFF_MS = 10_000
+_NETWORK = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+
+
+@attrs.frozen
+class StoreFailure:
+    """No answer; `applied` False when a write cannot have taken effect."""
+
+    reason: str
+    applied: bool
+
+
+@attrs.frozen
+class Moved:
+    """A conditional write found another version."""
+
+    version: int
+
+
+@attrs.frozen
+class _Object:
+    key: str
+    version: int
+    value: str
+    revision: int
+
+
+@attrs.frozen
+class WatchReply:
+    """Objects that changed since a revision, and the revision now."""
+
+    revision: int
+    objects: tuple[_Object, ...]
+
+    def documents(self) -> tuple[Document, ...]:
+        """The objects as documents."""
+        return tuple(Document(item.key, item.version, item.value) for item in self.objects)
+
+
+@attrs.frozen
+class _Version:
+    version: int
+
+
+class StoreClient:
+    """Calls to the object API. After failures it waits, longer each time, with jitter."""
+
+    def __init__(self, address: str, rng: random.Random):
+        self._address = address
+        self._rng = rng
+        self._pool = httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=20)
+        self._failures = 0
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    def backoff_ms(self) -> int:
+        """How long to wait before the next call; 0 after a success."""
+        if self._failures == 0:
+            return 0
+        longest = min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** min(self._failures, 10))
+        return self._rng.randint(longest // 2, longest)
+
+    async def get(self, key: str) -> Result[Document | None, StoreFailure]:
+        """One object, None when there is none."""
+        reply = await self._call("GET", f"/objects/{quote(key)}")
+        if isinstance(reply, Err):
+            return reply
+        status, content = reply.ok_value
+        if status == 404:
+            return Ok(None)
+        item = msgspec.json.decode(content, type=_Object)
+        return Ok(Document(item.key, item.version, item.value))
+
+    async def put(self, key: str, value: str, if_version: int) -> Result[int, Moved | StoreFailure]:
+        """Write if the version is still `if_version` (0: no object yet); the new version."""
+        path = f"/objects/{quote(key)}?if_version={if_version}"
+        reply = await self._call("PUT", path, value.encode())
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        status, content = reply.ok_value
+        version = msgspec.json.decode(content, type=_Version).version
+        return Err(Moved(version)) if status == 409 else Ok(version)
+
+    async def list(self, prefix: str = "") -> Result[WatchReply, StoreFailure]:
+        """All objects below a prefix."""
+        return await self._objects(f"/objects?prefix={quote(prefix)}", TIMEOUT_S)
+
+    async def watch(self, since: int, timeout_ms: int) -> Result[WatchReply, StoreFailure]:
+        """Wait until something changes after revision `since`, or for `timeout_ms`."""
+        path = f"/watch?since={since}&timeout_ms={timeout_ms}"
+        return await self._objects(path, timeout_ms / 1000 + TIMEOUT_S)
+
+    async def _objects(self, path: str, timeout_s: float) -> Result[WatchReply, StoreFailure]:
+        reply = await self._call("GET", path, timeout_s=timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        return Ok(msgspec.json.decode(reply.ok_value[1], type=WatchReply))
+
+    async def _call(
+        self, method: str, path: str, content: bytes = b"", timeout_s: float = TIMEOUT_S
+    ) -> Result[tuple[int, bytes], StoreFailure]:
+        self.calls += 1
+        timeout = {"connect": TIMEOUT_S, "read": timeout_s, "pool": TIMEOUT_S}
+        url = f"http://{self._address}{path}"
+        failure: StoreFailure
+        try:
+            response: Any = await self._pool.request(
+                method, url, content=content, extensions={"timeout": timeout}
+            )
+            if response.status < 500:
+                self._failures = 0
+                return Ok((response.status, response.content))
+            failure = StoreFailure(f"status {response.status}", applied=False)
+        except _NOT_SENT as error:
+            failure = StoreFailure(type(error).__name__, applied=False)
+        except _NETWORK as error:
+            failure = StoreFailure(type(error).__name__, applied=method == "PUT")
+        self._failures += 1
+        return Err(failure)
--- /dev/null
+++ b/saffronworks/tests/features/steps/requests_steps.py
@@ -0,0 +1,236 @@
+"""Properties of the request core, driven by a faulty endpoint that keeps its own record."""
+
+import attrs
+from behave import given, then, when
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from saffronworks import requests as core
+from saffronworks.requests import Phase, Request
+
+TOTAL = 6
+ANSWER = tuple(f"t{index}" for index in range(TOTAL))
+
+
+def new_request(unrepeatable=False):
+    return Request("r", 100, TOTAL, 0, 4000, 400, stall_ms=900, unrepeatable=unrepeatable)
+
+
+@attrs.define
+class FaultyWorld:
+    """Endpoints that obey commands in faulty ways; it remembers what really ran."""
+
+    request: Request
+    now_ms: int = 0
+    delivered: list = attrs.Factory(list)
+    inbox: list = attrs.Factory(list)
+    executed: set = attrs.Factory(set)
+    holding: set = attrs.Factory(set)
+    cancelled: set = attrs.Factory(set)
+
+    def feed(self, event):
+        for command in core.step(self.request, event, self.now_ms):
+            self.obey(command)
+
+    def obey(self, command):
+        match command:
+            case core.Deliver():
+                self.delivered += command.tokens
+            case core.AskOwner():
+                self.inbox.append(core.GrantReceived(command.attempt, "p"))
+            case core.StartPrefill():
+                self.inbox.append(("prefill", command.attempt))
+            case core.TellPrefilled():
+                self.inbox.append(core.AssignReceived(command.attempt, "d"))
+            case core.StartDecode() | core.ResumeDecode():
+                self.inbox.append(("decode", command.attempt, command.offset))
+            case core.CancelAt():
+                self.cancelled.add((command.attempt, command.endpoint))
+
+    def act(self, choice, fault):
+        """Take one message out of the inbox and deal with it, well or badly."""
+        if not self.inbox:
+            self.now_ms += 300
+            self.feed(core.Tick())
+            return
+        item = self.inbox[choice % len(self.inbox)]
+        if fault != "double":
+            self.inbox.remove(item)
+        if fault == "lose":
+            self.now_ms += 300
+            self.feed(core.Tick())
+        elif isinstance(item, tuple):
+            self.run_endpoint(item, fault)
+        else:
+            self.feed(item)
+
+    def run_endpoint(self, item, fault):
+        kind, attempt = item[0], item[1]
+        if kind == "prefill":
+            if fault == "refuse":
+                self.feed(core.PrefillFailed(attempt, executed=False, failure="connect"))
+                return
+            self.executed.add(attempt)
+            self.holding.add((attempt, "p"))
+            if fault == "break":
+                self.feed(core.PrefillFailed(attempt, executed=True, failure="ReadError"))
+            else:
+                self.inbox.append(core.PrefillEnded(attempt, "kv", 10, 0, 800))
+            return
+        if fault == "refuse":
+            self.feed(core.DecodeRefused(attempt, kv_lost=False, failure="slots full"))
+            return
+        self.holding.add((attempt, "d"))
+        self.stream(attempt, item[2], fault)
+
+    def stream(self, attempt, offset, fault):
+        self.inbox.append(core.DecodeStarted(attempt, 5))
+        middle = min(TOTAL, offset + 3)
+        self.inbox.append(core.TokensArrived(attempt, offset, ANSWER[offset:middle]))
+        if fault == "break":
+            self.inbox.append(core.DecodeBroken(attempt, engine_alive=False, failure="gone"))
+            return
+        if fault == "cut":
+            self.inbox.append(core.DecodeBroken(attempt, engine_alive=True, failure="cut"))
+            return
+        self.inbox.append(core.TokensArrived(attempt, middle, ANSWER[middle:]))
+        self.inbox.append(core.DecodeEnded(attempt, TOTAL))
+
+
+FAULTS = ("none", "none", "none", "none", "lose", "double", "refuse", "break", "cut")
+MOVES = st.lists(st.tuples(st.integers(0, 5), st.sampled_from(FAULTS)), min_size=1, max_size=60)
+
+
+def for_all_orders(unrepeatable, check):
+    @forall(MOVES)
+    def run(moves):
+        world = FaultyWorld(new_request(unrepeatable))
+        world.feed(core.Started())
+        for choice, fault in moves:
+            world.act(choice, fault)
+            if world.request.phase is Phase.FINISHED:
+                break
+        check(world)
+
+    run()
+
+
+@given("any order of events for a repeatable request")
+def repeatable(context):
+    context.unrepeatable = False
+
+
+@given("any order of events for an unrepeatable request")
+def unrepeatable(context):
+    context.unrepeatable = True
+
+
+@then("every token reaches the caller once and in order")
+def once_in_order(context):
+    finished = []
+
+    def check(world):
+        assert tuple(world.delivered) == ANSWER[: len(world.delivered)], world.delivered
+        if isinstance(world.request.outcome, core.Completed):
+            finished.append(world)
+            assert tuple(world.delivered) == ANSWER
+
+    for_all_orders(context.unrepeatable, check)
+    assert finished, "no order came to a whole answer"
+
+
+@then("a request that is told not run was never taken by an endpoint")
+def not_run_is_true(context):
+    def check(world):
+        if isinstance(world.request.outcome, core.NotRun):
+            assert not world.executed, world.executed
+
+    for_all_orders(context.unrepeatable, check)
+
+
+@then("at most one endpoint can have run it")
+def at_most_once(context):
+    def check(world):
+        assert len(world.executed) <= 1, world.executed
+
+    for_all_orders(context.unrepeatable, check)
+
+
+@then("at its end each endpoint that holds something was told to cancel")
+def all_cancelled(context):
+    def check(world):
+        if not isinstance(world.request.outcome, core.Unknown | core.NotRun):
+            return
+        assert world.holding <= world.cancelled, (world.holding, world.cancelled)
+
+    for_all_orders(context.unrepeatable, check)
+
+
+def run_commands(context, event, now_ms=10):
+    context.commands = core.step(context.request, event, now_ms)
+    return context.commands
+
+
+@given("a request that waits for a grant")
+def waiting(context):
+    context.request = new_request()
+    run_commands(context, core.Started())
+
+
+@given("a request that streams from an engine")
+def streaming(context):
+    waiting(context)
+    run_commands(context, core.GrantReceived(1, "p"))
+    run_commands(context, core.PrefillEnded(1, "kv", 10, 0, 800))
+    run_commands(context, core.AssignReceived(1, "d"))
+    run_commands(context, core.DecodeStarted(1, 5))
+
+
+@when("the engine dies after {count:d} tokens")
+def engine_dies(context, count):
+    run_commands(context, core.TokensArrived(1, 0, ANSWER[:count]))
+    run_commands(context, core.DecodeBroken(1, engine_alive=False, failure="connect"))
+
+
+@when("the connection breaks after {count:d} tokens")
+def connection_breaks(context, count):
+    run_commands(context, core.TokensArrived(1, 0, ANSWER[:count]))
+    run_commands(context, core.DecodeBroken(1, engine_alive=True, failure="cut"))
+
+
+@when("a grant of attempt {attempt:d} arrives")
+def old_grant(context, attempt):
+    run_commands(context, core.GrantReceived(attempt, "p"))
+
+
+@when("its owner refuses it for overload")
+def refused(context):
+    run_commands(context, core.RefusalReceived(1, "overload", 700))
+
+
+@then("a new attempt asks for a grant")
+def asks_again(context):
+    assert core.AskOwner(2, True) in context.commands, context.commands
+
+
+@then("the next decode starts at offset {offset:d}")
+def next_decode(context, offset):
+    run_commands(context, core.GrantReceived(2, "p"))
+    run_commands(context, core.PrefillEnded(2, "kv2", 10, 0, 800))
+    commands = run_commands(context, core.AssignReceived(2, "d2"))
+    assert commands == [core.StartDecode(2, "d2", "p", "kv2", offset)], commands
+
+
+@then("the stream is resumed at offset {offset:d}")
+def resumed(context, offset):
+    assert context.commands == [core.ResumeDecode(1, "d", offset)], context.commands
+
+
+@then("nothing is commanded")
+def nothing(context):
+    assert context.commands == []
+
+
+@then("the outcome is not run")
+def not_run(context):
+    assert context.request.outcome == core.NotRun("overload", 700)
--- /dev/null
+++ b/saffronworks/web.py
@@ -0,0 +1,195 @@
+"""Small helpers over ASGI and uvicorn, shared by nodes and stand-ins."""
+
+import logging
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+
+__all__ = ["BadBody", "Call", "HttpServer", "bind", "parse_address"]
+
+logger = logging.getLogger(__name__)
+
+JSON = b"application/json"
+
+
+class BadBody(Exception):
+    """The request's body is too large, or not what it should be."""
+
+
+class Call:
+    """One HTTP request and its response."""
+
+    def __init__(self, scope: Any, receive: Any, send: Any):
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: str = scope["query_string"].decode()
+        self.headers = {
+            key.decode().lower(): value.decode("latin-1") for key, value in scope["headers"]
+        }
+        self.started = False
+        self._receive = receive
+        self._send = send
+        self.streamed = False
+        self._whole = False
+        self._body = b""
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """The body in parts, once; `streamed` tells that it cannot be sent again."""
+        while not self._whole:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise BadBody("the caller hung up")
+            self.streamed = True
+            self._whole = not message.get("more_body", False)
+            yield message.get("body", b"")
+
+    async def body(self, most_bytes: int) -> bytes:
+        """The whole body, kept for a second reading; BadBody beyond `most_bytes`."""
+        parts: list[bytes] = [self._body]
+        size_bytes = 0
+        while not self._whole:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise BadBody("the caller hung up")
+            parts.append(message.get("body", b""))
+            size_bytes += len(parts[-1])
+            if size_bytes > most_bytes:
+                raise BadBody(f"body of more than {most_bytes} bytes")
+            self._whole = not message.get("more_body", False)
+        self._body = b"".join(parts)
+        return self._body
+
+    async def json(self, most_bytes: int = 8_000_000) -> Any:
+        """The body as JSON; BadBody when it is none."""
+        try:
+            return msgspec.json.decode(await self.body(most_bytes))
+        except msgspec.DecodeError as error:
+            raise BadBody(f"body is not JSON: {error}") from error
+
+    async def wait_gone(self) -> None:
+        """Return when the caller hung up; call it after the body was read."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the status line and headers."""
+        self.started = True
+        raw = [(key.lower().encode(), value.encode("latin-1")) for key, value in headers.items()]
+        await self._send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Send a part of the body; the last with `more` false."""
+        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+
+    async def reply(
+        self, status: int, value: object, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole JSON response."""
+        data = msgspec.json.encode(value)
+        await self.reply_bytes(status, data, "application/json", headers)
+
+    async def reply_bytes(
+        self, status: int, data: bytes, kind: str, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole response of another type."""
+        fields = {"content-type": kind, "content-length": str(len(data)), **(headers or {})}
+        await self.start(status, fields)
+        await self.write(data, more=False)
+
+
+Handler = Callable[[Call], Awaitable[None]]
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """The parts of `IP:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def bind(address: str) -> socket.socket:
+    """A listening socket; port 0 takes a free one."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(parse_address(address))
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
+
+
+class _Server(uvicorn.Server):
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals to the daemon."""
+        yield
+
+
+class HttpServer:
+    """Serves one handler on one socket until it is stopped."""
+
+    def __init__(self, listener: socket.socket, handler: Handler, grace_s: int = 1):
+        self._listener = listener
+        self._handler = handler
+        config = uvicorn.Config(
+            self._app,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            interface="asgi3",
+            proxy_headers=False,
+            server_header=False,
+            http="httptools",
+            loop="asyncio",
+            timeout_keep_alive=30,
+            timeout_graceful_shutdown=grace_s,
+        )
+        self._server = _Server(config)
+
+    @property
+    def address(self) -> str:
+        """The address that it listens on."""
+        host, port = self._listener.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def run(self) -> None:
+        """Serve until `stop` or cancellation."""
+        try:
+            await self._server.serve(sockets=[self._listener])
+        finally:
+            with anyio.CancelScope(shield=True):
+                self._abort()
+
+    def stop(self) -> None:
+        """Stop accepting, and return from `run` when the running calls are over."""
+        self._server.should_exit = True
+
+    def _abort(self) -> None:
+        for server in getattr(self._server, "servers", []):
+            server.close()
+        self._listener.close()
+        for connection in list(self._server.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+
+    async def _app(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        call = Call(scope, receive, send)
+        try:
+            await self._handler(call)
+        except BadBody as error:
+            if not call.started:
+                body = {"message": str(error), "type": "invalid_request_error"}
+                await call.reply(400, {"error": body})
+        except ConnectionError:
+            raise
+        except Exception:
+            logger.exception("event=handler_failed method=%s path=%s", call.method, call.path)
+            raise
