--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -33,6 +33,7 @@
     expected_free,
     transfer_ms,
 )
+from saffronworks.policies import Policy
 from saffronworks.predictors import Average, LengthTable
 from saffronworks.queues import Waiting, WaitQueue
 
@@ -54,6 +55,8 @@
 ENDED_KEPT_MS = 30_000
 FIRST_HOLD_MS = 2000.0
 LEAST_RETRY_AFTER_MS = 500
+LEAST_TRANSFER_LIMIT_MS = 400
+TRANSFER_LIMIT_FACTOR = 4
 
 
 @attrs.frozen
@@ -162,9 +165,17 @@
     withdrawn: int = 0
 
 
-def new_cell(cell: Cell, owner: str, lease_ms: int, rebuild_ms: int, now_ms: int) -> CellState:
+def new_cell(
+    cell: Cell,
+    owner: str,
+    lease_ms: int,
+    rebuild_ms: int,
+    now_ms: int,
+    policy: Policy | None = None,
+) -> CellState:
     """A new owner's state; it grants only after `rebuild_ms`, when entries have reported."""
-    state = CellState(cell, owner, LeaseTable(lease_ms), now_ms + rebuild_ms)
+    queue = WaitQueue(policy or Policy())
+    state = CellState(cell, owner, LeaseTable(lease_ms), now_ms + rebuild_ms, queue=queue)
     _set_cell(state, cell)
     return state
 
@@ -252,9 +263,9 @@
     if state.queue.full():
         return [_refuse(state, ask, "queue full", int(state.hold_ms.value))]
     arrived_ms = now_ms - ask.waited_ms
-    item = Waiting(ask, model, arrived_ms, now_ms)
+    item = Waiting(ask, model, arrived_ms, _work_ms(state, ask, now_ms))
     wait_ms = predict_wait(state, item, now_ms)
-    if wait_ms > item.patience_left_ms(now_ms):
+    if not ask.retry and wait_ms > item.patience_left_ms(now_ms):
         late_ms = int(wait_ms) - item.patience_left_ms(now_ms)
         return [_refuse(state, ask, "overload", max(LEAST_RETRY_AFTER_MS, late_ms))]
     state.queue.items[request_id] = item
@@ -265,11 +276,11 @@
     """Predicted time to the first token of a new attempt, behind those that go before it."""
     ahead = state.queue.ahead_of(item.ask)
     ledgers = state.ledgers.values()
-    decoders = [e for e in ledgers if e.endpoint.role is Role.DECODE and e.open(now_ms)]
+    decoders = _decoders(state, now_ms)
     prefillers = [e for e in ledgers if e.endpoint.role is Role.PREFILL and e.open(now_ms)]
     if not decoders or not prefillers:
         return 0.0
-    work_ms = _work_ms(state, item.ask, now_ms)
+    work_ms = item.work_ms
     free = expected_free(ledgers, state.held.values(), state.lengths, now_ms, now_ms)
     slots = sum(ledger.endpoint.slots for ledger in decoders)
     short = max(0.0, ahead + 1 - free)
@@ -300,8 +311,7 @@
     if now_ms < state.grants_from_ms:
         return commands
     while state.queue.items:
-        first = next(iter(state.queue.items.values()))
-        item = state.queue.select(now_ms, _work_ms(state, first.ask, now_ms))
+        item = state.queue.select(now_ms)
         choice = _admit(state, item, now_ms) if item else None
         if item is None or choice is None:
             break
@@ -317,19 +327,28 @@
     ask = item.ask
     pool = state.cell.pool
     ledgers = state.ledgers.values()
-    choice = choose_prefill(pool, ledgers, ask, now_ms)
+    choice = choose_prefill(pool, ledgers, ask, state.queue.policy.prefill_lead_ms, now_ms)
     if choice is None:
         return None
-    weight = item.model.goodput_weight
-    then_ms = choice.ready_ms + weight * pool.kv_kept_ms / 2
+    policy = state.queue.policy
+    wait_ms = policy.planned_wait_ms(item.model.goodput_weight, pool.kv_kept_ms)
+    then_ms = choice.ready_ms + wait_ms
     free = expected_free(ledgers, state.held.values(), state.lengths, then_ms, now_ms)
-    return choice if free >= 1.0 - weight / 2 else None
+    return choice if free >= 1.0 + policy.spare_slots else None
+
+
+def _decoders(state: CellState, now_ms: int) -> list[EndpointLedger]:
+    """The decode endpoints that may get work."""
+    return [
+        ledger
+        for ledger in state.ledgers.values()
+        if ledger.endpoint.role is Role.DECODE and ledger.open(now_ms)
+    ]
 
 
 def _grant(state: CellState, item: Waiting, choice: PrefillChoice, now_ms: int) -> Command:
     ask = item.ask
-    work_ms = choice.ready_ms - now_ms
-    state.queue.take(item, 1.0, now_ms, work_ms)
+    state.queue.take(item, 1.0, now_ms)
     held = Held(
         key=ask.key,
         node=ask.node,
@@ -360,7 +379,7 @@
         state.ledgers[event.refused_by].circuit.fail(event.failure, now_ms)
     if held.stage == Stage.DECODE:
         if event.refused_by != held.decode_endpoint:
-            return [Tell(event.node, Assign(event.key, held.decode_endpoint))]
+            return [Tell(event.node, Assign(event.key, held.decode_endpoint, held.limit_ms))]
         state.ledgers[held.decode_endpoint].decodes.pop(event.key.request_id, None)
         held.decode_endpoint = ""
     if held.stage == Stage.PREFILL:
@@ -410,7 +429,8 @@
     ledger.links.append((held.decode_started_ms, size))
     if held.prefill_endpoint in state.ledgers:
         state.ledgers[held.prefill_endpoint].links.append((held.decode_started_ms, size))
-    return Tell(held.node, Assign(held.key, ledger.endpoint.name))
+    held.limit_ms = int(LEAST_TRANSFER_LIMIT_MS + TRANSFER_LIMIT_FACTOR * transfer)
+    return Tell(held.node, Assign(held.key, ledger.endpoint.name, held.limit_ms))
 
 
 def _release(state: CellState, event: Release, now_ms: int) -> list[Command]:
@@ -544,7 +564,7 @@
     for node in state.leases.take_lapsed(now_ms):
         commands += _reclaim(state, node, now_ms)
     for request_id, waiting in list(state.queue.items.items()):
-        if waiting.patience_left_ms(now_ms) <= 0:
+        if not waiting.ask.retry and waiting.patience_left_ms(now_ms) <= 0:
             del state.queue.items[request_id]
             retry_after_ms = max(LEAST_RETRY_AFTER_MS, int(state.hold_ms.value))
             commands.append(_refuse(state, waiting.ask, "overload", retry_after_ms))
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -112,7 +112,9 @@
                     ),
                 )
             case Assign():
-                assigned = requests.AssignReceived(message.key.attempt, message.endpoint)
+                assigned = requests.AssignReceived(
+                    message.key.attempt, message.endpoint, message.limit_ms
+                )
                 self._post(message.key.request_id, assigned)
             case AssignRefused():
                 withdrawn = requests.AssignWithdrawn(message.key.attempt)
--- a/saffronworks/ledgers.py
+++ b/saffronworks/ledgers.py
@@ -42,6 +42,7 @@
     decode_endpoint: str = ""
     decode_started_ms: float = 0.0
     expires_ms: int = 0
+    limit_ms: int = 0
     avoid: tuple[str, ...] = ()
 
 
--- a/saffronworks/messages.py
+++ b/saffronworks/messages.py
@@ -81,10 +81,14 @@
 
 @attrs.frozen
 class Assign:
-    """Owner to entry: import the KV result into this decode endpoint now."""
+    """Owner to entry: import the KV result into this decode endpoint now.
+
+    A transfer that takes longer than `limit_ms` has stalled.
+    """
 
     key: RequestKey
     endpoint: str
+    limit_ms: int
 
 
 @attrs.frozen
--- a/saffronworks/placement.py
+++ b/saffronworks/placement.py
@@ -11,7 +11,7 @@
 
 __all__ = ["PrefillChoice", "choose_decode", "choose_prefill", "expected_free", "transfer_ms"]
 
-PREFILLS_AT_ENDPOINT = 2
+MOST_PREFILLS = 2
 
 
 @attrs.frozen
@@ -37,19 +37,21 @@
     pool: Pool,
     ledgers: Iterable[EndpointLedger],
     ask: Ask,
+    lead_ms: float,
     now_ms: int,
 ) -> PrefillChoice | None:
     """The endpoint with the earliest predicted end, among those that can take one more.
 
-    One that failed the request before is taken only when there is no other.
+    One that is busy for longer than `lead_ms` takes none, so that the order stays the queue's.
+    An endpoint that failed the request before is taken only when there is no other.
     """
     best: tuple[tuple[bool, float], PrefillChoice] | None = None
     for ledger in ledgers:
         if ledger.endpoint.role is not Role.PREFILL or not ledger.open(now_ms):
             continue
-        if len(ledger.prefills) >= PREFILLS_AT_ENDPOINT:
-            continue
         end_ms = ledger.backlog_end_ms(now_ms)
+        if end_ms > now_ms + lead_ms or len(ledger.prefills) >= MOST_PREFILLS:
+            continue
         end_ms += ledger.prefill_work_ms(ask.prompt_tokens, ask.prefix_key)
         ready_ms = end_ms + transfer_ms(pool, ask.prompt_tokens, ledger, None, now_ms)
         rank = (ledger.endpoint.name in ask.avoid, ready_ms)
--- a/saffronworks/queues.py
+++ b/saffronworks/queues.py
@@ -1,29 +1,35 @@
-"""The bounded wait queue of a cell: priority, then who can still be in time, then fairness."""
+"""The bounded wait queue of a cell: priority, retries, who can still be in time, fairness.
+
+A retry goes first, since work was spent on it; the retry budget bounds how many there are.
+"""
 
 import attrs
 
 from saffronworks.bundles import Model
 from saffronworks.messages import Ask
+from saffronworks.policies import Policy
 
 __all__ = ["Waiting", "WaitQueue"]
 
 QUEUE_LENGTH = 256
-LATE_EVERY_GRANTS = 16
+LEAST_SERVICE = 2.0
 SHARE_HALF_LIFE_MS = 5000.0
 
 
 @attrs.define
 class Waiting:
-    """One queued attempt. `arrived_ms` is on the owner's clock, less what it waited before."""
+    """One queued attempt. `arrived_ms` is on the owner's clock, less what it waited before;
+    `work_ms` is the predicted time from its grant to its first token.
+    """
 
     ask: Ask
     model: Model
     arrived_ms: int
-    wait_queued_ms: int
+    work_ms: float
 
-    def slack_ms(self, now_ms: int, work_ms: float) -> float:
+    def slack_ms(self, now_ms: int) -> float:
         """Time to spare before the first token would miss its target."""
-        return self.arrived_ms + self.model.ttft_ms - now_ms - work_ms
+        return self.arrived_ms + self.model.ttft_ms - now_ms - self.work_ms
 
     def patience_left_ms(self, now_ms: int) -> int:
         """Time until the caller is told *not run*."""
@@ -34,6 +40,7 @@
 class WaitQueue:
     """Waiting attempts by request id, and the recent service of each organisation."""
 
+    policy: Policy = attrs.Factory(Policy)
     items: dict[str, Waiting] = attrs.Factory(dict)
     served: dict[str, tuple[float, int]] = attrs.Factory(dict)
     since_late: int = 0
@@ -42,21 +49,27 @@
         """Whether the bound is reached."""
         return len(self.items) >= QUEUE_LENGTH
 
-    def select(self, now_ms: int, work_ms: float) -> Waiting | None:
-        """The attempt to serve next; every `LATE_EVERY_GRANTS`th turn is a late one's."""
+    def select(self, now_ms: int) -> Waiting | None:
+        """The attempt to serve next; now and then a late one has its turn."""
         if not self.items:
             return None
-        if self.since_late >= LATE_EVERY_GRANTS:
-            late = [w for w in self.items.values() if w.slack_ms(now_ms, work_ms) < 0]
+        if self.since_late >= self.policy.late_every_grants:
+            late = [waiting for waiting in self.items.values() if self.late(waiting, now_ms)]
             if late:
-                return min(late, key=lambda w: (-w.ask.priority, w.arrived_ms))
-        return min(self.items.values(), key=lambda w: self._rank(w, now_ms, work_ms))
+                return min(late, key=lambda waiting: (-waiting.ask.priority, waiting.arrived_ms))
+        fair = self._fair_service(now_ms)
+        return min(self.items.values(), key=lambda waiting: self._rank(waiting, now_ms, fair))
+
+    def late(self, waiting: Waiting, now_ms: int) -> bool:
+        """Whether the attempt can no longer meet its target to the first token."""
+        margin_ms = self.policy.slack_margin_share * waiting.model.ttft_ms
+        return waiting.slack_ms(now_ms) < margin_ms
 
-    def take(self, waiting: Waiting, cost: float, now_ms: int, work_ms: float) -> None:
+    def take(self, waiting: Waiting, cost: float, now_ms: int) -> None:
         """Remove a served attempt and charge its organisation."""
         del self.items[waiting.ask.key.request_id]
         self.since_late += 1
-        if waiting.slack_ms(now_ms, work_ms) < 0:
+        if self.late(waiting, now_ms):
             self.since_late = 0
         organisation = waiting.ask.organisation
         self.served[organisation] = (self.service(organisation, now_ms) + cost, now_ms)
@@ -76,8 +89,14 @@
             if self.service(organisation, now_ms) < 0.05:
                 del self.served[organisation]
 
-    def _rank(self, waiting: Waiting, now_ms: int, work_ms: float) -> tuple[float, ...]:
-        slack_ms = waiting.slack_ms(now_ms, work_ms)
-        late = slack_ms < 0
-        service = self.service(waiting.ask.organisation, now_ms)
-        return (-waiting.ask.priority, late, round(service), slack_ms)
+    def _fair_service(self, now_ms: int) -> float:
+        """The recent service beyond which an organisation goes after the others."""
+        amounts = [self.service(organisation, now_ms) for organisation in self.served]
+        mean = sum(amounts) / len(amounts) if amounts else 0.0
+        return max(LEAST_SERVICE, self.policy.fair_factor * mean)
+
+    def _rank(self, waiting: Waiting, now_ms: int, fair: float) -> tuple[float, ...]:
+        late = self.late(waiting, now_ms)
+        excess = max(0, round(self.service(waiting.ask.organisation, now_ms) - fair))
+        fresh = not waiting.ask.retry
+        return (-waiting.ask.priority, fresh, late, excess, waiting.slack_ms(now_ms))
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -133,10 +133,11 @@
 
 @attrs.frozen
 class AssignReceived:
-    """The owner names the decode endpoint."""
+    """The owner names the decode endpoint, and when the transfer to it counts as stalled."""
 
     attempt: int
     endpoint: str
+    limit_ms: int
 
 
 @attrs.frozen
@@ -337,6 +338,7 @@
     cached_tokens: int = 0
     kv_expires_ms: int = 0
     transfer_ms: int = 0
+    transfer_limit_ms: int = 0
     prefills: int = 0
     wasted_prefills: int = 0
     failed_endpoints: tuple[str, ...] = ()
@@ -394,6 +396,7 @@
         case AssignReceived(), Phase.ASSIGNING:
             request.phase = Phase.TRANSFERRING
             request.decode_endpoint = event.endpoint
+            request.transfer_limit_ms = event.limit_ms
             request.progress_ms = now_ms
             return [_start_decode(request)]
         case AssignWithdrawn(), Phase.ASSIGNING:
@@ -506,11 +509,14 @@
     before_first = request.first_token_ms is None
     if before_first and now_ms >= request.deadline_ms:
         return _end(request, _give_up(request, "deadline"))
-    if now_ms - request.progress_ms >= request.stall_ms:
+    idle_ms = now_ms - request.progress_ms
+    if request.phase is Phase.TRANSFERRING and idle_ms >= request.transfer_limit_ms:
+        return _broken(request, DecodeBroken(request.attempt, False, "stalled"), now_ms)
+    if idle_ms >= request.stall_ms:
         if request.phase is Phase.PREFILLING:
             failed = (request.prefill_endpoint,)
             return _retry(request, now_ms, failed, "stalled", executed=True)
-        if request.phase in (Phase.TRANSFERRING, Phase.DECODING):
+        if request.phase is Phase.DECODING:
             return _broken(request, DecodeBroken(request.attempt, True, "stalled"), now_ms)
     if now_ms - request.asked_ms < request.ask_again_ms:
         return []
