One relay tree for all watchers, news of members spread at once, fairness over all present

Cause, relay: each watcher pushed a bundle down a tree of its own; a node that took it from one tree did not forward it in the other, and its children there waited for the slow comparison. All watchers now feed one tree. Cause, membership: news rode only on heartbeats to ring neighbours, so it walked around the ring. A changed status is now told to two random members at once, and one heartbeat in three goes to a random member.

--- a/saffronworks/documents.py
+++ b/saffronworks/documents.py
@@ -42,10 +42,10 @@
 
 @attrs.frozen
 class DocumentPush:
-    """A document on its way down the tree that starts at `root`; empty: to this node only."""
+    """A document; with `relay`, on its way down the tree, else to this node only."""
 
     document: Document
-    root: str = ""
+    relay: bool = False
 
 
 @attrs.frozen
@@ -140,11 +140,10 @@
         case Fetched():
             commands: list[Command] = []
             for document in event.documents:
-                root = state.node if event.relay else ""
-                commands += _take(state, document, root, members)
+                commands += _take(state, document, event.relay, members)
             return commands
         case DocumentPush():
-            return _take(state, event.document, event.root, members)
+            return _take(state, event.document, event.relay, members)
         case DocumentPull():
             return _answer_pull(state, event)
         case PeerDigest():
@@ -158,7 +157,7 @@
 
 
 def _take(
-    state: DocumentStore, document: Document, root: str, members: Sequence[str]
+    state: DocumentStore, document: Document, relay: bool, members: Sequence[str]
 ) -> list[Command]:
     known = state.documents.get(document.key)
     if known is not None and known.version >= document.version:
@@ -168,20 +167,25 @@
         state.digests[bucket] ^= _hash_version(known.key, known.version)
     state.digests[bucket] ^= _hash_version(document.key, document.version)
     state.documents[document.key] = document
-    push = DocumentPush(document, root)
-    children = _children(state.node, root, members) if root else []
-    return [InForce(document), *(SendTo(child, push) for child in children)]
+    push = DocumentPush(document, relay=True)
+    targets = _choose_targets(state.node, document, members) if relay else []
+    return [InForce(document), *(SendTo(target, push) for target in targets)]
 
 
-def _children(node: str, root: str, members: Sequence[str]) -> list[str]:
-    """This node's children in the tree over all members that starts at `root`."""
+def _choose_targets(node: str, document: Document, members: Sequence[str]) -> list[str]:
+    """Whom this node sends a document to when it first takes it: its children, and the root.
+
+    All watchers feed one tree, rotated by the document's version. Were there a tree for each
+    watcher, a node that took the document from one would not forward it in the other.
+    """
     order = sorted(members)
-    if root not in order or node not in order:
+    if node not in order:
         return []
-    first = order.index(root)
+    first = _hash_version(document.key, document.version) % len(order)
     order = order[first:] + order[:first]
     index = order.index(node)
-    return order[TREE_WIDTH * index + 1 : TREE_WIDTH * index + 1 + TREE_WIDTH]
+    children = order[TREE_WIDTH * index + 1 : TREE_WIDTH * index + 1 + TREE_WIDTH]
+    return children if index == 0 else [order[0], *children]
 
 
 def _answer_pull(state: DocumentStore, event: DocumentPull) -> list[Command]:
--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -28,7 +28,8 @@
     "step",
 ]
 
-NEIGHBOURS = 3
+NEIGHBOURS = 2
+RUMOUR_TARGETS = 2
 UPDATES_PER_MESSAGE = 12
 SYNC_MEMBERS = 400
 HEAL_EVERY_BEATS = 4
@@ -239,7 +240,22 @@
     if known is not None and update.status in (Status.SUSPECT, Status.DEAD):
         member.heard_ms = known.heard_ms
     state.members[update.name] = member
-    return [MemberChanged(update.name, update.status)] if update.status != was else []
+    if update.status is was:
+        return []
+    return [MemberChanged(update.name, update.status), *_spread_now(state, update)]
+
+
+def _spread_now(state: Membership, update: MemberUpdate) -> list[Command]:
+    """Tell a few members at once; on heartbeats alone news would walk around the ring."""
+    others = [
+        member.update.address
+        for member in state.members.values()
+        if member.update.status in (Status.ALIVE, Status.LEAVING)
+        and member.update.name != update.name
+    ]
+    targets = state.rng.sample(others, min(RUMOUR_TARGETS, len(others)))
+    beat = Heartbeat(state.me, (update,), state.digest, state.fresh_age_ms)
+    return [Send(address, beat) for address in targets]
 
 
 def _refute(state: Membership, update: MemberUpdate) -> None:
@@ -311,6 +327,8 @@
     ring = [m for m in state.members.values() if m.update.status not in (Status.DEAD, Status.LEFT)]
     ring.sort(key=lambda m: (_position(m.update.name) - here) % 2**64)
     targets = ring[:NEIGHBOURS]
+    if len(ring) > NEIGHBOURS:
+        targets.append(state.rng.choice(ring[NEIGHBOURS:]))
     suspects = [m for m in ring[NEIGHBOURS:] if m.update.status is Status.SUSPECT]
     targets += suspects[:1]
     silent = [m for m in state.members.values() if m.update.status in (Status.DEAD, Status.LISTED)]
--- a/saffronworks/policies.py
+++ b/saffronworks/policies.py
@@ -23,7 +23,7 @@
     spare_slots: float = 0.0
     late_every_grants: int = 32
     slack_margin_share: float = 0.17
-    fair_factor: float = 2.0
+    fair_factor: float = 1.8
     prefill_lead_ms: float = 20.0
 
     def planned_wait_ms(self, weight: float, kv_kept_ms: int) -> float:
--- a/saffronworks/queues.py
+++ b/saffronworks/queues.py
@@ -12,7 +12,7 @@
 __all__ = ["Waiting", "WaitQueue"]
 
 QUEUE_LENGTH = 256
-LEAST_SERVICE = 2.0
+LEAST_SERVICE = 1.0
 SHARE_HALF_LIFE_MS = 5000.0
 
 
@@ -91,12 +91,13 @@
 
     def _fair_service(self, now_ms: int) -> float:
         """The recent service beyond which an organisation goes after the others."""
-        amounts = [self.service(organisation, now_ms) for organisation in self.served]
-        mean = sum(amounts) / len(amounts) if amounts else 0.0
-        return max(LEAST_SERVICE, self.policy.fair_factor * mean)
+        present = {waiting.ask.organisation for waiting in self.items.values()}
+        present.update(self.served)
+        total = sum(self.service(organisation, now_ms) for organisation in self.served)
+        return max(LEAST_SERVICE, self.policy.fair_factor * total / len(present))
 
     def _rank(self, waiting: Waiting, now_ms: int, fair: float) -> tuple[float, ...]:
         late = self.late(waiting, now_ms)
-        excess = max(0, round(self.service(waiting.ask.organisation, now_ms) - fair))
+        excess = int(self.service(waiting.ask.organisation, now_ms) / fair)
         fresh = not waiting.ask.retry
         return (-waiting.ask.priority, fresh, late, excess, waiting.slack_ms(now_ms))
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -58,7 +58,8 @@
     print(f"Policy bench, {seeds} seeds of {seconds:.0f} s virtual time; median (range).")
     print(
         f"{'shape':<8} {'faults':<6} {'load':>4}  {'goodput':<20} {'bound':>5} {'/bound':>6} "
-        f"{'best baseline':<24} {'ratio':>6}  {'wasted':>6} {'base':>6} {'not run':>7} {'unknown':>7}"
+        f"{'best baseline':<24} {'ratio':>6}  {'wasted':>6} {'base':>6} {'not run':>7} "
+        f"{'unknown':>7}"
     )
     for shape in SHAPES:
         for faults in (False, True):
--- a/tools/fleet_bench.py
+++ b/tools/fleet_bench.py
@@ -129,11 +129,12 @@
         for node in self.nodes.values():
             node.in_force_ms = -1.0
         for node in alive[:watchers]:
-            self.clock.after(
-                read_ms, lambda node=node: self._document_step(node, Fetched((document,)))
-            )
+            self.clock.after(read_ms, self._reader(node, document))
         return self.clock.now_ms
 
+    def _reader(self, node: FleetNode, document: Document) -> Callable[[], None]:
+        return lambda: self._document_step(node, Fetched((document,)))
+
     def last_in_force_ms(self) -> float:
         """When the last live node had the bundle in force; -1 if any has not."""
         times = [node.in_force_ms for node in self.nodes.values() if node.alive]
