--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -55,7 +55,7 @@
 ENDED_KEPT_MS = 30_000
 FIRST_HOLD_MS = 2000.0
 LEAST_RETRY_AFTER_MS = 500
-LEAST_TRANSFER_LIMIT_MS = 400
+LEAST_TRANSFER_LIMIT_MS = 800
 TRANSFER_LIMIT_FACTOR = 4
 
 
@@ -160,6 +160,7 @@
     orphans: OrphanWatch = attrs.Factory(OrphanWatch)
     budget: RetryBudget = attrs.Factory(RetryBudget)
     hold_ms: Average = attrs.Factory(lambda: Average(FIRST_HOLD_MS))
+    transfer_ms: Average = attrs.Factory(lambda: Average(0.0))
     granted: int = 0
     refused: int = 0
     withdrawn: int = 0
@@ -258,12 +259,11 @@
     model = state.models.get(ask.model)
     if model is None:
         return [_refuse(state, ask, "no such model here", LEAST_RETRY_AFTER_MS)]
-    if ask.retry and not state.budget.withdraw():
-        return [_refuse(state, ask, "retry budget", int(state.hold_ms.value))]
     if state.queue.full():
         return [_refuse(state, ask, "queue full", int(state.hold_ms.value))]
     arrived_ms = now_ms - ask.waited_ms
     item = Waiting(ask, model, arrived_ms, _work_ms(state, ask, now_ms))
+    item.first = ask.retry and state.budget.withdraw()
     wait_ms = predict_wait(state, item, now_ms)
     if not ask.retry and wait_ms > item.patience_left_ms(now_ms):
         late_ms = int(wait_ms) - item.patience_left_ms(now_ms)
@@ -429,7 +429,8 @@
     ledger.links.append((held.decode_started_ms, size))
     if held.prefill_endpoint in state.ledgers:
         state.ledgers[held.prefill_endpoint].links.append((held.decode_started_ms, size))
-    held.limit_ms = int(LEAST_TRANSFER_LIMIT_MS + TRANSFER_LIMIT_FACTOR * transfer)
+    usual_ms = max(transfer, state.transfer_ms.value)
+    held.limit_ms = int(LEAST_TRANSFER_LIMIT_MS + TRANSFER_LIMIT_FACTOR * usual_ms)
     return Tell(held.node, Assign(held.key, ledger.endpoint.name, held.limit_ms))
 
 
@@ -461,6 +462,7 @@
     ledger = state.ledgers.get(held.decode_endpoint)
     if ledger is not None and event.output_tokens > 1:
         ledger.pace_ms.add(event.decode_ms / event.output_tokens)
+    state.transfer_ms.add(float(event.transfer_ms))
     state.hold_ms.add(float(event.decode_ms + event.transfer_ms))
 
 
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -69,6 +69,15 @@
         member = self.state.members.get(name)
         return member.update.address if member else None
 
+    def zone_of(self, name: str) -> str:
+        """The availability zone of a member, empty when unknown."""
+        member = self.state.members.get(name)
+        return member.update.zone if member else ""
+
+    def zones(self) -> set[str]:
+        """The availability zones of the other members."""
+        return {member.update.zone for member in self.state.members.values()}
+
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Send heartbeats and take news until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/saffronworks/queues.py
+++ b/saffronworks/queues.py
@@ -1,6 +1,7 @@
 """The bounded wait queue of a cell: priority, retries, who can still be in time, fairness.
 
-A retry goes first, since work was spent on it; the retry budget bounds how many there are.
+A retry goes first, since work was spent on it, as long as the retry budget lasts; after that
+it waits its turn like the others. Grants follow free slots, so retries never add load.
 """
 
 import attrs
@@ -19,13 +20,15 @@
 @attrs.define
 class Waiting:
     """One queued attempt. `arrived_ms` is on the owner's clock, less what it waited before;
-    `work_ms` is the predicted time from its grant to its first token.
+    `work_ms` is the predicted time from its grant to its first token; `first` marks a retry
+    that the budget lets go before the others.
     """
 
     ask: Ask
     model: Model
     arrived_ms: int
     work_ms: float
+    first: bool = False
 
     def slack_ms(self, now_ms: int) -> float:
         """Time to spare before the first token would miss its target."""
@@ -99,5 +102,4 @@
     def _rank(self, waiting: Waiting, now_ms: int, fair: float) -> tuple[float, ...]:
         late = self.late(waiting, now_ms)
         excess = int(self.service(waiting.ask.organisation, now_ms) / fair)
-        fresh = not waiting.ask.retry
-        return (-waiting.ask.priority, fresh, late, excess, waiting.slack_ms(now_ms))
+        return (-waiting.ask.priority, not waiting.first, late, excess, waiting.slack_ms(now_ms))
--- a/saffronworks/relays.py
+++ b/saffronworks/relays.py
@@ -34,6 +34,7 @@
 STALE_MS = 6000
 LOOK_EVERY_S = 0.5
 PEERS_TO_BE_READY = 2
+ZONES_TO_BE_READY = 2
 
 
 class RelayService:
@@ -84,8 +85,11 @@
             return
         if not self.state.documents:
             return
+        members: MemberService = kernel.find("members")
         self._agreeing.add(message.sender)
-        if len(self._agreeing) >= PEERS_TO_BE_READY:
+        zones = {members.zone_of(name) for name in self._agreeing}
+        enough_zones = len(zones) >= min(ZONES_TO_BE_READY, len(members.zones()))
+        if len(self._agreeing) >= PEERS_TO_BE_READY and enough_zones:
             self.ready = True
         if message.fresh_age_ms < self.fresh_age_ms(kernel.now_ms()):
             self.confirmed_ms = kernel.now_ms() - message.fresh_age_ms
--- a/saffronworks/sites.py
+++ b/saffronworks/sites.py
@@ -106,6 +106,7 @@
             admin_address="127.0.0.1:0",
             peer_address=free_address(),
             store_address=self.store.address,
+            seeds=tuple(node.settings.peer_address for node in self.nodes),
             heartbeat_ms=self.shape.heartbeat_ms,
             suspect_after_ms=3 * self.shape.heartbeat_ms,
             dead_after_ms=6 * self.shape.heartbeat_ms,
--- /dev/null
+++ b/saffronworks/tests/features/fleet.feature
@@ -0,0 +1,61 @@
+Feature: many nodes act as one
+
+  Scenario: a version never goes back
+    Given any order of pushes, pulls and comparisons between nodes
+    Then no node ever takes an older version
+
+  Scenario: nodes that exchange digests come to the same versions
+    Given any spread of versions over nodes
+    When they exchange heartbeats for a while
+    Then every node has the highest version of each document
+
+  Scenario: a sign-off whose reply was lost is settled by reading back
+    Given a store that applies a sign-off and loses the reply
+    Then the sign-off is accepted once
+
+  Scenario: racing operators get a conflict that names the other
+    Given another operator signed off first
+    Then the sign-off is refused and names the other
+
+  Scenario: a sign-off in an outage is unsettled, and may be sent again
+    Given a store that does not answer
+    Then the sign-off is unsettled
+    And the same sign-off id is accepted once the store is back
+
+  Scenario: a silent member is suspected, then dead, and comes back
+    Given a fleet of 8 nodes
+    When one node is silent for 10 s
+    Then all others hold it dead
+    And when it speaks again all hold it alive
+
+  Scenario: a paused node that wakes does not hold the others dead
+    Given a fleet of 8 nodes
+    When one node is paused for 10 s
+    Then after a few heartbeats all members are alive to all
+
+  Scenario: a zone that was cut off comes back by itself
+    Given a fleet of 9 nodes
+    When one zone is cut off for 30 s
+    Then after 30 s all members are alive to all
+
+  Scenario: any faults, and after them one view
+    Given any pauses and cuts in a fleet
+    Then after quiet time all live nodes agree on members and versions
+
+  Scenario: the owner of a cell is the same to all and moves little
+    Given 40 members and 200 cells
+    Then each member that leaves moves only its own cells
+    And the choice agrees with a naive search
+
+  Scenario: every endpoint is in exactly one cell and each cell has both roles
+    Given any pool of endpoints
+    Then its cells hold each endpoint once and both roles each
+
+  Scenario: a node that starts in a store outage serves what its peers have
+    When a node starts while the store is down
+    Then it becomes ready with the version of its peers
+
+  Scenario: a bundle is in force on every node and a lost reply signs off once
+    When a bundle is signed off while the store loses its reply
+    Then the version is in force on every node
+    And it went up by one
--- /dev/null
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -0,0 +1,359 @@
+"""Scenarios on membership, documents, sign-off and ownership."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as forall
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from site_steps import on_site
+
+from saffronworks import documents, signoffs
+from saffronworks.bundles import Bundle, Endpoint, Pool, Role
+from saffronworks.documents import Document, DocumentPush, DocumentStore, Fetched, InForce
+from saffronworks.hashing import hash64
+from saffronworks.membership import Status, live_members
+from saffronworks.ownership import choose_owner, split_pool
+from saffronworks.signoffs import SignOff, SignOffRecord
+from saffronworks.sites import SiteShape, wait_until
+from tools.fleet_bench import Fleet
+
+KEYS = ("bundles/a", "bundles/b", "vms")
+
+
+@given("any order of pushes, pulls and comparisons between nodes")
+def any_pushes(context):
+    moves = st.lists(
+        st.tuples(st.sampled_from(KEYS), st.integers(1, 6), st.booleans()), max_size=30
+    )
+
+    @forall(moves)
+    def run(items):
+        store = DocumentStore("n1")
+        highest = {}
+        for key, version, relay in items:
+            document = Document(key, version, f"{key}{version}")
+            event = DocumentPush(document, relay) if relay else Fetched((document,), False)
+            commands = documents.step(store, event, ("n1", "n2", "n3"))
+            taken = [c.document.version for c in commands if isinstance(c, InForce)]
+            assert taken == ([version] if version > highest.get(key, 0) else [])
+            highest[key] = max(version, highest.get(key, 0))
+        found = {key: document.version for key, document in store.documents.items()}
+        assert found == highest
+
+    context.property = run
+
+
+@then("no node ever takes an older version")
+def never_older(context):
+    context.property()
+
+
+@given("any spread of versions over nodes")
+def any_spread(context):
+    context.spreads = st.lists(
+        st.tuples(st.integers(0, 4), st.sampled_from(KEYS), st.integers(1, 5)), max_size=25
+    )
+
+
+@when("they exchange heartbeats for a while")
+def exchange(context):
+    pass
+
+
+@then("every node has the highest version of each document")
+def all_highest(context):
+    @forall(context.spreads)
+    def run(spread):
+        stores = {f"n{i}": DocumentStore(f"n{i}") for i in range(5)}
+        highest = {}
+        for index, key, version in spread:
+            document = Document(key, version, "x")
+            documents.step(stores[f"n{index}"], Fetched((document,), False), ())
+            highest[key] = max(version, highest.get(key, 0))
+        for _ in range(6):
+            _gossip_round(stores)
+        for store in stores.values():
+            assert {k: d.version for k, d in store.documents.items()} == highest
+
+    run()
+
+
+def _gossip_round(stores):
+    names = sorted(stores)
+    for index, name in enumerate(names):
+        peer = names[(index + 1) % len(names)]
+        digest = documents.overall_digest(stores[name])
+        inbox = [(peer, documents.PeerDigest(name, digest))]
+        while inbox:
+            target, event = inbox.pop(0)
+            for command in documents.step(stores[target], event, names):
+                if isinstance(command, documents.SendTo):
+                    inbox.append((command.member, command.message))
+
+
+class FakeStore:
+    """One object; `lose` replies after applying, or `down` altogether."""
+
+    def __init__(self, version=0, record=None):
+        self.version, self.record = version, record
+        self.lose, self.down = 0, False
+
+    def act(self, command, record):
+        if self.down:
+            return signoffs.Outage()
+        match command:
+            case signoffs.PutIf():
+                if command.expected != self.version:
+                    return signoffs.PutRefused()
+                self.version, self.record = self.version + 1, record
+                if self.lose:
+                    self.lose -= 1
+                    return signoffs.PutLost()
+                return signoffs.PutDone(self.version)
+            case _:
+                return signoffs.ReadDone(self.version, self.record)
+
+
+def drive(store, base, sign_off_id="mine"):
+    state = SignOff(sign_off_id, base)
+    record = SignOffRecord("text", sign_off_id, "ada")
+    command = signoffs.start(state)
+    while isinstance(command, signoffs.Read | signoffs.PutIf | signoffs.BackOff):
+        command = signoffs.step(state, store.act(command, record))
+    return command
+
+
+@given("a store that applies a sign-off and loses the reply")
+def losing(context):
+    context.store = FakeStore()
+    context.store.lose = 1
+
+
+@then("the sign-off is accepted once")
+def accepted_once(context):
+    assert drive(context.store, 0) == signoffs.Accepted(1)
+    assert context.store.version == 1
+
+
+@given("another operator signed off first")
+def other_first(context):
+    context.store = FakeStore(4, SignOffRecord("other", "theirs", "grace"))
+
+
+@then("the sign-off is refused and names the other")
+def refused(context):
+    assert drive(context.store, 3) == signoffs.Conflict(4, "grace", "theirs")
+
+
+@given("a store that does not answer")
+def silent_store(context):
+    context.store = FakeStore()
+    context.store.down = True
+
+
+@then("the sign-off is unsettled")
+def unsettled(context):
+    assert isinstance(drive(context.store, 0), signoffs.Unsettled)
+
+
+@then("the same sign-off id is accepted once the store is back")
+def accepted_later(context):
+    context.store.down = False
+    assert drive(context.store, 0) == signoffs.Accepted(1)
+    assert drive(context.store, 0) == signoffs.Accepted(1)
+
+
+def views(fleet):
+    return {
+        node.name: tuple(live_members(node.member)) for node in fleet.nodes.values() if node.alive
+    }
+
+
+def all_alive(fleet):
+    everyone = tuple(sorted(node.name for node in fleet.nodes.values() if node.alive))
+    return all(view == everyone for view in views(fleet).values())
+
+
+@given("a fleet of {count:d} nodes")
+def fleet(context, count):
+    context.fleet = Fleet(count)
+    context.fleet.run(5000)
+    assert all_alive(context.fleet)
+
+
+@when("one node is silent for 10 s")
+def one_silent(context):
+    context.fleet.cut = {"n2"}
+    context.fleet.run(10_000)
+
+
+@then("all others hold it dead")
+def held_dead(context):
+    for node in context.fleet.nodes.values():
+        if node.name != "n2":
+            assert node.member.members["n2"].update.status is Status.DEAD
+
+
+@then("when it speaks again all hold it alive")
+def speaks(context):
+    context.fleet.cut = set()
+    context.fleet.run(20_000)
+    assert all_alive(context.fleet), views(context.fleet)
+
+
+@when("one node is paused for 10 s")
+def one_paused(context):
+    context.fleet.nodes["n2"].alive = False
+    context.fleet.run(10_000)
+    context.fleet.nodes["n2"].alive = True
+
+
+@then("after a few heartbeats all members are alive to all")
+def soon_alive(context):
+    context.fleet.run(15_000)
+    assert all_alive(context.fleet), views(context.fleet)
+
+
+@when("one zone is cut off for 30 s")
+def zone_cut(context):
+    context.fleet.cut = {"n0", "n3", "n6"}
+    context.fleet.run(30_000)
+    assert not all_alive(context.fleet)
+    context.fleet.cut = set()
+
+
+@then("after 30 s all members are alive to all")
+def alive_again(context):
+    context.fleet.run(30_000)
+    assert all_alive(context.fleet), views(context.fleet)
+
+
+@given("any pauses and cuts in a fleet")
+def any_faults(context):
+    context.moves = st.lists(
+        st.tuples(st.sampled_from(("pause", "cut", "heal", "accept")), st.integers(0, 5)),
+        max_size=8,
+    )
+
+
+@then("after quiet time all live nodes agree on members and versions")
+def one_view(context):
+    @limits(max_examples=15)
+    @forall(context.moves)
+    def run(moves):
+        fleet = Fleet(6)
+        fleet.run(3000)
+        version = 0
+        for kind, index in moves:
+            node = fleet.nodes[f"n{index}"]
+            if kind == "pause":
+                node.alive = not node.alive
+            elif kind == "cut":
+                fleet.cut = fleet.cut ^ {node.name}
+            elif kind == "heal":
+                fleet.cut = set()
+            elif node.alive:
+                version += 1
+                document = Document("bundles/b", version, "x")
+                fleet._document_step(node, Fetched((document,)))
+            fleet.run(2500)
+        fleet.cut = set()
+        for node in fleet.nodes.values():
+            node.alive = True
+        fleet.run(40_000)
+        assert all_alive(fleet), views(fleet)
+        versions = {
+            tuple(sorted((d.key, d.version) for d in node.store.documents.values()))
+            for node in fleet.nodes.values()
+        }
+        assert len(versions) == 1, versions
+
+    run()
+
+
+@given("{members:d} members and {cells:d} cells")
+def members_and_cells(context, members, cells):
+    context.members = [f"n{index}" for index in range(members)]
+    context.cells = [f"b/p/{index}" for index in range(cells)]
+
+
+@then("each member that leaves moves only its own cells")
+def moves_little(context):
+    before = {cell: choose_owner(context.members, cell) for cell in context.cells}
+    for gone in context.members[:10]:
+        left = [member for member in context.members if member != gone]
+        for cell, owner in before.items():
+            assert (choose_owner(left, cell) == owner) == (owner != gone)
+
+
+@then("the choice agrees with a naive search")
+def naive_owner(context):
+    for cell in context.cells:
+        weights = [(hash64(f"{member}|{cell}"), member) for member in context.members]
+        shuffled = random.Random(cell).sample(context.members, len(context.members))
+        assert choose_owner(shuffled, cell) == max(weights)[1]
+
+
+@given("any pool of endpoints")
+def any_pool(context):
+    context.pools = st.lists(st.sampled_from(Role), min_size=2, max_size=90).filter(
+        lambda roles: len(set(roles)) == 2
+    )
+
+
+@then("its cells hold each endpoint once and both roles each")
+def cells_cover(context):
+    @forall(context.pools)
+    def run(roles):
+        endpoints = tuple(
+            Endpoint(f"e{i}", "127.0.0.1:1", f"z{i % 3}", role) for i, role in enumerate(roles)
+        )
+        pool = Pool("p", endpoints)
+        found = split_pool(Bundle("b", pools=(pool,)), pool)
+        names = [endpoint.name for cell in found for endpoint in cell.endpoints]
+        assert sorted(names) == sorted(endpoint.name for endpoint in endpoints)
+        for cell in found:
+            assert {endpoint.role for endpoint in cell.endpoints} == set(Role)
+
+    run()
+
+
+@when("a node starts while the store is down")
+def starts_in_outage(context):
+    async def play(site, tasks):
+        site.store.outage = True
+        node = site.add_node()
+        context.ready = await wait_until(node.entry.ready)
+        context.models = list(node.entry.routes.models)
+
+    on_site(context, SiteShape(), play)
+
+
+@then("it becomes ready with the version of its peers")
+def ready_in_outage(context):
+    assert context.ready
+    assert context.models == ["opening-line"], context.models
+
+
+@when("a bundle is signed off while the store loses its reply")
+def lost_reply(context):
+    async def play(site, tasks):
+        site.store.lose_replies = 1
+        context.before = site.store.objects["bundles/letters"].version
+        context.status, _ = await site.sign_off(site.bundle_text() + "# again\n", "ada", 1)
+        context.after = site.store.objects["bundles/letters"].version
+        context.in_force = site.in_force(context.after)
+
+    on_site(context, SiteShape(), play)
+
+
+@then("the version is in force on every node")
+def in_force_everywhere(context):
+    assert context.status == 200
+    assert context.in_force
+
+
+@then("it went up by one")
+def one_up(context):
+    assert context.after == context.before + 1
