Owner's decisions cost less: suffix sums for lengths, owners kept until a member changes

Cause: each step summed the buckets of the length table anew for each running decode, and each message hashed the cell against all members. Test: the table agrees with a naive count at its edges and never grows.

--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -34,7 +34,6 @@
 )
 from saffronworks.metrics import Metrics
 from saffronworks.owners import BUNDLE_PREFIX
-from saffronworks.ownership import choose_owner
 from saffronworks.peers import Outgoing
 from saffronworks.plain import PlainProxy
 from saffronworks.requests import Completed, NotRun, Outcome, Request
@@ -91,7 +90,7 @@
         if kernel is None:
             return
         members: MemberService = kernel.find("members")
-        owner = choose_owner(members.owners(), cell)
+        owner = members.owner_of(cell)
         if owner == kernel.node:
             kernel.post("owner", message)
             return
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -20,6 +20,7 @@
     Status,
     VmRecord,
 )
+from saffronworks.ownership import choose_owner
 from saffronworks.peers import CloseTo, Outgoing
 from saffronworks.settings import Settings
 
@@ -53,6 +54,7 @@
         )
         self._settings = settings
         self._owners: list[str] | None = None
+        self._owner_of: dict[str, str | None] = {}
 
     def owners(self) -> list[str]:
         """Members that may own cells."""
@@ -60,6 +62,17 @@
             self._owners = membership.live_members(self.state, owners_only=True)
         return self._owners
 
+    def owner_of(self, cell: str) -> str | None:
+        """The member that owns a cell; kept until a member changes."""
+        if cell not in self._owner_of:
+            self._owner_of[cell] = choose_owner(self.owners(), cell)
+        return self._owner_of[cell]
+
+    def forget_owners(self) -> None:
+        """A member changed: work the owners out anew."""
+        self._owners = None
+        self._owner_of.clear()
+
     def live(self) -> list[str]:
         """Members that answer."""
         return membership.live_members(self.state)
@@ -88,7 +101,7 @@
     def leave(self, kernel: Kernel, gone: bool) -> None:
         """Tell the others that this node leaves, or is gone."""
         self._perform(kernel, membership.leave(self.state, gone, kernel.now_ms()))
-        self._owners = None
+        self.forget_owners()
 
     async def _tick(self, kernel: Kernel) -> None:
         period_s = self._settings.heartbeat_ms / 1000
@@ -126,7 +139,7 @@
                     self._changed(kernel, command)
 
     def _changed(self, kernel: Kernel, change: MemberChanged) -> None:
-        self._owners = None
+        self.forget_owners()
         logger.info(
             "event=member_changed node=%s member=%s status=%s",
             kernel.node,
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -17,7 +17,7 @@
 from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.membership import MemberChanged
 from saffronworks.messages import Ask, HeldList, LeaseRenewal, Prefilled, Release, RequestKey
-from saffronworks.ownership import Cell, choose_owner, split_bundle
+from saffronworks.ownership import Cell, split_bundle
 from saffronworks.peers import Outgoing
 from saffronworks.settings import Settings
 from saffronworks.signoffs import read_record
@@ -78,7 +78,7 @@
     def owner_of(self, kernel: Kernel, cell: str) -> str | None:
         """The member that owns a cell, by this node's view."""
         members: MemberService = kernel.find("members")
-        return choose_owner(members.owners(), cell)
+        return members.owner_of(cell)
 
     async def _tick(self, kernel: Kernel) -> None:
         while True:
--- a/saffronworks/placement.py
+++ b/saffronworks/placement.py
@@ -80,16 +80,19 @@
 def _expected_running(
     ledger: EndpointLedger, lengths: Mapping[str, LengthTable], then_ms: float, now_ms: int
 ) -> float:
+    if then_ms <= now_ms:
+        return float(len(ledger.decodes))
     running = 0.0
-    pace_ms = max(0.1, ledger.pace_ms.value)
+    tokens_per_ms = 1.0 / max(0.1, ledger.pace_ms.value)
     for item in ledger.decodes.values():
-        now_tokens = max(0.0, (now_ms - item.decode_started_ms) / pace_ms)
-        then_tokens = max(0.0, (then_ms - item.decode_started_ms) / pace_ms)
         table = lengths.get(item.model)
-        if table is None:
+        age_ms = now_ms - item.decode_started_ms
+        if table is None or age_ms < 0:
             running += 1.0
-        else:
-            running += table.still_running(now_tokens, then_tokens, item.max_tokens)
+            continue
+        now_tokens = age_ms * tokens_per_ms
+        then_tokens = (then_ms - item.decode_started_ms) * tokens_per_ms
+        running += table.still_running(now_tokens, then_tokens, item.max_tokens)
     return running
 
 
--- a/saffronworks/predictors.py
+++ b/saffronworks/predictors.py
@@ -26,20 +26,25 @@
 
 @attrs.define
 class LengthTable:
-    """Output lengths of one model, as counts in buckets with edges at powers of sqrt 2."""
+    """Output lengths of one model, as counts in buckets with edges at powers of sqrt 2.
+
+    `above[i]` is the sum of the counts in the buckets after `i`.
+    """
 
     counts: list[float] = attrs.Factory(lambda: [0.0] * (len(BUCKET_EDGES) + 1))
     total: float = 0.0
-    mean: Average = attrs.Factory(lambda: Average(0.0))
+    above: list[float] = attrs.Factory(lambda: [0.0] * (len(BUCKET_EDGES) + 1))
 
     def add(self, tokens: int) -> None:
         """Count one finished answer; halve all counts when there are many."""
-        self.counts[bisect.bisect_left(BUCKET_EDGES, tokens)] += 1.0
+        bucket = bisect.bisect_left(BUCKET_EDGES, tokens)
+        self.counts[bucket] += 1.0
         self.total += 1.0
-        self.mean.value = tokens if self.total == 1.0 else self.mean.value
-        self.mean.add(tokens)
+        for index in range(bucket):
+            self.above[index] += 1.0
         if self.total >= FORGET_AT_COUNT:
             self.counts = [count / 2 for count in self.counts]
+            self.above = [count / 2 for count in self.above]
             self.total /= 2
 
     def survival(self, tokens: float, most: int) -> float:
@@ -48,11 +53,11 @@
             return 0.0
         prior = PRIOR_COUNT * (1.0 - tokens / most)
         index = bisect.bisect_left(BUCKET_EDGES, tokens)
-        above = sum(self.counts[index + 1 :])
+        if index == len(BUCKET_EDGES):
+            return prior / (self.total + PRIOR_COUNT)
         low = BUCKET_EDGES[index - 1] if index else 0
-        high = BUCKET_EDGES[index] if index < len(BUCKET_EDGES) else most
-        share_above = (high - tokens) / max(1, high - low)
-        above += self.counts[index] * min(1.0, max(0.0, share_above))
+        high = BUCKET_EDGES[index]
+        above = self.above[index] + self.counts[index] * (high - tokens) / (high - low)
         return (above + prior) / (self.total + PRIOR_COUNT)
 
     def still_running(self, now_tokens: float, then_tokens: float, most: int) -> float:
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -57,6 +57,10 @@
     Given a queue with one late request and a steady stream of others
     Then the late request is served neither first nor never
 
+  Scenario: the predicted output lengths agree with a naive count
+    Given any lengths of finished answers
+    Then the share of longer ones is near a naive count and never grows with the length
+
   Scenario: no retry storm when half of the endpoints die
     Given a cell whose requests all fail
     Then the retries that go before others are bounded by the budget
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -23,6 +23,7 @@
 )
 from saffronworks.ownership import Cell
 from saffronworks.policies import Policy
+from saffronworks.predictors import BUCKET_EDGES, PRIOR_COUNT, LengthTable
 from saffronworks.queues import QUEUE_LENGTH, Waiting, WaitQueue
 
 LEASE_MS = 2000
@@ -356,6 +357,32 @@
     assert "late" in served
 
 
+@given("any lengths of finished answers")
+def any_lengths(context):
+    context.lengths = st.lists(st.integers(1, 900), min_size=1, max_size=60)
+
+
+@then("the share of longer ones is near a naive count and never grows with the length")
+def lengths_agree(context):
+    @forall(context.lengths)
+    def run(lengths):
+        table = LengthTable()
+        for tokens in lengths:
+            table.add(tokens)
+        last = 1.0
+        for tokens in range(0, 1000, 37):
+            share = table.survival(tokens, 1000)
+            assert 0.0 <= share <= last + 1e-9
+            last = share
+        weight = len(lengths) + PRIOR_COUNT
+        for edge in BUCKET_EDGES[:16]:
+            naive = sum(1 for tokens in lengths if tokens > edge)
+            prior = PRIOR_COUNT * max(0.0, 1 - edge / 1000)
+            assert abs(table.survival(edge, 1000) - (naive + prior) / weight) < 1e-9
+
+    run()
+
+
 @given("a cell whose requests all fail")
 def all_fail(context):
     state = context.state = make_state(slots=1)
--- a/tools/decision_bench.py
+++ b/tools/decision_bench.py
@@ -55,6 +55,7 @@
     state = cells.new_cell(pool_cells[0], "owner", 60_000, 0, 0)
     members = [f"n{index}" for index in range(max(3, min(320, endpoints // 6)))]
     outstanding: dict[str, int] = {}
+    owners: dict[str, str | None] = {}
     entry_us: list[float] = []
     owner_us: list[float] = []
     running: list[RequestKey] = []
@@ -62,7 +63,8 @@
         now_ms = index * 10
         began = time.perf_counter_ns()
         cell = choose_cell(pool_cells, outstanding, rng)
-        choose_owner(members, cell.name)
+        if cell.name not in owners:
+            owners[cell.name] = choose_owner(members, cell.name)
         entry_us.append((time.perf_counter_ns() - began) / 1000)
         key = RequestKey(f"r{index}", 1)
         began = time.perf_counter_ns()
