--- a/saffronworks/control.py
+++ b/saffronworks/control.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from saffronworks.bundles import Bundle, compare_bundles, read_bundle
+from saffronworks.reports import plot_report
 
 __all__ = ["main"]
 
@@ -112,19 +113,46 @@
         _sign_off(admin, bundle.name, text, by, base, id, "roll back", json)
 
     def status(self, admin: str = "", json: bool = False) -> None:
-        """Show the version of each bundle that is in force at the node."""
-        rows = _get(admin, "/v1/bundles")
-        for row in rows:
+        """Show who signed each bundle off, and which versions are in force in each zone."""
+        bundles = _get(admin, "/v1/bundles")
+        for row in bundles:
             row.pop("text")
-        _print_rows(rows, json)
+        found = _get(admin, "/v1/in-force")
+        if json:
+            _print_rows({"bundles": bundles, **found}, True)
+            return
+        _print_rows(bundles, False)
+        print()
+        _print_rows(found["in_force"], False)
+        if found["silent"]:
+            print(f"no answer from: {', '.join(found['silent'])}")
 
 
 class ReportCommands:
     """Reports."""
 
-    def burn(self, admin: str = "", json: bool = False) -> None:
-        """Show the service-level burn of the node."""
-        _print_rows(_get(admin, "/v1/burn"), json)
+    def burn(self, admin: str = "", plot: str = "", json: bool = False) -> None:
+        """Show the service-level burn of all nodes, by organisation, model and objective.
+
+        Args:
+            admin: any node's operators' address; it asks the others.
+            plot: also write a chart to this file, SVG or PNG by its ending.
+            json: print JSON.
+        """
+        report = _get(admin, "/v1/burn")
+        if plot:
+            plot_report(report, plot)
+        if json:
+            _print_rows(report, True)
+            return
+        _print_rows(report["burn"], False)
+        print()
+        _print_rows(report["latency"], False)
+        print(f"nodes: {', '.join(report['nodes'])}")
+        if report["silent"]:
+            print(f"no answer from: {', '.join(report['silent'])}")
+        for alert in report["alerts"]:
+            print(alert)
 
 
 def _read_file(file: str, as_json: bool) -> Bundle:
--- a/saffronworks/demo.py
+++ b/saffronworks/demo.py
@@ -44,6 +44,13 @@
         print('    -d \'{"model": "opening-line", "prompt": "Dear reader", "stream": true}\'')
         print(f"  .venv/bin/saffronctl nodes --admin={node.admin_address}")
         print(f"  .venv/bin/saffronctl report burn --admin={node.admin_address}")
+        print("Kill an engine for 20 s, or make it stall (faults: see standin_engine.py):")
+        for name, engine in site.engines.items():
+            print(
+                f"  curl -d '{{\"down_ms\": 20000}}' http://{engine.address}/standin/kill # {name}"
+            )
+        engine = site.engines["decode-1"]
+        print(f'  curl -d \'{{"fault": "stall"}}\' http://{engine.address}/standin/fault')
         print(f"other nodes: {' '.join(n.caller_address for n in site.nodes[1:])}", flush=True)
         await anyio.sleep_forever()
 
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from saffronworks import requests
+from saffronworks.burn import BurnRecorder
 from saffronworks.completions import (
     CollectingSink,
     CompletionRequest,
@@ -56,7 +57,12 @@
     name = "entry"
 
     def __init__(
-        self, settings: Settings, engines: EngineClient, metrics: Metrics, incarnation: int
+        self,
+        settings: Settings,
+        engines: EngineClient,
+        metrics: Metrics,
+        recorder: BurnRecorder,
+        incarnation: int,
     ):
         self.routes = RouteTable()
         self.runners: dict[str, RequestRunner] = {}
@@ -69,6 +75,7 @@
         self._settings = settings
         self._engines = engines
         self._metrics = metrics
+        self._recorder = recorder
         self._incarnation = incarnation
         self._rng = random.Random(f"{settings.name}/{incarnation}")
         self._outstanding: dict[str, int] = {}
@@ -300,8 +307,7 @@
         model = runner.job.model
         self._metrics.count_request(model.name, outcome, request.attempt, request.wasted_prefills)
         ttft_ms, pace_ms = measure_latency(request)
-        if outcome == "completed":
-            self._metrics.record_latency(model.name, ttft_ms, pace_ms)
+        self._record_burn(runner, outcome, ttft_ms, pace_ms)
         logger.info(
             "event=request_end request=%s model=%s organisation=%s outcome=%s attempts=%d "
             "tokens=%d ttft_ms=%d pace_ms=%.1f wasted=%d",
@@ -316,6 +322,26 @@
             request.wasted_prefills,
         )
 
+    def _record_burn(
+        self, runner: RequestRunner, outcome: str, ttft_ms: float, pace_ms: float
+    ) -> None:
+        """Count the request for the burn report; a caller that left counts for nothing."""
+        if outcome == "cancelled" or self._kernel is None:
+            return
+        model = runner.job.model
+        completed = outcome == "completed"
+        self._recorder.record(
+            runner.job.organisation,
+            model.name,
+            late=completed and ttft_ms > model.ttft_ms,
+            slow=completed and pace_ms > model.pace_ms,
+            failed=not completed,
+            now_ms=self._kernel.now_ms(),
+        )
+        if completed:
+            self._metrics.record_latency(model.name, ttft_ms, pace_ms)
+            self._recorder.record_latency(model.name, ttft_ms, pace_ms)
+
 
 def describe_outcome(outcome: Outcome | None) -> str:
     """The outcome as it stands in headers and logs."""
--- a/saffronworks/messages.py
+++ b/saffronworks/messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from saffronworks.burn import NodeBurn
+
 __all__ = [
     "Ask",
     "Assign",
@@ -12,10 +14,12 @@
     "HeldQuery",
     "LeaseAcknowledged",
     "LeaseRenewal",
+    "NodeAnswer",
     "Prefilled",
     "Refusal",
     "Release",
     "RequestKey",
+    "SurveyQuery",
 ]
 
 
@@ -164,3 +168,23 @@
     node: str
     cell: str
     held: tuple[HeldKey, ...]
+
+
+@attrs.frozen
+class SurveyQuery:
+    """Ask a node for its state; `burn` asks for its counts too."""
+
+    survey: int
+    asked_by: str
+    burn: bool
+
+
+@attrs.frozen
+class NodeAnswer:
+    """One node's answer: versions in force by document key, and its burn counts."""
+
+    survey: int
+    node: str
+    zone: str
+    versions: dict[str, int]
+    burn: NodeBurn | None
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from saffronworks.burn import BurnRecorder
 from saffronworks.cancels import CancelDone, CancelService
 from saffronworks.documents import (
     BucketDigests,
@@ -30,9 +31,11 @@
     HeldQuery,
     LeaseAcknowledged,
     LeaseRenewal,
+    NodeAnswer,
     Prefilled,
     Refusal,
     Release,
+    SurveyQuery,
 )
 from saffronworks.metrics import Metrics
 from saffronworks.operators import OperatorInterface
@@ -41,6 +44,7 @@
 from saffronworks.relays import RelayService
 from saffronworks.settings import Settings
 from saffronworks.stores import StoreClient
+from saffronworks.surveys import SurveyService
 from saffronworks.web import HttpServer, bind
 
 __all__ = ["Node", "monotonic_ms"]
@@ -71,7 +75,9 @@
         self.relays = RelayService(settings.name, self.store, rng)
         self.owner = OwnerService(settings, self.engines)
         metrics = Metrics(settings.name)
-        self.entry = EntryService(settings, self.engines, metrics, self.incarnation)
+        recorder = BurnRecorder(settings.name)
+        self.surveys = SurveyService(settings.zone, recorder)
+        self.entry = EntryService(settings, self.engines, metrics, recorder, self.incarnation)
         self._register()
         self._callers = HttpServer(bind(settings.caller_address), self.entry.handle)
         operators = OperatorInterface(self.kernel, self.store)
@@ -100,6 +106,7 @@
         register(self.owner, *owner_messages, CancelDone, InForce, MemberChanged)
         entry_messages = (Grant, Refusal, Assign, AssignRefused, HeldQuery, LeaseAcknowledged)
         register(self.entry, *entry_messages, InForce)
+        register(self.surveys, SurveyQuery, NodeAnswer)
 
     async def run(self) -> None:
         """Serve until `stop` has drained the node, or `kill`."""
--- a/saffronworks/operators.py
+++ b/saffronworks/operators.py
@@ -16,8 +16,10 @@
 from saffronworks.metrics import scrape_page
 from saffronworks.owners import BUNDLE_PREFIX, OwnerService
 from saffronworks.relays import RelayService
+from saffronworks.reports import make_report
 from saffronworks.signoffs import SignOff, SignOffRecord
 from saffronworks.stores import Moved, StoreClient
+from saffronworks.surveys import SurveyService
 from saffronworks.web import BadBody, Call
 
 __all__ = ["OperatorInterface"]
@@ -63,6 +65,10 @@
                 await call.reply(200, self._list_requests())
             case "GET", "/v1/bundles":
                 await call.reply(200, self._list_bundles())
+            case "GET", "/v1/burn":
+                await call.reply(200, await self._report_burn())
+            case "GET", "/v1/in-force":
+                await call.reply(200, await self._list_in_force())
             case "POST", "/v1/bundles":
                 await self._sign_off(call)
             case _:
@@ -71,6 +77,33 @@
     def _entry(self) -> EntryService:
         return self._kernel.find("entry")
 
+    async def _report_burn(self) -> dict[str, Any]:
+        surveys: SurveyService = self._kernel.find("surveys")
+        answers, silent = await surveys.ask_all(self._kernel, burn=True)
+        return make_report([answer.burn for answer in answers if answer.burn], silent)
+
+    async def _list_in_force(self) -> dict[str, Any]:
+        """For each bundle and availability zone, the lowest version that a node has in force."""
+        surveys: SurveyService = self._kernel.find("surveys")
+        answers, silent = await surveys.ask_all(self._kernel, burn=False)
+        lowest: dict[tuple[str, str], list[int]] = {}
+        for answer in answers:
+            for key, version in answer.versions.items():
+                if key.startswith(BUNDLE_PREFIX):
+                    name = key.removeprefix(BUNDLE_PREFIX)
+                    lowest.setdefault((name, answer.zone), []).append(version)
+        rows = [
+            {
+                "bundle": name,
+                "zone": zone,
+                "lowest": min(found),
+                "highest": max(found),
+                "nodes": len(found),
+            }
+            for (name, zone), found in sorted(lowest.items())
+        ]
+        return {"in_force": rows, "silent": silent}
+
     def _list_nodes(self) -> list[dict[str, Any]]:
         members: MemberService = self._kernel.find("members")
         rows = [members.state.me, *(m.update for m in members.state.members.values())]
--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -90,6 +90,7 @@
         self._listener = bind(address)
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
         self._scope: anyio.CancelScope | None = None
+        self._down_ms: int | None = None
         self._tasks: TaskGroup | None = None
         self._reset()
 
@@ -104,6 +105,14 @@
 
     async def run(self) -> None:
         """Serve until cancelled or killed; may be run again after `kill`."""
+        while True:
+            self._down_ms = None
+            await self._serve()
+            if self._down_ms is None:
+                return
+            await anyio.sleep(self._down_ms / 1000)
+
+    async def _serve(self) -> None:
         if self._listener.fileno() < 0:
             self._listener = bind(self.address)
         self._reset()
@@ -113,8 +122,9 @@
             self._scope = tasks.cancel_scope
             tasks.start_soon(server.run)
 
-    def kill(self) -> None:
-        """Die at once: connections are cut, and all memory is gone."""
+    def kill(self, down_ms: int | None = None) -> None:
+        """Die at once: connections are cut, all memory is gone; come back after `down_ms`."""
+        self._down_ms = down_ms
         if self._scope is not None:
             self._scope.cancel()
         self.streams.clear()
@@ -160,6 +170,13 @@
                 await self._report(call)
             case "POST", "/engine/orders":
                 await self._order(call)
+            case "POST", "/standin/kill":
+                down_ms = int((await call.json())["down_ms"])
+                await call.reply(200, {"down_ms": down_ms})
+                self.kill(down_ms)
+            case "POST", "/standin/fault":
+                self.fault = Fault((await call.json())["fault"])
+                await call.reply(200, {"fault": self.fault.value})
             case _:
                 await call.reply(404, {"refused": "no such call"})
 
