A half-open circuit lets one trial through, and a trial that is lost makes room

Cause: seen in 'saffronctl endpoints': an endpoint whose circuit had just half opened was counted with all its slots, so prefills were granted for slots that only one trial may use; and a trial that ended with neither success nor failure (its caller left) kept the circuit half open for good. Test: comes back by one trial, then by slow start; fails on the code before.

--- a/saffronworks/breakers.py
+++ b/saffronworks/breakers.py
@@ -10,6 +10,7 @@
 FIRST_OPEN_MS = 500
 LONGEST_OPEN_MS = 15_000
 SLOW_START_MS = 3000
+TRIAL_MS = 5000
 DEPOSIT_PER_SUCCESS = 0.2
 BUDGET_FLOOR = 10.0
 BUDGET_CAP = 50.0
@@ -32,7 +33,7 @@
     open_ms: int = FIRST_OPEN_MS
     until_ms: int = 0
     closed_ms: int | None = None
-    trial_out: bool = False
+    trial_until_ms: int = 0
 
     def fail(self, failure: str, now_ms: int) -> None:
         """Count a failure; `connect` means that nobody listens there."""
@@ -53,20 +54,24 @@
             self.state = CircuitState.CLOSED
             self.closed_ms = now_ms
         self.open_ms = FIRST_OPEN_MS
-        self.trial_out = False
+        self.trial_until_ms = 0
 
     def admits(self, now_ms: int) -> bool:
         """Whether new work may go there now."""
         if self.state is CircuitState.OPEN and now_ms >= self.until_ms:
             self.state = CircuitState.HALF_OPEN
-            self.trial_out = False
+            self.trial_until_ms = 0
         if self.state is CircuitState.HALF_OPEN:
-            return not self.trial_out
+            return now_ms >= self.trial_until_ms
         return self.state is CircuitState.CLOSED
 
-    def take_trial(self) -> None:
-        """Note that the one trial of the half-open state is under way."""
-        self.trial_out = self.state is CircuitState.HALF_OPEN
+    def take_trial(self, now_ms: int) -> None:
+        """Note that the one trial of the half-open state is under way.
+
+        A trial that ends with neither success nor failure makes room for another one.
+        """
+        if self.state is CircuitState.HALF_OPEN:
+            self.trial_until_ms = now_ms + TRIAL_MS
 
     def share(self, now_ms: int) -> float:
         """Share of the endpoint's capacity in use: grows linearly in slow start."""
--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -366,7 +366,7 @@
     )
     state.held[ask.key.request_id] = held
     choice.ledger.prefills[ask.key.request_id] = held
-    choice.ledger.circuit.take_trial()
+    choice.ledger.circuit.take_trial(now_ms)
     state.granted += 1
     return Tell(ask.node, Grant(ask.key, held.prefill_endpoint))
 
@@ -423,7 +423,7 @@
     held.decode_endpoint = ledger.endpoint.name
     held.decode_started_ms = now_ms + transfer
     ledger.decodes[held.key.request_id] = held
-    ledger.circuit.take_trial()
+    ledger.circuit.take_trial(now_ms)
     ledger.note_occupancy(now_ms)
     size = float(held.prompt_tokens * state.cell.pool.kv_bytes_per_token)
     ledger.links.append((held.decode_started_ms, size))
--- a/saffronworks/ledgers.py
+++ b/saffronworks/ledgers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from saffronworks.breakers import Circuit
+from saffronworks.breakers import Circuit, CircuitState
 from saffronworks.bundles import Endpoint, Role
 from saffronworks.messages import RequestKey
 from saffronworks.predictors import Average, PrefixView
@@ -85,8 +85,10 @@
         """Slots that may be used now; fewer in slow start, none when closed."""
         if not self.open(now_ms):
             return 0.0
-        own = self.endpoint.slots * self.circuit.share(now_ms)
-        return max(1.0, own) - self.foreign - len(self.unacknowledged)
+        own = 1.0
+        if self.circuit.state is not CircuitState.HALF_OPEN:
+            own = max(1.0, self.endpoint.slots * self.circuit.share(now_ms))
+        return own - self.foreign - len(self.unacknowledged)
 
     def free_slots(self, now_ms: int) -> int:
         """Slots that are certainly free by the ledger."""
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -57,6 +57,12 @@
     Given a queue with one late request and a steady stream of others
     Then the late request is served neither first nor never
 
+  Scenario: an endpoint that failed comes back by one trial, then by slow start
+    Given a decode endpoint whose connection was refused
+    Then it takes nothing until its circuit half opens, and then a single trial
+    And a trial whose end is never heard of makes room for another one
+    And after a success its slots come back bit by bit
+
   Scenario: the predicted output lengths agree with a naive count
     Given any lengths of finished answers
     Then the share of longer ones is near a naive count and never grows with the length
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -6,9 +6,10 @@
 from hypothesis import strategies as st
 
 from saffronworks import cells
-from saffronworks.breakers import BUDGET_FLOOR
+from saffronworks.breakers import BUDGET_FLOOR, FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.leases import ORPHAN_GRACE_MS, hash_key
+from saffronworks.ledgers import EndpointLedger
 from saffronworks.messages import (
     Ask,
     Assign,
@@ -357,6 +358,34 @@
     assert "late" in served
 
 
+@given("a decode endpoint whose connection was refused")
+def refused_endpoint(context):
+    context.ledger = EndpointLedger(Endpoint("d1", "127.0.0.1:2", "z", Role.DECODE, slots=10))
+    context.ledger.circuit.fail("connect", 0)
+
+
+@then("it takes nothing until its circuit half opens, and then a single trial")
+def single_trial(context):
+    ledger = context.ledger
+    assert ledger.free_slots(FIRST_OPEN_MS - 1) == 0
+    assert ledger.free_slots(FIRST_OPEN_MS) == 1
+    ledger.circuit.take_trial(FIRST_OPEN_MS)
+    assert ledger.free_slots(FIRST_OPEN_MS + 1) == 0
+
+
+@then("a trial whose end is never heard of makes room for another one")
+def another_trial(context):
+    assert context.ledger.free_slots(FIRST_OPEN_MS + TRIAL_MS) == 1
+
+
+@then("after a success its slots come back bit by bit")
+def bit_by_bit(context):
+    context.ledger.circuit.succeed(10_000)
+    free = [context.ledger.free_slots(10_000 + at_ms) for at_ms in (0, SLOW_START_MS // 2)]
+    assert free == [1, 5], free
+    assert context.ledger.free_slots(10_000 + SLOW_START_MS) == 10
+
+
 @given("any lengths of finished answers")
 def any_lengths(context):
     context.lengths = st.lists(st.integers(1, 900), min_size=1, max_size=60)
