--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -117,16 +117,26 @@
 
 
 class EngineClient:
-    """Calls to engines by address, over one connection pool."""
+    """Calls to engines, over one connection pool for each address.
+
+    A pool searches all its connections at each call, so that one for all would cost more
+    with each endpoint.
+    """
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MOST_CONNECTIONS, max_keepalive_connections=64, keepalive_expiry=20
-        )
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    def _find_pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        if address not in self._pools:
+            self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=MOST_CONNECTIONS, max_keepalive_connections=32, keepalive_expiry=20
+            )
+        return self._pools[address]
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        for pool in self._pools.values():
+            await pool.aclose()
 
     async def prefill(
         self, address: str, call: Prefill, limit_ms: int
@@ -156,7 +166,7 @@
         content = msgspec.json.encode(body) if body is not None else b""
         timeout = {"connect": CONNECT_TIMEOUT_S, "read": limit_ms / 1000, "pool": CALL_TIMEOUT_S}
         try:
-            response = await self._pool.request(
+            response = await self._find_pool(address).request(
                 method,
                 f"http://{address}{path}",
                 headers=[(b"content-type", b"application/json")],
@@ -181,7 +191,7 @@
         path = "/engine/decode" if isinstance(call, Decode) else "/engine/resume"
         timeout = {"connect": CONNECT_TIMEOUT_S, "read": stall_ms / 1000, "pool": CALL_TIMEOUT_S}
         try:
-            async with self._pool.stream(
+            async with self._find_pool(address).stream(
                 "POST",
                 f"http://{address}{path}",
                 headers=[(b"content-type", b"application/json")],
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -248,6 +248,8 @@
         endpoint: Endpoint | None = self._endpoints.get(name)
         address = endpoint.address if endpoint else "127.0.0.1:0"
         opened_ok = isinstance(call, Resume)
+        last: requests.Event | None = None
+        failure = "ended early"
         try:
             async with self._engines.open_decode(address, call, STREAM_IDLE_MS) as opened:
                 if isinstance(opened, Err):
@@ -255,25 +257,27 @@
                     return
                 opened_ok = True
                 async for line in opened.ok_value:
-                    for event in _read_line(call.attempt, line):
-                        await self._outbox.send(event)
+                    event = _read_line(call.attempt, line)
                     if line.done or line.cancelled:
-                        return
-            failure = "ended early"
+                        # Read on to the end of the body, so that the connection is used again.
+                        last = event
+                    else:
+                        await self._outbox.send(event)
         except _BROKEN as error:
             failure = type(error).__name__
-        broken = requests.DecodeBroken(call.attempt, engine_alive=opened_ok, failure=failure)
-        await self._outbox.send(broken)
+        if last is None:
+            last = requests.DecodeBroken(call.attempt, engine_alive=opened_ok, failure=failure)
+        await self._outbox.send(last)
 
 
-def _read_line(attempt: int, line: DecodeLine) -> list[requests.Event]:
+def _read_line(attempt: int, line: DecodeLine) -> requests.Event:
     if line.done:
-        return [requests.DecodeEnded(attempt, line.total)]
+        return requests.DecodeEnded(attempt, line.total)
     if line.cancelled:
-        return [requests.DecodeBroken(attempt, engine_alive=False, failure="cancelled")]
+        return requests.DecodeBroken(attempt, engine_alive=False, failure="cancelled")
     if line.imported:
-        return [requests.DecodeStarted(attempt, line.transfer_ms)]
-    return [requests.TokensArrived(attempt, line.offset, line.tokens)]
+        return requests.DecodeStarted(attempt, line.transfer_ms)
+    return requests.TokensArrived(attempt, line.offset, line.tokens)
 
 
 def _refused(call: Decode | Resume, failure: EngineFailure) -> requests.Event:
