Claims: an unrepeatable request with an Idempotency-Key runs at most once through any node

Cause: a caller that retried at another node, after its first one died, ran twice. A claim is now created in the store by a conditional write before the first dispatch; a lost reply is settled by reading back, a taken key is told unknown, and without a recorded claim nothing is run. Configuration moves below config/, so that watchers do not read claims. entries.py is split by job: entries (live requests, leases), frontends (callers' HTTP), ends (counts). A node that stood still past its lease now makes its grants void by itself.

Claims in groups and the removal of old ones are not built.

--- a/saffronworks/completions.py
+++ b/saffronworks/completions.py
@@ -19,6 +19,7 @@
     "error_body",
     "read_completion",
     "reply_outcome",
+    "reply_plain_outcome",
 ]
 
 OUTCOME_HEADER = "saffronworks-outcome"
@@ -179,6 +180,18 @@
             await call.reply(502, body, {OUTCOME_HEADER: "unknown"})
 
 
+async def reply_plain_outcome(call: Call, outcome: Outcome) -> None:
+    """Tell the caller of a plain service that its call was not sent on."""
+    match outcome:
+        case NotRun():
+            headers = {OUTCOME_HEADER: "not-run", "retry-after": "1"}
+            body = error_body(f"not run: {outcome.reason}", "server_error", "not-run")
+            await call.reply(503, body, headers)
+        case Unknown():
+            body = error_body(f"outcome unknown: {outcome.reason}", "server_error", "unknown")
+            await call.reply(409, body, {OUTCOME_HEADER: "unknown"})
+
+
 def _completion_body(request_id: str, request: CompletionRequest, text: str) -> dict[str, Any]:
     message: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
     if request.chat:
--- a/saffronworks/demo.py
+++ b/saffronworks/demo.py
@@ -117,8 +117,8 @@
     lost = len(answers) - len(completed) - len(not_run) - len(unknown)
     good = [a for a in completed if a.ttft_ms <= shape.ttft_ms and a.pace_ms <= shape.pace_ms]
     doubled = sum(1 for a in wrong if len(a.text) > len(expected_answer(a.prompt, 48)))
-    prefills = max(1, sum(node.entry.prefills for node in site.nodes))
-    wasted = sum(node.entry.wasted_prefills for node in site.nodes)
+    prefills = max(1, sum(node.ends.prefills for node in site.nodes))
+    wasted = sum(node.ends.wasted_prefills for node in site.nodes)
     rows = {
         "accepted": len(answers),
         "completed": len(completed),
--- /dev/null
+++ b/saffronworks/frontends.py
@@ -0,0 +1,241 @@
+"""The callers' HTTP interface of a node: completions, models, plain services, probes."""
+
+import random
+import uuid
+from typing import Any
+
+import anyio
+from result import Err
+
+from saffronworks import claims, requests
+from saffronworks.bundles import Model
+from saffronworks.claimants import Claimant
+from saffronworks.completions import (
+    CollectingSink,
+    CompletionRequest,
+    StreamingSink,
+    error_body,
+    read_completion,
+    reply_outcome,
+    reply_plain_outcome,
+)
+from saffronworks.ends import EndRecorder
+from saffronworks.engines import EngineClient
+from saffronworks.entries import EntryService
+from saffronworks.kernel import Kernel
+from saffronworks.members import MemberService
+from saffronworks.plain import PlainProxy
+from saffronworks.requests import Completed, NotRun, Outcome, Request, Unknown
+from saffronworks.routes import choose_cell
+from saffronworks.runners import Job, RequestRunner
+from saffronworks.settings import Settings
+from saffronworks.web import Call
+
+__all__ = ["Frontend"]
+
+MOST_TOKENS = 100_000
+
+
+class Frontend:
+    """Answers callers. The requests themselves belong to the entry service."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        kernel: Kernel,
+        engines: EngineClient,
+        claimant: Claimant,
+        ends: EndRecorder,
+        seed: str,
+    ):
+        self.plain = PlainProxy(settings.zone)
+        self.draining = False
+        self.open_calls = 0
+        self._settings = settings
+        self._kernel = kernel
+        self._engines = engines
+        self._claimant = claimant
+        self._ends = ends
+        self._rng = random.Random(seed)
+
+    async def handle(self, call: Call) -> None:
+        """Answer one HTTP call of a caller."""
+        self.open_calls += 1
+        try:
+            match call.method, call.path:
+                case "GET", "/healthz":
+                    await call.reply(200, {"status": "ok"})
+                case "GET", "/readyz":
+                    ready = self.ready()
+                    await call.reply(200 if ready else 503, {"ready": ready})
+                case "GET", "/v1/models":
+                    await self._list_models(call)
+                case "POST", "/v1/completions":
+                    await self._complete(call, chat=False)
+                case "POST", "/v1/chat/completions":
+                    await self._complete(call, chat=True)
+                case _:
+                    await self._carry_plain(call)
+        finally:
+            self.open_calls -= 1
+
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return not self.draining and bool(self._kernel.find("relays").ready)
+
+    def _entry(self) -> EntryService:
+        return self._kernel.find("entry")
+
+    async def _list_models(self, call: Call) -> None:
+        names = sorted(self._entry().routes.models)
+        rows = [{"id": name, "object": "model"} for name in names]
+        await call.reply(200, {"object": "list", "data": rows})
+
+    async def _carry_plain(self, call: Call) -> None:
+        host = call.headers.get("host", "").rpartition(":")[0]
+        entry = self._entry()
+        route = entry.routes.find_plain(host, call.path)
+        if route is None:
+            body = error_body(f"no route for {call.path}", "invalid_request_error", "no-route")
+            await call.reply(404, body)
+            return
+        once = _asks_once(call) or call.method in route.unrepeatable_methods
+        claim = await self._claim(call, uuid.uuid4().hex) if once else None
+        denied = _deny(claim)
+        if denied is not None:
+            self._ends.count(f"plain-{'unknown' if isinstance(denied, Unknown) else 'not-run'}")
+            await reply_plain_outcome(call, denied)
+            return
+        self.plain.leaving = entry.leaving
+        outcome = await self.plain.carry(call, route, once, self._kernel.now_ms())
+        self._ends.count(f"plain-{outcome}")
+        if outcome == "not-run" and claim is not None:
+            await self._settle(call, claim)
+
+    async def _complete(self, call: Call, chat: bool) -> None:
+        body: Any = await call.json(self._settings.max_body_bytes)
+        read = read_completion(body, chat)
+        if isinstance(read, Err):
+            text = "; ".join(read.err_value)
+            await call.reply(400, error_body(text, "invalid_request_error", "bad-request"))
+            return
+        request = read.ok_value
+        found = self._entry().routes.models.get(request.model)
+        if found is None:
+            text = f"no model is named {request.model!r}"
+            await call.reply(404, error_body(text, "invalid_request_error", "model_not_found"))
+            return
+        await self._admit(call, request, found[0])
+
+    async def _admit(self, call: Call, request: CompletionRequest, model: Model) -> None:
+        """Bound the live requests and take the claim, then run."""
+        request_id = f"{self._kernel.node}-{uuid.uuid4().hex[:16]}"
+        refused: Outcome | None = None
+        claim: claims.Command | None = None
+        if len(self._entry().runners) >= self._settings.max_live_requests:
+            refused = NotRun("too many live requests at this node")
+        elif model.unrepeatable or _asks_once(call):
+            claim = await self._claim(call, request_id)
+            refused = _deny(claim)
+        if refused is not None:
+            organisation = _read_organisation(call)
+            self._ends.record_refused(model.name, organisation, self._kernel.now_ms())
+            await reply_outcome(call, refused, request_id, request, "")
+            return
+        ended = await self._run_completion(call, request, request_id)
+        left = isinstance(ended.outcome, requests.Cancelled) and not ended.dispatched
+        if claim is not None and (left or isinstance(ended.outcome, NotRun)):
+            await self._settle(call, claim)
+
+    async def _claim(self, call: Call, request_id: str) -> claims.Command | None:
+        """Claim the call's `Idempotency-Key`; None when it has none."""
+        key = call.headers.get("idempotency-key", "")
+        if not key:
+            return None
+        return await self._claimant.claim(
+            claims.claim_key(_read_organisation(call), key), request_id
+        )
+
+    async def _settle(self, call: Call, claim: claims.Command) -> None:
+        """Give a claim back whose request surely did not run."""
+        if isinstance(claim, claims.Claimed):
+            key = claims.claim_key(_read_organisation(call), call.headers["idempotency-key"])
+            await self._claimant.settle_not_run(key, claim.request_id, claim.version)
+
+    async def _run_completion(
+        self, call: Call, request: CompletionRequest, request_id: str
+    ) -> Request:
+        entry = self._entry()
+        runner = self._make_runner(call, request, request_id)
+        sink = StreamingSink(call, request_id, request) if request.stream else CollectingSink()
+        entry.add(runner)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_caller, call, runner)
+                outcome = await runner.run(sink)
+                tasks.cancel_scope.cancel()
+        finally:
+            entry.remove(runner)
+            self._ends.record(runner.request, runner.job, self._kernel.now_ms())
+        if isinstance(outcome, requests.Cancelled):
+            return runner.request
+        if isinstance(sink, StreamingSink) and (call.started or isinstance(outcome, Completed)):
+            await sink.finish(outcome)
+        else:
+            text = "".join(sink.tokens) if isinstance(sink, CollectingSink) else ""
+            await reply_outcome(call, outcome, request_id, request, text)
+        return runner.request
+
+    def _make_runner(
+        self, call: Call, request: CompletionRequest, request_id: str
+    ) -> RequestRunner:
+        entry = self._entry()
+        model, cells = entry.routes.models[request.model]
+        priority = call.headers.get("x-priority", "")
+        job = Job(
+            prompt=request.prompt,
+            prefix_key=request.prefix_key,
+            prefix_tokens=request.prefix_tokens,
+            organisation=_read_organisation(call),
+            priority=min(int(priority), model.priority) if priority.isdigit() else model.priority,
+            model=model,
+            cell=choose_cell(cells, entry.outstanding, self._rng),
+        )
+        now_ms = self._kernel.now_ms()
+        core = Request(
+            request_id=request_id,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=min(request.max_tokens or model.max_tokens, MOST_TOKENS),
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + model.patience_ms + model.ttft_ms,
+            ask_again_ms=self._settings.ask_again_ms,
+            unrepeatable=model.unrepeatable or _asks_once(call),
+        )
+        runner = RequestRunner(self._kernel, entry, self._engines, core, job)
+        members: MemberService = self._kernel.find("members")
+        runner.owner = members.owner_of(job.cell.name)
+        return runner
+
+    async def _watch_caller(self, call: Call, runner: RequestRunner) -> None:
+        await call.wait_gone()
+        runner.post(requests.CallerGone())
+
+
+def _asks_once(call: Call) -> bool:
+    """Whether the caller marks the call as unrepeatable."""
+    return call.headers.get("x-unrepeatable", "").lower() == "true"
+
+
+def _read_organisation(call: Call) -> str:
+    return call.headers.get("x-organisation", "none")
+
+
+def _deny(claim: claims.Command | None) -> Outcome | None:
+    """The outcome of a call whose claim was not taken; None when it may run."""
+    match claim:
+        case claims.Denied():
+            return Unknown(f"a request with this key was taken before ({claim.holder.request_id})")
+        case claims.Unrecorded():
+            return NotRun("the claim on its key could not be recorded")
+        case _:
+            return None
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -23,12 +23,13 @@
 from saffronworks.ownership import choose_owner
 from saffronworks.peers import CloseTo, Outgoing
 from saffronworks.settings import Settings
+from saffronworks.stores import CONFIG_PREFIX
 
 __all__ = ["VMS_KEY", "MemberService", "read_vms"]
 
 logger = logging.getLogger(__name__)
 
-VMS_KEY = "vms"
+VMS_KEY = f"{CONFIG_PREFIX}vms"
 
 
 class MemberService:
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -8,6 +8,7 @@
 
 from saffronworks.burn import BurnRecorder
 from saffronworks.cancels import CancelDone, CancelService
+from saffronworks.claimants import Claimant
 from saffronworks.documents import (
     BucketDigests,
     BucketVersions,
@@ -17,8 +18,10 @@
     InForce,
     PeerDigest,
 )
+from saffronworks.ends import EndRecorder
 from saffronworks.engines import EngineClient
 from saffronworks.entries import EntryService
+from saffronworks.frontends import Frontend
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.membership import Heartbeat, HeartbeatReply, MemberChanged, Status
@@ -74,13 +77,21 @@
         self.members = MemberService(settings, self.incarnation)
         self.relays = RelayService(settings.name, self.store, rng)
         self.owner = OwnerService(settings, self.engines)
-        metrics = Metrics(settings.name)
-        recorder = BurnRecorder(settings.name)
-        self.surveys = SurveyService(settings.zone, recorder)
-        self.entry = EntryService(settings, self.engines, metrics, recorder, self.incarnation)
+        burn = BurnRecorder(settings.name)
+        self.ends = EndRecorder(Metrics(settings.name), burn)
+        self.surveys = SurveyService(settings.zone, burn)
+        self.entry = EntryService(settings, self.incarnation)
+        self.frontend = Frontend(
+            settings,
+            self.kernel,
+            self.engines,
+            Claimant(settings.name, self.store),
+            self.ends,
+            f"{settings.name}/{self.incarnation}",
+        )
         self._register()
-        self._callers = HttpServer(bind(settings.caller_address), self.entry.handle)
-        operators = OperatorInterface(self.kernel, self.store)
+        self._callers = HttpServer(bind(settings.caller_address), self.frontend.handle)
+        operators = OperatorInterface(self.kernel, self.store, self.frontend, self.ends)
         self._operators = HttpServer(bind(settings.admin_address), operators.handle)
         self._scope: anyio.CancelScope | None = None
         self._stopping = anyio.Event()
@@ -131,7 +142,7 @@
             with anyio.CancelScope(shield=True):
                 await self.engines.close()
                 await self.store.close()
-                await self.entry.plain.close()
+                await self.frontend.plain.close()
         logger.info("event=node_stop node=%s", self.settings.name)
 
     def stop(self) -> None:
@@ -146,13 +157,13 @@
     async def _drain(self) -> None:
         """Fail readiness, hand ownership over, let accepted requests run to their end."""
         logger.info("event=drain node=%s live=%d", self.settings.name, len(self.entry.runners))
-        self.entry.draining = True
+        self.frontend.draining = True
         self.members.leave(self.kernel, gone=False)
         self.kernel.announce(MemberChanged(self.settings.name, Status.LEAVING))
         until_ms = self.kernel.now_ms() + self.settings.drain_ms
         quiet = 0
         while quiet < 3 and self.kernel.now_ms() < until_ms:
             await anyio.sleep(DRAIN_LOOK_S)
-            quiet = quiet + 1 if self.entry.open_calls == 0 else 0
+            quiet = quiet + 1 if self.frontend.open_calls == 0 else 0
         self.members.leave(self.kernel, gone=True)
         await anyio.sleep(LINGER_S)
--- a/saffronworks/operators.py
+++ b/saffronworks/operators.py
@@ -10,7 +10,9 @@
 
 from saffronworks import signoffs
 from saffronworks.bundles import read_bundle
+from saffronworks.ends import EndRecorder
 from saffronworks.entries import EntryService
+from saffronworks.frontends import Frontend
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.metrics import scrape_page
@@ -43,7 +45,9 @@
 class OperatorInterface:
     """Answers operators; `saffronctl` is its usual caller."""
 
-    def __init__(self, kernel: Kernel, store: StoreClient):
+    def __init__(self, kernel: Kernel, store: StoreClient, frontend: Frontend, ends: EndRecorder):
+        self._frontend = frontend
+        self._ends = ends
         self._kernel = kernel
         self._store = store
 
@@ -53,7 +57,7 @@
             case "GET", "/healthz":
                 await call.reply(200, {"status": "ok"})
             case "GET", "/readyz":
-                ready = self._entry().ready()
+                ready = self._frontend.ready()
                 await call.reply(200 if ready else 503, {"ready": ready})
             case "GET", "/metrics":
                 await call.reply_bytes(200, scrape_page(), "text/plain; version=0.0.4")
@@ -155,7 +159,7 @@
             }
             for runner in self._entry().runners.values()
         ]
-        return {"live": live, "ended": dict(sorted(self._entry().counts.items()))}
+        return {"live": live, "ended": dict(sorted(self._ends.counts.items()))}
 
     def _list_bundles(self) -> list[dict[str, Any]]:
         relays: RelayService = self._kernel.find("relays")
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -21,12 +21,13 @@
 from saffronworks.peers import Outgoing
 from saffronworks.settings import Settings
 from saffronworks.signoffs import read_record
+from saffronworks.stores import CONFIG_PREFIX
 
 __all__ = ["BUNDLE_PREFIX", "OwnerService", "read_cells"]
 
 logger = logging.getLogger(__name__)
 
-BUNDLE_PREFIX = "bundles/"
+BUNDLE_PREFIX = f"{CONFIG_PREFIX}bundles/"
 TICK_S = 0.02
 LOOK_EVERY_S = 0.1
 
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -28,6 +28,7 @@
     "NotRun",
     "Outcome",
     "Phase",
+    "LeaseLost",
     "OwnerChanged",
     "PrefillEnded",
     "PrefillFailed",
@@ -200,6 +201,11 @@
     """The caller hung up."""
 
 
+@attrs.frozen
+class LeaseLost:
+    """This node stood still past its lease: others took what the request held."""
+
+
 @attrs.frozen
 class OwnerChanged:
     """Another node owns the cell from now on."""
@@ -224,6 +230,7 @@
     | DecodeEnded
     | DecodeBroken
     | CallerGone
+    | LeaseLost
     | OwnerChanged
     | Tick
 )
@@ -383,12 +390,25 @@
         case OwnerChanged():
             request.asks = 0
             return _send_again(request, now_ms)
+        case LeaseLost():
+            return _lose_lease(request, now_ms)
         case TokensArrived() | DecodeEnded() | DecodeBroken():
             return _step_decode(request, event, now_ms)
         case _:
             return _step_setup(request, event, now_ms)
 
 
+def _lose_lease(request: Request, now_ms: int) -> list[Command]:
+    """Make what was granted void. A running stream tells by itself when it was cancelled."""
+    match request.phase:
+        case Phase.WAITING:
+            return _retry(request, now_ms, (), "lease lost", executed=False)
+        case Phase.PREFILLING | Phase.ASSIGNING:
+            return _retry(request, now_ms, (), "lease lost", executed=True)
+        case _:
+            return []
+
+
 def _step_setup(request: Request, event: Event, now_ms: int) -> list[Command]:
     match event, request.phase:
         case GrantReceived(), Phase.WAITING:
--- a/saffronworks/sites.py
+++ b/saffronworks/sites.py
@@ -95,7 +95,9 @@
 
     def _settled(self) -> bool:
         everyone = sorted(node.settings.name for node in self.nodes)
-        return all(node.entry.ready() and node.members.owners() == everyone for node in self.nodes)
+        return all(
+            node.frontend.ready() and node.members.owners() == everyone for node in self.nodes
+        )
 
     def _make_node(self, index: int) -> Node:
         settings = Settings(
@@ -136,7 +138,7 @@
         for name in (*self.engines, *(plain.name for plain in self.plains)):
             row = {"name": name, "address": "", "zone": "", "region": REGION}
             rows.append({**row, "endpoint": True, "leaving": name in self.leaving})  # type: ignore[dict-item]
-        self.store.put("vms", json.dumps(rows))
+        self.store.put("config/vms", json.dumps(rows))
 
     def bundle_text(self) -> str:
         """The sample bundle with this site's addresses."""
@@ -179,12 +181,12 @@
 
     def in_force(self, version: int) -> bool:
         """Whether every node has at least that version of the bundle."""
-        key = "bundles/letters"
+        key = "config/bundles/letters"
         return all(
             key in node.relays.state.documents
             and node.relays.state.documents[key].version >= version
             for node in self.nodes
-            if not node.entry.draining
+            if not node.frontend.draining
         )
 
     def engine_memory_held(self) -> int:
--- a/saffronworks/standin_store.py
+++ b/saffronworks/standin_store.py
@@ -103,10 +103,16 @@
     async def _watch(self, call: Call, query: dict[str, str]) -> None:
         since = int(query.get("since", "0"))
         until_s = time.monotonic() + int(query.get("timeout_ms", "10000")) / 1000
-        while self.revision <= since and not self.outage:
+        prefix = query.get("prefix", "")
+        while not self._has_news(prefix, since) and not self.outage:
             changed = self._changed
             with anyio.move_on_after(max(0.0, min(1.0, until_s - time.monotonic()))):
                 await changed.wait()
             if time.monotonic() >= until_s:
                 break
-        await self._list(call, query.get("prefix", ""), since)
+        await self._list(call, prefix, since)
+
+    def _has_news(self, prefix: str, since: int) -> bool:
+        return any(
+            item.revision > since and key.startswith(prefix) for key, item in self.objects.items()
+        )
--- a/saffronworks/stores.py
+++ b/saffronworks/stores.py
@@ -11,8 +11,10 @@
 
 from saffronworks.documents import Document
 
-__all__ = ["Moved", "StoreClient", "StoreFailure", "WatchReply"]
+__all__ = ["CONFIG_PREFIX", "Moved", "StoreClient", "StoreFailure", "WatchReply"]
 
+# What every node has in force lies below this; claims, which only one reads, do not.
+CONFIG_PREFIX = "config/"
 TIMEOUT_S = 2.0
 FIRST_BACKOFF_MS = 200
 LONGEST_BACKOFF_MS = 10_000
@@ -102,13 +104,13 @@
         version = msgspec.json.decode(content, type=_Version).version
         return Err(Moved(version)) if status == 409 else Ok(version)
 
-    async def list(self, prefix: str = "") -> Result[WatchReply, StoreFailure]:
+    async def list(self, prefix: str = CONFIG_PREFIX) -> Result[WatchReply, StoreFailure]:
         """All objects below a prefix."""
         return await self._objects(f"/objects?prefix={quote(prefix)}", TIMEOUT_S)
 
     async def watch(self, since: int, timeout_ms: int) -> Result[WatchReply, StoreFailure]:
         """Wait until something changes after revision `since`, or for `timeout_ms`."""
-        path = f"/watch?since={since}&timeout_ms={timeout_ms}"
+        path = f"/watch?prefix={CONFIG_PREFIX}&since={since}&timeout_ms={timeout_ms}"
         return await self._objects(path, timeout_ms / 1000 + TIMEOUT_S)
 
     async def _objects(self, path: str, timeout_s: float) -> Result[WatchReply, StoreFailure]:
--- a/saffronworks/tests/features/steps/daemons_steps.py
+++ b/saffronworks/tests/features/steps/daemons_steps.py
@@ -30,7 +30,7 @@
         self.processes = []
 
     async def start(self, count=3):
-        self.site.store.put("bundles/letters", self.signed_bundle())
+        self.site.store.put("config/bundles/letters", self.signed_bundle())
         for index in range(count):
             self.settings.append(
                 {
@@ -52,7 +52,7 @@
             {"name": s["name"], "address": s["peer_address"], "zone": s["zone"], "region": REGION}
             for s in self.settings
         ]
-        self.site.store.put("vms", json.dumps(rows))
+        self.site.store.put("config/vms", json.dumps(rows))
         for settings in self.settings:
             self.processes.append(self.launch(settings))
         for settings in self.settings:
--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -324,7 +324,7 @@
     async def play(site, tasks):
         site.store.outage = True
         node = site.add_node()
-        context.ready = await wait_until(node.entry.ready)
+        context.ready = await wait_until(node.frontend.ready)
         context.models = list(node.entry.routes.models)
 
     on_site(context, SiteShape(), play)
@@ -340,9 +340,9 @@
 def lost_reply(context):
     async def play(site, tasks):
         site.store.lose_replies = 1
-        context.before = site.store.objects["bundles/letters"].version
+        context.before = site.store.objects["config/bundles/letters"].version
         context.status, _ = await site.sign_off(site.bundle_text() + "# again\n", "ada", 1)
-        context.after = site.store.objects["bundles/letters"].version
+        context.after = site.store.objects["config/bundles/letters"].version
         context.in_force = site.in_force(context.after)
 
     on_site(context, SiteShape(), play)
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -1,4 +1,4 @@
-"""Write the table of docs/CAPACITY.md from docs/capacity.json, so that the page and the run agree."""
+"""Write the figures of docs/capacity.json into docs/CAPACITY.md, so that both agree."""
 
 import json
 from pathlib import Path
--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -55,13 +55,13 @@
     async def start(self, count: int) -> None:
         """Start daemons and wait until each serves."""
         record = {"text": self.site.bundle_text(), "sign_off_id": "c", "signed_by": "capacity"}
-        self.site.store.put("bundles/letters", json.dumps(record))
+        self.site.store.put("config/bundles/letters", json.dumps(record))
         settings = [self._settings(index) for index in range(count)]
         rows = [
             {"name": s["name"], "address": s["peer_address"], "zone": s["zone"], "region": REGION}
             for s in settings
         ]
-        self.site.store.put("vms", json.dumps(rows))
+        self.site.store.put("config/vms", json.dumps(rows))
         for item in settings:
             path = self.folder / f"{item['name']}.yaml"
             path.write_text(yaml.safe_dump(item), encoding="utf-8")
