--- /dev/null
+++ b/saffronworks/admissions.py
@@ -0,0 +1,158 @@
+"""Admission at the owner of a cell: asks are queued or refused, and granted a prefill."""
+
+from saffronworks.bundles import Role
+from saffronworks.cell_events import (
+    Command,
+    Tell,
+)
+from saffronworks.cell_states import CellState, drop_held, open_decoders
+from saffronworks.ledgers import Held, Stage
+from saffronworks.messages import (
+    Ask,
+    Grant,
+    Refusal,
+)
+from saffronworks.placement import (
+    PrefillChoice,
+    choose_prefill,
+    expected_free,
+    takes_prefill,
+    transfer_ms,
+)
+from saffronworks.queues import Waiting
+
+__all__ = [
+    "LEAST_RETRY_AFTER_MS",
+    "grant_waiting",
+    "predict_wait",
+    "refuse",
+    "take_ask",
+]
+
+LEAST_RETRY_AFTER_MS = 500
+
+
+def take_ask(state: CellState, ask: Ask, now_ms: int) -> list[Command]:
+    """Queue an attempt, or refuse it at once; a repeated ask is answered again."""
+    request_id = ask.key.request_id
+    if ask.key.attempt <= state.ended.get(request_id, (0, 0))[0]:
+        return []
+    state.leases.touch(ask.node, now_ms)
+    held = state.held.get(request_id)
+    if held is not None and held.key == ask.key:
+        grant = Grant(ask.key, held.prefill_endpoint)
+        return [Tell(ask.node, grant)] if held.stage == Stage.PREFILL else []
+    if held is not None:
+        drop_held(state, held)
+    waiting = state.queue.items.get(request_id)
+    if waiting is not None and waiting.ask.key == ask.key:
+        return []
+    model = state.models.get(ask.model)
+    if model is None:
+        return [refuse(state, ask, "no such model here", LEAST_RETRY_AFTER_MS)]
+    if state.queue.full():
+        return [refuse(state, ask, "queue full", int(state.hold_ms.value))]
+    arrived_ms = now_ms - ask.waited_ms
+    item = Waiting(ask, model, arrived_ms, _work_ms(state, ask, now_ms))
+    item.first = ask.retry and state.budget.withdraw()
+    wait_ms = predict_wait(state, item, now_ms)
+    if not ask.retry and wait_ms > item.patience_left_ms(now_ms):
+        late_ms = int(wait_ms) - item.patience_left_ms(now_ms)
+        return [refuse(state, ask, "overload", max(LEAST_RETRY_AFTER_MS, late_ms))]
+    state.queue.items[request_id] = item
+    return []
+
+
+def predict_wait(state: CellState, item: Waiting, now_ms: int) -> float:
+    """Predicted time to the first token of a new attempt, behind those that go before it."""
+    ahead = state.queue.ahead_of(item.ask)
+    ledgers = state.ledgers.values()
+    decoders = open_decoders(state, now_ms)
+    prefillers = [e for e in ledgers if e.endpoint.role is Role.PREFILL and e.open(now_ms)]
+    if not decoders or not prefillers:
+        return 0.0
+    work_ms = item.work_ms
+    free = expected_free(ledgers, state.held.values(), state.lengths, now_ms, now_ms)
+    slots = sum(ledger.endpoint.slots for ledger in decoders)
+    short = max(0.0, ahead + 1 - free)
+    decode_wait_ms = short * state.hold_ms.value / slots
+    backlog_ms = min(ledger.backlog_end_ms(now_ms) for ledger in prefillers) - now_ms
+    prefill_wait_ms = backlog_ms + ahead * work_ms / len(prefillers)
+    return max(decode_wait_ms, prefill_wait_ms) + work_ms
+
+
+def _work_ms(state: CellState, ask: Ask, now_ms: int) -> float:
+    """Predicted prefill and transfer time of an attempt at the quickest open endpoint."""
+    best = 0.0
+    for ledger in state.ledgers.values():
+        if ledger.endpoint.role is Role.PREFILL and ledger.open(now_ms):
+            work_ms = ledger.prefill_work_ms(ask.prompt_tokens, ask.prefix_key)
+            work_ms += transfer_ms(state.cell.pool, ask.prompt_tokens, ledger, None, now_ms)
+            best = min(best, work_ms) if best else work_ms
+    return best
+
+
+def refuse(state: CellState, ask: Ask, reason: str, retry_after_ms: int) -> Command:
+    """Tell an entry that its attempt was given up before a prefill."""
+    state.refused += 1
+    return Tell(ask.node, Refusal(ask.key, reason, retry_after_ms))
+
+
+def grant_waiting(state: CellState, now_ms: int) -> list[Command]:
+    """Grant prefills to waiting attempts while one can start and find a slot."""
+    commands: list[Command] = []
+    if now_ms < state.grants_from_ms:
+        return commands
+    lead_ms = state.queue.policy.prefill_lead_ms
+    while state.queue.items and any(
+        takes_prefill(ledger, lead_ms, now_ms) for ledger in state.ledgers.values()
+    ):
+        item = state.queue.select(now_ms)
+        choice = _admit(state, item, now_ms) if item else None
+        if item is None or choice is None:
+            break
+        commands.append(_grant(state, item, choice, now_ms))
+    return commands
+
+
+def _admit(state: CellState, item: Waiting, now_ms: int) -> PrefillChoice | None:
+    """A prefill endpoint, when a decode slot is predicted free by the end of the transfer.
+
+    How sure that must be follows the model's weight between goodput and wasted prefill.
+    """
+    ask = item.ask
+    pool = state.cell.pool
+    ledgers = state.ledgers.values()
+    choice = choose_prefill(pool, ledgers, ask, state.queue.policy.prefill_lead_ms, now_ms)
+    if choice is None:
+        return None
+    policy = state.queue.policy
+    wait_ms = policy.planned_wait_ms(item.model.goodput_weight, pool.kv_kept_ms)
+    then_ms = choice.ready_ms + wait_ms
+    free = expected_free(ledgers, state.held.values(), state.lengths, then_ms, now_ms)
+    return choice if free >= 1.0 + policy.spare_slots else None
+
+
+def _grant(state: CellState, item: Waiting, choice: PrefillChoice, now_ms: int) -> Command:
+    ask = item.ask
+    state.queue.take(item, 1.0, now_ms)
+    held = Held(
+        key=ask.key,
+        node=ask.node,
+        model=ask.model,
+        organisation=ask.organisation,
+        stage=Stage.PREFILL,
+        prefill_endpoint=choice.ledger.endpoint.name,
+        granted_ms=now_ms,
+        slot_wanted_ms=choice.ready_ms,
+        prefill_end_ms=choice.end_ms,
+        prompt_tokens=ask.prompt_tokens,
+        max_tokens=ask.max_tokens,
+        prefix_key=ask.prefix_key,
+        avoid=ask.avoid,
+    )
+    state.held[ask.key.request_id] = held
+    choice.ledger.prefills[ask.key.request_id] = held
+    choice.ledger.circuit.take_trial(now_ms)
+    state.granted += 1
+    return Tell(ask.node, Grant(ask.key, held.prefill_endpoint))
--- /dev/null
+++ b/saffronworks/cell_events.py
@@ -0,0 +1,113 @@
+"""Events and commands of the owner of a cell (`cells.py`)."""
+
+import attrs
+
+from saffronworks.ledgers import LoadReport
+from saffronworks.messages import (
+    Ask,
+    HeldList,
+    LeaseRenewal,
+    Prefilled,
+    Release,
+    RequestKey,
+)
+from saffronworks.ownership import Cell
+
+__all__ = [
+    "CancelAcknowledged",
+    "CancelStream",
+    "CellChanged",
+    "Command",
+    "EndpointGone",
+    "EndpointsLeaving",
+    "Event",
+    "Reported",
+    "StreamsListed",
+    "Tell",
+    "Tick",
+]
+
+
+@attrs.frozen
+class Reported:
+    """An endpoint's load report arrived."""
+
+    endpoint: str
+    report: LoadReport
+
+
+@attrs.frozen
+class StreamsListed:
+    """The live streams of an endpoint, each with the node that it belongs to."""
+
+    endpoint: str
+    streams: tuple[tuple[RequestKey, str], ...]
+
+
+@attrs.frozen
+class CancelAcknowledged:
+    """The endpoint holds the attempt no more."""
+
+    endpoint: str
+    key: RequestKey
+
+
+@attrs.frozen
+class EndpointGone:
+    """Nobody listens at the endpoint; a process that is gone holds no memory."""
+
+    endpoint: str
+
+
+@attrs.frozen
+class EndpointsLeaving:
+    """The endpoints that get no new work."""
+
+    names: frozenset[str]
+
+
+@attrs.frozen
+class CellChanged:
+    """A newer bundle version describes the cell anew."""
+
+    cell: Cell
+
+
+@attrs.frozen
+class Tick:
+    """Time passes."""
+
+
+@attrs.frozen
+class Tell:
+    """Send a message to an entry node."""
+
+    node: str
+    message: object
+
+
+@attrs.frozen
+class CancelStream:
+    """Cancel an attempt at an endpoint; answered by `CancelAcknowledged` or `EndpointGone`."""
+
+    endpoint: str
+    key: RequestKey
+
+
+Event = (
+    Ask
+    | Prefilled
+    | Release
+    | LeaseRenewal
+    | HeldList
+    | Reported
+    | StreamsListed
+    | CancelAcknowledged
+    | EndpointGone
+    | EndpointsLeaving
+    | CellChanged
+    | Tick
+)
+
+
+Command = Tell | CancelStream
--- /dev/null
+++ b/saffronworks/cell_states.py
@@ -0,0 +1,97 @@
+"""All that the owner of one cell knows."""
+
+import attrs
+
+from saffronworks.breakers import RetryBudget
+from saffronworks.bundles import Model, Role
+from saffronworks.leases import CancelList, LeaseTable, OrphanWatch
+from saffronworks.ledgers import EndpointLedger, Held
+from saffronworks.ownership import Cell
+from saffronworks.policies import Policy
+from saffronworks.predictors import Average, LengthTable
+from saffronworks.queues import WaitQueue
+
+__all__ = [
+    "CellState",
+    "drop_held",
+    "new_cell",
+    "open_decoders",
+    "set_cell",
+]
+
+FIRST_HOLD_MS = 2000.0
+
+
+@attrs.define
+class CellState:
+    """All that the owner of one cell knows. `grants_from_ms` ends the rebuild of a new owner."""
+
+    cell: Cell
+    owner: str
+    leases: LeaseTable
+    grants_from_ms: int
+    ledgers: dict[str, EndpointLedger] = attrs.Factory(dict)
+    models: dict[str, Model] = attrs.Factory(dict)
+    lengths: dict[str, LengthTable] = attrs.Factory(dict)
+    queue: WaitQueue = attrs.Factory(WaitQueue)
+    held: dict[str, Held] = attrs.Factory(dict)
+    ready: dict[str, Held] = attrs.Factory(dict)
+    ended: dict[str, tuple[int, int]] = attrs.Factory(dict)
+    cancels: CancelList = attrs.Factory(CancelList)
+    orphans: OrphanWatch = attrs.Factory(OrphanWatch)
+    budget: RetryBudget = attrs.Factory(RetryBudget)
+    hold_ms: Average = attrs.Factory(lambda: Average(FIRST_HOLD_MS))
+    transfer_ms: Average = attrs.Factory(lambda: Average(0.0))
+    granted: int = 0
+    refused: int = 0
+    withdrawn: int = 0
+
+
+def new_cell(
+    cell: Cell,
+    owner: str,
+    lease_ms: int,
+    rebuild_ms: int,
+    now_ms: int,
+    policy: Policy | None = None,
+) -> CellState:
+    """A new owner's state; it grants only after `rebuild_ms`, when entries have reported."""
+    queue = WaitQueue(policy or Policy())
+    state = CellState(cell, owner, LeaseTable(lease_ms), now_ms + rebuild_ms, queue=queue)
+    set_cell(state, cell)
+    return state
+
+
+def set_cell(state: CellState, cell: Cell) -> None:
+    """Take the newer description; endpoints that stay keep what was learned of them."""
+    state.cell = cell
+    state.models = {model.name: model for model in cell.models}
+    for name in state.models:
+        state.lengths.setdefault(name, LengthTable())
+    wanted = {endpoint.name: endpoint for endpoint in cell.endpoints}
+    for name, endpoint in wanted.items():
+        if name in state.ledgers:
+            state.ledgers[name].endpoint = endpoint
+        else:
+            state.ledgers[name] = EndpointLedger(endpoint)
+    for name, ledger in state.ledgers.items():
+        if name not in wanted:
+            ledger.leaving = True
+
+
+def drop_held(state: CellState, held: Held) -> None:
+    """Forget an attempt and what it held."""
+    state.held.pop(held.key.request_id, None)
+    state.ready.pop(held.key.request_id, None)
+    for ledger in state.ledgers.values():
+        ledger.prefills.pop(held.key.request_id, None)
+        ledger.decodes.pop(held.key.request_id, None)
+
+
+def open_decoders(state: CellState, now_ms: int) -> list[EndpointLedger]:
+    """The decode endpoints that may get work."""
+    return [
+        ledger
+        for ledger in state.ledgers.values()
+        if ledger.endpoint.role is Role.DECODE and ledger.open(now_ms)
+    ]
--- /dev/null
+++ b/saffronworks/reclaims.py
@@ -0,0 +1,117 @@
+"""Leases, reclaim and rebuild at the owner of a cell."""
+
+from saffronworks.cell_events import (
+    Command,
+    StreamsListed,
+    Tell,
+)
+from saffronworks.cell_states import CellState, drop_held
+from saffronworks.leases import MISMATCHES_TO_ASK, hash_key
+from saffronworks.ledgers import Held, Stage
+from saffronworks.messages import (
+    HeldKey,
+    HeldList,
+    HeldQuery,
+    LeaseAcknowledged,
+    LeaseRenewal,
+    RequestKey,
+)
+
+__all__ = [
+    "adopt_held",
+    "reclaim_node",
+    "renew_lease",
+    "take_streams",
+]
+
+
+def renew_lease(state: CellState, event: LeaseRenewal, now_ms: int) -> list[Command]:
+    """Renew a node's lease, and ask for its list when what it holds differs."""
+    commands: list[Command] = []
+    if state.leases.renew(event.node, event.incarnation, now_ms):
+        commands += reclaim_node(state, event.node, now_ms)
+    lease = state.leases.leases[event.node]
+    if event.incarnation != lease.incarnation:
+        return commands
+    commands.append(Tell(event.node, LeaseAcknowledged(state.owner, state.cell.name)))
+    mine = [held for held in state.held.values() if held.node == event.node]
+    digest = 0
+    for held in mine:
+        digest ^= hash_key(held.key)
+    if digest == event.digest and len(mine) == event.held:
+        lease.mismatches = 0
+        return commands
+    lease.mismatches += 1
+    rebuilding = now_ms < state.grants_from_ms
+    if rebuilding or lease.mismatches >= MISMATCHES_TO_ASK:
+        commands.append(Tell(event.node, HeldQuery(state.cell.name)))
+    return commands
+
+
+def adopt_held(state: CellState, event: HeldList, now_ms: int) -> list[Command]:
+    """Make the ledger agree with the entry, which is the truth about its own requests."""
+    listed = {item.key.request_id: item for item in event.held}
+    for held in [held for held in state.held.values() if held.node == event.node]:
+        item = listed.get(held.key.request_id)
+        settled = now_ms - held.granted_ms > state.leases.lease_ms
+        if item is None and settled:
+            drop_held(state, held)
+    for item in event.held:
+        if item.key.request_id not in state.held:
+            _adopt_one(state, event.node, item, now_ms)
+    return []
+
+
+def _adopt_one(state: CellState, node: str, item: HeldKey, now_ms: int) -> None:
+    if item.key.attempt <= state.ended.get(item.key.request_id, (0, 0))[0]:
+        return
+    held = Held(item.key, node, "", item.organisation, item.stage, item.endpoint, now_ms)
+    held.expires_ms = now_ms + state.cell.pool.kv_kept_ms
+    held.slot_wanted_ms = held.prefill_end_ms = float(now_ms)
+    state.held[item.key.request_id] = held
+    if item.stage == Stage.READY:
+        state.ready[item.key.request_id] = held
+    ledger = state.ledgers.get(item.endpoint)
+    if ledger is None:
+        return
+    if item.stage == Stage.DECODE:
+        held.decode_endpoint = item.endpoint
+        held.decode_started_ms = now_ms - item.output_tokens * ledger.pace_ms.value
+        ledger.decodes[item.key.request_id] = held
+    else:
+        ledger.prefills[item.key.request_id] = held
+
+
+def reclaim_node(state: CellState, node: str, now_ms: int) -> list[Command]:
+    """Cancel at the engines all that a node held, until each cancel is acknowledged."""
+    for request_id, waiting in list(state.queue.items.items()):
+        if waiting.ask.node == node:
+            del state.queue.items[request_id]
+    for held in [held for held in state.held.values() if held.node == node]:
+        drop_held(state, held)
+        state.ended[held.key.request_id] = (held.key.attempt, now_ms)
+        for endpoint in {held.prefill_endpoint, held.decode_endpoint} - {""}:
+            _cancel(state, endpoint, held.key, now_ms)
+    return []
+
+
+def _cancel(state: CellState, endpoint: str, key: RequestKey, now_ms: int) -> None:
+    state.cancels.add(endpoint, key, now_ms)
+    if endpoint in state.ledgers:
+        state.ledgers[endpoint].unacknowledged.add(key)
+
+
+def take_streams(state: CellState, event: StreamsListed, now_ms: int) -> list[Command]:
+    """Compare the live streams of an endpoint with what is claimed."""
+    unclaimed: set[RequestKey] = set()
+    holders: set[str] = set()
+    for key, holder in event.streams:
+        held = state.held.get(key.request_id)
+        if held is None or held.key != key:
+            unclaimed.add(key)
+            holders.add(holder)
+    commands: list[Command] = [Tell(node, HeldQuery(state.cell.name)) for node in sorted(holders)]
+    for key in state.orphans.observe(event.endpoint, unclaimed, now_ms):
+        state.ended[key.request_id] = (key.attempt, now_ms)
+        _cancel(state, event.endpoint, key, now_ms)
+    return commands
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -7,6 +7,7 @@
 
 from saffronworks import cells, requests
 from saffronworks.bundles import Endpoint, Model, Pool, Role
+from saffronworks.leases import hash_key
 from saffronworks.ledgers import LoadReport
 from saffronworks.messages import (
     Ask,
@@ -399,7 +400,7 @@
             mine = [h for h in self.state.held.values() if h.node == f"n{index}"]
             digest = 0
             for held in mine:
-                digest ^= cells.hash_key(held.key)
+                digest ^= hash_key(held.key)
             self._step(LeaseRenewal(f"n{index}", self.state.cell.name, 1, len(mine), digest))
 
     def _report(self) -> None:
