Scenarios that could not fail are sharpened

Cause: each mechanism was switched off in turn on a scratch copy (18 trials). Not caught, and why: - attempts not filtered: the fake endpoints gave every attempt the same KV result; - not run said after a dispatch: only repeatable requests were tried; - leaving ignored: new work was counted only when the endpoint had fallen idle; - a caller that left is not cancelled, orphans at a double death: the streams were short enough to end by themselves within the wait; - a retry to the same endpoint: only seen by speed. Each has a sharper check now, none has an easier one. An offset of 0 at a splice is still not caught: the entry drops what was delivered, so it costs time, not a promise.

--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -86,6 +86,7 @@
         self.fault = Fault.NONE
         self.running_counts: deque[tuple[int, int]] = deque()
         self.dispatches: dict[str, int] = {}
+        self.decoded: set[RequestKey] = set()
         self.prefill_ms_done = 0.0
         self._listener = bind(address)
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
@@ -237,6 +238,7 @@
         total = answer_length(prompt, body["max_tokens"])
         stream = _Stream(key, body["holder"], prompt, total, body["offset"])
         self.streams[key] = stream
+        self.decoded.add(key)
         self._count()
         began_ms = _now_ms()
         imported = await self._import(body["source"], body["kv_id"])
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -63,6 +63,15 @@
     And a trial whose end is never heard of makes room for another one
     And after a success its slots come back bit by bit
 
+  Scenario: an endpoint that is leaving is given nothing, whatever waits
+    Given a cell with two decode endpoints of which one is leaving
+    When more requests come than the other has slots
+    Then the one that is leaving is assigned nothing
+
+  Scenario: a retry avoids the endpoint that failed the request
+    Given a cell with two prefill endpoints that are alike
+    Then a request that names one as failed is granted the other
+
   Scenario: the predicted output lengths agree with a naive count
     Given any lengths of finished answers
     Then the share of longer ones is near a naive count and never grows with the length
--- a/saffronworks/tests/features/requests.feature
+++ b/saffronworks/tests/features/requests.feature
@@ -7,6 +7,8 @@
   Scenario: not run is only said when nothing can have run
     Given any order of events for a repeatable request
     Then a request that is told not run was never taken by an endpoint
+    Given any order of events for an unrepeatable request
+    Then a request that is told not run was never taken by an endpoint
 
   Scenario: an unrepeatable request runs at most once
     Given any order of events for an unrepeatable request
@@ -29,7 +31,14 @@
 
   Scenario: a grant that answers an older attempt changes nothing
     Given a request that streams from an engine
-    When a grant of attempt 0 arrives
+    When the engine dies after 3 tokens
+    And a grant of attempt 1 arrives
+    Then nothing is commanded
+
+  Scenario: a stream of an older attempt that breaks late ends nothing
+    Given a request that streams from an engine
+    When the engine dies after 3 tokens
+    And the next attempt streams and the old stream breaks again
     Then nothing is commanded
 
   Scenario: a request that cannot be in time is told so at once
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -386,6 +386,50 @@
     assert context.ledger.free_slots(10_000 + SLOW_START_MS) == 10
 
 
+def wide_state():
+    endpoints = (
+        Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL),
+        Endpoint("p2", "127.0.0.1:2", "z", Role.PREFILL),
+        Endpoint("d1", "127.0.0.1:3", "z", Role.DECODE, slots=2),
+        Endpoint("d2", "127.0.0.1:4", "z", Role.DECODE, slots=2),
+    )
+    cell = Cell("b/p/0", Pool("p", endpoints), endpoints, (MODEL,))
+    return cells.new_cell(cell, "owner", LEASE_MS, 0, 0)
+
+
+@given("a cell with two decode endpoints of which one is leaving")
+def one_leaving(context):
+    context.state = wide_state()
+    cells.step(context.state, cells.EndpointsLeaving(frozenset({"d1"})), 0)
+
+
+@when("more requests come than the other has slots")
+def too_many(context):
+    context.assigned = []
+    for index in range(5):
+        commands = cells.step(context.state, make_ask(f"r{index}"), index * 50)
+        for grant in told(commands, Grant):
+            commands = cells.step(context.state, make_prefilled(grant.key), index * 50 + 9)
+            context.assigned += [assign.endpoint for assign in told(commands, Assign)]
+
+
+@then("the one that is leaving is assigned nothing")
+def only_the_other(context):
+    assert context.assigned == ["d2", "d2"], context.assigned
+
+
+@given("a cell with two prefill endpoints that are alike")
+def two_alike(context):
+    context.make_state = wide_state
+
+
+@then("a request that names one as failed is granted the other")
+def granted_other(context):
+    for failed, other in (("p1", "p2"), ("p2", "p1")):
+        ask = attrs.evolve(make_ask(), avoid=(failed,))
+        assert told(cells.step(context.make_state(), ask, 0), Grant)[0].endpoint == other
+
+
 @given("any lengths of finished answers")
 def any_lengths(context):
     context.lengths = st.lists(st.integers(1, 900), min_size=1, max_size=60)
--- a/saffronworks/tests/features/steps/requests_steps.py
+++ b/saffronworks/tests/features/steps/requests_steps.py
@@ -42,6 +42,8 @@
                 self.inbox.append(("prefill", command.attempt))
             case core.TellPrefilled():
                 self.inbox.append(core.AssignReceived(command.attempt, "d", 900))
+            case core.StartDecode() if command.kv_id != f"kv{command.attempt}":
+                raise AssertionError(f"the KV result of another attempt: {command}")
             case core.StartDecode() | core.ResumeDecode():
                 self.inbox.append(("decode", command.attempt, command.offset))
             case core.CancelAt():
@@ -54,6 +56,9 @@
             self.feed(core.Tick())
             return
         item = self.inbox[choice % len(self.inbox)]
+        if fault == "leave":
+            self.feed(core.CallerGone())
+            return
         if fault != "double":
             self.inbox.remove(item)
         if fault == "lose":
@@ -75,7 +80,7 @@
             if fault == "break":
                 self.feed(core.PrefillFailed(attempt, executed=True, failure="ReadError"))
             else:
-                self.inbox.append(core.PrefillEnded(attempt, "kv", 10, 0, 800))
+                self.inbox.append(core.PrefillEnded(attempt, f"kv{attempt}", 10, 0, 800))
             return
         if fault == "refuse":
             self.feed(core.DecodeRefused(attempt, kv_lost=False, failure="slots full"))
@@ -97,7 +102,7 @@
         self.inbox.append(core.DecodeEnded(attempt, TOTAL))
 
 
-FAULTS = ("none", "none", "none", "none", "lose", "double", "refuse", "break", "cut")
+FAULTS = (*["none"] * 6, "lose", "double", "refuse", "break", "cut", "leave")
 MOVES = st.lists(st.tuples(st.integers(0, 5), st.sampled_from(FAULTS)), min_size=1, max_size=60)
 
 
@@ -158,12 +163,16 @@
 
 @then("at its end each endpoint that holds something was told to cancel")
 def all_cancelled(context):
+    ended = []
+
     def check(world):
-        if not isinstance(world.request.outcome, core.Unknown | core.NotRun):
+        if not isinstance(world.request.outcome, core.Unknown | core.NotRun | core.Cancelled):
             return
+        ended.append(type(world.request.outcome))
         assert world.holding <= world.cancelled, (world.holding, world.cancelled)
 
     for_all_orders(context.unrepeatable, check)
+    assert core.Cancelled in ended, "no caller left in the middle"
 
 
 def run_commands(context, event, now_ms=10):
@@ -203,6 +212,13 @@
     run_commands(context, core.GrantReceived(attempt, "p"))
 
 
+@when("the next attempt streams and the old stream breaks again")
+def old_breaks(context):
+    next_decode(context, 3)
+    run_commands(context, core.DecodeStarted(2, 5))
+    run_commands(context, core.DecodeBroken(1, engine_alive=False, failure="late"))
+
+
 @when("its owner refuses it for overload")
 def refused(context):
     run_commands(context, core.RefusalReceived(1, "overload", 700))
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -9,11 +9,12 @@
 from saffronworks.callers import LoadPlan, ask, expected_answer, run_load
 from saffronworks.sites import Site, SiteShape, wait_until
 from saffronworks.standin_engine import Fault
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standin_models import EngineProfile, answer_length
 
 QUICK = EngineProfile(slots=6, step_ms=4.0)
 SLOW = EngineProfile(slots=6, step_ms=30.0)
 TOKENS = 48
+LONG_TOKENS = 4000
 
 
 def on_site(context, shape, play):
@@ -110,7 +111,8 @@
 def hang_up(context):
     async def play(site, tasks):
         address = site.nodes[0].caller_address
-        body = {"model": "opening-line", "prompt": "Dear reader", "max_tokens": 400}
+        body = {"model": "opening-line", "prompt": "Dear reader", "max_tokens": LONG_TOKENS}
+        assert answer_length("Dear reader", LONG_TOKENS) > 1000
         body["stream"] = True
         async with httpcore.AsyncConnectionPool() as pool:
             url = f"http://{address}/v1/completions"
@@ -119,7 +121,7 @@
                     break
         assert site.engine_memory_held() == 1
 
-    on_site(context, SiteShape(profile=SLOW, max_tokens=400), play)
+    on_site(context, SiteShape(profile=SLOW, max_tokens=LONG_TOKENS), play)
 
 
 @then("no engine memory stays held")
@@ -263,11 +265,12 @@
             for node in dead:
                 node.kill()
 
-        plan = LoadPlan(12, 5.0, letter_characters=100, max_tokens=300)
+        # Long enough that no stream ends by itself before the test does.
+        plan = LoadPlan(12, 5.0, letter_characters=100, max_tokens=LONG_TOKENS)
         await load_while(context, dead, plan, act, after_s=0.05)
         await still_answers(context, site, *dead)
 
-    on_site(context, SiteShape(profile=SLOW, max_tokens=400), play)
+    on_site(context, SiteShape(profile=SLOW, max_tokens=LONG_TOKENS), play)
 
 
 @when("a node dies under streams")
@@ -322,12 +325,11 @@
             ledger = state.ledgers["decode-1"]
             assert await wait_until(lambda: ledger.leaving)
             # What was assigned before the owner knew is on its way, and is not new work.
-            await wait_until(lambda: not ledger.decodes)
-            context.before = set(engine.streams)
+            context.before = engine.decoded | {held.key for held in ledger.decodes.values()}
 
         plan = LoadPlan(60, 30.0, letter_characters=100, max_tokens=TOKENS)
         await load_while(context, site.nodes, plan, act)
-        context.new_work = set(engine.streams) - context.before
+        context.new_work = engine.decoded - context.before
 
     on_site(context, SiteShape(profile=QUICK), play)
 
