Cache events, a baseline with static shares, and few cells for each node

Cause, cache events: the owner's prefix view only learned of hits; an eviction was seen as a prefill that took longer than predicted. Engines' events are read with the streams; after a gap the view is emptied. Property: it never holds a prefix that the endpoint lacks after a poll. Cause, baseline: none of the three refused anything, which made them weak beyond capacity. Static share: each node at most 1.2 of its share of the slots. Cause, cells: a node renewed a lease with every cell of a pool in time: 68 KB/s at 208 cells. It now uses 8, chosen by its name: 2.6 KB/s for each pool.

--- a/saffronworks/cell_events.py
+++ b/saffronworks/cell_events.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from saffronworks.ledgers import LoadReport
+from saffronworks.ledgers import CacheEvents, LoadReport
 from saffronworks.messages import (
     Ask,
     HeldList,
@@ -14,6 +14,7 @@
 from saffronworks.ownership import Cell
 
 __all__ = [
+    "CacheReported",
     "CancelAcknowledged",
     "CancelStream",
     "CellChanged",
@@ -36,6 +37,14 @@
     report: LoadReport
 
 
+@attrs.frozen
+class CacheReported:
+    """An endpoint told which prefixes it evicted."""
+
+    endpoint: str
+    events: CacheEvents
+
+
 @attrs.frozen
 class StreamsListed:
     """The live streams of an endpoint, each with the node that it belongs to."""
@@ -101,6 +110,7 @@
     | LeaseRenewal
     | HeldList
     | Reported
+    | CacheReported
     | StreamsListed
     | CancelAcknowledged
     | EndpointGone
--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -13,6 +13,7 @@
 )
 from saffronworks.assignments import assign_ready, take_prefilled, take_release
 from saffronworks.cell_events import (
+    CacheReported,
     CancelAcknowledged,
     CancelStream,
     CellChanged,
@@ -36,6 +37,7 @@
 from saffronworks.reclaims import adopt_held, reclaim_node, renew_lease, take_streams
 
 __all__ = [
+    "CacheReported",
     "CancelAcknowledged",
     "CancelStream",
     "CellChanged",
@@ -82,6 +84,8 @@
     match event:
         case Reported() if event.endpoint in state.ledgers:
             state.ledgers[event.endpoint].apply_report(event.report, now_ms)
+        case CacheReported() if event.endpoint in state.ledgers:
+            state.ledgers[event.endpoint].apply_events(event.events)
         case CancelAcknowledged():
             state.cancels.acknowledge(event.endpoint, event.key)
             if event.endpoint in state.ledgers:
--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.ledgers import LoadReport
+from saffronworks.ledgers import CacheEvents, LoadReport
 from saffronworks.messages import RequestKey
 
 __all__ = [
@@ -155,6 +155,12 @@
         kind = list[StreamRow]
         return await self._call("GET", address, "/engine/streams", None, kind, limit_ms)
 
+    async def cache_events(self, address: str, since: int) -> Result[CacheEvents, EngineFailure]:
+        """Prefixes that the engine evicted since a position; late, and with gaps."""
+        limit_ms = int(CALL_TIMEOUT_S * 1000)
+        path = f"/engine/events?since={since}"
+        return await self._call("GET", address, path, None, CacheEvents, limit_ms)
+
     async def report(self, address: str) -> Result[LoadReport, EngineFailure]:
         """The engine's lagged load report."""
         limit_ms = int(CALL_TIMEOUT_S * 1000)
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -40,7 +40,7 @@
     name = "entry"
 
     def __init__(self, settings: Settings, incarnation: int):
-        self.routes = RouteTable()
+        self.routes = RouteTable(settings.name)
         self.runners: dict[str, RequestRunner] = {}
         self.outstanding: dict[str, int] = {}
         self.leaving: frozenset[str] = frozenset()
--- a/saffronworks/ledgers.py
+++ b/saffronworks/ledgers.py
@@ -9,7 +9,7 @@
 from saffronworks.messages import RequestKey
 from saffronworks.predictors import Average, PrefixView
 
-__all__ = ["EndpointLedger", "Held", "LoadReport", "Stage"]
+__all__ = ["CacheEvents", "EndpointLedger", "Held", "LoadReport", "Stage"]
 
 HISTORY_MS = 5000
 FIRST_PACE_MS = 30.0
@@ -55,6 +55,15 @@
     role: Role | None = None
 
 
+@attrs.frozen
+class CacheEvents:
+    """Prefixes that an endpoint evicted, up to a position; with `gap`, some news is lost."""
+
+    position: int
+    evicted: tuple[str, ...] = ()
+    gap: bool = False
+
+
 @attrs.define
 class EndpointLedger:
     """State of one endpoint. Times are the owner's, in milliseconds."""
@@ -65,6 +74,7 @@
     decodes: dict[str, Held] = attrs.Factory(dict)
     links: list[tuple[float, float]] = attrs.Factory(list)
     prefixes: PrefixView = attrs.Factory(PrefixView)
+    events_position: int = 0
     prefill_rate: Average = attrs.Factory(lambda: Average(0.0))
     pace_ms: Average = attrs.Factory(lambda: Average(FIRST_PACE_MS))
     leaving: bool = False
@@ -114,6 +124,14 @@
         while len(self.history) > 1 and self.history[1][0] < now_ms - HISTORY_MS:
             self.history.popleft()
 
+    def apply_events(self, events: CacheEvents) -> None:
+        """Forget what was evicted; after a gap, forget all, since anything may be gone."""
+        self.events_position = events.position
+        if events.gap:
+            self.prefixes = PrefixView()
+        for prefix_key in events.evicted:
+            self.prefixes.forget(prefix_key)
+
     def apply_report(self, report: LoadReport, now_ms: int) -> None:
         """Count as foreign what two reports in a row show beyond what was known then."""
         as_of_ms = now_ms - report.age_ms
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -8,12 +8,13 @@
 from result import Err, Ok
 
 from saffronworks import cells
-from saffronworks.bundles import Endpoint, read_bundle
+from saffronworks.bundles import Endpoint, Role, read_bundle
 from saffronworks.cancels import CancelDone, CancelOrder
 from saffronworks.cells import CellState
 from saffronworks.documents import InForce
 from saffronworks.engines import EngineClient
 from saffronworks.kernel import Kernel, Mailbox
+from saffronworks.ledgers import EndpointLedger
 from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.membership import MemberChanged
 from saffronworks.messages import Ask, HeldList, LeaseRenewal, Prefilled, Release, RequestKey
@@ -193,6 +194,7 @@
                         tasks.start_soon(self._ask_report, kernel, name, endpoint)
                         if turn % rounds == 0:
                             tasks.start_soon(self._ask_streams, kernel, name, endpoint)
+                            tasks.start_soon(self._ask_events, kernel, name, ledger)
                 turn += 1
                 await anyio.sleep(self._settings.report_every_ms / 1000)
 
@@ -202,6 +204,16 @@
             event = cells.Reported(endpoint.name, reply.ok_value)
             kernel.post(self.name, _EndpointEvent(name, event))
 
+    async def _ask_events(self, kernel: Kernel, name: str, ledger: EndpointLedger) -> None:
+        """Ask a prefill endpoint what its prefix cache evicted."""
+        endpoint = ledger.endpoint
+        if endpoint.role is not Role.PREFILL:
+            return
+        reply = await self._engines.cache_events(endpoint.address, ledger.events_position)
+        if isinstance(reply, Ok):
+            event = cells.CacheReported(endpoint.name, reply.ok_value)
+            kernel.post(self.name, _EndpointEvent(name, event))
+
     async def _ask_streams(self, kernel: Kernel, name: str, endpoint: Endpoint) -> None:
         reply = await self._engines.streams(endpoint.address)
         if isinstance(reply, Ok):
--- a/saffronworks/routes.py
+++ b/saffronworks/routes.py
@@ -7,16 +7,23 @@
 
 from saffronworks.bundles import Bundle, Model, PlainRoute, read_bundle
 from saffronworks.documents import Document
-from saffronworks.ownership import Cell, split_pool
+from saffronworks.ownership import Cell, rank_members, split_pool
 from saffronworks.signoffs import read_record
 
 __all__ = ["RouteTable", "choose_cell"]
 
+CELLS_USED = 8
+
 
 @attrs.define
 class RouteTable:
-    """Bundles by name, with what requests look up."""
+    """Bundles by name, with what requests look up.
+
+    Of a pool with many cells a node uses `CELLS_USED`, chosen by its name: it renews a lease
+    with each owner that it uses, and those must not grow with the fleet.
+    """
 
+    node: str = ""
     bundles: dict[str, Bundle] = attrs.Factory(dict)
     models: dict[str, tuple[Model, tuple[Cell, ...]]] = attrs.Factory(dict)
     plain: list[PlainRoute] = attrs.Factory(list)
@@ -35,12 +42,16 @@
         self.models = {}
         self.plain = []
         for bundle in self.bundles.values():
-            pools = {pool.name: tuple(split_pool(bundle, pool)) for pool in bundle.pools}
+            pools = {pool.name: self._use_cells(split_pool(bundle, pool)) for pool in bundle.pools}
             for model in bundle.models:
                 self.models[model.name] = (model, pools[model.pool])
             self.plain += bundle.plain
         self.plain.sort(key=lambda route: (bool(route.host), len(route.path)), reverse=True)
 
+    def _use_cells(self, cells: list[Cell]) -> tuple[Cell, ...]:
+        used = rank_members([cell.name for cell in cells], self.node, CELLS_USED)
+        return tuple(cell for cell in cells if cell.name in used)
+
     def find_plain(self, host: str, path: str) -> PlainRoute | None:
         """The most exact plain route: with a host first, then the longest path."""
         for route in self.plain:
--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -4,6 +4,7 @@
 import time
 from collections import deque
 from typing import Any
+from urllib.parse import parse_qs
 
 import anyio
 import attrs
@@ -169,6 +170,10 @@
                 await self._list_streams(call)
             case "GET", "/engine/report":
                 await self._report(call)
+            case "GET", "/engine/events":
+                since = int(parse_qs(call.query).get("since", ["0"])[0])
+                position, evicted, gap = self.prefixes.events(since)
+                await call.reply(200, {"position": position, "evicted": evicted, "gap": gap})
             case "POST", "/engine/orders":
                 await self._order(call)
             case "POST", "/standin/kill":
--- a/saffronworks/standin_models.py
+++ b/saffronworks/standin_models.py
@@ -8,6 +8,7 @@
 
 CHARACTERS_PER_TOKEN = 4
 SHORTEST_ANSWER = 8
+EVENTS_KEPT = 64
 _WORDS = [
     "amber",
     "birch",
@@ -72,15 +73,30 @@
 
     most_tokens: int
     sizes: dict[str, int] = attrs.Factory(dict)
+    evicted: list[str] = attrs.Factory(list)
+    forgotten: int = 0
 
     def use(self, prefix_key: str, tokens: int) -> int:
         """Tokens that were cached before this use; the prefix is cached after it."""
         hit = self.sizes.pop(prefix_key, 0)
         self.sizes[prefix_key] = tokens
         while sum(self.sizes.values()) > self.most_tokens and len(self.sizes) > 1:
-            self.sizes.pop(next(iter(self.sizes)))
+            self._evict(next(iter(self.sizes)))
         return hit
 
+    def _evict(self, prefix_key: str) -> None:
+        del self.sizes[prefix_key]
+        self.evicted.append(prefix_key)
+        if len(self.evicted) > EVENTS_KEPT:
+            self.evicted.pop(0)
+            self.forgotten += 1
+
+    def events(self, since: int) -> tuple[int, list[str], bool]:
+        """The next position, prefixes evicted from position `since` on, and whether some lack."""
+        position = self.forgotten + len(self.evicted)
+        gap = since < self.forgotten or since > position
+        return position, self.evicted[max(0, since - self.forgotten) :], gap
+
 
 def count_tokens(text: str) -> int:
     """Tokens of a text, one for each four characters."""
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -72,6 +72,10 @@
     Given a cell with two prefill endpoints that are alike
     Then a request that names one as failed is granted the other
 
+  Scenario: cache events with gaps never leave a prefix that is not there
+    Given any uses of prefixes in a small cache and polls of its events
+    Then after each poll the owner believes in no prefix that the endpoint lacks
+
   Scenario: the predicted output lengths agree with a naive count
     Given any lengths of finished answers
     Then the share of longer ones is near a naive count and never grows with the length
--- a/saffronworks/tests/features/fleet.feature
+++ b/saffronworks/tests/features/fleet.feature
@@ -51,6 +51,11 @@
     Given any pool of endpoints
     Then its cells hold each endpoint once and both roles each
 
+  Scenario: a node uses few cells of a large pool, and all nodes together use them evenly
+    Given a pool of 600 endpoints before 300 nodes
+    Then each node uses 8 cells
+    And no cell is used by more than twice as many nodes as the mean, or by none
+
   Scenario: a node that starts in a store outage serves what its peers have
     When a node starts while the store is down
     Then it becomes ready with the version of its peers
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -9,7 +9,7 @@
 from saffronworks.breakers import BUDGET_FLOOR, FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.leases import ORPHAN_GRACE_MS, hash_key
-from saffronworks.ledgers import EndpointLedger
+from saffronworks.ledgers import CacheEvents, EndpointLedger
 from saffronworks.messages import (
     Ask,
     Assign,
@@ -26,6 +26,7 @@
 from saffronworks.policies import Policy
 from saffronworks.predictors import BUCKET_EDGES, PRIOR_COUNT, LengthTable
 from saffronworks.queues import QUEUE_LENGTH, Waiting, WaitQueue
+from saffronworks.standin_models import PrefixCache
 
 LEASE_MS = 2000
 MODEL = Model("m", "p", ttft_ms=1000, patience_ms=60_000)
@@ -430,6 +431,32 @@
         assert told(cells.step(context.make_state(), ask, 0), Grant)[0].endpoint == other
 
 
+@given("any uses of prefixes in a small cache and polls of its events")
+def any_prefixes(context):
+    context.uses = st.lists(st.one_of(st.integers(0, 200), st.just("poll")), max_size=200)
+
+
+@then("after each poll the owner believes in no prefix that the endpoint lacks")
+def believes_right(context):
+    polls = []
+
+    @forall(context.uses)
+    def run(uses):
+        cache = PrefixCache(most_tokens=300)
+        ledger = EndpointLedger(Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL))
+        for use in [*uses, "poll"]:
+            if use != "poll":
+                ledger.prefixes.note(f"k{use}", cache.use(f"k{use}", 100))
+                continue
+            position, evicted, gap = cache.events(ledger.events_position)
+            ledger.apply_events(CacheEvents(position, tuple(evicted), gap))
+            assert set(ledger.prefixes.tokens) <= set(cache.sizes)
+            polls.append(len(cache.sizes))
+
+    run()
+    assert max(polls) == 3
+
+
 @given("any lengths of finished answers")
 def any_lengths(context):
     context.lengths = st.lists(st.integers(1, 900), min_size=1, max_size=60)
--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on membership, documents, sign-off and ownership."""
 
 import random
+from collections import Counter
 
 from behave import given, then, when
 from hypothesis import given as forall
@@ -14,6 +15,7 @@
 from saffronworks.hashing import hash64
 from saffronworks.membership import Status, live_members
 from saffronworks.ownership import choose_owner, split_pool
+from saffronworks.routes import RouteTable
 from saffronworks.signoffs import SignOff, SignOffRecord
 from saffronworks.sites import SiteShape, wait_until
 from tools.fleet_bench import Fleet
@@ -319,6 +321,42 @@
     run()
 
 
+@given("a pool of {endpoints:d} endpoints before {nodes:d} nodes")
+def large_pool(context, endpoints, nodes):
+    lines = ["name: b", "models:", "  - {name: m, pool: p}", "pools:", "  - name: p"]
+    lines.append("    endpoints:")
+    for index in range(endpoints):
+        role = "prefill" if index % 3 == 0 else "decode"
+        fields = f'name: e{index}, address: "10.0.0.1:{index + 1}", zone: z, role: {role}'
+        lines.append(f"      - {{{fields}}}")
+    record = signoffs.write_record(SignOffRecord("\n".join(lines), "id", "ada"))
+    document = Document("config/bundles/b", 1, record)
+    context.used = []
+    for index in range(nodes):
+        routes = RouteTable(f"entry-{index}")
+        if index:
+            routes.bundles = context.bundles
+            routes._index()
+        else:
+            assert routes.take(document)
+            context.bundles = routes.bundles
+        context.used.append([cell.name for cell in routes.models["m"][1]])
+
+
+@then("each node uses 8 cells")
+def eight_cells(context):
+    assert {len(cells) for cells in context.used} == {8}
+
+
+@then("no cell is used by more than twice as many nodes as the mean, or by none")
+def evenly(context):
+    counts = Counter(name for cells in context.used for name in cells)
+    bundle = context.bundles["config/bundles/b"]
+    total = len(split_pool(bundle, bundle.pools[0]))
+    assert len(counts) == total, (len(counts), total)
+    assert max(counts.values()) <= 2 * len(context.used) * 8 / total, counts
+
+
 @when("a node starts while the store is down")
 def starts_in_outage(context):
     async def play(site, tasks):
--- a/tools/baselines.py
+++ b/tools/baselines.py
@@ -8,11 +8,14 @@
 
 __all__ = ["POLICIES", "Baseline"]
 
-POLICIES = ("round-robin", "least-outstanding", "two-choices")
+POLICIES = ("round-robin", "least-outstanding", "two-choices", "static-share")
+NODES = 7
+SHARE_SLACK = 1.2
 REPORT_MS = 250.0
 FULL_AGAIN_MS = 50.0
 MESSAGE_MS = 1.0
 STALL_MS = 3000
+RETRY_AFTER_MS = 1000
 
 
 class Baseline:
@@ -37,6 +40,8 @@
         self._own: dict[tuple[str, str], int] = {}
         self._held: dict[str, list[str]] = {}
         self._down: dict[str, float] = {}
+        self._live: dict[str, int] = {}
+        self._counted: set[str] = set()
 
     def start(self, until_ms: float) -> None:
         """Begin load reports."""
@@ -69,8 +74,21 @@
         self._own[key] = self._own.get(key, 0) + 1
         self._held.setdefault(driver.request.request_id, []).append(name)
 
+    def _over_share(self, node: str) -> bool:
+        """Whether a node has as many live requests as its static share of the slots allows."""
+        decoders = [engine for engine in self._engines.values() if engine.name.startswith("d")]
+        slots = sum(engine.profile.slots for engine in decoders)
+        return self._live.get(node, 0) >= max(1, round(SHARE_SLACK * slots / NODES))
+
     def ask(self, driver: Any, command: requests.AskOwner) -> None:
-        """Choose a prefill endpoint at once."""
+        """Choose a prefill endpoint at once; beyond a static share, refuse."""
+        if self.policy == "static-share":
+            if self._over_share(driver.node):
+                refusal = requests.RefusalReceived(command.attempt, "share", RETRY_AFTER_MS)
+                self._clock.after(MESSAGE_MS, lambda: driver.feed(refusal))
+                return
+            self._live[driver.node] = self._live.get(driver.node, 0) + 1
+            self._counted.add(driver.request.request_id)
         name = self._choose(driver.node, "p")
         self._take(driver, name)
         event = requests.GrantReceived(command.attempt, name)
@@ -88,6 +106,9 @@
 
     def release(self, driver: Any, command: requests.ReleaseGrant) -> None:
         """Forget what the attempt held."""
+        if driver.request.request_id in self._counted:
+            self._counted.discard(driver.request.request_id)
+            self._live[driver.node] -= 1
         for name in self._held.pop(driver.request.request_id, []):
             self._own[(driver.node, name)] -= 1
         for name in command.failed:
