Recovery measured on a real small site; findings in the order of the file

Cause: the times until an owner is replaced and until engine memory is free were only known from settings. make bench now measures them with sockets, and counts what went wrong. Findings came in the order of the checks.

--- a/saffronworks/bundles.py
+++ b/saffronworks/bundles.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from saffronworks.readers import Finding, Section, read_yaml
+from saffronworks.readers import Finding, Section, read_yaml, sort_findings
 
 __all__ = [
     "Bundle",
@@ -110,7 +110,11 @@
     _check_unique(root, "pools", endpoints)
     if not models and not plain:
         root.complain("models", "a bundle needs a model or a plain route")
-    return Err(findings) if findings else Ok(Bundle(name, models, pools, plain, version))
+    return (
+        Err(sort_findings(findings))
+        if findings
+        else Ok(Bundle(name, models, pools, plain, version))
+    )
 
 
 def _read_pool(section: Section) -> Pool:
--- a/saffronworks/readers.py
+++ b/saffronworks/readers.py
@@ -6,7 +6,7 @@
 import attrs
 import yaml
 
-__all__ = ["Finding", "Section", "read_yaml"]
+__all__ = ["Finding", "Section", "read_yaml", "sort_findings"]
 
 
 @attrs.frozen
@@ -22,6 +22,11 @@
         return f"{self.file}:{self.line}: {self.field}: {self.problem}"
 
 
+def sort_findings(findings: list[Finding]) -> list[Finding]:
+    """In the order of the file."""
+    return sorted(findings, key=lambda finding: (finding.file, finding.line, finding.field))
+
+
 def read_yaml(text: str, file: str, findings: list[Finding]) -> "Section | None":
     """Parse `text` to its root section; None, with a finding, when it is not a mapping."""
     try:
--- a/saffronworks/settings.py
+++ b/saffronworks/settings.py
@@ -3,7 +3,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from saffronworks.readers import Finding, Section, read_yaml
+from saffronworks.readers import Finding, Section, read_yaml, sort_findings
 
 __all__ = ["Settings", "read_settings"]
 
@@ -42,7 +42,7 @@
     settings = _read_fields(section)
     section.finish()
     _check_times(settings, section)
-    return Err(findings) if findings else Ok(settings)
+    return Err(sort_findings(findings)) if findings else Ok(settings)
 
 
 def _read_fields(section: Section) -> Settings:
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -72,6 +72,11 @@
     Given a cell with two prefill endpoints that are alike
     Then a request that names one as failed is granted the other
 
+  Scenario: a load report that lags or is lost does not count own work as foreign
+    Given a decode endpoint on which this owner has just placed three requests
+    When reports come late, some are lost, and then two show work of another
+    Then own work was never counted twice, and the other's is
+
   Scenario: cache events with gaps never leave a prefix that is not there
     Given any uses of prefixes in a small cache and polls of its events
     Then after each poll the owner believes in no prefix that the endpoint lacks
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -9,7 +9,7 @@
 from saffronworks.breakers import BUDGET_FLOOR, FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.leases import ORPHAN_GRACE_MS, hash_key
-from saffronworks.ledgers import CacheEvents, EndpointLedger
+from saffronworks.ledgers import CacheEvents, EndpointLedger, Held, LoadReport
 from saffronworks.messages import (
     Ask,
     Assign,
@@ -431,6 +431,31 @@
         assert told(cells.step(context.make_state(), ask, 0), Grant)[0].endpoint == other
 
 
+@given("a decode endpoint on which this owner has just placed three requests")
+def three_placed(context):
+    context.ledger = EndpointLedger(Endpoint("d1", "127.0.0.1:2", "z", Role.DECODE, slots=8))
+    context.ledger.note_occupancy(0)
+    for index in range(3):
+        held = Held(RequestKey(f"r{index}", 1), "n", "m", "o", "decode", "p1", 1000)
+        context.ledger.decodes[f"r{index}"] = held
+        context.ledger.note_occupancy(1000 + index)
+
+
+@when("reports come late, some are lost, and then two show work of another")
+def reports_come(context):
+    context.foreign = []
+    # Each report is 1 s old; those of 1500 and 1750 ms are lost.
+    for now_ms, running in ((1250, 0), (2000, 0), (2250, 3), (2500, 3), (2750, 5), (3000, 5)):
+        context.ledger.apply_report(LoadReport(running, age_ms=1000), now_ms)
+        context.foreign.append(context.ledger.foreign)
+
+
+@then("own work was never counted twice, and the other's is")
+def foreign_right(context):
+    assert context.foreign == [0, 0, 0, 0, 0, 2], context.foreign
+    assert context.ledger.free_slots(3000) == 3
+
+
 @given("any uses of prefixes in a small cache and polls of its events")
 def any_prefixes(context):
     context.uses = st.lists(st.one_of(st.integers(0, 200), st.just("poll")), max_size=200)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,6 +1,7 @@
 """`make bench`: the policy bench and the time per decision, as tables, a CSV file and a plot."""
 
 import csv
+import logging
 import sys
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -14,6 +15,7 @@
 from tools.decision_bench import print_decisions
 from tools.fleet_bench import print_fleet
 from tools.policy_bench import SHAPES, Outcome, Trial, run_trial
+from tools.recovery_bench import print_recovery
 
 matplotlib.use("svg")
 
@@ -34,12 +36,14 @@
     Args:
         seeds: how many seeded traces for each row.
         seconds: virtual length of a trace.
-        part: policy, decisions, fleet or all.
+        part: policy, decisions, fleet, recovery or all.
     """
+    logging.disable(logging.CRITICAL)
     parts: dict[str, Callable[[], None]] = {
         "policy": lambda: print_policy(seeds, seconds),
         "decisions": print_decisions,
         "fleet": print_fleet,
+        "recovery": print_recovery,
     }
     if part != "all" and part not in parts:
         print(f"no part is named {part!r}; there are: all, {', '.join(parts)}")
