Fields that nothing reads are gone

Cause: a read as a newcomer: a bundle could say 'fenced', a report 'role', and a held attempt 'slot_wanted_ms', and nothing looked at them.

--- a/saffronworks/admissions.py
+++ b/saffronworks/admissions.py
@@ -144,7 +144,6 @@
         stage=Stage.PREFILL,
         prefill_endpoint=choice.ledger.endpoint.name,
         granted_ms=now_ms,
-        slot_wanted_ms=choice.ready_ms,
         prefill_end_ms=choice.end_ms,
         prompt_tokens=ask.prompt_tokens,
         max_tokens=ask.max_tokens,
--- a/saffronworks/bundles.py
+++ b/saffronworks/bundles.py
@@ -37,7 +37,6 @@
     slots: int = 4
     prefill_tokens_per_s: float = 20_000.0
     link_bytes_per_s: float = 1e9
-    fenced: bool = True
 
 
 @attrs.frozen
@@ -149,7 +148,6 @@
         slots=section.integer("slots", 4, least=1),
         prefill_tokens_per_s=section.number("prefill_tokens_per_s", 20_000.0, least=1.0),
         link_bytes_per_s=section.number("link_bytes_per_s", 1e9, least=1.0),
-        fenced=section.flag("fenced", True),
     )
     section.finish()
     return endpoint
--- a/saffronworks/ledgers.py
+++ b/saffronworks/ledgers.py
@@ -5,7 +5,7 @@
 import attrs
 
 from saffronworks.breakers import Circuit, CircuitState
-from saffronworks.bundles import Endpoint, Role
+from saffronworks.bundles import Endpoint
 from saffronworks.messages import RequestKey
 from saffronworks.predictors import Average, PrefixView
 
@@ -25,7 +25,7 @@
 
 @attrs.define
 class Held:
-    """One granted attempt. `slot_wanted_ms` is when its decode is predicted to start."""
+    """One granted attempt, from its grant to its release."""
 
     key: RequestKey
     node: str
@@ -34,7 +34,6 @@
     stage: str
     prefill_endpoint: str
     granted_ms: int
-    slot_wanted_ms: float = 0.0
     prefill_end_ms: float = 0.0
     prompt_tokens: int = 0
     max_tokens: int = 0
@@ -52,7 +51,6 @@
 
     running: int
     age_ms: int
-    role: Role | None = None
 
 
 @attrs.frozen
--- a/saffronworks/reclaims.py
+++ b/saffronworks/reclaims.py
@@ -67,7 +67,7 @@
         return
     held = Held(item.key, node, "", item.organisation, item.stage, item.endpoint, now_ms)
     held.expires_ms = now_ms + state.cell.pool.kv_kept_ms
-    held.slot_wanted_ms = held.prefill_end_ms = float(now_ms)
+    held.prefill_end_ms = float(now_ms)
     state.held[item.key.request_id] = held
     if item.stage == Stage.READY:
         state.ready[item.key.request_id] = held
--- a/saffronworks/sites.py
+++ b/saffronworks/sites.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from collections.abc import Callable
 
 import anyio
 import attrs
@@ -46,9 +47,8 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-async def wait_until(condition: object, limit_s: float = 20.0) -> bool:
+async def wait_until(condition: Callable[[], object], limit_s: float = 20.0) -> bool:
     """Wait until `condition()` holds; False when it never did."""
-    assert callable(condition)
     with anyio.move_on_after(limit_s):
         while not condition():
             await anyio.sleep(POLL_S)
