Scenarios for two faults that had only figures

Cause: the long queue that collapsed the owner, and connections to engines that were not used again, were mended by measurement and had no test.

--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -88,6 +88,7 @@
         self.running_counts: deque[tuple[int, int]] = deque()
         self.dispatches: dict[str, int] = {}
         self.decoded: set[RequestKey] = set()
+        self.peers: set[object] = set()
         self.prefill_ms_done = 0.0
         self._listener = bind(address)
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
@@ -244,6 +245,7 @@
         stream = _Stream(key, body["holder"], prompt, total, body["offset"])
         self.streams[key] = stream
         self.decoded.add(key)
+        self.peers.add(call.peer)
         self._count()
         began_ms = _now_ms()
         imported = await self._import(body["source"], body["kv_id"])
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -77,6 +77,11 @@
     When reports come late, some are lost, and then two show work of another
     Then own work was never counted twice, and the other's is
 
+  Scenario: a long queue is not searched while no prefill endpoint can take work
+    Given a cell whose prefill endpoint is busy and whose queue is long
+    When asks come again and time passes
+    Then the queue was not searched
+
   Scenario: cache events with gaps never leave a prefix that is not there
     Given any uses of prefixes in a small cache and polls of its events
     Then after each poll the owner believes in no prefix that the endpoint lacks
--- a/saffronworks/tests/features/site.feature
+++ b/saffronworks/tests/features/site.feature
@@ -68,6 +68,11 @@
     When the store is down while callers ask
     Then every answer is whole
 
+  Scenario: connections to engines are used again
+    When 9 callers ask one after the other through one node
+    Then every answer is whole
+    And the decode engines saw fewer connections than requests
+
   Scenario: plain calls are retried only where that runs nothing twice
     When plain calls meet an endpoint that cuts connections
     Then the repeatable call is answered and the unrepeatable one ran once and is told unknown
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -1,5 +1,7 @@
 """Scenarios on the core of a cell's owner."""
 
+from unittest import mock
+
 import attrs
 from behave import given, then, when
 from hypothesis import given as forall
@@ -456,6 +458,30 @@
     assert context.ledger.free_slots(3000) == 3
 
 
+@given("a cell whose prefill endpoint is busy and whose queue is long")
+def long_queue(context):
+    context.state = make_state(slots=50)
+    context.asks = [attrs.evolve(make_ask(f"r{i}"), prompt_tokens=50_000) for i in range(100)]
+    for ask in context.asks:
+        cells.step(context.state, ask, 0)
+    assert len(context.state.queue.items) > 20, len(context.state.queue.items)
+
+
+@when("asks come again and time passes")
+def asks_again(context):
+    with mock.patch.object(WaitQueue, "select", autospec=True) as select:
+        for now_ms in range(100, 300, 20):
+            cells.step(context.state, cells.Tick(), now_ms)
+            for ask in context.asks:
+                cells.step(context.state, ask, now_ms)
+    context.searches = select.call_count
+
+
+@then("the queue was not searched")
+def not_searched(context):
+    assert context.searches == 0, context.searches
+
+
 @given("any uses of prefixes in a small cache and polls of its events")
 def any_prefixes(context):
     context.uses = st.lists(st.one_of(st.integers(0, 200), st.just("poll")), max_size=200)
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -350,6 +350,23 @@
     on_site(context, SiteShape(profile=QUICK), play)
 
 
+@when("{count:d} callers ask one after the other through one node")
+def one_by_one(context, count):
+    async def play(site, tasks):
+        async with httpcore.AsyncConnectionPool() as pool:
+            for index in range(count):
+                address = site.nodes[0].caller_address
+                context.answers.append(await ask(pool, address, f"letter {index}", TOKENS))
+        context.peers = sum(len(engine.peers) for engine in site.engines.values())
+
+    on_site(context, SiteShape(nodes=1, profile=QUICK), play)
+
+
+@then("the decode engines saw fewer connections than requests")
+def fewer_connections(context):
+    assert 0 < context.peers < len(context.answers), context.peers
+
+
 @when("plain calls meet an endpoint that cuts connections")
 def plain_cuts(context):
     async def play(site, tasks):
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -31,6 +31,7 @@
         self.headers = {
             key.decode().lower(): value.decode("latin-1") for key, value in scope["headers"]
         }
+        self.peer = scope.get("client")
         self.started = False
         self._receive = receive
         self._send = send
