--- a/saffronworks/ends.py
+++ b/saffronworks/ends.py
@@ -58,7 +58,7 @@
         self._metrics.count_request(model, outcome, request.attempt, request.wasted_prefills)
         ttft_ms, pace_ms = measure_latency(request)
         if outcome != "cancelled":
-            self._record_levels(request, job, now_ms)
+            self._record_levels(request, job, ttft_ms, pace_ms, now_ms)
         logger.info(
             "event=request_end request=%s model=%s organisation=%s outcome=%s attempts=%d "
             "tokens=%d ttft_ms=%d pace_ms=%.1f wasted=%d",
@@ -73,17 +73,18 @@
             request.wasted_prefills,
         )
 
-    def record_refused(self, job_model: str, organisation: str, now_ms: int) -> None:
+    def record_refused(self, model: str, organisation: str, now_ms: int) -> None:
         """Record a request that was told *not run* before it had a runner."""
         self.count("not-run")
-        self._metrics.count_request(job_model, "not-run", 0, 0)
-        self._burn.record(organisation, job_model, False, False, True, now_ms)
+        self._metrics.count_request(model, "not-run", 0, 0)
+        self._burn.record(organisation, model, False, False, True, now_ms)
 
-    def _record_levels(self, request: Request, job: Job, now_ms: int) -> None:
+    def _record_levels(
+        self, request: Request, job: Job, ttft_ms: float, pace_ms: float, now_ms: int
+    ) -> None:
         """Count the request against its targets; a caller that left counts for nothing."""
         model = job.model
         completed = isinstance(request.outcome, Completed)
-        ttft_ms, pace_ms = measure_latency(request)
         late = completed and ttft_ms > model.ttft_ms
         slow = completed and pace_ms > model.pace_ms
         self._burn.record(job.organisation, model.name, late, slow, not completed, now_ms)
--- a/saffronworks/messages.py
+++ b/saffronworks/messages.py
@@ -137,7 +137,9 @@
 
 @attrs.frozen
 class LeaseAcknowledged:
-    """Owner to entry: the lease holds. An entry without it past `lease_ms` stops dispatching."""
+    """Owner to entry: the lease holds. An entry does not act on it yet: it notices by its own
+    clock that it stood still, and the engines refuse what an owner has cancelled.
+    """
 
     owner: str
     cell: str
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -77,11 +77,6 @@
             async for message in mailbox:
                 self._take(kernel, tasks, message)
 
-    def owner_of(self, kernel: Kernel, cell: str) -> str | None:
-        """The member that owns a cell, by this node's view."""
-        members: MemberService = kernel.find("members")
-        return members.owner_of(cell)
-
     async def _tick(self, kernel: Kernel) -> None:
         while True:
             kernel.post(self.name, _TickAll())
@@ -130,8 +125,9 @@
 
     def _settle(self, kernel: Kernel, tasks: TaskGroup) -> None:
         """Take up the cells that are this node's now, and lay down those that are not."""
+        members: MemberService = kernel.find("members")
         for name, cell in self.known.items():
-            mine = self.owner_of(kernel, name) == kernel.node
+            mine = members.owner_of(name) == kernel.node
             if mine and name not in self.states:
                 self._take_up(kernel, tasks, cell)
             elif not mine and name in self.states:
