Test sites take ports that no outgoing connection can take; failures print their cause

A second run on this machine errored in 'a stalled transfer is given up', and the report did not say why, since the progress format prints no cause.

Conclusion: the port is mended; whether the second error had the same cause is not known yet.

--- a/saffronworks/sites.py
+++ b/saffronworks/sites.py
@@ -1,7 +1,8 @@
 """A small site in one process: stand-ins, and nodes before them, on loopback."""
 
+import itertools
 import json
-import socket
+import os
 from collections.abc import Callable
 
 import anyio
@@ -15,12 +16,17 @@
 from saffronworks.standin_models import EngineProfile
 from saffronworks.standin_plain import StandinPlain
 from saffronworks.standin_store import StandinStore
+from saffronworks.web import bind
 
 __all__ = ["Site", "SiteShape", "free_address", "wait_until"]
 
 ZONES = ("kgl-nyarugenge", "kgl-gasabo", "kgl-kicukiro")
 REGION = "kgl"
 POLL_S = 0.02
+FIRST_PORT = 12_000
+PORTS = 20_000
+PORTS_PER_PROCESS = 97
+_PORTS = (FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + i) % PORTS for i in itertools.count())
 
 
 @attrs.frozen
@@ -41,10 +47,18 @@
 
 
 def free_address() -> str:
-    """A loopback address that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """A loopback address that nobody listens on.
+
+    Its port lies below those that the kernel gives to outgoing connections and to port 0, and
+    comes only once in this process, so that nothing takes it before it is listened on.
+    """
+    while True:
+        address = f"127.0.0.1:{next(_PORTS)}"
+        try:
+            bind(address).close()
+        except OSError:
+            continue
+        return address
 
 
 async def wait_until(condition: Callable[[], object], limit_s: float = 20.0) -> bool:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,10 +1,11 @@
 """Run the behave features and end with one line: `N passed, N failed`."""
 
 import sys
+import traceback
 from pathlib import Path
 
 from behave.configuration import Configuration
-from behave.model import ScenarioOutline
+from behave.model import Scenario, ScenarioOutline
 from behave.runner import Runner
 
 FEATURES = Path(__file__).parent.parent / "saffronworks" / "tests" / "features"
@@ -32,8 +33,16 @@
             elif item.status.name not in ("untested", "skipped"):
                 failed += 1
                 print(f"failed: {feature.name}: {item.name}")
+                _print_causes(item)
     return passed, failed
 
 
+def _print_causes(scenario: Scenario) -> None:
+    """Print what made each step of the scenario fail, a group's exceptions one by one."""
+    for step in scenario.all_steps:
+        if step.exception is not None:
+            traceback.print_exception(step.exception, file=sys.stdout)
+
+
 if __name__ == "__main__":
     sys.exit(main())
