--- a/saffronworks/breakers.py
+++ b/saffronworks/breakers.py
@@ -9,7 +9,7 @@
 FAILURES_TO_OPEN = 3
 FIRST_OPEN_MS = 500
 LONGEST_OPEN_MS = 15_000
-SLOW_START_MS = 3000
+SLOW_START_MS = 1000
 TRIAL_MS = 5000
 DEPOSIT_PER_SUCCESS = 0.2
 BUDGET_FLOOR = 10.0
@@ -26,7 +26,11 @@
 
 @attrs.define
 class Circuit:
-    """Opens on a refused connection or on failures in a row; comes back by slow start."""
+    """Opens on a refused connection or on failures in a row; comes back by slow start.
+
+    `unreachable` tells that it opened since nobody listened. A load report that is answered
+    then closes it, where failures in a row want a whole success first.
+    """
 
     state: CircuitState = CircuitState.CLOSED
     failures: int = 0
@@ -34,6 +38,7 @@
     until_ms: int = 0
     closed_ms: int | None = None
     trial_until_ms: int = 0
+    unreachable: bool = False
 
     def fail(self, failure: str, now_ms: int) -> None:
         """Count a failure; `connect` means that nobody listens there."""
@@ -42,18 +47,29 @@
             return
         if self.state is CircuitState.OPEN:
             return
-        if self.state is CircuitState.HALF_OPEN:
+        if self.state is CircuitState.HALF_OPEN or self.share(now_ms) < 1.0:
             self.open_ms = min(self.open_ms * 2, LONGEST_OPEN_MS)
         self.state = CircuitState.OPEN
         self.until_ms = now_ms + self.open_ms
+        self.unreachable = failure == "connect"
 
     def succeed(self, now_ms: int) -> None:
         """A whole success closes the circuit."""
+        self._close(now_ms)
+        if self.share(now_ms) >= 1.0:
+            self.open_ms = FIRST_OPEN_MS
+
+    def answer(self, now_ms: int) -> None:
+        """The endpoint answered a report: one that nobody listened at is there again."""
+        if self.unreachable and now_ms >= self.until_ms:
+            self._close(now_ms)
+
+    def _close(self, now_ms: int) -> None:
         self.failures = 0
         if self.state is not CircuitState.CLOSED:
             self.state = CircuitState.CLOSED
             self.closed_ms = now_ms
-        self.open_ms = FIRST_OPEN_MS
+        self.unreachable = False
         self.trial_until_ms = 0
 
     def admits(self, now_ms: int) -> bool:
--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -84,6 +84,7 @@
     match event:
         case Reported() if event.endpoint in state.ledgers:
             state.ledgers[event.endpoint].apply_report(event.report, now_ms)
+            state.ledgers[event.endpoint].circuit.answer(now_ms)
         case CacheReported() if event.endpoint in state.ledgers:
             state.ledgers[event.endpoint].apply_events(event.events)
         case CancelAcknowledged():
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -63,6 +63,12 @@
     And a trial whose end is never heard of makes room for another one
     And after a success its slots come back bit by bit
 
+  Scenario: an endpoint that was unreachable is back as soon as it answers a report
+    Given a cell whose decode endpoint refused a connection
+    When it answers a load report after its circuit's time
+    Then it takes work again by slow start
+    And when it refuses again in its slow start it stays away twice as long
+
   Scenario: an endpoint that is leaving is given nothing, whatever waits
     Given a cell with two decode endpoints of which one is leaving
     When more requests come than the other has slots
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -389,6 +389,35 @@
     assert context.ledger.free_slots(10_000 + SLOW_START_MS) == 10
 
 
+@given("a cell whose decode endpoint refused a connection")
+def cell_refused(context):
+    context.state = make_state(slots=10)
+    context.ledger = context.state.ledgers["d1"]
+    cells.step(context.state, cells.EndpointGone("d1"), 0)
+    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS - 1)
+    assert context.ledger.free_slots(FIRST_OPEN_MS - 1) == 0
+
+
+@when("it answers a load report after its circuit's time")
+def answers_report(context):
+    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS)
+
+
+@then("it takes work again by slow start")
+def by_slow_start(context):
+    middle_ms = FIRST_OPEN_MS + SLOW_START_MS // 2
+    free = [context.ledger.free_slots(at_ms) for at_ms in (FIRST_OPEN_MS, middle_ms)]
+    assert free == [1, 5], free
+
+
+@then("when it refuses again in its slow start it stays away twice as long")
+def flapping(context):
+    cells.step(context.state, cells.EndpointGone("d1"), FIRST_OPEN_MS)
+    for at_ms, free in ((2 * FIRST_OPEN_MS, 0), (3 * FIRST_OPEN_MS, 1)):
+        cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), at_ms)
+        assert context.ledger.free_slots(at_ms) == free, at_ms
+
+
 def wide_state():
     endpoints = (
         Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL),
