Role changes between prefill and decode, by fenced orders

Cause: a pool split for long prompts wastes engines when answers are long, and the adapter had a call for orders that nothing used. roles.py moves one endpoint when the busier role is at 0.92, the move lets 1.25 times the present work fit, and both hold for 4 s. The endpoint is emptied, then ordered with (fence, sequence); the fence is the version of a conditionally updated object. Reports carry the role, so a new owner learns it from the endpoints. Endpoints that check no fence wait out the lease and a pause, and have the fence read again before each order. Off unless the bundle says change_roles.

--- a/saffronworks/admissions.py
+++ b/saffronworks/admissions.py
@@ -68,7 +68,7 @@
     ahead = state.queue.ahead_of(item.ask)
     ledgers = state.ledgers.values()
     decoders = open_decoders(state, now_ms)
-    prefillers = [e for e in ledgers if e.endpoint.role is Role.PREFILL and e.open(now_ms)]
+    prefillers = [e for e in ledgers if e.role is Role.PREFILL and e.open(now_ms)]
     if not decoders or not prefillers:
         return 0.0
     work_ms = item.work_ms
@@ -85,7 +85,7 @@
     """Predicted prefill and transfer time of an attempt at the quickest open endpoint."""
     best = 0.0
     for ledger in state.ledgers.values():
-        if ledger.endpoint.role is Role.PREFILL and ledger.open(now_ms):
+        if ledger.role is Role.PREFILL and ledger.open(now_ms):
             work_ms = ledger.prefill_work_ms(ask.prompt_tokens, ask.prefix_key)
             work_ms += transfer_ms(state.cell.pool, ask.prompt_tokens, ledger, None, now_ms)
             best = min(best, work_ms) if best else work_ms
--- a/saffronworks/bundles.py
+++ b/saffronworks/bundles.py
@@ -37,16 +37,22 @@
     slots: int = 4
     prefill_tokens_per_s: float = 20_000.0
     link_bytes_per_s: float = 1e9
+    checks_fence: bool = True
 
 
 @attrs.frozen
 class Pool:
-    """The prefill and decode endpoints that exchange KV cache with each other."""
+    """The prefill and decode endpoints that exchange KV cache with each other.
+
+    With `change_roles`, endpoints move between both roles as demand shifts; their `role` in the
+    bundle then only tells where they begin.
+    """
 
     name: str
     endpoints: tuple[Endpoint, ...]
     kv_bytes_per_token: int = 1000
     kv_kept_ms: int = 800
+    change_roles: bool = False
 
 
 @attrs.frozen
@@ -121,6 +127,7 @@
         name=section.text("name"),
         kv_bytes_per_token=section.integer("kv_bytes_per_token", 1000, least=1),
         kv_kept_ms=section.integer("kv_kept_ms", 800, least=1),
+        change_roles=section.flag("change_roles", False),
         endpoints=tuple(
             _read_endpoint(item, plain=False) for item in section.sections("endpoints")
         ),
@@ -148,6 +155,7 @@
         slots=section.integer("slots", 4, least=1),
         prefill_tokens_per_s=section.number("prefill_tokens_per_s", 20_000.0, least=1.0),
         link_bytes_per_s=section.number("link_bytes_per_s", 1e9, least=1.0),
+        checks_fence=section.flag("checks_fence", True),
     )
     section.finish()
     return endpoint
--- a/saffronworks/cell_events.py
+++ b/saffronworks/cell_events.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from saffronworks.bundles import Role
 from saffronworks.ledgers import CacheEvents, LoadReport
 from saffronworks.messages import (
     Ask,
@@ -22,8 +23,12 @@
     "EndpointGone",
     "EndpointsLeaving",
     "Event",
+    "FenceTaken",
+    "OrderRole",
     "Reported",
+    "RoleOrdered",
     "StreamsListed",
+    "TakeFence",
     "Tell",
     "Tick",
 ]
@@ -82,6 +87,21 @@
     cell: Cell
 
 
+@attrs.frozen
+class FenceTaken:
+    """The store gave this owner a fencing token for the orders of the cell."""
+
+    fence: int
+
+
+@attrs.frozen
+class RoleOrdered:
+    """An endpoint answered an order; one that is not accepted came with an old fence."""
+
+    endpoint: str
+    accepted: bool
+
+
 @attrs.frozen
 class Tick:
     """Time passes."""
@@ -103,6 +123,27 @@
     key: RequestKey
 
 
+@attrs.frozen
+class TakeFence:
+    """Take a new fencing token for the cell; answered by `FenceTaken`, or not at all."""
+
+    cell: str
+
+
+@attrs.frozen
+class OrderRole:
+    """Order an endpoint to take a role; answered by `RoleOrdered`, or not at all.
+
+    With `recheck`, the endpoint does not check fences: look in the store just before.
+    """
+
+    endpoint: str
+    role: Role
+    fence: int
+    sequence: int
+    recheck: bool
+
+
 Event = (
     Ask
     | Prefilled
@@ -116,8 +157,10 @@
     | EndpointGone
     | EndpointsLeaving
     | CellChanged
+    | FenceTaken
+    | RoleOrdered
     | Tick
 )
 
 
-Command = Tell | CancelStream
+Command = Tell | CancelStream | TakeFence | OrderRole
--- a/saffronworks/cell_states.py
+++ b/saffronworks/cell_states.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "CellState",
+    "RoleChange",
+    "RolePlan",
     "drop_held",
     "new_cell",
     "open_decoders",
@@ -22,6 +24,34 @@
 FIRST_HOLD_MS = 2000.0
 
 
+@attrs.define
+class RoleChange:
+    """An endpoint on its way to another role: emptied first, then ordered."""
+
+    endpoint: str
+    role: Role
+    since_ms: int
+    empty_since_ms: int | None = None
+    ordered_ms: int | None = None
+
+
+@attrs.define
+class RolePlan:
+    """How busy both roles are, the change under way, and the fence that allows orders."""
+
+    looked_ms: int = 0
+    prefill_use: Average = attrs.Factory(lambda: Average(0.0))
+    decode_use: Average = attrs.Factory(lambda: Average(0.0))
+    wanted: Role | None = None
+    wanted_since_ms: int = 0
+    rest_until_ms: int = 0
+    change: RoleChange | None = None
+    fence: int = 0
+    fence_asked_ms: int | None = None
+    fence_taken_ms: int = 0
+    sequence: int = 0
+
+
 @attrs.define
 class CellState:
     """All that the owner of one cell knows. `grants_from_ms` ends the rebuild of a new owner."""
@@ -42,6 +72,7 @@
     budget: RetryBudget = attrs.Factory(RetryBudget)
     hold_ms: Average = attrs.Factory(lambda: Average(FIRST_HOLD_MS))
     transfer_ms: Average = attrs.Factory(lambda: Average(0.0))
+    roles: RolePlan = attrs.Factory(RolePlan)
     granted: int = 0
     refused: int = 0
     withdrawn: int = 0
@@ -71,7 +102,7 @@
     wanted = {endpoint.name: endpoint for endpoint in cell.endpoints}
     for name, endpoint in wanted.items():
         if name in state.ledgers:
-            state.ledgers[name].endpoint = endpoint
+            state.ledgers[name].take_endpoint(endpoint)
         else:
             state.ledgers[name] = EndpointLedger(endpoint)
     for name, ledger in state.ledgers.items():
@@ -93,5 +124,5 @@
     return [
         ledger
         for ledger in state.ledgers.values()
-        if ledger.endpoint.role is Role.DECODE and ledger.open(now_ms)
+        if ledger.role is Role.DECODE and ledger.open(now_ms)
     ]
--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -21,8 +21,12 @@
     EndpointGone,
     EndpointsLeaving,
     Event,
+    FenceTaken,
+    OrderRole,
     Reported,
+    RoleOrdered,
     StreamsListed,
+    TakeFence,
     Tell,
     Tick,
 )
@@ -35,6 +39,7 @@
     Release,
 )
 from saffronworks.reclaims import adopt_held, reclaim_node, renew_lease, take_streams
+from saffronworks.roles import note_role, plan_roles, take_fence, take_role_answer
 
 __all__ = [
     "CacheReported",
@@ -46,8 +51,12 @@
     "EndpointGone",
     "EndpointsLeaving",
     "Event",
+    "FenceTaken",
+    "OrderRole",
     "Reported",
+    "RoleOrdered",
     "StreamsListed",
+    "TakeFence",
     "Tell",
     "Tick",
     "new_cell",
@@ -83,8 +92,10 @@
 def _note_endpoint(state: CellState, event: Event, now_ms: int) -> list[Command]:
     match event:
         case Reported() if event.endpoint in state.ledgers:
-            state.ledgers[event.endpoint].apply_report(event.report, now_ms)
-            state.ledgers[event.endpoint].circuit.answer(now_ms)
+            ledger = state.ledgers[event.endpoint]
+            ledger.apply_report(event.report, now_ms)
+            ledger.circuit.answer(now_ms)
+            note_role(state, ledger, event.report, now_ms)
         case CacheReported() if event.endpoint in state.ledgers:
             state.ledgers[event.endpoint].apply_events(event.events)
         case CancelAcknowledged():
@@ -102,6 +113,10 @@
                 ledger.leaving = name in event.names
         case CellChanged():
             set_cell(state, event.cell)
+        case FenceTaken():
+            take_fence(state, event, now_ms)
+        case RoleOrdered():
+            take_role_answer(state, event, now_ms)
     return []
 
 
@@ -116,6 +131,7 @@
             commands.append(refuse(state, waiting.ask, "overload", retry_after_ms))
     for endpoint, key in state.cancels.take_due(now_ms):
         commands.append(CancelStream(endpoint, key))
+    commands += plan_roles(state, now_ms)
     _forget_old(state, now_ms)
     return commands
 
--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -17,6 +17,7 @@
     "DecodeLine",
     "EngineClient",
     "EngineFailure",
+    "Order",
     "Prefill",
     "PrefillReply",
     "Resume",
@@ -85,6 +86,15 @@
     offset: int
 
 
+@attrs.frozen
+class Order:
+    """A fenced order to take a role; one owner's orders are told apart by `sequence`."""
+
+    role: str
+    fence: int
+    sequence: int
+
+
 @attrs.frozen
 class DecodeLine:
     """One line of a decode stream; which fields are set tells what it says."""
@@ -166,6 +176,11 @@
         limit_ms = int(CALL_TIMEOUT_S * 1000)
         return await self._call("GET", address, "/engine/report", None, LoadReport, limit_ms)
 
+    async def order(self, address: str, order: Order) -> Result[Any, EngineFailure]:
+        """Give an order; status 412 says that the engine knows a higher fence."""
+        limit_ms = int(CALL_TIMEOUT_S * 1000)
+        return await self._call("POST", address, "/engine/orders", order, dict, limit_ms)
+
     async def _call(
         self, method: str, address: str, path: str, body: object, kind: Any, limit_ms: int
     ) -> Result[Any, EngineFailure]:
--- a/saffronworks/ledgers.py
+++ b/saffronworks/ledgers.py
@@ -5,7 +5,7 @@
 import attrs
 
 from saffronworks.breakers import Circuit, CircuitState
-from saffronworks.bundles import Endpoint
+from saffronworks.bundles import Endpoint, Role
 from saffronworks.messages import RequestKey
 from saffronworks.predictors import Average, PrefixView
 
@@ -47,10 +47,11 @@
 
 @attrs.frozen
 class LoadReport:
-    """An endpoint's own view of itself, `age_ms` old."""
+    """An endpoint's own view of itself: the load of `age_ms` ago, the role of now if it has one."""
 
     running: int
     age_ms: int
+    role: str = ""
 
 
 @attrs.frozen
@@ -76,18 +77,28 @@
     prefill_rate: Average = attrs.Factory(lambda: Average(0.0))
     pace_ms: Average = attrs.Factory(lambda: Average(FIRST_PACE_MS))
     leaving: bool = False
+    role: Role = attrs.field(init=False)
+    role_set_ms: int = 0
+    changing: bool = False
     foreign: int = 0
     last_excess: int = 0
     history: deque[tuple[int, int]] = attrs.Factory(deque)
     unacknowledged: set[RequestKey] = attrs.Factory(set)
 
     def __attrs_post_init__(self) -> None:
+        self.role = self.endpoint.role
         if not self.prefill_rate.value:
             self.prefill_rate.value = self.endpoint.prefill_tokens_per_s
 
+    def take_endpoint(self, endpoint: Endpoint) -> None:
+        """Follow a newer description; a role that changed at the endpoint itself stays."""
+        if endpoint.role is not self.endpoint.role:
+            self.role = endpoint.role
+        self.endpoint = endpoint
+
     def open(self, now_ms: int) -> bool:
         """Whether new work may go here."""
-        return not self.leaving and self.circuit.admits(now_ms)
+        return not self.leaving and not self.changing and self.circuit.admits(now_ms)
 
     def slots(self, now_ms: int) -> float:
         """Slots that may be used now; fewer in slow start, none when closed."""
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -21,6 +21,7 @@
 from saffronworks.ends import EndRecorder
 from saffronworks.engines import EngineClient
 from saffronworks.entries import EntryService
+from saffronworks.fences import FenceKeeper
 from saffronworks.frontends import Frontend
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
@@ -76,7 +77,7 @@
         self.peers = PeerService(settings.peer_address)
         self.members = MemberService(settings, self.incarnation)
         self.relays = RelayService(settings.name, self.store, rng)
-        self.owner = OwnerService(settings, self.engines)
+        self.owner = OwnerService(settings, self.engines, FenceKeeper(settings.name, self.store))
         burn = BurnRecorder(settings.name)
         self.ends = EndRecorder(Metrics(settings.name), burn)
         self.surveys = SurveyService(settings.zone, burn)
--- a/saffronworks/operators.py
+++ b/saffronworks/operators.py
@@ -131,7 +131,7 @@
                 "cell": name,
                 "endpoint": ledger.endpoint.name,
                 "zone": ledger.endpoint.zone,
-                "role": ledger.endpoint.role.value,
+                "role": ledger.role.value,
                 "circuit": ledger.circuit.state.value,
                 "leaving": ledger.leaving,
                 "slots": ledger.endpoint.slots,
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -12,7 +12,8 @@
 from saffronworks.cancels import CancelDone, CancelOrder
 from saffronworks.cells import CellState
 from saffronworks.documents import InForce
-from saffronworks.engines import EngineClient
+from saffronworks.engines import EngineClient, Order
+from saffronworks.fences import FenceKeeper
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.ledgers import EndpointLedger
 from saffronworks.members import VMS_KEY, MemberService, read_vms
@@ -31,6 +32,7 @@
 BUNDLE_PREFIX = f"{CONFIG_PREFIX}bundles/"
 TICK_S = 0.02
 LOOK_EVERY_S = 0.25
+FENCE_REFUSED = 412
 
 
 @attrs.frozen
@@ -62,17 +64,20 @@
 
     name = "owner"
 
-    def __init__(self, settings: Settings, engines: EngineClient):
+    def __init__(self, settings: Settings, engines: EngineClient, fences: FenceKeeper):
         self.states: dict[str, CellState] = {}
         self.known: dict[str, Cell] = {}
         self._settings = settings
         self._engines = engines
+        self._fences = fences
+        self._tasks: TaskGroup | None = None
         self._leaving: frozenset[str] = frozenset()
         self._pollers: dict[str, anyio.CancelScope] = {}
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Drive the cores until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             tasks.start_soon(self._tick, kernel)
             async for message in mailbox:
                 self._take(kernel, tasks, message)
@@ -162,6 +167,11 @@
                     self._tell(kernel, command.node, command.message)
                 case cells.CancelStream():
                     self._cancel(kernel, state, command.endpoint, command.key)
+                case cells.TakeFence() if self._tasks is not None:
+                    self._tasks.start_soon(self._take_fence, kernel, name)
+                case cells.OrderRole() if self._tasks is not None:
+                    address = state.ledgers[command.endpoint].endpoint.address
+                    self._tasks.start_soon(self._order_role, kernel, name, address, command)
 
     def _tell(self, kernel: Kernel, node: str, message: object) -> None:
         if node == kernel.node:
@@ -178,6 +188,34 @@
             address = ledger.endpoint.address
             kernel.post("cancels", CancelOrder(endpoint, address, key, state.cell.name))
 
+    async def _take_fence(self, kernel: Kernel, name: str) -> None:
+        taken = await self._fences.take(name)
+        if isinstance(taken, Ok):
+            kernel.post(self.name, _EndpointEvent(name, cells.FenceTaken(taken.ok_value)))
+
+    async def _order_role(
+        self, kernel: Kernel, name: str, address: str, command: cells.OrderRole
+    ) -> None:
+        """Give an order; a call without a clear answer tells nothing, and is made again."""
+        if command.recheck and not await self._fences.holds(name, command.fence):
+            kernel.post(self.name, _EndpointEvent(name, cells.RoleOrdered(command.endpoint, False)))
+            return
+        order = Order(command.role.value, command.fence, command.sequence)
+        reply = await self._engines.order(address, order)
+        refused = isinstance(reply, Err) and reply.err_value.status == FENCE_REFUSED
+        logger.info(
+            "event=role_order node=%s cell=%s endpoint=%s role=%s fence=%d accepted=%s",
+            kernel.node,
+            name,
+            command.endpoint,
+            command.role.value,
+            command.fence,
+            reply.is_ok(),
+        )
+        if reply.is_ok() or refused:
+            event = cells.RoleOrdered(command.endpoint, accepted=reply.is_ok())
+            kernel.post(self.name, _EndpointEvent(name, event))
+
     async def _poll(self, kernel: Kernel, name: str, scope: anyio.CancelScope) -> None:
         """Ask each engine of a cell for its load, and now and then for its streams."""
         rounds = max(1, self._settings.streams_every_ms // self._settings.report_every_ms)
@@ -203,7 +241,7 @@
     async def _ask_events(self, kernel: Kernel, name: str, ledger: EndpointLedger) -> None:
         """Ask a prefill endpoint what its prefix cache evicted."""
         endpoint = ledger.endpoint
-        if endpoint.role is not Role.PREFILL:
+        if ledger.role is not Role.PREFILL:
             return
         reply = await self._engines.cache_events(endpoint.address, ledger.events_position)
         if isinstance(reply, Ok):
--- a/saffronworks/placement.py
+++ b/saffronworks/placement.py
@@ -42,7 +42,7 @@
 
 def takes_prefill(ledger: EndpointLedger, lead_ms: float, now_ms: int) -> bool:
     """Whether a prefill may be granted there now: it is open, and nearly or wholly idle."""
-    if ledger.endpoint.role is not Role.PREFILL or len(ledger.prefills) >= MOST_PREFILLS:
+    if ledger.role is not Role.PREFILL or len(ledger.prefills) >= MOST_PREFILLS:
         return False
     return ledger.open(now_ms) and ledger.backlog_end_ms(now_ms) <= now_ms + lead_ms
 
@@ -82,7 +82,7 @@
     """Decode slots predicted free at `then_ms`, beyond those that granted prefills will want."""
     free = 0.0
     for ledger in ledgers:
-        if ledger.endpoint.role is Role.DECODE:
+        if ledger.role is Role.DECODE:
             free += max(
                 0.0, ledger.slots(now_ms) - _expected_running(ledger, lengths, then_ms, now_ms)
             )
@@ -115,7 +115,7 @@
     source = ledgers.get(item.prefill_endpoint)
     best: tuple[tuple[bool, float, float], EndpointLedger] | None = None
     for ledger in ledgers.values():
-        if ledger.endpoint.role is not Role.DECODE or ledger.free_slots(now_ms) < 1:
+        if ledger.role is not Role.DECODE or ledger.free_slots(now_ms) < 1:
             continue
         cost_ms = transfer_ms(pool, item.prompt_tokens, source or ledger, ledger, now_ms)
         avoided = ledger.endpoint.name in item.avoid
--- /dev/null
+++ b/saffronworks/roles.py
@@ -0,0 +1,205 @@
+"""Role changes: an endpoint moves between prefill and decode as demand shifts.
+
+Part of the core of a cell's owner, for pools whose bundle allows it (`change_roles`). The rule
+compares how busy both roles are, and moves one endpoint when that lets the cell serve clearly
+more, for long enough, and not soon after the last change. The endpoint is emptied first, and
+then told by a fenced order: only the owner that holds the fence may give one.
+"""
+
+import attrs
+
+from saffronworks.bundles import Role
+from saffronworks.cell_events import Command, FenceTaken, OrderRole, RoleOrdered, TakeFence
+from saffronworks.cell_states import CellState, RoleChange
+from saffronworks.ledgers import EndpointLedger, LoadReport
+
+__all__ = ["note_role", "plan_roles", "take_fence", "take_role_answer"]
+
+LOOK_MS = 250
+LEAST_USE = 0.92
+LEAST_GAIN = 1.25
+SUSTAIN_MS = 4000
+REST_MS = 5000
+DRAIN_LIMIT_MS = 20_000
+ORDER_LIMIT_MS = 10_000
+ASK_AGAIN_MS = 1000
+# Reports lag: one that left before a change must not undo what is known of it.
+REPORT_SETTLE_MS = 3000
+# How long a process may stand still unnoticed between its check of the fence and its order.
+PAUSE_BOUND_MS = 2000
+
+
+@attrs.frozen
+class _Split:
+    """Endpoints of each role, and how much work each role has, in endpoints."""
+
+    prefills: int
+    decodes: int
+    prefill_work: float
+    decode_work: float
+
+    def capacity(self, moved: int) -> float:
+        """How many times the present work fits when `moved` endpoints go over to prefill."""
+        prefills, decodes = self.prefills + moved, self.decodes - moved
+        if prefills < 1 or decodes < 1:
+            return 0.0
+        return min(prefills / max(0.01, self.prefill_work), decodes / max(0.01, self.decode_work))
+
+
+def plan_roles(state: CellState, now_ms: int) -> list[Command]:
+    """Look at both roles, begin a change, or carry on with the one under way."""
+    plan = state.roles
+    if not state.cell.pool.change_roles or now_ms - plan.looked_ms < LOOK_MS:
+        return []
+    plan.looked_ms = now_ms
+    split = _observe(state, now_ms)
+    if plan.change is None and now_ms >= max(plan.rest_until_ms, state.grants_from_ms):
+        _consider(state, split, now_ms)
+    return _advance(state, plan.change, now_ms) if plan.change else []
+
+
+def _observe(state: CellState, now_ms: int) -> _Split:
+    prefillers = [ledger for ledger in _of_role(state, Role.PREFILL) if ledger.open(now_ms)]
+    decoders = [ledger for ledger in _of_role(state, Role.DECODE) if ledger.open(now_ms)]
+    slots = sum(ledger.endpoint.slots for ledger in decoders)
+    busy = sum(1 for ledger in prefillers if ledger.prefills)
+    running = sum(len(ledger.decodes) for ledger in decoders)
+    plan = state.roles
+    plan.prefill_use.add(busy / len(prefillers) if prefillers else 1.0)
+    plan.decode_use.add(running / slots if slots else 1.0)
+    return _Split(
+        len(prefillers),
+        len(decoders),
+        plan.prefill_use.value * max(1, len(prefillers)),
+        plan.decode_use.value * max(1, len(decoders)),
+    )
+
+
+def _of_role(state: CellState, role: Role) -> list[EndpointLedger]:
+    return [ledger for ledger in state.ledgers.values() if ledger.role is role]
+
+
+def _consider(state: CellState, split: _Split, now_ms: int) -> None:
+    """Begin a change once the same role has lacked an endpoint for long enough."""
+    plan = state.roles
+    to_prefill = plan.prefill_use.value >= plan.decode_use.value
+    wanted = Role.PREFILL if to_prefill else Role.DECODE
+    now = split.capacity(0)
+    gain = split.capacity(1 if to_prefill else -1) / now if now else float("inf")
+    pressed = max(plan.prefill_use.value, plan.decode_use.value) >= LEAST_USE
+    if not pressed or gain < LEAST_GAIN or plan.wanted is not wanted:
+        plan.wanted = wanted
+        plan.wanted_since_ms = now_ms
+        return
+    if now_ms - plan.wanted_since_ms < SUSTAIN_MS:
+        return
+    other = Role.DECODE if to_prefill else Role.PREFILL
+    candidates = [ledger for ledger in _of_role(state, other) if ledger.open(now_ms)]
+    if len(candidates) < 2:
+        return
+    chosen = min(candidates, key=lambda c: (len(c.decodes) + len(c.prefills), c.endpoint.name))
+    chosen.changing = True
+    plan.change = RoleChange(chosen.endpoint.name, wanted, now_ms)
+
+
+def _advance(state: CellState, change: RoleChange, now_ms: int) -> list[Command]:
+    ledger = state.ledgers.get(change.endpoint)
+    limit_ms = DRAIN_LIMIT_MS if change.ordered_ms is None else DRAIN_LIMIT_MS + ORDER_LIMIT_MS
+    if ledger is None or now_ms - change.since_ms >= limit_ms:
+        _end_change(state, now_ms)
+        return []
+    if change.ordered_ms is not None:
+        return _order(state, change, ledger, now_ms)
+    if not _is_empty(state, ledger):
+        change.empty_since_ms = None
+    elif change.empty_since_ms is None:
+        change.empty_since_ms = now_ms
+    if state.roles.fence == 0:
+        return _ask_fence(state, now_ms)
+    if change.empty_since_ms is None or not _may_order(state, ledger, now_ms):
+        return []
+    if now_ms - change.empty_since_ms < state.cell.pool.kv_kept_ms:
+        return []
+    state.roles.sequence += 1
+    return _order(state, change, ledger, now_ms)
+
+
+def _is_empty(state: CellState, ledger: EndpointLedger) -> bool:
+    """Whether nothing runs there, and no KV result waits there for its transfer."""
+    name = ledger.endpoint.name
+    waits = any(held.prefill_endpoint == name for held in state.ready.values())
+    return not (ledger.prefills or ledger.decodes or ledger.unacknowledged or waits)
+
+
+def _may_order(state: CellState, ledger: EndpointLedger, now_ms: int) -> bool:
+    """At an endpoint that does not check fences, an earlier owner's time must have run out."""
+    if ledger.endpoint.checks_fence:
+        return True
+    return now_ms - state.roles.fence_taken_ms >= state.leases.lease_ms + PAUSE_BOUND_MS
+
+
+def _ask_fence(state: CellState, now_ms: int) -> list[Command]:
+    plan = state.roles
+    if plan.fence_asked_ms is not None and now_ms - plan.fence_asked_ms < ASK_AGAIN_MS:
+        return []
+    plan.fence_asked_ms = now_ms
+    return [TakeFence(state.cell.name)]
+
+
+def _order(
+    state: CellState, change: RoleChange, ledger: EndpointLedger, now_ms: int
+) -> list[Command]:
+    """Send the order, and again with the same sequence until it is answered."""
+    if change.ordered_ms is not None and now_ms - change.ordered_ms < ASK_AGAIN_MS:
+        return []
+    change.ordered_ms = now_ms
+    plan = state.roles
+    recheck = not ledger.endpoint.checks_fence
+    return [OrderRole(change.endpoint, change.role, plan.fence, plan.sequence, recheck)]
+
+
+def take_fence(state: CellState, event: FenceTaken, now_ms: int) -> None:
+    """The store gave this owner a fence higher than any before."""
+    state.roles.fence = event.fence
+    state.roles.fence_taken_ms = now_ms
+    state.roles.sequence = 0
+
+
+def take_role_answer(state: CellState, event: RoleOrdered, now_ms: int) -> None:
+    """The endpoint took the order, or a higher fence is out and another owner acts."""
+    change = state.roles.change
+    if change is None or change.endpoint != event.endpoint:
+        return
+    if event.accepted:
+        _set_role(state.ledgers[change.endpoint], change.role, now_ms)
+    else:
+        state.roles.fence = 0
+    _end_change(state, now_ms)
+
+
+def note_role(state: CellState, ledger: EndpointLedger, report: LoadReport, now_ms: int) -> None:
+    """Where roles change, the endpoint itself is the truth about its role."""
+    if not state.cell.pool.change_roles or report.role not in tuple(Role):
+        return
+    role = Role(report.role)
+    change = state.roles.change
+    mine = change is not None and change.endpoint == ledger.endpoint.name
+    if mine and change is not None and change.ordered_ms is not None and role is change.role:
+        _set_role(ledger, role, now_ms)
+        _end_change(state, now_ms)
+    elif role is not ledger.role and now_ms - ledger.role_set_ms >= REPORT_SETTLE_MS:
+        _set_role(ledger, role, now_ms)
+
+
+def _set_role(ledger: EndpointLedger, role: Role, now_ms: int) -> None:
+    ledger.role = role
+    ledger.role_set_ms = now_ms
+
+
+def _end_change(state: CellState, now_ms: int) -> None:
+    change = state.roles.change
+    if change is not None and change.endpoint in state.ledgers:
+        state.ledgers[change.endpoint].changing = False
+    state.roles.change = None
+    state.roles.rest_until_ms = now_ms + REST_MS
+    state.roles.wanted_since_ms = now_ms
--- a/saffronworks/sites.py
+++ b/saffronworks/sites.py
@@ -44,6 +44,7 @@
     max_tokens: int = 48
     heartbeat_ms: int = 200
     lease_ms: int = 2000
+    change_roles: bool = False
 
 
 def free_address() -> str:
@@ -87,7 +88,8 @@
             self._add_engine(f"decode-{index + 1}")
 
     def _add_engine(self, name: str) -> None:
-        self.engines[name] = StandinEngine(name, self.shape.profile)
+        role = name.partition("-")[0]
+        self.engines[name] = StandinEngine(name, self.shape.profile, role=role)
 
     async def start(self, sign_off: bool = True) -> None:
         """Start everything, publish the VM list and the bundle, and wait until it is served."""
@@ -160,7 +162,8 @@
         lines = ["name: letters", "models:", "  - name: opening-line", "    pool: suggestions"]
         for field in ("ttft_ms", "pace_ms", "patience_ms", "max_tokens"):
             lines.append(f"    {field}: {getattr(shape, field)}")
-        lines += ["    goodput_weight: 0.3", "pools:", "  - name: suggestions", "    endpoints:"]
+        lines += ["    goodput_weight: 0.3", "pools:", "  - name: suggestions"]
+        lines += [f"    change_roles: {str(shape.change_roles).lower()}", "    endpoints:"]
         for index, (name, engine) in enumerate(self.engines.items()):
             role, zone = name.partition("-")[0], ZONES[index % len(ZONES)]
             lines.append(
--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -81,8 +81,13 @@
 class StandinEngine:
     """One engine process in small: prefill, export, decode, resume, cancel, reports, orders."""
 
-    def __init__(self, name: str, profile: EngineProfile, address: str = "127.0.0.1:0"):
+    def __init__(
+        self, name: str, profile: EngineProfile, address: str = "127.0.0.1:0", role: str = ""
+    ):
         self.name = name
+        self.first_role = role
+        self.checks_fence = True
+        self.orders: list[tuple[int, int, str]] = []
         self.profile = profile
         self.fault = Fault.NONE
         self.running_counts: deque[tuple[int, int]] = deque()
@@ -101,7 +106,8 @@
         self.streams: dict[RequestKey, _Stream] = {}
         self.kept: dict[str, _Kept] = {}
         self.tombstones: dict[RequestKey, int] = {}
-        self.fence = 0
+        self.fence = (0, 0)
+        self.role = self.first_role
         self.transfers = 0
         self.prefixes = PrefixCache(self.profile.prefix_tokens)
         self._compute = anyio.Lock()
@@ -193,6 +199,9 @@
         if key in self.tombstones:
             await call.reply(409, {"refused": "cancelled"})
             return
+        if self.role == "decode":
+            await call.reply(421, {"refused": "wrong role"})
+            return
         self.dispatches[key.request_id] = self.dispatches.get(key.request_id, 0) + 1
         tokens = count_tokens(body["prompt"]) + body["delivered"]
         async with self._compute:
@@ -237,6 +246,9 @@
         if key in self.tombstones or key in self.streams:
             await call.reply(409, {"refused": "cancelled or doubled"})
             return
+        if self.role == "prefill":
+            await call.reply(421, {"refused": "wrong role"})
+            return
         if self._running() >= self.profile.slots:
             await call.reply(503, {"refused": "slots full"})
             return
@@ -352,12 +364,16 @@
         for at_ms, count in self.running_counts:
             if at_ms <= as_of_ms:
                 running = count
-        await call.reply(200, {"running": running, "age_ms": self.profile.report_lag_ms})
+        age_ms = self.profile.report_lag_ms
+        await call.reply(200, {"running": running, "age_ms": age_ms, "role": self.role})
 
     async def _order(self, call: Call) -> None:
         body = await call.json()
-        if body["fence"] <= self.fence:
-            await call.reply(409, {"refused": "older fence", "fence": self.fence})
+        fence = (body["fence"], body["sequence"])
+        if self.checks_fence and fence < self.fence:
+            await call.reply(412, {"refused": "older fence"})
             return
-        self.fence = body["fence"]
-        await call.reply(200, {"fence": self.fence})
+        self.fence = fence
+        self.role = body["role"]
+        self.orders.append((*fence, self.role))
+        await call.reply(200, {"role": self.role})
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -7,9 +7,10 @@
 from behave import then, when
 
 from saffronworks.callers import LoadPlan, ask, expected_answer, run_load
-from saffronworks.sites import Site, SiteShape, wait_until
+from saffronworks.sites import SiteShape, wait_until
 from saffronworks.standin_engine import Fault
 from saffronworks.standin_models import EngineProfile, answer_length
+from saffronworks.tests.plays import addresses, on_site
 
 QUICK = EngineProfile(slots=6, step_ms=4.0)
 SLOW = EngineProfile(slots=6, step_ms=30.0)
@@ -17,28 +18,6 @@
 LONG_TOKENS = 4000
 
 
-def on_site(context, shape, play):
-    """Bring a site up, let `play(site, tasks)` act, then wait until the engines hold nothing."""
-
-    async def main():
-        async with anyio.create_task_group() as tasks:
-            site = Site(tasks, shape)
-            await site.start()
-            context.answers = []
-            await play(site, tasks)
-            context.memory_freed = await wait_until(
-                lambda: site.engine_memory_held() == 0, limit_s=15
-            )
-            context.memory_held = site.engine_memory_held()
-            tasks.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
-def addresses(nodes):
-    return [node.caller_address for node in nodes]
-
-
 async def load_while(context, nodes, plan, act, after_s=0.4):
     """Run a load over `nodes`, and `act()` in its middle."""
 
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -16,6 +16,7 @@
 from tools.fleet_bench import print_fleet
 from tools.policy_bench import SHAPES, Outcome, Trial, run_trial
 from tools.recovery_bench import print_recovery
+from tools.roles_bench import print_roles
 
 matplotlib.use("svg")
 
@@ -36,11 +37,12 @@
     Args:
         seeds: how many seeded traces for each row.
         seconds: virtual length of a trace.
-        part: policy, decisions, fleet, recovery or all.
+        part: policy, roles, decisions, fleet, recovery or all.
     """
     logging.disable(logging.CRITICAL)
     parts: dict[str, Callable[[], None]] = {
         "policy": lambda: print_policy(seeds, seconds),
+        "roles": print_roles,
         "decisions": print_decisions,
         "fleet": print_fleet,
         "recovery": print_recovery,
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -1,5 +1,6 @@
 """The policy bench: the real request and owner cores on virtual time, against baselines."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -39,11 +40,25 @@
 LEASE_MS = 3000
 WARM_UP_MS = 5000.0
 DEATH_MS = 5000.0
+SWITCH_MS = 900.0
+
+
+@attrs.frozen
+class Part:
+    """A stretch of a day with lengths of its own, up to a share of the trace's time."""
+
+    until_share: float
+    prompt: tuple[int, int]
+    answer: tuple[int, int]
 
 
 @attrs.frozen
 class Shape:
-    """One user's traffic and engines. Prompt and answer lengths are uniform, in tokens."""
+    """One user's traffic and engines. Prompt and answer lengths are uniform, in tokens.
+
+    A shape with `parts` takes its lengths from the part that a request arrives in, and its rate
+    from what the best split of the engines could serve there.
+    """
 
     name: str
     prompt: tuple[int, int]
@@ -57,16 +72,32 @@
     patience_ms: int
     goodput_weight: float
     organisations: int = 12
+    parts: tuple[Part, ...] = ()
+
+    def part_at(self, share: float) -> Part:
+        """The part of a moment of the trace."""
+        for part in self.parts:
+            if share < part.until_share:
+                return part
+        return Part(1.0, self.prompt, self.answer)
 
-    def capacity_per_s(self) -> float:
+    def capacity_per_s(self, share: float = 0.0) -> float:
         """Requests per second that the scarcer of decode slots and prefill work allows."""
-        answer = sum(self.answer) / 2
-        prompt = sum(self.prompt) / 2
+        part = self.part_at(share)
+        if not self.parts:
+            return self._split_capacity(part, self.prefills)
+        engines = self.prefills + self.decodes
+        return max(self._split_capacity(part, prefills) for prefills in range(1, engines))
+
+    def _split_capacity(self, part: Part, prefills: int) -> float:
+        answer = sum(part.answer) / 2
+        prompt = sum(part.prompt) / 2
+        decodes = self.prefills + self.decodes - prefills
         full_pace_ms = self.profile.pace_ms(self.profile.slots)
         hold_ms = answer * full_pace_ms + self.profile.transfer_ms(int(prompt))
-        decode = 1000.0 * self.decodes * self.profile.slots / hold_ms
+        decode = 1000.0 * decodes * self.profile.slots / hold_ms
         work_ms = self.profile.prefill_ms(int(prompt), self.prefix_tokens)
-        return min(decode, 1000.0 * self.prefills / work_ms)
+        return min(decode, 1000.0 * prefills / work_ms)
 
 
 SHAPES = {
@@ -101,6 +132,16 @@
         goodput_weight=0.8,
     ),
 }
+DAY = attrs.evolve(
+    SHAPES["letters"],
+    name="day",
+    parts=(
+        Part(1 / 3, (5000, 9000), (10, 30)),
+        Part(2 / 3, (1000, 2000), (150, 350)),
+        Part(1.0, (1500, 6000), (20, 120)),
+    ),
+    answer=(10, 350),
+)
 
 
 @attrs.frozen
@@ -114,6 +155,7 @@
     seed: int
     seconds: float = 40.0
     goodput_weight: float | None = None
+    change_roles: bool = False
     policy_knobs: Policy = Policy()
     fault_plan: FaultPlan = FaultPlan(True, 0.02, 0.04, 1000, 0.2)
 
@@ -129,6 +171,7 @@
     unknown: float
     bound: float
     ttft_p95_ms: float
+    role_changes: int = 0
 
 
 class Bench:
@@ -136,7 +179,8 @@
 
     def __init__(self, trial: Trial):
         self.trial = trial
-        self.shape = SHAPES[trial.shape]
+        self.shape = {**SHAPES, DAY.name: DAY}[trial.shape]
+        self.role_changes = 0
         self.clock = Clock()
         self.rng = random.Random(f"{trial.shape}/{trial.seed}")
         fault_rng = random.Random(f"faults/{trial.shape}/{trial.seed}")
@@ -184,7 +228,13 @@
             )
             for name in self.engines
         )
-        pool = Pool("p", endpoints, profile.kv_bytes_per_token, profile.kv_kept_ms)
+        pool = Pool(
+            "p",
+            endpoints,
+            profile.kv_bytes_per_token,
+            profile.kv_kept_ms,
+            self.trial.change_roles,
+        )
         return Cell("b/p/0", pool, endpoints, (self.model,))
 
     def _make_dispatcher(self) -> "OwnerDispatcher | Baseline":
@@ -201,10 +251,11 @@
         return self._count(arrivals)
 
     def _offer(self) -> int:
-        rate_per_ms = self.trial.load * self.shape.capacity_per_s() / 1000
         at_ms = 0.0
         index = 0
         while True:
+            share = at_ms / (self.trial.seconds * 1000)
+            rate_per_ms = self.trial.load * self.shape.capacity_per_s(share) / 1000
             at_ms += self.rng.expovariate(rate_per_ms)
             if at_ms > self.trial.seconds * 1000:
                 return index
@@ -246,6 +297,7 @@
             unknown=sum(isinstance(r.outcome, requests.Unknown) for r in wanted) / total,
             bound=self._bound(),
             ttft_p95_ms=ttfts[int(len(ttfts) * 0.95)] if ttfts else 0.0,
+            role_changes=self.role_changes,
         )
 
     def _bound(self) -> float:
@@ -277,13 +329,14 @@
 
     def __init__(self, bench: Bench, index: int, at_ms: float):
         shape, rng = bench.shape, bench.rng
+        part = shape.part_at(at_ms / (bench.trial.seconds * 1000))
         self.bench = bench
         self.node = f"n{index % NODES}"
         self.organisation = f"o{rng.randrange(shape.organisations)}"
-        self.answer_tokens = rng.randint(*shape.answer)
+        self.answer_tokens = rng.randint(*part.answer)
         self.request = Request(
             request_id=f"r{index}",
-            prompt_tokens=rng.randint(*shape.prompt),
+            prompt_tokens=rng.randint(*part.prompt),
             max_tokens=shape.answer[1],
             arrived_ms=int(at_ms),
             deadline_ms=int(at_ms) + shape.patience_ms + shape.ttft_ms,
@@ -430,6 +483,12 @@
                 case cells.CancelStream():
                     self.bench.engines[command.endpoint].end(command.key)
                     self._send(cells.CancelAcknowledged(command.endpoint, command.key))
+                case cells.TakeFence():
+                    self._send(cells.FenceTaken(1))
+                case cells.OrderRole():
+                    self.bench.role_changes += 1
+                    done = cells.RoleOrdered(command.endpoint, accepted=True)
+                    self.bench.clock.after(SWITCH_MS, functools.partial(self._step, done))
 
     def _tell(self, message: object) -> None:
         event: requests.Event
