--- a/saffronworks/predictors.py
+++ b/saffronworks/predictors.py
@@ -9,7 +9,7 @@
 SMOOTHING = 0.15
 BUCKET_EDGES = tuple(int(2 ** (step / 2)) for step in range(4, 31))
 PRIOR_COUNT = 8.0
-FORGET_AT_COUNT = 2000.0
+FORGET_AT_COUNT = 100.0
 PREFIXES_KEPT = 128
 
 
