Deadlines go on to engines; failures in a row put out half of a role at most

An engine went on to prefill for a caller whose deadline had passed while it waited, and held a slot in a stalled transfer until a cancel reached it. Ejection had no floor: failures in a row, as a shared fault brings about, could open every circuit.

With the floor at 0 the new scenario fails.

--- a/saffronworks/assignments.py
+++ b/saffronworks/assignments.py
@@ -4,7 +4,7 @@
     Command,
     Tell,
 )
-from saffronworks.cell_states import CellState, drop_held
+from saffronworks.cell_states import CellState, drop_held, note_failure
 from saffronworks.ledgers import EndpointLedger, Held, Stage
 from saffronworks.messages import (
     Assign,
@@ -33,8 +33,8 @@
     held = state.held.get(event.key.request_id)
     if held is None or held.key != event.key:
         return []
-    if event.failure == "connect" and event.refused_by in state.ledgers:
-        state.ledgers[event.refused_by].circuit.fail(event.failure, now_ms)
+    if event.failure == "connect":
+        note_failure(state, event.refused_by, event.failure, now_ms)
     if held.stage == Stage.DECODE:
         if event.refused_by != held.decode_endpoint:
             return [Tell(event.node, Assign(event.key, held.decode_endpoint, held.limit_ms))]
@@ -102,8 +102,7 @@
     if waiting is not None and waiting.ask.key.attempt <= event.key.attempt:
         del state.queue.items[request_id]
     for name in event.failed:
-        if name in state.ledgers:
-            state.ledgers[name].circuit.fail(event.failure, now_ms)
+        note_failure(state, name, event.failure, now_ms)
     held = state.held.get(request_id)
     if held is None or held.key != event.key:
         return []
--- a/saffronworks/breakers.py
+++ b/saffronworks/breakers.py
@@ -40,10 +40,13 @@
     trial_until_ms: int = 0
     unreachable: bool = False
 
-    def fail(self, failure: str, now_ms: int) -> None:
-        """Count a failure; `connect` means that nobody listens there."""
+    def fail(self, failure: str, now_ms: int, may_open: bool = True) -> None:
+        """Count a failure; `connect` means that nobody listens there.
+
+        Without `may_open`, failures in a row do not open it: too few others would be left.
+        """
         self.failures += 1
-        if failure != "connect" and self.failures < FAILURES_TO_OPEN:
+        if failure != "connect" and (self.failures < FAILURES_TO_OPEN or not may_open):
             return
         if self.state is CircuitState.OPEN:
             return
--- a/saffronworks/cell_states.py
+++ b/saffronworks/cell_states.py
@@ -17,11 +17,13 @@
     "RolePlan",
     "drop_held",
     "new_cell",
+    "note_failure",
     "open_decoders",
     "set_cell",
 ]
 
 FIRST_HOLD_MS = 2000.0
+LEAST_SHARE_IN = 0.5
 
 
 @attrs.define
@@ -119,6 +121,17 @@
         ledger.decodes.pop(held.key.request_id, None)
 
 
+def note_failure(state: CellState, name: str, failure: str, now_ms: int) -> None:
+    """Count a failure of an endpoint; of each role at least half stay in, but for those gone."""
+    ledger = state.ledgers.get(name)
+    if ledger is None:
+        return
+    peers = [other for other in state.ledgers.values() if other.role is ledger.role]
+    left = sum(1 for other in peers if other is not ledger and other.open(now_ms))
+    may_open = left >= LEAST_SHARE_IN * len(peers)
+    ledger.circuit.fail(failure, now_ms, may_open)
+
+
 def open_decoders(state: CellState, now_ms: int) -> list[EndpointLedger]:
     """The decode endpoints that may get work."""
     return [
--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -30,7 +30,7 @@
     Tell,
     Tick,
 )
-from saffronworks.cell_states import CellState, new_cell, set_cell
+from saffronworks.cell_states import CellState, new_cell, note_failure, set_cell
 from saffronworks.messages import (
     Ask,
     HeldList,
@@ -105,9 +105,8 @@
         case EndpointGone():
             state.cancels.forget_endpoint(event.endpoint)
             if event.endpoint in state.ledgers:
-                ledger = state.ledgers[event.endpoint]
-                ledger.unacknowledged.clear()
-                ledger.circuit.fail("connect", now_ms)
+                state.ledgers[event.endpoint].unacknowledged.clear()
+                note_failure(state, event.endpoint, "connect", now_ms)
         case EndpointsLeaving():
             for name, ledger in state.ledgers.items():
                 ledger.leaving = name in event.names
--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -42,7 +42,10 @@
 
 @attrs.frozen
 class Prefill:
-    """A prefill call. `delivered` tokens of the answer are computed after the prompt."""
+    """A prefill call. `delivered` tokens of the answer are computed after the prompt.
+
+    An engine that has not begun it within `begin_within_ms` refuses it unexecuted.
+    """
 
     request_id: str
     attempt: int
@@ -51,6 +54,7 @@
     prefix_key: str
     prefix_tokens: int
     delivered: int
+    begin_within_ms: int
 
 
 @attrs.frozen
@@ -65,7 +69,10 @@
 
 @attrs.frozen
 class Decode:
-    """A decode call: import the KV result from `source`, stream from `offset`."""
+    """A decode call: import the KV result from `source`, stream from `offset`.
+
+    An engine that has not imported it within `import_within_ms` gives its slot up.
+    """
 
     request_id: str
     attempt: int
@@ -75,6 +82,7 @@
     source: str
     kv_id: str
     offset: int
+    import_within_ms: int
 
 
 @attrs.frozen
--- a/saffronworks/request_events.py
+++ b/saffronworks/request_events.py
@@ -234,11 +234,12 @@
 
 @attrs.frozen
 class StartPrefill:
-    """Dispatch the prefill."""
+    """Dispatch the prefill; begun later than `begin_within_ms`, it would help nobody."""
 
     attempt: int
     endpoint: str
     delivered: int
+    begin_within_ms: int
 
 
 @attrs.frozen
@@ -252,13 +253,14 @@
 
 @attrs.frozen
 class StartDecode:
-    """Import the KV result and stream from `offset`."""
+    """Import the KV result within `import_within_ms`, and stream from `offset`."""
 
     attempt: int
     endpoint: str
     source: str
     kv_id: str
     offset: int
+    import_within_ms: int
 
 
 @attrs.frozen
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -88,6 +88,8 @@
 MOST_DOUBLINGS = 3
 # The owner withdraws an expired result by itself; the entry waits a little for its word.
 KV_GRACE_MS = 100
+# The entry gives a stalled transfer up first; the engine's own limit is for when it cannot.
+IMPORT_GRACE_MS = 500
 
 
 @attrs.define
@@ -217,7 +219,10 @@
     request.dispatched_before = request.dispatched
     request.dispatched = True
     request.progress_ms = now_ms
-    return [StartPrefill(request.attempt, endpoint, request.delivered)]
+    begin_within_ms = request.stall_ms
+    if request.first_token_ms is None:
+        begin_within_ms = max(1, min(begin_within_ms, request.deadline_ms - now_ms))
+    return [StartPrefill(request.attempt, endpoint, request.delivered, begin_within_ms)]
 
 
 def _start_decode(request: Request) -> StartDecode:
@@ -227,6 +232,7 @@
         request.prefill_endpoint,
         request.kv_id,
         request.delivered,
+        request.transfer_limit_ms + IMPORT_GRACE_MS,
     )
 
 
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -212,6 +212,7 @@
             prefix_key=self.job.prefix_key,
             prefix_tokens=self.job.prefix_tokens,
             delivered=command.delivered,
+            begin_within_ms=command.begin_within_ms,
         )
         reply = await self._engines.prefill(endpoint.address, call, self.request.stall_ms)
         if isinstance(reply, Err):
@@ -236,6 +237,7 @@
             source=self._endpoints[command.source].address,
             kv_id=command.kv_id,
             offset=command.offset,
+            import_within_ms=command.import_within_ms,
         )
         await self._follow(command.endpoint, call)
 
--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standin_engine.py
@@ -204,7 +204,11 @@
             return
         self.dispatches[key.request_id] = self.dispatches.get(key.request_id, 0) + 1
         tokens = count_tokens(body["prompt"]) + body["delivered"]
+        due_ms = _now_ms() + body["begin_within_ms"]
         async with self._compute:
+            if _now_ms() > due_ms:
+                await call.reply(503, {"refused": "deadline passed"})
+                return
             prefix_tokens = min(tokens, body["prefix_tokens"])
             cached = min(tokens, self.prefixes.use(body["prefix_key"], prefix_tokens))
             work_ms = self.profile.prefill_ms(tokens, cached)
@@ -260,7 +264,9 @@
         self.peers.add(call.peer)
         self._count()
         began_ms = _now_ms()
-        imported = await self._import(body["source"], body["kv_id"])
+        imported = False
+        with anyio.move_on_after(body["import_within_ms"] / 1000):
+            imported = await self._import(body["source"], body["kv_id"])
         if not imported or stream.cancelled:
             stream.end()
             self.streams.pop(key, None)
--- a/saffronworks/tests/features/cells.feature
+++ b/saffronworks/tests/features/cells.feature
@@ -63,6 +63,12 @@
     And a trial whose end is never heard of makes room for another one
     And after a success its slots come back bit by bit
 
+  Scenario: failures in a row put out half of a role's endpoints at most, but all that are gone
+    Given a cell with four decode endpoints
+    When all of them fail again and again
+    Then two of them still take work
+    And when their connections are refused none does
+
   Scenario: an endpoint that was unreachable is back as soon as it answers a report
     Given a cell whose decode endpoint refused a connection
     When it answers a load report after its circuit's time
--- a/saffronworks/tests/features/requests.feature
+++ b/saffronworks/tests/features/requests.feature
@@ -45,3 +45,8 @@
     Given a request that waits for a grant
     When its owner refuses it for overload
     Then the outcome is not run
+
+  Scenario: the deadline goes on to the engine, as what is left of it
+    Given a request that waits for a grant
+    When it is granted a prefill 300 ms before its deadline
+    Then the engine is told to begin within 300 ms
--- a/saffronworks/tests/features/site.feature
+++ b/saffronworks/tests/features/site.feature
@@ -36,6 +36,10 @@
     Then every answer is whole
     And no engine memory stays held
 
+  Scenario: an engine runs no prefill past its deadline and holds no stalled transfer for long
+    When an engine gets a prefill that it can begin only too late, and a decode that stalls
+    Then it refused the prefill unexecuted and gave the decode's slot up
+
   Scenario: an unrepeatable request whose engine died is told unknown and run once
     When an unrepeatable request loses its engine in the middle
     Then it is told unknown
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -418,6 +418,37 @@
         assert context.ledger.free_slots(at_ms) == free, at_ms
 
 
+@given("a cell with four decode endpoints")
+def four_decoders(context):
+    names = ("d1", "d2", "d3", "d4")
+    endpoints = tuple(Endpoint(name, "127.0.0.1:2", "z", Role.DECODE) for name in names)
+    endpoints += (Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL),)
+    cell = Cell("b/p/0", Pool("p", endpoints), endpoints, (MODEL,))
+    context.state = cells.new_cell(cell, "owner", LEASE_MS, 0, 0)
+    context.names = names
+
+
+@when("all of them fail again and again")
+def all_fail(context):
+    for turn in range(20):
+        key = RequestKey(f"r{turn}", 1)
+        release = Release(key, "n", "b/p/0", failed=context.names, failure="stalled")
+        cells.step(context.state, release, 10)
+
+
+@then("two of them still take work")
+def two_open(context):
+    ledgers = context.state.ledgers
+    assert [name for name in context.names if ledgers[name].open(10)] == ["d3", "d4"]
+
+
+@then("when their connections are refused none does")
+def none_open(context):
+    for name in context.names:
+        cells.step(context.state, cells.EndpointGone(name), 20)
+    assert not any(context.state.ledgers[name].open(20) for name in context.names)
+
+
 def wide_state():
     endpoints = (
         Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL),
--- a/saffronworks/tests/features/steps/requests_steps.py
+++ b/saffronworks/tests/features/steps/requests_steps.py
@@ -234,7 +234,8 @@
     run_commands(context, core.GrantReceived(2, "p"))
     run_commands(context, core.PrefillEnded(2, "kv2", 10, 0, 800))
     commands = run_commands(context, core.AssignReceived(2, "d2", 900))
-    assert commands == [core.StartDecode(2, "d2", "p", "kv2", offset)], commands
+    limit_ms = 900 + core.IMPORT_GRACE_MS
+    assert commands == [core.StartDecode(2, "d2", "p", "kv2", offset, limit_ms)], commands
 
 
 @then("the stream is resumed at offset {offset:d}")
@@ -250,3 +251,14 @@
 @then("the outcome is not run")
 def not_run(context):
     assert context.request.outcome == core.NotRun("overload", 700)
+
+
+@when("it is granted a prefill {left_ms:d} ms before its deadline")
+def granted_late(context, left_ms):
+    now_ms = context.request.deadline_ms - left_ms
+    context.commands = core.step(context.request, core.GrantReceived(1, "p"), now_ms)
+
+
+@then("the engine is told to begin within {left_ms:d} ms")
+def begin_within(context, left_ms):
+    assert context.commands == [core.StartPrefill(1, "p", 0, left_ms)], context.commands
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from saffronworks.callers import LoadPlan, ask, expected_answer, run_load
+from saffronworks.engines import Decode, EngineClient, Prefill
 from saffronworks.sites import SiteShape, wait_until
 from saffronworks.standin_engine import Fault
 from saffronworks.standin_models import EngineProfile, answer_length
@@ -167,6 +168,52 @@
     on_site(context, SiteShape(profile=QUICK, patience_ms=30_000), play)
 
 
+def direct_prefill(request_id, within_ms):
+    prompt = "x" * 400_000
+    return Prefill(request_id, 1, "test", prompt, "k", 0, 0, within_ms)
+
+
+@when("an engine gets a prefill that it can begin only too late, and a decode that stalls")
+def late_prefill(context):
+    async def play(site, tasks):
+        client = EngineClient()
+        source = site.engines["prefill-1"]
+        results = {}
+
+        async def prefill(name, within_ms):
+            call = direct_prefill(name, within_ms)
+            results[name] = await client.prefill(source.address, call, 20_000)
+
+        async with anyio.create_task_group() as both:
+            both.start_soon(prefill, "first", 20_000)
+            await wait_until(lambda: source.dispatches)
+            both.start_soon(prefill, "late", 1)
+        context.prefills = results
+        await stalled_decode(context, site, client, results["first"].unwrap().kv_id)
+        await client.close()
+
+    on_site(context, SiteShape(nodes=1, profile=QUICK), play)
+
+
+async def stalled_decode(context, site, client, kv_id):
+    source, target = site.engines["prefill-1"], site.engines["decode-1"]
+    source.fault = Fault.STALL_TRANSFER
+    call = Decode("first", 1, "test", "x", 8, source.address, kv_id, 0, import_within_ms=200)
+    async with client.open_decode(target.address, call, 5000) as opened:
+        context.decode = opened
+    context.held_after = target.held()
+    source.fault = Fault.NONE
+
+
+@then("it refused the prefill unexecuted and gave the decode's slot up")
+def both_refused(context):
+    assert context.prefills["first"].is_ok()
+    late = context.prefills["late"].err()
+    assert (late.status, late.executed) == (503, False), late
+    assert context.decode.err().status == 410, context.decode
+    assert context.held_after == 0
+
+
 @when("callers ask while a decode engine dies")
 def dying(context):
     async def play(site, tasks):
