--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -76,7 +76,7 @@
         self.kernel = Kernel(settings.name, monotonic_ms)
         rng = random.Random(f"{settings.name}/{self.incarnation}/store")
         self.engines = EngineClient()
-        self.store = StoreClient(settings.store_address, rng)
+        self.store = StoreClient(settings.store_address, rng, settings.store_reads_per_s)
         self.peers = PeerService(settings.peer_address)
         self.members = MemberService(settings, self.incarnation)
         self.relays = RelayService(settings.name, self.store, rng)
--- a/saffronworks/relays.py
+++ b/saffronworks/relays.py
@@ -20,7 +20,7 @@
     SendTo,
 )
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.members import MemberService
+from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.ownership import rank_members
 from saffronworks.peers import Outgoing
 from saffronworks.stores import StoreClient
@@ -114,6 +114,9 @@
             document.key,
             document.version,
         )
+        if document.key == VMS_KEY:
+            vms = read_vms(document.content)
+            self._store.budget.share_among(sum(1 for vm in vms if not vm.endpoint))
         kernel.announce(change)
 
     async def _follow_store(self, kernel: Kernel) -> None:
--- a/saffronworks/settings.py
+++ b/saffronworks/settings.py
@@ -19,6 +19,7 @@
     admin_address: str = "127.0.0.1:8081"
     peer_address: str = "127.0.0.1:8082"
     store_address: str = "127.0.0.1:9000"
+    store_reads_per_s: int = 2000
     seeds: tuple[str, ...] = ()
     heartbeat_ms: int = 500
     suspect_after_ms: int = 1500
--- a/saffronworks/stores.py
+++ b/saffronworks/stores.py
@@ -1,14 +1,17 @@
 """The adapter to the platform's object API, with a circuit and jittered backoff."""
 
 import random
+import time
 from typing import Any
 from urllib.parse import quote
 
+import anyio
 import attrs
 import httpcore
 import msgspec
 from result import Err, Ok, Result
 
+from saffronworks.budgets import ReadBudget
 from saffronworks.documents import Document
 
 __all__ = ["CONFIG_PREFIX", "Moved", "StoreClient", "StoreFailure", "WatchReply"]
@@ -65,7 +68,8 @@
 class StoreClient:
     """Calls to the object API. After failures it waits, longer each time, with jitter."""
 
-    def __init__(self, address: str, rng: random.Random):
+    def __init__(self, address: str, rng: random.Random, reads_per_s: int):
+        self.budget = ReadBudget(reads_per_s)
         self._address = address
         self._rng = rng
         self._pool = httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=20)
@@ -122,6 +126,8 @@
     async def _call(
         self, method: str, path: str, content: bytes = b"", timeout_s: float = TIMEOUT_S
     ) -> Result[tuple[int, bytes], StoreFailure]:
+        if method == "GET":
+            await anyio.sleep(self.budget.take(time.monotonic() * 1000) / 1000)
         self.calls += 1
         timeout = {"connect": TIMEOUT_S, "read": timeout_s, "pool": TIMEOUT_S}
         url = f"http://{self._address}{path}"
--- a/saffronworks/tests/features/fleet.feature
+++ b/saffronworks/tests/features/fleet.feature
@@ -56,6 +56,11 @@
     Then each node uses 8 cells
     And no cell is used by more than twice as many nodes as the mean, or by none
 
+  Scenario: all nodes that come back to the store at once stay within its rate
+    Given 1600 nodes that each want to read 3 times at once
+    Then the store gets no more than 2000 reads in any second
+    And 8 nodes that do the same wait for nothing
+
   Scenario: a node that starts in a store outage serves what its peers have
     When a node starts while the store is down
     Then it becomes ready with the version of its peers
--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -1,5 +1,6 @@
 """Scenarios on membership, documents, sign-off and ownership."""
 
+import bisect
 import random
 from collections import Counter
 
@@ -7,9 +8,9 @@
 from hypothesis import given as forall
 from hypothesis import settings as limits
 from hypothesis import strategies as st
-from site_steps import on_site
 
 from saffronworks import documents, signoffs
+from saffronworks.budgets import ReadBudget
 from saffronworks.bundles import Bundle, Endpoint, Pool, Role
 from saffronworks.documents import Document, DocumentPush, DocumentStore, Fetched, InForce
 from saffronworks.hashing import hash64
@@ -18,6 +19,7 @@
 from saffronworks.routes import RouteTable
 from saffronworks.signoffs import SignOff, SignOffRecord
 from saffronworks.sites import SiteShape, wait_until
+from saffronworks.tests.plays import on_site
 from tools.fleet_bench import Fleet
 
 KEYS = ("bundles/a", "bundles/b", "vms")
@@ -395,3 +397,30 @@
 @then("it went up by one")
 def one_up(context):
     assert context.after == context.before + 1
+
+
+def read_times(nodes, reads, now_ms=5000.0):
+    times = []
+    for _ in range(nodes):
+        budget = ReadBudget(2000)
+        budget.share_among(nodes)
+        times += [now_ms + budget.take(now_ms) for _ in range(reads)]
+    return sorted(times)
+
+
+@given("{nodes:d} nodes that each want to read {reads:d} times at once")
+def returning(context, nodes, reads):
+    context.reads = reads
+    context.times = read_times(nodes, reads)
+
+
+@then("the store gets no more than {most:d} reads in any second")
+def within_rate(context, most):
+    times = context.times
+    ends = [bisect.bisect_left(times, at_ms + 1000) for at_ms in times]
+    assert max(end - begin for begin, end in enumerate(ends)) <= most
+
+
+@then("{nodes:d} nodes that do the same wait for nothing")
+def no_wait(context, nodes):
+    assert set(read_times(nodes, context.reads)) == {5000.0}
