A node whose replies all come late waits longer before it holds others dead

Cause: 30 real nodes that shared one core suspected each other in turn: the views of owners went from 30 down to 4 and up again and never settled. A node that takes its messages late sees every member answer late, and blames the members. It now learns how late replies are; beyond a fifth of the heartbeat its waits grow, up to twice as long.

--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -12,6 +12,7 @@
 import attrs
 
 from saffronworks.hashing import hash64
+from saffronworks.predictors import Average
 
 __all__ = [
     "Heartbeat",
@@ -35,6 +36,8 @@
 SYNC_MEMBERS = 400
 HEAL_EVERY_BEATS = 4
 POSITIONS_KEPT = 4096
+REPLY_FACTOR = 4.0
+USUAL_REPLY_SHARE = 0.2
 
 
 class Status(enum.StrEnum):
@@ -157,6 +160,7 @@
     last_tick_ms: int = 0
     digest: int = 0
     fresh_age_ms: int = 0
+    reply_ms: Average = attrs.Factory(lambda: Average(0.0))
 
 
 def live_members(state: Membership, owners_only: bool = False) -> list[str]:
@@ -186,6 +190,7 @@
             return _take_heartbeat(state, event, now_ms)
         case HeartbeatReply():
             commands = _take_update(state, event.sender, now_ms)
+            _learn_reply(state, event.sender.name, now_ms)
             _note_heard(state, event.sender.name, now_ms)
             return commands + _take_updates(state, event.updates, now_ms)
         case Tick():
@@ -285,6 +290,21 @@
         member.asked_ms = None
 
 
+def _learn_reply(state: Membership, name: str, now_ms: int) -> None:
+    member = state.members.get(name)
+    if member is not None and member.asked_ms is not None:
+        state.reply_ms.add(float(now_ms - member.asked_ms))
+
+
+def _patience_ms(state: Membership, usual_ms: int) -> float:
+    """A wait for others, up to twice as long where all replies are late: this node is slow.
+
+    Replies within a share of the heartbeat count as usual, and add nothing.
+    """
+    late_ms = max(0.0, state.reply_ms.value - USUAL_REPLY_SHARE * state.heartbeat_ms)
+    return usual_ms + min(float(usual_ms), REPLY_FACTOR * late_ms)
+
+
 def _tick(state: Membership, now_ms: int) -> list[Command]:
     paused = state.last_tick_ms and now_ms - state.last_tick_ms > state.suspect_after_ms
     state.last_tick_ms = now_ms
@@ -303,10 +323,11 @@
     update = member.update
     if update.status in (Status.ALIVE, Status.LEAVING):
         unanswered = member.asked_ms is not None
-        if unanswered and now_ms - (member.asked_ms or 0) >= state.suspect_after_ms:
+        wait_ms = _patience_ms(state, state.suspect_after_ms)
+        if unanswered and now_ms - (member.asked_ms or 0) >= wait_ms:
             return _take_update(state, attrs.evolve(update, status=Status.SUSPECT), now_ms)
     if update.status is Status.SUSPECT:
-        wait_ms = state.dead_after_ms - state.suspect_after_ms
+        wait_ms = _patience_ms(state, state.dead_after_ms - state.suspect_after_ms)
         if now_ms - member.since_ms >= wait_ms:
             return _take_update(state, attrs.evolve(update, status=Status.DEAD), now_ms)
     return []
--- a/saffronworks/tests/features/fleet.feature
+++ b/saffronworks/tests/features/fleet.feature
@@ -33,6 +33,12 @@
     When one node is paused for 10 s
     Then after a few heartbeats all members are alive to all
 
+  Scenario: nodes that are starved of processor time hold nobody dead
+    Given a fleet of 30 nodes
+    When all take their messages 300 to 900 ms late for 60 s
+    Then nobody was held dead
+    And once they are quick again a death is known as soon as ever
+
   Scenario: a zone that was cut off comes back by itself
     Given a fleet of 9 nodes
     When one zone is cut off for 30 s
--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -20,7 +20,7 @@
 from saffronworks.signoffs import SignOff, SignOffRecord
 from saffronworks.sites import SiteShape, wait_until
 from saffronworks.tests.plays import on_site
-from tools.fleet_bench import Fleet
+from tools.fleet_bench import DEAD_MS, HEARTBEAT_MS, Fleet
 
 KEYS = ("bundles/a", "bundles/b", "vms")
 
@@ -219,6 +219,32 @@
     assert all_alive(context.fleet), views(context.fleet)
 
 
+@when("all take their messages {least:d} to {most:d} ms late for 60 s")
+def starved(context, least, most):
+    fleet = context.fleet
+    fleet.late_ms = {name: (least, most) for name in fleet.nodes}
+    fleet.run(60_000)
+    fleet.late_ms = {}
+
+
+@then("nobody was held dead")
+def nobody_dead(context):
+    assert context.fleet.held_dead == 0
+    assert all_alive(context.fleet)
+
+
+@then("once they are quick again a death is known as soon as ever")
+def known_soon(context):
+    fleet = context.fleet
+    fleet.run(10_000)
+    killed_ms = fleet.clock.now_ms
+    fleet.kill("n2")
+    fleet.run(10_000)
+    known_ms = [node.knows_dead_ms for node in fleet.nodes.values() if node.alive]
+    assert min(known_ms) > 0
+    assert max(known_ms) - killed_ms <= DEAD_MS + 2 * HEARTBEAT_MS, max(known_ms) - killed_ms
+
+
 @when("one zone is cut off for 30 s")
 def zone_cut(context):
     context.fleet.cut = {"n0", "n3", "n6"}
--- a/tools/fleet_bench.py
+++ b/tools/fleet_bench.py
@@ -57,6 +57,8 @@
         self.clock = Clock()
         self.rng = random.Random(f"fleet/{size}/{seed}")
         self.cut: set[str] = set()
+        self.late_ms: dict[str, tuple[float, float]] = {}
+        self.held_dead = 0
         self.watched = ""
         vms = tuple(
             VmRecord(f"n{index}", f"10.0.0.{index}:1", f"z{index % 3}", "r")
@@ -89,8 +91,9 @@
             match command:
                 case Send():
                     self._send(node, self.by_address[command.address], command.message)
-                case MemberChanged() if command.name == self.watched:
-                    if command.status is Status.DEAD and node.knows_dead_ms < 0:
+                case MemberChanged() if command.status is Status.DEAD:
+                    self.held_dead += 1
+                    if command.name == self.watched and node.knows_dead_ms < 0:
                         node.knows_dead_ms = self.clock.now_ms
 
     def _document_step(self, node: FleetNode, event: documents.Event) -> None:
@@ -109,6 +112,9 @@
         if (source.name in self.cut) != (target in self.cut):
             return
         delay_ms = self.rng.uniform(*LATENCY_MS)
+        if target in self.late_ms:
+            # A node that is starved of processor time takes its messages late.
+            delay_ms += self.rng.uniform(*self.late_ms[target])
         self.clock.after(delay_ms, lambda: self._receive(self.nodes[target], message))
 
     def _receive(self, node: FleetNode, message: object) -> None:
