--- a/saffronworks/messages.py
+++ b/saffronworks/messages.py
@@ -15,7 +15,6 @@
     "HeldKey",
     "HeldList",
     "HeldQuery",
-    "LeaseAcknowledged",
     "LeaseRenewal",
     "NodeAnswer",
     "Prefilled",
@@ -166,16 +165,6 @@
     digest: int
 
 
-@attrs.frozen
-class LeaseAcknowledged:
-    """Owner to entry: the lease holds. An entry does not act on it yet: it notices by its own
-    clock that it stood still, and the engines refuse what an owner has cancelled.
-    """
-
-    owner: str
-    cell: str
-
-
 @attrs.frozen
 class HeldQuery:
     """Owner to entry: list what you hold in this cell."""
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -36,7 +36,6 @@
     Grant,
     HeldList,
     HeldQuery,
-    LeaseAcknowledged,
     LeaseRenewal,
     NodeAnswer,
     Prefilled,
@@ -120,7 +119,7 @@
         register(CancelService(self.engines))
         owner_messages = (Ask, Prefilled, Release, LeaseRenewal, HeldList)
         register(self.owner, *owner_messages, CancelDone, InForce, MemberChanged)
-        entry_messages = (Grant, Refusal, Assign, AssignRefused, HeldQuery, LeaseAcknowledged)
+        entry_messages = (Grant, Refusal, Assign, AssignRefused, HeldQuery)
         register(self.entry, *entry_messages, InForce, MemberChanged)
         register(self.claims, ClaimAsk, ClaimReply, ClaimSettle)
         register(self.surveys, SurveyQuery, NodeAnswer)
--- a/saffronworks/reclaims.py
+++ b/saffronworks/reclaims.py
@@ -12,7 +12,6 @@
     HeldKey,
     HeldList,
     HeldQuery,
-    LeaseAcknowledged,
     LeaseRenewal,
     RequestKey,
 )
@@ -33,7 +32,6 @@
     lease = state.leases.leases[event.node]
     if event.incarnation != lease.incarnation:
         return commands
-    commands.append(Tell(event.node, LeaseAcknowledged(state.owner, state.cell.name)))
     mine = [held for held in state.held.values() if held.node == event.node]
     digest = 0
     for held in mine:
--- /dev/null
+++ b/saffronworks/tests/features/steps/circuits_steps.py
@@ -0,0 +1,99 @@
+"""Scenarios on circuits: endpoints that fail, stay away, and come back."""
+
+from behave import given, then, when
+from cells_steps import LEASE_MS, MODEL, make_state
+
+from saffronworks import cells
+from saffronworks.breakers import FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
+from saffronworks.bundles import Endpoint, Pool, Role
+from saffronworks.ledgers import EndpointLedger, LoadReport
+from saffronworks.messages import Release, RequestKey
+from saffronworks.ownership import Cell
+
+
+@given("a decode endpoint whose connection was refused")
+def refused_endpoint(context):
+    context.ledger = EndpointLedger(Endpoint("d1", "127.0.0.1:2", "z", Role.DECODE, slots=10))
+    context.ledger.circuit.fail("connect", 0)
+
+
+@then("it takes nothing until its circuit half opens, and then a single trial")
+def single_trial(context):
+    ledger = context.ledger
+    assert ledger.free_slots(FIRST_OPEN_MS - 1) == 0
+    assert ledger.free_slots(FIRST_OPEN_MS) == 1
+    ledger.circuit.take_trial(FIRST_OPEN_MS)
+    assert ledger.free_slots(FIRST_OPEN_MS + 1) == 0
+
+
+@then("a trial whose end is never heard of makes room for another one")
+def another_trial(context):
+    assert context.ledger.free_slots(FIRST_OPEN_MS + TRIAL_MS) == 1
+
+
+@then("after a success its slots come back bit by bit")
+def bit_by_bit(context):
+    context.ledger.circuit.succeed(10_000)
+    free = [context.ledger.free_slots(10_000 + at_ms) for at_ms in (0, SLOW_START_MS // 2)]
+    assert free == [1, 5], free
+    assert context.ledger.free_slots(10_000 + SLOW_START_MS) == 10
+
+
+@given("a cell whose decode endpoint refused a connection")
+def cell_refused(context):
+    context.state = make_state(slots=10)
+    context.ledger = context.state.ledgers["d1"]
+    cells.step(context.state, cells.EndpointGone("d1"), 0)
+    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS - 1)
+    assert context.ledger.free_slots(FIRST_OPEN_MS - 1) == 0
+
+
+@when("it answers a load report after its circuit's time")
+def answers_report(context):
+    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS)
+
+
+@then("it takes work again by slow start")
+def by_slow_start(context):
+    middle_ms = FIRST_OPEN_MS + SLOW_START_MS // 2
+    free = [context.ledger.free_slots(at_ms) for at_ms in (FIRST_OPEN_MS, middle_ms)]
+    assert free == [1, 5], free
+
+
+@then("when it refuses again in its slow start it stays away twice as long")
+def flapping(context):
+    cells.step(context.state, cells.EndpointGone("d1"), FIRST_OPEN_MS)
+    for at_ms, free in ((2 * FIRST_OPEN_MS, 0), (3 * FIRST_OPEN_MS, 1)):
+        cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), at_ms)
+        assert context.ledger.free_slots(at_ms) == free, at_ms
+
+
+@given("a cell with four decode endpoints")
+def four_decoders(context):
+    names = ("d1", "d2", "d3", "d4")
+    endpoints = tuple(Endpoint(name, "127.0.0.1:2", "z", Role.DECODE) for name in names)
+    endpoints += (Endpoint("p1", "127.0.0.1:1", "z", Role.PREFILL),)
+    cell = Cell("b/p/0", Pool("p", endpoints), endpoints, (MODEL,))
+    context.state = cells.new_cell(cell, "owner", LEASE_MS, 0, 0)
+    context.names = names
+
+
+@when("all of them fail again and again")
+def all_fail(context):
+    for turn in range(20):
+        key = RequestKey(f"r{turn}", 1)
+        release = Release(key, "n", "b/p/0", failed=context.names, failure="stalled")
+        cells.step(context.state, release, 10)
+
+
+@then("two of them still take work")
+def two_open(context):
+    ledgers = context.state.ledgers
+    assert [name for name in context.names if ledgers[name].open(10)] == ["d3", "d4"]
+
+
+@then("when their connections are refused none does")
+def none_open(context):
+    for name in context.names:
+        cells.step(context.state, cells.EndpointGone(name), 20)
+    assert not any(context.state.ledgers[name].open(20) for name in context.names)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -15,9 +15,10 @@
 from tools.claim_bench import print_claims
 from tools.decision_bench import print_decisions
 from tools.fleet_bench import print_fleet
-from tools.policy_bench import SHAPES, Outcome, Trial, run_trial
+from tools.policy_bench import Outcome, Trial, run_trial
 from tools.recovery_bench import print_recovery
 from tools.roles_bench import print_roles
+from tools.shapes import SHAPES
 
 matplotlib.use("svg")
 
--- a/tools/capacity_cores.py
+++ b/tools/capacity_cores.py
@@ -18,7 +18,6 @@
     Grant,
     HeldKey,
     HeldList,
-    LeaseAcknowledged,
     LeaseRenewal,
     Prefilled,
     Release,
@@ -53,7 +52,6 @@
     }
     sizes = {name: float(len(wire.encode(message))) for name, message in messages.items()}
     renewal = len(wire.encode(LeaseRenewal(node, CELL, 1_796_216_769_678, 12, 2**31)))
-    renewal += len(wire.encode(LeaseAcknowledged(node, CELL)))
     held = HeldKey(KEY, "endpoint-00018", Stage.DECODE, "org-12345", 100)
     listed = [len(wire.encode(HeldList(node, CELL, (held,) * count))) for count in (10, 110)]
     return {
