--- a/saffronworks/cells.py
+++ b/saffronworks/cells.py
@@ -22,12 +22,9 @@
     EndpointsLeaving,
     Event,
     FenceTaken,
-    OrderRole,
     Reported,
     RoleOrdered,
     StreamsListed,
-    TakeFence,
-    Tell,
     Tick,
 )
 from saffronworks.cell_states import CellState, new_cell, note_failure, set_cell
@@ -41,28 +38,7 @@
 from saffronworks.reclaims import adopt_held, reclaim_node, renew_lease, take_streams
 from saffronworks.roles import note_role, plan_roles, take_fence, take_role_answer
 
-__all__ = [
-    "CacheReported",
-    "CancelAcknowledged",
-    "CancelStream",
-    "CellChanged",
-    "CellState",
-    "Command",
-    "EndpointGone",
-    "EndpointsLeaving",
-    "Event",
-    "FenceTaken",
-    "OrderRole",
-    "Reported",
-    "RoleOrdered",
-    "StreamsListed",
-    "TakeFence",
-    "Tell",
-    "Tick",
-    "new_cell",
-    "predict_wait",
-    "step",
-]
+__all__ = ["CellState", "new_cell", "predict_wait", "step"]
 
 ENDED_KEPT_MS = 30_000
 
--- a/saffronworks/completions.py
+++ b/saffronworks/completions.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.hashing import hash64
-from saffronworks.requests import Completed, NotRun, Outcome, Unknown
+from saffronworks.request_events import Completed, NotRun, Outcome, Unknown
 from saffronworks.web import Call
 
 __all__ = [
--- a/saffronworks/ends.py
+++ b/saffronworks/ends.py
@@ -4,7 +4,8 @@
 
 from saffronworks.burn import BurnRecorder
 from saffronworks.metrics import Metrics
-from saffronworks.requests import Completed, NotRun, Outcome, Request, Unknown
+from saffronworks.request_events import Completed, NotRun, Outcome, Unknown
+from saffronworks.requests import Request
 from saffronworks.runners import Job
 
 __all__ = ["EndRecorder", "describe_outcome", "measure_latency"]
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from saffronworks import requests
+from saffronworks import request_events, requests
 from saffronworks.documents import InForce
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.leases import hash_key
@@ -86,22 +86,22 @@
     def _take(self, kernel: Kernel, message: object) -> None:
         match message:
             case Grant():
-                event = requests.GrantReceived(message.key.attempt, message.endpoint)
+                event = request_events.GrantReceived(message.key.attempt, message.endpoint)
                 self._post(message.key.request_id, event)
             case Refusal():
                 self._post(
                     message.key.request_id,
-                    requests.RefusalReceived(
+                    request_events.RefusalReceived(
                         message.key.attempt, message.reason, message.retry_after_ms
                     ),
                 )
             case Assign():
-                assigned = requests.AssignReceived(
+                assigned = request_events.AssignReceived(
                     message.key.attempt, message.endpoint, message.limit_ms
                 )
                 self._post(message.key.request_id, assigned)
             case AssignRefused():
-                withdrawn = requests.AssignWithdrawn(message.key.attempt)
+                withdrawn = request_events.AssignWithdrawn(message.key.attempt)
                 self._post(message.key.request_id, withdrawn)
             case HeldQuery():
                 self._list_held(kernel, message.cell)
@@ -124,9 +124,9 @@
             owner = members.owner_of(runner.job.cell.name)
             if owner != runner.owner:
                 runner.owner = owner
-                runner.post(requests.OwnerChanged())
+                runner.post(request_events.OwnerChanged())
 
-    def _post(self, request_id: str, event: requests.Event) -> None:
+    def _post(self, request_id: str, event: request_events.Event) -> None:
         runner = self.runners.get(request_id)
         if runner is not None:
             runner.post(event)
@@ -138,10 +138,10 @@
             if self._stood_still(now_ms):
                 logger.warning("event=stood_still node=%s", kernel.node)
                 for runner in self.runners.values():
-                    runner.post(requests.LeaseLost())
+                    runner.post(request_events.LeaseLost())
             for runner in list(self.runners.values()):
                 if requests.due_ms(runner.request) <= now_ms:
-                    runner.post(requests.Tick())
+                    runner.post(request_events.Tick())
 
     def _stood_still(self, now_ms: int) -> bool:
         """Whether this node was paused past its lease, so that others took what it held."""
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -7,7 +7,7 @@
 import anyio
 from result import Err
 
-from saffronworks import claims, requests
+from saffronworks import claims, request_events
 from saffronworks.bundles import Model
 from saffronworks.claimants import ClaimService
 from saffronworks.completions import (
@@ -25,7 +25,8 @@
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.plain import PlainProxy
-from saffronworks.requests import Completed, NotRun, Outcome, Request, Unknown
+from saffronworks.request_events import Completed, NotRun, Outcome, Unknown
+from saffronworks.requests import Request
 from saffronworks.routes import choose_cell
 from saffronworks.runners import Job, RequestRunner
 from saffronworks.settings import Settings
@@ -144,7 +145,7 @@
             await reply_outcome(call, refused, request_id, request, "")
             return
         ended = await self._run_completion(call, request, request_id)
-        left = isinstance(ended.outcome, requests.Cancelled) and not ended.dispatched
+        left = isinstance(ended.outcome, request_events.Cancelled) and not ended.dispatched
         if claim is not None and (left or isinstance(ended.outcome, NotRun)):
             self._settle(call, claim, request_id)
 
@@ -178,7 +179,7 @@
         finally:
             entry.remove(runner)
             self._ends.record(runner.request, runner.job, self._kernel.now_ms())
-        if isinstance(outcome, requests.Cancelled):
+        if isinstance(outcome, request_events.Cancelled):
             return runner.request
         if isinstance(sink, StreamingSink) and (call.started or isinstance(outcome, Completed)):
             await sink.finish(outcome)
@@ -219,7 +220,7 @@
 
     async def _watch_caller(self, call: Call, runner: RequestRunner) -> None:
         await call.wait_gone()
-        runner.post(requests.CallerGone())
+        runner.post(request_events.CallerGone())
 
 
 def _asks_once(call: Call) -> bool:
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok
 
-from saffronworks import cells
+from saffronworks import cell_events, cells
 from saffronworks.bundles import Endpoint, Role, read_bundle
 from saffronworks.cancels import CancelDone, CancelOrder
 from saffronworks.cells import CellState
@@ -40,7 +40,7 @@
     """What an engine said, on its way to the core of its cell."""
 
     cell: str
-    event: cells.Event
+    event: cell_events.Event
 
 
 @attrs.frozen
@@ -98,7 +98,7 @@
                 self._note_cancel(kernel, message)
             case _TickAll():
                 for name in list(self.states):
-                    self._step(kernel, name, cells.Tick())
+                    self._step(kernel, name, cell_events.Tick())
             case InForce():
                 self._take_document(kernel, tasks, message)
             case MemberChanged():
@@ -106,9 +106,9 @@
 
     def _note_cancel(self, kernel: Kernel, done: CancelDone) -> None:
         if done.gone:
-            self._step(kernel, done.cell, cells.EndpointGone(done.endpoint))
+            self._step(kernel, done.cell, cell_events.EndpointGone(done.endpoint))
         else:
-            self._step(kernel, done.cell, cells.CancelAcknowledged(done.endpoint, done.key))
+            self._step(kernel, done.cell, cell_events.CancelAcknowledged(done.endpoint, done.key))
 
     def _take_document(self, kernel: Kernel, tasks: TaskGroup, change: InForce) -> None:
         key = change.document.key
@@ -116,7 +116,7 @@
             vms = read_vms(change.document.content)
             self._leaving = frozenset(vm.name for vm in vms if vm.endpoint and vm.leaving)
             for name in list(self.states):
-                self._step(kernel, name, cells.EndpointsLeaving(self._leaving))
+                self._step(kernel, name, cell_events.EndpointsLeaving(self._leaving))
         elif key.startswith(BUNDLE_PREFIX):
             found = {cell.name: cell for cell in read_cells(change)}
             prefix = key.removeprefix(BUNDLE_PREFIX) + "/"
@@ -125,7 +125,7 @@
                     del self.known[name]
             self.known.update(found)
             for name in found.keys() & self.states.keys():
-                self._step(kernel, name, cells.CellChanged(found[name]))
+                self._step(kernel, name, cell_events.CellChanged(found[name]))
             self._settle(kernel, tasks)
 
     def _settle(self, kernel: Kernel, tasks: TaskGroup) -> None:
@@ -146,7 +146,7 @@
             cell, kernel.node, self._settings.lease_ms, rebuild_ms, kernel.now_ms()
         )
         self.states[cell.name] = state
-        self._step(kernel, cell.name, cells.EndpointsLeaving(self._leaving))
+        self._step(kernel, cell.name, cell_events.EndpointsLeaving(self._leaving))
         scope = anyio.CancelScope()
         self._pollers[cell.name] = scope
         tasks.start_soon(self._poll, kernel, cell.name, scope)
@@ -157,19 +157,19 @@
         self._pollers.pop(name).cancel()
         logger.info("event=cell_laid_down node=%s cell=%s", kernel.node, name)
 
-    def _step(self, kernel: Kernel, name: str, event: cells.Event) -> None:
+    def _step(self, kernel: Kernel, name: str, event: cell_events.Event) -> None:
         state = self.states.get(name)
         if state is None:
             return
         for command in cells.step(state, event, kernel.now_ms()):
             match command:
-                case cells.Tell():
+                case cell_events.Tell():
                     self._tell(kernel, command.node, command.message)
-                case cells.CancelStream():
+                case cell_events.CancelStream():
                     self._cancel(kernel, state, command.endpoint, command.key)
-                case cells.TakeFence() if self._tasks is not None:
+                case cell_events.TakeFence() if self._tasks is not None:
                     self._tasks.start_soon(self._take_fence, kernel, name)
-                case cells.OrderRole() if self._tasks is not None:
+                case cell_events.OrderRole() if self._tasks is not None:
                     address = state.ledgers[command.endpoint].endpoint.address
                     self._tasks.start_soon(self._order_role, kernel, name, address, command)
 
@@ -191,14 +191,16 @@
     async def _take_fence(self, kernel: Kernel, name: str) -> None:
         taken = await self._fences.take(name)
         if isinstance(taken, Ok):
-            kernel.post(self.name, _EndpointEvent(name, cells.FenceTaken(taken.ok_value)))
+            kernel.post(self.name, _EndpointEvent(name, cell_events.FenceTaken(taken.ok_value)))
 
     async def _order_role(
-        self, kernel: Kernel, name: str, address: str, command: cells.OrderRole
+        self, kernel: Kernel, name: str, address: str, command: cell_events.OrderRole
     ) -> None:
         """Give an order; a call without a clear answer tells nothing, and is made again."""
         if command.recheck and not await self._fences.holds(name, command.fence):
-            kernel.post(self.name, _EndpointEvent(name, cells.RoleOrdered(command.endpoint, False)))
+            kernel.post(
+                self.name, _EndpointEvent(name, cell_events.RoleOrdered(command.endpoint, False))
+            )
             return
         order = Order(command.role.value, command.fence, command.sequence)
         reply = await self._engines.order(address, order)
@@ -213,7 +215,7 @@
             reply.is_ok(),
         )
         if reply.is_ok() or refused:
-            event = cells.RoleOrdered(command.endpoint, accepted=reply.is_ok())
+            event = cell_events.RoleOrdered(command.endpoint, accepted=reply.is_ok())
             kernel.post(self.name, _EndpointEvent(name, event))
 
     async def _poll(self, kernel: Kernel, name: str, scope: anyio.CancelScope) -> None:
@@ -235,7 +237,7 @@
     async def _ask_report(self, kernel: Kernel, name: str, endpoint: Endpoint) -> None:
         reply = await self._engines.report(endpoint.address)
         if isinstance(reply, Ok):
-            event = cells.Reported(endpoint.name, reply.ok_value)
+            event = cell_events.Reported(endpoint.name, reply.ok_value)
             kernel.post(self.name, _EndpointEvent(name, event))
 
     async def _ask_events(self, kernel: Kernel, name: str, ledger: EndpointLedger) -> None:
@@ -245,7 +247,7 @@
             return
         reply = await self._engines.cache_events(endpoint.address, ledger.events_position)
         if isinstance(reply, Ok):
-            event = cells.CacheReported(endpoint.name, reply.ok_value)
+            event = cell_events.CacheReported(endpoint.name, reply.ok_value)
             kernel.post(self.name, _EndpointEvent(name, event))
 
     async def _ask_streams(self, kernel: Kernel, name: str, endpoint: Endpoint) -> None:
@@ -254,4 +256,6 @@
             rows = tuple(
                 (RequestKey(row.request_id, row.attempt), row.holder) for row in reply.ok_value
             )
-            kernel.post(self.name, _EndpointEvent(name, cells.StreamsListed(endpoint.name, rows)))
+            kernel.post(
+                self.name, _EndpointEvent(name, cell_events.StreamsListed(endpoint.name, rows))
+            )
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -44,44 +44,7 @@
     Unknown,
 )
 
-__all__ = [
-    "AskOwner",
-    "AssignReceived",
-    "AssignWithdrawn",
-    "CallerGone",
-    "CancelAt",
-    "Cancelled",
-    "Command",
-    "Completed",
-    "DecodeBroken",
-    "DecodeEnded",
-    "DecodeRefused",
-    "DecodeStarted",
-    "Deliver",
-    "Event",
-    "Finish",
-    "GrantReceived",
-    "LeaseLost",
-    "NotRun",
-    "Outcome",
-    "OwnerChanged",
-    "Phase",
-    "PrefillEnded",
-    "PrefillFailed",
-    "RefusalReceived",
-    "ReleaseGrant",
-    "Request",
-    "ResumeDecode",
-    "StartDecode",
-    "StartPrefill",
-    "Started",
-    "TellPrefilled",
-    "Tick",
-    "TokensArrived",
-    "Unknown",
-    "due_ms",
-    "step",
-]
+__all__ = ["Request", "due_ms", "step"]
 
 RESUMES_PER_ATTEMPT = 2
 MOST_ATTEMPTS = 6
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -10,7 +10,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
-from saffronworks import requests
+from saffronworks import request_events, requests
 from saffronworks.bundles import Endpoint, Model
 from saffronworks.cancels import CancelOrder
 from saffronworks.engines import Decode, DecodeLine, EngineClient, EngineFailure, Prefill, Resume
@@ -18,7 +18,8 @@
 from saffronworks.ledgers import Stage
 from saffronworks.messages import Ask, HeldKey, Prefilled, Release, RequestKey
 from saffronworks.ownership import Cell
-from saffronworks.requests import Phase, Request
+from saffronworks.request_events import Phase
+from saffronworks.requests import Request
 
 __all__ = ["Job", "Owners", "RequestRunner", "Sink"]
 
@@ -75,9 +76,11 @@
         self._owners = owners
         self._engines = engines
         self._endpoints = {endpoint.name: endpoint for endpoint in job.cell.endpoints}
-        self._outbox, self._inbox = anyio.create_memory_object_stream[requests.Event](EVENTS_HELD)
+        self._outbox, self._inbox = anyio.create_memory_object_stream[request_events.Event](
+            EVENTS_HELD
+        )
 
-    def post(self, event: requests.Event) -> None:
+    def post(self, event: request_events.Event) -> None:
         """Hand in an event without waiting; a full mailbox drops it, as the network would."""
         try:
             self._outbox.send_nowait(event)
@@ -98,11 +101,11 @@
                 return None
         return HeldKey(request.key, endpoint, stage, self.job.organisation, request.delivered)
 
-    async def run(self, sink: Sink) -> requests.Outcome:
+    async def run(self, sink: Sink) -> request_events.Outcome:
         """Run to the outcome. On cancellation the engines are told, then it goes on up."""
         try:
             async with anyio.create_task_group() as tasks:
-                self.post(requests.Started())
+                self.post(request_events.Started())
                 async for event in self._inbox:
                     commands = requests.step(self.request, event, self._kernel.now_ms())
                     for command in commands:
@@ -117,32 +120,32 @@
 
     def _abandon(self) -> None:
         """Tell engines and owner when the task ends before the request does."""
-        commands = requests.step(self.request, requests.CallerGone(), self._kernel.now_ms())
+        commands = requests.step(self.request, request_events.CallerGone(), self._kernel.now_ms())
         for command in commands:
             self._perform_now(command)
 
-    async def _perform(self, command: requests.Command, tasks: TaskGroup, sink: Sink) -> None:
+    async def _perform(self, command: request_events.Command, tasks: TaskGroup, sink: Sink) -> None:
         match command:
-            case requests.Deliver():
+            case request_events.Deliver():
                 await sink.deliver(command.tokens)
-            case requests.StartPrefill():
+            case request_events.StartPrefill():
                 tasks.start_soon(self._prefill, command)
-            case requests.StartDecode():
+            case request_events.StartDecode():
                 tasks.start_soon(self._decode, command)
-            case requests.ResumeDecode():
+            case request_events.ResumeDecode():
                 tasks.start_soon(self._resume, command)
             case _:
                 self._perform_now(command)
 
-    def _perform_now(self, command: requests.Command) -> None:
+    def _perform_now(self, command: request_events.Command) -> None:
         match command:
-            case requests.AskOwner():
+            case request_events.AskOwner():
                 self._tell(self._ask(command))
-            case requests.TellPrefilled():
+            case request_events.TellPrefilled():
                 self._tell(self._prefilled(command))
-            case requests.ReleaseGrant():
+            case request_events.ReleaseGrant():
                 self._tell(self._release(command))
-            case requests.CancelAt():
+            case request_events.CancelAt():
                 key = RequestKey(self.request.request_id, command.attempt)
                 address = self._endpoints[command.endpoint].address
                 self._kernel.post("cancels", CancelOrder(command.endpoint, address, key))
@@ -150,7 +153,7 @@
     def _tell(self, message: Ask | Prefilled | Release) -> None:
         self._owners.tell_owner(self.job.cell.name, message)
 
-    def _ask(self, command: requests.AskOwner) -> Ask:
+    def _ask(self, command: request_events.AskOwner) -> Ask:
         request = self.request
         return Ask(
             key=RequestKey(request.request_id, command.attempt),
@@ -167,7 +170,7 @@
             avoid=request.failed_endpoints,
         )
 
-    def _prefilled(self, command: requests.TellPrefilled) -> Prefilled:
+    def _prefilled(self, command: request_events.TellPrefilled) -> Prefilled:
         request = self.request
         return Prefilled(
             key=RequestKey(request.request_id, command.attempt),
@@ -180,7 +183,7 @@
             failure=command.failure,
         )
 
-    def _release(self, command: requests.ReleaseGrant) -> Release:
+    def _release(self, command: request_events.ReleaseGrant) -> Release:
         request = self.request
         decode_ms = 0
         if request.first_token_ms is not None:
@@ -198,10 +201,10 @@
             failure=command.failure,
         )
 
-    async def _prefill(self, command: requests.StartPrefill) -> None:
+    async def _prefill(self, command: request_events.StartPrefill) -> None:
         endpoint = self._endpoints.get(command.endpoint)
         if endpoint is None:
-            event = requests.PrefillFailed(command.attempt, executed=False, failure="unknown")
+            event = request_events.PrefillFailed(command.attempt, executed=False, failure="unknown")
             await self._outbox.send(event)
             return
         call = Prefill(
@@ -217,17 +220,17 @@
         reply = await self._engines.prefill(endpoint.address, call, self.request.stall_ms)
         if isinstance(reply, Err):
             failure = reply.err_value
-            event = requests.PrefillFailed(command.attempt, failure.executed, failure.kind)
+            event = request_events.PrefillFailed(command.attempt, failure.executed, failure.kind)
             await self._outbox.send(event)
             return
         done = reply.ok_value
         await self._outbox.send(
-            requests.PrefillEnded(
+            request_events.PrefillEnded(
                 command.attempt, done.kv_id, done.prefill_ms, done.cached_tokens, done.expires_in_ms
             )
         )
 
-    async def _decode(self, command: requests.StartDecode) -> None:
+    async def _decode(self, command: request_events.StartDecode) -> None:
         call = Decode(
             request_id=self.request.request_id,
             attempt=command.attempt,
@@ -241,7 +244,7 @@
         )
         await self._follow(command.endpoint, call)
 
-    async def _resume(self, command: requests.ResumeDecode) -> None:
+    async def _resume(self, command: request_events.ResumeDecode) -> None:
         call = Resume(self.request.request_id, command.attempt, command.offset)
         await self._follow(command.endpoint, call)
 
@@ -250,7 +253,7 @@
         endpoint: Endpoint | None = self._endpoints.get(name)
         address = endpoint.address if endpoint else "127.0.0.1:0"
         opened_ok = isinstance(call, Resume)
-        last: requests.Event | None = None
+        last: request_events.Event | None = None
         failure = "ended early"
         try:
             async with self._engines.open_decode(address, call, STREAM_IDLE_MS) as opened:
@@ -268,24 +271,26 @@
         except _BROKEN as error:
             failure = type(error).__name__
         if last is None:
-            last = requests.DecodeBroken(call.attempt, engine_alive=opened_ok, failure=failure)
+            last = request_events.DecodeBroken(
+                call.attempt, engine_alive=opened_ok, failure=failure
+            )
         await self._outbox.send(last)
 
 
-def _read_line(attempt: int, line: DecodeLine) -> requests.Event:
+def _read_line(attempt: int, line: DecodeLine) -> request_events.Event:
     if line.done:
-        return requests.DecodeEnded(attempt, line.total)
+        return request_events.DecodeEnded(attempt, line.total)
     if line.cancelled:
-        return requests.DecodeBroken(attempt, engine_alive=False, failure="cancelled")
+        return request_events.DecodeBroken(attempt, engine_alive=False, failure="cancelled")
     if line.imported:
-        return requests.DecodeStarted(attempt, line.transfer_ms)
-    return requests.TokensArrived(attempt, line.offset, line.tokens)
+        return request_events.DecodeStarted(attempt, line.transfer_ms)
+    return request_events.TokensArrived(attempt, line.offset, line.tokens)
 
 
-def _refused(call: Decode | Resume, failure: EngineFailure) -> requests.Event:
+def _refused(call: Decode | Resume, failure: EngineFailure) -> request_events.Event:
     if isinstance(call, Resume):
-        return requests.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
+        return request_events.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
     kv_lost = failure.status in (409, 410)
     if failure.executed:
-        return requests.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
-    return requests.DecodeRefused(call.attempt, kv_lost, failure.kind)
+        return request_events.DecodeBroken(call.attempt, engine_alive=False, failure=failure.kind)
+    return request_events.DecodeRefused(call.attempt, kv_lost, failure.kind)
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks import cells
+from saffronworks import cell_events, cells
 from saffronworks.breakers import BUDGET_FLOOR
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.leases import ORPHAN_GRACE_MS, hash_key
@@ -58,12 +58,14 @@
 
 def told(commands, kind):
     return [
-        c.message for c in commands if isinstance(c, cells.Tell) and isinstance(c.message, kind)
+        c.message
+        for c in commands
+        if isinstance(c, cell_events.Tell) and isinstance(c.message, kind)
     ]
 
 
 def cancels(commands):
-    return [(c.endpoint, c.key) for c in commands if isinstance(c, cells.CancelStream)]
+    return [(c.endpoint, c.key) for c in commands if isinstance(c, cell_events.CancelStream)]
 
 
 @given("a cell with a request that was granted")
@@ -84,7 +86,7 @@
 def first_heartbeat(context):
     renewal = LeaseRenewal("n", "b/p/0", 123_456, 1, hash_key(context.key))
     context.commands = cells.step(context.state, renewal, 20)
-    context.commands += cells.step(context.state, cells.Tick(), 30)
+    context.commands += cells.step(context.state, cell_events.Tick(), 30)
 
 
 @then("no stream is cancelled")
@@ -95,7 +97,7 @@
 @when("its node is silent past the lease")
 def silent(context):
     context.at_ms = LEASE_MS + 100
-    context.commands = cells.step(context.state, cells.Tick(), context.at_ms)
+    context.commands = cells.step(context.state, cell_events.Tick(), context.at_ms)
 
 
 @when("its node heartbeats with a new incarnation")
@@ -104,25 +106,25 @@
     for incarnation in (1, 2):
         renewal = LeaseRenewal("n", "b/p/0", incarnation, 1, hash_key(context.key))
         cells.step(context.state, renewal, context.at_ms)
-    context.commands = cells.step(context.state, cells.Tick(), context.at_ms)
+    context.commands = cells.step(context.state, cell_events.Tick(), context.at_ms)
 
 
 @then("its decode stream is cancelled again and again until acknowledged")
 def cancelled_again(context):
     assert ("d1", context.key) in cancels(context.commands)
-    again = cells.step(context.state, cells.Tick(), context.at_ms + 1000)
+    again = cells.step(context.state, cell_events.Tick(), context.at_ms + 1000)
     assert ("d1", context.key) in cancels(again)
     for endpoint in ("d1", "p1"):
-        event = cells.CancelAcknowledged(endpoint, context.key)
+        event = cell_events.CancelAcknowledged(endpoint, context.key)
         cells.step(context.state, event, context.at_ms + 1100)
-    assert not cancels(cells.step(context.state, cells.Tick(), context.at_ms + 5000))
+    assert not cancels(cells.step(context.state, cell_events.Tick(), context.at_ms + 5000))
 
 
 @then("its slot is not free before the engine acknowledges")
 def not_free(context):
     ledger = context.state.ledgers["d1"]
     assert ledger.free_slots(context.at_ms) == 1
-    cells.step(context.state, cells.CancelAcknowledged("d1", context.key), context.at_ms)
+    cells.step(context.state, cell_events.CancelAcknowledged("d1", context.key), context.at_ms)
     assert ledger.free_slots(context.at_ms) == 2
 
 
@@ -161,7 +163,7 @@
     held = tuple(HeldKey(RequestKey(f"h{i}", 1), "d1", "decode", "o", 3) for i in range(2))
     context.commands = cells.step(context.state, make_ask(), 100)
     context.commands += cells.step(context.state, HeldList("n", "b/p/0", held), 200)
-    context.commands += cells.step(context.state, cells.Tick(), 700)
+    context.commands += cells.step(context.state, cell_events.Tick(), 700)
 
 
 @then("no prefill is granted for a slot that is taken")
@@ -184,8 +186,8 @@
     for now_ms in range(0, ORPHAN_GRACE_MS + 2000, 500):
         renewal = LeaseRenewal("n", "b/p/0", 1, 1, hash_key(RequestKey("claimed", 1)))
         cells.step(context.state, renewal, now_ms)
-        context.commands += cells.step(context.state, cells.StreamsListed("d1", rows), now_ms)
-        context.commands += cells.step(context.state, cells.Tick(), now_ms)
+        context.commands += cells.step(context.state, cell_events.StreamsListed("d1", rows), now_ms)
+        context.commands += cells.step(context.state, cell_events.Tick(), now_ms)
 
 
 @then("only the orphan is cancelled")
@@ -206,7 +208,7 @@
 
     def feed(self, event, lose=False):
         for command in cells.step(self.state, event, self.now_ms):
-            if lose or not isinstance(command, cells.Tell):
+            if lose or not isinstance(command, cell_events.Tell):
                 continue
             self.hear(command.message)
 
@@ -235,7 +237,7 @@
             for ask in list(self.waiting.values()):
                 if ask.key not in self.granted:
                     self.feed(ask)
-            self.feed(cells.Tick(), lose)
+            self.feed(cell_events.Tick(), lose)
             self.renew()
 
     def renew(self):
@@ -375,7 +377,7 @@
 @given("a cell with two decode endpoints of which one is leaving")
 def one_leaving(context):
     context.state = wide_state()
-    cells.step(context.state, cells.EndpointsLeaving(frozenset({"d1"})), 0)
+    cells.step(context.state, cell_events.EndpointsLeaving(frozenset({"d1"})), 0)
 
 
 @when("more requests come than the other has slots")
@@ -443,7 +445,7 @@
 def asks_again(context):
     with mock.patch.object(WaitQueue, "select", autospec=True) as select:
         for now_ms in range(100, 300, 20):
-            cells.step(context.state, cells.Tick(), now_ms)
+            cells.step(context.state, cell_events.Tick(), now_ms)
             for ask in context.asks:
                 cells.step(context.state, ask, now_ms)
     context.searches = select.call_count
--- a/saffronworks/tests/features/steps/circuits_steps.py
+++ b/saffronworks/tests/features/steps/circuits_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from cells_steps import LEASE_MS, MODEL, make_state
 
-from saffronworks import cells
+from saffronworks import cell_events, cells
 from saffronworks.breakers import FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
 from saffronworks.bundles import Endpoint, Pool, Role
 from saffronworks.ledgers import EndpointLedger, LoadReport
@@ -43,14 +43,14 @@
 def cell_refused(context):
     context.state = make_state(slots=10)
     context.ledger = context.state.ledgers["d1"]
-    cells.step(context.state, cells.EndpointGone("d1"), 0)
-    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS - 1)
+    cells.step(context.state, cell_events.EndpointGone("d1"), 0)
+    cells.step(context.state, cell_events.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS - 1)
     assert context.ledger.free_slots(FIRST_OPEN_MS - 1) == 0
 
 
 @when("it answers a load report after its circuit's time")
 def answers_report(context):
-    cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS)
+    cells.step(context.state, cell_events.Reported("d1", LoadReport(0, 100)), FIRST_OPEN_MS)
 
 
 @then("it takes work again by slow start")
@@ -62,9 +62,9 @@
 
 @then("when it refuses again in its slow start it stays away twice as long")
 def flapping(context):
-    cells.step(context.state, cells.EndpointGone("d1"), FIRST_OPEN_MS)
+    cells.step(context.state, cell_events.EndpointGone("d1"), FIRST_OPEN_MS)
     for at_ms, free in ((2 * FIRST_OPEN_MS, 0), (3 * FIRST_OPEN_MS, 1)):
-        cells.step(context.state, cells.Reported("d1", LoadReport(0, 100)), at_ms)
+        cells.step(context.state, cell_events.Reported("d1", LoadReport(0, 100)), at_ms)
         assert context.ledger.free_slots(at_ms) == free, at_ms
 
 
@@ -95,5 +95,5 @@
 @then("when their connections are refused none does")
 def none_open(context):
     for name in context.names:
-        cells.step(context.state, cells.EndpointGone(name), 20)
+        cells.step(context.state, cell_events.EndpointGone(name), 20)
     assert not any(context.state.ledgers[name].open(20) for name in context.names)
--- a/saffronworks/tests/features/steps/roles_steps.py
+++ b/saffronworks/tests/features/steps/roles_steps.py
@@ -5,7 +5,7 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks import cells
+from saffronworks import cell_events, cells
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.callers import LoadPlan, run_load
 from saffronworks.engines import EngineClient, Order
@@ -61,12 +61,12 @@
     until_ms = context.now_ms + for_ms
     while context.now_ms < until_ms:
         context.now_ms += LOOK_MS
-        for command in cells.step(state, cells.Tick(), context.now_ms):
+        for command in cells.step(state, cell_events.Tick(), context.now_ms):
             match command:
-                case cells.TakeFence() if fence is not None:
+                case cell_events.TakeFence() if fence is not None:
                     context.fences += 1
-                    cells.step(state, cells.FenceTaken(fence), context.now_ms)
-                case cells.OrderRole():
+                    cells.step(state, cell_events.FenceTaken(fence), context.now_ms)
+                case cell_events.OrderRole():
                     context.orders.append((context.now_ms, command))
 
 
@@ -115,7 +115,7 @@
 def accepts(context):
     ledger = context.state.ledgers["p1"]
     assert ledger.role is Role.PREFILL
-    cells.step(context.state, cells.RoleOrdered("p1", True), context.now_ms)
+    cells.step(context.state, cell_events.RoleOrdered("p1", True), context.now_ms)
     assert ledger.role is Role.DECODE
     assert ledger.free_slots(context.now_ms) == 2
 
@@ -143,7 +143,7 @@
 
 @when("the endpoint refuses since it knows a higher fence")
 def refuses(context):
-    cells.step(context.state, cells.RoleOrdered("p1", False), context.now_ms)
+    cells.step(context.state, cell_events.RoleOrdered("p1", False), context.now_ms)
 
 
 @then("the endpoint keeps its role and takes work again")
@@ -176,7 +176,7 @@
 @then("a report that shows the new role ends the change")
 def report_ends(context):
     report = LoadReport(0, 100, "decode")
-    cells.step(context.state, cells.Reported("p1", report), context.now_ms)
+    cells.step(context.state, cell_events.Reported("p1", report), context.now_ms)
     assert context.state.ledgers["p1"].role is Role.DECODE
     assert context.state.roles.change is None
 
@@ -239,12 +239,12 @@
             for _, ledger in ledgers:
                 (ledger.decodes if action == "free" else ledger.prefills).clear()
         case "accept" | "refuse" if change is not None and change.ordered_ms is not None:
-            answer = cells.RoleOrdered(change.endpoint, action == "accept")
+            answer = cell_events.RoleOrdered(change.endpoint, action == "accept")
             cells.step(state, answer, now_ms)
         case "report":
             for name, ledger in list(ledgers):
                 report = LoadReport(0, 100, ledger.role.value)
-                cells.step(state, cells.Reported(name, report), now_ms)
+                cells.step(state, cell_events.Reported(name, report), now_ms)
 
 
 @when("two fences are taken for one cell and the earlier holder orders after the later one")
--- a/tools/baselines.py
+++ b/tools/baselines.py
@@ -3,7 +3,7 @@
 import random
 from typing import Any
 
-from saffronworks import requests
+from saffronworks import request_events
 from tools.fake_engines import Clock, FakeEngine, FaultPlan
 
 __all__ = ["POLICIES", "Baseline"]
@@ -80,31 +80,31 @@
         slots = sum(engine.profile.slots for engine in decoders)
         return self._live.get(node, 0) >= max(1, round(SHARE_SLACK * slots / NODES))
 
-    def ask(self, driver: Any, command: requests.AskOwner) -> None:
+    def ask(self, driver: Any, command: request_events.AskOwner) -> None:
         """Choose a prefill endpoint at once; beyond a static share, refuse."""
         if self.policy == "static-share":
             if self._over_share(driver.node):
-                refusal = requests.RefusalReceived(command.attempt, "share", RETRY_AFTER_MS)
+                refusal = request_events.RefusalReceived(command.attempt, "share", RETRY_AFTER_MS)
                 self._clock.after(MESSAGE_MS, lambda: driver.feed(refusal))
                 return
             self._live[driver.node] = self._live.get(driver.node, 0) + 1
             self._counted.add(driver.request.request_id)
         name = self._choose(driver.node, "p")
         self._take(driver, name)
-        event = requests.GrantReceived(command.attempt, name)
+        event = request_events.GrantReceived(command.attempt, name)
         self._clock.after(MESSAGE_MS, lambda: driver.feed(event))
 
-    def prefilled(self, driver: Any, command: requests.TellPrefilled) -> None:
+    def prefilled(self, driver: Any, command: request_events.TellPrefilled) -> None:
         """Choose a decode endpoint; after a refusal, a little later."""
         if command.failure == "connect":
             self._down[command.refused_by] = self._clock.now_ms + 2000
         delay_ms = FULL_AGAIN_MS if command.refused_by else MESSAGE_MS
         name = self._choose(driver.node, "d")
         self._take(driver, name)
-        event = requests.AssignReceived(command.attempt, name, STALL_MS)
+        event = request_events.AssignReceived(command.attempt, name, STALL_MS)
         self._clock.after(delay_ms, lambda: driver.feed(event))
 
-    def release(self, driver: Any, command: requests.ReleaseGrant) -> None:
+    def release(self, driver: Any, command: request_events.ReleaseGrant) -> None:
         """Forget what the attempt held."""
         if driver.request.request_id in self._counted:
             self._counted.discard(driver.request.request_id)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -15,6 +15,7 @@
 from tools.claim_bench import print_claims
 from tools.decision_bench import print_decisions
 from tools.fleet_bench import print_fleet
+from tools.idle_bench import print_idle
 from tools.policy_bench import Outcome, Trial, run_trial
 from tools.recovery_bench import print_recovery
 from tools.roles_bench import print_roles
@@ -39,7 +40,7 @@
     Args:
         seeds: how many seeded traces for each row.
         seconds: virtual length of a trace.
-        part: policy, roles, decisions, fleet, claims, recovery or all.
+        part: policy, roles, decisions, fleet, claims, idle, recovery or all.
     """
     logging.disable(logging.CRITICAL)
     parts: dict[str, Callable[[], None]] = {
@@ -48,6 +49,7 @@
         "decisions": print_decisions,
         "fleet": print_fleet,
         "claims": print_claims,
+        "idle": print_idle,
         "recovery": print_recovery,
     }
     if part != "all" and part not in parts:
--- a/tools/capacity_cores.py
+++ b/tools/capacity_cores.py
@@ -8,6 +8,7 @@
 from saffronworks import wire
 from saffronworks.bundles import Endpoint, Role
 from saffronworks.burn import BurnRecorder
+from saffronworks.claims import claim_key
 from saffronworks.documents import Document, DocumentStore, Fetched
 from saffronworks.documents import step as step_documents
 from saffronworks.ledgers import EndpointLedger, Held, Stage
@@ -15,6 +16,8 @@
 from saffronworks.messages import (
     Ask,
     Assign,
+    ClaimAsk,
+    ClaimReply,
     Grant,
     HeldKey,
     HeldList,
@@ -30,7 +33,7 @@
 from tools.decision_bench import measure_decisions
 from tools.fleet_bench import Fleet, measure_fleet
 
-__all__ = ["MEASURES"]
+__all__ = ["MEASURES", "measure_idle_fleet"]
 
 KEY = RequestKey("entry-0001-0123456789abcdef", 1)
 CELL = "bundle-0001/pool-01/17"
@@ -58,10 +61,19 @@
         "request_message_bytes": sum(sizes.values()),
         "request_messages": float(len(sizes)),
         "lease_bytes_per_cell_heartbeat": float(renewal),
+        "claim_message_bytes": float(_claim_bytes(node)),
         "held_list_bytes_per_request": (listed[1] - listed[0]) / 100,
     }
 
 
+def _claim_bytes(node: str) -> int:
+    """Bytes of the two messages of one claim."""
+    key = claim_key("org-12345", "bill-000017")
+    ask = ClaimAsk(key, KEY.request_id, node)
+    reply = ClaimReply(key, KEY.request_id, recorded=True)
+    return len(wire.encode(ask)) + len(wire.encode(reply))
+
+
 def measure_codec() -> dict[str, float]:
     """Microseconds to encode and decode one Ask."""
     ask = Ask(KEY, "entry-0001", CELL, "model-07", "org-12345", 3000, "0" * 16, 400, 1, 5)
--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -19,7 +19,7 @@
 from saffronworks.sites import REGION, ZONES, Site, SiteShape, free_address
 from saffronworks.standin_models import EngineProfile
 
-__all__ = ["MEASURES"]
+__all__ = ["MEASURES", "measure_idle", "measure_idle_endpoints"]
 
 IDLE_S = 8.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -120,25 +120,33 @@
     return anyio.run(run)
 
 
+async def _watch_idle(rig: Rig) -> tuple[float, float, float]:
+    """Processor share in percent and memory in MB of a daemon, and store calls a second of all."""
+    count = len(rig.daemons)
+    store = rig.site.store
+    calls = store.reads + store.watches
+    before = [daemon.cpu_s() for daemon in rig.daemons]
+    began_s = time.monotonic()
+    await anyio.sleep(IDLE_S)
+    passed_s = time.monotonic() - began_s
+    used = sum(daemon.cpu_s() for daemon in rig.daemons) - sum(before)
+    memory = sorted(daemon.memory_bytes() for daemon in rig.daemons)
+    cpu_percent = 100 * used / count / passed_s
+    store_calls = (store.reads + store.watches - calls) / passed_s
+    return cpu_percent, memory[count // 2] / 1e6, store_calls
+
+
 def measure_idle() -> dict[str, float]:
     """Idle processor share, memory and store calls of daemons, at 1, 3 and 7 nodes."""
     found: dict[str, float] = {}
 
     async def play(rig: Rig) -> dict[str, float]:
         count = len(rig.daemons)
-        store = rig.site.store
-        calls = store.reads + store.watches
-        before = [daemon.cpu_s() for daemon in rig.daemons]
-        began_s = time.monotonic()
-        await anyio.sleep(IDLE_S)
-        passed_s = time.monotonic() - began_s
-        used = sum(daemon.cpu_s() for daemon in rig.daemons) - sum(before)
-        memory = sorted(daemon.memory_bytes() for daemon in rig.daemons)
+        cpu_percent, memory_mb, store_calls = await _watch_idle(rig)
         return {
-            f"idle_cpu_percent_at_{count}_nodes": 100 * used / count / passed_s,
-            f"idle_memory_mb_at_{count}_nodes": memory[count // 2] / 1e6,
-            f"idle_store_calls_per_s_at_{count}_nodes": (store.reads + store.watches - calls)
-            / passed_s,
+            f"idle_cpu_percent_at_{count}_nodes": cpu_percent,
+            f"idle_memory_mb_at_{count}_nodes": memory_mb,
+            f"idle_store_calls_per_s_at_{count}_nodes": store_calls,
         }
 
     for count in (1, 3, 7):
@@ -146,6 +154,24 @@
     return found
 
 
+def measure_idle_endpoints() -> dict[str, float]:
+    """Idle processor share and memory of one daemon that owns 5 and 15 endpoints."""
+    found: dict[str, float] = {}
+    for prefills, decodes in ((2, 3), (6, 9)):
+        count = prefills + decodes
+
+        async def play(rig: Rig, count: int = count) -> dict[str, float]:
+            cpu_percent, memory_mb, _ = await _watch_idle(rig)
+            return {
+                f"idle_cpu_percent_at_{count}_endpoints": cpu_percent,
+                f"idle_memory_mb_at_{count}_endpoints": memory_mb,
+            }
+
+        shape = SiteShape(nodes=0, prefills=prefills, decodes=decodes)
+        found.update(_with_rig(shape, 1, play))
+    return found
+
+
 def _relay_shape(tokens_per_line: int) -> SiteShape:
     profile = EngineProfile(
         slots=64,
--- a/tools/fleet_bench.py
+++ b/tools/fleet_bench.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from saffronworks import cells, documents, membership, wire
+from saffronworks import cell_events, cells, documents, membership, wire
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.documents import Document, DocumentStore, Fetched, InForce, PeerDigest, SendTo
 from saffronworks.membership import (
@@ -185,8 +185,8 @@
     ask = Ask(RequestKey("r", 1), "n", key, "m", "o", 100, "x", 10, 1, 0)
     for now_ms in range(took_ms, took_ms + 10 * REBUILD_MS, TICK_MS):
         asked = (now_ms - took_ms) % ASK_AGAIN_MS == 0
-        for command in cells.step(state, ask if asked else cells.Tick(), now_ms):
-            if isinstance(command, cells.Tell) and isinstance(command.message, Grant):
+        for command in cells.step(state, ask if asked else cell_events.Tick(), now_ms):
+            if isinstance(command, cell_events.Tell) and isinstance(command.message, Grant):
                 return now_ms - killed_ms
     return -1.0
 
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from saffronworks import cells, requests
+from saffronworks import cell_events, cells, request_events, requests
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.leases import hash_key
 from saffronworks.ledgers import LoadReport
@@ -23,7 +23,8 @@
 )
 from saffronworks.ownership import Cell
 from saffronworks.policies import Policy
-from saffronworks.requests import Completed, Phase, Request
+from saffronworks.request_events import Completed, Phase
+from saffronworks.requests import Request
 from tools.baselines import Baseline
 from tools.fake_engines import Clock, FakeEngine, FaultPlan, Stream
 from tools.ideal_site import NEVER, Absence, Offer, count_in_time
@@ -182,7 +183,7 @@
 
     def _count(self, arrivals: int) -> Outcome:
         counted = [r for r in self.finished if r.arrived_ms >= WARM_UP_MS]
-        wanted = [r for r in counted if not isinstance(r.outcome, requests.Cancelled)]
+        wanted = [r for r in counted if not isinstance(r.outcome, request_events.Cancelled)]
         total = max(1, len(wanted))
         done = [r for r in wanted if isinstance(r.outcome, Completed)]
         good = [r for r in done if self._in_targets(r)]
@@ -192,8 +193,8 @@
             goodput=len(good) / total,
             wasted=max(0.0, 1 - self.used_ms / work_ms) if work_ms else 0.0,
             completed=len(done) / total,
-            not_run=sum(isinstance(r.outcome, requests.NotRun) for r in wanted) / total,
-            unknown=sum(isinstance(r.outcome, requests.Unknown) for r in wanted) / total,
+            not_run=sum(isinstance(r.outcome, request_events.NotRun) for r in wanted) / total,
+            unknown=sum(isinstance(r.outcome, request_events.Unknown) for r in wanted) / total,
             bound=self._bound(),
             ttft_p95_ms=ttfts[int(len(ttfts) * 0.95)] if ttfts else 0.0,
             role_changes=self.role_changes,
@@ -246,65 +247,65 @@
     def start(self) -> None:
         """The caller's request arrives."""
         self.bench.live[self.request.request_id] = self
-        self.feed(requests.Started())
+        self.feed(request_events.Started())
         self.bench.clock.after(REQUEST_TICK_MS, self._tick)
 
     def cancel(self) -> None:
         """The caller hangs up."""
-        self.feed(requests.CallerGone())
+        self.feed(request_events.CallerGone())
 
     def _tick(self) -> None:
         if self.request.phase is not Phase.FINISHED:
-            self.feed(requests.Tick())
+            self.feed(request_events.Tick())
             self.bench.clock.after(REQUEST_TICK_MS, self._tick)
 
-    def feed(self, event: requests.Event) -> None:
+    def feed(self, event: request_events.Event) -> None:
         """Apply an event and perform what it commands."""
         now_ms = int(self.bench.clock.now_ms)
         for command in requests.step(self.request, event, now_ms):
             self._perform(command)
 
-    def _perform(self, command: requests.Command) -> None:
+    def _perform(self, command: request_events.Command) -> None:
         bench = self.bench
         match command:
-            case requests.AskOwner():
+            case request_events.AskOwner():
                 bench.dispatcher.ask(self, command)
-            case requests.TellPrefilled():
+            case request_events.TellPrefilled():
                 bench.dispatcher.prefilled(self, command)
-            case requests.ReleaseGrant():
+            case request_events.ReleaseGrant():
                 bench.dispatcher.release(self, command)
-            case requests.StartPrefill():
+            case request_events.StartPrefill():
                 self._prefill(command)
-            case requests.StartDecode():
+            case request_events.StartDecode():
                 self._decode(command)
-            case requests.ResumeDecode():
-                broken = requests.DecodeBroken(command.attempt, False, "gone")
+            case request_events.ResumeDecode():
+                broken = request_events.DecodeBroken(command.attempt, False, "gone")
                 bench.clock.after(MESSAGE_MS, lambda: self.feed(broken))
-            case requests.CancelAt():
+            case request_events.CancelAt():
                 key = RequestKey(self.request.request_id, command.attempt)
                 bench.clock.after(MESSAGE_MS, lambda: bench.engines[command.endpoint].end(key))
-            case requests.Finish():
+            case request_events.Finish():
                 bench.finished.append(self.request)
                 bench.live.pop(self.request.request_id, None)
 
-    def _prefill(self, command: requests.StartPrefill) -> None:
+    def _prefill(self, command: request_events.StartPrefill) -> None:
         engine = self.bench.engines[command.endpoint]
         attempt = command.attempt
         tokens = self.request.prompt_tokens + command.delivered
 
         def done(ok: bool, work_ms: float, cached: int) -> None:
             if not ok:
-                self.feed(requests.PrefillFailed(attempt, False, "connect"))
+                self.feed(request_events.PrefillFailed(attempt, False, "connect"))
                 return
             self.work_ms = work_ms
             kept_ms = self.bench.shape.profile.kv_kept_ms
             kv_id = f"{self.request.request_id}.{attempt}"
-            self.feed(requests.PrefillEnded(attempt, kv_id, round(work_ms), cached, kept_ms))
+            self.feed(request_events.PrefillEnded(attempt, kv_id, round(work_ms), cached, kept_ms))
 
         kv_id = f"{self.request.request_id}.{attempt}"
         engine.prefill(kv_id, "prefix", self.bench.shape.prefix_tokens, tokens, done)
 
-    def _decode(self, command: requests.StartDecode) -> None:
+    def _decode(self, command: request_events.StartDecode) -> None:
         attempt = command.attempt
         engines = self.bench.engines
         began_ms = self.bench.clock.now_ms
@@ -316,22 +317,22 @@
                 started = True
                 self.bench.used_ms += self.work_ms
                 transfer_ms = round(self.bench.clock.now_ms - began_ms)
-                self.feed(requests.DecodeStarted(attempt, transfer_ms))
-            self.feed(requests.TokensArrived(attempt, offset, ("t",) * count))
+                self.feed(request_events.DecodeStarted(attempt, transfer_ms))
+            self.feed(request_events.TokensArrived(attempt, offset, ("t",) * count))
 
         stream = Stream(
             RequestKey(self.request.request_id, attempt),
             self.answer_tokens,
             command.offset,
             on_tokens,
-            lambda: self.feed(requests.DecodeEnded(attempt, self.answer_tokens)),
-            lambda: self.feed(requests.DecodeBroken(attempt, False, "connect")),
+            lambda: self.feed(request_events.DecodeEnded(attempt, self.answer_tokens)),
+            lambda: self.feed(request_events.DecodeBroken(attempt, False, "connect")),
         )
         tokens = self.request.prompt_tokens + command.offset
         source = engines[command.source]
         refused = engines[command.endpoint].decode(source, command.kv_id, tokens, stream)
         if refused:
-            event = requests.DecodeRefused(attempt, refused == "kv lost", refused)
+            event = request_events.DecodeRefused(attempt, refused == "kv lost", refused)
             self.bench.clock.after(MESSAGE_MS, lambda: self.feed(event))
 
 
@@ -344,7 +345,7 @@
 
     def start(self, until_ms: float) -> None:
         """Begin ticks, heartbeats and load reports."""
-        self._every(TICK_MS, lambda: self._step(cells.Tick()))
+        self._every(TICK_MS, lambda: self._step(cell_events.Tick()))
         self._every(HEARTBEAT_MS, self._renew)
         self._every(REPORT_MS, self._report)
 
@@ -369,39 +370,39 @@
             if engine.alive and not lost:
                 running, _ = engine.report()
                 report = LoadReport(running, self.bench.faults.report_lag_ms)
-                self._step(cells.Reported(engine.name, report))
+                self._step(cell_events.Reported(engine.name, report))
 
-    def _send(self, message: cells.Event) -> None:
+    def _send(self, message: cell_events.Event) -> None:
         self.bench.clock.after(MESSAGE_MS, lambda: self._step(message))
 
-    def _step(self, event: cells.Event) -> None:
+    def _step(self, event: cell_events.Event) -> None:
         for command in cells.step(self.state, event, int(self.bench.clock.now_ms)):
             match command:
-                case cells.Tell():
+                case cell_events.Tell():
                     self._tell(command.message)
-                case cells.CancelStream():
+                case cell_events.CancelStream():
                     self.bench.engines[command.endpoint].end(command.key)
-                    self._send(cells.CancelAcknowledged(command.endpoint, command.key))
-                case cells.TakeFence():
-                    self._send(cells.FenceTaken(1))
-                case cells.OrderRole():
+                    self._send(cell_events.CancelAcknowledged(command.endpoint, command.key))
+                case cell_events.TakeFence():
+                    self._send(cell_events.FenceTaken(1))
+                case cell_events.OrderRole():
                     self.bench.role_changes += 1
-                    done = cells.RoleOrdered(command.endpoint, accepted=True)
+                    done = cell_events.RoleOrdered(command.endpoint, accepted=True)
                     self.bench.clock.after(SWITCH_MS, functools.partial(self._step, done))
 
     def _tell(self, message: object) -> None:
-        event: requests.Event
+        event: request_events.Event
         match message:
             case Grant():
-                event = requests.GrantReceived(message.key.attempt, message.endpoint)
+                event = request_events.GrantReceived(message.key.attempt, message.endpoint)
             case Assign():
-                event = requests.AssignReceived(
+                event = request_events.AssignReceived(
                     message.key.attempt, message.endpoint, message.limit_ms
                 )
             case AssignRefused():
-                event = requests.AssignWithdrawn(message.key.attempt)
+                event = request_events.AssignWithdrawn(message.key.attempt)
             case Refusal():
-                event = requests.RefusalReceived(
+                event = request_events.RefusalReceived(
                     message.key.attempt, message.reason, message.retry_after_ms
                 )
             case _:
@@ -410,7 +411,7 @@
         if driver is not None:
             self.bench.clock.after(MESSAGE_MS, lambda: driver.feed(event))
 
-    def ask(self, driver: Driver, command: requests.AskOwner) -> None:
+    def ask(self, driver: Driver, command: request_events.AskOwner) -> None:
         """Send an Ask."""
         request = driver.request
         now_ms = int(self.bench.clock.now_ms)
@@ -430,7 +431,7 @@
         )
         self._send(ask)
 
-    def prefilled(self, driver: Driver, command: requests.TellPrefilled) -> None:
+    def prefilled(self, driver: Driver, command: request_events.TellPrefilled) -> None:
         """Send a Prefilled."""
         request = driver.request
         expires_in_ms = max(0, request.kv_expires_ms - int(self.bench.clock.now_ms))
@@ -446,7 +447,7 @@
         )
         self._send(message)
 
-    def release(self, driver: Driver, command: requests.ReleaseGrant) -> None:
+    def release(self, driver: Driver, command: request_events.ReleaseGrant) -> None:
         """Send a Release."""
         request = driver.request
         span_ms = 0
