--- a/saffronworks/claimants.py
+++ b/saffronworks/claimants.py
@@ -49,6 +49,7 @@
         self._replies: dict[tuple[str, str], anyio.Event] = {}
         self._results: dict[tuple[str, str], claims.Result] = {}
         self._kernel: Kernel | None = None
+        self._work = anyio.Event()
 
     async def claim(self, key: str, request_id: str) -> claims.Result:
         """Ask the key's home until it answers; past the limit nothing may be dispatched."""
@@ -135,6 +136,7 @@
 
     def _step(self, kernel: Kernel, tasks: TaskGroup, name: str, event: claims.Event) -> None:
         state = self._shards.setdefault(name, ClaimShard())
+        self._work.set()
         for command in claims.step(state, event, _wall_ms()):
             match command:
                 case claims.Read():
@@ -146,6 +148,9 @@
 
     async def _tick(self, kernel: Kernel, tasks: TaskGroup) -> None:
         while True:
+            if all(state.idle for state in self._shards.values()):
+                self._work = anyio.Event()
+                await self._work.wait()
             await anyio.sleep(TICK_S)
             for name in [name for name, state in self._shards.items() if not state.idle]:
                 self._step(kernel, tasks, name, claims.Tick())
