One way to send to a member; an eviction that never ran and two process pools are gone

'Find the address, post to peers, or keep it here' stood in five services, once more with the claims; MemberService.send serves them all. The claim service evicted shards beyond 64, of which there are only 64. The owner's task group was optional, and an order would have been dropped without a word had it been missing. bench and roles_bench each had a process pool.

--- a/saffronworks/claimants.py
+++ b/saffronworks/claimants.py
@@ -13,7 +13,6 @@
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import MemberService
 from saffronworks.messages import ClaimAsk, ClaimReply, ClaimSettle
-from saffronworks.peers import Outgoing
 from saffronworks.stores import StoreClient
 
 __all__ = ["ClaimService"]
@@ -23,7 +22,6 @@
 ASK_AGAIN_S = 0.4
 LIMIT_S = 4.0
 TICK_S = 0.05
-SHARDS_KEPT = 64
 
 
 @attrs.frozen
@@ -99,15 +97,7 @@
         assert self._kernel is not None
         members: MemberService = self._kernel.find("members")
         home = members.owner_of(claims.shard_of(key))
-        self._send_to(self._kernel, home or self._kernel.node, message)
-
-    def _send_to(self, kernel: Kernel, node: str, message: object) -> None:
-        members: MemberService = kernel.find("members")
-        address = members.address_of(node)
-        if node == kernel.node:
-            kernel.post(self.name, message)
-        elif address is not None:
-            kernel.post("peers", Outgoing(address, message))
+        members.send(self._kernel, home or self._kernel.node, message)
 
     def _take(self, kernel: Kernel, tasks: TaskGroup, message: object) -> None:
         match message:
@@ -135,6 +125,7 @@
         self._replies[pair].set()
 
     def _step(self, kernel: Kernel, tasks: TaskGroup, name: str, event: claims.Event) -> None:
+        members: MemberService = kernel.find("members")
         state = self._shards.setdefault(name, ClaimShard())
         self._work.set()
         for command in claims.step(state, event, _wall_ms()):
@@ -144,7 +135,7 @@
                 case claims.Write():
                     tasks.start_soon(self._write, kernel, name, command)
                 case claims.Answer():
-                    self._send_to(kernel, command.node, _make_reply(command))
+                    members.send(kernel, command.node, _make_reply(command))
 
     async def _tick(self, kernel: Kernel, tasks: TaskGroup) -> None:
         while True:
@@ -154,9 +145,6 @@
             await anyio.sleep(TICK_S)
             for name in [name for name, state in self._shards.items() if not state.idle]:
                 self._step(kernel, tasks, name, claims.Tick())
-            idle = [name for name, state in self._shards.items() if state.idle]
-            for name in idle[: max(0, len(self._shards) - SHARDS_KEPT)]:
-                del self._shards[name]
 
     async def _read(self, kernel: Kernel, name: str) -> None:
         reply = await self._store.get(name)
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -20,7 +20,6 @@
     Refusal,
 )
 from saffronworks.owners import BUNDLE_PREFIX
-from saffronworks.peers import Outgoing
 from saffronworks.routes import RouteTable
 from saffronworks.runners import RequestRunner
 from saffronworks.settings import Settings
@@ -76,12 +75,8 @@
             return
         members: MemberService = kernel.find("members")
         owner = members.owner_of(cell)
-        if owner == kernel.node:
-            kernel.post("owner", message)
-            return
-        address = members.address_of(owner) if owner else None
-        if address is not None:
-            kernel.post("peers", Outgoing(address, message))
+        if owner is not None:
+            members.send(kernel, owner, message)
 
     def _take(self, kernel: Kernel, message: object) -> None:
         match message:
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -83,6 +83,15 @@
         member = self.state.members.get(name)
         return member.update.address if member else None
 
+    def send(self, kernel: Kernel, name: str, message: object) -> None:
+        """Send a message to a member, or to this node's own services; not to one unknown."""
+        if name == kernel.node:
+            kernel.announce(message)
+            return
+        address = self.address_of(name)
+        if address is not None:
+            kernel.post("peers", Outgoing(address, message))
+
     def zone_of(self, name: str) -> str:
         """The availability zone of a member, empty when unknown."""
         member = self.state.members.get(name)
--- a/saffronworks/owners.py
+++ b/saffronworks/owners.py
@@ -20,7 +20,6 @@
 from saffronworks.membership import MemberChanged
 from saffronworks.messages import Ask, HeldList, LeaseRenewal, Prefilled, Release, RequestKey
 from saffronworks.ownership import Cell, split_bundle
-from saffronworks.peers import Outgoing
 from saffronworks.settings import Settings
 from saffronworks.signoffs import read_record
 from saffronworks.stores import CONFIG_PREFIX
@@ -63,6 +62,7 @@
     """Owns the ledgers of its cells."""
 
     name = "owner"
+    _tasks: TaskGroup
 
     def __init__(self, settings: Settings, engines: EngineClient, fences: FenceKeeper):
         self.states: dict[str, CellState] = {}
@@ -70,7 +70,6 @@
         self._settings = settings
         self._engines = engines
         self._fences = fences
-        self._tasks: TaskGroup | None = None
         self._leaving: frozenset[str] = frozenset()
         self._pollers: dict[str, anyio.CancelScope] = {}
 
@@ -164,24 +163,16 @@
         for command in cells.step(state, event, kernel.now_ms()):
             match command:
                 case cell_events.Tell():
-                    self._tell(kernel, command.node, command.message)
+                    members: MemberService = kernel.find("members")
+                    members.send(kernel, command.node, command.message)
                 case cell_events.CancelStream():
                     self._cancel(kernel, state, command.endpoint, command.key)
-                case cell_events.TakeFence() if self._tasks is not None:
+                case cell_events.TakeFence():
                     self._tasks.start_soon(self._take_fence, kernel, name)
-                case cell_events.OrderRole() if self._tasks is not None:
+                case cell_events.OrderRole():
                     address = state.ledgers[command.endpoint].endpoint.address
                     self._tasks.start_soon(self._order_role, kernel, name, address, command)
 
-    def _tell(self, kernel: Kernel, node: str, message: object) -> None:
-        if node == kernel.node:
-            kernel.announce(message)
-            return
-        members: MemberService = kernel.find("members")
-        address = members.address_of(node)
-        if address is not None:
-            kernel.post("peers", Outgoing(address, message))
-
     def _cancel(self, kernel: Kernel, state: CellState, endpoint: str, key: RequestKey) -> None:
         ledger = state.ledgers.get(endpoint)
         if ledger is not None:
--- a/saffronworks/relays.py
+++ b/saffronworks/relays.py
@@ -22,7 +22,6 @@
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.ownership import rank_members
-from saffronworks.peers import Outgoing
 from saffronworks.stores import StoreClient
 
 __all__ = ["RelayService"]
@@ -99,9 +98,7 @@
         for command in commands:
             match command:
                 case SendTo():
-                    address = members.address_of(command.member)
-                    if address is not None:
-                        kernel.post("peers", Outgoing(address, command.message))
+                    members.send(kernel, command.member, command.message)
                 case InForce():
                     self._put_in_force(kernel, command)
 
--- a/saffronworks/surveys.py
+++ b/saffronworks/surveys.py
@@ -6,7 +6,6 @@
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import MemberService
 from saffronworks.messages import NodeAnswer, SurveyQuery
-from saffronworks.peers import Outgoing
 from saffronworks.relays import RelayService
 
 __all__ = ["SurveyService"]
@@ -44,10 +43,8 @@
 
     def _answer(self, kernel: Kernel, query: SurveyQuery) -> None:
         members: MemberService = kernel.find("members")
-        address = members.address_of(query.asked_by)
-        if address is not None:
-            answer = self.make_answer(kernel, query.survey, query.burn)
-            kernel.post("peers", Outgoing(address, answer))
+        answer = self.make_answer(kernel, query.survey, query.burn)
+        members.send(kernel, query.asked_by, answer)
 
     async def ask_all(self, kernel: Kernel, burn: bool) -> tuple[list[NodeAnswer], list[str]]:
         """The answers, this node's first, and the members that did not answer in time."""
@@ -57,10 +54,7 @@
         survey = self._serial
         answers = self._answers[survey] = [self.make_answer(kernel, survey, burn)]
         for name in others:
-            address = members.address_of(name)
-            if address is not None:
-                query = SurveyQuery(survey, kernel.node, burn)
-                kernel.post("peers", Outgoing(address, query))
+            members.send(kernel, name, SurveyQuery(survey, kernel.node, burn))
         with anyio.move_on_after(ANSWER_S):
             while len(answers) <= len(others):
                 await anyio.sleep(LOOK_S)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -4,7 +4,6 @@
 import logging
 import sys
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import median
 
@@ -16,7 +15,7 @@
 from tools.decision_bench import print_decisions
 from tools.fleet_bench import print_fleet
 from tools.idle_bench import print_idle
-from tools.policy_bench import Outcome, Trial, run_trial
+from tools.policy_bench import Outcome, Trial, run_trials
 from tools.recovery_bench import print_recovery
 from tools.roles_bench import print_roles
 from tools.shapes import SHAPES
@@ -30,7 +29,6 @@
 LOADS = (0.5, 0.8, 1.0, 1.2, 1.5)
 OURS = "saffronworks"
 OUTPUT = Path("build/bench")
-PROCESSES = 6
 Key = tuple[str, bool, float, str]
 
 
@@ -88,8 +86,7 @@
         for policy in (OURS, *POLICIES)
         for seed in range(1, seeds + 1)
     ]
-    with ProcessPoolExecutor(PROCESSES) as pool:
-        outcomes = list(pool.map(run_trial, trials, chunksize=4))
+    outcomes = run_trials(trials)
     results: dict[Key, list[Outcome]] = {}
     for trial, outcome in zip(trials, outcomes, strict=True):
         key = (trial.shape, trial.faults, trial.load, trial.policy)
--- a/tools/claim_bench.py
+++ b/tools/claim_bench.py
@@ -23,7 +23,6 @@
         self.clock = Clock(START_MS)
         self.rng = random.Random(rate)
         self.shards: dict[str, ClaimShard] = {}
-        self.versions: dict[str, int] = {}
         self.writes = 0
         self.reads = 0
         self.bytes = 0
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -3,6 +3,7 @@
 import functools
 import random
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 
 import attrs
 
@@ -30,9 +31,10 @@
 from tools.ideal_site import NEVER, Absence, Offer, count_in_time
 from tools.shapes import DAY, SHAPES
 
-__all__ = ["Bench", "Outcome", "Trial", "run_trial"]
+__all__ = ["Bench", "Outcome", "Trial", "run_trials"]
 
 NODES = 7
+PROCESSES = 6
 MESSAGE_MS = 1.0
 TICK_MS = 20.0
 REQUEST_TICK_MS = 100.0
@@ -468,6 +470,12 @@
         self._send(message)
 
 
+def run_trials(trials: list[Trial]) -> list[Outcome]:
+    """Run trials side by side; their outcomes in order."""
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        return list(pool.map(run_trial, trials, chunksize=4))
+
+
 def run_trial(trial: Trial) -> Outcome:
     """Run one trial; the same trial gives the same figures."""
     return Bench(trial).run()
--- a/tools/roles_bench.py
+++ b/tools/roles_bench.py
@@ -1,13 +1,11 @@
 """Role changes against fixed roles, on a day whose prompts and answers shift, and on flat loads."""
 
-from concurrent.futures import ProcessPoolExecutor
 from statistics import median
 
-from tools.policy_bench import Outcome, Trial, run_trial
+from tools.policy_bench import Outcome, Trial, run_trials
 
 __all__ = ["print_roles"]
 
-PROCESSES = 6
 SEEDS = 10
 CASES = (
     ("day", 0.5, 180.0),
@@ -29,8 +27,7 @@
         for changing in (False, True)
         for seed in range(1, SEEDS + 1)
     ]
-    with ProcessPoolExecutor(PROCESSES) as pool:
-        outcomes = list(pool.map(run_trial, trials))
+    outcomes = run_trials(trials)
     print(f"Role changes, {SEEDS} seeds of virtual time, calm; median (range of the ratio).")
     print(
         f"{'shape':<8} {'load':>4} {'fixed':>6} {'changing':>8} {'ratio':>6} {'(range)':<14} "
