--- a/saffronworks/claims.py
+++ b/saffronworks/claims.py
@@ -242,12 +242,12 @@
     if state.version is None:
         state.reading = bool(state.waiting or state.settled)
         return [Read()] if state.reading else []
-    commands = _answer_known(state)
     records = {
         key: record
         for key, record in state.records.items()
         if (key, record.request_id) not in state.settled and now_ms - record.at_ms < CLAIM_KEPT_MS
     }
+    commands = _answer_known(state, records)
     commands += _refuse_full(state, len(records))
     batch = _choose_batch(state, records)
     for key, request_id in batch:
@@ -261,12 +261,12 @@
     return [*commands, Write(state.version, records)]
 
 
-def _answer_known(state: ClaimShard) -> list[Command]:
-    """Answer the asks whose key is recorded, for them or for another request."""
+def _answer_known(state: ClaimShard, records: dict[str, ClaimRecord]) -> list[Command]:
+    """Answer the asks whose key is recorded and kept, for them or for another request."""
     commands: list[Command] = []
     for key, request_id in list(state.waiting):
-        record = state.records.get(key)
-        if record is None or (key, record.request_id) in state.settled:
+        record = records.get(key)
+        if record is None:
             continue
         result: Result = Denied(record.request_id, record.node)
         if record.request_id == request_id:
--- a/saffronworks/tests/features/claims.feature
+++ b/saffronworks/tests/features/claims.feature
@@ -14,6 +14,7 @@
     Then all are recorded by one write
     And the next group is written only when some time has passed
     And after the time that claims are kept the next write leaves them out
+    And an old key is free then, also where no write came between
     And a shard that is full refuses new keys and still answers those that it has
 
   Scenario: a caller that retries at another node after the first one died
--- a/saffronworks/tests/features/steps/claims_steps.py
+++ b/saffronworks/tests/features/steps/claims_steps.py
@@ -211,6 +211,15 @@
     assert [list(command.records) for command in commands] == [["new"]], commands
 
 
+@then("an old key is free then, also where no write came between")
+def old_key_free(context):
+    state = ClaimShard(version=3, records={"k": ClaimRecord("r", "n", 0)})
+    early = claims.step(state, claims.Asked("k", "other", "n"), claims.CLAIM_KEPT_MS - 1)
+    assert [command.result for command in early] == [claims.Denied("r", "n")]
+    (write,) = claims.step(state, claims.Asked("k", "other", "n"), claims.CLAIM_KEPT_MS)
+    assert write.records["k"].request_id == "other"
+
+
 @then("a shard that is full refuses new keys and still answers those that it has")
 def full_shard(context):
     records = {f"k{i}": ClaimRecord(f"r{i}", "n", 0) for i in range(claims.MOST_CLAIMS)}
