Roles by one holder, a census for the retry budget, and tests of forwarding and the adapter

And each node's part of the retry slack needs the number of nodes.

Change: `role_core` orders a surplus reader to decode; the duty is one object of the store, its revision the fence; a holder that stood still after its confirmation gives no order. `census` enters each node once and counts them eight seconds later; until then a node assumes a hundred.

What is lost now is memory given to runs that grow beyond their reservation.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -83,7 +83,7 @@
         node, now_ms = self._node, self._node.now_ms()
         pools = Pools(self._decoders(now_ms), self._prefillers(now_ms))
         command = core.step(self._state, event, pools, node.budget, now_ms)
-        if not isinstance(command, core.Wait):
+        if not isinstance(command, core.Wait | core.AskHold):
             self._log_decision(event, command, pools, now_ms)
         return command
 
--- /dev/null
+++ b/saffronworks/forwarding/role_core.py
@@ -0,0 +1,205 @@
+"""Decides which engine changes its role, and when this node may order it.
+
+Too many prefill endpoints leave decode memory scarce; none at all leaves decode endpoints to read
+prompts by themselves. One node at a time holds the duty to give orders: an object of the store
+whose revision is the fence. Endpoints may not check fences, so the next holder waits until every
+order of the one before must have happened. `step(state, event, now_ms)` gives the next command or
+None.
+"""
+
+import math
+
+import attrs
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding.directory import ServiceEndpoint
+
+__all__ = [
+    "Command",
+    "DutyHeldByOther",
+    "DutyTaken",
+    "DutyUnknown",
+    "Event",
+    "GiveOrder",
+    "Look",
+    "Ordered",
+    "RoleState",
+    "TakeDuty",
+    "step",
+    "wanted_prefillers",
+]
+
+# A prompt of 5,000 tokens takes 90 ms to read, its answer a ninth of a decode endpoint's memory for
+# 2.7 s: in balance, a fifth to a quarter of the engines read. Decode endpoints can read, too.
+PREFILL_SHARE = 0.18
+# An excess that lasts this long is real: endpoints enter themselves within 4.5 s of the start.
+EXCESS_MS = 2000
+# A lack lasts longer before an order: a crashed endpoint is back after some 4 s.
+LACK_MS = 6000
+# Endpoints that must remain to decode when one of them is to read.
+LEAST_DECODERS = 3
+# An order without an answer may still be carried out for this long.
+ORDER_OPEN_MS = 13_000
+# A duty whose object did not change for this long is free: all orders of its holder are over.
+DUTY_FREE_MS = 13_000
+# An order goes out at most this long after the duty was confirmed.
+CONFIRMED_MS = 300
+# Pause after a failed try at the duty.
+DUTY_AGAIN_MS = 4000
+
+
+@attrs.define
+class RoleState:
+    """What this node knows of roles and of the duty.
+
+    `order` is the endpoint that was ordered into another role, until its entry shows it.
+    """
+
+    node: str
+    lease_ms: int
+    thaw_slack_ms: int
+    unbalanced_since_ms: int | None = None
+    lacking: bool = False
+    order: str | None = None
+    order_role: Role | None = None
+    ordered_ms: int = 0
+    duty_revision: int | None = None
+    duty_seen_ms: int = 0
+    mine: bool = False
+    may_order_from_ms: int = 0
+    ask_again_ms: int = 0
+    chosen: ServiceEndpoint | None = None
+
+
+@attrs.frozen
+class Look:
+    """The usable endpoints of one service with engines, as the directory has them now."""
+
+    endpoints: list[ServiceEndpoint]
+
+
+@attrs.frozen
+class DutyTaken:
+    """The store confirmed this node as the holder; `took_over` if another held it before."""
+
+    fence: int
+    took_over: bool
+
+
+@attrs.frozen
+class DutyHeldByOther:
+    """Another node holds the duty; its object is at this revision."""
+
+    revision: int
+
+
+@attrs.frozen
+class DutyUnknown:
+    """The store did not answer."""
+
+
+@attrs.frozen
+class Ordered:
+    """The endpoint answered the order, or (`accepted` None) gave no answer."""
+
+    accepted: bool | None
+
+
+@attrs.frozen
+class TakeDuty:
+    """Confirm or take the duty; over another holder's object only at `free_revision`."""
+
+    free_revision: int | None
+
+
+@attrs.frozen
+class GiveOrder:
+    """Order an endpoint into a role."""
+
+    endpoint: ServiceEndpoint
+    role: Role
+    fence: int
+
+
+Event = Look | DutyTaken | DutyHeldByOther | DutyUnknown | Ordered
+Command = TakeDuty | GiveOrder
+
+
+def wanted_prefillers(engines: int) -> int:
+    """How many of so many engines should read prompts."""
+    return max(1, math.ceil(PREFILL_SHARE * engines))
+
+
+def step(state: RoleState, event: Event, now_ms: int) -> Command | None:
+    """The next command, or None when there is nothing to do."""
+    match event:
+        case Look(endpoints):
+            return _look(state, endpoints, now_ms)
+        case DutyTaken(fence, took_over):
+            return _take_duty(state, fence, took_over, now_ms)
+        case DutyHeldByOther(revision):
+            state.mine = False
+            if revision != state.duty_revision:
+                state.duty_revision, state.duty_seen_ms = revision, now_ms
+            state.ask_again_ms = now_ms + DUTY_AGAIN_MS
+        case DutyUnknown():
+            state.ask_again_ms = now_ms + DUTY_AGAIN_MS
+        case Ordered(accepted):
+            if accepted is False:
+                state.order = None
+                state.ask_again_ms = now_ms + DUTY_AGAIN_MS
+    return None
+
+
+def _look(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> Command | None:
+    _settle_order(state, endpoints, now_ms)
+    chosen = _choose(endpoints)
+    if chosen is None:
+        state.unbalanced_since_ms = None
+        return None
+    lacking = chosen.role is Role.DECODE
+    if state.unbalanced_since_ms is None or lacking is not state.lacking:
+        state.unbalanced_since_ms, state.lacking = now_ms, lacking
+    lasted_ms = now_ms - state.unbalanced_since_ms
+    if lasted_ms < (LACK_MS if lacking else EXCESS_MS):
+        return None
+    if state.order is not None or now_ms < max(state.ask_again_ms, state.may_order_from_ms):
+        return None
+    state.chosen = chosen
+    free = not state.mine and now_ms - state.duty_seen_ms >= DUTY_FREE_MS
+    return TakeDuty(state.duty_revision if free else None)
+
+
+def _settle_order(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> None:
+    """An order is over when its endpoint shows the new role, is gone, or never will."""
+    if state.order is None:
+        return
+    found = next((e for e in endpoints if e.instance == state.order), None)
+    done = found is not None and found.role is state.order_role
+    if done or now_ms - state.ordered_ms >= ORDER_OPEN_MS:
+        state.order = None
+
+
+def _choose(endpoints: list[ServiceEndpoint]) -> ServiceEndpoint | None:
+    """The endpoint that should change, or None in balance."""
+    prefillers = [e for e in endpoints if e.role is Role.PREFILL]
+    decoders = [e for e in endpoints if e.role is Role.DECODE]
+    if len(prefillers) > wanted_prefillers(len(endpoints)):
+        return max(prefillers, key=lambda e: e.instance)
+    if not prefillers and len(decoders) > LEAST_DECODERS:
+        return max(decoders, key=lambda e: e.instance)
+    return None
+
+
+def _take_duty(state: RoleState, fence: int, took_over: bool, now_ms: int) -> Command | None:
+    state.mine = True
+    state.duty_revision, state.duty_seen_ms = fence, now_ms
+    if took_over:
+        state.may_order_from_ms = now_ms + state.lease_ms + state.thaw_slack_ms
+        return None
+    chosen, state.chosen = state.chosen, None
+    if chosen is None or now_ms < state.may_order_from_ms:
+        return None
+    state.order, state.ordered_ms = chosen.instance, now_ms
+    state.order_role = Role.DECODE if chosen.role is Role.PREFILL else Role.PREFILL
+    return GiveOrder(chosen, state.order_role, fence)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -12,12 +12,15 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from saffronworks.forwarding.census import Census
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.role_core import RoleState
+from saffronworks.forwarding.role_keeper import RoleKeeper
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.metrics import scrape_page
@@ -40,6 +43,8 @@
 TAKEN_OUT_MS = 2300
 # Left of the time before SIGKILL when the last requests are cut.
 EXIT_MARGIN_MS = 700
+# Nodes assumed until they are counted: rather too many, as parts of a budget add up.
+UNCOUNTED_NODES = 100
 # The settings file may change without a signal.
 SETTINGS_LOOK_MS = 2000
 
@@ -55,7 +60,9 @@
         self._store = PlatformStore(settings.store_address)
         self._calls = PlatformCalls()
         self._directory = Directory()
-        budget = RetryBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window_ms)
+        budget = RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
+        )
         self._state = NodeState(
             zone=settings.zone,
             directory=self._directory,
@@ -75,6 +82,15 @@
             Follower(CONFIG_KIND, self._store, configuration, rng, monotonic_ms),
             Follower(SERVER_KIND, self._store, servers, rng, monotonic_ms),
         ]
+        self._census = Census(settings.node, self._store, budget, rng)
+        self._roles = RoleKeeper(
+            lambda: RoleState(settings.node, settings.lease_ms, settings.thaw_slack_ms),
+            self._directory,
+            self._store,
+            self._calls,
+            lambda: self._forwarder.table,
+            monotonic_ms,
+        )
         grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
         self._callers = HttpServer(bind(settings.caller_address), self._ingress.handle, grace_s)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
@@ -97,6 +113,8 @@
                 self._metrics.run,
                 self._watch_signals,
                 self._watch_settings,
+                self._census.run,
+                self._roles.run,
                 *(follower.run for follower in self._followers),
             ]
             for service in services:
@@ -109,6 +127,10 @@
         self._calls.pool.close()
         logger.info("event=stop node=%s", self.settings.node)
 
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        self._stopping.set()
+
     def ready(self) -> bool:
         """Whether callers may be sent here."""
         listed = all(follower.listed for follower in self._followers)
@@ -123,6 +145,7 @@
         )
         self._ingress.closing = True
         await anyio.sleep(TAKEN_OUT_MS / 1000)
+        await self._census.leave()
         self._callers.stop()
 
     def _spawn(
@@ -161,7 +184,7 @@
                 if number == signal.SIGHUP:
                     self._reload()
                 else:
-                    self._stopping.set()
+                    self.stop()
 
     async def _watch_settings(self) -> None:
         last = self._read_file()
--- /dev/null
+++ b/saffronworks/tests/platform_fakes.py
@@ -0,0 +1,323 @@
+"""Stand-ins for the users' platform: its store of objects and its servers, with faults."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from urllib.parse import parse_qs
+
+import anyio
+
+from saffronworks.sites import free_address
+from saffronworks.web import Call, HttpServer, bind
+
+__all__ = ["FakeServer", "FakeStore", "fetch", "settings_text"]
+
+PAGE = 3
+
+
+class FakeStore:
+    """Objects by kind and name with one revision counter; `fault` makes it misbehave."""
+
+    def __init__(self):
+        self._listener = bind("127.0.0.1:0")
+        self.address = "{}:{}".format(*self._listener.getsockname()[:2])
+        self.revision = 1
+        self.oldest = 0
+        self.objects = {}
+        self.events = []
+        self.fault = None
+        self.calls = []
+        self._changed = asyncio.Event()
+
+    async def run(self):
+        await HttpServer(self._listener, self._handle).run()
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        self.objects[kind, name] = (self.revision, spec)
+        self._tell(kind, name, removed=False)
+
+    def remove(self, kind, name):
+        if (kind, name) in self.objects:
+            self.revision += 1
+            _, spec = self.objects[kind, name]
+            self._tell(kind, name, removed=True)
+            del self.objects[kind, name]
+            assert spec is not None
+
+    def forget_history(self):
+        self.oldest = self.revision
+        self.events.clear()
+        self._wake()
+
+    def _tell(self, kind, name, removed):
+        self.events.append((self.revision, kind, name, removed, self._show(kind, name)))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _show(self, kind, name):
+        revision, spec = self.objects[kind, name]
+        return {"metadata": {"name": name, "revision": revision}, "spec": spec, "status": None}
+
+    async def _handle(self, call: Call):
+        parts = call.path.removeprefix("/saffronworks/objects/").split("/")
+        kind, name = parts[0], parts[1] if len(parts) > 1 else None
+        self.calls.append((call.method, kind, name))
+        if self.fault == "busy":
+            return await call.reply(503, {})
+        if self.fault == "limited":
+            return await call.reply(429, {})
+        if self.fault == "silent":
+            return await anyio.sleep(30)
+        query = {key: values[0] for key, values in parse_qs(call.query).items()}
+        if "watch" in query:
+            return await self._watch(call, kind, query)
+        if call.method == "GET":
+            return await self._list(call, kind, query)
+        body = await call.json() if call.method in ("POST", "PUT") else {}
+        status, reply = self._write(call.method, kind, name, body)
+        if self.fault == "lost":
+            return call.cut()
+        return await call.reply(status, reply)
+
+    def _write(self, method, kind, name, body):
+        name = name or body["metadata"]["name"]
+        known = self.objects.get((kind, name))
+        if method == "DELETE":
+            self.remove(kind, name)
+            return (200 if known else 404), {}
+        if method == "POST" and known:
+            return 409, self._show(kind, name)
+        if method == "PUT" and known is None:
+            return 404, {}
+        if method == "PUT" and body["metadata"].get("revision", known[0]) != known[0]:
+            return 409, self._show(kind, name)
+        self.put(kind, name, body["spec"])
+        return 200, self._show(kind, name)
+
+    async def _list(self, call, kind, query):
+        after = query.get("after", "")
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self._show(kind, name) for name in names[:PAGE]]
+        reply = {"items": items, "has_more": len(names) > PAGE, "current_rev": self.revision}
+        await call.reply(200, reply)
+
+    async def _watch(self, call, kind, query):
+        since, wait_s = int(query["watch"]), int(query["wait_ms"]) / 1000
+        with anyio.move_on_after(wait_s):
+            while since >= self.oldest and not self._since(kind, since):
+                await self._changed.wait()
+        if since < self.oldest:
+            return await call.reply(410, {})
+        events = [
+            {"removed": removed, "object": shown}
+            for _, _, _, removed, shown in self._since(kind, since)
+        ]
+        return await call.reply(200, {"events": events, "current_rev": self.revision})
+
+    def _since(self, kind, since):
+        return [event for event in self.events if event[0] > since and event[1] == kind]
+
+
+class FakeServer:
+    """A server of the platform over raw sockets; `script` gives the fault of each next request."""
+
+    def __init__(self, instance, service, stage=None):
+        self.instance = instance
+        self.service = service
+        self.stage = stage
+        self.address = free_address()
+        self.script = []
+        self.seen = []
+        self.ran = []
+        self.left = []
+        self.connections = 0
+        self.work_s = 0.0
+        self.events = 3
+        self.full = False
+        self._late = []
+
+    def entry(self, state="ready"):
+        entry = {"service": self.service, "address": self.address, "zone": "z1", "state": state}
+        entry |= {"slots": 4, "sequence": 1}
+        return entry | ({"stage": self.stage} if self.stage else {})
+
+    async def run(self):
+        host, port = self.address.split(":")
+        server = await asyncio.start_server(self._serve, host, int(port))
+        async with server:
+            await server.serve_forever()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        try:
+            raw = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return False
+        lines = raw.decode().split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        pairs = [line.split(": ", 1) for line in lines[1:] if line]
+        headers = {key.lower(): value for key, value in pairs}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        self.seen.append((method, target, headers, body))
+        if headers.get("expect-instance") != self.instance:
+            return await self._reply(writer, 421, {}, b"")
+        if target.startswith("/saffronworks/"):
+            return await self._control(writer, method, target)
+        return await self._request(reader, writer, headers)
+
+    async def _control(self, writer, method, target):
+        if target.endswith("hold-take") and not self.full:
+            return await self._reply(writer, 200, {}, b'{"hold":"h1"}')
+        return await self._reply(writer, 503 if method == "POST" else 200, {}, b"{}")
+
+    async def _request(self, reader, writer, headers):
+        request_id = headers["request-id"]
+        if headers.get("stage") == "prefill":
+            body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
+            return await self._reply(writer, 200, {"Request-Id": request_id}, body)
+        fault = self.script.pop(0) if self.script else None
+        if fault == "shed":
+            return await self._reply(writer, 503, {"Not-Executed": "1"}, b"")
+        self.ran.append(request_id)
+        if self.work_s and await self._caller_left(reader):
+            self.left.append(request_id)
+            return False
+        own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        if self.stage:
+            return await self._stream(writer, own, fault)
+        return await self._plain(writer, own, request_id.encode(), fault)
+
+    async def _caller_left(self, reader):
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(reader.read(1), self.work_s) == b""
+        return False
+
+    async def _plain(self, writer, own, body, fault):
+        match fault:
+            case "reset":
+                self._reset(writer)
+                return False
+            case "garbage":
+                writer.write(b"NOT AN ANSWER\r\n\r\n")
+                await writer.drain()
+                return False
+            case "error":
+                return await self._reply(writer, 500, own, b"failed")
+            case "busy-run":
+                return await self._reply(writer, 503, own, b"failed")
+            case "unsigned":
+                return await self._reply(writer, 200, {"Request-Id": own["Request-Id"]}, body)
+            case "encoded":
+                return await self._reply(writer, 200, own | {"Content-Encoding": "gzip"}, body)
+            case "short":
+                await self._head(writer, 200, own | {"Content-Length": str(len(body) + 5)})
+                writer.write(body)
+                await writer.drain()
+                return False
+            case "unframed" | "unframed-reset":
+                await self._head(writer, 200, own)
+                writer.write(body)
+                await writer.drain()
+                if fault == "unframed-reset":
+                    await asyncio.sleep(0.05)
+                    self._reset(writer)
+                return False
+            case "extra":
+                await self._reply(writer, 200, own, body)
+                return await self._reply(writer, 200, own, body)
+            case "late-extra":
+                self._late.append((own, body))
+                return await self._reply(writer, 200, own, body)
+        for old_own, old_body in self._late:
+            await self._reply(writer, 200, old_own, old_body)
+        self._late.clear()
+        return await self._reply(writer, 200, own, body)
+
+    async def _stream(self, writer, own, fault):
+        await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
+        after = int(self.seen[-1][2].get("last-event-id", 0))
+        for number in range(after + 1, self.events + 1):
+            data = f"id: {number}\ndata: {self.instance}\n\n".encode()
+            if fault == "break" and number == 2:
+                writer.write(b"%x\r\n%s\r\n" % (6, data[:6]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    async def _head(self, writer, status, headers):
+        lines = [f"HTTP/1.1 {status} X", *(f"{key}: {value}" for key, value in headers.items())]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await writer.drain()
+
+    async def _reply(self, writer, status, headers, body):
+        await self._head(writer, status, headers | {"Content-Length": str(len(body))})
+        writer.write(body)
+        await writer.drain()
+        return True
+
+    def _reset(self, writer):
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
+async def fetch(address, method, target, headers, body=b"", read_limit_s=5.0):
+    """Send one request on a connection of its own; returns the raw bytes until its end."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    fields = {"Connection": "close", "Content-Length": str(len(body)), **headers}
+    lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    await writer.drain()
+    raw = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(read_limit_s):
+            while chunk := await reader.read(65536):
+                raw += chunk
+    writer.close()
+    return raw
+
+
+def settings_text(store_address, **changes):
+    """A settings file of the platform; `changes` replaces whole top-level fields."""
+    callers, probes = free_address(), free_address()
+    fields = {
+        "node_name": "front-z1-1",
+        "ip": "127.0.0.1",
+        "zone": "z1",
+        "listen": {"front": callers, "ready": probes},
+        "heartbeat_ms": 1200,
+        "a_new_field": {"of": "the platform"},
+        "bounds": {
+            "drain_ms": 2000,
+            "grace_s": 8,
+            "retry_budget_ratio": 0.2,
+            "retry_slack": 2000,
+            "budget_window_s": 10,
+            "lease_ms": 3000,
+            "thaw_slack_ms": 300,
+            "fencing_enforced": False,
+        },
+        "platform": {"address": store_address, "writes_per_s": 400, "reads_per_s": 2000},
+    }
+    return json.dumps(fields | changes)
