Layout: the owner's cores and the stand-ins into subpackages; moves only

The owner of a cell with its cores and state is now `owner/`, the stand-ins with the demonstration's site and callers `standins/`. What is left flat is a node's services and the small modules that all share.

Ruled out: a move of `breakers` and `ownership` into `owner/`, since forwarding and routes use them.

--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,10 @@
 
 .PHONY: demo demo-serve test check bench capacity
 demo: $(VENV)/ready
-	$(RUN) -m saffronworks.demo
+	$(RUN) -m saffronworks.standins.demo
 
 demo-serve: $(VENV)/ready
-	$(RUN) -m saffronworks.demo --serve
+	$(RUN) -m saffronworks.standins.demo --serve
 
 check: $(VENV)/ready
 	$(VENV)/bin/ruff format --check .
--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -9,8 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.ledgers import CacheEvents, LoadReport
 from saffronworks.messages import RequestKey
+from saffronworks.owner.ledgers import CacheEvents, LoadReport
 
 __all__ = [
     "Decode",
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -7,7 +7,6 @@
 from saffronworks import request_events, requests
 from saffronworks.documents import InForce
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.leases import hash_key
 from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.membership import MemberChanged
 from saffronworks.messages import (
@@ -19,7 +18,8 @@
     LeaseRenewal,
     Refusal,
 )
-from saffronworks.owners import BUNDLE_PREFIX
+from saffronworks.owner.leases import hash_key
+from saffronworks.owner.owners import BUNDLE_PREFIX
 from saffronworks.routes import RouteTable
 from saffronworks.runners import RequestRunner
 from saffronworks.settings import Settings
--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -12,7 +12,7 @@
 import attrs
 
 from saffronworks.hashing import hash64
-from saffronworks.predictors import Average
+from saffronworks.owner.predictors import Average
 
 __all__ = [
     "Heartbeat",
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -45,7 +45,7 @@
 )
 from saffronworks.metrics import Metrics
 from saffronworks.operators import OperatorInterface
-from saffronworks.owners import OwnerService
+from saffronworks.owner.owners import OwnerService
 from saffronworks.peers import PeerService
 from saffronworks.relays import RelayService
 from saffronworks.settings import Settings
--- a/saffronworks/operators.py
+++ b/saffronworks/operators.py
@@ -16,7 +16,7 @@
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.metrics import scrape_page
-from saffronworks.owners import BUNDLE_PREFIX, OwnerService
+from saffronworks.owner.owners import BUNDLE_PREFIX, OwnerService
 from saffronworks.relays import RelayService
 from saffronworks.reports import make_report
 from saffronworks.signoffs import SignOff, SignOffRecord
--- a/saffronworks/admissions.py
+++ b/saffronworks/owner/admissions.py
@@ -1,25 +1,25 @@
 """Admission at the owner of a cell: asks are queued or refused, and granted a prefill."""
 
 from saffronworks.bundles import Role
-from saffronworks.cell_events import (
-    Command,
-    Tell,
-)
-from saffronworks.cell_states import CellState, drop_held, open_decoders
-from saffronworks.ledgers import Held, Stage
 from saffronworks.messages import (
     Ask,
     Grant,
     Refusal,
 )
-from saffronworks.placement import (
+from saffronworks.owner.cell_events import (
+    Command,
+    Tell,
+)
+from saffronworks.owner.cell_states import CellState, drop_held, open_decoders
+from saffronworks.owner.ledgers import Held, Stage
+from saffronworks.owner.placement import (
     PrefillChoice,
     choose_prefill,
     expected_free,
     takes_prefill,
     transfer_ms,
 )
-from saffronworks.queues import Waiting
+from saffronworks.owner.queues import Waiting
 
 __all__ = [
     "LEAST_RETRY_AFTER_MS",
--- a/saffronworks/assignments.py
+++ b/saffronworks/owner/assignments.py
@@ -1,18 +1,18 @@
 """From the end of a prefill to the end of an attempt, at the owner of a cell."""
 
-from saffronworks.cell_events import (
-    Command,
-    Tell,
-)
-from saffronworks.cell_states import CellState, drop_held, note_failure
-from saffronworks.ledgers import EndpointLedger, Held, Stage
 from saffronworks.messages import (
     Assign,
     AssignRefused,
     Prefilled,
     Release,
 )
-from saffronworks.placement import (
+from saffronworks.owner.cell_events import (
+    Command,
+    Tell,
+)
+from saffronworks.owner.cell_states import CellState, drop_held, note_failure
+from saffronworks.owner.ledgers import EndpointLedger, Held, Stage
+from saffronworks.owner.placement import (
     choose_decode,
 )
 
--- a/saffronworks/cell_events.py
+++ b/saffronworks/owner/cell_events.py
@@ -3,7 +3,6 @@
 import attrs
 
 from saffronworks.bundles import Role
-from saffronworks.ledgers import CacheEvents, LoadReport
 from saffronworks.messages import (
     Ask,
     HeldList,
@@ -12,6 +11,7 @@
     Release,
     RequestKey,
 )
+from saffronworks.owner.ledgers import CacheEvents, LoadReport
 from saffronworks.ownership import Cell
 
 __all__ = [
--- a/saffronworks/cell_states.py
+++ b/saffronworks/owner/cell_states.py
@@ -4,12 +4,12 @@
 
 from saffronworks.breakers import RetryBudget
 from saffronworks.bundles import Model, Role
-from saffronworks.leases import CancelList, LeaseTable, OrphanWatch
-from saffronworks.ledgers import EndpointLedger, Held
+from saffronworks.owner.leases import CancelList, LeaseTable, OrphanWatch
+from saffronworks.owner.ledgers import EndpointLedger, Held
+from saffronworks.owner.policies import Policy
+from saffronworks.owner.predictors import Average, LengthTable
+from saffronworks.owner.queues import WaitQueue
 from saffronworks.ownership import Cell
-from saffronworks.policies import Policy
-from saffronworks.predictors import Average, LengthTable
-from saffronworks.queues import WaitQueue
 
 __all__ = [
     "CellState",
--- a/saffronworks/cells.py
+++ b/saffronworks/owner/cells.py
@@ -4,15 +4,22 @@
 returns typed commands. The state is soft: a new owner rebuilds it from what entries hold.
 """
 
-from saffronworks.admissions import (
+from saffronworks.messages import (
+    Ask,
+    HeldList,
+    LeaseRenewal,
+    Prefilled,
+    Release,
+)
+from saffronworks.owner.admissions import (
     LEAST_RETRY_AFTER_MS,
     grant_waiting,
     predict_wait,
     refuse,
     take_ask,
 )
-from saffronworks.assignments import assign_ready, take_prefilled, take_release
-from saffronworks.cell_events import (
+from saffronworks.owner.assignments import assign_ready, take_prefilled, take_release
+from saffronworks.owner.cell_events import (
     CacheReported,
     CancelAcknowledged,
     CancelStream,
@@ -27,16 +34,9 @@
     StreamsListed,
     Tick,
 )
-from saffronworks.cell_states import CellState, new_cell, note_failure, set_cell
-from saffronworks.messages import (
-    Ask,
-    HeldList,
-    LeaseRenewal,
-    Prefilled,
-    Release,
-)
-from saffronworks.reclaims import adopt_held, reclaim_node, renew_lease, take_streams
-from saffronworks.roles import note_role, plan_roles, take_fence, take_role_answer
+from saffronworks.owner.cell_states import CellState, new_cell, note_failure, set_cell
+from saffronworks.owner.reclaims import adopt_held, reclaim_node, renew_lease, take_streams
+from saffronworks.owner.roles import note_role, plan_roles, take_fence, take_role_answer
 
 __all__ = ["CellState", "new_cell", "predict_wait", "step"]
 
--- a/saffronworks/ledgers.py
+++ b/saffronworks/owner/ledgers.py
@@ -7,7 +7,7 @@
 from saffronworks.breakers import Circuit, CircuitState
 from saffronworks.bundles import Endpoint, Role
 from saffronworks.messages import RequestKey
-from saffronworks.predictors import Average, PrefixView
+from saffronworks.owner.predictors import Average, PrefixView
 
 __all__ = ["CacheEvents", "EndpointLedger", "Held", "LoadReport", "Stage"]
 
--- a/saffronworks/owners.py
+++ b/saffronworks/owner/owners.py
@@ -7,18 +7,18 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok
 
-from saffronworks import cell_events, cells
 from saffronworks.bundles import Endpoint, Role, read_bundle
 from saffronworks.cancels import CancelDone, CancelOrder
-from saffronworks.cells import CellState
 from saffronworks.documents import InForce
 from saffronworks.engines import EngineClient, Order
 from saffronworks.fences import FenceKeeper
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.ledgers import EndpointLedger
 from saffronworks.members import VMS_KEY, MemberService, read_vms
 from saffronworks.membership import MemberChanged
 from saffronworks.messages import Ask, HeldList, LeaseRenewal, Prefilled, Release, RequestKey
+from saffronworks.owner import cell_events, cells
+from saffronworks.owner.cells import CellState
+from saffronworks.owner.ledgers import EndpointLedger
 from saffronworks.ownership import Cell, split_bundle
 from saffronworks.settings import Settings
 from saffronworks.signoffs import read_record
--- a/saffronworks/placement.py
+++ b/saffronworks/owner/placement.py
@@ -5,9 +5,9 @@
 import attrs
 
 from saffronworks.bundles import Pool, Role
-from saffronworks.ledgers import EndpointLedger, Held, Stage
 from saffronworks.messages import Ask
-from saffronworks.predictors import LengthTable
+from saffronworks.owner.ledgers import EndpointLedger, Held, Stage
+from saffronworks.owner.predictors import LengthTable
 
 __all__ = [
     "PrefillChoice",
--- a/saffronworks/queues.py
+++ b/saffronworks/owner/queues.py
@@ -8,7 +8,7 @@
 
 from saffronworks.bundles import Model
 from saffronworks.messages import Ask
-from saffronworks.policies import Policy
+from saffronworks.owner.policies import Policy
 
 __all__ = ["Waiting", "WaitQueue"]
 
--- a/saffronworks/reclaims.py
+++ b/saffronworks/owner/reclaims.py
@@ -1,13 +1,5 @@
 """Leases, reclaim and rebuild at the owner of a cell."""
 
-from saffronworks.cell_events import (
-    Command,
-    StreamsListed,
-    Tell,
-)
-from saffronworks.cell_states import CellState, drop_held
-from saffronworks.leases import MISMATCHES_TO_ASK, hash_key
-from saffronworks.ledgers import Held, Stage
 from saffronworks.messages import (
     HeldKey,
     HeldList,
@@ -15,6 +7,14 @@
     LeaseRenewal,
     RequestKey,
 )
+from saffronworks.owner.cell_events import (
+    Command,
+    StreamsListed,
+    Tell,
+)
+from saffronworks.owner.cell_states import CellState, drop_held
+from saffronworks.owner.leases import MISMATCHES_TO_ASK, hash_key
+from saffronworks.owner.ledgers import Held, Stage
 
 __all__ = [
     "adopt_held",
--- a/saffronworks/roles.py
+++ b/saffronworks/owner/roles.py
@@ -9,9 +9,9 @@
 import attrs
 
 from saffronworks.bundles import Role
-from saffronworks.cell_events import Command, FenceTaken, OrderRole, RoleOrdered, TakeFence
-from saffronworks.cell_states import CellState, RoleChange
-from saffronworks.ledgers import EndpointLedger, LoadReport
+from saffronworks.owner.cell_events import Command, FenceTaken, OrderRole, RoleOrdered, TakeFence
+from saffronworks.owner.cell_states import CellState, RoleChange
+from saffronworks.owner.ledgers import EndpointLedger, LoadReport
 
 __all__ = ["note_role", "plan_roles", "take_fence", "take_role_answer"]
 
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -15,8 +15,8 @@
 from saffronworks.cancels import CancelOrder
 from saffronworks.engines import Decode, DecodeLine, EngineClient, EngineFailure, Prefill, Resume
 from saffronworks.kernel import Kernel
-from saffronworks.ledgers import Stage
 from saffronworks.messages import Ask, HeldKey, Prefilled, Release, RequestKey
+from saffronworks.owner.ledgers import Stage
 from saffronworks.ownership import Cell
 from saffronworks.request_events import Phase
 from saffronworks.requests import Request
--- a/saffronworks/callers.py
+++ b/saffronworks/standins/callers.py
@@ -7,7 +7,7 @@
 import attrs
 import httpcore
 
-from saffronworks.standin_models import answer_length, answer_token
+from saffronworks.standins.standin_models import answer_length, answer_token
 
 __all__ = ["Answer", "LoadPlan", "ask", "expected_answer", "make_prompt", "run_load"]
 
--- a/saffronworks/demo.py
+++ b/saffronworks/standins/demo.py
@@ -7,9 +7,9 @@
 import httpcore
 from anyio.abc import TaskGroup
 
-from saffronworks.callers import Answer, LoadPlan, ask, expected_answer, run_load
 from saffronworks.logs import set_up_logs
-from saffronworks.sites import Site, SiteShape, wait_until
+from saffronworks.standins.callers import Answer, LoadPlan, ask, expected_answer, run_load
+from saffronworks.standins.sites import Site, SiteShape, wait_until
 
 __all__ = ["main"]
 
--- a/saffronworks/sites.py
+++ b/saffronworks/standins/sites.py
@@ -12,10 +12,10 @@
 
 from saffronworks.nodes import Node
 from saffronworks.settings import Settings
-from saffronworks.standin_engine import StandinEngine
-from saffronworks.standin_models import EngineProfile
-from saffronworks.standin_plain import StandinPlain
-from saffronworks.standin_store import StandinStore
+from saffronworks.standins.standin_engine import StandinEngine
+from saffronworks.standins.standin_models import EngineProfile
+from saffronworks.standins.standin_plain import StandinPlain
+from saffronworks.standins.standin_store import StandinStore
 from saffronworks.web import bind
 
 __all__ = ["Site", "SiteShape", "free_address", "wait_until"]
--- a/saffronworks/standin_engine.py
+++ b/saffronworks/standins/standin_engine.py
@@ -13,7 +13,7 @@
 from anyio.abc import TaskGroup
 
 from saffronworks.messages import RequestKey
-from saffronworks.standin_models import (
+from saffronworks.standins.standin_models import (
     EngineProfile,
     PrefixCache,
     answer_length,
--- a/saffronworks/tests/features/steps/burn_steps.py
+++ b/saffronworks/tests/features/steps/burn_steps.py
@@ -10,9 +10,9 @@
 from site_steps import QUICK
 
 from saffronworks.burn import MOST_SERIES, OTHER, WINDOWS, BurnRecorder, merge_burns
-from saffronworks.callers import LoadPlan, run_load
 from saffronworks.reports import make_report, plot_report
-from saffronworks.sites import SiteShape
+from saffronworks.standins.callers import LoadPlan, run_load
+from saffronworks.standins.sites import SiteShape
 from saffronworks.tests.plays import addresses, on_site
 
 DAY_MS = 86_400_000
--- a/saffronworks/tests/features/steps/cells_steps.py
+++ b/saffronworks/tests/features/steps/cells_steps.py
@@ -7,11 +7,8 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks import cell_events, cells
 from saffronworks.breakers import BUDGET_FLOOR
 from saffronworks.bundles import Endpoint, Model, Pool, Role
-from saffronworks.leases import ORPHAN_GRACE_MS, hash_key
-from saffronworks.ledgers import CacheEvents, EndpointLedger, Held, LoadReport
 from saffronworks.messages import (
     Ask,
     Assign,
@@ -24,11 +21,14 @@
     Release,
     RequestKey,
 )
+from saffronworks.owner import cell_events, cells
+from saffronworks.owner.leases import ORPHAN_GRACE_MS, hash_key
+from saffronworks.owner.ledgers import CacheEvents, EndpointLedger, Held, LoadReport
+from saffronworks.owner.policies import Policy
+from saffronworks.owner.predictors import BUCKET_EDGES, PRIOR_COUNT, LengthTable
+from saffronworks.owner.queues import QUEUE_LENGTH, Waiting, WaitQueue
 from saffronworks.ownership import Cell
-from saffronworks.policies import Policy
-from saffronworks.predictors import BUCKET_EDGES, PRIOR_COUNT, LengthTable
-from saffronworks.queues import QUEUE_LENGTH, Waiting, WaitQueue
-from saffronworks.standin_models import PrefixCache
+from saffronworks.standins.standin_models import PrefixCache
 
 LEASE_MS = 2000
 MODEL = Model("m", "p", ttft_ms=1000, patience_ms=60_000)
--- a/saffronworks/tests/features/steps/circuits_steps.py
+++ b/saffronworks/tests/features/steps/circuits_steps.py
@@ -3,11 +3,11 @@
 from behave import given, then, when
 from cells_steps import LEASE_MS, MODEL, make_state
 
-from saffronworks import cell_events, cells
 from saffronworks.breakers import FIRST_OPEN_MS, SLOW_START_MS, TRIAL_MS
 from saffronworks.bundles import Endpoint, Pool, Role
-from saffronworks.ledgers import EndpointLedger, LoadReport
 from saffronworks.messages import Release, RequestKey
+from saffronworks.owner import cell_events, cells
+from saffronworks.owner.ledgers import EndpointLedger, LoadReport
 from saffronworks.ownership import Cell
 
 
--- a/saffronworks/tests/features/steps/claims_steps.py
+++ b/saffronworks/tests/features/steps/claims_steps.py
@@ -10,9 +10,9 @@
 from site_steps import QUICK, SLOW, loaded_engine
 
 from saffronworks import claims
-from saffronworks.callers import ask, expected_answer
 from saffronworks.claims import ClaimRecord, ClaimShard
-from saffronworks.sites import SiteShape
+from saffronworks.standins.callers import ask, expected_answer
+from saffronworks.standins.sites import SiteShape
 from saffronworks.tests.plays import on_site
 
 MOST_CALLS = 50
--- a/saffronworks/tests/features/steps/daemons_steps.py
+++ b/saffronworks/tests/features/steps/daemons_steps.py
@@ -12,9 +12,9 @@
 import yaml
 from behave import then, when
 
-from saffronworks.callers import LoadPlan, ask, expected_answer, run_load
-from saffronworks.sites import REGION, ZONES, Site, SiteShape, free_address, wait_until
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standins.callers import LoadPlan, ask, expected_answer, run_load
+from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape, free_address, wait_until
+from saffronworks.standins.standin_models import EngineProfile
 
 TOKENS = 60
 SHAPE = SiteShape(nodes=0, profile=EngineProfile(slots=6, step_ms=25.0), patience_ms=30_000)
--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -18,7 +18,7 @@
 from saffronworks.ownership import choose_owner, split_pool
 from saffronworks.routes import RouteTable
 from saffronworks.signoffs import SignOff, SignOffRecord
-from saffronworks.sites import SiteShape, wait_until
+from saffronworks.standins.sites import SiteShape, wait_until
 from saffronworks.tests.plays import on_site
 from tools.fleet_bench import DEAD_MS, HEARTBEAT_MS, Fleet
 
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -19,7 +19,7 @@
 from saffronworks.platform.node import READINESS_PATH, PlatformNode
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import PlatformStore
-from saffronworks.sites import wait_until
+from saffronworks.standins.sites import wait_until
 from saffronworks.tests.platform_fakes import FakeServer, FakeStore, fetch, settings_text
 
 ENGINE = {
--- a/saffronworks/tests/features/steps/roles_steps.py
+++ b/saffronworks/tests/features/steps/roles_steps.py
@@ -5,17 +5,17 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks import cell_events, cells
 from saffronworks.bundles import Endpoint, Model, Pool, Role
-from saffronworks.callers import LoadPlan, run_load
 from saffronworks.engines import EngineClient, Order
 from saffronworks.fences import FenceKeeper
-from saffronworks.ledgers import Held, LoadReport, Stage
 from saffronworks.messages import RequestKey
+from saffronworks.owner import cell_events, cells
+from saffronworks.owner.ledgers import Held, LoadReport, Stage
+from saffronworks.owner.roles import ASK_AGAIN_MS, LOOK_MS, PAUSE_BOUND_MS, SUSTAIN_MS
 from saffronworks.ownership import Cell
-from saffronworks.roles import ASK_AGAIN_MS, LOOK_MS, PAUSE_BOUND_MS, SUSTAIN_MS
-from saffronworks.sites import SiteShape
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standins.callers import LoadPlan, run_load
+from saffronworks.standins.sites import SiteShape
+from saffronworks.standins.standin_models import EngineProfile
 from saffronworks.tests.plays import addresses, on_site
 
 LEASE_MS = 2000
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -6,11 +6,11 @@
 import httpcore
 from behave import then, when
 
-from saffronworks.callers import LoadPlan, ask, expected_answer, run_load
 from saffronworks.engines import Decode, EngineClient, Prefill
-from saffronworks.sites import SiteShape, wait_until
-from saffronworks.standin_engine import Fault
-from saffronworks.standin_models import EngineProfile, answer_length
+from saffronworks.standins.callers import LoadPlan, ask, expected_answer, run_load
+from saffronworks.standins.sites import SiteShape, wait_until
+from saffronworks.standins.standin_engine import Fault
+from saffronworks.standins.standin_models import EngineProfile, answer_length
 from saffronworks.tests.plays import addresses, on_site
 
 QUICK = EngineProfile(slots=6, step_ms=4.0)
--- a/saffronworks/tests/plays.py
+++ b/saffronworks/tests/plays.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from saffronworks.sites import Site, wait_until
+from saffronworks.standins.sites import Site, wait_until
 
 FREE_WITHIN_S = 15
 
--- a/tools/capacity_cores.py
+++ b/tools/capacity_cores.py
@@ -11,7 +11,6 @@
 from saffronworks.claims import claim_key
 from saffronworks.documents import Document, DocumentStore, Fetched
 from saffronworks.documents import step as step_documents
-from saffronworks.ledgers import EndpointLedger, Held, Stage
 from saffronworks.membership import MemberUpdate, Status
 from saffronworks.messages import (
     Ask,
@@ -26,7 +25,8 @@
     Release,
     RequestKey,
 )
-from saffronworks.predictors import PrefixView
+from saffronworks.owner.ledgers import EndpointLedger, Held, Stage
+from saffronworks.owner.predictors import PrefixView
 from saffronworks.requests import Request
 from saffronworks.routes import RouteTable
 from saffronworks.signoffs import SignOffRecord, write_record
--- a/tools/decision_bench.py
+++ b/tools/decision_bench.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from saffronworks import cell_events, cells
 from saffronworks.bundles import Bundle, Endpoint, Model, Pool, Role
 from saffronworks.messages import Ask, Grant, Prefilled, Release, RequestKey
+from saffronworks.owner import cell_events, cells
 from saffronworks.ownership import Cell, choose_owner, split_pool
 from saffronworks.routes import choose_cell
 
--- a/tools/fake_engines.py
+++ b/tools/fake_engines.py
@@ -7,7 +7,7 @@
 import attrs
 
 from saffronworks.messages import RequestKey
-from saffronworks.standin_models import EngineProfile, PrefixCache
+from saffronworks.standins.standin_models import EngineProfile, PrefixCache
 
 __all__ = ["Clock", "FakeEngine", "FaultPlan", "Stream"]
 
--- a/tools/fleet_bench.py
+++ b/tools/fleet_bench.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from saffronworks import cell_events, cells, documents, membership, wire
+from saffronworks import documents, membership, wire
 from saffronworks.bundles import Endpoint, Model, Pool, Role
 from saffronworks.documents import Document, DocumentStore, Fetched, InForce, PeerDigest, SendTo
 from saffronworks.membership import (
@@ -18,6 +18,7 @@
     VmRecord,
 )
 from saffronworks.messages import Ask, Grant, RequestKey
+from saffronworks.owner import cell_events, cells
 from saffronworks.ownership import Cell, choose_owner
 from tools.fake_engines import Clock
 
--- a/tools/ideal_site.py
+++ b/tools/ideal_site.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standins.standin_models import EngineProfile
 
 __all__ = ["NEVER", "Absence", "Offer", "count_in_time"]
 
--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -7,10 +7,8 @@
 
 import attrs
 
-from saffronworks import cell_events, cells, request_events, requests
+from saffronworks import request_events, requests
 from saffronworks.bundles import Endpoint, Model, Pool, Role
-from saffronworks.leases import hash_key
-from saffronworks.ledgers import LoadReport
 from saffronworks.messages import (
     Ask,
     Assign,
@@ -22,8 +20,11 @@
     Release,
     RequestKey,
 )
+from saffronworks.owner import cell_events, cells
+from saffronworks.owner.leases import hash_key
+from saffronworks.owner.ledgers import LoadReport
+from saffronworks.owner.policies import Policy
 from saffronworks.ownership import Cell
-from saffronworks.policies import Policy
 from saffronworks.request_events import Completed, Phase
 from saffronworks.requests import Request
 from tools.baselines import Baseline
--- a/tools/recovery_bench.py
+++ b/tools/recovery_bench.py
@@ -6,10 +6,10 @@
 import anyio
 import attrs
 
-from saffronworks.callers import Answer, LoadPlan, expected_answer, run_load
 from saffronworks.nodes import Node
-from saffronworks.sites import Site, SiteShape, wait_until
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standins.callers import Answer, LoadPlan, expected_answer, run_load
+from saffronworks.standins.sites import Site, SiteShape, wait_until
+from saffronworks.standins.standin_models import EngineProfile
 
 __all__ = ["measure_recovery", "print_recovery"]
 
--- a/tools/shapes.py
+++ b/tools/shapes.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from saffronworks.standin_models import EngineProfile
+from saffronworks.standins.standin_models import EngineProfile
 
 __all__ = ["DAY", "SHAPES", "Part", "Shape"]
 
