--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -33,6 +33,7 @@
     revision: int = 0
     endpoints: dict[str, ServiceEndpoint] = attrs.Factory(dict)
     _usable_until_ms: dict[str, int] = attrs.Factory(dict)
+    _replaced: set[str] = attrs.Factory(set)
 
     def replace(
         self, listed: list[ServiceEndpoint], revision: int, lapsed: bool, now_ms: int
@@ -48,7 +49,9 @@
         return missing
 
     def put(self, endpoint: ServiceEndpoint) -> None:
-        """Take an entry that is new or has changed."""
+        """Take an entry that is new or has changed, unless its address has another endpoint."""
+        if endpoint.instance in self._replaced:
+            return
         self.endpoints[endpoint.instance] = endpoint
         self._usable_until_ms.pop(endpoint.instance, None)
 
@@ -63,6 +66,12 @@
         del self.endpoints[instance]
         self._usable_until_ms.pop(instance, None)
 
+    def note_replaced(self, instance: str) -> None:
+        """Another endpoint answered at its address: this start of it is over for good."""
+        self._replaced.add(instance)
+        self.endpoints.pop(instance, None)
+        self._usable_until_ms.pop(instance, None)
+
     def expire(self, now_ms: int) -> None:
         """Forget the entries whose grace period is over."""
         for instance, until_ms in list(self._usable_until_ms.items()):
--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from saffronworks.forwarding.plain_runner import run_plain
 from saffronworks.forwarding.ports import CallerReply
 from saffronworks.forwarding.routing import RoutingTable
-from saffronworks.forwarding.runners import Job, NodeState, tell_refusal
+from saffronworks.forwarding.runners import Job, NodeState, retry_after_ms, tell_refusal
 
 __all__ = ["Forwarder"]
 
@@ -19,15 +19,18 @@
 DEADLINE_SLACK_MS = 150
 # When a node without a configuration has one: the store answers in 4 ms, a start takes a second.
 NO_TABLE_RETRY_MS = 500
+# A node that has no configuration after this long waits for a store that is away.
+STORE_SLOW_MS = 1000
 
 
 class Forwarder:
     """Serves requests by the newest routing table; an older one never replaces a newer one."""
 
-    def __init__(self, node: NodeState):
+    def __init__(self, node: NodeState, began_ms: int):
         self.table: RoutingTable | None = None
         self.open_requests = 0
         self._node = node
+        self._began_ms = began_ms
         self._usual_left_ms: dict[str, int] = {}
 
     def take_table(self, table: RoutingTable) -> bool:
@@ -50,7 +53,7 @@
         table = self.table
         if table is None:
             logger.info("event=refuse request=%s reason=no-config", request.request_id)
-            await reply.refuse(503, "no-config", NO_TABLE_RETRY_MS)
+            await reply.refuse(503, "no-config", self._retry_without_table_ms(request))
             return
         route = table.find(request.host, request.path)
         if route is None:
@@ -71,6 +74,12 @@
         finally:
             self.open_requests -= 1
 
+    def _retry_without_table_ms(self, request: CallerRequest) -> int:
+        """Soon after a start; as late as callers bear once the store has kept this node waiting."""
+        if self._node.now_ms() - self._began_ms < STORE_SLOW_MS:
+            return NO_TABLE_RETRY_MS
+        return retry_after_ms(request, self._node.now_ms())
+
     async def _serve(self, job: Job, table: RoutingTable) -> None:
         """Run until answered, until the caller leaves, or until the deadline."""
         left_ms = job.deadline_at_ms - self._node.now_ms() + DEADLINE_SLACK_MS
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -269,6 +269,8 @@
     state: GenerationState, instance: str, head: AnswerHead, pools: Pools, now_ms: int
 ) -> Command:
     if head.executed is Executed.NO:
+        if head.misdirected:
+            state.failed.add(instance)
         return _redirect(state, pools, now_ms, head.reason)
     state.runs += 1
     if head.success and head.signed:
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -19,7 +19,12 @@
 )
 from saffronworks.forwarding.loads import EndpointLoad
 from saffronworks.forwarding.memory_client import RunSize
-from saffronworks.forwarding.memory_messages import MemoryAsk, MemoryGrant, MemoryRefusal
+from saffronworks.forwarding.memory_messages import (
+    MemoryAsk,
+    MemoryGrant,
+    MemoryRefusal,
+    MemoryRelease,
+)
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
@@ -104,6 +109,7 @@
         self._unused_hold: KvHold | None = None
         self._unused_handle: KvHandle | None = None
         self._first_ms = 0
+        self._read_ms = 0
 
     async def run(self) -> None:
         """Execute commands until the caller has its answer."""
@@ -280,7 +286,8 @@
                 answer.err_value.reason,
             )
             return events.ReadFailed(endpoint.instance)
-        load.succeed(node.now_ms() - began_ms, node.now_ms())
+        self._read_ms = node.now_ms() - began_ms
+        load.succeed(self._read_ms, node.now_ms())
         node.figures.count_send("prefill", "read")
         self._unused_handle = answer.ok_value
         return events.PromptRead(answer.ok_value)
@@ -336,6 +343,7 @@
             node.figures.count_send("stream", "answered")
             return
         node.figures.count_send("stream", f"status-{head.status}")
+        node.note_misdirected(endpoint, head)
         logger.info(
             "event=endpoint_failed request=%s endpoint=%s status=%d executed=%s reason=%s "
             "handle_at=%s",
@@ -346,7 +354,7 @@
             head.reason,
             handle.endpoint.instance if handle else None,
         )
-        if handle is not None:
+        if handle is not None and not head.misdirected:
             distrust = node.loads.of(handle.endpoint.instance)
             distrust.no_prefill_until_ms = now_ms + HANDLE_DISTRUST_MS
 
@@ -409,13 +417,16 @@
         self._node.figures.count("cut", self._job.route.name, reason)
         self._job.reply.cut()
 
-    def _streamed(self) -> tuple[int, int]:
-        """Tokens of the last stream and how long it took; zeros where too little is known."""
+    def _released(self) -> MemoryRelease:
+        """What the planner may learn of the last stream; zeros where too little is known."""
+        request_id, service = self._job.request.request_id, self._job.service
         if self._stream_from is None or self._last_event is None:
-            return 0, 0
+            return MemoryRelease(request_id, service)
         from_event, from_ms = self._stream_from
-        events = self._last_event - from_event
-        return events * self._tokens_per_event, self._node.now_ms() - from_ms
+        tokens = (self._last_event - from_event) * self._tokens_per_event
+        return MemoryRelease(
+            request_id, service, tokens, self._node.now_ms() - from_ms, self._read_ms
+        )
 
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
         load = self._node.loads.of(endpoint.instance)
@@ -439,10 +450,7 @@
             self._reserved_at.reserved_tokens -= self._reserved_tokens
             self._reserved_at = None
         if self._planned:
-            tokens, stream_ms = self._streamed()
-            self._node.memory.end(
-                self._job.request.request_id, self._job.service, tokens, stream_ms
-            )
+            self._node.memory.end(self._released())
             self._planned = False
         if self._unused_hold is not None:
             self._node.spawn(self._node.calls.drop_hold, self._unused_hold)
--- a/saffronworks/forwarding/memory_client.py
+++ b/saffronworks/forwarding/memory_client.py
@@ -146,12 +146,12 @@
         if self._kernel is not None:
             self._runs[request_id] = _Run(service, instance, size, self._kernel.now_ms())
 
-    def end(self, request_id: str, service: str, answer_tokens: int, stream_ms: int) -> None:
+    def end(self, release: MemoryRelease) -> None:
         """A run is over, or its request is given up."""
-        self._runs.pop(request_id, None)
-        planner = self._planner(service) if self._kernel else None
+        self._runs.pop(release.request_id, None)
+        planner = self._planner(release.service) if self._kernel else None
         if planner is not None:
-            self._send(planner, MemoryRelease(request_id, service, answer_tokens, stream_ms))
+            self._send(planner, release)
 
     def _send(self, planner: str, message: MemoryAsk | MemoryRelease | MemoryReport) -> None:
         assert self._kernel is not None
--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/memory_core.py
@@ -43,7 +43,11 @@
 
 @attrs.define
 class Run:
-    """One run on an endpoint, by the planner's own clock."""
+    """One run on an endpoint, by the planner's own clock.
+
+    `read_alone` tells that nothing else was being read when it was granted, so that the time of its
+    reading shows how fast prompts are read.
+    """
 
     instance: str
     reply_to: str
@@ -51,6 +55,7 @@
     likely_tokens: int
     most_tokens: int
     began_ms: int
+    read_alone: bool = False
 
     def growth(self, ms_per_token: float, now_ms: int) -> tuple[float, float]:
         """Tokens in memory now, and how many more are expected."""
@@ -89,6 +94,7 @@
     began_ms: int
     capacity_tokens: int
     ms_per_token: float = MS_PER_TOKEN
+    read_ms_per_token: float = READ_MS_PER_TOKEN
     runs: dict[str, Run] = attrs.Factory(dict)
     waiters: dict[str, Waiter] = attrs.Factory(dict)
     grants_ms: deque[int] = attrs.Factory(deque)
@@ -112,6 +118,7 @@
     message: MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal
 
 
+Growths = dict[str, list[tuple[float, float]]]
 Event = MemoryAsk | MemoryRelease | MemoryReport | Tick
 
 
@@ -152,7 +159,7 @@
     granted = _grant(state, decoders, now_ms)
     known = {reply.message.request_id for reply in granted}
     replies = [reply for reply in replies if reply.message.request_id not in known]
-    return [*replies, *granted, *_refuse(state, now_ms)]
+    return [*replies, *granted, *_refuse(state, decoders, now_ms)]
 
 
 def _enqueue(state: PlanState, ask: MemoryAsk, now_ms: int) -> None:
@@ -169,10 +176,13 @@
 
 def _release(state: PlanState, event: MemoryRelease) -> None:
     state.waiters.pop(event.request_id, None)
-    state.runs.pop(event.request_id, None)
+    run = state.runs.pop(event.request_id, None)
     if event.answer_tokens and event.stream_ms:
         seen = event.stream_ms / event.answer_tokens
         state.ms_per_token += SAMPLE_WEIGHT * (seen - state.ms_per_token)
+    if run is not None and run.read_alone and event.read_ms:
+        seen = event.read_ms / run.prompt_tokens
+        state.read_ms_per_token += SAMPLE_WEIGHT * (seen - state.read_ms_per_token)
 
 
 def _take_report(state: PlanState, report: MemoryReport, now_ms: int) -> None:
@@ -184,7 +194,9 @@
         if run.reply_to == report.reply_to and request_id not in listed and not fresh:
             del state.runs[request_id]
     for live in report.runs:
-        state.runs[live.request_id] = _from_report(live, report.reply_to, now_ms)
+        known = state.runs.get(live.request_id)
+        if known is None or known.instance != live.instance:
+            state.runs[live.request_id] = _from_report(live, report.reply_to, now_ms)
 
 
 def _from_report(live: LiveRun, reply_to: str, now_ms: int) -> Run:
@@ -213,14 +225,20 @@
     return sorted(state.waiters.values(), key=lambda waiter: waiter.rank(now_ms))
 
 
+def _growths(state: PlanState, decoders: list[str], now_ms: int) -> Growths:
+    """Present size and expected growth of each run, by endpoint."""
+    growths: Growths = {instance: [] for instance in decoders}
+    for run in state.runs.values():
+        if run.instance in growths:
+            growths[run.instance].append(run.growth(state.ms_per_token, now_ms))
+    return growths
+
+
 def _grant(state: PlanState, decoders: list[str], now_ms: int) -> list[Reply]:
     """Give memory to the first who fit; the foremost few are looked at."""
     if not state.waiters or not decoders:
         return []
-    growths: dict[str, list[tuple[float, float]]] = {instance: [] for instance in decoders}
-    for run in state.runs.values():
-        if run.instance in growths:
-            growths[run.instance].append(run.growth(state.ms_per_token, now_ms))
+    growths = _growths(state, decoders, now_ms)
     replies = []
     for waiter in _ranked(state, now_ms)[:QUEUE_LOOK]:
         if _readers_busy(state, now_ms):
@@ -236,6 +254,7 @@
             ask.likely_tokens,
             ask.most_tokens,
             now_ms,
+            read_alone=state.read_until_ms <= now_ms,
         )
         growths[instance].append(run.growth(state.ms_per_token, now_ms))
         state.runs[ask.request_id] = run
@@ -254,12 +273,10 @@
 def _count_reading(state: PlanState, prompt_tokens: int, now_ms: int) -> None:
     if state.readers:
         free_ms = max(float(now_ms), state.read_until_ms)
-        state.read_until_ms = free_ms + prompt_tokens * READ_MS_PER_TOKEN / state.readers
+        state.read_until_ms = free_ms + _read_ms(state, prompt_tokens)
 
 
-def _fit(
-    state: PlanState, ask: MemoryAsk, growths: dict[str, list[tuple[float, float]]]
-) -> str | None:
+def _fit(state: PlanState, ask: MemoryAsk, growths: Growths) -> str | None:
     """The endpoint whose foreseen peak with this run is lowest, if that is low enough."""
     limit = PLANNED_SHARE * state.capacity_tokens
     own = (float(ask.prompt_tokens), float(ask.likely_tokens))
@@ -275,20 +292,35 @@
 
 
 def _grants_per_s(state: PlanState, now_ms: int) -> float:
+    """How many places come free: as seen lately, or as the present runs end, if that is more."""
     while state.grants_ms and state.grants_ms[0] <= now_ms - RATE_WINDOW_MS:
         state.grants_ms.popleft()
-    return max(1.0, len(state.grants_ms) * 1000 / RATE_WINDOW_MS)
+    seen = len(state.grants_ms) * 1000 / RATE_WINDOW_MS
+    run_ms = [READ_MS + run.likely_tokens * state.ms_per_token for run in state.runs.values()]
+    foreseen = 1000 * len(run_ms) ** 2 / sum(run_ms) if run_ms else 0.0
+    return max(1.0, seen, foreseen)
 
 
-def _refuse(state: PlanState, now_ms: int) -> list[Reply]:
+def _read_ms(state: PlanState, prompt_tokens: int) -> float:
+    return prompt_tokens * state.read_ms_per_token / state.readers if state.readers else 0.0
+
+
+def _refuse(state: PlanState, decoders: list[str], now_ms: int) -> list[Reply]:
     """Once, when a first refusal must go out: those whose turn is not foreseen in time."""
-    per_s = _grants_per_s(state, now_ms)
+    pending = [w for w in state.waiters.values() if not w.decided]
+    if all(now_ms - waiter.arrived_ms < DECIDE_AFTER_MS for waiter in pending):
+        return []
+    per_s, growths = _grants_per_s(state, now_ms), _growths(state, decoders, now_ms)
+    reading_at_ms = max(float(now_ms), state.read_until_ms - READ_BACKLOG_MS)
     replies = []
     for position, waiter in enumerate(_ranked(state, now_ms)):
+        memory_ms = 0.0 if _fit(state, waiter.ask, growths) else (position + 1) * 1000 / per_s
+        turn_ms = max(reading_at_ms, now_ms + memory_ms)
+        reading_at_ms += _read_ms(state, waiter.ask.prompt_tokens)
         if waiter.decided or now_ms - waiter.arrived_ms < DECIDE_AFTER_MS:
             continue
         waiter.decided = True
-        if waiter.ask.returned or now_ms + (position + 1) * 1000 / per_s <= waiter.in_time_until_ms:
+        if waiter.ask.returned or turn_ms <= waiter.in_time_until_ms:
             continue
         del state.waiters[waiter.ask.request_id]
         refusal = MemoryRefusal(waiter.ask.request_id, _return_after_ms(state, per_s, now_ms))
--- a/saffronworks/forwarding/memory_messages.py
+++ b/saffronworks/forwarding/memory_messages.py
@@ -70,12 +70,16 @@
 
 @attrs.frozen
 class MemoryRelease:
-    """Entry to planner: a run is over, or its request is given up."""
+    """Entry to planner: a run is over, or its request is given up.
+
+    Of a run that was streamed: its tokens, how long they took, and how long the prompt was read.
+    """
 
     request_id: str
     service: str
     answer_tokens: int = 0
     stream_ms: int = 0
+    read_ms: int = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -70,13 +70,19 @@
 
 @attrs.frozen
 class AnswerHead:
-    """Start of an endpoint's answer. `signed` tells that the endpoint vouches for the body."""
+    """Start of an endpoint's answer. `signed` tells that the endpoint vouches for the body.
+
+    `misdirected`: the endpoint at this address is not the one that was meant, or has another role;
+    `found_instance` names it where another one has the address.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     executed: Executed
     signed: bool
     reason: str = ""
+    misdirected: bool = False
+    found_instance: str | None = None
 
     @property
     def success(self) -> bool:
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -98,6 +98,7 @@
         else:
             load.fail(node.now_ms())
             node.figures.count_send("plain", f"status-{head.status}")
+            node.note_misdirected(endpoint, head)
             logger.info(
                 "event=endpoint_failed request=%s endpoint=%s status=%d executed=%s reason=%s",
                 self._job.request.request_id,
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.memory_client import MemoryClient
-from saffronworks.forwarding.messages import CallerRequest, Refuse
+from saffronworks.forwarding.messages import AnswerHead, CallerRequest, Refuse
 from saffronworks.forwarding.ports import CallerReply, EndpointCalls
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route
@@ -39,6 +39,19 @@
     spawn: Callable[..., None]
     memory: MemoryClient
 
+    def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
+        """Forget an endpoint whose address another one has; the store may tell it later or not."""
+        if head.found_instance is None or head.found_instance == endpoint.instance:
+            return
+        self.directory.note_replaced(endpoint.instance)
+        logger.info(
+            "event=endpoint_replaced endpoint=%s address=%s by=%s endpoints_rev=%d",
+            endpoint.instance,
+            endpoint.address,
+            head.found_instance,
+            self.directory.revision,
+        )
+
 
 @attrs.frozen
 class Job:
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -114,7 +114,7 @@
 # A run that outgrew its likely length is expected to grow by this share of what it made.
 EXPECTED_OVERRUN = 0.3
 # Share of an endpoint's memory that foreseen peaks may take; the rest is for longer answers.
-PLANNED_SHARE = 0.8
+PLANNED_SHARE = 0.85
 # How often one request asks the planner: its place may be gone when it comes to reserve it.
 MOST_PLANS = 4
 # Part of the likely answer that a planned run reserves; the plan provides for the rest.
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -35,6 +35,8 @@
 # The sender expects this start of a server; any other start answers 421 and runs nothing.
 _EXPECT = "Expect-Instance"
 _MISDIRECTED = 421
+# Which start of a server answers; the wire calls it an id.
+_INSTANCE = "instance-id"
 _ORDER_TAKEN = (200, 202)
 # Fields of an answer that belong to the connection, or that say something to this node only.
 _DROPPED_FIELDS = frozenset(
@@ -252,4 +254,6 @@
         executed=Executed.NO if refused else Executed.YES,
         signed=signed,
         reason=f"status-{raw.status}" if refused else "",
+        misdirected=raw.status == _MISDIRECTED,
+        found_instance=raw.get(_INSTANCE) if raw.status == _MISDIRECTED else None,
     )
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -90,7 +90,7 @@
             spawn=self._spawn,
             memory=self._memory,
         )
-        self._forwarder = Forwarder(self._state)
+        self._forwarder = Forwarder(self._state, monotonic_ms())
         self._ingress = Ingress(self._forwarder, monotonic_ms)
         self._register()
         rng = random.Random(f"{settings.node}/{time.time_ns()}")
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -41,6 +41,7 @@
     Given a directory that was listed before an outage of the store
     Then an entry missing right after it stays usable for two seconds
     And one that was draining, or that goes at another time, is gone at once
+    And one whose address another endpoint has stays gone, whatever the store still says
 
   Scenario: an older configuration never replaces a newer one
     Given a forwarder with version five in force
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -15,6 +15,7 @@
   Scenario: no place is granted whose prompt would wait long for its reading
     Given a plan with free memory and a single reader
     Then places are granted as fast as prompts are read, the most pressing first
+    And one who fits is not refused while its reading is foreseen in time
 
   Scenario: a planner that is new, or that stood still, does not plan before it has heard all
     Given a planner that is asked for the first time
--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -49,6 +49,10 @@
     When one of two servers says that it drains, or its entry goes
     Then no request reaches it any more
 
+  Scenario: an address that another server has got
+    When the store still names a server whose address another one has
+    Then each request runs once at a server that was meant, and the lost one is asked once
+
   Scenario: a caller who leaves frees the server
     When a caller leaves while its request runs
     Then the server sees that within half a second
@@ -62,6 +66,10 @@
     Then memory was reserved, the prompt read and the stream passed on
     And when no memory is free it is refused at once, with a time to return
 
+  Scenario: a generation is served without an endpoint that reads
+    When a caller asks for a generation and no endpoint reads prompts
+    Then a decode endpoint reads by itself and the stream is passed on
+
   Scenario: a resumable stream that breaks inside an event is whole for the caller
     When the first decode server breaks a resumable stream inside an event
     Then the caller gets each event once, in order, with a good end
--- a/saffronworks/tests/features/steps/forwarding_steps.py
+++ b/saffronworks/tests/features/steps/forwarding_steps.py
@@ -418,9 +418,19 @@
     assert "e0" not in directory.endpoints
 
 
+@then("one whose address another endpoint has stays gone, whatever the store still says")
+def stays_gone(context):
+    directory, lost = Directory(), endpoints(1)[0]
+    directory.replace([lost], 1, lapsed=False, now_ms=0)
+    directory.note_replaced("e0")
+    directory.put(lost)
+    directory.replace([lost], 2, lapsed=False, now_ms=10)
+    assert not directory.may_use("e0", 20)
+
+
 @given("a forwarder with version five in force")
 def five(context):
-    context.forwarder = Forwarder(None)
+    context.forwarder = Forwarder(None, 0)
     assert context.forwarder.take_table(RoutingTable(5, (), {}))
 
 
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -166,6 +166,17 @@
     context.plan.readers = 1
 
 
+@then("one who fits is not refused while its reading is foreseen in time")
+def not_refused(context):
+    plan = warm_plan()
+    plan.readers = 1
+    for index in range(5):
+        core.step(plan, ask(f"r{index}"), ["d0"], START_MS)
+    waiting = set(plan.waiters)
+    replies = core.step(plan, core.Tick(), ["d0"], START_MS + DECIDE_AFTER_MS)
+    assert waiting and not refused(replies), replies
+
+
 @then("places are granted as fast as prompts are read, the most pressing first")
 def as_fast_as_read(context):
     plan, names = context.plan, []
@@ -305,14 +316,14 @@
             assert await other.client.ask(ask("warm", reply_to=other.address)) is None
             for _ in range(4):
                 await anyio.sleep(WARM_UP_MS / 3000)
-                other.client.end("warm", "s", 0, 0)
+                other.client.end(messages.MemoryRelease("warm", "s"))
             for request_id in ("a", "b", "c"):
                 tasks.start_soon(ask_one, other, request_id)
                 await anyio.sleep(0.05)
             await anyio.sleep(0.4)
             context.before = list(context.granted)
             context.waiting = list(planner.planner.plans["s"].waiters)
-            other.client.end("a", "s", 1000, 800)
+            other.client.end(messages.MemoryRelease("a", "s", 1000, 800))
             await anyio.sleep(0.3)
             tasks.cancel_scope.cancel()
 
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -326,6 +326,29 @@
     assert [len(server.ran) for server in context.servers_used] == [0, 0, 8]
 
 
+@when("the store still names a server whose address another one has")
+def address_taken(context):
+    servers = context.servers_used = web_servers(2)
+    servers[0].instance = "w-new"
+
+    async def play(place):
+        ghost = servers[0].entry()
+        place.store.put("servers", "w-old", ghost)
+        place.store.remove("servers", "w-new")
+        await anyio.sleep(0.3)
+        context.raws = [await place.ask("/once/", f"r{turn}") for turn in range(6)]
+
+    on_platform(servers, play)
+
+
+@then("each request runs once at a server that was meant, and the lost one is asked once")
+def asked_once(context):
+    assert all(raw.startswith(b"HTTP/1.1 200") for raw in context.raws), context.raws
+    taken, sound = context.servers_used
+    assert len(sound.ran) == 6 and not taken.ran
+    assert len(taken.seen) <= 1, taken.seen
+
+
 @when("a caller leaves while its request runs")
 def leaves(context):
     servers = web_servers()
@@ -396,6 +419,24 @@
     assert b"retry-after" in context.refused.lower() and context.refused_s < 0.3
 
 
+@when("a caller asks for a generation and no endpoint reads prompts")
+def no_reader(context):
+    context.servers_used = engines()[:2]
+
+    async def play(place):
+        context.raw = await place.generate("/gen/", "g1")
+
+    on_platform(context.servers_used, play)
+
+
+@then("a decode endpoint reads by itself and the stream is passed on")
+def reads_itself(context):
+    seen = [headers for server in context.servers_used for _, _, headers, _ in server.seen]
+    stream = next(headers for headers in seen if "kv-hold" in headers)
+    assert "kv-source" not in stream, stream
+    assert context.raw.count(b"data: ") == 3 and context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
 @when("the first decode server breaks a resumable stream inside an event")
 def breaks_inside(context):
     servers = engines()
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -175,7 +175,7 @@
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.seen.append((method, target, headers, body))
         if headers.get("expect-instance") != self.instance:
-            return await self._reply(writer, 421, {}, b"")
+            return await self._reply(writer, 421, {"Instance-Id": self.instance}, b"")
         if target.startswith("/saffronworks/"):
             return await self._control(writer, method, target)
         return await self._request(reader, writer, headers)
