A stream's end and line ends read as they are; a place in memory apart from the runner; tests split

Cause, found by reading the code against what servers may send: the cutter of events rewrote CRLF line ends, so that a caller would have got other bytes than the server sent; a stream without a length that ended inside an event was ended as if it were whole; an answer to HEAD was waited for until its body came.

Change: both line ends are kept as they come; where no length tells the end, a rest after the last whole event is a break; HEAD ends at its head. `places.py` takes reservations out of the generation's runner, `load_or_exit` serves both programs, the steps of forwarding and of the platform lie in files by matter.

--- a/saffronworks/daemon.py
+++ b/saffronworks/daemon.py
@@ -3,22 +3,19 @@
 import logging
 import signal
 import sys
-from pathlib import Path
 
 import anyio
 import fire
-from result import Err
 
 from saffronworks.logs import set_up_logs
 from saffronworks.nodes import Node
+from saffronworks.readers import load_or_exit
 from saffronworks.settings import Settings, read_settings
 
 __all__ = ["main"]
 
 logger = logging.getLogger(__name__)
 
-EXIT_BAD_INPUT = 2
-
 
 def main() -> None:
     """Entry point of `saffrond`."""
@@ -32,7 +29,7 @@
         settings: path of the YAML settings file.
         check: only check the settings, and exit.
     """
-    checked = _read(settings)
+    checked = load_or_exit(settings, read_settings)
     if check:
         print(f"{settings}: ok")
         return
@@ -45,20 +42,6 @@
         sys.exit(1)
 
 
-def _read(path: str) -> Settings:
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        print(f"{path}: {error.strerror}", file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
-    read = read_settings(text, path)
-    if isinstance(read, Err):
-        for finding in read.err_value:
-            print(finding, file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
-    return read.ok_value
-
-
 async def _run(settings: Settings) -> None:
     node = Node(settings)
     async with anyio.create_task_group() as tasks:
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -89,8 +89,9 @@
         self._incoming = RawHead()
         self._head: RawHead | None = None
         self._dropping = False
+        self._bodiless = False
         self._whole = False
-        self._framed = False
+        self.framed = False
         self._lost: BreakCause | None = None
         self.idle_since_ms = 0.0
         self.keep_ms = float(KEEP_ALIVE_DEFAULT_MS)
@@ -125,7 +126,7 @@
     def eof_received(self) -> bool:
         """The endpoint closed: that ends an answer without a length."""
         self.reusable = False
-        if self._head is not None and not self._framed and not self._dropping:
+        if self._head is not None and not self.framed and not self._dropping:
             self._whole = True
         self._lose(BreakCause.CLOSED)
         return False
@@ -170,11 +171,12 @@
             self.reusable = self.reusable and head.status < 200
             return
         self._head = head
-        self._framed = (
+        self.framed = (
             head.get("content-length") is not None
             or head.get("transfer-encoding") is not None
             or head.status in _NO_BODY
         )
+        self._whole = self._bodiless
         self._read_keep_alive(head)
 
     def _read_keep_alive(self, head: RawHead) -> None:
@@ -204,14 +206,18 @@
 
     # The exchange
 
-    def send(self, data: bytes, awaited_id: str | None) -> None:
-        """Start an exchange. Break when the connection is gone already."""
+    def send(self, data: bytes, awaited_id: str | None, bodiless: bool = False) -> None:
+        """Start an exchange; `bodiless` where the answer is a head alone (the method HEAD).
+
+        Break when the connection is gone already.
+        """
         if self._lost is not None or self._transport is None or self._transport.is_closing():
             raise Break(BreakCause.CLOSED, sent=False)
         self._parser = httptools.HttpResponseParser(self)
         self._awaited_id = awaited_id
+        self._bodiless = bodiless
         self._head = None
-        self._whole = self._dropping = self._framed = False
+        self._whole = self._dropping = self.framed = False
         self._chunks.clear()
         self._buffered_bytes = 0
         self.uses += 1
--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -6,7 +6,8 @@
 
 __all__ = ["EventCutter"]
 
-_END = b"\n\n"
+# An event ends with an empty line, in either way of ending lines.
+_BLANK_LINES = (b"\n\n", b"\r\n\r\n")
 
 
 @attrs.define
@@ -17,11 +18,14 @@
 
     def feed(self, data: bytes) -> EventMark | None:
         """The whole events up to now, or None while the first is still incomplete."""
-        self._rest += data.replace(b"\r\n", b"\n") if b"\r\n" in data else data
-        end = self._rest.rfind(_END)
-        if end < 0:
+        self._rest += data
+        ends = [
+            self._rest.rfind(blank) + len(blank) for blank in _BLANK_LINES if blank in self._rest
+        ]
+        if not ends:
             return None
-        whole, self._rest = self._rest[: end + len(_END)], self._rest[end + len(_END) :]
+        end = max(ends)
+        whole, self._rest = self._rest[:end], self._rest[end:]
         return EventMark(whole, _last_id(whole))
 
     def rest(self) -> bytes:
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -3,7 +3,7 @@
 import logging
 
 import anyio
-from result import Err, Ok
+from result import Err
 
 from saffronworks.bundles import Role
 from saffronworks.forwarding import generation_core
@@ -17,22 +17,15 @@
     planned_tokens,
     reserve_tokens,
 )
-from saffronworks.forwarding.loads import EndpointLoad
 from saffronworks.forwarding.memory_client import RunSize
-from saffronworks.forwarding.memory_messages import (
-    MemoryAsk,
-    MemoryGrant,
-    MemoryRefusal,
-    MemoryRelease,
-)
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
     KvHandle,
-    KvHold,
     PromptSize,
     Refuse,
 )
+from saffronworks.forwarding.places import Place, StreamPace
 from saffronworks.forwarding.ports import Exchange
 from saffronworks.forwarding.routing import EngineSpec, Route
 from saffronworks.forwarding.runners import Job, NodeState, tell_refusal
@@ -41,7 +34,6 @@
     GIVE_UP_PAUSES,
     GIVE_UP_TARGETS,
     HANDLE_DISTRUST_MS,
-    HEADROOM_MS,
     HEADROOM_SHARE,
     RETURNED_BELOW_SHARE,
     STALL_PAUSES,
@@ -74,7 +66,7 @@
         returned=job.request.left_ms < RETURNED_BELOW_SHARE * usual_left_ms,
     )
     size = RunSize(prompt.prompt_tokens, prompt.likely_tokens, prompt.most_answer_tokens)
-    await _GenerationRun(node, job, state, size, engine.tokens_per_event).run()
+    await _GenerationRun(node, job, state, Place(node, job, size), engine.tokens_per_event).run()
 
 
 def first_event_limit_ms(route: Route) -> int:
@@ -89,14 +81,13 @@
         node: NodeState,
         job: Job,
         state: GenerationState,
-        size: RunSize,
+        place: Place,
         tokens_per_event: int,
     ):
         self._node = node
-        self._size = size
+        self._place = place
         self._tokens_per_event = tokens_per_event
         self._stream_from: tuple[int, int] | None = None
-        self._planned = False
         self._job = job
         self._state = state
         self._exchange: Exchange | None = None
@@ -104,9 +95,6 @@
         self._cutter = EventCutter()
         self._first_bytes = b""
         self._last_event = job.request.after_event
-        self._reserved_at: EndpointLoad | None = None
-        self._reserved_tokens = 0
-        self._unused_hold: KvHold | None = None
         self._unused_handle: KvHandle | None = None
         self._first_ms = 0
         self._read_ms = 0
@@ -200,69 +188,17 @@
         return None
 
     async def _ask_planner(self, command: events.AskPlanner) -> events.Event:
-        node, state, now_ms = self._node, self._state, self._node.now_ms()
         self._give_up_place()
-        ask = MemoryAsk(
-            request_id=self._job.request.request_id,
-            reply_to=node.memory.own_address,
-            service=self._job.service,
-            prompt_tokens=self._size.prompt_tokens,
-            likely_tokens=self._size.likely_tokens,
-            most_tokens=self._size.most_tokens,
-            waited_ms=now_ms - state.arrived_ms,
-            in_time_ms=command.in_time_ms,
-            patience_ms=command.patience_ms,
-            returned=state.returned or state.answering,
-            avoid=command.avoid,
-        )
-        self._planned = True
-        match await node.memory.ask(ask):
-            case MemoryGrant(_, instance):
-                return events.PlanGranted(instance)
-            case MemoryRefusal(_, retry_after_ms):
-                return events.PlanRefused(retry_after_ms)
-        return events.PlanSilent()
+        returned = self._state.returned or self._state.answering
+        return await self._place.ask_planner(command, returned)
 
     async def _ask_hold(self, command: events.AskHold) -> events.Event:
-        node, endpoint = self._node, command.endpoint
         self._give_up_place()
         try:
-            hold = await self._take_hold_beside_headroom(command)
+            return await self._place.reserve(command)
         except Break as broken:
-            self._note_break("hold", endpoint, broken)
-            return events.HoldFailed(endpoint.instance, broken=True)
-        if hold is None:
-            node.figures.count_send("hold", "full")
-            return events.HoldFailed(endpoint.instance, broken=False)
-        node.figures.count_send("hold", "taken")
-        self._unused_hold = hold
-        self._reserved_at = node.loads.of(endpoint.instance)
-        self._reserved_at.reserved_tokens += command.tokens
-        self._reserved_tokens = command.tokens
-        self._planned = True
-        node.memory.begin(
-            self._job.request.request_id, self._job.service, endpoint.instance, self._size
-        )
-        return events.HoldTaken(hold)
-
-    async def _take_hold_beside_headroom(self, command: events.AskHold) -> KvHold | None:
-        """The headroom is reserved first, to see that it is there, and given back at once."""
-        node, endpoint = self._node, command.endpoint
-        calls = node.calls
-        headroom: KvHold | None = None
-        if command.headroom_tokens:
-            free = await calls.take_hold(
-                endpoint, command.headroom_tokens, HEADROOM_MS, node.now_ms()
-            )
-            if isinstance(free, Err):
-                return None
-            headroom = free.ok_value
-        try:
-            hold = await calls.take_hold(endpoint, command.tokens, command.ttl_ms, node.now_ms())
-        finally:
-            if headroom is not None:
-                node.spawn(calls.drop_hold, headroom)
-        return hold.ok_value if isinstance(hold, Ok) else None
+            self._note_break("hold", command.endpoint, broken)
+            return events.HoldFailed(command.endpoint.instance, broken=True)
 
     async def _read_prompt(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
         node = self._node
@@ -300,7 +236,8 @@
             self._exchange = await node.calls.open_stream(
                 endpoint, self._job.request, left_ms, hold, handle, self._last_event
             )
-            self._unused_hold = self._unused_handle = None
+            self._place.use()
+            self._unused_handle = None
             head = await self._exchange.head(max(1, left_ms))
             if head.success and head.signed:
                 await self._read_first_events(max(1, state.deadline_at_ms - node.now_ms()))
@@ -372,8 +309,7 @@
                 data = self._pass_on(chunk)
                 if data:
                     await reply.write(data)
-            if rest := self._cutter.rest():
-                await reply.write(rest)
+            await self._write_rest()
         except Break as broken:
             endpoint = self._state.hold.endpoint if self._state.hold else None
             if endpoint is not None:
@@ -384,6 +320,15 @@
         self._log_answered(job)
         return None
 
+    async def _write_rest(self) -> None:
+        """What follows the last whole event. Where no length tells the end, it shows a break."""
+        assert self._exchange is not None
+        rest = self._cutter.rest()
+        if rest and not self._exchange.framed:
+            raise Break(BreakCause.CLOSED, sent=True)
+        if rest:
+            await self._job.reply.write(rest)
+
     def _pause_limit_ms(self) -> int:
         """How long a stream may be silent: where it can't go on elsewhere, to its deadline."""
         state, now_ms = self._state, self._node.now_ms()
@@ -417,16 +362,13 @@
         self._node.figures.count("cut", self._job.route.name, reason)
         self._job.reply.cut()
 
-    def _released(self) -> MemoryRelease:
-        """What the planner may learn of the last stream; zeros where too little is known."""
-        request_id, service = self._job.request.request_id, self._job.service
+    def _pace(self) -> StreamPace:
+        """What the last stream showed; zeros where too little is known."""
         if self._stream_from is None or self._last_event is None:
-            return MemoryRelease(request_id, service)
+            return StreamPace()
         from_event, from_ms = self._stream_from
         tokens = (self._last_event - from_event) * self._tokens_per_event
-        return MemoryRelease(
-            request_id, service, tokens, self._node.now_ms() - from_ms, self._read_ms
-        )
+        return StreamPace(tokens, self._node.now_ms() - from_ms, self._read_ms)
 
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
         load = self._node.loads.of(endpoint.instance)
@@ -446,15 +388,7 @@
         if self._exchange is not None:
             self._exchange.end()
             self._exchange = None
-        if self._reserved_at is not None:
-            self._reserved_at.reserved_tokens -= self._reserved_tokens
-            self._reserved_at = None
-        if self._planned:
-            self._node.memory.end(self._released())
-            self._planned = False
-        if self._unused_hold is not None:
-            self._node.spawn(self._node.calls.drop_hold, self._unused_hold)
-            self._unused_hold = None
+        self._place.give_back(self._pace())
         if self._unused_handle is not None:
             self._node.spawn(self._node.calls.drop_handle, self._unused_handle)
             self._unused_handle = None
--- /dev/null
+++ b/saffronworks/forwarding/places.py
@@ -0,0 +1,120 @@
+"""A generation's place in the memory of a decode endpoint: asked for, reserved, given back."""
+
+import attrs
+from result import Err, Ok
+
+from saffronworks.forwarding import generation_events as events
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.loads import EndpointLoad
+from saffronworks.forwarding.memory_client import RunSize
+from saffronworks.forwarding.memory_messages import (
+    MemoryAsk,
+    MemoryGrant,
+    MemoryRefusal,
+    MemoryRelease,
+)
+from saffronworks.forwarding.messages import KvHold
+from saffronworks.forwarding.runners import Job, NodeState
+from saffronworks.forwarding.tuning import HEADROOM_MS
+
+__all__ = ["Place", "StreamPace"]
+
+
+@attrs.frozen
+class StreamPace:
+    """What a stream showed of the endpoints: tokens and their time, and that of the reading."""
+
+    answer_tokens: int = 0
+    stream_ms: int = 0
+    read_ms: int = 0
+
+
+@attrs.define
+class Place:
+    """At most one reservation at a time; `known` tells that the planner may count on it."""
+
+    node: NodeState
+    job: Job
+    size: RunSize
+    _hold: KvHold | None = None
+    _load: EndpointLoad | None = None
+    _tokens: int = 0
+    _known: bool = False
+
+    async def ask_planner(self, command: events.AskPlanner, returned: bool) -> events.Event:
+        """Ask the planner for a place, and wait for its answer."""
+        memory, request = self.node.memory, self.job.request
+        self._known = True
+        ask = MemoryAsk(
+            request_id=request.request_id,
+            reply_to=memory.own_address,
+            service=self.job.service,
+            prompt_tokens=self.size.prompt_tokens,
+            likely_tokens=self.size.likely_tokens,
+            most_tokens=self.size.most_tokens,
+            waited_ms=self.node.now_ms() - request.arrived_ms,
+            in_time_ms=command.in_time_ms,
+            patience_ms=command.patience_ms,
+            returned=returned,
+            avoid=command.avoid,
+        )
+        match await memory.ask(ask):
+            case MemoryGrant(_, instance):
+                return events.PlanGranted(instance)
+            case MemoryRefusal(_, retry_after_ms):
+                return events.PlanRefused(retry_after_ms)
+        return events.PlanSilent()
+
+    async def reserve(self, command: events.AskHold) -> events.Event:
+        """Reserve memory at an endpoint; raises Break when it gives no answer."""
+        endpoint = command.endpoint
+        hold = await self._take_beside_headroom(command)
+        if hold is None:
+            self.node.figures.count_send("hold", "full")
+            return events.HoldFailed(endpoint.instance, broken=False)
+        self.node.figures.count_send("hold", "taken")
+        self._take(hold, endpoint, command.tokens)
+        return events.HoldTaken(hold)
+
+    async def _take_beside_headroom(self, command: events.AskHold) -> KvHold | None:
+        """The headroom is reserved first, to see that it is there, and given back at once."""
+        calls, endpoint, now_ms = self.node.calls, command.endpoint, self.node.now_ms
+        headroom: KvHold | None = None
+        if command.headroom_tokens:
+            free = await calls.take_hold(endpoint, command.headroom_tokens, HEADROOM_MS, now_ms())
+            if isinstance(free, Err):
+                return None
+            headroom = free.ok_value
+        try:
+            hold = await calls.take_hold(endpoint, command.tokens, command.ttl_ms, now_ms())
+        finally:
+            if headroom is not None:
+                self.node.spawn(calls.drop_hold, headroom)
+        return hold.ok_value if isinstance(hold, Ok) else None
+
+    def _take(self, hold: KvHold, endpoint: ServiceEndpoint, tokens: int) -> None:
+        self._hold, self._tokens, self._known = hold, tokens, True
+        self._load = self.node.loads.of(endpoint.instance)
+        self._load.reserved_tokens += tokens
+        request_id = self.job.request.request_id
+        self.node.memory.begin(request_id, self.job.service, endpoint.instance, self.size)
+
+    def use(self) -> None:
+        """The request was sent with the reservation, which serves it from now on."""
+        self._hold = None
+
+    def give_back(self, pace: StreamPace) -> None:
+        """Free what is reserved and unused, and tell the planner that the place is free."""
+        if self._load is not None:
+            self._load.reserved_tokens -= self._tokens
+            self._load = None
+        if self._hold is not None:
+            self.node.spawn(self.node.calls.drop_hold, self._hold)
+            self._hold = None
+        if self._known:
+            request_id, service = self.job.request.request_id, self.job.service
+            release = MemoryRelease(
+                request_id, service, pace.answer_tokens, pace.stream_ms, pace.read_ms
+            )
+            self.node.memory.end(release)
+            self._known = False
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -96,6 +96,10 @@
 
     connection: EndpointConnection
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer tells its own end; else only a close does."""
+
     async def head(self, timeout_ms: float) -> AnswerHead:
         """The start of the answer; raises Break."""
 
--- a/saffronworks/platform/__main__.py
+++ b/saffronworks/platform/__main__.py
@@ -2,21 +2,15 @@
 
 import os
 import sys
-from pathlib import Path
 
 import anyio
 import fire
-from result import Err
 
 from saffronworks.logs import set_up_logs
 from saffronworks.platform.node import PlatformNode
-from saffronworks.platform.settings import (
-    SETTINGS_VARIABLE,
-    PlatformSettings,
-    read_platform_settings,
-)
+from saffronworks.platform.settings import SETTINGS_VARIABLE, read_platform_settings
+from saffronworks.readers import load_or_exit
 
-EXIT_BAD_INPUT = 2
 METRICS_PORT = 9464
 
 
@@ -34,8 +28,8 @@
         metrics_port: where counters and histograms are served.
         log_level: DEBUG, INFO, WARNING or ERROR.
     """
-    path = settings or os.environ.get(SETTINGS_VARIABLE, "")
-    checked = _read(path)
+    path = settings or os.environ.get(SETTINGS_VARIABLE, SETTINGS_VARIABLE)
+    checked = load_or_exit(path, read_platform_settings)
     if check:
         print(f"{path}: ok")
         return
@@ -43,19 +37,5 @@
     anyio.run(PlatformNode(checked, path, metrics_port).run)
 
 
-def _read(path: str) -> PlatformSettings:
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        print(f"{path or SETTINGS_VARIABLE}: {error.strerror}", file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
-    read = read_platform_settings(text, path)
-    if isinstance(read, Err):
-        for finding in read.err_value:
-            print(finding, file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
-    return read.ok_value
-
-
 if __name__ == "__main__":
     fire.Fire(serve, name="saffronworks.platform")
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -77,6 +77,11 @@
         self._pool = pool
         self._endpoint = endpoint
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer tells its own end; else only a close does."""
+        return self.connection.framed
+
     async def head(self, timeout_ms: float) -> AnswerHead:
         """The start of the answer; raises Break."""
         return _decode_head(await self.connection.head(timeout_ms))
@@ -180,7 +185,7 @@
     ) -> PlatformExchange:
         data = _encode_request(endpoint, request, left_ms, extra)
         connection = await self.pool.take(endpoint)
-        connection.send(data, request.request_id)
+        connection.send(data, request.request_id, bodiless=request.method == "HEAD")
         return PlatformExchange(self.pool, endpoint, connection)
 
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
--- a/saffronworks/readers.py
+++ b/saffronworks/readers.py
@@ -1,12 +1,19 @@
 """Read YAML with positions, so that every finding names its file, line and field."""
 
-from collections.abc import Iterator
-from typing import Any
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
 
 import attrs
 import yaml
+from result import Err, Result
 
-__all__ = ["Finding", "Section", "read_yaml", "sort_findings"]
+__all__ = ["Finding", "Section", "load_or_exit", "read_yaml", "sort_findings"]
+
+EXIT_BAD_INPUT = 2
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -22,6 +29,21 @@
         return f"{self.file}:{self.line}: {self.field}: {self.problem}"
 
 
+def load_or_exit(path: str, read: Callable[[str, str], Result[T, list[Finding]]]) -> T:
+    """Read a file with `read(text, path)`; prints all findings and exits with 2 where it fails."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        print(f"{path}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    checked = read(text, path)
+    if isinstance(checked, Err):
+        for finding in checked.err_value:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+    return checked.ok_value
+
+
 def sort_findings(findings: list[Finding]) -> list[Finding]:
     """In the order of the file."""
     return sorted(findings, key=lambda finding: (finding.file, finding.line, finding.field))
--- /dev/null
+++ b/saffronworks/tests/endpoint_plays.py
@@ -0,0 +1,61 @@
+"""What scenarios on the deciding cores share: routes, endpoints, and ways in which they answer."""
+
+from hypothesis import strategies as st
+
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.messages import (
+    AnswerHead,
+    Executed,
+)
+from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.routing import Route, Split
+
+MOST_STEPS = 60
+
+
+ALL_TO_S = (Split("s", 1.0),)
+
+
+def route(name="r", prefix="/a/", splits=ALL_TO_S, **changes):
+    values = {
+        "host": "h",
+        "repeatable": False,
+        "streams": False,
+        "resumable": False,
+        "timeout_ms": 1500,
+        "target_ms": 300,
+        "max_attempts": 2,
+    }
+    return Route(name=name, path_prefix=prefix, splits=splits, **{**values, **changes})
+
+
+def endpoints(count, role=None, prefix="e"):
+    return [
+        ServiceEndpoint(f"{prefix}{index}", "s", f"127.0.0.1:{index}", "z", role=role)
+        for index in range(count)
+    ]
+
+
+def wide_budget():
+    return RetryBudget(1.0, 10_000, 10_000)
+
+
+REPLIES = st.lists(
+    st.sampled_from(["ok", "unsigned", "500", "503-run", "not-run", "unsent", "reset", "silent"]),
+    max_size=12,
+)
+
+
+def head_of(reply):
+    match reply:
+        case "ok":
+            return AnswerHead(200, (), Executed.YES, signed=True)
+        case "unsigned":
+            return AnswerHead(200, (), Executed.YES, signed=False)
+        case "500":
+            return AnswerHead(500, (), Executed.YES, signed=True)
+        case "503-run":
+            return AnswerHead(503, (), Executed.YES, signed=True)
+        case "not-run":
+            return AnswerHead(503, (), Executed.NO, signed=False)
+    return None
--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -16,6 +16,10 @@
     Then the server sees the caller's path, id and body, and none of the forged fields
     And the caller gets the server's answer with its signature
 
+  Scenario: a request for the head alone
+    When a caller asks for the head of an answer
+    Then it gets the head with its length, and no body
+
   Scenario: a request without a route, and one before there is a configuration
     Then a path without a route is answered 404
     And before there is a configuration the answer is 503, and the node is not ready
@@ -74,6 +78,7 @@
     When the first decode server breaks a resumable stream inside an event
     Then the caller gets each event once, in order, with a good end
     And a stream that may not be resumed does not look complete
+    And one without a length that ends inside an event does not look complete
 
   Scenario: a planned stop lets requests end and takes no new callers
     When a node is told to stop while a request runs
--- /dev/null
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -0,0 +1,111 @@
+"""Scenarios on role changes and the duty to order them."""
+
+import anyio
+from behave import given, then
+from result import Ok
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding import role_core as roles
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.role_keeper import RoleKeeper
+from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
+from saffronworks.tests.endpoint_plays import (
+    endpoints,
+)
+
+
+@given("two of five engines read prompts")
+def five_engines(context):
+    context.engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
+
+
+def look_until(state, engines, from_ms, until_ms):
+    """The first command, and when it came."""
+    for now_ms in range(from_ms, until_ms, 500):
+        command = roles.step(state, roles.Look(engines), now_ms)
+        if command is not None:
+            return command, now_ms
+    return None, until_ms
+
+
+@then("after two seconds the duty is asked for, and one engine is ordered")
+def one_order(context):
+    state = roles.RoleState("n", 3000, 300)
+    command, at_ms = look_until(state, context.engines, 0, 10_000)
+    assert command == roles.TakeDuty(None) and at_ms >= roles.EXCESS_MS
+    order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
+    assert order.role is Role.DECODE and order.fence == 19
+    assert order.endpoint.role is Role.PREFILL
+    roles.step(state, roles.Ordered(True), at_ms)
+    again, _ = look_until(state, context.engines, at_ms, at_ms + roles.ORDER_OPEN_MS)
+    assert again is None, "a second order while the first is open"
+
+
+@then("another node that finds the duty taken gives no order")
+def finds_taken(context):
+    state = roles.RoleState("m", 3000, 300)
+    _, at_ms = look_until(state, context.engines, 0, 10_000)
+    assert roles.step(state, roles.DutyHeldByOther(19), at_ms) is None
+    command, at_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
+    assert command == roles.TakeDuty(None), "the object of a live holder is not taken over"
+
+
+@then("a node that took the duty over waits out the lease before it orders")
+def waits_out(context):
+    state = roles.RoleState("m", 3000, 300)
+    _, at_ms = look_until(state, context.engines, 0, 10_000)
+    roles.step(state, roles.DutyHeldByOther(19), at_ms)
+    free_ms = at_ms + roles.DUTY_FREE_MS
+    command, at_ms = look_until(state, context.engines, free_ms, free_ms + 10_000)
+    assert command == roles.TakeDuty(19), command
+    assert roles.step(state, roles.DutyTaken(25, took_over=True), at_ms) is None
+    command, later_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
+    assert command == roles.TakeDuty(None) and later_ms - at_ms >= 3300
+    assert roles.step(state, roles.DutyTaken(31, took_over=False), later_ms).fence == 31
+
+
+class SlowDuty:
+    """A store whose confirmation is late, and a clock that jumps after it, as in a freeze."""
+
+    def __init__(self):
+        self.now_ms = 0
+        self.asked = 0
+        self.orders = []
+
+    async def create(self, kind, name, content):
+        self.asked += 1
+        return Ok(StoredObject(name, 19, content))
+
+    def clock(self):
+        frozen_ms = roles.CONFIRMED_MS + 1 if self.asked else 0
+        self.now_ms += frozen_ms
+        return self.now_ms
+
+    async def order_role(self, endpoint, role, holder, fence):
+        self.orders.append(endpoint.instance)
+        return Ok(None)
+
+
+@given("a role keeper whose confirmation took longer than allowed")
+def frozen_keeper(context):
+    world = context.world = SlowDuty()
+    directory = Directory()
+    engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
+    directory.replace(engines, 1, lapsed=False, now_ms=0)
+    spec = EngineSpec(64, 90_000, 18_432, 64, 2000, 500, 6000)
+    table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
+    state = roles.RoleState("n", 3000, 300, unbalanced_since_ms=-roles.EXCESS_MS)
+    keeper = RoleKeeper(lambda: state, directory, world, world, lambda: table, world.clock)
+
+    async def look():
+        with anyio.move_on_after(1.0):
+            await keeper.run()
+
+    anyio.run(look)
+
+
+@then("no order reaches the engine")
+def no_order(context):
+    assert context.world.asked >= 1
+    assert context.world.orders == []
--- /dev/null
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -0,0 +1,168 @@
+"""Scenarios on the core of a generation: no sockets, no clock."""
+
+from behave import given, then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding import generation_core
+from saffronworks.forwarding import generation_events as gen
+from saffronworks.forwarding import plain_core as plain
+from saffronworks.forwarding.messages import (
+    Begin,
+    KvHandle,
+    KvHold,
+    Refuse,
+)
+from saffronworks.tests.endpoint_plays import MOST_STEPS, REPLIES, endpoints, head_of, wide_budget
+
+
+def generation(may_repeat=False, returned=False):
+    return generation_core.GenerationState(
+        "s",
+        9000,
+        may_repeat,
+        2,
+        900,
+        0,
+        14_000,
+        2000,
+        gives_up_ms=3600,
+        returned=returned,
+        plans_left=0,
+    )
+
+
+POOLS = generation_core.Pools(endpoints(3, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p"))
+
+
+def gen_step(state, event, now_ms=10, pools=POOLS):
+    return generation_core.step(state, event, pools, wide_budget(), now_ms)
+
+
+@given("a generation for two full decode endpoints and a free one")
+def full_decoders(context):
+    context.state = generation()
+
+
+@then("it asks them in order, reads once, and opens the stream where the memory is")
+def asks_in_order(context):
+    state = context.state
+    command = gen_step(state, Begin())
+    for full in ("d0", "d1"):
+        assert command.endpoint.instance == full, command
+        command = gen_step(state, gen.HoldFailed(full, broken=False))
+    assert command.endpoint.instance == "d2" and command.tokens == 9000
+    command = gen_step(state, gen.HoldTaken(KvHold(command.endpoint, "k", 2000)))
+    assert isinstance(command, gen.ReadPrompt) and command.endpoint.role is Role.PREFILL
+    command = gen_step(state, gen.PromptRead(KvHandle(command.endpoint, "h", 5000)))
+    assert command == gen.OpenStream(POOLS.decoders[2]), command
+    assert state.reads == 1
+
+
+@then("a caller who comes first is refused early, one who returned waits longer")
+def patience(context):
+    def refused_at_ms(returned):
+        state, now_ms = generation(returned=returned), 0
+        command = gen_step(state, Begin(), now_ms)
+        while not isinstance(command, Refuse):
+            if isinstance(command, gen.Wait):
+                now_ms += command.pause_ms
+                command = gen_step(state, gen.Waited(), now_ms)
+            else:
+                failed = gen.HoldFailed(command.endpoint.instance, broken=False)
+                command = gen_step(state, failed, now_ms)
+        assert command.status == 503 and command.not_run
+        return now_ms
+
+    assert refused_at_ms(False) <= 900 / 4
+    assert 2500 < refused_at_ms(True) < 3600
+
+
+def play_generation(may_repeat, replies, relay_breaks):
+    """Holds and reads succeed; streams answer in the given ways. Returns the runs and the end."""
+    state, now_ms, runs, resumed = generation(may_repeat), 0, 0, 0
+    waiting, breaks = list(replies), list(relay_breaks)
+    command = gen_step(state, Begin(), now_ms)
+    for _ in range(MOST_STEPS):
+        now_ms += 10
+        match command:
+            case gen.AskHold(endpoint):
+                event = gen.HoldTaken(KvHold(endpoint, "k", now_ms + 2000))
+            case gen.ReadPrompt(endpoint):
+                event = gen.PromptRead(KvHandle(endpoint, "h", 5000))
+            case gen.OpenStream(endpoint):
+                reply = waiting.pop(0) if waiting else "ok"
+                head = head_of(reply)
+                runs += reply not in ("unsent", "not-run")
+                if head is not None:
+                    event = gen.StreamAnswered(endpoint.instance, head)
+                else:
+                    sent, silent = reply != "unsent", reply == "silent"
+                    event = gen.StreamBroken(endpoint.instance, sent, silent)
+            case gen.RelayStream() if breaks and breaks.pop(0):
+                resumed += 1
+                event = gen.RelayBroken(state.hold.endpoint.instance, known=True)
+            case gen.Wait(pause_ms):
+                now_ms += pause_ms
+                event = gen.Waited()
+            case _:
+                return runs, resumed, command
+        command = gen_step(state, event, now_ms)
+    raise AssertionError(f"no end: {command}")
+
+
+BREAKS = st.lists(st.booleans(), max_size=3)
+
+
+@then("whatever endpoints answer, a generation that may not repeat runs once at most")
+def runs_once(context):
+    @forall(REPLIES, BREAKS)
+    def check(replies, breaks):
+        runs, _, _ = play_generation(False, replies, breaks)
+        assert runs <= 1, runs
+        runs, _, _ = play_generation(True, replies, breaks)
+        assert runs <= 2, runs
+
+    check()
+
+
+@then("a generation that has run is never refused with a promise")
+def generation_truthful(context):
+    @forall(st.booleans(), REPLIES, BREAKS)
+    def check(may_repeat, replies, breaks):
+        runs, resumed, end = play_generation(may_repeat, replies, breaks)
+        if isinstance(end, Refuse):
+            assert not resumed, "an answer that began is cut, not refused"
+            assert end.not_run == (runs == 0), (runs, end)
+            assert plain.promises_not_run(end.status) == end.not_run, end
+
+    check()
+
+
+def streaming(may_repeat):
+    state = generation(may_repeat)
+    state.hold = KvHold(POOLS.decoders[0], "k", 2000)
+    state.runs = state.streams = 1
+    return state
+
+
+@given("a resumable stream that broke after some events")
+def broke(context):
+    context.state = streaming(may_repeat=True)
+    context.command = gen_step(context.state, gen.RelayBroken("d0", known=True), 500)
+
+
+@then("memory is reserved at another endpoint, and the stream goes on there")
+def goes_on(context):
+    assert context.command.endpoint.instance == "d1", context.command
+    hold = KvHold(context.command.endpoint, "k2", 2500)
+    command = gen_step(context.state, gen.HoldTaken(hold), 510)
+    command = gen_step(context.state, gen.PromptRead(KvHandle(command.endpoint, "h", 5000)), 600)
+    assert command == gen.OpenStream(POOLS.decoders[1])
+
+
+@then("a stream that may not be resumed is cut")
+def is_cut(context):
+    command = gen_step(streaming(may_repeat=False), gen.RelayBroken("d0", known=True), 500)
+    assert isinstance(command, gen.Cut), command
--- /dev/null
+++ b/saffronworks/tests/features/steps/platform_generation_steps.py
@@ -0,0 +1,95 @@
+"""Scenarios on a whole node of the platform: generations and their streams."""
+
+import time
+
+from behave import then, when
+
+from saffronworks.tests.platform_place import engines, on_platform
+
+
+@when("a caller asks for a generation")
+def generates(context):
+    context.servers_used = engines()
+
+    async def play(place):
+        context.raw = await place.generate("/gen/", "g1")
+        for server in context.servers_used:
+            server.full = True
+        began_s = time.monotonic()
+        context.refused = await place.generate("/gen/", "g2")
+        context.refused_s = time.monotonic() - began_s
+
+    on_platform(context.servers_used, play)
+
+
+@then("memory was reserved, the prompt read and the stream passed on")
+def reserved(context):
+    decoder = next(server for server in context.servers_used if server.ran)
+    asked = [body for _, target, _, body in decoder.seen if target.endswith("hold-take")]
+    assert b'"tokens":8100' in asked[0] and b'"tokens":8000' in asked[1], asked
+    headers = next(headers for _, _, headers, _ in decoder.seen if "kv-hold" in headers)
+    reader = context.servers_used[2]
+    assert headers["kv-hold"] == "h1"
+    assert headers["kv-source"] == f"{reader.address}/k-g1", headers
+    assert reader.seen[0][2]["stage"] == "prefill" and reader.seen[0][3] == b"prompt"
+    assert context.raw.count(b"data: ") == 3 and context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
+@then("when no memory is free it is refused at once, with a time to return")
+def refused_early(context):
+    assert context.refused.startswith(b"HTTP/1.1 503"), context.refused
+    assert b"retry-after" in context.refused.lower() and context.refused_s < 0.3
+
+
+@when("a caller asks for a generation and no endpoint reads prompts")
+def no_reader(context):
+    context.servers_used = engines()[:2]
+
+    async def play(place):
+        context.raw = await place.generate("/gen/", "g1")
+
+    on_platform(context.servers_used, play)
+
+
+@then("a decode endpoint reads by itself and the stream is passed on")
+def reads_itself(context):
+    seen = [headers for server in context.servers_used for _, _, headers, _ in server.seen]
+    stream = next(headers for headers in seen if "kv-hold" in headers)
+    assert "kv-source" not in stream, stream
+    assert context.raw.count(b"data: ") == 3 and context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
+@when("the first decode server breaks a resumable stream inside an event")
+def breaks_inside(context):
+    servers = engines()
+
+    async def play(place):
+        servers[0].script = servers[1].script = ["break"]
+        context.whole = await place.generate("/res/", "g1")
+        context.runs = [len(server.ran) for server in servers]
+        servers[0].script = servers[1].script = ["break"]
+        context.broken = await place.generate("/gen/", "g2")
+        servers[0].script = servers[1].script = ["unframed-break"]
+        context.unframed = await place.generate("/gen/", "g3")
+
+    on_platform(servers, play)
+
+
+@then("the caller gets each event once, in order, with a good end")
+def each_once(context):
+    assert sum(context.runs) == 2, context.runs
+    ids = [context.whole.find(b"\nid: %d" % number) for number in (1, 2, 3)]
+    assert -1 not in ids and ids == sorted(ids), context.whole
+    assert context.whole.count(b"data: ") == 3, context.whole
+    assert context.whole.endswith(b"0\r\n\r\n")
+
+
+@then("a stream that may not be resumed does not look complete")
+def not_complete(context):
+    assert b"id: 1" in context.broken and not context.broken.endswith(b"0\r\n\r\n")
+
+
+@then("one without a length that ends inside an event does not look complete")
+def unframed_not_complete(context):
+    assert b"id: 1" in context.unframed, context.unframed
+    assert not context.unframed.endswith(b"0\r\n\r\n"), context.unframed
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -186,6 +186,10 @@
         return await self._reply(writer, 503 if method == "POST" else 200, {}, b"{}")
 
     async def _request(self, reader, writer, headers):
+        if self.seen[-1][0] == "HEAD":
+            own = {"Request-Id": headers["request-id"], "Server-Stamp": "s", "Content-Length": "2"}
+            await self._head(writer, 200, own)
+            return True
         request_id = headers["request-id"]
         if headers.get("stage") == "prefill":
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
@@ -249,6 +253,11 @@
         return await self._reply(writer, 200, own, body)
 
     async def _stream(self, writer, own, fault):
+        if fault == "unframed-break":
+            await self._head(writer, 200, own)
+            writer.write(f"id: 1\ndata: {self.instance}\n\nid: 2\nda".encode())
+            await writer.drain()
+            return False
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after = int(self.seen[-1][2].get("last-event-id", 0))
         for number in range(after + 1, self.events + 1):
--- /dev/null
+++ b/saffronworks/tests/platform_place.py
@@ -0,0 +1,105 @@
+"""A store, servers and one node over loopback, for scenarios on the whole path."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import anyio
+import attrs
+
+from saffronworks.platform.node import READINESS_PATH, PlatformNode
+from saffronworks.platform.settings import read_platform_settings
+from saffronworks.standins.sites import wait_until
+from saffronworks.tests.platform_fakes import FakeServer, FakeStore, fetch, settings_text
+
+ENGINE = {
+    "slots": 4,
+    "kv_capacity_tokens": 90_000,
+    "kv_bytes": 18_432,
+    "stride": 64,
+    "handle_ttl_s": 0.5,
+    "switch_s": 6.0,
+    "hold_ms": 2000.0,
+}
+
+
+def make_route(name, prefix, kind, service, **changes):
+    route = {"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind}
+    route |= {"service": service, "timeout_ms": 3000, "target_latency_ms": 400, "max_attempts": 2}
+    return route | changes
+
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        make_route("once", "/once/", "non_idempotent", "web", max_attempts=1, timeout_ms=1000),
+        make_route("again", "/again/", "idempotent", "web"),
+        make_route("once-stream", "/gen/", "streaming", "llm", sticky=True),
+        make_route("resumable", "/res/", "streaming", "llm", sticky=True, resumable=True),
+    ],
+    "services": [{"name": "web", "max_conns": 9}, {"name": "llm", "engine": ENGINE}],
+    "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+}
+
+
+@attrs.define
+class Place:
+    """A store, servers and one node."""
+
+    store: FakeStore
+    servers: dict
+    node: PlatformNode
+    tasks: object
+
+    @property
+    def callers(self):
+        return self.node.settings.caller_address
+
+    async def ask(self, path, request_id, headers=None, body=b"", method="POST", **options):
+        fields = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "3000"}
+        return await fetch(self.callers, method, path, fields | (headers or {}), body, **options)
+
+    async def generate(self, path, request_id, **options):
+        counts = {"Token-Counts": "5000,9000", "Length-Hint": "3000"}
+        return await self.ask(path, request_id, counts, b"prompt", **options)
+
+    async def ready(self):
+        raw = await fetch(self.node.settings.probe_address, "GET", READINESS_PATH, {"Host": "x"})
+        return raw.startswith(b"HTTP/1.1 200")
+
+
+def web_servers(count=1):
+    return [FakeServer(f"w{index}", "web") for index in range(count)]
+
+
+def engines():
+    decoders = [FakeServer(f"d{index}", "llm", "decode") for index in range(2)]
+    return [*decoders, FakeServer("p0", "llm", "prefill")]
+
+
+def on_platform(servers, play, config=CONFIG):
+    """Start everything, let `play(place)` act, end everything."""
+
+    async def main():
+        store = FakeStore()
+        with TemporaryDirectory() as folder:
+            file = Path(folder) / "node.yaml"
+            file.write_text(settings_text(store.address))
+            settings = read_platform_settings(file.read_text(), str(file)).ok_value
+            if config is not None:
+                store.put("config", "main", config)
+            for server in servers:
+                store.put("servers", server.instance, server.entry())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store.run)
+                for server in servers:
+                    tasks.start_soon(server.run)
+                node = PlatformNode(settings, str(file), metrics_port=0)
+                tasks.start_soon(node.run)
+                by_name = {server.instance: server for server in servers}
+                place = Place(store, by_name, node, tasks)
+                if config is not None:
+                    assert await wait_until(node.ready, limit_s=5)
+                await play(place)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
