--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -208,7 +208,8 @@
         return _ask(state, pools, now_ms)
     state.plans_left -= 1
     in_time_ms = state.arrived_ms + state.target_ms - IN_TIME_MS - now_ms
-    return AskPlanner(in_time_ms, patience_ms, tuple(sorted(state.asked | state.failed)))
+    avoid, broken = sorted(state.asked | state.failed), sorted(state.failed)
+    return AskPlanner(in_time_ms, patience_ms, tuple(avoid), tuple(broken))
 
 
 def _take_place(state: GenerationState, instance: str, pools: Pools, now_ms: int) -> Command:
@@ -269,7 +270,7 @@
     state: GenerationState, instance: str, head: AnswerHead, pools: Pools, now_ms: int
 ) -> Command:
     if head.executed is Executed.NO:
-        if head.misdirected:
+        if head.misdirected or state.handle is None:
             state.failed.add(instance)
         return _redirect(state, pools, now_ms, head.reason)
     state.runs += 1
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -114,6 +114,7 @@
     in_time_ms: int
     patience_ms: int
     avoid: tuple[str, ...]
+    broken: tuple[str, ...]
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/memory_core.py
@@ -35,6 +35,7 @@
     RETRY_AFTER_MOST_MS,
     RETURN_SHARE,
     SAMPLE_WEIGHT,
+    SHUN_MS,
     WARM_UP_MS,
 )
 
@@ -88,7 +89,8 @@
 
     `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
     long: it may have stood still meanwhile. `readers` endpoints read prompts, and are foreseen to
-    be busy until `read_until_ms`.
+    be busy until `read_until_ms`; a fraction stands for decode endpoints that read beside their
+    runs. Endpoints that failed a request are shunned for a while.
     """
 
     began_ms: int
@@ -101,8 +103,9 @@
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_return_ms: float = 0.0
     heard_ms: int = 0
-    readers: int = 1
+    readers: float = 1.0
     read_until_ms: float = 0.0
+    shunned_until_ms: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -164,6 +167,8 @@
 
 def _enqueue(state: PlanState, ask: MemoryAsk, now_ms: int) -> None:
     state.runs.pop(ask.request_id, None)
+    for instance in ask.broken:
+        state.shunned_until_ms[instance] = now_ms + SHUN_MS
     known = state.waiters.get(ask.request_id)
     state.waiters[ask.request_id] = Waiter(
         ask,
@@ -227,7 +232,9 @@
 
 def _growths(state: PlanState, decoders: list[str], now_ms: int) -> Growths:
     """Present size and expected growth of each run, by endpoint."""
-    growths: Growths = {instance: [] for instance in decoders}
+    growths: Growths = {
+        instance: [] for instance in decoders if state.shunned_until_ms.get(instance, 0) <= now_ms
+    }
     for run in state.runs.values():
         if run.instance in growths:
             growths[run.instance].append(run.growth(state.ms_per_token, now_ms))
--- a/saffronworks/forwarding/memory_messages.py
+++ b/saffronworks/forwarding/memory_messages.py
@@ -22,7 +22,8 @@
     """Entry to planner: a generation wants memory. Sent again until it is granted or refused.
 
     `in_time_ms` is left until a grant comes too late for the target, `patience_ms` until the
-    entry gives up; `avoid` names endpoints that had no room for it.
+    entry gives up; `avoid` names endpoints that had no room for it or failed it, `broken` the
+    latter alone.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     patience_ms: int
     returned: bool
     avoid: tuple[str, ...] = ()
+    broken: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -57,6 +57,7 @@
             patience_ms=command.patience_ms,
             returned=returned,
             avoid=command.avoid,
+            broken=command.broken,
         )
         match await memory.ask(ask):
             case MemoryGrant(_, instance):
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -34,12 +34,16 @@
 PREFILL_SHARE = 0.18
 # An excess that lasts this long is real: endpoints enter themselves within 4.5 s of the start.
 EXCESS_MS = 2000
-# A lack lasts longer before an order: a crashed endpoint is back after some 4 s.
-LACK_MS = 6000
-# Endpoints that must remain to decode when one of them is to read.
-LEAST_DECODERS = 3
+# A lack that lasts this long: a crashed endpoint's entry goes after 3.6 s, and most are back by
+# then or a moment later. Without a reader, worth on two days fell to 0.26 and 0.04.
+LACK_MS = 1500
+# Endpoints that must remain to decode when one of them is to read. With fewer, the six seconds
+# and more of a change cost more than reading beside the runs (one day with two engines left).
+LEAST_DECODERS = 2
 # An order without an answer may still be carried out for this long.
 ORDER_OPEN_MS = 13_000
+# It is given again after this pause, to the same endpoint, where it changes nothing twice.
+ORDER_AGAIN_MS = 2500
 # A duty whose object did not change for this long is free: all orders of its holder are over.
 DUTY_FREE_MS = 13_000
 # An order goes out at most this long after the duty was confirmed.
@@ -63,6 +67,7 @@
     order: str | None = None
     order_role: Role | None = None
     ordered_ms: int = 0
+    unanswered: bool = False
     duty_revision: int | None = None
     duty_seen_ms: int = 0
     mine: bool = False
@@ -145,6 +150,7 @@
         case DutyUnknown():
             state.ask_again_ms = now_ms + DUTY_AGAIN_MS
         case Ordered(accepted):
+            state.unanswered = accepted is None
             if accepted is False:
                 state.order = None
                 state.ask_again_ms = now_ms + DUTY_AGAIN_MS
@@ -163,19 +169,26 @@
     lasted_ms = now_ms - state.unbalanced_since_ms
     if lasted_ms < (LACK_MS if lacking else EXCESS_MS):
         return None
-    if state.order is not None or now_ms < max(state.ask_again_ms, state.may_order_from_ms):
+    if now_ms < max(state.ask_again_ms, state.may_order_from_ms):
         return None
+    if state.order is not None:
+        again = next((e for e in endpoints if e.instance == state.order), None)
+        if again is None or not state.unanswered:
+            return None
+        if now_ms - state.ordered_ms < ORDER_AGAIN_MS:
+            return None
+        chosen = again
     state.chosen = chosen
     free = not state.mine and now_ms - state.duty_seen_ms >= DUTY_FREE_MS
     return TakeDuty(state.duty_revision if free else None)
 
 
 def _settle_order(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> None:
-    """An order is over when its endpoint shows the new role, is gone, or never will."""
+    """An order is over when its endpoint shows the new role, is gone, or never will change."""
     if state.order is None:
         return
     found = next((e for e in endpoints if e.instance == state.order), None)
-    done = found is not None and found.role is state.order_role
+    done = found is None or found.role is state.order_role
     if done or now_ms - state.ordered_ms >= ORDER_OPEN_MS:
         state.order = None
 
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -109,6 +109,9 @@
 # one reader took 300 to 970 ms for a prompt while its memory lay idle, and all were late. Reading
 # at the decode endpoints instead cost more (trials: 0.38 to 0.41 against 0.50 on the same days).
 READ_BACKLOG_MS = 250
+# What a decode endpoint that must read by itself counts for beside one that only reads: it reads at
+# half the pace, and its runs wait meanwhile.
+OWN_READ_SHARE = 0.25
 # From a grant to the first event when the readers are that busy.
 IN_TIME_MS = 400
 # A run that outgrew its likely length is expected to grow by this share of what it made.
@@ -123,6 +126,8 @@
 DECIDE_AFTER_MS = 150
 # The foremost waiters that are looked at for each grant.
 QUEUE_LOOK = 8
+# An endpoint that failed a request, or changes its role, gets nothing for this long.
+SHUN_MS = 1000
 # Grants are counted over this span for forecasts.
 RATE_WINDOW_MS = 2000
 # Share of the grants that returning callers are to take.
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -52,6 +52,12 @@
     Then after two seconds the duty is asked for, and one engine is ordered
     And another node that finds the duty taken gives no order
     And a node that took the duty over waits out the lease before it orders
+    And an order without an answer is given again to the same engine, with a higher fence
+
+  Scenario: a service without a reader gets one
+    Given a service whose only reader has left
+    Then one of its decode engines is ordered to read after a moment, if another remains
+    And an order is over when its engine has left
 
   Scenario: a holder that stood still after its confirmation gives no order
     Given a role keeper whose confirmation took longer than allowed
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -16,6 +16,7 @@
     Given a plan with free memory and a single reader
     Then places are granted as fast as prompts are read, the most pressing first
     And one who fits is not refused while its reading is foreseen in time
+    And an endpoint that failed a request gets nothing for a while
 
   Scenario: a planner that is new, or that stood still, does not plan before it has heard all
     Given a planner that is asked for the first time
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -65,6 +65,45 @@
     assert roles.step(state, roles.DutyTaken(31, took_over=False), later_ms).fence == 31
 
 
+@then("an order without an answer is given again to the same engine, with a higher fence")
+def given_again(context):
+    state = roles.RoleState("n", 3000, 300)
+    _, at_ms = look_until(state, context.engines, 0, 10_000)
+    order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
+    roles.step(state, roles.Ordered(None), at_ms)
+    command, again_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
+    assert isinstance(command, roles.TakeDuty) and again_ms - at_ms >= roles.ORDER_AGAIN_MS
+    again = roles.step(state, roles.DutyTaken(23, took_over=False), again_ms)
+    assert again.endpoint == order.endpoint and again.role is order.role and again.fence == 23
+
+
+@given("a service whose only reader has left")
+def reader_left(context):
+    context.engines = endpoints(4, Role.DECODE, "d")
+
+
+@then("one of its decode engines is ordered to read after a moment, if another remains")
+def ordered_to_read(context):
+    state = roles.RoleState("n", 3000, 300)
+    command, at_ms = look_until(state, context.engines, 0, 10_000)
+    assert isinstance(command, roles.TakeDuty) and at_ms < 3000, at_ms
+    order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
+    assert order.role is Role.PREFILL
+    alone, _ = look_until(roles.RoleState("n", 3000, 300), context.engines[:2], 0, 10_000)
+    assert alone is None
+
+
+@then("an order is over when its engine has left")
+def over_when_left(context):
+    state = roles.RoleState("n", 3000, 300)
+    _, at_ms = look_until(state, context.engines, 0, 10_000)
+    order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
+    roles.step(state, roles.Ordered(True), at_ms)
+    rest = [e for e in context.engines if e != order.endpoint]
+    command, _ = look_until(state, rest, at_ms, at_ms + 5000)
+    assert isinstance(command, roles.TakeDuty)
+
+
 class SlowDuty:
     """A store whose confirmation is late, and a clock that jumps after it, as in a freeze."""
 
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -20,6 +20,7 @@
     READ_MS_PER_TOKEN,
     REPORT_LAPSE_MS,
     RETRY_AFTER_LEAST_MS,
+    SHUN_MS,
     WARM_UP_MS,
 )
 from saffronworks.kernel import Kernel
@@ -191,6 +192,17 @@
     assert [grant.request_id for grant in names[early:]][0] == "r5", names
 
 
+@then("an endpoint that failed a request gets nothing for a while")
+def shunned(context):
+    plan = warm_plan()
+    failed = ask("a", avoid=("d0",), broken=("d0",))
+    first = granted(core.step(plan, failed, ["d0", "d1"], START_MS))
+    second = granted(core.step(plan, ask("b"), ["d0", "d1"], START_MS + 1))
+    assert [grant.instance for grant in first + second] == ["d1", "d1"]
+    later = granted(core.step(plan, ask("c"), ["d0", "d1"], START_MS + SHUN_MS))
+    assert later[0].instance == "d0"
+
+
 @given("a planner that is asked for the first time")
 def first_ask(context):
     context.plan = core.PlanState(began_ms=START_MS, capacity_tokens=CAPACITY, heard_ms=START_MS)
@@ -247,7 +259,11 @@
 def make_member(tasks):
     address, directory = free_address(), Directory()
     decoder = ServiceEndpoint("d0", "s", "127.0.0.1:1", "z", role=Role.DECODE)
-    directory.replace([decoder], 1, lapsed=False, now_ms=0)
+    readers = [
+        ServiceEndpoint(f"p{index}", "s", "127.0.0.1:2", "z", role=Role.PREFILL)
+        for index in range(MANY_READERS)
+    ]
+    directory.replace([decoder, *readers], 1, lapsed=False, now_ms=0)
     spec = EngineSpec(64, CAPACITY, 18_432, 64, 2000, 500, 6000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     kernel, peers = Kernel(address, monotonic_ms), PeerService(address)
