The planner shares prompts out among readers; several role changes at a time

And of seven readers three were surplus, yet each order waited for the one before, seven seconds each.

Change: the planner keeps each reader's backlog and names the reader in its grant, a nearer one first; an open order counts as carried out, so that the next one follows.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -105,6 +105,7 @@
     planned_tokens: int = 0
     plans_left: int = MOST_PLANS
     granted: str | None = None
+    reader: str | None = None
     hold: KvHold | None = None
     handle: KvHandle | None = None
     asked: set[str] = attrs.Factory(set)
@@ -155,8 +156,8 @@
     match event:
         case Begin():
             return _plan(state, pools, now_ms)
-        case PlanGranted(instance):
-            state.granted = instance
+        case PlanGranted(instance, reader):
+            state.granted, state.reader = instance, reader
             return _take_place(state, instance, pools, now_ms)
         case PlanRefused(retry_after_ms):
             return _end(state, Refuse(503, "memory-full", True, retry_after_ms or None))
@@ -245,7 +246,8 @@
     """A prefill endpoint for the prompt; without one the decode endpoint reads it by itself."""
     assert state.hold is not None
     left_ms = min(state.hold.until_ms, state.deadline_at_ms) - now_ms
-    for endpoint in pools.prefillers:
+    named_first = sorted(pools.prefillers, key=lambda e: e.instance != state.reader)
+    for endpoint in named_first:
         if endpoint.instance in state.failed or left_ms <= 0:
             continue
         if state.reads and not budget.withdraw(state.service, now_ms):
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -36,9 +36,10 @@
 
 @attrs.frozen
 class PlanGranted:
-    """The planner gave a place at this endpoint."""
+    """The planner gave a place at this endpoint, and named the one that is to read."""
 
     instance: str
+    reader: str | None = None
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/memory_core.py
@@ -21,9 +21,11 @@
     MemoryReport,
 )
 from saffronworks.forwarding.tuning import (
+    AWAY_READER_MS,
     DECIDE_AFTER_MS,
     EXPECTED_OVERRUN,
     MS_PER_TOKEN,
+    OWN_READ_SHARE,
     PLANNED_SHARE,
     QUEUE_LOOK,
     RATE_WINDOW_MS,
@@ -89,8 +91,8 @@
 
     `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
     long: it may have stood still meanwhile. `readers` endpoints read prompts, and are foreseen to
-    be busy until `read_until_ms`; a fraction stands for decode endpoints that read beside their
-    runs. Endpoints that failed a request are shunned for a while.
+    be busy until `read_until_ms`; both are by instance, the readers with their zones. Endpoints
+    that failed a request are shunned for a while.
     """
 
     began_ms: int
@@ -103,8 +105,8 @@
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_return_ms: float = 0.0
     heard_ms: int = 0
-    readers: float = 1.0
-    read_until_ms: float = 0.0
+    readers: dict[str, str] = attrs.Factory(dict)
+    read_until_ms: dict[str, float] = attrs.Factory(dict)
     shunned_until_ms: dict[str, int] = attrs.Factory(dict)
 
 
@@ -121,6 +123,9 @@
     message: MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal
 
 
+# Stands for a reader where the decode endpoints must read by themselves.
+OWN_READING = ""
+
 Growths = dict[str, list[tuple[float, float]]]
 Event = MemoryAsk | MemoryRelease | MemoryReport | Tick
 
@@ -141,8 +146,8 @@
     return peak
 
 
-def step(state: PlanState, event: Event, decoders: list[str], now_ms: int) -> list[Reply]:
-    """Replies to entry nodes; `decoders` are the usable endpoints now."""
+def step(state: PlanState, event: Event, decoders: dict[str, str], now_ms: int) -> list[Reply]:
+    """Replies to entry nodes; `decoders` are the usable endpoints now, with their zones."""
     replies: list[Reply] = []
     if now_ms - state.heard_ms > REPORT_LAPSE_MS:
         state.began_ms = now_ms
@@ -230,7 +235,7 @@
     return sorted(state.waiters.values(), key=lambda waiter: waiter.rank(now_ms))
 
 
-def _growths(state: PlanState, decoders: list[str], now_ms: int) -> Growths:
+def _growths(state: PlanState, decoders: dict[str, str], now_ms: int) -> Growths:
     """Present size and expected growth of each run, by endpoint."""
     growths: Growths = {
         instance: [] for instance in decoders if state.shunned_until_ms.get(instance, 0) <= now_ms
@@ -241,19 +246,20 @@
     return growths
 
 
-def _grant(state: PlanState, decoders: list[str], now_ms: int) -> list[Reply]:
+def _grant(state: PlanState, decoders: dict[str, str], now_ms: int) -> list[Reply]:
     """Give memory to the first who fit; the foremost few are looked at."""
     if not state.waiters or not decoders:
         return []
     growths = _growths(state, decoders, now_ms)
     replies = []
     for waiter in _ranked(state, now_ms)[:QUEUE_LOOK]:
-        if _readers_busy(state, now_ms):
+        if _least_backlog_ms(state, now_ms) > READ_BACKLOG_MS:
             break
         instance = _fit(state, waiter.ask, growths)
         if instance is None:
             continue
         ask = waiter.ask
+        reader = _choose_reader(state, decoders[instance], now_ms)
         run = Run(
             instance,
             ask.reply_to,
@@ -261,26 +267,42 @@
             ask.likely_tokens,
             ask.most_tokens,
             now_ms,
-            read_alone=state.read_until_ms <= now_ms,
+            read_alone=_backlog_ms(state, reader, now_ms) == 0,
         )
         growths[instance].append(run.growth(state.ms_per_token, now_ms))
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
         state.grants_ms.append(now_ms)
-        _count_reading(state, ask.prompt_tokens, now_ms)
-        replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance)))
+        read_ms = _read_ms(state, ask.prompt_tokens, len(decoders))
+        state.read_until_ms[reader] = now_ms + _backlog_ms(state, reader, now_ms) + read_ms
+        replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader or None)))
     return replies
 
 
-def _readers_busy(state: PlanState, now_ms: int) -> bool:
-    """Whether a prompt granted now would wait long for its reading, its memory lying idle."""
-    return state.readers > 0 and state.read_until_ms - now_ms > READ_BACKLOG_MS
+def _backlog_ms(state: PlanState, reader: str, now_ms: int) -> float:
+    return max(0.0, state.read_until_ms.get(reader, 0.0) - now_ms)
+
+
+def _least_backlog_ms(state: PlanState, now_ms: int) -> float:
+    """How long the first reader to be free is foreseen to be busy."""
+    readers = state.readers or (OWN_READING,)
+    return min(_backlog_ms(state, reader, now_ms) for reader in readers)
+
+
+def _choose_reader(state: PlanState, zone: str, now_ms: int) -> str:
+    """The reader that is free first; one in the decode endpoint's zone, if it is hardly later."""
 
+    def cost(reader: str) -> tuple[float, str]:
+        away_ms = 0.0 if state.readers[reader] == zone else AWAY_READER_MS
+        return _backlog_ms(state, reader, now_ms) + away_ms, reader
 
-def _count_reading(state: PlanState, prompt_tokens: int, now_ms: int) -> None:
-    if state.readers:
-        free_ms = max(float(now_ms), state.read_until_ms)
-        state.read_until_ms = free_ms + _read_ms(state, prompt_tokens)
+    return min(state.readers, key=cost, default=OWN_READING)
+
+
+def _read_ms(state: PlanState, prompt_tokens: int, decoders: int) -> float:
+    """How long one reader takes; decode endpoints that read beside their runs count as a part."""
+    read_ms = prompt_tokens * state.read_ms_per_token
+    return read_ms if state.readers else read_ms / (OWN_READ_SHARE * max(1, decoders))
 
 
 def _fit(state: PlanState, ask: MemoryAsk, growths: Growths) -> str | None:
@@ -308,22 +330,19 @@
     return max(1.0, seen, foreseen)
 
 
-def _read_ms(state: PlanState, prompt_tokens: int) -> float:
-    return prompt_tokens * state.read_ms_per_token / state.readers if state.readers else 0.0
-
-
-def _refuse(state: PlanState, decoders: list[str], now_ms: int) -> list[Reply]:
+def _refuse(state: PlanState, decoders: dict[str, str], now_ms: int) -> list[Reply]:
     """Once, when a first refusal must go out: those whose turn is not foreseen in time."""
     pending = [w for w in state.waiters.values() if not w.decided]
     if all(now_ms - waiter.arrived_ms < DECIDE_AFTER_MS for waiter in pending):
         return []
     per_s, growths = _grants_per_s(state, now_ms), _growths(state, decoders, now_ms)
-    reading_at_ms = max(float(now_ms), state.read_until_ms - READ_BACKLOG_MS)
+    reading_at_ms = now_ms + max(0.0, _least_backlog_ms(state, now_ms) - READ_BACKLOG_MS)
     replies = []
     for position, waiter in enumerate(_ranked(state, now_ms)):
         memory_ms = 0.0 if _fit(state, waiter.ask, growths) else (position + 1) * 1000 / per_s
         turn_ms = max(reading_at_ms, now_ms + memory_ms)
-        reading_at_ms += _read_ms(state, waiter.ask.prompt_tokens)
+        read_ms = _read_ms(state, waiter.ask.prompt_tokens, len(decoders))
+        reading_at_ms += read_ms / max(1, len(state.readers))
         if waiter.decided or now_ms - waiter.arrived_ms < DECIDE_AFTER_MS:
             continue
         waiter.decided = True
--- a/saffronworks/forwarding/memory_messages.py
+++ b/saffronworks/forwarding/memory_messages.py
@@ -42,10 +42,11 @@
 
 @attrs.frozen
 class MemoryGrant:
-    """Planner to entry: reserve at this endpoint now."""
+    """Planner to entry: reserve at this endpoint now, and have the prompt read by `reader`."""
 
     request_id: str
     instance: str
+    reader: str | None = None
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/memory_planner.py
+++ b/saffronworks/forwarding/memory_planner.py
@@ -17,7 +17,7 @@
     MemoryReport,
 )
 from saffronworks.forwarding.routing import RoutingTable
-from saffronworks.forwarding.tuning import OWN_READ_SHARE, PLAN_EVERY_MS
+from saffronworks.forwarding.tuning import PLAN_EVERY_MS
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
@@ -61,9 +61,9 @@
         if plan is None:
             return
         usable = self._directory.usable(service, now_ms, Role.DECODE)
-        decoders = [endpoint.instance for endpoint in usable]
-        readers = len(self._directory.usable(service, now_ms, Role.PREFILL))
-        plan.readers = readers or OWN_READ_SHARE * len(decoders)
+        decoders = {endpoint.instance: endpoint.zone for endpoint in usable}
+        readers = self._directory.usable(service, now_ms, Role.PREFILL)
+        plan.readers = {endpoint.instance: endpoint.zone for endpoint in readers}
         for reply in memory_core.step(plan, event, decoders, now_ms):
             self._send(kernel, reply, plan)
 
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -60,8 +60,8 @@
             broken=command.broken,
         )
         match await memory.ask(ask):
-            case MemoryGrant(_, instance):
-                return events.PlanGranted(instance)
+            case MemoryGrant(_, instance, reader):
+                return events.PlanGranted(instance, reader)
             case MemoryRefusal(_, retry_after_ms):
                 return events.PlanRefused(retry_after_ms)
         return events.PlanSilent()
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -53,21 +53,24 @@
 
 
 @attrs.define
-class RoleState:
-    """What this node knows of roles and of the duty.
+class OpenOrder:
+    """An order whose endpoint does not show the new role yet."""
+
+    role: Role
+    ordered_ms: int
+    unanswered: bool = False
 
-    `order` is the endpoint that was ordered into another role, until its entry shows it.
-    """
+
+@attrs.define
+class RoleState:
+    """What this node knows of roles and of the duty; `orders` by the endpoint's instance."""
 
     node: str
     lease_ms: int
     thaw_slack_ms: int
     unbalanced_since_ms: int | None = None
     lacking: bool = False
-    order: str | None = None
-    order_role: Role | None = None
-    ordered_ms: int = 0
-    unanswered: bool = False
+    orders: dict[str, OpenOrder] = attrs.Factory(dict)
     duty_revision: int | None = None
     duty_seen_ms: int = 0
     mine: bool = False
@@ -107,6 +110,7 @@
 class Ordered:
     """The endpoint answered the order, or (`accepted` None) gave no answer."""
 
+    instance: str
     accepted: bool | None
 
 
@@ -149,58 +153,76 @@
             state.ask_again_ms = now_ms + DUTY_AGAIN_MS
         case DutyUnknown():
             state.ask_again_ms = now_ms + DUTY_AGAIN_MS
-        case Ordered(accepted):
-            state.unanswered = accepted is None
+        case Ordered(instance, accepted):
             if accepted is False:
-                state.order = None
+                state.orders.pop(instance, None)
                 state.ask_again_ms = now_ms + DUTY_AGAIN_MS
+            elif instance in state.orders:
+                state.orders[instance].unanswered = accepted is None
     return None
 
 
 def _look(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> Command | None:
-    _settle_order(state, endpoints, now_ms)
-    chosen = _choose(endpoints)
-    if chosen is None:
-        state.unbalanced_since_ms = None
-        return None
-    lacking = chosen.role is Role.DECODE
-    if state.unbalanced_since_ms is None or lacking is not state.lacking:
-        state.unbalanced_since_ms, state.lacking = now_ms, lacking
-    lasted_ms = now_ms - state.unbalanced_since_ms
-    if lasted_ms < (LACK_MS if lacking else EXCESS_MS):
+    _settle_orders(state, endpoints, now_ms)
+    chosen = _order_again(state, endpoints, now_ms) or _unbalanced(state, endpoints, now_ms)
+    if chosen is None or now_ms < max(state.ask_again_ms, state.may_order_from_ms):
         return None
-    if now_ms < max(state.ask_again_ms, state.may_order_from_ms):
-        return None
-    if state.order is not None:
-        again = next((e for e in endpoints if e.instance == state.order), None)
-        if again is None or not state.unanswered:
-            return None
-        if now_ms - state.ordered_ms < ORDER_AGAIN_MS:
-            return None
-        chosen = again
     state.chosen = chosen
     free = not state.mine and now_ms - state.duty_seen_ms >= DUTY_FREE_MS
     return TakeDuty(state.duty_revision if free else None)
 
 
-def _settle_order(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> None:
+def _settle_orders(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> None:
     """An order is over when its endpoint shows the new role, is gone, or never will change."""
-    if state.order is None:
-        return
-    found = next((e for e in endpoints if e.instance == state.order), None)
-    done = found is None or found.role is state.order_role
-    if done or now_ms - state.ordered_ms >= ORDER_OPEN_MS:
-        state.order = None
-
-
-def _choose(endpoints: list[ServiceEndpoint]) -> ServiceEndpoint | None:
-    """The endpoint that should change, or None in balance."""
-    prefillers = [e for e in endpoints if e.role is Role.PREFILL]
-    decoders = [e for e in endpoints if e.role is Role.DECODE]
+    shown = {endpoint.instance: endpoint.role for endpoint in endpoints}
+    for instance, order in list(state.orders.items()):
+        done = shown.get(instance) in (None, order.role)
+        if done or now_ms - order.ordered_ms >= ORDER_OPEN_MS:
+            del state.orders[instance]
+
+
+def _order_again(
+    state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int
+) -> ServiceEndpoint | None:
+    """An endpoint that was ordered and gave no answer."""
+    for endpoint in endpoints:
+        order = state.orders.get(endpoint.instance)
+        if order and order.unanswered and now_ms - order.ordered_ms >= ORDER_AGAIN_MS:
+            return endpoint
+    return None
+
+
+def _unbalanced(
+    state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int
+) -> ServiceEndpoint | None:
+    """The endpoint that should change, once the imbalance has lasted."""
+    chosen = _choose(state, endpoints)
+    if chosen is None:
+        state.unbalanced_since_ms = None
+        return None
+    lacking = chosen.role is Role.DECODE
+    if state.unbalanced_since_ms is None or lacking is not state.lacking:
+        state.unbalanced_since_ms, state.lacking = now_ms, lacking
+    lasted_ms = now_ms - state.unbalanced_since_ms
+    return chosen if lasted_ms >= (LACK_MS if lacking else EXCESS_MS) else None
+
+
+def _choose(state: RoleState, endpoints: list[ServiceEndpoint]) -> ServiceEndpoint | None:
+    """The endpoint that should change, or None in balance; open orders count as carried out."""
+    by_role: dict[Role, list[ServiceEndpoint]] = {Role.PREFILL: [], Role.DECODE: []}
+    for endpoint in endpoints:
+        order = state.orders.get(endpoint.instance)
+        role = order.role if order else endpoint.role
+        if role is not None:
+            by_role[role].append(endpoint)
+    prefillers, decoders = by_role[Role.PREFILL], by_role[Role.DECODE]
+    free = [e for e in (*prefillers, *decoders) if e.instance not in state.orders]
     if len(prefillers) > wanted_prefillers(len(endpoints)):
-        return max(prefillers, key=lambda e: e.instance)
+        surplus = [e for e in free if e.role is Role.PREFILL]
+        return max(surplus, key=lambda e: e.instance, default=None)
     if not prefillers and len(decoders) > LEAST_DECODERS:
-        return max(decoders, key=lambda e: e.instance)
+        spare = [e for e in free if e.role is Role.DECODE]
+        return max(spare, key=lambda e: e.instance, default=None)
     return None
 
 
@@ -213,6 +235,6 @@
     chosen, state.chosen = state.chosen, None
     if chosen is None or now_ms < state.may_order_from_ms:
         return None
-    state.order, state.ordered_ms = chosen.instance, now_ms
-    state.order_role = Role.DECODE if chosen.role is Role.PREFILL else Role.PREFILL
-    return GiveOrder(chosen, state.order_role, fence)
+    role = Role.DECODE if chosen.role is Role.PREFILL else Role.PREFILL
+    state.orders[chosen.instance] = OpenOrder(role, now_ms)
+    return GiveOrder(chosen, role, fence)
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -109,6 +109,9 @@
 # one reader took 300 to 970 ms for a prompt while its memory lay idle, and all were late. Reading
 # at the decode endpoints instead cost more (trials: 0.38 to 0.41 against 0.50 on the same days).
 READ_BACKLOG_MS = 250
+# How much later a reader in the decode endpoint's own zone may be free than one elsewhere: a move
+# between zones takes twice as long and is priced higher.
+AWAY_READER_MS = 60
 # What a decode endpoint that must read by itself counts for beside one that only reads: it reads at
 # half the pace, and its runs wait meanwhile.
 OWN_READ_SHARE = 0.25
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -53,6 +53,7 @@
     And another node that finds the duty taken gives no order
     And a node that took the duty over waits out the lease before it orders
     And an order without an answer is given again to the same engine, with a higher fence
+    And several surplus readers are ordered one after the other, without waiting for each
 
   Scenario: a service without a reader gets one
     Given a service whose only reader has left
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -18,6 +18,10 @@
     And one who fits is not refused while its reading is foreseen in time
     And an endpoint that failed a request gets nothing for a while
 
+  Scenario: readers share the prompts
+    Given a plan with two readers in different zones
+    Then prompts go to the nearer one first, then to the one that is free first
+
   Scenario: a planner that is new, or that stood still, does not plan before it has heard all
     Given a planner that is asked for the first time
     Then it sends the asker to the endpoints until it has heard the reports
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -37,7 +37,7 @@
     order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
     assert order.role is Role.DECODE and order.fence == 19
     assert order.endpoint.role is Role.PREFILL
-    roles.step(state, roles.Ordered(True), at_ms)
+    roles.step(state, roles.Ordered(order.endpoint.instance, True), at_ms)
     again, _ = look_until(state, context.engines, at_ms, at_ms + roles.ORDER_OPEN_MS)
     assert again is None, "a second order while the first is open"
 
@@ -70,13 +70,28 @@
     state = roles.RoleState("n", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
     order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
-    roles.step(state, roles.Ordered(None), at_ms)
+    roles.step(state, roles.Ordered(order.endpoint.instance, None), at_ms)
     command, again_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
     assert isinstance(command, roles.TakeDuty) and again_ms - at_ms >= roles.ORDER_AGAIN_MS
     again = roles.step(state, roles.DutyTaken(23, took_over=False), again_ms)
     assert again.endpoint == order.endpoint and again.role is order.role and again.fence == 23
 
 
+@then("several surplus readers are ordered one after the other, without waiting for each")
+def several(context):
+    engines = endpoints(11, Role.DECODE, "d") + endpoints(7, Role.PREFILL, "p")
+    state, now_ms, ordered = roles.RoleState("n", 3000, 300), 0, []
+    while now_ms < 6000:
+        command, now_ms = look_until(state, engines, now_ms, now_ms + 500)
+        if command is not None:
+            order = roles.step(state, roles.DutyTaken(now_ms + 1, took_over=False), now_ms)
+            roles.step(state, roles.Ordered(order.endpoint.instance, True), now_ms)
+            ordered.append(order.endpoint.instance)
+        now_ms += 500
+    surplus = 7 - roles.wanted_prefillers(18)
+    assert len(ordered) == len(set(ordered)) == surplus, ordered
+
+
 @given("a service whose only reader has left")
 def reader_left(context):
     context.engines = endpoints(4, Role.DECODE, "d")
@@ -98,7 +113,7 @@
     state = roles.RoleState("n", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
     order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
-    roles.step(state, roles.Ordered(True), at_ms)
+    roles.step(state, roles.Ordered(order.endpoint.instance, True), at_ms)
     rest = [e for e in context.engines if e != order.endpoint]
     command, _ = look_until(state, rest, at_ms, at_ms + 5000)
     assert isinstance(command, roles.TakeDuty)
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -30,7 +30,7 @@
 
 CAPACITY = 90_000
 START_MS = 10_000
-MANY_READERS = 1000
+MANY_READERS = 200
 # A prompt of which two fit into an endpoint's planned memory, and no third.
 TWO_FIT = int(0.4 * PLANNED_SHARE * CAPACITY)
 
@@ -52,7 +52,10 @@
 
 def warm_plan():
     return core.PlanState(
-        began_ms=0, capacity_tokens=CAPACITY, heard_ms=START_MS, readers=MANY_READERS
+        began_ms=0,
+        capacity_tokens=CAPACITY,
+        heard_ms=START_MS,
+        readers={f"p{index}": "z" for index in range(MANY_READERS)},
     )
 
 
@@ -107,7 +110,7 @@
                 case _:
                     now_ms += 40
                     event = core.Tick()
-            replies = core.step(plan, event, ["d0", "d1"], now_ms)
+            replies = core.step(plan, event, {"d0": "z", "d1": "z"}, now_ms)
             for grant in granted(replies):
                 present = [
                     run.growth(plan.ms_per_token, now_ms)
@@ -124,21 +127,21 @@
 def full_plan(context):
     plan = context.plan = warm_plan()
     for index in range(40):
-        core.step(plan, ask(f"full{index}", returned=True), ["d0"], START_MS)
+        core.step(plan, ask(f"full{index}", returned=True), {"d0": "z"}, START_MS)
     plan.waiters.clear()
     context.granted = len(plan.runs)
     assert 5 <= context.granted <= 12, context.granted
 
 
 def free_one(plan, now_ms):
-    return core.step(plan, messages.MemoryRelease("full0", "s"), ["d0"], now_ms)
+    return core.step(plan, messages.MemoryRelease("full0", "s"), {"d0": "z"}, now_ms)
 
 
 @then("a late one does not pass one who can be in time")
 def late_behind(context):
     plan = context.plan
-    core.step(plan, ask("late", returned=True, in_time_ms=-500), ["d0"], START_MS + 1)
-    core.step(plan, ask("in-time"), ["d0"], START_MS + 2)
+    core.step(plan, ask("late", returned=True, in_time_ms=-500), {"d0": "z"}, START_MS + 1)
+    core.step(plan, ask("in-time"), {"d0": "z"}, START_MS + 2)
     assert [grant.request_id for grant in granted(free_one(plan, START_MS + 3))] == ["in-time"]
 
 
@@ -146,8 +149,8 @@
 def told_to_return(context):
     plan = context.plan
     for index in range(4):
-        core.step(plan, ask(f"new{index}", in_time_ms=DECIDE_AFTER_MS), ["d0"], START_MS + 10)
-    replies = core.step(plan, core.Tick(), ["d0"], START_MS + 11 + DECIDE_AFTER_MS)
+        core.step(plan, ask(f"new{index}", in_time_ms=DECIDE_AFTER_MS), {"d0": "z"}, START_MS + 10)
+    replies = core.step(plan, core.Tick(), {"d0": "z"}, START_MS + 11 + DECIDE_AFTER_MS)
     times = [refusal.retry_after_ms for refusal in refused(replies)]
     assert len(times) == 4 and times == sorted(times), times
     assert times[0] >= RETRY_AFTER_LEAST_MS
@@ -157,24 +160,24 @@
 def kept_waiting(context):
     plan = context.plan
     for after_ms in (200, 900, 1500):
-        assert not refused(core.step(plan, core.Tick(), ["d0"], START_MS + after_ms))
+        assert not refused(core.step(plan, core.Tick(), {"d0": "z"}, START_MS + after_ms))
     assert "late" in plan.waiters
 
 
 @given("a plan with free memory and a single reader")
 def single_reader(context):
     context.plan = warm_plan()
-    context.plan.readers = 1
+    context.plan.readers = {"p0": "z"}
 
 
 @then("one who fits is not refused while its reading is foreseen in time")
 def not_refused(context):
     plan = warm_plan()
-    plan.readers = 1
+    plan.readers = {"p0": "z"}
     for index in range(5):
-        core.step(plan, ask(f"r{index}"), ["d0"], START_MS)
+        core.step(plan, ask(f"r{index}"), {"d0": "z"}, START_MS)
     waiting = set(plan.waiters)
-    replies = core.step(plan, core.Tick(), ["d0"], START_MS + DECIDE_AFTER_MS)
+    replies = core.step(plan, core.Tick(), {"d0": "z"}, START_MS + DECIDE_AFTER_MS)
     assert waiting and not refused(replies), replies
 
 
@@ -183,23 +186,38 @@
     plan, names = context.plan, []
     for index in range(6):
         names += granted(
-            core.step(plan, ask(f"r{index}", in_time_ms=900 - index), ["d0"], START_MS)
+            core.step(plan, ask(f"r{index}", in_time_ms=900 - index), {"d0": "z"}, START_MS)
         )
     early = len(names)
     assert 1 < early < 6, names
     now_ms = START_MS + int(2 * 5000 * READ_MS_PER_TOKEN)
-    names += granted(core.step(plan, core.Tick(), ["d0"], now_ms))
+    names += granted(core.step(plan, core.Tick(), {"d0": "z"}, now_ms))
     assert [grant.request_id for grant in names[early:]][0] == "r5", names
 
 
+@given("a plan with two readers in different zones")
+def two_readers(context):
+    context.plan = warm_plan()
+    context.plan.readers = {"far": "y", "near": "z"}
+
+
+@then("prompts go to the nearer one first, then to the one that is free first")
+def near_first(context):
+    readers = []
+    for index in range(4):
+        replies = core.step(context.plan, ask(f"r{index}"), {"d0": "z"}, START_MS)
+        readers += [grant.reader for grant in granted(replies)]
+    assert readers == ["near", "far", "near", "far"], readers
+
+
 @then("an endpoint that failed a request gets nothing for a while")
 def shunned(context):
     plan = warm_plan()
     failed = ask("a", avoid=("d0",), broken=("d0",))
-    first = granted(core.step(plan, failed, ["d0", "d1"], START_MS))
-    second = granted(core.step(plan, ask("b"), ["d0", "d1"], START_MS + 1))
+    first = granted(core.step(plan, failed, {"d0": "z", "d1": "z"}, START_MS))
+    second = granted(core.step(plan, ask("b"), {"d0": "z", "d1": "z"}, START_MS + 1))
     assert [grant.instance for grant in first + second] == ["d1", "d1"]
-    later = granted(core.step(plan, ask("c"), ["d0", "d1"], START_MS + SHUN_MS))
+    later = granted(core.step(plan, ask("c"), {"d0": "z", "d1": "z"}, START_MS + SHUN_MS))
     assert later[0].instance == "d0"
 
 
@@ -209,7 +227,7 @@
 
 
 def answer_to(plan, request_id, now_ms):
-    replies = core.step(plan, ask(request_id), ["d0"], now_ms)
+    replies = core.step(plan, ask(request_id), {"d0": "z"}, now_ms)
     return type(replies[0].message)
 
 
@@ -234,10 +252,10 @@
 @given("a plan with runs of two nodes of which one reports no more")
 def two_nodes(context):
     plan = context.plan = warm_plan()
-    core.step(plan, report("n1", "a"), ["d0"], START_MS)
+    core.step(plan, report("n1", "a"), {"d0": "z"}, START_MS)
     for now_ms in range(START_MS, START_MS + 2 * REPORT_LAPSE_MS, 400):
-        core.step(plan, report("n2", "b"), ["d0"], now_ms)
-        core.step(plan, core.Tick(), ["d0"], now_ms)
+        core.step(plan, report("n2", "b"), {"d0": "z"}, now_ms)
+        core.step(plan, core.Tick(), {"d0": "z"}, now_ms)
 
 
 @then("only the runs of the other one remain")
