--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -283,7 +283,7 @@
     def __init__(self, id_field: str):
         self._id_field = id_field
         self._idle: dict[str, deque[EndpointConnection]] = {}
-        self.opened = 0
+        self.most_idle = MOST_IDLE
 
     async def take(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         """An idle connection, else a new one; Break when none can be opened."""
@@ -299,7 +299,6 @@
     async def _open(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         host, port = parse_address(endpoint.address)
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await loop.create_connection(
@@ -312,7 +311,7 @@
     def give_back(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange ended whole; close any other."""
         idle = self._idle.setdefault(endpoint.instance, deque())
-        if not connection.finished or len(idle) >= MOST_IDLE:
+        if not connection.finished or len(idle) >= self.most_idle:
             connection.close()
             return
         connection.idle_since_ms = time.monotonic() * 1000
@@ -324,6 +323,10 @@
             for connection in self._idle.pop(instance):
                 connection.close()
 
+    def share_among(self, nodes: int, max_connections: int) -> None:
+        """Keep so few idle connections that all nodes leave half of an endpoint's free."""
+        self.most_idle = max(1, min(MOST_IDLE, max_connections // (2 * max(1, nodes))))
+
     def close(self) -> None:
         """Close all idle connections."""
         self.keep_only(set())
--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -17,9 +17,7 @@
     address: str
     zone: str
     draining: bool = False
-    slots: int = 1
     role: Role | None = None
-    orders_taken: int = 0
 
 
 @attrs.define
@@ -89,9 +87,3 @@
             and not endpoint.draining
             and (role is None or endpoint.role is role)
         ]
-
-    def may_use(self, instance: str, now_ms: int) -> bool:
-        """Whether this endpoint may still get work."""
-        self.expire(now_ms)
-        known = self.endpoints.get(instance)
-        return known is not None and not known.draining
--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/memory_core.py
@@ -97,6 +97,7 @@
 
     began_ms: int
     capacity_tokens: int
+    slots: int
     ms_per_token: float = MS_PER_TOKEN
     read_ms_per_token: float = READ_MS_PER_TOKEN
     runs: dict[str, Run] = attrs.Factory(dict)
@@ -314,7 +315,7 @@
         if instance in ask.avoid:
             continue
         peak = projected_peak([*present, own])
-        fits = peak <= limit or not present
+        fits = (peak <= limit or not present) and len(present) < state.slots
         if fits and (best is None or (peak, instance) < best):
             best = (peak, instance)
     return best[1] if best else None
--- a/saffronworks/forwarding/memory_planner.py
+++ b/saffronworks/forwarding/memory_planner.py
@@ -75,7 +75,9 @@
             if known is None or known.engine is None:
                 logger.info("event=plan_unknown_service service=%s", service)
                 return None
-            self.plans[service] = PlanState(now_ms, known.engine.kv_capacity_tokens)
+            self.plans[service] = PlanState(
+                now_ms, known.engine.kv_capacity_tokens, known.engine.slots
+            )
             logger.info("event=plan_begins service=%s", service)
         return self.plans[service]
 
--- a/saffronworks/forwarding/routing.py
+++ b/saffronworks/forwarding/routing.py
@@ -29,7 +29,6 @@
     timeout_ms: int
     target_ms: int
     max_attempts: int
-    priority: int = 0
     gap_target_ms: int = 300
 
     @property
@@ -54,16 +53,16 @@
 
     slots: int
     kv_capacity_tokens: int
-    kv_bytes_per_token: int
     tokens_per_event: int
     hold_most_ms: int
-    handle_kept_ms: int
-    switch_ms: int
 
 
 @attrs.frozen
 class Service:
-    """A named group of endpoints; `engine` is set where they generate tokens."""
+    """A named group of endpoints; `engine` is set where they generate tokens.
+
+    Each endpoint takes `max_connections` from all nodes together.
+    """
 
     name: str
     max_connections: int
@@ -76,7 +75,6 @@
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3000
     idle_timeout_ms: int = 15_000
 
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -134,7 +134,10 @@
         status, content = await self._ask(endpoint, "POST", "/saffronworks/hold-take", body)
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
-        reply = msgspec.json.decode(content, type=_HoldReply)
+        try:
+            reply = msgspec.json.decode(content, type=_HoldReply)
+        except msgspec.MsgspecError as error:
+            return Err(NotExecuted(f"unreadable: {error}"))
         return Ok(KvHold(endpoint, reply.hold, now_ms + ttl_ms))
 
     async def drop_hold(self, hold: KvHold) -> None:
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -44,7 +44,6 @@
     timeout_ms: float
     max_attempts: int = 1
     target_latency_ms: float = 1000
-    priority: int = 0
     service: str | None = None
     traffic_split: list[_Split] = attrs.Factory(list)
     resumable: bool = False
@@ -55,11 +54,8 @@
 class _Engine:
     slots: int
     kv_capacity_tokens: int
-    kv_bytes: int
     # Tokens of one event of a stream; the wire calls it a stride.
     stride: int = 1
-    handle_ttl_s: float = 0.5
-    switch_s: float = 6.0
     # The longest that memory may be reserved before it is used.
     hold_ms: float = 2000.0
 
@@ -75,7 +71,6 @@
 class _Limits:
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
 
@@ -104,7 +99,6 @@
             limits=CallerLimits(
                 wire.limits.max_header_bytes,
                 wire.limits.max_body_bytes,
-                int(wire.limits.header_timeout_ms),
                 int(wire.limits.idle_timeout_ms),
             ),
         )
@@ -140,7 +134,6 @@
         timeout_ms=int(route.timeout_ms),
         target_ms=int(route.target_latency_ms),
         max_attempts=route.max_attempts,
-        priority=route.priority,
         gap_target_ms=int(route.gap_target_ms),
     )
 
@@ -150,11 +143,8 @@
     spec = engine and EngineSpec(
         slots=engine.slots,
         kv_capacity_tokens=engine.kv_capacity_tokens,
-        kv_bytes_per_token=engine.kv_bytes,
         tokens_per_event=engine.stride,
         hold_most_ms=int(engine.hold_ms),
-        handle_kept_ms=int(engine.handle_ttl_s * 1000),
-        switch_ms=int(engine.switch_s * 1000),
     )
     return Service(service.name, service.max_conns, spec or None)
 
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -17,6 +17,8 @@
 
 # How long a caller waits that does not say so.
 DEFAULT_LEFT_MS = 30_000
+# A colon, a space and a line end with each field.
+FIELD_EXTRA_BYTES = 4
 _CONNECTION_FIELDS = frozenset(
     [
         "connection",
@@ -175,6 +177,11 @@
     async def handle(self, call: Call) -> None:
         """Serve one call of a caller."""
         reply = CallerConnectionReply(call, self.closing)
+        header_bytes = sum(len(key) + len(value) + FIELD_EXTRA_BYTES for key, value in call.fields)
+        if header_bytes > self._limits().header_bytes:
+            logger.info("event=bad_request reason=header-too-large bytes=%d", header_bytes)
+            await reply.refuse(431, "header-too-large")
+            return
         try:
             body = await call.body(self._limits().body_bytes)
         except BadBody as error:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -56,6 +56,8 @@
 TAKEN_OUT_MS = 2300
 # Left of the time before SIGKILL when the last requests are cut.
 EXIT_MARGIN_MS = 700
+# Pause before a service that failed is started again.
+SERVICE_PAUSE_MS = 1000
 # Nodes assumed until they are counted: rather too many, as parts of a budget add up.
 UNCOUNTED_NODES = 100
 # The settings file may change without a signal.
@@ -149,7 +151,7 @@
                 *(follower.run for follower in self._followers),
             ]
             for service in services:
-                tasks.start_soon(service)
+                tasks.start_soon(self._keep_running, service)
             async with anyio.create_task_group() as serving:
                 serving.start_soon(self._callers.run)
                 await self._stopping.wait()
@@ -184,15 +186,39 @@
     ) -> None:
         """Run something in the background for as long as the node runs."""
         if self._tasks is not None:
-            self._tasks.start_soon(function, *arguments)
+            self._tasks.start_soon(self._run_once, function, *arguments)
+
+    async def _run_once(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: object
+    ) -> None:
+        """A failure in the background is logged, and ends nothing else."""
+        try:
+            await function(*arguments)
+        except Exception:
+            logger.exception("event=background_failed function=%s", function.__qualname__)
+
+    async def _keep_running(self, service: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Start a service again that failed by a fault of ours, while the node serves on."""
+        while True:
+            await self._run_once(service)
+            await anyio.sleep(SERVICE_PAUSE_MS / 1000)
 
     def _take_census(self, addresses: set[str]) -> None:
         self._state.budget.nodes = max(1, len(addresses))
         self._memory.nodes = addresses
+        self._share_connections()
+
+    def _share_connections(self) -> None:
+        table = self._forwarder.table
+        if table is not None and table.services:
+            least = min(service.max_connections for service in table.services.values())
+            self._calls.pool.share_among(self._state.budget.nodes, least)
 
     def _take_table(self, table: RoutingTable) -> bool:
         self._callers.keep_idle(table.limits.idle_timeout_ms / 1000)
-        return self._forwarder.take_table(table)
+        taken = self._forwarder.take_table(table)
+        self._share_connections()
+        return taken
 
     def _forget_gone(self) -> None:
         known = set(self._directory.endpoints)
--- a/saffronworks/platform/servers.py
+++ b/saffronworks/platform/servers.py
@@ -25,11 +25,8 @@
     address: str
     zone: str = ""
     state: str = "ready"
-    slots: int = 1
     # The endpoint's role; absent at services without engines.
     stage: str | None = None
-    # Counts the endpoint's own writes here, not the orders that it took.
-    sequence: int = 0
 
 
 def read_server(instance: str, content: bytes) -> Result[ServiceEndpoint, str]:
@@ -47,7 +44,6 @@
             address=wire.address,
             zone=wire.zone,
             draining=wire.state == _DRAINING,
-            slots=wire.slots,
             role=Role(wire.stage) if wire.stage else None,
         )
     )
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -21,17 +21,12 @@
     probe_address: str
     peer_address: str
     store_address: str
-    heartbeat_ms: int
-    drain_ms: int
     stop_grace_ms: int
     retry_ratio: float
     retry_slack: float
     retry_window_ms: int
     lease_ms: int
     thaw_slack_ms: int
-    endpoints_check_fence: bool
-    store_writes_per_s: int
-    store_reads_per_s: int
 
 
 def read_platform_settings(text: str, file: str) -> Result[PlatformSettings, list[Finding]]:
@@ -56,8 +51,6 @@
         probe_address=listen.address("ready"),
         peer_address=f"{root.text('ip')}:{_first_port(root)}",
         store_address=store.address("address"),
-        heartbeat_ms=root.integer("heartbeat_ms", least=1),
-        drain_ms=bounds.integer("drain_ms", least=1),
         # Between SIGTERM and SIGKILL.
         stop_grace_ms=int(bounds.number("grace_s") * 1000),
         retry_ratio=bounds.number("retry_budget_ratio"),
@@ -66,9 +59,6 @@
         retry_window_ms=int(bounds.number("budget_window_s") * 1000),
         lease_ms=bounds.integer("lease_ms", 3000, least=1),
         thaw_slack_ms=bounds.integer("thaw_slack_ms", 300),
-        endpoints_check_fence=bounds.flag("fencing_enforced", False),
-        store_writes_per_s=store.integer("writes_per_s", least=1),
-        store_reads_per_s=store.integer("reads_per_s", least=1),
     )
 
 
--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -57,6 +57,10 @@
     When the store still names a server whose address another one has
     Then each request runs once at a server that was meant, and the lost one is asked once
 
+  Scenario: a request beyond the operator's limits
+    When a caller sends too large a body, and too large a header
+    Then it is told 413 and 431, and no server sees either
+
   Scenario: a caller who leaves frees the server
     When a caller leaves while its request runs
     Then the server sees that within half a second
@@ -84,6 +88,10 @@
     When a node is told to stop while a request runs
     Then it says that it is not ready, and the request is answered whole
 
+  Scenario: a fault of ours in one service ends no process
+    When a service of a node fails, and so does work in the background
+    Then callers are served on, and the service runs again
+
   Scenario: the store goes away and comes back
     When the store is away while callers ask
     Then they are served, and a change made meanwhile is in force soon after its return
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -147,7 +147,7 @@
     directory = Directory()
     engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
     directory.replace(engines, 1, lapsed=False, now_ms=0)
-    spec = EngineSpec(64, 90_000, 18_432, 64, 2000, 500, 6000)
+    spec = EngineSpec(64, 90_000, 64, 2000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     state = roles.RoleState("n", 3000, 300, unbalanced_since_ms=-roles.EXCESS_MS)
     keeper = RoleKeeper(lambda: state, directory, world, world, lambda: table, world.clock)
--- a/saffronworks/tests/features/steps/forwarding_steps.py
+++ b/saffronworks/tests/features/steps/forwarding_steps.py
@@ -189,6 +189,10 @@
     assert loads.rank(three, 3)[-1].instance == "e0"
 
 
+def may_use(directory, instance, now_ms):
+    return any(endpoint.instance == instance for endpoint in directory.usable("s", now_ms))
+
+
 @given("a directory that was listed before an outage of the store")
 def listed(context):
     context.directory = Directory()
@@ -199,8 +203,8 @@
 @then("an entry missing right after it stays usable for two seconds")
 def stays_usable(context):
     context.directory.replace(context.two[:1], 9, lapsed=True, now_ms=100)
-    assert context.directory.may_use("e1", 99 + LAPSED_GRACE_MS)
-    assert not context.directory.may_use("e1", 100 + LAPSED_GRACE_MS)
+    assert may_use(context.directory, "e1", 99 + LAPSED_GRACE_MS)
+    assert not may_use(context.directory, "e1", 100 + LAPSED_GRACE_MS)
 
 
 @then("one that was draining, or that goes at another time, is gone at once")
@@ -208,10 +212,10 @@
     directory = context.directory
     directory.replace(context.two, 11, lapsed=False, now_ms=5000)
     directory.remove("e1", lapsed=False, now_ms=5000)
-    assert not directory.may_use("e1", 5000)
+    assert not may_use(directory, "e1", 5000)
     leaving = ServiceEndpoint("e0", "s", "127.0.0.1:0", "z", draining=True)
     directory.put(leaving)
-    assert not directory.may_use("e0", 5000)
+    assert not may_use(directory, "e0", 5000)
     directory.remove("e0", lapsed=True, now_ms=5000)
     assert "e0" not in directory.endpoints
 
@@ -223,7 +227,7 @@
     directory.note_replaced("e0")
     directory.put(lost)
     directory.replace([lost], 2, lapsed=False, now_ms=10)
-    assert not directory.may_use("e0", 20)
+    assert not may_use(directory, "e0", 20)
 
 
 @given("a forwarder with version five in force")
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -30,6 +30,7 @@
 
 CAPACITY = 90_000
 START_MS = 10_000
+SLOTS = 64
 MANY_READERS = 200
 # A prompt of which two fit into an endpoint's planned memory, and no third.
 TWO_FIT = int(0.4 * PLANNED_SHARE * CAPACITY)
@@ -54,6 +55,7 @@
     return core.PlanState(
         began_ms=0,
         capacity_tokens=CAPACITY,
+        slots=SLOTS,
         heard_ms=START_MS,
         readers={f"p{index}": "z" for index in range(MANY_READERS)},
     )
@@ -195,6 +197,16 @@
     assert [grant.request_id for grant in names[early:]][0] == "r5", names
 
 
+@then("an endpoint whose slots are taken gets nothing, however much memory is free")
+def slots_count(context):
+    plan = warm_plan()
+    plan.slots = 2
+    replies = []
+    for index in range(3):
+        replies += core.step(plan, ask(f"r{index}", 100, 100), {"d0": "z"}, START_MS)
+    assert len(granted(replies)) == 2 and list(plan.waiters) == ["r2"]
+
+
 @given("a plan with two readers in different zones")
 def two_readers(context):
     context.plan = warm_plan()
@@ -223,7 +235,9 @@
 
 @given("a planner that is asked for the first time")
 def first_ask(context):
-    context.plan = core.PlanState(began_ms=START_MS, capacity_tokens=CAPACITY, heard_ms=START_MS)
+    context.plan = core.PlanState(
+        began_ms=START_MS, capacity_tokens=CAPACITY, slots=SLOTS, heard_ms=START_MS
+    )
 
 
 def answer_to(plan, request_id, now_ms):
@@ -282,7 +296,7 @@
         for index in range(MANY_READERS)
     ]
     directory.replace([decoder, *readers], 1, lapsed=False, now_ms=0)
-    spec = EngineSpec(64, CAPACITY, 18_432, 64, 2000, 500, 6000)
+    spec = EngineSpec(64, CAPACITY, 64, 2000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     kernel, peers = Kernel(address, monotonic_ms), PeerService(address)
     client = MemoryClient(address)
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -10,7 +10,8 @@
 
 from saffronworks.logs import BoundedHandler
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.platform_place import CONFIG, on_platform, web_servers
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import CONFIG, engines, on_platform, web_servers
 
 
 @when("a caller sends a request with forged fields of the router")
@@ -177,6 +178,24 @@
     assert len(taken.seen) <= 1, taken.seen
 
 
+@when("a caller sends too large a body, and too large a header")
+def too_large(context):
+    servers = context.servers_used = web_servers()
+
+    async def play(place):
+        body = await place.ask("/once/", "r1", body=b"x" * 100_001)
+        header = await place.ask("/once/", "r2", {"X-Long": "x" * 20_000})
+        context.statuses = [raw.split(b" ")[1] for raw in (body, header)]
+
+    on_platform(servers, play)
+
+
+@then("it is told 413 and 431, and no server sees either")
+def told_limits(context):
+    assert context.statuses == [b"413", b"431"], context.statuses
+    assert not context.servers_used[0].seen
+
+
 @when("a caller leaves while its request runs")
 def leaves(context):
     servers = web_servers()
@@ -238,6 +257,42 @@
     assert context.raw.startswith(b"HTTP/1.1 200") and context.raw.endswith(b"r1"), context.raw
 
 
+class FailingOnce:
+    """Stands for a directory that a fault of ours makes fail, until it was asked once."""
+
+    def __init__(self, roles):
+        self._roles, self._sound = roles, roles._directory
+
+    def usable(self, service, now_ms, role=None):
+        self._roles._directory = self._sound
+        raise ValueError("a fault of ours")
+
+
+@when("a service of a node fails, and so does work in the background")
+def service_fails(context):
+    async def play(place):
+        async def fail():
+            raise ValueError("a fault of ours")
+
+        place.node._spawn(fail)
+        place.node._roles._directory = FailingOnce(place.node._roles)
+        await anyio.sleep(1.0)
+        context.raw = await place.ask("/once/", "r1")
+        roles = [call for call in place.store.calls if call[1] == "saffron-duties"]
+        context.asked_before = len(roles)
+        await anyio.sleep(3.5)
+        roles = [call for call in place.store.calls if call[1] == "saffron-duties"]
+        context.asked = len(roles)
+
+    on_platform([*engines(), FakeServer("p1", "llm", "prefill"), *web_servers()], play)
+
+
+@then("callers are served on, and the service runs again")
+def served_on(context):
+    assert context.raw.startswith(b"HTTP/1.1 200"), context.raw
+    assert context.asked_before == 0 and context.asked >= 1, context.asked
+
+
 @when("the store is away while callers ask")
 def store_away(context):
     servers = context.servers_used = web_servers(2)
