Without readers a decode endpoint reads one prompt at a time; reading planned in a module of its own

Decode endpoints then read between the tokens of their runs: 5,200 tokens hold all runs of an endpoint up for 190 ms, and two prompts in a row make them all late, as a pause of 300 ms is too long. The planner let in as many as if one more endpoint only read.

Change: each decode endpoint gets one prompt at a time, with a gap of 150 ms after it.

--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/memory_core.py
@@ -20,18 +20,15 @@
     MemoryRelease,
     MemoryReport,
 )
+from saffronworks.forwarding.reading_plans import ReadingPlan
 from saffronworks.forwarding.tuning import (
-    AWAY_READER_MS,
     DECIDE_AFTER_MS,
     EXPECTED_OVERRUN,
     MS_PER_TOKEN,
-    OWN_READ_SHARE,
     PLANNED_SHARE,
     QUEUE_LOOK,
     RATE_WINDOW_MS,
-    READ_BACKLOG_MS,
     READ_MS,
-    READ_MS_PER_TOKEN,
     REPORT_LAPSE_MS,
     RETRY_AFTER_LEAST_MS,
     RETRY_AFTER_MOST_MS,
@@ -90,24 +87,21 @@
     """The plan of one service's decode memory.
 
     `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
-    long: it may have stood still meanwhile. `readers` endpoints read prompts, and are foreseen to
-    be busy until `read_until_ms`; both are by instance, the readers with their zones. Endpoints
-    that failed a request are shunned for a while.
+    long: it may have stood still meanwhile. Endpoints that failed a request are shunned for a
+    while.
     """
 
     began_ms: int
     capacity_tokens: int
     slots: int
     ms_per_token: float = MS_PER_TOKEN
-    read_ms_per_token: float = READ_MS_PER_TOKEN
     runs: dict[str, Run] = attrs.Factory(dict)
     waiters: dict[str, Waiter] = attrs.Factory(dict)
     grants_ms: deque[int] = attrs.Factory(deque)
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_return_ms: float = 0.0
     heard_ms: int = 0
-    readers: dict[str, str] = attrs.Factory(dict)
-    read_until_ms: dict[str, float] = attrs.Factory(dict)
+    reading: ReadingPlan = attrs.Factory(ReadingPlan)
     shunned_until_ms: dict[str, int] = attrs.Factory(dict)
 
 
@@ -124,9 +118,6 @@
     message: MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal
 
 
-# Stands for a reader where the decode endpoints must read by themselves.
-OWN_READING = ""
-
 Growths = dict[str, list[tuple[float, float]]]
 Event = MemoryAsk | MemoryRelease | MemoryReport | Tick
 
@@ -192,8 +183,7 @@
         seen = event.stream_ms / event.answer_tokens
         state.ms_per_token += SAMPLE_WEIGHT * (seen - state.ms_per_token)
     if run is not None and run.read_alone and event.read_ms:
-        seen = event.read_ms / run.prompt_tokens
-        state.read_ms_per_token += SAMPLE_WEIGHT * (seen - state.read_ms_per_token)
+        state.reading.learn(run.prompt_tokens, event.read_ms)
 
 
 def _take_report(state: PlanState, report: MemoryReport, now_ms: int) -> None:
@@ -254,13 +244,14 @@
     growths = _growths(state, decoders, now_ms)
     replies = []
     for waiter in _ranked(state, now_ms)[:QUEUE_LOOK]:
-        if _least_backlog_ms(state, now_ms) > READ_BACKLOG_MS:
-            break
-        instance = _fit(state, waiter.ask, growths)
+        open_to = {
+            name: present for name, present in growths.items() if state.reading.admits(name, now_ms)
+        }
+        instance = _fit(state, waiter.ask, open_to)
         if instance is None:
             continue
         ask = waiter.ask
-        reader = _choose_reader(state, decoders[instance], now_ms)
+        reader = state.reading.choose(decoders[instance], now_ms)
         run = Run(
             instance,
             ask.reply_to,
@@ -268,44 +259,17 @@
             ask.likely_tokens,
             ask.most_tokens,
             now_ms,
-            read_alone=_backlog_ms(state, reader, now_ms) == 0,
+            read_alone=reader is not None and state.reading.backlog_ms(reader, now_ms) == 0,
         )
         growths[instance].append(run.growth(state.ms_per_token, now_ms))
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
         state.grants_ms.append(now_ms)
-        read_ms = _read_ms(state, ask.prompt_tokens, len(decoders))
-        state.read_until_ms[reader] = now_ms + _backlog_ms(state, reader, now_ms) + read_ms
-        replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader or None)))
+        state.reading.count(reader or instance, ask.prompt_tokens, now_ms)
+        replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader)))
     return replies
 
 
-def _backlog_ms(state: PlanState, reader: str, now_ms: int) -> float:
-    return max(0.0, state.read_until_ms.get(reader, 0.0) - now_ms)
-
-
-def _least_backlog_ms(state: PlanState, now_ms: int) -> float:
-    """How long the first reader to be free is foreseen to be busy."""
-    readers = state.readers or (OWN_READING,)
-    return min(_backlog_ms(state, reader, now_ms) for reader in readers)
-
-
-def _choose_reader(state: PlanState, zone: str, now_ms: int) -> str:
-    """The reader that is free first; one in the decode endpoint's zone, if it is hardly later."""
-
-    def cost(reader: str) -> tuple[float, str]:
-        away_ms = 0.0 if state.readers[reader] == zone else AWAY_READER_MS
-        return _backlog_ms(state, reader, now_ms) + away_ms, reader
-
-    return min(state.readers, key=cost, default=OWN_READING)
-
-
-def _read_ms(state: PlanState, prompt_tokens: int, decoders: int) -> float:
-    """How long one reader takes; decode endpoints that read beside their runs count as a part."""
-    read_ms = prompt_tokens * state.read_ms_per_token
-    return read_ms if state.readers else read_ms / (OWN_READ_SHARE * max(1, decoders))
-
-
 def _fit(state: PlanState, ask: MemoryAsk, growths: Growths) -> str | None:
     """The endpoint whose foreseen peak with this run is lowest, if that is low enough."""
     limit = PLANNED_SHARE * state.capacity_tokens
@@ -337,13 +301,12 @@
     if all(now_ms - waiter.arrived_ms < DECIDE_AFTER_MS for waiter in pending):
         return []
     per_s, growths = _grants_per_s(state, now_ms), _growths(state, decoders, now_ms)
-    reading_at_ms = now_ms + max(0.0, _least_backlog_ms(state, now_ms) - READ_BACKLOG_MS)
+    reading_at_ms = now_ms + state.reading.wait_ms(tuple(decoders), now_ms)
     replies = []
     for position, waiter in enumerate(_ranked(state, now_ms)):
         memory_ms = 0.0 if _fit(state, waiter.ask, growths) else (position + 1) * 1000 / per_s
         turn_ms = max(reading_at_ms, now_ms + memory_ms)
-        read_ms = _read_ms(state, waiter.ask.prompt_tokens, len(decoders))
-        reading_at_ms += read_ms / max(1, len(state.readers))
+        reading_at_ms += state.reading.turn_ms(waiter.ask.prompt_tokens, len(decoders))
         if waiter.decided or now_ms - waiter.arrived_ms < DECIDE_AFTER_MS:
             continue
         waiter.decided = True
--- a/saffronworks/forwarding/memory_planner.py
+++ b/saffronworks/forwarding/memory_planner.py
@@ -63,7 +63,7 @@
         usable = self._directory.usable(service, now_ms, Role.DECODE)
         decoders = {endpoint.instance: endpoint.zone for endpoint in usable}
         readers = self._directory.usable(service, now_ms, Role.PREFILL)
-        plan.readers = {endpoint.instance: endpoint.zone for endpoint in readers}
+        plan.reading.readers = {endpoint.instance: endpoint.zone for endpoint in readers}
         for reply in memory_core.step(plan, event, decoders, now_ms):
             self._send(kernel, reply, plan)
 
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -112,9 +112,11 @@
 # How much later a reader in the decode endpoint's own zone may be free than one elsewhere: a move
 # between zones takes twice as long and is priced higher.
 AWAY_READER_MS = 60
-# What a decode endpoint that must read by itself counts for beside one that only reads: it reads at
-# half the pace, and its runs wait meanwhile.
-OWN_READ_SHARE = 0.25
+# A decode endpoint that must read by itself takes twice as long, and its runs get hardly a token
+# meanwhile: 5,200 tokens hold them up for 190 ms, and a pause of 300 ms makes them late. So it
+# reads one prompt at a time, and rests after it.
+OWN_READ_FACTOR = 2.0
+OWN_READ_GAP_MS = 150
 # From a grant to the first event when the readers are that busy.
 IN_TIME_MS = 400
 # A run that outgrew its likely length is expected to grow by this share of what it made.
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -22,6 +22,7 @@
   Scenario: readers share the prompts
     Given a plan with two readers in different zones
     Then prompts go to the nearer one first, then to the one that is free first
+    And without readers each decode endpoint reads one prompt at a time
 
   Scenario: a planner that is new, or that stood still, does not plan before it has heard all
     Given a planner that is asked for the first time
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -12,9 +12,12 @@
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.memory_client import MemoryClient, RunSize
 from saffronworks.forwarding.memory_planner import MemoryPlanner
+from saffronworks.forwarding.reading_plans import ReadingPlan
 from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
 from saffronworks.forwarding.tuning import (
     DECIDE_AFTER_MS,
+    OWN_READ_FACTOR,
+    OWN_READ_GAP_MS,
     PLANNED_SHARE,
     PLANNER_SILENT_MS,
     READ_MS_PER_TOKEN,
@@ -57,7 +60,7 @@
         capacity_tokens=CAPACITY,
         slots=SLOTS,
         heard_ms=START_MS,
-        readers={f"p{index}": "z" for index in range(MANY_READERS)},
+        reading=ReadingPlan({f"p{index}": "z" for index in range(MANY_READERS)}),
     )
 
 
@@ -169,13 +172,13 @@
 @given("a plan with free memory and a single reader")
 def single_reader(context):
     context.plan = warm_plan()
-    context.plan.readers = {"p0": "z"}
+    context.plan.reading.readers = {"p0": "z"}
 
 
 @then("one who fits is not refused while its reading is foreseen in time")
 def not_refused(context):
     plan = warm_plan()
-    plan.readers = {"p0": "z"}
+    plan.reading.readers = {"p0": "z"}
     for index in range(5):
         core.step(plan, ask(f"r{index}"), {"d0": "z"}, START_MS)
     waiting = set(plan.waiters)
@@ -210,7 +213,7 @@
 @given("a plan with two readers in different zones")
 def two_readers(context):
     context.plan = warm_plan()
-    context.plan.readers = {"far": "y", "near": "z"}
+    context.plan.reading.readers = {"far": "y", "near": "z"}
 
 
 @then("prompts go to the nearer one first, then to the one that is free first")
@@ -222,6 +225,20 @@
     assert readers == ["near", "far", "near", "far"], readers
 
 
+@then("without readers each decode endpoint reads one prompt at a time")
+def one_at_a_time(context):
+    plan = warm_plan()
+    plan.reading.readers = {}
+    decoders = {"d0": "z", "d1": "z"}
+    names = []
+    for index in range(4):
+        names += granted(core.step(plan, ask(f"r{index}"), decoders, START_MS))
+    assert sorted(grant.instance for grant in names) == ["d0", "d1"], names
+    assert all(grant.reader is None for grant in names)
+    later_ms = START_MS + int(OWN_READ_FACTOR * READ_MS_PER_TOKEN * 5000 + OWN_READ_GAP_MS) + 1
+    assert len(granted(core.step(plan, core.Tick(), decoders, later_ms))) == 2
+
+
 @then("an endpoint that failed a request gets nothing for a while")
 def shunned(context):
     plan = warm_plan()
