--- a/saffronworks/tests/plays.py
+++ b/saffronworks/tests/plays.py
@@ -14,6 +14,9 @@
         async with anyio.create_task_group() as tasks:
             site = Site(tasks, shape)
             await site.start()
+            # Nodes that start while the machine is short of processor time may for a moment hold
+            # each other suspect, and then no node owns the cell yet.
+            assert await wait_until(lambda: any(node.owner.states for node in site.nodes))
             context.answers = []
             await play(site, tasks)
             context.memory_freed = await wait_until(
