--- /dev/null
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -0,0 +1,130 @@
+"""Scenarios on the services that plan decode memory, over sockets between nodes."""
+
+import anyio
+import attrs
+from behave import given, then, when
+from memory_steps import CAPACITY, MANY_READERS, TWO_FIT, ask
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding import memory_messages as messages
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.memory_client import MemoryClient, RunSize
+from saffronworks.forwarding.memory_planner import MemoryPlanner
+from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
+from saffronworks.forwarding.tuning import (
+    PLANNER_SILENT_MS,
+    WARM_UP_MS,
+)
+from saffronworks.kernel import Kernel
+from saffronworks.nodes import monotonic_ms
+from saffronworks.peers import PeerService
+from saffronworks.standins.sites import free_address
+
+
+@attrs.define
+class Member:
+    """One node's planner and client, with the sockets between nodes."""
+
+    address: str
+    directory: Directory
+    kernel: Kernel
+    client: MemoryClient
+    planner: MemoryPlanner
+
+
+def make_member(tasks):
+    address, directory = free_address(), Directory()
+    decoder = ServiceEndpoint("d0", "s", "127.0.0.1:1", "z", role=Role.DECODE)
+    readers = [
+        ServiceEndpoint(f"p{index}", "s", "127.0.0.1:2", "z", role=Role.PREFILL)
+        for index in range(MANY_READERS)
+    ]
+    directory.replace([decoder, *readers], 1, lapsed=False, now_ms=0)
+    spec = EngineSpec(64, CAPACITY, 64, 2000)
+    table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
+    kernel, peers = Kernel(address, monotonic_ms), PeerService(address)
+    client = MemoryClient(address)
+    planner = MemoryPlanner(directory, lambda: table, address)
+    kernel.register(peers)
+    kernel.register(planner, messages.MemoryAsk, messages.MemoryRelease, messages.MemoryReport)
+    kernel.register(
+        client,
+        messages.MemoryGrant,
+        messages.MemoryQueued,
+        messages.MemoryDirect,
+        messages.MemoryRefusal,
+    )
+    peers.listen()
+    kernel.start(tasks)
+    return Member(address, directory, kernel, client, planner)
+
+
+@when("a node asks a planner that is gone")
+def planner_gone(context):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            member = make_member(tasks)
+            await anyio.sleep(0.05)
+            member.client.nodes = {free_address()}
+            began_ms = monotonic_ms()
+            request = ask("a", reply_to=member.address)
+            context.answer = await member.client.ask(request)
+            context.took_ms = monotonic_ms() - began_ms
+            began_ms = monotonic_ms()
+            context.second = await member.client.ask(attrs.evolve(request, request_id="b"))
+            context.second_ms = monotonic_ms() - began_ms
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it goes on without within a tenth of a second, and passes that planner over")
+def goes_on_without(context):
+    assert context.answer is None and PLANNER_SILENT_MS - 5 <= context.took_ms < 100
+    assert context.second is None and context.second_ms < 20, context.second_ms
+
+
+@given("two nodes of which one plans")
+def two_members(context):
+    context.granted = []
+
+
+@when("the other one asks for more than fits")
+def asks_for_more(context):
+    async def ask_one(member, request_id):
+        request = ask(
+            request_id, prompt=TWO_FIT, likely=1000, reply_to=member.address, returned=True
+        )
+        answer = await member.client.ask(request)
+        context.granted.append((request_id, type(answer)))
+        size = RunSize(TWO_FIT, 1000, 10_000)
+        member.client.begin(request_id, "s", "d0", size)
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            planner, other = make_member(tasks), make_member(tasks)
+            await anyio.sleep(0.05)
+            planner.client.nodes = other.client.nodes = {planner.address}
+            assert await other.client.ask(ask("warm", reply_to=other.address)) is None
+            for _ in range(4):
+                await anyio.sleep(WARM_UP_MS / 3000)
+                other.client.end(messages.MemoryRelease("warm", "s"))
+            for request_id in ("a", "b", "c"):
+                tasks.start_soon(ask_one, other, request_id)
+                await anyio.sleep(0.05)
+            await anyio.sleep(0.4)
+            context.before = list(context.granted)
+            context.waiting = list(planner.planner.plans["s"].waiters)
+            other.client.end(messages.MemoryRelease("a", "s", 1000, 800))
+            await anyio.sleep(0.3)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it is granted what fits, waits for the rest, and gets it after a release")
+def granted_after(context):
+    grant = messages.MemoryGrant
+    assert context.before == [("a", grant), ("b", grant)], context.before
+    assert context.waiting == ["c"], context.waiting
+    assert context.granted[-1] == ("c", grant), context.granted
