One way to note a call that broke; the length of a reservation worked out once; a census failure is logged

Both runners counted, blamed and logged a broken call by code of their own; it is `NodeState.note_break` now. The time a reservation is asked for stood twice. A census entry that could not be renewed was tried again without a line in the log.

Ruled out: merging the look-alikes of routing and its wire types, or of ports and calls: the one decodes into the other, and the other implements the one.

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -83,6 +83,8 @@
         if found.content is not None and _read_address(found) == _decode(self._content):
             return True
         reply = await self._store.replace(NODE_KIND, self._node, self._content, found.revision)
+        if isinstance(reply, Err):
+            logger.info("event=census_failed problem=%s", reply.err_value)
         return isinstance(reply, Ok)
 
     async def _count(self) -> None:
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -213,14 +213,18 @@
     return AskPlanner(in_time_ms, patience_ms, tuple(avoid), tuple(broken))
 
 
+def _hold_ms(state: GenerationState, now_ms: int) -> int:
+    """How long a reservation is asked for; the deadline may be a moment past already."""
+    return min(HOLD_MS, state.hold_most_ms, max(1, state.deadline_at_ms - now_ms))
+
+
 def _take_place(state: GenerationState, instance: str, pools: Pools, now_ms: int) -> Command:
     """Reserve where the planner said; elsewhere if that endpoint is not usable here."""
     place = next((e for e in pools.decoders if e.instance == instance), None)
     if place is None:
         state.granted = None
         return _ask(state, pools, now_ms)
-    ttl_ms = min(HOLD_MS, state.hold_most_ms, max(1, state.deadline_at_ms - now_ms))
-    return AskHold(place, state.planned_tokens, 0, ttl_ms)
+    return AskHold(place, state.planned_tokens, 0, _hold_ms(state, now_ms))
 
 
 def _ask(state: GenerationState, pools: Pools, now_ms: int) -> Command:
@@ -229,7 +233,7 @@
         return _end(state, _late(state))
     for endpoint in pools.decoders:
         if endpoint.instance not in state.asked | state.failed:
-            ttl_ms = min(HOLD_MS, state.hold_most_ms, state.deadline_at_ms - now_ms)
+            ttl_ms = _hold_ms(state, now_ms)
             return AskHold(endpoint, state.tokens, state.headroom_tokens, ttl_ms)
     if now_ms + HOLD_POLL_MS < state.patience_until_ms:
         state.failed.clear()
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -371,17 +371,7 @@
         return StreamPace(tokens, self._node.now_ms() - from_ms, self._read_ms)
 
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
-        load = self._node.loads.of(endpoint.instance)
-        load.fail(self._node.now_ms(), broken.unreachable)
-        self._node.figures.count_send(kind, broken.cause.value)
-        logger.info(
-            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s",
-            self._job.request.request_id,
-            kind,
-            endpoint.instance,
-            broken.cause,
-            broken.sent,
-        )
+        self._node.note_break(kind, self._job.request.request_id, endpoint, broken)
 
     def _give_up_place(self) -> None:
         """End the exchange, and give back what was reserved and will not be used."""
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -86,8 +86,7 @@
         try:
             head = await self._exchange_with(endpoint, command.wait_ms)
         except Break as broken:
-            load.fail(node.now_ms(), broken.unreachable)
-            self._log_break(endpoint, broken)
+            node.note_break("plain", self._job.request.request_id, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
             load.outstanding -= 1
@@ -165,13 +164,3 @@
         if self._exchange is not None:
             self._exchange.end()
             self._exchange = None
-
-    def _log_break(self, endpoint: ServiceEndpoint, broken: Break) -> None:
-        self._node.figures.count_send("plain", broken.cause.value)
-        logger.info(
-            "event=endpoint_failed request=%s endpoint=%s cause=%s sent=%s",
-            self._job.request.request_id,
-            endpoint.instance,
-            broken.cause,
-            broken.sent,
-        )
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from saffronworks.forwarding.connections import Break
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.loads import LoadTable
@@ -39,6 +40,21 @@
     spawn: Callable[..., None]
     memory: MemoryClient
 
+    def note_break(
+        self, kind: str, request_id: str, endpoint: ServiceEndpoint, broken: Break
+    ) -> None:
+        """Count and log a call that got no whole answer; `kind` names the call."""
+        self.loads.of(endpoint.instance).fail(self.now_ms(), broken.unreachable)
+        self.figures.count_send(kind, broken.cause.value)
+        logger.info(
+            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s",
+            request_id,
+            kind,
+            endpoint.instance,
+            broken.cause,
+            broken.sent,
+        )
+
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
         """Forget an endpoint whose address another one has; the store may tell it later or not."""
         if head.found_instance is None or head.found_instance == endpoint.instance:
