A soak of real processes: signals, cut links, a misbehaving store and endpoints, checked by what was seen

Node processes, a store, endpoints and callers with a proxy on each way; faults drawn from a seed in series that overlap; eleven checks over the records, each with a test that it can fail.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
 
-.PHONY: demo demo-serve test check bench capacity
+.PHONY: demo demo-serve test check bench capacity soak soak-failed
 demo: $(VENV)/ready
 	$(RUN) -m saffronworks.standins.demo
 
@@ -24,6 +24,16 @@
 test: check
 	$(RUN) -m tools.run_tests
 
+# Ten seeds that nobody has seen, unless FIRST names the first one.
+FIRST ?= $(shell date +%s)
+SEEDS ?= 10
+
+soak: $(VENV)/ready
+	$(RUN) -m saffronworks.tests.soak --first=$(FIRST) --seeds=$(SEEDS)
+
+soak-failed: $(VENV)/ready
+	$(RUN) -m saffronworks.tests.soak --failed
+
 bench: $(VENV)/ready
 	$(RUN) -m tools.bench
 
--- /dev/null
+++ b/saffronworks/tests/features/soak.feature
@@ -0,0 +1,31 @@
+Feature: a soak of real processes under faults that overlap
+
+  Scenario: a seed stands for its faults
+    Then the same seed draws the same faults, another one others
+    And over some seeds every kind of fault is drawn, and faults overlap
+
+  Scenario Outline: a soak finds what breaks a promise
+    Given what was seen of a request that <case>
+    Then the soak tells that <promise> does not hold
+
+    Examples:
+      | case                                           | promise                   |
+      | got half of its stream                         | answers_are_whole         |
+      | got an answer without signature                | answers_are_whole         |
+      | may run once and ran twice                     | once_at_most              |
+      | was told that it did not run though it did     | refusals_are_true         |
+      | got nothing until long after its deadline      | answered_in_time          |
+      | runs on though its caller left                 | gone_work_ends            |
+      | reached an endpoint long after it left         | leaving_get_nothing       |
+      | went by an older configuration                 | newest_version            |
+      | was sent again and again                       | extra_sends_bounded       |
+      | broke while its node was stopped as planned    | planned_stops_cut_nothing |
+      | was refused after all faults were over         | calm_again                |
+
+  Scenario: what is seen of a good request breaks no promise
+    Given what was seen of a request that was served
+    Then the soak finds nothing
+
+  Scenario: a short soak breaks no promise
+    When two nodes are soaked for some seconds
+    Then no promise was broken, and callers were served
--- /dev/null
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -0,0 +1,155 @@
+"""Scenarios on the soak: its faults, its checks, and a short run of it."""
+
+import logging
+from tempfile import TemporaryDirectory
+
+import anyio
+from behave import given, then, when
+
+from saffronworks.tests.soak import faults, promises
+from saffronworks.tests.soak.endpoints import EVENTS
+from saffronworks.tests.soak.records import Asked, Ran, Records
+from saffronworks.tests.soak.runs import run_soak
+
+SHORT = faults.Shape(nodes=2, plains=2, engines=3, callers=8, faults_ms=5000)
+# Draws a pause, a kill and a planned stop, links that are reset and silent, a store that refuses,
+# endpoints that vanish and are full, and new versions.
+SHORT_SEED = 21
+SENT_MS = 20_000.0
+
+
+@then("the same seed draws the same faults, another one others")
+def same_faults(context):
+    shape = faults.Shape()
+    assert faults.draw_faults(7, shape) == faults.draw_faults(7, shape)
+    assert faults.draw_faults(7, shape) != faults.draw_faults(8, shape)
+
+
+@then("over some seeds every kind of fault is drawn, and faults overlap")
+def every_kind(context):
+    kinds, overlaps = set(), 0
+    for seed in range(1, 51):
+        drawn = faults.draw_faults(seed, faults.Shape())
+        kinds |= {(type(fault).__name__, fault.kind) for fault in drawn}
+        pairs = zip(drawn, drawn[1:], strict=False)
+        overlaps += any(later.at_ms < fault.at_ms + fault.for_ms for fault, later in pairs)
+    wanted = {
+        *(("NodeFault", kind) for kind in faults.NODE_KINDS),
+        *(("LinkFault", kind) for kind in faults.LINK_KINDS),
+        *(("StoreFault", kind) for kind in faults.STORE_KINDS),
+        *(("EndpointFault", kind) for kind in faults.ENDPOINT_KINDS),
+        ("ConfigChange", "config"),
+    }
+    assert wanted <= kinds, wanted - kinds
+    assert overlaps == 50, overlaps
+
+
+def served(kind="once"):
+    """The records of one request that an endpoint ran and whose caller got its answer."""
+    records = Records(versions=[(0.0, "web-a"), (5000.0, "web-b")])
+    streams = kind in ("gen", "res")
+    events = "".join(f"id: {n}\ndata: r {n}\n\n" for n in range(1, EVENTS + 1)).encode()
+    asked = Asked("r", kind, 0, SENT_MS, 3000, "answered", 200, events if streams else b"r", True)
+    asked.ended_ms = SENT_MS + 50
+    service = {"moved": "web-b", "gen": "llm", "res": "llm"}.get(kind, "web-a")
+    run = Ran("r", "e", service, SENT_MS + 10, whole=True, ended_ms=SENT_MS + 40)
+    records.asked["r"] = asked
+    records.ran.append(run)
+    records.arrived.append((service, "r", run.at_ms))
+    return records
+
+
+def half_stream(records):
+    records.asked["r"].body = records.asked["r"].body[:40]
+
+
+def unsigned(records):
+    records.asked["r"].signed = False
+
+
+def twice(records):
+    records.ran.append(records.ran[0])
+
+
+def refused(records):
+    records.asked["r"].status = 503
+
+
+def silent(records):
+    records.asked["r"].ended_ms = SENT_MS + 4000
+
+
+def runs_on(records):
+    records.asked["r"].outcome = "left"
+    records.ran[0].ended_ms = SENT_MS + 3000
+
+
+def left_endpoint(records):
+    records.left_ms["e"] = SENT_MS - promises.DRAIN_MS - 1
+
+
+def older(records):
+    records.ran[0].service = "web-a"
+
+
+def again(records):
+    records.arrived += [("llm", "r", SENT_MS + number) for number in range(60)]
+
+
+def stopped(records):
+    records.stops.append((0, SENT_MS + 20, SENT_MS + 8000))
+    records.asked["r"].outcome = "broken"
+
+
+def refused_late(records):
+    records.calm_from_ms = SENT_MS
+    records.ran.clear()
+    refused(records)
+
+
+CASES = {
+    "got half of its stream": ("gen", half_stream),
+    "got an answer without signature": ("once", unsigned),
+    "may run once and ran twice": ("gen", twice),
+    "was told that it did not run though it did": ("once", refused),
+    "got nothing until long after its deadline": ("once", silent),
+    "runs on though its caller left": ("res", runs_on),
+    "reached an endpoint long after it left": ("once", left_endpoint),
+    "went by an older configuration": ("moved", older),
+    "was sent again and again": ("res", again),
+    "broke while its node was stopped as planned": ("once", stopped),
+    "was refused after all faults were over": ("again", refused_late),
+    "was served": ("moved", lambda records: None),
+}
+
+
+@given("what was seen of a request that {case}")
+def seen_case(context, case):
+    kind, change = CASES[case]
+    context.records = served(kind)
+    assert promises.check_all(context.records) == [], "the good case must break nothing"
+    change(context.records)
+
+
+@then("the soak tells that {promise} does not hold")
+def tells(context, promise):
+    found = promises.check_all(context.records)
+    assert any(finding.startswith(f"{promise}:") for finding in found), found
+
+
+@then("the soak finds nothing")
+def finds_nothing(context):
+    assert promises.check_all(context.records) == []
+
+
+@when("two nodes are soaked for some seconds")
+def short_soak(context):
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    with TemporaryDirectory() as folder:
+        context.result = anyio.run(run_soak, SHORT_SEED, SHORT, folder)
+
+
+@then("no promise was broken, and callers were served")
+def kept(context):
+    assert context.result.findings == [], context.result.findings
+    assert context.result.seen.get("res-200", 0) > 10, context.result.seen
--- /dev/null
+++ b/saffronworks/tests/soak/__main__.py
@@ -0,0 +1,53 @@
+"""Soaks by hand: `python -m saffronworks.tests.soak --first=1 --seeds=10`."""
+
+import logging
+import sys
+import tempfile
+from pathlib import Path
+
+import anyio
+import attrs
+import fire
+
+from saffronworks.tests.soak.faults import Shape, draw_faults
+from saffronworks.tests.soak.runs import run_soak
+from saffronworks.tests.soak.seeds import FAILED_SEEDS
+
+
+def soak(
+    first: int = 1,
+    seeds: int = 1,
+    failed: bool = False,
+    faults_ms: int = Shape().faults_ms,
+    logs: str = "",
+) -> int:
+    """Play seeds one after the other; 1 when one of them broke a promise.
+
+    Args:
+        first: the first seed.
+        seeds: how many, one after the other.
+        failed: play the seeds that failed once instead.
+        faults_ms: over how long faults begin.
+        logs: a folder that keeps the logs of the nodes of seeds that failed; else a temporary one.
+    """
+    # The store is a stand-in whose waiting calls end with the soak; uvicorn reports each of them.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    shape, broken = attrs.evolve(Shape(), faults_ms=faults_ms), 0
+    played = sorted(FAILED_SEEDS) if failed else range(first, first + seeds)
+    for seed in played:
+        folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        result = anyio.run(run_soak, seed, shape, str(folder))
+        found, seen = result.findings, " ".join(f"{k}={v}" for k, v in result.seen.items())
+        print(f"seed={seed} faults={len(draw_faults(seed, shape))} findings={len(found)} {seen}")
+        for finding in found:
+            print(f"  {finding}")
+        if found:
+            broken += 1
+            print(f"  logs: {folder}", flush=True)
+    print(f"{len(played) - broken} passed, {broken} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(soak, serialize=lambda code: None))
--- /dev/null
+++ b/saffronworks/tests/soak/callers.py
@@ -0,0 +1,85 @@
+"""Callers of a soak: each keeps a connection open to one node until it breaks."""
+
+import random
+
+import anyio
+import httpcore
+
+from saffronworks.tests.soak.records import Asked
+
+__all__ = ["KINDS", "Caller"]
+
+# How often each kind of request comes, and the route that it goes by.
+KINDS = {"once": 4, "again": 3, "moved": 2, "gen": 2, "res": 3}
+DEADLINE_MS = {"once": 3000, "again": 3000, "moved": 3000, "gen": 6000, "res": 6000}
+PAUSE_S = 0.15
+LEAVE_SHARE = 0.05
+LEAVE_AFTER_S = 0.1
+PROMPT = {"Token-Counts": "5000,9000", "Length-Hint": "300"}
+LONGEST_RETURN_S = 1.5
+
+
+class Caller:
+    """Asks again and again, each time with an id of its own."""
+
+    def __init__(self, name, site, records, seed):
+        self._name = name
+        self._site = site
+        self._records = records
+        self._rng = random.Random(f"{seed}/caller/{name}")
+        self._node = self._rng.randrange(len(site.nodes))
+        self._pool = None
+
+    async def run(self, until):
+        """Ask until `until()` says that it is over."""
+        number = 0
+        while not until():
+            number += 1
+            kind = self._rng.choices(list(KINDS), list(KINDS.values()))[0]
+            wait_s = await self._ask(kind, f"{self._name}-{number}")
+            await anyio.sleep(wait_s + PAUSE_S * self._rng.random() * 2)
+        if self._pool is not None:
+            await self._pool.aclose()
+
+    def _connect(self):
+        if self._pool is None:
+            ready = self._site.ready_nodes() or list(range(len(self._site.nodes)))
+            self._node = self._rng.choice(ready)
+            self._pool = httpcore.AsyncConnectionPool(max_connections=1, keepalive_expiry=10)
+        return self._pool
+
+    async def _ask(self, kind, request_id):
+        pool, deadline_ms = self._connect(), DEADLINE_MS[kind]
+        asked = Asked(request_id, kind, self._node, self._site.now_ms(), deadline_ms)
+        self._records.asked[request_id] = asked
+        leaves = self._rng.random() < LEAVE_SHARE
+        limit_s = LEAVE_AFTER_S if leaves else deadline_ms / 1000 + 1.0
+        try:
+            with anyio.fail_after(limit_s):
+                await self._exchange(pool, asked)
+        except TimeoutError:
+            asked.outcome = "left"
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            asked.outcome, asked.problem = "broken", repr(error)
+        asked.ended_ms = self._site.now_ms()
+        if asked.outcome != "answered":
+            await pool.aclose()
+            self._pool = None
+        return min(LONGEST_RETURN_S, float(asked.retry_after or 0))
+
+    async def _exchange(self, pool, asked):
+        fields = {"Host": "h.example", "Request-Id": asked.request_id}
+        fields["Deadline-Ms"] = str(asked.deadline_ms)
+        if asked.kind in ("gen", "res"):
+            fields |= PROMPT
+        method = "GET" if asked.kind == "again" else "POST"
+        url = f"http://{self._site.caller_addresses[asked.node]}/{asked.kind}/"
+        content = b"" if method == "GET" else b"body of " + asked.request_id.encode()
+        async with pool.stream(method, url, headers=fields, content=content) as response:
+            asked.status = response.status
+            headers = {key.lower(): value for key, value in response.headers}
+            asked.signed = b"server-stamp" in headers
+            asked.retry_after = headers.get(b"retry-after", b"").decode()
+            async for chunk in response.aiter_stream():
+                asked.body += chunk
+        asked.outcome = "answered"
--- /dev/null
+++ b/saffronworks/tests/soak/endpoints.py
@@ -0,0 +1,197 @@
+"""Endpoints of a soak: plain ones and engines with memory, handles and faults of their own."""
+
+import asyncio
+import json
+import random
+
+import attrs
+
+from saffronworks.standins.sites import free_address
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.soak.records import Ran
+
+__all__ = ["Endpoint"]
+
+PLAIN_WORK_S = 0.03
+READ_S = 0.03
+EVENT_S = 0.02
+EVENTS = 12
+HANDLE_TTL_MS = 500
+CAPACITY_TOKENS = 40_000
+SLOTS = 8
+ANSWER_TOKENS = 500
+GREY_SHARE = 0.4
+GREY_PLAIN = ("error", "reset", "garbage", "extra", "late-extra", "short", "unsigned", "shed")
+GREY_STREAM = ("break", "shed", "unframed-break")
+
+
+@attrs.define
+class _Hold:
+    tokens: int
+    until_ms: float
+
+
+class Endpoint(FakeServer):
+    """One start of an endpoint; `address` is where the store says that it is."""
+
+    def __init__(self, instance, service, stage, records, site, seed):
+        super().__init__(instance, service, stage)
+        self.records = records
+        self.site = site
+        self.own_address = free_address()
+        self.address = self.own_address
+        self.grey_until_ms = 0.0
+        self.full_until_ms = 0.0
+        self.holds = {}
+        self.handles = {}
+        self.running = {}
+        self._rng = random.Random(f"{seed}/{instance}")
+        self._numbers = 0
+        self._writers = set()
+
+    async def run(self):
+        host, port = self.own_address.split(":")
+        server = await asyncio.start_server(self._serve, host, int(port))
+        async with server:
+            await server.serve_forever()
+
+    def crash(self):
+        """Reset every connection; what runs is lost."""
+        for writer in list(self._writers):
+            self._reset(writer)
+
+    def used_tokens(self):
+        """Memory of runs and of reservations that have not lapsed."""
+        now_ms = self.site.now_ms()
+        self.holds = {key: hold for key, hold in self.holds.items() if hold.until_ms > now_ms}
+        return sum(self.running.values()) + sum(hold.tokens for hold in self.holds.values())
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        except asyncio.CancelledError:
+            # The soak is over; asyncio would report a cancelled connection as an error.
+            return
+        finally:
+            self._writers.discard(writer)
+
+    def _next(self, prefix):
+        self._numbers += 1
+        return f"{prefix}-{self.instance}-{self._numbers}"
+
+    async def _control(self, writer, method, target):
+        name = target.rpartition("/")[2]
+        if target.endswith("hold-take"):
+            return await self._take_hold(writer)
+        if method == "DELETE" and "kv-handle" in target:
+            self.handles.pop(name, None)
+        elif method == "DELETE":
+            self.holds.pop(name, None)
+        return await self._reply(writer, 200, {}, b"{}")
+
+    async def _take_hold(self, writer):
+        asked = json.loads(self.seen[-1][3])
+        now_ms = self.site.now_ms()
+        taken = len(self.running) + len(self.holds)
+        full = self.used_tokens() + asked["tokens"] > CAPACITY_TOKENS or taken >= SLOTS
+        if full or now_ms < self.full_until_ms:
+            return await self._reply(writer, 503, {"Not-Executed": "1"}, b"{}")
+        hold = self._next("hold")
+        self.holds[hold] = _Hold(asked["tokens"], now_ms + asked["ttl_ms"])
+        return await self._reply(writer, 200, {}, json.dumps({"hold": hold}).encode())
+
+    async def _request(self, reader, writer, headers):
+        request_id, now_ms = headers["request-id"], self.site.now_ms()
+        if headers.get("stage") == "prefill":
+            return await self._read_prompt(writer, request_id)
+        self.records.arrived.append((self.service, request_id, now_ms))
+        fault = None
+        if now_ms < self.grey_until_ms and self._rng.random() < GREY_SHARE:
+            fault = self._rng.choice(GREY_STREAM if self.stage else GREY_PLAIN)
+        if fault == "shed" or now_ms < self.full_until_ms:
+            return await self._refuse(writer, request_id)
+        if self.stage:
+            return await self._generate(reader, writer, headers, fault)
+        return await self._answer(reader, writer, request_id, fault)
+
+    async def _refuse(self, writer, request_id):
+        fields = {"Not-Executed": "1", "Request-Id": request_id}
+        return await self._reply(writer, 503, fields, b"")
+
+    async def _read_prompt(self, writer, request_id):
+        await asyncio.sleep(READ_S)
+        handle = self._next("kv")
+        self.handles[handle] = (request_id, self.site.now_ms() + HANDLE_TTL_MS)
+        body = json.dumps({"kv_handle": handle, "tokens": 5}).encode()
+        return await self._reply(writer, 200, {"Request-Id": request_id}, body)
+
+    async def _answer(self, reader, writer, request_id, fault):
+        run = self._begin(request_id)
+        try:
+            if await self._leaves(reader, PLAIN_WORK_S):
+                return False
+        finally:
+            run.ended_ms = self.site.now_ms()
+        own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        run.whole = True
+        return await self._plain(writer, own, request_id.encode(), fault)
+
+    async def _leaves(self, reader, within_s):
+        try:
+            return await asyncio.wait_for(reader.read(1), within_s) == b""
+        except TimeoutError:
+            return False
+
+    def _begin(self, request_id, after_event=0):
+        run = Ran(request_id, self.instance, self.service, self.site.now_ms(), after_event)
+        self.records.ran.append(run)
+        return run
+
+    async def _generate(self, reader, writer, headers, fault):
+        request_id = headers["request-id"]
+        hold = self.holds.pop(headers.get("kv-hold", ""), None)
+        source = headers.get("kv-source")
+        if ("kv-hold" in headers and hold is None) or (
+            source and not self._take_handle(source, request_id)
+        ):
+            return await self._refuse(writer, request_id)
+        prompt_tokens = int(headers["token-counts"].split(",")[0])
+        if not hold and self.used_tokens() + prompt_tokens > CAPACITY_TOKENS:
+            return await self._refuse(writer, request_id)
+        run = self._begin(request_id, int(headers.get("last-event-id", 0)))
+        self.running[request_id] = prompt_tokens + ANSWER_TOKENS
+        try:
+            run.whole = await self._stream_events(reader, writer, run, fault)
+        finally:
+            self.running.pop(request_id, None)
+            run.ended_ms = self.site.now_ms()
+        return run.whole
+
+    def _take_handle(self, source, request_id):
+        address, _, name = source.rpartition("/")
+        reader = self.site.by_address.get(address)
+        handle = reader.handles.pop(name, None) if reader else None
+        if handle is None or handle[1] < self.site.now_ms():
+            return False
+        if handle[0] != request_id:
+            self.records.wrong.append(f"{request_id} went on from the handle of {handle[0]}")
+        return True
+
+    async def _stream_events(self, reader, writer, run, fault):
+        own = {"Request-Id": run.request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        framed = fault != "unframed-break"
+        await self._head(writer, 200, own | ({"Transfer-Encoding": "chunked"} if framed else {}))
+        for number in range(run.after_event + 1, EVENTS + 1):
+            if await self._leaves(reader, EVENT_S):
+                return False
+            data = f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
+            if fault and number == EVENTS // 2:
+                writer.write(b"%x\r\n%s\r\n" % (6, data[:6]) if framed else data[:6])
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data) if framed else data)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n" if framed else b"")
+        await writer.drain()
+        return framed
--- /dev/null
+++ b/saffronworks/tests/soak/faults.py
@@ -0,0 +1,99 @@
+"""The faults of one soak: which, when, for how long. Drawn from a seed, nothing else."""
+
+import random
+
+import attrs
+
+__all__ = [
+    "ConfigChange",
+    "EndpointFault",
+    "Fault",
+    "LinkFault",
+    "NodeFault",
+    "Shape",
+    "StoreFault",
+    "draw_faults",
+]
+
+LINK_KINDS = ("delay", "reset", "cut-up", "cut-down", "silent")
+LINKS = ("caller", "store", "endpoint")
+NODE_KINDS = ("pause", "kill", "stop")
+STORE_KINDS = ("busy", "limited", "silent", "slow", "lost", "forget")
+ENDPOINT_KINDS = ("crash", "drain", "vanish", "grey", "full")
+# Faults of one series begin this close to each other, so that they overlap.
+SERIES_SPREAD_MS = 2500
+SHORTEST_MS = 300
+LONGEST_MS = 3000
+
+
+@attrs.frozen
+class Shape:
+    """What the site of a soak has, and how long its faults last."""
+
+    nodes: int = 3
+    plains: int = 4
+    engines: int = 5
+    callers: int = 24
+    faults_ms: int = 16_000
+
+
+@attrs.frozen
+class Fault:
+    """Begins `at_ms` after the start of traffic and lasts `for_ms`."""
+
+    at_ms: int
+    for_ms: int
+    kind: str
+    # Which node, endpoint or link; taken modulo the number there is.
+    target: int
+
+
+class NodeFault(Fault):
+    """A signal to a node's process; a node that ends is started again after `for_ms`."""
+
+
+@attrs.frozen
+class LinkFault(Fault):
+    """A loopback proxy misbehaves on the way from callers, to the store or to an endpoint."""
+
+    link: str = "caller"
+
+
+class StoreFault(Fault):
+    """The store itself misbehaves, for all nodes."""
+
+
+class EndpointFault(Fault):
+    """An endpoint ends, leaves, fails some requests or has no room."""
+
+
+class ConfigChange(Fault):
+    """The operator writes a new version, which sends a route to another service."""
+
+
+def draw_faults(seed: int, shape: Shape) -> list[Fault]:
+    """Series of faults that overlap, in the order of their beginning."""
+    rng = random.Random(seed)
+    faults: list[Fault] = []
+    for _ in range(shape.faults_ms // SERIES_SPREAD_MS):
+        begin_ms = rng.randrange(max(1, shape.faults_ms - SERIES_SPREAD_MS))
+        for _ in range(rng.randint(1, 4)):
+            faults.append(_draw(rng, begin_ms + rng.randrange(SERIES_SPREAD_MS)))
+    changes = [_change(rng, shape) for _ in range(rng.randint(1, 4))]
+    return sorted([*faults, *changes], key=lambda fault: fault.at_ms)
+
+
+def _draw(rng: random.Random, at_ms: int) -> Fault:
+    for_ms, target = rng.randint(SHORTEST_MS, LONGEST_MS), rng.randrange(1000)
+    what = rng.choice(["node", "link", "link", "store", "endpoint"])
+    if what == "node":
+        return NodeFault(at_ms, for_ms, rng.choice(NODE_KINDS), target)
+    if what == "link":
+        return LinkFault(at_ms, for_ms, rng.choice(LINK_KINDS), target, rng.choice(LINKS))
+    if what == "store":
+        return StoreFault(at_ms, for_ms, rng.choice(STORE_KINDS), target)
+    return EndpointFault(at_ms, for_ms, rng.choice(ENDPOINT_KINDS), target)
+
+
+def _change(rng: random.Random, shape: Shape) -> Fault:
+    return ConfigChange(rng.randrange(shape.faults_ms), 0, "config", 0)
--- /dev/null
+++ b/saffronworks/tests/soak/processes.py
@@ -0,0 +1,75 @@
+"""One node of a soak: the real program as a process of its own, which signals strike."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+
+from saffronworks.standins.sites import free_address
+from saffronworks.tests.platform_fakes import fetch, settings_text
+
+__all__ = ["GRACE_S", "NodeProcess"]
+
+GRACE_S = 8
+POLL_S = 0.05
+
+
+class NodeProcess:
+    """A node with its settings file and log file; only its own process is ever signalled."""
+
+    def __init__(self, number, store_address, folder):
+        self.number = number
+        self.caller_address = free_address()
+        self.probe_address = free_address()
+        self.log = Path(folder) / f"node-{number}.log"
+        self._settings = Path(folder) / f"node-{number}.yaml"
+        text = settings_text(
+            store_address,
+            node_name=f"node-{number}",
+            zone=f"z{number % 2}",
+            listen={"front": self.caller_address, "ready": self.probe_address},
+            port_range=[int(free_address().rpartition(":")[2])] * 2,
+        )
+        self._settings.write_text(text)
+        self._process = None
+
+    @property
+    def alive(self):
+        return self._process is not None and self._process.poll() is None
+
+    def start(self):
+        """Start the process, unless an overlapping fault has done so already."""
+        if self.alive:
+            return
+        command = [sys.executable, "-m", "saffronworks.platform"]
+        command += [f"--settings={self._settings}", "--metrics-port=0"]
+        with self.log.open("a") as log:
+            self._process = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def send(self, number):
+        if self.alive:
+            self._process.send_signal(number)
+
+    def end_now(self):
+        """End the process whatever state it is in, and reap it."""
+        if self._process is not None:
+            self.send(signal.SIGKILL)
+            self._process.wait()
+
+    async def wait_end(self, limit_s):
+        """Whether the process ended by itself within the limit."""
+        with anyio.move_on_after(limit_s):
+            while self.alive:
+                await anyio.sleep(POLL_S)
+        return not self.alive
+
+    async def ready(self):
+        try:
+            raw = await fetch(
+                self.probe_address, "GET", "/saffronworks/readiness", {"Host": "x"}, b"", 1.0
+            )
+        except OSError:
+            return False
+        return raw.startswith(b"HTTP/1.1 200")
--- /dev/null
+++ b/saffronworks/tests/soak/promises.py
@@ -0,0 +1,208 @@
+"""What must hold of everything that was seen; each check returns its findings in words."""
+
+from saffronworks.tests.soak.endpoints import EVENTS
+from saffronworks.tests.soak.records import Asked, Records
+
+__all__ = ["check_all"]
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# As the settings of the nodes say.
+CONFIG_APPLY_MS = 2000
+DRAIN_MS = 2000
+CONTACT_MS = 3000
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS = 0.2, 40, 10_000
+# A scheduler's pause and the way through two proxies.
+SLACK_MS = 500
+# A caller's close is seen, and its run ended, within this time.
+GONE_MS = 1000
+# Of the requests of the calm end, at least this share is served.
+CALM_SHARE = 0.9
+
+
+def check_all(records: Records) -> list[str]:
+    """All findings of a soak."""
+    checks = (
+        _answers_are_whole,
+        _once_at_most,
+        _refusals_are_true,
+        _answered_in_time,
+        _gone_work_ends,
+        _leaving_get_nothing,
+        _newest_version,
+        _extra_sends_bounded,
+        _planned_stops_cut_nothing,
+        _calm_again,
+    )
+    found = [f"wrong: {text}" for text in records.wrong]
+    for check in checks:
+        found += [f"{check.__name__[1:]}: {finding}" for finding in check(records)]
+    return found
+
+
+def _in_touch(records: Records, node: int, from_ms: float, to_ms: float) -> bool:
+    """Whether nothing disturbed the node from `CONTACT_MS` before until the end."""
+    return not any(
+        who in (node, -1) and began_ms < to_ms and ended_ms + CONTACT_MS > from_ms
+        for who, began_ms, ended_ms in records.disturbed
+    )
+
+
+def _expected_stream(request_id: str) -> bytes:
+    events = (f"id: {number}\ndata: {request_id} {number}\n\n" for number in range(1, EVENTS + 1))
+    return "".join(events).encode()
+
+
+def _answers_are_whole(records: Records) -> list[str]:
+    found = []
+    for asked in records.asked.values():
+        if asked.outcome != "answered" or asked.status // 100 != 2:
+            continue
+        streams = asked.kind in ("gen", "res")
+        expected = _expected_stream(asked.request_id) if streams else asked.request_id.encode()
+        if asked.body != expected or not asked.signed:
+            found.append(f"{asked.request_id} signed={asked.signed} body={asked.body!r}")
+    return found
+
+
+def _runs(records: Records) -> dict[str, int]:
+    runs: dict[str, int] = {}
+    for run in records.ran:
+        runs[run.request_id] = runs.get(run.request_id, 0) + 1
+    return runs
+
+
+def _once_at_most(records: Records) -> list[str]:
+    once = ("once", "moved", "gen")
+    return [
+        f"{request_id} ran {count} times"
+        for request_id, count in _runs(records).items()
+        if count > 1 and records.asked[request_id].kind in once
+    ]
+
+
+def _refusals_are_true(records: Records) -> list[str]:
+    runs = _runs(records)
+    return [
+        f"{asked.request_id} was told {asked.status} and ran"
+        for asked in records.asked.values()
+        if asked.outcome == "answered"
+        and asked.status in NOT_RUN_STATUSES
+        and asked.kind in ("once", "moved", "gen")
+        and runs.get(asked.request_id)
+    ]
+
+
+def _answered_in_time(records: Records) -> list[str]:
+    """A node in touch ends every request by its deadline, with an answer or a close."""
+    found = []
+    for asked in records.asked.values():
+        due_ms = asked.at_ms + asked.deadline_ms + SLACK_MS
+        waited = asked.ended_ms or float("inf")
+        if waited > due_ms and _in_touch(records, asked.node, asked.at_ms, due_ms):
+            found.append(f"{asked.request_id} got nothing until {asked.deadline_ms} ms")
+    return found
+
+
+def _gone_work_ends(records: Records) -> list[str]:
+    found = []
+    for run in records.ran:
+        asked = records.asked[run.request_id]
+        if asked.outcome != "left":
+            continue
+        due_ms = asked.ended_ms + GONE_MS
+        late = run.ended_ms is None or run.ended_ms > due_ms
+        if late and _in_touch(records, asked.node, asked.at_ms, due_ms):
+            found.append(f"{run.request_id} runs on at {run.endpoint} though its caller left")
+    return found
+
+
+def _leaving_get_nothing(records: Records) -> list[str]:
+    found = []
+    for run in records.ran:
+        left_ms = records.left_ms.get(run.endpoint)
+        asked = records.asked[run.request_id]
+        if left_ms is None or run.at_ms <= left_ms + DRAIN_MS:
+            continue
+        if _in_touch(records, asked.node, left_ms, run.at_ms):
+            found.append(f"{run.request_id} reached {run.endpoint} long after it left")
+    return found
+
+
+def _newest_version(records: Records) -> list[str]:
+    """The service that ran a moved request tells the version that its node went by."""
+    found = []
+    for run in records.ran:
+        asked = records.asked[run.request_id]
+        if asked.kind != "moved":
+            continue
+        allowed = _services_allowed(records, asked)
+        if run.service not in allowed:
+            found.append(f"{run.request_id} went to {run.service}, not {sorted(allowed)}")
+    return found
+
+
+def _services_allowed(records: Records, asked: Asked) -> set[str]:
+    """Of the versions in force or coming into force while the request was under way."""
+    allowed = set()
+    for index, (taken_ms, service) in enumerate(records.versions):
+        newer = records.versions[index + 1 :]
+        if taken_ms > asked.ended_ms:
+            continue
+        over_ms = newer[0][0] + CONFIG_APPLY_MS if newer else float("inf")
+        in_touch = newer and _in_touch(records, asked.node, newer[0][0], asked.at_ms)
+        if asked.at_ms <= over_ms or not in_touch:
+            allowed.add(service)
+    return allowed
+
+
+def _extra_sends_bounded(records: Records) -> list[str]:
+    found = []
+    for service in {service for service, _, _ in records.arrived}:
+        seen: set[str] = set()
+        extras = []
+        for arrived_service, request_id, at_ms in records.arrived:
+            if arrived_service == service and request_id in seen:
+                extras.append(at_ms)
+            seen.add(request_id)
+        requests = [
+            asked.at_ms for asked in records.asked.values() if _may_go_to(asked.kind, service)
+        ]
+        for begin_ms in extras:
+            end_ms = begin_ms + RETRY_WINDOW_MS
+            count = sum(begin_ms <= at_ms < end_ms for at_ms in extras)
+            base = sum(begin_ms <= at_ms < end_ms for at_ms in requests)
+            if count > RETRY_RATIO * base + RETRY_SLACK:
+                found.append(f"{service}: {count} extra sends beside {base} requests")
+                break
+    return found
+
+
+def _may_go_to(kind: str, service: str) -> bool:
+    return (kind in ("gen", "res")) == (service == "llm")
+
+
+def _planned_stops_cut_nothing(records: Records) -> list[str]:
+    """A stop without other trouble breaks no request that its node had taken."""
+    found = []
+    for node, stopped_ms, until_ms in records.stops:
+        for asked in records.asked.values():
+            during = asked.node == node and asked.at_ms < until_ms and asked.ended_ms > stopped_ms
+            calm = _in_touch(records, node, asked.at_ms, min(asked.ended_ms, stopped_ms))
+            if during and calm and asked.outcome == "broken" and _began_before_end(asked, records):
+                found.append(f"{asked.request_id} broke while {node} stopped: {asked.problem}")
+    return found
+
+
+def _began_before_end(asked: Asked, records: Records) -> bool:
+    """Whether an endpoint saw the request and did nothing wrong by itself."""
+    runs = [run for run in records.ran if run.request_id == asked.request_id]
+    return bool(runs) and all(run.whole for run in runs)
+
+
+def _calm_again(records: Records) -> list[str]:
+    late = [a for a in records.asked.values() if a.at_ms >= records.calm_from_ms]
+    judged = [asked for asked in late if asked.outcome != "left"]
+    served = sum(asked.outcome == "answered" and asked.status == 200 for asked in judged)
+    if judged and served >= CALM_SHARE * len(judged):
+        return []
+    return [f"{served} of {len(judged)} requests served after the last fault"]
--- /dev/null
+++ b/saffronworks/tests/soak/proxies.py
@@ -0,0 +1,91 @@
+"""A loopback proxy that delays, resets, cuts one way or silences what goes through it."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from saffronworks.standins.sites import free_address
+
+__all__ = ["Proxy"]
+
+DELAY_S = 0.15
+CHUNK_BYTES = 65_536
+UP, DOWN = "up", "down"
+
+
+class Proxy:
+    """Passes connections on to one address; `fault` is one of `faults.LINK_KINDS` or None.
+
+    While bytes are held back by a cut or by silence, both ends keep their connection. Bytes that
+    were swallowed are lost: the connection stays silent for good, as after a lost path.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.address = free_address()
+        self.fault = None
+        self._writers = set()
+
+    async def run(self):
+        host, port = self.address.split(":")
+        server = await asyncio.start_server(self._serve, host, int(port))
+        async with server:
+            await server.serve_forever()
+
+    def begin(self, kind):
+        """Start to misbehave; a reset strikes the open connections once more, and new ones."""
+        self.fault = kind
+        if kind == "reset":
+            for writer in list(self._writers):
+                _reset(writer)
+
+    def end(self):
+        self.fault = None
+
+    async def _serve(self, reader, writer):
+        if self.fault == "reset":
+            _reset(writer)
+            return
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._pass(reader, far_writer, UP))
+                tasks.create_task(self._pass(far_reader, writer, DOWN))
+        except asyncio.CancelledError:
+            # The soak is over; asyncio would report a cancelled connection as an error.
+            return
+        finally:
+            self._writers -= {writer, far_writer}
+            for end in (writer, far_writer):
+                end.close()
+
+    async def _pass(self, reader, writer, way):
+        lost = False
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.fault == "delay":
+                    await asyncio.sleep(DELAY_S)
+                lost = lost or self.fault in ("silent", f"cut-{way}")
+                if not lost:
+                    writer.write(data)
+                    await writer.drain()
+            if lost:
+                return
+            writer.write_eof()
+            return
+        if not lost:
+            _reset(writer)
+
+
+def _reset(writer):
+    raw = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/saffronworks/tests/soak/records.py
@@ -0,0 +1,60 @@
+"""What callers and endpoints saw during a soak, as the checks read it."""
+
+import attrs
+
+__all__ = ["Asked", "Records", "Ran"]
+
+
+@attrs.define
+class Asked:
+    """One request of a caller; `outcome` stays empty until something came back."""
+
+    request_id: str
+    kind: str
+    node: int
+    at_ms: float
+    deadline_ms: int
+    # "answered", "broken" (no whole answer), "left" (the caller closed) or "" (nothing yet).
+    outcome: str = ""
+    status: int = 0
+    body: bytes = b""
+    signed: bool = False
+    retry_after: str = ""
+    ended_ms: float = 0.0
+    problem: str = ""
+
+
+@attrs.define
+class Ran:
+    """One request that an endpoint began to work on; `after_event` where a stream went on."""
+
+    request_id: str
+    endpoint: str
+    service: str
+    at_ms: float
+    after_event: int = 0
+    whole: bool = False
+    ended_ms: float | None = None
+
+
+@attrs.define
+class Records:
+    """Everything seen, plus when what was done to whom."""
+
+    asked: dict[str, Asked] = attrs.Factory(dict)
+    ran: list[Ran] = attrs.Factory(list)
+    # Requests that arrived at a service, whether run or not: service, id, time.
+    arrived: list[tuple[str, str, float]] = attrs.Factory(list)
+    # When the store took an endpoint's word that it leaves, or its entry was removed.
+    left_ms: dict[str, float] = attrs.Factory(dict)
+    # Disturbances of each node: from, to.
+    disturbed: list[tuple[int, float, float]] = attrs.Factory(list)
+    # Versions of the configuration: when the store took it, and the service of the moved route.
+    versions: list[tuple[float, str]] = attrs.Factory(list)
+    # Starts of each node's processes.
+    starts: list[tuple[int, float]] = attrs.Factory(list)
+    # Things that an endpoint must never see, in words.
+    wrong: list[str] = attrs.Factory(list)
+    # Planned stops of nodes: node, when, until when its process may run.
+    stops: list[tuple[int, float, float]] = attrs.Factory(list)
+    calm_from_ms: float = 0.0
--- /dev/null
+++ b/saffronworks/tests/soak/runs.py
@@ -0,0 +1,279 @@
+"""One soak: starts everything, plays the faults of a seed, checks what was seen."""
+
+import signal
+import time
+from collections import Counter
+
+import anyio
+import attrs
+
+from saffronworks.standins.sites import wait_until
+from saffronworks.tests.platform_fakes import FakeStore
+from saffronworks.tests.platform_place import CONFIG, ENGINE, make_route
+from saffronworks.tests.soak import faults
+from saffronworks.tests.soak.callers import Caller
+from saffronworks.tests.soak.endpoints import Endpoint
+from saffronworks.tests.soak.faults import Fault, Shape, draw_faults
+from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
+from saffronworks.tests.soak.promises import check_all
+from saffronworks.tests.soak.proxies import Proxy
+from saffronworks.tests.soak.records import Records
+
+__all__ = ["SoakResult", "run_soak"]
+
+START_LIMIT_S = 20
+# After the last fault: in touch again, lapsed entries back, circuits closed.
+SETTLE_S = 5.0
+CALM_S = 3.0
+# Reservations lapse within two seconds; work that nobody wants ends before.
+EMPTY_LIMIT_S = 4.0
+LOOK_READY_S = 0.5
+# An endpoint that says that it leaves serves on for so long; a crashed one's entry goes later.
+DRAIN_S = 2.5
+ENTRY_LAPSES_S = 3.6
+STORE_SLOW_S = 0.3
+PLAIN_SERVICES = ("web-a", "web-b")
+
+
+def make_config(version, moved_to):
+    """The operator's configuration; `moved_to` is the service of the route that moves."""
+    routes = [
+        make_route("once", "/once/", "non_idempotent", "web-a", max_attempts=1),
+        make_route("again", "/again/", "idempotent", "web-a"),
+        make_route("moved", "/moved/", "non_idempotent", moved_to, max_attempts=1),
+        make_route("gen", "/gen/", "streaming", "llm", sticky=True, timeout_ms=6000),
+        make_route(
+            "res", "/res/", "streaming", "llm", sticky=True, resumable=True, timeout_ms=6000
+        ),
+    ]
+    services = [{"name": name, "max_conns": 200} for name in PLAIN_SERVICES]
+    engine = ENGINE | {"slots": 8, "kv_capacity_tokens": 40_000, "stride": 40}
+    services.append({"name": "llm", "max_conns": 200, "engine": engine})
+    return CONFIG | {"version": version, "routes": routes, "services": services}
+
+
+class SoakSite:
+    """The store, the endpoints and the node processes, with a proxy on each way."""
+
+    def __init__(self, seed, shape, folder, tasks):
+        self.seed, self.shape = seed, shape
+        self.records = Records()
+        self.store = FakeStore()
+        self.by_address = {}
+        self._began_s = time.monotonic()
+        self._tasks = tasks
+        self._endpoint_number = 0
+        self._ready = set()
+        self.endpoints = {}
+        self.store_proxies = [Proxy(self.store.address) for _ in range(shape.nodes)]
+        self.nodes = [
+            NodeProcess(number, proxy.address, folder)
+            for number, proxy in enumerate(self.store_proxies)
+        ]
+        self.caller_proxies = [Proxy(node.caller_address) for node in self.nodes]
+        self.caller_addresses = [proxy.address for proxy in self.caller_proxies]
+        self._endpoint_proxies = {}
+
+    def now_ms(self):
+        return (time.monotonic() - self._began_s) * 1000
+
+    def ready_nodes(self):
+        return sorted(self._ready)
+
+    async def start(self):
+        self._tasks.start_soon(self.store.run)
+        for proxy in (*self.store_proxies, *self.caller_proxies):
+            self._tasks.start_soon(proxy.run)
+        self._write_config(1)
+        for number in range(self.shape.plains):
+            self._add_endpoint(PLAIN_SERVICES[number % 2], None)
+        for number in range(self.shape.engines):
+            self._add_endpoint("llm", "decode" if number % 3 else "prefill")
+        for node in self.nodes:
+            self._start_node(node)
+        self._tasks.start_soon(self._watch_ready)
+        assert await wait_until(lambda: len(self._ready) == len(self.nodes), START_LIMIT_S)
+
+    def _start_node(self, node):
+        node.start()
+        self.records.starts.append((node.number, self.now_ms()))
+
+    async def _watch_ready(self):
+        while True:
+            for node in self.nodes:
+                (self._ready.add if await node.ready() else self._ready.discard)(node.number)
+            await anyio.sleep(LOOK_READY_S)
+
+    def _add_endpoint(self, service, stage):
+        self._endpoint_number += 1
+        name = f"{service}-{self._endpoint_number}"
+        endpoint = Endpoint(name, service, stage, self.records, self, self.seed)
+        proxy = Proxy(endpoint.own_address)
+        endpoint.address = proxy.address
+        self.by_address[proxy.address] = endpoint
+        self.endpoints[name] = endpoint
+        self._endpoint_proxies[name] = proxy
+        self._tasks.start_soon(proxy.run)
+        self._tasks.start_soon(endpoint.run)
+        self.store.put("servers", name, endpoint.entry())
+
+    def _write_config(self, version):
+        service = PLAIN_SERVICES[version % 2]
+        self.store.put("config", "main", make_config(version, service))
+        self.records.versions.append((self.now_ms(), service))
+
+    def _disturb(self, node, for_s):
+        """Note a disturbance of one node, or of all with -1."""
+        now_ms = self.now_ms()
+        self.records.disturbed.append((node, now_ms, now_ms + for_s * 1000))
+
+    async def strike(self, fault: Fault):
+        """Play one fault to its end."""
+        match fault:
+            case faults.NodeFault():
+                await self._strike_node(fault)
+            case faults.LinkFault():
+                await self._strike_link(fault)
+            case faults.StoreFault():
+                await self._strike_store(fault)
+            case faults.EndpointFault():
+                await self._strike_endpoint(fault)
+            case faults.ConfigChange():
+                self._write_config(len(self.records.versions) + 1)
+
+    async def _strike_node(self, fault):
+        node, for_s = self.nodes[fault.target % len(self.nodes)], fault.for_ms / 1000
+        if not node.alive:
+            return
+        match fault.kind:
+            case "pause":
+                self._disturb(node.number, for_s)
+                node.send(signal.SIGSTOP)
+                await anyio.sleep(for_s)
+                node.send(signal.SIGCONT)
+            case "kill":
+                self._disturb(node.number, for_s + 1)
+                node.end_now()
+                await anyio.sleep(for_s)
+                self._start_node(node)
+            case "stop":
+                now_ms = self.now_ms()
+                self.records.stops.append((node.number, now_ms, now_ms + GRACE_S * 1000))
+                node.send(signal.SIGTERM)
+                if not await node.wait_end(GRACE_S):
+                    self.records.wrong.append(f"node {node.number} outlived its grace period")
+                    node.end_now()
+                self._disturb(node.number, for_s + 1)
+                await anyio.sleep(for_s)
+                self._start_node(node)
+
+    async def _strike_link(self, fault):
+        for_s = fault.for_ms / 1000
+        if fault.link == "endpoint":
+            names = sorted(self._endpoint_proxies)
+            proxy, node = self._endpoint_proxies[names[fault.target % len(names)]], -1
+        else:
+            node = fault.target % len(self.nodes)
+            proxies = self.caller_proxies if fault.link == "caller" else self.store_proxies
+            proxy = proxies[node]
+        self._disturb(node, for_s)
+        proxy.begin(fault.kind)
+        await anyio.sleep(for_s)
+        proxy.end()
+
+    async def _strike_store(self, fault):
+        self._disturb(-1, fault.for_ms / 1000)
+        if fault.kind == "forget":
+            self.store.forget_history()
+            return
+        self.store.fault = fault.kind
+        await anyio.sleep(fault.for_ms / 1000)
+        self.store.fault = None
+
+    async def _strike_endpoint(self, fault):
+        names = sorted(set(self.endpoints) - set(self.records.left_ms))
+        endpoint = self.endpoints[names[fault.target % len(names)]]
+        until_ms = self.now_ms() + fault.for_ms
+        match fault.kind:
+            case "grey":
+                endpoint.grey_until_ms = until_ms
+                self._disturb(-1, fault.for_ms / 1000)
+            case "full":
+                endpoint.full_until_ms = until_ms
+            case "crash":
+                self._disturb(-1, ENTRY_LAPSES_S)
+                endpoint.crash()
+                self._endpoint_proxies[endpoint.instance].begin("reset")
+                await anyio.sleep(ENTRY_LAPSES_S)
+                self._replace(endpoint)
+            case "drain":
+                self.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+                await self._leave(endpoint)
+            case "vanish":
+                self.store.remove("servers", endpoint.instance)
+                await self._leave(endpoint)
+
+    async def _leave(self, endpoint):
+        self.records.left_ms[endpoint.instance] = self.now_ms()
+        await anyio.sleep(DRAIN_S)
+        self._replace(endpoint)
+
+    def _replace(self, endpoint):
+        """Its entry goes, and another start of it enters itself."""
+        self.records.left_ms.setdefault(endpoint.instance, self.now_ms())
+        self.store.remove("servers", endpoint.instance)
+        self._add_endpoint(endpoint.service, endpoint.stage)
+
+    def memory_in_use(self):
+        """What engines still hold, in words."""
+        return [
+            f"{endpoint.instance} holds {endpoint.used_tokens()} tokens"
+            for endpoint in self.endpoints.values()
+            if endpoint.used_tokens()
+        ]
+
+
+@attrs.frozen
+class SoakResult:
+    """What broke, in words, and how often callers saw each kind of outcome."""
+
+    findings: list[str]
+    seen: dict[str, int]
+
+
+async def run_soak(seed: int, shape: Shape, folder: str) -> SoakResult:
+    """Play the faults of a seed; the logs of the nodes stay in the folder."""
+    async with anyio.create_task_group() as tasks:
+        site = SoakSite(seed, shape, folder, tasks)
+        try:
+            await site.start()
+            await _play(site, draw_faults(seed, shape))
+            found = check_all(site.records) + [f"memory: {text}" for text in site.memory_in_use()]
+        finally:
+            for node in site.nodes:
+                node.end_now()
+            tasks.cancel_scope.cancel()
+    return SoakResult(found, _count_outcomes(site.records))
+
+
+def _count_outcomes(records):
+    outcomes = (f"{asked.kind}-{asked.status or asked.outcome}" for asked in records.asked.values())
+    return dict(sorted(Counter(outcomes).items()))
+
+
+async def _play(site, drawn):
+    over = anyio.Event()
+    async with anyio.create_task_group() as callers:
+        for number in range(site.shape.callers):
+            caller = Caller(f"c{number}", site, site.records, site.seed)
+            callers.start_soon(caller.run, over.is_set)
+        async with anyio.create_task_group() as striking:
+            began_ms = site.now_ms()
+            for fault in drawn:
+                await anyio.sleep(max(0.0, began_ms + fault.at_ms - site.now_ms()) / 1000)
+                striking.start_soon(site.strike, fault)
+        await anyio.sleep(SETTLE_S)
+        site.records.calm_from_ms = site.now_ms()
+        await anyio.sleep(CALM_S)
+        over.set()
+    await wait_until(lambda: not site.memory_in_use(), EMPTY_LIMIT_S)
