Soak: disturbances by way, so that checks of the store's word count while endpoints fail

Nearly every fault counted as a disturbance of every node, so that no node was ever undisturbed for the five seconds that the check on leaving endpoints needs. Each disturbance now names the way that it strikes, and each check the ways that it depends on.

--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -1,7 +1,7 @@
 """What must hold of everything that was seen; each check returns its findings in words."""
 
 from saffronworks.tests.soak.endpoints import EVENTS
-from saffronworks.tests.soak.records import Asked, Records
+from saffronworks.tests.soak.records import ALL_NODES, Asked, Records
 
 __all__ = ["check_all"]
 
@@ -39,11 +39,14 @@
     return found
 
 
-def _in_touch(records: Records, node: int, from_ms: float, to_ms: float) -> bool:
-    """Whether nothing disturbed the node from `CONTACT_MS` before until the end."""
+def _undisturbed(records: Records, node: int, from_ms: float, to_ms: float, *ways: str) -> bool:
+    """Whether nothing struck the node, or these ways of it, from `CONTACT_MS` before on."""
     return not any(
-        who in (node, -1) and began_ms < to_ms and ended_ms + CONTACT_MS > from_ms
-        for who, began_ms, ended_ms in records.disturbed
+        trouble.node in (node, ALL_NODES)
+        and trouble.what in ("node", *ways)
+        and trouble.from_ms < to_ms
+        and trouble.to_ms + CONTACT_MS > from_ms
+        for trouble in records.disturbances
     )
 
 
@@ -93,12 +96,12 @@
 
 
 def _answered_in_time(records: Records) -> list[str]:
-    """A node in touch ends every request by its deadline, with an answer or a close."""
+    """An undisturbed node ends every request by its deadline, with an answer or a close."""
     found = []
     for asked in records.asked.values():
         due_ms = asked.at_ms + asked.deadline_ms + SLACK_MS
         waited = asked.ended_ms or float("inf")
-        if waited > due_ms and _in_touch(records, asked.node, asked.at_ms, due_ms):
+        if waited > due_ms and _undisturbed(records, asked.node, asked.at_ms, due_ms, "caller"):
             found.append(f"{asked.request_id} got nothing until {asked.deadline_ms} ms")
     return found
 
@@ -111,7 +114,7 @@
             continue
         due_ms = asked.ended_ms + GONE_MS
         late = run.ended_ms is None or run.ended_ms > due_ms
-        if late and _in_touch(records, asked.node, asked.at_ms, due_ms):
+        if late and _undisturbed(records, asked.node, asked.at_ms, due_ms, "caller", "endpoint"):
             found.append(f"{run.request_id} runs on at {run.endpoint} though its caller left")
     return found
 
@@ -123,7 +126,7 @@
         asked = records.asked[run.request_id]
         if left_ms is None or run.at_ms <= left_ms + DRAIN_MS:
             continue
-        if _in_touch(records, asked.node, left_ms, run.at_ms):
+        if _undisturbed(records, asked.node, left_ms, run.at_ms, "store"):
             found.append(f"{run.request_id} reached {run.endpoint} long after it left")
     return found
 
@@ -149,7 +152,7 @@
         if taken_ms > asked.ended_ms:
             continue
         over_ms = newer[0][0] + CONFIG_APPLY_MS if newer else float("inf")
-        in_touch = newer and _in_touch(records, asked.node, newer[0][0], asked.at_ms)
+        in_touch = newer and _undisturbed(records, asked.node, newer[0][0], asked.at_ms, "store")
         if asked.at_ms <= over_ms or not in_touch:
             allowed.add(service)
     return allowed
@@ -187,7 +190,8 @@
     for node, stopped_ms, until_ms in records.stops:
         for asked in records.asked.values():
             during = asked.node == node and asked.at_ms < until_ms and asked.ended_ms > stopped_ms
-            calm = _in_touch(records, node, asked.at_ms, min(asked.ended_ms, stopped_ms))
+            calm_ms = min(asked.ended_ms, stopped_ms)
+            calm = _undisturbed(records, node, asked.at_ms, calm_ms, "caller", "endpoint")
             if during and calm and asked.outcome == "broken" and _began_before_end(asked, records):
                 found.append(f"{asked.request_id} broke while {node} stopped: {asked.problem}")
     return found
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-__all__ = ["Asked", "Records", "Ran"]
+__all__ = ["ALL_NODES", "Asked", "Disturbance", "Ran", "Records"]
+
+ALL_NODES = -1
 
 
 @attrs.define
@@ -37,6 +39,16 @@
     ended_ms: float | None = None
 
 
+@attrs.frozen
+class Disturbance:
+    """Trouble of a node or of all: "node" itself, or the way to "store", "caller" or "endpoint"."""
+
+    node: int
+    what: str
+    from_ms: float
+    to_ms: float
+
+
 @attrs.define
 class Records:
     """Everything seen, plus when what was done to whom."""
@@ -47,8 +59,7 @@
     arrived: list[tuple[str, str, float]] = attrs.Factory(list)
     # When the store took an endpoint's word that it leaves, or its entry was removed.
     left_ms: dict[str, float] = attrs.Factory(dict)
-    # Disturbances of each node: from, to.
-    disturbed: list[tuple[int, float, float]] = attrs.Factory(list)
+    disturbances: list[Disturbance] = attrs.Factory(list)
     # Versions of the configuration: when the store took it, and the service of the moved route.
     versions: list[tuple[float, str]] = attrs.Factory(list)
     # Starts of each node's processes.
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -17,19 +17,21 @@
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.promises import check_all
 from saffronworks.tests.soak.proxies import Proxy
-from saffronworks.tests.soak.records import Records
+from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Records
 
 __all__ = ["SoakResult", "run_soak"]
 
 START_LIMIT_S = 20
+# A process that was started again is up by then.
+START_S = 1.5
 # After the last fault: in touch again, lapsed entries back, circuits closed.
 SETTLE_S = 5.0
 CALM_S = 3.0
 # Reservations lapse within two seconds; work that nobody wants ends before.
 EMPTY_LIMIT_S = 4.0
 LOOK_READY_S = 0.5
-# An endpoint that says that it leaves serves on for so long; a crashed one's entry goes later.
-DRAIN_S = 2.5
+# An endpoint that leaves serves on for longer than it must; a crashed one's entry goes later.
+DRAIN_S = 6.0
 ENTRY_LAPSES_S = 3.6
 STORE_SLOW_S = 0.3
 PLAIN_SERVICES = ("web-a", "web-b")
@@ -122,10 +124,9 @@
         self.store.put("config", "main", make_config(version, service))
         self.records.versions.append((self.now_ms(), service))
 
-    def _disturb(self, node, for_s):
-        """Note a disturbance of one node, or of all with -1."""
+    def _disturb(self, node, what, for_s):
         now_ms = self.now_ms()
-        self.records.disturbed.append((node, now_ms, now_ms + for_s * 1000))
+        self.records.disturbances.append(Disturbance(node, what, now_ms, now_ms + for_s * 1000))
 
     async def strike(self, fault: Fault):
         """Play one fault to its end."""
@@ -147,12 +148,12 @@
             return
         match fault.kind:
             case "pause":
-                self._disturb(node.number, for_s)
+                self._disturb(node.number, "node", for_s)
                 node.send(signal.SIGSTOP)
                 await anyio.sleep(for_s)
                 node.send(signal.SIGCONT)
             case "kill":
-                self._disturb(node.number, for_s + 1)
+                self._disturb(node.number, "node", for_s + START_S)
                 node.end_now()
                 await anyio.sleep(for_s)
                 self._start_node(node)
@@ -163,7 +164,7 @@
                 if not await node.wait_end(GRACE_S):
                     self.records.wrong.append(f"node {node.number} outlived its grace period")
                     node.end_now()
-                self._disturb(node.number, for_s + 1)
+                self._disturb(node.number, "node", for_s + START_S)
                 await anyio.sleep(for_s)
                 self._start_node(node)
 
@@ -171,18 +172,19 @@
         for_s = fault.for_ms / 1000
         if fault.link == "endpoint":
             names = sorted(self._endpoint_proxies)
-            proxy, node = self._endpoint_proxies[names[fault.target % len(names)]], -1
+            proxy = self._endpoint_proxies[names[fault.target % len(names)]]
+            node = ALL_NODES
         else:
             node = fault.target % len(self.nodes)
             proxies = self.caller_proxies if fault.link == "caller" else self.store_proxies
             proxy = proxies[node]
-        self._disturb(node, for_s)
+        self._disturb(node, fault.link, for_s)
         proxy.begin(fault.kind)
         await anyio.sleep(for_s)
         proxy.end()
 
     async def _strike_store(self, fault):
-        self._disturb(-1, fault.for_ms / 1000)
+        self._disturb(ALL_NODES, "store", fault.for_ms / 1000)
         if fault.kind == "forget":
             self.store.forget_history()
             return
@@ -197,11 +199,11 @@
         match fault.kind:
             case "grey":
                 endpoint.grey_until_ms = until_ms
-                self._disturb(-1, fault.for_ms / 1000)
+                self._disturb(ALL_NODES, "endpoint", fault.for_ms / 1000)
             case "full":
                 endpoint.full_until_ms = until_ms
             case "crash":
-                self._disturb(-1, ENTRY_LAPSES_S)
+                self._disturb(ALL_NODES, "endpoint", ENTRY_LAPSES_S)
                 endpoint.crash()
                 self._endpoint_proxies[endpoint.instance].begin("reset")
                 await anyio.sleep(ENTRY_LAPSES_S)
