The planner goes by how far runs are, and by how long answers become against their hints

The plan took a run that has reached its hint to be nearly over; of answers with hints that are right in the median and often far off, such a one makes half as much again.

- Reports carry the tokens made so far; a run that stood still for 0.7 s keeps work off its endpoint.
- Answers that ended teach how lengths spread about hints; what a run will still make follows from it.
- A grant without room: no other there until a run ends or 0.2 s are over; its reading is uncounted.
- The planner's modules lie in forwarding/planning; its runs and occupancies in a module of their own.

Ruled out: slots (running below 8 of 8 at most refusals), memory held for nobody (held fits the grants under way).

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -17,7 +17,6 @@
     planned_tokens,
     reserve_tokens,
 )
-from saffronworks.forwarding.memory_client import RunSize
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
@@ -26,6 +25,7 @@
     Refuse,
 )
 from saffronworks.forwarding.places import Place, StreamPace
+from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.ports import Exchange
 from saffronworks.forwarding.routing import EngineSpec, Route
 from saffronworks.forwarding.runners import Job, NodeState, tell_refusal
@@ -267,7 +267,10 @@
         mark = self._cutter.feed(chunk)
         if mark is None:
             return b""
-        self._last_event = mark.last_id if mark.last_id is not None else self._last_event
+        if mark.last_id is not None:
+            self._last_event = mark.last_id
+            made_tokens = mark.last_id * self._tokens_per_event
+            self._node.memory.progress(self._job.request.request_id, made_tokens)
         return mark.data
 
     def _note_answer(
@@ -369,7 +372,9 @@
         from_event, from_ms = self._stream_from
         tokens = (self._last_event - from_event) * self._tokens_per_event
         read_ms = self._read_ms if self._state.reads == 1 else 0
-        return StreamPace(tokens, self._node.now_ms() - from_ms, read_ms)
+        whole = self._job.reply.finished
+        length_tokens = self._last_event * self._tokens_per_event if whole else 0
+        return StreamPace(tokens, self._node.now_ms() - from_ms, read_ms, length_tokens)
 
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
         self._node.note_break(kind, self._job.request.request_id, endpoint, broken)
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -6,14 +6,14 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.loads import EndpointLoad
-from saffronworks.forwarding.memory_client import RunSize
-from saffronworks.forwarding.memory_messages import (
+from saffronworks.forwarding.messages import KvHold
+from saffronworks.forwarding.planning.client import RunSize
+from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
     MemoryGrant,
     MemoryRefusal,
     MemoryRelease,
 )
-from saffronworks.forwarding.messages import KvHold
 from saffronworks.forwarding.runners import Job, NodeState
 from saffronworks.forwarding.tuning import HEADROOM_MS
 
@@ -22,11 +22,15 @@
 
 @attrs.frozen
 class StreamPace:
-    """What a stream showed of the endpoints: tokens and their time, and that of the reading."""
+    """What a stream showed of the endpoints: tokens and their time, and that of the reading.
+
+    `length_tokens` is that of the whole answer, once it has ended.
+    """
 
     answer_tokens: int = 0
     stream_ms: int = 0
     read_ms: int = 0
+    length_tokens: int = 0
 
 
 @attrs.define
@@ -117,7 +121,13 @@
         """Tell the planner that the place is free, and which endpoints failed the request."""
         request_id, service = self.job.request.request_id, self.job.service
         release = MemoryRelease(
-            request_id, service, pace.answer_tokens, pace.stream_ms, pace.read_ms, broken
+            request_id,
+            service,
+            pace.answer_tokens,
+            pace.stream_ms,
+            pace.read_ms,
+            broken,
+            pace.length_tokens,
         )
         self.node.memory.end(release)
         self.known = False
--- a/saffronworks/forwarding/memory_client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -5,7 +5,8 @@
 import anyio
 import attrs
 
-from saffronworks.forwarding.memory_messages import (
+from saffronworks.forwarding.planning.choice import PlannerChoice
+from saffronworks.forwarding.planning.messages import (
     LiveRun,
     MemoryAsk,
     MemoryDirect,
@@ -15,7 +16,6 @@
     MemoryRelease,
     MemoryReport,
 )
-from saffronworks.forwarding.planner_choice import PlannerChoice
 from saffronworks.forwarding.tuning import (
     ASK_AGAIN_MS,
     PLANNER_SILENT_MS,
@@ -40,12 +40,14 @@
     most_tokens: int
 
 
-@attrs.frozen
+@attrs.define
 class _Run:
     service: str
     instance: str
     size: RunSize
     began_ms: int
+    made_tokens: int
+    made_ms: int
 
 
 class MemoryClient:
@@ -140,7 +142,14 @@
     def begin(self, request_id: str, service: str, instance: str, size: RunSize) -> None:
         """Note a run, whoever granted it, so that the planner hears of it."""
         if self._kernel is not None:
-            self._runs[request_id] = _Run(service, instance, size, self._kernel.now_ms())
+            now_ms = self._kernel.now_ms()
+            self._runs[request_id] = _Run(service, instance, size, now_ms, 0, now_ms)
+
+    def progress(self, request_id: str, made_tokens: int) -> None:
+        """Tokens of a run's answer came."""
+        run = self._runs.get(request_id)
+        if run is not None and self._kernel is not None:
+            run.made_tokens, run.made_ms = made_tokens, self._kernel.now_ms()
 
     def end(self, release: MemoryRelease) -> None:
         """A run is over, or its request is given up."""
@@ -176,6 +185,8 @@
                 run.size.likely_tokens,
                 run.size.most_tokens,
                 now_ms - run.began_ms,
+                run.made_tokens,
+                now_ms - run.made_ms,
             )
             for request_id, run in self._runs.items()
             if run.service == service
--- a/saffronworks/forwarding/memory_core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -10,7 +10,8 @@
 
 import attrs
 
-from saffronworks.forwarding.memory_messages import (
+from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.planning.messages import (
     LiveRun,
     MemoryAsk,
     MemoryDirect,
@@ -20,15 +21,17 @@
     MemoryRelease,
     MemoryReport,
 )
-from saffronworks.forwarding.reading_plans import ReadingPlan
-from saffronworks.forwarding.shuns import ShunTable
+from saffronworks.forwarding.planning.reading import ReadingPlan
+from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
+from saffronworks.forwarding.planning.shuns import ShunTable
 from saffronworks.forwarding.tuning import (
     DECIDE_AFTER_MS,
-    EXPECTED_OVERRUN,
+    FULL_MS,
     MOST_SLOWER,
     MS_PER_TOKEN,
     PLANNED_SHARE,
     QUEUE_LOOK,
+    QUIET_RUN_MS,
     RATE_WINDOW_MS,
     READ_MS,
     REPORT_LAPSE_MS,
@@ -39,32 +42,7 @@
     WARM_UP_MS,
 )
 
-__all__ = ["Event", "PlanState", "Reply", "Tick", "projected_peak", "step"]
-
-
-@attrs.define
-class Run:
-    """One run on an endpoint, by the planner's own clock.
-
-    `read_alone` names the reader that had nothing else to read when it was granted, so that the
-    time of its reading shows how fast that one reads.
-    """
-
-    instance: str
-    reply_to: str
-    prompt_tokens: int
-    likely_tokens: int
-    most_tokens: int
-    began_ms: int
-    read_alone: str | None = None
-
-    def growth(self, ms_per_token: float, now_ms: int) -> tuple[float, float]:
-        """Tokens in memory now, and how many more are expected."""
-        made = max(0.0, (now_ms - self.began_ms - READ_MS) / ms_per_token)
-        made = min(made, self.most_tokens)
-        if made < self.likely_tokens:
-            return self.prompt_tokens + made, self.likely_tokens - made
-        return self.prompt_tokens + made, min(self.most_tokens - made, EXPECTED_OVERRUN * made)
+__all__ = ["Event", "PlanState", "Reply", "Tick", "step"]
 
 
 @attrs.define
@@ -89,7 +67,7 @@
 
     `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
     long: it may have stood still meanwhile. Endpoints that failed a request are shunned for a
-    while.
+    while, those that had no room for a grant are full for a moment or until a run of theirs ends.
     """
 
     began_ms: int
@@ -103,7 +81,9 @@
     next_return_ms: float = 0.0
     heard_ms: int = 0
     reading: ReadingPlan = attrs.Factory(ReadingPlan)
+    lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     shuns: ShunTable = attrs.Factory(ShunTable)
+    full_until_ms: dict[str, int] = attrs.Factory(dict)
 
 
 @attrs.frozen
@@ -119,49 +99,10 @@
     message: MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal
 
 
-@attrs.define
-class Occupancy:
-    """An endpoint's runs: present size and expected growth of each, and what they add up to."""
-
-    growths: list[tuple[float, float]]
-    now_tokens: float = 0.0
-    peak_tokens: float = 0.0
-
-    def add(self, growth: tuple[float, float]) -> None:
-        """One more run; the peak is worked out by `settle`."""
-        self.growths.append(growth)
-        self.now_tokens += growth[0]
-
-    def settle(self) -> None:
-        """Foresee the peak of the runs."""
-        self.peak_tokens = projected_peak(self.growths)
-
-    def may_fit(self, prompt_tokens: int, limit_tokens: float) -> bool:
-        """A cheap look: false only where one more prompt surely exceeds the limit."""
-        least_tokens = max(self.peak_tokens, self.now_tokens + prompt_tokens)
-        return not self.growths or least_tokens <= limit_tokens
-
-
 Occupancies = dict[str, Occupancy]
 Event = MemoryAsk | MemoryRelease | MemoryReport | Tick
 
 
-def projected_peak(growths: list[tuple[float, float]]) -> float:
-    """The most memory that runs of these present sizes and growths will have at one time.
-
-    All grow at the same pace, and each frees its memory at its end.
-    """
-    tokens = sum(now for now, _ in growths)
-    peak, grown, alive = tokens, 0.0, len(growths)
-    for now, more in sorted(growths, key=lambda growth: growth[1]):
-        tokens += alive * (more - grown)
-        peak = max(peak, tokens)
-        tokens -= now + more
-        grown = more
-        alive -= 1
-    return peak
-
-
 def step(state: PlanState, event: Event, decoders: dict[str, str], now_ms: int) -> list[Reply]:
     """Replies to entry nodes; `decoders` are the usable endpoints now, with their zones.
 
@@ -193,7 +134,7 @@
 
 
 def _enqueue(state: PlanState, ask: MemoryAsk, now_ms: int) -> None:
-    state.runs.pop(ask.request_id, None)
+    _take_back(state, state.runs.pop(ask.request_id, None), now_ms)
     known = state.waiters.get(ask.request_id)
     # The same ask comes again while it waits; what it says of endpoints counts once.
     for instance in () if known else ask.broken:
@@ -207,17 +148,29 @@
     )
 
 
+def _take_back(state: PlanState, run: Run | None, now_ms: int) -> None:
+    """A grant that found no room is asked for again: nothing is read for it, nothing runs."""
+    if run is None or run.made_tokens:
+        return
+    state.full_until_ms[run.instance] = now_ms + FULL_MS
+    if run.reader is not None:
+        state.reading.uncount(run.reader, run.prompt_tokens, now_ms)
+
+
 def _release(state: PlanState, event: MemoryRelease, now_ms: int) -> None:
     for instance in event.broken:
         state.shuns.fail(instance, now_ms)
     state.waiters.pop(event.request_id, None)
     run = state.runs.pop(event.request_id, None)
+    if run is not None:
+        state.full_until_ms.pop(run.instance, None)
+        state.lengths.learn(run.likely_tokens, event.length_tokens)
     if event.answer_tokens and event.stream_ms:
         seen = event.stream_ms / event.answer_tokens
         seen = min(seen, MOST_SLOWER * state.ms_per_token)
         state.ms_per_token += SAMPLE_WEIGHT * (seen - state.ms_per_token)
-    if run is not None and run.read_alone is not None and event.read_ms:
-        state.reading.learn(run.read_alone, run.prompt_tokens, event.read_ms)
+    if run is not None and run.reader is not None and run.read_alone and event.read_ms:
+        state.reading.learn(run.reader, run.prompt_tokens, event.read_ms)
 
 
 def _take_report(state: PlanState, report: MemoryReport, now_ms: int) -> None:
@@ -231,7 +184,10 @@
     for live in report.runs:
         known = state.runs.get(live.request_id)
         if known is None or known.instance != live.instance:
-            state.runs[live.request_id] = _from_report(live, report.reply_to, now_ms)
+            known = state.runs[live.request_id] = _from_report(live, report.reply_to, now_ms)
+        known.made_tokens, known.made_ms = live.made_tokens, now_ms - live.quiet_ms
+        if live.made_tokens and live.quiet_ms >= QUIET_RUN_MS:
+            state.shuns.fail(live.instance, now_ms)
 
 
 def _from_report(live: LiveRun, reply_to: str, now_ms: int) -> Run:
@@ -262,10 +218,14 @@
 
 def _occupancies(state: PlanState, decoders: dict[str, str], now_ms: int) -> Occupancies:
     """The runs of each endpoint that may get work."""
-    usable = {name: Occupancy([]) for name in state.shuns.usable(decoders, now_ms)}
+    usable = {
+        name: Occupancy([])
+        for name in state.shuns.usable(decoders, now_ms)
+        if state.full_until_ms.get(name, 0) <= now_ms
+    }
     for run in state.runs.values():
         if run.instance in usable:
-            usable[run.instance].add(run.growth(state.ms_per_token, now_ms))
+            usable[run.instance].add(run.growth(state.lengths, state.ms_per_token, now_ms))
     for occupancy in usable.values():
         occupancy.settle()
     return usable
@@ -292,9 +252,10 @@
             ask.likely_tokens,
             ask.most_tokens,
             now_ms,
-            read_alone=reader if idle else None,
+            reader,
+            read_alone=idle,
         )
-        usable[instance].add(run.growth(state.ms_per_token, now_ms))
+        usable[instance].add(run.growth(state.lengths, state.ms_per_token, now_ms))
         usable[instance].settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
@@ -307,7 +268,8 @@
 def _fit(state: PlanState, ask: MemoryAsk, usable: Occupancies) -> str | None:
     """The endpoint whose foreseen peak with this run is lowest, if that is low enough."""
     limit = PLANNED_SHARE * state.capacity_tokens
-    own = (float(ask.prompt_tokens), float(ask.likely_tokens))
+    more = state.lengths.more_tokens(0.0, ask.likely_tokens, ask.most_tokens)
+    own = (float(ask.prompt_tokens), more)
     best: tuple[float, str] | None = None
     for instance, present in usable.items():
         full = len(present.growths) >= state.slots
--- /dev/null
+++ b/saffronworks/forwarding/planning/lengths.py
@@ -0,0 +1,64 @@
+"""How long answers become, against what their callers' hints said: learnt from those that ended."""
+
+import math
+from bisect import bisect_right, insort
+from collections import deque
+from itertools import accumulate
+from statistics import NormalDist
+
+import attrs
+
+from saffronworks.forwarding.tuning import HINT_ERROR, LENGTH_SAMPLES, OVERRUN_SHARE
+
+__all__ = ["AnswerLengths"]
+
+# Made-up samples until answers have ended: enough for a smooth start, few enough to give way soon.
+PRIOR_SAMPLES = 40
+
+
+def _prior() -> list[float]:
+    """Ratios of a hint that is right in the median, at even steps of probability."""
+    steps = [(index + 0.5) / PRIOR_SAMPLES for index in range(PRIOR_SAMPLES)]
+    return [math.exp(HINT_ERROR * NormalDist().inv_cdf(step)) for step in steps]
+
+
+@attrs.define
+class AnswerLengths:
+    """The newest ratios of an answer's length to its hint.
+
+    A run that is under way is more likely a long one: where half of all answers outgrow their hint,
+    one that has reached it is expected to make another half of it.
+    """
+
+    _newest: deque[float] = attrs.Factory(lambda: deque(_prior(), LENGTH_SAMPLES))
+    _sorted: list[float] = attrs.Factory(_prior)
+    _sums: list[float] = attrs.Factory(list)
+
+    def __attrs_post_init__(self) -> None:
+        self._add_up()
+
+    def learn(self, likely_tokens: int, tokens: int) -> None:
+        """An answer ended."""
+        if likely_tokens <= 0 or tokens <= 0:
+            return
+        if len(self._newest) == LENGTH_SAMPLES:
+            self._sorted.remove(self._newest[0])
+        ratio = tokens / likely_tokens
+        self._newest.append(ratio)
+        insort(self._sorted, ratio)
+        self._add_up()
+
+    def more_tokens(self, made_tokens: float, likely_tokens: int, most_tokens: int) -> float:
+        """How many more tokens are expected of an answer that has made so many."""
+        ratio = made_tokens / max(1, likely_tokens)
+        index = bisect_right(self._sorted, ratio)
+        longer = len(self._sorted) - index
+        if longer:
+            more = (self._sums[index] / longer - ratio) * likely_tokens
+        else:
+            more = OVERRUN_SHARE * made_tokens
+        return max(0.0, min(more, most_tokens - made_tokens))
+
+    def _add_up(self) -> None:
+        """For each place in the order, the sum of the ratios from there on."""
+        self._sums = list(accumulate(reversed(self._sorted)))[::-1]
--- a/saffronworks/forwarding/memory_messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -76,7 +76,8 @@
     """Entry to planner: a run is over, or its request is given up.
 
     Of a run that was streamed: its tokens, how long they took, and how long the prompt was read
-    where the first reader did so. `broken` names the endpoints that failed the request.
+    where the first reader did so. `broken` names the endpoints that failed the request;
+    `length_tokens` is the length of an answer that came whole.
     """
 
     request_id: str
@@ -85,6 +86,7 @@
     stream_ms: int = 0
     read_ms: int = 0
     broken: tuple[str, ...] = ()
+    length_tokens: int = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/reading_plans.py
+++ b/saffronworks/forwarding/planning/reading.py
@@ -73,6 +73,11 @@
         backlog_ms = self.backlog_ms(instance, now_ms)
         self._busy_until_ms[instance] = now_ms + backlog_ms + self.read_ms(instance, prompt_tokens)
 
+    def uncount(self, instance: str, prompt_tokens: int, now_ms: int) -> None:
+        """A prompt that was counted is not to be read there after all."""
+        backlog_ms = self.backlog_ms(instance, now_ms) - self.read_ms(instance, prompt_tokens)
+        self._busy_until_ms[instance] = now_ms + max(0.0, backlog_ms)
+
     def learn(self, reader: str, prompt_tokens: int, read_ms: int) -> None:
         """A reader that was free before took so long."""
         seen = read_ms / prompt_tokens
--- a/saffronworks/forwarding/memory_planner.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -1,4 +1,4 @@
-"""The service that plans decode memory on the node that the others ask: runs `memory_core`."""
+"""The service that plans decode memory on the node that the others ask: runs `core`."""
 
 import logging
 from collections.abc import Callable
@@ -6,10 +6,10 @@
 import anyio
 
 from saffronworks.bundles import Role
-from saffronworks.forwarding import memory_core
 from saffronworks.forwarding.directory import Directory
-from saffronworks.forwarding.memory_core import PlanState, Reply, Tick
-from saffronworks.forwarding.memory_messages import (
+from saffronworks.forwarding.planning import core
+from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
+from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
     MemoryGrant,
     MemoryRefusal,
@@ -68,8 +68,17 @@
         readers = {endpoint.instance: endpoint.zone for endpoint in listed}
         names = plan.shuns.usable(readers, now_ms)
         plan.reading.readers = {name: readers[name] for name in names}
-        for reply in memory_core.step(plan, event, decoders, now_ms):
+        for reply in core.step(plan, event, decoders, now_ms):
             self._send(kernel, reply, plan)
+        for instance, span_ms in plan.shuns.take_news():
+            logger.info(
+                "event=endpoint_shunned service=%s endpoint=%s for_ms=%d after=%s endpoints_rev=%d",
+                service,
+                instance,
+                span_ms,
+                type(event).__name__,
+                self._directory.revision,
+            )
 
     def _trim(self) -> None:
         """Forget what was learnt of endpoints that are gone, once the directory has changed."""
--- a/saffronworks/forwarding/shuns.py
+++ b/saffronworks/forwarding/planning/shuns.py
@@ -20,15 +20,22 @@
     """Each is left alone for a while, twice as long when it fails again right after that."""
 
     _shuns: dict[str, _Shun] = attrs.Factory(dict)
+    _news: list[tuple[str, int]] = attrs.Factory(list)
 
     def fail(self, instance: str, now_ms: int) -> None:
         """A request failed there. More that failed meanwhile make it no worse."""
         known = self._shuns.get(instance)
-        if known is None or now_ms >= known.until_ms + known.span_ms:
-            self._shuns[instance] = _Shun(now_ms + SHUN_MS, SHUN_MS)
-        elif now_ms >= known.until_ms:
-            span_ms = min(2 * known.span_ms, SHUN_MOST_MS)
-            self._shuns[instance] = _Shun(now_ms + span_ms, span_ms)
+        if known is not None and now_ms < known.until_ms:
+            return
+        again = known is not None and now_ms < known.until_ms + known.span_ms
+        span_ms = min(2 * known.span_ms, SHUN_MOST_MS) if known and again else SHUN_MS
+        self._shuns[instance] = _Shun(now_ms + span_ms, span_ms)
+        self._news.append((instance, span_ms))
+
+    def take_news(self) -> list[tuple[str, int]]:
+        """Those that are left alone from now on, and for how many ms; each is told once."""
+        news, self._news = self._news, []
+        return news
 
     def shunned(self, instance: str, now_ms: int) -> bool:
         """Whether it is to get nothing now."""
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -9,8 +9,8 @@
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.loads import LoadTable
-from saffronworks.forwarding.memory_client import MemoryClient
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, Refuse
+from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.ports import CallerReply, EndpointCalls
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -130,8 +130,13 @@
 READER_SAMPLE_WEIGHT = 0.5
 # From a grant to the first event when the readers are that busy.
 IN_TIME_MS = 400
-# A run that outgrew its likely length is expected to grow by this share of what it made.
-EXPECTED_OVERRUN = 0.3
+# Spread of answers about the hints of their lengths, as the logarithm's deviation, until answers
+# have ended: hints are right in the median and often far off.
+HINT_ERROR = 0.45
+# The newest answers that tell how far hints are off: ten seconds of a busy service.
+LENGTH_SAMPLES = 200
+# A run longer than all of those is expected to grow by this share of what it made.
+OVERRUN_SHARE = 0.3
 # Share of an endpoint's memory that foreseen peaks may take; the rest is for longer answers.
 PLANNED_SHARE = 0.85
 # How often one request asks the planner: its place may be gone when it comes to reserve it.
@@ -146,6 +151,12 @@
 # again right after that, twice as long each time, up to what most troubles of endpoints last.
 SHUN_MS = 1000
 SHUN_MOST_MS = 4000
+# A run whose answer came to a halt for so long stands on an endpoint that is gone, stuck or out of
+# memory: events come every 50 ms, 300 ms is late.
+QUIET_RUN_MS = 700
+# An endpoint that had no room for a grant is asked for none until one of its runs ends, or for this
+# long: one run ends there every 500 ms.
+FULL_MS = 200
 # Grants are counted over this span for forecasts.
 RATE_WINDOW_MS = 2000
 # Share of the grants that returning callers are to take.
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -13,15 +13,15 @@
 from result import Err
 
 from saffronworks.clocks import monotonic_ms
-from saffronworks.forwarding import memory_messages
 from saffronworks.forwarding.census import Census
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.loads import LoadTable
-from saffronworks.forwarding.memory_client import MemoryClient
-from saffronworks.forwarding.memory_messages import (
+from saffronworks.forwarding.planning import messages as planning_messages
+from saffronworks.forwarding.planning.client import MemoryClient
+from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
     MemoryDirect,
     MemoryGrant,
@@ -30,7 +30,7 @@
     MemoryRelease,
     MemoryReport,
 )
-from saffronworks.forwarding.memory_planner import MemoryPlanner
+from saffronworks.forwarding.planning.service import MemoryPlanner
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.role_core import RoleState
 from saffronworks.forwarding.role_keeper import RoleKeeper
@@ -79,7 +79,7 @@
         self._directory = Directory()
         self._memory = MemoryClient(settings.peer_address)
         self._kernel = Kernel(settings.node, monotonic_ms)
-        self._peers = PeerService(settings.peer_address, Codec(memory_messages))
+        self._peers = PeerService(settings.peer_address, Codec(planning_messages))
         budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
         )
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -20,6 +20,11 @@
     Then it asks them in order, reads once, and opens the stream where the memory is
     And a caller who comes first is refused early, one who returned waits longer
 
+  Scenario: the planner hears once what a request met
+    Given a generation whose reader refused and whose next reader broke
+    Then the planner hears of the one that broke, and hears it once
+    And where a handle was lost, of the reader that had it
+
   Scenario: a generation that may not repeat streams at most once
     Then whatever endpoints answer, a generation that may not repeat runs once at most
     And a generation that has run is never refused with a promise
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -25,6 +25,21 @@
     And when it fails again right after that, it is left alone for twice as long
     And what is known of endpoints that are gone is forgotten
 
+  Scenario: how long answers become is learnt
+    Then an answer that has reached its hint is expected to go on for half as long again
+    And after many answers that ended at their hints hardly anything more is expected
+    And whatever was learnt, no more is expected than an answer may have
+
+  Scenario: reports tell how far runs are
+    Given a plan whose runs made more than was likely
+    Then their endpoint has less room than one whose runs made little
+    And an endpoint whose run came to a halt gets nothing for a while
+
+  Scenario: a grant that found no room
+    Given a plan that granted a place where there was no room
+    Then the endpoint is asked for no other place until one of its runs ends
+    And the reader is not taken for busy with the prompt
+
   Scenario: readers share the prompts
     Given a plan with two readers in different zones
     Then prompts go to the nearer one first, then to the one that is free first
--- /dev/null
+++ b/saffronworks/tests/features/steps/answer_lengths_steps.py
@@ -0,0 +1,45 @@
+"""Scenarios on the lengths of answers against their hints."""
+
+import random
+
+from behave import then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.tuning import LENGTH_SAMPLES
+
+
+@then("an answer that has reached its hint is expected to go on for half as long again")
+def half_again(context):
+    rng, lengths = random.Random(5), AnswerLengths()
+    assert 400 < lengths.more_tokens(1000, 1000, 10_000) < 600
+    for _ in range(LENGTH_SAMPLES):
+        lengths.learn(1000, int(1000 * rng.lognormvariate(0, 0.5)))
+    assert 400 < lengths.more_tokens(1000, 1000, 10_000) < 700
+    assert 1000 < lengths.more_tokens(0, 1000, 10_000) < 1300
+
+
+@then("after many answers that ended at their hints hardly anything more is expected")
+def hardly_more(context):
+    lengths = AnswerLengths()
+    for _ in range(LENGTH_SAMPLES):
+        lengths.learn(1000, 1000)
+    assert abs(lengths.more_tokens(900, 1000, 10_000) - 100) < 1
+    assert abs(lengths.more_tokens(0, 1000, 10_000) - 1000) < 1
+
+
+@then("whatever was learnt, no more is expected than an answer may have")
+def within_most(context):
+    @forall(
+        st.lists(st.tuples(st.integers(0, 5000), st.integers(0, 9000)), max_size=300),
+        st.integers(0, 9000),
+        st.integers(0, 5000),
+    )
+    def check(answers, made, likely):
+        lengths = AnswerLengths()
+        for answer in answers:
+            lengths.learn(*answer)
+        assert 0 <= lengths.more_tokens(made, likely, 9000) <= 9000 - made
+
+    check()
--- a/saffronworks/tests/features/steps/generation_steps.py
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -9,7 +9,9 @@
 from saffronworks.forwarding import generation_events as gen
 from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.messages import (
+    AnswerHead,
     Begin,
+    Executed,
     KvHandle,
     KvHold,
     Refuse,
@@ -79,6 +81,34 @@
     assert 2500 < refused_at_ms(True) < 3600
 
 
+@given("a generation whose reader refused and whose next reader broke")
+def readers_fail(context):
+    state = context.state = generation()
+    hold = KvHold(POOLS.decoders[0], "k", 2000)
+    assert gen_step(state, gen.HoldTaken(hold)).endpoint.instance == "p0"
+    assert gen_step(state, gen.ReadFailed("p0", broken=False)).endpoint.instance == "p1"
+    assert isinstance(gen_step(state, gen.ReadFailed("p1", broken=True)), gen.OpenStream)
+
+
+@then("the planner hears of the one that broke, and hears it once")
+def hears_once(context):
+    context.state.plans_left = 1
+    command = gen_step(context.state, gen.StreamBroken("d0", sent=False))
+    assert isinstance(command, gen.AskPlanner), command
+    assert command.broken == ("d0", "p1") and set(command.avoid) == {"d0", "p0", "p1"}
+    assert context.state.take_broken() == ()
+
+
+@then("where a handle was lost, of the reader that had it")
+def lost_handle(context):
+    state = generation()
+    state.hold = KvHold(POOLS.decoders[0], "k", 2000)
+    state.handle = KvHandle(POOLS.prefillers[1], "h", 5000)
+    refusal = AnswerHead(503, (), Executed.NO, signed=False, reason="status-503")
+    gen_step(state, gen.StreamAnswered("d0", refusal))
+    assert state.take_broken() == ("p1",)
+
+
 def play_generation(may_repeat, replies, relay_breaks):
     """Holds and reads succeed; streams answer in the given ways. Returns the runs and the end."""
     state, now_ms, runs, resumed = generation(may_repeat), 0, 0, 0
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -7,10 +7,10 @@
 
 from saffronworks.bundles import Role
 from saffronworks.clocks import monotonic_ms
-from saffronworks.forwarding import memory_messages as messages
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
-from saffronworks.forwarding.memory_client import MemoryClient, RunSize
-from saffronworks.forwarding.memory_planner import MemoryPlanner
+from saffronworks.forwarding.planning import messages
+from saffronworks.forwarding.planning.client import MemoryClient, RunSize
+from saffronworks.forwarding.planning.service import MemoryPlanner
 from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
 from saffronworks.forwarding.tuning import (
     PLANNER_SILENT_MS,
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -1,19 +1,20 @@
 """Scenarios on the planner of decode memory, its core and both of its services."""
 
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
+import attrs
 from behave import given, then
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks.forwarding import memory_core as core
-from saffronworks.forwarding import memory_messages as messages
-from saffronworks.forwarding.reading_plans import ReadingPlan
+from saffronworks.forwarding.planning import core, messages, runs
+from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.tuning import (
     DECIDE_AFTER_MS,
     OWN_READ_FACTOR,
     OWN_READ_GAP_MS,
     PLANNED_SHARE,
+    QUIET_RUN_MS,
     READ_MS_PER_TOKEN,
     REPORT_LAPSE_MS,
     RETRY_AFTER_LEAST_MS,
@@ -73,7 +74,7 @@
         for tick in range(32):
             alive = [now + tick for now, more in sizes if tick <= more]
             peak = max(peak, sum(alive))
-        foreseen = core.projected_peak([(float(now), float(more)) for now, more in sizes])
+        foreseen = runs.projected_peak([(float(now), float(more)) for now, more in sizes])
         assert foreseen == peak, (foreseen, peak)
 
     check()
@@ -108,11 +109,11 @@
             replies = core.step(plan, event, {"d0": "z", "d1": "z"}, now_ms)
             for grant in granted(replies):
                 present = [
-                    run.growth(plan.ms_per_token, now_ms)
+                    run.growth(plan.lengths, plan.ms_per_token, now_ms)
                     for run in plan.runs.values()
                     if run.instance == grant.instance
                 ]
-                peak = core.projected_peak(present)
+                peak = runs.projected_peak(present)
                 assert peak <= PLANNED_SHARE * CAPACITY + 1 or len(present) == 1, peak
 
     check()
@@ -302,7 +303,7 @@
     plan = context.plan = warm_plan()
     context.decoders = {f"d{index}": "z" for index in range(14)}
     for index in range(14 * 7):
-        run = core.Run(f"d{index % 14}", "n1", 8000, 4000, 9000, START_MS)
+        run = runs.Run(f"d{index % 14}", "n1", 8000, 4000, 9000, START_MS)
         plan.runs[f"full{index}"] = run
     for index in range(40):
         core.step(plan, ask(f"r{index}", in_time_ms=0), context.decoders, START_MS)
@@ -311,9 +312,13 @@
 
 def looks_at(plan, event, decoders, now_ms):
     """How many peaks a step foresees."""
-    with patch.object(core, "projected_peak", wraps=core.projected_peak) as peaks:
+    foresee = Mock(wraps=runs.projected_peak)
+    with (
+        patch.object(core, "projected_peak", foresee),
+        patch.object(runs, "projected_peak", foresee),
+    ):
         core.step(plan, event, decoders, now_ms)
-    return peaks.call_count
+    return foresee.call_count
 
 
 @then("a tick looks at each endpoint a few times at most, and a report at none")
@@ -324,6 +329,66 @@
     assert looks_at(plan, core.Tick(), decoders, deciding_ms) <= 3 * len(decoders)
 
 
+def run_report(instance, made_tokens, quiet_ms=0):
+    run = messages.LiveRun(f"on-{instance}", instance, 20_000, 2000, 60_000, 3000)
+    run = attrs.evolve(run, made_tokens=made_tokens, quiet_ms=quiet_ms)
+    return messages.MemoryReport(f"n-{instance}", "s", (run,))
+
+
+@given("a plan whose runs made more than was likely")
+def made_more(context):
+    context.plan = warm_plan()
+    for instance, made_tokens in (("d0", 40_000), ("d1", 1000)):
+        report_of_run = run_report(instance, made_tokens)
+        assert core.step(context.plan, report_of_run, {"d0": "z", "d1": "z"}, START_MS) == []
+
+
+@then("their endpoint has less room than one whose runs made little")
+def less_room(context):
+    decoders = {"d0": "z", "d1": "z"}
+    grants = granted(core.step(context.plan, ask("a"), decoders, START_MS + 1))
+    assert [grant.instance for grant in grants] == ["d1"]
+    only = granted(core.step(context.plan, ask("b", prompt=25_000), {"d0": "z"}, START_MS + 2))
+    assert only == [], "its run made 40,000 tokens where 2,000 were likely"
+
+
+@then("an endpoint whose run came to a halt gets nothing for a while")
+def halted(context):
+    plan, decoders = warm_plan(), {"d0": "z", "d1": "z"}
+    core.step(plan, run_report("d0", 500, quiet_ms=QUIET_RUN_MS), decoders, START_MS)
+    core.step(plan, run_report("d1", 30_000), decoders, START_MS)
+    grants = granted(core.step(plan, ask("a"), decoders, START_MS + 1))
+    assert [grant.instance for grant in grants] == ["d1"]
+    assert plan.shuns.take_news() == [("d0", SHUN_MS)]
+
+
+@given("a plan that granted a place where there was no room")
+def no_room(context):
+    plan = context.plan = warm_plan()
+    plan.reading.readers = {"p0": "z"}
+    plan.runs["old"] = runs.Run("d0", "n1", 100, 100, 100, START_MS)
+    first = granted(core.step(plan, ask("a"), {"d0": "z"}, START_MS))
+    assert first[0].instance == "d0" and plan.reading.backlog_ms("p0", START_MS) > 0
+    again = core.step(plan, ask("a", avoid=("d0",)), {"d0": "z"}, START_MS + 5)
+    assert granted(again) == []
+
+
+@then("the endpoint is asked for no other place until one of its runs ends")
+def until_one_ends(context):
+    plan = context.plan
+    assert granted(core.step(plan, ask("b"), {"d0": "z"}, START_MS + 6)) == []
+    ended = messages.MemoryRelease("old", "s")
+    grants = granted(core.step(plan, ended, {"d0": "z"}, START_MS + 7))
+    assert [grant.request_id for grant in grants] == ["b"]
+
+
+@then("the reader is not taken for busy with the prompt")
+def not_busy(context):
+    context.plan.runs.clear()
+    one_prompt_ms = context.plan.reading.read_ms("p0", 5000)
+    assert context.plan.reading.backlog_ms("p0", START_MS + 7) <= one_prompt_ms
+
+
 @given("a planner that is asked for the first time")
 def first_ask(context):
     context.plan = core.PlanState(
--- a/saffronworks/tests/features/steps/planner_choice_steps.py
+++ b/saffronworks/tests/features/steps/planner_choice_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then
 
-from saffronworks.forwarding.planner_choice import PlannerChoice
+from saffronworks.forwarding.planning.choice import PlannerChoice
 from saffronworks.forwarding.tuning import PLANNER_AVOID_MOST_MS, PLANNER_AVOID_MS
 
 CORES = {"strong-1": 2.1, "strong-2": 2.0, "strong-3": 2.1} | {f"weak-{n}": 0.5 for n in range(20)}
