--- a/saffronworks/tests/features/steps/fleet_steps.py
+++ b/saffronworks/tests/features/steps/fleet_steps.py
@@ -1,23 +1,16 @@
 """Scenarios on membership, documents, sign-off and ownership."""
 
 import bisect
-import random
-from collections import Counter
 
 from behave import given, then, when
 from hypothesis import given as forall
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
-from saffronworks import documents, signoffs
+from saffronworks import documents
 from saffronworks.budgets import ReadBudget
-from saffronworks.bundles import Bundle, Endpoint, Pool, Role
 from saffronworks.documents import Document, DocumentPush, DocumentStore, Fetched, InForce
-from saffronworks.hashing import hash64
 from saffronworks.membership import Status, live_members
-from saffronworks.ownership import choose_owner, split_pool
-from saffronworks.routes import RouteTable
-from saffronworks.signoffs import SignOff, SignOffRecord
 from saffronworks.standins.sites import SiteShape, wait_until
 from saffronworks.tests.plays import on_site
 from tools.fleet_bench import DEAD_MS, HEARTBEAT_MS, Fleet
@@ -96,78 +89,6 @@
                     inbox.append((command.member, command.message))
 
 
-class FakeStore:
-    """One object; `lose` replies after applying, or `down` altogether."""
-
-    def __init__(self, version=0, record=None):
-        self.version, self.record = version, record
-        self.lose, self.down = 0, False
-
-    def act(self, command, record):
-        if self.down:
-            return signoffs.Outage()
-        match command:
-            case signoffs.PutIf():
-                if command.expected != self.version:
-                    return signoffs.PutRefused()
-                self.version, self.record = self.version + 1, record
-                if self.lose:
-                    self.lose -= 1
-                    return signoffs.PutLost()
-                return signoffs.PutDone(self.version)
-            case _:
-                return signoffs.ReadDone(self.version, self.record)
-
-
-def drive(store, base, sign_off_id="mine"):
-    state = SignOff(sign_off_id, base)
-    record = SignOffRecord("text", sign_off_id, "ada")
-    command = signoffs.start(state)
-    while isinstance(command, signoffs.Read | signoffs.PutIf | signoffs.BackOff):
-        command = signoffs.step(state, store.act(command, record))
-    return command
-
-
-@given("a store that applies a sign-off and loses the reply")
-def losing(context):
-    context.store = FakeStore()
-    context.store.lose = 1
-
-
-@then("the sign-off is accepted once")
-def accepted_once(context):
-    assert drive(context.store, 0) == signoffs.Accepted(1)
-    assert context.store.version == 1
-
-
-@given("another operator signed off first")
-def other_first(context):
-    context.store = FakeStore(4, SignOffRecord("other", "theirs", "grace"))
-
-
-@then("the sign-off is refused and names the other")
-def refused(context):
-    assert drive(context.store, 3) == signoffs.Conflict(4, "grace", "theirs")
-
-
-@given("a store that does not answer")
-def silent_store(context):
-    context.store = FakeStore()
-    context.store.down = True
-
-
-@then("the sign-off is unsettled")
-def unsettled(context):
-    assert isinstance(drive(context.store, 0), signoffs.Unsettled)
-
-
-@then("the same sign-off id is accepted once the store is back")
-def accepted_later(context):
-    context.store.down = False
-    assert drive(context.store, 0) == signoffs.Accepted(1)
-    assert drive(context.store, 0) == signoffs.Accepted(1)
-
-
 def views(fleet):
     return {
         node.name: tuple(live_members(node.member)) for node in fleet.nodes.values() if node.alive
@@ -302,89 +223,6 @@
     run()
 
 
-@given("{members:d} members and {cells:d} cells")
-def members_and_cells(context, members, cells):
-    context.members = [f"n{index}" for index in range(members)]
-    context.cells = [f"b/p/{index}" for index in range(cells)]
-
-
-@then("each member that leaves moves only its own cells")
-def moves_little(context):
-    before = {cell: choose_owner(context.members, cell) for cell in context.cells}
-    for gone in context.members[:10]:
-        left = [member for member in context.members if member != gone]
-        for cell, owner in before.items():
-            assert (choose_owner(left, cell) == owner) == (owner != gone)
-
-
-@then("the choice agrees with a naive search")
-def naive_owner(context):
-    for cell in context.cells:
-        weights = [(hash64(f"{member}|{cell}"), member) for member in context.members]
-        shuffled = random.Random(cell).sample(context.members, len(context.members))
-        assert choose_owner(shuffled, cell) == max(weights)[1]
-
-
-@given("any pool of endpoints")
-def any_pool(context):
-    context.pools = st.lists(st.sampled_from(Role), min_size=2, max_size=90).filter(
-        lambda roles: len(set(roles)) == 2
-    )
-
-
-@then("its cells hold each endpoint once and both roles each")
-def cells_cover(context):
-    @forall(context.pools)
-    def run(roles):
-        endpoints = tuple(
-            Endpoint(f"e{i}", "127.0.0.1:1", f"z{i % 3}", role) for i, role in enumerate(roles)
-        )
-        pool = Pool("p", endpoints)
-        found = split_pool(Bundle("b", pools=(pool,)), pool)
-        names = [endpoint.name for cell in found for endpoint in cell.endpoints]
-        assert sorted(names) == sorted(endpoint.name for endpoint in endpoints)
-        for cell in found:
-            assert {endpoint.role for endpoint in cell.endpoints} == set(Role)
-
-    run()
-
-
-@given("a pool of {endpoints:d} endpoints before {nodes:d} nodes")
-def large_pool(context, endpoints, nodes):
-    lines = ["name: b", "models:", "  - {name: m, pool: p}", "pools:", "  - name: p"]
-    lines.append("    endpoints:")
-    for index in range(endpoints):
-        role = "prefill" if index % 3 == 0 else "decode"
-        fields = f'name: e{index}, address: "10.0.0.1:{index + 1}", zone: z, role: {role}'
-        lines.append(f"      - {{{fields}}}")
-    record = signoffs.write_record(SignOffRecord("\n".join(lines), "id", "ada"))
-    document = Document("config/bundles/b", 1, record)
-    context.used = []
-    for index in range(nodes):
-        routes = RouteTable(f"entry-{index}")
-        if index:
-            routes.bundles = context.bundles
-            routes._index()
-        else:
-            assert routes.take(document)
-            context.bundles = routes.bundles
-        context.used.append([cell.name for cell in routes.models["m"][1]])
-
-
-@then("each node uses 8 cells")
-def eight_cells(context):
-    assert {len(cells) for cells in context.used} == {8}
-
-
-@then("no cell is used by more than twice as many nodes as the mean, or by none")
-def evenly(context):
-    counts = Counter(name for cells in context.used for name in cells)
-    bundle = context.bundles["config/bundles/b"]
-    total = len(split_pool(bundle, bundle.pools[0]))
-    assert len(counts) == total, (len(counts), total)
-    assert max(counts.values()) <= 2 * len(context.used) * 8 / total, counts
-
-
 @when("a node starts while the store is down")
 def starts_in_outage(context):
     async def play(site, tasks):
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -2,7 +2,6 @@
 
 from unittest.mock import Mock, patch
 
-import attrs
 from behave import given, then
 from hypothesis import given as forall
 from hypothesis import strategies as st
@@ -16,7 +15,6 @@
     OWN_READ_FACTOR,
     OWN_READ_GAP_MS,
     PLANNED_SHARE,
-    QUIET_RUN_MS,
     READ_MS_PER_TOKEN,
     REPORT_LAPSE_MS,
     RETRY_AFTER_LEAST_MS,
@@ -253,64 +251,6 @@
     assert later[0].instance == "d0"
 
 
-@given("a plan that hears from a node that an endpoint failed its request")
-def hears_failure(context):
-    context.plan = warm_plan()
-    fail_at(context.plan, START_MS)
-
-
-def fail_at(plan, now_ms):
-    failed = messages.MemoryRelease("a", "s", broken=("d0",))
-    plan.heard_ms = now_ms
-    core.step(plan, failed, {"d0": "z", "d1": "z"}, now_ms)
-
-
-def first_choice(plan, request_id, now_ms, decoders=("d0", "d1")):
-    """Where a request goes that finds no other run."""
-    plan.runs.clear()
-    plan.heard_ms = now_ms
-    grants = granted(core.step(plan, ask(request_id), dict.fromkeys(decoders, "z"), now_ms))
-    return grants[0].instance
-
-
-@then("requests of other nodes go elsewhere for a while, and are granted if there is no other")
-def elsewhere(context):
-    plan = context.plan
-    assert first_choice(plan, "b", START_MS + 1) == "d1"
-    assert first_choice(plan, "c", START_MS + 2, decoders=("d0",)) == "d0"
-    assert first_choice(plan, "d", START_MS + SHUN_MS) == "d0"
-
-
-@then("when it fails again right after that, it is left alone for twice as long")
-def twice_as_long(context):
-    plan, again_ms = context.plan, START_MS + SHUN_MS + 1
-    fail_at(plan, again_ms)
-    fail_at(plan, again_ms + 1)
-    assert first_choice(plan, "e", again_ms + 2 * SHUN_MS - 1) == "d1"
-    assert first_choice(plan, "f", again_ms + 2 * SHUN_MS) == "d0"
-
-
-@then("what is known of endpoints that are gone is forgotten")
-def gone_forgotten(context):
-    fail_at(context.plan, START_MS + 9 * SHUN_MS)
-    context.plan.full_until_ms["d0"] = START_MS + 99 * SHUN_MS
-    context.plan.forget_all_but({"d1"})
-    assert first_choice(context.plan, "g", START_MS + 9 * SHUN_MS + 1) == "d0"
-
-
-@then("a reader that takes long gets fewer prompts")
-def slow_reader(context):
-    reading = ReadingPlan({"quick": "z", "slow": "z"})
-    for _ in range(5):
-        reading.learn("slow", 5000, 400)
-        reading.learn("quick", 5000, 100)
-    given_to = []
-    for _ in range(5):
-        given_to.append(reading.choose("z", 5000, START_MS))
-        reading.count(given_to[-1], 5000, START_MS)
-    assert given_to.count("quick") == 4, given_to
-
-
 @given("a plan with many endpoints that are all full, and many who wait")
 def many_full(context):
     plan = context.plan = warm_plan()
@@ -342,66 +282,6 @@
     assert looks_at(plan, core.Tick(), decoders, deciding_ms) <= 3 * len(decoders)
 
 
-def run_report(instance, made_tokens, quiet_ms=0):
-    run = messages.LiveRun(f"on-{instance}", instance, 20_000, 2000, 60_000, 3000)
-    run = attrs.evolve(run, made_tokens=made_tokens, quiet_ms=quiet_ms)
-    return messages.MemoryReport(f"n-{instance}", "s", (run,))
-
-
-@given("a plan whose runs made more than was likely")
-def made_more(context):
-    context.plan = warm_plan()
-    for instance, made_tokens in (("d0", 40_000), ("d1", 1000)):
-        report_of_run = run_report(instance, made_tokens)
-        assert core.step(context.plan, report_of_run, {"d0": "z", "d1": "z"}, START_MS) == []
-
-
-@then("their endpoint has less room than one whose runs made little")
-def less_room(context):
-    decoders = {"d0": "z", "d1": "z"}
-    grants = granted(core.step(context.plan, ask("a"), decoders, START_MS + 1))
-    assert [grant.instance for grant in grants] == ["d1"]
-    only = granted(core.step(context.plan, ask("b", prompt=25_000), {"d0": "z"}, START_MS + 2))
-    assert only == [], "its run made 40,000 tokens where 2,000 were likely"
-
-
-@then("an endpoint whose run came to a halt gets nothing for a while")
-def halted(context):
-    plan, decoders = warm_plan(), {"d0": "z", "d1": "z"}
-    core.step(plan, run_report("d0", 500, quiet_ms=QUIET_RUN_MS), decoders, START_MS)
-    core.step(plan, run_report("d1", 30_000), decoders, START_MS)
-    grants = granted(core.step(plan, ask("a"), decoders, START_MS + 1))
-    assert [grant.instance for grant in grants] == ["d1"]
-    assert plan.shuns.take_news() == [("d0", SHUN_MS)]
-
-
-@given("a plan that granted a place where there was no room")
-def no_room(context):
-    plan = context.plan = warm_plan()
-    plan.reading.readers = {"p0": "z"}
-    plan.runs["old"] = runs.Run("d0", "n1", 100, 100, 100, START_MS)
-    first = granted(core.step(plan, ask("a"), {"d0": "z"}, START_MS))
-    assert first[0].instance == "d0" and plan.reading.backlog_ms("p0", START_MS) > 0
-    again = core.step(plan, ask("a", avoid=("d0",)), {"d0": "z"}, START_MS + 5)
-    assert granted(again) == []
-
-
-@then("the endpoint is asked for no other place until one of its runs ends")
-def until_one_ends(context):
-    plan = context.plan
-    assert granted(core.step(plan, ask("b"), {"d0": "z"}, START_MS + 6)) == []
-    ended = messages.MemoryRelease("old", "s")
-    grants = granted(core.step(plan, ended, {"d0": "z"}, START_MS + 7))
-    assert [grant.request_id for grant in grants] == ["b"]
-
-
-@then("the reader is not taken for busy with the prompt")
-def not_busy(context):
-    context.plan.runs.clear()
-    one_prompt_ms = context.plan.reading.read_ms("p0", 5000)
-    assert context.plan.reading.backlog_ms("p0", START_MS + 7) <= one_prompt_ms
-
-
 @given("a planner that is asked for the first time")
 def first_ask(context):
     context.plan = core.PlanState(
