--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -30,6 +30,7 @@
     Then an answer that has reached its hint is expected to go on for half as long again
     And after many answers that ended at their hints hardly anything more is expected
     And whatever was learnt, no more is expected than an answer may have
+    And for any answers it is what a naive mean over the longer ones gives
 
   Scenario: reports tell how far runs are
     Given a plan whose runs made more than was likely
--- a/saffronworks/tests/features/steps/answer_lengths_steps.py
+++ b/saffronworks/tests/features/steps/answer_lengths_steps.py
@@ -29,6 +29,24 @@
     assert abs(lengths.more_tokens(0, 1000, 10_000) - 1000) < 1
 
 
+@then("for any answers it is what a naive mean over the longer ones gives")
+def naive_mean(context):
+    @forall(
+        st.lists(st.integers(1, 9000), min_size=LENGTH_SAMPLES, max_size=LENGTH_SAMPLES + 40),
+        st.integers(0, 9000),
+    )
+    def check(answers, made):
+        lengths = AnswerLengths()
+        for tokens in answers:
+            lengths.learn(1000, tokens)
+        longer = [tokens for tokens in answers[-LENGTH_SAMPLES:] if tokens > made]
+        if longer:
+            expected = min(sum(longer) / len(longer) - made, 9500 - made)
+            assert abs(lengths.more_tokens(made, 1000, 9500) - expected) < 0.01
+
+    check()
+
+
 @then("whatever was learnt, no more is expected than an answer may have")
 def within_most(context):
     @forall(
