A node counts the others as soon as it has entered itself

Entries of nodes outlast them, so a listing right after the start shows all but at the first start of all, before traffic.

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -27,8 +27,9 @@
 # The kind of the objects that nodes enter themselves by; one object a node.
 NODE_KIND = "saffron-nodes"
 COUNT_EVERY_S = 10.0
-# All nodes of a start have entered by then, and a listing that is seconds old shows them.
-FIRST_COUNT_S = 8.0
+# A node that starts again finds the others at once. At the first start of all it finds none; by the
+# second count all have entered, and a listing that is seconds old shows them.
+SECOND_COUNT_S = 8.0
 ENTER_AGAIN_S = 1.0
 
 
@@ -59,7 +60,8 @@
         """Enter, then count again and again until cancelled."""
         while not await self._enter():
             await anyio.sleep(ENTER_AGAIN_S * (0.5 + self._rng.random()))
-        await anyio.sleep(FIRST_COUNT_S)
+        await self._count()
+        await anyio.sleep(SECOND_COUNT_S)
         while True:
             await self._count()
             await anyio.sleep(COUNT_EVERY_S * (0.5 + self._rng.random()))
