--- /dev/null
+++ b/saffronworks/forwarding/planning/plans.py
@@ -0,0 +1,126 @@
+"""What the planner knows of one service: who waits, what runs, what endpoints have room for."""
+
+from collections import deque
+
+import attrs
+
+from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.planning.messages import (
+    MemoryAsk,
+    MemoryDirect,
+    MemoryGrant,
+    MemoryQueued,
+    MemoryRefusal,
+)
+from saffronworks.forwarding.planning.reading import ReadingPlan
+from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
+from saffronworks.forwarding.planning.shuns import ShunTable
+from saffronworks.forwarding.tuning import MARGIN_ANSWERS, MOST_MARGIN_SHARE, MS_PER_TOKEN
+
+__all__ = ["Occupancies", "PlanState", "Reply", "Waiter"]
+
+Occupancies = dict[str, Occupancy]
+
+
+@attrs.frozen
+class Reply:
+    """Send a message to an entry node."""
+
+    address: str
+    message: MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal
+
+
+@attrs.define
+class Waiter:
+    """One request that wants memory; times by the planner's own clock."""
+
+    ask: MemoryAsk
+    arrived_ms: int
+    in_time_until_ms: int
+    patient_until_ms: int
+    decided: bool = False
+
+    def rank(self, now_ms: int) -> tuple[bool, int]:
+        """Those who can be in time first, the most pressing of them before others.
+
+        The target counts from a caller's first attempt: one who was refused is late whenever it is
+        served, and takes what the others leave. In turn with them it took up to 8 of 20 places in
+        two seconds of a burst, each from one who then was late as well: 0.016 of worth on five
+        days.
+        """
+        late = self.ask.returned or now_ms > self.in_time_until_ms
+        return late, self.patient_until_ms if late else self.in_time_until_ms
+
+
+@attrs.define
+class PlanState:
+    """The plan of one service's decode memory.
+
+    `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
+    long: it may have stood still meanwhile. Endpoints that failed a request are shunned for a
+    while, those that had no room for a grant are full for a moment or until a run of theirs ends.
+    `usual_tokens` is the running average of likely answers.
+    """
+
+    began_ms: int
+    capacity_tokens: int
+    slots: int
+    ms_per_token: float = MS_PER_TOKEN
+    runs: dict[str, Run] = attrs.Factory(dict)
+    waiters: dict[str, Waiter] = attrs.Factory(dict)
+    grants_ms: deque[int] = attrs.Factory(deque)
+    reported_ms: dict[str, int] = attrs.Factory(dict)
+    next_return_ms: float = 0.0
+    heard_ms: int = 0
+    reading: ReadingPlan = attrs.Factory(ReadingPlan)
+    lengths: AnswerLengths = attrs.Factory(AnswerLengths)
+    shuns: ShunTable = attrs.Factory(ShunTable)
+    full_until_ms: dict[str, int] = attrs.Factory(dict)
+    usual_tokens: float = 0.0
+
+    @property
+    def limit_tokens(self) -> float:
+        """What foreseen peaks of an endpoint may take."""
+        margin_tokens = MARGIN_ANSWERS * self.usual_tokens
+        return self.capacity_tokens - min(margin_tokens, MOST_MARGIN_SHARE * self.capacity_tokens)
+
+    def forget_all_but(self, instances: set[str]) -> None:
+        """Drop what was learnt of endpoints that are gone."""
+        self.shuns.forget_all_but(instances)
+        self.reading.forget_all_but(instances)
+        for instance in self.full_until_ms.keys() - instances:
+            del self.full_until_ms[instance]
+
+    def ranked(self, now_ms: int) -> list[Waiter]:
+        """All who wait, the first one first."""
+        return sorted(self.waiters.values(), key=lambda waiter: waiter.rank(now_ms))
+
+    def occupancies(self, decoders: dict[str, str], now_ms: int) -> Occupancies:
+        """The runs of each endpoint that may get work."""
+        usable = {
+            name: Occupancy([])
+            for name in self.shuns.usable(decoders, now_ms)
+            if self.full_until_ms.get(name, 0) <= now_ms
+        }
+        for run in self.runs.values():
+            if run.instance in usable:
+                usable[run.instance].add(run.growth(self.lengths, self.ms_per_token, now_ms))
+        for occupancy in usable.values():
+            occupancy.settle()
+        return usable
+
+    def fit(self, ask: MemoryAsk, usable: Occupancies) -> str | None:
+        """The endpoint whose foreseen peak with this run is lowest, if that is low enough."""
+        limit = self.limit_tokens
+        more = self.lengths.more_tokens(0.0, ask.likely_tokens, ask.most_tokens)
+        own = (float(ask.prompt_tokens), more)
+        best: tuple[float, str] | None = None
+        for instance, present in usable.items():
+            full = len(present.growths) >= self.slots
+            if instance in ask.avoid or full or not present.may_fit(ask.prompt_tokens, limit):
+                continue
+            peak = projected_peak([*present.growths, own])
+            fits = peak <= limit or not present.growths
+            if fits and (best is None or (peak, instance) < best):
+                best = (peak, instance)
+        return best[1] if best else None
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks.forwarding.planning import core, messages, runs
+from saffronworks.forwarding.planning import core, messages, plans, runs
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.tuning import (
     DECIDE_AFTER_MS,
@@ -277,7 +277,7 @@
     """How many peaks a step foresees."""
     foresee = Mock(wraps=runs.projected_peak)
     with (
-        patch.object(core, "projected_peak", foresee),
+        patch.object(plans, "projected_peak", foresee),
         patch.object(runs, "projected_peak", foresee),
     ):
         core.step(plan, event, decoders, now_ms)
