saffronctl explain: how requests ended, and which wait or failure led there, from log lines

On-call engineers had only grep. The command reads the lines of all nodes, adds up a generation's waits from its decisions, names the outcome and cause of each request and counts them. Lines of answers carry the route's target for it.

--- a/saffronworks/control.py
+++ b/saffronworks/control.py
@@ -4,14 +4,17 @@
 import os
 import sys
 import uuid
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, NoReturn
 
+import attrs
 import fire
 import httpcore
 from result import Err
 
 from saffronworks.bundles import Bundle, compare_bundles, read_bundle
+from saffronworks.explain import RequestStory, count_causes, read_stories
 from saffronworks.reports import plot_report
 
 __all__ = ["main"]
@@ -47,6 +50,18 @@
         """List the endpoints of the cells that the node owns."""
         _print_rows(_get(admin, "/v1/endpoints"), json)
 
+    def explain(self, *logs: str, request: str = "", json: bool = False) -> None:
+        """Say from log files why requests were late, refused, cut or lost; or tell of one."""
+        if not logs:
+            _fail("name the files with the nodes' log lines", EXIT_BAD_INPUT)
+        stories = read_stories(_read_logs(logs))
+        if not request:
+            _print_rows([attrs.asdict(row) for row in count_causes(stories.values())], json)
+            return
+        if request not in stories:
+            _fail(f"no line names request {request}", EXIT_BAD_INPUT)
+        _print_story(stories[request], json)
+
     def requests(self, admin: str = "", json: bool = False) -> None:
         """List the live requests of the node, and how many ended with each outcome."""
         found = _get(admin, "/v1/requests")
@@ -155,6 +170,16 @@
             print(alert)
 
 
+def _read_logs(files: tuple[str, ...]) -> Iterator[str]:
+    """The lines of all files, or an end with every file that can't be read."""
+    bad = [file for file in files if not Path(file).is_file()]
+    if bad:
+        _fail("\n".join(f"{file}: no such file" for file in bad), EXIT_BAD_INPUT)
+    for file in files:
+        with open(file, encoding="utf-8", errors="replace") as lines:
+            yield from lines
+
+
 def _read_file(file: str, as_json: bool) -> Bundle:
     try:
         text = Path(file).read_text(encoding="utf-8")
@@ -236,6 +261,18 @@
     sys.exit(code)
 
 
+def _print_story(story: RequestStory, as_json: bool) -> None:
+    """One request's lines in order, then how it ended and why."""
+    end = {"outcome": story.outcome, "cause": story.cause, "waits_ms": story.waits_ms}
+    if as_json:
+        _print_rows({**end, "lines": [line.pairs for line in story.lines]}, True)
+        return
+    for line in story.lines:
+        print(line.time, *(f"{key}={value}" for key, value in line.pairs.items()))
+    for name, value in end.items():
+        print(f"{name}: {value}")
+
+
 def _print_rows(rows: Any, as_json: bool) -> None:
     if as_json:
         print(json.dumps(rows, indent=2))
--- /dev/null
+++ b/saffronworks/explain.py
@@ -0,0 +1,153 @@
+"""Explains requests from nodes' log lines: how each ended, and which wait or failure led there.
+
+Lines of all nodes may be mixed, and other text may stand before them. Durations come from the
+entry node's own steady clock (`waited_ms`), so clocks of VMs need not agree.
+"""
+
+import re
+import statistics
+from collections import defaultdict
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["CauseRow", "LogLine", "RequestStory", "count_causes", "read_stories"]
+
+# A value is one word, or a printed data class: a name and fields in brackets.
+_PAIR = re.compile(r"(\w+)=(\w+\([^()]*\)|\S+)")
+_TIME = re.compile(r"time=(\S+ \S+)")
+
+# What a request waits for after each command of a generation.
+_WAITS = {
+    "AskPlanner": "place in memory",
+    "Wait": "place in memory",
+    "AskHold": "place in memory",
+    "ReadPrompt": "reading of the prompt",
+    "OpenStream": "first event",
+}
+
+
+@attrs.frozen
+class LogLine:
+    """One decision or event: its key=value pairs, and when it was written by the VM's own clock."""
+
+    time: str
+    event: str
+    pairs: dict[str, str]
+
+    def number(self, key: str) -> int:
+        """A whole number of the line; 0 where it has none."""
+        value = self.pairs.get(key, "")
+        return int(value) if value.lstrip("-").isdigit() else 0
+
+
+@attrs.frozen
+class RequestStory:
+    """All that logs tell of one request; `outcome` and `cause` say how it ended and why."""
+
+    request_id: str
+    lines: tuple[LogLine, ...]
+
+    @property
+    def waits_ms(self) -> dict[str, int]:
+        """How long a generation waited for each thing before its first event."""
+        waits: dict[str, int] = defaultdict(int)
+        steps = [line for line in self.lines if line.event == "decide"]
+        for step, following in zip(steps, steps[1:], strict=False):
+            name = _WAITS.get(step.pairs.get("do", ""))
+            if name is not None:
+                waits[name] += following.number("waited_ms") - step.number("waited_ms")
+        return dict(waits)
+
+    @property
+    def outcome(self) -> str:
+        """One of: in time, late, refused, cut, caller gone, no end."""
+        answered = self._last("answered")
+        if answered is not None:
+            reached_ms = answered.number("first_ms") or answered.number("took_ms")
+            return "late" if reached_ms > answered.number("target_ms") else "in time"
+        for event, outcome in (
+            ("refuse", "refused"),
+            ("cut", "cut"),
+            ("caller_gone", "caller gone"),
+        ):
+            if self._last(event) is not None:
+                return outcome
+        return "no end"
+
+    @property
+    def cause(self) -> str:
+        """Why it was not served in time; empty where it was."""
+        match self.outcome:
+            case "in time":
+                return ""
+            case "refused":
+                return self._refusal_cause()
+            case "no end":
+                return "its node ended or stands still"
+        return self._failure() or self._longest_wait()
+
+    def _refusal_cause(self) -> str:
+        refusal, plan = self._last("refuse"), self._last("plan")
+        assert refusal is not None
+        reason = refusal.pairs.get("reason", "unknown")
+        if reason == "memory-full":
+            return f"{reason}, {'planned' if plan else 'without a planner'}"
+        return f"{reason}{self._failure(' after ')}"
+
+    def _failure(self, before: str = "") -> str:
+        failed = self._last("endpoint_failed")
+        if failed is None:
+            return ""
+        what = failed.pairs.get("cause") or f"status {failed.pairs.get('status')}"
+        return f"{before}endpoint failed: {failed.pairs.get('call', 'answer')} {what}"
+
+    def _longest_wait(self) -> str:
+        waits = self.waits_ms
+        if not waits:
+            return "caller left" if self.outcome == "caller gone" else "endpoint's own time"
+        return f"waited for {max(waits, key=lambda name: waits[name])}"
+
+    def _last(self, event: str) -> LogLine | None:
+        return next((line for line in reversed(self.lines) if line.event == event), None)
+
+
+@attrs.frozen
+class CauseRow:
+    """Requests that ended alike for the same cause; the wait is the median of their longest."""
+
+    outcome: str
+    cause: str
+    requests: int
+    longest_wait_ms: int
+    example: str
+
+
+def read_stories(lines: Iterable[str]) -> dict[str, RequestStory]:
+    """The story of each request that entry nodes logged, by its id."""
+    found: dict[str, list[LogLine]] = defaultdict(list)
+    for line in lines:
+        start = line.find("event=")
+        pairs = dict(_PAIR.findall(line[start:])) if start >= 0 else {}
+        if "request" in pairs:
+            time = _TIME.search(line)
+            found[pairs["request"]].append(LogLine(time[1] if time else "", pairs["event"], pairs))
+    return {name: RequestStory(name, tuple(told)) for name, told in found.items()}
+
+
+def count_causes(stories: Iterable[RequestStory]) -> list[CauseRow]:
+    """How often each cause kept requests from being served in time, the most frequent first."""
+    groups: dict[tuple[str, str], list[RequestStory]] = defaultdict(list)
+    for story in stories:
+        groups[story.outcome, story.cause].append(story)
+    rows = [
+        CauseRow(
+            outcome,
+            cause,
+            len(group),
+            int(statistics.median(max(story.waits_ms.values(), default=0) for story in group)),
+            group[0].request_id,
+        )
+        for (outcome, cause), group in groups.items()
+    ]
+    return sorted(rows, key=lambda row: (-row.requests, row.outcome, row.cause))
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -348,11 +348,13 @@
         self._node.figures.count("answered", job.route.name)
         self._node.figures.record(job.route.name, self._first_ms - arrived_ms, now_ms - arrived_ms)
         logger.info(
-            "event=answered request=%s route=%s first_ms=%d took_ms=%d runs=%d reads=%d",
+            "event=answered request=%s route=%s first_ms=%d took_ms=%d target_ms=%d runs=%d "
+            "reads=%d",
             job.request.request_id,
             job.route.name,
             self._first_ms - arrived_ms,
             now_ms - arrived_ms,
+            job.route.target_ms,
             self._state.runs,
             self._state.reads,
         )
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -152,12 +152,13 @@
         node.figures.count("answered", job.route.name)
         node.figures.record(job.route.name, self._first_ms - arrived_ms, node.now_ms() - arrived_ms)
         logger.info(
-            "event=answered request=%s route=%s status=%d sends=%d took_ms=%d",
+            "event=answered request=%s route=%s status=%d sends=%d took_ms=%d target_ms=%d",
             job.request.request_id,
             job.route.name,
             self._head.status,
             self._state.sends,
             node.now_ms() - arrived_ms,
+            job.route.target_ms,
         )
 
     def _end_exchange(self) -> None:
--- /dev/null
+++ b/saffronworks/tests/features/explain.feature
@@ -0,0 +1,12 @@
+Feature: from log lines to the cause
+
+  Scenario: each way in which a request misses its target has its cause named
+    Given log lines of requests that ended in different ways
+    Then each request's outcome and cause are told
+    And the waits of a late one add up from its decisions
+    And the table counts them, the most frequent first
+
+  Scenario: the command line explains files
+    Given log lines of requests that ended in different ways
+    Then the command prints the table, or one request's lines
+    And a file that is not there is named in the error
--- /dev/null
+++ b/saffronworks/tests/features/steps/explain_steps.py
@@ -0,0 +1,102 @@
+"""Scenarios on the explanation of requests from log lines."""
+
+import contextlib
+import io
+import tempfile
+from pathlib import Path
+
+from behave import given, then
+
+from saffronworks.control import EXIT_BAD_INPUT, Control
+from saffronworks.explain import count_causes, read_stories
+
+LOG = """
+12.1 node-a time=2026-01-01 10:00:00,100 level=INFO event=decide request=late after=Begin \
+do=AskPlanner waited_ms=1
+12.1 node-b time=2026-01-01 10:00:00,120 level=INFO event=plan request=late \
+do=MemoryGrant(request_id='late', instance='d0', reader='p0') waiting=0 runs=5
+12.1 node-a time=2026-01-01 10:00:00,130 level=INFO event=decide request=late after=HoldTaken \
+do=ReadPrompt waited_ms=31
+12.9 node-a time=2026-01-01 10:00:00,930 level=INFO event=decide request=late after=PromptRead \
+do=OpenStream waited_ms=831
+13.0 node-a time=2026-01-01 10:00:01,000 level=INFO event=decide request=late \
+after=StreamAnswered do=RelayStream waited_ms=921
+15.0 node-a event=answered request=late route=r first_ms=921 took_ms=2900 target_ms=900 runs=1
+15.0 node-a event=answered request=good route=r first_ms=300 took_ms=2900 target_ms=900 runs=1
+15.0 node-a event=plan request=full do=MemoryRefusal(request_id='full', retry_after_ms=2400)
+15.0 node-a event=refuse request=full status=503 reason=memory-full not_run=True
+15.0 node-a event=refuse request=alone status=503 reason=memory-full not_run=True
+15.0 node-a event=endpoint_failed request=cut call=stream endpoint=d0 cause=reset sent=True
+15.0 node-a event=cut request=cut route=r reason=broken-answer
+15.0 node-a event=send request=slow endpoint=e0
+15.0 node-a event=answered request=slow route=r status=200 sends=1 took_ms=400 target_ms=300
+15.0 node-a event=caller_gone request=gone route=r after_ms=3600
+15.0 node-a event=decide request=lost after=Begin do=AskPlanner waited_ms=1
+a line of something else
+"""
+
+EXPECTED = {
+    "late": ("late", "waited for reading of the prompt"),
+    "good": ("in time", ""),
+    "full": ("refused", "memory-full, planned"),
+    "alone": ("refused", "memory-full, without a planner"),
+    "cut": ("cut", "endpoint failed: stream reset"),
+    "slow": ("late", "endpoint's own time"),
+    "gone": ("caller gone", "caller left"),
+    "lost": ("no end", "its node ended or stands still"),
+}
+
+
+@given("log lines of requests that ended in different ways")
+def log_lines(context):
+    context.stories = read_stories(LOG.splitlines())
+
+
+@then("each request's outcome and cause are told")
+def outcomes(context):
+    told = {name: (story.outcome, story.cause) for name, story in context.stories.items()}
+    assert told == EXPECTED, told
+
+
+@then("the waits of a late one add up from its decisions")
+def waits(context):
+    expected = {"place in memory": 30, "reading of the prompt": 800, "first event": 90}
+    assert context.stories["late"].waits_ms == expected
+
+
+@then("the table counts them, the most frequent first")
+def table(context):
+    rows = count_causes([*context.stories.values(), context.stories["cut"]])
+    assert (rows[0].outcome, rows[0].requests, rows[0].example) == ("cut", 2, "cut")
+    assert sum(row.requests for row in rows) == len(EXPECTED) + 1
+
+
+def printed(*arguments, **options):
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+        try:
+            Control().explain(*arguments, **options)
+        except SystemExit as ended:
+            return out.getvalue(), ended.code
+    return out.getvalue(), 0
+
+
+@then("the command prints the table, or one request's lines")
+def command(context):
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "node.log"
+        file.write_text(LOG)
+        text, code = printed(str(file))
+        assert code == 0 and "memory-full, without a planner" in text, text
+        text, code = printed(str(file), request="late")
+        assert code == 0 and "cause: waited for reading of the prompt" in text, text
+        text, code = printed(str(file), request="late", json=True)
+        assert code == 0 and '"waits_ms"' in text, text
+        assert printed(str(file), request="nobody")[1] == EXIT_BAD_INPUT
+
+
+@then("a file that is not there is named in the error")
+def no_file(context):
+    text, code = printed("no-such-file", "nor-this")
+    assert code == EXIT_BAD_INPUT and "no-such-file" in text and "nor-this" in text
+    assert printed()[1] == EXIT_BAD_INPUT
