Planner: prompts without tokens say nothing of a reader's pace; a new start forgets the named reader

Read in the diff: thousands of prompts without tokens, as callers may send, would have let the sums fade to nothing (a division by zero), and a request that starts over without a planner kept the reader of its first place.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -332,7 +332,7 @@
     state.hold = None
     state.handle = None
     state.asked.clear()
-    state.granted = None
+    state.granted = state.reader = None
     return _plan(state, pools, now_ms)
 
 
--- a/saffronworks/forwarding/planning/reader_queues.py
+++ b/saffronworks/forwarding/planning/reader_queues.py
@@ -48,7 +48,12 @@
         return seen.busy_ms / seen.tokens
 
     def learn(self, reader: str, tokens: int, busy_ms: float) -> None:
-        """A reader that had the next prompt at hand was done with it so much later."""
+        """A reader that had the next prompt at hand was done with it so much later.
+
+        A prompt without tokens, as callers may send, says nothing of the pace.
+        """
+        if tokens <= 0:
+            return
         if reader not in self._of_reader:
             self._of_reader[reader] = attrs.evolve(self._all)
         for seen in (self._of_reader[reader], self._all):
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -18,6 +18,7 @@
   Scenario: a generation reserves memory before its prompt is read
     Given a generation for two full decode endpoints and a free one
     Then it asks them in order, reads once, and opens the stream where the memory is
+    And a decode endpoint that the planner named as reader reads by itself, until it starts over
     And a caller who comes first is refused early, one who returned waits longer
 
   Scenario: the planner hears once what a request met
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -47,6 +47,7 @@
     Given a plan with two readers in different zones
     Then prompts go to the nearer one first, then to the one that is free first
     And a reader that takes long gets fewer prompts
+    And prompts without tokens leave its pace as it is
     And without readers each decode endpoint reads one prompt at a time
     And while readers are busy a decode endpoint reads by itself only if much of its memory is free
 
--- a/saffronworks/tests/features/steps/generation_steps.py
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -62,6 +62,18 @@
     assert state.reads == 1
 
 
+@then("a decode endpoint that the planner named as reader reads by itself, until it starts over")
+def reads_by_itself(context):
+    state = generation()
+    state.plans_left = 2
+    assert isinstance(gen_step(state, Begin()), gen.AskPlanner)
+    hold = gen_step(state, gen.PlanGranted("d0", "d0"))
+    taken = gen.HoldTaken(KvHold(hold.endpoint, "k", 2000))
+    assert gen_step(state, taken) == gen.OpenStream(POOLS.decoders[0])
+    again = gen_step(state, gen.StreamBroken("d0", sent=False))
+    assert isinstance(again, gen.AskPlanner) and state.reader is None
+
+
 @then("a caller who comes first is refused early, one who returned waits longer")
 def patience(context):
     def refused_at_ms(returned):
--- a/saffronworks/tests/features/steps/learning_steps.py
+++ b/saffronworks/tests/features/steps/learning_steps.py
@@ -5,9 +5,11 @@
 from memory_steps import START_MS, ask, granted, warm_plan
 
 from saffronworks.forwarding.planning import core, messages, runs
+from saffronworks.forwarding.planning.reader_queues import ReadingPace
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.tuning import (
     QUIET_RUN_MS,
+    READ_MS_PER_TOKEN,
     SHUN_MS,
 )
 
@@ -70,6 +72,14 @@
     assert given_to.count("quick") == 4, given_to
 
 
+@then("prompts without tokens leave its pace as it is")
+def empty_prompts(context):
+    pace = ReadingPace()
+    for _ in range(5000):
+        pace.learn("p0", 0, 20)
+    assert pace.of("p0") == pace.ms_per_token == READ_MS_PER_TOKEN
+
+
 def run_report(instance, made_tokens, quiet_ms=0):
     run = messages.LiveRun(f"on-{instance}", instance, 20_000, 2000, 60_000, 3000)
     run = attrs.evolve(run, made_tokens=made_tokens, quiet_ms=quiet_ms)
