--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -84,3 +84,7 @@
     When a node is granted a place, has the prompt read there, and then finds no way to the endpoint
     Then the planner hears of the reading, and of the end only when the place is given up
     And a place without room is asked for again without telling an end
+
+  Scenario: a node that starts again takes part in planning at once
+    When a node enters itself in a store where others have entered before
+    Then it knows all of them at once, not only at the second count
--- /dev/null
+++ b/saffronworks/tests/features/steps/census_steps.py
@@ -0,0 +1,35 @@
+"""Scenarios on the census of nodes, against a store that answers at once."""
+
+import random
+from unittest.mock import AsyncMock, Mock
+
+import anyio
+import msgspec
+from behave import then, when
+from result import Ok
+
+from saffronworks.forwarding.census import SECOND_COUNT_S, Census
+from saffronworks.forwarding.ports import Listing, StoredObject
+
+
+@when("a node enters itself in a store where others have entered before")
+def enters(context):
+    entries = {"a": {"address": "a:1", "cores": 2.0}, "b": {"address": "b:1", "cores": 1.0}}
+    objects = [StoredObject(name, 1, msgspec.json.encode(e)) for name, e in entries.items()]
+    store = Mock()
+    store.create = AsyncMock(return_value=Ok(objects[1]))
+    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), 2)))
+    context.counted = []
+
+    async def main():
+        census = Census("b", "b:1", 1.0, store, random.Random(1), context.counted.append)
+        with anyio.move_on_after(0.2):
+            await census.run()
+
+    anyio.run(main)
+
+
+@then("it knows all of them at once, not only at the second count")
+def knows_at_once(context):
+    assert SECOND_COUNT_S > 1
+    assert context.counted == [{"a:1": 2.0, "b:1": 1.0}], context.counted
