Logs tell how a stream ended and how it was continued

Hypotheses of the incident could not be told apart: event=answered said neither the last event nor whether the endpoint's answer told its own end, event=decide neither the status that it decides on nor whether the caller has the start of an answer. A continued stream has a line of its own with the event it goes on after and the first one it got. No decision changes.

--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -1,10 +1,12 @@
 """Server-sent events as bytes: cut at event boundaries, with the id of the last whole one."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from saffronworks.forwarding.messages import EventMark
 
-__all__ = ["EventCutter"]
+__all__ = ["EventCutter", "first_id"]
 
 # An event ends with an empty line, in either way of ending lines.
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
@@ -33,8 +35,17 @@
         return self._rest
 
 
+def first_id(events: bytes) -> int | None:
+    """The id of the first event that has one."""
+    return _find_id(events.split(b"\n"))
+
+
 def _last_id(events: bytes) -> int | None:
-    for line in reversed(events.split(b"\n")):
+    return _find_id(reversed(events.split(b"\n")))
+
+
+def _find_id(lines: Iterable[bytes]) -> int | None:
+    for line in lines:
         name, separator, value = line.partition(b":")
         if separator and name == b"id" and value.strip().isdigit():
             return int(value)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -10,7 +10,7 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.connections import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.event_streams import EventCutter
+from saffronworks.forwarding.event_streams import EventCutter, first_id
 from saffronworks.forwarding.generation_core import (
     GenerationState,
     Pools,
@@ -121,7 +121,8 @@
         endpoint = getattr(command, "endpoint", None)
         logger.info(
             "event=decide request=%s after=%s do=%s endpoint=%s tokens=%d returned=%s waited_ms=%d "
-            "left_ms=%d decoders=%d prefillers=%d runs=%d reads=%d endpoints_rev=%d config=%d",
+            "left_ms=%d decoders=%d prefillers=%d runs=%d reads=%d begun=%s status=%s "
+            "endpoints_rev=%d config=%d",
             self._job.request.request_id,
             type(event).__name__,
             type(command).__name__,
@@ -134,6 +135,8 @@
             len(pools.prefillers),
             self._state.runs,
             self._state.reads,
+            self._job.reply.started,
+            event.head.status if isinstance(event, events.StreamAnswered) else None,
             self._node.directory.revision,
             self._job.config_version,
         )
@@ -257,12 +260,21 @@
         assert self._exchange is not None
         self._cutter, self._first_bytes = EventCutter(), b""
         self._stream_from = None
+        after_event = self._last_event
         while not self._first_bytes:
             chunk = await self._exchange.next_chunk(timeout_ms)
             if chunk is None:
-                return
+                break
             self._first_bytes = self._pass_on(chunk)
-        if self._last_event is not None:
+        if after_event is not None:
+            logger.info(
+                "event=stream_continues request=%s after_event=%s first_event=%s framed=%s",
+                self._job.request.request_id,
+                after_event,
+                first_id(self._first_bytes),
+                self._exchange.framed,
+            )
+        if self._first_bytes and self._last_event is not None:
             self._stream_from = (self._last_event, self._node.now_ms())
 
     def _pass_on(self, chunk: bytes) -> bytes:
@@ -349,7 +361,7 @@
         self._node.figures.record(job.route.name, self._first_ms - arrived_ms, now_ms - arrived_ms)
         logger.info(
             "event=answered request=%s route=%s first_ms=%d took_ms=%d target_ms=%d runs=%d "
-            "reads=%d",
+            "reads=%d status=%s last_event=%s framed=%s",
             job.request.request_id,
             job.route.name,
             self._first_ms - arrived_ms,
@@ -357,6 +369,9 @@
             job.route.target_ms,
             self._state.runs,
             self._state.reads,
+            self._head.status if self._head else None,
+            self._last_event,
+            self._exchange.framed if self._exchange else None,
         )
 
     def _cut(self, reason: str) -> None:
