--- a/saffronworks/tests/endpoint_plays.py
+++ b/saffronworks/tests/endpoint_plays.py
@@ -40,10 +40,8 @@
     return RetryBudget(1.0, 10_000, 10_000)
 
 
-REPLIES = st.lists(
-    st.sampled_from(["ok", "unsigned", "500", "503-run", "not-run", "unsent", "reset", "silent"]),
-    max_size=12,
-)
+REPLY_KINDS = ("ok", "unsigned", "500", "503-run", "not-run", "unsent", "reset", "silent")
+REPLIES = st.lists(st.sampled_from(REPLY_KINDS), max_size=12)
 
 
 def head_of(reply):
--- a/saffronworks/tests/features/steps/generation_steps.py
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -5,7 +5,6 @@
 from hypothesis import strategies as st
 
 from saffronworks.bundles import Role
-from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import generation_events as gen
 from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.messages import (
@@ -16,30 +15,14 @@
     KvHold,
     Refuse,
 )
-from saffronworks.tests.endpoint_plays import MOST_STEPS, REPLIES, endpoints, head_of, wide_budget
-
-
-def generation(may_repeat=False, returned=False):
-    return generation_core.GenerationState(
-        "s",
-        9000,
-        may_repeat,
-        2,
-        900,
-        0,
-        14_000,
-        2000,
-        gives_up_ms=3600,
-        returned=returned,
-        plans_left=0,
-    )
-
-
-POOLS = generation_core.Pools(endpoints(3, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p"))
-
-
-def gen_step(state, event, now_ms=10, pools=POOLS):
-    return generation_core.step(state, event, pools, wide_budget(), now_ms)
+from saffronworks.tests.endpoint_plays import REPLIES
+from saffronworks.tests.generation_plays import (
+    BREAKS,
+    POOLS,
+    gen_step,
+    generation,
+    play_generation,
+)
 
 
 @given("a generation for two full decode endpoints and a free one")
@@ -121,50 +104,12 @@
     assert state.take_broken() == ("p1",)
 
 
-def play_generation(may_repeat, replies, relay_breaks):
-    """Holds and reads succeed; streams answer in the given ways. Returns the runs and the end."""
-    state, now_ms, runs, resumed = generation(may_repeat), 0, 0, 0
-    waiting, breaks = list(replies), list(relay_breaks)
-    command = gen_step(state, Begin(), now_ms)
-    for _ in range(MOST_STEPS):
-        now_ms += 10
-        match command:
-            case gen.AskHold(endpoint):
-                event = gen.HoldTaken(KvHold(endpoint, "k", now_ms + 2000))
-            case gen.ReadPrompt(endpoint):
-                event = gen.PromptRead(KvHandle(endpoint, "h", 5000))
-            case gen.OpenStream(endpoint):
-                reply = waiting.pop(0) if waiting else "ok"
-                head = head_of(reply)
-                runs += reply not in ("unsent", "not-run")
-                if head is not None:
-                    event = gen.StreamAnswered(endpoint.instance, head)
-                else:
-                    sent, silent = reply != "unsent", reply == "silent"
-                    event = gen.StreamBroken(endpoint.instance, sent, silent)
-            case gen.RelayStream() if breaks and breaks.pop(0):
-                resumed += 1
-                event = gen.RelayBroken(state.hold.endpoint.instance, known=True)
-            case gen.Wait(pause_ms):
-                now_ms += pause_ms
-                event = gen.Waited()
-            case _:
-                return runs, resumed, command
-        command = gen_step(state, event, now_ms)
-    raise AssertionError(f"no end: {command}")
-
-
-BREAKS = st.lists(st.booleans(), max_size=3)
-
-
 @then("whatever endpoints answer, a generation that may not repeat runs once at most")
 def runs_once(context):
     @forall(REPLIES, BREAKS)
     def check(replies, breaks):
-        runs, _, _ = play_generation(False, replies, breaks)
-        assert runs <= 1, runs
-        runs, _, _ = play_generation(True, replies, breaks)
-        assert runs <= 2, runs
+        assert play_generation(False, replies, breaks).runs <= 1
+        assert play_generation(True, replies, breaks).runs <= 2
 
     check()
 
@@ -173,10 +118,11 @@
 def generation_truthful(context):
     @forall(st.booleans(), REPLIES, BREAKS)
     def check(may_repeat, replies, breaks):
-        runs, resumed, end = play_generation(may_repeat, replies, breaks)
+        played = play_generation(may_repeat, replies, breaks)
+        end = played.end
         if isinstance(end, Refuse):
-            assert not resumed, "an answer that began is cut, not refused"
-            assert end.not_run == (runs == 0), (runs, end)
+            assert not played.resumed, "an answer that began is cut, not refused"
+            assert end.not_run == (played.runs == 0), played
             assert plain.promises_not_run(end.status) == end.not_run, end
 
     check()
--- /dev/null
+++ b/saffronworks/tests/generation_plays.py
@@ -0,0 +1,82 @@
+"""Plays on the core of a generation: endpoints that answer in given ways, no sockets, no clock."""
+
+import attrs
+from hypothesis import strategies as st
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding import generation_core
+from saffronworks.forwarding import generation_events as gen
+from saffronworks.forwarding.messages import Begin, KvHandle, KvHold
+from saffronworks.tests.endpoint_plays import MOST_STEPS, endpoints, head_of, wide_budget
+
+
+def generation(may_repeat=False, returned=False):
+    return generation_core.GenerationState(
+        "s",
+        9000,
+        may_repeat,
+        2,
+        900,
+        0,
+        14_000,
+        2000,
+        gives_up_ms=3600,
+        returned=returned,
+        plans_left=0,
+    )
+
+
+POOLS = generation_core.Pools(endpoints(3, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p"))
+
+
+def gen_step(state, event, now_ms=10, pools=POOLS):
+    return generation_core.step(state, event, pools, wide_budget(), now_ms)
+
+
+@attrs.frozen
+class Played:
+    """`resumed`: how often a begun answer broke; `relayed`: heads of what was passed on."""
+
+    runs: int
+    resumed: int
+    relayed: list
+    end: object
+
+
+def play_generation(may_repeat, replies, relay_breaks):
+    """Holds and reads succeed; streams answer in the given ways."""
+    state, now_ms, runs, resumed = generation(may_repeat), 0, 0, 0
+    relayed, head = [], None
+    waiting, breaks = list(replies), list(relay_breaks)
+    command = gen_step(state, Begin(), now_ms)
+    for _ in range(MOST_STEPS):
+        now_ms += 10
+        if isinstance(command, gen.RelayStream):
+            relayed.append(head)
+        match command:
+            case gen.AskHold(endpoint):
+                event = gen.HoldTaken(KvHold(endpoint, "k", now_ms + 2000))
+            case gen.ReadPrompt(endpoint):
+                event = gen.PromptRead(KvHandle(endpoint, "h", 5000))
+            case gen.OpenStream(endpoint):
+                reply = waiting.pop(0) if waiting else "ok"
+                head = head_of(reply)
+                runs += reply not in ("unsent", "not-run")
+                if head is not None:
+                    event = gen.StreamAnswered(endpoint.instance, head)
+                else:
+                    sent, silent = reply != "unsent", reply == "silent"
+                    event = gen.StreamBroken(endpoint.instance, sent, silent)
+            case gen.RelayStream() if breaks and breaks.pop(0):
+                resumed += 1
+                event = gen.RelayBroken(state.hold.endpoint.instance, known=True)
+            case gen.Wait(pause_ms):
+                now_ms += pause_ms
+                event = gen.Waited()
+            case _:
+                return Played(runs, resumed, relayed, command)
+        command = gen_step(state, event, now_ms)
+    raise AssertionError(f"no end: {command}")
+
+
+BREAKS = st.lists(st.booleans(), max_size=3)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -257,6 +257,8 @@
         return await self._reply(writer, 200, own, body)
 
     async def _stream(self, writer, own, fault):
+        if fault == "error":
+            return await self._reply(writer, 500, own, b"failed")
         if fault == "unframed-break":
             await self._head(writer, 200, own)
             writer.write(f"id: 1\ndata: {self.instance}\n\nid: 2\nda".encode())
@@ -264,9 +266,10 @@
             return False
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after = int(self.seen[-1][2].get("last-event-id", 0))
+        breaks_at = {"break": 2, "break-first": 1}.get(fault)
         for number in range(after + 1, self.events + 1):
             data = f"id: {number}\ndata: {self.instance}\n\n".encode()
-            if fault == "break" and number == 2:
+            if number == breaks_at:
                 writer.write(b"%x\r\n%s\r\n" % (6, data[:6]))
                 await writer.drain()
                 await asyncio.sleep(0.02)
