Once an answer has begun, only its own events or a cut can follow: a type says so

Cause: the core decided on a second endpoint's answer as it does before the first byte is out. A stream had broken, the next endpoint failed its run with a signed 500, and RelayStream sent that body behind the events and ended the answer well. The class is a decision that is right before the head is out, taken once more after it.

Change: what the core finds (a stream, an end) becomes a command in two functions, one for before the first byte (Opening: it sends a head) and one for after it (Following: ContinueStream or Cut); the return types hold no other. Each run has an object of its own (StreamRun), so that the start of an event of a run that broke can't stand in another endpoint's answer: callers got a 500 without its body for that. The body of an answer is reached only by starting it (AnswerBody).

--- a/saffronworks/explain.py
+++ b/saffronworks/explain.py
@@ -17,6 +17,9 @@
 _PAIR = re.compile(r"(\w+)=(\w+\([^()]*\)|\S+)")
 _TIME = re.compile(r"time=(\S+ \S+)")
 
+# From here on a status tells that the endpoint failed the request.
+FAILURE_STATUS = 400
+
 # What a request waits for after each command of a generation that is logged; the reservation
 # follows the planner's answer without a line of its own.
 _WAITS = {
@@ -60,9 +63,11 @@
 
     @property
     def outcome(self) -> str:
-        """One of: in time, late, refused, cut, caller gone, no end."""
+        """One of: in time, late, failed, refused, cut, caller gone, no end."""
         answered = self._last("answered")
         if answered is not None:
+            if answered.number("status") >= FAILURE_STATUS:
+                return "failed"
             reached_ms = answered.number("first_ms") or answered.number("took_ms")
             return "late" if reached_ms > answered.number("target_ms") else "in time"
         for event, outcome in (
--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -1,12 +1,10 @@
-"""Server-sent events as bytes: cut at event boundaries, with the id of the last whole one."""
-
-from collections.abc import Iterable
+"""Server-sent events as bytes: cut at event boundaries, with the ids of the whole ones."""
 
 import attrs
 
 from saffronworks.forwarding.messages import EventMark
 
-__all__ = ["EventCutter", "first_id"]
+__all__ = ["EventCutter", "EventSequence"]
 
 # An event ends with an empty line, in either way of ending lines.
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
@@ -28,25 +26,43 @@
             return None
         end = max(ends)
         whole, self._rest = self._rest[:end], self._rest[end:]
-        return EventMark(whole, _last_id(whole))
+        return EventMark(whole, _ids(whole))
 
     def rest(self) -> bytes:
         """What follows the last whole event; at a good end it is empty."""
         return self._rest
 
 
-def first_id(events: bytes) -> int | None:
-    """The id of the first event that has one."""
-    return _find_id(events.split(b"\n"))
-
-
-def _last_id(events: bytes) -> int | None:
-    return _find_id(reversed(events.split(b"\n")))
-
-
-def _find_id(lines: Iterable[bytes]) -> int | None:
-    for line in lines:
-        name, separator, value = line.partition(b":")
-        if separator and name == b"id" and value.strip().isdigit():
-            return int(value)
-    return None
+@attrs.define
+class EventSequence:
+    """The ids of the events that a caller got, over all runs of its stream.
+
+    Ids rise. Where they have counted the events one by one, an event that a run leaves out shows as
+    well; `_by_one` is None until two ids were seen.
+    """
+
+    last_id: int | None = None
+    _by_one: bool | None = None
+
+    def continues(self, ids: tuple[int, ...]) -> bool:
+        """Whether a further run that begins with these events follows without repeat or gap.
+
+        Without this check a run that starts anew, or too late, is sent on as the same answer: the
+        caller gets text twice, or lacks some, in a stream that looks whole.
+        """
+        if self.last_id is None or not ids:
+            return False
+        return ids[0] == self.last_id + 1 if self._by_one else ids[0] > self.last_id
+
+    def note(self, ids: tuple[int, ...]) -> None:
+        """These events went out."""
+        for event_id in ids:
+            if self.last_id is not None:
+                self._by_one = self._by_one is not False and event_id == self.last_id + 1
+            self.last_id = event_id
+
+
+def _ids(events: bytes) -> tuple[int, ...]:
+    fields = (line.partition(b":") for line in events.split(b"\n"))
+    values = (value.strip() for name, _, value in fields if name == b"id")
+    return tuple(int(value) for value in values if value.isdigit())
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -9,11 +9,14 @@
     "AskHold",
     "AskPlanner",
     "Command",
+    "ContinueStream",
     "Cut",
     "Event",
+    "Following",
     "HoldFailed",
     "HoldTaken",
     "OpenStream",
+    "Opening",
     "PlanGranted",
     "PlanRefused",
     "PlanSilent",
@@ -21,7 +24,9 @@
     "ReadFailed",
     "ReadPrompt",
     "RelayBroken",
-    "RelayStream",
+    "RelayFailure",
+    "Seek",
+    "StartStream",
     "StreamAnswered",
     "StreamBroken",
     "Wait",
@@ -144,11 +149,6 @@
     endpoint: ServiceEndpoint
 
 
-@attrs.frozen
-class RelayStream:
-    """Pass the answer on."""
-
-
 @attrs.frozen
 class Wait:
     """Look again after this pause."""
@@ -156,6 +156,25 @@
     pause_ms: int
 
 
+@attrs.frozen
+class StartStream:
+    """Send the caller the head of a stream, and its events as they come."""
+
+    head: AnswerHead
+
+
+@attrs.frozen
+class RelayFailure:
+    """Give the caller the failure of an endpoint, as it came."""
+
+    head: AnswerHead
+
+
+@attrs.frozen
+class ContinueStream:
+    """Send on the events of another run: they follow those that the caller has."""
+
+
 @attrs.frozen
 class Cut:
     """Close the caller's connection: the answer began and can't be finished."""
@@ -177,4 +196,10 @@
     | StreamBroken
     | RelayBroken
 )
-Command = AskPlanner | AskHold | ReadPrompt | OpenStream | RelayStream | Wait | Refuse | Cut
+# On the way to a run; legal at any time.
+Seek = AskPlanner | AskHold | ReadPrompt | OpenStream | Wait
+# Legal only while nothing of an answer is out: each sends a head.
+Opening = Refuse | StartStream | RelayFailure
+# Legal only once a stream is out: none sends a head, and nothing but its own events goes on.
+Following = ContinueStream | Cut
+Command = Seek | Opening | Following
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -10,8 +10,7 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.connections import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.event_streams import EventCutter, first_id
-from saffronworks.forwarding.generation_core import (
+from saffronworks.forwarding.generation_state import (
     GenerationState,
     Pools,
     planned_tokens,
@@ -24,11 +23,12 @@
     PromptSize,
     Refuse,
 )
-from saffronworks.forwarding.places import Place, StreamPace
+from saffronworks.forwarding.places import Place
 from saffronworks.forwarding.planning.client import RunSize
-from saffronworks.forwarding.ports import Exchange
 from saffronworks.forwarding.routing import EngineSpec, Route
-from saffronworks.forwarding.runners import Job, NodeState, tell_refusal
+from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.stream_relays import StreamRelay
+from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
     GIVE_UP_LEAST_MS,
     GIVE_UP_PAUSES,
@@ -36,7 +36,6 @@
     HANDLE_DISTRUST_MS,
     HEADROOM_SHARE,
     RETURNED_BELOW_SHARE,
-    STALL_PAUSES,
 )
 
 __all__ = ["run_generation"]
@@ -66,7 +65,8 @@
         returned=job.request.left_ms < RETURNED_BELOW_SHARE * usual_left_ms,
     )
     size = RunSize(prompt.prompt_tokens, prompt.likely_tokens, prompt.most_answer_tokens)
-    await _GenerationRun(node, job, state, Place(node, job, size), engine.tokens_per_event).run()
+    relay = StreamRelay(node, job, state, engine.tokens_per_event)
+    await _GenerationRun(node, job, state, Place(node, job, size), relay).run()
 
 
 def first_event_limit_ms(route: Route) -> int:
@@ -82,21 +82,15 @@
         job: Job,
         state: GenerationState,
         place: Place,
-        tokens_per_event: int,
+        relay: StreamRelay,
     ):
         self._node = node
         self._place = place
-        self._tokens_per_event = tokens_per_event
-        self._stream_from: tuple[int, int] | None = None
+        self._relay = relay
         self._job = job
         self._state = state
-        self._exchange: Exchange | None = None
-        self._head: AnswerHead | None = None
-        self._cutter = EventCutter()
-        self._first_bytes = b""
-        self._last_event = job.request.after_event
+        self._stream: StreamRun | None = None
         self._unused_handle: KvHandle | None = None
-        self._first_ms = 0
 
     async def run(self) -> None:
         """Execute commands until the caller has its answer."""
@@ -108,15 +102,20 @@
             self._give_up_place()
 
     def _decide(self, event: events.Event) -> events.Command:
-        node, now_ms = self._node, self._node.now_ms()
+        node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         pools = Pools(self._decoders(now_ms), self._prefillers(now_ms))
         command = generation_core.step(self._state, event, pools, node.budget, now_ms)
         if not isinstance(command, events.Wait | events.AskHold):
-            self._log_decision(event, command, pools, now_ms)
+            self._log_decision(event, command, pools, begun, now_ms)
         return command
 
     def _log_decision(
-        self, event: events.Event, command: events.Command, pools: Pools, now_ms: int
+        self,
+        event: events.Event,
+        command: events.Command,
+        pools: Pools,
+        begun: bool,
+        now_ms: int,
     ) -> None:
         endpoint = getattr(command, "endpoint", None)
         logger.info(
@@ -135,7 +134,7 @@
             len(pools.prefillers),
             self._state.runs,
             self._state.reads,
-            self._job.reply.started,
+            begun,
             event.head.status if isinstance(event, events.StreamAnswered) else None,
             self._node.directory.revision,
             self._job.config_version,
@@ -177,8 +176,13 @@
                 return await self._read_prompt(endpoint, timeout_ms)
             case events.OpenStream(endpoint):
                 return await self._open_stream(endpoint)
-            case events.RelayStream():
-                return await self._relay()
+            case events.StartStream(head):
+                await self._relay.start(head)
+                return await self._send_events()
+            case events.ContinueStream():
+                return await self._send_events()
+            case events.RelayFailure(head):
+                return await self._relay_failure(head)
             case events.Wait(pause_ms):
                 await anyio.sleep(pause_ms / 1000)
                 return events.Waited()
@@ -191,7 +195,7 @@
 
     async def _ask_planner(self, command: events.AskPlanner) -> events.Event:
         self._leave_place()
-        returned = self._state.returned or self._state.answering
+        returned = self._state.returned or self._state.begun
         return await self._place.ask_planner(command, returned)
 
     async def _ask_hold(self, command: events.AskHold) -> events.Event:
@@ -239,55 +243,22 @@
         left_ms = state.deadline_at_ms - node.now_ms()
         hold, handle = state.hold, state.handle
         try:
-            self._exchange = await node.calls.open_stream(
-                endpoint, self._job.request, left_ms, hold, handle, self._last_event
+            exchange = await node.calls.open_stream(
+                endpoint, self._job.request, left_ms, hold, handle, self._relay.last_event
             )
+            self._stream = StreamRun(exchange)
             self._place.use()
             self._unused_handle = None
-            head = await self._exchange.head(max(1, left_ms))
+            head = await self._stream.head(max(1, left_ms))
             if head.success and head.signed:
-                await self._read_first_events(max(1, state.deadline_at_ms - node.now_ms()))
+                await self._relay.await_first(self._stream)
         except Break as broken:
             self._note_break("stream", endpoint, broken)
             silent = broken.cause is BreakCause.SILENT
             return events.StreamBroken(endpoint.instance, broken.sent, silent)
         self._note_answer(endpoint, head, handle)
-        self._head = self._head if state.answering else head
         return events.StreamAnswered(endpoint.instance, head)
 
-    async def _read_first_events(self, timeout_ms: int) -> None:
-        """Wait until something can be passed on, so that an early break can be mended."""
-        assert self._exchange is not None
-        self._cutter, self._first_bytes = EventCutter(), b""
-        self._stream_from = None
-        after_event = self._last_event
-        while not self._first_bytes:
-            chunk = await self._exchange.next_chunk(timeout_ms)
-            if chunk is None:
-                break
-            self._first_bytes = self._pass_on(chunk)
-        if after_event is not None:
-            logger.info(
-                "event=stream_continues request=%s after_event=%s first_event=%s framed=%s",
-                self._job.request.request_id,
-                after_event,
-                first_id(self._first_bytes),
-                self._exchange.framed,
-            )
-        if self._first_bytes and self._last_event is not None:
-            self._stream_from = (self._last_event, self._node.now_ms())
-
-    def _pass_on(self, chunk: bytes) -> bytes:
-        """The bytes that may go to the caller now."""
-        mark = self._cutter.feed(chunk)
-        if mark is None:
-            return b""
-        if mark.last_id is not None:
-            self._last_event = mark.last_id
-            made_tokens = mark.last_id * self._tokens_per_event
-            self._node.memory.progress(self._job.request.request_id, made_tokens)
-        return mark.data
-
     def _note_answer(
         self, endpoint: ServiceEndpoint, head: AnswerHead, handle: KvHandle | None
     ) -> None:
@@ -313,66 +284,41 @@
             distrust = node.loads.of(handle.endpoint.instance)
             distrust.no_prefill_until_ms = now_ms + HANDLE_DISTRUST_MS
 
-    async def _relay(self) -> events.Event | None:
-        assert self._exchange is not None and self._head is not None
-        reply, job, node = self._job.reply, self._job, self._node
-        if not reply.started:
-            self._first_ms = node.now_ms()
-            await reply.start(self._head)
+    async def _send_events(self) -> events.Event | None:
+        assert self._stream is not None
         try:
-            if self._first_bytes:
-                await reply.write(self._first_bytes)
-                self._first_bytes = b""
-            while (chunk := await self._exchange.next_chunk(self._pause_limit_ms())) is not None:
-                data = self._pass_on(chunk)
-                if data:
-                    await reply.write(data)
-            await self._write_rest()
+            await self._relay.send_events(self._stream)
         except Break as broken:
-            endpoint = self._state.hold.endpoint if self._state.hold else None
-            if endpoint is not None:
-                self._note_break("stream", endpoint, broken)
-            known = self._last_event is not None
-            return events.RelayBroken(endpoint.instance if endpoint else "", known)
-        await reply.finish()
-        self._log_answered(job)
+            return self._relay_broke(broken)
         return None
 
-    async def _write_rest(self) -> None:
-        """What follows the last whole event. Where no length tells the end, it shows a break."""
-        assert self._exchange is not None
-        rest = self._cutter.rest()
-        if rest and not self._exchange.framed:
-            raise Break(BreakCause.CLOSED, sent=True)
-        if rest:
-            await self._job.reply.write(rest)
-
-    def _pause_limit_ms(self) -> int:
-        """How long a stream may be silent: where it can't go on elsewhere, to its deadline."""
-        state, now_ms = self._state, self._node.now_ms()
-        left_ms = max(1, state.deadline_at_ms - now_ms)
-        if state.may_repeat and state.runs < state.max_attempts:
-            return min(left_ms, STALL_PAUSES * self._job.route.gap_target_ms)
-        return left_ms
-
-    def _log_answered(self, job: Job) -> None:
-        now_ms, arrived_ms = self._node.now_ms(), job.request.arrived_ms
-        self._node.figures.count("answered", job.route.name)
-        self._node.figures.record(job.route.name, self._first_ms - arrived_ms, now_ms - arrived_ms)
+    async def _relay_failure(self, head: AnswerHead) -> events.Event | None:
+        assert self._stream is not None
+        node, job = self._node, self._job
+        body = await job.reply.start(head)
+        try:
+            await relay_rest(node, job, self._stream.exchange, body)
+        except Break as broken:
+            return self._relay_broke(broken)
+        await body.finish()
+        node.figures.count("answered", job.route.name)
         logger.info(
-            "event=answered request=%s route=%s first_ms=%d took_ms=%d target_ms=%d runs=%d "
-            "reads=%d status=%s last_event=%s framed=%s",
+            "event=answered request=%s route=%s status=%d took_ms=%d target_ms=%d runs=%d",
             job.request.request_id,
             job.route.name,
-            self._first_ms - arrived_ms,
-            now_ms - arrived_ms,
+            head.status,
+            node.now_ms() - job.request.arrived_ms,
             job.route.target_ms,
             self._state.runs,
-            self._state.reads,
-            self._head.status if self._head else None,
-            self._last_event,
-            self._exchange.framed if self._exchange else None,
         )
+        return None
+
+    def _relay_broke(self, broken: Break) -> events.RelayBroken:
+        endpoint = self._state.hold.endpoint if self._state.hold else None
+        if endpoint is not None:
+            self._note_break("stream", endpoint, broken)
+        known = self._relay.last_event is not None
+        return events.RelayBroken(endpoint.instance if endpoint else "", known)
 
     def _cut(self, reason: str) -> None:
         logger.info(
@@ -380,21 +326,11 @@
             self._job.request.request_id,
             self._job.route.name,
             reason,
-            self._last_event,
+            self._relay.last_event,
         )
         self._node.figures.count("cut", self._job.route.name, reason)
         self._job.reply.cut()
 
-    def _pace(self) -> StreamPace:
-        """What the last stream showed; zeros where too little is known."""
-        if self._stream_from is None or self._last_event is None:
-            return StreamPace()
-        from_event, from_ms = self._stream_from
-        tokens = (self._last_event - from_event) * self._tokens_per_event
-        whole = self._job.reply.finished
-        length_tokens = self._last_event * self._tokens_per_event if whole else 0
-        return StreamPace(tokens, self._node.now_ms() - from_ms, length_tokens)
-
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
         self._node.note_break(kind, self._job.request.request_id, endpoint, broken)
 
@@ -410,11 +346,11 @@
 
     def _give_up_place(self) -> None:
         """End the exchange, and give back what was reserved and will not be used."""
-        if self._exchange is not None:
-            self._exchange.end()
-            self._exchange = None
+        if self._stream is not None:
+            self._stream.exchange.end()
+            self._stream = None
         if self._place.known:
-            self._place.tell_end(self._pace(), self._state.take_broken())
+            self._place.tell_end(self._relay.pace(), self._state.take_broken())
         self._place.give_back()
         if self._unused_handle is not None:
             self._node.spawn(self._node.calls.drop_handle, self._unused_handle)
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -117,10 +117,10 @@
 
 @attrs.frozen
 class EventMark:
-    """Whole events of a stream: their bytes and the id of the last one, where it has one."""
+    """Whole events of a stream: their bytes, and the ids of those that have one."""
 
     data: bytes
-    last_id: int | None
+    ids: tuple[int, ...]
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -8,7 +8,7 @@
 from saffronworks.forwarding.messages import AnswerHead, Begin, Refuse
 from saffronworks.forwarding.plain_core import Answered, Broken, PlainState, SendTo
 from saffronworks.forwarding.ports import Exchange
-from saffronworks.forwarding.runners import Job, NodeState, tell_refusal
+from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
 
 __all__ = ["run_plain"]
 
@@ -127,16 +127,12 @@
     async def _relay(self) -> None:
         assert self._exchange is not None and self._head is not None
         reply, node, job = self._job.reply, self._node, self._job
-        await reply.start(self._head)
+        body = await reply.start(self._head)
         if self._start_of_body:
-            await reply.write(self._start_of_body)
+            await body.write(self._start_of_body)
         try:
-            while not self._body_whole:
-                left_ms = max(1, job.deadline_at_ms - node.now_ms())
-                chunk = await self._exchange.next_chunk(left_ms)
-                if chunk is None:
-                    break
-                await reply.write(chunk)
+            if not self._body_whole:
+                await relay_rest(node, job, self._exchange, body)
         except Break as broken:
             logger.info(
                 "event=cut request=%s route=%s reason=answer-broke cause=%s",
@@ -147,7 +143,7 @@
             node.figures.count("cut", job.route.name, broken.cause.value)
             reply.cut()
             return
-        await reply.finish()
+        await body.finish()
         arrived_ms = job.request.arrived_ms
         node.figures.count("answered", job.route.name)
         node.figures.record(job.route.name, self._first_ms - arrived_ms, node.now_ms() - arrived_ms)
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -17,6 +17,7 @@
 )
 
 __all__ = [
+    "AnswerBody",
     "CallerReply",
     "Conflict",
     "EndpointCalls",
@@ -155,6 +156,16 @@
         """Order an endpoint into another role."""
 
 
+class AnswerBody(Protocol):
+    """The body of an answer whose status and headers are out."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part."""
+
+    async def finish(self) -> None:
+        """End it, so that the answer looks complete."""
+
+
 class CallerReply(Protocol):
     """The way back to one caller."""
 
@@ -166,14 +177,8 @@
     def finished(self) -> bool:
         """Whether the whole answer is out."""
 
-    async def start(self, head: AnswerHead) -> None:
-        """Send status and headers."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-    async def finish(self) -> None:
-        """End the body, so that it looks complete."""
+    async def start(self, head: AnswerHead) -> AnswerBody:
+        """Send status and headers; the body follows."""
 
     async def refuse(self, status: int, reason: str, retry_after_ms: int | None = None) -> None:
         """Answer on our own; a `retry_after_ms` goes with statuses that promise *not run*."""
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -11,7 +11,7 @@
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, Refuse
 from saffronworks.forwarding.planning.client import MemoryClient
-from saffronworks.forwarding.ports import CallerReply, EndpointCalls
+from saffronworks.forwarding.ports import AnswerBody, CallerReply, EndpointCalls, Exchange
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route
 from saffronworks.forwarding.tuning import (
@@ -21,7 +21,7 @@
 )
 from saffronworks.hashing import hash32
 
-__all__ = ["Job", "NodeState", "retry_after_ms", "tell_refusal"]
+__all__ = ["Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
 
 logger = logging.getLogger(__name__)
 
@@ -115,3 +115,13 @@
     )
     node.figures.count("refused", job.route.name, refusal.reason)
     await job.reply.refuse(refusal.status, refusal.reason, wait_ms)
+
+
+async def relay_rest(node: NodeState, job: Job, exchange: Exchange, body: AnswerBody) -> None:
+    """Pass on what an endpoint still sends, to its good end; raises Break when it ends early."""
+    while True:
+        left_ms = max(1, job.deadline_at_ms - node.now_ms())
+        chunk = await exchange.next_chunk(left_ms)
+        if chunk is None:
+            return
+        await body.write(chunk)
--- /dev/null
+++ b/saffronworks/forwarding/stream_relays.py
@@ -0,0 +1,113 @@
+"""The stream that one caller gets, from one run or from several that follow each other."""
+
+import logging
+
+from saffronworks.forwarding.event_streams import EventSequence
+from saffronworks.forwarding.generation_state import GenerationState
+from saffronworks.forwarding.messages import AnswerHead
+from saffronworks.forwarding.places import StreamPace
+from saffronworks.forwarding.ports import AnswerBody
+from saffronworks.forwarding.runners import Job, NodeState
+from saffronworks.forwarding.stream_runs import StreamRun
+from saffronworks.forwarding.tuning import STALL_PAUSES
+
+__all__ = ["StreamRelay"]
+
+logger = logging.getLogger(__name__)
+
+
+class StreamRelay:
+    """Sends the events of runs on, and knows what went out."""
+
+    def __init__(self, node: NodeState, job: Job, state: GenerationState, tokens_per_event: int):
+        self._node = node
+        self._job = job
+        self._state = state
+        self._tokens_per_event = tokens_per_event
+        self._sent = EventSequence(job.request.after_event)
+        self._body: AnswerBody | None = None
+        self._pace_from: tuple[int, int] | None = None
+        self._first_ms = 0
+
+    @property
+    def last_event(self) -> int | None:
+        """The last event that the caller has, where its id is known."""
+        return self._sent.last_id
+
+    async def await_first(self, run: StreamRun) -> None:
+        """Wait until a run has something to pass on; raises Break."""
+        state, now_ms = self._state, self._node.now_ms()
+        first = await run.read_first(max(1, state.deadline_at_ms - now_ms))
+        self._pace_from = None
+        if first is not None and first.ids:
+            self._pace_from = (first.ids[-1], self._node.now_ms())
+        if not state.begun:
+            return
+        follows = run.follows(self._sent)
+        logger.info(
+            "event=stream_continues request=%s after_event=%s first_event=%s framed=%s follows=%s",
+            self._job.request.request_id,
+            self.last_event,
+            first.ids[0] if first is not None and first.ids else None,
+            run.exchange.framed,
+            follows,
+        )
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of the stream."""
+        self._first_ms = self._node.now_ms()
+        self._body = await self._job.reply.start(head)
+
+    async def send_events(self, run: StreamRun) -> None:
+        """Send on the events of a run to its good end, and end the answer; raises Break."""
+        assert self._body is not None
+        while (mark := await run.next_events(self._pause_limit_ms())) is not None:
+            self._note(mark.ids)
+            await self._body.write(mark.data)
+        if run.rest():
+            await self._body.write(run.rest())
+        await self._body.finish()
+        self._log_end(run)
+
+    def _note(self, ids: tuple[int, ...]) -> None:
+        self._sent.note(ids)
+        if ids:
+            made_tokens = ids[-1] * self._tokens_per_event
+            self._node.memory.progress(self._job.request.request_id, made_tokens)
+
+    def _pause_limit_ms(self) -> int:
+        """How long a stream may be silent: where it can't go on elsewhere, to its deadline."""
+        state, now_ms = self._state, self._node.now_ms()
+        left_ms = max(1, state.deadline_at_ms - now_ms)
+        if state.may_repeat and state.runs < state.max_attempts:
+            return min(left_ms, STALL_PAUSES * self._job.route.gap_target_ms)
+        return left_ms
+
+    def pace(self) -> StreamPace:
+        """What the last stream showed; zeros where too little is known."""
+        if self._pace_from is None or self.last_event is None:
+            return StreamPace()
+        from_event, from_ms = self._pace_from
+        tokens = max(0, self.last_event - from_event) * self._tokens_per_event
+        whole = self._job.reply.finished
+        length_tokens = self.last_event * self._tokens_per_event if whole else 0
+        return StreamPace(tokens, self._node.now_ms() - from_ms, length_tokens)
+
+    def _log_end(self, run: StreamRun) -> None:
+        node, job, now_ms = self._node, self._job, self._node.now_ms()
+        first_ms, took_ms = self._first_ms - job.request.arrived_ms, now_ms - job.request.arrived_ms
+        node.figures.count("answered", job.route.name)
+        node.figures.record(job.route.name, first_ms, took_ms)
+        logger.info(
+            "event=answered request=%s route=%s first_ms=%d took_ms=%d target_ms=%d runs=%d "
+            "reads=%d last_event=%s framed=%s",
+            job.request.request_id,
+            job.route.name,
+            first_ms,
+            took_ms,
+            job.route.target_ms,
+            self._state.runs,
+            self._state.reads,
+            self.last_event,
+            run.exchange.framed,
+        )
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
+from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.platform.calls import ID_FIELD
 from saffronworks.web import BadBody, Call
@@ -111,7 +112,7 @@
 
 
 class CallerConnectionReply:
-    """The way back to one caller."""
+    """The way back to one caller, and the body of its answer once that has started."""
 
     def __init__(self, call: Call, closing: bool):
         self._call = call
@@ -128,12 +129,13 @@
         """Whether the whole answer is out."""
         return self._finished
 
-    async def start(self, head: AnswerHead) -> None:
-        """Send status and headers."""
+    async def start(self, head: AnswerHead) -> AnswerBody:
+        """Send status and headers; the body follows."""
         fields = list(head.headers)
         if self._closing:
             fields.append(("connection", "close"))
         await self._call.start_fields(head.status, fields)
+        return self
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -36,7 +36,7 @@
     And a stream that may not be resumed is cut
 
   Scenario: a stream is cut at event boundaries wherever its bytes were split
-    Then for any split of the bytes only whole events go out, with the id of the last
+    Then for any split of the bytes only whole events go out, with their ids
 
   Scenario: an endpoint that fails or is slow gets less, and returns in time
     Given three endpoints of which one fails and one is far slower
--- a/saffronworks/tests/features/steps/explain_steps.py
+++ b/saffronworks/tests/features/steps/explain_steps.py
@@ -20,7 +20,7 @@
 12.9 node-a time=2026-01-01 10:00:00,930 level=INFO event=decide request=late after=PromptRead \
 do=OpenStream waited_ms=831
 13.0 node-a time=2026-01-01 10:00:01,000 level=INFO event=decide request=late \
-after=StreamAnswered do=RelayStream waited_ms=921
+after=StreamAnswered do=StartStream waited_ms=921
 15.0 node-a event=answered request=late route=r first_ms=921 took_ms=2900 target_ms=900 runs=1
 15.0 node-a event=answered request=good route=r first_ms=300 took_ms=2900 target_ms=900 runs=1
 15.0 node-a event=plan request=full do=MemoryRefusal(request_id='full', retry_after_ms=2400)
@@ -30,6 +30,8 @@
 15.0 node-a event=cut request=cut route=r reason=broken-answer
 15.0 node-a event=send request=slow endpoint=e0
 15.0 node-a event=answered request=slow route=r status=200 sends=1 took_ms=400 target_ms=300
+15.0 node-a event=endpoint_failed request=failed status=500 executed=yes
+15.0 node-a event=answered request=failed route=r status=500 took_ms=40 target_ms=900 runs=1
 15.0 node-a event=caller_gone request=gone route=r after_ms=3600
 15.0 node-a event=decide request=lost after=Begin do=AskPlanner waited_ms=1
 a line of something else
@@ -42,6 +44,7 @@
     "alone": ("refused", "memory-full, without a planner"),
     "cut": ("cut", "endpoint failed: stream reset"),
     "slow": ("late", "endpoint's own time"),
+    "failed": ("failed", "endpoint failed: answer status 500"),
     "gone": ("caller gone", "caller left"),
     "lost": ("no end", "its node ended or stands still"),
 }
--- a/saffronworks/tests/features/steps/forwarding_steps.py
+++ b/saffronworks/tests/features/steps/forwarding_steps.py
@@ -136,7 +136,7 @@
 CUTS = st.lists(st.integers(0, 120), max_size=6)
 
 
-@then("for any split of the bytes only whole events go out, with the id of the last")
+@then("for any split of the bytes only whole events go out, with their ids")
 def any_split(context):
     @forall(st.sampled_from(["\n", "\r\n"]), CUTS, st.integers(0, 12))
     def check(newline, cuts, missing):
@@ -145,15 +145,15 @@
         whole = b"".join(events)
         sent = whole[: len(whole) - missing]
         edges = [0, *sorted(min(cut, len(sent)) for cut in cuts), len(sent)]
-        cutter, out, last = EventCutter(), b"", None
+        cutter, out, ids = EventCutter(), b"", ()
         for start, end in zip(edges, edges[1:], strict=False):
             mark = cutter.feed(sent[start:end])
             if mark is not None:
                 out += mark.data
-                last = mark.last_id
+                ids += mark.ids
         assert out + cutter.rest() == sent
         count = out.count(b"id: ")
-        assert out == b"".join(events[:count]) and last == (count or None)
+        assert out == b"".join(events[:count]) and ids == tuple(range(1, count + 1))
 
     check()
 
--- a/saffronworks/tests/features/steps/generation_steps.py
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -15,7 +15,7 @@
     KvHold,
     Refuse,
 )
-from saffronworks.tests.endpoint_plays import REPLIES
+from saffronworks.tests.endpoint_plays import REPLIES, head_of
 from saffronworks.tests.generation_plays import (
     BREAKS,
     POOLS,
@@ -131,7 +131,9 @@
 def streaming(may_repeat):
     state = generation(may_repeat)
     state.hold = KvHold(POOLS.decoders[0], "k", 2000)
-    state.runs = state.streams = 1
+    state.streams = 1
+    command = gen_step(state, gen.StreamAnswered("d0", head_of("ok")), 400)
+    assert command == gen.StartStream(head_of("ok")), command
     return state
 
 
--- a/saffronworks/tests/generation_plays.py
+++ b/saffronworks/tests/generation_plays.py
@@ -6,12 +6,13 @@
 from saffronworks.bundles import Role
 from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import generation_events as gen
+from saffronworks.forwarding.generation_state import GenerationState, Pools
 from saffronworks.forwarding.messages import Begin, KvHandle, KvHold
 from saffronworks.tests.endpoint_plays import MOST_STEPS, endpoints, head_of, wide_budget
 
 
 def generation(may_repeat=False, returned=False):
-    return generation_core.GenerationState(
+    return GenerationState(
         "s",
         9000,
         may_repeat,
@@ -26,7 +27,7 @@
     )
 
 
-POOLS = generation_core.Pools(endpoints(3, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p"))
+POOLS = Pools(endpoints(3, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p"))
 
 
 def gen_step(state, event, now_ms=10, pools=POOLS):
@@ -51,7 +52,8 @@
     command = gen_step(state, Begin(), now_ms)
     for _ in range(MOST_STEPS):
         now_ms += 10
-        if isinstance(command, gen.RelayStream):
+        if isinstance(command, gen.StartStream | gen.RelayFailure | gen.ContinueStream):
+            assert head == getattr(command, "head", head), (command, head)
             relayed.append(head)
         match command:
             case gen.AskHold(endpoint):
@@ -67,7 +69,9 @@
                 else:
                     sent, silent = reply != "unsent", reply == "silent"
                     event = gen.StreamBroken(endpoint.instance, sent, silent)
-            case gen.RelayStream() if breaks and breaks.pop(0):
+            case gen.StartStream() | gen.ContinueStream() | gen.RelayFailure() if (
+                breaks and breaks.pop(0)
+            ):
                 resumed += 1
                 event = gen.RelayBroken(state.hold.endpoint.instance, known=True)
             case gen.Wait(pause_ms):
