A run that repeats or leaves out events is not sent on as the rest of a stream

Cause: of a second run nothing was compared with what the caller has. One that starts anew, one that starts too late, and one without events whose end nothing tells (no length, closed) were sent on and ended well.

Change: the ids that went out are kept (EventSequence); a further run has to begin after the last one, and with the next one where ids have counted so far. Else it counts as broken (out-of-order). A run without events still ends the stream well where its endpoint told its end: then all went out before.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -42,6 +42,7 @@
     RESET = "reset"
     UNREACHABLE = "unreachable"
     NOT_HTTP = "not-http"
+    OUT_OF_ORDER = "out-of-order"
 
 
 _UNREACHABLE = frozenset([BreakCause.CONNECT, BreakCause.UNREACHABLE])
--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -45,11 +45,7 @@
     _by_one: bool | None = None
 
     def continues(self, ids: tuple[int, ...]) -> bool:
-        """Whether a further run that begins with these events follows without repeat or gap.
-
-        Without this check a run that starts anew, or too late, is sent on as the same answer: the
-        caller gets text twice, or lacks some, in a stream that looks whole.
-        """
+        """Whether a further run that begins with these events follows without repeat or gap."""
         if self.last_id is None or not ids:
             return False
         return ids[0] == self.last_id + 1 if self._by_one else ids[0] > self.last_id
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from saffronworks.forwarding.connections import Break, BreakCause
 from saffronworks.forwarding.event_streams import EventSequence
 from saffronworks.forwarding.generation_state import GenerationState
 from saffronworks.forwarding.messages import AnswerHead
@@ -35,7 +36,11 @@
         return self._sent.last_id
 
     async def await_first(self, run: StreamRun) -> None:
-        """Wait until a run has something to pass on; raises Break."""
+        """Wait until a run has something to pass on; raises Break.
+
+        A run that does not go on right after what went out counts as broken: sent on, it would give
+        the caller text twice, or leave some out, in a stream that looks whole.
+        """
         state, now_ms = self._state, self._node.now_ms()
         first = await run.read_first(max(1, state.deadline_at_ms - now_ms))
         self._pace_from = None
@@ -52,6 +57,8 @@
             run.exchange.framed,
             follows,
         )
+        if not follows:
+            raise Break(BreakCause.OUT_OF_ORDER, sent=True)
 
     async def start(self, head: AnswerHead) -> None:
         """Send the head of the stream."""
--- a/saffronworks/tests/features/steps/platform_generation_steps.py
+++ b/saffronworks/tests/features/steps/platform_generation_steps.py
@@ -64,10 +64,10 @@
     servers = engines()
 
     async def play(place):
-        servers[0].script = servers[1].script = ["break"]
+        servers[0].script = servers[1].script = ["break-2"]
         context.whole = await place.generate("/res/", "g1")
         context.runs = [len(server.ran) for server in servers]
-        servers[0].script = servers[1].script = ["break"]
+        servers[0].script = servers[1].script = ["break-2"]
         context.broken = await place.generate("/gen/", "g2")
         servers[0].script = servers[1].script = ["unframed-break"]
         context.unframed = await place.generate("/gen/", "g3")
--- a/saffronworks/tests/features/streams.feature
+++ b/saffronworks/tests/features/streams.feature
@@ -16,3 +16,20 @@
   Scenario: an answer carries nothing of a run that broke before it
     When one endpoint breaks off inside the first event and the next one fails its run
     Then the caller gets the failure as its endpoint gave it
+
+  Scenario Outline: a run that does not follow what went out is not sent on
+    When a resumable stream breaks after event <last> and the next run is at fault by <fault>
+    Then the caller has the events up to <last>, each once, and no good end
+
+    Examples:
+      | last | fault         |
+      | 2    | repeat        |
+      | 2    | gap           |
+      | 5    | unframed-none |
+
+  Scenario: a run without events ends a stream of which all went out
+    When a resumable stream breaks after its last event and the next run has none left
+    Then the caller gets each event once, with a good end
+
+  Scenario: ids that rise unevenly show a repeat, and those that count show a gap too
+    Then of all ways to go on, only the next id follows ids that count, and any higher one others
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -264,18 +264,23 @@
             writer.write(f"id: 1\ndata: {self.instance}\n\nid: 2\nda".encode())
             await writer.drain()
             return False
-        await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after = int(self.seen[-1][2].get("last-event-id", 0))
-        breaks_at = {"break": 2, "break-first": 1}.get(fault)
-        for number in range(after + 1, self.events + 1):
+        if fault == "unframed-none":
+            await self._head(writer, 200, own)
+            return False
+        await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
+        after += {"repeat": -1, "gap": 1}.get(fault, 0)
+        breaks_at = int(fault.partition("-")[2]) if fault and fault.startswith("break-") else None
+        for number in range(after + 1, self.events + 2):
             data = f"id: {number}\ndata: {self.instance}\n\n".encode()
             if number == breaks_at:
                 writer.write(b"%x\r\n%s\r\n" % (6, data[:6]))
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 return False
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await writer.drain()
+            if number <= self.events:
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
