--- a/deploy/day_files.py
+++ b/deploy/day_files.py
@@ -1,9 +1,11 @@
-"""Writes `deploy/days/`: for each kind of trouble one day of it twice, and one with others across.
+"""Writes `deploy/days/`: days of the users' bench, for any of its sites.
 
-The files are days of the users' bench, for either of its sites: a burst and, at its hardest moment,
-the trouble, then the trouble again beside another one.
+For each kind of trouble a day with a burst and, at its hardest moment, the trouble, then the
+trouble again beside another one. Beside these, mixed days, on which many troubles overlap: a pair
+of faults of endpoints that break answers, and others around them.
 """
 
+import random
 from pathlib import Path
 
 import attrs
@@ -90,28 +92,63 @@
 )
 
 
+# Pairs of ways in which endpoints break answers: an answer that broke goes on at an endpoint that
+# fails it in another way.
+ANSWER_FAULTS = (
+    "grey-errors",
+    "grey-hang",
+    "grey-reset",
+    "grey-mute",
+    "answer-lost",
+    "answer-reset",
+    "garble",
+    "garble-extra",
+    "garble-unframed",
+    "crash",
+)
+MIXED_DAYS = 8
+MIXED_TROUBLES = 8
+MIXED_FROM_S, MIXED_UNTIL_S = 3.0, 28.0
+
+
 def write_day(trouble: Trouble, across: Trouble, seed: int) -> str:
     """One day: the trouble, then the trouble again with another one across it."""
-    entries: dict[bool, list[str]] = {True: [], False: []}
-    for at_s in (FIRST_S, SECOND_S):
-        entries[trouble.planned].append(trouble.entry(at_s))
-    entries[across.planned].append(across.entry(ACROSS_S))
-    entries[False].append(f'  {{ at = {FIRST_S}, kind = "burst", x = 1.8, for_s = 4.0 }},')
-    lines = [
-        f'name = "{trouble.name}"',
+    entries = [(FIRST_S, trouble), (SECOND_S, trouble), (ACROSS_S, across)]
+    return _write(trouble.name, seed, entries)
+
+
+def write_mixed_day(seed: int) -> str:
+    """One day: two faults of answers three times over, and other troubles at any moment."""
+    rng = random.Random(seed)
+    by_name = {trouble.name: trouble for trouble in TROUBLES}
+    pair = [by_name[name] for name in rng.sample(ANSWER_FAULTS, 2)]
+    entries = [(at_s, trouble) for at_s in (4.0, 14.0, 24.0) for trouble in pair]
+    for trouble in rng.sample(TROUBLES, MIXED_TROUBLES):
+        entries.append((round(rng.uniform(MIXED_FROM_S, MIXED_UNTIL_S), 1), trouble))
+    return _write(f"mixed-{seed}", seed, entries)
+
+
+def _write(name: str, seed: int, entries: list[tuple[float, Trouble]]) -> str:
+    lines = {
+        planned: [trouble.entry(at_s) for at_s, trouble in entries if trouble.planned is planned]
+        for planned in (True, False)
+    }
+    text = [
+        f'name = "{name}"',
         'slot = "trouble"',
         f"seed = {seed}",
         "zero = 0.0",
         "one = 1.0",
         "plan = [",
-        *entries[True],
+        *lines[True],
         "]",
         "faults = [",
-        *entries[False],
+        *lines[False],
+        f'  {{ at = {FIRST_S}, kind = "burst", x = 1.8, for_s = 4.0 }},',
         "]",
         "",
     ]
-    return "\n".join(lines)
+    return "\n".join(text)
 
 
 def main() -> None:
@@ -121,6 +158,8 @@
         across = TROUBLES[(index * 7 + 11) % len(TROUBLES)]
         text = write_day(trouble, across, 1000 + index)
         (OUTPUT / f"{trouble.name}.toml").write_text(text, encoding="utf-8")
+    for seed in range(1, MIXED_DAYS + 1):
+        (OUTPUT / f"mixed-{seed}.toml").write_text(write_mixed_day(seed), encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -22,7 +22,9 @@
 ANSWER_TOKENS = 500
 GREY_SHARE = 0.4
 GREY_PLAIN = ("error", "reset", "garbage", "extra", "late-extra", "short", "unsigned", "shed")
-GREY_STREAM = ("break", "shed", "unframed-break")
+GREY_STREAM = ("break", "shed", "unframed-break", "error", "restart")
+# Of these, the ones that break off in the middle.
+BREAKS = ("break", "unframed-break")
 
 
 @attrs.define
@@ -119,6 +121,10 @@
         fields = {"Not-Executed": "1", "Request-Id": request_id}
         return await self._reply(writer, 503, fields, b"")
 
+    async def _fail(self, writer, request_id):
+        own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        return await self._reply(writer, 500, own, b"failed")
+
     async def _read_prompt(self, writer, request_id):
         await asyncio.sleep(READ_S)
         handle = self._next("kv")
@@ -160,6 +166,9 @@
         if not hold and self.used_tokens() + prompt_tokens > CAPACITY_TOKENS:
             return await self._refuse(writer, request_id)
         run = self._begin(request_id, int(headers.get("last-event-id", 0)))
+        if fault == "error":
+            run.ended_ms = self.site.now_ms()
+            return await self._fail(writer, request_id)
         self.running[request_id] = prompt_tokens + ANSWER_TOKENS
         try:
             run.whole = await self._stream_events(reader, writer, run, fault)
@@ -182,11 +191,12 @@
         own = {"Request-Id": run.request_id, "Server-Stamp": f"stamp-{self.instance}"}
         framed = fault != "unframed-break"
         await self._head(writer, 200, own | ({"Transfer-Encoding": "chunked"} if framed else {}))
-        for number in range(run.after_event + 1, EVENTS + 1):
+        after_event = 0 if fault == "restart" else run.after_event
+        for number in range(after_event + 1, EVENTS + 1):
             if await self._leaves(reader, EVENT_S):
                 return False
             data = f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
-            if fault and number == EVENTS // 2:
+            if fault in BREAKS and number == EVENTS // 2:
                 writer.write(b"%x\r\n%s\r\n" % (6, data[:6]) if framed else data[:6])
                 await writer.drain()
                 return False
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -33,6 +33,8 @@
 # An endpoint that leaves serves on for longer than it must; a crashed one's entry goes later.
 DRAIN_S = 6.0
 ENTRY_LAPSES_S = 3.6
+# Of the faults in which endpoints fail requests, one in so many strikes a whole service.
+WHOLE_SERVICE_EVERY = 3
 PLAIN_SERVICES = ("web-a", "web-b")
 
 
@@ -192,7 +194,8 @@
         until_ms = self.now_ms() + fault.for_ms
         match fault.kind:
             case "grey":
-                endpoint.grey_until_ms = until_ms
+                for struck in self._greyed(endpoint, fault):
+                    struck.grey_until_ms = until_ms
                 self._disturb(ALL_NODES, "endpoint", fault.for_ms / 1000)
             case "full":
                 endpoint.full_until_ms = until_ms
@@ -209,6 +212,12 @@
                 self.store.remove("servers", endpoint.instance)
                 await self._leave(endpoint)
 
+    def _greyed(self, endpoint, fault):
+        """One endpoint, or its whole service: then what one broke, the next one fails too."""
+        if fault.target % WHOLE_SERVICE_EVERY:
+            return [endpoint]
+        return [other for other in self.endpoints.values() if other.service == endpoint.service]
+
     async def _leave(self, endpoint):
         self.records.left_ms[endpoint.instance] = self.now_ms()
         await anyio.sleep(DRAIN_S)
