--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -88,6 +88,10 @@
     When a node is told to stop while a request runs
     Then it says that it is not ready, and the request is answered whole
 
+  Scenario: a server that is told to stop loses no time
+    When servers are told to stop at different moments of their second
+    Then each is over at once, so that all of the grace period is left for requests
+
   Scenario: a fault of ours in one service ends no process
     When a service of a node fails, and so does work in the background
     Then callers are served on, and the service runs again
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import CONFIG, engines, on_platform, web_servers
+from saffronworks.web import HttpServer, bind
 
 
 @when("a caller sends a request with forged fields of the router")
@@ -257,6 +258,28 @@
     assert context.raw.startswith(b"HTTP/1.1 200") and context.raw.endswith(b"r1"), context.raw
 
 
+@when("servers are told to stop at different moments of their second")
+def stop_servers(context):
+    context.took_s = []
+
+    async def main():
+        for moment_s in (0.15, 0.4, 0.65):
+            server = HttpServer(bind("127.0.0.1:0"), lambda call: call.reply(200, {}))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                await anyio.sleep(moment_s)
+                told_s = time.monotonic()
+                server.stop()
+            context.took_s.append(time.monotonic() - told_s)
+
+    anyio.run(main)
+
+
+@then("each is over at once, so that all of the grace period is left for requests")
+def over_at_once(context):
+    assert max(context.took_s) < 0.3, context.took_s
+
+
 class FailingOnce:
     """Stands for a directory that a fault of ours makes fail, until it was asked once."""
 
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -1,5 +1,6 @@
 """Small helpers over ASGI and uvicorn, shared by nodes and stand-ins."""
 
+import asyncio
 import logging
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator, Mapping
@@ -142,15 +143,29 @@
 
 
 class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config):
+        super().__init__(config)
+        self._told_to_stop = asyncio.Event()
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave signals to the daemon."""
         yield
 
     async def main_loop(self) -> None:
-        """Look once a second, for the date header; ten times costs an idle node more."""
+        """Look once a second, for the date header; ten times costs an idle node more.
+
+        A stop is seen at once: each second that it waits is missing from the time that requests
+        have to end in before the process is killed.
+        """
         while not await self.on_tick(0):
-            await anyio.sleep(LOOK_EVERY_S)
+            with anyio.move_on_after(LOOK_EVERY_S):
+                await self._told_to_stop.wait()
+
+    def stop(self) -> None:
+        """End the main loop."""
+        self.should_exit = True
+        self._told_to_stop.set()
 
 
 class HttpServer:
@@ -200,7 +215,7 @@
 
     def stop(self) -> None:
         """Stop accepting, and return from `run` when the running calls are over."""
-        self._server.should_exit = True
+        self._server.stop()
 
     def _abort(self) -> None:
         for server in getattr(self._server, "servers", []):
