--- a/saffronworks/tests/features/steps/streams_steps.py
+++ b/saffronworks/tests/features/steps/streams_steps.py
@@ -1,18 +1,28 @@
 """Scenarios on streams whose first endpoint broke off."""
 
 import re
+import time
 from itertools import product
-
-from behave import then, when
-
-from saffronworks.forwarding.event_streams import EventSequence
-from saffronworks.forwarding.messages import Refuse
+from types import SimpleNamespace
+
+import anyio
+from behave import given, then, when
+
+from saffronworks.forwarding.connections import Break
+from saffronworks.forwarding.event_streams import EventCutter, EventSequence
+from saffronworks.forwarding.generation_state import Out
+from saffronworks.forwarding.messages import CallerRequest, Refuse
+from saffronworks.forwarding.places import StreamPace
+from saffronworks.forwarding.routing import Route
+from saffronworks.forwarding.runners import Job
+from saffronworks.forwarding.stream_relays import StreamRelay
+from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.tests.endpoint_plays import REPLY_KINDS
-from saffronworks.tests.generation_plays import play_generation
+from saffronworks.tests.generation_plays import generation, play_generation
 from saffronworks.tests.platform_place import engines, on_platform
 
 
-def play_resumable(context, *faults, events=3):
+def play_resumable(context, *faults, events=3, headers=None):
     """Each run of a resumable generation meets the next of the faults, wherever it goes."""
     servers = engines()
     for server in servers:
@@ -20,7 +30,8 @@
 
     async def play(place):
         servers[0].script = servers[1].script = list(faults)
-        context.raw = await place.generate("/res/", "g1")
+        fields = {"Token-Counts": "5000,9000", "Length-Hint": "3000"} | (headers or {})
+        context.raw = await place.ask("/res/", "g1", fields, b"prompt")
 
     on_platform(servers, play)
     context.runs = sum(len(server.ran) for server in servers)
@@ -105,3 +116,105 @@
     sequence = EventSequence()
     sequence.note((1, 2))
     assert not sequence.continues(()), "a run whose events have no id may be any run"
+
+
+@when("a resumable stream breaks after event 2 and the next run begins with a comment")
+def next_run_comment(context):
+    play_resumable(context, "break-3", "ping")
+
+
+@when("a resumable stream with a length breaks, and the events of the next run are longer")
+def longer_run(context):
+    play_resumable(context, "sized-break", "sized-wide")
+
+
+@when("a caller goes on after event 2, and the first run repeats it")
+def caller_goes_on(context):
+    play_resumable(context, "repeat", events=4, headers={"Last-Event-Id": "2"})
+
+
+@then("the caller gets the events after it from the next run")
+def only_new_events(context):
+    assert event_ids(context.raw) == [3, 4], context.raw
+    assert context.runs == 2 and context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
+@when("a resumable stream has an id of five thousand digits")
+def long_id(context):
+    play_resumable(context, "long-id")
+
+
+@then("the caller gets all of it, with a good end")
+def all_of_it(context):
+    assert context.raw.count(b"\nid: ") == 4, context.raw
+    assert context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
+class AnewExchange:
+    """An answer that begins with event 1."""
+
+    framed = True
+
+    async def next_chunk(self, timeout_ms=None):
+        return b"id: 1\ndata: x\n\n"
+
+
+@given("a stream of which events went out, and a run that starts anew at once")
+def starts_anew(context):
+    now_ms = [400]
+    node = SimpleNamespace(now_ms=lambda: now_ms[0])
+    request = CallerRequest("g1", "POST", "/res/", "h", (), b"", 0, 14_000, after_event=9)
+    route = Route("res", "h", "/res/", (), False, True, True, 3000, 400, 2)
+    job = Job(request, route, "llm", SimpleNamespace(finished=False), 1)
+    state = generation(may_repeat=True)
+    state.out = Out.STREAM
+    context.relay = StreamRelay(node, job, state, 64)
+
+    async def play():
+        try:
+            await context.relay.await_first(StreamRun(AnewExchange()))
+        except Break:
+            now_ms[0] += 1
+            return
+        raise AssertionError("a run that starts anew is sent on")
+
+    anyio.run(play)
+
+
+@then("no pace is told of the run that starts anew")
+def no_pace(context):
+    assert context.relay.pace() == StreamPace(), context.relay.pace()
+
+
+def feed_s(parts):
+    """Processor time for one event of so many parts without an end."""
+    cutter, began_s = EventCutter(), time.process_time()
+    for _ in range(parts):
+        cutter.feed(b"x" * 65_536)
+    return time.process_time() - began_s
+
+
+@then("twice as much of an event takes about twice the time, not four times")
+def linear(context):
+    once_s = min(feed_s(40) for _ in range(3))
+    twice_s = min(feed_s(80) for _ in range(3))
+    assert twice_s < 3 * once_s, (once_s, twice_s)
+
+
+@when("a stream of a service without engines stops inside an event")
+def plain_stops(context):
+    servers = engines()
+
+    async def play(place):
+        for server in servers:
+            server.script = ["unframed-break"]
+        context.raw = await place.ask("/gen/", "g1")
+
+    on_platform(servers, play)
+
+
+@then("the caller has its whole events, and no good end")
+def whole_no_end(context):
+    assert event_ids(context.raw) == [1], context.raw
+    assert b"id: 2" not in context.raw, context.raw
+    assert not context.raw.endswith(b"0\r\n\r\n"), context.raw
--- a/saffronworks/tests/features/streams.feature
+++ b/saffronworks/tests/features/streams.feature
@@ -26,6 +26,7 @@
       | 2    | repeat        |
       | 2    | gap           |
       | 5    | unframed-none |
+      | 2    | no-content    |
 
   Scenario: a run without events ends a stream of which all went out
     When a resumable stream breaks after its last event and the next run has none left
@@ -33,3 +34,30 @@
 
   Scenario: ids that rise unevenly show a repeat, and those that count show a gap too
     Then of all ways to go on, only the next id follows ids that count, and any higher one others
+
+  Scenario: a run that begins with a comment goes on like any other
+    When a resumable stream breaks after event 2 and the next run begins with a comment
+    Then the caller gets each event once, with a good end
+
+  Scenario: the length of one run's answer says nothing of a stream that goes on at another
+    When a resumable stream with a length breaks, and the events of the next run are longer
+    Then the caller gets each event once, with a good end
+
+  Scenario: a caller who goes on after an event gets none that it has
+    When a caller goes on after event 2, and the first run repeats it
+    Then the caller gets the events after it from the next run
+
+  Scenario: a run that was not sent on teaches the planner no pace
+    Given a stream of which events went out, and a run that starts anew at once
+    Then no pace is told of the run that starts anew
+
+  Scenario: an id that is no number of events is none
+    When a resumable stream has an id of five thousand digits
+    Then the caller gets all of it, with a good end
+
+  Scenario: a long event is searched once
+    Then twice as much of an event takes about twice the time, not four times
+
+  Scenario: a plain stream without a length that ends inside an event does not look complete
+    When a stream of a service without engines stops inside an event
+    Then the caller has its whole events, and no good end
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -268,9 +268,21 @@
         if fault == "unframed-none":
             await self._head(writer, 200, own)
             return False
+        if fault == "no-content":
+            await self._head(writer, 204, own)
+            return True
+        if fault in ("sized-break", "sized-wide"):
+            return await self._stream_sized(writer, own, fault, after)
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after += {"repeat": -1, "gap": 1}.get(fault, 0)
         breaks_at = int(fault.partition("-")[2]) if fault and fault.startswith("break-") else None
+        if fault == "ping":
+            writer.write(b"8\r\n: ping\n\n\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        if fault == "long-id":
+            data = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
         for number in range(after + 1, self.events + 2):
             data = f"id: {number}\ndata: {self.instance}\n\n".encode()
             if number == breaks_at:
@@ -285,6 +297,19 @@
         await writer.drain()
         return True
 
+    async def _stream_sized(self, writer, own, fault, after):
+        """With a length: one breaks after event 1, the events of the other are twice as long."""
+        lines = [f"id: {number}\ndata: " for number in range(after + 1, self.events + 1)]
+        width = 64 if fault == "sized-wide" else 32
+        events = [(line + "x" * (width - 2 - len(line)) + "\n\n").encode() for line in lines]
+        whole = b"".join(events)
+        await self._head(writer, 200, own | {"Content-Length": str(len(whole))})
+        for event in events[:1] if fault == "sized-break" else events:
+            writer.write(event)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        return fault == "sized-wide"
+
     async def _head(self, writer, status, headers):
         lines = [f"HTTP/1.1 {status} X", *(f"{key}: {value}" for key, value in headers.items())]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
