What an endpoint sends is one request's own: late extras, trailers, bytes after a head

Cause: a call without an id took any answer that came, also one that an earlier request on the connection had got already; the call's own answer could then be read as that of the next request, and its Not-Executed as a promise. Fields after a body in chunks went into the head when all came at once, a signature as well. A body after a head that was asked for left the connection in use.

Change: a call without an id drops an answer with the last id that was awaited there; a head is closed with its last field; bytes after a whole answer spoil the connection wherever they come.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -87,6 +87,7 @@
         self._paused = False
         self._parser: httptools.HttpResponseParser | None = None
         self._awaited_id: str | None = None
+        self._earlier_id: str | None = None
         self._incoming = RawHead()
         self._head: RawHead | None = None
         self._dropping = False
@@ -163,11 +164,10 @@
         assert self._parser is not None
         if self._whole:
             return
-        head = self._incoming
+        # Fields that follow the body are none of the head.
+        head, self._incoming = self._incoming, RawHead()
         head.status = self._parser.get_status_code()
-        answer_id = head.get(self._id_field)
-        other = answer_id is not None and answer_id != self._awaited_id
-        self._dropping = head.status < 200 or (other and self._awaited_id is not None)
+        self._dropping = head.status < 200 or self._answers_another(head.get(self._id_field))
         if self._dropping:
             self.reusable = self.reusable and head.status < 200
             return
@@ -180,6 +180,14 @@
         self._whole = self._bodiless
         self._read_keep_alive(head)
 
+    def _answers_another(self, answer_id: str | None) -> bool:
+        """Whether an answer belongs to another request; of a call without an id, to one before."""
+        if answer_id is None:
+            return False
+        if self._awaited_id is None:
+            return answer_id == self._earlier_id
+        return answer_id != self._awaited_id
+
     def _read_keep_alive(self, head: RawHead) -> None:
         if "close" in (head.get("connection") or "").lower():
             self.reusable = False
@@ -190,7 +198,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body for the reader."""
-        if self._dropping or self._whole:
+        if self._dropping:
+            return
+        if self._whole:
+            self.reusable = False
             return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
@@ -215,6 +226,8 @@
         if self._lost is not None or self._transport is None or self._transport.is_closing():
             raise Break(BreakCause.CLOSED, sent=False)
         self._parser = httptools.HttpResponseParser(self)
+        if self._awaited_id is not None:
+            self._earlier_id = self._awaited_id
         self._awaited_id = awaited_id
         self._bodiless = bodiless
         self._head = None
