A plain stream that stops inside an event is cut

Cause: run_plain, which also serves streaming routes of services without engines and requests without Token-Counts, passed bytes on and ended well at any close of an answer without a length.

Change: successes on streaming routes go through StreamRun, as those of generations do.

--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -7,8 +7,9 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import AnswerHead, Begin, Refuse
 from saffronworks.forwarding.plain_core import Answered, Broken, PlainState, SendTo
-from saffronworks.forwarding.ports import Exchange
+from saffronworks.forwarding.ports import AnswerBody, Exchange
 from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.stream_runs import StreamRun
 
 __all__ = ["run_plain"]
 
@@ -131,7 +132,9 @@
         if self._start_of_body:
             await body.write(self._start_of_body)
         try:
-            if not self._body_whole:
+            if job.route.streams and self._head.success:
+                await self._relay_events(StreamRun(self._exchange), body)
+            elif not self._body_whole:
                 await relay_rest(node, job, self._exchange, body)
         except Break as broken:
             logger.info(
@@ -157,6 +160,14 @@
             job.route.target_ms,
         )
 
+    async def _relay_events(self, run: StreamRun, body: AnswerBody) -> None:
+        """Pass whole events on; raises Break where a run ends early, inside an event too."""
+        job, now_ms = self._job, self._node.now_ms
+        while (mark := await run.next_events(max(1, job.deadline_at_ms - now_ms()))) is not None:
+            await body.write(mark.data)
+        if run.rest():
+            await body.write(run.rest())
+
     def _end_exchange(self) -> None:
         if self._exchange is not None:
             self._exchange.end()
