--- a/saffronworks/tests/features/steps/streams_steps.py
+++ b/saffronworks/tests/features/steps/streams_steps.py
@@ -10,15 +10,16 @@
 
 from saffronworks.forwarding.connections import Break
 from saffronworks.forwarding.event_streams import EventCutter, EventSequence
+from saffronworks.forwarding.generation_events import Cut, RelayBroken, StartStream, StreamAnswered
 from saffronworks.forwarding.generation_state import Out
-from saffronworks.forwarding.messages import CallerRequest, Refuse
+from saffronworks.forwarding.messages import CallerRequest, KvHold, Refuse
 from saffronworks.forwarding.places import StreamPace
 from saffronworks.forwarding.routing import Route
 from saffronworks.forwarding.runners import Job
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.forwarding.stream_runs import StreamRun
-from saffronworks.tests.endpoint_plays import REPLY_KINDS
-from saffronworks.tests.generation_plays import generation, play_generation
+from saffronworks.tests.endpoint_plays import REPLY_KINDS, head_of
+from saffronworks.tests.generation_plays import POOLS, gen_step, generation, play_generation
 from saffronworks.tests.platform_place import engines, on_platform
 
 
@@ -213,3 +214,30 @@
     assert event_ids(context.raw) == [1], context.raw
     assert b"id: 2" not in context.raw, context.raw
     assert not context.raw.endswith(b"0\r\n\r\n"), context.raw
+
+
+@then("a resumable stream that breaks with no event's id known is cut for that")
+def unknown_cut(context):
+    state = generation(may_repeat=True)
+    state.hold, state.streams = KvHold(POOLS.decoders[0], "k", 2000), 1
+    command = gen_step(state, StreamAnswered("d0", head_of("ok")), 400)
+    assert command == StartStream(head_of("ok")), command
+    command = gen_step(state, RelayBroken("d0", known=False), 700)
+    assert command == Cut("no-event-id"), command
+
+
+@when("an endpoint breaks the body of its failure off")
+def failure_breaks(context):
+    servers = engines()
+
+    async def play(place):
+        servers[0].script = servers[1].script = ["error-break"]
+        context.raw = await place.generate("/gen/", "g1")
+
+    on_platform(servers, play)
+
+
+@then("the caller has the start of the failure, and no good end")
+def failure_cut(context):
+    assert context.raw.startswith(b"HTTP/1.1 500") and b"failed" in context.raw, context.raw
+    assert not context.raw.endswith(b"0\r\n\r\n"), context.raw
--- a/saffronworks/tests/features/streams.feature
+++ b/saffronworks/tests/features/streams.feature
@@ -28,6 +28,7 @@
       | 5    | unframed-none |
       | 2    | no-content    |
       | 2    | ping          |
+      | 2    | half          |
 
   Scenario: a run without events ends a stream of which all went out
     When a resumable stream breaks after its last event and the next run has none left
@@ -58,3 +59,10 @@
   Scenario: a plain stream without a length that ends inside an event does not look complete
     When a stream of a service without engines stops inside an event
     Then the caller has its whole events, and no good end
+
+  Scenario: a stream whose last event is not known is cut, and no further run is asked for
+    Then a resumable stream that breaks with no event's id known is cut for that
+
+  Scenario: a failure that breaks off does not look complete
+    When an endpoint breaks the body of its failure off
+    Then the caller has the start of the failure, and no good end
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -259,6 +259,11 @@
     async def _stream(self, writer, own, fault):
         if fault == "error":
             return await self._reply(writer, 500, own, b"failed")
+        if fault == "error-break":
+            await self._head(writer, 500, own | {"Transfer-Encoding": "chunked"})
+            writer.write(b"6\r\nfailed\r\n")
+            await writer.drain()
+            return False
         if fault == "unframed-break":
             await self._head(writer, 200, own)
             writer.write(f"id: 1\ndata: {self.instance}\n\nid: 2\nda".encode())
@@ -276,6 +281,10 @@
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after += {"repeat": -1, "gap": 1}.get(fault, 0)
         breaks_at = int(fault.partition("-")[2]) if fault and fault.startswith("break-") else None
+        if fault == "half":
+            writer.write(b"8\r\nid: 3\nda\r\n0\r\n\r\n")
+            await writer.drain()
+            return True
         if fault == "ping":
             writer.write(b"8\r\n: ping\n\n\r\n")
             await writer.drain()
