--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -88,6 +88,9 @@
     When a node is told to stop while a request runs
     Then it says that it is not ready, and the request is answered whole
 
+  Scenario: a node starts without libraries that it does not use
+    Then a node does not load another event loop that is installed beside asyncio
+
   Scenario: a server that is told to stop loses no time
     When servers are told to stop at different moments of their second
     Then each is over at once, so that all of the grace period is left for requests
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -2,8 +2,12 @@
 
 import io
 import logging
+import subprocess
+import sys
+import tempfile
 import threading
 import time
+from pathlib import Path
 
 import anyio
 from behave import then, when
@@ -258,6 +262,14 @@
     assert context.raw.startswith(b"HTTP/1.1 200") and context.raw.endswith(b"r1"), context.raw
 
 
+@then("a node does not load another event loop that is installed beside asyncio")
+def no_other_loop(context):
+    with tempfile.TemporaryDirectory() as folder:
+        (Path(folder) / "trio.py").write_text("raise SystemExit('trio was loaded')")
+        code = f"import sys; sys.path.insert(0, {folder!r}); import saffronworks.platform.__main__"
+        subprocess.run([sys.executable, "-c", code], check=True)
+
+
 @when("servers are told to stop at different moments of their second")
 def stop_servers(context):
     context.took_s = []
