Plain calls that break after their head are cut, counted and logged

Cause: the loop that tries endpoints also caught breaks behind the head, where nothing can be tried again, and raised them on. uvicorn then closed the connection, so the framing was right; but no outcome was counted and no line but a traceback named the call.

Change: `_open` may be tried again; `_relay` begins with the head and deals with a break itself: cut, `event=plain_cut` with method and path, outcome `unknown`. The loop has no case for a begun answer left. Outcomes are a type instead of a text. An upstream without length that closes still counts as whole, as RFC 9112 (section 8) has it; one that ends by an error does not, nor does a short one of known length.

--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -2,6 +2,8 @@
 
 import logging
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Literal
 
 import attrs
 import httpcore
@@ -10,7 +12,9 @@
 from saffronworks.completions import OUTCOME_HEADER, error_body
 from saffronworks.web import Call
 
-__all__ = ["PlainLoad", "PlainProxy", "choose_plain"]
+__all__ = ["PlainLoad", "PlainOutcome", "PlainProxy", "choose_plain"]
+
+PlainOutcome = Literal["completed", "not-run", "unknown"]
 
 logger = logging.getLogger(__name__)
 
@@ -79,8 +83,13 @@
         """Close all connections."""
         await self._pool.aclose()
 
-    async def carry(self, call: Call, route: PlainRoute, unrepeatable: bool, now_ms: int) -> str:
-        """Send a call on and its response back; returns the outcome."""
+    async def carry(
+        self, call: Call, route: PlainRoute, unrepeatable: bool, now_ms: int
+    ) -> PlainOutcome:
+        """Send a call on and its response back; returns the outcome.
+
+        Only what breaks before the head of a response comes up to the loop, which may try again.
+        """
         once = unrepeatable or call.method in route.unrepeatable_methods
         tried: set[str] = set()
         sent = False
@@ -90,8 +99,7 @@
                 break
             tried.add(endpoint.name)
             try:
-                await self._try(call, endpoint)
-                return "completed"
+                return await self._try(call, endpoint)
             except _NOT_SENT:
                 self.load.closed_until_ms[endpoint.name] = now_ms + CLOSED_MS
             except _BROKEN as error:
@@ -99,30 +107,31 @@
                 logger.info(
                     "event=plain_broken endpoint=%s error=%s", endpoint.name, type(error).__name__
                 )
-                if call.started:
-                    raise
                 if once or call.streamed:
                     break
         return await self._refuse(call, sent)
 
-    async def _refuse(self, call: Call, sent: bool) -> str:
-        outcome = "unknown" if sent else "not-run"
-        headers = {OUTCOME_HEADER: outcome}
+    async def _refuse(self, call: Call, sent: bool) -> PlainOutcome:
+        outcome: PlainOutcome = "unknown" if sent else "not-run"
+        headers: dict[str, str] = {OUTCOME_HEADER: outcome}
         if not sent:
             headers["retry-after"] = "1"
         body = error_body(f"{outcome}: no endpoint answered", "server_error", outcome)
         await call.reply(502 if sent else 503, body, headers)
         return outcome
 
-    async def _try(self, call: Call, endpoint: Endpoint) -> None:
+    async def _try(self, call: Call, endpoint: Endpoint) -> PlainOutcome:
         name = endpoint.name
         self.load.outstanding[name] = self.load.outstanding.get(name, 0) + 1
         try:
-            await self._exchange(call, endpoint)
+            async with self._open(call, endpoint) as response:
+                return await self._relay(call, endpoint, response)
         finally:
             self.load.outstanding[name] -= 1
 
-    async def _exchange(self, call: Call, endpoint: Endpoint) -> None:
+    @asynccontextmanager
+    async def _open(self, call: Call, endpoint: Endpoint) -> AsyncIterator[httpcore.Response]:
+        """Send the call on and read the head of its response."""
         path = call.path + (f"?{call.query}" if call.query else "")
         headers = [
             (key.encode(), value.encode("latin-1"))
@@ -141,11 +150,27 @@
         async with self._pool.stream(
             call.method, url, headers=headers, content=body, extensions={"timeout": TIMEOUTS}
         ) as response:
-            fields = {
-                key.decode().lower(): value.decode("latin-1") for key, value in response.headers
-            }
-            kept = {key: value for key, value in fields.items() if key not in _HOP_HEADERS}
-            await call.start(response.status, {**kept, OUTCOME_HEADER: "completed"})
+            yield response
+
+    async def _relay(
+        self, call: Call, endpoint: Endpoint, response: httpcore.Response
+    ) -> PlainOutcome:
+        """Pass the response on. Its head goes out first, so one that breaks can only be cut."""
+        fields = {key.decode().lower(): value.decode("latin-1") for key, value in response.headers}
+        kept = {key: value for key, value in fields.items() if key not in _HOP_HEADERS}
+        await call.start(response.status, {**kept, OUTCOME_HEADER: "completed"})
+        try:
             async for chunk in response.aiter_stream():
                 await call.write(chunk)
-            await call.write(b"", more=False)
+        except _BROKEN as error:
+            logger.warning(
+                "event=plain_cut endpoint=%s method=%s path=%s error=%s",
+                endpoint.name,
+                call.method,
+                call.path,
+                type(error).__name__,
+            )
+            call.hang_up()
+            return "unknown"
+        await call.write(b"", more=False)
+        return "completed"
