A request ends well only at the length that its last run tells; its deadline is for the first token

Cause, of the first: an end with fewer tokens than the caller has, or with none told (a missing number was read as 0), counted as the end of a whole answer. That is right for an answer that has not begun, and may be an answer without tokens; behind tokens of an earlier run it completed a splice of two answers. Cause, of the second: the deadline was asked for in four places, and in three of them bound only to the first token. The fourth, on a new attempt, gave up streams that ran longer than patience and target together, when their engine died.

Change: an end completes exactly at its own length; with more to come the engine is asked again, and any other end counts as a failure of that engine, so that the next attempt goes on elsewhere, or the stream is cut. A number that is not told is None. `first_due_ms` and `too_late` hold the deadline in one place, which is none once the first token is out.

--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -112,7 +112,7 @@
     offset: int = 0
     tokens: tuple[str, ...] = ()
     done: bool = False
-    total: int = 0
+    total: int | None = None
     cancelled: bool = False
 
 
--- a/saffronworks/request_events.py
+++ b/saffronworks/request_events.py
@@ -171,10 +171,10 @@
 
 @attrs.frozen
 class DecodeEnded:
-    """The endpoint says the answer has `total` tokens and is whole."""
+    """The endpoint says the answer has `total` tokens and is whole; None: it told no number."""
 
     attempt: int
-    total: int
+    total: int | None
 
 
 @attrs.frozen
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -101,6 +101,15 @@
         """Whether prefill work of this attempt would be wasted by a failure now."""
         return self.phase in (Phase.PREFILLING, Phase.ASSIGNING, Phase.TRANSFERRING)
 
+    @property
+    def first_due_ms(self) -> int | None:
+        """Until when a first token helps its caller; None once it is out: it binds no more."""
+        return self.deadline_ms if self.first_token_ms is None else None
+
+    def too_late(self, now_ms: int) -> bool:
+        """Whether no first token can come in time any more."""
+        return self.first_due_ms is not None and now_ms >= self.first_due_ms
+
 
 def step(request: Request, event: Event, now_ms: int) -> list[Command]:
     """Apply one event. Input of an older attempt, or after the end, changes nothing."""
@@ -183,8 +192,8 @@
     request.dispatched = True
     request.progress_ms = now_ms
     begin_within_ms = request.stall_ms
-    if request.first_token_ms is None:
-        begin_within_ms = max(1, min(begin_within_ms, request.deadline_ms - now_ms))
+    if request.first_due_ms is not None:
+        begin_within_ms = max(1, min(begin_within_ms, request.first_due_ms - now_ms))
     return [StartPrefill(request.attempt, endpoint, request.delivered, begin_within_ms)]
 
 
@@ -217,10 +226,14 @@
     match event:
         case TokensArrived():
             return _deliver(request, event, now_ms)
-        case DecodeEnded():
-            if event.total > request.delivered:
-                return _broken(request, DecodeBroken(event.attempt, True, "gap"), now_ms)
+        case DecodeEnded() if event.total == request.delivered:
             return _end(request, Completed())
+        case DecodeEnded():
+            # With more to come the engine can be asked again. One that tells less than the caller
+            # has, or no length, contradicts what is out: its end says nothing of this answer.
+            more = event.total is not None and event.total > request.delivered
+            failure = "gap" if more else "wrong end"
+            return _broken(request, DecodeBroken(event.attempt, more, failure), now_ms)
         case DecodeBroken():
             return _broken(request, event, now_ms)
 
@@ -259,7 +272,7 @@
     commands: list[Command] = _drop_attempt(request, failed, failure)
     request.failed_endpoints = tuple({*request.failed_endpoints, *failed})
     too_many = request.attempt >= MOST_ATTEMPTS
-    if too_many or now_ms >= request.deadline_ms or (request.unrepeatable and executed):
+    if too_many or request.too_late(now_ms) or (request.unrepeatable and executed):
         return commands + _finish(request, _give_up(request, failure or "failed"))
     request.attempt += 1
     request.resumes = 0
@@ -275,8 +288,7 @@
 
 
 def _tick(request: Request, now_ms: int) -> list[Command]:
-    before_first = request.first_token_ms is None
-    if before_first and now_ms >= request.deadline_ms:
+    if request.too_late(now_ms):
         return _end(request, _give_up(request, "deadline"))
     idle_ms = now_ms - request.progress_ms
     if request.phase is Phase.TRANSFERRING and idle_ms >= request.transfer_limit_ms:
@@ -320,7 +332,7 @@
             due = request.progress_ms + request.transfer_limit_ms
         case _:
             due = request.progress_ms + request.stall_ms
-    return due if request.first_token_ms is not None else min(due, request.deadline_ms)
+    return due if request.first_due_ms is None else min(due, request.first_due_ms)
 
 
 def _give_up(request: Request, reason: str, retry_after_ms: int = RETRY_AFTER_MS) -> Outcome:
