A new attempt's prefill is given the tokens that the caller has

Change: the runner keeps what it handed to the caller, and `Prefill.answered` carries it. `delivered` stays for engines that read it. The stand-in refuses a prefill whose tokens and number differ.

Not measured: the memory of the kept tokens in a full node.

--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -42,8 +42,10 @@
 
 @attrs.frozen
 class Prefill:
-    """A prefill call. `delivered` tokens of the answer are computed after the prompt.
+    """A prefill call. `answered` is computed after the prompt, and the run goes on from there.
 
+    These are the `delivered` tokens that the caller has. An engine that made them anew from their
+    number could come to others, and what follows would not be an answer to what the caller read.
     An engine that has not begun it within `begin_within_ms` refuses it unexecuted.
     """
 
@@ -55,6 +57,7 @@
     prefix_tokens: int
     delivered: int
     begin_within_ms: int
+    answered: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -75,6 +75,7 @@
         self._kernel = kernel
         self._owners = owners
         self._engines = engines
+        self._answered: list[str] = []
         self._endpoints = {endpoint.name: endpoint for endpoint in job.cell.endpoints}
         self._outbox, self._inbox = anyio.create_memory_object_stream[request_events.Event](
             EVENTS_HELD
@@ -127,6 +128,7 @@
     async def _perform(self, command: request_events.Command, tasks: TaskGroup, sink: Sink) -> None:
         match command:
             case request_events.Deliver():
+                self._answered += command.tokens
                 await sink.deliver(command.tokens)
             case request_events.StartPrefill():
                 tasks.start_soon(self._prefill, command)
@@ -216,6 +218,7 @@
             prefix_tokens=self.job.prefix_tokens,
             delivered=command.delivered,
             begin_within_ms=command.begin_within_ms,
+            answered=tuple(self._answered),
         )
         reply = await self._engines.prefill(endpoint.address, call, self.request.stall_ms)
         if isinstance(reply, Err):
--- a/saffronworks/standins/standin_engine.py
+++ b/saffronworks/standins/standin_engine.py
@@ -203,6 +203,9 @@
             await call.reply(421, {"refused": "wrong role"})
             return
         self.dispatches[key.request_id] = self.dispatches.get(key.request_id, 0) + 1
+        if len(body["answered"]) != body["delivered"]:
+            await call.reply(400, {"refused": "tokens of the answer are missing"})
+            return
         tokens = count_tokens(body["prompt"]) + body["delivered"]
         due_ms = _now_ms() + body["begin_within_ms"]
         async with self._compute:
