A request ends with its caller; a grant of an unknown endpoint ends in an outcome

Cause, of the first: the word that a caller has left went through the request's mailbox, which drops what it has no room for. It comes once. With a caller that stops reading, tokens and ticks fill the mailbox, and a request whose caller then left ran on to its end, for nobody, and held its engines. Cause, of the second: after a grant of an endpoint that this node does not know yet (the owner had the newer bundle), the attempt was given up rightly, and its cancel looked the endpoint up again and failed the request.

Change: the caller's leaving cancels the request's task, which tells engines and owner as every cancellation does. Cancels skip endpoints that are not known, as nothing was sent there. No token could be lost by a drop: runs wait for room in the mailbox, they don't post.

--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -25,7 +25,7 @@
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.plain import PlainProxy
-from saffronworks.request_events import NotRun, Outcome, Unknown
+from saffronworks.request_events import Completed, NotRun, Outcome, Unknown
 from saffronworks.requests import Request
 from saffronworks.routes import choose_cell
 from saffronworks.runners import Job, RequestRunner
@@ -173,13 +173,14 @@
         entry.add(runner)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_caller, call, runner)
-                outcome = await runner.run(sink)
+                tasks.start_soon(self._watch_caller, call, tasks.cancel_scope)
+                await runner.run(sink)
                 tasks.cancel_scope.cancel()
         finally:
             entry.remove(runner)
             self._ends.record(runner.request, runner.job, self._kernel.now_ms())
-        if not isinstance(outcome, request_events.Cancelled):
+        outcome = runner.request.outcome
+        if isinstance(outcome, Completed | NotRun | Unknown):
             await sink.finish(outcome)
         return runner.request
 
@@ -213,9 +214,10 @@
         runner.owner = members.owner_of(job.cell.name)
         return runner
 
-    async def _watch_caller(self, call: Call, runner: RequestRunner) -> None:
+    async def _watch_caller(self, call: Call, request: anyio.CancelScope) -> None:
+        """Cancel the request when its caller leaves; a message could be dropped, and comes once."""
         await call.wait_gone()
-        runner.post(request_events.CallerGone())
+        request.cancel()
 
 
 def _asks_once(call: Call) -> bool:
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -82,7 +82,12 @@
         )
 
     def post(self, event: request_events.Event) -> None:
-        """Hand in an event without waiting; a full mailbox drops it, as the network would."""
+        """Hand in an event without waiting; a full mailbox drops it, as the network would.
+
+        So only what can be missed comes this way: owners' answers are asked for again, ticks come
+        again, and a lost lease says nothing to a request that streams, the only kind whose mailbox
+        fills up. Tokens and ends of runs wait for room.
+        """
         try:
             self._outbox.send_nowait(event)
         except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -148,9 +153,15 @@
             case request_events.ReleaseGrant():
                 self._tell(self._release(command))
             case request_events.CancelAt():
-                key = RequestKey(self.request.request_id, command.attempt)
-                address = self._endpoints[command.endpoint].address
-                self._kernel.post("cancels", CancelOrder(command.endpoint, address, key))
+                self._cancel(command)
+
+    def _cancel(self, command: request_events.CancelAt) -> None:
+        """Order a cancel; an endpoint that this node does not know was sent nothing."""
+        endpoint = self._endpoints.get(command.endpoint)
+        if endpoint is not None:
+            key = RequestKey(self.request.request_id, command.attempt)
+            order = CancelOrder(command.endpoint, endpoint.address, key)
+            self._kernel.post("cancels", order)
 
     def _tell(self, message: Ask | Prefilled | Release) -> None:
         self._owners.tell_owner(self.job.cell.name, message)
