Test of requests that the node itself fails: they count as callers that left; failing

Seen while the cause was sought in the older path: the runner's clean-up steps the request with CallerGone, whatever ended its task. An error that nobody foresaw so counts as `cancelled`, which stands outside the report on burn; its caller gets a bare 500, or a cut stream without the event that tells why.

--- a/saffronworks/tests/features/steps/callers_steps.py
+++ b/saffronworks/tests/features/steps/callers_steps.py
@@ -63,3 +63,24 @@
     assert context.caller.error is None, context.caller.error
     assert context.caller.headers["saffronworks-outcome"] == "not-run", context.caller.headers
     assert all(isinstance(order, CancelOrder) for order in ordered_cancels(context.path))
+
+
+@when("an error that nobody foresaw meets a request before and after its first token")
+def unforeseen(context):
+    scripts = ([KeyError("lost")], [line("a"), KeyError("lost")])
+    context.paths = [RequestPath(script) for script in scripts]
+    context.callers = [ask(path) for path in context.paths]
+
+
+@then("each caller is told unknown, the second by an event and a cut")
+def both_told(context):
+    first, second = context.callers
+    assert first.error is None and first.whole, vars(first)
+    assert first.headers["saffronworks-outcome"] == "unknown", first.headers
+    assert second.closed and not second.ended and b'"code":"unknown"' in second.body, vars(second)
+
+
+@then("each is counted as unknown, not as a caller that left")
+def both_counted(context):
+    counts = [path.ends.counts for path in context.paths]
+    assert counts == [{"unknown": 1}, {"unknown": 1}], counts
--- a/saffronworks/tests/request_path.py
+++ b/saffronworks/tests/request_path.py
@@ -58,6 +58,9 @@
         for item in script:
             if item is HANGS:
                 await anyio.sleep_forever()
+            if isinstance(item, Exception):
+                await anyio.wait_all_tasks_blocked()  # so that what came before is with the caller
+                raise item
             yield item
 
 
