A request that the node itself fails is unknown or not run, and its caller is told

Cause: the clean-up of a request's task stepped it with CallerGone whatever had ended the task. Errors of our own were counted as callers that left, outside the report on burn, and their callers got a bare 500 or a cut without a reason.

Change: an error within is logged with the request's id and is an input of its own, `RouterFailed`; the core gives the request up as for any other reason: *unknown* once it was dispatched, else *not run*.

--- a/saffronworks/request_events.py
+++ b/saffronworks/request_events.py
@@ -31,6 +31,7 @@
     "RefusalReceived",
     "ReleaseGrant",
     "ResumeDecode",
+    "RouterFailed",
     "StartDecode",
     "StartPrefill",
     "Started",
@@ -191,6 +192,11 @@
     """The caller hung up."""
 
 
+@attrs.frozen
+class RouterFailed:
+    """An error that nobody foresaw ended the request's task."""
+
+
 @attrs.frozen
 class LeaseLost:
     """This node stood still past its lease: others took what the request held."""
@@ -220,6 +226,7 @@
     | DecodeEnded
     | DecodeBroken
     | CallerGone
+    | RouterFailed
     | LeaseLost
     | OwnerChanged
     | Tick
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -35,6 +35,7 @@
     RefusalReceived,
     ReleaseGrant,
     ResumeDecode,
+    RouterFailed,
     StartDecode,
     Started,
     StartPrefill,
@@ -122,6 +123,8 @@
             return _ask(request, now_ms, retry=False)
         case CallerGone():
             return _end(request, Cancelled())
+        case RouterFailed():
+            return _end(request, _give_up(request, "router failed"))
         case Tick():
             return _tick(request, now_ms)
         case OwnerChanged():
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -108,7 +108,10 @@
         return HeldKey(request.key, endpoint, stage, self.job.organisation, request.delivered)
 
     async def run(self, sink: Sink) -> request_events.Outcome:
-        """Run to the outcome. On cancellation the engines are told, then it goes on up."""
+        """Run to the outcome. On cancellation the engines are told, then it goes on up.
+
+        An error within is logged and becomes an outcome too: there is a caller to be told.
+        """
         try:
             async with anyio.create_task_group() as tasks:
                 self.post(request_events.Started())
@@ -119,15 +122,17 @@
                     if self.request.phase is Phase.FINISHED:
                         tasks.cancel_scope.cancel()
                         break
+        except Exception:
+            logger.exception("event=request_failed request=%s", self.request.request_id)
+            self._abandon(request_events.RouterFailed())
         finally:
-            self._abandon()
+            self._abandon(request_events.CallerGone())
         assert self.request.outcome is not None
         return self.request.outcome
 
-    def _abandon(self) -> None:
+    def _abandon(self, event: request_events.CallerGone | request_events.RouterFailed) -> None:
         """Tell engines and owner when the task ends before the request does."""
-        commands = requests.step(self.request, request_events.CallerGone(), self._kernel.now_ms())
-        for command in commands:
+        for command in requests.step(self.request, event, self._kernel.now_ms()):
             self._perform_now(command)
 
     async def _perform(self, command: request_events.Command, tasks: TaskGroup, sink: Sink) -> None:
