--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -169,23 +169,19 @@
     ) -> Request:
         entry = self._entry()
         runner = self._make_runner(call, request, request_id)
-        sink = StreamingSink(call, request_id, request) if request.stream else CollectingSink()
+        sink = (StreamingSink if request.stream else CollectingSink)(call, request_id, request)
         entry.add(runner)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_caller, call, runner)
-                outcome = await runner.run(sink)
+                tasks.start_soon(self._watch_caller, call, tasks.cancel_scope)
+                await runner.run(sink)
                 tasks.cancel_scope.cancel()
         finally:
             entry.remove(runner)
             self._ends.record(runner.request, runner.job, self._kernel.now_ms())
-        if isinstance(outcome, request_events.Cancelled):
-            return runner.request
-        if isinstance(sink, StreamingSink) and (call.started or isinstance(outcome, Completed)):
+        outcome = runner.request.outcome
+        if isinstance(outcome, Completed | NotRun | Unknown):
             await sink.finish(outcome)
-        else:
-            text = "".join(sink.tokens) if isinstance(sink, CollectingSink) else ""
-            await reply_outcome(call, outcome, request_id, request, text)
         return runner.request
 
     def _make_runner(
@@ -218,9 +214,10 @@
         runner.owner = members.owner_of(job.cell.name)
         return runner
 
-    async def _watch_caller(self, call: Call, runner: RequestRunner) -> None:
+    async def _watch_caller(self, call: Call, request: anyio.CancelScope) -> None:
+        """Cancel the request when its caller leaves; a message could be dropped, and comes once."""
         await call.wait_gone()
-        runner.post(request_events.CallerGone())
+        request.cancel()
 
 
 def _asks_once(call: Call) -> bool:
--- a/saffronworks/request_events.py
+++ b/saffronworks/request_events.py
@@ -31,12 +31,14 @@
     "RefusalReceived",
     "ReleaseGrant",
     "ResumeDecode",
+    "RouterFailed",
     "StartDecode",
     "StartPrefill",
     "Started",
     "TellPrefilled",
     "Tick",
     "TokensArrived",
+    "Told",
     "Unknown",
 ]
 
@@ -80,7 +82,8 @@
     """The caller left; nobody is told anything."""
 
 
-Outcome = Completed | NotRun | Unknown | Cancelled
+Told = Completed | NotRun | Unknown
+Outcome = Told | Cancelled
 
 
 @attrs.frozen
@@ -169,10 +172,10 @@
 
 @attrs.frozen
 class DecodeEnded:
-    """The endpoint says the answer has `total` tokens and is whole."""
+    """The endpoint says the answer has `total` tokens and is whole; None: it told no number."""
 
     attempt: int
-    total: int
+    total: int | None
 
 
 @attrs.frozen
@@ -189,6 +192,11 @@
     """The caller hung up."""
 
 
+@attrs.frozen
+class RouterFailed:
+    """An error that nobody foresaw ended the request's task."""
+
+
 @attrs.frozen
 class LeaseLost:
     """This node stood still past its lease: others took what the request held."""
@@ -218,6 +226,7 @@
     | DecodeEnded
     | DecodeBroken
     | CallerGone
+    | RouterFailed
     | LeaseLost
     | OwnerChanged
     | Tick
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -75,13 +75,19 @@
         self._kernel = kernel
         self._owners = owners
         self._engines = engines
+        self._answered: list[str] = []
         self._endpoints = {endpoint.name: endpoint for endpoint in job.cell.endpoints}
         self._outbox, self._inbox = anyio.create_memory_object_stream[request_events.Event](
             EVENTS_HELD
         )
 
     def post(self, event: request_events.Event) -> None:
-        """Hand in an event without waiting; a full mailbox drops it, as the network would."""
+        """Hand in an event without waiting; a full mailbox drops it, as the network would.
+
+        So only what can be missed comes this way: owners' answers are asked for again, ticks come
+        again, and a lost lease says nothing to a request that streams, the only kind whose mailbox
+        fills up. Tokens and ends of runs wait for room.
+        """
         try:
             self._outbox.send_nowait(event)
         except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -102,7 +108,10 @@
         return HeldKey(request.key, endpoint, stage, self.job.organisation, request.delivered)
 
     async def run(self, sink: Sink) -> request_events.Outcome:
-        """Run to the outcome. On cancellation the engines are told, then it goes on up."""
+        """Run to the outcome. On cancellation the engines are told, then it goes on up.
+
+        An error within is logged and becomes an outcome too: there is a caller to be told.
+        """
         try:
             async with anyio.create_task_group() as tasks:
                 self.post(request_events.Started())
@@ -113,20 +122,23 @@
                     if self.request.phase is Phase.FINISHED:
                         tasks.cancel_scope.cancel()
                         break
+        except Exception:
+            logger.exception("event=request_failed request=%s", self.request.request_id)
+            self._abandon(request_events.RouterFailed())
         finally:
-            self._abandon()
+            self._abandon(request_events.CallerGone())
         assert self.request.outcome is not None
         return self.request.outcome
 
-    def _abandon(self) -> None:
+    def _abandon(self, event: request_events.CallerGone | request_events.RouterFailed) -> None:
         """Tell engines and owner when the task ends before the request does."""
-        commands = requests.step(self.request, request_events.CallerGone(), self._kernel.now_ms())
-        for command in commands:
+        for command in requests.step(self.request, event, self._kernel.now_ms()):
             self._perform_now(command)
 
     async def _perform(self, command: request_events.Command, tasks: TaskGroup, sink: Sink) -> None:
         match command:
             case request_events.Deliver():
+                self._answered += command.tokens
                 await sink.deliver(command.tokens)
             case request_events.StartPrefill():
                 tasks.start_soon(self._prefill, command)
@@ -146,9 +158,15 @@
             case request_events.ReleaseGrant():
                 self._tell(self._release(command))
             case request_events.CancelAt():
-                key = RequestKey(self.request.request_id, command.attempt)
-                address = self._endpoints[command.endpoint].address
-                self._kernel.post("cancels", CancelOrder(command.endpoint, address, key))
+                self._cancel(command)
+
+    def _cancel(self, command: request_events.CancelAt) -> None:
+        """Order a cancel; an endpoint that this node does not know was sent nothing."""
+        endpoint = self._endpoints.get(command.endpoint)
+        if endpoint is not None:
+            key = RequestKey(self.request.request_id, command.attempt)
+            order = CancelOrder(command.endpoint, endpoint.address, key)
+            self._kernel.post("cancels", order)
 
     def _tell(self, message: Ask | Prefilled | Release) -> None:
         self._owners.tell_owner(self.job.cell.name, message)
@@ -216,6 +234,7 @@
             prefix_tokens=self.job.prefix_tokens,
             delivered=command.delivered,
             begin_within_ms=command.begin_within_ms,
+            answered=tuple(self._answered),
         )
         reply = await self._engines.prefill(endpoint.address, call, self.request.stall_ms)
         if isinstance(reply, Err):
