A planner that takes over no longer counts runs that are over

It keeps a run that a node's newer list lacks for 1.5 s after its begin, since a grant may have crossed the list on its way; so it counted every run of the last 1.5 s, 40 and 31 where the planner before it had counted 9 and 3, and refused 19 callers as memory-full within a second. A run that was listed once can't have crossed the list that lacks it.

Change: a run remembers whether it was listed; a list that lacks it ends it. Grants not listed yet stay. Test first: of four short runs it knew three that were over (fails), none after.

--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -139,12 +139,17 @@
 
 
 def _take_report(state: PlanState, report: MemoryReport, now_ms: int) -> None:
-    """A node's own list replaces what was known of it, but for grants that crossed it."""
+    """A node's own list replaces what was known of it, but for grants that crossed it.
+
+    Those are the ones that it never listed. A planner that was second so far hears of ends by
+    these lists alone: counted on until they lapse, the runs of a quarter of a second made a new
+    planner see 40 where 6 were, and refuse callers while places were free.
+    """
     state.reported_ms[report.reply_to] = now_ms
     listed = {run.request_id for run in report.runs}
     for request_id, run in list(state.runs.items()):
-        fresh = now_ms - run.began_ms < REPORT_LAPSE_MS
-        if run.reply_to == report.reply_to and request_id not in listed and not fresh:
+        may_cross = not run.listed and now_ms - run.began_ms < REPORT_LAPSE_MS
+        if run.reply_to == report.reply_to and request_id not in listed and not may_cross:
             _forget_run(state, request_id)
     for live in report.runs:
         known = state.runs.get(live.request_id)
@@ -152,6 +157,7 @@
             known = state.runs[live.request_id] = _from_report(live, report.reply_to, now_ms)
         if live.made_tokens and known.reader is not None:
             state.reading.uncount(live.request_id, known.reader)
+        known.listed = True
         known.made_tokens, known.made_ms = live.made_tokens, now_ms - live.quiet_ms
         if live.made_tokens and live.quiet_ms >= QUIET_RUN_MS:
             state.shuns.fail(live.instance, now_ms)
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -12,8 +12,8 @@
 class Run:
     """One run on an endpoint, by the planner's own clock.
 
-    `made_tokens` of the answer were there at `made_ms`, by the last report. `reader` was to read
-    the prompt.
+    `made_tokens` of the answer were there at `made_ms`, by the last report; `listed`: there was
+    one. `reader` was to read the prompt.
     """
 
     instance: str
@@ -25,6 +25,7 @@
     reader: str | None = None
     made_tokens: int = 0
     made_ms: int = 0
+    listed: bool = False
 
     def growth(
         self, lengths: AnswerLengths, ms_per_token: float, now_ms: int
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -60,6 +60,11 @@
     Then it sends the asker to the endpoints until it has heard the reports
     And after it stood still it does so again
 
+  Scenario: a planner that only hears reports knows which runs are over
+    Given a second planner that heard the reports of many short runs
+    Then it counts those of the newest report alone
+    And a grant that a report crossed on its way is counted on
+
   Scenario: runs of a node that is gone are forgotten
     Given a plan with runs of two nodes of which one reports no more
     Then only the runs of the other one remain
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -16,6 +16,7 @@
     OWN_READ_GAP_MS,
     OWN_READ_MEMORY_SHARE,
     READ_MS_PER_TOKEN,
+    REPORT_EVERY_MS,
     REPORT_LAPSE_MS,
     RETRY_AFTER_LEAST_MS,
     SHUN_MS,
@@ -334,6 +335,31 @@
     return messages.MemoryReport(node, "s", (run,))
 
 
+@given("a second planner that heard the reports of many short runs")
+def short_runs(context):
+    """Of runs that end within a quarter of a second, each report lists others."""
+    context.plan = plan = warm_plan()
+    for number in range(4):
+        context.now_ms = START_MS + number * REPORT_EVERY_MS
+        core.step(plan, report("n1", f"short{number}"), {"d0": "z"}, context.now_ms)
+
+
+@then("it counts those of the newest report alone")
+def newest_alone(context):
+    assert list(context.plan.runs) == ["short3"], context.plan.runs
+
+
+@then("a grant that a report crossed on its way is counted on")
+def crossed(context):
+    decoders, now_ms = {"d0": "z"}, context.now_ms
+    assert granted(core.step(context.plan, ask("crossed"), decoders, now_ms))
+    core.step(context.plan, report("n1", "short4"), decoders, now_ms + 1)
+    assert set(context.plan.runs) == {"crossed", "short4"}, context.plan.runs
+    core.step(context.plan, report("n1", "crossed"), decoders, now_ms + REPORT_EVERY_MS)
+    core.step(context.plan, report("n1", "short5"), decoders, now_ms + 2 * REPORT_EVERY_MS)
+    assert set(context.plan.runs) == {"short5"}, "its end was told by the report, if not heard"
+
+
 @given("a plan with runs of two nodes of which one reports no more")
 def two_nodes(context):
     plan = context.plan = warm_plan()
