--- a/saffronworks/standins/sites.py
+++ b/saffronworks/standins/sites.py
@@ -1,8 +1,6 @@
 """A small site in one process: stand-ins, and nodes before them, on loopback."""
 
-import itertools
 import json
-import os
 from collections.abc import Callable
 
 import anyio
@@ -12,21 +10,17 @@
 
 from saffronworks.nodes import Node
 from saffronworks.settings import Settings
+from saffronworks.standins.addresses import free_address
 from saffronworks.standins.standin_engine import StandinEngine
 from saffronworks.standins.standin_models import EngineProfile
 from saffronworks.standins.standin_plain import StandinPlain
 from saffronworks.standins.standin_store import StandinStore
-from saffronworks.web import bind
 
-__all__ = ["Site", "SiteShape", "free_address", "wait_until"]
+__all__ = ["Site", "SiteShape", "wait_until"]
 
 ZONES = ("kgl-nyarugenge", "kgl-gasabo", "kgl-kicukiro")
 REGION = "kgl"
 POLL_S = 0.02
-FIRST_PORT = 12_000
-PORTS = 20_000
-PORTS_PER_PROCESS = 97
-_PORTS = (FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + i) % PORTS for i in itertools.count())
 
 
 @attrs.frozen
@@ -47,21 +41,6 @@
     change_roles: bool = False
 
 
-def free_address() -> str:
-    """A loopback address that nobody listens on.
-
-    Its port lies below those that the kernel gives to outgoing connections and to port 0, and
-    comes only once in this process, so that nothing takes it before it is listened on.
-    """
-    while True:
-        address = f"127.0.0.1:{next(_PORTS)}"
-        try:
-            bind(address).close()
-        except OSError:
-            continue
-        return address
-
-
 async def wait_until(condition: Callable[[], object], limit_s: float = 20.0) -> bool:
     """Wait until `condition()` holds; False when it never did."""
     with anyio.move_on_after(limit_s):
--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -41,3 +41,7 @@
   Scenario: a short soak breaks no promise
     When two nodes are soaked for some seconds
     Then no promise was broken, and callers were served
+
+  Scenario: runs side by side on one machine have addresses of their own
+    When two runs draw more addresses than a block has, from the same block on
+    Then no address is drawn by both
--- a/saffronworks/tests/features/steps/daemons_steps.py
+++ b/saffronworks/tests/features/steps/daemons_steps.py
@@ -12,8 +12,9 @@
 import yaml
 from behave import then, when
 
+from saffronworks.standins.addresses import free_address
 from saffronworks.standins.callers import LoadPlan, ask, expected_answer, run_load
-from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape, free_address, wait_until
+from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape, wait_until
 from saffronworks.standins.standin_models import EngineProfile
 
 TOKENS = 60
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -18,7 +18,7 @@
 )
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
-from saffronworks.standins.sites import free_address
+from saffronworks.standins.addresses import free_address
 from saffronworks.wire import Codec
 
 
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -8,6 +8,7 @@
 import attrs
 from behave import given, then, when
 
+from saffronworks.standins.addresses import PORTS_PER_BLOCK, free_ports
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.platform_fakes import SLOW_S, FakeStore, fetch
 from saffronworks.tests.soak import faults, promises
@@ -234,3 +235,15 @@
 def kept(context):
     assert context.result.findings == [], context.result.findings
     assert context.result.seen.get("res-200", 0) > 10, context.result.seen
+
+
+@when("two runs draw more addresses than a block has, from the same block on")
+def draw_addresses(context):
+    one, other = free_ports(7), free_ports(7)
+    context.drawn = [[next(one), next(other)] for _ in range(2 * PORTS_PER_BLOCK)]
+
+
+@then("no address is drawn by both")
+def none_by_both(context):
+    one, other = (set(ports) for ports in zip(*context.drawn, strict=True))
+    assert not one & other and len(one) == len(other) == len(context.drawn)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from saffronworks.standins.sites import free_address
+from saffronworks.standins.addresses import free_address
 from saffronworks.web import Call, HttpServer, bind
 
 __all__ = ["SLOW_S", "FakeServer", "FakeStore", "fetch", "settings_text"]
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from saffronworks.standins.sites import free_address
+from saffronworks.standins.addresses import free_address
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.records import Ran
 
--- a/saffronworks/tests/soak/processes.py
+++ b/saffronworks/tests/soak/processes.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from saffronworks.standins.sites import free_address
+from saffronworks.standins.addresses import free_address
 from saffronworks.tests.platform_fakes import fetch, settings_text
 
 __all__ = ["GRACE_S", "NodeProcess"]
--- a/saffronworks/tests/soak/proxies.py
+++ b/saffronworks/tests/soak/proxies.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 
-from saffronworks.standins.sites import free_address
+from saffronworks.standins.addresses import free_address
 
 __all__ = ["Proxy"]
 
--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -15,8 +15,9 @@
 import httpcore
 import yaml
 
+from saffronworks.standins.addresses import free_address
 from saffronworks.standins.callers import LoadPlan, ask, run_load
-from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape, free_address
+from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape
 from saffronworks.standins.standin_models import EngineProfile
 
 __all__ = ["MEASURES", "measure_idle", "measure_idle_endpoints"]
