--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -82,6 +82,7 @@
     progress_ms: int = 0
     first_token_ms: int | None = None
     last_token_ms: int = 0
+    broke_ms: int | None = None
     prefill_ms: int = 0
     cached_tokens: int = 0
     kv_expires_ms: int = 0
@@ -103,13 +104,21 @@
         return self.phase in (Phase.PREFILLING, Phase.ASSIGNING, Phase.TRANSFERRING)
 
     @property
-    def first_due_ms(self) -> int | None:
-        """Until when a first token helps its caller; None once it is out: it binds no more."""
-        return self.deadline_ms if self.first_token_ms is None else None
+    def next_due_ms(self) -> int | None:
+        """Until when the next token helps its caller; None while tokens come.
+
+        A stream that lost its engine is given as long as a newcomer, so that it neither ends by a
+        deadline which it has met, nor waits without an end where no owner answers.
+        """
+        if self.first_token_ms is None:
+            return self.deadline_ms
+        if self.broke_ms is None:
+            return None
+        return self.broke_ms + self.deadline_ms - self.arrived_ms
 
     def too_late(self, now_ms: int) -> bool:
-        """Whether no first token can come in time any more."""
-        return self.first_due_ms is not None and now_ms >= self.first_due_ms
+        """Whether the next token can't come in time any more."""
+        return self.next_due_ms is not None and now_ms >= self.next_due_ms
 
 
 def step(request: Request, event: Event, now_ms: int) -> list[Command]:
@@ -195,8 +204,8 @@
     request.dispatched = True
     request.progress_ms = now_ms
     begin_within_ms = request.stall_ms
-    if request.first_due_ms is not None:
-        begin_within_ms = max(1, min(begin_within_ms, request.first_due_ms - now_ms))
+    if request.next_due_ms is not None:
+        begin_within_ms = max(1, min(begin_within_ms, request.next_due_ms - now_ms))
     return [StartPrefill(request.attempt, endpoint, request.delivered, begin_within_ms)]
 
 
@@ -252,6 +261,7 @@
     if request.first_token_ms is None:
         request.first_token_ms = now_ms
     request.last_token_ms = now_ms
+    request.broke_ms = None
     request.progress_ms = now_ms
     return [Deliver(fresh)]
 
@@ -277,6 +287,8 @@
     too_many = request.attempt >= MOST_ATTEMPTS
     if too_many or request.too_late(now_ms) or (request.unrepeatable and executed):
         return commands + _finish(request, _give_up(request, failure or "failed"))
+    if request.first_token_ms is not None and request.broke_ms is None:
+        request.broke_ms = now_ms
     request.attempt += 1
     request.resumes = 0
     request.prefill_endpoint = request.decode_endpoint = request.kv_id = ""
@@ -335,7 +347,7 @@
             due = request.progress_ms + request.transfer_limit_ms
         case _:
             due = request.progress_ms + request.stall_ms
-    return due if request.first_due_ms is None else min(due, request.first_due_ms)
+    return due if request.next_due_ms is None else min(due, request.next_due_ms)
 
 
 def _give_up(request: Request, reason: str, retry_after_ms: int = RETRY_AFTER_MS) -> Outcome:
--- a/saffronworks/tests/features/steps/tokens_steps.py
+++ b/saffronworks/tests/features/steps/tokens_steps.py
@@ -129,6 +129,17 @@
     context.commands = core.step(context.request, broken, late_ms)
 
 
+@then("without an answer of an owner it is told unknown after as long as a newcomer waits")
+def bounded(context):
+    request = context.request
+    broke_ms, waits_ms = request.deadline_ms + 1, request.deadline_ms - request.arrived_ms
+    core.step(request, ev.Tick(), broke_ms + waits_ms - 1)
+    assert request.outcome is None, request
+    assert core.due_ms(request) <= broke_ms + waits_ms
+    core.step(request, ev.Tick(), broke_ms + waits_ms)
+    assert isinstance(request.outcome, ev.Unknown), request
+
+
 @when("an engine sends its tokens and an end that tells no length")
 def no_length(context):
     context.caller = ask(RequestPath([line("a", "b"), NO_LENGTH], [line("c", offset=2), done(3)]))
--- a/saffronworks/tests/features/tokens.feature
+++ b/saffronworks/tests/features/tokens.feature
@@ -27,6 +27,11 @@
     Then a new attempt asks for a grant
     And the next decode starts at offset 3
 
+  Scenario: a stream that finds no further engine waits as long as a newcomer
+    Given a request that streams from an engine
+    When the engine dies after 3 tokens, past the deadline
+    Then without an answer of an owner it is told unknown after as long as a newcomer waits
+
   Scenario: a new attempt is given the tokens that the caller has
     When a first engine dies after 2 tokens and a second one goes on
     Then the second prefill is given these tokens after the prompt
