--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -46,10 +46,10 @@
     def rank(self, now_ms: int) -> tuple[bool, int]:
         """Those who can be in time first, the most pressing of them before others.
 
-        One who was refused early and returned has a target of its own from then: served within it,
-        it is worth the mean of one in time and one that is late. Behind all who come first, 25 in
-        100 of those who returned were in time, in their turn 87, while those who come first fell
-        from 78 to 73 in 100 (four seconds of twice the load that can be served, `planner_load`).
+        One who was refused early and returned when it was told takes its turn. Behind all who come
+        first, 31 in 100 of them were served within the target from their return, in their turn 87,
+        while those who come first fell from 79 to 75 in 100: of all callers 93 in 100 are served in
+        time from one of their tries, 84 before (four seconds of twice the load, `planner_load`).
         """
         late = now_ms > self.in_time_until_ms
         return late, self.patient_until_ms if late else self.in_time_until_ms
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -28,8 +28,8 @@
 
     The forecast counts on what a grant may use: readers, and those decode endpoints that have the
     memory to read by themselves. When it counted on all decode endpoints, 5 in 100 first callers of
-    a burst were kept waiting and then late, which is worth a third of an early refusal and a return
-    in time; now 1 in 100. Where memory binds, 10 in 100 before and 4 now (`planner_load`).
+    a burst were kept waiting and then late, where an early word would have had them back in time;
+    now 1 in 100. Where memory binds, 10 in 100 before and 4 now (`planner_load`).
     Whoever is told to return takes nothing from those behind.
     """
     pending = [w for w in state.waiters.values() if not w.decided]
--- a/saffronworks/tests/features/planner_load.feature
+++ b/saffronworks/tests/features/planner_load.feature
@@ -22,4 +22,9 @@
     Given a burst beyond what memory holds, and callers who return when they were told
     Then seven in ten of those who come first are served in time
     And four in five of those who return are served in time from their return
-    And together they earn 84 in 100 of what all would earn in time
+    And nine in ten callers are served in time from one of their tries
+
+  Scenario: many of those who ask were refused before, and the overload lasts
+    Given as many callers, of whom two in five were refused before
+    Then seven in ten of all are served in time from this try
+    And two in three of those who come first are
--- a/saffronworks/tests/features/steps/planner_load_steps.py
+++ b/saffronworks/tests/features/steps/planner_load_steps.py
@@ -83,27 +83,33 @@
     assert len(returned) > 20 and served >= 0.8 * len(returned), (served, len(returned))
 
 
-# What a caller is worth to the users: served in time 1, late 0.2; refused early and served in time
-# from its return, the mean of both.
-LATE_CREDIT = 0.2
-RETURNED_CREDIT = 0.6
+@then("nine in ten callers are served in time from one of their tries")
+def one_of_their_tries(context):
+    """Behind all who come first, those who returned made it 84 in 100."""
+    first = sum(not o.returned for _, outcomes in context.plays for o in outcomes)
+    target_ms = ENGINES_WITH_LITTLE_MEMORY.target_ms
+    served = sum(o.first_within(target_ms) for _, outcomes in context.plays for o in outcomes)
+    assert served >= 0.9 * first, (served, first)
+
+
+@given("as many callers, of whom two in five were refused before")
+def many_returned(context):
+    shape = attrs.evolve(ENGINES_WITH_LITTLE_MEMORY, readers=3)
+    context.plays = play(shape, [(15_000, OVERLOAD_PER_S)], returned_share=0.4)
 
 
-def credit(outcome, target_ms):
-    if outcome.first_ms is None:
-        return 0.0
-    if not outcome.first_within(target_ms):
-        return LATE_CREDIT
-    return RETURNED_CREDIT if outcome.returned else 1.0
+@then("seven in ten of all are served in time from this try")
+def all_in_time(context):
+    """In turn 74 in 100; with those who returned behind all others 66."""
+    every = [(load, o) for load, outcomes in context.plays for o in outcomes]
+    served = sum(o.first_within(load.shape.target_ms) for load, o in every)
+    assert served >= 0.7 * len(every), (served, len(every))
 
 
-@then("together they earn 84 in 100 of what all would earn in time")
-def credit_earned(context):
+@then("two in three of those who come first are")
+def first_of_these(context):
     first = sum(not o.returned for _, outcomes in context.plays for o in outcomes)
-    earned = sum(
-        credit(o, load.shape.target_ms) for load, outcomes in context.plays for o in outcomes
-    )
-    assert earned >= 0.84 * first, earned / first
+    assert count_in_time(context.plays) >= 0.66 * first, (count_in_time(context.plays), first)
 
 
 def kept_and_late(plays):
