--- a/saffronworks/tests/features/steps/burn_steps.py
+++ b/saffronworks/tests/features/steps/burn_steps.py
@@ -7,13 +7,12 @@
 from behave import given, then, when
 from hypothesis import given as forall
 from hypothesis import strategies as st
-from site_steps import QUICK
 
 from saffronworks.burn import MOST_SERIES, OTHER, WINDOWS, BurnRecorder, merge_burns
 from saffronworks.reports import make_report, plot_report
 from saffronworks.standins.callers import LoadPlan, run_load
 from saffronworks.standins.sites import SiteShape
-from saffronworks.tests.plays import addresses, on_site
+from saffronworks.tests.plays import QUICK, addresses, on_site
 
 DAY_MS = 86_400_000
 
--- a/saffronworks/tests/features/steps/claims_steps.py
+++ b/saffronworks/tests/features/steps/claims_steps.py
@@ -7,13 +7,12 @@
 from hypothesis import given as forall
 from hypothesis import settings
 from hypothesis import strategies as st
-from site_steps import QUICK, SLOW, loaded_engine
 
 from saffronworks import claims
 from saffronworks.claims import ClaimRecord, ClaimShard
 from saffronworks.standins.callers import ask, expected_answer
 from saffronworks.standins.sites import SiteShape
-from saffronworks.tests.plays import on_site
+from saffronworks.tests.plays import QUICK, SLOW, loaded_engine, on_site
 
 MOST_CALLS = 50
 KEYED = {"x-unrepeatable": "true", "idempotency-key": "bill-17", "x-organisation": "o"}
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -10,33 +10,18 @@
 from saffronworks.standins.callers import LoadPlan, ask, expected_answer, run_load
 from saffronworks.standins.sites import SiteShape, wait_until
 from saffronworks.standins.standin_engine import Fault
-from saffronworks.standins.standin_models import EngineProfile, answer_length
-from saffronworks.tests.plays import addresses, on_site
-
-QUICK = EngineProfile(slots=6, step_ms=4.0)
-SLOW = EngineProfile(slots=6, step_ms=30.0)
-TOKENS = 48
-LONG_TOKENS = 4000
-
-
-async def load_while(context, nodes, plan, act, after_s=0.4):
-    """Run a load over `nodes`, and `act()` in its middle."""
-
-    async def load():
-        context.answers += await run_load(addresses(nodes), plan)
-
-    async with anyio.create_task_group() as both:
-        both.start_soon(load)
-        await anyio.sleep(after_s)
-        await act()
-
-
-def owner_of(site):
-    return next(node for node in site.nodes if node.owner.states)
-
-
-def others(site, *nodes):
-    return [node for node in site.nodes if node not in nodes]
+from saffronworks.standins.standin_models import answer_length
+from saffronworks.tests.plays import (
+    LONG_TOKENS,
+    QUICK,
+    SLOW,
+    TOKENS,
+    addresses,
+    load_while,
+    loaded_engine,
+    on_site,
+    owner_of,
+)
 
 
 async def post(address, body):
@@ -228,20 +213,6 @@
     on_site(context, SiteShape(profile=QUICK), play)
 
 
-async def loaded_engine(site):
-    """Wait for a decode engine with a running stream that has given some tokens."""
-
-    def find():
-        return [
-            engine
-            for engine in site.engines.values()
-            if any(len(stream.tokens) > 2 and stream.running for stream in engine.streams.values())
-        ]
-
-    assert await wait_until(find)
-    return find()[0]
-
-
 @when("an unrepeatable request loses its engine in the middle")
 def unrepeatable_lost(context):
     async def play(site, tasks):
@@ -273,76 +244,6 @@
     assert context.dispatches == [1], context.dispatches
 
 
-async def still_answers(context, site, *dead):
-    """After a death, the nodes that are left must answer; kept apart from the load's answers."""
-    plan = LoadPlan(4, 10.0, letter_characters=100, max_tokens=8)
-    context.after = await run_load(addresses(others(site, *dead)), plan)
-
-
-@then("the other nodes still answer")
-def they_answer(context):
-    wrong = [a for a in context.after if a.text != expected_answer(a.prompt, 8)]
-    assert not wrong, wrong[:3]
-
-
-def die_under_streams(context, choose):
-    async def play(site, tasks):
-        dead = choose(site)
-        await anyio.sleep(0.3)
-
-        async def act():
-            await loaded_engine(site)
-            for node in dead:
-                node.kill()
-
-        # Long enough that no stream ends by itself before the test does.
-        plan = LoadPlan(12, 5.0, letter_characters=100, max_tokens=LONG_TOKENS)
-        await load_while(context, dead, plan, act, after_s=0.05)
-        await still_answers(context, site, *dead)
-
-    on_site(context, SiteShape(profile=SLOW, max_tokens=LONG_TOKENS), play)
-
-
-@when("a node dies under streams")
-def node_dies(context):
-    die_under_streams(context, lambda site: [others(site, owner_of(site))[0]])
-
-
-@when("the owner and another entry node die together under streams")
-def both_die(context):
-    die_under_streams(context, lambda site: [owner_of(site), others(site, owner_of(site))[0]])
-
-
-@when("the owner dies under streams of another node")
-def owner_dies(context):
-    async def play(site, tasks):
-        owner = owner_of(site)
-
-        async def act():
-            await loaded_engine(site)
-            owner.kill()
-
-        plan = LoadPlan(16, 40.0, letter_characters=100, max_tokens=TOKENS)
-        await load_while(context, others(site, owner)[:1], plan, act, after_s=0.05)
-
-    on_site(context, SiteShape(profile=SLOW, patience_ms=20_000), play)
-
-
-@when("a node is stopped under streams")
-def planned_stop(context):
-    async def play(site, tasks):
-        owner = owner_of(site)
-
-        async def act():
-            await loaded_engine(site)
-            owner.stop()
-
-        plan = LoadPlan(6, 5.0, letter_characters=100, max_tokens=TOKENS)
-        await load_while(context, [owner], plan, act, after_s=0.05)
-
-    on_site(context, SiteShape(profile=SLOW, patience_ms=20_000), play)
-
-
 @when("a decode endpoint is marked as leaving under load")
 def leaving(context):
     async def play(site, tasks):
