--- a/saffronworks/tests/features/steps/platform_input_steps.py
+++ b/saffronworks/tests/features/steps/platform_input_steps.py
@@ -9,7 +9,8 @@
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import PlatformStore
-from saffronworks.tests.platform_fakes import FakeStore, settings_text
+from saffronworks.tests.fake_store import FakeStore
+from saffronworks.tests.platform_fakes import settings_text
 from saffronworks.tests.platform_place import make_route, on_platform, web_servers
 
 
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -10,7 +10,8 @@
 
 from saffronworks.standins.addresses import PORTS_PER_BLOCK, free_ports
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.platform_fakes import SLOW_S, FakeStore, fetch
+from saffronworks.tests.fake_store import SLOW_S, FakeStore
+from saffronworks.tests.platform_fakes import fetch
 from saffronworks.tests.soak import faults, promises
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -9,7 +9,8 @@
 from saffronworks.platform.node import READINESS_PATH, PlatformNode
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.platform_fakes import FakeServer, FakeStore, fetch, settings_text
+from saffronworks.tests.fake_store import FakeStore
+from saffronworks.tests.platform_fakes import FakeServer, fetch, settings_text
 
 ENGINE = {
     "slots": 4,
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -8,7 +8,7 @@
 import attrs
 
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.platform_fakes import FakeStore
+from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.platform_place import CONFIG, ENGINE, make_route
 from saffronworks.tests.soak import faults
 from saffronworks.tests.soak.callers import Caller
