--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -3,27 +3,24 @@
 import logging
 import random
 from collections.abc import Callable
+from typing import Annotated
 
 import anyio
 import attrs
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from saffronworks.forwarding.ports import Conflict, ObjectSource, StoredObject
+from saffronworks.web import is_address
 
 __all__ = ["NODE_KIND", "Census"]
 
 
-@attrs.frozen
-class _Entry:
-    """Where a node hears its peers, as `IP:port`, and how many processor cores it has."""
-
-    address: str
-    cores: float = 1.0
-
-
 logger = logging.getLogger(__name__)
 
+# More cores than any VM has; an entry that claims more would be taken for the strongest planner.
+MOST_CORES = 1024
+
 # The kind of the objects that nodes enter themselves by; one object a node.
 NODE_KIND = "saffron-nodes"
 COUNT_EVERY_S = 10.0
@@ -33,6 +30,14 @@
 ENTER_AGAIN_S = 1.0
 
 
+@attrs.frozen
+class _Entry:
+    """Where a node hears its peers, as `IP:port`, and how many processor cores it has."""
+
+    address: str
+    cores: Annotated[float, msgspec.Meta(gt=0, le=MOST_CORES)] = 1.0
+
+
 class Census:
     """Enters this node, then lists all again and again; hands on their addresses and cores.
 
@@ -55,6 +60,7 @@
         self._rng = rng
         self._take = take
         self._known: dict[str, float] = {}
+        self._told: dict[str, int] = {}
 
     async def run(self) -> None:
         """Enter, then count again and again until cancelled."""
@@ -85,7 +91,7 @@
 
     async def _renew(self, found: StoredObject) -> bool:
         """An earlier life of this node entered it; its address may have been another one."""
-        if _decode(found.content or b"") == self._entry:
+        if self._read(found) == self._entry:
             return True
         content = msgspec.json.encode(self._entry)
         reply = await self._store.replace(NODE_KIND, self._node, content, found.revision)
@@ -98,17 +104,32 @@
         if isinstance(listing, Err):
             logger.info("event=census_failed problem=%s", listing.err_value)
             return
-        read = [_decode(item.content or b"") for item in listing.ok_value.objects]
+        read = [self._read(item) for item in listing.ok_value.objects]
         nodes = {entry.address: entry.cores for entry in read if entry is not None}
         if nodes != self._known:
             logger.info("event=census nodes=%d before=%d", len(nodes), len(self._known))
             self._known = nodes
             self._take(nodes)
 
-
-def _decode(content: bytes) -> _Entry | None:
+    def _read(self, item: StoredObject) -> _Entry | None:
+        """An entry; one of another writer that names no node is told once a version."""
+        read = _decode(item.content or b"")
+        if isinstance(read, Err) and self._told.get(item.name) != item.revision:
+            self._told[item.name] = item.revision
+            logger.error(
+                "event=census_entry_unreadable node=%s revision=%d problem=%r",
+                item.name,
+                item.revision,
+                read.err_value,
+            )
+        return read.ok()
+
+
+def _decode(content: bytes) -> Result[_Entry, str]:
     try:
-        return msgspec.json.decode(content, type=_Entry)
-    except msgspec.MsgspecError as error:
-        logger.info("event=census_entry_unreadable problem=%r", str(error))
-        return None
+        entry = msgspec.json.decode(content, type=_Entry)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Err(str(error))
+    if not is_address(entry.address):
+        return Err(f"address: {entry.address!r} is not of the form IP:port")
+    return Ok(entry)
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -16,6 +16,7 @@
 import httptools
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     CONNECT_TIMEOUT_MS,
     KEEP_ALIVE_DEFAULT_MS,
@@ -43,6 +44,8 @@
     UNREACHABLE = "unreachable"
     NOT_HTTP = "not-http"
     OUT_OF_ORDER = "out-of-order"
+    # The endpoint has started again since, and knows nothing of the exchange.
+    RESTARTED = "restarted"
 
 
 _UNREACHABLE = frozenset([BreakCause.CONNECT, BreakCause.UNREACHABLE])
@@ -285,6 +288,12 @@
         """Whether the exchange ended whole and another may follow."""
         return self._whole and self.reusable and self._lost is None
 
+    def give_up(self, cause: BreakCause) -> None:
+        """End an exchange whose endpoint will not answer any more."""
+        self.reusable = False
+        self._lose(cause)
+        self.close()
+
     def close(self) -> None:
         """Close at once; the endpoint sees it and stops its work."""
         if self._transport is not None:
@@ -292,15 +301,21 @@
 
 
 class ConnectionPool:
-    """Idle connections by instance, since an address may pass to another endpoint."""
+    """Connections by start of an endpoint, since an address may pass to another one."""
 
     def __init__(self, id_field: str):
         self._id_field = id_field
-        self._idle: dict[str, deque[EndpointConnection]] = {}
+        self._idle: dict[StartId, deque[EndpointConnection]] = {}
+        self._busy: dict[StartId, set[EndpointConnection]] = {}
         self.most_idle = MOST_IDLE
 
     async def take(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         """An idle connection, else a new one; Break when none can be opened."""
+        connection = self._find_idle(endpoint) or await self._open(endpoint)
+        self._busy.setdefault(endpoint.instance, set()).add(connection)
+        return connection
+
+    def _find_idle(self, endpoint: ServiceEndpoint) -> EndpointConnection | None:
         idle = self._idle.get(endpoint.instance, deque())
         while idle:
             connection = idle.pop()
@@ -308,7 +323,7 @@
             if connection.reusable and rested_ms < connection.keep_ms:
                 return connection
             connection.close()
-        return await self._open(endpoint)
+        return None
 
     async def _open(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         host, port = parse_address(endpoint.address)
@@ -324,6 +339,10 @@
 
     def give_back(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange ended whole; close any other."""
+        busy = self._busy.get(endpoint.instance, set())
+        busy.discard(connection)
+        if not busy:
+            self._busy.pop(endpoint.instance, None)
         idle = self._idle.setdefault(endpoint.instance, deque())
         if not connection.finished or len(idle) >= self.most_idle:
             connection.close()
@@ -331,12 +350,23 @@
         connection.idle_since_ms = time.monotonic() * 1000
         idle.append(connection)
 
-    def keep_only(self, instances: set[str]) -> None:
+    def keep_only(self, instances: set[StartId]) -> None:
         """Close what belongs to endpoints that are gone."""
         for instance in [name for name in self._idle if name not in instances]:
             for connection in self._idle.pop(instance):
                 connection.close()
 
+    def end(self, instance: StartId) -> None:
+        """A later start has taken the place of this one: it answers nothing any more.
+
+        Without this, a request at an endpoint that went without a reset waits for its own time-out,
+        up to the deadline of its caller.
+        """
+        for connection in self._busy.pop(instance, ()):
+            connection.give_up(BreakCause.RESTARTED)
+        for connection in self._idle.pop(instance, ()):
+            connection.close()
+
     def share_among(self, nodes: int, max_connections: int) -> None:
         """Keep so few idle connections that all nodes leave half of an endpoint's free."""
         self.most_idle = max(1, min(MOST_IDLE, max_connections // (2 * max(1, nodes))))
--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -1,22 +1,64 @@
 """The endpoints that the store lists: who may get work, by service and role."""
 
+import enum
+
 import attrs
 
 from saffronworks.bundles import Role
+from saffronworks.forwarding.starts import StartId, is_later, start_id
+
+__all__ = ["Directory", "Heard", "ServiceEndpoint"]
 
-__all__ = ["Directory", "ServiceEndpoint"]
+# How long a start that is over is remembered, so that it does not come back by a stale listing or a
+# watch that was rewound: the store's answers may be seconds old, its history spans 20 s.
+REMEMBER_START_MS = 60_000
 
 
 @attrs.frozen
 class ServiceEndpoint:
-    """One start of one endpoint; a later start at the same address has another `instance`."""
+    """One start of one endpoint; `instance` tells it from other starts under the same name.
+
+    `born_ms` is the Unix time of the start, None where the endpoint does not tell it.
+    """
 
-    instance: str
+    name: str
     service: str
     address: str
     zone: str
     draining: bool = False
     role: Role | None = None
+    born_ms: int | None = None
+    instance: StartId = attrs.field(init=False, eq=False, repr=False)
+
+    @instance.default
+    def _identify(self) -> StartId:
+        return start_id(self.name, self.born_ms)
+
+
+class Heard(enum.Enum):
+    """What an entry brought."""
+
+    SAME = "same"
+    CHANGED = "changed"
+    # A later start under a known name.
+    RESTARTED = "restarted"
+    # An earlier start than the one known, or one at whose address another endpoint answered.
+    OVER = "over"
+
+
+@attrs.define
+class _Past:
+    """What is over under one name: all starts before `born_ms`, and that one at `lost_address`."""
+
+    born_ms: int | None
+    lost_address: str | None = None
+    forget_at_ms: int | None = None
+
+    def covers(self, endpoint: ServiceEndpoint) -> bool:
+        if is_later(endpoint.born_ms, self.born_ms):
+            return False
+        earlier = is_later(self.born_ms, endpoint.born_ms) and endpoint.born_ms is not None
+        return earlier or endpoint.address == self.lost_address
 
 
 @attrs.define
@@ -24,57 +66,122 @@
     """What is known of all endpoints, and at which revision of the store.
 
     Entries may lapse while the store is away although their endpoints live. An entry that is
-    missing right after the store's return therefore stays usable for a grace period.
+    missing right after the store's return therefore stays usable for a grace period. Of each name
+    the latest start alone is kept. Where two names have one address, the endpoint's own answer
+    settles which of them it has (`note_replaced`): a time in an entry may come from anyone.
     """
 
     revision: int = 0
-    endpoints: dict[str, ServiceEndpoint] = attrs.Factory(dict)
-    _usable_until_ms: dict[str, int] = attrs.Factory(dict)
-    _replaced: set[str] = attrs.Factory(set)
+    endpoints: dict[StartId, ServiceEndpoint] = attrs.Factory(dict)
+    _usable_until_ms: dict[StartId, int] = attrs.Factory(dict)
+    _by_name: dict[str, StartId] = attrs.Factory(dict)
+    _past: dict[str, _Past] = attrs.Factory(dict)
+    _ended: list[StartId] = attrs.Factory(list)
 
     def replace(
         self, listed: list[ServiceEndpoint], revision: int, now_ms: int, lapse_until_ms: int = 0
     ) -> list[str]:
-        """Take a whole listing; returns the instances that are missing from it."""
-        self.revision = revision
-        present = {endpoint.instance for endpoint in listed}
-        missing = [name for name in self.endpoints if name not in present]
+        """Take a whole listing; returns the names that are missing from it."""
         for endpoint in listed:
             self.put(endpoint)
+        names = {endpoint.name for endpoint in listed}
+        return self.keep(names, revision, now_ms, lapse_until_ms)
+
+    def keep(
+        self, names: set[str], revision: int, now_ms: int, lapse_until_ms: int = 0
+    ) -> list[str]:
+        """Remove all but those that a whole listing has; returns the names that went."""
+        self.revision = revision
+        missing = [name for name in self._by_name if name not in names]
         for name in missing:
             self.remove(name, now_ms, lapse_until_ms)
         return missing
 
-    def put(self, endpoint: ServiceEndpoint) -> None:
-        """Take an entry that is new or has changed, unless its address has another endpoint."""
-        if endpoint.instance in self._replaced:
-            return
+    def put(self, endpoint: ServiceEndpoint) -> Heard:
+        """Take an entry, unless a later start of its name or of its address is known."""
+        known, past = self.named(endpoint.name), self._past.get(endpoint.name)
+        last = known or past
+        if last is not None and endpoint.born_ms is None:
+            endpoint = attrs.evolve(endpoint, born_ms=last.born_ms)
+        if past is not None and past.covers(endpoint):
+            return Heard.OVER
+        if known is not None and is_later(known.born_ms, endpoint.born_ms):
+            return Heard.OVER
+        self._usable_until_ms.pop(endpoint.instance, None)
+        if known == endpoint:
+            return Heard.SAME
+        before = self._last_start(endpoint.name)
+        if known is not None:
+            self._drop(known)
+        self._past.pop(endpoint.name, None)
         self.endpoints[endpoint.instance] = endpoint
+        self._by_name[endpoint.name] = endpoint.instance
+        if before is None or before == endpoint.instance:
+            return Heard.CHANGED
+        self._ended.append(before)
+        return Heard.RESTARTED
+
+    def _last_start(self, name: str) -> StartId | None:
+        past = self._past.get(name)
+        gone = start_id(name, past.born_ms) if past is not None else None
+        return self._by_name.get(name, gone)
+
+    def _drop(self, endpoint: ServiceEndpoint) -> None:
+        del self.endpoints[endpoint.instance]
+        del self._by_name[endpoint.name]
         self._usable_until_ms.pop(endpoint.instance, None)
 
-    def remove(self, instance: str, now_ms: int, lapse_until_ms: int = 0) -> None:
+    def remove(self, name: str, now_ms: int, lapse_until_ms: int = 0) -> None:
         """An entry is gone; until `lapse_until_ms` the store's own outage may be the cause."""
-        known = self.endpoints.get(instance)
+        past = self._past.get(name)
+        if past is not None and past.forget_at_ms is None:
+            past.forget_at_ms = now_ms + REMEMBER_START_MS
+        known = self.named(name)
         if known is None:
             return
         if now_ms < lapse_until_ms and not known.draining:
-            self._usable_until_ms.setdefault(instance, lapse_until_ms)
+            self._usable_until_ms.setdefault(known.instance, lapse_until_ms)
             return
-        del self.endpoints[instance]
-        self._usable_until_ms.pop(instance, None)
+        self._leave(known, now_ms)
+
+    def _leave(self, endpoint: ServiceEndpoint, now_ms: int) -> None:
+        self._drop(endpoint)
+        self._forget_past(now_ms)
+        if endpoint.born_ms is not None:
+            forget_at_ms = now_ms + REMEMBER_START_MS
+            self._past[endpoint.name] = _Past(endpoint.born_ms, forget_at_ms=forget_at_ms)
+
+    def _forget_past(self, now_ms: int) -> None:
+        for name, past in list(self._past.items()):
+            if past.forget_at_ms is not None and now_ms >= past.forget_at_ms:
+                del self._past[name]
+
+    def note_replaced(self, instance: StartId) -> None:
+        """Another endpoint answered at its address: there, this start of it is over for good."""
+        known = self.endpoints.get(instance)
+        if known is not None:
+            self._drop(known)
+            self._past[known.name] = _Past(known.born_ms, known.address)
+
+    def take_ended(self) -> list[StartId]:
+        """The starts that a later one under their name has ended; each is told once."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def named(self, name: str) -> ServiceEndpoint | None:
+        """The latest start of an endpoint."""
+        instance = self._by_name.get(name)
+        return self.endpoints[instance] if instance is not None else None
 
-    def note_replaced(self, instance: str) -> None:
-        """Another endpoint answered at its address: this start of it is over for good."""
-        self._replaced.add(instance)
-        self.endpoints.pop(instance, None)
-        self._usable_until_ms.pop(instance, None)
+    def resolve(self, instance: StartId) -> StartId:
+        """The start that a message means: nodes of an earlier version name endpoints alone."""
+        return instance if instance in self.endpoints else self._by_name.get(instance, instance)
 
     def expire(self, now_ms: int) -> None:
         """Forget the entries whose grace period is over."""
         for instance, until_ms in list(self._usable_until_ms.items()):
             if now_ms >= until_ms:
-                del self._usable_until_ms[instance]
-                del self.endpoints[instance]
+                self._leave(self.endpoints[instance], now_ms)
 
     def usable(self, service: str, now_ms: int, role: Role | None = None) -> list[ServiceEndpoint]:
         """The endpoints of a service that may get new work, of one role if given."""
--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -13,6 +13,10 @@
         self._node = node
         self._requests = meter.create_counter("saffronworks_forwarded", description="by outcome")
         self._sends = meter.create_counter("saffronworks_sends", description="by kind and result")
+        self._bad_entries = meter.create_counter(
+            "saffronworks_bad_entries",
+            description="entries in the store that are not whole, by kind",
+        )
         self._latency = meter.create_histogram("saffronworks_answer_ms", unit="ms")
         self._first = meter.create_histogram("saffronworks_first_byte_ms", unit="ms")
 
@@ -25,6 +29,10 @@
         """Count a call to an endpoint."""
         self._sends.add(1, {"node": self._node, "kind": kind, "result": result})
 
+    def count_bad_entry(self, kind: str) -> None:
+        """Count an entry in the store that names nothing to use."""
+        self._bad_entries.add(1, {"node": self._node, "kind": kind})
+
     def record(self, route: str, first_ms: int, whole_ms: int) -> None:
         """Record when an answer began and when it was whole."""
         labels = {"node": self._node, "route": route}
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -44,6 +44,7 @@
 )
 from saffronworks.forwarding.plain_core import promises_not_run
 from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     HOLD_MS,
     HOLD_POLL_MS,
@@ -210,7 +211,7 @@
     return min(HOLD_MS, state.hold_most_ms, max(1, state.deadline_at_ms - now_ms))
 
 
-def _take_place(state: GenerationState, instance: str, pools: Pools, now_ms: int) -> _Result:
+def _take_place(state: GenerationState, instance: StartId, pools: Pools, now_ms: int) -> _Result:
     """Reserve where the planner said; elsewhere if that endpoint is not usable here."""
     place = next((e for e in pools.decoders if e.instance == instance), None)
     if place is None:
@@ -274,7 +275,7 @@
 
 
 def _take_answer(
-    state: GenerationState, instance: str, head: AnswerHead, pools: Pools, now_ms: int
+    state: GenerationState, instance: StartId, head: AnswerHead, pools: Pools, now_ms: int
 ) -> _Result:
     if head.executed is Executed.NO:
         lost_handle = state.handle if not head.misdirected else None
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -4,6 +4,7 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import AnswerHead, Begin, KvHandle, KvHold, Refuse
+from saffronworks.forwarding.starts import StartId
 
 __all__ = [
     "AskHold",
@@ -43,8 +44,8 @@
 class PlanGranted:
     """The planner gave a place at this endpoint, and named the one that is to read."""
 
-    instance: str
-    reader: str | None = None
+    instance: StartId
+    reader: StartId | None = None
 
 
 @attrs.frozen
@@ -70,7 +71,7 @@
 class HoldFailed:
     """A decode endpoint has no room, or (`broken`) gave no answer."""
 
-    instance: str
+    instance: StartId
     broken: bool
 
 
@@ -85,7 +86,7 @@
 class ReadFailed:
     """The prompt was not read there: it was refused, or (`broken`) got no answer."""
 
-    instance: str
+    instance: StartId
     broken: bool
 
 
@@ -93,7 +94,7 @@
 class StreamAnswered:
     """A decode endpoint answered; of a success its first bytes are at hand."""
 
-    instance: str
+    instance: StartId
     head: AnswerHead
 
 
@@ -101,7 +102,7 @@
 class StreamBroken:
     """No answer came; `sent` tells whether the endpoint may have seen the request."""
 
-    instance: str
+    instance: StartId
     sent: bool
     silent: bool = False
 
@@ -110,7 +111,7 @@
 class RelayBroken:
     """The stream ended early; `known` tells whether its last event's id is known."""
 
-    instance: str
+    instance: StartId
     known: bool
 
 
@@ -120,8 +121,8 @@
 
     in_time_ms: int
     patience_ms: int
-    avoid: tuple[str, ...]
-    broken: tuple[str, ...]
+    avoid: tuple[StartId, ...]
+    broken: tuple[StartId, ...]
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -27,6 +27,7 @@
 from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.routing import EngineSpec, Route
 from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
@@ -145,7 +146,7 @@
         node = self._node
         usable = node.directory.usable(self._job.service, now_ms, Role.DECODE)
 
-        def rank(endpoint: ServiceEndpoint) -> tuple[bool, int, str]:
+        def rank(endpoint: ServiceEndpoint) -> tuple[bool, int, StartId]:
             load = node.loads.of(endpoint.instance)
             away_tokens = 0 if endpoint.zone == node.zone else self._state.tokens // 2
             return (
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -6,6 +6,7 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import KvHandle, KvHold, PromptSize
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     GIVE_UP_LEAST_MS,
     HINT_RESERVE,
@@ -75,20 +76,20 @@
     out: Out = Out.NOTHING
     planned_tokens: int = 0
     plans_left: int = MOST_PLANS
-    granted: str | None = None
-    reader: str | None = None
+    granted: StartId | None = None
+    reader: StartId | None = None
     hold: KvHold | None = None
     handle: KvHandle | None = None
-    asked: set[str] = attrs.Factory(set)
-    failed: set[str] = attrs.Factory(set)
-    broken: set[str] = attrs.Factory(set)
+    asked: set[StartId] = attrs.Factory(set)
+    failed: set[StartId] = attrs.Factory(set)
+    broken: set[StartId] = attrs.Factory(set)
 
-    def note_broken(self, instance: str) -> None:
+    def note_broken(self, instance: StartId) -> None:
         """An endpoint gave no answer, or a wrong one."""
         self.failed.add(instance)
         self.broken.add(instance)
 
-    def take_broken(self) -> tuple[str, ...]:
+    def take_broken(self) -> tuple[StartId, ...]:
         """What the planner has not heard yet."""
         broken = tuple(sorted(self.broken))
         self.broken.clear()
--- a/saffronworks/forwarding/loads.py
+++ b/saffronworks/forwarding/loads.py
@@ -4,6 +4,7 @@
 
 from saffronworks.breakers import Circuit
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     AWAY_FACTOR,
     FAILURE_FACTOR,
@@ -60,13 +61,13 @@
     """The loads of all endpoints, by instance."""
 
     zone: str
-    _loads: dict[str, EndpointLoad] = attrs.Factory(dict)
+    _loads: dict[StartId, EndpointLoad] = attrs.Factory(dict)
 
-    def of(self, instance: str) -> EndpointLoad:
+    def of(self, instance: StartId) -> EndpointLoad:
         """The load of one endpoint, made when first asked for."""
         return self._loads.setdefault(instance, EndpointLoad())
 
-    def forget_all_but(self, instances: set[str]) -> None:
+    def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what belongs to endpoints that are gone and have nothing under way."""
         for instance in [name for name in self._loads if name not in instances]:
             if self._loads[instance].outstanding == 0:
@@ -75,7 +76,7 @@
     def rank(self, endpoints: list[ServiceEndpoint], now_ms: int) -> list[ServiceEndpoint]:
         """Cheapest first; endpoints with an open circuit come last, as there may be no other."""
 
-        def cost(endpoint: ServiceEndpoint) -> tuple[bool, float, str]:
+        def cost(endpoint: ServiceEndpoint) -> tuple[bool, float, StartId]:
             load = self.of(endpoint.instance)
             away = endpoint.zone != self.zone
             return not load.circuit.admits(now_ms), load.cost(away, now_ms), endpoint.instance
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -73,7 +73,7 @@
     """Start of an endpoint's answer. `signed` tells that the endpoint vouches for the body.
 
     `misdirected`: the endpoint at this address is not the one that was meant, or has another role;
-    `found_instance` names it where another one has the address.
+    `found_name` names it where another one has the address.
     """
 
     status: int
@@ -82,7 +82,7 @@
     signed: bool
     reason: str = ""
     misdirected: bool = False
-    found_instance: str | None = None
+    found_name: str | None = None
 
     @property
     def success(self) -> bool:
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -16,6 +16,7 @@
     ReadingEnded,
 )
 from saffronworks.forwarding.runners import Job, NodeState
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import HEADROOM_MS
 
 __all__ = ["Place", "StreamPace"]
@@ -70,7 +71,8 @@
         )
         match await memory.ask(ask):
             case MemoryGrant(_, instance, reader):
-                return events.PlanGranted(instance, reader)
+                resolve = self.node.directory.resolve
+                return events.PlanGranted(resolve(instance), reader and resolve(reader))
             case MemoryRefusal(_, retry_after_ms):
                 return events.PlanRefused(retry_after_ms)
         return events.PlanSilent()
@@ -122,12 +124,12 @@
             self.node.spawn(self.node.calls.drop_hold, self._hold)
             self._hold = None
 
-    def tell_reading_ended(self, reader: str, whole: bool) -> None:
+    def tell_reading_ended(self, reader: StartId, whole: bool) -> None:
         """Tell the planner that the reader is done with the prompt, well or not."""
         request_id, service = self.job.request.request_id, self.job.service
         self.node.memory.end_reading(ReadingEnded(request_id, service, reader, whole))
 
-    def tell_end(self, pace: StreamPace, broken: tuple[str, ...]) -> None:
+    def tell_end(self, pace: StreamPace, broken: tuple[StartId, ...]) -> None:
         """Tell the planner that the place is free, and which endpoints failed the request."""
         request_id, service = self.job.request.request_id, self.job.service
         release = MemoryRelease(
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -9,6 +9,7 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import AnswerHead, Begin, Executed, Refuse
 from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import HEDGE_SHARE, MOST_REDIRECTS
 
 __all__ = [
@@ -43,14 +44,14 @@
     runs: int = 0
     redirects: int = 0
     sends: int = 0
-    tried: set[str] = attrs.Factory(set)
+    tried: set[StartId] = attrs.Factory(set)
 
 
 @attrs.frozen
 class Answered:
     """An endpoint answered; where a success is to be relayed, its body is at hand."""
 
-    instance: str
+    instance: StartId
     head: AnswerHead
 
 
@@ -58,7 +59,7 @@
 class Broken:
     """No whole answer came; `sent` tells whether the endpoint may have seen the request."""
 
-    instance: str
+    instance: StartId
     sent: bool
     silent: bool = False
 
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -17,6 +17,7 @@
     MemoryReport,
     ReadingEnded,
 )
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     ASK_AGAIN_MS,
     PLANNER_SILENT_MS,
@@ -45,7 +46,7 @@
 @attrs.define
 class _Run:
     service: str
-    instance: str
+    instance: StartId
     size: RunSize
     began_ms: int
     made_tokens: int
@@ -141,7 +142,7 @@
             avoided_ms,
         )
 
-    def begin(self, request_id: str, service: str, instance: str, size: RunSize) -> None:
+    def begin(self, request_id: str, service: str, instance: StartId, size: RunSize) -> None:
         """Note a run, whoever granted it, so that the planner hears of it."""
         if self._kernel is not None:
             now_ms = self._kernel.now_ms()
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -21,6 +21,7 @@
 from saffronworks.forwarding.planning.plans import Occupancies, PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.refusals import refuse
 from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     FULL_MS,
     MOST_SLOWER,
@@ -43,7 +44,7 @@
 Event = MemoryAsk | MemoryRelease | MemoryReport | ReadingEnded | Tick
 
 
-def step(state: PlanState, event: Event, decoders: dict[str, str], now_ms: int) -> list[Reply]:
+def step(state: PlanState, event: Event, decoders: dict[StartId, str], now_ms: int) -> list[Reply]:
     """Replies to entry nodes; `decoders` are the usable endpoints now, with their zones.
 
     A report brings no reply, and refusals go out at ticks: in a burst there are several hundred
@@ -184,7 +185,7 @@
             del state.waiters[request_id]
 
 
-def _grant(state: PlanState, decoders: dict[str, str], now_ms: int) -> list[Reply]:
+def _grant(state: PlanState, decoders: dict[StartId, str], now_ms: int) -> list[Reply]:
     """Give memory to the first who fit; the foremost few are looked at."""
     if not state.waiters or not decoders:
         return []
@@ -219,7 +220,7 @@
 
 def _find_place(
     state: PlanState, ask: MemoryAsk, usable: Occupancies, decoders_read: bool, now_ms: int
-) -> str | None:
+) -> StartId | None:
     """The endpoint for a run, among those whose next prompt would be read soon."""
     if not decoders_read:
         return state.fit(ask, usable)
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from saffronworks.forwarding.starts import StartId
+
 __all__ = [
     "LiveRun",
     "MemoryAsk",
@@ -37,8 +39,8 @@
     in_time_ms: int
     patience_ms: int
     returned: bool
-    avoid: tuple[str, ...] = ()
-    broken: tuple[str, ...] = ()
+    avoid: tuple[StartId, ...] = ()
+    broken: tuple[StartId, ...] = ()
 
 
 @attrs.frozen
@@ -49,8 +51,8 @@
     """
 
     request_id: str
-    instance: str
-    reader: str | None = None
+    instance: StartId
+    reader: StartId | None = None
 
 
 @attrs.frozen
@@ -87,7 +89,7 @@
     service: str
     answer_tokens: int = 0
     stream_ms: int = 0
-    broken: tuple[str, ...] = ()
+    broken: tuple[StartId, ...] = ()
     length_tokens: int = 0
 
 
@@ -97,7 +99,7 @@
 
     request_id: str
     service: str
-    reader: str
+    reader: StartId
     whole: bool
 
 
@@ -109,7 +111,7 @@
     """
 
     request_id: str
-    instance: str
+    instance: StartId
     prompt_tokens: int
     likely_tokens: int
     most_tokens: int
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -13,6 +13,7 @@
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
 from saffronworks.forwarding.planning.shuns import ShunTable
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     MARGIN_ANSWERS,
     MOST_MARGIN_SHARE,
@@ -22,7 +23,7 @@
 
 __all__ = ["Occupancies", "PlanState", "Reply", "Waiter"]
 
-Occupancies = dict[str, Occupancy]
+Occupancies = dict[StartId, Occupancy]
 
 
 @attrs.frozen
@@ -77,7 +78,7 @@
     reading: ReadingPlan = attrs.Factory(ReadingPlan)
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     shuns: ShunTable = attrs.Factory(ShunTable)
-    full_until_ms: dict[str, int] = attrs.Factory(dict)
+    full_until_ms: dict[StartId, int] = attrs.Factory(dict)
     usual_tokens: float = 0.0
 
     @property
@@ -86,7 +87,7 @@
         margin_tokens = MARGIN_ANSWERS * self.usual_tokens
         return self.capacity_tokens - min(margin_tokens, MOST_MARGIN_SHARE * self.capacity_tokens)
 
-    def forget_all_but(self, instances: set[str]) -> None:
+    def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what was learnt of endpoints that are gone."""
         self.shuns.forget_all_but(instances)
         self.reading.forget_all_but(instances)
@@ -97,7 +98,7 @@
         """All who wait, the first one first."""
         return sorted(self.waiters.values(), key=lambda waiter: waiter.rank(now_ms))
 
-    def occupancies(self, decoders: dict[str, str], now_ms: int) -> Occupancies:
+    def occupancies(self, decoders: dict[StartId, str], now_ms: int) -> Occupancies:
         """The runs of each endpoint that may get work."""
         usable = {
             name: Occupancy([])
@@ -116,12 +117,12 @@
         """Up to which share of its planned memory a decode endpoint reads by itself."""
         return OWN_READ_MEMORY_SHARE if self.reading.readers else 1.0
 
-    def own_readers(self, usable: Occupancies) -> list[str]:
+    def own_readers(self, usable: Occupancies) -> list[StartId]:
         """The decode endpoints that have the memory to read by themselves."""
         limit = self.own_read_share * self.limit_tokens
         return [name for name, held in usable.items() if held.peak_tokens <= limit]
 
-    def fit(self, ask: MemoryAsk, usable: Occupancies, share: float = 1.0) -> str | None:
+    def fit(self, ask: MemoryAsk, usable: Occupancies, share: float = 1.0) -> StartId | None:
         """The endpoint whose foreseen peak with this run is lowest, if that is low enough.
 
         `share` of the planned memory is the most that the peak may take.
@@ -129,7 +130,7 @@
         limit = share * self.limit_tokens
         more = self.lengths.more_tokens(0.0, ask.likely_tokens, ask.most_tokens)
         own = (float(ask.prompt_tokens), more)
-        best: tuple[float, str] | None = None
+        best: tuple[float, StartId] | None = None
         for instance, present in usable.items():
             full = len(present.growths) >= self.slots
             if instance in ask.avoid or full or not present.may_fit(ask.prompt_tokens, limit):
--- a/saffronworks/forwarding/planning/reader_queues.py
+++ b/saffronworks/forwarding/planning/reader_queues.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     PACE_PRIOR_TOKENS,
     READ_CALL_MS,
@@ -35,19 +36,19 @@
     """
 
     _all: _Busy = attrs.Factory(_Busy)
-    _of_reader: dict[str, _Busy] = attrs.Factory(dict)
+    _of_reader: dict[StartId, _Busy] = attrs.Factory(dict)
 
     @property
     def ms_per_token(self) -> float:
         """How long a token occupies a usual reader."""
         return self._all.busy_ms / self._all.tokens
 
-    def of(self, reader: str) -> float:
+    def of(self, reader: StartId) -> float:
         """How long a token occupies this reader."""
         seen = self._of_reader.get(reader, self._all)
         return seen.busy_ms / seen.tokens
 
-    def learn(self, reader: str, tokens: int, busy_ms: float) -> None:
+    def learn(self, reader: StartId, tokens: int, busy_ms: float) -> None:
         """A reader that had the next prompt at hand was done with it so much later.
 
         A prompt without tokens, as callers may send, says nothing of the pace.
@@ -59,7 +60,7 @@
         for seen in (self._of_reader[reader], self._all):
             seen.add(tokens, busy_ms)
 
-    def forget_all_but(self, instances: set[str]) -> None:
+    def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what was learnt of readers that are gone."""
         for instance in self._of_reader.keys() - instances:
             del self._of_reader[instance]
@@ -113,7 +114,7 @@
             self.free_at_ms -= prompt.tokens * ms_per_token
             self._forget_pace()
 
-    def finish(self, request_id: str, reader: str, pace: ReadingPace, now_ms: int) -> None:
+    def finish(self, request_id: str, reader: StartId, pace: ReadingPace, now_ms: int) -> None:
         """A prompt is back; the time since the one before tells the pace, if it was waiting."""
         first = next(iter(self._prompts), None)
         prompt = self._prompts.pop(request_id, None)
--- a/saffronworks/forwarding/planning/reading.py
+++ b/saffronworks/forwarding/planning/reading.py
@@ -6,6 +6,7 @@
 import attrs
 
 from saffronworks.forwarding.planning.reader_queues import ReaderQueue, ReadingPace
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     AWAY_READER_MS,
     OWN_READ_FACTOR,
@@ -25,19 +26,19 @@
     that no run pauses for long.
     """
 
-    readers: dict[str, str] = attrs.Factory(dict)
+    readers: dict[StartId, str] = attrs.Factory(dict)
     pace: ReadingPace = attrs.Factory(ReadingPace)
-    _queues: dict[str, ReaderQueue] = attrs.Factory(dict)
+    _queues: dict[StartId, ReaderQueue] = attrs.Factory(dict)
 
-    def backlog_ms(self, instance: str, now_ms: int) -> float:
+    def backlog_ms(self, instance: StartId, now_ms: int) -> float:
         """How long an endpoint is foreseen to be busy with reading."""
         queue = self._queues.get(instance)
         return queue.backlog_ms(self.pace.of(instance), now_ms) if queue else 0.0
 
-    def choose(self, zone: str, prompt_tokens: int, now_ms: int) -> str:
+    def choose(self, zone: str, prompt_tokens: int, now_ms: int) -> StartId:
         """The reader that is done first, a nearer one if it is hardly later; there must be one."""
 
-        def cost(reader: str) -> tuple[float, str]:
+        def cost(reader: StartId) -> tuple[float, StartId]:
             away_ms = 0.0 if self.readers[reader] == zone else AWAY_READER_MS
             done_ms = self.backlog_ms(reader, now_ms) + self.read_ms(reader, prompt_tokens)
             return done_ms + away_ms, reader
@@ -48,7 +49,7 @@
         """Whether decode endpoints read by themselves: no reader is free soon, or there is none."""
         return self._readers_wait_ms(now_ms) > 0
 
-    def wait_ms(self, decoders: Iterable[str], now_ms: int) -> float:
+    def wait_ms(self, decoders: Iterable[StartId], now_ms: int) -> float:
         """How long until a prompt would be read soon by the first that is free for it."""
         own_ms = min((self.backlog_ms(name, now_ms) for name in decoders), default=math.inf)
         return min(self._readers_wait_ms(now_ms), own_ms)
@@ -63,19 +64,19 @@
         """How long until the first reader has read all it has before it; 0 without any."""
         return min((self.backlog_ms(name, now_ms) for name in self.readers), default=0.0)
 
-    def read_ms(self, instance: str, prompt_tokens: int) -> float:
+    def read_ms(self, instance: StartId, prompt_tokens: int) -> float:
         """How long this endpoint is busy with a prompt."""
         if instance in self.readers:
             return prompt_tokens * self.pace.of(instance)
         return OWN_READ_FACTOR * prompt_tokens * self.pace.ms_per_token + OWN_READ_GAP_MS
 
-    def turn_ms(self, prompt_tokens: int, decoders: Iterable[str]) -> float:
+    def turn_ms(self, prompt_tokens: int, decoders: Iterable[StartId]) -> float:
         """How much later the next prompt is read when this one goes before it."""
         read_ms = [self.read_ms(name, prompt_tokens) for name in (*self.readers, *decoders)]
         per_ms = sum(1 / max(1.0, each_ms) for each_ms in read_ms)
         return 1 / per_ms if per_ms else 0.0
 
-    def count(self, request_id: str, instance: str, prompt_tokens: int, now_ms: int) -> None:
+    def count(self, request_id: str, instance: StartId, prompt_tokens: int, now_ms: int) -> None:
         """A prompt is to be read there."""
         queue = self._queues.setdefault(instance, ReaderQueue())
         read_ms = self.read_ms(instance, prompt_tokens)
@@ -84,17 +85,17 @@
         else:
             queue.occupy(read_ms, now_ms)
 
-    def uncount(self, request_id: str, instance: str) -> None:
+    def uncount(self, request_id: str, instance: StartId) -> None:
         """A prompt that was counted is not to be read there after all."""
         if instance in self._queues:
             self._queues[instance].drop(request_id, self.pace.of(instance))
 
-    def finish(self, request_id: str, instance: str, now_ms: int) -> None:
+    def finish(self, request_id: str, instance: StartId, now_ms: int) -> None:
         """A prompt was read there."""
         if instance in self._queues:
             self._queues[instance].finish(request_id, instance, self.pace, now_ms)
 
-    def forget_all_but(self, instances: set[str]) -> None:
+    def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what was learnt of endpoints that are gone."""
         self.pace.forget_all_but(instances)
         for instance in self._queues.keys() - instances:
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -2,6 +2,7 @@
 
 from saffronworks.forwarding.planning.messages import MemoryRefusal
 from saffronworks.forwarding.planning.plans import PlanState, Reply, Waiter
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     DECIDE_AFTER_MS,
     READ_MS,
@@ -23,7 +24,7 @@
     return max(1.0, 1000 * len(run_ms) ** 2 / sum(run_ms) if run_ms else 0.0)
 
 
-def refuse(state: PlanState, decoders: dict[str, str], now_ms: int) -> list[Reply]:
+def refuse(state: PlanState, decoders: dict[StartId, str], now_ms: int) -> list[Reply]:
     """Once, when a first refusal must go out: those whose turn is not foreseen in time.
 
     The forecast counts on what a grant may use: readers, and those decode endpoints that have the
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import READ_MS, REPORT_LAPSE_MS
 
 __all__ = ["Occupancy", "Run", "projected_peak"]
@@ -16,13 +17,13 @@
     one. `reader` was to read the prompt.
     """
 
-    instance: str
+    instance: StartId
     reply_to: str
     prompt_tokens: int
     likely_tokens: int
     most_tokens: int
     began_ms: int
-    reader: str | None = None
+    reader: StartId | None = None
     made_tokens: int = 0
     made_ms: int = 0
     listed: bool = False
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -4,14 +4,19 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 
 from saffronworks.bundles import Role
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.planning import core
 from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
 from saffronworks.forwarding.planning.messages import (
+    MemoryAsk,
     MemoryGrant,
     MemoryRefusal,
+    MemoryRelease,
+    MemoryReport,
+    ReadingEnded,
 )
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.tuning import PLAN_EVERY_MS
@@ -56,6 +61,7 @@
         plan = self._find(service, now_ms)
         if plan is None:
             return
+        event = _resolve(event, self._directory)
         usable = self._directory.usable(service, now_ms, Role.DECODE)
         decoders = {endpoint.instance: endpoint.zone for endpoint in usable}
         self._trim()
@@ -116,3 +122,23 @@
             kernel.announce(reply.message)
         else:
             kernel.post("peers", Outgoing(reply.address, reply.message))
+
+
+def _resolve(event: core.Event, directory: Directory) -> core.Event:
+    """The same event with each endpoint by its start: earlier versions tell the names alone."""
+    resolve = directory.resolve
+    match event:
+        case MemoryAsk(avoid=avoid, broken=broken) if avoid or broken:
+            return attrs.evolve(
+                event,
+                avoid=tuple(resolve(instance) for instance in avoid),
+                broken=tuple(resolve(instance) for instance in broken),
+            )
+        case MemoryRelease(broken=broken) if broken:
+            return attrs.evolve(event, broken=tuple(resolve(instance) for instance in broken))
+        case MemoryReport(runs=runs) if any(resolve(r.instance) != r.instance for r in runs):
+            renamed = (attrs.evolve(run, instance=resolve(run.instance)) for run in runs)
+            return attrs.evolve(event, runs=tuple(renamed))
+        case ReadingEnded(reader=reader):
+            return attrs.evolve(event, reader=resolve(reader))
+    return event
--- a/saffronworks/forwarding/planning/shuns.py
+++ b/saffronworks/forwarding/planning/shuns.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import SHUN_MOST_MS, SHUN_MS
 
 __all__ = ["ShunTable"]
@@ -19,10 +20,10 @@
 class ShunTable:
     """Each is left alone for a while, twice as long when it fails again right after that."""
 
-    _shuns: dict[str, _Shun] = attrs.Factory(dict)
-    _news: list[tuple[str, int]] = attrs.Factory(list)
+    _shuns: dict[StartId, _Shun] = attrs.Factory(dict)
+    _news: list[tuple[StartId, int]] = attrs.Factory(list)
 
-    def fail(self, instance: str, now_ms: int) -> None:
+    def fail(self, instance: StartId, now_ms: int) -> None:
         """A request failed there. More that failed meanwhile make it no worse."""
         known = self._shuns.get(instance)
         if known is not None and now_ms < known.until_ms:
@@ -32,22 +33,22 @@
         self._shuns[instance] = _Shun(now_ms + span_ms, span_ms)
         self._news.append((instance, span_ms))
 
-    def take_news(self) -> list[tuple[str, int]]:
+    def take_news(self) -> list[tuple[StartId, int]]:
         """Those that are left alone from now on, and for how many ms; each is told once."""
         news, self._news = self._news, []
         return news
 
-    def shunned(self, instance: str, now_ms: int) -> bool:
+    def shunned(self, instance: StartId, now_ms: int) -> bool:
         """Whether it is to get nothing now."""
         known = self._shuns.get(instance)
         return known is not None and now_ms < known.until_ms
 
-    def forget_all_but(self, instances: set[str]) -> None:
+    def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what belongs to endpoints that are gone."""
         for instance in self._shuns.keys() - instances:
             del self._shuns[instance]
 
-    def usable(self, instances: Iterable[str], now_ms: int) -> list[str]:
+    def usable(self, instances: Iterable[StartId], now_ms: int) -> list[StartId]:
         """Those that may get work; all of them when none is left, as one may serve again."""
         named = list(instances)
         return [name for name in named if not self.shunned(name, now_ms)] or named
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -13,6 +13,7 @@
 
 from saffronworks.bundles import Role
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.starts import StartId
 
 __all__ = [
     "Command",
@@ -73,7 +74,7 @@
     unbalanced_since_ms: int | None = None
     lacking: bool = False
     decoder_seen: bool = False
-    orders: dict[str, OpenOrder] = attrs.Factory(dict)
+    orders: dict[StartId, OpenOrder] = attrs.Factory(dict)
     duty_revision: int | None = None
     duty_seen_ms: int = 0
     mine: bool = False
@@ -113,7 +114,7 @@
 class Ordered:
     """The endpoint answered the order, or (`accepted` None) gave no answer."""
 
-    instance: str
+    instance: StartId
     accepted: bool | None
 
 
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -57,14 +57,14 @@
 
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
         """Forget an endpoint whose address another one has; the store may tell it later or not."""
-        if head.found_instance is None or head.found_instance == endpoint.instance:
+        if head.found_name is None or head.found_name == endpoint.name:
             return
         self.directory.note_replaced(endpoint.instance)
         logger.info(
             "event=endpoint_replaced endpoint=%s address=%s by=%s endpoints_rev=%d",
             endpoint.instance,
             endpoint.address,
-            head.found_instance,
+            head.found_name,
             self.directory.revision,
         )
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -32,10 +32,10 @@
 # The endpoint's signature over its answer; without it a success is not the endpoint's.
 _SIGNATURE = "server-stamp"
 _NOT_EXECUTED = "not-executed"
-# The sender expects this start of a server; any other start answers 421 and runs nothing.
+# The sender expects the server of this name; any other one answers 421 and runs nothing.
 _EXPECT = "Expect-Instance"
 _MISDIRECTED = 421
-# Which start of a server answers; the wire calls it an id.
+# The name of the server that answers.
 _INSTANCE = "instance-id"
 _ORDER_TAKEN = (200, 202)
 # Fields of an answer that belong to the connection, or that say something to this node only.
@@ -212,7 +212,7 @@
         lines = [
             f"{method} {path} HTTP/1.1",
             f"Host: {endpoint.address}",
-            f"{_EXPECT}: {endpoint.instance}",
+            f"{_EXPECT}: {endpoint.name}",
             f"Content-Length: {len(content)}",
         ]
         if content:
@@ -239,7 +239,7 @@
     lines += [f"{key}: {value}" for key, value in extra]
     lines.append(f"{ID_FIELD}: {request.request_id}")
     lines.append(f"Deadline-Ms: {max(1, left_ms)}")
-    lines.append(f"{_EXPECT}: {endpoint.instance}")
+    lines.append(f"{_EXPECT}: {endpoint.name}")
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(f"Content-Length: {len(request.body)}")
     return _join(lines, request.body)
@@ -263,5 +263,5 @@
         signed=signed,
         reason=f"status-{raw.status}" if refused else "",
         misdirected=raw.status == _MISDIRECTED,
-        found_instance=raw.get(_INSTANCE) if raw.status == _MISDIRECTED else None,
+        found_name=raw.get(_INSTANCE) if raw.status == _MISDIRECTED else None,
     )
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -12,7 +12,7 @@
 from anyio.abc import TaskGroup
 from result import Err
 
-from saffronworks.clocks import monotonic_ms
+from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.forwarding.census import Census
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.figures import Figures
@@ -99,7 +99,13 @@
         self._ingress = Ingress(self._forwarder, monotonic_ms)
         self._register()
         rng = random.Random(f"{settings.node}/{time.time_ns()}")
-        servers = ServerSink(self._directory, monotonic_ms, self._forget_gone)
+        servers = ServerSink(
+            self._directory,
+            monotonic_ms,
+            wall_ms,
+            self._forget_gone,
+            self._state.figures.count_bad_entry,
+        )
         configuration = ConfigurationSink(self._take_table)
         self._followers = [
             Follower(
@@ -237,6 +243,8 @@
         return taken
 
     def _forget_gone(self) -> None:
+        for instance in self._directory.take_ended():
+            self._calls.pool.end(instance)
         known = set(self._directory.endpoints)
         self._state.loads.forget_all_but(known)
         self._calls.pool.keep_only(known)
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -59,7 +59,7 @@
 @attrs.frozen
 class _Page:
     current_rev: int
-    items: list[_Object] = attrs.Factory(list)
+    items: list[msgspec.Raw] = attrs.Factory(list)
     has_more: bool = False
 
 
@@ -76,7 +76,7 @@
 @attrs.frozen
 class _Changes:
     current_rev: int
-    events: list[_Event] = attrs.Factory(list)
+    events: list[msgspec.Raw] = attrs.Factory(list)
 
 
 @attrs.frozen
@@ -111,7 +111,7 @@
             page = _read(reply.ok_value, _Page)
             if isinstance(page, Err):
                 return page
-            objects += [item.decode() for item in page.ok_value.items]
+            objects += _decode_each(page.ok_value.items, _Object)
             if not page.ok_value.has_more or not objects:
                 return Ok(Listing(tuple(objects), page.ok_value.current_rev))
             after = objects[-1].name
@@ -130,8 +130,8 @@
         changes = _read(reply.ok_value, _Changes)
         if isinstance(changes, Err):
             return Err(changes.err_value)
-        events = tuple(event.decode() for event in changes.ok_value.events)
-        return Ok(Listing(events, changes.ok_value.current_rev))
+        events = _decode_each(changes.ok_value.events, _Event)
+        return Ok(Listing(tuple(events), changes.ok_value.current_rev))
 
     async def create(
         self, kind: str, name: str, content: bytes
@@ -205,6 +205,21 @@
         return Err(SourceFailure(f"unreadable: {error}"))
 
 
+def _decode_each(
+    items: list[msgspec.Raw], kind: type[_Object] | type[_Event]
+) -> list[StoredObject]:
+    """The objects of a page; one that can't be read is left out, and hides no other."""
+    objects = []
+    for item in items:
+        try:
+            objects.append(msgspec.json.decode(item, type=kind).decode())
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            logger.error(
+                "event=object_unreadable problem=%r start=%r", str(error), bytes(item)[:80]
+            )
+    return objects
+
+
 def _read_written(
     reply: Result[_Reply, SourceFailure],
 ) -> Result[StoredObject, Conflict | SourceFailure]:
--- /dev/null
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -0,0 +1,216 @@
+"""Scenarios on entries in the store that come from other writers."""
+
+import json
+import logging
+import random
+import time
+from unittest.mock import AsyncMock, Mock
+
+import anyio
+import msgspec
+from behave import then, when
+from result import Ok
+
+from saffronworks.forwarding.census import Census
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.platform import servers
+from saffronworks.platform.servers import SERVER_KIND, ServerSink
+from saffronworks.platform.store import PlatformStore
+from saffronworks.tests.fake_store import FakeStore
+
+WALL_MS = 1_700_000_000_000
+
+
+def whole(index=0, **changes):
+    entry = {
+        "service": "s",
+        "address": f"127.0.0.1:{index + 1}",
+        "zone": "z",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 3,
+    }
+    return json.dumps(entry | changes).encode()
+
+
+def without(*names):
+    entry = json.loads(whole())
+    return json.dumps({key: entry[key] for key in entry if key not in names}).encode()
+
+
+BAD = {
+    "no JSON": b"{service: s",
+    "no UTF-8": b'{"service":"\xff\xfe"}',
+    "a list": b"[1, 2]",
+    "null": b"null",
+    "empty": b"",
+    "huge": whole(zone="z" * 70_000),
+    "without a service": without("service"),
+    "without most": b'{"service":"s"}',
+    "of other types": json.dumps(dict.fromkeys(json.loads(whole()), [])).encode(),
+    "an odd state": whole(state="warming"),
+    "an odd stage": whole(stage="embed"),
+    "a named address": whole(address="engine-1:80"),
+    "a port too high": whole(address="127.0.0.1:70000"),
+    "no slots": whole(slots=0),
+    "a start as text": whole(born="12"),
+    "a start ahead": whole(born=WALL_MS + 3_600_000),
+}
+
+
+class Lines(logging.Handler):
+    """The lines of a logger while it is open."""
+
+    def __init__(self, name):
+        super().__init__()
+        self.texts = []
+        self._logger = logging.getLogger(name)
+
+    def emit(self, record):
+        self.texts.append(record.getMessage())
+
+    def __enter__(self):
+        self._disabled = logging.root.manager.disable
+        logging.disable(logging.NOTSET)
+        self._logger.addHandler(self)
+        return self.texts
+
+    def __exit__(self, *_):
+        self._logger.removeHandler(self)
+        logging.disable(self._disabled)
+
+
+class Sink:
+    """A sink with its directory, and how often a bad entry was counted."""
+
+    def __init__(self):
+        self.directory, self.counted, self.revision = Directory(), [], 0
+        self._sink = ServerSink(
+            self.directory, lambda: 0, lambda: WALL_MS, lambda: None, self.counted.append
+        )
+
+    def list(self, contents):
+        self.revision += 1
+        objects = tuple(StoredObject(name, self.revision, raw) for name, raw in contents.items())
+        self._sink.replace_all(Listing(objects, self.revision), lapse_until_ms=9999)
+
+    def change(self, name, content):
+        self.revision += 1
+        item = StoredObject(name, self.revision, content)
+        self._sink.apply(Listing((item,), self.revision), lapse_until_ms=9999)
+        return item
+
+    def repeat(self, item):
+        self._sink.apply(Listing((item,), self.revision), lapse_until_ms=9999)
+
+    def usable(self):
+        return {endpoint.name for endpoint in self.directory.usable("s", 0)}
+
+
+@when("the entry of one of three endpoints becomes {bad}")
+def becomes_bad(context, bad):
+    context.sink = sink = Sink()
+    sink.list({f"e{index}": whole(index) for index in range(3)})
+    assert sink.usable() == {"e0", "e1", "e2"}
+    with Lines(servers.__name__) as context.lines:
+        item = sink.change("e0", BAD[bad])
+        sink.repeat(item)
+    context.bad = BAD[bad]
+
+
+@then("it is out of use at once, told once with {count} findings, and the others hold")
+def out_of_use(context, count):
+    assert context.sink.usable() == {"e1", "e2"}
+    told = [line for line in context.lines if "event=endpoint_unreadable" in line]
+    assert len(told) == 1 and f"findings={count} " in told[0], told
+    assert context.sink.counted == [SERVER_KIND] * 2
+    whole_listing = {"e0": context.bad, "e1": whole(1), "e2": whole(2)}
+    context.sink.list(whole_listing)
+    assert context.sink.usable() == {"e1", "e2"}, "a listing lets it lapse, though it is there"
+
+
+@then("it is back when its entry is whole again")
+def back(context):
+    context.sink.change("e0", whole())
+    assert context.sink.usable() == {"e0", "e1", "e2"}
+
+
+@then("a listing with ten thousand bad entries is taken in half a second and told in few lines")
+def thousands(context):
+    sink = Sink()
+    kinds = [content for content in BAD.values() if len(content) < 1000]
+    bad = {f"x{index}": kinds[index % len(kinds)] for index in range(10_000)}
+    with Lines(servers.__name__) as lines:
+        began_s = time.process_time()
+        sink.list(bad | {"e0": whole()})
+        took_s = time.process_time() - began_s
+    assert sink.usable() == {"e0"} and len(sink.counted) == 10_000
+    assert took_s < 0.5, took_s
+    assert len(lines) <= servers.MOST_TOLD + 2, len(lines)
+    assert any("event=endpoints_unreadable not_told=9950" in line for line in lines), lines[-2:]
+
+
+GARBLED = [b"null", b"5", b'{"metadata":5}', b'{"metadata":{"name":"x"},"spec":"\xff"}']
+
+
+class GarblingStore(FakeStore):
+    """Answers with objects that can't be read beside a good one."""
+
+    async def _handle(self, call):
+        good = b'{"metadata":{"name":"e0","revision":1},"spec":{}}'
+        if "watch" in call.query:
+            items = b",".join(b'{"object":%s,"removed":false}' % item for item in (*GARBLED, good))
+            return await call.reply_bytes(200, b'{"events":[%s],"current_rev":5}' % items, "x/y")
+        body = b'{"items":[%s],"current_rev":5}' % b",".join((*GARBLED, good))
+        return await call.reply_bytes(200, body, "x/y")
+
+
+@then("one unreadable object of a listing or of a watch hides no other")
+def garbled(context):
+    async def main():
+        fake = GarblingStore()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fake.run)
+            store = PlatformStore(fake.address)
+            listing = (await store.list_objects("servers")).unwrap()
+            changes = (await store.watch("servers", 1, 100)).unwrap()
+            await store.close()
+            tasks.cancel_scope.cancel()
+        for heard in (listing, changes):
+            assert heard.objects[-1].name == "e0" and heard.revision == 5, heard
+            assert [item.name for item in heard.objects] == ["x", "e0"], heard
+
+    anyio.run(main)
+
+
+@then("the census leaves out entries that name no node, and tells each once")
+def census(context):
+    good = {"address": "10.0.0.1:1", "cores": 2.0}
+    contents = [
+        msgspec.json.encode(good),
+        b"null",
+        b'{"cores":1}',
+        msgspec.json.encode(good | {"address": "front-1:80"}),
+        msgspec.json.encode(good | {"address": "10.0.0.9:1", "cores": -1}),
+        msgspec.json.encode(good | {"address": "10.0.0.9:1", "cores": 1e9}),
+        b'{"address":"\xff"}',
+    ]
+    objects = [StoredObject(f"n{index}", 7, raw) for index, raw in enumerate(contents)]
+    store = Mock()
+    store.create = AsyncMock(return_value=Ok(objects[0]))
+    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), 2)))
+    counted = []
+
+    async def main():
+        census = Census("n0", "10.0.0.1:1", 2.0, store, random.Random(1), counted.append)
+        await census._count()
+        await census._count()
+
+    with Lines("saffronworks.forwarding.census") as lines:
+        anyio.run(main)
+    assert counted == [{"10.0.0.1:1": 2.0}], counted
+    told = [line for line in lines if "census_entry_unreadable" in line]
+    assert len(told) == len(contents) - 1, told
--- a/saffronworks/tests/features/steps/census_steps.py
+++ b/saffronworks/tests/features/steps/census_steps.py
@@ -14,7 +14,10 @@
 
 @when("a node enters itself in a store where others have entered before")
 def enters(context):
-    entries = {"a": {"address": "a:1", "cores": 2.0}, "b": {"address": "b:1", "cores": 1.0}}
+    entries = {
+        "a": {"address": "10.0.0.1:1", "cores": 2.0},
+        "b": {"address": "10.0.0.2:1", "cores": 1.0},
+    }
     objects = [StoredObject(name, 1, msgspec.json.encode(e)) for name, e in entries.items()]
     store = Mock()
     store.create = AsyncMock(return_value=Ok(objects[1]))
@@ -22,7 +25,7 @@
     context.counted = []
 
     async def main():
-        census = Census("b", "b:1", 1.0, store, random.Random(1), context.counted.append)
+        census = Census("b", "10.0.0.2:1", 1.0, store, random.Random(1), context.counted.append)
         with anyio.move_on_after(0.2):
             await census.run()
 
@@ -32,4 +35,4 @@
 @then("it knows all of them at once, not only at the second count")
 def knows_at_once(context):
     assert SECOND_COUNT_S > 1
-    assert context.counted == [{"a:1": 2.0, "b:1": 1.0}], context.counted
+    assert context.counted == [{"10.0.0.1:1": 2.0, "10.0.0.2:1": 1.0}], context.counted
--- a/saffronworks/tests/features/steps/followers_steps.py
+++ b/saffronworks/tests/features/steps/followers_steps.py
@@ -1,13 +1,15 @@
 """Scenarios on following the store: swarms of changes, cuts and silence."""
 
+import json
 import random
 from itertools import product
+from unittest.mock import Mock
 
 import anyio
 from behave import then, when
 from result import Err, Ok
 
-from saffronworks.clocks import monotonic_ms
+from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.ports import Listing, SourceFailure, StoredObject
@@ -15,7 +17,7 @@
 from saffronworks.platform.servers import ServerSink
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import ANSWER_TIMEOUT_S
-from saffronworks.tests.platform_fakes import settings_text
+from saffronworks.tests.platform_fakes import FakeServer, settings_text
 
 WAIT_MS = 1000
 # As the users' small sites have it: in touch after 3 s, and bound 2 s later.
@@ -117,7 +119,7 @@
             self._failing_lists -= 1
             self.now_ms += 1000
             return Err(self._failure)
-        entry = b'{"service":"s","address":"127.0.0.1:1"}'
+        entry = json.dumps(FakeServer("e0", "s").entry()).encode()
         return Ok(Listing(() if self._failed else (StoredObject("e0", 1, entry),), 1))
 
     async def watch(self, kind, revision, wait_ms):
@@ -136,7 +138,7 @@
         return source.now_ms
 
     async def main():
-        sink = ServerSink(directory, clock, lambda: None)
+        sink = ServerSink(directory, clock, wall_ms, lambda: None, Mock())
         follower = Follower(
             "servers", source, sink, random.Random(1), clock, WAIT_MS, KNOWN_WITHIN_MS
         )
--- /dev/null
+++ b/saffronworks/tests/features/steps/starts_steps.py
@@ -0,0 +1,312 @@
+"""Scenarios on starts of endpoints under one name, as the deciding parts see them."""
+
+import attrs
+from behave import then
+from hypothesis import given as forall
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from saffronworks.bundles import Role
+from saffronworks.forwarding.connections import BreakCause, ConnectionPool
+from saffronworks.forwarding.directory import (
+    REMEMBER_START_MS,
+    Directory,
+    Heard,
+    ServiceEndpoint,
+)
+from saffronworks.forwarding.loads import LoadTable
+from saffronworks.forwarding.planning import messages
+from saffronworks.forwarding.planning.plans import PlanState
+from saffronworks.forwarding.planning.service import MemoryPlanner
+from saffronworks.forwarding.role_core import Look, OpenOrder, Ordered, RoleState, step
+from saffronworks.forwarding.starts import StartId, is_later, start_id
+from saffronworks.kernel import Kernel
+
+
+def start(name="e0", born_ms=None, address="127.0.0.1:1", **changes):
+    return ServiceEndpoint(name, "s", address, "z", born_ms=born_ms, **changes)
+
+
+def usable(directory, now_ms=0):
+    return {endpoint.instance for endpoint in directory.usable("s", now_ms)}
+
+
+def knows(*endpoints):
+    directory = Directory()
+    directory.replace(list(endpoints), 1, now_ms=0)
+    return directory
+
+
+@then("it is usable at once where the one before drained, was replaced or went")
+def usable_at_once(context):
+    later = start(born_ms=9)
+    drained = knows(start(born_ms=5, draining=True))
+    replaced = knows(start(born_ms=5))
+    replaced.note_replaced("e0@5")
+    gone = knows(start(born_ms=5))
+    gone.remove("e0", now_ms=10)
+    for directory in (drained, replaced, gone):
+        assert usable(directory) == set()
+        assert directory.put(later) is Heard.RESTARTED
+        assert usable(directory) == {"e0@9"}
+        assert directory.take_ended() == ["e0@5"] and not directory.take_ended()
+
+
+@then("nothing that was known of the one before is known of it")
+def nothing_known(context):
+    before, later = start_id("e0", 5), start_id("e0", 9)
+    loads, plan = LoadTable("z"), PlanState(0, 90_000, 8)
+    loads.of(before).fail(0, unreachable=True)
+    plan.shuns.fail(before, 0)
+    plan.full_until_ms[before] = 5000
+    plan.reading.readers = {before: "z", later: "z"}
+    plan.reading.count("r1", before, 5000, 0)
+    plan.reading.pace.learn(before, 5000, 900.0)
+    assert loads.of(later).circuit.admits(0) and not loads.of(before).circuit.admits(0)
+    assert plan.shuns.usable([before, later], 1) == [later]
+    assert set(plan.occupancies({later: "z"}, 1)) == {later}
+    assert plan.reading.backlog_ms(later, 1) == 0 < plan.reading.backlog_ms(before, 1)
+    assert set(plan.reading.pace._of_reader) == {before}
+
+
+@then("an earlier start that is heard of late never takes its place")
+def never_back(context):
+    early, late = start(born_ms=5), start(born_ms=9)
+    directory = knows(early)
+    directory.put(late)
+    assert directory.put(early) is Heard.OVER
+    directory.replace([early], 2, now_ms=10)
+    assert usable(directory) == {"e0@9"}
+    directory.remove("e0", now_ms=20)
+    assert directory.put(early) is Heard.OVER and not usable(directory)
+    assert directory.put(late) is Heard.CHANGED and usable(directory) == {"e0@9"}
+
+
+@then("an entry without a time of its start goes by its name")
+def by_name(context):
+    plain, timed = start(), start(born_ms=5)
+    directory = knows(plain)
+    assert usable(directory) == {"e0"}
+    assert directory.put(timed) is Heard.RESTARTED
+    assert directory.put(attrs.evolve(plain, draining=True)) is Heard.CHANGED
+    assert directory.named("e0").instance == "e0@5" and not usable(directory)
+    lost = knows(plain)
+    lost.note_replaced("e0")
+    assert lost.put(plain) is Heard.OVER
+    assert lost.put(start(address="127.0.0.1:2")) is Heard.CHANGED
+
+
+@then("two entries may name one address until the endpoint there answers")
+def one_address(context):
+    directory = knows(start("e0", 5), start("e1", 9), start("e2"))
+    assert usable(directory) == {"e0@5", "e1@9", "e2"}
+    directory.note_replaced(StartId("e1@9"))
+    assert directory.put(start("e1", 9)) is Heard.OVER
+    assert usable(directory) == {"e0@5", "e2"}
+    assert directory.put(start("e1", 9, address="127.0.0.1:2")) is Heard.CHANGED
+
+
+NAMES = ("a", "b", "c")
+ENTRIES = st.builds(
+    start,
+    name=st.sampled_from(NAMES),
+    born_ms=st.one_of(st.none(), st.integers(1, 6)),
+    address=st.sampled_from(["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"]),
+    draining=st.booleans(),
+    role=st.sampled_from(Role),
+)
+EVENTS = st.one_of(
+    st.tuples(st.just("put"), ENTRIES),
+    st.tuples(st.just("gone"), st.sampled_from(NAMES)),
+    st.tuples(st.just("lapse"), st.sampled_from(NAMES)),
+    st.tuples(st.just("replaced"), st.sampled_from(NAMES)),
+    st.tuples(st.just("list"), st.lists(ENTRIES, max_size=4)),
+    st.tuples(st.just("wait"), st.integers(1, REMEMBER_START_MS // 2)),
+)
+LAPSE_MS = 2000
+
+
+class Model:
+    """What callers rely on, kept plainly: the latest time of a start heard under each name."""
+
+    def __init__(self):
+        self.latest = {}
+        self.lost = {}
+
+    def hear(self, endpoint):
+        if is_later(endpoint.born_ms, self.latest.get(endpoint.name)):
+            self.latest[endpoint.name] = endpoint.born_ms
+
+
+def play(directory, model, event, now_ms):
+    match event:
+        case "put", endpoint:
+            model.hear(endpoint)
+            directory.put(endpoint)
+        case "gone", name:
+            directory.remove(name, now_ms)
+        case "lapse", name:
+            directory.remove(name, now_ms, now_ms + LAPSE_MS)
+        case "replaced", name:
+            known = directory.named(name)
+            if known is not None:
+                model.lost[name] = known.address
+                directory.note_replaced(known.instance)
+        case "list", listed:
+            for endpoint in listed:
+                model.hear(endpoint)
+            directory.replace(listed, 1, now_ms)
+
+
+class Connection:
+    """What the pool needs of a connection."""
+
+    finished = True
+    idle_since_ms = 0.0
+
+    def __init__(self):
+        self.closed = self.cause = None
+
+    def close(self):
+        self.closed = True
+
+    def give_up(self, cause):
+        self.cause = cause
+
+
+class Work:
+    """A planner, loads and connections that work goes on with beside the directory."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.planner, self.plan = planner_of(directory)
+        self.kernel, self.answers = Kernel("n", lambda: self.now_ms), []
+        self.kernel.announce = self.answers.append
+        self.pool, self.loads = ConnectionPool("id"), LoadTable("z")
+        self.busy, self.now_ms, self.asked, self.granted = {}, 0, 0, 0
+
+    def act(self, now_ms):
+        """Use each usable start once, ask for a place, and hear of what has ended."""
+        self.now_ms = now_ms
+        ended = self.directory.take_ended()
+        for instance in ended:
+            self.pool.end(instance)
+        known = set(self.directory.endpoints)
+        self.pool.keep_only(known)
+        self.loads.forget_all_but(known)
+        for instance in ended:
+            for connection in self.busy.pop(instance, []):
+                assert connection.cause is BreakCause.RESTARTED
+        assert not set(self.pool._idle) - known and not set(self.pool._busy) & set(ended)
+        self._connect()
+        self._ask()
+
+    def _connect(self):
+        for endpoint in self.directory.usable("s", self.now_ms):
+            idle, busy = Connection(), Connection()
+            self.pool._busy.setdefault(endpoint.instance, set()).add(busy)
+            self.busy.setdefault(endpoint.instance, []).append(busy)
+            self.pool.give_back(endpoint, idle)
+
+    def _ask(self):
+        self.asked += 1
+        sizes = {"prompt_tokens": 5000, "likely_tokens": 600, "most_tokens": 900}
+        times = {"waited_ms": 0, "in_time_ms": 500, "patience_ms": 900}
+        ask = messages.MemoryAsk(
+            f"r{self.asked}", "127.0.0.1:9", "s", **sizes, **times, returned=False
+        )
+        self.plan.began_ms, self.plan.heard_ms = -9999, self.now_ms
+        self.planner._take(self.kernel, "s", ask)
+        self.plan.waiters.clear()
+        for answer in self.answers:
+            if isinstance(answer, messages.MemoryGrant):
+                self.granted += 1
+                offered = usable(self.directory, self.now_ms)
+                assert {answer.instance, answer.reader} <= offered, answer
+                self.planner._take(self.kernel, "s", messages.MemoryRelease(answer.request_id, "s"))
+        self.answers.clear()
+
+
+@then("the directory never offers a start that is over, and leaves no usable one out")
+@then("no connection or place of such a start is used for a later one")
+def any_series(context):
+    works = []
+
+    @limits(max_examples=300)
+    @forall(st.lists(EVENTS, max_size=30))
+    def check(events):
+        directory, model, now_ms = Directory(), Model(), 0
+        work = Work(directory)
+        works.append(work)
+        for event in events:
+            now_ms += event[1] if event[0] == "wait" else 100
+            play(directory, model, event, now_ms)
+            offered = directory.usable("s", now_ms)
+            names = [endpoint.name for endpoint in offered]
+            assert len(set(names)) == len(names), offered
+            for endpoint in offered:
+                assert not is_later(model.latest.get(endpoint.name), endpoint.born_ms), event
+            work.act(now_ms)
+            if event[0] == "put":
+                check_heard(directory, model, event[1], now_ms)
+
+    check()
+    granted = sum(work.granted for work in works)
+    assert granted > len(works) // 2, f"{granted} grants in {len(works)} series"
+
+
+def check_heard(directory, model, endpoint, now_ms):
+    """The start that was heard of last is used, unless it is over for a reason."""
+    if endpoint.draining or endpoint.born_ms != model.latest.get(endpoint.name):
+        return
+    known = directory.named(endpoint.name)
+    if known is not None:
+        assert known.address == endpoint.address
+        assert known.instance in usable(directory, now_ms)
+        return
+    # Only because another endpoint answered at its address.
+    assert model.lost.get(endpoint.name) == endpoint.address, endpoint
+
+
+def planner_of(directory):
+    planner = MemoryPlanner(directory, lambda: None, "127.0.0.1:9")
+    planner.plans["s"] = PlanState(0, 90_000, 8)
+    return planner, planner.plans["s"]
+
+
+@then("a planner takes such a name for the latest start, in all that it hears")
+def resolves_names(context):
+    directory = knows(start(born_ms=5, role=Role.DECODE))
+    planner, plan = planner_of(directory)
+    kernel = Kernel("n", lambda: 2000)
+    live = messages.LiveRun("r1", StartId("e0"), 5000, 600, 900, 100)
+    planner._take(kernel, "s", messages.MemoryReport("127.0.0.1:8", "s", (live,)))
+    assert plan.runs["r1"].instance == "e0@5"
+    planner._take(kernel, "s", messages.MemoryRelease("r2", "s", broken=(StartId("e0"),)))
+    assert plan.shuns.shunned(StartId("e0@5"), 2000)
+    other = messages.LiveRun("r3", StartId("e0@4"), 5000, 600, 900, 100)
+    planner._take(kernel, "s", messages.MemoryReport("127.0.0.1:7", "s", (other,)))
+    assert plan.runs["r3"].instance == "e0@4", "a run of an earlier start is none of this one"
+
+
+@then("an entry node does so with a grant")
+def resolves_grant(context):
+    directory = knows(start(born_ms=5))
+    assert directory.resolve(StartId("e0")) == "e0@5"
+    assert directory.resolve(StartId("e0@5")) == "e0@5"
+    assert directory.resolve(StartId("e0@4")) == "e0@4"
+    assert directory.resolve(StartId("e9")) == "e9"
+
+
+@then("the order is over, and the later start is judged by what it shows")
+def order_over(context):
+    state = RoleState("n", 3000, 300)
+    before = start("e0", 5, role=Role.PREFILL)
+    state.orders[before.instance] = OpenOrder(Role.DECODE, ordered_ms=0)
+    step(state, Ordered(before.instance, None), 100)
+    others = [
+        start(f"d{index}", 5, f"127.0.0.1:{index + 2}", role=Role.DECODE) for index in range(4)
+    ]
+    later = start("e0", 9, role=Role.PREFILL)
+    assert step(state, Look([later, *others]), 3000) is None
+    assert not state.orders, "the later start was given no order"
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -10,7 +10,8 @@
 
 __all__ = ["FakeServer", "fetch", "settings_text"]
 
-# What a run of an engine may do wrong, beside `break-N`: break off inside event N.
+# What a run of an engine may do wrong, beside `break-N`: break off inside event N, and `stall-N`:
+# say nothing more from event N on.
 STREAM_FAULTS = (
     None,
     "error",
@@ -44,15 +45,24 @@
         self.left = []
         self.connections = 0
         self.work_s = 0.0
+        self.read_s = 0.0
         self.events = 3
         self.full = False
+        self.starts = 1
         self._late = []
 
     def entry(self, state="ready"):
         entry = {"service": self.service, "address": self.address, "zone": "z1", "state": state}
-        entry |= {"slots": 4, "sequence": 1}
+        entry |= {"version": "v1", "slots": 4, "cold_left_ms": 0, "sequence": 1}
+        entry |= {"born": self.starts} if self.starts > 1 else {}
         return entry | ({"stage": self.stage} if self.stage else {})
 
+    def restart(self):
+        """Start again under the same name and address; what it had in hand stays silent."""
+        self.starts += 1
+        self.seen, self.ran, self.script = [], [], []
+        self.work_s = self.read_s = 0.0
+
     async def run(self):
         host, port = self.address.split(":")
         server = await asyncio.start_server(self._serve, host, int(port))
@@ -88,7 +98,7 @@
 
     async def _control(self, writer, method, target):
         if target.endswith("hold-take") and not self.full:
-            return await self._reply(writer, 200, {}, b'{"hold":"h1"}')
+            return await self._reply(writer, 200, {}, b'{"hold":"h%d"}' % self.starts)
         return await self._reply(writer, 503 if method == "POST" else 200, {}, b"{}")
 
     async def _request(self, reader, writer, headers):
@@ -98,6 +108,7 @@
             return True
         request_id = headers["request-id"]
         if headers.get("stage") == "prefill":
+            await asyncio.sleep(self.read_s)
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
             return await self._reply(writer, 200, {"Request-Id": request_id}, body)
         fault = self.script.pop(0) if self.script else None
@@ -159,7 +170,7 @@
         return await self._reply(writer, 200, own, body)
 
     async def _stream(self, writer, own, fault):
-        assert fault in STREAM_FAULTS or fault.startswith("break-"), fault
+        assert fault in STREAM_FAULTS or fault.startswith(("break-", "stall-")), fault
         if fault == "error":
             return await self._reply(writer, 500, own, b"failed")
         if fault == "error-break":
@@ -183,7 +194,8 @@
             return await self._stream_sized(writer, own, fault, after)
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after += {"repeat": -1, "gap": 1}.get(fault, 0)
-        breaks_at = int(fault.partition("-")[2]) if fault and fault.startswith("break-") else None
+        ends_at = fault and fault.startswith(("break-", "stall-"))
+        breaks_at = int(fault.partition("-")[2]) if ends_at else None
         if fault == "half":
             writer.write(b"8\r\nid: 3\nda\r\n0\r\n\r\n")
             await writer.drain()
@@ -195,8 +207,15 @@
         if fault == "long-id":
             data = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        return await self._stream_events(writer, fault, after, breaks_at)
+
+    async def _stream_events(self, writer, fault, after, breaks_at):
+        """Event after event in chunks, up to the one at which the stream breaks or stalls."""
         for number in range(after + 1, self.events + 2):
             data = f"id: {number}\ndata: {self.instance}\n\n".encode()
+            if number == breaks_at and fault.startswith("stall-"):
+                await asyncio.sleep(READ_LIMIT_S)
+                return False
             if number == breaks_at:
                 writer.write(b"%x\r\n%s\r\n" % (6, data[:6]))
                 await writer.drain()
@@ -235,7 +254,9 @@
 
     def _reset(self, writer):
         raw = writer.get_extra_info("socket")
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        # A connection that the other side has just reset is closed already.
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
 
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -57,6 +57,17 @@
         async with server:
             await server.serve_forever()
 
+    def entry(self, state="ready"):
+        return super().entry(state) | {"born": self.starts}
+
+    def restart(self):
+        """Another start under the same name: what it held and ran is lost."""
+        self.crash()
+        self.starts += 1
+        self.grey_until_ms = self.full_until_ms = 0.0
+        self.holds.clear()
+        self.handles.clear()
+
     def crash(self):
         """Reset every connection; what runs is lost."""
         for writer in list(self._writers):
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ConfigChange",
     "EndpointFault",
+    "EndpointRestart",
     "Fault",
     "LinkFault",
     "NodeFault",
@@ -24,6 +25,8 @@
 SERIES_SPREAD_MS = 2500
 SHORTEST_MS = 300
 LONGEST_MS = 3000
+# One that starts again is back before its entry lapses.
+SHORT_GONE_MS = 2000
 
 
 @attrs.frozen
@@ -35,6 +38,8 @@
     engines: int = 5
     callers: int = 24
     faults_ms: int = 16_000
+    # How often an endpoint starts again under its name.
+    restarts: int = 4
 
 
 @attrs.frozen
@@ -67,6 +72,10 @@
     """An endpoint ends, leaves, fails some requests or has no room."""
 
 
+class EndpointRestart(Fault):
+    """An endpoint starts again under its name and address, and knows nothing of before."""
+
+
 class ConfigChange(Fault):
     """The operator writes a new version, which sends a route to another service."""
 
@@ -80,7 +89,18 @@
         for _ in range(rng.randint(1, 4)):
             faults.append(_draw(rng, begin_ms + rng.randrange(SERIES_SPREAD_MS)))
     changes = [_change(rng, shape) for _ in range(rng.randint(1, 4))]
-    return sorted([*faults, *changes], key=lambda fault: fault.at_ms)
+    # Drawn by themselves, so that the other faults of a seed stay what they were.
+    again = random.Random(f"{seed}/restarts")
+    restarts = [
+        EndpointRestart(
+            again.randrange(shape.faults_ms),
+            again.randint(SHORTEST_MS, SHORT_GONE_MS),
+            "restart",
+            again.randrange(1000),
+        )
+        for _ in range(shape.restarts)
+    ]
+    return sorted([*faults, *changes, *restarts], key=lambda fault: fault.at_ms)
 
 
 def _draw(rng: random.Random, at_ms: int) -> Fault:
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -136,6 +136,8 @@
                 await self._strike_store(fault)
             case faults.EndpointFault():
                 await self._strike_endpoint(fault)
+            case faults.EndpointRestart():
+                await self._restart_endpoint(fault)
             case faults.ConfigChange():
                 self._write_config(len(self.records.versions) + 1)
 
@@ -188,9 +190,25 @@
         await anyio.sleep(fault.for_ms / 1000)
         self.store.fault = None
 
-    async def _strike_endpoint(self, fault):
+    def _choose_endpoint(self, fault):
         names = sorted(set(self.endpoints) - set(self.records.left_ms))
-        endpoint = self.endpoints[names[fault.target % len(names)]]
+        return self.endpoints[names[fault.target % len(names)]]
+
+    async def _restart_endpoint(self, fault):
+        """It is gone for a moment; its entry tells the new start, and never went."""
+        endpoint, for_s = self._choose_endpoint(fault), fault.for_ms / 1000
+        self._disturb(ALL_NODES, "endpoint", for_s)
+        proxy = self._endpoint_proxies[endpoint.instance]
+        proxy.begin("reset")
+        endpoint.crash()
+        await anyio.sleep(for_s)
+        endpoint.restart()
+        proxy.end()
+        if endpoint.instance not in self.records.left_ms:
+            self.store.put("servers", endpoint.instance, endpoint.entry())
+
+    async def _strike_endpoint(self, fault):
+        endpoint = self._choose_endpoint(fault)
         until_ms = self.now_ms() + fault.for_ms
         match fault.kind:
             case "grey":
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -11,7 +11,7 @@
 import msgspec
 import uvicorn
 
-__all__ = ["BadBody", "Call", "HttpServer", "bind", "parse_address"]
+__all__ = ["BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
 
 logger = logging.getLogger(__name__)
 
@@ -132,6 +132,16 @@
     return host, int(port)
 
 
+def is_address(text: str) -> bool:
+    """Whether a text is of the form `IP:port`, with an IPv4 address by number."""
+    host, _, port = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 2**16
+
+
 def bind(address: str) -> socket.socket:
     """A listening socket; port 0 takes a free one."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
