--- a/saffronworks/bundles.py
+++ b/saffronworks/bundles.py
@@ -1,10 +1,9 @@
 """Routing bundles: which endpoints serve which requests, in which roles, at what priority."""
 
-import enum
-
 import attrs
 from result import Err, Ok, Result
 
+from saffronworks.endpoint_roles import Role
 from saffronworks.readers import Finding, Section, read_yaml, sort_findings
 
 __all__ = [
@@ -19,13 +18,6 @@
 ]
 
 
-class Role(enum.StrEnum):
-    """What an endpoint does for a pool."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-
-
 @attrs.frozen
 class Endpoint:
     """One back end. Rates are priors: the owner corrects them by what it sees."""
--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.starts import StartId, is_later, start_id
 
 __all__ = ["Directory", "Heard", "ServiceEndpoint"]
--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -1,40 +1,65 @@
-"""Counters and latency histograms of forwarding, on the process's metrics page."""
+"""Counts and times of forwarding, kept plain until somebody asks for the process's metrics.
 
-from saffronworks.metrics import find_meter
+The metrics' libraries take a fifth of a node's start and some microseconds at each sample, while
+most nodes are never asked; so they are loaded at the first question, and samples wait here.
+"""
 
-__all__ = ["Figures"]
+from collections import Counter, deque
+
+import attrs
+
+__all__ = ["Figures", "Sample"]
+
+# Times between two questions that the histograms show, the newest ones: a busy node's answers of a
+# minute. Counts are never left out.
+SAMPLES_KEPT = 4096
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen
+class Sample:
+    """One time of a histogram."""
+
+    name: str
+    value_ms: int
+    labels: Labels
 
 
 class Figures:
-    """The instruments of forwarding; each sample carries the node's name."""
+    """What a node counted; each sample carries the node's name."""
 
     def __init__(self, node: str):
-        meter = find_meter()
         self._node = node
-        self._requests = meter.create_counter("saffronworks_forwarded", description="by outcome")
-        self._sends = meter.create_counter("saffronworks_sends", description="by kind and result")
-        self._bad_entries = meter.create_counter(
-            "saffronworks_bad_entries",
-            description="entries in the store that are not whole, by kind",
-        )
-        self._latency = meter.create_histogram("saffronworks_answer_ms", unit="ms")
-        self._first = meter.create_histogram("saffronworks_first_byte_ms", unit="ms")
+        self.counts: Counter[tuple[str, Labels]] = Counter()
+        self._samples: deque[Sample] = deque(maxlen=SAMPLES_KEPT)
 
     def count(self, outcome: str, route: str, reason: str = "") -> None:
         """Count the end of a request."""
-        labels = {"node": self._node, "outcome": outcome, "route": route, "reason": reason}
-        self._requests.add(1, labels)
+        self._add("saffronworks_forwarded", outcome=outcome, route=route, reason=reason)
 
     def count_send(self, kind: str, result: str) -> None:
         """Count a call to an endpoint."""
-        self._sends.add(1, {"node": self._node, "kind": kind, "result": result})
+        self._add("saffronworks_sends", kind=kind, result=result)
 
     def count_bad_entry(self, kind: str) -> None:
         """Count an entry in the store that names nothing to use."""
-        self._bad_entries.add(1, {"node": self._node, "kind": kind})
+        self._add("saffronworks_bad_entries", kind=kind)
 
     def record(self, route: str, first_ms: int, whole_ms: int) -> None:
         """Record when an answer began and when it was whole."""
-        labels = {"node": self._node, "route": route}
-        self._first.record(first_ms, labels)
-        self._latency.record(whole_ms, labels)
+        labels = self._label(route=route)
+        self._samples.append(Sample("saffronworks_first_byte_ms", first_ms, labels))
+        self._samples.append(Sample("saffronworks_answer_ms", whole_ms, labels))
+
+    def take_samples(self) -> list[Sample]:
+        """The times since the last call; each is told once."""
+        samples = list(self._samples)
+        self._samples.clear()
+        return samples
+
+    def _add(self, name: str, **labels: str) -> None:
+        self.counts[name, self._label(**labels)] += 1
+
+    def _label(self, **labels: str) -> Labels:
+        return (("node", self._node), *labels.items())
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -5,7 +5,7 @@
 import anyio
 from result import Err
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.connections import Break, BreakCause
--- a/saffronworks/forwarding/planning/choice.py
+++ b/saffronworks/forwarding/planning/choice.py
@@ -7,7 +7,7 @@
     PLANNER_AVOID_MS,
     STRONG_SHARE,
 )
-from saffronworks.ownership import rank_members
+from saffronworks.hashing import rank_members
 
 __all__ = ["PlannerChoice"]
 
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -6,7 +6,7 @@
 import anyio
 import attrs
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.planning import core
 from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Result
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import (
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.starts import StartId
 
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -1,11 +1,15 @@
 """Counters and histograms of a node by OpenTelemetry, with a Prometheus scrape page."""
 
+from collections.abc import Callable, Iterable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Meter
+from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-__all__ = ["Metrics", "find_meter", "scrape_page"]
+from saffronworks.forwarding.figures import Figures
+
+__all__ = ["ForwardingMetrics", "Metrics", "find_meter", "scrape_page"]
 
 _reader: PrometheusMetricReader | None = None
 _provider: MeterProvider | None = None
@@ -55,3 +59,32 @@
         labels = {"node": self._node, "model": model}
         self._ttft.record(ttft_ms, labels)
         self._pace.record(pace_ms, labels)
+
+
+_COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
+_HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
+
+
+class ForwardingMetrics:
+    """The instruments over the figures of forwarding."""
+
+    def __init__(self, figures: Figures):
+        self._figures = figures
+        meter = find_meter()
+        for name in _COUNTERS:
+            meter.create_observable_counter(name, callbacks=[self._observe(name)])
+        self._histograms = {name: meter.create_histogram(name, unit="ms") for name in _HISTOGRAMS}
+
+    def _observe(self, name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def read(options: CallbackOptions) -> Iterable[Observation]:
+            for (counted, labels), value in list(self._figures.counts.items()):
+                if counted == name:
+                    yield Observation(value, dict(labels))
+
+        return read
+
+    def render(self) -> bytes:
+        """The scrape page, with what was sampled since the last one."""
+        for sample in self._figures.take_samples():
+            self._histograms[sample.name].record(sample.value_ms, dict(sample.labels))
+        return scrape_page()
--- a/saffronworks/ownership.py
+++ b/saffronworks/ownership.py
@@ -5,9 +5,9 @@
 import attrs
 
 from saffronworks.bundles import Bundle, Endpoint, Model, Pool, Role
-from saffronworks.hashing import hash64
+from saffronworks.hashing import weigh_member
 
-__all__ = ["Cell", "choose_owner", "rank_members", "split_bundle", "split_pool"]
+__all__ = ["Cell", "choose_owner", "split_bundle", "split_pool"]
 
 CELL_ENDPOINTS = 16
 
@@ -22,18 +22,9 @@
     models: tuple[Model, ...]
 
 
-def _weigh(member: str, key: str) -> int:
-    return hash64(f"{member}|{key}")
-
-
-def rank_members(members: Iterable[str], key: str, count: int) -> list[str]:
-    """The first `count` members for `key`, best first; each node computes the same."""
-    return sorted(members, key=lambda member: _weigh(member, key), reverse=True)[:count]
-
-
 def choose_owner(members: Iterable[str], key: str) -> str | None:
     """The member that owns `key`, None when there are no members."""
-    return max(members, key=lambda member: _weigh(member, key), default=None)
+    return max(members, key=lambda member: weigh_member(member, key), default=None)
 
 
 def split_pool(bundle: Bundle, pool: Pool) -> list[Cell]:
--- a/saffronworks/platform/__main__.py
+++ b/saffronworks/platform/__main__.py
@@ -1,8 +1,13 @@
 """Entry point of a node on the platform: `python3 -m saffronworks.platform`."""
 
+import gc
 import os
 import sys
 
+# What is imported stays for good: looking through it for garbage takes a tenth of a node's start.
+gc.disable()
+
+# ruff: noqa: E402
 import anyio
 import fire
 
@@ -34,6 +39,8 @@
         print(f"{path}: ok")
         return
     set_up_logs(log_level, sys.stdout)
+    gc.freeze()
+    gc.enable()
     anyio.run(PlatformNode(checked, path, metrics_port).run)
 
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connections import (
     Break,
     ConnectionPool,
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -38,11 +38,11 @@
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.kernel import Kernel
-from saffronworks.metrics import scrape_page
 from saffronworks.peers import PeerService
 from saffronworks.platform.calls import PlatformCalls
 from saffronworks.platform.configuration import CONFIG_KIND, ConfigurationSink
 from saffronworks.platform.ingress import Ingress
+from saffronworks.platform.scrapes import MetricsPage
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
 from saffronworks.platform.settings import PlatformSettings, read_platform_settings
 from saffronworks.platform.store import PlatformStore
@@ -138,6 +138,7 @@
         grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
         self._callers = HttpServer(bind(settings.caller_address), self._ingress.handle, grace_s)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
+        self._page = MetricsPage(self._state.figures)
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
     def _register(self) -> None:
@@ -149,6 +150,11 @@
         answers = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal)
         self._kernel.register(self._memory, *answers)
 
+    @property
+    def metrics_address(self) -> str:
+        """Where the figures are asked for, as `IP:port`."""
+        return self._metrics.address
+
     async def run(self) -> None:
         """Serve until SIGTERM has drained the node."""
         logger.info(
@@ -260,7 +266,7 @@
         if call.path != METRICS_PATH:
             await call.reply(404, {"error": f"only {METRICS_PATH} is served here"})
             return
-        await call.reply_bytes(200, scrape_page(), "text/plain; version=0.0.4")
+        await call.reply_bytes(200, await self._page.render(), "text/plain; version=0.0.4")
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
--- a/saffronworks/platform/servers.py
+++ b/saffronworks/platform/servers.py
@@ -10,7 +10,7 @@
 import attrs
 from result import Err, Result
 
-from saffronworks.bundles import Role
+from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory, Heard, ServiceEndpoint
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.platform.server_entries import ServerEntry, read_entry
--- a/saffronworks/relays.py
+++ b/saffronworks/relays.py
@@ -19,9 +19,9 @@
     PeerDigest,
     SendTo,
 )
+from saffronworks.hashing import rank_members
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import VMS_KEY, MemberService, read_vms
-from saffronworks.ownership import rank_members
 from saffronworks.stores import StoreClient
 
 __all__ = ["RelayService"]
--- a/saffronworks/routes.py
+++ b/saffronworks/routes.py
@@ -7,7 +7,8 @@
 
 from saffronworks.bundles import Bundle, Model, PlainRoute, read_bundle
 from saffronworks.documents import Document
-from saffronworks.ownership import Cell, rank_members, split_pool
+from saffronworks.hashing import rank_members
+from saffronworks.ownership import Cell, split_pool
 from saffronworks.signoffs import read_record
 
 __all__ = ["RouteTable", "choose_cell"]
--- a/saffronworks/tests/features/platform.feature
+++ b/saffronworks/tests/features/platform.feature
@@ -90,6 +90,11 @@
 
   Scenario: a node starts without libraries that it does not use
     Then a node does not load another event loop that is installed beside asyncio
+    And it loads neither the metrics' libraries nor the modules of another deployment
+
+  Scenario: the figures of a node
+    When a node that served requests is asked for its figures twice
+    Then the page has counts and times, and each request counts once
 
   Scenario: a server that is told to stop loses no time
     When servers are told to stop at different moments of their second
--- a/saffronworks/tests/features/steps/platform_steps.py
+++ b/saffronworks/tests/features/steps/platform_steps.py
@@ -13,8 +13,9 @@
 from behave import then, when
 
 from saffronworks.logs import BoundedHandler
+from saffronworks.platform.node import METRICS_PATH
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_fakes import FakeServer, fetch
 from saffronworks.tests.platform_place import CONFIG, engines, on_platform, web_servers
 from saffronworks.web import HttpServer, bind
 
@@ -270,6 +271,58 @@
         subprocess.run([sys.executable, "-c", code], check=True)
 
 
+# A node's start is its imports, to four fifths; each of these would add to every start.
+NOT_LOADED = (
+    "opentelemetry",
+    "prometheus_client",
+    "hdrh",
+    "matplotlib",
+    "saffronworks.metrics",
+    "saffronworks.bundles",
+    "saffronworks.ownership",
+    "saffronworks.membership",
+    "saffronworks.nodes",
+    "saffronworks.owner",
+    "saffronworks.standins",
+)
+
+
+@then("it loads neither the metrics' libraries nor the modules of another deployment")
+def loads_little(context):
+    code = "import sys, saffronworks.platform.__main__; print(*sys.modules, sep=chr(10))"
+    done = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True)
+    loaded = set(done.stdout.split())
+    assert "saffronworks.platform.node" in loaded
+    assert not loaded & set(NOT_LOADED), loaded & set(NOT_LOADED)
+
+
+@when("a node that served requests is asked for its figures twice")
+def asked_for_figures(context):
+    context.pages = []
+
+    async def play(place):
+        for turn in range(3):
+            await place.ask("/once/", f"r{turn}")
+        for _ in range(2):
+            raw = await fetch(place.node.metrics_address, "GET", METRICS_PATH, {"Host": "x"})
+            context.pages.append(raw.decode())
+
+    on_platform(web_servers(), play)
+
+
+@then("the page has counts and times, and each request counts once")
+def has_figures(context):
+    for page in context.pages:
+        assert page.startswith("HTTP/1.1 200"), page
+        lines = [line for line in page.splitlines() if 'node="front-z1-1"' in line]
+        counted = [line for line in lines if line.startswith("saffronworks_forwarded")]
+        times = [
+            line for line in lines if line.startswith("saffronworks_answer_ms_milliseconds_count")
+        ]
+        assert [float(line.split()[-1]) for line in counted] == [3.0], counted
+        assert [float(line.split()[-1]) for line in times] == [3.0], times
+
+
 @when("servers are told to stop at different moments of their second")
 def stop_servers(context):
     context.took_s = []
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -19,6 +19,7 @@
 from tools.recovery_bench import print_recovery
 from tools.roles_bench import print_roles
 from tools.shapes import SHAPES
+from tools.start_bench import print_start
 
 matplotlib.use("svg")
 
@@ -38,7 +39,7 @@
     Args:
         seeds: how many seeded traces for each row.
         seconds: virtual length of a trace.
-        part: policy, roles, decisions, fleet, claims, idle, recovery or all.
+        part: policy, roles, decisions, fleet, claims, idle, recovery, start or all.
     """
     logging.disable(logging.CRITICAL)
     parts: dict[str, Callable[[], None]] = {
@@ -49,6 +50,7 @@
         "claims": print_claims,
         "idle": print_idle,
         "recovery": print_recovery,
+        "start": print_start,
     }
     if part != "all" and part not in parts:
         print(f"no part is named {part!r}; there are: all, {', '.join(parts)}")
