Two nodes of a zone ask the store and tell the others; few nodes ask for a duty

All nodes asked for the duty to order roles in the same half second.

Change: in zones of nine nodes and more two of the strong ones, by hash, watch the store at a third of the time within which a change has to be followed, and tell the others; who hears nothing for 0.6 of it asks by itself, and the next pair tells. The census counts early and holds the zone. Four nodes ask for a duty that all see undone, the next four 2 s later.

Tests: news.feature on real followers and feeds over a store and a network in the process (tellers dead, cut off, back; gaps, old and large news, late answers; small zones as before), the order of asking for a duty.

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -13,7 +13,7 @@
 from saffronworks.forwarding.ports import Conflict, ObjectSource, StoredObject
 from saffronworks.web import is_address
 
-__all__ = ["NODE_KIND", "Census"]
+__all__ = ["NODE_KIND", "Census", "CountedNode"]
 
 
 logger = logging.getLogger(__name__)
@@ -24,22 +24,34 @@
 # The kind of the objects that nodes enter themselves by; one object a node.
 NODE_KIND = "saffron-nodes"
 COUNT_EVERY_S = 10.0
-# A node that starts again finds the others at once. At the first start of all it finds none; by the
-# second count all have entered, and a listing that is seconds old shows them.
-SECOND_COUNT_S = 8.0
+# A node that starts again finds the others at once. At the first start of all it finds few: it counts
+# again after each of these, first by a listing that is exact, then by ones that may be seconds old
+# and cost a tenth. Nodes that are counted early hear of the store from others while endpoints enter
+# themselves, in place of a call for each change.
+EXACT_COUNT_S = 0.7
+NEXT_COUNTS_S = (3.0, 4.0)
 ENTER_AGAIN_S = 1.0
 
 
+@attrs.frozen
+class CountedNode:
+    """A node as others know it; `zone` is empty where an earlier version entered it."""
+
+    cores: float
+    zone: str = ""
+
+
 @attrs.frozen
 class _Entry:
-    """Where a node hears its peers, as `IP:port`, and how many processor cores it has."""
+    """Where a node hears its peers, as `IP:port`, how many processor cores it has, and its zone."""
 
     address: str
     cores: Annotated[float, msgspec.Meta(gt=0, le=MOST_CORES)] = 1.0
+    zone: str = ""
 
 
 class Census:
-    """Enters this node, then lists all again and again; hands on their addresses and cores.
+    """Enters this node, then lists all again and again; hands on who they are, by their addresses.
 
     Entries of dead nodes stay. Parts of the retry slack then only get smaller, and a planner that
     does not answer is passed over.
@@ -50,16 +62,17 @@
         node: str,
         address: str,
         cores: float,
+        zone: str,
         store: ObjectSource,
         rng: random.Random,
-        take: Callable[[dict[str, float]], None],
+        take: Callable[[dict[str, CountedNode]], None],
     ):
         self._node = node
-        self._entry = _Entry(address, cores)
+        self._entry = _Entry(address, cores, zone)
         self._store = store
         self._rng = rng
         self._take = take
-        self._known: dict[str, float] = {}
+        self._known: dict[str, CountedNode] = {}
         self._told: dict[str, int] = {}
 
     async def run(self) -> None:
@@ -67,10 +80,14 @@
         while not await self._enter():
             await anyio.sleep(ENTER_AGAIN_S * (0.5 + self._rng.random()))
         await self._count()
-        await anyio.sleep(SECOND_COUNT_S)
-        while True:
+        await anyio.sleep(EXACT_COUNT_S)
+        await self._count(stale=False)
+        for pause_s in NEXT_COUNTS_S:
+            await anyio.sleep(pause_s)
             await self._count()
+        while True:
             await anyio.sleep(COUNT_EVERY_S * (0.5 + self._rng.random()))
+            await self._count()
 
     async def leave(self) -> None:
         """Remove the entry at a planned stop."""
@@ -99,13 +116,17 @@
             logger.info("event=census_failed problem=%s", reply.err_value)
         return isinstance(reply, Ok)
 
-    async def _count(self) -> None:
-        listing = await self._store.list_objects(NODE_KIND, stale=True)
+    async def _count(self, stale: bool = True) -> None:
+        listing = await self._store.list_objects(NODE_KIND, stale)
         if isinstance(listing, Err):
             logger.info("event=census_failed problem=%s", listing.err_value)
             return
         read = [self._read(item) for item in listing.ok_value.objects]
-        nodes = {entry.address: entry.cores for entry in read if entry is not None}
+        nodes = {
+            entry.address: CountedNode(entry.cores, entry.zone)
+            for entry in read
+            if entry is not None
+        }
         if nodes != self._known:
             logger.info("event=census nodes=%d before=%d", len(nodes), len(self._known))
             self._known = nodes
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from saffronworks.forwarding.ports import HistoryGone, Listing, ObjectSource, SourceFailure
+from saffronworks.forwarding.store_news import NewsFeed, StoreNews
 from saffronworks.forwarding.tuning import (
     FOLLOW_FIRST_BACKOFF_MS,
     FOLLOW_LONGEST_BACKOFF_MS,
@@ -57,8 +58,14 @@
         now_ms: Callable[[], int],
         watch_wait_ms: int,
         known_within_ms: int,
+        news: NewsFeed | None = None,
     ):
         self.kind = kind
+        self._news = news
+        self._fresh_until_ms = 0
+        self._stale = anyio.Event()
+        if news is not None:
+            news.subscribe(kind, self.take_news)
         self._watch_wait_ms = watch_wait_ms
         self._known_within_ms = known_within_ms
         self.listed = False
@@ -79,11 +86,76 @@
         while True:
             if self._revision is None:
                 await self._list()
+            elif self._hears_others():
+                await self._wait_for_silence()
             else:
                 await self._watch(self._revision)
             if self._failures:
                 await anyio.sleep(self._backoff_ms() / 1000)
 
+    def _hears_others(self) -> bool:
+        """Whether other nodes of the zone ask the store, and were heard a moment ago."""
+        if self._news is None or not self._news.shared or self._news.tells(self.kind):
+            return False
+        return self._now_ms() < self._fresh_until_ms
+
+    async def _wait_for_silence(self) -> None:
+        """Until nobody was heard for long, or someone told that there is more to ask for."""
+        self._stale = anyio.Event()
+        with anyio.move_on_after((self._fresh_until_ms - self._now_ms()) / 1000):
+            await self._stale.wait()
+
+    def take_news(self, news: StoreNews) -> None:
+        """What another node heard from the store."""
+        if news.whole and self._revision is None:
+            self._revision = 0
+            self.listed = news.objects is not None
+        if self._revision is None or news.revision < self._revision:
+            return
+        if news.revision > self._revision and not self._apply_news(news, self._revision):
+            self._fresh_until_ms = 0
+            self._stale.set()
+            return
+        self._note_fresh()
+
+    def _apply_news(self, news: StoreNews, revision: int) -> bool:
+        """False where they are not whole from our revision on: the store has the rest."""
+        if news.objects is None or (news.since > revision and not news.whole):
+            return False
+        until_ms = self._now_ms() + news.lapse_ms
+        take = self._sink.replace_all if news.whole else self._sink.apply
+        take(news.listing, until_ms)
+        self._revision = news.revision
+        logger.info(
+            "event=store_told kind=%s revision=%d before=%d by=%s",
+            self.kind,
+            news.revision,
+            revision,
+            news.sender,
+        )
+        return True
+
+    def _note_fresh(self) -> None:
+        if self._news is not None:
+            self._fresh_until_ms = self._now_ms() + self._news.pace.silent_ms
+
+    def _tell(self, heard: Listing, since: int | None) -> None:
+        """Pass on an answer of the store; `since` None tells that it is all there is."""
+        self._note_fresh()
+        if self._news is None:
+            return
+        now_ms = self._now_ms()
+        news = StoreNews(
+            self._news.turns.own,
+            self.kind,
+            since or 0,
+            heard.revision,
+            heard.objects,
+            whole=since is None,
+            lapse_ms=max(0, self._lapse_until_ms - now_ms),
+        )
+        self._news.tell(news, now_ms - self._asked_ms)
+
     async def _list(self) -> None:
         self._asked_ms = self._now_ms()
         reply = await self._source.list_objects(self.kind)
@@ -91,22 +163,35 @@
             self._fail(reply.err_value)
             return
         self._hear()
+        self.listed = True
+        if self._is_older(reply.ok_value):
+            return
         self._sink.replace_all(reply.ok_value, self._lapse_until_ms)
         self._revision = reply.ok_value.revision
-        self.listed = True
+        self._tell(reply.ok_value, since=None)
 
     async def _watch(self, revision: int) -> None:
         self._asked_ms = self._now_ms()
-        reply = await self._source.watch(self.kind, revision, self._watch_wait_ms)
+        wait_ms = self._watch_wait_ms
+        if self._news is not None and self._news.shared:
+            wait_ms = min(wait_ms, self._news.pace.watch_wait_ms)
+        reply = await self._source.watch(self.kind, revision, wait_ms)
         if isinstance(reply, Err):
             self._lose_watch(reply.err_value)
             return
         self._hear()
+        if self._is_older(reply.ok_value):
+            return
         self._sink.apply(reply.ok_value, self._lapse_until_ms)
         self._revision = reply.ok_value.revision
+        self._tell(reply.ok_value, since=revision)
         if reply.ok_value.objects:
             await anyio.sleep(WATCH_PAUSE_MS / 1000)
 
+    def _is_older(self, heard: Listing) -> bool:
+        """Whether others have told newer things while an answer was on its way."""
+        return self._revision is not None and heard.revision < self._revision
+
     def _lose_watch(self, failure: HistoryGone | SourceFailure) -> None:
         """Changes may have been missed: a listing settles what holds."""
         self._revision = None
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -51,6 +51,10 @@
 DUTY_FREE_MS = 13_000
 # An order goes out at most this long after the duty was confirmed.
 CONFIRMED_MS = 300
+# So many nodes ask for a duty that all see undone, each next group only when that lasts longer: one
+# of them is enough. Of 195 nodes all asked in the same half second, twice in the first ten seconds.
+TURN_NODES = 4
+TURN_MS = 2000
 # Pause after a failed try at the duty.
 DUTY_AGAIN_MS = 4000
 
@@ -85,9 +89,13 @@
 
 @attrs.frozen
 class Look:
-    """The usable endpoints of one service with engines, as the directory has them now."""
+    """The usable endpoints of one service with engines, as the directory has them now.
+
+    `place` is this node's among all that may ask for the duty; 0 asks first.
+    """
 
     endpoints: list[ServiceEndpoint]
+    place: int = 0
 
 
 @attrs.frozen
@@ -146,8 +154,9 @@
 def step(state: RoleState, event: Event, now_ms: int) -> Command | None:
     """The next command, or None when there is nothing to do."""
     match event:
-        case Look(endpoints):
-            return _look(state, endpoints, now_ms)
+        case Look(endpoints, place):
+            turn_ms = 0 if state.mine else place // TURN_NODES * TURN_MS
+            return _look(state, endpoints, turn_ms, now_ms)
         case DutyTaken(fence, took_over):
             return _take_duty(state, fence, took_over, now_ms)
         case DutyHeldByOther(revision):
@@ -166,9 +175,12 @@
     return None
 
 
-def _look(state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int) -> Command | None:
+def _look(
+    state: RoleState, endpoints: list[ServiceEndpoint], turn_ms: int, now_ms: int
+) -> Command | None:
     _settle_orders(state, endpoints, now_ms)
-    chosen = _order_again(state, endpoints, now_ms) or _unbalanced(state, endpoints, now_ms)
+    chosen = _order_again(state, endpoints, now_ms)
+    chosen = chosen or _unbalanced(state, endpoints, turn_ms, now_ms)
     if chosen is None or now_ms < max(state.ask_again_ms, state.may_order_from_ms):
         return None
     state.chosen = chosen
@@ -197,7 +209,7 @@
 
 
 def _unbalanced(
-    state: RoleState, endpoints: list[ServiceEndpoint], now_ms: int
+    state: RoleState, endpoints: list[ServiceEndpoint], turn_ms: int, now_ms: int
 ) -> ServiceEndpoint | None:
     """The endpoint that should change, once the imbalance has lasted."""
     chosen = _choose(state, endpoints)
@@ -208,7 +220,7 @@
     if state.unbalanced_since_ms is None or lacking is not state.lacking:
         state.unbalanced_since_ms, state.lacking = now_ms, lacking
     lasted_ms = now_ms - state.unbalanced_since_ms
-    return chosen if lasted_ms >= _wait_ms(state, lacking) else None
+    return chosen if lasted_ms >= _wait_ms(state, lacking) + turn_ms else None
 
 
 def _wait_ms(state: RoleState, lacking: bool) -> int:
--- a/saffronworks/forwarding/role_keeper.py
+++ b/saffronworks/forwarding/role_keeper.py
@@ -19,6 +19,7 @@
 )
 from saffronworks.forwarding.role_core import GiveOrder, Look, RoleState, TakeDuty
 from saffronworks.forwarding.routing import RoutingTable
+from saffronworks.forwarding.turns import Turns
 
 __all__ = ["DUTY_KIND", "RoleKeeper"]
 
@@ -39,6 +40,7 @@
         store: ObjectSource,
         calls: EndpointCalls,
         table: Callable[[], RoutingTable | None],
+        turns: Turns,
         now_ms: Callable[[], int],
     ):
         self._new_state = state
@@ -47,6 +49,7 @@
         self._store = store
         self._calls = calls
         self._table = table
+        self._turns = turns
         self._now_ms = now_ms
         self._written = 0
 
@@ -62,7 +65,8 @@
     async def _look(self, service: str) -> None:
         state = self._states.setdefault(service, self._new_state())
         now_ms = self._now_ms()
-        event: role_core.Event = Look(self._directory.usable(service, now_ms))
+        place = self._turns.place(f"{DUTY_KIND}/{service}")
+        event: role_core.Event = Look(self._directory.usable(service, now_ms), place)
         while (command := role_core.step(state, event, self._now_ms())) is not None:
             match command:
                 case TakeDuty():
--- /dev/null
+++ b/saffronworks/forwarding/store_news.py
@@ -0,0 +1,144 @@
+"""What nodes of an availability zone tell each other of the store, so that few have to ask it.
+
+Calls to the store cost by number. Where each node follows it by itself, their number goes with the
+nodes: 195 nodes made 1.5 calls a second each, and every change brought one from each of them. Here
+two nodes of a zone ask and tell the others. A node that hears nothing for a while asks by itself.
+"""
+
+import logging
+from collections.abc import Callable, Collection
+
+import attrs
+
+from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.forwarding.tuning import STRONG_SHARE
+from saffronworks.forwarding.turns import Turns
+from saffronworks.kernel import Kernel, Mailbox
+from saffronworks.peers import Outgoing
+
+__all__ = ["NewsFeed", "NewsPace", "StoreNews"]
+
+logger = logging.getLogger(__name__)
+
+# So many nodes of a zone ask the store for all: the second one's word holds when the first is gone.
+TELLERS = 2
+# Fewer nodes in a zone each ask by themselves: two that ask often make as many calls as they do.
+LEAST_NODES = 9
+# Parts of the time within which a change has to be followed: a teller's watch waits at most for the
+# first, a node that hears nothing asks by itself after the second. The rest is for its own call.
+WATCH_SHARE = 0.35
+SILENT_SHARE = 0.6
+# How much later each next pair of nodes tells the others, as long as those before it are silent.
+NEXT_TELLERS_MS = 500
+# An answer that took so much longer than its watch waits is no news: this node stood still, or the
+# way to the store is slow.
+LATE_MS = 300
+# Larger news are not sent: who hears that there are some asks the store.
+MOST_NEWS_BYTES = 65_536
+
+
+@attrs.frozen
+class StoreNews:
+    """Teller to the nodes of its zone: the store stood at `revision` a moment ago.
+
+    `objects` changed since `since`, or are all there are (`whole`); None where they are too large
+    to send. Until `lapse_ms` from now entries may be missing that still hold.
+    """
+
+    sender: str
+    kind: str
+    since: int
+    revision: int
+    objects: tuple[StoredObject, ...] | None
+    whole: bool = False
+    lapse_ms: int = 0
+
+    @property
+    def listing(self) -> Listing:
+        """The objects as the store lists them."""
+        return Listing(self.objects or (), self.revision)
+
+
+@attrs.frozen
+class NewsPace:
+    """How long a teller's watch waits, and after how long without news a node asks by itself."""
+
+    watch_wait_ms: int
+    silent_ms: int
+
+    @classmethod
+    def within(cls, follow_within_ms: int) -> "NewsPace":
+        """The pace at which a change is followed within this time, whoever falls silent."""
+        return cls(int(WATCH_SHARE * follow_within_ms), int(SILENT_SHARE * follow_within_ms))
+
+
+class NewsFeed:
+    """Tells others of the zone what this node heard from the store, and hears what they tell."""
+
+    name = "store-news"
+
+    def __init__(self, turns: Turns, pace: NewsPace, now_ms: Callable[[], int]):
+        self.turns = turns
+        self.pace = pace
+        self._nodes: Collection[str] = ()
+        self._now_ms = now_ms
+        self._kernel: Kernel | None = None
+        self._takers: dict[str, Callable[[StoreNews], None]] = {}
+        self._heard_before_ms: dict[str, int] = {}
+        self._told: dict[str, bool] = {}
+
+    def subscribe(self, kind: str, take: Callable[[StoreNews], None]) -> None:
+        """Hand on what is told of one kind of object."""
+        self._takers[kind] = take
+        self._heard_before_ms[kind] = self._now_ms()
+
+    def take_zone(self, cores: dict[str, float]) -> None:
+        """The nodes of this zone with their cores; the strong ones tell, where there are enough."""
+        self._nodes = cores.keys()
+        most = max(cores.values(), default=0.0)
+        strong = [node for node, has in cores.items() if has >= STRONG_SHARE * most]
+        self.turns.take(strong if len(strong) > TELLERS else cores)
+
+    @property
+    def shared(self) -> bool:
+        """Whether there are enough nodes here for some to ask for all."""
+        return len(self._nodes) >= LEAST_NODES
+
+    def tells(self, kind: str) -> bool:
+        """Whether this node asks for the others now: it is among the first, or those are silent."""
+        if not self.shared:
+            return False
+        place = self.turns.place(kind)
+        if place < TELLERS:
+            return True
+        wait_ms = self.pace.silent_ms + place // TELLERS * NEXT_TELLERS_MS
+        return self._now_ms() - self._heard_before_ms[kind] >= wait_ms
+
+    def tell(self, news: StoreNews, took_ms: int) -> None:
+        """Pass on an answer of the store, `took_ms` after it was asked for."""
+        telling = self.tells(news.kind) and self._kernel is not None
+        if telling is not self._told.get(news.kind, False):
+            self._told[news.kind] = telling
+            logger.info("event=store_news kind=%s telling=%s", news.kind, telling)
+        if not telling or took_ms > self.pace.watch_wait_ms + LATE_MS:
+            return
+        assert self._kernel is not None
+        size = sum(len(item.content or b"") for item in news.objects or ())
+        if size > MOST_NEWS_BYTES:
+            news = attrs.evolve(news, objects=None)
+        for node in self._nodes:
+            if node != self.turns.own:
+                self._kernel.post("peers", Outgoing(node, news))
+
+    async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
+        """Hear the others until cancelled."""
+        self._kernel = kernel
+        async for news in mailbox:
+            self._hear(news)
+
+    def _hear(self, news: StoreNews) -> None:
+        if news.kind not in self._takers:
+            return
+        if self.turns.place(news.kind, news.sender) < self.turns.place(news.kind):
+            self._heard_before_ms[news.kind] = self._now_ms()
+        self._takers[news.kind](news)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -13,7 +13,8 @@
 from result import Err
 
 from saffronworks.clocks import monotonic_ms, wall_ms
-from saffronworks.forwarding.census import Census
+from saffronworks.forwarding import store_news
+from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
@@ -38,6 +39,8 @@
 from saffronworks.forwarding.role_keeper import RoleKeeper
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import NodeState
+from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
+from saffronworks.forwarding.turns import Turns
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
 from saffronworks.platform.calls import PlatformCalls
@@ -79,9 +82,13 @@
         self._store = PlatformStore(settings.store_address)
         self._calls = PlatformCalls()
         self._directory = Directory()
+        self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
+        self._news = NewsFeed(
+            Turns(settings.peer_address), NewsPace.within(settings.follow_within_ms), monotonic_ms
+        )
         self._kernel = Kernel(settings.node, monotonic_ms)
-        self._peers = PeerService(settings.peer_address, Codec(planning_messages))
+        self._peers = PeerService(settings.peer_address, Codec(planning_messages, store_news))
         budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
         )
@@ -117,6 +124,7 @@
                 monotonic_ms,
                 settings.watch_wait_ms,
                 settings.known_within_ms,
+                self._news,
             )
             for kind, sink in ((CONFIG_KIND, configuration), (SERVER_KIND, servers))
         ]
@@ -124,6 +132,7 @@
             settings.node,
             settings.peer_address,
             settings.cores,
+            settings.zone,
             self._store,
             rng,
             self._take_census,
@@ -134,6 +143,7 @@
             self._store,
             self._calls,
             lambda: self._forwarder.table,
+            self._turns,
             monotonic_ms,
         )
         grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
@@ -150,6 +160,7 @@
             self.settings.peer_address,
         )
         self._kernel.register(self._peers)
+        self._kernel.register(self._news, StoreNews)
         self._kernel.register(planner, MemoryAsk, MemoryRelease, MemoryReport, ReadingEnded)
         answers = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal, ReportWanted)
         self._kernel.register(self._memory, *answers)
@@ -235,9 +246,13 @@
             await self._run_once(service)
             await anyio.sleep(SERVICE_PAUSE_MS / 1000)
 
-    def _take_census(self, cores: dict[str, float]) -> None:
+    def _take_census(self, nodes: dict[str, CountedNode]) -> None:
+        cores = {address: node.cores for address, node in nodes.items()}
+        zone = self.settings.zone
+        self._news.take_zone({a: node.cores for a, node in nodes.items() if node.zone == zone})
         self._state.budget.nodes = max(1, len(cores))
         self._memory.choice.cores = cores
+        self._turns.take(cores)
         self._share_connections()
 
     def _share_connections(self) -> None:
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -32,6 +32,7 @@
     thaw_slack_ms: int
     watch_wait_ms: int
     known_within_ms: int
+    follow_within_ms: int
     cores: float
 
 
@@ -69,6 +70,7 @@
         thaw_slack_ms=bounds.integer("thaw_slack_ms", 300),
         watch_wait_ms=max(WATCH_LEAST_MS, min(WATCH_WAIT_MOST_MS, known_ms - WATCH_MARGIN_MS)),
         known_within_ms=known_ms,
+        follow_within_ms=_follow_within_ms(bounds),
         # The share is of a core that runs `cores` times as fast.
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
     )
@@ -80,10 +82,13 @@
     It is expected to know what changes `contact_ms` after that within the shorter of the bounds on
     configuration and on leaving servers. A watch that is lost when trouble ends is over before.
     """
-    contact_ms = bounds.integer("contact_ms", 3000, least=1)
+    return bounds.integer("contact_ms", 3000, least=1) + _follow_within_ms(bounds)
+
+
+def _follow_within_ms(bounds: Section) -> int:
+    """Within how long a node goes by a change that the store has taken."""
     apply_ms = bounds.integer("config_apply_ms", 2000, least=1)
-    drain_ms = bounds.integer("drain_ms", 2000, least=1)
-    return contact_ms + min(apply_ms, drain_ms)
+    return min(apply_ms, bounds.integer("drain_ms", 2000, least=1))
 
 
 def _first_port(root: Section) -> int:
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -68,6 +68,7 @@
     Given two of five engines read prompts
     Then after two seconds the duty is asked for, and one engine is ordered
     And another node that finds the duty taken gives no order
+    And of two hundred nodes few ask for the duty, and the others when nobody takes it
     And a node that took the duty over waits out the lease before it orders
     And an order without an answer is given again to the same engine, with a higher fence
     And several surplus readers are ordered one after the other, without waiting for each
--- /dev/null
+++ b/saffronworks/tests/features/news.feature
@@ -0,0 +1,22 @@
+Feature: few nodes of a zone ask the store, and tell the others
+
+  Scenario: calls go with zones, not with nodes
+    Then in a zone of forty nodes two ask, and all know a change at once
+    And in a zone of eight each asks by itself, as often as it did
+
+  Scenario: who tells falls silent
+    Then when both are dead the others know a change in time, and the next pair tells
+    And when both are cut off from the store the same holds
+    And when they are back they tell again, and the others ask no more
+
+  Scenario: news that can't be taken as they are
+    Then old news change nothing, and news with a gap make a node ask
+    And a node that missed news asks the store once, and knows all
+    And news that are too large to send make a node ask
+    And an answer that came late is no news
+
+  Scenario: a node that is cut off from the store hears of it
+    Then it goes by what others tell it
+
+  Scenario: the strong nodes of a zone tell
+    Then weak ones do so only where there are too few strong ones
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -11,7 +11,7 @@
 from behave import then, when
 from result import Ok
 
-from saffronworks.forwarding.census import Census
+from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.platform import servers
@@ -205,12 +205,12 @@
     counted = []
 
     async def main():
-        census = Census("n0", "10.0.0.1:1", 2.0, store, random.Random(1), counted.append)
+        census = Census("n0", "10.0.0.1:1", 2.0, "z", store, random.Random(1), counted.append)
         await census._count()
         await census._count()
 
     with Lines("saffronworks.forwarding.census") as lines:
         anyio.run(main)
-    assert counted == [{"10.0.0.1:1": 2.0}], counted
+    assert counted == [{"10.0.0.1:1": CountedNode(2.0)}], counted
     told = [line for line in lines if "census_entry_unreadable" in line]
     assert len(told) == len(contents) - 1, told
--- a/saffronworks/tests/features/steps/census_steps.py
+++ b/saffronworks/tests/features/steps/census_steps.py
@@ -8,9 +8,12 @@
 from behave import then, when
 from result import Ok
 
-from saffronworks.forwarding.census import SECOND_COUNT_S, Census
+from saffronworks.forwarding.census import EXACT_COUNT_S, Census, CountedNode
 from saffronworks.forwarding.ports import Listing, StoredObject
 
+# How long the scenario lets the node count.
+CENSUS_S = 0.2
+
 
 @when("a node enters itself in a store where others have entered before")
 def enters(context):
@@ -25,8 +28,10 @@
     context.counted = []
 
     async def main():
-        census = Census("b", "10.0.0.2:1", 1.0, store, random.Random(1), context.counted.append)
-        with anyio.move_on_after(0.2):
+        census = Census(
+            "b", "10.0.0.2:1", 1.0, "z", store, random.Random(1), context.counted.append
+        )
+        with anyio.move_on_after(CENSUS_S):
             await census.run()
 
     anyio.run(main)
@@ -34,5 +39,7 @@
 
 @then("it knows all of them at once, not only at the second count")
 def knows_at_once(context):
-    assert SECOND_COUNT_S > 1
-    assert context.counted == [{"10.0.0.1:1": 2.0, "10.0.0.2:1": 1.0}], context.counted
+    assert EXACT_COUNT_S > CENSUS_S
+    assert context.counted == [{"10.0.0.1:1": CountedNode(2.0), "10.0.0.2:1": CountedNode(1.0)}], (
+        context.counted
+    )
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -10,6 +10,7 @@
 from saffronworks.forwarding.ports import StoredObject
 from saffronworks.forwarding.role_keeper import RoleKeeper
 from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
+from saffronworks.forwarding.turns import Turns
 from saffronworks.tests.endpoint_plays import (
     endpoints,
 )
@@ -65,6 +66,19 @@
     assert roles.step(state, roles.DutyTaken(31, took_over=False), later_ms).fence == 31
 
 
+@then("of two hundred nodes few ask for the duty, and the others when nobody takes it")
+def few_ask(context):
+    asked_ms = []
+    for place in range(200):
+        state, now_ms = roles.RoleState(f"n{place}", 3000, 300), 0
+        while roles.step(state, roles.Look(context.engines, place), now_ms) is None:
+            now_ms += 500
+        asked_ms.append(now_ms)
+    assert asked_ms == sorted(asked_ms), "a later one asks before an earlier one"
+    assert asked_ms.count(asked_ms[0]) == roles.TURN_NODES
+    assert asked_ms[roles.TURN_NODES] - asked_ms[0] == roles.TURN_MS
+
+
 @then("an order without an answer is given again to the same engine, with a higher fence")
 def given_again(context):
     state = roles.RoleState("n", 3000, 300)
@@ -182,7 +196,8 @@
     spec = EngineSpec(64, 90_000, 64, 2000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     state = roles.RoleState("n", 3000, 300, unbalanced_since_ms=-roles.EXCESS_MS)
-    keeper = RoleKeeper(lambda: state, directory, world, world, lambda: table, world.clock)
+    turns = Turns("n", ["n"])
+    keeper = RoleKeeper(lambda: state, directory, world, world, lambda: table, turns, world.clock)
 
     async def look():
         with anyio.move_on_after(1.0):
--- /dev/null
+++ b/saffronworks/tests/features/steps/news_steps.py
@@ -0,0 +1,202 @@
+"""Scenarios on nodes that tell each other what the store said."""
+
+import anyio
+from behave import then
+
+from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.store_news import (
+    LATE_MS,
+    LEAST_NODES,
+    MOST_NEWS_BYTES,
+    TELLERS,
+    NewsFeed,
+    NewsPace,
+    StoreNews,
+)
+from saffronworks.forwarding.turns import Turns
+from saffronworks.tests.zone_plays import FOLLOW_WITHIN_MS, KIND, play_zone
+
+MANY = 40
+
+
+async def know(nodes, name, content, within_ms=FOLLOW_WITHIN_MS):
+    """Until all of these nodes know it, or too late."""
+    with anyio.move_on_after(within_ms / 1000):
+        while any(node.known.get(name) != content for node in nodes):
+            await anyio.sleep(0.01)
+        return
+    late = [node.address for node in nodes if node.known.get(name) != content]
+    raise AssertionError(f"{len(late)} nodes do not know {name}: {late[:5]}")
+
+
+@then("in a zone of forty nodes two ask, and all know a change at once")
+def two_ask(context):
+    async def play(store, nodes):
+        assert sum(node.tells() for node in nodes) == TELLERS
+        await anyio.sleep(1.0)
+        before = store.calls
+        for turn in range(3):
+            store.change("e1", b"%d" % turn)
+            await know(nodes, "e1", b"%d" % turn, within_ms=400)
+            await anyio.sleep(0.3)
+        # Two nodes, one watch after each change, and some that had ended without one.
+        assert store.calls - before <= 12, store.calls - before
+
+    play_zone(MANY, play)
+
+
+@then("in a zone of eight each asks by itself, as often as it did")
+def eight_ask(context):
+    async def play(store, nodes):
+        assert not any(node.tells() for node in nodes)
+        store.change("e1", b"1")
+        await know(nodes, "e1", b"1", within_ms=200)
+        before = store.calls
+        await anyio.sleep(1.0)
+        assert store.calls - before <= len(nodes)
+
+    play_zone(LEAST_NODES - 1, play)
+
+
+async def fall_silent(store, nodes, how):
+    """Both tellers fail; a change comes at once."""
+    first = [node for node in nodes if node.tells()]
+    others = [node for node in nodes if node not in first]
+    await anyio.sleep(0.5)
+    for node in first:
+        setattr(node, how, True)
+    store.change("e1", b"1")
+    await know(others, "e1", b"1")
+    await anyio.sleep(1.5)
+    assert 1 <= sum(node.tells() for node in others) <= TELLERS
+    before = store.calls
+    store.change("e1", b"2")
+    await know(others, "e1", b"2", within_ms=400)
+    await anyio.sleep(0.5)
+    assert store.calls - before <= 12, "all ask by themselves, though some tell"
+    return first, others
+
+
+@then("when both are dead the others know a change in time, and the next pair tells")
+def tellers_dead(context):
+    async def play(store, nodes):
+        await fall_silent(store, nodes, "dead")
+
+    play_zone(MANY, play)
+
+
+@then("when both are cut off from the store the same holds")
+def tellers_cut(context):
+    async def play(store, nodes):
+        await fall_silent(store, nodes, "cut")
+
+    play_zone(MANY, play)
+
+
+@then("when they are back they tell again, and the others ask no more")
+def tellers_back(context):
+    async def play(store, nodes):
+        first, others = await fall_silent(store, nodes, "cut")
+        for node in first:
+            node.cut = False
+        await anyio.sleep(6.0)
+        assert not any(node.tells() for node in others)
+        store.change("e1", b"3")
+        await know(nodes, "e1", b"3", within_ms=400)
+
+    play_zone(MANY, play)
+
+
+def news(node, since, revision, **changes):
+    values = {"objects": (StoredObject("e1", revision, b"told"),)}
+    return StoreNews("10.0.0.99:1", KIND, since, revision, **(values | changes))
+
+
+@then("old news change nothing, and news with a gap make a node ask")
+def old_news(context):
+    async def play(store, nodes):
+        node = next(node for node in nodes if not node.tells())
+        for turn in range(5):
+            store.change("e1", b"%d" % turn)
+        await know([node], "e1", b"4", within_ms=400)
+        node.follower.take_news(news(node, 1, 3))
+        node.follower.take_news(news(node, 0, 3, whole=True))
+        assert node.known["e1"] == b"4" and node.revisions == sorted(node.revisions)
+        store.events.append(StoredObject("e2", store.revision + 1, b"2"))
+        store.revision += 2
+        node.follower.take_news(news(node, store.revision - 1, store.revision))
+        assert node.known["e1"] == b"4", "news with a gap were taken"
+        await know([node], "e2", b"2", within_ms=400)
+
+    play_zone(MANY, play)
+
+
+@then("a node that missed news asks the store once, and knows all")
+def missed_news(context):
+    async def play(store, nodes):
+        node = next(node for node in nodes if not node.tells())
+        node.dead = True
+        store.change("e1", b"1")
+        await anyio.sleep(0.3)
+        node.dead = False
+        store.change("e2", b"2")
+        await know([node], "e2", b"2")
+        assert node.known["e1"] == b"1"
+
+    play_zone(MANY, play)
+
+
+@then("news that are too large to send make a node ask")
+def too_large(context):
+    async def play(store, nodes):
+        large = b"x" * (MOST_NEWS_BYTES + 1)
+        store.change("e1", large)
+        await know(nodes, "e1", large, within_ms=400)
+
+    play_zone(LEAST_NODES, play)
+
+
+@then("an answer that came late is no news")
+def late_answer(context):
+    posted = []
+    pace = NewsPace.within(FOLLOW_WITHIN_MS)
+    feed = NewsFeed(Turns("a"), pace, lambda: 0)
+    feed.subscribe(KIND, lambda news: None)
+    feed.take_zone({"a": 2.0} | {f"n{index}": 1.0 for index in range(LEAST_NODES)})
+    feed.turns.take(["a"])
+    feed._kernel = type("K", (), {"post": lambda self, name, message: posted.append(message)})()
+    in_time_ms = pace.watch_wait_ms + LATE_MS
+    feed.tell(news(None, 1, 2), in_time_ms + 1)
+    assert not posted
+    feed.tell(news(None, 1, 2), in_time_ms)
+    assert len(posted) == LEAST_NODES
+
+
+@then("it goes by what others tell it")
+def cut_node(context):
+    async def play(store, nodes):
+        node = next(node for node in nodes if not node.tells())
+        node.cut = True
+        store.change("e1", b"1")
+        await know(nodes, "e1", b"1", within_ms=400)
+        await anyio.sleep(0.5)
+        store.change("e1", b"2")
+        await know(nodes, "e1", b"2", within_ms=400)
+
+    play_zone(MANY, play)
+
+
+@then("weak ones do so only where there are too few strong ones")
+def strong_tell(context):
+    weak = {f"w{index}": 0.5 for index in range(LEAST_NODES)}
+    for strong, telling in ((3, "s"), (2, "w")):
+        cores = weak | {f"s{index}": 2.1 for index in range(strong)}
+        tellers = []
+        for own in cores:
+            feed = NewsFeed(Turns(own), NewsPace.within(FOLLOW_WITHIN_MS), lambda: 0)
+            feed.subscribe(KIND, lambda news: None)
+            feed.take_zone(cores)
+            if feed.turns.place(KIND) < TELLERS:
+                tellers.append(own)
+        assert len(tellers) == TELLERS
+        assert any(own.startswith(telling) for own in tellers), tellers
--- /dev/null
+++ b/saffronworks/tests/zone_plays.py
@@ -0,0 +1,130 @@
+"""Many followers of one zone over a store and a network in this process."""
+
+import random
+
+import anyio
+from result import Err, Ok
+
+from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.followers import Follower
+from saffronworks.forwarding.ports import Listing, SourceFailure, StoredObject
+from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
+from saffronworks.forwarding.turns import Turns
+from saffronworks.kernel import Kernel
+
+__all__ = ["FOLLOW_WITHIN_MS", "KIND", "ZoneNode", "ZoneStore", "play_zone"]
+
+# Within how long each node has to know what changed.
+FOLLOW_WITHIN_MS = 1000
+KIND = "servers"
+
+
+class ZoneStore:
+    """A store of one kind, whose calls are counted and whose changes wake the watches."""
+
+    def __init__(self):
+        self.revision, self.calls = 1, 0
+        self.objects = {"e0": StoredObject("e0", 1, b"0")}
+        self.events = []
+        self._changed = anyio.Event()
+
+    def change(self, name, content):
+        self.revision += 1
+        item = StoredObject(name, self.revision, content)
+        self.objects[name] = item
+        self.events.append(item)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def listing(self):
+        return Listing(tuple(self.objects.values()), self.revision)
+
+    async def since(self, revision, wait_ms):
+        with anyio.move_on_after(wait_ms / 1000):
+            while self.revision <= revision:
+                await self._changed.wait()
+        return Listing(tuple(e for e in self.events if e.revision > revision), self.revision)
+
+
+class ZoneNode:
+    """One node: its follower, its feed, and faults; it is the source of its own follower."""
+
+    def __init__(self, number, store, nodes):
+        self.address = f"10.0.0.{number}:1"
+        self.store, self.nodes = store, nodes
+        self.cut = self.dead = False
+        self.known, self.revisions = {}, []
+        self.kernel = Kernel(self.address, monotonic_ms)
+        pace = NewsPace.within(FOLLOW_WITHIN_MS)
+        self.feed = NewsFeed(Turns(self.address), pace, monotonic_ms)
+        self.kernel.register(self.feed, StoreNews)
+        self.kernel.post = self.post
+        rng = random.Random(number)
+        self.follower = Follower(KIND, self, self, rng, monotonic_ms, 5000, 9000, self.feed)
+
+    # The network between nodes.
+
+    def post(self, name, message):
+        if name != "peers":
+            return Kernel.post(self.kernel, name, message)
+        target = self.nodes.get(message.address)
+        if target is not None and not (self.dead or target.dead):
+            target.kernel.announce(message.message)
+        return True
+
+    # The store, as the follower asks it.
+
+    async def list_objects(self, kind, stale=False):
+        return await self._ask(None, 0)
+
+    async def watch(self, kind, revision, wait_ms):
+        return await self._ask(revision, wait_ms)
+
+    async def _ask(self, revision, wait_ms):
+        if self.dead:
+            await anyio.sleep_forever()
+        if self.cut:
+            await anyio.sleep(0.05)
+            return Err(SourceFailure("ConnectTimeout"))
+        self.store.calls += 1
+        if revision is None:
+            return Ok(self.store.listing())
+        heard = await self.store.since(revision, wait_ms)
+        if self.cut or self.dead:
+            await anyio.sleep(5)
+        return Ok(heard)
+
+    # The sink of the follower.
+
+    def replace_all(self, listing, lapse_until_ms):
+        self.known = {}
+        self.apply(listing, lapse_until_ms)
+
+    def apply(self, changes, lapse_until_ms):
+        for item in changes.objects:
+            self.known[item.name] = item.content
+        self.revisions.append(changes.revision)
+
+    def tells(self):
+        return self.feed.tells(KIND)
+
+
+def play_zone(count, play):
+    """Start nodes that know each other; `play(store, nodes)` acts, then all end."""
+
+    async def main():
+        store, nodes = ZoneStore(), {}
+        for number in range(count):
+            node = ZoneNode(number, store, nodes)
+            nodes[node.address] = node
+        for node in nodes.values():
+            node.feed.take_zone(dict.fromkeys(nodes, 1.0))
+        async with anyio.create_task_group() as tasks:
+            for node in nodes.values():
+                node.kernel.start(tasks)
+                tasks.start_soon(node.follower.run)
+            await anyio.sleep(0.2)
+            await play(store, list(nodes.values()))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
