Who waits for a plan that begins is sent on when a node stays silent; names after a second reading

Cause: a census holds nodes that are gone. While a plan that began waited for them, asks were held until their next word after 0.25 s; and news of a whole listing without its objects would have been followed from revision 0.

Change: at 0.12 s those who wait are told to go by themselves, as later asks are. News of a listing count only with objects. _heard_ahead_ms and _telling name what they hold.

Tests: memory.feature, the wait for a node that is gone (it failed before: the ask stayed with the planner).

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -24,10 +24,10 @@
 # The kind of the objects that nodes enter themselves by; one object a node.
 NODE_KIND = "saffron-nodes"
 COUNT_EVERY_S = 10.0
-# A node that starts again finds the others at once. At the first start of all it finds few: it counts
-# again after each of these, first by a listing that is exact, then by ones that may be seconds old
-# and cost a tenth. Nodes that are counted early hear of the store from others while endpoints enter
-# themselves, in place of a call for each change.
+# A node that starts again finds the others at once. At the first start of all it finds few: it
+# counts again after each of these, first by a listing that is exact, then by ones that may be
+# seconds old and cost a tenth. Nodes that are counted early hear of the store from others while
+# endpoints enter themselves, in place of a call for each change.
 EXACT_COUNT_S = 0.7
 NEXT_COUNTS_S = (3.0, 4.0)
 ENTER_AGAIN_S = 1.0
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -107,9 +107,8 @@
 
     def take_news(self, news: StoreNews) -> None:
         """What another node heard from the store."""
-        if news.whole and self._revision is None:
-            self._revision = 0
-            self.listed = news.objects is not None
+        if self._revision is None and news.whole and news.objects is not None:
+            self._revision, self.listed = 0, True
         if self._revision is None or news.revision < self._revision:
             return
         if news.revision > self._revision and not self._apply_news(news, self._revision):
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -71,7 +71,7 @@
         case Tick():
             _lapse(state, now_ms)
     if not state.whole(now_ms):
-        return replies
+        return replies if state.hears(now_ms) else [*replies, *_send_on(state)]
     granted = _grant(state, decoders, now_ms)
     refused = refuse(state, decoders, now_ms) if isinstance(event, Tick) else []
     return [*_unsettled(replies, granted), *granted, *refused]
@@ -83,6 +83,13 @@
     return [Reply(node, wanted) for node in state.nodes]
 
 
+def _send_on(state: PlanState) -> list[Reply]:
+    """A node is silent, as one that is gone: those who waited for it go by themselves."""
+    waiting = [waiter.ask for waiter in state.waiters.values()]
+    state.waiters.clear()
+    return [Reply(ask.reply_to, MemoryDirect(ask.request_id)) for ask in waiting]
+
+
 def _unsettled(replies: list[Reply], granted: list[Reply]) -> list[Reply]:
     """Without the words to wait that a grant outdoes."""
     asked = [reply.message for reply in granted]
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -84,13 +84,14 @@
         self._now_ms = now_ms
         self._kernel: Kernel | None = None
         self._takers: dict[str, Callable[[StoreNews], None]] = {}
-        self._heard_before_ms: dict[str, int] = {}
-        self._told: dict[str, bool] = {}
+        # When one of those who tell before this node was last heard, by kind.
+        self._heard_ahead_ms: dict[str, int] = {}
+        self._telling: dict[str, bool] = {}
 
     def subscribe(self, kind: str, take: Callable[[StoreNews], None]) -> None:
         """Hand on what is told of one kind of object."""
         self._takers[kind] = take
-        self._heard_before_ms[kind] = self._now_ms()
+        self._heard_ahead_ms[kind] = self._now_ms()
 
     def take_zone(self, cores: dict[str, float]) -> None:
         """The nodes of this zone with their cores; the strong ones tell, where there are enough."""
@@ -112,13 +113,13 @@
         if place < TELLERS:
             return True
         wait_ms = self.pace.silent_ms + place // TELLERS * NEXT_TELLERS_MS
-        return self._now_ms() - self._heard_before_ms[kind] >= wait_ms
+        return self._now_ms() - self._heard_ahead_ms[kind] >= wait_ms
 
     def tell(self, news: StoreNews, took_ms: int) -> None:
         """Pass on an answer of the store, `took_ms` after it was asked for."""
         telling = self.tells(news.kind) and self._kernel is not None
-        if telling is not self._told.get(news.kind, False):
-            self._told[news.kind] = telling
+        if telling is not self._telling.get(news.kind, False):
+            self._telling[news.kind] = telling
             logger.info("event=store_news kind=%s telling=%s", news.kind, telling)
         if not telling or took_ms > self.pace.watch_wait_ms + LATE_MS:
             return
@@ -140,5 +141,5 @@
         if news.kind not in self._takers:
             return
         if self.turns.place(news.kind, news.sender) < self.turns.place(news.kind):
-            self._heard_before_ms[news.kind] = self._now_ms()
+            self._heard_ahead_ms[news.kind] = self._now_ms()
         self._takers[news.kind](news)
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -60,6 +60,7 @@
     Given a planner that is asked for the first time
     Then it sends the asker to the endpoints until it has heard the reports
     And not any more once each node has told what runs there, be it nothing
+    And who waited for a node that is gone is sent on in a moment
     And after it stood still it does so again
 
   Scenario: a planner that only hears reports knows which runs are over
