--- a/saffronworks/tests/features/starts.feature
+++ b/saffronworks/tests/features/starts.feature
@@ -63,5 +63,9 @@
     When an engine starts again between the reservation and the stream
     Then the caller gets the whole stream, and the later start got no hold of the one before
 
+  Scenario: an endpoint starts again whose address another one had
+    When an endpoint gets its address back by a later start, after the other one answered there
+    Then it serves at once
+
   Scenario: an engine starts again while a role order is unanswered
     Then the order is over, and the later start is judged by what it shows
--- a/saffronworks/tests/features/steps/restarts_steps.py
+++ b/saffronworks/tests/features/steps/restarts_steps.py
@@ -128,3 +128,29 @@
     assert raw.count(b"data: ") == 3 and raw.endswith(b"0\r\n\r\n"), raw
     sent = [headers["kv-hold"] for _, _, headers, _ in context.decoder.seen if "kv-hold" in headers]
     assert sent == ["h2"], sent
+
+
+@when("an endpoint gets its address back by a later start, after the other one answered there")
+def address_back(context):
+    server = web_servers()[0]
+
+    async def play(place):
+        server.instance = "w-other"
+        context.lost = await place.ask("/once/", "r1")
+        place.store.put("servers", "w0", server.entry())
+        context.still_lost = await place.ask("/once/", "r2")
+        context.asked = len(server.seen)
+        server.instance = "w0"
+        await restart(place, server)
+        await anyio.sleep(SETTLED_S)
+        context.served = await place.ask("/once/", "r3")
+        context.ran = list(server.ran)
+
+    on_platform([server], play)
+
+
+@then("it serves at once")
+def serves_at_once(context):
+    assert context.lost.startswith(b"HTTP/1.1 503"), context.lost
+    assert context.still_lost.startswith(b"HTTP/1.1 503") and context.asked == 1, context.asked
+    assert context.served.startswith(b"HTTP/1.1 200") and context.ran == ["r3"], context.served
