The strong nodes are chosen by one function

Cause: the choice of the planner and of the nodes that tell others each worked out which VMs have about as many cores as the strongest. Change: strong_nodes in turns.py serves both. Behaviour as it was, no test changed.

--- a/saffronworks/forwarding/planning/choice.py
+++ b/saffronworks/forwarding/planning/choice.py
@@ -5,9 +5,9 @@
 from saffronworks.forwarding.tuning import (
     PLANNER_AVOID_MOST_MS,
     PLANNER_AVOID_MS,
-    STRONG_SHARE,
     YOUNG_AVOID_MS,
 )
+from saffronworks.forwarding.turns import strong_nodes
 from saffronworks.hashing import rank_members
 
 __all__ = ["PlannerChoice"]
@@ -68,7 +68,6 @@
         return known is not None and now_ms < known.until_ms
 
     def _rank(self, names: list[str], service: str, count: int) -> list[str]:
-        """Nodes that have about as many cores as the strongest of these, by hash."""
-        most = max((self.cores[name] for name in names), default=0.0)
-        strong = [name for name in names if self.cores[name] >= STRONG_SHARE * most]
+        """The strong ones of these, by hash."""
+        strong = strong_nodes({name: self.cores[name] for name in names})
         return rank_members(strong, service, count)
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -11,8 +11,7 @@
 import attrs
 
 from saffronworks.forwarding.ports import Listing, StoredObject
-from saffronworks.forwarding.tuning import STRONG_SHARE
-from saffronworks.forwarding.turns import Turns
+from saffronworks.forwarding.turns import Turns, strong_nodes
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
@@ -98,9 +97,7 @@
 
         Nobody can have told before there were enough: the wait for them begins then.
         """
-        most = max(cores.values(), default=0.0)
-        strong = [node for node, has in cores.items() if has >= STRONG_SHARE * most]
-        self.turns.take(cores, strong)
+        self.turns.take(cores, strong_nodes(cores))
         was_shared, self._nodes = self.shared, cores.keys()
         if not was_shared:
             self._heard_ahead_ms = dict.fromkeys(self._takers, self._now_ms())
--- a/saffronworks/forwarding/turns.py
+++ b/saffronworks/forwarding/turns.py
@@ -1,12 +1,19 @@
-"""Who acts first where one node is enough: the same order at all nodes, without a message."""
+"""Who acts first where few nodes are enough: the same order at all nodes, without a message."""
 
 from collections.abc import Collection
 
 import attrs
 
+from saffronworks.forwarding.tuning import STRONG_SHARE
 from saffronworks.hashing import rank_members
 
-__all__ = ["Turns"]
+__all__ = ["Turns", "strong_nodes"]
+
+
+def strong_nodes(cores: dict[str, float]) -> list[str]:
+    """The nodes that have about as many processor cores as the strongest of these."""
+    most = max(cores.values(), default=0.0)
+    return [node for node, has in cores.items() if has >= STRONG_SHARE * most]
 
 
 @attrs.define
@@ -29,7 +36,7 @@
     def place(self, purpose: str, node: str | None = None) -> int:
         """The place of a node, this one unless named; 0 is first, an unknown node is last."""
         if purpose not in self._orders:
-            others = [node for node in self.nodes if node not in self.first]
+            others = [other for other in self.nodes if other not in self.first]
             ranked = rank_members(self.first, purpose, len(self.first))
             ranked += rank_members(others, purpose, len(others))
             self._orders[purpose] = {name: place for place, name in enumerate(ranked)}
