Failed sends tell what the request held

Cause: no line named the content of a request, so tries of one content under different ids could not be told from different requests, and the hypotheses on the ends of engines not from each other. Change: event=endpoint_failed has content=, a hash of method, host, target, caller and body, where the endpoint may have worked on it. No change of logic.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -332,7 +332,7 @@
         self._job.reply.cut()
 
     def _note_break(self, kind: str, endpoint: ServiceEndpoint, broken: Break) -> None:
-        self._node.note_break(kind, self._job.request.request_id, endpoint, broken)
+        self._node.note_break(kind, self._job.request, endpoint, broken)
 
     def _leave_place(self) -> None:
         """Give up a place that was taken, before another one is sought.
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -1,9 +1,11 @@
 """Typed messages between callers' requests, the deciding cores and endpoints."""
 
 import enum
+from functools import cached_property
 
 import attrs
 
+from saffronworks.forwarding.contents import ContentId, content_id
 from saffronworks.forwarding.directory import ServiceEndpoint
 
 __all__ = [
@@ -41,7 +43,8 @@
     """A whole request. `headers` holds the fields that go on to the endpoint, as they came.
 
     `left_ms` is how long the caller waits from `arrived_ms` on; `after_event` is the last event
-    that the caller has from an earlier answer.
+    that the caller has from an earlier answer. `caller` is who calls, as far as the request's own
+    fields tell; not its address, which differs by proxy and availability zone.
     """
 
     request_id: str
@@ -54,12 +57,18 @@
     left_ms: int
     prompt: PromptSize | None = None
     after_event: int | None = None
+    caller: str = ""
 
     @property
     def path(self) -> str:
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @cached_property
+    def content(self) -> ContentId:
+        """What it asks for: the same for each try of a caller, whatever id the try has."""
+        return content_id(self.method, self.host, self.target, self.caller, self.body)
+
 
 class Executed(enum.StrEnum):
     """Whether an endpoint has run a request."""
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -87,7 +87,7 @@
         try:
             head = await self._exchange_with(endpoint, command.wait_ms)
         except Break as broken:
-            node.note_break("plain", self._job.request.request_id, endpoint, broken)
+            node.note_break("plain", self._job.request, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
             load.outstanding -= 1
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -41,18 +41,23 @@
     memory: MemoryClient
 
     def note_break(
-        self, kind: str, request_id: str, endpoint: ServiceEndpoint, broken: Break
+        self, kind: str, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break
     ) -> None:
-        """Count and log a call that got no whole answer; `kind` names the call."""
+        """Count and log a call that got no whole answer; `kind` names the call.
+
+        What the request holds is told where the endpoint may have worked on it: tries of one
+        content under different ids are known by that alone.
+        """
         self.loads.of(endpoint.instance).fail(self.now_ms(), broken.unreachable)
         self.figures.count_send(kind, broken.cause.value)
         logger.info(
-            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s",
-            request_id,
+            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s content=%s",
+            request.request_id,
             kind,
             endpoint.instance,
             broken.cause,
             broken.sent,
+            request.content if broken.sent else None,
         )
 
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -77,6 +77,7 @@
             left_ms=DEFAULT_LEFT_MS if left_ms is None else left_ms,
             prompt=prompt,
             after_event=after_event,
+            caller=call.headers.get("authorization", ""),
         )
     )
 
