--- /dev/null
+++ b/saffronworks/tests/mortal_servers.py
@@ -0,0 +1,80 @@
+"""Stand-ins for servers whose process ends when it begins to run a given content."""
+
+import asyncio
+import time
+
+import attrs
+
+from saffronworks.tests.platform_fakes import FakeServer
+
+__all__ = ["DEADLY", "Arrivals", "MortalServer"]
+
+# A body that holds this ends each server that runs it.
+DEADLY = b"deadly"
+# From the first token of a run to the end of its server.
+RUNS_S = 0.03
+# How long it is down before it starts again under its name.
+DOWN_S = 0.3
+
+
+@attrs.define
+class Arrivals:
+    """What servers saw of deadly requests, in seconds: all sends to them, and their ends."""
+
+    sends_s: list = attrs.Factory(list)
+    ends_s: list = attrs.Factory(list)
+
+    def sends_after_third_end(self, wait_s):
+        """How many sends came later than `wait_s` after the third end."""
+        from_s = self.ends_s[2] + wait_s
+        return sum(sent_s > from_s for sent_s in self.sends_s)
+
+
+class MortalServer(FakeServer):
+    """Closes all connections and refuses new ones from its end to its next start."""
+
+    def __init__(self, instance, service, stage, arrivals, down_s=DOWN_S):
+        super().__init__(instance, service, stage)
+        self.arrivals = arrivals
+        self.down_s = down_s
+        self.store = None
+        self._writers = set()
+        self._over = asyncio.Event()
+
+    async def run(self):
+        host, port = self.address.split(":")
+        while True:
+            self._over.clear()
+            server = await asyncio.start_server(self._serve, host, int(port))
+            async with server:
+                await self._over.wait()
+                server.close()
+                for writer in list(self._writers):
+                    writer.transport.abort()
+            await asyncio.sleep(self.down_s)
+            self.restart()
+            self.store.put("servers", self.instance, self.entry())
+
+    def end(self):
+        """Its process ends, whatever it has in hand."""
+        self.arrivals.ends_s.append(time.monotonic())
+        self._over.set()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _request(self, reader, writer, headers):
+        if DEADLY not in self.seen[-1][3]:
+            return await super()._request(reader, writer, headers)
+        self.arrivals.sends_s.append(time.monotonic())
+        if headers.get("stage") == "prefill":
+            return await super()._request(reader, writer, headers)
+        await asyncio.sleep(RUNS_S)
+        if not self._over.is_set():
+            self.end()
+        await asyncio.sleep(RUNS_S)
+        return False
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -1,4 +1,4 @@
-"""A store, servers and one node over loopback, for scenarios on the whole path."""
+"""A store, servers and nodes over loopback, for scenarios on the whole path."""
 
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -44,28 +44,37 @@
 
 @attrs.define
 class Place:
-    """A store, servers and one node."""
+    """A store, servers and nodes."""
 
     store: FakeStore
     servers: dict
-    node: PlatformNode
+    nodes: list
     tasks: object
 
+    @property
+    def node(self):
+        return self.nodes[0]
+
     @property
     def callers(self):
         return self.node.settings.caller_address
 
     async def ask(self, path, request_id, headers=None, body=b"", method="POST", **options):
         fields = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "3000"}
-        return await fetch(self.callers, method, path, fields | (headers or {}), body, **options)
+        callers = options.pop("node", self.node).settings.caller_address
+        return await fetch(callers, method, path, fields | (headers or {}), body, **options)
 
-    async def generate(self, path, request_id, **options):
+    async def generate(self, path, request_id, body=b"prompt", **options):
         counts = {"Token-Counts": "5000,9000", "Length-Hint": "3000"}
-        return await self.ask(path, request_id, counts, b"prompt", **options)
+        return await self.ask(path, request_id, counts, body, **options)
 
     async def ready(self):
-        raw = await fetch(self.node.settings.probe_address, "GET", READINESS_PATH, {"Host": "x"})
-        return raw.startswith(b"HTTP/1.1 200")
+        return all([await is_ready(node) for node in self.nodes])
+
+
+async def is_ready(node):
+    raw = await fetch(node.settings.probe_address, "GET", READINESS_PATH, {"Host": "x"})
+    return raw.startswith(b"HTTP/1.1 200")
 
 
 def web_servers(count=1):
@@ -77,15 +86,19 @@
     return [*decoders, FakeServer("p0", "llm", "prefill")]
 
 
-def on_platform(servers, play, config=CONFIG):
-    """Start everything, let `play(place)` act, end everything."""
+def make_node(folder, number, store):
+    file = Path(folder) / f"node-{number}.yaml"
+    file.write_text(settings_text(store.address, node_name=f"front-z1-{number}"))
+    settings = read_platform_settings(file.read_text(), str(file)).ok_value
+    return PlatformNode(settings, str(file), metrics_port=0)
+
+
+def on_platform(servers, play, config=CONFIG, count=1):
+    """Start everything, with so many nodes, let `play(place)` act, end everything."""
 
     async def main():
         store = FakeStore()
         with TemporaryDirectory() as folder:
-            file = Path(folder) / "node.yaml"
-            file.write_text(settings_text(store.address))
-            settings = read_platform_settings(file.read_text(), str(file)).ok_value
             if config is not None:
                 store.put("config", "main", config)
             for server in servers:
@@ -94,12 +107,14 @@
                 tasks.start_soon(store.run)
                 for server in servers:
                     tasks.start_soon(server.run)
-                node = PlatformNode(settings, str(file), metrics_port=0)
-                tasks.start_soon(node.run)
+                nodes = [make_node(folder, number, store) for number in range(1, count + 1)]
+                for node in nodes:
+                    tasks.start_soon(node.run)
                 by_name = {server.instance: server for server in servers}
-                place = Place(store, by_name, node, tasks)
+                place = Place(store, by_name, nodes, tasks)
                 if config is not None:
-                    assert await wait_until(node.ready, limit_s=5)
+                    ready = [node.ready for node in nodes]
+                    assert await wait_until(lambda: all(look() for look in ready), limit_s=5)
                 await play(place)
                 tasks.cancel_scope.cancel()
 
