--- /dev/null
+++ b/saffronworks/tests/features/steps/suspension_steps.py
@@ -0,0 +1,118 @@
+"""Scenarios on a VM that is suspended: its clocks as they are then, in this process."""
+
+import re
+import time
+from contextlib import contextmanager
+from pathlib import Path
+from unittest.mock import Mock, patch
+
+import anyio
+from behave import then, when
+
+import saffronworks
+from saffronworks import clocks
+from saffronworks.bundles import Role
+from saffronworks.forwarding import role_core
+from saffronworks.forwarding.connections import ConnectionPool
+from saffronworks.forwarding.planning.core import PlanState, Tick
+from saffronworks.forwarding.planning.core import step as plan_step
+from saffronworks.tests.endpoint_plays import endpoints
+
+SUSPENDED_S = 30
+# A node has periodic work at this pace at least, so that its event loop looks at the time.
+TICK_S = 0.02
+CLOCKS = re.compile(
+    r"time\.(monotonic|perf_counter|time|clock_gettime)(_ns)?\(|asyncio\.run\(|anyio\.run\("
+)
+# Stand-ins and tests play the outside; the wall time of an answer's `created` field is no span.
+OUTSIDE = ("tests", "standins")
+WALL_TIME = '"created": int(time.time())'
+
+
+@contextmanager
+def suspended(for_s):
+    """From here on the clocks that count a suspension are so much ahead of the others."""
+    read_s, read_ns = time.clock_gettime, time.clock_gettime_ns
+
+    def ahead_s(clock):
+        return read_s(clock) + (for_s if clock == time.CLOCK_BOOTTIME else 0)
+
+    def ahead_ns(clock):
+        return read_ns(clock) + (for_s * 10**9 if clock == time.CLOCK_BOOTTIME else 0)
+
+    with patch("time.clock_gettime", ahead_s), patch("time.clock_gettime_ns", ahead_ns):
+        yield
+
+
+@when("a VM is suspended for 30 seconds")
+def suspend(context):
+    context.before_ms = clocks.monotonic_ms()
+    context.pool = ConnectionPool("id")
+    (context.endpoint,) = endpoints(1, Role.DECODE, "d")
+    context.connection = Mock(finished=True, reusable=True, keep_ms=10_000.0)
+    context.pool.give_back(context.endpoint, context.connection)
+    with suspended(SUSPENDED_S):
+        context.after_ms = clocks.monotonic_ms()
+        context.idle = context.pool._find_idle(context.endpoint)
+
+
+@then("the steady clock of its node shows them")
+def clock_shows(context):
+    passed_ms = context.after_ms - context.before_ms
+    assert SUSPENDED_S * 1000 <= passed_ms < SUSPENDED_S * 1000 + 500, passed_ms
+
+
+@then("a duty, a plan and a resting connection of its node are over")
+def all_over(context):
+    before_ms, after_ms = context.before_ms, context.after_ms
+    state = role_core.RoleState("n", 3000, 300)
+    role_core.step(state, role_core.DutyTaken(7, took_over=False), before_ms)
+    assert after_ms - state.duty_seen_ms > role_core.CONFIRMED_MS
+    plan = PlanState(before_ms - 5000, 90_000, 8)
+    plan_step(plan, Tick(), before_ms)
+    assert plan.whole(before_ms)
+    plan_step(plan, Tick(), after_ms)
+    assert not plan.whole(after_ms), "what nodes did meanwhile is not known"
+    assert context.idle is None, "the endpoint has closed it long ago"
+
+
+@when("a VM is suspended for 30 seconds while a node waits for 30")
+def suspend_wait(context):
+    async def tick():
+        while True:
+            await anyio.sleep(TICK_S)
+
+    async def main():
+        began_s = time.monotonic()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(tick)
+            with anyio.move_on_after(SUSPENDED_S):
+                await anyio.sleep(TICK_S)
+                with suspended(SUSPENDED_S), anyio.move_on_after(SUSPENDED_S / 2):
+                    await anyio.sleep(SUSPENDED_S)
+            tasks.cancel_scope.cancel()
+        context.took_s = time.monotonic() - began_s
+
+    with suspended(0):
+        clocks.run(main)
+
+
+@then("the wait is over at once")
+def wait_over(context):
+    assert context.took_s < 1, context.took_s
+
+
+@then("no module of the product but the clocks asks for the time, or runs another event loop")
+def one_clock(context):
+    root = Path(saffronworks.__file__).parent
+    found = []
+    for path in sorted(root.rglob("*.py")):
+        if path.relative_to(root).parts[0] in OUTSIDE or path.name == "clocks.py":
+            continue
+        lines = path.read_text(encoding="utf-8").splitlines()
+        found += [
+            f"{path.relative_to(root)}: {line.strip()}"
+            for line in lines
+            if CLOCKS.search(line) and WALL_TIME not in line
+        ]
+    assert not found, "\n".join(found)
