Spans are counted on a clock that runs on while a VM is suspended

Cause: all spans rested on CLOCK_MONOTONIC, which stands still then: after a resume a duty, a plan, a reservation, a resting connection looked as young as before, and waits went on for what was left of them. Change: one clock module, CLOCK_BOOTTIME where the system has it, for spans and for the event loop's waits; six modules that asked for the time themselves use it.

--- a/saffronworks/claimants.py
+++ b/saffronworks/claimants.py
@@ -1,7 +1,6 @@
 """The claim service: asks the homes of claims for this node, and is the home of some shards."""
 
 import logging
-import time
 
 import anyio
 import attrs
@@ -10,6 +9,7 @@
 
 from saffronworks import claims, stores
 from saffronworks.claims import ClaimShard
+from saffronworks.clocks import wall_ms
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import MemberService
 from saffronworks.messages import ClaimAsk, ClaimReply, ClaimSettle
@@ -32,10 +32,6 @@
     event: claims.Event
 
 
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 class ClaimService:
     """Takes and settles claims of one node, and keeps the shards that it is the home of."""
 
@@ -128,7 +124,7 @@
         members: MemberService = kernel.find("members")
         state = self._shards.setdefault(name, ClaimShard())
         self._work.set()
-        for command in claims.step(state, event, _wall_ms()):
+        for command in claims.step(state, event, wall_ms()):
             match command:
                 case claims.Read():
                     tasks.start_soon(self._read, kernel, name)
--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -1,15 +1,45 @@
-"""The clocks of a node: a steady one, which steps of the time of day do not move, and that time."""
+"""The clocks of a node: a steady one, which steps of the time of day do not move, and that time.
 
+All spans are counted on the steady clock, waits of the event loop too. Where the system has it, it
+runs on while a VM is suspended: what was heard, promised or reserved before is then as old as it
+is. On a clock that stands still meanwhile a node would act on a duty that others have taken over,
+and wait for what is long over.
+"""
+
+import asyncio
 import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+__all__ = ["monotonic_ms", "run", "wall_ms"]
 
-__all__ = ["monotonic_ms", "wall_ms"]
+_STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 def monotonic_ms() -> int:
     """The steady clock, in ms."""
-    return time.monotonic_ns() // 1_000_000
+    return time.clock_gettime_ns(_STEADY) // 1_000_000
 
 
 def wall_ms() -> int:
     """Unix time in ms; it may jump, and differs between VMs."""
     return time.time_ns() // 1_000_000
+
+
+class _SteadyLoop(asyncio.SelectorEventLoop):
+    """Counts its waits on the steady clock.
+
+    Its selector still sleeps by the one that stands still, up to the next wait that was foreseen
+    before a suspension: within 20 ms in a node, whose planner looks around at that pace.
+    """
+
+    def time(self) -> float:
+        """The steady clock, in s."""
+        return time.clock_gettime(_STEADY)
+
+
+def run(main: Callable[..., Awaitable[Any]], *arguments: object) -> Any:
+    """Run a program's main coroutine on an event loop of the steady clock."""
+    return anyio.run(main, *arguments, backend_options={"loop_factory": _SteadyLoop})
--- a/saffronworks/daemon.py
+++ b/saffronworks/daemon.py
@@ -7,6 +7,7 @@
 import anyio
 import fire
 
+from saffronworks.clocks import run
 from saffronworks.logs import set_up_logs
 from saffronworks.nodes import Node
 from saffronworks.readers import load_or_exit
@@ -35,7 +36,7 @@
         return
     set_up_logs(checked.log_level)
     try:
-        anyio.run(_run, checked)
+        run(_run, checked)
     except* OSError as group:
         for error in group.exceptions:
             logger.error("event=start_failed problem=%r", str(error))
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -9,12 +9,12 @@
 import enum
 import logging
 import socket
-import time
 from collections import deque
 
 import attrs
 import httptools
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
@@ -98,7 +98,7 @@
         self._whole = False
         self.framed = False
         self._lost: BreakCause | None = None
-        self.idle_since_ms = 0.0
+        self.idle_since_ms = 0
         self.keep_ms = float(KEEP_ALIVE_DEFAULT_MS)
         self.reusable = True
         self.uses = 0
@@ -319,7 +319,7 @@
         idle = self._idle.get(endpoint.instance, deque())
         while idle:
             connection = idle.pop()
-            rested_ms = time.monotonic() * 1000 - connection.idle_since_ms
+            rested_ms = monotonic_ms() - connection.idle_since_ms
             if connection.reusable and rested_ms < connection.keep_ms:
                 return connection
             connection.close()
@@ -362,7 +362,7 @@
         if not connection.finished or len(idle) >= self.most_idle:
             connection.close()
             return
-        connection.idle_since_ms = time.monotonic() * 1000
+        connection.idle_since_ms = monotonic_ms()
         idle.append(connection)
 
     def keep_only(self, instances: set[StartId]) -> None:
--- a/saffronworks/logs.py
+++ b/saffronworks/logs.py
@@ -7,6 +7,8 @@
 import time
 from typing import TextIO
 
+from saffronworks.clocks import monotonic_ms
+
 __all__ = ["BoundedHandler", "set_up_logs"]
 
 # Lines a second that one process writes at most; a request takes about six lines, and a node on
@@ -14,6 +16,8 @@
 MOST_LINES_PER_S = 400
 # Lines that wait for a slow reader of the pipe; further ones are counted and dropped.
 MOST_WAITING_LINES = 2000
+# A process that ends waits so long for its last lines at most.
+FLUSH_MS = 500
 
 
 class BoundedHandler(logging.Handler):
@@ -45,8 +49,8 @@
 
     def flush(self) -> None:
         """Wait a moment until the queue is written; at the process's end."""
-        until_s = time.monotonic() + 0.5
-        while not self._waiting.empty() and time.monotonic() < until_s:
+        until_ms = monotonic_ms() + FLUSH_MS
+        while not self._waiting.empty() and monotonic_ms() < until_ms:
             time.sleep(0.01)
 
     def _within_rate(self, second: int) -> bool:
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import time
 
 import anyio
 
@@ -10,7 +9,7 @@
 from saffronworks.burn import BurnRecorder
 from saffronworks.cancels import CancelDone, CancelService
 from saffronworks.claimants import ClaimService
-from saffronworks.clocks import monotonic_ms
+from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.documents import (
     BucketDigests,
     BucketVersions,
@@ -71,7 +70,7 @@
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        self.incarnation = time.time_ns() // 1_000_000
+        self.incarnation = wall_ms()
         self.kernel = Kernel(settings.name, monotonic_ms)
         rng = random.Random(f"{settings.name}/{self.incarnation}/store")
         self.engines = EngineClient()
--- a/saffronworks/platform/__main__.py
+++ b/saffronworks/platform/__main__.py
@@ -9,9 +9,9 @@
 gc.disable()
 
 # ruff: noqa: E402
-import anyio
 import fire
 
+from saffronworks.clocks import run
 from saffronworks.logs import set_up_logs
 from saffronworks.platform.node import PlatformNode
 from saffronworks.platform.settings import SETTINGS_VARIABLE, read_platform_settings
@@ -42,7 +42,7 @@
     set_up_logs(log_level, sys.stdout)
     gc.freeze()
     gc.enable()
-    anyio.run(PlatformNode(checked, path, metrics_port).run)
+    run(PlatformNode(checked, path, metrics_port).run)
 
 
 if __name__ == "__main__":
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -3,7 +3,6 @@
 import logging
 import random
 import signal
-import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -120,7 +119,7 @@
         self._forwarder = Forwarder(self._state, monotonic_ms())
         self._ingress = Ingress(self._forwarder, monotonic_ms)
         self._register()
-        rng = random.Random(f"{settings.node}/{time.time_ns()}")
+        rng = random.Random(f"{settings.node}/{wall_ms()}")
         servers = ServerSink(
             self._directory,
             monotonic_ms,
--- a/saffronworks/stores.py
+++ b/saffronworks/stores.py
@@ -1,7 +1,6 @@
 """The adapter to the platform's object API, with a circuit and jittered backoff."""
 
 import random
-import time
 from typing import Any
 from urllib.parse import quote
 
@@ -12,6 +11,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.budgets import ReadBudget
+from saffronworks.clocks import monotonic_ms
 from saffronworks.documents import Document
 
 __all__ = ["CONFIG_PREFIX", "Moved", "StoreClient", "StoreFailure", "WatchReply"]
@@ -127,7 +127,7 @@
         self, method: str, path: str, content: bytes = b"", timeout_s: float = TIMEOUT_S
     ) -> Result[tuple[int, bytes], StoreFailure]:
         if method == "GET":
-            await anyio.sleep(self.budget.take(time.monotonic() * 1000) / 1000)
+            await anyio.sleep(self.budget.take(monotonic_ms()) / 1000)
         self.calls += 1
         timeout = {"connect": TIMEOUT_S, "read": timeout_s, "pool": TIMEOUT_S}
         url = f"http://{self._address}{path}"
