Soak: a content that ends its endpoints, beside all other faults

Cause: no soak had a request that does harm by what it holds. Change: a caller asks for one body again and again at any node; engines that begin to run it refuse connections for 1.5 s and start again. A new check bounds the sends by nodes in touch; sites.py has what runs.py had beside the play.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -24,6 +24,7 @@
       | was sent again and again                       | extra_sends_bounded       |
       | broke while its node was stopped as planned    | planned_stops_cut_nothing |
       | was refused after all faults were over         | calm_again                |
+      | ended endpoint after endpoint                  | deadly_reach_few          |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -156,6 +156,13 @@
     records.disturbances.append(Disturbance(0, "node", SENT_MS + 30, SENT_MS + 2000))
 
 
+def deadly(records):
+    records.asked["r"].kind = "deadly"
+    records.deadly_ends_ms = [SENT_MS - 5000 + number * 500 for number in range(8)]
+    records.arrived = [("llm", "r", SENT_MS + number * 500) for number in range(4)]
+    records.calm_from_ms = SENT_MS
+
+
 def refused_late(records):
     records.calm_from_ms = SENT_MS
     records.ran.clear()
@@ -175,6 +182,7 @@
     "broke while its node was stopped as planned": ("once", stopped),
     "was broken by a kill across a planned stop of its node": ("once", killed_across_stop),
     "was refused after all faults were over": ("again", refused_late),
+    "ended endpoint after endpoint": ("res", deadly),
     "was served": ("moved", lambda records: None),
 }
 
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -5,9 +5,10 @@
 import anyio
 import httpcore
 
+from saffronworks.tests.mortal_servers import DEADLY
 from saffronworks.tests.soak.records import Asked
 
-__all__ = ["KINDS", "ONCE_KINDS", "STREAM_KINDS", "Caller"]
+__all__ = ["DEADLY_KIND", "KINDS", "ONCE_KINDS", "STREAM_KINDS", "Caller", "DeadlyCaller"]
 
 # How often each kind of request comes, and the route that it goes by.
 KINDS = {"once": 4, "again": 3, "moved": 2, "gen": 2, "res": 3}
@@ -18,6 +19,9 @@
 PAUSE_S = 0.15
 LEAVE_SHARE = 0.05
 LEAVE_AFTER_S = 0.1
+# A content that ends its endpoints is asked for on the route of streams that may go on.
+DEADLY_KIND = "deadly"
+DEADLY_PAUSE_S = 0.5
 PROMPT = {"Token-Counts": "5000,9000", "Length-Hint": "300"}
 LONGEST_RETURN_S = 1.5
 
@@ -86,3 +90,36 @@
             async for chunk in response.aiter_stream():
                 asked.body += chunk
         asked.outcome = "answered"
+
+
+class DeadlyCaller:
+    """Asks for one content again and again, at any node, whatever it is told."""
+
+    def __init__(self, site, deadly):
+        self._site = site
+        self._deadly = deadly
+        self._rng = random.Random(f"{site.seed}/deadly")
+
+    async def run(self, until):
+        await anyio.sleep(self._deadly.at_ms / 1000)
+        number = 0
+        while not until():
+            number += 1
+            node = self._rng.randrange(len(self._site.nodes))
+            await self._ask(Asked(f"x{number}", DEADLY_KIND, node, self._site.now_ms(), 3000))
+            await anyio.sleep(2 * DEADLY_PAUSE_S * self._rng.random())
+
+    async def _ask(self, asked):
+        self._site.records.asked[asked.request_id] = asked
+        fields = {"Host": "h.example", "Request-Id": asked.request_id, "Deadline-Ms": "3000"}
+        url = f"http://{self._site.caller_addresses[asked.node]}/res/"
+        try:
+            with anyio.fail_after(asked.deadline_ms / 1000 + 1.0):
+                async with httpcore.AsyncConnectionPool() as pool:
+                    reply = await pool.request("POST", url, headers=fields | PROMPT, content=DEADLY)
+            asked.outcome, asked.status = "answered", reply.status
+        except TimeoutError:
+            asked.outcome = "left"
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            asked.outcome, asked.problem = "broken", repr(error)
+        asked.ended_ms = self._site.now_ms()
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -7,6 +7,7 @@
 import attrs
 
 from saffronworks.standins.addresses import free_address
+from saffronworks.tests.mortal_servers import DEADLY
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.records import Ran
 
@@ -16,6 +17,8 @@
 READ_S = 0.03
 EVENT_S = 0.02
 EVENTS = 12
+# From the arrival of a deadly content to the end of its endpoint.
+DEADLY_RUNS_S = 0.05
 HANDLE_TTL_MS = 500
 CAPACITY_TOKENS = 40_000
 SLOTS = 8
@@ -115,10 +118,14 @@
         return await self._reply(writer, 200, {}, json.dumps({"hold": hold}).encode())
 
     async def _request(self, reader, writer, headers):
-        request_id, now_ms = headers["request-id"], self.site.now_ms()
+        request_id, now_ms, body = headers["request-id"], self.site.now_ms(), self.seen[-1][3]
         if headers.get("stage") == "prefill":
             return await self._read_prompt(writer, request_id)
         self.records.arrived.append((self.service, request_id, now_ms))
+        if DEADLY in body:
+            await asyncio.sleep(DEADLY_RUNS_S)
+            self.site.end_under_deadly(self)
+            return False
         fault = None
         if now_ms < self.grey_until_ms and self._rng.random() < GREY_SHARE:
             fault = self._rng.choice(GREY_STREAM if self.stage else GREY_PLAIN)
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -13,6 +13,7 @@
     "NodeFault",
     "Shape",
     "StoreFault",
+    "draw_deadly",
     "draw_faults",
 ]
 
@@ -40,6 +41,8 @@
     faults_ms: int = 16_000
     # How often an endpoint starts again under its name.
     restarts: int = 4
+    # Whether a content that ends its endpoints comes again and again.
+    deadly: bool = True
 
 
 @attrs.frozen
@@ -103,6 +106,12 @@
     return sorted([*faults, *changes, *restarts], key=lambda fault: fault.at_ms)
 
 
+def draw_deadly(seed: int, shape: Shape) -> list[Fault]:
+    """From when on a deadly content comes; none, or one."""
+    at_ms = random.Random(f"{seed}/deadly").randrange(shape.faults_ms // 2)
+    return [Fault(at_ms, 0, "deadly", 0)] if shape.deadly else []
+
+
 def _draw(rng: random.Random, at_ms: int) -> Fault:
     for_ms, target = rng.randint(SHORTEST_MS, LONGEST_MS), rng.randrange(1000)
     what = rng.choice(["node", "link", "link", "store", "endpoint"])
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -1,6 +1,6 @@
 """What must hold of everything that was seen; each check returns its findings in words."""
 
-from saffronworks.tests.soak.callers import ONCE_KINDS, STREAM_KINDS
+from saffronworks.tests.soak.callers import DEADLY_KIND, ONCE_KINDS, STREAM_KINDS
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.records import ALL_NODES, Asked, Records
 
@@ -16,6 +16,8 @@
 SLACK_MS = 500
 # A caller's close is seen, and its run ended, within this time.
 GONE_MS = 1000
+# A content that three endpoints ended under is sent on so often at most.
+MOST_DEADLY_SENDS = 3
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
 
@@ -33,6 +35,7 @@
         _extra_sends_bounded,
         _planned_stops_cut_nothing,
         _calm_again,
+        _deadly_reach_few,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -187,7 +190,7 @@
 
 
 def _may_go_to(kind: str, service: str) -> bool:
-    return (kind in STREAM_KINDS) == (service == "llm")
+    return (kind in (*STREAM_KINDS, DEADLY_KIND)) == (service == "llm")
 
 
 def _planned_stops_cut_nothing(records: Records) -> list[str]:
@@ -211,9 +214,29 @@
 
 
 def _calm_again(records: Records) -> list[str]:
-    late = [a for a in records.asked.values() if a.at_ms >= records.calm_from_ms]
+    late = [
+        asked
+        for asked in records.asked.values()
+        if asked.at_ms >= records.calm_from_ms and asked.kind != DEADLY_KIND
+    ]
     judged = [asked for asked in late if asked.outcome != "left"]
     served = sum(asked.outcome == "answered" and asked.status == 200 for asked in judged)
     if judged and served >= CALM_SHARE * len(judged):
         return []
     return [f"{served} of {len(judged)} requests served after the last fault"]
+
+
+def _deadly_reach_few(records: Records) -> list[str]:
+    """Sends of a deadly content by nodes in touch, later than these have to know of its ends."""
+    if len(records.deadly_ends_ms) < MOST_DEADLY_SENDS:
+        return []
+    from_ms = records.deadly_ends_ms[2] + CONTACT_MS
+    late = []
+    for _, request_id, at_ms in records.arrived:
+        asked = records.asked[request_id]
+        if asked.kind != DEADLY_KIND or at_ms <= from_ms:
+            continue
+        if _undisturbed(records, asked.node, at_ms, at_ms):
+            late.append(request_id)
+    ends = len(records.deadly_ends_ms)
+    return [f"sent on as {late}, {ends} ends"] if len(late) > MOST_DEADLY_SENDS else []
--- a/saffronworks/tests/soak/proxies.py
+++ b/saffronworks/tests/soak/proxies.py
@@ -26,12 +26,26 @@
         self.address = free_address()
         self.fault = None
         self._writers = set()
+        self._refuses, self._listens = asyncio.Event(), asyncio.Event()
 
     async def run(self):
         host, port = self.address.split(":")
-        server = await asyncio.start_server(self._serve, host, int(port))
-        async with server:
-            await server.serve_forever()
+        while True:
+            self._refuses.clear()
+            server = await asyncio.start_server(self._serve, host, int(port))
+            async with server:
+                await self._refuses.wait()
+            await self._listens.wait()
+
+    def refuse(self):
+        """Close every connection and refuse new ones, as the port of a process that ended does."""
+        self._listens.clear()
+        self._refuses.set()
+        for writer in list(self._writers):
+            _reset(writer)
+
+    def listen(self):
+        self._listens.set()
 
     def begin(self, kind):
         """Start to misbehave; a reset strikes the open connections once more, and new ones."""
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -66,4 +66,6 @@
     wrong: list[str] = attrs.Factory(list)
     # Planned stops of nodes: node, when, until when its process may run.
     stops: list[tuple[int, float, float]] = attrs.Factory(list)
+    # When an endpoint ended under the deadly content.
+    deadly_ends_ms: list[float] = attrs.Factory(list)
     calm_from_ms: float = 0.0
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -1,259 +1,23 @@
 """One soak: starts everything, plays the faults of a seed, checks what was seen."""
 
-import signal
-import time
 from collections import Counter
 
 import anyio
 import attrs
 
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.fake_store import FakeStore
-from saffronworks.tests.platform_place import CONFIG, ENGINE, make_route
-from saffronworks.tests.soak import faults
-from saffronworks.tests.soak.callers import Caller
-from saffronworks.tests.soak.endpoints import Endpoint
-from saffronworks.tests.soak.faults import Fault, Shape, draw_faults
-from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
+from saffronworks.tests.soak.callers import Caller, DeadlyCaller
+from saffronworks.tests.soak.faults import Shape, draw_deadly, draw_faults
 from saffronworks.tests.soak.promises import check_all
-from saffronworks.tests.soak.proxies import Proxy
-from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Records
+from saffronworks.tests.soak.sites import SoakSite
 
 __all__ = ["SoakResult", "run_soak"]
 
-START_LIMIT_S = 20
-# A process that was started again is up by then.
-START_S = 1.5
 # After the last fault: in touch again, lapsed entries back, circuits closed.
 SETTLE_S = 5.0
 CALM_S = 3.0
 # Reservations lapse within two seconds; work that nobody wants ends before.
 EMPTY_LIMIT_S = 4.0
-LOOK_READY_S = 0.5
-# An endpoint that leaves serves on for longer than it must; a crashed one's entry goes later.
-DRAIN_S = 6.0
-ENTRY_LAPSES_S = 3.6
-# Of the faults in which endpoints fail requests, one in so many strikes a whole service.
-WHOLE_SERVICE_EVERY = 3
-PLAIN_SERVICES = ("web-a", "web-b")
-
-
-def make_config(version, moved_to):
-    """The operator's configuration; `moved_to` is the service of the route that moves."""
-    routes = [
-        make_route("once", "/once/", "non_idempotent", "web-a", max_attempts=1),
-        make_route("again", "/again/", "idempotent", "web-a"),
-        make_route("moved", "/moved/", "non_idempotent", moved_to, max_attempts=1),
-        make_route("gen", "/gen/", "streaming", "llm", sticky=True, timeout_ms=6000),
-        make_route(
-            "res", "/res/", "streaming", "llm", sticky=True, resumable=True, timeout_ms=6000
-        ),
-    ]
-    services = [{"name": name, "max_conns": 200} for name in PLAIN_SERVICES]
-    engine = ENGINE | {"slots": 8, "kv_capacity_tokens": 40_000, "stride": 40}
-    services.append({"name": "llm", "max_conns": 200, "engine": engine})
-    return CONFIG | {"version": version, "routes": routes, "services": services}
-
-
-class SoakSite:
-    """The store, the endpoints and the node processes, with a proxy on each way."""
-
-    def __init__(self, seed, shape, folder, tasks):
-        self.seed, self.shape = seed, shape
-        self.records = Records()
-        self.store = FakeStore()
-        self.by_address = {}
-        self._began_s = time.monotonic()
-        self._tasks = tasks
-        self._endpoint_number = 0
-        self._ready = set()
-        self.endpoints = {}
-        self.store_proxies = [Proxy(self.store.address) for _ in range(shape.nodes)]
-        self.nodes = [
-            NodeProcess(number, proxy.address, folder)
-            for number, proxy in enumerate(self.store_proxies)
-        ]
-        self.caller_proxies = [Proxy(node.caller_address) for node in self.nodes]
-        self.caller_addresses = [proxy.address for proxy in self.caller_proxies]
-        self._endpoint_proxies = {}
-
-    def now_ms(self):
-        return (time.monotonic() - self._began_s) * 1000
-
-    def ready_nodes(self):
-        return sorted(self._ready)
-
-    async def start(self):
-        self._tasks.start_soon(self.store.run)
-        for proxy in (*self.store_proxies, *self.caller_proxies):
-            self._tasks.start_soon(proxy.run)
-        self._write_config(1)
-        for number in range(self.shape.plains):
-            self._add_endpoint(PLAIN_SERVICES[number % 2], None)
-        for number in range(self.shape.engines):
-            self._add_endpoint("llm", "decode" if number % 3 else "prefill")
-        for node in self.nodes:
-            node.start()
-        self._tasks.start_soon(self._watch_ready)
-        assert await wait_until(lambda: len(self._ready) == len(self.nodes), START_LIMIT_S)
-
-    async def _watch_ready(self):
-        while True:
-            for node in self.nodes:
-                (self._ready.add if await node.ready() else self._ready.discard)(node.number)
-            await anyio.sleep(LOOK_READY_S)
-
-    def _add_endpoint(self, service, stage):
-        self._endpoint_number += 1
-        name = f"{service}-{self._endpoint_number}"
-        endpoint = Endpoint(name, service, stage, self.records, self, self.seed)
-        proxy = Proxy(endpoint.own_address)
-        endpoint.address = proxy.address
-        self.by_address[proxy.address] = endpoint
-        self.endpoints[name] = endpoint
-        self._endpoint_proxies[name] = proxy
-        self._tasks.start_soon(proxy.run)
-        self._tasks.start_soon(endpoint.run)
-        self.store.put("servers", name, endpoint.entry())
-
-    def _write_config(self, version):
-        service = PLAIN_SERVICES[version % 2]
-        self.store.put("config", "main", make_config(version, service))
-        self.records.versions.append((self.now_ms(), service))
-
-    def _disturb(self, node, what, for_s):
-        now_ms = self.now_ms()
-        self.records.disturbances.append(Disturbance(node, what, now_ms, now_ms + for_s * 1000))
-
-    async def strike(self, fault: Fault):
-        """Play one fault to its end."""
-        match fault:
-            case faults.NodeFault():
-                await self._strike_node(fault)
-            case faults.LinkFault():
-                await self._strike_link(fault)
-            case faults.StoreFault():
-                await self._strike_store(fault)
-            case faults.EndpointFault():
-                await self._strike_endpoint(fault)
-            case faults.EndpointRestart():
-                await self._restart_endpoint(fault)
-            case faults.ConfigChange():
-                self._write_config(len(self.records.versions) + 1)
-
-    async def _strike_node(self, fault):
-        node, for_s = self.nodes[fault.target % len(self.nodes)], fault.for_ms / 1000
-        if not node.alive:
-            return
-        match fault.kind:
-            case "pause":
-                self._disturb(node.number, "node", for_s)
-                node.send(signal.SIGSTOP)
-                await anyio.sleep(for_s)
-                node.send(signal.SIGCONT)
-            case "kill":
-                self._disturb(node.number, "node", for_s + START_S)
-                node.end_now()
-                await anyio.sleep(for_s)
-                node.start()
-            case "stop":
-                now_ms = self.now_ms()
-                self.records.stops.append((node.number, now_ms, now_ms + GRACE_S * 1000))
-                if not await node.stop(GRACE_S):
-                    self.records.wrong.append(f"node {node.number} outlived its grace period")
-                    node.end_now()
-                self._disturb(node.number, "stopped", for_s + START_S)
-                await anyio.sleep(for_s)
-                node.start()
-
-    async def _strike_link(self, fault):
-        for_s = fault.for_ms / 1000
-        if fault.link == "endpoint":
-            names = sorted(self._endpoint_proxies)
-            proxy = self._endpoint_proxies[names[fault.target % len(names)]]
-            node = ALL_NODES
-        else:
-            node = fault.target % len(self.nodes)
-            proxies = self.caller_proxies if fault.link == "caller" else self.store_proxies
-            proxy = proxies[node]
-        self._disturb(node, fault.link, for_s)
-        proxy.begin(fault.kind)
-        await anyio.sleep(for_s)
-        proxy.end()
-
-    async def _strike_store(self, fault):
-        self._disturb(ALL_NODES, "store", fault.for_ms / 1000)
-        if fault.kind == "forget":
-            self.store.forget_history()
-            return
-        self.store.fault = fault.kind
-        await anyio.sleep(fault.for_ms / 1000)
-        self.store.fault = None
-
-    def _choose_endpoint(self, fault):
-        names = sorted(set(self.endpoints) - set(self.records.left_ms))
-        return self.endpoints[names[fault.target % len(names)]]
-
-    async def _restart_endpoint(self, fault):
-        """It is gone for a moment; its entry tells the new start, and never went."""
-        endpoint, for_s = self._choose_endpoint(fault), fault.for_ms / 1000
-        self._disturb(ALL_NODES, "endpoint", for_s)
-        proxy = self._endpoint_proxies[endpoint.instance]
-        proxy.begin("reset")
-        endpoint.crash()
-        await anyio.sleep(for_s)
-        endpoint.restart()
-        proxy.end()
-        if endpoint.instance not in self.records.left_ms:
-            self.store.put("servers", endpoint.instance, endpoint.entry())
-
-    async def _strike_endpoint(self, fault):
-        endpoint = self._choose_endpoint(fault)
-        until_ms = self.now_ms() + fault.for_ms
-        match fault.kind:
-            case "grey":
-                for struck in self._greyed(endpoint, fault):
-                    struck.grey_until_ms = until_ms
-                self._disturb(ALL_NODES, "endpoint", fault.for_ms / 1000)
-            case "full":
-                endpoint.full_until_ms = until_ms
-            case "crash":
-                self._disturb(ALL_NODES, "endpoint", ENTRY_LAPSES_S)
-                endpoint.crash()
-                self._endpoint_proxies[endpoint.instance].begin("reset")
-                await anyio.sleep(ENTRY_LAPSES_S)
-                self._replace(endpoint)
-            case "drain":
-                self.store.put("servers", endpoint.instance, endpoint.entry("draining"))
-                await self._leave(endpoint)
-            case "vanish":
-                self.store.remove("servers", endpoint.instance)
-                await self._leave(endpoint)
-
-    def _greyed(self, endpoint, fault):
-        """One endpoint, or its whole service: then what one broke, the next one fails too."""
-        if fault.target % WHOLE_SERVICE_EVERY:
-            return [endpoint]
-        return [other for other in self.endpoints.values() if other.service == endpoint.service]
-
-    async def _leave(self, endpoint):
-        self.records.left_ms[endpoint.instance] = self.now_ms()
-        await anyio.sleep(DRAIN_S)
-        self._replace(endpoint)
-
-    def _replace(self, endpoint):
-        """Its entry goes, and another start of it enters itself."""
-        self.records.left_ms.setdefault(endpoint.instance, self.now_ms())
-        self.store.remove("servers", endpoint.instance)
-        self._add_endpoint(endpoint.service, endpoint.stage)
-
-    def memory_in_use(self):
-        """What engines still hold, in words."""
-        return [
-            f"{endpoint.instance} holds {endpoint.used_tokens()} tokens"
-            for endpoint in self.endpoints.values()
-            if endpoint.used_tokens()
-        ]
 
 
 @attrs.frozen
@@ -290,6 +54,8 @@
         for number in range(site.shape.callers):
             caller = Caller(f"c{number}", site, site.records, site.seed)
             callers.start_soon(caller.run, over.is_set)
+        for deadly in draw_deadly(site.seed, site.shape):
+            callers.start_soon(DeadlyCaller(site, deadly).run, over.is_set)
         async with anyio.create_task_group() as striking:
             began_ms = site.now_ms()
             for fault in drawn:
