Ends that are silent count too; a trial is taken when it is sent; who missed a good run hears of it

Cause: found by reading the change again: an endpoint that goes dark never refuses a connection; a trial that the planner refused was lost; cleared contents were told for ten minutes, and a node that was away when one was cleared went on refusing it; a plain stream that broke after its head was no sign of anything, nor counted against its endpoint. Change: an endpoint that stays silent has ended once the store lists it no more; the trial begins with the send; at rest only what is barred is told, and who tells a content that a good run cleared gets that back; such breaks are noted.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -105,7 +105,7 @@
     def _decide(self, event: events.Event) -> events.Command:
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         pools = Pools(self._decoders(now_ms), self._prefillers(now_ms))
-        barred = not self._job.on_trial and node.quarantine.bars(self._job.request)
+        barred = node.quarantine.bars(self._job.request, self._job.on_trial)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
             self._log_decision(event, command, pools, begun, now_ms)
@@ -244,6 +244,8 @@
         node, state = self._node, self._state
         left_ms = state.deadline_at_ms - node.now_ms()
         hold, handle = state.hold, state.handle
+        if self._job.on_trial:
+            node.quarantine.begin_trial(self._job.request)
         try:
             exchange = await node.calls.open_stream(
                 endpoint, self._job.request, left_ms, hold, handle, self._relay.last_event
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -25,12 +25,15 @@
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     ENDS_TO_BAR,
+    FORGET_EVERY_MS,
     FRESH_MS,
     JUDGES,
     LOOK_AGAIN_MS,
     LOOKS,
     MOST_TOLD,
     NEIGHBOURS,
+    SILENT_LOOK_AGAIN_MS,
+    SILENT_LOOKS,
     TELL_FANOUT,
     TELL_REST_MS,
 )
@@ -56,8 +59,16 @@
     "step",
 ]
 
-# How an exchange breaks when the process at the other side ends; a silent one may be a lost link.
-_ENDS = frozenset([BreakCause.CLOSED, BreakCause.RESET, BreakCause.RESTARTED])
+# How an exchange breaks when the process or the machine at the other side ends.
+_ENDS = frozenset(
+    [
+        BreakCause.CLOSED,
+        BreakCause.RESET,
+        BreakCause.RESTARTED,
+        BreakCause.SILENT,
+        BreakCause.UNREACHABLE,
+    ]
+)
 
 
 class Found(enum.Enum):
@@ -66,8 +77,15 @@
     LISTENS = "listens"
     REFUSES = "refuses"
     SILENT = "silent"
+    # Silent, and the store lists it no more.
+    GONE = "gone"
     STARTED_AGAIN = "started-again"
 
+    @property
+    def ended(self) -> bool:
+        """Whether it shows by itself that the endpoint has ended."""
+        return self in (Found.GONE, Found.STARTED_AGAIN)
+
 
 @attrs.frozen
 class RunBroke:
@@ -170,6 +188,7 @@
     endpoint: ServiceEndpoint
     contents: set[ContentId]
     refused: int = 0
+    silent: int = 0
 
 
 @attrs.define
@@ -184,6 +203,7 @@
     table: SuspicionTable = attrs.Factory(SuspicionTable)
     looks: dict[StartId, _OpenLook] = attrs.Factory(dict)
     told_ms: int = 0
+    forgot_ms: int = 0
 
     def take_nodes(self, nodes: Iterable[str]) -> None:
         """Which nodes there are from now on."""
@@ -229,8 +249,8 @@
             return _share(state, state.table.take_trial(content, now_ms))
         case Put(suspicion):
             return _hear(state, suspicion, now_ms)
-        case SuspicionNews(suspicions):
-            return [command for heard in suspicions for command in _hear(state, heard, now_ms)]
+        case SuspicionNews():
+            return _take_news(state, event, now_ms)
         case Tick():
             return [*_forget(state, now_ms), *_spread(state, now_ms)]
     return []
@@ -252,12 +272,14 @@
 
 def _take_look(state: QuarantineState, event: Looked, now_ms: int) -> list[Command]:
     look = state.looks[event.instance]
-    if event.found is Found.REFUSES:
-        look.refused += 1
-        if look.refused < LOOKS:
-            return [Look(look.endpoint, LOOK_AGAIN_MS)]
+    look.refused += event.found is Found.REFUSES
+    look.silent += event.found is Found.SILENT
+    if event.found is Found.REFUSES and look.refused < LOOKS:
+        return [Look(look.endpoint, LOOK_AGAIN_MS)]
+    if event.found is Found.SILENT and look.silent < SILENT_LOOKS:
+        return [Look(look.endpoint, SILENT_LOOK_AGAIN_MS)]
     del state.looks[event.instance]
-    if event.found not in (Found.REFUSES, Found.STARTED_AGAIN):
+    if event.found is not Found.REFUSES and not event.found.ended:
         return []
     ended = EndpointEnded(event.instance, len(look.contents), event.found)
     return [ended, *_add_ends(state, look.contents, event.instance, now_ms)]
@@ -279,10 +301,24 @@
         return []
     judges = state.judges(news.content)
     others = tuple(node for node in judges if node != state.own)
-    told: list[Command] = [Tell(others, SuspicionNews((news,)))] if others else []
+    told: list[Command] = [Tell(others, SuspicionNews(state.own, (news,)))] if others else []
     return [*told, *_settle(state, news)]
 
 
+def _take_news(state: QuarantineState, event: SuspicionNews, now_ms: int) -> list[Command]:
+    """Put it together with what is known; a sender that missed a good run hears of it."""
+    commands: list[Command] = []
+    cleared = []
+    for heard in event.suspicions:
+        commands += _hear(state, heard, now_ms)
+        known = state.table.find(heard.content)
+        if known is not None and known.ran_well and is_barred(heard):
+            cleared.append(known)
+    if cleared:
+        commands.append(Tell((event.sender,), SuspicionNews(state.own, tuple(cleared))))
+    return commands
+
+
 def _hear(state: QuarantineState, heard: Suspicion, now_ms: int) -> list[Command]:
     news = state.table.merge(heard, now_ms)
     return _settle(state, news) if news is not None else []
@@ -304,6 +340,9 @@
 
 
 def _forget(state: QuarantineState, now_ms: int) -> list[Command]:
+    if now_ms - state.forgot_ms < FORGET_EVERY_MS:
+        return []
+    state.forgot_ms = now_ms
     old = state.table.forget_old(now_ms)
     return [
         Unrecord(suspicion.content)
@@ -313,18 +352,18 @@
 
 
 def _spread(state: QuarantineState, now_ms: int) -> list[Command]:
-    """Tell what is serious to a few neighbours, often while it is new, then at rest.
+    """Tell a few neighbours what is new, again and again; and what is barred, for good.
 
-    At rest, too: a node that was cut off, or starts, knows it within a second or two, and needs no
-    one to notice that it is back.
+    So a node that was cut off, or starts, knows what is barred within a second or two, and no one
+    has to notice that it is back.
     """
-    serious = state.table.serious()
     fresh = state.table.changed_since(now_ms - FRESH_MS)
-    if not serious or (not fresh and now_ms - state.told_ms < TELL_REST_MS):
+    if not fresh and now_ms - state.told_ms < TELL_REST_MS:
         return []
     state.told_ms = now_ms
-    newest, older = serious[: MOST_TOLD // 2], serious[MOST_TOLD // 2 :]
-    sample = state.rng.sample(older, min(len(older), MOST_TOLD // 2))
+    newest = fresh[: MOST_TOLD // 2]
+    others = [one for one in (*fresh, *state.table.barred()) if one not in newest]
+    sample = state.rng.sample(others, min(len(others), MOST_TOLD - len(newest)))
     return _tell_some(state, TELL_FANOUT if fresh else 1, (*newest, *sample))
 
 
@@ -332,4 +371,6 @@
     state: QuarantineState, fanout: int, suspicions: tuple[Suspicion, ...]
 ) -> list[Command]:
     chosen = state.rng.sample(state.neighbours, min(len(state.neighbours), fanout))
-    return [Tell(tuple(chosen), SuspicionNews(suspicions))] if chosen else []
+    if not chosen or not suspicions:
+        return []
+    return [Tell(tuple(chosen), SuspicionNews(state.own, suspicions))]
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -27,4 +27,5 @@
 class SuspicionNews:
     """Node to node: what the sender knows of some contents."""
 
+    sender: str
     suspicions: tuple[Suspicion, ...]
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from saffronworks.forwarding.connections import Break
+from saffronworks.forwarding.connections import Break, BreakCause
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.messages import CallerRequest
 from saffronworks.forwarding.ports import EndpointCalls, ObjectSource
@@ -76,12 +76,10 @@
     # What requests ask and tell.
 
     def admit(self, request: CallerRequest) -> Verdict:
-        """Whether a request may be sent to endpoints; a trial is taken by asking for it."""
+        """Whether a request may be sent to endpoints."""
         if self._state.idle:
             return Verdict.FREE
         verdict = self._state.judge(request.content, self._now_ms())
-        if verdict is Verdict.TRIAL:
-            self._take(core.TrialBegan(request.content))
         if verdict is not Verdict.FREE:
             logger.info(
                 "event=content_judged request=%s content=%s verdict=%s known_contents=%d",
@@ -92,16 +90,26 @@
             )
         return verdict
 
-    def bars(self, request: CallerRequest) -> bool:
-        """Whether a request under way is to be sent on no more."""
+    def bars(self, request: CallerRequest, on_trial: bool = False) -> bool:
+        """Whether a request under way is to be sent on no more, a trial not even once."""
         if self._state.idle:
             return False
         verdict = self._state.table.judge(request.content, self._now_ms())
-        return verdict is not Verdict.FREE
+        return verdict is Verdict.BARRED or (verdict is Verdict.TRIAL and not on_trial)
 
-    def note_break(self, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break) -> None:
-        """An endpoint that may have worked on a request gave no whole answer."""
-        if not broken.sent:
+    def begin_trial(self, request: CallerRequest) -> None:
+        """A request on trial is sent to its endpoint now: no other one is."""
+        self._take(core.TrialBegan(request.content))
+
+    def note_break(
+        self, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break, waited_for: bool
+    ) -> None:
+        """An endpoint that may have worked on a request gave no whole answer.
+
+        Silence counts where it was `waited_for`: a request that is sent elsewhere when a little
+        time has passed says nothing of the first endpoint, and a look at it costs a connection.
+        """
+        if not broken.sent or (broken.cause is BreakCause.SILENT and not waited_for):
             return
         known = self._directory.endpoints.get(endpoint.instance)
         leaving = known is None or known.draining
@@ -167,7 +175,7 @@
         if latest is not None and latest.instance != endpoint.instance:
             return Found.STARTED_AGAIN
         if listens is None:
-            return Found.SILENT
+            return Found.GONE if latest is None else Found.SILENT
         return Found.LISTENS if listens else Found.REFUSES
 
     async def _until_done(
--- a/saffronworks/forwarding/quarantine/suspicions.py
+++ b/saffronworks/forwarding/quarantine/suspicions.py
@@ -122,18 +122,20 @@
             for other in self._entries.values()
         )
 
-    def serious(self) -> list[Suspicion]:
-        """What all nodes are to know, the newest first."""
-        entries = [entry for entry in self._entries.values() if is_serious(entry.suspicion)]
-        entries.sort(key=lambda entry: entry.changed_ms, reverse=True)
-        return [entry.suspicion for entry in entries]
-
-    def changed_since(self, from_ms: int) -> bool:
-        """Whether there is something that all nodes are to know and may not know yet."""
-        return any(
-            entry.changed_ms >= from_ms and is_serious(entry.suspicion)
+    def changed_since(self, from_ms: int) -> list[Suspicion]:
+        """What all nodes are to know and may not know yet, the newest first."""
+        fresh = [
+            entry
             for entry in self._entries.values()
-        )
+            if entry.changed_ms >= from_ms and is_serious(entry.suspicion)
+        ]
+        fresh.sort(key=lambda entry: entry.changed_ms, reverse=True)
+        return [entry.suspicion for entry in fresh]
+
+    def barred(self) -> list[Suspicion]:
+        """What no node is to send on."""
+        known = (entry.suspicion for entry in self._entries.values())
+        return [suspicion for suspicion in known if is_barred(suspicion)]
 
     def forget_old(self, now_ms: int) -> list[Suspicion]:
         """Drop what is long over; returns it."""
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -22,10 +22,13 @@
 )
 from saffronworks.hashing import hash32
 
-__all__ = ["Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
+__all__ = ["PLAIN", "Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
 
 logger = logging.getLogger(__name__)
 
+# The name of a plain request's send, where calls are told apart.
+PLAIN = "plain"
+
 
 @attrs.define
 class NodeState:
@@ -61,7 +64,7 @@
             broken.sent,
             request.content if broken.sent else None,
         )
-        self.quarantine.note_break(request, endpoint, broken)
+        self.quarantine.note_break(request, endpoint, broken, waited_for=kind != PLAIN)
 
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
         """Forget an endpoint whose address another one has; the store may tell it later or not."""
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -218,6 +218,10 @@
 # overloaded one refuses some, and one that ended is back after a second at the soonest.
 LOOKS = 2
 LOOK_AGAIN_MS = 200
+# One that says nothing may be cut off from this node alone: it is looked at until it answers, or
+# the store lists it no more, which takes three heartbeats of some 1.2 s.
+SILENT_LOOKS = 6
+SILENT_LOOK_AGAIN_MS = 1000
 # A barred content may be run once more after this long, by one endpoint: if it was barred for
 # another one's ends its caller is served again, if not it has ended one endpoint more for good.
 TRIAL_AFTER_MS = 600_000
@@ -229,6 +233,8 @@
 KEEP_BARRED_MS = 86_400_000
 # One or two ends are forgotten after this long: runs beside them have long ended well.
 KEEP_SUSPECT_MS = 600_000
+# How often old entries are looked for.
+FORGET_EVERY_MS = 5000
 # An end of an endpoint leaves 64 of them at most; one takes 0.5 KB.
 MOST_SUSPICIONS = 2048
 # Nodes that put together what others saw of one content: three, as two may be gone at once.
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -104,6 +104,30 @@
     assert context.served.startswith(b"HTTP/1.1 200 "), context.served
 
 
+@when("a stream that is passed on as it comes ends four endpoints after its first event")
+def ends_begun(context):
+    context.arrivals = arrivals = Arrivals()
+    servers = engines_that_end(arrivals)
+    for server in servers[:-1]:
+        server.head_first = True
+
+    async def play(place):
+        join_store(servers, place.store)
+        # Without the size of its prompt a request gets no memory, and goes the way of plain ones.
+        for number in range(9):
+            raw = await place.ask("/gen/", f"r{number}", body=DEADLY)
+            await anyio.sleep(0.4)
+        context.raw = raw
+
+    on_platform(servers, play)
+
+
+@then("no further one ends by it")
+def no_further_end(context):
+    assert len(context.arrivals.ends_s) == 3, context.arrivals
+    assert context.raw.startswith(b"HTTP/1.1 500 "), context.raw
+
+
 @when("one content gets five broken answers from endpoints that stay")
 def broken_answers(context):
     servers = engines()
--- a/saffronworks/tests/mortal_servers.py
+++ b/saffronworks/tests/mortal_servers.py
@@ -38,6 +38,8 @@
         self.arrivals = arrivals
         self.down_s = down_s
         self.store = None
+        # Whether its caller gets the head of an answer and an event before its end.
+        self.head_first = False
         self._writers = set()
         self._over = asyncio.Event()
 
@@ -73,6 +75,11 @@
         self.arrivals.sends_s.append(time.monotonic())
         if headers.get("stage") == "prefill":
             return await super()._request(reader, writer, headers)
+        if self.head_first:
+            own = {"Request-Id": headers["request-id"], "Server-Stamp": "s"}
+            await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
+            writer.write(b"11\r\nid: 1\ndata: one\n\n\r\n")
+            await writer.drain()
         await asyncio.sleep(RUNS_S)
         if not self._over.is_set():
             self.end()
