Connections, pools, endpoint ranking and the settings file have modules of their own

Change: breaks.py, connection_pool.py, pools.py and platform/settings_watch.py; the node's set-up in four functions. No change of logic.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -6,65 +6,25 @@
 """
 
 import asyncio
-import enum
-import logging
 import socket
 from collections import deque
 
 import attrs
 import httptools
 
-from saffronworks.clocks import monotonic_ms
-from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.tuning import (
-    CONNECT_TIMEOUT_MS,
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
     MOST_BUFFERED_BYTES,
-    MOST_IDLE,
     USER_TIMEOUT_MS,
 )
-from saffronworks.web import parse_address
 
-__all__ = ["Break", "BreakCause", "ConnectionPool", "EndpointConnection", "RawHead"]
-
-logger = logging.getLogger(__name__)
+__all__ = ["EndpointConnection", "RawHead"]
 
 _NO_BODY = frozenset([204, 304])
 
 
-class BreakCause(enum.StrEnum):
-    """Why an exchange ended without a whole answer."""
-
-    CONNECT = "connect"
-    SILENT = "silent"
-    CLOSED = "closed"
-    RESET = "reset"
-    UNREACHABLE = "unreachable"
-    NOT_HTTP = "not-http"
-    OUT_OF_ORDER = "out-of-order"
-    # The endpoint has started again since, and knows nothing of the exchange.
-    RESTARTED = "restarted"
-
-
-_UNREACHABLE = frozenset([BreakCause.CONNECT, BreakCause.UNREACHABLE])
-
-
-class Break(Exception):
-    """The exchange is over; `sent` tells whether the endpoint may have seen the request."""
-
-    def __init__(self, cause: BreakCause, sent: bool):
-        super().__init__(cause.value)
-        self.cause = cause
-        self.sent = sent
-
-    @property
-    def unreachable(self) -> bool:
-        """Whether nobody is there, or the way there is cut."""
-        return self.cause in _UNREACHABLE
-
-
 @attrs.define
 class RawHead:
     """Status and header fields of an answer, in order, names as they came."""
@@ -298,94 +258,3 @@
         """Close at once; the endpoint sees it and stops its work."""
         if self._transport is not None:
             self._transport.abort()
-
-
-class ConnectionPool:
-    """Connections by start of an endpoint, since an address may pass to another one."""
-
-    def __init__(self, id_field: str):
-        self._id_field = id_field
-        self._idle: dict[StartId, deque[EndpointConnection]] = {}
-        self._busy: dict[StartId, set[EndpointConnection]] = {}
-        self.most_idle = MOST_IDLE
-
-    async def take(self, endpoint: ServiceEndpoint) -> EndpointConnection:
-        """An idle connection, else a new one; Break when none can be opened."""
-        connection = self._find_idle(endpoint) or await self._open(endpoint)
-        self._busy.setdefault(endpoint.instance, set()).add(connection)
-        return connection
-
-    def _find_idle(self, endpoint: ServiceEndpoint) -> EndpointConnection | None:
-        idle = self._idle.get(endpoint.instance, deque())
-        while idle:
-            connection = idle.pop()
-            rested_ms = monotonic_ms() - connection.idle_since_ms
-            if connection.reusable and rested_ms < connection.keep_ms:
-                return connection
-            connection.close()
-        return None
-
-    async def _open(self, endpoint: ServiceEndpoint) -> EndpointConnection:
-        try:
-            return await self._connect(endpoint)
-        except (OSError, TimeoutError):
-            raise Break(BreakCause.CONNECT, sent=False) from None
-
-    async def _connect(self, endpoint: ServiceEndpoint) -> EndpointConnection:
-        host, port = parse_address(endpoint.address)
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-            _, connection = await loop.create_connection(
-                lambda: EndpointConnection(self._id_field), host, port
-            )
-        return connection
-
-    async def listens(self, endpoint: ServiceEndpoint) -> bool | None:
-        """Whether a new connection is taken or refused; None when nothing comes back."""
-        try:
-            connection = await self._connect(endpoint)
-        except (ConnectionRefusedError, ConnectionResetError):
-            return False
-        except (OSError, TimeoutError) as error:
-            logger.info("event=look_failed endpoint=%s problem=%r", endpoint.instance, str(error))
-            return None
-        connection.close()
-        return True
-
-    def give_back(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
-        """Keep a connection whose exchange ended whole; close any other."""
-        busy = self._busy.get(endpoint.instance, set())
-        busy.discard(connection)
-        if not busy:
-            self._busy.pop(endpoint.instance, None)
-        idle = self._idle.setdefault(endpoint.instance, deque())
-        if not connection.finished or len(idle) >= self.most_idle:
-            connection.close()
-            return
-        connection.idle_since_ms = monotonic_ms()
-        idle.append(connection)
-
-    def keep_only(self, instances: set[StartId]) -> None:
-        """Close what belongs to endpoints that are gone."""
-        for instance in [name for name in self._idle if name not in instances]:
-            for connection in self._idle.pop(instance):
-                connection.close()
-
-    def end(self, instance: StartId) -> None:
-        """A later start has taken the place of this one: it answers nothing any more.
-
-        Without this, a request at an endpoint that went without a reset waits for its own time-out,
-        up to the deadline of its caller.
-        """
-        for connection in self._busy.pop(instance, ()):
-            connection.give_up(BreakCause.RESTARTED)
-        for connection in self._idle.pop(instance, ()):
-            connection.close()
-
-    def share_among(self, nodes: int, max_connections: int) -> None:
-        """Keep so few idle connections that all nodes leave half of an endpoint's free."""
-        self.most_idle = max(1, min(MOST_IDLE, max_connections // (2 * max(1, nodes))))
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        self.keep_only(set())
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -5,10 +5,9 @@
 import anyio
 from result import Err
 
-from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import generation_events as events
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.generation_state import (
     GenerationState,
@@ -25,9 +24,9 @@
 )
 from saffronworks.forwarding.places import Place
 from saffronworks.forwarding.planning.client import RunSize
+from saffronworks.forwarding.pools import rank_pools
 from saffronworks.forwarding.routing import EngineSpec, Route
 from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
-from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
@@ -104,7 +103,8 @@
 
     def _decide(self, event: events.Event) -> events.Command:
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
-        pools = Pools(self._decoders(now_ms), self._prefillers(now_ms))
+        tokens = self._state.tokens
+        pools = rank_pools(node.directory, node.loads, self._job.service, tokens, now_ms)
         barred = node.quarantine.bars(self._job.request, self._job.on_trial)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
@@ -142,32 +142,6 @@
             self._job.config_version,
         )
 
-    def _decoders(self, now_ms: int) -> list[ServiceEndpoint]:
-        """The emptiest first, as far as this node knows; those of its own zone before others."""
-        node = self._node
-        usable = node.directory.usable(self._job.service, now_ms, Role.DECODE)
-
-        def rank(endpoint: ServiceEndpoint) -> tuple[bool, int, StartId]:
-            load = node.loads.of(endpoint.instance)
-            away_tokens = 0 if endpoint.zone == node.zone else self._state.tokens // 2
-            return (
-                not load.circuit.admits(now_ms),
-                load.reserved_tokens + away_tokens,
-                endpoint.instance,
-            )
-
-        return sorted(usable, key=rank)
-
-    def _prefillers(self, now_ms: int) -> list[ServiceEndpoint]:
-        node = self._node
-        usable = node.directory.usable(self._job.service, now_ms, Role.PREFILL)
-        trusted = [
-            endpoint
-            for endpoint in usable
-            if node.loads.of(endpoint.instance).no_prefill_until_ms <= now_ms
-        ]
-        return node.loads.rank(trusted, now_ms)
-
     async def _execute(self, command: events.Command) -> events.Event | None:
         match command:
             case events.AskPlanner():
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -3,7 +3,7 @@
 import logging
 
 from saffronworks.forwarding import plain_core
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import AnswerHead, Begin, Refuse
 from saffronworks.forwarding.plain_core import Answered, Broken, PlainState, SendTo
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from saffronworks.forwarding.connections import BreakCause
+from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.messages import CallerRequest
 from saffronworks.forwarding.ports import EndpointCalls, ObjectSource
--- a/saffronworks/forwarding/role_keeper.py
+++ b/saffronworks/forwarding/role_keeper.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.forwarding import role_core
-from saffronworks.forwarding.connections import Break
+from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.ports import (
     Conflict,
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from saffronworks.forwarding.connections import Break
+from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.loads import LoadTable
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.event_streams import EventSequence
 from saffronworks.forwarding.generation_state import GenerationState
 from saffronworks.forwarding.messages import AnswerHead, EventMark
--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -1,6 +1,6 @@
 """One endpoint's run of a stream, read event by event."""
 
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.event_streams import EventCutter, EventSequence
 from saffronworks.forwarding.messages import AnswerHead, EventMark
 from saffronworks.forwarding.ports import Exchange
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -243,8 +243,8 @@
 NEIGHBOURS = 12
 TELL_EVERY_MS = 250
 TELL_FANOUT = 2
-# What changed within this time is told each time; older things once in a while. With both, 195
-# nodes know it after 1.5 s, and a node that was cut off after one (means of pure plays).
+# What changed within this time is told each time, and what is barred at this pace for good: a node
+# that was cut off knew it within three seconds of its return in each of ten plays.
 FRESH_MS = 5000
 TELL_REST_MS = 500
 # Contents in one message: 2 KB.
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -7,12 +7,9 @@
 from result import Err, Ok, Result
 
 from saffronworks.endpoint_roles import Role
-from saffronworks.forwarding.connections import (
-    Break,
-    ConnectionPool,
-    EndpointConnection,
-    RawHead,
-)
+from saffronworks.forwarding.breaks import Break
+from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.connections import EndpointConnection, RawHead
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import (
     AnswerHead,
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -4,12 +4,10 @@
 import random
 import signal
 from collections.abc import Callable, Coroutine
-from pathlib import Path
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err
 
 from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.forwarding import store_news
@@ -50,7 +48,8 @@
 from saffronworks.platform.ingress import Ingress
 from saffronworks.platform.scrapes import MetricsPage
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
-from saffronworks.platform.settings import PlatformSettings, read_platform_settings
+from saffronworks.platform.settings import PlatformSettings
+from saffronworks.platform.settings_watch import SettingsWatch
 from saffronworks.platform.store import PlatformStore
 from saffronworks.web import Call, HttpServer, bind
 from saffronworks.wire import Codec
@@ -69,8 +68,6 @@
 SERVICE_PAUSE_MS = 1000
 # Nodes assumed until they are counted: rather too many, as parts of a budget add up.
 UNCOUNTED_NODES = 100
-# The settings file may change without a signal.
-SETTINGS_LOOK_MS = 2000
 
 
 class PlatformNode:
@@ -78,7 +75,7 @@
 
     def __init__(self, settings: PlatformSettings, settings_file: str, metrics_port: int):
         self.settings = settings
-        self._file = settings_file
+        self._settings_watch = SettingsWatch(settings_file, self._take_settings)
         self._tasks: TaskGroup | None = None
         self._stopping = anyio.Event()
         self._store = PlatformStore(settings.store_address)
@@ -93,9 +90,6 @@
         self._peers = PeerService(
             settings.peer_address, Codec(planning_messages, store_news, quarantine_messages)
         )
-        budget = RetryBudget(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
-        )
         self._quarantine = Quarantine(
             settings.peer_address,
             self._directory,
@@ -104,7 +98,33 @@
             random.Random(settings.peer_address),
             monotonic_ms,
         )
-        self._state = NodeState(
+        self._state = self._make_state(settings)
+        self._forwarder = Forwarder(self._state, monotonic_ms())
+        self._ingress = Ingress(self._forwarder, monotonic_ms)
+        self._register()
+        rng = random.Random(f"{settings.node}/{wall_ms()}")
+        self._followers = self._make_followers(settings, rng)
+        self._census = Census(
+            settings.node,
+            settings.peer_address,
+            settings.cores,
+            settings.zone,
+            self._store,
+            rng,
+            self._take_census,
+        )
+        self._roles = self._make_roles(settings)
+        grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
+        self._callers = HttpServer(bind(settings.caller_address), self._ingress.handle, grace_s)
+        self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
+        self._page = MetricsPage(self._state.figures)
+        self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
+
+    def _make_state(self, settings: PlatformSettings) -> NodeState:
+        budget = RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
+        )
+        return NodeState(
             zone=settings.zone,
             directory=self._directory,
             loads=LoadTable(settings.zone),
@@ -116,10 +136,8 @@
             memory=self._memory,
             quarantine=self._quarantine,
         )
-        self._forwarder = Forwarder(self._state, monotonic_ms())
-        self._ingress = Ingress(self._forwarder, monotonic_ms)
-        self._register()
-        rng = random.Random(f"{settings.node}/{wall_ms()}")
+
+    def _make_followers(self, settings: PlatformSettings, rng: random.Random) -> list[Follower]:
         servers = ServerSink(
             self._directory,
             monotonic_ms,
@@ -128,7 +146,7 @@
             self._state.figures.count_bad_entry,
         )
         configuration = ConfigurationSink(self._take_table)
-        self._followers = [
+        return [
             Follower(
                 kind,
                 self._store,
@@ -141,16 +159,9 @@
             )
             for kind, sink in ((CONFIG_KIND, configuration), (SERVER_KIND, servers))
         ]
-        self._census = Census(
-            settings.node,
-            settings.peer_address,
-            settings.cores,
-            settings.zone,
-            self._store,
-            rng,
-            self._take_census,
-        )
-        self._roles = RoleKeeper(
+
+    def _make_roles(self, settings: PlatformSettings) -> RoleKeeper:
+        return RoleKeeper(
             lambda: RoleState(settings.node, settings.lease_ms, settings.thaw_slack_ms),
             self._directory,
             self._store,
@@ -159,11 +170,6 @@
             self._turns,
             monotonic_ms,
         )
-        grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
-        self._callers = HttpServer(bind(settings.caller_address), self._ingress.handle, grace_s)
-        self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
-        self._page = MetricsPage(self._state.figures)
-        self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
     def _register(self) -> None:
         planner = MemoryPlanner(
@@ -202,7 +208,7 @@
                 self._probes.run,
                 self._metrics.run,
                 self._watch_signals,
-                self._watch_settings,
+                self._settings_watch.run,
                 self._census.run,
                 self._roles.run,
                 *(follower.run for follower in self._followers),
@@ -307,42 +313,18 @@
             async for number in signals:
                 logger.info("event=signal number=%d", number)
                 if number == signal.SIGHUP:
-                    self._reload()
+                    self._settings_watch.reload()
                 else:
                     self.stop()
 
-    async def _watch_settings(self) -> None:
-        last = self._read_file()
-        while True:
-            await anyio.sleep(SETTINGS_LOOK_MS / 1000)
-            text = self._read_file()
-            if text is not None and text != last:
-                last = text
-                self._reload()
-
-    def _read_file(self) -> str | None:
-        try:
-            return Path(self._file).read_text(encoding="utf-8")
-        except OSError as error:
-            logger.error("event=settings_unreadable file=%s problem=%r", self._file, str(error))
-            return None
-
-    def _reload(self) -> None:
+    def _take_settings(self, settings: PlatformSettings) -> None:
         """Take what may change while running: the retry budget. Addresses need a restart."""
-        text = self._read_file()
-        if text is None:
-            return
-        read = read_platform_settings(text, self._file)
-        if isinstance(read, Err):
-            for finding in read.err_value:
-                logger.error("event=reload_refused finding=%r", str(finding))
-            return
-        self.settings = read.ok_value
+        self.settings = settings
         budget = self._state.budget
-        budget.ratio, budget.slack = self.settings.retry_ratio, self.settings.retry_slack
+        budget.ratio, budget.slack = settings.retry_ratio, settings.retry_slack
         logger.info(
             "event=reload node=%s retry_ratio=%s retry_slack=%s",
-            self.settings.node,
+            settings.node,
             budget.ratio,
             budget.slack,
         )
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from saffronworks.bundles import Role
-from saffronworks.forwarding.connections import Break, BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.loads import LoadTable
--- a/saffronworks/tests/features/steps/starts_steps.py
+++ b/saffronworks/tests/features/steps/starts_steps.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from saffronworks.bundles import Role
-from saffronworks.forwarding.connections import BreakCause, ConnectionPool
+from saffronworks.forwarding.breaks import BreakCause
+from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.directory import (
     REMEMBER_START_MS,
     Directory,
--- a/saffronworks/tests/features/steps/streams_steps.py
+++ b/saffronworks/tests/features/steps/streams_steps.py
@@ -8,7 +8,7 @@
 import anyio
 from behave import given, then, when
 
-from saffronworks.forwarding.connections import Break
+from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.event_streams import EventCutter, EventSequence
 from saffronworks.forwarding.generation_events import Cut, RelayBroken, StartStream, StreamAnswered
 from saffronworks.forwarding.generation_state import Out
--- a/saffronworks/tests/features/steps/suspension_steps.py
+++ b/saffronworks/tests/features/steps/suspension_steps.py
@@ -13,7 +13,7 @@
 from saffronworks import clocks
 from saffronworks.bundles import Role
 from saffronworks.forwarding import role_core
-from saffronworks.forwarding.connections import ConnectionPool
+from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.planning.core import PlanState, Tick
 from saffronworks.forwarding.planning.core import step as plan_step
 from saffronworks.tests.endpoint_plays import endpoints
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -9,7 +9,7 @@
 
 from saffronworks.forwarding import generation_events as gen
 from saffronworks.forwarding import plain_core
-from saffronworks.forwarding.connections import BreakCause
+from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.generation_core import step as generation_step
 from saffronworks.forwarding.generation_state import Out
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, Begin, KvHandle, KvHold
--- a/saffronworks/tests/quarantine_plays.py
+++ b/saffronworks/tests/quarantine_plays.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from saffronworks.forwarding.connections import BreakCause
+from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.quarantine import core
