--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -6,7 +6,6 @@
 that an end costs a message or two a run. What is serious then goes from node to node.
 """
 
-import enum
 import random
 from collections.abc import Iterable
 
@@ -15,6 +14,23 @@
 from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.quarantine.events import (
+    Command,
+    EndpointEnded,
+    Event,
+    Found,
+    Learned,
+    Look,
+    Looked,
+    Put,
+    RanWell,
+    Record,
+    RunBroke,
+    Tell,
+    Tick,
+    TrialBegan,
+    Unrecord,
+)
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import (
     SuspicionTable,
@@ -40,25 +56,7 @@
 )
 from saffronworks.hashing import rank_members
 
-__all__ = [
-    "Command",
-    "EndpointEnded",
-    "Event",
-    "Found",
-    "Learned",
-    "Look",
-    "Looked",
-    "Put",
-    "QuarantineState",
-    "RanWell",
-    "Record",
-    "RunBroke",
-    "Tell",
-    "Tick",
-    "TrialBegan",
-    "Unrecord",
-    "step",
-]
+__all__ = ["QuarantineState", "step"]
 
 # How an exchange breaks when the process or the machine at the other side ends.
 _ENDS = frozenset(
@@ -72,118 +70,6 @@
 )
 
 
-class Found(enum.Enum):
-    """What a look at an endpoint found."""
-
-    LISTENS = "listens"
-    REFUSES = "refuses"
-    SILENT = "silent"
-    # Silent, and the store lists it no more.
-    GONE = "gone"
-    STARTED_AGAIN = "started-again"
-
-    @property
-    def ended(self) -> bool:
-        """Whether it shows by itself that the endpoint has ended."""
-        return self in (Found.GONE, Found.STARTED_AGAIN)
-
-
-@attrs.frozen
-class RunBroke:
-    """An endpoint closed while it worked on a content; `leaving` if that was foreseen."""
-
-    content: ContentId
-    endpoint: ServiceEndpoint
-    cause: BreakCause
-    leaving: bool = False
-
-
-@attrs.frozen
-class Looked:
-    """A look at an endpoint is over."""
-
-    instance: StartId
-    found: Found
-
-
-@attrs.frozen
-class RanWell:
-    """A run of the content came to a whole answer, whose end the endpoint told."""
-
-    content: ContentId
-
-
-@attrs.frozen
-class TrialBegan:
-    """A barred content is sent to one endpoint, once."""
-
-    content: ContentId
-
-
-@attrs.frozen
-class Put:
-    """What the store had of a content that was barred."""
-
-    suspicion: Suspicion
-
-
-@attrs.frozen
-class Tick:
-    """Time passed."""
-
-
-Event = RunBroke | Looked | RanWell | TrialBegan | Put | SuspicionNews | Tick
-
-
-@attrs.frozen
-class Look:
-    """See whether somebody listens at the endpoint, after a pause."""
-
-    endpoint: ServiceEndpoint
-    after_ms: int
-
-
-@attrs.frozen
-class Tell:
-    """Tell these nodes."""
-
-    nodes: tuple[str, ...]
-    news: SuspicionNews
-
-
-@attrs.frozen
-class Record:
-    """Write a barred content to the store, so that it outlives all nodes."""
-
-    suspicion: Suspicion
-
-
-@attrs.frozen
-class Unrecord:
-    """Remove it from the store."""
-
-    content: ContentId
-
-
-@attrs.frozen
-class EndpointEnded:
-    """A belief to log: an endpoint ended while it worked on so many contents."""
-
-    instance: StartId
-    contents: int
-    found: Found
-
-
-@attrs.frozen
-class Learned:
-    """A belief to log: what is now known of a content that is serious."""
-
-    suspicion: Suspicion
-
-
-Command = Look | Tell | Record | Unrecord | EndpointEnded | Learned
-
-
 @attrs.define
 class _OpenLook:
     endpoint: ServiceEndpoint
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -12,8 +12,9 @@
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.messages import CallerRequest
 from saffronworks.forwarding.ports import EndpointCalls, ObjectSource
-from saffronworks.forwarding.quarantine import core
-from saffronworks.forwarding.quarantine.core import Found, QuarantineState
+from saffronworks.forwarding.quarantine import events
+from saffronworks.forwarding.quarantine.core import QuarantineState, step
+from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.records import QuarantineRecords
 from saffronworks.forwarding.quarantine.suspicions import Verdict, is_barred
@@ -99,7 +100,7 @@
 
     def begin_trial(self, request: CallerRequest) -> None:
         """A request on trial is sent to its endpoint now: no other one is."""
-        self._take(core.TrialBegan(request.content))
+        self._take(events.TrialBegan(request.content))
 
     def note_break(
         self, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break, waited_for: bool
@@ -113,32 +114,32 @@
             return
         known = self._directory.endpoints.get(endpoint.instance)
         leaving = known is None or known.draining
-        self._take(core.RunBroke(request.content, endpoint, broken.cause, leaving))
+        self._take(events.RunBroke(request.content, endpoint, broken.cause, leaving))
 
     def note_whole(self, request: CallerRequest, framed: bool) -> None:
         """A success came whole. Only if its endpoint told the end: a close may be its own end."""
         if framed and not self._state.idle:
-            self._take(core.RanWell(request.content))
+            self._take(events.RanWell(request.content))
 
     # What follows.
 
-    def _take(self, event: core.Event) -> None:
-        for command in core.step(self._state, event, self._now_ms()):
+    def _take(self, event: events.Event) -> None:
+        for command in step(self._state, event, self._now_ms()):
             self._execute(command)
         if not self._state.idle:
             self._suspects.set()
 
-    def _execute(self, command: core.Command) -> None:
+    def _execute(self, command: events.Command) -> None:
         match command:
-            case core.Look(endpoint, after_ms):
+            case events.Look(endpoint, after_ms):
                 self._start(self._look, endpoint, after_ms)
-            case core.Tell(nodes, news):
+            case events.Tell(nodes, news):
                 self._tell(nodes, news)
-            case core.Record(suspicion):
+            case events.Record(suspicion):
                 self._start(self._until_done, self._records.write, suspicion)
-            case core.Unrecord(content):
+            case events.Unrecord(content):
                 self._start(self._until_done, self._records.remove, content)
-            case core.EndpointEnded(instance, contents, found):
+            case events.EndpointEnded(instance, contents, found):
                 logger.info(
                     "event=endpoint_ended endpoint=%s contents=%d found=%s endpoints_rev=%d",
                     instance,
@@ -146,7 +147,7 @@
                     found.value,
                     self._directory.revision,
                 )
-            case core.Learned(suspicion):
+            case events.Learned(suspicion):
                 _log_learned(suspicion)
 
     def _start(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
@@ -166,7 +167,7 @@
             logger.info(
                 "event=endpoint_looked_at endpoint=%s found=%s", endpoint.instance, found.value
             )
-        self._take(core.Looked(endpoint.instance, found))
+        self._take(events.Looked(endpoint.instance, found))
 
     async def _find(self, endpoint: ServiceEndpoint) -> Found:
         """What there is at the address; a later start there shows the end of this one."""
@@ -194,14 +195,14 @@
             while (found := await self._records.list_all()) is None:
                 await anyio.sleep(RECORD_AGAIN_S)
             for suspicion in found:
-                self._take(core.Put(suspicion))
+                self._take(events.Put(suspicion))
 
     async def _tick(self) -> None:
         """Let time pass while something is suspected."""
         while True:
             await self._suspects.wait()
             await anyio.sleep(TELL_EVERY_MS / 1000)
-            self._take(core.Tick())
+            self._take(events.Tick())
             if self._state.idle:
                 self._suspects = anyio.Event()
 
--- /dev/null
+++ b/saffronworks/tests/features/steps/suspicion_fleet_steps.py
@@ -0,0 +1,83 @@
+"""Scenarios on how a fleet comes to know of a content that ends endpoints; no network, no clock."""
+
+from behave import given, then, when
+
+from saffronworks.forwarding.quarantine.suspicions import Verdict
+from saffronworks.forwarding.tuning import ENDS_TO_BAR
+from saffronworks.tests.quarantine_plays import DEADLY, Fleet, fleet_that_knows
+
+SEEDS = range(10)
+CONTACT_MS = 3000
+PLAYED_MS = 15_000
+
+
+@given("{nodes:d} nodes that live, {dead:d} that do not, and {lost:d} of 100 messages lost")
+def fleet_of(context, nodes, dead, lost):
+    context.fleets = [Fleet(nodes, seed, lost / 100, dead) for seed in SEEDS]
+
+
+@when("a deadly content comes every {every:d} ms at random nodes, with ten seeds")
+def comes(context, every):
+    for fleet in context.fleets:
+        fleet.come_again(every, PLAYED_MS)
+
+
+@then("all nodes refuse it within {within:d} ms of the third end, and none sends it later")
+def refused_in_time(context, within):
+    for fleet in context.fleets:
+        while len(fleet.ends) < ENDS_TO_BAR:
+            fleet.run(fleet.now_ms + 10)
+        fleet.run(fleet.ends[2] + within)
+        assert fleet.knowing() == len(fleet.nodes), (fleet.knowing(), fleet.now_ms)
+        fleet.run(PLAYED_MS)
+        assert not fleet.late_sends(within), fleet.late_sends(within)
+
+
+@then("each of two hundred that live knows it within three seconds")
+def half_gone(context):
+    for seed in SEEDS:
+        fleet = Fleet(200, seed, dead=200)
+        fleet.come_again(300, 3000)
+        while len(fleet.ends) < ENDS_TO_BAR:
+            fleet.run(fleet.now_ms + 10)
+        fleet.run(fleet.ends[2] + CONTACT_MS)
+        assert fleet.knowing() == 200, (seed, fleet.knowing())
+
+
+@then("a node that was cut off refuses it within three seconds of its return")
+def returns(context):
+    for seed in SEEDS:
+        fleet = Fleet(7, seed)
+        cut = fleet.names[seed % 7]
+        fleet.nodes[cut].away = True
+        others = [name for name in fleet.names if name != cut]
+        for at_ms in range(0, 4000, 300):
+            fleet.at(at_ms, fleet.ask, others[at_ms // 300 % 6])
+        fleet.run(20_000)
+        assert fleet.knowing() == 6, fleet.knowing()
+        fleet.nodes[cut].away = False
+        fleet.run(20_000 + CONTACT_MS)
+        assert fleet.knowing() == 7, (seed, cut)
+
+
+@then("so does one that starts again, while no other way is there but the store")
+def starts_again(context):
+    fleet = fleet_that_knows()
+    name = fleet.names[0]
+    for other in fleet.names[1:]:
+        fleet.nodes[other].away = True
+    fleet.restart(name)
+    fleet.run(fleet.now_ms + CONTACT_MS)
+    assert fleet.nodes[name].state.judge(DEADLY, fleet.now_ms) is Verdict.BARRED
+
+
+@then("so do all nodes when all have started again")
+def all_again(context):
+    fleet = fleet_that_knows()
+    sends = len(fleet.sends)
+    for name in fleet.names:
+        fleet.restart(name)
+    fleet.run(fleet.now_ms + 300)
+    fleet.come_again(100, fleet.now_ms + 5000)
+    fleet.run(fleet.now_ms + 10_000)
+    assert len(fleet.sends) == sends and fleet.knowing() == 7, fleet.sends
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -2,7 +2,7 @@
 
 import random
 
-from behave import given, then, when
+from behave import then
 from hypothesis import given as forall
 from hypothesis import settings as limits
 from hypothesis import strategies as st
@@ -14,10 +14,11 @@
 from saffronworks.forwarding.generation_state import Out
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, Begin, KvHandle, KvHold
 from saffronworks.forwarding.planning import messages as planning_messages
-from saffronworks.forwarding.quarantine import core
+from saffronworks.forwarding.quarantine import events
 from saffronworks.forwarding.quarantine import messages as quarantine_messages
-from saffronworks.forwarding.quarantine.core import Found, QuarantineState, step
-from saffronworks.forwarding.quarantine.messages import Suspicion
+from saffronworks.forwarding.quarantine.core import QuarantineState, step
+from saffronworks.forwarding.quarantine.events import Found
+from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import SuspicionTable, Verdict
 from saffronworks.forwarding.tuning import (
     ENDS_TO_BAR,
@@ -34,103 +35,21 @@
 from saffronworks.tests.endpoint_plays import REPLY_KINDS, endpoints, head_of, wide_budget
 from saffronworks.tests.generation_plays import POOLS, generation
 from saffronworks.tests.innocent_runs import Habits, play_service
-from saffronworks.tests.quarantine_plays import DEADLY, Fleet, endpoint_at
+from saffronworks.tests.quarantine_plays import DEADLY, endpoint_at, fleet_that_knows
 from saffronworks.wire import Codec
 
 SEEDS = range(10)
 CONTACT_MS = 3000
 BARRED_BY = tuple(f"i-5b2a2b434{number}@1796248012000" for number in range(4))
-PLAYED_MS = 15_000
 DAY_MS = 24 * 3_600_000
 
 
-@given("{nodes:d} nodes that live, {dead:d} that do not, and {lost:d} of 100 messages lost")
-def fleet_of(context, nodes, dead, lost):
-    context.fleets = [Fleet(nodes, seed, lost / 100, dead) for seed in SEEDS]
-
-
-@when("a deadly content comes every {every:d} ms at random nodes, with ten seeds")
-def comes(context, every):
-    for fleet in context.fleets:
-        fleet.come_again(every, PLAYED_MS)
-
-
-@then("all nodes refuse it within {within:d} ms of the third end, and none sends it later")
-def refused_in_time(context, within):
-    for fleet in context.fleets:
-        while len(fleet.ends) < ENDS_TO_BAR:
-            fleet.run(fleet.now_ms + 10)
-        fleet.run(fleet.ends[2] + within)
-        assert fleet.knowing() == len(fleet.nodes), (fleet.knowing(), fleet.now_ms)
-        fleet.run(PLAYED_MS)
-        assert not fleet.late_sends(within), fleet.late_sends(within)
-
-
-@then("each of two hundred that live knows it within three seconds")
-def half_gone(context):
-    for seed in SEEDS:
-        fleet = Fleet(200, seed, dead=200)
-        fleet.come_again(300, 3000)
-        while len(fleet.ends) < ENDS_TO_BAR:
-            fleet.run(fleet.now_ms + 10)
-        fleet.run(fleet.ends[2] + CONTACT_MS)
-        assert fleet.knowing() == 200, (seed, fleet.knowing())
-
-
-def fleet_that_knows(count=7, seed=3, away=()):
-    fleet = Fleet(count, seed)
-    for name in away:
-        fleet.nodes[name].away = True
-    fleet.come_again(300, 4000)
-    fleet.run(10_000)
-    return fleet
-
-
-@then("a node that was cut off refuses it within three seconds of its return")
-def returns(context):
-    for seed in SEEDS:
-        fleet = Fleet(7, seed)
-        cut = fleet.names[seed % 7]
-        fleet.nodes[cut].away = True
-        others = [name for name in fleet.names if name != cut]
-        for at_ms in range(0, 4000, 300):
-            fleet.at(at_ms, fleet.ask, others[at_ms // 300 % 6])
-        fleet.run(20_000)
-        assert fleet.knowing() == 6, fleet.knowing()
-        fleet.nodes[cut].away = False
-        fleet.run(20_000 + CONTACT_MS)
-        assert fleet.knowing() == 7, (seed, cut)
-
-
-@then("so does one that starts again, while no other way is there but the store")
-def starts_again(context):
-    fleet = fleet_that_knows()
-    name = fleet.names[0]
-    for other in fleet.names[1:]:
-        fleet.nodes[other].away = True
-    fleet.restart(name)
-    fleet.run(fleet.now_ms + CONTACT_MS)
-    assert fleet.nodes[name].state.judge(DEADLY, fleet.now_ms) is Verdict.BARRED
-
-
-@then("so do all nodes when all have started again")
-def all_again(context):
-    fleet = fleet_that_knows()
-    sends = len(fleet.sends)
-    for name in fleet.names:
-        fleet.restart(name)
-    fleet.run(fleet.now_ms + 300)
-    fleet.come_again(100, fleet.now_ms + 5000)
-    fleet.run(fleet.now_ms + 10_000)
-    assert len(fleet.sends) == sends and fleet.knowing() == 7, fleet.sends
-
-
 @then("without a suspicion nothing is worked out or told")
 def idle(context):
     state = QuarantineState("n1", random.Random(1))
     state.take_nodes(["n1", "n2"])
-    assert state.idle and not step(state, core.Tick(), 10_000)
-    assert not step(state, core.RanWell(DEADLY), 1000) and state.idle
+    assert state.idle and not step(state, events.Tick(), 10_000)
+    assert not step(state, events.RanWell(DEADLY), 1000) and state.idle
 
 
 @then("a fleet that knows of a content tells it five times a second and node at most")
@@ -143,7 +62,7 @@
 
 
 def tell_at(state, now_ms):
-    (told,) = [c for c in step(state, core.Tick(), now_ms) if isinstance(c, core.Tell)]
+    (told,) = [c for c in step(state, events.Tick(), now_ms) if isinstance(c, events.Tell)]
     return told.news
 
 
@@ -152,12 +71,12 @@
     state = QuarantineState("n1", random.Random(1))
     state.take_nodes([f"n{number}" for number in range(1, 8)])
     for number in range(30):
-        step(state, core.Put(Suspicion(f"{number:031x}b", BARRED_BY)), number)
+        step(state, events.Put(Suspicion(f"{number:031x}b", BARRED_BY)), number)
     codec = Codec(planning_messages, quarantine_messages)
     for number in range(3 * MOST_SUSPICIONS):
         instances = ("e1@1796248012000", "e2@1796248012000")[: 1 + number % 2]
         heard = Suspicion(f"{number:032x}", instances)
-        step(state, core.SuspicionNews("n2", (heard,)), 100 + number)
+        step(state, SuspicionNews("n2", (heard,)), 100 + number)
     assert len(state.table) <= MOST_SUSPICIONS
     last_ms = 100 + 3 * MOST_SUSPICIONS
     judged = [state.table.judge(f"{number:031x}b", last_ms) for number in range(30)]
@@ -170,7 +89,7 @@
 
 
 def broke(content=DEADLY, number=1, cause=BreakCause.CLOSED, **changes):
-    return core.RunBroke(content, endpoint_at(number), cause, **changes)
+    return events.RunBroke(content, endpoint_at(number), cause, **changes)
 
 
 def alone():
@@ -200,11 +119,11 @@
         ((Found.SILENT, Found.REFUSES, Found.REFUSES), True),
     ):
         state = alone()
-        assert step(state, broke(), 0) == [core.Look(endpoint_at(1), 0)]
+        assert step(state, broke(), 0) == [events.Look(endpoint_at(1), 0)]
         for number, seen in enumerate(found, 1):
-            commands = step(state, core.Looked(instance, seen), 300)
+            commands = step(state, events.Looked(instance, seen), 300)
             pause_ms = SILENT_LOOK_AGAIN_MS if seen is Found.SILENT else LOOK_AGAIN_MS
-            again = [core.Look(endpoint_at(1), pause_ms)]
+            again = [events.Look(endpoint_at(1), pause_ms)]
             assert (commands == again) is (number < len(found)), (found, commands)
         assert (state.table.find(DEADLY) is not None) is shows, found
         assert not state.looks
@@ -225,7 +144,7 @@
     commands = [step(state, broke(f"c{number}"), 0) for number in range(64)]
     assert sum(map(len, commands)) == 1
     for _ in range(2):
-        step(state, core.Looked(endpoint_at(1).instance, Found.REFUSES), 300)
+        step(state, events.Looked(endpoint_at(1).instance, Found.REFUSES), 300)
     assert len(state.table) == 64
 
 
@@ -233,12 +152,12 @@
 def good_run(context):
     early = alone()
     ended(early, DEADLY, 1, 2)
-    step(early, core.RanWell(DEADLY), 10)
+    step(early, events.RanWell(DEADLY), 10)
     ended(early, DEADLY, 3, 4)
     assert early.judge(DEADLY, 20) is Verdict.FREE
     fleet = fleet_that_knows()
     assert fleet.knowing() == 7 and DEADLY in fleet.stored
-    fleet.take(fleet.names[0], core.RanWell(DEADLY))
+    fleet.take(fleet.names[0], events.RanWell(DEADLY))
     fleet.run(fleet.now_ms + CONTACT_MS)
     assert fleet.knowing() == 0 and DEADLY not in fleet.stored
 
@@ -248,7 +167,7 @@
     fleet = fleet_that_knows()
     missed = fleet.names[5]
     fleet.nodes[missed].away = True
-    fleet.take(fleet.names[0], core.RanWell(DEADLY))
+    fleet.take(fleet.names[0], events.RanWell(DEADLY))
     fleet.run(fleet.now_ms + 30_000)
     assert fleet.knowing() == 1
     fleet.nodes[missed].away = False
@@ -311,14 +230,14 @@
         assert verdicts == {Verdict.TRIAL}, verdicts
         assert state.judge(DEADLY, now_ms) is Verdict.BARRED
         for content in contents:
-            step(state, core.TrialBegan(content), now_ms)
+            step(state, events.TrialBegan(content), now_ms)
             ended(state, content, rng.randint(1, 12), now_ms=now_ms)
         verdicts = {state.judge(content, now_ms + TRIAL_SOON_MS) for content in contents}
         assert verdicts == {Verdict.BARRED}, verdicts
         now_ms += TRIAL_AFTER_MS
         # Had its own trial meanwhile, and ended one more.
         if state.judge(DEADLY, now_ms) is Verdict.TRIAL:
-            step(state, core.TrialBegan(DEADLY), now_ms)
+            step(state, events.TrialBegan(DEADLY), now_ms)
             ended(state, DEADLY, 51, now_ms=now_ms)
 
 
@@ -326,22 +245,22 @@
 def after_trial(context):
     for node in context.fleet.nodes.values():
         assert node.state.judge(DEADLY, DAY_MS - 60_000) is Verdict.BARRED
-        step(node.state, core.Tick(), 2 * DAY_MS)
+        step(node.state, events.Tick(), 2 * DAY_MS)
         assert node.state.idle, "what callers have long given up is forgotten"
     told = alone()
-    step(told, core.SuspicionNews("n2", (old_view(DAY_MS),)), 10)
+    step(told, SuspicionNews("n2", (old_view(DAY_MS),)), 10)
     assert told.idle, "nor does it come back by a node that has not forgotten it yet"
-    step(told, core.SuspicionNews("n2", (old_view(DAY_MS - 60_000),)), 10)
+    step(told, SuspicionNews("n2", (old_view(DAY_MS - 60_000),)), 10)
     assert told.judge(DEADLY, 50_000) is Verdict.BARRED
-    step(told, core.Tick(), 70_000)
+    step(told, events.Tick(), 70_000)
     assert told.idle, "who hears of it counts on from there"
     freed = alone()
     freed.take_nodes(["n1"])
     ended(freed, DEADLY, 1, 2, 3)
     assert freed.judge(DEADLY, TRIAL_AFTER_MS) is Verdict.TRIAL
-    step(freed, core.TrialBegan(DEADLY), TRIAL_AFTER_MS)
+    step(freed, events.TrialBegan(DEADLY), TRIAL_AFTER_MS)
     assert freed.judge(DEADLY, TRIAL_AFTER_MS + 1) is Verdict.BARRED
-    step(freed, core.RanWell(DEADLY), TRIAL_AFTER_MS + 2)
+    step(freed, events.RanWell(DEADLY), TRIAL_AFTER_MS + 2)
     assert freed.judge(DEADLY, TRIAL_AFTER_MS + 3) is Verdict.FREE
 
 
--- a/saffronworks/tests/quarantine_plays.py
+++ b/saffronworks/tests/quarantine_plays.py
@@ -14,13 +14,14 @@
 from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.quarantine import core
-from saffronworks.forwarding.quarantine.core import Found, QuarantineState, step
+from saffronworks.forwarding.quarantine import events
+from saffronworks.forwarding.quarantine.core import QuarantineState, step
+from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import Verdict
 from saffronworks.forwarding.tuning import READ_RECORDS_PAUSES_S, TELL_EVERY_MS
 
-__all__ = ["DEADLY", "Fleet", "endpoint_at"]
+__all__ = ["DEADLY", "Fleet", "endpoint_at", "fleet_that_knows"]
 
 DEADLY = ContentId("deadly")
 # Runs of one try that its route allows; a trial has one.
@@ -75,7 +76,7 @@
         if self.nodes[name].state is not state:
             return
         if not state.idle and not self.nodes[name].away:
-            self.take(name, core.Tick())
+            self.take(name, events.Tick())
         self.at(TELL_EVERY_MS, self._tick, name, state)
 
     def restart(self, name):
@@ -86,21 +87,21 @@
 
     def _read(self, name):
         for suspicion in self.stored.values():
-            self.take(name, core.Put(suspicion))
+            self.take(name, events.Put(suspicion))
 
     def take(self, name, event):
         node = self.nodes[name]
         for command in step(node.state, event, self.now_ms):
             match command:
-                case core.Look(endpoint, after_ms):
-                    looked = core.Looked(endpoint.instance, Found.REFUSES)
+                case events.Look(endpoint, after_ms):
+                    looked = events.Looked(endpoint.instance, Found.REFUSES)
                     self.at(after_ms + 5, self.take, name, looked)
-                case core.Tell(targets, news):
+                case events.Tell(targets, news):
                     for target in targets:
                         self._send(name, target, news)
-                case core.Record(suspicion):
+                case events.Record(suspicion):
                     self.stored.setdefault(suspicion.content, suspicion)
-                case core.Unrecord(content):
+                case events.Unrecord(content):
                     self.stored.pop(content, None)
 
     def _send(self, name, target, news):
@@ -123,7 +124,7 @@
             case Verdict.FREE:
                 self._run(name, MOST_RUNS)
             case Verdict.TRIAL:
-                self.take(name, core.TrialBegan(DEADLY))
+                self.take(name, events.TrialBegan(DEADLY))
                 self._run(name, 1)
 
     def _run(self, name, runs_left):
@@ -133,7 +134,7 @@
     def _end(self, name, runs_left):
         self.ends.append(self.now_ms)
         endpoint = endpoint_at(next(self._endpoints))
-        self.take(name, core.RunBroke(DEADLY, endpoint, BreakCause.CLOSED))
+        self.take(name, events.RunBroke(DEADLY, endpoint, BreakCause.CLOSED))
         verdict = self.nodes[name].state.table.judge(DEADLY, self.now_ms)
         if runs_left and verdict is Verdict.FREE:
             self._run(name, runs_left)
@@ -152,3 +153,11 @@
         """How many nodes would refuse it."""
         judged = [n.state.table.judge(DEADLY, self.now_ms) for n in self.nodes.values()]
         return sum(verdict is Verdict.BARRED for verdict in judged)
+
+
+def fleet_that_knows(count=7, seed=3):
+    """A fleet that has barred the deadly content some seconds ago."""
+    fleet = Fleet(count, seed)
+    fleet.come_again(300, 4000)
+    fleet.run(10_000)
+    return fleet
