A trial begins with the first send of its request, a prompt that is read included

Cause: two judges that got the same content within 0.1 s would both have had its prompt read. Change: the trial is told before the first send, and its own request goes on; scenarios for trials on the way of a generation and of a plain request.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -91,6 +91,7 @@
         self._state = state
         self._stream: StreamRun | None = None
         self._unused_handle: KvHandle | None = None
+        self._trial_began = False
 
     async def run(self) -> None:
         """Execute commands until the caller has its answer."""
@@ -105,7 +106,9 @@
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         tokens = self._state.tokens
         pools = rank_pools(node.directory, node.loads, self._job.service, tokens, now_ms)
-        barred = node.quarantine.bars(self._job.request, self._job.on_trial)
+        barred = not self._trial_began and node.quarantine.bars(
+            self._job.request, self._job.on_trial
+        )
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
             self._log_decision(event, command, pools, begun, now_ms)
@@ -191,6 +194,7 @@
         node = self._node
         load = node.loads.of(endpoint.instance)
         began_ms = node.now_ms()
+        self._begin_trial()
         load.outstanding += 1
         try:
             answer = await node.calls.prefill(endpoint, self._job.request, timeout_ms)
@@ -214,12 +218,17 @@
         self._unused_handle = answer.ok_value
         return events.PromptRead(answer.ok_value)
 
+    def _begin_trial(self) -> None:
+        """Before the first send to an endpoint, so that two judges don't begin at once."""
+        if self._job.on_trial and not self._trial_began:
+            self._trial_began = True
+            self._node.quarantine.begin_trial(self._job.request)
+
     async def _open_stream(self, endpoint: ServiceEndpoint) -> events.Event:
         node, state = self._node, self._state
         left_ms = state.deadline_at_ms - node.now_ms()
         hold, handle = state.hold, state.handle
-        if self._job.on_trial:
-            node.quarantine.begin_trial(self._job.request)
+        self._begin_trial()
         try:
             exchange = await node.calls.open_stream(
                 endpoint, self._job.request, left_ms, hold, handle, self._relay.last_event
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -83,7 +83,7 @@
         self._end_exchange()
         node, endpoint = self._node, command.endpoint
         self._endpoint = endpoint
-        if self._job.on_trial:
+        if self._job.on_trial and self._state.sends == 1:
             node.quarantine.begin_trial(self._job.request)
         load = node.loads.of(endpoint.instance)
         began_ms = node.now_ms()
--- a/saffronworks/tests/features/quarantine.feature
+++ b/saffronworks/tests/features/quarantine.feature
@@ -78,6 +78,10 @@
     And a good run frees it, and another end bars it for good
     And while endpoints end for a cause of their own, contents have a trial every ten minutes
 
+  Scenario: a trial on the way of a request
+    Then a generation and a plain request are tried at one endpoint, and refused when that ends
+    And both are served for good once their endpoints bear them
+
   Scenario: views of nodes are put together in any order
     Then whatever the order and however often, the same is known in the end
 
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -9,6 +9,7 @@
 
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.quarantine.records import QUARANTINE_KIND, QuarantineRecords
+from saffronworks.forwarding.tuning import TRIAL_AFTER_MS
 from saffronworks.tests.mortal_servers import DEADLY, Arrivals, MortalServer
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import engines, on_platform
@@ -228,3 +229,59 @@
     store = Mock(list_objects=AsyncMock(return_value=Ok(Listing((*objects, good), 1))))
     read = anyio.run(QuarantineRecords(store).list_all)
     assert [(found.content, found.ended) for found in read] == [("good", ("e1@4", "e2@5", "e3"))]
+
+
+def try_again(path, servers, mended):
+    """Have a content barred, let its trial come due; answers then, and ends by them."""
+    arrivals = servers[0].arrivals
+    seen = {}
+
+    async def play(place):
+        join_store(servers, place.store)
+
+        async def ask(request_id):
+            counts = {"Token-Counts": "5000,9000", "Length-Hint": "3000"}
+            raw = await place.ask(path, request_id, counts, DEADLY)
+            # Long enough for an end to be shown.
+            await anyio.sleep(0.5)
+            return raw
+
+        for number in range(4):
+            await ask(f"r{number}")
+        # Its endpoints are back, and no connection to one that ended is tried any more.
+        await anyio.sleep(1)
+        before = len(arrivals.ends_s)
+        for server in servers:
+            server.mended = mended
+        (entry,) = place.node._quarantine._state.table._entries.values()
+        entry.changed_ms -= TRIAL_AFTER_MS
+        seen["raw"] = [await ask(f"t{number}") for number in range(3)]
+        seen["ends"] = len(arrivals.ends_s) - before
+
+    on_platform(servers, play)
+    return seen
+
+
+def trials(mended):
+    plains, engines_ = Arrivals(), Arrivals()
+    webs = [MortalServer(f"w{index}", "web", None, plains) for index in range(4)]
+    return [
+        try_again("/res/", engines_that_end(engines_), mended),
+        try_again("/again/a", webs, mended),
+    ]
+
+
+@then("a generation and a plain request are tried at one endpoint, and refused when that ends")
+def tried_in_vain(context):
+    for seen in trials(mended=False):
+        first, *later = seen["raw"]
+        assert seen["ends"] == 1, seen
+        assert first.startswith(b"HTTP/1.1 502 "), seen
+        assert all(b"ends-endpoints" in raw for raw in later), seen
+
+
+@then("both are served for good once their endpoints bear them")
+def tried_well(context):
+    for seen in trials(mended=True):
+        assert seen["ends"] == 0, seen
+        assert all(raw.startswith(b"HTTP/1.1 200 ") for raw in seen["raw"]), seen
--- a/saffronworks/tests/mortal_servers.py
+++ b/saffronworks/tests/mortal_servers.py
@@ -40,6 +40,8 @@
         self.store = None
         # Whether its caller gets the head of an answer and an event before its end.
         self.head_first = False
+        # Whether it has been mended, and bears all contents.
+        self.mended = False
         # Whether it ends when it reads a deadly prompt, not only when it runs it.
         self.ends_reading = False
         self._writers = set()
@@ -72,7 +74,7 @@
             self._writers.discard(writer)
 
     async def _request(self, reader, writer, headers):
-        if DEADLY not in self.seen[-1][3]:
+        if self.mended or DEADLY not in self.seen[-1][3]:
             return await super()._request(reader, writer, headers)
         self.arrivals.sends_s.append(time.monotonic())
         if headers.get("stage") == "prefill" and not self.ends_reading:
