--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -26,7 +26,7 @@
 from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.pools import rank_pools
 from saffronworks.forwarding.routing import EngineSpec, Route
-from saffronworks.forwarding.runners import Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.runners import HOLD, Job, NodeState, relay_rest, tell_refusal
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
@@ -182,7 +182,7 @@
         try:
             return await self._place.reserve(command)
         except Break as broken:
-            self._note_break("hold", command.endpoint, broken)
+            self._note_break(HOLD, command.endpoint, broken)
             return events.HoldFailed(command.endpoint.instance, broken=True)
 
     async def _read_prompt(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -105,12 +105,12 @@
     def note_break(
         self, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break, waited_for: bool
     ) -> None:
-        """An endpoint that may have worked on a request gave no whole answer.
+        """An endpoint that may have worked on a request gave no whole answer to it.
 
         Silence counts where it was `waited_for`: a request that is sent elsewhere when a little
         time has passed says nothing of the first endpoint, and a look at it costs a connection.
         """
-        if not broken.sent or (broken.cause is BreakCause.SILENT and not waited_for):
+        if broken.cause is BreakCause.SILENT and not waited_for:
             return
         known = self._directory.endpoints.get(endpoint.instance)
         leaving = known is None or known.draining
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -22,12 +22,13 @@
 )
 from saffronworks.hashing import hash32
 
-__all__ = ["PLAIN", "Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
+__all__ = ["HOLD", "PLAIN", "Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
 
 logger = logging.getLogger(__name__)
 
-# The name of a plain request's send, where calls are told apart.
+# Names of calls to endpoints: the send of a plain request, and the reservation of memory.
 PLAIN = "plain"
+HOLD = "hold"
 
 
 @attrs.define
@@ -51,8 +52,9 @@
         """Count and log a call that got no whole answer; `kind` names the call.
 
         What the request holds is told where the endpoint may have worked on it: tries of one
-        content under different ids are known by that alone.
+        content under different ids are known by that alone. A call for memory holds none of it.
         """
+        worked_on = broken.sent and kind != HOLD
         self.loads.of(endpoint.instance).fail(self.now_ms(), broken.unreachable)
         self.figures.count_send(kind, broken.cause.value)
         logger.info(
@@ -62,9 +64,10 @@
             endpoint.instance,
             broken.cause,
             broken.sent,
-            request.content if broken.sent else None,
+            request.content if worked_on else None,
         )
-        self.quarantine.note_break(request, endpoint, broken, waited_for=kind != PLAIN)
+        if worked_on:
+            self.quarantine.note_break(request, endpoint, broken, waited_for=kind != PLAIN)
 
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
         """Forget an endpoint whose address another one has; the store may tell it later or not."""
--- a/saffronworks/tests/features/quarantine.feature
+++ b/saffronworks/tests/features/quarantine.feature
@@ -68,6 +68,7 @@
   Scenario: who is to blame
     Then two refused connections, a later start, or silence and no entry show an end
     And an endpoint that leaves as planned blames nobody
+    And an endpoint that was only asked for memory, or got no byte, has worked on nothing
     And one look serves all runs that broke together
     And a good run clears a content for all nodes, before it is barred and after
     And a node that missed the good run hears of it when it tells what it knows
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on what nodes know of contents that end endpoints; no network, no clock."""
 
 import random
+from unittest.mock import Mock
 
 from behave import then
 from hypothesis import given as forall
@@ -9,10 +10,18 @@
 
 from saffronworks.forwarding import generation_events as gen
 from saffronworks.forwarding import plain_core
-from saffronworks.forwarding.breaks import BreakCause
+from saffronworks.forwarding.breaks import Break, BreakCause
+from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.generation_core import step as generation_step
 from saffronworks.forwarding.generation_state import Out
-from saffronworks.forwarding.messages import ENDS_ENDPOINTS, Begin, KvHandle, KvHold
+from saffronworks.forwarding.loads import LoadTable
+from saffronworks.forwarding.messages import (
+    ENDS_ENDPOINTS,
+    Begin,
+    CallerRequest,
+    KvHandle,
+    KvHold,
+)
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.quarantine import events
 from saffronworks.forwarding.quarantine import messages as quarantine_messages
@@ -20,6 +29,7 @@
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import SuspicionTable, Verdict
+from saffronworks.forwarding.runners import NodeState
 from saffronworks.forwarding.tuning import (
     ENDS_TO_BAR,
     FRESH_MS,
@@ -138,6 +148,33 @@
         assert not step(state, broke(cause=cause, leaving=True), 0) and state.idle
 
 
+@then("an endpoint that was only asked for memory, or got no byte, has worked on nothing")
+def worked_on(context):
+    request = CallerRequest("r", "POST", "/a", "h", (), b"", 0, 900)
+    for kind, sent, noted in (
+        ("hold", True, False),
+        ("stream", False, False),
+        ("stream", True, True),
+        ("prefill", True, True),
+        ("plain", True, True),
+    ):
+        quarantine, loads = Mock(), LoadTable("z")
+        node = NodeState(
+            "z",
+            Directory(),
+            loads,
+            wide_budget(),
+            Mock(),
+            Mock(),
+            lambda: 10,
+            Mock(),
+            Mock(),
+            quarantine,
+        )
+        node.note_break(kind, request, endpoint_at(1), Break(BreakCause.RESET, sent))
+        assert node.quarantine.note_break.called is noted, (kind, sent)
+
+
 @then("one look serves all runs that broke together")
 def one_look(context):
     state = alone()
