--- a/saffronworks/tests/features/quarantine.feature
+++ b/saffronworks/tests/features/quarantine.feature
@@ -71,6 +71,7 @@
     And an endpoint that was only asked for memory, or got no byte, has worked on nothing
     And one look serves all runs that broke together
     And a good run clears a content for all nodes, before it is barred and after
+    And an answer that ends by a close is no good run, as an endpoint's end closes too
     And a node that missed the good run hears of it when it tells what it knows
     And of the requests beside a deadly content few are barred, and those have a trial soon
 
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -28,6 +28,7 @@
 from saffronworks.forwarding.quarantine.core import QuarantineState, step
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
+from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quarantine.suspicions import SuspicionTable, Verdict
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.forwarding.tuning import (
@@ -199,6 +200,17 @@
     assert fleet.knowing() == 0 and DEADLY not in fleet.stored
 
 
+@then("an answer that ends by a close is no good run, as an endpoint's end closes too")
+def unframed(context):
+    request = CallerRequest("r", "POST", "/a", "h", (), b"", 0, 900)
+    quarantine = Quarantine("n1", Directory(), Mock(), Mock(), random.Random(1), lambda: 10)
+    ended(quarantine._state, request.content, 1, 2, 3)
+    quarantine.note_whole(request, framed=False)
+    assert quarantine.bars(request)
+    quarantine.note_whole(request, framed=True)
+    assert not quarantine.bars(request)
+
+
 @then("a node that missed the good run hears of it when it tells what it knows")
 def missed_run(context):
     fleet = fleet_that_knows()
