--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, CallerRequest, Refuse
 from saffronworks.forwarding.plain_runner import run_plain
 from saffronworks.forwarding.ports import CallerReply
-from saffronworks.forwarding.quarantine.suspicions import Verdict
+from saffronworks.forwarding.quarantine.suspicions import Admission
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import Job, NodeState, retry_after_ms, tell_refusal
 
@@ -97,10 +97,10 @@
         now_ms = self._node.now_ms()
         self._node.budget.count_request(job.service, now_ms)
         match self._node.quarantine.admit(job.request):
-            case Verdict.BARRED:
+            case Admission.REFUSED:
                 await tell_refusal(self._node, job, ENDS_ENDPOINTS)
                 return
-            case Verdict.TRIAL:
+            case Admission.TRIAL:
                 # One endpoint at most is to end by it.
                 route = attrs.evolve(job.route, max_attempts=1)
                 job = attrs.evolve(job, route=route, on_trial=True)
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -83,11 +83,11 @@
     pools: Pools,
     budget: RetryBudget,
     now_ms: int,
-    barred: bool = False,
+    quarantined: bool = False,
 ) -> Command:
-    """The next command; `barred`: what the request holds ends endpoints, none is to get it."""
+    """The next command; `quarantined`: what the request holds ends endpoints, none is to get it."""
     result = _advance(state, event, pools, budget, now_ms)
-    if barred and isinstance(result, Seek):
+    if quarantined and isinstance(result, Seek):
         result = _GiveUp(ENDS_ENDPOINTS)
     if state.begun:
         return _after_first_byte(result)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -106,10 +106,10 @@
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         tokens = self._state.tokens
         pools = rank_pools(node.directory, node.loads, self._job.service, tokens, now_ms)
-        barred = not self._trial_began and node.quarantine.bars(
+        quarantined = not self._trial_began and node.quarantine.blocks(
             self._job.request, self._job.on_trial
         )
-        command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
+        command = generation_core.step(self._state, event, pools, node.budget, now_ms, quarantined)
         if not isinstance(command, events.Wait | events.AskHold):
             self._log_decision(event, command, pools, begun, now_ms)
         return command
@@ -219,7 +219,7 @@
         return events.PromptRead(answer.ok_value)
 
     def _begin_trial(self) -> None:
-        """Before the first send to an endpoint, so that two judges don't begin at once."""
+        """Before the first send to an endpoint, so that two owners don't begin at once."""
         if self._job.on_trial and not self._trial_began:
             self._trial_began = True
             self._node.quarantine.begin_trial(self._job.request)
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -93,14 +93,14 @@
     ranked: list[ServiceEndpoint],
     budget: RetryBudget,
     now_ms: int,
-    barred: bool = False,
+    quarantined: bool = False,
 ) -> Command:
     """The next command; `ranked` lists the usable endpoints, best first.
 
-    `barred`: what the request holds ends endpoints, none is to get it.
+    `quarantined`: what the request holds ends endpoints, none is to get it.
     """
     command = _advance(state, event, ranked, budget, now_ms)
-    return ENDS_ENDPOINTS if barred and isinstance(command, SendTo) else command
+    return ENDS_ENDPOINTS if quarantined and isinstance(command, SendTo) else command
 
 
 def _advance(
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -61,8 +61,8 @@
         node, now_ms = self._node, self._node.now_ms()
         usable = node.directory.usable(self._job.service, now_ms)
         ranked = node.loads.rank(usable, now_ms)
-        barred = node.quarantine.bars(self._job.request, self._job.on_trial)
-        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred)
+        quarantined = node.quarantine.blocks(self._job.request, self._job.on_trial)
+        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, quarantined)
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -22,9 +22,9 @@
     Learned,
     Look,
     Looked,
-    Put,
     RanWell,
     Record,
+    RecordRead,
     RunBroke,
     Tell,
     Tick,
@@ -33,18 +33,18 @@
 )
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import (
+    Admission,
     SuspicionTable,
-    Verdict,
-    is_barred,
+    is_quarantined,
     is_serious,
 )
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     ANY_NODE_SHARE,
-    ENDS_TO_BAR,
+    CONTENT_OWNERS,
+    ENDS_TO_QUARANTINE,
     FORGET_EVERY_MS,
     FRESH_MS,
-    JUDGES,
     LOOK_AGAIN_MS,
     LOOKS,
     MOST_TOLD,
@@ -103,24 +103,24 @@
         """Whether time brings nothing."""
         return not len(self.table)
 
-    def judges(self, content: ContentId) -> tuple[str, ...]:
+    def owners(self, content: ContentId) -> tuple[str, ...]:
         """The nodes that put together what entry nodes saw of a content."""
-        return tuple(rank_members(self.nodes, content, JUDGES))
+        return tuple(rank_members(self.nodes, content, CONTENT_OWNERS))
 
-    def judge(self, content: ContentId, now_ms: int) -> Verdict:
+    def admission(self, content: ContentId, now_ms: int) -> Admission:
         """Whether a request of this content may be sent now.
 
-        Judges alone begin a trial, and tell each other at once: one of two nodes that did so in the
+        Owners alone begin a trial, and tell each other at once: one of two nodes that did so in the
         same moment would end an endpoint for nothing.
         """
-        verdict = self.table.judge(content, now_ms)
-        if verdict is Verdict.TRIAL and not self.judges_it(content):
-            return Verdict.BARRED
-        return verdict
+        admission = self.table.admission(content, now_ms)
+        if admission is Admission.TRIAL and not self.is_owner(content):
+            return Admission.REFUSED
+        return admission
 
-    def judges_it(self, content: ContentId) -> bool:
-        """Whether this node is one of them."""
-        return self.own in self.judges(content)
+    def is_owner(self, content: ContentId) -> bool:
+        """Whether this node is one of its owners."""
+        return self.own in self.owners(content)
 
 
 def step(state: QuarantineState, event: Event, now_ms: int) -> list[Command]:
@@ -134,7 +134,7 @@
             return _share(state, state.table.add_good_run(content, now_ms), now_ms)
         case TrialBegan(content):
             return _share(state, state.table.take_trial(content, now_ms), now_ms)
-        case Put(suspicion):
+        case RecordRead(suspicion):
             return _hear(state, suspicion, now_ms)
         case SuspicionNews():
             return _take_news(state, event, now_ms)
@@ -183,11 +183,11 @@
 
 
 def _share(state: QuarantineState, news: Suspicion | None, now_ms: int) -> list[Command]:
-    """What this node saw itself goes to the content's judges at once."""
+    """What this node saw itself goes to the content's owners at once."""
     if news is None:
         return []
-    judges = state.judges(news.content)
-    others = tuple(node for node in judges if node != state.own)
+    owners = state.owners(news.content)
+    others = tuple(node for node in owners if node != state.own)
     told: list[Command] = [_tell(state, others, (news,), now_ms)] if others else []
     return [*told, *_settle(state, news, now_ms)]
 
@@ -199,7 +199,7 @@
     for heard in event.suspicions:
         commands += _hear(state, heard, now_ms)
         known = state.table.find(heard.content)
-        if known is not None and known.ran_well and is_barred(heard):
+        if known is not None and known.ran_well and is_quarantined(heard):
             cleared.append(known)
     if cleared:
         commands.append(_tell(state, (event.sender,), cleared, now_ms))
@@ -212,18 +212,18 @@
 
 
 def _settle(state: QuarantineState, news: Suspicion, now_ms: int) -> list[Command]:
-    """What is barred is passed on at once: until all know it, endpoints go on ending."""
+    """What is quarantined is passed on at once: until all know it, endpoints go on ending."""
     if not is_serious(news):
         return []
-    told = _tell_some(state, TELL_FANOUT, (news,), now_ms) if is_barred(news) else []
+    told = _tell_some(state, TELL_FANOUT, (news,), now_ms) if is_quarantined(news) else []
     return [Learned(news), *told, *_record(state, news)]
 
 
 def _record(state: QuarantineState, news: Suspicion) -> list[Command]:
-    """Each judge writes what is barred: who is first finds it missing, the others find it there."""
-    if len(news.ended) < ENDS_TO_BAR or not state.judges_it(news.content):
+    """Each owner writes it: the first one finds no record, the others find that one."""
+    if len(news.ended) < ENDS_TO_QUARANTINE or not state.is_owner(news.content):
         return []
-    return [Record(news) if is_barred(news) else Unrecord(news.content)]
+    return [Record(news) if is_quarantined(news) else Unrecord(news.content)]
 
 
 def _forget(state: QuarantineState, now_ms: int) -> list[Command]:
@@ -234,22 +234,22 @@
     return [
         Unrecord(suspicion.content)
         for suspicion in old
-        if is_barred(suspicion) and state.judges_it(suspicion.content)
+        if is_quarantined(suspicion) and state.is_owner(suspicion.content)
     ]
 
 
 def _spread(state: QuarantineState, now_ms: int) -> list[Command]:
-    """Tell a few neighbours what is new, again and again; and what is barred, for good.
+    """Tell a few neighbours what is new, again and again; and what is quarantined, for good.
 
-    So a node that was cut off, or starts, knows what is barred within a second or two, and no one
-    has to notice that it is back.
+    So a node that was cut off, or starts, knows what is quarantined within a second or two, and
+    no one has to notice that it is back.
     """
     fresh = state.table.changed_since(now_ms - FRESH_MS)
     if not fresh and now_ms - state.told_ms < TELL_REST_MS:
         return []
     state.told_ms = now_ms
     newest = fresh[: MOST_TOLD // 2]
-    others = [one for one in (*fresh, *state.table.barred()) if one not in newest]
+    others = [one for one in (*fresh, *state.table.quarantined()) if one not in newest]
     sample = state.rng.sample(others, min(len(others), MOST_TOLD // 2))
     return _tell_some(state, TELL_FANOUT if fresh else 1, (*newest, *sample), now_ms)
 
--- a/saffronworks/forwarding/quarantine/events.py
+++ b/saffronworks/forwarding/quarantine/events.py
@@ -18,7 +18,7 @@
     "Learned",
     "Look",
     "Looked",
-    "Put",
+    "RecordRead",
     "RanWell",
     "Record",
     "RunBroke",
@@ -72,14 +72,14 @@
 
 @attrs.frozen
 class TrialBegan:
-    """A barred content is sent to one endpoint, once."""
+    """A quarantined content is sent to one endpoint, once."""
 
     content: ContentId
 
 
 @attrs.frozen
-class Put:
-    """What the store had of a content that was barred."""
+class RecordRead:
+    """The store had this content as quarantined when this node started."""
 
     suspicion: Suspicion
 
@@ -89,7 +89,7 @@
     """Time passed."""
 
 
-Event = RunBroke | Looked | RanWell | TrialBegan | Put | SuspicionNews | Tick
+Event = RunBroke | Looked | RanWell | TrialBegan | RecordRead | SuspicionNews | Tick
 
 
 @attrs.frozen
@@ -110,7 +110,7 @@
 
 @attrs.frozen
 class Record:
-    """Write a barred content to the store, so that it outlives all nodes."""
+    """Write a quarantined content to the store, so that it outlives all nodes."""
 
     suspicion: Suspicion
 
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -13,9 +13,9 @@
     """One content: the starts of endpoints that ended while they worked on it.
 
     `ran_well`: a run of it came to a whole answer, so the ends had another cause. `trials` counts
-    those that began since it was barred. All three only grow, so that views of several nodes can
-    be put together in any order. `age_ms` is how long the sender has known all this; who hears it
-    counts on from there, or what nodes tell each other would never be forgotten.
+    those that began since it was quarantined. All three only grow, so that views of several nodes
+    can be put together in any order. `age_ms` is how long the sender has known all this; who hears
+    it counts on from there, or what nodes tell each other would never be forgotten.
     """
 
     content: ContentId
--- a/saffronworks/forwarding/quarantine/records.py
+++ b/saffronworks/forwarding/quarantine/records.py
@@ -1,4 +1,4 @@
-"""Barred contents in the store: they outlive all nodes, should all of them end at once."""
+"""Quarantined contents in the store: they outlive all nodes, should all of them end at once."""
 
 import logging
 
@@ -63,7 +63,7 @@
 
 
 def _decode(item: StoredObject) -> Suspicion | None:
-    """An entry of another writer that can't be read bars nothing."""
+    """An entry of another writer that can't be read quarantines nothing."""
     try:
         spec = msgspec.json.decode(item.content or b"", type=_Spec)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -17,7 +17,7 @@
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.records import QuarantineRecords
-from saffronworks.forwarding.quarantine.suspicions import Verdict, is_barred
+from saffronworks.forwarding.quarantine.suspicions import Admission, is_quarantined
 from saffronworks.forwarding.tuning import (
     READ_RECORDS_PAUSES_S,
     RECORD_AGAIN_S,
@@ -76,27 +76,27 @@
 
     # What requests ask and tell.
 
-    def admit(self, request: CallerRequest) -> Verdict:
+    def admit(self, request: CallerRequest) -> Admission:
         """Whether a request may be sent to endpoints."""
         if self._state.idle:
-            return Verdict.FREE
-        verdict = self._state.judge(request.content, self._now_ms())
-        if verdict is not Verdict.FREE:
+            return Admission.FREE
+        admission = self._state.admission(request.content, self._now_ms())
+        if admission is not Admission.FREE:
             logger.info(
-                "event=content_judged request=%s content=%s verdict=%s known_contents=%d",
+                "event=content_admission request=%s content=%s admission=%s known_contents=%d",
                 request.request_id,
                 request.content,
-                verdict.value,
+                admission.value,
                 len(self._state.table),
             )
-        return verdict
+        return admission
 
-    def bars(self, request: CallerRequest, on_trial: bool = False) -> bool:
+    def blocks(self, request: CallerRequest, on_trial: bool = False) -> bool:
         """Whether a request under way is to be sent on no more, a trial not even once."""
         if self._state.idle:
             return False
-        verdict = self._state.table.judge(request.content, self._now_ms())
-        return verdict is Verdict.BARRED or (verdict is Verdict.TRIAL and not on_trial)
+        admission = self._state.table.admission(request.content, self._now_ms())
+        return admission is Admission.REFUSED or (admission is Admission.TRIAL and not on_trial)
 
     def begin_trial(self, request: CallerRequest) -> None:
         """A request on trial is sent to its endpoint now: no other one is."""
@@ -189,13 +189,13 @@
             await anyio.sleep(RECORD_AGAIN_S)
 
     async def _read_records(self) -> None:
-        """What was barred before this node started."""
+        """What was quarantined before this node started."""
         for pause_s in READ_RECORDS_PAUSES_S:
             await anyio.sleep(pause_s)
             while (found := await self._records.list_all()) is None:
                 await anyio.sleep(RECORD_AGAIN_S)
             for suspicion in found:
-                self._take(events.Put(suspicion))
+                self._take(events.RecordRead(suspicion))
 
     async def _tick(self) -> None:
         """Let time pass while something is suspected."""
@@ -208,7 +208,9 @@
 
 
 def _log_learned(suspicion: Suspicion) -> None:
-    known = "cleared" if suspicion.ran_well else "barred" if is_barred(suspicion) else "suspected"
+    known = "quarantined" if is_quarantined(suspicion) else "suspected"
+    if suspicion.ran_well:
+        known = "cleared"
     logger.info(
         "event=content_known content=%s known=%s ended=%s trials=%d",
         suspicion.content,
--- a/saffronworks/forwarding/quarantine/suspicions.py
+++ b/saffronworks/forwarding/quarantine/suspicions.py
@@ -2,7 +2,7 @@
 
 Whoever ends an endpoint can't be seen: up to 64 runs break in the same moment. So each of them is
 suspected, and a run that ends well clears its content. What is left after three ends without one
-good run is barred. `saffronworks/tests/innocent_runs.py` counts how many it wrongly strikes.
+good run is quarantined. `saffronworks/tests/concurrent_runs.py` counts how many it wrongly strikes.
 """
 
 import enum
@@ -14,8 +14,8 @@
 from saffronworks.forwarding.quarantine.messages import Suspicion
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
-    ENDS_TO_BAR,
-    KEEP_BARRED_MS,
+    ENDS_TO_QUARANTINE,
+    KEEP_QUARANTINED_MS,
     KEEP_SUSPECT_MS,
     MOST_ENDED,
     MOST_SUSPICIONS,
@@ -23,15 +23,15 @@
     TRIAL_SOON_MS,
 )
 
-__all__ = ["SuspicionTable", "Verdict", "is_barred", "is_serious"]
+__all__ = ["SuspicionTable", "Admission", "is_quarantined", "is_serious"]
 
 
-class Verdict(enum.Enum):
+class Admission(enum.Enum):
     """Whether a request may be sent to endpoints; a trial may be sent to one."""
 
     FREE = "free"
     TRIAL = "trial"
-    BARRED = "barred"
+    REFUSED = "refused"
 
 
 @attrs.define
@@ -41,14 +41,14 @@
     changed_ms: int
 
 
-def is_barred(suspicion: Suspicion) -> bool:
+def is_quarantined(suspicion: Suspicion) -> bool:
     """Whether so many endpoints ended under it that no further one is to."""
-    return len(suspicion.ended) >= ENDS_TO_BAR and not suspicion.ran_well
+    return len(suspicion.ended) >= ENDS_TO_QUARANTINE and not suspicion.ran_well
 
 
 def is_serious(suspicion: Suspicion) -> bool:
-    """Whether all nodes are to know it: one end more bars it, or a good run anywhere clears it."""
-    return len(suspicion.ended) >= ENDS_TO_BAR - 1
+    """Whether all nodes are to know it: one end more, or a good run, decides it."""
+    return len(suspicion.ended) >= ENDS_TO_QUARANTINE - 1
 
 
 @attrs.define
@@ -76,7 +76,7 @@
         return self.merge(Suspicion(content, (), ran_well=True), now_ms)
 
     def take_trial(self, content: ContentId, now_ms: int) -> Suspicion | None:
-        """A trial of a barred content begins."""
+        """A trial of a quarantined content begins."""
         known = self.find(content)
         return (
             self.merge(Suspicion(content, (), trials=known.trials + 1), now_ms) if known else None
@@ -100,29 +100,29 @@
             least = min(self._entries.values(), key=_weight)
             del self._entries[least.suspicion.content]
 
-    def judge(self, content: ContentId, now_ms: int) -> Verdict:
+    def admission(self, content: ContentId, now_ms: int) -> Admission:
         """Whether a request of this content may be sent now."""
         entry = self._entries.get(content)
-        if entry is None or not is_barred(entry.suspicion):
-            return Verdict.FREE
-        barred_ms, trials = now_ms - entry.changed_ms, entry.suspicion.trials
-        if barred_ms < TRIAL_SOON_MS:
-            return Verdict.BARRED
+        if entry is None or not is_quarantined(entry.suspicion):
+            return Admission.FREE
+        quarantined_ms, trials = now_ms - entry.changed_ms, entry.suspicion.trials
+        if quarantined_ms < TRIAL_SOON_MS:
+            return Admission.REFUSED
         if self._shares_ends(entry.suspicion):
-            due = trials == 0 or barred_ms >= TRIAL_AFTER_MS
+            due = trials == 0 or quarantined_ms >= TRIAL_AFTER_MS
         else:
-            due = trials == 0 and barred_ms >= TRIAL_AFTER_MS
-        return Verdict.TRIAL if due else Verdict.BARRED
+            due = trials == 0 and quarantined_ms >= TRIAL_AFTER_MS
+        return Admission.TRIAL if due else Admission.REFUSED
 
     def _shares_ends(self, suspicion: Suspicion) -> bool:
-        """Whether each end that bars it bars another content too: it may only have been there.
+        """Whether each of its ends counts against another such content: it was perhaps only there.
 
         So it is of those beside a deadly content, and of all contents while endpoints end for a
         cause of their own, as after a release that fails.
         """
         others = {
             start
-            for other in self.barred()
+            for other in self.quarantined()
             if other.content != suspicion.content
             for start in other.ended
         }
@@ -143,10 +143,10 @@
         entry = self._entries.get(suspicion.content)
         return attrs.evolve(suspicion, age_ms=now_ms - entry.changed_ms if entry else 0)
 
-    def barred(self) -> list[Suspicion]:
+    def quarantined(self) -> list[Suspicion]:
         """What no node is to send on."""
         known = (entry.suspicion for entry in self._entries.values())
-        return [suspicion for suspicion in known if is_barred(suspicion)]
+        return [suspicion for suspicion in known if is_quarantined(suspicion)]
 
     def forget_old(self, now_ms: int) -> list[Suspicion]:
         """Drop what is long over; returns it."""
@@ -174,8 +174,8 @@
 
 def _weight(entry: _Entry) -> tuple[bool, int, int]:
     suspicion = entry.suspicion
-    return is_barred(suspicion), len(suspicion.ended), entry.changed_ms
+    return is_quarantined(suspicion), len(suspicion.ended), entry.changed_ms
 
 
 def _kept_ms(suspicion: Suspicion) -> int:
-    return KEEP_BARRED_MS if is_barred(suspicion) else KEEP_SUSPECT_MS
+    return KEEP_QUARANTINED_MS if is_quarantined(suspicion) else KEEP_SUSPECT_MS
--- a/saffronworks/tests/innocent_runs.py
+++ b/saffronworks/tests/concurrent_runs.py
@@ -1,4 +1,4 @@
-"""How many requests are wrongly barred since they ran beside a content that ends endpoints.
+"""How many requests are wrongly quarantined since they ran beside a content that ends endpoints.
 
 The pattern: busy endpoints, of which one content ends one after the other. Each end breaks all runs
 there; they go on at another endpoint, their callers return once, and meet the next end. Times are
@@ -10,7 +10,7 @@
 
 import attrs
 
-from saffronworks.forwarding.quarantine.suspicions import SuspicionTable, Verdict, is_barred
+from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable, is_quarantined
 from saffronworks.tests.quarantine_plays import DEADLY, endpoint_at
 
 __all__ = ["Habits", "Outcome", "play_service"]
@@ -43,11 +43,11 @@
 
 @attrs.frozen
 class Outcome:
-    """Counts of contents: those whose runs broke, those wrongly barred; and of ends."""
+    """Counts of contents: those whose runs broke, those wrongly quarantined; and of ends."""
 
     struck: int
     struck_twice: int
-    barred: int
+    quarantined: int
     ends: int
 
 
@@ -65,7 +65,7 @@
 
     def place(self, run, now_ms):
         up = [i for i, until_ms in enumerate(self.down_until_ms) if until_ms <= now_ms]
-        if up and self.table.judge(run.content, now_ms) is Verdict.FREE:
+        if up and self.table.admission(run.content, now_ms) is Admission.FREE:
             fewest = min(up, key=lambda i: (len(self.runs[i]), self.rng.random()))
             self.runs[fewest].append(run)
 
@@ -111,15 +111,15 @@
 
 
 def play_service(endpoints, runs_each, seed, habits):
-    """Play a service until its deadly content is long barred; count what it did to others."""
+    """Play a service until its deadly content is long quarantined; count what it did to others."""
     service = _Service(endpoints, runs_each, seed, habits)
     for now_ms in range(0, PLAYED_MS, STEP_MS):
         service.step(now_ms)
-    innocent = {content: count for content, count in service.struck.items() if content != DEADLY}
-    known = [service.table.find(content) for content in innocent]
+    others = {content: count for content, count in service.struck.items() if content != DEADLY}
+    known = [service.table.find(content) for content in others]
     return Outcome(
-        struck=len(innocent),
-        struck_twice=sum(count > 1 for count in innocent.values()),
-        barred=sum(found is not None and is_barred(found) for found in known),
+        struck=len(others),
+        struck_twice=sum(count > 1 for count in others.values()),
+        quarantined=sum(found is not None and is_quarantined(found) for found in known),
         ends=service.ends,
     )
--- a/saffronworks/tests/mortal_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -7,7 +7,7 @@
 
 from saffronworks.tests.platform_fakes import FakeServer
 
-__all__ = ["DEADLY", "Arrivals", "MortalServer"]
+__all__ = ["DEADLY", "Arrivals", "CrashingServer"]
 
 # A body that holds this ends each server that runs it.
 DEADLY = b"deadly"
@@ -30,7 +30,7 @@
         return sum(sent_s > from_s for sent_s in self.sends_s)
 
 
-class MortalServer(FakeServer):
+class CrashingServer(FakeServer):
     """Closes all connections and refuses new ones from its end to its next start."""
 
     def __init__(self, instance, service, stage, arrivals, down_s=DOWN_S):
--- a/saffronworks/tests/features/quarantine.feature
+++ b/saffronworks/tests/features/quarantine.feature
@@ -1,14 +1,14 @@
 Feature: a content that ends the endpoints that run it
 
-  # Seen: in two spans of ten seconds 16 and 18 engines ended one after the other, each 30 to 280 ms
-  # after a request reached it; their other streams broke, and a tenth of all requests was lost.
+  # Seen: under each of two contents 16 and 18 engines ended one after the other, each 30 to 280 ms
+  # after a request was sent to it; their other streams broke, over a tenth of the requests failed.
   # How it came about: one content was asked for again and again, at any node, under new ids. The
   # first engine that ran it ended; the stream went on at the next one, as its route allows, and
   # ended that; engines were back after some seconds, and the next try ended them again.
   # Cause: what a request did to endpoints was forgotten with the request. Attempts, tried
   # endpoints and retry budgets are kept by id, and nodes told each other of endpoints that fail
   # alone, so no limit ever held for the content.
-  # Proof: these scenarios; before the repair 28 sends, and 55 ends in all, were counted in the first one.
+  # Proof: these scenarios; before the repair the first one counted 28 sends and 55 ends in all.
 
   Scenario: one content comes again and again, at any node
     When a content that ends each engine which runs it is asked for at two nodes in turn
@@ -32,8 +32,8 @@
     When one content gets five broken answers from endpoints that stay
     Then it is sent on as before
 
-  Scenario: a node that starts knows what was barred
-    When a content is barred, and then all nodes start again
+  Scenario: a node that starts knows what was quarantined
+    When a content is quarantined, and then all nodes start again
     Then no node sends it to an endpoint
 
   Scenario Outline: a fleet knows in time what to refuse
@@ -63,21 +63,21 @@
   Scenario: what costs nothing, and what little
     Then without a suspicion nothing is worked out or told
     And a fleet that knows of a content tells it five times a second and node at most
-    And thousands of suspects leave the table bounded, the barred ones in it, and messages small
+    And thousands of suspects leave the table and messages bounded, the quarantined ones in it
 
   Scenario: who is to blame
     Then two refused connections, a later start, or silence and no entry show an end
     And an endpoint that leaves as planned blames nobody
     And an endpoint that was only asked for memory, or got no byte, has worked on nothing
     And one look serves all runs that broke together
-    And a good run clears a content for all nodes, before it is barred and after
+    And a good run clears a content for all nodes, before it is quarantined and after
     And an answer that ends by a close is no good run, as an endpoint's end closes too
     And a node that missed the good run hears of it when it tells what it knows
-    And of the requests beside a deadly content few are barred, and those have a trial soon
+    And of the requests beside a deadly content few are quarantined, and those have a trial soon
 
-  Scenario: a barred content has one trial
-    Then a judge lets it through once after ten minutes, to one endpoint, and no other node does
-    And a good run frees it, and another end bars it for good
+  Scenario: a quarantined content has one trial
+    Then a owner lets it through once after ten minutes, to one endpoint, and no other node does
+    And a good run frees it, and another end settles it
     And while endpoints end for a cause of their own, contents have a trial every ten minutes
 
   Scenario: a trial on the way of a request
@@ -88,8 +88,8 @@
     Then whatever the order and however often, the same is known in the end
 
   Scenario: a request under way is sent on no more
-    Then whatever happened to a generation, once it is barred it ends
+    Then whatever happened to a generation, once it is quarantined it ends
     And so does a plain request
 
   Scenario: records of another writer
-    Then a record that can't be read is told and bars nothing
+    Then a record that can't be read is told and quarantines nothing
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -35,7 +35,7 @@
     calls.take_hold = AsyncMock(side_effect=holds)
     calls.prefill = AsyncMock(return_value=Ok(KvHandle(reader, "h", 3000)))
     calls.open_stream = AsyncMock(side_effect=Break(BreakCause.CONNECT, sent=False))
-    budget, quarantine = wide_budget(), Mock(bars=lambda *_: False)
+    budget, quarantine = wide_budget(), Mock(blocks=lambda *_: False)
     loads, idle = LoadTable("z"), Mock()
     return NodeState(
         "z", directory, loads, budget, calls, Mock(), lambda: 10, idle, memory, quarantine
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -10,7 +10,7 @@
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.quarantine.records import QUARANTINE_KIND, QuarantineRecords
 from saffronworks.forwarding.tuning import TRIAL_AFTER_MS
-from saffronworks.tests.mortal_servers import DEADLY, Arrivals, MortalServer
+from saffronworks.tests.crashing_servers import DEADLY, Arrivals, CrashingServer
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import engines, on_platform
 
@@ -24,7 +24,7 @@
 
 
 def engines_that_end(arrivals, count=4):
-    decoders = [MortalServer(f"d{index}", "llm", "decode", arrivals) for index in range(count)]
+    decoders = [CrashingServer(f"d{index}", "llm", "decode", arrivals) for index in range(count)]
     return [*decoders, FakeServer("p0", "llm", "prefill")]
 
 
@@ -81,7 +81,7 @@
 @when("a plain request ends each endpoint that runs it, at one node")
 def plain_ends(context):
     context.arrivals = arrivals = Arrivals()
-    servers = [MortalServer(f"w{index}", "web", None, arrivals) for index in range(4)]
+    servers = [CrashingServer(f"w{index}", "web", None, arrivals) for index in range(4)]
 
     async def play(place):
         join_store(servers, place.store)
@@ -129,7 +129,7 @@
     # The next reader may begin before the end of the one before is shown.
     context.most_ends = 4
     context.arrivals = arrivals = Arrivals()
-    readers = [MortalServer(f"p{index}", "llm", "prefill", arrivals) for index in range(4)]
+    readers = [CrashingServer(f"p{index}", "llm", "prefill", arrivals) for index in range(4)]
     for reader in readers:
         reader.ends_reading = True
     # Decode endpoints read prompts themselves where readers fail: these never begin.
@@ -178,7 +178,7 @@
     assert context.raw.startswith(b"HTTP/1.1 200 "), context.raw
 
 
-@when("a content is barred, and then all nodes start again")
+@when("a content is quarantined, and then all nodes start again")
 def all_start_again(context):
     context.arrivals = arrivals = Arrivals()
     servers = engines_that_end(arrivals)
@@ -221,7 +221,7 @@
     assert all(raw.startswith(b"HTTP/1.1 500 ") for raw in context.raw), context.raw
 
 
-@then("a record that can't be read is told and bars nothing")
+@then("a record that can't be read is told and quarantines nothing")
 def odd_records(context):
     odd = (b"", b"\xff", b"[]", b"null", b'{"ended": 3}', b'{"ended": [1]}', b"{}", None)
     objects = tuple(StoredObject(f"c{number}", 1, data) for number, data in enumerate(odd))
@@ -232,7 +232,7 @@
 
 
 def try_again(path, servers, mended):
-    """Have a content barred, let its trial come due; answers then, and ends by them."""
+    """Have a content quarantined, let its trial come due; answers then, and ends by them."""
     arrivals = servers[0].arrivals
     seen = {}
 
@@ -264,7 +264,7 @@
 
 def trials(mended):
     plains, engines_ = Arrivals(), Arrivals()
-    webs = [MortalServer(f"w{index}", "web", None, plains) for index in range(4)]
+    webs = [CrashingServer(f"w{index}", "web", None, plains) for index in range(4)]
     return [
         try_again("/res/", engines_that_end(engines_), mended),
         try_again("/again/a", webs, mended),
--- a/saffronworks/tests/features/steps/suspicion_fleet_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_fleet_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from saffronworks.forwarding.quarantine.suspicions import Verdict
-from saffronworks.forwarding.tuning import ENDS_TO_BAR
+from saffronworks.forwarding.quarantine.suspicions import Admission
+from saffronworks.forwarding.tuning import ENDS_TO_QUARANTINE
 from saffronworks.tests.quarantine_plays import DEADLY, Fleet, fleet_that_knows
 
 SEEDS = range(10)
@@ -25,7 +25,7 @@
 @then("all nodes refuse it within {within:d} ms of the third end, and none sends it later")
 def refused_in_time(context, within):
     for fleet in context.fleets:
-        while len(fleet.ends) < ENDS_TO_BAR:
+        while len(fleet.ends) < ENDS_TO_QUARANTINE:
             fleet.run(fleet.now_ms + 10)
         fleet.run(fleet.ends[2] + within)
         assert fleet.knowing() == len(fleet.nodes), (fleet.knowing(), fleet.now_ms)
@@ -38,7 +38,7 @@
     for seed in SEEDS:
         fleet = Fleet(200, seed, dead=200)
         fleet.come_again(300, 3000)
-        while len(fleet.ends) < ENDS_TO_BAR:
+        while len(fleet.ends) < ENDS_TO_QUARANTINE:
             fleet.run(fleet.now_ms + 10)
         fleet.run(fleet.ends[2] + CONTACT_MS)
         assert fleet.knowing() == 200, (seed, fleet.knowing())
@@ -68,7 +68,7 @@
         fleet.nodes[other].away = True
     fleet.restart(name)
     fleet.run(fleet.now_ms + CONTACT_MS)
-    assert fleet.nodes[name].state.judge(DEADLY, fleet.now_ms) is Verdict.BARRED
+    assert fleet.nodes[name].state.admission(DEADLY, fleet.now_ms) is Admission.REFUSED
 
 
 @then("so do all nodes when all have started again")
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -29,10 +29,10 @@
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.service import Quarantine
-from saffronworks.forwarding.quarantine.suspicions import SuspicionTable, Verdict
+from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.forwarding.tuning import (
-    ENDS_TO_BAR,
+    ENDS_TO_QUARANTINE,
     FRESH_MS,
     LOOK_AGAIN_MS,
     MOST_SUSPICIONS,
@@ -43,15 +43,15 @@
     TRIAL_AFTER_MS,
     TRIAL_SOON_MS,
 )
+from saffronworks.tests.concurrent_runs import Habits, play_service
 from saffronworks.tests.endpoint_plays import REPLY_KINDS, endpoints, head_of, wide_budget
 from saffronworks.tests.generation_plays import POOLS, generation
-from saffronworks.tests.innocent_runs import Habits, play_service
 from saffronworks.tests.quarantine_plays import DEADLY, endpoint_at, fleet_that_knows
 from saffronworks.wire import Codec
 
 SEEDS = range(10)
 CONTACT_MS = 3000
-BARRED_BY = tuple(f"i-5b2a2b434{number}@1796248012000" for number in range(4))
+QUARANTINED_BY = tuple(f"i-5b2a2b434{number}@1796248012000" for number in range(4))
 DAY_MS = 24 * 3_600_000
 
 
@@ -77,12 +77,12 @@
     return told.news
 
 
-@then("thousands of suspects leave the table bounded, the barred ones in it, and messages small")
+@then("thousands of suspects leave the table and messages bounded, the quarantined ones in it")
 def bounded_table(context):
     state = QuarantineState("n1", random.Random(1))
     state.take_nodes([f"n{number}" for number in range(1, 8)])
     for number in range(30):
-        step(state, events.Put(Suspicion(f"{number:031x}b", BARRED_BY)), number)
+        step(state, events.RecordRead(Suspicion(f"{number:031x}b", QUARANTINED_BY)), number)
     codec = Codec(planning_messages, quarantine_messages)
     for number in range(3 * MOST_SUSPICIONS):
         instances = ("e1@1796248012000", "e2@1796248012000")[: 1 + number % 2]
@@ -90,8 +90,8 @@
         step(state, SuspicionNews("n2", (heard,)), 100 + number)
     assert len(state.table) <= MOST_SUSPICIONS
     last_ms = 100 + 3 * MOST_SUSPICIONS
-    judged = [state.table.judge(f"{number:031x}b", last_ms) for number in range(30)]
-    assert Verdict.FREE not in judged
+    judged = [state.table.admission(f"{number:031x}b", last_ms) for number in range(30)]
+    assert Admission.FREE not in judged
     told = tell_at(state, last_ms)
     assert len(told.suspicions) == MOST_TOLD and len(codec.encode(told)) < 3500
     told = tell_at(state, last_ms + FRESH_MS + 1)
@@ -186,13 +186,13 @@
     assert len(state.table) == 64
 
 
-@then("a good run clears a content for all nodes, before it is barred and after")
+@then("a good run clears a content for all nodes, before it is quarantined and after")
 def good_run(context):
     early = alone()
     ended(early, DEADLY, 1, 2)
     step(early, events.RanWell(DEADLY), 10)
     ended(early, DEADLY, 3, 4)
-    assert early.judge(DEADLY, 20) is Verdict.FREE
+    assert early.admission(DEADLY, 20) is Admission.FREE
     fleet = fleet_that_knows()
     assert fleet.knowing() == 7 and DEADLY in fleet.stored
     fleet.take(fleet.names[0], events.RanWell(DEADLY))
@@ -206,9 +206,9 @@
     quarantine = Quarantine("n1", Directory(), Mock(), Mock(), random.Random(1), lambda: 10)
     ended(quarantine._state, request.content, 1, 2, 3)
     quarantine.note_whole(request, framed=False)
-    assert quarantine.bars(request)
+    assert quarantine.blocks(request)
     quarantine.note_whole(request, framed=True)
-    assert not quarantine.bars(request)
+    assert not quarantine.blocks(request)
 
 
 @then("a node that missed the good run hears of it when it tells what it knows")
@@ -224,8 +224,8 @@
     assert fleet.knowing() == 0
 
 
-@then("of the requests beside a deadly content few are barred, and those have a trial soon")
-def innocents(context):
+@then("of the requests beside a deadly content few are quarantined, and those have a trial soon")
+def requests_beside(context):
     often, seldom = Habits(), Habits(most_runs=3, comes_every_ms=1000)
     for habits, count, runs_each, most_of_100 in (
         (often, 4, 16, 0),
@@ -237,24 +237,24 @@
     ):
         played = [play_service(count, runs_each, seed, habits) for seed in SEEDS]
         struck = sum(one.struck for one in played)
-        barred = sum(one.barred for one in played)
-        assert struck > 50 and all(one.ends >= ENDS_TO_BAR for one in played), played
-        assert 100 * barred <= most_of_100 * struck, (habits, count, runs_each, struck, barred)
+        wrongly = sum(one.quarantined for one in played)
+        assert struck > 50 and all(one.ends >= ENDS_TO_QUARANTINE for one in played), played
+        assert 100 * wrongly <= most_of_100 * struck, (habits, count, runs_each, struck, wrongly)
     state = alone()
     state.take_nodes(["n1"])
     for content in ("beside", DEADLY):
         ended(state, content, 1, 2, 3)
-    assert state.judge("beside", TRIAL_SOON_MS - 1) is Verdict.BARRED
-    assert state.judge("beside", TRIAL_SOON_MS) is Verdict.TRIAL
+    assert state.admission("beside", TRIAL_SOON_MS - 1) is Admission.REFUSED
+    assert state.admission("beside", TRIAL_SOON_MS) is Admission.TRIAL
 
 
-@then("a judge lets it through once after ten minutes, to one endpoint, and no other node does")
+@then("a owner lets it through once after ten minutes, to one endpoint, and no other node does")
 def one_trial(context):
     fleet = fleet_that_knows()
     fleet.run(TRIAL_AFTER_MS + 10_000)
     ends = len(fleet.ends)
-    verdicts = [node.state.judge(DEADLY, fleet.now_ms) for node in fleet.nodes.values()]
-    assert sorted(v.value for v in verdicts) == ["barred"] * 4 + ["trial"] * 3, verdicts
+    admissions = [node.state.admission(DEADLY, fleet.now_ms) for node in fleet.nodes.values()]
+    assert sorted(v.value for v in admissions) == ["refused"] * 4 + ["trial"] * 3, admissions
     fleet.come_again(100, fleet.now_ms + 5000)
     fleet.run(fleet.now_ms + 10_000)
     assert len(fleet.ends) == ends + 1, fleet.ends
@@ -275,42 +275,42 @@
     ended(state, DEADLY, 1, 2, 50)
     now_ms = TRIAL_SOON_MS
     for _ in range(3):
-        verdicts = {state.judge(content, now_ms) for content in contents}
-        assert verdicts == {Verdict.TRIAL}, verdicts
-        assert state.judge(DEADLY, now_ms) is Verdict.BARRED
+        admissions = {state.admission(content, now_ms) for content in contents}
+        assert admissions == {Admission.TRIAL}, admissions
+        assert state.admission(DEADLY, now_ms) is Admission.REFUSED
         for content in contents:
             step(state, events.TrialBegan(content), now_ms)
             ended(state, content, rng.randint(1, 12), now_ms=now_ms)
-        verdicts = {state.judge(content, now_ms + TRIAL_SOON_MS) for content in contents}
-        assert verdicts == {Verdict.BARRED}, verdicts
+        admissions = {state.admission(content, now_ms + TRIAL_SOON_MS) for content in contents}
+        assert admissions == {Admission.REFUSED}, admissions
         now_ms += TRIAL_AFTER_MS
         # Had its own trial meanwhile, and ended one more.
-        if state.judge(DEADLY, now_ms) is Verdict.TRIAL:
+        if state.admission(DEADLY, now_ms) is Admission.TRIAL:
             step(state, events.TrialBegan(DEADLY), now_ms)
             ended(state, DEADLY, 51, now_ms=now_ms)
 
 
-@then("a good run frees it, and another end bars it for good")
+@then("a good run frees it, and another end settles it")
 def after_trial(context):
     for node in context.fleet.nodes.values():
-        assert node.state.judge(DEADLY, DAY_MS - 60_000) is Verdict.BARRED
+        assert node.state.admission(DEADLY, DAY_MS - 60_000) is Admission.REFUSED
         step(node.state, events.Tick(), 2 * DAY_MS)
         assert node.state.idle, "what callers have long given up is forgotten"
     told = alone()
     step(told, SuspicionNews("n2", (old_view(DAY_MS),)), 10)
     assert told.idle, "nor does it come back by a node that has not forgotten it yet"
     step(told, SuspicionNews("n2", (old_view(DAY_MS - 60_000),)), 10)
-    assert told.judge(DEADLY, 50_000) is Verdict.BARRED
+    assert told.admission(DEADLY, 50_000) is Admission.REFUSED
     step(told, events.Tick(), 70_000)
     assert told.idle, "who hears of it counts on from there"
     freed = alone()
     freed.take_nodes(["n1"])
     ended(freed, DEADLY, 1, 2, 3)
-    assert freed.judge(DEADLY, TRIAL_AFTER_MS) is Verdict.TRIAL
+    assert freed.admission(DEADLY, TRIAL_AFTER_MS) is Admission.TRIAL
     step(freed, events.TrialBegan(DEADLY), TRIAL_AFTER_MS)
-    assert freed.judge(DEADLY, TRIAL_AFTER_MS + 1) is Verdict.BARRED
+    assert freed.admission(DEADLY, TRIAL_AFTER_MS + 1) is Admission.REFUSED
     step(freed, events.RanWell(DEADLY), TRIAL_AFTER_MS + 2)
-    assert freed.judge(DEADLY, TRIAL_AFTER_MS + 3) is Verdict.FREE
+    assert freed.admission(DEADLY, TRIAL_AFTER_MS + 3) is Admission.FREE
 
 
 VIEWS = st.builds(
@@ -364,21 +364,21 @@
 ]
 
 
-@then("whatever happened to a generation, once it is barred it ends")
+@then("whatever happened to a generation, once it is quarantined it ends")
 def generation_ends(context):
     refusals = 0
     for event in GENERATION_EVENTS:
         for may_repeat in (False, True):
             state = generation(may_repeat)
             state.hold = HOLD
-            command = generation_step(state, event, POOLS, wide_budget(), 10, barred=True)
+            command = generation_step(state, event, POOLS, wide_budget(), 10, quarantined=True)
             assert not isinstance(command, gen.Seek), (event, command)
             refusals += command == ENDS_ENDPOINTS
     assert refusals > len(GENERATION_EVENTS), refusals
     begun = generation(may_repeat=True)
     begun.hold, begun.out = HOLD, Out.STREAM
     lost = gen.RelayBroken(POOLS.decoders[0].instance, known=True)
-    assert generation_step(begun, lost, POOLS, wide_budget(), 10, barred=True) == gen.Cut(
+    assert generation_step(begun, lost, POOLS, wide_budget(), 10, quarantined=True) == gen.Cut(
         "ends-endpoints"
     )
 
@@ -393,5 +393,5 @@
         events += [plain_core.Broken("w0", sent) for sent in (False, True)]
         for event in events:
             state = plain_core.PlainState("s", True, 3, 900, 5000)
-            command = plain_core.step(state, event, ranked, wide_budget(), 10, barred=True)
+            command = plain_core.step(state, event, ranked, wide_budget(), 10, quarantined=True)
             assert not isinstance(command, plain_core.SendTo), (event, command)
--- a/saffronworks/tests/quarantine_plays.py
+++ b/saffronworks/tests/quarantine_plays.py
@@ -18,7 +18,7 @@
 from saffronworks.forwarding.quarantine.core import QuarantineState, step
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import SuspicionNews
-from saffronworks.forwarding.quarantine.suspicions import Verdict
+from saffronworks.forwarding.quarantine.suspicions import Admission
 from saffronworks.forwarding.tuning import READ_RECORDS_PAUSES_S, TELL_EVERY_MS
 
 __all__ = ["DEADLY", "Fleet", "endpoint_at", "fleet_that_knows"]
@@ -47,7 +47,7 @@
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.lost = lost
-        self.sends, self.ends, self.messages, self.entries_told = [], [], 0, 0
+        self.sends, self.ends, self.messages = [], [], 0
         self.stored = {}
         self._queue, self._numbers = [], itertools.count()
         self._endpoints = itertools.count(1)
@@ -87,7 +87,7 @@
 
     def _read(self, name):
         for suspicion in self.stored.values():
-            self.take(name, events.Put(suspicion))
+            self.take(name, events.RecordRead(suspicion))
 
     def take(self, name, event):
         node = self.nodes[name]
@@ -107,7 +107,6 @@
     def _send(self, name, target, news):
         assert isinstance(news, SuspicionNews)
         self.messages += 1
-        self.entries_told += len(news.suspicions)
         if not self.nodes[name].away and self.rng.random() >= self.lost:
             self.at(self.rng.randint(1, 10), self._deliver, target, news)
 
@@ -120,10 +119,10 @@
     def ask(self, name=None):
         """A try of it arrives at a node."""
         name = name or self.rng.choice(list(self.nodes))
-        match self.nodes[name].state.judge(DEADLY, self.now_ms):
-            case Verdict.FREE:
+        match self.nodes[name].state.admission(DEADLY, self.now_ms):
+            case Admission.FREE:
                 self._run(name, MOST_RUNS)
-            case Verdict.TRIAL:
+            case Admission.TRIAL:
                 self.take(name, events.TrialBegan(DEADLY))
                 self._run(name, 1)
 
@@ -135,8 +134,8 @@
         self.ends.append(self.now_ms)
         endpoint = endpoint_at(next(self._endpoints))
         self.take(name, events.RunBroke(DEADLY, endpoint, BreakCause.CLOSED))
-        verdict = self.nodes[name].state.table.judge(DEADLY, self.now_ms)
-        if runs_left and verdict is Verdict.FREE:
+        admission = self.nodes[name].state.table.admission(DEADLY, self.now_ms)
+        if runs_left and admission is Admission.FREE:
             self._run(name, runs_left)
 
     def come_again(self, every_ms, until_ms):
@@ -151,12 +150,12 @@
 
     def knowing(self):
         """How many nodes would refuse it."""
-        judged = [n.state.table.judge(DEADLY, self.now_ms) for n in self.nodes.values()]
-        return sum(verdict is Verdict.BARRED for verdict in judged)
+        judged = [n.state.table.admission(DEADLY, self.now_ms) for n in self.nodes.values()]
+        return sum(admission is Admission.REFUSED for admission in judged)
 
 
 def fleet_that_knows(count=7, seed=3):
-    """A fleet that has barred the deadly content some seconds ago."""
+    """A fleet that has quarantined the deadly content some seconds ago."""
     fleet = Fleet(count, seed)
     fleet.come_again(300, 4000)
     fleet.run(10_000)
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -5,7 +5,7 @@
 import anyio
 import httpcore
 
-from saffronworks.tests.mortal_servers import DEADLY
+from saffronworks.tests.crashing_servers import DEADLY
 from saffronworks.tests.soak.records import Asked
 
 __all__ = ["DEADLY_KIND", "KINDS", "ONCE_KINDS", "STREAM_KINDS", "Caller", "DeadlyCaller"]
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -7,7 +7,7 @@
 import attrs
 
 from saffronworks.standins.addresses import free_address
-from saffronworks.tests.mortal_servers import DEADLY
+from saffronworks.tests.crashing_servers import DEADLY
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.records import Ran
 
