--- a/deploy/day_files.py
+++ b/deploy/day_files.py
@@ -2,7 +2,8 @@
 
 For each kind of trouble a day with a burst and, at its hardest moment, the trouble, then the
 trouble again beside another one. Beside these, mixed days, on which many troubles overlap: a pair
-of faults of endpoints that break answers, and others around them.
+of faults of endpoints that break answers, and others around them; and days on which organisations
+ask for far more than their quotas while keys and quotas change and nodes end or hear few others.
 """
 
 import random
@@ -106,6 +107,36 @@
     "garble-unframed",
     "crash",
 )
+# Two organisations run hot, one across the other.
+HOT_ORGANISATIONS = (
+    Trouble("hot-first", "hot_tenant", "x = 7.5, for_s = 9.0, count = 1"),
+    Trouble("hot-second", "hot_tenant", "x = 9.0, for_s = 9.0, count = 2"),
+)
+# What the operator changes meanwhile, and what it does while some nodes hear nothing of it.
+ORGANISATION_CHANGES = (
+    Trouble("quota", "config_change", 'how = "quota"', planned=True),
+    Trouble("quota-down", "config_change", 'how = "quota down"', planned=True),
+    Trouble("topup", "config_change", 'how = "topup"', planned=True),
+    Trouble("revoke", "revoke", "count = 3, gap_s = 0.4", planned=True),
+    Trouble("revoke-last", "revoke", 'count = 2, gap_s = 0.5, how = "last"', planned=True),
+    Trouble("store-revoke", "platform_down", 'share = 0.4, for_s = 8.0, how = "nodes busy revoke"'),
+    Trouble("cut-revoke", "platform_down", 'share = 0.4, for_s = 8.0, how = "nodes revoke meet"'),
+)
+NODE_TROUBLES = (
+    "node-kill",
+    "node-power",
+    "node-freeze",
+    "herd-kill",
+    "node-cut",
+    "core-cut",
+    "core-cut-reset",
+    "roll-term",
+    "replace",
+    "store-silent",
+    "reset-conns",
+    "lossy",
+)
+ORGANISATION_DAYS = 6
 MIXED_DAYS = 8
 MIXED_TROUBLES = 8
 MIXED_FROM_S, MIXED_UNTIL_S = 3.0, 28.0
@@ -128,6 +159,18 @@
     return _write(f"mixed-{seed}", seed, entries)
 
 
+def write_organisation_day(seed: int) -> str:
+    """One day: two organisations run hot twice, changes and trouble of nodes at any moment."""
+    rng = random.Random(seed)
+    by_name = {trouble.name: trouble for trouble in TROUBLES}
+    entries = [(at_s, hot) for at_s in (5.0, 17.0) for hot in HOT_ORGANISATIONS]
+    for trouble in rng.sample(ORGANISATION_CHANGES, 5):
+        entries.append((round(rng.uniform(MIXED_FROM_S, MIXED_UNTIL_S), 1), trouble))
+    for name in rng.sample(NODE_TROUBLES, 4):
+        entries.append((round(rng.uniform(MIXED_FROM_S, MIXED_UNTIL_S), 1), by_name[name]))
+    return _write(f"organisations-{seed}", seed, entries)
+
+
 def _write(name: str, seed: int, entries: list[tuple[float, Trouble]]) -> str:
     lines = {
         planned: [trouble.entry(at_s) for at_s, trouble in entries if trouble.planned is planned]
@@ -160,6 +203,9 @@
         (OUTPUT / f"{trouble.name}.toml").write_text(text, encoding="utf-8")
     for seed in range(1, MIXED_DAYS + 1):
         (OUTPUT / f"mixed-{seed}.toml").write_text(write_mixed_day(seed), encoding="utf-8")
+    for seed in range(1, ORGANISATION_DAYS + 1):
+        text = write_organisation_day(seed)
+        (OUTPUT / f"organisations-{seed}.toml").write_text(text, encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -77,6 +77,7 @@
         self._lists_next = True
         self._failures = 0
         self._heard_ms = now_ms()
+        self._known_ms = self._heard_ms
         self._lost_ms = self._heard_ms
         self._asked_ms = self._heard_ms
         self._trouble_ms = self._heard_ms
@@ -106,6 +107,10 @@
         with anyio.move_on_after((self._fresh_until_ms - self._now_ms()) / 1000):
             await self._stale.wait()
 
+    def age_ms(self) -> int:
+        """How long ago what is known here was the store's newest, heard from it or from others."""
+        return self._now_ms() - self._known_ms
+
     def take_news(self, news: StoreNews) -> None:
         """What another node heard from the store.
 
@@ -122,6 +127,7 @@
             self._stale.set()
             return
         self._lists_next = False
+        self._known_ms = self._now_ms()
         self._note_fresh()
 
     def _apply_news(self, news: StoreNews, revision: int) -> bool:
@@ -231,7 +237,7 @@
                 bound_ms = self._trouble_ms + self._known_within_ms - LAPSE_MARGIN_MS
                 self._lapse_until_ms = min(now_ms + LAPSED_GRACE_MS, bound_ms)
         self._failures = 0
-        self._heard_ms = now_ms
+        self._heard_ms = self._known_ms = now_ms
 
     def _backoff_ms(self) -> int:
         doubled = FOLLOW_FIRST_BACKOFF_MS * 2 ** min(self._failures - 1, 8)
--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -41,12 +41,14 @@
             return False
         old = self.table.version if self.table else None
         self.table = table
+        self._node.identities.organisations = table.organisations
         logger.info(
-            "event=config_in_force version=%d before=%s routes=%d services=%d",
+            "event=config_in_force version=%d before=%s routes=%d services=%d keys=%s",
             table.version,
             old,
             len(table.routes),
             len(table.services),
+            None if table.organisations is None else len(table.organisations),
         )
         return True
 
@@ -69,6 +71,12 @@
             await reply.refuse(404, "no-route")
             return
         service = route.choose_service(request.request_id)
+        whose = self._node.identities.identify(request, route)
+        if isinstance(whose, Refuse):
+            job = Job(request, route, service, reply, table.version)
+            await tell_refusal(self._node, job, whose)
+            return
+        request = attrs.evolve(request, organisation=whose)
         job = Job(request, route, service, reply, table.version)
         self.open_requests += 1
         try:
@@ -104,6 +112,18 @@
                 # One endpoint at most is to end by it.
                 route = attrs.evolve(job.route, max_attempts=1)
                 job = attrs.evolve(job, route=route, on_trial=True)
+        charge = await self._node.quotas.admit(job.request)
+        if isinstance(charge, Refuse):
+            await tell_refusal(self._node, job, charge)
+            return
+        job = attrs.evolve(job, charge=charge)
+        try:
+            await self._send_on(job, table)
+        finally:
+            if job.runs.none:
+                self._node.quotas.give_back(job.charge)
+
+    async def _send_on(self, job: Job, table: RoutingTable) -> None:
         service = table.services.get(job.service)
         engine = service.engine if service else None
         if engine is None or job.request.prompt is None:
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -37,7 +37,6 @@
 )
 from saffronworks.forwarding.generation_state import GenerationState, Out, Pools
 from saffronworks.forwarding.messages import (
-    ENDS_ENDPOINTS,
     AnswerHead,
     Begin,
     Executed,
@@ -83,12 +82,12 @@
     pools: Pools,
     budget: RetryBudget,
     now_ms: int,
-    quarantined: bool = False,
+    barred: Refuse | None = None,
 ) -> Command:
-    """The next command; `quarantined`: what the request holds ends endpoints, none is to get it."""
+    """The next command; `barred`: no endpoint is to get the request any more, and why."""
     result = _advance(state, event, pools, budget, now_ms)
-    if quarantined and isinstance(result, Seek):
-        result = _GiveUp(ENDS_ENDPOINTS)
+    if barred is not None and isinstance(result, Seek):
+        result = _GiveUp(barred)
     if state.begun:
         return _after_first_byte(result)
     return _before_first_byte(state, result)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -18,6 +18,7 @@
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
+    Executed,
     KvHandle,
     PromptSize,
     Refuse,
@@ -106,10 +107,8 @@
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         tokens = self._state.tokens
         pools = rank_pools(node.directory, node.loads, self._job.service, tokens, now_ms)
-        quarantined = not self._trial_began and node.quarantine.blocks(
-            self._job.request, self._job.on_trial
-        )
-        command = generation_core.step(self._state, event, pools, node.budget, now_ms, quarantined)
+        barred = node.barred(self._job, self._trial_began)
+        command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
             self._log_decision(event, command, pools, begun, now_ms)
         return command
@@ -196,14 +195,18 @@
         began_ms = node.now_ms()
         self._begin_trial()
         load.outstanding += 1
+        self._job.runs.reads += 1
         try:
             answer = await node.calls.prefill(endpoint, self._job.request, timeout_ms)
         except Break as broken:
+            if not broken.sent:
+                self._job.runs.reads -= 1
             self._note_break("prefill", endpoint, broken)
             return events.ReadFailed(endpoint.instance, broken=True)
         finally:
             load.outstanding -= 1
         if isinstance(answer, Err):
+            self._job.runs.reads -= 1
             load.fail(node.now_ms())
             node.figures.count_send("prefill", "refused")
             logger.info(
@@ -229,6 +232,7 @@
         left_ms = state.deadline_at_ms - node.now_ms()
         hold, handle = state.hold, state.handle
         self._begin_trial()
+        node.begin_run(self._job)
         try:
             exchange = await node.calls.open_stream(
                 endpoint, self._job.request, left_ms, hold, handle, self._relay.last_event
@@ -240,9 +244,13 @@
             if head.success and head.signed:
                 await self._relay.await_first(self._stream, head.status)
         except Break as broken:
+            if not broken.sent:
+                self._job.runs.runs -= 1
             self._note_break("stream", endpoint, broken)
             silent = broken.cause is BreakCause.SILENT
             return events.StreamBroken(endpoint.instance, broken.sent, silent)
+        if head.executed is Executed.NO:
+            self._job.runs.runs -= 1
         self._note_answer(endpoint, head, handle)
         return events.StreamAnswered(endpoint.instance, head)
 
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.contents import ContentId, content_id
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.organisations import BadKey, KeyDigest, Organisation
 
 __all__ = [
     "ENDS_ENDPOINTS",
@@ -45,7 +46,8 @@
 
     `left_ms` is how long the caller waits from `arrived_ms` on; `after_event` is the last event
     that the caller has from an earlier answer. `caller` is who calls, as far as the request's own
-    fields tell; not its address, which differs by proxy and availability zone.
+    fields tell; not its address, which differs by proxy and availability zone. `organisation` is
+    known once the key was looked up.
     """
 
     request_id: str
@@ -59,16 +61,26 @@
     prompt: PromptSize | None = None
     after_event: int | None = None
     caller: str = ""
+    key: KeyDigest | BadKey | None = attrs.field(default=None, repr=False)
+    organisation: Organisation | None = None
 
     @property
     def path(self) -> str:
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    @property
+    def tokens(self) -> int | None:
+        """Its prompt's and the most of its answer's; None where it has no prompt."""
+        if self.prompt is None:
+            return None
+        return self.prompt.prompt_tokens + self.prompt.most_answer_tokens
+
     @cached_property
     def content(self) -> ContentId:
         """What it asks for: the same for each try of a caller, whatever id the try has."""
-        return content_id(self.method, self.host, self.target, self.caller, self.body)
+        caller = self.organisation.name if self.organisation else self.caller
+        return content_id(self.method, self.host, self.target, caller, self.body)
 
 
 class Executed(enum.StrEnum):
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -8,7 +8,6 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import (
-    ENDS_ENDPOINTS,
     AnswerHead,
     Begin,
     Executed,
@@ -93,14 +92,14 @@
     ranked: list[ServiceEndpoint],
     budget: RetryBudget,
     now_ms: int,
-    quarantined: bool = False,
+    barred: Refuse | None = None,
 ) -> Command:
     """The next command; `ranked` lists the usable endpoints, best first.
 
-    `quarantined`: what the request holds ends endpoints, none is to get it.
+    `barred`: no endpoint is to get the request any more, and why.
     """
     command = _advance(state, event, ranked, budget, now_ms)
-    return ENDS_ENDPOINTS if quarantined and isinstance(command, SendTo) else command
+    return barred if barred is not None and isinstance(command, SendTo) else command
 
 
 def _advance(
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -5,7 +5,7 @@
 from saffronworks.forwarding import plain_core
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.messages import AnswerHead, Begin, Refuse
+from saffronworks.forwarding.messages import AnswerHead, Begin, Executed, Refuse
 from saffronworks.forwarding.plain_core import Answered, Broken, PlainState, SendTo
 from saffronworks.forwarding.ports import AnswerBody, Exchange
 from saffronworks.forwarding.runners import PLAIN, Job, NodeState, relay_rest, tell_refusal
@@ -61,8 +61,8 @@
         node, now_ms = self._node, self._node.now_ms()
         usable = node.directory.usable(self._job.service, now_ms)
         ranked = node.loads.rank(usable, now_ms)
-        quarantined = node.quarantine.blocks(self._job.request, self._job.on_trial)
-        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, quarantined)
+        barred = node.barred(self._job)
+        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred)
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
@@ -89,13 +89,18 @@
         began_ms = node.now_ms()
         load.circuit.take_trial(began_ms)
         load.outstanding += 1
+        node.begin_run(self._job)
         try:
             head = await self._exchange_with(endpoint, command.wait_ms)
         except Break as broken:
+            if not broken.sent:
+                self._job.runs.runs -= 1
             node.note_break(PLAIN, self._job.request, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
             load.outstanding -= 1
+        if head.executed is Executed.NO:
+            self._job.runs.runs -= 1
         took_ms = node.now_ms() - began_ms
         if head.success and head.signed:
             load.succeed(took_ms, node.now_ms())
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -5,7 +5,7 @@
 import anyio
 import attrs
 
-from saffronworks.forwarding.planning.choice import PlannerChoice
+from saffronworks.forwarding.choices import NodeChoice
 from saffronworks.forwarding.planning.messages import (
     LiveRun,
     MemoryAsk,
@@ -65,7 +65,7 @@
     name = "memory-client"
 
     def __init__(self, own_address: str, now_ms: int):
-        self.choice = PlannerChoice(young_until_ms=now_ms + YOUNG_MS)
+        self.choice = NodeChoice(young_until_ms=now_ms + YOUNG_MS)
         self.own_address = own_address
         self._kernel: Kernel | None = None
         self._answers: dict[str, list[_Answer]] = {}
--- /dev/null
+++ b/saffronworks/forwarding/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations over all nodes: who counts, who is admitted, what a node does alone."""
--- /dev/null
+++ b/saffronworks/forwarding/quotas/accounts.py
@@ -0,0 +1,82 @@
+"""What a holder knows of its share of one quota: what ran, and when there is room again."""
+
+from collections import OrderedDict
+
+import attrs
+
+from saffronworks.forwarding.quotas.bounds import Limit
+from saffronworks.forwarding.tuning import (
+    COUNTED_KEPT_MS,
+    MOST_COUNTED,
+    QUOTA_RETURN_MOST_MS,
+)
+
+__all__ = ["Account"]
+
+
+@attrs.frozen
+class _Counted:
+    cost: int
+    at_ms: int
+
+
+@attrs.define
+class Account:
+    """What was counted and is not yet made up for by the time that passed: a debt.
+
+    Requests are known by their ids for a while, so that a message that comes twice counts once and
+    what was not run is given back once.
+    """
+
+    debt: float
+    per_s: float
+    at_ms: int
+    exceeded: bool = False
+    _next_return_ms: float = 0.0
+    _counted: OrderedDict[str, _Counted] = attrs.Factory(OrderedDict)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is known that a new account wouldn't say as well."""
+        return not self.debt and not self._counted
+
+    def pass_time(self, now_ms: int) -> None:
+        """The debt falls at the share's rate."""
+        self.debt = max(0.0, self.debt - self.per_s * max(0, now_ms - self.at_ms) / 1000)
+        self.at_ms = max(self.at_ms, now_ms)
+        while self._counted:
+            oldest = next(iter(self._counted.values()))
+            if now_ms - oldest.at_ms < COUNTED_KEPT_MS and len(self._counted) <= MOST_COUNTED:
+                return
+            self._counted.popitem(last=False)
+
+    def knows(self, request_id: str) -> bool:
+        """Whether a request is counted already."""
+        return request_id in self._counted
+
+    def has_room(self, cost: int, capacity: float) -> bool:
+        """Whether a request fits; one larger than the whole capacity does when nothing is owed."""
+        return self.debt + cost <= capacity or not self.debt
+
+    def count(self, request_id: str, cost: int, now_ms: int) -> None:
+        """A request runs."""
+        if request_id not in self._counted:
+            self.debt += cost
+            self._counted[request_id] = _Counted(cost, now_ms)
+
+    def give_back(self, request_id: str) -> None:
+        """A request that was counted did not run."""
+        counted = self._counted.pop(request_id, None)
+        if counted is not None:
+            self.debt = max(0.0, self.debt - counted.cost)
+
+    def next_return_ms(self, cost: int, capacity: float, limit: Limit, now_ms: int) -> int:
+        """After how long a refused caller may return: each in a turn of its own.
+
+        When all were told when there is room for one, they came back together, and all but one were
+        refused again.
+        """
+        room_ms = now_ms + 1000 * max(0.0, self.debt + cost - capacity) / limit.per_s
+        turn_ms = max(room_ms, self._next_return_ms + 1000 * cost / limit.per_s)
+        self._next_return_ms = min(turn_ms, now_ms + QUOTA_RETURN_MOST_MS)
+        return max(1, int(self._next_return_ms - now_ms))
--- /dev/null
+++ b/saffronworks/forwarding/quotas/allowances.py
@@ -0,0 +1,50 @@
+"""What a node that hears no holder admits: its part of what is tolerated beyond quotas."""
+
+import attrs
+
+from saffronworks.forwarding.quotas.bounds import Limit, QuotaBounds
+from saffronworks.forwarding.tuning import ALONE_SHARE
+from saffronworks.hashing import hash32
+
+__all__ = ["Allowances"]
+
+
+@attrs.define
+class _Credit:
+    amount: float
+    at_ms: int
+
+
+@attrs.define
+class Allowances:
+    """A credit for each organisation, which grows to a node's part of one window.
+
+    Such a part is less than one generation at 60 nodes. So a request may also draw for its place:
+    its chance is the credit's share of its cost, and won or lost, the credit is gone. What all
+    nodes that are alone admit stays within their parts in the mean, and those that hold quotas need
+    not know of it.
+    """
+
+    bounds: QuotaBounds
+    nodes: int
+    _credits: dict[str, _Credit] = attrs.Factory(dict)
+
+    def admit(
+        self, request_id: str, organisation: str, cost: int, limit: Limit, now_ms: int
+    ) -> bool:
+        """Whether a request may run; the draw is by its id, so the same at each look."""
+        part = ALONE_SHARE * self.bounds.spare(limit) / max(1, self.nodes)
+        credit = self._credits.setdefault(organisation, _Credit(part, now_ms))
+        grown = part * max(0, now_ms - credit.at_ms) / self.bounds.window_ms
+        credit.amount, credit.at_ms = min(part, credit.amount + grown), max(credit.at_ms, now_ms)
+        if credit.amount >= cost:
+            credit.amount -= cost
+            return True
+        won = hash32(request_id) / 2**32 < credit.amount / max(1, cost)
+        credit.amount = 0.0
+        return won
+
+    def keep_only(self, organisations: set[str]) -> None:
+        """Forget organisations that are gone."""
+        for name in self._credits.keys() - organisations:
+            del self._credits[name]
--- /dev/null
+++ b/saffronworks/forwarding/quotas/entry.py
@@ -0,0 +1,144 @@
+"""Decides at an entry node which holders of a quota to ask, and what holds when none answers.
+
+`step(state, asking, event, now_ms)` gives the next command for one request.
+"""
+
+import attrs
+
+from saffronworks.forwarding.choices import NodeChoice
+from saffronworks.forwarding.quotas.allowances import Allowances
+from saffronworks.forwarding.quotas.bounds import Limit
+from saffronworks.forwarding.quotas.messages import QuotaAnswer, QuotaAsk
+from saffronworks.hashing import hash32
+
+__all__ = [
+    "Admitted",
+    "Answered",
+    "AskHolder",
+    "Asking",
+    "Begun",
+    "Command",
+    "EntryState",
+    "Event",
+    "Refused",
+    "Unanswered",
+    "Unknown",
+    "step",
+]
+
+
+@attrs.define
+class EntryState:
+    """Who holds which quota, and what this node may admit by itself."""
+
+    choice: NodeChoice
+    allowances: Allowances
+
+    def holders(self, organisation: str) -> list[str]:
+        """The nodes among which the quota of an organisation is shared out."""
+        return self.choice.first(organisation)
+
+
+@attrs.define
+class Asking:
+    """One request: which holders are left to ask, and what was heard.
+
+    `heard_all` tells whether each holder answered; `retry_after_ms` is the least that was told.
+    """
+
+    ask: QuotaAsk
+    left: list[str] = attrs.Factory(list)
+    heard_all: bool = True
+    retry_after_ms: int | None = None
+
+
+@attrs.frozen
+class Begun:
+    """A request is to be counted."""
+
+
+@attrs.frozen
+class Answered:
+    """A holder answered."""
+
+    holder: str
+    answer: QuotaAnswer
+
+
+@attrs.frozen
+class Unanswered:
+    """A holder was silent."""
+
+    holder: str
+
+
+@attrs.frozen
+class AskHolder:
+    """Ask this node, and wait a moment for its answer."""
+
+    holder: str
+
+
+@attrs.frozen
+class Admitted:
+    """It may run: by this holder's share, or (None) on the node's own account."""
+
+    holder: str | None
+
+
+@attrs.frozen
+class Refused:
+    """It is beyond the quota; there is room after `retry_after_ms`."""
+
+    retry_after_ms: int
+
+
+@attrs.frozen
+class Unknown:
+    """No holder answered, and this node may admit no more by itself."""
+
+
+Event = Begun | Answered | Unanswered
+Command = AskHolder | Admitted | Refused | Unknown
+
+
+def step(state: EntryState, asking: Asking, event: Event, now_ms: int) -> Command:
+    """The next command for one request."""
+    match event:
+        case Begun():
+            _choose(state, asking, now_ms)
+        case Answered(holder, answer):
+            state.choice.hear(holder)
+            if answer.admitted:
+                return Admitted(holder)
+            known_ms = asking.retry_after_ms
+            told_ms = answer.retry_after_ms
+            asking.retry_after_ms = told_ms if known_ms is None else min(known_ms, told_ms)
+        case Unanswered(holder):
+            state.choice.avoid(holder, now_ms)
+            asking.heard_all = False
+    if asking.left:
+        return AskHolder(asking.left.pop(0))
+    return _settle_unadmitted(state, asking, now_ms)
+
+
+def _choose(state: EntryState, asking: Asking, now_ms: int) -> None:
+    """Requests go to the holders in turn; those that were silent a moment ago are passed over."""
+    holders = state.holders(asking.ask.organisation)
+    turn = hash32(asking.ask.request_id) % max(1, len(holders))
+    in_turn = holders[turn:] + holders[:turn]
+    asking.left = [node for node in in_turn if not state.choice.passes_over(node, now_ms)]
+    asking.heard_all = bool(holders) and len(asking.left) == len(holders)
+
+
+def _settle_unadmitted(state: EntryState, asking: Asking, now_ms: int) -> Command:
+    """No share has room, but for those of silent holders: a little is admitted without them."""
+    ask = asking.ask
+    if not asking.heard_all:
+        limit = Limit(ask.per_s, ask.burst)
+        name, cost = ask.organisation, ask.cost
+        if state.allowances.admit(ask.request_id, name, cost, limit, now_ms):
+            return Admitted(None)
+    if asking.retry_after_ms is None:
+        return Unknown()
+    return Refused(asking.retry_after_ms)
--- a/saffronworks/forwarding/routing.py
+++ b/saffronworks/forwarding/routing.py
@@ -1,11 +1,17 @@
 """Routes by host and longest path prefix, with weighted splits over services."""
 
+from collections.abc import Collection
+
 import attrs
 
+from saffronworks.forwarding.organisations import Organisation, Organisations
 from saffronworks.hashing import hash32
 
 __all__ = ["CallerLimits", "EngineSpec", "Route", "RoutingTable", "Service", "Split"]
 
+# What an endpoint assumes of a request that has none; 0 is the most urgent of ten.
+DEFAULT_PRIORITY = 5
+
 
 @attrs.frozen
 class Split:
@@ -30,6 +36,10 @@
     target_ms: int
     max_attempts: int
     gap_target_ms: int = 300
+    # Served without a key.
+    public: bool = False
+    # 0 is the most urgent; an organisation's own priority comes before it.
+    priority: int = DEFAULT_PRIORITY
 
     @property
     def may_repeat(self) -> bool:
@@ -80,13 +90,18 @@
 
 @attrs.frozen
 class RoutingTable:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    `organisations` are found by their keys; None where callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits = CallerLimits()
+    organisations: Organisations | None = attrs.field(default=None, repr=False)
     _by_host: dict[str, list[Route]] = attrs.field(init=False, repr=False, eq=False)
+    _by_name: dict[str, Organisation] = attrs.field(init=False, repr=False, eq=False)
 
     @_by_host.default
     def _index(self) -> dict[str, list[Route]]:
@@ -95,6 +110,19 @@
             index.setdefault(route.host, []).append(route)
         return index
 
+    @_by_name.default
+    def _index_names(self) -> dict[str, Organisation]:
+        return {found.name: found for found in (self.organisations or {}).values()}
+
+    @property
+    def organisation_names(self) -> Collection[str]:
+        """The names of all organisations that hold a key."""
+        return self._by_name.keys()
+
+    def find_organisation(self, name: str) -> Organisation | None:
+        """The organisation of that name."""
+        return self._by_name.get(name)
+
     def find(self, host: str, path: str) -> Route | None:
         """The route of that host with the longest prefix of the path."""
         for route in self._by_host.get(host, ()):
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -8,11 +8,13 @@
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Figures
+from saffronworks.forwarding.identity import KEY_TAKEN_AWAY, Identities
 from saffronworks.forwarding.loads import LoadTable
-from saffronworks.forwarding.messages import AnswerHead, CallerRequest, Refuse
+from saffronworks.forwarding.messages import ENDS_ENDPOINTS, AnswerHead, CallerRequest, Refuse
 from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.ports import AnswerBody, CallerReply, EndpointCalls, Exchange
 from saffronworks.forwarding.quarantine.service import Quarantine
+from saffronworks.forwarding.quotas.service import NOT_COUNTED, QuotaCharge, Quotas
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route
 from saffronworks.forwarding.tuning import (
@@ -45,6 +47,23 @@
     spawn: Callable[..., None]
     memory: MemoryClient
     quarantine: Quarantine
+    identities: Identities
+    quotas: Quotas
+
+    def barred(self, job: "Job", trial_began: bool = False) -> Refuse | None:
+        """Why a request under way is to be sent to no endpoint any more; None while it may be."""
+        if not self.identities.holds(job.request, job.route):
+            return KEY_TAKEN_AWAY
+        if not trial_began and self.quarantine.blocks(job.request, job.on_trial):
+            return ENDS_ENDPOINTS
+        return None
+
+    def begin_run(self, job: "Job") -> None:
+        """A request is sent to an endpoint that is to run it: each run counts for its quota."""
+        job.runs.runs += 1
+        job.runs.sends += 1
+        if job.runs.runs > 1:
+            self.quotas.count_run(job.charge, job.runs.sends)
 
     def note_break(
         self, kind: str, request: CallerRequest, endpoint: ServiceEndpoint, broken: Break
@@ -83,6 +102,24 @@
         )
 
 
+@attrs.define
+class Runs:
+    """What endpoints did for a request, or may have done: they read its prompt, or ran it.
+
+    A call counts from when it begins, since its caller may leave meanwhile, and no longer once it
+    is known that the endpoint did not take it up.
+    """
+
+    reads: int = 0
+    runs: int = 0
+    sends: int = 0
+
+    @property
+    def none(self) -> bool:
+        """Whether no endpoint has worked on the request."""
+        return not self.reads and not self.runs
+
+
 @attrs.frozen
 class Job:
     """One request with its route, the service chosen for it, and the way back to its caller."""
@@ -94,6 +131,8 @@
     config_version: int
     # Its content ended endpoints, and may be run once more by one of them.
     on_trial: bool = False
+    charge: QuotaCharge = NOT_COUNTED
+    runs: Runs = attrs.Factory(Runs)
 
     @property
     def deadline_at_ms(self) -> int:
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -31,6 +31,8 @@
 _NOT_EXECUTED = "not-executed"
 # The sender expects the server of this name; any other one answers 421 and runs nothing.
 _EXPECT = "Expect-Instance"
+# The organisation that holds the caller's key; the platform calls it a tenant.
+_ORGANISATION = "Tenant"
 _MISDIRECTED = 421
 # The name of the server that answers.
 _INSTANCE = "instance-id"
@@ -241,6 +243,8 @@
     lines.append(f"{ID_FIELD}: {request.request_id}")
     lines.append(f"Deadline-Ms: {max(1, left_ms)}")
     lines.append(f"{_EXPECT}: {endpoint.name}")
+    if request.organisation is not None:
+        lines.append(f"{_ORGANISATION}: {request.organisation.name}")
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(f"Content-Length: {len(request.body)}")
     return _join(lines, request.body)
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -7,8 +7,10 @@
 import msgspec
 from result import Err, Ok, Result
 
+from saffronworks.forwarding.organisations import Organisations
 from saffronworks.forwarding.ports import Listing
 from saffronworks.forwarding.routing import (
+    DEFAULT_PRIORITY,
     CallerLimits,
     EngineSpec,
     Route,
@@ -16,6 +18,7 @@
     Service,
     Split,
 )
+from saffronworks.platform.organisations import Tenant, check_tenants, decode_tenants
 
 __all__ = ["CONFIG_KIND", "CONFIG_NAME", "ConfigurationSink", "read_configuration"]
 
@@ -48,6 +51,9 @@
     traffic_split: list[_Split] = attrs.Factory(list)
     resumable: bool = False
     gap_target_ms: float = 300
+    # Served without a key.
+    public: bool = False
+    priority: int = DEFAULT_PRIORITY
 
 
 @attrs.frozen
@@ -80,6 +86,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    # The organisations; without the field, callers need no key.
+    tenants: list[Tenant] | None = None
 
 
 def read_configuration(content: bytes) -> Result[RoutingTable, list[str]]:
@@ -101,6 +109,7 @@
                 wire.limits.max_body_bytes,
                 int(wire.limits.idle_timeout_ms),
             ),
+            organisations=_decode_organisations(wire),
         )
     )
 
@@ -118,7 +127,11 @@
             findings.append(f"{place}: kind {route.kind!r} is not one of {', '.join(_KINDS)}")
         if route.traffic_split and sum(split.weight for split in route.traffic_split) <= 0:
             findings.append(f"{place}: the weights of its services add up to nothing")
-    return findings
+    return findings + check_tenants(wire.tenants or [])
+
+
+def _decode_organisations(wire: _Configuration) -> Organisations | None:
+    return None if wire.tenants is None else decode_tenants(wire.tenants)
 
 
 def _decode_route(route: _Route) -> Route:
@@ -135,6 +148,8 @@
         target_ms=int(route.target_latency_ms),
         max_attempts=route.max_attempts,
         gap_target_ms=int(route.gap_target_ms),
+        public=route.public,
+        priority=route.priority,
     )
 
 
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
+from saffronworks.forwarding.organisations import read_key
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.platform.calls import ID_FIELD
@@ -36,6 +37,8 @@
         "content-length",
     ]
 )
+# Where callers send their API key; no server ever gets it.
+_KEY_FIELD = "key"
 # Only the router may say these to a server, whatever a caller sent.
 _ROUTER_FIELDS = frozenset(
     [
@@ -46,10 +49,12 @@
         "kv-fetch",
         "kv-hold",
         "kv-source",
+        _KEY_FIELD,
         "pin-ms",
         "request-id",
         "request-priority",
         "stage",
+        "tenant",
     ]
 )
 
@@ -78,6 +83,7 @@
             prompt=prompt,
             after_event=after_event,
             caller=call.headers.get("authorization", ""),
+            key=read_key([value for name, value in call.fields if name.lower() == _KEY_FIELD]),
         )
     )
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -16,6 +16,7 @@
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.forwarder import Forwarder
+from saffronworks.forwarding.identity import Identities
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient
@@ -34,6 +35,14 @@
 from saffronworks.forwarding.quarantine import messages as quarantine_messages
 from saffronworks.forwarding.quarantine.messages import SuspicionNews
 from saffronworks.forwarding.quarantine.service import Quarantine
+from saffronworks.forwarding.quotas import messages as quota_messages
+from saffronworks.forwarding.quotas.messages import (
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaGivenBack,
+    QuotaRunAgain,
+)
+from saffronworks.forwarding.quotas.service import Quotas
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.role_core import RoleState
 from saffronworks.forwarding.role_keeper import RoleKeeper
@@ -88,7 +97,8 @@
         )
         self._kernel = Kernel(settings.node, monotonic_ms)
         self._peers = PeerService(
-            settings.peer_address, Codec(planning_messages, store_news, quarantine_messages)
+            settings.peer_address,
+            Codec(planning_messages, store_news, quarantine_messages, quota_messages),
         )
         self._quarantine = Quarantine(
             settings.peer_address,
@@ -98,6 +108,13 @@
             random.Random(settings.peer_address),
             monotonic_ms,
         )
+        self._quotas = Quotas(
+            settings.peer_address,
+            settings.quota_bounds,
+            UNCOUNTED_NODES,
+            lambda: self._forwarder.table,
+            monotonic_ms,
+        )
         self._state = self._make_state(settings)
         self._forwarder = Forwarder(self._state, monotonic_ms())
         self._ingress = Ingress(self._forwarder, monotonic_ms)
@@ -135,8 +152,15 @@
             spawn=self._spawn,
             memory=self._memory,
             quarantine=self._quarantine,
+            identities=Identities(self._in_touch),
+            quotas=self._quotas,
         )
 
+    def _in_touch(self) -> bool:
+        """Whether a version of the configuration that has to be in force here is known."""
+        follower = next(found for found in self._followers if found.kind == CONFIG_KIND)
+        return follower.age_ms() <= self.settings.known_within_ms
+
     def _make_followers(self, settings: PlatformSettings, rng: random.Random) -> list[Follower]:
         servers = ServerSink(
             self._directory,
@@ -181,6 +205,8 @@
         self._kernel.register(self._peers)
         self._kernel.register(self._news, StoreNews)
         self._kernel.register(self._quarantine, SuspicionNews)
+        asked = (QuotaAsk, QuotaAnswer, QuotaRunAgain, QuotaGivenBack)
+        self._kernel.register(self._quotas, *asked)
         self._kernel.register(planner, MemoryAsk, MemoryRelease, MemoryReport, ReadingEnded)
         answers = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal, ReportWanted)
         self._kernel.register(self._memory, *answers)
@@ -274,6 +300,7 @@
         self._memory.choice.cores = cores
         self._turns.take(cores)
         self._quarantine.take_nodes(cores)
+        self._quotas.take_nodes(cores)
         self._share_connections()
 
     def _share_connections(self) -> None:
@@ -285,6 +312,8 @@
     def _take_table(self, table: RoutingTable) -> bool:
         self._callers.keep_idle(table.limits.idle_timeout_ms / 1000)
         taken = self._forwarder.take_table(table)
+        if taken:
+            self._quotas.take_table(table)
         self._share_connections()
         return taken
 
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -3,6 +3,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from saffronworks.forwarding.quotas.bounds import QuotaBounds
 from saffronworks.forwarding.tuning import WATCH_MARGIN_MS, WATCH_WAIT_MOST_MS
 from saffronworks.readers import Finding, Section, read_yaml, sort_findings
 
@@ -11,6 +12,8 @@
 SETTINGS_VARIABLE = "SAFFRONWORKS_NODE_FILE"
 # A watch waits at least so long, whatever the bounds: shorter ones are polls.
 WATCH_LEAST_MS = 500
+# The window in which quotas are judged where the settings name none.
+DEFAULT_QUOTA_WINDOW_S = 8.0
 
 
 @attrs.frozen
@@ -34,6 +37,7 @@
     known_within_ms: int
     follow_within_ms: int
     cores: float
+    quota_bounds: QuotaBounds
 
 
 def read_platform_settings(text: str, file: str) -> Result[PlatformSettings, list[Finding]]:
@@ -73,6 +77,16 @@
         follow_within_ms=_follow_within_ms(bounds),
         # The share is of a core that runs `cores` times as fast.
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
+        quota_bounds=_quota_bounds(bounds),
+    )
+
+
+def _quota_bounds(bounds: Section) -> QuotaBounds:
+    """What is tolerated beyond quotas; the operator need not say where there are none."""
+    return QuotaBounds(
+        window_ms=max(1, int(bounds.number("quota_window_s", DEFAULT_QUOTA_WINDOW_S) * 1000)),
+        overage=bounds.number("quota_overage", 0.0),
+        slack=bounds.number("quota_slack", 0.0),
     )
 
 
--- /dev/null
+++ b/saffronworks/tests/features/quotas.feature
@@ -0,0 +1,75 @@
+Feature: quotas of organisations over all nodes
+
+  # Seen: a limit of one organisation was held by nobody; with 60 nodes that each see it once in ten
+  # seconds, neither a node's own count nor an even part of the limit says anything of the whole.
+  # Aim: whatever happens to nodes and their links, no window goes beyond what the operator
+  # tolerates; who stays within its quota is refused by nobody who hears the others.
+
+  Scenario: two nodes that each could take the whole quota for theirs
+    When an organisation asks for four times its burst at two nodes in turn
+    Then endpoints run no more than its quota allows, with all that is tolerated beyond
+    And the rest is told 429 with a time to return, and other organisations are served
+
+  Scenario: what no endpoint ran is given back
+    When an endpoint that is full turns away requests of an organisation with a small quota
+    Then as many are served as the quota allows once the endpoint has room
+
+  Scenario: a second run counts as well
+    When a request is run by two endpoints
+    Then both runs are counted for its organisation
+
+  Scenario: a route that needs no key, and an organisation without a quota
+    Then no holder is asked of their requests
+
+  Scenario Outline: fleets on virtual time
+    Given a quota fleet of <nodes> nodes
+    When <organisation> asks for <times> times its usual while <trouble>
+    Then in no window more runs than is tolerated, with four seeds
+    And <refused> in 1,000 requests of organisations within their quota are refused at most
+
+    Examples: all in touch
+      | nodes | organisation | times | trouble        | refused |
+      | 8     | the largest  | 7.5   | nothing occurs | 0       |
+      | 60    | the largest  | 7.5   | nothing occurs | 0       |
+      | 60    | a middle one | 7.5   | nothing occurs | 0       |
+      | 60    | the largest  | 1.6   | nothing occurs | 0       |
+      | 195   | the largest  | 7.5   | nothing occurs | 0       |
+
+    Examples: nodes that end or stand still
+      | nodes | organisation | times | trouble                    | refused |
+      | 60    | the largest  | 7.5   | one holder ends            | 1       |
+      | 60    | the largest  | 7.5   | all holders end            | 1       |
+      | 60    | the largest  | 7.5   | half of the nodes end      | 1       |
+      | 60    | the largest  | 7.5   | a holder stands still      | 1       |
+
+    Examples: nodes that hear only some others; those that hear no holder refuse more
+      | nodes | organisation | times | trouble                       | refused |
+      | 60    | the largest  | 7.5   | a third hears only itself     | 30      |
+      | 60    | the largest  | 7.5   | the halves hear only themselves | 30    |
+      | 60    | the largest  | 7.5   | a third of them hear nobody   | 60      |
+
+  Scenario: troubles of all kinds, one across the other
+    Then whatever nodes end, stand still or hear nobody, no window goes beyond what is tolerated
+
+  Scenario: limits that change while requests run
+    When the quota of an organisation that asks for too much is cut to a third
+    Then a window later no more runs than the lower quota tolerates
+    And when it is raised the organisation gets that at once
+
+  Scenario: runs that are given back
+    When half of the requests that are admitted are not run
+    Then an organisation gets twice as many admitted, and none beyond its quota runs
+
+  Scenario: messages that come twice, late or not at all
+    Then a request counts once, however often its holder is asked
+    And what was not run is given back once
+
+  Scenario: memory stays bounded
+    Then a holder forgets organisations that owe nothing, and requests that are long over
+    And a node alone forgets organisations that are gone
+
+  Scenario: refused callers return one after the other
+    Then each is told a later time, at the pace of the quota
+
+  Scenario: a node that hears no holder
+    Then what such nodes admit stays within their parts in the mean
--- /dev/null
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -0,0 +1,245 @@
+"""Scenarios on quotas of many nodes, on virtual time."""
+
+import statistics
+
+import attrs
+from behave import given, then, when
+from hypothesis import given as forall
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from saffronworks.forwarding.quotas.allowances import Allowances
+from saffronworks.forwarding.quotas.bounds import Limit
+from saffronworks.forwarding.quotas.holder import HolderState, step
+from saffronworks.forwarding.quotas.messages import QuotaAsk, QuotaGivenBack
+from saffronworks.forwarding.tuning import (
+    ALONE_SHARE,
+    COUNTED_KEPT_MS,
+    FORGET_ACCOUNTS_EVERY_MS,
+    MOST_COUNTED,
+)
+from saffronworks.tests.quota_plays import BOUNDS, GENERATION_TOKENS, Outcome, QuotaFleet
+
+SEEDS = range(1, 5)
+ORGANISATIONS = {"the largest": "org0", "a middle one": "org5"}
+# Calm, then the organisation runs hot, then the trouble comes.
+CALM_MS, HOT_MS, AFTER_MS = 3000, 3000, 9000
+TROUBLE_MS = 6000
+LIMIT = Limit(100.0, 300.0)
+
+
+def third(fleet):
+    return fleet.rng.sample(fleet.names, len(fleet.names) // 3)
+
+
+def half(fleet):
+    return fleet.rng.sample(fleet.names, len(fleet.names) // 2)
+
+
+TROUBLES = {
+    "nothing occurs": lambda fleet, name: None,
+    "one holder ends": lambda fleet, name: fleet.kill(fleet.holders(name)[:1], 2000),
+    "all holders end": lambda fleet, name: fleet.kill(fleet.holders(name), 2000),
+    "half of the nodes end": lambda fleet, name: fleet.kill(half(fleet), 2000),
+    "a holder stands still": lambda fleet, name: fleet.freeze(fleet.holders(name)[:1], 3000),
+    "a third hears only itself": lambda fleet, name: fleet.cut([third(fleet)], TROUBLE_MS),
+    "the halves hear only themselves": lambda fleet, name: fleet.cut([half(fleet)], TROUBLE_MS),
+    "a third of them hear nobody": lambda fleet, name: fleet.cut(
+        [[node] for node in third(fleet)], TROUBLE_MS
+    ),
+}
+
+
+@given("a quota fleet of {nodes:d} nodes")
+def fleet_of(context, nodes):
+    context.fleets = [QuotaFleet(count=nodes, seed=seed) for seed in SEEDS]
+
+
+@when("{organisation} asks for {times:f} times its usual while {trouble}")
+def asks_hot(context, organisation, times, trouble):
+    name = ORGANISATIONS[organisation]
+    for fleet in context.fleets:
+        fleet.play(CALM_MS)
+        fleet.factors[name] = times
+        fleet.play(HOT_MS)
+        TROUBLES[trouble](fleet, name)
+        fleet.play(AFTER_MS)
+
+
+@then("in no window more runs than is tolerated, with four seeds")
+def within_bound(context):
+    shares = [fleet.outcome.worst_window(fleet.limits) for fleet in context.fleets]
+    assert max(shares) <= 1.0, shares
+
+
+@then("{refused:d} in 1,000 requests of organisations within their quota are refused at most")
+def refused_within(context, refused):
+    wrongly = sum(fleet.outcome.refused_within for fleet in context.fleets)
+    asked = sum(fleet.outcome.asked for fleet in context.fleets)
+    assert wrongly <= refused * asked / 1000, (wrongly, asked)
+
+
+KINDS = ("kill", "holders", "freeze", "cut", "alone")
+
+
+def strike(fleet, kind, names, for_ms):
+    match kind:
+        case "kill":
+            fleet.kill(names, for_ms)
+        case "holders":
+            fleet.kill(fleet.holders("org0"), for_ms)
+        case "freeze":
+            fleet.freeze(names, for_ms)
+        case "cut":
+            fleet.cut([names], for_ms)
+        case "alone":
+            fleet.cut([[name] for name in names], for_ms)
+
+
+@then("whatever nodes end, stand still or hear nobody, no window goes beyond what is tolerated")
+def any_troubles(context):
+    trouble = st.tuples(
+        st.integers(500, 9000), st.sampled_from(KINDS), st.floats(0.05, 0.6), st.integers(500, 6000)
+    )
+
+    @limits(max_examples=25)
+    @forall(
+        st.integers(0, 10_000),
+        st.sampled_from([8, 20, 60]),
+        st.lists(trouble, min_size=1, max_size=5),
+    )
+    def holds(seed, count, troubles):
+        fleet = QuotaFleet(count=count, seed=seed)
+        fleet.factors["org0"] = 7.5
+        for at_ms, kind, share, for_ms in troubles:
+            names = fleet.rng.sample(fleet.names, max(1, int(share * count)))
+            fleet.at(at_ms, strike, fleet, kind, names, for_ms)
+        outcome = fleet.play(12_000)
+        assert outcome.worst_window(fleet.limits) <= 1.0
+
+    holds()
+
+
+@when("the quota of an organisation that asks for too much is cut to a third")
+def cut_quota(context):
+    fleet = context.fleet = QuotaFleet(seed=1)
+    fleet.factors["org0"] = 7.5
+    fleet.play(10_000)
+    before = fleet.limits["org0"]
+    fleet.limits["org0"] = before.share(3)
+    fleet.play(BOUNDS.window_ms)
+    context.from_ms = fleet.now_ms
+    fleet.play(10_000)
+
+
+def ran_per_s(fleet, from_ms):
+    runs = [cost for at_ms, cost in fleet.outcome.ran["org0"] if at_ms >= from_ms]
+    return 1000 * sum(runs) / (fleet.now_ms - from_ms)
+
+
+@then("a window later no more runs than the lower quota tolerates")
+def lower_holds(context):
+    fleet = context.fleet
+    later = [(at, cost) for at, cost in fleet.outcome.ran["org0"] if at >= context.from_ms]
+    later_only = Outcome(ran={"org0": later})
+    assert later_only.worst_window(fleet.limits) <= 1.0
+    per_s = fleet.limits["org0"].per_s
+    assert ran_per_s(fleet, context.from_ms) >= 0.95 * per_s * 10 / 11
+
+
+@then("when it is raised the organisation gets that at once")
+def raised(context):
+    fleet = context.fleet
+    fleet.limits["org0"] = Limit(*(3 * part for part in attrs.astuple(fleet.limits["org0"])))
+    from_ms = fleet.now_ms
+    fleet.play(5000)
+    # The last second of a play is without requests.
+    assert ran_per_s(fleet, from_ms) >= 0.95 * fleet.limits["org0"].per_s * 5 / 6
+
+
+@when("half of the requests that are admitted are not run")
+def half_not_run(context):
+    fleet = context.fleet = QuotaFleet(seed=1)
+    fleet.not_run_share = 0.5
+    # Beyond the limit of 1.8, but only half of it runs.
+    fleet.factors["org0"] = 3.0
+    fleet.play(15_000)
+
+
+@then("an organisation gets twice as many admitted, and none beyond its quota runs")
+def twice_admitted(context):
+    outcome, limit = context.fleet.outcome, context.fleet.limits
+    assert outcome.worst_window(limit) <= 1.0
+    assert outcome.refused <= outcome.asked / 1000, (outcome.refused, outcome.asked)
+
+
+def ask_of(number, cost=50, name="o"):
+    return QuotaAsk(f"r{number}", "n", name, cost, LIMIT.per_s, LIMIT.burst, 1)
+
+
+def holder_since_long():
+    return HolderState(attrs.evolve(BOUNDS, slack=0, overage=0), -BOUNDS.window_ms)
+
+
+@then("a request counts once, however often its holder is asked")
+def counts_once(context):
+    held = holder_since_long()
+    for _ in range(5):
+        assert step(held, ask_of(1), LIMIT, 0)[0].admitted
+    assert held.accounts["o"].debt == 50
+
+
+@then("what was not run is given back once")
+def given_back_once(context):
+    held = holder_since_long()
+    for number in (1, 2, 3):
+        step(held, ask_of(number), LIMIT, 0)
+    for _ in range(3):
+        step(held, QuotaGivenBack("r1", "o", 1), LIMIT, 0)
+        step(held, QuotaGivenBack("r9", "o", 1), LIMIT, 0)
+    assert held.accounts["o"].debt == 100
+
+
+@then("a holder forgets organisations that owe nothing, and requests that are long over")
+def forgets(context):
+    held = holder_since_long()
+    for number in range(2 * MOST_COUNTED):
+        step(held, ask_of(number, cost=0), LIMIT, 0)
+    assert len(held.accounts["o"]._counted) <= MOST_COUNTED + 1
+    for number in range(1000):
+        step(held, ask_of(number, name=f"o{number}"), LIMIT, 0)
+    later_ms = COUNTED_KEPT_MS + FORGET_ACCOUNTS_EVERY_MS
+    step(held, ask_of("x"), LIMIT, later_ms)
+    assert len(held.accounts) == 1, len(held.accounts)
+
+
+@then("a node alone forgets organisations that are gone")
+def alone_forgets(context):
+    allowances = Allowances(BOUNDS, 60)
+    for number in range(100):
+        allowances.admit("r", f"o{number}", 200, LIMIT, 0)
+    allowances.keep_only({"o7"})
+    assert len(allowances._credits) == 1
+
+
+@then("each is told a later time, at the pace of the quota")
+def one_after_the_other(context):
+    held = holder_since_long()
+    answers = [step(held, ask_of(number), LIMIT, 0)[0] for number in range(16)]
+    told = [answer.retry_after_ms for answer in answers if not answer.admitted]
+    assert [answer.admitted for answer in answers].count(True) == 6
+    assert told == [500 * turn for turn in range(1, 11)], told
+
+
+@then("what such nodes admit stays within their parts in the mean")
+def parts_in_the_mean(context):
+    nodes, limit = 60, Limit(110_000, 110_000)
+    part = ALONE_SHARE * BOUNDS.spare(limit) / nodes
+    admitted = []
+    for node in range(2000):
+        alone = Allowances(BOUNDS, nodes)
+        asks = ((f"{node}/{n}", n * 1600) for n in range(5))
+        won = [alone.admit(rid, "o", GENERATION_TOKENS, limit, at_ms) for rid, at_ms in asks]
+        admitted.append(GENERATION_TOKENS * sum(won))
+    # One part at once, and 0.8 of one that grew meanwhile.
+    assert 0.9 <= statistics.mean(admitted) / (1.8 * part) <= 1.05
--- /dev/null
+++ b/saffronworks/tests/features/steps/quotas_steps.py
@@ -0,0 +1,127 @@
+"""Scenarios on quotas on the whole path over loopback."""
+
+import anyio
+from behave import then, when
+
+from saffronworks.forwarding.quotas.bounds import Limit
+from saffronworks.standins.sites import wait_until
+from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
+
+PER_S = 0.5
+KEY, OTHER_KEY, FREE_KEY = "k-limited", "k-other", "k-free"
+BURST = 30
+# A holder that has just started admits less for one window.
+WINDOW_S = 1.0
+LIMITED = {"name": "limited", "api_keys": [KEY], "rate_per_s": PER_S, "burst": BURST}
+OTHER = {"name": "other", "api_keys": [OTHER_KEY], "rate_per_s": PER_S, "burst": BURST}
+FREE = {"name": "free", "api_keys": [FREE_KEY]}
+OPEN_ROUTE = make_route("open", "/open/", "non_idempotent", "web", public=True)
+WITH_QUOTAS = CONFIG | {
+    "routes": [*CONFIG["routes"], OPEN_ROUTE],
+    "tenants": [LIMITED, OTHER, FREE],
+}
+
+
+async def until_counted(place):
+    """Each node knows all: until then it admits only what one that is alone may."""
+    nodes = [node._quotas._entry.choice for node in place.nodes]
+    assert await wait_until(lambda: all(len(c.cores) == len(nodes) for c in nodes), limit_s=6)
+    await anyio.sleep(WINDOW_S)
+
+
+def status(raw):
+    return int(raw.split(b" ")[1])
+
+
+def account(place, name):
+    """What is owed by all shares of an organisation."""
+    held = [node._quotas._held.accounts.get(name) for node in place.nodes]
+    return sum(one.debt for one in held if one is not None)
+
+
+@when("an organisation asks for four times its burst at two nodes in turn")
+def asks_too_much(context):
+    context.servers_used = web_servers()
+
+    async def play(place):
+        await until_counted(place)
+        context.raws, context.others = [], []
+        for number in range(4 * BURST):
+            node = place.nodes[number % 2]
+            context.raws.append(await place.ask("/once/", f"r{number}", {"Key": KEY}, node=node))
+            if number % 8 == 0:
+                raw = await place.ask("/once/", f"o{number}", {"Key": OTHER_KEY}, node=node)
+                context.others.append(raw)
+        context.spare = place.node.settings.quota_bounds.spare(Limit(PER_S, BURST))
+
+    on_platform(context.servers_used, play, config=WITH_QUOTAS, count=2)
+
+
+@then("endpoints run no more than its quota allows, with all that is tolerated beyond")
+def no_more(context):
+    ran = [r for r in context.servers_used[0].ran if r.startswith("r")]
+    assert BURST - 1 <= len(ran) <= PER_S * WINDOW_S + BURST + context.spare, len(ran)
+
+
+@then("the rest is told 429 with a time to return, and other organisations are served")
+def the_rest(context):
+    statuses = [status(raw) for raw in context.raws]
+    refused = [raw for raw in context.raws if status(raw) != 200]
+    assert set(statuses) == {200, 429}, statuses
+    assert all(b"retry-after" in raw.lower() and b"over-quota" in raw for raw in refused)
+    assert [status(raw) for raw in context.others] == [200] * len(context.others)
+
+
+@when("an endpoint that is full turns away requests of an organisation with a small quota")
+def turned_away(context):
+    servers = web_servers()
+    servers[0].script = ["shed"] * BURST
+
+    async def play(place):
+        await until_counted(place)
+        turned = [await place.ask("/once/", f"t{n}", {"Key": KEY}) for n in range(BURST)]
+        await anyio.sleep(0.1)
+        raws = [await place.ask("/once/", f"r{n}", {"Key": KEY}) for n in range(BURST)]
+        context.turned = [status(raw) for raw in turned]
+        context.served = [status(raw) for raw in raws].count(200)
+
+    on_platform(servers, play, config=WITH_QUOTAS)
+
+
+@then("as many are served as the quota allows once the endpoint has room")
+def as_many(context):
+    assert context.turned == [503] * BURST, context.turned
+    assert context.served >= BURST - 1, context.served
+
+
+@when("a request is run by two endpoints")
+def run_twice(context):
+    servers = web_servers(2)
+    for server in servers:
+        server.script = ["error"]
+
+    async def play(place):
+        await until_counted(place)
+        before = account(place, "limited")
+        await place.ask("/again/", "r1", {"Key": KEY}, method="GET")
+        await anyio.sleep(0.1)
+        context.counted = account(place, "limited") - before
+        context.runs = sum(len(server.ran) for server in servers)
+
+    on_platform(servers, play, config=WITH_QUOTAS)
+
+
+@then("both runs are counted for its organisation")
+def both_counted(context):
+    assert context.runs == 2
+    assert 1.5 < context.counted <= 2, context.counted
+
+
+@then("no holder is asked of their requests")
+def none_asked(context):
+    async def play(place):
+        for path, fields in (("/open/", {}), ("/once/", {"Key": FREE_KEY})):
+            assert status(await place.ask(path, f"r{path}", fields)) == 200
+        assert not place.node._quotas._held.accounts
+
+    on_platform(web_servers(), play, config=WITH_QUOTAS)
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 from saffronworks.tests.platform_fakes import fetch
 from saffronworks.tests.soak import faults, promises
 from saffronworks.tests.soak.endpoints import EVENTS
+from saffronworks.tests.soak.organisations import HOT, KEYS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.records import Asked, Disturbance, Ran, Records
 from saffronworks.tests.soak.runs import run_soak
@@ -46,6 +47,7 @@
         *(("StoreFault", kind) for kind in faults.STORE_KINDS),
         *(("EndpointFault", kind) for kind in faults.ENDPOINT_KINDS),
         ("ConfigChange", "config"),
+        ("OrganisationChange", "organisations"),
     }
     assert wanted <= kinds, wanted - kinds
     assert overlaps == 50, overlaps
@@ -169,6 +171,18 @@
     refused(records)
 
 
+def key_taken_away(records):
+    asked = records.asked["r"]
+    asked.organisation, asked.key = HOT, KEYS[HOT][1]
+    since_ms = SENT_MS - promises.CONFIG_APPLY_MS - promises.CONTACT_MS - 1
+    records.taken_away = [(since_ms, frozenset(KEYS[HOT]))]
+
+
+def beyond_quota(records):
+    records.asked["r"].organisation = HOT
+    records.ran += 40 * records.ran[:1]
+
+
 CASES = {
     "got half of its stream": ("gen", half_stream),
     "got an answer without signature": ("once", unsigned),
@@ -183,6 +197,8 @@
     "was broken by a kill across a planned stop of its node": ("once", killed_across_stop),
     "was refused after all faults were over": ("again", refused_late),
     "ended endpoint after endpoint": ("res", deadly),
+    "had a key that was taken away long before": ("again", key_taken_away),
+    "ran far beyond the quota of its organisation": ("res", beyond_quota),
     "was served": ("moved", lambda records: None),
 }
 
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -9,6 +9,7 @@
 from saffronworks.standins.addresses import free_address
 from saffronworks.tests.crashing_servers import DEADLY
 from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.soak.organisations import check_endpoint_fields
 from saffronworks.tests.soak.records import Ran
 
 __all__ = ["Endpoint"]
@@ -119,6 +120,7 @@
 
     async def _request(self, reader, writer, headers):
         request_id, now_ms, body = headers["request-id"], self.site.now_ms(), self.seen[-1][3]
+        self.records.wrong += check_endpoint_fields(self.records.asked[request_id], headers)
         if headers.get("stage") == "prefill":
             return await self._read_prompt(writer, request_id)
         self.records.arrived.append((self.service, request_id, now_ms))
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -24,6 +24,9 @@
     retry_after: str = ""
     ended_ms: float = 0.0
     problem: str = ""
+    # Whose request it is, where callers have keys.
+    organisation: str = ""
+    key: str = ""
 
 
 @attrs.define
@@ -62,6 +65,8 @@
     disturbances: list[Disturbance] = attrs.Factory(list)
     # Versions of the configuration: when the store took it, and the service of the moved route.
     versions: list[tuple[float, str]] = attrs.Factory(list)
+    # Changes of organisations: when the store took it, and the keys that are taken away since.
+    taken_away: list[tuple[float, frozenset[str]]] = attrs.Factory(list)
     # Things that an endpoint must never see, in words.
     wrong: list[str] = attrs.Factory(list)
     # Planned stops of nodes: node, when, until when its process may run.
