Quotas: holders among all nodes, a burst's part of what is tolerated doubled

A node that hears no holder had its part at once and again over the window, two parts in one window. With six strong nodes an organisation shared all three holders with another one that was struck. Change: 0.4 of what is tolerated for early requests and bursts (0.2), 0.3 for holders that start and for nodes alone (0.4 each); a node alone has half of its part at once; all nodes hold quotas. Who is refused since a node can't know is told to ask another one at once.

--- a/saffronworks/forwarding/identity.py
+++ b/saffronworks/forwarding/identity.py
@@ -12,6 +12,7 @@
     Organisations,
 )
 from saffronworks.forwarding.routing import Route
+from saffronworks.forwarding.tuning import ELSEWHERE_RETRY_MS
 
 __all__ = ["KEY_TAKEN_AWAY", "Identities"]
 
@@ -44,7 +45,7 @@
         if isinstance(key, BadKey):
             return Refuse(401, key.reason, not_run=False)
         if not self.in_touch():
-            return Refuse(503, "unknown-key-out-of-touch", not_run=True)
+            return Refuse(503, "unknown-key-out-of-touch", True, ELSEWHERE_RETRY_MS)
         return Refuse(401, "unknown-key", not_run=False)
 
     def holds(self, request: CallerRequest, route: Route) -> bool:
--- a/saffronworks/forwarding/quotas/allowances.py
+++ b/saffronworks/forwarding/quotas/allowances.py
@@ -17,7 +17,7 @@
 
 @attrs.define
 class Allowances:
-    """A credit for each organisation, which grows to a node's part of one window.
+    """A credit for each organisation, which grows to half of a node's part of one window.
 
     Such a part is less than one generation at 60 nodes. So a request may also draw for its place:
     its chance is the credit's share of its cost, and won or lost, the credit is gone. What all
@@ -33,10 +33,11 @@
         self, request_id: str, organisation: str, cost: int, limit: Limit, now_ms: int
     ) -> bool:
         """Whether a request may run; the draw is by its id, so the same at each look."""
-        part = ALONE_SHARE * self.bounds.spare(limit) / max(1, self.nodes)
-        credit = self._credits.setdefault(organisation, _Credit(part, now_ms))
-        grown = part * max(0, now_ms - credit.at_ms) / self.bounds.window_ms
-        credit.amount, credit.at_ms = min(part, credit.amount + grown), max(credit.at_ms, now_ms)
+        # Half of the part at once and half of it over a window: no window sees more than all.
+        half = ALONE_SHARE * self.bounds.spare(limit) / max(1, self.nodes) / 2
+        credit = self._credits.setdefault(organisation, _Credit(half, now_ms))
+        grown = half * max(0, now_ms - credit.at_ms) / self.bounds.window_ms
+        credit.amount, credit.at_ms = min(half, credit.amount + grown), max(credit.at_ms, now_ms)
         if credit.amount >= cost:
             credit.amount -= cost
             return True
--- a/saffronworks/forwarding/quotas/holder.py
+++ b/saffronworks/forwarding/quotas/holder.py
@@ -1,10 +1,9 @@
 """Holds a share of organisations' quotas: `step(state, event, limit, now_ms)` answers entry nodes.
 
-The quota of an organisation lies in equal shares with three nodes, chosen by hash among the strong
-ones. Each admits by its own share and needs no word of the others, so that nodes which don't hear
-each other never admit more than the quota together. What a holder knows is soft state: one that
-just started takes it that all of its share was used up but for a part of what the operator
-tolerates beyond the quota.
+The quota of an organisation lies in equal shares with three nodes, chosen by hash. Each admits by
+its own share and needs no word of the others, so that nodes which don't hear each other never admit
+more than the quota together. What a holder knows is soft state: one that just started takes it that
+all of its share was used up but for a part of what the operator tolerates beyond the quota.
 """
 
 import attrs
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -30,7 +30,7 @@
     QuotaRunAgain,
 )
 from saffronworks.forwarding.routing import RoutingTable
-from saffronworks.forwarding.tuning import HOLDER_SILENT_MS, YOUNG_MS
+from saffronworks.forwarding.tuning import ELSEWHERE_RETRY_MS, HOLDER_SILENT_MS, YOUNG_MS
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
@@ -73,7 +73,8 @@
         self._own_address = own_address
         self._table = table
         self._now_ms = now_ms
-        choice = NodeChoice(young_until_ms=now_ms() + YOUNG_MS)
+        # A holder's work is small, so all nodes share it: few organisations lose all three at once.
+        choice = NodeChoice(young_until_ms=now_ms() + YOUNG_MS, strong_only=False)
         self._entry = EntryState(choice, Allowances(bounds, uncounted_nodes))
         self._held = HolderState(bounds, now_ms())
         self._kernel: Kernel | None = None
@@ -181,7 +182,7 @@
                 return QuotaCharge(ask, None)
             case Refused(retry_after_ms):
                 return Refuse(429, "over-quota", True, retry_after_ms)
-        return Refuse(503, "quota-unknown", True)
+        return Refuse(503, "quota-unknown", True, ELSEWHERE_RETRY_MS)
 
     # What a holder does.
 
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -39,6 +39,9 @@
 # A refused caller comes back spread over this span; a burst lasts 3 to 5 s and a run about 3 s.
 RETRY_AFTER_LEAST_MS = 2400
 RETRY_AFTER_MOST_MS = 4600
+# A caller whom this node can't serve, and another one may: it comes back to another one at once,
+# and is in time there.
+ELSEWHERE_RETRY_MS = 100
 # Callers honour a Retry-After only up to this share of the time that they have left.
 RETRY_AFTER_LEFT_SHARE = 0.33
 
@@ -213,9 +216,9 @@
 HOLDER_SILENT_MS = 40
 # How what may run beyond quotas is shared out: to requests that come a moment early, to a holder
 # that is new and has not heard what ran before it, to nodes that hear no holder. They add up to 1.
-EARLY_SHARE = 0.2
-NEW_HOLDER_SHARE = 0.4
-ALONE_SHARE = 0.4
+EARLY_SHARE = 0.4
+NEW_HOLDER_SHARE = 0.3
+ALONE_SHARE = 0.3
 # An organisation that went beyond its quota is within it again when it owes this share of it.
 WITHIN_AGAIN_SHARE = 0.5
 # What was counted is known by its request for so long: the longest time that callers wait.
