Quotas: asks have ids of their own, not the callers'

Cause (found by reading): a holder counts an ask once by its id, and that was the caller's Request-Id: who always sends the same would be counted once in 15 s, and two at a time under one id took each other's answer. Change: an ask's id is the entry node's own, with a part that is drawn at each start.

--- a/saffronworks/forwarding/quotas/accounts.py
+++ b/saffronworks/forwarding/quotas/accounts.py
@@ -24,8 +24,8 @@
 class Account:
     """What was counted and is not yet made up for by the time that passed: a debt.
 
-    Requests are known by their ids for a while, so that a message that comes twice counts once and
-    what was not run is given back once.
+    Asks are known by their ids for a while, so that a message that comes twice counts once and what
+    was not run is given back once.
     """
 
     debt: float
@@ -50,23 +50,23 @@
                 return
             self._counted.popitem(last=False)
 
-    def knows(self, request_id: str) -> bool:
+    def knows(self, ask_id: str) -> bool:
         """Whether a request is counted already."""
-        return request_id in self._counted
+        return ask_id in self._counted
 
     def has_room(self, cost: int, capacity: float) -> bool:
         """Whether a request fits; one larger than the whole capacity does when nothing is owed."""
         return self.debt + cost <= capacity or not self.debt
 
-    def count(self, request_id: str, cost: int, now_ms: int) -> None:
+    def count(self, ask_id: str, cost: int, now_ms: int) -> None:
         """A request runs."""
-        if request_id not in self._counted:
+        if ask_id not in self._counted:
             self.debt += cost
-            self._counted[request_id] = _Counted(cost, now_ms)
+            self._counted[ask_id] = _Counted(cost, now_ms)
 
-    def give_back(self, request_id: str) -> None:
+    def give_back(self, ask_id: str) -> None:
         """A request that was counted did not run."""
-        counted = self._counted.pop(request_id, None)
+        counted = self._counted.pop(ask_id, None)
         if counted is not None:
             self.debt = max(0.0, self.debt - counted.cost)
 
--- a/saffronworks/forwarding/quotas/allowances.py
+++ b/saffronworks/forwarding/quotas/allowances.py
@@ -29,9 +29,7 @@
     nodes: int
     _credits: dict[str, _Credit] = attrs.Factory(dict)
 
-    def admit(
-        self, request_id: str, organisation: str, cost: int, limit: Limit, now_ms: int
-    ) -> bool:
+    def admit(self, ask_id: str, organisation: str, cost: int, limit: Limit, now_ms: int) -> bool:
         """Whether a request may run; the draw is by its id, so the same at each look."""
         # Half of the part at once and half of it over a window: no window sees more than all.
         half = ALONE_SHARE * self.bounds.spare(limit) / max(1, self.nodes) / 2
@@ -41,7 +39,7 @@
         if credit.amount >= cost:
             credit.amount -= cost
             return True
-        won = hash32(request_id) / 2**32 < credit.amount / max(1, cost)
+        won = hash32(ask_id) / 2**32 < credit.amount / max(1, cost)
         credit.amount = 0.0
         return won
 
--- a/saffronworks/forwarding/quotas/entry.py
+++ b/saffronworks/forwarding/quotas/entry.py
@@ -125,7 +125,7 @@
 def _choose(state: EntryState, asking: Asking, now_ms: int) -> None:
     """Requests go to the holders in turn; those that were silent a moment ago are passed over."""
     holders = state.holders(asking.ask.organisation)
-    turn = hash32(asking.ask.request_id) % max(1, len(holders))
+    turn = hash32(asking.ask.ask_id) % max(1, len(holders))
     in_turn = holders[turn:] + holders[:turn]
     asking.left = [node for node in in_turn if not state.choice.passes_over(node, now_ms)]
     asking.heard_all = bool(holders) and len(asking.left) == len(holders)
@@ -137,7 +137,7 @@
     if not asking.heard_all:
         limit = Limit(ask.per_s, ask.burst)
         name, cost = ask.organisation, ask.cost
-        if state.allowances.admit(ask.request_id, name, cost, limit, now_ms):
+        if state.allowances.admit(ask.ask_id, name, cost, limit, now_ms):
             return Admitted(None)
     if asking.retry_after_ms is None:
         return Unknown()
--- a/saffronworks/forwarding/quotas/holder.py
+++ b/saffronworks/forwarding/quotas/holder.py
@@ -94,9 +94,9 @@
         case QuotaAsk():
             return _answer(state, account, event, share, now_ms)
         case QuotaRunAgain():
-            account.count(event.request_id, event.cost, now_ms)
+            account.count(event.ask_id, event.cost, now_ms)
         case QuotaGivenBack():
-            account.give_back(event.request_id)
+            account.give_back(event.ask_id)
     return []
 
 
@@ -104,13 +104,13 @@
     state: HolderState, account: Account, ask: QuotaAsk, share: Limit, now_ms: int
 ) -> list[QuotaAnswer | QuotaChanged]:
     capacity = state.capacity(share, ask.holders)
-    admitted = account.knows(ask.request_id) or account.has_room(ask.cost, capacity)
+    admitted = account.knows(ask.ask_id) or account.has_room(ask.cost, capacity)
     after_ms = 0
     if admitted:
-        account.count(ask.request_id, ask.cost, now_ms)
+        account.count(ask.ask_id, ask.cost, now_ms)
     else:
         after_ms = account.next_return_ms(ask.cost, capacity, share, now_ms)
-    answer = QuotaAnswer(ask.request_id, admitted, after_ms)
+    answer = QuotaAnswer(ask.ask_id, admitted, after_ms)
     within = admitted and account.debt <= WITHIN_AGAIN_SHARE * capacity
     if account.exceeded is not (within if account.exceeded else not admitted):
         return [answer]
--- a/saffronworks/forwarding/quotas/messages.py
+++ b/saffronworks/forwarding/quotas/messages.py
@@ -13,7 +13,7 @@
     know the organisation yet; `holders` is how many share it.
     """
 
-    request_id: str
+    ask_id: str
     reply_to: str
     organisation: str
     cost: int
@@ -26,7 +26,7 @@
 class QuotaAnswer:
     """Holder to entry: it was counted and may run, or there is room after `retry_after_ms`."""
 
-    request_id: str
+    ask_id: str
     admitted: bool
     retry_after_ms: int = 0
 
@@ -35,7 +35,7 @@
 class QuotaRunAgain:
     """Entry to holder: a request that was admitted is run once more, and counts once more."""
 
-    request_id: str
+    ask_id: str
     organisation: str
     cost: int
     holders: int
@@ -45,6 +45,6 @@
 class QuotaGivenBack:
     """Entry to holder: a request that it admitted was not run."""
 
-    request_id: str
+    ask_id: str
     organisation: str
     holders: int
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -1,6 +1,8 @@
 """The service that holds organisations to their quotas, for the node's callers and as a holder."""
 
+import itertools
 import logging
+import secrets
 from collections.abc import Callable
 
 import anyio
@@ -77,6 +79,8 @@
         choice = NodeChoice(young_until_ms=now_ms() + YOUNG_MS, strong_only=False)
         self._entry = EntryState(choice, Allowances(bounds, uncounted_nodes))
         self._held = HolderState(bounds, now_ms())
+        # Ids of asks; those of an earlier life of this node must not come again.
+        self._life, self._numbers = secrets.token_hex(4), itertools.count()
         self._kernel: Kernel | None = None
         self._answers: dict[str, QuotaAnswer] = {}
         self._arrived: dict[str, anyio.Event] = {}
@@ -108,30 +112,29 @@
         asking = Asking(self._make_ask(request, organisation.name, organisation.quota))
         command = entry.step(self._entry, asking, Begun(), self._now_ms())
         while isinstance(command, AskHolder):
-            event = await self._ask(command.holder, asking.ask)
+            event = await self._ask(command.holder, asking.ask, request.request_id)
             command = entry.step(self._entry, asking, event, self._now_ms())
-        return self._settle(asking.ask, command)
+        return self._settle(asking.ask, command, request.request_id)
 
     def count_run(self, charge: QuotaCharge, number: int) -> None:
         """A request runs at another endpoint as well: the `number`th send of it."""
         if charge.ask is not None and charge.holder is not None:
             ask = charge.ask
-            run_id = f"{ask.request_id}#{number}"
-            again = QuotaRunAgain(run_id, ask.organisation, ask.cost, ask.holders)
+            again = QuotaRunAgain(f"{ask.ask_id}#{number}", ask.organisation, ask.cost, ask.holders)
             self._send(charge.holder, again)
 
     def give_back(self, charge: QuotaCharge) -> None:
         """No endpoint ran a request that was admitted."""
         if charge.ask is not None and charge.holder is not None:
             ask = charge.ask
-            back = QuotaGivenBack(ask.request_id, ask.organisation, ask.holders)
+            back = QuotaGivenBack(ask.ask_id, ask.organisation, ask.holders)
             self._send(charge.holder, back)
 
     # How they are settled.
 
     def _make_ask(self, request: CallerRequest, organisation: str, quota: Quota) -> QuotaAsk:
         return QuotaAsk(
-            request.request_id,
+            f"{self._life}-{next(self._numbers):x}",
             self._own_address,
             organisation,
             quota.cost(request.tokens),
@@ -140,7 +143,7 @@
             max(1, len(self._entry.holders(organisation))),
         )
 
-    async def _ask(self, node: str, ask: QuotaAsk) -> entry.Event:
+    async def _ask(self, node: str, ask: QuotaAsk, request_id: str) -> entry.Event:
         """Have a holder count a request; it may be this node."""
         own = node == self._own_address
         answer = self._hold(ask) if own else await self._ask_other(node, ask)
@@ -148,7 +151,7 @@
             return Answered(node, answer)
         logger.info(
             "event=quota_holder_silent request=%s organisation=%s holder=%s after_ms=%d",
-            ask.request_id,
+            request_id,
             ask.organisation,
             node,
             HOLDER_SILENT_MS,
@@ -156,21 +159,23 @@
         return Unanswered(node)
 
     async def _ask_other(self, node: str, ask: QuotaAsk) -> QuotaAnswer | None:
-        self._arrived[ask.request_id] = anyio.Event()
+        self._arrived[ask.ask_id] = anyio.Event()
         self._send(node, ask)
         try:
             with anyio.move_on_after(HOLDER_SILENT_MS / 1000):
-                await self._arrived[ask.request_id].wait()
-            return self._answers.pop(ask.request_id, None)
+                await self._arrived[ask.ask_id].wait()
+            return self._answers.pop(ask.ask_id, None)
         finally:
-            del self._arrived[ask.request_id]
+            del self._arrived[ask.ask_id]
 
-    def _settle(self, ask: QuotaAsk, command: entry.Command) -> QuotaCharge | Refuse:
+    def _settle(
+        self, ask: QuotaAsk, command: entry.Command, request_id: str
+    ) -> QuotaCharge | Refuse:
         if isinstance(command, Admitted) and command.holder is not None:
             return QuotaCharge(ask, command.holder)
         logger.info(
             "event=quota request=%s organisation=%s cost=%d do=%s holders=%d nodes=%d",
-            ask.request_id,
+            request_id,
             ask.organisation,
             ask.cost,
             command,
@@ -188,10 +193,10 @@
 
     def _take(self, message: _Told | QuotaAnswer) -> None:
         match message:
-            case QuotaAnswer(request_id):
-                if request_id in self._arrived:
-                    self._answers[request_id] = message
-                    self._arrived[request_id].set()
+            case QuotaAnswer(ask_id):
+                if ask_id in self._arrived:
+                    self._answers[ask_id] = message
+                    self._arrived[ask_id].set()
             case QuotaAsk():
                 self._send(message.reply_to, self._hold(message))
             case QuotaRunAgain() | QuotaGivenBack():
@@ -201,7 +206,7 @@
         """Take what concerns a share that is held here; the answer where it is an ask."""
         limit = self._limit(event)
         if limit is None:
-            return QuotaAnswer(event.request_id, True) if isinstance(event, QuotaAsk) else None
+            return QuotaAnswer(event.ask_id, True) if isinstance(event, QuotaAsk) else None
         answer = None
         for reply in holder.step(self._held, event, limit, self._now_ms()):
             match reply:
--- a/saffronworks/tests/features/quotas.feature
+++ b/saffronworks/tests/features/quotas.feature
@@ -14,6 +14,10 @@
     When an endpoint that is full turns away requests of an organisation with a small quota
     Then as many are served as the quota allows once the endpoint has room
 
+  Scenario: a caller who always sends the same id
+    When an organisation asks for four times its burst, each time under the same id
+    Then endpoints run no more than its quota allows, with all that is tolerated beyond
+
   Scenario: a second run counts as well
     When a request is run by two endpoints
     Then both runs are counted for its organisation
--- a/saffronworks/tests/features/steps/quotas_steps.py
+++ b/saffronworks/tests/features/steps/quotas_steps.py
@@ -57,6 +57,19 @@
     on_platform(context.servers_used, play, config=WITH_QUOTAS, count=2)
 
 
+@when("an organisation asks for four times its burst, each time under the same id")
+def same_id(context):
+    context.servers_used = web_servers()
+
+    async def play(place):
+        await until_counted(place)
+        for _ in range(4 * BURST):
+            await place.ask("/once/", "r1", {"Key": KEY})
+        context.spare = place.node.settings.quota_bounds.spare(Limit(PER_S, BURST))
+
+    on_platform(context.servers_used, play, config=WITH_QUOTAS)
+
+
 @then("endpoints run no more than its quota allows, with all that is tolerated beyond")
 def no_more(context):
     ran = [r for r in context.servers_used[0].ran if r.startswith("r")]
--- a/saffronworks/tests/quota_plays.py
+++ b/saffronworks/tests/quota_plays.py
@@ -171,7 +171,7 @@
             case AskHolder(node):
                 self._ask(asking, node, settle)
             case Admitted(node):
-                self._holders[asking.ask.request_id] = node
+                self._holders[asking.ask.ask_id] = node
                 settle(True)
             case Refused() | Unknown():
                 settle(False)
