Limits of the planner, of quotas and of the quarantine lie beside what they tune

Change: those of three folders move into a module each; the choice of nodes has a section of its own in what is left, with names that say node where planner and holder are meant. No value changes.

--- a/saffronworks/forwarding/choices.py
+++ b/saffronworks/forwarding/choices.py
@@ -6,8 +6,8 @@
 
 from saffronworks.forwarding.tuning import (
     MOST_RANKS_KEPT,
-    PLANNER_AVOID_MOST_MS,
-    PLANNER_AVOID_MS,
+    NODE_AVOID_MOST_MS,
+    NODE_AVOID_MS,
     YOUNG_AVOID_MS,
 )
 from saffronworks.forwarding.turns import strong_nodes
@@ -79,11 +79,11 @@
     def avoid(self, node: str, now_ms: int) -> int:
         """It was silent: pass it over, for longer each time in a row. Returns for how long."""
         if self.young(now_ms):
-            self._avoided[node] = _Avoided(now_ms + YOUNG_AVOID_MS, PLANNER_AVOID_MS // 2)
+            self._avoided[node] = _Avoided(now_ms + YOUNG_AVOID_MS, NODE_AVOID_MS // 2)
             return YOUNG_AVOID_MS
         known = self._avoided.get(node)
-        doubled_ms = 2 * known.span_ms if known else PLANNER_AVOID_MS
-        span_ms = min(doubled_ms, PLANNER_AVOID_MOST_MS)
+        doubled_ms = 2 * known.span_ms if known else NODE_AVOID_MS
+        span_ms = min(doubled_ms, NODE_AVOID_MOST_MS)
         self._avoided[node] = _Avoided(now_ms + span_ms, span_ms)
         return span_ms
 
--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -9,7 +9,10 @@
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import CONNECT_TIMEOUT_MS, MOST_IDLE
+from saffronworks.forwarding.tuning import (
+    CONNECT_TIMEOUT_MS,
+    MOST_IDLE,
+)
 from saffronworks.web import parse_address
 
 __all__ = ["ConnectionPool"]
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -43,12 +43,14 @@
     Refuse,
 )
 from saffronworks.forwarding.plain_core import promises_not_run
+from saffronworks.forwarding.planning.tuning import (
+    IN_TIME_MS,
+)
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     HOLD_MS,
     HOLD_POLL_MS,
-    IN_TIME_MS,
     MOST_REDIRECTS,
     PREFILL_TIMEOUT_MS,
     RESUME_LEAST_LEFT_MS,
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -6,13 +6,15 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.messages import KvHandle, KvHold, PromptSize
+from saffronworks.forwarding.planning.tuning import (
+    MOST_PLANS,
+    PLANNED_RESERVE,
+)
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     GIVE_UP_LEAST_MS,
     HINT_RESERVE,
-    MOST_PLANS,
     PATIENCE_SHARE,
-    PLANNED_RESERVE,
     RESUME_LEAST_LEFT_MS,
     RETURNED_PATIENCE_SHARE,
 )
--- a/saffronworks/forwarding/identity.py
+++ b/saffronworks/forwarding/identity.py
@@ -12,7 +12,9 @@
     Organisations,
 )
 from saffronworks.forwarding.routing import Route
-from saffronworks.forwarding.tuning import ELSEWHERE_RETRY_MS
+from saffronworks.forwarding.tuning import (
+    ELSEWHERE_RETRY_MS,
+)
 
 __all__ = ["KEY_TAKEN_AWAY", "Identities"]
 
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -17,7 +17,9 @@
 )
 from saffronworks.forwarding.runners import Job, NodeState
 from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import HEADROOM_MS
+from saffronworks.forwarding.tuning import (
+    HEADROOM_MS,
+)
 
 __all__ = ["Place", "StreamPace"]
 
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -15,7 +15,10 @@
 )
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import HEDGE_SHARE, MOST_REDIRECTS
+from saffronworks.forwarding.tuning import (
+    HEDGE_SHARE,
+    MOST_REDIRECTS,
+)
 
 __all__ = [
     "Answered",
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -18,11 +18,13 @@
     ReadingEnded,
     ReportWanted,
 )
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     ASK_AGAIN_MS,
     PLANNER_SILENT_MS,
     REPORT_EVERY_MS,
+)
+from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.tuning import (
     YOUNG_MS,
 )
 from saffronworks.kernel import Kernel, Mailbox
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -22,16 +22,18 @@
 from saffronworks.forwarding.planning.plans import Message, Occupancies, PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.refusals import refuse
 from saffronworks.forwarding.planning.runs import Run
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     FULL_MS,
     MOST_SLOWER,
     QUEUE_LOOK,
     QUIET_RUN_MS,
     REPORT_LAPSE_MS,
-    SAMPLE_WEIGHT,
     USUAL_WEIGHT,
 )
+from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.tuning import (
+    SAMPLE_WEIGHT,
+)
 
 __all__ = ["Event", "PlanState", "Reply", "Tick", "step"]
 
--- a/saffronworks/forwarding/planning/lengths.py
+++ b/saffronworks/forwarding/planning/lengths.py
@@ -8,7 +8,11 @@
 
 import attrs
 
-from saffronworks.forwarding.tuning import HINT_ERROR, LENGTH_SAMPLES, OVERRUN_SHARE
+from saffronworks.forwarding.planning.tuning import (
+    HINT_ERROR,
+    LENGTH_SAMPLES,
+    OVERRUN_SHARE,
+)
 
 __all__ = ["AnswerLengths"]
 
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -16,8 +16,7 @@
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
 from saffronworks.forwarding.planning.shuns import ShunTable
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     HEAR_MS,
     MARGIN_ANSWERS,
     MOST_MARGIN_SHARE,
@@ -25,6 +24,7 @@
     OWN_READ_MEMORY_SHARE,
     WARM_UP_MS,
 )
+from saffronworks.forwarding.starts import StartId
 
 __all__ = ["Message", "Occupancies", "PlanState", "Reply", "Waiter"]
 
--- a/saffronworks/forwarding/planning/reader_queues.py
+++ b/saffronworks/forwarding/planning/reader_queues.py
@@ -2,12 +2,14 @@
 
 import attrs
 
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     PACE_PRIOR_TOKENS,
     READ_CALL_MS,
     READ_MS_PER_TOKEN,
     READ_OVERDUE_MS,
+)
+from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.tuning import (
     SAMPLE_WEIGHT,
 )
 
--- a/saffronworks/forwarding/planning/reading.py
+++ b/saffronworks/forwarding/planning/reading.py
@@ -6,13 +6,13 @@
 import attrs
 
 from saffronworks.forwarding.planning.reader_queues import ReaderQueue, ReadingPace
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     AWAY_READER_MS,
     OWN_READ_FACTOR,
     OWN_READ_GAP_MS,
     READ_BACKLOG_MS,
 )
+from saffronworks.forwarding.starts import StartId
 
 __all__ = ["ReadingPlan"]
 
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -2,13 +2,15 @@
 
 from saffronworks.forwarding.planning.messages import MemoryRefusal
 from saffronworks.forwarding.planning.plans import PlanState, Reply, Waiter
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     DECIDE_AFTER_MS,
     READ_MS,
+    RETURN_SHARE,
+)
+from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.tuning import (
     RETRY_AFTER_LEAST_MS,
     RETRY_AFTER_MOST_MS,
-    RETURN_SHARE,
 )
 
 __all__ = ["refuse"]
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -3,8 +3,11 @@
 import attrs
 
 from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.planning.tuning import (
+    READ_MS,
+    REPORT_LAPSE_MS,
+)
 from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import READ_MS, REPORT_LAPSE_MS
 
 __all__ = ["Occupancy", "Run", "projected_peak"]
 
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -18,8 +18,10 @@
     MemoryReport,
     ReadingEnded,
 )
+from saffronworks.forwarding.planning.tuning import (
+    PLAN_EVERY_MS,
+)
 from saffronworks.forwarding.routing import RoutingTable
-from saffronworks.forwarding.tuning import PLAN_EVERY_MS
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
--- a/saffronworks/forwarding/planning/shuns.py
+++ b/saffronworks/forwarding/planning/shuns.py
@@ -4,8 +4,11 @@
 
 import attrs
 
+from saffronworks.forwarding.planning.tuning import (
+    SHUN_MOST_MS,
+    SHUN_MS,
+)
 from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import SHUN_MOST_MS, SHUN_MS
 
 __all__ = ["ShunTable"]
 
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -38,8 +38,7 @@
     is_quarantined,
     is_serious,
 )
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quarantine.tuning import (
     ANY_NODE_SHARE,
     CONTENT_OWNERS,
     ENDS_TO_QUARANTINE,
@@ -54,6 +53,7 @@
     TELL_FANOUT,
     TELL_REST_MS,
 )
+from saffronworks.forwarding.starts import StartId
 from saffronworks.hashing import rank_members
 
 __all__ = ["QuarantineState", "step"]
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -18,7 +18,7 @@
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.records import QuarantineRecords
 from saffronworks.forwarding.quarantine.suspicions import Admission, is_quarantined
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quarantine.tuning import (
     READ_RECORDS_PAUSES_S,
     RECORD_AGAIN_S,
     RECORD_TRIES,
--- a/saffronworks/forwarding/quarantine/suspicions.py
+++ b/saffronworks/forwarding/quarantine/suspicions.py
@@ -12,8 +12,7 @@
 
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.quarantine.messages import Suspicion
-from saffronworks.forwarding.starts import StartId
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quarantine.tuning import (
     ENDS_TO_QUARANTINE,
     KEEP_QUARANTINED_MS,
     KEEP_SUSPECT_MS,
@@ -22,6 +21,7 @@
     TRIAL_AFTER_MS,
     TRIAL_SOON_MS,
 )
+from saffronworks.forwarding.starts import StartId
 
 __all__ = ["SuspicionTable", "Admission", "is_quarantined", "is_serious"]
 
--- a/saffronworks/forwarding/quotas/accounts.py
+++ b/saffronworks/forwarding/quotas/accounts.py
@@ -5,7 +5,7 @@
 import attrs
 
 from saffronworks.forwarding.quotas.bounds import Limit
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quotas.tuning import (
     COUNTED_KEPT_MS,
     MOST_COUNTED,
     QUOTA_RETURN_MOST_MS,
--- a/saffronworks/forwarding/quotas/allowances.py
+++ b/saffronworks/forwarding/quotas/allowances.py
@@ -3,7 +3,9 @@
 import attrs
 
 from saffronworks.forwarding.quotas.bounds import Limit, QuotaBounds
-from saffronworks.forwarding.tuning import ALONE_SHARE
+from saffronworks.forwarding.quotas.tuning import (
+    ALONE_SHARE,
+)
 from saffronworks.hashing import hash32
 
 __all__ = ["Allowances"]
--- a/saffronworks/forwarding/quotas/holder.py
+++ b/saffronworks/forwarding/quotas/holder.py
@@ -16,7 +16,7 @@
     QuotaGivenBack,
     QuotaRunAgain,
 )
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quotas.tuning import (
     EARLY_SHARE,
     FORGET_ACCOUNTS_EVERY_MS,
     NEW_HOLDER_SHARE,
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -31,8 +31,14 @@
     QuotaGivenBack,
     QuotaRunAgain,
 )
+from saffronworks.forwarding.quotas.tuning import (
+    HOLDER_SILENT_MS,
+)
 from saffronworks.forwarding.routing import RoutingTable
-from saffronworks.forwarding.tuning import ELSEWHERE_RETRY_MS, HOLDER_SILENT_MS, YOUNG_MS
+from saffronworks.forwarding.tuning import (
+    ELSEWHERE_RETRY_MS,
+    YOUNG_MS,
+)
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
--- /dev/null
+++ b/saffronworks/forwarding/quotas/tuning.py
@@ -0,0 +1,18 @@
+"""Limits and waits of organisations' quotas, with units and grounds."""
+
+# A holder answers within 1 to 5 ms, on a busy VM within some ten; its request waits so long for it.
+HOLDER_SILENT_MS = 40
+# How what may run beyond quotas is shared out: to requests that come a moment early, to a holder
+# that is new and has not heard what ran before it, to nodes that hear no holder. They add up to 1.
+EARLY_SHARE = 0.4
+NEW_HOLDER_SHARE = 0.3
+ALONE_SHARE = 0.3
+# An organisation that went beyond its quota is within it again when it owes this share of it.
+WITHIN_AGAIN_SHARE = 0.5
+# What was counted is known by its request for so long: the longest time that callers wait.
+COUNTED_KEPT_MS = 15_000
+# Requests of one organisation known at most; 0.2 KB each. Of older ones nothing is given back.
+MOST_COUNTED = 4096
+FORGET_ACCOUNTS_EVERY_MS = 5000
+# Callers don't wait for longer than this, whatever they are told.
+QUOTA_RETURN_MOST_MS = 30_000
--- a/saffronworks/forwarding/retry_budget.py
+++ b/saffronworks/forwarding/retry_budget.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-from saffronworks.forwarding.tuning import BUDGET_USED_SHARE
+from saffronworks.forwarding.tuning import (
+    BUDGET_USED_SHARE,
+)
 
 __all__ = ["RetryBudget"]
 
--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -21,7 +21,10 @@
     SourceFailure,
     StoredObject,
 )
-from saffronworks.forwarding.tuning import PROBE_PAUSE_MS, TOLD_PROBE_PAUSE_MS
+from saffronworks.forwarding.tuning import (
+    PROBE_PAUSE_MS,
+    TOLD_PROBE_PAUSE_MS,
+)
 
 __all__ = ["GuardedSource", "StoreCircuit"]
 
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -12,7 +12,9 @@
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.runners import Job, NodeState
 from saffronworks.forwarding.stream_runs import StreamRun
-from saffronworks.forwarding.tuning import STALL_PAUSES
+from saffronworks.forwarding.tuning import (
+    STALL_PAUSES,
+)
 
 __all__ = ["StreamRelay"]
 
--- a/saffronworks/forwarding/turns.py
+++ b/saffronworks/forwarding/turns.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-from saffronworks.forwarding.tuning import STRONG_SHARE
+from saffronworks.forwarding.tuning import (
+    STRONG_SHARE,
+)
 from saffronworks.hashing import rank_members
 
 __all__ = ["Turns", "strong_nodes"]
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -19,7 +19,9 @@
     KvHold,
     NotExecuted,
 )
-from saffronworks.forwarding.tuning import CALL_TIMEOUT_MS
+from saffronworks.forwarding.tuning import (
+    CALL_TIMEOUT_MS,
+)
 
 __all__ = ["ID_FIELD", "PlatformCalls", "PlatformExchange"]
 
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -4,7 +4,10 @@
 from result import Err, Ok, Result
 
 from saffronworks.forwarding.quotas.bounds import QuotaBounds
-from saffronworks.forwarding.tuning import WATCH_MARGIN_MS, WATCH_WAIT_MOST_MS
+from saffronworks.forwarding.tuning import (
+    WATCH_MARGIN_MS,
+    WATCH_WAIT_MOST_MS,
+)
 from saffronworks.readers import Finding, Section, read_yaml, sort_findings
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_platform_settings"]
--- a/saffronworks/tests/features/steps/answer_lengths_steps.py
+++ b/saffronworks/tests/features/steps/answer_lengths_steps.py
@@ -7,7 +7,9 @@
 from hypothesis import strategies as st
 
 from saffronworks.forwarding.planning.lengths import AnswerLengths
-from saffronworks.forwarding.tuning import LENGTH_SAMPLES
+from saffronworks.forwarding.planning.tuning import (
+    LENGTH_SAMPLES,
+)
 
 
 @then("an answer that has reached its hint is expected to go on for half as long again")
--- a/saffronworks/tests/features/steps/followers_steps.py
+++ b/saffronworks/tests/features/steps/followers_steps.py
@@ -13,7 +13,10 @@
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.ports import Listing, SourceFailure, StoredObject
-from saffronworks.forwarding.tuning import LAPSE_AFTER_MS, LAPSED_GRACE_MS
+from saffronworks.forwarding.tuning import (
+    LAPSE_AFTER_MS,
+    LAPSED_GRACE_MS,
+)
 from saffronworks.platform.servers import ServerSink
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import ANSWER_TIMEOUT_S
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -12,11 +12,13 @@
 from saffronworks.forwarding.planning import messages
 from saffronworks.forwarding.planning.client import MemoryClient, RunSize
 from saffronworks.forwarding.planning.service import MemoryPlanner
-from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
-from saffronworks.forwarding.tuning import (
-    PLANNER_AVOID_MS,
+from saffronworks.forwarding.planning.tuning import (
     PLANNER_SILENT_MS,
     WARM_UP_MS,
+)
+from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
+from saffronworks.forwarding.tuning import (
+    NODE_AVOID_MS,
     YOUNG_AVOID_MS,
     YOUNG_MS,
 )
@@ -120,7 +122,7 @@
     assert choice.avoid(first, 0) == YOUNG_AVOID_MS
     assert choice.choose("s", YOUNG_AVOID_MS - 1) != first
     assert choice.choose("s", YOUNG_AVOID_MS) == first
-    assert choice.avoid(first, YOUNG_MS) == PLANNER_AVOID_MS
+    assert choice.avoid(first, YOUNG_MS) == NODE_AVOID_MS
 
 
 @given("two nodes of which one plans")
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -8,7 +8,7 @@
 
 from saffronworks.forwarding.planning import core, messages, plans, runs
 from saffronworks.forwarding.planning.reading import ReadingPlan
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.planning.tuning import (
     DECIDE_AFTER_MS,
     HEAR_MS,
     MARGIN_ANSWERS,
@@ -19,10 +19,12 @@
     READ_MS_PER_TOKEN,
     REPORT_EVERY_MS,
     REPORT_LAPSE_MS,
-    RETRY_AFTER_LEAST_MS,
     SHUN_MS,
     WARM_UP_MS,
 )
+from saffronworks.forwarding.tuning import (
+    RETRY_AFTER_LEAST_MS,
+)
 
 CAPACITY = 90_000
 START_MS = 10_000
--- a/saffronworks/tests/features/steps/planner_choice_steps.py
+++ b/saffronworks/tests/features/steps/planner_choice_steps.py
@@ -3,7 +3,10 @@
 from behave import given, then
 
 from saffronworks.forwarding.choices import NodeChoice
-from saffronworks.forwarding.tuning import PLANNER_AVOID_MOST_MS, PLANNER_AVOID_MS
+from saffronworks.forwarding.tuning import (
+    NODE_AVOID_MOST_MS,
+    NODE_AVOID_MS,
+)
 
 CORES = {"strong-1": 2.1, "strong-2": 2.0, "strong-3": 2.1} | {f"weak-{n}": 0.5 for n in range(20)}
 
@@ -25,23 +28,23 @@
 
 @then("when it is silent the other one that heard is chosen, and both go on hearing")
 def second(context):
-    assert context.choice.avoid(context.first, 0) == PLANNER_AVOID_MS
+    assert context.choice.avoid(context.first, 0) == NODE_AVOID_MS
     assert context.choice.choose("s", 1) == context.second
     assert context.choice.listeners("s", 1) == [context.first, context.second]
-    assert context.choice.choose("s", PLANNER_AVOID_MS) == context.first
+    assert context.choice.choose("s", NODE_AVOID_MS) == context.first
 
 
 @then("one that stays silent is asked ever less often, until it answers")
 def less_often(context):
-    choice, now_ms = context.choice, PLANNER_AVOID_MS
+    choice, now_ms = context.choice, NODE_AVOID_MS
     spans = []
     for _ in range(5):
         spans.append(choice.avoid(context.first, now_ms))
         now_ms += spans[-1]
-    assert spans == sorted(spans) and spans[0] == 2 * PLANNER_AVOID_MS
-    assert spans[-1] == PLANNER_AVOID_MOST_MS
+    assert spans == sorted(spans) and spans[0] == 2 * NODE_AVOID_MS
+    assert spans[-1] == NODE_AVOID_MOST_MS
     choice.hear(context.first)
-    assert choice.avoid(context.first, now_ms) == PLANNER_AVOID_MS
+    assert choice.avoid(context.first, now_ms) == NODE_AVOID_MS
 
 
 @then("a weak one is chosen when no strong one is left")
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -9,7 +9,9 @@
 
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.quarantine.records import QUARANTINE_KIND, QuarantineRecords
-from saffronworks.forwarding.tuning import TRIAL_AFTER_MS
+from saffronworks.forwarding.quarantine.tuning import (
+    TRIAL_AFTER_MS,
+)
 from saffronworks.tests.crashing_servers import DEADLY, Arrivals, CrashingServer
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import engines, on_platform
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -12,7 +12,7 @@
 from saffronworks.forwarding.quotas.bounds import Limit
 from saffronworks.forwarding.quotas.holder import HolderState, step
 from saffronworks.forwarding.quotas.messages import QuotaAsk, QuotaGivenBack
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quotas.tuning import (
     ALONE_SHARE,
     COUNTED_KEPT_MS,
     FORGET_ACCOUNTS_EVERY_MS,
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -8,7 +8,10 @@
 
 from saffronworks.forwarding.ports import Listing, SourceFailure
 from saffronworks.forwarding.store_circuit import GuardedSource, StoreCircuit
-from saffronworks.forwarding.tuning import PROBE_PAUSE_MS, TOLD_PROBE_PAUSE_MS
+from saffronworks.forwarding.tuning import (
+    PROBE_PAUSE_MS,
+    TOLD_PROBE_PAUSE_MS,
+)
 
 CALLERS, AGAIN_MS = 5, 500
 AWAY_MS, UNTIL_MS, STEP_MS = 10_000, 14_000, 10
--- a/saffronworks/tests/features/steps/suspicion_fleet_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_fleet_steps.py
@@ -3,7 +3,9 @@
 from behave import given, then, when
 
 from saffronworks.forwarding.quarantine.suspicions import Admission
-from saffronworks.forwarding.tuning import ENDS_TO_QUARANTINE
+from saffronworks.forwarding.quarantine.tuning import (
+    ENDS_TO_QUARANTINE,
+)
 from saffronworks.tests.quarantine_plays import DEADLY, Fleet, fleet_that_knows
 
 SEEDS = range(10)
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -31,8 +31,7 @@
 from saffronworks.forwarding.quarantine.messages import Suspicion, SuspicionNews
 from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable
-from saffronworks.forwarding.runners import NodeState
-from saffronworks.forwarding.tuning import (
+from saffronworks.forwarding.quarantine.tuning import (
     ENDS_TO_QUARANTINE,
     FRESH_MS,
     LOOK_AGAIN_MS,
@@ -44,6 +43,7 @@
     TRIAL_AFTER_MS,
     TRIAL_SOON_MS,
 )
+from saffronworks.forwarding.runners import NodeState
 from saffronworks.tests.concurrent_runs import Habits, play_service
 from saffronworks.tests.endpoint_plays import REPLY_KINDS, endpoints, head_of, wide_budget
 from saffronworks.tests.generation_plays import POOLS, generation
--- a/saffronworks/tests/planner_load.py
+++ b/saffronworks/tests/planner_load.py
@@ -14,7 +14,10 @@
 
 from saffronworks.forwarding.planning import core, messages
 from saffronworks.forwarding.planning.reading import ReadingPlan
-from saffronworks.forwarding.tuning import PLAN_EVERY_MS, REPORT_EVERY_MS
+from saffronworks.forwarding.planning.tuning import (
+    PLAN_EVERY_MS,
+    REPORT_EVERY_MS,
+)
 
 __all__ = [
     "ENGINES_OF_LONG_ANSWERS",
--- a/saffronworks/tests/quarantine_plays.py
+++ b/saffronworks/tests/quarantine_plays.py
@@ -19,7 +19,10 @@
 from saffronworks.forwarding.quarantine.events import Found
 from saffronworks.forwarding.quarantine.messages import SuspicionNews
 from saffronworks.forwarding.quarantine.suspicions import Admission
-from saffronworks.forwarding.tuning import READ_RECORDS_PAUSES_S, TELL_EVERY_MS
+from saffronworks.forwarding.quarantine.tuning import (
+    READ_RECORDS_PAUSES_S,
+    TELL_EVERY_MS,
+)
 
 __all__ = ["DEADLY", "Fleet", "endpoint_at", "fleet_that_knows"]
 
--- a/saffronworks/tests/quota_plays.py
+++ b/saffronworks/tests/quota_plays.py
@@ -30,7 +30,12 @@
 )
 from saffronworks.forwarding.quotas.holder import HolderState
 from saffronworks.forwarding.quotas.messages import QuotaAnswer, QuotaAsk, QuotaGivenBack
-from saffronworks.forwarding.tuning import HOLDER_SILENT_MS, YOUNG_MS
+from saffronworks.forwarding.quotas.tuning import (
+    HOLDER_SILENT_MS,
+)
+from saffronworks.forwarding.tuning import (
+    YOUNG_MS,
+)
 
 __all__ = ["BOUNDS", "Outcome", "QuotaFleet", "Request", "ShareWay", "usual_organisations"]
 
