--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -195,18 +195,18 @@
         began_ms = node.now_ms()
         self._begin_trial()
         load.outstanding += 1
-        self._job.runs.reads += 1
+        self._job.runs.begin_read()
         try:
             answer = await node.calls.prefill(endpoint, self._job.request, timeout_ms)
         except Break as broken:
             if not broken.sent:
-                self._job.runs.reads -= 1
+                self._job.runs.take_back_read()
             self._note_break("prefill", endpoint, broken)
             return events.ReadFailed(endpoint.instance, broken=True)
         finally:
             load.outstanding -= 1
         if isinstance(answer, Err):
-            self._job.runs.reads -= 1
+            self._job.runs.take_back_read()
             load.fail(node.now_ms())
             node.figures.count_send("prefill", "refused")
             logger.info(
@@ -245,12 +245,12 @@
                 await self._relay.await_first(self._stream, head.status)
         except Break as broken:
             if not broken.sent:
-                self._job.runs.runs -= 1
+                self._job.runs.take_back_run()
             self._note_break("stream", endpoint, broken)
             silent = broken.cause is BreakCause.SILENT
             return events.StreamBroken(endpoint.instance, broken.sent, silent)
         if head.executed is Executed.NO:
-            self._job.runs.runs -= 1
+            self._job.runs.take_back_run()
         self._note_answer(endpoint, head, handle)
         return events.StreamAnswered(endpoint.instance, head)
 
--- a/saffronworks/forwarding/organisations.py
+++ b/saffronworks/forwarding/organisations.py
@@ -26,7 +26,7 @@
 # Keys have some twenty bytes; a longer one is refused before it is hashed.
 MOST_KEY_BYTES = 256
 DIGEST_BYTES = 16
-# Drawn at each start: without it nobody can tell from how long a look-up takes what a digest is.
+# Drawn at each start, so that how long a look-up takes tells nothing of a key.
 _SECRET = secrets.token_bytes(DIGEST_BYTES)
 
 
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -94,13 +94,13 @@
             head = await self._exchange_with(endpoint, command.wait_ms)
         except Break as broken:
             if not broken.sent:
-                self._job.runs.runs -= 1
+                self._job.runs.take_back_run()
             node.note_break(PLAIN, self._job.request, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
             load.outstanding -= 1
         if head.executed is Executed.NO:
-            self._job.runs.runs -= 1
+            self._job.runs.take_back_run()
         took_ms = node.now_ms() - began_ms
         if head.success and head.signed:
             load.succeed(took_ms, node.now_ms())
--- a/saffronworks/forwarding/quotas/tuning.py
+++ b/saffronworks/forwarding/quotas/tuning.py
@@ -4,8 +4,9 @@
 HOLDERS = 3
 # A holder answers within 1 to 5 ms, on a busy VM within some ten; its request waits so long for it.
 HOLDER_SILENT_MS = 40
-# How what may run beyond quotas is shared out: to requests that come a moment early, to a holder
-# that is new and has not heard what ran before it, to nodes that hear no holder. They add up to 1.
+# How what is tolerated beyond quotas is given out: to requests that come early or in a burst, to a
+# holder that has just started and doesn't know what ran before, to nodes that hear no holder. They
+# add up to 1, so that no message has to come in time for the operator's bound to hold.
 EARLY_SHARE = 0.4
 NEW_HOLDER_SHARE = 0.3
 ALONE_SHARE = 0.3
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -60,8 +60,7 @@
 
     def begin_run(self, job: "Job") -> None:
         """A request is sent to an endpoint that is to run it: each run counts for its quota."""
-        job.runs.runs += 1
-        job.runs.sends += 1
+        job.runs.begin_run()
         if job.runs.runs > 1:
             self.quotas.count_run(job.charge, job.runs.sends)
 
@@ -114,6 +113,23 @@
     runs: int = 0
     sends: int = 0
 
+    def begin_read(self) -> None:
+        """A prompt is sent to an endpoint that is to read it."""
+        self.reads += 1
+
+    def take_back_read(self) -> None:
+        """It is known that the endpoint did not take up the last one."""
+        self.reads -= 1
+
+    def begin_run(self) -> None:
+        """A request is sent to an endpoint that is to run it."""
+        self.runs += 1
+        self.sends += 1
+
+    def take_back_run(self) -> None:
+        """It is known that the endpoint did not run the last one."""
+        self.runs -= 1
+
     @property
     def none(self) -> bool:
         """Whether no endpoint has worked on the request."""
