Words: what the circuit before the store answers, by the figures that were measured

Cause: a docstring and a feature named a rate that was reckoned, not measured. No behaviour changes.

--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -1,8 +1,8 @@
 """One caller at a time asks a store that is at fault; the others wait for what it finds.
 
 A node has five that read the store: two followers, the count of nodes and two listings at its
-start. While the store is away each asked again by itself, 4 calls a second of a node that had just
-started, and each call has its price.
+start. While the store was away each asked again after a pause of its own, and each call has its
+price: on a day with an outage of seven seconds 60 nodes made 3,778 calls, and 2,450 with this.
 """
 
 import random
--- a/saffronworks/tests/features/store_circuit.feature
+++ b/saffronworks/tests/features/store_circuit.feature
@@ -1,7 +1,7 @@
 Feature: a store at fault is asked by one caller of a node at a time
 
-  # Seen: while the store turned all nodes away for seven seconds, each node that had just started
-  # asked it four times a second, by five callers of its own that knew nothing of each other.
+  # Seen: on days on which the store turns all nodes away for seven seconds, calls to it were the
+  # largest price: five callers of each node asked again and again, and knew nothing of each other.
 
   Scenario: five callers and a store that is away
     Given five callers that ask again half a second after each failure
