Words: what the ranks that are kept belong to

Cause: read once more; the comment still spoke of organisations, whose holders lie on a ring now. Change: one comment. No behaviour changes.

--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -102,7 +102,7 @@
 # together, the planner is up within a few tenths of a second.
 YOUNG_MS = 1500
 YOUNG_AVOID_MS = 150
-# Matters whose first nodes are kept, 0.3 KB each; an entry node meets some hundred organisations.
+# Services whose first nodes are kept, 0.3 KB each, by who is passed over at the time.
 MOST_RANKS_KEPT = 2048
 
 # --- Following the store -----------------------------------------------------------------------
