Limits that endpoints name: read, known and told in the log; no decision goes by them yet

Change: the adapter reads the field of each answer; a node keeps the newest word on each endpoint and tells changes (event=endpoint_limit, limit_per_s of event=send). One class keeps log lines in tests, not three.

--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -1,16 +1,19 @@
 """Calls to the platform's servers: header names, bodies, and what an answer says."""
 
 import logging
+from collections.abc import Callable
 
 import attrs
 import msgspec
 from result import Err, Ok, Result
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, RawHead
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.table import LimitWord
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -22,8 +25,9 @@
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
 )
+from saffronworks.platform.fields import read_decimal
 
-__all__ = ["ID_FIELD", "PlatformCalls", "PlatformExchange"]
+__all__ = ["ID_FIELD", "LimitListener", "PlatformCalls", "PlatformExchange", "read_limit"]
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +43,8 @@
 # The name of the server that answers.
 _INSTANCE = "instance-id"
 _ORDER_TAKEN = (200, 202)
+# The requests a second that a server in need takes from all nodes together.
+_LIMIT = "server-limit"
 # Fields of an answer that belong to the connection, or that say something to this node only.
 _DROPPED_FIELDS = frozenset(
     [
@@ -68,15 +74,25 @@
     tokens: int = 0
 
 
+# Hears what each answer says of the requests that its server takes.
+LimitListener = Callable[[ServiceEndpoint, LimitWord], None]
+
+
 class PlatformExchange:
     """One request on its way through one server."""
 
     def __init__(
-        self, pool: ConnectionPool, endpoint: ServiceEndpoint, connection: EndpointConnection
+        self,
+        pool: ConnectionPool,
+        endpoint: ServiceEndpoint,
+        connection: EndpointConnection,
+        hear_limit: LimitListener,
     ):
         self.connection = connection
         self._pool = pool
         self._endpoint = endpoint
+        self._hear_limit = hear_limit
+        self._sent_ms = monotonic_ms()
 
     @property
     def framed(self) -> bool:
@@ -85,7 +101,11 @@
 
     async def head(self, timeout_ms: float) -> AnswerHead:
         """The start of the answer; raises Break."""
-        return _decode_head(await self.connection.head(timeout_ms))
+        raw = await self.connection.head(timeout_ms)
+        head = _decode_head(raw)
+        if not head.misdirected:
+            self._hear_limit(self._endpoint, read_limit(raw, self._sent_ms))
+        return head
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
         """A part of the body, None at its end; raises Break."""
@@ -99,8 +119,9 @@
 class PlatformCalls:
     """Implements the product's calls to endpoints in the platform's words."""
 
-    def __init__(self) -> None:
+    def __init__(self, hear_limit: LimitListener) -> None:
         self.pool = ConnectionPool(ID_FIELD)
+        self._hear_limit = hear_limit
 
     async def send(
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
@@ -194,7 +215,7 @@
         data = _encode_request(endpoint, request, left_ms, extra)
         connection = await self.pool.take(endpoint)
         connection.send(data, request.request_id, bodiless=request.method == "HEAD")
-        return PlatformExchange(self.pool, endpoint, connection)
+        return PlatformExchange(self.pool, endpoint, connection, self._hear_limit)
 
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
@@ -223,12 +244,16 @@
         if content:
             lines.append("Content-Type: application/json")
         connection = await self.pool.take(endpoint)
+        sent_ms = monotonic_ms()
         try:
             connection.send(_join(lines, content), None)
             head = await connection.head(CALL_TIMEOUT_MS)
             reply = await connection.body(CALL_TIMEOUT_MS)
         finally:
             self.pool.give_back(endpoint, connection)
+        if head.status != _MISDIRECTED:
+            # Only answers to requests tell that a limit has ended.
+            self._hear_limit(endpoint, attrs.evolve(read_limit(head, sent_ms), ran=False))
         return head.status, reply
 
 
@@ -256,8 +281,23 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
 
 
+def read_limit(raw: RawHead, sent_ms: int) -> LimitWord:
+    """What an answer to a request of `sent_ms` says of the server's limit; of several the least."""
+    ran = not _is_refusal(raw)
+    read = [read_decimal(value) for key, value in raw.fields if key.lower() == _LIMIT]
+    unreadable = [value.err_value for value in read if isinstance(value, Err)]
+    if unreadable:
+        return LimitWord(None, sent_ms, ran, unreadable=", ".join(unreadable))
+    named = [value.ok_value for value in read if isinstance(value, Ok)]
+    return LimitWord(min(named, default=None), sent_ms, ran)
+
+
+def _is_refusal(raw: RawHead) -> bool:
+    return raw.get(_NOT_EXECUTED) is not None or raw.status == _MISDIRECTED
+
+
 def _decode_head(raw: RawHead) -> AnswerHead:
-    refused = raw.get(_NOT_EXECUTED) is not None or raw.status == _MISDIRECTED
+    refused = _is_refusal(raw)
     # Callers asked for no encoding: an encoded body is not the endpoint's own.
     whose = raw.get(ID_FIELD) is not None and raw.get(_SIGNATURE) is not None
     signed = whose and raw.get("content-encoding") is None
--- /dev/null
+++ b/saffronworks/platform/fields.py
@@ -0,0 +1,29 @@
+"""Numbers in header fields: one reader for what callers and servers send."""
+
+import re
+
+from result import Err, Ok, Result
+
+__all__ = ["read_decimal", "read_whole"]
+
+# Digits enough for any count or time, and few enough that a float holds them exactly.
+_WHOLE = re.compile(r"[0-9]{1,15}", re.ASCII)
+_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?", re.ASCII)
+# Of a value that is no number, so much is told.
+_SHOWN_CHARS = 40
+
+
+def read_whole(text: str) -> Result[int, str]:
+    """A whole number, 0 or more, in plain digits; else what was found in its place."""
+    found = text.strip(" \t")
+    return Ok(int(found)) if _WHOLE.fullmatch(found) else _unreadable(text)
+
+
+def read_decimal(text: str) -> Result[float, str]:
+    """A number, 0 or more, in plain digits with or without a fraction; else what was found."""
+    found = text.strip(" \t")
+    return Ok(float(found)) if _DECIMAL.fullmatch(found) else _unreadable(text)
+
+
+def _unreadable(text: str) -> Err[str]:
+    return Err(text if len(text) <= _SHOWN_CHARS else f"{text[:_SHOWN_CHARS]}...")
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -13,6 +13,7 @@
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.forwarder import Forwarder
@@ -90,7 +91,8 @@
         self._stopping = anyio.Event()
         self._store = PlatformStore(settings.store_address)
         rng = random.Random(f"{settings.node}/{wall_ms()}")
-        self._calls = PlatformCalls()
+        self._limits = EndpointLimits(monotonic_ms)
+        self._calls = PlatformCalls(self._limits.hear)
         self._directory = Directory()
         self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
@@ -156,6 +158,7 @@
             quarantine=self._quarantine,
             identities=Identities(self._in_touch),
             quotas=self._quotas,
+            limits=self._limits,
         )
 
     def _told(self) -> bool:
@@ -328,6 +331,7 @@
             self._calls.pool.end(instance)
         known = set(self._directory.endpoints)
         self._state.loads.forget_all_but(known)
+        self._limits.forget_all_but(known)
         self._calls.pool.keep_only(known)
 
     async def _answer_probe(self, call: Call) -> None:
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -1,7 +1,6 @@
 """Scenarios on entries in the store that come from other writers."""
 
 import json
-import logging
 import random
 import time
 from unittest.mock import AsyncMock, Mock
@@ -18,6 +17,7 @@
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
 from saffronworks.platform.store import PlatformStore
 from saffronworks.tests.fake_store import FakeStore
+from saffronworks.tests.log_lines import LogLines
 
 WALL_MS = 1_700_000_000_000
 
@@ -61,28 +61,6 @@
 }
 
 
-class Lines(logging.Handler):
-    """The lines of a logger while it is open."""
-
-    def __init__(self, name):
-        super().__init__()
-        self.texts = []
-        self._logger = logging.getLogger(name)
-
-    def emit(self, record):
-        self.texts.append(record.getMessage())
-
-    def __enter__(self):
-        self._disabled = logging.root.manager.disable
-        logging.disable(logging.NOTSET)
-        self._logger.addHandler(self)
-        return self.texts
-
-    def __exit__(self, *_):
-        self._logger.removeHandler(self)
-        logging.disable(self._disabled)
-
-
 class Sink:
     """A sink with its directory, and how often a bad entry was counted."""
 
@@ -115,7 +93,7 @@
     context.sink = sink = Sink()
     sink.list({f"e{index}": whole(index) for index in range(3)})
     assert sink.usable() == {"e0", "e1", "e2"}
-    with Lines(servers.__name__) as context.lines:
+    with LogLines(servers.__name__) as context.lines:
         item = sink.change("e0", BAD[bad])
         sink.repeat(item)
     context.bad = BAD[bad]
@@ -143,7 +121,7 @@
     sink = Sink()
     kinds = [content for content in BAD.values() if len(content) < 1000]
     bad = {f"x{index}": kinds[index % len(kinds)] for index in range(10_000)}
-    with Lines(servers.__name__) as lines:
+    with LogLines(servers.__name__) as lines:
         began_s = time.process_time()
         sink.list(bad | {"e0": whole()})
         took_s = time.process_time() - began_s
@@ -209,7 +187,7 @@
         await census._count()
         await census._count()
 
-    with Lines("saffronworks.forwarding.census") as lines:
+    with LogLines("saffronworks.forwarding.census") as lines:
         anyio.run(main)
     assert counted == [{"10.0.0.1:1": CountedNode(2.0)}], counted
     told = [line for line in lines if "census_entry_unreadable" in line]
--- a/saffronworks/tests/features/steps/framing_steps.py
+++ b/saffronworks/tests/features/steps/framing_steps.py
@@ -1,7 +1,6 @@
 """Scenarios on how answers end: streams of tokens and plain calls, without sockets."""
 
 import json
-import logging
 from itertools import product
 
 import anyio
@@ -13,6 +12,7 @@
 from saffronworks.plain import PlainProxy
 from saffronworks.request_events import Completed, NotRun, Unknown
 from saffronworks.tests.caller_fakes import FakeCaller, ScriptedUpstream
+from saffronworks.tests.log_lines import LogLines
 
 OUTCOMES = (Completed(), NotRun("overload"), Unknown("engine gone"))
 DONE = b"data: [DONE]\n\n"
@@ -96,31 +96,15 @@
     return PlainRoute("r", "/", tuple(Endpoint(f"e{i}", f"e{i}:80", "z") for i in range(count)))
 
 
-class Lines(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.texts = []
-
-    def emit(self, record):
-        self.texts.append(record.getMessage())
-
-
 async def carry(path, *scripts):
     """One GET through the proxy: its caller, the outcome, the services asked, the log."""
-    caller, upstream, lines = FakeCaller("GET", path), ScriptedUpstream(*scripts), Lines()
+    caller, upstream = FakeCaller("GET", path), ScriptedUpstream(*scripts)
     proxy = PlainProxy("z")
     proxy._pool = httpcore.AsyncConnectionPool(network_backend=upstream)
-    log = logging.getLogger("saffronworks.plain")
-    log.addHandler(lines)
-    logging.disable(logging.NOTSET)
-    level, log.level = log.level, logging.INFO
     outcome = None
-    with caller.served():
+    with LogLines("saffronworks.plain") as texts, caller.served():
         outcome = await proxy.carry(caller.call, plain_route(len(scripts)), False, 0)
-    logging.disable(logging.CRITICAL)
-    log.removeHandler(lines)
-    log.setLevel(level)
-    return caller, outcome, upstream.connections, lines.texts
+    return caller, outcome, upstream.connections, texts
 
 
 @when("plain services break off answers of every framing")
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -52,6 +52,7 @@
         quarantine,
         whose,
         quotas,
+        Mock(),
     )
 
 
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -174,6 +174,7 @@
             quarantine,
             Identities(lambda: True),
             Mock(),
+            Mock(),
         )
         node.note_break(kind, request, endpoint_at(1), Break(BreakCause.RESET, sent))
         assert node.quarantine.note_break.called is noted, (kind, sent)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import struct
+import time
 
 from saffronworks.standins.addresses import free_address
 
@@ -61,6 +62,9 @@
         self.read_s = 0.0
         self.events = 3
         self.full = False
+        # The requests a second that it names in its answers, and when requests reached it.
+        self.limit = None
+        self.arrived_s = []
         self.starts = 1
         self._late = []
 
@@ -120,6 +124,7 @@
             await self._head(writer, 200, own)
             return True
         request_id = headers["request-id"]
+        self.arrived_s.append(time.monotonic())
         if headers.get("stage") == "prefill":
             await asyncio.sleep(self.read_s)
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
@@ -255,6 +260,8 @@
         return fault == "sized-wide"
 
     async def _head(self, writer, status, headers):
+        if self.limit is not None:
+            headers = headers | {"Server-Limit": self.limit}
         lines = [f"HTTP/1.1 {status} X", *(f"{key}: {value}" for key, value in headers.items())]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         await writer.drain()
