A bound over the fleet reads as such: shares, holders and asks are apart from organisations

Cause: what keeps quotas over all nodes knew organisations by name, so that nothing else could be bound with it. Change: forwarding/shares/ holds the ring, accounts, allowances, holders and the asking side (SharedBound); quotas/ translates its messages and says what an organisation's limit is. Messages between nodes are the same. A refused ask larger than a whole share is told when nothing is owed, no longer a time after that. Conclusion: named limits of endpoints can use the same.

--- a/saffronworks/forwarding/quotas/accounts.py
+++ b/saffronworks/forwarding/shares/accounts.py
@@ -1,14 +1,14 @@
-"""What a holder knows of its share of one quota: what ran, and when there is room again."""
+"""What a holder knows of its share of one limit: what ran, and when there is room again."""
 
+import math
 from collections import OrderedDict
 
 import attrs
 
-from saffronworks.forwarding.quotas.bounds import Limit
-from saffronworks.forwarding.quotas.tuning import (
+from saffronworks.forwarding.shares.tuning import (
     COUNTED_KEPT_MS,
     MOST_COUNTED,
-    QUOTA_RETURN_MOST_MS,
+    RETURN_MOST_MS,
 )
 
 __all__ = ["Account"]
@@ -70,13 +70,19 @@
         if counted is not None:
             self.debt = max(0.0, self.debt - counted.cost)
 
-    def next_return_ms(self, cost: int, capacity: float, limit: Limit, now_ms: int) -> int:
+    def room_after_ms(self, cost: int, capacity: float) -> int:
+        """After how long there is room, if nothing else is admitted meanwhile."""
+        # What is larger than the whole capacity fits when nothing is owed.
+        excess = min(self.debt, max(0.0, self.debt + cost - capacity))
+        return max(1, math.ceil(1000 * excess / self.per_s))
+
+    def next_return_ms(self, cost: int, room_after_ms: int, now_ms: int) -> int:
         """After how long a refused caller may return: each in a turn of its own.
 
         When all were told when there is room for one, they came back together, and all but one were
         refused again.
         """
-        room_ms = now_ms + 1000 * max(0.0, self.debt + cost - capacity) / limit.per_s
-        turn_ms = max(room_ms, self._next_return_ms + 1000 * cost / limit.per_s)
-        self._next_return_ms = min(turn_ms, now_ms + QUOTA_RETURN_MOST_MS)
+        turn_ms = self._next_return_ms + 1000 * cost / self.per_s
+        turn_ms = max(now_ms + room_after_ms, turn_ms)
+        self._next_return_ms = min(turn_ms, now_ms + RETURN_MOST_MS)
         return max(1, int(self._next_return_ms - now_ms))
--- a/saffronworks/forwarding/quotas/bounds.py
+++ b/saffronworks/forwarding/shares/bounds.py
@@ -1,13 +1,13 @@
-"""How far above their quotas organisations may get, and what that is used for."""
+"""How much may run in a time, and how far above that it may get."""
 
 import attrs
 
-__all__ = ["Limit", "QuotaBounds"]
+__all__ = ["Limit", "Tolerance"]
 
 
 @attrs.frozen
 class Limit:
-    """An organisation's quota in numbers: so much a second, and a burst on top."""
+    """So much a second, and a burst on top, by all nodes together."""
 
     per_s: float
     burst: float
@@ -18,21 +18,21 @@
 
 
 @attrs.frozen
-class QuotaBounds:
-    """What the operator tolerates in any span of `window_ms`, over all nodes together.
+class Tolerance:
+    """What is tolerated beyond limits in any span of `window_ms`, over all nodes together.
 
-    That is `overage`, a share of what the quota allows in the span, and `slack` in its unit.
+    That is `overage`, a share of what a limit allows in the span, and `slack` in its unit.
     """
 
     window_ms: int
     overage: float
     slack: float
 
-    def share(self, holders: int) -> "QuotaBounds":
+    def share(self, holders: int) -> "Tolerance":
         """What one of so many holders may use of it."""
         return attrs.evolve(self, slack=self.slack / holders)
 
     def spare(self, limit: Limit) -> float:
-        """How much more than its quota may run in one window."""
+        """How much more than its limit may run in one window."""
         allowed = limit.per_s * self.window_ms / 1000 + limit.burst
         return self.overage * allowed + self.slack
--- a/saffronworks/forwarding/quotas/entry.py
+++ b/saffronworks/forwarding/shares/entry.py
@@ -1,4 +1,4 @@
-"""Decides at an entry node which holders of a quota to ask, and what holds when none answers.
+"""Decides at an entry node which holders of a bound to ask, and what holds when none answers.
 
 `step(state, asking, event, now_ms)` gives the next command for one request.
 """
@@ -6,10 +6,9 @@
 import attrs
 
 from saffronworks.forwarding.choices import NodeChoice
-from saffronworks.forwarding.quotas.allowances import Allowances
-from saffronworks.forwarding.quotas.bounds import Limit
-from saffronworks.forwarding.quotas.messages import QuotaAnswer, QuotaAsk
-from saffronworks.forwarding.quotas.ring import HolderRing
+from saffronworks.forwarding.shares.allowances import Allowances
+from saffronworks.forwarding.shares.asks import Answer, Ask
+from saffronworks.forwarding.shares.ring import HolderRing
 from saffronworks.hashing import hash32
 
 __all__ = [
@@ -30,7 +29,7 @@
 
 @attrs.define
 class EntryState:
-    """Who was silent, who holds which quota, and what this node may admit by itself."""
+    """Who was silent, who holds which bound, and what this node may admit by itself."""
 
     choice: NodeChoice
     ring: HolderRing
@@ -44,7 +43,7 @@
     `heard_all` tells whether each holder answered; `retry_after_ms` is the least that was told.
     """
 
-    ask: QuotaAsk
+    ask: Ask
     left: list[str] = attrs.Factory(list)
     heard_all: bool = True
     retry_after_ms: int | None = None
@@ -60,7 +59,7 @@
     """A holder answered."""
 
     holder: str
-    answer: QuotaAnswer
+    answer: Answer
 
 
 @attrs.frozen
@@ -86,7 +85,7 @@
 
 @attrs.frozen
 class Refused:
-    """It is beyond the quota; there is room after `retry_after_ms`."""
+    """It is beyond the limit; there is room after `retry_after_ms`."""
 
     retry_after_ms: int
 
@@ -122,7 +121,7 @@
 
 def _choose(state: EntryState, asking: Asking, now_ms: int) -> None:
     """Requests go to the holders in turn; those that were silent a moment ago are passed over."""
-    holders = state.ring.holders(asking.ask.organisation)
+    holders = state.ring.holders(asking.ask.subject)
     turn = hash32(asking.ask.ask_id) % max(1, len(holders))
     in_turn = holders[turn:] + holders[:turn]
     asking.left = [node for node in in_turn if not state.choice.passes_over(node, now_ms)]
@@ -132,11 +131,8 @@
 def _settle_unadmitted(state: EntryState, asking: Asking, now_ms: int) -> Command:
     """No share has room, but for those of silent holders: a little is admitted without them."""
     ask = asking.ask
-    if not asking.heard_all:
-        limit = Limit(ask.per_s, ask.burst)
-        name, cost = ask.organisation, ask.cost
-        if state.allowances.admit(ask.ask_id, name, cost, limit, now_ms):
-            return Admitted(None)
+    if not asking.heard_all and state.allowances.admit(ask, now_ms):
+        return Admitted(None)
     if asking.retry_after_ms is None:
         return Unknown()
     return Refused(asking.retry_after_ms)
--- a/saffronworks/forwarding/quotas/holder.py
+++ b/saffronworks/forwarding/shares/holder.py
@@ -1,50 +1,49 @@
-"""Holds a share of organisations' quotas: `step(state, event, limit, now_ms)` answers entry nodes.
+"""Holds shares of limits: `step(state, event, limit, now_ms)` answers entry nodes.
 
-The quota of an organisation lies in equal shares with three nodes, chosen by hash. Each admits by
-its own share and needs no word of the others, so that nodes which don't hear each other never admit
-more than the quota together. What a holder knows is soft state: one that just started takes it that
-all of its share was used up but for a part of what the operator tolerates beyond the quota.
+The limit of a subject lies in equal shares with three nodes, chosen by hash. Each admits by its own
+share and needs no word of the others, so that nodes which don't hear each other never admit more
+than the limit together. What a holder knows is soft state: one that just started takes it that all
+of its share was used up but for a part of what is tolerated beyond the limit.
 """
 
 import attrs
 
-from saffronworks.forwarding.quotas.accounts import Account
-from saffronworks.forwarding.quotas.bounds import Limit, QuotaBounds
-from saffronworks.forwarding.quotas.messages import (
-    QuotaAnswer,
-    QuotaAsk,
-    QuotaGivenBack,
-    QuotaRunAgain,
-)
-from saffronworks.forwarding.quotas.tuning import (
+from saffronworks.forwarding.shares.accounts import Account
+from saffronworks.forwarding.shares.asks import Answer, Ask, GivenBack, RunAgain
+from saffronworks.forwarding.shares.bounds import Limit, Tolerance
+from saffronworks.forwarding.shares.tuning import (
     EARLY_SHARE,
     FORGET_ACCOUNTS_EVERY_MS,
     NEW_HOLDER_SHARE,
     WITHIN_AGAIN_SHARE,
 )
 
-__all__ = ["Event", "HolderState", "QuotaChanged", "step"]
+__all__ = ["Event", "HolderState", "ShareChanged", "step"]
 
 
 @attrs.frozen
-class QuotaChanged:
-    """Told once: an organisation used up its share here, or is well within it again."""
+class ShareChanged:
+    """Told once: a subject used up its share here, or is well within it again."""
 
-    organisation: str
+    subject: str
     exceeded: bool
     debt: float
     share: Limit
 
 
-Event = QuotaAsk | QuotaRunAgain | QuotaGivenBack
+Event = Ask | RunAgain | GivenBack
 
 
 @attrs.define
 class HolderState:
-    """The accounts of organisations that were heard of; `began_ms`: since when all were."""
+    """The accounts of subjects that were heard of; `began_ms`: since when all were.
+
+    `in_turn`: who is refused is told a time to return that no other one was told.
+    """
 
-    bounds: QuotaBounds
+    bounds: Tolerance
     began_ms: int
+    in_turn: bool = True
     accounts: dict[str, Account] = attrs.Factory(dict)
     _forgot_ms: int = 0
 
@@ -53,9 +52,9 @@
         self.began_ms = now_ms
 
     def account(self, event: Event, share: Limit, now_ms: int) -> Account:
-        """What is known of an organisation up to now."""
+        """What is known of a subject up to now."""
         self._forget_idle(now_ms)
-        name = event.organisation
+        name = event.subject
         if name not in self.accounts:
             first_debt = self._first_debt(share, event.holders, now_ms)
             self.accounts[name] = Account(first_debt, share.per_s, now_ms)
@@ -65,7 +64,7 @@
         return account
 
     def capacity(self, share: Limit, holders: int) -> float:
-        """The most that an organisation may owe here when a request of it has been admitted."""
+        """The most that a subject may owe here when an ask of it has been admitted."""
         return share.burst + EARLY_SHARE * self.bounds.share(holders).spare(share)
 
     def _first_debt(self, share: Limit, holders: int, now_ms: int) -> float:
@@ -86,33 +85,35 @@
 
 def step(
     state: HolderState, event: Event, limit: Limit, now_ms: int
-) -> list[QuotaAnswer | QuotaChanged]:
-    """The answer to an ask, and what changed; `limit` is the organisation's whole quota."""
+) -> list[Answer | ShareChanged]:
+    """The answer to an ask, and what changed; `limit` is the subject's whole limit."""
     share = limit.share(event.holders)
     account = state.account(event, share, now_ms)
     match event:
-        case QuotaAsk():
+        case Ask():
             return _answer(state, account, event, share, now_ms)
-        case QuotaRunAgain():
+        case RunAgain():
             account.count(event.ask_id, event.cost, now_ms)
-        case QuotaGivenBack():
+        case GivenBack():
             account.give_back(event.ask_id)
     return []
 
 
 def _answer(
-    state: HolderState, account: Account, ask: QuotaAsk, share: Limit, now_ms: int
-) -> list[QuotaAnswer | QuotaChanged]:
+    state: HolderState, account: Account, ask: Ask, share: Limit, now_ms: int
+) -> list[Answer | ShareChanged]:
     capacity = state.capacity(share, ask.holders)
     admitted = account.knows(ask.ask_id) or account.has_room(ask.cost, capacity)
     after_ms = 0
     if admitted:
         account.count(ask.ask_id, ask.cost, now_ms)
     else:
-        after_ms = account.next_return_ms(ask.cost, capacity, share, now_ms)
-    answer = QuotaAnswer(ask.ask_id, admitted, after_ms)
+        after_ms = account.room_after_ms(ask.cost, capacity)
+        if state.in_turn:
+            after_ms = account.next_return_ms(ask.cost, after_ms, now_ms)
+    answer = Answer(ask.ask_id, admitted, after_ms)
     within = admitted and account.debt <= WITHIN_AGAIN_SHARE * capacity
     if account.exceeded is not (within if account.exceeded else not admitted):
         return [answer]
     account.exceeded = not account.exceeded
-    return [answer, QuotaChanged(ask.organisation, account.exceeded, account.debt, share)]
+    return [answer, ShareChanged(ask.subject, account.exceeded, account.debt, share)]
--- a/saffronworks/forwarding/quotas/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -1,11 +1,11 @@
-"""Which nodes hold the quota of an organisation: the same at all nodes, without a message."""
+"""Which nodes hold the limit of a subject: the same at all nodes, without a message."""
 
 from bisect import bisect
 from collections.abc import Iterable
 
 import attrs
 
-from saffronworks.forwarding.quotas.tuning import HOLDERS, SETTLED_MS
+from saffronworks.forwarding.shares.tuning import HOLDERS, SETTLED_MS
 from saffronworks.hashing import hash64
 
 __all__ = ["HolderRing"]
@@ -13,9 +13,9 @@
 
 @attrs.define
 class HolderRing:
-    """Nodes in the order of their hashes; an organisation's are the next three after its own.
+    """Nodes in the order of their hashes; a subject's holders are the next three after its own.
 
-    A node that joins or leaves moves the quotas beside it alone. At 1,600 nodes and 29,000
+    A node that joins or leaves moves the limits beside it alone. At 1,600 nodes and 29,000
     organisations an entry node's decision takes 15 us (`make bench`, part quotas), where ranking
     all nodes for each organisation made it 1.8 ms.
     """
@@ -34,12 +34,12 @@
         self._changed_ms = now_ms
 
     def shares(self, now_ms: int) -> int:
-        """Into how many shares a quota is divided."""
+        """Into how many shares a limit is divided."""
         settled = self._changed_ms is not None and now_ms - self._changed_ms >= SETTLED_MS
         return max(1, min(HOLDERS, len(self._nodes))) if settled else HOLDERS
 
-    def holders(self, organisation: str) -> list[str]:
-        """The nodes among which its quota is shared out; none before nodes are known."""
+    def holders(self, subject: str) -> list[str]:
+        """The nodes among which its limit is shared out; none before nodes are known."""
         count = len(self._nodes)
-        start = bisect(self._points, hash64(organisation))
+        start = bisect(self._points, hash64(subject))
         return [self._nodes[(start + step) % count] for step in range(min(HOLDERS, count))]
--- a/saffronworks/forwarding/quotas/tuning.py
+++ b/saffronworks/forwarding/shares/tuning.py
@@ -1,26 +1,26 @@
-"""Limits and waits of organisations' quotas, with units and grounds."""
+"""Shares and waits of bounds over the fleet, with their units."""
 
-# Nodes among which a quota is shared out: with one gone two thirds are left, more than the usual.
+# Nodes among which a limit is shared out: with one gone two thirds are left, more than the usual.
 HOLDERS = 3
-# Fewer nodes than that share a quota among themselves only once all know that there are so few:
-# they count each other every 5 to 15 s. Before, a node that knew itself alone held a whole quota
+# Fewer nodes than that share a limit among themselves only once all know that there are so few:
+# they count each other every 5 to 15 s. Before, a node that knew itself alone held a whole limit
 # beside others that held halves and thirds: 1.16 of what may run, in a fleet of three that stopped
 # and started.
 SETTLED_MS = 30_000
 # A holder answers within 1 to 5 ms, on a busy VM within some ten; its request waits so long for it.
 HOLDER_SILENT_MS = 40
-# How what is tolerated beyond quotas is given out: to requests that come early or in a burst, to a
+# How what is tolerated beyond limits is given out: to requests that come early or in a burst, to a
 # holder that has just started and doesn't know what ran before, to nodes that hear no holder. They
-# add up to 1, so that no message has to come in time for the operator's bound to hold.
+# add up to 1, so that no message has to come in time for the bound to hold.
 EARLY_SHARE = 0.4
 NEW_HOLDER_SHARE = 0.3
 ALONE_SHARE = 0.3
-# An organisation that went beyond its quota is within it again when it owes this share of it.
+# A subject that went beyond its limit is within it again when it owes this share of it.
 WITHIN_AGAIN_SHARE = 0.5
-# What was counted is known by its request for so long: the longest time that callers wait.
+# What was counted is known by its ask for so long: the longest time that callers wait.
 COUNTED_KEPT_MS = 15_000
-# Requests of one organisation known at most; 0.2 KB each. Of older ones nothing is given back.
+# Asks of one subject known at most; 0.2 KB each. Of older ones nothing is given back.
 MOST_COUNTED = 4096
 FORGET_ACCOUNTS_EVERY_MS = 5000
 # Callers don't wait for longer than this, whatever they are told.
-QUOTA_RETURN_MOST_MS = 30_000
+RETURN_MOST_MS = 30_000
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -3,7 +3,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from saffronworks.forwarding.quotas.bounds import QuotaBounds
+from saffronworks.forwarding.shares.bounds import Tolerance
 from saffronworks.forwarding.tuning import (
     WATCH_MARGIN_MS,
     WATCH_WAIT_MOST_MS,
@@ -40,7 +40,7 @@
     known_within_ms: int
     follow_within_ms: int
     cores: float
-    quota_bounds: QuotaBounds
+    quota_bounds: Tolerance
 
 
 def read_platform_settings(text: str, file: str) -> Result[PlatformSettings, list[Finding]]:
@@ -84,9 +84,9 @@
     )
 
 
-def _quota_bounds(bounds: Section) -> QuotaBounds:
+def _quota_bounds(bounds: Section) -> Tolerance:
     """What is tolerated beyond quotas; the operator need not say where there are none."""
-    return QuotaBounds(
+    return Tolerance(
         window_ms=max(1, int(bounds.number("quota_window_s", DEFAULT_QUOTA_WINDOW_S) * 1000)),
         overage=bounds.number("quota_overage", 0.0),
         slack=bounds.number("quota_slack", 0.0),
--- a/saffronworks/quota_reports.py
+++ b/saffronworks/quota_reports.py
@@ -5,7 +5,7 @@
 import attrs
 
 from saffronworks.explain import LogLine, read_lines
-from saffronworks.forwarding.quotas.tuning import HOLDERS
+from saffronworks.forwarding.shares.tuning import HOLDERS
 
 __all__ = ["QuotaRow", "count_quotas"]
 
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -58,7 +58,7 @@
     context.statuses = []
 
     async def play(place):
-        choices = [node._quotas._entry.choice for node in place.nodes]
+        choices = [node._quotas.bound.entry.choice for node in place.nodes]
         assert await wait_until(lambda: all(len(c.cores) == 3 for c in choices), limit_s=6)
         context.began_s = time.monotonic()
         await ask_each(place, context.statuses, per_s)
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -8,12 +8,12 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
-from saffronworks.forwarding.quotas.allowances import Allowances
-from saffronworks.forwarding.quotas.bounds import Limit
-from saffronworks.forwarding.quotas.holder import HolderState, step
-from saffronworks.forwarding.quotas.messages import QuotaAsk, QuotaGivenBack
-from saffronworks.forwarding.quotas.ring import HolderRing
-from saffronworks.forwarding.quotas.tuning import (
+from saffronworks.forwarding.shares.allowances import Allowances
+from saffronworks.forwarding.shares.asks import Ask, GivenBack
+from saffronworks.forwarding.shares.bounds import Limit
+from saffronworks.forwarding.shares.holder import HolderState, step
+from saffronworks.forwarding.shares.ring import HolderRing
+from saffronworks.forwarding.shares.tuning import (
     ALONE_SHARE,
     COUNTED_KEPT_MS,
     FORGET_ACCOUNTS_EVERY_MS,
@@ -175,7 +175,7 @@
 
 
 def ask_of(number, cost=50, name="o"):
-    return QuotaAsk(f"r{number}", "n", name, cost, LIMIT.per_s, LIMIT.burst, 1)
+    return Ask(f"r{number}", name, cost, LIMIT, 1)
 
 
 def holder_since_long():
@@ -196,8 +196,8 @@
     for number in (1, 2, 3):
         step(held, ask_of(number), LIMIT, 0)
     for _ in range(3):
-        step(held, QuotaGivenBack("r1", "o", 1), LIMIT, 0)
-        step(held, QuotaGivenBack("r9", "o", 1), LIMIT, 0)
+        step(held, GivenBack("r1", "o", 1), LIMIT, 0)
+        step(held, GivenBack("r9", "o", 1), LIMIT, 0)
     assert held.accounts["o"].debt == 100
 
 
@@ -232,7 +232,7 @@
 def alone_forgets(context):
     allowances = Allowances(BOUNDS, 60)
     for number in range(100):
-        allowances.admit("r", f"o{number}", 200, LIMIT, 0)
+        allowances.admit(Ask("r", f"o{number}", 200, LIMIT, 3), 0)
     allowances.keep_only({"o7"})
     assert len(allowances._credits) == 1
 
@@ -254,7 +254,9 @@
     for node in range(2000):
         alone = Allowances(BOUNDS, nodes)
         asks = ((f"{node}/{n}", n * 1600) for n in range(5))
-        won = [alone.admit(rid, "o", GENERATION_TOKENS, limit, at_ms) for rid, at_ms in asks]
+        won = [
+            alone.admit(Ask(rid, "o", GENERATION_TOKENS, limit, 3), at_ms) for rid, at_ms in asks
+        ]
         admitted.append(GENERATION_TOKENS * sum(won))
     # Half a part at once, and in 0.8 of a window that much of the other half.
     assert 0.9 <= statistics.mean(admitted) / (0.9 * part) <= 1.1
--- a/saffronworks/tests/features/steps/quotas_steps.py
+++ b/saffronworks/tests/features/steps/quotas_steps.py
@@ -3,8 +3,8 @@
 import anyio
 from behave import then, when
 
-from saffronworks.forwarding.quotas.bounds import Limit
-from saffronworks.forwarding.quotas.tuning import SETTLED_MS
+from saffronworks.forwarding.shares.bounds import Limit
+from saffronworks.forwarding.shares.tuning import SETTLED_MS
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
 
@@ -25,10 +25,10 @@
 
 async def until_counted(place):
     """Each node knows all, for long: until then it admits only its third of a quota."""
-    nodes = [node._quotas._entry.choice for node in place.nodes]
+    nodes = [node._quotas.bound.entry.choice for node in place.nodes]
     assert await wait_until(lambda: all(len(c.cores) == len(nodes) for c in nodes), limit_s=6)
     for node in place.nodes:
-        node._quotas._entry.ring._changed_ms -= SETTLED_MS
+        node._quotas.bound.entry.ring._changed_ms -= SETTLED_MS
     await anyio.sleep(WINDOW_S)
 
 
@@ -38,7 +38,7 @@
 
 def account(place, name):
     """What is owed by all shares of an organisation."""
-    held = [node._quotas._held.accounts.get(name) for node in place.nodes]
+    held = [node._quotas.bound.held.accounts.get(name) for node in place.nodes]
     return sum(one.debt for one in held if one is not None)
 
 
@@ -138,6 +138,6 @@
     async def play(place):
         for path, fields in (("/open/", {}), ("/once/", {"Key": FREE_KEY})):
             assert status(await place.ask(path, f"r{path}", fields)) == 200
-        assert not place.node._quotas._held.accounts
+        assert not place.node._quotas.bound.held.accounts
 
     on_platform(web_servers(), play, config=WITH_QUOTAS)
--- a/saffronworks/tests/quota_plays.py
+++ b/saffronworks/tests/quota_plays.py
@@ -14,10 +14,11 @@
 import attrs
 
 from saffronworks.forwarding.choices import NodeChoice
-from saffronworks.forwarding.quotas import entry, holder
-from saffronworks.forwarding.quotas.allowances import Allowances
-from saffronworks.forwarding.quotas.bounds import Limit, QuotaBounds
-from saffronworks.forwarding.quotas.entry import (
+from saffronworks.forwarding.shares import entry, holder
+from saffronworks.forwarding.shares.allowances import Allowances
+from saffronworks.forwarding.shares.asks import Answer, Ask, GivenBack
+from saffronworks.forwarding.shares.bounds import Limit, Tolerance
+from saffronworks.forwarding.shares.entry import (
     Admitted,
     Answered,
     AskHolder,
@@ -28,10 +29,9 @@
     Unanswered,
     Unknown,
 )
-from saffronworks.forwarding.quotas.holder import HolderState
-from saffronworks.forwarding.quotas.messages import QuotaAnswer, QuotaAsk, QuotaGivenBack
-from saffronworks.forwarding.quotas.ring import HolderRing
-from saffronworks.forwarding.quotas.tuning import (
+from saffronworks.forwarding.shares.holder import HolderState
+from saffronworks.forwarding.shares.ring import HolderRing
+from saffronworks.forwarding.shares.tuning import (
     HOLDER_SILENT_MS,
 )
 from saffronworks.forwarding.tuning import (
@@ -40,7 +40,7 @@
 
 __all__ = ["BOUNDS", "Outcome", "QuotaFleet", "Request", "ShareWay", "usual_organisations"]
 
-BOUNDS = QuotaBounds(window_ms=8000, overage=0.1, slack=120_000)
+BOUNDS = Tolerance(window_ms=8000, overage=0.1, slack=120_000)
 GENERATION_TOKENS, PLAIN_TOKENS = 14_000, 200
 GENERATION_SHARE = 0.12
 LEAST_PER_S = 29_000
@@ -159,57 +159,46 @@
     def ask(self, request, settle):
         limit = self.fleet.limits[request.organisation]
         holders = self.fleet.ring.shares(self.fleet.now_ms)
-        asking = Asking(
-            QuotaAsk(
-                request.request_id,
-                request.node,
-                request.organisation,
-                request.cost,
-                limit.per_s,
-                limit.burst,
-                holders,
-            )
-        )
-        self._step(asking, Begun(), settle)
+        asking = Asking(Ask(request.request_id, request.organisation, request.cost, limit, holders))
+        self._step(request.node, asking, Begun(), settle)
 
-    def _step(self, asking, event, settle):
-        name = asking.ask.reply_to
+    def _step(self, name, asking, event, settle):
         match entry.step(self.nodes[name].entry, asking, event, self.fleet.now_ms):
             case AskHolder(node):
-                self._ask(asking, node, settle)
+                self._ask(name, asking, node, settle)
             case Admitted(node):
                 self._holders[asking.ask.ask_id] = node
                 settle(True)
             case Refused() | Unknown():
                 settle(False)
 
-    def _ask(self, asking, node, settle):
+    def _ask(self, name, asking, node, settle):
         ask, waiting = asking.ask, [True]
 
         def proceed(event):
             if waiting and waiting.pop():
-                self._step(asking, event, settle)
+                self._step(name, asking, event, settle)
 
         def arrived():
             answer = Answered(node, self._hold(node, ask))
-            self.fleet.send(node, ask.reply_to, proceed, answer)
+            self.fleet.send(node, name, proceed, answer)
 
-        if node == ask.reply_to:
+        if node == name:
             proceed(Answered(node, self._hold(node, ask)))
             return
-        self.fleet.send(ask.reply_to, node, arrived)
+        self.fleet.send(name, node, arrived)
         self.fleet.at(HOLDER_SILENT_MS, proceed, Unanswered(node))
 
     def _hold(self, name, event):
-        limit = self.fleet.limits[event.organisation]
+        limit = self.fleet.limits[event.subject]
         replies = holder.step(self.nodes[name].held, event, limit, self.fleet.now_ms)
-        return next((reply for reply in replies if isinstance(reply, QuotaAnswer)), None)
+        return next((reply for reply in replies if isinstance(reply, Answer)), None)
 
     def give_back(self, request):
         node = self._holders[request.request_id]
         if node is not None:
             holders = self.fleet.ring.shares(self.fleet.now_ms)
-            back = QuotaGivenBack(request.request_id, request.organisation, holders)
+            back = GivenBack(request.request_id, request.organisation, holders)
             self.fleet.send(request.node, node, self._hold, node, back)
 
 
--- a/tools/quota_bench.py
+++ b/tools/quota_bench.py
@@ -3,19 +3,19 @@
 import time
 
 from saffronworks.forwarding.choices import NodeChoice
-from saffronworks.forwarding.quotas import entry, holder
-from saffronworks.forwarding.quotas.allowances import Allowances
-from saffronworks.forwarding.quotas.bounds import Limit, QuotaBounds
-from saffronworks.forwarding.quotas.entry import Answered, Asking, Begun, EntryState
-from saffronworks.forwarding.quotas.holder import HolderState
-from saffronworks.forwarding.quotas.messages import QuotaAnswer, QuotaAsk
-from saffronworks.forwarding.quotas.ring import HolderRing
+from saffronworks.forwarding.shares import entry, holder
+from saffronworks.forwarding.shares.allowances import Allowances
+from saffronworks.forwarding.shares.asks import Answer, Ask
+from saffronworks.forwarding.shares.bounds import Limit, Tolerance
+from saffronworks.forwarding.shares.entry import Answered, Asking, Begun, EntryState
+from saffronworks.forwarding.shares.holder import HolderState
+from saffronworks.forwarding.shares.ring import HolderRing
 
 __all__ = ["print_quotas"]
 
 ROUNDS = 20_000
 LIMIT = Limit(100_000.0, 100_000.0)
-BOUNDS = QuotaBounds(8000, 0.1, 120_000)
+BOUNDS = Tolerance(8000, 0.1, 120_000)
 # Nodes and organisations of the largest site in use, and of the largest that is planned.
 SIZES = ((60, 16), (1600, 29_000))
 
@@ -36,16 +36,13 @@
     # A node meets the large ones most: half of all requests are those of one in ten.
     few = max(1, organisations // 10)
     names = [f"o{n % few if n % 2 else n % organisations}" for n in range(ROUNDS)]
-    asks = [
-        QuotaAsk(f"{n:x}", "n", name, 200, LIMIT.per_s, LIMIT.burst, 3)
-        for n, name in enumerate(names)
-    ]
+    asks = [Ask(f"{n:x}", name, 200, LIMIT, 3) for n, name in enumerate(names)]
     began_s = time.perf_counter()
     for number, ask in enumerate(asks):
         asking = Asking(ask)
         command = entry.step(at_entry, asking, Begun(), number)
         assert isinstance(command, entry.AskHolder)
-        answer = Answered(command.holder, QuotaAnswer(ask.ask_id, admitted=True))
+        answer = Answered(command.holder, Answer(ask.ask_id, admitted=True))
         entry.step(at_entry, asking, answer, number)
     entry_s = time.perf_counter() - began_s
     began_s = time.perf_counter()
