--- /dev/null
+++ b/saffronworks/forwarding/endpoint_limits/permits.py
@@ -0,0 +1,47 @@
+"""Leave to send one request to an endpoint, and what a request knows of who gives it."""
+
+from collections.abc import Mapping, Set
+
+import attrs
+
+from saffronworks.forwarding.shares.asks import Ask
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["FREE", "NOT_LIMITED", "Limited", "NoPermit", "Permit"]
+
+
+@attrs.frozen
+class Permit:
+    """One request may be sent; `holder` counted it, None where nobody does."""
+
+    ask: Ask | None = None
+    holder: str | None = None
+
+    def covers(self, instance: StartId) -> bool:
+        """Whether it is for a send to this endpoint; one that nobody counts is for any."""
+        return self.ask is None or self.ask.subject == instance
+
+
+# For an endpoint that names no limit.
+FREE = Permit()
+
+
+@attrs.frozen
+class NoPermit:
+    """The endpoint's limit is used up; there may be room after `after_ms`."""
+
+    after_ms: int
+
+
+@attrs.frozen
+class Limited:
+    """Which of a service's endpoints name a limit, and which of these are left alone for now.
+
+    `closed_ms` has for how long, by endpoint.
+    """
+
+    named: Set[StartId] = frozenset()
+    closed_ms: Mapping[StartId, int] = attrs.Factory(dict)
+
+
+NOT_LIMITED = Limited()
--- a/saffronworks/forwarding/endpoint_limits/table.py
+++ b/saffronworks/forwarding/endpoint_limits/table.py
@@ -38,6 +38,9 @@
 
     _known: dict[StartId, NamedLimit] = attrs.Factory(dict)
 
+    def __len__(self) -> int:
+        return len(self._known)
+
     def find(self, instance: StartId) -> float | None:
         """Requests a second that an endpoint takes; None where it names no limit."""
         known = self._known.get(instance)
@@ -47,6 +50,10 @@
         """The newest word on an endpoint, also that its limit has ended."""
         return self._known.get(instance)
 
+    def named(self) -> list[StartId]:
+        """The endpoints that name a limit."""
+        return [instance for instance, known in self._known.items() if known.per_s is not None]
+
     def take_word(self, instance: StartId, word: LimitWord, now_ms: int) -> bool:
         """An endpoint answered this node; returns whether its limit is another one now.
 
--- a/saffronworks/forwarding/endpoint_limits/tuning.py
+++ b/saffronworks/forwarding/endpoint_limits/tuning.py
@@ -1,4 +1,28 @@
 """Spans and shares of the limits that endpoints name, with their units."""
 
+from saffronworks.forwarding.shares.bounds import Tolerance
+
+# What an endpoint tolerates: in any 4 s, half as much again as it takes, and 5 requests.
+LIMIT_TOLERANCE = Tolerance(window_ms=4000, overage=0.5, slack=5.0)
+# An endpoint that takes less, or nothing at all, still gets this much, as only an answer to a
+# request can tell that its need is over. It is within what is tolerated.
+LEAST_PER_S = 0.25
 # That a limit has ended is remembered for so long, so that older news of it doesn't bring it back.
 KEEP_ENDED_MS = 10_000
+# A node whose ask is refused leaves the endpoint alone until there is room, and for a time that it
+# draws below a span besides. The span begins with so much for each node of the fleet, grows with
+# each refusal and falls when a request is admitted: so about half of the asks succeed, and what a
+# limit costs a node grows neither with the fleet nor with the callers.
+CLOSED_FIRST_MS = 10
+CLOSED_FACTOR = 4
+CLOSED_LEAST_MS = 50
+CLOSED_MOST_MS = 16_000
+# What a node has learnt goes to two others at this pace, three times; they tell it on.
+TELL_EVERY_MS = 100
+TELL_FANOUT = 2
+TELL_TIMES = 3
+# A node that has just started asks so many others what they know, as it would send to each limited
+# endpoint once before that names its limit.
+ASKED_AT_START = 3
+# Limits in one message, 0.06 KB each.
+MOST_TOLD = 64
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -84,10 +84,14 @@
 
 @attrs.frozen
 class ReadFailed:
-    """The prompt was not read there: it was refused, or (`broken`) got no answer."""
+    """The prompt was not read there: it was refused, or (`broken`) got no answer.
+
+    `sent` is false where the endpoint's limit left no room, so that no call was made.
+    """
 
     instance: StartId
     broken: bool
+    sent: bool = True
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -9,6 +9,7 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.permits import NoPermit
 from saffronworks.forwarding.generation_state import (
     GenerationState,
     Pools,
@@ -106,7 +107,8 @@
     def _decide(self, event: events.Event) -> events.Command:
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
         tokens = self._state.tokens
-        pools = rank_pools(node.directory, node.loads, self._job.service, tokens, now_ms)
+        service = self._job.service
+        pools = rank_pools(node.directory, node.loads, node.limits, service, tokens, now_ms)
         barred = node.barred(self._job, self._trial_began)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
@@ -191,6 +193,9 @@
 
     async def _have_read(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
         node = self._node
+        permit = await node.limits.take_permit(endpoint, self._job.request.request_id)
+        if isinstance(permit, NoPermit):
+            return events.ReadFailed(endpoint.instance, broken=False, sent=False)
         load = node.loads.of(endpoint.instance)
         began_ms = node.now_ms()
         self._begin_trial()
@@ -201,6 +206,7 @@
         except Break as broken:
             if not broken.sent:
                 self._job.runs.take_back_read()
+                node.limits.give_back(permit)
             self._note_break("prefill", endpoint, broken)
             return events.ReadFailed(endpoint.instance, broken=True)
         finally:
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.permits import NOT_LIMITED, Limited
 from saffronworks.forwarding.messages import KvHandle, KvHold, PromptSize
 from saffronworks.forwarding.planning.tuning import (
     MOST_PLANS,
@@ -35,10 +36,23 @@
 
 @attrs.frozen
 class Pools:
-    """The usable endpoints of both roles, best first."""
+    """The usable endpoints of both roles, best first; `limited`: which of them name a limit."""
 
     decoders: list[ServiceEndpoint]
     prefillers: list[ServiceEndpoint]
+    limited: Limited = NOT_LIMITED
+
+    def closed(self, instance: StartId) -> bool:
+        """Whether an endpoint's limit is used up for now."""
+        return instance in self.limited.closed_ms
+
+    @property
+    def room_after_ms(self) -> int | None:
+        """After how long a decode endpoint may have room; None where a limit closes not all."""
+        closed_ms = self.limited.closed_ms
+        if not self.decoders or any(not self.closed(e.instance) for e in self.decoders):
+            return None
+        return min(closed_ms[endpoint.instance] for endpoint in self.decoders)
 
 
 class Out(enum.Enum):
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -21,6 +21,7 @@
     "NotExecuted",
     "PromptSize",
     "Refuse",
+    "refuse_limited",
 ]
 
 
@@ -152,12 +153,25 @@
 
 @attrs.frozen
 class Refuse:
-    """Answer on our own. `not_run` is true only when no endpoint can have run the request."""
+    """Answer on our own. `not_run` is true only when no endpoint can have run the request.
+
+    The caller is told to return after `retry_after_ms`; where that is None at a time of its own,
+    not before `not_before_ms`.
+    """
 
     status: int
     reason: str
     not_run: bool
     retry_after_ms: int | None = None
+    not_before_ms: int = 0
+
+
+def refuse_limited(after_ms: int) -> Refuse:
+    """Each endpoint left names a limit that is used up; there is room after that time at best.
+
+    It is no failure of theirs, and waiting here would only hold up those who come later.
+    """
+    return Refuse(503, "endpoints-limited", not_run=True, not_before_ms=after_ms)
 
 
 # A request whose content ends the endpoints that run it. No promise that it has not run, and no
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -4,7 +4,9 @@
 from result import Err, Ok
 
 from saffronworks.forwarding import generation_events as events
+from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.permits import FREE, NoPermit, Permit
 from saffronworks.forwarding.loads import EndpointLoad
 from saffronworks.forwarding.messages import KvHold
 from saffronworks.forwarding.planning.client import RunSize
@@ -47,6 +49,7 @@
     _hold: KvHold | None = None
     _load: EndpointLoad | None = None
     _tokens: int = 0
+    _permit: Permit = FREE
 
     @property
     def taken(self) -> bool:
@@ -81,9 +84,20 @@
 
     async def reserve(self, command: events.AskHold) -> events.Event:
         """Reserve memory at an endpoint; raises Break when it gives no answer."""
-        endpoint = command.endpoint
-        hold = await self._take_beside_headroom(command)
+        endpoint, request_id = command.endpoint, self.job.request.request_id
+        permit = await self.node.limits.take_permit(endpoint, request_id)
+        if isinstance(permit, NoPermit):
+            self.node.figures.count_send("hold", "limited")
+            return events.HoldFailed(endpoint.instance, broken=False)
+        # The stream's: given back with the place, unless the request was sent with it.
+        self._permit = permit
+        try:
+            hold = await self._take_beside_headroom(command)
+        except Break:
+            self._give_permit_back()
+            raise
         if hold is None:
+            self._give_permit_back()
             self.node.figures.count_send("hold", "full")
             return events.HoldFailed(endpoint.instance, broken=False)
         self.node.figures.count_send("hold", "taken")
@@ -116,9 +130,15 @@
     def use(self) -> None:
         """The request was sent with the reservation, which serves it from now on."""
         self._hold = None
+        self._permit = FREE
+
+    def _give_permit_back(self) -> None:
+        self.node.limits.give_back(self._permit)
+        self._permit = FREE
 
     def give_back(self) -> None:
         """Free what is reserved and unused."""
+        self._give_permit_back()
         if self._load is not None:
             self._load.reserved_tokens -= self._tokens
             self._load = None
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -1,17 +1,20 @@
 """Decisions on one plain request: where it goes, when again, what the caller is told.
 
 `step(state, event, ranked, budget, now_ms)` gives the next command. A request that may not run
-twice is sent again only after an endpoint said that it did not run it, or when no byte left.
+twice is sent again only after an endpoint said that it did not run it, or when no byte left. To an
+endpoint that names a limit it goes only with a permit; without one to the next best, at once.
 """
 
 import attrs
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.permits import NOT_LIMITED, Limited
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
     Executed,
     Refuse,
+    refuse_limited,
 )
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
@@ -25,9 +28,12 @@
     "Broken",
     "Command",
     "Event",
+    "NotPermitted",
+    "Permitted",
     "PlainState",
     "Relay",
     "SendTo",
+    "TakePermit",
     "promises_not_run",
     "step",
 ]
@@ -42,7 +48,12 @@
 
 @attrs.define
 class PlainState:
-    """What happened so far. `runs` counts sends that may have been executed."""
+    """What happened so far. `runs` counts sends that may have been executed.
+
+    `used_up`: the endpoints whose limit left no room, and after how long there may be some.
+    `reason`: why an endpoint is sought; `otherwise`: what the caller is told of the last run if
+    none is found.
+    """
 
     service: str
     may_repeat: bool
@@ -53,6 +64,24 @@
     redirects: int = 0
     sends: int = 0
     tried: set[StartId] = attrs.Factory(set)
+    used_up: dict[StartId, int] = attrs.Factory(dict)
+    reason: str = ""
+    otherwise: "Relay | Refuse | None" = None
+
+
+@attrs.frozen
+class Permitted:
+    """The request may be sent to an endpoint that names a limit."""
+
+    instance: StartId
+
+
+@attrs.frozen
+class NotPermitted:
+    """The limit of an endpoint is used up; there may be room after `after_ms`."""
+
+    instance: StartId
+    after_ms: int
 
 
 @attrs.frozen
@@ -80,13 +109,30 @@
     wait_ms: int
 
 
+@attrs.frozen
+class TakePermit:
+    """Ask for leave to send to this endpoint, which names a limit."""
+
+    endpoint: ServiceEndpoint
+
+
 @attrs.frozen
 class Relay:
     """Pass the answer on."""
 
 
-Event = Begin | Answered | Broken
-Command = SendTo | Relay | Refuse
+Event = Begin | Permitted | NotPermitted | Answered | Broken
+Command = TakePermit | SendTo | Relay | Refuse
+
+
+@attrs.frozen
+class _Choice:
+    """What the next endpoint is chosen from, and with which limits."""
+
+    ranked: list[ServiceEndpoint]
+    limited: Limited
+    budget: RetryBudget
+    permitted: StartId | None = None
 
 
 def step(
@@ -96,67 +142,70 @@
     budget: RetryBudget,
     now_ms: int,
     barred: Refuse | None = None,
+    limited: Limited = NOT_LIMITED,
 ) -> Command:
     """The next command; `ranked` lists the usable endpoints, best first.
 
-    `barred`: no endpoint is to get the request any more, and why.
+    `barred`: no endpoint is to get the request any more, and why. `limited`: which of them name a
+    limit.
     """
-    command = _advance(state, event, ranked, budget, now_ms)
-    return barred if barred is not None and isinstance(command, SendTo) else command
+    permitted = event.instance if isinstance(event, Permitted) else None
+    command = _advance(state, event, _Choice(ranked, limited, budget, permitted), now_ms)
+    leaves = isinstance(command, SendTo | TakePermit)
+    return barred if barred is not None and leaves else command
 
 
-def _advance(
-    state: PlainState,
-    event: Event,
-    ranked: list[ServiceEndpoint],
-    budget: RetryBudget,
-    now_ms: int,
-) -> Command:
+def _advance(state: PlainState, event: Event, choice: _Choice, now_ms: int) -> Command:
     match event:
         case Begin():
-            return _send(state, ranked, budget, now_ms, "no-endpoint")
+            return _send(state, choice, now_ms, "no-endpoint")
+        case Permitted():
+            return _send_permitted(state, choice, now_ms)
+        case NotPermitted(instance, after_ms):
+            state.used_up[instance] = after_ms
+            return _send_permitted(state, choice, now_ms)
         case Answered(_, head) if head.executed is Executed.NO:
-            return _redirect(state, ranked, budget, now_ms, head.reason)
+            return _redirect(state, choice, now_ms, head.reason)
         case Answered(_, head):
             state.runs += 1
             if head.success and head.signed:
                 return Relay()
-            return _after_run(state, head, ranked, budget, now_ms)
+            return _after_run(state, head, choice, now_ms)
         case Broken(_, sent=False):
-            return _redirect(state, ranked, budget, now_ms, "unreachable")
+            return _redirect(state, choice, now_ms, "unreachable")
         case Broken(_, silent=silent):
             state.runs += 1
-            return _after_run(state, None, ranked, budget, now_ms, silent)
+            return _after_run(state, None, choice, now_ms, silent)
 
 
-def _redirect(
-    state: PlainState,
-    ranked: list[ServiceEndpoint],
-    budget: RetryBudget,
-    now_ms: int,
-    reason: str,
-) -> Command:
+def _redirect(state: PlainState, choice: _Choice, now_ms: int, reason: str) -> Command:
     """The last endpoint did not run it: another may."""
     state.redirects += 1
     if state.redirects > MOST_REDIRECTS:
-        return _give_up(state, reason)
-    return _send(state, ranked, budget, now_ms, reason)
+        return _give_up(state, choice, reason)
+    return _send(state, choice, now_ms, reason)
 
 
 def _after_run(
     state: PlainState,
     head: AnswerHead | None,
-    ranked: list[ServiceEndpoint],
-    budget: RetryBudget,
+    choice: _Choice,
     now_ms: int,
     silent: bool = False,
 ) -> Command:
     """The last endpoint ran it, or may have: only a repeatable request goes on."""
+    end = _end_of_run(head, silent)
     final = head is not None and head.signed and head.status < 500
     if not final and state.may_repeat and state.runs < state.max_attempts:
-        again = _send(state, ranked, budget, now_ms, "failed")
-        if isinstance(again, SendTo):
+        state.otherwise = end
+        again = _send(state, choice, now_ms, "failed")
+        if isinstance(again, SendTo | TakePermit):
             return again
+    return end
+
+
+def _end_of_run(head: AnswerHead | None, silent: bool) -> Relay | Refuse:
+    """What the caller is told of a run that failed, if no other one follows."""
     if head is not None and head.signed and not promises_not_run(head.status):
         return Relay()
     if silent:
@@ -164,27 +213,49 @@
     return Refuse(502, "broken-answer", not_run=False)
 
 
-def _send(
-    state: PlainState,
-    ranked: list[ServiceEndpoint],
-    budget: RetryBudget,
-    now_ms: int,
-    reason: str,
-) -> Command:
+def _send_permitted(state: PlainState, choice: _Choice, now_ms: int) -> Command:
+    """It is known whether the request may go to an endpoint that names a limit."""
+    command = _send(state, choice, now_ms, state.reason)
+    if state.otherwise is not None and isinstance(command, Refuse):
+        return state.otherwise
+    return command
+
+
+def _send(state: PlainState, choice: _Choice, now_ms: int, reason: str) -> Command:
+    state.reason = reason
     left_ms = state.deadline_at_ms - now_ms
-    fresh = [endpoint for endpoint in ranked if endpoint.instance not in state.tried]
+    fresh = _fresh(state, choice)
     if left_ms <= 0 or not fresh:
-        return _give_up(state, reason)
-    if state.sends and not budget.withdraw(state.service, now_ms):
-        return _give_up(state, f"{reason}:retry-budget")
+        return _give_up(state, choice, reason)
+    if state.sends and not choice.budget.allows(state.service, now_ms):
+        return _give_up(state, choice, f"{reason}:retry-budget")
+    endpoint = next((e for e in fresh if e.instance == choice.permitted), fresh[0])
+    if endpoint.instance in choice.limited.named and endpoint.instance != choice.permitted:
+        return TakePermit(endpoint)
+    if state.sends:
+        choice.budget.withdraw(state.service, now_ms)
     state.sends += 1
-    state.tried.add(fresh[0].instance)
+    state.otherwise = None
+    state.tried.add(endpoint.instance)
     hedges = state.may_repeat and state.runs + 1 < state.max_attempts and len(fresh) > 1
     wait_ms = min(left_ms, int(HEDGE_SHARE * state.target_ms)) if hedges else left_ms
-    return SendTo(fresh[0], wait_ms)
+    return SendTo(endpoint, wait_ms)
+
+
+def _fresh(state: PlainState, choice: _Choice) -> list[ServiceEndpoint]:
+    """The endpoints that were not tried, without those whose limit is used up."""
+    left_out = state.tried | state.used_up.keys() | choice.limited.closed_ms.keys()
+    return [
+        e for e in choice.ranked if e.instance not in left_out or e.instance == choice.permitted
+    ]
 
 
-def _give_up(state: PlainState, reason: str) -> Command:
+def _give_up(state: PlainState, choice: _Choice, reason: str) -> Refuse:
     if state.runs:
         return Refuse(502, reason, not_run=False)
+    usable = {endpoint.instance for endpoint in choice.ranked} - state.tried
+    used_up = {**choice.limited.closed_ms, **state.used_up}
+    after_ms = [used_up[instance] for instance in usable & used_up.keys()]
+    if after_ms and not _fresh(state, choice):
+        return refuse_limited(min(after_ms))
     return Refuse(503, reason, not_run=True)
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -5,8 +5,17 @@
 from saffronworks.forwarding import plain_core
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.permits import FREE, Permit
 from saffronworks.forwarding.messages import AnswerHead, Begin, Executed, Refuse
-from saffronworks.forwarding.plain_core import Answered, Broken, PlainState, SendTo
+from saffronworks.forwarding.plain_core import (
+    Answered,
+    Broken,
+    NotPermitted,
+    Permitted,
+    PlainState,
+    SendTo,
+    TakePermit,
+)
 from saffronworks.forwarding.ports import AnswerBody, Exchange
 from saffronworks.forwarding.runners import PLAIN, Job, NodeState, relay_rest, tell_refusal
 from saffronworks.forwarding.stream_runs import StreamRun
@@ -31,6 +40,8 @@
         self._job = job
         self._exchange: Exchange | None = None
         self._endpoint: ServiceEndpoint | None = None
+        # Of a send that is about to begin.
+        self._permit = FREE
         self._head: AnswerHead | None = None
         self._start_of_body = b""
         self._body_whole = False
@@ -48,21 +59,42 @@
         """Execute commands until the caller has its answer."""
         command = self._decide(Begin())
         try:
-            while isinstance(command, SendTo):
-                command = self._decide(await self._send(command))
+            while isinstance(command, SendTo | TakePermit):
+                command = self._decide(await self._execute(command))
             if isinstance(command, Refuse):
                 await tell_refusal(self._node, self._job, command)
             else:
                 await self._relay()
         finally:
             self._end_exchange()
+            self._give_permit_back()
+
+    async def _execute(self, command: SendTo | TakePermit) -> plain_core.Event:
+        match command:
+            case TakePermit(endpoint):
+                return await self._take_permit(endpoint)
+            case SendTo():
+                return await self._send(command)
+
+    async def _take_permit(self, endpoint: ServiceEndpoint) -> plain_core.Event:
+        self._give_permit_back()
+        taken = await self._node.limits.take_permit(endpoint, self._job.request.request_id)
+        if isinstance(taken, Permit):
+            self._permit = taken
+            return Permitted(endpoint.instance)
+        return NotPermitted(endpoint.instance, taken.after_ms)
+
+    def _give_permit_back(self) -> None:
+        """What was sent, even if the endpoint turned it away, has used its permit."""
+        self._node.limits.give_back(self._permit)
+        self._permit = FREE
 
     def _decide(self, event: plain_core.Event) -> plain_core.Command:
         node, now_ms = self._node, self._node.now_ms()
         usable = node.directory.usable(self._job.service, now_ms)
         ranked = node.loads.rank(usable, now_ms)
-        barred = node.barred(self._job)
-        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred)
+        barred, limited = node.barred(self._job), node.limits.among(usable)
+        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred, limited)
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
@@ -83,6 +115,8 @@
     async def _send(self, command: SendTo) -> plain_core.Event:
         self._end_exchange()
         node, endpoint = self._node, command.endpoint
+        if not self._permit.covers(endpoint.instance):
+            self._give_permit_back()
         self._endpoint = endpoint
         if self._job.on_trial and self._state.sends == 1:
             node.quarantine.begin_trial(self._job.request)
@@ -96,10 +130,12 @@
         except Break as broken:
             if not broken.sent:
                 self._job.runs.take_back_run()
+                self._give_permit_back()
             node.note_break(PLAIN, self._job.request, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
             load.outstanding -= 1
+            self._permit = FREE
         if head.executed is Executed.NO:
             self._job.runs.take_back_run()
         took_ms = node.now_ms() - began_ms
--- a/saffronworks/forwarding/pools.py
+++ b/saffronworks/forwarding/pools.py
@@ -2,6 +2,7 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.generation_state import Pools
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.starts import StartId
@@ -10,13 +11,20 @@
 
 
 def rank_pools(
-    directory: Directory, loads: LoadTable, service: str, tokens: int, now_ms: int
+    directory: Directory,
+    loads: LoadTable,
+    limits: EndpointLimits,
+    service: str,
+    tokens: int,
+    now_ms: int,
 ) -> Pools:
     """Both roles, best first, for a generation that reserves so many tokens."""
     decoders = directory.usable(service, now_ms, Role.DECODE)
     prefillers = directory.usable(service, now_ms, Role.PREFILL)
     return Pools(
-        _rank_decoders(decoders, loads, tokens, now_ms), _rank_readers(prefillers, loads, now_ms)
+        _rank_decoders(decoders, loads, tokens, now_ms),
+        _rank_readers(prefillers, loads, now_ms),
+        limits.among([*decoders, *prefillers]),
     )
 
 
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -14,6 +14,7 @@
 from saffronworks.forwarding.breaks import BreakCause
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.neighbours import Neighbours
 from saffronworks.forwarding.quarantine.events import (
     Command,
     EndpointEnded,
@@ -39,7 +40,6 @@
     is_serious,
 )
 from saffronworks.forwarding.quarantine.tuning import (
-    ANY_NODE_SHARE,
     CONTENT_OWNERS,
     ENDS_TO_QUARANTINE,
     FORGET_EVERY_MS,
@@ -47,7 +47,6 @@
     LOOK_AGAIN_MS,
     LOOKS,
     MOST_TOLD,
-    NEIGHBOURS,
     SILENT_LOOK_AGAIN_MS,
     SILENT_LOOKS,
     TELL_FANOUT,
@@ -84,19 +83,20 @@
 
     own: str
     rng: random.Random
-    nodes: tuple[str, ...] = ()
-    # The nodes that hear from this one: few, so that it needs few connections.
-    neighbours: list[str] = attrs.Factory(list)
+    # The nodes that hear from this one.
+    neighbours: Neighbours = attrs.field(init=False)
     table: SuspicionTable = attrs.Factory(SuspicionTable)
     looks: dict[StartId, _OpenLook] = attrs.Factory(dict)
     told_ms: int = 0
     forgot_ms: int = 0
 
+    @neighbours.default
+    def _make_neighbours(self) -> Neighbours:
+        return Neighbours(self.own, self.rng)
+
     def take_nodes(self, nodes: Iterable[str]) -> None:
         """Which nodes there are from now on."""
-        self.nodes = tuple(nodes)
-        others = [node for node in self.nodes if node != self.own]
-        self.neighbours = rank_members(others, self.own, NEIGHBOURS)
+        self.neighbours.take(nodes)
 
     @property
     def idle(self) -> bool:
@@ -105,7 +105,7 @@
 
     def owners(self, content: ContentId) -> tuple[str, ...]:
         """The nodes that put together what entry nodes saw of a content."""
-        return tuple(rank_members(self.nodes, content, CONTENT_OWNERS))
+        return tuple(rank_members(self.neighbours.nodes, content, CONTENT_OWNERS))
 
     def admission(self, content: ContentId, now_ms: int) -> Admission:
         """Whether a request of this content may be sent now.
@@ -257,10 +257,7 @@
 def _tell_some(
     state: QuarantineState, fanout: int, suspicions: tuple[Suspicion, ...], now_ms: int
 ) -> list[Command]:
-    known = state.neighbours
-    if state.rng.random() < ANY_NODE_SHARE:
-        known = [node for node in state.nodes if node != state.own]
-    chosen = state.rng.sample(known, min(len(known), fanout))
+    chosen = state.neighbours.choose(fanout)
     if not chosen or not suspicions:
         return []
     return [_tell(state, tuple(chosen), suspicions, now_ms)]
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -32,15 +32,10 @@
 MOST_SUSPICIONS = 2048
 # Nodes that put together what others saw of one content: three, as two may be gone at once.
 CONTENT_OWNERS = 3
-# Nodes that hear from one node what all are to know: few, so that it needs few connections.
-NEIGHBOURS = 12
 # At this pace two of them are told what is new: 195 nodes, with 60 more gone, know it within 1.1 s
 # (ten plays), where three to five seconds are allowed.
 TELL_EVERY_MS = 250
 TELL_FANOUT = 2
-# This share of the messages goes to any nodes: where half of the listed ones are dead, some have
-# hardly a live node that names them a neighbour, and one of 200 did not know it after 3 s.
-ANY_NODE_SHARE = 0.25
 # What changed within this time is told each time, and what is quarantined at this pace for good: a
 # node that was cut off knew it within three seconds of its return in each of ten plays.
 FRESH_MS = 5000
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -172,7 +172,8 @@
     now_ms = node.now_ms()
     wait_ms = None
     if refusal.not_run:
-        wait_ms = refusal.retry_after_ms or retry_after_ms(job.request, now_ms)
+        own_ms = max(refusal.not_before_ms, retry_after_ms(job.request, now_ms))
+        wait_ms = refusal.retry_after_ms or own_ms
     logger.info(
         "event=refuse request=%s route=%s status=%d reason=%s not_run=%s retry_after_ms=%s "
         "waited_ms=%d config=%d endpoints_rev=%d",
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -13,6 +13,14 @@
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.endpoint_limits import messages as limit_messages
+from saffronworks.forwarding.endpoint_limits.messages import (
+    LimitNews,
+    LimitsWanted,
+    SendAnswer,
+    SendAsk,
+    SendGivenBack,
+)
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
@@ -91,9 +99,15 @@
         self._stopping = anyio.Event()
         self._store = PlatformStore(settings.store_address)
         rng = random.Random(f"{settings.node}/{wall_ms()}")
-        self._limits = EndpointLimits(monotonic_ms)
-        self._calls = PlatformCalls(self._limits.hear)
         self._directory = Directory()
+        self._limits = EndpointLimits(
+            settings.peer_address,
+            self._directory,
+            UNCOUNTED_NODES,
+            random.Random(settings.peer_address),
+            monotonic_ms,
+        )
+        self._calls = PlatformCalls(self._limits.hear)
         self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
         self._news = NewsFeed(
@@ -103,7 +117,13 @@
         self._kernel = Kernel(settings.node, monotonic_ms)
         self._peers = PeerService(
             settings.peer_address,
-            Codec(planning_messages, store_news, quarantine_messages, quota_messages),
+            Codec(
+                planning_messages,
+                store_news,
+                quarantine_messages,
+                quota_messages,
+                limit_messages,
+            ),
         )
         self._quarantine = Quarantine(
             settings.peer_address,
@@ -216,6 +236,8 @@
         self._kernel.register(self._quarantine, SuspicionNews)
         asked = (QuotaAsk, QuotaAnswer, QuotaRunAgain, QuotaGivenBack)
         self._kernel.register(self._quotas, *asked)
+        sent = (SendAsk, SendAnswer, SendGivenBack, LimitNews, LimitsWanted)
+        self._kernel.register(self._limits, *sent)
         self._kernel.register(planner, MemoryAsk, MemoryRelease, MemoryReport, ReadingEnded)
         answers = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal, ReportWanted)
         self._kernel.register(self._memory, *answers)
@@ -310,6 +332,7 @@
         self._turns.take(cores)
         self._quarantine.take_nodes(cores)
         self._quotas.take_nodes(cores)
+        self._limits.take_nodes(cores)
         self._share_connections()
 
     def _share_connections(self) -> None:
--- a/saffronworks/tests/endpoint_plays.py
+++ b/saffronworks/tests/endpoint_plays.py
@@ -1,8 +1,11 @@
 """What scenarios on the deciding cores share: routes, endpoints, and ways in which they answer."""
 
+import random
+
 from hypothesis import strategies as st
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Executed,
@@ -36,6 +39,11 @@
     ]
 
 
+def limits_of(directory, now_ms=lambda: 10):
+    """What one node alone knows of the limits that endpoints name."""
+    return EndpointLimits("n:1", directory, 1, random.Random(1), now_ms)
+
+
 def wide_budget():
     return RetryBudget(1.0, 10_000, 10_000)
 
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -7,21 +7,43 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
+from saffronworks.endpoint_roles import Role
+from saffronworks.forwarding import generation_core
+from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.connections import RawHead
-from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.endpoint_limits.permits import Limited
 from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
 from saffronworks.forwarding.endpoint_limits.tuning import KEEP_ENDED_MS
+from saffronworks.forwarding.generation_events import (
+    AskPlanner,
+    HoldTaken,
+    OpenStream,
+    ReadFailed,
+    ReadPrompt,
+    Wait,
+)
+from saffronworks.forwarding.generation_state import GenerationState, Pools
+from saffronworks.forwarding.messages import Begin, KvHold, Refuse, refuse_limited
+from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.tuning import BUDGET_USED_SHARE, HOLD_POLL_MS
 from saffronworks.platform.calls import read_limit
 from saffronworks.standins.sites import wait_until
-from saffronworks.tests.endpoint_plays import endpoints
+from saffronworks.tests.endpoint_plays import (
+    MOST_STEPS,
+    REPLY_KINDS,
+    endpoints,
+    head_of,
+    limits_of,
+    wide_budget,
+)
 from saffronworks.tests.log_lines import LogLines
-from saffronworks.tests.platform_place import on_platform, web_servers
+from saffronworks.tests.platform_place import engines, on_platform, web_servers
 
 # What an endpoint tolerates in any 4 s, of nodes that were told half a second ago or earlier.
 WINDOW_S, TOLD_S = 4.0, 0.5
 TOLERATED_FACTOR, TOLERATED_MORE = 1.5, 5
 PLAY_S = 8.0
-LEAST_SERVED_SHARE = 0.8
 
 
 def most_in_window(arrived_s):
@@ -34,18 +56,34 @@
 
 @given("three endpoints of which one names a limit of {per_s:g} request a second")
 def one_limited(context, per_s):
-    context.per_s = per_s
-    context.web = web_servers(3)
-    context.web[0].limit = f"{per_s:g}"
+    limit_servers(context, [per_s, None, None])
+
+
+@given("three endpoints that name limits of {first:g}, {second:g} and {third:g} requests a second")
+def all_limited(context, first, second, third):
+    limit_servers(context, [first, second, third])
+
+
+def limit_servers(context, limits):
+    context.web = web_servers(len(limits))
+    context.limits = limits
+    for server, per_s in zip(context.web, limits, strict=True):
+        server.limit = None if per_s is None else f"{per_s:g}"
+
 
+def limited(context):
+    """The endpoints that name a limit, and their limits."""
+    pairs = zip(context.web, context.limits, strict=True)
+    return [(server, per_s) for server, per_s in pairs if per_s is not None]
 
-async def ask_each(place, statuses, per_s):
-    """Callers at all nodes in turn, evenly, for `PLAY_S`."""
+
+async def ask_each(place, asked, per_s, ask_one):
+    """Callers at all nodes in turn, evenly, for `PLAY_S`; keeps answers and how long they took."""
 
     async def ask(number):
-        node = place.nodes[number % len(place.nodes)]
-        raw = await place.ask("/again/", f"r{number}", method="GET", node=node)
-        statuses.append(int(raw.split(b" ")[1]))
+        node, began_s = place.nodes[number % len(place.nodes)], time.monotonic()
+        raw = await ask_one(place, f"r{number}", node=node)
+        asked.append((f"r{number}", raw, time.monotonic() - began_s))
 
     async with anyio.create_task_group() as tasks:
         for number in range(int(PLAY_S * per_s)):
@@ -53,30 +91,193 @@
             await anyio.sleep(1 / per_s)
 
 
-@when("callers ask for {per_s:d} requests a second at {count} nodes")
-def callers_ask(context, per_s, count):
-    context.statuses = []
+@given(
+    "a decode engine and a reader that name limits of {per_s:g} request a second, "
+    "and one that names none"
+)
+def limited_engines(context, per_s):
+    context.web = engines()
+    context.limits = [per_s, None, per_s]
+    for server in (context.web[0], context.web[2]):
+        server.limit = f"{per_s:g}"
+
+
+@when("callers ask for {per_s:d} generations a second at three nodes")
+def callers_generate(context, per_s):
+    play_callers(context, per_s, lambda place, *args, **on: place.generate("/res/", *args, **on))
+
+
+def status(raw):
+    return int(raw.split(b" ")[1])
+
+
+@when("callers ask for {per_s:d} requests a second at three nodes")
+def callers_ask(context, per_s):
+    play_callers(context, per_s, lambda place, *args, **on: place.ask("/again/", *args, **on))
+
+
+def play_callers(context, per_s, ask_one):
+    context.asked = []
 
     async def play(place):
-        choices = [node._quotas.bound.entry.choice for node in place.nodes]
+        choices = [node._limits.bound.entry.choice for node in place.nodes]
         assert await wait_until(lambda: all(len(c.cores) == 3 for c in choices), limit_s=6)
+        # Holders that have just started take it that their shares are used up.
+        await anyio.sleep(WINDOW_S)
         context.began_s = time.monotonic()
-        await ask_each(place, context.statuses, per_s)
+        await ask_each(place, context.asked, per_s, ask_one)
+        context.ended_s = time.monotonic()
 
     on_platform(context.web, play, count=3)
 
 
-@then("no 4 s have more requests at the limited one than it tolerates of nodes that were told")
+@then("no 4 s have more requests at a limited one than it tolerates of nodes that were told")
 def within_limit(context):
-    told = [at for at in context.web[0].arrived_s if at >= context.began_s + 2 * TOLD_S]
-    assert most_in_window(told) <= tolerated(context.per_s), most_in_window(told)
+    for server, per_s in limited(context):
+        told = [at for at in server.arrived_s if at >= context.began_s + 2 * TOLD_S]
+        assert most_in_window(told) <= tolerated(per_s), (server.instance, most_in_window(told))
 
 
-@then("it gets {share:g} of what it takes, and all callers are served")
+@then("all callers are served")
+def all_served(context):
+    assert {status(raw) for _, raw, _ in context.asked} == {200}
+
+
+@then("each gets {share:g} of what it takes at least")
 def gets_its_part(context, share):
-    asked_s = time.monotonic() - context.began_s
-    assert len(context.web[0].arrived_s) >= share * context.per_s * min(PLAY_S, asked_s)
-    assert set(context.statuses) == {200}, context.statuses
+    for server, per_s in limited(context):
+        owed = share * per_s * (context.ended_s - context.began_s)
+        assert len(server.arrived_s) >= owed, (server.instance, len(server.arrived_s), owed)
+
+
+@then("the others are told at once that they have not run, and when to come back")
+def told_at_once(context):
+    refused = [one for one in context.asked if status(one[1]) != 200]
+    assert {status(raw) for _, raw, _ in refused} == {503}
+    assert all(b"endpoints-limited" in raw and b"retry-after" in raw for _, raw, _ in refused)
+    ran = {request_id for server in context.web for request_id in server.ran}
+    assert not ran & {request_id for request_id, _, _ in refused}
+    waits_s = sorted(took_s for _, _, took_s in refused)
+    assert waits_s[len(waits_s) // 2] < 0.1, waits_s
+
+
+SENDS = st.lists(st.sampled_from([*REPLY_KINDS, "used-up", "room"]), max_size=30)
+
+
+def play_limited(may_repeat, replies, named, closed, budget=None):
+    """Let endpoints and holders answer in the given ways: who ran it, who had no room, the end."""
+    state = plain.PlainState("s", may_repeat, 2, 300, 1500)
+    budget = budget or wide_budget()
+    limited = Limited({f"e{n}" for n in named}, {f"e{n}": 70 + n for n in named & closed})
+    ran, used_up, now_ms, waiting = [], [], 0, list(replies)
+    command = plain.step(state, Begin(), endpoints(4), budget, now_ms, None, limited)
+    permitted = last = None
+    for _ in range(MOST_STEPS):
+        if not isinstance(command, plain.SendTo | plain.TakePermit):
+            # What is passed on is the answer that came last.
+            assert not isinstance(command, plain.Relay) or last in ("ok", "500"), last
+            return ran, used_up, command
+        instance = command.endpoint.instance
+        reply = waiting.pop(0) if waiting else "ok"
+        if isinstance(command, plain.TakePermit):
+            assert instance in limited.named
+            refused = reply == "used-up"
+            used_up += [instance] if refused else []
+            permitted = None if refused else instance
+            event = plain.NotPermitted(instance, 40) if refused else plain.Permitted(instance)
+        else:
+            assert instance not in limited.named or permitted == instance
+            permitted, head, last = None, head_of(reply), reply
+            ran += [] if reply in ("unsent", "not-run") else [instance]
+            event = plain.Answered(instance, head) if head else None
+            silent, sent = reply == "silent", reply != "unsent"
+            event = event or plain.Broken(instance, sent=sent, silent=silent)
+        command = plain.step(state, event, endpoints(4), budget, now_ms, None, limited)
+    raise AssertionError("no end")
+
+
+NUMBERS = st.sets(st.integers(0, 3))
+
+
+@then("whatever endpoints and holders answer, it goes to none without its permit")
+def needs_permit(context):
+    @forall(st.booleans(), SENDS, NUMBERS, NUMBERS)
+    def check(may_repeat, replies, named, closed):
+        ran, used_up, _ = play_limited(may_repeat, replies, named, closed)
+        assert not set(ran) & {f"e{n}" for n in named & closed}
+        assert len(ran) <= (2 if may_repeat else 1) and len(set(used_up)) == len(used_up)
+
+    check()
+
+
+@then(
+    "only where it has not run is it refused with a promise, with the time at which there is room"
+)
+def refused_truly(context):
+    @forall(st.booleans(), SENDS, NUMBERS, NUMBERS)
+    def check(may_repeat, replies, named, closed):
+        ran, _, end = play_limited(may_repeat, replies, named, closed)
+        if isinstance(end, Refuse):
+            assert end.not_run == (not ran), (ran, end)
+
+    check()
+    _, _, end = play_limited(True, ["used-up"] * 2, {0, 1, 2, 3}, {2, 3})
+    assert end == refuse_limited(40)
+    _, _, end = play_limited(True, [], {0, 1, 2, 3}, {0, 1, 2, 3})
+    assert end == refuse_limited(70)
+
+
+@then("a permit that is refused spends nothing of the retry budget")
+def spends_nothing(context):
+    budget = RetryBudget(0.0, 2 / BUDGET_USED_SHARE, 10_000)
+    for _ in range(5):
+        play_limited(True, ["500", "used-up", "used-up", "used-up"], {1, 2, 3}, set(), budget)
+    assert budget.withdraw("s", 0) and budget.withdraw("s", 0) and not budget.withdraw("s", 0)
+
+
+@then("a failure that an endpoint signed is passed on where no other endpoint has room")
+def passes_failure_on(context):
+    ran, _, end = play_limited(True, ["500", "used-up"], {1}, {2, 3})
+    assert ran == ["e0"] or isinstance(end, plain.Relay)
+    ran, _, end = play_limited(True, ["500"] + ["used-up"] * 3, {1, 2, 3}, set())
+    assert (ran, end) == (["e0"], plain.Relay())
+    # The answer of the first one is gone once the next one was asked.
+    _, _, end = play_limited(True, ["500", "not-run", "used-up", "used-up"], {2, 3}, set())
+    assert isinstance(end, Refuse) and end.status == 502, end
+
+
+def generation(**changes):
+    values = {"may_repeat": True, "max_attempts": 2, "target_ms": 900, "arrived_ms": 0}
+    values |= {"deadline_at_ms": 5000, "hold_most_ms": 2000}
+    return GenerationState("s", 9000, **(values | changes))
+
+
+@then("one whose places are all closed is refused at once, or waits where there is room in time")
+def places_closed(context):
+    decoders, readers = endpoints(2, Role.DECODE, "d"), endpoints(1, Role.PREFILL, "p")
+    for after_ms, expected in ((2000, refuse_limited(1500)), (20, Wait(HOLD_POLL_MS))):
+        closed_ms = {"d0": after_ms, "d1": min(after_ms, 1500)}
+        pools = Pools(decoders, readers, Limited(set(closed_ms), closed_ms))
+        command = generation_core.step(generation(), Begin(), pools, wide_budget(), 0)
+        assert command == expected, command
+    half = Pools(decoders, readers, Limited({"d0"}, {"d0": 2000}))
+    command = generation_core.step(generation(), Begin(), half, wide_budget(), 0)
+    assert isinstance(command, AskPlanner) and command.avoid == ("d0",), command
+
+
+@then("a reader without room leaves the reading to the decode engine, and no read is counted")
+def reader_closed(context):
+    decoders, readers = endpoints(1, Role.DECODE, "d"), endpoints(1, Role.PREFILL, "p")
+    open_pools, state = Pools(decoders, readers), generation()
+    taken = HoldTaken(KvHold(decoders[0], "h", 2000))
+    command = generation_core.step(state, taken, open_pools, wide_budget(), 0)
+    assert isinstance(command, ReadPrompt) and state.reads == 1
+    unread = ReadFailed("p0", broken=False, sent=False)
+    command = generation_core.step(state, unread, open_pools, wide_budget(), 0)
+    assert command == OpenStream(decoders[0]) and state.reads == 0
+    closed = Pools(decoders, readers, Limited({"p0"}, {"p0": 500}))
+    command = generation_core.step(generation(), taken, closed, wide_budget(), 0)
+    assert command == OpenStream(decoders[0])
 
 
 WORDS = st.builds(
@@ -155,7 +356,9 @@
 @then("what can't be read is told once, with what is known")
 def told_once(context):
     with LogLines("saffronworks.forwarding.endpoint_limits.service") as lines:
-        limits, endpoint = EndpointLimits(lambda: 10), endpoints(1)[0]
+        directory, endpoint = Directory(), endpoints(1)[0]
+        directory.put(endpoint)
+        limits = limits_of(directory)
         limits.hear(endpoint, read("2.4"))
         for _ in range(5):
             limits.hear(endpoint, read("many"))
--- /dev/null
+++ b/saffronworks/tests/features/steps/limit_fleet_steps.py
@@ -0,0 +1,153 @@
+"""Scenarios on the limits that endpoints name, over many nodes on virtual time."""
+
+from behave import given, then, when
+from hypothesis import given as forall
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from saffronworks.tests.limit_plays import ENDPOINT, LimitFleet
+
+SEEDS = range(1, 5)
+CALM_MS, HELD_MS, TROUBLE_MS, AFTER_MS = 1000, 8000, 6000, 10_000
+# From when on the endpoint's part is measured: all nodes know the limit, no holder has just begun.
+SETTLED_MS = 5000
+
+
+def part(fleet, share):
+    return fleet.rng.sample(fleet.live, int(len(fleet.live) * share))
+
+
+TROUBLES = {
+    "nothing occurs": lambda fleet: None,
+    "all holders end": lambda fleet: fleet.kill(fleet.holders(ENDPOINT), 2000),
+    "half of the nodes end": lambda fleet: fleet.kill(part(fleet, 0.5), 2000),
+    "two holders stand still": lambda fleet: fleet.freeze(fleet.holders(ENDPOINT)[:2], 3000),
+    "a third hears only itself": lambda fleet: fleet.cut([part(fleet, 0.33)], TROUBLE_MS),
+    "the halves hear only themselves": lambda fleet: fleet.cut([part(fleet, 0.5)], TROUBLE_MS),
+    "a third of them hear nobody": lambda fleet: fleet.cut(
+        [[node] for node in part(fleet, 0.33)], TROUBLE_MS
+    ),
+}
+
+
+@given(
+    "a fleet of {nodes:d} nodes, of which {busy:d} get callers, "
+    "and an endpoint that takes {per_s:g} a second"
+)
+def fleet_of(context, nodes, busy, per_s):
+    context.per_s = per_s
+    context.fleets = [LimitFleet(nodes, None, seed, busy) for seed in SEEDS]
+
+
+@when("it names that limit while {trouble}")
+def names_limit(context, trouble):
+    for fleet in context.fleets:
+        fleet.play(CALM_MS)
+        fleet.per_s = context.per_s
+        fleet.play(HELD_MS)
+        TROUBLES[trouble](fleet)
+        fleet.play(AFTER_MS)
+
+
+@then("no 4 s have more requests than it tolerates, whoever was told, with four seeds")
+def within_tolerated(context):
+    shares = [fleet.worst_window(of_all=True) for fleet in context.fleets]
+    assert max(shares) <= 1.0, shares
+
+
+@then("it gets {least:g} of what it takes at least")
+def gets_its_part(context, least):
+    shares = [fleet.served_share(SETTLED_MS, fleet.now_ms) for fleet in context.fleets]
+    assert sum(shares) / len(shares) >= least, shares
+
+
+KINDS = ("kill", "holders", "freeze", "cut", "alone")
+
+
+def strike(fleet, kind, names, for_ms):
+    match kind:
+        case "kill":
+            fleet.kill(names, for_ms)
+        case "holders":
+            fleet.kill(fleet.holders(ENDPOINT), for_ms)
+        case "freeze":
+            fleet.freeze(names, for_ms)
+        case "cut":
+            fleet.cut([names], for_ms)
+        case "alone":
+            fleet.cut([[name] for name in names], for_ms)
+
+
+@then("whatever nodes end, stand still or hear nobody, no 4 s have more requests than is tolerated")
+def any_troubles(context):
+    trouble = st.tuples(
+        st.integers(500, 9000), st.sampled_from(KINDS), st.floats(0.05, 0.6), st.integers(500, 6000)
+    )
+
+    @limits(max_examples=40)
+    @forall(
+        st.integers(0, 10_000),
+        st.sampled_from([3, 8, 20, 60]),
+        st.sampled_from([0.4, 1.0, 2.4, 8.0, 30.0]),
+        st.lists(trouble, min_size=1, max_size=5),
+    )
+    def check(seed, count, per_s, troubles):
+        fleet = LimitFleet(count, None, seed)
+        fleet.play(CALM_MS)
+        fleet.per_s = per_s
+        for at_ms, kind, share, for_ms in troubles:
+            names = part(fleet, share)
+            fleet.at(at_ms, strike, fleet, kind, names, for_ms)
+        fleet.play(12_000)
+        assert fleet.worst_window() <= 1.0, (seed, count, per_s, troubles)
+
+    check()
+
+
+@then("a second later all nodes know it but few")
+def all_know(context):
+    for fleet in context.fleets:
+        again = LimitFleet(len(fleet.live), context.per_s, 9)
+        again.play(1500)
+        assert again.knowing() >= 0.95, again.knowing()
+
+
+@then("when its need is over it gets all that comes within two seconds")
+def need_is_over(context):
+    for fleet in context.fleets:
+        fleet.per_s = None
+        fleet.play(2000)
+        reached, asked = len(fleet.arrivals), fleet.asked
+        fleet.play(3000)
+        reached, asked = len(fleet.arrivals) - reached, fleet.asked - asked
+        assert reached >= 0.9 * asked, (reached, asked)
+
+
+@then(
+    "it still gets a request now and then, within what it tolerates, "
+    "and so can say that it takes some"
+)
+def takes_nothing(context):
+    for seed in SEEDS:
+        fleet = LimitFleet(60, 0.0, seed)
+        fleet.play(20_000)
+        later = [arrival for arrival in fleet.arrivals if arrival.at_ms >= SETTLED_MS]
+        assert later and fleet.worst_window(of_all=True) <= 1.0
+        fleet.per_s = None
+        fleet.play(15_000)
+        assert fleet.knowing() >= 0.95
+
+
+@then("what a node sends for a limit grows neither with the callers nor with the nodes")
+def messages_bounded(context):
+    def of_a_node_per_s(count, requests_per_s):
+        fleet = LimitFleet(count, 2.4, 1)
+        fleet.play(5000, requests_per_s)
+        before = fleet.messages
+        fleet.play(10_000, requests_per_s)
+        return (fleet.messages - before) / 10 / count
+
+    usual = of_a_node_per_s(60, 40.0)
+    for count, requests_per_s in ((60, 160.0), (240, 160.0), (240, 640.0)):
+        found = of_a_node_per_s(count, requests_per_s)
+        assert found <= usual, (count, requests_per_s, usual, found)
--- a/saffronworks/tests/quota_plays.py
+++ b/saffronworks/tests/quota_plays.py
@@ -3,51 +3,24 @@
 The pattern: 16 organisations of which a few are large, 124 requests a second at 60 nodes by chance,
 one generation to seven plain requests of 200 tokens; a generation counts 14,000, its prompt and the
 most of its answer. One organisation asks for 7.5 times its usual while its limit is 1.8 times that.
-Messages take 1 to 10 ms, as between the fleets' VMs.
 """
 
-import heapq
-import itertools
-import random
 from collections import defaultdict
 
 import attrs
 
-from saffronworks.forwarding.choices import NodeChoice
-from saffronworks.forwarding.shares import entry, holder
-from saffronworks.forwarding.shares.allowances import Allowances
-from saffronworks.forwarding.shares.asks import Answer, Ask, GivenBack
+from saffronworks.forwarding.shares.asks import Ask
 from saffronworks.forwarding.shares.bounds import Limit, Tolerance
-from saffronworks.forwarding.shares.entry import (
-    Admitted,
-    Answered,
-    AskHolder,
-    Asking,
-    Begun,
-    EntryState,
-    Refused,
-    Unanswered,
-    Unknown,
-)
-from saffronworks.forwarding.shares.holder import HolderState
-from saffronworks.forwarding.shares.ring import HolderRing
-from saffronworks.forwarding.shares.tuning import (
-    HOLDER_SILENT_MS,
-)
-from saffronworks.forwarding.tuning import (
-    YOUNG_MS,
-)
-
-__all__ = ["BOUNDS", "Outcome", "QuotaFleet", "Request", "ShareWay", "usual_organisations"]
+from saffronworks.forwarding.shares.entry import Admitted
+from saffronworks.tests.virtual_fleet import FleetShares, VirtualFleet
+
+__all__ = ["BOUNDS", "Outcome", "QuotaFleet", "Request", "usual_organisations"]
 
 BOUNDS = Tolerance(window_ms=8000, overage=0.1, slack=120_000)
 GENERATION_TOKENS, PLAIN_TOKENS = 14_000, 200
 GENERATION_SHARE = 0.12
 LEAST_PER_S = 29_000
 LIMIT_BY_USUAL = 1.8
-STRONG_CORES, WEAK_CORES = 2.15, 0.5
-# One VM in ten is strong.
-STRONG_EVERY = 10
 
 
 def usual_organisations(requests_per_s, count=16):
@@ -87,7 +60,6 @@
     refused_within: int = 0
     refused: int = 0
     waits_ms: list = attrs.Factory(list)
-    messages: int = 0
 
     def served_share(self, organisation):
         """Tokens that ran, as a share of those that are owed."""
@@ -129,162 +101,22 @@
         return owed
 
 
-@attrs.define
-class _Node:
-    entry: EntryState
-    held: HolderState
-
-
-class ShareWay:
-    """The way that stands: three holders an organisation, each with a share of its quota."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.nodes = {name: self._start(False) for name in fleet.names}
-        self._holders = {}
-
-    def restart(self, name):
-        self.nodes[name] = self._start(True)
-
-    def _start(self, young):
-        now_ms = self.fleet.now_ms
-        choice = NodeChoice(young_until_ms=now_ms + YOUNG_MS if young else 0)
-        choice.cores = self.fleet.cores
-        # At the first start of all nothing ran before.
-        began_ms = now_ms if young else -BOUNDS.window_ms
-        allowances = Allowances(BOUNDS, len(self.fleet.names))
-        entry_state = EntryState(choice, self.fleet.ring, allowances)
-        return _Node(entry_state, HolderState(BOUNDS, began_ms))
-
-    def ask(self, request, settle):
-        limit = self.fleet.limits[request.organisation]
-        holders = self.fleet.ring.shares(self.fleet.now_ms)
-        asking = Asking(Ask(request.request_id, request.organisation, request.cost, limit, holders))
-        self._step(request.node, asking, Begun(), settle)
-
-    def _step(self, name, asking, event, settle):
-        match entry.step(self.nodes[name].entry, asking, event, self.fleet.now_ms):
-            case AskHolder(node):
-                self._ask(name, asking, node, settle)
-            case Admitted(node):
-                self._holders[asking.ask.ask_id] = node
-                settle(True)
-            case Refused() | Unknown():
-                settle(False)
-
-    def _ask(self, name, asking, node, settle):
-        ask, waiting = asking.ask, [True]
-
-        def proceed(event):
-            if waiting and waiting.pop():
-                self._step(name, asking, event, settle)
-
-        def arrived():
-            answer = Answered(node, self._hold(node, ask))
-            self.fleet.send(node, name, proceed, answer)
-
-        if node == name:
-            proceed(Answered(node, self._hold(node, ask)))
-            return
-        self.fleet.send(name, node, arrived)
-        self.fleet.at(HOLDER_SILENT_MS, proceed, Unanswered(node))
+class QuotaFleet(VirtualFleet):
+    """Nodes that get requests by chance."""
 
-    def _hold(self, name, event):
-        limit = self.fleet.limits[event.subject]
-        replies = holder.step(self.nodes[name].held, event, limit, self.fleet.now_ms)
-        return next((reply for reply in replies if isinstance(reply, Answer)), None)
-
-    def give_back(self, request):
-        node = self._holders[request.request_id]
-        if node is not None:
-            holders = self.fleet.ring.shares(self.fleet.now_ms)
-            back = GivenBack(request.request_id, request.organisation, holders)
-            self.fleet.send(request.node, node, self._hold, node, back)
-
-
-class QuotaFleet:
-    """Nodes that get requests by chance. `apart` holds groups that hear only their own members."""
-
-    def __init__(self, way=ShareWay, count=60, requests_per_s=124.0, seed=1, dead=0):
-        self.rng = random.Random(seed)
-        self.now_ms = 0
+    def __init__(self, count=60, requests_per_s=124.0, seed=1, dead=0):
+        super().__init__(count, seed, dead)
         self.requests_per_s = requests_per_s
         self.usual = usual_organisations(requests_per_s)
         self.limits = {name: limit_of(per_s) for name, per_s in self.usual.items()}
         self.factors = defaultdict(lambda: 1.0)
         self.outcome = Outcome()
         self.not_run_share = 0.0
-        self.apart = {}
-        self.away = set()
         self._ideal = _Ideal()
-        self._queue, self._numbers = [], itertools.count()
-        self.names = [f"10.0.{i // 250}.{i % 250}:7660" for i in range(count + dead)]
-        self.cores = {
-            name: WEAK_CORES if number % STRONG_EVERY else STRONG_CORES
-            for number, name in enumerate(self.names)
-        }
-        self.ring = HolderRing()
-        self.ring.take(self.names, 0)
-        self.live = list(self.names[:count])
-        self.away.update(self.names[count:])
-        self.way = way(self)
-
-    # What happens to nodes.
-
-    def holders(self, organisation):
-        """The nodes among which its quota is shared out."""
-        return self.ring.holders(organisation)
-
-    def kill(self, names, for_ms):
-        """They are gone for so long, and know nothing when they are back."""
-        self.away.update(names)
-        self.at(for_ms, self._start_again, list(names))
-
-    def _start_again(self, names):
-        self.away.difference_update(names)
-        for name in names:
-            self.way.restart(name)
-
-    def freeze(self, names, for_ms):
-        """They stand still for so long, and then go on with what they knew."""
-        self.away.update(names)
-        self.at(for_ms, self.away.difference_update, list(names))
-
-    def cut(self, groups, for_ms):
-        """Each group hears only its own members for so long."""
-        for number, names in enumerate(groups, start=1):
-            self.apart.update(dict.fromkeys(names, number))
-        self.at(for_ms, self.apart.clear)
-
-    def _hears(self, one, other):
-        if {one, other} & self.away:
-            return False
-        return self.apart.get(one, 0) == self.apart.get(other, 0)
-
-    # Time and messages.
-
-    def at(self, after_ms, function, *arguments):
-        """Call a function later, on the play's own time."""
-        item = (self.now_ms + after_ms, next(self._numbers), function, arguments)
-        heapq.heappush(self._queue, item)
-
-    def send(self, source, target, function, *arguments):
-        """Call a function at another node, if the message gets there."""
-        self.outcome.messages += 1
-        if source != target and not self._hears(source, target):
-            return
-        delay_ms = 0 if source == target else self.rng.randint(1, 10)
-        self.at(delay_ms, self._deliver, source, target, function, arguments)
-
-    def _deliver(self, source, target, function, arguments):
-        if source == target or self._hears(source, target):
-            function(*arguments)
+        self.shares = FleetShares(self, BOUNDS, lambda _, event: self.limits[event.subject])
 
-    def run(self, until_ms):
-        while self._queue and self._queue[0][0] <= until_ms:
-            self.now_ms, _, function, arguments = heapq.heappop(self._queue)
-            function(*arguments)
-        self.now_ms = until_ms
+    def restart(self, name):
+        self.shares.restart(name)
 
     # Requests.
 
@@ -309,22 +141,23 @@
             return
         generates = self.rng.random() < GENERATION_SHARE
         cost = GENERATION_TOKENS if generates else PLAIN_TOKENS
-        request = Request(f"r{next(self._numbers)}", node, name, cost)
+        request = Request(f"r{self.number()}", node, name, cost)
         owed = self._ideal.owes(request, self.limits[name], self.now_ms)
         self.outcome.asked += 1
         if owed:
             self.outcome.owed[name] += cost
         else:
             self.outcome.beyond.add(name)
-        asked_ms = self.now_ms
-        self.way.ask(request, lambda admitted: self._settle(request, asked_ms, admitted))
+        asked_ms, limit = self.now_ms, self.limits[name]
+        ask = Ask(request.request_id, name, cost, limit, self.ring.shares(asked_ms))
+        self.shares.ask(node, ask, lambda command: self._settle(request, asked_ms, ask, command))
 
-    def _settle(self, request, asked_ms, admitted):
+    def _settle(self, request, asked_ms, ask, command):
         self.outcome.waits_ms.append(self.now_ms - asked_ms)
-        if not admitted:
+        if not isinstance(command, Admitted):
             self.outcome.refused += 1
             self.outcome.refused_within += request.organisation not in self.outcome.beyond
         elif self.rng.random() < self.not_run_share:
-            self.way.give_back(request)
+            self.shares.give_back(request.node, ask, command)
         else:
             self.outcome.ran[request.organisation].append((self.now_ms, request.cost))
