Numbers in header fields have one reader, which raises nothing

Callers who sent a count of tokens of a superscript digit or of 5,000 digits got a 500 and left a traceback. Cause: str.isdigit takes more than int does, and int refuses very long texts; the Keep-Alive of endpoints was read so too, and an error there ended the connection. Change: field_numbers reads plain digits; each field that is none is a finding of the 400, shown in 40 signs. A negative number and an exponent, taken until now, are findings as well. The stream's last event id keeps all its digits.

--- a/saffronworks/platform/fields.py
+++ b/saffronworks/field_numbers.py
@@ -1,4 +1,7 @@
-"""Numbers in header fields: one reader for what callers and servers send."""
+"""Numbers in header fields: one reader for what callers and endpoints send.
+
+Neither raises: what `str.isdigit` calls a digit, `int` may refuse, and `float` takes more than it.
+"""
 
 import re
 
@@ -6,8 +9,9 @@
 
 __all__ = ["read_decimal", "read_whole"]
 
-# Digits enough for any count or time, and few enough that a float holds them exactly.
-_WHOLE = re.compile(r"[0-9]{1,15}", re.ASCII)
+# Digits enough for any count, id or time, and few enough for what nodes tell each other; a float
+# holds fifteen exactly.
+_WHOLE = re.compile(r"[0-9]{1,18}", re.ASCII)
 _DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{0,15})?", re.ASCII)
 # Of a value that is no number, so much is told.
 _SHOWN_CHARS = 40
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -11,7 +11,9 @@
 
 import attrs
 import httptools
+from result import Ok
 
+from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
@@ -156,8 +158,9 @@
             self.reusable = False
         for part in (head.get("keep-alive") or "").split(","):
             key, _, value = part.strip().partition("=")
-            if key == "timeout" and value.isdigit():
-                self.keep_ms = int(value) * 1000.0 * KEEP_ALIVE_SHARE
+            timeout_s = read_whole(value)
+            if key == "timeout" and isinstance(timeout_s, Ok):
+                self.keep_ms = timeout_s.ok_value * 1000.0 * KEEP_ALIVE_SHARE
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body for the reader."""
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -9,6 +9,7 @@
 
 from saffronworks.clocks import monotonic_ms
 from saffronworks.endpoint_roles import Role
+from saffronworks.field_numbers import read_decimal
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, RawHead
@@ -25,7 +26,6 @@
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
 )
-from saffronworks.platform.fields import read_decimal
 
 __all__ = ["ID_FIELD", "LimitListener", "PlatformCalls", "PlatformExchange", "read_limit"]
 
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -2,9 +2,11 @@
 
 import logging
 from collections.abc import Callable
+from typing import Any
 
 from result import Err, Ok, Result
 
+from saffronworks.field_numbers import read_decimal, read_whole
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import read_key
@@ -19,6 +21,8 @@
 
 # How long a caller waits that does not say so.
 DEFAULT_LEFT_MS = 30_000
+# Of a field's value that is no number, so much is told.
+SHOWN_CHARS = 40
 # A colon, a space and a line end with each field.
 FIELD_EXTRA_BYTES = 4
 _CONNECTION_FIELDS = frozenset(
@@ -65,8 +69,8 @@
     request_id = call.headers.get("request-id", "")
     if not request_id:
         findings.append(f"{ID_FIELD}: missing")
-    left_ms = _whole(call, "deadline-ms", findings)
-    after_event = _whole(call, "last-event-id", findings)
+    left_ms = _read(call, "deadline-ms", read_decimal, findings)
+    after_event = _read(call, "last-event-id", read_whole, findings)
     prompt = _read_prompt(call, findings)
     if findings:
         return Err(findings)
@@ -99,23 +103,30 @@
     counts = call.headers.get("token-counts")
     if counts is None:
         return None
-    parts = [part.strip() for part in counts.split(",")]
-    if len(parts) != 2 or not all(part.isdigit() for part in parts):
-        findings.append(f"Token-Counts: expected two whole numbers, found {counts!r}")
-        return None
-    likely = _whole(call, "length-hint", findings)
-    return PromptSize(int(parts[0]), int(parts[1]), likely)
-
-
-def _whole(call: Call, field: str, findings: list[str]) -> int | None:
+    likely = _read(call, "length-hint", read_decimal, findings)
+    match [read_whole(part) for part in counts.split(",")]:
+        case [Ok(prompt_tokens), Ok(most_answer_tokens)]:
+            return PromptSize(prompt_tokens, most_answer_tokens, likely)
+    findings.append(f"Token-Counts: expected two whole numbers, found {_shown(counts)}")
+    return None
+
+
+def _read(
+    call: Call, field: str, read: Callable[[str], Result[Any, str]], findings: list[str]
+) -> int | None:
+    """The whole part of a field's number; None where there is no such field, or no number."""
     value = call.headers.get(field)
     if value is None:
         return None
-    try:
-        return max(0, int(float(value)))
-    except (ValueError, OverflowError):
-        findings.append(f"{field}: expected a number, found {value!r}")
-        return None
+    number = read(value)
+    if isinstance(number, Ok):
+        return int(number.ok_value)
+    findings.append(f"{field}: expected a number, 0 or more, found {_shown(value)}")
+    return None
+
+
+def _shown(value: str) -> str:
+    return repr(value if len(value) <= SHOWN_CHARS else f"{value[:SHOWN_CHARS]}...")
 
 
 class CallerConnectionReply:
--- /dev/null
+++ b/saffronworks/tests/connection_fakes.py
@@ -0,0 +1,35 @@
+"""One connection to an endpoint without a socket: bytes go in, an answer comes out."""
+
+from saffronworks.forwarding.connections import EndpointConnection
+
+__all__ = ["WAIT_MS", "connect", "receive"]
+
+ID_FIELD = "Request-Id"
+WAIT_MS = 100
+
+
+class Wire:
+    """A transport that sends nowhere."""
+
+    def is_closing(self):
+        return False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+
+def connect():
+    connection = EndpointConnection(ID_FIELD)
+    connection._transport = Wire()
+    return connection
+
+
+async def receive(connection, data, awaited_id, bodiless=False):
+    """Send a request, take these bytes; the answer's head and body."""
+    connection.send(b"", awaited_id, bodiless)
+    connection.data_received(data)
+    head = await connection.head(WAIT_MS)
+    return head, await connection.body(WAIT_MS)
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -3,42 +3,13 @@
 import anyio
 from behave import then, when
 
-from saffronworks.forwarding.connections import EndpointConnection
+from saffronworks.tests.connection_fakes import connect, receive
 
-ID_FIELD = "Request-Id"
 OWN = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nown"
 CONTROL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nhold"
 IN_CHUNKS = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
 TRAILER = b"3\r\nown\r\n0\r\nServer-Stamp: s\r\n\r\n"
 HEAD_WITH_BODY = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 9\r\n\r\nown"
-WAIT_MS = 100
-
-
-class Wire:
-    """A transport that sends nowhere."""
-
-    def is_closing(self):
-        return False
-
-    def write(self, data):
-        pass
-
-    def abort(self):
-        pass
-
-
-def connect():
-    connection = EndpointConnection(ID_FIELD)
-    connection._transport = Wire()
-    return connection
-
-
-async def receive(connection, data, awaited_id, bodiless=False):
-    """Send a request, take these bytes; the answer's head and body."""
-    connection.send(b"", awaited_id, bodiless)
-    connection.data_received(data)
-    head = await connection.head(WAIT_MS)
-    return head, await connection.body(WAIT_MS)
 
 
 @when("an answer comes once more in place of the next one, which is a call of the router's own")
