Soak: endpoints name limits, and nodes are held to them

Cause: no stand-in named one, so that no soak could break the promise. Change: three limits a soak, drawn by themselves, for 5 to 9 s, across all other faults; the check counts as the users do. Seeds that failed once keep the faults that they had.

--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -34,11 +34,12 @@
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     whole, broken = attrs.evolve(Shape(), faults_ms=faults_ms), 0
     # The first ones were found without these kinds of faults, and stay what they were.
-    early = attrs.evolve(whole, restarts=0, deadly=False, organisations=False)
+    early = attrs.evolve(whole, restarts=0, deadly=False, organisations=False, limits=0)
     played = [(seed, whole) for seed in range(first, first + seeds)]
     if failed:
         played = [(seed, early) for seed in sorted(FAILED_SEEDS)]
-        played += [(seed, whole) for seed in sorted(FAILED_WITH_ORGANISATIONS)]
+        unlimited = attrs.evolve(whole, limits=0)
+        played += [(seed, unlimited) for seed in sorted(FAILED_WITH_ORGANISATIONS)]
     for seed, shape in played:
         folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -10,7 +10,7 @@
 from saffronworks.tests.crashing_servers import DEADLY
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.organisations import check_endpoint_fields
-from saffronworks.tests.soak.records import Ran
+from saffronworks.tests.soak.records import Ran, Reached
 
 __all__ = ["Endpoint"]
 
@@ -69,6 +69,7 @@
         self.crash()
         self.starts += 1
         self.grey_until_ms = self.full_until_ms = 0.0
+        self.limit = None
         self.holds.clear()
         self.handles.clear()
 
@@ -121,6 +122,7 @@
     async def _request(self, reader, writer, headers):
         request_id, now_ms, body = headers["request-id"], self.site.now_ms(), self.seen[-1][3]
         self.records.wrong += check_endpoint_fields(self.records.asked[request_id], headers)
+        self.records.reached.append(Reached(self.instance, request_id, now_ms))
         if headers.get("stage") == "prefill":
             return await self._read_prompt(writer, request_id)
         self.records.arrived.append((self.service, request_id, now_ms))
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ConfigChange",
     "EndpointFault",
+    "EndpointLimit",
     "EndpointRestart",
     "Fault",
     "LinkFault",
@@ -27,6 +28,9 @@
 SERIES_SPREAD_MS = 2500
 SHORTEST_MS = 300
 LONGEST_MS = 3000
+# An endpoint in need names its limit for so long: nodes have three seconds to keep it.
+NEED_SHORTEST_MS, NEED_LONGEST_MS = 5000, 9000
+LIMITS_PER_S = (0.5, 1.0, 2.4, 6.0)
 # One that starts again is back before its entry lapses.
 SHORT_GONE_MS = 2000
 
@@ -46,6 +50,8 @@
     deadly: bool = True
     # Whether callers have keys, which change, and organisations quotas.
     organisations: bool = True
+    # How often an endpoint names a limit.
+    limits: int = 3
 
 
 @attrs.frozen
@@ -82,6 +88,13 @@
     """An endpoint starts again under its name and address, and knows nothing of before."""
 
 
+@attrs.frozen
+class EndpointLimit(Fault):
+    """An endpoint names in its answers how many requests a second it takes."""
+
+    per_s: float = 1.0
+
+
 class OrganisationChange(Fault):
     """The operator takes a key away or gives it back, and changes a quota."""
 
@@ -115,7 +128,19 @@
         OrganisationChange(keys.randrange(shape.faults_ms), 0, "organisations", 0)
         for _ in range(keys.randint(2, 5) if shape.organisations else 0)
     ]
-    return sorted([*faults, *changes, *restarts, *organisations], key=lambda fault: fault.at_ms)
+    struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
+    return sorted(struck, key=lambda fault: fault.at_ms)
+
+
+def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
+    """All are over when the other faults are."""
+    rng = random.Random(f"{seed}/limits")
+    drawn: list[Fault] = []
+    for _ in range(shape.limits):
+        for_ms = min(rng.randint(NEED_SHORTEST_MS, NEED_LONGEST_MS), shape.faults_ms)
+        at_ms, target = rng.randrange(max(1, shape.faults_ms - for_ms)), rng.randrange(1000)
+        drawn.append(EndpointLimit(at_ms, for_ms, "limit", target, rng.choice(LIMITS_PER_S)))
+    return drawn
 
 
 def draw_deadly(seed: int, shape: Shape) -> list[Fault]:
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -3,7 +3,7 @@
 from saffronworks.tests.soak.callers import DEADLY_KIND, ONCE_KINDS, STREAM_KINDS
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.organisations import HOT, quotas_hold
-from saffronworks.tests.soak.records import ALL_NODES, Asked, Records
+from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Records
 
 __all__ = ["check_all"]
 
@@ -20,6 +20,10 @@
 # A content that three endpoints ended under is sent on so often at most.
 MOST_DEADLY_SENDS = 3
 OVER_QUOTA, UNKNOWN_KEY = 429, 401
+# What an endpoint that names a limit tolerates of nodes that were told so long before: in any 4 s,
+# half as much again and 5 requests.
+TOLD_MS, LIMIT_WINDOW_MS = 500, 4000
+LIMIT_FACTOR, LIMIT_MORE = 1.5, 5
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
 
@@ -40,6 +44,7 @@
         _deadly_reach_few,
         quotas_hold,
         _taken_keys_reach_none,
+        _limits_hold,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -275,3 +280,37 @@
             late.append(request_id)
     ends = len(records.deadly_ends_ms)
     return [f"sent on as {late}, {ends} ends"] if len(late) > MOST_DEADLY_SENDS else []
+
+
+def _limits_hold(records: Records) -> list[str]:
+    """From `CONTACT_MS` after an endpoint first named a limit, nodes keep it together."""
+    found = []
+    for need in records.needs:
+        counted = _sent_by_told(records, need)
+        most = max((_within(counted, at_ms, LIMIT_WINDOW_MS) for at_ms in counted), default=0)
+        if most > LIMIT_FACTOR * need.per_s * LIMIT_WINDOW_MS / 1000 + LIMIT_MORE:
+            found.append(f"{need.endpoint} got {most} requests in 4 s, it takes {need.per_s} a s")
+    return found
+
+
+def _within(times_ms: list[float], from_ms: float, window_ms: float) -> int:
+    return sum(from_ms <= at_ms < from_ms + window_ms for at_ms in times_ms)
+
+
+def _sent_by_told(records: Records, need: Need) -> list[float]:
+    """When requests reached an endpoint from nodes in touch that had passed its limit on before."""
+    told_ms: dict[int, float] = {}
+    named_ms = float("inf")
+    counted = []
+    for reached in records.reached:
+        asked = records.asked[reached.request_id]
+        if reached.endpoint != need.endpoint or not need.from_ms <= reached.at_ms < need.to_ms:
+            continue
+        named_ms = min(named_ms, asked.ended_ms or float("inf"))
+        since_ms = told_ms.get(asked.node, float("inf"))
+        late = reached.at_ms >= max(named_ms + CONTACT_MS, since_ms + TOLD_MS)
+        if late and _undisturbed(records, asked.node, since_ms, reached.at_ms, "endpoint"):
+            counted.append(reached.at_ms)
+        if asked.outcome == "answered":
+            told_ms[asked.node] = min(since_ms, asked.ended_ms)
+    return counted
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["ALL_NODES", "Asked", "Disturbance", "Ran", "Records"]
+__all__ = ["ALL_NODES", "Asked", "Disturbance", "Need", "Ran", "Records", "Reached"]
 
 ALL_NODES = -1
 
@@ -42,6 +42,25 @@
     ended_ms: float | None = None
 
 
+@attrs.frozen
+class Reached:
+    """A request, or its prompt alone, reached an endpoint."""
+
+    endpoint: str
+    request_id: str
+    at_ms: float
+
+
+@attrs.frozen
+class Need:
+    """An endpoint names a limit in this time."""
+
+    endpoint: str
+    per_s: float
+    from_ms: float
+    to_ms: float
+
+
 @attrs.frozen
 class Disturbance:
     """Trouble of a node or of all: "node", "stopped" as planned, or one of its ways."""
@@ -60,6 +79,8 @@
     ran: list[Ran] = attrs.Factory(list)
     # Requests that arrived at a service, whether run or not: service, id, time.
     arrived: list[tuple[str, str, float]] = attrs.Factory(list)
+    reached: list[Reached] = attrs.Factory(list)
+    needs: list[Need] = attrs.Factory(list)
     # When the store took an endpoint's word that it leaves, or its entry was removed.
     left_ms: dict[str, float] = attrs.Factory(dict)
     disturbances: list[Disturbance] = attrs.Factory(list)
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -14,7 +14,7 @@
 from saffronworks.tests.soak.organisations import Organisations
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.proxies import Proxy
-from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Records
+from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Need, Records
 
 __all__ = ["SoakSite"]
 
@@ -143,6 +143,8 @@
                 await self._strike_endpoint(fault)
             case faults.EndpointRestart():
                 await self._restart_endpoint(fault)
+            case faults.EndpointLimit():
+                await self._limit_endpoint(fault)
             case faults.OrganisationChange():
                 self._change_organisations()
             case faults.ConfigChange():
@@ -214,6 +216,19 @@
         if endpoint.instance not in self.records.left_ms:
             self.store.put("servers", endpoint.instance, endpoint.entry())
 
+    async def _limit_endpoint(self, fault):
+        """It names a limit until its need is over, or it starts again."""
+        endpoint, from_ms = self._choose_endpoint(fault), self.now_ms()
+        if endpoint.limit is not None:
+            return
+        start, endpoint.limit = endpoint.starts, f"{fault.per_s:g}"
+        until_ms = from_ms + fault.for_ms
+        while self.now_ms() < until_ms and endpoint.starts == start:
+            await anyio.sleep(LOOK_READY_S)
+        endpoint.limit = None if endpoint.starts == start else endpoint.limit
+        need = Need(endpoint.instance, fault.per_s, from_ms, self.now_ms() - LOOK_READY_S)
+        self.records.needs.append(need)
+
     def end_under_deadly(self, endpoint):
         """The process of an endpoint ends; another start of it comes some time later."""
         self.records.deadly_ends_ms.append(self.now_ms())
