--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -309,7 +309,8 @@
         named_ms = min(named_ms, asked.ended_ms or float("inf"))
         since_ms = told_ms.get(asked.node, float("inf"))
         late = reached.at_ms >= max(named_ms + CONTACT_MS, since_ms + TOLD_MS)
-        if late and _undisturbed(records, asked.node, since_ms, reached.at_ms, "endpoint"):
+        window_ms = max(since_ms, reached.at_ms - LIMIT_WINDOW_MS)
+        if late and _undisturbed(records, asked.node, window_ms, reached.at_ms):
             counted.append(reached.at_ms)
         if asked.outcome == "answered":
             told_ms[asked.node] = min(since_ms, asked.ended_ms)
