Limits of endpoints: reservations count, failures don't end a limit; message kinds named beside the messages

Change: a place takes two of the limit and no headroom is asked of such an engine; only answers that ran well end a limit; news is kept whatever the listing.

--- a/saffronworks/forwarding/endpoint_limits/messages.py
+++ b/saffronworks/forwarding/endpoint_limits/messages.py
@@ -4,7 +4,15 @@
 
 from saffronworks.forwarding.starts import StartId
 
-__all__ = ["HeardLimit", "LimitNews", "LimitsWanted", "SendAnswer", "SendAsk", "SendGivenBack"]
+__all__ = [
+    "NODES_HEAR",
+    "HeardLimit",
+    "LimitNews",
+    "LimitsWanted",
+    "SendAnswer",
+    "SendAsk",
+    "SendGivenBack",
+]
 
 
 @attrs.frozen
@@ -32,11 +40,15 @@
 
 @attrs.frozen
 class SendAsk:
-    """Entry to holder: may a request be sent to this endpoint within your share of its limit?"""
+    """Entry to holder: may a request be sent to this endpoint within your share of its limit?
+
+    `calls` is how many calls to the endpoint it takes.
+    """
 
     ask_id: str
     reply_to: str
     limit: HeardLimit
+    calls: int
     holders: int
 
 
@@ -56,3 +68,7 @@
     ask_id: str
     endpoint: StartId
     holders: int
+
+
+# What nodes tell each other, as entry nodes, as holders and as neighbours.
+NODES_HEAR = (SendAsk, SendAnswer, SendGivenBack, LimitNews, LimitsWanted)
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.gate import SendGate
 from saffronworks.forwarding.endpoint_limits.messages import (
     HeardLimit,
@@ -63,13 +63,11 @@
     def __init__(
         self,
         own_address: str,
-        directory: Directory,
         uncounted_nodes: int,
         rng: random.Random,
         now_ms: Callable[[], int],
     ):
         self._own_address = own_address
-        self._directory = directory
         self._now_ms = now_ms
         self._table = LimitTable()
         self._gate = SendGate(rng, uncounted_nodes)
@@ -121,9 +119,6 @@
             self._learn(instance, before, "answer")
 
     def _hear_news(self, heard: HeardLimit) -> None:
-        """Of an endpoint that is not listed here nothing is kept: nothing is sent to it either."""
-        if heard.endpoint not in self._directory.endpoints:
-            return
         before = self._table.find(heard.endpoint)
         known = NamedLimit(heard.per_s, self._now_ms() - heard.age_ms)
         if self._table.take_news(heard.endpoint, known):
@@ -175,8 +170,10 @@
         closed = {instance: self._gate.closed_ms(instance, now_ms) for instance in named}
         return Limited(named, {instance: left for instance, left in closed.items() if left})
 
-    async def take_permit(self, endpoint: ServiceEndpoint, request_id: str) -> Permit | NoPermit:
-        """Leave to send a request, from a holder of the endpoint's limit."""
+    async def take_permit(
+        self, endpoint: ServiceEndpoint, request_id: str, calls: int = 1
+    ) -> Permit | NoPermit:
+        """Leave to send a request, with so many calls, from a holder of the endpoint's limit."""
         instance, now_ms = endpoint.instance, self._now_ms()
         per_s = self._table.find(instance)
         if per_s is None:
@@ -184,7 +181,7 @@
         closed_ms = self._gate.closed_ms(instance, now_ms)
         if closed_ms:
             return NoPermit(closed_ms)
-        ask = self.bound.make_ask(instance, 1, Limit(per_s, 0.0))
+        ask = self.bound.make_ask(instance, calls, Limit(per_s, 0.0))
         command = await self.bound.settle(ask, lambda node: _log_silent(request_id, ask, node))
         if isinstance(command, Admitted):
             self._gate.admit(instance)
@@ -228,10 +225,10 @@
         match message:
             case SendAnswer(ask_id, admitted, retry_after_ms):
                 self.bound.take_answer(Answer(ask_id, admitted, retry_after_ms))
-            case SendAsk(ask_id, reply_to, HeardLimit() as heard, holders):
+            case SendAsk(ask_id, reply_to, HeardLimit() as heard, calls, holders):
                 self._hear_news(heard)
                 limit = Limit(heard.per_s or 0.0, 0.0)
-                self.bound.answer(reply_to, Ask(ask_id, heard.endpoint, 1, limit, holders))
+                self.bound.answer(reply_to, Ask(ask_id, heard.endpoint, calls, limit, holders))
             case SendGivenBack(ask_id, endpoint, holders):
                 self.bound.hold(GivenBack(ask_id, endpoint, holders))
             case LimitNews(limits):
@@ -242,9 +239,9 @@
 
     def _tell(self, node: str, told: Told) -> None:
         match told:
-            case Ask(ask_id, subject, _, Limit(per_s), holders):
+            case Ask(ask_id, subject, calls, Limit(per_s), holders):
                 heard = self._told_of(StartId(subject)) or HeardLimit(StartId(subject), per_s, 0)
-                self._post(node, SendAsk(ask_id, self._own_address, heard, holders))
+                self._post(node, SendAsk(ask_id, self._own_address, heard, calls, holders))
             case Answer(ask_id, admitted, retry_after_ms):
                 self._post(node, SendAnswer(ask_id, admitted, retry_after_ms))
             case GivenBack(ask_id, subject, holders):
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -6,7 +6,7 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits.permits import FREE, NoPermit, Permit
+from saffronworks.forwarding.endpoint_limits.permits import FREE, NoPermit
 from saffronworks.forwarding.loads import EndpointLoad
 from saffronworks.forwarding.messages import KvHold
 from saffronworks.forwarding.planning.client import RunSize
@@ -25,6 +25,10 @@
 
 __all__ = ["Place", "StreamPace"]
 
+# What a place takes of an endpoint's limit: its reservation, and the stream, or the release of what
+# was not used.
+PLACE_CALLS = 2
+
 
 @attrs.frozen
 class StreamPace:
@@ -49,7 +53,6 @@
     _hold: KvHold | None = None
     _load: EndpointLoad | None = None
     _tokens: int = 0
-    _permit: Permit = FREE
 
     @property
     def taken(self) -> bool:
@@ -85,30 +88,29 @@
     async def reserve(self, command: events.AskHold) -> events.Event:
         """Reserve memory at an endpoint; raises Break when it gives no answer."""
         endpoint, request_id = command.endpoint, self.job.request.request_id
-        permit = await self.node.limits.take_permit(endpoint, request_id)
+        permit = await self.node.limits.take_permit(endpoint, request_id, PLACE_CALLS)
         if isinstance(permit, NoPermit):
             self.node.figures.count_send("hold", "limited")
             return events.HoldFailed(endpoint.instance, broken=False)
-        # The stream's: given back with the place, unless the request was sent with it.
-        self._permit = permit
         try:
-            hold = await self._take_beside_headroom(command)
-        except Break:
-            self._give_permit_back()
+            hold = await self._take_beside_headroom(command, limited=permit is not FREE)
+        except Break as broken:
+            if not broken.sent:
+                self.node.limits.give_back(permit)
             raise
         if hold is None:
-            self._give_permit_back()
             self.node.figures.count_send("hold", "full")
             return events.HoldFailed(endpoint.instance, broken=False)
         self.node.figures.count_send("hold", "taken")
         self._take(hold, endpoint, command.tokens)
         return events.HoldTaken(hold)
 
-    async def _take_beside_headroom(self, command: events.AskHold) -> KvHold | None:
+    async def _take_beside_headroom(self, command: events.AskHold, limited: bool) -> KvHold | None:
         """The headroom is reserved first, to see that it is there, and given back at once."""
         calls, endpoint, now_ms = self.node.calls, command.endpoint, self.node.now_ms
         headroom: KvHold | None = None
-        if command.headroom_tokens:
+        # An endpoint in need is spared the two calls.
+        if command.headroom_tokens and not limited:
             free = await calls.take_hold(endpoint, command.headroom_tokens, HEADROOM_MS, now_ms())
             if isinstance(free, Err):
                 return None
@@ -130,15 +132,9 @@
     def use(self) -> None:
         """The request was sent with the reservation, which serves it from now on."""
         self._hold = None
-        self._permit = FREE
-
-    def _give_permit_back(self) -> None:
-        self.node.limits.give_back(self._permit)
-        self._permit = FREE
 
     def give_back(self) -> None:
         """Free what is reserved and unused."""
-        self._give_permit_back()
         if self._load is not None:
             self._load.reserved_tokens -= self._tokens
             self._load = None
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -8,6 +8,8 @@
 from saffronworks.forwarding.starts import StartId
 
 __all__ = [
+    "ENTRY_HEARS",
+    "PLANNER_HEARS",
     "LiveRun",
     "MemoryAsk",
     "MemoryDirect",
@@ -136,3 +138,8 @@
 
     service: str
     reply_to: str
+
+
+# What a planner hears of entry nodes, and what entry nodes hear of planners.
+PLANNER_HEARS = (MemoryAsk, MemoryRelease, MemoryReport, ReadingEnded)
+ENTRY_HEARS = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal, ReportWanted)
--- a/saffronworks/forwarding/quotas/messages.py
+++ b/saffronworks/forwarding/quotas/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["QuotaAnswer", "QuotaAsk", "QuotaGivenBack", "QuotaRunAgain"]
+__all__ = ["NODES_HEAR", "QuotaAnswer", "QuotaAsk", "QuotaGivenBack", "QuotaRunAgain"]
 
 
 @attrs.frozen
@@ -48,3 +48,7 @@
     ask_id: str
     organisation: str
     holders: int
+
+
+# What nodes tell each other, as entry nodes and as holders.
+NODES_HEAR = (QuotaAsk, QuotaAnswer, QuotaRunAgain, QuotaGivenBack)
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -283,7 +283,8 @@
 
 def read_limit(raw: RawHead, sent_ms: int) -> LimitWord:
     """What an answer to a request of `sent_ms` says of the server's limit; of several the least."""
-    ran = not _is_refusal(raw)
+    # A failure, or an answer that may not be the server's own, doesn't tell that its need is over.
+    ran = not _is_refusal(raw) and raw.status < 500 and raw.get(ID_FIELD) is not None
     read = [read_decimal(value) for key, value in raw.fields if key.lower() == _LIMIT]
     unreadable = [value.err_value for value in read if isinstance(value, Err)]
     if unreadable:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -14,13 +14,6 @@
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
-from saffronworks.forwarding.endpoint_limits.messages import (
-    LimitNews,
-    LimitsWanted,
-    SendAnswer,
-    SendAsk,
-    SendGivenBack,
-)
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.followers import Follower
@@ -29,28 +22,11 @@
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient
-from saffronworks.forwarding.planning.messages import (
-    MemoryAsk,
-    MemoryDirect,
-    MemoryGrant,
-    MemoryQueued,
-    MemoryRefusal,
-    MemoryRelease,
-    MemoryReport,
-    ReadingEnded,
-    ReportWanted,
-)
 from saffronworks.forwarding.planning.service import MemoryPlanner
 from saffronworks.forwarding.quarantine import messages as quarantine_messages
 from saffronworks.forwarding.quarantine.messages import SuspicionNews
 from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quotas import messages as quota_messages
-from saffronworks.forwarding.quotas.messages import (
-    QuotaAnswer,
-    QuotaAsk,
-    QuotaGivenBack,
-    QuotaRunAgain,
-)
 from saffronworks.forwarding.quotas.service import Quotas
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.role_core import RoleState
@@ -102,7 +78,6 @@
         self._directory = Directory()
         self._limits = EndpointLimits(
             settings.peer_address,
-            self._directory,
             UNCOUNTED_NODES,
             random.Random(settings.peer_address),
             monotonic_ms,
@@ -234,13 +209,10 @@
         self._kernel.register(self._peers)
         self._kernel.register(self._news, StoreNews)
         self._kernel.register(self._quarantine, SuspicionNews)
-        asked = (QuotaAsk, QuotaAnswer, QuotaRunAgain, QuotaGivenBack)
-        self._kernel.register(self._quotas, *asked)
-        sent = (SendAsk, SendAnswer, SendGivenBack, LimitNews, LimitsWanted)
-        self._kernel.register(self._limits, *sent)
-        self._kernel.register(planner, MemoryAsk, MemoryRelease, MemoryReport, ReadingEnded)
-        answers = (MemoryGrant, MemoryQueued, MemoryDirect, MemoryRefusal, ReportWanted)
-        self._kernel.register(self._memory, *answers)
+        self._kernel.register(self._quotas, *quota_messages.NODES_HEAR)
+        self._kernel.register(self._limits, *limit_messages.NODES_HEAR)
+        self._kernel.register(planner, *planning_messages.PLANNER_HEARS)
+        self._kernel.register(self._memory, *planning_messages.ENTRY_HEARS)
 
     @property
     def metrics_address(self) -> str:
--- a/saffronworks/tests/endpoint_plays.py
+++ b/saffronworks/tests/endpoint_plays.py
@@ -39,9 +39,9 @@
     ]
 
 
-def limits_of(directory, now_ms=lambda: 10):
+def limits_of_one_node(now_ms=lambda: 10):
     """What one node alone knows of the limits that endpoints name."""
-    return EndpointLimits("n:1", directory, 1, random.Random(1), now_ms)
+    return EndpointLimits("n:1", 1, random.Random(1), now_ms)
 
 
 def wide_budget():
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -11,7 +11,6 @@
 from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.connections import RawHead
-from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.endpoint_limits.permits import Limited
 from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
 from saffronworks.forwarding.endpoint_limits.tuning import KEEP_ENDED_MS
@@ -34,7 +33,7 @@
     REPLY_KINDS,
     endpoints,
     head_of,
-    limits_of,
+    limits_of_one_node,
     wide_budget,
 )
 from saffronworks.tests.log_lines import LogLines
@@ -331,7 +330,8 @@
 
 
 def read(*values):
-    return read_limit(RawHead(200, [("server-limit", value) for value in values]), 7)
+    named = [("server-limit", value) for value in values]
+    return read_limit(RawHead(200, [("request-id", "r1"), *named]), 7)
 
 
 @then("a limit is a plain number, of several the least, and anything else leaves what was known")
@@ -339,6 +339,12 @@
     assert read() == LimitWord(None, 7)
     assert [read(text).per_s for text in ("2.4", " 1 ", "0", "0.05")] == [2.4, 1.0, 0.0, 0.05]
     assert read("3", "2.4").per_s == 2.4
+    for status, fields in (
+        (500, [("request-id", "r1")]),
+        (503, [("not-executed", "1")]),
+        (200, []),
+    ):
+        assert not read_limit(RawHead(status, fields), 7).ran, status
     odd = ["", " ", "-1", "1e3", "nan", "inf", "²", "1,2", "9" * 400, "1_0", "0x1", "+1"]
     for text in odd:
         word = read("2", text)
@@ -356,9 +362,7 @@
 @then("what can't be read is told once, with what is known")
 def told_once(context):
     with LogLines("saffronworks.forwarding.endpoint_limits.service") as lines:
-        directory, endpoint = Directory(), endpoints(1)[0]
-        directory.put(endpoint)
-        limits = limits_of(directory)
+        endpoint, limits = endpoints(1)[0], limits_of_one_node()
         limits.hear(endpoint, read("2.4"))
         for _ in range(5):
             limits.hear(endpoint, read("many"))
--- a/saffronworks/tests/features/steps/limit_fleet_steps.py
+++ b/saffronworks/tests/features/steps/limit_fleet_steps.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from saffronworks.tests.limit_plays import ENDPOINT, LimitFleet
+from saffronworks.tests.virtual_fleet import STRIKES
 
 SEEDS = range(1, 5)
 CALM_MS, HELD_MS, TROUBLE_MS, AFTER_MS = 1000, 8000, 6000, 10_000
@@ -61,27 +62,13 @@
     assert sum(shares) / len(shares) >= least, shares
 
 
-KINDS = ("kill", "holders", "freeze", "cut", "alone")
-
-
-def strike(fleet, kind, names, for_ms):
-    match kind:
-        case "kill":
-            fleet.kill(names, for_ms)
-        case "holders":
-            fleet.kill(fleet.holders(ENDPOINT), for_ms)
-        case "freeze":
-            fleet.freeze(names, for_ms)
-        case "cut":
-            fleet.cut([names], for_ms)
-        case "alone":
-            fleet.cut([[name] for name in names], for_ms)
-
-
 @then("whatever nodes end, stand still or hear nobody, no 4 s have more requests than is tolerated")
 def any_troubles(context):
     trouble = st.tuples(
-        st.integers(500, 9000), st.sampled_from(KINDS), st.floats(0.05, 0.6), st.integers(500, 6000)
+        st.integers(500, 9000),
+        st.sampled_from(STRIKES),
+        st.floats(0.05, 0.6),
+        st.integers(500, 6000),
     )
 
     @limits(max_examples=40)
@@ -97,7 +84,7 @@
         fleet.per_s = per_s
         for at_ms, kind, share, for_ms in troubles:
             names = part(fleet, share)
-            fleet.at(at_ms, strike, fleet, kind, names, for_ms)
+            fleet.at(at_ms, fleet.strike, ENDPOINT, kind, names, for_ms)
         fleet.play(12_000)
         assert fleet.worst_window() <= 1.0, (seed, count, per_s, troubles)
 
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -16,7 +16,7 @@
 from saffronworks.forwarding.planning.messages import MemoryGrant, MemoryRefusal
 from saffronworks.forwarding.routing import EngineSpec
 from saffronworks.forwarding.runners import Job, NodeState
-from saffronworks.tests.endpoint_plays import endpoints, limits_of, route, wide_budget
+from saffronworks.tests.endpoint_plays import endpoints, limits_of_one_node, route, wide_budget
 
 PROMPT = PromptSize(3000, 700, 600)
 
@@ -52,7 +52,7 @@
         quarantine,
         whose,
         quotas,
-        limits_of(directory),
+        limits_of_one_node(),
     )
 
 
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -20,6 +20,7 @@
     MOST_COUNTED,
 )
 from saffronworks.tests.quota_plays import BOUNDS, GENERATION_TOKENS, Outcome, QuotaFleet
+from saffronworks.tests.virtual_fleet import STRIKES
 
 SEEDS = range(1, 5)
 ORGANISATIONS = {"the largest": "org0", "a middle one": "org5"}
@@ -80,27 +81,13 @@
     assert wrongly <= refused * asked / 1000, (wrongly, asked)
 
 
-KINDS = ("kill", "holders", "freeze", "cut", "alone")
-
-
-def strike(fleet, kind, names, for_ms):
-    match kind:
-        case "kill":
-            fleet.kill(names, for_ms)
-        case "holders":
-            fleet.kill(fleet.holders("org0"), for_ms)
-        case "freeze":
-            fleet.freeze(names, for_ms)
-        case "cut":
-            fleet.cut([names], for_ms)
-        case "alone":
-            fleet.cut([[name] for name in names], for_ms)
-
-
 @then("whatever nodes end, stand still or hear nobody, no window goes beyond what is tolerated")
 def any_troubles(context):
     trouble = st.tuples(
-        st.integers(500, 9000), st.sampled_from(KINDS), st.floats(0.05, 0.6), st.integers(500, 6000)
+        st.integers(500, 9000),
+        st.sampled_from(STRIKES),
+        st.floats(0.05, 0.6),
+        st.integers(500, 6000),
     )
 
     @limits(max_examples=25)
@@ -114,7 +101,7 @@
         fleet.factors["org0"] = 7.5
         for at_ms, kind, share, for_ms in troubles:
             names = fleet.rng.sample(fleet.names, max(1, int(share * count)))
-            fleet.at(at_ms, strike, fleet, kind, names, for_ms)
+            fleet.at(at_ms, fleet.strike, "org0", kind, names, for_ms)
         outcome = fleet.play(12_000)
         assert outcome.worst_window(fleet.limits) <= 1.0
 
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -62,7 +62,7 @@
         self.read_s = 0.0
         self.events = 3
         self.full = False
-        # The requests a second that it names in its answers, and when requests reached it.
+        # The requests a second that it names in its answers, and when calls of any kind reached it.
         self.limit = None
         self.arrived_s = []
         self.starts = 1
@@ -107,6 +107,7 @@
         headers = {key.lower(): value for key, value in pairs}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.seen.append((method, target, headers, body))
+        self.arrived_s.append(time.monotonic())
         if headers.get("expect-instance") != self.instance:
             return await self._reply(writer, 421, {"Instance-Id": self.instance}, b"")
         if target.startswith("/saffronworks/"):
@@ -124,7 +125,6 @@
             await self._head(writer, 200, own)
             return True
         request_id = headers["request-id"]
-        self.arrived_s.append(time.monotonic())
         if headers.get("stage") == "prefill":
             await asyncio.sleep(self.read_s)
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
--- a/saffronworks/tests/virtual_fleet.py
+++ b/saffronworks/tests/virtual_fleet.py
@@ -27,7 +27,9 @@
 from saffronworks.forwarding.shares.tuning import HOLDER_SILENT_MS
 from saffronworks.forwarding.tuning import YOUNG_MS
 
-__all__ = ["FleetShares", "VirtualFleet"]
+__all__ = ["STRIKES", "FleetShares", "VirtualFleet"]
+
+STRIKES = ("kill", "holders", "freeze", "cut", "alone")
 
 STRONG_CORES, WEAK_CORES = 2.15, 0.5
 # One VM in ten is strong.
@@ -163,6 +165,20 @@
             self.apart.update(dict.fromkeys(names, number))
         self.at(for_ms, self.apart.clear)
 
+    def strike(self, subject, kind, names, for_ms):
+        """One of the troubles of `STRIKES`, of these nodes or of a subject's holders."""
+        match kind:
+            case "kill":
+                self.kill(names, for_ms)
+            case "holders":
+                self.kill(self.holders(subject), for_ms)
+            case "freeze":
+                self.freeze(names, for_ms)
+            case "cut":
+                self.cut([names], for_ms)
+            case "alone":
+                self.cut([[name] for name in names], for_ms)
+
     def _hears(self, one, other):
         if {one, other} & self.away:
             return False
