--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -27,6 +27,7 @@
       | ended endpoint after endpoint                  | deadly_reach_few          |
       | had a key that was taken away long before      | taken_keys_reach_none     |
       | ran far beyond the quota of its organisation   | quotas_hold               |
+      | came again far beyond the limit of its endpoint | limits_hold               |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
@@ -34,6 +35,7 @@
 
     Examples:
       | case                                                    |
+      | came again within what its endpoint tolerates          |
       | was served                                              |
       | was broken by a kill across a planned stop of its node  |
 
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -16,7 +16,7 @@
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.organisations import HOT, KEYS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
-from saffronworks.tests.soak.records import Asked, Disturbance, Ran, Records
+from saffronworks.tests.soak.records import Asked, Disturbance, Need, Ran, Reached, Records
 from saffronworks.tests.soak.runs import run_soak
 
 SHORT = faults.Shape(nodes=2, plains=2, engines=3, callers=8, faults_ms=5000)
@@ -183,6 +183,15 @@
     records.ran += 40 * records.ran[:1]
 
 
+def limited(records, sends):
+    """The endpoint of the request takes 1 a second; so many reach it after its node was told."""
+    run, asked = records.ran[0], records.asked["r"]
+    records.needs = [Need(run.endpoint, 1.0, run.at_ms, run.at_ms + 20_000)]
+    from_ms = asked.ended_ms + promises.CONTACT_MS
+    later = [from_ms + number * 300 for number in range(sends)]
+    records.reached = [Reached(run.endpoint, "r", at_ms) for at_ms in (run.at_ms, *later)]
+
+
 CASES = {
     "got half of its stream": ("gen", half_stream),
     "got an answer without signature": ("once", unsigned),
@@ -199,6 +208,8 @@
     "ended endpoint after endpoint": ("res", deadly),
     "had a key that was taken away long before": ("again", key_taken_away),
     "ran far beyond the quota of its organisation": ("res", beyond_quota),
+    "came again far beyond the limit of its endpoint": ("once", lambda seen: limited(seen, 12)),
+    "came again within what its endpoint tolerates": ("once", lambda seen: limited(seen, 11)),
     "was served": ("moved", lambda records: None),
 }
 
