Bounds over the fleet: while nodes may know different holders they ask only those that were some before

Cause: nodes count each other up to 15 s apart. Where holders of a subject left, those who knew it asked the new ones and the others the old ones: up to six shares of a third each. Change: a ring keeps its earlier views for 20 s, and a node asks only holders that were some in all of them; fewer until all know, never more than three shares. Views of the first counts after a start are no one else's and are not kept.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -139,7 +139,8 @@
             state.handle = handle
             return _stream(state, pools, budget, now_ms)
         case ReadFailed(instance, broken, sent):
-            state.reads -= not sent
+            if not sent:
+                state.reads -= 1
             state.failed.add(instance)
             if broken:
                 state.broken.add(instance)
--- a/saffronworks/forwarding/shares/entry.py
+++ b/saffronworks/forwarding/shares/entry.py
@@ -122,8 +122,9 @@
 def _choose(state: EntryState, asking: Asking, now_ms: int) -> None:
     """Requests go to the holders in turn; those that were silent a moment ago are passed over."""
     holders = state.ring.holders(asking.ask.subject)
-    turn = hash32(asking.ask.ask_id) % max(1, len(holders))
-    in_turn = holders[turn:] + holders[:turn]
+    asked = state.ring.asked(asking.ask.subject, now_ms)
+    turn = hash32(asking.ask.ask_id) % max(1, len(asked))
+    in_turn = asked[turn:] + asked[:turn]
     asking.left = [node for node in in_turn if not state.choice.passes_over(node, now_ms)]
     asking.heard_all = bool(holders) and len(asking.left) == len(holders)
 
--- a/saffronworks/forwarding/shares/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -5,12 +5,31 @@
 
 import attrs
 
-from saffronworks.forwarding.shares.tuning import HOLDERS, SETTLED_MS
+from saffronworks.forwarding.shares.tuning import (
+    HOLDERS,
+    SETTLED_MS,
+    VIEW_LASTED_MS,
+    VIEWS_DIFFER_MS,
+)
 from saffronworks.hashing import hash64
 
 __all__ = ["HolderRing"]
 
 
+@attrs.frozen
+class _View:
+    """The nodes that were known for a time, in the order of their hashes."""
+
+    points: list[int] = attrs.Factory(list)
+    nodes: list[str] = attrs.Factory(list)
+    until_ms: int | None = None
+
+    def holders(self, subject: str) -> list[str]:
+        count = len(self.nodes)
+        start = bisect(self.points, hash64(subject))
+        return [self.nodes[(start + step) % count] for step in range(min(HOLDERS, count))]
+
+
 @attrs.define
 class HolderRing:
     """Nodes in the order of their hashes; a subject's holders are the next three after its own.
@@ -20,26 +39,42 @@
     all nodes for each organisation made it 1.8 ms.
     """
 
-    _points: list[int] = attrs.Factory(list)
-    _nodes: list[str] = attrs.Factory(list)
+    _view: _View = attrs.Factory(_View)
+    _earlier: list[_View] = attrs.Factory(list)
     _changed_ms: int | None = None
 
     def take(self, nodes: Iterable[str], now_ms: int) -> None:
         """Which nodes there are from now on."""
         ordered = sorted((hash64(node), node) for node in nodes)
-        if [node for _, node in ordered] == self._nodes:
+        newest = _View([point for point, _ in ordered], [node for _, node in ordered])
+        if newest.nodes == self._view.nodes:
             return
-        self._points = [point for point, _ in ordered]
-        self._nodes = [node for _, node in ordered]
-        self._changed_ms = now_ms
+        # At a start the others are counted one after the other: such views are no one else's.
+        if self._changed_ms is not None and now_ms - self._changed_ms >= VIEW_LASTED_MS:
+            self._earlier.append(attrs.evolve(self._view, until_ms=now_ms))
+        self._view, self._changed_ms = newest, now_ms
 
     def shares(self, now_ms: int) -> int:
         """Into how many shares a limit is divided."""
         settled = self._changed_ms is not None and now_ms - self._changed_ms >= SETTLED_MS
-        return max(1, min(HOLDERS, len(self._nodes))) if settled else HOLDERS
+        return max(1, min(HOLDERS, len(self._view.nodes))) if settled else HOLDERS
 
     def holders(self, subject: str) -> list[str]:
         """The nodes among which its limit is shared out; none before nodes are known."""
-        count = len(self._nodes)
-        start = bisect(self._points, hash64(subject))
-        return [self._nodes[(start + step) % count] for step in range(min(HOLDERS, count))]
+        return self._view.holders(subject)
+
+    def asked(self, subject: str, now_ms: int) -> list[str]:
+        """Of its holders, those that were some before as well, for as long as nodes may differ.
+
+        Nodes that know different holders would else use more than three shares between them.
+        """
+        self._earlier = [
+            view
+            for view in self._earlier
+            if view.until_ms is not None and now_ms - view.until_ms < VIEWS_DIFFER_MS
+        ]
+        asked = self.holders(subject)
+        for view in self._earlier:
+            before = view.holders(subject)
+            asked = [node for node in asked if node in before]
+        return asked
--- a/saffronworks/forwarding/shares/tuning.py
+++ b/saffronworks/forwarding/shares/tuning.py
@@ -7,6 +7,11 @@
 # beside others that held halves and thirds: 1.16 of what may run, in a fleet of three that stopped
 # and started.
 SETTLED_MS = 30_000
+# Nodes count each other every 5 to 15 s, by answers that may be seconds old: so long one may know
+# a change that another one doesn't.
+VIEWS_DIFFER_MS = 20_000
+# What was counted for a shorter time is one of the counts after a start.
+VIEW_LASTED_MS = 4500
 # A holder answers within 1 to 5 ms, on a busy VM within some ten; its request waits so long for it.
 HOLDER_SILENT_MS = 40
 # How what is tolerated beyond limits is given out: to requests that come early or in a burst, to a
--- a/saffronworks/tests/features/endpoint_limits.feature
+++ b/saffronworks/tests/features/endpoint_limits.feature
@@ -79,6 +79,21 @@
   Scenario: troubles of all kinds, one across the other
     Then whatever nodes end, stand still or hear nobody, no 4 s have more requests than is tolerated
 
+  Scenario Outline: holders that leave, which nodes come to know at different times
+    # Found by a trial: with two of three replaced, nodes used five shares between them: 1.16 of what
+    # is tolerated, and 1.4 with all three.
+    Given a fleet of 20 nodes, of which 20 get callers, and an endpoint that takes <per_s> a second
+    When <count> of its holders leave, which nodes come to know within 15 s
+    Then no 4 s have more requests than it tolerates, whoever was told, with four seeds
+
+    Examples:
+      | per_s | count |
+      | 1     | 2     |
+      | 2.4   | 3     |
+      | 10    | 1     |
+      | 10    | 2     |
+      | 30    | 3     |
+
   Scenario: word of a limit, and of its end
     Given a fleet of 195 nodes, of which 20 get callers, and an endpoint that takes 2 a second
     When it names that limit while nothing occurs
--- a/saffronworks/tests/features/quotas.feature
+++ b/saffronworks/tests/features/quotas.feature
@@ -52,6 +52,17 @@
       | 60    | the largest  | 7.5   | the halves hear only themselves | 30    |
       | 60    | the largest  | 7.5   | a third of them hear nobody   | 60      |
 
+  Scenario Outline: holders that leave, which nodes come to know at different times
+    Given a quota fleet of <nodes> nodes
+    When the largest asks for 7.5 times its usual while <count> of its holders leave within 15 s
+    Then in no window more runs than is tolerated, with four seeds
+
+    Examples:
+      | nodes | count |
+      | 20    | 1     |
+      | 20    | 3     |
+      | 60    | 2     |
+
   Scenario: troubles of all kinds, one across the other
     Then whatever nodes end, stand still or hear nobody, no window goes beyond what is tolerated
 
--- a/saffronworks/tests/features/steps/limit_fleet_steps.py
+++ b/saffronworks/tests/features/steps/limit_fleet_steps.py
@@ -50,6 +50,17 @@
         fleet.play(AFTER_MS)
 
 
+@when("{count:d} of its holders leave, which nodes come to know within {within_s:d} s")
+def holders_leave(context, count, within_s):
+    for fleet in context.fleets:
+        per_s = 10 * context.per_s
+        fleet.play(CALM_MS, per_s)
+        fleet.per_s = context.per_s
+        fleet.play(HELD_MS, per_s)
+        fleet.lose_holders(ENDPOINT, count, 1000 * within_s)
+        fleet.play(1000 * within_s + AFTER_MS, per_s)
+
+
 @then("no 4 s have more requests than it tolerates, whoever was told, with four seeds")
 def within_tolerated(context):
     shares = [fleet.worst_window(of_all=True) for fleet in context.fleets]
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -52,6 +52,19 @@
 }
 
 
+@when(
+    "the largest asks for {times:f} times its usual "
+    "while {count:d} of its holders leave within {within_s:d} s"
+)
+def holders_leave(context, times, count, within_s):
+    for fleet in context.fleets:
+        fleet.play(CALM_MS)
+        fleet.factors["org0"] = times
+        fleet.play(HOT_MS)
+        fleet.lose_holders("org0", count, 1000 * within_s)
+        fleet.play(1000 * within_s + AFTER_MS)
+
+
 @given("a quota fleet of {nodes:d} nodes")
 def fleet_of(context, nodes):
     context.fleets = [QuotaFleet(count=nodes, seed=seed) for seed in SEEDS]
--- a/saffronworks/tests/virtual_fleet.py
+++ b/saffronworks/tests/virtual_fleet.py
@@ -3,6 +3,7 @@
 Messages take 1 to 10 ms, as between the fleets' VMs.
 """
 
+import copy
 import heapq
 import itertools
 import random
@@ -66,9 +67,15 @@
         # At the first start of all nothing ran before.
         began_ms = now_ms if young else -self._tolerance.window_ms
         allowances = Allowances(self._tolerance, len(self._fleet.names))
-        entry_state = EntryState(choice, self._fleet.ring, allowances)
+        entry_state = EntryState(choice, copy.deepcopy(self._fleet.ring), allowances)
         return _Node(entry_state, HolderState(self._tolerance, began_ms, self._in_turn))
 
+    def lose(self, name, gone):
+        """A node has counted the others, and these are gone; new holders are there."""
+        now_ms, left = self._fleet.now_ms, [node for node in self._fleet.names if node not in gone]
+        self.nodes[name].entry.ring.take(left, now_ms)
+        self.nodes[name].held.take_nodes(now_ms)
+
     def ask(self, name, ask, settle):
         """Have a node ask for leave; `settle(command)` is called with what came of it."""
         self._step(name, Asking(ask), Begun(), settle)
@@ -179,6 +186,12 @@
             case "alone":
                 self.cut([[name] for name in names], for_ms)
 
+    def lose_holders(self, subject, count, within_ms):
+        """So many of its holders leave; each node counts that at a time of its own."""
+        gone = self.holders(subject)[:count]
+        for name in self.names:
+            self.at(self.rng.randrange(within_ms), self.shares.lose, name, gone)
+
     def _hears(self, one, other):
         if {one, other} & self.away:
             return False
