--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -95,3 +95,5 @@
     # When an endpoint ended under the deadly content.
     deadly_ends_ms: list[float] = attrs.Factory(list)
     calm_from_ms: float = 0.0
+    # How long the soak's own process stood still, each time.
+    stalls_ms: list[float] = attrs.Factory(list)
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -22,6 +22,9 @@
 # A process that was started again is up by then.
 START_S = 1.5
 LOOK_READY_S = 0.5
+# The soak's own process holds callers, proxies and endpoints: when it wakes this much later than it
+# should, all of them have stood still.
+LOOK_STALLED_S, STALLED_S = 0.05, 0.25
 # An endpoint that leaves serves on for longer than it must; a crashed one's entry goes later.
 DRAIN_S = 6.0
 ENTRY_LAPSES_S = 3.6
@@ -95,6 +98,7 @@
         for node in self.nodes:
             node.start()
         self._tasks.start_soon(self._watch_ready)
+        self._tasks.start_soon(self._watch_stalls)
         assert await wait_until(self.all_ready, START_LIMIT_S)
 
     async def _watch_ready(self):
@@ -103,6 +107,16 @@
                 (self._ready.add if await node.ready() else self._ready.discard)(node.number)
             await anyio.sleep(LOOK_READY_S)
 
+    async def _watch_stalls(self):
+        while True:
+            slept_ms = self.now_ms()
+            await anyio.sleep(LOOK_STALLED_S)
+            woke_ms = self.now_ms()
+            if woke_ms - slept_ms >= 1000 * (LOOK_STALLED_S + STALLED_S):
+                self.records.stalls_ms.append(woke_ms - slept_ms)
+                stall = Disturbance(ALL_NODES, "node", slept_ms, woke_ms)
+                self.records.disturbances.append(stall)
+
     def _add_endpoint(self, service, stage):
         self._endpoint_number += 1
         name = f"{service}-{self._endpoint_number}"
