--- a/saffronworks/forwarding/shares/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -64,17 +64,18 @@
         return self._view.holders(subject)
 
     def asked(self, subject: str, now_ms: int) -> list[str]:
-        """Of its holders, those that were some before as well, for as long as nodes may differ.
+        """Of its holders, those that were some before the changes of the last time as well.
 
-        Nodes that know different holders would else use more than three shares between them.
+        Nodes that know different holders would else use more than three shares between them. One
+        that was away for a moment is asked again at once: nobody asks the one in its place so soon.
         """
         self._earlier = [
             view
             for view in self._earlier
             if view.until_ms is not None and now_ms - view.until_ms < VIEWS_DIFFER_MS
         ]
-        asked = self.holders(subject)
-        for view in self._earlier:
-            before = view.holders(subject)
-            asked = [node for node in asked if node in before]
-        return asked
+        holders = self.holders(subject)
+        if not self._earlier:
+            return holders
+        before = self._earlier[0].holders(subject)
+        return [node for node in holders if node in before]
--- a/saffronworks/forwarding/shares/tuning.py
+++ b/saffronworks/forwarding/shares/tuning.py
@@ -7,9 +7,9 @@
 # beside others that held halves and thirds: 1.16 of what may run, in a fleet of three that stopped
 # and started.
 SETTLED_MS = 30_000
-# Nodes count each other every 5 to 15 s, by answers that may be seconds old: so long one may know
-# a change that another one doesn't.
-VIEWS_DIFFER_MS = 20_000
+# Nodes count each other every 5 to 15 s, by answers that may be seconds old. For twice as long new
+# holders aren't asked, so that one which is away for less than 20 s is back before that.
+VIEWS_DIFFER_MS = 40_000
 # What was counted for a shorter time is one of the counts after a start.
 VIEW_LASTED_MS = 4500
 # A holder answers within 1 to 5 ms, on a busy VM within some ten; its request waits so long for it.
--- a/saffronworks/tests/features/quotas.feature
+++ b/saffronworks/tests/features/quotas.feature
@@ -63,6 +63,14 @@
       | 20    | 3     |
       | 60    | 2     |
 
+  Scenario: a holder that is away for a moment, as a VM that starts again
+    # Found by a soak, seed 98017: a node that had stopped and started was asked by nobody for 20 s,
+    # so that two thirds of a quota were left, and requests within it were refused.
+    Given a quota fleet of 20 nodes
+    When the largest asks for 1.6 times its usual while 1 of its holders is away, known within 5 s
+    Then in no window more runs than is tolerated, with four seeds
+    And all of its holders are asked again
+
   Scenario: troubles of all kinds, one across the other
     Then whatever nodes end, stand still or hear nobody, no window goes beyond what is tolerated
 
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -65,6 +65,27 @@
         fleet.play(1000 * within_s + AFTER_MS)
 
 
+@when(
+    "the largest asks for {times:f} times its usual "
+    "while {count:d} of its holders is away, known within {within_s:d} s"
+)
+def holder_away(context, times, count, within_s):
+    for fleet in context.fleets:
+        fleet.play(CALM_MS)
+        fleet.factors["org0"] = times
+        fleet.play(HOT_MS)
+        fleet.lose_holders("org0", count, 1000 * within_s, away_ms=1000 * within_s)
+        fleet.play(3000 * within_s)
+
+
+@then("all of its holders are asked again")
+def asked_again(context):
+    for fleet in context.fleets:
+        for node in fleet.shares.nodes.values():
+            ring = node.entry.ring
+            assert ring.asked("org0", fleet.now_ms) == ring.holders("org0") == fleet.holders("org0")
+
+
 @given("a quota fleet of {nodes:d} nodes")
 def fleet_of(context, nodes):
     context.fleets = [QuotaFleet(count=nodes, seed=seed) for seed in SEEDS]
--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -11,7 +11,11 @@
 
 from saffronworks.tests.soak.faults import Shape, draw_faults
 from saffronworks.tests.soak.runs import run_soak
-from saffronworks.tests.soak.seeds import FAILED_SEEDS, FAILED_WITH_ORGANISATIONS
+from saffronworks.tests.soak.seeds import (
+    FAILED_SEEDS,
+    FAILED_WITH_LIMITS,
+    FAILED_WITH_ORGANISATIONS,
+)
 
 
 def soak(
@@ -40,6 +44,7 @@
         played = [(seed, early) for seed in sorted(FAILED_SEEDS)]
         unlimited = attrs.evolve(whole, limits=0)
         played += [(seed, unlimited) for seed in sorted(FAILED_WITH_ORGANISATIONS)]
+        played += [(seed, whole) for seed in sorted(FAILED_WITH_LIMITS)]
     for seed, shape in played:
         folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -134,7 +134,10 @@
         due_ms = asked.ended_ms + GONE_MS
         late = run.ended_ms is None or run.ended_ms > due_ms
         if late and _undisturbed(records, asked.node, asked.at_ms, due_ms, "caller", "endpoint"):
-            found.append(f"{run.request_id} runs on at {run.endpoint} though its caller left")
+            times = f"ran {run.at_ms:.0f} to {run.ended_ms or -1:.0f}, left at {asked.ended_ms:.0f}"
+            found.append(
+                f"{run.request_id} runs on at {run.endpoint} though its caller left: {times}"
+            )
     return found
 
 
--- a/saffronworks/tests/soak/seeds.py
+++ b/saffronworks/tests/soak/seeds.py
@@ -1,6 +1,6 @@
 """Seeds that once broke a promise, each with its cause; `make soak-failed` plays them again."""
 
-__all__ = ["FAILED_SEEDS", "FAILED_WITH_ORGANISATIONS"]
+__all__ = ["FAILED_SEEDS", "FAILED_WITH_LIMITS", "FAILED_WITH_ORGANISATIONS"]
 
 FAILED_SEEDS: dict[int, str] = {
     3: "an endpoint that left got work for 3 s: a watch was lost in a short silence of the store, "
@@ -11,7 +11,7 @@
     231: "the soak itself: a planned stop waited for the process that a kill across it had started",
 }
 
-# Found with all kinds of faults.
+# Found with all kinds of faults but limits of endpoints.
 FAILED_WITH_ORGANISATIONS: dict[int, str] = {
     91107: "nodes that stopped and started knew each other at different times, and divided a quota "
     "by one, two and three: 527,500 tokens of 456,000 ran",
@@ -20,3 +20,15 @@
     "Open, once in five plays beside each other: a deadly content was sent on 4 times later than "
     "its third end, as all nodes had been killed meanwhile and two ends are in no store",
 }
+
+# Found with all kinds of faults.
+FAILED_WITH_LIMITS: dict[int, str] = {
+    94007: "the soak itself: its own process stood still for seconds on a busy machine, and saw no "
+    "answers that the nodes had given; such spans are told and not checked now",
+    94011: "as 94007",
+    95010: "as 94007, at the calm end as well",
+    98011: "open: a plain request was found running on at its endpoint a second after its caller "
+    "had left, while its node logged the endpoint's whole answer 81 ms after it was sent",
+    98017: "nodes asked no holder that had left and come back for 20 s: a third of a quota was "
+    "left out, and 26 of 192 requests within their quotas were refused at the calm end",
+}
--- a/saffronworks/tests/virtual_fleet.py
+++ b/saffronworks/tests/virtual_fleet.py
@@ -186,11 +186,14 @@
             case "alone":
                 self.cut([[name] for name in names], for_ms)
 
-    def lose_holders(self, subject, count, within_ms):
-        """So many of its holders leave; each node counts that at a time of its own."""
+    def lose_holders(self, subject, count, within_ms, away_ms=None):
+        """So many of its holders leave, or are away; each node counts that at times of its own."""
         gone = self.holders(subject)[:count]
         for name in self.names:
             self.at(self.rng.randrange(within_ms), self.shares.lose, name, gone)
+            if away_ms is not None:
+                back_ms = max(within_ms, away_ms + self.rng.randrange(within_ms))
+                self.at(back_ms, self.shares.lose, name, ())
 
     def _hears(self, one, other):
         if {one, other} & self.away:
