Rings of holders forget views that are long over, asked or not

Cause: read once more: a node whose organisations have no quotas kept each view of the fleet for good. Change: views older than 40 s go at each change too; a step checks it.

--- a/saffronworks/forwarding/shares/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -52,6 +52,7 @@
         # At a start the others are counted one after the other: such views are no one else's.
         if self._changed_ms is not None and now_ms - self._changed_ms >= VIEW_LASTED_MS:
             self._earlier.append(attrs.evolve(self._view, until_ms=now_ms))
+        self._forget_earlier(now_ms)
         self._view, self._changed_ms = newest, now_ms
 
     def shares(self, now_ms: int) -> int:
@@ -69,13 +70,16 @@
         Nodes that know different holders would else use more than three shares between them. One
         that was away for a moment is asked again at once: nobody asks the one in its place so soon.
         """
-        self._earlier = [
-            view
-            for view in self._earlier
-            if view.until_ms is not None and now_ms - view.until_ms < VIEWS_DIFFER_MS
-        ]
+        self._forget_earlier(now_ms)
         holders = self.holders(subject)
         if not self._earlier:
             return holders
         before = self._earlier[0].holders(subject)
         return [node for node in holders if node in before]
+
+    def _forget_earlier(self, now_ms: int) -> None:
+        self._earlier = [
+            view
+            for view in self._earlier
+            if view.until_ms is not None and now_ms - view.until_ms < VIEWS_DIFFER_MS
+        ]
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -234,6 +234,9 @@
     ring.take(["a", "b"], 40_000)
     assert ring.shares(40_001) == 3 and ring.shares(70_000) == 2
     assert ring.holders("o") in (["a", "b"], ["b", "a"])
+    for turn in range(100):
+        ring.take(["a", "b", f"c{turn}"], 100_000 + 5000 * turn)
+    assert len(ring._earlier) <= 9, "views that are long over are forgotten"
 
 
 @then("a holder forgets organisations that owe nothing, and requests that are long over")
