One piece of code shortens what is no number, and one gives back what was not run

Cause: read once more: ingress cut texts as field_numbers does, and quotas and limits built the same message to a holder. Change: shorten and SharedBound.give_back; no behaviour changes.

--- a/saffronworks/field_numbers.py
+++ b/saffronworks/field_numbers.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-__all__ = ["read_decimal", "read_whole"]
+__all__ = ["read_decimal", "read_whole", "shorten"]
 
 # Digits enough for any count, id or time, and few enough for what nodes tell each other; a float
 # holds fifteen exactly.
@@ -20,14 +20,15 @@
 def read_whole(text: str) -> Result[int, str]:
     """A whole number, 0 or more, in plain digits; else what was found in its place."""
     found = text.strip(" \t")
-    return Ok(int(found)) if _WHOLE.fullmatch(found) else _unreadable(text)
+    return Ok(int(found)) if _WHOLE.fullmatch(found) else Err(shorten(text))
 
 
 def read_decimal(text: str) -> Result[float, str]:
     """A number, 0 or more, in plain digits with or without a fraction; else what was found."""
     found = text.strip(" \t")
-    return Ok(float(found)) if _DECIMAL.fullmatch(found) else _unreadable(text)
+    return Ok(float(found)) if _DECIMAL.fullmatch(found) else Err(shorten(text))
 
 
-def _unreadable(text: str) -> Err[str]:
-    return Err(text if len(text) <= _SHOWN_CHARS else f"{text[:_SHOWN_CHARS]}...")
+def shorten(text: str) -> str:
+    """What is told of a value that is no number."""
+    return text if len(text) <= _SHOWN_CHARS else f"{text[:_SHOWN_CHARS]}..."
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -203,9 +203,7 @@
 
     def give_back(self, permit: Permit) -> None:
         """A request that was to be sent did not reach the endpoint."""
-        if permit.ask is not None and permit.holder is not None:
-            ask = permit.ask
-            self.bound.send(permit.holder, GivenBack(ask.ask_id, ask.subject, ask.holders))
+        self.bound.give_back(permit.ask, permit.holder)
 
     # What a holder knows.
 
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -104,9 +104,7 @@
 
     def give_back(self, charge: QuotaCharge) -> None:
         """No endpoint ran a request that was admitted."""
-        if charge.ask is not None and charge.holder is not None:
-            ask = charge.ask
-            self.bound.send(charge.holder, GivenBack(ask.ask_id, ask.subject, ask.holders))
+        self.bound.give_back(charge.ask, charge.holder)
 
     # How they are settled.
 
--- a/saffronworks/forwarding/shares/bound.py
+++ b/saffronworks/forwarding/shares/bound.py
@@ -110,6 +110,11 @@
         else:
             self._tell(node, event)
 
+    def give_back(self, ask: Ask | None, node: str | None) -> None:
+        """What a holder admitted was not run; nothing is told where no holder counted it."""
+        if ask is not None and node is not None:
+            self.send(node, GivenBack(ask.ask_id, ask.subject, ask.holders))
+
     def take_answer(self, answer: Answer) -> None:
         """A holder answered."""
         if answer.ask_id in self._arrived:
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from saffronworks.field_numbers import read_decimal, read_whole
+from saffronworks.field_numbers import read_decimal, read_whole, shorten
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import read_key
@@ -21,8 +21,6 @@
 
 # How long a caller waits that does not say so.
 DEFAULT_LEFT_MS = 30_000
-# Of a field's value that is no number, so much is told.
-SHOWN_CHARS = 40
 # A colon, a space and a line end with each field.
 FIELD_EXTRA_BYTES = 4
 _CONNECTION_FIELDS = frozenset(
@@ -107,7 +105,7 @@
     match [read_whole(part) for part in counts.split(",")]:
         case [Ok(prompt_tokens), Ok(most_answer_tokens)]:
             return PromptSize(prompt_tokens, most_answer_tokens, likely)
-    findings.append(f"Token-Counts: expected two whole numbers, found {_shown(counts)}")
+    findings.append(f"Token-Counts: expected two whole numbers, found {shorten(counts)!r}")
     return None
 
 
@@ -121,14 +119,10 @@
     number = read(value)
     if isinstance(number, Ok):
         return int(number.ok_value)
-    findings.append(f"{field}: expected a number, 0 or more, found {_shown(value)}")
+    findings.append(f"{field}: expected a number, 0 or more, found {number.err_value!r}")
     return None
 
 
-def _shown(value: str) -> str:
-    return repr(value if len(value) <= SHOWN_CHARS else f"{value[:SHOWN_CHARS]}...")
-
-
 class CallerConnectionReply:
     """The way back to one caller, and the body of its answer once that has started."""
 
