Log what endpoints advertise about themselves, rejected reservations and unread answer fields

Nothing told in the incidents what an endpoint had said, when a node heard it, or what the node knew when it chose the endpoint. No decision changes: the advertised state is kept by start of an endpoint and logged when it changes.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -127,7 +127,7 @@
         logger.info(
             "event=decide request=%s after=%s do=%s endpoint=%s tokens=%d returned=%s waited_ms=%d "
             "left_ms=%d decoders=%d prefillers=%d runs=%d reads=%d begun=%s status=%s "
-            "endpoints_rev=%d config=%d",
+            "advertised=%s endpoints_rev=%d config=%d",
             self._job.request.request_id,
             type(event).__name__,
             type(command).__name__,
@@ -142,6 +142,7 @@
             self._state.reads,
             begun,
             event.head.status if isinstance(event, events.StreamAnswered) else None,
+            self._node.eligibility.describe(endpoint.instance) if endpoint else None,
             self._node.directory.revision,
             self._job.config_version,
         )
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -1,14 +1,16 @@
 """A generation's place in the memory of a decode endpoint: asked for, reserved, given back."""
 
+import logging
+
 import attrs
-from result import Err, Ok
+from result import Err, Result
 
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.permits import FREE, NoPermit
 from saffronworks.forwarding.loads import EndpointLoad
-from saffronworks.forwarding.messages import KvHold
+from saffronworks.forwarding.messages import KvHold, NotExecuted
 from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
@@ -25,6 +27,8 @@
 
 __all__ = ["Place", "StreamPace"]
 
+logger = logging.getLogger(__name__)
+
 # What a place takes of an endpoint's limit: its reservation, and the stream, or the release of what
 # was not used.
 PLACE_CALLS = 2
@@ -98,14 +102,24 @@
             if not broken.sent:
                 self.node.limits.give_back(permit)
             raise
-        if hold is None:
+        if isinstance(hold, Err):
             self.node.figures.count_send("hold", "full")
+            logger.info(
+                "event=hold_rejected request=%s endpoint=%s tokens=%d reason=%s advertised=%s",
+                request_id,
+                endpoint.instance,
+                command.tokens,
+                hold.err_value.reason,
+                self.node.eligibility.describe(endpoint.instance),
+            )
             return events.HoldFailed(endpoint.instance, broken=False)
         self.node.figures.count_send("hold", "taken")
-        self._take(hold, endpoint, command.tokens)
-        return events.HoldTaken(hold)
+        self._take(hold.ok_value, endpoint, command.tokens)
+        return events.HoldTaken(hold.ok_value)
 
-    async def _take_beside_headroom(self, command: events.AskHold, limited: bool) -> KvHold | None:
+    async def _take_beside_headroom(
+        self, command: events.AskHold, limited: bool
+    ) -> Result[KvHold, NotExecuted]:
         """The headroom is reserved first, to see that it is there, and given back at once."""
         calls, endpoint, now_ms = self.node.calls, command.endpoint, self.node.now_ms
         headroom: KvHold | None = None
@@ -113,14 +127,13 @@
         if command.headroom_tokens and not limited:
             free = await calls.take_hold(endpoint, command.headroom_tokens, HEADROOM_MS, now_ms())
             if isinstance(free, Err):
-                return None
+                return free
             headroom = free.ok_value
         try:
-            hold = await calls.take_hold(endpoint, command.tokens, command.ttl_ms, now_ms())
+            return await calls.take_hold(endpoint, command.tokens, command.ttl_ms, now_ms())
         finally:
             if headroom is not None:
                 self.node.spawn(calls.drop_hold, headroom)
-        return hold.ok_value if isinstance(hold, Ok) else None
 
     def _take(self, hold: KvHold, endpoint: ServiceEndpoint, tokens: int) -> None:
         self._hold, self._tokens, self.known = hold, tokens, True
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -98,7 +98,7 @@
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
-                "usable=%d limit_per_s=%s endpoints_rev=%d config=%d",
+                "usable=%d limit_per_s=%s advertised=%s endpoints_rev=%d config=%d",
                 self._job.request.request_id,
                 self._job.route.name,
                 command.endpoint.instance,
@@ -107,6 +107,7 @@
                 command.wait_ms,
                 len(usable),
                 node.limits.find(command.endpoint.instance),
+                node.eligibility.describe(command.endpoint.instance),
                 node.directory.revision,
                 self._job.config_version,
             )
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.identity import KEY_TAKEN_AWAY, Identities
@@ -51,6 +52,7 @@
     identities: Identities
     quotas: Quotas
     limits: EndpointLimits
+    eligibility: EndpointEligibility
 
     def barred(self, job: "Job", trial_began: bool = False) -> Refuse | None:
         """Why a request under way is to be sent to no endpoint any more; None while it may be."""
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -7,14 +7,13 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.clocks import monotonic_ms
+from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.endpoint_roles import Role
-from saffronworks.field_numbers import read_decimal
 from saffronworks.forwarding.breaks import Break
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, RawHead
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits.table import LimitWord
+from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -26,25 +25,26 @@
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
 )
+from saffronworks.platform.answer_fields import (
+    ID_FIELD,
+    INSTANCE_FIELD,
+    NOT_EXECUTED_FIELD,
+    SIGNATURE_FIELD,
+    UnknownFields,
+    is_refusal,
+    read_advertisement,
+)
 
-__all__ = ["ID_FIELD", "LimitListener", "PlatformCalls", "PlatformExchange", "read_limit"]
+__all__ = ["AnswerObserver", "PlatformCalls", "PlatformExchange"]
 
 logger = logging.getLogger(__name__)
 
-ID_FIELD = "Request-Id"
-# The endpoint's signature over its answer; without it a success is not the endpoint's.
-_SIGNATURE = "server-stamp"
-_NOT_EXECUTED = "not-executed"
 # The sender expects the server of this name; any other one answers 421 and runs nothing.
 _EXPECT = "Expect-Instance"
 # The organisation that holds the caller's key; the platform calls it a tenant.
 _ORGANISATION = "Tenant"
 _MISDIRECTED = 421
-# The name of the server that answers.
-_INSTANCE = "instance-id"
 _ORDER_TAKEN = (200, 202)
-# The requests a second that a server in need takes from all nodes together.
-_LIMIT = "server-limit"
 # Fields of an answer that belong to the connection, or that say something to this node only.
 _DROPPED_FIELDS = frozenset(
     [
@@ -55,8 +55,8 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
-        "not-executed",
-        "instance-id",
+        NOT_EXECUTED_FIELD,
+        INSTANCE_FIELD,
     ]
 )
 
@@ -74,8 +74,23 @@
     tokens: int = 0
 
 
-# Hears what each answer says of the requests that its server takes.
-LimitListener = Callable[[ServiceEndpoint, LimitWord], None]
+# Called with what an answer says about the server that made it.
+AnswerObserver = Callable[[ServiceEndpoint, Advertisement], None]
+
+
+class _AnswerReader:
+    """Reports what answers say about their servers."""
+
+    def __init__(self, observe: AnswerObserver):
+        self._observe = observe
+        self._unknown = UnknownFields()
+
+    def read(self, endpoint: ServiceEndpoint, raw: RawHead, sent_ms: int, ran: bool = True) -> None:
+        """An answer came to a request, or, without `ran`, to a call of this node's own."""
+        self._unknown.check(raw, endpoint.instance)
+        advertisement = read_advertisement(raw, sent_ms, wall_ms(), ran)
+        if advertisement is not None:
+            self._observe(endpoint, advertisement)
 
 
 class PlatformExchange:
@@ -86,12 +101,12 @@
         pool: ConnectionPool,
         endpoint: ServiceEndpoint,
         connection: EndpointConnection,
-        hear_limit: LimitListener,
+        answers: _AnswerReader,
     ):
         self.connection = connection
         self._pool = pool
         self._endpoint = endpoint
-        self._hear_limit = hear_limit
+        self._answers = answers
         self._sent_ms = monotonic_ms()
 
     @property
@@ -102,10 +117,8 @@
     async def head(self, timeout_ms: float) -> AnswerHead:
         """The start of the answer; raises Break."""
         raw = await self.connection.head(timeout_ms)
-        head = _decode_head(raw)
-        if not head.misdirected:
-            self._hear_limit(self._endpoint, read_limit(raw, self._sent_ms))
-        return head
+        self._answers.read(self._endpoint, raw, self._sent_ms)
+        return _decode_head(raw)
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
         """A part of the body, None at its end; raises Break."""
@@ -119,9 +132,9 @@
 class PlatformCalls:
     """Implements the product's calls to endpoints in the platform's words."""
 
-    def __init__(self, hear_limit: LimitListener) -> None:
+    def __init__(self, observe: AnswerObserver) -> None:
         self.pool = ConnectionPool(ID_FIELD)
-        self._hear_limit = hear_limit
+        self._answers = _AnswerReader(observe)
 
     async def send(
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
@@ -215,7 +228,7 @@
         data = _encode_request(endpoint, request, left_ms, extra)
         connection = await self.pool.take(endpoint)
         connection.send(data, request.request_id, bodiless=request.method == "HEAD")
-        return PlatformExchange(self.pool, endpoint, connection, self._hear_limit)
+        return PlatformExchange(self.pool, endpoint, connection, self._answers)
 
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
@@ -251,9 +264,8 @@
             reply = await connection.body(CALL_TIMEOUT_MS)
         finally:
             self.pool.give_back(endpoint, connection)
-        if head.status != _MISDIRECTED:
-            # Only answers to requests tell that a limit has ended.
-            self._hear_limit(endpoint, attrs.evolve(read_limit(head, sent_ms), ran=False))
+        # Only answers to requests tell that a limit has ended.
+        self._answers.read(endpoint, head, sent_ms, ran=False)
         return head.status, reply
 
 
@@ -281,26 +293,10 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
 
 
-def read_limit(raw: RawHead, sent_ms: int) -> LimitWord:
-    """What an answer to a request of `sent_ms` says of the server's limit; of several the least."""
-    # A failure, or an answer that may not be the server's own, doesn't tell that its need is over.
-    ran = not _is_refusal(raw) and raw.status < 500 and raw.get(ID_FIELD) is not None
-    read = [read_decimal(value) for key, value in raw.fields if key.lower() == _LIMIT]
-    unreadable = [value.err_value for value in read if isinstance(value, Err)]
-    if unreadable:
-        return LimitWord(None, sent_ms, ran, unreadable=", ".join(unreadable))
-    named = [value.ok_value for value in read if isinstance(value, Ok)]
-    return LimitWord(min(named, default=None), sent_ms, ran)
-
-
-def _is_refusal(raw: RawHead) -> bool:
-    return raw.get(_NOT_EXECUTED) is not None or raw.status == _MISDIRECTED
-
-
 def _decode_head(raw: RawHead) -> AnswerHead:
-    refused = _is_refusal(raw)
+    refused = is_refusal(raw)
     # Callers asked for no encoding: an encoded body is not the endpoint's own.
-    whose = raw.get(ID_FIELD) is not None and raw.get(_SIGNATURE) is not None
+    whose = raw.get(ID_FIELD) is not None and raw.get(SIGNATURE_FIELD) is not None
     signed = whose and raw.get("content-encoding") is None
     return AnswerHead(
         status=raw.status,
@@ -311,5 +307,5 @@
         signed=signed,
         reason=f"status-{raw.status}" if refused else "",
         misdirected=raw.status == _MISDIRECTED,
-        found_name=raw.get(_INSTANCE) if raw.status == _MISDIRECTED else None,
+        found_name=raw.get(INSTANCE_FIELD) if raw.status == _MISDIRECTED else None,
     )
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -13,6 +13,7 @@
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.figures import Figures
@@ -82,7 +83,8 @@
             random.Random(settings.peer_address),
             monotonic_ms,
         )
-        self._calls = PlatformCalls(self._limits.hear)
+        self._eligibility = EndpointEligibility(self._limits, monotonic_ms)
+        self._calls = PlatformCalls(self._eligibility.observe)
         self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
         self._news = NewsFeed(
@@ -154,6 +156,7 @@
             identities=Identities(self._in_touch),
             quotas=self._quotas,
             limits=self._limits,
+            eligibility=self._eligibility,
         )
 
     def _told(self) -> bool:
@@ -326,7 +329,7 @@
             self._calls.pool.end(instance)
         known = set(self._directory.endpoints)
         self._state.loads.forget_all_but(known)
-        self._limits.forget_all_but(known)
+        self._eligibility.forget_all_but(known)
         self._calls.pool.keep_only(known)
 
     async def _answer_probe(self, call: Call) -> None:
--- a/saffronworks/tests/endpoint_plays.py
+++ b/saffronworks/tests/endpoint_plays.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.messages import (
     AnswerHead,
@@ -44,6 +45,11 @@
     return EndpointLimits("n:1", 1, random.Random(1), now_ms)
 
 
+def eligibility_of_one_node(limits, now_ms=lambda: 10):
+    """What endpoints have told one node about themselves: nothing yet."""
+    return EndpointEligibility(limits, now_ms)
+
+
 def wide_budget():
     return RetryBudget(1.0, 10_000, 10_000)
 
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on the limits that endpoints name: what a node knows, and the path over loopback."""
 
 import time
+from functools import partial
 
 import anyio
 from behave import given, then, when
@@ -26,7 +27,7 @@
 from saffronworks.forwarding.messages import Begin, KvHold, Refuse, refuse_limited
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.tuning import BUDGET_USED_SHARE, HOLD_POLL_MS
-from saffronworks.platform.calls import read_limit
+from saffronworks.platform.answer_fields import read_limit
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.endpoint_plays import (
     MOST_STEPS,
@@ -76,20 +77,6 @@
     return [(server, per_s) for server, per_s in pairs if per_s is not None]
 
 
-async def ask_each(place, asked, per_s, ask_one):
-    """Callers at all nodes in turn, evenly, for `PLAY_S`; keeps answers and how long they took."""
-
-    async def ask(number):
-        node, began_s = place.nodes[number % len(place.nodes)], time.monotonic()
-        raw = await ask_one(place, f"r{number}", node=node)
-        asked.append((f"r{number}", raw, time.monotonic() - began_s))
-
-    async with anyio.create_task_group() as tasks:
-        for number in range(int(PLAY_S * per_s)):
-            tasks.start_soon(ask, number)
-            await anyio.sleep(1 / per_s)
-
-
 @given(
     "a decode engine and a reader that name limits of {per_s:g} request a second, "
     "and one that names none"
@@ -106,25 +93,19 @@
     play_callers(context, per_s, lambda place, *args, **on: place.generate("/res/", *args, **on))
 
 
-def status(raw):
-    return int(raw.split(b" ")[1])
-
-
 @when("callers ask for {per_s:d} requests a second at three nodes")
 def callers_ask(context, per_s):
     play_callers(context, per_s, lambda place, *args, **on: place.ask("/again/", *args, **on))
 
 
 def play_callers(context, per_s, ask_one):
-    context.asked = []
-
     async def play(place):
         choices = [node._limits.bound.entry.choice for node in place.nodes]
         assert await wait_until(lambda: all(len(c.cores) == 3 for c in choices), limit_s=6)
         # Holders that have just started take it that their shares are used up.
         await anyio.sleep(WINDOW_S)
         context.began_s = time.monotonic()
-        await ask_each(place, context.asked, per_s, ask_one)
+        context.asked = await place.ask_evenly(per_s, PLAY_S, partial(ask_one, place))
         context.ended_s = time.monotonic()
 
     on_platform(context.web, play, count=3)
@@ -139,7 +120,7 @@
 
 @then("all callers are served")
 def all_served(context):
-    assert {status(raw) for _, raw, _ in context.asked} == {200}
+    assert {one.status for one in context.asked} == {200}
 
 
 @then("each gets {share:g} of what it takes at least")
@@ -151,12 +132,12 @@
 
 @then("the others are told at once that they have not run, and when to come back")
 def told_at_once(context):
-    refused = [one for one in context.asked if status(one[1]) != 200]
-    assert {status(raw) for _, raw, _ in refused} == {503}
-    assert all(b"endpoints-limited" in raw and b"retry-after" in raw for _, raw, _ in refused)
+    refused = [one for one in context.asked if one.status != 200]
+    assert {one.status for one in refused} == {503}
+    assert all(b"endpoints-limited" in one.raw and b"retry-after" in one.raw for one in refused)
     ran = {request_id for server in context.web for request_id in server.ran}
-    assert not ran & {request_id for request_id, _, _ in refused}
-    waits_s = sorted(took_s for _, _, took_s in refused)
+    assert not ran & {one.request_id for one in refused}
+    waits_s = sorted(one.took_s for one in refused)
     assert waits_s[len(waits_s) // 2] < 0.1, waits_s
 
 
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -16,7 +16,13 @@
 from saffronworks.forwarding.planning.messages import MemoryGrant, MemoryRefusal
 from saffronworks.forwarding.routing import EngineSpec
 from saffronworks.forwarding.runners import Job, NodeState
-from saffronworks.tests.endpoint_plays import endpoints, limits_of_one_node, route, wide_budget
+from saffronworks.tests.endpoint_plays import (
+    eligibility_of_one_node,
+    endpoints,
+    limits_of_one_node,
+    route,
+    wide_budget,
+)
 
 PROMPT = PromptSize(3000, 700, 600)
 
@@ -39,6 +45,7 @@
     budget, quarantine = wide_budget(), Mock(blocks=lambda *_: False)
     loads, idle = LoadTable("z"), Mock()
     whose, quotas = Identities(lambda: True), Mock()
+    limits = limits_of_one_node()
     return NodeState(
         "z",
         directory,
@@ -52,7 +59,8 @@
         quarantine,
         whose,
         quotas,
-        limits_of_one_node(),
+        limits,
+        eligibility_of_one_node(limits),
     )
 
 
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -175,6 +175,7 @@
             Identities(lambda: True),
             Mock(),
             Mock(),
+            Mock(),
         )
         node.note_break(kind, request, endpoint_at(1), Break(BreakCause.RESET, sent))
         assert node.quarantine.note_break.called is noted, (kind, sent)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -52,6 +52,7 @@
         self.instance = instance
         self.service = service
         self.stage = stage
+        self.zone = "z1"
         self.address = free_address()
         self.script = []
         self.seen = []
@@ -64,12 +65,21 @@
         self.full = False
         # The requests a second that it names in its answers, and when calls of any kind reached it.
         self.limit = None
+        # Whether it says in all answers that it drains; the pause that it asks for with a 503 to
+        # each request, as the text of the field.
+        self.drains = False
+        self.pause = None
         self.arrived_s = []
         self.starts = 1
         self._late = []
 
     def entry(self, state="ready"):
-        entry = {"service": self.service, "address": self.address, "zone": "z1", "state": state}
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "state": state,
+        }
         entry |= {"version": "v1", "slots": 4, "cold_left_ms": 0, "sequence": 1}
         entry |= {"born": self.starts} if self.starts > 1 else {}
         return entry | ({"stage": self.stage} if self.stage else {})
@@ -114,7 +124,14 @@
             return await self._control(writer, method, target)
         return await self._request(reader, writer, headers)
 
+    async def _reject(self, writer, own):
+        """Turn a request away, and ask for a pause if it wants one."""
+        pause = {} if self.pause is None else {"Retry-After": self.pause}
+        return await self._reply(writer, 503, {"Not-Executed": "1"} | own | pause, b"")
+
     async def _control(self, writer, method, target):
+        if target.endswith("hold-take") and self.pause is not None:
+            return await self._reject(writer, {})
         if target.endswith("hold-take") and not self.full:
             return await self._reply(writer, 200, {}, b'{"hold":"h%d"}' % self.starts)
         return await self._reply(writer, 503 if method == "POST" else 200, {}, b"{}")
@@ -130,6 +147,8 @@
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
             return await self._reply(writer, 200, {"Request-Id": request_id}, body)
         fault = self.script.pop(0) if self.script else None
+        if self.pause is not None:
+            return await self._reject(writer, {"Request-Id": request_id})
         if fault == "shed":
             return await self._reply(writer, 503, {"Not-Executed": "1"}, b"")
         self.ran.append(request_id)
@@ -262,6 +281,8 @@
     async def _head(self, writer, status, headers):
         if self.limit is not None:
             headers = headers | {"Server-Limit": self.limit}
+        if self.drains:
+            headers = headers | {"Server-Leaving": "1"}
         lines = [f"HTTP/1.1 {status} X", *(f"{key}: {value}" for key, value in headers.items())]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         await writer.drain()
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -1,5 +1,6 @@
 """A store, servers and nodes over loopback, for scenarios on the whole path."""
 
+import time
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -42,6 +43,25 @@
 }
 
 
+@attrs.frozen
+class Asked:
+    """One request of a caller: through which node, when (on the steady clock), its raw answer."""
+
+    request_id: str
+    node: int
+    sent_s: float
+    ended_s: float
+    raw: bytes
+
+    @property
+    def status(self):
+        return int(self.raw.split(b" ")[1])
+
+    @property
+    def took_s(self):
+        return self.ended_s - self.sent_s
+
+
 @attrs.define
 class Place:
     """A store, servers and nodes."""
@@ -68,6 +88,21 @@
         counts = {"Token-Counts": "5000,9000", "Length-Hint": "3000"}
         return await self.ask(path, request_id, counts, body, **options)
 
+    async def ask_evenly(self, per_s, for_s, ask_one):
+        """Ask at all nodes in turn at this rate, by `ask_one(request_id, node=...)`."""
+        asked = []
+
+        async def ask(number):
+            node, sent_s = number % len(self.nodes), time.monotonic()
+            raw = await ask_one(f"r{number}", node=self.nodes[node])
+            asked.append(Asked(f"r{number}", node, sent_s, time.monotonic(), raw))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(int(for_s * per_s)):
+                tasks.start_soon(ask, number)
+                await anyio.sleep(1 / per_s)
+        return asked
+
     async def ready(self):
         return all([await is_ready(node) for node in self.nodes])
 
