--- /dev/null
+++ b/saffronworks/tests/features/steps/advertised_steps.py
@@ -0,0 +1,111 @@
+"""Scenarios on endpoints that drain or ask for a pause: the path over loopback."""
+
+import time
+from functools import partial
+
+import anyio
+from behave import given, then, when
+
+from saffronworks.tests.platform_place import on_platform, web_servers
+
+# As the nodes' settings say.
+DRAIN_S = 2.0
+# What is under way when an endpoint asks for a pause may still reach it for so long.
+PAUSE_GRACE_S = 0.5
+MAX_IN_PAUSE = 2
+PLAY_S = 6.0
+NEAR_WORK_S, AWAY_WORK_S = 0.05, 0.1
+NODES = 3
+
+
+@given("three endpoints of a service")
+def three_endpoints(context):
+    context.web = web_servers(3)
+
+
+@given("three endpoints of a service, of which one is in the nodes' availability zone")
+def one_near(context):
+    context.web = web_servers(3)
+    context.web[0].work_s = NEAR_WORK_S
+    for server in context.web[1:]:
+        server.zone, server.work_s = "z2", AWAY_WORK_S
+
+
+def play_callers(context, per_s, strike):
+    """Callers ask all nodes in turn; `strike(place)` comes a second after they begin."""
+
+    async def play(place):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(strike_later, place)
+            ask_one = partial(place.ask, "/again/")
+            context.asked = await place.ask_evenly(per_s, PLAY_S, ask_one)
+
+    async def strike_later(place):
+        await anyio.sleep(1.0)
+        context.struck_s = time.monotonic()
+        strike(place)
+
+    on_platform(context.web, play, count=NODES)
+
+
+def arrivals(context, server):
+    """Requests that reached a server: when, and what their callers saw."""
+    asked = {one.request_id: one for one in context.asked}
+    ids = [headers.get("request-id") for _, _, headers, _ in server.seen]
+    reached = zip(server.arrived_s, ids, strict=True)
+    return [(at_s, asked[request_id]) for at_s, request_id in reached if request_id is not None]
+
+
+@when(
+    "one of them drains while the store is silent, and callers ask for {per_s:d} requests a second"
+)
+def drains(context, per_s):
+    def strike(place):
+        place.store.fault = "silent"
+        context.web[0].drains = True
+
+    play_callers(context, per_s, strike)
+
+
+@then("it gets no request that was sent two seconds after its node had passed such an answer on")
+def none_late(context):
+    reached = arrivals(context, context.web[0])
+    told_s = {}
+    for at_s, asked in reached:
+        if at_s >= context.struck_s:
+            told_s[asked.node] = min(told_s.get(asked.node, asked.ended_s), asked.ended_s)
+    assert told_s, "no node was told"
+    late = [
+        asked.request_id
+        for _, asked in reached
+        if asked.sent_s > told_s.get(asked.node, float("inf")) + DRAIN_S
+    ]
+    assert not late, f"{len(late)} of {len(reached)}: {late}"
+
+
+@when(
+    "that one rejects all and asks for a pause of {pause_s:d} s, "
+    "and callers ask for {per_s:d} requests a second"
+)
+def pauses(context, pause_s, per_s):
+    context.pause_s = pause_s
+
+    def strike(place):
+        context.web[0].pause = str(pause_s)
+
+    play_callers(context, per_s, strike)
+
+
+@then(
+    "no node sends it more than two requests from half a second after such an answer "
+    "to the pause's end"
+)
+def few_in_pause(context):
+    reached = [one for one in arrivals(context, context.web[0]) if one[0] >= context.struck_s]
+    assert reached, "no node was told"
+    for node in range(NODES):
+        at_s = [at for at, asked in reached if asked.node == node]
+        in_pause = [
+            sum(told + PAUSE_GRACE_S <= at < told + context.pause_s for at in at_s) for told in at_s
+        ]
+        assert max(in_pause, default=0) <= MAX_IN_PAUSE, (node, in_pause)
