An endpoint that advertises that it drains gets no new requests, with or without the store

Cause: nothing read the field; an endpoint was left alone only once the store's entry said that it drains, and the store was away for 13 s.

The state belongs to one start of an endpoint, is kept while its entry lapses and ends with that start only. A last endpoint serves on for drain_ms, counted by when the request arrived.

--- a/saffronworks/forwarding/breaks.py
+++ b/saffronworks/forwarding/breaks.py
@@ -17,6 +17,8 @@
     OUT_OF_ORDER = "out-of-order"
     # The endpoint has started again since, and knows nothing of the exchange.
     RESTARTED = "restarted"
+    # This node sent nothing: the endpoint wants no more requests.
+    WITHHELD = "withheld"
 
 
 _UNREACHABLE = frozenset([BreakCause.CONNECT, BreakCause.UNREACHABLE])
@@ -30,6 +32,11 @@
         self.cause = cause
         self.sent = sent
 
+    @property
+    def withheld(self) -> bool:
+        """Whether the endpoint was not tried, so that it has not failed."""
+        return self.cause is BreakCause.WITHHELD
+
     @property
     def unreachable(self) -> bool:
         """Whether nobody is there, or the way there is cut."""
--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -5,6 +5,7 @@
 import attrs
 
 from saffronworks.endpoint_roles import Role
+from saffronworks.forwarding.eligibility.table import AdvertisedTable
 from saffronworks.forwarding.starts import StartId, is_later, start_id
 
 __all__ = ["Directory", "Heard", "ServiceEndpoint"]
@@ -69,10 +70,12 @@
     missing right after the store's return therefore stays usable for a grace period. Of each name
     the latest start alone is kept. Where two names have one address, the endpoint's own answer
     settles which of them it has (`note_replaced`): a time in an entry may come from anyone.
+    An endpoint that advertises that it drains does, whatever its entry says: the store may be away.
     """
 
     revision: int = 0
     endpoints: dict[StartId, ServiceEndpoint] = attrs.Factory(dict)
+    advertised: AdvertisedTable = attrs.Factory(AdvertisedTable)
     _usable_until_ms: dict[StartId, int] = attrs.Factory(dict)
     _by_name: dict[str, StartId] = attrs.Factory(dict)
     _past: dict[str, _Past] = attrs.Factory(dict)
@@ -185,6 +188,22 @@
 
     def usable(self, service: str, now_ms: int, role: Role | None = None) -> list[ServiceEndpoint]:
         """The endpoints of a service that may get new work, of one role if given."""
+        listed = self._listed_ready(service, now_ms, role)
+        return [one for one in listed if self.advertised.draining_since_ms(one.instance) is None]
+
+    def draining_since(
+        self, service: str, now_ms: int, role: Role | None, since_ms: int
+    ) -> list[ServiceEndpoint]:
+        """Those that the store lists as ready and that advertise a drain since then or later."""
+        advertised = self.advertised
+        return [
+            endpoint
+            for endpoint in self._listed_ready(service, now_ms, role)
+            if (began_ms := advertised.draining_since_ms(endpoint.instance)) is not None
+            and began_ms >= since_ms
+        ]
+
+    def _listed_ready(self, service: str, now_ms: int, role: Role | None) -> list[ServiceEndpoint]:
         self.expire(now_ms)
         return [
             endpoint
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -1,11 +1,13 @@
-"""Keeps what endpoints advertise about themselves, and logs each change of it."""
+"""Answers, for every path of sending, whether this node may send an endpoint a request now."""
 
 import logging
 from collections.abc import Callable, Collection
 
-from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.endpoint_roles import Role
+from saffronworks.forwarding.breaks import Break, BreakCause
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
-from saffronworks.forwarding.eligibility.table import AdvertisedTable
+from saffronworks.forwarding.eligibility.blocks import Block, BlockReason
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.starts import StartId
 
@@ -15,22 +17,35 @@
 
 
 class EndpointEligibility:
-    """What this node knows from endpoints themselves."""
+    """Combines what the store lists with what endpoints advertise about themselves.
 
-    def __init__(self, limits: EndpointLimits, now_ms: Callable[[], int]):
+    An endpoint that advertises that it drains gets no new request as long as another one is left.
+    Requests that arrived up to `drain_ms` after it began may still go there where none is.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        limits: EndpointLimits,
+        drain_ms: int,
+        now_ms: Callable[[], int],
+    ):
+        self._directory = directory
         self._limits = limits
+        self._drain_ms = drain_ms
         self._now_ms = now_ms
-        self._advertised = AdvertisedTable()
         self._malformed: dict[StartId, tuple[str, ...]] = {}
 
+    # What endpoints say.
+
     def observe(self, endpoint: ServiceEndpoint, advertisement: Advertisement) -> None:
         """Update what is known of an endpoint from one of its answers."""
-        instance, now_ms = endpoint.instance, self._now_ms()
+        instance, now_ms, advertised = endpoint.instance, self._now_ms(), self._directory.advertised
         self._limits.hear(endpoint, advertisement.limit)
-        if advertisement.draining and self._advertised.record_drain(instance, now_ms):
+        if advertisement.draining and advertised.record_drain(instance, now_ms):
             logger.info("event=drain_advertised endpoint=%s", instance)
         pause_ms = advertisement.pause_ms
-        if pause_ms and self._advertised.record_pause(instance, pause_ms, now_ms):
+        if pause_ms and advertised.record_pause(instance, pause_ms, now_ms):
             logger.info("event=pause_advertised endpoint=%s pause_ms=%d", instance, pause_ms)
         if advertisement.malformed:
             self._log_malformed(instance, advertisement.malformed)
@@ -44,15 +59,55 @@
             "event=answer_field_malformed endpoint=%s found=%r", instance, "; ".join(malformed)
         )
 
-    def describe(self, instance: StartId) -> str:
-        """The state of an endpoint for a log line."""
-        if self._advertised.draining_since_ms(instance) is not None:
-            return "draining"
-        return "paused" if self._advertised.pause(instance, self._now_ms()) else "ready"
-
     def forget_all_but(self, instances: Collection[StartId]) -> None:
         """Drop what belongs to endpoints that are gone."""
         self._limits.forget_all_but(instances)
-        self._advertised.forget_all_but(instances, self._now_ms())
+        self._directory.advertised.forget_all_but(instances, self._now_ms())
         for instance in self._malformed.keys() - set(instances):
             del self._malformed[instance]
+
+    # What requests ask.
+
+    def usable(
+        self, service: str, arrived_ms: int, role: Role | None = None
+    ) -> list[ServiceEndpoint]:
+        """The endpoints of a service that a request of that arrival may choose from."""
+        now_ms = self._now_ms()
+        usable = self._directory.usable(service, now_ms, role)
+        since_ms = arrived_ms - self._drain_ms
+        return usable or self._directory.draining_since(service, now_ms, role, since_ms)
+
+    def find_block(self, endpoint: ServiceEndpoint, arrived_ms: int) -> Block | None:
+        """Why a request of that arrival may not be sent to an endpoint now; None where it may."""
+        listed = self._directory.endpoints.get(endpoint.instance)
+        if listed is None:
+            return Block(BlockReason.GONE)
+        began_ms = self._directory.advertised.draining_since_ms(endpoint.instance)
+        drained = began_ms is not None and arrived_ms > began_ms + self._drain_ms
+        if listed.draining or drained:
+            return Block(BlockReason.DRAINING)
+        return None
+
+    def check_send(self, endpoint: ServiceEndpoint, arrived_ms: int, request_id: str) -> None:
+        """Raise Break right before a send that may not go out: its choice is older than the word.
+
+        Between the two the node opens a connection, asks for a permit or has a prompt read.
+        """
+        block = self.find_block(endpoint, arrived_ms)
+        if block is None:
+            return
+        logger.info(
+            "event=send_withheld request=%s endpoint=%s reason=%s endpoints_rev=%d",
+            request_id,
+            endpoint.instance,
+            block.reason,
+            self._directory.revision,
+        )
+        raise Break(BreakCause.WITHHELD, sent=False)
+
+    def describe(self, instance: StartId) -> str:
+        """The state that an endpoint advertises, for a log line."""
+        advertised = self._directory.advertised
+        if advertised.draining_since_ms(instance) is not None:
+            return "draining"
+        return "paused" if advertised.pause(instance, self._now_ms()) else "ready"
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -32,6 +32,7 @@
     StartStream,
     StreamAnswered,
     StreamBroken,
+    StreamWithheld,
     Wait,
     Waited,
 )
@@ -130,7 +131,7 @@
     state: GenerationState, event: Event, pools: Pools, budget: RetryBudget, now_ms: int
 ) -> _Result:
     match event:
-        case StreamAnswered() | StreamBroken() | RelayBroken():
+        case StreamAnswered() | StreamBroken() | StreamWithheld() | RelayBroken():
             return _step_stream(state, event, pools, now_ms)
         case HoldTaken(hold):
             state.hold = hold
@@ -179,7 +180,7 @@
 
 def _step_stream(
     state: GenerationState,
-    event: StreamAnswered | StreamBroken | RelayBroken,
+    event: StreamAnswered | StreamBroken | StreamWithheld | RelayBroken,
     pools: Pools,
     now_ms: int,
 ) -> _Result:
@@ -194,6 +195,9 @@
             state.runs += 1
             late = Refuse(504, "no-answer-in-time", not_run=False)
             return _go_on(state, pools, now_ms, _GiveUp(late) if silent else _broken())
+        case StreamWithheld(instance):
+            state.failed.add(instance)
+            return _redirect(state, pools, now_ms, "endpoint-leaves")
         case RelayBroken(instance, known):
             state.note_broken(instance)
             if state.out is Out.FAILURE:
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -30,6 +30,7 @@
     "StartStream",
     "StreamAnswered",
     "StreamBroken",
+    "StreamWithheld",
     "Wait",
     "Waited",
 ]
@@ -86,7 +87,7 @@
 class ReadFailed:
     """The prompt was not read there: it was refused, or (`broken`) got no answer.
 
-    `sent` is false where the endpoint's limit left no room, so that no call was made.
+    `sent` is false where no call was made: its limit left no room, or it wants no more requests.
     """
 
     instance: StartId
@@ -111,6 +112,13 @@
     silent: bool = False
 
 
+@attrs.frozen
+class StreamWithheld:
+    """The request was not sent: the endpoint wants no more of them."""
+
+    instance: StartId
+
+
 @attrs.frozen
 class RelayBroken:
     """The stream ended early; `known` tells whether its last event's id is known."""
@@ -199,6 +207,7 @@
     | ReadFailed
     | StreamAnswered
     | StreamBroken
+    | StreamWithheld
     | RelayBroken
 )
 # On the way to a run; legal at any time.
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -106,9 +106,15 @@
 
     def _decide(self, event: events.Event) -> events.Command:
         node, now_ms, begun = self._node, self._node.now_ms(), self._state.begun
-        tokens = self._state.tokens
-        service = self._job.service
-        pools = rank_pools(node.directory, node.loads, node.limits, service, tokens, now_ms)
+        pools = rank_pools(
+            node.eligibility,
+            node.loads,
+            node.limits,
+            self._job.service,
+            self._state.tokens,
+            self._state.arrived_ms,
+            now_ms,
+        )
         barred = node.barred(self._job, self._trial_began)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, barred)
         if not isinstance(command, events.Wait | events.AskHold):
@@ -185,7 +191,7 @@
             return await self._place.reserve(command)
         except Break as broken:
             self._note_break(HOLD, command.endpoint, broken)
-            return events.HoldFailed(command.endpoint.instance, broken=True)
+            return events.HoldFailed(command.endpoint.instance, broken=not broken.withheld)
 
     async def _read_prompt(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
         event = await self._have_read(endpoint, timeout_ms)
@@ -209,7 +215,8 @@
                 self._job.runs.take_back_read()
                 node.limits.give_back(permit)
             self._note_break("prefill", endpoint, broken)
-            return events.ReadFailed(endpoint.instance, broken=True)
+            tried = not broken.withheld
+            return events.ReadFailed(endpoint.instance, broken=tried, sent=tried)
         finally:
             load.outstanding -= 1
         if isinstance(answer, Err):
@@ -254,6 +261,8 @@
             if not broken.sent:
                 self._job.runs.take_back_run()
             self._note_break("stream", endpoint, broken)
+            if broken.withheld:
+                return events.StreamWithheld(endpoint.instance)
             silent = broken.cause is BreakCause.SILENT
             return events.StreamBroken(endpoint.instance, broken.sent, silent)
         if head.executed is Executed.NO:
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -122,15 +122,20 @@
     ) -> Result[KvHold, NotExecuted]:
         """The headroom is reserved first, to see that it is there, and given back at once."""
         calls, endpoint, now_ms = self.node.calls, command.endpoint, self.node.now_ms
+        request = self.job.request
         headroom: KvHold | None = None
         # An endpoint in need is spared the two calls.
         if command.headroom_tokens and not limited:
-            free = await calls.take_hold(endpoint, command.headroom_tokens, HEADROOM_MS, now_ms())
+            free = await calls.take_hold(
+                endpoint, request, command.headroom_tokens, HEADROOM_MS, now_ms()
+            )
             if isinstance(free, Err):
                 return free
             headroom = free.ok_value
         try:
-            return await calls.take_hold(endpoint, command.tokens, command.ttl_ms, now_ms())
+            return await calls.take_hold(
+                endpoint, request, command.tokens, command.ttl_ms, now_ms()
+            )
         finally:
             if headroom is not None:
                 self.node.spawn(calls.drop_hold, headroom)
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -91,7 +91,7 @@
 
     def _decide(self, event: plain_core.Event) -> plain_core.Command:
         node, now_ms = self._node, self._node.now_ms()
-        usable = node.directory.usable(self._job.service, now_ms)
+        usable = node.eligibility.usable(self._job.service, self._job.request.arrived_ms)
         ranked = node.loads.rank(usable, now_ms)
         barred, limited = node.barred(self._job), node.limits.among(usable)
         command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred, limited)
--- a/saffronworks/forwarding/pools.py
+++ b/saffronworks/forwarding/pools.py
@@ -1,7 +1,8 @@
 """The endpoints that a generation may go to, as one node ranks them."""
 
 from saffronworks.endpoint_roles import Role
-from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.generation_state import Pools
 from saffronworks.forwarding.loads import LoadTable
@@ -11,16 +12,17 @@
 
 
 def rank_pools(
-    directory: Directory,
+    eligibility: EndpointEligibility,
     loads: LoadTable,
     limits: EndpointLimits,
     service: str,
     tokens: int,
+    arrived_ms: int,
     now_ms: int,
 ) -> Pools:
-    """Both roles, best first, for a generation that reserves so many tokens."""
-    decoders = directory.usable(service, now_ms, Role.DECODE)
-    prefillers = directory.usable(service, now_ms, Role.PREFILL)
+    """Both roles, best first, for a generation of that arrival that reserves so many tokens."""
+    decoders = eligibility.usable(service, arrived_ms, Role.DECODE)
+    prefillers = eligibility.usable(service, arrived_ms, Role.PREFILL)
     return Pools(
         _rank_decoders(decoders, loads, tokens, now_ms),
         _rank_readers(prefillers, loads, now_ms),
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -135,9 +135,14 @@
         """Send a generation to a decode endpoint, with the prompt read elsewhere or not."""
 
     async def take_hold(
-        self, endpoint: ServiceEndpoint, tokens: int, ttl_ms: int, now_ms: int
+        self,
+        endpoint: ServiceEndpoint,
+        request: CallerRequest,
+        tokens: int,
+        ttl_ms: int,
+        now_ms: int,
     ) -> Result[KvHold, NotExecuted]:
-        """Reserve a slot and memory."""
+        """Reserve a slot and memory for a request."""
 
     async def drop_hold(self, hold: KvHold) -> None:
         """Free a hold that serves nobody."""
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -77,8 +77,10 @@
         content under different ids are known by that alone. A call for memory holds none of it.
         """
         worked_on = broken.sent and kind != HOLD
-        self.loads.of(endpoint.instance).fail(self.now_ms(), broken.unreachable)
         self.figures.count_send(kind, broken.cause.value)
+        if broken.withheld:
+            return
+        self.loads.of(endpoint.instance).fail(self.now_ms(), broken.unreachable)
         logger.info(
             "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s content=%s",
             request.request_id,
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -1,7 +1,6 @@
 """Calls to the platform's servers: header names, bodies, and what an answer says."""
 
 import logging
-from collections.abc import Callable
 
 import attrs
 import msgspec
@@ -13,7 +12,7 @@
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, RawHead
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.eligibility.advertisements import Advertisement
+from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -35,7 +34,7 @@
     read_advertisement,
 )
 
-__all__ = ["AnswerObserver", "PlatformCalls", "PlatformExchange"]
+__all__ = ["PlatformCalls", "PlatformExchange"]
 
 logger = logging.getLogger(__name__)
 
@@ -74,15 +73,11 @@
     tokens: int = 0
 
 
-# Called with what an answer says about the server that made it.
-AnswerObserver = Callable[[ServiceEndpoint, Advertisement], None]
-
-
 class _AnswerReader:
     """Reports what answers say about their servers."""
 
-    def __init__(self, observe: AnswerObserver):
-        self._observe = observe
+    def __init__(self, eligibility: EndpointEligibility):
+        self._eligibility = eligibility
         self._unknown = UnknownFields()
 
     def read(self, endpoint: ServiceEndpoint, raw: RawHead, sent_ms: int, ran: bool = True) -> None:
@@ -90,7 +85,7 @@
         self._unknown.check(raw, endpoint.instance)
         advertisement = read_advertisement(raw, sent_ms, wall_ms(), ran)
         if advertisement is not None:
-            self._observe(endpoint, advertisement)
+            self._eligibility.observe(endpoint, advertisement)
 
 
 class PlatformExchange:
@@ -132,9 +127,10 @@
 class PlatformCalls:
     """Implements the product's calls to endpoints in the platform's words."""
 
-    def __init__(self, observe: AnswerObserver) -> None:
+    def __init__(self, eligibility: EndpointEligibility) -> None:
         self.pool = ConnectionPool(ID_FIELD)
-        self._answers = _AnswerReader(observe)
+        self._eligibility = eligibility
+        self._answers = _AnswerReader(eligibility)
 
     async def send(
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
@@ -162,11 +158,17 @@
         return await self._start(endpoint, request, left_ms, extra)
 
     async def take_hold(
-        self, endpoint: ServiceEndpoint, tokens: int, ttl_ms: int, now_ms: int
+        self,
+        endpoint: ServiceEndpoint,
+        request: CallerRequest,
+        tokens: int,
+        ttl_ms: int,
+        now_ms: int,
     ) -> Result[KvHold, NotExecuted]:
-        """Reserve a slot and memory."""
+        """Reserve a slot and memory for a request."""
         body = {"tokens": tokens, "ttl_ms": ttl_ms}
-        status, content = await self._ask(endpoint, "POST", "/saffronworks/hold-take", body)
+        path = "/saffronworks/hold-take"
+        status, content = await self._ask(endpoint, "POST", path, body, request)
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
         try:
@@ -226,10 +228,22 @@
         extra: list[tuple[str, str]],
     ) -> PlatformExchange:
         data = _encode_request(endpoint, request, left_ms, extra)
-        connection = await self.pool.take(endpoint)
+        connection = await self._connect(endpoint, request)
         connection.send(data, request.request_id, bodiless=request.method == "HEAD")
         return PlatformExchange(self.pool, endpoint, connection, self._answers)
 
+    async def _connect(
+        self, endpoint: ServiceEndpoint, request: CallerRequest
+    ) -> EndpointConnection:
+        """A connection for a request, if the endpoint still wants it; raises Break."""
+        connection = await self.pool.take(endpoint)
+        try:
+            self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id)
+        except Break:
+            self.pool.give_back(endpoint, connection)
+            raise
+        return connection
+
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
             status, _ = await self._ask(endpoint, "DELETE", path, None)
@@ -244,9 +258,17 @@
         logger.debug("event=dropped endpoint=%s path=%s status=%d", endpoint.instance, path, status)
 
     async def _ask(
-        self, endpoint: ServiceEndpoint, method: str, path: str, body: object
+        self,
+        endpoint: ServiceEndpoint,
+        method: str,
+        path: str,
+        body: object,
+        request: CallerRequest | None = None,
     ) -> tuple[int, bytes]:
-        """A small call to the server itself; raises Break."""
+        """A small call to the server itself; raises Break.
+
+        One without a `request` frees what the server holds, or orders its role.
+        """
         content = b"" if body is None else msgspec.json.encode(body)
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -256,7 +278,10 @@
         ]
         if content:
             lines.append("Content-Type: application/json")
-        connection = await self.pool.take(endpoint)
+        if request is None:
+            connection = await self.pool.take(endpoint)
+        else:
+            connection = await self._connect(endpoint, request)
         sent_ms = monotonic_ms()
         try:
             connection.send(_join(lines, content), None)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -83,8 +83,10 @@
             random.Random(settings.peer_address),
             monotonic_ms,
         )
-        self._eligibility = EndpointEligibility(self._limits, monotonic_ms)
-        self._calls = PlatformCalls(self._eligibility.observe)
+        self._eligibility = EndpointEligibility(
+            self._directory, self._limits, settings.drain_ms, monotonic_ms
+        )
+        self._calls = PlatformCalls(self._eligibility)
         self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
         self._news = NewsFeed(
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -39,6 +39,8 @@
     watch_wait_ms: int
     known_within_ms: int
     follow_within_ms: int
+    # How long an endpoint that drains may still be sent requests.
+    drain_ms: int
     cores: float
     quota_bounds: Tolerance
 
@@ -78,6 +80,7 @@
         watch_wait_ms=max(WATCH_LEAST_MS, min(WATCH_WAIT_MOST_MS, known_ms - WATCH_MARGIN_MS)),
         known_within_ms=known_ms,
         follow_within_ms=_follow_within_ms(bounds),
+        drain_ms=_drain_ms(bounds),
         # The share is of a core that runs `cores` times as fast.
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
         quota_bounds=_quota_bounds(bounds),
@@ -105,7 +108,11 @@
 def _follow_within_ms(bounds: Section) -> int:
     """Within how long a node goes by a change that the store has taken."""
     apply_ms = bounds.integer("config_apply_ms", 2000, least=1)
-    return min(apply_ms, bounds.integer("drain_ms", 2000, least=1))
+    return min(apply_ms, _drain_ms(bounds))
+
+
+def _drain_ms(bounds: Section) -> int:
+    return bounds.integer("drain_ms", 2000, least=1)
 
 
 def _first_port(root: Section) -> int:
--- a/saffronworks/tests/endpoint_plays.py
+++ b/saffronworks/tests/endpoint_plays.py
@@ -45,9 +45,12 @@
     return EndpointLimits("n:1", 1, random.Random(1), now_ms)
 
 
-def eligibility_of_one_node(limits, now_ms=lambda: 10):
-    """What endpoints have told one node about themselves: nothing yet."""
-    return EndpointEligibility(limits, now_ms)
+DRAIN_MS = 2000
+
+
+def eligibility_of_one_node(directory, limits=None, now_ms=lambda: 10):
+    """A node to which endpoints have told nothing about themselves yet."""
+    return EndpointEligibility(directory, limits or limits_of_one_node(), DRAIN_MS, now_ms)
 
 
 def wide_budget():
--- a/saffronworks/tests/features/advertised.feature
+++ b/saffronworks/tests/features/advertised.feature
@@ -17,3 +17,30 @@
     When that one rejects all and asks for a pause of 4 s, and callers ask for 12 requests a second
     Then no node sends it more than two requests from half a second after such an answer to the pause's end
     And all callers are served
+
+  Scenario: a decode engine and a reader drain while the store is away
+    Given three engines, two that decode and one that reads, and a second reader
+    When one of each drains while the store is silent, and callers ask for 6 generations a second
+    Then they get no call that was sent two seconds after any node had passed such an answer on
+    And all callers are served
+
+  Scenario: the last endpoint of a service drains
+    Given one endpoint of a service
+    When it drains while the store is silent, and callers ask for 24 requests a second
+    Then it gets no request that was sent two seconds after its node had passed such an answer on
+    And those that came before are served, and the others told at once that they have not run
+
+  Scenario: what is known of an endpoint that drains
+    Then whatever the store lists later, and whatever the endpoint answers, only a later start takes requests
+    And an endpoint of another name at its address does
+
+  Scenario: what answers say about their servers
+    Then a server drains that says 1, and what else stands there is logged once and changes nothing
+    And a rejection names a pause by a plain number of seconds or a date, of several the longest
+    And an answer of another server that has the address says nothing of the one that was meant
+    And whatever bytes the fields hold, none raises
+    And each field of an answer that nothing reads is logged once, and few of them
+
+  Scenario: a request whose endpoint advertises that it drains between the choice and the send
+    Then nothing is sent, the endpoint has not failed, and its connection is kept for later
+    And a generation goes elsewhere, without telling the planner of a failure
--- a/saffronworks/tests/features/steps/advertised_steps.py
+++ b/saffronworks/tests/features/steps/advertised_steps.py
@@ -6,7 +6,8 @@
 import anyio
 from behave import given, then, when
 
-from saffronworks.tests.platform_place import on_platform, web_servers
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import engines, on_platform, web_servers
 
 # As the nodes' settings say.
 DRAIN_S = 2.0
@@ -16,6 +17,8 @@
 PLAY_S = 6.0
 NEAR_WORK_S, AWAY_WORK_S = 0.05, 0.1
 NODES = 3
+# A place and a stream, or a read, of each node.
+MAX_CALLS_TO_LEARN = 2 * NODES
 
 
 @given("three endpoints of a service")
@@ -31,14 +34,27 @@
         server.zone, server.work_s = "z2", AWAY_WORK_S
 
 
-def play_callers(context, per_s, strike):
+@given("one endpoint of a service")
+def one_endpoint(context):
+    context.web = web_servers(1)
+
+
+@given("three engines, two that decode and one that reads, and a second reader")
+def four_engines(context):
+    context.web = [*engines(), FakeServer("p1", "llm", "prefill")]
+
+
+def ask_plain(place, *args, **options):
+    return place.ask("/again/", *args, **options)
+
+
+def play_callers(context, per_s, strike, ask_one=ask_plain):
     """Callers ask all nodes in turn; `strike(place)` comes a second after they begin."""
 
     async def play(place):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(strike_later, place)
-            ask_one = partial(place.ask, "/again/")
-            context.asked = await place.ask_evenly(per_s, PLAY_S, ask_one)
+            context.asked = await place.ask_evenly(per_s, PLAY_S, partial(ask_one, place))
 
     async def strike_later(place):
         await anyio.sleep(1.0)
@@ -59,6 +75,7 @@
 @when(
     "one of them drains while the store is silent, and callers ask for {per_s:d} requests a second"
 )
+@when("it drains while the store is silent, and callers ask for {per_s:d} requests a second")
 def drains(context, per_s):
     def strike(place):
         place.store.fault = "silent"
@@ -109,3 +126,45 @@
             sum(told + PAUSE_GRACE_S <= at < told + context.pause_s for at in at_s) for told in at_s
         ]
         assert max(in_pause, default=0) <= MAX_IN_PAUSE, (node, in_pause)
+
+
+@when(
+    "one of each drains while the store is silent, "
+    "and callers ask for {per_s:d} generations a second"
+)
+def engines_drain(context, per_s):
+    context.draining = [context.web[0], context.web[2]]
+
+    def strike(place):
+        place.store.fault = "silent"
+        for engine in context.draining:
+            engine.drains = True
+
+    def generate(place, *args, **options):
+        return place.generate("/res/", *args, **options)
+
+    play_callers(context, per_s, strike, generate)
+
+
+@then("they get no call that was sent two seconds after any node had passed such an answer on")
+def no_late_calls(context):
+    for engine in context.draining:
+        calls = zip(engine.arrived_s, engine.seen, strict=True)
+        asked_s = [at_s for at_s, (method, *_) in calls if method == "POST"]
+        after_s = [at_s for at_s in asked_s if at_s >= context.struck_s]
+        assert after_s, (engine.instance, "was not asked")
+        # Each of the nodes may learn it by a call of its own, until all have.
+        assert len(after_s) <= MAX_CALLS_TO_LEARN, (engine.instance, after_s)
+        late_s = [at_s for at_s in after_s if at_s > context.struck_s + 1 + DRAIN_S]
+        assert not late_s, (engine.instance, late_s)
+
+
+@then("those that came before are served, and the others told at once that they have not run")
+def served_or_told(context):
+    before = [one for one in context.asked if one.sent_s < context.struck_s + DRAIN_S]
+    after = [one for one in context.asked if one.sent_s > context.struck_s + 2 * DRAIN_S]
+    assert before and {one.status for one in before} == {200}
+    assert after and {one.status for one in after} == {503}
+    assert all(b"retry-after" in one.raw and one.took_s < PAUSE_GRACE_S for one in after)
+    ran = {request_id for server in context.web for request_id in server.ran}
+    assert not ran & {one.request_id for one in after}
--- /dev/null
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -0,0 +1,234 @@
+"""Scenarios on what is known of endpoints that drain or pause, and the check before each send."""
+
+import anyio
+from behave import then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from saffronworks.endpoint_roles import Role
+from saffronworks.forwarding import generation_core
+from saffronworks.forwarding.breaks import Break, BreakCause
+from saffronworks.forwarding.connections import RawHead
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.eligibility.advertisements import Advertisement
+from saffronworks.forwarding.eligibility.table import KEEP_GONE_MS
+from saffronworks.forwarding.endpoint_limits.table import LimitWord
+from saffronworks.forwarding.generation_events import (
+    AskPlanner,
+    HoldTaken,
+    ReadPrompt,
+    StreamWithheld,
+)
+from saffronworks.forwarding.generation_state import GenerationState, Pools
+from saffronworks.forwarding.messages import Begin, CallerRequest, KvHold
+from saffronworks.platform.answer_fields import (
+    MAX_PAUSE_MS,
+    UnknownFields,
+    read_advertisement,
+)
+from saffronworks.platform.calls import PlatformCalls
+from saffronworks.tests.endpoint_plays import (
+    DRAIN_MS,
+    eligibility_of_one_node,
+    endpoints,
+    wide_budget,
+)
+from saffronworks.tests.log_lines import LogLines
+from saffronworks.tests.platform_fakes import FakeServer
+
+NO_LIMIT = LimitWord(None, 0)
+DRAINS = Advertisement(NO_LIMIT, draining=True)
+SAYS_NOTHING = Advertisement(NO_LIMIT)
+# Sun, 06 Nov 1994 08:49:37 GMT
+DATE, DATE_MS = "Sun, 06 Nov 1994 08:49:37 GMT", 784_111_777_000
+
+
+def listed_one(born_ms=None, name="e0"):
+    return ServiceEndpoint(name, "s", "127.0.0.1:1", "z", born_ms=born_ms)
+
+
+LATER = st.lists(
+    st.sampled_from(["list", "unlist", "lapse", "empty", "answer", "wait"]), max_size=20
+)
+
+
+@then(
+    "whatever the store lists later, and whatever the endpoint answers, "
+    "only a later start takes requests"
+)
+def drains_for_good(context):
+    @forall(LATER)
+    def check(later):
+        now_ms = [1000]
+        directory = Directory()
+        eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
+        endpoint = listed_one(born_ms=5)
+        directory.replace([endpoint], 1, 0)
+        eligibility.observe(endpoint, DRAINS)
+        for step in later:
+            match step:
+                case "list":
+                    directory.replace([endpoint], 2, now_ms[0])
+                case "unlist":
+                    directory.remove("e0", now_ms[0])
+                case "lapse":
+                    directory.remove("e0", now_ms[0], now_ms[0] + 3000)
+                case "empty":
+                    directory.replace([], 2, now_ms[0])
+                case "answer":
+                    eligibility.observe(endpoint, SAYS_NOTHING)
+                case "wait":
+                    now_ms[0] += 2500
+            eligibility.forget_all_but(set(directory.endpoints))
+            assert not directory.usable("s", now_ms[0])
+        late = now_ms[0] + DRAIN_MS + 1
+        assert not eligibility.usable("s", late) and eligibility.find_block(endpoint, late)
+        later_start = listed_one(born_ms=6)
+        directory.replace([later_start], 3, now_ms[0])
+        assert directory.usable("s", now_ms[0]) == [later_start]
+        assert eligibility.find_block(later_start, late) is None
+
+    check()
+    assert KEEP_GONE_MS >= 20 * 2500
+
+
+@then("an endpoint of another name at its address does")
+def other_name(context):
+    directory = Directory()
+    eligibility = eligibility_of_one_node(directory)
+    directory.replace([listed_one()], 1, 0)
+    eligibility.observe(listed_one(), DRAINS)
+    other = listed_one(name="e1")
+    directory.replace([other], 2, 0)
+    assert directory.usable("s", 10) == [other] and eligibility.find_block(other, 10_000) is None
+
+
+def advertised(status=200, *fields, wall_ms=DATE_MS):
+    return read_advertisement(RawHead(status, [("Request-Id", "r"), *fields]), 7, wall_ms)
+
+
+def leaving(*values):
+    return advertised(200, *(("Server-Leaving", value) for value in values))
+
+
+@then("a server drains that says 1, and what else stands there is logged once and changes nothing")
+def reads_drain(context):
+    assert leaving("1").draining and leaving(" 1 ").draining and leaving("0", "1").draining
+    assert not leaving().draining and not leaving("0").draining and not leaving("0").malformed
+    for odd in ("", "true", "2", "1.0", "-1", "yes", "1,1"):
+        assert not leaving(odd).draining and leaving(odd).malformed, odd
+    assert leaving("true", "1").draining
+    directory = Directory()
+    directory.replace([listed_one()], 1, 0)
+    eligibility = eligibility_of_one_node(directory)
+    with LogLines("saffronworks.forwarding.eligibility.service") as lines:
+        for _ in range(3):
+            eligibility.observe(listed_one(), leaving("true"))
+    assert len(lines) == 1 and "server-leaving: true" in lines[0]
+    assert directory.usable("s", 10)
+
+
+def pause(*values, status=503):
+    return advertised(status, *(("Retry-After", value) for value in values))
+
+
+@then("a rejection names a pause by a plain number of seconds or a date, of several the longest")
+def reads_pause(context):
+    assert pause("3").pause_ms == 3000 and pause("0.25").pause_ms == 250
+    assert pause("2", "5", "1").pause_ms == 5000 and pause("3", status=429).pause_ms == 3000
+    assert pause("0").pause_ms == 0 and pause().pause_ms == 0
+    assert pause("3", status=200).pause_ms == 0 and pause("3", status=500).pause_ms == 0
+    assert pause("999999999999").pause_ms == MAX_PAUSE_MS
+    assert advertised(503, ("Retry-After", DATE), wall_ms=DATE_MS - 4000).pause_ms == 4000
+    assert advertised(503, ("Retry-After", DATE), wall_ms=DATE_MS + 4000).pause_ms == 0
+    for odd in ("-1", "1e9", "nan", "inf", "soon", "", "9" * 400, "\xb2", "3 s", DATE[:-4]):
+        assert pause(odd).pause_ms == 0 and pause(odd).malformed, odd
+    assert pause("soon", "2").pause_ms == 2000
+
+
+@then("an answer of another server that has the address says nothing of the one that was meant")
+def misdirected(context):
+    fields = (("Server-Leaving", "1"), ("Retry-After", "3"), ("Instance-Id", "e9"))
+    assert advertised(421, *fields) is None
+
+
+@then("whatever bytes the fields hold, none raises")
+def no_raise(context):
+    names = st.sampled_from(["Server-Leaving", "Retry-After", "Server-Limit", "Date"])
+    texts = st.text(st.characters(max_codepoint=255), max_size=60)
+
+    @forall(st.sampled_from([200, 429, 500, 503]), st.lists(st.tuples(names, texts), max_size=4))
+    def check(status, fields):
+        found = advertised(status, *fields)
+        assert 0 <= found.pause_ms <= MAX_PAUSE_MS
+
+    check()
+
+
+@then("each field of an answer that nothing reads is logged once, and few of them")
+def unknown_fields(context):
+    unknown = UnknownFields()
+    with LogLines("saffronworks.platform.answer_fields") as lines:
+        for _ in range(2):
+            unknown.check(RawHead(200, [("Server-Mood", "calm"), ("Request-Id", "r")]), "e0")
+        for number in range(200):
+            unknown.check(RawHead(200, [(f"X-{number}", "v")]), "e0")
+    assert len(lines) == UnknownFields.MAX_NAMES and "server-mood" in lines[0]
+
+
+def request():
+    return CallerRequest("r1", "POST", "/a", "h", (), b"", 0, 9000)
+
+
+@then("nothing is sent, the endpoint has not failed, and its connection is kept for later")
+def withheld(context):
+    server = FakeServer("e0", "s")
+    endpoint = ServiceEndpoint("e0", "s", server.address, "z")
+    directory = Directory()
+    directory.replace([endpoint], 1, 0)
+    eligibility = eligibility_of_one_node(directory, now_ms=lambda: -DRAIN_MS - 1)
+    calls = PlatformCalls(eligibility)
+
+    async def play():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            await anyio.sleep(0.05)
+            exchange = await calls.send(endpoint, request(), 900)
+            assert (await exchange.head(900)).success
+            while await exchange.next_chunk(900) is not None:
+                pass
+            exchange.end()
+            eligibility.observe(endpoint, DRAINS)
+            for attempt in (
+                calls.send(endpoint, request(), 900),
+                calls.prefill(endpoint, request(), 900),
+                calls.take_hold(endpoint, request(), 100, 900, 0),
+                calls.open_stream(endpoint, request(), 900, None, None, None),
+            ):
+                try:
+                    await attempt
+                except Break as broken:
+                    assert broken.withheld and not broken.sent and not broken.unreachable
+                else:
+                    raise AssertionError("it was sent")
+            # What frees memory there can't be put off.
+            await calls.drop_hold(KvHold(endpoint, "h1", 0))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert [method for method, *_ in server.seen] == ["POST", "DELETE"]
+    assert server.connections == 1
+
+
+@then("a generation goes elsewhere, without telling the planner of a failure")
+def generation_withheld(context):
+    decoders, readers = endpoints(2, Role.DECODE, "d"), endpoints(1, Role.PREFILL, "p")
+    state = GenerationState("s", 100, True, 2, 900, 0, 14_000, 2000, plans_left=2)
+    pools, budget = Pools(decoders, readers), wide_budget()
+    assert isinstance(generation_core.step(state, Begin(), pools, budget, 0), AskPlanner)
+    hold = KvHold(decoders[0], "h", 2000)
+    read = generation_core.step(state, HoldTaken(hold), pools, budget, 1)
+    assert isinstance(read, ReadPrompt)
+    again = generation_core.step(state, StreamWithheld("d0"), pools, budget, 2)
+    assert isinstance(again, AskPlanner) and "d0" in again.avoid and not again.broken
+    assert not state.runs and Break(BreakCause.WITHHELD, sent=False).withheld
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -60,7 +60,7 @@
         whose,
         quotas,
         limits,
-        eligibility_of_one_node(limits),
+        eligibility_of_one_node(directory, limits),
     )
 
 
