--- a/saffronworks/forwarding/eligibility/blocks.py
+++ b/saffronworks/forwarding/eligibility/blocks.py
@@ -1,10 +1,13 @@
-"""Why an endpoint may not be sent a request now."""
+"""Why endpoints may not be sent a request now, and for how long."""
 
 import enum
+from collections.abc import Mapping, Set
 
 import attrs
 
-__all__ = ["Block", "BlockReason"]
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["ALL_ELIGIBLE", "Block", "BlockReason", "Eligibility"]
 
 
 class BlockReason(enum.StrEnum):
@@ -13,10 +16,26 @@
     # It is not listed any more, or another endpoint has its address.
     GONE = "gone"
     DRAINING = "draining"
+    RATE_LIMITED = "rate_limited"
 
 
 @attrs.frozen
 class Block:
-    """An endpoint may not be sent a request."""
+    """An endpoint may not be sent a request; after `for_ms` it may, None where that is unknown."""
 
     reason: BlockReason
+    for_ms: int | None = None
+
+
+@attrs.frozen
+class Eligibility:
+    """What a request knows of a service's endpoints when it chooses one.
+
+    `blocks` has those that it may not be sent to; a send to one in `limited` needs a permit.
+    """
+
+    blocks: Mapping[StartId, Block] = attrs.Factory(dict)
+    limited: Set[StartId] = frozenset()
+
+
+ALL_ELIGIBLE = Eligibility()
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -7,7 +7,7 @@
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
-from saffronworks.forwarding.eligibility.blocks import Block, BlockReason
+from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.starts import StartId
 
@@ -77,6 +77,19 @@
         since_ms = arrived_ms - self._drain_ms
         return usable or self._directory.draining_since(service, now_ms, role, since_ms)
 
+    def among(self, endpoints: Collection[ServiceEndpoint]) -> Eligibility:
+        """Which of the endpoints that a request may choose from are blocked for now.
+
+        Those that drain are blocked as well, whether or not they are among these.
+        """
+        limited = self._limits.among(endpoints)
+        chosen = {endpoint.instance for endpoint in endpoints}
+        draining = self._directory.advertised.draining() - chosen
+        blocks = {instance: Block(BlockReason.DRAINING) for instance in draining}
+        for instance, closed_ms in limited.closed_ms.items():
+            blocks[instance] = Block(BlockReason.RATE_LIMITED, closed_ms)
+        return Eligibility(blocks, limited.named)
+
     def find_block(self, endpoint: ServiceEndpoint, arrived_ms: int) -> Block | None:
         """Why a request of that arrival may not be sent to an endpoint now; None where it may."""
         listed = self._directory.endpoints.get(endpoint.instance)
--- a/saffronworks/forwarding/eligibility/table.py
+++ b/saffronworks/forwarding/eligibility/table.py
@@ -1,6 +1,6 @@
 """What endpoints have advertised to this node: which of them drain, and which are paused."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Set
 
 import attrs
 
@@ -36,6 +36,10 @@
         """When this node learnt that the endpoint drains; None while it does not."""
         return self._draining_since_ms.get(instance)
 
+    def draining(self) -> Set[StartId]:
+        """All endpoints that are known to drain."""
+        return self._draining_since_ms.keys()
+
     def pause(self, instance: StartId, now_ms: int) -> Pause | None:
         """The pause that the endpoint asked for, while it lasts."""
         pause = self._pauses.get(instance)
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -42,7 +42,7 @@
     Begin,
     Executed,
     Refuse,
-    refuse_limited,
+    refuse_blocked,
 )
 from saffronworks.forwarding.plain_core import promises_not_run
 from saffronworks.forwarding.planning.tuning import (
@@ -214,12 +214,12 @@
 def _plan(state: GenerationState, pools: Pools, now_ms: int) -> _Result:
     """Ask the planner, a few times at most; then the endpoints themselves."""
     patience_ms = int(state.gives_up_at_ms - now_ms)
-    closed = pools.room_after_ms is not None
-    if not state.plans_left or patience_ms <= 0 or not pools.decoders or closed:
+    blocked = bool(pools.decoder_blocks)
+    if not state.plans_left or patience_ms <= 0 or not pools.decoders or blocked:
         return _ask(state, pools, now_ms)
     state.plans_left -= 1
     in_time_ms = state.arrived_ms + state.target_ms - IN_TIME_MS - now_ms
-    avoid = tuple(sorted(state.asked | state.failed | pools.limited.closed_ms.keys()))
+    avoid = tuple(sorted(state.asked | state.failed | pools.eligibility.blocks.keys()))
     return AskPlanner(in_time_ms, patience_ms, avoid, state.take_broken())
 
 
@@ -242,14 +242,15 @@
     if now_ms >= state.deadline_at_ms:
         return _GiveUp(_late(state))
     for endpoint in pools.decoders:
-        if pools.closed(endpoint.instance):
+        if pools.blocked(endpoint.instance):
             continue
         if endpoint.instance not in state.asked | state.failed:
             ttl_ms = _hold_ms(state, now_ms)
             return AskHold(endpoint, state.tokens, state.headroom_tokens, ttl_ms)
-    room_after_ms = pools.room_after_ms
-    if room_after_ms is not None and now_ms + room_after_ms >= state.patience_until_ms:
-        return _GiveUp(refuse_limited(room_after_ms))
+    if blocks := pools.decoder_blocks:
+        refusal = refuse_blocked(blocks)
+        if now_ms + refusal.not_before_ms >= state.patience_until_ms:
+            return _GiveUp(refusal)
     if now_ms + HOLD_POLL_MS < state.patience_until_ms:
         state.failed.clear()
         return Wait(HOLD_POLL_MS)
@@ -276,7 +277,7 @@
     left_ms = min(state.hold.until_ms, state.deadline_at_ms) - now_ms
     named_first = sorted(pools.prefillers, key=lambda e: e.instance != state.reader)
     for endpoint in named_first:
-        if endpoint.instance in state.failed or left_ms <= 0 or pools.closed(endpoint.instance):
+        if endpoint.instance in state.failed or left_ms <= 0 or pools.blocked(endpoint.instance):
             continue
         if state.reads and not budget.withdraw(state.service, now_ms):
             break
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -109,7 +109,6 @@
         pools = rank_pools(
             node.eligibility,
             node.loads,
-            node.limits,
             self._job.service,
             self._state.tokens,
             self._state.arrived_ms,
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -5,7 +5,7 @@
 import attrs
 
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits.permits import NOT_LIMITED, Limited
+from saffronworks.forwarding.eligibility.blocks import ALL_ELIGIBLE, Block, Eligibility
 from saffronworks.forwarding.messages import KvHandle, KvHold, PromptSize
 from saffronworks.forwarding.planning.tuning import (
     MOST_PLANS,
@@ -36,23 +36,22 @@
 
 @attrs.frozen
 class Pools:
-    """The usable endpoints of both roles, best first; `limited`: which of them name a limit."""
+    """The usable endpoints of both roles, best first, and which of them are blocked for now."""
 
     decoders: list[ServiceEndpoint]
     prefillers: list[ServiceEndpoint]
-    limited: Limited = NOT_LIMITED
+    eligibility: Eligibility = ALL_ELIGIBLE
 
-    def closed(self, instance: StartId) -> bool:
-        """Whether an endpoint's limit is used up for now."""
-        return instance in self.limited.closed_ms
+    def blocked(self, instance: StartId) -> bool:
+        """Whether an endpoint may not be sent a request for now."""
+        return instance in self.eligibility.blocks
 
     @property
-    def room_after_ms(self) -> int | None:
-        """After how long a decode endpoint may have room; None where a limit closes not all."""
-        closed_ms = self.limited.closed_ms
-        if not self.decoders or any(not self.closed(e.instance) for e in self.decoders):
-            return None
-        return min(closed_ms[endpoint.instance] for endpoint in self.decoders)
+    def decoder_blocks(self) -> list[Block]:
+        """Why no decode endpoint may be sent a request; empty where one may, or none is there."""
+        blocks = self.eligibility.blocks
+        found = [blocks[e.instance] for e in self.decoders if self.blocked(e.instance)]
+        return found if len(found) == len(self.decoders) else []
 
 
 class Out(enum.Enum):
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -1,12 +1,15 @@
 """Typed messages between callers' requests, the deciding cores and endpoints."""
 
 import enum
+import math
+from collections.abc import Iterable
 from functools import cached_property
 
 import attrs
 
 from saffronworks.forwarding.contents import ContentId, content_id
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.eligibility.blocks import Block, BlockReason
 from saffronworks.forwarding.organisations import BadKey, KeyDigest, Organisation
 
 __all__ = [
@@ -21,7 +24,7 @@
     "NotExecuted",
     "PromptSize",
     "Refuse",
-    "refuse_limited",
+    "refuse_blocked",
 ]
 
 
@@ -166,12 +169,21 @@
     not_before_ms: int = 0
 
 
-def refuse_limited(after_ms: int) -> Refuse:
-    """Each endpoint left names a limit that is used up; there is room after that time at best.
+_BLOCKED_REASONS = {
+    BlockReason.GONE: "no-endpoint",
+    BlockReason.DRAINING: "endpoints-draining",
+    BlockReason.RATE_LIMITED: "endpoints-limited",
+}
+
+
+def refuse_blocked(blocks: Iterable[Block]) -> Refuse:
+    """Each endpoint left is blocked: the caller is told when the first of them may take requests.
 
     It is no failure of theirs, and waiting here would only hold up those who come later.
     """
-    return Refuse(503, "endpoints-limited", not_run=True, not_before_ms=after_ms)
+    first = min(blocks, key=lambda block: math.inf if block.for_ms is None else block.for_ms)
+    reason = _BLOCKED_REASONS[first.reason]
+    return Refuse(503, reason, not_run=True, not_before_ms=first.for_ms or 0)
 
 
 # A request whose content ends the endpoints that run it. No promise that it has not run, and no
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -8,13 +8,18 @@
 import attrs
 
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits.permits import NOT_LIMITED, Limited
+from saffronworks.forwarding.eligibility.blocks import (
+    ALL_ELIGIBLE,
+    Block,
+    BlockReason,
+    Eligibility,
+)
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
     Executed,
     Refuse,
-    refuse_limited,
+    refuse_blocked,
 )
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
@@ -50,7 +55,7 @@
 class PlainState:
     """What happened so far. `runs` counts sends that may have been executed.
 
-    `used_up`: the endpoints whose limit left no room, and after how long there may be some.
+    `used_up`: the endpoints whose limit left no room for this request.
     `reason`: why an endpoint is sought; `otherwise`: what the caller is told of the last run if
     none is found.
     """
@@ -64,7 +69,7 @@
     redirects: int = 0
     sends: int = 0
     tried: set[StartId] = attrs.Factory(set)
-    used_up: dict[StartId, int] = attrs.Factory(dict)
+    used_up: dict[StartId, Block] = attrs.Factory(dict)
     reason: str = ""
     otherwise: "Relay | Refuse | None" = None
 
@@ -130,7 +135,7 @@
     """What the next endpoint is chosen from, and with which limits."""
 
     ranked: list[ServiceEndpoint]
-    limited: Limited
+    eligibility: Eligibility
     budget: RetryBudget
     permitted: StartId | None = None
 
@@ -142,15 +147,15 @@
     budget: RetryBudget,
     now_ms: int,
     barred: Refuse | None = None,
-    limited: Limited = NOT_LIMITED,
+    eligibility: Eligibility = ALL_ELIGIBLE,
 ) -> Command:
     """The next command; `ranked` lists the usable endpoints, best first.
 
-    `barred`: no endpoint is to get the request any more, and why. `limited`: which of them name a
-    limit.
+    `barred`: no endpoint is to get the request any more, and why. `eligibility`: which of them are
+    blocked for now.
     """
     permitted = event.instance if isinstance(event, Permitted) else None
-    command = _advance(state, event, _Choice(ranked, limited, budget, permitted), now_ms)
+    command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
     leaves = isinstance(command, SendTo | TakePermit)
     return barred if barred is not None and leaves else command
 
@@ -162,7 +167,7 @@
         case Permitted():
             return _send_permitted(state, choice, now_ms)
         case NotPermitted(instance, after_ms):
-            state.used_up[instance] = after_ms
+            state.used_up[instance] = Block(BlockReason.RATE_LIMITED, after_ms)
             return _send_permitted(state, choice, now_ms)
         case Answered(_, head) if head.executed is Executed.NO:
             return _redirect(state, choice, now_ms, head.reason)
@@ -230,7 +235,7 @@
     if state.sends and not choice.budget.allows(state.service, now_ms):
         return _give_up(state, choice, f"{reason}:retry-budget")
     endpoint = next((e for e in fresh if e.instance == choice.permitted), fresh[0])
-    if endpoint.instance in choice.limited.named and endpoint.instance != choice.permitted:
+    if endpoint.instance in choice.eligibility.limited and endpoint.instance != choice.permitted:
         return TakePermit(endpoint)
     if state.sends:
         choice.budget.withdraw(state.service, now_ms)
@@ -243,19 +248,26 @@
 
 
 def _fresh(state: PlainState, choice: _Choice) -> list[ServiceEndpoint]:
-    """The endpoints that were not tried, without those whose limit is used up."""
-    left_out = state.tried | state.used_up.keys() | choice.limited.closed_ms.keys()
-    return [
-        e for e in choice.ranked if e.instance not in left_out or e.instance == choice.permitted
-    ]
+    """The endpoints that were not tried and are not blocked."""
+    left_out = state.tried | _find_blocks(state, choice).keys()
+    return [endpoint for endpoint in choice.ranked if endpoint.instance not in left_out]
+
+
+def _find_blocks(state: PlainState, choice: _Choice) -> dict[StartId, Block]:
+    """Why endpoints may not be sent this request now."""
+    blocks = {**choice.eligibility.blocks, **state.used_up}
+    permitted = choice.permitted
+    # A permit outdoes the limit that it was granted within, and nothing else.
+    if permitted in blocks and blocks[permitted].reason is BlockReason.RATE_LIMITED:
+        del blocks[permitted]
+    return blocks
 
 
 def _give_up(state: PlainState, choice: _Choice, reason: str) -> Refuse:
     if state.runs:
         return Refuse(502, reason, not_run=False)
-    usable = {endpoint.instance for endpoint in choice.ranked} - state.tried
-    used_up = {**choice.limited.closed_ms, **state.used_up}
-    after_ms = [used_up[instance] for instance in usable & used_up.keys()]
-    if after_ms and not _fresh(state, choice):
-        return refuse_limited(min(after_ms))
+    blocks = _find_blocks(state, choice)
+    left = [blocks[e.instance] for e in choice.ranked if e.instance in blocks.keys() - state.tried]
+    if left and not _fresh(state, choice):
+        return refuse_blocked(left)
     return Refuse(503, reason, not_run=True)
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -93,8 +93,10 @@
         node, now_ms = self._node, self._node.now_ms()
         usable = node.eligibility.usable(self._job.service, self._job.request.arrived_ms)
         ranked = node.loads.rank(usable, now_ms)
-        barred, limited = node.barred(self._job), node.limits.among(usable)
-        command = plain_core.step(self._state, event, ranked, node.budget, now_ms, barred, limited)
+        barred, eligibility = node.barred(self._job), node.eligibility.among(usable)
+        command = plain_core.step(
+            self._state, event, ranked, node.budget, now_ms, barred, eligibility
+        )
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
--- a/saffronworks/forwarding/pools.py
+++ b/saffronworks/forwarding/pools.py
@@ -3,7 +3,6 @@
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
-from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.generation_state import Pools
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.starts import StartId
@@ -14,7 +13,6 @@
 def rank_pools(
     eligibility: EndpointEligibility,
     loads: LoadTable,
-    limits: EndpointLimits,
     service: str,
     tokens: int,
     arrived_ms: int,
@@ -26,7 +24,7 @@
     return Pools(
         _rank_decoders(decoders, loads, tokens, now_ms),
         _rank_readers(prefillers, loads, now_ms),
-        limits.among([*decoders, *prefillers]),
+        eligibility.among([*decoders, *prefillers]),
     )
 
 
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -12,7 +12,7 @@
 from saffronworks.forwarding import generation_core
 from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.connections import RawHead
-from saffronworks.forwarding.endpoint_limits.permits import Limited
+from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
 from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
 from saffronworks.forwarding.endpoint_limits.tuning import KEEP_ENDED_MS
 from saffronworks.forwarding.generation_events import (
@@ -24,7 +24,7 @@
     Wait,
 )
 from saffronworks.forwarding.generation_state import GenerationState, Pools
-from saffronworks.forwarding.messages import Begin, KvHold, Refuse, refuse_limited
+from saffronworks.forwarding.messages import Begin, KvHold, Refuse
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.tuning import BUDGET_USED_SHARE, HOLD_POLL_MS
 from saffronworks.platform.answer_fields import read_limit
@@ -141,6 +141,16 @@
     assert waits_s[len(waits_s) // 2] < 0.1, waits_s
 
 
+def limited_to(named, closed_ms):
+    """Endpoints that name a limit, and for how long it is used up at some of them."""
+    blocks = {one: Block(BlockReason.RATE_LIMITED, ms) for one, ms in closed_ms.items()}
+    return Eligibility(blocks, named)
+
+
+def refused(after_ms):
+    return Refuse(503, "endpoints-limited", not_run=True, not_before_ms=after_ms)
+
+
 SENDS = st.lists(st.sampled_from([*REPLY_KINDS, "used-up", "room"]), max_size=30)
 
 
@@ -148,9 +158,10 @@
     """Let endpoints and holders answer in the given ways: who ran it, who had no room, the end."""
     state = plain.PlainState("s", may_repeat, 2, 300, 1500)
     budget = budget or wide_budget()
-    limited = Limited({f"e{n}" for n in named}, {f"e{n}": 70 + n for n in named & closed})
+    closed_ms = {f"e{n}": 70 + n for n in named & closed}
+    eligibility = limited_to({f"e{n}" for n in named}, closed_ms)
     ran, used_up, now_ms, waiting = [], [], 0, list(replies)
-    command = plain.step(state, Begin(), endpoints(4), budget, now_ms, None, limited)
+    command = plain.step(state, Begin(), endpoints(4), budget, now_ms, None, eligibility)
     permitted = last = None
     for _ in range(MOST_STEPS):
         if not isinstance(command, plain.SendTo | plain.TakePermit):
@@ -160,19 +171,19 @@
         instance = command.endpoint.instance
         reply = waiting.pop(0) if waiting else "ok"
         if isinstance(command, plain.TakePermit):
-            assert instance in limited.named
+            assert instance in eligibility.limited
             refused = reply == "used-up"
             used_up += [instance] if refused else []
             permitted = None if refused else instance
             event = plain.NotPermitted(instance, 40) if refused else plain.Permitted(instance)
         else:
-            assert instance not in limited.named or permitted == instance
+            assert instance not in eligibility.limited or permitted == instance
             permitted, head, last = None, head_of(reply), reply
             ran += [] if reply in ("unsent", "not-run") else [instance]
             event = plain.Answered(instance, head) if head else None
             silent, sent = reply == "silent", reply != "unsent"
             event = event or plain.Broken(instance, sent=sent, silent=silent)
-        command = plain.step(state, event, endpoints(4), budget, now_ms, None, limited)
+        command = plain.step(state, event, endpoints(4), budget, now_ms, None, eligibility)
     raise AssertionError("no end")
 
 
@@ -202,9 +213,9 @@
 
     check()
     _, _, end = play_limited(True, ["used-up"] * 2, {0, 1, 2, 3}, {2, 3})
-    assert end == refuse_limited(40)
+    assert end == refused(40)
     _, _, end = play_limited(True, [], {0, 1, 2, 3}, {0, 1, 2, 3})
-    assert end == refuse_limited(70)
+    assert end == refused(70)
 
 
 @then("a permit that is refused spends nothing of the retry budget")
@@ -235,12 +246,12 @@
 @then("one whose places are all closed is refused at once, or waits where there is room in time")
 def places_closed(context):
     decoders, readers = endpoints(2, Role.DECODE, "d"), endpoints(1, Role.PREFILL, "p")
-    for after_ms, expected in ((2000, refuse_limited(1500)), (20, Wait(HOLD_POLL_MS))):
+    for after_ms, expected in ((2000, refused(1500)), (20, Wait(HOLD_POLL_MS))):
         closed_ms = {"d0": after_ms, "d1": min(after_ms, 1500)}
-        pools = Pools(decoders, readers, Limited(set(closed_ms), closed_ms))
+        pools = Pools(decoders, readers, limited_to(set(closed_ms), closed_ms))
         command = generation_core.step(generation(), Begin(), pools, wide_budget(), 0)
         assert command == expected, command
-    half = Pools(decoders, readers, Limited({"d0"}, {"d0": 2000}))
+    half = Pools(decoders, readers, limited_to({"d0"}, {"d0": 2000}))
     command = generation_core.step(generation(), Begin(), half, wide_budget(), 0)
     assert isinstance(command, AskPlanner) and command.avoid == ("d0",), command
 
@@ -255,7 +266,7 @@
     unread = ReadFailed("p0", broken=False, sent=False)
     command = generation_core.step(state, unread, open_pools, wide_budget(), 0)
     assert command == OpenStream(decoders[0]) and state.reads == 0
-    closed = Pools(decoders, readers, Limited({"p0"}, {"p0": 500}))
+    closed = Pools(decoders, readers, limited_to({"p0"}, {"p0": 500}))
     command = generation_core.step(generation(), taken, closed, wide_budget(), 0)
     assert command == OpenStream(decoders[0])
 
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -12,7 +12,13 @@
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.identity import Identities
 from saffronworks.forwarding.loads import LoadTable
-from saffronworks.forwarding.messages import CallerRequest, KvHandle, KvHold, PromptSize
+from saffronworks.forwarding.messages import (
+    CallerRequest,
+    KvHandle,
+    KvHold,
+    NotExecuted,
+    PromptSize,
+)
 from saffronworks.forwarding.planning.messages import MemoryGrant, MemoryRefusal
 from saffronworks.forwarding.routing import EngineSpec
 from saffronworks.forwarding.runners import Job, NodeState
@@ -91,4 +97,4 @@
 @then("a place without room is asked for again without telling an end")
 def asks_again(context):
     grants = [MemoryGrant("r1", "d0", "p0"), MemoryRefusal("r1", 2000)]
-    assert told_of(grants, [Err("full")]) == ["ask", "ask", "end"]
+    assert told_of(grants, [Err(NotExecuted("full"))]) == ["ask", "ask", "end"]
