An endpoint that asks for a pause gets nothing of that node until it is over

A rejection counted as a failure, and latency and nearness won again until three failures in a row opened the circuit, which then tries by times of its own.

It holds until its latest end, for one start of the endpoint. Only a request with a reservation may follow right after it began. A pausing endpoint has not failed: no circuit, no distrust of the reader whose prompt it was to take, nothing told to the planner.

--- a/saffronworks/forwarding/eligibility/blocks.py
+++ b/saffronworks/forwarding/eligibility/blocks.py
@@ -16,6 +16,8 @@
     # It is not listed any more, or another endpoint has its address.
     GONE = "gone"
     DRAINING = "draining"
+    # It rejected a request of this node and wants none for some time.
+    PAUSED = "paused"
     RATE_LIMITED = "rate_limited"
 
 
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -15,12 +15,17 @@
 
 logger = logging.getLogger(__name__)
 
+# A request that has a reservation may follow so long after a pause began; endpoints bear what was
+# under way for half a second, of which the answer's way takes a part.
+PAUSE_GRACE_MS = 250
+
 
 class EndpointEligibility:
     """Combines what the store lists with what endpoints advertise about themselves.
 
     An endpoint that advertises that it drains gets no new request as long as another one is left.
-    Requests that arrived up to `drain_ms` after it began may still go there where none is.
+    Requests that arrived up to `drain_ms` after it began may still go there where none is. One that
+    asks for a pause gets nothing until it is over, and has not failed: other nodes may still send.
     """
 
     def __init__(
@@ -88,10 +93,23 @@
         blocks = {instance: Block(BlockReason.DRAINING) for instance in draining}
         for instance, closed_ms in limited.closed_ms.items():
             blocks[instance] = Block(BlockReason.RATE_LIMITED, closed_ms)
+        for instance in chosen:
+            if (paused := self._find_pause(instance)) is not None:
+                blocks[instance] = paused
         return Eligibility(blocks, limited.named)
 
-    def find_block(self, endpoint: ServiceEndpoint, arrived_ms: int) -> Block | None:
-        """Why a request of that arrival may not be sent to an endpoint now; None where it may."""
+    def _find_pause(self, instance: StartId) -> Block | None:
+        now_ms = self._now_ms()
+        pause = self._directory.advertised.pause(instance, now_ms)
+        return Block(BlockReason.PAUSED, pause.until_ms - now_ms) if pause is not None else None
+
+    def find_block(
+        self, endpoint: ServiceEndpoint, arrived_ms: int, reserved: bool = False
+    ) -> Block | None:
+        """Why a request of that arrival may not be sent to an endpoint now; None where it may.
+
+        One with a reservation there was let in before a pause that has just begun.
+        """
         listed = self._directory.endpoints.get(endpoint.instance)
         if listed is None:
             return Block(BlockReason.GONE)
@@ -99,21 +117,31 @@
         drained = began_ms is not None and arrived_ms > began_ms + self._drain_ms
         if listed.draining or drained:
             return Block(BlockReason.DRAINING)
-        return None
+        pause = self._directory.advertised.pause(endpoint.instance, self._now_ms())
+        if reserved and pause is not None and self._now_ms() < pause.since_ms + PAUSE_GRACE_MS:
+            return None
+        return self._find_pause(endpoint.instance)
 
-    def check_send(self, endpoint: ServiceEndpoint, arrived_ms: int, request_id: str) -> None:
+    def check_send(
+        self,
+        endpoint: ServiceEndpoint,
+        arrived_ms: int,
+        request_id: str,
+        reserved: bool = False,
+    ) -> None:
         """Raise Break right before a send that may not go out: its choice is older than the word.
 
         Between the two the node opens a connection, asks for a permit or has a prompt read.
         """
-        block = self.find_block(endpoint, arrived_ms)
+        block = self.find_block(endpoint, arrived_ms, reserved)
         if block is None:
             return
         logger.info(
-            "event=send_withheld request=%s endpoint=%s reason=%s endpoints_rev=%d",
+            "event=send_withheld request=%s endpoint=%s reason=%s for_ms=%s endpoints_rev=%d",
             request_id,
             endpoint.instance,
             block.reason,
+            block.for_ms,
             self._directory.revision,
         )
         raise Break(BreakCause.WITHHELD, sent=False)
--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -300,6 +300,9 @@
 def _take_answer(
     state: GenerationState, instance: StartId, head: AnswerHead, pools: Pools, now_ms: int
 ) -> _Result:
+    if head.executed is Executed.NO and head.asks_pause:
+        state.failed.add(instance)
+        return _redirect(state, pools, now_ms, head.reason)
     if head.executed is Executed.NO:
         lost_handle = state.handle if not head.misdirected else None
         state.note_broken(lost_handle.endpoint.instance if lost_handle else instance)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -220,7 +220,8 @@
             load.outstanding -= 1
         if isinstance(answer, Err):
             self._job.runs.take_back_read()
-            load.fail(node.now_ms())
+            if not answer.err_value.asks_pause:
+                load.fail(node.now_ms())
             node.figures.count_send("prefill", "refused")
             logger.info(
                 "event=prefill_refused request=%s endpoint=%s reason=%s",
@@ -290,7 +291,7 @@
             head.reason,
             handle.endpoint.instance if handle else None,
         )
-        if handle is not None and not head.misdirected:
+        if handle is not None and not head.misdirected and not head.asks_pause:
             distrust = node.loads.of(handle.endpoint.instance)
             distrust.no_prefill_until_ms = now_ms + HANDLE_DISTRUST_MS
 
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -99,7 +99,8 @@
     """Start of an endpoint's answer. `signed` tells that the endpoint vouches for the body.
 
     `misdirected`: the endpoint at this address is not the one that was meant, or has another role;
-    `found_name` names it where another one has the address.
+    `found_name` names it where another one has the address. `asks_pause`: the endpoint rejected the
+    request and wants none of this node for some time.
     """
 
     status: int
@@ -109,6 +110,7 @@
     reason: str = ""
     misdirected: bool = False
     found_name: str | None = None
+    asks_pause: bool = False
 
     @property
     def success(self) -> bool:
@@ -136,9 +138,10 @@
 
 @attrs.frozen
 class NotExecuted:
-    """An endpoint said that it did not take a call, and why."""
+    """An endpoint said that it did not take a call, and why; whether it asks for a pause."""
 
     reason: str
+    asks_pause: bool = False
 
 
 @attrs.frozen
@@ -172,6 +175,7 @@
 _BLOCKED_REASONS = {
     BlockReason.GONE: "no-endpoint",
     BlockReason.DRAINING: "endpoints-draining",
+    BlockReason.PAUSED: "endpoints-paused",
     BlockReason.RATE_LIMITED: "endpoints-limited",
 }
 
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -146,7 +146,8 @@
             load.succeed(took_ms, node.now_ms())
             node.figures.count_send(PLAIN, "answered")
         else:
-            load.fail(node.now_ms())
+            if not head.asks_pause:
+                load.fail(node.now_ms())
             node.figures.count_send(PLAIN, f"status-{head.status}")
             node.note_misdirected(endpoint, head)
             logger.info(
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -12,6 +12,7 @@
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, RawHead
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.messages import (
     AnswerHead,
@@ -80,12 +81,15 @@
         self._eligibility = eligibility
         self._unknown = UnknownFields()
 
-    def read(self, endpoint: ServiceEndpoint, raw: RawHead, sent_ms: int, ran: bool = True) -> None:
+    def read(
+        self, endpoint: ServiceEndpoint, raw: RawHead, sent_ms: int, ran: bool = True
+    ) -> Advertisement | None:
         """An answer came to a request, or, without `ran`, to a call of this node's own."""
         self._unknown.check(raw, endpoint.instance)
         advertisement = read_advertisement(raw, sent_ms, wall_ms(), ran)
         if advertisement is not None:
             self._eligibility.observe(endpoint, advertisement)
+        return advertisement
 
 
 class PlatformExchange:
@@ -112,8 +116,9 @@
     async def head(self, timeout_ms: float) -> AnswerHead:
         """The start of the answer; raises Break."""
         raw = await self.connection.head(timeout_ms)
-        self._answers.read(self._endpoint, raw, self._sent_ms)
-        return _decode_head(raw)
+        advertisement = self._answers.read(self._endpoint, raw, self._sent_ms)
+        asks_pause = advertisement is not None and advertisement.pause_ms > 0
+        return attrs.evolve(_decode_head(raw), asks_pause=asks_pause)
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
         """A part of the body, None at its end; raises Break."""
@@ -155,7 +160,7 @@
             extra.append(("Kv-Source", f"{handle.endpoint.address}/{handle.handle_id}"))
         if after_event is not None:
             extra.append(("Last-Event-Id", str(after_event)))
-        return await self._start(endpoint, request, left_ms, extra)
+        return await self._start(endpoint, request, left_ms, extra, reserved=hold is not None)
 
     async def take_hold(
         self,
@@ -192,7 +197,7 @@
         finally:
             exchange.end()
         if not head.success:
-            return Err(NotExecuted(f"status {head.status}"))
+            return Err(NotExecuted(f"status {head.status}", head.asks_pause))
         try:
             reply = msgspec.json.decode(body, type=_PrefillReply)
         except msgspec.MsgspecError as error:
@@ -226,19 +231,20 @@
         request: CallerRequest,
         left_ms: int,
         extra: list[tuple[str, str]],
+        reserved: bool = False,
     ) -> PlatformExchange:
         data = _encode_request(endpoint, request, left_ms, extra)
-        connection = await self._connect(endpoint, request)
+        connection = await self._connect(endpoint, request, reserved)
         connection.send(data, request.request_id, bodiless=request.method == "HEAD")
         return PlatformExchange(self.pool, endpoint, connection, self._answers)
 
     async def _connect(
-        self, endpoint: ServiceEndpoint, request: CallerRequest
+        self, endpoint: ServiceEndpoint, request: CallerRequest, reserved: bool = False
     ) -> EndpointConnection:
         """A connection for a request, if the endpoint still wants it; raises Break."""
         connection = await self.pool.take(endpoint)
         try:
-            self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id)
+            self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id, reserved)
         except Break:
             self.pool.give_back(endpoint, connection)
             raise
--- a/saffronworks/tests/features/advertised.feature
+++ b/saffronworks/tests/features/advertised.feature
@@ -30,6 +30,27 @@
     Then it gets no request that was sent two seconds after its node had passed such an answer on
     And those that came before are served, and the others told at once that they have not run
 
+  Scenario: decode engines and a reader ask for a pause
+    Given three engines, two that decode and one that reads, and a second reader
+    When one of each rejects all and asks for a pause of 4 s, and callers ask for 6 generations a second
+    Then no node sends it more than two requests from half a second after such an answer to the pause's end
+    And all callers are served
+
+  Scenario: all endpoints of a service ask for a pause
+    Given three endpoints of a service
+    When all of them reject all and ask for a pause of 4 s, and callers ask for 12 requests a second
+    Then no node sends it more than two requests from half a second after such an answer to the pause's end
+    And callers are told at once that they have not run, and to come back no sooner than the pause ends
+
+  Scenario: a request on its way to endpoints that are blocked
+    Then whatever blocks endpoints, and whatever they answer, it goes to none that is blocked
+    And where all are blocked it is refused at once, with the time at which the first may take it
+    And a generation whose engines pause goes elsewhere, and none of them has failed
+
+  Scenario: what is known of a pause
+    Then it holds until its latest end, whatever comes in between, for one start of an endpoint
+    And only a request with a reservation may follow right after it began
+
   Scenario: what is known of an endpoint that drains
     Then whatever the store lists later, and whatever the endpoint answers, only a later start takes requests
     And an endpoint of another name at its address does
--- a/saffronworks/tests/features/steps/advertised_steps.py
+++ b/saffronworks/tests/features/steps/advertised_steps.py
@@ -1,5 +1,6 @@
 """Scenarios on endpoints that drain or ask for a pause: the path over loopback."""
 
+import re
 import time
 from functools import partial
 
@@ -17,6 +18,8 @@
 PLAY_S = 6.0
 NEAR_WORK_S, AWAY_WORK_S = 0.05, 0.1
 NODES = 3
+# Times to return are told in tenths of a second at best.
+ROUNDED_S = 0.2
 # A place and a stream, or a read, of each node.
 MAX_CALLS_TO_LEARN = 2 * NODES
 
@@ -44,6 +47,10 @@
     context.web = [*engines(), FakeServer("p1", "llm", "prefill")]
 
 
+def generate(place, *args, **options):
+    return place.generate("/res/", *args, **options)
+
+
 def ask_plain(place, *args, **options):
     return place.ask("/again/", *args, **options)
 
@@ -72,6 +79,12 @@
     return [(at_s, asked[request_id]) for at_s, request_id in reached if request_id is not None]
 
 
+def calls_after(server, from_s):
+    """When calls of any kind reached a server, but those that free what it holds."""
+    calls = zip(server.arrived_s, server.seen, strict=True)
+    return [at_s for at_s, (method, *_) in calls if method == "POST" and at_s >= from_s]
+
+
 @when(
     "one of them drains while the store is silent, and callers ask for {per_s:d} requests a second"
 )
@@ -104,13 +117,34 @@
     "that one rejects all and asks for a pause of {pause_s:d} s, "
     "and callers ask for {per_s:d} requests a second"
 )
-def pauses(context, pause_s, per_s):
-    context.pause_s = pause_s
+def one_pauses(context, pause_s, per_s):
+    reject_all(context, context.web[:1], pause_s, per_s)
+
+
+@when(
+    "all of them reject all and ask for a pause of {pause_s:d} s, "
+    "and callers ask for {per_s:d} requests a second"
+)
+def all_pause(context, pause_s, per_s):
+    reject_all(context, context.web, pause_s, per_s)
+
+
+@when(
+    "one of each rejects all and asks for a pause of {pause_s:d} s, "
+    "and callers ask for {per_s:d} generations a second"
+)
+def engines_pause(context, pause_s, per_s):
+    reject_all(context, [context.web[0], context.web[2]], pause_s, per_s, generate)
+
+
+def reject_all(context, servers, pause_s, per_s, ask_one=ask_plain):
+    context.pause_s, context.paused = pause_s, servers
 
     def strike(place):
-        context.web[0].pause = str(pause_s)
+        for server in servers:
+            server.pause = str(pause_s)
 
-    play_callers(context, per_s, strike)
+    play_callers(context, per_s, strike, ask_one)
 
 
 @then(
@@ -118,14 +152,36 @@
     "to the pause's end"
 )
 def few_in_pause(context):
-    reached = [one for one in arrivals(context, context.web[0]) if one[0] >= context.struck_s]
-    assert reached, "no node was told"
-    for node in range(NODES):
-        at_s = [at for at, asked in reached if asked.node == node]
-        in_pause = [
-            sum(told + PAUSE_GRACE_S <= at < told + context.pause_s for at in at_s) for told in at_s
-        ]
-        assert max(in_pause, default=0) <= MAX_IN_PAUSE, (node, in_pause)
+    for server in context.paused:
+        reached = [one for one in arrivals(context, server) if one[0] >= context.struck_s]
+        # A call for a place names no request: it is counted whoever makes it.
+        asked_s = [] if reached else calls_after(server, context.struck_s)
+        assert reached or asked_s, "no node was told"
+        assert len(asked_s) <= NODES * (1 + MAX_IN_PAUSE), asked_s
+        for node in range(NODES):
+            at_s = [at for at, asked in reached if asked.node == node]
+            in_pause = [
+                sum(told + PAUSE_GRACE_S <= at < told + context.pause_s for at in at_s)
+                for told in at_s
+            ]
+            assert max(in_pause, default=0) <= MAX_IN_PAUSE, (server.instance, node, in_pause)
+
+
+@then(
+    "callers are told at once that they have not run, "
+    "and to come back no sooner than the pause ends"
+)
+def told_of_pause(context):
+    ended_s = context.struck_s + context.pause_s
+    after = [one for one in context.asked if context.struck_s + 1 < one.sent_s < ended_s - 1]
+    assert after and {one.status for one in after} == {503}
+    assert all(b"endpoints-paused" in one.raw for one in after)
+    for one in after:
+        (retry_s,) = re.findall(rb"retry-after: ([0-9.]+)", one.raw)
+        assert one.ended_s + float(retry_s) >= ended_s - ROUNDED_S, (one.request_id, retry_s)
+    assert max(one.took_s for one in after) < PAUSE_GRACE_S
+    ran = {request_id for server in context.web for request_id in server.ran}
+    assert not ran & {one.request_id for one in after}
 
 
 @when(
@@ -140,18 +196,13 @@
         for engine in context.draining:
             engine.drains = True
 
-    def generate(place, *args, **options):
-        return place.generate("/res/", *args, **options)
-
     play_callers(context, per_s, strike, generate)
 
 
 @then("they get no call that was sent two seconds after any node had passed such an answer on")
 def no_late_calls(context):
     for engine in context.draining:
-        calls = zip(engine.arrived_s, engine.seen, strict=True)
-        asked_s = [at_s for at_s, (method, *_) in calls if method == "POST"]
-        after_s = [at_s for at_s in asked_s if at_s >= context.struck_s]
+        after_s = calls_after(engine, context.struck_s)
         assert after_s, (engine.instance, "was not asked")
         # Each of the nodes may learn it by a call of its own, until all have.
         assert len(after_s) <= MAX_CALLS_TO_LEARN, (engine.instance, after_s)
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -7,20 +7,37 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding import generation_core
+from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.connections import RawHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
-from saffronworks.forwarding.eligibility.table import KEEP_GONE_MS
+from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
+from saffronworks.forwarding.eligibility.service import PAUSE_GRACE_MS
+from saffronworks.forwarding.eligibility.table import KEEP_GONE_MS, AdvertisedTable
 from saffronworks.forwarding.endpoint_limits.table import LimitWord
 from saffronworks.forwarding.generation_events import (
+    AskHold,
     AskPlanner,
     HoldTaken,
+    OpenStream,
+    PlanSilent,
+    PromptRead,
     ReadPrompt,
+    StreamAnswered,
     StreamWithheld,
+    Wait,
 )
 from saffronworks.forwarding.generation_state import GenerationState, Pools
-from saffronworks.forwarding.messages import Begin, CallerRequest, KvHold
+from saffronworks.forwarding.messages import (
+    AnswerHead,
+    Begin,
+    CallerRequest,
+    Executed,
+    KvHandle,
+    KvHold,
+    Refuse,
+)
 from saffronworks.platform.answer_fields import (
     MAX_PAUSE_MS,
     UnknownFields,
@@ -29,8 +46,10 @@
 from saffronworks.platform.calls import PlatformCalls
 from saffronworks.tests.endpoint_plays import (
     DRAIN_MS,
+    REPLIES,
     eligibility_of_one_node,
     endpoints,
+    head_of,
     wide_budget,
 )
 from saffronworks.tests.log_lines import LogLines
@@ -223,8 +242,7 @@
 @then("a generation goes elsewhere, without telling the planner of a failure")
 def generation_withheld(context):
     decoders, readers = endpoints(2, Role.DECODE, "d"), endpoints(1, Role.PREFILL, "p")
-    state = GenerationState("s", 100, True, 2, 900, 0, 14_000, 2000, plans_left=2)
-    pools, budget = Pools(decoders, readers), wide_budget()
+    state, pools, budget = generation(), Pools(decoders, readers), wide_budget()
     assert isinstance(generation_core.step(state, Begin(), pools, budget, 0), AskPlanner)
     hold = KvHold(decoders[0], "h", 2000)
     read = generation_core.step(state, HoldTaken(hold), pools, budget, 1)
@@ -232,3 +250,121 @@
     again = generation_core.step(state, StreamWithheld("d0"), pools, budget, 2)
     assert isinstance(again, AskPlanner) and "d0" in again.avoid and not again.broken
     assert not state.runs and Break(BreakCause.WITHHELD, sent=False).withheld
+
+
+BLOCKS = st.dictionaries(
+    st.sampled_from(["e0", "e1", "e2", "e3"]),
+    st.builds(
+        Block,
+        st.sampled_from([BlockReason.PAUSED, BlockReason.DRAINING, BlockReason.RATE_LIMITED]),
+        st.one_of(st.none(), st.integers(1, 5000)),
+    ),
+)
+
+
+def play_blocked(may_repeat, replies, blocks):
+    """Let endpoints answer in the given ways; returns where the request went, and its end."""
+    state = plain.PlainState("s", may_repeat, 2, 300, 1500)
+    budget, eligibility, sent = wide_budget(), Eligibility(blocks), []
+    waiting = list(replies)
+    command = plain.step(state, Begin(), endpoints(4), budget, 0, None, eligibility)
+    while isinstance(command, plain.SendTo):
+        instance = command.endpoint.instance
+        sent.append(instance)
+        reply = waiting.pop(0) if waiting else "ok"
+        head = head_of(reply)
+        event = plain.Answered(instance, head) if head else None
+        event = event or plain.Broken(instance, sent=reply != "unsent", silent=reply == "silent")
+        command = plain.step(state, event, endpoints(4), budget, 0, None, eligibility)
+    return sent, command
+
+
+@then("whatever blocks endpoints, and whatever they answer, it goes to none that is blocked")
+def none_blocked(context):
+    @forall(st.booleans(), REPLIES, BLOCKS)
+    def check(may_repeat, replies, blocks):
+        sent, end = play_blocked(may_repeat, replies, blocks)
+        assert not set(sent) & blocks.keys()
+        assert isinstance(end, plain.Relay | Refuse)
+
+    check()
+
+
+@then("where all are blocked it is refused at once, with the time at which the first may take it")
+def all_blocked(context):
+    def refusal(*blocks):
+        named = {f"e{number}": block for number, block in enumerate(blocks)}
+        sent, end = play_blocked(True, [], named)
+        assert not sent
+        return end
+
+    drains, limited = Block(BlockReason.DRAINING), Block(BlockReason.RATE_LIMITED, 900)
+    first, last = Block(BlockReason.PAUSED, 700), Block(BlockReason.PAUSED, 3000)
+    assert refusal(drains, last, limited, first) == Refuse(503, "endpoints-paused", True, None, 700)
+    assert refusal(drains, last, limited, last) == Refuse(503, "endpoints-limited", True, None, 900)
+    assert refusal(*[drains] * 4) == Refuse(503, "endpoints-draining", True)
+
+
+def generation():
+    return GenerationState("s", 100, True, 2, 900, 0, 14_000, 2000, plans_left=2)
+
+
+@then("a generation whose engines pause goes elsewhere, and none of them has failed")
+def generation_paused(context):
+    decoders, readers = endpoints(2, Role.DECODE, "d"), endpoints(2, Role.PREFILL, "p")
+    pauses = {"d0": Block(BlockReason.PAUSED, 3000), "p0": Block(BlockReason.PAUSED, 3000)}
+    pools, budget = Pools(decoders, readers, Eligibility(pauses)), wide_budget()
+    state = generation()
+    ask = generation_core.step(state, Begin(), pools, budget, 0)
+    assert isinstance(ask, AskPlanner) and set(ask.avoid) == {"d0", "p0"}
+    hold = generation_core.step(state, PlanSilent(), pools, budget, 0)
+    assert isinstance(hold, AskHold) and hold.endpoint.instance == "d1"
+    taken = HoldTaken(KvHold(decoders[1], "h", 2000))
+    read = generation_core.step(state, taken, pools, budget, 0)
+    assert isinstance(read, ReadPrompt) and read.endpoint.instance == "p1"
+    open_stream = generation_core.step(
+        state, PromptRead(KvHandle(readers[1], "k", 5)), pools, budget, 0
+    )
+    assert open_stream == OpenStream(decoders[1])
+    rejects = AnswerHead(503, (), Executed.NO, False, "status-503", asks_pause=True)
+    waits = generation_core.step(state, StreamAnswered("d1", rejects), pools, budget, 0)
+    # Neither the engine nor the reader of the prompt is told to the planner as broken.
+    assert isinstance(waits, Wait) and not state.broken and not state.runs
+
+
+@then("it holds until its latest end, whatever comes in between, for one start of an endpoint")
+def pause_holds(context):
+    @forall(st.lists(st.tuples(st.integers(0, 900), st.integers(0, 5000)), max_size=8))
+    def check(asked):
+        table, now_ms, until_ms = AdvertisedTable(), 0, 0
+        for after_ms, pause_ms in asked:
+            now_ms += after_ms
+            table.record_pause("e0", pause_ms, now_ms)
+            until_ms = max(until_ms, now_ms + pause_ms)
+            table.forget_all_but({"e0"}, now_ms)
+            pause = table.pause("e0", now_ms)
+            assert (pause is not None) == (now_ms < until_ms)
+            assert pause is None or pause.until_ms == until_ms
+            assert table.pause("e0", until_ms) is None and table.pause("e0@7", now_ms) is None
+
+    check()
+
+
+@then("only a request with a reservation may follow right after it began")
+def reserved_follows(context):
+    now_ms = [0]
+    directory = Directory()
+    directory.replace([listed_one()], 1, 0)
+    eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
+    eligibility.observe(listed_one(), pause("3"))
+    paused = Block(BlockReason.PAUSED, 3000)
+    assert eligibility.find_block(listed_one(), 0) == paused
+    assert eligibility.find_block(listed_one(), 0, reserved=True) is None
+    assert eligibility.among([listed_one()]).blocks == {"e0": paused}
+    # A pause that is named again begins no new time of grace.
+    now_ms[0] = PAUSE_GRACE_MS
+    eligibility.observe(listed_one(), pause("5"))
+    assert eligibility.find_block(listed_one(), 0, reserved=True) == Block(BlockReason.PAUSED, 5000)
+    now_ms[0] = PAUSE_GRACE_MS + 5000
+    assert eligibility.find_block(listed_one(), 0) is None
+    assert not eligibility.among([listed_one()]).blocks
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -142,13 +142,13 @@
             await self._head(writer, 200, own)
             return True
         request_id = headers["request-id"]
+        if self.pause is not None:
+            return await self._reject(writer, {"Request-Id": request_id})
         if headers.get("stage") == "prefill":
             await asyncio.sleep(self.read_s)
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
             return await self._reply(writer, 200, {"Request-Id": request_id}, body)
         fault = self.script.pop(0) if self.script else None
-        if self.pause is not None:
-            return await self._reject(writer, {"Request-Id": request_id})
         if fault == "shed":
             return await self._reply(writer, 503, {"Not-Executed": "1"}, b"")
         self.ran.append(request_id)
