Soak: endpoints that say that they drain before the store knows, and ones that ask for a pause

Each soak has two of the first and three of the second, across all other faults; what reaches them from which node is checked as the users do.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -28,6 +28,8 @@
       | had a key that was taken away long before      | taken_keys_reach_none     |
       | ran far beyond the quota of its organisation   | quotas_hold               |
       | came again far beyond the limit of its endpoint | limits_hold               |
+      | came long after its endpoint said that it drains | draining_get_nothing     |
+      | came again and again in a pause of its endpoint | pauses_hold               |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
@@ -36,6 +38,8 @@
     Examples:
       | case                                                    |
       | came again within what its endpoint tolerates          |
+      | came long after that at a node that has started since   |
+      | came twice in a pause of its endpoint                   |
       | was served                                              |
       | was broken by a kill across a planned stop of its node  |
 
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -16,7 +16,15 @@
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.organisations import HOT, KEYS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
-from saffronworks.tests.soak.records import Asked, Disturbance, Need, Ran, Reached, Records
+from saffronworks.tests.soak.records import (
+    Asked,
+    Disturbance,
+    Need,
+    Ran,
+    Reached,
+    Records,
+    Rejected,
+)
 from saffronworks.tests.soak.runs import run_soak
 
 SHORT = faults.Shape(nodes=2, plains=2, engines=3, callers=8, faults_ms=5000)
@@ -46,6 +54,8 @@
         *(("LinkFault", kind) for kind in faults.LINK_KINDS),
         *(("StoreFault", kind) for kind in faults.STORE_KINDS),
         *(("EndpointFault", kind) for kind in faults.ENDPOINT_KINDS),
+        ("EndpointDrain", "drain-notice"),
+        ("EndpointPause", "pause"),
         ("ConfigChange", "config"),
         ("OrganisationChange", "organisations"),
     }
@@ -192,6 +202,22 @@
     records.reached = [Reached(run.endpoint, "r", at_ms) for at_ms in (run.at_ms, *later)]
 
 
+def drained(records, started=False):
+    """The node of the request passed on before that its endpoint drains."""
+    told = attrs.evolve(records.asked["r"], request_id="r0", body=b"r0", drains_at="e")
+    told.at_ms, told.ended_ms = SENT_MS - 3000, SENT_MS - promises.DRAIN_MS - 1
+    records.asked["r0"] = told
+    records.reached.append(Reached("e", "r", SENT_MS + 10))
+    if started:
+        records.disturbances.append(Disturbance(0, "node", SENT_MS - 1500, SENT_MS - 1000))
+
+
+def paused(records, count):
+    """An endpoint asked the node of the request for a pause, and it came so often in that time."""
+    records.rejected.append(Rejected("e", 0, SENT_MS - 600, 3000))
+    records.reached += [Reached("e", "r", SENT_MS + 10 + number) for number in range(count)]
+
+
 CASES = {
     "got half of its stream": ("gen", half_stream),
     "got an answer without signature": ("once", unsigned),
@@ -210,6 +236,13 @@
     "ran far beyond the quota of its organisation": ("res", beyond_quota),
     "came again far beyond the limit of its endpoint": ("once", lambda seen: limited(seen, 12)),
     "came again within what its endpoint tolerates": ("once", lambda seen: limited(seen, 11)),
+    "came long after its endpoint said that it drains": ("once", drained),
+    "came long after that at a node that has started since": (
+        "once",
+        lambda seen: drained(seen, started=True),
+    ),
+    "came again and again in a pause of its endpoint": ("once", lambda seen: paused(seen, 3)),
+    "came twice in a pause of its endpoint": ("once", lambda seen: paused(seen, 2)),
     "was served": ("moved", lambda records: None),
 }
 
--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -38,13 +38,14 @@
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     whole, broken = attrs.evolve(Shape(), faults_ms=faults_ms), 0
     # The first ones were found without these kinds of faults, and stay what they were.
-    early = attrs.evolve(whole, restarts=0, deadly=False, organisations=False, limits=0)
+    limited = attrs.evolve(whole, drains=0, pauses=0)
+    unlimited = attrs.evolve(limited, limits=0)
+    early = attrs.evolve(unlimited, restarts=0, deadly=False, organisations=False)
     played = [(seed, whole) for seed in range(first, first + seeds)]
     if failed:
         played = [(seed, early) for seed in sorted(FAILED_SEEDS)]
-        unlimited = attrs.evolve(whole, limits=0)
         played += [(seed, unlimited) for seed in sorted(FAILED_WITH_ORGANISATIONS)]
-        played += [(seed, whole) for seed in sorted(FAILED_WITH_LIMITS)]
+        played += [(seed, limited) for seed in sorted(FAILED_WITH_LIMITS)]
     for seed, shape in played:
         folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -90,6 +90,8 @@
             asked.status = response.status
             headers = {key.lower(): value for key, value in response.headers}
             asked.signed = b"server-stamp" in headers
+            if headers.get(b"server-leaving") == b"1":
+                asked.drains_at = headers[b"server-stamp"].decode().removeprefix("stamp-")
             asked.retry_after = headers.get(b"retry-after", b"").decode()
             async for chunk in response.aiter_stream():
                 asked.body += chunk
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -10,7 +10,7 @@
 from saffronworks.tests.crashing_servers import DEADLY
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.organisations import check_endpoint_fields
-from saffronworks.tests.soak.records import Ran, Reached
+from saffronworks.tests.soak.records import Ran, Reached, Rejected
 
 __all__ = ["Endpoint"]
 
@@ -69,7 +69,8 @@
         self.crash()
         self.starts += 1
         self.grey_until_ms = self.full_until_ms = 0.0
-        self.limit = None
+        self.limit = self.pause = None
+        self.drains = False
         self.holds.clear()
         self.handles.clear()
 
@@ -112,6 +113,8 @@
         asked = json.loads(self.seen[-1][3])
         now_ms = self.site.now_ms()
         taken = len(self.running) + len(self.holds)
+        if self.pause is not None:
+            return await self._reject(writer, {})
         full = self.used_tokens() + asked["tokens"] > CAPACITY_TOKENS or taken >= SLOTS
         if full or now_ms < self.full_until_ms:
             return await self._reply(writer, 503, {"Not-Executed": "1"}, b"{}")
@@ -123,6 +126,8 @@
         request_id, now_ms, body = headers["request-id"], self.site.now_ms(), self.seen[-1][3]
         self.records.wrong += check_endpoint_fields(self.records.asked[request_id], headers)
         self.records.reached.append(Reached(self.instance, request_id, now_ms))
+        if self.pause is not None:
+            return await self._ask_pause(writer, request_id)
         if headers.get("stage") == "prefill":
             return await self._read_prompt(writer, request_id)
         self.records.arrived.append((self.service, request_id, now_ms))
@@ -139,6 +144,12 @@
             return await self._generate(reader, writer, headers, fault)
         return await self._answer(reader, writer, request_id, fault)
 
+    async def _ask_pause(self, writer, request_id):
+        node, pause_ms = self.records.asked[request_id].node, 1000 * float(self.pause)
+        rejected = Rejected(self.instance, node, self.site.now_ms(), pause_ms)
+        self.records.rejected.append(rejected)
+        return await self._reject(writer, {"Request-Id": request_id})
+
     async def _refuse(self, writer, request_id):
         fields = {"Not-Executed": "1", "Request-Id": request_id}
         return await self._reply(writer, 503, fields, b"")
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -6,8 +6,10 @@
 
 __all__ = [
     "ConfigChange",
+    "EndpointDrain",
     "EndpointFault",
     "EndpointLimit",
+    "EndpointPause",
     "EndpointRestart",
     "Fault",
     "LinkFault",
@@ -31,6 +33,8 @@
 # An endpoint in need names its limit for so long: nodes have three seconds to keep it.
 NEED_SHORTEST_MS, NEED_LONGEST_MS = 5000, 9000
 LIMITS_PER_S = (0.5, 1.0, 2.4, 6.0)
+# Seconds of the pause that an overloaded endpoint asks for with each rejection.
+PAUSES_S = (0.8, 1.5, 3.0)
 # One that starts again is back before its entry lapses.
 SHORT_GONE_MS = 2000
 
@@ -52,6 +56,10 @@
     organisations: bool = True
     # How often an endpoint names a limit.
     limits: int = 3
+    # How often an endpoint says that it drains before the store knows, and how often one rejects
+    # all and asks for a pause.
+    drains: int = 2
+    pauses: int = 3
 
 
 @attrs.frozen
@@ -95,6 +103,17 @@
     per_s: float = 1.0
 
 
+class EndpointDrain(Fault):
+    """An endpoint says in its answers that it drains; the store takes it `for_ms` later."""
+
+
+@attrs.frozen
+class EndpointPause(Fault):
+    """An endpoint rejects each request, and asks the node to send none for `pause_s`."""
+
+    pause_s: float = 1.5
+
+
 class OrganisationChange(Fault):
     """The operator takes a key away or gives it back, and changes a quota."""
 
@@ -129,9 +148,23 @@
         for _ in range(keys.randint(2, 5) if shape.organisations else 0)
     ]
     struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
+    struck += _draw_advertised(seed, shape)
     return sorted(struck, key=lambda fault: fault.at_ms)
 
 
+def _draw_advertised(seed: int, shape: Shape) -> list[Fault]:
+    rng = random.Random(f"{seed}/advertised")
+    drawn: list[Fault] = []
+    for number in range(shape.drains + shape.pauses):
+        at_ms, target = rng.randrange(shape.faults_ms), rng.randrange(1000)
+        for_ms = rng.randint(SHORTEST_MS, LONGEST_MS)
+        if number < shape.drains:
+            drawn.append(EndpointDrain(at_ms, for_ms, "drain-notice", target))
+        else:
+            drawn.append(EndpointPause(at_ms, for_ms, "pause", target, rng.choice(PAUSES_S)))
+    return drawn
+
+
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
     """All are over when the other faults are."""
     rng = random.Random(f"{seed}/limits")
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -24,6 +24,8 @@
 # half as much again and 5 requests.
 TOLD_MS, LIMIT_WINDOW_MS = 500, 4000
 LIMIT_FACTOR, LIMIT_MORE = 1.5, 5
+# An endpoint that asked a node for a pause bears so many of its requests, from so long after that on.
+MAX_IN_PAUSE, PAUSE_GRACE_MS = 2, 500
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
 
@@ -45,6 +47,8 @@
         quotas_hold,
         _taken_keys_reach_none,
         _limits_hold,
+        _draining_get_nothing,
+        _pauses_hold,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -318,3 +322,53 @@
         if asked.outcome == "answered":
             told_ms[asked.node] = min(since_ms, asked.ended_ms)
     return counted
+
+
+def _restarted(records: Records, node: int, from_ms: float, to_ms: float) -> bool:
+    """Whether a node stood still or started again in that time."""
+    return any(
+        trouble.node in (node, ALL_NODES)
+        and trouble.what in ("node", "stopped")
+        and trouble.from_ms <= to_ms
+        and trouble.to_ms >= from_ms
+        for trouble in records.disturbances
+    )
+
+
+def _draining_get_nothing(records: Records) -> list[str]:
+    """What is sent long after its node passed on that the endpoint drains does not reach it."""
+    told_ms: dict[tuple[int, str], list[float]] = {}
+    for asked in records.asked.values():
+        if asked.drains_at and asked.outcome == "answered":
+            told_ms.setdefault((asked.node, asked.drains_at), []).append(asked.ended_ms)
+    found = []
+    for reached in records.reached:
+        asked = records.asked[reached.request_id]
+        late = [
+            at_ms
+            for at_ms in told_ms.get((asked.node, reached.endpoint), [])
+            if asked.at_ms > at_ms + DRAIN_MS
+            and not _restarted(records, asked.node, at_ms, reached.at_ms)
+        ]
+        if late:
+            span_ms = asked.at_ms - min(late)
+            found.append(f"{reached.request_id} reached {reached.endpoint} {span_ms:.0f} ms later")
+    return found
+
+
+def _pauses_hold(records: Records) -> list[str]:
+    found = []
+    for rejected in records.rejected:
+        from_ms = rejected.at_ms + PAUSE_GRACE_MS
+        until_ms = rejected.at_ms + rejected.pause_ms
+        in_pause = [
+            reached.request_id
+            for reached in records.reached
+            if reached.endpoint == rejected.endpoint
+            and records.asked[reached.request_id].node == rejected.node
+            and from_ms <= reached.at_ms < until_ms
+        ]
+        undisturbed = _undisturbed(records, rejected.node, rejected.at_ms, until_ms, "endpoint")
+        if len(in_pause) > MAX_IN_PAUSE and undisturbed:
+            found.append(f"{rejected.endpoint} got {in_pause} of node {rejected.node} in its pause")
+    return found
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["ALL_NODES", "Asked", "Disturbance", "Need", "Ran", "Records", "Reached"]
+__all__ = ["ALL_NODES", "Asked", "Disturbance", "Need", "Ran", "Records", "Reached", "Rejected"]
 
 ALL_NODES = -1
 
@@ -21,6 +21,8 @@
     status: int = 0
     body: bytes = b""
     signed: bool = False
+    # The endpoint whose answer said that it drains.
+    drains_at: str = ""
     retry_after: str = ""
     ended_ms: float = 0.0
     problem: str = ""
@@ -51,6 +53,16 @@
     at_ms: float
 
 
+@attrs.frozen
+class Rejected:
+    """An endpoint rejected a request and asked its node for a pause."""
+
+    endpoint: str
+    node: int
+    at_ms: float
+    pause_ms: float
+
+
 @attrs.frozen
 class Need:
     """An endpoint names a limit in this time."""
@@ -81,6 +93,7 @@
     arrived: list[tuple[str, str, float]] = attrs.Factory(list)
     reached: list[Reached] = attrs.Factory(list)
     needs: list[Need] = attrs.Factory(list)
+    rejected: list[Rejected] = attrs.Factory(list)
     # When the store took an endpoint's word that it leaves, or its entry was removed.
     left_ms: dict[str, float] = attrs.Factory(dict)
     disturbances: list[Disturbance] = attrs.Factory(list)
--- a/saffronworks/tests/soak/seeds.py
+++ b/saffronworks/tests/soak/seeds.py
@@ -21,7 +21,7 @@
     "its third end, as all nodes had been killed meanwhile and two ends are in no store",
 }
 
-# Found with all kinds of faults.
+# Found with all kinds of faults but endpoints that say that they drain or ask for a pause.
 FAILED_WITH_LIMITS: dict[int, str] = {
     94007: "the soak itself: its own process stood still for seconds on a busy machine, and saw no "
     "answers that the nodes had given; such spans are told and not checked now",
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -162,6 +162,10 @@
                 await self._restart_endpoint(fault)
             case faults.EndpointLimit():
                 await self._limit_endpoint(fault)
+            case faults.EndpointDrain():
+                await self._drain_endpoint(fault)
+            case faults.EndpointPause():
+                await self._pause_endpoint(fault)
             case faults.OrganisationChange():
                 self._change_organisations()
             case faults.ConfigChange():
@@ -246,6 +250,24 @@
         need = Need(endpoint.instance, fault.per_s, from_ms, self.now_ms() - LOOK_READY_S)
         self.records.needs.append(need)
 
+    async def _drain_endpoint(self, fault):
+        """It says in its answers that it drains, and some time later the store knows it too."""
+        endpoint = self._choose_endpoint(fault)
+        start, endpoint.drains = endpoint.starts, True
+        await anyio.sleep(fault.for_ms / 1000)
+        if endpoint.starts == start and endpoint.instance not in self.records.left_ms:
+            self.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+            await self._leave(endpoint)
+
+    async def _pause_endpoint(self, fault):
+        """It rejects all, until it is over or starts again."""
+        endpoint, until_ms = self._choose_endpoint(fault), self.now_ms() + fault.for_ms
+        start, endpoint.pause = endpoint.starts, f"{fault.pause_s:g}"
+        while self.now_ms() < until_ms and endpoint.starts == start:
+            await anyio.sleep(LOOK_STALLED_S)
+        if endpoint.starts == start:
+            endpoint.pause = None
+
     def end_under_deadly(self, endpoint):
         """The process of an endpoint ends; another start of it comes some time later."""
         self.records.deadly_ends_ms.append(self.now_ms())
