--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -68,6 +68,7 @@
         """Another start under the same name: what it held and ran is lost."""
         self.crash()
         self.starts += 1
+        self.records.restarts.append((self.instance, self.site.now_ms()))
         self.grey_until_ms = self.full_until_ms = 0.0
         self.limit = self.pause = None
         self.drains = False
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -96,6 +96,8 @@
     rejected: list[Rejected] = attrs.Factory(list)
     # When the store took an endpoint's word that it leaves, or its entry was removed.
     left_ms: dict[str, float] = attrs.Factory(dict)
+    # Later starts of an endpoint under its name: which, when.
+    restarts: list[tuple[str, float]] = attrs.Factory(list)
     disturbances: list[Disturbance] = attrs.Factory(list)
     # Versions of the configuration: when the store took it, and the service of the moved route.
     versions: list[tuple[float, str]] = attrs.Factory(list)
