--- a/saffronworks/forwarding/eligibility/advertisements.py
+++ b/saffronworks/forwarding/eligibility/advertisements.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from saffronworks.forwarding.endpoint_limits.table import LimitWord
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit
 
 __all__ = ["Advertisement"]
 
@@ -16,7 +16,7 @@
     can't be read, as `name: value`.
     """
 
-    limit: LimitWord
+    limit: AdvertisedLimit
     draining: bool = False
     pause_ms: int = 0
     malformed: tuple[str, ...] = ()
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -46,7 +46,7 @@
     def observe(self, endpoint: ServiceEndpoint, advertisement: Advertisement) -> None:
         """Update what is known of an endpoint from one of its answers."""
         instance, now_ms, advertised = endpoint.instance, self._now_ms(), self._directory.advertised
-        self._limits.hear(endpoint, advertisement.limit)
+        self._limits.observe(endpoint, advertisement.limit)
         if advertisement.draining and advertised.record_drain(instance, now_ms):
             logger.info("event=drain_advertised endpoint=%s", instance)
         pause_ms = advertisement.pause_ms
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -16,7 +16,6 @@
     SendAsk,
     SendGivenBack,
 )
-from saffronworks.forwarding.endpoint_limits.news import UntoldLimits
 from saffronworks.forwarding.endpoint_limits.permits import (
     FREE,
     NOT_LIMITED,
@@ -24,7 +23,7 @@
     NoPermit,
     Permit,
 )
-from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit, KnownLimit, LimitTable
 from saffronworks.forwarding.endpoint_limits.tuning import (
     ASKED_AT_START,
     LEAST_PER_S,
@@ -33,6 +32,7 @@
     TELL_EVERY_MS,
     TELL_FANOUT,
 )
+from saffronworks.forwarding.endpoint_limits.updates import PendingUpdates
 from saffronworks.forwarding.neighbours import Neighbours
 from saffronworks.forwarding.shares import holder
 from saffronworks.forwarding.shares.asks import Answer, Ask, GivenBack
@@ -72,9 +72,9 @@
         self._table = LimitTable()
         self._gate = SendGate(rng, uncounted_nodes)
         self._neighbours = Neighbours(own_address, rng)
-        self._unreadable: dict[StartId, str] = {}
-        self._untold = UntoldLimits()
-        self._learnt = anyio.Event()
+        self._malformed: dict[StartId, str] = {}
+        self._pending = PendingUpdates()
+        self._changed = anyio.Event()
         self._kernel: Kernel | None = None
         self.bound = SharedBound(
             own_address,
@@ -97,10 +97,10 @@
             self._post(node, LimitsWanted(self._own_address))
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
-        """Hear other nodes and tell them, until cancelled."""
+        """Exchange limit updates with peers until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._tell_on)
+            tasks.start_soon(self._publish_updates)
             async for message in mailbox:
                 self._take(message)
 
@@ -110,21 +110,21 @@
         """Requests a second that an endpoint takes; None where it names no limit."""
         return self._table.find(instance)
 
-    def hear(self, endpoint: ServiceEndpoint, word: LimitWord) -> None:
-        """An endpoint answered. A limit that can't be read leaves in force what was known."""
+    def observe(self, endpoint: ServiceEndpoint, answer: AdvertisedLimit) -> None:
+        """Update an endpoint's limit from its answer; a malformed value changes nothing."""
         instance, before = endpoint.instance, self._table.find(endpoint.instance)
-        if word.unreadable is not None:
-            self._log_unreadable(instance, word.unreadable)
-        elif self._table.take_word(instance, word, self._now_ms()):
-            self._learn(instance, before, "answer")
+        if answer.malformed is not None:
+            self._log_malformed(instance, answer.malformed)
+        elif self._table.record_answer(instance, answer, self._now_ms()):
+            self._on_change(instance, before, "answer")
 
-    def _hear_news(self, heard: HeardLimit) -> None:
+    def _on_update(self, heard: HeardLimit) -> None:
         before = self._table.find(heard.endpoint)
-        known = NamedLimit(heard.per_s, self._now_ms() - heard.age_ms)
-        if self._table.take_news(heard.endpoint, known):
-            self._learn(heard.endpoint, before, "node")
+        known = KnownLimit(heard.per_s, self._now_ms() - heard.age_ms)
+        if self._table.record_update(heard.endpoint, known):
+            self._on_change(heard.endpoint, before, "node")
 
-    def _learn(self, instance: StartId, before: float | None, heard: str) -> None:
+    def _on_change(self, instance: StartId, before: float | None, heard: str) -> None:
         per_s = self._table.find(instance)
         logger.info(
             "event=endpoint_limit endpoint=%s per_s=%s before=%s heard=%s",
@@ -135,14 +135,14 @@
         )
         if per_s is None or (before is not None and per_s > before):
             self._gate.open(instance)
-        self._untold.learn(instance)
-        self._learnt.set()
+        self._pending.add(instance)
+        self._changed.set()
 
-    def _log_unreadable(self, instance: StartId, text: str) -> None:
+    def _log_malformed(self, instance: StartId, text: str) -> None:
         """Once for each text that an endpoint sends again and again."""
-        if self._unreadable.get(instance) == text:
+        if self._malformed.get(instance) == text:
             return
-        self._unreadable[instance] = text
+        self._malformed[instance] = text
         logger.warning(
             "event=endpoint_limit_unreadable endpoint=%s found=%r per_s=%s",
             instance,
@@ -155,9 +155,9 @@
         self._table.forget_all_but(instances, self._now_ms())
         self._gate.forget_all_but(instances)
         self.bound.entry.allowances.keep_only(set(instances))
-        self._untold.forget_all_but(instances)
-        for instance in self._unreadable.keys() - set(instances):
-            del self._unreadable[instance]
+        self._pending.forget_all_but(instances)
+        for instance in self._malformed.keys() - set(instances):
+            del self._malformed[instance]
 
     # What requests ask.
 
@@ -224,16 +224,16 @@
             case SendAnswer(ask_id, admitted, retry_after_ms):
                 self.bound.take_answer(Answer(ask_id, admitted, retry_after_ms))
             case SendAsk(ask_id, reply_to, HeardLimit() as heard, calls, holders):
-                self._hear_news(heard)
+                self._on_update(heard)
                 limit = Limit(heard.per_s or 0.0, 0.0)
                 self.bound.answer(reply_to, Ask(ask_id, heard.endpoint, calls, limit, holders))
             case SendGivenBack(ask_id, endpoint, holders):
                 self.bound.hold(GivenBack(ask_id, endpoint, holders))
             case LimitNews(limits):
                 for heard in limits:
-                    self._hear_news(heard)
+                    self._on_update(heard)
             case LimitsWanted(reply_to):
-                self._tell_limits((reply_to,), self._table.named()[:MOST_TOLD])
+                self._tell_limits((reply_to,), self._table.limited()[:MOST_TOLD])
 
     def _tell(self, node: str, told: Told) -> None:
         match told:
@@ -249,19 +249,19 @@
         known = self._table.entry(instance)
         if known is None:
             return None
-        return HeardLimit(instance, known.per_s, max(0, self._now_ms() - known.heard_ms))
+        return HeardLimit(instance, known.per_s, max(0, self._now_ms() - known.observed_ms))
 
     def _post(self, node: str, message: object) -> None:
         if self._kernel is not None:
             self._kernel.post("peers", Outgoing(node, message))
 
-    async def _tell_on(self) -> None:
-        """Tell a few nodes what is new: each sends to an endpoint before it knows of its limit."""
+    async def _publish_updates(self) -> None:
+        """Publish changes to a few peers, which would send before they know a limit."""
         while True:
-            await self._learnt.wait()
-            self._tell_limits(self._neighbours.choose(TELL_FANOUT), self._untold.take())
-            if not self._untold:
-                self._learnt = anyio.Event()
+            await self._changed.wait()
+            self._tell_limits(self._neighbours.choose(TELL_FANOUT), self._pending.pop_batch())
+            if not self._pending:
+                self._changed = anyio.Event()
             await anyio.sleep(TELL_EVERY_MS / 1000)
 
     def _tell_limits(self, nodes: Iterable[str], instances: Iterable[StartId]) -> None:
--- a/saffronworks/forwarding/endpoint_limits/news.py
+++ b/saffronworks/forwarding/endpoint_limits/updates.py
@@ -1,4 +1,4 @@
-"""What a node has learnt of limits and still tells others."""
+"""Changed limits that are still to be published to peers."""
 
 from collections.abc import Collection
 
@@ -7,23 +7,23 @@
 from saffronworks.forwarding.endpoint_limits.tuning import MOST_TOLD, TELL_TIMES
 from saffronworks.forwarding.starts import StartId
 
-__all__ = ["UntoldLimits"]
+__all__ = ["PendingUpdates"]
 
 
 @attrs.define
-class UntoldLimits:
-    """Each change is told a few times; who learns it by that tells it on."""
+class PendingUpdates:
+    """Each change is published a few times; peers that did not know it publish it in turn."""
 
     _left: dict[StartId, int] = attrs.Factory(dict)
 
     def __bool__(self) -> bool:
         return bool(self._left)
 
-    def learn(self, instance: StartId) -> None:
-        """The limit of an endpoint is another one now."""
+    def add(self, instance: StartId) -> None:
+        """The limit of an endpoint has changed."""
         self._left[instance] = TELL_TIMES
 
-    def take(self) -> list[StartId]:
+    def pop_batch(self) -> list[StartId]:
         """The endpoints of the next message."""
         chosen = list(self._left)[:MOST_TOLD]
         for instance in chosen:
@@ -33,6 +33,6 @@
         return chosen
 
     def forget_all_but(self, instances: Collection[StartId]) -> None:
-        """Drop what belongs to endpoints that are gone."""
+        """Drop removed endpoints."""
         for instance in self._left.keys() - set(instances):
             del self._left[instance]
--- a/saffronworks/platform/answer_fields.py
+++ b/saffronworks/platform/answer_fields.py
@@ -10,7 +10,7 @@
 from saffronworks.field_numbers import read_decimal, shorten
 from saffronworks.forwarding.connections import RawHead
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
-from saffronworks.forwarding.endpoint_limits.table import LimitWord
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit
 
 __all__ = [
     "ANSWER_FIELDS",
@@ -93,16 +93,16 @@
     )
 
 
-def read_limit(raw: RawHead, sent_ms: int) -> LimitWord:
+def read_limit(raw: RawHead, sent_ms: int) -> AdvertisedLimit:
     """What an answer to a request of `sent_ms` says of the server's limit; of several the least."""
     # A failure, or an answer that may not be the server's own, doesn't tell that its need is over.
     ran = not is_refusal(raw) and raw.status < 500 and raw.get(ID_FIELD) is not None
     read = [read_decimal(value) for value in _values(raw, _LIMIT)]
-    unreadable = [value.err_value for value in read if isinstance(value, Err)]
-    if unreadable:
-        return LimitWord(None, sent_ms, ran, unreadable=", ".join(unreadable))
+    malformed = [value.err_value for value in read if isinstance(value, Err)]
+    if malformed:
+        return AdvertisedLimit(None, sent_ms, ran, malformed=", ".join(malformed))
     named = [value.ok_value for value in read if isinstance(value, Ok)]
-    return LimitWord(min(named, default=None), sent_ms, ran)
+    return AdvertisedLimit(min(named, default=None), sent_ms, ran)
 
 
 def _values(raw: RawHead, name: str) -> list[str]:
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -15,7 +15,7 @@
 from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
 from saffronworks.forwarding.eligibility.service import PAUSE_GRACE_MS
 from saffronworks.forwarding.eligibility.table import KEEP_GONE_MS, AdvertisedTable
-from saffronworks.forwarding.endpoint_limits.table import LimitWord
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit
 from saffronworks.forwarding.generation_events import (
     AskHold,
     AskPlanner,
@@ -55,7 +55,7 @@
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_fakes import FakeServer
 
-NO_LIMIT = LimitWord(None, 0)
+NO_LIMIT = AdvertisedLimit(None, 0)
 DRAINS = Advertisement(NO_LIMIT, draining=True)
 SAYS_NOTHING = Advertisement(NO_LIMIT)
 # Sun, 06 Nov 1994 08:49:37 GMT
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -13,7 +13,7 @@
 from saffronworks.forwarding import plain_core as plain
 from saffronworks.forwarding.connections import RawHead
 from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
-from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit, KnownLimit, LimitTable
 from saffronworks.forwarding.endpoint_limits.tuning import KEEP_ENDED_MS
 from saffronworks.forwarding.generation_events import (
     AskPlanner,
@@ -272,7 +272,7 @@
 
 
 WORDS = st.builds(
-    LimitWord,
+    AdvertisedLimit,
     per_s=st.sampled_from([None, 1.0, 2.4]),
     sent_ms=st.integers(0, 50),
     ran=st.booleans(),
@@ -285,7 +285,7 @@
     def check(words):
         table, named_ms = LimitTable(), None
         for now_ms, word in enumerate(words, 40):
-            table.take_word("e", word, now_ms)
+            table.record_answer("e", word, now_ms)
             if word.per_s is not None:
                 named_ms, per_s = now_ms, word.per_s
             elif word.ran and named_ms is not None and word.sent_ms > named_ms:
@@ -297,14 +297,16 @@
 
 @then("nodes that tell each other what they heard end up with the newest")
 def newest_wins(context):
-    heard = st.builds(NamedLimit, st.sampled_from([None, 1.0, 2.4]), st.integers(0, 50))
+    heard = st.builds(KnownLimit, st.sampled_from([None, 1.0, 2.4]), st.integers(0, 50))
 
-    @forall(st.lists(heard, min_size=1, max_size=6, unique_by=lambda one: one.heard_ms), st.data())
+    @forall(
+        st.lists(heard, min_size=1, max_size=6, unique_by=lambda one: one.observed_ms), st.data()
+    )
     def check(news, data):
         table = LimitTable()
         for one in data.draw(st.permutations(news)):
-            table.take_news("e", one)
-        assert table.find("e") == max(news, key=lambda one: one.heard_ms).per_s
+            table.record_update("e", one)
+        assert table.find("e") == max(news, key=lambda one: one.observed_ms).per_s
 
     check()
 
@@ -313,8 +315,8 @@
 def forgets(context):
     table = LimitTable()
     for instance in ("a", "b", "c"):
-        table.take_word(instance, LimitWord(1.0, 0), 10)
-    table.take_word("b", LimitWord(None, 20), 21)
+        table.record_answer(instance, AdvertisedLimit(1.0, 0), 10)
+    table.record_answer("b", AdvertisedLimit(None, 20), 21)
     table.forget_all_but({"a", "b"}, 22)
     assert [table.entry(one) is not None for one in "abc"] == [True, True, False]
     table.forget_all_but({"a", "b"}, 20 + KEEP_ENDED_MS)
@@ -328,7 +330,7 @@
 
 @then("a limit is a plain number, of several the least, and anything else leaves what was known")
 def reads_limits(context):
-    assert read() == LimitWord(None, 7)
+    assert read() == AdvertisedLimit(None, 7)
     assert [read(text).per_s for text in ("2.4", " 1 ", "0", "0.05")] == [2.4, 1.0, 0.0, 0.05]
     assert read("3", "2.4").per_s == 2.4
     for status, fields in (
@@ -340,12 +342,12 @@
     odd = ["", " ", "-1", "1e3", "nan", "inf", "²", "1,2", "9" * 400, "1_0", "0x1", "+1"]
     for text in odd:
         word = read("2", text)
-        assert word.per_s is None and word.unreadable is not None and len(word.unreadable) < 50
+        assert word.per_s is None and word.malformed is not None and len(word.malformed) < 50
 
     @forall(st.text(st.characters(max_codepoint=255), max_size=30))
     def check(text):
         word = read(text)
-        assert (word.per_s is None) == (word.unreadable is not None)
+        assert (word.per_s is None) == (word.malformed is not None)
         assert word.per_s is None or 0 <= word.per_s < 1e15
 
     check()
@@ -355,9 +357,9 @@
 def told_once(context):
     with LogLines("saffronworks.forwarding.endpoint_limits.service") as lines:
         endpoint, limits = endpoints(1)[0], limits_of_one_node()
-        limits.hear(endpoint, read("2.4"))
+        limits.observe(endpoint, read("2.4"))
         for _ in range(5):
-            limits.hear(endpoint, read("many"))
+            limits.observe(endpoint, read("many"))
     unreadable = [line for line in lines if "unreadable" in line]
     assert len(unreadable) == 1 and "'many'" in unreadable[0] and "per_s=2.4" in unreadable[0]
     assert limits.find(endpoint.instance) == 2.4
--- a/saffronworks/tests/limit_plays.py
+++ b/saffronworks/tests/limit_plays.py
@@ -9,8 +9,7 @@
 import attrs
 
 from saffronworks.forwarding.endpoint_limits.gate import SendGate
-from saffronworks.forwarding.endpoint_limits.news import UntoldLimits
-from saffronworks.forwarding.endpoint_limits.table import LimitTable, LimitWord, NamedLimit
+from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit, KnownLimit, LimitTable
 from saffronworks.forwarding.endpoint_limits.tuning import (
     ASKED_AT_START,
     LEAST_PER_S,
@@ -18,6 +17,7 @@
     TELL_EVERY_MS,
     TELL_FANOUT,
 )
+from saffronworks.forwarding.endpoint_limits.updates import PendingUpdates
 from saffronworks.forwarding.neighbours import Neighbours
 from saffronworks.forwarding.shares.asks import Ask
 from saffronworks.forwarding.shares.bounds import Limit
@@ -40,7 +40,7 @@
     neighbours: Neighbours
     gate: SendGate
     table: LimitTable = attrs.Factory(LimitTable)
-    untold: UntoldLimits = attrs.Factory(UntoldLimits)
+    pending: PendingUpdates = attrs.Factory(PendingUpdates)
     told_ms: int | None = None
 
 
@@ -79,7 +79,7 @@
             self.send(name, other, self._answer_start, other, name)
 
     def _answer_start(self, name, asker):
-        for instance in self.nodes[name].table.named():
+        for instance in self.nodes[name].table.limited():
             self.send(name, asker, self._hear_news, asker, self.nodes[name].table.entry(instance))
 
     def struck(self, names, for_ms):
@@ -95,19 +95,19 @@
     # What nodes tell each other.
 
     def _learn(self, name):
-        self.nodes[name].untold.learn(ENDPOINT)
+        self.nodes[name].pending.add(ENDPOINT)
 
     def _tell(self, name):
         self.at(TELL_EVERY_MS, self._tell, name)
         node = self.nodes[name]
-        if name in self.away or not node.untold.take():
+        if name in self.away or not node.pending.pop_batch():
             return
         for other in node.neighbours.choose(TELL_FANOUT):
             self.send(name, other, self._hear_news, other, node.table.entry(ENDPOINT))
 
     def _hear_news(self, name, heard):
-        known = NamedLimit(heard.per_s, heard.heard_ms)
-        if self.nodes[name].table.take_news(ENDPOINT, known):
+        known = KnownLimit(heard.per_s, heard.observed_ms)
+        if self.nodes[name].table.record_update(ENDPOINT, known):
             self._learn(name)
 
     # Requests.
@@ -164,7 +164,7 @@
         if name in self.away:
             return
         node = self.nodes[name]
-        if node.table.take_word(ENDPOINT, LimitWord(per_s, sent_ms), self.now_ms):
+        if node.table.record_answer(ENDPOINT, AdvertisedLimit(per_s, sent_ms), self.now_ms):
             self._learn(name)
             if per_s is None:
                 node.gate.open(ENDPOINT)
