--- /dev/null
+++ b/saffronworks/forwarding/endpoint_limits/backoff.py
@@ -0,0 +1,70 @@
+"""Jittered backoff for endpoints whose limit is exhausted."""
+
+import random
+from collections.abc import Collection
+
+import attrs
+
+from saffronworks.forwarding.endpoint_limits.tuning import (
+    BACKOFF_FACTOR,
+    BACKOFF_FIRST_MS,
+    MAX_BACKOFF_MS,
+    MIN_BACKOFF_MS,
+)
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["LimitBackoff"]
+
+
+@attrs.define
+class _Backoff:
+    until_ms: int
+    span_ms: int
+
+
+@attrs.define
+class LimitBackoff:
+    """Per-endpoint backoff, during which requests go elsewhere at once.
+
+    `nodes` is how many nodes ask for permits.
+    """
+
+    rng: random.Random
+    nodes: int = 1
+    _backoffs: dict[StartId, _Backoff] = attrs.Factory(dict)
+
+    def remaining_ms(self, instance: StartId, now_ms: int) -> int:
+        """How long the backoff of an endpoint still lasts; 0 where it may be asked for."""
+        known = self._backoffs.get(instance)
+        return max(0, known.until_ms - now_ms) if known is not None else 0
+
+    def record_rejection(self, instance: StartId, room_after_ms: int, now_ms: int) -> int:
+        """No holder had room: back off, for longer each time. Returns for how long.
+
+        Asks that were under way when the backoff began say nothing new.
+        """
+        known = self._backoffs.get(instance)
+        if known is not None and now_ms < known.until_ms:
+            return known.until_ms - now_ms
+        span_ms = BACKOFF_FIRST_MS * self.nodes
+        if known is not None:
+            span_ms = BACKOFF_FACTOR * known.span_ms
+        span_ms = min(span_ms, MAX_BACKOFF_MS)
+        remaining_ms = room_after_ms + self.rng.randrange(span_ms)
+        self._backoffs[instance] = _Backoff(now_ms + remaining_ms, span_ms)
+        return remaining_ms
+
+    def record_permit(self, instance: StartId) -> None:
+        """A holder had room: the next backoff is shorter."""
+        known = self._backoffs.get(instance)
+        if known is not None:
+            known.span_ms = max(MIN_BACKOFF_MS, known.span_ms // BACKOFF_FACTOR)
+
+    def clear(self, instance: StartId) -> None:
+        """The endpoint takes more than before."""
+        self._backoffs.pop(instance, None)
+
+    def forget_all_but(self, instances: Collection[StartId]) -> None:
+        """Drop removed endpoints."""
+        for instance in self._backoffs.keys() - set(instances):
+            del self._backoffs[instance]
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -7,7 +7,7 @@
 import anyio
 
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits.gate import SendGate
+from saffronworks.forwarding.endpoint_limits.backoff import LimitBackoff
 from saffronworks.forwarding.endpoint_limits.messages import (
     HeardLimit,
     LimitNews,
@@ -70,7 +70,7 @@
         self._own_address = own_address
         self._now_ms = now_ms
         self._table = LimitTable()
-        self._gate = SendGate(rng, uncounted_nodes)
+        self._backoff = LimitBackoff(rng, uncounted_nodes)
         self._neighbours = Neighbours(own_address, rng)
         self._malformed: dict[StartId, str] = {}
         self._pending = PendingUpdates()
@@ -92,7 +92,7 @@
         starts = not self.bound.nodes
         self.bound.take_nodes(cores)
         self._neighbours.take(cores)
-        self._gate.nodes = max(1, len(cores))
+        self._backoff.nodes = max(1, len(cores))
         for node in self._neighbours.choose(ASKED_AT_START) if starts else ():
             self._post(node, LimitsWanted(self._own_address))
 
@@ -134,7 +134,7 @@
             heard,
         )
         if per_s is None or (before is not None and per_s > before):
-            self._gate.open(instance)
+            self._backoff.clear(instance)
         self._pending.add(instance)
         self._changed.set()
 
@@ -153,7 +153,7 @@
     def forget_all_but(self, instances: Collection[StartId]) -> None:
         """Drop what belongs to endpoints that are gone."""
         self._table.forget_all_but(instances, self._now_ms())
-        self._gate.forget_all_but(instances)
+        self._backoff.forget_all_but(instances)
         self.bound.entry.allowances.keep_only(set(instances))
         self._pending.forget_all_but(instances)
         for instance in self._malformed.keys() - set(instances):
@@ -167,27 +167,27 @@
             return NOT_LIMITED
         now_ms = self._now_ms()
         named = {e.instance for e in endpoints if self._table.find(e.instance) is not None}
-        closed = {instance: self._gate.closed_ms(instance, now_ms) for instance in named}
+        closed = {instance: self._backoff.remaining_ms(instance, now_ms) for instance in named}
         return Limited(named, {instance: left for instance, left in closed.items() if left})
 
-    async def take_permit(
+    async def acquire_permit(
         self, endpoint: ServiceEndpoint, request_id: str, calls: int = 1
     ) -> Permit | NoPermit:
-        """Leave to send a request, with so many calls, from a holder of the endpoint's limit."""
+        """Acquire a permit for a request, of so many calls, from a holder of the limit."""
         instance, now_ms = endpoint.instance, self._now_ms()
         per_s = self._table.find(instance)
         if per_s is None:
             return FREE
-        closed_ms = self._gate.closed_ms(instance, now_ms)
+        closed_ms = self._backoff.remaining_ms(instance, now_ms)
         if closed_ms:
             return NoPermit(closed_ms)
         ask = self.bound.make_ask(instance, calls, Limit(per_s, 0.0))
         command = await self.bound.settle(ask, lambda node: _log_silent(request_id, ask, node))
         if isinstance(command, Admitted):
-            self._gate.admit(instance)
+            self._backoff.record_permit(instance)
             return Permit(ask, command.holder)
         room_after_ms = command.retry_after_ms if isinstance(command, Refused) else 0
-        closed_ms = self._gate.refuse(instance, room_after_ms, self._now_ms())
+        closed_ms = self._backoff.record_rejection(instance, room_after_ms, self._now_ms())
         logger.info(
             "event=send_refused request=%s endpoint=%s per_s=%s do=%s closed_ms=%d holders=%d "
             "nodes=%d",
@@ -201,8 +201,8 @@
         )
         return NoPermit(max(1, closed_ms))
 
-    def give_back(self, permit: Permit) -> None:
-        """A request that was to be sent did not reach the endpoint."""
+    def release_permit(self, permit: Permit) -> None:
+        """Release the permit of a request that did not reach the endpoint."""
         self.bound.give_back(permit.ask, permit.holder)
 
     # What a holder knows.
--- a/saffronworks/forwarding/endpoint_limits/tuning.py
+++ b/saffronworks/forwarding/endpoint_limits/tuning.py
@@ -9,14 +9,13 @@
 LEAST_PER_S = 0.25
 # That a limit has ended is remembered for so long, so that older news of it doesn't bring it back.
 KEEP_ENDED_MS = 10_000
-# A node whose ask is refused leaves the endpoint alone until there is room, and for a time that it
-# draws below a span besides. The span begins with so much for each node of the fleet, grows with
-# each refusal and falls when a request is admitted: so about half of the asks succeed, and what a
-# limit costs a node grows neither with the fleet nor with the callers.
-CLOSED_FIRST_MS = 10
-CLOSED_FACTOR = 4
-CLOSED_LEAST_MS = 50
-CLOSED_MOST_MS = 16_000
+# After a rejected ask a node backs off until there is room, and for a random part of a span. The
+# span begins with so much for each node of the fleet, grows with each rejection and shrinks with
+# each permit, so that about half of the asks succeed, whatever the number of nodes and callers.
+BACKOFF_FIRST_MS = 10
+BACKOFF_FACTOR = 4
+MIN_BACKOFF_MS = 50
+MAX_BACKOFF_MS = 16_000
 # What a node has learnt goes to two others at this pace, three times; they tell it on.
 TELL_EVERY_MS = 100
 TELL_FANOUT = 2
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -199,7 +199,7 @@
 
     async def _have_read(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
         node = self._node
-        permit = await node.limits.take_permit(endpoint, self._job.request.request_id)
+        permit = await node.limits.acquire_permit(endpoint, self._job.request.request_id)
         if isinstance(permit, NoPermit):
             return events.ReadFailed(endpoint.instance, broken=False, sent=False)
         load = node.loads.of(endpoint.instance)
@@ -212,7 +212,7 @@
         except Break as broken:
             if not broken.sent:
                 self._job.runs.take_back_read()
-                node.limits.give_back(permit)
+                node.limits.release_permit(permit)
             self._note_break("prefill", endpoint, broken)
             tried = not broken.withheld
             return events.ReadFailed(endpoint.instance, broken=tried, sent=tried)
--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -92,7 +92,7 @@
     async def reserve(self, command: events.AskHold) -> events.Event:
         """Reserve memory at an endpoint; raises Break when it gives no answer."""
         endpoint, request_id = command.endpoint, self.job.request.request_id
-        permit = await self.node.limits.take_permit(endpoint, request_id, PLACE_CALLS)
+        permit = await self.node.limits.acquire_permit(endpoint, request_id, PLACE_CALLS)
         if isinstance(permit, NoPermit):
             self.node.figures.count_send("hold", "limited")
             return events.HoldFailed(endpoint.instance, broken=False)
@@ -100,7 +100,7 @@
             hold = await self._take_beside_headroom(command, limited=permit is not FREE)
         except Break as broken:
             if not broken.sent:
-                self.node.limits.give_back(permit)
+                self.node.limits.release_permit(permit)
             raise
         if isinstance(hold, Err):
             self.node.figures.count_send("hold", "full")
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -38,7 +38,7 @@
     "PlainState",
     "Relay",
     "SendTo",
-    "TakePermit",
+    "AcquirePermit",
     "promises_not_run",
     "step",
 ]
@@ -115,7 +115,7 @@
 
 
 @attrs.frozen
-class TakePermit:
+class AcquirePermit:
     """Ask for leave to send to this endpoint, which names a limit."""
 
     endpoint: ServiceEndpoint
@@ -127,7 +127,7 @@
 
 
 Event = Begin | Permitted | NotPermitted | Answered | Broken
-Command = TakePermit | SendTo | Relay | Refuse
+Command = AcquirePermit | SendTo | Relay | Refuse
 
 
 @attrs.frozen
@@ -156,7 +156,7 @@
     """
     permitted = event.instance if isinstance(event, Permitted) else None
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
-    leaves = isinstance(command, SendTo | TakePermit)
+    leaves = isinstance(command, SendTo | AcquirePermit)
     return barred if barred is not None and leaves else command
 
 
@@ -204,7 +204,7 @@
     if not final and state.may_repeat and state.runs < state.max_attempts:
         state.otherwise = end
         again = _send(state, choice, now_ms, "failed")
-        if isinstance(again, SendTo | TakePermit):
+        if isinstance(again, SendTo | AcquirePermit):
             return again
     return end
 
@@ -236,7 +236,7 @@
         return _give_up(state, choice, f"{reason}:retry-budget")
     endpoint = next((e for e in fresh if e.instance == choice.permitted), fresh[0])
     if endpoint.instance in choice.eligibility.limited and endpoint.instance != choice.permitted:
-        return TakePermit(endpoint)
+        return AcquirePermit(endpoint)
     if state.sends:
         choice.budget.withdraw(state.service, now_ms)
     state.sends += 1
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -8,13 +8,13 @@
 from saffronworks.forwarding.endpoint_limits.permits import FREE, Permit
 from saffronworks.forwarding.messages import AnswerHead, Begin, Executed, Refuse
 from saffronworks.forwarding.plain_core import (
+    AcquirePermit,
     Answered,
     Broken,
     NotPermitted,
     Permitted,
     PlainState,
     SendTo,
-    TakePermit,
 )
 from saffronworks.forwarding.ports import AnswerBody, Exchange
 from saffronworks.forwarding.runners import PLAIN, Job, NodeState, relay_rest, tell_refusal
@@ -59,7 +59,7 @@
         """Execute commands until the caller has its answer."""
         command = self._decide(Begin())
         try:
-            while isinstance(command, SendTo | TakePermit):
+            while isinstance(command, SendTo | AcquirePermit):
                 command = self._decide(await self._execute(command))
             if isinstance(command, Refuse):
                 await tell_refusal(self._node, self._job, command)
@@ -67,26 +67,26 @@
                 await self._relay()
         finally:
             self._end_exchange()
-            self._give_permit_back()
+            self._release_permit()
 
-    async def _execute(self, command: SendTo | TakePermit) -> plain_core.Event:
+    async def _execute(self, command: SendTo | AcquirePermit) -> plain_core.Event:
         match command:
-            case TakePermit(endpoint):
-                return await self._take_permit(endpoint)
+            case AcquirePermit(endpoint):
+                return await self._acquire_permit(endpoint)
             case SendTo():
                 return await self._send(command)
 
-    async def _take_permit(self, endpoint: ServiceEndpoint) -> plain_core.Event:
-        self._give_permit_back()
-        taken = await self._node.limits.take_permit(endpoint, self._job.request.request_id)
+    async def _acquire_permit(self, endpoint: ServiceEndpoint) -> plain_core.Event:
+        self._release_permit()
+        taken = await self._node.limits.acquire_permit(endpoint, self._job.request.request_id)
         if isinstance(taken, Permit):
             self._permit = taken
             return Permitted(endpoint.instance)
         return NotPermitted(endpoint.instance, taken.after_ms)
 
-    def _give_permit_back(self) -> None:
+    def _release_permit(self) -> None:
         """What was sent, even if the endpoint turned it away, has used its permit."""
-        self._node.limits.give_back(self._permit)
+        self._node.limits.release_permit(self._permit)
         self._permit = FREE
 
     def _decide(self, event: plain_core.Event) -> plain_core.Command:
@@ -119,7 +119,7 @@
         self._end_exchange()
         node, endpoint = self._node, command.endpoint
         if not self._permit.covers(endpoint.instance):
-            self._give_permit_back()
+            self._release_permit()
         self._endpoint = endpoint
         if self._job.on_trial and self._state.sends == 1:
             node.quarantine.begin_trial(self._job.request)
@@ -133,7 +133,7 @@
         except Break as broken:
             if not broken.sent:
                 self._job.runs.take_back_run()
-                self._give_permit_back()
+                self._release_permit()
             node.note_break(PLAIN, self._job.request, endpoint, broken)
             return Broken(endpoint.instance, broken.sent, broken.cause is BreakCause.SILENT)
         finally:
--- a/saffronworks/tests/features/steps/endpoint_limits_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_limits_steps.py
@@ -164,13 +164,13 @@
     command = plain.step(state, Begin(), endpoints(4), budget, now_ms, None, eligibility)
     permitted = last = None
     for _ in range(MOST_STEPS):
-        if not isinstance(command, plain.SendTo | plain.TakePermit):
+        if not isinstance(command, plain.SendTo | plain.AcquirePermit):
             # What is passed on is the answer that came last.
             assert not isinstance(command, plain.Relay) or last in ("ok", "500"), last
             return ran, used_up, command
         instance = command.endpoint.instance
         reply = waiting.pop(0) if waiting else "ok"
-        if isinstance(command, plain.TakePermit):
+        if isinstance(command, plain.AcquirePermit):
             assert instance in eligibility.limited
             refused = reply == "used-up"
             used_up += [instance] if refused else []
--- a/saffronworks/tests/limit_plays.py
+++ b/saffronworks/tests/limit_plays.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from saffronworks.forwarding.endpoint_limits.gate import SendGate
+from saffronworks.forwarding.endpoint_limits.backoff import LimitBackoff
 from saffronworks.forwarding.endpoint_limits.table import AdvertisedLimit, KnownLimit, LimitTable
 from saffronworks.forwarding.endpoint_limits.tuning import (
     ASKED_AT_START,
@@ -38,7 +38,7 @@
     """What one node knows, and when it passed the first answer with a limit on."""
 
     neighbours: Neighbours
-    gate: SendGate
+    backoff: LimitBackoff
     table: LimitTable = attrs.Factory(LimitTable)
     pending: PendingUpdates = attrs.Factory(PendingUpdates)
     told_ms: int | None = None
@@ -70,7 +70,7 @@
     def _start(self, name):
         neighbours = Neighbours(name, self.rng)
         neighbours.take(self.names)
-        return _Node(neighbours, SendGate(self.rng, len(self.names)))
+        return _Node(neighbours, LimitBackoff(self.rng, len(self.names)))
 
     def restart(self, name):
         self.nodes[name] = self._start(name)
@@ -133,19 +133,19 @@
         known = node.table.find(ENDPOINT)
         if known is None:
             self._send_on(name)
-        elif not node.gate.closed_ms(ENDPOINT, self.now_ms):
+        elif not node.backoff.remaining_ms(ENDPOINT, self.now_ms):
             limit, shares = Limit(known, 0.0), self.ring.shares(self.now_ms)
             ask = Ask(f"a{self.number()}", ENDPOINT, 1, limit, shares)
             self.shares.ask(name, ask, lambda command: self._settle(name, command))
 
     def _settle(self, name, command):
-        gate = self.nodes[name].gate
+        backoff = self.nodes[name].backoff
         if isinstance(command, Admitted):
-            gate.admit(ENDPOINT)
+            backoff.record_permit(ENDPOINT)
             self._send_on(name)
         else:
             after_ms = command.retry_after_ms if isinstance(command, Refused) else 0
-            gate.refuse(ENDPOINT, after_ms, self.now_ms)
+            backoff.record_rejection(ENDPOINT, after_ms, self.now_ms)
 
     def _send_on(self, name):
         if name in self.away:
@@ -167,7 +167,7 @@
         if node.table.record_answer(ENDPOINT, AdvertisedLimit(per_s, sent_ms), self.now_ms):
             self._learn(name)
             if per_s is None:
-                node.gate.open(ENDPOINT)
+                node.backoff.clear(ENDPOINT)
         if per_s is not None:
             node.told_ms = node.told_ms or self.now_ms
             self.first_named_ms = self.first_named_ms or self.now_ms
