--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -188,8 +188,8 @@
 
     def usable(self, service: str, now_ms: int, role: Role | None = None) -> list[ServiceEndpoint]:
         """The endpoints of a service that may get new work, of one role if given."""
-        listed = self._listed_ready(service, now_ms, role)
-        return [one for one in listed if self.advertised.draining_since_ms(one.instance) is None]
+        listed, draining = self._listed_ready(service, now_ms, role), self.advertised.draining()
+        return [one for one in listed if one.instance not in draining] if draining else listed
 
     def draining_since(
         self, service: str, now_ms: int, role: Role | None, since_ms: int
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -1,13 +1,14 @@
 """Answers, for every path of sending, whether this node may send an endpoint a request now."""
 
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Set
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.blocks import Block, BlockReason, Eligibility
+from saffronworks.forwarding.eligibility.table import Pause
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.starts import StartId
 
@@ -88,20 +89,22 @@
         Those that drain are blocked as well, whether or not they are among these.
         """
         limited = self._limits.among(endpoints)
-        chosen = {endpoint.instance for endpoint in endpoints}
-        draining = self._directory.advertised.draining() - chosen
-        blocks = {instance: Block(BlockReason.DRAINING) for instance in draining}
-        for instance, closed_ms in limited.closed_ms.items():
-            blocks[instance] = Block(BlockReason.RATE_LIMITED, closed_ms)
-        for instance in chosen:
-            if (paused := self._find_pause(instance)) is not None:
-                blocks[instance] = paused
+        blocks = {
+            instance: Block(BlockReason.RATE_LIMITED, closed_ms)
+            for instance, closed_ms in limited.closed_ms.items()
+        }
+        if len(self._directory.advertised):
+            blocks |= self._advertised_blocks({endpoint.instance for endpoint in endpoints})
         return Eligibility(blocks, limited.named)
 
-    def _find_pause(self, instance: StartId) -> Block | None:
-        now_ms = self._now_ms()
-        pause = self._directory.advertised.pause(instance, now_ms)
-        return Block(BlockReason.PAUSED, pause.until_ms - now_ms) if pause is not None else None
+    def _advertised_blocks(self, candidates: Set[StartId]) -> dict[StartId, Block]:
+        now_ms, advertised = self._now_ms(), self._directory.advertised
+        draining = advertised.draining() - candidates
+        blocks = {instance: Block(BlockReason.DRAINING) for instance in draining}
+        for instance, pause in advertised.pauses(now_ms).items():
+            if instance in candidates:
+                blocks[instance] = _block_for(pause, now_ms)
+        return blocks
 
     def find_block(
         self, endpoint: ServiceEndpoint, arrived_ms: int, reserved: bool = False
@@ -117,10 +120,11 @@
         drained = began_ms is not None and arrived_ms > began_ms + self._drain_ms
         if listed.draining or drained:
             return Block(BlockReason.DRAINING)
-        pause = self._directory.advertised.pause(endpoint.instance, self._now_ms())
-        if reserved and pause is not None and self._now_ms() < pause.since_ms + PAUSE_GRACE_MS:
+        now_ms = self._now_ms()
+        pause = self._directory.advertised.pause(endpoint.instance, now_ms)
+        if pause is None or (reserved and now_ms < pause.since_ms + PAUSE_GRACE_MS):
             return None
-        return self._find_pause(endpoint.instance)
+        return _block_for(pause, now_ms)
 
     def check_send(
         self,
@@ -152,3 +156,7 @@
         if advertised.draining_since_ms(instance) is not None:
             return "draining"
         return "paused" if advertised.pause(instance, self._now_ms()) else "ready"
+
+
+def _block_for(pause: Pause, now_ms: int) -> Block:
+    return Block(BlockReason.PAUSED, pause.until_ms - now_ms)
--- a/saffronworks/forwarding/eligibility/table.py
+++ b/saffronworks/forwarding/eligibility/table.py
@@ -45,6 +45,10 @@
         pause = self._pauses.get(instance)
         return pause if pause is not None and now_ms < pause.until_ms else None
 
+    def pauses(self, now_ms: int) -> dict[StartId, Pause]:
+        """All pauses that last."""
+        return {one: pause for one, pause in self._pauses.items() if now_ms < pause.until_ms}
+
     def record_drain(self, instance: StartId, now_ms: int) -> bool:
         """The endpoint drains; returns whether that is new. Only its end ends it."""
         if instance in self._draining_since_ms:
