--- a/deploy/day_files.py
+++ b/deploy/day_files.py
@@ -3,7 +3,8 @@
 For each kind of trouble a day with a burst and, at its hardest moment, the trouble, then the
 trouble again beside another one. Beside these, mixed days, on which many troubles overlap: a pair
 of faults of endpoints that break answers, and others around them; and days on which organisations
-ask for far more than their quotas while keys and quotas change and nodes end or hear few others.
+ask for far more than their quotas while keys and quotas change and nodes end or hear few others;
+and days on which several troubles strike at once, again and again.
 """
 
 import random
@@ -136,6 +137,19 @@
     "reset-conns",
     "lossy",
 )
+# Troubles that strike together, three times over: endpoints drain while the store is away, and
+# reject half of a burst.
+TOGETHER = {
+    "drain-store-away": (
+        Trouble("release-all", "release", "share = 1.0, x = 1.0, gap_s = 1.0", planned=True),
+        Trouble("scale-in-third", "scale_in", "share = 0.34", planned=True),
+        Trouble("store-away", "platform_down", 'for_s = 7.0, how = "silent"'),
+    ),
+    "reject-burst": (
+        Trouble("shed-most", "srv_grey", 'share = 0.6, x = 0.5, for_s = 8.0, how = "shed"'),
+        Trouble("burst", "burst", "x = 2.0, for_s = 8.0"),
+    ),
+}
 ORGANISATION_DAYS = 6
 MIXED_DAYS = 8
 MIXED_TROUBLES = 8
@@ -171,6 +185,12 @@
     return _write(f"organisations-{seed}", seed, entries)
 
 
+def write_day_of(name: str, troubles: tuple[Trouble, ...], seed: int) -> str:
+    """One day: all of these troubles at once, three times over."""
+    entries = [(at_s, trouble) for at_s in (5.0, 15.0, 25.0) for trouble in troubles]
+    return _write(name, seed, entries)
+
+
 def _write(name: str, seed: int, entries: list[tuple[float, Trouble]]) -> str:
     lines = {
         planned: [trouble.entry(at_s) for at_s, trouble in entries if trouble.planned is planned]
@@ -206,6 +226,9 @@
     for seed in range(1, ORGANISATION_DAYS + 1):
         text = write_organisation_day(seed)
         (OUTPUT / f"organisations-{seed}.toml").write_text(text, encoding="utf-8")
+    for seed, (name, troubles) in enumerate(TOGETHER.items(), 1):
+        text = write_day_of(name, troubles, seed)
+        (OUTPUT / f"{name}.toml").write_text(text, encoding="utf-8")
 
 
 if __name__ == "__main__":
