--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -133,9 +133,9 @@
         request_id: str,
         reserved: bool = False,
     ) -> None:
-        """Raise Break right before a send that may not go out: its choice is older than the word.
+        """Raise Break right before a send, if its endpoint was blocked since it was chosen.
 
-        Between the two the node opens a connection, asks for a permit or has a prompt read.
+        In between the node opens a connection, asks for a permit or has a prompt read.
         """
         block = self.find_block(endpoint, arrived_ms, reserved)
         if block is None:
--- a/saffronworks/platform/answer_fields.py
+++ b/saffronworks/platform/answer_fields.py
@@ -4,7 +4,6 @@
 import math
 from datetime import UTC, datetime
 
-import attrs
 from result import Err, Ok, Result
 
 from saffronworks.field_numbers import read_decimal, shorten
@@ -43,6 +42,8 @@
 _DRAINING_VALUES = {"1": True, "0": False}
 # Named pauses are cut to this, as nobody could take back a mistaken one.
 MAX_PAUSE_MS = 3_600_000
+_ADVERTISED = frozenset([_LIMIT, _LEAVING, _RETRY_AFTER])
+_Values = dict[str, list[str]]
 _HTTP_DATE = "%a, %d %b %Y %H:%M:%S GMT"
 
 # Every field that servers set in answers, and what reads it. A field that is not here is logged.
@@ -82,45 +83,58 @@
     """
     if raw.status == _MISDIRECTED:
         return None
-    limit = read_limit(raw, sent_ms)
-    draining, odd_draining = _read_draining(raw)
-    pause_ms, odd_pause = _read_pause_ms(raw, wall_ms)
-    return Advertisement(
-        attrs.evolve(limit, ran=limit.ran and ran),
-        draining,
-        pause_ms,
-        (*odd_draining, *odd_pause),
-    )
+    values = _advertised_values(raw)
+    limit = _read_limit(values, raw, sent_ms, ran)
+    if values.keys() <= {_LIMIT}:
+        return Advertisement(limit)
+    draining, odd_draining = _read_draining(values)
+    pause_ms, odd_pause = _read_pause_ms(values, raw.status, wall_ms)
+    return Advertisement(limit, draining, pause_ms, (*odd_draining, *odd_pause))
 
 
 def read_limit(raw: RawHead, sent_ms: int) -> AdvertisedLimit:
     """What an answer to a request of `sent_ms` says of the server's limit; of several the least."""
+    return _read_limit(_advertised_values(raw), raw, sent_ms)
+
+
+def _read_limit(
+    values: _Values, raw: RawHead, sent_ms: int, request: bool = True
+) -> AdvertisedLimit:
     # A failure, or an answer that may not be the server's own, doesn't tell that its need is over.
-    ran = not is_refusal(raw) and raw.status < 500 and raw.get(ID_FIELD) is not None
-    read = [read_decimal(value) for value in _values(raw, _LIMIT)]
+    own = raw.status < 500 and raw.get(ID_FIELD) is not None
+    ran = request and own and not is_refusal(raw)
+    if _LIMIT not in values:
+        return AdvertisedLimit(None, sent_ms, ran)
+    read = [read_decimal(value) for value in values[_LIMIT]]
     malformed = [value.err_value for value in read if isinstance(value, Err)]
     if malformed:
         return AdvertisedLimit(None, sent_ms, ran, malformed=", ".join(malformed))
     named = [value.ok_value for value in read if isinstance(value, Ok)]
-    return AdvertisedLimit(min(named, default=None), sent_ms, ran)
+    return AdvertisedLimit(min(named), sent_ms, ran)
 
 
-def _values(raw: RawHead, name: str) -> list[str]:
-    return [value for key, value in raw.fields if key.lower() == name]
+def _advertised_values(raw: RawHead) -> _Values:
+    """The values of the fields in which a server says something about itself, by their names."""
+    values: _Values = {}
+    for key, value in raw.fields:
+        name = key.lower()
+        if name in _ADVERTISED:
+            values.setdefault(name, []).append(value)
+    return values
 
 
-def _read_draining(raw: RawHead) -> tuple[bool, list[str]]:
+def _read_draining(fields: _Values) -> tuple[bool, list[str]]:
     """Whether the server drains, and what stands there in place of 0 or 1."""
-    values = [value.strip(" \t") for value in _values(raw, _LEAVING)]
+    values = [value.strip(" \t") for value in fields.get(_LEAVING, ())]
     odd = [f"{_LEAVING}: {shorten(value)}" for value in values if value not in _DRAINING_VALUES]
     return any(_DRAINING_VALUES.get(value, False) for value in values), odd
 
 
-def _read_pause_ms(raw: RawHead, wall_ms: int) -> tuple[int, list[str]]:
+def _read_pause_ms(fields: _Values, status: int, wall_ms: int) -> tuple[int, list[str]]:
     """The longest pause that a rejection names, and the values that name none."""
-    if raw.status not in _REJECTED:
+    if status not in _REJECTED:
         return 0, []
-    read = [_read_retry_after(value, wall_ms) for value in _values(raw, _RETRY_AFTER)]
+    read = [_read_retry_after(value, wall_ms) for value in fields.get(_RETRY_AFTER, ())]
     odd = [f"{_RETRY_AFTER}: {value.err_value}" for value in read if isinstance(value, Err)]
     named = [value.ok_value for value in read if isinstance(value, Ok)]
     return min(max(named, default=0), MAX_PAUSE_MS), odd
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -117,8 +117,10 @@
         """The start of the answer; raises Break."""
         raw = await self.connection.head(timeout_ms)
         advertisement = self._answers.read(self._endpoint, raw, self._sent_ms)
-        asks_pause = advertisement is not None and advertisement.pause_ms > 0
-        return attrs.evolve(_decode_head(raw), asks_pause=asks_pause)
+        head = _decode_head(raw)
+        if advertisement is not None and advertisement.pause_ms:
+            return attrs.evolve(head, asks_pause=True)
+        return head
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
         """A part of the body, None at its end; raises Break."""
