--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -23,6 +23,8 @@
     seeds: int = 1,
     failed: bool = False,
     faults_ms: int = Shape().faults_ms,
+    nodes: int = Shape().nodes,
+    callers: int = Shape().callers,
     logs: str = "",
 ) -> int:
     """Play seeds one after the other; 1 when one of them broke a promise.
@@ -32,11 +34,13 @@
         seeds: how many, one after the other.
         failed: play the seeds that failed once instead.
         faults_ms: over how long faults begin.
+        nodes: how many node processes.
+        callers: how many callers, each with a connection of its own.
         logs: a folder that keeps the logs of the nodes of seeds that failed; else a temporary one.
     """
     # The store is a stand-in whose waiting calls end with the soak; uvicorn reports each of them.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-    whole, broken = attrs.evolve(Shape(), faults_ms=faults_ms), 0
+    whole, broken = Shape(nodes=nodes, callers=callers, faults_ms=faults_ms), 0
     # The first ones were found without these kinds of faults, and stay what they were.
     limited = attrs.evolve(whole, drains=0, pauses=0)
     unlimited = attrs.evolve(limited, limits=0)
