Log the store's epoch and listings that are ignored

The incidents' lines could not tell a restore from a lost history: the epoch of an answer was read nowhere and a dropped listing left no line. No decision changes.

--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -74,6 +74,7 @@
         self._rng = rng
         self._now_ms = now_ms
         self._revision: int | None = None
+        self._ignored_at: int | None = None
         self._lists_next = True
         self._failures = 0
         self._heard_ms = now_ms()
@@ -177,6 +178,7 @@
         self._hear()
         self.listed = True
         if self._is_older(reply.ok_value):
+            self._log_ignored(reply.ok_value)
             self._lists_next = False
             return
         self._sink.replace_all(reply.ok_value, self._lapse_until_ms)
@@ -206,12 +208,25 @@
         """Whether others have told newer things while an answer was on its way."""
         return self._revision is not None and heard.revision < self._revision
 
+    def _log_ignored(self, heard: Listing) -> None:
+        """Once for each revision that is known."""
+        if self._ignored_at == self._revision:
+            return
+        self._ignored_at = self._revision
+        logger.info(
+            "event=listing_ignored kind=%s revision=%s known_revision=%s objects=%d",
+            self.kind,
+            heard.revision,
+            self._revision,
+            len(heard.objects),
+        )
+
     def _lose_watch(self, failure: HistoryGone | SourceFailure) -> None:
         """Changes may have been missed: a listing settles what holds, or news from here on."""
         self._lists_next = True
         match failure:
             case HistoryGone():
-                logger.info("event=history_gone kind=%s", self.kind)
+                logger.info("event=history_gone kind=%s revision=%s", self.kind, self._revision)
             case SourceFailure():
                 self._fail(failure)
 
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.ports import (
     Conflict,
     HistoryGone,
@@ -37,6 +38,8 @@
 ]
 # A listing comes in pages of about 500 objects; more pages than this are an endless loop.
 MOST_PAGES = 200
+# The epoch of the store, in each of its answers; a restore begins the next one.
+_EPOCH_FIELD = b"store-era"
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
@@ -90,6 +93,7 @@
 
     def __init__(self, address: str):
         self._address = address
+        self._epoch: int | None = None
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=8, keepalive_expiry=20, socket_options=_KEEP_ALIVE
         )
@@ -176,8 +180,23 @@
         except _BROKEN as error:
             cut = not isinstance(error, httpcore.TimeoutException)
             return Err(SourceFailure(type(error).__name__, applied=writes, cut=cut))
+        self._note_epoch(response.headers)
         return Ok(_Reply(response.status, response.content))
 
+    def _note_epoch(self, headers: list[tuple[bytes, bytes]]) -> None:
+        epoch = _read_epoch(headers)
+        if epoch is None or epoch == self._epoch:
+            return
+        logger.info("event=store_epoch_observed epoch=%d before=%s", epoch, self._epoch)
+        self._epoch = epoch
+
+
+def _read_epoch(headers: list[tuple[bytes, bytes]]) -> int | None:
+    for name, value in headers:
+        if name.lower() == _EPOCH_FIELD:
+            return read_whole(value.decode("latin-1")).ok()
+    return None
+
 
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
     path = f"/saffronworks/objects/{quote(kind, safe='')}"
