--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.forwarding.ports import Conflict, ObjectSource, StoredObject
+from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.web import is_address
 
 __all__ = ["NODE_KIND", "Census", "CountedNode"]
@@ -73,7 +74,7 @@
         self._rng = rng
         self._take = take
         self._known: dict[str, CountedNode] = {}
-        self._told: dict[str, int] = {}
+        self._told: dict[str, StoreRevision] = {}
 
     async def run(self) -> None:
         """Enter, then count again and again until cancelled."""
@@ -138,7 +139,7 @@
         if isinstance(read, Err) and self._told.get(item.name) != item.revision:
             self._told[item.name] = item.revision
             logger.error(
-                "event=census_entry_unreadable node=%s revision=%d problem=%r",
+                "event=census_entry_unreadable node=%s revision=%s problem=%r",
                 item.name,
                 item.revision,
                 read.err_value,
--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -7,6 +7,7 @@
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.eligibility.table import AdvertisedTable
 from saffronworks.forwarding.starts import StartId, is_later, start_id
+from saffronworks.forwarding.store_revisions import StoreRevision
 
 __all__ = ["Directory", "Heard", "ServiceEndpoint"]
 
@@ -73,7 +74,7 @@
     An endpoint that advertises that it drains does, whatever its entry says: the store may be away.
     """
 
-    revision: int = 0
+    revision: StoreRevision = StoreRevision(0, 0)
     endpoints: dict[StartId, ServiceEndpoint] = attrs.Factory(dict)
     advertised: AdvertisedTable = attrs.Factory(AdvertisedTable)
     _usable_until_ms: dict[StartId, int] = attrs.Factory(dict)
@@ -82,7 +83,11 @@
     _ended: list[StartId] = attrs.Factory(list)
 
     def replace(
-        self, listed: list[ServiceEndpoint], revision: int, now_ms: int, lapse_until_ms: int = 0
+        self,
+        listed: list[ServiceEndpoint],
+        revision: StoreRevision,
+        now_ms: int,
+        lapse_until_ms: int = 0,
     ) -> list[str]:
         """Take a whole listing; returns the names that are missing from it."""
         for endpoint in listed:
@@ -91,7 +96,7 @@
         return self.keep(names, revision, now_ms, lapse_until_ms)
 
     def keep(
-        self, names: set[str], revision: int, now_ms: int, lapse_until_ms: int = 0
+        self, names: set[str], revision: StoreRevision, now_ms: int, lapse_until_ms: int = 0
     ) -> list[str]:
         """Remove all but those that a whole listing has; returns the names that went."""
         self.revision = revision
--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -141,7 +141,7 @@
         if block is None:
             return
         logger.info(
-            "event=send_withheld request=%s endpoint=%s reason=%s for_ms=%s endpoints_rev=%d",
+            "event=send_withheld request=%s endpoint=%s reason=%s for_ms=%s endpoints_rev=%s",
             request_id,
             endpoint.instance,
             block.reason,
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -10,6 +10,7 @@
 
 from saffronworks.forwarding.ports import HistoryGone, Listing, ObjectSource, SourceFailure
 from saffronworks.forwarding.store_news import NewsFeed, StoreNews
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.tuning import (
     FOLLOW_FIRST_BACKOFF_MS,
     FOLLOW_LONGEST_BACKOFF_MS,
@@ -47,6 +48,9 @@
     `known_within_ms` count, within which a node has to go by what the store says: a grace for
     entries that may have lapsed ends with them. Without that end, a node whose watch was lost kept
     sending to an endpoint that had left, for up to two seconds longer than it may.
+
+    A store that was restored from a copy is listed anew: its revisions are issued again, so changes
+    since a revision of an earlier epoch are not complete.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         now_ms: Callable[[], int],
         watch_wait_ms: int,
         known_within_ms: int,
+        epoch: StoreEpoch,
         news: NewsFeed | None = None,
     ):
         self.kind = kind
@@ -73,10 +78,12 @@
         self._sink = sink
         self._rng = rng
         self._now_ms = now_ms
-        self._revision: int | None = None
-        self._ignored_at: int | None = None
+        self._revision: StoreRevision | None = None
         self._lists_next = True
+        self._watching: anyio.CancelScope | None = None
+        epoch.subscribe(self._end_watch)
         self._failures = 0
+        self._histories_gone = 0
         self._heard_ms = now_ms()
         self._known_ms = self._heard_ms
         self._lost_ms = self._heard_ms
@@ -93,8 +100,10 @@
                 await self._list()
             else:
                 await self._watch(self._revision)
-            if self._failures:
-                await anyio.sleep(self._backoff_ms() / 1000)
+            # One lost history is no trouble; a listing that is too old right away is.
+            troubles = max(self._failures, self._histories_gone - 1)
+            if troubles:
+                await anyio.sleep(self._backoff_ms(troubles) / 1000)
 
     def _hears_others(self) -> bool:
         """Whether other nodes of the zone ask the store, and were heard a moment ago."""
@@ -120,10 +129,10 @@
         endpoint that had left, for four seconds, until this held for it as well.
         """
         if self._revision is None and news.whole and news.objects is not None:
-            self._revision, self.listed = 0, True
-        if self._revision is None or news.revision < self._revision:
+            self._revision, self.listed = StoreRevision(0, 0), True
+        if self._revision is None or news.at < self._revision:
             return
-        if news.revision > self._revision and not self._apply_news(news, self._revision):
+        if news.at > self._revision and not self._apply_news(news, self._revision):
             self._fresh_until_ms = 0
             self._stale.set()
             return
@@ -131,18 +140,18 @@
         self._known_ms = self._now_ms()
         self._note_fresh()
 
-    def _apply_news(self, news: StoreNews, revision: int) -> bool:
+    def _apply_news(self, news: StoreNews, revision: StoreRevision) -> bool:
         """False where they are not whole from our revision on: the store has the rest."""
-        if news.objects is None or (news.since > revision and not news.whole):
+        if news.objects is None or (news.after > revision and not news.whole):
             return False
         until_ms = self._now_ms() + news.lapse_ms
         take = self._sink.replace_all if news.whole else self._sink.apply
         take(news.listing, until_ms)
-        self._revision = news.revision
+        self._revision = news.at
         logger.info(
-            "event=store_told kind=%s revision=%d before=%d by=%s",
+            "event=store_told kind=%s revision=%s before=%s by=%s",
             self.kind,
-            news.revision,
+            news.at,
             revision,
             news.sender,
         )
@@ -152,81 +161,99 @@
         if self._news is not None:
             self._fresh_until_ms = self._now_ms() + self._news.pace.silent_ms
 
-    def _tell(self, heard: Listing, since: int | None) -> None:
+    def _tell(self, heard: Listing, since: StoreRevision | None) -> None:
         """Pass on an answer of the store; `since` None tells that it is all there is."""
         self._note_fresh()
         if self._news is None:
             return
         now_ms = self._now_ms()
-        news = StoreNews(
-            self._news.turns.own,
-            self.kind,
-            since or 0,
-            heard.revision,
-            heard.objects,
-            whole=since is None,
-            lapse_ms=max(0, self._lapse_until_ms - now_ms),
-        )
+        lapse_ms = max(0, self._lapse_until_ms - now_ms)
+        news = StoreNews.from_listing(self._news.turns.own, self.kind, heard, since, lapse_ms)
         self._news.tell(news, now_ms - self._asked_ms)
 
     async def _list(self) -> None:
-        self._asked_ms = self._now_ms()
+        self._asked_ms, asked_at = self._now_ms(), self._revision
+        known_ms = self._known_ms
         reply = await self._source.list_objects(self.kind)
         if isinstance(reply, Err):
             self._fail(reply.err_value)
             return
         self._hear()
         self.listed = True
-        if self._is_older(reply.ok_value):
-            self._log_ignored(reply.ok_value)
-            self._lists_next = False
-            return
-        self._sink.replace_all(reply.ok_value, self._lapse_until_ms)
-        self._revision = reply.ok_value.revision
         self._lists_next = False
-        self._tell(reply.ok_value, since=None)
+        heard = reply.ok_value
+        if self._revision != asked_at and self._is_older(heard):
+            return
+        self._note_restore(heard, max(known_ms, self._trouble_ms))
+        self._sink.replace_all(heard, self._lapse_until_ms)
+        self._revision = heard.revision
+        self._tell(heard, since=None)
+
+    def _note_restore(self, heard: Listing, after_ms: int) -> None:
+        """Entries written after the copy are missing until their endpoints have written again.
+
+        The restore came at `after_ms` or later.
+        """
+        known = self._revision
+        if known is None or (heard.revision >= known and heard.revision.epoch == known.epoch):
+            return
+        now_ms = self._now_ms()
+        bound_ms = after_ms + self._known_within_ms - LAPSE_MARGIN_MS
+        self._lapse_until_ms = min(now_ms + LAPSED_GRACE_MS, bound_ms)
+        logger.warning(
+            "event=store_restored kind=%s revision=%s known_revision=%s objects=%d lapse_ms=%d",
+            self.kind,
+            heard.revision,
+            known,
+            len(heard.objects),
+            max(0, self._lapse_until_ms - now_ms),
+        )
 
-    async def _watch(self, revision: int) -> None:
+    async def _watch(self, revision: StoreRevision) -> None:
         self._asked_ms = self._now_ms()
         wait_ms = self._watch_wait_ms
         if self._news is not None and self._news.shared:
             wait_ms = min(wait_ms, self._news.pace.watch_wait_ms)
-        reply = await self._source.watch(self.kind, revision, wait_ms)
-        if isinstance(reply, Err):
+        with anyio.CancelScope() as self._watching:
+            reply = await self._source.watch(self.kind, revision, wait_ms)
+        ended, self._watching = self._watching.cancelled_caught, None
+        if ended:
+            self._lists_next = True
+        elif isinstance(reply, Err):
             self._lose_watch(reply.err_value)
+        else:
+            await self._take_changes(reply.ok_value, revision)
+
+    async def _take_changes(self, heard: Listing, revision: StoreRevision) -> None:
+        if heard.revision.epoch != revision.epoch:
+            self._lists_next = True
             return
         self._hear()
-        if self._is_older(reply.ok_value):
+        self._histories_gone = 0
+        if self._is_older(heard):
             return
-        self._sink.apply(reply.ok_value, self._lapse_until_ms)
-        self._revision = reply.ok_value.revision
-        self._tell(reply.ok_value, since=revision)
-        if reply.ok_value.objects:
+        self._sink.apply(heard, self._lapse_until_ms)
+        self._revision = heard.revision
+        self._tell(heard, since=revision)
+        if heard.objects:
             await anyio.sleep(WATCH_PAUSE_MS / 1000)
 
+    def _end_watch(self) -> None:
+        """The store was restored: a watch that waits there may never end."""
+        if self._watching is not None:
+            self._watching.cancel()
+
     def _is_older(self, heard: Listing) -> bool:
         """Whether others have told newer things while an answer was on its way."""
         return self._revision is not None and heard.revision < self._revision
 
-    def _log_ignored(self, heard: Listing) -> None:
-        """Once for each revision that is known."""
-        if self._ignored_at == self._revision:
-            return
-        self._ignored_at = self._revision
-        logger.info(
-            "event=listing_ignored kind=%s revision=%s known_revision=%s objects=%d",
-            self.kind,
-            heard.revision,
-            self._revision,
-            len(heard.objects),
-        )
-
     def _lose_watch(self, failure: HistoryGone | SourceFailure) -> None:
         """Changes may have been missed: a listing settles what holds, or news from here on."""
         self._lists_next = True
         match failure:
             case HistoryGone():
                 logger.info("event=history_gone kind=%s revision=%s", self.kind, self._revision)
+                self._histories_gone += 1
             case SourceFailure():
                 self._fail(failure)
 
@@ -254,7 +281,7 @@
         self._failures = 0
         self._heard_ms = self._known_ms = now_ms
 
-    def _backoff_ms(self) -> int:
-        doubled = FOLLOW_FIRST_BACKOFF_MS * 2 ** min(self._failures - 1, 8)
+    def _backoff_ms(self, troubles: int) -> int:
+        doubled = FOLLOW_FIRST_BACKOFF_MS * 2 ** min(troubles - 1, 8)
         longest_ms = min(FOLLOW_LONGEST_BACKOFF_MS, doubled)
         return self._rng.randint(longest_ms // 2, longest_ms)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -132,7 +132,7 @@
         logger.info(
             "event=decide request=%s after=%s do=%s endpoint=%s tokens=%d returned=%s waited_ms=%d "
             "left_ms=%d decoders=%d prefillers=%d runs=%d reads=%d begun=%s status=%s "
-            "advertised=%s endpoints_rev=%d config=%d",
+            "advertised=%s endpoints_rev=%s config=%d",
             self._job.request.request_id,
             type(event).__name__,
             type(command).__name__,
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -100,7 +100,7 @@
         if isinstance(command, SendTo):
             logger.info(
                 "event=send request=%s route=%s endpoint=%s after=%s sends=%d wait_ms=%d "
-                "usable=%d limit_per_s=%s advertised=%s endpoints_rev=%d config=%d",
+                "usable=%d limit_per_s=%s advertised=%s endpoints_rev=%s config=%d",
                 self._job.request.request_id,
                 self._job.route.name,
                 command.endpoint.instance,
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -47,7 +47,7 @@
         self._table = table
         self._nodes = nodes
         self._own_address = own_address
-        self._trimmed_revision = 0
+        self._trimmed_revision = directory.revision
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Answer asks until cancelled."""
@@ -81,7 +81,7 @@
             self._send(kernel, reply, plan)
         for instance, span_ms in plan.shuns.take_news():
             logger.info(
-                "event=endpoint_shunned service=%s endpoint=%s for_ms=%d after=%s endpoints_rev=%d",
+                "event=endpoint_shunned service=%s endpoint=%s for_ms=%d after=%s endpoints_rev=%s",
                 service,
                 instance,
                 span_ms,
@@ -119,7 +119,7 @@
         if isinstance(reply.message, MemoryGrant | MemoryRefusal):
             logger.info(
                 "event=plan request=%s do=%s waiting=%d runs=%d ms_per_token=%.3f "
-                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%d",
+                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s",
                 reply.message.request_id,
                 reply.message,
                 len(plan.waiters),
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -15,6 +15,7 @@
     KvHold,
     NotExecuted,
 )
+from saffronworks.forwarding.store_revisions import StoreRevision
 
 __all__ = [
     "AnswerBody",
@@ -35,7 +36,7 @@
     """One object of the store; `content` is None where it was removed."""
 
     name: str
-    revision: int
+    revision: StoreRevision
     content: bytes | None
 
 
@@ -44,7 +45,7 @@
     """Objects of one kind: all of them, or those that changed, and the store's revision."""
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @attrs.frozen
@@ -78,9 +79,12 @@
         """All objects of a kind; `stale` accepts an answer that is seconds old."""
 
     async def watch(
-        self, kind: str, revision: int, wait_ms: int
+        self, kind: str, revision: StoreRevision, wait_ms: int
     ) -> Result[Listing, HistoryGone | SourceFailure]:
-        """What changed since a revision; waits until something has."""
+        """What changed since a revision; waits until something has.
+
+        The answer may be of a later epoch than `revision`. It then lacks changes: list anew.
+        """
 
     async def create(
         self, kind: str, name: str, content: bytes
@@ -88,7 +92,7 @@
         """Write an object that must not exist yet."""
 
     async def replace(
-        self, kind: str, name: str, content: bytes, revision: int
+        self, kind: str, name: str, content: bytes, revision: StoreRevision
     ) -> Result[StoredObject, Conflict | SourceFailure]:
         """Write an object if it is still at that revision."""
 
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -141,7 +141,7 @@
                 self._start(self._until_done, self._records.remove, content)
             case events.EndpointEnded(instance, contents, found):
                 logger.info(
-                    "event=endpoint_ended endpoint=%s contents=%d found=%s endpoints_rev=%d",
+                    "event=endpoint_ended endpoint=%s contents=%d found=%s endpoints_rev=%s",
                     instance,
                     contents,
                     found.value,
--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -14,6 +14,7 @@
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.store_revisions import StoreRevision
 
 __all__ = [
     "Command",
@@ -79,7 +80,7 @@
     lacking: bool = False
     decoder_seen: bool = False
     orders: dict[StartId, OpenOrder] = attrs.Factory(dict)
-    duty_revision: int | None = None
+    duty_revision: StoreRevision | None = None
     duty_seen_ms: int = 0
     mine: bool = False
     may_order_from_ms: int = 0
@@ -102,7 +103,7 @@
 class DutyTaken:
     """The store confirmed this node as the holder; `took_over` if another held it before."""
 
-    fence: int
+    revision: StoreRevision
     took_over: bool
 
 
@@ -110,7 +111,7 @@
 class DutyHeldByOther:
     """Another node holds the duty; its object is at this revision."""
 
-    revision: int
+    revision: StoreRevision
 
 
 @attrs.frozen
@@ -130,7 +131,7 @@
 class TakeDuty:
     """Confirm or take the duty; over another holder's object only at `free_revision`."""
 
-    free_revision: int | None
+    free_revision: StoreRevision | None
 
 
 @attrs.frozen
@@ -157,8 +158,8 @@
         case Look(endpoints, place):
             turn_ms = 0 if state.mine else place // TURN_NODES * TURN_MS
             return _look(state, endpoints, turn_ms, now_ms)
-        case DutyTaken(fence, took_over):
-            return _take_duty(state, fence, took_over, now_ms)
+        case DutyTaken(revision, took_over):
+            return _take_duty(state, revision, took_over, now_ms)
         case DutyHeldByOther(revision):
             state.mine = False
             if revision != state.duty_revision:
@@ -255,9 +256,11 @@
     return None
 
 
-def _take_duty(state: RoleState, fence: int, took_over: bool, now_ms: int) -> Command | None:
+def _take_duty(
+    state: RoleState, revision: StoreRevision, took_over: bool, now_ms: int
+) -> Command | None:
     state.mine = True
-    state.duty_revision, state.duty_seen_ms = fence, now_ms
+    state.duty_revision, state.duty_seen_ms = revision, now_ms
     if took_over:
         state.may_order_from_ms = now_ms + state.lease_ms + state.thaw_slack_ms
         return None
@@ -266,4 +269,4 @@
         return None
     role = Role.DECODE if chosen.role is Role.PREFILL else Role.PREFILL
     state.orders[chosen.instance] = OpenOrder(role, now_ms)
-    return GiveOrder(chosen, role, fence)
+    return GiveOrder(chosen, role, revision.number)
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -99,7 +99,7 @@
             return
         self.directory.note_replaced(endpoint.instance)
         logger.info(
-            "event=endpoint_replaced endpoint=%s address=%s by=%s endpoints_rev=%d",
+            "event=endpoint_replaced endpoint=%s address=%s by=%s endpoints_rev=%s",
             endpoint.instance,
             endpoint.address,
             head.found_name,
@@ -180,7 +180,7 @@
         wait_ms = refusal.retry_after_ms or own_ms
     logger.info(
         "event=refuse request=%s route=%s status=%d reason=%s not_run=%s retry_after_ms=%s "
-        "waited_ms=%d config=%d endpoints_rev=%d",
+        "waited_ms=%d config=%d endpoints_rev=%s",
         job.request.request_id,
         job.route.name,
         refusal.status,
--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -21,6 +21,7 @@
     SourceFailure,
     StoredObject,
 )
+from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.forwarding.tuning import (
     PROBE_PAUSE_MS,
     TOLD_PROBE_PAUSE_MS,
@@ -56,6 +57,10 @@
         self.open = not answered
         self.next_probe_ms = now_ms + pause_ms
 
+    def abandon(self) -> None:
+        """Its caller gave up before there was an answer, which says nothing of the store."""
+        self.probing = False
+
 
 class GuardedSource:
     """A store behind a circuit: reads and the entry at the start; conditional writes go past it.
@@ -82,7 +87,7 @@
         return await self._guard(lambda: self._source.list_objects(kind, stale))
 
     async def watch(
-        self, kind: str, revision: int, wait_ms: int
+        self, kind: str, revision: StoreRevision, wait_ms: int
     ) -> Result[Listing, HistoryGone | SourceFailure]:
         """What changed since a revision."""
         return await self._guard(lambda: self._source.watch(kind, revision, wait_ms))
@@ -94,7 +99,7 @@
         return await self._guard(lambda: self._source.create(kind, name, content))
 
     async def replace(
-        self, kind: str, name: str, content: bytes, revision: int
+        self, kind: str, name: str, content: bytes, revision: StoreRevision
     ) -> Result[StoredObject, Conflict | SourceFailure]:
         """Write an object if it is still at that revision."""
         return await self._source.replace(kind, name, content, revision)
@@ -108,13 +113,16 @@
             with anyio.move_on_after(None if wait_ms is None else wait_ms / 1000):
                 await self._changed.wait()
         self._circuit.begin()
-        answered = False
+        answered: bool | None = None
         try:
             reply = await call()
             answered = not (isinstance(reply, Err) and isinstance(reply.err_value, SourceFailure))
             return reply
         finally:
-            self._circuit.end(answered, self._pause_ms(), self._now_ms())
+            if answered is None:
+                self._circuit.abandon()
+            else:
+                self._circuit.end(answered, self._pause_ms(), self._now_ms())
             self._changed.set()
             self._changed = anyio.Event()
 
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -11,11 +11,12 @@
 import attrs
 
 from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.turns import Turns, strong_nodes
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
-__all__ = ["NewsFeed", "NewsPace", "StoreNews"]
+__all__ = ["NewsFeed", "NewsPace", "ObjectNews", "StoreNews"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,26 +37,70 @@
 MOST_NEWS_BYTES = 65_536
 
 
+@attrs.frozen
+class ObjectNews:
+    """One object of the store as nodes tell each other; `content` is None where it was removed."""
+
+    name: str
+    revision: int
+    content: bytes | None
+
+
 @attrs.frozen
 class StoreNews:
     """Teller to the nodes of its zone: the store stood at `revision` a moment ago.
 
     `objects` changed since `since`, or are all there are (`whole`); None where they are too large
-    to send. Until `lapse_ms` from now entries may be missing that still hold.
+    to send. Until `lapse_ms` from now entries may be missing that still hold. All numbers are of
+    the same `epoch`, 0 from a node that knows none.
     """
 
     sender: str
     kind: str
     since: int
     revision: int
-    objects: tuple[StoredObject, ...] | None
+    objects: tuple[ObjectNews, ...] | None
     whole: bool = False
     lapse_ms: int = 0
+    epoch: int = 0
+
+    @classmethod
+    def from_listing(
+        cls, sender: str, kind: str, heard: Listing, since: StoreRevision | None, lapse_ms: int
+    ) -> "StoreNews":
+        """An answer of the store; `since` None tells that it is all there is."""
+        objects = tuple(
+            ObjectNews(item.name, item.revision.number, item.content) for item in heard.objects
+        )
+        return cls(
+            sender,
+            kind,
+            since.number if since else 0,
+            heard.revision.number,
+            objects,
+            whole=since is None,
+            lapse_ms=lapse_ms,
+            epoch=heard.revision.epoch,
+        )
+
+    @property
+    def at(self) -> StoreRevision:
+        """Where the store stood."""
+        return StoreRevision(self.epoch, self.revision)
+
+    @property
+    def after(self) -> StoreRevision:
+        """From where on the changes are complete."""
+        return StoreRevision(self.epoch, self.since)
 
     @property
     def listing(self) -> Listing:
         """The objects as the store lists them."""
-        return Listing(self.objects or (), self.revision)
+        objects = (
+            StoredObject(item.name, StoreRevision(self.epoch, item.revision), item.content)
+            for item in self.objects or ()
+        )
+        return Listing(tuple(objects), self.at)
 
 
 @attrs.frozen
@@ -76,9 +121,10 @@
 
     name = "store-news"
 
-    def __init__(self, turns: Turns, pace: NewsPace, now_ms: Callable[[], int]):
+    def __init__(self, turns: Turns, pace: NewsPace, epoch: StoreEpoch, now_ms: Callable[[], int]):
         self.turns = turns
         self.pace = pace
+        self._epoch = epoch
         self._nodes: Collection[str] = ()
         self._now_ms = now_ms
         self._kernel: Kernel | None = None
@@ -148,4 +194,5 @@
             return
         if self.turns.place(news.kind, news.sender) < self.turns.place(news.kind):
             self._heard_ahead_ms[news.kind] = self._now_ms()
+        self._epoch.observe(news.epoch)
         self._takers[news.kind](news)
--- /dev/null
+++ b/saffronworks/forwarding/store_revisions.py
@@ -0,0 +1,48 @@
+"""Revisions of the store, and the epochs of its history."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+__all__ = ["StoreEpoch", "StoreRevision"]
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen(order=True)
+class StoreRevision:
+    """A point in the store's history.
+
+    A restore from a copy begins the next epoch, in which numbers are issued again. Numbers are
+    comparable within one epoch only, so the epoch is compared first.
+    """
+
+    epoch: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.epoch}.{self.number}"
+
+
+class StoreEpoch:
+    """The newest epoch of the store that this node knows of, from answers or from peers."""
+
+    def __init__(self) -> None:
+        self.newest: int | None = None
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, on_restore: Callable[[], None]) -> None:
+        """Call `on_restore` whenever a later epoch is observed."""
+        self._subscribers.append(on_restore)
+
+    def observe(self, epoch: int) -> None:
+        """Update from an answer of the store or a peer's message; older epochs are ignored."""
+        if self.newest is not None and epoch <= self.newest:
+            return
+        before, self.newest = self.newest, epoch
+        logger.info("event=store_epoch_observed epoch=%d before=%s", epoch, before)
+        if before is None:
+            return
+        for on_restore in self._subscribers:
+            on_restore()
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -18,6 +18,7 @@
     Service,
     Split,
 )
+from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.platform.organisations import Tenant, check_tenants, decode_tenants
 
 __all__ = ["CONFIG_KIND", "CONFIG_NAME", "ConfigurationSink", "read_configuration"]
@@ -180,10 +181,10 @@
             if item.name == CONFIG_NAME and item.content is not None:
                 self._take(item.content, item.revision)
 
-    def _take(self, content: bytes, revision: int) -> None:
+    def _take(self, content: bytes, revision: StoreRevision) -> None:
         read = read_configuration(content)
         if isinstance(read, Err):
             for finding in read.err_value:
-                logger.error("event=config_unreadable revision=%d problem=%r", revision, finding)
+                logger.error("event=config_unreadable revision=%s problem=%r", revision, finding)
             return
         self._take_table(read.ok_value)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -36,6 +36,7 @@
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.forwarding.store_circuit import GuardedSource
 from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.turns import Turns
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
@@ -74,7 +75,8 @@
         self._settings_watch = SettingsWatch(settings_file, self._take_settings)
         self._tasks: TaskGroup | None = None
         self._stopping = anyio.Event()
-        self._store = PlatformStore(settings.store_address)
+        self._store_epoch = StoreEpoch()
+        self._store = PlatformStore(settings.store_address, self._store_epoch)
         rng = random.Random(f"{settings.node}/{wall_ms()}")
         self._directory = Directory()
         self._limits = EndpointLimits(
@@ -90,7 +92,10 @@
         self._turns = Turns(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
         self._news = NewsFeed(
-            Turns(settings.peer_address), NewsPace.within(settings.follow_within_ms), monotonic_ms
+            Turns(settings.peer_address),
+            NewsPace.within(settings.follow_within_ms),
+            self._store_epoch,
+            monotonic_ms,
         )
         self._guarded = GuardedSource(self._store, rng, monotonic_ms, self._told)
         self._kernel = Kernel(settings.node, monotonic_ms)
@@ -188,6 +193,7 @@
                 monotonic_ms,
                 settings.watch_wait_ms,
                 settings.known_within_ms,
+                self._store_epoch,
                 self._news,
             )
             for kind, sink in ((CONFIG_KIND, configuration), (SERVER_KIND, servers))
--- a/saffronworks/platform/servers.py
+++ b/saffronworks/platform/servers.py
@@ -13,6 +13,7 @@
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory, Heard, ServiceEndpoint
 from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.platform.server_entries import ServerEntry, read_entry
 
 __all__ = ["SERVER_KIND", "ServerSink", "read_server"]
@@ -46,7 +47,7 @@
 class _BadEntries:
     """The versions that were told already, by name, and how many more wait to be told."""
 
-    told: dict[str, int] = attrs.Factory(dict)
+    told: dict[str, StoreRevision] = attrs.Factory(dict)
     left_out: int = 0
     lines: int = 0
 
@@ -63,7 +64,7 @@
             return
         self.lines += 1
         logger.error(
-            "event=endpoint_unreadable endpoint=%s revision=%d findings=%d problem=%r",
+            "event=endpoint_unreadable endpoint=%s revision=%s findings=%d problem=%r",
             item.name,
             item.revision,
             len(findings),
@@ -106,7 +107,7 @@
     def apply(self, changes: Listing, lapse_until_ms: int) -> None:
         """Changes since the last listing."""
         self._take(changes.objects, self._now_ms(), lapse_until_ms)
-        self._directory.revision = max(self._directory.revision, changes.revision)
+        self._directory.revision = changes.revision
         if changes.objects:
             self._changed()
 
@@ -144,7 +145,7 @@
                 return
             case Heard.OVER:
                 logger.info(
-                    "event=endpoint_over endpoint=%s address=%s known=%s after_rev=%d",
+                    "event=endpoint_over endpoint=%s address=%s known=%s after_rev=%s",
                     endpoint.instance,
                     endpoint.address,
                     before.instance if before else None,
@@ -153,7 +154,7 @@
                 return
         logger.info(
             "event=endpoint endpoint=%s service=%s address=%s zone=%s role=%s draining=%s "
-            "heard=%s before=%s after_rev=%d",
+            "heard=%s before=%s after_rev=%s",
             endpoint.instance,
             endpoint.service,
             endpoint.address,
@@ -167,7 +168,7 @@
 
     def _log_gone(self, name: str, lapse_ms: int) -> None:
         logger.info(
-            "event=endpoint_gone endpoint=%s lapse_ms=%d after_rev=%d",
+            "event=endpoint_gone endpoint=%s lapse_ms=%d after_rev=%s",
             name,
             max(0, lapse_ms),
             self._directory.revision,
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.field_numbers import read_whole
+from saffronworks.field_numbers import read_whole, shorten
 from saffronworks.forwarding.ports import (
     Conflict,
     HistoryGone,
@@ -18,6 +18,7 @@
     SourceFailure,
     StoredObject,
 )
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 
 __all__ = ["PlatformStore"]
 
@@ -55,8 +56,9 @@
     metadata: _Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
-    def decode(self) -> StoredObject:
-        return StoredObject(self.metadata.name, self.metadata.revision, bytes(self.spec))
+    def decode(self, epoch: int) -> StoredObject:
+        revision = StoreRevision(epoch, self.metadata.revision)
+        return StoredObject(self.metadata.name, revision, bytes(self.spec))
 
 
 @attrs.frozen
@@ -71,8 +73,8 @@
     object: _Object
     removed: bool = False
 
-    def decode(self) -> StoredObject:
-        stored = self.object.decode()
+    def decode(self, epoch: int) -> StoredObject:
+        stored = self.object.decode(epoch)
         return attrs.evolve(stored, content=None) if self.removed else stored
 
 
@@ -86,14 +88,16 @@
 class _Reply:
     status: int
     content: bytes
+    epoch: int
 
 
 class PlatformStore:
     """Calls to the store. A reply that can't be read is a failure with its reason."""
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, epoch: StoreEpoch):
         self._address = address
-        self._epoch: int | None = None
+        self._epoch = epoch
+        self._malformed_epoch: bytes | None = None
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=8, keepalive_expiry=20, socket_options=_KEEP_ALIVE
         )
@@ -115,17 +119,20 @@
             page = _read(reply.ok_value, _Page)
             if isinstance(page, Err):
                 return page
-            objects += _decode_each(page.ok_value.items, _Object)
+            epoch = reply.ok_value.epoch
+            objects += _decode_each(page.ok_value.items, _Object, epoch)
+            if objects and objects[0].revision.epoch != epoch:
+                return Err(SourceFailure("restored between two pages"))
             if not page.ok_value.has_more or not objects:
-                return Ok(Listing(tuple(objects), page.ok_value.current_rev))
+                return Ok(Listing(tuple(objects), StoreRevision(epoch, page.ok_value.current_rev)))
             after = objects[-1].name
         return Err(SourceFailure("a listing without end"))
 
     async def watch(
-        self, kind: str, revision: int, wait_ms: int
+        self, kind: str, revision: StoreRevision, wait_ms: int
     ) -> Result[Listing, HistoryGone | SourceFailure]:
         """What changed since a revision; answers at the first change or after `wait_ms`."""
-        path = _path(kind, query=[f"watch={revision}", f"wait_ms={wait_ms}"])
+        path = _path(kind, query=[f"watch={revision.number}", f"wait_ms={wait_ms}"])
         reply = await self._call("GET", path, wait_ms / 1000 + ANSWER_TIMEOUT_S)
         if isinstance(reply, Err):
             return Err(reply.err_value)
@@ -134,8 +141,9 @@
         changes = _read(reply.ok_value, _Changes)
         if isinstance(changes, Err):
             return Err(changes.err_value)
-        events = _decode_each(changes.ok_value.events, _Event)
-        return Ok(Listing(tuple(events), changes.ok_value.current_rev))
+        epoch = reply.ok_value.epoch
+        events = _decode_each(changes.ok_value.events, _Event, epoch)
+        return Ok(Listing(tuple(events), StoreRevision(epoch, changes.ok_value.current_rev)))
 
     async def create(
         self, kind: str, name: str, content: bytes
@@ -145,10 +153,10 @@
         return _read_written(await self._call("POST", _path(kind), content=body))
 
     async def replace(
-        self, kind: str, name: str, content: bytes, revision: int
+        self, kind: str, name: str, content: bytes, revision: StoreRevision
     ) -> Result[StoredObject, Conflict | SourceFailure]:
         """Write an object if it is still at that revision."""
-        body = _encode(name, content, revision)
+        body = _encode(name, content, revision.number)
         return _read_written(await self._call("PUT", _path(kind, name), content=body))
 
     async def remove(self, kind: str, name: str) -> Result[None, SourceFailure]:
@@ -180,22 +188,20 @@
         except _BROKEN as error:
             cut = not isinstance(error, httpcore.TimeoutException)
             return Err(SourceFailure(type(error).__name__, applied=writes, cut=cut))
-        self._note_epoch(response.headers)
-        return Ok(_Reply(response.status, response.content))
-
-    def _note_epoch(self, headers: list[tuple[bytes, bytes]]) -> None:
-        epoch = _read_epoch(headers)
-        if epoch is None or epoch == self._epoch:
-            return
-        logger.info("event=store_epoch_observed epoch=%d before=%s", epoch, self._epoch)
-        self._epoch = epoch
-
-
-def _read_epoch(headers: list[tuple[bytes, bytes]]) -> int | None:
-    for name, value in headers:
-        if name.lower() == _EPOCH_FIELD:
-            return read_whole(value.decode("latin-1")).ok()
-    return None
+        return Ok(_Reply(response.status, response.content, self._read_epoch(response.headers)))
+
+    def _read_epoch(self, headers: list[tuple[bytes, bytes]]) -> int:
+        """The epoch of an answer; one that tells none is taken to be of the newest."""
+        values = [value for name, value in headers if name.lower() == _EPOCH_FIELD]
+        read = [read_whole(value.decode("latin-1")).ok() for value in values]
+        if values and None in read and self._malformed_epoch != values[0]:
+            self._malformed_epoch = values[0]
+            logger.error("event=store_epoch_malformed found=%r", shorten(repr(values)))
+        epochs = [epoch for epoch in read if epoch is not None]
+        if not epochs:
+            return self._epoch.newest or 0
+        self._epoch.observe(max(epochs))
+        return max(epochs)
 
 
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
@@ -225,13 +231,13 @@
 
 
 def _decode_each(
-    items: list[msgspec.Raw], kind: type[_Object] | type[_Event]
+    items: list[msgspec.Raw], kind: type[_Object] | type[_Event], epoch: int
 ) -> list[StoredObject]:
     """The objects of a page; one that can't be read is left out, and hides no other."""
     objects = []
     for item in items:
         try:
-            objects.append(msgspec.json.decode(item, type=kind).decode())
+            objects.append(msgspec.json.decode(item, type=kind).decode(epoch))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             logger.error(
                 "event=object_unreadable problem=%r start=%r", str(error), bytes(item)[:80]
@@ -248,7 +254,8 @@
     if status not in (200, 201, 409):
         return Err(_refused(reply.ok_value))
     try:
-        stored: StoredObject | None = msgspec.json.decode(content, type=_Object).decode()
+        found = msgspec.json.decode(content, type=_Object)
+        stored: StoredObject | None = found.decode(reply.ok_value.epoch)
     except msgspec.MsgspecError as error:
         if status != 409:
             return Err(SourceFailure(f"unreadable: {error}", applied=True))
--- a/saffronworks/tests/features/news.feature
+++ b/saffronworks/tests/features/news.feature
@@ -22,3 +22,9 @@
   Scenario: the strong nodes of a zone tell
     Then weak ones do so only where there are too few strong ones
     And nodes that have just counted each other do not all tell
+
+  # Guards against nodes that order what others tell by revisions of different epochs.
+  Scenario: the store is restored from an older copy
+    Then few nodes list it anew, and all know its changes in time, whatever their revisions
+    And news of an earlier epoch, or of a node that knows none, change nothing
+    And a watch that waits in an earlier epoch ends once any answer shows the later one
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -13,11 +13,13 @@
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform import servers
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
 from saffronworks.platform.store import PlatformStore
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.log_lines import LogLines
+from saffronworks.tests.revisions import at
 
 WALL_MS = 1_700_000_000_000
 
@@ -72,17 +74,19 @@
 
     def list(self, contents):
         self.revision += 1
-        objects = tuple(StoredObject(name, self.revision, raw) for name, raw in contents.items())
-        self._sink.replace_all(Listing(objects, self.revision), lapse_until_ms=9999)
+        objects = tuple(
+            StoredObject(name, at(self.revision), raw) for name, raw in contents.items()
+        )
+        self._sink.replace_all(Listing(objects, at(self.revision)), lapse_until_ms=9999)
 
     def change(self, name, content):
         self.revision += 1
-        item = StoredObject(name, self.revision, content)
-        self._sink.apply(Listing((item,), self.revision), lapse_until_ms=9999)
+        item = StoredObject(name, at(self.revision), content)
+        self._sink.apply(Listing((item,), at(self.revision)), lapse_until_ms=9999)
         return item
 
     def repeat(self, item):
-        self._sink.apply(Listing((item,), self.revision), lapse_until_ms=9999)
+        self._sink.apply(Listing((item,), at(self.revision)), lapse_until_ms=9999)
 
     def usable(self):
         return {endpoint.name for endpoint in self.directory.usable("s", 0)}
@@ -152,13 +156,13 @@
         fake = GarblingStore()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(fake.run)
-            store = PlatformStore(fake.address)
+            store = PlatformStore(fake.address, StoreEpoch())
             listing = (await store.list_objects("servers")).unwrap()
-            changes = (await store.watch("servers", 1, 100)).unwrap()
+            changes = (await store.watch("servers", at(1), 100)).unwrap()
             await store.close()
             tasks.cancel_scope.cancel()
         for heard in (listing, changes):
-            assert heard.objects[-1].name == "e0" and heard.revision == 5, heard
+            assert heard.objects[-1].name == "e0" and heard.revision.number == 5, heard
             assert [item.name for item in heard.objects] == ["x", "e0"], heard
 
     anyio.run(main)
@@ -176,10 +180,10 @@
         msgspec.json.encode(good | {"address": "10.0.0.9:1", "cores": 1e9}),
         b'{"address":"\xff"}',
     ]
-    objects = [StoredObject(f"n{index}", 7, raw) for index, raw in enumerate(contents)]
+    objects = [StoredObject(f"n{index}", at(7), raw) for index, raw in enumerate(contents)]
     store = Mock()
     store.create = AsyncMock(return_value=Ok(objects[0]))
-    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), 2)))
+    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), at(2))))
     counted = []
 
     async def main():
--- a/saffronworks/tests/features/steps/census_steps.py
+++ b/saffronworks/tests/features/steps/census_steps.py
@@ -10,6 +10,7 @@
 
 from saffronworks.forwarding.census import EXACT_COUNT_S, Census, CountedNode
 from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.tests.revisions import at
 
 # How long the scenario lets the node count.
 CENSUS_S = 0.2
@@ -21,10 +22,10 @@
         "a": {"address": "10.0.0.1:1", "cores": 2.0},
         "b": {"address": "10.0.0.2:1", "cores": 1.0},
     }
-    objects = [StoredObject(name, 1, msgspec.json.encode(e)) for name, e in entries.items()]
+    objects = [StoredObject(name, at(1), msgspec.json.encode(e)) for name, e in entries.items()]
     store = Mock()
     store.create = AsyncMock(return_value=Ok(objects[1]))
-    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), 2)))
+    store.list_objects = AsyncMock(return_value=Ok(Listing(tuple(objects), at(2))))
     context.counted = []
 
     async def main():
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -14,6 +14,7 @@
 from saffronworks.tests.endpoint_plays import (
     endpoints,
 )
+from saffronworks.tests.revisions import at
 
 
 @given("two of five engines read prompts")
@@ -35,7 +36,7 @@
     state = roles.RoleState("n", 3000, 300)
     command, at_ms = look_until(state, context.engines, 0, 10_000)
     assert command == roles.TakeDuty(None) and at_ms >= roles.EXCESS_MS
-    order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
+    order = roles.step(state, roles.DutyTaken(at(19), took_over=False), at_ms)
     assert order.role is Role.DECODE and order.fence == 19
     assert order.endpoint.role is Role.PREFILL
     roles.step(state, roles.Ordered(order.endpoint.instance, True), at_ms)
@@ -47,7 +48,7 @@
 def finds_taken(context):
     state = roles.RoleState("m", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
-    assert roles.step(state, roles.DutyHeldByOther(19), at_ms) is None
+    assert roles.step(state, roles.DutyHeldByOther(at(19)), at_ms) is None
     command, at_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
     assert command == roles.TakeDuty(None), "the object of a live holder is not taken over"
 
@@ -56,14 +57,14 @@
 def waits_out(context):
     state = roles.RoleState("m", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
-    roles.step(state, roles.DutyHeldByOther(19), at_ms)
+    roles.step(state, roles.DutyHeldByOther(at(19)), at_ms)
     free_ms = at_ms + roles.DUTY_FREE_MS
     command, at_ms = look_until(state, context.engines, free_ms, free_ms + 10_000)
-    assert command == roles.TakeDuty(19), command
-    assert roles.step(state, roles.DutyTaken(25, took_over=True), at_ms) is None
+    assert command == roles.TakeDuty(at(19)), command
+    assert roles.step(state, roles.DutyTaken(at(25), took_over=True), at_ms) is None
     command, later_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
     assert command == roles.TakeDuty(None) and later_ms - at_ms >= 3300
-    assert roles.step(state, roles.DutyTaken(31, took_over=False), later_ms).fence == 31
+    assert roles.step(state, roles.DutyTaken(at(31), took_over=False), later_ms).fence == 31
 
 
 @then("of two hundred nodes few ask for the duty, and the others when nobody takes it")
@@ -83,11 +84,11 @@
 def given_again(context):
     state = roles.RoleState("n", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
-    order = roles.step(state, roles.DutyTaken(19, took_over=False), at_ms)
+    order = roles.step(state, roles.DutyTaken(at(19), took_over=False), at_ms)
     roles.step(state, roles.Ordered(order.endpoint.instance, None), at_ms)
     command, again_ms = look_until(state, context.engines, at_ms, at_ms + 10_000)
     assert isinstance(command, roles.TakeDuty) and again_ms - at_ms >= roles.ORDER_AGAIN_MS
-    again = roles.step(state, roles.DutyTaken(23, took_over=False), again_ms)
+    again = roles.step(state, roles.DutyTaken(at(23), took_over=False), again_ms)
     assert again.endpoint == order.endpoint and again.role is order.role and again.fence == 23
 
 
@@ -98,7 +99,7 @@
     while now_ms < 6000:
         command, now_ms = look_until(state, engines, now_ms, now_ms + 500)
         if command is not None:
-            order = roles.step(state, roles.DutyTaken(now_ms + 1, took_over=False), now_ms)
+            order = roles.step(state, roles.DutyTaken(at(now_ms + 1), took_over=False), now_ms)
             roles.step(state, roles.Ordered(order.endpoint.instance, True), now_ms)
             ordered.append(order.endpoint.instance)
         now_ms += 500
@@ -116,7 +117,7 @@
     state = roles.RoleState("n", 3000, 300)
     command, at_ms = look_until(state, context.engines, 0, 10_000)
     assert isinstance(command, roles.TakeDuty) and at_ms < 3000, at_ms
-    order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
+    order = roles.step(state, roles.DutyTaken(at(5), took_over=False), at_ms)
     assert order.role is Role.PREFILL
     alone, _ = look_until(roles.RoleState("n", 3000, 300), context.engines[:2], 0, 10_000)
     assert alone is None
@@ -136,7 +137,7 @@
         )
         command, at_ms = look_until(state, engines, 500, 10_000)
         assert isinstance(command, roles.TakeDuty) and at_ms < 3000, (engines, at_ms)
-        order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
+        order = roles.step(state, roles.DutyTaken(at(5), took_over=False), at_ms)
         assert order.role is Role.DECODE and order.endpoint in engines, order
 
 
@@ -158,7 +159,7 @@
 def over_when_left(context):
     state = roles.RoleState("n", 3000, 300)
     _, at_ms = look_until(state, context.engines, 0, 10_000)
-    order = roles.step(state, roles.DutyTaken(5, took_over=False), at_ms)
+    order = roles.step(state, roles.DutyTaken(at(5), took_over=False), at_ms)
     roles.step(state, roles.Ordered(order.endpoint.instance, True), at_ms)
     rest = [e for e in context.engines if e != order.endpoint]
     command, _ = look_until(state, rest, at_ms, at_ms + 5000)
@@ -175,7 +176,7 @@
 
     async def create(self, kind, name, content):
         self.asked += 1
-        return Ok(StoredObject(name, 19, content))
+        return Ok(StoredObject(name, at(19), content))
 
     def clock(self):
         frozen_ms = roles.CONFIRMED_MS + 1 if self.asked else 0
@@ -192,7 +193,7 @@
     world = context.world = SlowDuty()
     directory = Directory()
     engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
-    directory.replace(engines, 1, now_ms=0)
+    directory.replace(engines, at(1), now_ms=0)
     spec = EngineSpec(64, 90_000, 64, 2000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     state = roles.RoleState("n", 3000, 300, unbalanced_since_ms=-roles.EXCESS_MS)
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -54,6 +54,7 @@
 )
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.revisions import at
 
 NO_LIMIT = AdvertisedLimit(None, 0)
 DRAINS = Advertisement(NO_LIMIT, draining=True)
@@ -82,18 +83,18 @@
         directory = Directory()
         eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
         endpoint = listed_one(born_ms=5)
-        directory.replace([endpoint], 1, 0)
+        directory.replace([endpoint], at(1), 0)
         eligibility.observe(endpoint, DRAINS)
         for step in later:
             match step:
                 case "list":
-                    directory.replace([endpoint], 2, now_ms[0])
+                    directory.replace([endpoint], at(2), now_ms[0])
                 case "unlist":
                     directory.remove("e0", now_ms[0])
                 case "lapse":
                     directory.remove("e0", now_ms[0], now_ms[0] + 3000)
                 case "empty":
-                    directory.replace([], 2, now_ms[0])
+                    directory.replace([], at(2), now_ms[0])
                 case "answer":
                     eligibility.observe(endpoint, SAYS_NOTHING)
                 case "wait":
@@ -103,7 +104,7 @@
         late = now_ms[0] + DRAIN_MS + 1
         assert not eligibility.usable("s", late) and eligibility.find_block(endpoint, late)
         later_start = listed_one(born_ms=6)
-        directory.replace([later_start], 3, now_ms[0])
+        directory.replace([later_start], at(3), now_ms[0])
         assert directory.usable("s", now_ms[0]) == [later_start]
         assert eligibility.find_block(later_start, late) is None
 
@@ -115,10 +116,10 @@
 def other_name(context):
     directory = Directory()
     eligibility = eligibility_of_one_node(directory)
-    directory.replace([listed_one()], 1, 0)
+    directory.replace([listed_one()], at(1), 0)
     eligibility.observe(listed_one(), DRAINS)
     other = listed_one(name="e1")
-    directory.replace([other], 2, 0)
+    directory.replace([other], at(2), 0)
     assert directory.usable("s", 10) == [other] and eligibility.find_block(other, 10_000) is None
 
 
@@ -138,7 +139,7 @@
         assert not leaving(odd).draining and leaving(odd).malformed, odd
     assert leaving("true", "1").draining
     directory = Directory()
-    directory.replace([listed_one()], 1, 0)
+    directory.replace([listed_one()], at(1), 0)
     eligibility = eligibility_of_one_node(directory)
     with LogLines("saffronworks.forwarding.eligibility.service") as lines:
         for _ in range(3):
@@ -204,7 +205,7 @@
     server = FakeServer("e0", "s")
     endpoint = ServiceEndpoint("e0", "s", server.address, "z")
     directory = Directory()
-    directory.replace([endpoint], 1, 0)
+    directory.replace([endpoint], at(1), 0)
     eligibility = eligibility_of_one_node(directory, now_ms=lambda: -DRAIN_MS - 1)
     calls = PlatformCalls(eligibility)
 
@@ -354,7 +355,7 @@
 def reserved_follows(context):
     now_ms = [0]
     directory = Directory()
-    directory.replace([listed_one()], 1, 0)
+    directory.replace([listed_one()], at(1), 0)
     eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
     eligibility.observe(listed_one(), pause("3"))
     paused = Block(BlockReason.PAUSED, 3000)
--- a/saffronworks/tests/features/steps/followers_steps.py
+++ b/saffronworks/tests/features/steps/followers_steps.py
@@ -13,6 +13,7 @@
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.ports import Listing, SourceFailure, StoredObject
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import (
     LAPSE_AFTER_MS,
     LAPSED_GRACE_MS,
@@ -21,6 +22,7 @@
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import ANSWER_TIMEOUT_S
 from saffronworks.tests.platform_fakes import FakeServer, settings_text
+from saffronworks.tests.revisions import at
 
 WAIT_MS = 1000
 # As the users' small sites have it: in touch after 3 s, and bound 2 s later.
@@ -41,7 +43,7 @@
         self.lapse_until_ms.append(lapse_until_ms)
 
     def apply(self, changes, lapse_until_ms):
-        self.revisions.append(changes.revision)
+        self.revisions.append(changes.revision.number)
 
 
 class ChangingSource:
@@ -60,15 +62,16 @@
             await anyio.sleep(gap_s)
 
     async def list_objects(self, kind, stale=False):
-        return Ok(Listing((), self.revision))
+        return Ok(Listing((), at(self.revision)))
 
     async def watch(self, kind, revision, wait_ms):
         self.watches += 1
         with anyio.move_on_after(wait_ms / 1000):
-            while self.revision == revision:
+            while self.revision == revision.number:
                 await self.changed.wait()
-        changes = tuple(StoredObject("n", r, b"") for r in range(revision, self.revision))
-        return Ok(Listing(changes, self.revision))
+        revisions = range(revision.number, self.revision)
+        changes = tuple(StoredObject("n", at(number), b"") for number in revisions)
+        return Ok(Listing(changes, at(self.revision)))
 
 
 @when("a follower hears thirty changes within half a second")
@@ -84,6 +87,7 @@
             monotonic_ms,
             WAIT_MS,
             KNOWN_WITHIN_MS,
+            StoreEpoch(),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
@@ -123,7 +127,7 @@
             self.now_ms += 1000
             return Err(self._failure)
         entry = json.dumps(FakeServer("e0", "s").entry()).encode()
-        return Ok(Listing(() if self._failed else (StoredObject("e0", 1, entry),), 1))
+        return Ok(Listing(() if self._failed else (StoredObject("e0", at(1), entry),), at(1)))
 
     async def watch(self, kind, revision, wait_ms):
         if self._failed:
@@ -143,7 +147,7 @@
     async def main():
         sink = ServerSink(directory, clock, wall_ms, lambda: None, Mock())
         follower = Follower(
-            "servers", source, sink, random.Random(1), clock, WAIT_MS, KNOWN_WITHIN_MS
+            "servers", source, sink, random.Random(1), clock, WAIT_MS, KNOWN_WITHIN_MS, StoreEpoch()
         )
         with anyio.move_on_after(0.15):
             await follower.run()
--- a/saffronworks/tests/features/steps/forwarding_steps.py
+++ b/saffronworks/tests/features/steps/forwarding_steps.py
@@ -30,6 +30,7 @@
     route,
     wide_budget,
 )
+from saffronworks.tests.revisions import at
 
 
 @given("a routing table with nested prefixes and a split of nine to one")
@@ -198,12 +199,12 @@
 def listed(context):
     context.directory = Directory()
     context.two = endpoints(2)
-    context.directory.replace(context.two, 5, now_ms=0)
+    context.directory.replace(context.two, at(5), now_ms=0)
 
 
 @then("an entry missing right after it stays usable for two seconds")
 def stays_usable(context):
-    context.directory.replace(context.two[:1], 9, now_ms=100, lapse_until_ms=2100)
+    context.directory.replace(context.two[:1], at(9), now_ms=100, lapse_until_ms=2100)
     assert may_use(context.directory, "e1", 2099)
     assert not may_use(context.directory, "e1", 2100)
 
@@ -211,7 +212,7 @@
 @then("one that was draining, or that goes at another time, is gone at once")
 def gone_at_once(context):
     directory = context.directory
-    directory.replace(context.two, 11, now_ms=5000)
+    directory.replace(context.two, at(11), now_ms=5000)
     directory.remove("e1", now_ms=5000)
     assert not may_use(directory, "e1", 5000)
     leaving = ServiceEndpoint("e0", "s", "127.0.0.1:0", "z", draining=True)
@@ -224,10 +225,10 @@
 @then("one whose address another endpoint has stays gone, whatever the store still says")
 def stays_gone(context):
     directory, lost = Directory(), endpoints(1)[0]
-    directory.replace([lost], 1, now_ms=0)
+    directory.replace([lost], at(1), now_ms=0)
     directory.note_replaced("e0")
     directory.put(lost)
-    directory.replace([lost], 2, now_ms=10)
+    directory.replace([lost], at(2), now_ms=10)
     assert not may_use(directory, "e0", 20)
 
 
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -25,6 +25,7 @@
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
 from saffronworks.standins.addresses import free_address
+from saffronworks.tests.revisions import at
 from saffronworks.wire import Codec
 
 
@@ -46,7 +47,7 @@
         ServiceEndpoint(f"p{index}", "s", "127.0.0.1:2", "z", role=Role.PREFILL)
         for index in range(MANY_READERS)
     ]
-    directory.replace([decoder, *readers], 1, now_ms=0)
+    directory.replace([decoder, *readers], at(1), now_ms=0)
     spec = EngineSpec(64, CAPACITY, 64, 2000)
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     kernel, peers = Kernel(address, monotonic_ms), PeerService(address, Codec(messages))
--- a/saffronworks/tests/features/steps/news_steps.py
+++ b/saffronworks/tests/features/steps/news_steps.py
@@ -12,9 +12,12 @@
     TELLERS,
     NewsFeed,
     NewsPace,
+    ObjectNews,
     StoreNews,
 )
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.turns import Turns
+from saffronworks.tests.revisions import at
 from saffronworks.tests.zone_plays import FOLLOW_WITHIN_MS, KIND, play_zone
 
 MANY = 40
@@ -108,8 +111,12 @@
     play_zone(MANY, play)
 
 
+def make_feed(own, now_ms):
+    return NewsFeed(Turns(own), NewsPace.within(FOLLOW_WITHIN_MS), StoreEpoch(), now_ms)
+
+
 def news(node, since, revision, **changes):
-    values = {"objects": (StoredObject("e1", revision, b"told"),)}
+    values = {"objects": (ObjectNews("e1", revision, b"told"),), "epoch": 1}
     return StoreNews("10.0.0.99:1", KIND, since, revision, **(values | changes))
 
 
@@ -123,7 +130,7 @@
         node.follower.take_news(news(node, 1, 3))
         node.follower.take_news(news(node, 0, 3, whole=True))
         assert node.known["e1"] == b"4" and node.revisions == sorted(node.revisions)
-        store.events.append(StoredObject("e2", store.revision + 1, b"2"))
+        store.events.append(StoredObject("e2", at(store.revision + 1), b"2"))
         store.revision += 2
         node.follower.take_news(news(node, store.revision - 1, store.revision))
         assert node.known["e1"] == b"4", "news with a gap were taken"
@@ -161,7 +168,7 @@
 def late_answer(context):
     posted = []
     pace = NewsPace.within(FOLLOW_WITHIN_MS)
-    feed = NewsFeed(Turns("a"), pace, lambda: 0)
+    feed = NewsFeed(Turns("a"), pace, StoreEpoch(), lambda: 0)
     feed.subscribe(KIND, lambda news: None)
     feed.take_zone({"a": 2.0} | {f"n{index}": 1.0 for index in range(LEAST_NODES)})
     feed.turns.take(["a"])
@@ -198,7 +205,8 @@
         # It goes on to watch, and loses that again; what news do shows where they are taken.
         follower = node.follower
         follower._lists_next = True
-        follower.take_news(news(node, follower._revision, follower._revision))
+        known = follower._revision.number
+        follower.take_news(news(node, known, known))
         assert follower._lists_next is False, "news are as whole as a listing"
 
     play_zone(MANY, play)
@@ -211,7 +219,7 @@
         cores = weak | {f"s{index}": 2.1 for index in range(strong)}
         tellers = []
         for own in cores:
-            feed = NewsFeed(Turns(own), NewsPace.within(FOLLOW_WITHIN_MS), lambda: 0)
+            feed = make_feed(own, lambda: 0)
             feed.subscribe(KIND, lambda news: None)
             feed.take_zone(cores)
             if feed.turns.place(KIND) < TELLERS:
@@ -225,7 +233,7 @@
     cores = {f"w{index}": 0.5 for index in range(MANY)} | {f"s{index}": 2.1 for index in range(3)}
     feeds = []
     for own in cores:
-        feed = NewsFeed(Turns(own), NewsPace.within(FOLLOW_WITHIN_MS), lambda: now_ms)
+        feed = make_feed(own, lambda: now_ms)
         feed.subscribe(KIND, lambda news: None)
         feeds.append(feed)
     # The count comes long after the start; then nobody is heard for a while.
@@ -237,3 +245,60 @@
     assert sum(feed.tells(KIND) for feed in feeds) < 2 * TELLERS
     now_ms += NEXT_TELLERS_MS
     assert sum(feed.tells(KIND) for feed in feeds) <= 3 * TELLERS
+
+
+async def restore_after(store, writes):
+    """Lose so many writes of objects, which all nodes knew."""
+    copy = dict(store.objects), store.revision
+    for number in range(writes):
+        store.change(f"lost{number}", b"x")
+    # Until only tellers watch again: after changes they pause for nearly as long as others wait.
+    await anyio.sleep(1.2)
+    store.restore(copy)
+
+
+@then("few nodes list it anew, and all know its changes in time, whatever their revisions")
+def few_list_anew(context):
+    # The watches of tellers within the time in which a change is followed, and a listing for each.
+    pace = NewsPace.within(FOLLOW_WITHIN_MS)
+    max_calls = TELLERS * 2 * (1 + FOLLOW_WITHIN_MS // pace.watch_wait_ms)
+
+    async def play(store, nodes, writes_after):
+        await restore_after(store, writes=5)
+        calls_before = store.calls
+        for number in range(writes_after):
+            store.change(f"new{number}", b"y")
+        store.change("e1", b"restored")
+        await know(nodes, "e1", b"restored")
+        assert not any("lost0" in node.known for node in nodes), "objects of the lost epoch"
+        assert store.calls - calls_before <= max_calls, store.calls - calls_before
+
+    for writes_after in (0, 4, 9):
+        play_zone(MANY, lambda store, nodes, n=writes_after: play(store, nodes, n))
+
+
+@then("news of an earlier epoch, or of a node that knows none, change nothing")
+def earlier_epoch(context):
+    async def play(store, nodes):
+        await restore_after(store, writes=5)
+        store.change("e1", b"restored")
+        await know(nodes, "e1", b"restored")
+        node = next(node for node in nodes if not node.tells())
+        known = dict(node.known)
+        for epoch in (0, 1):
+            node.follower.take_news(news(node, 0, 99, whole=True, epoch=epoch))
+            node.follower.take_news(news(node, 1, 99, epoch=epoch))
+        assert node.known == known and node.follower._revision == store.at()
+
+    play_zone(MANY, play)
+
+
+@then("a watch that waits in an earlier epoch ends once any answer shows the later one")
+def waiting_watch(context):
+    async def play(store, nodes):
+        await restore_after(store, writes=5)
+        store.objects["e1"] = StoredObject("e1", at(1, epoch=2), b"restored")
+        nodes[0].epoch.observe(store.epoch)
+        await know(nodes[:1], "e1", b"restored", within_ms=200)
+
+    play_zone(LEAST_NODES - 1, play)
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -29,6 +29,7 @@
     route,
     wide_budget,
 )
+from saffronworks.tests.revisions import at
 
 PROMPT = PromptSize(3000, 700, 600)
 
@@ -38,7 +39,7 @@
     (decoder,) = endpoints(1, Role.DECODE, "d")
     (reader,) = endpoints(1, Role.PREFILL, "p")
     directory = Directory()
-    directory.replace([decoder, reader], 1, now_ms=0)
+    directory.replace([decoder, reader], at(1), now_ms=0)
     memory = Mock(own_address="n")
     memory.ask = AsyncMock(side_effect=lambda ask: (told.append("ask"), grants.pop(0))[1])
     memory.begin = lambda *_: told.append("begin")
--- a/saffronworks/tests/features/steps/platform_input_steps.py
+++ b/saffronworks/tests/features/steps/platform_input_steps.py
@@ -6,12 +6,14 @@
 from result import Err, Ok
 
 from saffronworks.forwarding.ports import Conflict, HistoryGone, SourceFailure
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.settings import read_platform_settings
 from saffronworks.platform.store import PlatformStore
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.platform_fakes import settings_text
 from saffronworks.tests.platform_place import make_route, on_platform, web_servers
+from saffronworks.tests.revisions import at
 
 
 @then("a good settings file is read, and a field that is new does not matter")
@@ -52,7 +54,7 @@
         store = FakeStore()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(store.run)
-            client = PlatformStore(store.address)
+            client = PlatformStore(store.address, StoreEpoch())
             await play(store, client)
             await client.close()
             tasks.cancel_scope.cancel()
@@ -72,7 +74,7 @@
         changes = (await client.watch("kind", listing.revision, 500)).ok_value
         assert [(item.name, item.content) for item in changes.objects] == [("n3", None)]
         nothing = (await client.watch("kind", changes.revision, 50)).ok_value
-        assert nothing.objects == () and nothing.revision == store.revision
+        assert nothing.objects == () and nothing.revision == at(store.revision)
 
     with_store(play)
 
@@ -83,10 +85,12 @@
         written = (await client.create("kind", "a", b'{"n":1}')).ok_value
         taken = (await client.create("kind", "a", b'{"n":2}')).err_value
         assert isinstance(taken, Conflict) and taken.found.revision == written.revision
-        stale = (await client.replace("kind", "a", b"{}", written.revision - 1)).err_value
+        stale = (
+            await client.replace("kind", "a", b"{}", at(written.revision.number - 1))
+        ).err_value
         assert isinstance(stale, Conflict), stale
         store.forget_history()
-        assert (await client.watch("kind", 1, 50)).err_value == HistoryGone()
+        assert (await client.watch("kind", at(1), 50)).err_value == HistoryGone()
         store.fault = "lost"
         lost = (await client.replace("kind", "a", b"{}", written.revision)).err_value
         assert isinstance(lost, SourceFailure) and lost.applied, lost
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -15,6 +15,7 @@
 from saffronworks.tests.crashing_servers import DEADLY, Arrivals, CrashingServer
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import engines, on_platform
+from saffronworks.tests.revisions import at
 
 # Within which all nodes have to know what a content did (`contact_ms`).
 CONTACT_S = 3.0
@@ -226,9 +227,9 @@
 @then("a record that can't be read is told and quarantines nothing")
 def odd_records(context):
     odd = (b"", b"\xff", b"[]", b"null", b'{"ended": 3}', b'{"ended": [1]}', b"{}", None)
-    objects = tuple(StoredObject(f"c{number}", 1, data) for number, data in enumerate(odd))
-    good = StoredObject("good", 1, b'{"ended": ["e2@5", "e1@4", "e3"], "new": 1}')
-    store = Mock(list_objects=AsyncMock(return_value=Ok(Listing((*objects, good), 1))))
+    objects = tuple(StoredObject(f"c{number}", at(1), data) for number, data in enumerate(odd))
+    good = StoredObject("good", at(1), b'{"ended": ["e2@5", "e1@4", "e3"], "new": 1}')
+    store = Mock(list_objects=AsyncMock(return_value=Ok(Listing((*objects, good), at(1)))))
     read = anyio.run(QuarantineRecords(store).list_all)
     assert [(found.content, found.ended) for found in read] == [("good", ("e1@4", "e2@5", "e3"))]
 
--- a/saffronworks/tests/features/steps/starts_steps.py
+++ b/saffronworks/tests/features/steps/starts_steps.py
@@ -22,6 +22,7 @@
 from saffronworks.forwarding.role_core import Look, OpenOrder, Ordered, RoleState, step
 from saffronworks.forwarding.starts import StartId, is_later, start_id
 from saffronworks.kernel import Kernel
+from saffronworks.tests.revisions import at
 
 
 def start(name="e0", born_ms=None, address="127.0.0.1:1", **changes):
@@ -34,7 +35,7 @@
 
 def knows(*endpoints):
     directory = Directory()
-    directory.replace(list(endpoints), 1, now_ms=0)
+    directory.replace(list(endpoints), at(1), now_ms=0)
     return directory
 
 
@@ -76,7 +77,7 @@
     directory = knows(early)
     directory.put(late)
     assert directory.put(early) is Heard.OVER
-    directory.replace([early], 2, now_ms=10)
+    directory.replace([early], at(2), now_ms=10)
     assert usable(directory) == {"e0@9"}
     directory.remove("e0", now_ms=20)
     assert directory.put(early) is Heard.OVER and not usable(directory)
@@ -156,7 +157,7 @@
         case "list", listed:
             for endpoint in listed:
                 model.hear(endpoint)
-            directory.replace(listed, 1, now_ms)
+            directory.replace(listed, at(1), now_ms)
 
 
 class Connection:
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -12,6 +12,7 @@
     PROBE_PAUSE_MS,
     TOLD_PROBE_PAUSE_MS,
 )
+from saffronworks.tests.revisions import at
 
 CALLERS, AGAIN_MS = 5, 500
 AWAY_MS, UNTIL_MS, STEP_MS = 10_000, 14_000, 10
@@ -102,7 +103,7 @@
 @then("callers of a store that answers never wait for each other")
 def never_wait(context):
     async def main():
-        store = GivenStore(Ok(Listing((), 1)))
+        store = GivenStore(Ok(Listing((), at(1))))
         source = guarded(store)
         async with anyio.create_task_group() as tasks:
             for _ in range(CALLERS):
@@ -130,7 +131,9 @@
                 source._circuit.next_probe_ms = 0
                 tasks.start_soon(source.list_objects, "servers")
                 await anyio.wait_all_tasks_blocked()
-                assert store.asking == 1 and isinstance(await source.replace("d", "n", b"", 1), Err)
+                assert store.asking == 1 and isinstance(
+                    await source.replace("d", "n", b"", at(1)), Err
+                )
                 store.may_answer.set()
 
     anyio.run(main)
--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -3,7 +3,11 @@
 import anyio
 from behave import given, then, when
 
+from saffronworks.forwarding.store_revisions import StoreEpoch
+from saffronworks.platform.store import PlatformStore
 from saffronworks.standins.sites import wait_until
+from saffronworks.tests.fake_store import FakeStore
+from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
 
 # Changes within which a node has to be in force, and what is added for a busy machine.
@@ -108,3 +112,25 @@
         return known is not None and known.draining
 
     on_platform(context.servers_used, play, count=2)
+
+
+@then("they are taken to be of the newest epoch known, and each odd value is logged once")
+def odd_epochs(context):
+    async def main():
+        store, epoch = FakeStore(), StoreEpoch()
+        store.era = 3
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(store.run)
+            client = PlatformStore(store.address, epoch)
+            assert (await client.list_objects("k")).ok_value.revision.epoch == 3
+            for odd in (None, "", "x", "-4", "4.0", "9" * 5000, "\u00b2"):
+                store.era = odd
+                for _ in range(2):
+                    assert (await client.list_objects("k")).ok_value.revision.epoch == 3, odd
+            await client.close()
+            tasks.cancel_scope.cancel()
+
+    with LogLines("saffronworks.platform.store") as lines:
+        anyio.run(main)
+    malformed = [line for line in lines if "event=store_epoch_malformed" in line]
+    assert len(malformed) == 6, malformed
--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -18,3 +18,6 @@
     Given two nodes that know more revisions than a copy of the store has
     When the store is restored from a copy in which a draining endpoint is ready
     Then no request reaches that endpoint
+
+  Scenario: answers of the store whose epoch can't be read
+    Then they are taken to be of the newest epoch known, and each odd value is logged once
--- a/saffronworks/tests/zone_plays.py
+++ b/saffronworks/tests/zone_plays.py
@@ -7,10 +7,12 @@
 
 from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.followers import Follower
-from saffronworks.forwarding.ports import Listing, SourceFailure, StoredObject
+from saffronworks.forwarding.ports import HistoryGone, Listing, SourceFailure, StoredObject
 from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.turns import Turns
 from saffronworks.kernel import Kernel
+from saffronworks.tests.revisions import at
 
 __all__ = ["FOLLOW_WITHIN_MS", "KIND", "ZoneNode", "ZoneStore", "play_zone"]
 
@@ -23,27 +25,37 @@
     """A store of one kind, whose calls are counted and whose changes wake the watches."""
 
     def __init__(self):
-        self.revision, self.calls = 1, 0
-        self.objects = {"e0": StoredObject("e0", 1, b"0")}
+        self.revision, self.epoch, self.calls = 1, 1, 0
+        self.objects = {"e0": StoredObject("e0", at(1), b"0")}
         self.events = []
         self._changed = anyio.Event()
 
     def change(self, name, content):
         self.revision += 1
-        item = StoredObject(name, self.revision, content)
+        item = StoredObject(name, self.at(), content)
         self.objects[name] = item
         self.events.append(item)
         self._changed.set()
         self._changed = anyio.Event()
 
+    def restore(self, copy):
+        """Back to a copy, of the objects and the revision then; revisions are issued again."""
+        self.objects, self.revision = dict(copy[0]), copy[1]
+        self.events.clear()
+        self.epoch += 1
+
+    def at(self):
+        return at(self.revision, self.epoch)
+
     def listing(self):
-        return Listing(tuple(self.objects.values()), self.revision)
+        return Listing(tuple(self.objects.values()), self.at())
 
     async def since(self, revision, wait_ms):
         with anyio.move_on_after(wait_ms / 1000):
-            while self.revision <= revision:
+            while self.revision <= revision.number:
                 await self._changed.wait()
-        return Listing(tuple(e for e in self.events if e.revision > revision), self.revision)
+        changes = tuple(e for e in self.events if e.revision.number > revision.number)
+        return Listing(changes, self.at())
 
 
 class ZoneNode:
@@ -56,11 +68,14 @@
         self.known, self.revisions = {}, []
         self.kernel = Kernel(self.address, monotonic_ms)
         pace = NewsPace.within(FOLLOW_WITHIN_MS)
-        self.feed = NewsFeed(Turns(self.address), pace, monotonic_ms)
+        self.epoch = StoreEpoch()
+        self.feed = NewsFeed(Turns(self.address), pace, self.epoch, monotonic_ms)
         self.kernel.register(self.feed, StoreNews)
         self.kernel.post = self.post
         rng = random.Random(number)
-        self.follower = Follower(KIND, self, self, rng, monotonic_ms, 5000, 9000, self.feed)
+        self.follower = Follower(
+            KIND, self, self, rng, monotonic_ms, 5000, 9000, self.epoch, self.feed
+        )
 
     # The network between nodes.
 
@@ -88,7 +103,10 @@
             return Err(SourceFailure("ConnectTimeout"))
         self.store.calls += 1
         if revision is None:
+            self.epoch.observe(self.store.epoch)
             return Ok(self.store.listing())
+        if revision.number > self.store.revision:
+            return Err(HistoryGone())
         heard = await self.store.since(revision, wait_ms)
         if self.cut:
             return Err(SourceFailure("ReadError", cut=True))
