Keep drains and removals against a restored copy of the store

Callers saw, after a restore: requests sent to an endpoint that had drained, or whose entry had gone, before it. The copy lists it as it was earlier, and the directory took each listing at its word.

An entry's revision tells an older write from a later one: at a number up to the one known, in a later epoch, it may be the copy's. Such an entry does not end a drain, and one that had gone is withheld until its endpoint has written it again, six seconds at most, after which the store has dropped entries that nobody writes. Within one epoch the store's order counts as before.

--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -6,6 +6,7 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.eligibility.table import AdvertisedTable
+from saffronworks.forwarding.removed_entries import RemovedEntries
 from saffronworks.forwarding.starts import StartId, is_later, start_id
 from saffronworks.forwarding.store_revisions import StoreRevision
 
@@ -14,6 +15,9 @@
 # How long a start that is over is remembered, so that it does not come back by a stale listing or a
 # watch that was rewound: the store's answers may be seconds old, its history spans 20 s.
 REMEMBER_START_MS = 60_000
+# How long an entry that only a restored copy has is left unused: the store drops entries that their
+# endpoints do not write after three heartbeats, and all others are written within two seconds.
+WITHHOLD_RESTORED_MS = 6000
 
 
 @attrs.frozen
@@ -46,6 +50,8 @@
     RESTARTED = "restarted"
     # An earlier start than the one known, or one at whose address another endpoint answered.
     OVER = "over"
+    # An entry that had gone, from the copy that the store was restored from.
+    WITHHELD = "withheld"
 
 
 @attrs.define
@@ -72,6 +78,7 @@
     the latest start alone is kept. Where two names have one address, the endpoint's own answer
     settles which of them it has (`note_replaced`): a time in an entry may come from anyone.
     An endpoint that advertises that it drains does, whatever its entry says: the store may be away.
+    A restored copy of the store takes back neither drains nor removals.
     """
 
     revision: StoreRevision = StoreRevision(0, 0)
@@ -80,6 +87,9 @@
     _usable_until_ms: dict[StartId, int] = attrs.Factory(dict)
     _by_name: dict[str, StartId] = attrs.Factory(dict)
     _past: dict[str, _Past] = attrs.Factory(dict)
+    _revisions: dict[str, StoreRevision] = attrs.Factory(dict)
+    _removed: RemovedEntries = attrs.Factory(RemovedEntries)
+    _withheld: dict[str, tuple[ServiceEndpoint, int]] = attrs.Factory(dict)
     _ended: list[StartId] = attrs.Factory(list)
 
     def replace(
@@ -100,11 +110,28 @@
     ) -> list[str]:
         """Remove all but those that a whole listing has; returns the names that went."""
         self.revision = revision
+        self._withheld = {name: held for name, held in self._withheld.items() if name in names}
         missing = [name for name in self._by_name if name not in names]
         for name in missing:
             self.remove(name, now_ms, lapse_until_ms)
         return missing
 
+    def put_listed(self, endpoint: ServiceEndpoint, revision: StoreRevision, now_ms: int) -> Heard:
+        """Take an entry of the store, which wrote it at that revision."""
+        name = endpoint.name
+        known, last = self.named(name), self._revisions.get(name)
+        if known is None and self._removed.is_restored(name, revision, now_ms):
+            if self._removed.was_draining(name):
+                endpoint = attrs.evolve(endpoint, draining=True)
+            self._withheld.setdefault(name, (endpoint, now_ms + WITHHOLD_RESTORED_MS))
+            return Heard.WITHHELD
+        self._withheld.pop(name, None)
+        same_start = known is not None and not is_later(endpoint.born_ms, known.born_ms)
+        if known and known.draining and same_start and last and revision.is_reverted_from(last):
+            return self.put(attrs.evolve(endpoint, draining=True))
+        self._revisions[name] = revision
+        return self.put(endpoint)
+
     def put(self, endpoint: ServiceEndpoint) -> Heard:
         """Take an entry, unless a later start is known, or its address was lost."""
         known, past = self.named(endpoint.name), self._past.get(endpoint.name)
@@ -144,9 +171,12 @@
         past = self._past.get(name)
         if past is not None and past.forget_at_ms is None:
             past.forget_at_ms = now_ms + REMEMBER_START_MS
-        known = self.named(name)
+        self._withheld.pop(name, None)
+        known, revision = self.named(name), self._revisions.pop(name, None)
         if known is None:
             return
+        if revision is not None:
+            self._removed.record(name, revision, self.revision.epoch, known.draining, now_ms)
         if now_ms < lapse_until_ms and not known.draining:
             self._usable_until_ms.setdefault(known.instance, lapse_until_ms)
             return
@@ -186,7 +216,11 @@
         return instance if instance in self.endpoints else self._by_name.get(instance, instance)
 
     def expire(self, now_ms: int) -> None:
-        """Forget the entries whose grace period is over."""
+        """Forget the entries whose grace period is over, and take those withheld for long."""
+        for name, (endpoint, until_ms) in list(self._withheld.items()):
+            if now_ms >= until_ms:
+                del self._withheld[name]
+                self.put(endpoint)
         for instance, until_ms in list(self._usable_until_ms.items()):
             if now_ms >= until_ms:
                 self._leave(self.endpoints[instance], now_ms)
--- a/saffronworks/forwarding/store_revisions.py
+++ b/saffronworks/forwarding/store_revisions.py
@@ -21,6 +21,13 @@
     epoch: int
     number: int
 
+    def is_reverted_from(self, known: "StoreRevision") -> bool:
+        """Whether an object at this revision may be from a copy made before it was at `known`.
+
+        A later write has a higher number for certain only beyond that of `known`.
+        """
+        return self.epoch > known.epoch and self.number <= known.number
+
     def __str__(self) -> str:
         return f"{self.epoch}.{self.number}"
 
--- a/saffronworks/platform/servers.py
+++ b/saffronworks/platform/servers.py
@@ -122,7 +122,7 @@
             if isinstance(read, Err):
                 self._refuse(item, read.err_value, now_ms)
             else:
-                self._put(read.ok_value)
+                self._put(read.ok_value, item.revision, now_ms)
         self._bad.finish()
 
     def _refuse(self, item: StoredObject, findings: list[str], now_ms: int) -> None:
@@ -136,13 +136,18 @@
             self._log_gone(name, lapse_until_ms - now_ms)
         self._directory.remove(name, now_ms, lapse_until_ms)
 
-    def _put(self, endpoint: ServiceEndpoint) -> None:
+    def _put(self, endpoint: ServiceEndpoint, revision: StoreRevision, now_ms: int) -> None:
         before = self._directory.named(endpoint.name)
-        heard = self._directory.put(endpoint)
+        heard = self._directory.put_listed(endpoint, revision, now_ms)
         self._bad.told.pop(endpoint.name, None)
         match heard:
             case Heard.SAME:
                 return
+            case Heard.WITHHELD:
+                logger.info(
+                    "event=endpoint_withheld endpoint=%s revision=%s", endpoint.instance, revision
+                )
+                return
             case Heard.OVER:
                 logger.info(
                     "event=endpoint_over endpoint=%s address=%s known=%s after_rev=%s",
--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -1,14 +1,18 @@
 """Scenarios on a store that is restored from an older copy."""
 
 import anyio
+import attrs
 from behave import given, then, when
 
+from saffronworks.forwarding.directory import WITHHOLD_RESTORED_MS, Directory, Heard
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.store import PlatformStore
 from saffronworks.standins.sites import wait_until
+from saffronworks.tests.endpoint_plays import endpoints
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
+from saffronworks.tests.revisions import at
 
 # Changes within which a node has to be in force, and what is added for a busy machine.
 FOLLOW_S, SLACK_S = 2.0, 0.5
@@ -134,3 +138,55 @@
         anyio.run(main)
     malformed = [line for line in lines if "event=store_epoch_malformed" in line]
     assert len(malformed) == 6, malformed
+
+
+@given("a directory from which an entry went before the store was restored from a copy with it")
+def entry_went(context):
+    def make(draining=False):
+        directory = Directory()
+        endpoint = attrs.evolve(endpoints(1)[0], draining=draining)
+        directory.put_listed(endpoint, at(5), now_ms=0)
+        directory.keep({endpoint.name}, at(8), now_ms=0)
+        directory.keep(set(), at(9), now_ms=1000)
+        return directory, attrs.evolve(endpoint, draining=False)
+
+    context.make_directory = make
+
+
+def restore_entry(directory, endpoint, revision):
+    heard = directory.put_listed(endpoint, revision, now_ms=2000)
+    directory.keep({endpoint.name}, at(7, epoch=2), now_ms=2000)
+    return heard
+
+
+@then("it is left unused as long as it is the old entry, for six seconds at most")
+def left_unused(context):
+    directory, endpoint = context.make_directory()
+    assert restore_entry(directory, endpoint, at(5, epoch=2)) is Heard.WITHHELD
+    later_ms = 2000 + WITHHOLD_RESTORED_MS
+    assert not directory.usable("s", 2000) and not directory.usable("s", later_ms - 1)
+    assert directory.usable("s", later_ms) == [endpoint]
+
+
+@then("it is used at once when its endpoint has written it again")
+def written_again(context):
+    directory, endpoint = context.make_directory()
+    restore_entry(directory, endpoint, at(5, epoch=2))
+    assert directory.put_listed(endpoint, at(6, epoch=2), now_ms=2500) is not Heard.WITHHELD
+    assert directory.usable("s", 2500) == [endpoint]
+
+
+@then("one that was draining when it went drains when it is back")
+def drains_back(context):
+    directory, endpoint = context.make_directory(draining=True)
+    restore_entry(directory, endpoint, at(5, epoch=2))
+    assert not directory.usable("s", 2000 + WITHHOLD_RESTORED_MS)
+    assert directory.named(endpoint.name).draining
+
+
+@then("one that the restored store removes again stays gone")
+def removed_again(context):
+    directory, endpoint = context.make_directory()
+    restore_entry(directory, endpoint, at(5, epoch=2))
+    directory.remove(endpoint.name, now_ms=3000)
+    assert not directory.usable("s", 2000 + WITHHOLD_RESTORED_MS)
--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -21,3 +21,11 @@
 
   Scenario: answers of the store whose epoch can't be read
     Then they are taken to be of the newest epoch known, and each odd value is logged once
+
+  # Guards against sends to an endpoint whose removal the copy does not have.
+  Scenario: an entry that went before a restore
+    Given a directory from which an entry went before the store was restored from a copy with it
+    Then it is left unused as long as it is the old entry, for six seconds at most
+    And it is used at once when its endpoint has written it again
+    And one that was draining when it went drains when it is back
+    And one that the restored store removes again stays gone
