Keep the duty of role orders and its fences whole across a restore

What could be seen after a restore of the store: two nodes that hold the duty (its object is lost, or a confirmation at a reissued revision overwrites another node's), and orders with a lower fence than earlier ones.

The fence of an order is made of epoch and revision, so it rises. When a later epoch is observed the holder claims the duty anew and orders after a lease; all others wait until orders of a holder they can't see are over. A write that was confirmed in another epoch than it was asked from counts as taking over.

--- a/saffronworks/forwarding/role_core.py
+++ b/saffronworks/forwarding/role_core.py
@@ -26,6 +26,7 @@
     "Look",
     "Ordered",
     "RoleState",
+    "StoreRestored",
     "TakeDuty",
     "step",
     "wanted_prefillers",
@@ -119,6 +120,11 @@
     """The store did not answer."""
 
 
+@attrs.frozen
+class StoreRestored:
+    """The store was restored from a copy, and may have lost who holds the duty."""
+
+
 @attrs.frozen
 class Ordered:
     """The endpoint answered the order, or (`accepted` None) gave no answer."""
@@ -143,7 +149,7 @@
     fence: int
 
 
-Event = Look | DutyTaken | DutyHeldByOther | DutyUnknown | Ordered
+Event = Look | DutyTaken | DutyHeldByOther | DutyUnknown | StoreRestored | Ordered
 Command = TakeDuty | GiveOrder
 
 
@@ -167,6 +173,8 @@
             state.ask_again_ms = now_ms + DUTY_AGAIN_MS
         case DutyUnknown():
             state.ask_again_ms = now_ms + DUTY_AGAIN_MS
+        case StoreRestored():
+            _forget_duty(state, now_ms)
         case Ordered(instance, accepted):
             if accepted is False:
                 state.orders.pop(instance, None)
@@ -176,6 +184,13 @@
     return None
 
 
+def _forget_duty(state: RoleState, now_ms: int) -> None:
+    """The holder may claim it again at once; others wait until all its orders are over."""
+    state.duty_revision, state.duty_seen_ms = None, now_ms
+    if not state.mine:
+        state.may_order_from_ms = max(state.may_order_from_ms, now_ms + DUTY_FREE_MS)
+
+
 def _look(
     state: RoleState, endpoints: list[ServiceEndpoint], turn_ms: int, now_ms: int
 ) -> Command | None:
@@ -262,11 +277,12 @@
     state.mine = True
     state.duty_revision, state.duty_seen_ms = revision, now_ms
     if took_over:
-        state.may_order_from_ms = now_ms + state.lease_ms + state.thaw_slack_ms
+        from_ms = now_ms + state.lease_ms + state.thaw_slack_ms
+        state.may_order_from_ms = max(state.may_order_from_ms, from_ms)
         return None
     chosen, state.chosen = state.chosen, None
     if chosen is None or now_ms < state.may_order_from_ms:
         return None
     role = Role.DECODE if chosen.role is Role.PREFILL else Role.PREFILL
     state.orders[chosen.instance] = OpenOrder(role, now_ms)
-    return GiveOrder(chosen, role, revision.number)
+    return GiveOrder(chosen, role, revision.fence)
--- a/saffronworks/forwarding/role_keeper.py
+++ b/saffronworks/forwarding/role_keeper.py
@@ -17,8 +17,15 @@
     SourceFailure,
     StoredObject,
 )
-from saffronworks.forwarding.role_core import GiveOrder, Look, RoleState, TakeDuty
+from saffronworks.forwarding.role_core import (
+    GiveOrder,
+    Look,
+    RoleState,
+    StoreRestored,
+    TakeDuty,
+)
 from saffronworks.forwarding.routing import RoutingTable
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.turns import Turns
 
 __all__ = ["DUTY_KIND", "RoleKeeper"]
@@ -41,8 +48,10 @@
         calls: EndpointCalls,
         table: Callable[[], RoutingTable | None],
         turns: Turns,
+        epoch: StoreEpoch,
         now_ms: Callable[[], int],
     ):
+        epoch.subscribe(self._forget_duties)
         self._new_state = state
         self._states: dict[str, RoleState] = {}
         self._directory = directory
@@ -62,6 +71,10 @@
                 if service.engine is not None:
                     await self._look(service.name)
 
+    def _forget_duties(self) -> None:
+        for state in self._states.values():
+            role_core.step(state, StoreRestored(), self._now_ms())
+
     async def _look(self, service: str) -> None:
         state = self._states.setdefault(service, self._new_state())
         now_ms = self._now_ms()
@@ -86,7 +99,7 @@
             reply = await self._store.create(DUTY_KIND, service, content)
         else:
             reply = await self._store.replace(DUTY_KIND, service, content, revision)
-        event = _read_duty(reply, took_over=revision is not None and not state.mine)
+        event = _read_duty(reply, revision, state.mine)
         logger.info(
             "event=duty service=%s at_revision=%s result=%s took_ms=%d",
             service,
@@ -123,10 +136,15 @@
 
 
 def _read_duty(
-    reply: Result[StoredObject, Conflict | SourceFailure], took_over: bool
+    reply: Result[StoredObject, Conflict | SourceFailure],
+    asked_at: StoreRevision | None,
+    mine: bool,
 ) -> role_core.Event:
+    """Only a duty confirmed within one epoch, or created for the first time, was nobody else's."""
     match reply:
         case Ok(written):
+            restored = asked_at is not None and written.revision.epoch != asked_at.epoch
+            took_over = restored or mine is (asked_at is None)
             return role_core.DutyTaken(written.revision, took_over)
         case Err(Conflict(found)) if found is not None:
             return role_core.DutyHeldByOther(found.revision)
--- a/saffronworks/forwarding/store_revisions.py
+++ b/saffronworks/forwarding/store_revisions.py
@@ -9,6 +9,9 @@
 
 logger = logging.getLogger(__name__)
 
+# More writes than a store makes in one epoch; tokens stay exact as JSON numbers.
+FENCES_PER_EPOCH = 2**32
+
 
 @attrs.frozen(order=True)
 class StoreRevision:
@@ -21,6 +24,11 @@
     epoch: int
     number: int
 
+    @property
+    def fence(self) -> int:
+        """A fencing token: it rises across restores, though numbers are issued again."""
+        return self.epoch * FENCES_PER_EPOCH + self.number
+
     def is_reverted_from(self, known: "StoreRevision") -> bool:
         """Whether an object at this revision may be from a copy made before it was at `known`.
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -207,6 +207,7 @@
             self._calls,
             lambda: self._forwarder.table,
             self._turns,
+            self._store_epoch,
             monotonic_ms,
         )
 
--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -3,8 +3,13 @@
 import anyio
 import attrs
 from behave import given, then, when
+from result import Ok
 
+from saffronworks.endpoint_roles import Role
+from saffronworks.forwarding import role_core as roles
 from saffronworks.forwarding.directory import WITHHOLD_RESTORED_MS, Directory, Heard
+from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.role_keeper import _read_duty
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.store import PlatformStore
 from saffronworks.standins.sites import wait_until
@@ -19,6 +24,8 @@
 # Writes that a restore takes back, and writes after it that pass their revisions again.
 LOST_WRITES, MORE_WRITES = 6, 9
 ASKS = 12
+# When a store is restored, on virtual time.
+RESTORED_MS = 9000
 
 
 @given("two nodes that know more revisions than a copy of the store has")
@@ -190,3 +197,56 @@
     restore_entry(directory, endpoint, at(5, epoch=2))
     directory.remove(endpoint.name, now_ms=3000)
     assert not directory.usable("s", 2000 + WITHHOLD_RESTORED_MS)
+
+
+@given("a node that holds the duty to order roles and one that does not")
+def two_nodes_of_duty(context):
+    context.engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
+    context.holder, context.other = (roles.RoleState(name, 3000, 300) for name in "no")
+    roles.step(context.holder, roles.DutyTaken(at(900), took_over=False), 0)
+    roles.step(context.other, roles.DutyHeldByOther(at(900)), 0)
+
+
+@when("the store is restored from a copy without the duty")
+def duty_lost(context):
+    for state in (context.holder, context.other):
+        for now_ms in range(0, RESTORED_MS, 500):
+            roles.step(state, roles.Look([]), now_ms)
+        roles.step(state, roles.StoreRestored(), RESTORED_MS)
+
+
+def first_ask(state, engines, from_ms):
+    """The command by which a node asks for the duty, and when."""
+    for now_ms in range(from_ms, from_ms + 60_000, 100):
+        command = roles.step(state, roles.Look(engines), now_ms)
+        if command is not None:
+            return command, now_ms
+    raise AssertionError("never asked")
+
+
+@then("the holder claims it again, and orders only after a lease, with a higher fence")
+def claims_again(context):
+    command, asked_ms = first_ask(context.holder, context.engines, RESTORED_MS)
+    assert command == roles.TakeDuty(None) and asked_ms < RESTORED_MS + 6000
+    reply = _read_duty(Ok(StoredObject("s", at(40, epoch=2), b"")), None, mine=True)
+    assert roles.step(context.holder, reply, asked_ms) is None
+    _, again_ms = first_ask(context.holder, context.engines, asked_ms)
+    assert again_ms >= asked_ms + 3300
+    reply = _read_duty(Ok(StoredObject("s", at(44, epoch=2), b"")), at(40, epoch=2), mine=True)
+    order = roles.step(context.holder, reply, again_ms)
+    assert order.fence > at(900).fence
+
+
+@then("the other one does not ask for it until all earlier orders are over")
+def other_waits(context):
+    command, asked_ms = first_ask(context.other, context.engines, RESTORED_MS)
+    assert command == roles.TakeDuty(None)
+    assert asked_ms >= RESTORED_MS + roles.ORDER_OPEN_MS
+
+
+@then("a confirmation that overwrote an object of the later epoch counts as taking it over")
+def overwrote(context):
+    written = Ok(StoredObject("s", at(41, epoch=2), b""))
+    assert _read_duty(written, at(40, epoch=1), mine=True) == roles.DutyTaken(at(41, 2), True)
+    assert _read_duty(written, at(40, epoch=2), mine=True) == roles.DutyTaken(at(41, 2), False)
+    assert _read_duty(written, None, mine=False) == roles.DutyTaken(at(41, 2), False)
--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -29,3 +29,11 @@
     And it is used at once when its endpoint has written it again
     And one that was draining when it went drains when it is back
     And one that the restored store removes again stays gone
+
+  # Guards against two holders of a duty, and a fence below one that was given before.
+  Scenario: the duty to order roles is lost in a restore
+    Given a node that holds the duty to order roles and one that does not
+    When the store is restored from a copy without the duty
+    Then the holder claims it again, and orders only after a lease, with a higher fence
+    And the other one does not ask for it until all earlier orders are over
+    And a confirmation that overwrote an object of the later epoch counts as taking it over
