Enter a node again in the census after a restore of the store

What could be seen: nodes whose entries the copy lacks were never counted again, so the shares of quotas, limits and retries of all others were too large. Each node enters itself once, at its start.

On a later epoch each node enters again within two seconds, not all at once, and counts once more; for 15 s nodes keep counting those that are missing from the listing, as they are about to enter.

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.forwarding.ports import Conflict, ObjectSource, StoredObject
-from saffronworks.forwarding.store_revisions import StoreRevision
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.web import is_address
 
 __all__ = ["NODE_KIND", "Census", "CountedNode"]
@@ -32,6 +32,11 @@
 EXACT_COUNT_S = 0.7
 NEXT_COUNTS_S = (3.0, 4.0)
 ENTER_AGAIN_S = 1.0
+# After a restore of the store nodes look for their entries at different moments, and each keeps
+# counting those whose entries the copy lacks until they have had time to enter again.
+RESTORED_SPREAD_S = 2.0
+RESTORED_COUNT_S = 4.0
+KEEP_MISSING_MS = 15_000
 
 
 @attrs.frozen
@@ -55,7 +60,7 @@
     """Enters this node, then lists all again and again; hands on who they are, by their addresses.
 
     Entries of dead nodes stay. Parts of the retry slack then only get smaller, and a planner that
-    does not answer is passed over.
+    does not answer is passed over. A node enters again when a restore took its entry back.
     """
 
     def __init__(
@@ -66,8 +71,11 @@
         zone: str,
         store: ObjectSource,
         rng: random.Random,
+        epoch: StoreEpoch,
+        now_ms: Callable[[], int],
         take: Callable[[dict[str, CountedNode]], None],
     ):
+        epoch.subscribe(self._note_restore)
         self._node = node
         self._entry = _Entry(address, cores, zone)
         self._store = store
@@ -75,11 +83,19 @@
         self._take = take
         self._known: dict[str, CountedNode] = {}
         self._told: dict[str, StoreRevision] = {}
+        self._now_ms = now_ms
+        self._restored = anyio.Event()
+        self._keep_missing_until_ms = 0
+        self._leaving = False
 
     async def run(self) -> None:
         """Enter, then count again and again until cancelled."""
-        while not await self._enter():
-            await anyio.sleep(ENTER_AGAIN_S * (0.5 + self._rng.random()))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._count_again)
+            tasks.start_soon(self._enter_after_restores)
+
+    async def _count_again(self) -> None:
+        await self._enter_until_done()
         await self._count()
         await anyio.sleep(EXACT_COUNT_S)
         await self._count(stale=False)
@@ -90,8 +106,27 @@
             await anyio.sleep(COUNT_EVERY_S * (0.5 + self._rng.random()))
             await self._count()
 
+    async def _enter_until_done(self) -> None:
+        while not await self._enter():
+            await anyio.sleep(ENTER_AGAIN_S * (0.5 + self._rng.random()))
+
+    def _note_restore(self) -> None:
+        self._keep_missing_until_ms = self._now_ms() + KEEP_MISSING_MS
+        self._restored.set()
+
+    async def _enter_after_restores(self) -> None:
+        while True:
+            await self._restored.wait()
+            self._restored = anyio.Event()
+            await anyio.sleep(RESTORED_SPREAD_S * self._rng.random())
+            if not self._leaving:
+                await self._enter_until_done()
+            await anyio.sleep(RESTORED_COUNT_S)
+            await self._count()
+
     async def leave(self) -> None:
         """Remove the entry at a planned stop."""
+        self._leaving = True
         reply = await self._store.remove(NODE_KIND, self._node)
         if isinstance(reply, Err):
             logger.info("event=census_entry_stays reason=%s", reply.err_value.reason)
@@ -123,11 +158,13 @@
             logger.info("event=census_failed problem=%s", listing.err_value)
             return
         read = [self._read(item) for item in listing.ok_value.objects]
-        nodes = {
+        listed = {
             entry.address: CountedNode(entry.cores, entry.zone)
             for entry in read
             if entry is not None
         }
+        kept = self._known if self._now_ms() < self._keep_missing_until_ms else {}
+        nodes = kept | listed
         if nodes != self._known:
             logger.info("event=census nodes=%d before=%d", len(nodes), len(self._known))
             self._known = nodes
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -136,6 +136,8 @@
             settings.zone,
             self._guarded,
             rng,
+            self._store_epoch,
+            monotonic_ms,
             self._take_census,
         )
         self._roles = self._make_roles(settings)
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -187,7 +187,17 @@
     counted = []
 
     async def main():
-        census = Census("n0", "10.0.0.1:1", 2.0, "z", store, random.Random(1), counted.append)
+        census = Census(
+            "n0",
+            "10.0.0.1:1",
+            2.0,
+            "z",
+            store,
+            random.Random(1),
+            StoreEpoch(),
+            lambda: 0,
+            counted.append,
+        )
         await census._count()
         await census._count()
 
--- a/saffronworks/tests/features/steps/census_steps.py
+++ b/saffronworks/tests/features/steps/census_steps.py
@@ -8,8 +8,10 @@
 from behave import then, when
 from result import Ok
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.census import EXACT_COUNT_S, Census, CountedNode
 from saffronworks.forwarding.ports import Listing, StoredObject
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.tests.revisions import at
 
 # How long the scenario lets the node count.
@@ -30,7 +32,15 @@
 
     async def main():
         census = Census(
-            "b", "10.0.0.2:1", 1.0, "z", store, random.Random(1), context.counted.append
+            "b",
+            "10.0.0.2:1",
+            1.0,
+            "z",
+            store,
+            random.Random(1),
+            StoreEpoch(),
+            monotonic_ms,
+            context.counted.append,
         )
         with anyio.move_on_after(CENSUS_S):
             await census.run()
