Write records of quarantined contents again after a restore of the store

What could be seen: a content that ends endpoints is forgotten once all nodes end, as its record was lost with the writes after the copy; or a cleared content is quarantined again by a node that starts, as its removal was lost.

On a later epoch the owners of a content write its record, or remove it, as they do when it changes.

--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -26,6 +26,7 @@
     RanWell,
     Record,
     RecordRead,
+    RecordsLost,
     RunBroke,
     Tell,
     Tick,
@@ -136,6 +137,8 @@
             return _share(state, state.table.take_trial(content, now_ms), now_ms)
         case RecordRead(suspicion):
             return _hear(state, suspicion, now_ms)
+        case RecordsLost():
+            return [each for known in state.table.all() for each in _record(state, known)]
         case SuspicionNews():
             return _take_news(state, event, now_ms)
         case Tick():
--- a/saffronworks/forwarding/quarantine/events.py
+++ b/saffronworks/forwarding/quarantine/events.py
@@ -19,6 +19,7 @@
     "Look",
     "Looked",
     "RecordRead",
+    "RecordsLost",
     "RanWell",
     "Record",
     "RunBroke",
@@ -84,12 +85,17 @@
     suspicion: Suspicion
 
 
+@attrs.frozen
+class RecordsLost:
+    """The store was restored from a copy, which may lack records and have removed ones."""
+
+
 @attrs.frozen
 class Tick:
     """Time passed."""
 
 
-Event = RunBroke | Looked | RanWell | TrialBegan | RecordRead | SuspicionNews | Tick
+Event = RunBroke | Looked | RanWell | TrialBegan | RecordRead | RecordsLost | SuspicionNews | Tick
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -22,8 +22,10 @@
     READ_RECORDS_PAUSES_S,
     RECORD_AGAIN_S,
     RECORD_TRIES,
+    RESTORED_SPREAD_S,
     TELL_EVERY_MS,
 )
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
@@ -49,8 +51,10 @@
         calls: EndpointCalls,
         store: ObjectSource,
         rng: random.Random,
+        epoch: StoreEpoch,
         now_ms: Callable[[], int],
     ):
+        epoch.subscribe(self._note_restore)
         self._state = QuarantineState(own_address, rng)
         self._directory = directory
         self._calls = calls
@@ -197,6 +201,14 @@
             for suspicion in found:
                 self._take(events.RecordRead(suspicion))
 
+    def _note_restore(self) -> None:
+        if not self._state.idle:
+            self._start(self._record_again)
+
+    async def _record_again(self) -> None:
+        await anyio.sleep(RESTORED_SPREAD_S * self._state.rng.random())
+        self._take(events.RecordsLost())
+
     async def _tick(self) -> None:
         """Let time pass while something is suspected."""
         while True:
--- a/saffronworks/forwarding/quarantine/suspicions.py
+++ b/saffronworks/forwarding/quarantine/suspicions.py
@@ -148,6 +148,10 @@
         known = (entry.suspicion for entry in self._entries.values())
         return [suspicion for suspicion in known if is_quarantined(suspicion)]
 
+    def all(self) -> list[Suspicion]:
+        """What is known of every content."""
+        return [entry.suspicion for entry in self._entries.values()]
+
     def forget_old(self, now_ms: int) -> list[Suspicion]:
         """Drop what is long over; returns it."""
         old = [
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -115,6 +115,7 @@
             self._calls,
             self._guarded,
             random.Random(settings.peer_address),
+            self._store_epoch,
             monotonic_ms,
         )
         self._quotas = Quotas(
--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -7,8 +7,10 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding import role_core as roles
+from saffronworks.forwarding.census import NODE_KIND
 from saffronworks.forwarding.directory import WITHHOLD_RESTORED_MS, Directory, Heard
 from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.quarantine import events
 from saffronworks.forwarding.role_keeper import _read_duty
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.store import PlatformStore
@@ -17,6 +19,7 @@
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
+from saffronworks.tests.quarantine_plays import DEADLY, fleet_that_knows
 from saffronworks.tests.revisions import at
 
 # Changes within which a node has to be in force, and what is added for a busy machine.
@@ -24,6 +27,8 @@
 # Writes that a restore takes back, and writes after it that pass their revisions again.
 LOST_WRITES, MORE_WRITES = 6, 9
 ASKS = 12
+# Within this time after a restore all nodes have entered again.
+ENTERED_AGAIN_S = 5.0
 # When a store is restored, on virtual time.
 RESTORED_MS = 9000
 
@@ -250,3 +255,56 @@
     assert _read_duty(written, at(40, epoch=1), mine=True) == roles.DutyTaken(at(41, 2), True)
     assert _read_duty(written, at(40, epoch=2), mine=True) == roles.DutyTaken(at(41, 2), False)
     assert _read_duty(written, None, mine=False) == roles.DutyTaken(at(41, 2), False)
+
+
+@when("the store is restored from a copy made before two of three nodes entered")
+def nodes_lost(context):
+    async def play(place):
+        store = place.store
+
+        def entered():
+            return sum(kind == NODE_KIND for kind, _ in store.objects)
+
+        def counted():
+            return [node._state.budget.nodes for node in place.nodes]
+
+        assert await wait_until(lambda: entered() == 3 and counted() == [3, 3, 3], 15)
+        copy_revision, copy = store.snapshot()
+        kept = {key: copy[key] for key in copy if key[0] != NODE_KIND}
+        first = next(key for key in copy if key[0] == NODE_KIND)
+        store.restore((copy_revision - 2, kept | {first: copy[first]}))
+        context.counts = []
+        with anyio.move_on_after(ENTERED_AGAIN_S):
+            while True:
+                context.counts += counted()
+                await anyio.sleep(0.1)
+        context.entered = entered()
+
+    on_platform(web_servers(), play, count=3)
+
+
+@then("all nodes have entered again within five seconds")
+def entered_again(context):
+    assert context.entered == 3, context.entered
+
+
+@then("no node counted fewer than three meanwhile")
+def counted_all(context):
+    assert min(context.counts) == 3, min(context.counts)
+
+
+@then("owners write what is quarantined again, and remove again what was cleared")
+def recorded_again(context):
+    fleet = fleet_that_knows()
+    assert fleet.stored
+    copy = dict(fleet.stored)
+    fleet.stored.clear()
+    for name in fleet.names:
+        fleet.take(name, events.RecordsLost())
+    assert fleet.stored.keys() == copy.keys()
+    fleet.take(fleet.names[0], events.RanWell(DEADLY))
+    fleet.run(fleet.now_ms + 5000)
+    fleet.stored |= copy
+    for name in fleet.names:
+        fleet.take(name, events.RecordsLost())
+    assert DEADLY not in fleet.stored
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -44,6 +44,7 @@
     TRIAL_SOON_MS,
 )
 from saffronworks.forwarding.runners import NodeState
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.tests.concurrent_runs import Habits, play_service
 from saffronworks.tests.endpoint_plays import REPLY_KINDS, endpoints, head_of, wide_budget
 from saffronworks.tests.generation_plays import POOLS, generation
@@ -208,7 +209,9 @@
 @then("an answer that ends by a close is no good run, as an endpoint's end closes too")
 def unframed(context):
     request = CallerRequest("r", "POST", "/a", "h", (), b"", 0, 900)
-    quarantine = Quarantine("n1", Directory(), Mock(), Mock(), random.Random(1), lambda: 10)
+    quarantine = Quarantine(
+        "n1", Directory(), Mock(), Mock(), random.Random(1), StoreEpoch(), lambda: 10
+    )
     ended(quarantine._state, request.content, 1, 2, 3)
     quarantine.note_whole(request, framed=False)
     assert quarantine.blocks(request)
--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -37,3 +37,13 @@
     Then the holder claims it again, and orders only after a lease, with a higher fence
     And the other one does not ask for it until all earlier orders are over
     And a confirmation that overwrote an object of the later epoch counts as taking it over
+
+  # Guards against shares of quotas and limits that are too large, as nodes are not counted.
+  Scenario: entries of nodes are lost in a restore
+    When the store is restored from a copy made before two of three nodes entered
+    Then all nodes have entered again within five seconds
+    And no node counted fewer than three meanwhile
+
+  # Guards against a content that ends endpoints being forgotten when all nodes end.
+  Scenario: records of quarantined contents are lost in a restore
+    Then owners write what is quarantined again, and remove again what was cleared
