Watch from the first page of a listing that has several

What could be seen: with more than 500 endpoints a change to an entry of an earlier page, made while later pages were asked for, was in neither the listing nor the watch after it: the listing carried the revision of its last page. Pages of two epochs were put together as one listing.

The revision is that of the first page, so the watch repeats what may be missing; a listing across a restore fails and is asked for again. An answer without an epoch is of epoch 0 where none was known.

--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -109,6 +109,7 @@
     async def list_objects(self, kind: str, stale: bool = False) -> Result[Listing, SourceFailure]:
         """All objects of a kind, page by page."""
         objects: list[StoredObject] = []
+        revision: StoreRevision | None = None
         after = ""
         for _ in range(MOST_PAGES):
             query = [f"after={quote(after)}"] if after else []
@@ -120,11 +121,13 @@
             if isinstance(page, Err):
                 return page
             epoch = reply.ok_value.epoch
-            objects += _decode_each(page.ok_value.items, _Object, epoch)
-            if objects and objects[0].revision.epoch != epoch:
+            # Changes to earlier pages come after the revision of the first one.
+            revision = revision or StoreRevision(epoch, page.ok_value.current_rev)
+            if revision.epoch != epoch:
                 return Err(SourceFailure("restored between two pages"))
+            objects += _decode_each(page.ok_value.items, _Object, epoch)
             if not page.ok_value.has_more or not objects:
-                return Ok(Listing(tuple(objects), StoreRevision(epoch, page.ok_value.current_rev)))
+                return Ok(Listing(tuple(objects), revision))
             after = objects[-1].name
         return Err(SourceFailure("a listing without end"))
 
@@ -191,17 +194,15 @@
         return Ok(_Reply(response.status, response.content, self._read_epoch(response.headers)))
 
     def _read_epoch(self, headers: list[tuple[bytes, bytes]]) -> int:
-        """The epoch of an answer; one that tells none is taken to be of the newest."""
+        """The epoch of an answer; one that tells none is of the newest, or of epoch 0."""
         values = [value for name, value in headers if name.lower() == _EPOCH_FIELD]
         read = [read_whole(value.decode("latin-1")).ok() for value in values]
         if values and None in read and self._malformed_epoch != values[0]:
             self._malformed_epoch = values[0]
             logger.error("event=store_epoch_malformed found=%r", shorten(repr(values)))
-        epochs = [epoch for epoch in read if epoch is not None]
-        if not epochs:
-            return self._epoch.newest or 0
-        self._epoch.observe(max(epochs))
-        return max(epochs)
+        told = max((epoch for epoch in read if epoch is not None), default=0)
+        self._epoch.observe(told)
+        return told or self._epoch.newest or 0
 
 
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -9,14 +9,14 @@
 from saffronworks.forwarding import role_core as roles
 from saffronworks.forwarding.census import NODE_KIND
 from saffronworks.forwarding.directory import WITHHOLD_RESTORED_MS, Directory, Heard
-from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.ports import SourceFailure, StoredObject
 from saffronworks.forwarding.quarantine import events
 from saffronworks.forwarding.role_keeper import _read_duty
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.store import PlatformStore
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.endpoint_plays import endpoints
-from saffronworks.tests.fake_store import FakeStore
+from saffronworks.tests.fake_store import PAGE, FakeStore
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
 from saffronworks.tests.quarantine_plays import DEADLY, fleet_that_knows
@@ -308,3 +308,45 @@
     for name in fleet.names:
         fleet.take(name, events.RecordsLost())
     assert DEADLY not in fleet.stored
+
+
+def list_while(change):
+    """A listing of two pages with `change(store)` between them; the changes that a watch adds."""
+
+    async def main():
+        store = FakeStore()
+        for number in range(PAGE + 1):
+            store.put("k", f"n{number}", {})
+        client = PlatformStore(store.address, StoreEpoch())
+        list_page = store._list
+
+        async def list_and_change(call, kind, query):
+            await list_page(call, kind, query)
+            if "after" not in query:
+                change(store)
+
+        store._list = list_and_change
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(store.run)
+            listing = await client.list_objects("k")
+            if isinstance(listing, Ok):
+                changes = (await client.watch("k", listing.ok_value.revision, 50)).ok_value
+                result = [item.name for item in changes.objects]
+            else:
+                result = listing.err_value
+            await client.close()
+            tasks.cancel_scope.cancel()
+        return result
+
+    return anyio.run(main)
+
+
+@then("a change to an earlier page is in the watch after it")
+def earlier_page(context):
+    assert list_while(lambda store: store.put("k", "n0", {"changed": 1})) == ["n0"]
+
+
+@then("pages of different epochs are no listing")
+def pages_of_epochs(context):
+    failure = list_while(lambda store: store.restore(store.snapshot()))
+    assert isinstance(failure, SourceFailure), failure
--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -19,6 +19,11 @@
     When the store is restored from a copy in which a draining endpoint is ready
     Then no request reaches that endpoint
 
+  # Guards against changes that are in neither a listing of several pages nor the watch after it.
+  Scenario: a listing whose pages are of different moments
+    Then a change to an earlier page is in the watch after it
+    And pages of different epochs are no listing
+
   Scenario: answers of the store whose epoch can't be read
     Then they are taken to be of the newest epoch known, and each odd value is logged once
 
