Soak: the store is restored from a copy

Each run restores the store once from a copy up to five seconds old, beside all other faults. What the operator and endpoints wrote is written again within two seconds, the store's other writers come back later, and a new configuration follows once nodes are in touch. At the end each node has to be in the census.

--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -56,6 +56,7 @@
         *(("EndpointFault", kind) for kind in faults.ENDPOINT_KINDS),
         ("EndpointDrain", "drain-notice"),
         ("EndpointPause", "pause"),
+        ("StoreRestore", "restore"),
         ("ConfigChange", "config"),
         ("OrganisationChange", "organisations"),
     }
--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -43,7 +43,8 @@
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     whole, broken = Shape(nodes=nodes, callers=callers, faults_ms=faults_ms), 0
     # The first ones were found without these kinds of faults, and stay what they were.
-    limited = attrs.evolve(whole, drains=0, pauses=0)
+    unrestored = attrs.evolve(whole, restores=0)
+    limited = attrs.evolve(unrestored, drains=0, pauses=0)
     unlimited = attrs.evolve(limited, limits=0)
     early = attrs.evolve(unlimited, restarts=0, deadly=False, organisations=False)
     played = [(seed, whole) for seed in range(first, first + seeds)]
@@ -51,7 +52,7 @@
         played = [(seed, early) for seed in sorted(FAILED_SEEDS)]
         played += [(seed, unlimited) for seed in sorted(FAILED_WITH_ORGANISATIONS)]
         played += [(seed, limited) for seed in sorted(FAILED_WITH_LIMITS)]
-        played += [(seed, whole) for seed in sorted(FAILED_WITH_DRAINS)]
+        played += [(seed, unrestored) for seed in sorted(FAILED_WITH_DRAINS)]
     for seed, shape in played:
         folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -17,6 +17,7 @@
     "OrganisationChange",
     "Shape",
     "StoreFault",
+    "StoreRestore",
     "draw_deadly",
     "draw_faults",
 ]
@@ -37,6 +38,8 @@
 UNTOLD_SHORTEST_MS, UNTOLD_LONGEST_MS = 4000, 8000
 # For so long an overloaded endpoint rejects all.
 OVERLOAD_SHORTEST_MS, OVERLOAD_LONGEST_MS = 3000, 6000
+# A copy of the store is so old when it is restored.
+LOST_SHORTEST_MS, LOST_LONGEST_MS = 500, 5000
 # Seconds of the pause that an overloaded endpoint asks for with each rejection.
 PAUSES_S = (1.5, 3.0, 4.0)
 # One that starts again is back before its entry lapses.
@@ -64,6 +67,8 @@
     # all and asks for a pause.
     drains: int = 2
     pauses: int = 3
+    # How often the store is restored from a copy.
+    restores: int = 1
 
 
 @attrs.frozen
@@ -92,6 +97,13 @@
     """The store itself misbehaves, for all nodes."""
 
 
+@attrs.frozen
+class StoreRestore(Fault):
+    """The store is away, and comes back from a copy that lacks the last `lost_ms`."""
+
+    lost_ms: int = 1000
+
+
 class EndpointFault(Fault):
     """An endpoint ends, leaves, fails some requests or has no room."""
 
@@ -152,7 +164,7 @@
         for _ in range(keys.randint(2, 5) if shape.organisations else 0)
     ]
     struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
-    struck += _draw_advertised(seed, shape)
+    struck += _draw_advertised(seed, shape) + _draw_restores(seed, shape)
     return sorted(struck, key=lambda fault: fault.at_ms)
 
 
@@ -170,6 +182,20 @@
     return drawn
 
 
+def _draw_restores(seed: int, shape: Shape) -> list[Fault]:
+    rng = random.Random(f"{seed}/restores")
+    return [
+        StoreRestore(
+            rng.randrange(shape.faults_ms),
+            rng.randint(SHORTEST_MS, LONGEST_MS),
+            "restore",
+            0,
+            rng.randint(LOST_SHORTEST_MS, LOST_LONGEST_MS),
+        )
+        for _ in range(shape.restores)
+    ]
+
+
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
     """All are over when the other faults are."""
     rng = random.Random(f"{seed}/limits")
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -44,6 +44,7 @@
             await site.start()
             await _play(site, draw_faults(seed, shape))
             found = check_all(site.records) + [f"memory: {text}" for text in site.memory_in_use()]
+            found += [f"census: {text}" for text in site.uncounted_nodes()]
         finally:
             for node in site.nodes:
                 node.end_now()
--- a/saffronworks/tests/soak/seeds.py
+++ b/saffronworks/tests/soak/seeds.py
@@ -38,7 +38,7 @@
     "left out, and 26 of 192 requests within their quotas were refused at the calm end",
 }
 
-# Found with all kinds of faults.
+# Found with all kinds of faults but restores of the store.
 FAILED_WITH_DRAINS: dict[int, str] = {
     42009: "open: two of three nodes were stopped and started at once; for 20 s nobody asks the "
     "third holder of a quota, as in 98017, and at the calm end 20 of 162 requests were refused "
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from saffronworks.forwarding.census import NODE_KIND
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.platform_place import CONFIG, ENGINE, make_route
@@ -12,6 +13,7 @@
 from saffronworks.tests.soak.endpoints import Endpoint
 from saffronworks.tests.soak.faults import Fault
 from saffronworks.tests.soak.organisations import Organisations
+from saffronworks.tests.soak.outside_writes import WRITE_AGAIN_MS, OutsideWrites
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.proxies import Proxy
 from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Need, Records
@@ -31,6 +33,8 @@
 # Of the faults in which endpoints fail requests, one in so many strikes a whole service.
 WHOLE_SERVICE_EVERY = 3
 PLAIN_SERVICES = ("web-a", "web-b")
+# After a restore of the store and what is written again then, nodes are in touch.
+IN_TOUCH_S = 3.1
 # An endpoint that ended under a deadly content is down for so long.
 DEADLY_DOWN_S = 1.5
 
@@ -63,6 +67,7 @@
         self.by_address = {}
         self._began_s = time.monotonic()
         self._tasks = tasks
+        self._outside = OutsideWrites(self.store, seed, self.now_ms)
         self._endpoint_number = 0
         self._moves = 0
         self._ready = set()
@@ -90,6 +95,8 @@
         self._tasks.start_soon(self.store.run)
         for proxy in (*self.store_proxies, *self.caller_proxies):
             self._tasks.start_soon(proxy.run)
+        self._tasks.start_soon(self._outside.make_copies)
+        self._tasks.start_soon(self._outside.write_others)
         self._write_config(1)
         for number in range(self.shape.plains):
             self._add_endpoint(PLAIN_SERVICES[number % 2], None)
@@ -128,13 +135,13 @@
         self._endpoint_proxies[name] = proxy
         self._tasks.start_soon(proxy.run)
         self._tasks.start_soon(endpoint.run)
-        self.store.put("servers", name, endpoint.entry())
+        self._outside.put("servers", name, endpoint.entry())
 
     def _write_config(self, version, moved=True):
         """The next version, with what organisations are now; `moved` sends a route elsewhere."""
         self._moves += moved
         service = PLAIN_SERVICES[self._moves % 2]
-        self.store.put("config", "main", make_config(version, service, self.organisations))
+        self._outside.put("config", "main", make_config(version, service, self.organisations))
         self.records.versions.append((self.now_ms(), service))
 
     def _change_organisations(self):
@@ -156,6 +163,8 @@
                 await self._strike_link(fault)
             case faults.StoreFault():
                 await self._strike_store(fault)
+            case faults.StoreRestore():
+                await self._restore_store(fault)
             case faults.EndpointFault():
                 await self._strike_endpoint(fault)
             case faults.EndpointRestart():
@@ -220,6 +229,13 @@
         await anyio.sleep(fault.for_ms / 1000)
         self.store.fault = None
 
+    async def _restore_store(self, fault):
+        """Once nodes are in touch again, a version of the configuration follows."""
+        self._disturb(ALL_NODES, "store", (fault.for_ms + WRITE_AGAIN_MS) / 1000)
+        await self._outside.restore(fault.for_ms, fault.lost_ms)
+        await anyio.sleep(IN_TOUCH_S)
+        self._write_config(len(self.records.versions) + 1)
+
     def _choose_endpoint(self, fault):
         names = sorted(set(self.endpoints) - set(self.records.left_ms))
         return self.endpoints[names[fault.target % len(names)]]
@@ -235,7 +251,7 @@
         endpoint.restart()
         proxy.end()
         if endpoint.instance not in self.records.left_ms:
-            self.store.put("servers", endpoint.instance, endpoint.entry())
+            self._outside.put("servers", endpoint.instance, endpoint.entry())
 
     async def _limit_endpoint(self, fault):
         """It names a limit until its need is over, or it starts again."""
@@ -256,7 +272,7 @@
         start, endpoint.drains = endpoint.starts, True
         await anyio.sleep(fault.for_ms / 1000)
         if endpoint.starts == start and endpoint.instance not in self.records.left_ms:
-            self.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+            self._outside.put("servers", endpoint.instance, endpoint.entry("draining"))
             await self._leave(endpoint)
 
     async def _pause_endpoint(self, fault):
@@ -282,7 +298,7 @@
         endpoint.restart()
         proxy.listen()
         if endpoint.instance not in self.records.left_ms:
-            self.store.put("servers", endpoint.instance, endpoint.entry())
+            self._outside.put("servers", endpoint.instance, endpoint.entry())
 
     async def _strike_endpoint(self, fault):
         endpoint = self._choose_endpoint(fault)
@@ -301,10 +317,10 @@
                 await anyio.sleep(ENTRY_LAPSES_S)
                 self._replace(endpoint)
             case "drain":
-                self.store.put("servers", endpoint.instance, endpoint.entry("draining"))
+                self._outside.put("servers", endpoint.instance, endpoint.entry("draining"))
                 await self._leave(endpoint)
             case "vanish":
-                self.store.remove("servers", endpoint.instance)
+                self._outside.remove("servers", endpoint.instance)
                 await self._leave(endpoint)
 
     def _greyed(self, endpoint, fault):
@@ -321,9 +337,17 @@
     def _replace(self, endpoint):
         """Its entry goes, and another start of it enters itself."""
         self.records.left_ms.setdefault(endpoint.instance, self.now_ms())
-        self.store.remove("servers", endpoint.instance)
+        self._outside.remove("servers", endpoint.instance)
         self._add_endpoint(endpoint.service, endpoint.stage)
 
+    def uncounted_nodes(self):
+        """Nodes without an entry in the census, in words."""
+        return [
+            f"node {node.number} has no entry"
+            for node in self.nodes
+            if (NODE_KIND, f"node-{node.number}") not in self.store.objects
+        ]
+
     def memory_in_use(self):
         """What engines still hold, in words."""
         return [
