--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -26,6 +26,7 @@
     faults_ms: int = Shape().faults_ms,
     nodes: int = Shape().nodes,
     callers: int = Shape().callers,
+    restores: int = Shape().restores,
     logs: str = "",
 ) -> int:
     """Play seeds one after the other; 1 when one of them broke a promise.
@@ -37,11 +38,13 @@
         faults_ms: over how long faults begin.
         nodes: how many node processes.
         callers: how many callers, each with a connection of its own.
+        restores: how often the store is restored from a copy.
         logs: a folder that keeps the logs of the nodes of seeds that failed; else a temporary one.
     """
     # The store is a stand-in whose waiting calls end with the soak; uvicorn reports each of them.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-    whole, broken = Shape(nodes=nodes, callers=callers, faults_ms=faults_ms), 0
+    whole = Shape(nodes=nodes, callers=callers, faults_ms=faults_ms, restores=restores)
+    broken = 0
     # The first ones were found without these kinds of faults, and stay what they were.
     unrestored = attrs.evolve(whole, restores=0)
     limited = attrs.evolve(unrestored, drains=0, pauses=0)
