Followers and updates between nodes by the field's names

Behaviour unchanged. Publishers and updates in place of tellers and news told; docstrings shortened. The messages' names on the wire stay.

--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -1,4 +1,4 @@
-"""Following one kind of object in the store: a listing, then its changes, for ever."""
+"""Follows one kind of object in the store: a listing, then watches."""
 
 import logging
 import random
@@ -26,10 +26,10 @@
 
 
 class ObjectSink(Protocol):
-    """Takes what a follower hears.
+    """Receives the objects of a kind.
 
-    An outage may have removed objects that still hold: until `lapse_until_ms`, a time that may be
-    past already, what they stand for may be used.
+    An outage may have removed objects that are still valid: they may be used until
+    `lapse_until_ms`, which may be in the past.
     """
 
     def replace_all(self, listing: Listing, lapse_until_ms: int) -> None:
@@ -40,17 +40,14 @@
 
 
 class Follower:
-    """Keeps a sink up to date. After failures it waits a little longer each time, with jitter.
+    """Keeps a sink up to date, with jittered exponential backoff after failures.
 
-    An outage is taken to have begun when the store was last heard, as it may have been away while
-    a watch waited; where an open connection was cut, it began then. It may also have been over
-    since the last call that failed was sent, and only that call's connection silent. From then on
-    `known_within_ms` count, within which a node has to go by what the store says: a grace for
-    entries that may have lapsed ends with them. Without that end, a node whose watch was lost kept
-    sending to an endpoint that had left, for up to two seconds longer than it may.
+    An outage is assumed to begin with the last answer, or when an open connection was cut. It may
+    be over as soon as the last failed call was sent: `known_within_ms` after that the node has to
+    follow the store, so the grace for lapsed entries never lasts longer.
 
-    A store that was restored from a copy is listed anew: its revisions are issued again, so changes
-    since a revision of an earlier epoch are not complete.
+    A store restored from a copy reissues revisions: changes since a revision of an earlier epoch
+    are incomplete, so the kind is listed again.
     """
 
     def __init__(
@@ -70,7 +67,7 @@
         self._fresh_until_ms = 0
         self._stale = anyio.Event()
         if news is not None:
-            news.subscribe(kind, self.take_news)
+            news.subscribe(kind, self.handle_news)
         self._watch_wait_ms = watch_wait_ms
         self._known_within_ms = known_within_ms
         self.listed = False
@@ -84,50 +81,45 @@
         epoch.subscribe(self._end_watch)
         self._failures = 0
         self._histories_gone = 0
-        self._heard_ms = now_ms()
-        self._known_ms = self._heard_ms
-        self._lost_ms = self._heard_ms
-        self._asked_ms = self._heard_ms
-        self._trouble_ms = self._heard_ms
+        self._answered_ms = now_ms()
+        self._known_ms = self._answered_ms
+        self._lost_ms = self._answered_ms
+        self._asked_ms = self._answered_ms
+        self._trouble_ms = self._answered_ms
         self._lapse_until_ms = 0
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if self._hears_others():
-                await self._wait_for_silence()
+            if self._follows_peers():
+                await self._wait_for_peers()
             elif self._lists_next or self._revision is None:
                 await self._list()
             else:
                 await self._watch(self._revision)
-            # One lost history is no trouble; a listing that is too old right away is.
+            # A single lost history is settled by a listing, without a pause.
             troubles = max(self._failures, self._histories_gone - 1)
             if troubles:
                 await anyio.sleep(self._backoff_ms(troubles) / 1000)
 
-    def _hears_others(self) -> bool:
-        """Whether other nodes of the zone ask the store, and were heard a moment ago."""
-        if self._news is None or not self._news.shared or self._news.tells(self.kind):
+    def _follows_peers(self) -> bool:
+        """Whether publishers of the zone watch the store, and one has published recently."""
+        if self._news is None or not self._news.shared or self._news.publishes(self.kind):
             return False
         return not self._lists_next and self._now_ms() < self._fresh_until_ms
 
-    async def _wait_for_silence(self) -> None:
-        """Until nobody was heard for long, or someone told that there is more to ask for."""
+    async def _wait_for_peers(self) -> None:
+        """Wait until publishers time out, or an update is incomplete."""
         self._stale = anyio.Event()
         with anyio.move_on_after((self._fresh_until_ms - self._now_ms()) / 1000):
             await self._stale.wait()
 
     def age_ms(self) -> int:
-        """How long ago what is known here was the store's newest, heard from it or from others."""
+        """Time since the known state was current, by an answer of the store or a peer's update."""
         return self._now_ms() - self._known_ms
 
-    def take_news(self, news: StoreNews) -> None:
-        """What another node heard from the store.
-
-        Also where this node's own way to the store is lost: from the last revision on, they are as
-        whole as a listing. A planner that was cut off from the store alone granted places at an
-        endpoint that had left, for four seconds, until this held for it as well.
-        """
+    def handle_news(self, news: StoreNews) -> None:
+        """Apply a peer's update; complete ones also serve a node that is cut off from the store."""
         if self._revision is None and news.whole and news.objects is not None:
             self._revision, self.listed = StoreRevision(0, 0), True
         if self._revision is None or news.at < self._revision:
@@ -141,7 +133,7 @@
         self._note_fresh()
 
     def _apply_news(self, news: StoreNews, revision: StoreRevision) -> bool:
-        """False where they are not whole from our revision on: the store has the rest."""
+        """Whether the update is complete from the known revision on, and was applied."""
         if news.objects is None or (news.after > revision and not news.whole):
             return False
         until_ms = self._now_ms() + news.lapse_ms
@@ -149,7 +141,7 @@
         take(news.listing, until_ms)
         self._revision = news.at
         logger.info(
-            "event=store_told kind=%s revision=%s before=%s by=%s",
+            "event=store_update_applied kind=%s revision=%s before=%s by=%s",
             self.kind,
             news.at,
             revision,
@@ -161,15 +153,15 @@
         if self._news is not None:
             self._fresh_until_ms = self._now_ms() + self._news.pace.silent_ms
 
-    def _tell(self, heard: Listing, since: StoreRevision | None) -> None:
-        """Pass on an answer of the store; `since` None tells that it is all there is."""
+    def _publish(self, heard: Listing, since: StoreRevision | None) -> None:
+        """Publish an answer of the store; `since` is None for a whole listing."""
         self._note_fresh()
         if self._news is None:
             return
         now_ms = self._now_ms()
         lapse_ms = max(0, self._lapse_until_ms - now_ms)
         news = StoreNews.from_listing(self._news.turns.own, self.kind, heard, since, lapse_ms)
-        self._news.tell(news, now_ms - self._asked_ms)
+        self._news.publish(news, now_ms - self._asked_ms)
 
     async def _list(self) -> None:
         self._asked_ms, asked_at = self._now_ms(), self._revision
@@ -178,16 +170,16 @@
         if isinstance(reply, Err):
             self._fail(reply.err_value)
             return
-        self._hear()
+        self._note_answer()
         self.listed = True
         self._lists_next = False
         heard = reply.ok_value
-        if self._revision != asked_at and self._is_older(heard):
+        if self._revision != asked_at and self._is_overtaken(heard):
             return
         self._note_restore(heard, max(known_ms, self._trouble_ms))
         self._sink.replace_all(heard, self._lapse_until_ms)
         self._revision = heard.revision
-        self._tell(heard, since=None)
+        self._publish(heard, since=None)
 
     def _note_restore(self, heard: Listing, after_ms: int) -> None:
         """Entries written after the copy are missing until their endpoints have written again.
@@ -220,21 +212,21 @@
         if ended:
             self._lists_next = True
         elif isinstance(reply, Err):
-            self._lose_watch(reply.err_value)
+            self._handle_failure(reply.err_value)
         else:
-            await self._take_changes(reply.ok_value, revision)
+            await self._apply_changes(reply.ok_value, revision)
 
-    async def _take_changes(self, heard: Listing, revision: StoreRevision) -> None:
+    async def _apply_changes(self, heard: Listing, revision: StoreRevision) -> None:
         if heard.revision.epoch != revision.epoch:
             self._lists_next = True
             return
-        self._hear()
+        self._note_answer()
         self._histories_gone = 0
-        if self._is_older(heard):
+        if self._is_overtaken(heard):
             return
         self._sink.apply(heard, self._lapse_until_ms)
         self._revision = heard.revision
-        self._tell(heard, since=revision)
+        self._publish(heard, since=revision)
         if heard.objects:
             await anyio.sleep(WATCH_PAUSE_MS / 1000)
 
@@ -243,12 +235,12 @@
         if self._watching is not None:
             self._watching.cancel()
 
-    def _is_older(self, heard: Listing) -> bool:
-        """Whether others have told newer things while an answer was on its way."""
+    def _is_overtaken(self, heard: Listing) -> bool:
+        """Whether a peer's update was newer than an answer on its way."""
         return self._revision is not None and heard.revision < self._revision
 
-    def _lose_watch(self, failure: HistoryGone | SourceFailure) -> None:
-        """Changes may have been missed: a listing settles what holds, or news from here on."""
+    def _handle_failure(self, failure: HistoryGone | SourceFailure) -> None:
+        """Changes may be missing: list again, unless a peer's update comes first."""
         self._lists_next = True
         match failure:
             case HistoryGone():
@@ -261,8 +253,8 @@
         self._failures += 1
         self._trouble_ms = self._now_ms() if failure.cut else self._asked_ms
         if self._failures == 1:
-            age_ms = self._now_ms() - self._heard_ms
-            self._lost_ms = self._now_ms() if failure.cut else self._heard_ms
+            age_ms = self._now_ms() - self._answered_ms
+            self._lost_ms = self._now_ms() if failure.cut else self._answered_ms
             logger.warning(
                 "event=store_lost kind=%s reason=%s heard_ms_ago=%d",
                 self.kind,
@@ -270,7 +262,7 @@
                 age_ms,
             )
 
-    def _hear(self) -> None:
+    def _note_answer(self) -> None:
         now_ms = self._now_ms()
         if self._failures:
             away_ms = now_ms - self._lost_ms
@@ -279,7 +271,7 @@
                 bound_ms = self._trouble_ms + self._known_within_ms - LAPSE_MARGIN_MS
                 self._lapse_until_ms = min(now_ms + LAPSED_GRACE_MS, bound_ms)
         self._failures = 0
-        self._heard_ms = self._known_ms = now_ms
+        self._answered_ms = self._known_ms = now_ms
 
     def _backoff_ms(self, troubles: int) -> int:
         doubled = FOLLOW_FIRST_BACKOFF_MS * 2 ** min(troubles - 1, 8)
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -1,8 +1,7 @@
-"""What nodes of an availability zone tell each other of the store, so that few have to ask it.
+"""Updates of the store that nodes of an availability zone publish to each other.
 
-Calls to the store cost by number. Where each node follows it by itself, their number goes with the
-nodes: 195 nodes made 1.5 calls a second each, and every change brought one from each of them. Here
-two nodes of a zone ask and tell the others. A node that hears nothing for a while asks by itself.
+Calls to the store are priced by number. Two publishers in a zone watch it for all its nodes, so
+calls grow with zones, not with nodes. A node that receives nothing for a while watches by itself.
 """
 
 import logging
@@ -20,26 +19,26 @@
 
 logger = logging.getLogger(__name__)
 
-# So many nodes of a zone ask the store for all: the second one's word holds when the first is gone.
-TELLERS = 2
-# Fewer nodes in a zone each ask by themselves: two that ask often make as many calls as they do.
-LEAST_NODES = 9
-# Parts of the time within which a change has to be followed: a teller's watch waits at most for the
-# first, a node that hears nothing asks by itself after the second. The rest is for its own call.
+# Nodes of a zone that watch the store for the others. Tolerates one failure without a delay.
+PUBLISHERS = 2
+# Smaller zones share nothing: two publishers, which watch often, make as many calls as the nodes.
+MIN_SHARED_NODES = 9
+# Shares of the time within which a change has to be followed: the longest wait of a publisher's
+# watch, and the silence after which a node makes a call of its own.
 WATCH_SHARE = 0.35
 SILENT_SHARE = 0.6
-# How much later each next pair of nodes tells the others, as long as those before it are silent.
-NEXT_TELLERS_MS = 500
-# An answer that took so much longer than its watch waits is no news: this node stood still, or the
-# way to the store is slow.
+# Delay after which the next pair of nodes publishes while those before it are silent.
+NEXT_PUBLISHERS_MS = 500
+# Answers that took this much longer than the watch waits are not published: the node was suspended
+# or the path to the store is slow.
 LATE_MS = 300
-# Larger news are not sent: who hears that there are some asks the store.
-MOST_NEWS_BYTES = 65_536
+# Larger objects are left out of updates; receivers ask the store.
+MAX_NEWS_BYTES = 65_536
 
 
 @attrs.frozen
 class ObjectNews:
-    """One object of the store as nodes tell each other; `content` is None where it was removed."""
+    """One object of the store in an update; `content` is None where it was removed."""
 
     name: str
     revision: int
@@ -48,7 +47,7 @@
 
 @attrs.frozen
 class StoreNews:
-    """Teller to the nodes of its zone: the store stood at `revision` a moment ago.
+    """Publisher to the nodes of its zone: the store was at `revision` a moment ago.
 
     `objects` changed since `since`, or are all there are (`whole`); None where they are too large
     to send. Until `lapse_ms` from now entries may be missing that still hold. All numbers are of
@@ -105,7 +104,7 @@
 
 @attrs.frozen
 class NewsPace:
-    """How long a teller's watch waits, and after how long without news a node asks by itself."""
+    """The wait of a publisher's watch, and the silence after which a node asks by itself."""
 
     watch_wait_ms: int
     silent_ms: int
@@ -117,7 +116,7 @@
 
 
 class NewsFeed:
-    """Tells others of the zone what this node heard from the store, and hears what they tell."""
+    """Publishes answers of the store to the nodes of the zone, and receives theirs."""
 
     name = "store-news"
 
@@ -128,71 +127,71 @@
         self._nodes: Collection[str] = ()
         self._now_ms = now_ms
         self._kernel: Kernel | None = None
-        self._takers: dict[str, Callable[[StoreNews], None]] = {}
-        # When one of those who tell before this node was last heard, by kind.
-        self._heard_ahead_ms: dict[str, int] = {}
-        self._telling: dict[str, bool] = {}
+        self._subscribers: dict[str, Callable[[StoreNews], None]] = {}
+        # When a node ranked before this one last published, by kind.
+        self._ahead_published_ms: dict[str, int] = {}
+        self._publishing: dict[str, bool] = {}
 
-    def subscribe(self, kind: str, take: Callable[[StoreNews], None]) -> None:
-        """Hand on what is told of one kind of object."""
-        self._takers[kind] = take
-        self._heard_ahead_ms[kind] = self._now_ms()
+    def subscribe(self, kind: str, on_news: Callable[[StoreNews], None]) -> None:
+        """Call `on_news` for each update of one kind of object."""
+        self._subscribers[kind] = on_news
+        self._ahead_published_ms[kind] = self._now_ms()
 
-    def take_zone(self, cores: dict[str, float]) -> None:
-        """The nodes of this zone with their cores; the strong ones tell before the others.
+    def update_zone(self, cores: dict[str, float]) -> None:
+        """Set the nodes of this zone with their cores; strong ones publish first.
 
-        Nobody can have told before there were enough: the wait for them begins then.
+        Silence is counted from when the zone became large enough.
         """
         self.turns.take(cores, strong_nodes(cores))
         was_shared, self._nodes = self.shared, cores.keys()
         if not was_shared:
-            self._heard_ahead_ms = dict.fromkeys(self._takers, self._now_ms())
+            self._ahead_published_ms = dict.fromkeys(self._subscribers, self._now_ms())
 
     @property
     def shared(self) -> bool:
-        """Whether there are enough nodes here for some to ask for all."""
-        return len(self._nodes) >= LEAST_NODES
+        """Whether the zone is large enough for publishers."""
+        return len(self._nodes) >= MIN_SHARED_NODES
 
-    def tells(self, kind: str) -> bool:
-        """Whether this node asks for the others now: it is among the first, or those are silent."""
+    def publishes(self, kind: str) -> bool:
+        """Whether this node is a publisher now: it ranks first, or those before it are silent."""
         if not self.shared:
             return False
         place = self.turns.place(kind)
-        if place < TELLERS:
+        if place < PUBLISHERS:
             return True
-        wait_ms = self.pace.silent_ms + place // TELLERS * NEXT_TELLERS_MS
-        return self._now_ms() - self._heard_ahead_ms[kind] >= wait_ms
-
-    def hears_others(self) -> bool:
-        """Whether others of the zone ask the store for this node too."""
-        return self.shared and not any(self.tells(kind) for kind in self._takers)
-
-    def tell(self, news: StoreNews, took_ms: int) -> None:
-        """Pass on an answer of the store, `took_ms` after it was asked for."""
-        telling = self.tells(news.kind) and self._kernel is not None
-        if telling is not self._telling.get(news.kind, False):
-            self._telling[news.kind] = telling
-            logger.info("event=store_news kind=%s telling=%s", news.kind, telling)
-        if not telling or took_ms > self.pace.watch_wait_ms + LATE_MS:
+        wait_ms = self.pace.silent_ms + place // PUBLISHERS * NEXT_PUBLISHERS_MS
+        return self._now_ms() - self._ahead_published_ms[kind] >= wait_ms
+
+    def follows_peers(self) -> bool:
+        """Whether other nodes of the zone watch the store for this one."""
+        return self.shared and not any(self.publishes(kind) for kind in self._subscribers)
+
+    def publish(self, news: StoreNews, took_ms: int) -> None:
+        """Send an answer of the store that took `took_ms` to the zone, if this is a publisher."""
+        publishing = self.publishes(news.kind) and self._kernel is not None
+        if publishing is not self._publishing.get(news.kind, False):
+            self._publishing[news.kind] = publishing
+            logger.info("event=store_publisher kind=%s publishing=%s", news.kind, publishing)
+        if not publishing or took_ms > self.pace.watch_wait_ms + LATE_MS:
             return
         assert self._kernel is not None
         size = sum(len(item.content or b"") for item in news.objects or ())
-        if size > MOST_NEWS_BYTES:
+        if size > MAX_NEWS_BYTES:
             news = attrs.evolve(news, objects=None)
         for node in self._nodes:
             if node != self.turns.own:
                 self._kernel.post("peers", Outgoing(node, news))
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
-        """Hear the others until cancelled."""
+        """Receive updates until cancelled."""
         self._kernel = kernel
         async for news in mailbox:
-            self._hear(news)
+            self._handle(news)
 
-    def _hear(self, news: StoreNews) -> None:
-        if news.kind not in self._takers:
+    def _handle(self, news: StoreNews) -> None:
+        if news.kind not in self._subscribers:
             return
         if self.turns.place(news.kind, news.sender) < self.turns.place(news.kind):
-            self._heard_ahead_ms[news.kind] = self._now_ms()
+            self._ahead_published_ms[news.kind] = self._now_ms()
         self._epoch.observe(news.epoch)
-        self._takers[news.kind](news)
+        self._subscribers[news.kind](news)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -171,7 +171,7 @@
 
     def _told(self) -> bool:
         """Whether this node may wait for what others tell it of the store."""
-        return self._forwarder.table is not None and self._news.hears_others()
+        return self._forwarder.table is not None and self._news.follows_peers()
 
     def _in_touch(self) -> bool:
         """Whether a version of the configuration that has to be in force here is known."""
@@ -313,7 +313,7 @@
     def _take_census(self, nodes: dict[str, CountedNode]) -> None:
         cores = {address: node.cores for address, node in nodes.items()}
         zone = self.settings.zone
-        self._news.take_zone({a: node.cores for a, node in nodes.items() if node.zone == zone})
+        self._news.update_zone({a: node.cores for a, node in nodes.items() if node.zone == zone})
         self._state.budget.nodes = max(1, len(cores))
         self._memory.choice.cores = cores
         self._turns.take(cores)
--- a/saffronworks/tests/features/steps/news_steps.py
+++ b/saffronworks/tests/features/steps/news_steps.py
@@ -6,10 +6,10 @@
 from saffronworks.forwarding.ports import StoredObject
 from saffronworks.forwarding.store_news import (
     LATE_MS,
-    LEAST_NODES,
-    MOST_NEWS_BYTES,
-    NEXT_TELLERS_MS,
-    TELLERS,
+    MAX_NEWS_BYTES,
+    MIN_SHARED_NODES,
+    NEXT_PUBLISHERS_MS,
+    PUBLISHERS,
     NewsFeed,
     NewsPace,
     ObjectNews,
@@ -36,7 +36,7 @@
 @then("in a zone of forty nodes two ask, and all know a change at once")
 def two_ask(context):
     async def play(store, nodes):
-        assert sum(node.tells() for node in nodes) == TELLERS
+        assert sum(node.publishes() for node in nodes) == PUBLISHERS
         await anyio.sleep(1.0)
         before = store.calls
         for turn in range(3):
@@ -52,19 +52,19 @@
 @then("in a zone of eight each asks by itself, as often as it did")
 def eight_ask(context):
     async def play(store, nodes):
-        assert not any(node.tells() for node in nodes)
+        assert not any(node.publishes() for node in nodes)
         store.change("e1", b"1")
         await know(nodes, "e1", b"1", within_ms=200)
         before = store.calls
         await anyio.sleep(1.0)
         assert store.calls - before <= len(nodes)
 
-    play_zone(LEAST_NODES - 1, play)
+    play_zone(MIN_SHARED_NODES - 1, play)
 
 
 async def fall_silent(store, nodes, how):
     """Both tellers fail; a change comes at once."""
-    first = [node for node in nodes if node.tells()]
+    first = [node for node in nodes if node.publishes()]
     others = [node for node in nodes if node not in first]
     await anyio.sleep(0.5)
     for node in first:
@@ -72,7 +72,7 @@
     store.change("e1", b"1")
     await know(others, "e1", b"1")
     await anyio.sleep(1.5)
-    assert 1 <= sum(node.tells() for node in others) <= TELLERS
+    assert 1 <= sum(node.publishes() for node in others) <= PUBLISHERS
     before = store.calls
     store.change("e1", b"2")
     await know(others, "e1", b"2", within_ms=400)
@@ -104,7 +104,7 @@
         for node in first:
             node.cut = False
         await anyio.sleep(6.0)
-        assert not any(node.tells() for node in others)
+        assert not any(node.publishes() for node in others)
         store.change("e1", b"3")
         await know(nodes, "e1", b"3", within_ms=400)
 
@@ -123,16 +123,16 @@
 @then("old news change nothing, and news with a gap make a node ask")
 def old_news(context):
     async def play(store, nodes):
-        node = next(node for node in nodes if not node.tells())
+        node = next(node for node in nodes if not node.publishes())
         for turn in range(5):
             store.change("e1", b"%d" % turn)
         await know([node], "e1", b"4", within_ms=400)
-        node.follower.take_news(news(node, 1, 3))
-        node.follower.take_news(news(node, 0, 3, whole=True))
+        node.follower.handle_news(news(node, 1, 3))
+        node.follower.handle_news(news(node, 0, 3, whole=True))
         assert node.known["e1"] == b"4" and node.revisions == sorted(node.revisions)
         store.events.append(StoredObject("e2", at(store.revision + 1), b"2"))
         store.revision += 2
-        node.follower.take_news(news(node, store.revision - 1, store.revision))
+        node.follower.handle_news(news(node, store.revision - 1, store.revision))
         assert node.known["e1"] == b"4", "news with a gap were taken"
         await know([node], "e2", b"2", within_ms=400)
 
@@ -142,7 +142,7 @@
 @then("a node that missed news asks the store once, and knows all")
 def missed_news(context):
     async def play(store, nodes):
-        node = next(node for node in nodes if not node.tells())
+        node = next(node for node in nodes if not node.publishes())
         node.dead = True
         store.change("e1", b"1")
         await anyio.sleep(0.3)
@@ -157,11 +157,11 @@
 @then("news that are too large to send make a node ask")
 def too_large(context):
     async def play(store, nodes):
-        large = b"x" * (MOST_NEWS_BYTES + 1)
+        large = b"x" * (MAX_NEWS_BYTES + 1)
         store.change("e1", large)
         await know(nodes, "e1", large, within_ms=400)
 
-    play_zone(LEAST_NODES, play)
+    play_zone(MIN_SHARED_NODES, play)
 
 
 @then("an answer that came late is no news")
@@ -170,20 +170,20 @@
     pace = NewsPace.within(FOLLOW_WITHIN_MS)
     feed = NewsFeed(Turns("a"), pace, StoreEpoch(), lambda: 0)
     feed.subscribe(KIND, lambda news: None)
-    feed.take_zone({"a": 2.0} | {f"n{index}": 1.0 for index in range(LEAST_NODES)})
+    feed.update_zone({"a": 2.0} | {f"n{index}": 1.0 for index in range(MIN_SHARED_NODES)})
     feed.turns.take(["a"])
     feed._kernel = type("K", (), {"post": lambda self, name, message: posted.append(message)})()
     in_time_ms = pace.watch_wait_ms + LATE_MS
-    feed.tell(news(None, 1, 2), in_time_ms + 1)
+    feed.publish(news(None, 1, 2), in_time_ms + 1)
     assert not posted
-    feed.tell(news(None, 1, 2), in_time_ms)
-    assert len(posted) == LEAST_NODES
+    feed.publish(news(None, 1, 2), in_time_ms)
+    assert len(posted) == MIN_SHARED_NODES
 
 
 @then("it goes by what others tell it")
 def cut_node(context):
     async def play(store, nodes):
-        node = next(node for node in nodes if not node.tells())
+        node = next(node for node in nodes if not node.publishes())
         node.cut = True
         store.change("e1", b"1")
         await know(nodes, "e1", b"1", within_ms=400)
@@ -197,7 +197,7 @@
 @then("one that tells the others, and loses its watch, goes by what the other one tells")
 def cut_teller(context):
     async def play(store, nodes):
-        node = next(node for node in nodes if node.tells())
+        node = next(node for node in nodes if node.publishes())
         node.cut = True
         await anyio.sleep(0.6)
         store.change("e1", b"1")
@@ -206,7 +206,7 @@
         follower = node.follower
         follower._lists_next = True
         known = follower._revision.number
-        follower.take_news(news(node, known, known))
+        follower.handle_news(news(node, known, known))
         assert follower._lists_next is False, "news are as whole as a listing"
 
     play_zone(MANY, play)
@@ -214,15 +214,15 @@
 
 @then("weak ones do so only where there are too few strong ones")
 def strong_tell(context):
-    weak = {f"w{index}": 0.5 for index in range(LEAST_NODES)}
+    weak = {f"w{index}": 0.5 for index in range(MIN_SHARED_NODES)}
     for strong, telling in ((3, ["s", "s"]), (2, ["s", "s"]), (1, ["s", "w"])):
         cores = weak | {f"s{index}": 2.1 for index in range(strong)}
         tellers = []
         for own in cores:
             feed = make_feed(own, lambda: 0)
             feed.subscribe(KIND, lambda news: None)
-            feed.take_zone(cores)
-            if feed.turns.place(KIND) < TELLERS:
+            feed.update_zone(cores)
+            if feed.turns.place(KIND) < PUBLISHERS:
                 tellers.append(own)
         assert sorted(own[0] for own in tellers) == telling, tellers
 
@@ -239,12 +239,12 @@
     # The count comes long after the start; then nobody is heard for a while.
     now_ms = 10 * FOLLOW_WITHIN_MS
     for feed in feeds:
-        feed.take_zone(cores)
-    assert sum(feed.tells(KIND) for feed in feeds) == TELLERS
+        feed.update_zone(cores)
+    assert sum(feed.publishes(KIND) for feed in feeds) == PUBLISHERS
     now_ms += FOLLOW_WITHIN_MS
-    assert sum(feed.tells(KIND) for feed in feeds) < 2 * TELLERS
-    now_ms += NEXT_TELLERS_MS
-    assert sum(feed.tells(KIND) for feed in feeds) <= 3 * TELLERS
+    assert sum(feed.publishes(KIND) for feed in feeds) < 2 * PUBLISHERS
+    now_ms += NEXT_PUBLISHERS_MS
+    assert sum(feed.publishes(KIND) for feed in feeds) <= 3 * PUBLISHERS
 
 
 async def restore_after(store, writes):
@@ -261,7 +261,7 @@
 def few_list_anew(context):
     # The watches of tellers within the time in which a change is followed, and a listing for each.
     pace = NewsPace.within(FOLLOW_WITHIN_MS)
-    max_calls = TELLERS * 2 * (1 + FOLLOW_WITHIN_MS // pace.watch_wait_ms)
+    max_calls = PUBLISHERS * 2 * (1 + FOLLOW_WITHIN_MS // pace.watch_wait_ms)
 
     async def play(store, nodes, writes_after):
         await restore_after(store, writes=5)
@@ -283,11 +283,11 @@
         await restore_after(store, writes=5)
         store.change("e1", b"restored")
         await know(nodes, "e1", b"restored")
-        node = next(node for node in nodes if not node.tells())
+        node = next(node for node in nodes if not node.publishes())
         known = dict(node.known)
         for epoch in (0, 1):
-            node.follower.take_news(news(node, 0, 99, whole=True, epoch=epoch))
-            node.follower.take_news(news(node, 1, 99, epoch=epoch))
+            node.follower.handle_news(news(node, 0, 99, whole=True, epoch=epoch))
+            node.follower.handle_news(news(node, 1, 99, epoch=epoch))
         assert node.known == known and node.follower._revision == store.at()
 
     play_zone(MANY, play)
@@ -303,4 +303,4 @@
         nodes[0].epoch.observe(store.epoch)
         await know(nodes[:1], "e1", b"restored", within_ms=200)
 
-    play_zone(LEAST_NODES - 1, play)
+    play_zone(MIN_SHARED_NODES - 1, play)
--- a/saffronworks/tests/zone_plays.py
+++ b/saffronworks/tests/zone_plays.py
@@ -127,8 +127,8 @@
             self.known[item.name] = item.content
         self.revisions.append(changes.revision)
 
-    def tells(self):
-        return self.feed.tells(KIND)
+    def publishes(self):
+        return self.feed.publishes(KIND)
 
 
 def play_zone(count, play):
@@ -140,7 +140,7 @@
             node = ZoneNode(number, store, nodes)
             nodes[node.address] = node
         for node in nodes.values():
-            node.feed.take_zone(dict.fromkeys(nodes, 1.0))
+            node.feed.update_zone(dict.fromkeys(nodes, 1.0))
         async with anyio.create_task_group() as tasks:
             for node in nodes.values():
                 node.kernel.start(tasks)
