Ask a third holder of a quota as soon as a starting node counts it

Cause: a node that counted two nodes for 4.5 s after its start remembered them as the earlier holders, and asked no other one until that view was forgotten. With fewer nodes than holders nothing is divided by fewer until the view is settled, so the third share was given out by nobody, and asking it takes nothing of another's.

A view of fewer nodes than holders counts as an earlier one only once it was settled, 30 s.

--- a/saffronworks/forwarding/shares/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -49,12 +49,23 @@
         newest = _View([point for point, _ in ordered], [node for _, node in ordered])
         if newest.nodes == self._view.nodes:
             return
-        # At a start the others are counted one after the other: such views are no one else's.
-        if self._changed_ms is not None and now_ms - self._changed_ms >= VIEW_LASTED_MS:
+        if self._was_asked(now_ms):
             self._earlier.append(attrs.evolve(self._view, until_ms=now_ms))
         self._forget_earlier(now_ms)
         self._view, self._changed_ms = newest, now_ms
 
+    def _was_asked(self, now_ms: int) -> bool:
+        """Whether the view lasted long enough for its holders to have given out whole limits.
+
+        Right after a start it grows with each count. With fewer nodes than holders it leaves shares
+        out until it is settled, so that a new node takes none of another one's.
+        """
+        if self._changed_ms is None:
+            return False
+        lasted_ms = now_ms - self._changed_ms
+        complete = len(self._view.nodes) >= HOLDERS
+        return lasted_ms >= (VIEW_LASTED_MS if complete else SETTLED_MS)
+
     def shares(self, now_ms: int) -> int:
         """Into how many shares a limit is divided."""
         settled = self._changed_ms is not None and now_ms - self._changed_ms >= SETTLED_MS
--- a/saffronworks/tests/features/quotas.feature
+++ b/saffronworks/tests/features/quotas.feature
@@ -92,6 +92,11 @@
     # knew two and one three, so that they held a whole quota, a half and a third.
     Then a node that has counted fewer than three divides a quota by three until all know that
 
+  # Guards against a third of a quota that no node asks for after two of three nodes have started.
+  Scenario: a node that counts only two of three nodes for some seconds after its start
+    Then it asks the third one as soon as it counts it
+    And one that has divided a quota by two asks a new third one only later
+
   Scenario: memory stays bounded
     Then a holder forgets organisations that owe nothing, and requests that are long over
     And a node alone forgets organisations that are gone
--- a/saffronworks/tests/features/steps/quota_fleet_steps.py
+++ b/saffronworks/tests/features/steps/quota_fleet_steps.py
@@ -18,6 +18,9 @@
     COUNTED_KEPT_MS,
     FORGET_ACCOUNTS_EVERY_MS,
     MOST_COUNTED,
+    SETTLED_MS,
+    VIEW_LASTED_MS,
+    VIEWS_DIFFER_MS,
 )
 from saffronworks.tests.quota_plays import BOUNDS, GENERATION_TOKENS, Outcome, QuotaFleet
 from saffronworks.tests.virtual_fleet import STRIKES
@@ -239,6 +242,23 @@
     assert len(ring._earlier) <= 9, "views that are long over are forgotten"
 
 
+@then("it asks the third one as soon as it counts it")
+def asks_third(context):
+    ring = HolderRing()
+    ring.take(["a", "b"], 1000)
+    ring.take(["a", "b", "c"], 1000 + 2 * VIEW_LASTED_MS)
+    assert sorted(ring.asked("o", 1001 + 2 * VIEW_LASTED_MS)) == ["a", "b", "c"]
+
+
+@then("one that has divided a quota by two asks a new third one only later")
+def asks_third_later(context):
+    ring, joined_ms = HolderRing(), 1000 + SETTLED_MS
+    ring.take(["a", "b"], 1000)
+    ring.take(["a", "b", "c"], joined_ms)
+    assert sorted(ring.asked("o", joined_ms + VIEWS_DIFFER_MS - 1)) == ["a", "b"]
+    assert sorted(ring.asked("o", joined_ms + VIEWS_DIFFER_MS)) == ["a", "b", "c"]
+
+
 @then("a holder forgets organisations that owe nothing, and requests that are long over")
 def forgets(context):
     held = holder_since_long()
