--- a/saffronworks/tests/features/store_restore.feature
+++ b/saffronworks/tests/features/store_restore.feature
@@ -1,7 +1,6 @@
 Feature: the store is restored from an older copy
 
-  # Guards against comparing revisions of two epochs: listings of the restored store were dropped as
-  # overtaken until its revisions had passed the one known before.
+  # Guards against listings of a restored store being dropped for their lower revisions.
   Scenario: a configuration written after a restore is in force in time
     Given two nodes that know more revisions than a copy of the store has
     When the store is restored from the copy and a new configuration adds a route
