Pass a silent holder over once for asks of the same moment

Cause: each of several asks under way when a holder was silent for 40 ms doubled the time for which it is passed over: four of them at 11:05:59.002 to 59.046 made two seconds into sixteen, at a node that counted all three holders.

Asks that were sent before a node was passed over count as one.

--- a/saffronworks/forwarding/choices.py
+++ b/saffronworks/forwarding/choices.py
@@ -71,11 +71,16 @@
         return now_ms < self.young_until_ms
 
     def avoid(self, node: str, now_ms: int) -> int:
-        """It was silent: pass it over, for longer each time in a row. Returns for how long."""
+        """It was silent: pass it over, for longer each time in a row. Returns for how long.
+
+        Asks that were sent before it was passed over count as one.
+        """
         if self.young(now_ms):
             self._avoided[node] = _Avoided(now_ms + YOUNG_AVOID_MS, NODE_AVOID_MS // 2)
             return YOUNG_AVOID_MS
         known = self._avoided.get(node)
+        if known is not None and now_ms < known.until_ms:
+            return known.until_ms - now_ms
         doubled_ms = 2 * known.span_ms if known else NODE_AVOID_MS
         span_ms = min(doubled_ms, NODE_AVOID_MOST_MS)
         self._avoided[node] = _Avoided(now_ms + span_ms, span_ms)
