--- a/saffronworks/tests/soak/seeds.py
+++ b/saffronworks/tests/soak/seeds.py
@@ -40,9 +40,9 @@
 
 # Found with all kinds of faults but restores of the store.
 FAILED_WITH_DRAINS: dict[int, str] = {
-    42009: "open: two of three nodes were stopped and started at once; for 20 s nobody asks the "
-    "third holder of a quota, as in 98017, and at the calm end 20 of 162 requests were refused "
+    42009: "several asks that a holder of a quota left unanswered in one moment each doubled the "
+    "time for which it was passed over, to 16 s: at the calm end 20 of 162 requests were refused "
     "though they were within their quota; in one of two plays",
-    42020: "open, as 42009: 28 of 166, in one of two plays; on the code that knew no drains and "
-    "pauses as well, 21 of 174",
+    42020: "as 42009: 28 of 166, in one of two plays; on the code that knew no drains and pauses "
+    "as well, 21 of 174",
 }
