Build updates of the store only where they are published; one spread after restores

Behaviour unchanged. Each answer of the store was copied into an update for the zone, object by object, also at nodes that publish none; now after the checks. The census and the quarantine had a constant each for the same spread of writes after a restore; one stands in tuning. A listing is told as restored by one named condition, the newest epoch comes from observe, and quarantined contents are picked from all.

The test of late answers passes the answer in place of the update; its assertions stay.

--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -12,6 +12,7 @@
 
 from saffronworks.forwarding.ports import Conflict, ObjectSource, StoredObject
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
+from saffronworks.forwarding.tuning import RESTORED_SPREAD_MS
 from saffronworks.web import is_address
 
 __all__ = ["NODE_KIND", "Census", "CountedNode"]
@@ -32,9 +33,8 @@
 EXACT_COUNT_S = 0.7
 NEXT_COUNTS_S = (3.0, 4.0)
 ENTER_AGAIN_S = 1.0
-# After a restore of the store nodes look for their entries at different moments, and each keeps
-# counting those whose entries the copy lacks until they have had time to enter again.
-RESTORED_SPREAD_S = 2.0
+# After a restore of the store each node counts again once all have entered, and keeps counting
+# those whose entries the copy lacks until then.
 RESTORED_COUNT_S = 4.0
 KEEP_MISSING_MS = 15_000
 
@@ -118,7 +118,7 @@
         while True:
             await self._restored.wait()
             self._restored = anyio.Event()
-            await anyio.sleep(RESTORED_SPREAD_S * self._rng.random())
+            await anyio.sleep(RESTORED_SPREAD_MS / 1000 * self._rng.random())
             if not self._leaving:
                 await self._enter_until_done()
             await anyio.sleep(RESTORED_COUNT_S)
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -160,8 +160,7 @@
             return
         now_ms = self._now_ms()
         lapse_ms = max(0, self._lapse_until_ms - now_ms)
-        news = StoreNews.from_listing(self._news.turns.own, self.kind, heard, since, lapse_ms)
-        self._news.publish(news, now_ms - self._asked_ms)
+        self._news.publish(self.kind, heard, since, lapse_ms, now_ms - self._asked_ms)
 
     async def _list(self) -> None:
         self._asked_ms, asked_at = self._now_ms(), self._revision
@@ -187,7 +186,10 @@
         The restore came at `after_ms` or later.
         """
         known = self._revision
-        if known is None or (heard.revision >= known and heard.revision.epoch == known.epoch):
+        if known is None:
+            return
+        restored = heard.revision.epoch > known.epoch or heard.revision < known
+        if not restored:
             return
         now_ms = self._now_ms()
         bound_ms = after_ms + self._known_within_ms - LAPSE_MARGIN_MS
--- a/saffronworks/forwarding/quarantine/suspicions.py
+++ b/saffronworks/forwarding/quarantine/suspicions.py
@@ -145,8 +145,7 @@
 
     def quarantined(self) -> list[Suspicion]:
         """What no node is to send on."""
-        known = (entry.suspicion for entry in self._entries.values())
-        return [suspicion for suspicion in known if is_quarantined(suspicion)]
+        return [suspicion for suspicion in self.all() if is_quarantined(suspicion)]
 
     def all(self) -> list[Suspicion]:
         """What is known of every content."""
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -49,5 +49,3 @@
 # store only has to before they all end.
 RECORD_AGAIN_S = 1.0
 RECORD_TRIES = 30
-# Nodes write lost records again within this time after a restore of the store, not all at once.
-RESTORED_SPREAD_S = 2.0
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -166,16 +166,22 @@
         """Whether other nodes of the zone watch the store for this one."""
         return self.shared and not any(self.publishes(kind) for kind in self._subscribers)
 
-    def publish(self, news: StoreNews, took_ms: int) -> None:
-        """Send an answer of the store that took `took_ms` to the zone, if this is a publisher."""
-        publishing = self.publishes(news.kind) and self._kernel is not None
-        if publishing is not self._publishing.get(news.kind, False):
-            self._publishing[news.kind] = publishing
-            logger.info("event=store_publisher kind=%s publishing=%s", news.kind, publishing)
+    def publish(
+        self, kind: str, heard: Listing, since: StoreRevision | None, lapse_ms: int, took_ms: int
+    ) -> None:
+        """Send an answer of the store that took `took_ms` to the zone, if this is a publisher.
+
+        `since` is None for a whole listing.
+        """
+        publishing = self.publishes(kind) and self._kernel is not None
+        if publishing is not self._publishing.get(kind, False):
+            self._publishing[kind] = publishing
+            logger.info("event=store_publisher kind=%s publishing=%s", kind, publishing)
         if not publishing or took_ms > self.pace.watch_wait_ms + LATE_MS:
             return
         assert self._kernel is not None
-        size = sum(len(item.content or b"") for item in news.objects or ())
+        news = StoreNews.from_listing(self.turns.own, kind, heard, since, lapse_ms)
+        size = sum(len(item.content or b"") for item in heard.objects)
         if size > MAX_NEWS_BYTES:
             news = attrs.evolve(news, objects=None)
         for node in self._nodes:
--- a/saffronworks/forwarding/store_revisions.py
+++ b/saffronworks/forwarding/store_revisions.py
@@ -51,13 +51,13 @@
         """Call `on_restore` whenever a later epoch is observed."""
         self._subscribers.append(on_restore)
 
-    def observe(self, epoch: int) -> None:
-        """Update from an answer of the store or a peer's message; older epochs are ignored."""
+    def observe(self, epoch: int) -> int:
+        """Update from an answer or a peer, ignoring older epochs; returns the newest known."""
         if self.newest is not None and epoch <= self.newest:
-            return
+            return self.newest
         before, self.newest = self.newest, epoch
         logger.info("event=store_epoch_observed epoch=%d before=%s", epoch, before)
-        if before is None:
-            return
-        for on_restore in self._subscribers:
-            on_restore()
+        if before is not None:
+            for on_restore in self._subscribers:
+                on_restore()
+        return epoch
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -201,8 +201,8 @@
             self._malformed_epoch = values[0]
             logger.error("event=store_epoch_malformed found=%r", shorten(repr(values)))
         told = max((epoch for epoch in read if epoch is not None), default=0)
-        self._epoch.observe(told)
-        return told or self._epoch.newest or 0
+        newest = self._epoch.observe(told)
+        return told or newest
 
 
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
--- a/saffronworks/tests/features/steps/news_steps.py
+++ b/saffronworks/tests/features/steps/news_steps.py
@@ -3,7 +3,7 @@
 import anyio
 from behave import then
 
-from saffronworks.forwarding.ports import StoredObject
+from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.store_news import (
     LATE_MS,
     MAX_NEWS_BYTES,
@@ -174,9 +174,10 @@
     feed.turns.take(["a"])
     feed._kernel = type("K", (), {"post": lambda self, name, message: posted.append(message)})()
     in_time_ms = pace.watch_wait_ms + LATE_MS
-    feed.publish(news(None, 1, 2), in_time_ms + 1)
+    answer = Listing((StoredObject("e1", at(2), b"told"),), at(2))
+    feed.publish(KIND, answer, at(1), 0, in_time_ms + 1)
     assert not posted
-    feed.publish(news(None, 1, 2), in_time_ms)
+    feed.publish(KIND, answer, at(1), 0, in_time_ms)
     assert len(posted) == MIN_SHARED_NODES
 
 
