Tell the planner the priority and organisation of each ask and run

Decisions on scarce memory could not know who asks: the priorities of routes and organisations were decoded and read by nothing. Asks and reported runs now carry a combined rank (organisation first, then route), the organisation and the target. Defaults stand for nodes of the release before. No decision uses them yet, so plans are what they were. A negative priority of a route is a finding, as an organisation's is.

Tests: the scenarios of the planner, the platform and mixed versions pass.

--- a/saffronworks/forwarding/places.py
+++ b/saffronworks/forwarding/places.py
@@ -11,7 +11,7 @@
 from saffronworks.forwarding.endpoint_limits.permits import FREE, NoPermit
 from saffronworks.forwarding.loads import EndpointLoad
 from saffronworks.forwarding.messages import KvHold, NotExecuted
-from saffronworks.forwarding.planning.client import RunSize
+from saffronworks.forwarding.planning.client import RunOwner, RunSize
 from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
     MemoryGrant,
@@ -19,6 +19,7 @@
     MemoryRelease,
     ReadingEnded,
 )
+from saffronworks.forwarding.planning.priorities import combine_priorities
 from saffronworks.forwarding.runners import Job, NodeState
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
@@ -63,6 +64,13 @@
         """Whether an endpoint has reserved memory for it, or runs it."""
         return self._load is not None
 
+    @property
+    def owner(self) -> RunOwner:
+        """For whom the place is."""
+        whose, route = self.job.request.organisation, self.job.route
+        rank = combine_priorities(whose.priority if whose else None, route.priority)
+        return RunOwner(rank, whose.name if whose else "")
+
     async def ask_planner(self, command: events.AskPlanner, returned: bool) -> events.Event:
         """Ask the planner for a place, and wait for its answer."""
         memory, request = self.node.memory, self.job.request
@@ -80,6 +88,9 @@
             returned=returned,
             avoid=command.avoid,
             broken=command.broken,
+            priority=self.owner.priority,
+            organisation=self.owner.organisation,
+            target_ms=self.job.route.target_ms,
         )
         match await memory.ask(ask):
             case MemoryGrant(_, instance, reader):
@@ -145,7 +156,8 @@
         self._load = self.node.loads.of(endpoint.instance)
         self._load.reserved_tokens += tokens
         request_id = self.job.request.request_id
-        self.node.memory.begin(request_id, self.job.service, endpoint.instance, self.size)
+        service, instance = self.job.service, endpoint.instance
+        self.node.memory.begin(request_id, service, instance, self.size, self.owner)
 
     def use(self) -> None:
         """The request was sent with the reservation, which serves it from now on."""
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -18,6 +18,7 @@
     ReadingEnded,
     ReportWanted,
 )
+from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.tuning import (
     ASK_AGAIN_MS,
     PLANNER_SILENT_MS,
@@ -30,7 +31,7 @@
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
 
-__all__ = ["MemoryClient", "RunSize"]
+__all__ = ["MemoryClient", "RunOwner", "RunSize"]
 
 logger = logging.getLogger(__name__)
 
@@ -47,11 +48,23 @@
     most_tokens: int
 
 
+@attrs.frozen
+class RunOwner:
+    """For whom a run is: the combined rank, lower first, and the organisation, empty if none."""
+
+    priority: int = DEFAULT_RANK
+    organisation: str = ""
+
+
+NO_OWNER = RunOwner()
+
+
 @attrs.define
 class _Run:
     service: str
     instance: StartId
     size: RunSize
+    owner: RunOwner
     began_ms: int
     made_tokens: int
     made_ms: int
@@ -150,11 +163,18 @@
             avoided_ms,
         )
 
-    def begin(self, request_id: str, service: str, instance: StartId, size: RunSize) -> None:
+    def begin(
+        self,
+        request_id: str,
+        service: str,
+        instance: StartId,
+        size: RunSize,
+        owner: RunOwner = NO_OWNER,
+    ) -> None:
         """Note a run, whoever granted it, so that the planner hears of it."""
         if self._kernel is not None:
             now_ms = self._kernel.now_ms()
-            self._runs[request_id] = _Run(service, instance, size, now_ms, 0, now_ms)
+            self._runs[request_id] = _Run(service, instance, size, owner, now_ms, 0, now_ms)
 
     def progress(self, request_id: str, made_tokens: int) -> None:
         """Tokens of a run's answer came."""
@@ -205,6 +225,8 @@
                 now_ms - run.began_ms,
                 run.made_tokens,
                 now_ms - run.made_ms,
+                run.owner.priority,
+                run.owner.organisation,
             )
             for request_id, run in self._runs.items()
             if run.service == service
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -198,6 +198,8 @@
         live.likely_tokens,
         live.most_tokens,
         now_ms - live.age_ms,
+        priority=live.priority,
+        organisation=live.organisation,
     )
 
 
@@ -235,6 +237,8 @@
             ask.most_tokens,
             now_ms,
             reader,
+            priority=ask.priority,
+            organisation=ask.organisation,
         )
         usable[instance].add(run.growth(state.lengths, state.ms_per_token, now_ms))
         usable[instance].settle()
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.starts import StartId
 
 __all__ = [
@@ -29,7 +30,8 @@
 
     `in_time_ms` is left until a grant comes too late for the target, `patience_ms` until the
     entry gives up; `avoid` names endpoints that had no room for it or failed it, `broken` the
-    latter alone.
+    latter alone. `priority` is the combined rank, lower first; `organisation` is empty and
+    `target_ms` 0 where unknown, as from a node of the release before.
     """
 
     request_id: str
@@ -44,6 +46,9 @@
     returned: bool
     avoid: tuple[StartId, ...] = ()
     broken: tuple[StartId, ...] = ()
+    priority: int = DEFAULT_RANK
+    organisation: str = ""
+    target_ms: int = 0
 
 
 @attrs.frozen
@@ -121,6 +126,8 @@
     age_ms: int
     made_tokens: int = 0
     quiet_ms: int = 0
+    priority: int = DEFAULT_RANK
+    organisation: str = ""
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.planning.lengths import AnswerLengths
+from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.tuning import (
     READ_MS,
     REPORT_LAPSE_MS,
@@ -17,7 +18,7 @@
     """One run on an endpoint, by the planner's own clock.
 
     `made_tokens` of the answer were there at `made_ms`, by the last report; `listed`: there was
-    one. `reader` was to read the prompt.
+    one. `reader` was to read the prompt. `priority` and `organisation` are those of its ask.
     """
 
     instance: StartId
@@ -30,6 +31,8 @@
     made_tokens: int = 0
     made_ms: int = 0
     listed: bool = False
+    priority: int = DEFAULT_RANK
+    organisation: str = ""
 
     def growth(
         self, lengths: AnswerLengths, ms_per_token: float, now_ms: int
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -126,6 +126,8 @@
         ]
         if route.kind not in _KINDS:
             findings.append(f"{place}: kind {route.kind!r} is not one of {', '.join(_KINDS)}")
+        if route.priority < 0:
+            findings.append(f"{place}: priority: {route.priority} is negative")
         if route.traffic_split and sum(split.weight for split in route.traffic_split) <= 0:
             findings.append(f"{place}: the weights of its services add up to nothing")
     return findings + check_tenants(wire.tenants or [])
