Learn the decode speed of each endpoint in the planner

Cause: the planner extrapolated all runs at the service's average time for a token. Where a quarter of the engines runs at 0.55 of the usual speed and the others at 1.2, what it took their memory for was wrong by several answers.

Change: `planning/speeds.py` keeps a factor for each endpoint's start, learnt from ends of runs and from progress between two reports, with the service's average as the prior and a half-life of 10 s. The effect of the number of runs is estimated within endpoints and removed. Factors within 0.1 of the average (as logarithms) count as 1. The present size of runs, the ends per second and the choice among nearly equal peaks use it. Samples that no engine can have made are ignored. Changes are logged, at most four a second, and counted.

--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -52,6 +52,14 @@
         self._samples.append(Sample("saffronworks_first_byte_ms", first_ms, labels))
         self._samples.append(Sample("saffronworks_answer_ms", whole_ms, labels))
 
+    def record_speed(self, service: str, factor: float, ms_per_token: float) -> None:
+        """Record a change of an endpoint's decode speed, in ms for a thousand tokens."""
+        pace = "slower" if factor > 1 else "faster" if factor < 1 else "usual"
+        self._add("saffronworks_speed_changes", service=service, pace=pace)
+        ms = round(1000 * ms_per_token)
+        name = "saffronworks_thousand_tokens_ms"
+        self._samples.append(Sample(name, ms, self._label(service=service, pace=pace)))
+
     def take_samples(self) -> list[Sample]:
         """The times since the last call; each is told once."""
         samples = list(self._samples)
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -24,6 +24,7 @@
 from saffronworks.forwarding.planning.plans import Message, Occupancies, PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.refusals import refuse
 from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.planning.speeds import is_plausible_pace
 from saffronworks.forwarding.planning.tuning import (
     FULL_MS,
     MOST_SLOWER,
@@ -155,7 +156,8 @@
     if run is not None:
         state.full_until_ms.pop(run.instance, None)
         state.lengths.learn(run.likely_tokens, event.length_tokens)
-    if event.answer_tokens and event.stream_ms:
+        state.speeds.learn_run(run.instance, event.answer_tokens, event.stream_ms, now_ms)
+    if is_plausible_pace(event.answer_tokens, event.stream_ms):
         seen = event.stream_ms / event.answer_tokens
         seen = min(seen, MOST_SLOWER * state.ms_per_token)
         state.ms_per_token += SAMPLE_WEIGHT * (seen - state.ms_per_token)
@@ -180,6 +182,7 @@
     planner see 40 where 6 were, and refuse callers while places were free.
     """
     state.reported_ms[report.reply_to] = now_ms
+    state.speeds.count_runs((run.instance for run in state.runs.values()), now_ms)
     listed = {run.request_id for run in report.runs}
     for request_id, run in list(state.runs.items()):
         may_cross = not run.listed and now_ms - run.began_ms < REPORT_LAPSE_MS
@@ -192,11 +195,20 @@
         if live.made_tokens and known.reader is not None:
             state.reading.uncount(live.request_id, known.reader)
         known.listed = True
-        known.made_tokens, known.made_ms = live.made_tokens, now_ms - live.quiet_ms
+        _take_progress(state, known, live, now_ms)
         if live.made_tokens and live.quiet_ms >= QUIET_RUN_MS:
             state.shuns.fail(live.instance, now_ms)
 
 
+def _take_progress(state: PlanState, run: Run, live: LiveRun, now_ms: int) -> None:
+    """What a run has made by now; what came since the report before tells its endpoint's speed."""
+    made_tokens, made_ms = max(0, live.made_tokens), now_ms - max(0, live.quiet_ms)
+    if run.made_tokens:
+        tokens, span_ms = made_tokens - run.made_tokens, made_ms - run.made_ms
+        state.speeds.learn_progress(run.instance, tokens, span_ms, now_ms)
+    run.made_tokens, run.made_ms = made_tokens, made_ms
+
+
 def _from_report(live: LiveRun, reply_to: str, now_ms: int) -> Run:
     return Run(
         live.instance,
@@ -248,7 +260,7 @@
             priority=ask.priority,
             organisation=ask.organisation,
         )
-        usable[instance].add(run.growth(state.lengths, state.ms_per_token, now_ms))
+        usable[instance].add(state.growth(run, now_ms))
         usable[instance].settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -17,11 +17,13 @@
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
 from saffronworks.forwarding.planning.shuns import ShunTable
+from saffronworks.forwarding.planning.speeds import EndpointSpeeds
 from saffronworks.forwarding.planning.tuning import (
     HEAR_MS,
     MARGIN_ANSWERS,
     MOST_MARGIN_SHARE,
     MS_PER_TOKEN,
+    NEAR_PEAK_SHARE,
     OWN_READ_MEMORY_SHARE,
     WARM_UP_MS,
 )
@@ -66,6 +68,7 @@
     heard_ms: int = 0
     reading: ReadingPlan = attrs.Factory(ReadingPlan)
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
+    speeds: EndpointSpeeds = attrs.Factory(EndpointSpeeds)
     shuns: ShunTable = attrs.Factory(ShunTable)
     full_until_ms: dict[StartId, int] = attrs.Factory(dict)
     usual_tokens: float = 0.0
@@ -96,23 +99,29 @@
         """Drop what was learnt of endpoints that are gone."""
         self.shuns.forget_all_but(instances)
         self.reading.forget_all_but(instances)
+        self.speeds.forget_all_but(instances)
         for instance in self.full_until_ms.keys() - instances:
             del self.full_until_ms[instance]
 
     def occupancies(self, decoders: dict[StartId, str], now_ms: int) -> Occupancies:
         """The runs of each endpoint that may get work."""
         usable = {
-            name: Occupancy([])
+            name: Occupancy([], slowness=self.speeds.factor(name, now_ms))
             for name in self.shuns.usable(decoders, now_ms)
             if self.full_until_ms.get(name, 0) <= now_ms
         }
         for run in self.runs.values():
             if run.instance in usable:
-                usable[run.instance].add(run.growth(self.lengths, self.ms_per_token, now_ms))
+                usable[run.instance].add(self.growth(run, now_ms))
         for occupancy in usable.values():
             occupancy.settle()
         return usable
 
+    def growth(self, run: Run, now_ms: int) -> tuple[float, float]:
+        """Tokens of a run in memory now, at its endpoint's speed, and how many more to expect."""
+        ms_per_token = self.speeds.ms_per_token(run.instance, self.ms_per_token, now_ms)
+        return run.growth(self.lengths, ms_per_token, now_ms)
+
     @property
     def own_read_share(self) -> float:
         """Up to which share of its planned memory a decode endpoint reads by itself."""
@@ -126,18 +135,24 @@
     def fit(self, ask: MemoryAsk, usable: Occupancies, share: float = 1.0) -> StartId | None:
         """The endpoint whose foreseen peak with this run is lowest, if that is low enough.
 
-        `share` of the planned memory is the most that the peak may take.
+        Of those with hardly higher peaks, the fastest. `share` of the planned memory is the most
+        that the peak may take.
         """
         limit = share * self.limit_tokens
         more = self.lengths.more_tokens(0.0, ask.likely_tokens, ask.most_tokens)
         own = (float(ask.prompt_tokens), more)
-        best: tuple[float, StartId] | None = None
+        fitting: list[tuple[float, StartId]] = []
         for instance, present in usable.items():
             full = len(present.growths) >= self.slots
             if instance in ask.avoid or full or not present.may_fit(ask.prompt_tokens, limit):
                 continue
             peak = projected_peak([*present.growths, own])
-            fits = peak <= limit or not present.growths
-            if fits and (best is None or (peak, instance) < best):
-                best = (peak, instance)
-        return best[1] if best else None
+            if peak <= limit or not present.growths:
+                fitting.append((peak, instance))
+        if not fitting:
+            return None
+        near_tokens = min(fitting)[0] + NEAR_PEAK_SHARE * self.limit_tokens
+        near = [
+            (usable[name].slowness, peak, name) for peak, name in fitting if peak <= near_tokens
+        ]
+        return min(near)[2]
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -1,5 +1,7 @@
 """Tells those whose turn is not foreseen in time when to return, and foresees that turn."""
 
+from collections import Counter
+
 from saffronworks.forwarding.planning.messages import MemoryRefusal
 from saffronworks.forwarding.planning.plans import PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.tuning import (
@@ -16,14 +18,27 @@
 __all__ = ["refuse"]
 
 
-def _ends_per_s(state: PlanState) -> float:
+def _ends_per_s(state: PlanState, now_ms: int) -> float:
     """How many places come free each second, as the present runs end.
 
     The rate of the latest grants is no forecast: while memory fills at the start of a burst it is
     higher, but no run ends for that.
     """
     run_ms = [READ_MS + run.likely_tokens * state.ms_per_token for run in state.runs.values()]
-    return max(1.0, 1000 * len(run_ms) ** 2 / sum(run_ms) if run_ms else 0.0)
+    if not run_ms:
+        return 1.0
+    return max(1.0, _endpoints_pace(state, now_ms) * 1000 * len(run_ms) ** 2 / sum(run_ms))
+
+
+def _endpoints_pace(state: PlanState, now_ms: int) -> float:
+    """How much faster than at the service's average speed the runs end where they are."""
+    usual_ms = state.ms_per_token
+    runs = Counter(run.instance for run in state.runs.values())
+    paces = (
+        count * (usual_ms / state.speeds.ms_per_token(name, usual_ms, now_ms))
+        for name, count in runs.items()
+    )
+    return sum(paces) / runs.total()
 
 
 def refuse(state: PlanState, decoders: dict[StartId, str], now_ms: int) -> list[Reply]:
@@ -38,7 +53,7 @@
     pending = [w for w in state.waiters.values() if not w.decided]
     if all(now_ms - waiter.arrived_ms < DECIDE_AFTER_MS for waiter in pending):
         return []
-    per_s, usable = _ends_per_s(state), state.occupancies(decoders, now_ms)
+    per_s, usable = _ends_per_s(state, now_ms), state.occupancies(decoders, now_ms)
     own_readers = state.own_readers(usable)
     reading_at_ms = now_ms + state.reading.wait_ms(own_readers, now_ms)
     replies, before = [], 0
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -43,7 +43,7 @@
         return self.prompt_tokens + made, more
 
     def _made(self, ms_per_token: float, now_ms: int) -> float:
-        """Tokens of the answer by now: as reported, and what came since then at the usual pace."""
+        """Tokens of the answer by now: as reported, and what came since then at that pace."""
         if not self.made_tokens:
             return max(0.0, (now_ms - self.began_ms - READ_MS) / ms_per_token)
         since_ms = min(now_ms - self.made_ms, REPORT_LAPSE_MS)
@@ -52,11 +52,15 @@
 
 @attrs.define
 class Occupancy:
-    """An endpoint's runs: present size and expected growth of each, and what they add up to."""
+    """An endpoint's runs: present size and expected growth of each, and what they add up to.
+
+    `slowness` is its time for a token as a multiple of the service's average.
+    """
 
     growths: list[tuple[float, float]]
     now_tokens: float = 0.0
     peak_tokens: float = 0.0
+    slowness: float = 1.0
 
     def add(self, growth: tuple[float, float]) -> None:
         """One more run; the peak is worked out by `settle`."""
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -8,6 +8,7 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.planning import core
 from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
 from saffronworks.forwarding.planning.messages import (
@@ -41,7 +42,9 @@
         table: Callable[[], RoutingTable | None],
         nodes: Callable[[], Collection[str]],
         own_address: str,
+        figures: Figures | None = None,
     ):
+        self._figures = figures
         self.plans: dict[str, PlanState] = {}
         self._directory = directory
         self._table = table
@@ -84,6 +87,7 @@
         plan.reading.readers = {name: readers[name] for name in names}
         for reply in core.step(plan, event, decoders, now_ms):
             self._send(kernel, reply, plan)
+        self._tell_speeds(plan, now_ms)
         if plan.waiters or plan.runs:
             self._active.set()
         for instance, span_ms in plan.shuns.take_news():
@@ -96,6 +100,22 @@
                 self._directory.revision,
             )
 
+    def _tell_speeds(self, plan: PlanState, now_ms: int) -> None:
+        """Log the endpoints whose speed has changed by a step, a few lines a second at most."""
+        for news in plan.speeds.take_news(now_ms):
+            logger.info(
+                "event=endpoint_speed service=%s endpoint=%s factor=%.2f ms_per_token=%.3f "
+                "runs=%.1f load_slope=%.3f",
+                plan.service,
+                news.instance,
+                news.factor,
+                news.ms_per_token,
+                news.runs,
+                plan.speeds.load_slope,
+            )
+            if self._figures is not None:
+                self._figures.record_speed(plan.service, news.factor, news.ms_per_token)
+
     def _trim(self) -> None:
         """Forget what was learnt of endpoints that are gone, once the directory has changed."""
         if self._directory.revision == self._trimmed_revision:
--- /dev/null
+++ b/saffronworks/forwarding/planning/speeds.py
@@ -0,0 +1,202 @@
+"""How long each decode endpoint takes for a token, learnt from its runs on all nodes."""
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from saffronworks.forwarding.planning.tuning import (
+    AVERAGE_WEIGHT,
+    COUNT_RUNS_EVERY_MS,
+    LOAD_DECAY,
+    LOAD_PRIOR,
+    MOST_LOAD_SLOPE,
+    MOST_SLOWER,
+    MOST_SPEEDS,
+    PLAUSIBLE_MS_PER_TOKEN,
+    SPEED_BAND,
+    SPEED_HALF_LIFE_MS,
+    SPEED_NEWS_PER_S,
+    SPEED_NEWS_STEP,
+    USUAL_RUN_MS,
+)
+from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.tuning import (
+    SAMPLE_WEIGHT,
+)
+
+__all__ = ["EndpointSpeeds", "SpeedNews", "is_plausible_pace"]
+
+
+def is_plausible_pace(tokens: int, span_ms: int) -> bool:
+    """Whether an engine can have made so many tokens in that time."""
+    least_ms, most_ms = PLAUSIBLE_MS_PER_TOKEN
+    return tokens > 0 and span_ms > 0 and least_ms <= span_ms / tokens <= most_ms
+
+
+@attrs.frozen
+class SpeedNews:
+    """An endpoint's time for a token has changed, as a multiple of the service's average."""
+
+    instance: StartId
+    factor: float
+    runs: float
+    ms_per_token: float
+
+
+@attrs.define
+class _Speed:
+    """What was seen of one endpoint.
+
+    `factor` is its time for a token as a multiple of the average, at an equal number of runs.
+    `runs` and `ms_per_token` are running averages over its samples, to learn from deviations.
+    """
+
+    factor: float
+    runs: float
+    ms_per_token: float
+    heard_ms: int
+    told_factor: float = 1.0
+
+
+@attrs.define
+class EndpointSpeeds:
+    """The time for a token of each endpoint's start, relative to the service's average.
+
+    An engine is slower the more runs it has. Without a correction, an endpoint would look slow
+    because it has more runs than others. The effect is estimated from how each endpoint's own
+    samples vary with its number of runs, since a comparison between endpoints would confuse it
+    with their speeds: slow endpoints often have fewer runs.
+    """
+
+    _average: float = 0.0
+    _average_runs: float = 0.0
+    _speeds: dict[StartId, _Speed] = attrs.Factory(dict)
+    _run_variance: float = LOAD_PRIOR
+    _covariance: float = 0.0
+    _runs: Counter[StartId] = attrs.Factory(Counter)
+    _counted_ms: int | None = None
+    _told_ms: list[int] = attrs.Factory(list)
+
+    @property
+    def load_slope(self) -> float:
+        """By which share one more run on an engine lengthens its time for a token."""
+        return min(MOST_LOAD_SLOPE, max(0.0, self._covariance / self._run_variance))
+
+    def factor(self, instance: StartId, now_ms: int) -> float:
+        """Multiple of the average time for a token; 1 for an endpoint that is not known to differ.
+
+        It is that of an equal number of runs, so endpoints can be compared by it.
+        """
+        speed = self._speeds.get(instance)
+        if speed is None:
+            return 1.0
+        factor = _aged(speed, now_ms)
+        return factor ** _certainty(factor)
+
+    def ms_per_token(self, instance: StartId, usual_ms: float, now_ms: int) -> float:
+        """The time for a token there, where `usual_ms` is the service's average."""
+        speed = self._speeds.get(instance)
+        certainty = _certainty(_aged(speed, now_ms)) if speed else 0.0
+        if speed is None or not certainty:
+            return usual_ms
+        return usual_ms * (speed.ms_per_token / usual_ms) ** certainty
+
+    def count_runs(self, instances: Iterable[StartId], now_ms: int) -> None:
+        """Take the number of runs of each endpoint, unless that was done a moment ago."""
+        if self._counted_ms is None or now_ms - self._counted_ms >= COUNT_RUNS_EVERY_MS:
+            self._runs, self._counted_ms = Counter(instances), now_ms
+
+    def learn_progress(self, instance: StartId, tokens: int, span_ms: int, now_ms: int) -> None:
+        """A run made so many tokens between two reports.
+
+        A sample counts by its time: twelve runs of one engine report together, and each of their
+        samples may fall into the same moment in which the engine was slow.
+        """
+        if not is_plausible_pace(tokens, span_ms):
+            return
+        runs, seen = self._runs[instance], span_ms / tokens
+        speed = self._find(instance, runs, seen, now_ms)
+        if speed is None:
+            return
+        weight = SAMPLE_WEIGHT * min(1.0, span_ms / USUAL_RUN_MS)
+        self._learn_load(speed, runs, seen, weight)
+        self._learn(speed, runs, seen, weight, now_ms)
+
+    def learn_run(self, instance: StartId, tokens: int, span_ms: int, now_ms: int) -> None:
+        """A run ended; how many others there were all along is taken from its endpoint's past."""
+        if not is_plausible_pace(tokens, span_ms):
+            return
+        seen = span_ms / tokens
+        speed = self._find(instance, self._runs[instance], seen, now_ms)
+        if speed is not None:
+            self._learn(speed, speed.runs, seen, SAMPLE_WEIGHT, now_ms)
+
+    def forget_all_but(self, instances: set[StartId]) -> None:
+        """Drop what was learnt of endpoints that are gone."""
+        for instance in self._speeds.keys() - instances:
+            del self._speeds[instance]
+
+    def take_news(self, now_ms: int) -> list[SpeedNews]:
+        """Endpoints whose speed has changed by a step since it was told; few in a second."""
+        self._told_ms = [told_ms for told_ms in self._told_ms if now_ms - told_ms < 1000]
+        left = SPEED_NEWS_PER_S - len(self._told_ms)
+        if left <= 0:
+            return []
+        news = []
+        for instance, speed in self._speeds.items():
+            factor = self.factor(instance, now_ms)
+            if abs(math.log(factor / speed.told_factor)) >= SPEED_NEWS_STEP:
+                speed.told_factor = factor
+                news.append(SpeedNews(instance, factor, speed.runs, speed.ms_per_token))
+                if len(news) == left:
+                    break
+        self._told_ms += [now_ms] * len(news)
+        return news
+
+    def _find(self, instance: StartId, runs: int, seen: float, now_ms: int) -> _Speed | None:
+        """What is known of an endpoint; None if there is no room for another one."""
+        if not self._average:
+            self._average, self._average_runs = seen, float(runs)
+        if instance not in self._speeds and len(self._speeds) < MOST_SPEEDS:
+            level = self._average * math.exp(self.load_slope * (runs - self._average_runs))
+            self._speeds[instance] = _Speed(1.0, float(runs), level, now_ms)
+        return self._speeds.get(instance)
+
+    def _learn_load(self, speed: _Speed, runs: int, seen: float, weight: float) -> None:
+        """How far an endpoint's time differs from its usual one, at more or fewer runs."""
+        more_runs = runs - speed.runs
+        slower = math.log(_clip(seen / speed.ms_per_token))
+        self._run_variance += weight * more_runs**2 - LOAD_DECAY * weight * self._run_variance
+        self._covariance += weight * more_runs * slower - LOAD_DECAY * weight * self._covariance
+        self._run_variance = max(LOAD_PRIOR, self._run_variance)
+
+    def _learn(self, speed: _Speed, runs: float, seen: float, weight: float, now_ms: int) -> None:
+        """Move the averages of the endpoint and of the service towards a sample."""
+        alone = seen / math.exp(self.load_slope * (runs - self._average_runs))
+        known = _aged(speed, now_ms)
+        ratio = known * _clip(alone / self._average / known)
+        speed.factor, speed.heard_ms = known + weight * (ratio - known), now_ms
+        speed.runs += weight * (runs - speed.runs)
+        level = speed.ms_per_token
+        speed.ms_per_token += weight * (level * _clip(seen / level) - level)
+        share = AVERAGE_WEIGHT * weight / max(AVERAGE_WEIGHT, len(self._speeds))
+        self._average += share * self._average * (_clip(alone / self._average) - 1)
+        self._average_runs += share * (runs - self._average_runs)
+
+
+def _aged(speed: _Speed, now_ms: int) -> float:
+    """The factor after a time without samples: it returns to the average."""
+    silent_ms = max(0, now_ms - speed.heard_ms)
+    return 1 + (speed.factor - 1) * 0.5 ** (silent_ms / SPEED_HALF_LIFE_MS)
+
+
+def _certainty(factor: float) -> float:
+    """How far a factor counts: small ones are noise, others are phased in."""
+    return min(1.0, max(0.0, abs(math.log(factor)) / SPEED_BAND - 1.0))
+
+
+def _clip(ratio: float) -> float:
+    """A sample's multiple of what is known, bounded so that an outlier counts little."""
+    return min(MOST_SLOWER, max(1 / MOST_SLOWER, ratio))
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -4,6 +4,36 @@
 MS_PER_TOKEN = 0.8
 # A run counts as this much slower at most: one that stood still says nothing about the others.
 MOST_SLOWER = 2.0
+# Shorter or longer times for a token are no times of an engine, but faults of a report.
+PLAUSIBLE_MS_PER_TOKEN = (0.01, 200.0)
+# What is known of an endpoint's speed returns to the average with this half-life while its runs
+# tell nothing: it may have changed meanwhile.
+SPEED_HALF_LIFE_MS = 10_000
+# A progress that took so long weighs as much as a whole run, a shorter one less in proportion.
+USUAL_RUN_MS = 3000
+# How many times as fast the average follows its samples as an endpoint's factor does: a change of
+# all endpoints must move the average, not the factors. Factors of equal engines under a burst were
+# off by 0.13 at most (as logarithms) with 1, 0.11 with 2 and 0.09 with 4 (`uneven_engines`).
+AVERAGE_WEIGHT = 4.0
+# Logarithm of the difference from the average below which endpoints count as equal; twice that
+# counts in full.
+SPEED_BAND = 0.1
+# The effect of the number of runs on the time for a token: the weight of the assumption that there
+# is none (in squared runs), the decay of earlier samples, and the most that one run adds.
+LOAD_PRIOR = 2.0
+LOAD_DECAY = 0.02
+MOST_LOAD_SLOPE = 0.1
+# How often the runs of each endpoint are counted for that: a look at all runs at each of 200
+# reports a second would cost a hundredth of a core.
+COUNT_RUNS_EVERY_MS = 100
+# Endpoints of one service whose speeds are kept: reports could name any number.
+MOST_SPEEDS = 1024
+# Log lines on speeds: for a change of the factor by this logarithm, and so many in a second.
+SPEED_NEWS_STEP = 0.25
+SPEED_NEWS_PER_S = 4
+# Endpoints whose foreseen peaks differ by this share of the planned memory or less are taken for
+# equally full, and the fastest of them is chosen.
+NEAR_PEAK_SHARE = 0.03
 # From a grant to the first token: the reservation, the reading, the move.
 READ_MS = 200
 # Time that a prompt token occupies its reader until readers have been seen busy: 0.018 and 0.030 ms
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -61,8 +61,17 @@
         self._pace.record(pace_ms, labels)
 
 
-_COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
-_HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
+_COUNTERS = (
+    "saffronworks_forwarded",
+    "saffronworks_sends",
+    "saffronworks_bad_entries",
+    "saffronworks_speed_changes",
+)
+_HISTOGRAMS = (
+    "saffronworks_first_byte_ms",
+    "saffronworks_answer_ms",
+    "saffronworks_thousand_tokens_ms",
+)
 
 
 class ForwardingMetrics:
--- a/saffronworks/tests/planner_load.py
+++ b/saffronworks/tests/planner_load.py
@@ -112,12 +112,19 @@
 
     `lost_share` of the messages that tell of a reading's end are lost, as from nodes cut off. Where
     `come_back` is set, callers who are refused ask once more after the time that they were told.
+    `speeds` are those of single decode endpoints, as a multiple of the shape's.
     """
 
     def __init__(
-        self, shape: EngineShape, seed: int, lost_share: float = 0.0, come_back: bool = False
+        self,
+        shape: EngineShape,
+        seed: int,
+        lost_share: float = 0.0,
+        come_back: bool = False,
+        speeds: dict[str, float] | None = None,
     ):
         self.shape = shape
+        self._speeds = speeds or {}
         self._come_back = come_back
         self._lost_share = lost_share
         self._losses = random.Random(seed)
@@ -260,7 +267,14 @@
 
     def _held_tokens(self, instance: str, now_ms: int) -> float:
         runs = [run for run in self._running.values() if run.instance == instance]
-        return sum(run.memory_tokens(self.shape.ms_per_token, now_ms) for run in runs)
+        return sum(run.prompt_tokens + self._made_tokens(run, now_ms) for run in runs)
+
+    def _ms_per_token(self, instance: str) -> float:
+        return self.shape.ms_per_token / self._speeds.get(instance, 1.0)
+
+    def _made_tokens(self, run: Outcome, now_ms: int) -> float:
+        ms_per_token = self._ms_per_token(run.instance)
+        return run.memory_tokens(ms_per_token, now_ms) - run.prompt_tokens
 
     def _stream(self, request_id: str) -> Callable[[int], None]:
         def stream(now_ms: int) -> None:
@@ -269,11 +283,14 @@
             if outcome.reader != outcome.instance and self._losses.random() >= self._lost_share:
                 ended = messages.ReadingEnded(request_id, "s", outcome.reader, whole=True)
                 self._tell(ended, now_ms)
-            stream_ms = outcome.answer_tokens * self.shape.ms_per_token
-            self._at(outcome.first_ms + stream_ms, self._end(request_id))
+            self._decode(request_id, outcome, outcome.first_ms)
 
         return stream
 
+    def _decode(self, request_id: str, run: Outcome, from_ms: int) -> None:
+        stream_ms = run.answer_tokens * self._ms_per_token(run.instance)
+        self._at(from_ms + stream_ms, self._end(request_id))
+
     def _end(self, request_id: str) -> Callable[[int], None]:
         def end(now_ms: int) -> None:
             outcome = self._running.pop(request_id)
@@ -299,7 +316,7 @@
 
     def _live(self, request_id: str, run: Outcome, now_ms: int) -> messages.LiveRun:
         assert run.granted_ms is not None
-        made = run.memory_tokens(self.shape.ms_per_token, now_ms) - run.prompt_tokens
+        made = self._made_tokens(run, now_ms)
         return messages.LiveRun(
             request_id,
             run.instance,
