Move the decayed service and the fair level to a module of their own

The wait queue of a cell and the plan of decode memory need the same decayed service of each organisation and the same fair level. Both are in recent_service now, and the queue calls it.

--- a/saffronworks/owner/queues.py
+++ b/saffronworks/owner/queues.py
@@ -4,17 +4,18 @@
 it waits its turn like the others. Grants follow free slots, so retries never add load.
 """
 
+import math
+
 import attrs
 
 from saffronworks.bundles import Model
 from saffronworks.messages import Ask
 from saffronworks.owner.policies import Policy
+from saffronworks.recent_service import RecentService, fair_level
 
 __all__ = ["Waiting", "WaitQueue"]
 
 QUEUE_LENGTH = 256
-LEAST_SERVICE = 1.0
-SHARE_HALF_LIFE_MS = 5000.0
 
 
 @attrs.define
@@ -45,7 +46,7 @@
 
     policy: Policy = attrs.Factory(Policy)
     items: dict[str, Waiting] = attrs.Factory(dict)
-    served: dict[str, tuple[float, int]] = attrs.Factory(dict)
+    recent: RecentService[str] = attrs.Factory(RecentService)
     since_late: int = 0
 
     def full(self) -> bool:
@@ -74,13 +75,7 @@
         self.since_late += 1
         if self.late(waiting, now_ms):
             self.since_late = 0
-        organisation = waiting.ask.organisation
-        self.served[organisation] = (self.service(organisation, now_ms) + cost, now_ms)
-
-    def service(self, organisation: str, now_ms: int) -> float:
-        """Recent service of an organisation, halved every `SHARE_HALF_LIFE_MS`."""
-        amount, at_ms = self.served.get(organisation, (0.0, now_ms))
-        return amount * 0.5 ** ((now_ms - at_ms) / SHARE_HALF_LIFE_MS)
+        self.recent.add(waiting.ask.organisation, cost, now_ms)
 
     def ahead_of(self, ask: Ask) -> int:
         """How many waiting attempts go before a new one of that priority."""
@@ -88,18 +83,16 @@
 
     def prune(self, now_ms: int) -> None:
         """Forget organisations whose recent service has faded."""
-        for organisation in list(self.served):
-            if self.service(organisation, now_ms) < 0.05:
-                del self.served[organisation]
+        self.recent.prune(now_ms)
 
     def _fair_service(self, now_ms: int) -> float:
         """The recent service beyond which an organisation goes after the others."""
         present = {waiting.ask.organisation for waiting in self.items.values()}
-        present.update(self.served)
-        total = sum(self.service(organisation, now_ms) for organisation in self.served)
-        return max(LEAST_SERVICE, self.policy.fair_factor * total / len(present))
+        present.update(self.recent.served)
+        total = sum(self.recent.of(organisation, now_ms) for organisation in self.recent.served)
+        return fair_level(total, [math.inf] * len(present), self.policy.fair_factor)
 
     def _rank(self, waiting: Waiting, now_ms: int, fair: float) -> tuple[float, ...]:
         late = self.late(waiting, now_ms)
-        excess = int(self.service(waiting.ask.organisation, now_ms) / fair)
+        excess = int(self.recent.of(waiting.ask.organisation, now_ms) / fair)
         return (-waiting.ask.priority, not waiting.first, late, excess, waiting.slack_ms(now_ms))
