Order waiters for decode memory by max-min shares among organisations

Waiters are now ordered by the excess of their organisation before the time left, by service and priority: what its runs hold and what it was granted recently, against the max-min level of what is held and asked. It takes effect only while asks of more than one organisation came in the last 30 s and somebody waits for lack of capacity. State is kept for 4,096 claimants at most.

A summary every five seconds logs eight organisations at most and counts by organisation in 128 series of each metric; the plan's line and `saffronctl explain` name the organisation's excess.

--- a/saffronworks/explain.py
+++ b/saffronworks/explain.py
@@ -22,8 +22,9 @@
 
 # What a request waits for after each command of a generation that is logged; the reservation
 # follows the planner's answer without a line of its own.
+_PLACE = "place in memory"
 _WAITS = {
-    "AskPlanner": "place in memory",
+    "AskPlanner": _PLACE,
     "ReadPrompt": "reading of the prompt",
     "OpenStream": "first event",
 }
@@ -79,6 +80,18 @@
                 return outcome
         return "no end"
 
+    @property
+    def excess(self) -> int | None:
+        """How many shares its organisation had when the planner decided; None if not told."""
+        plan = self._last("plan")
+        return plan.number("excess") if plan is not None and "excess" in plan.pairs else None
+
+    @property
+    def organisation(self) -> str:
+        """The organisation that the planner's line names; empty where it names none."""
+        plan = self._last("plan")
+        return plan.pairs.get("organisation", "") if plan is not None else ""
+
     @property
     def cause(self) -> str:
         """Why it was not served in time; empty where it was."""
@@ -96,7 +109,7 @@
         assert refusal is not None
         reason = refusal.pairs.get("reason", "unknown")
         if reason == "memory-full":
-            return f"{reason}, {'planned' if plan else 'without a planner'}"
+            return f"{reason}, {'planned' if plan else 'without a planner'}{self._beyond_share}"
         return f"{reason}{self._failure(' after ')}"
 
     def _failure(self, before: str = "") -> str:
@@ -110,7 +123,12 @@
         waits = self.waits_ms
         if not waits:
             return "caller left" if self.outcome == "caller gone" else "endpoint's own time"
-        return f"waited for {max(waits, key=lambda name: waits[name])}"
+        longest = max(waits, key=lambda name: waits[name])
+        return f"waited for {longest}{self._beyond_share if longest == _PLACE else ''}"
+
+    @property
+    def _beyond_share(self) -> str:
+        return ", organisation beyond its share" if self.excess else ""
 
     def _last(self, event: str) -> LogLine | None:
         return next((line for line in reversed(self.lines) if line.event == event), None)
--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -8,12 +8,19 @@
 
 import attrs
 
-__all__ = ["Figures", "Sample"]
+from saffronworks.forwarding.planning.share_counts import ShareRow
+
+__all__ = ["Figures", "Labels", "Sample"]
 
 # Times between two questions that the histograms show, the newest ones: a busy node's answers of a
 # minute. Counts are never left out.
 SAMPLES_KEPT = 4096
 
+# Organisations of a service and priority that have series of their own, the first that are told of;
+# all others of a service are together in `OTHERS`. Each one has four series.
+MOST_NAMED = 128
+OTHERS = "(others)"
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -32,7 +39,9 @@
     def __init__(self, node: str):
         self._node = node
         self.counts: Counter[tuple[str, Labels]] = Counter()
+        self.gauges: dict[tuple[str, Labels], int] = {}
         self._samples: deque[Sample] = deque(maxlen=SAMPLES_KEPT)
+        self._named: set[Labels] = set()
 
     def count(self, outcome: str, route: str, reason: str = "") -> None:
         """Count the end of a request."""
@@ -46,6 +55,17 @@
         """Count an entry in the store that names nothing to use."""
         self._add("saffronworks_bad_entries", kind=kind)
 
+    def record_shares(self, service: str, rows: list[ShareRow]) -> None:
+        """Take in a summary of organisations' shares: grants, rejections, and who waits now."""
+        for key in [key for key in self.gauges if ("service", service) in key[1]]:
+            del self.gauges[key]
+        for row in rows:
+            labels = self._label_share(service, row)
+            self.counts["saffronworks_shares_granted", labels] += row.granted
+            self.counts["saffronworks_shares_rejected", labels] += row.rejected
+            self._raise_gauge("saffronworks_shares_waiting", labels, row.waiting, add=True)
+            self._raise_gauge("saffronworks_shares_excess", labels, row.excess, add=False)
+
     def record(self, route: str, first_ms: int, whole_ms: int) -> None:
         """Record when an answer began and when it was whole."""
         labels = self._label(route=route)
@@ -61,5 +81,19 @@
     def _add(self, name: str, **labels: str) -> None:
         self.counts[name, self._label(**labels)] += 1
 
+    def _label_share(self, service: str, row: ShareRow) -> Labels:
+        own = self._label(
+            service=service, priority=str(row.priority), organisation=row.organisation
+        )
+        if len(self._named) < MOST_NAMED:
+            self._named.add(own)
+        others = self._label(service=service, priority="", organisation=OTHERS)
+        return own if own in self._named else others
+
+    def _raise_gauge(self, name: str, labels: Labels, value: int, add: bool) -> None:
+        """Add to a gauge, or keep the highest value, where several organisations share it."""
+        known = self.gauges.get((name, labels), 0)
+        self.gauges[name, labels] = known + value if add else max(known, value)
+
     def _label(self, **labels: str) -> Labels:
         return (("node", self._node), *labels.items())
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -74,8 +74,11 @@
             _lapse(state, now_ms)
     if not state.whole(now_ms):
         return replies if state.hears(now_ms) else [*replies, *_send_on(state)]
+    state.shares.look(state.runs, state.waiters, now_ms)
     granted = _grant(state, decoders, now_ms)
+    state.shares.note_unserved(state.waiters)
     refused = refuse(state, decoders, now_ms) if isinstance(event, Tick) else []
+    state.shares.note_rejections((reply.message for reply in refused), now_ms)
     return [*_unsettled(replies, granted), *granted, *refused]
 
 
@@ -108,6 +111,7 @@
     known = state.waiters.get(ask.request_id)
     if known is None:
         _learn_from_ask(state, ask, now_ms)
+        state.shares.note_ask(ask, now_ms)
     state.waiters[ask.request_id] = Waiter(
         ask,
         now_ms - ask.waited_ms,
@@ -130,6 +134,7 @@
     run = _forget_run(state, request_id)
     if run is not None and not run.made_tokens:
         state.full_until_ms[run.instance] = now_ms + FULL_MS
+        state.shares.note_end(run, now_ms)
 
 
 def _forget_run(state: PlanState, request_id: str) -> Run | None:
@@ -244,6 +249,7 @@
         usable[instance].settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
+        state.shares.note_grant(ask, now_ms)
         state.reading.count(ask.request_id, reader, ask.prompt_tokens, now_ms)
         replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader)))
     return replies
--- /dev/null
+++ b/saffronworks/forwarding/planning/fair_shares.py
@@ -0,0 +1,198 @@
+"""Max-min shares of scarce decode memory among organisations, by priority.
+
+An organisation's service is the memory that its runs hold, plus what it was granted recently. It is
+counted in usual runs, so that a grant of a usual size is 1. The fair level is such that the service
+of a priority, if it were shared out by max-min fairness to all who hold and ask, gives none more.
+Shares only order waiters: what some leave unused goes to others, whatever their excess.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+import attrs
+
+from saffronworks.forwarding.planning.messages import MemoryAsk, MemoryRefusal
+from saffronworks.forwarding.planning.priorities import clip_rank
+from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.planning.share_counts import (
+    Claimant,
+    Decision,
+    ShareCounts,
+    ShareRow,
+)
+from saffronworks.forwarding.planning.tuning import USUAL_WEIGHT
+from saffronworks.recent_service import RecentService, fair_level
+
+__all__ = ["FairShares"]
+
+# Shares apply while asks of more than one organisation came within this time.
+SHARED_FOR_MS = 30_000
+# Levels change slowly against this, and a look at 4,096 claimants costs 2 ms.
+LEVELS_EVERY_MS = 50
+PRUNE_EVERY_MS = 1000
+MOST_CLAIMANTS = 4096
+# How many are left once there are more, so that evictions are rare.
+CLAIMANTS_KEPT = 3584
+
+
+class _Waiting(Protocol):
+    """What is read of a waiter."""
+
+    ask: MemoryAsk
+
+
+@attrs.define
+class FairShares:
+    """The shares of one service's decode memory.
+
+    `look` takes in runs and waiters, `excess` answers, `note_...` tell what became of an ask.
+    """
+
+    counts: ShareCounts = attrs.Factory(ShareCounts)
+    _granted: RecentService[Claimant] = attrs.Factory(RecentService)
+    _usual_tokens: float = 0.0
+    _newest: str | None = None
+    _newest_ms: int = 0
+    _other_ms: int | None = None
+    _unserved: dict[str, MemoryAsk] = attrs.Factory(dict)
+    _applies: bool = False
+    _held: dict[Claimant, float] = attrs.Factory(dict)
+    _levels: dict[int, float] = attrs.Factory(dict)
+    _excesses: dict[Claimant, int] = attrs.Factory(dict)
+    _levels_ms: int = -LEVELS_EVERY_MS
+    _pruned_ms: int = 0
+
+    def excess(self, organisation: str, priority: int, now_ms: int) -> int:
+        """How many whole shares an organisation has; 0 while it is below its share.
+
+        It is 0 as well while nobody waits for lack of capacity, and with one organisation.
+        """
+        if not self._applies:
+            return 0
+        claimant = (clip_rank(priority), organisation)
+        known = self._excesses.get(claimant)
+        if known is None:
+            level = self._levels.get(claimant[0])
+            known = int(self._service(claimant, now_ms) / level) if level else 0
+            self._excesses[claimant] = known
+        return known
+
+    def look(self, runs: Mapping[str, Run], waiters: Mapping[str, _Waiting], now_ms: int) -> None:
+        """Take in who holds and who waits, before grants are decided.
+
+        Only who was left over by the last decision waits for lack of capacity.
+        """
+        scarce = any(request_id in waiters for request_id in self._unserved)
+        self._applies = scarce and self._shared(now_ms)
+        if self._applies and now_ms - self._levels_ms >= LEVELS_EVERY_MS:
+            self._set_levels(runs, waiters, now_ms)
+        if now_ms - self._pruned_ms >= PRUNE_EVERY_MS:
+            self._granted.prune(now_ms)
+            self._pruned_ms = now_ms
+
+    def note_ask(self, ask: MemoryAsk, now_ms: int) -> None:
+        """A new ask, not one that comes again while it waits."""
+        if ask.organisation != self._newest:
+            self._other_ms = self._newest_ms if self._newest is not None else None
+            self._newest = ask.organisation
+        self._newest_ms = now_ms
+        tokens = float(max(1, ask.prompt_tokens + ask.likely_tokens))
+        known = self._usual_tokens or tokens
+        self._usual_tokens = known + USUAL_WEIGHT * (tokens - known)
+
+    def note_grant(self, ask: MemoryAsk, now_ms: int) -> None:
+        """An ask was granted: it is charged."""
+        claimant = _claimant(ask)
+        self.counts.note(self.counts.granted, claimant, self._decision(ask, now_ms))
+        self._charge(claimant, self._cost(ask.prompt_tokens + ask.likely_tokens), now_ms)
+        if len(self._granted.served) > MOST_CLAIMANTS:
+            self._granted.evict_least(CLAIMANTS_KEPT, now_ms)
+
+    def note_end(self, run: Run, now_ms: int) -> None:
+        """A run was taken back before it made anything: its grant found no room."""
+        claimant = _claimant(run)
+        if claimant in self._granted.served:
+            self._charge(claimant, -self._cost(run.prompt_tokens + run.likely_tokens), now_ms)
+
+    def note_unserved(self, waiters: Mapping[str, _Waiting]) -> None:
+        """Those who are left over by a decision on grants."""
+        self._unserved = {request_id: waiter.ask for request_id, waiter in waiters.items()}
+
+    def note_rejections(self, messages: Iterable[object], now_ms: int) -> None:
+        """Some of those who were left over are told to return."""
+        for message in messages:
+            if isinstance(message, MemoryRefusal) and message.request_id in self._unserved:
+                ask = self._unserved[message.request_id]
+                decision = self._decision(ask, now_ms)
+                self.counts.note(self.counts.rejected, _claimant(ask), decision)
+
+    def take_summary(self, waiters: Mapping[str, _Waiting], now_ms: int) -> list[ShareRow] | None:
+        """A row for each claimant; None until it is time again.
+
+        There are none while no more than one organisation asks.
+        """
+        if not self.counts.due(now_ms):
+            return None
+        waiting = Counter(_claimant(waiter.ask) for waiter in waiters.values())
+        excesses = {(p, name): self.excess(name, p, now_ms) for p, name in waiting}
+        rows = self.counts.take(waiting, excesses, now_ms)
+        return rows if self._shared(now_ms) else []
+
+    def take_decisions(self) -> dict[str, Decision]:
+        """Grants and rejections since the last call, by request; each is told once."""
+        decisions, self.counts.decisions = self.counts.decisions, {}
+        return decisions
+
+    def _shared(self, now_ms: int) -> bool:
+        """Whether more than one organisation asked lately."""
+        return self._other_ms is not None and now_ms - self._other_ms <= SHARED_FOR_MS
+
+    def _set_levels(
+        self, runs: Mapping[str, Run], waiters: Mapping[str, _Waiting], now_ms: int
+    ) -> None:
+        held: dict[Claimant, float] = {}
+        for run in runs.values():
+            claimant, tokens = (
+                _claimant(run),
+                run.prompt_tokens + max(_likely(run), run.made_tokens),
+            )
+            held[claimant] = held.get(claimant, 0.0) + self._cost(tokens)
+        asked: dict[Claimant, float] = {}
+        for waiter in waiters.values():
+            claimant, tokens = _claimant(waiter.ask), waiter.ask.prompt_tokens + _likely(waiter.ask)
+            asked[claimant] = asked.get(claimant, 0.0) + self._cost(tokens)
+        self._held = held
+        totals: dict[int, float] = {}
+        demands: dict[int, list[float]] = {priority: [] for priority, _ in asked}
+        for claimant in self._granted.served.keys() | held.keys() | asked.keys():
+            priority = claimant[0]
+            if priority in demands:
+                service = self._service(claimant, now_ms)
+                totals[priority] = totals.get(priority, 0.0) + service
+                demands[priority].append(service + asked.get(claimant, 0.0))
+        self._levels = {p: fair_level(totals[p], wanted) for p, wanted in demands.items()}
+        self._excesses, self._levels_ms = {}, now_ms
+
+    def _service(self, claimant: Claimant, now_ms: int) -> float:
+        return self._held.get(claimant, 0.0) + self._granted.of(claimant, now_ms)
+
+    def _charge(self, claimant: Claimant, cost: float, now_ms: int) -> None:
+        self._granted.add(claimant, cost, now_ms)
+        self._excesses.pop(claimant, None)
+
+    def _cost(self, tokens: float) -> float:
+        return max(1.0, tokens) / max(1.0, self._usual_tokens)
+
+    def _decision(self, ask: MemoryAsk, now_ms: int) -> Decision:
+        priority, organisation = _claimant(ask)
+        excess = self.excess(organisation, priority, now_ms)
+        return Decision(ask.request_id, priority, organisation, excess)
+
+
+def _claimant(of: MemoryAsk | Run) -> Claimant:
+    return clip_rank(of.priority), of.organisation
+
+
+def _likely(of: MemoryAsk | Run) -> int:
+    return min(of.likely_tokens, of.most_tokens)
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from saffronworks.forwarding.planning.fair_shares import FairShares
 from saffronworks.forwarding.planning.lengths import AnswerLengths
 from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
@@ -50,8 +51,8 @@
     patient_until_ms: int
     decided: bool = False
 
-    def rank(self, now_ms: int) -> tuple[bool, int]:
-        """Those who can be in time first, the most pressing of them before others.
+    def rank(self, excess: int, now_ms: int) -> tuple[bool, int, int]:
+        """Those who can be in time first, by excess of their organisation, then by time left.
 
         One who was refused early and returned when it was told takes its turn. Behind all who come
         first, 31 in 100 of them were served within the target from their return, in their turn 87,
@@ -59,7 +60,7 @@
         time from one of their tries, 84 before (four seconds of twice the load, `planner_load`).
         """
         late = now_ms > self.in_time_until_ms
-        return late, self.patient_until_ms if late else self.in_time_until_ms
+        return late, excess, self.patient_until_ms if late else self.in_time_until_ms
 
 
 @attrs.define
@@ -87,6 +88,7 @@
     reading: ReadingPlan = attrs.Factory(ReadingPlan)
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     shuns: ShunTable = attrs.Factory(ShunTable)
+    shares: FairShares = attrs.Factory(FairShares)
     full_until_ms: dict[StartId, int] = attrs.Factory(dict)
     usual_tokens: float = 0.0
     nodes: Collection[str] = ()
@@ -121,7 +123,12 @@
 
     def ranked(self, now_ms: int) -> list[Waiter]:
         """All who wait, the first one first."""
-        return sorted(self.waiters.values(), key=lambda waiter: waiter.rank(now_ms))
+
+        def rank(waiter: Waiter) -> tuple[bool, int, int]:
+            ask = waiter.ask
+            return waiter.rank(self.shares.excess(ask.organisation, ask.priority, now_ms), now_ms)
+
+        return sorted(self.waiters.values(), key=rank)
 
     def occupancies(self, decoders: dict[StartId, str], now_ms: int) -> Occupancies:
         """The runs of each endpoint that may get work."""
--- a/saffronworks/forwarding/planning/priorities.py
+++ b/saffronworks/forwarding/planning/priorities.py
@@ -2,7 +2,7 @@
 
 from saffronworks.forwarding.routing import DEFAULT_PRIORITY
 
-__all__ = ["DEFAULT_RANK", "combine_priorities"]
+__all__ = ["DEFAULT_RANK", "clip_rank", "combine_priorities"]
 
 # Priorities run from 0, the most urgent, to this.
 MAX_PRIORITY = 9
@@ -14,6 +14,11 @@
     return _clip(first) * (MAX_PRIORITY + 1) + _clip(route)
 
 
+def clip_rank(rank: int) -> int:
+    """The nearest rank that a combination gives, for ranks that other nodes tell."""
+    return min(max(rank, 0), (MAX_PRIORITY + 1) ** 2 - 1)
+
+
 def _clip(priority: int) -> int:
     return min(max(priority, 0), MAX_PRIORITY)
 
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -8,6 +8,7 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.planning import core
 from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
 from saffronworks.forwarding.planning.messages import (
@@ -18,6 +19,7 @@
     MemoryReport,
     ReadingEnded,
 )
+from saffronworks.forwarding.planning.share_counts import Decision
 from saffronworks.forwarding.planning.tuning import (
     PLAN_EVERY_MS,
 )
@@ -29,6 +31,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Organisations that one summary of a service logs, every five seconds.
+MOST_SHARE_LINES = 8
+
 
 class MemoryPlanner:
     """Plans for every service that somebody asks it about."""
@@ -41,12 +46,14 @@
         table: Callable[[], RoutingTable | None],
         nodes: Callable[[], Collection[str]],
         own_address: str,
+        figures: Figures | None = None,
     ):
         self.plans: dict[str, PlanState] = {}
         self._directory = directory
         self._table = table
         self._nodes = nodes
         self._own_address = own_address
+        self._figures = figures
         self._trimmed_revision = directory.revision
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
@@ -62,6 +69,29 @@
             for service, plan in self.plans.items():
                 if plan.waiters or plan.runs:
                     self._take(kernel, service, Tick())
+                self._report_shares(plan, kernel.now_ms())
+
+    def _report_shares(self, plan: PlanState, now_ms: int) -> None:
+        """Log and count what organisations got, those that wait or were rejected most first."""
+        rows = plan.shares.take_summary(plan.waiters, now_ms)
+        if rows is None:
+            return
+        if self._figures is not None:
+            self._figures.record_shares(plan.service, rows)
+        scarce = [row for row in rows if row.waiting or row.rejected or row.excess]
+        for row in scarce[:MOST_SHARE_LINES]:
+            logger.info(
+                "event=plan_share service=%s organisation=%s priority=%d waiting=%d granted=%d "
+                "rejected=%d excess=%d organisations=%d",
+                plan.service,
+                row.organisation,
+                row.priority,
+                row.waiting,
+                row.granted,
+                row.rejected,
+                row.excess,
+                len(rows),
+            )
 
     def _take(self, kernel: Kernel, service: str, event: core.Event) -> None:
         now_ms = kernel.now_ms()
@@ -77,8 +107,11 @@
         readers = {endpoint.instance: endpoint.zone for endpoint in listed}
         names = plan.shuns.usable(readers, now_ms)
         plan.reading.readers = {name: readers[name] for name in names}
-        for reply in core.step(plan, event, decoders, now_ms):
-            self._send(kernel, reply, plan)
+        replies = core.step(plan, event, decoders, now_ms)
+        decisions = plan.shares.take_decisions()
+        for reply in replies:
+            self._log_decision(kernel, reply, plan, decisions)
+            self._send(kernel, reply)
         for instance, span_ms in plan.shuns.take_news():
             logger.info(
                 "event=endpoint_shunned service=%s endpoint=%s for_ms=%d after=%s endpoints_rev=%s",
@@ -115,11 +148,13 @@
             logger.info("event=plan_begins service=%s", service)
         return self.plans[service]
 
-    def _send(self, kernel: Kernel, reply: Reply, plan: PlanState) -> None:
+    def _log_decision(
+        self, kernel: Kernel, reply: Reply, plan: PlanState, decisions: dict[str, Decision]
+    ) -> None:
         if isinstance(reply.message, MemoryGrant | MemoryRefusal):
             logger.info(
                 "event=plan request=%s do=%s waiting=%d runs=%d ms_per_token=%.3f "
-                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s",
+                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s%s",
                 reply.message.request_id,
                 reply.message,
                 len(plan.waiters),
@@ -129,13 +164,24 @@
                 len(plan.reading.readers),
                 plan.reading.readers_free_in_ms(kernel.now_ms()),
                 self._directory.revision,
+                _show_share(decisions.get(reply.message.request_id)),
             )
+
+    def _send(self, kernel: Kernel, reply: Reply) -> None:
         if reply.address == self._own_address:
             kernel.announce(reply.message)
         else:
             kernel.post("peers", Outgoing(reply.address, reply.message))
 
 
+def _show_share(decision: Decision | None) -> str:
+    """The organisation's excess at the decision, where there is an organisation or an excess."""
+    if decision is None or not (decision.organisation or decision.excess):
+        return ""
+    owner = f" organisation={decision.organisation} priority={decision.priority}"
+    return f"{owner} excess={decision.excess}"
+
+
 def _resolve(event: core.Event, directory: Directory) -> core.Event:
     """The same event with each endpoint by its start: earlier versions tell the names alone."""
     resolve = directory.resolve
--- /dev/null
+++ b/saffronworks/forwarding/planning/share_counts.py
@@ -0,0 +1,86 @@
+"""What organisations asked for and got since the last summary, for logs and metrics."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["Claimant", "Decision", "ShareCounts", "ShareRow"]
+
+# An organisation of one priority.
+Claimant = tuple[int, str]
+
+SUMMARY_EVERY_MS = 5000
+# A summary is due long before so many are counted; where nobody takes it, counting begins anew.
+MOST_COUNTED = 4096
+# Decisions that wait to be logged; one step of the planner takes some hundreds in a burst.
+MOST_DECISIONS = 512
+
+
+@attrs.frozen
+class Decision:
+    """A grant or a rejection, and the excess of its organisation at that time."""
+
+    request_id: str
+    priority: int
+    organisation: str
+    excess: int
+
+
+@attrs.frozen
+class ShareRow:
+    """One organisation's waiters and excess now, and its grants and rejections of a summary."""
+
+    priority: int
+    organisation: str
+    waiting: int
+    granted: int
+    rejected: int
+    excess: int
+
+
+@attrs.define
+class ShareCounts:
+    """Grants and rejections by claimant, and the decisions that are not logged yet."""
+
+    granted: Counter[Claimant] = attrs.Factory(Counter)
+    rejected: Counter[Claimant] = attrs.Factory(Counter)
+    decisions: dict[str, Decision] = attrs.Factory(dict)
+    since_ms: int = 0
+
+    def note(self, counter: Counter[Claimant], claimant: Claimant, decision: Decision) -> None:
+        """Count a decision."""
+        if len(counter) >= MOST_COUNTED:
+            counter.clear()
+        counter[claimant] += 1
+        if len(self.decisions) >= MOST_DECISIONS:
+            self.decisions.clear()
+        self.decisions[decision.request_id] = decision
+
+    def due(self, now_ms: int) -> bool:
+        """Whether it is time for a summary."""
+        return now_ms - self.since_ms >= SUMMARY_EVERY_MS
+
+    def take(
+        self, waiting: Counter[Claimant], excesses: dict[Claimant, int], now_ms: int
+    ) -> list[ShareRow]:
+        """A row for each claimant, those that wait and were rejected most first; counts restart."""
+        claimants: Iterable[Claimant] = waiting.keys() | self.granted.keys() | self.rejected.keys()
+        rows = [
+            ShareRow(
+                *claimant,
+                waiting[claimant],
+                self.granted[claimant],
+                self.rejected[claimant],
+                excesses.get(claimant, 0),
+            )
+            for claimant in claimants
+        ]
+        self.granted.clear()
+        self.rejected.clear()
+        self.since_ms = now_ms
+
+        def order(row: ShareRow) -> tuple[int, int, int, str]:
+            return -row.waiting - row.rejected, -row.granted, row.priority, row.organisation
+
+        return sorted(rows, key=order)
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -1,13 +1,13 @@
 """Counters and histograms of a node by OpenTelemetry, with a Prometheus scrape page."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-from saffronworks.forwarding.figures import Figures
+from saffronworks.forwarding.figures import Figures, Labels
 
 __all__ = ["ForwardingMetrics", "Metrics", "find_meter", "scrape_page"]
 
@@ -62,6 +62,8 @@
 
 
 _COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
+_SHARE_COUNTERS = ("saffronworks_shares_granted", "saffronworks_shares_rejected")
+_SHARE_GAUGES = ("saffronworks_shares_waiting", "saffronworks_shares_excess")
 _HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
 
 
@@ -71,13 +73,17 @@
     def __init__(self, figures: Figures):
         self._figures = figures
         meter = find_meter()
-        for name in _COUNTERS:
-            meter.create_observable_counter(name, callbacks=[self._observe(name)])
+        for name in (*_COUNTERS, *_SHARE_COUNTERS):
+            meter.create_observable_counter(name, callbacks=[self._observe(name, figures.counts)])
+        for name in _SHARE_GAUGES:
+            meter.create_observable_gauge(name, callbacks=[self._observe(name, figures.gauges)])
         self._histograms = {name: meter.create_histogram(name, unit="ms") for name in _HISTOGRAMS}
 
-    def _observe(self, name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def _observe(
+        self, name: str, values: Mapping[tuple[str, Labels], int]
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
         def read(options: CallbackOptions) -> Iterable[Observation]:
-            for (counted, labels), value in list(self._figures.counts.items()):
+            for (counted, labels), value in list(values.items()):
                 if counted == name:
                     yield Observation(value, dict(labels))
 
--- /dev/null
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -0,0 +1,282 @@
+"""Scenarios on fair shares of decode memory, on virtual time."""
+
+import math
+import time
+from functools import cache
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from behave import given, then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from saffronworks.explain import read_stories
+from saffronworks.forwarding.figures import Figures
+from saffronworks.forwarding.planning import core, messages
+from saffronworks.forwarding.planning.fair_shares import MOST_CLAIMANTS, FairShares
+from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.planning.service import MemoryPlanner, _show_share
+from saffronworks.forwarding.planning.share_counts import Decision
+from saffronworks.recent_service import fair_level
+from saffronworks.tests.log_lines import LogLines
+from saffronworks.tests.share_load import CAPACITY_TOKENS, DECODERS, START_MS, ShareLoad
+
+USUAL_PER_S = 0.8
+USUAL = {f"usual-{index}": USUAL_PER_S for index in range(13)}
+LARGE = {f"large-{index}": 6 * USUAL_PER_S for index in range(3)}
+SEEDS = (1, 2)
+EXCESS = "saffronworks.forwarding.planning.fair_shares.FairShares.excess"
+
+
+def play(rates, **changes):
+    return [ShareLoad(rates, seed, 16_000, **changes).run() for seed in SEEDS]
+
+
+@cache
+def play_large():
+    return play(USUAL | LARGE)
+
+
+def held(loads, names):
+    return sum(load.held_ms[name] for load in loads for name in names)
+
+
+def in_time(loads, names):
+    served = sum(load.in_time[name] for load in loads for name in names)
+    return served / sum(load.asked[name] for load in loads for name in names)
+
+
+@given("three organisations that ask for six times as much as thirteen others")
+def three_large(context):
+    context.loads = play_large()
+
+
+@then("nine in ten requests of the usual organisations are granted in time")
+def usual_in_time(context):
+    assert in_time(context.loads, USUAL) >= 0.9, in_time(context.loads, USUAL)
+    assert min(in_time(context.loads, [name]) for name in USUAL) >= 0.75
+
+
+@then("each of the others holds no less memory than a usual one, and a like part of the rest")
+def large_share(context):
+    each = [held(context.loads, [name]) for name in LARGE]
+    assert min(each) >= held(context.loads, USUAL) / len(USUAL), each
+    assert max(each) <= 1.5 * min(each), each
+
+
+@then("as much memory is used as without shares")
+def utilised(context):
+    with patch(EXCESS, return_value=0):
+        without = play(USUAL | LARGE)
+    everyone = USUAL | LARGE
+    assert held(context.loads, everyone) >= 0.98 * held(without, everyone)
+    assert in_time(without, USUAL) <= in_time(context.loads, USUAL) - 0.15
+
+
+@given("a large organisation, and one that asks as much under two names")
+def split(context):
+    context.whole = play(USUAL | {"large-0": 12.0})
+    context.split = play(USUAL | {"part-0": 6.0, "part-1": 6.0})
+
+
+@then("the usual organisations are served nearly as before")
+def split_harms_none(context):
+    before, after = in_time(context.whole, USUAL), in_time(context.split, USUAL)
+    assert after >= before - 0.05, (before, after)
+
+
+@then("neither name holds more than the large organisation did")
+def split_gains_little(context):
+    whole = held(context.whole, ["large-0"])
+    parts = [held(context.split, [f"part-{index}"]) for index in (0, 1)]
+    assert max(parts) <= whole and sum(parts) <= 1.1 * whole, (whole, parts)
+
+
+@given("an organisation that begins to ask while others ask for too much")
+def newcomer(context):
+    context.loads = play(USUAL | LARGE | {"new": USUAL_PER_S}, starts_ms={"new": 5000})
+
+
+@then("it is granted in time from its first request on")
+def newcomer_in_time(context):
+    assert in_time(context.loads, ["new"]) >= 0.9, in_time(context.loads, ["new"])
+
+
+@given("many requests without an organisation beside usual organisations")
+def nameless(context):
+    context.loads = play(USUAL | {"": 16.0})
+
+
+@then("they share as one organisation, and the usual ones are in time")
+def nameless_share(context):
+    assert in_time(context.loads, USUAL) >= 0.9, in_time(context.loads, USUAL)
+    assert held(context.loads, [""]) >= 3 * held(context.loads, USUAL) / len(USUAL)
+
+
+@given("two organisations that ask for too much, and one of them tries five times")
+def insistent(context):
+    rates = USUAL | {"large-0": 6.0, "large-1": 6.0}
+    context.loads = play(rates, retries={"large-0": 5, "large-1": 0})
+
+
+@then("it holds hardly more memory for that")
+def insistent_gains_nothing(context):
+    insists, other = (held(context.loads, [name]) for name in ("large-0", "large-1"))
+    assert insists <= 1.2 * other, (insists, other)
+    assert in_time(context.loads, USUAL) >= 0.9
+
+
+@given("three large organisations when a second planner takes over")
+def taken_over(context):
+    context.loads = play(USUAL | LARGE, take_over_ms=5000)
+
+
+@then("the usual organisations are in time after that, too")
+def in_time_after(context):
+    assert in_time(context.loads, USUAL) >= in_time(play_large(), USUAL) - 0.05
+
+
+@then("what runs hold counts from the start")
+def held_counts(context):
+    plan = core.PlanState(0, CAPACITY_TOKENS, 12, heard_ms=START_MS)
+    runs = tuple(
+        messages.LiveRun(f"{index}", f"d{index % 4}", 3200, 640, 999, 0, organisation="large")
+        for index in range(44)
+    )
+    core.step(plan, messages.MemoryReport("n", "s", runs), DECODERS, START_MS)
+    asks = [make_ask(f"a{index}", ("large", "usual")[index % 2]) for index in range(20)]
+    for ask in asks:
+        core.step(plan, ask, DECODERS, START_MS + 1)
+    assert [w.ask.organisation for w in plan.ranked(START_MS + 60)[:2]] == ["usual", "usual"]
+    assert plan.shares.excess("large", 55, START_MS + 60) >= 1
+
+
+def make_ask(request_id, organisation, priority=55, tokens=3200):
+    sizes = (tokens, 640, 999, 0, 500, 3000, False)
+    return messages.MemoryAsk(
+        request_id, "n", "s", *sizes, priority=priority, organisation=organisation
+    )
+
+
+PLAYS = st.lists(
+    st.tuples(st.integers(0, 60), st.integers(0, 3), st.integers(1, 9000), st.booleans()),
+    max_size=60,
+)
+
+
+def play_events(events, organisations, capacity=12_000, slots=12, readers=()):
+    """The replies to asks, each followed by a tick or by the end of the oldest run."""
+    plan = core.PlanState(0, capacity, slots, heard_ms=START_MS)
+    plan.reading.readers = dict.fromkeys(readers, "z")
+    now_ms, told = START_MS, []
+    for index, (gap_ms, which, tokens, ends) in enumerate(events):
+        now_ms += gap_ms
+        priority = 55 if organisations > 1 else which * 11
+        ask = make_ask(f"r{index}", f"o{which % organisations}", priority, tokens)
+        told.append(core.step(plan, ask, DECODERS, now_ms))
+        event = core.Tick()
+        if ends and plan.runs:
+            event = messages.MemoryRelease(next(iter(plan.runs)), "s")
+        told.append(core.step(plan, event, DECODERS, now_ms))
+    return told
+
+
+@then("one organisation of any priorities is planned for as without shares")
+def one_organisation(context):
+    @forall(PLAYS)
+    def same(events):
+        with patch(EXCESS, return_value=0):
+            without = play_events(events, 1)
+        assert play_events(events, 1) == without
+
+    same()
+
+
+@then("so are many while there is room for all")
+def room_for_all(context):
+    room = {"capacity": 10**9, "slots": 99, "readers": [f"p{index}" for index in range(99)]}
+
+    @forall(PLAYS)
+    def same(events):
+        with patch(EXCESS, return_value=0):
+            without = play_events(events, 4, **room)
+        assert play_events(events, 4, **room) == without
+
+    same()
+
+
+AMOUNTS = st.floats(0, 1e6)
+
+
+@then("the level with unknown demands is the widened mean, as the cells' queues had it")
+def unknown_demands(context):
+    @forall(AMOUNTS, st.integers(1, 99), st.floats(0.1, 9))
+    def same(total, count, factor):
+        assert fair_level(total, [math.inf] * count, factor) == max(1.0, factor * total / count)
+
+    same()
+
+
+@then("the level with known demands shares out all there is by max-min fairness")
+def known_demands(context):
+    @forall(st.lists(st.floats(1, 1e6), min_size=1), st.floats(0.01, 1))
+    def shared(demands, part):
+        total = part * sum(demands)
+        level = fair_level(total, demands)
+        given_out = sum(min(demand, level) for demand in demands)
+        assert level == 1.0 or math.isclose(given_out, total, rel_tol=1e-6)
+
+    shared()
+
+
+@given("a plan with asks of 29,000 organisations")
+def many(context):
+    context.shares, context.names = FairShares(), [f"o{index}" for index in range(29_000)]
+    waiting = core.PlanState(0, 1, 1)
+    for index, name in enumerate(context.names):
+        ask = make_ask(name, name)
+        context.shares.note_ask(ask, index // 20)
+        context.shares.note_grant(ask, index // 20)
+    for name in context.names[:400]:
+        core._enqueue(waiting, make_ask(name, name), 1500)
+    context.runs = {name: Run("d0", "n", 1, 1, 1, 0, organisation=name) for name in DECODERS}
+    context.waiters = waiting.waiters
+
+
+@then("it keeps what is bounded, and a look at them takes some milliseconds")
+def bounded(context):
+    shares = context.shares
+    assert len(shares._granted.served) <= MOST_CLAIMANTS
+    assert len(shares.counts.granted) <= MOST_CLAIMANTS and len(shares.counts.decisions) <= 512
+    shares.note_unserved(context.waiters)
+    took_s = []
+    for at_ms in range(1500, 2500, 100):
+        began_s = time.process_time()
+        shares.look(context.runs, context.waiters, at_ms)
+        took_s.append(time.process_time() - began_s)
+    assert min(took_s) < 0.03, took_s
+    shares.look(context.runs, {}, 60_000)
+    assert not shares._granted.served
+
+
+@then("its log lines and metrics are bounded")
+def bounded_output(context):
+    planner = MemoryPlanner(SimpleNamespace(revision=0), None, None, "n", Figures("n"))
+    plan = core.PlanState(0, 1, 1, "s", shares=context.shares, waiters=context.waiters)
+    with LogLines("saffronworks.forwarding.planning.service") as texts:
+        planner._report_shares(plan, 10_000)
+    assert len(texts) == 8 and all("event=plan_share service=s" in text for text in texts), texts
+    assert len(planner._figures.counts) <= 2 * 129 and len(planner._figures.gauges) <= 2 * 129
+    waiting = [v for (name, _), v in planner._figures.gauges.items() if name.endswith("waiting")]
+    assert sum(waiting) == len(context.waiters), sum(waiting)
+
+
+@then("the planner's line and saffronctl explain name the excess of its organisation")
+def explained(context):
+    decision = Decision("r", 55, "acme", 2)
+    line = f"event=plan request=r do=MemoryRefusal(request_id='r'){_show_share(decision)}"
+    refusal = "event=refuse request=r status=503 reason=memory-full"
+    story = read_stories([line, refusal])["r"]
+    assert (story.organisation, story.excess) == ("acme", 2)
+    assert story.cause == "memory-full, planned, organisation beyond its share", story.cause
+    assert _show_share(Decision("r", 55, "", 0)) == ""
