Bound the cost of share summaries and levels where there are many organisations

With 3,863 live claimants the levels took 8.6 ms every 50 ms, and a summary built a row for each claimant. The decayed service is computed in one pass (5 ms), every 100 ms or, beyond 1,000 claimants, every 0.1 ms times their number. A summary names 64 claimants and sums up the others.

--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from saffronworks.forwarding.planning.share_counts import ShareRow
+from saffronworks.forwarding.planning.share_counts import OTHERS, ShareRow
 
 __all__ = ["Figures", "Labels", "Sample"]
 
@@ -19,7 +19,6 @@
 # Organisations of a service and priority that have series of their own, the first that are told of;
 # all others of a service are together in `OTHERS`. Each one has four series.
 MOST_NAMED = 128
-OTHERS = "(others)"
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -82,12 +81,13 @@
         self.counts[name, self._label(**labels)] += 1
 
     def _label_share(self, service: str, row: ShareRow) -> Labels:
-        own = self._label(
-            service=service, priority=str(row.priority), organisation=row.organisation
-        )
+        others = self._label(service=service, priority="", organisation=OTHERS)
+        if row.priority is None:
+            return others
+        priority, organisation = str(row.priority), row.organisation
+        own = self._label(service=service, priority=priority, organisation=organisation)
         if len(self._named) < MOST_NAMED:
             self._named.add(own)
-        others = self._label(service=service, priority="", organisation=OTHERS)
         return own if own in self._named else others
 
     def _raise_gauge(self, name: str, labels: Labels, value: int, add: bool) -> None:
--- a/saffronworks/forwarding/planning/fair_shares.py
+++ b/saffronworks/forwarding/planning/fair_shares.py
@@ -19,7 +19,7 @@
     Claimant,
     Decision,
     ShareCounts,
-    ShareRow,
+    ShareSummary,
 )
 from saffronworks.forwarding.planning.tuning import USUAL_WEIGHT
 from saffronworks.recent_service import RecentService, fair_level
@@ -28,8 +28,10 @@
 
 # Shares apply while asks of more than one organisation came within this time.
 SHARED_FOR_MS = 30_000
-# Levels change slowly against this, and a look at 4,096 claimants costs 2 ms.
-LEVELS_EVERY_MS = 50
+# Levels change slowly against this. A look at 4,000 claimants takes 5 ms on a whole core, so it is
+# taken less often where there are many.
+LEVELS_EVERY_MS = 100
+CLAIMANTS_PER_MS = 10
 PRUNE_EVERY_MS = 1000
 MOST_CLAIMANTS = 4096
 # How many are left once there are more, so that evictions are rare.
@@ -85,7 +87,8 @@
         """
         scarce = any(request_id in waiters for request_id in self._unserved)
         self._applies = scarce and self._shared(now_ms)
-        if self._applies and now_ms - self._levels_ms >= LEVELS_EVERY_MS:
+        every_ms = max(LEVELS_EVERY_MS, len(self._granted.served) // CLAIMANTS_PER_MS)
+        if self._applies and now_ms - self._levels_ms >= every_ms:
             self._set_levels(runs, waiters, now_ms)
         if now_ms - self._pruned_ms >= PRUNE_EVERY_MS:
             self._granted.prune(now_ms)
@@ -97,7 +100,7 @@
             self._other_ms = self._newest_ms if self._newest is not None else None
             self._newest = ask.organisation
         self._newest_ms = now_ms
-        tokens = float(max(1, ask.prompt_tokens + ask.likely_tokens))
+        tokens = float(max(1, _tokens(ask)))
         known = self._usual_tokens or tokens
         self._usual_tokens = known + USUAL_WEIGHT * (tokens - known)
 
@@ -105,15 +108,15 @@
         """An ask was granted: it is charged."""
         claimant = _claimant(ask)
         self.counts.note(self.counts.granted, claimant, self._decision(ask, now_ms))
-        self._charge(claimant, self._cost(ask.prompt_tokens + ask.likely_tokens), now_ms)
+        self._charge(claimant, self._cost(_tokens(ask)), now_ms)
         if len(self._granted.served) > MOST_CLAIMANTS:
             self._granted.evict_least(CLAIMANTS_KEPT, now_ms)
 
-    def note_end(self, run: Run, now_ms: int) -> None:
-        """A run was taken back before it made anything: its grant found no room."""
+    def note_taken_back(self, run: Run, now_ms: int) -> None:
+        """A grant found no room: its charge is given back, since it is asked for again."""
         claimant = _claimant(run)
         if claimant in self._granted.served:
-            self._charge(claimant, -self._cost(run.prompt_tokens + run.likely_tokens), now_ms)
+            self._charge(claimant, -self._cost(_tokens(run)), now_ms)
 
     def note_unserved(self, waiters: Mapping[str, _Waiting]) -> None:
         """Those who are left over by a decision on grants."""
@@ -127,17 +130,14 @@
                 decision = self._decision(ask, now_ms)
                 self.counts.note(self.counts.rejected, _claimant(ask), decision)
 
-    def take_summary(self, waiters: Mapping[str, _Waiting], now_ms: int) -> list[ShareRow] | None:
-        """A row for each claimant; None until it is time again.
-
-        There are none while no more than one organisation asks.
-        """
+    def take_summary(self, waiters: Mapping[str, _Waiting], now_ms: int) -> ShareSummary | None:
+        """What claimants got; None until it is time again, empty with one organisation."""
         if not self.counts.due(now_ms):
             return None
         waiting = Counter(_claimant(waiter.ask) for waiter in waiters.values())
         excesses = {(p, name): self.excess(name, p, now_ms) for p, name in waiting}
-        rows = self.counts.take(waiting, excesses, now_ms)
-        return rows if self._shared(now_ms) else []
+        summary = self.counts.take(waiting, excesses, now_ms)
+        return summary if self._shared(now_ms) else ShareSummary(0, [])
 
     def take_decisions(self) -> dict[str, Decision]:
         """Grants and rejections since the last call, by request; each is told once."""
@@ -151,29 +151,31 @@
     def _set_levels(
         self, runs: Mapping[str, Run], waiters: Mapping[str, _Waiting], now_ms: int
     ) -> None:
-        held: dict[Claimant, float] = {}
-        for run in runs.values():
-            claimant, tokens = (
-                _claimant(run),
-                run.prompt_tokens + max(_likely(run), run.made_tokens),
-            )
-            held[claimant] = held.get(claimant, 0.0) + self._cost(tokens)
-        asked: dict[Claimant, float] = {}
-        for waiter in waiters.values():
-            claimant, tokens = _claimant(waiter.ask), waiter.ask.prompt_tokens + _likely(waiter.ask)
-            asked[claimant] = asked.get(claimant, 0.0) + self._cost(tokens)
-        self._held = held
-        totals: dict[int, float] = {}
-        demands: dict[int, list[float]] = {priority: [] for priority, _ in asked}
-        for claimant in self._granted.served.keys() | held.keys() | asked.keys():
-            priority = claimant[0]
-            if priority in demands:
-                service = self._service(claimant, now_ms)
-                totals[priority] = totals.get(priority, 0.0) + service
-                demands[priority].append(service + asked.get(claimant, 0.0))
+        self._held = self._sum_up(runs.values())
+        asked = self._sum_up(waiter.ask for waiter in waiters.values())
+        service = self._granted.all(now_ms)
+        for claimant, cost in self._held.items():
+            service[claimant] = service.get(claimant, 0.0) + cost
+        totals = {priority: 0.0 for priority, _ in asked}
+        demands: dict[int, list[float]] = {priority: [] for priority in totals}
+        for (priority, organisation), amount in service.items():
+            if priority in totals:
+                totals[priority] += amount
+                if (priority, organisation) not in asked:
+                    demands[priority].append(amount)
+        for claimant, cost in asked.items():
+            demands[claimant[0]].append(service.get(claimant, 0.0) + cost)
         self._levels = {p: fair_level(totals[p], wanted) for p, wanted in demands.items()}
         self._excesses, self._levels_ms = {}, now_ms
 
+    def _sum_up(self, sized: Iterable[Run | MemoryAsk]) -> dict[Claimant, float]:
+        """The memory of runs or asks by claimant, in usual runs."""
+        sums: dict[Claimant, float] = {}
+        for each in sized:
+            claimant = _claimant(each)
+            sums[claimant] = sums.get(claimant, 0.0) + self._cost(_tokens(each))
+        return sums
+
     def _service(self, claimant: Claimant, now_ms: int) -> float:
         return self._held.get(claimant, 0.0) + self._granted.of(claimant, now_ms)
 
@@ -194,5 +196,7 @@
     return clip_rank(of.priority), of.organisation
 
 
-def _likely(of: MemoryAsk | Run) -> int:
-    return min(of.likely_tokens, of.most_tokens)
+def _tokens(of: MemoryAsk | Run) -> int:
+    """The memory of a run that ends as foreseen, or that grew beyond that."""
+    made = of.made_tokens if isinstance(of, Run) else 0
+    return of.prompt_tokens + max(min(of.likely_tokens, of.most_tokens), made)
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -73,13 +73,14 @@
 
     def _report_shares(self, plan: PlanState, now_ms: int) -> None:
         """Log and count what organisations got, those that wait or were rejected most first."""
-        rows = plan.shares.take_summary(plan.waiters, now_ms)
-        if rows is None:
+        summary = plan.shares.take_summary(plan.waiters, now_ms)
+        if summary is None:
             return
         if self._figures is not None:
-            self._figures.record_shares(plan.service, rows)
-        scarce = [row for row in rows if row.waiting or row.rejected or row.excess]
-        for row in scarce[:MOST_SHARE_LINES]:
+            self._figures.record_shares(plan.service, summary.rows)
+        for row in summary.rows[:MOST_SHARE_LINES]:
+            if not row.waiting and not row.rejected:
+                break
             logger.info(
                 "event=plan_share service=%s organisation=%s priority=%d waiting=%d granted=%d "
                 "rejected=%d excess=%d organisations=%d",
@@ -90,7 +91,7 @@
                 row.granted,
                 row.rejected,
                 row.excess,
-                len(rows),
+                summary.claimants,
             )
 
     def _take(self, kernel: Kernel, service: str, event: core.Event) -> None:
--- a/saffronworks/forwarding/planning/share_counts.py
+++ b/saffronworks/forwarding/planning/share_counts.py
@@ -1,11 +1,11 @@
 """What organisations asked for and got since the last summary, for logs and metrics."""
 
+import heapq
 from collections import Counter
-from collections.abc import Iterable
 
 import attrs
 
-__all__ = ["Claimant", "Decision", "ShareCounts", "ShareRow"]
+__all__ = ["OTHERS", "Claimant", "Decision", "ShareCounts", "ShareRow", "ShareSummary"]
 
 # An organisation of one priority.
 Claimant = tuple[int, str]
@@ -15,6 +15,9 @@
 MOST_COUNTED = 4096
 # Decisions that wait to be logged; one step of the planner takes some hundreds in a burst.
 MOST_DECISIONS = 512
+# Claimants that a summary names; all others together are `OTHERS`, of no priority.
+MOST_ROWS = 64
+OTHERS = "(others)"
 
 
 @attrs.frozen
@@ -31,7 +34,7 @@
 class ShareRow:
     """One organisation's waiters and excess now, and its grants and rejections of a summary."""
 
-    priority: int
+    priority: int | None
     organisation: str
     waiting: int
     granted: int
@@ -39,6 +42,14 @@
     excess: int
 
 
+@attrs.frozen
+class ShareSummary:
+    """Those that wait or were rejected most first, and how many claimants there were in all."""
+
+    claimants: int
+    rows: list[ShareRow]
+
+
 @attrs.define
 class ShareCounts:
     """Grants and rejections by claimant, and the decisions that are not logged yet."""
@@ -63,9 +74,14 @@
 
     def take(
         self, waiting: Counter[Claimant], excesses: dict[Claimant, int], now_ms: int
-    ) -> list[ShareRow]:
-        """A row for each claimant, those that wait and were rejected most first; counts restart."""
-        claimants: Iterable[Claimant] = waiting.keys() | self.granted.keys() | self.rejected.keys()
+    ) -> ShareSummary:
+        """Sum up; counts restart."""
+
+        def need(claimant: Claimant) -> tuple[int, int, Claimant]:
+            unserved = waiting[claimant] + self.rejected[claimant]
+            return unserved, self.granted[claimant], claimant
+
+        claimants = waiting.keys() | self.granted.keys() | self.rejected.keys()
         rows = [
             ShareRow(
                 *claimant,
@@ -74,13 +90,20 @@
                 self.rejected[claimant],
                 excesses.get(claimant, 0),
             )
-            for claimant in claimants
+            for claimant in heapq.nlargest(MOST_ROWS, claimants, need)
         ]
+        if len(claimants) > len(rows):
+            rows.append(
+                ShareRow(
+                    None,
+                    OTHERS,
+                    waiting.total() - sum(row.waiting for row in rows),
+                    self.granted.total() - sum(row.granted for row in rows),
+                    self.rejected.total() - sum(row.rejected for row in rows),
+                    0,
+                )
+            )
         self.granted.clear()
         self.rejected.clear()
         self.since_ms = now_ms
-
-        def order(row: ShareRow) -> tuple[int, int, int, str]:
-            return -row.waiting - row.rejected, -row.granted, row.priority, row.organisation
-
-        return sorted(rows, key=order)
+        return ShareSummary(len(claimants), rows)
--- a/saffronworks/owner/queues.py
+++ b/saffronworks/owner/queues.py
@@ -89,7 +89,7 @@
         """The recent service beyond which an organisation goes after the others."""
         present = {waiting.ask.organisation for waiting in self.items.values()}
         present.update(self.recent.served)
-        total = sum(self.recent.of(organisation, now_ms) for organisation in self.recent.served)
+        total = sum(self.recent.all(now_ms).values())
         return fair_level(total, [math.inf] * len(present), self.policy.fair_factor)
 
     def _rank(self, waiting: Waiting, now_ms: int, fair: float) -> tuple[float, ...]:
--- a/saffronworks/recent_service.py
+++ b/saffronworks/recent_service.py
@@ -36,15 +36,23 @@
         amount, at_ms = self.served.get(claimant, (0.0, now_ms))
         return amount * 0.5 ** ((now_ms - at_ms) / SHARE_HALF_LIFE_MS)
 
+    def all(self, now_ms: int) -> dict[Claimant, float]:
+        """Recent service of all claimants that have some."""
+        return {
+            claimant: amount * 0.5 ** ((now_ms - at_ms) / SHARE_HALF_LIFE_MS)
+            for claimant, (amount, at_ms) in self.served.items()
+        }
+
     def prune(self, now_ms: int) -> None:
         """Evict claimants whose service has decayed below `FADED_SERVICE`."""
-        for claimant in list(self.served):
-            if self.of(claimant, now_ms) < FADED_SERVICE:
+        for claimant, amount in self.all(now_ms).items():
+            if amount < FADED_SERVICE:
                 del self.served[claimant]
 
     def evict_least(self, kept: int, now_ms: int) -> None:
         """Evict the claimants with the least service until `kept` are left."""
-        ranked = sorted(self.served, key=lambda claimant: self.of(claimant, now_ms))
+        amounts = self.all(now_ms)
+        ranked = sorted(amounts, key=amounts.__getitem__)
         for claimant in ranked[: max(0, len(ranked) - kept)]:
             del self.served[claimant]
 
--- a/saffronworks/tests/features/fair_shares.feature
+++ b/saffronworks/tests/features/fair_shares.feature
@@ -4,7 +4,7 @@
     # Without shares the usual ones were in time for 68 in 100 requests, with them for 92.
     Given three organisations that ask for six times as much as thirteen others
     Then nine in ten requests of the usual organisations are granted in time
-    And each of the others holds no less memory than a usual one, and a like part of the rest
+    And each of the others holds no less memory than a usual one, and at all times
     And as much memory is used as without shares
 
   Scenario: an organisation that asks under two names
--- a/saffronworks/tests/features/steps/fair_shares_steps.py
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -3,6 +3,7 @@
 import math
 import time
 from functools import cache
+from itertools import pairwise
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -57,11 +58,15 @@
     assert min(in_time(context.loads, [name]) for name in USUAL) >= 0.75
 
 
-@then("each of the others holds no less memory than a usual one, and a like part of the rest")
+@then("each of the others holds no less memory than a usual one, and at all times")
 def large_share(context):
     each = [held(context.loads, [name]) for name in LARGE]
     assert min(each) >= held(context.loads, USUAL) / len(USUAL), each
     assert max(each) <= 1.5 * min(each), each
+    for load in context.loads:
+        for name in LARGE:
+            gaps = [b - a for a, b in pairwise(load.granted_ms[name])]
+            assert max(gaps) <= 3000, (name, gaps)
 
 
 @then("as much memory is used as without shares")
@@ -250,11 +255,11 @@
     assert len(shares.counts.granted) <= MOST_CLAIMANTS and len(shares.counts.decisions) <= 512
     shares.note_unserved(context.waiters)
     took_s = []
-    for at_ms in range(1500, 2500, 100):
+    for at_ms in range(2000, 8000, 500):
         began_s = time.process_time()
         shares.look(context.runs, context.waiters, at_ms)
         took_s.append(time.process_time() - began_s)
-    assert min(took_s) < 0.03, took_s
+    assert 0 < min(took_s) < 0.02, took_s
     shares.look(context.runs, {}, 60_000)
     assert not shares._granted.served
 
@@ -266,7 +271,7 @@
     with LogLines("saffronworks.forwarding.planning.service") as texts:
         planner._report_shares(plan, 10_000)
     assert len(texts) == 8 and all("event=plan_share service=s" in text for text in texts), texts
-    assert len(planner._figures.counts) <= 2 * 129 and len(planner._figures.gauges) <= 2 * 129
+    assert len(planner._figures.counts) <= 2 * 65 and len(planner._figures.gauges) <= 2 * 65
     waiting = [v for (name, _), v in planner._figures.gauges.items() if name.endswith("waiting")]
     assert sum(waiting) == len(context.waiters), sum(waiting)
 
