Test that shares wait for scarcity and refund grants that found no room

Of six changes by hand to fair_shares.py the scenarios missed two: shares that apply while nobody waits for lack of capacity, and a grant taken back that stays charged. Both fail a step now.

The four other changes (no history, no held memory, equal instead of max-min shares, shares with one organisation) failed the feature before.

--- a/saffronworks/forwarding/planning/fair_shares.py
+++ b/saffronworks/forwarding/planning/fair_shares.py
@@ -72,9 +72,9 @@
         """
         if not self._applies:
             return 0
-        claimant = (clip_rank(priority), organisation)
-        known = self._excesses.get(claimant)
+        known = self._excesses.get((priority, organisation))
         if known is None:
+            claimant = (clip_rank(priority), organisation)
             level = self._levels.get(claimant[0])
             known = int(self._service(claimant, now_ms) / level) if level else 0
             self._excesses[claimant] = known
--- a/saffronworks/tests/features/fair_shares.feature
+++ b/saffronworks/tests/features/fair_shares.feature
@@ -32,6 +32,8 @@
   Scenario: nothing changes where nothing is to be shared
     Then one organisation of any priorities is planned for as without shares
     And so are many while there is room for all
+    And those who waited for a plan to begin are granted as they came
+    And a grant that found no room is charged once
 
   Scenario: the levels of both queues
     Then the level with unknown demands is the widened mean, as the cells' queues had it
--- a/saffronworks/tests/features/steps/fair_shares_steps.py
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -210,6 +210,34 @@
     same()
 
 
+def roomy_plan(**changes):
+    plan = core.PlanState(START_MS, 10**9, 99, heard_ms=START_MS, **changes)
+    plan.reading.readers = {"p0": "z"}
+    return plan
+
+
+@then("those who waited for a plan to begin are granted as they came")
+def not_scarce(context):
+    plan = roomy_plan(nodes=("n",))
+    for name in ("large", "usual"):
+        core.step(plan, make_ask(name, name), DECODERS, START_MS + 1)
+    sizes = ("d0", 3200, 640, 999, 0)
+    runs = tuple(messages.LiveRun(f"{i}", *sizes, organisation="large") for i in range(9))
+    core.step(plan, messages.MemoryReport("n", "s", runs), DECODERS, START_MS + 2)
+    granted = core.step(plan, core.Tick(), DECODERS, START_MS + 3)
+    assert [reply.message.request_id for reply in granted] == ["large", "usual"], granted
+
+
+@then("a grant that found no room is charged once")
+def refunded(context):
+    plan = roomy_plan()
+    plan.began_ms = 0
+    for _ in range(3):
+        core.step(plan, make_ask("r", "a"), DECODERS, START_MS)
+        plan.full_until_ms.clear()
+    assert plan.runs and plan.shares._granted.of((55, "a"), START_MS) == 1.0
+
+
 AMOUNTS = st.floats(0, 1e6)
 
 
--- a/saffronworks/tests/share_load.py
+++ b/saffronworks/tests/share_load.py
@@ -36,7 +36,6 @@
     in_time: Counter = attrs.Factory(Counter)
     granted_ms: dict[str, list[int]] = attrs.Factory(lambda: defaultdict(list))
     held_ms: Counter = attrs.Factory(Counter)
-    replies: list[tuple[int, object]] = attrs.Factory(list)
 
     def __attrs_post_init__(self):
         self.plan = self._new_plan(0)
@@ -87,7 +86,6 @@
 
     def tell(self, event, now_ms):
         for reply in core.step(self.plan, event, DECODERS, START_MS + now_ms):
-            self.replies.append((now_ms, reply))
             match reply.message:
                 case messages.MemoryGrant(request_id, instance):
                     self.grant(request_id, instance, now_ms)
