--- a/saffronworks/forwarding/planning/order.py
+++ b/saffronworks/forwarding/planning/order.py
@@ -15,8 +15,8 @@
 
 __all__ = ["Excess", "Waiter", "WaiterOrder", "count_by_priority"]
 
-# By how many shares an organisation is beyond its own at a time.
-Excess = Callable[[str, int], float]
+# By how many shares an organisation is beyond its own in a priority, at a time.
+Excess = Callable[[str, int, int], float]
 
 
 @attrs.define
@@ -57,7 +57,7 @@
     return dict(sorted(counts.items()))
 
 
-def _no_excess(organisation: str, now_ms: int) -> float:
+def _no_excess(organisation: str, priority: int, now_ms: int) -> float:
     return 0.0
 
 
@@ -117,7 +117,7 @@
 
     def _sort(self, waiters: Iterable[Waiter], now_ms: int) -> list[Waiter]:
         def rank(waiter: Waiter) -> tuple[int, float, int]:
-            excess = self.excess(waiter.ask.organisation, now_ms)
+            excess = self.excess(waiter.ask.organisation, waiter.priority, now_ms)
             return waiter.priority, excess, waiter.ends_ms(now_ms)
 
         return sorted(waiters, key=rank)
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from saffronworks.forwarding.planning.fair_shares import FairShares
 from saffronworks.forwarding.planning.lengths import AnswerLengths
 from saffronworks.forwarding.planning.messages import (
     MemoryAsk,
@@ -63,7 +64,6 @@
     ms_per_token: float = MS_PER_TOKEN
     runs: dict[str, Run] = attrs.Factory(dict)
     waiters: dict[str, Waiter] = attrs.Factory(dict)
-    order: WaiterOrder = attrs.Factory(WaiterOrder)
     rates: AskRates = attrs.Factory(AskRates)
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_return_ms: dict[int, float] = attrs.Factory(dict)
@@ -72,10 +72,16 @@
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     speeds: EndpointSpeeds = attrs.Factory(EndpointSpeeds)
     shuns: ShunTable = attrs.Factory(ShunTable)
+    shares: FairShares = attrs.Factory(FairShares)
+    order: WaiterOrder = attrs.field(init=False)
     full_until_ms: dict[StartId, int] = attrs.Factory(dict)
     usual_tokens: float = 0.0
     nodes: Collection[str] = ()
 
+    @order.default
+    def _order_by_shares(self) -> WaiterOrder:
+        return WaiterOrder(self.shares.excess)
+
     def whole(self, now_ms: int) -> bool:
         """Whether all runs are known: each node has told its own, or time enough has passed.
 
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -19,6 +19,7 @@
     MemoryReport,
     ReadingEnded,
 )
+from saffronworks.forwarding.planning.share_counts import Decision
 from saffronworks.forwarding.planning.tuning import (
     PLAN_EVERY_MS,
 )
@@ -30,6 +31,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Organisations that one summary of a service logs, every five seconds.
+MOST_SHARE_LINES = 8
+
 
 class MemoryPlanner:
     """Plans for every service that somebody asks it about."""
@@ -68,9 +72,33 @@
             active = [service for service, plan in self.plans.items() if plan.waiters or plan.runs]
             for service in active:
                 self._take(kernel, service, Tick())
+                self._report_shares(self.plans[service], kernel.now_ms())
             if not active:
                 self._active = anyio.Event()
 
+    def _report_shares(self, plan: PlanState, now_ms: int) -> None:
+        """Log and count what organisations got, those that wait or were rejected most first."""
+        summary = plan.shares.take_summary(plan.waiters, now_ms)
+        if summary is None:
+            return
+        if self._figures is not None:
+            self._figures.record_shares(plan.service, summary.rows)
+        for row in summary.rows[:MOST_SHARE_LINES]:
+            if not row.waiting and not row.rejected:
+                break
+            logger.info(
+                "event=plan_share service=%s organisation=%s priority=%d waiting=%d granted=%d "
+                "rejected=%d excess=%d organisations=%d",
+                plan.service,
+                row.organisation,
+                row.priority,
+                row.waiting,
+                row.granted,
+                row.rejected,
+                row.excess,
+                summary.claimants,
+            )
+
     def _take(self, kernel: Kernel, service: str, event: core.Event) -> None:
         now_ms = kernel.now_ms()
         plan = self._find(service, now_ms)
@@ -85,8 +113,11 @@
         readers = {endpoint.instance: endpoint.zone for endpoint in listed}
         names = plan.shuns.usable(readers, now_ms)
         plan.reading.readers = {name: readers[name] for name in names}
-        for reply in core.step(plan, event, decoders, now_ms):
-            self._send(kernel, reply, plan)
+        replies = core.step(plan, event, decoders, now_ms)
+        decisions = plan.shares.take_decisions()
+        for reply in replies:
+            self._log_decision(kernel, reply, plan, decisions)
+            self._send(kernel, reply)
         self._tell_speeds(plan, now_ms)
         if plan.waiters or plan.runs:
             self._active.set()
@@ -142,11 +173,13 @@
             logger.info("event=plan_begins service=%s", service)
         return self.plans[service]
 
-    def _send(self, kernel: Kernel, reply: Reply, plan: PlanState) -> None:
+    def _log_decision(
+        self, kernel: Kernel, reply: Reply, plan: PlanState, decisions: dict[str, Decision]
+    ) -> None:
         if isinstance(reply.message, MemoryGrant | MemoryRefusal):
             logger.info(
                 "event=plan request=%s do=%s waiting=%d runs=%d ms_per_token=%.3f "
-                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s",
+                "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s%s",
                 reply.message.request_id,
                 reply.message,
                 len(plan.waiters),
@@ -156,13 +189,24 @@
                 len(plan.reading.readers),
                 plan.reading.readers_free_in_ms(kernel.now_ms()),
                 self._directory.revision,
+                _show_share(decisions.get(reply.message.request_id)),
             )
+
+    def _send(self, kernel: Kernel, reply: Reply) -> None:
         if reply.address == self._own_address:
             kernel.announce(reply.message)
         else:
             kernel.post("peers", Outgoing(reply.address, reply.message))
 
 
+def _show_share(decision: Decision | None) -> str:
+    """The organisation's excess at the decision, where there is an organisation or an excess."""
+    if decision is None or not (decision.organisation or decision.excess):
+        return ""
+    owner = f" organisation={decision.organisation} priority={decision.priority}"
+    return f"{owner} excess={decision.excess}"
+
+
 def _resolve(event: core.Event, directory: Directory) -> core.Event:
     """The same event with each endpoint by its start: earlier versions tell the names alone."""
     resolve = directory.resolve
