Poll full endpoints less where there are many, write log lines in batches, ask a living planner less

Callers that wait asked the planner again every 250 ms each, 700 times a second. Each log line woke the writer's thread and was a write of its own. Change: the pause between rounds grows with the number of endpoints (up to four: as before); a node asks again when it has heard nothing of the planner for 250 ms, at the latest after 1 s; lines of 50 ms are written together.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -51,6 +51,7 @@
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
+    HOLD_ASK_MS,
     HOLD_MS,
     HOLD_POLL_MS,
     MOST_REDIRECTS,
@@ -251,9 +252,10 @@
         refusal = refuse_blocked(blocks)
         if now_ms + refusal.not_before_ms >= state.patience_until_ms:
             return _GiveUp(refusal)
-    if now_ms + HOLD_POLL_MS < state.patience_until_ms:
+    pause_ms = max(HOLD_POLL_MS, HOLD_ASK_MS * len(pools.decoders))
+    if now_ms + pause_ms < state.patience_until_ms:
         state.failed.clear()
-        return Wait(HOLD_POLL_MS)
+        return Wait(pause_ms)
     reason = "memory-full" if pools.decoders else "no-endpoint"
     return _GiveUp(Refuse(503, reason, not_run=True))
 
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -21,6 +21,7 @@
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.tuning import (
     ASK_AGAIN_MS,
+    MOST_ASK_AGAIN_MS,
     PLANNER_SILENT_MS,
     REPORT_EVERY_MS,
 )
@@ -86,6 +87,8 @@
         self._answers: dict[str, list[_Answer]] = {}
         self._arrived: dict[str, anyio.Event] = {}
         self._runs: dict[str, _Run] = {}
+        # When each planner answered an ask of this node last.
+        self._answered_ms: dict[str, int] = {}
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Hand answers to those who wait for them, until cancelled."""
@@ -135,14 +138,34 @@
                 self._avoid(planner, ask)
                 return None
             self.choice.hear(planner)
+            self._answered_ms[planner] = self._now_ms()
             if isinstance(answer, MemoryQueued):
-                answer = await self._next_answer(ask.request_id, ASK_AGAIN_MS)
+                answer = await self._await_turn(planner, ask.request_id)
             match answer:
                 case MemoryGrant() | MemoryRefusal():
                     return answer
                 case MemoryDirect():
                     return None
 
+    async def _await_turn(self, planner: str, request_id: str) -> _Answer | None:
+        """The answer that follows; None when it is time to ask again.
+
+        A planner that answers other requests of this node lives, so it is asked less often.
+        """
+        asked_ms = self._now_ms()
+        while True:
+            silent_ms = self._now_ms() - max(asked_ms, self._answered_ms.get(planner, 0))
+            left_ms = min(ASK_AGAIN_MS - silent_ms, asked_ms + MOST_ASK_AGAIN_MS - self._now_ms())
+            if left_ms <= 0:
+                return None
+            answer = await self._next_answer(request_id, left_ms)
+            if answer is not None:
+                return answer
+
+    def _now_ms(self) -> int:
+        assert self._kernel is not None
+        return self._kernel.now_ms()
+
     async def _next_answer(self, request_id: str, limit_ms: int) -> _Answer | None:
         """The newest answer, since a later one settles what an earlier one left open."""
         if not self._answers[request_id]:
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -137,7 +137,9 @@
 # A plan that begins asks all nodes what runs there; answers take some ten ms, and this with a slow
 # one. Asks wait so long for it, which costs none of them its target.
 HEAR_MS = 120
-# How often an entry node asks again while it waits.
+# An entry node asks again while it waits when it has heard nothing of the planner for so long, and
+# after the longer time in any case: a planner that started anew knows nothing of the ask.
 ASK_AGAIN_MS = 250
+MOST_ASK_AGAIN_MS = 1000
 # How often the planner looks at those who wait.
 PLAN_EVERY_MS = 20
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -14,6 +14,9 @@
 HEADROOM_MS = 500
 # Pause between two rounds of asking full decode endpoints: a run ends every 80 ms at 13 runs/s.
 HOLD_POLL_MS = 40
+# Pause for each of many full endpoints, if that is longer: a request without a planner asks them
+# all in a round.
+HOLD_ASK_MS = 10
 # A first refusal goes out within this share of the target, so that the caller can still return.
 PATIENCE_SHARE = 0.2
 # A caller who was refused before waits for this share of the time within which it wants a first
--- a/saffronworks/logs.py
+++ b/saffronworks/logs.py
@@ -1,5 +1,6 @@
 """Logging set-up: one line of key=value pairs for each event, written without blocking."""
 
+import contextlib
 import logging
 import queue
 import sys
@@ -18,6 +19,8 @@
 MOST_WAITING_LINES = 2000
 # A process that ends waits so long for its last lines at most.
 FLUSH_MS = 500
+# Lines of so long are written together. A process that is killed loses them.
+BATCH_MS = 50
 
 
 class BoundedHandler(logging.Handler):
@@ -48,9 +51,9 @@
             self.dropped += 1
 
     def flush(self) -> None:
-        """Wait a moment until the queue is written; at the process's end."""
+        """Wait a moment until all lines are written; at the process's end."""
         until_ms = monotonic_ms() + FLUSH_MS
-        while not self._waiting.empty() and monotonic_ms() < until_ms:
+        while self._waiting.unfinished_tasks and monotonic_ms() < until_ms:
             time.sleep(0.01)
 
     def _within_rate(self, second: int) -> bool:
@@ -61,13 +64,19 @@
 
     def _write(self) -> None:
         while True:
-            line = self._waiting.get()
+            lines = [self._waiting.get()]
+            # A wake-up and a write for each line cost more than the line.
+            time.sleep(BATCH_MS / 1000)
+            with contextlib.suppress(queue.Empty):
+                while True:
+                    lines.append(self._waiting.get_nowait())
             try:
-                self._stream.write(line + "\n")
-                if self._waiting.empty():
-                    self._stream.flush()
+                self._stream.write("\n".join(lines) + "\n")
+                self._stream.flush()
             except (OSError, ValueError):
                 return
+            for _ in lines:
+                self._waiting.task_done()
 
 
 def set_up_logs(level: str, stream: TextIO = sys.stderr) -> None:
