Turn a bar that promises not run into 502 once a plain request may have run

Cause: the core of a generation turns such a bar into 502, the plain core passed it on. No bar in use makes the promise (they answer 401 and 500), so no caller was told wrongly. Change: plain_core.step does as generation_core.step. New property test over both cores: replies, limits, bars, eligibility, budget and time change at every step of a play. No other path of the two cores was found that makes a false promise.

--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -156,8 +156,11 @@
     """
     permitted = event.instance if isinstance(event, Permitted) else None
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
-    leaves = isinstance(command, SendTo | AcquirePermit)
-    return barred if barred is not None and leaves else command
+    if barred is None or not isinstance(command, SendTo | AcquirePermit):
+        return command
+    if state.runs and barred.not_run:
+        return Refuse(502, barred.reason, not_run=False)
+    return barred
 
 
 def _advance(state: PlainState, event: Event, choice: _Choice, now_ms: int) -> Command:
--- /dev/null
+++ b/saffronworks/tests/features/rejections.feature
@@ -0,0 +1,6 @@
+Feature: a rejection that promises that a request has not run is true
+
+  Scenario: whatever happens, the deciding cores promise only what endpoints stated
+    Then a plain request that an endpoint may have run is never told that it has not run
+    And a generation that an endpoint may have run is never told that it has not run
+    And a bar that promises it is not passed on once an endpoint may have run the request
--- /dev/null
+++ b/saffronworks/tests/features/steps/rejections_steps.py
@@ -0,0 +1,59 @@
+"""Scenarios on rejections that promise that a request has not run: 408, 421, 429 and 503."""
+
+from behave import then
+from hypothesis import given as forall
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from saffronworks.forwarding import plain_core as plain
+from saffronworks.forwarding.messages import Begin, Refuse
+from saffronworks.forwarding.plain_core import promises_not_run
+from saffronworks.tests.endpoint_plays import endpoints, wide_budget
+from saffronworks.tests.rejection_plays import (
+    GENERATION_TURNS,
+    PLAIN_TURNS,
+    play_generation,
+    play_plain,
+)
+
+
+def check_promise(may_repeat, end):
+    """Guards against a caller who sends an unrepeatable request again after it was run."""
+    if end.may_have_run:
+        assert not promises_not_run(end.status), end
+        assert not (isinstance(end.command, Refuse) and end.command.not_run), end
+    if not may_repeat:
+        assert end.may_have_run <= 1, end
+
+
+def check_plays(play, played):
+    @limits(max_examples=400)
+    @forall(st.booleans(), played)
+    def check(may_repeat, turns):
+        check_promise(may_repeat, play(may_repeat, turns))
+
+    check()
+
+
+@then("a plain request that an endpoint may have run is never told that it has not run")
+def plain_promises(context):
+    check_plays(play_plain, PLAIN_TURNS)
+
+
+@then("a generation that an endpoint may have run is never told that it has not run")
+def generation_promises(context):
+    check_plays(play_generation, GENERATION_TURNS)
+
+
+@then("a bar that promises it is not passed on once an endpoint may have run the request")
+def barred_behind_run(context):
+    state, budget, bar = (
+        plain.PlainState("s", True, 3, 300, 3000),
+        wide_budget(),
+        Refuse(503, "b", True),
+    )
+    sent = plain.step(state, Begin(), endpoints(3), budget, 10)
+    assert isinstance(sent, plain.SendTo), sent
+    event = plain.Broken(sent.endpoint.instance, sent=True)
+    end = plain.step(state, event, endpoints(3), budget, 20, bar)
+    assert end == Refuse(502, "b", not_run=False), end
