Read a Not-Executed field that says 0 as a run

Cause: the field counted by its presence. A server that answers Not-Executed: 0 says that it ran the request; it was sent to another endpoint, or its caller was told 503 with a time to return. Change: the values 0, false and no, also beside others, are no statement that it was not run.

--- a/saffronworks/platform/answer_fields.py
+++ b/saffronworks/platform/answer_fields.py
@@ -39,6 +39,8 @@
 _RETRY_AFTER = "retry-after"
 _MISDIRECTED = 421
 _REJECTED = (429, 503)
+# Values of the field by which a server says that it did run the request.
+_DENIALS = frozenset(["0", "false", "no"])
 _DRAINING_VALUES = {"1": True, "0": False}
 # Named pauses are cut to this, as nobody could take back a mistaken one.
 MAX_PAUSE_MS = 3_600_000
@@ -71,7 +73,10 @@
 
 def is_refusal(raw: RawHead) -> bool:
     """Whether the server says that it did not run the request."""
-    return raw.get(NOT_EXECUTED_FIELD) is not None or raw.status == _MISDIRECTED
+    values = {
+        value.strip(" \t").lower() for key, value in raw.fields if key.lower() == NOT_EXECUTED_FIELD
+    }
+    return not values & _DENIALS and (bool(values) or raw.status == _MISDIRECTED)
 
 
 def read_advertisement(
--- a/saffronworks/tests/features/rejections.feature
+++ b/saffronworks/tests/features/rejections.feature
@@ -4,3 +4,6 @@
     Then a plain request that an endpoint may have run is never told that it has not run
     And a generation that an endpoint may have run is never told that it has not run
     And a bar that promises it is not passed on once an endpoint may have run the request
+
+  Scenario: a server that denies that a request was not executed
+    Then an answer whose field says that it was executed is no statement that it was not
--- a/saffronworks/tests/features/steps/rejections_steps.py
+++ b/saffronworks/tests/features/steps/rejections_steps.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies as st
 
 from saffronworks.forwarding import plain_core as plain
+from saffronworks.forwarding.connections import RawHead
 from saffronworks.forwarding.messages import Begin, Refuse
 from saffronworks.forwarding.plain_core import promises_not_run
+from saffronworks.platform.answer_fields import is_refusal
 from saffronworks.tests.endpoint_plays import endpoints, wide_budget
 from saffronworks.tests.rejection_plays import (
     GENERATION_TURNS,
@@ -57,3 +59,12 @@
     event = plain.Broken(sent.endpoint.instance, sent=True)
     end = plain.step(state, event, endpoints(3), budget, 20, bar)
     assert end == Refuse(502, "b", not_run=False), end
+
+
+@then("an answer whose field says that it was executed is no statement that it was not")
+def denied(context):
+    for values in (["0"], ["false"], [" No "], ["1", "0"]):
+        raw = RawHead(503, [("Not-Executed", value) for value in values])
+        assert not is_refusal(raw), values
+    assert is_refusal(RawHead(503, [("Not-Executed", "1")]))
+    assert is_refusal(RawHead(421, []))
