Take no late copy of a refusal without an id for that of a later request

Cause: answers without a Request-Id belong to whatever waits on their connection. An endpoint that sent such a refusal twice (421, or 503 with Not-Executed) answered the next request of the connection with the copy: that request was sent to another endpoint while it ran, or its caller was told 503. Change: a request's answer without an id ends its connection; a refused call of the router's own leaves its connection to such calls. A full pool closes its oldest connection instead of the newest, so that those for calls only keep no place. Measured: a property over bytes of endpoints, from the forwarder to the connection, failed with a second run of a request that may not repeat, and passes 150 drawn plays each for plain requests and generations.

--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -29,21 +29,30 @@
         self._busy: dict[StartId, set[EndpointConnection]] = {}
         self.most_idle = MOST_IDLE
 
-    async def take(self, endpoint: ServiceEndpoint) -> EndpointConnection:
-        """An idle connection, else a new one; Break when none can be opened."""
-        connection = self._find_idle(endpoint) or await self._open(endpoint)
+    async def take(self, endpoint: ServiceEndpoint, own_call: bool = False) -> EndpointConnection:
+        """An idle connection, else a new one; Break when none can be opened.
+
+        `own_call`: for a call of the router's own, not for a request.
+        """
+        connection = self._find_idle(endpoint, own_call) or await self._open(endpoint)
         self._busy.setdefault(endpoint.instance, set()).add(connection)
         return connection
 
-    def _find_idle(self, endpoint: ServiceEndpoint) -> EndpointConnection | None:
+    def _find_idle(self, endpoint: ServiceEndpoint, own_call: bool) -> EndpointConnection | None:
         idle = self._idle.get(endpoint.instance, deque())
-        while idle:
+        passed_over: list[EndpointConnection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
             rested_ms = monotonic_ms() - connection.idle_since_ms
-            if connection.reusable and rested_ms < connection.keep_ms:
-                return connection
-            connection.close()
-        return None
+            if not connection.reusable or rested_ms >= connection.keep_ms:
+                connection.close()
+            elif connection.own_calls_only and not own_call:
+                passed_over.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(passed_over))
+        return found
 
     async def _open(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         try:
@@ -79,9 +88,12 @@
         if not busy:
             self._busy.pop(endpoint.instance, None)
         idle = self._idle.setdefault(endpoint.instance, deque())
-        if not connection.finished or len(idle) >= self.most_idle:
+        if not connection.finished or (len(idle) >= self.most_idle and connection.own_calls_only):
             connection.close()
             return
+        # Those that serve no requests any more would else keep the place of one that does.
+        while len(idle) >= self.most_idle:
+            idle.popleft().close()
         connection.idle_since_ms = monotonic_ms()
         idle.append(connection)
 
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -25,6 +25,7 @@
 __all__ = ["EndpointConnection", "RawHead"]
 
 _NO_BODY = frozenset([204, 304])
+_FIRST_FAILURE = 400
 
 
 @attrs.define
@@ -63,6 +64,8 @@
         self.idle_since_ms = 0
         self.keep_ms = float(KEEP_ALIVE_DEFAULT_MS)
         self.reusable = True
+        # Whether no request may follow, but calls of the router's own, which carry no id either.
+        self.own_calls_only = False
         self.uses = 0
 
     # asyncio's callbacks
@@ -137,6 +140,8 @@
             self.reusable = self.reusable and head.status < 200
             return
         self._head = head
+        if head.get(self._id_field) is None:
+            self._note_unidentified(head.status)
         self.framed = (
             head.get("content-length") is not None
             or head.get("transfer-encoding") is not None
@@ -145,6 +150,17 @@
         self._whole = self._bodiless
         self._read_keep_alive(head)
 
+    def _note_unidentified(self, status: int) -> None:
+        """No later request may follow an answer without an id, or a refused call of our own.
+
+        A copy of it that comes late would be taken for the answer to that request, as whose
+        refusal to run it counts.
+        """
+        if self._awaited_id is not None:
+            self.reusable = False
+        elif status >= _FIRST_FAILURE:
+            self.own_calls_only = True
+
     def _answers_another(self, answer_id: str | None) -> bool:
         """Whether an answer belongs to another request; of a call without an id, to one before."""
         if answer_id is None:
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -241,10 +241,14 @@
         return PlatformExchange(self.pool, endpoint, connection, self._answers)
 
     async def _connect(
-        self, endpoint: ServiceEndpoint, request: CallerRequest, reserved: bool = False
+        self,
+        endpoint: ServiceEndpoint,
+        request: CallerRequest,
+        reserved: bool = False,
+        own_call: bool = False,
     ) -> EndpointConnection:
         """A connection for a request, if the endpoint still wants it; raises Break."""
-        connection = await self.pool.take(endpoint)
+        connection = await self.pool.take(endpoint, own_call)
         try:
             self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id, reserved)
         except Break:
@@ -287,9 +291,9 @@
         if content:
             lines.append("Content-Type: application/json")
         if request is None:
-            connection = await self.pool.take(endpoint)
+            connection = await self.pool.take(endpoint, own_call=True)
         else:
-            connection = await self._connect(endpoint, request)
+            connection = await self._connect(endpoint, request, own_call=True)
         sent_ms = monotonic_ms()
         try:
             connection.send(_join(lines, content), None)
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -11,3 +11,8 @@
   Scenario: a body after the head that was asked for spoils the connection
     When an endpoint answers a request for the head with a part of a body
     Then the connection is not used again
+
+  Scenario: a late copy of a refusal without an id is taken for no request's answer
+    When a request is answered without an id
+    Then the connection is not used again
+    And one on which a call of the router's own was refused serves such calls only
--- a/saffronworks/tests/features/rejections.feature
+++ b/saffronworks/tests/features/rejections.feature
@@ -7,3 +7,7 @@
 
   Scenario: a server that denies that a request was not executed
     Then an answer whose field says that it was executed is no statement that it was not
+
+  Scenario: on the whole path a request that may not repeat is promised only what its endpoint stated
+    Then whatever bytes endpoints send, a plain request they may have run gets no promise
+    And whatever bytes endpoints send, a generation they may have run gets no promise
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -3,7 +3,9 @@
 import anyio
 from behave import then, when
 
+from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.tests.connection_fakes import connect, receive
+from saffronworks.tests.endpoint_plays import endpoints
 
 OWN = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nown"
 CONTROL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nhold"
@@ -55,3 +57,33 @@
 @then("the connection is not used again")
 def not_used_again(context):
     assert not context.connection.finished
+
+
+@when("a request is answered without an id")
+def answered_without_id(context):
+    async def play():
+        context.connection = connect()
+        await receive(context.connection, CONTROL, "r1")
+
+    anyio.run(play)
+
+
+@then("one on which a call of the router's own was refused serves such calls only")
+def own_calls_only(context):
+    """A copy of the refusal, taken for a request's answer, would say that it has not run."""
+
+    async def play():
+        pool, (endpoint,) = ConnectionPool("Request-Id"), endpoints(1)
+
+        async def open_connection(_):
+            return connect()
+
+        pool._connect = open_connection
+        first = await pool.take(endpoint, own_call=True)
+        await receive(first, CONTROL, None)
+        pool.give_back(endpoint, first)
+        other = await pool.take(endpoint)
+        assert other is not first
+        assert await pool.take(endpoint, own_call=True) is first
+
+    anyio.run(play)
--- a/saffronworks/tests/features/steps/rejections_steps.py
+++ b/saffronworks/tests/features/steps/rejections_steps.py
@@ -17,6 +17,7 @@
     play_generation,
     play_plain,
 )
+from saffronworks.tests.scripted_wires import REPLIES, play_path
 
 
 def check_promise(may_repeat, end):
@@ -68,3 +69,27 @@
         assert not is_refusal(raw), values
     assert is_refusal(RawHead(503, [("Not-Executed", "1")]))
     assert is_refusal(RawHead(421, []))
+
+
+def check_path(streams):
+    @limits(max_examples=150)
+    @forall(
+        st.lists(st.sampled_from(REPLIES), min_size=2, max_size=8),
+        st.lists(st.booleans(), max_size=3),
+    )
+    def check(words, held):
+        for status, may_have_run in play_path(streams, words, held, requests=3):
+            assert may_have_run <= 1, (words, held)
+            assert not (may_have_run and promises_not_run(status)), (status, words, held)
+
+    check()
+
+
+@then("whatever bytes endpoints send, a plain request they may have run gets no promise")
+def plain_path(context):
+    check_path(streams=False)
+
+
+@then("whatever bytes endpoints send, a generation they may have run gets no promise")
+def generation_path(context):
+    check_path(streams=True)
--- /dev/null
+++ b/saffronworks/tests/scripted_wires.py
@@ -0,0 +1,225 @@
+"""Requests on the whole path from the forwarder to the bytes of endpoints, without sockets.
+
+`play_path` serves requests one after another; endpoints answer each call by the next word of a
+script. It tells for each request its status and how many endpoints may have run it.
+"""
+
+import asyncio
+from unittest.mock import AsyncMock, Mock
+
+import anyio
+import attrs
+
+from saffronworks.bundles import Role
+from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.connections import EndpointConnection
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.forwarder import Forwarder
+from saffronworks.forwarding.identity import Identities
+from saffronworks.forwarding.loads import LoadTable
+from saffronworks.forwarding.messages import CallerRequest, PromptSize
+from saffronworks.forwarding.quarantine.suspicions import Admission
+from saffronworks.forwarding.quotas.service import NOT_COUNTED
+from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
+from saffronworks.forwarding.runners import NodeState
+from saffronworks.platform.answer_fields import ID_FIELD
+from saffronworks.platform.calls import PlatformCalls
+from saffronworks.platform.ingress import CallerConnectionReply
+from saffronworks.tests.caller_fakes import FakeCaller
+from saffronworks.tests.endpoint_plays import (
+    eligibility_of_one_node,
+    endpoints,
+    limits_of_one_node,
+    route,
+    wide_budget,
+)
+from saffronworks.tests.revisions import at
+
+__all__ = ["REPLIES", "play_path"]
+
+TIMEOUT_MS = 60
+PROMPT = PromptSize(3000, 700, 600)
+ENGINE = EngineSpec(64, 41_000, 9, 2000)
+SIGNED = "Server-Stamp: s\r\n"
+NOT_EXECUTED = "Not-Executed: 1\r\n"
+# Status and fields of each reply: with the request's id, and without it.
+OWN = {
+    "ok": (200, SIGNED),
+    "unsigned": (200, ""),
+    "500": (500, SIGNED),
+    "503-run": (503, SIGNED),
+    "429-run": (429, SIGNED),
+    "executed": (503, SIGNED + "Not-Executed: 0\r\n"),
+    "shed": (503, NOT_EXECUTED),
+}
+BARE = {
+    "408": (408, "Connection: close\r\n"),
+    "503": (503, ""),
+    "421": (421, "Instance-Id: other\r\n"),
+    "bare-shed": (503, NOT_EXECUTED),
+    # The copy comes when the connection is next used, ahead of the answer of that call.
+    "shed-twice": (503, NOT_EXECUTED),
+    # The connection is closed by the endpoint while it is idle.
+    "shed-closed": (503, NOT_EXECUTED),
+}
+BROKEN = ("reset", "closed", "half", "garbage", "silence")
+STATED = {"shed", "421", "bare-shed", "shed-twice", "shed-closed"}
+REPLIES = (*OWN, *BARE, *BROKEN)
+
+
+def encode(word, request_id):
+    status, fields = (OWN | BARE)[word]
+    if word in OWN:
+        fields += f"{ID_FIELD}: {request_id}\r\n"
+    return f"HTTP/1.1 {status} X\r\n{fields}Content-Length: 2\r\n\r\nab".encode()
+
+
+@attrs.define
+class Script:
+    """What endpoints answer, and what they were sent."""
+
+    words: list[str]
+    held: list[bool]
+    may_have_run: dict[str, int] = attrs.Factory(dict)
+
+    def next_word(self):
+        return self.words.pop(0) if self.words else "ok"
+
+    def note(self, request_id, word):
+        ran = word not in STATED
+        self.may_have_run[request_id] = self.may_have_run.get(request_id, 0) + ran
+
+
+class Wire(asyncio.Transport):
+    """One connection to a scripted endpoint."""
+
+    def __init__(self, script):
+        super().__init__({"socket": Mock()})
+        self.connection = EndpointConnection(ID_FIELD)
+        self.connection.connection_made(self)
+        self._script = script
+        self._closed = False
+        self._late = b""
+
+    def is_closing(self):
+        return self._closed
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def abort(self):
+        self._closed = True
+
+    def write(self, data):
+        late, self._late = self._late, b""
+        asyncio.get_running_loop().call_soon(self._answer, data.decode(), late)
+
+    def _answer(self, text, late):
+        if late:
+            self._feed(late)
+        if "/saffronworks/" in text.split("\r\n")[0]:
+            self._answer_control()
+            return
+        request_id = text.partition(f"{ID_FIELD}: ")[2].partition("\r\n")[0]
+        if "Stage: prefill" in text:
+            self._feed(encode("500", request_id))
+            return
+        word = self._script.next_word()
+        self._script.note(request_id, word)
+        # Behind a late copy comes nothing more: the request runs, and its caller waits.
+        if not late:
+            self._perform(word, request_id)
+
+    def _answer_control(self):
+        if self._script.held and not self._script.held.pop(0):
+            self._late = encode("bare-shed", "")
+            self._feed(self._late)
+            return
+        self._feed(b'HTTP/1.1 200 X\r\nContent-Length: 12\r\n\r\n{"hold":"h"}')
+
+    def _perform(self, word, request_id):
+        match word:
+            case "reset":
+                self.connection.connection_lost(ConnectionResetError())
+            case "closed":
+                self.connection.eof_received()
+            case "half":
+                self._feed(b"HTTP/1.1 503 X\r\nNot-Exec")
+                self.connection.eof_received()
+            case "silence":
+                pass
+            case "garbage":
+                self._feed(b"garbage\r\n\r\n")
+            case _:
+                self._feed(encode(word, request_id))
+        if word == "shed-twice":
+            self._late = encode(word, request_id)
+        if word == "shed-closed":
+            asyncio.get_running_loop().call_later(0.001, self.connection.eof_received)
+
+    def _feed(self, data):
+        if not self._closed:
+            self.connection.data_received(data)
+
+
+def make_node(script, streams):
+    directory, limits = Directory(), limits_of_one_node(monotonic_ms)
+    found = endpoints(2, Role.DECODE if streams else None)
+    if streams:
+        found += endpoints(1, Role.PREFILL, "p")
+    directory.replace(found, at(1), now_ms=0)
+    eligibility = eligibility_of_one_node(directory, limits, monotonic_ms)
+    calls = PlatformCalls(eligibility)
+
+    async def connect(endpoint):
+        return Wire(script).connection
+
+    calls.pool._connect = connect
+    return NodeState(
+        zone="z",
+        directory=directory,
+        loads=LoadTable("z"),
+        budget=wide_budget(),
+        calls=calls,
+        figures=Mock(),
+        now_ms=monotonic_ms,
+        spawn=Mock(),
+        memory=Mock(own_address="n", ask=AsyncMock(return_value=None)),
+        quarantine=Mock(blocks=lambda *_: False, admit=lambda _: Admission.FREE),
+        identities=Identities(lambda: True),
+        quotas=Mock(admit=AsyncMock(return_value=NOT_COUNTED)),
+        limits=limits,
+        eligibility=eligibility,
+    )
+
+
+def play_path(streams, words, held, requests):
+    """The status and the number of possible runs of each of so many unrepeatable requests."""
+    script = Script(list(words), list(held))
+
+    async def ask(forwarder, request_id):
+        caller = FakeCaller("POST")
+        await caller.call.body(0)
+        prompt = PROMPT if streams else None
+        request = CallerRequest(
+            request_id, "POST", "/a/1", "h", (), b"", monotonic_ms(), 900, prompt
+        )
+        await forwarder.handle(request, CallerConnectionReply(caller.call, closing=False))
+        return caller.status, script.may_have_run.get(request_id, 0)
+
+    async def main():
+        forwarder = Forwarder(make_node(script, streams), 0)
+        only = route(timeout_ms=TIMEOUT_MS, target_ms=20, max_attempts=1, streams=streams)
+        service = Service("s", 9, ENGINE if streams else None)
+        forwarder.take_table(RoutingTable(1, (only,), {"s": service}))
+        results = []
+        for number in range(requests):
+            results.append(await ask(forwarder, f"r{number}"))
+            # Connections that their endpoints close between requests.
+            await anyio.sleep(0.002)
+        return results
+
+    return anyio.run(main)
