Bound what a node buffers for callers that do not read

Cause: each answer could hold 1.5 MB in the process and 3.5 MB in the kernel for a caller that reads nothing, until its deadline; nothing bounded all of them together. Change: a bound of an eighth of limits.memory_mb over all answers (answer_buffers.py decides, buffered_answers.py counts and acts). When it is reached, answers with the most bytes are not read from their endpoints. A caller that takes nothing for 5 s is disconnected where it holds up an endpoint or the bound is reached, and the endpoint's connection is closed. An endpoint that is not read from does not count as silent. Callers' sockets get a send buffer of 128 KiB (doubled by the kernel). Without a memory limit nothing changes. A connection that was given back with a whole answer unread stayed paused for the next request; send() now resumes it.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 import httptools
@@ -49,8 +51,12 @@
         self._transport: asyncio.Transport | None = None
         self._changed = asyncio.Event()
         self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
-        self._paused = False
+        self.buffered_bytes = 0
+        # Called when `buffered_bytes` has changed, while an answer is passed on.
+        self.note_buffered: Callable[[], None] | None = None
+        self._full = False
+        self._held = False
+        self.paused = False
         self._parser: httptools.HttpResponseParser | None = None
         self._awaited_id: str | None = None
         self._earlier_id: str | None = None
@@ -186,10 +192,26 @@
             self.reusable = False
             return
         self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MOST_BUFFERED_BYTES and self._transport and not self._paused:
-            self._paused = True
+        self.buffered_bytes += len(data)
+        self._full = self.buffered_bytes > MOST_BUFFERED_BYTES
+        self._update_reading()
+        if self.note_buffered is not None:
+            self.note_buffered()
+
+    def hold(self, held: bool) -> None:
+        """Read no further, whatever is buffered, or read on; for the bound of the whole node."""
+        self._held = held
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        paused = self._full or self._held
+        if paused == self.paused or self._transport is None:
+            return
+        self.paused = paused
+        if paused:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it was one to drop."""
@@ -215,7 +237,10 @@
         self._head = None
         self._whole = self._dropping = self.framed = False
         self._chunks.clear()
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
+        # An answer that nobody read to its end may have left the connection paused.
+        self._full = self._held = False
+        self._update_reading()
         self.uses += 1
         self._transport.write(data)
 
@@ -233,23 +258,28 @@
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
         """The next part of the body, None at its end; Break when it ends early or stalls."""
-        try:
+        while not await self._has_chunks(timeout_ms):
+            if self._whole:
+                return None
+            # An endpoint that is not read from is not silent.
+            if not self._held:
+                raise Break(BreakCause.SILENT, sent=True)
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self.buffered_bytes = 0
+        self._full = False
+        self._update_reading()
+        return data
+
+    async def _has_chunks(self, timeout_ms: float | None) -> bool:
+        """Wait for a part of the body; False at its end, or when none comes in time."""
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
-                while not self._chunks:
-                    if self._whole:
-                        return None
+                while not self._chunks and not self._whole:
                     if self._lost is not None:
                         raise Break(self._lost, sent=True)
                     await self._wait()
-        except TimeoutError:
-            raise Break(BreakCause.SILENT, sent=True) from None
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
-        if self._paused and self._transport is not None:
-            self._paused = False
-            self._transport.resume_reading()
-        return data
+        return bool(self._chunks)
 
     async def body(self, timeout_ms: float) -> bytes:
         """The rest of the body; for small answers."""
--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Callable
 
 import attrs
 
@@ -32,6 +33,7 @@
     def __init__(self, node: str):
         self._node = node
         self.counts: Counter[tuple[str, Labels]] = Counter()
+        self.levels: dict[tuple[str, Labels], Callable[[], int]] = {}
         self._samples: deque[Sample] = deque(maxlen=SAMPLES_KEPT)
 
     def count(self, outcome: str, route: str, reason: str = "") -> None:
@@ -46,6 +48,14 @@
         """Count an entry in the store that names nothing to use."""
         self._add("saffronworks_bad_entries", kind=kind)
 
+    def count_buffers(self, event: str) -> None:
+        """Count an answer that waits for the node's bound on buffers, or a caller cut off by it."""
+        self._add("saffronworks_answer_buffers", event=event)
+
+    def watch_level(self, name: str, read: Callable[[], int]) -> None:
+        """Show what `read` gives whenever somebody asks."""
+        self.levels[name, self._label()] = read
+
     def record(self, route: str, first_ms: int, whole_ms: int) -> None:
         """Record when an answer began and when it was whole."""
         labels = self._label(route=route)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -28,7 +28,14 @@
 from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.pools import rank_pools
 from saffronworks.forwarding.routing import EngineSpec, Route
-from saffronworks.forwarding.runners import HOLD, Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.runners import (
+    HOLD,
+    Job,
+    NodeState,
+    relay_rest,
+    start_answer,
+    tell_refusal,
+)
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
@@ -306,11 +313,14 @@
     async def _relay_failure(self, head: AnswerHead) -> events.Event | None:
         assert self._stream is not None
         node, job = self._node, self._job
-        body = await job.reply.start(head)
+        body = await start_answer(node, job, head)
+        body.follow(self._stream.exchange)
         try:
             await relay_rest(node, job, self._stream.exchange, body)
         except Break as broken:
             return self._relay_broke(broken)
+        finally:
+            body.leave()
         await body.finish()
         node.figures.count("answered", job.route.name)
         logger.info(
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -17,17 +17,20 @@
     SendTo,
 )
 from saffronworks.forwarding.ports import AnswerBody, Exchange
-from saffronworks.forwarding.runners import PLAIN, Job, NodeState, relay_rest, tell_refusal
+from saffronworks.forwarding.runners import (
+    PLAIN,
+    Job,
+    NodeState,
+    relay_rest,
+    tell_refusal,
+)
 from saffronworks.forwarding.stream_runs import StreamRun
+from saffronworks.forwarding.tuning import WHOLE_BODY_BYTES
 
 __all__ = ["run_plain"]
 
 logger = logging.getLogger(__name__)
 
-# A body up to this size is read whole before the caller gets its start, so that a break can
-# still be mended; a page of the users' sites has 800 bytes in the mean.
-WHOLE_BODY_BYTES = 65_536
-
 
 async def run_plain(node: NodeState, job: Job) -> None:
     """Serve a request of a service without engines."""
@@ -46,6 +49,7 @@
         self._start_of_body = b""
         self._body_whole = False
         self._first_ms = 0
+        self._body = node.buffers.track(job.request.request_id, job.reply)
         route = job.route
         self._state = PlainState(
             service=job.service,
@@ -165,6 +169,7 @@
         until_ms = node.now_ms() + wait_ms
         left_ms = job.deadline_at_ms - node.now_ms()
         self._exchange = await node.calls.send(endpoint, job.request, left_ms)
+        self._body.follow(self._exchange)
         self._head = await self._exchange.head(max(1, until_ms - node.now_ms()))
         self._first_ms = node.now_ms()
         self._start_of_body, self._body_whole = b"", False
@@ -174,15 +179,17 @@
                 self._body_whole = True
                 break
             self._start_of_body += chunk
+            self._body.keep(len(self._start_of_body))
         return self._head
 
     async def _relay(self) -> None:
         assert self._exchange is not None and self._head is not None and self._endpoint is not None
         reply, node, job = self._job.reply, self._node, self._job
-        body = await reply.start(self._head)
-        if self._start_of_body:
-            await body.write(self._start_of_body)
+        body = self._body
+        body.begin(await reply.start(self._head))
         try:
+            if self._start_of_body:
+                await body.write(self._start_of_body)
             if job.route.streams and self._head.success:
                 await self._relay_events(StreamRun(self._exchange), body)
             elif not self._body_whole:
@@ -198,6 +205,8 @@
             node.figures.count("cut", job.route.name, broken.cause.value)
             reply.cut()
             return
+        finally:
+            body.leave()
         await body.finish()
         if self._head.success:
             node.quarantine.note_whole(job.request, self._exchange.framed)
@@ -224,5 +233,6 @@
 
     def _end_exchange(self) -> None:
         if self._exchange is not None:
+            self._body.leave()
             self._exchange.end()
             self._exchange = None
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -200,3 +200,21 @@
 
     def cut(self) -> None:
         """Close the connection, so that the answer does not look complete."""
+
+    async def drain(self) -> None:
+        """Return once nothing that was written is in this process any more."""
+
+    def disconnect(self) -> None:
+        """Close the connection at once, with what was written to it and not read."""
+
+    @property
+    def connection_key(self) -> int:
+        """The same for all answers on one connection of the caller, while it is open."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """What was written and is in this process still."""
+
+    @property
+    def unread_bytes(self) -> int:
+        """What was written and the caller's machine has not taken; other buffers count as well."""
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -6,6 +6,7 @@
 import attrs
 
 from saffronworks.forwarding.breaks import Break
+from saffronworks.forwarding.buffered_answers import AnswerBuffers, TrackedBody
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
@@ -26,7 +27,16 @@
 )
 from saffronworks.hashing import hash32
 
-__all__ = ["HOLD", "PLAIN", "Job", "NodeState", "relay_rest", "retry_after_ms", "tell_refusal"]
+__all__ = [
+    "HOLD",
+    "PLAIN",
+    "Job",
+    "NodeState",
+    "relay_rest",
+    "retry_after_ms",
+    "start_answer",
+    "tell_refusal",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +63,11 @@
     quotas: Quotas
     limits: EndpointLimits
     eligibility: EndpointEligibility
+    buffers: AnswerBuffers = attrs.field()
+
+    @buffers.default
+    def _make_unbounded(self) -> AnswerBuffers:
+        return AnswerBuffers(None, self.figures, self.now_ms)
 
     def barred(self, job: "Job", trial_began: bool = False) -> Refuse | None:
         """Why a request under way is to be sent to no endpoint any more; None while it may be."""
@@ -195,6 +210,13 @@
     await job.reply.refuse(refusal.status, refusal.reason, wait_ms)
 
 
+async def start_answer(node: NodeState, job: Job, head: AnswerHead) -> TrackedBody:
+    """Send status and headers; the body counts towards the node's buffers."""
+    body = node.buffers.track(job.request.request_id, job.reply)
+    body.begin(await job.reply.start(head))
+    return body
+
+
 async def relay_rest(node: NodeState, job: Job, exchange: Exchange, body: AnswerBody) -> None:
     """Pass on what an endpoint still sends, to its good end; raises Break when it ends early."""
     while True:
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -5,12 +5,12 @@
 import attrs
 
 from saffronworks.forwarding.breaks import Break, BreakCause
+from saffronworks.forwarding.buffered_answers import TrackedBody
 from saffronworks.forwarding.event_streams import EventSequence
 from saffronworks.forwarding.generation_state import GenerationState
 from saffronworks.forwarding.messages import AnswerHead, EventMark
 from saffronworks.forwarding.places import StreamPace
-from saffronworks.forwarding.ports import AnswerBody
-from saffronworks.forwarding.runners import Job, NodeState
+from saffronworks.forwarding.runners import Job, NodeState, start_answer
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
     STALL_PAUSES,
@@ -30,7 +30,7 @@
         self._state = state
         self._tokens_per_event = tokens_per_event
         self._sent = EventSequence(job.request.after_event)
-        self._body: AnswerBody | None = None
+        self._body: TrackedBody | None = None
         self._status: int | None = None
         self._pace_from: tuple[int, int] | None = None
         self._first_ms = 0
@@ -75,16 +75,20 @@
         if self._may_go_on:
             kept = tuple(field for field in head.headers if field[0].lower() != "content-length")
             head = attrs.evolve(head, headers=kept)
-        self._body = await self._job.reply.start(head)
+        self._body = await start_answer(self._node, self._job, head)
 
     async def send_events(self, run: StreamRun) -> None:
         """Send on the events of a run to its good end, and end the answer; raises Break."""
         assert self._body is not None
-        while (mark := await run.next_events(self._pause_limit_ms())) is not None:
-            self._note(mark.ids)
-            await self._body.write(mark.data)
-        if run.rest():
-            await self._body.write(run.rest())
+        self._body.follow(run.exchange)
+        try:
+            while (mark := await run.next_events(self._pause_limit_ms())) is not None:
+                self._note(mark.ids)
+                await self._body.write(mark.data)
+            if run.rest():
+                await self._body.write(run.rest())
+        finally:
+            self._body.leave()
         await self._body.finish()
         self._node.quarantine.note_whole(self._job.request, run.exchange.framed)
         self._log_end(run)
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -74,8 +74,27 @@
 KEEP_ALIVE_SHARE = 0.5
 # The time assumed where the endpoint promises none.
 KEEP_ALIVE_DEFAULT_MS = 4000
+# A body up to this size is read whole before the caller gets its start, so that a break can
+# still be mended; a page of the users' sites has 800 bytes in the mean.
+WHOLE_BODY_BYTES = 65_536
 # Bytes of an answer that wait for a slow caller before the endpoint is held up.
 MOST_BUFFERED_BYTES = 262_144
+# Part of the node's memory limit that all answers together may take up while they wait for callers.
+# A node needs 50 MB before its first request, and an answer is copied once on its way.
+BUFFERS_SHARE = 0.125
+# An event loop reads so much of a connection at a time; it is left free below the bound.
+ENDPOINT_READ_BYTES = 262_144
+# Parts of that bound from which on answers wait, and below which none does any more.
+BOUND_REACHED_SHARE = 0.75
+BOUND_LEFT_SHARE = 0.5
+# A caller that reads nothing for so long is disconnected where it holds up an endpoint, or memory
+# that others need. Endpoints cut an answer that is left unread for some seconds.
+UNREAD_LIMIT_MS = 5000
+# The kernel's buffer for a caller's connection, twice this, on nodes with a bound. Left alone, the
+# kernel held 3.5 MB for each caller that read nothing (loopback). 256 KiB in 7 ms are 37 MB/s.
+CALLER_SEND_BUFFER_BYTES = 131_072
+# Between two looks at what callers have taken, while an endpoint waits or a whole answer is unread.
+BUFFERS_LOOK_MS = 250
 
 # --- Retries -----------------------------------------------------------------------------------
 
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -61,7 +61,12 @@
         self._pace.record(pace_ms, labels)
 
 
-_COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
+_COUNTERS = (
+    "saffronworks_forwarded",
+    "saffronworks_sends",
+    "saffronworks_bad_entries",
+    "saffronworks_answer_buffers",
+)
 _HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
 
 
@@ -73,6 +78,9 @@
         meter = find_meter()
         for name in _COUNTERS:
             meter.create_observable_counter(name, callbacks=[self._observe(name)])
+        for name, labels in figures.levels:
+            callback = self._observe_level(figures.levels[name, labels], dict(labels))
+            meter.create_observable_gauge(name, callbacks=[callback])
         self._histograms = {name: meter.create_histogram(name, unit="ms") for name in _HISTOGRAMS}
 
     def _observe(self, name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
@@ -83,6 +91,11 @@
 
         return read
 
+    def _observe_level(
+        self, read: Callable[[], int], labels: dict[str, str]
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        return lambda options: [Observation(read(), labels)]
+
     def render(self) -> bytes:
         """The scrape page, with what was sampled since the last one."""
         for sample in self._figures.take_samples():
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -179,6 +179,29 @@
         """Close the connection, so that the answer does not look complete."""
         self._call.hang_up()
 
+    async def drain(self) -> None:
+        """Return once nothing that was written is in this process any more."""
+        await self._call.drain()
+
+    def disconnect(self) -> None:
+        """Close the connection at once, with what was written to it and not read."""
+        self._call.cut()
+
+    @property
+    def connection_key(self) -> int:
+        """The same for all answers on one connection of the caller, while it is open."""
+        return self._call.connection_key
+
+    @property
+    def buffered_bytes(self) -> int:
+        """What was written and is in this process still."""
+        return self._call.buffered_bytes
+
+    @property
+    def unread_bytes(self) -> int:
+        """What was written and the caller's machine has not taken."""
+        return self._call.buffered_bytes + self._call.kernel_bytes
+
 
 class Ingress:
     """Decodes calls for the forwarder."""
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -11,6 +11,8 @@
 
 from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.forwarding import store_news
+from saffronworks.forwarding.answer_buffers import bound_of_memory
+from saffronworks.forwarding.buffered_answers import AnswerBuffers
 from saffronworks.forwarding.census import Census, CountedNode
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
@@ -37,6 +39,7 @@
 from saffronworks.forwarding.store_circuit import GuardedSource
 from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
 from saffronworks.forwarding.store_revisions import StoreEpoch
+from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
 from saffronworks.forwarding.turns import Turns
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
@@ -143,7 +146,9 @@
         )
         self._roles = self._make_roles(settings)
         grace_s = max(1, (settings.stop_grace_ms - TAKEN_OUT_MS - EXIT_MARGIN_MS) // 1000)
-        self._callers = HttpServer(bind(settings.caller_address), self._ingress.handle, grace_s)
+        send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
+        callers = bind(settings.caller_address, send_buffer)
+        self._callers = HttpServer(callers, self._ingress.handle, grace_s)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._page = MetricsPage(self._state.figures)
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
@@ -152,13 +157,14 @@
         budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, UNCOUNTED_NODES
         )
+        figures = Figures(settings.node)
         return NodeState(
             zone=settings.zone,
             directory=self._directory,
             loads=LoadTable(settings.zone),
             budget=budget,
             calls=self._calls,
-            figures=Figures(settings.node),
+            figures=figures,
             now_ms=monotonic_ms,
             spawn=self._spawn,
             memory=self._memory,
@@ -167,6 +173,7 @@
             quotas=self._quotas,
             limits=self._limits,
             eligibility=self._eligibility,
+            buffers=AnswerBuffers(bound_of_memory(settings.memory_bytes), figures, monotonic_ms),
         )
 
     def _told(self) -> bool:
@@ -255,6 +262,7 @@
                 self._settings_watch.run,
                 self._census.run,
                 self._roles.run,
+                self._state.buffers.run,
                 *(follower.run for follower in self._followers),
             ]
             for service in services:
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -17,6 +17,7 @@
 WATCH_LEAST_MS = 500
 # The window in which quotas are judged where the settings name none.
 DEFAULT_QUOTA_WINDOW_S = 8.0
+BYTES_PER_MB = 1_000_000
 
 
 @attrs.frozen
@@ -42,6 +43,8 @@
     # How long an endpoint that drains may still be sent requests.
     drain_ms: int
     cores: float
+    # None where no limit is told.
+    memory_bytes: int | None
     quota_bounds: Tolerance
 
 
@@ -83,6 +86,7 @@
         drain_ms=_drain_ms(bounds),
         # The share is of a core that runs `cores` times as fast.
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
+        memory_bytes=int(limits.number("memory_mb", 0.0) * BYTES_PER_MB) or None,
         quota_bounds=_quota_bounds(bounds),
     )
 
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -121,15 +121,18 @@
     return [*decoders, FakeServer("p0", "llm", "prefill")]
 
 
-def make_node(folder, number, store):
+def make_node(folder, number, store, **changes):
     file = Path(folder) / f"node-{number}.yaml"
-    file.write_text(settings_text(store.address, node_name=f"front-z1-{number}"))
+    file.write_text(settings_text(store.address, node_name=f"front-z1-{number}", **changes))
     settings = read_platform_settings(file.read_text(), str(file)).ok_value
     return PlatformNode(settings, str(file), metrics_port=0)
 
 
-def on_platform(servers, play, config=CONFIG, count=1):
-    """Start everything, with so many nodes, let `play(place)` act, end everything."""
+def on_platform(servers, play, config=CONFIG, count=1, **changes):
+    """Start everything, with so many nodes, let `play(place)` act, end everything.
+
+    `changes` replaces whole fields of the nodes' settings.
+    """
 
     async def main():
         store = FakeStore()
@@ -142,7 +145,8 @@
                 tasks.start_soon(store.run)
                 for server in servers:
                     tasks.start_soon(server.run)
-                nodes = [make_node(folder, number, store) for number in range(1, count + 1)]
+                numbers = range(1, count + 1)
+                nodes = [make_node(folder, number, store, **changes) for number in numbers]
                 for node in nodes:
                     tasks.start_soon(node.run)
                 by_name = {server.instance: server for server in servers}
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -1,8 +1,11 @@
 """Small helpers over ASGI and uvicorn, shared by nodes and stand-ins."""
 
 import asyncio
+import fcntl
 import logging
 import socket
+import struct
+import termios
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
@@ -17,6 +20,7 @@
 
 LOOK_EVERY_S = 1.0
 KEEP_ALIVE_S = 30.0
+_INT = struct.Struct("i")
 
 
 class BadBody(Exception):
@@ -99,13 +103,49 @@
         """Send a part of the body; the last with `more` false."""
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
+    @property
+    def _transport(self) -> asyncio.Transport:
+        transport: asyncio.Transport = self._send.__self__.transport
+        return transport
+
+    @property
+    def connection_key(self) -> int:
+        """The same for all calls on one connection, while it is open."""
+        return id(self._transport)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """What was written and waits in this process for the caller to read."""
+        return self._transport.get_write_buffer_size()
+
+    async def drain(self) -> None:
+        """Return once the kernel has taken all that was written, or the caller left."""
+        self._transport.set_write_buffer_limits(0)
+        try:
+            # uvicorn waits before a write, and an empty one sends nothing.
+            await self.write(b"")
+        finally:
+            self._transport.set_write_buffer_limits()
+
+    @property
+    def kernel_bytes(self) -> int:
+        """What waits in the kernel until the caller's machine acknowledges it."""
+        sock = self._transport.get_extra_info("socket")
+        try:
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        except (OSError, ValueError):
+            # The connection is closed.
+            return 0
+        size_bytes: int = _INT.unpack(queued)[0]
+        return size_bytes
+
     def cut(self) -> None:
-        """Cut the caller's connection, as a crash does; for stand-ins."""
-        self._send.__self__.transport.abort()
+        """Cut the caller's connection at once, as a crash does."""
+        self._transport.abort()
 
     def hang_up(self) -> None:
         """Close the caller's connection once what was written is out."""
-        self._send.__self__.transport.close()
+        self._transport.close()
 
     async def reply(
         self, status: int, value: object, headers: Mapping[str, str] | None = None
@@ -142,10 +182,16 @@
     return port.isascii() and port.isdigit() and 0 < int(port) < 2**16
 
 
-def bind(address: str) -> socket.socket:
-    """A listening socket; port 0 takes a free one."""
+def bind(address: str, send_buffer_bytes: int | None = None) -> socket.socket:
+    """A listening socket; port 0 takes a free one.
+
+    `send_buffer_bytes`: the kernel's buffer for what each connection has not taken, else the
+    kernel chooses; it gives up to 4 MB where a caller reads nothing.
+    """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if send_buffer_bytes is not None:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     listener.bind(parse_address(address))
     listener.listen(1024)
     listener.setblocking(False)
