--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -66,6 +66,7 @@
     "saffronworks_sends",
     "saffronworks_bad_entries",
     "saffronworks_speed_changes",
+    "saffronworks_answer_buffers",
 )
 _HISTOGRAMS = (
     "saffronworks_first_byte_ms",
@@ -86,6 +87,9 @@
             meter.create_observable_counter(name, callbacks=[self._observe(name, figures.counts)])
         for name in _SHARE_GAUGES:
             meter.create_observable_gauge(name, callbacks=[self._observe(name, figures.gauges)])
+        for name, labels in figures.levels:
+            callback = self._observe_level(figures.levels[name, labels], dict(labels))
+            meter.create_observable_gauge(name, callbacks=[callback])
         self._histograms = {name: meter.create_histogram(name, unit="ms") for name in _HISTOGRAMS}
 
     def _observe(
@@ -98,6 +102,11 @@
 
         return read
 
+    def _observe_level(
+        self, read: Callable[[], int], labels: dict[str, str]
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        return lambda options: [Observation(read(), labels)]
+
     def render(self) -> bytes:
         """The scrape page, with what was sampled since the last one."""
         for sample in self._figures.take_samples():
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -17,6 +17,9 @@
 WATCH_LEAST_MS = 500
 # The window in which quotas are judged where the settings name none.
 DEFAULT_QUOTA_WINDOW_S = 8.0
+BYTES_PER_MB = 1_000_000
+# The contract under which callers and endpoints may read slowly.
+SLOW_READERS_CONTRACT = "pressure"
 
 
 @attrs.frozen
@@ -42,6 +45,8 @@
     # How long an endpoint that drains may still be sent requests.
     drain_ms: int
     cores: float
+    # None where no limit is told, or where callers and endpoints read as fast as they are sent to.
+    memory_bytes: int | None
     quota_bounds: Tolerance
 
 
@@ -83,10 +88,17 @@
         drain_ms=_drain_ms(bounds),
         # The share is of a core that runs `cores` times as fast.
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
+        memory_bytes=_memory_bytes(root, limits),
         quota_bounds=_quota_bounds(bounds),
     )
 
 
+def _memory_bytes(root: Section, limits: Section) -> int | None:
+    if SLOW_READERS_CONTRACT not in root.texts("contracts"):
+        return None
+    return int(limits.number("memory_mb", 0.0) * BYTES_PER_MB) or None
+
+
 def _quota_bounds(bounds: Section) -> Tolerance:
     """What is tolerated beyond quotas; the operator need not say where there are none."""
     return Tolerance(
--- a/saffronworks/tests/features/steps/priorities_steps.py
+++ b/saffronworks/tests/features/steps/priorities_steps.py
@@ -110,7 +110,7 @@
 
 @then("an organisation beyond its share comes after others of its priority")
 def by_excess(context):
-    order = WaiterOrder(excess=lambda organisation, now_ms: 2.0 * (organisation == "big"))
+    order = WaiterOrder(excess=lambda organisation, priority, now_ms: 2.0 * (organisation == "big"))
     waiters = [
         waiter("big", 0, 100, "big"),
         waiter("small", 0, 500, "small"),
