--- a/saffronworks/tests/features/steps/slow_readers_steps.py
+++ b/saffronworks/tests/features/steps/slow_readers_steps.py
@@ -86,9 +86,7 @@
     assert context.bound.decide([BufferedAnswer(1, 800, 0)], late_ms).disconnected == (1,)
 
 
-@then(
-    "settings without a memory limit, or without slow readers, give no bound, and others an eighth of it"
-)
+@then("settings that name no memory limit or no slow readers give no bound, others an eighth of it")
 def by_settings(context):
     whole = json.loads(settings_text("127.0.0.1:1"))
     fast_readers = read_platform_settings(json.dumps(whole), "f").ok_value
