--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -267,8 +267,9 @@
             priority=ask.priority,
             organisation=ask.organisation,
         )
-        usable[instance].add(state.growth(run, now_ms))
-        usable[instance].settle()
+        held = usable[instance]
+        held.add(run.growth(state.lengths, held.ms_per_token, now_ms))
+        held.settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
         state.order.note_grant(waiter, state.waiters.values(), now_ms)
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -114,22 +114,22 @@
     def occupancies(self, decoders: dict[StartId, str], now_ms: int) -> Occupancies:
         """The runs of each endpoint that may get work."""
         usable = {
-            name: Occupancy([], slowness=self.speeds.factor(name, now_ms))
+            name: Occupancy(
+                [],
+                slowness=self.speeds.factor(name, now_ms),
+                ms_per_token=self.speeds.ms_per_token(name, self.ms_per_token, now_ms),
+            )
             for name in self.shuns.usable(decoders, now_ms)
             if self.full_until_ms.get(name, 0) <= now_ms
         }
         for run in self.runs.values():
             if run.instance in usable:
-                usable[run.instance].add(self.growth(run, now_ms))
+                held = usable[run.instance]
+                held.add(run.growth(self.lengths, held.ms_per_token, now_ms))
         for occupancy in usable.values():
             occupancy.settle()
         return usable
 
-    def growth(self, run: Run, now_ms: int) -> tuple[float, float]:
-        """Tokens of a run in memory now, at its endpoint's speed, and how many more to expect."""
-        ms_per_token = self.speeds.ms_per_token(run.instance, self.ms_per_token, now_ms)
-        return run.growth(self.lengths, ms_per_token, now_ms)
-
     @property
     def own_read_share(self) -> float:
         """Up to which share of its planned memory a decode endpoint reads by itself."""
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -5,6 +5,7 @@
 from saffronworks.forwarding.planning.lengths import AnswerLengths
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.tuning import (
+    MS_PER_TOKEN,
     READ_MS,
     REPORT_LAPSE_MS,
 )
@@ -54,13 +55,14 @@
 class Occupancy:
     """An endpoint's runs: present size and expected growth of each, and what they add up to.
 
-    `slowness` is its time for a token as a multiple of the service's average.
+    `ms_per_token` is its time for a token, `slowness` that as a multiple of the service's average.
     """
 
     growths: list[tuple[float, float]]
     now_tokens: float = 0.0
     peak_tokens: float = 0.0
     slowness: float = 1.0
+    ms_per_token: float = MS_PER_TOKEN
 
     def add(self, growth: tuple[float, float]) -> None:
         """One more run; the peak is worked out by `settle`."""
--- a/saffronworks/forwarding/planning/speeds.py
+++ b/saffronworks/forwarding/planning/speeds.py
@@ -16,7 +16,9 @@
     MOST_SPEEDS,
     PLAUSIBLE_MS_PER_TOKEN,
     SPEED_BAND,
+    SPEED_FRESH_MS,
     SPEED_HALF_LIFE_MS,
+    SPEED_NEWS_EVERY_MS,
     SPEED_NEWS_PER_S,
     SPEED_NEWS_STEP,
     USUAL_RUN_MS,
@@ -78,6 +80,7 @@
     _runs: Counter[StartId] = attrs.Factory(Counter)
     _counted_ms: int | None = None
     _told_ms: list[int] = attrs.Factory(list)
+    _looked_ms: int = 0
 
     @property
     def load_slope(self) -> float:
@@ -109,18 +112,14 @@
             self._runs, self._counted_ms = Counter(instances), now_ms
 
     def learn_progress(self, instance: StartId, tokens: int, span_ms: int, now_ms: int) -> None:
-        """A run made so many tokens between two reports.
-
-        A sample counts by its time: twelve runs of one engine report together, and each of their
-        samples may fall into the same moment in which the engine was slow.
-        """
+        """A run made so many tokens between two reports."""
         if not is_plausible_pace(tokens, span_ms):
             return
         runs, seen = self._runs[instance], span_ms / tokens
         speed = self._find(instance, runs, seen, now_ms)
         if speed is None:
             return
-        weight = SAMPLE_WEIGHT * min(1.0, span_ms / USUAL_RUN_MS)
+        weight = _weigh(span_ms)
         self._learn_load(speed, runs, seen, weight)
         self._learn(speed, runs, seen, weight, now_ms)
 
@@ -131,7 +130,7 @@
         seen = span_ms / tokens
         speed = self._find(instance, self._runs[instance], seen, now_ms)
         if speed is not None:
-            self._learn(speed, speed.runs, seen, SAMPLE_WEIGHT, now_ms)
+            self._learn(speed, speed.runs, seen, _weigh(span_ms), now_ms)
 
     def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop what was learnt of endpoints that are gone."""
@@ -139,7 +138,13 @@
             del self._speeds[instance]
 
     def take_news(self, now_ms: int) -> list[SpeedNews]:
-        """Endpoints whose speed has changed by a step since it was told; few in a second."""
+        """Endpoints whose speed has changed by a step since it was told; few in a second.
+
+        It is asked after each event, and looks at all endpoints only now and then.
+        """
+        if now_ms - self._looked_ms < SPEED_NEWS_EVERY_MS:
+            return []
+        self._looked_ms = now_ms
         self._told_ms = [told_ms for told_ms in self._told_ms if now_ms - told_ms < 1000]
         left = SPEED_NEWS_PER_S - len(self._told_ms)
         if left <= 0:
@@ -186,9 +191,18 @@
         self._average_runs += share * (runs - self._average_runs)
 
 
+def _weigh(span_ms: int) -> float:
+    """How much a sample counts, by its time.
+
+    Twelve runs of one engine report together, and each of their samples may fall into the same
+    moment in which the engine was slow.
+    """
+    return SAMPLE_WEIGHT * min(1.0, span_ms / USUAL_RUN_MS)
+
+
 def _aged(speed: _Speed, now_ms: int) -> float:
     """The factor after a time without samples: it returns to the average."""
-    silent_ms = max(0, now_ms - speed.heard_ms)
+    silent_ms = max(0, now_ms - speed.heard_ms - SPEED_FRESH_MS)
     return 1 + (speed.factor - 1) * 0.5 ** (silent_ms / SPEED_HALF_LIFE_MS)
 
 
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -9,14 +9,17 @@
 # What is known of an endpoint's speed returns to the average with this half-life while its runs
 # tell nothing: it may have changed meanwhile.
 SPEED_HALF_LIFE_MS = 10_000
-# A progress that took so long weighs as much as a whole run, a shorter one less in proportion.
+# It does so only after this time without samples, two reports and their delay. Aged between reports
+# as well, an endpoint with one run kept half of its difference from the average.
+SPEED_FRESH_MS = 1000
+# A sample that took so long weighs as much as one of the service, a shorter one in proportion.
 USUAL_RUN_MS = 3000
 # How many times as fast the average follows its samples as an endpoint's factor does: a change of
 # all endpoints must move the average, not the factors. Factors of equal engines under a burst were
 # off by 0.13 at most (as logarithms) with 1, 0.11 with 2 and 0.09 with 4 (`uneven_engines`).
 AVERAGE_WEIGHT = 4.0
 # Logarithm of the difference from the average below which endpoints count as equal; twice that
-# counts in full.
+# counts in full. Equal engines, noisy or not, stayed within 0.08 (`uneven_engines`, four seeds).
 SPEED_BAND = 0.1
 # The effect of the number of runs on the time for a token: the weight of the assumption that there
 # is none (in squared runs), the decay of earlier samples, and the most that one run adds.
@@ -28,9 +31,11 @@
 COUNT_RUNS_EVERY_MS = 100
 # Endpoints of one service whose speeds are kept: reports could name any number.
 MOST_SPEEDS = 1024
-# Log lines on speeds: for a change of the factor by this logarithm, and so many in a second.
+# Log lines on speeds: for a change of the factor by this logarithm, so many in a second, looked for
+# so often: after each of 1000 events a second it would cost several hundredths of a core.
 SPEED_NEWS_STEP = 0.25
 SPEED_NEWS_PER_S = 4
+SPEED_NEWS_EVERY_MS = 250
 # Endpoints whose foreseen peaks differ by this share of the planned memory or less are taken for
 # equally full, and the fastest of them is chosen.
 NEAR_PEAK_SHARE = 0.03
