Keep an endpoint for urgent callers that fit nowhere

Beside bulk at twice the capacity urgent callers with long prompts waited in vain: smaller runs of the bulk took whatever memory became free, before the urgent ones fitted.

While asks of more than one priority were received in the last 30 s, a waiter that can be in time and fits nowhere has the endpoint with most room kept from less urgent ones. At most as many are kept as the rate of its class and more urgent ones requires, the mean plus one deviation, until another place becomes free, and a quarter of the endpoints. A class that the bound against starvation lets in may use them. Nothing is kept while no such waiter is there, so light load pays nothing, and one priority alone keeps nothing.

--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -23,7 +23,8 @@
 )
 from saffronworks.forwarding.planning.plans import Message, Occupancies, PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.priorities import clip_rank
-from saffronworks.forwarding.planning.refusals import refuse
+from saffronworks.forwarding.planning.refusals import ends_per_s, refuse
+from saffronworks.forwarding.planning.reserves import Reserve
 from saffronworks.forwarding.planning.runs import Run
 from saffronworks.forwarding.planning.tuning import (
     FULL_MS,
@@ -224,12 +225,16 @@
         return []
     usable = state.occupancies(decoders, now_ms)
     replies = []
+    reserve = _make_reserve(state, now_ms)
     offers = state.order.offers(state.waiters.values(), now_ms)
     for waiter in islice(offers, QUEUE_LOOK):
         ask = waiter.ask
         decoders_read = state.reading.decoders_read(now_ms)
-        instance = _find_place(state, ask, usable, decoders_read, now_ms)
+        open_to = _open_to(state, reserve, waiter, usable)
+        instance = _find_place(state, ask, open_to, decoders_read, now_ms)
         if instance is None:
+            if reserve is not None and not waiter.is_late(now_ms):
+                reserve.keep(waiter, usable)
             continue
         reader = instance
         if not decoders_read:
@@ -255,6 +260,22 @@
     return replies
 
 
+def _make_reserve(state: PlanState, now_ms: int) -> Reserve | None:
+    """What is kept from less urgent waiters; None while one priority is heard."""
+    if not state.rates.is_mixed(now_ms) or not state.runs:
+        return None
+    return Reserve(state.rates, 1000 / ends_per_s(state), now_ms)
+
+
+def _open_to(
+    state: PlanState, reserve: Reserve | None, waiter: Waiter, usable: Occupancies
+) -> Occupancies:
+    """The endpoints that may get its run; one whose priority was passed often may use all."""
+    if reserve is None or state.order.is_due(waiter.priority):
+        return usable
+    return reserve.open_to(waiter.priority, usable)
+
+
 def _find_place(
     state: PlanState, ask: MemoryAsk, usable: Occupancies, decoders_read: bool, now_ms: int
 ) -> StartId | None:
--- a/saffronworks/forwarding/planning/order.py
+++ b/saffronworks/forwarding/planning/order.py
@@ -104,6 +104,10 @@
         waiting = {waiter.priority for waiter in waiters if not waiter.is_late(now_ms)}
         _note(self.passes, granted.priority, waiting)
 
+    def is_due(self, priority: int) -> bool:
+        """Whether it was passed over so often that the next place is its own."""
+        return self.passes.get(priority, 0) >= MOST_PASSES
+
     def _split(self, waiters: Iterable[Waiter], now_ms: int) -> tuple[_Lines, list[Waiter]]:
         """Those who can be in time by priority, and the late ones, each in order."""
         lines: _Lines = {}
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -16,7 +16,7 @@
 from saffronworks.forwarding.planning.order import Waiter, WaiterOrder
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.planning.reserves import AskRates
-from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
+from saffronworks.forwarding.planning.runs import Occupancies, Occupancy, Run, projected_peak
 from saffronworks.forwarding.planning.shuns import ShunTable
 from saffronworks.forwarding.planning.tuning import (
     HEAR_MS,
@@ -30,7 +30,6 @@
 
 __all__ = ["Message", "Occupancies", "PlanState", "Reply", "Waiter"]
 
-Occupancies = dict[StartId, Occupancy]
 Message = MemoryGrant | MemoryQueued | MemoryDirect | MemoryRefusal | ReportWanted
 
 
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -18,10 +18,10 @@
     RETRY_AFTER_MOST_MS,
 )
 
-__all__ = ["refuse"]
+__all__ = ["ends_per_s", "refuse"]
 
 
-def _ends_per_s(state: PlanState) -> float:
+def ends_per_s(state: PlanState) -> float:
     """How many places come free each second, as the present runs end.
 
     The rate of the latest grants is no forecast: while memory fills at the start of a burst it is
@@ -43,7 +43,7 @@
     mixed = state.rates.is_mixed(now_ms)
     if not any(_is_pending(waiter, mixed, now_ms) for waiter in state.waiters.values()):
         return []
-    per_s, usable = _ends_per_s(state), state.occupancies(decoders, now_ms)
+    per_s, usable = ends_per_s(state), state.occupancies(decoders, now_ms)
     own_readers = state.own_readers(usable)
     reading_at_ms = now_ms + state.reading.wait_ms(own_readers, now_ms)
     replies, before = [], 0
--- a/saffronworks/forwarding/planning/reserves.py
+++ b/saffronworks/forwarding/planning/reserves.py
@@ -1,16 +1,20 @@
-"""How often each priority asks: what the urgent are expected to need of the places to come."""
+"""How often each priority asks, and the places that are kept from less urgent waiters for it."""
 
 import math
 
 import attrs
 
+from saffronworks.forwarding.planning.order import Waiter
+from saffronworks.forwarding.planning.runs import Occupancies
 from saffronworks.forwarding.planning.tuning import (
     HEARD_MS,
+    KEPT_SHARE,
     RATE_WEIGHT,
     RATE_WINDOW_MS,
 )
+from saffronworks.forwarding.starts import StartId
 
-__all__ = ["AskRates"]
+__all__ = ["AskRates", "Reserve"]
 
 
 @attrs.define
@@ -55,6 +59,14 @@
         asks = sum(rate.mean for name, rate in self._rates.items() if name < more_urgent_than)
         return asks * 1000 / RATE_WINDOW_MS
 
+    def expected(self, more_urgent_than: float, span_ms: float, now_ms: int) -> float:
+        """Asks of more urgent priorities within a span: their mean and one deviation."""
+        self._roll(now_ms)
+        windows = span_ms / RATE_WINDOW_MS
+        rates = [rate for name, rate in self._rates.items() if name < more_urgent_than]
+        spread = math.sqrt(sum(rate.variance for rate in rates) * windows)
+        return sum(rate.mean for rate in rates) * windows + spread
+
     def _roll(self, now_ms: int) -> None:
         """Close the windows that are over; those before the rates are forgotten are enough."""
         if now_ms < self._window_ends_ms:
@@ -66,3 +78,37 @@
                 rate.close()
         kept = {k: rate for k, rate in self._rates.items() if now_ms - rate.heard_ms <= HEARD_MS}
         self._rates = kept
+
+
+@attrs.define
+class Reserve:
+    """What one look at the waiters keeps from less urgent ones.
+
+    `kept` are endpoints where a waiter of that priority is to get the next memory: it may need more
+    than others. While less urgent ones took whatever became free, 7 in 100 urgent callers beside
+    twice the capacity of bulk waited in vain, now 3, for as many of the bulk in time. Places kept
+    for urgent callers that are only expected left 5 in 100 of the memory idle (`planner_load`).
+    """
+
+    rates: AskRates
+    next_place_ms: float
+    now_ms: int
+    kept: dict[StartId, int] = attrs.Factory(dict)
+
+    def places(self, priority: int) -> int:
+        """How many places a priority and more urgent ones need before another place is free."""
+        return math.ceil(self.rates.expected(priority + 1, self.next_place_ms, self.now_ms))
+
+    def open_to(self, priority: int, usable: Occupancies) -> Occupancies:
+        """The endpoints that may get a run of this priority."""
+        if not self.kept:
+            return usable
+        return {k: held for k, held in usable.items() if self.kept.get(k, priority) >= priority}
+
+    def keep(self, waiter: Waiter, usable: Occupancies) -> None:
+        """A waiter fits nowhere: the endpoint with most room is kept for it."""
+        most = min(self.places(waiter.priority), KEPT_SHARE * len(usable))
+        left = usable.keys() - self.kept.keys() - set(waiter.ask.avoid)
+        if left and len(self.kept) < most:
+            first = min(left, key=lambda name: (usable[name].peak_tokens, name))
+            self.kept[first] = waiter.priority
--- a/saffronworks/forwarding/planning/runs.py
+++ b/saffronworks/forwarding/planning/runs.py
@@ -10,7 +10,7 @@
 )
 from saffronworks.forwarding.starts import StartId
 
-__all__ = ["Occupancy", "Run", "projected_peak"]
+__all__ = ["Occupancies", "Occupancy", "Run", "projected_peak"]
 
 
 @attrs.define
@@ -73,6 +73,9 @@
         return not self.growths or least_tokens <= limit_tokens
 
 
+Occupancies = dict[StartId, Occupancy]
+
+
 def projected_peak(growths: list[tuple[float, float]]) -> float:
     """The most memory that runs of these present sizes and growths will have at one time.
 
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -85,6 +85,8 @@
 # in 100 bulk callers of a burst of 6 s were rejected twice, and 80 in time in place of 88; with 3 s
 # 30 in 100 urgent callers beyond the capacity were rejected twice, with 2 s 3 (`planner_load`).
 OVERLOAD_LASTS_MS = 2000
+# Endpoints that are kept for urgent waiters that fit nowhere yet, as a share of all.
+KEPT_SHARE = 0.25
 # An endpoint that failed a request, or changes its role, gets nothing for this long; one that fails
 # again right after that, twice as long each time, up to what most troubles of endpoints last.
 SHUN_MS = 1000
--- a/saffronworks/tests/features/priorities.feature
+++ b/saffronworks/tests/features/priorities.feature
@@ -24,6 +24,14 @@
     And an urgent caller is told to return before the bulk that was rejected earlier
     And half a minute after the other priorities all is as without them
 
+  Scenario: an endpoint is kept for an urgent caller that fits nowhere
+    Given a plan in which an urgent caller fits nowhere, and a smaller one of the bulk would
+    Then the bulk gets nothing at the endpoint with most room, and its place elsewhere
+    And the urgent caller gets the memory that becomes free there, and then the bulk what is left
+    And with one priority the smaller one is served
+    And a class that was passed over too often may use the endpoint
+    And as many endpoints are kept as the rate of the urgent asks and its spread require
+
   Scenario: rates of asks
     Then the rate of a priority follows its asks, and is forgotten after half a minute
 
--- a/saffronworks/tests/features/steps/priorities_steps.py
+++ b/saffronworks/tests/features/steps/priorities_steps.py
@@ -10,7 +10,8 @@
 
 from saffronworks.forwarding.planning import core, messages
 from saffronworks.forwarding.planning.order import Waiter, WaiterOrder
-from saffronworks.forwarding.planning.reserves import AskRates
+from saffronworks.forwarding.planning.reserves import AskRates, Reserve
+from saffronworks.forwarding.planning.runs import Run
 from saffronworks.forwarding.planning.tuning import (
     DECIDE_AFTER_MS,
     HEARD_MS,
@@ -268,6 +269,72 @@
     assert plan.waiters and told(plan, now_ms + PLAN_EVERY_MS) == []
 
 
+def plan_with_room(rooms, urgent_priority=URGENT):
+    """Endpoints with so much planned memory left; the urgent caller that waits needs 30,000."""
+    plan, decoders = warm_plan(), {}
+    for at_ms in range(START_MS - 5000, START_MS, 100):
+        plan.rates.note(urgent_priority, at_ms)
+    for index, room in enumerate(rooms):
+        decoders[f"d{index}"] = "z"
+        taken = int(plan.limit_tokens) - room
+        plan.runs[f"run{index}"] = Run(f"d{index}", "n1", taken, 1, 1, START_MS)
+    core.step(plan, ask("urgent", 30_000, 1, priority=urgent_priority), decoders, START_MS)
+    assert "urgent" in plan.waiters
+    return plan, decoders
+
+
+def ask_bulk(plan, decoders, prompt=5000, **changes):
+    """Where a caller of the bulk is placed."""
+    asked = ask("bulk", prompt, 1, priority=BULK, **changes)
+    return [grant.instance for grant in granted(core.step(plan, asked, decoders, START_MS))]
+
+
+@given("a plan in which an urgent caller fits nowhere, and a smaller one of the bulk would")
+def urgent_fits_nowhere(context):
+    context.plan, context.decoders = plan_with_room([10_000, 20_000, 4000, 4000])
+
+
+@then("the bulk gets nothing at the endpoint with most room, and its place elsewhere")
+def kept_from_bulk(context):
+    """Guards urgent callers with long prompts: smaller runs took each place before they fitted."""
+    plan, decoders = plan_with_room([4000, 20_000, 4000, 4000])
+    assert ask_bulk(plan, decoders) == []
+    assert ask_bulk(*plan_with_room([10_000, 20_000, 4000, 4000])) == ["d0"]
+
+
+@then("the urgent caller gets the memory that becomes free there, and then the bulk what is left")
+def kept_until_served(context):
+    plan, decoders = plan_with_room([4000, 20_000, 4000, 4000])
+    assert ask_bulk(plan, decoders) == []
+    replies = core.step(plan, messages.MemoryRelease("run1", "s"), decoders, START_MS)
+    placed = [(grant.request_id, grant.instance) for grant in granted(replies)]
+    assert placed == [("urgent", "d1"), ("bulk", "d1")], placed
+
+
+@then("with one priority the smaller one is served")
+def one_priority_serves(context):
+    assert ask_bulk(*plan_with_room([4000, 20_000, 4000, 4000], BULK)) == ["d1"]
+
+
+@then("a class that was passed over too often may use the endpoint")
+def passed_may_use(context):
+    """Guards the bound against starvation: the reserve must not take the place that it gives."""
+    plan, decoders = plan_with_room([4000, 20_000, 4000, 4000])
+    plan.order.passes[BULK] = MOST_PASSES
+    assert ask_bulk(plan, decoders) == ["d1"]
+
+
+@then("as many endpoints are kept as the rate of the urgent asks and its spread require")
+def kept_by_rate(context):
+    rates = AskRates()
+    for at_ms in range(0, 10_000, 100):
+        rates.note(URGENT, at_ms)
+    rates.note(BULK, 10_000)
+    assert Reserve(rates, 50, 10_000).places(URGENT) == 1
+    assert 10 <= Reserve(rates, 1000, 10_000).places(URGENT) <= 13
+    assert Reserve(rates, 50, 60_000).places(URGENT) == 0, "nothing was heard lately"
+
+
 @then("the rate of a priority follows its asks, and is forgotten after half a minute")
 def rates_follow(context):
     rates = AskRates()
