Show the planner's waiters, grants and rejections by priority

event=plan told neither the priority of the request nor who was served before it.

The line now tells the priority, who waits by priority, what was granted and rejected by priority since the start, and the endpoints kept for urgent waiters. Metrics: saffronworks_planned counts answers by service, outcome and priority; the gauges saffronworks_plan_waiting and saffronworks_plan_endpoints_kept are read only when the page is asked for. saffronctl explain names the priority of a request.

--- a/saffronworks/control.py
+++ b/saffronworks/control.py
@@ -270,7 +270,12 @@
 
 def _print_story(story: RequestStory, as_json: bool) -> None:
     """One request's lines in order, then how it ended and why."""
-    end = {"outcome": story.outcome, "cause": story.cause, "waits_ms": story.waits_ms}
+    end = {
+        "outcome": story.outcome,
+        "cause": story.cause,
+        "priority": story.priority,
+        "waits_ms": story.waits_ms,
+    }
     if as_json:
         _print_rows({**end, "lines": [line.pairs for line in story.lines]}, True)
         return
--- a/saffronworks/explain.py
+++ b/saffronworks/explain.py
@@ -50,6 +50,11 @@
     request_id: str
     lines: tuple[LogLine, ...]
 
+    @property
+    def priority(self) -> str:
+        """The rank by which the planner ordered it, lower first; empty if no planner told it."""
+        return next((line.pairs["priority"] for line in self.lines if "priority" in line.pairs), "")
+
     @property
     def waits_ms(self) -> dict[str, int]:
         """How long a generation waited for each thing before its first event."""
--- a/saffronworks/forwarding/figures.py
+++ b/saffronworks/forwarding/figures.py
@@ -5,10 +5,11 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Callable, Iterable
 
 import attrs
 
-__all__ = ["Figures", "Sample"]
+__all__ = ["Figures", "Level", "Sample"]
 
 # Times between two questions that the histograms show, the newest ones: a busy node's answers of a
 # minute. Counts are never left out.
@@ -26,6 +27,14 @@
     labels: Labels
 
 
+@attrs.frozen
+class Level:
+    """What a gauge shows at present."""
+
+    value: float
+    labels: dict[str, str]
+
+
 class Figures:
     """What a node counted; each sample carries the node's name."""
 
@@ -33,6 +42,7 @@
         self._node = node
         self.counts: Counter[tuple[str, Labels]] = Counter()
         self._samples: deque[Sample] = deque(maxlen=SAMPLES_KEPT)
+        self.gauges: dict[str, Callable[[], Iterable[Level]]] = {}
 
     def count(self, outcome: str, route: str, reason: str = "") -> None:
         """Count the end of a request."""
@@ -46,6 +56,18 @@
         """Count an entry in the store that names nothing to use."""
         self._add("saffronworks_bad_entries", kind=kind)
 
+    def count_plan(self, service: str, outcome: str, priority: int) -> None:
+        """Count an answer of this node's planner to an ask for memory."""
+        self._add("saffronworks_planned", service=service, outcome=outcome, priority=str(priority))
+
+    def watch(self, name: str, read: Callable[[], Iterable[Level]]) -> None:
+        """Have a gauge read whenever somebody asks for the metrics."""
+        self.gauges[name] = read
+
+    def read_levels(self, name: str) -> list[tuple[float, Labels]]:
+        """What a gauge shows at present, with the node's name."""
+        return [(level.value, self._label(**level.labels)) for level in self.gauges[name]()]
+
     def record(self, route: str, first_ms: int, whole_ms: int) -> None:
         """Record when an answer began and when it was whole."""
         labels = self._label(route=route)
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -221,6 +221,7 @@
 
 def _grant(state: PlanState, decoders: dict[StartId, str], now_ms: int) -> list[Reply]:
     """Give memory to the first who fit; the foremost few are looked at."""
+    state.kept = {}
     if not state.waiters or not decoders:
         return []
     usable = state.occupancies(decoders, now_ms)
@@ -256,7 +257,10 @@
         del state.waiters[ask.request_id]
         state.order.note_grant(waiter, state.waiters.values(), now_ms)
         state.reading.count(ask.request_id, reader, ask.prompt_tokens, now_ms)
-        replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader)))
+        grant = MemoryGrant(ask.request_id, instance, reader)
+        replies.append(Reply(ask.reply_to, grant, waiter.priority))
+    if reserve is not None:
+        state.kept = reserve.kept
     return replies
 
 
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -14,6 +14,7 @@
     ReportWanted,
 )
 from saffronworks.forwarding.planning.order import Waiter, WaiterOrder
+from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.reading import ReadingPlan
 from saffronworks.forwarding.planning.reserves import AskRates
 from saffronworks.forwarding.planning.runs import Occupancies, Occupancy, Run, projected_peak
@@ -35,10 +36,11 @@
 
 @attrs.frozen
 class Reply:
-    """Send a message to an entry node."""
+    """Send a message to an entry node; `priority` is that of a waiter which is settled by it."""
 
     address: str
     message: Message
+    priority: int = DEFAULT_RANK
 
 
 @attrs.define
@@ -48,6 +50,7 @@
     `began_ms` is when this node first was asked, or was asked again after it had heard nothing for
     long: it may have stood still meanwhile. Endpoints that failed a request are shunned for a
     while, those that had no room for a grant are full for a moment or until a run of theirs ends.
+    `kept` names the endpoints that the latest look kept from priorities behind theirs.
     `usual_tokens` is the running average of likely answers, `nodes` are those that report,
     `own_address` is where they do so.
     """
@@ -62,6 +65,7 @@
     waiters: dict[str, Waiter] = attrs.Factory(dict)
     order: WaiterOrder = attrs.Factory(WaiterOrder)
     rates: AskRates = attrs.Factory(AskRates)
+    kept: dict[StartId, int] = attrs.Factory(dict)
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_return_ms: dict[int, float] = attrs.Factory(dict)
     heard_ms: int = 0
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -55,7 +55,7 @@
             del state.waiters[waiter.ask.request_id]
             after_ms = _return_after_ms(state, waiter, turn_ms, per_s, now_ms)
             refusal = MemoryRefusal(waiter.ask.request_id, after_ms)
-            replies.append(Reply(waiter.ask.reply_to, refusal))
+            replies.append(Reply(waiter.ask.reply_to, refusal, waiter.priority))
             continue
         before += 1
         reading_at_ms += state.reading.turn_ms(waiter.ask.prompt_tokens, own_readers)
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -1,6 +1,7 @@
 """The service that plans decode memory on the node that the others ask: runs `core`."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Collection
 
 import anyio
@@ -8,6 +9,7 @@
 
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.figures import Figures, Level
 from saffronworks.forwarding.planning import core
 from saffronworks.forwarding.planning.core import PlanState, Reply, Tick
 from saffronworks.forwarding.planning.messages import (
@@ -18,6 +20,7 @@
     MemoryReport,
     ReadingEnded,
 )
+from saffronworks.forwarding.planning.order import count_by_priority
 from saffronworks.forwarding.planning.tuning import (
     PLAN_EVERY_MS,
 )
@@ -41,13 +44,18 @@
         table: Callable[[], RoutingTable | None],
         nodes: Callable[[], Collection[str]],
         own_address: str,
+        figures: Figures,
     ):
         self.plans: dict[str, PlanState] = {}
         self._directory = directory
         self._table = table
         self._nodes = nodes
         self._own_address = own_address
+        self._figures = figures
+        self._settled: Counter[tuple[str, str, int]] = Counter()
         self._trimmed_revision = directory.revision
+        figures.watch("saffronworks_plan_waiting", lambda: self._levels(_waiting))
+        figures.watch("saffronworks_plan_endpoints_kept", lambda: self._levels(_kept))
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Answer asks until cancelled."""
@@ -115,14 +123,38 @@
             logger.info("event=plan_begins service=%s", service)
         return self.plans[service]
 
+    def _count(self, service: str, outcome: str) -> dict[int, int]:
+        """How many were settled so since the node's start, by priority."""
+        return {
+            priority: count
+            for (name, settled, priority), count in self._settled.items()
+            if (name, settled) == (service, outcome)
+        }
+
+    def _levels(self, count: Callable[[PlanState], dict[int, int]]) -> list[Level]:
+        return [
+            Level(value, {"service": service, "priority": str(priority)})
+            for service, plan in self.plans.items()
+            for priority, value in count(plan).items()
+        ]
+
     def _send(self, kernel: Kernel, reply: Reply, plan: PlanState) -> None:
         if isinstance(reply.message, MemoryGrant | MemoryRefusal):
+            outcome = "granted" if isinstance(reply.message, MemoryGrant) else "rejected"
+            self._settled[plan.service, outcome, reply.priority] += 1
+            self._figures.count_plan(plan.service, outcome, reply.priority)
             logger.info(
-                "event=plan request=%s do=%s waiting=%d runs=%d ms_per_token=%.3f "
+                "event=plan request=%s priority=%d do=%s waiting=%d waiting_by_priority=%s "
+                "granted=%s rejected=%s kept=%s runs=%d ms_per_token=%.3f "
                 "read_ms_per_token=%.4f readers=%d reading_wait_ms=%d endpoints_rev=%s",
                 reply.message.request_id,
+                reply.priority,
                 reply.message,
                 len(plan.waiters),
+                _show(_waiting(plan)),
+                _show(self._count(plan.service, "granted")),
+                _show(self._count(plan.service, "rejected")),
+                _show(_kept(plan)),
                 len(plan.runs),
                 plan.ms_per_token,
                 plan.reading.pace.ms_per_token,
@@ -136,6 +168,19 @@
             kernel.post("peers", Outgoing(reply.address, reply.message))
 
 
+def _waiting(plan: PlanState) -> dict[int, int]:
+    return count_by_priority(plan.waiters.values())
+
+
+def _kept(plan: PlanState) -> dict[int, int]:
+    return Counter(plan.kept.values())
+
+
+def _show(counts: dict[int, int]) -> str:
+    """Counts by priority, the most urgent first, as one word."""
+    return ",".join(f"{name}:{count}" for name, count in sorted(counts.items())) or "none"
+
+
 def _resolve(event: core.Event, directory: Directory) -> core.Event:
     """The same event with each endpoint by its start: earlier versions tell the names alone."""
     resolve = directory.resolve
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -61,7 +61,12 @@
         self._pace.record(pace_ms, labels)
 
 
-_COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
+_COUNTERS = (
+    "saffronworks_forwarded",
+    "saffronworks_sends",
+    "saffronworks_bad_entries",
+    "saffronworks_planned",
+)
 _HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
 
 
@@ -73,6 +78,8 @@
         meter = find_meter()
         for name in _COUNTERS:
             meter.create_observable_counter(name, callbacks=[self._observe(name)])
+        for name in figures.gauges:
+            meter.create_observable_gauge(name, callbacks=[self._read(name)])
         self._histograms = {name: meter.create_histogram(name, unit="ms") for name in _HISTOGRAMS}
 
     def _observe(self, name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
@@ -83,6 +90,13 @@
 
         return read
 
+    def _read(self, name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def read(options: CallbackOptions) -> Iterable[Observation]:
+            for value, labels in self._figures.read_levels(name):
+                yield Observation(value, dict(labels))
+
+        return read
+
     def render(self) -> bytes:
         """The scrape page, with what was sampled since the last one."""
         for sample in self._figures.take_samples():
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -220,6 +220,7 @@
             lambda: self._forwarder.table,
             lambda: self._memory.choice.cores,
             self.settings.peer_address,
+            self._state.figures,
         )
         self._kernel.register(self._peers)
         self._kernel.register(self._news, StoreNews)
--- a/saffronworks/tests/features/priorities.feature
+++ b/saffronworks/tests/features/priorities.feature
@@ -32,6 +32,10 @@
     And a class that was passed over too often may use the endpoint
     And as many endpoints are kept as the rate of the urgent asks and its spread require
 
+  Scenario: what operators see of priorities
+    Given a planner that serves an urgent caller and rejects one of the bulk
+    Then its lines and gauges tell by priority who waits, was granted and was rejected
+
   Scenario: rates of asks
     Then the rate of a priority follows its asks, and is forgotten after half a minute
 
--- a/saffronworks/tests/features/steps/explain_steps.py
+++ b/saffronworks/tests/features/steps/explain_steps.py
@@ -14,7 +14,7 @@
 LOG = """
 12.1 node-a time=2026-01-01 10:00:00,100 level=INFO event=decide request=late after=Begin \
 do=AskPlanner waited_ms=1
-12.1 node-b time=2026-01-01 10:00:00,120 level=INFO event=plan request=late \
+12.1 node-b time=2026-01-01 10:00:00,120 level=INFO event=plan request=late priority=52 \
 do=MemoryGrant(request_id='late', instance='d0', reader='p0') waiting=0 runs=5
 12.1 node-a time=2026-01-01 10:00:00,130 level=INFO event=decide request=late after=HoldTaken \
 do=ReadPrompt waited_ms=31
@@ -94,6 +94,7 @@
         assert code == 0 and "memory-full, without a planner" in text, text
         text, code = printed(str(file), request="late")
         assert code == 0 and "cause: waited for reading of the prompt" in text, text
+        assert "priority: 52" in text, text
         text, code = printed(str(file), request="late", json=True)
         assert code == 0 and '"waits_ms"' in text, text
         assert printed(str(file), request="nobody")[1] == EXIT_BAD_INPUT
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -9,6 +9,7 @@
 from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.choices import NodeChoice
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.planning import messages
 from saffronworks.forwarding.planning.client import MemoryClient, RunSize
 from saffronworks.forwarding.planning.service import MemoryPlanner
@@ -52,7 +53,9 @@
     table = RoutingTable(1, (), {"s": Service("s", 10, spec)})
     kernel, peers = Kernel(address, monotonic_ms), PeerService(address, Codec(messages))
     client = MemoryClient(address, monotonic_ms() - age_ms)
-    planner = MemoryPlanner(directory, lambda: table, lambda: client.choice.cores, address)
+    planner = MemoryPlanner(
+        directory, lambda: table, lambda: client.choice.cores, address, Figures(address)
+    )
     kernel.register(peers)
     kernel.register(planner, messages.MemoryAsk, messages.MemoryRelease, messages.MemoryReport)
     kernel.register(
--- a/saffronworks/tests/features/steps/priorities_steps.py
+++ b/saffronworks/tests/features/steps/priorities_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on the order of waiters by priority, and on plans of one priority."""
 
 import copy
+from unittest.mock import Mock
 
 from behave import given, then
 from hypothesis import given as forall
@@ -8,16 +9,22 @@
 from hypothesis import strategies as st
 from memory_steps import START_MS, ask, granted, refused, warm_plan
 
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.planning import core, messages
 from saffronworks.forwarding.planning.order import Waiter, WaiterOrder
+from saffronworks.forwarding.planning.plans import Reply
 from saffronworks.forwarding.planning.reserves import AskRates, Reserve
 from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.planning.service import MemoryPlanner
 from saffronworks.forwarding.planning.tuning import (
     DECIDE_AFTER_MS,
     HEARD_MS,
     MOST_PASSES,
     PLAN_EVERY_MS,
 )
+from saffronworks.metrics import ForwardingMetrics
+from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.plan_reference import without_priorities
 
 DECODERS = {"d0": "z", "d1": "z"}
@@ -358,3 +365,42 @@
         assert waiter("a", priority, 0).priority == min(max(priority, 0), 99)
 
     check()
+
+
+@given("a planner that serves an urgent caller and rejects one of the bulk")
+def planner_of_both(context):
+    context.figures = Figures("n")
+    planner = MemoryPlanner(Directory(), lambda: None, lambda: (), "n1", context.figures)
+    plan, decoders = plan_with_room([4000, 20_000, 4000, 4000])
+    plan.service, planner.plans = "s", {"s": plan}
+    core.step(plan, ask("small", 3000, 1, priority=URGENT), {"d0": "z"}, START_MS)
+    replies = [
+        Reply("n1", messages.MemoryGrant("small", "d0"), URGENT),
+        Reply("n1", messages.MemoryRefusal("bulk", 2400), BULK),
+    ]
+    ask_bulk(plan, decoders)
+    with LogLines("saffronworks.forwarding.planning.service") as context.lines:
+        for reply in replies:
+            planner._send(Mock(now_ms=lambda: START_MS), reply, plan)
+
+
+@then("its lines and gauges tell by priority who waits, was granted and was rejected")
+def told_by_priority(context):
+    """Guards operators against a plan whose order and reserve leave no trace."""
+    line = context.lines[-1]
+    for pair in ("priority=52", "waiting_by_priority=50:1,52:1", "granted=50:1", "rejected=52:1"):
+        assert pair in line.split(), (pair, line)
+    assert "kept=50:1" in line.split(), line
+    planned = {
+        dict(labels)["priority"]: dict(labels)["outcome"]
+        for name, labels in context.figures.counts
+        if name == "saffronworks_planned"
+    }
+    assert planned == {"50": "granted", "52": "rejected"}
+    waiting = context.figures.read_levels("saffronworks_plan_waiting")
+    assert [(value, dict(labels)["priority"]) for value, labels in waiting] == [
+        (1, "50"),
+        (1, "52"),
+    ]
+    page = ForwardingMetrics(context.figures).render().decode()
+    assert "saffronworks_plan_endpoints_kept" in page and "saffronworks_planned_total" in page
--- a/saffronworks/tests/features/steps/starts_steps.py
+++ b/saffronworks/tests/features/steps/starts_steps.py
@@ -15,6 +15,7 @@
     Heard,
     ServiceEndpoint,
 )
+from saffronworks.forwarding.figures import Figures
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.planning import messages
 from saffronworks.forwarding.planning.plans import PlanState
@@ -271,7 +272,7 @@
 
 
 def planner_of(directory):
-    planner = MemoryPlanner(directory, lambda: None, lambda: (), "127.0.0.1:9")
+    planner = MemoryPlanner(directory, lambda: None, lambda: (), "127.0.0.1:9", Figures("n"))
     planner.plans["s"] = PlanState(0, 90_000, 8)
     return planner, planner.plans["s"]
 
--- a/saffronworks/tests/plan_reference.py
+++ b/saffronworks/tests/plan_reference.py
@@ -36,7 +36,7 @@
             del state.waiters[waiter.ask.request_id]
             after_ms = _return_after_ms(state, per_s, now_ms)
             refusal = MemoryRefusal(waiter.ask.request_id, after_ms)
-            replies.append(Reply(waiter.ask.reply_to, refusal))
+            replies.append(Reply(waiter.ask.reply_to, refusal, waiter.priority))
             continue
         before += 1
         reading_at_ms += state.reading.turn_ms(waiter.ask.prompt_tokens, own_readers)
