Foresee the turns that the bound against starvation gives

A less urgent caller beside urgent asks beyond the capacity was rejected although the bound gives its class one place in nine: its turn was foreseen with these places for all waiters before it, the urgent ones as well.

The turn is now the earlier of that in order, with what the more urgent leave, and that by the bound, which counts the waiters of its own priority alone. With one priority the time is the same.

--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -1,6 +1,7 @@
 """Tells those whose turn is not foreseen in time when to return, and foresees that turn."""
 
 import math
+from collections import Counter
 
 from saffronworks.forwarding.planning.messages import MemoryRefusal
 from saffronworks.forwarding.planning.plans import PlanState, Reply, Waiter
@@ -46,7 +47,7 @@
     per_s, usable = ends_per_s(state), state.occupancies(decoders, now_ms)
     own_readers = state.own_readers(usable)
     reading_at_ms = now_ms + state.reading.wait_ms(own_readers, now_ms)
-    replies, before = [], 0
+    replies, before = [], Counter[int]()
     for waiter in state.order.forecast(state.waiters.values(), now_ms):
         fits = state.fit(waiter.ask, usable) is not None
         memory_at_ms = now_ms + (0.0 if fits else _wait_ms(state, waiter, before, per_s, now_ms))
@@ -57,7 +58,7 @@
             refusal = MemoryRefusal(waiter.ask.request_id, after_ms)
             replies.append(Reply(waiter.ask.reply_to, refusal, waiter.priority))
             continue
-        before += 1
+        before[waiter.priority] += 1
         reading_at_ms += state.reading.turn_ms(waiter.ask.prompt_tokens, own_readers)
     return replies
 
@@ -89,13 +90,24 @@
     return max(per_s - state.rates.per_s(priority, now_ms), per_s / (MOST_PASSES + 1))
 
 
-def _wait_ms(state: PlanState, waiter: Waiter, before: int, per_s: float, now_ms: int) -> float:
-    """How long until memory is free for it, when so many waiters are before it.
+def _wait_ms(
+    state: PlanState, waiter: Waiter, before: Counter[int], per_s: float, now_ms: int
+) -> float:
+    """How long until memory is free for it, when so many waiters of each priority are before it.
 
+    The bound against starvation gives a priority one place of so many, however often others ask.
+    With the places that it gets counted on for those before it of all priorities, 9 in 10 bulk
+    callers beside urgent ones at three times the capacity were rejected, of 1.4 a second that the
+    bound lets in.
     Once it is late, all who can be in time come before it: it gets nothing while more ask than
     there are places.
     """
-    wait_ms = 1000 * (before + 1) / _granted_per_s(state, waiter.priority, per_s, now_ms)
+    left_per_s = per_s
+    if state.rates.is_mixed(now_ms):
+        left_per_s -= state.rates.per_s(waiter.priority, now_ms)
+    in_order_ms = 1000 * (before.total() + 1) / left_per_s if left_per_s > 0 else math.inf
+    in_turn_ms = 1000 * (before[waiter.priority] + 1) * (MOST_PASSES + 1) / per_s
+    wait_ms = min(in_order_ms, max(in_turn_ms, 1000 * (before.total() + 1) / per_s))
     if now_ms + wait_ms <= waiter.in_time_until_ms or not state.rates.is_mixed(now_ms):
         return wait_ms
     overloaded = state.rates.per_s(math.inf, now_ms) >= per_s
--- a/saffronworks/tests/features/planner_load.feature
+++ b/saffronworks/tests/features/planner_load.feature
@@ -46,7 +46,8 @@
 
   Scenario: more urgent callers than the capacity beside bulk
     Given a load of urgent callers beyond the capacity beside bulk
-    Then an urgent class is served no less often than a less urgent one
+    Then a quarter of the bulk is served in time, as the bound against starvation lets in
+    And an urgent class is served no less often than a less urgent one
     And as much memory is used as without classes
     And a class gets places as long as somebody of it waits who can be in time
 
--- a/saffronworks/tests/features/steps/class_load_steps.py
+++ b/saffronworks/tests/features/steps/class_load_steps.py
@@ -96,6 +96,14 @@
     assert shares[0] >= shares[1] - 0.05, shares
 
 
+@then("a quarter of the bulk is served in time, as the bound against starvation lets in")
+def bulk_let_in(context):
+    """Guards against rejections of those whom the bound lets in: 8 in 100 were served in time."""
+    (_, bulk_class) = context.classes
+    share = share_within(context.loads, bulk_class, bulk_class.target_ms)
+    assert share >= 0.25, share
+
+
 @then("as much memory is used as without classes")
 def memory_used(context):
     used, before = utilisation(context.loads), utilisation(play_without(context.classes))
