--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -6,6 +6,8 @@
 nothing goes on without. `step(state, event, decoders, now_ms)` gives replies to entry nodes.
 """
 
+from itertools import islice
+
 import attrs
 
 from saffronworks.forwarding.planning.messages import (
@@ -22,6 +24,7 @@
 from saffronworks.forwarding.planning.plans import Message, Occupancies, PlanState, Reply, Waiter
 from saffronworks.forwarding.planning.refusals import refuse
 from saffronworks.forwarding.planning.runs import Run
+from saffronworks.forwarding.planning.speeds import is_plausible_pace
 from saffronworks.forwarding.planning.tuning import (
     FULL_MS,
     MOST_SLOWER,
@@ -61,8 +64,13 @@
         case MemoryAsk():
             if not state.whole(now_ms) and not state.hears(now_ms):
                 return [*replies, Reply(event.reply_to, MemoryDirect(event.request_id))]
+            repeated = event.request_id in state.waiters
             _enqueue(state, event, now_ms)
             replies.append(Reply(event.reply_to, MemoryQueued(event.request_id)))
+            # A repeated ask frees no memory. In a burst there are hundreds a second, and a look
+            # for places at each of them kept the planner busy for most of the time.
+            if repeated and state.whole(now_ms):
+                return replies
         case MemoryRelease():
             _release(state, event, now_ms)
         case MemoryReport():
@@ -153,7 +161,8 @@
     if run is not None:
         state.full_until_ms.pop(run.instance, None)
         state.lengths.learn(run.likely_tokens, event.length_tokens)
-    if event.answer_tokens and event.stream_ms:
+        state.speeds.learn_run(run.instance, event.answer_tokens, event.stream_ms, now_ms)
+    if is_plausible_pace(event.answer_tokens, event.stream_ms):
         seen = event.stream_ms / event.answer_tokens
         seen = min(seen, MOST_SLOWER * state.ms_per_token)
         state.ms_per_token += SAMPLE_WEIGHT * (seen - state.ms_per_token)
@@ -178,6 +187,7 @@
     planner see 40 where 6 were, and refuse callers while places were free.
     """
     state.reported_ms[report.reply_to] = now_ms
+    state.speeds.count_runs((run.instance for run in state.runs.values()), now_ms)
     listed = {run.request_id for run in report.runs}
     for request_id, run in list(state.runs.items()):
         may_cross = not run.listed and now_ms - run.began_ms < REPORT_LAPSE_MS
@@ -190,11 +200,20 @@
         if live.made_tokens and known.reader is not None:
             state.reading.uncount(live.request_id, known.reader)
         known.listed = True
-        known.made_tokens, known.made_ms = live.made_tokens, now_ms - live.quiet_ms
+        _take_progress(state, known, live, now_ms)
         if live.made_tokens and live.quiet_ms >= QUIET_RUN_MS:
             state.shuns.fail(live.instance, now_ms)
 
 
+def _take_progress(state: PlanState, run: Run, live: LiveRun, now_ms: int) -> None:
+    """What a run has made by now; what came since the report before tells its endpoint's speed."""
+    made_tokens, made_ms = max(0, live.made_tokens), now_ms - max(0, live.quiet_ms)
+    if run.made_tokens:
+        tokens, span_ms = made_tokens - run.made_tokens, made_ms - run.made_ms
+        state.speeds.learn_progress(run.instance, tokens, span_ms, now_ms)
+    run.made_tokens, run.made_ms = made_tokens, made_ms
+
+
 def _from_report(live: LiveRun, reply_to: str, now_ms: int) -> Run:
     return Run(
         live.instance,
@@ -225,7 +244,8 @@
         return []
     usable = state.occupancies(decoders, now_ms)
     replies = []
-    for waiter in state.ranked(now_ms)[:QUEUE_LOOK]:
+    offers = state.order.offers(state.waiters.values(), now_ms)
+    for waiter in islice(offers, QUEUE_LOOK):
         ask = waiter.ask
         decoders_read = state.reading.decoders_read(now_ms)
         instance = _find_place(state, ask, usable, decoders_read, now_ms)
@@ -245,11 +265,12 @@
             priority=ask.priority,
             organisation=ask.organisation,
         )
-        usable[instance].add(run.growth(state.lengths, state.ms_per_token, now_ms))
+        usable[instance].add(state.growth(run, now_ms))
         usable[instance].settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
         state.shares.note_grant(ask, now_ms)
+        state.order.note_grant(waiter, state.waiters.values(), now_ms)
         state.reading.count(ask.request_id, reader, ask.prompt_tokens, now_ms)
         replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader)))
     return replies
--- a/saffronworks/forwarding/planning/fair_shares.py
+++ b/saffronworks/forwarding/planning/fair_shares.py
@@ -130,9 +130,14 @@
                 decision = self._decision(ask, now_ms)
                 self.counts.note(self.counts.rejected, _claimant(ask), decision)
 
-    def take_summary(self, waiters: Mapping[str, _Waiting], now_ms: int) -> ShareSummary | None:
-        """What claimants got; None until it is time again, empty with one organisation."""
-        if not self.counts.due(now_ms):
+    def take_summary(
+        self, waiters: Mapping[str, _Waiting], now_ms: int, last: bool = False
+    ) -> ShareSummary | None:
+        """What claimants got; None until it is time again, empty with one organisation.
+
+        `last`: at once, since nothing runs or waits any more.
+        """
+        if not last and not self.counts.due(now_ms):
             return None
         waiting = Counter(_claimant(waiter.ask) for waiter in waiters.values())
         excesses = {(p, name): self.excess(name, p, now_ms) for p, name in waiting}
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -48,6 +48,7 @@
         own_address: str,
         figures: Figures | None = None,
     ):
+        self._figures = figures
         self.plans: dict[str, PlanState] = {}
         self._directory = directory
         self._table = table
@@ -55,6 +56,7 @@
         self._own_address = own_address
         self._figures = figures
         self._trimmed_revision = directory.revision
+        self._active = anyio.Event()
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Answer asks until cancelled."""
@@ -64,16 +66,22 @@
                 self._take(kernel, message.service, message)
 
     async def _tick(self, kernel: Kernel) -> None:
+        """Let time pass for plans with waiters or runs; a node that plans nothing sleeps."""
         while True:
+            await self._active.wait()
             await anyio.sleep(PLAN_EVERY_MS / 1000)
-            for service, plan in self.plans.items():
-                if plan.waiters or plan.runs:
-                    self._take(kernel, service, Tick())
-                self._report_shares(plan, kernel.now_ms())
-
-    def _report_shares(self, plan: PlanState, now_ms: int) -> None:
+            active = [service for service, plan in self.plans.items() if plan.waiters or plan.runs]
+            for service in active:
+                self._take(kernel, service, Tick())
+                self._report_shares(self.plans[service], kernel.now_ms())
+            if not active:
+                for plan in self.plans.values():
+                    self._report_shares(plan, kernel.now_ms(), last=True)
+                self._active = anyio.Event()
+
+    def _report_shares(self, plan: PlanState, now_ms: int, last: bool = False) -> None:
         """Log and count what organisations got, those that wait or were rejected most first."""
-        summary = plan.shares.take_summary(plan.waiters, now_ms)
+        summary = plan.shares.take_summary(plan.waiters, now_ms, last)
         if summary is None:
             return
         if self._figures is not None:
@@ -113,6 +121,9 @@
         for reply in replies:
             self._log_decision(kernel, reply, plan, decisions)
             self._send(kernel, reply)
+        self._tell_speeds(plan, now_ms)
+        if plan.waiters or plan.runs:
+            self._active.set()
         for instance, span_ms in plan.shuns.take_news():
             logger.info(
                 "event=endpoint_shunned service=%s endpoint=%s for_ms=%d after=%s endpoints_rev=%s",
@@ -123,6 +134,22 @@
                 self._directory.revision,
             )
 
+    def _tell_speeds(self, plan: PlanState, now_ms: int) -> None:
+        """Log the endpoints whose speed has changed by a step, a few lines a second at most."""
+        for news in plan.speeds.take_news(now_ms):
+            logger.info(
+                "event=endpoint_speed service=%s endpoint=%s factor=%.2f ms_per_token=%.3f "
+                "runs=%.1f load_slope=%.3f",
+                plan.service,
+                news.instance,
+                news.factor,
+                news.ms_per_token,
+                news.runs,
+                plan.speeds.load_slope,
+            )
+            if self._figures is not None:
+                self._figures.record_speed(plan.service, news.factor, news.ms_per_token)
+
     def _trim(self) -> None:
         """Forget what was learnt of endpoints that are gone, once the directory has changed."""
         if self._directory.revision == self._trimmed_revision:
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -61,10 +61,19 @@
         self._pace.record(pace_ms, labels)
 
 
-_COUNTERS = ("saffronworks_forwarded", "saffronworks_sends", "saffronworks_bad_entries")
+_COUNTERS = (
+    "saffronworks_forwarded",
+    "saffronworks_sends",
+    "saffronworks_bad_entries",
+    "saffronworks_speed_changes",
+)
 _SHARE_COUNTERS = ("saffronworks_shares_granted", "saffronworks_shares_rejected")
 _SHARE_GAUGES = ("saffronworks_shares_waiting", "saffronworks_shares_excess")
-_HISTOGRAMS = ("saffronworks_first_byte_ms", "saffronworks_answer_ms")
+_HISTOGRAMS = (
+    "saffronworks_first_byte_ms",
+    "saffronworks_answer_ms",
+    "saffronworks_thousand_tokens_ms",
+)
 
 
 class ForwardingMetrics:
--- a/saffronworks/tests/features/steps/fair_shares_steps.py
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -152,7 +152,9 @@
     asks = [make_ask(f"a{index}", ("large", "usual")[index % 2]) for index in range(20)]
     for ask in asks:
         core.step(plan, ask, DECODERS, START_MS + 1)
-    assert [w.ask.organisation for w in plan.ranked(START_MS + 60)[:2]] == ["usual", "usual"]
+    assert [
+        w.ask.organisation for w in plan.order.forecast(plan.waiters.values(), START_MS + 60)[:2]
+    ] == ["usual", "usual"]
     assert plan.shares.excess("large", 55, START_MS + 60) >= 1
 
 
