--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -22,6 +22,7 @@
     ReportWanted,
 )
 from saffronworks.forwarding.planning.plans import Message, Occupancies, PlanState, Reply, Waiter
+from saffronworks.forwarding.planning.priorities import clip_rank
 from saffronworks.forwarding.planning.refusals import refuse
 from saffronworks.forwarding.planning.runs import Run
 from saffronworks.forwarding.planning.speeds import is_plausible_pace
@@ -131,6 +132,7 @@
 
 def _learn_from_ask(state: PlanState, ask: MemoryAsk, now_ms: int) -> None:
     """What an ask says counts once, though it comes again while it waits."""
+    state.rates.note(clip_rank(ask.priority), now_ms)
     known_tokens = state.usual_tokens or float(ask.likely_tokens)
     state.usual_tokens = known_tokens + USUAL_WEIGHT * (ask.likely_tokens - known_tokens)
     for instance in ask.broken:
@@ -269,8 +271,8 @@
         usable[instance].settle()
         state.runs[ask.request_id] = run
         del state.waiters[ask.request_id]
-        state.shares.note_grant(ask, now_ms)
         state.order.note_grant(waiter, state.waiters.values(), now_ms)
+        state.shares.note_grant(ask, now_ms)
         state.reading.count(ask.request_id, reader, ask.prompt_tokens, now_ms)
         replies.append(Reply(ask.reply_to, MemoryGrant(ask.request_id, instance, reader)))
     return replies
--- a/saffronworks/forwarding/planning/order.py
+++ b/saffronworks/forwarding/planning/order.py
@@ -15,8 +15,8 @@
 
 __all__ = ["Excess", "Waiter", "WaiterOrder", "count_by_priority"]
 
-# How many shares an organisation of a priority has at a time; 0 below its own.
-Excess = Callable[[str, int, int], int]
+# By how many shares an organisation is beyond its own in a priority, at a time.
+Excess = Callable[[str, int, int], float]
 
 
 @attrs.define
@@ -57,8 +57,8 @@
     return dict(sorted(counts.items()))
 
 
-def _no_excess(organisation: str, priority: int, now_ms: int) -> int:
-    return 0
+def _no_excess(organisation: str, priority: int, now_ms: int) -> float:
+    return 0.0
 
 
 # The waiters of each priority in order; those that are empty are left out.
@@ -116,10 +116,9 @@
         return lines, late
 
     def _sort(self, waiters: Iterable[Waiter], now_ms: int) -> list[Waiter]:
-        def rank(waiter: Waiter) -> tuple[int, int, int]:
-            priority = waiter.priority
-            excess = self.excess(waiter.ask.organisation, priority, now_ms)
-            return priority, excess, waiter.ends_ms(now_ms)
+        def rank(waiter: Waiter) -> tuple[int, float, int]:
+            excess = self.excess(waiter.ask.organisation, waiter.priority, now_ms)
+            return waiter.priority, excess, waiter.ends_ms(now_ms)
 
         return sorted(waiters, key=rank)
 
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -16,6 +16,7 @@
 )
 from saffronworks.forwarding.planning.order import Waiter, WaiterOrder
 from saffronworks.forwarding.planning.reading import ReadingPlan
+from saffronworks.forwarding.planning.reserves import AskRates
 from saffronworks.forwarding.planning.runs import Occupancy, Run, projected_peak
 from saffronworks.forwarding.planning.shuns import ShunTable
 from saffronworks.forwarding.planning.speeds import EndpointSpeeds
@@ -63,21 +64,23 @@
     ms_per_token: float = MS_PER_TOKEN
     runs: dict[str, Run] = attrs.Factory(dict)
     waiters: dict[str, Waiter] = attrs.Factory(dict)
-    order: WaiterOrder = attrs.Factory(WaiterOrder)
+    rates: AskRates = attrs.Factory(AskRates)
     reported_ms: dict[str, int] = attrs.Factory(dict)
-    next_return_ms: float = 0.0
+    next_return_ms: dict[int, float] = attrs.Factory(dict)
     heard_ms: int = 0
     reading: ReadingPlan = attrs.Factory(ReadingPlan)
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     speeds: EndpointSpeeds = attrs.Factory(EndpointSpeeds)
     shuns: ShunTable = attrs.Factory(ShunTable)
     shares: FairShares = attrs.Factory(FairShares)
+    order: WaiterOrder = attrs.field(init=False)
     full_until_ms: dict[StartId, int] = attrs.Factory(dict)
     usual_tokens: float = 0.0
     nodes: Collection[str] = ()
 
-    def __attrs_post_init__(self) -> None:
-        self.order.excess = self.shares.excess
+    @order.default
+    def _order_by_shares(self) -> WaiterOrder:
+        return WaiterOrder(self.shares.excess)
 
     def whole(self, now_ms: int) -> bool:
         """Whether all runs are known: each node has told its own, or time enough has passed.
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -54,7 +54,6 @@
         self._table = table
         self._nodes = nodes
         self._own_address = own_address
-        self._figures = figures
         self._trimmed_revision = directory.revision
         self._active = anyio.Event()
 
--- a/saffronworks/metrics.py
+++ b/saffronworks/metrics.py
@@ -67,13 +67,13 @@
     "saffronworks_bad_entries",
     "saffronworks_speed_changes",
 )
-_SHARE_COUNTERS = ("saffronworks_shares_granted", "saffronworks_shares_rejected")
-_SHARE_GAUGES = ("saffronworks_shares_waiting", "saffronworks_shares_excess")
 _HISTOGRAMS = (
     "saffronworks_first_byte_ms",
     "saffronworks_answer_ms",
     "saffronworks_thousand_tokens_ms",
 )
+_SHARE_COUNTERS = ("saffronworks_shares_granted", "saffronworks_shares_rejected")
+_SHARE_GAUGES = ("saffronworks_shares_waiting", "saffronworks_shares_excess")
 
 
 class ForwardingMetrics:
--- a/saffronworks/tests/features/steps/fair_shares_steps.py
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -152,9 +152,8 @@
     asks = [make_ask(f"a{index}", ("large", "usual")[index % 2]) for index in range(20)]
     for ask in asks:
         core.step(plan, ask, DECODERS, START_MS + 1)
-    assert [
-        w.ask.organisation for w in plan.order.forecast(plan.waiters.values(), START_MS + 60)[:2]
-    ] == ["usual", "usual"]
+    offers = plan.order.offers(plan.waiters.values(), START_MS + 60)
+    assert [w.ask.organisation for w in offers][:2] == ["usual", "usual"]
     assert plan.shares.excess("large", 55, START_MS + 60) >= 1
 
 
@@ -304,6 +303,9 @@
     assert len(planner._figures.counts) <= 2 * 65 and len(planner._figures.gauges) <= 2 * 65
     waiting = [v for (name, _), v in planner._figures.gauges.items() if name.endswith("waiting")]
     assert sum(waiting) == len(context.waiters), sum(waiting)
+    plan.waiters = {}
+    planner._report_shares(plan, 10_020, last=True)
+    assert not any(planner._figures.gauges.values()), "a planner that sleeps left values"
 
 
 @then("the planner's line and saffronctl explain name the excess of its organisation")
