--- a/saffronworks/tests/features/steps/fair_shares_steps.py
+++ b/saffronworks/tests/features/steps/fair_shares_steps.py
@@ -305,6 +305,9 @@
         v for (name, _), v in planner._figures.share_levels.items() if name.endswith("waiting")
     ]
     assert sum(waiting) == len(context.waiters), sum(waiting)
+    plan.waiters = {}
+    planner._report_shares(plan, 10_020, last=True)
+    assert not any(planner._figures.gauges.values()), "a planner that sleeps left values"
 
 
 @then("the planner's line and saffronctl explain name the excess of its organisation")
