--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -38,7 +38,9 @@
         self._busy.setdefault(endpoint.instance, set()).add(connection)
         return connection
 
-    def _find_idle(self, endpoint: ServiceEndpoint, own_call: bool) -> EndpointConnection | None:
+    def _find_idle(
+        self, endpoint: ServiceEndpoint, own_call: bool = False
+    ) -> EndpointConnection | None:
         idle = self._idle.get(endpoint.instance, deque())
         passed_over: list[EndpointConnection] = []
         found = None
