--- a/saffronworks/forwarding/planning/order.py
+++ b/saffronworks/forwarding/planning/order.py
@@ -1,8 +1,4 @@
-"""Who gets the next place: the order of waiters, and the bound against starvation.
-
-A trial day of high load was worth 0.415 with the priority before the time left, and 0.382 without:
-the urgent route's 0.781 instead of 0.589, the bulk route's 0.585 instead of 0.597.
-"""
+"""Who gets the next place: the order of waiters, and the bound against starvation."""
 
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Iterator
@@ -42,10 +38,8 @@
     def ends_ms(self, now_ms: int) -> int:
         """When its time is up: that of the target, or of the caller's patience once it is late.
 
-        One who was refused early and returned when it was told takes its turn. Behind all who come
-        first, 31 in 100 of them were served within the target from their return, in their turn 87,
-        while those who come first fell from 79 to 75 in 100: of all callers 93 in 100 are served in
-        time from one of their tries, 84 before (four seconds of twice the load, `planner_load`).
+        One who was refused early and returned when it was told takes its turn: behind all who come
+        first, most of those who returned would be late once more.
         """
         return self.patient_until_ms if self.is_late(now_ms) else self.in_time_until_ms
 
--- a/saffronworks/forwarding/planning/refusals.py
+++ b/saffronworks/forwarding/planning/refusals.py
@@ -109,9 +109,9 @@
     """How long until memory is free for it, when so many waiters of each priority are before it.
 
     The bound against starvation gives a priority one place of so many, however often others ask.
-    With the places that it gets counted on for those before it of all priorities, 9 in 10 bulk
-    callers beside urgent ones at three times the capacity were rejected, of 1.4 a second that the
-    bound lets in.
+    Counted on for those before it of all priorities, its places would seem too late for nearly all
+    of it, and those that the bound lets in would be rejected as well.
+
     Once it is late, all who can be in time come before it: it gets nothing while more ask than
     there are places.
     """
--- a/saffronworks/forwarding/planning/reserves.py
+++ b/saffronworks/forwarding/planning/reserves.py
@@ -20,9 +20,8 @@
     """What one look at the waiters keeps from less urgent ones.
 
     `kept` are endpoints where a waiter of that priority is to get the next memory: it may need more
-    than others. While less urgent ones took whatever became free, 7 in 100 urgent callers beside
-    twice the capacity of bulk waited in vain, now 3, for as many of the bulk in time. Places kept
-    for urgent callers that are only expected left 5 in 100 of the memory idle (`planner_load`).
+    than others, and would wait in vain while they took whatever becomes free. Nothing is kept for
+    callers that are only expected: that left memory idle.
     """
 
     rates: AskRates
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -15,11 +15,10 @@
 # A sample that took so long weighs as much as one of the service, a shorter one in proportion.
 USUAL_RUN_MS = 3000
 # How many times as fast the average follows its samples as an endpoint's factor does: a change of
-# all endpoints must move the average, not the factors. Factors of equal engines under a burst were
-# off by 0.13 at most (as logarithms) with 1, 0.11 with 2 and 0.09 with 4 (`uneven_engines`).
+# all endpoints must move the average, not the factors.
 AVERAGE_WEIGHT = 4.0
 # Logarithm of the difference from the average below which endpoints count as equal; twice that
-# counts in full. Equal engines, noisy or not, stayed within 0.08 (`uneven_engines`, four seeds).
+# counts in full. Equal engines, noisy or not, stay within it.
 SPEED_BAND = 0.1
 # The effect of the number of runs on the time for a token: the weight of the assumption that there
 # is none (in squared runs), the decay of earlier samples, and the most that one run adds.
@@ -116,9 +115,8 @@
 # While several priorities are heard, a first rejection goes out after this share of the target, if
 # that is earlier than `DECIDE_AFTER_MS`.
 DECIDE_SHARE = 1 / 8
-# How much longer an overload is expected to last, of those of 3 to 10 s. Expected without end, 17
-# in 100 bulk callers of a burst of 6 s were rejected twice, and 80 in time in place of 88; with 3 s
-# 30 in 100 urgent callers beyond the capacity were rejected twice, with 2 s 3 (`planner_load`).
+# How much longer an overload is expected to last, of those of 3 to 10 s. Without an end, callers of
+# a short burst are rejected who would still be served.
 OVERLOAD_LASTS_MS = 2000
 # Endpoints that are kept for urgent waiters that fit nowhere yet, as a share of all.
 KEPT_SHARE = 0.25
