--- a/saffronworks/tests/connection_fakes.py
+++ b/saffronworks/tests/connection_fakes.py
@@ -11,6 +11,14 @@
 class Wire:
     """A transport that sends nowhere."""
 
+    reads = True
+
+    def pause_reading(self):
+        self.reads = False
+
+    def resume_reading(self):
+        self.reads = True
+
     def is_closing(self):
         return False
 
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -16,3 +16,7 @@
     When a request is answered without an id
     Then the connection is not used again
     And one on which a call of the router's own was refused serves such calls only
+
+  Scenario: a connection that is not read from
+    Then an endpoint that this node does not read from does not count as silent
+    And a connection that was left paused is read from again for the next request
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -1,9 +1,13 @@
 """Scenarios on one connection to an endpoint: what came belongs to whom; no sockets."""
 
+import asyncio
+
 import anyio
 from behave import then, when
 
+from saffronworks.forwarding.breaks import Break, BreakCause
 from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.tuning import MOST_BUFFERED_BYTES
 from saffronworks.tests.connection_fakes import connect, receive
 from saffronworks.tests.endpoint_plays import endpoints
 
@@ -87,3 +91,42 @@
         assert await pool.take(endpoint, own_call=True) is first
 
     anyio.run(play)
+
+
+@then("an endpoint that this node does not read from does not count as silent")
+def held_is_not_silent(context):
+    """Guards against streams that go on elsewhere because their own caller reads slowly."""
+
+    async def play():
+        connection = connect()
+        connection.send(b"", "r1")
+        connection.data_received(IN_CHUNKS)
+        connection.hold(True)
+        asyncio.get_running_loop().call_later(0.06, connection.data_received, b"3\r\nown\r\n")
+        assert await connection.next_chunk(timeout_ms=10) == b"own"
+        connection.hold(False)
+        try:
+            await connection.next_chunk(timeout_ms=10)
+        except Break as broken:
+            assert broken.cause is BreakCause.SILENT
+        else:
+            raise AssertionError("no break")
+
+    anyio.run(play)
+
+
+@then("a connection that was left paused is read from again for the next request")
+def paused_is_read_again(context):
+    """A whole answer above the bound, left unread, paused the connection for good."""
+
+    async def play():
+        connection = connect()
+        connection.send(b"", "r1")
+        size_bytes = MOST_BUFFERED_BYTES + 1
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: {size_bytes}\r\n\r\n"
+        connection.data_received(head.encode() + b"x" * size_bytes)
+        assert connection.finished and not connection._transport.reads
+        connection.send(b"", "r2")
+        assert connection._transport.reads
+
+    anyio.run(play)
