Give callers that read nothing answers larger than the kernel's buffers

The scenario hung once: loopback buffers of up to 37 MB took a whole answer of 8 MB, so its server never saw the caller go, and the idle readers waited for that without a limit. They now ask for 64 MB and wait for 12 s at most.

--- a/saffronworks/tests/features/steps/slow_readers_steps.py
+++ b/saffronworks/tests/features/steps/slow_readers_steps.py
@@ -111,7 +111,7 @@
         buffers = place.node._state.buffers
         context.bound_bytes = buffers._bound.bound_bytes
         address = place.callers
-        context.stuck = [Reader(address, f"n{n}", 8_000_000, part_bytes=0) for n in range(4)]
+        context.stuck = [Reader(address, f"n{n}", 64_000_000, part_bytes=0) for n in range(4)]
         context.slow = Reader(address, "slow", 2_000_000, part_bytes=16_384, pause_s=0.05)
         context.fast = Reader(address, "fast", 8_000_000)
         stuck_ids = {reader.request_id for reader in context.stuck}
--- a/saffronworks/tests/slow_readers.py
+++ b/saffronworks/tests/slow_readers.py
@@ -10,6 +10,8 @@
 CUT_AFTER_S = 8.0
 # Small, so that what a caller leaves unread stays with the node.
 CALLER_BUFFER_BYTES = 16_384
+# A caller that reads nothing is to be disconnected well before.
+MOST_IDLE_S = 12.0
 
 
 class LargeServer(FakeServer):
@@ -74,7 +76,8 @@
         sock.close()
 
     async def _read(self, loop, sock, until):
-        while not self._part_bytes and not until():
+        ends_s = loop.time() + MOST_IDLE_S
+        while not self._part_bytes and not until() and loop.time() < ends_s:
             await asyncio.sleep(0.05)
         while data := await loop.sock_recv(sock, self._part_bytes or PART_BYTES):
             self.received_bytes += len(data)
