--- a/saffronworks/tests/features/steps/priorities_steps.py
+++ b/saffronworks/tests/features/steps/priorities_steps.py
@@ -396,7 +396,7 @@
     ask_bulk(plan, decoders)
     with LogLines("saffronworks.forwarding.planning.service") as context.lines:
         for reply in replies:
-            planner._send(Mock(now_ms=lambda: START_MS), reply, plan)
+            planner._log_decision(Mock(now_ms=lambda: START_MS), reply, plan, {})
 
 
 @then("its lines and gauges tell by priority who waits, was granted and was rejected")
