--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -8,6 +8,7 @@
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.paths.table import PathTable
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
     CONNECT_TIMEOUT_MS,
@@ -28,6 +29,7 @@
         self._idle: dict[StartId, deque[EndpointConnection]] = {}
         self._busy: dict[StartId, set[EndpointConnection]] = {}
         self.max_idle = MAX_IDLE_CONNECTIONS
+        self.paths = PathTable()
 
     async def acquire(
         self, endpoint: ServiceEndpoint, control_call: bool = False
@@ -59,10 +61,26 @@
         return found
 
     async def _open(self, endpoint: ServiceEndpoint) -> EndpointConnection:
+        began_ms = monotonic_ms()
         try:
-            return await self._connect(endpoint)
-        except (OSError, TimeoutError):
+            connection = await self._connect(endpoint)
+        except (OSError, TimeoutError) as error:
+            self._note_failure(endpoint, error, began_ms)
             raise ExchangeError(ExchangeErrorCause.CONNECT, sent=False) from None
+        self.paths.record_reached(endpoint.instance, monotonic_ms())
+        return connection
+
+    def _note_failure(self, endpoint: ServiceEndpoint, error: Exception, began_ms: int) -> None:
+        now_ms = monotonic_ms()
+        logger.info(
+            "event=connect_failed endpoint=%s address=%s problem=%s took_ms=%d reached_ms_ago=%s",
+            endpoint.instance,
+            endpoint.address,
+            type(error).__name__,
+            now_ms - began_ms,
+            self.paths.reached_ms_ago(endpoint.instance, now_ms),
+        )
+        self.paths.record_failed(endpoint.instance, now_ms)
 
     async def _connect(self, endpoint: ServiceEndpoint) -> EndpointConnection:
         host, port = parse_address(endpoint.address)
@@ -97,6 +115,7 @@
         ):
             connection.close()
             return
+        self.paths.record_reached(endpoint.instance, monotonic_ms())
         # The oldest make room: connections only for control calls must not displace usable ones.
         while len(idle) >= self.max_idle:
             idle.popleft().close()
@@ -105,6 +124,7 @@
 
     def close_except(self, instances: set[StartId]) -> None:
         """Close idle connections except those to the given starts of endpoints."""
+        self.paths.forget_all_but(instances)
         for instance in [name for name in self._idle if name not in instances]:
             for connection in self._idle.pop(instance):
                 connection.close()
--- /dev/null
+++ b/saffronworks/forwarding/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Network paths from this node to endpoints."""
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -18,7 +18,7 @@
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
-from saffronworks.forwarding.figures import MetricsRecorder
+from saffronworks.forwarding.figures import Level, MetricsRecorder
 from saffronworks.forwarding.followers import Follower
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.identity import Authenticator
@@ -159,6 +159,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, INITIAL_NODE_COUNT
         )
         figures = MetricsRecorder(settings.node)
+        figures.register_gauge("saffronworks_endpoints", self._endpoint_levels)
         return NodeState(
             zone=settings.zone,
             directory=self._directory,
@@ -177,6 +178,10 @@
             buffers=AnswerBuffers(buffer_bound(settings.memory_bytes), figures, monotonic_ms),
         )
 
+    def _endpoint_levels(self) -> list[Level]:
+        counts = self._calls.pool.paths.count_recent(monotonic_ms())
+        return [Level(count, {"path": path}) for path, count in counts.items()]
+
     def _receives_updates(self) -> bool:
         """Return whether this node may rely on other nodes for updates of the store."""
         return self._forwarder.table is not None and self._news.follows_peers()
