--- a/deploy/day_files.py
+++ b/deploy/day_files.py
@@ -152,6 +152,16 @@
         DayEvent("shed-most", "srv_grey", 'share = 0.6, x = 0.5, for_s = 8.0, how = "shed"'),
         DayEvent("burst", "burst", "x = 2.0, for_s = 8.0"),
     ),
+    # Most machines lose their paths to all servers.
+    "endpoint-partition": (
+        DayEvent("lose-paths", "srv_cut", 'share = 1.0, x = 0.6, for_s = 7.0, how = "some"'),
+    ),
+    "endpoint-partition-faults": (
+        DayEvent("lose-paths", "srv_cut", 'share = 1.0, x = 0.8, for_s = 7.0, how = "some"'),
+        DayEvent("kill", "node_kill", "share = 0.2"),
+        DayEvent("release-half", "release", "share = 0.5, x = 1.0, gap_s = 1.0", planned=True),
+        DayEvent("store-away", "platform_down", 'for_s = 4.0, how = "silent"'),
+    ),
 }
 ORGANISATION_DAYS = 6
 MIXED_DAYS = 8
--- a/saffronworks/forwarding/census.py
+++ b/saffronworks/forwarding/census.py
@@ -43,19 +43,27 @@
 
 @attrs.frozen
 class NodeInfo:
-    """Cores and zone of a node; `zone` is empty if an older version registered it."""
+    """Cores and zone of a node, and the port on which it relays requests.
+
+    `zone` is empty and `relay_port` 0 if an older version registered it.
+    """
 
     cores: float
     zone: str = ""
+    relay_port: int = 0
 
 
 @attrs.frozen
 class _Entry:
-    """Entry of a node in the store: its peer address (`IP:port`), processor cores and zone."""
+    """Entry of a node in the store: its peer address (`IP:port`), processor cores and zone.
+
+    `relay_port` is on the same IP address, 0 if the node relays no requests.
+    """
 
     address: str
     cores: Annotated[float, msgspec.Meta(gt=0, le=MAX_CORES)] = 1.0
     zone: str = ""
+    relay_port: Annotated[int, msgspec.Meta(ge=0, lt=2**16)] = 0
 
 
 class Census:
@@ -77,10 +85,11 @@
         epoch: StoreEpoch,
         now_ms: Callable[[], int],
         take: Callable[[dict[str, NodeInfo]], None],
+        relay_port: int = 0,
     ):
         epoch.subscribe(self._note_restore)
         self._node = node
-        self._entry = _Entry(address, cores, zone)
+        self._entry = _Entry(address, cores, zone, relay_port)
         self._store = store
         self._rng = rng
         self._take = take
@@ -162,7 +171,9 @@
             return
         read = [self._read(item) for item in reply.ok_value.objects]
         listed = {
-            entry.address: NodeInfo(entry.cores, entry.zone) for entry in read if entry is not None
+            entry.address: NodeInfo(entry.cores, entry.zone, entry.relay_port)
+            for entry in read
+            if entry is not None
         }
         kept = self._known if self._now_ms() < self._keep_missing_until_ms else {}
         nodes = kept | listed
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -15,6 +15,7 @@
 import httptools
 from result import Ok
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.tuning import (
@@ -23,6 +24,7 @@
     MOST_BUFFERED_BYTES,
     USER_TIMEOUT_MS,
 )
+from saffronworks.sockets import unacknowledged_bytes
 
 __all__ = ["EndpointConnection", "ResponseHead"]
 
@@ -73,6 +75,11 @@
         # If true, only the router's own control calls may follow; their requests carry no id.
         self.control_calls_only = False
         self.uses = 0
+        self.sent_ms = 0
+        # Address of the node that this connection leads to, if that node relays the request.
+        self.relayed_by: str | None = None
+        # False if only a close ended the endpoint's answer, which that node has framed.
+        self.framed_by_endpoint = True
 
     # asyncio's callbacks
 
@@ -233,7 +240,7 @@
         Raises ExchangeError if the connection is already lost.
         """
         if self._loss_cause is not None or self._transport is None or self._transport.is_closing():
-            raise ExchangeError(ExchangeErrorCause.CLOSED, sent=False)
+            raise self._error(ExchangeErrorCause.CLOSED, sent=False)
         self._parser = httptools.HttpResponseParser(self)
         if self._awaited_id is not None:
             self._previous_id = self._awaited_id
@@ -241,12 +248,14 @@
         self._bodiless = bodiless
         self._head = None
         self._complete = self._discarding = self.framed = False
+        self.framed_by_endpoint = True
         self._chunks.clear()
         self.buffered_bytes = 0
         # An answer that was not read to its end may have left the connection paused.
         self._buffer_full = self._paused_by_bound = False
         self._update_reading()
         self.uses += 1
+        self.sent_ms = monotonic_ms()
         self._transport.write(data)
 
     async def head(self, timeout_ms: float) -> ResponseHead:
@@ -255,10 +264,10 @@
             async with asyncio.timeout(timeout_ms / 1000):
                 while self._head is None:
                     if self._loss_cause is not None:
-                        raise ExchangeError(self._loss_cause, sent=True)
+                        raise self._error(self._loss_cause)
                     await self._wait()
         except TimeoutError:
-            raise ExchangeError(ExchangeErrorCause.SILENT, sent=True) from None
+            raise self._error(ExchangeErrorCause.SILENT) from None
         return self._head
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
@@ -271,7 +280,7 @@
                 return None
             # While reading is paused, the endpoint is not the cause of the silence.
             if not self._paused_by_bound:
-                raise ExchangeError(ExchangeErrorCause.SILENT, sent=True)
+                raise self._error(ExchangeErrorCause.SILENT)
         data = b"".join(self._chunks)
         self._chunks.clear()
         self.buffered_bytes = 0
@@ -285,7 +294,7 @@
             async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
                 while not self._chunks and not self._complete:
                     if self._loss_cause is not None:
-                        raise ExchangeError(self._loss_cause, sent=True)
+                        raise self._error(self._loss_cause)
                     await self._wait()
         return bool(self._chunks)
 
@@ -296,14 +305,30 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    def _error(self, cause: ExchangeErrorCause, sent: bool = True) -> ExchangeError:
+        return ExchangeError(cause, sent, self.relayed_by)
+
     async def _wait(self) -> None:
         self._changed.clear()
         await self._changed.wait()
 
     @property
     def finished(self) -> bool:
-        """Return whether the exchange is complete and another one may follow."""
-        return self._complete and self.reusable and self._loss_cause is None
+        """Return whether an exchange may follow: the last one, if any, is complete."""
+        complete = self._complete or not self.uses
+        return complete and self.reusable and self._loss_cause is None
+
+    @property
+    def answering(self) -> bool:
+        """Return whether the head of the answer has arrived, or the connection is lost."""
+        return self._head is not None or self._loss_cause is not None
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes of the request that the endpoint's machine has not acknowledged."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return unacknowledged_bytes(self._transport.get_extra_info("socket"))
 
     def abort_exchange(self, cause: ExchangeErrorCause) -> None:
         """Abort an exchange whose endpoint will not answer any more."""
--- a/saffronworks/forwarding/exchange_errors.py
+++ b/saffronworks/forwarding/exchange_errors.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["ExchangeError", "ExchangeErrorCause"]
+__all__ = ["ExchangeError", "ExchangeErrorCause", "FaultSite"]
 
 
 class ExchangeErrorCause(enum.StrEnum):
@@ -21,16 +21,30 @@
     WITHHELD = "withheld"
 
 
+class FaultSite(enum.StrEnum):
+    """Where an exchange failed."""
+
+    ENDPOINT = "endpoint"
+    # On this node's network path, or at the node that relayed the request.
+    PATH = "path"
+    # No other node could be asked.
+    UNKNOWN = "unknown"
+
+
 _UNREACHABLE = frozenset([ExchangeErrorCause.CONNECT, ExchangeErrorCause.UNREACHABLE])
 
 
 class ExchangeError(Exception):
-    """An exchange has failed; `sent` is whether the endpoint may have received the request."""
+    """An exchange has failed; `sent` is whether the endpoint may have received the request.
+
+    `relayed_by` is the address of the node that relayed it, None for a direct connection.
+    """
 
-    def __init__(self, cause: ExchangeErrorCause, sent: bool):
+    def __init__(self, cause: ExchangeErrorCause, sent: bool, relayed_by: str | None = None):
         super().__init__(cause.value)
         self.cause = cause
         self.sent = sent
+        self.relayed_by = relayed_by
 
     @property
     def withheld(self) -> bool:
--- /dev/null
+++ b/saffronworks/forwarding/paths/connector.py
@@ -0,0 +1,164 @@
+"""Opens connections to endpoints, directly or through a node that reaches them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.connections import EndpointConnection
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.paths.direct import DirectConnections
+from saffronworks.forwarding.paths.peer_calls import PeerCalls, PeerReach
+from saffronworks.forwarding.paths.table import Dial, PathTable
+from saffronworks.forwarding.paths.tuning import RELAY_AFTER_MS
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["Connector"]
+
+_Opened = EndpointConnection | None
+_OpenTask = asyncio.Task[_Opened]
+
+
+class Connector:
+    """Gives callers' requests a connection over which their endpoint is reached."""
+
+    def __init__(
+        self,
+        table: PathTable,
+        direct: DirectConnections,
+        peers: PeerCalls,
+        now_ms: Callable[[], int],
+    ):
+        self._table = table
+        self._direct = direct
+        self._peers = peers
+        self._now_ms = now_ms
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def pool(self) -> ConnectionPool:
+        """The direct connections to endpoints."""
+        return self._direct.pool
+
+    async def acquire(
+        self, endpoint: ServiceEndpoint, control_call: bool = False
+    ) -> EndpointConnection:
+        """Return a connection; raises ExchangeError if neither way reaches the endpoint.
+
+        `relayed_by` of the connection names the node that it leads through, if any.
+        """
+        dial = self._table.dial(endpoint.instance, self._now_ms())
+        if dial.relay_after_ms is None or not self._peers.choice.peers:
+            return await self.acquire_direct(endpoint, control_call, dial.timeout_ms)
+        if dial.reuse:
+            idle = self.pool.acquire_idle(endpoint, control_call)
+            if idle is not None:
+                return idle
+        return _require(await self._race(endpoint, dial))
+
+    async def acquire_direct(
+        self, endpoint: ServiceEndpoint, control_call: bool, timeout_ms: float
+    ) -> EndpointConnection:
+        """Return a direct connection; raises ExchangeError if there is none in time."""
+        idle = self.pool.acquire_idle(endpoint, control_call)
+        return idle or _require(await self._open_direct(endpoint, timeout_ms))
+
+    def release(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
+        """Keep a connection whose exchange is complete; close any other."""
+        if connection.relayed_by is None:
+            self._direct.release(endpoint, connection)
+        else:
+            self._peers.release(connection)
+
+    async def _open_direct(self, endpoint: ServiceEndpoint, timeout_ms: float) -> _Opened:
+        opened = await self._direct.open(endpoint, timeout_ms)
+        return opened if isinstance(opened, EndpointConnection) else None
+
+    async def _race(self, endpoint: ServiceEndpoint, dial: Dial) -> _Opened:
+        """Connect directly and through another node, and return the first that succeeds.
+
+        The other attempt goes on in the background, as its result tells the state of the path.
+        """
+        began_ms = self._now_ms()
+        attempts: list[_OpenTask] = []
+        try:
+            if dial.direct:
+                attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
+                await asyncio.wait(attempts, timeout=(dial.relay_after_ms or 0) / 1000)
+                if attempts[0].done() and (opened := attempts[0].result()) is not None:
+                    return self._take(attempts, opened)
+            attempts.append(self._start(self._open_relay(endpoint.instance)))
+            opened = await _first_opened(attempts)
+            if opened is None and not dial.direct:
+                attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
+                opened = await attempts[-1]
+            if opened is not None and opened.relayed_by is not None and dial.direct:
+                judge = self._judge(endpoint.instance, attempts[0], opened.relayed_by, began_ms)
+                self._start(judge)
+            return self._take(attempts, opened)
+        finally:
+            for attempt in attempts:
+                attempt.add_done_callback(lambda done: self._keep(endpoint, done))
+
+    def _take(self, attempts: list[_OpenTask], opened: _Opened) -> _Opened:
+        """Give a connection to the caller: it is not kept as idle with those of the others."""
+        attempts[:] = [one for one in attempts if not one.done() or one.result() is not opened]
+        return opened
+
+    def _keep(self, endpoint: ServiceEndpoint, attempt: _OpenTask) -> None:
+        """Keep a connection that no request needs any more."""
+        if attempt.cancelled() or attempt.exception() is not None:
+            return
+        if (opened := attempt.result()) is not None:
+            self.release(endpoint, opened)
+
+    async def _open_relay(self, instance: StartId) -> _Opened:
+        """Return a connection to a node that reaches the endpoint, None if there is none."""
+        found = await self._peers.find_reaching(instance)
+        if found.reached_by is None:
+            self.record_unreached(instance, found)
+            return None
+        try:
+            return await self._peers.open(found.reached_by)
+        except ExchangeError:
+            self._peers.choice.avoid(found.reached_by, self._now_ms())
+            return None
+
+    def record_unreached(self, instance: StartId, found: PeerReach) -> None:
+        """Record which nodes don't reach an endpoint either."""
+        for peer in found.unreached_by:
+            self._table.record_unreached_by(instance, peer, self._now_ms(), found.asked_all)
+        self._direct.log_changes()
+
+    async def _judge(self, instance: StartId, direct: _OpenTask, peer: str, began_ms: int) -> None:
+        """Mark the path as cut if the direct attempt fails or takes too long."""
+        left_ms = began_ms + RELAY_AFTER_MS - self._now_ms()
+        done, _ = await asyncio.wait([direct], timeout=max(0, left_ms) / 1000)
+        if done and direct.result() is not None:
+            return
+        self._table.record_relayed(instance, peer, self._now_ms())
+        self._direct.log_changes()
+
+    def _start(self, attempt: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(attempt)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _require(opened: _Opened) -> EndpointConnection:
+    if opened is None:
+        raise ExchangeError(ExchangeErrorCause.CONNECT, sent=False)
+    return opened
+
+
+async def _first_opened(attempts: list[_OpenTask]) -> _Opened:
+    """Return the connection of the first attempt that succeeds, None if all fail."""
+    pending = set(attempts)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for attempt in done:
+            if (opened := attempt.result()) is not None:
+                return opened
+    return None
--- /dev/null
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -0,0 +1,243 @@
+"""Calls to other nodes that relay requests to endpoints."""
+
+import asyncio
+import logging
+import random
+from collections import deque
+from collections.abc import Callable, Collection
+
+import attrs
+from result import Err
+
+from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.paths.messages import (
+    RELAY_FIELD,
+    RELAY_PATH,
+    Reach,
+    RelayReply,
+    RelayRequest,
+    decode_reply,
+    encode,
+)
+from saffronworks.forwarding.paths.peers import PeerChoice, RelayPeer
+from saffronworks.forwarding.paths.tuning import (
+    MAX_VAIN_ASKS_PER_S,
+    PEER_TIMEOUT_MS,
+    PEERS_PER_CHECK,
+    UNREACHED_MAX_MS,
+    UNREACHED_MS,
+)
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["PeerCalls", "PeerReach", "read_relay_reply"]
+
+logger = logging.getLogger(__name__)
+
+# Rounds in which other nodes are asked about one endpoint.
+MAX_ROUNDS = 3
+
+
+@attrs.frozen
+class PeerReach:
+    """What other nodes said of an endpoint: one that reaches it, and those that don't.
+
+    `asked_all`: no other node is left to ask.
+    """
+
+    reached_by: str | None = None
+    unreached_by: tuple[str, ...] = ()
+    asked_all: bool = False
+
+
+@attrs.frozen
+class _Unreached:
+    """A negative answer that holds until `until_ms`, for `span_ms`."""
+
+    found: PeerReach
+    until_ms: int
+    span_ms: int
+
+
+class PeerCalls:
+    """Asks other nodes which endpoints they reach, and opens connections to them."""
+
+    def __init__(
+        self,
+        choice: PeerChoice,
+        pool: ConnectionPool,
+        rng: random.Random,
+        now_ms: Callable[[], int],
+    ):
+        self.choice = choice
+        self.pool = pool
+        self._rng = rng
+        self._now_ms = now_ms
+        self._unreached: dict[StartId, _Unreached] = {}
+        self._vain_asks_ms: deque[int] = deque(maxlen=MAX_VAIN_ASKS_PER_S)
+        self._asking: dict[StartId, asyncio.Task[PeerReach]] = {}
+        self._calls: set[asyncio.Task[tuple[RelayPeer, RelayReply]]] = set()
+
+    async def find_reaching(self, instance: StartId) -> PeerReach:
+        """Return a node that reaches the endpoint; callers at the same time share the calls."""
+        confirmed = self.choice.confirmed(instance, self._now_ms(), self._rng)
+        if confirmed is not None:
+            return PeerReach(confirmed.address)
+        known = self._unreached.get(instance)
+        if known is not None and self._now_ms() < known.until_ms:
+            return known.found
+        if not self._may_ask():
+            return PeerReach()
+        task = self._asking.get(instance)
+        if task is None:
+            task = asyncio.create_task(self._ask_rounds(instance))
+            self._asking[instance] = task
+            task.add_done_callback(lambda _: self._asking.pop(instance, None))
+        return await asyncio.shield(task)
+
+    async def _ask_rounds(self, instance: StartId) -> PeerReach:
+        asked: set[str] = set()
+        unreached: list[str] = []
+        hints: list[str] = []
+        for _ in range(MAX_ROUNDS):
+            peers = self._next_peers(asked, hints)
+            if not peers:
+                break
+            asked |= {peer.address for peer in peers}
+            calls = [self._start_call(peer, instance) for peer in peers]
+            reached = await self._first_reaching(calls, unreached, hints)
+            if reached is not None:
+                return PeerReach(reached, tuple(unreached))
+        asked_all = self.choice.peers.keys() <= asked
+        return self._record_unreached(instance, PeerReach(None, tuple(unreached), asked_all))
+
+    def _record_unreached(self, instance: StartId, found: PeerReach) -> PeerReach:
+        """Keep a negative answer for a while, so that not each request asks again."""
+        now_ms, known = self._now_ms(), self._unreached.get(instance)
+        again = known is not None and now_ms < known.until_ms + known.span_ms
+        doubled_ms = 2 * known.span_ms if known and again else UNREACHED_MS
+        span_ms = min(doubled_ms, UNREACHED_MAX_MS)
+        self._unreached[instance] = _Unreached(found, now_ms + span_ms, span_ms)
+        self._vain_asks_ms.append(now_ms)
+        return found
+
+    def _may_ask(self) -> bool:
+        vain = self._vain_asks_ms
+        return len(vain) < MAX_VAIN_ASKS_PER_S or self._now_ms() >= vain[0] + 1000
+
+    def known_reaching(self, instance: StartId) -> str | None:
+        """Return a node that reached the endpoint recently, without asking any."""
+        confirmed = self.choice.confirmed(instance, self._now_ms(), self._rng)
+        return confirmed.address if confirmed is not None else None
+
+    def forget_all_but(self, instances: Collection[StartId]) -> None:
+        """Drop the state of endpoints that are not in `instances`."""
+        self.choice.forget_all_but(instances)
+        for instance in self._unreached.keys() - set(instances):
+            del self._unreached[instance]
+
+    def _start_call(
+        self, peer: RelayPeer, instance: StartId
+    ) -> asyncio.Task[tuple[RelayPeer, RelayReply]]:
+        task = asyncio.create_task(self._ask(peer, instance))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+        return task
+
+    def _next_peers(self, asked: Collection[str], hints: list[str]) -> list[RelayPeer]:
+        """Return the nodes to ask next, first those that others have named."""
+        named = [self.choice.peers[one] for one in hints if one in self.choice.peers]
+        named = [peer for peer in named if peer.address not in asked][:1]
+        tried = {*asked, *(peer.address for peer in named)}
+        count = PEERS_PER_CHECK - len(named)
+        return named + self.choice.candidates(tried, count, self._now_ms(), self._rng)
+
+    async def _first_reaching(
+        self,
+        calls: list[asyncio.Task[tuple[RelayPeer, RelayReply]]],
+        unreached: list[str],
+        hints: list[str],
+    ) -> str | None:
+        """Return the first node that reaches the endpoint; note the other answers."""
+        for next_call in asyncio.as_completed(calls):
+            peer, reply = await next_call
+            if reply.reach is Reach.YES:
+                return peer.address
+            if reply.reach is Reach.NO:
+                unreached.append(peer.address)
+            if reply.ask:
+                hints.append(reply.ask)
+        return None
+
+    async def _ask(self, peer: RelayPeer, instance: StartId) -> tuple[RelayPeer, RelayReply]:
+        """Ask one node; one that doesn't answer is avoided."""
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_MS / 1000):
+                reply = await self._check(peer, instance)
+        except (ExchangeError, TimeoutError) as error:
+            logger.info(
+                "event=peer_check_failed peer=%s endpoint=%s problem=%r",
+                peer.address,
+                instance,
+                str(error),
+            )
+            self.choice.avoid(peer.address, self._now_ms())
+            return peer, RelayReply()
+        if reply.reach is Reach.YES:
+            self.choice.record_reaches(peer.address, instance, self._now_ms())
+        else:
+            self.choice.record_unreached(peer.address, instance)
+        return peer, reply
+
+    async def _check(self, peer: RelayPeer, instance: StartId) -> RelayReply:
+        connection = await self.open(peer.address)
+        text = encode(RelayRequest(instance, check=True))
+        lines = [f"GET {RELAY_PATH} HTTP/1.1", f"{RELAY_FIELD}: {text}", f"Host: {peer.address}"]
+        try:
+            connection.send("\r\n".join([*lines, "", ""]).encode("latin-1"), None)
+            head = await connection.head(PEER_TIMEOUT_MS)
+            await connection.body(PEER_TIMEOUT_MS)
+        finally:
+            self.release(connection)
+        return read_relay_reply(head)
+
+    async def open(self, address: str) -> EndpointConnection:
+        """Return a connection to a node; raises ExchangeError. `release` must follow."""
+        endpoint = _as_endpoint(address)
+        connection = self.pool.acquire_idle(endpoint, control_call=True)
+        try:
+            connection = connection or await self.pool.open(endpoint, PEER_TIMEOUT_MS)
+        except OSError:
+            raise ExchangeError(
+                ExchangeErrorCause.CONNECT, sent=False, relayed_by=address
+            ) from None
+        connection.relayed_by = address
+        self.choice.begin(address)
+        return connection
+
+    def drop(self, address: str) -> None:
+        """Avoid a node that failed a request, and close the idle connections to it."""
+        self.choice.avoid(address, self._now_ms())
+        self.pool.close_idle(_as_endpoint(address).instance)
+
+    def release(self, connection: EndpointConnection) -> None:
+        """Keep or close a connection to a node."""
+        assert connection.relayed_by is not None
+        self.choice.end(connection.relayed_by)
+        self.pool.release(_as_endpoint(connection.relayed_by), connection)
+
+
+def _as_endpoint(address: str) -> ServiceEndpoint:
+    return ServiceEndpoint(address, "", address, "")
+
+
+def read_relay_reply(head: ResponseHead) -> RelayReply:
+    """Remove the relaying node's own field from an answer and return its value."""
+    if not head.fields or head.fields[0][0].lower() != RELAY_FIELD:
+        return RelayReply(failure="no-relay-field", sent=True)
+    reply = decode_reply(head.fields.pop(0)[1])
+    if isinstance(reply, Err):
+        return RelayReply(failure="bad-relay-field", sent=True)
+    return reply.ok_value
--- /dev/null
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -0,0 +1,204 @@
+"""Passes requests of other nodes on to endpoints that those nodes don't reach."""
+
+import logging
+from collections.abc import Callable
+
+import anyio
+from result import Err
+
+from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.paths.messages import (
+    RELAY_FIELD,
+    Reach,
+    RelayReply,
+    RelayRequest,
+    decode_request,
+    encode,
+)
+from saffronworks.forwarding.paths.service import PathService
+from saffronworks.forwarding.paths.table import PathState
+from saffronworks.forwarding.paths.tuning import MAX_RELAYED_REQUESTS, REACHED_RECENTLY_MS
+from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
+from saffronworks.web import BadBody, Call
+
+__all__ = ["RelayServer"]
+
+logger = logging.getLogger(__name__)
+
+# Fields that concern only the connection they arrive on.
+_HOP_BY_HOP = frozenset(
+    [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+_BAD_GATEWAY = 502
+
+
+class RelayServer:
+    """Answers the relay requests of other nodes. A relayed request is never relayed again."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        paths: PathService,
+        calls: RelayCalls,
+        max_body_bytes: Callable[[], int],
+        now_ms: Callable[[], int],
+    ):
+        self.open_requests = 0
+        self._directory = directory
+        self._paths = paths
+        self._calls = calls
+        self._max_body_bytes = max_body_bytes
+        self._now_ms = now_ms
+
+    async def handle(self, call: Call) -> None:
+        """Answer one request of another node."""
+        request = _read(call)
+        if request is None:
+            await call.reply(400, {"error": f"the first field must be {RELAY_FIELD}"})
+            return
+        endpoint = self._directory.endpoints.get(request.endpoint)
+        if request.check:
+            await self._answer_check(call, endpoint)
+        elif endpoint is None:
+            await self._refuse(call, "unknown-endpoint")
+        elif self.open_requests >= MAX_RELAYED_REQUESTS:
+            await self._refuse(call, "busy")
+        else:
+            await self._relay_while_wanted(call, request, endpoint)
+
+    async def _answer_check(self, call: Call, endpoint: ServiceEndpoint | None) -> None:
+        reply = RelayReply() if endpoint is None else await self._find_reach(endpoint)
+        await _reply(call, 200, reply)
+
+    async def _find_reach(self, endpoint: ServiceEndpoint) -> RelayReply:
+        if self.open_requests >= MAX_RELAYED_REQUESTS:
+            return RelayReply()
+        table, now_ms = self._paths.table, self._now_ms()
+        if table.was_reached(endpoint.instance, REACHED_RECENTLY_MS, now_ms):
+            return RelayReply(reach=Reach.YES)
+        if table.state(endpoint.instance, now_ms) is PathState.RELAYED:
+            return RelayReply(ask=self._paths.peers.known_reaching(endpoint.instance) or "")
+        if await self._paths.connects(endpoint):
+            return RelayReply(reach=Reach.YES)
+        reaches_others = table.reached_any(self._now_ms())
+        return RelayReply(reach=Reach.NO if reaches_others else Reach.UNKNOWN)
+
+    async def _refuse(
+        self, call: Call, failure: str, sent: bool = False, request_id: str | None = None
+    ) -> None:
+        logger.info(
+            "event=relay_refused request=%s reason=%s sent=%s open=%d",
+            request_id,
+            failure,
+            sent,
+            self.open_requests,
+        )
+        await _reply(call, _BAD_GATEWAY, RelayReply(failure=failure, sent=sent))
+
+    async def _relay_while_wanted(
+        self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint
+    ) -> None:
+        """Relay a request until it is answered or the other node has closed its connection."""
+        try:
+            body = await call.body(self._max_body_bytes())
+        except BadBody:
+            await self._refuse(call, "body-too-large", request_id=request.request_id)
+            return
+        self.open_requests += 1
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_cancel_on_disconnect, call, tasks.cancel_scope)
+                await self._relay(call, request, endpoint, body)
+                tasks.cancel_scope.cancel()
+        finally:
+            self.open_requests -= 1
+
+    async def _relay(
+        self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint, body: bytes
+    ) -> None:
+        began_ms = self._now_ms()
+        relayed = RelayedRequest(
+            method=call.method,
+            target=call.raw_path + (f"?{call.query}" if call.query else ""),
+            fields=tuple(field for field in call.fields if field[0].lower() not in _HOP_BY_HOP),
+            body=body,
+            request_id=request.request_id,
+            arrived_ms=began_ms - request.age_ms,
+            reserved=request.reserved,
+            control_call=request.control_call,
+            cancels=request.cancels,
+            left_ms=request.left_ms,
+        )
+        try:
+            connection = await self._calls.start_relayed(endpoint, relayed)
+        except ExchangeError as broken:
+            await self._refuse(call, broken.cause.value, broken.sent, relayed.request_id)
+            return
+        try:
+            await self._pass_on(call, connection, relayed, endpoint)
+        except ExchangeError as broken:
+            if call.started:
+                call.cut()
+            else:
+                await self._refuse(call, broken.cause.value, broken.sent, relayed.request_id)
+        finally:
+            self._paths.connector.release(endpoint, connection)
+        logger.info(
+            "event=relay_ended request=%s endpoint=%s peer=%s took_ms=%d complete=%s",
+            relayed.request_id,
+            endpoint.instance,
+            call.peer,
+            self._now_ms() - began_ms,
+            connection.finished,
+        )
+
+    async def _pass_on(
+        self,
+        call: Call,
+        connection: EndpointConnection,
+        relayed: RelayedRequest,
+        endpoint: ServiceEndpoint,
+    ) -> None:
+        """Pass an answer on as it arrives; raises ExchangeError if it breaks off."""
+        head = await self._calls.read_relayed_head(endpoint, connection, relayed)
+        await call.start_fields(head.status, _reply_fields(head, connection.framed))
+        while (chunk := await connection.next_chunk()) is not None:
+            await call.write(chunk)
+        await call.write(b"", more=False)
+
+
+def _read(call: Call) -> RelayRequest | None:
+    """Remove the relay field, which comes first, from a request and return its value."""
+    if not call.fields or call.fields[0][0].lower() != RELAY_FIELD:
+        return None
+    decoded = decode_request(call.fields.pop(0)[1])
+    if isinstance(decoded, Err):
+        logger.warning("event=bad_relay_request peer=%s problem=%r", call.peer, decoded.err_value)
+        return None
+    return decoded.ok_value
+
+
+async def _reply(call: Call, status: int, reply: RelayReply) -> None:
+    await call.start_fields(status, [(RELAY_FIELD, encode(reply)), ("content-length", "0")])
+    await call.write(b"", more=False)
+
+
+def _reply_fields(head: ResponseHead, framed: bool) -> list[tuple[str, str]]:
+    fields = [(key, value) for key, value in head.fields if key.lower() not in _HOP_BY_HOP]
+    return [(RELAY_FIELD, encode(RelayReply(framed=framed))), *fields]
+
+
+async def _cancel_on_disconnect(call: Call, scope: anyio.CancelScope) -> None:
+    await call.wait_gone()
+    scope.cancel()
--- /dev/null
+++ b/saffronworks/forwarding/paths/service.py
@@ -0,0 +1,301 @@
+"""Checks the paths to endpoints, and decides whether a failure is an endpoint's or a path's."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import anyio
+
+from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
+from saffronworks.forwarding.figures import Level
+from saffronworks.forwarding.paths.connector import Connector
+from saffronworks.forwarding.paths.direct import DirectConnections
+from saffronworks.forwarding.paths.peer_calls import PeerCalls, read_relay_reply
+from saffronworks.forwarding.paths.peers import PeerChoice
+from saffronworks.forwarding.paths.table import PathState, PathTable
+from saffronworks.forwarding.paths.tuning import (
+    ASK_PEERS_AFTER_MS,
+    CHECK_ROUND_MS,
+    CHECK_TIMEOUT_MS,
+    REACHED_RECENTLY_MS,
+    UNACKNOWLEDGED_MS,
+    UNANSWERED_MS,
+)
+from saffronworks.forwarding.starts import StartId
+
+__all__ = ["PathService", "make_paths"]
+
+logger = logging.getLogger(__name__)
+
+# Failures that a cut path can cause.
+_PATH_CAUSES = frozenset(
+    [
+        ExchangeErrorCause.CONNECT,
+        ExchangeErrorCause.SILENT,
+        ExchangeErrorCause.CLOSED,
+        ExchangeErrorCause.RESET,
+        ExchangeErrorCause.UNREACHABLE,
+    ]
+)
+# Failures of a relayed exchange that the relaying node may have caused.
+_PEER_CAUSES = _PATH_CAUSES - {ExchangeErrorCause.SILENT}
+# Causes by the name under which a relaying node reports them; its other reasons have none.
+_CAUSES = {cause.value: cause for cause in ExchangeErrorCause}
+_SITES = {
+    PathState.DIRECT: FaultSite.ENDPOINT,
+    PathState.SUSPECT: FaultSite.UNKNOWN,
+    PathState.RELAYED: FaultSite.PATH,
+    PathState.DOWN: FaultSite.ENDPOINT,
+}
+
+
+class PathService:
+    """Owns the path table of a node."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        direct: DirectConnections,
+        peers: PeerCalls,
+        table: PathTable,
+        now_ms: Callable[[], int],
+    ):
+        self.table = table
+        self.connector = Connector(table, direct, peers, now_ms)
+        self.peers = peers
+        self._directory = directory
+        self._direct = direct
+        self._now_ms = now_ms
+        self._checks: dict[StartId, asyncio.Task[OSError | None]] = {}
+        self._probes: dict[StartId, asyncio.Task[bool]] = {}
+        self._partitioned = False
+
+    async def run(self) -> None:
+        """Check the paths that are not used, until cancelled."""
+        while True:
+            await anyio.sleep(CHECK_ROUND_MS / 1000)
+            if not self.table.has_checks and not self._partitioned:
+                continue
+            for instance in self.table.due_checks(self._now_ms()):
+                endpoint = self._directory.endpoints.get(instance)
+                if endpoint is not None:
+                    self._start_check(endpoint)
+            self._log_partition()
+
+    def _log_partition(self) -> None:
+        partitioned = self.is_partitioned()
+        if partitioned == self._partitioned:
+            return
+        self._partitioned = partitioned
+        counts = self.table.count_states(self._now_ms())
+        logger.warning(
+            "event=%s direct=%d suspect=%d relayed=%d down=%d peers=%d",
+            "node_partitioned" if partitioned else "node_reconnected",
+            counts["direct"],
+            counts["suspect"],
+            counts["relayed"],
+            counts["down"],
+            len(self.peers.choice.peers),
+        )
+
+    def is_partitioned(self) -> bool:
+        """Return whether this node reaches no endpoint, though others do."""
+        return self.table.is_partitioned(self._now_ms())
+
+    def is_path_proven(self, instance: StartId, within_ms: int) -> bool:
+        """Return whether the silence of an endpoint for `within_ms` is its own.
+
+        Either this node has reached it since, or other nodes don't reach it either. If neither is
+        known, the path is checked, so that a later call knows more.
+        """
+        now_ms = self._now_ms()
+        state = self.table.state(instance, now_ms)
+        if within_ms < UNANSWERED_MS or state is PathState.DOWN:
+            return True
+        if self.table.was_reached(instance, within_ms, now_ms):
+            return state is PathState.DIRECT
+        endpoint = self._directory.endpoints.get(instance)
+        if endpoint is not None and self.table.wants_answer_check(instance, False, now_ms):
+            self._start_check(endpoint)
+        return False
+
+    def levels(self) -> list[Level]:
+        """Return the number of endpoints by the state of their paths, for the metrics page."""
+        counts = self.table.count_states(self._now_ms())
+        return [Level(count, {"path": state}) for state, count in counts.items()]
+
+    def forget_all_but(self, instances: set[StartId]) -> None:
+        """Drop the state of endpoints that are not in `instances`."""
+        self.table.forget_all_but(instances)
+        self.peers.forget_all_but(instances)
+
+    # Checks.
+
+    def _watch_answer(
+        self, endpoint: ServiceEndpoint, connection: EndpointConnection
+    ) -> Callable[[], None]:
+        """Check the path if no answer begins soon; returns a function that ends the watch."""
+        loop = asyncio.get_running_loop()
+        timers = [
+            loop.call_later(after_ms / 1000, self._check_unanswered, endpoint, connection)
+            for after_ms in (UNACKNOWLEDGED_MS, UNANSWERED_MS)
+        ]
+
+        def end() -> None:
+            for timer in timers:
+                timer.cancel()
+
+        return end
+
+    async def read_head(
+        self, endpoint: ServiceEndpoint, connection: EndpointConnection, timeout_ms: float
+    ) -> ResponseHead:
+        """Return the head of the endpoint's answer; raises ExchangeError.
+
+        If another node relays the request, its own field is removed from the answer.
+        """
+        end_watch = self._watch_answer(endpoint, connection)
+        try:
+            head = await connection.head(timeout_ms)
+        finally:
+            end_watch()
+        peer = connection.relayed_by
+        if peer is None:
+            return head
+        reply = read_relay_reply(head)
+        if reply.failure:
+            self.peers.choice.record_unreached(peer, endpoint.instance)
+            cause = _CAUSES.get(reply.failure, ExchangeErrorCause.CONNECT)
+            raise ExchangeError(cause, reply.sent, peer)
+        connection.framed_by_endpoint = reply.framed
+        self.peers.choice.record_reaches(peer, endpoint.instance, self._now_ms())
+        return head
+
+    def _check_unanswered(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
+        if connection.answering:
+            return
+        acknowledged = not connection.unacknowledged_bytes
+        now_ms = self._now_ms()
+        if connection.relayed_by is not None:
+            if not acknowledged:
+                self.peers.drop(connection.relayed_by)
+            return
+        if acknowledged and now_ms - connection.sent_ms < UNANSWERED_MS:
+            return
+        if self.table.wants_answer_check(endpoint.instance, acknowledged, now_ms):
+            self._start_check(endpoint)
+
+    def _start_check(self, endpoint: ServiceEndpoint) -> asyncio.Task[OSError | None]:
+        """Check a path; at the same time at most once."""
+        task = self._checks.get(endpoint.instance)
+        if task is None:
+            task = asyncio.create_task(self._check(endpoint))
+            self._checks[endpoint.instance] = task
+            task.add_done_callback(lambda _: self._checks.pop(endpoint.instance, None))
+        return task
+
+    async def _check(self, endpoint: ServiceEndpoint) -> OSError | None:
+        """Connect directly, and ask other nodes if that takes long; returns the problem."""
+        instance = endpoint.instance
+        attempt = asyncio.create_task(self._direct.open(endpoint, CHECK_TIMEOUT_MS, check=True))
+        await asyncio.wait([attempt], timeout=ASK_PEERS_AFTER_MS / 1000)
+        asking = None
+        if not attempt.done():
+            asking = asyncio.create_task(self.peers.find_reaching(instance))
+        opened = await attempt
+        if isinstance(opened, EndpointConnection):
+            self._direct.release(endpoint, opened)
+            return None
+        found = await (asking or self.peers.find_reaching(instance))
+        if found.reached_by is not None:
+            self.table.record_relayed(instance, found.reached_by, self._now_ms())
+            self._direct.log_changes()
+        else:
+            self.connector.record_unreached(instance, found)
+        return opened
+
+    async def connects(self, endpoint: ServiceEndpoint) -> bool:
+        """Return whether a direct connection succeeds, for another node that asks.
+
+        A failure does not change the state of the path: otherwise this node would ask others in
+        turn, and each endpoint that ends would be asked for by the whole fleet.
+        """
+        task = self._probes.get(endpoint.instance)
+        if task is None:
+            task = asyncio.create_task(self._probe(endpoint))
+            self._probes[endpoint.instance] = task
+            task.add_done_callback(lambda _: self._probes.pop(endpoint.instance, None))
+        return await asyncio.shield(task)
+
+    async def _probe(self, endpoint: ServiceEndpoint) -> bool:
+        opened = await self._direct.open(
+            endpoint, CHECK_TIMEOUT_MS, check=True, record_failure=False
+        )
+        if isinstance(opened, EndpointConnection):
+            self._direct.release(endpoint, opened)
+            return True
+        return False
+
+    async def find_site(self, endpoint: ServiceEndpoint, broken: ExchangeError) -> FaultSite:
+        """Return whether the endpoint failed, or the path to it.
+
+        The failure of an endpoint counts against it at all nodes, that of a path must not.
+        """
+        if broken.cause not in _PATH_CAUSES:
+            return FaultSite.ENDPOINT
+        if broken.relayed_by is not None:
+            return self._find_relayed_site(broken, broken.relayed_by)
+        if not self.peers.choice.peers:
+            return FaultSite.ENDPOINT
+        instance = endpoint.instance
+        state = self.table.state(instance, self._now_ms())
+        checked = broken.cause is ExchangeErrorCause.CONNECT or self._was_just_opened(instance)
+        if not checked and state in (PathState.DIRECT, PathState.SUSPECT):
+            await asyncio.shield(self._start_check(endpoint))
+            state = self.table.state(instance, self._now_ms())
+        return _SITES[state]
+
+    def _find_relayed_site(self, broken: ExchangeError, peer: str) -> FaultSite:
+        if broken.cause not in _PEER_CAUSES:
+            return FaultSite.ENDPOINT
+        self.peers.drop(peer)
+        return FaultSite.PATH
+
+    def _was_just_opened(self, instance: StartId) -> bool:
+        return self.table.was_opened(instance, REACHED_RECENTLY_MS, self._now_ms())
+
+    async def listens(self, endpoint: ServiceEndpoint) -> bool | None:
+        """Return whether an endpoint accepts connections, from this node or from another one.
+
+        None if nothing replies, or if this node's path may be cut.
+        """
+        problem = await asyncio.shield(self._start_check(endpoint))
+        if problem is None:
+            return True
+        state = self.table.state(endpoint.instance, self._now_ms())
+        if state is PathState.RELAYED:
+            return True
+        known = state is PathState.DOWN or not self.peers.choice.peers
+        refused = isinstance(problem, (ConnectionRefusedError, ConnectionResetError))
+        return False if known and refused else None
+
+
+def make_paths(
+    directory: Directory,
+    id_field: str,
+    zone: str,
+    rng: random.Random,
+    now_ms: Callable[[], int],
+) -> PathService:
+    """Return the path service of a node in an availability zone, without peers so far.
+
+    `id_field` is the header field in which endpoints echo the id of a request.
+    """
+    table = PathTable()
+    direct = DirectConnections(ConnectionPool(id_field), table, now_ms)
+    peers = PeerCalls(PeerChoice(zone), ConnectionPool(id_field), rng, now_ms)
+    return PathService(directory, direct, peers, table, now_ms)
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -6,8 +6,9 @@
 from result import Result
 
 from saffronworks.endpoint_roles import Role
-from saffronworks.forwarding.connections import EndpointConnection
+from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -27,6 +28,8 @@
     "Listing",
     "ObjectStore",
     "ObjectStoreFailure",
+    "RelayCalls",
+    "RelayedRequest",
     "StoredObject",
 ]
 
@@ -122,7 +125,13 @@
 
 
 class EndpointCalls(Protocol):
-    """Calls to endpoints. All raise ExchangeError if the exchange ends without an answer."""
+    """Calls to endpoints. All raise ExchangeError if the exchange ends without an answer.
+
+    An endpoint that this node doesn't reach is called through another node that does.
+    """
+
+    async def find_fault_site(self, endpoint: ServiceEndpoint, broken: ExchangeError) -> FaultSite:
+        """Return whether the endpoint caused a failure, or the path to it."""
 
     async def send(
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
@@ -174,6 +183,40 @@
         """Order an endpoint to change its role, with the fencing token `fence`."""
 
 
+@attrs.frozen
+class RelayedRequest:
+    """A request for an endpoint that another node doesn't reach, in the endpoint's own form.
+
+    `arrived_ms` is the time at which the caller's request arrived, by this node's clock. See
+    `RelayRequest` for the other fields.
+    """
+
+    method: str
+    target: str
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str | None
+    arrived_ms: int
+    reserved: bool
+    control_call: bool
+    cancels: bool
+    left_ms: int
+
+
+class RelayCalls(Protocol):
+    """Sends requests of other nodes to endpoints. Both raise ExchangeError."""
+
+    async def start_relayed(
+        self, endpoint: ServiceEndpoint, relayed: RelayedRequest
+    ) -> EndpointConnection:
+        """Send a request over a direct connection, unless the endpoint accepts none now."""
+
+    async def read_relayed_head(
+        self, endpoint: ServiceEndpoint, connection: EndpointConnection, relayed: RelayedRequest
+    ) -> ResponseHead:
+        """Return the status and headers of its answer."""
+
+
 class AnswerBody(Protocol):
     """The body of an answer whose status and headers were sent."""
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -13,7 +13,7 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
-from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -22,8 +22,13 @@
     KvHold,
     NotExecuted,
 )
+from saffronworks.forwarding.paths.messages import RELAY_FIELD, RelayRequest, encode
+from saffronworks.forwarding.paths.service import PathService
+from saffronworks.forwarding.paths.tuning import CHECK_TIMEOUT_MS
+from saffronworks.forwarding.ports import RelayedRequest
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
+    CONNECT_TIMEOUT_MS,
 )
 from saffronworks.platform.answer_fields import (
     ID_FIELD,
@@ -97,13 +102,13 @@
 
     def __init__(
         self,
-        pool: ConnectionPool,
+        paths: PathService,
         endpoint: ServiceEndpoint,
         connection: EndpointConnection,
         answers: _AnswerReader,
     ):
         self.connection = connection
-        self._pool = pool
+        self._paths = paths
         self._endpoint = endpoint
         self._answers = answers
         self._sent_ms = monotonic_ms()
@@ -111,11 +116,11 @@
     @property
     def framed(self) -> bool:
         """False if only the end of the connection ends the answer: no length, no chunks."""
-        return self.connection.framed
+        return self.connection.framed and self.connection.framed_by_endpoint
 
     async def head(self, timeout_ms: float) -> AnswerHead:
         """Read the status and the headers of the answer; raises ExchangeError."""
-        raw = await self.connection.head(timeout_ms)
+        raw = await self._paths.read_head(self._endpoint, self.connection, timeout_ms)
         advertisement = self._answers.read(self._endpoint, raw, self._sent_ms)
         head = _decode_head(raw)
         if advertisement is not None and advertisement.pause_ms:
@@ -128,17 +133,26 @@
 
     def end(self) -> None:
         """Return the connection to the pool, or close it if the answer is incomplete."""
-        self._pool.release(self._endpoint, self.connection)
+        self._paths.connector.release(self._endpoint, self.connection)
 
 
 class PlatformCalls:
     """Implements the calls to endpoints in the platform's protocol."""
 
-    def __init__(self, eligibility: EndpointEligibility) -> None:
-        self.pool = ConnectionPool(ID_FIELD)
+    def __init__(self, eligibility: EndpointEligibility, paths: PathService) -> None:
+        self.paths = paths
         self._eligibility = eligibility
         self._answers = _AnswerReader(eligibility)
 
+    @property
+    def pool(self) -> ConnectionPool:
+        """The direct connections to servers."""
+        return self.paths.connector.pool
+
+    async def find_fault_site(self, endpoint: ServiceEndpoint, broken: ExchangeError) -> FaultSite:
+        """Return whether the server caused a failure, or the path to it."""
+        return await self.paths.find_site(endpoint, broken)
+
     async def send(
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
     ) -> PlatformExchange:
@@ -216,19 +230,22 @@
 
     async def listens(self, endpoint: ServiceEndpoint) -> bool | None:
         """Return whether the address accepts connections, None if there is no reply at all."""
-        return await self.pool.listens(endpoint)
+        return await self.paths.listens(endpoint)
 
     async def order_role(
         self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int
     ) -> Result[None, NotExecuted]:
-        """Order a server to change its role; `fence` is the fencing token of `holder`."""
+        """Order a server to change its role; `fence` is the fencing token of `holder`.
+
+        Orders are never relayed: servers take those of two machines for orders of two holders.
+        """
         body = {
             "operation": "stage",
             "stage": role.value,
             "holder": holder,
             "fencing_token": fence,
         }
-        status, _ = await self._call(endpoint, "POST", "/saffronworks/order", body)
+        status, _ = await self._call(endpoint, "POST", "/saffronworks/order", body, relayable=False)
         return Ok(None) if status in _ORDER_ACCEPTED else Err(NotExecuted(f"status {status}"))
 
     async def _start(
@@ -239,10 +256,20 @@
         extra: list[tuple[str, str]],
         reserved: bool = False,
     ) -> PlatformExchange:
-        data = _encode_request(endpoint, request, left_ms, extra)
+        began_ms = monotonic_ms()
         connection = await self._connect(endpoint, request, reserved)
+        left_ms = max(1, left_ms - (monotonic_ms() - began_ms))
+        relay = RelayRequest(
+            endpoint.instance,
+            request_id=request.request_id,
+            age_ms=monotonic_ms() - request.arrived_ms,
+            reserved=reserved,
+            left_ms=left_ms,
+        )
+        lines = _request_lines(endpoint, request, left_ms, extra)
+        data = _join(_add_relay(lines, connection, relay), request.body)
         connection.send(data, request.request_id, bodiless=request.method == "HEAD")
-        return PlatformExchange(self.pool, endpoint, connection, self._answers)
+        return PlatformExchange(self.paths, endpoint, connection, self._answers)
 
     async def _connect(
         self,
@@ -252,14 +279,51 @@
         control_call: bool = False,
     ) -> EndpointConnection:
         """Return a connection if the endpoint still accepts this request; raises ExchangeError."""
-        connection = await self.pool.acquire(endpoint, control_call)
+        connection = await self.paths.connector.acquire(endpoint, control_call)
         try:
             self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id, reserved)
         except ExchangeError:
-            self.pool.release(endpoint, connection)
+            self.paths.connector.release(endpoint, connection)
             raise
+        if connection.relayed_by is not None:
+            logger.info(
+                "event=request_relayed request=%s endpoint=%s peer=%s control_call=%s",
+                request.request_id,
+                endpoint.instance,
+                connection.relayed_by,
+                control_call,
+            )
         return connection
 
+    async def start_relayed(
+        self, endpoint: ServiceEndpoint, relayed: RelayedRequest
+    ) -> EndpointConnection:
+        """Send a request of another node over a direct connection; raises ExchangeError."""
+        connection = await self.paths.connector.acquire_direct(
+            endpoint, relayed.control_call, CHECK_TIMEOUT_MS
+        )
+        try:
+            if not relayed.cancels:
+                self._eligibility.check_send(
+                    endpoint, relayed.arrived_ms, relayed.request_id or "", relayed.reserved
+                )
+            lines = [f"{relayed.method} {relayed.target} HTTP/1.1"]
+            lines += [f"{key}: {value}" for key, value in relayed.fields]
+            data = _join(lines, relayed.body)
+            connection.send(data, relayed.request_id, bodiless=relayed.method == "HEAD")
+        except ExchangeError:
+            self.paths.connector.release(endpoint, connection)
+            raise
+        return connection
+
+    async def read_relayed_head(
+        self, endpoint: ServiceEndpoint, connection: EndpointConnection, relayed: RelayedRequest
+    ) -> ResponseHead:
+        """Read the status and headers of the answer to `start_relayed`; raises ExchangeError."""
+        raw = await self.paths.read_head(endpoint, connection, relayed.left_ms)
+        self._answers.read(endpoint, raw, connection.sent_ms, not relayed.control_call)
+        return raw
+
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
             status, _ = await self._call(endpoint, "DELETE", path, None)
@@ -280,12 +344,14 @@
         path: str,
         body: object,
         request: CallerRequest | None = None,
+        relayable: bool = True,
     ) -> tuple[int, bytes]:
         """Send one of the node's own calls; returns status and body, raises ExchangeError.
 
         `request` is the caller's request that the call belongs to. It is None for calls that
         release reservations and KV caches or order a role.
         """
+        connector = self.paths.connector
         content = b"" if body is None else msgspec.json.encode(body)
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -295,28 +361,37 @@
         ]
         if content:
             lines.append("Content-Type: application/json")
-        if request is None:
-            connection = await self.pool.acquire(endpoint, control_call=True)
-        else:
+        if request is not None:
             connection = await self._connect(endpoint, request, control_call=True)
+        elif relayable:
+            connection = await connector.acquire(endpoint, control_call=True)
+        else:
+            connection = await connector.acquire_direct(endpoint, True, CONNECT_TIMEOUT_MS)
         sent_ms = monotonic_ms()
+        relay = RelayRequest(
+            endpoint.instance,
+            age_ms=sent_ms - request.arrived_ms if request else 0,
+            control_call=True,
+            cancels=request is None,
+            left_ms=CALL_TIMEOUT_MS,
+        )
         try:
-            connection.send(_join(lines, content), None)
-            head = await connection.head(CALL_TIMEOUT_MS)
+            connection.send(_join(_add_relay(lines, connection, relay), content), None)
+            head = await self.paths.read_head(endpoint, connection, CALL_TIMEOUT_MS)
             reply = await connection.body(CALL_TIMEOUT_MS)
         finally:
-            self.pool.release(endpoint, connection)
+            connector.release(endpoint, connection)
         # Only answers to requests can end a rate limit.
         self._answers.read(endpoint, head, sent_ms, is_request=False)
         return head.status, reply
 
 
-def _encode_request(
+def _request_lines(
     endpoint: ServiceEndpoint,
     request: CallerRequest,
     left_ms: int,
     extra: list[tuple[str, str]],
-) -> bytes:
+) -> list[str]:
     replaced = {name.lower() for name, _ in extra}
     lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
     lines += [f"{key}: {value}" for key, value in request.headers if key.lower() not in replaced]
@@ -328,7 +403,14 @@
         lines.append(f"{_TENANT_FIELD}: {request.organisation.name}")
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(f"Content-Length: {len(request.body)}")
-    return _join(lines, request.body)
+    return lines
+
+
+def _add_relay(lines: list[str], connection: EndpointConnection, relay: RelayRequest) -> list[str]:
+    """Add the field for the node that relays the request, if any, before all other fields."""
+    if connection.relayed_by is None:
+        return lines
+    return [lines[0], f"{RELAY_FIELD}: {encode(relay)}", *lines[1:]]
 
 
 def _join(lines: list[str], content: bytes) -> bytes:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -24,6 +24,9 @@
 from saffronworks.forwarding.identity import Authenticator
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.node_order import NodeOrder
+from saffronworks.forwarding.paths.peers import RelayPeer
+from saffronworks.forwarding.paths.relay_server import RelayServer
+from saffronworks.forwarding.paths.service import make_paths
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.planning.service import MemoryPlanner
@@ -43,6 +46,7 @@
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
 from saffronworks.kernel import Kernel
 from saffronworks.peers import PeerService
+from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.platform.calls import PlatformCalls
 from saffronworks.platform.configuration import CONFIG_KIND, ConfigurationSink
 from saffronworks.platform.ingress import Ingress
@@ -51,7 +55,7 @@
 from saffronworks.platform.settings import PlatformSettings
 from saffronworks.platform.settings_watch import SettingsWatch
 from saffronworks.platform.store import PlatformStore
-from saffronworks.web import Call, HttpServer, bind
+from saffronworks.web import Call, HttpServer, bind, parse_address
 from saffronworks.wire import Codec
 
 __all__ = ["PlatformNode"]
@@ -92,7 +96,8 @@
         self._eligibility = EndpointEligibility(
             self._directory, self._limits, settings.drain_ms, monotonic_ms
         )
-        self._calls = PlatformCalls(self._eligibility)
+        self._paths = make_paths(self._directory, ID_FIELD, settings.zone, rng, monotonic_ms)
+        self._calls = PlatformCalls(self._eligibility, self._paths)
         self._turns = NodeOrder(settings.peer_address)
         self._memory = MemoryClient(settings.peer_address, monotonic_ms())
         self._news = NewsFeed(
@@ -144,6 +149,7 @@
             self._store_epoch,
             monotonic_ms,
             self._apply_census,
+            relay_port=parse_address(settings.relay_address)[1] if settings.relay_address else 0,
         )
         self._roles = self._make_roles(settings)
         grace_s = max(1, (settings.stop_grace_ms - DEREGISTRATION_MS - EXIT_MARGIN_MS) // 1000)
@@ -151,6 +157,7 @@
         callers = bind(settings.caller_address, send_buffer)
         self._callers = HttpServer(callers, self._ingress.handle, grace_s)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
+        self._relays = self._make_relay_server(settings)
         self._metrics_page = MetricsPage(self._state.figures)
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
@@ -159,7 +166,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, INITIAL_NODE_COUNT
         )
         figures = MetricsRecorder(settings.node)
-        figures.register_gauge("saffronworks_endpoints", self._endpoint_levels)
+        figures.register_gauge("saffronworks_endpoints", self._paths.levels)
         return NodeState(
             zone=settings.zone,
             directory=self._directory,
@@ -178,10 +185,6 @@
             buffers=AnswerBuffers(buffer_bound(settings.memory_bytes), figures, monotonic_ms),
         )
 
-    def _endpoint_levels(self) -> list[Level]:
-        counts = self._calls.pool.paths.count_recent(monotonic_ms())
-        return [Level(count, {"path": path}) for path, count in counts.items()]
-
     def _receives_updates(self) -> bool:
         """Return whether this node may rely on other nodes for updates of the store."""
         return self._forwarder.table is not None and self._news.follows_peers()
@@ -227,6 +230,22 @@
             monotonic_ms,
         )
 
+    def _make_relay_server(self, settings: PlatformSettings) -> HttpServer | None:
+        """Return the server that relays requests of nodes that don't reach an endpoint."""
+        if settings.relay_address is None:
+            return None
+        relays = RelayServer(
+            self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
+        )
+        self._state.figures.register_gauge(
+            "saffronworks_relayed_requests", lambda: [Level(relays.open_requests, {})]
+        )
+        return HttpServer(bind(settings.relay_address), relays.handle, date_header=False)
+
+    def _max_body_bytes(self) -> int:
+        table = self._forwarder.table
+        return table.limits.body_bytes if table is not None else 0
+
     def _register(self) -> None:
         planner = MemoryPlanner(
             self._directory,
@@ -270,8 +289,11 @@
                 self._census.run,
                 self._roles.run,
                 self._state.buffers.run,
+                self._paths.run,
                 *(follower.run for follower in self._followers),
             ]
+            if self._relays is not None:
+                services.append(self._relays.run)
             for service in services:
                 tasks.start_soon(self._keep_running, service)
             async with anyio.create_task_group() as serving:
@@ -337,8 +359,19 @@
         self._quarantine.update_nodes(cores)
         self._quotas.update_nodes(cores)
         self._limits.update_nodes(cores)
+        self._paths.peers.choice.update(self._find_relay_peers(nodes))
         self._share_connections()
 
+    def _find_relay_peers(self, nodes: dict[str, NodeInfo]) -> dict[str, RelayPeer]:
+        """Return the other nodes of this region that relay requests, by relay address."""
+        regions, peers = self.settings.regions, {}
+        for address, node in nodes.items():
+            same_region = regions.get(node.zone) == regions.get(self.settings.zone)
+            if node.relay_port and address != self.settings.peer_address and same_region:
+                relay_address = f"{parse_address(address)[0]}:{node.relay_port}"
+                peers[relay_address] = RelayPeer(relay_address, node.cores, node.zone)
+        return peers
+
     def _share_connections(self) -> None:
         table = self._forwarder.table
         if table is not None and table.services:
@@ -360,6 +393,7 @@
         self._state.loads.forget_all_but(known)
         self._eligibility.forget_all_but(known)
         self._calls.pool.close_except(known)
+        self._paths.forget_all_but(known)
 
     async def _answer_probe(self, call: Call) -> None:
         if call.path != READINESS_PATH:
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -32,6 +32,8 @@
     caller_address: str
     probe_address: str
     peer_address: str
+    # None if the platform reserves only one port for calls between nodes.
+    relay_address: str | None
     store_address: str
     stop_grace_ms: int
     retry_ratio: float
@@ -48,6 +50,8 @@
     # None without a memory limit, or if callers and endpoints never read slowly.
     memory_bytes: int | None
     quota_bounds: Tolerance
+    # Region by availability zone.
+    regions: dict[str, str] = attrs.Factory(dict)
 
 
 def read_platform_settings(text: str, file: str) -> Result[PlatformSettings, list[Finding]]:
@@ -73,6 +77,7 @@
         caller_address=listen.address("front"),
         probe_address=listen.address("ready"),
         peer_address=f"{root.text('ip')}:{_first_port(root)}",
+        relay_address=_relay_address(root),
         store_address=store.address("address"),
         # Time between SIGTERM and SIGKILL.
         stop_grace_ms=int(bounds.number("grace_s") * 1000),
@@ -92,6 +97,7 @@
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
         memory_bytes=_memory_bytes(root, limits),
         quota_bounds=_quota_bounds(bounds),
+        regions=root.text_map("zones"),
     )
 
 
@@ -130,6 +136,14 @@
     return bounds.integer("drain_ms", 2000, least=1)
 
 
+def _relay_address(root: Section) -> str | None:
+    """Return the address on the second reserved port, None if there is only one."""
+    first, ports = _first_port(root), root.texts("port_range")
+    if not ports or not ports[-1].isdigit() or int(ports[-1]) <= first:
+        return None
+    return f"{root.text('ip')}:{first + 1}"
+
+
 def _first_port(root: Section) -> int:
     """Return the first of the ports reserved for messages between nodes."""
     ports = root.texts("port_range")
--- a/saffronworks/readers.py
+++ b/saffronworks/readers.py
@@ -154,6 +154,11 @@
         assert isinstance(empty, yaml.MappingNode)
         return Section(empty, self._file, f"{self._path}{field}.", self._findings)
 
+    def text_map(self, field: str) -> dict[str, str]:
+        """A mapping of names to strings, empty when left out."""
+        section = self.section(field)
+        return {name: section.text(name) for name in section._nodes}
+
     def finish(self) -> None:
         """Report the fields that no getter asked for."""
         for field in self._nodes:
--- a/saffronworks/tests/endpoint_fixtures.py
+++ b/saffronworks/tests/endpoint_fixtures.py
@@ -4,6 +4,7 @@
 
 from hypothesis import strategies as st
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
@@ -11,8 +12,11 @@
     AnswerHead,
     Executed,
 )
+from saffronworks.forwarding.paths.service import make_paths
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route, Split
+from saffronworks.platform.answer_fields import ID_FIELD
+from saffronworks.platform.calls import PlatformCalls
 
 MOST_STEPS = 60
 
@@ -74,3 +78,9 @@
         case "not-run":
             return AnswerHead(503, (), Executed.NO, signed=False)
     return None
+
+
+def calls_of_one_node(eligibility, directory):
+    """Calls of a node that has no peers."""
+    paths = make_paths(directory, ID_FIELD, "z", random.Random(1), monotonic_ms)
+    return PlatformCalls(eligibility, paths)
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -6,13 +6,65 @@
     Given four nodes, two plain endpoints and three engines
     When three nodes lose their paths to all endpoints for 5 s, and their connections hang
     Then from a second after that they serve their callers nine tenths as often as the other node
+    And the other node serves its callers
 
   Scenario: connections of most nodes to endpoints are reset
     Given four nodes, two plain endpoints and three engines
     When three nodes lose their paths to all endpoints for 5 s, and their connections are reset
     Then from a second after that they serve their callers nine tenths as often as the other node
+    And the other node serves its callers
 
   Scenario: open connections of most nodes to endpoints live on, and new ones are refused
     Given four nodes, two plain endpoints that work for 250 ms and three engines
     When three nodes lose their paths to all endpoints for 5 s, and only new connections are refused
     Then from a second after that they serve their callers nine tenths as often as the other node
+    And the other node serves its callers
+
+  Scenario: answers of endpoints to most nodes are lost
+    Given four nodes, two plain endpoints and three engines
+    When three nodes lose their paths to all endpoints for 5 s, and only answers are lost
+    Then from a second after that they serve their callers nine tenths as often as the other node
+    And the other node serves its callers
+
+  Scenario: a service with one endpoint
+    Given four nodes and one plain endpoint
+    When three nodes lose their paths to all endpoints for 5 s, and their connections hang
+    Then from a second after that they serve their callers nine tenths as often as the other node
+
+  Scenario: a relayed request reaches the endpoint unchanged, and its answer the caller
+    Given four nodes and one plain endpoint
+    When a node that reaches no endpoint relays requests of several kinds
+    Then the endpoint sees them as those of a node that reaches it
+    And the callers get the same answers
+
+  Scenario: the caller of a relayed request leaves
+    Given four nodes and one plain endpoint
+    When the caller of a relayed request leaves while the endpoint works on it
+    Then the endpoint sees the end of the connection within half a second
+
+  # Guards against an endpoint that receives requests through a node which it has asked for a pause.
+  Scenario: the relaying node knows of a pause that the other one doesn't know of
+    Given four nodes and one plain endpoint
+    When a node relays a request to an endpoint that has asked that node for a pause
+    Then the endpoint gets nothing, and the caller is told that it was not run
+
+  # Guards against nodes that relay requests to each other when none of them reaches the endpoint.
+  Scenario: no node reaches any endpoint
+    Given four nodes and one plain endpoint
+    When all nodes lose their paths to all endpoints
+    Then requests are refused as not run within a second, and all nodes stay ready
+    And each node asks each other one at most 2.5 times a second
+
+  Scenario: peers of the previous release
+    Given four nodes and one plain endpoint
+    When a node reaches no endpoint and no other node relays requests
+    Then requests are refused as not run within a second, and all nodes stay ready
+
+  Scenario: the path table under random events
+    Then a path is relayed only while another node reaches the endpoint, and heals by checks
+    And an endpoint counts as down only if two nodes with working paths don't reach it
+    And a path that is cut again and again needs more checks to heal
+
+  Scenario: the load of relays
+    Then relayed requests are spread over 50 nodes by their cores
+    And of two nodes that are asked at once one is in another availability zone
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -79,7 +79,7 @@
     async def play():
         pool, (endpoint,) = ConnectionPool("Request-Id"), endpoints(1)
 
-        async def open_connection(_):
+        async def open_connection(*_):
             return connect()
 
         pool._connect = open_connection
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -43,10 +43,10 @@
     UnknownFields,
     read_advertisement,
 )
-from saffronworks.platform.calls import PlatformCalls
 from saffronworks.tests.endpoint_fixtures import (
     DRAIN_MS,
     REPLIES,
+    calls_of_one_node,
     eligibility_of_one_node,
     endpoints,
     head_of,
@@ -204,7 +204,7 @@
     directory = Directory()
     directory.replace([endpoint], at(1), 0)
     eligibility = eligibility_of_one_node(directory, now_ms=lambda: -DRAIN_MS - 1)
-    calls = PlatformCalls(eligibility)
+    calls = calls_of_one_node(eligibility, directory)
 
     async def play():
         async with anyio.create_task_group() as tasks:
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -5,6 +5,8 @@
 import anyio
 from behave import given, then, when
 
+from saffronworks.clocks import monotonic_ms
+from saffronworks.standins.sites import wait_until
 from saffronworks.tests.cut_paths import Cut, CutPaths
 from saffronworks.tests.platform_place import engines, on_platform, web_servers
 
@@ -20,6 +22,7 @@
     "their connections hang": Cut.HANG,
     "their connections are reset": Cut.RESET,
     "only new connections are refused": Cut.REFUSE_NEW,
+    "only answers are lost": Cut.ONE_WAY,
 }
 
 
@@ -59,6 +62,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(cut)
             context.asked = await place.ask_evenly(REQUESTS_PER_S, CUT_AFTER_S + CUT_S, ask)
+        plans = [node._kernel.find("memory-planner").plans.values() for node in place.nodes]
+        context.ejected = [
+            name for own in plans for plan in own for name in plan.ejections.ejected()
+        ]
+        context.suspected = sum(len(node._quarantine._state.table) for node in place.nodes)
 
     context.cut_nodes = set(nodes)
     on_platform(context.servers, play, count=NODES)
@@ -90,3 +98,217 @@
     share, expected = (sum(map(is_served, ones)) / len(ones) for ones in (cut, others))
     lost = [(one.request_id, one.took_s, one.raw[:200]) for one in cut if not is_served(one)]
     assert share >= SERVED_RATIO * expected > 0.5, (share, expected, len(cut), lost[:8])
+
+
+@then("the other node serves its callers")
+def others_served(context):
+    others = [one for one in context.asked if one.node not in context.cut_nodes]
+    assert sum(map(is_served, others)) >= SERVED_RATIO * len(others), len(others)
+
+
+@then("no planner ejects an endpoint, and no content is suspected")
+def nothing_ejected(context):
+    assert context.ejected == [] and context.suspected == 0, (context.ejected, context.suspected)
+
+
+@given("four nodes and one plain endpoint")
+def one_endpoint(context):
+    context.servers = web_servers(1)
+
+
+def play_paths(context, play):
+    """Run `play(place, paths)` on four nodes that have seen each other."""
+
+    async def main(place):
+        paths = CutPaths(place)
+        assert await wait_until(
+            lambda: all(len(peers_of(node)) == NODES - 1 for node in place.nodes)
+        )
+        await play(place, paths)
+
+    on_platform(context.servers, main, count=NODES)
+
+
+def peers_of(node):
+    return node._paths.peers.choice.peers
+
+
+async def settle(place, paths, number, how=Cut.RESET):
+    """Cut a node off, and wait until it relays its requests."""
+    paths.cut(number, how)
+    for attempt in range(5):
+        await place.ask("/again/", f"settle{attempt}", node=place.nodes[number])
+    assert place.nodes[number]._paths.is_partitioned()
+
+
+REQUESTS = (
+    ("POST", "/once/a%20b;c/?x=%2F&x=2", {"X-Two": "a, b", "Saffronworks-Relay": "own"}, b"\0body"),
+    ("GET", "/again/?q", {"Authorization": "caller"}, b""),
+    ("HEAD", "/again/", {}, b""),
+)
+
+
+@when("a node that reaches no endpoint relays requests of several kinds")
+def relays_kinds(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        server.seen.clear()
+        context.answers = {}
+        for node in (0, 1):
+            for number, (method, target, headers, body) in enumerate(REQUESTS):
+                context.answers[node, number] = await place.ask(
+                    target, f"k{number}", headers, body, method, node=place.nodes[node]
+                )
+        for fault in ("error", "unframed", "unframed-reset", "shed", "short"):
+            for node in (0, 1):
+                server.script = [fault]
+                answer = await place.ask("/once/", "same", node=place.nodes[node])
+                context.answers[node, fault] = answer
+        context.seen = server.seen
+
+    play_paths(context, play)
+
+
+def without_times(headers):
+    return {key: value for key, value in headers.items() if key != "deadline-ms"}
+
+
+@then("the endpoint sees them as those of a node that reaches it")
+def seen_alike(context):
+    relayed, direct = context.seen[: len(REQUESTS)], context.seen[len(REQUESTS) :][: len(REQUESTS)]
+    for one, other in zip(relayed, direct, strict=True):
+        assert one[:2] + one[3:] == other[:2] + other[3:], (one, other)
+        assert without_times(one[2]) == without_times(other[2]), (one, other)
+        assert abs(int(other[2]["deadline-ms"]) - int(one[2]["deadline-ms"])) < 500
+
+
+def without_date(raw):
+    return [line for line in raw.split(b"\r\n") if not line.startswith((b"date:", b"retry-after:"))]
+
+
+@then("the callers get the same answers")
+def same_answers(context):
+    for (node, kind), answer in context.answers.items():
+        if node == 0:
+            other = context.answers[1, kind]
+            assert without_date(answer) == without_date(other), (kind, answer, other)
+
+
+@when("the caller of a relayed request leaves while the endpoint works on it")
+def relayed_caller_leaves(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        server.work_s = 5.0
+        await place.ask("/once/", "gone", leaves_after_s=0.3)
+        context.noticed = await wait_until(lambda: server.left == ["gone"], limit_s=0.5)
+
+    play_paths(context, play)
+
+
+@then("the endpoint sees the end of the connection within half a second")
+def end_seen(context):
+    assert context.noticed
+
+
+@when("a node relays a request to an endpoint that has asked that node for a pause")
+def relays_into_pause(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        for node in place.nodes[1:]:
+            (instance,) = node._directory.endpoints
+            node._directory.advertised.record_pause(instance, 5000, monotonic_ms())
+        server.seen.clear()
+        context.raw = await place.ask("/once/", "paused")
+        context.seen = list(server.seen)
+
+    play_paths(context, play)
+
+
+@then("the endpoint gets nothing, and the caller is told that it was not run")
+def nothing_in_pause(context):
+    assert not context.seen and context.raw.startswith(b"HTTP/1.1 503"), (context.seen, context.raw)
+
+
+@when("the node that relays a request closes all its connections")
+def relaying_node_stops(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        context.answers = {}
+        for path in ("/once/", "/again/"):
+            server.work_s = 1.0
+
+            async def ask(path=path):
+                context.answers[path] = await place.ask(path, path.strip("/"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.15)
+                server.work_s = 0.0
+                for node in place.nodes:
+                    for connection in list(node._relays._server.server_state.connections):
+                        connection.transport.abort()
+        context.ran = list(server.ran)
+
+    play_paths(context, play)
+
+
+@then("an unrepeatable request ends as unknown and ran once, and a repeatable one is served")
+def ends_truly(context):
+    assert context.answers["/once/"].startswith(b"HTTP/1.1 502"), context.answers
+    assert context.ran.count("once") == 1, context.ran
+    assert context.answers["/again/"].startswith(b"HTTP/1.1 200"), context.answers
+
+
+def play_refused(context, place, nodes):
+    """Send twenty requests in turn to these nodes."""
+
+    async def play():
+        context.asked, context.checks = [], 0
+        for number in range(20):
+            began_s = time.monotonic()
+            raw = await place.ask("/once/", f"n{number}", node=nodes[number % len(nodes)])
+            context.asked.append((raw, time.monotonic() - began_s))
+        context.ready = await place.ready()
+
+    return play()
+
+
+@when("all nodes lose their paths to all endpoints")
+def all_cut(context):
+    async def play(place, paths):
+        for number in range(NODES):
+            paths.cut(number, Cut.HANG)
+        served = [node._relays._server.server_state for node in place.nodes]
+        before = sum(state.total_requests for state in served)
+        await play_refused(context, place, place.nodes)
+        context.messages = sum(state.total_requests for state in served) - before
+
+    play_paths(context, play)
+
+
+@when("a node reaches no endpoint and no other node relays requests")
+def no_relays(context):
+    async def play(place, paths):
+        for node in place.nodes:
+            node._paths.peers.choice.update({})
+        paths.cut(0, Cut.HANG)
+        await play_refused(context, place, place.nodes[:1])
+
+    play_paths(context, play)
+
+
+@then("requests are refused as not run within a second, and all nodes stay ready")
+def refused_soon(context):
+    for raw, took_s in context.asked:
+        assert raw.startswith(b"HTTP/1.1 503") and took_s < 1.0, (raw, took_s)
+    assert context.ready
+
+
+@then("each node asks each other one at most 2.5 times a second")
+def few_messages(context):
+    pairs, took_s = NODES * (NODES - 1), sum(took_s for _, took_s in context.asked)
+    assert context.messages <= 2.5 * pairs * took_s, (context.messages, took_s)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -9,7 +9,7 @@
 
 from saffronworks.standins.addresses import free_address
 
-__all__ = ["BOUNDS", "FakeServer", "fetch", "settings_text"]
+__all__ = ["BOUNDS", "FakeServer", "fetch", "free_port_range", "settings_text"]
 
 # Faults of a stream, besides `break-N`, which breaks it inside event N, and `stall-N`, which sends
 # nothing from event N on.
@@ -327,6 +327,15 @@
     return raw
 
 
+def free_port_range():
+    """Return the first and the last of two successive free ports."""
+    ports = [int(free_address().rpartition(":")[2])]
+    while len(ports) < 2:
+        port = int(free_address().rpartition(":")[2])
+        ports = [*ports, port] if port == ports[-1] + 1 else [port]
+    return ports
+
+
 def settings_text(store_address, **changes):
     """Return a settings file of the platform; `changes` replaces top-level fields."""
     callers, probes = free_address(), free_address()
@@ -335,7 +344,7 @@
         "ip": "127.0.0.1",
         "zone": "z1",
         "listen": {"front": callers, "ready": probes},
-        "port_range": [int(free_address().rpartition(":")[2])] * 2,
+        "port_range": free_port_range(),
         "heartbeat_ms": 1200,
         "limits": {"cpu_share": 0.5, "cores": 2, "memory_mb": 150},
         "a_new_field": {"of": "the platform"},
--- a/saffronworks/tests/scripted_wires.py
+++ b/saffronworks/tests/scripted_wires.py
@@ -23,10 +23,10 @@
 from saffronworks.forwarding.routing import EngineSpec, RoutingTable, Service
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.platform.answer_fields import ID_FIELD
-from saffronworks.platform.calls import PlatformCalls
 from saffronworks.platform.ingress import CallerConnectionReply
 from saffronworks.tests.caller_fakes import FakeCaller
 from saffronworks.tests.endpoint_fixtures import (
+    calls_of_one_node,
     eligibility_of_one_node,
     endpoints,
     limits_of_one_node,
@@ -172,9 +172,9 @@
         found += endpoints(1, Role.PREFILL, "p")
     directory.replace(found, at(1), now_ms=0)
     eligibility = eligibility_of_one_node(directory, limits, monotonic_ms)
-    calls = PlatformCalls(eligibility)
+    calls = calls_of_one_node(eligibility, directory)
 
-    async def connect(endpoint):
+    async def connect(endpoint, timeout_ms):
         return ScriptedConnection(script).connection
 
     calls.pool._connect = connect
--- a/saffronworks/tests/soak/processes.py
+++ b/saffronworks/tests/soak/processes.py
@@ -8,7 +8,7 @@
 import anyio
 
 from saffronworks.standins.addresses import free_address
-from saffronworks.tests.platform_fakes import BOUNDS, fetch, settings_text
+from saffronworks.tests.platform_fakes import BOUNDS, fetch, free_port_range, settings_text
 from saffronworks.tests.soak.organisations import QUOTA_BOUNDS
 
 __all__ = ["GRACE_S", "NodeProcess"]
@@ -31,7 +31,7 @@
             node_name=f"node-{number}",
             zone=f"z{number % 2}",
             listen={"front": self.caller_address, "ready": self.probe_address},
-            port_range=[int(free_address().rpartition(":")[2])] * 2,
+            port_range=free_port_range(),
             bounds=BOUNDS | QUOTA_BOUNDS,
         )
         self._settings.write_text(text)
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -1,11 +1,8 @@
 """Small helpers over ASGI and uvicorn, shared by nodes and stand-ins."""
 
 import asyncio
-import fcntl
 import logging
 import socket
-import struct
-import termios
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
@@ -14,13 +11,14 @@
 import msgspec
 import uvicorn
 
+from saffronworks.sockets import unacknowledged_bytes
+
 __all__ = ["BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
 
 logger = logging.getLogger(__name__)
 
 LOOK_EVERY_S = 1.0
 KEEP_ALIVE_S = 30.0
-_INT = struct.Struct("i")
 
 
 class BadBody(Exception):
@@ -130,14 +128,7 @@
     @property
     def kernel_bytes(self) -> int:
         """What waits in the kernel until the caller's machine acknowledges it."""
-        sock = self._transport.get_extra_info("socket")
-        try:
-            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-        except (OSError, ValueError):
-            # The connection is closed.
-            return 0
-        size_bytes: int = _INT.unpack(queued)[0]
-        return size_bytes
+        return unacknowledged_bytes(self._transport.get_extra_info("socket"))
 
     def cut(self) -> None:
         """Cut the caller's connection at once, as a crash does."""
@@ -233,6 +224,7 @@
         handler: Handler,
         grace_s: int = 1,
         idle_s: float = KEEP_ALIVE_S,
+        date_header: bool = True,
     ):
         self._listener = listener
         self._handler = handler
@@ -244,6 +236,7 @@
             interface="asgi3",
             proxy_headers=False,
             server_header=False,
+            date_header=date_header,
             http="httptools",
             loop="asyncio",
             timeout_keep_alive=idle_s,  # type: ignore[arg-type]  # fractions work
