Count failures of a node's own path against no endpoint

Cause: whatever a node reported as broken counted as the endpoint's fault: failed holds, prefills and streams, streams that stood still, contents whose run broke off, and the pace of streams that the cut ended.

Each failure now has a site: the endpoint, the path, or unknown. A failure that a cut can cause is checked by a new connection and, if that fails too, by other nodes; only an endpoint's own failure goes to the planner and to the quarantine, and only one that is no path's opens a circuit. A run that stands still is reported with path_in_doubt until its node has reached the endpoint since. A request whose path failed may go to the same endpoint again, through another node.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -189,8 +189,8 @@
     match event:
         case StreamAnswered(instance, head):
             return _step_answer(state, instance, head, pools, now_ms)
-        case StreamBroken(instance, sent, silent):
-            state.mark_broken(instance)
+        case StreamBroken(instance, sent, silent, site):
+            state.mark_broken(instance, site)
             if not sent:
                 return _redirect(state, pools, now_ms, "unreachable")
             state.runs += 1
@@ -199,8 +199,8 @@
         case StreamWithheld(instance):
             state.failed.add(instance)
             return _redirect(state, pools, now_ms, "endpoint-leaves")
-        case RelayBroken(instance, position_known):
-            state.mark_broken(instance)
+        case RelayBroken(instance, position_known, site):
+            state.mark_broken(instance, site)
             if state.delivered is Delivered.FAILURE:
                 return _broken_answer()
             if not position_known:
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import FaultSite
 from saffronworks.forwarding.messages import AnswerHead, Begin, KvHandle, KvHold, Refuse
 from saffronworks.forwarding.starts import StartId
 
@@ -70,7 +71,7 @@
 
 @attrs.frozen
 class HoldFailed:
-    """A decode endpoint rejected the hold, or (`broken`) gave no answer."""
+    """A decode endpoint rejected the hold, or (`broken`) failed without an answer."""
 
     instance: StartId
     broken: bool
@@ -107,12 +108,13 @@
 class StreamBroken:
     """A decode endpoint gave no answer. `sent`: it may have received the request.
 
-    `silent`: the answer timed out.
+    `silent`: the answer timed out. `site` is where it failed.
     """
 
     instance: StartId
     sent: bool
     silent: bool = False
+    site: FaultSite = FaultSite.ENDPOINT
 
 
 @attrs.frozen
@@ -124,10 +126,14 @@
 
 @attrs.frozen
 class RelayBroken:
-    """The stream broke off; `position_known` says that the id of its last event is known."""
+    """The stream broke off; `position_known` says that the id of its last event is known.
+
+    `site` is where it failed.
+    """
 
     instance: StartId
     position_known: bool
+    site: FaultSite = FaultSite.ENDPOINT
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -9,7 +9,11 @@
 from saffronworks.forwarding import generation_events as events
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.permits import NoPermit
-from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.exchange_errors import (
+    ExchangeError,
+    ExchangeErrorCause,
+    FaultSite,
+)
 from saffronworks.forwarding.generation_state import (
     GenerationState,
     Pools,
@@ -26,7 +30,7 @@
 )
 from saffronworks.forwarding.planning.client import RunSize
 from saffronworks.forwarding.pools import rank_pools
-from saffronworks.forwarding.reservations import Reservation
+from saffronworks.forwarding.reservations import Reservation, StreamPace
 from saffronworks.forwarding.routing import EngineSpec, Route
 from saffronworks.forwarding.runners import (
     HOLD,
@@ -102,6 +106,8 @@
         self._stream: StreamRun | None = None
         self._unused_handle: KvHandle | None = None
         self._trial_began = False
+        # The pace of a run whose path failed says nothing about its endpoint.
+        self._path_failed = False
 
     async def run(self) -> None:
         """Execute commands until the answer is complete, refused or cut."""
@@ -197,8 +203,9 @@
         try:
             return await self._reservation.reserve(command)
         except ExchangeError as broken:
-            self._record_break(HOLD, command.endpoint, broken)
-            return events.HoldFailed(command.endpoint.instance, broken=not broken.withheld)
+            site = await self._record_break(HOLD, command.endpoint, broken)
+            failed = site is FaultSite.ENDPOINT and not broken.withheld
+            return events.HoldFailed(command.endpoint.instance, broken=failed)
 
     async def _read_prompt(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
         event = await self._prefill(endpoint, timeout_ms)
@@ -223,9 +230,10 @@
             if not broken.sent:
                 self._job.runs.uncount_read()
                 node.limits.release_permit(permit)
-            self._record_break("prefill", endpoint, broken)
+            site = await self._record_break("prefill", endpoint, broken)
             tried = not broken.withheld
-            return events.ReadFailed(endpoint.instance, broken=tried, sent=tried)
+            failed = site is FaultSite.ENDPOINT and tried
+            return events.ReadFailed(endpoint.instance, broken=failed, sent=tried)
         finally:
             load.outstanding -= 1
         if isinstance(answer, Err):
@@ -270,11 +278,11 @@
         except ExchangeError as broken:
             if not broken.sent:
                 self._job.runs.uncount_run()
-            self._record_break("stream", endpoint, broken)
+            site = await self._record_break("stream", endpoint, broken)
             if broken.withheld:
                 return events.StreamWithheld(endpoint.instance)
             silent = broken.cause is ExchangeErrorCause.SILENT
-            return events.StreamBroken(endpoint.instance, broken.sent, silent)
+            return events.StreamBroken(endpoint.instance, broken.sent, silent, site)
         if head.executed is Executed.NO:
             self._job.runs.uncount_run()
         self._record_answer(endpoint, head, handle)
@@ -310,7 +318,7 @@
         try:
             await self._relay.send_events(self._stream)
         except ExchangeError as broken:
-            return self._relay_broken(broken)
+            return await self._relay_broken(broken)
         return None
 
     async def _relay_failure(self, head: AnswerHead) -> events.Event | None:
@@ -321,7 +329,7 @@
         try:
             await relay_rest(node, job, self._stream.exchange, body)
         except ExchangeError as broken:
-            return self._relay_broken(broken)
+            return await self._relay_broken(broken)
         finally:
             body.detach()
         await body.finish()
@@ -337,13 +345,12 @@
         )
         return None
 
-    def _relay_broken(self, broken: ExchangeError) -> events.RelayBroken:
+    async def _relay_broken(self, broken: ExchangeError) -> events.RelayBroken:
         assert self._state.hold is not None
         endpoint = self._state.hold.endpoint
-        self._record_break("stream", endpoint, broken)
-        return events.RelayBroken(
-            endpoint.instance, position_known=self._relay.last_event is not None
-        )
+        site = await self._record_break("stream", endpoint, broken)
+        position_known = self._relay.last_event is not None
+        return events.RelayBroken(endpoint.instance, position_known, site)
 
     def _cut(self, reason: str) -> None:
         logger.info(
@@ -356,8 +363,12 @@
         self._node.figures.count("cut", self._job.route.name, reason)
         self._job.reply.cut()
 
-    def _record_break(self, kind: str, endpoint: ServiceEndpoint, broken: ExchangeError) -> None:
-        self._node.note_break(kind, self._job.request, endpoint, broken)
+    async def _record_break(
+        self, kind: str, endpoint: ServiceEndpoint, broken: ExchangeError
+    ) -> FaultSite:
+        site = await self._node.note_break(kind, self._job.request, endpoint, broken)
+        self._path_failed = self._path_failed or site is not FaultSite.ENDPOINT
+        return site
 
     def _release_if_held(self) -> None:
         """Release a reservation that is held, before another one is taken.
@@ -375,7 +386,8 @@
             self._stream.exchange.end()
             self._stream = None
         if self._reservation.known_to_planner:
-            self._reservation.report_end(self._relay.pace(), self._state.pop_broken())
+            pace = StreamPace() if self._path_failed else self._relay.pace()
+            self._reservation.report_end(pace, self._state.pop_broken())
         self._reservation.release()
         if self._unused_handle is not None:
             self._node.spawn(self._node.calls.drop_handle, self._unused_handle)
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -6,6 +6,7 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.blocks import ALL_ELIGIBLE, Block, Eligibility
+from saffronworks.forwarding.exchange_errors import FaultSite
 from saffronworks.forwarding.messages import KvHandle, KvHold, PromptSize
 from saffronworks.forwarding.planning.tuning import (
     MAX_PLAN_REQUESTS,
@@ -102,10 +103,16 @@
     failed: set[StartId] = attrs.Factory(set)
     broken: set[StartId] = attrs.Factory(set)
 
-    def mark_broken(self, instance: StartId) -> None:
-        """Record an endpoint that gave no answer, or an invalid one."""
-        self.failed.add(instance)
-        self.broken.add(instance)
+    def mark_broken(self, instance: StartId, site: FaultSite = FaultSite.ENDPOINT) -> None:
+        """Record an endpoint that gave no answer, or an invalid one.
+
+        It is reported to the planner only if the endpoint itself failed. If the path to it is cut,
+        it may be asked again through another node.
+        """
+        if site is not FaultSite.PATH:
+            self.failed.add(instance)
+        if site is FaultSite.ENDPOINT:
+            self.broken.add(instance)
 
     def pop_broken(self) -> tuple[StartId, ...]:
         """Return the broken endpoints that were not yet reported to the planner."""
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -15,6 +15,7 @@
     BlockReason,
     Eligibility,
 )
+from saffronworks.forwarding.exchange_errors import FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
     Begin,
@@ -101,12 +102,13 @@
 class Broken:
     """No complete answer arrived. `sent`: the endpoint may have received the request.
 
-    `silent`: the answer timed out.
+    `silent`: the answer timed out. `site` is where it failed.
     """
 
     instance: StartId
     sent: bool
     silent: bool = False
+    site: FaultSite = FaultSite.ENDPOINT
 
 
 @attrs.frozen
@@ -158,6 +160,9 @@
     that are blocked for now.
     """
     permitted = event.instance if isinstance(event, Permitted) else None
+    if isinstance(event, Broken) and event.site is FaultSite.PATH:
+        # The endpoint may be reached through another node.
+        state.tried.discard(event.instance)
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
     if denial is None or not isinstance(command, SendTo | AcquirePermit):
         return command
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -138,8 +138,9 @@
             if not broken.sent:
                 self._job.runs.uncount_run()
                 self._release_permit()
-            node.note_break(PLAIN, self._job.request, endpoint, broken)
-            return Broken(endpoint.instance, broken.sent, broken.cause is ExchangeErrorCause.SILENT)
+            site = await node.note_break(PLAIN, self._job.request, endpoint, broken)
+            silent = broken.cause is ExchangeErrorCause.SILENT
+            return Broken(endpoint.instance, broken.sent, silent, site)
         finally:
             load.outstanding -= 1
             self._permit = UNCOUNTED_PERMIT
@@ -195,7 +196,7 @@
             elif not self._body_whole:
                 await relay_rest(node, job, self._exchange, body)
         except ExchangeError as broken:
-            node.note_break(PLAIN, job.request, self._endpoint, broken)
+            await node.note_break(PLAIN, job.request, self._endpoint, broken)
             logger.info(
                 "event=cut request=%s route=%s reason=answer-broke cause=%s",
                 job.request.request_id,
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -1,6 +1,7 @@
 """The entry node's client of the planner: requests memory, and reports this node's runs."""
 
 import logging
+from collections.abc import Callable
 
 import anyio
 import attrs
@@ -75,14 +76,21 @@
     """Sends requests, releases and reports of this node to the planners of services.
 
     A planner that does not answer at once is avoided for a while, so that a node which is gone or
-    suspended delays no request.
+    suspended delays no request. `is_path_proven` tells whether an endpoint that was silent for
+    some time (ms) is itself the cause.
     """
 
     name = "memory-client"
 
-    def __init__(self, own_address: str, now_ms: int):
+    def __init__(
+        self,
+        own_address: str,
+        now_ms: int,
+        is_path_proven: Callable[[StartId, int], bool] = lambda *_: True,
+    ):
         self.choice = NodeChoice(starting_until_ms=now_ms + STARTUP_MS)
         self.own_address = own_address
+        self._is_path_proven = is_path_proven
         self._kernel: Kernel | None = None
         self._answers: dict[str, list[_Answer]] = {}
         self._arrived: dict[str, anyio.Event] = {}
@@ -250,6 +258,7 @@
                 now_ms - run.made_ms,
                 run.owner.priority,
                 run.owner.organisation,
+                path_in_doubt=not self._is_path_proven(run.instance, now_ms - run.made_ms),
             )
             for request_id, run in self._runs.items()
             if run.service == service
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -211,7 +211,8 @@
             state.prefill.remove(live.request_id, known.reader)
         known.reported = True
         _apply_progress(state, known, live, now_ms)
-        if live.made_tokens and live.quiet_ms >= STALLED_RUN_MS:
+        stalled = live.made_tokens and live.quiet_ms >= STALLED_RUN_MS
+        if stalled and not live.path_in_doubt:
             state.ejections.record_failure(live.instance, now_ms)
 
 
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -116,7 +116,8 @@
 class LiveRun:
     """A live run of an entry node.
 
-    `made_tokens` of its answer have arrived, the last of them `quiet_ms` ago.
+    `made_tokens` of its answer have arrived, the last of them `quiet_ms` ago. `path_in_doubt`:
+    the cause of that silence may be the node's own path.
     """
 
     request_id: str
@@ -129,6 +130,7 @@
     quiet_ms: int = 0
     priority: int = DEFAULT_RANK
     organisation: str = ""
+    path_in_doubt: bool = False
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -9,7 +9,7 @@
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
-from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.figures import MetricsRecorder
 from saffronworks.forwarding.identity import KEY_REVOKED, Authenticator
 from saffronworks.forwarding.loads import LoadTable
@@ -86,31 +86,42 @@
         if job.runs.runs > 1:
             self.quotas.charge_again(job.charge, job.runs.sends)
 
-    def note_break(
+    async def note_break(
         self, kind: str, request: CallerRequest, endpoint: ServiceEndpoint, broken: ExchangeError
-    ) -> None:
-        """Count and log a call of the given kind that got no complete answer.
+    ) -> FaultSite:
+        """Count and log a call of the given kind that got no complete answer; return its cause.
 
         If the endpoint may have processed the request, the content hash is logged and reported to
         the quarantine: only the hash links retries of one content that have different ids. A hold
-        request carries no content.
+        request carries no content. A failure of this node's own path counts against no endpoint.
         """
         worked_on = broken.sent and kind != HOLD
         self.figures.count_send(kind, broken.cause.value)
         if broken.withheld:
-            return
-        self.loads.of(endpoint.instance).record_failure(self.now_ms(), broken.unreachable)
+            return FaultSite.ENDPOINT
+        # A plain request moves on after a short timeout, which nothing but the load table counts.
+        short_wait = kind == PLAIN and broken.cause is ExchangeErrorCause.SILENT
+        site = FaultSite.UNKNOWN
+        if not short_wait:
+            site = await self.calls.find_fault_site(endpoint, broken)
+        if site is not FaultSite.PATH:
+            load = self.loads.of(endpoint.instance)
+            load.record_failure(self.now_ms(), broken.unreachable)
         logger.info(
-            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s content=%s",
+            "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s site=%s "
+            "relayed_by=%s content=%s",
             request.request_id,
             kind,
             endpoint.instance,
             broken.cause,
             broken.sent,
+            site,
+            broken.relayed_by,
             request.content if worked_on else None,
         )
-        if worked_on:
+        if worked_on and site is FaultSite.ENDPOINT:
             self.quarantine.record_failure(request, endpoint, broken, waited_for=kind != PLAIN)
+        return site
 
     def note_misdirected(self, endpoint: ServiceEndpoint, head: AnswerHead) -> None:
         """Remove an endpoint whose address another one now has; the store may still list it."""
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -99,7 +99,9 @@
         self._paths = make_paths(self._directory, ID_FIELD, settings.zone, rng, monotonic_ms)
         self._calls = PlatformCalls(self._eligibility, self._paths)
         self._turns = NodeOrder(settings.peer_address)
-        self._memory = MemoryClient(settings.peer_address, monotonic_ms())
+        self._memory = MemoryClient(
+            settings.peer_address, monotonic_ms(), self._paths.is_path_proven
+        )
         self._news = NewsFeed(
             NodeOrder(settings.peer_address),
             NewsPace.within(settings.follow_within_ms),
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -26,6 +26,12 @@
     Then from a second after that they serve their callers nine tenths as often as the other node
     And the other node serves its callers
 
+  # Guards against failures of one node's path that count against sound endpoints at all nodes.
+  Scenario: what cut nodes report ejects no endpoint
+    Given four nodes, two plain endpoints and three engines
+    When three nodes lose their paths to all endpoints for 5 s, and their connections hang
+    Then no planner ejects an endpoint, and no content is suspected
+
   Scenario: a service with one endpoint
     Given four nodes and one plain endpoint
     When three nodes lose their paths to all endpoints for 5 s, and their connections hang
@@ -48,6 +54,11 @@
     When a node relays a request to an endpoint that has asked that node for a pause
     Then the endpoint gets nothing, and the caller is told that it was not run
 
+  Scenario: the relaying node stops in the middle of a request
+    Given four nodes and one plain endpoint
+    When the node that relays a request closes all its connections
+    Then an unrepeatable request ends as unknown and ran once, and a repeatable one is served
+
   # Guards against nodes that relay requests to each other when none of them reaches the endpoint.
   Scenario: no node reaches any endpoint
     Given four nodes and one plain endpoint
--- a/saffronworks/tests/features/steps/place_steps.py
+++ b/saffronworks/tests/features/steps/place_steps.py
@@ -8,7 +8,7 @@
 
 from saffronworks.bundles import Role
 from saffronworks.forwarding.directory import Directory
-from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.identity import Authenticator
 from saffronworks.forwarding.loads import LoadTable
@@ -48,6 +48,7 @@
     calls = Mock()
     calls.take_hold = AsyncMock(side_effect=holds)
     calls.prefill = AsyncMock(return_value=Ok(KvHandle(reader, "h", 3000)))
+    calls.find_fault_site = AsyncMock(return_value=FaultSite.ENDPOINT)
     calls.open_stream = AsyncMock(side_effect=ExchangeError(ExchangeErrorCause.CONNECT, sent=False))
     budget, quarantine = wide_budget(), Mock(blocks=lambda *_: False)
     loads, idle = LoadTable("z"), Mock()
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -1,8 +1,9 @@
 """Steps on the quarantine state of nodes, without network or clock."""
 
 import random
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
+import anyio
 from behave import then
 from hypothesis import given as forall
 from hypothesis import settings as limits
@@ -11,7 +12,7 @@
 from saffronworks.forwarding import generation_events as gen
 from saffronworks.forwarding import plain_core
 from saffronworks.forwarding.directory import Directory
-from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.generation_core import step as generation_step
 from saffronworks.forwarding.generation_state import Delivered
 from saffronworks.forwarding.identity import Authenticator
@@ -169,7 +170,7 @@
             Directory(),
             loads,
             wide_budget(),
-            Mock(),
+            Mock(find_fault_site=AsyncMock(return_value=FaultSite.ENDPOINT)),
             Mock(),
             lambda: 10,
             Mock(),
@@ -180,9 +181,8 @@
             Mock(),
             Mock(),
         )
-        node.note_break(
-            kind, request, endpoint_at(1), ExchangeError(ExchangeErrorCause.RESET, sent)
-        )
+        broken = ExchangeError(ExchangeErrorCause.RESET, sent)
+        anyio.run(node.note_break, kind, request, endpoint_at(1), broken)
         assert node.quarantine.record_failure.called is noted, (kind, sent)
 
 
