Give up the duty to order roles at a node that reaches no endpoint

Found while looking for the same cause elsewhere, no caller has reported it: a node without paths to endpoints could take or keep the duty to order role changes. Its orders reached nobody, and no other node could order while it confirmed the duty.

Orders are not relayed, because endpoints take the orders of two machines for those of two holders. A partitioned node now neither takes nor confirms the duty, so that another one takes it over once it expires. The scenario fails without the change.

--- a/saffronworks/forwarding/role_keeper.py
+++ b/saffronworks/forwarding/role_keeper.py
@@ -50,6 +50,7 @@
         node_order: NodeOrder,
         epoch: StoreEpoch,
         now_ms: Callable[[], int],
+        is_partitioned: Callable[[], bool] = lambda: False,
     ):
         epoch.subscribe(self._reset_duties)
         self._new_state = state
@@ -60,12 +61,16 @@
         self._table = table
         self._node_order = node_order
         self._now_ms = now_ms
+        self._is_partitioned = is_partitioned
         self._written = 0
 
     async def run(self) -> None:
         """Check all services every `CHECK_INTERVAL_MS` until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_MS / 1000)
+            # Orders are not relayed, so another node must be able to take the duty over.
+            if self._is_partitioned():
+                continue
             table = self._table()
             for service in table.services.values() if table else ():
                 if service.engine is not None:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -230,6 +230,7 @@
             self._turns,
             self._store_epoch,
             monotonic_ms,
+            self._paths.is_partitioned,
         )
 
     def _make_relay_server(self, settings: PlatformSettings) -> HttpServer | None:
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -87,3 +87,8 @@
   Scenario: a holder that was suspended after its confirmation gives no order
     Given a role keeper whose confirmation of the duty is too old
     Then no order reaches the engine
+
+  # Guards against a holder of the duty whose orders reach no engine, while no other node may order.
+  Scenario: a node that reaches no endpoint neither takes nor keeps the duty
+    Given a role keeper whose node reaches no endpoint
+    Then it doesn't write to the duty
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -200,6 +200,15 @@
 
 @given("a role keeper whose confirmation of the duty is too old")
 def suspended_keeper(context):
+    run_keeper(context)
+
+
+@given("a role keeper whose node reaches no endpoint")
+def partitioned_keeper(context):
+    run_keeper(context, is_partitioned=lambda: True)
+
+
+def run_keeper(context, **options):
     world = context.world = SlowStore()
     directory = Directory()
     engines = endpoints(3, Role.DECODE, "d") + endpoints(2, Role.PREFILL, "p")
@@ -209,7 +218,15 @@
     state = roles.RoleState("n", 3000, 300, unbalanced_since_ms=-roles.SURPLUS_MS)
     node_order = NodeOrder("n", ["n"])
     keeper = RoleKeeper(
-        lambda: state, directory, world, world, lambda: table, node_order, StoreEpoch(), world.clock
+        lambda: state,
+        directory,
+        world,
+        world,
+        lambda: table,
+        node_order,
+        StoreEpoch(),
+        world.clock,
+        **options,
     )
 
     async def look():
@@ -223,3 +240,8 @@
 def check_no_order(context):
     assert context.world.asked >= 1
     assert context.world.orders == []
+
+
+@then("it doesn't write to the duty")
+def writes_nothing(context):
+    assert context.world.asked == 0
