Play partitions from endpoints in the soak, and believe only fresh statements of peers

The soak cuts the paths of some nodes, or of all, to all endpoints: 3 to 6 s, twice a run, connections hang, are reset, or live on while new ones are refused, or answers alone are lost. Nodes reach endpoints over loopback hosts of their own for that. It checks that from a second after a cut on these nodes serve nine tenths of what the others do, beyond 10 and one in 50 failures.

Cause: an engine that had just ended counted as reached by another node, because that node answered by what it had seen up to 0.3 s before; the failure was then put down to a cut path. And the end of an engine seen through a relay always counted as the path's. A node now answers by a new connection, only statements from after the failure count, and a relayed failure is checked like a direct one. A node without recent traffic proves its own paths with a connection to another endpoint, so that its "not reached" counts, and where one node is left its word is enough.

--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -11,7 +11,7 @@
 from saffronworks.forwarding.paths.direct import DirectConnections
 from saffronworks.forwarding.paths.peer_calls import PeerCalls, PeerReach
 from saffronworks.forwarding.paths.table import Dial, PathTable
-from saffronworks.forwarding.paths.tuning import RELAY_AFTER_MS
+from saffronworks.forwarding.paths.tuning import CONFIRMED_MS, RELAY_AFTER_MS
 from saffronworks.forwarding.starts import StartId
 
 __all__ = ["Connector"]
@@ -88,7 +88,8 @@
                 await asyncio.wait(attempts, timeout=(dial.relay_after_ms or 0) / 1000)
                 if attempts[0].done() and (opened := attempts[0].result()) is not None:
                     return self._take(attempts, opened)
-            attempts.append(self._start(self._open_relay(endpoint.instance)))
+            since_ms = began_ms if dial.direct else began_ms - CONFIRMED_MS
+            attempts.append(self._start(self._open_relay(endpoint.instance, since_ms)))
             opened = await _first_opened(attempts)
             if opened is None and not dial.direct:
                 attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
@@ -113,9 +114,9 @@
         if (opened := attempt.result()) is not None:
             self.release(endpoint, opened)
 
-    async def _open_relay(self, instance: StartId) -> _Opened:
-        """Return a connection to a node that reaches the endpoint, None if there is none."""
-        found = await self._peers.find_reaching(instance)
+    async def _open_relay(self, instance: StartId, since_ms: int) -> _Opened:
+        """Return a connection to a node that has reached the endpoint since then, or None."""
+        found = await self._peers.find_reaching(instance, since_ms)
         if found.reached_by is None:
             self.record_unreached(instance, found)
             return None
--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -24,6 +24,7 @@
 )
 from saffronworks.forwarding.paths.peers import PeerChoice, RelayPeer
 from saffronworks.forwarding.paths.tuning import (
+    CONFIRMED_MS,
     MAX_VAIN_ASKS_PER_S,
     PEER_TIMEOUT_MS,
     PEERS_PER_CHECK,
@@ -44,7 +45,7 @@
 class PeerReach:
     """What other nodes said of an endpoint: one that reaches it, and those that don't.
 
-    `asked_all`: no other node is left to ask.
+    `asked_all`: no other node is left that answers.
     """
 
     reached_by: str | None = None
@@ -61,6 +62,14 @@
     span_ms: int
 
 
+@attrs.frozen
+class _Asking:
+    """Calls under way about one endpoint."""
+
+    task: asyncio.Task[PeerReach]
+    began_ms: int
+
+
 class PeerCalls:
     """Asks other nodes which endpoints they reach, and opens connections to them."""
 
@@ -77,12 +86,16 @@
         self._now_ms = now_ms
         self._unreached: dict[StartId, _Unreached] = {}
         self._vain_asks_ms: deque[int] = deque(maxlen=MAX_VAIN_ASKS_PER_S)
-        self._asking: dict[StartId, asyncio.Task[PeerReach]] = {}
+        self._asking: dict[StartId, _Asking] = {}
         self._calls: set[asyncio.Task[tuple[RelayPeer, RelayReply]]] = set()
 
-    async def find_reaching(self, instance: StartId) -> PeerReach:
-        """Return a node that reaches the endpoint; callers at the same time share the calls."""
-        confirmed = self.choice.confirmed(instance, self._now_ms(), self._rng)
+    async def find_reaching(self, instance: StartId, since_ms: int) -> PeerReach:
+        """Return a node that has reached the endpoint since then.
+
+        An older statement does not show that the endpoint still listens. Callers at the same time
+        share the calls.
+        """
+        confirmed = self.choice.confirmed(instance, since_ms, self._now_ms(), self._rng)
         if confirmed is not None:
             return PeerReach(confirmed.address)
         known = self._unreached.get(instance)
@@ -90,12 +103,16 @@
             return known.found
         if not self._may_ask():
             return PeerReach()
-        task = self._asking.get(instance)
-        if task is None:
+        asking = self._asking.get(instance)
+        if asking is None or asking.began_ms < since_ms:
             task = asyncio.create_task(self._ask_rounds(instance))
-            self._asking[instance] = task
-            task.add_done_callback(lambda _: self._asking.pop(instance, None))
-        return await asyncio.shield(task)
+            asking = self._asking[instance] = _Asking(task, self._now_ms())
+            task.add_done_callback(lambda _: self._end_asking(instance, asking))
+        return await asyncio.shield(asking.task)
+
+    def _end_asking(self, instance: StartId, asking: "_Asking") -> None:
+        if self._asking.get(instance) is asking:
+            del self._asking[instance]
 
     async def _ask_rounds(self, instance: StartId) -> PeerReach:
         asked: set[str] = set()
@@ -110,7 +127,7 @@
             reached = await self._first_reaching(calls, unreached, hints)
             if reached is not None:
                 return PeerReach(reached, tuple(unreached))
-        asked_all = self.choice.peers.keys() <= asked
+        asked_all = not self._next_peers(asked, [])
         return self._record_unreached(instance, PeerReach(None, tuple(unreached), asked_all))
 
     def _record_unreached(self, instance: StartId, found: PeerReach) -> PeerReach:
@@ -129,7 +146,8 @@
 
     def known_reaching(self, instance: StartId) -> str | None:
         """Return a node that reached the endpoint recently, without asking any."""
-        confirmed = self.choice.confirmed(instance, self._now_ms(), self._rng)
+        now_ms = self._now_ms()
+        confirmed = self.choice.confirmed(instance, now_ms - CONFIRMED_MS, now_ms, self._rng)
         return confirmed.address if confirmed is not None else None
 
     def forget_all_but(self, instances: Collection[StartId]) -> None:
--- a/saffronworks/forwarding/paths/peers.py
+++ b/saffronworks/forwarding/paths/peers.py
@@ -43,10 +43,12 @@
             for address in known.keys() - peers.keys():
                 del known[address]
 
-    def confirmed(self, instance: StartId, now_ms: int, rng: random.Random) -> RelayPeer | None:
-        """Return a node that reached the endpoint within `CONFIRMED_MS`, by room; None if none."""
+    def confirmed(
+        self, instance: StartId, since_ms: int, now_ms: int, rng: random.Random
+    ) -> RelayPeer | None:
+        """Return a node that reached the endpoint since then, by room; None if there is none."""
         times_ms = self._confirmed_ms.get(instance, {})
-        reaching = [name for name, at_ms in times_ms.items() if now_ms < at_ms + CONFIRMED_MS]
+        reaching = [name for name, at_ms in times_ms.items() if at_ms >= since_ms]
         return next(iter(self._by_room(reaching, now_ms, rng)), None)
 
     def candidates(
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -19,7 +19,7 @@
 )
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.table import PathState
-from saffronworks.forwarding.paths.tuning import MAX_RELAYED_REQUESTS, REACHED_RECENTLY_MS
+from saffronworks.forwarding.paths.tuning import MAX_RELAYED_REQUESTS
 from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
 from saffronworks.web import BadBody, Call
 
@@ -82,17 +82,16 @@
         await _reply(call, 200, reply)
 
     async def _find_reach(self, endpoint: ServiceEndpoint) -> RelayReply:
+        """Connect anew: an earlier answer doesn't show that the endpoint still listens."""
         if self.open_requests >= MAX_RELAYED_REQUESTS:
             return RelayReply()
-        table, now_ms = self._paths.table, self._now_ms()
-        if table.was_reached(endpoint.instance, REACHED_RECENTLY_MS, now_ms):
-            return RelayReply(reach=Reach.YES)
-        if table.state(endpoint.instance, now_ms) is PathState.RELAYED:
+        if self._paths.table.state(endpoint.instance, self._now_ms()) is PathState.RELAYED:
             return RelayReply(ask=self._paths.peers.known_reaching(endpoint.instance) or "")
         if await self._paths.connects(endpoint):
             return RelayReply(reach=Reach.YES)
-        reaches_others = table.reached_any(self._now_ms())
-        return RelayReply(reach=Reach.NO if reaches_others else Reach.UNKNOWN)
+        if await self._paths.proves_own_paths(endpoint):
+            return RelayReply(reach=Reach.NO)
+        return RelayReply()
 
     async def _refuse(
         self, call: Call, failure: str, sent: bool = False, request_id: str | None = None
--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -62,8 +62,10 @@
         direct: DirectConnections,
         peers: PeerCalls,
         table: PathTable,
+        rng: random.Random,
         now_ms: Callable[[], int],
     ):
+        self._rng = rng
         self.table = table
         self.connector = Connector(table, direct, peers, now_ms)
         self.peers = peers
@@ -200,17 +202,17 @@
 
     async def _check(self, endpoint: ServiceEndpoint) -> OSError | None:
         """Connect directly, and ask other nodes if that takes long; returns the problem."""
-        instance = endpoint.instance
+        instance, began_ms = endpoint.instance, self._now_ms()
         attempt = asyncio.create_task(self._direct.open(endpoint, CHECK_TIMEOUT_MS, check=True))
         await asyncio.wait([attempt], timeout=ASK_PEERS_AFTER_MS / 1000)
         asking = None
         if not attempt.done():
-            asking = asyncio.create_task(self.peers.find_reaching(instance))
+            asking = asyncio.create_task(self.peers.find_reaching(instance, began_ms))
         opened = await attempt
         if isinstance(opened, EndpointConnection):
             self._direct.release(endpoint, opened)
             return None
-        found = await (asking or self.peers.find_reaching(instance))
+        found = await (asking or self.peers.find_reaching(instance, began_ms))
         if found.reached_by is not None:
             self.table.record_relayed(instance, found.reached_by, self._now_ms())
             self._direct.log_changes()
@@ -231,6 +233,13 @@
             task.add_done_callback(lambda _: self._probes.pop(endpoint.instance, None))
         return await asyncio.shield(task)
 
+    async def proves_own_paths(self, other_than: ServiceEndpoint) -> bool:
+        """Return whether this node reaches another endpoint, by a new connection if need be."""
+        if self.table.reached_any(self._now_ms()):
+            return True
+        others = [one for one in self._directory.endpoints.values() if one != other_than]
+        return bool(others) and await self.connects(self._rng.choice(others))
+
     async def _probe(self, endpoint: ServiceEndpoint) -> bool:
         opened = await self._direct.open(
             endpoint, CHECK_TIMEOUT_MS, check=True, record_failure=False
@@ -248,7 +257,7 @@
         if broken.cause not in _PATH_CAUSES:
             return FaultSite.ENDPOINT
         if broken.relayed_by is not None:
-            return self._find_relayed_site(broken, broken.relayed_by)
+            return await self._find_relayed_site(endpoint, broken, broken.relayed_by)
         if not self.peers.choice.peers:
             return FaultSite.ENDPOINT
         instance = endpoint.instance
@@ -259,11 +268,18 @@
             state = self.table.state(instance, self._now_ms())
         return _SITES[state]
 
-    def _find_relayed_site(self, broken: ExchangeError, peer: str) -> FaultSite:
+    async def _find_relayed_site(
+        self, endpoint: ServiceEndpoint, broken: ExchangeError, peer: str
+    ) -> FaultSite:
+        """Return the endpoint if it has ended, else the path, of which the peer is a part."""
         if broken.cause not in _PEER_CAUSES:
             return FaultSite.ENDPOINT
-        self.peers.drop(peer)
-        return FaultSite.PATH
+        if broken.cause is not ExchangeErrorCause.CONNECT:
+            self.peers.drop(peer)
+        self.peers.choice.record_unreached(peer, endpoint.instance)
+        await asyncio.shield(self._start_check(endpoint))
+        down = self.table.state(endpoint.instance, self._now_ms()) is PathState.DOWN
+        return FaultSite.ENDPOINT if down else FaultSite.PATH
 
     def _was_just_opened(self, instance: StartId) -> bool:
         return self.table.was_opened(instance, REACHED_RECENTLY_MS, self._now_ms())
@@ -298,4 +314,4 @@
     table = PathTable()
     direct = DirectConnections(ConnectionPool(id_field), table, now_ms)
     peers = PeerCalls(PeerChoice(zone), ConnectionPool(id_field), rng, now_ms)
-    return PathService(directory, direct, peers, table, now_ms)
+    return PathService(directory, direct, peers, table, rng, now_ms)
--- a/saffronworks/tests/cut_paths.py
+++ b/saffronworks/tests/cut_paths.py
@@ -9,7 +9,7 @@
 from saffronworks.tests.soak.proxies import Proxy
 from saffronworks.web import parse_address
 
-__all__ = ["Cut", "CutPaths", "Unresponsive"]
+__all__ = ["PROXY_FAULTS", "Cut", "CutPaths", "Unresponsive"]
 
 
 class Cut(enum.Enum):
@@ -25,14 +25,14 @@
     ONE_WAY = "one way"
 
 
-_PROXY_FAULTS = {Cut.HANG: "silent", Cut.RESET: "reset", Cut.ONE_WAY: "cut-down"}
+PROXY_FAULTS = {Cut.HANG: "silent", Cut.RESET: "reset", Cut.ONE_WAY: "cut-down"}
 
 
 class Unresponsive:
     """An address that replies to no connection attempt: its queue of new connections is full."""
 
-    def __init__(self):
-        self.address = free_address()
+    def __init__(self, address=None):
+        self.address = address or free_address()
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(parse_address(self.address))
@@ -87,9 +87,9 @@
     def cut(self, number, how):
         """Cut a node off from all servers."""
         self._cuts[number] = how
-        if how in _PROXY_FAULTS:
+        if how in PROXY_FAULTS:
             for proxy in self._of(number):
-                proxy.begin(_PROXY_FAULTS[how])
+                proxy.begin(PROXY_FAULTS[how])
 
     def heal(self, number):
         """Restore the paths of a node; connections that fell silent stay silent."""
--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -30,6 +30,7 @@
       | came again far beyond the limit of its endpoint | limits_hold               |
       | came long after its endpoint said that it drains | draining_get_nothing     |
       | came again and again in a pause of its endpoint | pauses_hold               |
+      | failed like many others as the paths of its node were cut | partitioned_serve |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
@@ -40,6 +41,8 @@
       | came again within what its endpoint tolerates          |
       | came long after that at a node that has started since   |
       | came twice in a pause of its endpoint                   |
+      | failed right after the paths of its node were cut       |
+      | failed as the paths of all nodes were cut               |
       | was served                                              |
       | was broken by a kill across a planned stop of its node  |
 
--- a/saffronworks/tests/features/steps/path_table_steps.py
+++ b/saffronworks/tests/features/steps/path_table_steps.py
@@ -108,7 +108,7 @@
     for name in choice.peers:
         choice.record_reaches(name, "e", 0)
     for _ in range(2000):
-        peer = choice.confirmed("e", 10, rng)
+        peer = choice.confirmed("e", 0, 10, rng)
         choice.begin(peer.address)
         counts[peer.address] += 1
     by_cores = [count / choice.peers[name].cores for name, count in counts.items()]
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -20,6 +20,7 @@
     Asked,
     Disturbance,
     Need,
+    Partition,
     Ran,
     Reached,
     Records,
@@ -56,6 +57,7 @@
         *(("EndpointFault", kind) for kind in faults.ENDPOINT_KINDS),
         ("EndpointDrain", "drain-notice"),
         ("EndpointPause", "pause"),
+        *(("EndpointPartition", kind) for kind in faults.CUTS),
         ("StoreRestore", "restore"),
         ("ConfigChange", "config"),
         ("OrganisationChange", "organisations"),
@@ -219,6 +221,20 @@
     records.reached += [Reached("e", "r", SENT_MS + 10 + number) for number in range(count)]
 
 
+def cut_off(records, count, nodes=(0,), since_ms=1500):
+    """The paths of nodes were cut, and so many requests fail at node 0 some time later."""
+    from_ms = SENT_MS + 100
+    records.partitions.append(Partition(frozenset(nodes), from_ms, from_ms + 4000))
+    records.calm_from_ms = from_ms + 4000
+    times = [(from_ms + since_ms + number, 503) for number in range(count)]
+    for at_ms, status in [*times, (from_ms + 5000, 200)]:
+        for node in (0, 1):
+            name = f"{node}-{at_ms}"
+            asked = Asked(name, "again", node, at_ms, 3000, "answered", 200 if node else status)
+            asked.ended_ms, asked.body, asked.signed = at_ms + 10, name.encode(), True
+            records.asked[name] = asked
+
+
 CASES = {
     "got half of its stream": ("gen", half_stream),
     "got an answer without signature": ("once", unsigned),
@@ -244,6 +260,18 @@
     ),
     "came again and again in a pause of its endpoint": ("once", lambda seen: paused(seen, 3)),
     "came twice in a pause of its endpoint": ("once", lambda seen: paused(seen, 2)),
+    "failed like many others as the paths of its node were cut": (
+        "once",
+        lambda seen: cut_off(seen, 11),
+    ),
+    "failed right after the paths of its node were cut": (
+        "once",
+        lambda seen: cut_off(seen, 11, since_ms=900),
+    ),
+    "failed as the paths of all nodes were cut": (
+        "once",
+        lambda seen: cut_off(seen, 11, nodes=(0, 1)),
+    ),
     "was served": ("moved", lambda records: None),
 }
 
--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -27,6 +27,7 @@
     nodes: int = Shape().nodes,
     callers: int = Shape().callers,
     restores: int = Shape().restores,
+    partitions: int = Shape().partitions,
     logs: str = "",
 ) -> int:
     """Play seeds one after the other; 1 when one of them broke a promise.
@@ -39,14 +40,21 @@
         nodes: how many node processes.
         callers: how many callers, each with a connection of its own.
         restores: how often the store is restored from a copy.
+        partitions: how often some nodes, or all, lose their paths to all endpoints.
         logs: a folder that keeps the logs of the nodes of seeds that failed; else a temporary one.
     """
     # The store is a stand-in whose waiting calls end with the soak; uvicorn reports each of them.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
-    whole = Shape(nodes=nodes, callers=callers, faults_ms=faults_ms, restores=restores)
+    whole = Shape(
+        nodes=nodes,
+        callers=callers,
+        faults_ms=faults_ms,
+        restores=restores,
+        partitions=partitions,
+    )
     broken = 0
     # The first ones were found without these kinds of faults, and stay what they were.
-    unrestored = attrs.evolve(whole, restores=0)
+    unrestored = attrs.evolve(whole, restores=0, partitions=0)
     limited = attrs.evolve(unrestored, drains=0, pauses=0)
     unlimited = attrs.evolve(limited, limits=0)
     early = attrs.evolve(unlimited, restarts=0, deadly=False, organisations=False)
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -9,6 +9,7 @@
     "EndpointDrain",
     "EndpointFault",
     "EndpointLimit",
+    "EndpointPartition",
     "EndpointPause",
     "EndpointRestart",
     "Fault",
@@ -42,6 +43,9 @@
 LOST_SHORTEST_MS, LOST_LONGEST_MS = 500, 5000
 # Seconds of the pause that an overloaded endpoint asks for with each rejection.
 PAUSES_S = (1.5, 3.0, 4.0)
+# Nodes that lose their paths to endpoints serve their callers again after a second.
+PARTITION_SHORTEST_MS, PARTITION_LONGEST_MS = 3000, 6000
+CUTS = ("hang", "reset", "refuse new", "one way")
 # One that starts again is back before its entry lapses.
 SHORT_GONE_MS = 2000
 
@@ -69,6 +73,8 @@
     pauses: int = 3
     # How often the store is restored from a copy.
     restores: int = 1
+    # How often some nodes, or all, lose their paths to all endpoints.
+    partitions: int = 2
 
 
 @attrs.frozen
@@ -130,6 +136,13 @@
     pause_s: float = 1.5
 
 
+@attrs.frozen
+class EndpointPartition(Fault):
+    """`count` nodes from `target` on lose their paths to all endpoints; `kind` is a `Cut`."""
+
+    count: int = 1
+
+
 class OrganisationChange(Fault):
     """The operator takes a key away or gives it back, and changes a quota."""
 
@@ -165,6 +178,7 @@
     ]
     struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
     struck += _draw_advertised(seed, shape) + _draw_restores(seed, shape)
+    struck += _draw_partitions(seed, shape)
     return sorted(struck, key=lambda fault: fault.at_ms)
 
 
@@ -196,6 +210,21 @@
     ]
 
 
+def _draw_partitions(seed: int, shape: Shape) -> list[Fault]:
+    """The last node keeps its paths in most of them, as others are only then served."""
+    rng = random.Random(f"{seed}/partitions")
+    return [
+        EndpointPartition(
+            rng.randrange(shape.faults_ms),
+            rng.randint(PARTITION_SHORTEST_MS, PARTITION_LONGEST_MS),
+            rng.choice(CUTS),
+            rng.randrange(1000),
+            rng.choice([1, max(1, shape.nodes - 1), max(1, shape.nodes - 1), shape.nodes]),
+        )
+        for _ in range(shape.partitions)
+    ]
+
+
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
     """All are over when the other faults are."""
     rng = random.Random(f"{seed}/limits")
--- /dev/null
+++ b/saffronworks/tests/soak/node_main.py
@@ -0,0 +1,30 @@
+"""A node's program whose connections to endpoints go to a loopback host of its own.
+
+Its first argument is that host. Proxies there can cut the paths of one node; see `path_proxies`.
+"""
+
+import sys
+
+import attrs
+
+from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.platform.__main__ import main
+from saffronworks.web import parse_address
+
+
+def dial_over(host):
+    """Make new connections to endpoints go to the same port of `host`, not those to other nodes."""
+    connect = ConnectionPool._connect
+
+    async def connect_over(pool, endpoint, timeout_ms):
+        if endpoint.service:
+            _, port = parse_address(endpoint.address)
+            endpoint = attrs.evolve(endpoint, address=f"{host}:{port}")
+        return await connect(pool, endpoint, timeout_ms)
+
+    ConnectionPool._connect = connect_over
+
+
+if __name__ == "__main__":
+    dial_over(sys.argv.pop(1))
+    main()
--- a/saffronworks/tests/soak/processes.py
+++ b/saffronworks/tests/soak/processes.py
@@ -10,6 +10,7 @@
 from saffronworks.standins.addresses import free_address
 from saffronworks.tests.platform_fakes import BOUNDS, fetch, free_port_range, settings_text
 from saffronworks.tests.soak.organisations import QUOTA_BOUNDS
+from saffronworks.tests.soak.path_proxies import path_host
 
 __all__ = ["GRACE_S", "NodeProcess"]
 
@@ -45,7 +46,8 @@
         """Start the process, unless an overlapping fault has done so already."""
         if self.alive:
             return
-        command = [sys.executable, "-m", "saffronworks.platform"]
+        command = [sys.executable, "-m", "saffronworks.tests.soak.node_main"]
+        command += [path_host(self.number)]
         command += [f"--settings={self._settings}", "--metrics-port=0"]
         with self.log.open("a") as log:
             self._process = subprocess.Popen(command, stdout=log, stderr=log)
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -26,6 +26,11 @@
 LIMIT_FACTOR, LIMIT_MORE = 1.5, 5
 # An endpoint that asked a node for a pause bears so many of its requests from so long after on.
 MAX_IN_PAUSE, PAUSE_GRACE_MS = 2, 500
+# From so long after nodes lost their paths to endpoints on, they serve at least this share of what
+# the others do, or fail at most 10 and one in 50 requests.
+PARTITION_GRACE_MS = 1000
+PARTITION_SHARE = 0.9
+MAX_PARTITION_FAILURES, FAILURES_PER_REQUEST = 10, 1 / 50
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
 
@@ -49,6 +54,7 @@
         _limits_hold,
         _draining_get_nothing,
         _pauses_hold,
+        _partitioned_serve,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -378,3 +384,32 @@
         if len(in_pause) > MAX_IN_PAUSE and undisturbed:
             found.append(f"{rejected.endpoint} got {in_pause} of node {rejected.node} in its pause")
     return found
+
+
+def _partitioned_serve(records: Records) -> list[str]:
+    """Nodes without paths to endpoints serve their callers through the others."""
+    found = []
+    for cut in records.partitions:
+        since_ms = cut.from_ms + PARTITION_GRACE_MS
+        asked = [
+            one
+            for one in records.asked.values()
+            if since_ms <= one.at_ms < cut.to_ms
+            and one.outcome != "left"
+            and one.status not in (OVER_QUOTA, UNKNOWN_KEY)
+            and one.kind != DEADLY_KIND
+            and _undisturbed(records, one.node, one.at_ms, one.ended_ms, "caller", "store")
+        ]
+        near, others = [], []
+        for one in asked:
+            served = one.outcome == "answered" and one.status == 200
+            (near if one.node in cut.nodes else others).append(served)
+        failed = len(near) - sum(near)
+        if not others or failed <= MAX_PARTITION_FAILURES + FAILURES_PER_REQUEST * len(near):
+            continue
+        if sum(near) / len(near) < PARTITION_SHARE * sum(others) / len(others):
+            found.append(
+                f"nodes {sorted(cut.nodes)} served {sum(near)} of {len(near)} from {since_ms:.0f} "
+                f"to {cut.to_ms:.0f} ms, the others {sum(others)} of {len(others)}"
+            )
+    return found
--- a/saffronworks/tests/soak/proxies.py
+++ b/saffronworks/tests/soak/proxies.py
@@ -21,26 +21,37 @@
     were swallowed are lost: the connection stays silent for good, as after a lost path.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, address=None):
         self.target = target
-        self.address = free_address()
+        self.address = address or free_address()
         self.fault = None
         self._writers = set()
-        self._refuses, self._listens = asyncio.Event(), asyncio.Event()
+        self._refuses, self._listens, self._closed = (asyncio.Event() for _ in range(3))
 
     async def run(self):
         host, port = self.address.split(":")
         while True:
             self._refuses.clear()
+            self._closed.clear()
             server = await asyncio.start_server(self._serve, host, int(port))
             async with server:
                 await self._refuses.wait()
+            self._closed.set()
             await self._listens.wait()
 
     def refuse(self):
         """Close every connection and refuse new ones, as the port of a process that ended does."""
         self._listens.clear()
         self._refuses.set()
+        self._reset_all()
+
+    async def stop_listening(self):
+        """Refuse new connections; open ones live on."""
+        self._listens.clear()
+        self._refuses.set()
+        await self._closed.wait()
+
+    def _reset_all(self):
         for writer in list(self._writers):
             _reset(writer)
 
@@ -51,8 +62,7 @@
         """Start to misbehave; a reset strikes the open connections once more, and new ones."""
         self.fault = kind
         if kind == "reset":
-            for writer in list(self._writers):
-                _reset(writer)
+            self._reset_all()
 
     def end(self):
         self.fault = None
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -2,7 +2,17 @@
 
 import attrs
 
-__all__ = ["ALL_NODES", "Asked", "Disturbance", "Need", "Ran", "Records", "Reached", "Rejected"]
+__all__ = [
+    "ALL_NODES",
+    "Asked",
+    "Disturbance",
+    "Need",
+    "Partition",
+    "Ran",
+    "Reached",
+    "Records",
+    "Rejected",
+]
 
 ALL_NODES = -1
 
@@ -83,6 +93,15 @@
     to_ms: float
 
 
+@attrs.frozen
+class Partition:
+    """These nodes had no path to any endpoint."""
+
+    nodes: frozenset[int]
+    from_ms: float
+    to_ms: float
+
+
 @attrs.define
 class Records:
     """Everything seen, plus when what was done to whom."""
@@ -109,6 +128,7 @@
     stops: list[tuple[int, float, float]] = attrs.Factory(list)
     # When an endpoint ended under the deadly content.
     deadly_ends_ms: list[float] = attrs.Factory(list)
+    partitions: list[Partition] = attrs.Factory(list)
     calm_from_ms: float = 0.0
     # How long the soak's own process stood still, each time.
     stalls_ms: list[float] = attrs.Factory(list)
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.census import NODE_KIND
 from saffronworks.standins.sites import wait_until
+from saffronworks.tests.cut_paths import Cut
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.platform_place import CONFIG, ENGINE, make_route
 from saffronworks.tests.soak import faults
@@ -14,9 +15,10 @@
 from saffronworks.tests.soak.faults import Fault
 from saffronworks.tests.soak.organisations import Organisations
 from saffronworks.tests.soak.outside_writes import WRITE_AGAIN_MS, OutsideWrites
+from saffronworks.tests.soak.path_proxies import PathProxy
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.proxies import Proxy
-from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Need, Records
+from saffronworks.tests.soak.records import ALL_NODES, Disturbance, Need, Partition, Records
 
 __all__ = ["SoakSite"]
 
@@ -80,6 +82,9 @@
         self.caller_proxies = [Proxy(node.caller_address) for node in self.nodes]
         self.caller_addresses = [proxy.address for proxy in self.caller_proxies]
         self._endpoint_proxies = {}
+        # By node and endpoint.
+        self._path_proxies = {}
+        self._partitioned = set()
         self.organisations = Organisations(seed) if shape.organisations else None
 
     def now_ms(self):
@@ -134,6 +139,9 @@
         self.endpoints[name] = endpoint
         self._endpoint_proxies[name] = proxy
         self._tasks.start_soon(proxy.run)
+        for node in self.nodes:
+            path = self._path_proxies[node.number, name] = PathProxy(node.number, proxy.address)
+            self._tasks.start_soon(path.run)
         self._tasks.start_soon(endpoint.run)
         self._outside.put("servers", name, endpoint.entry())
 
@@ -173,6 +181,8 @@
                 await self._limit_endpoint(fault)
             case faults.EndpointDrain():
                 await self._drain_endpoint(fault)
+            case faults.EndpointPartition():
+                await self._partition_nodes(fault)
             case faults.EndpointPause():
                 await self._pause_endpoint(fault)
             case faults.OrganisationChange():
@@ -220,6 +230,28 @@
         await anyio.sleep(for_s)
         proxy.end()
 
+    async def _partition_nodes(self, fault):
+        """Cut the paths of some nodes to all endpoints; overlapping cuts of a node are left out."""
+        nodes = {(fault.target + index) % len(self.nodes) for index in range(fault.count)}
+        nodes = sorted(nodes - self._partitioned)
+        self._partitioned |= set(nodes)
+        from_ms = self.now_ms()
+        for node in nodes:
+            self._disturb(node, "endpoint", fault.for_ms / 1000)
+            for proxy in self._paths_of(node):
+                await proxy.cut(Cut(fault.kind))
+        await anyio.sleep(fault.for_ms / 1000)
+        if nodes:
+            cut = Partition(frozenset(nodes), from_ms, self.now_ms())
+            self.records.partitions.append(cut)
+        for node in nodes:
+            self._partitioned.discard(node)
+            for proxy in self._paths_of(node):
+                proxy.heal()
+
+    def _paths_of(self, node):
+        return [proxy for (of, _), proxy in self._path_proxies.items() if of == node]
+
     async def _strike_store(self, fault):
         self._disturb(ALL_NODES, "store", fault.for_ms / 1000)
         if fault.kind == "forget":
@@ -291,12 +323,17 @@
 
     async def _end_and_start(self, endpoint):
         self._disturb(ALL_NODES, "endpoint", DEADLY_DOWN_S)
-        proxy = self._endpoint_proxies[endpoint.instance]
-        proxy.refuse()
+        proxies = [
+            self._endpoint_proxies[endpoint.instance],
+            *(proxy for (_, to), proxy in self._path_proxies.items() if to == endpoint.instance),
+        ]
+        for proxy in proxies:
+            proxy.refuse()
         endpoint.crash()
         await anyio.sleep(DEADLY_DOWN_S)
         endpoint.restart()
-        proxy.listen()
+        for proxy in proxies:
+            proxy.listen()
         if endpoint.instance not in self.records.left_ms:
             self._outside.put("servers", endpoint.instance, endpoint.entry())
 
