Report runs of a doubtful path without a new message field

A run whose silence may be due to its node's own path is now reported as silent for less than the planner's limit for stalled runs. Paths are checked once a run is silent for 0.3 s, so that a stalled endpoint is still reported at 0.7 s.

--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -116,7 +116,7 @@
         """
         now_ms = self._now_ms()
         state = self.table.state(instance, now_ms)
-        if within_ms < UNANSWERED_MS or state is PathState.DOWN:
+        if state is PathState.DOWN:
             return True
         if self.table.was_reached(instance, within_ms, now_ms):
             return state is PathState.DIRECT
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -25,6 +25,8 @@
     PLANNER_SILENT_MS,
     REPORT_EVERY_MS,
     RESEND_MS,
+    SILENT_RUN_MS,
+    STALLED_RUN_MS,
 )
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
@@ -255,16 +257,26 @@
                 run.size.most_tokens,
                 now_ms - run.began_ms,
                 run.made_tokens,
-                now_ms - run.made_ms,
+                self._quiet_ms(run, now_ms),
                 run.owner.priority,
                 run.owner.organisation,
-                path_in_doubt=not self._is_path_proven(run.instance, now_ms - run.made_ms),
             )
             for request_id, run in self._runs.items()
             if run.service == service
         )
         return MemoryReport(self.own_address, service, runs)
 
+    def _quiet_ms(self, run: _Run, now_ms: int) -> int:
+        """Return how long a run has been silent, as far as its endpoint may be the cause.
+
+        The planner ejects the endpoint of a stalled run for all nodes.
+        """
+        quiet_ms = now_ms - run.made_ms
+        # Asked early, as it may take a check of the path until it is proven.
+        if quiet_ms < SILENT_RUN_MS or self._is_path_proven(run.instance, quiet_ms):
+            return quiet_ms
+        return min(quiet_ms, STALLED_RUN_MS - 1)
+
 
 def _update_times(ask: MemoryAsk, elapsed_ms: int) -> MemoryAsk:
     """Return the same request with the times left after `elapsed_ms`."""
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -211,8 +211,7 @@
             state.prefill.remove(live.request_id, known.reader)
         known.reported = True
         _apply_progress(state, known, live, now_ms)
-        stalled = live.made_tokens and live.quiet_ms >= STALLED_RUN_MS
-        if stalled and not live.path_in_doubt:
+        if live.made_tokens and live.quiet_ms >= STALLED_RUN_MS:
             state.ejections.record_failure(live.instance, now_ms)
 
 
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -116,8 +116,8 @@
 class LiveRun:
     """A live run of an entry node.
 
-    `made_tokens` of its answer have arrived, the last of them `quiet_ms` ago. `path_in_doubt`:
-    the cause of that silence may be the node's own path.
+    `made_tokens` of its answer have arrived, the last of them `quiet_ms` ago, less than
+    the planner's limit for stalled runs if the node's own path may be the cause.
     """
 
     request_id: str
@@ -130,7 +130,6 @@
     quiet_ms: int = 0
     priority: int = DEFAULT_RANK
     organisation: str = ""
-    path_in_doubt: bool = False
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -128,6 +128,8 @@
 # A run without tokens for this long is on an endpoint that is gone, stuck or out of memory: events
 # come every 50 ms, and one that takes 300 ms is late.
 STALLED_RUN_MS = 700
+# The path to the endpoint of a run that is silent for this long is checked.
+SILENT_RUN_MS = 300
 # An endpoint that had no room for a grant gets no further grant for this time, or until one of its
 # runs ends: a run ends there every 500 ms.
 FULL_ENDPOINT_MS = 200
