Describe paths to endpoints, and avoid relaying nodes only if they don't answer

Now a node is avoided if it doesn't acknowledge for 0.4 s or its connection times out, and is asked all the same if no other is left; each failure is checked anew; negative answers hold for 1 s at most. The check loop sleeps while no path is in question.

--- a/saffronworks/forwarding/paths/direct.py
+++ b/saffronworks/forwarding/paths/direct.py
@@ -20,6 +20,8 @@
         self.pool = pool
         self._table = table
         self._now_ms = now_ms
+        # Called when the state of a path has changed.
+        self.on_change: Callable[[], None] = lambda: None
 
     async def open(
         self,
@@ -74,3 +76,4 @@
             )
             if change.state is PathState.RELAYED:
                 self.pool.close_idle(change.instance)
+            self.on_change()
--- a/saffronworks/forwarding/paths/peers.py
+++ b/saffronworks/forwarding/paths/peers.py
@@ -54,8 +54,12 @@
     def candidates(
         self, tried: Collection[str], count: int, now_ms: int, rng: random.Random
     ) -> list[RelayPeer]:
-        """Return up to `count` nodes to ask, in different availability zones if possible."""
-        ranked = self._by_room([name for name in self.peers if name not in tried], now_ms, rng)
+        """Return up to `count` nodes to ask, in different availability zones if possible.
+
+        Those that are avoided are asked if no other one is left.
+        """
+        untried = [name for name in self.peers if name not in tried]
+        ranked = self._by_room(untried, now_ms, rng) or [self.peers[name] for name in untried]
         chosen = ranked[:1]
         others = [peer for peer in ranked[1:] if all(peer.zone != one.zone for one in chosen)]
         rest = [peer for peer in ranked[1:] if peer not in others]
@@ -90,7 +94,7 @@
         self._confirmed_ms.get(instance, {}).pop(peer, None)
 
     def avoid(self, peer: str, now_ms: int) -> None:
-        """Skip a node that is busy, silent or cut off itself."""
+        """Skip a node that does not answer."""
         self._avoided_until_ms[peer] = now_ms + PEER_AVOID_MS
         self._reached_any_ms.pop(peer, None)
         for times_ms in self._confirmed_ms.values():
--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -21,7 +21,6 @@
     ASK_PEERS_AFTER_MS,
     CHECK_ROUND_MS,
     CHECK_TIMEOUT_MS,
-    REACHED_RECENTLY_MS,
     UNACKNOWLEDGED_MS,
     UNANSWERED_MS,
 )
@@ -75,19 +74,25 @@
         self._checks: dict[StartId, asyncio.Task[OSError | None]] = {}
         self._probes: dict[StartId, asyncio.Task[bool]] = {}
         self._partitioned = False
+        self._active = anyio.Event()
+        direct.on_change = self._wake
 
     async def run(self) -> None:
         """Check the paths that are not used, until cancelled."""
         while True:
-            await anyio.sleep(CHECK_ROUND_MS / 1000)
             if not self.table.has_checks and not self._partitioned:
-                continue
+                self._active = anyio.Event()
+                await self._active.wait()
+            await anyio.sleep(CHECK_ROUND_MS / 1000)
             for instance in self.table.due_checks(self._now_ms()):
                 endpoint = self._directory.endpoints.get(instance)
                 if endpoint is not None:
                     self._start_check(endpoint)
             self._log_partition()
 
+    def _wake(self) -> None:
+        self._active.set()
+
     def _log_partition(self) -> None:
         partitioned = self.is_partitioned()
         if partitioned == self._partitioned:
@@ -180,13 +185,13 @@
     def _check_unanswered(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
         if connection.answering:
             return
-        acknowledged = not connection.unacknowledged_bytes
-        now_ms = self._now_ms()
+        now_ms, acknowledged = self._now_ms(), not connection.unacknowledged_bytes
+        is_late = now_ms - connection.sent_ms >= UNANSWERED_MS
         if connection.relayed_by is not None:
-            if not acknowledged:
+            if is_late and not acknowledged:
                 self.peers.drop(connection.relayed_by)
             return
-        if acknowledged and now_ms - connection.sent_ms < UNANSWERED_MS:
+        if acknowledged and not is_late:
             return
         if self.table.wants_answer_check(endpoint.instance, acknowledged, now_ms):
             self._start_check(endpoint)
@@ -262,7 +267,7 @@
             return FaultSite.ENDPOINT
         instance = endpoint.instance
         state = self.table.state(instance, self._now_ms())
-        checked = broken.cause is ExchangeErrorCause.CONNECT or self._was_just_opened(instance)
+        checked = broken.cause is ExchangeErrorCause.CONNECT
         if not checked and state in (PathState.DIRECT, PathState.SUSPECT):
             await asyncio.shield(self._start_check(endpoint))
             state = self.table.state(instance, self._now_ms())
@@ -274,16 +279,13 @@
         """Return the endpoint if it has ended, else the path, of which the peer is a part."""
         if broken.cause not in _PEER_CAUSES:
             return FaultSite.ENDPOINT
-        if broken.cause is not ExchangeErrorCause.CONNECT:
+        if broken.cause is ExchangeErrorCause.UNREACHABLE:
             self.peers.drop(peer)
         self.peers.choice.record_unreached(peer, endpoint.instance)
         await asyncio.shield(self._start_check(endpoint))
         down = self.table.state(endpoint.instance, self._now_ms()) is PathState.DOWN
         return FaultSite.ENDPOINT if down else FaultSite.PATH
 
-    def _was_just_opened(self, instance: StartId) -> bool:
-        return self.table.was_opened(instance, REACHED_RECENTLY_MS, self._now_ms())
-
     async def listens(self, endpoint: ServiceEndpoint) -> bool | None:
         """Return whether an endpoint accepts connections, from this node or from another one.
 
--- a/saffronworks/forwarding/paths/table.py
+++ b/saffronworks/forwarding/paths/table.py
@@ -256,12 +256,6 @@
         ago_ms = self.reached_ms_ago(instance, now_ms)
         return ago_ms is not None and ago_ms <= within_ms
 
-    def was_opened(self, instance: StartId, within_ms: int, now_ms: int) -> bool:
-        """Return whether a direct connection was opened within the last `within_ms`."""
-        path = self._paths.get(instance)
-        opened_ms = path.opened_ms if path else None
-        return opened_ms is not None and now_ms - opened_ms <= within_ms
-
     def reached_any(self, now_ms: int) -> bool:
         """Return whether an endpoint whose path is in use was reached very recently."""
         return any(
--- a/saffronworks/forwarding/paths/tuning.py
+++ b/saffronworks/forwarding/paths/tuning.py
@@ -35,19 +35,16 @@
 RECENT_MS = 5000
 # A node's statement that it reaches an endpoint holds for this long.
 CONFIRMED_MS = 1000
-# An endpoint that was reached this recently counts as reached without a new connection.
-REACHED_RECENTLY_MS = 300
 # A node that reached an endpoint this recently has working paths, so that its statement that it
 # does not reach another endpoint counts.
 REACHED_ANY_MS = 1000
 # Other nodes are not asked again about an endpoint that none of them reached for this long, doubled
 # with each further time in a row.
 UNREACHED_MS = 400
-UNREACHED_MAX_MS = 3200
+UNREACHED_MAX_MS = 1000
 # Limit of the endpoints per second that other nodes are asked about in vain.
 MAX_VAIN_ASKS_PER_S = 10
-# A node that did not answer, was busy or reached no endpoint gets no relayed requests for this
-# long.
+# A node that did not answer gets no relayed requests for this long, unless no other node is left.
 PEER_AVOID_MS = 1000
 # Requests that a node relays for others at the same time; each may buffer 256 KB.
 MAX_RELAYED_REQUESTS = 32
--- a/saffronworks/tests/cut_paths.py
+++ b/saffronworks/tests/cut_paths.py
@@ -53,6 +53,7 @@
     def __init__(self, place):
         self._place = place
         self._cuts = {}
+        self._ended = set()
         self._proxies = {}
         self._unresponsive = Unresponsive()
         self._refusing = free_address()
@@ -74,6 +75,8 @@
         pool._connect = connect_by_path
 
     def _dialled(self, number, address):
+        if address in self._ended:
+            return self._refusing
         proxy = self._proxies.get((number, address))
         if proxy is None:
             return address
@@ -91,6 +94,11 @@
             for proxy in self._of(number):
                 proxy.begin(PROXY_FAULTS[how])
 
+    def end_server(self, number, server):
+        """Make a server refuse a node, as one whose process has ended does."""
+        self._proxies.pop((number, server.address)).begin("reset")
+        self._ended.add(server.address)
+
     def heal(self, number):
         """Restore the paths of a node; connections that fell silent stay silent."""
         del self._cuts[number]
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -32,6 +32,14 @@
     When three nodes lose their paths to all endpoints for 5 s, and their connections hang
     Then no planner ejects an endpoint, and no content is suspected
 
+  # Guards against an endpoint that has ended and is taken for one to which the path is cut, because
+  # another node answers by what it saw before the end.
+  Scenario: an endpoint that ends counts as failed at all nodes
+    Given four nodes, two plain endpoints and three engines
+    When a decode engine ends in the middle of many requests
+    Then every node that used it knows it as down, no path as cut, and a planner ejects it
+    And callers are served by the other engine
+
   Scenario: a service with one endpoint
     Given four nodes and one plain endpoint
     When three nodes lose their paths to all endpoints for 5 s, and their connections hang
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.paths.table import PathState
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.cut_paths import Cut, CutPaths
 from saffronworks.tests.platform_place import engines, on_platform, web_servers
@@ -41,6 +42,12 @@
     return await place.ask(path, request_id, node=node)
 
 
+def ejected_by(place):
+    """Return the endpoints that the planners have ejected."""
+    plans = [node._kernel.find("memory-planner").plans.values() for node in place.nodes]
+    return [name for own in plans for plan in own for name in plan.ejections.ejected()]
+
+
 def play_cut(context, nodes, how):
     """Send requests to all nodes, and cut off those of these numbers."""
 
@@ -62,10 +69,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(cut)
             context.asked = await place.ask_evenly(REQUESTS_PER_S, CUT_AFTER_S + CUT_S, ask)
-        plans = [node._kernel.find("memory-planner").plans.values() for node in place.nodes]
-        context.ejected = [
-            name for own in plans for plan in own for name in plan.ejections.ejected()
-        ]
+        context.ejected = ejected_by(place)
         context.suspected = sum(len(node._quarantine._state.table) for node in place.nodes)
 
     context.cut_nodes = set(nodes)
@@ -111,6 +115,50 @@
     assert context.ejected == [] and context.suspected == 0, (context.ejected, context.suspected)
 
 
+@when("a decode engine ends in the middle of many requests")
+def engine_ends(context):
+    async def play(place, paths):
+        ended = place.servers["d0"]
+
+        async def end():
+            await anyio.sleep(CUT_AFTER_S)
+            context.cut_s = time.monotonic()
+            for number in range(NODES):
+                paths.end_server(number, ended)
+
+        async def ask(request_id, node):
+            return await place.generate("/res/", request_id, node=node)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(end)
+            context.asked = await place.ask_evenly(REQUESTS_PER_S, CUT_AFTER_S + 1.0, ask)
+        instance = ended.instance
+        now_ms = monotonic_ms()
+        context.states = [node._paths.table.state(instance, now_ms) for node in place.nodes]
+        context.relayed = [
+            node._paths.table.count_states(now_ms)["relayed"] for node in place.nodes
+        ]
+        context.ejected = ejected_by(place)
+
+    play_paths(context, play)
+
+
+@then("every node that used it knows it as down, no path as cut, and a planner ejects it")
+def known_as_down(context):
+    assert set(context.states) <= {PathState.DIRECT, PathState.DOWN, PathState.SUSPECT}
+    assert PathState.DOWN in context.states, context.states
+    assert not any(context.relayed) and set(context.ejected) == {"d0"}, (
+        context.relayed,
+        context.ejected,
+    )
+
+
+@then("callers are served by the other engine")
+def served_elsewhere(context):
+    late = [one for one in context.asked if one.sent_s > context.cut_s]
+    assert late and sum(map(is_served, late)) >= SERVED_RATIO * len(late), len(late)
+
+
 @given("four nodes and one plain endpoint")
 def one_endpoint(context):
     context.servers = web_servers(1)
