Probe connections to endpoints, and bear a silence of two seconds

What callers see: a request that the endpoint acknowledged before the node's path was cut waits for its own timeout, up to the caller's deadline. And an exchange ends when a sound endpoint is silent for 1.2 s, though the users' page says that endpoints may be silent for a second or so.

Cause: connections had TCP_USER_TIMEOUT without keep-alive, which bounds data that is sent and not acknowledged, and nothing while an answer is awaited; and 1.2 s is too close to a second. Probes go out each second now, and a connection fails after 2.5 s without an acknowledgement; with probes each second that is after 2 to 3 s. Cut paths are noticed by checks long before, so that new requests don't wait for it.

Evidence: the scenario fails without the change (no keep-alive, 1,200 ms). Loopback can't lose acknowledgements, so the scenario reads the options of a real connection.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -22,6 +22,7 @@
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
     MOST_BUFFERED_BYTES,
+    PROBE_INTERVAL_S,
     USER_TIMEOUT_MS,
 )
 from saffronworks.sockets import unacknowledged_bytes
@@ -84,11 +85,15 @@
     # asyncio's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set TCP options, among them the timeout of unacknowledged data."""
+        """Set TCP options, among them the timeout of unacknowledged data and probes."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Probes notice a cut path while the answer to an acknowledged request is awaited.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -71,7 +71,10 @@
 # A host behind a network cut never answers; the round trip to a reachable one is 7 ms at most.
 CONNECT_TIMEOUT_MS = 600
 # A connection fails when data or probes stay unacknowledged for this long (TCP_USER_TIMEOUT).
-USER_TIMEOUT_MS = 1200
+# Endpoints may be silent for a second or so and go on; cut paths are noticed earlier, by checks.
+USER_TIMEOUT_MS = 2500
+# Interval of TCP keep-alive probes on a connection without traffic.
+PROBE_INTERVAL_S = 1
 # Maximum idle connections to one endpoint.
 MAX_IDLE_CONNECTIONS = 8
 # An idle connection is reused for this share of the keep-alive timeout that the endpoint announces.
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -17,6 +17,11 @@
     Then the connection is not reused
     And a connection on which a control call was refused serves only control calls
 
+  # Guards against exchanges that wait for their own timeout, because the path was cut after the
+  # endpoint acknowledged the request, and against ones that end while a sound endpoint is silent.
+  Scenario: an exchange that waits for its answer is probed
+    Then connections to endpoints are probed each second, and fail after more than two
+
   Scenario: reading from a connection is paused
     Then an endpoint does not count as silent while reading from it is paused
     And a paused connection resumes reading for the next request
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -1,15 +1,18 @@
 """Scenarios on one connection to an endpoint: matching answers to requests, without sockets."""
 
 import asyncio
+import socket
 
 import anyio
 from behave import then, when
 
 from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.tuning import MOST_BUFFERED_BYTES
 from saffronworks.tests.connection_fakes import connect, receive
 from saffronworks.tests.endpoint_fixtures import endpoints
+from saffronworks.tests.platform_fakes import FakeServer
 
 OWN = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nown"
 CONTROL = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nhold"
@@ -130,3 +133,23 @@
         assert connection._transport.reads
 
     anyio.run(play)
+
+
+@then("connections to endpoints are probed each second, and fail after more than two")
+def is_probed(context):
+    async def play():
+        server = FakeServer("e0", "s")
+        endpoint = ServiceEndpoint("e0", "s", server.address, "z")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            await anyio.sleep(0.05)
+            connection = await ConnectionPool("Request-Id").acquire(endpoint)
+            sock = connection._transport.get_extra_info("socket")
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+                assert sock.getsockopt(socket.IPPROTO_TCP, option) == 1
+            timeout_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert 2000 < timeout_ms < 3000, timeout_ms
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
