Word web.py in the terms of the field

Renames: wait_gone is wait_disconnected, hang_up is close, kernel_bytes is unacknowledged_bytes, keep_idle is set_keep_alive, LOOK_EVERY_S is TICK_INTERVAL_S. Behaviour is unchanged but for the text of a 400 whose body broke off: "the caller disconnected".

--- a/saffronworks/completions.py
+++ b/saffronworks/completions.py
@@ -174,7 +174,7 @@
     async def _cut(self, reason: str) -> None:
         body = error_body(f"outcome unknown: {reason}", "server_error", "unknown")
         await self._call.write(b"data: " + msgspec.json.encode(body) + b"\n\n")
-        self._call.hang_up()
+        self._call.close()
 
     def _event(self, text: str, finish: str | None) -> bytes:
         if self._chat:
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -199,5 +199,5 @@
 
 
 async def _cancel_on_disconnect(call: Call, scope: anyio.CancelScope) -> None:
-    await call.wait_gone()
+    await call.wait_disconnected()
     scope.cancel()
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -216,7 +216,7 @@
 
     async def _watch_caller(self, call: Call, request: anyio.CancelScope) -> None:
         """Cancel the request when its caller leaves; a message could be dropped, and comes once."""
-        await call.wait_gone()
+        await call.wait_disconnected()
         request.cancel()
 
 
--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -170,7 +170,7 @@
                 call.path,
                 type(error).__name__,
             )
-            call.hang_up()
+            call.close()
             return "unknown"
         await call.write(b"", more=False)
         return "completed"
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -173,11 +173,11 @@
 
     async def wait_disconnected(self) -> None:
         """Return when the caller has disconnected."""
-        await self._call.wait_gone()
+        await self._call.wait_disconnected()
 
     def cut(self) -> None:
         """Close the connection, so that the caller sees an incomplete answer."""
-        self._call.hang_up()
+        self._call.close()
 
     async def drain(self) -> None:
         """Return once this process has no unsent bytes of the answer left."""
@@ -200,7 +200,7 @@
     @property
     def unread_bytes(self) -> int:
         """Bytes written that the caller's machine has not acknowledged."""
-        return self._call.buffered_bytes + self._call.kernel_bytes
+        return self._call.buffered_bytes + self._call.unacknowledged_bytes
 
 
 class Ingress:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -382,7 +382,7 @@
             self._calls.pool.limit_idle(self._state.budget.nodes, min_connections)
 
     def _apply_table(self, table: RoutingTable) -> bool:
-        self._callers.keep_idle(table.limits.idle_timeout_ms / 1000)
+        self._callers.set_keep_alive(table.limits.idle_timeout_ms / 1000)
         accepted = self._forwarder.apply_table(table)
         if accepted:
             self._quotas.take_table(table)
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -17,12 +17,13 @@
 
 logger = logging.getLogger(__name__)
 
-LOOK_EVERY_S = 1.0
+# Interval of uvicorn's housekeeping, which renews the date header.
+TICK_INTERVAL_S = 1.0
 KEEP_ALIVE_S = 30.0
 
 
 class BadBody(Exception):
-    """The request's body is too large, or not what it should be."""
+    """The body of a request is too large or malformed, or the caller disconnected."""
 
 
 class Call:
@@ -48,23 +49,23 @@
         self._body = b""
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """The body in parts, once; `streamed` tells that it cannot be sent again."""
+        """Yield the body in parts; `streamed` is true then, as it can't be read again."""
         while not self._whole:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise BadBody("the caller hung up")
+                raise BadBody("the caller disconnected")
             self.streamed = True
             self._whole = not message.get("more_body", False)
             yield message.get("body", b"")
 
     async def body(self, most_bytes: int) -> bytes:
-        """The whole body, kept for a second reading; BadBody beyond `most_bytes`."""
+        """Return the whole body, which is kept; raises BadBody beyond `most_bytes`."""
         parts: list[bytes] = [self._body]
         size_bytes = 0
         while not self._whole:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise BadBody("the caller hung up")
+                raise BadBody("the caller disconnected")
             parts.append(message.get("body", b""))
             size_bytes += len(parts[-1])
             if size_bytes > most_bytes:
@@ -74,14 +75,14 @@
         return self._body
 
     async def json(self, most_bytes: int = 8_000_000) -> Any:
-        """The body as JSON; BadBody when it is none."""
+        """Return the body decoded from JSON; raises BadBody."""
         try:
             return msgspec.json.decode(await self.body(most_bytes))
         except msgspec.DecodeError as error:
             raise BadBody(f"body is not JSON: {error}") from error
 
-    async def wait_gone(self) -> None:
-        """Return when the caller hung up; call it after the body was read."""
+    async def wait_disconnected(self) -> None:
+        """Return when the caller has disconnected; call it after the body was read."""
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
@@ -92,13 +93,13 @@
         await self.start_fields(status, headers.items())
 
     async def start_fields(self, status: int, fields: Iterable[tuple[str, str]]) -> None:
-        """Send the status line and header fields, of which some may come more than once."""
+        """Send the status line and header fields; names may repeat."""
         self.started = True
         raw = [(key.lower().encode(), value.encode("latin-1")) for key, value in fields]
         await self._send({"type": "http.response.start", "status": status, "headers": raw})
 
     async def write(self, data: bytes, more: bool = True) -> None:
-        """Send a part of the body; the last with `more` false."""
+        """Send a part of the body; `more` is false for the last one."""
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
     @property
@@ -108,16 +109,16 @@
 
     @property
     def connection_key(self) -> int:
-        """The same for all calls on one connection, while it is open."""
+        """A key of the connection, the same for all its calls while it is open."""
         return id(self._transport)
 
     @property
     def buffered_bytes(self) -> int:
-        """What was written and waits in this process for the caller to read."""
+        """Written bytes that the kernel has not taken yet."""
         return self._transport.get_write_buffer_size()
 
     async def drain(self) -> None:
-        """Return once the kernel has taken all that was written, or the caller left."""
+        """Return once the kernel has taken all written bytes, or the caller has disconnected."""
         self._transport.set_write_buffer_limits(0)
         try:
             # uvicorn waits before a write, and an empty one sends nothing.
@@ -126,29 +127,29 @@
             self._transport.set_write_buffer_limits()
 
     @property
-    def kernel_bytes(self) -> int:
-        """What waits in the kernel until the caller's machine acknowledges it."""
+    def unacknowledged_bytes(self) -> int:
+        """Bytes in the kernel that the caller's machine has not acknowledged."""
         return unacknowledged_bytes(self._transport.get_extra_info("socket"))
 
     def cut(self) -> None:
-        """Cut the caller's connection at once, as a crash does."""
+        """Abort the caller's connection, discarding what was not sent."""
         self._transport.abort()
 
-    def hang_up(self) -> None:
-        """Close the caller's connection once what was written is out."""
+    def close(self) -> None:
+        """Close the caller's connection after the written bytes were sent."""
         self._transport.close()
 
     async def reply(
         self, status: int, value: object, headers: Mapping[str, str] | None = None
     ) -> None:
-        """Send a whole JSON response."""
+        """Send a complete JSON response."""
         data = msgspec.json.encode(value)
         await self.reply_bytes(status, data, "application/json", headers)
 
     async def reply_bytes(
         self, status: int, data: bytes, kind: str, headers: Mapping[str, str] | None = None
     ) -> None:
-        """Send a whole response of another type."""
+        """Send a complete response of media type `kind`."""
         fields = {"content-type": kind, "content-length": str(len(data)), **(headers or {})}
         await self.start(status, fields)
         await self.write(data, more=False)
@@ -158,13 +159,13 @@
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """The parts of `IP:port`."""
+    """Split `IP:port` into its parts."""
     host, _, port = address.rpartition(":")
     return host, int(port)
 
 
 def is_address(text: str) -> bool:
-    """Whether a text is of the form `IP:port`, with an IPv4 address by number."""
+    """Return whether a text is of the form `IP:port`, with a numeric IPv4 address."""
     host, _, port = text.rpartition(":")
     try:
         socket.inet_pton(socket.AF_INET, host)
@@ -174,10 +175,10 @@
 
 
 def bind(address: str, send_buffer_bytes: int | None = None) -> socket.socket:
-    """A listening socket; port 0 takes a free one.
+    """Return a listening socket; port 0 chooses a free one.
 
-    `send_buffer_bytes`: the kernel's buffer for what each connection has not taken, else the
-    kernel chooses; it gives up to 4 MB where a caller reads nothing.
+    `send_buffer_bytes` is the kernel's send buffer of each connection. By default the kernel
+    chooses it, up to 4 MB for a caller that reads nothing.
     """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -192,27 +193,27 @@
 class _Server(uvicorn.Server):
     def __init__(self, config: uvicorn.Config):
         super().__init__(config)
-        self._told_to_stop = asyncio.Event()
+        self._stop_requested = asyncio.Event()
 
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
-        """Leave signals to the daemon."""
+        """Do not install signal handlers; the daemon has its own."""
         yield
 
     async def main_loop(self) -> None:
-        """Look once a second, for the date header; ten times costs an idle node more.
+        """Tick once a second instead of ten times, which costs an idle node more.
 
-        A stop is seen at once: each second that it waits is missing from the time that requests
-        have to end in before the process is killed.
+        A stop wakes it at once, because requests have limited time to end before the process is
+        killed.
         """
         while not await self.on_tick(0):
-            with anyio.move_on_after(LOOK_EVERY_S):
-                await self._told_to_stop.wait()
+            with anyio.move_on_after(TICK_INTERVAL_S):
+                await self._stop_requested.wait()
 
     def stop(self) -> None:
         """End the main loop."""
         self.should_exit = True
-        self._told_to_stop.set()
+        self._stop_requested.set()
 
 
 class HttpServer:
@@ -246,7 +247,7 @@
 
     @property
     def address(self) -> str:
-        """The address that it listens on."""
+        """The listening address, as `IP:port`."""
         host, port = self._listener.getsockname()[:2]
         return f"{host}:{port}"
 
@@ -258,12 +259,12 @@
             with anyio.CancelScope(shield=True):
                 self._abort()
 
-    def keep_idle(self, idle_s: float) -> None:
-        """How long connections that are opened from now on may rest."""
+    def set_keep_alive(self, idle_s: float) -> None:
+        """Set the keep-alive timeout of connections that are opened from now on."""
         self._server.config.timeout_keep_alive = idle_s  # type: ignore[assignment]
 
     def stop(self) -> None:
-        """Stop accepting, and return from `run` when the running calls are over."""
+        """Stop accepting; `run` returns when the calls in progress have ended."""
         self._server.stop()
 
     def _abort(self) -> None:
