Let a node that stops finish the requests that it relays

Found by reading, before any caller met it: the relay server of a node that is stopped as planned took new requests until its callers were gone, and was then aborted with what it still carried for other nodes' callers. It now refuses new ones from the signal on (they go to another node), and has the same grace period as the node's own callers.

Periodic checks of a relayed path also go by what other nodes said within the last second: each question made two nodes open a connection to the endpoint.

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -44,7 +44,10 @@
 
 
 class RelayServer:
-    """Answers the relay requests of other nodes. A relayed request is never relayed again."""
+    """Answers the relay requests of other nodes. A relayed request is never relayed again.
+
+    While `closing`, no further ones are accepted.
+    """
 
     def __init__(
         self,
@@ -55,6 +58,7 @@
         now_ms: Callable[[], int],
     ):
         self.open_requests = 0
+        self.closing = False
         self._directory = directory
         self._paths = paths
         self._calls = calls
@@ -72,18 +76,22 @@
             await self._answer_check(call, endpoint)
         elif endpoint is None:
             await self._refuse(call, "unknown-endpoint")
-        elif self.open_requests >= MAX_RELAYED_REQUESTS:
-            await self._refuse(call, "busy")
+        elif self._is_full:
+            await self._refuse(call, "stopping" if self.closing else "busy")
         else:
             await self._relay_while_wanted(call, request, endpoint)
 
+    @property
+    def _is_full(self) -> bool:
+        return self.closing or self.open_requests >= MAX_RELAYED_REQUESTS
+
     async def _answer_check(self, call: Call, endpoint: ServiceEndpoint | None) -> None:
         reply = RelayReply() if endpoint is None else await self._find_reach(endpoint)
         await _reply(call, 200, reply)
 
     async def _find_reach(self, endpoint: ServiceEndpoint) -> RelayReply:
         """Connect anew: an earlier answer doesn't show that the endpoint still listens."""
-        if self.open_requests >= MAX_RELAYED_REQUESTS:
+        if self._is_full:
             return RelayReply()
         if self._paths.table.state(endpoint.instance, self._now_ms()) is PathState.RELAYED:
             return RelayReply(ask=self._paths.peers.known_reaching(endpoint.instance) or "")
--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -21,6 +21,7 @@
     ASK_PEERS_AFTER_MS,
     CHECK_ROUND_MS,
     CHECK_TIMEOUT_MS,
+    CONFIRMED_MS,
     UNACKNOWLEDGED_MS,
     UNANSWERED_MS,
 )
@@ -71,7 +72,7 @@
         self._directory = directory
         self._direct = direct
         self._now_ms = now_ms
-        self._checks: dict[StartId, asyncio.Task[OSError | None]] = {}
+        self._checks: dict[tuple[StartId, bool], asyncio.Task[OSError | None]] = {}
         self._probes: dict[StartId, asyncio.Task[bool]] = {}
         self._partitioned = False
         self._active = anyio.Event()
@@ -87,7 +88,7 @@
             for instance in self.table.due_checks(self._now_ms()):
                 endpoint = self._directory.endpoints.get(instance)
                 if endpoint is not None:
-                    self._start_check(endpoint)
+                    self._start_check(endpoint, periodic=True)
             self._log_partition()
 
     def _wake(self) -> None:
@@ -196,28 +197,34 @@
         if self.table.wants_answer_check(endpoint.instance, acknowledged, now_ms):
             self._start_check(endpoint)
 
-    def _start_check(self, endpoint: ServiceEndpoint) -> asyncio.Task[OSError | None]:
+    def _start_check(
+        self, endpoint: ServiceEndpoint, periodic: bool = False
+    ) -> asyncio.Task[OSError | None]:
         """Check a path; at the same time at most once."""
-        task = self._checks.get(endpoint.instance)
+        key = endpoint.instance, periodic
+        task = self._checks.get(key)
         if task is None:
-            task = asyncio.create_task(self._check(endpoint))
-            self._checks[endpoint.instance] = task
-            task.add_done_callback(lambda _: self._checks.pop(endpoint.instance, None))
+            task = self._checks[key] = asyncio.create_task(self._check(endpoint, periodic))
+            task.add_done_callback(lambda _: self._checks.pop(key, None))
         return task
 
-    async def _check(self, endpoint: ServiceEndpoint) -> OSError | None:
-        """Connect directly, and ask other nodes if that takes long; returns the problem."""
-        instance, began_ms = endpoint.instance, self._now_ms()
+    async def _check(self, endpoint: ServiceEndpoint, periodic: bool) -> OSError | None:
+        """Connect directly, and ask other nodes if that takes long; returns the problem.
+
+        A periodic check goes by what they said recently, as each question costs a connection.
+        """
+        instance = endpoint.instance
+        since_ms = self._now_ms() - (CONFIRMED_MS if periodic else 0)
         attempt = asyncio.create_task(self._direct.open(endpoint, CHECK_TIMEOUT_MS, check=True))
         await asyncio.wait([attempt], timeout=ASK_PEERS_AFTER_MS / 1000)
         asking = None
         if not attempt.done():
-            asking = asyncio.create_task(self.peers.find_reaching(instance, began_ms))
+            asking = asyncio.create_task(self.peers.find_reaching(instance, since_ms))
         opened = await attempt
         if isinstance(opened, EndpointConnection):
             self._direct.release(endpoint, opened)
             return None
-        found = await (asking or self.peers.find_reaching(instance, began_ms))
+        found = await (asking or self.peers.find_reaching(instance, since_ms))
         if found.reached_by is not None:
             self.table.record_relayed(instance, found.reached_by, self._now_ms())
             self._direct.log_changes()
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -159,7 +159,17 @@
         callers = bind(settings.caller_address, send_buffer)
         self._callers = HttpServer(callers, self._ingress.handle, grace_s)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
-        self._relays = self._make_relay_server(settings)
+        self._relay_server = RelayServer(
+            self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
+        )
+        self._state.figures.register_gauge(
+            "saffronworks_relayed_requests",
+            lambda: [Level(self._relay_server.open_requests, {})],
+        )
+        self._relays: HttpServer | None = None
+        if settings.relay_address is not None:
+            relays = bind(settings.relay_address)
+            self._relays = HttpServer(relays, self._relay_server.handle, grace_s, date_header=False)
         self._metrics_page = MetricsPage(self._state.figures)
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
@@ -233,18 +243,6 @@
             self._paths.is_partitioned,
         )
 
-    def _make_relay_server(self, settings: PlatformSettings) -> HttpServer | None:
-        """Return the server that relays requests of nodes that don't reach an endpoint."""
-        if settings.relay_address is None:
-            return None
-        relays = RelayServer(
-            self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_relayed_requests", lambda: [Level(relays.open_requests, {})]
-        )
-        return HttpServer(bind(settings.relay_address), relays.handle, date_header=False)
-
     def _max_body_bytes(self) -> int:
         table = self._forwarder.table
         return table.limits.body_bytes if table is not None else 0
@@ -295,12 +293,12 @@
                 self._paths.run,
                 *(follower.run for follower in self._followers),
             ]
-            if self._relays is not None:
-                services.append(self._relays.run)
             for service in services:
                 tasks.start_soon(self._keep_running, service)
             async with anyio.create_task_group() as serving:
                 serving.start_soon(self._callers.run)
+                if self._relays is not None:
+                    serving.start_soon(self._relays.run)
                 await self._stopping.wait()
                 await self._drain()
             tasks.cancel_scope.cancel()
@@ -324,9 +322,12 @@
             self._forwarder.open_requests,
         )
         self._ingress.closing = True
+        self._relay_server.closing = True
         await anyio.sleep(DEREGISTRATION_MS / 1000)
         await self._census.leave()
         self._callers.stop()
+        if self._relays is not None:
+            self._relays.stop()
 
     def _spawn(
         self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: object
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -67,6 +67,12 @@
     When the node that relays a request closes all its connections
     Then an unrepeatable request ends as unknown and ran once, and a repeatable one is served
 
+  # Guards against a planned stop of one node that breaks requests of another node's callers.
+  Scenario: the relaying node is stopped as planned
+    Given four nodes and one plain endpoint
+    When a node that relays a request is stopped, and further requests follow
+    Then all of them are served, and none by the node that stops after the first
+
   # Guards against nodes that relay requests to each other when none of them reaches the endpoint.
   Scenario: no node reaches any endpoint
     Given four nodes and one plain endpoint
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -311,6 +311,37 @@
     assert context.answers["/again/"].startswith(b"HTTP/1.1 200"), context.answers
 
 
+@when("a node that relays a request is stopped, and further requests follow")
+def relaying_node_is_stopped(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        server.work_s = 0.8
+        context.raw, context.relays = {}, []
+
+        async def ask(name):
+            context.raw[name] = await place.ask("/once/", name)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, "first")
+            await anyio.sleep(0.3)
+            (relaying,) = [node for node in place.nodes if node._relay_server.open_requests]
+            relaying.stop()
+            server.work_s = 0.0
+            for number in range(10):
+                await ask(f"later-{number}")
+                context.relays.append(relaying._relay_server.open_requests)
+
+    play_paths(context, play)
+
+
+@then("all of them are served, and none by the node that stops after the first")
+def served_across_stop(context):
+    lost = {name: raw for name, raw in context.raw.items() if not raw.startswith(b"HTTP/1.1 200")}
+    assert not lost and len(context.raw) == 11, lost
+    assert max(context.relays) <= 1, context.relays
+
+
 def play_refused(context, place, nodes):
     """Send twenty requests in turn to these nodes."""
 
