Believe a node's "not reached" only if it can open connections now

Only a connection opened within the last second counts now. Statements about an endpoint that is down already neither extend that nor are logged.

--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -247,7 +247,7 @@
 
     async def proves_own_paths(self, other_than: ServiceEndpoint) -> bool:
         """Return whether this node reaches another endpoint, by a new connection if need be."""
-        if self.table.reached_any(self._now_ms()):
+        if self.table.opened_any(self._now_ms()):
             return True
         others = [one for one in self._directory.endpoints.values() if one != other_than]
         return bool(others) and await self.connects(self._rng.choice(others))
--- a/saffronworks/forwarding/paths/table.py
+++ b/saffronworks/forwarding/paths/table.py
@@ -19,7 +19,7 @@
     FLAP_WINDOW_MS,
     MAX_CHECKS_PER_ROUND,
     MAX_CHECKS_TO_HEAL,
-    REACHED_ANY_MS,
+    OPENED_ANY_MS,
     RECENT_MS,
     RELAY_AFTER_MS,
 )
@@ -196,7 +196,7 @@
         `only_peer`: there is no other node to ask.
         """
         path = self._path(instance)
-        if path.state is PathState.DIRECT:
+        if path.state is PathState.DIRECT or path.state is PathState.DOWN:
             return
         path.unreached_by.add(peer)
         if len(path.unreached_by) >= 2 or only_peer:
@@ -256,12 +256,15 @@
         ago_ms = self.reached_ms_ago(instance, now_ms)
         return ago_ms is not None and ago_ms <= within_ms
 
-    def reached_any(self, now_ms: int) -> bool:
-        """Return whether an endpoint whose path is in use was reached very recently."""
+    def opened_any(self, now_ms: int) -> bool:
+        """Return whether a connection over a path in use was opened very recently.
+
+        Answers on older connections don't count: these may live on while new ones are refused.
+        """
         return any(
             path.state is PathState.DIRECT
-            and (reached_ms := path.reached_ms()) is not None
-            and now_ms - reached_ms <= REACHED_ANY_MS
+            and path.opened_ms is not None
+            and now_ms - path.opened_ms <= OPENED_ANY_MS
             for path in self._paths.values()
         )
 
--- a/saffronworks/forwarding/paths/tuning.py
+++ b/saffronworks/forwarding/paths/tuning.py
@@ -35,9 +35,9 @@
 RECENT_MS = 5000
 # A node's statement that it reaches an endpoint holds for this long.
 CONFIRMED_MS = 1000
-# A node that reached an endpoint this recently has working paths, so that its statement that it
-# does not reach another endpoint counts.
-REACHED_ANY_MS = 1000
+# A node that connected to an endpoint this recently has working paths, so that its statement that
+# it does not reach another endpoint counts.
+OPENED_ANY_MS = 1000
 # Other nodes are not asked again about an endpoint that none of them reached for this long, doubled
 # with each further time in a row.
 UNREACHED_MS = 400
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -3,7 +3,7 @@
 from saffronworks.tests.soak.callers import DEADLY_KIND, ONCE_KINDS, STREAM_KINDS
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.organisations import HOT, quotas_hold
-from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Records
+from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Partition, Records
 
 __all__ = ["check_all"]
 
@@ -386,11 +386,22 @@
     return found
 
 
+def _has_working_node(records: Records, cut: Partition) -> bool:
+    """Whether a node had paths to endpoints, and nothing else struck it, during the whole cut."""
+    nodes = {asked.node for asked in records.asked.values()} - cut.nodes
+    for other in records.partitions:
+        if other.from_ms < cut.to_ms and cut.from_ms < other.to_ms:
+            nodes -= other.nodes
+    return any(_undisturbed(records, node, cut.from_ms, cut.to_ms) for node in nodes)
+
+
 def _partitioned_serve(records: Records) -> list[str]:
     """Nodes without paths to endpoints serve their callers through the others."""
     found = []
     for cut in records.partitions:
         since_ms = cut.from_ms + PARTITION_GRACE_MS
+        if not _has_working_node(records, cut):
+            continue
         asked = [
             one
             for one in records.asked.values()
