Keep the cut paths by themselves, as each new connection asks for them

Found by reading: each new connection went over all paths of the node to see whether two are cut. No behaviour changes but one: a path that turns from suspect to relayed counts as cut since it became suspect.

--- a/saffronworks/forwarding/paths/table.py
+++ b/saffronworks/forwarding/paths/table.py
@@ -101,6 +101,8 @@
 
     _paths: dict[StartId, _Path] = attrs.Factory(dict)
     _changes: list[PathChange] = attrs.Factory(list)
+    # Since when each path has been suspect or relayed.
+    _cut_since_ms: dict[StartId, int] = attrs.Factory(dict)
 
     # Decisions.
 
@@ -128,12 +130,11 @@
 
     def _in_doubt(self, instance: StartId, now_ms: int) -> bool:
         """Return whether two other paths were cut since this endpoint was last reached."""
-        cut = [path for path in self._paths.values() if path.state in _CUT]
-        if len(cut) < 2:
+        if len(self._cut_since_ms) < 2:
             return False
         path = self._paths.get(instance)
         reached_ms = path.reached_ms() if path else None
-        return reached_ms is None or reached_ms < min(one.since_ms for one in cut)
+        return reached_ms is None or reached_ms < min(self._cut_since_ms.values())
 
     def is_partitioned(self, now_ms: int) -> bool:
         """Return whether other nodes reach endpoints, and this one reached none recently."""
@@ -242,6 +243,7 @@
         """Drop the state of endpoints that are not in `instances`."""
         for instance in self._paths.keys() - set(instances):
             del self._paths[instance]
+            self._cut_since_ms.pop(instance, None)
 
     # For logs and metrics.
 
@@ -301,6 +303,10 @@
         ago_ms = self.reached_ms_ago(instance, now_ms)
         self._changes.append(PathChange(instance, path.state, state, after, ago_ms, peers))
         path.state, path.since_ms = state, now_ms
+        if state in _CUT:
+            self._cut_since_ms.setdefault(instance, now_ms)
+        else:
+            self._cut_since_ms.pop(instance, None)
         path.check_interval_ms = CHECK_INTERVAL_MS
         path.unreached_by.clear()
         path.good_checks = 0
