Judge a revoked key by when its request reached the endpoint

The check took the keys at the time at which the caller sent the request; it now asks that the key was taken away for all of the time until the endpoint got it. A request that reaches an endpoint while its key is taken away is found as before.

--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -255,14 +255,14 @@
     """Beyond the quota of an organisation that asks for too much, or with a key taken away."""
     if asked.status == OVER_QUOTA:
         return asked.organisation == HOT
-    return asked.status == UNKNOWN_KEY and bool(_taken_since(asked, records))
+    return asked.status == UNKNOWN_KEY and bool(_taken_since(asked, records, asked.at_ms))
 
 
-def _taken_since(asked: Asked, records: Records) -> list[float]:
-    """When its key was taken away, if it was for all of the time until it was asked."""
+def _taken_since(asked: Asked, records: Records, until_ms: float) -> list[float]:
+    """When its key was taken away, if it was not given back until then."""
     since: list[float] = []
     for at_ms, taken_away in records.taken_away:
-        if at_ms <= asked.at_ms:
+        if at_ms <= until_ms:
             since = [*since, at_ms] if asked.key in taken_away else []
     return since[:1]
 
@@ -272,7 +272,7 @@
     found = []
     for _, request_id, at_ms in records.arrived:
         asked = records.asked[request_id]
-        for since_ms in _taken_since(asked, records):
+        for since_ms in _taken_since(asked, records, at_ms):
             late = asked.at_ms > since_ms + CONFIG_APPLY_MS
             if late and _undisturbed(records, asked.node, since_ms, at_ms, "store"):
                 found.append(f"{request_id} was sent on {at_ms - since_ms:.0f} ms after that")
