Release a connection that was lost before its request was sent

Found by reading: a kept connection that had just been lost stayed in the list of busy ones for good, and, if it led to a node that relays, counted as a request under way there, so that this node got fewer.

--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -268,7 +268,11 @@
         )
         lines = _request_lines(endpoint, request, left_ms, extra)
         data = _join(_add_relay(lines, connection, relay), request.body)
-        connection.send(data, request.request_id, bodiless=request.method == "HEAD")
+        try:
+            connection.send(data, request.request_id, bodiless=request.method == "HEAD")
+        except ExchangeError:
+            self.paths.connector.release(endpoint, connection)
+            raise
         return PlatformExchange(self.paths, endpoint, connection, self._answers)
 
     async def _connect(
