--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -31,6 +31,8 @@
 PARTITION_GRACE_MS = 1000
 PARTITION_SHARE = 0.9
 MAX_PARTITION_FAILURES, FAILURES_PER_REQUEST = 10, 1 / 50
+# Refusals by what endpoints allow all nodes, or one node, to send.
+ENDPOINT_REFUSALS = (b"endpoints-limited", b"endpoints-paused")
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
 
@@ -409,6 +411,7 @@
             and one.outcome != "left"
             and one.status not in (OVER_QUOTA, UNKNOWN_KEY)
             and one.kind != DEADLY_KIND
+            and not any(reason in one.body for reason in ENDPOINT_REFUSALS)
             and _undisturbed(records, one.node, one.at_ms, one.ended_ms, "caller", "store")
         ]
         near, others = [], []
