--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -1,4 +1,4 @@
-"""The faults of one soak: which, when, for how long. Drawn from a seed, nothing else."""
+"""The faults of one soak, with their times and durations, drawn from a seed alone."""
 
 import random
 
@@ -28,52 +28,52 @@
 NODE_KINDS = ("pause", "kill", "stop")
 STORE_KINDS = ("busy", "limited", "silent", "slow", "lost", "forget")
 ENDPOINT_KINDS = ("crash", "drain", "vanish", "grey", "full")
-# Faults of one series begin this close to each other, so that they overlap.
+# Faults of one series begin within this time, so that they overlap.
 SERIES_SPREAD_MS = 2500
 SHORTEST_MS = 300
 LONGEST_MS = 3000
-# An endpoint in need names its limit for so long: nodes have three seconds to keep it.
+# How long an endpoint advertises a rate limit; nodes must comply after three seconds.
 NEED_SHORTEST_MS, NEED_LONGEST_MS = 5000, 9000
 LIMITS_PER_S = (0.5, 1.0, 2.4, 6.0)
-# The store knows so much later than callers that an endpoint drains: nodes have two seconds.
+# Delay until the store lists an endpoint as draining that advertises it in its answers; nodes must
+# comply after two seconds.
 UNTOLD_SHORTEST_MS, UNTOLD_LONGEST_MS = 4000, 8000
-# For so long an overloaded endpoint rejects all.
+# How long an overloaded endpoint rejects all requests.
 OVERLOAD_SHORTEST_MS, OVERLOAD_LONGEST_MS = 3000, 6000
-# A copy of the store is so old when it is restored.
+# Age of the copy from which the store is restored.
 LOST_SHORTEST_MS, LOST_LONGEST_MS = 500, 5000
-# Seconds of the pause that an overloaded endpoint asks for with each rejection.
+# Retry-After of an overloaded endpoint, in seconds.
 PAUSES_S = (1.5, 3.0, 4.0)
-# Nodes that lose their paths to endpoints serve their callers again after a second.
+# How long nodes have no paths to endpoints; they must serve their callers after a second.
 PARTITION_SHORTEST_MS, PARTITION_LONGEST_MS = 3000, 6000
 CUTS = ("hang", "reset", "refuse new", "one way")
-# One that starts again is back before its entry lapses.
+# Longest absence of an endpoint that restarts; its entry expires later.
 SHORT_GONE_MS = 2000
 
 
 @attrs.frozen
 class Shape:
-    """What the site of a soak has, and how long its faults last."""
+    """The size of a soak's site, and the number and span of its faults."""
 
     nodes: int = 3
     plains: int = 4
     engines: int = 5
     callers: int = 24
     faults_ms: int = 16_000
-    # How often an endpoint starts again under its name.
+    # Number of restarts of endpoints under their names.
     restarts: int = 4
-    # Whether a content that ends its endpoints comes again and again.
+    # Whether a content that crashes endpoints is requested repeatedly.
     deadly: bool = True
-    # Whether callers have keys, which change, and organisations quotas.
+    # Whether callers have API keys, which change, and organisations have quotas.
     organisations: bool = True
-    # How often an endpoint names a limit.
+    # Number of times that an endpoint advertises a rate limit.
     limits: int = 3
-    # How often an endpoint says that it drains before the store knows, and how often one rejects
-    # all and asks for a pause.
+    # Number of drains that an endpoint advertises before the store lists them, and of pauses.
     drains: int = 2
     pauses: int = 3
-    # How often the store is restored from a copy.
+    # Number of restores of the store from a copy.
     restores: int = 1
-    # How often some nodes, or all, lose their paths to all endpoints.
+    # Number of times that some or all nodes lose their paths to all endpoints.
     partitions: int = 2
 
 
@@ -84,7 +84,7 @@
     at_ms: int
     for_ms: int
     kind: str
-    # Which node, endpoint or link; taken modulo the number there is.
+    # Index of the node, endpoint or link, modulo their number.
     target: int
 
 
@@ -94,44 +94,44 @@
 
 @attrs.frozen
 class LinkFault(Fault):
-    """A loopback proxy misbehaves on the way from callers, to the store or to an endpoint."""
+    """A fault of the proxy between callers and a node, or in front of the store or an endpoint."""
 
     link: str = "caller"
 
 
 class StoreFault(Fault):
-    """The store itself misbehaves, for all nodes."""
+    """A fault of the store, for all nodes."""
 
 
 @attrs.frozen
 class StoreRestore(Fault):
-    """The store is away, and comes back from a copy that lacks the last `lost_ms`."""
+    """An outage of the store that ends with a restore; the last `lost_ms` of writes are lost."""
 
     lost_ms: int = 1000
 
 
 class EndpointFault(Fault):
-    """An endpoint ends, leaves, fails some requests or has no room."""
+    """An endpoint crashes, drains, disappears, fails some requests or has no free slots."""
 
 
 class EndpointRestart(Fault):
-    """An endpoint starts again under its name and address, and knows nothing of before."""
+    """An endpoint restarts under its name and address without its state."""
 
 
 @attrs.frozen
 class EndpointLimit(Fault):
-    """An endpoint names in its answers how many requests a second it takes."""
+    """An endpoint advertises a rate limit of `per_s` requests per second."""
 
     per_s: float = 1.0
 
 
 class EndpointDrain(Fault):
-    """An endpoint says in its answers that it drains; the store takes it `for_ms` later."""
+    """An endpoint advertises a drain, which the store lists `for_ms` later."""
 
 
 @attrs.frozen
 class EndpointPause(Fault):
-    """An endpoint rejects each request, and asks the node to send none for `pause_s`."""
+    """An endpoint rejects each request with a Retry-After of `pause_s`."""
 
     pause_s: float = 1.5
 
@@ -144,15 +144,15 @@
 
 
 class OrganisationChange(Fault):
-    """The operator takes a key away or gives it back, and changes a quota."""
+    """The operator revokes or restores an API key, and changes a quota."""
 
 
 class ConfigChange(Fault):
-    """The operator writes a new version, which sends a route to another service."""
+    """The operator writes a configuration that moves a route to another service."""
 
 
 def draw_faults(seed: int, shape: Shape) -> list[Fault]:
-    """Series of faults that overlap, in the order of their beginning."""
+    """Return series of overlapping faults, ordered by time."""
     rng = random.Random(seed)
     faults: list[Fault] = []
     for _ in range(shape.faults_ms // SERIES_SPREAD_MS):
@@ -160,7 +160,7 @@
         for _ in range(rng.randint(1, 4)):
             faults.append(_draw(rng, begin_ms + rng.randrange(SERIES_SPREAD_MS)))
     changes = [_change(rng, shape) for _ in range(rng.randint(1, 4))]
-    # Drawn by themselves, so that the other faults of a seed stay what they were.
+    # Separate generators keep the other faults of a seed unchanged.
     again = random.Random(f"{seed}/restarts")
     restarts = [
         EndpointRestart(
@@ -211,7 +211,7 @@
 
 
 def _draw_partitions(seed: int, shape: Shape) -> list[Fault]:
-    """The last node keeps its paths in most of them, as others are only then served."""
+    """Return the partitions; most of them spare one node, which can relay for the others."""
     rng = random.Random(f"{seed}/partitions")
     return [
         EndpointPartition(
@@ -226,7 +226,7 @@
 
 
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
-    """All are over when the other faults are."""
+    """Return the rate limits, which end before the last fault does."""
     rng = random.Random(f"{seed}/limits")
     drawn: list[Fault] = []
     for _ in range(shape.limits):
@@ -237,7 +237,7 @@
 
 
 def draw_deadly(seed: int, shape: Shape) -> list[Fault]:
-    """From when on a deadly content comes; none, or one."""
+    """Return the time from which a content that crashes endpoints is requested, if any."""
     at_ms = random.Random(f"{seed}/deadly").randrange(shape.faults_ms // 2)
     return [Fault(at_ms, 0, "deadly", 0)] if shape.deadly else []
 
--- a/saffronworks/tests/soak/proxies.py
+++ b/saffronworks/tests/soak/proxies.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets, cuts one way or silences what goes through it."""
+"""A loopback proxy that delays, resets or drops what passes through it."""
 
 import asyncio
 import contextlib
@@ -15,10 +15,10 @@
 
 
 class Proxy:
-    """Passes connections on to one address; `fault` is one of `faults.LINK_KINDS` or None.
+    """Forwards connections to one address; `fault` is one of `faults.LINK_KINDS` or None.
 
-    While bytes are held back by a cut or by silence, both ends keep their connection. Bytes that
-    were swallowed are lost: the connection stays silent for good, as after a lost path.
+    While it drops bytes, both connections stay open. They remain silent after the fault, because
+    the dropped bytes are lost.
     """
 
     def __init__(self, target, address=None):
@@ -40,7 +40,7 @@
             await self._listens.wait()
 
     def refuse(self):
-        """Close every connection and refuse new ones, as the port of a process that ended does."""
+        """Reset every connection and refuse new ones, like the port of an ended process."""
         self._listens.clear()
         self._refuses.set()
         self._reset_all()
@@ -59,7 +59,7 @@
         self._listens.set()
 
     def begin(self, kind):
-        """Start to misbehave; a reset strikes the open connections once more, and new ones."""
+        """Start a fault; a reset also affects the open connections."""
         self.fault = kind
         if kind == "reset":
             self._reset_all()
@@ -83,7 +83,7 @@
                 tasks.create_task(self._pass(reader, far_writer, UP))
                 tasks.create_task(self._pass(far_reader, writer, DOWN))
         except asyncio.CancelledError:
-            # The soak is over; asyncio would report a cancelled connection as an error.
+            # At the end of the soak asyncio would report the cancellation as an error.
             return
         finally:
             self._writers -= {writer, far_writer}
