Count an endpoint's failure if this node reaches another one and nobody else can say

Cause: two of three nodes had been killed, so no other node could say whether it reached the engine, and a failure of unknown site is told to nobody. The node's own paths worked all the while. A new connection to another endpoint now shows that, and the failure counts as the endpoint's; the same for refused probes of the quarantine. Without any path the site stays unknown. The scenario is new.

--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -248,8 +248,14 @@
 
     async def proves_own_paths(self, other_than: ServiceEndpoint) -> bool:
         """Return whether this node reaches another endpoint, by a new connection if need be."""
-        if self.table.opened_any(self._now_ms()):
-            return True
+        return self.table.opened_any(self._now_ms()) or await self._reaches_another(other_than)
+
+    async def _reaches_another(self, other_than: ServiceEndpoint) -> bool:
+        """Return whether a new connection to another endpoint succeeds.
+
+        Where no other node can say whether it reaches `other_than`, this shows that this node's
+        paths work.
+        """
         others = [one for one in self._directory.endpoints.values() if one != other_than]
         return bool(others) and await self.connects(self._rng.choice(others))
 
@@ -279,6 +285,8 @@
         if not checked and state in (PathState.DIRECT, PathState.SUSPECT):
             await asyncio.shield(self._start_check(endpoint))
             state = self.table.state(instance, self._now_ms())
+        if state is PathState.SUSPECT and await self._reaches_another(endpoint):
+            return FaultSite.ENDPOINT
         return _SITES[state]
 
     async def _find_relayed_site(
@@ -305,9 +313,10 @@
         state = self.table.state(endpoint.instance, self._now_ms())
         if state is PathState.RELAYED:
             return True
+        if not isinstance(problem, (ConnectionRefusedError, ConnectionResetError)):
+            return None
         known = state is PathState.DOWN or not self.peers.choice.peers
-        refused = isinstance(problem, (ConnectionRefusedError, ConnectionResetError))
-        return False if known and refused else None
+        return False if known or await self._reaches_another(endpoint) else None
 
 
 def make_paths(
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -40,6 +40,13 @@
     Then every node that used it knows it as down, no path as cut, and a planner ejects it
     And callers are served by the other engine
 
+  # Guards against a content that ends its endpoints, or an endpoint that is gone, of which nobody
+  # learns while no other node answers.
+  Scenario: an endpoint ends while no other node answers
+    Given four nodes, two plain endpoints and three engines
+    When a decode engine ends, and the node that used it gets no answer from other nodes
+    Then the failure counts as the endpoint's, and with no path to any endpoint as unknown
+
   Scenario: a service with one endpoint
     Given four nodes and one plain endpoint
     When three nodes lose their paths to all endpoints for 5 s, and their connections hang
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.paths.table import PathState
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.cut_paths import Cut, CutPaths
@@ -153,6 +154,28 @@
     )
 
 
+@when("a decode engine ends, and the node that used it gets no answer from other nodes")
+def ends_alone(context):
+    async def play(place, paths):
+        ended, node = place.servers["d0"], place.node
+        for other in place.nodes[1:]:
+            other._relays.stop()
+        await anyio.sleep(0.2)
+        paths.end_server(0, ended)
+        (endpoint,) = [e for e in node._directory.endpoints.values() if e.name == "d0"]
+        broken = ExchangeError(ExchangeErrorCause.RESET, sent=True)
+        context.sites = [await node._paths.find_site(endpoint, broken)]
+        paths.cut(0, Cut.RESET)
+        context.sites.append(await node._paths.find_site(endpoint, broken))
+
+    play_paths(context, play)
+
+
+@then("the failure counts as the endpoint's, and with no path to any endpoint as unknown")
+def judged_alone(context):
+    assert context.sites == [FaultSite.ENDPOINT, FaultSite.UNKNOWN], context.sites
+
+
 @then("callers are served by the other engine")
 def served_elsewhere(context):
     late = [one for one in context.asked if one.sent_s > context.cut_s]
