Count a silent relayed exchange against no endpoint

If the node that relays stands still, the exchange times out at the entry node, which took that for the endpoint's silence and reported the endpoint to the planner and the quarantine: one node's trouble counted against a sound endpoint at all nodes, the class of fault that the incident is about. A silent relayed exchange is now checked like any other broken one, and counts as the path's unless the endpoint is down.

The scenario fails without the change.

--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -42,8 +42,6 @@
         ExchangeErrorCause.UNREACHABLE,
     ]
 )
-# Failures of a relayed exchange that the relaying node may have caused.
-_PEER_CAUSES = _PATH_CAUSES - {ExchangeErrorCause.SILENT}
 # Causes by the name under which a relaying node reports them; its other reasons have none.
 _CAUSES = {cause.value: cause for cause in ExchangeErrorCause}
 _SITES = {
@@ -276,7 +274,7 @@
         if broken.cause not in _PATH_CAUSES:
             return FaultSite.ENDPOINT
         if broken.relayed_by is not None:
-            return await self._find_relayed_site(endpoint, broken, broken.relayed_by)
+            return await self._find_relayed_site(endpoint, broken.relayed_by, broken.cause)
         if not self.peers.choice.peers:
             return FaultSite.ENDPOINT
         instance = endpoint.instance
@@ -290,12 +288,13 @@
         return _SITES[state]
 
     async def _find_relayed_site(
-        self, endpoint: ServiceEndpoint, broken: ExchangeError, peer: str
+        self, endpoint: ServiceEndpoint, peer: str, cause: ExchangeErrorCause
     ) -> FaultSite:
-        """Return the endpoint if it has ended, else the path, of which the peer is a part."""
-        if broken.cause not in _PEER_CAUSES:
-            return FaultSite.ENDPOINT
-        if broken.cause is ExchangeErrorCause.UNREACHABLE:
+        """Return the endpoint if it has ended, else the path, of which the peer is a part.
+
+        A silent exchange doesn't show which of the two was silent.
+        """
+        if cause is ExchangeErrorCause.UNREACHABLE:
             self.peers.drop(peer)
         self.peers.choice.record_unreached(peer, endpoint.instance)
         await asyncio.shield(self._start_check(endpoint))
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -74,6 +74,12 @@
     When the node that relays a request closes all its connections
     Then an unrepeatable request ends as unknown and ran once, and a repeatable one is served
 
+  # Guards against a relaying node that stands still and makes a sound endpoint look failed to all.
+  Scenario: the relaying node falls silent
+    Given four nodes and one plain endpoint
+    When a node that relays a request does not answer, and the endpoint listens
+    Then the failure counts as the path's
+
   # Guards against a planned stop of one node that breaks requests of another node's callers.
   Scenario: the relaying node is stopped as planned
     Given four nodes and one plain endpoint
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -334,6 +334,23 @@
     assert context.answers["/again/"].startswith(b"HTTP/1.1 200"), context.answers
 
 
+@when("a node that relays a request does not answer, and the endpoint listens")
+def relaying_node_is_silent(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (endpoint,) = place.node._directory.endpoints.values()
+        (relaying, *_) = peers_of(place.node)
+        broken = ExchangeError(ExchangeErrorCause.SILENT, sent=True, relayed_by=relaying)
+        context.site = await place.node._paths.find_site(endpoint, broken)
+
+    play_paths(context, play)
+
+
+@then("the failure counts as the path's")
+def judged_as_path(context):
+    assert context.site is FaultSite.PATH, context.site
+
+
 @when("a node that relays a request is stopped, and further requests follow")
 def relaying_node_is_stopped(context):
     async def play(place, paths):
