Bound the bodies that a node relays, and the times that another node names

A relayed request counted towards the bound of 32 only once its body had been read, so any number of bodies could be read at the same time, each of up to the operator's limit (4 MB on the users' platform): 32 of them alone exceed a VM of 128 MB. It counts from its head on now, and all bodies together are bounded at 8 MB; the request of another node is refused as not sent, and goes to the next one. The times in a relay request are clamped to between 0 and an hour.

The scenario relays 60 bodies of 90 KB at once and reads the counts; it does not reach the old fault's size, which is shown by reading alone.

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 
 import anyio
-from result import Err
+from result import Err, Ok
 
+from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError
@@ -19,7 +20,11 @@
 )
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.table import PathState
-from saffronworks.forwarding.paths.tuning import MAX_RELAYED_REQUESTS
+from saffronworks.forwarding.paths.tuning import (
+    MAX_RELAY_MS,
+    MAX_RELAYED_BODY_BYTES,
+    MAX_RELAYED_REQUESTS,
+)
 from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
 from saffronworks.web import BadBody, Call
 
@@ -58,6 +63,7 @@
         now_ms: Callable[[], int],
     ):
         self.open_requests = 0
+        self.open_body_bytes = 0
         self.closing = False
         self._directory = directory
         self._paths = paths
@@ -76,15 +82,26 @@
             await self._answer_check(call, endpoint)
         elif endpoint is None:
             await self._refuse(call, "unknown-endpoint")
-        elif self._is_full:
+        elif self._is_full or not self._has_room_for(body_bytes := _body_bytes(call)):
             await self._refuse(call, "stopping" if self.closing else "busy")
         else:
-            await self._relay_while_wanted(call, request, endpoint)
+            # Counted before the body is read, as reading takes memory too.
+            self.open_requests += 1
+            self.open_body_bytes += body_bytes
+            try:
+                await self._relay_while_wanted(call, request, endpoint)
+            finally:
+                self.open_requests -= 1
+                self.open_body_bytes -= body_bytes
 
     @property
     def _is_full(self) -> bool:
         return self.closing or self.open_requests >= MAX_RELAYED_REQUESTS
 
+    def _has_room_for(self, body_bytes: int) -> bool:
+        total_bytes = self.open_body_bytes + body_bytes
+        return not self.open_requests or total_bytes <= MAX_RELAYED_BODY_BYTES
+
     async def _answer_check(self, call: Call, endpoint: ServiceEndpoint | None) -> None:
         reply = RelayReply() if endpoint is None else await self._find_reach(endpoint)
         await _reply(call, 200, reply)
@@ -122,14 +139,10 @@
         except BadBody:
             await self._refuse(call, "body-too-large", request_id=request.request_id)
             return
-        self.open_requests += 1
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_cancel_on_disconnect, call, tasks.cancel_scope)
-                await self._relay(call, request, endpoint, body)
-                tasks.cancel_scope.cancel()
-        finally:
-            self.open_requests -= 1
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_disconnect, call, tasks.cancel_scope)
+            await self._relay(call, request, endpoint, body)
+            tasks.cancel_scope.cancel()
 
     async def _relay(
         self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint, body: bytes
@@ -141,11 +154,11 @@
             fields=tuple(field for field in call.fields if field[0].lower() not in _HOP_BY_HOP),
             body=body,
             request_id=request.request_id,
-            arrived_ms=began_ms - request.age_ms,
+            arrived_ms=began_ms - _clamp_ms(request.age_ms),
             reserved=request.reserved,
             control_call=request.control_call,
             cancels=request.cancels,
-            left_ms=request.left_ms,
+            left_ms=_clamp_ms(request.left_ms),
         )
         try:
             connection = await self._calls.start_relayed(endpoint, relayed)
@@ -196,6 +209,18 @@
     return decoded.ok_value
 
 
+def _body_bytes(call: Call) -> int:
+    """Return the length of the body; one of unknown length counts as the most that is allowed."""
+    if "transfer-encoding" in call.headers:
+        return MAX_RELAYED_BODY_BYTES
+    length = read_whole(call.headers.get("content-length", "0"))
+    return length.ok_value if isinstance(length, Ok) else MAX_RELAYED_BODY_BYTES
+
+
+def _clamp_ms(span_ms: int) -> int:
+    return min(max(0, span_ms), MAX_RELAY_MS)
+
+
 async def _reply(call: Call, status: int, reply: RelayReply) -> None:
     await call.start_fields(status, [(RELAY_FIELD, encode(reply)), ("content-length", "0")])
     await call.write(b"", more=False)
--- a/saffronworks/forwarding/paths/tuning.py
+++ b/saffronworks/forwarding/paths/tuning.py
@@ -48,7 +48,11 @@
 MAX_VAIN_ASKS_PER_S = 10
 # A node that did not answer gets no relayed requests for this long, unless no other node is left.
 PEER_AVOID_MS = 1000
-# Requests that a node relays for others at the same time; each may buffer 256 KB.
+# Requests that a node relays for others at the same time; each may buffer 256 KB of its answer.
 MAX_RELAYED_REQUESTS = 32
+# Limit of the bodies of all these requests together. A larger one is relayed if there is no other.
+MAX_RELAYED_BODY_BYTES = 8_388_608
+# Upper limit of the times in another node's request.
+MAX_RELAY_MS = 3_600_000
 # Cost of a relay in another availability zone, relative to one in this zone.
 OTHER_ZONE_FACTOR = 1.5
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -74,6 +74,12 @@
     When the node that relays a request closes all its connections
     Then an unrepeatable request ends as unknown and ran once, and a repeatable one is served
 
+  # Guards against memory without bound for the bodies of other nodes' requests.
+  Scenario: many requests are relayed at once
+    Given four nodes and one plain endpoint
+    When many requests with large bodies are relayed at once
+    Then no node relays more than its bounds at a time, and none keeps a count in the end
+
   # Guards against a relaying node that stands still and makes a sound endpoint look failed to all.
   Scenario: the relaying node falls silent
     Given four nodes and one plain endpoint
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -8,6 +8,7 @@
 from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.paths.table import PathState
+from saffronworks.forwarding.paths.tuning import MAX_RELAYED_BODY_BYTES, MAX_RELAYED_REQUESTS
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.cut_paths import Cut, CutPaths
 from saffronworks.tests.platform_place import engines, on_platform, web_servers
@@ -334,6 +335,38 @@
     assert context.answers["/again/"].startswith(b"HTTP/1.1 200"), context.answers
 
 
+@when("many requests with large bodies are relayed at once")
+def large_bodies(context):
+    async def play(place, paths):
+        await settle(place, paths, 0)
+        (server,) = place.servers.values()
+        server.work_s, context.held = 0.3, []
+        context.raw = []
+
+        async def ask(number):
+            context.raw.append(await place.ask("/again/", f"b{number}", body=b"x" * 90_000))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(60):
+                tasks.start_soon(ask, number)
+            for _ in range(40):
+                await anyio.sleep(0.02)
+                relays = [node._relay_server for node in place.nodes]
+                context.held += [(one.open_requests, one.open_body_bytes) for one in relays]
+
+        context.left = [(one.open_requests, one.open_body_bytes) for one in relays]
+
+    play_paths(context, play)
+
+
+@then("no node relays more than its bounds at a time, and none keeps a count in the end")
+def within_bounds(context):
+    requests, body_bytes = (max(values) for values in zip(*context.held, strict=True))
+    assert 0 < requests <= MAX_RELAYED_REQUESTS, requests
+    assert 0 < body_bytes <= MAX_RELAYED_BODY_BYTES, body_bytes
+    assert set(context.left) == {(0, 0)}, context.left
+
+
 @when("a node that relays a request does not answer, and the endpoint listens")
 def relaying_node_is_silent(context):
     async def play(place, paths):
