Let "not reached" of other nodes count only for failures before it was asked

Found by reading the change again. An older answer now says nothing of a newer failure, as older positive ones already did. The step fails without the change.

--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -55,9 +55,10 @@
 
 @attrs.frozen
 class _Unreached:
-    """A negative answer that holds until `until_ms`, for `span_ms`."""
+    """A negative answer to questions asked at `began_ms`; none is asked again for `span_ms`."""
 
     found: PeerReach
+    began_ms: int
     until_ms: int
     span_ms: int
 
@@ -92,15 +93,15 @@
     async def find_reaching(self, instance: StartId, since_ms: int) -> PeerReach:
         """Return a node that has reached the endpoint since then.
 
-        An older statement does not show that the endpoint still listens. Callers at the same time
-        share the calls.
+        An older statement does not show that the endpoint still listens, or still doesn't. Callers
+        at the same time share the calls.
         """
         confirmed = self.choice.confirmed(instance, since_ms, self._now_ms(), self._rng)
         if confirmed is not None:
             return PeerReach(confirmed.address)
         known = self._unreached.get(instance)
         if known is not None and self._now_ms() < known.until_ms:
-            return known.found
+            return known.found if known.began_ms >= since_ms else PeerReach()
         if not self._may_ask():
             return PeerReach()
         asking = self._asking.get(instance)
@@ -115,6 +116,7 @@
             del self._asking[instance]
 
     async def _ask_rounds(self, instance: StartId) -> PeerReach:
+        began_ms = self._now_ms()
         asked: set[str] = set()
         unreached: list[str] = []
         hints: list[str] = []
@@ -128,17 +130,18 @@
             if reached is not None:
                 return PeerReach(reached, tuple(unreached))
         asked_all = not self._next_peers(asked, [])
-        return self._record_unreached(instance, PeerReach(None, tuple(unreached), asked_all))
+        found = PeerReach(None, tuple(unreached), asked_all)
+        self._record_unreached(instance, found, began_ms)
+        return found
 
-    def _record_unreached(self, instance: StartId, found: PeerReach) -> PeerReach:
+    def _record_unreached(self, instance: StartId, found: PeerReach, began_ms: int) -> None:
         """Keep a negative answer for a while, so that not each request asks again."""
         now_ms, known = self._now_ms(), self._unreached.get(instance)
         again = known is not None and now_ms < known.until_ms + known.span_ms
         doubled_ms = 2 * known.span_ms if known and again else UNREACHED_MS
         span_ms = min(doubled_ms, UNREACHED_MAX_MS)
-        self._unreached[instance] = _Unreached(found, now_ms + span_ms, span_ms)
+        self._unreached[instance] = _Unreached(found, began_ms, now_ms + span_ms, span_ms)
         self._vain_asks_ms.append(now_ms)
-        return found
 
     def _may_ask(self) -> bool:
         vain = self._vain_asks_ms
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -107,6 +107,7 @@
   Scenario: the path table under random events
     Then a path is relayed only while another node reaches the endpoint, and heals by checks
     And an endpoint counts as down only if two nodes with working paths don't reach it
+    And what nodes said before a failure does not count for it
     And a path that is cut again and again needs more checks to heal
 
   Scenario: the load of relays
--- a/saffronworks/tests/features/steps/path_table_steps.py
+++ b/saffronworks/tests/features/steps/path_table_steps.py
@@ -2,11 +2,14 @@
 
 import random
 from collections import Counter
+from unittest.mock import Mock
 
+import anyio
 from behave import then
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from saffronworks.forwarding.paths.peer_calls import PeerCalls, PeerReach
 from saffronworks.forwarding.paths.peers import PeerChoice, RelayPeer
 from saffronworks.forwarding.paths.table import PathState, PathTable
 from saffronworks.forwarding.paths.tuning import MAX_CHECKS_PER_ROUND
@@ -121,3 +124,19 @@
     for _ in range(100):
         one, other = choice.candidates((), 2, 0, rng)
         assert one.zone != other.zone
+
+
+@then("what nodes said before a failure does not count for it")
+def older_statements(context):
+    choice = make_choice(4)
+    peers = PeerCalls(choice, Mock(), random.Random(5), lambda: 1000)
+    found = PeerReach(None, ("n1", "n2"), asked_all=True)
+    peers._record_unreached("e", found, began_ms=900)
+    choice.record_reaches("n1", "f", 900)
+
+    async def ask():
+        for instance, known in (("e", found), ("f", PeerReach("n1"))):
+            assert await peers.find_reaching(instance, since_ms=800) == known
+        assert await peers.find_reaching("e", since_ms=950) == PeerReach()
+
+    anyio.run(ask)
