Forget slow answers after a cut, and nodes that are gone

Found by reading the change again. An endpoint whose answers had been slow was checked for lost answers every 16 s at most, for the life of its node: the interval doubled and was never set back. It is set back when the state of the path changes. And what nodes had confirmed, and idle connections to them, were kept after they had left the fleet; both go with the node, and the connections between nodes close when the node stops.

--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -90,6 +90,11 @@
         self._asking: dict[StartId, _Asking] = {}
         self._calls: set[asyncio.Task[tuple[RelayPeer, RelayReply]]] = set()
 
+    def update_peers(self, peers: dict[str, RelayPeer]) -> None:
+        """Replace the other nodes, and close idle connections to those that are gone."""
+        self.choice.update(peers)
+        self.pool.close_except({_as_endpoint(address).instance for address in peers})
+
     async def find_reaching(self, instance: StartId, since_ms: int) -> PeerReach:
         """Return a node that has reached the endpoint since then.
 
--- a/saffronworks/forwarding/paths/peers.py
+++ b/saffronworks/forwarding/paths/peers.py
@@ -39,7 +39,7 @@
     def update(self, peers: dict[str, RelayPeer]) -> None:
         """Replace the other nodes."""
         self.peers = peers
-        for known in (self._avoided_until_ms, self._reached_any_ms):
+        for known in (self._avoided_until_ms, self._reached_any_ms, *self._confirmed_ms.values()):
             for address in known.keys() - peers.keys():
                 del known[address]
 
--- a/saffronworks/forwarding/paths/table.py
+++ b/saffronworks/forwarding/paths/table.py
@@ -308,6 +308,7 @@
         else:
             self._cut_since_ms.pop(instance, None)
         path.check_interval_ms = CHECK_INTERVAL_MS
+        path.answer_check_interval_ms = ANSWER_CHECK_INTERVAL_MS
         path.unreached_by.clear()
         path.good_checks = 0
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -303,6 +303,7 @@
                 await self._drain()
             tasks.cancel_scope.cancel()
         self._calls.pool.close()
+        self._paths.peers.pool.close()
         logger.info("event=stop node=%s", self.settings.node)
 
     def stop(self) -> None:
@@ -363,7 +364,7 @@
         self._quarantine.update_nodes(cores)
         self._quotas.update_nodes(cores)
         self._limits.update_nodes(cores)
-        self._paths.peers.choice.update(self._find_relay_peers(nodes))
+        self._paths.peers.update_peers(self._find_relay_peers(nodes))
         self._share_connections()
 
     def _find_relay_peers(self, nodes: dict[str, NodeInfo]) -> dict[str, RelayPeer]:
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -109,6 +109,8 @@
     And an endpoint counts as down only if two nodes with working paths don't reach it
     And what nodes said before a failure does not count for it
     And a path that is cut again and again needs more checks to heal
+    And an endpoint that was slow to answer is checked as often as before once its path was cut
+    And nothing is kept of nodes that are gone
 
   Scenario: the load of relays
     Then relayed requests are spread over 50 nodes by their cores
--- a/saffronworks/tests/features/steps/path_table_steps.py
+++ b/saffronworks/tests/features/steps/path_table_steps.py
@@ -95,6 +95,26 @@
     assert needed == [1, 2, 3], needed
 
 
+@then("an endpoint that was slow to answer is checked as often as before once its path was cut")
+def checks_reset(context):
+    table = PathTable()
+    asked = [table.wants_answer_check("a", True, at_ms) for at_ms in range(0, 60_000, 1000)]
+    assert asked[1] and not asked[-1], "checks of a slow endpoint become rarer"
+    table.record_failed("a", 60_000)
+    table.record_opened("a", 60_100)
+    table.wants_answer_check("a", True, 90_000)
+    assert table.wants_answer_check("a", True, 92_000)
+
+
+@then("nothing is kept of nodes that are gone")
+def forgets_nodes(context):
+    choice = make_choice(4)
+    for name in choice.peers:
+        choice.record_reaches(name, "e", 0)
+    choice.update({"n1": choice.peers["n1"]})
+    assert choice._confirmed_ms == {"e": {"n1": 0}} and set(choice._reached_any_ms) == {"n1"}
+
+
 def make_choice(nodes):
     peers = {
         f"n{number}": RelayPeer(f"n{number}", 0.5 if number % 2 else 2.0, f"z{number % 3}")
