Name lookups and breaks in the terms of the field, and drop a method for tests alone

Behaviour is unchanged. Asking other nodes is a lookup (MAX_FAILED_LOOKUPS_PER_S), _take is _detach, take_changes is pop_changes; the plain core handles a break in a function of its own, no longer before its match; EjectionTable.ejected, which only a scenario used, is gone.

--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -87,7 +87,7 @@
                 attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
                 await asyncio.wait(attempts, timeout=(dial.relay_after_ms or 0) / 1000)
                 if attempts[0].done() and (opened := attempts[0].result()) is not None:
-                    return self._take(attempts, opened)
+                    return self._detach(attempts, opened)
             since_ms = began_ms if dial.direct else began_ms - CONFIRMED_MS
             attempts.append(self._start(self._open_relay(endpoint.instance, since_ms)))
             opened = await _first_opened(attempts)
@@ -97,12 +97,12 @@
             if opened is not None and opened.relayed_by is not None and dial.direct:
                 judge = self._judge(endpoint.instance, attempts[0], opened.relayed_by, began_ms)
                 self._start(judge)
-            return self._take(attempts, opened)
+            return self._detach(attempts, opened)
         finally:
             for attempt in attempts:
                 attempt.add_done_callback(lambda done: self._keep(endpoint, done))
 
-    def _take(self, attempts: list[_OpenTask], opened: _Opened) -> _Opened:
+    def _detach(self, attempts: list[_OpenTask], opened: _Opened) -> _Opened:
         """Give a connection to the caller: it is not kept as idle with those of the others."""
         attempts[:] = [one for one in attempts if not one.done() or one.result() is not opened]
         return opened
--- a/saffronworks/forwarding/paths/direct.py
+++ b/saffronworks/forwarding/paths/direct.py
@@ -63,7 +63,7 @@
 
     def log_changes(self) -> None:
         """Log the changes of paths, and close idle connections over those that were cut."""
-        for change in self._table.take_changes():
+        for change in self._table.pop_changes():
             logger.info(
                 "event=path_changed endpoint=%s before=%s state=%s after=%s reached_ms_ago=%s "
                 "peers=%s",
--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -25,7 +25,7 @@
 from saffronworks.forwarding.paths.peers import PeerChoice, RelayPeer
 from saffronworks.forwarding.paths.tuning import (
     CONFIRMED_MS,
-    MAX_VAIN_ASKS_PER_S,
+    MAX_FAILED_LOOKUPS_PER_S,
     PEER_TIMEOUT_MS,
     PEERS_PER_CHECK,
     UNREACHED_MAX_MS,
@@ -64,8 +64,8 @@
 
 
 @attrs.frozen
-class _Asking:
-    """Calls under way about one endpoint."""
+class _Lookup:
+    """The calls in progress about one endpoint."""
 
     task: asyncio.Task[PeerReach]
     began_ms: int
@@ -86,8 +86,8 @@
         self._rng = rng
         self._now_ms = now_ms
         self._unreached: dict[StartId, _Unreached] = {}
-        self._vain_asks_ms: deque[int] = deque(maxlen=MAX_VAIN_ASKS_PER_S)
-        self._asking: dict[StartId, _Asking] = {}
+        self._failed_lookups_ms: deque[int] = deque(maxlen=MAX_FAILED_LOOKUPS_PER_S)
+        self._lookups: dict[StartId, _Lookup] = {}
         self._calls: set[asyncio.Task[tuple[RelayPeer, RelayReply]]] = set()
 
     def update_peers(self, peers: dict[str, RelayPeer]) -> None:
@@ -109,18 +109,18 @@
             return known.found if known.began_ms >= since_ms else PeerReach()
         if not self._may_ask():
             return PeerReach()
-        asking = self._asking.get(instance)
-        if asking is None or asking.began_ms < since_ms:
-            task = asyncio.create_task(self._ask_rounds(instance))
-            asking = self._asking[instance] = _Asking(task, self._now_ms())
-            task.add_done_callback(lambda _: self._end_asking(instance, asking))
-        return await asyncio.shield(asking.task)
-
-    def _end_asking(self, instance: StartId, asking: "_Asking") -> None:
-        if self._asking.get(instance) is asking:
-            del self._asking[instance]
-
-    async def _ask_rounds(self, instance: StartId) -> PeerReach:
+        lookup = self._lookups.get(instance)
+        if lookup is None or lookup.began_ms < since_ms:
+            task = asyncio.create_task(self._look_up(instance))
+            lookup = self._lookups[instance] = _Lookup(task, self._now_ms())
+            task.add_done_callback(lambda _: self._end_lookup(instance, lookup))
+        return await asyncio.shield(lookup.task)
+
+    def _end_lookup(self, instance: StartId, lookup: "_Lookup") -> None:
+        if self._lookups.get(instance) is lookup:
+            del self._lookups[instance]
+
+    async def _look_up(self, instance: StartId) -> PeerReach:
         began_ms = self._now_ms()
         asked: set[str] = set()
         unreached: list[str] = []
@@ -146,14 +146,14 @@
         doubled_ms = 2 * known.span_ms if known and again else UNREACHED_MS
         span_ms = min(doubled_ms, UNREACHED_MAX_MS)
         self._unreached[instance] = _Unreached(found, began_ms, now_ms + span_ms, span_ms)
-        self._vain_asks_ms.append(now_ms)
+        self._failed_lookups_ms.append(now_ms)
 
     def _may_ask(self) -> bool:
-        vain = self._vain_asks_ms
-        return len(vain) < MAX_VAIN_ASKS_PER_S or self._now_ms() >= vain[0] + 1000
+        failed = self._failed_lookups_ms
+        return len(failed) < MAX_FAILED_LOOKUPS_PER_S or self._now_ms() >= failed[0] + 1000
 
     def known_reaching(self, instance: StartId) -> str | None:
-        """Return a node that reached the endpoint recently, without asking any."""
+        """Return a node that reached the endpoint recently, without lookup any."""
         now_ms = self._now_ms()
         confirmed = self.choice.confirmed(instance, now_ms - CONFIRMED_MS, now_ms, self._rng)
         return confirmed.address if confirmed is not None else None
--- a/saffronworks/forwarding/paths/table.py
+++ b/saffronworks/forwarding/paths/table.py
@@ -279,7 +279,7 @@
                 counts[self.state(instance, now_ms).value] += 1
         return counts
 
-    def take_changes(self) -> list[PathChange]:
+    def pop_changes(self) -> list[PathChange]:
         """Return the changes since the last call."""
         changes, self._changes = self._changes, []
         return changes
--- a/saffronworks/forwarding/paths/tuning.py
+++ b/saffronworks/forwarding/paths/tuning.py
@@ -44,8 +44,8 @@
 # with each further time in a row.
 UNREACHED_MS = 400
 UNREACHED_MAX_MS = 1000
-# Limit of the endpoints per second that other nodes are asked about in vain.
-MAX_VAIN_ASKS_PER_S = 10
+# Limit per second of the lookups that find no node which reaches the endpoint.
+MAX_FAILED_LOOKUPS_PER_S = 10
 # A node that did not answer gets no relayed requests for this long, unless no other node is left.
 PEER_AVOID_MS = 1000
 # Requests that a node relays for others at the same time; each may buffer 256 KB of its answer.
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -160,9 +160,6 @@
     that are blocked for now.
     """
     permitted = event.instance if isinstance(event, Permitted) else None
-    if isinstance(event, Broken) and event.site is FaultSite.PATH:
-        # The endpoint may be reached through another node.
-        state.tried.discard(event.instance)
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
     if denial is None or not isinstance(command, SendTo | AcquirePermit):
         return command
@@ -187,11 +184,18 @@
             if head.success and head.signed:
                 return Relay()
             return _retry_run(state, head, choice, now_ms)
-        case Broken(_, sent=False):
-            return _redirect(state, choice, now_ms, "unreachable")
-        case Broken(_, silent=silent):
-            state.runs += 1
-            return _retry_run(state, None, choice, now_ms, silent)
+        case Broken():
+            return _handle_break(state, event, choice, now_ms)
+
+
+def _handle_break(state: PlainState, broken: Broken, choice: _Choice, now_ms: int) -> Command:
+    if broken.site is FaultSite.PATH:
+        # The endpoint may be reached through another node.
+        state.tried.discard(broken.instance)
+    if not broken.sent:
+        return _redirect(state, choice, now_ms, "unreachable")
+    state.runs += 1
+    return _retry_run(state, None, choice, now_ms, broken.silent)
 
 
 def _redirect(state: PlainState, choice: _Choice, now_ms: int, reason: str) -> Command:
--- a/saffronworks/forwarding/planning/ejections.py
+++ b/saffronworks/forwarding/planning/ejections.py
@@ -49,10 +49,6 @@
         known = self._ejections.get(instance)
         return known is not None and now_ms < known.until_ms
 
-    def ejected(self) -> list[StartId]:
-        """Return the endpoints that were ejected, also before."""
-        return list(self._ejections)
-
     def forget_all_but(self, instances: set[StartId]) -> None:
         """Drop the state of all other endpoints."""
         for instance in self._ejections.keys() - instances:
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -89,7 +89,7 @@
     async def note_break(
         self, kind: str, request: CallerRequest, endpoint: ServiceEndpoint, broken: ExchangeError
     ) -> FaultSite:
-        """Count and log a call of the given kind that got no complete answer; return its cause.
+        """Count and log a call that got no complete answer; return where it failed.
 
         If the endpoint may have processed the request, the content hash is logged and reported to
         the quarantine: only the hash links retries of one content that have different ids. A hold
@@ -99,7 +99,7 @@
         self.figures.count_send(kind, broken.cause.value)
         if broken.withheld:
             return FaultSite.ENDPOINT
-        # A plain request moves on after a short timeout, which nothing but the load table counts.
+        # A short timeout of a plain request counts only in this node's load table.
         short_wait = kind == PLAIN and broken.cause is ExchangeErrorCause.SILENT
         site = FaultSite.UNKNOWN
         if not short_wait:
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -47,7 +47,7 @@
 def ejected_by(place):
     """Return the endpoints that the planners have ejected."""
     plans = [node._kernel.find("memory-planner").plans.values() for node in place.nodes]
-    return [name for own in plans for plan in own for name in plan.ejections.ejected()]
+    return [name for own in plans for plan in own for name in plan.ejections._ejections]
 
 
 def play_cut(context, nodes, how):
