--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -11,6 +11,7 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.blocks import Block, BlockReason
 from saffronworks.forwarding.organisations import BadKey, KeyDigest, Organisation
+from saffronworks.forwarding.prompt_parts import PartId, part_ids
 
 __all__ = [
     "ENDS_ENDPOINTS",
@@ -50,9 +51,10 @@
 
     `left_ms` is how long the caller waits after `arrived_ms`; `after_event` is the id of the last
     event that the caller received in an earlier answer, and `first_request_id` the id of the
-    request whose answer had the stream's first event. `caller` identifies the caller by fields of
-    the request, not by address, which differs by proxy and availability zone. `organisation` is set
-    once the key was looked up.
+    request whose answer had the stream's first event. `shared_parts` names the parts of the prompt
+    that other requests for `model` may have too, in order. `caller` identifies the caller by fields
+    of the request, not by address, which differs by proxy and availability zone. `organisation` is
+    set once the key was looked up.
     """
 
     request_id: str
@@ -66,6 +68,8 @@
     prompt: PromptSize | None = None
     after_event: int | None = None
     first_request_id: str | None = None
+    model: str = ""
+    shared_parts: tuple[str, ...] = ()
     caller: str = ""
     key: KeyDigest | BadKey | None = attrs.field(default=None, repr=False)
     organisation: Organisation | None = None
@@ -88,6 +92,11 @@
         caller = self.organisation.name if self.organisation else self.caller
         return content_id(self.method, self.host, self.target, caller, self.body)
 
+    @cached_property
+    def parts(self) -> tuple[PartId, ...]:
+        """The digests of the prompt's shared parts."""
+        return part_ids(self.model, self.shared_parts)
+
 
 class Executed(enum.StrEnum):
     """An endpoint's statement on the execution of a request."""
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -214,7 +214,7 @@
             elif not self._body_whole:
                 await relay_rest(node, job, self._exchange, body)
         except ExchangeError as broken:
-            await node.note_break(PLAIN, job.request, self._endpoint, broken)
+            await node.note_break(PLAIN, job.request, self._endpoint, broken, self._first_ms)
             logger.info(
                 "event=cut request=%s route=%s reason=answer-broke cause=%s",
                 job.request.request_id,
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -133,15 +133,22 @@
         return recent and later is not None and later.version != endpoint.version
 
     async def note_break(
-        self, kind: str, request: CallerRequest, endpoint: ServiceEndpoint, broken: ExchangeError
+        self,
+        kind: str,
+        request: CallerRequest,
+        endpoint: ServiceEndpoint,
+        broken: ExchangeError,
+        writing_since_ms: int | None = None,
     ) -> FaultSite:
         """Count and log a call that got no complete answer; return where it failed.
 
+        `writing_since_ms` is the time of the run's first event, if it had any.
+
         If the endpoint may have processed the request, the content hash is logged and reported to
         the quarantine: only the hash links retries of one content that have different ids. A hold
         request carries no content. A failure of this node's own path counts against no endpoint.
         """
-        worked_on = broken.sent and kind != HOLD
+        worked_on, now_ms = broken.sent and kind != HOLD, self.now_ms()
         self.figures.count_send(kind, broken.cause.value)
         if broken.withheld:
             return FaultSite.ENDPOINT
@@ -156,7 +163,7 @@
             load.record_failure(self.now_ms(), broken.unreachable)
         logger.info(
             "event=endpoint_failed request=%s call=%s endpoint=%s cause=%s sent=%s site=%s "
-            "relayed_by=%s content=%s",
+            "relayed_by=%s content=%s parts=%s writing_ms=%s",
             request.request_id,
             kind,
             endpoint.instance,
@@ -165,6 +172,8 @@
             site,
             broken.relayed_by,
             request.content if worked_on else None,
+            ",".join(request.parts) if worked_on else None,
+            None if writing_since_ms is None else now_ms - writing_since_ms,
         )
         if worked_on and site is FaultSite.ENDPOINT:
             self.quarantine.record_failure(request, endpoint, broken, waited_for=kind != PLAIN)
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -11,6 +11,7 @@
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
 from saffronworks.forwarding.ports import AnswerBody
+from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.platform.calls import ID_FIELD
 from saffronworks.web import BadBody, Call
@@ -41,6 +42,7 @@
 )
 # The caller's API key; never forwarded to a server.
 _API_KEY_FIELD = "key"
+_HEX_DIGITS = frozenset("0123456789abcdef")
 # Header fields that only the router sets; those of callers are dropped.
 _ROUTER_FIELDS = frozenset(
     [
@@ -85,6 +87,8 @@
             prompt=prompt,
             after_event=after_event,
             first_request_id=call.headers.get("resumes") or None,
+            model=call.headers.get("model", ""),
+            shared_parts=_read_shared_parts(call.headers.get("prompt-prefix", "")),
             caller=call.headers.get("authorization", ""),
             key=parse_key([value for name, value in call.fields if name.lower() == _API_KEY_FIELD]),
         )
@@ -110,6 +114,17 @@
     return None
 
 
+def _read_shared_parts(prefix: str) -> tuple[str, ...]:
+    """Parse the parts of a prompt, `ID:TOKENS` separated by commas, without the last one.
+
+    The last part belongs to the request or its session. An entry whose ID is not hexadecimal is
+    skipped: endpoints decide whether they accept it.
+    """
+    *shared, _ = prefix.split(",", MAX_SHARED_PARTS)
+    ids = (part.partition(":")[0].strip().lower() for part in shared)
+    return tuple(name for name in ids if name and _HEX_DIGITS.issuperset(name))
+
+
 def _read(
     call: Call, field: str, read: Callable[[str], Result[Any, str]], findings: list[str]
 ) -> int | None:
