Add a failing scenario: a prompt part that crashes one engine after the other

Callers: generations that share a part with a crashing request, or only an engine with it, fail for as long as such requests come.

Requests that differ in their bodies and share one part of their prompts go to two nodes in turn, beside requests with the same first part that are sound.

--- a/saffronworks/tests/crashing_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -1,4 +1,4 @@
-"""Fake servers whose process crashes when it runs a given content."""
+"""Fake servers whose process crashes when it runs a given content or part of a prompt."""
 
 import asyncio
 import time
@@ -7,10 +7,12 @@
 
 from saffronworks.tests.platform_fakes import FakeServer
 
-__all__ = ["CRASHING", "Arrivals", "CrashingServer"]
+__all__ = ["CRASHING", "CRASHING_PART", "Arrivals", "CrashingServer"]
 
 # A body that contains this crashes each server that runs it.
 CRASHING = b"deadly"
+# A prompt with this part crashes each server that writes an answer on it.
+CRASHING_PART = "badc0de5"
 # From the first token of a run to the crash.
 RUNS_S = 0.03
 # Downtime before the server starts again under its name.
@@ -24,9 +26,9 @@
     sends_s: list = attrs.Factory(list)
     ends_s: list = attrs.Factory(list)
 
-    def sends_after_third_end(self, wait_s):
-        """Return how many sends came later than `wait_s` after the third crash."""
-        from_s = self.ends_s[2] + wait_s
+    def sends_after_end(self, number, wait_s):
+        """Return how many sends came later than `wait_s` after that crash, counted from 1."""
+        from_s = self.ends_s[number - 1] + wait_s
         return sum(sent_s > from_s for sent_s in self.sends_s)
 
 
@@ -73,8 +75,11 @@
         finally:
             self._writers.discard(writer)
 
+    def _is_crashing(self, headers):
+        return CRASHING in self.seen[-1][3] or CRASHING_PART in headers.get("prompt-prefix", "")
+
     async def _request(self, reader, writer, headers):
-        if self.fixed or CRASHING not in self.seen[-1][3]:
+        if self.fixed or not self._is_crashing(headers):
             return await super()._request(reader, writer, headers)
         self.arrivals.sends_s.append(time.monotonic())
         if headers.get("stage") == "prefill" and not self.crashes_on_prefill:
--- a/saffronworks/tests/features/steps/quarantine_steps.py
+++ b/saffronworks/tests/features/steps/quarantine_steps.py
@@ -62,7 +62,7 @@
 
 @then("it reaches engines at most three times from three seconds after the third crash on")
 def bounded(context):
-    sends = context.arrivals.sends_after_third_end(CONTACT_S)
+    sends = context.arrivals.sends_after_end(3, CONTACT_S)
     assert sends <= 3, f"{sends} sends, {len(context.arrivals.ends_s)} ends"
 
 
