Check the endpoint when only a close ends its answer

Callers: an answer without length or chunks that a crash cut off between two events, before the first one, or in a plain body came with a good end, so that a truncated answer looked whole. The crash itself was seen by nobody: no content and no part was suspected of it.

Cause: the close of a connection completes such an answer, and a crash of the endpoint closes it in the same way. The other half of the same fault: as no such answer could be trusted, none of them ever cleared a content.

A crash makes it a broken answer, which is resumed, retried or cut, and suspected like any other. From an endpoint that listens it is whole, and clears its content and parts. If nothing replies, or the endpoint leaves as planned, it is passed on as whole and clears nothing.

--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -48,6 +48,8 @@
         self._head: AnswerHead | None = None
         self._start_of_body = b""
         self._body_whole = False
+        # Whether it is proven that no crash has cut off the answer.
+        self._proven = False
         self._first_ms = 0
         self._body = node.buffers.track(job.request.request_id, job.reply)
         route = job.route
@@ -183,6 +185,7 @@
         while not job.route.streams and len(self._start_of_body) < MAX_PREREAD_BODY_BYTES:
             chunk = await self._exchange.next_chunk(max(1, until_ms - node.now_ms()))
             if chunk is None:
+                self._proven = await node.check_end(endpoint, self._exchange)
                 self._body_whole = True
                 break
             self._start_of_body += chunk
@@ -213,6 +216,8 @@
                 await self._relay_events(StreamRun(self._exchange), body)
             elif not self._body_whole:
                 await relay_rest(node, job, self._exchange, body)
+            if not self._body_whole:
+                self._proven = await node.check_end(self._endpoint, self._exchange)
         except ExchangeError as broken:
             await node.note_break(PLAIN, job.request, self._endpoint, broken, self._first_ms)
             logger.info(
@@ -228,7 +233,7 @@
             body.detach()
         await body.finish()
         if self._head.success:
-            node.quarantine.record_success(job.request, self._exchange.framed)
+            node.quarantine.record_success(job.request, self._proven)
         arrived_ms = job.request.arrived_ms
         node.figures.count("answered", job.route.name)
         node.figures.record(job.route.name, self._first_ms - arrived_ms, node.now_ms() - arrived_ms)
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -29,6 +29,8 @@
     RECORD_ATTEMPTS,
     RECORD_READ_DELAYS_S,
     RECORD_RETRY_S,
+    REFUSED_PROBES,
+    REPROBE_REFUSED_MS,
 )
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import RESTORE_JITTER_MS
@@ -145,12 +147,26 @@
         )
         self._handle(failed)
 
-    def record_success(self, request: CallerRequest, framed: bool) -> None:
-        """Record a complete answer if it was `framed`.
+    async def has_ended(self, endpoint: ServiceEndpoint) -> bool | None:
+        """Return whether an endpoint has crashed or restarted; None if that can't be told.
 
-        An answer that ends when the connection closes may have been cut off by a crash.
+        It can't if nothing replies, or if the endpoint is leaving as planned.
         """
-        if framed and not self._state.idle:
+        known = self._directory.endpoints.get(endpoint.instance)
+        if known is None or known.draining:
+            return None
+        result = await self._probe_once(endpoint)
+        for _ in range(REFUSED_PROBES - 1):
+            if result is ProbeResult.REFUSES:
+                await anyio.sleep(REPROBE_REFUSED_MS / 1000)
+                result = await self._probe_once(endpoint)
+        if result is ProbeResult.LISTENS:
+            return False
+        return True if result is ProbeResult.REFUSES or result.proves_end else None
+
+    def record_success(self, request: CallerRequest, proven: bool) -> None:
+        """Record a complete answer, if it is proven that no crash has cut it off."""
+        if proven and not self._state.idle:
             self._handle(events.RunSucceeded(request.content, request.parts))
 
     def observe_writing(self, request: CallerRequest, writing_ms: int) -> None:
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -123,6 +123,20 @@
         if changed or (continues and not self.origins.is_certain(endpoint)):
             raise ExchangeError(ExchangeErrorCause.VERSION_CHANGED, sent=True)
 
+    async def check_end(self, endpoint: ServiceEndpoint, exchange: Exchange) -> bool:
+        """Return whether an answer that has ended is proven whole.
+
+        A crash closes an answer without length or chunks just as its end does: raises ExchangeError
+        if the endpoint has ended.
+        """
+        if exchange.framed:
+            return True
+        ended = await self.quarantine.has_ended(endpoint)
+        logger.info("event=unframed_answer endpoint=%s ended=%s", endpoint.instance, ended)
+        if ended:
+            raise ExchangeError(ExchangeErrorCause.CLOSED, sent=True)
+        return ended is False
+
     def is_doubtful_run(self, endpoint: ServiceEndpoint, began_ms: int) -> bool:
         """Return whether a run may have been that of a later start with another version.
 
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -49,6 +49,8 @@
         """
         state, now_ms = self._state, self._node.now_ms()
         first = await run.read_first(max(1, state.deadline_at_ms - now_ms))
+        if first is None:
+            await self._check_end(run)
         run.writing_since_ms = self._node.now_ms()
         self._pace_from = None
         if state.answer_started or (state.may_repeat and self.last_event is not None):
@@ -89,10 +91,11 @@
                 await self._body.write(mark.data)
             if run.remainder():
                 await self._body.write(run.remainder())
+            proven = await self._check_end(run)
         finally:
             self._body.detach()
         await self._body.finish()
-        self._node.quarantine.record_success(self._job.request, run.exchange.framed)
+        self._node.quarantine.record_success(self._job.request, proven)
         self._log_end(run)
 
     def _record_events(self, ids: tuple[int, ...]) -> None:
@@ -101,6 +104,10 @@
             made_tokens = ids[-1] * self._tokens_per_event
             self._node.memory.progress(self._job.request.request_id, made_tokens)
 
+    async def _check_end(self, run: StreamRun) -> bool:
+        assert self._state.hold is not None
+        return await self._node.check_end(self._state.hold.endpoint, run.exchange)
+
     def _observe_writing(self, run: StreamRun) -> None:
         assert run.writing_since_ms is not None
         writing_ms = self._node.now_ms() - run.writing_since_ms
--- a/saffronworks/tests/crashing_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -42,6 +42,8 @@
         self.store = None
         # Whether the caller receives the head of an answer and one event before the crash.
         self.head_first = False
+        # Whether that answer has neither a length nor chunks.
+        self.unframed = False
         # Whether the server has been fixed and runs all contents.
         self.fixed = False
         # Whether a prefill of the content crashes the server as well.
@@ -86,8 +88,10 @@
             return await super()._request(reader, writer, headers)
         if self.head_first:
             own = {"Request-Id": headers["request-id"], "Server-Stamp": "s"}
-            await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
-            writer.write(b"11\r\nid: 1\ndata: one\n\n\r\n")
+            framing = {} if self.unframed else {"Transfer-Encoding": "chunked"}
+            await self._head(writer, 200, own | framing)
+            event = b"id: 1\ndata: one\n\n"
+            writer.write(event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         await asyncio.sleep(RUNS_S)
         if not self._over.is_set():
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -217,9 +217,9 @@
         "n1", Directory(), Mock(), Mock(), random.Random(1), StoreEpoch(), lambda: 10
     )
     record_ends(quarantine._state, request.content, 1, 2, 3)
-    quarantine.record_success(request, framed=False)
+    quarantine.record_success(request, proven=False)
     assert quarantine.blocks(request)
-    quarantine.record_success(request, framed=True)
+    quarantine.record_success(request, proven=True)
     assert not quarantine.blocks(request)
 
 
--- /dev/null
+++ b/saffronworks/tests/features/steps/unframed_answers_steps.py
@@ -0,0 +1,90 @@
+"""Steps on answers without length or chunks, on the whole path over loopback."""
+
+from behave import then, when
+
+from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import engines, on_platform, web_servers
+
+EVENT = b"id: 1\ndata: one\n\n"
+CHUNKS_END = b"0\r\n\r\n"
+
+
+def crashing(server):
+    server.head_first = server.unframed = True
+    return server
+
+
+@when("engines crash after the first event of streams without length or chunks")
+def streams_crash(context):
+    context.arrivals = arrivals = Arrivals()
+    decoders = [crashing(CrashingServer("d0", "llm", "decode", arrivals, down_s=9.0))]
+    decoders += [crashing(CrashingServer("d1", "llm", "decode", arrivals, down_s=9.0))]
+    sound = FakeServer("d2", "llm", "decode")
+    sound.full = True
+
+    async def play(place):
+        for server in decoders:
+            server.store = place.store
+        context.cut = await place.generate("/gen/", "g0", body=CRASHING)
+        sound.full = False
+        context.resumed = await place.generate("/res/", "g1", body=CRASHING)
+
+    on_platform([*decoders, sound, FakeServer("p0", "llm", "prefill")], play)
+
+
+@then("the caller of a stream that can't be resumed gets the event, and no proper end")
+def stream_cut(context):
+    assert EVENT in context.cut and not context.cut.endswith(CHUNKS_END), context.cut
+
+
+@then("the caller of one that can be gets the whole stream from another engine")
+def stream_resumed(context):
+    assert context.resumed.endswith(CHUNKS_END), context.resumed
+    assert [b"id: %d" % number in context.resumed for number in (1, 2, 3)] == [True] * 3
+    assert len(context.arrivals.ends_s) == 2, context.arrivals
+
+
+@when("one of two plain endpoints crashes in an answer without length or chunks")
+def plain_crashes(context):
+    server = crashing(CrashingServer("w0", "web", None, Arrivals(), down_s=9.0))
+    sound = FakeServer("w1", "web")
+
+    async def play(place):
+        server.store = place.store
+        context.raws = [
+            await place.ask("/again/a", f"r{number}", body=CRASHING) for number in range(2)
+        ]
+
+    on_platform([server, sound], play)
+
+
+@then("the caller gets the whole answer of the other one")
+def plain_whole(context):
+    assert all(raw.endswith((b"r0", b"r1")) for raw in context.raws), context.raws
+
+
+@when("endpoints that keep running answer without length or chunks")
+def whole_answers(context):
+    servers = [*engines(), *web_servers()]
+
+    async def play(place):
+        for server in servers:
+            server.script = ["unframed"] * 3
+        context.stream = await place.generate("/gen/", "g0")
+        context.plain = await place.ask("/again/a", "r0")
+        context.cleared = []
+        place.node._quarantine.record_success = lambda request, proven: context.cleared.append(
+            (request.request_id, proven)
+        )
+        await place.generate("/gen/", "g1")
+        await place.ask("/again/a", "r1")
+
+    on_platform(servers, play)
+
+
+@then("the callers get whole answers, and the answers clear what they hold")
+def whole(context):
+    assert context.stream.endswith(CHUNKS_END) and b"id: 3" in context.stream, context.stream
+    assert context.plain.startswith(b"HTTP/1.1 200 "), context.plain
+    assert context.cleared == [("g1", True), ("r1", True)], context.cleared
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -17,6 +17,7 @@
     None,
     "error",
     "error-break",
+    "unframed",
     "unframed-break",
     "unframed-none",
     "no-content",
@@ -231,6 +232,12 @@
             return True
         if fault in ("sized-break", "sized-wide"):
             return await self._stream_sized(writer, own, fault, after)
+        if fault == "unframed":
+            await self._head(writer, 200, own)
+            for number in range(after + 1, self.events + 1):
+                writer.write(f"id: {number}\ndata: {self.instance}\n\n".encode())
+            await writer.drain()
+            return False
         await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
         after += {"repeat": -1, "gap": 1}.get(fault, 0)
         ends_at = fault and fault.startswith(("break-", "stall-"))
