Treat a stream that ends inside an event as broken, whatever its framing

Callers: a stream whose chunks or length ended regularly inside an event was passed on with a good end. Only streams without framing were checked. Now any rest of an event at the end, white space aside, is a broken answer: resumed, retried or cut.

--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -55,7 +55,7 @@
             mark = self._splitter.feed(chunk)
             if mark is not None:
                 return mark
-        if self._splitter.remainder() and not self.exchange.framed:
+        if self._splitter.remainder().strip():
             raise ExchangeError(ExchangeErrorCause.CLOSED, sent=True)
         return None
 
--- a/saffronworks/tests/features/steps/unframed_answers_steps.py
+++ b/saffronworks/tests/features/steps/unframed_answers_steps.py
@@ -64,6 +64,23 @@
     assert all(raw.endswith((b"r0", b"r1")) for raw in context.raws), context.raws
 
 
+@when("an engine ends the chunks of a stream inside an event")
+def chunks_end(context):
+    servers = engines()
+
+    async def play(place):
+        for server in servers[:2]:
+            server.script = ["half"]
+        context.raw = await place.generate("/gen/", "g0")
+
+    on_platform(servers, play)
+
+
+@then("the caller gets nothing of it, and no success")
+def no_end(context):
+    assert b"id: 3" not in context.raw and not context.raw.startswith(b"HTTP/1.1 200"), context.raw
+
+
 @when("endpoints that keep running answer without length or chunks")
 def whole_answers(context):
     servers = [*engines(), *web_servers()]
--- a/saffronworks/tests/features/unframed_answers.feature
+++ b/saffronworks/tests/features/unframed_answers.feature
@@ -12,6 +12,10 @@
     When one of two plain endpoints crashes in an answer without length or chunks
     Then the caller gets the whole answer of the other one
 
+  Scenario: a stream of any framing that ends inside an event
+    When an engine ends the chunks of a stream inside an event
+    Then the caller gets nothing of it, and no success
+
   Scenario: whole answers of this kind
     When endpoints that keep running answer without length or chunks
     Then the callers get whole answers, and the answers clear what they hold
