Remember parts that ran well while nothing was suspected

Cause: a node that suspected nothing passed over whole answers, so that no node knew the part as one that had been sound before. The pure plays called the core directly and missed it.

A held part that other shared parts follow in some prompt has one early trial, as more requests have the first parts of prompts.

--- a/saffronworks/forwarding/quarantine/part_choice.py
+++ b/saffronworks/forwarding/quarantine/part_choice.py
@@ -8,6 +8,7 @@
 from saffronworks.forwarding.prompt_parts import PartId
 from saffronworks.forwarding.quarantine.messages import Suspicion
 from saffronworks.forwarding.quarantine.tuning import (
+    EARLY_TRIALS,
     ENDS_TO_HOLD,
     ENDS_TO_HOLD_AT_TWO_TIMES,
     ENDS_TO_HOLD_PROVEN,
@@ -23,12 +24,14 @@
 class PartEnds:
     """A part, its position in prompts, and its ends since it was last known to be sound.
 
-    `ended_ms`: time of each end. `contents`: for each end, the requests with the part that ran.
-    `proven`: whether the part is known to have been sound before.
+    `followed`: another shared part came after it in one of the prompts. `ended_ms`: time of each
+    end. `contents`: for each end, the requests with the part that ran. `proven`: whether the part
+    is known to have been sound before.
     """
 
     part: PartId
     depth: int
+    followed: bool
     ended_ms: Mapping[StartId, int]
     contents: tuple[frozenset[str], ...]
     proven: bool = False
@@ -36,12 +39,12 @@
 
 @attrs.frozen
 class Choice:
-    """The parts to hold, each with whether it may be an innocent one.
+    """The parts to hold, each with the number of early trials that it may have.
 
     `explained`: quarantined contents that ran beside a held part at all of their ends.
     """
 
-    held: dict[PartId, bool] = attrs.Factory(dict)
+    held: dict[PartId, int] = attrs.Factory(dict)
     explained: set[ContentId] = attrs.Factory(set)
 
 
@@ -75,14 +78,14 @@
     """
     candidates = sorted((part for part in parts if is_candidate(part)), key=_choice_key)
     quarantined = [(content.content, frozenset(content.ended)) for content in contents]
-    held: dict[PartId, bool] = {}
+    held: dict[PartId, int] = {}
     explained: set[StartId] = set()
     for part in candidates:
         by_content = any(ended >= part.ended_ms.keys() for _, ended in quarantined)
         if by_content or any(_is_explained_by(part, other) for other in candidates):
             continue
         if _has_further_ends(part, explained):
-            held[part.part] = part.proven or _is_covered(part, candidates)
+            held[part.part] = _count_early_trials(part, candidates)
             explained.update(part.ended_ms)
     beside = {content for content, ended in quarantined if explained >= ended}
     return Choice(held, beside)
@@ -102,6 +105,13 @@
     return is_later and other.ended_ms.keys() >= part.ended_ms.keys()
 
 
+def _count_early_trials(part: PartEnds, candidates: Iterable[PartEnds]) -> int:
+    """Return how many early trials a held part may have, as it may be innocent."""
+    if part.proven or _is_covered(part, candidates):
+        return EARLY_TRIALS
+    return 1 if part.followed else 0
+
+
 def _is_covered(part: PartEnds, candidates: Iterable[PartEnds]) -> bool:
     """Return whether several later parts together were at all ends of a part."""
     later = (other.ended_ms.keys() for other in candidates if other.depth > part.depth)
--- a/saffronworks/forwarding/quarantine/part_core.py
+++ b/saffronworks/forwarding/quarantine/part_core.py
@@ -87,7 +87,15 @@
             part
             for run in runs
             for depth, part in enumerate(run.parts)
-            if self.table.add_end(part, depth, instance, run.content, run.writing_ms, now_ms)
+            if self.table.add_end(
+                part,
+                depth,
+                depth + 1 < len(run.parts),
+                instance,
+                run.content,
+                run.writing_ms,
+                now_ms,
+            )
         ]
         self._add_earlier_runs(changed, now_ms)
         return self._report(changed, now_ms)
@@ -106,11 +114,12 @@
     ) -> list[Command]:
         """Record a run that shows its parts to be sound, if it has been writing long enough."""
         if writing_ms is None:
-            self._remember_sound(parts, now_ms)
+            self.remember_sound(parts, now_ms)
         changed = [part for part in parts if self.table.add_sound_run(part, writing_ms, now_ms)]
         return self._report(changed, now_ms)
 
-    def _remember_sound(self, parts: Iterable[PartId], now_ms: int) -> None:
+    def remember_sound(self, parts: Iterable[PartId], now_ms: int) -> None:
+        """Remember that a request with these parts ended well, in case they are suspected later."""
         for part in parts:
             self._sound_ms[part] = now_ms
             self._sound_ms.move_to_end(part)
--- a/saffronworks/forwarding/quarantine/part_table.py
+++ b/saffronworks/forwarding/quarantine/part_table.py
@@ -21,6 +21,7 @@
 from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable
 from saffronworks.forwarding.quarantine.tuning import (
     EARLY_TRIAL_MS,
+    EARLY_TRIALS,
     ENDS_TO_HOLD,
     KEEP_QUARANTINED_MS,
     KEEP_SUSPECT_MS,
@@ -53,6 +54,7 @@
 
     part: PartId
     depth: int
+    followed: bool
     changed_ms: int
     ends: dict[StartId, _End] = attrs.Factory(dict)
     sound_ms: int | None = None
@@ -65,6 +67,7 @@
         return PartEnds(
             self.part,
             self.depth,
+            self.followed,
             {instance: end.ended_ms for instance, end in self.ends.items()},
             tuple(end.contents for end in self.ends.values()),
             proven=self.sound_ms is not None,
@@ -89,6 +92,7 @@
         self,
         part: PartId,
         depth: int,
+        followed: bool,
         instance: StartId,
         content: ContentId,
         writing_ms: int,
@@ -96,7 +100,7 @@
     ) -> bool:
         """Add an end under a part; return whether the table has changed."""
         end = PartEnd(instance, (content[:_CONTENT_DIGITS],), writing_ms, 0)
-        return self.merge(PartSuspicion(part, depth, (end,)), now_ms)
+        return self.merge(PartSuspicion(part, depth, (end,), followed), now_ms)
 
     def add_sound_run(self, part: PartId, writing_ms: int | None, now_ms: int) -> bool:
         """Record that a run with the part is sound; return whether that cleared it of any end.
@@ -135,11 +139,14 @@
         if entry is None:
             if received.age_ms >= KEEP_QUARANTINED_MS:
                 return False
-            entry = _Entry(received.part, received.depth, now_ms - received.age_ms)
+            changed_ms = now_ms - received.age_ms
+            entry = _Entry(received.part, received.depth, received.followed, changed_ms)
         changed = _merge_sound(entry, received, now_ms)
         changed = _merge_ends(entry, received, now_ms) or changed
         if received.trials > entry.trials:
             entry.trials, changed = received.trials, True
+        if received.followed and not entry.followed:
+            entry.followed, changed = True, True
         entry.depth = max(entry.depth, received.depth)
         if not changed:
             return False
@@ -165,8 +172,8 @@
             self._contents_revision = self._contents.revision
         return self._choice
 
-    def held(self) -> dict[PartId, bool]:
-        """Return the held parts, with whether each may be an innocent one."""
+    def held(self) -> dict[PartId, int]:
+        """Return the held parts, with the number of early trials that each may have."""
         return self.choice.held
 
     def admission(self, parts: Iterable[PartId], now_ms: int) -> Admission:
@@ -179,10 +186,11 @@
 
     def _is_trial_due(self, part: PartId, now_ms: int) -> bool:
         entry = self._entries[part]
-        unchanged_ms, maybe_innocent = now_ms - entry.changed_ms, self.held()[part]
-        if maybe_innocent:
-            return unchanged_ms >= min(EARLY_TRIAL_MS << entry.trials, TRIAL_AFTER_MS)
-        return entry.trials < MAX_PART_TRIALS and unchanged_ms >= TRIAL_AFTER_MS
+        unchanged_ms, early_trials = now_ms - entry.changed_ms, self.held()[part]
+        if entry.trials < early_trials:
+            return unchanged_ms >= EARLY_TRIAL_MS << entry.trials
+        more = early_trials == EARLY_TRIALS or entry.trials < MAX_PART_TRIALS
+        return more and unchanged_ms >= TRIAL_AFTER_MS
 
     def is_gossiped(self, part: PartId) -> bool:
         """Return whether all nodes receive news of the part."""
@@ -209,7 +217,9 @@
         )
         sound_age_ms = None if entry.sound_ms is None else now_ms - entry.sound_ms
         age_ms = now_ms - entry.changed_ms
-        return PartSuspicion(part, entry.depth, ends, sound_age_ms, entry.trials, age_ms)
+        return PartSuspicion(
+            part, entry.depth, ends, entry.followed, sound_age_ms, entry.trials, age_ms
+        )
 
     def expire(self, now_ms: int) -> list[PartId]:
         """Drop the parts whose retention is over; return those of them that were held."""
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -166,7 +166,11 @@
 
     def record_success(self, request: CallerRequest, proven: bool) -> None:
         """Record a complete answer, if it is proven that no crash has cut it off."""
-        if proven and not self._state.idle:
+        if not proven:
+            return
+        if self._state.idle:
+            self._state.parts.remember_sound(request.parts, self._now_ms())
+        else:
             self._handle(events.RunSucceeded(request.content, request.parts))
 
     def observe_writing(self, request: CallerRequest, writing_ms: int) -> None:
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -69,6 +69,9 @@
 MAX_CONTENTS_PER_END = 4
 # A held part has at most this many trials a day, as each may crash an endpoint.
 MAX_PART_TRIALS = 2
+# One that is probably innocent has early trials first: it was sound before, or several later parts
+# together explain all of its ends. The wait doubles, from EARLY_TRIAL_MS.
+EARLY_TRIALS = 7
 # Parts whose last sound run a node remembers.
 MAX_RECENT_PARTS = 4096
 # Parts in the table of a node, and in one message; a part takes 0.1 KB in a message for each end.
--- a/saffronworks/tests/features/prompt_parts.feature
+++ b/saffronworks/tests/features/prompt_parts.feature
@@ -28,9 +28,11 @@
     And no part is held for one content that crashes endpoints
     And two crashing parts are held, and not the first part that their requests share
     And a part that was sound before and crashes endpoints now is held, and soon has a trial
+    And one that other parts follow has one early trial
 
   Scenario: a run that goes on clears its parts
     Then it does after a second, or later where runs broke later
+    And a node that served a part while nothing was suspected remembers it
     And a node that remembers a sound run from before tells the others
     And a node that missed a sound run is told when it sends its own view
 
--- a/saffronworks/tests/features/steps/part_table_steps.py
+++ b/saffronworks/tests/features/steps/part_table_steps.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from saffronworks.forwarding.contents import ContentId
+from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.messages import CallerRequest
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS, part_ids
@@ -16,12 +17,14 @@
 from saffronworks.forwarding.quarantine.messages import PartNews
 from saffronworks.forwarding.quarantine.part_table import PartTable
 from saffronworks.forwarding.quarantine.records import QuarantineRecords
+from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable
 from saffronworks.forwarding.quarantine.tuning import (
     EARLY_TRIAL_MS,
     SOUND_WRITING_MS,
     TRIAL_AFTER_MS,
 )
+from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.ingress import read_request
 from saffronworks.tests import part_plays
 from saffronworks.tests.quarantine_plays import endpoint_at
@@ -148,6 +151,32 @@
     assert not held(state)
 
 
+@then("one that other parts follow has one early trial")
+def followed(context):
+    state = new_state()
+    for number in range(1, 4):
+        crash(state, number * 1000, number, (f"c{number}", "f", f"b{number}"))
+    now_ms = 3000 + EARLY_TRIAL_MS
+    assert state.admission("new", now_ms, ("f",)) is Admission.TRIAL
+    step(state, events.TrialStarted(ContentId("new"), ("f",)), now_ms)
+    for later_ms, expected in ((TRIAL_AFTER_MS - 1, Admission.REFUSED), (0, Admission.TRIAL)):
+        assert state.admission("new", now_ms + (later_ms or TRIAL_AFTER_MS), ("f",)) is expected
+
+
+@then("a node that served a part while nothing was suspected remembers it")
+def remembered_idle(context):
+    quarantine = Quarantine(
+        "n1", Directory(), Mock(), Mock(), random.Random(1), StoreEpoch(), lambda: 10
+    )
+    request = CallerRequest("r", "POST", "/a", "h", (), b"", 0, 9, model="m", shared_parts=("a",))
+    quarantine.record_success(request, proven=True)
+    assert quarantine._state.idle
+    for number in (1, 2):
+        crash(quarantine._state, number * 1000, number, (f"c{number}", *request.parts))
+    (part,) = request.parts
+    assert quarantine._state.parts.table.suspicion(part, 2000).sound_age_ms == 1990
+
+
 @then("it does after a second, or later where runs broke later")
 def goes_on(context):
     for broke_after_ms, enough_ms in ((0, SOUND_WRITING_MS), (2000, 6000)):
@@ -265,7 +294,7 @@
     assert [len(part) for part in request.parts] == [32]
     table = PartTable(SuspicionTable())
     for number in range(5000):
-        table.add_end(f"p{number}", 0, "e1", request.content, 0, number)
+        table.add_end(f"p{number}", 0, False, "e1", request.content, 0, number)
     assert len(table) < 5000
 
 
