Soak: different requests with one part that crashes engines

Every soak has them now, at any node, beside the crashing content and all other faults: from three seconds after the fifth end on at most three may reach engines, and the calm end serves nine of ten other requests, whose prompts share their first parts. On odd seeds the engine's last answer has chunks, on even ones neither these nor a length, and faulty endpoints may answer whole without framing.

Seeds kept as failed are played without it, as before.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -25,6 +25,7 @@
       | broke while its node was stopped as planned    | planned_stops_cut_nothing |
       | was refused after all faults were over         | calm_again                |
       | ended endpoint after endpoint                  | deadly_reach_few          |
+      | shared a part that ended endpoint after endpoint | parts_reach_few         |
       | had a key that was taken away long before      | taken_keys_reach_none     |
       | ran far beyond the quota of its organisation   | quotas_hold               |
       | came again far beyond the limit of its endpoint | limits_hold               |
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -184,6 +184,13 @@
     records.calm_from_ms = SENT_MS
 
 
+def one_part(records):
+    deadly(records)
+    records.asked["r"].kind = "part"
+    records.part_ends_ms, records.deadly_ends_ms = records.deadly_ends_ms, []
+    records.arrived.append(("llm", "r", SENT_MS + 2000))
+
+
 def refused_late(records):
     records.calm_from_ms = SENT_MS
     records.ran.clear()
@@ -276,6 +283,7 @@
     "was broken by a kill across a planned stop of its node": ("once", killed_across_stop),
     "was refused after all faults were over": ("again", refused_late),
     "ended endpoint after endpoint": ("res", deadly),
+    "shared a part that ended endpoint after endpoint": ("res", one_part),
     "had a key that was taken away long before": ("again", key_taken_away),
     "ran far beyond the quota of its organisation": ("res", beyond_quota),
     "came again far beyond the limit of its endpoint": ("once", lambda seen: limited(seen, 12)),
--- a/saffronworks/tests/soak/__main__.py
+++ b/saffronworks/tests/soak/__main__.py
@@ -60,7 +60,8 @@
     )
     broken = 0
     # The first ones were found without these kinds of faults, and stay what they were.
-    unrestored = attrs.evolve(whole, restores=0, partitions=0, versions=1, releases=0)
+    unparted = attrs.evolve(whole, parts=False)
+    unrestored = attrs.evolve(unparted, restores=0, partitions=0, versions=1, releases=0)
     limited = attrs.evolve(unrestored, drains=0, pauses=0)
     unlimited = attrs.evolve(limited, limits=0)
     early = attrs.evolve(unlimited, restarts=0, deadly=False, organisations=False)
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -1,15 +1,24 @@
 """Callers of a soak: each keeps a connection open to one node until it breaks."""
 
 import random
+import zlib
 
 import anyio
 import httpcore
 
-from saffronworks.tests.crashing_servers import CRASHING
+from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
 from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.records import Asked
 
-__all__ = ["DEADLY_KIND", "KINDS", "ONCE_KINDS", "STREAM_KINDS", "Caller", "DeadlyCaller"]
+__all__ = [
+    "DEADLY_KIND",
+    "KINDS",
+    "ONCE_KINDS",
+    "PART_KIND",
+    "STREAM_KINDS",
+    "Caller",
+    "DeadlyCaller",
+]
 
 # How often each kind of request comes, and the route that it goes by.
 KINDS = {"once": 4, "again": 3, "moved": 2, "gen": 2, "res": 3}
@@ -25,6 +34,9 @@
 LEAVE_AFTER_S = 0.1
 # A content that ends its endpoints is asked for on the route of streams that may go on.
 DEADLY_KIND = "deadly"
+# Different contents with one part that ends endpoints, on the same route.
+PART_KIND = "part"
+FIRST_PARTS = 3
 DEADLY_PAUSE_S = 0.5
 PROMPT = {"Token-Counts": "5000,9000", "Length-Hint": "300"}
 LONGEST_RETURN_S = 1.5
@@ -34,6 +46,13 @@
 MAX_RESUMES, RESUME_PAUSE_S = 3, 0.02
 
 
+def prompt_of(request_id, *more_parts):
+    """Return the fields that describe a prompt; the first part is one of a few."""
+    own = zlib.crc32(request_id.encode())
+    parts = (f"f{own % FIRST_PARTS}", *more_parts, f"{own:x}")
+    return PROMPT | {"Model": "m", "Prompt-Prefix": ",".join(f"{part}:200" for part in parts)}
+
+
 class _StreamLost(Exception):
     """The caller's connection is lost in the middle of a stream."""
 
@@ -135,7 +154,7 @@
         fields["Deadline-Ms"] = str(asked.deadline_ms)
         fields |= {"Key": asked.key} if asked.key else {}
         if asked.kind in STREAM_KINDS:
-            fields |= PROMPT
+            fields |= prompt_of(asked.request_id)
         if asked.resumes:
             fields |= {"Resumes": asked.resumes, "Last-Event-Id": str(asked.after_event)}
         lost_after = self._draw_loss(asked)
@@ -163,13 +182,13 @@
 
 
 class DeadlyCaller:
-    """Asks for one content again and again, at any node, whatever it is told."""
+    """Asks again and again, at any node, for one content or different ones with one part."""
 
     def __init__(self, site, deadly, whose=None):
         self._whose = whose
         self._site = site
         self._deadly = deadly
-        self._rng = random.Random(f"{site.seed}/deadly")
+        self._rng = random.Random(f"{site.seed}/{deadly.kind}")
 
     async def run(self, until):
         await anyio.sleep(self._deadly.at_ms / 1000)
@@ -177,7 +196,8 @@
         while not until():
             number += 1
             node = self._rng.randrange(len(self._site.nodes))
-            await self._ask(Asked(f"x{number}", DEADLY_KIND, node, self._site.now_ms(), 3000))
+            request_id = f"{self._deadly.kind}{number}"
+            await self._ask(Asked(request_id, self._deadly.kind, node, self._site.now_ms(), 3000))
             await anyio.sleep(2 * DEADLY_PAUSE_S * self._rng.random())
 
     async def _ask(self, asked):
@@ -186,13 +206,17 @@
             asked.organisation, asked.key = self._whose.organisation, self._whose.key
             fields["Key"] = asked.key
         self._site.records.asked[asked.request_id] = asked
+        content = CRASHING
+        if asked.kind == PART_KIND:
+            content = asked.request_id.encode()
+            fields |= prompt_of(asked.request_id, CRASHING_PART)
+        else:
+            fields |= PROMPT
         url = f"http://{self._site.caller_addresses[asked.node]}/res/"
         try:
             with anyio.fail_after(asked.deadline_ms / 1000 + 1.0):
                 async with httpcore.AsyncConnectionPool() as pool:
-                    reply = await pool.request(
-                        "POST", url, headers=fields | PROMPT, content=CRASHING
-                    )
+                    reply = await pool.request("POST", url, headers=fields, content=content)
             asked.outcome, asked.status = "answered", reply.status
         except TimeoutError:
             asked.outcome = "left"
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -7,7 +7,7 @@
 import attrs
 
 from saffronworks.standins.addresses import free_address
-from saffronworks.tests.crashing_servers import CRASHING
+from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.organisations import check_endpoint_fields
 from saffronworks.tests.soak.records import Ran, Reached, Rejected
@@ -27,6 +27,10 @@
 GREY_SHARE = 0.4
 GREY_PLAIN = ("error", "reset", "garbage", "extra", "late-extra", "short", "unsigned", "shed")
 GREY_STREAM = ("break", "shed", "unframed-break", "error", "restart")
+# With crashing parts, endpoints may also answer without a length or chunks.
+UNFRAMED = ("unframed",)
+# From the first event of an answer on a crashing part to the end of its endpoint.
+PART_RUNS_S = 0.1
 # Of these, the ones that break off in the middle.
 BREAKS = ("break", "unframed-break")
 
@@ -134,17 +138,31 @@
         self.records.arrived.append((self.service, request_id, now_ms))
         if CRASHING in body:
             await asyncio.sleep(DEADLY_RUNS_S)
-            self.site.end_under_deadly(self)
+            self.site.end_under(self, self.records.deadly_ends_ms)
             return False
+        if CRASHING_PART in headers.get("prompt-prefix", ""):
+            return await self._crash_under_part(writer, request_id)
         fault = None
         if now_ms < self.grey_until_ms and self._rng.random() < GREY_SHARE:
-            fault = self._rng.choice(GREY_STREAM if self.stage else GREY_PLAIN)
+            faults = GREY_STREAM if self.stage else GREY_PLAIN
+            fault = self._rng.choice(faults + UNFRAMED * self.site.shape.parts)
         if fault == "shed" or now_ms < self.full_until_ms:
             return await self._refuse(writer, request_id)
         if self.stage:
             return await self._generate(reader, writer, headers, fault)
         return await self._answer(reader, writer, request_id, fault)
 
+    async def _crash_under_part(self, writer, request_id):
+        """Write one event, with or without chunks, and end the process."""
+        own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        framed, event = self.site.seed % 2, f"id: 1\ndata: {request_id}\n\n".encode()
+        await self._head(writer, 200, own | ({"Transfer-Encoding": "chunked"} if framed else {}))
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event) if framed else event)
+        await writer.drain()
+        await asyncio.sleep(PART_RUNS_S)
+        self.site.end_under(self, self.records.part_ends_ms)
+        return False
+
     async def _ask_pause(self, writer, request_id):
         node, pause_ms = self.records.asked[request_id].node, 1000 * float(self.pause)
         rejected = Rejected(self.instance, node, self.site.now_ms(), pause_ms)
@@ -223,7 +241,7 @@
 
     async def _stream_events(self, reader, writer, run, fault):
         own = {"Request-Id": run.request_id, "Server-Stamp": f"stamp-{self.instance}"}
-        framed = fault != "unframed-break"
+        framed = fault not in ("unframed-break", "unframed")
         await self._head(writer, 200, own | ({"Transfer-Encoding": "chunked"} if framed else {}))
         after_event = 0 if fault == "restart" else run.after_event
         for number in range(after_event + 1, EVENTS + 1):
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -67,6 +67,8 @@
     restarts: int = 4
     # Whether a content that crashes endpoints is requested repeatedly.
     deadly: bool = True
+    # Whether different requests share a prompt part that crashes endpoints.
+    parts: bool = True
     # Whether callers have API keys, which change, and organisations have quotas.
     organisations: bool = True
     # Number of times that an endpoint advertises a rate limit.
@@ -265,9 +267,12 @@
 
 
 def draw_deadly(seed: int, shape: Shape) -> list[Fault]:
-    """Return the time from which a content that crashes endpoints is requested, if any."""
-    at_ms = random.Random(f"{seed}/deadly").randrange(shape.faults_ms // 2)
-    return [Fault(at_ms, 0, "deadly", 0)] if shape.deadly else []
+    """Return the times from which crashing contents, or ones with a crashing part, are asked."""
+    kinds = [kind for kind, drawn in (("deadly", shape.deadly), ("part", shape.parts)) if drawn]
+    return [
+        Fault(random.Random(f"{seed}/{kind}").randrange(shape.faults_ms // 2), 0, kind, 0)
+        for kind in kinds
+    ]
 
 
 def _draw(rng: random.Random, at_ms: int) -> Fault:
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -1,6 +1,11 @@
 """What must hold of everything that was seen; each check returns its findings in words."""
 
-from saffronworks.tests.soak.callers import DEADLY_KIND, ONCE_KINDS, STREAM_KINDS
+from saffronworks.tests.soak.callers import (
+    DEADLY_KIND,
+    ONCE_KINDS,
+    PART_KIND,
+    STREAM_KINDS,
+)
 from saffronworks.tests.soak.organisations import HOT, quotas_hold
 from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Partition, Records
 from saffronworks.tests.soak.stream_promises import (
@@ -21,8 +26,8 @@
 SLACK_MS = 500
 # A caller's close is seen, and its run ended, within this time.
 GONE_MS = 1000
-# A content that three endpoints ended under is sent on so often at most.
-MOST_DEADLY_SENDS = 3
+# After so many ends, and the time to tell all nodes, a content or part is sent on so often at most.
+DEADLY_ENDS, PART_ENDS, MOST_DEADLY_SENDS = 3, 5, 3
 OVER_QUOTA, UNKNOWN_KEY = 429, 401
 # What an endpoint that names a limit tolerates of nodes that were told so long before: in any 4 s,
 # half as much again and 5 requests.
@@ -55,6 +60,7 @@
         _planned_stops_cut_nothing,
         _calm_again,
         _deadly_reach_few,
+        _parts_reach_few,
         quotas_hold,
         _taken_keys_reach_none,
         _limits_hold,
@@ -243,7 +249,7 @@
     late = [
         asked
         for asked in records.asked.values()
-        if asked.at_ms >= records.calm_from_ms and asked.kind != DEADLY_KIND
+        if asked.at_ms >= records.calm_from_ms and asked.kind not in (DEADLY_KIND, PART_KIND)
     ]
     judged = [
         asked for asked in late if asked.outcome != "left" and not _refused_rightly(asked, records)
@@ -284,18 +290,26 @@
 
 def _deadly_reach_few(records: Records) -> list[str]:
     """Sends of a deadly content by nodes in touch, later than these have to know of its ends."""
-    if len(records.deadly_ends_ms) < MOST_DEADLY_SENDS:
+    return _late_sends(records, DEADLY_KIND, records.deadly_ends_ms, DEADLY_ENDS)
+
+
+def _parts_reach_few(records: Records) -> list[str]:
+    """The same of different requests with a part that ends endpoints."""
+    return _late_sends(records, PART_KIND, records.part_ends_ms, PART_ENDS)
+
+
+def _late_sends(records: Records, kind: str, ends_ms: list[float], after_end: int) -> list[str]:
+    if len(ends_ms) < after_end:
         return []
-    from_ms = records.deadly_ends_ms[2] + CONTACT_MS
+    from_ms = ends_ms[after_end - 1] + CONTACT_MS
     late = []
     for _, request_id, at_ms in records.arrived:
         asked = records.asked[request_id]
-        if asked.kind != DEADLY_KIND or at_ms <= from_ms:
+        if asked.kind != kind or at_ms <= from_ms:
             continue
         if _undisturbed(records, asked.node, at_ms, at_ms):
             late.append(request_id)
-    ends = len(records.deadly_ends_ms)
-    return [f"sent on as {late}, {ends} ends"] if len(late) > MOST_DEADLY_SENDS else []
+    return [f"sent on as {late}, {len(ends_ms)} ends"] if len(late) > MOST_DEADLY_SENDS else []
 
 
 def _limits_hold(records: Records) -> list[str]:
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -142,6 +142,8 @@
     stops: list[tuple[int, float, float]] = attrs.Factory(list)
     # When an endpoint ended under the deadly content.
     deadly_ends_ms: list[float] = attrs.Factory(list)
+    # When an endpoint ended under the crashing part.
+    part_ends_ms: list[float] = attrs.Factory(list)
     partitions: list[Partition] = attrs.Factory(list)
     # When decode endpoints served, by endpoint: the last span of each may be open.
     served: list[Served] = attrs.Factory(list)
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -374,9 +374,9 @@
             endpoint.pause = None
         self._end_fault(endpoint)
 
-    def end_under_deadly(self, endpoint):
+    def end_under(self, endpoint, ends_ms):
         """The process of an endpoint ends; another start of it comes some time later."""
-        self.records.deadly_ends_ms.append(self.now_ms())
+        ends_ms.append(self.now_ms())
         self._tasks.start_soon(self._end_and_start, endpoint)
 
     async def _end_and_start(self, endpoint):
