Close most new connections unread while a node is overloaded

Callers: where the platform hands most new connections of a region to one node, that node read more than it could serve, and nearly all of them reached their deadline.

Cause: nothing bounded what a node takes on: it accepts and reads every connection, however late its event loop is.

Now late timers of the event loop show the overload, and most new connections are closed at once, unread, so that callers retry at another node; one in 250 ms is taken all the same. Open connections are served on.

--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -48,6 +48,7 @@
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
 from saffronworks.kernel import Kernel
+from saffronworks.overload import ConnectionGate
 from saffronworks.peers import PeerService
 from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.platform.calls import PlatformCalls
@@ -161,7 +162,11 @@
         grace_s = max(1, (settings.stop_grace_ms - DEREGISTRATION_MS - EXIT_MARGIN_MS) // 1000)
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
-        self._callers = HttpServer(callers, self._ingress.handle, grace_s)
+        self._gate = ConnectionGate(monotonic_ms)
+        self._callers = HttpServer(callers, self._ingress.handle, grace_s, takes=self._gate.takes)
+        self._state.figures.register_gauge(
+            "saffronworks_rejected_connections", lambda: [Level(self._gate.rejected, {})]
+        )
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
             self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
@@ -329,6 +334,7 @@
                 self._census.run,
                 self._roles.run,
                 self._state.buffers.run,
+                self._gate.run,
                 self._paths.run,
                 *(follower.run for follower in self._followers),
             ]
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -10,6 +10,7 @@
 import anyio
 import msgspec
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from saffronworks.sockets import unacknowledged_bytes
 
@@ -216,8 +217,23 @@
         self._stop_requested.set()
 
 
+def _gated_protocol(takes: Callable[[], bool]) -> type[HttpToolsProtocol]:
+    """Return a protocol that closes a new connection at once unless `takes` returns true."""
+
+    class GatedProtocol(HttpToolsProtocol):
+        def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+            super().connection_made(transport)
+            if not takes():
+                transport.abort()
+
+    return GatedProtocol
+
+
 class HttpServer:
-    """Serves one handler on one socket until it is stopped."""
+    """Serves one handler on one socket until it is stopped.
+
+    `takes` decides for each new connection whether it is kept.
+    """
 
     def __init__(
         self,
@@ -226,6 +242,7 @@
         grace_s: int = 1,
         idle_s: float = KEEP_ALIVE_S,
         date_header: bool = True,
+        takes: Callable[[], bool] | None = None,
     ):
         self._listener = listener
         self._handler = handler
@@ -238,7 +255,7 @@
             proxy_headers=False,
             server_header=False,
             date_header=date_header,
-            http="httptools",
+            http="httptools" if takes is None else _gated_protocol(takes),
             loop="asyncio",
             timeout_keep_alive=idle_s,  # type: ignore[arg-type]  # fractions work
             timeout_graceful_shutdown=grace_s,
