Bound the time and the bytes that held parts cost a node

With 1,024 parts that each have ends enough, one choice compared all pairs and held the event loop for 159 ms; now the 64 with the most ends are compared: 16 ms, of which most is looking at the 1,024. At rest a node sent up to four held parts twice a second, 4.3 KB/s beside the contents; now two a second: 1.1 KB/s (570 bytes each with five ends).

--- a/saffronworks/forwarding/quarantine/part_choice.py
+++ b/saffronworks/forwarding/quarantine/part_choice.py
@@ -13,6 +13,7 @@
     ENDS_TO_HOLD_AT_TWO_TIMES,
     ENDS_TO_HOLD_PROVEN,
     FURTHER_ENDS_TO_HOLD,
+    MAX_PART_CANDIDATES,
     SIMULTANEOUS_ENDS_MS,
 )
 from saffronworks.forwarding.starts import StartId
@@ -76,7 +77,8 @@
     common parts are at nearly every end. Among parts that were always together the last one in the
     prompt is held: more requests have the ones before it, and they show whether these are sound.
     """
-    candidates = sorted((part for part in parts if is_candidate(part)), key=_choice_key)
+    enough = sorted((part for part in parts if is_candidate(part)), key=_choice_key)
+    candidates = enough[:MAX_PART_CANDIDATES]
     quarantined = [(content.content, frozenset(content.ended)) for content in contents]
     held: dict[PartId, int] = {}
     explained: set[StartId] = set()
--- a/saffronworks/forwarding/quarantine/part_core.py
+++ b/saffronworks/forwarding/quarantine/part_core.py
@@ -27,7 +27,8 @@
 from saffronworks.forwarding.quarantine.tuning import (
     EXPIRY_INTERVAL_MS,
     GOSSIP_FANOUT,
-    IDLE_GOSSIP_INTERVAL_MS,
+    IDLE_PART_GOSSIP_INTERVAL_MS,
+    MAX_PARTS_PER_IDLE_MESSAGE,
     MAX_PARTS_PER_MESSAGE,
     MAX_RECENT_PARTS,
     RECENT_CHANGE_MS,
@@ -215,13 +216,24 @@
 
     def _gossip(self, now_ms: int) -> list[Command]:
         recent = self.table.changed_since(now_ms - RECENT_CHANGE_MS)
-        if not recent and now_ms - self._gossiped_ms < IDLE_GOSSIP_INTERVAL_MS:
-            return []
+        if not recent:
+            return self._gossip_held(now_ms)
         self._gossiped_ms = now_ms
         first = recent[: MAX_PARTS_PER_MESSAGE // 2]
         others = [part for part in dict.fromkeys((*recent, *self._held)) if part not in first]
-        sample = self.rng.sample(others, min(len(others), MAX_PARTS_PER_MESSAGE // 2))
-        return self._send_to_neighbours(GOSSIP_FANOUT if recent else 1, [*first, *sample], now_ms)
+        sample = self._sample(others, MAX_PARTS_PER_MESSAGE // 2)
+        return self._send_to_neighbours(GOSSIP_FANOUT, [*first, *sample], now_ms)
+
+    def _gossip_held(self, now_ms: int) -> list[Command]:
+        """Send some held parts to a neighbour, in case it has started or was partitioned."""
+        if now_ms - self._gossiped_ms < IDLE_PART_GOSSIP_INTERVAL_MS:
+            return []
+        self._gossiped_ms = now_ms
+        sample = self._sample(sorted(self._held), MAX_PARTS_PER_IDLE_MESSAGE)
+        return self._send_to_neighbours(1, sample, now_ms)
+
+    def _sample(self, parts: list[PartId], count: int) -> list[PartId]:
+        return self.rng.sample(parts, min(len(parts), count))
 
     def _send_to_neighbours(self, fanout: int, parts: list[PartId], now_ms: int) -> list[Command]:
         chosen = self.neighbours.choose(fanout)
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -77,3 +77,8 @@
 # Parts in the table of a node, and in one message; a part takes 0.1 KB in a message for each end.
 MAX_SUSPECTED_PARTS = 1024
 MAX_PARTS_PER_MESSAGE = 8
+# Without recent changes, held parts are sent at this interval to one neighbour, a few at a time.
+IDLE_PART_GOSSIP_INTERVAL_MS = 1000
+MAX_PARTS_PER_IDLE_MESSAGE = 2
+# Of the parts with ends enough, this many are compared with each other; those with the most ends.
+MAX_PART_CANDIDATES = 64
