Let a killed stand-in engine enter no memory for calls that still arrive

Cause: the server's calls outlive the engine's task group for a moment. A decode or prefill whose body arrived as kill() ran entered its stream or KV result after these were cleared, so that the dead engine counted it for good. Now a call that finds its engine dead enters nothing.

--- a/saffronworks/standins/standin_engine.py
+++ b/saffronworks/standins/standin_engine.py
@@ -100,6 +100,7 @@
         self._scope: anyio.CancelScope | None = None
         self._down_ms: int | None = None
         self._tasks: TaskGroup | None = None
+        self._alive = False
         self._reset()
 
     def _reset(self) -> None:
@@ -125,6 +126,7 @@
         if self._listener.fileno() < 0:
             self._listener = bind(self.address)
         self._reset()
+        self._alive = True
         server = HttpServer(self._listener, self._handle)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -134,6 +136,7 @@
     def kill(self, down_ms: int | None = None) -> None:
         """Die at once: connections are cut, all memory is gone; come back after `down_ms`."""
         self._down_ms = down_ms
+        self._alive = False
         if self._scope is not None:
             self._scope.cancel()
         self.streams.clear()
@@ -222,6 +225,8 @@
         if key in self.tombstones:
             await call.reply(409, {"refused": "cancelled", "executed": True})
             return
+        if not self._alive:
+            return
         kv_id = f"{key.request_id}.{key.attempt}"
         self.kept[kv_id] = _Kept(key, tokens, _now_ms() + self.profile.kv_kept_ms)
         reply = {
@@ -259,6 +264,9 @@
         if self._running() >= self.profile.slots:
             await call.reply(503, {"refused": "slots full"})
             return
+        if not self._alive:
+            # The server's calls outlive its task group for a moment.
+            return
         prompt = body["prompt"]
         total = answer_length(prompt, body["max_tokens"])
         stream = _Stream(key, body["holder"], prompt, total, body["offset"])
--- a/saffronworks/tests/features/site.feature
+++ b/saffronworks/tests/features/site.feature
@@ -80,3 +80,8 @@
   Scenario: plain calls are retried only where that runs nothing twice
     When plain calls meet an endpoint that cuts connections
     Then the repeatable call is answered and the unrepeatable one ran once and is told unknown
+
+  # Guards against a stand-in engine that counts memory of a call which arrived as the engine died.
+  Scenario: a stand-in engine that was killed holds nothing
+    When a stand-in engine is killed while the body of a decode or prefill call arrives
+    Then the dead engine holds no memory
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -1,6 +1,8 @@
 """Scenarios on a real small site: stand-ins and nodes in this process, over loopback."""
 
+import contextlib
 import json
+from unittest.mock import AsyncMock, Mock
 
 import anyio
 import httpcore
@@ -9,7 +11,7 @@
 from saffronworks.engines import Decode, EngineClient, Prefill
 from saffronworks.standins.callers import LoadPlan, ask, expected_answer, run_load
 from saffronworks.standins.sites import SiteShape, wait_until
-from saffronworks.standins.standin_engine import Fault
+from saffronworks.standins.standin_engine import Fault, StandinEngine
 from saffronworks.standins.standin_models import answer_length
 from saffronworks.tests.plays import (
     LONG_TOKENS,
@@ -322,3 +324,53 @@
     assert get_status == 200, context.plain
     assert outcome == b"unknown", context.plain
     assert runs == 1, context.plain
+
+
+@when("a stand-in engine is killed while the body of a decode or prefill call arrives")
+def killed_in_call(context):
+    context.held = []
+    decode = {
+        "request_id": "r",
+        "attempt": 1,
+        "holder": "n",
+        "prompt": "p",
+        "max_tokens": LONG_TOKENS,
+    }
+    decode |= {"offset": 0, "source": "127.0.0.1:1", "kv_id": "k", "import_within_ms": 10}
+    prefill = {"request_id": "r", "attempt": 1, "answered": [], "delivered": 0, "prompt": "p"}
+    prefill |= {"begin_within_ms": 500, "prefix_tokens": 0, "prefix_key": ""}
+
+    async def play(path, body):
+        engine = StandinEngine("e", SLOW)
+        engine._import = AsyncMock(return_value=True)
+        arrived = anyio.Event()
+
+        async def read_body():
+            await arrived.wait()
+            return body
+
+        call = Mock(method="POST", path=path, query="", json=read_body, peer="n")
+        call.reply, call.start, call.write = AsyncMock(), AsyncMock(), AsyncMock()
+
+        async def handle():
+            with contextlib.suppress(Exception):
+                await engine._handle(call)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(engine.run)
+            await anyio.sleep(0.05)
+            tasks.start_soon(handle)
+            await anyio.sleep(0.05)
+            engine.kill()
+            arrived.set()
+            await anyio.sleep(0.2)
+            context.held.append(engine.held())
+            tasks.cancel_scope.cancel()
+
+    for path, body in (("/engine/decode", decode), ("/engine/prefill", prefill)):
+        anyio.run(play, path, body)
+
+
+@then("the dead engine holds no memory")
+def dead_holds_nothing(context):
+    assert context.held == [0, 0], context.held
