Try a quarantined part once after three seconds

A mistaken quarantine of such a part lasted ten minutes.

Cause: only parts that were sound before, or that others followed, had an early trial; this one was the only shared part of its prompts, and had ends of the content and one more of its own.

Now each quarantined part has the first of its two trials after 3 s.

Also: 'held' is 'quarantined' now in code, logs and metrics, as a hold is a reservation of KV memory. No behaviour depends on it.

--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -140,7 +140,7 @@
         return by_parts if by_content is Admission.ALLOWED else by_content
 
     def _content_admission(self, content: ContentId, now_ms: int) -> Admission:
-        """Return whether a content may be sent; it may if held parts of others explain its ends."""
+        """Return whether a content may be sent: also if parts of others explain all its ends."""
         admission = self.table.admission(content, now_ms)
         if admission is Admission.ALLOWED or content in self.parts.table.choice.explained:
             return Admission.ALLOWED
--- a/saffronworks/forwarding/quarantine/events.py
+++ b/saffronworks/forwarding/quarantine/events.py
@@ -95,7 +95,7 @@
 
 @attrs.frozen
 class TrialStarted:
-    """A quarantined content, or one with held parts, is sent once, to one endpoint."""
+    """A quarantined content, or one with quarantined parts, is sent once, to one endpoint."""
 
     content: ContentId
     parts: tuple[PartId, ...] = ()
@@ -184,7 +184,7 @@
     """Log the new state of a prompt part that is gossiped."""
 
     suspicion: PartSuspicion
-    held: bool
+    quarantined: bool
 
 
 Command = (
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -52,15 +52,13 @@
 class PartSuspicion:
     """One prompt part and the endpoint starts that ended while running it.
 
-    `depth`: the part's position in prompts; `followed`: another shared part came after it in one of
-    them. `sound_age_ms`: time since a run with the part was last
-    seen to be sound; only ends after that are listed. `trials`: trials since the part was held.
+    `depth`: the part's position in prompts. `sound_age_ms`: time since a run with the part was last
+    seen to be sound; only ends after that are listed. `trials`: trials since the quarantine.
     """
 
     part: PartId
     depth: int
     ends: tuple[PartEnd, ...]
-    followed: bool = False
     sound_age_ms: int | None = None
     trials: int = 0
     age_ms: int = 0
--- a/saffronworks/forwarding/quarantine/part_choice.py
+++ b/saffronworks/forwarding/quarantine/part_choice.py
@@ -9,30 +9,28 @@
 from saffronworks.forwarding.quarantine.messages import Suspicion
 from saffronworks.forwarding.quarantine.tuning import (
     EARLY_TRIALS,
-    ENDS_TO_HOLD,
-    ENDS_TO_HOLD_AT_TWO_TIMES,
-    ENDS_TO_HOLD_PROVEN,
-    FURTHER_ENDS_TO_HOLD,
+    FURTHER_PART_ENDS,
     MAX_PART_CANDIDATES,
+    PART_ENDS_AT_TWO_TIMES,
+    PART_ENDS_TO_QUARANTINE,
+    PROVEN_PART_ENDS,
     SIMULTANEOUS_ENDS_MS,
 )
 from saffronworks.forwarding.starts import StartId
 
-__all__ = ["Choice", "PartEnds", "choose_held", "is_candidate"]
+__all__ = ["Choice", "PartEnds", "choose_quarantined", "is_candidate"]
 
 
 @attrs.frozen
 class PartEnds:
     """A part, its position in prompts, and its ends since it was last known to be sound.
 
-    `followed`: another shared part came after it in one of the prompts. `ended_ms`: time of each
-    end. `contents`: for each end, the requests with the part that ran. `proven`: whether the part
-    is known to have been sound before.
+    `ended_ms`: time of each end. `contents`: for each end, the requests with the part that ran.
+    `proven`: whether the part is known to have been sound before.
     """
 
     part: PartId
     depth: int
-    followed: bool
     ended_ms: Mapping[StartId, int]
     contents: tuple[frozenset[str], ...]
     proven: bool = False
@@ -40,17 +38,17 @@
 
 @attrs.frozen
 class Choice:
-    """The parts to hold, each with the number of early trials that it may have.
+    """The parts to quarantine, each with the number of early trials that it may have.
 
-    `explained`: quarantined contents that ran beside a held part at all of their ends.
+    `explained`: quarantined contents that ran beside a quarantined part at all of their ends.
     """
 
-    held: dict[PartId, int] = attrs.Factory(dict)
+    quarantined: dict[PartId, int] = attrs.Factory(dict)
     explained: set[ContentId] = attrs.Factory(set)
 
 
 def is_candidate(part: PartEnds) -> bool:
-    """Return whether a part has ends enough to be held.
+    """Return whether a part has ends enough to be quarantined.
 
     If one content was at all of its ends, that content is quarantined instead of its parts.
     """
@@ -65,40 +63,42 @@
         for earlier, later in zip(times_ms, times_ms[1:], strict=False)
     )
     if proven:
-        return separate >= ENDS_TO_HOLD_PROVEN
-    return separate >= ENDS_TO_HOLD or (separate > 1 and len(times_ms) >= ENDS_TO_HOLD_AT_TWO_TIMES)
+        return separate >= PROVEN_PART_ENDS
+    return separate >= PART_ENDS_TO_QUARANTINE or (
+        separate > 1 and len(times_ms) >= PART_ENDS_AT_TWO_TIMES
+    )
 
 
-def choose_held(parts: Iterable[PartEnds], contents: Iterable[Suspicion]) -> Choice:
-    """Choose the parts to hold, given the quarantined contents.
+def choose_quarantined(parts: Iterable[PartEnds], contents: Iterable[Suspicion]) -> Choice:
+    """Choose the parts to quarantine, given the quarantined contents.
 
     The part with the most ends explains them, so that they no longer count against others. Parts
     that were never sound come first: while all requests wait for the few endpoints that are back,
-    common parts are at nearly every end. Among parts that were always together the last one in the
-    prompt is held: more requests have the ones before it, and they show whether these are sound.
+    common parts are at nearly every end. Among parts that were always together it is the last one
+    in the prompt: more requests have the ones before it, and they show whether these are sound.
     """
     enough = sorted((part for part in parts if is_candidate(part)), key=_choice_key)
     candidates = enough[:MAX_PART_CANDIDATES]
-    quarantined = [(content.content, frozenset(content.ended)) for content in contents]
-    held: dict[PartId, int] = {}
+    content_ends = [(content.content, frozenset(content.ended)) for content in contents]
+    quarantined: dict[PartId, int] = {}
     explained: set[StartId] = set()
     for part in candidates:
-        by_content = any(ended >= part.ended_ms.keys() for _, ended in quarantined)
+        by_content = any(ended >= part.ended_ms.keys() for _, ended in content_ends)
         if by_content or any(_is_explained_by(part, other) for other in candidates):
             continue
         if _has_further_ends(part, explained):
-            held[part.part] = _count_early_trials(part, candidates)
+            quarantined[part.part] = _count_early_trials(part, candidates)
             explained.update(part.ended_ms)
-    beside = {content for content, ended in quarantined if explained >= ended}
-    return Choice(held, beside)
+    beside = {content for content, ended in content_ends if explained >= ended}
+    return Choice(quarantined, beside)
 
 
 def _has_further_ends(part: PartEnds, explained: set[StartId]) -> bool:
-    """Return whether a part has ends enough that the parts held before do not explain."""
+    """Return whether a part has ends enough that the parts quarantined before do not explain."""
     rest = [ended_ms for start, ended_ms in part.ended_ms.items() if start not in explained]
     if part.proven or len(rest) == len(part.ended_ms):
         return _are_enough(rest, part.proven)
-    return len(rest) >= FURTHER_ENDS_TO_HOLD
+    return len(rest) >= FURTHER_PART_ENDS
 
 
 def _is_explained_by(part: PartEnds, other: PartEnds) -> bool:
@@ -108,10 +108,10 @@
 
 
 def _count_early_trials(part: PartEnds, candidates: Iterable[PartEnds]) -> int:
-    """Return how many early trials a held part may have, as it may be innocent."""
+    """Return how many early trials a quarantined part may have, as it may be innocent."""
     if part.proven or _is_covered(part, candidates):
         return EARLY_TRIALS
-    return 1 if part.followed else 0
+    return 1
 
 
 def _is_covered(part: PartEnds, candidates: Iterable[PartEnds]) -> bool:
--- a/saffronworks/forwarding/quarantine/part_core.py
+++ b/saffronworks/forwarding/quarantine/part_core.py
@@ -60,8 +60,8 @@
     _sound_ms: OrderedDict[PartId, int] = attrs.Factory(OrderedDict)
     _gossiped_ms: int = 0
     _expired_ms: int = 0
-    # The parts that were held after the last change.
-    _held: frozenset[PartId] = frozenset()
+    # The parts that were quarantined after the last change.
+    _quarantined: frozenset[PartId] = frozenset()
 
     @property
     def idle(self) -> bool:
@@ -71,12 +71,12 @@
     def admission(self, parts: tuple[PartId, ...], now_ms: int) -> Admission:
         """Return whether a request with these parts may be sent now.
 
-        Only nodes that own all of its held parts start a trial.
+        Only nodes that own all of its quarantined parts start a trial.
         """
         admission = self.table.admission(parts, now_ms)
         if admission is Admission.TRIAL:
-            held = [part for part in parts if part in self.table.held()]
-            if not all(self._is_owner(part) for part in held):
+            quarantined = [part for part in parts if part in self.table.quarantined()]
+            if not all(self._is_owner(part) for part in quarantined):
                 return Admission.REFUSED
         return admission
 
@@ -88,15 +88,7 @@
             part
             for run in runs
             for depth, part in enumerate(run.parts)
-            if self.table.add_end(
-                part,
-                depth,
-                depth + 1 < len(run.parts),
-                instance,
-                run.content,
-                run.writing_ms,
-                now_ms,
-            )
+            if self.table.add_end(part, depth, instance, run.content, run.writing_ms, now_ms)
         ]
         self._add_earlier_runs(changed, now_ms)
         return self._report(changed, now_ms)
@@ -129,17 +121,17 @@
 
     def record_trial(self, parts: Iterable[PartId], now_ms: int) -> list[Command]:
         """Record the trial of a request with these parts, so that no other node starts one."""
-        held = self.table.held()
-        tried = [part for part in parts if part in held]
+        quarantined = self.table.quarantined()
+        tried = [part for part in parts if part in quarantined]
         return self._report([p for p in tried if self.table.add_trial(p, now_ms)], now_ms)
 
     def read_record(self, suspicion: PartSuspicion, now_ms: int) -> list[Command]:
-        """Merge a part that was held before this node started."""
+        """Merge a part that was quarantined before this node started."""
         return self._apply([suspicion], now_ms)
 
     def rewrite_records(self, now_ms: int) -> list[Command]:
-        """Write the records of the held parts again, after the store may have lost them."""
-        return [WriteRecord(view) for view in self._views(self._owned_held(), now_ms)]
+        """Write the records of the quarantined parts again, after the store may have lost them."""
+        return [WriteRecord(view) for view in self._views(self._owned_quarantined(), now_ms)]
 
     def handle_news(self, news: PartNews, now_ms: int) -> list[Command]:
         """Merge another node's view; reply where it has ends before a sound run known here."""
@@ -151,7 +143,7 @@
         return commands
 
     def tick(self, now_ms: int) -> list[Command]:
-        """Expire old parts, and gossip recent changes and held parts."""
+        """Expire old parts, and gossip recent changes and quarantined parts."""
         return [*self._expire(now_ms), *self._gossip(now_ms)]
 
     def _apply(self, received: Iterable[PartSuspicion], now_ms: int) -> list[Command]:
@@ -184,24 +176,26 @@
         return [*reports, *self._propagate(changed, now_ms)]
 
     def _propagate(self, changed: Iterable[PartId], now_ms: int) -> list[Command]:
-        """Gossip parts with ends enough to be held at once, and update the store's records."""
+        """Gossip parts with ends enough to be quarantined at once, and update the records."""
         changed = [part for part in dict.fromkeys(changed) if self.table.is_gossiped(part)]
         if not changed:
             return []
-        held = self.table.held()
+        quarantined = self.table.quarantined()
         commands: list[Command] = [
-            PartChanged(view, view.part in held) for view in self._views(changed, now_ms)
+            PartChanged(view, view.part in quarantined) for view in self._views(changed, now_ms)
+        ]
+        urgent = [
+            part for part in changed if self.table.is_urgent(part) or part in self._quarantined
         ]
-        urgent = [part for part in changed if self.table.is_urgent(part) or part in self._held]
         for start in range(0, len(urgent), MAX_PARTS_PER_MESSAGE):
             chunk = urgent[start : start + MAX_PARTS_PER_MESSAGE]
             commands += self._send_to_neighbours(GOSSIP_FANOUT, chunk, now_ms)
         return [*commands, *self._update_records(now_ms)]
 
     def _update_records(self, now_ms: int) -> list[Command]:
-        before, self._held = self._held, frozenset(self.table.held())
-        written = [part for part in sorted(self._held - before) if self._is_owner(part)]
-        removed = [part for part in sorted(before - self._held) if self._is_owner(part)]
+        before, self._quarantined = self._quarantined, frozenset(self.table.quarantined())
+        written = [part for part in sorted(self._quarantined - before) if self._is_owner(part)]
+        removed = [part for part in sorted(before - self._quarantined) if self._is_owner(part)]
         return [
             *(WriteRecord(view) for view in self._views(written, now_ms)),
             *(RemoveRecord(part, is_part=True) for part in removed),
@@ -217,19 +211,21 @@
     def _gossip(self, now_ms: int) -> list[Command]:
         recent = self.table.changed_since(now_ms - RECENT_CHANGE_MS)
         if not recent:
-            return self._gossip_held(now_ms)
+            return self._gossip_quarantined(now_ms)
         self._gossiped_ms = now_ms
         first = recent[: MAX_PARTS_PER_MESSAGE // 2]
-        others = [part for part in dict.fromkeys((*recent, *self._held)) if part not in first]
+        others = [
+            part for part in dict.fromkeys((*recent, *self._quarantined)) if part not in first
+        ]
         sample = self._sample(others, MAX_PARTS_PER_MESSAGE // 2)
         return self._send_to_neighbours(GOSSIP_FANOUT, [*first, *sample], now_ms)
 
-    def _gossip_held(self, now_ms: int) -> list[Command]:
-        """Send some held parts to a neighbour, in case it has started or was partitioned."""
+    def _gossip_quarantined(self, now_ms: int) -> list[Command]:
+        """Send some quarantined parts to a neighbour, in case it has started or was partitioned."""
         if now_ms - self._gossiped_ms < IDLE_PART_GOSSIP_INTERVAL_MS:
             return []
         self._gossiped_ms = now_ms
-        sample = self._sample(sorted(self._held), MAX_PARTS_PER_IDLE_MESSAGE)
+        sample = self._sample(sorted(self._quarantined), MAX_PARTS_PER_IDLE_MESSAGE)
         return self._send_to_neighbours(1, sample, now_ms)
 
     def _sample(self, parts: list[PartId], count: int) -> list[PartId]:
@@ -246,8 +242,8 @@
         views = (self.table.suspicion(part, now_ms) for part in parts)
         return tuple(view for view in views if view is not None)
 
-    def _owned_held(self) -> list[PartId]:
-        return [part for part in self.table.held() if self._is_owner(part)]
+    def _owned_quarantined(self) -> list[PartId]:
+        return [part for part in self.table.quarantined() if self._is_owner(part)]
 
     def _owners(self, part: PartId) -> list[str]:
         return rank_members(self.neighbours.nodes, part, SUSPICION_OWNERS)
--- a/saffronworks/forwarding/quarantine/part_table.py
+++ b/saffronworks/forwarding/quarantine/part_table.py
@@ -2,7 +2,7 @@
 
 A crash breaks all runs of an endpoint, and each of them has several parts, so that sound parts
 collect ends beside the one that crashes endpoints. A run that goes on for some time clears its
-parts of all ends before it. The decision in `choose_held` finds the parts that explain the rest.
+parts of all ends before it. `choose_quarantined` finds the parts that explain the other ends.
 """
 
 from collections.abc import Iterable
@@ -15,20 +15,20 @@
 from saffronworks.forwarding.quarantine.part_choice import (
     Choice,
     PartEnds,
-    choose_held,
+    choose_quarantined,
     is_candidate,
 )
 from saffronworks.forwarding.quarantine.suspicions import Admission, SuspicionTable
 from saffronworks.forwarding.quarantine.tuning import (
     EARLY_TRIAL_MS,
     EARLY_TRIALS,
-    ENDS_TO_HOLD,
     KEEP_QUARANTINED_MS,
     KEEP_SUSPECT_MS,
     MAX_CONTENTS_PER_END,
     MAX_ENDS_PER_PART,
     MAX_PART_TRIALS,
     MAX_SUSPECTED_PARTS,
+    PART_ENDS_TO_QUARANTINE,
     SOUND_WRITING_MS,
     SOUND_WRITING_RATIO,
     TRIAL_AFTER_MS,
@@ -54,7 +54,6 @@
 
     part: PartId
     depth: int
-    followed: bool
     changed_ms: int
     ends: dict[StartId, _End] = attrs.Factory(dict)
     sound_ms: int | None = None
@@ -63,11 +62,10 @@
     gossiped: bool = False
 
     def view(self) -> PartEnds:
-        """Return what decides whether the part is held."""
+        """Return what decides whether the part is quarantined."""
         return PartEnds(
             self.part,
             self.depth,
-            self.followed,
             {instance: end.ended_ms for instance, end in self.ends.items()},
             tuple(end.contents for end in self.ends.values()),
             proven=self.sound_ms is not None,
@@ -92,7 +90,6 @@
         self,
         part: PartId,
         depth: int,
-        followed: bool,
         instance: StartId,
         content: ContentId,
         writing_ms: int,
@@ -100,7 +97,7 @@
     ) -> bool:
         """Add an end under a part; return whether the table has changed."""
         end = PartEnd(instance, (content[:_CONTENT_DIGITS],), writing_ms, 0)
-        return self.merge(PartSuspicion(part, depth, (end,), followed), now_ms)
+        return self.merge(PartSuspicion(part, depth, (end,)), now_ms)
 
     def add_sound_run(self, part: PartId, writing_ms: int | None, now_ms: int) -> bool:
         """Record that a run with the part is sound; return whether that cleared it of any end.
@@ -139,14 +136,11 @@
         if entry is None:
             if received.age_ms >= KEEP_QUARANTINED_MS:
                 return False
-            changed_ms = now_ms - received.age_ms
-            entry = _Entry(received.part, received.depth, received.followed, changed_ms)
+            entry = _Entry(received.part, received.depth, now_ms - received.age_ms)
         changed = _merge_sound(entry, received, now_ms)
         changed = _merge_ends(entry, received, now_ms) or changed
         if received.trials > entry.trials:
             entry.trials, changed = received.trials, True
-        if received.followed and not entry.followed:
-            entry.followed, changed = True, True
         entry.depth = max(entry.depth, received.depth)
         if not changed:
             return False
@@ -165,28 +159,30 @@
 
     @property
     def choice(self) -> Choice:
-        """The held parts, and the quarantined contents that these explain."""
+        """The quarantined parts, and the quarantined contents that these explain."""
         if self._choice is None or self._contents_revision != self._contents.revision:
-            views = (e.view() for e in self._entries.values() if len(e.ends) >= ENDS_TO_HOLD)
-            self._choice = choose_held(views, self._contents.quarantined())
+            views = (
+                e.view() for e in self._entries.values() if len(e.ends) >= PART_ENDS_TO_QUARANTINE
+            )
+            self._choice = choose_quarantined(views, self._contents.quarantined())
             self._contents_revision = self._contents.revision
         return self._choice
 
-    def held(self) -> dict[PartId, int]:
-        """Return the held parts, with the number of early trials that each may have."""
-        return self.choice.held
+    def quarantined(self) -> dict[PartId, int]:
+        """Return the quarantined parts, with the number of early trials that each may have."""
+        return self.choice.quarantined
 
     def admission(self, parts: Iterable[PartId], now_ms: int) -> Admission:
         """Return whether a request with these parts may be sent now."""
-        held = self.held()
-        due = [self._is_trial_due(part, now_ms) for part in parts if part in held]
+        quarantined = self.quarantined()
+        due = [self._is_trial_due(part, now_ms) for part in parts if part in quarantined]
         if not due:
             return Admission.ALLOWED
         return Admission.TRIAL if all(due) else Admission.REFUSED
 
     def _is_trial_due(self, part: PartId, now_ms: int) -> bool:
         entry = self._entries[part]
-        unchanged_ms, early_trials = now_ms - entry.changed_ms, self.held()[part]
+        unchanged_ms, early_trials = now_ms - entry.changed_ms, self.quarantined()[part]
         if entry.trials < early_trials:
             return unchanged_ms >= EARLY_TRIAL_MS << entry.trials
         more = early_trials == EARLY_TRIALS or entry.trials < MAX_PART_TRIALS
@@ -197,7 +193,7 @@
         return self._entries[part].gossiped
 
     def is_urgent(self, part: PartId) -> bool:
-        """Return whether the part has ends enough to be held."""
+        """Return whether the part has ends enough to be quarantined."""
         return is_candidate(self._entries[part].view())
 
     def changed_since(self, from_ms: int) -> list[PartId]:
@@ -217,24 +213,22 @@
         )
         sound_age_ms = None if entry.sound_ms is None else now_ms - entry.sound_ms
         age_ms = now_ms - entry.changed_ms
-        return PartSuspicion(
-            part, entry.depth, ends, entry.followed, sound_age_ms, entry.trials, age_ms
-        )
+        return PartSuspicion(part, entry.depth, ends, sound_age_ms, entry.trials, age_ms)
 
     def expire(self, now_ms: int) -> list[PartId]:
-        """Drop the parts whose retention is over; return those of them that were held."""
-        held = self.held()
+        """Drop the parts whose retention is over; return those of them that were quarantined."""
+        quarantined = self.quarantined()
         old = [
             entry.part
             for entry in self._entries.values()
             if now_ms - entry.changed_ms
-            >= (KEEP_QUARANTINED_MS if entry.part in held else KEEP_SUSPECT_MS)
+            >= (KEEP_QUARANTINED_MS if entry.part in quarantined else KEEP_SUSPECT_MS)
         ]
         for part in old:
             del self._entries[part]
         if old:
             self._choice = None
-        return [part for part in old if part in held]
+        return [part for part in old if part in quarantined]
 
 
 def _merge_sound(entry: _Entry, received: PartSuspicion, now_ms: int) -> bool:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -99,7 +99,9 @@
                 "known_contents=%d known_parts=%d",
                 request.request_id,
                 request.content,
-                ",".join(part for part in request.parts if part in self._state.parts.table.held()),
+                ",".join(
+                    part for part in request.parts if part in self._state.parts.table.quarantined()
+                ),
                 admission.value,
                 len(self._state.table),
                 len(self._state.parts.table),
@@ -109,9 +111,9 @@
     def _admission(self, request: CallerRequest) -> Admission:
         return self._state.admission(request.content, self._now_ms(), request.parts)
 
-    def held_parts(self) -> int:
+    def quarantined_parts(self) -> int:
         """Return the number of prompt parts whose requests are refused."""
-        return len(self._state.parts.table.held())
+        return len(self._state.parts.table.quarantined())
 
     def blocks(self, request: CallerRequest, on_trial: bool = False) -> bool:
         """Return whether a request must not be sent again; `on_trial`: it runs as a trial."""
@@ -208,8 +210,8 @@
                 )
             case events.SuspicionChanged(suspicion):
                 _log_suspicion(suspicion)
-            case events.PartChanged(suspicion, held):
-                _log_part(suspicion, held)
+            case events.PartChanged(suspicion, quarantined):
+                _log_part(suspicion, quarantined)
 
     def _start(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
         """Start a background task; no effect before the service runs, as there are no requests."""
@@ -289,8 +291,8 @@
     )
 
 
-def _log_part(suspicion: PartSuspicion, held: bool) -> None:
-    known = "held" if held else "suspected"
+def _log_part(suspicion: PartSuspicion, quarantined: bool) -> None:
+    known = "quarantined" if quarantined else "suspected"
     if not suspicion.ends:
         known = "cleared"
     logger.info(
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -48,18 +48,18 @@
 RECORD_RETRY_S = 1.0
 RECORD_ATTEMPTS = 30
 
-# Separate ends of endpoints after which a prompt part can be held, if no run shows it to be sound.
-ENDS_TO_HOLD = 3
+# Separate ends of endpoints, without a sound run since, after which a prompt part is quarantined.
+PART_ENDS_TO_QUARANTINE = 3
 # The same for a part that was sound before: common parts are at most ends for other causes.
-ENDS_TO_HOLD_PROVEN = 5
-# A part that another one explains in part is held for this many more ends.
-FURTHER_ENDS_TO_HOLD = 2
+PROVEN_PART_ENDS = 5
+# A part that another one explains in part is quarantined for this many more ends.
+FURTHER_PART_ENDS = 2
 # Ends within this time count as one: a rack or zone that fails ends all its endpoints at once, and
 # a common part has runs at most of them.
 SIMULTANEOUS_ENDS_MS = 50
 # So many ends are enough at two separate times: requests that were waiting crash several endpoints
 # at once.
-ENDS_TO_HOLD_AT_TWO_TIMES = 5
+PART_ENDS_AT_TWO_TIMES = 5
 # A run shows its parts to be sound once it has been writing for this long, and for this many times
 # the shortest writing time at which a run with the part broke.
 SOUND_WRITING_MS = 1000
@@ -67,9 +67,10 @@
 # Ends kept per part, and contents per end.
 MAX_ENDS_PER_PART = 12
 MAX_CONTENTS_PER_END = 4
-# A held part has at most this many trials a day, as each may crash an endpoint.
+# A quarantined part has at most this many trials a day, as each may crash an endpoint. The first
+# comes after EARLY_TRIAL_MS, so that a common part is not refused for long by mistake.
 MAX_PART_TRIALS = 2
-# One that is probably innocent has early trials first: it was sound before, or several later parts
+# One that is probably innocent has more early trials: it was sound before, or several later parts
 # together explain all of its ends. The wait doubles, from EARLY_TRIAL_MS.
 EARLY_TRIALS = 7
 # Parts whose last sound run a node remembers.
@@ -77,7 +78,7 @@
 # Parts in the table of a node, and in one message; a part takes 0.1 KB in a message for each end.
 MAX_SUSPECTED_PARTS = 1024
 MAX_PARTS_PER_MESSAGE = 8
-# Without recent changes, held parts are sent at this interval to one neighbour, a few at a time.
+# Without recent changes, a few quarantined parts are sent to one neighbour at this interval.
 IDLE_PART_GOSSIP_INTERVAL_MS = 1000
 MAX_PARTS_PER_IDLE_MESSAGE = 2
 # Of the parts with ends enough, this many are compared with each other; those with the most ends.
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -201,7 +201,8 @@
         figures.register_gauge("saffronworks_endpoints", self._paths.levels)
         figures.register_gauge("saffronworks_service_versions", self._count_versions)
         figures.register_gauge(
-            "saffronworks_held_parts", lambda: [Level(self._quarantine.held_parts(), {})]
+            "saffronworks_quarantined_parts",
+            lambda: [Level(self._quarantine.quarantined_parts(), {})],
         )
         return NodeState(
             zone=settings.zone,
