Count the early trial of a part as used when its record is read

Callers: none seen. Each restart of all nodes would have given a quarantined part another early trial, and crashed an endpoint with all its runs. Found by reading; the step on records is refused at the time of that trial now, and was admitted before.

--- a/saffronworks/forwarding/quarantine/records.py
+++ b/saffronworks/forwarding/quarantine/records.py
@@ -103,10 +103,13 @@
 
 
 def _decode_part(name: str, ended: tuple[str, ...], spec: _PartSpec) -> PartSuspicion:
-    """Decode a part's record. Its ends count as separate, as they did when it was written."""
+    """Decode a part's record. Its ends count as separate, as they did when it was written.
+
+    The early trial counts as used: otherwise each restart of all nodes would crash an endpoint.
+    """
     apart_ms = SIMULTANEOUS_ENDS_MS + 1
     ends = tuple(
         PartEnd(StartId(start), contents, 0, age_ms=number * apart_ms)
         for number, (start, contents) in enumerate(zip(ended, spec.contents, strict=False))
     )
-    return PartSuspicion(PartId(name.removeprefix(_PART_PREFIX)), spec.depth, ends)
+    return PartSuspicion(PartId(name.removeprefix(_PART_PREFIX)), spec.depth, ends, trials=1)
--- a/saffronworks/tests/features/steps/part_table_steps.py
+++ b/saffronworks/tests/features/steps/part_table_steps.py
@@ -268,7 +268,8 @@
     (record,) = anyio.run(QuarantineRecords(store).list_all)
     state = new_state()
     step(state, events.RecordRead(record), 10)
-    assert state.admission("new", 20, ("f0", "bad0")) is Admission.REFUSED
+    for now_ms in (20, 20 + EARLY_TRIAL_MS):
+        assert state.admission("new", now_ms, ("f0", "bad0")) is Admission.REFUSED
     fleet.take(fleet.names[0], events.RunSucceeded(ContentId("fixed"), ("bad0",)))
     fleet.run(fleet.now_ms + CONTACT_MS)
     assert "bad0" not in fleet.stored
