--- a/saffronworks/tests/features/steps/wire_steps.py
+++ b/saffronworks/tests/features/steps/wire_steps.py
@@ -47,7 +47,7 @@
         EarlierMessage(r["path"], r["kind"], r["fields"], base64.b64decode(r["encoded"]))
         for r in rows
     ]
-    assert len(context.messages) == 122, len(context.messages)
+    assert len(context.messages) == 128, len(context.messages)
 
 
 @then("each is decoded field for field")
