Bound what one end of an endpoint makes a node do for prompt parts

Callers: prompts may name 32 shared parts. An endpoint that ended with 64 such runs kept the event loop of its entry node for 1,641 ms at 1,600 nodes and 175 ms at 7 (64 runs with two parts: 96 and 2.6 ms), so that all requests of the node waited.

Cause: each part ranked all nodes for its owners, a full table searched for the entry to evict at each insertion, and nothing bounded the parts of one end.

--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -113,6 +113,7 @@
     def update_nodes(self, nodes: Iterable[str]) -> None:
         """Replace the list of nodes."""
         self.neighbours.update_nodes(nodes)
+        self.parts.update_nodes(self.neighbours.nodes)
 
     @property
     def idle(self) -> bool:
--- a/saffronworks/forwarding/quarantine/part_core.py
+++ b/saffronworks/forwarding/quarantine/part_core.py
@@ -28,14 +28,15 @@
     EXPIRY_INTERVAL_MS,
     GOSSIP_FANOUT,
     IDLE_PART_GOSSIP_INTERVAL_MS,
+    MAX_PARTS_PER_END,
     MAX_PARTS_PER_IDLE_MESSAGE,
     MAX_PARTS_PER_MESSAGE,
     MAX_RECENT_PARTS,
     RECENT_CHANGE_MS,
     SUSPICION_OWNERS,
 )
+from saffronworks.forwarding.shares.ring import NodeRing
 from saffronworks.forwarding.starts import StartId
-from saffronworks.hashing import rank_members
 
 __all__ = ["BrokenRun", "PartsState"]
 
@@ -56,6 +57,7 @@
     neighbours: Neighbours
     rng: random.Random
     table: PartTable
+    _ring: NodeRing = attrs.Factory(NodeRing)
     # When requests with a part last ended well at this node, the most recent ones last.
     _sound_ms: OrderedDict[PartId, int] = attrs.Factory(OrderedDict)
     _gossiped_ms: int = 0
@@ -68,6 +70,10 @@
         """True if no part is suspected, so that ticks have no effect."""
         return not len(self.table)
 
+    def update_nodes(self, nodes: Iterable[str]) -> None:
+        """Replace the nodes among which the owners of parts are chosen."""
+        self._ring = NodeRing.of(nodes)
+
     def admission(self, parts: tuple[PartId, ...], now_ms: int) -> Admission:
         """Return whether a request with these parts may be sent now.
 
@@ -83,13 +89,17 @@
     def record_end(
         self, instance: StartId, runs: Iterable[BrokenRun], now_ms: int
     ) -> list[Command]:
-        """Record an end that this node detected, for the parts of all runs that it broke."""
-        changed = [
-            part
-            for run in runs
-            for depth, part in enumerate(run.parts)
-            if self.table.add_end(part, depth, instance, run.content, run.writing_ms, now_ms)
-        ]
+        """Record an end that this node detected, for the parts of the runs that it broke.
+
+        Of more parts than one end may report, those of the runs that began to write last count.
+        """
+        changed: dict[PartId, None] = {}
+        for run in sorted(runs, key=lambda run: run.writing_ms):
+            if len(changed) + len(run.parts) > MAX_PARTS_PER_END:
+                break
+            for depth, part in enumerate(run.parts):
+                if self.table.add_end(part, depth, instance, run.content, run.writing_ms, now_ms):
+                    changed[part] = None
         self._add_earlier_runs(changed, now_ms)
         return self._report(changed, now_ms)
 
@@ -131,7 +141,8 @@
 
     def rewrite_records(self, now_ms: int) -> list[Command]:
         """Write the records of the quarantined parts again, after the store may have lost them."""
-        return [WriteRecord(view) for view in self._views(self._owned_quarantined(), now_ms)]
+        owned = [part for part in self.table.quarantined() if self._is_owner(part)]
+        return [WriteRecord(view) for view in self._views(owned, now_ms)]
 
     def handle_news(self, news: PartNews, now_ms: int) -> list[Command]:
         """Merge another node's view; reply where it has ends before a sound run known here."""
@@ -162,7 +173,7 @@
             end.instance not in kept and end.age_ms >= known.sound_age_ms for end in received.ends
         )
 
-    def _report(self, changed: list[PartId], now_ms: int) -> list[Command]:
+    def _report(self, changed: Iterable[PartId], now_ms: int) -> list[Command]:
         """Send changes that this node observed to the parts' owners at once, one message each."""
         by_owner: dict[str, list[PartId]] = {}
         for part in dict.fromkeys(changed):
@@ -242,11 +253,8 @@
         views = (self.table.suspicion(part, now_ms) for part in parts)
         return tuple(view for view in views if view is not None)
 
-    def _owned_quarantined(self) -> list[PartId]:
-        return [part for part in self.table.quarantined() if self._is_owner(part)]
-
     def _owners(self, part: PartId) -> list[str]:
-        return rank_members(self.neighbours.nodes, part, SUSPICION_OWNERS)
+        return self._ring.first_nodes(part, SUSPICION_OWNERS)
 
     def _is_owner(self, part: PartId) -> bool:
         return self.neighbours.own in self._owners(part)
--- a/saffronworks/forwarding/quarantine/part_table.py
+++ b/saffronworks/forwarding/quarantine/part_table.py
@@ -153,9 +153,11 @@
         return True
 
     def _evict(self) -> None:
+        """Evict an eighth of a full table at once, as each choice compares all entries."""
         if len(self._entries) > MAX_SUSPECTED_PARTS:
-            least = min(self._entries.values(), key=lambda e: (len(e.ends), e.changed_ms))
-            del self._entries[least.part]
+            ranked = sorted(self._entries.values(), key=lambda e: (len(e.ends), e.changed_ms))
+            for least in ranked[: MAX_SUSPECTED_PARTS // 8]:
+                del self._entries[least.part]
 
     @property
     def choice(self) -> Choice:
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -64,6 +64,8 @@
 # the shortest writing time at which a run with the part broke.
 SOUND_WRITING_MS = 1000
 SOUND_WRITING_RATIO = 3
+# Parts that one end of an endpoint may report: callers choose how many parts their prompts name.
+MAX_PARTS_PER_END = 256
 # Ends kept per part, and contents per end.
 MAX_ENDS_PER_PART = 12
 MAX_CONTENTS_PER_END = 4
--- a/saffronworks/forwarding/shares/ring.py
+++ b/saffronworks/forwarding/shares/ring.py
@@ -13,23 +13,44 @@
 )
 from saffronworks.hashing import hash64
 
-__all__ = ["HolderRing"]
+__all__ = ["HolderRing", "NodeRing"]
 
 
 @attrs.frozen
-class _View:
-    """The nodes at one time, ordered by hash; `until_ms` is when the next view replaced it."""
+class NodeRing:
+    """Nodes ordered by hash."""
 
     points: list[int] = attrs.Factory(list)
     nodes: list[str] = attrs.Factory(list)
-    until_ms: int | None = None
 
-    def holders(self, subject: str, most: int = HOLDERS) -> list[str]:
+    @classmethod
+    def of(cls, nodes: Iterable[str]) -> "NodeRing":
+        """Return the ring of these nodes."""
+        ordered = sorted((hash64(node), node) for node in nodes)
+        return cls([point for point, _ in ordered], [node for _, node in ordered])
+
+    def first_nodes(self, subject: str, most: int) -> list[str]:
+        """Return the `most` nodes after a subject's hash."""
         count = len(self.nodes)
         start = bisect(self.points, hash64(subject))
         return [self.nodes[(start + step) % count] for step in range(min(most, count))]
 
 
+@attrs.frozen
+class _View:
+    """The nodes at one time; `until_ms` is when the next view replaced it."""
+
+    ring: NodeRing = attrs.Factory(NodeRing)
+    until_ms: int | None = None
+
+    @property
+    def nodes(self) -> list[str]:
+        return self.ring.nodes
+
+    def holders(self, subject: str, most: int = HOLDERS) -> list[str]:
+        return self.ring.first_nodes(subject, most)
+
+
 @attrs.define
 class HolderRing:
     """Nodes ordered by hash; the holders of a subject are the three nodes after its hash.
@@ -45,8 +66,7 @@
 
     def update(self, nodes: Iterable[str], now_ms: int) -> None:
         """Replace the list of nodes."""
-        ordered = sorted((hash64(node), node) for node in nodes)
-        newest = _View([point for point, _ in ordered], [node for _, node in ordered])
+        newest = _View(NodeRing.of(nodes))
         if newest.nodes == self._view.nodes:
             return
         if self._was_established(now_ms):
