Check the endpoint at the end of an unframed failure too

Callers: an engine's own failure without length or chunks that its crash cut off came with a good end. The check of the end stood at three places, and the relay of a generation's failure was not one of them. It is part of relay_rest now, which both runners use.

Evidence: the new scenario got the cut 500 with the last chunk before, and without it now; 83 scenarios on streams, framing, forwarding, the platform and slow readers pass.

--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -311,12 +311,12 @@
         return None
 
     async def _relay_failure(self, head: AnswerHead) -> events.Event | None:
-        assert self._stream is not None
-        node, job = self._node, self._job
+        assert self._stream is not None and self._state.hold is not None
+        node, job, exchange = self._node, self._job, self._stream.exchange
         body = await start_answer(node, job, head)
-        body.attach(self._stream.exchange)
+        body.attach(exchange)
         try:
-            await relay_rest(node, job, self._stream.exchange, body)
+            await relay_rest(node, job, self._state.hold.endpoint, exchange, body)
         except ExchangeError as broken:
             return await self._relay_broken(broken)
         finally:
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -214,10 +214,9 @@
                 await body.write(self._start_of_body)
             if job.route.streams and self._head.success:
                 await self._relay_events(StreamRun(self._exchange), body)
-            elif not self._body_whole:
-                await relay_rest(node, job, self._exchange, body)
-            if not self._body_whole:
                 self._proven = await node.check_end(self._endpoint, self._exchange)
+            elif not self._body_whole:
+                self._proven = await relay_rest(node, job, self._endpoint, self._exchange, body)
         except ExchangeError as broken:
             await node.note_break(PLAIN, job.request, self._endpoint, broken, self._first_ms)
             logger.info(
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -312,11 +312,16 @@
     return body
 
 
-async def relay_rest(node: NodeState, job: Job, exchange: Exchange, body: AnswerBody) -> None:
-    """Relay the rest of an answer up to its end; raises ExchangeError if cut off."""
+async def relay_rest(
+    node: NodeState, job: Job, endpoint: ServiceEndpoint, exchange: Exchange, body: AnswerBody
+) -> bool:
+    """Relay the rest of an answer up to its end; return whether it is proven whole.
+
+    Raises ExchangeError if it is cut off.
+    """
     while True:
         left_ms = max(1, job.deadline_at_ms - node.now_ms())
         chunk = await exchange.next_chunk(left_ms)
         if chunk is None:
-            return
+            return await node.check_end(endpoint, exchange)
         await body.write(chunk)
--- a/saffronworks/tests/crashing_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -42,8 +42,9 @@
         self.store = None
         # Whether the caller receives the head of an answer and one event before the crash.
         self.head_first = False
-        # Whether that answer has neither a length nor chunks.
+        # Whether that answer has neither a length nor chunks, and its status.
         self.unframed = False
+        self.status = 200
         # Whether the server has been fixed and runs all contents.
         self.fixed = False
         # Whether a prefill of the content crashes the server as well.
@@ -89,7 +90,7 @@
         if self.head_first:
             own = {"Request-Id": headers["request-id"], "Server-Stamp": "s"}
             framing = {} if self.unframed else {"Transfer-Encoding": "chunked"}
-            await self._head(writer, 200, own | framing)
+            await self._head(writer, self.status, own | framing)
             event = b"id: 1\ndata: one\n\n"
             writer.write(event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/saffronworks/tests/features/steps/unframed_answers_steps.py
+++ b/saffronworks/tests/features/steps/unframed_answers_steps.py
@@ -64,6 +64,24 @@
     assert all(raw.endswith((b"r0", b"r1")) for raw in context.raws), context.raws
 
 
+@when("an engine crashes while it answers 500 without length or chunks")
+def failure_crashes(context):
+    server = crashing(CrashingServer("d0", "llm", "decode", Arrivals(), down_s=9.0))
+    server.status = 500
+
+    async def play(place):
+        server.store = place.store
+        context.raw = await place.generate("/gen/", "g0", body=CRASHING)
+
+    on_platform([server, FakeServer("p0", "llm", "prefill")], play)
+
+
+@then("the caller gets the failure without a proper end")
+def failure_cut(context):
+    assert context.raw.startswith(b"HTTP/1.1 500 ") and EVENT in context.raw, context.raw
+    assert not context.raw.endswith(CHUNKS_END), context.raw
+
+
 @when("an engine ends the chunks of a stream inside an event")
 def chunks_end(context):
     servers = engines()
--- a/saffronworks/tests/features/unframed_answers.feature
+++ b/saffronworks/tests/features/unframed_answers.feature
@@ -12,6 +12,10 @@
     When one of two plain endpoints crashes in an answer without length or chunks
     Then the caller gets the whole answer of the other one
 
+  Scenario: an endpoint crashes in a failure of its own
+    When an engine crashes while it answers 500 without length or chunks
+    Then the caller gets the failure without a proper end
+
   Scenario: a stream of any framing that ends inside an event
     When an engine ends the chunks of a stream inside an event
     Then the caller gets nothing of it, and no success
