Choose anew when a part is found later in a prompt than before

Callers: none seen. Of parts that were always together the last one in the prompt is quarantined. A node that learnt of a later position kept its earlier choice and told no other node, so that nodes could refuse different parts of one prompt. A later position is a change like others now: the new step quarantined the earlier part before. Found by reading.

--- a/saffronworks/forwarding/quarantine/part_table.py
+++ b/saffronworks/forwarding/quarantine/part_table.py
@@ -141,7 +141,8 @@
         changed = _merge_ends(entry, received, now_ms) or changed
         if received.trials > entry.trials:
             entry.trials, changed = received.trials, True
-        entry.depth = max(entry.depth, received.depth)
+        if received.depth > entry.depth:
+            entry.depth, changed = received.depth, True
         if not changed:
             return False
         if is_new:
--- a/saffronworks/tests/features/prompt_parts.feature
+++ b/saffronworks/tests/features/prompt_parts.feature
@@ -25,6 +25,7 @@
   Scenario: which parts are quarantined
     Then endpoints that fail at one moment quarantine no part
     And of parts always together the last one is quarantined, and the first one once it is alone
+    And a part that is found later in a prompt than before is judged by that at once
     And no part is quarantined for one content that crashes endpoints
     And two crashing parts are quarantined, and not the first part that their requests share
     And a part that was sound before and crashes endpoints now is quarantined, and soon has a trial
--- a/saffronworks/tests/features/steps/part_table_steps.py
+++ b/saffronworks/tests/features/steps/part_table_steps.py
@@ -4,6 +4,7 @@
 from unittest.mock import AsyncMock, Mock
 
 import anyio
+import attrs
 from behave import given, then, when
 from result import Ok
 
@@ -115,6 +116,17 @@
     assert quarantined(state) == {"f"}
 
 
+@then("a part that is found later in a prompt than before is judged by that at once")
+def deeper(context):
+    state = new_state()
+    for number in range(1, 4):
+        crash(state, number * 1000, number, (f"c{number}", "b"), (f"beside{number}", "f"))
+    assert quarantined(state) == {"b"}
+    (view,) = [state.parts.table.suspicion("f", 3000)]
+    step(state, PartNews("n2", (attrs.evolve(view, depth=1),)), 3000)
+    assert quarantined(state) == {"f"}
+
+
 @then("no part is quarantined for one content that crashes endpoints")
 def one_content(context):
     state = new_state()
