Report the progress of a run four times a second at most

While any part was suspected, ten minutes after any end of an endpoint, each batch of events of each stream went through the quarantine: 3.1 us an event. That a relayed stream clears its parts had no check on the whole path; it has one.

Names, no behaviour: RunGoesOn is RunProgressed, takes is accepts; a run without events has no time of a first event; expire returns nothing, as nothing read it.

--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -213,7 +213,7 @@
             if self._start_of_body:
                 await body.write(self._start_of_body)
             if job.route.streams and self._head.success:
-                await self._relay_events(StreamRun(self._exchange), body)
+                await self._relay_events(StreamRun(self._exchange, self._first_ms), body)
                 self._proven = await node.check_end(self._endpoint, self._exchange)
             elif not self._body_whole:
                 self._proven = await relay_rest(node, job, self._endpoint, self._exchange, body)
@@ -250,7 +250,7 @@
         """Relay complete events; raises ExchangeError if the stream ends early or in an event."""
         job, now_ms = self._job, self._node.now_ms
         while (mark := await run.next_events(max(1, job.deadline_at_ms - now_ms()))) is not None:
-            self._node.quarantine.observe_writing(job.request, now_ms() - self._first_ms)
+            self._node.observe_progress(job.request, run)
             await body.write(mark.data)
         if run.remainder():
             await body.write(run.remainder())
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -28,7 +28,7 @@
     RecordsLost,
     RemoveRecord,
     RunFailed,
-    RunGoesOn,
+    RunProgressed,
     RunSucceeded,
     SendNews,
     SuspicionChanged,
@@ -159,7 +159,7 @@
             return _handle_failed_run(state, event, now_ms)
         case ProbeFinished():
             return _handle_probe(state, event, now_ms)
-        case RunGoesOn(parts, writing_ms):
+        case RunProgressed(parts, writing_ms):
             return state.parts.record_sound_run(parts, writing_ms, now_ms)
         case RunSucceeded(content, parts):
             cleared = _report_to_owners(state, state.table.add_success(content, now_ms), now_ms)
--- a/saffronworks/forwarding/quarantine/events.py
+++ b/saffronworks/forwarding/quarantine/events.py
@@ -27,7 +27,7 @@
     "ProbeFinished",
     "RecordRead",
     "RecordsLost",
-    "RunGoesOn",
+    "RunProgressed",
     "RunSucceeded",
     "WriteRecord",
     "RunFailed",
@@ -86,7 +86,7 @@
 
 
 @attrs.frozen
-class RunGoesOn:
+class RunProgressed:
     """A run of a prompt with these parts has been writing for this long."""
 
     parts: tuple[PartId, ...]
@@ -121,7 +121,7 @@
 Event = (
     RunFailed
     | ProbeFinished
-    | RunGoesOn
+    | RunProgressed
     | RunSucceeded
     | TrialStarted
     | RecordRead
--- a/saffronworks/forwarding/quarantine/part_table.py
+++ b/saffronworks/forwarding/quarantine/part_table.py
@@ -219,8 +219,8 @@
         age_ms = now_ms - entry.changed_ms
         return PartSuspicion(part, entry.depth, ends, sound_age_ms, entry.trials, age_ms)
 
-    def expire(self, now_ms: int) -> list[PartId]:
-        """Drop the parts whose retention is over; return those of them that were quarantined."""
+    def expire(self, now_ms: int) -> None:
+        """Drop the parts whose retention is over."""
         quarantined = self.quarantined()
         old = [
             entry.part
@@ -232,7 +232,6 @@
             del self._entries[part]
         if old:
             self._choice = None
-        return [part for part in old if part in quarantined]
 
 
 def _merge_sound(entry: _Entry, received: PartSuspicion, now_ms: int) -> bool:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -175,10 +175,15 @@
         else:
             self._handle(events.RunSucceeded(request.content, request.parts))
 
-    def observe_writing(self, request: CallerRequest, writing_ms: int) -> None:
+    @property
+    def suspects_parts(self) -> bool:
+        """Return whether any prompt part is suspected."""
+        return not self._state.parts.idle
+
+    def record_progress(self, request: CallerRequest, writing_ms: int) -> None:
         """Record that a run of a request goes on after writing for this long."""
-        if not self._state.parts.idle and request.shared_parts:
-            self._handle(events.RunGoesOn(request.parts, writing_ms))
+        if request.shared_parts:
+            self._handle(events.RunProgressed(request.parts, writing_ms))
 
     # Events and commands of the core.
 
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -22,6 +22,7 @@
 from saffronworks.forwarding.quotas.service import NOT_COUNTED, QuotaCharge, Quotas
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.routing import Route
+from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
     RETRY_AFTER_MAX_MS,
     RETRY_AFTER_MAX_SHARE,
@@ -137,6 +138,14 @@
             raise ExchangeError(ExchangeErrorCause.CLOSED, sent=True)
         return ended is False
 
+    def observe_progress(self, request: CallerRequest, run: StreamRun) -> None:
+        """Let a run that goes on clear the parts of its prompt, if any part is suspected."""
+        if not self.quarantine.suspects_parts:
+            return
+        writing_ms = run.report_progress(self.now_ms())
+        if writing_ms is not None:
+            self.quarantine.record_progress(request, writing_ms)
+
     def is_doubtful_run(self, endpoint: ServiceEndpoint, began_ms: int) -> bool:
         """Return whether a run may have been that of a later start with another version.
 
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -51,7 +51,8 @@
         first = await run.read_first(max(1, state.deadline_at_ms - now_ms))
         if first is None:
             await self._check_end(run)
-        run.writing_since_ms = self._node.now_ms()
+        else:
+            run.writing_since_ms = self._node.now_ms()
         self._pace_from = None
         if state.answer_started or (state.may_repeat and self.last_event is not None):
             self._require_continuation(run, first, status)
@@ -87,7 +88,7 @@
         try:
             while (mark := await run.next_events(self._stall_timeout_ms())) is not None:
                 self._record_events(mark.ids)
-                self._observe_writing(run)
+                self._node.observe_progress(self._job.request, run)
                 await self._body.write(mark.data)
             if run.remainder():
                 await self._body.write(run.remainder())
@@ -108,11 +109,6 @@
         assert self._state.hold is not None
         return await self._node.check_end(self._state.hold.endpoint, run.exchange)
 
-    def _observe_writing(self, run: StreamRun) -> None:
-        assert run.writing_since_ms is not None
-        writing_ms = self._node.now_ms() - run.writing_since_ms
-        self._node.quarantine.observe_writing(self._job.request, writing_ms)
-
     @property
     def _may_resume(self) -> bool:
         """Return whether another run may follow the current one."""
--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -7,6 +7,9 @@
 
 __all__ = ["StreamRun"]
 
+# A run that goes on is reported to the quarantine at this interval.
+PROGRESS_INTERVAL_MS = 250
+
 
 class StreamRun:
     """The bytes that one endpoint sent for a stream.
@@ -15,10 +18,11 @@
     get into the answer of the next endpoint.
     """
 
-    def __init__(self, exchange: Exchange):
+    def __init__(self, exchange: Exchange, writing_since_ms: int | None = None):
         self.exchange = exchange
-        # Time of the first event.
-        self.writing_since_ms: int | None = None
+        # Time of the first event, None before it.
+        self.writing_since_ms = writing_since_ms
+        self._progress_due_ms = 0
         self._splitter = EventSplitter()
         self._first: EventMark | None = None
 
@@ -50,6 +54,13 @@
             return first
         return await self._next(timeout_ms)
 
+    def report_progress(self, now_ms: int) -> int | None:
+        """Return how long the run has been writing, None until the next report is due."""
+        if self.writing_since_ms is None or now_ms < self._progress_due_ms:
+            return None
+        self._progress_due_ms = now_ms + PROGRESS_INTERVAL_MS
+        return now_ms - self.writing_since_ms
+
     async def _next(self, timeout_ms: float) -> EventMark | None:
         while (chunk := await self.exchange.next_chunk(timeout_ms)) is not None:
             mark = self._splitter.feed(chunk)
--- a/saffronworks/overload.py
+++ b/saffronworks/overload.py
@@ -1,4 +1,4 @@
-"""Decides when a process takes no more connections because its event loop is overloaded."""
+"""Decides which new connections to close because the event loop is overloaded."""
 
 import asyncio
 import logging
@@ -22,8 +22,8 @@
 RECOVERED_LAG_MS = 20
 # The event loop is measured while so many connections come within this time.
 BUSY_CONNECTIONS, BUSY_MS = 10, 1000
-# At least one connection is taken in this time, so that a caller without another node is served.
-TAKE_INTERVAL_MS = 250
+# At least one connection is accepted in this time, so that a caller without another node is served.
+MIN_ACCEPT_INTERVAL_MS = 250
 
 
 @attrs.define
@@ -53,21 +53,21 @@
         self.lag = LoopLag()
         self.rejected = 0
         self._now_ms = now_ms
-        self._taken_ms = 0
+        self._accepted_ms = 0
         self._rejected_before = 0
         self._opened_ms: deque[int] = deque(maxlen=BUSY_CONNECTIONS)
         self._busy = asyncio.Event()
 
-    def takes(self) -> bool:
-        """Return whether a new connection is taken; counts it."""
+    def accepts(self) -> bool:
+        """Return whether to accept a new connection, and count it."""
         now_ms = self._now_ms()
         self._opened_ms.append(now_ms)
         if self._is_busy(now_ms):
             self._busy.set()
-        if self.lag.overloaded and now_ms - self._taken_ms < TAKE_INTERVAL_MS:
+        if self.lag.overloaded and now_ms - self._accepted_ms < MIN_ACCEPT_INTERVAL_MS:
             self.rejected += 1
             return False
-        self._taken_ms = now_ms
+        self._accepted_ms = now_ms
         return True
 
     def _is_busy(self, now_ms: int) -> bool:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -163,7 +163,9 @@
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
         self._gate = ConnectionGate(monotonic_ms)
-        self._callers = HttpServer(callers, self._ingress.handle, grace_s, takes=self._gate.takes)
+        self._callers = HttpServer(
+            callers, self._ingress.handle, grace_s, accepts=self._gate.accepts
+        )
         self._state.figures.register_gauge(
             "saffronworks_rejected_connections", lambda: [Level(self._gate.rejected, {})]
         )
--- a/saffronworks/tests/features/prompt_parts.feature
+++ b/saffronworks/tests/features/prompt_parts.feature
@@ -33,6 +33,7 @@
 
   Scenario: a run that goes on clears its parts
     Then it does after a second, or later where runs broke later
+    And a stream that a node relays does, before its end
     And a node that served a part while nothing was suspected remembers it
     And a node that remembers a sound run from before tells the others
     And a node that missed a sound run is told when it sends its own view
--- a/saffronworks/tests/features/steps/part_table_steps.py
+++ b/saffronworks/tests/features/steps/part_table_steps.py
@@ -28,6 +28,8 @@
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.platform.ingress import read_request
 from saffronworks.tests import part_plays
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import on_platform
 from saffronworks.tests.quarantine_plays import endpoint_at
 from saffronworks.tests.revisions import at
 from saffronworks.web import Call
@@ -199,12 +201,35 @@
         for number in range(1, 4):
             runs = [(f"c{number}", "f")]
             crash(state, number * 1000, number, *runs, writing_ms=broke_after_ms)
-        step(state, events.RunGoesOn(("f",), enough_ms - 1), 9000)
+        step(state, events.RunProgressed(("f",), enough_ms - 1), 9000)
         assert quarantined(state) == {"f"}
-        step(state, events.RunGoesOn(("f",), enough_ms), 9000)
+        step(state, events.RunProgressed(("f",), enough_ms), 9000)
         assert not quarantined(state)
 
 
+@then("a stream that a node relays does, before its end")
+def relayed(context):
+    servers = [FakeServer("d0", "llm", "decode"), FakeServer("p0", "llm", "prefill")]
+    servers[0].events, servers[0].event_s = 8, 0.25
+    part = part_ids("m", ["f"])
+    headers = {"Model": "m", "Prompt-Prefix": "f:9,e1:9", "Token-Counts": "5000,9000"}
+
+    async def play(place):
+        state, ends = place.node._quarantine._state, []
+        for number in (1, 2, 3):
+            crash(state, place.node._state.now_ms(), number, (f"c{number}", *part))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(place.ask, "/res/", "g0", headers)
+            tasks.start_soon(place.ask, "/gen/", "g1", headers)
+            for _ in range(7):
+                await anyio.sleep(0.25)
+                ends.append(len(state.parts.table.suspicion(*part, 0).ends))
+        context.ends = ends
+
+    on_platform(servers, play)
+    assert context.ends[0] == 3 and context.ends[-1] == 0, context.ends
+
+
 def quarantined_fleet():
     fleet = part_plays.Service(part_plays.PartTraffic(firsts=1), 3)
     fleet.start()
--- a/saffronworks/tests/part_plays.py
+++ b/saffronworks/tests/part_plays.py
@@ -190,7 +190,7 @@
 
     def _observe(self, index, run):
         if run in self.runs[index]:
-            goes_on = events.RunGoesOn(run.request.parts, self.now_ms - run.first_ms)
+            goes_on = events.RunProgressed(run.request.parts, self.now_ms - run.first_ms)
             self.take(run.request.node, goes_on)
             self.at(OBSERVE_MS, self._observe, index, run)
 
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -64,6 +64,8 @@
         self.work_s = 0.0
         self.read_s = 0.0
         self.events = 3
+        # Pause after each event of a stream in chunks.
+        self.event_s = 0.0
         self.full = False
         # The rate limit that answers advertise, in requests per second.
         self.limit = None
@@ -270,6 +272,7 @@
             if number <= self.events:
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
+                await asyncio.sleep(self.event_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -217,13 +217,13 @@
         self._stop_requested.set()
 
 
-def _gated_protocol(takes: Callable[[], bool]) -> type[HttpToolsProtocol]:
-    """Return a protocol that closes a new connection at once unless `takes` returns true."""
+def _gated_protocol(accepts: Callable[[], bool]) -> type[HttpToolsProtocol]:
+    """Return a protocol that closes a new connection at once unless `accepts` returns true."""
 
     class GatedProtocol(HttpToolsProtocol):
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             super().connection_made(transport)
-            if not takes():
+            if not accepts():
                 transport.abort()
 
     return GatedProtocol
@@ -232,7 +232,7 @@
 class HttpServer:
     """Serves one handler on one socket until it is stopped.
 
-    `takes` decides for each new connection whether it is kept.
+    `accepts` decides for each new connection whether it is kept.
     """
 
     def __init__(
@@ -242,7 +242,7 @@
         grace_s: int = 1,
         idle_s: float = KEEP_ALIVE_S,
         date_header: bool = True,
-        takes: Callable[[], bool] | None = None,
+        accepts: Callable[[], bool] | None = None,
     ):
         self._listener = listener
         self._handler = handler
@@ -255,7 +255,7 @@
             proxy_headers=False,
             server_header=False,
             date_header=date_header,
-            http="httptools" if takes is None else _gated_protocol(takes),
+            http="httptools" if accepts is None else _gated_protocol(accepts),
             loop="asyncio",
             timeout_keep_alive=idle_s,  # type: ignore[arg-type]  # fractions work
             timeout_graceful_shutdown=grace_s,
