Log each retry with its node's counts, and measure the turns of the event loop

The logs could not tell the hypotheses of the incident apart: no line said by which counts a retry was charged, nor how long a turn of the event loop takes. event=retry and event=retry_denied have the retries and requests of the window and the number of nodes; event=overloaded and a gauge have the longest turn. The selector measures the turns, with two readings of the clock in each. No decision changes.

--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -14,7 +14,9 @@
 
 import anyio
 
-__all__ = ["monotonic_ms", "run", "wall_ms"]
+from saffronworks.loop_meter import LoopMeter
+
+__all__ = ["LOOP_METER", "monotonic_ms", "run", "wall_ms"]
 
 _STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
@@ -33,13 +35,24 @@
 # on for its rest after the resume.
 MAX_SELECT_S = 0.1
 
+# The turns of this process's event loop. Stays empty under a loop that `run` did not make.
+LOOP_METER = LoopMeter()
+
+
+def _steady_ms() -> float:
+    return time.clock_gettime(_STEADY) * 1000
+
 
 class _BoundedSelector(selectors.DefaultSelector):  # type: ignore[valid-type, misc]
-    """Wakes the event loop now and then, so that it looks at the steady clock."""
+    """Wakes the event loop now and then, so that it reads the steady clock; measures its turns."""
 
     def select(self, timeout: float | None = None) -> Any:
         """Ready files; none after `MAX_SELECT_S` at most."""
-        return super().select(MAX_SELECT_S if timeout is None else min(timeout, MAX_SELECT_S))
+        bounded_s = MAX_SELECT_S if timeout is None else min(timeout, MAX_SELECT_S)
+        LOOP_METER.begin_wait(_steady_ms())
+        ready = super().select(bounded_s)
+        LOOP_METER.end_wait(_steady_ms(), bounded_s > 0)
+        return ready
 
 
 class _SteadyLoop(asyncio.SelectorEventLoop):
--- a/saffronworks/forwarding/retry_budget.py
+++ b/saffronworks/forwarding/retry_budget.py
@@ -1,5 +1,6 @@
 """The node's share of the fleet's retry budget: sends beyond the first of each request."""
 
+import logging
 from collections import deque
 
 import attrs
@@ -10,6 +11,8 @@
 
 __all__ = ["RetryBudget"]
 
+logger = logging.getLogger(__name__)
+
 
 @attrs.define
 class RetryBudget:
@@ -40,10 +43,22 @@
 
     def withdraw(self, service: str, now_ms: int) -> bool:
         """Count one retry if the budget allows it; returns whether it does."""
-        if not self.allows(service, now_ms):
-            return False
-        self._recent(self._retries, service, now_ms).append(now_ms)
-        return True
+        allowed = self.allows(service, now_ms)
+        if allowed:
+            self._recent(self._retries, service, now_ms).append(now_ms)
+        logger.info(
+            "event=%s service=%s retries=%d requests=%d nodes=%d",
+            "retry" if allowed else "retry_denied",
+            service,
+            *self.counts(service, now_ms),
+            self.nodes,
+        )
+        return allowed
+
+    def counts(self, service: str, now_ms: int) -> tuple[int, int]:
+        """Return the retries and the requests of the last window."""
+        retries = self._recent(self._retries, service, now_ms)
+        return len(retries), len(self._recent(self._requests, service, now_ms))
 
     def _recent(self, counts: dict[str, deque[int]], service: str, now_ms: int) -> deque[int]:
         times = counts.setdefault(service, deque())
--- a/saffronworks/overload.py
+++ b/saffronworks/overload.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from saffronworks.clocks import LOOP_METER
+
 __all__ = ["ConnectionGate", "LoopLag"]
 
 logger = logging.getLogger(__name__)
@@ -96,4 +98,10 @@
         rejected = self.rejected - self._rejected_before
         self._rejected_before = self.rejected
         event = "overloaded" if self.lag.overloaded else "overload_ended"
-        logger.warning("event=%s lag_ms=%d rejected_connections=%d", event, lag_ms, rejected)
+        logger.warning(
+            "event=%s lag_ms=%d turn_ms=%d rejected_connections=%d",
+            event,
+            lag_ms,
+            LOOP_METER.longest_turn_ms(self._now_ms()),
+            rejected,
+        )
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from saffronworks.clocks import monotonic_ms, wall_ms
+from saffronworks.clocks import LOOP_METER, monotonic_ms, wall_ms
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
 from saffronworks.forwarding.buffered_answers import AnswerBuffers
@@ -169,6 +169,10 @@
         self._state.figures.register_gauge(
             "saffronworks_rejected_connections", lambda: [Level(self._gate.rejected, {})]
         )
+        self._state.figures.register_gauge(
+            "saffronworks_longest_loop_turn_ms",
+            lambda: [Level(LOOP_METER.longest_turn_ms(monotonic_ms()), {})],
+        )
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
             self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
