Let a restarted node use no whole share of the retry slack, and distrust short lists

Cause: what a node had sent was known to its process alone, and the slack was divided by the nodes that it last listed. A restart began with a whole share, and a short list made shares larger. The bound was right in calm and rested on two quantities that the trouble itself distorts.

Fix: in the first window of a process a node uses at most .2 of its part of the slack, in proportion to its age. With the .6 that an earlier process of the same node may have used it stays at .8, however often nodes restart. A lower count of nodes holds only after 30 s, twice the longest interval between lists, and a process that is not the first one starts from the assumed count. Idle connections are still limited by the count as listed.

--- a/saffronworks/forwarding/retry_budget.py
+++ b/saffronworks/forwarding/retry_budget.py
@@ -7,26 +7,56 @@
 
 from saffronworks.forwarding.tuning import (
     BUDGET_USED_SHARE,
+    SHORTER_LIST_MS,
+    YOUNG_SLACK_SHARE,
 )
 
-__all__ = ["RetryBudget"]
+__all__ = ["NodeCount", "RetryBudget"]
 
 logger = logging.getLogger(__name__)
 
 
+@attrs.define
+class NodeCount:
+    """The number of nodes among which an allowance is split.
+
+    A higher count holds at once. A lower one holds after `SHORTER_LIST_MS`, because a list may lack
+    nodes that are alive: after a restore of the store, or while they restart.
+    """
+
+    assumed: int
+    # Counts by the time from which they were listed, oldest first; the last one is the present one.
+    _listed: deque[tuple[int, int]] = attrs.Factory(deque)
+
+    def update(self, count: int, now_ms: int) -> None:
+        """Record the number of nodes that were listed."""
+        self._listed.append((now_ms, max(1, count)))
+
+    def at(self, now_ms: int) -> int:
+        """Return the highest count that was listed or held within the span."""
+        listed = self._listed
+        while len(listed) > 1 and listed[1][0] <= now_ms - SHORTER_LIST_MS:
+            listed.popleft()
+        return max((count for _, count in listed), default=self.assumed)
+
+
 @attrs.define
 class RetryBudget:
     """Limits retries to a ratio of this node's requests plus its share of the fleet's slack.
 
-    Nodes exchange no messages about it: each uses an equal share of the slack. If `nodes` were
-    below their true number, all shares together would exceed the slack. Requests and retries are
-    counted per service over a sliding window.
+    Nodes exchange no messages about it: each uses an equal share of the slack. Requests and retries
+    are counted per service over a sliding window. What this node sent before its start is unknown,
+    so for one window it uses only a small part of its share, in proportion to its age: however
+    often nodes restart, all processes of a node together stay within it.
+
+    `started_ms` is the start of the process, None if there was none before it.
     """
 
     ratio: float
     slack: float
     window_ms: int
-    nodes: int = 1
+    nodes: NodeCount = attrs.Factory(lambda: NodeCount(1))
+    started_ms: int | None = None
     _requests: dict[str, deque[int]] = attrs.Factory(dict)
     _retries: dict[str, deque[int]] = attrs.Factory(dict)
 
@@ -36,22 +66,33 @@
 
     def allows(self, service: str, now_ms: int) -> bool:
         """Return whether one more retry stays within this node's share."""
-        requests = len(self._recent(self._requests, service, now_ms))
-        retries = len(self._recent(self._retries, service, now_ms))
-        share = self.ratio * requests + self.slack / max(1, self.nodes)
-        return retries + 1 <= BUDGET_USED_SHARE * share
+        retries, requests = self.counts(service, now_ms)
+        slack = self.slack / self.nodes.at(now_ms)
+        return retries + 1 <= BUDGET_USED_SHARE * self.ratio * requests + (
+            self._slack_share(now_ms) * slack
+        )
+
+    def _slack_share(self, now_ms: int) -> float:
+        """Return the share of this node's part of the slack that it may use."""
+        age_ms = self.window_ms if self.started_ms is None else now_ms - self.started_ms
+        if age_ms >= self.window_ms:
+            return BUDGET_USED_SHARE
+        return YOUNG_SLACK_SHARE * age_ms / self.window_ms
 
     def withdraw(self, service: str, now_ms: int) -> bool:
         """Count one retry if the budget allows it; returns whether it does."""
         allowed = self.allows(service, now_ms)
         if allowed:
             self._recent(self._retries, service, now_ms).append(now_ms)
+        retries, requests = self.counts(service, now_ms)
         logger.info(
-            "event=%s service=%s retries=%d requests=%d nodes=%d",
+            "event=%s service=%s retries=%d requests=%d nodes=%d slack_share=%.2f",
             "retry" if allowed else "retry_denied",
             service,
-            *self.counts(service, now_ms),
-            self.nodes,
+            retries,
+            requests,
+            self.nodes.at(now_ms),
+            self._slack_share(now_ms),
         )
         return allowed
 
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -110,6 +110,11 @@
 
 # Share of the fleet's retry budget that nodes use; the rest is margin for windows that differ.
 BUDGET_USED_SHARE = 0.6
+# Share of its part of the slack that a node may use within the first window of its process. With
+# the share above, of an earlier process, it stays below the whole.
+YOUNG_SLACK_SHARE = 0.2
+# A lower number of nodes is used after this time, in which each node lists them twice or more.
+SHORTER_LIST_MS = 30_000
 
 # --- Streams -----------------------------------------------------------------------------------
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -37,7 +37,7 @@
 from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quotas import messages as quota_messages
 from saffronworks.forwarding.quotas.service import Quotas
-from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.retry_budget import NodeCount, RetryBudget
 from saffronworks.forwarding.role_core import RoleState
 from saffronworks.forwarding.role_keeper import RoleKeeper
 from saffronworks.forwarding.routing import RoutingTable
@@ -87,6 +87,7 @@
         self._settings_watch = SettingsWatch(settings_file, self._apply_settings)
         self._tasks: TaskGroup | None = None
         self._stopping = anyio.Event()
+        self._listed_nodes = INITIAL_NODE_COUNT
         self._store_epoch = StoreEpoch()
         self._store = PlatformStore(settings.store_address, self._store_epoch)
         rng = random.Random(f"{settings.node}/{wall_ms()}")
@@ -189,8 +190,16 @@
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
     def _make_state(self, settings: PlatformSettings) -> NodeState:
+        nodes = NodeCount(INITIAL_NODE_COUNT)
+        if not settings.first_start:
+            # The first lists may be short where this node had a full one before its restart.
+            nodes.update(INITIAL_NODE_COUNT, monotonic_ms())
         budget = RetryBudget(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window_ms, INITIAL_NODE_COUNT
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_ms,
+            nodes,
+            monotonic_ms(),
         )
         figures = MetricsRecorder(settings.node)
         self._origins = StreamOrigins(
@@ -410,7 +419,8 @@
         self._news.update_zone(
             {address: node.cores for address, node in nodes.items() if node.zone == zone}
         )
-        self._state.budget.nodes = max(1, len(cores))
+        self._listed_nodes = max(1, len(cores))
+        self._state.budget.nodes.update(self._listed_nodes, monotonic_ms())
         self._memory.choice.cores = cores
         self._turns.update(cores)
         self._quarantine.update_nodes(cores)
@@ -434,7 +444,7 @@
         table = self._forwarder.table
         if table is not None and table.services:
             min_connections = min(service.max_connections for service in table.services.values())
-            self._calls.pool.limit_idle(self._state.budget.nodes, min_connections)
+            self._calls.pool.limit_idle(self._listed_nodes, min_connections)
 
     def _apply_table(self, table: RoutingTable) -> bool:
         self._callers.set_keep_alive(table.limits.idle_timeout_ms / 1000)
--- a/saffronworks/tests/budget_fleet.py
+++ b/saffronworks/tests/budget_fleet.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.retry_budget import NodeCount, RetryBudget
+from saffronworks.platform.node import INITIAL_NODE_COUNT
 
 __all__ = ["BudgetFleet"]
 
@@ -16,10 +17,7 @@
 
 @attrs.define(slots=False)
 class BudgetFleet:
-    """Nodes among which requests are spread evenly; each repeats as often as its budget allows.
-
-    `listed` is the number of nodes that each node's list has.
-    """
+    """Nodes among which requests are spread evenly; each repeats as often as its budget allows."""
 
     nodes: int
     requests_per_s: float
@@ -32,21 +30,27 @@
 
     def __attrs_post_init__(self):
         self._rng = random.Random(self.seed)
-        self.budgets = [self._make_budget() for _ in range(self.nodes)]
+        self._listed = self.nodes
+        self.budgets = [self._make_budget(first_start=True) for _ in range(self.nodes)]
 
-    def _make_budget(self):
-        return RetryBudget(RATIO, self.slack, WINDOW_MS, self.nodes)
+    def _make_budget(self, first_start):
+        count = NodeCount(INITIAL_NODE_COUNT)
+        if not first_start:
+            count.update(INITIAL_NODE_COUNT, self.now_ms)
+        count.update(self._listed, self.now_ms)
+        return RetryBudget(RATIO, self.slack, WINDOW_MS, count, started_ms=self.now_ms)
 
     def list_nodes(self, count):
         """Let every node list `count` nodes."""
+        self._listed = count
         for budget in self.budgets:
-            budget.nodes = count
+            budget.nodes.update(count, self.now_ms)
 
     def kill(self, share=1.0):
         """Restart a share of the nodes, which forget what they have counted."""
         for number in range(self.nodes):
             if self._rng.random() < share:
-                self.budgets[number] = self._make_budget()
+                self.budgets[number] = self._make_budget(first_start=False)
 
     def play(self, for_ms):
         """Let requests arrive, and each node spend what it may."""
--- a/saffronworks/tests/features/steps/forwarding_steps.py
+++ b/saffronworks/tests/features/steps/forwarding_steps.py
@@ -15,7 +15,7 @@
     Begin,
     Refuse,
 )
-from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.retry_budget import NodeCount, RetryBudget
 from saffronworks.forwarding.routing import RoutingTable, Split
 from saffronworks.forwarding.tuning import (
     AVERAGE_HALF_LIFE_MS,
@@ -119,7 +119,7 @@
 def check_retry_budget(context):
     @forall(st.lists(st.tuples(st.integers(0, 900), st.booleans()), max_size=120))
     def check(arrivals):
-        budget = RetryBudget(0.2, 8.0, 2000, nodes=2)
+        budget = RetryBudget(0.2, 8.0, 2000, nodes=NodeCount(2))
         now_ms, requests, extras = 0, [], []
         for gap_ms, is_request in arrivals:
             now_ms += gap_ms
