Judge replies of others by this node's own lag

Callers' requests were repeated and endpoints suspected by a node that was late itself: it took the lag of its event loop for the silence of endpoints, planners and other nodes. Each check, hedge and repeat costs more of the processor that it lacks, and a silence that it reports makes the planner eject endpoints for all nodes.

Cause: limits of 50 to 400 ms run on timers of the loop that also has to read the reply. A timer that fires late has proved nothing about the other side.

Fix: limits for replies are longer by four times the longest turn of the last half second, from turns of 5 ms on; the same is taken off the silence of runs that the planner hears of, and silence within it is no failure of an endpoint in this node's own table. Without long turns all limits are as before.

--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -16,7 +16,7 @@
 
 from saffronworks.loop_meter import LoopMeter
 
-__all__ = ["LOOP_METER", "monotonic_ms", "run", "wall_ms"]
+__all__ = ["LOOP_METER", "extend_for_lag", "monotonic_ms", "run", "wall_ms"]
 
 _STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
@@ -66,6 +66,15 @@
         return time.clock_gettime(_STEADY)
 
 
+def extend_for_lag(limit_ms: float) -> float:
+    """Return a time limit for a reply of another process, longer by this process's own lag.
+
+    A reply that has arrived is noticed some turns of the event loop later, and a timer that fires
+    late has proved nothing about the other side.
+    """
+    return limit_ms + LOOP_METER.reply_lag_ms(_steady_ms())
+
+
 def run(main: Callable[..., Awaitable[Any]], *arguments: object) -> Any:
     """Run a program's main coroutine on an event loop of the steady clock."""
     return anyio.run(main, *arguments, backend_options={"loop_factory": _SteadyLoop})
--- a/saffronworks/forwarding/origins/lookups.py
+++ b/saffronworks/forwarding/origins/lookups.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.origins.decisions import is_settled
 from saffronworks.forwarding.origins.messages import OriginAnswer, OriginLookup
 from saffronworks.forwarding.origins.records import StreamKey
@@ -56,7 +57,7 @@
         try:
             for holder in holders:
                 self._send(holder, lookup)
-            with anyio.move_on_after(LOOKUP_TIMEOUT_MS / 1000):
+            with anyio.move_on_after(extend_for_lag(LOOKUP_TIMEOUT_MS) / 1000):
                 await pending.done.wait()
             return pending.answers
         finally:
--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
@@ -72,7 +73,7 @@
             self._peers.release(connection)
 
     async def _open_direct(self, endpoint: ServiceEndpoint, timeout_ms: float) -> _Opened:
-        opened = await self._direct.open(endpoint, timeout_ms)
+        opened = await self._direct.open(endpoint, extend_for_lag(timeout_ms))
         return opened if isinstance(opened, EndpointConnection) else None
 
     async def _race(self, endpoint: ServiceEndpoint, dial: Dial) -> _Opened:
@@ -85,7 +86,8 @@
         try:
             if dial.direct:
                 attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
-                await asyncio.wait(attempts, timeout=(dial.relay_after_ms or 0) / 1000)
+                relay_after_ms = extend_for_lag(dial.relay_after_ms) if dial.relay_after_ms else 0
+                await asyncio.wait(attempts, timeout=relay_after_ms / 1000)
                 if attempts[0].done() and (opened := attempts[0].result()) is not None:
                     return self._detach(attempts, opened)
             since_ms = began_ms if dial.direct else began_ms - CONFIRMED_MS
@@ -134,7 +136,7 @@
 
     async def _judge(self, instance: StartId, direct: _OpenTask, peer: str, began_ms: int) -> None:
         """Mark the path as cut if the direct attempt fails or takes too long."""
-        left_ms = began_ms + RELAY_AFTER_MS - self._now_ms()
+        left_ms = began_ms + extend_for_lag(RELAY_AFTER_MS) - self._now_ms()
         done, _ = await asyncio.wait([direct], timeout=max(0, left_ms) / 1000)
         if done and direct.result() is not None:
             return
--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -9,6 +9,7 @@
 import attrs
 from result import Err
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import ServiceEndpoint
@@ -200,7 +201,7 @@
     async def _ask(self, peer: RelayPeer, instance: StartId) -> tuple[RelayPeer, RelayReply]:
         """Ask one node; one that doesn't answer is avoided."""
         try:
-            async with asyncio.timeout(PEER_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(extend_for_lag(PEER_TIMEOUT_MS) / 1000):
                 reply = await self._check(peer, instance)
         except (ExchangeError, TimeoutError) as error:
             logger.info(
@@ -223,8 +224,8 @@
         lines = [f"GET {RELAY_PATH} HTTP/1.1", f"{RELAY_FIELD}: {text}", f"Host: {peer.address}"]
         try:
             connection.send("\r\n".join([*lines, "", ""]).encode("latin-1"), None)
-            head = await connection.head(PEER_TIMEOUT_MS)
-            await connection.body(PEER_TIMEOUT_MS)
+            head = await connection.head(extend_for_lag(PEER_TIMEOUT_MS))
+            await connection.body(extend_for_lag(PEER_TIMEOUT_MS))
         finally:
             self.release(connection)
         return read_relay_reply(head)
@@ -234,7 +235,9 @@
         endpoint = _as_endpoint(address)
         connection = self.pool.acquire_idle(endpoint, control_call=True)
         try:
-            connection = connection or await self.pool.open(endpoint, PEER_TIMEOUT_MS)
+            connection = connection or await self.pool.open(
+                endpoint, extend_for_lag(PEER_TIMEOUT_MS)
+            )
         except OSError:
             raise ExchangeError(
                 ExchangeErrorCause.CONNECT, sent=False, relayed_by=address
--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
@@ -153,15 +154,24 @@
     ) -> Callable[[], None]:
         """Check the path if no answer begins soon; returns a function that ends the watch."""
         loop = asyncio.get_running_loop()
-        timers = [
-            loop.call_later(after_ms / 1000, self._check_unanswered, endpoint, connection)
-            for after_ms in (UNACKNOWLEDGED_MS, UNANSWERED_MS)
-        ]
+        timers: list[asyncio.TimerHandle] = []
+
+        def begin(after_ms: float, limit_ms: int) -> None:
+            timers.append(loop.call_later(after_ms / 1000, check, limit_ms))
+
+        def check(limit_ms: int) -> None:
+            left_ms = connection.sent_ms + extend_for_lag(limit_ms) - self._now_ms()
+            if left_ms > 0:
+                begin(left_ms, limit_ms)
+            else:
+                self._check_unanswered(endpoint, connection, limit_ms)
 
         def end() -> None:
             for timer in timers:
                 timer.cancel()
 
+        for limit_ms in (UNACKNOWLEDGED_MS, UNANSWERED_MS):
+            begin(limit_ms, limit_ms)
         return end
 
     async def read_head(
@@ -188,11 +198,13 @@
         self.peers.choice.record_reaches(peer, endpoint.instance, self._now_ms())
         return head
 
-    def _check_unanswered(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
+    def _check_unanswered(
+        self, endpoint: ServiceEndpoint, connection: EndpointConnection, limit_ms: int
+    ) -> None:
         if connection.answering:
             return
         now_ms, acknowledged = self._now_ms(), not connection.unacknowledged_bytes
-        is_late = now_ms - connection.sent_ms >= UNANSWERED_MS
+        is_late = limit_ms == UNANSWERED_MS
         if connection.relayed_by is not None:
             if is_late and not acknowledged:
                 self.peers.drop(connection.relayed_by)
@@ -220,8 +232,9 @@
         """
         instance = endpoint.instance
         since_ms = self._now_ms() - (CONFIRMED_MS if periodic else 0)
-        attempt = asyncio.create_task(self._direct.open(endpoint, CHECK_TIMEOUT_MS, check=True))
-        await asyncio.wait([attempt], timeout=ASK_PEERS_AFTER_MS / 1000)
+        timeout_ms = extend_for_lag(CHECK_TIMEOUT_MS)
+        attempt = asyncio.create_task(self._direct.open(endpoint, timeout_ms, check=True))
+        await asyncio.wait([attempt], timeout=extend_for_lag(ASK_PEERS_AFTER_MS) / 1000)
         asking = None
         if not attempt.done():
             asking = asyncio.create_task(self.peers.find_reaching(instance, since_ms))
@@ -265,7 +278,7 @@
 
     async def _probe(self, endpoint: ServiceEndpoint) -> bool:
         opened = await self._direct.open(
-            endpoint, PROBE_TIMEOUT_MS, check=True, record_failure=False
+            endpoint, extend_for_lag(PROBE_TIMEOUT_MS), check=True, record_failure=False
         )
         if isinstance(opened, EndpointConnection):
             self._direct.release(endpoint, opened)
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding import plain_core
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.permits import UNCOUNTED_PERMIT, Permit
@@ -173,8 +174,8 @@
 
     async def _exchange_with(self, endpoint: ServiceEndpoint, wait_ms: int) -> AnswerHead:
         node, job = self._node, self._job
-        until_ms = node.now_ms() + wait_ms
         left_ms = job.deadline_at_ms - node.now_ms()
+        until_ms = node.now_ms() + min(left_ms, extend_for_lag(wait_ms))
         self._exchange = await node.calls.send(endpoint, job.request, left_ms)
         self._body.attach(self._exchange)
         self._head = await self._exchange.head(max(1, until_ms - node.now_ms()))
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -6,6 +6,7 @@
 import anyio
 import attrs
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.node_choice import NodeChoice
 from saffronworks.forwarding.planning.messages import (
     LiveRun,
@@ -143,9 +144,10 @@
             if elapsed_ms >= ask.patience_ms:
                 return MemoryRefusal(ask.request_id, 0)
             self._send(planner, _update_times(ask, elapsed_ms))
-            answer = await self._next_answer(ask.request_id, PLANNER_SILENT_MS)
+            limit_ms = extend_for_lag(PLANNER_SILENT_MS)
+            answer = await self._next_answer(ask.request_id, limit_ms)
             if answer is None:
-                self._avoid(planner, ask)
+                self._avoid(planner, ask, limit_ms)
                 return None
             self.choice.record_answer(planner)
             self._answered_ms[planner] = self._now_ms()
@@ -165,7 +167,9 @@
         asked_ms = self._now_ms()
         while True:
             silent_ms = self._now_ms() - max(asked_ms, self._answered_ms.get(planner, 0))
-            left_ms = min(RESEND_MS - silent_ms, asked_ms + MAX_RESEND_MS - self._now_ms())
+            left_ms = min(
+                extend_for_lag(RESEND_MS) - silent_ms, asked_ms + MAX_RESEND_MS - self._now_ms()
+            )
             if left_ms <= 0:
                 return None
             answer = await self._next_answer(request_id, left_ms)
@@ -176,7 +180,7 @@
         assert self._kernel is not None
         return self._kernel.now_ms()
 
-    async def _next_answer(self, request_id: str, limit_ms: int) -> _Answer | None:
+    async def _next_answer(self, request_id: str, limit_ms: float) -> _Answer | None:
         """Return the latest answer, since it supersedes the earlier ones; None after the limit."""
         if not self._answers[request_id]:
             self._arrived[request_id] = anyio.Event()
@@ -185,14 +189,14 @@
         answers, self._answers[request_id] = self._answers[request_id], []
         return answers[-1] if answers else None
 
-    def _avoid(self, planner: str, ask: MemoryAsk) -> None:
+    def _avoid(self, planner: str, ask: MemoryAsk, limit_ms: float) -> None:
         assert self._kernel is not None
         avoided_ms = self.choice.avoid(planner, self._kernel.now_ms())
         logger.info(
             "event=planner_silent request=%s planner=%s after_ms=%d avoided_ms=%d",
             ask.request_id,
             planner,
-            PLANNER_SILENT_MS,
+            limit_ms,
             avoided_ms,
         )
 
@@ -271,7 +275,7 @@
 
         The planner ejects the endpoint of a stalled run for all nodes.
         """
-        quiet_ms = now_ms - run.made_ms
+        quiet_ms = max(0, now_ms - run.made_ms - int(extend_for_lag(0)))
         # Asked early, as it may take a check of the path until it is proven.
         if quiet_ms < SILENT_RUN_MS or self._is_path_proven(run.instance, quiet_ms):
             return quiet_ms
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.buffered_answers import AnswerBuffers, TrackedBody
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
@@ -183,7 +184,9 @@
         self.origins.certainty.record_break(endpoint, broken.cause)
         if not short_wait:
             site = await self.calls.find_fault_site(endpoint, broken)
-        if site is not FaultSite.PATH:
+        # A silence while this node was late itself tells nothing of the endpoint.
+        own_lag = broken.cause is ExchangeErrorCause.SILENT and extend_for_lag(0) > 0
+        if site is not FaultSite.PATH and not own_lag:
             load = self.loads.of(endpoint.instance)
             load.record_failure(self.now_ms(), broken.unreachable)
         logger.info(
--- a/saffronworks/forwarding/shares/shared_limit.py
+++ b/saffronworks/forwarding/shares/shared_limit.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.node_choice import NodeChoice
 from saffronworks.forwarding.shares import entry, holder
 from saffronworks.forwarding.shares.allowances import Allowances
@@ -101,7 +102,7 @@
         self._pending[ask.ask_id] = anyio.Event()
         self._send_message(node, ask)
         try:
-            with anyio.move_on_after(HOLDER_TIMEOUT_MS / 1000):
+            with anyio.move_on_after(extend_for_lag(HOLDER_TIMEOUT_MS) / 1000):
                 await self._pending[ask.ask_id].wait()
             return self._answers.pop(ask.ask_id, None)
         finally:
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.clocks import monotonic_ms, wall_ms
+from saffronworks.clocks import extend_for_lag, monotonic_ms, wall_ms
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
@@ -213,7 +213,7 @@
         exchange = await self._start(endpoint, request, left_ms, [("Stage", Role.PREFILL.value)])
         try:
             head = await exchange.head(left_ms)
-            body = await exchange.connection.body(CALL_TIMEOUT_MS)
+            body = await exchange.connection.body(extend_for_lag(CALL_TIMEOUT_MS))
         finally:
             exchange.end()
         if not head.success:
@@ -381,8 +381,9 @@
         )
         try:
             connection.send(_join(_add_relay(lines, connection, relay), content), None)
-            head = await self.paths.read_head(endpoint, connection, CALL_TIMEOUT_MS)
-            reply = await connection.body(CALL_TIMEOUT_MS)
+            limit_ms = extend_for_lag(CALL_TIMEOUT_MS)
+            head = await self.paths.read_head(endpoint, connection, limit_ms)
+            reply = await connection.body(limit_ms)
         finally:
             connector.release(endpoint, connection)
         # Only answers to requests can end a rate limit.
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -26,6 +26,17 @@
     When all of them take 50 ms longer for a while, and then time out
     Then the link is found full until they take as long as before
 
+  # Guards against a late node that takes its own lag for the silence of endpoints and other nodes:
+  # each check, repeat and hedge costs more of the processor time that it lacks.
+
+  Scenario: limits for replies are longer on a node that is late
+    Then turns of 50 ms extend them by those that a reply needs, for up to a second
+    And turns of the usual length, and one of a suspended process, extend them by little
+
+  Scenario: a node that is late itself repeats no request and suspects no path
+    When turns of a node's event loop take 40 ms while it serves requests
+    Then each request is sent once, all are answered, and no path is in doubt
+
   Scenario: connections to an overloaded node
     When the event loop of a node is blocked again and again while many connections come
     Then most new connections are closed unread, and one is taken every quarter of a second
