Serve connections on that were open before an overload

Cause: the gate closed connections after their answers by the length of turns, whoever made them long.

Fix: only connections that were accepted since the overload began close with their answers, while a resource is short. Scenario: 15 of 15 requests on the kept connection are served, and gaps between accepted ones are .4 s at most again.

--- a/saffronworks/loop_meter.py
+++ b/saffronworks/loop_meter.py
@@ -14,8 +14,6 @@
 # from which a turn counts.
 REPLY_TURNS = 4
 LONG_TURN_MS = 5.0
-# Weight of the newest turn in the moving average.
-TURN_WEIGHT = 0.1
 
 
 @attrs.define
@@ -30,8 +28,6 @@
     busy_ms: float = 0.0
     # End of the last wait for events.
     idle_ms: float = 0.0
-    # Moving average of the turns.
-    mean_turn_ms: float = 0.0
     _turn_began_ms: float = 0.0
     _wait_began_ms: float = 0.0
     _span_began_ms: float = 0.0
@@ -43,7 +39,6 @@
         if self._turn_began_ms:
             turn_ms = min(MAX_TURN_MS, now_ms - self._turn_began_ms)
             self.busy_ms += turn_ms
-            self.mean_turn_ms += TURN_WEIGHT * (turn_ms - self.mean_turn_ms)
             self._shift_span(now_ms)
             self._longest_ms = max(self._longest_ms, turn_ms)
         self._wait_began_ms = now_ms
--- a/saffronworks/overload/gate.py
+++ b/saffronworks/overload/gate.py
@@ -21,10 +21,6 @@
 CHECK_INTERVAL_S = 0.25
 # Longest time that packets may wait at the link; each request takes several round trips.
 MAX_LINK_QUEUE_MS = 20.0
-# If turns of the event loop take this long on average, and there has been no pause for
-# `KEPT_OVERLOAD_MS`, the requests of kept connections alone exceed what the node can serve.
-KEPT_OVERLOAD_TURN_MS = 25.0
-KEPT_OVERLOAD_MS = 1000.0
 
 
 class Resource(enum.StrEnum):
@@ -56,6 +52,9 @@
         self._meter = meter
         self._now_ms = now_ms
         self._accepted_ms = 0
+        # Times at which the open connections were accepted.
+        self._accepted_at_ms: dict[int, int] = {}
+        self._began_ms = 0
         self._rejected_ms: int | None = None
         self._rejected_before = 0
         self._overloaded = asyncio.Event()
@@ -67,7 +66,7 @@
         if lacks is not None and now_ms - self._accepted_ms < MIN_ACCEPT_INTERVAL_MS:
             self._record_rejected(lacks, now_ms)
             return False
-        self._accepted_ms = now_ms
+        self._accepted_ms = self._accepted_at_ms[key] = now_ms
         self._queue.add(key, now_ms)
         return True
 
@@ -88,19 +87,19 @@
 
     def close(self, key: int) -> None:
         """Record that a connection was closed."""
+        self._accepted_at_ms.pop(key, None)
         self._queue.close(key)
 
-    @property
-    def closes_kept(self) -> bool:
-        """Whether callers have to open a new connection after each answer.
+    def closes(self, key: int) -> bool:
+        """Return whether a connection is to be closed after its next answer.
 
-        Otherwise the requests of kept connections, which the gate does not see, may fill the node.
+        Requests on open connections are not seen by the gate, so those that were accepted during an
+        overload come through it again. Connections that were open before are served on.
         """
-        now_ms = self._now_ms()
-        if not self._link_has_room(now_ms):
-            return True
-        busy_for_ms = self._meter.busy_for_ms(now_ms)
-        return busy_for_ms >= KEPT_OVERLOAD_MS and self._meter.mean_turn_ms > KEPT_OVERLOAD_TURN_MS
+        if not self._overloaded.is_set():
+            return False
+        accepted_ms = self._accepted_at_ms.get(key, 0)
+        return accepted_ms > self._began_ms and self._find_shortage(self._now_ms()) is not None
 
     def _find_shortage(self, now_ms: int) -> Resource | None:
         if not self._queue.has_room(now_ms, self._meter.idle_ms):
@@ -122,6 +121,7 @@
         self._rejected_ms = now_ms
         if self._overloaded.is_set():
             return
+        self._began_ms = now_ms
         self._overloaded.set()
         logger.warning(
             "event=overloaded lacks=%s waiting=%d backlog_ms=%d cost_ms=%.1f turn_ms=%d "
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -234,15 +234,17 @@
 class Ingress:
     """Decodes callers' requests and passes them to the forwarder."""
 
-    def __init__(self, forwarder: Forwarder, closes: Callable[[], bool], now_ms: Callable[[], int]):
+    def __init__(
+        self, forwarder: Forwarder, closes: Callable[[int], bool], now_ms: Callable[[], int]
+    ):
         self._forwarder = forwarder
-        # Whether the connection of a request that arrives now is closed after the answer.
+        # Whether a connection is closed after the answer to a request that arrives now.
         self._closes = closes
         self._now_ms = now_ms
 
     async def handle(self, call: Call) -> None:
         """Serve one request of a caller."""
-        reply = CallerConnectionReply(call, self._closes())
+        reply = CallerConnectionReply(call, self._closes(call.connection_number))
         header_bytes = count_field_bytes(call.fields)
         if header_bytes > self._limits().header_bytes:
             logger.info("event=bad_request reason=header-too-large bytes=%d", header_bytes)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -154,7 +154,7 @@
         )
         self._state = self._make_state(settings, link)
         self._forwarder = Forwarder(self._state, monotonic_ms())
-        self._ingress = Ingress(self._forwarder, self._closes_connections, monotonic_ms)
+        self._ingress = Ingress(self._forwarder, self._closes_connection, monotonic_ms)
         self._register()
         self._followers = self._make_followers(settings, rng)
         self._census = Census(
@@ -387,9 +387,9 @@
         """Begin a graceful shutdown."""
         self._stopping.set()
 
-    def _closes_connections(self) -> bool:
-        """Return whether callers' connections are closed after the answers that begin now."""
-        return self._stopping.is_set() or self._gate.closes_kept
+    def _closes_connection(self, number: int) -> bool:
+        """Return whether a caller's connection is closed after an answer that begins now."""
+        return self._stopping.is_set() or self._gate.closes(number)
 
     def ready(self) -> bool:
         """Return whether this node can serve callers."""
