Soak: surges of new connections at one node, and the slack that its promise assumes

The soak knew no surge: its callers keep their connections, so no node was ever offered more than it can serve, and requests at a node cost too little to overload it. Now 200 new connections a second come to one node twice a soak, each request takes 6 ms of processor time more, and surged_serve compares the share that the node serves of what it reads with the other nodes' (tested both ways).

extra_sends_bounded had always passed for another reason: it assumes a slack of 40, and the nodes' settings had 2,000. The settings have 40 now.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -32,6 +32,7 @@
       | came long after its endpoint said that it drains | draining_get_nothing     |
       | came again and again in a pause of its endpoint | pauses_hold               |
       | failed like many others as the paths of its node were cut | partitioned_serve |
+      | failed like many others that its node read in a surge | surged_serve       |
       | has events of two versions in one answer       | one_version_each          |
       | was resumed at another version                 | one_version_each          |
       | was refused like many others that were resumed | resumed_go_on             |
@@ -47,6 +48,7 @@
       | came twice in a pause of its endpoint                   |
       | failed right after the paths of its node were cut       |
       | failed as the paths of all nodes were cut               |
+      | was one of few that failed of those read in a surge     |
       | was served                                              |
       | was resumed at its version                              |
       | was resumed while one endpoint of its version served    |
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -26,6 +26,7 @@
     Records,
     Rejected,
     Served,
+    Surged,
 )
 from saffronworks.tests.soak.runs import run_soak
 
@@ -61,6 +62,7 @@
         *(("EndpointPartition", kind) for kind in faults.CUTS),
         ("StoreRestore", "restore"),
         ("ConfigChange", "config"),
+        ("Surge", "surge"),
         ("OrganisationChange", "organisations"),
         *(("SoftwareRelease", kind) for kind in faults.RELEASE_KINDS),
     }
@@ -248,6 +250,22 @@
             records.asked[name] = asked
 
 
+def surged(records, served):
+    """A surge comes to node 0, which serves so many of the 30 requests that it reads."""
+    from_ms = SENT_MS + 100
+    records.surges.append(Surged(0, from_ms, from_ms + 3000))
+    records.calm_from_ms = from_ms + 4000
+    kinds = [(0, "surge", 200 if number < served else 503) for number in range(30)]
+    for number, (node, kind, status) in enumerate([*kinds, (1, "again", 200)]):
+        name, at_ms = f"s{number}", from_ms + 1000 + number
+        asked = Asked(name, kind, node, at_ms, 1000, "answered", status, name.encode(), True)
+        asked.ended_ms = at_ms + 10
+        records.asked[name] = asked
+    calm = attrs.evolve(records.asked["s30"], request_id="s31", body=b"s31")
+    calm.at_ms, calm.ended_ms = from_ms + 5000, from_ms + 5010
+    records.asked["s31"] = calm
+
+
 def resumed(records, count=1, version="v1", status=200, endpoints=("e1", "e2")):
     """Callers lose their streams, and resume them at another node, so many of them."""
     records.served = [Served(name, "v1", 0.0) for name in endpoints]
@@ -307,6 +325,14 @@
         "once",
         lambda seen: cut_off(seen, 11, nodes=(0, 1)),
     ),
+    "failed like many others that its node read in a surge": (
+        "once",
+        lambda seen: surged(seen, 22),
+    ),
+    "was one of few that failed of those read in a surge": (
+        "once",
+        lambda seen: surged(seen, 23),
+    ),
     "has events of two versions in one answer": ("res", two_versions_in_one),
     "was resumed at another version": ("res", lambda seen: resumed(seen, version="v2")),
     "was resumed at its version": ("res", lambda seen: resumed(seen, 12)),
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -20,6 +20,7 @@
     "SoftwareRelease",
     "StoreFault",
     "StoreRestore",
+    "Surge",
     "draw_deadly",
     "draw_faults",
 ]
@@ -47,6 +48,8 @@
 PAUSES_S = (1.5, 3.0, 4.0)
 # How long nodes have no paths to endpoints; they must serve their callers after a second.
 PARTITION_SHORTEST_MS, PARTITION_LONGEST_MS = 3000, 6000
+# How long most new connections come to one node.
+SURGE_SHORTEST_MS, SURGE_LONGEST_MS = 2000, 4000
 CUTS = ("hang", "reset", "refuse new", "one way")
 # How an engine gets another version of its software.
 RELEASE_KINDS = ("replace", "restart")
@@ -83,6 +86,8 @@
     # Number of software versions of the engines, and of releases while streams run.
     versions: int = 2
     releases: int = 3
+    # Number of times that most new connections come to one node.
+    surges: int = 2
 
 
 @attrs.frozen
@@ -151,6 +156,10 @@
     count: int = 1
 
 
+class Surge(Fault):
+    """Callers open more new connections to one node than it can serve."""
+
+
 @attrs.frozen
 class SoftwareRelease(Fault):
     """An engine is replaced by one of another version, or restarts under its name with it."""
@@ -194,6 +203,7 @@
     struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
     struck += _draw_advertised(seed, shape) + _draw_restores(seed, shape)
     struck += _draw_partitions(seed, shape) + _draw_releases(seed, shape)
+    struck += _draw_surges(seed, shape)
     return sorted(struck, key=lambda fault: fault.at_ms)
 
 
@@ -255,6 +265,19 @@
     ]
 
 
+def _draw_surges(seed: int, shape: Shape) -> list[Fault]:
+    rng = random.Random(f"{seed}/surges")
+    return [
+        Surge(
+            rng.randrange(shape.faults_ms),
+            rng.randint(SURGE_SHORTEST_MS, SURGE_LONGEST_MS),
+            "surge",
+            rng.randrange(1000),
+        )
+        for _ in range(shape.surges)
+    ]
+
+
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
     """Return the rate limits, which end before the last fault does."""
     rng = random.Random(f"{seed}/limits")
--- a/saffronworks/tests/soak/node_main.py
+++ b/saffronworks/tests/soak/node_main.py
@@ -1,6 +1,7 @@
 """A node's program whose connections to endpoints go to a loopback host of its own.
 
 Its first argument is that host. Proxies there can cut the paths of one node; see `path_proxies`.
+Requests take some processor time more, so that a surge overloads a node.
 """
 
 import sys
@@ -9,6 +10,8 @@
 
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.platform.__main__ import main
+from saffronworks.tests.soak.surges import WORK_MS
+from saffronworks.tests.surge_node_main import add_work
 from saffronworks.web import parse_address
 
 
@@ -27,4 +30,5 @@
 
 if __name__ == "__main__":
     dial_over(sys.argv.pop(1))
+    add_work(WORK_MS)
     main()
--- a/saffronworks/tests/soak/organisations.py
+++ b/saffronworks/tests/soak/organisations.py
@@ -86,7 +86,7 @@
 
 
 def _cost(asked: Asked) -> int:
-    return PLAIN_TOKENS if asked.kind in ("once", "again", "moved") else GENERATION_TOKENS
+    return PLAIN_TOKENS if asked.kind in ("once", "again", "moved", "surge") else GENERATION_TOKENS
 
 
 def quotas_hold(records: Records) -> list[str]:
--- a/saffronworks/tests/soak/processes.py
+++ b/saffronworks/tests/soak/processes.py
@@ -12,10 +12,12 @@
 from saffronworks.tests.soak.organisations import QUOTA_BOUNDS
 from saffronworks.tests.soak.path_proxies import path_host
 
-__all__ = ["GRACE_S", "NodeProcess"]
+__all__ = ["GRACE_S", "RETRY_SLACK", "NodeProcess"]
 
 GRACE_S = 8
 POLL_S = 0.05
+# Repeats that all nodes together may add in a window, beside a share of the requests.
+RETRY_SLACK = 40
 
 
 class NodeProcess:
@@ -33,7 +35,7 @@
             zone=f"z{number % 2}",
             listen={"front": self.caller_address, "ready": self.probe_address},
             port_range=free_port_range(),
-            bounds=BOUNDS | QUOTA_BOUNDS,
+            bounds=BOUNDS | QUOTA_BOUNDS | {"retry_slack": RETRY_SLACK},
         )
         self._settings.write_text(text)
         self._process = None
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -7,12 +7,14 @@
     STREAM_KINDS,
 )
 from saffronworks.tests.soak.organisations import HOT, quotas_hold
+from saffronworks.tests.soak.processes import RETRY_SLACK
 from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Partition, Records
 from saffronworks.tests.soak.stream_promises import (
     is_whole_stream,
     one_version_each,
     resumed_go_on,
 )
+from saffronworks.tests.soak.surges import surged_serve
 
 __all__ = ["check_all"]
 
@@ -21,7 +23,7 @@
 CONFIG_APPLY_MS = 2000
 DRAIN_MS = 2000
 CONTACT_MS = 3000
-RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS = 0.2, 40, 10_000
+RETRY_RATIO, RETRY_WINDOW_MS = 0.2, 10_000
 # A scheduler's pause and the way through two proxies.
 SLACK_MS = 500
 # A caller's close is seen, and its run ended, within this time.
@@ -67,6 +69,7 @@
         _draining_get_nothing,
         _pauses_hold,
         _partitioned_serve,
+        _surged_serve,
         one_version_each,
         _resumed_go_on,
     )
@@ -423,6 +426,10 @@
     return any(_undisturbed(records, node, cut.from_ms, cut.to_ms) for node in nodes)
 
 
+def _surged_serve(records: Records) -> list[str]:
+    return surged_serve(records, _undisturbed)
+
+
 def _partitioned_serve(records: Records) -> list[str]:
     """Nodes without paths to endpoints serve first attempts of callers through the others."""
     found = []
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -13,6 +13,7 @@
     "Records",
     "Rejected",
     "Served",
+    "Surged",
 ]
 
 ALL_NODES = -1
@@ -27,7 +28,8 @@
     node: int
     at_ms: float
     deadline_ms: int
-    # "answered", "broken" (no whole answer), "left" (the caller closed) or "" (nothing yet).
+    # "answered", "broken" (no whole answer), "left" (the caller closed), "unread" (closed without
+    # any answer) or "" (nothing yet).
     outcome: str = ""
     status: int = 0
     body: bytes = b""
@@ -116,6 +118,15 @@
     to_ms: float
 
 
+@attrs.frozen
+class Surged:
+    """Most new connections came to this node."""
+
+    node: int
+    from_ms: float
+    to_ms: float
+
+
 @attrs.define
 class Records:
     """Everything seen, plus when what was done to whom."""
@@ -145,6 +156,7 @@
     # When an endpoint ended under the crashing part.
     part_ends_ms: list[float] = attrs.Factory(list)
     partitions: list[Partition] = attrs.Factory(list)
+    surges: list[Surged] = attrs.Factory(list)
     # When decode endpoints served, by endpoint: the last span of each may be open.
     served: list[Served] = attrs.Factory(list)
     calm_from_ms: float = 0.0
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -14,7 +14,7 @@
 from saffronworks.tests.soak import faults
 from saffronworks.tests.soak.endpoints import Endpoint
 from saffronworks.tests.soak.faults import Fault
-from saffronworks.tests.soak.organisations import Organisations
+from saffronworks.tests.soak.organisations import WIDE_CALLER, Organisations, holder_of
 from saffronworks.tests.soak.outside_writes import WRITE_AGAIN_MS, OutsideWrites
 from saffronworks.tests.soak.path_proxies import PathProxy
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
@@ -27,6 +27,7 @@
     Records,
     Served,
 )
+from saffronworks.tests.soak.surges import send_surge
 
 __all__ = ["SoakSite"]
 
@@ -204,6 +205,9 @@
                 await self._restore_store(fault)
             case faults.EndpointPartition():
                 await self._partition_nodes(fault)
+            case faults.Surge():
+                whose = holder_of(WIDE_CALLER) if self.organisations else None
+                await send_surge(self, fault.target % len(self.nodes), fault.for_ms, whose)
             case faults.OrganisationChange():
                 self._change_organisations()
             case faults.ConfigChange():
