Keep the list of hop-by-hop header fields once

Left by the review of the relays: three modules had a list of their own. The sets are the same as before (compared field by field).

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -10,6 +10,7 @@
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.paths.messages import (
     RELAY_FIELD,
     Reach,
@@ -32,19 +33,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Fields that concern only the connection they arrive on.
-_HOP_BY_HOP = frozenset(
-    [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ]
-)
+_HOP_BY_HOP = HOP_BY_HOP_FIELDS | {"proxy-connection"}
 _BAD_GATEWAY = 502
 
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -14,6 +14,7 @@
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
+from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -51,19 +52,7 @@
 _MISDIRECTED = 421
 _ORDER_ACCEPTED = (200, 202)
 # Header fields of an answer that are hop-by-hop or addressed to this node only.
-_DROPPED_FIELDS = frozenset(
-    [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        NOT_EXECUTED_FIELD,
-        INSTANCE_FIELD,
-    ]
-)
+_DROPPED_FIELDS = HOP_BY_HOP_FIELDS | {NOT_EXECUTED_FIELD, INSTANCE_FIELD}
 
 
 @attrs.frozen
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -8,6 +8,7 @@
 
 from saffronworks.field_numbers import read_decimal, read_whole, shorten
 from saffronworks.forwarding.forwarder import Forwarder
+from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
 from saffronworks.forwarding.ports import AnswerBody
@@ -24,22 +25,13 @@
 DEFAULT_DEADLINE_MS = 30_000
 # Bytes of a header field besides its name and value: colon, space, CR and LF.
 FIELD_OVERHEAD_BYTES = 4
-_CONNECTION_FIELDS = frozenset(
-    [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-        "host",
-        "content-length",
-    ]
-)
+_CONNECTION_FIELDS = HOP_BY_HOP_FIELDS | {
+    "proxy-authorization",
+    "proxy-connection",
+    "expect",
+    "host",
+    "content-length",
+}
 # The caller's API key; never forwarded to a server.
 _API_KEY_FIELD = "key"
 _HEX_DIGITS = frozenset("0123456789abcdef")
