Take failed connections for no sign of a full link, and extend no long timeout

A node whose paths to endpoints are cut closed connections unread (8 of 92 in two scenarios of endpoint_partition, which failed): connections that timed out counted as slow ones, and so as a full link. And requests that no node can serve were refused after 1.01 to 1.09 s, with a bound of 1 s: a connection's timeout of 600 ms was extended by the node's own lag, which it covers anyway.

Now only connections that succeed are compared, and a connection's timeout is at least that of a check and the lag.

--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -12,7 +12,11 @@
 from saffronworks.forwarding.paths.direct import DirectConnections
 from saffronworks.forwarding.paths.peer_calls import PeerCalls, PeerReach
 from saffronworks.forwarding.paths.table import Dial, PathTable
-from saffronworks.forwarding.paths.tuning import CONFIRMED_MS, RELAY_AFTER_MS
+from saffronworks.forwarding.paths.tuning import (
+    CHECK_TIMEOUT_MS,
+    CONFIRMED_MS,
+    RELAY_AFTER_MS,
+)
 from saffronworks.forwarding.starts import StartId
 
 __all__ = ["Connector"]
@@ -73,7 +77,9 @@
             self._peers.release(connection)
 
     async def _open_direct(self, endpoint: ServiceEndpoint, timeout_ms: float) -> _Opened:
-        opened = await self._direct.open(endpoint, extend_for_lag(timeout_ms))
+        # The timeout of a path that is not in doubt is long enough for a late node as well.
+        limit_ms = max(timeout_ms, extend_for_lag(CHECK_TIMEOUT_MS))
+        opened = await self._direct.open(endpoint, limit_ms)
         return opened if isinstance(opened, EndpointConnection) else None
 
     async def _race(self, endpoint: ServiceEndpoint, dial: Dial) -> _Opened:
--- a/saffronworks/forwarding/paths/direct.py
+++ b/saffronworks/forwarding/paths/direct.py
@@ -38,21 +38,16 @@
             connection = await self.pool.open(endpoint, timeout_ms)
         except OSError as error:
             self._log_failure(endpoint, error, began_ms)
-            if isinstance(error, TimeoutError):
-                self._record_delay(began_ms)
             if record_failure:
                 self._table.record_failed(endpoint.instance, self._now_ms())
                 self.log_changes()
             return error
-        self._record_delay(began_ms)
+        now_ms = self._now_ms()
+        self.delay.record(now_ms - began_ms, now_ms)
         self._table.record_opened(endpoint.instance, self._now_ms(), check)
         self.log_changes()
         return connection
 
-    def _record_delay(self, began_ms: int) -> None:
-        now_ms = self._now_ms()
-        self.delay.record(now_ms - began_ms, now_ms)
-
     def _log_failure(self, endpoint: ServiceEndpoint, error: OSError, began_ms: int) -> None:
         now_ms = self._now_ms()
         logger.info(
--- a/saffronworks/overload/connect_delay.py
+++ b/saffronworks/overload/connect_delay.py
@@ -18,7 +18,8 @@
     """How much longer new connections take than they did before.
 
     A full link delays all of them, in either direction; an endpoint that is slow or far away delays
-    its own alone. So the shortest times are compared.
+    its own alone. So the shortest times are compared. Connections that fail are no sign: the path
+    to their endpoints may be cut.
     """
 
     _recent: deque[tuple[int, float]] = attrs.Factory(deque)
