--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -215,7 +215,7 @@
             settings.retry_slack,
             settings.retry_window_ms,
             nodes,
-            monotonic_ms(),
+            None if settings.first_start else monotonic_ms(),
         )
         figures = MetricsRecorder(settings.node)
         self._origins = StreamOrigins(
