Compare the time of a new connection with earlier ones to the same address

Found by reading the change: the shortest time over all endpoints was the measure of a link without a queue. Where the near endpoints of a service go and others further away are used, each connection takes longer, and a node would have closed new connections for up to a minute with an empty link. Now each address has its own shortest time, and a first connection to one is no sample (new step; the old code finds a queue of 59 ms there).

--- a/saffronworks/forwarding/paths/direct.py
+++ b/saffronworks/forwarding/paths/direct.py
@@ -43,8 +43,8 @@
                 self.log_changes()
             return error
         now_ms = self._now_ms()
-        self.delay.record(now_ms - began_ms, now_ms)
-        self._table.record_opened(endpoint.instance, self._now_ms(), check)
+        self.delay.record(endpoint.address, now_ms - began_ms, now_ms)
+        self._table.record_opened(endpoint.instance, now_ms, check)
         self.log_changes()
         return connection
 
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -10,7 +10,6 @@
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError
-from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.paths.messages import (
     RELAY_FIELD,
     Reach,
@@ -27,6 +26,7 @@
     MAX_RELAYED_REQUESTS,
 )
 from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.web import BadBody, Call
 
 __all__ = ["RelayServer"]
--- a/saffronworks/overload/gate.py
+++ b/saffronworks/overload/gate.py
@@ -46,16 +46,17 @@
         now_ms: Callable[[], int],
     ):
         self.link = link
-        self._delay = delay
         self.rejected = 0
         self._queue = queue
+        self._delay = delay
         self._meter = meter
         self._now_ms = now_ms
-        self._accepted_ms = 0
+        self._last_accepted_ms = 0
+        self._last_rejected_ms = 0
         # Times at which the open connections were accepted.
-        self._accepted_at_ms: dict[int, int] = {}
+        self._accepted_ms: dict[int, int] = {}
+        # Start of the present overload, or of the last one.
         self._began_ms = 0
-        self._rejected_ms: int | None = None
         self._rejected_before = 0
         self._overloaded = asyncio.Event()
 
@@ -63,10 +64,10 @@
         """Return whether to accept the new connection `key`, and count it."""
         now_ms = self._now_ms()
         lacks = self._find_shortage(now_ms)
-        if lacks is not None and now_ms - self._accepted_ms < MIN_ACCEPT_INTERVAL_MS:
+        if lacks is not None and now_ms - self._last_accepted_ms < MIN_ACCEPT_INTERVAL_MS:
             self._record_rejected(lacks, now_ms)
             return False
-        self._accepted_ms = self._accepted_at_ms[key] = now_ms
+        self._last_accepted_ms = self._accepted_ms[key] = now_ms
         self._queue.add(key, now_ms)
         return True
 
@@ -87,7 +88,7 @@
 
     def close(self, key: int) -> None:
         """Record that a connection was closed."""
-        self._accepted_at_ms.pop(key, None)
+        self._accepted_ms.pop(key, None)
         self._queue.close(key)
 
     def closes(self, key: int) -> bool:
@@ -98,7 +99,7 @@
         """
         if not self._overloaded.is_set():
             return False
-        accepted_ms = self._accepted_at_ms.get(key, 0)
+        accepted_ms = self._accepted_ms.get(key, 0)
         return accepted_ms > self._began_ms and self._find_shortage(self._now_ms()) is not None
 
     def _find_shortage(self, now_ms: int) -> Resource | None:
@@ -118,7 +119,7 @@
     def _record_rejected(self, lacks: Resource, now_ms: int) -> None:
         self.rejected += 1
         self.link.reject(now_ms)
-        self._rejected_ms = now_ms
+        self._last_rejected_ms = now_ms
         if self._overloaded.is_set():
             return
         self._began_ms = now_ms
@@ -140,7 +141,7 @@
         """Log the end of each overload, until cancelled."""
         while True:
             await self._overloaded.wait()
-            while self._now_ms() - (self._rejected_ms or 0) < RECOVERED_MS:
+            while self._now_ms() - self._last_rejected_ms < RECOVERED_MS:
                 await asyncio.sleep(CHECK_INTERVAL_S)
             self._overloaded.clear()
             rejected = self.rejected - self._rejected_before
--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -10,6 +10,7 @@
 
 from saffronworks.bundles import Endpoint, PlainRoute
 from saffronworks.completions import OUTCOME_HEADER, error_body
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.web import Call
 
 __all__ = ["PlainLoad", "PlainOutcome", "PlainProxy", "choose_plain"]
@@ -23,19 +24,7 @@
 REPLAY_BYTES = 65_536
 CLOSED_MS = 2000
 TIMEOUTS = {"connect": 1.0, "read": 30.0, "write": 30.0, "pool": 2.0}
-_HOP_HEADERS = frozenset(
-    [
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-    ]
-)
+_HOP_HEADERS = HOP_BY_HOP_FIELDS | {"host", "content-length"}
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -14,7 +14,6 @@
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
-from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -31,6 +30,7 @@
     CALL_TIMEOUT_MS,
     CONNECT_TIMEOUT_MS,
 )
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.platform.answer_fields import (
     ID_FIELD,
     INSTANCE_FIELD,
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -8,12 +8,12 @@
 
 from saffronworks.field_numbers import read_decimal, read_whole, shorten
 from saffronworks.forwarding.forwarder import Forwarder
-from saffronworks.forwarding.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.platform.calls import ID_FIELD
 from saffronworks.web import BadBody, Call
 
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -25,6 +25,7 @@
     Given connections to endpoints that take 1 to 4 ms, and one endpoint that takes 200 ms
     When all of them take 50 ms longer for a while
     Then the link is found full until they take as long as before, or none succeeds
+    And endpoints further away that are used from now on show nothing
 
   # Guards against a late node that takes its own lag for the silence of endpoints and other nodes:
   # each check, repeat and hedge costs more of the processor time that it lacks.
--- a/saffronworks/tests/features/steps/overload_steps.py
+++ b/saffronworks/tests/features/steps/overload_steps.py
@@ -152,7 +152,7 @@
     for number in range(for_ms // CONNECT_EVERY_MS):
         context.now_ms += CONNECT_EVERY_MS
         took_ms = 200 if number % 5 == 4 else 1 + number % 4
-        context.delay.record(took_ms + longer_ms, context.now_ms)
+        context.delay.record(f"e{number % 5}", took_ms + longer_ms, context.now_ms)
         found.append(context.delay.queue_ms(context.now_ms))
     return found
 
@@ -171,6 +171,14 @@
     assert context.delay.queue_ms(context.now_ms) == 0
 
 
+@then("endpoints further away that are used from now on show nothing")
+def further_away(context):
+    for _ in range(50):
+        context.now_ms += CONNECT_EVERY_MS
+        context.delay.record("far", 60, context.now_ms)
+        assert context.delay.queue_ms(context.now_ms) == 0
+
+
 def _turns(meter, now_ms, turn_ms, count):
     """Record turns of the same length without a pause; return the time after them."""
     for _ in range(count):
