--- a/saffronworks/tests/features/steps/store_restore_steps.py
+++ b/saffronworks/tests/features/steps/store_restore_steps.py
@@ -152,7 +152,7 @@
             return sum(kind == NODE_KIND for kind, _ in store.objects)
 
         def counted():
-            return [node._state.budget.nodes for node in place.nodes]
+            return [node._listed_nodes for node in place.nodes]
 
         assert await wait_until(lambda: entered() == 3 and counted() == [3, 3, 3], 15)
         copy_revision, copy = store.snapshot()
