Hold no backlog against a node whose requests have all ended

A caller that asks on a new connection as soon as it is answered could be rejected, where the event loop made no pause between: the backlog was taken off by time or at a pause, and neither knew that all requests had ended. Now no backlog is left when no request is open.

--- a/saffronworks/overload/request_cost.py
+++ b/saffronworks/overload/request_cost.py
@@ -46,6 +46,11 @@
     def _begin_calm(self) -> float:
         return self.mean_ms
 
+    @property
+    def any_open(self) -> bool:
+        """Return whether a request has begun and not ended."""
+        return self._open > 0
+
     def begin(self, now_ms: float, busy_ms: float) -> None:
         """Record that a request begins; measures the gap without requests before it."""
         self._open += 1
--- a/saffronworks/overload/start_queue.py
+++ b/saffronworks/overload/start_queue.py
@@ -49,9 +49,9 @@
     def backlog_ms(self, now_ms: float, idle_ms: float) -> float:
         """Return the time that the event loop still needs for what was read.
 
-        After a pause only requests are left that had not arrived then.
+        After a pause, or when all requests have ended, only those are left that had not arrived.
         """
-        if idle_ms >= self._drained_ms:
+        if idle_ms >= self._drained_ms or not self.cost.any_open:
             self._backlog = len(self)
         self._backlog = max(0.0, self._backlog - (now_ms - self._drained_ms) / self.cost.mean_ms)
         self._drained_ms = now_ms
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -15,6 +15,7 @@
     Given event loops on which a request takes 2, 6 and 50 ms, some with half of their processor
     When they are offered 0.8 of what they can serve, and bursts of connections at once
     Then nothing is rejected
+    And a caller that asks again as soon as it is answered is never rejected
 
   Scenario: a node whose link is full
     When a node reads requests that send more than its link can carry
--- a/saffronworks/tests/features/steps/overload_steps.py
+++ b/saffronworks/tests/features/steps/overload_steps.py
@@ -99,6 +99,20 @@
     assert not any(loop.rejected for loop in context.surges), context.surges
 
 
+@then("a caller that asks again as soon as it is answered is never rejected")
+def one_by_one(context):
+    now_ms, queue = 1000.0, StartQueue(RequestCost(60.0))
+    for number in range(50):
+        assert queue.has_room(now_ms, idle_ms=0.0), number
+        queue.add(number, now_ms)
+        queue.begin(number)
+        queue.cost.begin(now_ms, now_ms)
+        now_ms += 5
+        queue.send_on(number)
+        queue.cost.send_on(now_ms, now_ms)
+        queue.cost.end(now_ms, now_ms)
+
+
 @when("a node reads requests that send more than its link can carry")
 def full_link(context):
     context.link = LinkBudget(bytes_per_ms(10.0))
