--- a/review/standins/place.py
+++ b/review/standins/place.py
@@ -3,17 +3,19 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import IO, Any
 
 from store import Store
-from wire import Answer, call
+from wire import Answer, ClientConnection, call
 
 ROOT = Path(__file__).resolve().parents[2]
 SERVER = Path(__file__).resolve().parent / "server.py"
@@ -72,28 +74,34 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return different free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+_given: set[int] = set()
 
 
 def free_range(count: int) -> list[int]:
-    """Return the first and the last of `count` successive free ports."""
+    """Return the first and the last of `count` successive free ports of the loopback address.
+
+    They lie below the ports that the system gives to outgoing connections.
+    """
     while True:
-        first = free_ports(1)[0]
+        first = random.randrange(15_000, 32_000)
+        ports = range(first, first + count)
+        if not _given.intersection(ports) and all(_is_free(port) for port in ports):
+            _given.update(ports)
+            return [first, first + count - 1]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return different free ports of the loopback address."""
+    return [free_range(1)[0] for _ in range(count)]
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as each:
         try:
-            for port in range(first, first + count):
-                with socket.socket() as each:
-                    each.bind(("127.0.0.1", port))
-        except (OSError, OverflowError):
-            continue
-        return [first, first + count - 1]
+            each.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def route(name: str, prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
@@ -126,19 +134,21 @@
         self.record.flush()
 
     async def start_store(self) -> None:
-        """Start the store."""
-        await self.store.start(free_ports(1)[0])
+        """Start the store, with a port for the servers."""
+        self.store.start()
+        self._servers_store = await self.store.listen("servers", free_ports(1)[0])
 
     def start_server(self, name: str, service: str, *options: str, address: str = "") -> str:
         """Start a server process; returns its address."""
         address = address or f"127.0.0.1:{free_ports(1)[0]}"
         command = [sys.executable, str(SERVER), f"--name={name}", f"--service={service}"]
-        command += [f"--address={address}", f"--store={self.store.address}", *options]
+        command += [f"--address={address}", f"--store={self._servers_store}", *options]
         self._start(name, command, {})
         return address
 
-    def start_node(self, name: str, zone: str = "z1", first_start: bool = True) -> None:
+    async def start_node(self, name: str, zone: str = "z1", first_start: bool = True) -> None:
         """Start a node with the command of the deploy file."""
+        store_address = await self.store.listen(name, free_ports(1)[0])
         callers, probes, metrics = free_ports(3)
         self.callers[name] = f"127.0.0.1:{callers}"
         self._probes[name] = f"127.0.0.1:{probes}"
@@ -162,7 +172,7 @@
             "contracts": CONTRACTS,
             "bounds": BOUNDS,
             "platform": {
-                "address": self.store.address,
+                "address": store_address,
                 "form": "objects",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
@@ -190,6 +200,10 @@
         self.processes[name] = process
         self.note("started", process=name)
 
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status of a process, None while it runs."""
+        return self.processes[name].poll()
+
     def send(self, name: str, number: int) -> None:
         """Send a signal to a process that this one started."""
         self.note("signal", process=name, signal=signal.Signals(number).name)
@@ -238,6 +252,17 @@
         )
         return answer
 
+    async def ask_on(
+        self, connection: ClientConnection, path: str, request_id: str, limit_s: float = 14.0
+    ) -> Answer:
+        """Send one request on a kept connection, and record both."""
+        fields = {"Host": "h.example", "Request-Id": request_id}
+        fields |= {"Deadline-Ms": str(int(limit_s * 1000))}
+        self.note("sent", request=request_id, path=path)
+        answer = await connection.ask("POST", path, fields, b"", limit_s + 1.0)
+        self.note("answered", request=request_id, status=answer.status, whole=answer.whole)
+        return answer
+
     def server_log(self, name: str) -> list[dict[str, Any]]:
         """Return what a server has logged."""
         lines = (self.folder / f"{name}.log").read_text(encoding="utf-8").splitlines()
@@ -260,3 +285,25 @@
                     self.note("ran", server=name, request=entry["request"])
         self.record.close()
         self._temporary.cleanup()
+
+
+def run_case(folder: Path, play: Callable[[Place], Awaitable[int]], limit_s: float = 110) -> None:
+    """Run a case, write its record into its folder, and exit with its result."""
+
+    async def run() -> int:
+        try:
+            return await asyncio.wait_for(play(place), limit_s)
+        finally:
+            # Calls that are cut off at the end are no finding.
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+
+    place = Place(folder)
+    try:
+        result = asyncio.run(run())
+    except TimeoutError:
+        place.note("timeout")
+        result = 2
+    finally:
+        place.stop()
+    print(f"result {result}")
+    sys.exit(result)
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -13,6 +13,9 @@
 
 from wire import Request, call, reply, send_head, serve
 
+# From the middle of a spoiled stream on, its ids rise from this number.
+SPOILED_ID = 900_000_000_000_000_000
+
 
 class Server:
     """One server with its entry in the store."""
@@ -22,6 +25,7 @@
         self.sequence = 0
         self.state = "ready"
         self.born = int(time.time() * 1000)
+        self.streams = 0
 
     def log(self, event: str, **fields: Any) -> None:
         """Write one line of the log."""
@@ -127,8 +131,14 @@
         unframed, parts = self.options.unframed, self.options.parts
         framing = {"Connection": "close"} if unframed else {"Transfer-Encoding": "chunked"}
         await send_head(writer, 200, own | framing)
+        self.streams += 1
+        every = self.options.spoil_every
+        spoiled = every > 0 and self.streams % every == every // 2
+        if spoiled:
+            self.log("spoils", request=request.headers.get("request-id"))
         for number in range(int(request.headers.get("last-event-id", "0")) + 1, parts + 1):
-            event = f"id: {number}\ndata: piece {number} of {parts}\n\n".encode()
+            event_id = number + SPOILED_ID if spoiled and number > parts // 2 else number
+            event = f"id: {event_id}\ndata: piece {number} of {parts}\n\n".encode()
             writer.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.options.work_s / parts)
@@ -147,6 +157,7 @@
     parser.add_argument("--stage", default="")
     parser.add_argument("--unframed", action="store_true")
     parser.add_argument("--parts", type=int, default=8)
+    parser.add_argument("--spoil-every", type=int, default=0)
     parser.add_argument("--work-s", type=float, default=0.05)
     asyncio.run(Server(parser.parse_args()).run())
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -1,7 +1,10 @@
 """Stand-in for the platform's store: objects, listings and watches."""
 
 import asyncio
+import functools
 import json
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,21 +19,26 @@
 
 @dataclass
 class Store:
-    """All objects by kind and name; `cut_watches` closes waiting watches of one kind."""
+    """All objects by kind and name.
+
+    It listens on one port for each machine, so that it knows whose call it answers;
+    `reset_watches` resets the waiting watches of one machine for one kind.
+    """
 
-    address: str = ""
     revision: int = 1
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
     events: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
     written_s: dict[str, float] = field(default_factory=dict)
-    watches: dict[str, set[asyncio.StreamWriter]] = field(default_factory=dict)
-    calls: list[tuple[float, str, str]] = field(default_factory=list)
+    watches: dict[tuple[str, str], set[asyncio.StreamWriter]] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
-    async def start(self, port: int) -> None:
-        """Serve on a loopback port, and drop the entries of servers that no longer write."""
-        self.address = f"127.0.0.1:{port}"
-        await serve(self._handle, "127.0.0.1", port)
+    async def listen(self, machine: str, port: int) -> str:
+        """Serve one machine on a loopback port; returns the address."""
+        await serve(functools.partial(self._handle, machine), "127.0.0.1", port)
+        return f"127.0.0.1:{port}"
+
+    def start(self) -> None:
+        """Drop the entries of servers that no longer write, from now on."""
         self._expiry = asyncio.create_task(self._expire())
 
     async def _expire(self) -> None:
@@ -71,22 +79,26 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def cut_watches(self, kind: str) -> int:
-        """Close the connections of the waiting watches of one kind; returns their number."""
-        writers = self.watches.get(kind, set())
+    def reset_watches(self, machine: str, kind: str) -> int:
+        """Reset the connections of a machine's waiting watches for a kind; returns their number."""
+        writers = self.watches.get((machine, kind), set())
         for writer in writers:
-            writer.close()
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
         return len(writers)
 
     async def _handle(
-        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        machine: str,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         parts = request.path.removeprefix("/saffronworks/objects/").split("/")
         kind, name = parts[0], parts[1] if len(parts) > 1 else ""
-        what = "watch" if "watch" in request.query else request.method
-        self.calls.append((time.monotonic(), what, kind))
-        if what == "watch":
-            return await self._watch(request, writer, kind)
+        if "watch" in request.query:
+            return await self._watch(request, writer, machine, kind)
         if request.method == "GET":
             return await self._read(request, writer, kind, name)
         return await self._write(request, writer, kind, name)
@@ -122,10 +134,13 @@
         self.put(kind, name, body["spec"])
         return await reply(writer, 200, self.objects[kind, name])
 
-    async def _watch(self, request: Request, writer: asyncio.StreamWriter, kind: str) -> bool:
+    async def _watch(
+        self, request: Request, writer: asyncio.StreamWriter, machine: str, kind: str
+    ) -> bool:
         since, wait_s = int(request.query["watch"]), int(request.query["wait_ms"]) / 1000
         until_s = time.monotonic() + wait_s
-        self.watches.setdefault(kind, set()).add(writer)
+        waiting = self.watches.setdefault((machine, kind), set())
+        waiting.add(writer)
         try:
             while not (found := self._since(kind, since)):
                 left_s = until_s - time.monotonic()
@@ -136,7 +151,7 @@
                 except TimeoutError:
                     continue
         finally:
-            self.watches[kind].discard(writer)
+            waiting.discard(writer)
         if writer.is_closing():
             return False
         return await reply(writer, 200, {"events": found, "current_rev": self.revision})
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -88,32 +88,59 @@
     whole: bool
 
 
+class ClientConnection:
+    """One connection of a client, which sends one request after the other."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: str) -> "ClientConnection":
+        """Connect to `IP:port`."""
+        host, port = address.split(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    async def ask(
+        self, method: str, target: str, fields: dict[str, str], body: bytes, limit_s: float
+    ) -> Answer:
+        """Send a request and read its answer; status 0 without any."""
+        status, headers, received, whole = 0, dict[str, str](), bytearray(), False
+        try:
+            async with asyncio.timeout(limit_s):
+                named = {"Content-Length": str(len(body))} | fields
+                lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in named.items())]
+                self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+                await self._writer.drain()
+                raw = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                status = int(raw[0].split(" ")[1])
+                for line in raw[1:]:
+                    name, _, value = line.partition(":")
+                    headers[name.strip().lower()] = value.strip()
+                whole = await _read_body(self._reader, headers, received)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            pass
+        return Answer(status, headers, bytes(received), whole)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
 async def call(
     address: str, method: str, target: str, fields: dict[str, str], body: bytes, limit_s: float
 ) -> Answer:
     """Send one request on a new connection and read its answer; status 0 without any."""
-    host, port = address.split(":")
-    writer: asyncio.StreamWriter | None = None
-    status, headers, received, whole = 0, dict[str, str](), bytearray(), False
     try:
         async with asyncio.timeout(limit_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            named = {"Content-Length": str(len(body)), "Connection": "close"} | fields
-            lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in named.items())]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
-            await writer.drain()
-            raw = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-            status = int(raw[0].split(" ")[1])
-            for line in raw[1:]:
-                name, _, value = line.partition(":")
-                headers[name.strip().lower()] = value.strip()
-            whole = await _read_body(reader, headers, received)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-        pass
+            connection = await ClientConnection.open(address)
+    except (OSError, TimeoutError):
+        return Answer(0, {}, b"", False)
+    try:
+        named = {"Connection": "close"} | fields
+        return await connection.ask(method, target, named, body, limit_s)
     finally:
-        if writer is not None:
-            writer.close()
-    return Answer(status, headers, bytes(received), whole)
+        connection.close()
 
 
 async def _read_body(
