--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over asyncio streams, as far as the stand-ins need it."""
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -54,7 +55,9 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            writer.close()
+            # The event loop may be closed already.
+            with contextlib.suppress(RuntimeError):
+                writer.close()
 
     return await asyncio.start_server(handle, host, port, backlog=256)
 
