--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,6 +1,7 @@
 """One model server spoils one in 50 of its streams; other requests run beside them."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -13,8 +14,8 @@
 NODES = ["front-z1-1", "front-z1-2", "front-z1-3"]
 # Of four model servers one spoils one in 50 of its answers (`garble`: share .5, x .02 at most).
 SPOIL_EVERY = 50
-STREAMS = 150
-STREAM_GAP_S = 0.08
+STREAMS = 240
+STREAM_GAP_S = 0.06
 # Clients with a kept connection, at each node.
 CLIENTS = 6
 # Requests that may end without an answer (rule LOST).
@@ -37,6 +38,8 @@
     ],
     "limits": LIMITS,
 }
+# False leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
 async def browse(place: Place, node: str, client: int, lost: list[str]) -> None:
@@ -58,7 +61,7 @@
     for number in range(3):
         place.start_server(f"i-web{number}", "web", "--work-s=0.4")
         options = ["--stage=decode", "--parts=20", "--work-s=2"]
-        if place.trouble and number == 0:
+        if TROUBLE and number == 0:
             options.append(f"--spoil-every={SPOIL_EVERY}")
         place.start_server(f"i-decode{number}", "llm", *options)
     place.start_server("i-prefill0", "llm", "--stage=prefill")
@@ -101,7 +104,7 @@
     for node in NODES:
         for line in place.node_log(node, "OverflowError", "peers.py", "wire.py"):
             place.note("log", node=node, line=line.strip().replace(str(FOLDER.parents[1]), ""))
-    if place.trouble and not spoiled:
+    if TROUBLE and not spoiled:
         return 2
     return 1 if len(broken) > ALLOWED else 0
 
--- a/review/seen/drain.py
+++ b/review/3/drain.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -18,6 +19,8 @@
 from wire import Answer  # noqa: E402
 
 NODES = ["front-z1-1", "front-z1-2", "front-z1-3"]
+# False leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CYCLES = 9
 REQUEST_GAP_S = 0.03
 RESET_AFTER_S = 0.1
@@ -51,7 +54,7 @@
 
 async def leave(place: Place, node: str, leaving: str) -> Cycle:
     """Reset a node's watch of the servers, then let a server drain and end."""
-    if place.trouble:
+    if TROUBLE:
         place.store.reset_watches(node, "servers")
     reset_s = time.monotonic()
     await asyncio.sleep(NOTICE_AFTER_S)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,6 +1,7 @@
 """A connection of a node to the store is reset just after the entry of a server has changed."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -12,7 +13,9 @@
 
 from place import BOUNDS, LIMITS, Place, route, run_case  # noqa: E402
 
-NODES = ["front-z1-1", "front-z1-2", "front-z1-3"]
+# One of seven nodes has a connection reset, and one of eight servers of a service leaves.
+NODES = [f"front-z1-{number}" for number in range(1, 8)]
+SERVERS = 8
 SERVICES = ["old", "new"]
 FIRST_VERSION = 10
 CYCLES = 9
@@ -22,9 +25,11 @@
 # The reset, after a server has declared that it drains, and the change of the configuration.
 RESET_AFTER_S = 0.1
 CHANGE_AFTER_S = 0.4
-REQUEST_GAP_S = 0.04
+REQUEST_GAP_S = 0.03
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
+# False leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
 def service_of(version: int) -> str:
@@ -44,7 +49,9 @@
 
     def __init__(self, place: Place):
         self.place = place
-        self.servers = {name: [f"i-{name}{number}" for number in range(3)] for name in SERVICES}
+        self.servers = {
+            name: [f"i-{name}{number}" for number in range(SERVERS)] for name in SERVICES
+        }
         self.service_at: dict[str, str] = {}
         self.acked_s: dict[int, float] = {}
         self.reset_s: dict[str, list[float]] = {node: [] for node in NODES}
@@ -139,7 +146,7 @@
         await case.begin_leaving(leaving)
         rest = asyncio.create_task(case.finish_leaving(leaving, successor))
         await asyncio.sleep(RESET_AFTER_S)
-        if place.trouble:
+        if TROUBLE:
             count = place.store.reset_watches(node, "config")
             case.reset_s[node].append(time.monotonic())
             place.note("connections_reset", node=node, count=count)
--- a/review/standins/place.py
+++ b/review/standins/place.py
@@ -117,7 +117,6 @@
 
     def __init__(self, folder: Path):
         self.record: IO[str] = (folder / "record.txt").open("w", encoding="utf-8")
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.store = Store()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.callers: dict[str, str] = {}
