--- a/review/standins/place.py
+++ b/review/standins/place.py
@@ -74,19 +74,34 @@
 }
 
 
-_given: set[int] = set()
+BLOCK_PORTS = 200
 
 
-def free_range(count: int) -> list[int]:
-    """Return the first and the last of `count` successive free ports of the loopback address.
+def _claim_block() -> tuple[socket.socket, int]:
+    """Bind the first port of a block of ports, so that no other run takes ports of it.
 
-    They lie below the ports that the system gives to outgoing connections.
+    It lies below the ports that the system gives to outgoing connections.
     """
     while True:
-        first = random.randrange(15_000, 32_000)
-        ports = range(first, first + count)
-        if not _given.intersection(ports) and all(_is_free(port) for port in ports):
-            _given.update(ports)
+        guard, first = socket.socket(), random.randrange(15_000, 31_800, BLOCK_PORTS)
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, first
+
+
+_guard, _last_port = _claim_block()
+
+
+def free_range(count: int) -> list[int]:
+    """Return the first and the last of `count` successive free ports of the loopback address."""
+    global _last_port
+    while True:
+        first = _last_port + 1
+        _last_port += count
+        if all(_is_free(port) for port in range(first, first + count)):
             return [first, first + count - 1]
 
 
