--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -5,8 +5,9 @@
 
 import anyio
 from anyio.abc import SocketStream
-from behave import then, when
+from behave import given, then, when
 
+from saffronworks.http_connections import LookAgain, decide_close
 from saffronworks.web import Call, HttpServer, bind, parse_address
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -86,3 +87,23 @@
 @then("a request after a rest within the raised timeout is answered on both")
 def step_raised_timeout_reached(context):
     assert all(answer.startswith(b"HTTP/1.1 200") for answer in context.answers), context.answers
+
+
+@given("an idle timeout of {before:d} ms that becomes {after:d} ms at {changed:d} ms")
+def step_changing_timeout(context, before, after, changed):
+    context.idle_ms_at = lambda now_ms: after if now_ms >= changed else before
+
+
+@when("a request ends at {ended:d} ms and its connection rests")
+def step_rest(context, ended):
+    now_ms, promised_ms = ended, context.idle_ms_at(ended)
+    next_look = LookAgain(promised_ms)
+    while isinstance(next_look, LookAgain):
+        now_ms += next_look.after_ms
+        next_look = decide_close(now_ms - ended, promised_ms, context.idle_ms_at(now_ms))
+    context.closed_ms = now_ms
+
+
+@then("the connection is closed at {closed:d} ms")
+def step_closed_at(context, closed):
+    assert context.closed_ms == closed, context.closed_ms
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -11,8 +11,8 @@
 import anyio
 import msgspec
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from saffronworks.http_connections import HttpConnection, KeepAlive
 from saffronworks.sockets import unacknowledged_bytes
 
 __all__ = ["AcceptGate", "BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
@@ -272,15 +272,17 @@
     return gated
 
 
-def _gated_protocol(gate: AcceptGate) -> type[HttpToolsProtocol]:
-    """Return a protocol that tells the gate of closed connections."""
+class _GatedConnection(HttpConnection):
+    """Tells the gate when it is closed."""
 
-    class GatedProtocol(HttpToolsProtocol):
-        def connection_lost(self, exc: Exception | None) -> None:
-            gate.close(self.transport.get_extra_info("socket").fileno())
-            super().connection_lost(exc)
+    def __init__(self, gate: AcceptGate, *arguments: Any, **uvicorn_arguments: Any):
+        super().__init__(*arguments, **uvicorn_arguments)
+        self._gate = gate
 
-    return GatedProtocol
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record that the connection was closed."""
+        self._gate.close(self.transport.get_extra_info("socket").fileno())
+        super().connection_lost(exc)
 
 
 class HttpServer:
@@ -301,6 +303,12 @@
         self._gate = gate
         self._listener = listener if gate is None else _gate_listener(listener, gate)
         self._handler = handler
+        self._keep_alive = KeepAlive(idle_s * 1000)
+        connection = (
+            functools.partial(HttpConnection, self._keep_alive)
+            if gate is None
+            else functools.partial(_GatedConnection, gate, self._keep_alive)
+        )
         config = uvicorn.Config(
             self._app,
             log_config=None,
@@ -310,9 +318,8 @@
             proxy_headers=False,
             server_header=False,
             date_header=date_header,
-            http="httptools" if gate is None else _gated_protocol(gate),
+            http=connection,  # type: ignore[arg-type]  # uvicorn only calls it
             loop="asyncio",
-            timeout_keep_alive=idle_s,  # type: ignore[arg-type]  # fractions work
             timeout_graceful_shutdown=grace_s,
         )
         self._server = _Server(config)
@@ -332,8 +339,11 @@
                 self._abort()
 
     def set_keep_alive(self, idle_s: float) -> None:
-        """Set the keep-alive timeout of connections that are opened from now on."""
-        self._server.config.timeout_keep_alive = idle_s  # type: ignore[assignment]
+        """Set the idle timeout of all connections.
+
+        Those that rest may do so for as long as they could before, if that is longer.
+        """
+        self._keep_alive.idle_ms = idle_s * 1000
 
     def stop(self) -> None:
         """Stop accepting; `run` returns when the calls in progress have ended."""
