--- a/saffronworks/tests/features/steps/peers_steps.py
+++ b/saffronworks/tests/features/steps/peers_steps.py
@@ -71,3 +71,33 @@
 @then("a later message to the first peer arrives")
 def arrived(context):
     assert context.heard == ["first", "later"]
+
+
+@given("two nodes of which one reports more tokens than an integer of a message holds")
+def two_nodes(context):
+    tokens = int("9" * 18) * 63
+    run = messages.LiveRun("r", "e", 0, 0, 0, 0, made_tokens=tokens)
+    context.report = messages.MemoryReport("n", "s", (run,))
+
+
+@when("the first one sends another message to the same peer")
+def send_report_and_another(context):
+    async def main():
+        one, other = Peer(), Peer()
+        async with anyio.create_task_group() as tasks:
+            one.kernel.start(tasks)
+            other.kernel.start(tasks)
+            one.kernel.post("peers", Outgoing(other.service.address, context.report))
+            one.send(other, "after")
+            await arrives(other, "after")
+            context.heard = other.heard
+            other.send(one, "back")
+            await arrives(one, "back")
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it arrives, and the first node's services run on")
+def arrived_after(context):
+    assert context.heard == ["after"]
