--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -21,6 +21,8 @@
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
+    MAX_DISCARDED_BYTES,
+    MAX_HEAD_BYTES,
     MOST_BUFFERED_BYTES,
     PROBE_INTERVAL_S,
     USER_TIMEOUT_MS,
@@ -31,6 +33,7 @@
 
 _NO_BODY = frozenset([204, 304])
 _MIN_FAILURE_STATUS = 400
+_PARSED_BYTES = MAX_HEAD_BYTES // 4
 
 
 @attrs.define
@@ -66,6 +69,9 @@
         self._incoming = ResponseHead()
         self._head: ResponseHead | None = None
         self._discarding = False
+        # Bytes received since the last part of a body, and bytes of discarded bodies.
+        self._framing_bytes = 0
+        self._discarded_bytes = 0
         self._bodiless = False
         self._complete = False
         self.framed = False
@@ -99,18 +105,36 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if they belong to no request."""
+        unparsed = memoryview(data)
+        # The parser bounds neither heads nor framing, so it gets less than their limit at a time.
+        while unparsed:
+            part, unparsed = unparsed[:_PARSED_BYTES], unparsed[_PARSED_BYTES:]
+            if not self._parse(part):
+                self.reusable = False
+                self.close()
+                break
+        self._changed.set()
+
+    def _parse(self, data: memoryview) -> bool:
+        """Parse a part of the received bytes; return whether the connection stays usable."""
         if self._parser is None or self._complete:
-            self.reusable = False
-            self.close()
-            return
+            return False
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.reusable = False
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._complete:
                 self._record_loss(ExchangeErrorCause.NOT_HTTP)
-            self.close()
-        self._changed.set()
+            return False
+        if self._complete or not self._is_oversized:
+            return True
+        self._record_loss(ExchangeErrorCause.OVERSIZED)
+        return False
+
+    @property
+    def _is_oversized(self) -> bool:
+        exceeds_head = self._framing_bytes > MAX_HEAD_BYTES
+        return exceeds_head or self._discarded_bytes > MAX_DISCARDED_BYTES
 
     def eof_received(self) -> bool:
         """Handle a close by the endpoint, which completes an answer without a length."""
@@ -210,7 +234,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body for the reader."""
+        self._framing_bytes = 0
         if self._discarding:
+            self._discarded_bytes += len(data)
             return
         if self._complete:
             self.reusable = False
@@ -260,6 +286,7 @@
         self._bodiless = bodiless
         self._head = None
         self._complete = self._discarding = self.framed = False
+        self._framing_bytes = self._discarded_bytes = 0
         self.framed_by_endpoint = True
         self._chunks.clear()
         self.buffered_bytes = 0
--- a/saffronworks/forwarding/exchange_errors.py
+++ b/saffronworks/forwarding/exchange_errors.py
@@ -14,6 +14,8 @@
     RESET = "reset"
     UNREACHABLE = "unreachable"
     NOT_HTTP = "not-http"
+    # More bytes than the limit for this part of an answer.
+    OVERSIZED = "oversized"
     OUT_OF_ORDER = "out-of-order"
     # The entry of the endpoint names another software version than before the request was sent.
     VERSION_CHANGED = "version-changed"
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -77,6 +77,13 @@
 USER_TIMEOUT_MS = 2500
 # Interval of TCP keep-alive probes on a connection without traffic.
 PROBE_INTERVAL_S = 1
+# Longest head of an answer, with its interim answers; also the most framing between two parts of a
+# body, and the longest trailer. Heads of endpoints have less than 1 KiB.
+MAX_HEAD_BYTES = 65_536
+# Most bytes of answers to other requests that are skipped before the awaited one.
+MAX_DISCARDED_BYTES = 1_048_576
+# Largest answer to a call of the node itself: some JSON fields.
+MAX_CALL_BODY_BYTES = 65_536
 # Maximum idle connections to one endpoint.
 MAX_IDLE_CONNECTIONS = 8
 # An idle connection is reused for this share of the keep-alive timeout that the endpoint announces.
--- /dev/null
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -0,0 +1,9 @@
+Feature: bytes without end from an endpoint cost one exchange, and no other caller
+
+  # Guards against memory and time without bound, as the parser bounds neither a head nor chunks.
+  Scenario: an answer whose head, framing or trailer never ends
+    Then each such answer closes its connection within the bound, and is reported as oversized
+
+  # Guards against an exchange that parses a late answer to another request for good.
+  Scenario: an answer to another request that never ends
+    Then its connection is closed within the bound, and is reported as oversized
