--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -341,11 +341,14 @@
 ) -> bool:
     """Relay the rest of an answer up to its end; return whether it is proven whole.
 
-    Raises ExchangeError if it is cut off.
+    Raises ExchangeError if it is cut off, or goes on after the deadline.
     """
     while True:
-        left_ms = max(1, job.deadline_at_ms - node.now_ms())
-        chunk = await exchange.next_chunk(left_ms)
+        left_ms = job.deadline_at_ms - node.now_ms()
+        # A paused endpoint waits for the caller.
+        if left_ms <= 0 and not exchange.connection.paused:
+            raise ExchangeError(ExchangeErrorCause.ENDLESS, sent=True)
+        chunk = await exchange.next_chunk(max(1, left_ms))
         if chunk is None:
             return await node.check_end(endpoint, exchange)
         await body.write(chunk)
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -7,3 +7,10 @@
   # Guards against an exchange that parses a late answer to another request for good.
   Scenario: an answer to another request that never ends
     Then its connection is closed within the bound, and is reported as oversized
+
+  # Guards against callers who wait for, or share a node with, an endpoint whose answer never ends.
+  Scenario: a plain endpoint sends bytes without end
+    When one of two plain endpoints sends heads, framing or bodies without end
+    Then requests that may be repeated get whole answers of the other one, in time
+    And one that may not gets one failure within its time
+    And its connections are closed, it is counted as failed, and no turn of the node is long
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -1,13 +1,19 @@
 """Steps on endpoints that send bytes without end."""
 
+import time
 import tracemalloc
 
 import anyio
-from behave import then
+from behave import then, when
 
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
+from saffronworks.standins.sites import wait_until
 from saffronworks.tests.connection_fakes import WAIT_MS, connect
+from saffronworks.tests.endless_servers import EndlessServer
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import on_platform
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -66,3 +72,86 @@
 @then("its connection is closed within the bound, and is reported as oversized")
 def endless_discarded(context):
     check_endless(OTHER, b"1000\r\n" + b"x" * 4096 + b"\r\n", MAX_DISCARDED_BYTES, "discarded")
+
+
+SIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+IN_CHUNKS = SIGNED + b"Transfer-Encoding: chunked\r\n\r\n"
+# Start of the answer, its repeated part and the pause after each.
+FLOODS = {
+    "field": (SIGNED + b"a: ", b"x" * 65_536, 0.0),
+    "interim": (b"", b"HTTP/1.1 102 X\r\n\r\n" * 64, 0.0),
+    "drip": (SIGNED + b"a: ", b"x", 0.01),
+    "extension": (IN_CHUNKS + b"1;", b"x" * 65_536, 0.0),
+    "trailers": (IN_CHUNKS + b"1\r\nx\r\n0\r\n", b"a: b\r\n" * 4096, 0.0),
+    "chunks": (IN_CHUNKS, b"1\r\nx\r\n", 0.01),
+    "body": (IN_CHUNKS, b"10000\r\n" + b"x" * 65_536 + b"\r\n", 0.0),
+}
+# A caller whose answer comes from the other endpoint has it within this time.
+OTHERS_S = 0.8
+# The time of the route whose requests may not be repeated, and half a second.
+ONCE_S = 1.5
+TURN_S = 0.25
+
+
+@when("one of two plain endpoints sends heads, framing or bodies without end")
+def plain_floods(context):
+    context.found = {name: play_flood(*flood) for name, flood in FLOODS.items()}
+
+
+def play_flood(*flood):
+    """Send a request that may not be repeated to an endpoint that floods, and others beside it."""
+    server, found = EndlessServer("w0", "web", None, *flood), {}
+
+    async def play(place):
+        async def ask(path, number):
+            began_s, request_id = time.monotonic(), f"r{number}"
+            raw = await place.ask(path, request_id)
+            found[request_id] = path, raw, time.monotonic() - began_s
+
+        async def measure_turns():
+            while "r0" not in found:
+                began_s = time.monotonic()
+                await anyio.sleep(0.01)
+                found["turn_s"] = max(found.get("turn_s", 0), time.monotonic() - began_s)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(measure_turns)
+            tasks.start_soon(ask, "/once/a", 0)
+            assert await wait_until(lambda: server.ran, limit_s=1)
+            # A body without end is known as such at its deadline only.
+            assert flood != FLOODS["body"] or await wait_until(lambda: "r0" in found, limit_s=2)
+            for number in range(1, 6):
+                await ask("/again/a", number)
+        assert await wait_until(lambda: len(server.closed_s) == len(server.ran), limit_s=1)
+        load = place.node._state.loads.of(StartId("w0"))
+        found["failure_share"] = load.failure_share
+
+    on_platform([server, FakeServer("w1", "web")], play)
+    return found
+
+
+@then("requests that may be repeated get whole answers of the other one, in time")
+def repeated_elsewhere(context):
+    for name, found in context.found.items():
+        for number in range(1, 6):
+            _, raw, took_s = found[f"r{number}"]
+            whole = raw.startswith(b"HTTP/1.1 200 ") and raw.endswith(b"r%d" % number)
+            assert whole and raw.count(b"HTTP/1.1") == 1 and took_s < OTHERS_S, (name, took_s, raw)
+
+
+@then("one that may not gets one failure within its time")
+def one_failure(context):
+    for name, found in context.found.items():
+        _, raw, took_s = found["r0"]
+        # Of a body that never ends, the caller has a part, without a proper end.
+        cut = name == "body" and not raw.endswith(b"\r\n0\r\n\r\n")
+        failed = raw.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 504 ")) and raw.count(b"HTTP/") == 1
+        assert (cut or failed) and took_s < ONCE_S, (name, took_s, raw[:300])
+
+
+@then("its connections are closed, it is counted as failed, and no turn of the node is long")
+def counted(context):
+    turns = {name: found["turn_s"] for name, found in context.found.items()}
+    assert max(turns.values()) < TURN_S, turns
+    shares = {name: found["failure_share"] for name, found in context.found.items()}
+    assert all(shares.values()), shares
