--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -21,6 +21,7 @@
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
+    MAX_CALL_BODY_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
     MOST_BUFFERED_BYTES,
@@ -338,11 +339,21 @@
         return bool(self._chunks)
 
     async def body(self, timeout_ms: float) -> bytes:
-        """Return the rest of the body of a small answer."""
-        parts = []
-        while (chunk := await self.next_chunk(timeout_ms)) is not None:
-            parts.append(chunk)
-        return b"".join(parts)
+        """Return the rest of the body of a small answer, all of which must arrive in time.
+
+        Raises ExchangeError if it ends early, stalls or has more than MAX_CALL_BODY_BYTES.
+        """
+        body = bytearray()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                while (chunk := await self.next_chunk()) is not None:
+                    body += chunk
+                    if len(body) > MAX_CALL_BODY_BYTES:
+                        raise self._error(ExchangeErrorCause.OVERSIZED)
+        except TimeoutError:
+            cause = ExchangeErrorCause.ENDLESS if body else ExchangeErrorCause.SILENT
+            raise self._error(cause) from None
+        return bytes(body)
 
     def _error(self, cause: ExchangeErrorCause, sent: bool = True) -> ExchangeError:
         return ExchangeError(cause, sent, self.relayed_by)
--- a/saffronworks/forwarding/exchange_errors.py
+++ b/saffronworks/forwarding/exchange_errors.py
@@ -16,7 +16,7 @@
     NOT_HTTP = "not-http"
     # More bytes than the limit for this part of an answer.
     OVERSIZED = "oversized"
-    # Bytes still arrived when the time for the whole answer was over.
+    # The answer has begun, but not ended within its time.
     ENDLESS = "endless"
     OUT_OF_ORDER = "out-of-order"
     # The entry of the endpoint names another software version than before the request was sent.
--- a/saffronworks/tests/endless_servers.py
+++ b/saffronworks/tests/endless_servers.py
@@ -5,7 +5,7 @@
 
 from saffronworks.tests.platform_fakes import FakeServer
 
-__all__ = ["EndlessServer"]
+__all__ = ["PIECE", "EndlessServer"]
 
 # What the server sends at most, and for how long.
 MAX_SENT_BYTES = 400_000_000
@@ -23,12 +23,13 @@
     def __init__(self, instance, service, stage=None, start=b"", piece=PIECE, pause_s=0.0):
         super().__init__(instance, service, stage)
         self.start, self.piece, self.pause_s = start, piece, pause_s
-        # Which calls never end: "request", or the start of a control call's path.
+        # Which calls never end: "request", "prefill" or the start of a control call's path.
         self.endless = "request"
         self.closed_s = []
 
     async def _request(self, reader, writer, headers):
-        if self.endless != "request":
+        called = "prefill" if headers.get("stage") == "prefill" else "request"
+        if self.endless != called:
             return await super()._request(reader, writer, headers)
         self.ran.append(headers["request-id"])
         return await self._flood(writer, headers["request-id"])
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -14,3 +14,9 @@
     Then requests that may be repeated get whole answers of the other one, in time
     And one that may not gets one failure within its time
     And its connections are closed, it is counted as failed, and no turn of the node is long
+
+  # Guards against holds and prefills that wait for good, as only each part of their answer had a
+  # time-out, and nothing bounded its size.
+  Scenario: an engine answers the node's own calls with bytes without end
+    When engines answer holds or prefills with bytes without end
+    Then the stream is whole, and the calls are closed in time and counted with their cause
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -11,9 +11,9 @@
 from saffronworks.forwarding.tuning import MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.connection_fakes import WAIT_MS, connect
-from saffronworks.tests.endless_servers import EndlessServer
+from saffronworks.tests.endless_servers import PIECE, EndlessServer
 from saffronworks.tests.platform_fakes import FakeServer
-from saffronworks.tests.platform_place import on_platform
+from saffronworks.tests.platform_place import engines, on_platform
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -91,6 +91,8 @@
 # The time of the route whose requests may not be repeated, and half a second.
 ONCE_S = 1.5
 TURN_S = 0.25
+# A stream whose first hold and prefill fail.
+CALLS_S = 2.5
 
 
 @when("one of two plain endpoints sends heads, framing or bodies without end")
@@ -155,3 +157,45 @@
     assert max(turns.values()) < TURN_S, turns
     shares = {name: found["failure_share"] for name, found in context.found.items()}
     assert all(shares.values()), shares
+
+
+# The repeated part of an answer to a control call or a prefill, and the pause after each.
+CALL_FLOODS = {"drip": (b"1\r\n \r\n", 0.01), "body": (b"10000\r\n" + PIECE + b"\r\n", 0.0)}
+CALL_CAUSES = {"drip": "endless", "body": "oversized"}
+
+
+@when("engines answer holds or prefills with bytes without end")
+def call_floods(context):
+    context.found = {
+        (endless, name): play_calls(endless, *flood)
+        for endless in ("/saffronworks/hold-take", "prefill")
+        for name, flood in CALL_FLOODS.items()
+    }
+
+
+def play_calls(endless, piece, pause_s):
+    """Return the answer and the time of a stream, and the figures of its node."""
+    stage = "prefill" if endless == "prefill" else "decode"
+    server = EndlessServer("a0", "llm", stage, IN_CHUNKS, piece, pause_s)
+    server.endless = endless
+    found = {}
+
+    async def play(place):
+        began_s = time.monotonic()
+        found["raw"] = await place.generate("/gen/", "g0")
+        found["took_s"] = time.monotonic() - began_s
+        assert await wait_until(lambda: server.closed_s, limit_s=1), (endless, found)
+        found["figures"] = dict(place.node._state.figures.counts)
+
+    on_platform([server, *engines()], play)
+    return found
+
+
+@then("the stream is whole, and the calls are closed in time and counted with their cause")
+def calls_closed(context):
+    for (endless, name), found in context.found.items():
+        whole = b"id: 3" in found["raw"] and found["raw"].endswith(b"0\r\n\r\n")
+        kind = "prefill" if endless == "prefill" else "hold"
+        labels = {("kind", kind), ("result", CALL_CAUSES[name])}
+        counted = any(labels <= set(found_labels) for _, found_labels in found["figures"])
+        assert whole and found["took_s"] < CALLS_S and counted, (endless, name, found)
