--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -2,8 +2,12 @@
 
 A node has five readers of the store: two followers, the node census and two listings at its start.
 Independent retries of all five cost many calls during an outage, and each call has a price.
+
+A cut connection is not yet an outage: the next call probes the store without a pause. A probe is a
+call that the store answers at once, because the other callers wait for it.
 """
 
+import enum
 import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -23,42 +27,73 @@
 from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.forwarding.tuning import (
     PEER_FED_PROBE_INTERVAL_MS,
+    PROBE_HOLD_MS,
     PROBE_INTERVAL_MS,
+    PROBE_WATCH_MS,
 )
 
-__all__ = ["GuardedSource", "StoreCircuit"]
+__all__ = ["GuardedSource", "Outcome", "StoreCircuit"]
 
 T = TypeVar("T")
 E = TypeVar("E")
 
 
+class Outcome(enum.Enum):
+    """How a call ended: by an answer, a failure, a cut connection or its cancellation."""
+
+    ANSWERED = enum.auto()
+    FAILED = enum.auto()
+    CUT = enum.auto()
+    CANCELLED = enum.auto()
+
+
 @attrs.define
 class StoreCircuit:
-    """State of the circuit breaker: closed, or open with at most one probe at a time."""
+    """State of the circuit breaker: closed, or open with at most one probe at a time.
+
+    Cuts allow one probe without a pause per probe interval, because a store may cut each watch.
+    """
 
     open: bool = False
-    probing: bool = False
     next_probe_ms: int = 0
+    _probe: int = 0
+    _probe_until_ms: int | None = None
+    _next_after_cut_ms: int = 0
 
-    def wait_ms(self, now_ms: int) -> int | None:
-        """Return the wait before a call: 0 for none, None until the current probe ends."""
+    def wait_ms(self, now_ms: int) -> int:
+        """Return the wait before a call, 0 for none; shorter if the current probe ends before."""
         if not self.open:
             return 0
-        return None if self.probing else max(0, self.next_probe_ms - now_ms)
-
-    def begin(self) -> None:
-        """Record the start of a call, which is the probe if the circuit is open."""
-        self.probing = self.open
+        next_ms = self.next_probe_ms if self._probe_until_ms is None else self._probe_until_ms
+        return max(0, next_ms - now_ms)
 
-    def end(self, answered: bool, pause_ms: int, now_ms: int) -> None:
-        """Record the end of a call; without an answer the next probe is `pause_ms` later."""
-        self.probing = False
-        self.open = not answered
-        self.next_probe_ms = now_ms + pause_ms
-
-    def abandon(self) -> None:
-        """Record that a call was cancelled, which leaves the state of the store unknown."""
-        self.probing = False
+    def begin(self, now_ms: int) -> int | None:
+        """Record the start of a call; returns its number if it is a probe."""
+        if not self.open:
+            return None
+        self._probe += 1
+        self._probe_until_ms = now_ms + PROBE_HOLD_MS
+        return self._probe
+
+    def end(self, probe: int | None, outcome: Outcome, pause_ms: int, now_ms: int) -> None:
+        """Record the end of a call; after a failure the next probe is `pause_ms` later."""
+        if probe == self._probe:
+            self._probe_until_ms = None
+        match outcome:
+            case Outcome.ANSWERED:
+                self.open = False
+                self._probe_until_ms = None
+            case Outcome.CUT if not self.open:
+                self.open = True
+                self.next_probe_ms = max(now_ms, self._next_after_cut_ms)
+                self._next_after_cut_ms = self.next_probe_ms + pause_ms
+            case Outcome.CUT if probe is None:
+                pass
+            case Outcome.FAILED | Outcome.CUT:
+                self.open = True
+                self.next_probe_ms = now_ms + pause_ms
+            case Outcome.CANCELLED:
+                pass
 
 
 class GuardedSource:
@@ -85,19 +120,23 @@
         self, kind: str, stale: bool = False
     ) -> Result[Listing, ObjectStoreFailure]:
         """List all objects of a kind."""
-        return await self._guard(lambda: self._source.list_objects(kind, stale))
+        return await self._guard(lambda _: self._source.list_objects(kind, stale))
 
     async def watch(
         self, kind: str, revision: StoreRevision, wait_ms: int
     ) -> Result[Listing, HistoryGone | ObjectStoreFailure]:
-        """Return the changes since a revision."""
-        return await self._guard(lambda: self._source.watch(kind, revision, wait_ms))
+        """Return the changes since a revision; a probe waits for them only shortly."""
+        return await self._guard(
+            lambda probes: self._source.watch(
+                kind, revision, min(wait_ms, PROBE_WATCH_MS) if probes else wait_ms
+            )
+        )
 
     async def create(
         self, kind: str, name: str, content: bytes
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
         """Create an object that must not exist yet."""
-        return await self._guard(lambda: self._source.create(kind, name, content))
+        return await self._guard(lambda _: self._source.create(kind, name, content))
 
     async def replace(
         self, kind: str, name: str, content: bytes, revision: StoreRevision
@@ -109,26 +148,32 @@
         """Remove an object."""
         return await self._source.remove(kind, name)
 
-    async def _guard(self, call: Callable[[], Awaitable[Result[T, E]]]) -> Result[T, E]:
-        while (wait_ms := self._circuit.wait_ms(self._now_ms())) != 0:
-            with anyio.move_on_after(None if wait_ms is None else wait_ms / 1000):
+    async def _guard(self, call: Callable[[bool], Awaitable[Result[T, E]]]) -> Result[T, E]:
+        """Make a call when the circuit allows it; it is told whether it is a probe."""
+        while wait_ms := self._circuit.wait_ms(self._now_ms()):
+            with anyio.move_on_after(wait_ms / 1000):
                 await self._changed.wait()
-        self._circuit.begin()
-        answered: bool | None = None
+        probe = self._circuit.begin(self._now_ms())
+        outcome = Outcome.CANCELLED
         try:
-            reply = await call()
-            answered = not (
-                isinstance(reply, Err) and isinstance(reply.err_value, ObjectStoreFailure)
-            )
+            reply = await call(probe is not None)
+            outcome = _outcome_of(reply)
             return reply
         finally:
-            if answered is None:
-                self._circuit.abandon()
-            else:
-                self._circuit.end(answered, self._pause_ms(), self._now_ms())
+            self._circuit.end(probe, outcome, self._pause_ms(), self._now_ms())
             self._changed.set()
             self._changed = anyio.Event()
 
     def _pause_ms(self) -> int:
         longest_ms = PEER_FED_PROBE_INTERVAL_MS if self._has_peer_updates() else PROBE_INTERVAL_MS
-        return self._rng.randint(longest_ms // 2, longest_ms)
+        return self._rng.randint(longest_ms * 2 // 3, longest_ms)
+
+
+def _outcome_of(reply: Result[T, E]) -> Outcome:
+    match reply:
+        case Err(ObjectStoreFailure(cut=True)):
+            return Outcome.CUT
+        case Err(ObjectStoreFailure()):
+            return Outcome.FAILED
+        case _:
+            return Outcome.ANSWERED
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -165,6 +165,10 @@
 # for applying a change.
 PROBE_INTERVAL_MS = 600
 PEER_FED_PROBE_INTERVAL_MS = 1600
+# Wait of a watch that probes a failing store.
+PROBE_WATCH_MS = 20
+# Longest time that other callers wait for a probe: a connect and one answer, at their timeouts.
+PROBE_HOLD_MS = 1500
 # Endpoints whose entries expired during an outage of the store write them again within this time
 # after its end; the expired entries stay usable at most until then.
 LAPSED_GRACE_MS = 2000
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -7,17 +7,21 @@
 from result import Err, Ok
 
 from saffronworks.forwarding.ports import Listing, ObjectStoreFailure
-from saffronworks.forwarding.store_circuit import GuardedSource, StoreCircuit
+from saffronworks.forwarding.store_circuit import GuardedSource, Outcome, StoreCircuit
 from saffronworks.forwarding.tuning import (
     PEER_FED_PROBE_INTERVAL_MS,
+    PROBE_HOLD_MS,
     PROBE_INTERVAL_MS,
 )
 from saffronworks.tests.revisions import at
+from saffronworks.tests.store_news_plays import KINDS, news_delay_ms, outage_calls
 
 CALLER_COUNT, RETRY_MS = 5, 500
 OUTAGE_MS, UNTIL_MS, STEP_MS = 10_000, 14_000, 10
 # Duration of a call that the store rejects.
 CALL_MS = 10
+# Half of the users' `config_apply_ms` and `drain_ms`; the rest is for sends and a busy processor.
+IN_FORCE_MS = 1000
 
 
 @given("five callers that retry half a second after each failure")
@@ -36,18 +40,18 @@
     next_ms = [rng.randrange(RETRY_MS) for _ in range(CALLER_COUNT)]
     ends, calls, answered = {}, [], {}
     for now_ms in range(0, UNTIL_MS, STEP_MS):
-        for caller in [one for one, end_ms in ends.items() if end_ms <= now_ms]:
-            del ends[caller]
+        for caller in [one for one, (end_ms, _) in ends.items() if end_ms <= now_ms]:
+            _, probe = ends.pop(caller)
             good = now_ms > OUTAGE_MS
-            circuit.end(good, rng.randint(pause_ms // 2, pause_ms), now_ms)
+            outcome = Outcome.ANSWERED if good else Outcome.FAILED
+            circuit.end(probe, outcome, rng.randint(pause_ms // 2, pause_ms), now_ms)
             next_ms[caller] = now_ms + RETRY_MS
             if good:
                 answered.setdefault(caller, now_ms)
         for caller in range(CALLER_COUNT):
             waits = caller in ends or now_ms < next_ms[caller] or caller in answered
             if not waits and circuit.wait_ms(now_ms) == 0:
-                circuit.begin()
-                ends[caller] = now_ms + CALL_MS
+                ends[caller] = (now_ms + CALL_MS, circuit.begin(now_ms))
                 if now_ms < OUTAGE_MS:
                     calls.append((now_ms, len(ends)))
     return calls, answered
@@ -137,3 +141,64 @@
                 store.may_answer.set()
 
     anyio.run(main)
+
+
+@when(
+    "a watch is reset up to 0.6 s after a change of the other kind, and then its own kind changes"
+)
+def reset_and_change(context):
+    context.delays_ms = {
+        (seed, kind, reset_ms, news_ms): news_delay_ms(seed, kind, reset_ms, news_ms)
+        for seed in range(2)
+        for kind in KINDS
+        for reset_ms in range(0, 601, 20)
+        for news_ms in (0, 150, 500, 1000)
+    }
+
+
+@then("that change is in force within half of the time that a node has")
+def in_force(context):
+    late = {play: ms for play, ms in context.delays_ms.items() if ms > IN_FORCE_MS}
+    assert not late, (len(late), max(late.values()), late)
+
+
+@then("other callers wait for a probe no longer than for its timeouts")
+def bounded_hold(context):
+    circuit = StoreCircuit()
+    circuit.end(circuit.begin(0), Outcome.FAILED, PROBE_INTERVAL_MS, 0)
+    probe = circuit.begin(PROBE_INTERVAL_MS)
+    next_ms = PROBE_INTERVAL_MS + circuit.wait_ms(PROBE_INTERVAL_MS)
+    assert next_ms == PROBE_INTERVAL_MS + PROBE_HOLD_MS and circuit.wait_ms(next_ms) == 0
+    # The late end of the first probe does not release the second one.
+    assert circuit.begin(next_ms) != probe
+    circuit.end(probe, Outcome.CANCELLED, PROBE_INTERVAL_MS, next_ms)
+    assert circuit.wait_ms(next_ms) == PROBE_HOLD_MS
+
+
+@when("the store fails for ten seconds, with twenty seeds")
+def failing(context):
+    failures = [ObjectStoreFailure(reason) for reason in ("status 503", "ReadTimeout")]
+    failures += [ObjectStoreFailure("ConnectError"), ObjectStoreFailure("ReadError", cut=True)]
+    context.calls = {
+        one.reason: max(outage_calls(seed, one) for seed in range(20)) for one in failures
+    }
+
+
+@then(
+    "a node calls a store that answers 503, refuses or resets {most:d} times at most, "
+    "a silent one {most_silent:d}"
+)
+def few_outage_calls(context, most, most_silent):
+    assert context.calls.pop("ReadTimeout") <= most_silent, context.calls
+    assert max(context.calls.values()) <= most, context.calls
+
+
+@then("each cut costs a probe, and there are {per_s:d} cuts a second at most")
+def bounded_cuts(context, per_s):
+    circuit, cuts = StoreCircuit(), 0
+    for now_ms in range(0, OUTAGE_MS, STEP_MS):
+        if circuit.wait_ms(now_ms) == 0:
+            circuit.end(circuit.begin(now_ms), Outcome.ANSWERED, 0, now_ms)
+            circuit.end(circuit.begin(now_ms), Outcome.CUT, PROBE_INTERVAL_MS * 2 // 3, now_ms)
+            cuts += 1
+    assert cuts <= per_s * OUTAGE_MS / 1000, cuts
--- a/saffronworks/tests/features/store_circuit.feature
+++ b/saffronworks/tests/features/store_circuit.feature
@@ -20,3 +20,22 @@
 
   Scenario: a caller that is cancelled during its call
     Then the next one calls the store, and a conditional write does not wait
+
+  # Guards against a probe that was a watch: the store answered it only after a change or the watch's
+  # wait, so all other callers stood still and drains and configurations were known 4 s late.
+
+  Scenario: the reset of a watch at any moment, and a change of what it followed
+    When a watch is reset up to 0.6 s after a change of the other kind, and then its own kind changes
+    Then that change is in force within half of the time that a node has
+
+  Scenario: a probe without an answer
+    Then other callers wait for a probe no longer than for its timeouts
+
+  # Guards against more calls to a failing store for the sake of one reset connection.
+
+  Scenario: an outage of the store that begins with the reset of both watches
+    When the store fails for ten seconds, with twenty seeds
+    Then a node calls a store that answers 503, refuses or resets 23 times at most, a silent one 14
+
+  Scenario: a store that cuts every watch and answers every listing
+    Then each cut costs a probe, and there are 3 cuts a second at most
