--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -1,6 +1,9 @@
 """Entry point of callers' requests: routing, admission, execution, cancellation and deadline."""
 
 import logging
+import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 import attrs
@@ -12,8 +15,9 @@
 from saffronworks.forwarding.quarantine.suspicions import Admission
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import Job, NodeState, retry_after_ms, send_refusal
+from saffronworks.forwarding.tuning import OTHER_NODE_RETRY_AFTER_MS
 
-__all__ = ["Forwarder"]
+__all__ = ["STOPPING", "Forwarder"]
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +28,8 @@
 NO_TABLE_RETRY_MS = 500
 # A node that has no configuration after this time is waiting for an unavailable store.
 STORE_SLOW_MS = 1000
+# Refusal of a request that no endpoint can have run, at the end of this process.
+STOPPING = Refuse(503, "stopping", not_run=True, retry_after_ms=OTHER_NODE_RETRY_AFTER_MS)
 
 
 class Forwarder:
@@ -32,6 +38,9 @@
     def __init__(self, node: NodeState, began_ms: int):
         self.table: RoutingTable | None = None
         self.open_requests = 0
+        # Requests are no longer served, as the process ends.
+        self.ended = False
+        self._scopes: set[anyio.CancelScope] = set()
         self._node = node
         self._began_ms = began_ms
         self._usual_left_ms: dict[str, int] = {}
@@ -53,6 +62,28 @@
         )
         return True
 
+    @contextmanager
+    def until_ended(self, left_ms: float = math.inf) -> Iterator[anyio.CancelScope]:
+        """Cancel the body of the `with` statement at the end of this process, or after `left_ms`.
+
+        The scope's `cancelled_caught` tells whether it was.
+        """
+        with anyio.move_on_after(max(0, left_ms) / 1000) as scope:
+            self._scopes.add(scope)
+            if self.ended:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._scopes.remove(scope)
+
+    def end_open_requests(self) -> None:
+        """Answer or cut all open requests, as the process ends."""
+        logger.info("event=requests_ended open_requests=%d", self.open_requests)
+        self.ended = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def handle(self, request: CallerRequest, reply: CallerReply) -> None:
         """Serve one request until it is answered, refused, cut or abandoned by its caller."""
         table = self.table
@@ -95,15 +126,15 @@
         return retry_after_ms(request, self._node.now_ms())
 
     async def _serve(self, job: Job, table: RoutingTable) -> None:
-        """Run until the request is answered, the caller disconnects or the deadline passes."""
+        """Run until the request is answered, its caller or this process ends, or its deadline."""
         left_ms = job.deadline_at_ms - self._node.now_ms() + DEADLINE_SLACK_MS
-        with anyio.move_on_after(max(0, left_ms) / 1000) as deadline:
+        with self.until_ended(left_ms) as scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._cancel_on_disconnect, job, tasks.cancel_scope)
                 await self._run(job, table)
                 tasks.cancel_scope.cancel()
-        if deadline.cancelled_caught:
-            await self._end_at_deadline(job)
+        if scope.cancelled_caught:
+            await self._end_early(job, "stopping" if self.ended else "deadline")
 
     async def _run(self, job: Job, table: RoutingTable) -> None:
         if job.route.streams and job.request.after_event is not None:
@@ -158,10 +189,17 @@
         self._node.figures.count("caller-gone", job.route.name)
         scope.cancel()
 
-    async def _end_at_deadline(self, job: Job) -> None:
+    async def _end_early(self, job: Job, reason: str) -> None:
         if job.reply.started:
-            logger.info("event=cut request=%s reason=deadline", job.request.request_id)
-            self._node.figures.count("cut", job.route.name, "deadline")
+            logger.info(
+                "event=cut request=%s route=%s reason=%s",
+                job.request.request_id,
+                job.route.name,
+                reason,
+            )
+            self._node.figures.count("cut", job.route.name, reason)
             job.reply.cut()
-            return
-        await send_refusal(self._node, job, Refuse(504, "deadline", not_run=False))
+        elif self.ended and not job.runs.runs:
+            await send_refusal(self._node, job, STOPPING)
+        else:
+            await send_refusal(self._node, job, Refuse(504, reason, not_run=False))
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -54,6 +54,8 @@
         self.open_requests = 0
         self.open_body_bytes = 0
         self.closing = False
+        self._ended = False
+        self._scopes: set[anyio.CancelScope] = set()
         self._directory = directory
         self._paths = paths
         self._calls = calls
@@ -83,6 +85,12 @@
                 self.open_requests -= 1
                 self.open_body_bytes -= body_bytes
 
+    def end_open_requests(self) -> None:
+        """Refuse or cut all open requests, as the process ends."""
+        self._ended = True
+        for scope in self._scopes:
+            scope.cancel()
+
     @property
     def _is_full(self) -> bool:
         return self.closing or self.open_requests >= MAX_RELAYED_REQUESTS
@@ -130,11 +138,34 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, call, tasks.cancel_scope)
-            await self._relay(call, request, endpoint, body)
+            await self._relay_until_ended(call, request, endpoint, body)
             tasks.cancel_scope.cancel()
 
-    async def _relay(
+    async def _relay_until_ended(
         self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint, body: bytes
+    ) -> None:
+        sent = anyio.Event()
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            if self._ended:
+                scope.cancel()
+            try:
+                await self._relay(call, request, endpoint, body, sent)
+            finally:
+                self._scopes.remove(scope)
+        if scope.cancelled_caught and call.started:
+            logger.info("event=relay_cut request=%s reason=stopping", request.request_id)
+            call.cut()
+        elif scope.cancelled_caught:
+            await self._refuse(call, "stopping", sent.is_set(), request.request_id)
+
+    async def _relay(
+        self,
+        call: Call,
+        request: RelayRequest,
+        endpoint: ServiceEndpoint,
+        body: bytes,
+        sent: anyio.Event,
     ) -> None:
         began_ms = self._now_ms()
         relayed = RelayedRequest(
@@ -154,6 +185,7 @@
         except ExchangeError as broken:
             await self._refuse(call, broken.cause.value, broken.sent, relayed.request_id)
             return
+        sent.set()
         try:
             await self._pass_on(call, connection, relayed, endpoint)
         except ExchangeError as broken:
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.field_numbers import read_decimal, read_whole, shorten
-from saffronworks.forwarding.forwarder import Forwarder
+from saffronworks.forwarding.forwarder import STOPPING, Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
 from saffronworks.forwarding.ports import AnswerBody
@@ -242,12 +242,18 @@
             logger.info("event=bad_request reason=header-too-large bytes=%d", header_bytes)
             await reply.refuse(431, "header-too-large")
             return
+        body = b""
         try:
-            body = await call.body(self._limits().body_bytes)
+            with self._forwarder.until_ended() as scope:
+                body = await call.body(self._limits().body_bytes)
         except BadBody as error:
             logger.info("event=bad_request reason=%r", str(error))
             await reply.refuse(413, str(error))
             return
+        if scope.cancelled_caught:
+            logger.info("event=refuse request=%s reason=stopping", call.headers.get("request-id"))
+            await reply.refuse(STOPPING.status, STOPPING.reason, STOPPING.retry_after_ms)
+            return
         request = read_request(call, body, self._now_ms())
         if isinstance(request, Err):
             text = "; ".join(request.err_value)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -1,6 +1,7 @@
 """The main class of a node on the platform: connects the forwarding code to the adapter."""
 
 import logging
+import math
 import random
 import signal
 from collections.abc import Callable, Coroutine
@@ -74,8 +75,10 @@
 METRICS_PATH = "/metrics"
 # The platform probes readiness once per second and sends no new callers after two failed probes.
 DEREGISTRATION_MS = 2300
-# The remaining requests are aborted this long before SIGKILL.
-EXIT_MARGIN_MS = 700
+# Open requests are ended this long before SIGKILL.
+EXIT_MARGIN_MS = 500
+# Time for the last bytes of the ended requests to reach the kernel.
+FLUSH_MS = 200
 # Delay before a failed service is restarted.
 SERVICE_PAUSE_MS = 1000
 # Processor time that a request is assumed to take on one core, until it is measured.
@@ -93,6 +96,8 @@
         self._settings_watch = SettingsWatch(settings_file, self._apply_settings)
         self._tasks: TaskGroup | None = None
         self._stopping = anyio.Event()
+        # When the open requests are ended; set at a planned end.
+        self._ends_ms: int | None = None
         self._listed_nodes = INITIAL_NODE_COUNT
         self._store_epoch = StoreEpoch()
         self._store = PlatformStore(settings.store_address, self._store_epoch)
@@ -171,7 +176,8 @@
             relay_port=parse_address(settings.relay_address)[1] if settings.relay_address else 0,
         )
         self._roles = self._make_roles(settings)
-        grace_s = max(1, (settings.stop_grace_ms - DEREGISTRATION_MS - EXIT_MARGIN_MS) // 1000)
+        # The server's own limit comes after the requests were ended.
+        grace_s = math.ceil(settings.stop_grace_ms / 1000)
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
         self._callers = HttpServer(callers, self._ingress.handle, grace_s, gate=self._gate)
@@ -378,15 +384,19 @@
                 if self._relays is not None:
                     serving.start_soon(self._relays.run)
                 await self._stopping.wait()
-                await self._drain()
+                tasks.start_soon(self._drain, serving.cancel_scope)
             tasks.cancel_scope.cancel()
         self._calls.pool.close()
         self._paths.peers.pool.close()
-        logger.info("event=stop node=%s", self.settings.node)
+        open_requests = self._forwarder.open_requests + self._relay_server.open_requests
+        logger.info("event=stop node=%s open_requests=%d", self.settings.node, open_requests)
 
     def stop(self) -> None:
-        """Begin a graceful shutdown."""
-        self._stopping.set()
+        """Begin a graceful shutdown; a second call changes nothing."""
+        if self._ends_ms is None:
+            left_ms = max(0, self.settings.stop_grace_ms - EXIT_MARGIN_MS)
+            self._ends_ms = monotonic_ms() + left_ms
+            self._stopping.set()
 
     def _closes_connection(self, number: int) -> bool:
         """Return whether a caller's connection is closed after an answer that begins now."""
@@ -397,19 +407,30 @@
         listed = all(follower.listed for follower in self._followers)
         return listed and self._forwarder.table is not None and not self._stopping.is_set()
 
-    async def _drain(self) -> None:
-        """Accept callers until the platform sends no more, then stop listening for new ones."""
+    async def _drain(self, serving: anyio.CancelScope) -> None:
+        """Accept callers until the platform sends no more, then stop listening for new ones.
+
+        Requests that are still open at the end of the grace period are answered or cut.
+        """
         logger.info(
             "event=drain node=%s open_requests=%d",
             self.settings.node,
             self._forwarder.open_requests,
         )
         self._relay_server.closing = True
-        await anyio.sleep(DEREGISTRATION_MS / 1000)
-        await self._census.leave()
+        assert self._ends_ms is not None
+        with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
+            await anyio.sleep(DEREGISTRATION_MS / 1000)
+            await self._census.leave()
         self._callers.stop()
         if self._relays is not None:
             self._relays.stop()
+        if not grace.cancelled_caught:
+            await anyio.sleep(_seconds_until(self._ends_ms))
+        self._forwarder.end_open_requests()
+        self._relay_server.end_open_requests()
+        await anyio.sleep(FLUSH_MS / 1000)
+        serving.cancel()
 
     def _spawn(
         self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: object
@@ -529,3 +550,7 @@
             budget.ratio,
             budget.slack,
         )
+
+
+def _seconds_until(at_ms: int) -> float:
+    return max(0, at_ms - monotonic_ms()) / 1000
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -39,6 +39,7 @@
         await anyio.sleep(0.2)
         place.node.stop()
         assert await wait_until(lambda: len(context.raws) == 3, limit_s=5)
+        assert await wait_until(lambda: "event=stop " in context.lines[-1], limit_s=2)
 
     with LogLines("saffronworks") as context.lines:
         on_platform(servers, play, SLOW_CONFIG, bounds=SHORT_GRACE)
@@ -60,5 +61,4 @@
     expected = [("cut", "streams"), ("refuse", "runs"), ("refuse", "waits")]
     found = sorted(tuple(line.split()[i].partition("=")[2] for i in (0, 1)) for line in ends)
     assert found == expected, ends
-    (stop,) = [line for line in context.lines if line.startswith("event=stop ")]
-    assert "open_requests=0" in stop, stop
+    assert context.lines[-1].endswith("open_requests=0"), context.lines[-1]
