--- a/saffronworks/cancels.py
+++ b/saffronworks/cancels.py
@@ -49,11 +49,12 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Start a task for each order, one at a time for the same attempt."""
-        async with anyio.create_task_group() as tasks:
-            async for order in mailbox:
-                if (order.address, order.key) not in self._running:
-                    self._running.add((order.address, order.key))
-                    tasks.start_soon(self._cancel, kernel, order)
+        await kernel.dispatch(self.name, mailbox, lambda order: self._start(kernel, order))
+
+    def _start(self, kernel: Kernel, order: CancelOrder) -> None:
+        if (order.address, order.key) not in self._running:
+            self._running.add((order.address, order.key))
+            kernel.spawn(self._cancel, kernel, order)
 
     async def _cancel(self, kernel: Kernel, order: CancelOrder) -> None:
         try:
--- a/saffronworks/claim_service.py
+++ b/saffronworks/claim_service.py
@@ -4,12 +4,12 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from saffronworks import claims, stores
 from saffronworks.claims import ClaimShard
 from saffronworks.clocks import wall_ms
+from saffronworks.documents import Document
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.members import MemberService
 from saffronworks.messages import ClaimAsk, ClaimReply, ClaimSettle
@@ -81,9 +81,8 @@
         """Handle messages and send ticks to the shards with pending work until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._tick, kernel, tasks)
-            async for message in mailbox:
-                self._handle(kernel, tasks, message)
+            tasks.start_soon(self._tick, kernel)
+            await kernel.dispatch(self.name, mailbox, lambda message: self._handle(kernel, message))
 
     def _node(self) -> str:
         assert self._kernel is not None
@@ -95,18 +94,18 @@
         shard_owner = members.owner_of(claims.shard_of(key))
         members.send(self._kernel, shard_owner or self._kernel.node, message)
 
-    def _handle(self, kernel: Kernel, tasks: TaskGroup, message: object) -> None:
+    def _handle(self, kernel: Kernel, message: object) -> None:
         match message:
             case ClaimAsk():
                 asked = claims.ClaimRequested(message.key, message.request_id, message.node)
-                self._step(kernel, tasks, claims.shard_of(message.key), asked)
+                self._step(kernel, claims.shard_of(message.key), asked)
             case ClaimSettle():
                 settled = claims.Settled(message.key, message.request_id)
-                self._step(kernel, tasks, claims.shard_of(message.key), settled)
+                self._step(kernel, claims.shard_of(message.key), settled)
             case ClaimReply():
                 self._handle_reply(message)
             case _ShardEvent():
-                self._step(kernel, tasks, message.shard, message.event)
+                self._step(kernel, message.shard, message.event)
 
     def _handle_reply(self, reply: ClaimReply) -> None:
         pair = (reply.key, reply.request_id)
@@ -120,42 +119,53 @@
         self._results[pair] = result
         self._replies[pair].set()
 
-    def _step(self, kernel: Kernel, tasks: TaskGroup, name: str, event: claims.Event) -> None:
+    def _step(self, kernel: Kernel, name: str, event: claims.Event) -> None:
         members: MemberService = kernel.find("members")
         state = self._shards.setdefault(name, ClaimShard())
         self._work.set()
         for command in claims.step(state, event, wall_ms()):
             match command:
                 case claims.Read():
-                    tasks.start_soon(self._read, kernel, name)
+                    kernel.spawn(self._read, kernel, name)
                 case claims.Write():
-                    tasks.start_soon(self._write, kernel, name, command)
+                    kernel.spawn(self._write, kernel, name, command)
                 case claims.Answer():
                     members.send(kernel, command.node, _make_reply(command))
 
-    async def _tick(self, kernel: Kernel, tasks: TaskGroup) -> None:
+    async def _tick(self, kernel: Kernel) -> None:
         while True:
             if all(state.idle for state in self._shards.values()):
                 self._work = anyio.Event()
                 await self._work.wait()
             await anyio.sleep(TICK_S)
             for name in [name for name, state in self._shards.items() if not state.idle]:
-                self._step(kernel, tasks, name, claims.Tick())
+                self._step(kernel, name, claims.Tick())
 
     async def _read(self, kernel: Kernel, name: str) -> None:
-        reply = await self._store.get(name)
         event: claims.Event = claims.Unavailable()
-        if isinstance(reply, Ok):
-            found = reply.ok_value
-            event = claims.ReadDone(0, {})
-            if found is not None:
-                event = claims.ReadDone(found.version, claims.read_records(found.content))
+        try:
+            reply = await self._store.get(name)
+            if isinstance(reply, Ok):
+                event = _read_event(reply.ok_value)
+        except Exception:
+            # The claims of the shard wait for an event.
+            logger.exception("event=claims_unreadable node=%s shard=%s", kernel.node, name)
         kernel.post(self.name, _ShardEvent(name, event))
 
     async def _write(self, kernel: Kernel, name: str, command: claims.Write) -> None:
-        content = claims.write_records(command.records)
-        reply = await self._store.put(name, content, command.expected)
-        kernel.post(self.name, _ShardEvent(name, _write_event(reply)))
+        event: claims.Event = claims.WriteLost()
+        try:
+            content = claims.write_records(command.records)
+            event = _write_event(await self._store.put(name, content, command.expected))
+        except Exception:
+            logger.exception("event=claims_not_written node=%s shard=%s", kernel.node, name)
+        kernel.post(self.name, _ShardEvent(name, event))
+
+
+def _read_event(found: Document | None) -> claims.Event:
+    if found is None:
+        return claims.ReadDone(0, {})
+    return claims.ReadDone(found.version, claims.read_records(found.content))
 
 
 def _write_event(reply: Result[int, stores.Moved | stores.StoreFailure]) -> claims.Event:
--- a/saffronworks/entries.py
+++ b/saffronworks/entries.py
@@ -65,8 +65,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tick, kernel)
             tasks.start_soon(self._renew_leases, kernel)
-            async for message in mailbox:
-                self._take(kernel, message)
+            await kernel.dispatch(self.name, mailbox, lambda message: self._take(kernel, message))
 
     def send_to_owner(self, cell: str, message: object) -> None:
         """Send to the owner of a cell, which may be this node."""
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -101,8 +101,7 @@
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._publish_updates)
-            async for message in mailbox:
-                self._handle(message)
+            await kernel.dispatch(self.name, mailbox, self._handle)
 
     # Known limits.
 
--- a/saffronworks/forwarding/origins/service.py
+++ b/saffronworks/forwarding/origins/service.py
@@ -6,7 +6,6 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.figures import Level, MetricsRecorder
@@ -99,7 +98,6 @@
         self._ring = HolderRing()
         self._rng = random.Random(own_address)
         self._kernel: Kernel | None = None
-        self._tasks: TaskGroup | None = None
         self._lookups = HolderLookups(own_address, self._send)
         self._unstored: dict[StreamKey, anyio.Event] = {}
         self._no_wait_until_ms = 0
@@ -109,10 +107,8 @@
         """Handle messages of other nodes until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             tasks.start_soon(self._request_history)
-            async for message in mailbox:
-                self._handle(message)
+            await kernel.dispatch(self.name, mailbox, self._handle)
 
     async def _request_history(self) -> None:
         """Request the history before this node's start until another node knows it."""
@@ -177,8 +173,8 @@
         stored = await self._await_stored(key) if holders and waits else False
         if holders and waits and not stored:
             self._no_wait_until_ms = self._now_ms() + STORE_BACKOFF_MS
-        if not certain and self._tasks is not None:
-            self._tasks.start_soon(self._settle, begun, service)
+        if not certain and self._kernel is not None:
+            self._kernel.spawn(self._settle, begun, service)
         logger.info(
             "event=origin_recorded request=%s service=%s version=%s certain=%s entries_age_ms=%d "
             "holders=%d stored=%s waited_ms=%d",
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -106,8 +106,7 @@
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_reports, kernel)
-            async for message in mailbox:
-                self._handle(message)
+            await kernel.dispatch(self.name, mailbox, self._handle)
 
     def _handle(self, message: _Answer | ReportWanted) -> None:
         if isinstance(message, ReportWanted):
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -66,8 +66,11 @@
         """Handle messages and ticks until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tick, kernel)
-            async for message in mailbox:
-                self._handle(kernel, message.service, message)
+            await kernel.dispatch(
+                self.name,
+                mailbox,
+                lambda message: self._handle(kernel, message.service, message),
+            )
 
     async def _tick(self, kernel: Kernel) -> None:
         """Send ticks to plans with waiters or runs; sleep while there are none."""
@@ -76,13 +79,21 @@
             await anyio.sleep(PLAN_EVERY_MS / 1000)
             active = [service for service, plan in self.plans.items() if plan.waiters or plan.runs]
             for service in active:
-                self._handle(kernel, service, Tick())
-                self._log_shares(self.plans[service], kernel.now_ms())
+                self._tick_plan(kernel, service)
             if not active:
                 for plan in self.plans.values():
                     self._log_shares(plan, kernel.now_ms(), last=True)
                 self._active = anyio.Event()
 
+    def _tick_plan(self, kernel: Kernel, service: str) -> None:
+        """Send a tick to a plan; one that can't go on is dropped, and rebuilt from reports."""
+        try:
+            self._handle(kernel, service, Tick())
+            self._log_shares(self.plans[service], kernel.now_ms())
+        except Exception:
+            logger.exception("event=plan_dropped service=%s", service)
+            self.plans.pop(service, None)
+
     def _log_shares(self, plan: PlanState, now_ms: int, last: bool = False) -> None:
         """Log and count the grants and rejections of organisations, the least served first."""
         summary = plan.shares.take_summary(plan.waiters, now_ms, last)
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -7,7 +7,6 @@
 from typing import Any, TypeVar
 
 import anyio
-from anyio.abc import TaskGroup
 
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
@@ -69,18 +68,15 @@
         self._records = QuarantineRecords(store)
         self._now_ms = now_ms
         self._kernel: Kernel | None = None
-        self._tasks: TaskGroup | None = None
         self._active = anyio.Event()
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Exchange suspicions with other nodes until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             tasks.start_soon(self._tick)
             tasks.start_soon(self._read_records)
-            async for message in mailbox:
-                self._handle(message)
+            await kernel.dispatch(self.name, mailbox, self._handle)
 
     def update_nodes(self, nodes: Collection[str]) -> None:
         """Replace the list of node addresses."""
@@ -220,8 +216,8 @@
 
     def _start(self, function: Callable[..., Coroutine[Any, Any, None]], *arguments: Any) -> None:
         """Start a background task; no effect before the service runs, as there are no requests."""
-        if self._tasks is not None:
-            self._tasks.start_soon(function, *arguments)
+        if self._kernel is not None:
+            self._kernel.spawn(function, *arguments)
 
     def _send_news(self, nodes: tuple[str, ...], news: SuspicionNews | PartNews) -> None:
         if self._kernel is not None:
@@ -230,7 +226,12 @@
 
     async def _probe(self, endpoint: ServiceEndpoint, after_ms: int) -> None:
         await anyio.sleep(after_ms / 1000)
-        result = await self._probe_once(endpoint)
+        try:
+            result = await self._probe_once(endpoint)
+        except Exception:
+            # The failed runs of the endpoint wait for a result.
+            logger.exception("event=probe_failed endpoint=%s", endpoint.instance)
+            result = ProbeResult.SILENT
         if result is not ProbeResult.REFUSES:
             logger.info(
                 "event=endpoint_probed endpoint=%s found=%s", endpoint.instance, result.value
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -79,8 +79,7 @@
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Handle messages of entry nodes and holders until cancelled."""
         self._kernel = kernel
-        async for message in mailbox:
-            self._handle(message)
+        await kernel.dispatch(self.name, mailbox, self._handle)
 
     # Called for requests.
 
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -196,8 +196,7 @@
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Process updates from peers until cancelled."""
         self._kernel = kernel
-        async for news in mailbox:
-            self._handle(news)
+        await kernel.dispatch(self.name, mailbox, self._handle)
 
     def _handle(self, news: StoreNews) -> None:
         if news.kind not in self._subscribers:
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -82,7 +82,8 @@
 
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return not self.draining and bool(self._kernel.find("relays").ready)
+        accepts = not self.draining and not self._kernel.failing()
+        return accepts and bool(self._kernel.find("relays").ready)
 
     def _entry(self) -> EntryService:
         return self._kernel.find("entry")
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -105,8 +105,7 @@
         """Send heartbeats and take news until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tick, kernel)
-            async for message in mailbox:
-                self._take(kernel, message)
+            await kernel.dispatch(self.name, mailbox, lambda message: self._take(kernel, message))
 
     def leave(self, kernel: Kernel, gone: bool) -> None:
         """Tell the others that this node leaves, or is gone."""
--- a/saffronworks/owner/owners.py
+++ b/saffronworks/owner/owners.py
@@ -1,10 +1,10 @@
 """The owner service: runs the schedulers of the cells that this node owns, and polls engines."""
 
 import logging
+from functools import partial
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 from result import Err, Ok
 
 from saffronworks.bundles import Endpoint, Role, read_bundle
@@ -65,7 +65,6 @@
     """
 
     name = "owner"
-    _tasks: TaskGroup
 
     def __init__(self, settings: Settings, engines: EngineClient, fences: FenceKeeper):
         self.states: dict[str, CellState] = {}
@@ -79,10 +78,8 @@
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Passes messages and ticks to the schedulers until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
             tasks.start_soon(self._tick, kernel)
-            async for message in mailbox:
-                self._take(kernel, tasks, message)
+            await kernel.dispatch(self.name, mailbox, lambda message: self._take(kernel, message))
 
     async def _tick(self, kernel: Kernel) -> None:
         while True:
@@ -90,7 +87,7 @@
             busy = any(state.queue.items or state.held for state in self.states.values())
             await anyio.sleep(TICK_S if busy else IDLE_TICK_S)
 
-    def _take(self, kernel: Kernel, tasks: TaskGroup, message: object) -> None:
+    def _take(self, kernel: Kernel, message: object) -> None:
         match message:
             case Ask() | Prefilled() | Release() | LeaseRenewal() | HeldList():
                 self._step(kernel, message.cell, message)
@@ -102,9 +99,9 @@
                 for name in list(self.states):
                     self._step(kernel, name, cell_events.Tick())
             case InForce():
-                self._take_document(kernel, tasks, message)
+                self._take_document(kernel, message)
             case MemberChanged():
-                self._update_owned_cells(kernel, tasks)
+                self._update_owned_cells(kernel)
 
     def _note_cancel(self, kernel: Kernel, done: CancelDone) -> None:
         if done.gone:
@@ -112,7 +109,7 @@
         else:
             self._step(kernel, done.cell, cell_events.CancelAcknowledged(done.endpoint, done.key))
 
-    def _take_document(self, kernel: Kernel, tasks: TaskGroup, change: InForce) -> None:
+    def _take_document(self, kernel: Kernel, change: InForce) -> None:
         key = change.document.key
         if key == VMS_KEY:
             vms = read_vms(change.document.content)
@@ -128,21 +125,21 @@
             self.known.update(found)
             for name in found.keys() & self.states.keys():
                 self._step(kernel, name, cell_events.CellChanged(found[name]))
-            self._update_owned_cells(kernel, tasks)
+            self._update_owned_cells(kernel)
 
-    def _update_owned_cells(self, kernel: Kernel, tasks: TaskGroup) -> None:
+    def _update_owned_cells(self, kernel: Kernel) -> None:
         """Starts the schedulers of newly owned cells, and stops those of cells no longer owned."""
         members: MemberService = kernel.find("members")
         for name, cell in self.known.items():
             mine = members.owner_of(name) == kernel.node
             if mine and name not in self.states:
-                self._acquire_cell(kernel, tasks, cell)
+                self._acquire_cell(kernel, cell)
             elif not mine and name in self.states:
                 self._release_cell(kernel, name)
         for name in [name for name in self.states if name not in self.known]:
             self._release_cell(kernel, name)
 
-    def _acquire_cell(self, kernel: Kernel, tasks: TaskGroup, cell: Cell) -> None:
+    def _acquire_cell(self, kernel: Kernel, cell: Cell) -> None:
         rebuild_ms = self._settings.heartbeat_ms + 100
         state = cells.new_cell(
             cell, kernel.node, self._settings.lease_ms, rebuild_ms, kernel.now_ms()
@@ -151,7 +148,7 @@
         self._step(kernel, cell.name, cell_events.EndpointsLeaving(self._leaving))
         scope = anyio.CancelScope()
         self._pollers[cell.name] = scope
-        tasks.start_soon(self._poll, kernel, cell.name, scope)
+        kernel.spawn(self._poll, kernel, cell.name, scope)
         logger.info("event=cell_acquired node=%s cell=%s", kernel.node, cell.name)
 
     def _release_cell(self, kernel: Kernel, name: str) -> None:
@@ -171,10 +168,10 @@
                 case cell_events.CancelStream():
                     self._cancel(kernel, state, command.endpoint, command.key)
                 case cell_events.TakeFence():
-                    self._tasks.start_soon(self._take_fence, kernel, name)
+                    kernel.spawn(self._take_fence, kernel, name)
                 case cell_events.OrderRole():
                     address = state.ledgers[command.endpoint].endpoint.address
-                    self._tasks.start_soon(self._order_role, kernel, name, address, command)
+                    kernel.spawn(self._order_role, kernel, name, address, command)
 
     def _cancel(self, kernel: Kernel, state: CellState, endpoint: str, key: RequestKey) -> None:
         ledger = state.ledgers.get(endpoint)
@@ -221,10 +218,13 @@
                 async with anyio.create_task_group() as tasks:
                     for ledger in list(self.states[name].ledgers.values()):
                         endpoint = ledger.endpoint
-                        tasks.start_soon(self._ask_report, kernel, name, endpoint)
+                        report = partial(self._ask_report, kernel, name, endpoint)
+                        tasks.start_soon(kernel.run_once, report)
                         if turn % rounds == 0:
-                            tasks.start_soon(self._ask_streams, kernel, name, endpoint)
-                            tasks.start_soon(self._ask_events, kernel, name, ledger)
+                            streams = partial(self._ask_streams, kernel, name, endpoint)
+                            events = partial(self._ask_events, kernel, name, ledger)
+                            tasks.start_soon(kernel.run_once, streams)
+                            tasks.start_soon(kernel.run_once, events)
                 turn += 1
                 await anyio.sleep(self._settings.report_every_ms / 1000)
 
--- a/saffronworks/peers.py
+++ b/saffronworks/peers.py
@@ -66,24 +66,34 @@
         self._listener: pynng.Pull0 | None = None
 
     def listen(self) -> None:
-        """Bind the socket; must come before `run`, so that the node fails early."""
-        self._listener = pynng.Pull0(recv_buffer_size=RECEIVE_MESSAGES)
-        self._listener.listen(f"tcp://{self.address}")
+        """Bind the socket; call it before `run`, so that the node fails early."""
+        listener = pynng.Pull0(recv_buffer_size=RECEIVE_MESSAGES)
+        try:
+            listener.listen(f"tcp://{self.address}")
+        except pynng.NNGException:
+            listener.close()
+            raise
+        self._listener = listener
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Carry messages both ways until cancelled."""
+        if self._listener is None:
+            self.listen()
+        assert self._listener is not None
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._receive, kernel)
-                async for message in mailbox:
-                    self._take(message, kernel.now_ms())
+                tasks.start_soon(self._receive, kernel, self._listener)
+                await kernel.dispatch(
+                    self.name, mailbox, lambda message: self._handle(message, kernel.now_ms())
+                )
         finally:
             for link in self._links.values():
                 link.socket.close()
-            if self._listener is not None:
-                self._listener.close()
+            self._links.clear()
+            self._listener.close()
+            self._listener = None
 
-    def _take(self, message: Outgoing | CloseTo, now_ms: int) -> None:
+    def _handle(self, message: Outgoing | CloseTo, now_ms: int) -> None:
         match message:
             case Outgoing():
                 self._send(message, now_ms)
@@ -101,6 +111,13 @@
         except pynng.TryAgain:
             self.dropped += 1
             return
+        except pynng.NNGException as error:
+            self.dropped += 1
+            self._links.pop(outgoing.address).socket.close()
+            logger.warning(
+                "event=peer_send_failed peer=%s problem=%r", outgoing.address, str(error)
+            )
+            return
         self.sent_bytes += len(data)
         self.sent_messages += 1
 
@@ -112,14 +129,17 @@
             reconnect_time_min=50,
             reconnect_time_max=RECONNECT_MOST_MS,
         )
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except Exception:
+            socket.close()
+            raise
         self._links[address] = _Link(socket, now_ms)
         return self._links[address]
 
-    async def _receive(self, kernel: Kernel) -> None:
-        assert self._listener is not None
+    async def _receive(self, kernel: Kernel, listener: pynng.Pull0) -> None:
         while True:
-            data = await self._listener.arecv()
+            data = await listener.arecv()
             self.received_bytes += len(data)
             self.received_messages += 1
             decoded = self._codec.decode(data)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -4,6 +4,7 @@
 import math
 import random
 import signal
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -196,6 +197,12 @@
             "saffronworks_longest_loop_turn_ms",
             lambda: [Level(LOOP_METER.longest_turn_ms(monotonic_ms()), {})],
         )
+        self._state.figures.register_gauge(
+            "saffronworks_service_failures", lambda: _levels(self._kernel.failures)
+        )
+        self._state.figures.register_gauge(
+            "saffronworks_failed_messages", lambda: _levels(self._kernel.dropped)
+        )
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
             self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
@@ -405,7 +412,8 @@
     def ready(self) -> bool:
         """Return whether this node can serve callers."""
         listed = all(follower.listed for follower in self._followers)
-        return listed and self._forwarder.table is not None and not self._stopping.is_set()
+        accepts = self._forwarder.table is not None and not self._stopping.is_set()
+        return listed and accepts and not self._kernel.failing()
 
     async def _drain(self, serving: anyio.CancelScope) -> None:
         """Accept callers until the platform sends no more, then stop listening for new ones.
@@ -554,3 +562,8 @@
 
 def _seconds_until(at_ms: int) -> float:
     return max(0, at_ms - monotonic_ms()) / 1000
+
+
+def _levels(counts: Counter[str]) -> list[Level]:
+    """Return counts by service as the levels of a gauge."""
+    return [Level(count, {"service": name}) for name, count in counts.items()]
--- a/saffronworks/relays.py
+++ b/saffronworks/relays.py
@@ -59,8 +59,7 @@
         """Relay until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_store, kernel)
-            async for message in mailbox:
-                self._take(kernel, message)
+            await kernel.dispatch(self.name, mailbox, lambda message: self._take(kernel, message))
 
     def fresh_age_ms(self, now_ms: int) -> int:
         """How long ago the store was last known to agree, by this node or a peer."""
--- a/saffronworks/surveys.py
+++ b/saffronworks/surveys.py
@@ -27,12 +27,14 @@
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Answer queries and collect answers until cancelled."""
-        async for message in mailbox:
-            match message:
-                case SurveyQuery():
-                    self._answer(kernel, message)
-                case NodeAnswer() if message.survey in self._answers:
-                    self._answers[message.survey].append(message)
+        await kernel.dispatch(self.name, mailbox, lambda message: self._handle(kernel, message))
+
+    def _handle(self, kernel: Kernel, message: SurveyQuery | NodeAnswer) -> None:
+        match message:
+            case SurveyQuery():
+                self._answer(kernel, message)
+            case NodeAnswer() if message.survey in self._answers:
+                self._answers[message.survey].append(message)
 
     def make_answer(self, kernel: Kernel, survey: int, burn: bool) -> NodeAnswer:
         """This node's own answer."""
--- a/saffronworks/tests/features/peers.feature
+++ b/saffronworks/tests/features/peers.feature
@@ -11,3 +11,9 @@
     Given two nodes of which one reports more tokens than an integer of a message holds
     When the first one sends another message to the same peer
     Then it arrives, and the first node's services run on
+
+  # Guards against a node whose other peers get no messages after its listener failed.
+  Scenario: a node whose listener fails listens again at its address
+    Given two nodes of which one lost its listener
+    When the other one sends it a message
+    Then it arrives, and the failure is counted
--- a/saffronworks/tests/features/steps/peers_steps.py
+++ b/saffronworks/tests/features/steps/peers_steps.py
@@ -101,3 +101,33 @@
 @then("it arrives, and the first node's services run on")
 def arrived_after(context):
     assert context.heard == ["after"]
+
+
+@given("two nodes of which one lost its listener")
+@when("the other one sends it a message")
+def lose_listener(context):
+    if "heard" in context:
+        return
+
+    async def main():
+        one, other = Peer(), Peer()
+        async with anyio.create_task_group() as tasks:
+            one.kernel.start(tasks)
+            other.kernel.start(tasks)
+            other.send(one, "first")
+            await arrives(one, "first")
+            one.service._listener.close()
+            with anyio.fail_after(3):
+                while "again" not in one.heard:
+                    other.send(one, "again")
+                    await anyio.sleep(0.05)
+            context.heard, context.failures = one.heard, one.kernel.failures
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it arrives, and the failure is counted")
+def counted(context):
+    assert "again" in context.heard
+    assert context.failures == {"peers": 1}, context.failures
--- /dev/null
+++ b/saffronworks/tests/features/steps/services_steps.py
@@ -0,0 +1,98 @@
+"""Services of a kernel that raise, and messages that their handlers can't take."""
+
+import anyio
+from behave import given, then, when
+
+from saffronworks.kernel import MAX_FAILURES, STEADY_MS, Kernel, ServiceHealth
+
+
+class Counting:
+    """Records messages; raises in its first `failures` runs, and for the message `spoiled`."""
+
+    def __init__(self, name, failures=0):
+        self.name, self.failures, self.runs, self.heard = name, failures, 0, []
+
+    async def run(self, kernel, mailbox):
+        self.runs += 1
+        if self.runs <= self.failures:
+            raise RuntimeError("a test's failure")
+        await kernel.dispatch(self.name, mailbox, self.handle)
+
+    def handle(self, message):
+        if message == "spoiled":
+            raise OverflowError
+        self.heard.append(message)
+
+
+def play(context, messages):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            context.kernel.start(tasks)
+            for message in messages:
+                for service in context.services:
+                    context.kernel.post(service.name, message)
+            with anyio.fail_after(3):
+                while any("last" not in service.heard for service in context.services):
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def register(context, *services):
+    context.kernel, context.services = Kernel("n", lambda: 0), services
+    for service in services:
+        context.kernel.register(service)
+
+
+@given("a service that raises twice when it starts, and another one")
+def failing_service(context):
+    register(context, Counting("failing", 2), Counting("sound"))
+
+
+@given("a service that can't handle one of its messages")
+def spoiled_service(context):
+    register(context, Counting("one"))
+
+
+@when("both are sent messages meanwhile")
+def send_to_both_services(context):
+    play(context, ["first", "last"])
+
+
+@when("it is sent that one between others")
+def send_spoiled(context):
+    play(context, ["first", "spoiled", "last"])
+
+
+@then("both handle all of them")
+def handled_all(context):
+    assert [service.heard for service in context.services] == [["first", "last"]] * 2
+    assert context.kernel.failures == {"failing": 2}
+    assert context.services[1].runs == 1
+
+
+@then("it handles the others in its first run, and one is counted as dropped")
+def handled_others(context):
+    (service,) = context.services
+    assert service.heard == ["first", "last"] and service.runs == 1
+    assert context.kernel.dropped == {"one": 1}
+
+
+@given("a service that fails three times in a row")
+def fails_in_a_row(context):
+    context.health, context.pauses, context.failing = ServiceHealth(), [], []
+    for number in range(MAX_FAILURES):
+        context.health.record_start(1000 * number)
+        context.pauses.append(context.health.record_failure(1000 * number + 5))
+        context.failing.append(context.health.is_failing(1000 * number + 999))
+
+
+@then("its pauses grow, and it counts as failing until it has run for ten seconds")
+def counts_as_failing(context):
+    assert context.pauses == sorted(set(context.pauses)), context.pauses
+    assert context.failing == [False, False, True], context.failing
+    health = context.health
+    health.record_start(5000)
+    assert health.is_failing(5000 + STEADY_MS - 1) and not health.is_failing(5000 + STEADY_MS)
+    assert health.record_failure(5000 + STEADY_MS) == context.pauses[0]
--- a/saffronworks/wire.py
+++ b/saffronworks/wire.py
@@ -8,6 +8,9 @@
 
 __all__ = ["Codec"]
 
+# msgspec raises its own errors, and these for text that is not UTF-8 and for values nested deeply.
+_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 
 class Codec:
     """Encodes and decodes the public types of the modules that it is given.
@@ -22,7 +25,7 @@
         self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
 
     def encode(self, message: object) -> bytes:
-        """A message as bytes."""
+        """A message as bytes; raises what msgspec does for a value that has no encoding."""
         return self._encoder.encode((type(message).__name__, message))
 
     def decode(self, data: bytes) -> Result[Any, str]:
@@ -34,7 +37,7 @@
             if name not in self._decoders:
                 self._decoders[name] = msgspec.msgpack.Decoder(self._kinds[name])
             return Ok(self._decoders[name].decode(body))
-        except msgspec.MsgspecError as error:
+        except _DECODE_ERRORS as error:
             return Err(f"bad message: {error}")
 
 
