--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -2,12 +2,13 @@
 
 import logging
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
 import attrs
 
+from saffronworks.forwarding.answer_times import Work, may_begin
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, CallerRequest, Refuse
 from saffronworks.forwarding.plain_runner import run_plain
@@ -30,6 +31,10 @@
 STORE_SLOW_MS = 1000
 # Refusal of a request that no endpoint can have run, at the end of this process.
 STOPPING = Refuse(503, "stopping", not_run=True, retry_after_ms=OTHER_NODE_RETRY_AFTER_MS)
+# Refusal of a request that would not end before this process.
+NO_TIME_LEFT = attrs.evolve(STOPPING, reason="node-draining")
+# Plain answers are expected within this multiple of their latency target.
+PLAIN_TARGETS = 4
 
 
 class Forwarder:
@@ -41,6 +46,8 @@
         # Requests are no longer served, as the process ends.
         self.ended = False
         self._scopes: set[anyio.CancelScope] = set()
+        self._ends_ms = math.inf
+        self._has_other_nodes: Callable[[], bool] = lambda: False
         self._node = node
         self._began_ms = began_ms
         self._usual_left_ms: dict[str, int] = {}
@@ -51,6 +58,7 @@
             return False
         old = self.table.version if self.table else None
         self.table = table
+        self._node.answer_times.forget_all_but(set(table.services))
         self._node.identities.organisations = table.organisations
         logger.info(
             "event=config_in_force version=%d before=%s routes=%d services=%d keys=%s",
@@ -77,6 +85,13 @@
             finally:
                 self._scopes.remove(scope)
 
+    def drain(self, ends_ms: int, has_other_nodes: Callable[[], bool]) -> None:
+        """Refuse requests from now on that would not end before `ends_ms`.
+
+        Without other nodes, which may serve them, they are served.
+        """
+        self._ends_ms, self._has_other_nodes = ends_ms, has_other_nodes
+
     def end_open_requests(self) -> None:
         """Answer or cut all open requests, as the process ends."""
         logger.info("event=requests_ended open_requests=%d", self.open_requests)
@@ -110,6 +125,11 @@
             return
         request = attrs.evolve(request, organisation=identified)
         job = Job(request, route, service, reply, table.version)
+        now_ms = self._node.now_ms()
+        left_ms = self._ends_ms - now_ms
+        if not may_begin(self._expect(job, table, now_ms), left_ms, self._has_other_nodes()):
+            await send_refusal(self._node, job, NO_TIME_LEFT)
+            return
         self.open_requests += 1
         expected_bytes = self._node.link.begin(route.name, len(request.body), self._node.now_ms())
         try:
@@ -136,6 +156,20 @@
         if scope.cancelled_caught:
             await self._end_early(job, "stopping" if self.ended else "deadline")
 
+    def _expect(self, job: Job, table: RoutingTable, now_ms: int) -> Work:
+        """Return the times of a request that begins now."""
+        request, route = job.request, job.route
+        service = table.services.get(job.service)
+        engine = service.engine if service else None
+        expected_ms: float | None = None
+        if engine is not None and request.prompt is not None:
+            made_tokens = (request.after_event or 0) * engine.tokens_per_event
+            times = self._node.answer_times.of(job.service)
+            expected_ms = times.expected_ms(request.prompt, made_tokens)
+        elif not route.streams:
+            expected_ms = PLAIN_TARGETS * route.target_ms
+        return Work(job.deadline_at_ms - now_ms, expected_ms)
+
     async def _run(self, job: Job, table: RoutingTable) -> None:
         if job.route.streams and job.request.after_event is not None:
             origin = await self._node.origins.find(job.request, job.route)
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -383,5 +383,8 @@
         if self._reservation.known_to_planner:
             pace = StreamPace() if self._path_failed else self._relay.pace()
             self._reservation.report_end(pace, self._state.pop_broken())
+            times = self._node.answer_times.of(self._job.service)
+            times.learn_pace(pace.answer_tokens, pace.stream_ms)
+            times.learn_length(self._reservation.size.likely_tokens, pace.length_tokens)
         self._reservation.release()
         self._prefill.release()
--- a/saffronworks/forwarding/planning/lengths.py
+++ b/saffronworks/forwarding/planning/lengths.py
@@ -64,6 +64,11 @@
             more = OVERRUN_SHARE * made_tokens
         return max(0.0, min(more, most_tokens - made_tokens))
 
+    def quantile_tokens(self, share: float, likely_tokens: int) -> float:
+        """Return a length that this share of answers with such a hint does not exceed."""
+        index = min(len(self._sorted) - 1, int(share * len(self._sorted)))
+        return self._sorted[index] * likely_tokens
+
     def _update_sums(self) -> None:
         """Update the sums of the sorted ratios from each index to the end."""
         self._sums = list(accumulate(reversed(self._sorted)))[::-1]
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -6,6 +6,7 @@
 import attrs
 
 from saffronworks.clocks import extend_for_lag
+from saffronworks.forwarding.answer_times import AnswerTimes
 from saffronworks.forwarding.buffered_answers import AnswerBuffers, TrackedBody
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
@@ -71,6 +72,7 @@
     origins: StreamOrigins = attrs.field()
     buffers: AnswerBuffers = attrs.field()
     link: LinkBudget = attrs.Factory(lambda: LinkBudget(None))
+    answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
 
     @origins.default
     def _keep_own_origins(self) -> StreamOrigins:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -405,6 +405,9 @@
             self._ends_ms = monotonic_ms() + left_ms
             self._stopping.set()
 
+    def _has_other_nodes(self) -> bool:
+        return not self._memory.choice.cores.keys() <= {self.settings.peer_address}
+
     def _closes_connection(self, number: int) -> bool:
         """Return whether a caller's connection is closed after an answer that begins now."""
         return self._stopping.is_set() or self._gate.closes(number)
@@ -425,8 +428,9 @@
             self.settings.node,
             self._forwarder.open_requests,
         )
-        self._relay_server.closing = True
         assert self._ends_ms is not None
+        self._relay_server.closing = True
+        self._forwarder.drain(self._ends_ms, self._has_other_nodes)
         with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
             await anyio.sleep(DEREGISTRATION_MS / 1000)
             await self._census.leave()
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -5,3 +5,13 @@
     When a node is stopped while requests take longer than its grace
     Then one that a server may have run gets 504 with its id, and one that waits a true refusal
     And a begun stream is cut, and the log gives the reason for each of the three
+
+  # Guards against streams that a draining node begins and cuts at its end.
+  Scenario: work that can't be finished before the end of a node is not begun there
+    When a node that other nodes can replace is stopped, and requests arrive meanwhile
+    Then a generation that fits is served whole, and a plain request too
+    And one that is too long is refused at once, without a run, and its connection closed
+    And it is served by a node without others
+
+  Scenario: whether a draining node begins a request
+    Then one whose deadline or expected end is in time is begun, and any if there is no other node
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -2,7 +2,10 @@
 
 import anyio
 from behave import then, when
+from hypothesis import given as forall
+from hypothesis import strategies as st
 
+from saffronworks.forwarding.answer_times import Work, may_begin
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_fakes import BOUNDS
@@ -62,3 +65,70 @@
     found = sorted(tuple(line.split()[i].partition("=")[2] for i in (0, 1)) for line in ends)
     assert found == expected, ends
     assert context.lines[-1].endswith("open_requests=0"), context.lines[-1]
+
+
+def generation(answer_tokens, hint):
+    counts = {"Token-Counts": f"500,{answer_tokens}", "Length-Hint": str(hint)}
+    return counts | {"Deadline-Ms": "20000"}
+
+
+@when("a node that other nodes can replace is stopped, and requests arrive meanwhile")
+def requests_while_draining(context):
+    servers = [*web_servers(), *engines()]
+    context.raws = {}
+
+    def play_with(name, nodes):
+        async def play(place):
+            known = place.node._memory.choice
+            assert await wait_until(lambda: len(known.cores) == nodes, limit_s=5)
+            place.node.stop()
+            await anyio.sleep(0.1)
+            context.raws[name, "short"] = await place.ask("/gen/", "short", generation(900, 100))
+            context.raws[name, "plain"] = await place.ask(
+                "/once/", "plain", {"Deadline-Ms": "1500"}
+            )
+            context.raws[name, "long"] = await place.ask("/gen/", "long", generation(9000, 9000))
+            context.ran = [request_id for server in servers for request_id in server.ran]
+
+        on_platform(servers, play, SLOW_CONFIG, count=nodes, bounds=SHORT_GRACE)
+
+    play_with("two", 2)
+    context.ran_by_two = context.ran
+    play_with("one", 1)
+
+
+@then("a generation that fits is served whole, and a plain request too")
+def served_whole(context):
+    short, plain = context.raws["two", "short"], context.raws["two", "plain"]
+    assert short.startswith(b"HTTP/1.1 200") and short.endswith(b"0\r\n\r\n"), short
+    assert plain.startswith(b"HTTP/1.1 200") and plain.endswith(b"plain"), plain
+
+
+@then("one that is too long is refused at once, without a run, and its connection closed")
+def refused_at_once(context):
+    long = context.raws["two", "long"].lower()
+    assert long.startswith(b"http/1.1 503") and b"node-draining" in long, long
+    assert b"\r\nretry-after: 0.1" in long and b"\r\nconnection: close\r\n" in long, long
+    assert context.ran_by_two == ["plain", "short"], context.ran_by_two
+
+
+@then("it is served by a node without others")
+def served_alone(context):
+    long = context.raws["one", "long"]
+    assert long.startswith(b"HTTP/1.1 200") and long.endswith(b"0\r\n\r\n"), long
+
+
+TIMES_MS = st.floats(0, 60_000)
+
+
+@then("one whose deadline or expected end is in time is begun, and any if there is no other node")
+def decides_begin(context):
+    @forall(TIMES_MS, st.none() | TIMES_MS, TIMES_MS, TIMES_MS)
+    def holds(deadline_ms, expected_ms, left_ms, more_ms):
+        work = Work(deadline_ms, expected_ms)
+        in_time = deadline_ms <= left_ms or (expected_ms is not None and expected_ms <= left_ms)
+        assert may_begin(work, left_ms, has_other_nodes=True) is in_time
+        assert may_begin(work, left_ms, has_other_nodes=False)
+        assert not in_time or may_begin(work, left_ms + more_ms, has_other_nodes=True)
+
+    holds()
