--- a/saffronworks/forwarding/eligibility/service.py
+++ b/saffronworks/forwarding/eligibility/service.py
@@ -25,9 +25,9 @@
     """Combines what the store lists with what endpoints advertise about themselves.
 
     A draining endpoint gets no new request as long as another endpoint is available. Otherwise
-    requests that arrived up to `drain_ms` after the drain began may still go there. A paused
-    endpoint gets no request of this node until the pause ends, but doesn't count as failed, as
-    other nodes may still send to it.
+    requests may still be sent there until `drain_ms` after the drain began, however long ago they
+    arrived: one may wait longer than the endpoint lives. A paused endpoint gets no request of this
+    node until the pause ends, but doesn't count as failed, as other nodes may still send to it.
     """
 
     def __init__(
@@ -92,11 +92,10 @@
     def usable(
         self,
         service: str,
-        arrived_ms: int,
         role: Role | None = None,
         version: str | None = None,
     ) -> list[ServiceEndpoint]:
-        """Return the endpoints that a request which arrived at `arrived_ms` may choose from.
+        """Return the endpoints that a request may choose from.
 
         With a `version`, only those with that version of their software. If there are none, those
         are returned that have advertised a drain a short time ago.
@@ -105,7 +104,7 @@
         usable = _of_version(self._directory.usable(service, now_ms, role), version)
         if usable:
             return usable
-        since_ms = arrived_ms - self._drain_ms
+        since_ms = now_ms - self._drain_ms
         draining = self._directory.draining_since(service, now_ms, role, since_ms)
         return _of_version(draining, version)
 
@@ -132,9 +131,7 @@
                 blocks[instance] = _block_for(pause, now_ms)
         return blocks
 
-    def find_block(
-        self, endpoint: ServiceEndpoint, arrived_ms: int, reserved: bool = False
-    ) -> Block | None:
+    def find_block(self, endpoint: ServiceEndpoint, reserved: bool = False) -> Block | None:
         """Return why a request may not be sent to an endpoint now, or None if it may.
 
         A request with a reservation was admitted by the endpoint before a pause began, so it may
@@ -143,11 +140,11 @@
         listed = self._directory.endpoints.get(endpoint.instance)
         if listed is None:
             return Block(BlockReason.GONE)
+        now_ms = self._now_ms()
         began_ms = self._directory.advertised.draining_since_ms(endpoint.instance)
-        drained = began_ms is not None and arrived_ms > began_ms + self._drain_ms
+        drained = began_ms is not None and now_ms > began_ms + self._drain_ms
         if listed.draining or drained:
             return Block(BlockReason.DRAINING)
-        now_ms = self._now_ms()
         pause = self._directory.advertised.pause(endpoint.instance, now_ms)
         if pause is None or (reserved and now_ms < pause.since_ms + PAUSE_GRACE_MS):
             return None
@@ -156,7 +153,6 @@
     def check_send(
         self,
         endpoint: ServiceEndpoint,
-        arrived_ms: int,
         request_id: str,
         reserved: bool = False,
     ) -> None:
@@ -164,7 +160,7 @@
 
         Opening a connection, acquiring a permit or a prefill takes time in between.
         """
-        block = self.find_block(endpoint, arrived_ms, reserved)
+        block = self.find_block(endpoint, reserved)
         if block is None:
             return
         logger.info(
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -127,7 +127,6 @@
             node.loads,
             self._job.service,
             self._state.tokens,
-            self._state.arrived_ms,
             now_ms,
             self._state.version,
             node.origins.is_certain,
--- a/saffronworks/forwarding/paths/messages.py
+++ b/saffronworks/forwarding/paths/messages.py
@@ -42,15 +42,14 @@
     """Entry to peer: pass this request on to an endpoint, or only check that it is reached.
 
     `request_id` is the id that the endpoint's answer echoes, None for calls of the entry node
-    itself, and `age_ms` the time since the caller's request arrived. `reserved`: the endpoint holds
-    memory for it. `control_call`: it is a call of the entry node itself. `cancels`: it releases
-    what the endpoint holds, which no drain or pause forbids. `left_ms`: longest wait.
+    itself. `reserved`: the endpoint holds memory for it. `control_call`: it is a call of the entry
+    node itself. `cancels`: it releases what the endpoint holds, which no drain or pause forbids.
+    `left_ms`: longest wait.
     """
 
     endpoint: StartId
     check: bool = False
     request_id: str | None = None
-    age_ms: int = 0
     reserved: bool = False
     control_call: bool = False
     cancels: bool = False
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -174,7 +174,6 @@
             fields=tuple(field for field in call.fields if field[0].lower() not in _HOP_BY_HOP),
             body=body,
             request_id=request.request_id,
-            arrived_ms=began_ms - _clamp_ms(request.age_ms),
             reserved=request.reserved,
             control_call=request.control_call,
             cancels=request.cancels,
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -98,9 +98,7 @@
 
     def _decide(self, event: plain_core.Event) -> plain_core.Command:
         node, now_ms = self._node, self._node.now_ms()
-        usable = node.eligibility.usable(
-            self._job.service, self._job.request.arrived_ms, version=self._job.version
-        )
+        usable = node.eligibility.usable(self._job.service, version=self._job.version)
         if self._job.version is not None:
             usable = [endpoint for endpoint in usable if node.origins.is_certain(endpoint)]
         ranked = node.loads.rank(usable, now_ms)
--- a/saffronworks/forwarding/pools.py
+++ b/saffronworks/forwarding/pools.py
@@ -17,7 +17,6 @@
     loads: LoadTable,
     service: str,
     tokens: int,
-    arrived_ms: int,
     now_ms: int,
     version: str | None = None,
     is_certain: Callable[[ServiceEndpoint], bool] = lambda _: True,
@@ -28,11 +27,11 @@
     software version that began it, where `is_certain` tells that the endpoint has it. A prompt may
     be prefilled at any version, as a KV cache depends on the version of the weights.
     """
-    decoders = eligibility.usable(service, arrived_ms, Role.DECODE, version)
-    prefillers = eligibility.usable(service, arrived_ms, Role.PREFILL)
+    decoders = eligibility.usable(service, Role.DECODE, version)
+    prefillers = eligibility.usable(service, Role.PREFILL)
     other_versions: frozenset[StartId] = frozenset()
     if version is not None:
-        usable = eligibility.usable(service, arrived_ms, Role.DECODE)
+        usable = eligibility.usable(service, Role.DECODE)
         decoders = [endpoint for endpoint in decoders if is_certain(endpoint)]
         candidates = {endpoint.instance for endpoint in decoders}
         other_versions = frozenset(e.instance for e in usable if e.instance not in candidates)
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -187,8 +187,7 @@
 class RelayedRequest:
     """A request for an endpoint that another node doesn't reach, in the endpoint's own form.
 
-    `arrived_ms` is the time at which the caller's request arrived, by this node's clock. See
-    `RelayRequest` for the other fields.
+    See `RelayRequest` for its fields.
     """
 
     method: str
@@ -196,7 +195,6 @@
     fields: tuple[tuple[str, str], ...]
     body: bytes
     request_id: str | None
-    arrived_ms: int
     reserved: bool
     control_call: bool
     cancels: bool
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -251,7 +251,6 @@
         relay = RelayRequest(
             endpoint.instance,
             request_id=request.request_id,
-            age_ms=monotonic_ms() - request.arrived_ms,
             reserved=reserved,
             left_ms=left_ms,
         )
@@ -274,7 +273,7 @@
         """Return a connection if the endpoint still accepts this request; raises ExchangeError."""
         connection = await self.paths.connector.acquire(endpoint, control_call)
         try:
-            self._eligibility.check_send(endpoint, request.arrived_ms, request.request_id, reserved)
+            self._eligibility.check_send(endpoint, request.request_id, reserved)
         except ExchangeError:
             self.paths.connector.release(endpoint, connection)
             raise
@@ -297,9 +296,7 @@
         )
         try:
             if not relayed.cancels:
-                self._eligibility.check_send(
-                    endpoint, relayed.arrived_ms, relayed.request_id or "", relayed.reserved
-                )
+                self._eligibility.check_send(endpoint, relayed.request_id or "", relayed.reserved)
             lines = [f"{relayed.method} {relayed.target} HTTP/1.1"]
             lines += [f"{key}: {value}" for key, value in relayed.fields]
             data = _join(lines, relayed.body)
@@ -363,7 +360,6 @@
         sent_ms = monotonic_ms()
         relay = RelayRequest(
             endpoint.instance,
-            age_ms=sent_ms - request.arrived_ms if request else 0,
             control_call=True,
             cancels=request is None,
             left_ms=CALL_TIMEOUT_MS,
--- a/saffronworks/tests/features/advertised.feature
+++ b/saffronworks/tests/features/advertised.feature
@@ -69,6 +69,11 @@
     And no field value raises an exception
     And each unknown field is logged once, up to a limit
 
+  # Guards against a drain that was counted by the arrival of requests: one that had waited for a
+  # permit, a reservation or a connection was sent seconds after the drain and lost with its endpoint.
+  Scenario: a request that waits while the last endpoint of its service drains
+    Then it is never sent later than the drain time after the drain began, however long it waited
+
   Scenario: an endpoint that advertises a drain after it was chosen and before the send
     Then nothing is sent, the endpoint does not count as failed, and its connection is reused
     And a generation is sent to another engine, without reporting a failure to the planner
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -98,12 +98,12 @@
                     now_ms[0] += 2500
             eligibility.forget_all_but(set(directory.endpoints))
             assert not directory.usable("s", now_ms[0])
-        late = now_ms[0] + DRAIN_MS + 1
-        assert not eligibility.usable("s", late) and eligibility.find_block(endpoint, late)
+        now_ms[0] += DRAIN_MS + 1
+        assert not eligibility.usable("s") and eligibility.find_block(endpoint)
         later_start = listed_one(born_ms=6)
         directory.replace([later_start], at(3), now_ms[0])
         assert directory.usable("s", now_ms[0]) == [later_start]
-        assert eligibility.find_block(later_start, late) is None
+        assert eligibility.find_block(later_start) is None
 
     check()
     assert KEEP_GONE_MS >= 20 * 2500
@@ -112,12 +112,15 @@
 @then("another endpoint at the same address takes requests")
 def other_name(context):
     directory = Directory()
-    eligibility = eligibility_of_one_node(directory)
+    now_ms = [10]
+    eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
     directory.replace([listed_one()], at(1), 0)
     eligibility.observe(listed_one(), DRAINS)
     other = listed_one(name="e1")
     directory.replace([other], at(2), 0)
-    assert directory.usable("s", 10) == [other] and eligibility.find_block(other, 10_000) is None
+    assert directory.usable("s", 10) == [other]
+    now_ms[0] = 10_000
+    assert eligibility.find_block(other) is None
 
 
 def advertised(status=200, *fields, wall_ms=DATE_MS):
@@ -197,13 +200,26 @@
     return CallerRequest("r1", "POST", "/a", "h", (), b"", 0, 9000)
 
 
+@then("it is never sent later than the drain time after the drain began, however long it waited")
+def waited_too_long(context):
+    now_ms, directory = [0], Directory()
+    eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
+    directory.replace([listed_one()], at(1), 0)
+    eligibility.observe(listed_one(), DRAINS)
+    for now_ms[0] in range(0, 3 * DRAIN_MS, 50):
+        in_time = now_ms[0] <= DRAIN_MS
+        assert bool(eligibility.usable("s")) is in_time, now_ms
+        assert (eligibility.find_block(listed_one()) is None) is in_time, now_ms
+
+
 @then("nothing is sent, the endpoint does not count as failed, and its connection is reused")
 def withheld(context):
     server = FakeServer("e0", "s")
     endpoint = ServiceEndpoint("e0", "s", server.address, "z")
     directory = Directory()
     directory.replace([endpoint], at(1), 0)
-    eligibility = eligibility_of_one_node(directory, now_ms=lambda: -DRAIN_MS - 1)
+    now_ms = [0]
+    eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
     calls = calls_of_one_node(eligibility, directory)
 
     async def play():
@@ -216,6 +232,7 @@
                 pass
             exchange.end()
             eligibility.observe(endpoint, DRAINS)
+            now_ms[0] = DRAIN_MS + 1
             for attempt in (
                 calls.send(endpoint, request(), 900),
                 calls.prefill(endpoint, request(), 900),
@@ -358,13 +375,13 @@
     eligibility = eligibility_of_one_node(directory, now_ms=lambda: now_ms[0])
     eligibility.observe(listed_one(), pause("3"))
     paused = Block(BlockReason.PAUSED, 3000)
-    assert eligibility.find_block(listed_one(), 0) == paused
-    assert eligibility.find_block(listed_one(), 0, reserved=True) is None
+    assert eligibility.find_block(listed_one()) == paused
+    assert eligibility.find_block(listed_one(), reserved=True) is None
     assert eligibility.eligibility_of([listed_one()]).blocks == {"e0": paused}
     # A pause that is advertised again starts no new grace period.
     now_ms[0] = PAUSE_GRACE_MS
     eligibility.observe(listed_one(), pause("5"))
-    assert eligibility.find_block(listed_one(), 0, reserved=True) == Block(BlockReason.PAUSED, 5000)
+    assert eligibility.find_block(listed_one(), reserved=True) == Block(BlockReason.PAUSED, 5000)
     now_ms[0] = PAUSE_GRACE_MS + 5000
-    assert eligibility.find_block(listed_one(), 0) is None
+    assert eligibility.find_block(listed_one()) is None
     assert not eligibility.eligibility_of([listed_one()]).blocks
