--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -182,42 +182,35 @@
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
         self._callers = HttpServer(callers, self._ingress.handle, grace_s, gate=self._gate)
-        self._state.figures.register_gauge(
-            "saffronworks_rejected_connections", lambda: [Level(self._gate.rejected, {})]
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_link_backlog_ms",
-            lambda: [Level(self._gate.link.backlog_ms(monotonic_ms()), {})],
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_link_queue_ms",
-            lambda: [Level(self._gate.link_queue_ms(monotonic_ms()), {})],
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_longest_loop_turn_ms",
-            lambda: [Level(LOOP_METER.longest_turn_ms(monotonic_ms()), {})],
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_service_failures", lambda: _levels(self._kernel.failures)
-        )
-        self._state.figures.register_gauge(
-            "saffronworks_failed_messages", lambda: _levels(self._kernel.dropped)
-        )
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
             self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
         )
-        self._state.figures.register_gauge(
-            "saffronworks_relayed_requests",
-            lambda: [Level(self._relay_server.open_requests, {})],
-        )
         self._relays: HttpServer | None = None
         if settings.relay_address is not None:
             relays = bind(settings.relay_address)
             self._relays = HttpServer(relays, self._relay_server.handle, grace_s, date_header=False)
+        self._register_gauges(self._state.figures)
         self._metrics_page = MetricsPage(self._state.figures)
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
+    def _register_gauges(self, figures: MetricsRecorder) -> None:
+        """Register what the metrics page shows of the gate, the kernel and the relay server."""
+        gate, kernel, now_ms = self._gate, self._kernel, monotonic_ms
+        gauges: dict[str, Callable[[], list[Level]]] = {
+            "saffronworks_rejected_connections": lambda: [Level(gate.rejected, {})],
+            "saffronworks_link_backlog_ms": lambda: [Level(gate.link.backlog_ms(now_ms()), {})],
+            "saffronworks_link_queue_ms": lambda: [Level(gate.link_queue_ms(now_ms()), {})],
+            "saffronworks_longest_loop_turn_ms": lambda: [
+                Level(LOOP_METER.longest_turn_ms(now_ms()), {})
+            ],
+            "saffronworks_service_failures": lambda: _levels(kernel.failures),
+            "saffronworks_failed_messages": lambda: _levels(kernel.dropped),
+            "saffronworks_relayed_requests": lambda: [Level(self._relay_server.open_requests, {})],
+        }
+        for name, levels in gauges.items():
+            figures.register_gauge(name, levels)
+
     def _make_state(self, settings: PlatformSettings, link: LinkBudget) -> NodeState:
         nodes = NodeCount(INITIAL_NODE_COUNT)
         if not settings.first_start:
