--- a/saffronworks/sockets.py
+++ b/saffronworks/sockets.py
@@ -5,15 +5,24 @@
 import struct
 import termios
 
-__all__ = ["unacknowledged_bytes"]
+__all__ = ["unacknowledged_bytes", "unread_bytes"]
 
 _INT = struct.Struct("i")
 
 
 def unacknowledged_bytes(sock: socket.socket) -> int:
     """Return the written bytes that the other machine has not acknowledged; 0 once closed."""
+    return _read_queue(sock, termios.TIOCOUTQ)
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return the received bytes that this process has not read; 0 once closed."""
+    return _read_queue(sock, termios.FIONREAD)
+
+
+def _read_queue(sock: socket.socket, request: int) -> int:
     try:
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        queued = fcntl.ioctl(sock.fileno(), request, bytes(_INT.size))
     except (OSError, ValueError):
         return 0
     size_bytes: int = _INT.unpack(queued)[0]
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -21,3 +21,28 @@
       | 4000   | 1000  | 500     | 2000  | 3000   |
       | 4000   | 1000  | 1500    | 2000  | 3000   |
       | 4000   | 1000  | 2500    | 2000  | 6000   |
+
+  # Guards against resets of requests that the server's kernel has acknowledged: the idle timer fired
+  # in a turn of the event loop that had not read them yet.
+  Scenario: a request that arrives as the idle timer fires is served
+    When the idle timer fires in the turn of the event loop in which a request arrives
+    Then each request is answered
+    And its answer announces that the connection is closed
+
+  # Guards against resets of requests at a planned stop, which closed their connections unread.
+  Scenario Outline: a request that arrives as the server stops is served
+    When the server stops as a caller has sent <part>
+    Then each request is answered
+    And its answer announces that the connection is closed
+
+    Examples:
+      | part                           |
+      | a request on a kept connection |
+      | half a head                    |
+      | half a body                    |
+
+  # Guards against closing a connection whose answer, begun before the stop, said nothing of it.
+  Scenario: a request after an answer that began before the stop is served
+    When the server stops after the head of an answer, and the caller reuses its connection
+    Then each request is answered
+    And its answer announces that the connection is closed
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -1,5 +1,8 @@
 """Callers' kept connections at a server on a real socket."""
 
+import asyncio
+import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -31,7 +34,6 @@
         tasks.start_soon(server.run)
         yield server
         server.stop()
-        tasks.cancel_scope.cancel()
 
 
 async def connect(server: HttpServer) -> SocketStream:
@@ -57,6 +59,33 @@
     return await receive(stream)
 
 
+def connect_now(server: HttpServer) -> socket.socket:
+    """Open a caller's connection before the server's event loop takes its next turn."""
+    return socket.create_connection(parse_address(server.address), ANSWER_TIMEOUT_S)
+
+
+async def receive_answer(caller: socket.socket) -> bytes:
+    """Return one answer whose body is `{}`."""
+    received = b""
+    while not received.endswith(b"{}"):
+        data = await anyio.to_thread.run_sync(caller.recv, 4096)
+        assert data, received
+        received += data
+    return received
+
+
+async def receive_all(caller: socket.socket) -> bytes:
+    """Return what the server sends until it closes the connection, or what failed."""
+    received = b""
+    try:
+        while data := await anyio.to_thread.run_sync(caller.recv, 65_536):
+            received += data
+    except OSError as error:
+        received += repr(error).encode()
+    caller.close()
+    return received
+
+
 @when("the idle timeout is raised while a connection rests, and during a request")
 def step_raise_idle_timeout(context):
     async def play() -> list[bytes]:
@@ -107,3 +136,103 @@
 @then("the connection is closed at {closed:d} ms")
 def step_closed_at(context, closed):
     assert context.closed_ms == closed, context.closed_ms
+
+
+@when("the idle timer fires in the turn of the event loop in which a request arrives")
+def step_request_as_timer_fires(context):
+    async def play() -> list[bytes]:
+        async with serving(idle_s=SHORT_IDLE_S) as server:
+            caller = connect_now(server)
+            caller.sendall(REQUEST)
+            await receive_answer(caller)
+            loop = asyncio.get_running_loop()
+            # A long turn, after which the request is sent and the timer fires in one.
+            loop.call_later(SHORT_IDLE_S / 2, time.sleep, SHORT_IDLE_S)
+            loop.call_later(SHORT_IDLE_S * 0.75, caller.sendall, REQUEST)
+            return [await receive_all(caller)]
+
+    context.answers = anyio.run(play)
+
+
+@when("the server stops as a caller has sent {part}")
+def step_stop_amid_request(context, part):
+    post = REQUEST.replace(b"GET", b"POST").replace(b"\r\n\r\n", b"\r\ncontent-length: 4\r\n\r\n")
+    before, after = {
+        "a request on a kept connection": (b"", REQUEST),
+        "half a head": (REQUEST[:20], REQUEST[20:]),
+        "half a body": (post + b"ab", b"cd"),
+    }[part]
+
+    async def handle(call: Call) -> None:
+        await call.body(100)
+        await reply(call)
+
+    async def play() -> list[bytes]:
+        async with serving(handle) as server:
+            caller = connect_now(server)
+            caller.sendall(REQUEST)
+            await receive_answer(caller)
+            await anyio.sleep(REST_S)
+            caller.sendall(before)
+            await anyio.sleep(0.1)
+            server.stop()
+            caller.sendall(after)
+            return [await receive_all(caller)]
+
+    context.answers = anyio.run(play)
+
+
+@when("the server stops as new connections wait, each with a request")
+def step_stop_with_backlog(context):
+    async def play(turns: int) -> bytes:
+        async with serving() as server:
+            await anyio.sleep(0.1)
+            caller = connect_now(server)
+            caller.sendall(REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            server.stop()
+            return await receive_all(caller)
+
+    # In each of these turns the event loop has got further in accepting the connection.
+    context.answers = [anyio.run(play, turns) for turns in range(5)]
+
+
+@when("the server stops after the head of an answer, and the caller reuses its connection")
+def step_reuse_after_stop(context):
+    async def play() -> list[bytes]:
+        begun, stopped = anyio.Event(), anyio.Event()
+
+        async def handle(call: Call) -> None:
+            if not begun.is_set():
+                await call.start(200, {"content-length": "2"})
+                begun.set()
+                await stopped.wait()
+                await call.write(b"{}", more=False)
+            else:
+                await reply(call)
+
+        async with serving(handle) as server:
+            caller = connect_now(server)
+            caller.sendall(REQUEST)
+            await begun.wait()
+            server.stop()
+            await anyio.sleep(0.05)
+            stopped.set()
+            first = await receive_answer(caller)
+            assert b"connection: close" not in first, first
+            caller.sendall(REQUEST)
+            return [await receive_all(caller)]
+
+    context.answers = anyio.run(play)
+
+
+@then("each request is answered")
+def step_each_answered(context):
+    for answer in context.answers:
+        assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"{}"), context.answers
+
+
+@then("its answer announces that the connection is closed")
+def step_close_announced(context):
+    assert all(b"connection: close" in answer for answer in context.answers), context.answers
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -203,8 +203,9 @@
 
 
 class _Server(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config):
+    def __init__(self, config: uvicorn.Config, keep_alive: KeepAlive):
         super().__init__(config)
+        self._keep_alive = keep_alive
         self._stop_requested = asyncio.Event()
 
     @contextmanager
@@ -227,6 +228,11 @@
         self.should_exit = True
         self._stop_requested.set()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop listening; return once the open connections have served their last requests."""
+        self._keep_alive.stopping = True
+        await super().shutdown(sockets)
+
 
 class AcceptGate(Protocol):
     """Decides which new connections are accepted; `key` identifies one while it is open."""
@@ -322,7 +328,7 @@
             loop="asyncio",
             timeout_graceful_shutdown=grace_s,
         )
-        self._server = _Server(config)
+        self._server = _Server(config, self._keep_alive)
 
     @property
     def address(self) -> str:
@@ -346,7 +352,10 @@
         self._keep_alive.idle_ms = idle_s * 1000
 
     def stop(self) -> None:
-        """Stop accepting; `run` returns when the calls in progress have ended."""
+        """Stop accepting; `run` returns when the calls in progress have ended.
+
+        Requests that have arrived by now are served.
+        """
         self._server.stop()
 
     def _abort(self) -> None:
