--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -41,6 +41,11 @@
       | half a head                    |
       | half a body                    |
 
+  # Guards against resets of connections that wait in the listener's backlog at a planned stop.
+  Scenario: connections that wait in the backlog are accepted and served before the listener closes
+    When the server stops as new connections wait, each with a request
+    Then each request is answered
+
   # Guards against closing a connection whose answer, begun before the stop, said nothing of it.
   Scenario: a request after an answer that began before the stop is served
     When the server stops after the head of an answer, and the caller reuses its connection
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -229,10 +229,50 @@
         self._stop_requested.set()
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
-        """Stop listening; return once the open connections have served their last requests."""
+        """Stop listening; return once the open connections have served their last requests.
+
+        The kernel resets the connections that wait for a listener when it closes, so they are
+        accepted first.
+        """
         self._keep_alive.stopping = True
+        loop = asyncio.get_running_loop()
+        listeners = sockets or []
+        for listener in listeners:
+            loop.remove_reader(listener.fileno())
+        # Connections that the event loop has accepted are attached to their listener in this turn.
+        await asyncio.sleep(0)
+        waiting = [connection for listener in listeners for connection in _accept_all(listener)]
+        for server in self.servers:
+            server.close()
+        for connection in waiting:
+            await loop.connect_accepted_socket(self._make_protocol, connection)
         await super().shutdown(sockets)
 
+    def _make_protocol(self) -> asyncio.Protocol:
+        protocol: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        return protocol
+
+
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait for a listener."""
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            continue
+        except BlockingIOError:
+            return accepted
+        except OSError as error:
+            logger.warning("event=accept_failed problem=%r", error)
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
+
 
 class AcceptGate(Protocol):
     """Decides which new connections are accepted; `key` identifies one while it is open."""
