--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -2,9 +2,10 @@
 
 import logging
 import socket
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
+import anyio
 import attrs
 import httpcore
 import msgspec
@@ -29,6 +30,13 @@
 # Answers usually take 4 ms; one that exceeds this timeout is considered lost.
 ANSWER_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.6
+POOL_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 1.0
+# The timeouts above are for each read or write. A whole body arrives within this time: a page of
+# 1 MB over a link of 4 Mbit/s.
+BODY_TIMEOUT_S = 2.0
+# A page has 1 MB and one object 1 MiB at most; the changes of a watch may exceed both.
+MAX_BODY_BYTES = 8 * 1_048_576
 # A watch waits for seconds, and a cut network path closes no connection: keepalive probes detect
 # it within two or three seconds.
 _KEEP_ALIVE = [
@@ -187,19 +195,30 @@
                 (b"content-type", b"application/json"),
                 (b"content-length", str(len(content)).encode()),
             ]
-        timeout = {"connect": CONNECT_TIMEOUT_S, "read": timeout_s, "write": 1.0, "pool": 1.0}
+        timeout = {
+            "connect": CONNECT_TIMEOUT_S,
+            "read": timeout_s,
+            "write": WRITE_TIMEOUT_S,
+            "pool": POOL_TIMEOUT_S,
+        }
         url = f"http://{self._address}{path}"
         writes = method != "GET"
         try:
-            response: Any = await self._pool.request(
-                method, url, headers=headers, content=content, extensions={"timeout": timeout}
-            )
+            with anyio.fail_after(sum(timeout.values()) + BODY_TIMEOUT_S):
+                call = self._pool.stream(
+                    method, url, headers=headers, content=content, extensions={"timeout": timeout}
+                )
+                async with call as response:
+                    body = await _read_body(response)
         except _NOT_SENT as error:
             return Err(ObjectStoreFailure(type(error).__name__))
         except _TRANSPORT_ERRORS as error:
-            cut = not isinstance(error, httpcore.TimeoutException)
+            cut = not isinstance(error, httpcore.TimeoutException | TimeoutError)
             return Err(ObjectStoreFailure(type(error).__name__, applied=writes, cut=cut))
-        return Ok(_Reply(response.status, response.content, self._read_epoch(response.headers)))
+        if body is None:
+            logger.warning("event=store_answer_oversized path=%s status=%d", path, response.status)
+            return Err(ObjectStoreFailure("oversized", applied=writes))
+        return Ok(_Reply(response.status, body, self._read_epoch(response.headers)))
 
     def _read_epoch(self, headers: list[tuple[bytes, bytes]]) -> int:
         """Return the epoch of an answer; without the header, the newest one known, or 0."""
@@ -213,6 +232,17 @@
         return reported or newest
 
 
+async def _read_body(response: httpcore.Response) -> bytes | None:
+    """Return the body, None if it is too large; raises TimeoutError if it does not end in time."""
+    body = bytearray()
+    with anyio.fail_after(BODY_TIMEOUT_S):
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                return None
+    return bytes(body)
+
+
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
     path = f"/saffronworks/objects/{quote(kind, safe='')}"
     path += f"/{quote(name, safe='')}" if name else ""
--- a/saffronworks/tests/endless_servers.py
+++ b/saffronworks/tests/endless_servers.py
@@ -32,14 +32,15 @@
         if self.endless != called:
             return await super()._request(reader, writer, headers)
         self.ran.append(headers["request-id"])
-        return await self._flood(writer, headers["request-id"])
+        return await self.flood(writer, headers["request-id"])
 
     async def _control(self, writer, method, target):
         if not target.startswith(self.endless):
             return await super()._control(writer, method, target)
-        return await self._flood(writer, "")
+        return await self.flood(writer, "")
 
-    async def _flood(self, writer, request_id):
+    async def flood(self, writer, request_id):
+        """Send bytes until the connection is closed, or a limit of the test is reached."""
         began_s, sent_bytes = time.monotonic(), 0
         writer.write(self.start.replace(b"ID", request_id.encode()))
         try:
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -20,3 +20,9 @@
   Scenario: an engine answers the node's own calls with bytes without end
     When engines answer holds or prefills with bytes without end
     Then the stream is whole, and the calls are closed in time and counted with their cause
+
+  # Guards against a follower of the store that waits for good, as only each read had a time-out, and
+  # against a body that fills the node's memory.
+  Scenario: the store sends bytes without end
+    When the store answers a listing, a watch and a write with bytes without end
+    Then each call fails in time within the bound of memory, and its connection is closed
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -1,14 +1,18 @@
 """Steps on endpoints that send bytes without end."""
 
+import asyncio
 import time
 import tracemalloc
 
 import anyio
 from behave import then, when
+from result import Err
 
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.starts import StartId
+from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.tuning import MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
+from saffronworks.platform.store import MAX_BODY_BYTES, PlatformStore
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.connection_fakes import WAIT_MS, connect
 from saffronworks.tests.endless_servers import PIECE, EndlessServer
@@ -199,3 +203,56 @@
         labels = {("kind", kind), ("result", CALL_CAUSES[name])}
         counted = any(labels <= set(found_labels) for _, found_labels in found["figures"])
         assert whole and found["took_s"] < CALLS_S and counted, (endless, name, found)
+
+
+JSON_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+STORE_FLOODS = {
+    "interim": (b"", b"HTTP/1.1 102 X\r\n\r\n", 0.01),
+    "drip": (JSON_HEAD, b"1\r\n \r\n", 0.01),
+    "trailers": (JSON_HEAD + b"0\r\n", b"a: b\r\n" * 4096, 0.0),
+    "body": (JSON_HEAD, b"10000\r\n" + PIECE + b"\r\n", 0.0),
+}
+# The longest call to the store, and what three may use: the largest body and a copy of it each.
+STORE_S = 6.0
+STORE_PEAK_BYTES = 6 * MAX_BODY_BYTES
+
+
+async def call_store(flood):
+    """Return how a listing, a watch and a write at once ended, their time, memory and closes."""
+    server = EndlessServer("s", "store", None, *flood)
+    client = PlatformStore(server.address, StoreEpoch())
+    calls = [
+        lambda: client.list_objects("kind"),
+        lambda: client.watch("kind", StoreRevision(0, 1), 100),
+        lambda: client.replace("kind", "x", b"{}", StoreRevision(0, 1)),
+    ]
+
+    async def flood_each(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await server.flood(writer, "")
+        writer.close()
+
+    host, port = server.address.split(":")
+    async with await asyncio.start_server(flood_each, host, int(port)):
+        tracemalloc.start()
+        began_s = time.monotonic()
+        found = await asyncio.gather(*[call() for call in calls])
+        took_s = time.monotonic() - began_s
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        closed = await wait_until(lambda: len(server.closed_s) == len(calls), limit_s=1)
+        await client.close()
+    return found, took_s, peak_bytes, closed
+
+
+@when("the store answers a listing, a watch and a write with bytes without end")
+def store_floods(context):
+    context.found = {name: anyio.run(call_store, flood) for name, flood in STORE_FLOODS.items()}
+
+
+@then("each call fails in time within the bound of memory, and its connection is closed")
+def store_bounded(context):
+    for name, (found, took_s, peak_bytes, closed) in context.found.items():
+        assert all(isinstance(reply, Err) for reply in found) and took_s < STORE_S, (name, found)
+        assert found[2].err_value.applied, found
+        assert peak_bytes < STORE_PEAK_BYTES and closed, (name, peak_bytes, closed)
