--- a/saffronworks/forwarding/answer_times.py
+++ b/saffronworks/forwarding/answer_times.py
@@ -8,25 +8,19 @@
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, MS_PER_TOKEN
 from saffronworks.forwarding.tuning import SAMPLE_WEIGHT
 
-__all__ = ["AnswerTimes", "ServiceTimes", "Work", "may_begin"]
+__all__ = ["AnswerTimes", "ServiceTimes", "may_begin"]
 
-# Share of answers that end within the estimate. A refusal costs a retry, a cut the answer.
-SURE_SHARE = 0.9
+# Value of an answer by another node, as a share of one by this node: it comes after a retry.
+RETRY_VALUE = 0.9
 
 
-@attrs.frozen
-class Work:
-    """The times of a request: until its deadline, and expected up to its end (None: unknown)."""
+def may_begin(chance_in_time: float, serving_share: float) -> bool:
+    """Return whether a node that drains should begin a request.
 
-    left_ms: float
-    expected_ms: float | None
-
-
-def may_begin(work: Work, left_ms: float, has_other_nodes: bool) -> bool:
-    """Return whether a node that ends its requests in `left_ms` should serve a new one."""
-    if not has_other_nodes or work.left_ms <= left_ms:
-        return True
-    return work.expected_ms is not None and work.expected_ms <= left_ms
+    `chance_in_time` is the probability that the request ends before the node does, `serving_share`
+    the share of the other nodes that can serve it instead: a refused caller comes to one of them.
+    """
+    return chance_in_time >= RETRY_VALUE * serving_share
 
 
 @attrs.define
@@ -45,11 +39,12 @@
         if is_plausible_pace(tokens, span_ms):
             self.ms_per_token += SAMPLE_WEIGHT * (span_ms / tokens - self.ms_per_token)
 
-    def expected_ms(self, prompt: PromptSize, made_tokens: int) -> float:
-        """Return the time within which most answers end, after the first `made_tokens`."""
-        tokens = self.lengths.quantile_tokens(SURE_SHARE, prompt.likely_tokens)
-        more_tokens = min(tokens, prompt.most_answer_tokens) - made_tokens
-        return FIRST_EVENT_MS + self.ms_per_token * max(0.0, more_tokens)
+    def chance_within(self, left_ms: float, prompt: PromptSize, made_tokens: int) -> float:
+        """Return the share of answers that end in this time, after the first `made_tokens`."""
+        tokens = made_tokens + (left_ms - FIRST_EVENT_MS) / self.ms_per_token
+        if tokens >= prompt.most_answer_tokens:
+            return 1.0
+        return self.lengths.share_within(tokens, prompt.likely_tokens)
 
 
 @attrs.define
--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from saffronworks.forwarding.answer_times import Work, may_begin
+from saffronworks.forwarding.answer_times import may_begin
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, CallerRequest, Refuse
 from saffronworks.forwarding.plain_runner import run_plain
@@ -47,7 +47,7 @@
         self.ended = False
         self._scopes: set[anyio.CancelScope] = set()
         self._ends_ms = math.inf
-        self._has_other_nodes: Callable[[], bool] = lambda: False
+        self._serving_share: Callable[[], float] = lambda: 0.0
         self._node = node
         self._began_ms = began_ms
         self._usual_left_ms: dict[str, int] = {}
@@ -85,12 +85,13 @@
             finally:
                 self._scopes.remove(scope)
 
-    def drain(self, ends_ms: int, has_other_nodes: Callable[[], bool]) -> None:
-        """Refuse requests from now on that would not end before `ends_ms`.
+    def drain(self, ends_ms: int, serving_share: Callable[[], float]) -> None:
+        """Refuse requests from now on that are likely to outlast `ends_ms`.
 
-        Without other nodes, which may serve them, they are served.
+        `serving_share` returns the share of the other nodes that may serve them instead; where it
+        is low, they are begun all the same.
         """
-        self._ends_ms, self._has_other_nodes = ends_ms, has_other_nodes
+        self._ends_ms, self._serving_share = ends_ms, serving_share
 
     def end_open_requests(self) -> None:
         """Answer or cut all open requests, as the process ends."""
@@ -125,9 +126,8 @@
             return
         request = attrs.evolve(request, organisation=identified)
         job = Job(request, route, service, reply, table.version)
-        now_ms = self._node.now_ms()
-        left_ms = self._ends_ms - now_ms
-        if not may_begin(self._expect(job, table, now_ms), left_ms, self._has_other_nodes()):
+        left_ms = self._ends_ms - self._node.now_ms()
+        if not may_begin(self._chance_within(left_ms, job, table), self._serving_share()):
             await send_refusal(self._node, job, NO_TIME_LEFT)
             return
         self.open_requests += 1
@@ -156,19 +156,18 @@
         if scope.cancelled_caught:
             await self._end_early(job, "stopping" if self.ended else "deadline")
 
-    def _expect(self, job: Job, table: RoutingTable, now_ms: int) -> Work:
-        """Return the times of a request that begins now."""
+    def _chance_within(self, left_ms: float, job: Job, table: RoutingTable) -> float:
+        """Return the probability that a request which begins now ends in this time."""
         request, route = job.request, job.route
+        if job.deadline_at_ms - self._node.now_ms() <= left_ms:
+            return 1.0
         service = table.services.get(job.service)
         engine = service.engine if service else None
-        expected_ms: float | None = None
         if engine is not None and request.prompt is not None:
             made_tokens = (request.after_event or 0) * engine.tokens_per_event
             times = self._node.answer_times.of(job.service)
-            expected_ms = times.expected_ms(request.prompt, made_tokens)
-        elif not route.streams:
-            expected_ms = PLAIN_TARGETS * route.target_ms
-        return Work(job.deadline_at_ms - now_ms, expected_ms)
+            return times.chance_within(left_ms, request.prompt, made_tokens)
+        return float(not route.streams and PLAIN_TARGETS * route.target_ms <= left_ms)
 
     async def _run(self, job: Job, table: RoutingTable) -> None:
         if job.route.streams and job.request.after_event is not None:
--- a/saffronworks/forwarding/planning/lengths.py
+++ b/saffronworks/forwarding/planning/lengths.py
@@ -64,10 +64,10 @@
             more = OVERRUN_SHARE * made_tokens
         return max(0.0, min(more, most_tokens - made_tokens))
 
-    def quantile_tokens(self, share: float, likely_tokens: int) -> float:
-        """Return a length that this share of answers with such a hint does not exceed."""
-        index = min(len(self._sorted) - 1, int(share * len(self._sorted)))
-        return self._sorted[index] * likely_tokens
+    def share_within(self, tokens: float, likely_tokens: int) -> float:
+        """Return the share of answers with such a hint that have no more than so many tokens."""
+        ratio = tokens / max(1, likely_tokens)
+        return bisect_right(self._sorted, ratio) / len(self._sorted)
 
     def _update_sums(self) -> None:
         """Update the sums of the sorted ratios from each index to the end."""
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -398,8 +398,11 @@
             self._ends_ms = monotonic_ms() + left_ms
             self._stopping.set()
 
-    def _has_other_nodes(self) -> bool:
-        return not self._memory.choice.cores.keys() <= {self.settings.peer_address}
+    def _serving_share(self) -> float:
+        """Return the share of the other nodes known lately that have not left the census."""
+        others = len(self._memory.choice.cores.keys() - {self.settings.peer_address})
+        known = self._state.budget.nodes.at(monotonic_ms()) - 1
+        return min(1.0, others / max(1, known))
 
     def _closes_connection(self, number: int) -> bool:
         """Return whether a caller's connection is closed after an answer that begins now."""
@@ -423,7 +426,7 @@
         )
         assert self._ends_ms is not None
         self._relay_server.closing = True
-        self._forwarder.drain(self._ends_ms, self._has_other_nodes)
+        self._forwarder.drain(self._ends_ms, self._serving_share)
         with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
             await anyio.sleep(DEREGISTRATION_MS / 1000)
             await self._census.leave()
