--- a/saffronworks/forwarding/answer_times.py
+++ b/saffronworks/forwarding/answer_times.py
@@ -14,13 +14,16 @@
 RETRY_VALUE = 0.9
 
 
-def may_begin(chance_in_time: float, serving_share: float) -> bool:
+def may_begin(chance_in_time: float, serving_share: float, announced: bool) -> bool:
     """Return whether a node that drains should begin a request.
 
     `chance_in_time` is the probability that the request ends before the node does, `serving_share`
     the share of the other nodes that can serve it instead: a refused caller comes to one of them.
+    Once the end is `announced`, so that callers should no longer come, only what is certain to end
+    in time is begun.
     """
-    return chance_in_time >= RETRY_VALUE * serving_share
+    least_chance = 1.0 if announced else RETRY_VALUE * serving_share
+    return chance_in_time >= least_chance
 
 
 @attrs.define
--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -47,6 +47,7 @@
         self.ended = False
         self._scopes: set[anyio.CancelScope] = set()
         self._ends_ms = math.inf
+        self._end_announced = False
         self._serving_share: Callable[[], float] = lambda: 0.0
         self._node = node
         self._began_ms = began_ms
@@ -93,6 +94,10 @@
         """
         self._ends_ms, self._serving_share = ends_ms, serving_share
 
+    def announce_end(self) -> None:
+        """Begin only requests that are certain to end in time, as callers should not come now."""
+        self._end_announced = True
+
     def end_open_requests(self) -> None:
         """Answer or cut all open requests, as the process ends."""
         logger.info("event=requests_ended open_requests=%d", self.open_requests)
@@ -127,7 +132,8 @@
         request = attrs.evolve(request, organisation=identified)
         job = Job(request, route, service, reply, table.version)
         left_ms = self._ends_ms - self._node.now_ms()
-        if not may_begin(self._chance_within(left_ms, job, table), self._serving_share()):
+        chance = self._chance_within(left_ms, job, table)
+        if not may_begin(chance, self._serving_share(), self._end_announced):
             await send_refusal(self._node, job, NO_TIME_LEFT)
             return
         self.open_requests += 1
--- a/saffronworks/overload/gate.py
+++ b/saffronworks/overload/gate.py
@@ -71,6 +71,11 @@
         self._queue.add(key, now_ms)
         return True
 
+    @property
+    def last_accepted_ms(self) -> int:
+        """When the last new connection was accepted."""
+        return self._last_accepted_ms
+
     def begin_request(self, key: int) -> None:
         """Record that a request of a connection begins."""
         self._queue.begin(key)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -76,6 +76,9 @@
 METRICS_PATH = "/metrics"
 # The platform probes readiness once per second and sends no new callers after two failed probes.
 DEREGISTRATION_MS = 2300
+# A node that drains stops listening when no new connection has come for this long: the platform
+# goes on sending callers to a zone in which few nodes are ready.
+QUIET_MS = 1000
 # Open requests are ended this long before SIGKILL.
 EXIT_MARGIN_MS = 500
 # Time for the last bytes of the ended requests to reach the kernel.
@@ -429,7 +432,10 @@
         self._forwarder.drain(self._ends_ms, self._serving_share)
         with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
             await anyio.sleep(DEREGISTRATION_MS / 1000)
+            self._forwarder.announce_end()
             await self._census.leave()
+            while (quiet_ms := monotonic_ms() - self._gate.last_accepted_ms) < QUIET_MS:
+                await anyio.sleep((QUIET_MS - quiet_ms) / 1000)
         self._callers.stop()
         if self._relays is not None:
             self._relays.stop()
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -13,6 +13,12 @@
     And one that is too long is refused at once, without a run, and its connection closed
     And it is served by a node without others
 
+  # Guards against refused connections while the platform has no better node to send callers to.
+  Scenario: callers still come to a draining node after its notice
+    When a node is stopped, and callers connect to it for four seconds
+    Then each short request is answered, a generation that may not end in time is refused
+    And the node stops soon after they stay away
+
   Scenario: whether a draining node begins a request
     Then the surer it ends in time and the fewer other nodes serve, the rather it is begun
     And its chance grows with the time that is left, and is whole for the longest answer
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -1,5 +1,7 @@
 """Steps on planned ends of nodes, and on answers that a planned end of an endpoint cuts off."""
 
+import time
+
 import anyio
 from behave import then, when
 from hypothesis import given as forall
@@ -120,6 +122,40 @@
     assert long.startswith(b"HTTP/1.1 200") and long.endswith(b"0\r\n\r\n"), long
 
 
+@when("a node is stopped, and callers connect to it for four seconds")
+def callers_come_on(context):
+    context.raws, context.quiet_s = [], 0.0
+
+    async def play(place):
+        place.node.stop()
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < 4:
+            number = len(context.raws)
+            raw = await place.ask("/again/", f"r{number}", {"Deadline-Ms": "900"})
+            context.raws.append(raw)
+            await anyio.sleep(0.2)
+        context.long = await place.ask("/gen/", "long", generation(9000, 9000))
+        quiet_from_s = time.monotonic()
+        assert await wait_until(lambda: "event=stop " in context.lines[-1], limit_s=5)
+        context.quiet_s = time.monotonic() - quiet_from_s
+
+    with LogLines("saffronworks") as context.lines:
+        routes = [make_route("again", "/again/", "idempotent", "web"), SLOW_ROUTES[1]]
+        on_platform([*web_servers(), *engines()], play, CONFIG | {"routes": routes})
+
+
+@then("each short request is answered, a generation that may not end in time is refused")
+def short_ones_served(context):
+    assert len(context.raws) > 10
+    assert all(raw.startswith(b"HTTP/1.1 200") for raw in context.raws), context.raws
+    assert context.long.startswith(b"HTTP/1.1 503") and b"node-draining" in context.long
+
+
+@then("the node stops soon after they stay away")
+def stops_soon(context):
+    assert context.quiet_s < 2, context.quiet_s
+
+
 SHARES = st.floats(0, 1)
 TIMES_MS = st.floats(0, 60_000)
 PROMPTS = st.builds(PromptSize, st.just(500), st.integers(1, 9000), st.integers(1, 9000))
@@ -129,11 +165,12 @@
 def decides_begin(context):
     @forall(SHARES, SHARES, SHARES)
     def holds(chance, serving, more):
-        assert may_begin(chance, serving_share=0) and may_begin(1, serving)
-        assert may_begin(0, serving) is (serving == 0)
-        begins = may_begin(chance, serving)
-        assert not begins or may_begin(min(1, chance + more), serving)
-        assert not begins or may_begin(chance, serving * more)
+        assert may_begin(chance, 0, announced=False) and may_begin(1, serving, announced=True)
+        assert may_begin(0, serving, announced=False) is (serving == 0)
+        assert may_begin(chance, serving, announced=True) is (chance == 1)
+        begins = may_begin(chance, serving, announced=False)
+        assert not begins or may_begin(min(1, chance + more), serving, announced=False)
+        assert not begins or may_begin(chance, serving * more, announced=False)
 
     holds()
 
