--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -64,6 +64,8 @@
         self._buffer_full = False
         self._paused_by_bound = False
         self.paused = False
+        # When reading was last resumed.
+        self.resumed_ms = 0
         self._parser: httptools.HttpResponseParser | None = None
         self._awaited_id: str | None = None
         self._previous_id: str | None = None
@@ -262,6 +264,7 @@
         if paused:
             self._transport.pause_reading()
         else:
+            self.resumed_ms = monotonic_ms()
             self._transport.resume_reading()
 
     def on_message_complete(self) -> None:
--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -31,6 +31,11 @@
         del self._buffer[:end]
         return EventMark(whole, _ids(whole))
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     def remainder(self) -> bytes:
         """Return the bytes after the last whole event; empty after a complete stream."""
         return bytes(self._buffer)
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -86,7 +86,9 @@
         assert self._body is not None
         self._body.attach(run.exchange)
         try:
-            while (mark := await run.next_events(self._stall_timeout_ms())) is not None:
+            while (
+                mark := await run.next_events(self._left_ms(), self._stall_timeout_ms())
+            ) is not None:
                 self._record_events(mark.ids)
                 self._node.observe_progress(self._job.request, run)
                 await self._body.write(mark.data)
@@ -114,13 +116,12 @@
         """Return whether another run may follow the current one."""
         return self._state.may_repeat and self._state.runs < self._state.max_attempts
 
-    def _stall_timeout_ms(self) -> int:
-        """Return the longest silence of a run: up to the deadline if no other run may follow."""
-        state, now_ms = self._state, self._node.now_ms()
-        left_ms = max(1, state.deadline_at_ms - now_ms)
-        if self._may_resume:
-            return min(left_ms, STALL_TIMEOUT_GAPS * self._job.route.gap_target_ms)
-        return left_ms
+    def _left_ms(self) -> int:
+        return max(1, self._state.deadline_at_ms - self._node.now_ms())
+
+    def _stall_timeout_ms(self) -> int | None:
+        """Return the longest time without an event, None if no other run may follow."""
+        return STALL_TIMEOUT_GAPS * self._job.route.gap_target_ms if self._may_resume else None
 
     def pace(self) -> StreamPace:
         """Return the pace of the last run, zeros if too few events were seen."""
--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -1,9 +1,11 @@
 """One run of a stream at one endpoint, read event by event."""
 
+from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.event_streams import EventSequence, EventSplitter
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.messages import AnswerHead, EventMark
 from saffronworks.forwarding.ports import Exchange
+from saffronworks.forwarding.tuning import MAX_EVENT_BYTES
 
 __all__ = ["StreamRun"]
 
@@ -25,6 +27,9 @@
         self._progress_due_ms = 0
         self._splitter = EventSplitter()
         self._first: EventMark | None = None
+        # Time waited since the last event with an id, and whether there was one.
+        self._quiet_ms = 0
+        self._has_ids = False
 
     async def head(self, timeout_ms: float) -> AnswerHead:
         """Return the head of the answer; raises ExchangeError."""
@@ -47,12 +52,16 @@
             return sent.continues(self._first.ids)
         return self.exchange.framed and not self.remainder()
 
-    async def next_events(self, timeout_ms: float) -> EventMark | None:
-        """Return the next whole events, None at a regular end; raises ExchangeError."""
+    async def next_events(self, timeout_ms: float, stall_ms: int | None = None) -> EventMark | None:
+        """Return the next whole events, None at a regular end; raises ExchangeError.
+
+        With `stall_ms` the run fails if it sends nothing but comments, events without an id or
+        parts of an event for that long.
+        """
         if self._first is not None:
             first, self._first = self._first, None
             return first
-        return await self._next(timeout_ms)
+        return await self._next(timeout_ms, stall_ms)
 
     def report_progress(self, now_ms: int) -> int | None:
         """Return how long the run has been writing, None until the next report is due."""
@@ -61,15 +70,35 @@
         self._progress_due_ms = now_ms + PROGRESS_INTERVAL_MS
         return now_ms - self.writing_since_ms
 
-    async def _next(self, timeout_ms: float) -> EventMark | None:
-        while (chunk := await self.exchange.next_chunk(timeout_ms)) is not None:
+    async def _next(self, timeout_ms: float, stall_ms: int | None = None) -> EventMark | None:
+        while (chunk := await self._next_chunk(timeout_ms, stall_ms)) is not None:
             mark = self._splitter.feed(chunk)
             if mark is not None:
+                self._record_progress(mark)
                 return mark
+            if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
+                raise ExchangeError(ExchangeErrorCause.OVERSIZED, sent=True)
         if self._splitter.remainder().strip():
             raise ExchangeError(ExchangeErrorCause.CLOSED, sent=True)
         return None
 
+    async def _next_chunk(self, timeout_ms: float, stall_ms: int | None) -> bytes | None:
+        if stall_ms is None:
+            return await self.exchange.next_chunk(timeout_ms)
+        left_ms = stall_ms - self._quiet_ms
+        if left_ms <= 0:
+            raise ExchangeError(ExchangeErrorCause.SILENT, sent=True)
+        began_ms = monotonic_ms()
+        chunk = await self.exchange.next_chunk(min(timeout_ms, left_ms))
+        # While reading is paused, the endpoint is not the cause of the silence.
+        self._quiet_ms += monotonic_ms() - max(began_ms, self.exchange.connection.resumed_ms)
+        return chunk
+
+    def _record_progress(self, mark: EventMark) -> None:
+        self._has_ids = self._has_ids or bool(mark.ids)
+        if mark.ids or not self._has_ids:
+            self._quiet_ms = 0
+
     def remainder(self) -> bytes:
         """Return the bytes after the last whole event at a regular end."""
         return self._splitter.remainder()
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -95,6 +95,8 @@
 MAX_PREREAD_BODY_BYTES = 65_536
 # Bytes of one answer that may wait for a slow caller before reading from the endpoint is paused.
 MOST_BUFFERED_BYTES = 262_144
+# Longest event of a stream, which is buffered until its end.
+MAX_EVENT_BYTES = MOST_BUFFERED_BYTES
 # Share of the node's memory limit for all answers that wait for callers. A node uses 50 MB before
 # its first request, and each answer is copied once on its way.
 BUFFER_MEMORY_SHARE = 0.125
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -26,3 +26,9 @@
   Scenario: the store sends bytes without end
     When the store answers a listing, a watch and a write with bytes without end
     Then each call fails in time within the bound of memory, and its connection is closed
+
+  # Guards against streams that wait for their deadline, because comments, empty events or parts of
+  # an event counted as progress, and against an event that fills the node's memory.
+  Scenario: an engine sends bytes without end after the first event of a stream
+    When an engine begins a resumable stream and goes on without an event for good
+    Then the caller gets the whole stream once, the rest of it from another engine
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps on endpoints that send bytes without end."""
 
 import asyncio
+import re
 import time
 import tracemalloc
 
@@ -178,17 +179,21 @@
 
 
 def play_calls(endless, piece, pause_s):
-    """Return the answer and the time of a stream, and the figures of its node."""
     stage = "prefill" if endless == "prefill" else "decode"
     server = EndlessServer("a0", "llm", stage, IN_CHUNKS, piece, pause_s)
     server.endless = endless
+    return play_stream(server, "/gen/")
+
+
+def play_stream(server, path):
+    """Return the answer and the time of a stream, and the figures of its node."""
     found = {}
 
     async def play(place):
         began_s = time.monotonic()
-        found["raw"] = await place.generate("/gen/", "g0")
+        found["raw"] = await place.generate(path, "g0")
         found["took_s"] = time.monotonic() - began_s
-        assert await wait_until(lambda: server.closed_s, limit_s=1), (endless, found)
+        assert await wait_until(lambda: server.closed_s, limit_s=1), found
         found["figures"] = dict(place.node._state.figures.counts)
 
     on_platform([server, *engines()], play)
@@ -256,3 +261,30 @@
         assert all(isinstance(reply, Err) for reply in found) and took_s < STORE_S, (name, found)
         assert found[2].err_value.applied, found
         assert peak_bytes < STORE_PEAK_BYTES and closed, (name, peak_bytes, closed)
+
+
+STREAM = IN_CHUNKS + b"10\r\nid: 1\ndata: a0\n\n\r\n"
+# What follows the first event, and how the run of it ends.
+STREAM_FLOODS = {
+    "comments": (b"3\r\n:\n\n\r\n", 0.02, "silent"),
+    "empty events": (b"7\r\ndata:\n\n\r\n", 0.02, "silent"),
+    "drip": (b"1\r\nx\r\n", 0.02, "silent"),
+    "event": (b"10000\r\n" + PIECE + b"\r\n", 0.0, "oversized"),
+}
+
+
+@when("an engine begins a resumable stream and goes on without an event for good")
+def stream_floods(context):
+    context.found = {}
+    for name, (piece, pause_s, _) in STREAM_FLOODS.items():
+        server = EndlessServer("a0", "llm", "decode", STREAM, piece, pause_s)
+        context.found[name] = play_stream(server, "/res/")
+
+
+@then("the caller gets the whole stream once, the rest of it from another engine")
+def stream_resumed(context):
+    for name, found in context.found.items():
+        ids = [int(number) for number in re.findall(rb"id: (\d+)", found["raw"])]
+        assert ids == [1, 2, 3] and found["raw"].endswith(b"0\r\n\r\n"), (name, found)
+        labels = {("kind", "stream"), ("result", STREAM_FLOODS[name][2])}
+        assert any(labels <= set(each) for _, each in found["figures"]), (name, found)
