--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.messages import CallerRequest
@@ -24,7 +25,10 @@
 from saffronworks.forwarding.quarantine.records import QuarantineRecords
 from saffronworks.forwarding.quarantine.suspicions import Admission, is_quarantined
 from saffronworks.forwarding.quarantine.tuning import (
+    END_DELAY_MS,
+    END_PROOF_MS,
     GOSSIP_INTERVAL_MS,
+    LEAVING_END_DELAY_MS,
     RECORD_ATTEMPTS,
     RECORD_READ_DELAYS_S,
     RECORD_RETRY_S,
@@ -138,29 +142,39 @@
         """
         if broken.cause is ExchangeErrorCause.SILENT and not waited_for:
             return
-        known = self._directory.endpoints.get(endpoint.instance)
-        leaving = known is None or known.draining
+        leaving = self._is_leaving(endpoint)
         failed = events.RunFailed(
             request.content, endpoint, broken.cause, leaving, request.parts, writing_ms
         )
         self._handle(failed)
 
+    def _is_leaving(self, endpoint: ServiceEndpoint) -> bool:
+        known = self._directory.endpoints.get(endpoint.instance)
+        return known is None or known.draining
+
     async def has_ended(self, endpoint: ServiceEndpoint) -> bool | None:
-        """Return whether an endpoint has crashed or restarted; None if that can't be told.
+        """Return whether an endpoint has ended or restarted; None if nothing replies for a while.
 
-        It can't if nothing replies, or if the endpoint is leaving as planned.
+        An endpoint that drains or is no longer listed runs on until its own end.
         """
-        known = self._directory.endpoints.get(endpoint.instance)
-        if known is None or known.draining:
-            return None
-        result = await self._probe_once(endpoint)
-        for _ in range(REFUSED_PROBES - 1):
-            if result is ProbeResult.REFUSES:
-                await anyio.sleep(REPROBE_REFUSED_MS / 1000)
-                result = await self._probe_once(endpoint)
-        if result is ProbeResult.LISTENS:
-            return False
-        return True if result is ProbeResult.REFUSES or result.proves_end else None
+        gives_up_ms, refused = self._now_ms() + extend_for_lag(END_PROOF_MS), 0
+        # A process that ends closes its listener some time after the connection of the answer.
+        leaving = self._is_leaving(endpoint)
+        await anyio.sleep((LEAVING_END_DELAY_MS if leaving else END_DELAY_MS) / 1000)
+        while True:
+            result = await self._probe_once(endpoint)
+            match result:
+                case ProbeResult.LISTENS:
+                    return False
+                case ProbeResult.RESTARTED:
+                    return True
+                case ProbeResult.REFUSES:
+                    refused += 1
+                    if refused == REFUSED_PROBES:
+                        return True
+            if self._now_ms() >= gives_up_ms:
+                return True if result.proves_end else None
+            await anyio.sleep(REPROBE_REFUSED_MS / 1000)
 
     def record_success(self, request: CallerRequest, proven: bool) -> None:
         """Record a complete answer, if it is proven that no crash has cut it off."""
--- a/saffronworks/forwarding/quarantine/tuning.py
+++ b/saffronworks/forwarding/quarantine/tuning.py
@@ -9,6 +9,13 @@
 # connections, and one that crashed takes at least a second to return.
 REFUSED_PROBES = 2
 REPROBE_REFUSED_MS = 200
+# Sound endpoints may be silent for a second or so. One that is silent for longer, after an answer
+# without a length, is not known to run.
+END_PROOF_MS = 2000
+# From the end of such an answer to the probe, which must not reach the listener of a process that
+# is ending. An endpoint that leaves is more likely to end.
+END_DELAY_MS = 20
+LEAVING_END_DELAY_MS = 200
 # A silent endpoint may be partitioned from this node alone. It is probed until it answers or the
 # store no longer lists it, which takes three heartbeats of about 1.2 s.
 SILENT_PROBES = 6
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -130,18 +130,18 @@
             raise ExchangeError(ExchangeErrorCause.VERSION_CHANGED, sent=True)
 
     async def check_end(self, endpoint: ServiceEndpoint, exchange: Exchange) -> bool:
-        """Return whether an answer that has ended is proven whole.
+        """Return True if an answer that has ended is whole.
 
-        A crash closes an answer without length or chunks just as its end does: raises ExchangeError
-        if the endpoint has ended.
+        The end of an endpoint closes an answer without length or chunks just as the answer's own
+        end does: raises ExchangeError unless the endpoint is known to run.
         """
         if exchange.framed:
             return True
         ended = await self.quarantine.has_ended(endpoint)
         logger.info("event=unframed_answer endpoint=%s ended=%s", endpoint.instance, ended)
-        if ended:
+        if ended is not False:
             raise ExchangeError(ExchangeErrorCause.CLOSED, sent=True)
-        return ended is False
+        return True
 
     def observe_progress(self, request: CallerRequest, run: StreamRun) -> None:
         """Let a run that goes on clear the parts of its prompt, if any part is suspected."""
--- a/saffronworks/tests/crashing_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -45,6 +45,7 @@
         # Whether that answer has neither a length nor chunks, and its status.
         self.unframed = False
         self.status = 200
+        self.runs_s = RUNS_S
         # Whether the server has been fixed and runs all contents.
         self.fixed = False
         # Whether a prefill of the content crashes the server as well.
@@ -94,7 +95,7 @@
             event = b"id: 1\ndata: one\n\n"
             writer.write(event if self.unframed else b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-        await asyncio.sleep(RUNS_S)
+        await asyncio.sleep(self.runs_s)
         if not self._over.is_set():
             self.end()
         await asyncio.sleep(RUNS_S)
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -22,3 +22,15 @@
   Scenario: whether a draining node begins a request
     Then the surer it ends in time and the fewer other nodes serve, the rather it is begun
     And its chance grows with the time that is left, and is whole for the longest answer
+
+  # Guards against answers without a length or chunks that the planned end of their endpoint cuts off
+  # and that look complete. Its crash is noticed by a probe, which leaving endpoints did not get.
+  Scenario Outline: the planned end of an endpoint cuts off answers that end with their connection
+    When endpoints that are <listed> end in the middle of such answers, and others go on
+    Then the stream has no proper end, and the page is no success
+    And those that go on give whole answers, and no content is suspected
+
+    Examples:
+      | listed      |
+      | as draining |
+      | no more     |
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -11,8 +11,9 @@
 from saffronworks.forwarding.messages import PromptSize
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, MS_PER_TOKEN
 from saffronworks.standins.sites import wait_until
+from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
 from saffronworks.tests.log_lines import LogLines
-from saffronworks.tests.platform_fakes import BOUNDS
+from saffronworks.tests.platform_fakes import BOUNDS, FakeServer
 from saffronworks.tests.platform_place import CONFIG, engines, make_route, on_platform, web_servers
 
 SLOW = {"timeout_ms": 20_000, "target_latency_ms": 15_000, "max_attempts": 1}
@@ -187,3 +188,65 @@
         assert times.chance_within(longest_ms, prompt, 0) == 1
 
     holds()
+
+
+@when("endpoints that are {listed} end in the middle of such answers, and others go on")
+def leaving_endpoints_end(context, listed):
+    ending = [CrashingServer("w0", "web", None, Arrivals(), down_s=9.0)]
+    ending += [CrashingServer("d0", "llm", "decode", Arrivals(), down_s=9.0)]
+    staying = [FakeServer("w1", "web"), FakeServer("d1", "llm", "decode")]
+    for server in ending:
+        server.head_first = server.unframed = True
+        server.runs_s = 0.6
+    staying[0].work_s, staying[0].script = 0.6, ["unframed"]
+    staying[1].script = ["unframed"]
+    context.raws = {}
+
+    async def ask_both(place, name):
+        async def ask(kind, asking):
+            context.raws[kind, name] = await asking
+
+        async with anyio.create_task_group() as tasks:
+            page = place.ask("/once-slow/", f"{name}-page", body=CRASHING)
+            tasks.start_soon(ask, "page", page)
+            stream = place.generate("/gen/", f"{name}-stream", body=CRASHING)
+            tasks.start_soon(ask, "stream", stream)
+            await anyio.sleep(0.2)
+            for server in ending if name == "ends" else staying:
+                if listed == "no more":
+                    place.store.remove("servers", server.instance)
+                else:
+                    place.store.put("servers", server.instance, server.entry("draining"))
+
+    async def play(place):
+        def known():
+            return place.node._directory.endpoints.keys()
+
+        for server in staying:
+            place.store.remove("servers", server.instance)
+        assert await wait_until(lambda: known() == {"w0", "d0", "p0"}, limit_s=3), known()
+        await ask_both(place, "ends")
+        for server in staying:
+            place.store.put("servers", server.instance, server.entry())
+        assert await wait_until(lambda: known() >= {"w1", "d1"}, limit_s=3), known()
+        await ask_both(place, "goes-on")
+        context.idle = place.node._quarantine._state.idle
+
+    slow = make_route("once-slow", "/once-slow/", "non_idempotent", "web", max_attempts=1)
+    config = CONFIG | {"routes": [slow, *CONFIG["routes"]]}
+    on_platform([*ending, *staying, FakeServer("p0", "llm", "prefill")], play, config)
+
+
+@then("the stream has no proper end, and the page is no success")
+def ends_are_seen(context):
+    stream, page = context.raws["stream", "ends"], context.raws["page", "ends"]
+    assert b"id: 1" in stream and not stream.endswith(b"0\r\n\r\n"), stream
+    assert page.startswith(b"HTTP/1.1 502"), page
+
+
+@then("those that go on give whole answers, and no content is suspected")
+def goes_on_whole(context):
+    stream, page = context.raws["stream", "goes-on"], context.raws["page", "goes-on"]
+    assert b"id: 3" in stream and stream.endswith(b"0\r\n\r\n"), stream
+    assert page.startswith(b"HTTP/1.1 200") and b"goes-on-page" in page, page
+    assert context.idle
