--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -34,3 +34,21 @@
       | listed      |
       | as draining |
       | no more     |
+
+  # Guards against requests that are lost in one of their phases at the planned end of a node, beside
+  # a second signal, a reload or a new table, and of those that it relays or that are relayed for it.
+  Scenario Outline: a planned end beside other signals loses no request in any of its phases
+    When by seed <seed> a node is stopped while it and others serve and relay requests
+    Then each request gets a whole answer, or a true refusal
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against relayed requests that the planned end of the relaying node cuts unlogged, and with
+  # a refusal that says they were not run.
+  Scenario: a planned end of a node ends the requests that it relays for others
+    When a node is stopped that relays a stream and a page which take longer than its grace
+    Then the stream is cut, the page fails with its id, and the log has both
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -1,5 +1,7 @@
 """Steps on planned ends of nodes, and on answers that a planned end of an endpoint cuts off."""
 
+import functools
+import random
 import time
 
 import anyio
@@ -12,6 +14,7 @@
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, MS_PER_TOKEN
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
+from saffronworks.tests.cut_paths import Cut, CutPaths
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_fakes import BOUNDS, FakeServer
 from saffronworks.tests.platform_place import CONFIG, engines, make_route, on_platform, web_servers
@@ -250,3 +253,103 @@
     assert b"id: 3" in stream and stream.endswith(b"0\r\n\r\n"), stream
     assert page.startswith(b"HTTP/1.1 200") and b"goes-on-page" in page, page
     assert context.idle
+
+
+@when("by seed {seed:d} a node is stopped while it and others serve and relay requests")
+def stopped_in_all_phases(context, seed):
+    rng = random.Random(seed)
+    servers = context.servers = [*web_servers(2), *engines()]
+    servers[0].limit = "60"
+    for server in servers:
+        server.work_s = rng.uniform(0.01, 0.4) if server.stage is None else 0.0
+        server.read_s, server.event_s = rng.uniform(0, 0.4), rng.uniform(0, 0.3)
+    # The node that is cut off from all endpoints: the one that stops, or another.
+    cut_off = rng.randrange(2)
+
+    async def play(place):
+        async def signal_all():
+            for at_s, send in sorted(events, key=lambda event: event[0]):
+                await anyio.sleep(max(0, began_s + at_s - time.monotonic()))
+                send()
+
+        async def ask(request_id, node):
+            if node is place.node and time.monotonic() > began_s + 3:
+                return None
+            kind = int(request_id[1:]) // len(place.nodes) % 4
+            if kind < 2:
+                return await place.ask(("/once/", "/again/")[kind], request_id, node=node)
+            resumes = {"Last-Event-Id": "1", "Resumes": "r0"} if kind == 3 else {}
+            path = "/res/" if kind == 3 else "/gen/"
+            return await place.ask(path, request_id, GENERATION | resumes, node=node)
+
+        cores = place.nodes[2]._memory.choice
+        assert await wait_until(lambda: len(cores.cores) == 3, limit_s=5)
+        CutPaths(place).cut(cut_off, Cut.HANG)
+        await anyio.sleep(2)
+        began_s, node, new_table = time.monotonic(), place.node, CONFIG | {"version": 4}
+        events = [(1.0, node.stop), (rng.uniform(1, 3), node.stop)]
+        events += [(rng.uniform(0.8, 2), node._settings_watch.reload)]
+        put = functools.partial(place.store.put, "config", "main", new_table)
+        events += [(rng.uniform(0.8, 1.5), put)]
+        place.tasks.start_soon(signal_all)
+        context.asked = await place.ask_evenly(45, 3.2, ask)
+
+    on_platform(servers, play, count=3)
+
+
+@then("each request gets a whole answer, or a true refusal")
+def loses_none(context):
+    asked = [one for one in context.asked if one.raw is not None]
+    ran = {request_id for server in context.servers for request_id in server.ran}
+    lost = []
+    for one in asked:
+        raw = one.raw.lower()
+        ends = (b"0\r\n\r\n", b"\r\n\r\n" + one.request_id.encode())
+        whole = raw.startswith(b"http/1.1 200") and raw.endswith(ends)
+        refused = raw.startswith(b"http/1.1 503") and b"\r\nretry-after: " in raw
+        if not whole and not (refused and one.request_id not in ran):
+            lost.append((one.request_id, one.node, one.took_s, one.raw[:300]))
+    served = sum(one.raw.startswith(b"HTTP/1.1 200") for one in asked)
+    assert not lost, (len(lost), len(asked), served, lost[:6])
+    assert served > len(asked) / 3, (served, len(asked))
+
+
+@when("a node is stopped that relays a stream and a page which take longer than its grace")
+def relaying_node_stopped(context):
+    servers = [*web_servers(), *engines()]
+    servers[0].work_s = 10
+    for server in servers[1:]:
+        server.events, server.event_s = 100, 0.1
+    context.raws = {}
+
+    async def play(place):
+        async def ask(request_id, path, headers):
+            asking = place.ask(path, request_id, headers, node=place.nodes[1])
+            context.raws[request_id] = await asking
+
+        paths = CutPaths(place)
+        cores = place.nodes[1]._memory.choice
+        assert await wait_until(lambda: len(cores.cores) == 2, limit_s=5)
+        paths.cut(1, Cut.HANG)
+        place.tasks.start_soon(ask, "page", "/once/", {"Deadline-Ms": "20000"})
+        place.tasks.start_soon(ask, "stream", "/gen/", GENERATION)
+        relays = place.node._relay_server
+        assert await wait_until(lambda: relays.open_requests == 2 and len(servers[0].ran), 5)
+        await anyio.sleep(0.5)
+        place.node.stop()
+        assert await wait_until(lambda: len(context.raws) == 2, limit_s=5)
+
+    with LogLines("saffronworks") as context.lines:
+        on_platform(servers, play, SLOW_CONFIG, count=2, bounds=SHORT_GRACE)
+
+
+@then("the stream is cut, the page fails with its id, and the log has both")
+def relayed_ends(context):
+    stream, page = context.raws["stream"], context.raws["page"].lower()
+    assert b"id: 2\n" in stream and not stream.endswith(b"0\r\n\r\n"), stream
+    assert page.startswith(b"http/1.1 50") and b"\r\nrequest-id: page\r\n" in page, page
+    assert b"retry-after" not in page, page
+    relayed = [line for line in context.lines if line.startswith("event=relay_")]
+    assert any("event=relay_cut request=stream" in line for line in relayed), relayed
+    refused = "event=relay_refused request=page reason=stopping sent=True"
+    assert any(refused in line for line in relayed), relayed
