--- a/saffronworks/forwarding/routing.py
+++ b/saffronworks/forwarding/routing.py
@@ -87,11 +87,12 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Limits on the size of callers' requests and on the idle time of their connections."""
+    """Limits on the size of callers' requests, and on the times that their connections wait."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     idle_timeout_ms: int = 15_000
+    header_timeout_ms: int = 10_000
 
 
 @attrs.frozen
--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -1,20 +1,45 @@
-"""The server's side of callers' HTTP connections: when one that rests is closed."""
+"""The server's side of callers' HTTP connections: bounds on heads, and when one is closed."""
 
 import asyncio
 import contextlib
+import logging
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+import msgspec
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from saffronworks.sockets import unread_bytes
 
-__all__ = ["CloseNow", "HttpConnection", "KeepAlive", "LookAgain", "decide_close"]
+__all__ = [
+    "HEADER_TIMEOUT_MS",
+    "MAX_HEADER_BYTES",
+    "CloseNow",
+    "ConnectionPolicy",
+    "HttpConnection",
+    "LookAgain",
+    "count_field_bytes",
+    "decide_close",
+]
+
+logger = logging.getLogger(__name__)
+
+MAX_HEADER_BYTES = 65_536
+HEADER_TIMEOUT_MS = 10_000
+# Bytes of a header field besides its name and value: colon, space, CR and LF.
+FIELD_OVERHEAD_BYTES = 4
+# Bytes of a request line besides its target, and of the line that ends a head.
+REQUEST_LINE_BYTES = 64
 
 # How long a server that stops waits for the next request on a connection that was just in use.
 LAST_REQUEST_MS = 250
 # When to look again at a connection that has unread bytes.
 UNREAD_LOOK_MS = 10
+# Bounds on reading and discarding the rest of a refused request. The kernel resets a connection
+# that is closed unread, and its caller could lose the refusal.
+LINGER_MS = 1000
+MAX_LINGER_BYTES = 1_048_576
 
 
 @attrs.frozen
@@ -39,11 +64,22 @@
     return LookAgain(left_ms) if left_ms > 0 else CloseNow()
 
 
+def count_field_bytes(fields: Iterable[tuple[str | bytes, str | bytes]]) -> int:
+    """Return the size of header fields on the wire."""
+    return sum(len(key) + len(value) + FIELD_OVERHEAD_BYTES for key, value in fields)
+
+
 @attrs.define
-class KeepAlive:
-    """What is in force for all connections of a server."""
+class ConnectionPolicy:
+    """What is in force for all connections of a server.
+
+    `echoed_field`: the header field of a request that its refusal repeats.
+    """
 
     idle_ms: float
+    header_bytes: int = MAX_HEADER_BYTES
+    header_ms: float = HEADER_TIMEOUT_MS
+    echoed_field: bytes = b""
     stopping: bool = False
 
     @property
@@ -63,15 +99,21 @@
     is being served.
     """
 
-    def __init__(self, keep_alive: KeepAlive, **uvicorn_arguments: Any):
+    def __init__(self, policy: ConnectionPolicy, **uvicorn_arguments: Any):
         super().__init__(**uvicorn_arguments)
-        self._keep_alive = keep_alive
+        self._policy = policy
         self._wait_began_ms = 0.0
         self._promised_ms = 0.0
         self._in_head = False
         self._in_message = False
+        self._message_ended = False
+        self._head_bytes = 0
+        self._head_too_large = False
         # The next request is the last one.
         self._closing = False
+        # A request was refused, and the rest of it is discarded.
+        self._lingering = False
+        self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Wait for the first request."""
@@ -81,8 +123,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Read parts of requests."""
+        if self._head_too_large or self._lingering:
+            self._discard(data)
+            return
+        self._message_ended = False
         super().data_received(data)
-        if self._in_message and not self._in_head:
+        if self._in_head:
+            self._count_head_bytes(data)
+        elif self._in_message:
             # A caller that sends a body doesn't rest, even if its answer is complete.
             self._begin_wait()
         self._watch()
@@ -90,19 +138,32 @@
     def on_message_begin(self) -> None:
         """Record the begin of a head."""
         self._in_head = self._in_message = True
+        self._head_bytes = 0
+        if not self._is_serving:
+            self._begin_wait()
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Start the request, or queue it."""
         self._in_head = False
+        if max(count_field_bytes(self.headers), len(self.url)) > self._policy.header_bytes:
+            self._head_too_large = True
+            return
         super().on_headers_complete()
-        if self._closing or self._keep_alive.stopping:
+        if self._closing or self._policy.stopping:
             self._announce_close()
 
+    def on_body(self, body: bytes) -> None:
+        """Buffer a part of a request's body."""
+        if not self._head_too_large:
+            super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Record the end of a request."""
         self._in_message = False
-        super().on_message_complete()
+        self._message_ended = True
+        if not self._head_too_large:
+            super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Start the next request if one is queued, else let the connection rest."""
@@ -110,31 +171,48 @@
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
         super().on_response_complete()
+        if self._head_too_large:
+            self._watch()
 
     def shutdown(self) -> None:
         """Close the connection after its last request.
 
         An answer that has begun told its caller to go on using the connection.
         """
+        if self._lingering:
+            return
         if not self._is_serving:
             self._watch()
         elif not self.cycle.response_started:
             self._announce_close()
 
     def timeout_keep_alive_handler(self) -> None:
-        """Close the connection if it has rested long enough, else look again later."""
-        if self._is_serving or self._in_head or self.transport.is_closing():
+        """Close the connection if it has waited long enough, else look again later."""
+        if self._is_serving or self.transport.is_closing():
+            return
+        if self._lingering:
+            self.transport.close()
+            return
+        if self._head_too_large:
+            self._refuse(431, "header-too-large")
             return
-        match self._keep_alive.decide_rest(self._waited_ms, self._promised_ms):
+        match self._decide():
             case LookAgain(after_ms):
                 self._arm_timer(after_ms)
             case CloseNow() if unread_bytes(self.transport.get_extra_info("socket")):
                 # The event loop reads them in its next turn.
                 self._closing = True
                 self._arm_timer(UNREAD_LOOK_MS)
+            case CloseNow() if self._in_head:
+                self._refuse(408, "header-timeout")
             case CloseNow():
                 self._close()
 
+    def _decide(self) -> CloseNow | LookAgain:
+        if self._in_head:
+            return decide_close(self._waited_ms, self._promised_ms, self._policy.header_ms)
+        return self._policy.decide_rest(self._waited_ms, self._promised_ms)
+
     @property
     def _is_serving(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
@@ -145,7 +223,7 @@
 
     def _begin_wait(self) -> None:
         self._wait_began_ms = self.loop.time() * 1000
-        self._promised_ms = self._keep_alive.rest_ms
+        self._promised_ms = self._policy.header_ms if self._in_head else self._policy.rest_ms
 
     def _announce_close(self) -> None:
         if self.cycle is not None:
@@ -161,6 +239,40 @@
             after_ms / 1000, self.timeout_keep_alive_handler
         )
 
+    def _count_head_bytes(self, data: bytes) -> None:
+        """Count a part of a head that is not complete."""
+        # The part in which another request ended isn't counted, as it is unknown how much is its.
+        if not self._message_ended:
+            self._head_bytes += len(data)
+        max_bytes = self._policy.header_bytes
+        rest_bytes = self._head_bytes - len(self.url) - REQUEST_LINE_BYTES
+        self._head_too_large = max(rest_bytes, len(self.url)) > max_bytes
+
+    def _refuse(self, status: int, reason: str) -> None:
+        """Answer a request whose head can't be accepted, and close the connection."""
+        logger.info("event=bad_request reason=%s bytes=%d", reason, self._head_bytes)
+        body = msgspec.json.encode({"error": reason})
+        fields = [
+            *self.server_state.default_headers,
+            *((name, value) for name, value in self.headers if name == self._policy.echoed_field),
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        head = b"".join(b"%s: %s\r\n" % field for field in fields)
+        self.transport.write(b"%s%s\r\n%s" % (STATUS_LINE[status], head, body))
+        self._lingering = True
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
+        self._arm_timer(LINGER_MS)
+
+    def _discard(self, data: bytes) -> None:
+        self._discarded_bytes += len(data)
+        if self._lingering and self._discarded_bytes > MAX_LINGER_BYTES:
+            self.transport.close()
+        elif not self._lingering:
+            self.flow.pause_reading()
+
     def _close(self) -> None:
         with contextlib.suppress(OSError):
             # The transport itself is closed a turn of the event loop later.
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -78,6 +78,7 @@
 class _Limits:
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 15_000
 
 
@@ -109,6 +110,7 @@
                 configuration.limits.max_header_bytes,
                 configuration.limits.max_body_bytes,
                 int(configuration.limits.idle_timeout_ms),
+                int(configuration.limits.header_timeout_ms),
             ),
             organisations=_decode_organisations(configuration),
         )
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -1,7 +1,7 @@
 """Callers' requests and answers on the platform: decodes headers and encodes answers."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -14,6 +14,7 @@
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
+from saffronworks.http_connections import count_field_bytes
 from saffronworks.platform.calls import ID_FIELD
 from saffronworks.web import BadBody, Call
 
@@ -23,8 +24,6 @@
 
 # Time from arrival to the deadline of a request that states no deadline.
 DEFAULT_DEADLINE_MS = 30_000
-# Bytes of a header field besides its name and value: colon, space, CR and LF.
-FIELD_OVERHEAD_BYTES = 4
 _CONNECTION_FIELDS = HOP_BY_HOP_FIELDS | {
     "proxy-authorization",
     "proxy-connection",
@@ -131,11 +130,6 @@
     return None
 
 
-def count_field_bytes(fields: Iterable[tuple[str, str]]) -> int:
-    """Return the size of header fields on the wire."""
-    return sum(len(key) + len(value) + FIELD_OVERHEAD_BYTES for key, value in fields)
-
-
 class CallerConnectionReply:
     """Sends an answer to one caller: status and headers, then the body."""
 
@@ -237,15 +231,10 @@
     async def handle(self, call: Call) -> None:
         """Serve one request of a caller."""
         reply = CallerConnectionReply(call, self._closes(call.connection_number))
-        header_bytes = count_field_bytes(call.fields)
-        if header_bytes > self._limits().header_bytes:
-            logger.info("event=bad_request reason=header-too-large bytes=%d", header_bytes)
-            await reply.refuse(431, "header-too-large")
-            return
         body = b""
         try:
             with self._forwarder.until_ended() as scope:
-                body = await call.body(self._limits().body_bytes)
+                body = await call.body(self._max_body_bytes())
         except BadBody as error:
             logger.info("event=bad_request reason=%r", str(error))
             await reply.refuse(413, str(error))
@@ -262,6 +251,6 @@
             return
         await self._forwarder.handle(request.ok_value, reply)
 
-    def _limits(self) -> CallerLimits:
+    def _max_body_bytes(self) -> int:
         table = self._forwarder.table
-        return table.limits if table else CallerLimits()
+        return (table.limits if table else CallerLimits()).body_bytes
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -43,13 +43,14 @@
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.role_core import RoleState
 from saffronworks.forwarding.role_keeper import RoleKeeper
-from saffronworks.forwarding.routing import RoutingTable
+from saffronworks.forwarding.routing import CallerLimits, RoutingTable
 from saffronworks.forwarding.runners import NodeState
 from saffronworks.forwarding.starts import endpoint_name
 from saffronworks.forwarding.store_circuit import GuardedSource
 from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
+from saffronworks.http_connections import HEADER_TIMEOUT_MS, MAX_HEADER_BYTES
 from saffronworks.kernel import Kernel
 from saffronworks.overload.gate import ConnectionGate
 from saffronworks.overload.link_budget import LinkBudget, bytes_per_ms
@@ -184,7 +185,15 @@
         grace_s = math.ceil(settings.stop_grace_ms / 1000)
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
-        self._callers = HttpServer(callers, self._ingress.handle, grace_s, gate=self._gate)
+        self._callers = HttpServer(
+            callers,
+            self._ingress.handle,
+            grace_s,
+            gate=self._gate,
+            echoed_field=ID_FIELD.lower(),
+        )
+        limits = CallerLimits()
+        self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
             self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
@@ -502,7 +511,14 @@
             self._calls.pool.limit_idle(self._listed_nodes, min_connections)
 
     def _apply_table(self, table: RoutingTable) -> bool:
-        self._callers.set_keep_alive(table.limits.idle_timeout_ms / 1000)
+        limits = table.limits
+        self._callers.set_keep_alive(limits.idle_timeout_ms / 1000)
+        self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
+        if self._relays is not None:
+            # A relayed request has the caller's head and fields of its own.
+            self._relays.set_header_limits(
+                MAX_HEADER_BYTES + limits.header_bytes, HEADER_TIMEOUT_MS
+            )
         accepted = self._forwarder.apply_table(table)
         if accepted:
             self._quotas.take_table(table)
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -51,3 +51,24 @@
     When the server stops after the head of an answer, and the caller reuses its connection
     Then each request is answered
     And its answer announces that the connection is closed
+
+  # Guards against heads without an end, which took memory until the caller closed: a head was
+  # checked when it was whole, and a connection that had sent a part of one had no timer.
+  Scenario Outline: a head without an end is refused, and its connection closed
+    When a caller sends <head> to a server whose heads have 2000 bytes and 300 ms at most
+    Then it gets status <status> once, and its connection is closed within <within> ms
+    And a caller within the limits is served meanwhile
+
+    Examples:
+      | head                                | status | within |
+      | a field without an end              | 431    | 1500   |
+      | a target without an end             | 431    | 1500   |
+      | fields without an end               | 431    | 1500   |
+      | a whole head that is too large      | 431    | 1500   |
+      | half a head and nothing more        | 408    | 1500   |
+      | half a head and then byte by byte   | 408    | 1500   |
+      | an end after a request that is slow | 431    | 2000   |
+
+  Scenario: a head of the largest size, in many parts, is served
+    When a caller sends a head of the largest size byte by byte
+    Then each request is answered
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -236,3 +236,85 @@
 @then("its answer announces that the connection is closed")
 def step_close_announced(context):
     assert all(b"connection: close" in answer for answer in context.answers), context.answers
+
+
+HEADER_BYTES = 2000
+HEADER_TIMEOUT_MS = 300
+START = b"GET / HTTP/1.1\r\nrequest-id: r1\r\n"
+# What a caller sends at first, and then again and again.
+ENDLESS_HEADS = {
+    "a field without an end": (START + b"x: ", b"x" * 500),
+    "a target without an end": (b"GET /", b"x" * 500),
+    "fields without an end": (START, b"x: x\r\n" * 100),
+    "a whole head that is too large": (START + b"x: " + b"x" * 2000 + b"\r\n\r\n", b""),
+    "half a head and nothing more": (START, b""),
+    "half a head and then byte by byte": (START + b"x: ", b"x"),
+    "an end after a request that is slow": (REQUEST + START + b"x: ", b"x" * 500),
+}
+
+
+@when("a caller sends {head} to a server whose heads have 2000 bytes and 300 ms at most")
+def step_endless_head(context, head):
+    first, more = ENDLESS_HEADS[head]
+    answered = head.startswith("an end after")
+
+    async def handle(call: Call) -> None:
+        if answered and call.headers.get("host") == "x":
+            await anyio.sleep(REST_S / 2)
+        await reply(call)
+
+    async def send(caller: socket.socket) -> None:
+        while more:
+            try:
+                await anyio.to_thread.run_sync(caller.sendall, more)
+            except OSError:
+                return
+            await anyio.sleep(0.02)
+
+    async def play() -> None:
+        async with serving(handle, echoed_field="request-id") as server:
+            server.set_header_limits(HEADER_BYTES, HEADER_TIMEOUT_MS)
+            caller = connect_now(server)
+            began_s = time.monotonic()
+            caller.sendall(first)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, caller)
+                context.other = await ask(await connect(server))
+                context.refused = await receive_all(caller)
+            context.elapsed_ms = 1000 * (time.monotonic() - began_s)
+            if answered:
+                whole, _, context.refused = context.refused.partition(b"{}")
+                assert whole.startswith(b"HTTP/1.1 200"), whole
+
+    anyio.run(play)
+
+
+@then("it gets status {status} once, and its connection is closed within {within:d} ms")
+def step_refused(context, status, within):
+    refused = context.refused
+    assert refused.startswith(b"HTTP/1.1 " + status.encode()), refused
+    assert refused.endswith(b"}") and refused.count(b"HTTP/1.1") == 1, refused
+    assert b"connection: close" in refused, refused
+    assert context.elapsed_ms < within, context.elapsed_ms
+
+
+@then("a caller within the limits is served meanwhile")
+def step_other_served(context):
+    assert context.other.startswith(b"HTTP/1.1 200"), context.other
+
+
+@when("a caller sends a head of the largest size byte by byte")
+def step_largest_head(context):
+    fields = b"host: x\r\nconnection: close\r\nx: "
+    head = b"GET / HTTP/1.1\r\n" + fields + b"x" * (HEADER_BYTES - len(fields) - 2)
+
+    async def play() -> list[bytes]:
+        async with serving() as server:
+            server.set_header_limits(HEADER_BYTES, 1000 * ANSWER_TIMEOUT_S)
+            caller = connect_now(server)
+            for byte in head + b"\r\n\r\n":
+                caller.send(bytes([byte]))
+                await asyncio.sleep(0)
+            return [await receive_all(caller)]
+
+    context.answers = anyio.run(play)
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -12,7 +12,7 @@
 import msgspec
 import uvicorn
 
-from saffronworks.http_connections import HttpConnection, KeepAlive
+from saffronworks.http_connections import ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
 
 __all__ = ["AcceptGate", "BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
@@ -203,9 +203,9 @@
 
 
 class _Server(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config, keep_alive: KeepAlive):
+    def __init__(self, config: uvicorn.Config, policy: ConnectionPolicy):
         super().__init__(config)
-        self._keep_alive = keep_alive
+        self._policy = policy
         self._stop_requested = asyncio.Event()
 
     @contextmanager
@@ -234,7 +234,7 @@
         The kernel resets the connections that wait for a listener when it closes, so they are
         accepted first.
         """
-        self._keep_alive.stopping = True
+        self._policy.stopping = True
         loop = asyncio.get_running_loop()
         listeners = sockets or []
         for listener in listeners:
@@ -334,7 +334,8 @@
 class HttpServer:
     """Serves one handler on one socket until it is stopped.
 
-    `gate` decides which new connections are accepted; by default all are.
+    `gate` decides which new connections are accepted; by default all are. `echoed_field`: the
+    header field, in lower case, that the refusal of a head repeats from it.
     """
 
     def __init__(
@@ -345,15 +346,16 @@
         idle_s: float = KEEP_ALIVE_S,
         date_header: bool = True,
         gate: AcceptGate | None = None,
+        echoed_field: str = "",
     ):
         self._gate = gate
         self._listener = listener if gate is None else _gate_listener(listener, gate)
         self._handler = handler
-        self._keep_alive = KeepAlive(idle_s * 1000)
+        self._policy = ConnectionPolicy(idle_s * 1000, echoed_field=echoed_field.encode())
         connection = (
-            functools.partial(HttpConnection, self._keep_alive)
+            functools.partial(HttpConnection, self._policy)
             if gate is None
-            else functools.partial(_GatedConnection, gate, self._keep_alive)
+            else functools.partial(_GatedConnection, gate, self._policy)
         )
         config = uvicorn.Config(
             self._app,
@@ -368,7 +370,7 @@
             loop="asyncio",
             timeout_graceful_shutdown=grace_s,
         )
-        self._server = _Server(config, self._keep_alive)
+        self._server = _Server(config, self._policy)
 
     @property
     def address(self) -> str:
@@ -389,7 +391,12 @@
 
         Those that rest may do so for as long as they could before, if that is longer.
         """
-        self._keep_alive.idle_ms = idle_s * 1000
+        self._policy.idle_ms = idle_s * 1000
+
+    def set_header_limits(self, max_bytes: int, timeout_ms: float) -> None:
+        """Set the limits of a request's head; beyond them it is answered with 431 or 408."""
+        self._policy.header_bytes = max_bytes
+        self._policy.header_ms = timeout_ms
 
     def stop(self) -> None:
         """Stop accepting; `run` returns when the calls in progress have ended.
