--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -511,22 +511,24 @@
             self._calls.pool.limit_idle(self._listed_nodes, min_connections)
 
     def _apply_table(self, table: RoutingTable) -> bool:
-        limits = table.limits
-        self._callers.set_keep_alive(limits.idle_timeout_ms / 1000)
-        self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
-        if self._relays is not None:
-            # A relayed request has the caller's head and fields of its own.
-            self._relays.set_header_limits(
-                MAX_HEADER_BYTES + limits.header_bytes, HEADER_TIMEOUT_MS
-            )
         accepted = self._forwarder.apply_table(table)
         if accepted:
             self._quotas.take_table(table)
             self._gate.link.keep_routes({route.name for route in table.routes})
             self._origins.observe_table(table)
+            self._limit_callers(table.limits)
         self._share_connections()
         return accepted
 
+    def _limit_callers(self, limits: CallerLimits) -> None:
+        self._callers.set_keep_alive(limits.idle_timeout_ms / 1000)
+        self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
+        if self._relays is not None:
+            # A relayed request has the caller's head and fields of its own.
+            self._relays.set_header_limits(
+                MAX_HEADER_BYTES + limits.header_bytes, HEADER_TIMEOUT_MS
+            )
+
     def _apply_endpoints(self) -> None:
         """Update what depends on the directory, after a change of it."""
         self._origins.observe_endpoints()
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -72,3 +72,8 @@
   Scenario: a head of the largest size, in many parts, is served
     When a caller sends a head of the largest size byte by byte
     Then each request is answered
+
+  # Guards against the limits of an older configuration in place of those in force.
+  Scenario: the limits of callers are those of the configuration in force
+    When a node with a configuration is given an older one with other limits
+    Then callers' connections keep the limits of the newer one
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -7,10 +7,13 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import attrs
 from anyio.abc import SocketStream
 from behave import given, then, when
 
+from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.http_connections import LookAgain, decide_close
+from saffronworks.tests.platform_place import CONFIG, on_platform
 from saffronworks.web import Call, HttpServer, bind, parse_address
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -318,3 +321,22 @@
             return [await receive_all(caller)]
 
     context.answers = anyio.run(play)
+
+
+@when("a node with a configuration is given an older one with other limits")
+def step_older_configuration(context):
+    async def play(place):
+        node = place.node
+        limits = CallerLimits(2000, 2000, 2000, 2000)
+        older = attrs.evolve(node._forwarder.table, version=CONFIG["version"] - 1, limits=limits)
+        node._apply_table(older)
+        context.policy = attrs.evolve(node._callers._policy)
+
+    on_platform([], play)
+
+
+@then("callers' connections keep the limits of the newer one")
+def step_newer_limits(context):
+    policy = context.policy
+    kept = CallerLimits(policy.header_bytes, 0, int(policy.idle_ms), int(policy.header_ms))
+    assert kept == CallerLimits(body_bytes=0), kept
