--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import enum
 import logging
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
@@ -16,6 +18,7 @@
     "HEADER_TIMEOUT_MS",
     "MAX_HEADER_BYTES",
     "CloseNow",
+    "CloseReason",
     "ConnectionPolicy",
     "HttpConnection",
     "LookAgain",
@@ -40,6 +43,8 @@
 # that is closed unread, and its caller could lose the refusal.
 LINGER_MS = 1000
 MAX_LINGER_BYTES = 1_048_576
+# Interval of the log lines on closes that found unread bytes.
+UNREAD_LOG_INTERVAL_MS = 1000
 
 
 @attrs.frozen
@@ -69,6 +74,48 @@
     return sum(len(key) + len(value) + FIELD_OVERHEAD_BYTES for key, value in fields)
 
 
+class CloseReason(enum.StrEnum):
+    """Why a connection was closed."""
+
+    IDLE = "idle"
+    STOP = "stop"
+    HEADER_TIMEOUT = "header_timeout"
+    HEADER_TOO_LARGE = "header_too_large"
+    # After an answer with `connection: close`.
+    ANSWER = "answer"
+    # In the middle of a request or of its answer.
+    CUT = "cut"
+    # By the caller, with and without a reset.
+    CALLER = "caller"
+    RESET = "reset"
+
+
+@attrs.define
+class ClosedConnections:
+    """Counts a server's closed connections, and logs those that lost bytes of their callers."""
+
+    counts: Counter[CloseReason] = attrs.Factory(Counter)
+    _logged_ms: float | None = None
+    _not_logged: int = 0
+
+    def record(self, reason: CloseReason, waited_ms: float, unread: int, now_ms: float) -> None:
+        """Record a close that left `unread` bytes in the socket."""
+        self.counts[reason] += 1
+        if not unread:
+            return
+        if self._logged_ms is not None and now_ms - self._logged_ms < UNREAD_LOG_INTERVAL_MS:
+            self._not_logged += 1
+            return
+        logger.warning(
+            "event=connection_closed reason=%s unread_bytes=%d waited_ms=%d not_logged=%d",
+            reason,
+            unread,
+            waited_ms,
+            self._not_logged,
+        )
+        self._logged_ms, self._not_logged = now_ms, 0
+
+
 @attrs.define
 class ConnectionPolicy:
     """What is in force for all connections of a server.
@@ -81,6 +128,7 @@
     header_ms: float = HEADER_TIMEOUT_MS
     echoed_field: bytes = b""
     stopping: bool = False
+    closed: ClosedConnections = attrs.Factory(ClosedConnections)
 
     @property
     def rest_ms(self) -> float:
@@ -114,6 +162,7 @@
         # A request was refused, and the rest of it is discarded.
         self._lingering = False
         self._discarded_bytes = 0
+        self._close_reason: CloseReason | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Wait for the first request."""
@@ -121,6 +170,20 @@
         self._begin_wait()
         self._arm_timer(self._promised_ms)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record the close."""
+        self._policy.closed.record(
+            self._close_reason or self._find_close_reason(exc),
+            self._waited_ms,
+            unread_bytes(self.transport.get_extra_info("socket")),
+            self.loop.time() * 1000,
+        )
+        super().connection_lost(exc)
+
+    def eof_received(self) -> None:
+        """Let the transport close the connection that its caller has closed."""
+        self._close_reason = self._close_reason or CloseReason.CALLER
+
     def data_received(self, data: bytes) -> None:
         """Read parts of requests."""
         if self._head_too_large or self._lingering:
@@ -194,7 +257,7 @@
             self.transport.close()
             return
         if self._head_too_large:
-            self._refuse(431, "header-too-large")
+            self._refuse(431, CloseReason.HEADER_TOO_LARGE)
             return
         match self._decide():
             case LookAgain(after_ms):
@@ -204,9 +267,9 @@
                 self._closing = True
                 self._arm_timer(UNREAD_LOOK_MS)
             case CloseNow() if self._in_head:
-                self._refuse(408, "header-timeout")
+                self._refuse(408, CloseReason.HEADER_TIMEOUT)
             case CloseNow():
-                self._close()
+                self._close(CloseReason.STOP if self._policy.stopping else CloseReason.IDLE)
 
     def _decide(self) -> CloseNow | LookAgain:
         if self._in_head:
@@ -248,8 +311,10 @@
         rest_bytes = self._head_bytes - len(self.url) - REQUEST_LINE_BYTES
         self._head_too_large = max(rest_bytes, len(self.url)) > max_bytes
 
-    def _refuse(self, status: int, reason: str) -> None:
+    def _refuse(self, status: int, close_reason: CloseReason) -> None:
         """Answer a request whose head can't be accepted, and close the connection."""
+        self._close_reason = close_reason
+        reason = close_reason.replace("_", "-")
         logger.info("event=bad_request reason=%s bytes=%d", reason, self._head_bytes)
         body = msgspec.json.encode({"error": reason})
         fields = [
@@ -273,7 +338,17 @@
         elif not self._lingering:
             self.flow.pause_reading()
 
-    def _close(self) -> None:
+    def _find_close_reason(self, exc: Exception | None) -> CloseReason:
+        if exc is not None:
+            return CloseReason.RESET
+        if self._is_serving:
+            return CloseReason.CUT
+        if self._policy.stopping and (self.cycle is None or self.cycle.keep_alive):
+            return CloseReason.STOP
+        return CloseReason.ANSWER
+
+    def _close(self, reason: CloseReason) -> None:
+        self._close_reason = reason
         with contextlib.suppress(OSError):
             # The transport itself is closed a turn of the event loop later.
             self.transport.write_eof()
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -207,10 +207,14 @@
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
     def _register_gauges(self, figures: MetricsRecorder) -> None:
-        """Register what the metrics page shows of the gate, the kernel and the relay server."""
+        """Register the gauges of callers' connections, the node's load, its services and relays."""
         gate, kernel, now_ms = self._gate, self._kernel, monotonic_ms
         gauges: dict[str, Callable[[], list[Level]]] = {
             "saffronworks_rejected_connections": lambda: [Level(gate.rejected, {})],
+            "saffronworks_closed_connections": lambda: [
+                Level(count, {"reason": reason})
+                for reason, count in self._callers.closed_connections.items()
+            ],
             "saffronworks_link_backlog_ms": lambda: [Level(gate.link.backlog_ms(now_ms()), {})],
             "saffronworks_link_queue_ms": lambda: [Level(gate.link_queue_ms(now_ms()), {})],
             "saffronworks_longest_loop_turn_ms": lambda: [
@@ -521,6 +525,12 @@
         return accepted
 
     def _limit_callers(self, limits: CallerLimits) -> None:
+        logger.info(
+            "event=caller_limits_applied idle_timeout_ms=%d header_timeout_ms=%d header_bytes=%d",
+            limits.idle_timeout_ms,
+            limits.header_timeout_ms,
+            limits.header_bytes,
+        )
         self._callers.set_keep_alive(limits.idle_timeout_ms / 1000)
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
         if self._relays is not None:
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -77,3 +77,8 @@
   Scenario: the limits of callers are those of the configuration in force
     When a node with a configuration is given an older one with other limits
     Then callers' connections keep the limits of the newer one
+
+  Scenario: closed connections are counted by reason, and logged where bytes were unread
+    When connections are closed after a rest, by their callers, and with a request unread
+    Then the server counts 1 idle, 1 caller and 2 answer
+    And one line tells of unread bytes within a second
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -13,6 +13,7 @@
 
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.http_connections import LookAgain, decide_close
+from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, on_platform
 from saffronworks.web import Call, HttpServer, bind, parse_address
 
@@ -340,3 +341,40 @@
     policy = context.policy
     kept = CallerLimits(policy.header_bytes, 0, int(policy.idle_ms), int(policy.header_ms))
     assert kept == CallerLimits(body_bytes=0), kept
+
+
+@when("connections are closed after a rest, by their callers, and with a request unread")
+def step_close_connections(context):
+    async def play():
+        callers = []
+
+        async def handle(call: Call) -> None:
+            closing = len(callers) > 2
+            await call.reply(200, {}, {"connection": "close"} if closing else {})
+            if closing:
+                callers[-1].sendall(REQUEST)
+
+        async with serving(handle, idle_s=SHORT_IDLE_S) as server:
+            for _ in range(4):
+                callers.append(connect_now(server))
+                callers[-1].sendall(REQUEST)
+                await receive_answer(callers[-1])
+                if len(callers) == 1:
+                    await receive_all(callers[-1])
+                callers[-1].close()
+                await anyio.sleep(0.05)
+            context.closed = dict(server.closed_connections)
+
+    with LogLines("saffronworks.http_connections") as context.lines:
+        anyio.run(play)
+
+
+@then("the server counts 1 idle, 1 caller and 2 answer")
+def step_counts(context):
+    assert context.closed == {"idle": 1, "caller": 1, "answer": 2}, context.closed
+
+
+@then("one line tells of unread bytes within a second")
+def step_unread_logged(context):
+    (line,) = context.lines
+    assert f"event=connection_closed reason=answer unread_bytes={len(REQUEST)} " in line, line
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -12,7 +12,7 @@
 import msgspec
 import uvicorn
 
-from saffronworks.http_connections import ConnectionPolicy, HttpConnection
+from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
 
 __all__ = ["AcceptGate", "BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
@@ -393,6 +393,11 @@
         """
         self._policy.idle_ms = idle_s * 1000
 
+    @property
+    def closed_connections(self) -> Mapping[CloseReason, int]:
+        """The number of closed connections by reason."""
+        return self._policy.closed.counts
+
     def set_header_limits(self, max_bytes: int, timeout_ms: float) -> None:
         """Set the limits of a request's head; beyond them it is answered with 431 or 408."""
         self._policy.header_bytes = max_bytes
