--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -59,7 +59,8 @@
         while idle and found is None:
             connection = idle.pop()
             idle_ms = monotonic_ms() - connection.idle_since_ms
-            if not connection.reusable or idle_ms >= connection.keep_alive_ms:
+            expired = idle_ms >= connection.keep_alive_ms
+            if expired or not connection.reusable or connection.has_input:
                 connection.close()
             elif connection.control_calls_only and not control_call:
                 skipped.append(connection)
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -28,7 +28,7 @@
     PROBE_INTERVAL_S,
     USER_TIMEOUT_MS,
 )
-from saffronworks.sockets import unacknowledged_bytes
+from saffronworks.sockets import has_input, unacknowledged_bytes
 
 __all__ = ["EndpointConnection", "ResponseHead"]
 
@@ -376,6 +376,13 @@
         """Return whether the head of the answer has arrived, or the connection is lost."""
         return self._head is not None or self._loss_cause is not None
 
+    @property
+    def has_input(self) -> bool:
+        """Return whether the endpoint has sent bytes, or closed, and it is not read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        return has_input(self._transport.get_extra_info("socket"))
+
     @property
     def unacknowledged_bytes(self) -> int:
         """Return the bytes of the request that the endpoint's machine has not acknowledged."""
--- a/saffronworks/sockets.py
+++ b/saffronworks/sockets.py
@@ -1,11 +1,12 @@
 """What the kernel knows of a TCP connection."""
 
 import fcntl
+import select
 import socket
 import struct
 import termios
 
-__all__ = ["unacknowledged_bytes", "unread_bytes"]
+__all__ = ["has_input", "unacknowledged_bytes", "unread_bytes"]
 
 _INT = struct.Struct("i")
 
@@ -20,6 +21,16 @@
     return _read_queue(sock, termios.FIONREAD)
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Return whether bytes or the other side's close wait to be read; True once closed."""
+    poll = select.poll()
+    try:
+        poll.register(sock.fileno(), select.POLLIN)
+    except ValueError:
+        return True
+    return bool(poll.poll(0))
+
+
 def _read_queue(sock: socket.socket, request: int) -> int:
     try:
         queued = fcntl.ioctl(sock.fileno(), request, bytes(_INT.size))
--- a/saffronworks/tests/connection_fakes.py
+++ b/saffronworks/tests/connection_fakes.py
@@ -1,5 +1,7 @@
 """A connection to an endpoint without a socket, which tests feed with bytes."""
 
+import socket
+
 from saffronworks.forwarding.connections import EndpointConnection
 
 __all__ = ["WAIT_MS", "connect", "receive"]
@@ -13,6 +15,12 @@
 
     reads = True
 
+    def __init__(self):
+        self._sockets = socket.socketpair()
+
+    def get_extra_info(self, name):
+        return self._sockets[0]
+
     def pause_reading(self):
         self.reads = False
 
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -12,6 +12,12 @@
     When an endpoint answers a HEAD request with a part of a body
     Then the connection is not reused
 
+  # Guards against requests that are lost as they are sent on a connection that the endpoint has
+  # closed, in a turn of the event loop that has not read the close yet.
+  Scenario: an idle connection whose close is not read yet is not reused
+    When an endpoint closes an idle connection, and another request follows in the same turn
+    Then a request is sent on another connection
+
   Scenario: a late duplicate of a refusal without an id is not taken for the answer to another request
     When a request is answered without an id
     Then the connection is not reused
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -75,6 +75,30 @@
     anyio.run(play)
 
 
+@when("an endpoint closes an idle connection, and another request follows in the same turn")
+def closes_unread(context):
+    async def play():
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        endpoint = ServiceEndpoint("e0", "s", address, "z")
+        pool = ConnectionPool("Request-Id")
+        first = await pool.acquire(endpoint)
+        pool.release(endpoint, first)
+        assert pool.acquire_idle(endpoint) is first
+        pool.release(endpoint, first)
+        listener.accept()[0].close()
+        context.reused = pool.acquire_idle(endpoint)
+        pool.close()
+        listener.close()
+
+    anyio.run(play)
+
+
+@then("a request is sent on another connection")
+def not_reused(context):
+    assert context.reused is None
+
+
 @then("a connection on which a control call was refused serves only control calls")
 def serves_control_calls(context):
     """Guards against a duplicate of the refusal that counts as a request's answer: not run."""
--- a/saffronworks/tests/features/steps/suspension_steps.py
+++ b/saffronworks/tests/features/steps/suspension_steps.py
@@ -50,7 +50,7 @@
     context.before_ms = clocks.monotonic_ms()
     context.pool = ConnectionPool("id")
     (context.endpoint,) = endpoints(1, Role.DECODE, "d")
-    context.connection = Mock(finished=True, reusable=True, keep_alive_ms=10_000.0)
+    context.connection = Mock(finished=True, reusable=True, has_input=False, keep_alive_ms=10_000.0)
     context.pool.release(context.endpoint, context.connection)
     with suspended(SUSPENDED_S):
         context.after_ms = clocks.monotonic_ms()
