--- a/saffronworks/documents.py
+++ b/saffronworks/documents.py
@@ -9,6 +9,7 @@
 import attrs
 
 from saffronworks.hashing import hash32, hash64
+from saffronworks.wire import Whole
 
 __all__ = [
     "BucketDigests",
@@ -36,7 +37,7 @@
     """One object of the store; `version` only grows. `sign_off_id` tells whose change it is."""
 
     key: str
-    version: int
+    version: Whole
     content: str
 
 
@@ -69,8 +70,8 @@
     """The versions in some buckets that differed."""
 
     sender: str
-    buckets: tuple[int, ...]
-    versions: dict[str, int]
+    buckets: tuple[Whole, ...]
+    versions: dict[str, Whole]
 
 
 @attrs.frozen
@@ -79,7 +80,7 @@
 
     sender: str
     digest: int
-    fresh_age_ms: int = 0
+    fresh_age_ms: Whole = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/endpoint_limits/messages.py
+++ b/saffronworks/forwarding/endpoint_limits/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.starts import StartId
+from saffronworks.wire import Real, Size, Whole
 
 __all__ = [
     "PEER_MESSAGES",
@@ -20,8 +21,8 @@
     """An endpoint's limit as a node observed it `age_ms` ago; `per_s` is None once it has ended."""
 
     endpoint: StartId
-    per_s: float | None
-    age_ms: int
+    per_s: Real | None
+    age_ms: Whole
 
 
 @attrs.frozen
@@ -48,8 +49,8 @@
     ask_id: str
     reply_to: str
     limit: HeardLimit
-    calls: int
-    holders: int
+    calls: Size
+    holders: Size
 
 
 @attrs.frozen
@@ -58,7 +59,7 @@
 
     ask_id: str
     admitted: bool
-    retry_after_ms: int = 0
+    retry_after_ms: Whole = 0
 
 
 @attrs.frozen
@@ -67,7 +68,7 @@
 
     ask_id: str
     endpoint: StartId
-    holders: int
+    holders: Size
 
 
 # Messages that a node receives as an entry node, a holder or a neighbour.
--- a/saffronworks/forwarding/event_streams.py
+++ b/saffronworks/forwarding/event_streams.py
@@ -2,14 +2,13 @@
 
 import attrs
 
+from saffronworks.field_numbers import MAX_COUNT_DIGITS
 from saffronworks.forwarding.messages import EventMark
 
 __all__ = ["EventSplitter", "EventSequence"]
 
 # An event ends with an empty line; lines end with LF or CRLF.
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n")
-# A longer id is not an event number, and does not fit the integers in messages between nodes.
-_MOST_ID_DIGITS = 18
 
 
 @attrs.define
@@ -67,8 +66,9 @@
 
 
 def _ids(events: bytes) -> tuple[int, ...]:
+    """Return the ids; a longer one is not the number of an event."""
     fields = (line.partition(b":") for line in events.split(b"\n"))
     values = (value.strip() for name, _, value in fields if name == b"id")
     return tuple(
-        int(value) for value in values if value.isdigit() and len(value) <= _MOST_ID_DIGITS
+        int(value) for value in values if value.isdigit() and len(value) <= MAX_COUNT_DIGITS
     )
--- a/saffronworks/forwarding/origins/messages.py
+++ b/saffronworks/forwarding/origins/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.origins.records import Origin, StreamKey
+from saffronworks.wire import Whole
 
 __all__ = [
     "PEER_MESSAGES",
@@ -25,7 +26,7 @@
 
     key: StreamKey
     origin: Origin | None
-    ttl_ms: int
+    ttl_ms: Whole
     reply_to: str = ""
 
 
@@ -49,7 +50,7 @@
     reply_to: str
     key: StreamKey
     route: str
-    window_ms: int
+    window_ms: Whole
 
 
 @attrs.frozen
@@ -63,11 +64,11 @@
     lookup_id: str
     holder: str
     records: tuple[Origin, ...] = ()
-    age_ms: int = 0
+    age_ms: Whole = 0
     candidates: tuple[Origin, ...] = ()
     covers_window: bool = False
     ambiguous: bool = False
-    settles_in_ms: int = 0
+    settles_in_ms: Whole = 0
 
 
 @attrs.frozen
@@ -85,9 +86,9 @@
     it lacks recent updates of the store.
     """
 
-    versions: tuple[tuple[str, str, int], ...]
-    routes: tuple[tuple[str, str, int], ...]
-    covers_ms: int
+    versions: tuple[tuple[str, str, Whole], ...]
+    routes: tuple[tuple[str, str, Whole], ...]
+    covers_ms: Whole
 
 
 # The messages that a node receives.
--- a/saffronworks/forwarding/paths/messages.py
+++ b/saffronworks/forwarding/paths/messages.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.forwarding.starts import StartId
+from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = [
     "RELAY_FIELD",
@@ -53,7 +54,7 @@
     reserved: bool = False
     control_call: bool = False
     cancels: bool = False
-    left_ms: int = 30_000
+    left_ms: Whole = 30_000
 
 
 @attrs.frozen
@@ -81,7 +82,7 @@
     """Decode the field of a request."""
     try:
         return Ok(msgspec.json.decode(text, type=RelayRequest))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
 
 
@@ -89,5 +90,5 @@
     """Decode the field of an answer."""
     try:
         return Ok(msgspec.json.decode(text, type=RelayReply))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -7,6 +7,7 @@
 
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.starts import StartId
+from saffronworks.wire import Whole
 
 __all__ = [
     "ENTRY_MESSAGES",
@@ -38,18 +39,18 @@
     request_id: str
     reply_to: str
     service: str
-    prompt_tokens: int
-    likely_tokens: int
-    most_tokens: int
-    waited_ms: int
-    in_time_ms: int
-    patience_ms: int
+    prompt_tokens: Whole
+    likely_tokens: Whole
+    most_tokens: Whole
+    waited_ms: Whole
+    in_time_ms: Whole
+    patience_ms: Whole
     returned: bool
     avoid: tuple[StartId, ...] = ()
     broken: tuple[StartId, ...] = ()
-    priority: int = DEFAULT_RANK
+    priority: Whole = DEFAULT_RANK
     organisation: str = ""
-    target_ms: int = 0
+    target_ms: Whole = 0
 
 
 @attrs.frozen
@@ -83,7 +84,7 @@
     """Planner to entry: no memory in time; the caller may retry after `retry_after_ms`."""
 
     request_id: str
-    retry_after_ms: int
+    retry_after_ms: Whole
 
 
 @attrs.frozen
@@ -96,10 +97,10 @@
 
     request_id: str
     service: str
-    answer_tokens: int = 0
-    stream_ms: int = 0
+    answer_tokens: Whole = 0
+    stream_ms: Whole = 0
     broken: tuple[StartId, ...] = ()
-    length_tokens: int = 0
+    length_tokens: Whole = 0
 
 
 @attrs.frozen
@@ -122,13 +123,13 @@
 
     request_id: str
     instance: StartId
-    prompt_tokens: int
-    likely_tokens: int
-    most_tokens: int
-    age_ms: int
-    made_tokens: int = 0
-    quiet_ms: int = 0
-    priority: int = DEFAULT_RANK
+    prompt_tokens: Whole
+    likely_tokens: Whole
+    most_tokens: Whole
+    age_ms: Whole
+    made_tokens: Whole = 0
+    quiet_ms: Whole = 0
+    priority: Whole = DEFAULT_RANK
     organisation: str = ""
 
 
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -5,6 +5,7 @@
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.prompt_parts import PartId
 from saffronworks.forwarding.starts import StartId
+from saffronworks.wire import Whole
 
 __all__ = ["PartEnd", "PartNews", "PartSuspicion", "Suspicion", "SuspicionNews"]
 
@@ -22,8 +23,8 @@
     content: ContentId
     ended: tuple[StartId, ...]
     ran_well: bool = False
-    trials: int = 0
-    age_ms: int = attrs.field(default=0, eq=False)
+    trials: Whole = 0
+    age_ms: Whole = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
@@ -44,8 +45,8 @@
 
     instance: StartId
     contents: tuple[str, ...]
-    writing_ms: int
-    age_ms: int
+    writing_ms: Whole
+    age_ms: Whole
 
 
 @attrs.frozen
@@ -57,11 +58,11 @@
     """
 
     part: PartId
-    depth: int
+    depth: Whole
     ends: tuple[PartEnd, ...]
-    sound_age_ms: int | None = None
-    trials: int = 0
-    age_ms: int = 0
+    sound_age_ms: Whole | None = None
+    trials: Whole = 0
+    age_ms: Whole = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/quotas/messages.py
+++ b/saffronworks/forwarding/quotas/messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from saffronworks.wire import Real, Size, Whole
+
 __all__ = ["PEER_MESSAGES", "QuotaAnswer", "QuotaAsk", "QuotaGivenBack", "QuotaRunAgain"]
 
 
@@ -16,10 +18,10 @@
     ask_id: str
     reply_to: str
     organisation: str
-    cost: int
-    per_s: float
-    burst: float
-    holders: int
+    cost: Size
+    per_s: Real
+    burst: Real
+    holders: Size
 
 
 @attrs.frozen
@@ -28,7 +30,7 @@
 
     ask_id: str
     admitted: bool
-    retry_after_ms: int = 0
+    retry_after_ms: Whole = 0
 
 
 @attrs.frozen
@@ -37,8 +39,8 @@
 
     ask_id: str
     organisation: str
-    cost: int
-    holders: int
+    cost: Size
+    holders: Size
 
 
 @attrs.frozen
@@ -47,7 +49,7 @@
 
     ask_id: str
     organisation: str
-    holders: int
+    holders: Size
 
 
 # Messages that a node receives as an entry node or a holder.
--- a/saffronworks/forwarding/shares/buckets.py
+++ b/saffronworks/forwarding/shares/buckets.py
@@ -13,6 +13,9 @@
 
 __all__ = ["LeakyBucket"]
 
+# The longest wait that is stated; rates may be tiny.
+MAX_WAIT_MS = 86_400_000
+
 
 @attrs.frozen
 class _Counted:
@@ -77,7 +80,7 @@
         """Return after how long a request fits if nothing else is admitted meanwhile."""
         # A request larger than the capacity fits once the bucket is empty.
         excess = min(self.level, max(0.0, self.level + cost - capacity))
-        return max(1, math.ceil(1000 * excess / self.per_s))
+        return max(1, math.ceil(min(1000 * excess / self.per_s, MAX_WAIT_MS)))
 
     def next_return_ms(self, cost: int, room_after_ms: int, now_ms: int) -> int:
         """Return after how long a refused caller may retry, later for each caller.
--- a/saffronworks/forwarding/shares/shared_limit.py
+++ b/saffronworks/forwarding/shares/shared_limit.py
@@ -1,6 +1,7 @@
 """Enforces limits over all nodes together, at one node as an entry node and as a holder."""
 
 import itertools
+import logging
 import secrets
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
 
 __all__ = ["SharedLimit", "ShareMessage"]
 
+logger = logging.getLogger(__name__)
+
 ShareMessage = Ask | Answer | ChargeAgain | Refund
 
 
@@ -139,6 +142,14 @@
         limit = self._limit_of(event)
         if limit is None:
             return Answer(event.ask_id, True) if isinstance(event, Ask) else None
+        if event.holders < 1 or limit.per_s <= 0:
+            logger.warning(
+                "event=share_malformed subject=%s holders=%d per_s=%s",
+                event.subject,
+                event.holders,
+                limit.per_s,
+            )
+            return None
         answer = None
         for reply in holder.step(self.holder_state, event, limit, self._now_ms()):
             match reply:
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -15,6 +15,7 @@
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
+from saffronworks.wire import Whole
 
 __all__ = ["NewsFeed", "NewsPace", "ObjectNews", "StoreNews"]
 
@@ -43,7 +44,7 @@
     """One object of the store in an update; `content` is None if it was removed."""
 
     name: str
-    revision: int
+    revision: Whole
     content: bytes | None
 
 
@@ -58,12 +59,12 @@
 
     sender: str
     kind: str
-    since: int
-    revision: int
+    since: Whole
+    revision: Whole
     objects: tuple[ObjectNews, ...] | None
     whole: bool = False
-    lapse_ms: int = 0
-    epoch: int = 0
+    lapse_ms: Whole = 0
+    epoch: Whole = 0
 
     @classmethod
     def from_listing(
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -104,9 +104,19 @@
     def _record_events(self, ids: tuple[int, ...]) -> None:
         self._sent.record(ids)
         if ids:
-            made_tokens = ids[-1] * self._tokens_per_event
+            made_tokens = self._count_tokens(ids[-1])
             self._node.memory.progress(self._job.request.request_id, made_tokens)
 
+    def _count_tokens(self, events: int) -> int:
+        """Return the tokens of so many events, at most those that the request allows.
+
+        A spoiled event id must not distort what planners learn.
+        """
+        tokens, prompt = events * self._tokens_per_event, self._job.request.prompt
+        if prompt is None:
+            return tokens
+        return min(tokens, prompt.most_answer_tokens + self._tokens_per_event)
+
     async def _check_end(self, run: StreamRun) -> bool:
         assert self._state.hold is not None
         return await self._node.check_end(self._state.hold.endpoint, run.exchange)
@@ -128,9 +138,9 @@
         if self._pace_from is None or self.last_event is None:
             return StreamPace()
         from_event, from_ms = self._pace_from
-        tokens = max(0, self.last_event - from_event) * self._tokens_per_event
+        tokens = self._count_tokens(max(0, self.last_event - from_event))
         whole = self._job.reply.finished
-        length_tokens = self.last_event * self._tokens_per_event if whole else 0
+        length_tokens = self._count_tokens(self.last_event) if whole else 0
         return StreamPace(tokens, self._node.now_ms() - from_ms, length_tokens)
 
     def _log_end(self, run: StreamRun) -> None:
--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -14,6 +14,7 @@
 
 from saffronworks.hashing import hash64
 from saffronworks.owner.predictors import Average
+from saffronworks.wire import Whole
 
 __all__ = [
     "Heartbeat",
@@ -82,7 +83,7 @@
     address: str
     zone: str
     region: str
-    incarnation: int
+    incarnation: Whole
     status: Status
 
 
@@ -96,7 +97,7 @@
     sender: MemberUpdate
     updates: tuple[MemberUpdate, ...]
     digest: int = 0
-    fresh_age_ms: int = 0
+    fresh_age_ms: Whole = 0
 
 
 @attrs.frozen
@@ -106,7 +107,7 @@
     sender: MemberUpdate
     updates: tuple[MemberUpdate, ...]
     digest: int = 0
-    fresh_age_ms: int = 0
+    fresh_age_ms: Whole = 0
 
 
 @attrs.frozen
--- a/saffronworks/messages.py
+++ b/saffronworks/messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from saffronworks.burn import NodeBurn
+from saffronworks.wire import Whole
 
 __all__ = [
     "Ask",
@@ -30,7 +31,7 @@
     """One attempt at one request; an older attempt of the same id is void."""
 
     request_id: str
-    attempt: int
+    attempt: Whole
 
 
 @attrs.frozen
@@ -45,11 +46,11 @@
     cell: str
     model: str
     organisation: str
-    prompt_tokens: int
+    prompt_tokens: Whole
     prefix_key: str
-    max_tokens: int
-    priority: int
-    waited_ms: int
+    max_tokens: Whole
+    priority: Whole
+    waited_ms: Whole
     retry: bool = False
     avoid: tuple[str, ...] = ()
 
@@ -68,7 +69,7 @@
 
     key: RequestKey
     reason: str
-    retry_after_ms: int
+    retry_after_ms: Whole
 
 
 @attrs.frozen
@@ -78,9 +79,9 @@
     key: RequestKey
     node: str
     cell: str
-    prefill_ms: int
-    cached_tokens: int
-    expires_in_ms: int
+    prefill_ms: Whole
+    cached_tokens: Whole
+    expires_in_ms: Whole
     refused_by: str = ""
     failure: str = ""
 
@@ -94,7 +95,7 @@
 
     key: RequestKey
     endpoint: str
-    limit_ms: int
+    limit_ms: Whole
 
 
 @attrs.frozen
@@ -143,9 +144,9 @@
     node: str
     cell: str
     organisation: str = ""
-    output_tokens: int = 0
-    decode_ms: int = 0
-    transfer_ms: int = 0
+    output_tokens: Whole = 0
+    decode_ms: Whole = 0
+    transfer_ms: Whole = 0
     finished: bool = False
     failed: tuple[str, ...] = ()
     failure: str = ""
@@ -160,8 +161,8 @@
 
     node: str
     cell: str
-    incarnation: int
-    held: int
+    incarnation: Whole
+    held: Whole
     digest: int
 
 
@@ -180,7 +181,7 @@
     endpoint: str
     stage: str
     organisation: str
-    output_tokens: int
+    output_tokens: Whole
 
 
 @attrs.frozen
@@ -196,7 +197,7 @@
 class SurveyQuery:
     """Ask a node for its state; `burn` asks for its counts too."""
 
-    survey: int
+    survey: Whole
     asked_by: str
     burn: bool
 
@@ -205,8 +206,8 @@
 class NodeAnswer:
     """One node's answer: versions in force by document key, and its burn counts."""
 
-    survey: int
+    survey: Whole
     node: str
     zone: str
-    versions: dict[str, int]
+    versions: dict[str, Whole]
     burn: NodeBurn | None
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -1,6 +1,7 @@
 """Calls to the platform's servers: header names, bodies and the decoding of answers."""
 
 import logging
+from typing import Annotated, TypeVar
 
 import attrs
 import msgspec
@@ -40,8 +41,9 @@
     is_not_executed,
     read_advertisement,
 )
+from saffronworks.wire import DECODE_ERRORS, Whole
 
-__all__ = ["PlatformCalls", "PlatformExchange"]
+__all__ = ["PlatformCalls", "PlatformExchange", "read_reply"]
 
 logger = logging.getLogger(__name__)
 
@@ -55,17 +57,24 @@
 _DROPPED_FIELDS = HOP_BY_HOP_FIELDS | {NOT_EXECUTED_FIELD, INSTANCE_FIELD}
 
 
+# Put into paths and header fields: visible ASCII characters.
+_Handle = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,255}\Z")]
+
+
 @attrs.frozen
 class _HoldReply:
     # Reservation id.
-    hold: str
+    hold: _Handle
 
 
 @attrs.frozen
 class _PrefillReply:
-    kv_handle: str
+    kv_handle: _Handle
     # Prompt tokens that the handle covers.
-    tokens: int = 0
+    tokens: Whole = 0
+
+
+_Reply = TypeVar("_Reply", _HoldReply, _PrefillReply)
 
 
 class _AnswerReader:
@@ -185,11 +194,8 @@
         status, content = await self._call(endpoint, "POST", path, body, request)
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
-        try:
-            reply = msgspec.json.decode(content, type=_HoldReply)
-        except msgspec.MsgspecError as error:
-            return Err(NotExecuted(f"unreadable: {error}"))
-        return Ok(KvHold(endpoint, reply.hold, now_ms + ttl_ms))
+        reply = read_reply(content, _HoldReply)
+        return reply.map(lambda found: KvHold(endpoint, found.hold, now_ms + ttl_ms))
 
     async def drop_hold(self, hold: KvHold) -> None:
         """Release a reservation; if that fails, it expires by itself."""
@@ -207,11 +213,8 @@
             exchange.end()
         if not head.success:
             return Err(NotExecuted(f"status {head.status}", head.asks_pause))
-        try:
-            reply = msgspec.json.decode(body, type=_PrefillReply)
-        except msgspec.MsgspecError as error:
-            return Err(NotExecuted(f"unreadable: {error}"))
-        return Ok(KvHandle(endpoint, reply.kv_handle, reply.tokens))
+        reply = read_reply(body, _PrefillReply)
+        return reply.map(lambda found: KvHandle(endpoint, found.kv_handle, found.tokens))
 
     async def drop_handle(self, handle: KvHandle) -> None:
         """Free the KV cache of a prompt that is not needed; if that fails, it expires by itself."""
@@ -376,6 +379,14 @@
         return head.status, reply
 
 
+def read_reply(content: bytes, kind: type[_Reply]) -> Result[_Reply, NotExecuted]:
+    """Decode the JSON body of a server's answer to one of the node's own calls."""
+    try:
+        return Ok(msgspec.json.decode(content, type=kind))
+    except DECODE_ERRORS as error:
+        return Err(NotExecuted(f"unreadable: {error}"))
+
+
 def _request_lines(
     endpoint: ServiceEndpoint,
     request: CallerRequest,
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from typing import Annotated
 
 import attrs
 import msgspec
@@ -20,6 +21,7 @@
 )
 from saffronworks.forwarding.store_revisions import StoreRevision
 from saffronworks.platform.organisations import Tenant, check_tenants, decode_tenants
+from saffronworks.wire import DECODE_ERRORS, Real, Whole
 
 __all__ = ["CONFIG_KIND", "CONFIG_NAME", "ConfigurationSink", "read_configuration"]
 
@@ -31,12 +33,16 @@
 _IDEMPOTENT = "idempotent"
 _STREAMING = "streaming"
 _KINDS = (_IDEMPOTENT, "non_idempotent", _STREAMING)
+_Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
+# Tokens or bytes.
+_Size = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+_Ms = Annotated[float, msgspec.Meta(ge=0, lt=2**31)]
 
 
 @attrs.frozen
 class _Split:
     service: str
-    weight: float
+    weight: Real
 
 
 @attrs.frozen
@@ -45,46 +51,46 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    max_attempts: int = 1
-    target_latency_ms: float = 1000
+    timeout_ms: _Ms
+    max_attempts: _Count = 1
+    target_latency_ms: _Ms = 1000
     service: str | None = None
     traffic_split: list[_Split] = attrs.Factory(list)
     resumable: bool = False
-    gap_target_ms: float = 300
+    gap_target_ms: _Ms = 300
     # A public route is served without an API key.
     public: bool = False
-    priority: int = DEFAULT_PRIORITY
+    priority: Whole = DEFAULT_PRIORITY
 
 
 @attrs.frozen
 class _Engine:
-    slots: int
-    kv_capacity_tokens: int
+    slots: _Count
+    kv_capacity_tokens: _Size
     # Tokens per event of a stream.
-    stride: int = 1
+    stride: _Count = 1
     # Longest time for which memory may stay reserved before it is used.
-    hold_ms: float = 2000.0
+    hold_ms: _Ms = 2000.0
 
 
 @attrs.frozen
 class _Service:
     name: str
-    max_conns: int = 100
+    max_conns: _Count = 100
     engine: _Engine | None = None
 
 
 @attrs.frozen
 class _Limits:
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 10_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: _Size = 16_384
+    max_body_bytes: _Size = 4_194_304
+    header_timeout_ms: _Ms = 10_000
+    idle_timeout_ms: _Ms = 15_000
 
 
 @attrs.frozen
 class _Configuration:
-    version: int
+    version: Whole
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -96,7 +102,7 @@
     """Decode and check the configuration; the error lists all findings."""
     try:
         configuration = msgspec.json.decode(content, type=_Configuration)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err([f"{CONFIG_KIND}/{CONFIG_NAME}: {error}"])
     findings = _check(configuration)
     if findings:
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from saffronworks.field_numbers import read_decimal, read_whole, shorten
+from saffronworks.field_numbers import read_count, read_decimal, shorten
 from saffronworks.forwarding.forwarder import STOPPING, Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
@@ -61,7 +61,7 @@
     if not request_id:
         findings.append(f"{ID_FIELD}: missing")
     left_ms = _read(call, "deadline-ms", read_decimal, findings)
-    after_event = _read(call, "last-event-id", read_whole, findings)
+    after_event = _read(call, "last-event-id", read_count, findings)
     prompt = _read_prompt(call, findings)
     if findings:
         return Err(findings)
@@ -98,7 +98,7 @@
     if counts is None:
         return None
     likely = _read(call, "length-hint", read_decimal, findings)
-    match [read_whole(part) for part in counts.split(",")]:
+    match [read_count(part) for part in counts.split(",")]:
         case [Ok(prompt_tokens), Ok(most_answer_tokens)]:
             return PromptSize(prompt_tokens, most_answer_tokens, likely)
     findings.append(f"Token-Counts: expected two whole numbers, found {shorten(counts)!r}")
--- a/saffronworks/platform/organisations.py
+++ b/saffronworks/platform/organisations.py
@@ -14,6 +14,7 @@
     digest_key,
     parse_key,
 )
+from saffronworks.wire import Real, Whole
 
 __all__ = ["Tenant", "check_tenants", "decode_tenants"]
 
@@ -26,13 +27,13 @@
 
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: Whole | None = None
     unit: str = QuotaUnit.REQUESTS.value
     # Cost of a request without a prompt, where the unit is tokens.
-    plain_tokens: int = 1
+    plain_tokens: Whole = 1
     # Quota in `unit` per second, over all nodes together.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: Real = 0.0
+    burst: Real = 0.0
 
 
 def check_tenants(tenants: list[Tenant]) -> list[str]:
--- a/saffronworks/platform/server_entries.py
+++ b/saffronworks/platform/server_entries.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.web import is_address
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["ServerEntry", "read_entry"]
 
@@ -41,7 +42,6 @@
 
 
 _FIELDS = get_type_hints(ServerEntry, include_extras=True)
-_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 _REQUIRED = {field.name for field in attrs.fields(ServerEntry) if field.default is attrs.NOTHING}
 
 
@@ -51,7 +51,7 @@
         return Err([f"{len(content)} bytes exceed the maximum of {MAX_ENTRY_BYTES}"])
     try:
         entry = msgspec.json.decode(content, type=ServerEntry)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return Err(_check_fields(content) or [str(error)])
     findings = _check_values(entry, wall_ms)
     return Err(findings) if findings else Ok(entry)
@@ -70,7 +70,7 @@
     """Check each field by itself, since decoding the whole entry stops at the first error."""
     try:
         fields = msgspec.json.decode(content)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return [f"malformed: {error}"]
     if not isinstance(fields, dict):
         return ["expected an object"]
--- a/saffronworks/platform/servers.py
+++ b/saffronworks/platform/servers.py
@@ -5,12 +5,14 @@
 """
 
 import logging
+import re
 from collections.abc import Callable
 
 import attrs
 from result import Err, Result
 
 from saffronworks.endpoint_roles import Role
+from saffronworks.field_numbers import shorten
 from saffronworks.forwarding.directory import Directory, EntryUpdate, ServiceEndpoint
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.store_revisions import StoreRevision
@@ -22,12 +24,16 @@
 
 SERVER_KIND = "servers"
 _DRAINING = "draining"
+# Names are put into header fields.
+_NAME = re.compile("[!-~]{1,255}")
 # Invalid entries of one listing that are logged; thousands of lines would delay a node's start.
 MAX_LOGGED_ENTRIES = 50
 
 
 def read_server(name: str, content: bytes, wall_ms: int) -> Result[ServiceEndpoint, list[str]]:
     """Decode one entry, or return all findings; `wall_ms` is the Unix time now."""
+    if not _NAME.fullmatch(name):
+        return Err([f"name: {shorten(name)!r} must be 1 to 255 visible ASCII characters"])
     return read_entry(content, wall_ms).map(lambda entry: _decode(name, entry))
 
 
--- /dev/null
+++ b/saffronworks/tests/features/boundaries.feature
@@ -0,0 +1,17 @@
+Feature: values from outside
+
+  # Guards against a node that ends, or a service that fails for good, because of one number of an
+  # endpoint, a caller, a peer or the store: what comes out must have an encoding.
+  Scenario: whatever ids a stream has, its progress can be reported to other nodes
+    Then with any ids of events, the report of the stream's node can be encoded
+
+  Scenario: whatever a peer sends, a node drops it or can send on what it makes of it
+    Then with any values in the fields of messages, a node's answers can be encoded
+
+  Scenario: whatever the store holds, an entry or a configuration is read, or rejected with findings
+    Then with any values in their fields, what is read fits messages and header fields
+
+  # Guards against header fields that an endpoint smuggles into requests to another endpoint, and
+  # against handles that raise when a request line is made of them.
+  Scenario: a handle of an endpoint that a header field can't hold is rejected
+    Then with any reservation or handle from an endpoint, it is rejected or fits a header field
--- /dev/null
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -0,0 +1,209 @@
+"""Properties of what callers, endpoints, peers and the store send: it is rejected, or can go on."""
+
+from tempfile import TemporaryDirectory
+from types import SimpleNamespace
+
+import attrs
+import msgspec
+from behave import then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from saffronworks.forwarding import store_news
+from saffronworks.forwarding.endpoint_limits import messages as limit_messages
+from saffronworks.forwarding.event_streams import EventSplitter
+from saffronworks.forwarding.messages import PromptSize
+from saffronworks.forwarding.origins import messages as origin_messages
+from saffronworks.forwarding.planning import messages as planning_messages
+from saffronworks.forwarding.planning.client import MemoryClient, RunSize
+from saffronworks.forwarding.quarantine import messages as quarantine_messages
+from saffronworks.forwarding.quotas import messages as quota_messages
+from saffronworks.forwarding.stream_relays import StreamRelay
+from saffronworks.kernel import Kernel
+from saffronworks.platform import calls
+from saffronworks.platform.configuration import read_configuration
+from saffronworks.platform.servers import read_server
+from saffronworks.standins.addresses import free_address
+from saffronworks.tests.platform_place import CONFIG, make_node
+from saffronworks.wire import Codec
+
+MODULES = (
+    planning_messages,
+    store_news,
+    quarantine_messages,
+    quota_messages,
+    limit_messages,
+    origin_messages,
+)
+HUGE = 10**18 - 1
+# One in so many fields of messages is odd.
+ODD_PICK = 30
+NUMBERS = st.sampled_from(
+    [0, 1, -1, 2**53 + 1, HUGE, 2**63 - 1, 2**64 - 1, -(2**63), 1e308, -1e308]
+)
+BOUNDED = st.sampled_from([0, 1, 7, -1, 2**31, 2**53, -(2**53)])
+TEXTS = st.sampled_from(["", "a", "é", "\u2603", "a\r\nEvil: 1", "a b", "\x00", "1", "9" * 400])
+ODD = NUMBERS | TEXTS | st.sampled_from([None, True, [], {}, [1], float("nan"), float("inf")])
+BYTES = st.sampled_from([b"\xff", b'"\xff"', b'{"hold":"\xff"}', b"[" * 100_000, b"", b"{"])
+
+
+def make(kind):
+    """The plain value of a message in which each field may be odd; most are sound."""
+    return st.fixed_dictionaries(
+        {field.name: make_value(field.type) for field in attrs.fields(kind)}
+    )
+
+
+def make_value(kind):
+    sound = st.deferred(lambda: make_sound(kind))
+    return st.integers(0, ODD_PICK).flatmap(lambda pick: ODD if pick == ODD_PICK else sound)
+
+
+def make_sound(kind):
+    args = [one for one in getattr(kind, "__args__", ()) if one is not Ellipsis]
+    if attrs.has(kind):
+        return make(kind)
+    if hasattr(kind, "__metadata__"):
+        return BOUNDED if kind.__origin__ is int else BOUNDED.map(float)
+    if getattr(kind, "__origin__", None) is tuple:
+        if len(args) == 1:
+            return st.lists(make_value(args[0]), max_size=2)
+        return st.tuples(*map(make_value, args))
+    if args:
+        return st.one_of(*map(make_sound, args))
+    names = {int: NUMBERS, float: NUMBERS.map(float), bool: st.booleans(), bytes: st.binary()}
+    return names.get(kind, st.none() if kind is type(None) else TEXTS)
+
+
+def message_kinds():
+    found = [(name, getattr(module, name)) for module in MODULES for name in module.__all__]
+    return [(name, kind) for name, kind in found if attrs.has(kind)]
+
+
+@then("with any ids of events, the report of the stream's node can be encoded")
+def report_encoded(context):
+    codec = Codec(planning_messages)
+
+    @forall(st.integers(0, 10**20), st.sampled_from([1, 63, 2**31 - 1]), st.integers(0, 15))
+    def check(event_id, stride, digits):
+        mark = EventSplitter().feed(b"id: %d\ndata: x\n\n" % event_id)
+        client = MemoryClient("n", 0)
+        client._kernel = Kernel("n", lambda: 0)
+        client.begin("r", "s", "e", RunSize(1, 1, 1))
+        size = PromptSize(1, 10**digits - 1, None)
+        request = SimpleNamespace(request_id="r", prompt=size, after_event=None)
+        node, job = SimpleNamespace(memory=client), SimpleNamespace(request=request)
+        StreamRelay(node, job, None, stride)._record_events(mark.ids)
+        codec.encode(client._make_report("s", 0))
+
+    check()
+
+
+@then("with any values in the fields of messages, a node's answers can be encoded")
+def answers_encoded(context):
+    codec = Codec(*MODULES)
+    with TemporaryDirectory() as folder:
+        store = type("Store", (), {"address": free_address()})
+        node = make_node(folder, 1, store)
+        kernel, sent, handled = node._kernel, [], set()
+        kernel.post = lambda name, message: sent.append((name, message)) or True
+        services = dict(kernel._services)
+        for service in services.values():
+            service._kernel = kernel
+        node._forwarder.table = read_configuration(msgspec.json.encode(CONFIG)).ok_value
+
+        def check(fields, name, kind):
+            decoded = codec.decode(msgspec.msgpack.encode((name, fields)))
+            if isinstance(decoded, Err):
+                return
+            handled.add(name)
+            sent.clear()
+            for one in kernel._subscribers.get(kind, ()):
+                service = services[one]
+                if one == "memory-planner":
+                    service._handle(kernel, decoded.ok_value.service, decoded.ok_value)
+                else:
+                    service._handle(decoded.ok_value)
+            for _, message in sent:
+                codec.encode(getattr(message, "message", message))
+
+        kinds = message_kinds()
+        for name, kind in kinds:
+            forall(make(kind), st.just(name), st.just(kind))(check)()
+        assert handled == {name for name, _ in kinds}, handled
+
+
+@then("with any values in their fields, what is read fits messages and header fields")
+def store_values(context):
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "zone": "z",
+        "version": "v",
+        "slots": 1,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+    }
+    engine = {"slots": 4, "kv_capacity_tokens": 9, "stride": 64, "hold_ms": 2000.0}
+    route, limits = CONFIG["routes"][1], CONFIG["limits"]
+    tenant = {"name": "o", "api_keys": ["k"], "rate_per_s": 1, "plain_tokens": 1, "burst": 1}
+
+    def change(fields):
+        keys = st.sampled_from([*fields, "born", "stage", "priority", "resumable", "unit"])
+        return st.dictionaries(keys, ODD, max_size=1).map(lambda odd: fields | odd)
+
+    @forall(change(entry), TEXTS, BYTES)
+    def check_entry(fields, name, raw):
+        for content in (as_json(fields), raw):
+            read = read_server(name, content, 10**12)
+            if isinstance(read, Ok):
+                assert f"{name}".isascii() and name.isprintable() and " " not in name, name
+                assert read.ok_value.instance.isascii()
+
+    @forall(change(route), change(engine), change(limits), change(tenant), BYTES)
+    def check_configuration(odd_route, odd_engine, odd_limits, odd_tenant, raw):
+        services = [{"name": "web", "max_conns": 9}, {"name": "llm", "engine": odd_engine}]
+        parts = {"routes": [odd_route], "services": services, "tenants": [odd_tenant]}
+        assert isinstance(read_configuration(raw), Err)
+        read = read_configuration(as_json({"version": 1, "limits": odd_limits} | parts))
+        if isinstance(read, Ok):
+            numbers = msgspec.to_builtins([read.ok_value.routes, read.ok_value.services])
+            msgspec.msgpack.encode(numbers)
+            assert all(abs(number) <= 2**53 for number in find_numbers(numbers)), numbers
+
+    check_entry()
+    check_configuration()
+
+
+def as_json(fields):
+    """Encode as JSON; NaN and infinity become null."""
+    return msgspec.json.encode(fields)
+
+
+def find_numbers(value):
+    if isinstance(value, dict | list | tuple):
+        for item in value.values() if isinstance(value, dict) else value:
+            yield from find_numbers(item)
+    elif isinstance(value, int | float):
+        yield value
+
+
+@then("with any reservation or handle from an endpoint, it is rejected or fits a header field")
+def handles_fit(context):
+    replies = st.dictionaries(st.sampled_from(["hold", "kv_handle", "tokens"]), ODD).map(as_json)
+
+    @forall(replies | BYTES)
+    def check(content):
+        hold = calls.read_reply(content, calls._HoldReply).map(lambda reply: reply.hold)
+        handle = calls.read_reply(content, calls._PrefillReply)
+        if isinstance(handle, Ok):
+            assert abs(handle.ok_value.tokens) <= 2**53
+        for read in (hold, handle.map(lambda reply: reply.kv_handle)):
+            if isinstance(read, Ok):
+                text = read.ok_value
+                assert text and text.isascii() and text.isprintable() and " " not in text, text
+
+    check()
+    assert calls.read_reply(b'{"hold":"h1"}', calls._HoldReply).ok_value.hold == "h1"
--- a/saffronworks/wire.py
+++ b/saffronworks/wire.py
@@ -1,15 +1,21 @@
 """The codec between nodes: MessagePack pairs of a type name and a body, by msgspec."""
 
 from types import ModuleType
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
 
-__all__ = ["Codec"]
+__all__ = ["DECODE_ERRORS", "Codec", "Real", "Size", "Whole"]
+
+# Numbers in messages. Products with a small factor and sums of many of them stay within 64 bits,
+# so that a receiver can send on what it computes of them.
+Whole = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+Real = Annotated[float, msgspec.Meta(ge=-(2.0**53), le=2.0**53)]
+Size = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 # msgspec raises its own errors, and these for text that is not UTF-8 and for values nested deeply.
-_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class Codec:
@@ -37,7 +43,7 @@
             if name not in self._decoders:
                 self._decoders[name] = msgspec.msgpack.Decoder(self._kinds[name])
             return Ok(self._decoders[name].decode(body))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             return Err(f"bad message: {error}")
 
 
