--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -26,7 +26,7 @@
     MAX_RELAYED_REQUESTS,
 )
 from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
-from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
 from saffronworks.web import BadBody, Call
 
 __all__ = ["RelayServer"]
@@ -248,7 +248,8 @@
 
 def _reply_fields(head: ResponseHead, framed: bool) -> list[tuple[str, str]]:
     fields = [(key, value) for key, value in head.fields if key.lower() not in _HOP_BY_HOP]
-    return [(RELAY_FIELD, encode(RelayReply(framed=framed))), *fields]
+    own = (RELAY_FIELD, encode(RelayReply(framed=framed)))
+    return [own, *drop_length_of_bodiless(head.status, fields)]
 
 
 async def _cancel_on_disconnect(call: Call, scope: anyio.CancelScope) -> None:
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -14,7 +14,7 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
-from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
     CallerRequest,
@@ -52,6 +52,7 @@
 # The organisation that owns the caller's key, called a tenant by the platform.
 _TENANT_FIELD = "Tenant"
 _MISDIRECTED = 421
+_MAX_STATUS = 599
 _ORDER_ACCEPTED = (200, 202)
 # Header fields of an answer that are hop-by-hop or addressed to this node only.
 _DROPPED_FIELDS = HOP_BY_HOP_FIELDS | {NOT_EXECUTED_FIELD, INSTANCE_FIELD}
@@ -119,6 +120,7 @@
     async def head(self, timeout_ms: float) -> AnswerHead:
         """Read the status and the headers of the answer; raises ExchangeError."""
         raw = await self._paths.read_head(self._endpoint, self.connection, timeout_ms)
+        _check_status(raw, self.connection)
         advertisement = self._answers.read(self._endpoint, raw, self._sent_ms)
         head = _decode_head(raw)
         if advertisement is not None and advertisement.pause_ms:
@@ -314,6 +316,7 @@
     ) -> ResponseHead:
         """Read the status and headers of the answer to `start_relayed`; raises ExchangeError."""
         raw = await self.paths.read_head(endpoint, connection, relayed.left_ms)
+        _check_status(raw, connection)
         self._answers.read(endpoint, raw, connection.sent_ms, not relayed.control_call)
         return raw
 
@@ -418,6 +421,12 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
 
 
+def _check_status(raw: ResponseHead, connection: EndpointConnection) -> None:
+    """Raise ExchangeError for a status that HTTP doesn't have, which can't be sent to a caller."""
+    if raw.status > _MAX_STATUS:
+        raise ExchangeError(ExchangeErrorCause.NOT_HTTP, True, connection.relayed_by)
+
+
 def _decode_head(raw: ResponseHead) -> AnswerHead:
     not_executed = is_not_executed(raw)
     # No request accepts an encoding, so an encoded body was not made by the endpoint.
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -13,7 +13,7 @@
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
-from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
+from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
 from saffronworks.http_connections import count_field_bytes
 from saffronworks.platform.calls import ID_FIELD
 from saffronworks.web import BadBody, Call
@@ -155,7 +155,7 @@
 
     async def start(self, head: AnswerHead) -> AnswerBody:
         """Send status and headers; returns the writer of the body."""
-        fields = list(head.headers)
+        fields = drop_length_of_bodiless(head.status, head.headers)
         if self._closing:
             fields.append(("connection", "close"))
         self.sent_bytes += count_field_bytes(fields)
@@ -249,7 +249,20 @@
             logger.info("event=bad_request reason=%r path=%s", text, call.raw_path)
             await reply.refuse(400, text)
             return
-        await self._forwarder.handle(request.ok_value, reply)
+        await self._forward(request.ok_value, reply)
+
+    async def _forward(self, request: CallerRequest, reply: CallerConnectionReply) -> None:
+        """Pass a request to the forwarder; a failure of its own ends as an answer or as cut."""
+        try:
+            await self._forwarder.handle(request, reply)
+        except Exception:
+            logger.exception(
+                "event=request_failed request=%s started=%s", request.request_id, reply.started
+            )
+            if not reply.started:
+                await reply.refuse(500, "internal-error")
+            elif not reply.finished:
+                reply.cut()
 
     def _max_body_bytes(self) -> int:
         table = self._forwarder.table
--- a/saffronworks/tests/features/boundaries.feature
+++ b/saffronworks/tests/features/boundaries.feature
@@ -15,3 +15,14 @@
   # against handles that raise when a request line is made of them.
   Scenario: a handle of an endpoint that a header field can't hold is rejected
     Then with any reservation or handle from an endpoint, it is rejected or fits a header field
+
+  # Guards against callers' connections that are closed without an answer, because the head of an
+  # endpoint's answer can't be sent on.
+  Scenario: a caller gets a whole answer whatever the endpoint's status and fields are
+    When endpoints answer with statuses that have no body or don't exist, and with odd fields
+    Then each caller gets one whole answer, and no success that the endpoint didn't send
+
+  # Guards against the same after a failure of the node's own.
+  Scenario: a request whose handling raises is answered with its id, or cut if its answer began
+    When the handling of a request raises before its answer, and of another one inside it
+    Then the first caller gets status 500 with its request's id, and the second no proper end
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -5,7 +5,7 @@
 
 import attrs
 import msgspec
-from behave import then
+from behave import then, when
 from hypothesis import given as forall
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -13,7 +13,7 @@
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.event_streams import EventSplitter
-from saffronworks.forwarding.messages import PromptSize
+from saffronworks.forwarding.messages import AnswerHead, Executed, PromptSize
 from saffronworks.forwarding.origins import messages as origin_messages
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient, RunSize
@@ -25,7 +25,8 @@
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.servers import read_server
 from saffronworks.standins.addresses import free_address
-from saffronworks.tests.platform_place import CONFIG, make_node
+from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.platform_place import CONFIG, make_node, on_platform, web_servers
 from saffronworks.wire import Codec
 
 MODULES = (
@@ -207,3 +208,78 @@
 
     check()
     assert calls.read_reply(b'{"hold":"h1"}', calls._HoldReply).ok_value.hold == "h1"
+
+
+# What an endpoint answers, and the status that its caller gets.
+ANSWERS = [
+    (b"HTTP/1.1 299 X\r\nContent-Length: 2\r\n%s\r\nok", 299),
+    (b"HTTP/1.1 599 X\r\nContent-Length: 2\r\n%s\r\nok", 599),
+    (b"HTTP/1.1 600 X\r\nContent-Length: 2\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 999 X\r\nContent-Length: 2\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 204 X\r\nContent-Length: 5\r\n%s\r\n", 204),
+    (b"HTTP/1.1 304 X\r\nContent-Length: 5\r\n%s\r\n", 304),
+    (b"HTTP/1.1 304 X\r\n%s\r\n", 304),
+    (b"HTTP/1.1 200 X\r\nX-A: \xff\xe9\r\nX-B:\r\nContent-Length: 2\r\n%s\r\nok", 200),
+    (b"HTTP/1.1 200 X\r\nX-A: a\x0bb\r\nContent-Length: 2\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 200 X\r\nX A: 1\r\nContent-Length: 2\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 200 X\r\nContent-Length: +2\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 200 X\r\nContent-Length: 2\r\nContent-Length: 3\r\n%s\r\nok", 502),
+    (b"HTTP/1.1 200 X\r\nContent-Length: 99999999999999999999999\r\n%s\r\nok", 502),
+]
+
+
+class RawServer(FakeServer):
+    """Answers plain requests with the next bytes of a list."""
+
+    answers = ()
+
+    async def _plain(self, writer, own, body, fault):
+        fields = "".join(f"{key}: {value}\r\n" for key, value in own.items())
+        writer.write(self.answers.pop(0) % fields.encode())
+        await writer.drain()
+        return False
+
+
+@when("endpoints answer with statuses that have no body or don't exist, and with odd fields")
+def odd_answers(context):
+    server = RawServer("w0", "web")
+    server.answers = [answer for answer, _ in ANSWERS]
+
+    async def play(place):
+        context.raws = [await place.ask("/once/a", f"r{n}") for n in range(len(ANSWERS))]
+
+    on_platform([server], play)
+
+
+@then("each caller gets one whole answer, and no success that the endpoint didn't send")
+def whole_answers(context):
+    for raw, (answer, status) in zip(context.raws, ANSWERS, strict=True):
+        assert raw.startswith(b"HTTP/1.1 %d " % status), (answer, raw)
+        head, _, body = raw.lower().partition(b"\r\n\r\n")
+        if status in (204, 304):
+            assert not body and b"content-length" not in head, raw
+        else:
+            assert b"content-length: %d" % len(body) in head, raw
+
+
+@when("the handling of a request raises before its answer, and of another one inside it")
+def handling_raises(context):
+    async def play(place):
+        async def fail(request, reply):
+            if request.path == "/once/late":
+                head = AnswerHead(200, (("content-length", "9"),), Executed.YES, True)
+                await (await reply.start(head)).write(b"part")
+            raise OverflowError
+
+        place.node._forwarder.handle = fail
+        context.raws = [await place.ask(f"/once/{name}", f"r-{name}") for name in ("a", "late")]
+
+    on_platform(web_servers(), play)
+
+
+@then("the first caller gets status 500 with its request's id, and the second no proper end")
+def answered_or_cut(context):
+    first, second = context.raws
+    assert first.startswith(b"HTTP/1.1 500 ") and b"request-id: r-a" in first.lower(), first
+    assert b"internal-error" in first and b"retry-after" not in first.lower(), first
+    assert second.endswith(b"\r\n\r\npart"), second
