--- a/deploy/start.py
+++ b/deploy/start.py
@@ -3,6 +3,13 @@
 `python3 -S deploy/start.py --archive` writes the archive. Other arguments are passed to the node.
 """
 
+import signal
+
+# A reload that is asked for during the imports would end the process; the node reads its settings
+# after them.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# ruff: noqa: E402
 import gc
 import os
 import sys
--- a/saffronworks/platform/__main__.py
+++ b/saffronworks/platform/__main__.py
@@ -2,8 +2,13 @@
 
 import gc
 import os
+import signal
 import sys
 
+# A reload that is asked for during the imports would end the process; the node reads its settings
+# after them.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Imported objects are never freed, and collecting garbage among them takes 15 of a start's 420 ms.
 gc.disable()
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -573,13 +573,18 @@
         await call.reply_bytes(200, await self._metrics_page.render(), "text/plain; version=0.0.4")
 
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                logger.info("event=signal number=%d", number)
-                if number == signal.SIGHUP:
-                    self._settings_watch.reload()
-                else:
-                    self.stop()
+        kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        try:
+            with anyio.open_signal_receiver(*kinds) as signals:
+                async for number in signals:
+                    logger.info("event=signal number=%d", number)
+                    if number == signal.SIGHUP:
+                        self._settings_watch.reload()
+                    else:
+                        self.stop()
+        finally:
+            # The default action would end the process before its last bytes are sent.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def _apply_settings(self, settings: PlatformSettings) -> None:
         """Apply the retry budget, the only setting that takes effect without a restart."""
--- a/saffronworks/platform/settings_watch.py
+++ b/saffronworks/platform/settings_watch.py
@@ -23,19 +23,26 @@
     def __init__(self, file: str, apply: Callable[[PlatformSettings], None]):
         self._file = file
         self._apply = apply
+        # Read now, so that a change during the rest of the start is seen.
+        self._last = self._read()
 
     async def run(self) -> None:
         """Check the file for changes until cancelled."""
-        last = self._read()
         while True:
             await anyio.sleep(POLL_INTERVAL_MS / 1000)
             text = self._read()
-            if text is not None and text != last:
-                last = text
+            if text is not None and text != self._last:
+                self._last = text
                 self.reload()
 
     def reload(self) -> None:
-        """Read the file and apply its settings."""
+        """Read the file and apply its settings; whatever it holds, the ones in force remain."""
+        try:
+            self._reload()
+        except Exception:
+            logger.exception("event=reload_failed file=%s", self._file)
+
+    def _reload(self) -> None:
         text = self._read()
         if text is None:
             return
@@ -49,6 +56,6 @@
     def _read(self) -> str | None:
         try:
             return Path(self._file).read_text(encoding="utf-8")
-        except OSError as error:
+        except (OSError, UnicodeDecodeError) as error:
             logger.error("event=settings_unreadable file=%s problem=%r", self._file, str(error))
             return None
--- a/saffronworks/readers.py
+++ b/saffronworks/readers.py
@@ -33,8 +33,8 @@
     """Read a file with `read(text, path)`; prints all findings and exits with 2 where it fails."""
     try:
         text = Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        print(f"{path}: {error.strerror}", file=sys.stderr)
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_INPUT)
     checked = read(text, path)
     if isinstance(checked, Err):
@@ -57,6 +57,9 @@
         line = error.problem_mark.line + 1 if error.problem_mark else 1
         findings.append(Finding(file, line, "(file)", f"not YAML: {error.problem}"))
         return None
+    except (yaml.YAMLError, RecursionError) as error:
+        findings.append(Finding(file, 1, "(file)", f"not YAML: {error}"))
+        return None
     if not isinstance(node, yaml.MappingNode):
         findings.append(Finding(file, 1, "(file)", "expected a mapping of fields"))
         return None
