--- a/saffronworks/peers.py
+++ b/saffronworks/peers.py
@@ -1,15 +1,19 @@
 """The service that carries messages between nodes, by pynng push and pull sockets.
 
 Messages are one way and may be lost: a full queue drops them. All protocols above bear it.
+A peer that can't be reached gets none, and is dialled again only after a pause.
 """
 
+import asyncio
 import logging
+import random
 
 import anyio
 import attrs
 import pynng
 from result import Ok
 
+from saffronworks.dial_backoff import DialBackoff
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.wire import Codec
 
@@ -19,7 +23,13 @@
 
 SEND_MESSAGES = 512
 RECEIVE_MESSAGES = 2048
+RECONNECT_MIN_MS = 200
 RECONNECT_MOST_MS = 1000
+# A dial, or the loss of a connection, counts as failed after this time without a connection.
+CONNECT_MS = 500
+# Messages that wait for a connection.
+CONNECTING_MESSAGES = 32
+SWEEP_INTERVAL_S = 0.25
 # A socket that carried nothing for so long is closed when the next one is opened: nodes that tell
 # any other now and then would have one to each in the end, dead ones among them.
 IDLE_MS = 60_000
@@ -42,10 +52,20 @@
 
 @attrs.define
 class _Link:
-    """The socket to one peer, and when it was used last."""
+    """The socket to one peer, when it was used last, and since when it has no connection."""
 
     socket: pynng.Push0
     used_ms: int
+    down_since_ms: int | None
+    waiting: int = 0
+
+    def update(self, now_ms: int) -> bool:
+        """Return whether it is connected."""
+        if self.socket.pipes:
+            self.down_since_ms, self.waiting = None, 0
+        elif self.down_since_ms is None:
+            self.down_since_ms = now_ms
+        return self.down_since_ms is None
 
 
 class PeerService:
@@ -63,6 +83,7 @@
         self.dropped = 0
         self.cut_from: set[str] = set()
         self._links: dict[str, _Link] = {}
+        self._backoff = DialBackoff(random.Random(address))
         self._listener: pynng.Pull0 | None = None
 
     def listen(self) -> None:
@@ -80,9 +101,15 @@
         if self._listener is None:
             self.listen()
         assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        # pynng calls this in a thread of its own.
+        self._listener.add_post_pipe_connect_cb(
+            lambda pipe: loop.call_soon_threadsafe(self._end_pauses, str(pipe.remote_address))
+        )
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._receive, kernel, self._listener)
+                tasks.start_soon(self._sweep, kernel)
                 await kernel.dispatch(
                     self.name, mailbox, lambda message: self._handle(message, kernel.now_ms())
                 )
@@ -97,15 +124,27 @@
         match message:
             case Outgoing():
                 self._send(message, now_ms)
-            case CloseTo() if message.address in self._links:
-                self._links.pop(message.address).socket.close()
+            case CloseTo():
+                self._backoff.record_reached(message.address, now_ms)
+                if message.address in self._links:
+                    self._links.pop(message.address).socket.close()
 
     def _send(self, outgoing: Outgoing, now_ms: int) -> None:
         if outgoing.address in self.cut_from:
             return
-        data = self._codec.encode(outgoing.message)
-        link = self._links.get(outgoing.address) or self._open(outgoing.address, now_ms)
+        link = self._links.get(outgoing.address)
+        if link is None:
+            if not self._backoff.may_dial(outgoing.address, now_ms):
+                self.dropped += 1
+                return
+            link = self._open(outgoing.address, now_ms)
         link.used_ms = now_ms
+        if not link.update(now_ms):
+            if link.waiting >= CONNECTING_MESSAGES:
+                self.dropped += 1
+                return
+            link.waiting += 1
+        data = self._codec.encode(outgoing.message)
         try:
             link.socket.send(data, block=False)
         except pynng.TryAgain:
@@ -124,9 +163,11 @@
     def _open(self, address: str, now_ms: int) -> _Link:
         for idle in [a for a, link in self._links.items() if now_ms - link.used_ms >= IDLE_MS]:
             self._links.pop(idle).socket.close()
+        # A peer that was unreachable is dialled about once, others repeatedly.
+        retries = self._backoff.is_unreached(address)
         socket = pynng.Push0(
             send_buffer_size=SEND_MESSAGES,
-            reconnect_time_min=50,
+            reconnect_time_min=RECONNECT_MOST_MS if retries else RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MOST_MS,
         )
         try:
@@ -134,9 +175,32 @@
         except Exception:
             socket.close()
             raise
-        self._links[address] = _Link(socket, now_ms)
+        self._links[address] = _Link(socket, now_ms, now_ms)
         return self._links[address]
 
+    async def _sweep(self, kernel: Kernel) -> None:
+        """Close the sockets to peers that can't be reached, until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            now_ms = kernel.now_ms()
+            for address, link in list(self._links.items()):
+                self._check(address, link, now_ms)
+            self._backoff.forget_unused(now_ms)
+
+    def _check(self, address: str, link: _Link, now_ms: int) -> None:
+        if link.update(now_ms):
+            down_ms = self._backoff.record_reached(address, now_ms)
+            if down_ms is not None:
+                logger.info("event=peer_reached peer=%s down_ms=%d", address, down_ms)
+        elif now_ms - (link.down_since_ms or 0) >= CONNECT_MS:
+            self._links.pop(address).socket.close()
+            if self._backoff.record_unreached(address, now_ms):
+                logger.info("event=peer_unreached peer=%s peers=%d", address, len(self._backoff))
+
+    def _end_pauses(self, peer: str) -> None:
+        """Dial a peer at the next message if its machine has connected to this node."""
+        self._backoff.end_pauses(peer.rpartition(":")[0])
+
     async def _receive(self, kernel: Kernel, listener: pynng.Pull0) -> None:
         while True:
             data = await listener.arecv()
--- a/saffronworks/tests/features/peers.feature
+++ b/saffronworks/tests/features/peers.feature
@@ -17,3 +17,22 @@
     Given two nodes of which one lost its listener
     When the other one sends it a message
     Then it arrives, and the failure is counted
+
+  # Guards against a lone node that spends its processor and link on dead peers: each socket dialled
+  # again and again by itself, 400 times a second for 195 peers, and kept up to 512 messages.
+
+  Scenario: peers that refuse connections
+    When a node sends 300 messages to a peer that refuses connections
+    Then few of them are kept, and the peer is dialled again after a pause
+
+  Scenario: all other nodes are dead
+    Then 60 or 195 dead peers are dialled 25 times a second at most, and 5 every 1.5 s at least
+
+  # Guards against a connect without an answer, which the kernel repeats less and less often.
+  Scenario: a peer loses power and returns
+    Given a peer whose connects hang for 12 s, and a node that sends to it
+    When the peer returns
+    Then a message arrives within 2.4 s
+
+  Scenario: a peer that returns and sends a message first
+    Then the next message to its machine needs no pause
--- a/saffronworks/tests/features/steps/peers_steps.py
+++ b/saffronworks/tests/features/steps/peers_steps.py
@@ -1,13 +1,20 @@
 """Sockets between nodes, over loopback."""
 
+import itertools
+import random
+import socket
+
 import anyio
 from behave import given, then, when
 
+from saffronworks.clocks import monotonic_ms
+from saffronworks.dial_backoff import FIRST_PAUSE_MS, DialBackoff
 from saffronworks.forwarding.planning import messages
 from saffronworks.forwarding.planning.messages import MemoryQueued
 from saffronworks.kernel import Kernel
-from saffronworks.peers import IDLE_MS, Outgoing, PeerService
+from saffronworks.peers import CONNECT_MS, CONNECTING_MESSAGES, IDLE_MS, Outgoing, PeerService
 from saffronworks.standins.addresses import free_address
+from saffronworks.web import bind
 from saffronworks.wire import Codec
 
 
@@ -16,10 +23,10 @@
 
     name = "listener"
 
-    def __init__(self):
+    def __init__(self, clock=None, address=None):
         self.now_ms, self.heard = 0, []
-        self.kernel = Kernel("n", lambda: self.now_ms)
-        self.service = PeerService(free_address(), Codec(messages))
+        self.kernel = Kernel("n", clock or (lambda: self.now_ms))
+        self.service = PeerService(address or free_address(), Codec(messages))
         self.service.listen()
         self.kernel.register(self.service)
         self.kernel.register(self, MemoryQueued)
@@ -73,6 +80,115 @@
     assert context.heard == ["first", "later"]
 
 
+@when("a node sends 300 messages to a peer that refuses connections")
+def send_to_refusing(context):
+    async def main():
+        one, address = Peer(), free_address()
+        async with anyio.create_task_group() as tasks:
+            one.kernel.start(tasks)
+            for number in range(300):
+                one.kernel.post("peers", Outgoing(address, MemoryQueued(str(number))))
+                one.now_ms += 10
+                await anyio.sleep(0.01)
+            context.peers = one.service
+            context.may_dial = one.service._backoff.may_dial(address, one.now_ms)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("few of them are kept, and the peer is dialled again after a pause")
+def few_kept(context):
+    dials = 3000 // (CONNECT_MS + FIRST_PAUSE_MS)
+    assert context.peers.sent_messages <= dials * CONNECTING_MESSAGES, context.peers.sent_messages
+    assert context.peers.dropped >= 300 - dials * CONNECTING_MESSAGES, context.peers.dropped
+    assert len(context.peers._backoff) == 1
+
+
+def dial_times(peers, until_ms):
+    """Return when each of the unreachable peers is dialled, if all are always sent to."""
+    backoff = DialBackoff(random.Random(1))
+    dialled, ends_ms = {f"p{number}:1": [] for number in range(peers)}, {}
+    for now_ms in range(0, until_ms, 50):
+        for peer in [one for one, end_ms in ends_ms.items() if end_ms <= now_ms]:
+            del ends_ms[peer]
+            backoff.record_unreached(peer, now_ms)
+        for peer, times_ms in dialled.items():
+            if peer not in ends_ms and backoff.may_dial(peer, now_ms):
+                times_ms.append(now_ms)
+                ends_ms[peer] = now_ms + CONNECT_MS
+    return dialled
+
+
+@then(
+    "60 or 195 dead peers are dialled {per_s:d} times a second at most, and 5 every {gap_s:g} s "
+    "at least"
+)
+def few_dials(context, per_s, gap_s):
+    for peers in (60, 195):
+        times_ms = [at_ms for one in dial_times(peers, 60_000).values() for at_ms in one]
+        later = [at_ms for at_ms in times_ms if at_ms > 10_000]
+        assert len(later) <= per_s * 50, (peers, len(later))
+    for times_ms in dial_times(5, 60_000).values():
+        gaps = [later - before for before, later in itertools.pairwise(times_ms)]
+        assert max(gaps) <= gap_s * 1000 + CONNECT_MS + 50, max(gaps)
+
+
+@given("a peer whose connects hang for {hang_s:g} s, and a node that sends to it")
+def hanging(context, hang_s):
+    context.hang_s = hang_s
+
+
+@when("the peer returns")
+def returns(context):
+    async def main():
+        one, address = Peer(monotonic_ms), free_address()
+        # A listener whose queue is full ignores further connects.
+        full = bind(address)
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(2)]
+        for client in waiting:
+            client.setblocking(False)
+            client.connect_ex(full.getsockname())
+        async with anyio.create_task_group() as tasks:
+            one.kernel.start(tasks)
+            tasks.start_soon(send_often, one, address)
+            await anyio.sleep(context.hang_s)
+            for open_socket in (*waiting, full):
+                open_socket.close()
+            other = Peer(monotonic_ms, address)
+            other.kernel.start(tasks)
+            began_s = anyio.current_time()
+            with anyio.move_on_after(10):
+                while not other.heard:
+                    await anyio.sleep(0.01)
+            context.took_s = anyio.current_time() - began_s
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def send_often(peer, address):
+    while True:
+        peer.kernel.post("peers", Outgoing(address, MemoryQueued("again")))
+        await anyio.sleep(0.05)
+
+
+@then("a message arrives within {within_s:g} s")
+def arrives_soon(context, within_s):
+    assert context.took_s <= within_s, context.took_s
+
+
+@then("the next message to its machine needs no pause")
+def no_pause(context):
+    backoff = DialBackoff(random.Random(1))
+    for _ in range(9):
+        for peer in ("10.0.0.1:5", "10.0.0.2:5"):
+            backoff.record_unreached(peer, 0)
+    backoff.end_pauses("10.0.0.1")
+    assert backoff.may_dial("10.0.0.1:5", 0) and not backoff.may_dial("10.0.0.2:5", 0)
+
+
 @given("two nodes of which one reports more tokens than an integer of a message holds")
 def two_nodes(context):
     tokens = int("9" * 18) * 63
