--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -36,6 +36,9 @@
       | has events of two versions in one answer       | one_version_each          |
       | was resumed at another version                 | one_version_each          |
       | was refused like many others that were resumed | resumed_go_on             |
+      | rested on a connection that its node closed early | kept_connections_stay  |
+      | got an answer without end that was read on     | endless_answers_end       |
+      | was lost while its endpoint paused             | pauses_lose_nothing       |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
@@ -50,6 +53,8 @@
       | failed as the paths of all nodes were cut               |
       | was one of few that failed of those read in a surge     |
       | was served                                              |
+      | rested on a connection that a planned stop closed       |
+      | got an answer without end that was closed               |
       | was resumed at its version                              |
       | was resumed while one endpoint of its version served    |
       | was broken by a kill across a planned stop of its node  |
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -18,7 +18,9 @@
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.records import (
     Asked,
+    ClosedEarly,
     Disturbance,
+    EndlessAnswer,
     Need,
     Partition,
     Ran,
@@ -62,6 +64,8 @@
         *(("EndpointPartition", kind) for kind in faults.CUTS),
         ("StoreRestore", "restore"),
         ("ConfigChange", "config"),
+        ("IdleTimeoutChange", "idle"),
+        *(("OddAnswers", kind) for kind in faults.ODD_KINDS),
         ("Surge", "surge"),
         ("OrganisationChange", "organisations"),
         *(("SoftwareRelease", kind) for kind in faults.RELEASE_KINDS),
@@ -287,7 +291,33 @@
     records.asked["r"].body = body
 
 
+def closed_early(records, stopped=False):
+    records.closed_early.append(ClosedEarly(0, SENT_MS, SENT_MS + 900, 1200))
+    if stopped:
+        records.stops.append((0, SENT_MS + 800, SENT_MS + 1800))
+
+
+def endless(records, closed_ms):
+    records.endless.append(EndlessAnswer("r", "e", closed_ms))
+
+
+def lost_in_pause(records):
+    records.paused.add("r")
+    records.asked["r"].status = 504
+
+
 CASES = {
+    "rested on a connection that its node closed early": ("once", closed_early),
+    "rested on a connection that a planned stop closed": (
+        "once",
+        lambda seen: closed_early(seen, stopped=True),
+    ),
+    "got an answer without end that was read on": ("once", lambda seen: endless(seen, None)),
+    "got an answer without end that was closed": (
+        "once",
+        lambda seen: endless(seen, SENT_MS + 3000),
+    ),
+    "was lost while its endpoint paused": ("once", lost_in_pause),
     "got half of its stream": ("gen", half_stream),
     "got an answer without signature": ("once", unsigned),
     "may run once and ran twice": ("gen", twice),
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -8,7 +8,7 @@
 
 from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
 from saffronworks.tests.soak.endpoints import EVENTS
-from saffronworks.tests.soak.records import Asked
+from saffronworks.tests.soak.records import Asked, ClosedEarly
 
 __all__ = [
     "DEADLY_KIND",
@@ -42,6 +42,12 @@
 LONGEST_RETURN_S = 1.5
 # Share of resumable streams that the caller loses after some events and resumes at another node.
 LOSE_SHARE = 0.3
+# Share of pauses in which a connection rests, and the longest rest. A caller may use it again for
+# this share of the idle timeout, which nodes apply within a time of the change.
+REST_SHARE = 0.15
+LONGEST_REST_S = 3.2
+REST_TIMEOUT_SHARE = 0.8
+CONFIG_APPLY_MS = 2000
 # Attempts to resume a stream, and the pause before each.
 MAX_RESUMES, RESUME_PAUSE_S = 3, 0.02
 
@@ -79,6 +85,8 @@
         self._losses = random.Random(f"{seed}/losses/{name}")
         self._node = self._rng.randrange(len(site.nodes))
         self._pool = None
+        self._rests = random.Random(f"{seed}/rests/{name}")
+        self._rested_from_ms = 0.0
 
     async def run(self, until):
         """Ask until `until()` says that it is over."""
@@ -90,10 +98,36 @@
             wait_s = await self._ask(kind, request_id)
             if kind == RESUMABLE_KIND:
                 wait_s = await self._resume(self._records.asked[request_id]) or wait_s
-            await anyio.sleep(wait_s + PAUSE_S * self._rng.random() * 2)
+            await anyio.sleep(wait_s + PAUSE_S * self._rng.random() * 2 + self._draw_rest_s())
+            self._check_connection()
         if self._pool is not None:
             await self._pool.aclose()
 
+    def _draw_rest_s(self):
+        rests = self._site.shape.idle_changes and self._rests.random() < REST_SHARE
+        return LONGEST_REST_S * self._rests.random() if rests else 0.0
+
+    def _check_connection(self):
+        """Record a connection that the node has closed although its rest was short enough."""
+        if self._pool is None or not self._pool.connections:
+            return
+        now_ms = self._site.now_ms()
+        allowed_ms = REST_TIMEOUT_SHARE * self._least_idle_timeout_ms(now_ms)
+        if now_ms - self._rested_from_ms > allowed_ms:
+            return
+        if self._pool.connections[0].has_expired():
+            early = ClosedEarly(self._node, self._rested_from_ms, now_ms, allowed_ms)
+            self._records.closed_early.append(early)
+
+    def _least_idle_timeout_ms(self, now_ms):
+        """Return the lowest idle timeout that a node may have had in force during this rest."""
+        in_force = [15_000]
+        for at_ms, idle_timeout_ms in self._records.idle_timeouts:
+            if at_ms <= self._rested_from_ms - CONFIG_APPLY_MS:
+                in_force.clear()
+            in_force.append(idle_timeout_ms)
+        return min(in_force)
+
     def _connect(self):
         if self._pool is None:
             ready = self._site.ready_nodes() or list(range(len(self._site.nodes)))
@@ -143,7 +177,7 @@
             asked.outcome = "left"
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             asked.outcome, asked.problem = "broken", repr(error)
-        asked.ended_ms = self._site.now_ms()
+        asked.ended_ms = self._rested_from_ms = self._site.now_ms()
         if asked.outcome != "answered":
             await pool.aclose()
             self._pool = None
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints of a soak: plain ones and engines with memory, handles and faults of their own."""
 
 import asyncio
+import contextlib
 import json
 import random
 
@@ -10,7 +11,7 @@
 from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.soak.organisations import check_endpoint_fields
-from saffronworks.tests.soak.records import Ran, Reached, Rejected
+from saffronworks.tests.soak.records import EndlessAnswer, Ran, Reached, Rejected
 
 __all__ = ["Endpoint"]
 
@@ -35,6 +36,21 @@
 BREAKS = ("break", "unframed-break")
 
 
+# Share of an endpoint's requests that it answers oddly, and how long a sound one pauses.
+ODD_SHARE = 0.4
+PAUSE_S = 1.2
+# Pieces of answers without end, the pause after each, and the limit where nobody closes.
+ENDLESS_PIECES = {
+    "endless-head": b"X-More: %s\r\n" % (b"x" * 1000),
+    "endless-body": b"3e8\r\n%s\r\n" % (b"x" * 1000),
+    "endless-interim": b"HTTP/1.1 100 Continue\r\n\r\n" * 40,
+}
+ENDLESS_PAUSE_S = 0.002
+ENDLESS_LIMIT_S = 12.0
+# A number that any product with the tokens of an event takes beyond 64 bits.
+SPOILED_EVENT = 900_000_000_000_000_000
+
+
 @attrs.define
 class _Hold:
     tokens: int
@@ -52,10 +68,13 @@
         self.address = self.own_address
         self.grey_until_ms = 0.0
         self.full_until_ms = 0.0
+        self.odd = ""
+        self.odd_until_ms = 0.0
         self.holds = {}
         self.handles = {}
         self.running = {}
         self._rng = random.Random(f"{seed}/{instance}")
+        self._odds = random.Random(f"{seed}/odd/{instance}")
         self._numbers = 0
         self._writers = set()
 
@@ -73,7 +92,7 @@
         self.crash()
         self.starts += 1
         self.records.restarts.append((self.instance, self.site.now_ms()))
-        self.grey_until_ms = self.full_until_ms = 0.0
+        self.grey_until_ms = self.full_until_ms = self.odd_until_ms = 0.0
         self.limit = self.pause = None
         self.drains = False
         self.holds.clear()
@@ -146,12 +165,50 @@
         if now_ms < self.grey_until_ms and self._rng.random() < GREY_SHARE:
             faults = GREY_STREAM if self.stage else GREY_PLAIN
             fault = self._rng.choice(faults + UNFRAMED * self.site.shape.parts)
+        if now_ms < self.odd_until_ms and self._odds.random() < ODD_SHARE:
+            if self.odd in ENDLESS_PIECES:
+                return await self._send_without_end(writer, request_id)
+            fault = self._odd_fault(request_id)
         if fault == "shed" or now_ms < self.full_until_ms:
             return await self._refuse(writer, request_id)
         if self.stage:
             return await self._generate(reader, writer, headers, fault)
         return await self._answer(reader, writer, request_id, fault)
 
+    def _odd_fault(self, request_id):
+        if self.odd == "silence":
+            self.records.paused.add(request_id)
+            return "silence"
+        # A stream that may be resumed would be resumed after its spoiled id.
+        return self.odd if self.records.asked[request_id].kind == "gen" else None
+
+    async def _send_without_end(self, writer, request_id):
+        """Send a head, a body or interim answers until the connection is closed."""
+        sent = EndlessAnswer(request_id, self.instance)
+        self.records.endless.append(sent)
+        run = self._begin(request_id)
+        own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
+        if self.odd == "endless-head":
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+        elif self.odd == "endless-body":
+            await self._head(writer, 200, own | {"Transfer-Encoding": "chunked"})
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ENDLESS_LIMIT_S):
+                    await self._write_until_closed(writer, ENDLESS_PIECES[self.odd])
+        except ConnectionError:
+            sent.closed_ms = self.site.now_ms()
+        finally:
+            run.ended_ms = self.site.now_ms()
+        return False
+
+    async def _write_until_closed(self, writer, piece):
+        while not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+        raise ConnectionResetError
+
     async def _crash_under_part(self, writer, request_id):
         """Write one event, with or without chunks, and end the process."""
         own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
@@ -187,7 +244,8 @@
     async def _answer(self, reader, writer, request_id, fault):
         run = self._begin(request_id)
         try:
-            if await self._leaves(reader, PLAIN_WORK_S):
+            pause_s = PAUSE_S if fault == "silence" else 0.0
+            if await self._leaves(reader, PLAIN_WORK_S + pause_s):
                 return False
         finally:
             run.ended_ms = self.site.now_ms()
@@ -247,6 +305,10 @@
         for number in range(after_event + 1, EVENTS + 1):
             if await self._leaves(reader, EVENT_S):
                 return False
+            if fault == "silence" and number == EVENTS // 2:
+                await asyncio.sleep(PAUSE_S)
+            if fault == "spoiled-ids" and number > 1:
+                return await self._spoil_ids(writer, run)
             text = f"{run.request_id} {number} {self.version}"
             data = f"id: {number}\ndata: {text}\n\n".encode()
             if fault in BREAKS and number == EVENTS // 2:
@@ -258,3 +320,12 @@
         writer.write(b"0\r\n\r\n" if framed else b"")
         await writer.drain()
         return framed
+
+    async def _spoil_ids(self, writer, run):
+        """Send events whose ids are far too high, and break off."""
+        for number in range(SPOILED_EVENT, SPOILED_EVENT + 3):
+            data = f"id: {number}\ndata: {run.request_id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        return False
--- a/saffronworks/tests/soak/faults.py
+++ b/saffronworks/tests/soak/faults.py
@@ -13,8 +13,10 @@
     "EndpointPause",
     "EndpointRestart",
     "Fault",
+    "IdleTimeoutChange",
     "LinkFault",
     "NodeFault",
+    "OddAnswers",
     "OrganisationChange",
     "Shape",
     "SoftwareRelease",
@@ -29,6 +31,11 @@
 LINKS = ("caller", "store", "endpoint")
 NODE_KINDS = ("pause", "kill", "stop")
 STORE_KINDS = ("busy", "limited", "silent", "slow", "lost", "forget")
+# Answers without end, spoiled event ids, and a pause of a sound endpoint before it goes on.
+ODD_KINDS = ("endless-head", "endless-body", "endless-interim", "spoiled-ids", "silence")
+ODD_SHORTEST_MS, ODD_LONGEST_MS = 1500, 4000
+# Idle timeouts of callers' connections, in ms.
+IDLE_TIMEOUTS_MS = (700, 1500, 4000)
 ENDPOINT_KINDS = ("crash", "drain", "vanish", "grey", "full")
 # Faults of one series begin within this time, so that they overlap.
 SERIES_SPREAD_MS = 2500
@@ -88,6 +95,9 @@
     releases: int = 3
     # Number of times that most new connections come to one node.
     surges: int = 2
+    # Number of times that an endpoint answers oddly, and of changes of the idle timeout.
+    odd_answers: int = 5
+    idle_changes: int = 3
 
 
 @attrs.frozen
@@ -160,6 +170,17 @@
     """Callers open more new connections to one node than it can serve."""
 
 
+class OddAnswers(Fault):
+    """Some answers of an endpoint are as one of `ODD_KINDS` says; it passes all checks."""
+
+
+@attrs.frozen
+class IdleTimeoutChange(Fault):
+    """The operator changes how long callers' connections may rest."""
+
+    idle_timeout_ms: int = 15_000
+
+
 @attrs.frozen
 class SoftwareRelease(Fault):
     """An engine is replaced by one of another version, or restarts under its name with it."""
@@ -203,7 +224,8 @@
     struck = [*faults, *changes, *restarts, *organisations, *_draw_limits(seed, shape)]
     struck += _draw_advertised(seed, shape) + _draw_restores(seed, shape)
     struck += _draw_partitions(seed, shape) + _draw_releases(seed, shape)
-    struck += _draw_surges(seed, shape)
+    struck += _draw_surges(seed, shape) + _draw_odd_answers(seed, shape)
+    struck += _draw_idle_changes(seed, shape)
     return sorted(struck, key=lambda fault: fault.at_ms)
 
 
@@ -278,6 +300,29 @@
     ]
 
 
+def _draw_odd_answers(seed: int, shape: Shape) -> list[Fault]:
+    rng = random.Random(f"{seed}/odd")
+    return [
+        OddAnswers(
+            rng.randrange(shape.faults_ms),
+            rng.randint(ODD_SHORTEST_MS, ODD_LONGEST_MS),
+            rng.choice(ODD_KINDS),
+            rng.randrange(1000),
+        )
+        for _ in range(shape.odd_answers)
+    ]
+
+
+def _draw_idle_changes(seed: int, shape: Shape) -> list[Fault]:
+    rng = random.Random(f"{seed}/idle")
+    return [
+        IdleTimeoutChange(
+            rng.randrange(shape.faults_ms), 0, "idle", 0, rng.choice(IDLE_TIMEOUTS_MS)
+        )
+        for _ in range(shape.idle_changes)
+    ]
+
+
 def _draw_limits(seed: int, shape: Shape) -> list[Fault]:
     """Return the rate limits, which end before the last fault does."""
     rng = random.Random(f"{seed}/limits")
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -72,6 +72,9 @@
         _surged_serve,
         one_version_each,
         _resumed_go_on,
+        _kept_connections_stay,
+        _endless_answers_end,
+        _pauses_lose_nothing,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -97,6 +100,52 @@
     )
 
 
+def _kept_connections_stay(records: Records) -> list[str]:
+    """A node closes no connection within the rest that the idle timeout allows its caller."""
+    return [
+        f"node {early.node} closed a connection after {early.found_ms - early.rested_from_ms:.0f} "
+        f"ms or less, {early.allowed_ms:.0f} are allowed"
+        for early in records.closed_early
+        if _undisturbed(
+            records, early.node, early.rested_from_ms, early.found_ms, "caller", "store"
+        )
+        and not _stops(records, early.node, early.rested_from_ms, early.found_ms)
+    ]
+
+
+def _stops(records: Records, node: int, from_ms: float, to_ms: float) -> bool:
+    return any(
+        stopped == node and begin_ms < to_ms and until_ms > from_ms
+        for stopped, begin_ms, until_ms in records.stops
+    )
+
+
+def _endless_answers_end(records: Records) -> list[str]:
+    """A node closes the connection of an answer without end by the deadline of its request."""
+    found = []
+    for answer in records.endless:
+        asked = records.asked[answer.request_id]
+        due_ms = asked.at_ms + asked.deadline_ms + GONE_MS
+        late = answer.closed_ms is None or answer.closed_ms > due_ms
+        if late and _undisturbed(records, asked.node, asked.at_ms, due_ms):
+            found.append(f"{answer.request_id} was read on from {answer.endpoint}")
+    return found
+
+
+def _pauses_lose_nothing(records: Records) -> list[str]:
+    """What an endpoint ran to its end after a pause reaches the caller that waited for it."""
+    found = []
+    for run in records.ran:
+        asked = records.asked[run.request_id]
+        if run.request_id not in records.paused or not run.whole or asked.kind not in ONCE_KINDS:
+            continue
+        lost = asked.outcome == "broken" or asked.status // 100 == 5
+        ways = ("caller", "endpoint")
+        if lost and _undisturbed(records, asked.node, asked.at_ms, asked.ended_ms, *ways):
+            found.append(f"{asked.request_id} was lost in a pause of {run.endpoint}")
+    return found
+
+
 def _answers_are_whole(records: Records) -> list[str]:
     found = []
     for asked in records.asked.values():
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -5,7 +5,9 @@
 __all__ = [
     "ALL_NODES",
     "Asked",
+    "ClosedEarly",
     "Disturbance",
+    "EndlessAnswer",
     "Need",
     "Partition",
     "Ran",
@@ -127,6 +129,25 @@
     to_ms: float
 
 
+@attrs.frozen
+class ClosedEarly:
+    """A node closed a connection that its caller could still use."""
+
+    node: int
+    rested_from_ms: float
+    found_ms: float
+    allowed_ms: float
+
+
+@attrs.define
+class EndlessAnswer:
+    """An endpoint sent an answer without end, until its connection was closed."""
+
+    request_id: str
+    endpoint: str
+    closed_ms: float | None = None
+
+
 @attrs.define
 class Records:
     """Everything seen, plus when what was done to whom."""
@@ -159,6 +180,12 @@
     surges: list[Surged] = attrs.Factory(list)
     # When decode endpoints served, by endpoint: the last span of each may be open.
     served: list[Served] = attrs.Factory(list)
+    closed_early: list[ClosedEarly] = attrs.Factory(list)
+    endless: list[EndlessAnswer] = attrs.Factory(list)
+    # Requests whose endpoint paused and went on.
+    paused: set[str] = attrs.Factory(set)
+    # Idle timeouts of callers' connections: when the store took it, in ms.
+    idle_timeouts: list[tuple[float, int]] = attrs.Factory(list)
     calm_from_ms: float = 0.0
     # How long the soak's own process stood still, each time.
     stalls_ms: list[float] = attrs.Factory(list)
--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -50,7 +50,7 @@
 DEADLY_DOWN_S = 1.5
 
 
-def make_config(version, moved_to, organisations=None):
+def make_config(version, moved_to, organisations=None, idle_timeout_ms=15_000):
     """The operator's configuration; `moved_to` is the service of the route that moves."""
     routes = [
         make_route("once", "/once/", "non_idempotent", "web-a", max_attempts=1),
@@ -65,7 +65,9 @@
     engine = ENGINE | {"slots": 8, "kv_capacity_tokens": 40_000, "stride": 40}
     services.append({"name": "llm", "max_conns": 200, "engine": engine})
     whose = {} if organisations is None else {"tenants": organisations.spec()}
-    return CONFIG | {"version": version, "routes": routes, "services": services} | whose
+    limits = CONFIG["limits"] | {"idle_timeout_ms": idle_timeout_ms}
+    parts = {"version": version, "routes": routes, "services": services, "limits": limits}
+    return CONFIG | parts | whose
 
 
 class SoakSite:
@@ -81,6 +83,7 @@
         self._outside = OutsideWrites(self.store, seed, self.now_ms)
         self._endpoint_number = 0
         self._moves = 0
+        self._idle_timeout_ms = 15_000
         self._ready = set()
         self.endpoints = {}
         self.store_proxies = [Proxy(self.store.address) for _ in range(shape.nodes)]
@@ -179,9 +182,15 @@
         """The next version, with what organisations are now; `moved` sends a route elsewhere."""
         self._moves += moved
         service = PLAIN_SERVICES[self._moves % 2]
-        self._outside.put("config", "main", make_config(version, service, self.organisations))
+        config = make_config(version, service, self.organisations, self._idle_timeout_ms)
+        self._outside.put("config", "main", config)
         self.records.versions.append((self.now_ms(), service))
 
+    def _change_idle_timeout(self, idle_timeout_ms):
+        self._idle_timeout_ms = idle_timeout_ms
+        self.records.idle_timeouts.append((self.now_ms(), idle_timeout_ms))
+        self._write_config(len(self.records.versions) + 1, moved=False)
+
     def _change_organisations(self):
         self.organisations.change()
         self._write_config(len(self.records.versions) + 1, moved=False)
@@ -210,6 +219,8 @@
                 await send_surge(self, fault.target % len(self.nodes), fault.for_ms, whose)
             case faults.OrganisationChange():
                 self._change_organisations()
+            case faults.IdleTimeoutChange():
+                self._change_idle_timeout(fault.idle_timeout_ms)
             case faults.ConfigChange():
                 self._write_config(len(self.records.versions) + 1)
             case _:
@@ -227,6 +238,8 @@
                 await self._drain_endpoint(fault)
             case faults.EndpointPause():
                 await self._pause_endpoint(fault)
+            case faults.OddAnswers():
+                await self._answer_oddly(fault)
             case faults.SoftwareRelease():
                 await self._release(fault)
 
@@ -378,6 +391,17 @@
             endpoint.pause = None
         self._end_fault(endpoint)
 
+    async def _answer_oddly(self, fault):
+        struck, until_ms = (
+            self._greyed(self._choose_endpoint(fault), fault),
+            self.now_ms() + fault.for_ms,
+        )
+        for endpoint in struck:
+            endpoint.odd, endpoint.odd_until_ms = fault.kind, until_ms
+        if fault.kind != "silence":
+            self._disturb(ALL_NODES, "endpoint", fault.for_ms / 1000)
+        await self._wait_out(struck, fault)
+
     def end_under(self, endpoint, ends_ms):
         """The process of an endpoint ends; another start of it comes some time later."""
         ends_ms.append(self.now_ms())
