--- a/saffronworks/dial_backoff.py
+++ b/saffronworks/dial_backoff.py
@@ -11,7 +11,7 @@
 # Bound on the dials to all unreachable peers together; each costs a packet, and about a
 # millisecond of processor time.
 MAX_DIALS_PER_S = 20
-# A peer that nobody has sent to for this long is forgotten.
+# An unreachable peer to which nothing was sent for this long is no longer dialled.
 FORGET_MS = 60_000
 
 
@@ -20,6 +20,7 @@
     since_ms: int
     pause_ms: int
     next_ms: int
+    wanted_ms: int
 
 
 @attrs.define
@@ -37,9 +38,19 @@
         return address in self._peers
 
     def may_dial(self, address: str, now_ms: int) -> bool:
-        """Return whether a peer may be dialled now."""
+        """Return whether a peer, to which a message is to be sent, may be dialled now."""
         known = self._peers.get(address)
-        return known is None or now_ms >= known.next_ms
+        if known is None:
+            return True
+        known.wanted_ms = now_ms
+        return now_ms >= known.next_ms
+
+    def due(self, now_ms: int) -> list[str]:
+        """Return the peers to dial now, and forget those to which nothing is sent any more."""
+        unused = [a for a, one in self._peers.items() if now_ms >= one.wanted_ms + FORGET_MS]
+        for address in unused:
+            del self._peers[address]
+        return [address for address, one in self._peers.items() if now_ms >= one.next_ms]
 
     def record_unreached(self, address: str, now_ms: int) -> bool:
         """Record a dial without success; returns whether it is the first one."""
@@ -47,9 +58,10 @@
         doubled_ms = 2 * known.pause_ms if known else FIRST_PAUSE_MS
         pause_ms = min(MAX_PAUSE_MS, doubled_ms)
         since_ms = known.since_ms if known else now_ms
+        wanted_ms = known.wanted_ms if known else now_ms
         shared_ms = len(self._peers) * 1000 // MAX_DIALS_PER_S
         wait_ms = max(pause_ms, shared_ms) * self.rng.uniform(0.75, 1.25)
-        self._peers[address] = _Unreached(since_ms, pause_ms, now_ms + round(wait_ms))
+        self._peers[address] = _Unreached(since_ms, pause_ms, now_ms + round(wait_ms), wanted_ms)
         return known is None
 
     def record_reached(self, address: str, now_ms: int) -> int | None:
@@ -62,9 +74,3 @@
         for address, known in self._peers.items():
             if address.rpartition(":")[0] == ip:
                 known.next_ms = known.pause_ms = 0
-
-    def forget_unused(self, now_ms: int) -> None:
-        """Forget the peers that have not been dialled for FORGET_MS though they might."""
-        unused = [a for a, known in self._peers.items() if now_ms >= known.next_ms + FORGET_MS]
-        for address in unused:
-            del self._peers[address]
--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -43,7 +43,7 @@
 from saffronworks.forwarding.shares.tuning import HOLDER_TIMEOUT_MS
 from saffronworks.forwarding.starts import StartId
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.peers import Outgoing
+from saffronworks.peers import Outgoing, PeerReached
 
 __all__ = ["EndpointLimits"]
 
@@ -219,9 +219,11 @@
     # Messages.
 
     def _handle(
-        self, message: SendAsk | SendAnswer | SendGivenBack | LimitNews | LimitsWanted
+        self, message: SendAsk | SendAnswer | SendGivenBack | LimitNews | LimitsWanted | PeerReached
     ) -> None:
         match message:
+            case PeerReached(address):
+                self.shared_limit.record_reached(address)
             case SendAnswer(ask_id, admitted, retry_after_ms):
                 self.shared_limit.handle_answer(Answer(ask_id, admitted, retry_after_ms))
             case SendAsk(ask_id, reply_to, HeardLimit() as update, calls, holders):
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -34,7 +34,7 @@
     STARTUP_MS,
 )
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.peers import Outgoing
+from saffronworks.peers import Outgoing, PeerReached
 
 __all__ = ["MemoryClient", "RunOwner", "RunSize"]
 
@@ -108,8 +108,10 @@
             tasks.start_soon(self._send_reports, kernel)
             await kernel.dispatch(self.name, mailbox, self._handle)
 
-    def _handle(self, message: _Answer | ReportWanted) -> None:
-        if isinstance(message, ReportWanted):
+    def _handle(self, message: _Answer | ReportWanted | PeerReached) -> None:
+        if isinstance(message, PeerReached):
+            self.choice.record_answer(message.address)
+        elif isinstance(message, ReportWanted):
             assert self._kernel is not None
             report = self._make_report(message.service, self._kernel.now_ms())
             self._send(message.reply_to, report)
--- a/saffronworks/forwarding/quotas/service.py
+++ b/saffronworks/forwarding/quotas/service.py
@@ -23,7 +23,7 @@
 from saffronworks.forwarding.shares.tuning import HOLDER_TIMEOUT_MS
 from saffronworks.forwarding.tuning import OTHER_NODE_RETRY_AFTER_MS
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.peers import Outgoing
+from saffronworks.peers import Outgoing, PeerReached
 
 __all__ = ["NOT_COUNTED", "QuotaCharge", "Quotas"]
 
@@ -155,8 +155,12 @@
 
     # Messages.
 
-    def _handle(self, message: QuotaAsk | QuotaAnswer | QuotaRunAgain | QuotaGivenBack) -> None:
+    def _handle(
+        self, message: QuotaAsk | QuotaAnswer | QuotaRunAgain | QuotaGivenBack | PeerReached
+    ) -> None:
         match message:
+            case PeerReached(address):
+                self.shared_limit.record_reached(address)
             case QuotaAnswer(ask_id, admitted, retry_after_ms):
                 self.shared_limit.handle_answer(Answer(ask_id, admitted, retry_after_ms))
             case QuotaAsk(ask_id, reply_to, organisation, cost, per_s, burst, holders):
--- a/saffronworks/forwarding/shares/shared_limit.py
+++ b/saffronworks/forwarding/shares/shared_limit.py
@@ -131,6 +131,10 @@
             self._answers[answer.ask_id] = answer
             self._pending[answer.ask_id].set()
 
+    def record_reached(self, node: str) -> None:
+        """Ask a holder again that could not be reached."""
+        self.entry.choice.record_answer(node)
+
     def answer(self, node: str, ask: Ask) -> None:
         """Answer an ask of another node."""
         answer = self.apply(ask)
--- a/saffronworks/peers.py
+++ b/saffronworks/peers.py
@@ -17,7 +17,7 @@
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.wire import Codec
 
-__all__ = ["CloseTo", "Outgoing", "PeerService"]
+__all__ = ["CloseTo", "Outgoing", "PeerReached", "PeerService"]
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +50,13 @@
     address: str
 
 
+@attrs.frozen
+class PeerReached:
+    """A peer that could not be reached is connected again; announced to services."""
+
+    address: str
+
+
 @attrs.define
 class _Link:
     """The socket to one peer, when it was used last, and since when it has no connection."""
@@ -179,19 +186,22 @@
         return self._links[address]
 
     async def _sweep(self, kernel: Kernel) -> None:
-        """Close the sockets to peers that can't be reached, until cancelled."""
+        """Close sockets to peers that can't be reached, and dial them again, until cancelled."""
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
             now_ms = kernel.now_ms()
             for address, link in list(self._links.items()):
-                self._check(address, link, now_ms)
-            self._backoff.forget_unused(now_ms)
+                self._check(kernel, address, link, now_ms)
+            for address in self._backoff.due(now_ms):
+                if address not in self._links:
+                    self._open(address, now_ms)
 
-    def _check(self, address: str, link: _Link, now_ms: int) -> None:
+    def _check(self, kernel: Kernel, address: str, link: _Link, now_ms: int) -> None:
         if link.update(now_ms):
             down_ms = self._backoff.record_reached(address, now_ms)
             if down_ms is not None:
                 logger.info("event=peer_reached peer=%s down_ms=%d", address, down_ms)
+                kernel.announce(PeerReached(address))
         elif now_ms - (link.down_since_ms or 0) >= CONNECT_MS:
             self._links.pop(address).socket.close()
             if self._backoff.record_unreached(address, now_ms):
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -56,7 +56,7 @@
 from saffronworks.overload.link_budget import LinkBudget, bytes_per_ms
 from saffronworks.overload.request_cost import RequestCost
 from saffronworks.overload.start_queue import StartQueue
-from saffronworks.peers import PeerService
+from saffronworks.peers import PeerReached, PeerService
 from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.platform.calls import PlatformCalls
 from saffronworks.platform.configuration import CONFIG_KIND, ConfigurationSink
@@ -356,11 +356,11 @@
         self._kernel.register(self._peers)
         self._kernel.register(self._news, StoreNews)
         self._kernel.register(self._quarantine, SuspicionNews, PartNews)
-        self._kernel.register(self._quotas, *quota_messages.PEER_MESSAGES)
-        self._kernel.register(self._limits, *limit_messages.PEER_MESSAGES)
+        self._kernel.register(self._quotas, PeerReached, *quota_messages.PEER_MESSAGES)
+        self._kernel.register(self._limits, PeerReached, *limit_messages.PEER_MESSAGES)
         self._kernel.register(self._origins, *origin_messages.PEER_MESSAGES)
         self._kernel.register(planner, *planning_messages.PLANNER_MESSAGES)
-        self._kernel.register(self._memory, *planning_messages.ENTRY_MESSAGES)
+        self._kernel.register(self._memory, PeerReached, *planning_messages.ENTRY_MESSAGES)
 
     @property
     def metrics_address(self) -> str:
--- a/saffronworks/tests/features/peers.feature
+++ b/saffronworks/tests/features/peers.feature
@@ -36,3 +36,8 @@
 
   Scenario: a peer that returns and sends a message first
     Then the next message to its machine needs no pause
+
+  # Guards against a holder of shares or a planner that returns and is passed over for up to 16 s.
+  Scenario: a peer that did not answer, and was unreachable, returns
+    Given a node that has avoided an unreachable peer for seconds, and sends nothing to it any more
+    Then 2.4 s after its return no service of the node avoids the peer
--- a/saffronworks/tests/features/steps/peers_steps.py
+++ b/saffronworks/tests/features/steps/peers_steps.py
@@ -3,16 +3,29 @@
 import itertools
 import random
 import socket
+from unittest.mock import Mock
 
 import anyio
 from behave import given, then, when
 
 from saffronworks.clocks import monotonic_ms
 from saffronworks.dial_backoff import FIRST_PAUSE_MS, DialBackoff
+from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.planning import messages
+from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.planning.messages import MemoryQueued
+from saffronworks.forwarding.quotas.service import Quotas
+from saffronworks.forwarding.shares.limits import Tolerance
+from saffronworks.forwarding.tuning import STARTUP_MS
 from saffronworks.kernel import Kernel
-from saffronworks.peers import CONNECT_MS, CONNECTING_MESSAGES, IDLE_MS, Outgoing, PeerService
+from saffronworks.peers import (
+    CONNECT_MS,
+    CONNECTING_MESSAGES,
+    IDLE_MS,
+    Outgoing,
+    PeerReached,
+    PeerService,
+)
 from saffronworks.standins.addresses import free_address
 from saffronworks.web import bind
 from saffronworks.wire import Codec
@@ -189,6 +202,39 @@
     assert backoff.may_dial("10.0.0.1:5", 0) and not backoff.may_dial("10.0.0.2:5", 0)
 
 
+@given("a node that has avoided an unreachable peer for seconds, and sends nothing to it any more")
+def avoided(context):
+    async def main():
+        one, address = Peer(monotonic_ms), free_address()
+        services = [
+            MemoryClient("n", -STARTUP_MS),
+            EndpointLimits("n", 1, random.Random(1), lambda: -STARTUP_MS),
+            Quotas("n", Tolerance(1000, 0.0, 0.0), 1, lambda: None, lambda: -STARTUP_MS),
+        ]
+        choices = [services[0].choice, *(one.shared_limit.entry.choice for one in services[1:])]
+        for service in services:
+            one.kernel.register(service, PeerReached)
+        async with anyio.create_task_group() as tasks:
+            one.kernel.start(tasks)
+            one.send(Mock(service=Mock(address=address)), "lost")
+            await anyio.sleep(2.5)
+            for choice in choices:
+                # Doubled with each failure in a row.
+                for after_ms in (-20_000, -15_000, -10_000, 0):
+                    choice.avoid(address, monotonic_ms() + after_ms)
+            Peer(monotonic_ms, address).kernel.start(tasks)
+            await anyio.sleep(2.4)
+            context.avoided = [choice.is_avoided(address, monotonic_ms()) for choice in choices]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("2.4 s after its return no service of the node avoids the peer")
+def not_avoided(context):
+    assert context.avoided == [False] * 3, context.avoided
+
+
 @given("two nodes of which one reports more tokens than an integer of a message holds")
 def two_nodes(context):
     tokens = int("9" * 18) * 63
