--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -137,10 +137,13 @@
             async with anyio.create_task_group() as tasks:
                 self._scope = tasks.cancel_scope
                 self.kernel.start(tasks)
-                tasks.start_soon(self._operators.run)
-                tasks.start_soon(self._callers.run)
-                await self._stopping.wait()
-                await self._drain()
+                async with anyio.create_task_group() as serving:
+                    serving.start_soon(self._operators.run)
+                    serving.start_soon(self._callers.run)
+                    await self._stopping.wait()
+                    await self._drain()
+                    self._callers.stop()
+                    self._operators.stop()
                 tasks.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -46,6 +46,12 @@
     When the server stops as new connections wait, each with a request
     Then each request is answered
 
+  # Guards against resets by a node of an own deployment that ends its planned stop.
+  Scenario: a node of an own deployment serves what its callers have sent as it stops
+    When a caller of a node that stops has sent half a head, and completes it after the drain
+    Then each request is answered
+    And its answer announces that the connection is closed
+
   # Guards against closing a connection whose answer, begun before the stop, said nothing of it.
   Scenario: a request after an answer that began before the stop is served
     When the server stops after the head of an answer, and the caller reuses its connection
