--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -1,5 +1,6 @@
 """Callers' requests and answers on the platform: decodes headers and encodes answers."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -86,6 +87,12 @@
     )
 
 
+def _body_timeout_ms(call: Call) -> int:
+    """Return how long a request's body may take: no longer than its caller waits."""
+    left_ms = _read(call, "deadline-ms", read_decimal, [])
+    return DEFAULT_DEADLINE_MS if left_ms is None else left_ms
+
+
 def _forwarded_headers(call: Call) -> list[tuple[str, str]]:
     hop_by_hop = {part.strip().lower() for part in call.headers.get("connection", "").split(",")}
     dropped = _CONNECTION_FIELDS | _ROUTER_FIELDS | hop_by_hop
@@ -234,7 +241,12 @@
         body = b""
         try:
             with self._forwarder.until_ended() as scope:
-                body = await call.body(self._max_body_bytes())
+                async with asyncio.timeout(_body_timeout_ms(call) / 1000):
+                    body = await call.body(self._max_body_bytes())
+        except TimeoutError:
+            logger.info("event=bad_request reason=body-timeout")
+            await reply.refuse(408, "body-timeout")
+            return
         except BadBody as error:
             logger.info("event=bad_request reason=%r", str(error))
             await reply.refuse(413, str(error))
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -75,6 +75,11 @@
       | half a head and then byte by byte   | 408    | 1500   |
       | an end after a request that is slow | 431    | 2000   |
 
+  # Guards against connections held for good by a caller that sends a part of a body and stops.
+  Scenario: a body that stops is refused at its caller's deadline
+    When a caller sends half a body to a node, with a deadline of 300 ms
+    Then it gets status 408 once, and the rest of the body changes nothing
+
   Scenario: a head of the largest size, in many parts, is served
     When a caller sends a head of the largest size byte by byte
     Then each request is answered
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -21,6 +21,7 @@
 from saffronworks.web import Call, HttpServer, bind, parse_address
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n"
 SHORT_IDLE_S = 0.3
 LONG_IDLE_S = 3.0
 # A rest within the long timeout and beyond the short one.
@@ -75,9 +76,9 @@
 
 
 async def receive_answer(caller: socket.socket) -> bytes:
-    """Return one answer whose body is `{}`."""
+    """Return one answer whose body is an object."""
     received = b""
-    while not received.endswith(b"{}"):
+    while not received.endswith(b"}"):
         data = await anyio.to_thread.run_sync(caller.recv, 4096)
         assert data, received
         received += data
@@ -166,11 +167,10 @@
 
 @when("the server stops as a caller has sent {part}")
 def step_stop_amid_request(context, part):
-    post = REQUEST.replace(b"GET", b"POST").replace(b"\r\n\r\n", b"\r\ncontent-length: 4\r\n\r\n")
     before, after = {
         "a request on a kept connection": (b"", REQUEST),
         "half a head": (REQUEST[:20], REQUEST[20:]),
-        "half a body": (post + b"ab", b"cd"),
+        "half a body": (POST + b"ab", b"cd"),
     }[part]
 
     async def handle(call: Call) -> None:
@@ -399,3 +399,24 @@
 def step_unread_logged(context):
     (line,) = context.lines
     assert f"event=connection_closed reason=answer unread_bytes={len(REQUEST)} " in line, line
+
+
+@when("a caller sends half a body to a node, with a deadline of 300 ms")
+def step_half_a_body(context):
+    async def play(place):
+        address = parse_address(place.node.settings.caller_address)
+        caller = socket.create_connection(address, ANSWER_TIMEOUT_S)
+        caller.sendall(POST.replace(b"host", b"deadline-ms: 300\r\nhost") + b"ab")
+        context.refused = await receive_answer(caller)
+        caller.sendall(b"cd" + REQUEST)
+        context.next = await receive_answer(caller)
+        caller.close()
+
+    on_platform([], play)
+
+
+@then("it gets status 408 once, and the rest of the body changes nothing")
+def step_body_refused(context):
+    assert context.refused.startswith(b"HTTP/1.1 408"), context.refused
+    # The next request is read as one, and lacks its id.
+    assert context.next.startswith(b"HTTP/1.1 400"), context.next
