--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -3,17 +3,15 @@
 import asyncio
 import socket
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import suppress
+from functools import partial
 
 import anyio
 import attrs
-from anyio.abc import SocketStream
 from behave import given, then, when
 
 from saffronworks.forwarding.routing import CallerLimits
 from saffronworks.http_connections import LookAgain, decide_close
-from saffronworks.nodes import Node
 from saffronworks.standins.sites import SiteShape
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, on_platform
@@ -36,92 +34,76 @@
     await call.reply(200, {})
 
 
-@asynccontextmanager
-async def serving(handler=reply, **options) -> AsyncIterator[HttpServer]:
-    """Yield a server that runs."""
-    server = HttpServer(bind("127.0.0.1:0"), handler, **options)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.run)
-        yield server
-        server.stop()
-
-
-async def connect(server: HttpServer) -> SocketStream:
-    """Open a caller's connection."""
-    return await anyio.connect_tcp(*parse_address(server.address))
-
-
-async def receive(stream: SocketStream) -> bytes:
-    """Return what the server sends next; empty if it closed the connection."""
-    try:
-        with anyio.fail_after(ANSWER_TIMEOUT_S):
-            return await stream.receive()
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
-        return b""
-
+def on_server(play, handler=reply, **options):
+    """Run `play(server)` beside a server; returns its result."""
 
-async def ask(stream: SocketStream) -> bytes:
-    """Send one request and return its answer; empty without one."""
-    try:
-        await stream.send(REQUEST)
-    except anyio.BrokenResourceError:
-        return b""
-    return await receive(stream)
+    async def main():
+        server = HttpServer(bind("127.0.0.1:0"), handler, **options)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            result = await play(server)
+            server.stop()
+        return result
 
+    return anyio.run(main)
 
-def connect_now(server: HttpServer | Node) -> socket.socket:
-    """Open a caller's connection before the server's event loop takes its next turn."""
-    address = server.caller_address if isinstance(server, Node) else server.address
-    return socket.create_connection(parse_address(address), ANSWER_TIMEOUT_S)
 
+class Caller:
+    """A caller's connection; connecting and sending take no turn of the event loop."""
 
-async def receive_answer(caller: socket.socket) -> bytes:
-    """Return one answer whose body is an object."""
-    received = b""
-    while not received.endswith(b"}"):
-        data = await anyio.to_thread.run_sync(caller.recv, 4096)
-        assert data, received
-        received += data
-    return received
+    def __init__(self, address, data=REQUEST):
+        self.socket = socket.create_connection(parse_address(address), ANSWER_TIMEOUT_S)
+        self.send(data)
 
+    def send(self, data=REQUEST):
+        self.socket.sendall(data)
 
-async def receive_all(caller: socket.socket) -> bytes:
-    """Return what the server sends until it closes the connection, or what failed."""
-    received = b""
-    try:
-        while data := await anyio.to_thread.run_sync(caller.recv, 65_536):
+    async def receive(self):
+        """Return one answer whose body is an object."""
+        received = b""
+        while not received.endswith(b"}"):
+            data = await anyio.to_thread.run_sync(self.socket.recv, 4096)
+            assert data, received
             received += data
-    except OSError as error:
-        received += repr(error).encode()
-    caller.close()
-    return received
+        return received
+
+    async def receive_all(self):
+        """Return what the server sends until it closes the connection, or what failed."""
+        received = b""
+        try:
+            while data := await anyio.to_thread.run_sync(self.socket.recv, 65_536):
+                received += data
+        except OSError as error:
+            received += repr(error).encode()
+        self.socket.close()
+        return received
 
 
 @when("the idle timeout is raised while a connection rests, and during a request")
 def step_raise_idle_timeout(context):
-    async def play() -> list[bytes]:
-        asked, answering = anyio.Event(), anyio.Event()
+    asked, answering = anyio.Event(), anyio.Event()
 
-        async def handle(call: Call) -> None:
-            asked.set()
-            await answering.wait()
-            await reply(call)
+    async def handle(call):
+        asked.set()
+        await answering.wait()
+        await reply(call)
 
-        async with serving(handle, idle_s=SHORT_IDLE_S) as server:
-            during = await connect(server)
-            await during.send(REQUEST)
-            await asked.wait()
-            server.set_keep_alive(LONG_IDLE_S)
-            answering.set()
-            await receive(during)
-            server.set_keep_alive(SHORT_IDLE_S)
-            resting = await connect(server)
-            await ask(resting)
-            server.set_keep_alive(LONG_IDLE_S)
-            await anyio.sleep(REST_S)
-            return [await ask(during), await ask(resting)]
+    async def play(server):
+        during = Caller(server.address)
+        await asked.wait()
+        server.set_keep_alive(LONG_IDLE_S)
+        answering.set()
+        await during.receive()
+        server.set_keep_alive(SHORT_IDLE_S)
+        resting = Caller(server.address)
+        await resting.receive()
+        server.set_keep_alive(LONG_IDLE_S)
+        await anyio.sleep(REST_S)
+        for caller in (during, resting):
+            caller.send()
+        return [await caller.receive() for caller in (during, resting)]
 
-    context.answers = anyio.run(play)
+    context.answers = on_server(play, handle, idle_s=SHORT_IDLE_S)
 
 
 @then("a request after a rest within the raised timeout is answered on both")
@@ -151,18 +133,16 @@
 
 @when("the idle timer fires in the turn of the event loop in which a request arrives")
 def step_request_as_timer_fires(context):
-    async def play() -> list[bytes]:
-        async with serving(idle_s=SHORT_IDLE_S) as server:
-            caller = connect_now(server)
-            caller.sendall(REQUEST)
-            await receive_answer(caller)
-            loop = asyncio.get_running_loop()
-            # A long turn, after which the request is sent and the timer fires in one.
-            loop.call_later(SHORT_IDLE_S / 2, time.sleep, SHORT_IDLE_S)
-            loop.call_later(SHORT_IDLE_S * 0.75, caller.sendall, REQUEST)
-            return [await receive_all(caller)]
+    async def play(server):
+        caller = Caller(server.address)
+        await caller.receive()
+        loop = asyncio.get_running_loop()
+        # A long turn, after which the request is sent and the timer fires in one.
+        loop.call_later(SHORT_IDLE_S / 2, time.sleep, SHORT_IDLE_S)
+        loop.call_later(SHORT_IDLE_S * 0.75, caller.send)
+        return [await caller.receive_all()]
 
-    context.answers = anyio.run(play)
+    context.answers = on_server(play, idle_s=SHORT_IDLE_S)
 
 
 @when("the server stops as a caller has sent {part}")
@@ -173,83 +153,75 @@
         "half a body": (POST + b"ab", b"cd"),
     }[part]
 
-    async def handle(call: Call) -> None:
+    async def handle(call):
         await call.body(100)
         await reply(call)
 
-    async def play() -> list[bytes]:
-        async with serving(handle) as server:
-            caller = connect_now(server)
-            caller.sendall(REQUEST)
-            await receive_answer(caller)
-            await anyio.sleep(REST_S)
-            caller.sendall(before)
-            await anyio.sleep(0.1)
-            server.stop()
-            caller.sendall(after)
-            return [await receive_all(caller)]
+    async def play(server):
+        caller = Caller(server.address)
+        await caller.receive()
+        await anyio.sleep(REST_S)
+        caller.send(before)
+        await anyio.sleep(0.1)
+        server.stop()
+        caller.send(after)
+        return [await caller.receive_all()]
 
-    context.answers = anyio.run(play)
+    context.answers = on_server(play, handle)
 
 
 @when("the server stops as new connections wait, each with a request")
 def step_stop_with_backlog(context):
-    async def play(turns: int) -> bytes:
-        async with serving() as server:
-            await anyio.sleep(0.1)
-            caller = connect_now(server)
-            caller.sendall(REQUEST)
-            for _ in range(turns):
-                await asyncio.sleep(0)
-            server.stop()
-            return await receive_all(caller)
+    async def play(turns, server):
+        await anyio.sleep(0.1)
+        caller = Caller(server.address)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        server.stop()
+        return await caller.receive_all()
 
     # In each of these turns the event loop has got further in accepting the connection.
-    context.answers = [anyio.run(play, turns) for turns in range(5)]
+    context.answers = [on_server(partial(play, turns)) for turns in range(5)]
 
 
 @when("a caller of a node that stops has sent half a head, and completes it after the drain")
 def step_stop_own_node(context):
     async def play(site, _tasks):
-        node = site.nodes[0]
-        caller = connect_now(node)
-        caller.sendall(b"GET /v1/models HTTP/1.1\r\n")
+        caller = Caller(site.nodes[0].caller_address, b"GET /v1/models HTTP/1.1\r\n")
         await anyio.sleep(0.1)
-        node.stop()
+        site.nodes[0].stop()
         await anyio.sleep(OWN_DRAIN_S)
-        caller.sendall(b"host: x\r\n\r\n")
-        context.answers = [await receive_all(caller)]
+        caller.send(b"host: x\r\n\r\n")
+        context.answers = [await caller.receive_all()]
 
     on_site(context, SiteShape(), play)
 
 
 @when("the server stops after the head of an answer, and the caller reuses its connection")
 def step_reuse_after_stop(context):
-    async def play() -> list[bytes]:
-        begun, stopped = anyio.Event(), anyio.Event()
-
-        async def handle(call: Call) -> None:
-            if not begun.is_set():
-                await call.start(200, {"content-length": "2"})
-                begun.set()
-                await stopped.wait()
-                await call.write(b"{}", more=False)
-            else:
-                await reply(call)
-
-        async with serving(handle) as server:
-            caller = connect_now(server)
-            caller.sendall(REQUEST)
-            await begun.wait()
-            server.stop()
-            await anyio.sleep(0.05)
-            stopped.set()
-            first = await receive_answer(caller)
-            assert b"connection: close" not in first, first
-            caller.sendall(REQUEST)
-            return [await receive_all(caller)]
+    begun, stopped = anyio.Event(), anyio.Event()
 
-    context.answers = anyio.run(play)
+    async def handle(call):
+        if begun.is_set():
+            await reply(call)
+            return
+        await call.start(200, {"content-length": "2"})
+        begun.set()
+        await stopped.wait()
+        await call.write(b"{}", more=False)
+
+    async def play(server):
+        caller = Caller(server.address)
+        await begun.wait()
+        server.stop()
+        await anyio.sleep(0.05)
+        stopped.set()
+        first = await caller.receive()
+        assert b"connection: close" not in first, first
+        caller.send()
+        return [await caller.receive_all()]
+
+    context.answers = on_server(play, handle)
 
 
 @then("each request is answered")
@@ -283,35 +255,30 @@
     first, more = ENDLESS_HEADS[head]
     answered = head.startswith("an end after")
 
-    async def handle(call: Call) -> None:
+    async def handle(call):
         if answered and call.headers.get("host") == "x":
             await anyio.sleep(REST_S / 2)
         await reply(call)
 
-    async def send(caller: socket.socket) -> None:
-        while more:
-            try:
-                await anyio.to_thread.run_sync(caller.sendall, more)
-            except OSError:
-                return
-            await anyio.sleep(0.02)
-
-    async def play() -> None:
-        async with serving(handle, echoed_field="request-id") as server:
-            server.set_header_limits(HEADER_BYTES, HEADER_TIMEOUT_MS)
-            caller = connect_now(server)
-            began_s = time.monotonic()
-            caller.sendall(first)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(send, caller)
-                context.other = await ask(await connect(server))
-                context.refused = await receive_all(caller)
-            context.elapsed_ms = 1000 * (time.monotonic() - began_s)
-            if answered:
-                whole, _, context.refused = context.refused.partition(b"{}")
-                assert whole.startswith(b"HTTP/1.1 200"), whole
-
-    anyio.run(play)
+    async def send(caller):
+        with suppress(OSError):
+            while more:
+                await anyio.to_thread.run_sync(caller.send, more)
+                await anyio.sleep(0.02)
+
+    async def play(server):
+        server.set_header_limits(HEADER_BYTES, HEADER_TIMEOUT_MS)
+        caller, began_s = Caller(server.address, first), time.monotonic()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send, caller)
+            context.other = await Caller(server.address).receive()
+            context.refused = await caller.receive_all()
+        context.elapsed_ms = 1000 * (time.monotonic() - began_s)
+
+    on_server(play, handle, echoed_field="request-id")
+    if answered:
+        whole, _, context.refused = context.refused.partition(b"{}")
+        assert whole.startswith(b"HTTP/1.1 200"), whole
 
 
 @then("it gets status {status} once, and its connection is closed within {within:d} ms")
@@ -333,16 +300,15 @@
     fields = b"host: x\r\nconnection: close\r\nx: "
     head = b"GET / HTTP/1.1\r\n" + fields + b"x" * (HEADER_BYTES - len(fields) - 2)
 
-    async def play() -> list[bytes]:
-        async with serving() as server:
-            server.set_header_limits(HEADER_BYTES, 1000 * ANSWER_TIMEOUT_S)
-            caller = connect_now(server)
-            for byte in head + b"\r\n\r\n":
-                caller.send(bytes([byte]))
-                await asyncio.sleep(0)
-            return [await receive_all(caller)]
+    async def play(server):
+        server.set_header_limits(HEADER_BYTES, 1000 * ANSWER_TIMEOUT_S)
+        caller = Caller(server.address, b"")
+        for byte in head + b"\r\n\r\n":
+            caller.send(bytes([byte]))
+            await asyncio.sleep(0)
+        return [await caller.receive_all()]
 
-    context.answers = anyio.run(play)
+    context.answers = on_server(play)
 
 
 @when("a node with a configuration is given an older one with other limits")
@@ -366,28 +332,26 @@
 
 @when("connections are closed after a rest, by their callers, and with a request unread")
 def step_close_connections(context):
-    async def play():
-        callers = []
-
-        async def handle(call: Call) -> None:
-            closing = len(callers) > 2
-            await call.reply(200, {}, {"connection": "close"} if closing else {})
-            if closing:
-                callers[-1].sendall(REQUEST)
-
-        async with serving(handle, idle_s=SHORT_IDLE_S) as server:
-            for _ in range(4):
-                callers.append(connect_now(server))
-                callers[-1].sendall(REQUEST)
-                await receive_answer(callers[-1])
-                if len(callers) == 1:
-                    await receive_all(callers[-1])
-                callers[-1].close()
-                await anyio.sleep(0.05)
-            context.closed = dict(server.closed_connections)
+    callers = []
+
+    async def handle(call):
+        closing = len(callers) > 2
+        await call.reply(200, {}, {"connection": "close"} if closing else {})
+        if closing:
+            callers[-1].send()
+
+    async def play(server):
+        for _ in range(4):
+            callers.append(Caller(server.address))
+            await callers[-1].receive()
+            if len(callers) == 1:
+                await callers[0].receive_all()
+            callers[-1].socket.close()
+            await anyio.sleep(0.05)
+        context.closed = dict(server.closed_connections)
 
     with LogLines("saffronworks.http_connections") as context.lines:
-        anyio.run(play)
+        on_server(play, handle, idle_s=SHORT_IDLE_S)
 
 
 @then("the server counts 1 idle, 1 caller and 2 answer")
@@ -404,13 +368,12 @@
 @when("a caller sends half a body to a node, with a deadline of 300 ms")
 def step_half_a_body(context):
     async def play(place):
-        address = parse_address(place.node.settings.caller_address)
-        caller = socket.create_connection(address, ANSWER_TIMEOUT_S)
-        caller.sendall(POST.replace(b"host", b"deadline-ms: 300\r\nhost") + b"ab")
-        context.refused = await receive_answer(caller)
-        caller.sendall(b"cd" + REQUEST)
-        context.next = await receive_answer(caller)
-        caller.close()
+        half = POST.replace(b"host", b"deadline-ms: 300\r\nhost") + b"ab"
+        caller = Caller(place.callers, half)
+        context.refused = await caller.receive()
+        caller.send(b"cd" + REQUEST)
+        context.next = await caller.receive()
+        caller.socket.close()
 
     on_platform([], play)
 
