--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -81,6 +81,7 @@
     STOP = "stop"
     HEADER_TIMEOUT = "header_timeout"
     HEADER_TOO_LARGE = "header_too_large"
+    TRAILER_TOO_LARGE = "trailer_too_large"
     # After an answer with `connection: close`.
     ANSWER = "answer"
     # In the middle of a request or of its answer.
@@ -157,6 +158,10 @@
         self._message_ended = False
         self._head_bytes = 0
         self._head_too_large = False
+        # Bytes of chunk extensions and trailers since the last part of a body.
+        self._framing_bytes = 0
+        # Whether the last part that was read ended a head or held a part of a body.
+        self._progressed = False
         # The next request is the last one.
         self._closing = False
         # A request was refused, and the rest of it is discarded.
@@ -189,13 +194,14 @@
         if self._head_too_large or self._lingering:
             self._discard(data)
             return
-        self._message_ended = False
+        self._message_ended = self._progressed = False
         super().data_received(data)
         if self._in_head:
             self._count_head_bytes(data)
         elif self._in_message:
             # A caller that sends a body doesn't rest, even if its answer is complete.
             self._begin_wait()
+            self._count_framing_bytes(data)
         self._watch()
 
     def on_message_begin(self) -> None:
@@ -206,9 +212,15 @@
             self._begin_wait()
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a field of a head; those of trailers are ignored."""
+        if self._in_head:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Start the request, or queue it."""
         self._in_head = False
+        self._progressed = True
         if max(count_field_bytes(self.headers), len(self.url)) > self._policy.header_bytes:
             self._head_too_large = True
             return
@@ -218,6 +230,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of a request's body."""
+        self._progressed = True
         if not self._head_too_large:
             super().on_body(body)
 
@@ -311,6 +324,14 @@
         rest_bytes = self._head_bytes - len(self.url) - REQUEST_LINE_BYTES
         self._head_too_large = max(rest_bytes, len(self.url)) > max_bytes
 
+    def _count_framing_bytes(self, data: bytes) -> None:
+        """Abort the connection if a chunk extension or the trailers of a request don't end."""
+        self._framing_bytes = 0 if self._progressed else self._framing_bytes + len(data)
+        if self._framing_bytes > self._policy.header_bytes:
+            logger.info("event=bad_request reason=trailer-too-large bytes=%d", self._framing_bytes)
+            self._close_reason = CloseReason.TRAILER_TOO_LARGE
+            self.transport.abort()
+
     def _refuse(self, status: int, close_reason: CloseReason) -> None:
         """Answer a request whose head can't be accepted, and close the connection."""
         self._close_reason = close_reason
--- a/saffronworks/tests/features/caller_connections.feature
+++ b/saffronworks/tests/features/caller_connections.feature
@@ -75,6 +75,21 @@
       | half a head and then byte by byte   | 408    | 1500   |
       | an end after a request that is slow | 431    | 2000   |
 
+  # Guards against trailers and chunk extensions without an end, which took memory for good.
+  Scenario Outline: the framing of a body has an end
+    When a caller sends a chunked body and then <framing> without an end
+    Then its connection is aborted before a megabyte is taken
+
+    Examples:
+      | framing           |
+      | a trailer         |
+      | trailers          |
+      | a chunk extension |
+
+  Scenario: chunks whose framing arrives apart from their bytes are served
+    When a caller sends a head of the largest size, and a body in chunks byte by byte between them
+    Then each request is answered
+
   # Guards against connections held for good by a caller that sends a part of a body and stops.
   Scenario: a body that stops is refused at its caller's deadline
     When a caller sends half a body to a node, with a deadline of 300 ms
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -383,3 +383,56 @@
     assert context.refused.startswith(b"HTTP/1.1 408"), context.refused
     # The next request is read as one, and lacks its id.
     assert context.next.startswith(b"HTTP/1.1 400"), context.next
+
+
+@when("a caller sends a chunked body and then {framing} without an end")
+def step_endless_framing(context, framing):
+    first, more = {
+        "a trailer": (b"0\r\nx: ", b"x" * 500),
+        "trailers": (b"0\r\n", b"x: x\r\n" * 100),
+        "a chunk extension": (b"1;x=", b"x" * 500),
+    }[framing]
+    start = POST.replace(b"content-length: 4", b"transfer-encoding: chunked") + b"4\r\nabcd\r\n"
+
+    async def handle(call):
+        await call.body(100)
+        await reply(call)
+
+    async def play(server):
+        caller = Caller(server.address, start + first)
+        for context.parts in range(1_000_000 // len(more)):
+            try:
+                caller.send(more)
+            except OSError:
+                return
+            await anyio.sleep(0.001)
+
+    on_server(play, handle)
+    context.sent_bytes = context.parts * len(more)
+
+
+@then("its connection is aborted before a megabyte is taken")
+def step_aborted(context):
+    assert context.sent_bytes < 900_000, context.sent_bytes
+
+
+@when("a caller sends a head of the largest size, and a body in chunks byte by byte between them")
+def step_split_framing(context):
+    fields = b"host: x\r\nconnection: close\r\ntransfer-encoding: chunked\r\nx: "
+    head = b"POST / HTTP/1.1\r\n" + fields + b"x" * (HEADER_BYTES - len(fields) - 2)
+    chunk = b"x" * 3000
+
+    async def handle(call):
+        assert await call.body(10_000) == 2 * chunk
+        await reply(call)
+
+    async def play(server):
+        server.set_header_limits(HEADER_BYTES, HEADER_TIMEOUT_MS)
+        caller = Caller(server.address, b"")
+        framing = (b"\r\n", b"b", b"b", b"8", b"\r", b"\n")
+        for part in (head + b"\r\n", *framing, chunk, *framing, chunk, b"\r\n0\r\n", b"\r\n"):
+            caller.send(part)
+            await anyio.sleep(0.005)
+        return [await caller.receive_all()]
+
+    context.answers = on_server(play, handle)
