--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -11,6 +11,7 @@
 
 from saffronworks.messages import RequestKey
 from saffronworks.owner.ledgers import CacheEvents, LoadReport
+from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = [
     "Decode",
@@ -65,9 +66,9 @@
     """A KV result that stands ready for `expires_in_ms`."""
 
     kv_id: str
-    prefill_ms: int
-    cached_tokens: int
-    expires_in_ms: int
+    prefill_ms: Whole
+    cached_tokens: Whole
+    expires_in_ms: Whole
 
 
 @attrs.frozen
@@ -111,11 +112,11 @@
     """One line of a decode stream; which fields are set tells what it says."""
 
     imported: bool = False
-    transfer_ms: int = 0
-    offset: int = 0
+    transfer_ms: Whole = 0
+    offset: Whole = 0
     tokens: tuple[str, ...] = ()
     done: bool = False
-    total: int | None = None
+    total: Whole | None = None
     cancelled: bool = False
 
 
@@ -124,7 +125,7 @@
     """One live stream as the engine lists it."""
 
     request_id: str
-    attempt: int
+    attempt: Whole
     holder: str
 
 
@@ -212,7 +213,7 @@
             return Err(EngineFailure("connect", executed=False))
         except _BROKEN as error:
             return Err(EngineFailure(type(error).__name__, executed=True))
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return Err(EngineFailure("bad reply", executed=True))
 
     @asynccontextmanager
@@ -250,7 +251,7 @@
 def _read_refusal(status: int, content: bytes) -> EngineFailure:
     try:
         body = msgspec.json.decode(content, type=_RefusalBody)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return EngineFailure(f"status {status}", executed=True, status=status)
     executed = body.executed or not body.refused
     return EngineFailure(body.refused or f"status {status}", executed, status)
--- a/saffronworks/forwarding/quarantine/records.py
+++ b/saffronworks/forwarding/quarantine/records.py
@@ -12,6 +12,7 @@
 from saffronworks.forwarding.quarantine.messages import PartEnd, PartSuspicion, Suspicion
 from saffronworks.forwarding.quarantine.tuning import SIMULTANEOUS_ENDS_MS
 from saffronworks.forwarding.starts import StartId
+from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["QUARANTINE_KIND", "QuarantineRecords"]
 
@@ -29,7 +30,7 @@
 class _PartSpec:
     """What the record of a part has beside the endpoint starts."""
 
-    depth: int
+    depth: Whole
     contents: tuple[tuple[str, ...], ...]
 
 
@@ -93,7 +94,7 @@
     """Decode a record; an unreadable record of another writer is logged and ignored."""
     try:
         spec = msgspec.json.decode(item.content or b"", type=_Spec)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         logger.error("event=quarantine_unreadable record=%s problem=%r", item.name, str(error))
         return None
     if spec.part is not None:
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -22,6 +22,7 @@
 from saffronworks.ends import EndRecorder
 from saffronworks.engines import EngineClient
 from saffronworks.entries import EntryService
+from saffronworks.field_numbers import read_count
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.plain import PlainProxy
@@ -190,13 +191,13 @@
     ) -> RequestRunner:
         entry = self._entry()
         model, cells = entry.routes.models[request.model]
-        priority = call.headers.get("x-priority", "")
+        priority = read_count(call.headers.get("x-priority", "")).unwrap_or(model.priority)
         job = Job(
             prompt=request.prompt,
             prefix_key=request.prefix_key,
             prefix_tokens=request.prefix_tokens,
             organisation=_read_organisation(call),
-            priority=min(int(priority), model.priority) if priority.isdigit() else model.priority,
+            priority=min(priority, model.priority),
             model=model,
             cell=choose_cell(cells, entry.outstanding, self._rng),
         )
--- a/saffronworks/members.py
+++ b/saffronworks/members.py
@@ -24,6 +24,7 @@
 from saffronworks.peers import CloseTo, Outgoing
 from saffronworks.settings import Settings
 from saffronworks.stores import CONFIG_PREFIX
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["VMS_KEY", "MemberService", "read_vms"]
 
@@ -165,6 +166,6 @@
     """The entry VMs in the platform's list; empty when the value is none."""
     try:
         rows = msgspec.json.decode(content, type=list[VmRecord])
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return ()
     return tuple(rows)
--- a/saffronworks/operators.py
+++ b/saffronworks/operators.py
@@ -23,6 +23,7 @@
 from saffronworks.stores import Moved, StoreClient
 from saffronworks.surveys import SurveyService
 from saffronworks.web import BadBody, Call
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["OperatorInterface"]
 
@@ -165,7 +166,8 @@
         relays: RelayService = self._kernel.find("relays")
         rows = []
         for document in relays.find(BUNDLE_PREFIX):
-            record = signoffs.read_record(document.content)
+            read = signoffs.read_record(document.content)
+            record = read.unwrap_or(SignOffRecord("", "", "unknown"))
             since_ms = self._kernel.now_ms() - relays.in_force_ms[document.key]
             rows.append(
                 {
@@ -182,7 +184,7 @@
     async def _sign_off(self, call: Call) -> None:
         try:
             body = msgspec.json.decode(await call.body(MOST_BUNDLE_BYTES), type=SignOffBody)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise BadBody(str(error)) from error
         checked = read_bundle(body.text, body.name)
         if isinstance(checked, Err):
@@ -235,7 +237,7 @@
         document = reply.ok_value
         if document is None:
             return signoffs.ReadDone(0, None)
-        return signoffs.ReadDone(document.version, signoffs.read_record(document.content))
+        return signoffs.ReadDone(document.version, signoffs.read_record(document.content).ok())
 
     async def _put(self, key: str, record: SignOffRecord, expected: int) -> signoffs.Event:
         reply = await self._store.put(key, signoffs.write_record(record), expected)
--- a/saffronworks/owner/ledgers.py
+++ b/saffronworks/owner/ledgers.py
@@ -8,6 +8,7 @@
 from saffronworks.bundles import Endpoint, Role
 from saffronworks.messages import RequestKey
 from saffronworks.owner.predictors import Average, PrefixView
+from saffronworks.wire import Whole
 
 __all__ = ["CacheEvents", "EndpointLedger", "Held", "LoadReport", "Stage"]
 
@@ -53,8 +54,8 @@
 class LoadReport:
     """A report of an endpoint: the decodes that ran `age_ms` ago, and its current role, if any."""
 
-    running: int
-    age_ms: int
+    running: Whole
+    age_ms: Whole
     role: str = ""
 
 
@@ -62,7 +63,7 @@
 class CacheEvents:
     """Prefixes that an endpoint evicted up to `position`; with `gap`, the list is incomplete."""
 
-    position: int
+    position: Whole
     evicted: tuple[str, ...] = ()
     gap: bool = False
 
--- a/saffronworks/owner/owners.py
+++ b/saffronworks/owner/owners.py
@@ -51,7 +51,10 @@
     """Returns the cells of a bundle document, or an empty list when it cannot be read."""
     document = change.document
     record = read_record(document.content)
-    bundle = read_bundle(record.text, document.key, document.version)
+    if isinstance(record, Err):
+        logger.error("event=bad_bundle key=%s problem=%r", document.key, record.err_value)
+        return []
+    bundle = read_bundle(record.ok_value.text, document.key, document.version)
     if isinstance(bundle, Err):
         logger.error("event=bad_bundle key=%s findings=%d", document.key, len(bundle.err_value))
         return []
--- a/saffronworks/routes.py
+++ b/saffronworks/routes.py
@@ -32,7 +32,9 @@
     def take(self, document: Document) -> bool:
         """Put a bundle document in force; False when it cannot be read."""
         record = read_record(document.content)
-        read = read_bundle(record.text, document.key, document.version)
+        if isinstance(record, Err):
+            return False
+        read = read_bundle(record.ok_value.text, document.key, document.version)
         if isinstance(read, Err):
             return False
         self.bundles[document.key] = read.ok_value
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -6,7 +6,6 @@
 import anyio
 import attrs
 import httpcore
-import msgspec
 from anyio.abc import TaskGroup
 from result import Err
 
@@ -20,6 +19,7 @@
 from saffronworks.ownership import Cell
 from saffronworks.request_events import Phase
 from saffronworks.requests import Request
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["Job", "OwnerClient", "RequestRunner", "Sink"]
 
@@ -32,7 +32,7 @@
     httpcore.TimeoutException,
     httpcore.ProtocolError,
     OSError,
-    msgspec.MsgspecError,
+    *DECODE_ERRORS,
 )
 
 
--- a/saffronworks/signoffs.py
+++ b/saffronworks/signoffs.py
@@ -5,6 +5,9 @@
 
 import attrs
 import msgspec
+from result import Err, Ok, Result
+
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = [
     "Accepted",
@@ -45,9 +48,12 @@
     return msgspec.json.encode(record).decode()
 
 
-def read_record(content: str) -> SignOffRecord:
-    """The record in a value; raises msgspec.ValidationError when it is none."""
-    return msgspec.json.decode(content, type=SignOffRecord)
+def read_record(content: str) -> Result[SignOffRecord, str]:
+    """Decode the record in a value, or return why there is none."""
+    try:
+        return Ok(msgspec.json.decode(content, type=SignOffRecord))
+    except DECODE_ERRORS as error:
+        return Err(str(error))
 
 
 @attrs.frozen
--- a/saffronworks/stores.py
+++ b/saffronworks/stores.py
@@ -1,7 +1,7 @@
 """The adapter to the platform's object API, with a circuit and jittered backoff."""
 
 import random
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import anyio
@@ -13,6 +13,7 @@
 from saffronworks.budgets import ReadBudget
 from saffronworks.clocks import monotonic_ms
 from saffronworks.documents import Document
+from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["CONFIG_PREFIX", "Moved", "StoreClient", "StoreFailure", "WatchReply"]
 
@@ -37,22 +38,22 @@
 class Moved:
     """A conditional write found another version."""
 
-    version: int
+    version: Whole
 
 
 @attrs.frozen
 class _Object:
     key: str
-    version: int
+    version: Whole
     value: str
-    revision: int
+    revision: Whole
 
 
 @attrs.frozen
 class WatchReply:
     """Objects that changed since a revision, and the revision now."""
 
-    revision: int
+    revision: Whole
     objects: tuple[_Object, ...]
 
     def documents(self) -> tuple[Document, ...]:
@@ -62,7 +63,10 @@
 
 @attrs.frozen
 class _Version:
-    version: int
+    version: Whole
+
+
+_Kind = TypeVar("_Kind", _Object, _Version, WatchReply)
 
 
 class StoreClient:
@@ -95,8 +99,8 @@
         status, content = reply.ok_value
         if status == 404:
             return Ok(None)
-        item = msgspec.json.decode(content, type=_Object)
-        return Ok(Document(item.key, item.version, item.value))
+        read = _decode(content, _Object, applied=False)
+        return read.map(lambda item: Document(item.key, item.version, item.value))
 
     async def put(self, key: str, value: str, if_version: int) -> Result[int, Moved | StoreFailure]:
         """Write if the version is still `if_version` (0: no object yet); the new version."""
@@ -105,7 +109,10 @@
         if isinstance(reply, Err):
             return Err(reply.err_value)
         status, content = reply.ok_value
-        version = msgspec.json.decode(content, type=_Version).version
+        read = _decode(content, _Version, applied=status != 409)
+        if isinstance(read, Err):
+            return Err(read.err_value)
+        version = read.ok_value.version
         return Err(Moved(version)) if status == 409 else Ok(version)
 
     async def list(self, prefix: str = CONFIG_PREFIX) -> Result[WatchReply, StoreFailure]:
@@ -121,7 +128,7 @@
         reply = await self._call("GET", path, timeout_s=timeout_s)
         if isinstance(reply, Err):
             return reply
-        return Ok(msgspec.json.decode(reply.ok_value[1], type=WatchReply))
+        return _decode(reply.ok_value[1], WatchReply, applied=False)
 
     async def _call(
         self, method: str, path: str, content: bytes = b"", timeout_s: float = TIMEOUT_S
@@ -146,3 +153,11 @@
             failure = StoreFailure(type(error).__name__, applied=method == "PUT")
         self._failures += 1
         return Err(failure)
+
+
+def _decode(content: bytes, kind: type[_Kind], applied: bool) -> Result[_Kind, StoreFailure]:
+    """Decode a reply; a malformed one is a failure."""
+    try:
+        return Ok(msgspec.json.decode(content, type=kind))
+    except DECODE_ERRORS as error:
+        return Err(StoreFailure(f"malformed: {error}", applied))
--- a/saffronworks/tests/features/boundaries.feature
+++ b/saffronworks/tests/features/boundaries.feature
@@ -26,3 +26,8 @@
   Scenario: a request whose handling raises is answered with its id, or cut if its answer began
     When the handling of a request raises before its answer, and of another one inside it
     Then the first caller gets status 500 with its request's id, and the second no proper end
+
+  # Guards against loops that end, and requests without an answer, on nodes of the own deployment.
+  Scenario: whatever engines and the store of the own deployment reply, it is read or a failure
+    Then with any replies of an engine, its calls return a failure or what can be sent on
+    And with any replies of the store and any values in it, reading them returns a result
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -1,8 +1,11 @@
 """Properties of what callers, endpoints, peers and the store send: it is rejected, or can go on."""
 
+from random import Random
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
+import anyio
 import attrs
 import msgspec
 from behave import then, when
@@ -10,6 +13,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from saffronworks.documents import Document
+from saffronworks.engines import EngineClient
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.event_streams import EventSplitter
@@ -21,10 +26,14 @@
 from saffronworks.forwarding.quotas import messages as quota_messages
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.kernel import Kernel
+from saffronworks.members import read_vms
 from saffronworks.platform import calls
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.servers import read_server
+from saffronworks.routes import RouteTable
+from saffronworks.signoffs import read_record
 from saffronworks.standins.addresses import free_address
+from saffronworks.stores import StoreClient
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import CONFIG, make_node, on_platform, web_servers
 from saffronworks.wire import Codec
@@ -283,3 +292,79 @@
     assert first.startswith(b"HTTP/1.1 500 ") and b"request-id: r-a" in first.lower(), first
     assert b"internal-error" in first and b"retry-after" not in first.lower(), first
     assert second.endswith(b"\r\n\r\npart"), second
+
+
+REPLIES = st.one_of(
+    BYTES,
+    st.dictionaries(
+        st.sampled_from(
+            [
+                "kv_id",
+                "prefill_ms",
+                "cached_tokens",
+                "expires_in_ms",
+                "running",
+                "age_ms",
+                "position",
+                "version",
+                "key",
+                "value",
+                "revision",
+                "objects",
+                "text",
+                "sign_off_id",
+                "signed_by",
+            ]
+        ),
+        ODD,
+    ).map(as_json),
+    ODD.map(as_json),
+)
+SOUND = {"kv_id": "k", "prefill_ms": 1, "cached_tokens": 1, "expires_in_ms": 1}
+SOUND |= {"running": 1, "age_ms": 1, "position": 1, "version": 1, "revision": 1, "objects": []}
+SOUND |= {"key": "k", "value": "v"}
+
+
+@then("with any replies of an engine, its calls return a failure or what can be sent on")
+def engine_replies(context):
+    @forall(REPLIES | st.dictionaries(st.sampled_from(list(SOUND)), ODD, max_size=1).map(odd_reply))
+    def check(content):
+        async def main():
+            client, reply = EngineClient(), SimpleNamespace(status=200, content=content)
+            pool = SimpleNamespace(request=AsyncMock(return_value=reply))
+            client._find_pool = lambda address: pool
+            calls = [client.prefill("a", None, 1), client.report("a"), client.streams("a")]
+            calls += [client.cache_events("a", 0)]
+            # What is in the reply to an order is not used.
+            assert isinstance(await client.order("a", None), Ok | Err)
+            for call in calls:
+                found = await call
+                if isinstance(found, Ok):
+                    numbers = find_numbers(msgspec.to_builtins(found.ok_value))
+                    assert all(abs(number) <= 2**53 for number in numbers)
+
+        anyio.run(main)
+
+    check()
+
+
+def odd_reply(odd):
+    return as_json(SOUND | odd)
+
+
+@then("with any replies of the store and any values in it, reading them returns a result")
+def store_replies(context):
+    @forall(REPLIES, st.sampled_from([200, 404, 409]))
+    def check(content, status):
+        async def main():
+            client = StoreClient("127.0.0.1:1", Random(1), 100)
+            client._call = AsyncMock(return_value=Ok((status, content)))
+            for call in (client.get("k"), client.put("k", "v", 1), client.list()):
+                assert isinstance(await call, Ok | Err)
+
+        anyio.run(main)
+        text = content.decode("latin-1")
+        assert isinstance(read_record(text), Ok | Err) and isinstance(read_vms(text), tuple)
+        assert not RouteTable("n").take(Document("config/bundles/b", 1, text))
+
+    check()
