--- a/saffronworks/tests/features/services.feature
+++ b/saffronworks/tests/features/services.feature
@@ -16,3 +16,13 @@
   Scenario: a service that fails again and again makes its node unready until it runs steadily
     Given a service that fails three times in a row
     Then its pauses grow, and it counts as failing until it has run for ten seconds
+
+  # Guards against services that can't run a second time, as they closed or lost what they own.
+  Scenario: a node whose services all fail once serves on, and keeps its connections
+    Given nodes whose services all fail half a second after their start
+    When callers send requests and generations before, during and after that
+    Then each gets its answer, each service has failed once, and the nodes are ready
+
+  Scenario: a node with a service that fails again and again is not ready
+    Given a node on the platform with a service that fails three times in a row
+    Then its readiness fails, and a request that reaches it is served
--- a/saffronworks/tests/features/steps/services_steps.py
+++ b/saffronworks/tests/features/steps/services_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from saffronworks.kernel import MAX_FAILURES, STEADY_MS, Kernel, ServiceHealth
+from saffronworks.tests.platform_place import engines, on_platform, web_servers
 
 
 class Counting:
@@ -96,3 +97,64 @@
     health.record_start(5000)
     assert health.is_failing(5000 + STEADY_MS - 1) and not health.is_failing(5000 + STEADY_MS)
     assert health.record_failure(5000 + STEADY_MS) == context.pauses[0]
+
+
+def fail_once(service, after_s):
+    """Let a service raise some time after its first start."""
+    run, runs = service.run, []
+
+    async def fail():
+        await anyio.sleep(after_s)
+        raise RuntimeError("a test's failure")
+
+    async def run_and_fail(kernel, mailbox):
+        runs.append(1)
+        async with anyio.create_task_group() as tasks:
+            if len(runs) == 1:
+                tasks.start_soon(fail)
+            await run(kernel, mailbox)
+
+    service.run = run_and_fail
+
+
+@given("nodes whose services all fail half a second after their start")
+def all_services_fail(context):
+    context.fail = lambda node: [fail_once(one, 0.5) for one in node._kernel._services.values()]
+
+
+@when("callers send requests and generations before, during and after that")
+def ask_meanwhile(context):
+    async def play(place):
+        context.raws = []
+        for number in range(30):
+            context.raws.append(await place.ask("/once/a", f"r{number}"))
+            context.raws.append(await place.generate("/gen/", f"g{number}"))
+            await anyio.sleep(0.05)
+        context.failures = [node._kernel.failures for node in place.nodes]
+        context.names = set(place.node._kernel._services)
+        context.ready = await place.ready()
+
+    on_platform([*engines(), *web_servers()], play, count=2, prepare=context.fail)
+
+
+@then("each gets its answer, each service has failed once, and the nodes are ready")
+def served_on(context):
+    assert all(raw.startswith(b"HTTP/1.1 200 ") for raw in context.raws), context.raws
+    assert context.failures == [dict.fromkeys(context.names, 1)] * 2, context.failures
+    assert context.ready
+
+
+@given("a node on the platform with a service that fails three times in a row")
+def fails_for_good(context):
+    async def play(place):
+        health = place.node._kernel._health["quotas"]
+        for _ in range(MAX_FAILURES):
+            health.record_failure(place.node._kernel.now_ms())
+        context.ready, context.raw = await place.ready(), await place.ask("/once/a", "r0")
+
+    on_platform(web_servers(), play)
+
+
+@then("its readiness fails, and a request that reaches it is served")
+def not_ready(context):
+    assert not context.ready and context.raw.startswith(b"HTTP/1.1 200 "), context.raw
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -129,10 +129,11 @@
     return PlatformNode(settings, str(file), metrics_port=0)
 
 
-def on_platform(servers, play, config=CONFIG, count=1, **changes):
+def on_platform(servers, play, config=CONFIG, count=1, prepare=lambda node: None, **changes):
     """Start a store, the servers and `count` nodes, run `play(place)`, and stop them.
 
-    `changes` replaces top-level fields of the nodes' settings.
+    `prepare` changes each node before it runs, and `changes` replaces top-level fields of the
+    nodes' settings.
     """
 
     async def main():
@@ -149,6 +150,7 @@
                 numbers = range(1, count + 1)
                 nodes = [make_node(folder, number, store, **changes) for number in numbers]
                 for node in nodes:
+                    prepare(node)
                     tasks.start_soon(node.run)
                 by_name = {server.instance: server for server in servers}
                 place = Place(store, by_name, nodes, tasks)
