--- a/saffronworks/daemon.py
+++ b/saffronworks/daemon.py
@@ -52,9 +52,13 @@
 
 
 async def _watch_signals(node: Node) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            node.stop()
+    # SIGHUP, which ends a process by default, changes nothing: settings need a restart.
+    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*kinds) as signals:
+        async for number in signals:
+            logger.info("event=signal number=%d", number)
+            if number != signal.SIGHUP:
+                node.stop()
 
 
 if __name__ == "__main__":
--- a/saffronworks/tests/features/daemons.feature
+++ b/saffronworks/tests/features/daemons.feature
@@ -4,6 +4,11 @@
     When a daemon with a running stream gets SIGTERM
     Then the stream ends whole and the daemon exits 0
 
+  # Guards against streams that a SIGHUP, as log rotation sends it, cuts off.
+  Scenario: SIGHUP does not end a daemon
+    When a daemon with a running stream gets SIGHUP, and SIGTERM a moment later
+    Then the stream ends whole and the daemon exits 0
+
   Scenario: a daemon is killed in the middle of streams
     When one of three daemons is killed under streams
     Then the answers through the other daemons are whole
--- a/saffronworks/tests/features/steps/daemons_steps.py
+++ b/saffronworks/tests/features/steps/daemons_steps.py
@@ -131,12 +131,20 @@
     setattr(context, name, await run_load([address], plan))
 
 
+@when("a daemon with a running stream gets SIGHUP, and SIGTERM a moment later")
+def hang_up(context):
+    terminate(context, signal.SIGHUP)
+
+
 @when("a daemon with a running stream gets SIGTERM")
-def sigterm(context):
+def terminate(context, *before):
     async def play(daemons, tasks):
         async with anyio.create_task_group() as both:
             both.start_soon(load, context, "answers", daemons.callers()[0], 2)
             await daemons.until_streaming()
+            for number in before:
+                daemons.processes[0].send_signal(number)
+                await anyio.sleep(0.1)
             daemons.processes[0].send_signal(signal.SIGTERM)
         await wait_until(lambda: daemons.processes[0].poll() is not None)
         context.exit_code = daemons.processes[0].returncode
