--- a/saffronworks/tests/features/boundaries.feature
+++ b/saffronworks/tests/features/boundaries.feature
@@ -31,3 +31,7 @@
   Scenario: whatever engines and the store of the own deployment reply, it is read or a failure
     Then with any replies of an engine, its calls return a failure or what can be sent on
     And with any replies of the store and any values in it, reading them returns a result
+
+  Scenario: whatever bytes a caller's fields have, they reach the endpoint or are rejected
+    Then with any text in a caller's target and fields, a request to an endpoint can be made of them
+    And with any relay field of another node, it is read or rejected
--- a/saffronworks/tests/features/services.feature
+++ b/saffronworks/tests/features/services.feature
@@ -26,3 +26,8 @@
   Scenario: a node with a service that fails again and again is not ready
     Given a node on the platform with a service that fails three times in a row
     Then its readiness fails, and a request that reaches it is served
+
+  # Guards against a planner that fails for good, and with it the plans of all services.
+  Scenario: a plan that can't go on is dropped, and the planner's other plans go on
+    When one of two plans raises at its tick
+    Then only that plan is dropped
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -16,10 +16,17 @@
 from saffronworks.documents import Document
 from saffronworks.engines import EngineClient
 from saffronworks.forwarding import store_news
+from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.event_streams import EventSplitter
 from saffronworks.forwarding.messages import AnswerHead, Executed, PromptSize
 from saffronworks.forwarding.origins import messages as origin_messages
+from saffronworks.forwarding.paths.messages import (
+    RelayRequest,
+    decode_reply,
+    decode_request,
+    encode,
+)
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient, RunSize
 from saffronworks.forwarding.quarantine import messages as quarantine_messages
@@ -29,11 +36,13 @@
 from saffronworks.members import read_vms
 from saffronworks.platform import calls
 from saffronworks.platform.configuration import read_configuration
+from saffronworks.platform.ingress import read_request
 from saffronworks.platform.servers import read_server
 from saffronworks.routes import RouteTable
 from saffronworks.signoffs import read_record
 from saffronworks.standins.addresses import free_address
 from saffronworks.stores import StoreClient
+from saffronworks.tests.caller_fakes import FakeCaller
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import CONFIG, make_node, on_platform, web_servers
 from saffronworks.wire import Codec
@@ -368,3 +377,41 @@
         assert not RouteTable("n").take(Document("config/bundles/b", 1, text))
 
     check()
+
+
+@then("with any text in a caller's target and fields, a request to an endpoint can be made of them")
+def caller_fields(context):
+    # What the parser of the callers' server lets through.
+    texts = st.text(st.characters(min_codepoint=32, max_codepoint=255, exclude_characters="\x7f"))
+    names = ["request-id", "host", "resumes", "model", "prompt-prefix", "authorization", "key"]
+    names += ["token-counts", "length-hint", "deadline-ms", "last-event-id", "x-own", "te"]
+    endpoint = ServiceEndpoint("w0", "web", "10.0.0.1:1", "z")
+
+    @forall(st.dictionaries(st.sampled_from(names), texts), texts)
+    def check(fields, query):
+        call = FakeCaller("POST", "/a").call
+        call.query, call.fields, call.headers = query, list(fields.items()), dict(fields)
+        read = read_request(call, b"", 0)
+        if isinstance(read, Ok):
+            request = read.ok_value
+            head = calls._join(calls._request_lines(endpoint, request, request.left_ms, []), b"")
+            assert head.count(b"\r\n\r\n") == 1 and head.endswith(b"\r\n\r\n")
+            relay = RelayRequest(endpoint.instance, request_id=request.request_id)
+            assert decode_request(encode(relay)) == Ok(relay)
+
+    check()
+
+
+@then("with any relay field of another node, it is read or rejected")
+def relay_fields(context):
+    fields = {"endpoint": TEXTS | ODD, "age_ms": ODD, "left_ms": ODD, "request_id": ODD}
+
+    @forall(st.fixed_dictionaries({}, optional=fields).map(as_json) | BYTES | REPLIES)
+    def check(content):
+        text = content.decode("latin-1")
+        assert isinstance(decode_reply(text), Ok | Err)
+        read = decode_request(text)
+        if isinstance(read, Ok):
+            assert abs(read.ok_value.age_ms) <= 2**53 and abs(read.ok_value.left_ms) <= 2**53
+
+    check()
--- a/saffronworks/tests/features/steps/services_steps.py
+++ b/saffronworks/tests/features/steps/services_steps.py
@@ -3,6 +3,9 @@
 import anyio
 from behave import given, then, when
 
+from saffronworks.forwarding.directory import Directory
+from saffronworks.forwarding.figures import MetricsRecorder
+from saffronworks.forwarding.planning.service import MemoryPlanner
 from saffronworks.kernel import MAX_FAILURES, STEADY_MS, Kernel, ServiceHealth
 from saffronworks.tests.platform_place import engines, on_platform, web_servers
 
@@ -158,3 +161,22 @@
 @then("its readiness fails, and a request that reaches it is served")
 def not_ready(context):
     assert not context.ready and context.raw.startswith(b"HTTP/1.1 200 "), context.raw
+
+
+@when("one of two plans raises at its tick")
+def tick_raises(context):
+    def handle(kernel, service, event):
+        if service == "broken":
+            raise ZeroDivisionError
+
+    planner = MemoryPlanner(Directory(), None, None, "n", MetricsRecorder("n"))
+    planner._handle, planner._log_shares = handle, lambda *_, **__: None
+    planner.plans = {"broken": None, "sound": None}
+    for service in list(planner.plans):
+        planner._tick_plan(Kernel("n", lambda: 0), service)
+    context.planner = planner
+
+
+@then("only that plan is dropped")
+def one_dropped(context):
+    assert list(context.planner.plans) == ["sound"]
