--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -64,7 +64,8 @@
 BOUNDED = st.sampled_from([0, 1, 7, -1, 2**31, 2**53, -(2**53)])
 TEXTS = st.sampled_from(["", "a", "é", "\u2603", "a\r\nEvil: 1", "a b", "\x00", "1", "9" * 400])
 ODD = NUMBERS | TEXTS | st.sampled_from([None, True, [], {}, [1], float("nan"), float("inf")])
-BYTES = st.sampled_from([b"\xff", b'"\xff"', b'{"hold":"\xff"}', b"[" * 100_000, b"", b"{"])
+NESTED = b'{"x":' + b"[" * 100_000
+BYTES = st.sampled_from([b"\xff", b'"\xff"', b'{"hold":"\xff"}', NESTED, b"", b"{"])
 
 
 def make(kind):
