--- a/saffronworks/engines.py
+++ b/saffronworks/engines.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import anyio
 import attrs
 import httpcore
 import msgspec
@@ -11,6 +12,7 @@
 
 from saffronworks.messages import RequestKey
 from saffronworks.owner.ledgers import CacheEvents, LoadReport
+from saffronworks.whole_bodies import OversizedBody, read_whole_body
 from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = [
@@ -27,6 +29,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
+# Most bytes of an answer to a call, and of one line of a stream.
+MAX_BODY_BYTES = 8 * 1_048_576
+MAX_LINE_BYTES = 262_144
 MOST_CONNECTIONS = 1000
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
@@ -199,16 +204,20 @@
         content = msgspec.json.encode(body) if body is not None else b""
         timeout = {"connect": CONNECT_TIMEOUT_S, "read": limit_ms / 1000, "pool": CALL_TIMEOUT_S}
         try:
-            response = await self._find_pool(address).request(
-                method,
-                f"http://{address}{path}",
-                headers=[(b"content-type", b"application/json")],
-                content=content,
-                extensions={"timeout": timeout},
-            )
+            # Timeouts of httpcore are for each read or write.
+            with anyio.fail_after(sum(timeout.values())):
+                stream = self._find_pool(address).stream(
+                    method,
+                    f"http://{address}{path}",
+                    headers=[(b"content-type", b"application/json")],
+                    content=content,
+                    extensions={"timeout": timeout},
+                )
+                async with stream as response:
+                    reply = await read_whole_body(response, MAX_BODY_BYTES)
             if response.status != 200:
-                return Err(_read_refusal(response.status, response.content))
-            return Ok(msgspec.json.decode(response.content, type=kind))
+                return Err(_read_refusal(response.status, reply))
+            return Ok(msgspec.json.decode(reply, type=kind))
         except _NOT_SENT:
             return Err(EngineFailure("connect", executed=False))
         except _BROKEN as error:
@@ -234,8 +243,9 @@
                 if response.status == 200:
                     yield Ok(_read_lines(response))
                 else:
-                    await response.aread()
-                    yield Err(_read_refusal(response.status, response.content))
+                    with anyio.fail_after(CALL_TIMEOUT_S):
+                        reply = await read_whole_body(response, MAX_BODY_BYTES)
+                    yield Err(_read_refusal(response.status, reply))
         except _NOT_SENT:
             yield Err(EngineFailure("connect", executed=False))
 
@@ -246,6 +256,8 @@
         *lines, rest = (rest + chunk).split(b"\n")
         for line in lines:
             yield _line_decoder.decode(line)
+        if len(rest) > MAX_LINE_BYTES:
+            raise OversizedBody(f"a line of more than {MAX_LINE_BYTES} bytes")
 
 
 def _read_refusal(status: int, content: bytes) -> EngineFailure:
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -20,6 +20,7 @@
     StoredObject,
 )
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
+from saffronworks.whole_bodies import OversizedBody, read_whole_body
 
 __all__ = ["PlatformStore"]
 
@@ -209,15 +210,16 @@
                     method, url, headers=headers, content=content, extensions={"timeout": timeout}
                 )
                 async with call as response:
-                    body = await _read_body(response)
+                    with anyio.fail_after(BODY_TIMEOUT_S):
+                        body = await read_whole_body(response, MAX_BODY_BYTES)
         except _NOT_SENT as error:
             return Err(ObjectStoreFailure(type(error).__name__))
+        except OversizedBody as error:
+            logger.warning("event=store_answer_oversized path=%s problem=%r", path, str(error))
+            return Err(ObjectStoreFailure("oversized", applied=writes))
         except _TRANSPORT_ERRORS as error:
             cut = not isinstance(error, httpcore.TimeoutException | TimeoutError)
             return Err(ObjectStoreFailure(type(error).__name__, applied=writes, cut=cut))
-        if body is None:
-            logger.warning("event=store_answer_oversized path=%s status=%d", path, response.status)
-            return Err(ObjectStoreFailure("oversized", applied=writes))
         return Ok(_Reply(response.status, body, self._read_epoch(response.headers)))
 
     def _read_epoch(self, headers: list[tuple[bytes, bytes]]) -> int:
@@ -232,17 +234,6 @@
         return reported or newest
 
 
-async def _read_body(response: httpcore.Response) -> bytes | None:
-    """Return the body, None if it is too large; raises TimeoutError if it does not end in time."""
-    body = bytearray()
-    with anyio.fail_after(BODY_TIMEOUT_S):
-        async for chunk in response.aiter_stream():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                return None
-    return bytes(body)
-
-
 def _path(kind: str, name: str = "", query: list[str] | None = None) -> str:
     path = f"/saffronworks/objects/{quote(kind, safe='')}"
     path += f"/{quote(name, safe='')}" if name else ""
--- a/saffronworks/stores.py
+++ b/saffronworks/stores.py
@@ -1,7 +1,7 @@
 """The adapter to the platform's object API, with a circuit and jittered backoff."""
 
 import random
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import anyio
@@ -13,6 +13,7 @@
 from saffronworks.budgets import ReadBudget
 from saffronworks.clocks import monotonic_ms
 from saffronworks.documents import Document
+from saffronworks.whole_bodies import read_whole_body
 from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["CONFIG_PREFIX", "Moved", "StoreClient", "StoreFailure", "WatchReply"]
@@ -20,6 +21,8 @@
 # What every node has in force lies below this; claims, which only one reads, do not.
 CONFIG_PREFIX = "config/"
 TIMEOUT_S = 2.0
+# All documents below a prefix are listed in one answer.
+MAX_BODY_BYTES = 64 * 1_048_576
 FIRST_BACKOFF_MS = 200
 LONGEST_BACKOFF_MS = 10_000
 _NETWORK = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
@@ -140,12 +143,16 @@
         url = f"http://{self._address}{path}"
         failure: StoreFailure
         try:
-            response: Any = await self._pool.request(
-                method, url, content=content, extensions={"timeout": timeout}
-            )
+            # Timeouts of httpcore are for each read or write.
+            with anyio.fail_after(sum(timeout.values()) + TIMEOUT_S):
+                call = self._pool.stream(
+                    method, url, content=content, extensions={"timeout": timeout}
+                )
+                async with call as response:
+                    body = await read_whole_body(response, MAX_BODY_BYTES)
             if response.status < 500:
                 self._failures = 0
-                return Ok((response.status, response.content))
+                return Ok((response.status, body))
             failure = StoreFailure(f"status {response.status}", applied=method == "PUT")
         except _NOT_SENT as error:
             failure = StoreFailure(type(error).__name__, applied=False)
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -32,3 +32,8 @@
   Scenario: an engine sends bytes without end after the first event of a stream
     When an engine begins a resumable stream and goes on without an event for good
     Then the caller gets the whole stream once, the rest of it from another engine
+
+  # Guards against calls of the own deployment that wait for good, or fill the node's memory.
+  Scenario: an engine or the store of the own deployment sends bytes without end
+    When an engine or the store of the own deployment answers with bytes without end
+    Then each call fails in time, and its connection is closed
