--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -345,12 +345,16 @@
 
     Raises ExchangeError if it is cut off, or goes on after the deadline.
     """
+    late_chunks = 0
     while True:
         left_ms = job.deadline_at_ms - node.now_ms()
         # A paused endpoint waits for the caller.
-        if left_ms <= 0 and not exchange.connection.paused:
-            raise ExchangeError(ExchangeErrorCause.ENDLESS, sent=True)
+        late = left_ms <= 0 and not exchange.connection.paused
         chunk = await exchange.next_chunk(max(1, left_ms))
         if chunk is None:
             return await node.check_end(endpoint, exchange)
+        late_chunks += late
+        # The first late chunk has all that came before the deadline.
+        if late_chunks > 1:
+            raise ExchangeError(ExchangeErrorCause.ENDLESS, sent=True)
         await body.write(chunk)
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -37,3 +37,7 @@
   Scenario: an engine or the store of the own deployment sends bytes without end
     When an engine or the store of the own deployment answers with bytes without end
     Then each call fails in time, and its connection is closed
+
+  # Guards against whole answers that are cut because their caller read until after the deadline.
+  Scenario: an answer that ends at its deadline
+    Then an answer that had arrived by its deadline is relayed whole after it
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -5,6 +5,7 @@
 import re
 import time
 import tracemalloc
+from unittest.mock import AsyncMock, Mock
 
 import anyio
 from behave import then, when
@@ -13,6 +14,7 @@
 from saffronworks.clocks import extend_for_lag
 from saffronworks.engines import Decode, EngineClient
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.runners import relay_rest
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.tuning import MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
@@ -384,3 +386,17 @@
 def own_bounded(context):
     check_failed(context.found, OWN_S)
     assert context.peak_bytes < OWN_PEAK_BYTES, context.peak_bytes
+
+
+@then("an answer that had arrived by its deadline is relayed whole after it")
+def arrived_in_time(context):
+    async def play():
+        connection, body = connect(), Mock(write=AsyncMock())
+        connection.send(b"", "r1")
+        connection.data_received(CHUNKED + b"3\r\nown\r\n0\r\n\r\n")
+        node = Mock(now_ms=lambda: 10, check_end=AsyncMock(return_value=True))
+        exchange = Mock(connection=connection, next_chunk=connection.next_chunk)
+        assert await relay_rest(node, Mock(deadline_at_ms=0), None, exchange, body)
+        body.write.assert_awaited_once_with(b"own")
+
+    anyio.run(play)
