--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -9,7 +9,7 @@
 from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
-from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.paths.messages import (
     RELAY_FIELD,
     Reach,
@@ -210,12 +210,16 @@
         relayed: RelayedRequest,
         endpoint: ServiceEndpoint,
     ) -> None:
-        """Pass an answer on as it arrives; raises ExchangeError if it breaks off."""
+        """Pass an answer on as it arrives; raises ExchangeError if it does not end in time."""
         head = await self._calls.read_relayed_head(endpoint, connection, relayed)
         await call.start_fields(head.status, _reply_fields(head, connection.framed))
-        while (chunk := await connection.next_chunk()) is not None:
-            await call.write(chunk)
-        await call.write(b"", more=False)
+        # The other node ends at its caller's deadline; a cut path may hide that.
+        with anyio.move_on_after(relayed.left_ms / 1000):
+            while (chunk := await connection.next_chunk()) is not None:
+                await call.write(chunk)
+            await call.write(b"", more=False)
+            return
+        raise ExchangeError(ExchangeErrorCause.ENDLESS, sent=True)
 
 
 def _read(call: Call) -> RelayRequest | None:
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -41,3 +41,7 @@
   # Guards against whole answers that are cut because their caller read until after the deadline.
   Scenario: an answer that ends at its deadline
     Then an answer that had arrived by its deadline is relayed whole after it
+
+  # Guards against relays that go on for good, because a cut path hides that the other node has left.
+  Scenario: a relayed answer that never ends
+    Then a relaying node ends an answer that goes on after the deadline
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -13,7 +13,9 @@
 
 from saffronworks.clocks import extend_for_lag
 from saffronworks.engines import Decode, EngineClient
+from saffronworks.forwarding.connections import ResponseHead
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.paths.relay_server import RelayServer
 from saffronworks.forwarding.runners import relay_rest
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
@@ -400,3 +402,30 @@
         body.write.assert_awaited_once_with(b"own")
 
     anyio.run(play)
+
+
+@then("a relaying node ends an answer that goes on after the deadline")
+def relay_ends(context):
+    async def play():
+        connection, relay = connect(), RelayServer.__new__(RelayServer)
+        connection.send(b"", "r1")
+        connection.data_received(CHUNKED)
+        relay._calls = Mock(read_relayed_head=AsyncMock(return_value=ResponseHead(200)))
+
+        async def drip():
+            while True:
+                connection.data_received(b"1\r\nx\r\n")
+                await anyio.sleep(0.01)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drip)
+            with anyio.fail_after(1):
+                try:
+                    await relay._pass_on(AsyncMock(), connection, Mock(left_ms=50), None)
+                except ExchangeError as error:
+                    assert error.cause is ExchangeErrorCause.ENDLESS, error
+                else:
+                    raise AssertionError("no ExchangeError was raised")
+            tasks.cancel_scope.cancel()
+
+    anyio.run(play)
