--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.generation_events import (
     AskPlanner,
     AttemptCommand,
@@ -56,10 +57,12 @@
 from saffronworks.forwarding.retry_budget import RetryBudget
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
+    CALL_TIMEOUT_MS,
     FAILED_RETRY_MS,
     HOLD_POLL_MS,
     HOLD_POLL_PER_ENDPOINT_MS,
     HOLD_TTL_MS,
+    LAST_CALL_TIMEOUT_MS,
     MAX_REDIRECTS,
     PREFILL_TIMEOUT_MS,
     RESUME_MIN_LEFT_MS,
@@ -243,13 +246,30 @@
     return min(HOLD_TTL_MS, state.hold_most_ms, max(1, state.deadline_at_ms - now_ms))
 
 
+def _hold_timeout_ms(
+    state: GenerationState, endpoint: ServiceEndpoint, pools: Pools, now_ms: int
+) -> int:
+    """Return the longest wait for a hold: longer where no other endpoint is left to ask.
+
+    A sound endpoint may be silent for a second or so.
+    """
+    left_out = state.asked | state.failed | {endpoint.instance}
+    others = {e.instance for e in pools.decoders if not pools.blocked(e.instance)} - left_out
+    left_ms = int(state.max_wait_at_ms - now_ms)
+    return CALL_TIMEOUT_MS if others else max(CALL_TIMEOUT_MS, min(LAST_CALL_TIMEOUT_MS, left_ms))
+
+
 def _take_granted(state: GenerationState, instance: StartId, pools: Pools, now_ms: int) -> _Result:
     """Take a hold at the granted endpoint, or at another one if it is not usable from this node."""
     granted = next((e for e in pools.decoders if e.instance == instance), None)
     if granted is None:
         state.granted = None
         return _take_next(state, pools, now_ms)
-    return TakeHold(granted, state.planned_tokens, 0, _hold_ttl_ms(state, now_ms))
+    ttl_ms, timeout_ms = (
+        _hold_ttl_ms(state, now_ms),
+        _hold_timeout_ms(state, granted, pools, now_ms),
+    )
+    return TakeHold(granted, state.planned_tokens, 0, ttl_ms, timeout_ms)
 
 
 def _take_next(state: GenerationState, pools: Pools, now_ms: int) -> _Result:
@@ -263,7 +283,8 @@
             continue
         if endpoint.instance not in state.asked | state.failed:
             ttl_ms = _hold_ttl_ms(state, now_ms)
-            return TakeHold(endpoint, state.tokens, state.headroom_tokens, ttl_ms)
+            timeout_ms = _hold_timeout_ms(state, endpoint, pools, now_ms)
+            return TakeHold(endpoint, state.tokens, state.headroom_tokens, ttl_ms, timeout_ms)
     if blocks := pools.decoder_blocks:
         refusal = refuse_blocked(blocks)
         if now_ms + refusal.not_before_ms >= state.waits_until_ms:
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -154,6 +154,7 @@
     tokens: int
     headroom_tokens: int
     ttl_ms: int
+    timeout_ms: int
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -160,8 +160,12 @@
         tokens: int,
         ttl_ms: int,
         now_ms: int,
+        timeout_ms: int,
     ) -> Result[KvHold, NotExecuted]:
-        """Reserve a slot and KV memory for a request, for up to `ttl_ms`."""
+        """Reserve a slot and KV memory for a request, for up to `ttl_ms`.
+
+        Raises ExchangeError after `timeout_ms` without an answer.
+        """
 
     async def drop_hold(self, hold: KvHold) -> None:
         """Release an unused hold."""
--- a/saffronworks/forwarding/reservations.py
+++ b/saffronworks/forwarding/reservations.py
@@ -149,14 +149,19 @@
         # The check takes two more calls, so it is skipped at rate-limited endpoints.
         if command.headroom_tokens and not limited:
             free = await calls.take_hold(
-                endpoint, request, command.headroom_tokens, HEADROOM_HOLD_TTL_MS, now_ms()
+                endpoint,
+                request,
+                command.headroom_tokens,
+                HEADROOM_HOLD_TTL_MS,
+                now_ms(),
+                command.timeout_ms,
             )
             if isinstance(free, Err):
                 return free
             headroom = free.ok_value
         try:
             return await calls.take_hold(
-                endpoint, request, command.tokens, command.ttl_ms, now_ms()
+                endpoint, request, command.tokens, command.ttl_ms, now_ms(), command.timeout_ms
             )
         finally:
             if headroom is not None:
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -32,6 +32,9 @@
 HOLD_TTL_MS = 2000
 # Timeout of a call that takes a hold, drops it or reads a report; the round trip is 1 to 7 ms.
 CALL_TIMEOUT_MS = 400
+# Timeout of a hold at the last endpoint that is left to ask, which may be silent for a second or so
+# and go on.
+LAST_CALL_TIMEOUT_MS = 1500
 # Timeout of a prefill; a slower one would outlast the hold on KV memory.
 PREFILL_TIMEOUT_MS = 1500
 # An endpoint whose KV handle could not be fetched receives no prefills for this long.
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -189,11 +189,14 @@
         tokens: int,
         ttl_ms: int,
         now_ms: int,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> Result[KvHold, NotExecuted]:
         """Reserve a slot and KV cache for `tokens` on a decode server, for `ttl_ms`."""
         body = {"tokens": tokens, "ttl_ms": ttl_ms}
         path = "/saffronworks/hold-take"
-        status, content = await self._call(endpoint, "POST", path, body, request)
+        status, content = await self._call(
+            endpoint, "POST", path, body, request, timeout_ms=timeout_ms
+        )
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
         reply = read_reply(content, _HoldReply)
@@ -341,6 +344,7 @@
         body: object,
         request: CallerRequest | None = None,
         relayable: bool = True,
+        timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> tuple[int, bytes]:
         """Send one of the node's own calls; returns status and body, raises ExchangeError.
 
@@ -368,11 +372,11 @@
             endpoint.instance,
             control_call=True,
             cancels=request is None,
-            left_ms=CALL_TIMEOUT_MS,
+            left_ms=timeout_ms,
         )
         try:
             connection.send(_join(_add_relay(lines, connection, relay), content), None)
-            limit_ms = extend_for_lag(CALL_TIMEOUT_MS)
+            limit_ms = extend_for_lag(timeout_ms)
             head = await self.paths.read_head(endpoint, connection, limit_ms)
             reply = await connection.body(limit_ms)
         finally:
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -76,6 +76,8 @@
         # Arrival times of calls of any kind.
         self.arrived_s = []
         self.starts = 1
+        # Seconds of silence before the next step of a kind; the server goes on afterwards.
+        self.silences = {}
         self._late = []
 
     def entry(self, state="ready"):
@@ -134,7 +136,13 @@
         pause = {} if self.pause is None else {"Retry-After": self.pause}
         return await self._reply(writer, 503, {"Not-Executed": "1"} | own | pause, b"")
 
+    async def _be_silent(self, step):
+        if step in self.silences:
+            await asyncio.sleep(self.silences.pop(step))
+
     async def _control(self, writer, method, target):
+        if target.endswith("hold-take"):
+            await self._be_silent("hold")
         if target.endswith("hold-take") and self.pause is not None:
             return await self._reject(writer, {})
         if target.endswith("hold-take") and not self.full:
@@ -151,6 +159,7 @@
             return await self._reject(writer, {"Request-Id": request_id})
         if headers.get("stage") == "prefill":
             await asyncio.sleep(self.read_s)
+            await self._be_silent("prefill")
             body = json.dumps({"kv_handle": "k-" + request_id, "tokens": 5}).encode()
             return await self._reply(writer, 200, {"Request-Id": request_id}, body)
         fault = self.script.pop(0) if self.script else None
@@ -160,6 +169,7 @@
         if self.work_s and await self._caller_left(reader):
             self.left.append(request_id)
             return False
+        await self._be_silent("answer")
         own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
         if self.stage:
             return await self._stream(writer, own, fault)
@@ -260,6 +270,8 @@
     async def _stream_events(self, writer, fault, after, breaks_at):
         """Send events in chunks, up to the one at which the stream breaks or stalls."""
         for number in range(after + 1, self.events + 2):
+            if number > after + 1:
+                await self._be_silent("event")
             data = f"id: {number}\ndata: {self.instance}\n\n".encode()
             if number == breaks_at and fault.startswith("stall-"):
                 await asyncio.sleep(READ_LIMIT_S)
