--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store, with one connection pool and a timeout on every call."""
 
 import logging
+import math
 import socket
 from typing import TypeVar
 from urllib.parse import quote
@@ -20,7 +21,8 @@
     StoredObject,
 )
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
-from saffronworks.whole_bodies import OversizedBody, read_whole_body
+from saffronworks.whole_bodies import OversizedBody, read_body_at_rate
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["PlatformStore"]
 
@@ -33,9 +35,10 @@
 CONNECT_TIMEOUT_S = 0.6
 POOL_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 1.0
-# The timeouts above are for each read or write. A whole body arrives within this time: a page of
-# 1 MB over a link of 4 Mbit/s.
+# The timeouts above are for each read or write. A body has this time, and more for what arrives at
+# this rate, 1 Mbit/s: other answers may share a link of 5 Mbit/s.
 BODY_TIMEOUT_S = 2.0
+MIN_BODY_BYTES_PER_S = 125_000
 # A page has 1 MB and one object 1 MiB at most; the changes of a watch may exceed both.
 MAX_BODY_BYTES = 8 * 1_048_576
 # A watch waits for seconds, and a cut network path closes no connection: keepalive probes detect
@@ -205,13 +208,15 @@
         url = f"http://{self._address}{path}"
         writes = method != "GET"
         try:
-            with anyio.fail_after(sum(timeout.values()) + BODY_TIMEOUT_S):
+            with anyio.fail_after(sum(timeout.values())) as head:
                 call = self._pool.stream(
                     method, url, headers=headers, content=content, extensions={"timeout": timeout}
                 )
                 async with call as response:
-                    with anyio.fail_after(BODY_TIMEOUT_S):
-                        body = await read_whole_body(response, MAX_BODY_BYTES)
+                    head.deadline = math.inf
+                    body = await read_body_at_rate(
+                        response, MAX_BODY_BYTES, BODY_TIMEOUT_S, MIN_BODY_BYTES_PER_S
+                    )
         except _NOT_SENT as error:
             return Err(ObjectStoreFailure(type(error).__name__))
         except OversizedBody as error:
@@ -256,7 +261,7 @@
         return Err(_rejected(reply))
     try:
         return Ok(msgspec.json.decode(reply.content, type=kind))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(ObjectStoreFailure(f"malformed: {error}"))
 
 
@@ -268,7 +273,7 @@
     for item in items:
         try:
             objects.append(msgspec.json.decode(item, type=kind).decode(epoch))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             logger.error(
                 "event=object_unreadable problem=%r start=%r", str(error), bytes(item)[:80]
             )
@@ -286,7 +291,7 @@
     try:
         found = msgspec.json.decode(content, type=_Object)
         stored: StoredObject | None = found.decode(reply.ok_value.epoch)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         if status != 409:
             return Err(ObjectStoreFailure(f"malformed: {error}", applied=True))
         logger.info("event=conflict_unreadable error=%r", str(error))
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -21,6 +21,12 @@
     When engines answer holds or prefills with bytes without end
     Then the stream is whole, and the calls are closed in time and counted with their cause
 
+  # Guards against a large page that never arrives whole over a slow link, and against a page that
+  # raises.
+  Scenario: a large page of the store over a slow link, and one that is nested deeply
+    When the store takes 2.5 s to send a page of a megabyte, and answers with a nested one
+    Then the first one is read, and the second one is a failure
+
   # Guards against a follower of the store that waits for good, as only each read had a time-out, and
   # against a body that fills the node's memory.
   Scenario: the store sends bytes without end
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -9,7 +9,7 @@
 
 import anyio
 from behave import then, when
-from result import Err
+from result import Err, Ok
 
 from saffronworks.clocks import extend_for_lag
 from saffronworks.engines import Decode, EngineClient
@@ -294,6 +294,45 @@
     return calls, client.close
 
 
+@when("the store takes {took_s:g} s to send a page of a megabyte, and answers with a nested one")
+def slow_page(context, took_s):
+    large = b'{"current_rev":3,"items":["%s"]}' % (b"x" * 1_000_000)
+    nested = b'{"current_rev":3,"items":%s}' % (b"[" * 100_000)
+
+    async def main():
+        pages, parts = [large, nested], 50
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            page = pages.pop(0)
+            head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % len(page))
+            size = len(page) // parts + 1
+            for start in range(0, len(page), size):
+                writer.write(page[start : start + size])
+                await writer.drain()
+                await anyio.sleep(took_s / parts if page is large else 0)
+            await writer.drain()
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = PlatformStore(f"{host}:{port}", StoreEpoch())
+        context.pages = [await client.list_objects("kind") for _ in range(2)]
+        await client.close()
+        server.close()
+
+    anyio.run(main)
+
+
+@then("the first one is read, and the second one is a failure")
+def pages_read(context):
+    slow, nested = context.pages
+    assert isinstance(slow, Ok) and slow.ok_value.revision == StoreRevision(0, 3), slow
+    assert isinstance(nested, Err) and nested.err_value.reason.startswith("malformed"), nested
+
+
 @when("the store answers a listing, a watch and a write with bytes without end")
 def store_floods(context):
     floods = [(name, flood, call_store) for name, flood in STORE_FLOODS.items()]
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -14,6 +14,7 @@
 
 from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
+from saffronworks.wire import DECODE_ERRORS
 
 __all__ = ["AcceptGate", "BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
 
@@ -84,7 +85,7 @@
         """Return the body decoded from JSON; raises BadBody."""
         try:
             return msgspec.json.decode(await self.body(most_bytes))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise BadBody(f"body is not JSON: {error}") from error
 
     async def wait_disconnected(self) -> None:
