--- a/saffronworks/tests/soak/sites.py
+++ b/saffronworks/tests/soak/sites.py
@@ -279,6 +279,8 @@
             proxies = self.caller_proxies if fault.link == "caller" else self.store_proxies
             proxy = proxies[node]
         self._disturb(node, fault.link, for_s)
+        if fault.link == "endpoint":
+            self._disturb(ALL_NODES, "path", for_s)
         proxy.begin(fault.kind)
         await anyio.sleep(for_s)
         proxy.end()
@@ -291,6 +293,8 @@
         from_ms = self.now_ms()
         for node in nodes:
             self._disturb(node, "endpoint", fault.for_ms / 1000)
+            # Other nodes may relay for it.
+            self._disturb(ALL_NODES, "path", fault.for_ms / 1000)
             for proxy in self._paths_of(node):
                 await proxy.cut(Cut(fault.kind))
         await anyio.sleep(fault.for_ms / 1000)
