--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -23,6 +23,8 @@
 MOST_TRIES = 3
 REPLAY_BYTES = 65_536
 CLOSED_MS = 2000
+# HTTP has no higher status, and the server can't send one.
+MAX_STATUS = 599
 TIMEOUTS = {"connect": 1.0, "read": 30.0, "write": 30.0, "pool": 2.0}
 _HOP_HEADERS = HOP_BY_HOP_FIELDS | {"host", "content-length"}
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -145,6 +147,8 @@
         self, call: Call, endpoint: Endpoint, response: httpcore.Response
     ) -> PlainOutcome:
         """Pass the response on. Its head goes out first, so one that breaks can only be cut."""
+        if response.status > MAX_STATUS:
+            raise httpcore.RemoteProtocolError(f"status {response.status}")
         fields = {key.decode().lower(): value.decode("latin-1") for key, value in response.headers}
         kept = {key: value for key, value in fields.items() if key not in _HOP_HEADERS}
         await call.start(response.status, {**kept, OUTCOME_HEADER: "completed"})
--- a/saffronworks/tests/features/framing.feature
+++ b/saffronworks/tests/features/framing.feature
@@ -15,6 +15,11 @@
     And each of these calls has an outcome to be counted
     And the log names the calls that were cut
 
+  # Guards against a connection that is closed without an answer.
+  Scenario: a plain answer with a status that HTTP doesn't have
+    When a plain service answers with status 699
+    Then the caller gets one whole refusal that tells the outcome
+
   Scenario: a plain answer that has begun is not begun again
     When a plain service breaks off an answer and another one could be asked
     Then the caller has nothing of a second answer
--- a/saffronworks/tests/features/steps/framing_steps.py
+++ b/saffronworks/tests/features/steps/framing_steps.py
@@ -137,6 +137,17 @@
         assert len(named) == (not whole), (script, texts)
 
 
+@when("a plain service answers with status 699")
+def odd_status(context):
+    context.odd = anyio.run(carry, "/", [b"HTTP/1.1 699 X\r\ncontent-length: 0\r\n\r\n"])
+
+
+@then("the caller gets one whole refusal that tells the outcome")
+def odd_refused(context):
+    caller, outcome, *_ = context.odd
+    assert outcome == "unknown" and caller.status == 502 and caller.whole, vars(caller)
+
+
 @when("a plain service breaks off an answer and another one could be asked")
 def plain_begun(context):
     script = [*LENGTH[:2], httpcore.ReadError("reset")]
