--- a/saffronworks/tests/features/peers.feature
+++ b/saffronworks/tests/features/peers.feature
@@ -18,6 +18,11 @@
     When the other one sends it a message
     Then it arrives, and the failure is counted
 
+  # Guards against descriptors that run out, one for each message to an address that is not valid.
+  Scenario: an address that can't be dialled
+    When a node sends messages to an address that can't be dialled
+    Then each of them is counted as failed, and no socket stays open
+
   # Guards against a lone node that spends its processor and link on dead peers: each socket dialled
   # again and again by itself, 400 times a second for 195 peers, and kept up to 512 messages.
 
--- a/saffronworks/tests/features/services.feature
+++ b/saffronworks/tests/features/services.feature
@@ -12,6 +12,12 @@
     When it is sent that one between others
     Then it handles the others in its first run, and one is counted as dropped
 
+  # Guards against a node that ends because a probe, claim or write in the background raises.
+  Scenario: a background task that raises ends nothing
+    Given a service that starts a background task that raises
+    When it is sent messages after that
+    Then it handles all of them in its first run
+
   # Guards against a node that serves for good without one of its services, and nobody sees it.
   Scenario: a service that fails again and again makes its node unready until it runs steadily
     Given a service that fails three times in a row
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -117,7 +117,10 @@
         request = SimpleNamespace(request_id="r", prompt=size, after_event=None)
         node, job = SimpleNamespace(memory=client), SimpleNamespace(request=request)
         StreamRelay(node, job, None, stride)._record_events(mark.ids)
-        codec.encode(client._make_report("s", 0))
+        report = client._make_report("s", 0)
+        codec.encode(report)
+        # An id beyond the answer's most tokens must not distort what planners learn.
+        assert report.runs[0].made_tokens <= size.most_answer_tokens + stride
 
     check()
 
--- a/saffronworks/tests/features/steps/peers_steps.py
+++ b/saffronworks/tests/features/steps/peers_steps.py
@@ -5,9 +5,10 @@
 import itertools
 import random
 import socket
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import anyio
+import pynng
 from behave import given, then, when
 
 from saffronworks.clocks import monotonic_ms
@@ -94,6 +95,30 @@
     assert context.heard == ["first", "later"]
 
 
+@when("a node sends messages to an address that can't be dialled")
+def send_to_invalid(context):
+    context.sockets = []
+
+    def open_socket(**options):
+        context.sockets.append(Mock(**{"dial.side_effect": pynng.AddressInvalid("", 15)}))
+        return context.sockets[-1]
+
+    with patch("saffronworks.peers.pynng.Push0", open_socket):
+        kernel, peers = Kernel("n", lambda: 0), PeerService("127.0.0.1:1", Codec(messages))
+        for number in range(3):
+            try:
+                peers._handle(Outgoing("no-address", MemoryQueued(str(number))), 0)
+            except pynng.NNGException:
+                kernel.drop(peers.name, number)
+    context.dropped, context.links = kernel.dropped["peers"], peers._links
+
+
+@then("each of them is counted as failed, and no socket stays open")
+def no_socket_open(context):
+    assert context.dropped == 3 and not context.links
+    assert len(context.sockets) == 3 and all(one.close.called for one in context.sockets)
+
+
 @when("a node sends 300 messages to a peer that refuses connections")
 def send_to_refusing(context):
     async def main():
--- a/saffronworks/tests/features/steps/services_steps.py
+++ b/saffronworks/tests/features/steps/services_steps.py
@@ -59,6 +59,34 @@
     register(context, Counting("one"))
 
 
+@given("a service that starts a background task that raises")
+def failing_task(context):
+    register(context, Counting("one"))
+    (service,) = context.services
+    run = service.run
+
+    async def fail():
+        raise RuntimeError("a test's failure")
+
+    async def spawn_and_run(kernel, mailbox):
+        kernel.spawn(fail)
+        await run(kernel, mailbox)
+
+    service.run = spawn_and_run
+
+
+@when("it is sent messages after that")
+def send_after_failure(context):
+    play(context, ["first", "last"])
+
+
+@then("it handles all of them in its first run")
+def handled_in_first_run(context):
+    (service,) = context.services
+    assert service.heard == ["first", "last"] and service.runs == 1
+    assert not context.kernel.failures
+
+
 @when("both are sent messages meanwhile")
 def send_to_both_services(context):
     play(context, ["first", "last"])
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -193,6 +193,15 @@
     assert max(context.calls.values()) <= most, context.calls
 
 
+@then("the first call after it waits for nothing, and the second reset adds no pause")
+def no_pause_after_cut(context):
+    circuit = StoreCircuit()
+    watches = [circuit.begin(0), circuit.begin(0)]
+    for watch in watches:
+        circuit.end(watch, Outcome.CUT, PROBE_INTERVAL_MS, 1000)
+    assert circuit.open and circuit.wait_ms(1000) == 0, circuit
+
+
 @then("each cut costs a probe, and there are {per_s:d} cuts a second at most")
 def bounded_cuts(context, per_s):
     circuit, cuts = StoreCircuit(), 0
--- a/saffronworks/tests/features/store_circuit.feature
+++ b/saffronworks/tests/features/store_circuit.feature
@@ -37,5 +37,9 @@
     When the store fails for ten seconds, with twenty seeds
     Then a node calls a store that answers 503, refuses or resets 23 times at most, a silent one 14
 
+  # Guards against a pause before the first probe after a reset, which delays news by that pause.
+  Scenario: the reset of both watches of a node at once
+    Then the first call after it waits for nothing, and the second reset adds no pause
+
   Scenario: a store that cuts every watch and answers every listing
     Then each cut costs a probe, and there are 3 cuts a second at most
