Leave out single items of messages that can't be sent or read

What callers could see: while one run had a value out of bounds, the planner got no report of that node for any of its runs, counted their memory as free 1.5 s later and granted it again. Likewise one limit, suspicion or member out of bounds hid all others of its message.

Cause: a message is encoded and decoded whole, and one that fails is dropped whole. A report holds all live runs of a service, and repeats the spoiled one as long as it lives.

Collections whose items don't depend on each other are marked as such: runs, endpoints to avoid, limits, suspicions, members, documents. Only after a failure is a message taken apart, so a sound one costs nothing more; what is left out is logged with its start and counted. Collections that claim to be complete (origins, history, held keys, store news) are still dropped whole: without an item they would be wrong.

--- a/saffronworks/documents.py
+++ b/saffronworks/documents.py
@@ -9,7 +9,7 @@
 import attrs
 
 from saffronworks.hashing import hash32, hash64
-from saffronworks.wire import Whole
+from saffronworks.wire import Independent, Whole
 
 __all__ = [
     "BucketDigests",
@@ -87,7 +87,7 @@
 class Fetched:
     """Documents read from the store, to be relayed down the tree."""
 
-    documents: tuple[Document, ...]
+    documents: Independent[Document]
     relay: bool = True
 
 
--- a/saffronworks/forwarding/endpoint_limits/messages.py
+++ b/saffronworks/forwarding/endpoint_limits/messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Real, Size, Whole
+from saffronworks.wire import Independent, Real, Size, Whole
 
 __all__ = [
     "PEER_MESSAGES",
@@ -29,7 +29,7 @@
 class LimitNews:
     """Node to node: limits that changed recently, or the reply to `LimitsWanted`."""
 
-    limits: tuple[HeardLimit, ...]
+    limits: Independent[HeardLimit]
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -7,7 +7,7 @@
 
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Whole
+from saffronworks.wire import Independent, Whole
 
 __all__ = [
     "ENTRY_MESSAGES",
@@ -46,8 +46,8 @@
     in_time_ms: Whole
     patience_ms: Whole
     returned: bool
-    avoid: tuple[StartId, ...] = ()
-    broken: tuple[StartId, ...] = ()
+    avoid: Independent[StartId] = ()
+    broken: Independent[StartId] = ()
     priority: Whole = DEFAULT_RANK
     organisation: str = ""
     target_ms: Whole = 0
@@ -99,7 +99,7 @@
     service: str
     answer_tokens: Whole = 0
     stream_ms: Whole = 0
-    broken: tuple[StartId, ...] = ()
+    broken: Independent[StartId] = ()
     length_tokens: Whole = 0
 
 
@@ -139,7 +139,7 @@
 
     reply_to: str
     service: str
-    runs: tuple[LiveRun, ...]
+    runs: Independent[LiveRun]
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -5,7 +5,7 @@
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.prompt_parts import PartId
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Whole
+from saffronworks.wire import Independent, Whole
 
 __all__ = ["PartEnd", "PartNews", "PartSuspicion", "Suspicion", "SuspicionNews"]
 
@@ -32,7 +32,7 @@
     """Node to node: the sender's view of some contents."""
 
     sender: str
-    suspicions: tuple[Suspicion, ...]
+    suspicions: Independent[Suspicion]
 
 
 @attrs.frozen
@@ -70,4 +70,4 @@
     """Node to node: the sender's view of some prompt parts."""
 
     sender: str
-    parts: tuple[PartSuspicion, ...]
+    parts: Independent[PartSuspicion]
--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -14,7 +14,7 @@
 
 from saffronworks.hashing import hash64
 from saffronworks.owner.predictors import Average
-from saffronworks.wire import Whole
+from saffronworks.wire import Independent, Whole
 
 __all__ = [
     "Heartbeat",
@@ -95,7 +95,7 @@
     """
 
     sender: MemberUpdate
-    updates: tuple[MemberUpdate, ...]
+    updates: Independent[MemberUpdate]
     digest: int = 0
     fresh_age_ms: Whole = 0
 
@@ -105,7 +105,7 @@
     """The reply to a heartbeat; a node that just joined gets up to `SYNC_MEMBERS` updates."""
 
     sender: MemberUpdate
-    updates: tuple[MemberUpdate, ...]
+    updates: Independent[MemberUpdate]
     digest: int = 0
     fresh_age_ms: Whole = 0
 
--- a/saffronworks/peers.py
+++ b/saffronworks/peers.py
@@ -7,15 +7,16 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 
 import anyio
 import attrs
 import pynng
-from result import Ok
+from result import Err, Ok
 
 from saffronworks.dial_backoff import CONNECT_MS, MAX_CONNECT_MS, DialBackoff
 from saffronworks.kernel import Kernel, Mailbox
-from saffronworks.wire import Codec
+from saffronworks.wire import Codec, Decoded
 
 __all__ = ["CloseTo", "Outgoing", "PeerReached", "PeerService"]
 
@@ -86,6 +87,8 @@
         self.received_bytes = 0
         self.received_messages = 0
         self.dropped = 0
+        # Messages that could not be read, and items of messages that could not be sent or read.
+        self.unusable: Counter[str] = Counter()
         self.cut_from: set[str] = set()
         self._links: dict[str, _Link] = {}
         self._backoff = DialBackoff(random.Random(address))
@@ -149,9 +152,10 @@
                 self.dropped += 1
                 return
             link.waiting += 1
-        data = self._codec.encode(outgoing.message)
+        encoded = self._codec.encode_valid_items(outgoing.message)
+        self._record_dropped_items(encoded.dropped, f"to {outgoing.address}", outgoing.message)
         try:
-            link.socket.send(data, block=False)
+            link.socket.send(encoded.data, block=False)
         except pynng.TryAgain:
             self.dropped += 1
             return
@@ -162,9 +166,21 @@
                 "event=peer_send_failed peer=%s problem=%r", outgoing.address, str(error)
             )
             return
-        self.sent_bytes += len(data)
+        self.sent_bytes += len(encoded.data)
         self.sent_messages += 1
 
+    def _record_dropped_items(self, problems: tuple[str, ...], way: str, message: object) -> None:
+        """Log and count the items that a message lacks because they can't be sent or read."""
+        if problems:
+            self.unusable["items"] += len(problems)
+            logger.warning(
+                "event=message_items_dropped kind=%s way=%r items=%d problem=%r",
+                type(message).__name__,
+                way,
+                len(problems),
+                problems[0],
+            )
+
     def _open(self, address: str, now_ms: int) -> _Link:
         for idle in [a for a, link in self._links.items() if now_ms - link.used_ms >= IDLE_MS]:
             self._links.pop(idle).socket.close()
@@ -222,8 +238,10 @@
             data = await listener.arecv()
             self.received_bytes += len(data)
             self.received_messages += 1
-            decoded = self._codec.decode(data)
-            if isinstance(decoded, Ok):
-                kernel.announce(decoded.ok_value)
-            else:
-                logger.warning("event=bad_message node=%s problem=%r", kernel.node, decoded.err())
+            match self._codec.decode_valid_items(data):
+                case Ok(Decoded(message, dropped)):
+                    self._record_dropped_items(dropped, "from a peer", message)
+                    kernel.announce(message)
+                case Err(problem):
+                    self.unusable["messages"] += 1
+                    logger.warning("event=bad_message node=%s problem=%r", kernel.node, problem)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -222,6 +222,9 @@
             ],
             "saffronworks_service_failures": lambda: _levels(kernel.failures),
             "saffronworks_failed_messages": lambda: _levels(kernel.dropped),
+            "saffronworks_unusable_from_peers": lambda: [
+                Level(count, {"part": part}) for part, count in self._peers.unusable.items()
+            ],
             "saffronworks_relayed_requests": lambda: [Level(self._relay_server.open_requests, {})],
         }
         for name, levels in gauges.items():
