--- a/saffronworks/documents.py
+++ b/saffronworks/documents.py
@@ -9,7 +9,7 @@
 import attrs
 
 from saffronworks.hashing import hash32, hash64
-from saffronworks.wire import Independent, Whole
+from saffronworks.wire import Age, Independent, Whole
 
 __all__ = [
     "BucketDigests",
@@ -80,7 +80,7 @@
 
     sender: str
     digest: int
-    fresh_age_ms: Whole = 0
+    fresh_age_ms: Age = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/endpoint_limits/backoff.py
+++ b/saffronworks/forwarding/endpoint_limits/backoff.py
@@ -11,6 +11,7 @@
     MAX_BACKOFF_MS,
     MIN_BACKOFF_MS,
 )
+from saffronworks.forwarding.shares.tuning import MAX_RETRY_AFTER_MS
 from saffronworks.forwarding.starts import StartId
 
 __all__ = ["LimitBackoff"]
@@ -50,7 +51,7 @@
         if known is not None:
             span_ms = BACKOFF_FACTOR * known.span_ms
         span_ms = min(span_ms, MAX_BACKOFF_MS)
-        remaining_ms = retry_after_ms + self.rng.randrange(span_ms)
+        remaining_ms = min(retry_after_ms, MAX_RETRY_AFTER_MS) + self.rng.randrange(span_ms)
         self._backoffs[instance] = _Backoff(now_ms + remaining_ms, span_ms)
         return remaining_ms
 
--- a/saffronworks/forwarding/endpoint_limits/messages.py
+++ b/saffronworks/forwarding/endpoint_limits/messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Independent, Real, Size, Whole
+from saffronworks.wire import Age, Independent, Rate, Size, Wait
 
 __all__ = [
     "PEER_MESSAGES",
@@ -21,8 +21,8 @@
     """An endpoint's limit as a node observed it `age_ms` ago; `per_s` is None once it has ended."""
 
     endpoint: StartId
-    per_s: Real | None
-    age_ms: Whole
+    per_s: Rate | None
+    age_ms: Age
 
 
 @attrs.frozen
@@ -59,7 +59,7 @@
 
     ask_id: str
     admitted: bool
-    retry_after_ms: Whole = 0
+    retry_after_ms: Wait = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/origins/history.py
+++ b/saffronworks/forwarding/origins/history.py
@@ -68,7 +68,7 @@
         """Return how far back all items are remembered, `MAX_RECORD_TTL_MS` at most."""
         if self.complete_from_ms is None:
             return 0
-        return int(min(now_ms - self.complete_from_ms, MAX_RECORD_TTL_MS))
+        return int(max(0, min(now_ms - self.complete_from_ms, MAX_RECORD_TTL_MS)))
 
     def ages_ms(self, now_ms: int) -> dict[_Item, int]:
         """Return how long ago each item was last in the set; 0 for those that are."""
--- a/saffronworks/forwarding/origins/messages.py
+++ b/saffronworks/forwarding/origins/messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from saffronworks.forwarding.origins.records import Origin, StreamKey
-from saffronworks.wire import Whole
+from saffronworks.wire import Age, Size, Wait
 
 __all__ = [
     "PEER_MESSAGES",
@@ -26,7 +26,7 @@
 
     key: StreamKey
     origin: Origin | None
-    ttl_ms: Whole
+    ttl_ms: Size
     reply_to: str = ""
 
 
@@ -50,7 +50,7 @@
     reply_to: str
     key: StreamKey
     route: str
-    window_ms: Whole
+    window_ms: Size
 
 
 @attrs.frozen
@@ -64,11 +64,11 @@
     lookup_id: str
     holder: str
     records: tuple[Origin, ...] = ()
-    age_ms: Whole = 0
+    age_ms: Age = 0
     candidates: tuple[Origin, ...] = ()
     covers_window: bool = False
     ambiguous: bool = False
-    settles_in_ms: Whole = 0
+    settles_in_ms: Wait = 0
 
 
 @attrs.frozen
@@ -86,9 +86,9 @@
     it lacks recent updates of the store.
     """
 
-    versions: tuple[tuple[str, str, Whole], ...]
-    routes: tuple[tuple[str, str, Whole], ...]
-    covers_ms: Whole
+    versions: tuple[tuple[str, str, Age], ...]
+    routes: tuple[tuple[str, str, Age], ...]
+    covers_ms: Size
 
 
 # The messages that a node receives.
--- a/saffronworks/forwarding/planning/messages.py
+++ b/saffronworks/forwarding/planning/messages.py
@@ -7,7 +7,7 @@
 
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Independent, Whole
+from saffronworks.wire import Age, Independent, Size, Wait, Whole
 
 __all__ = [
     "ENTRY_MESSAGES",
@@ -39,18 +39,18 @@
     request_id: str
     reply_to: str
     service: str
-    prompt_tokens: Whole
-    likely_tokens: Whole
-    most_tokens: Whole
-    waited_ms: Whole
+    prompt_tokens: Size
+    likely_tokens: Size
+    most_tokens: Size
+    waited_ms: Age
     in_time_ms: Whole
-    patience_ms: Whole
+    patience_ms: Size
     returned: bool
     avoid: Independent[StartId] = ()
     broken: Independent[StartId] = ()
     priority: Whole = DEFAULT_RANK
     organisation: str = ""
-    target_ms: Whole = 0
+    target_ms: Size = 0
 
 
 @attrs.frozen
@@ -84,7 +84,7 @@
     """Planner to entry: no memory in time; the caller may retry after `retry_after_ms`."""
 
     request_id: str
-    retry_after_ms: Whole
+    retry_after_ms: Wait
 
 
 @attrs.frozen
@@ -97,10 +97,10 @@
 
     request_id: str
     service: str
-    answer_tokens: Whole = 0
-    stream_ms: Whole = 0
+    answer_tokens: Size = 0
+    stream_ms: Size = 0
     broken: Independent[StartId] = ()
-    length_tokens: Whole = 0
+    length_tokens: Size = 0
 
 
 @attrs.frozen
@@ -123,12 +123,12 @@
 
     request_id: str
     instance: StartId
-    prompt_tokens: Whole
-    likely_tokens: Whole
-    most_tokens: Whole
-    age_ms: Whole
-    made_tokens: Whole = 0
-    quiet_ms: Whole = 0
+    prompt_tokens: Size
+    likely_tokens: Size
+    most_tokens: Size
+    age_ms: Age
+    made_tokens: Size = 0
+    quiet_ms: Age = 0
     priority: Whole = DEFAULT_RANK
     organisation: str = ""
 
--- a/saffronworks/forwarding/quarantine/messages.py
+++ b/saffronworks/forwarding/quarantine/messages.py
@@ -5,7 +5,7 @@
 from saffronworks.forwarding.contents import ContentId
 from saffronworks.forwarding.prompt_parts import PartId
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import Independent, Whole
+from saffronworks.wire import Age, Independent, Size
 
 __all__ = ["PartEnd", "PartNews", "PartSuspicion", "Suspicion", "SuspicionNews"]
 
@@ -23,8 +23,8 @@
     content: ContentId
     ended: tuple[StartId, ...]
     ran_well: bool = False
-    trials: Whole = 0
-    age_ms: Whole = attrs.field(default=0, eq=False)
+    trials: Size = 0
+    age_ms: Age = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
@@ -45,8 +45,8 @@
 
     instance: StartId
     contents: tuple[str, ...]
-    writing_ms: Whole
-    age_ms: Whole
+    writing_ms: Size
+    age_ms: Age
 
 
 @attrs.frozen
@@ -58,11 +58,11 @@
     """
 
     part: PartId
-    depth: Whole
+    depth: Size
     ends: tuple[PartEnd, ...]
-    sound_age_ms: Whole | None = None
-    trials: Whole = 0
-    age_ms: Whole = 0
+    sound_age_ms: Age | None = None
+    trials: Size = 0
+    age_ms: Age = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/quarantine/records.py
+++ b/saffronworks/forwarding/quarantine/records.py
@@ -12,7 +12,7 @@
 from saffronworks.forwarding.quarantine.messages import PartEnd, PartSuspicion, Suspicion
 from saffronworks.forwarding.quarantine.tuning import SIMULTANEOUS_ENDS_MS
 from saffronworks.forwarding.starts import StartId
-from saffronworks.wire import DECODE_ERRORS, Whole
+from saffronworks.wire import DECODE_ERRORS, Size
 
 __all__ = ["QUARANTINE_KIND", "QuarantineRecords"]
 
@@ -30,7 +30,7 @@
 class _PartSpec:
     """What the record of a part has beside the endpoint starts."""
 
-    depth: Whole
+    depth: Size
     contents: tuple[tuple[str, ...], ...]
 
 
--- a/saffronworks/forwarding/quotas/messages.py
+++ b/saffronworks/forwarding/quotas/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from saffronworks.wire import Real, Size, Whole
+from saffronworks.wire import Rate, Size, Wait
 
 __all__ = ["PEER_MESSAGES", "QuotaAnswer", "QuotaAsk", "QuotaGivenBack", "QuotaRunAgain"]
 
@@ -19,8 +19,8 @@
     reply_to: str
     organisation: str
     cost: Size
-    per_s: Real
-    burst: Real
+    per_s: Rate
+    burst: Rate
     holders: Size
 
 
@@ -30,7 +30,7 @@
 
     ask_id: str
     admitted: bool
-    retry_after_ms: Whole = 0
+    retry_after_ms: Wait = 0
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/store_news.py
+++ b/saffronworks/forwarding/store_news.py
@@ -15,7 +15,7 @@
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.kernel import Kernel, Mailbox
 from saffronworks.peers import Outgoing
-from saffronworks.wire import Whole
+from saffronworks.wire import Size
 
 __all__ = ["NewsFeed", "NewsPace", "ObjectNews", "StoreNews"]
 
@@ -44,7 +44,7 @@
     """One object of the store in an update; `content` is None if it was removed."""
 
     name: str
-    revision: Whole
+    revision: Size
     content: bytes | None
 
 
@@ -59,12 +59,12 @@
 
     sender: str
     kind: str
-    since: Whole
-    revision: Whole
+    since: Size
+    revision: Size
     objects: tuple[ObjectNews, ...] | None
     whole: bool = False
-    lapse_ms: Whole = 0
-    epoch: Whole = 0
+    lapse_ms: Size = 0
+    epoch: Size = 0
 
     @classmethod
     def from_listing(
--- a/saffronworks/membership.py
+++ b/saffronworks/membership.py
@@ -14,7 +14,7 @@
 
 from saffronworks.hashing import hash64
 from saffronworks.owner.predictors import Average
-from saffronworks.wire import Independent, Whole
+from saffronworks.wire import Age, Independent, Whole
 
 __all__ = [
     "Heartbeat",
@@ -97,7 +97,7 @@
     sender: MemberUpdate
     updates: Independent[MemberUpdate]
     digest: int = 0
-    fresh_age_ms: Whole = 0
+    fresh_age_ms: Age = 0
 
 
 @attrs.frozen
@@ -107,7 +107,7 @@
     sender: MemberUpdate
     updates: Independent[MemberUpdate]
     digest: int = 0
-    fresh_age_ms: Whole = 0
+    fresh_age_ms: Age = 0
 
 
 @attrs.frozen
--- a/saffronworks/wire.py
+++ b/saffronworks/wire.py
@@ -14,8 +14,10 @@
     "Decoded",
     "Encoded",
     "Independent",
+    "Rate",
     "Real",
     "Size",
+    "Wait",
     "Whole",
 ]
 
@@ -26,9 +28,12 @@
 Whole = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 Real = Annotated[float, msgspec.Meta(ge=-(2.0**53), le=2.0**53)]
 Size = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=2.0**53)]
 # Time since an observation in ms. A negative one would lie in the future, and be the newest one
 # known of its subject until then.
 Age = Size
+# Time until a retry in ms, a day at most.
+Wait = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 
 # Of an item that is left out, this much is logged.
 _SHOWN_CHARS = 120
