List a kind again if the store is behind the revision that a node knows

What callers could see: a node serves by an old configuration, or sends to endpoints that have drained, for good.

Cause: an update of a peer with a revision that the store has not reached (one spoiled field) is applied. All later answers are then older, counted as overtaken and ignored, without a log line. A listing was asked for only after a later epoch.

Now an answer to a watch that is behind the revision it was asked for requires a listing, as after a restore, and says so (`store_behind`). The grace period for entries that a peer states is capped at the own one.

--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -142,7 +142,7 @@
         """Apply an update if it has all changes since `revision`; returns whether it does."""
         if news.objects is None or (news.after > revision and not news.whole):
             return False
-        until_ms = self._now_ms() + news.lapse_ms
+        until_ms = self._now_ms() + min(news.lapse_ms, LAPSED_GRACE_MS)
         take = self._sink.replace_all if news.whole else self._sink.apply
         take(news.listing, until_ms)
         self._revision = news.at
@@ -226,7 +226,14 @@
             await self._apply_changes(reply.ok_value, revision)
 
     async def _apply_changes(self, answer: Listing, revision: StoreRevision) -> None:
-        if answer.revision.epoch != revision.epoch:
+        if answer.revision.epoch != revision.epoch or answer.revision < revision:
+            # Restored, or the store never reached the revision that a peer's update stated.
+            logger.warning(
+                "event=store_behind kind=%s revision=%s known_revision=%s",
+                self.kind,
+                answer.revision,
+                revision,
+            )
             self._needs_listing = True
             return
         self._note_answer()
--- a/saffronworks/tests/features/spoiled_values.feature
+++ b/saffronworks/tests/features/spoiled_values.feature
@@ -1,5 +1,15 @@
 Feature: one spoiled value costs what it belongs to, and nothing else
 
+  # Guards against requests, quotas, limits, plans and configurations that are lost for all because
+  # one field of one message between nodes is spoiled; the node that it reaches runs on.
+  Scenario: values that took effect beyond their own request, endpoint or object
+    When one field of a message between three nodes is spoiled, for each value known to spread
+    Then all other requests end as without it, and no node keeps an effect of it
+
+  Scenario: any value in any field of a message between nodes
+    When one field of a message is spoiled, in plays drawn with a fixed seed
+    Then all other requests end as without it, and no node keeps an effect of it
+
   # Guards against an endpoint that a node sends nothing to for years, and against limits and
   # suspicions that hold for good because they seem to be of the future.
   Scenario: ages, and waits for a retry, that no sound node sends
--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -44,6 +44,7 @@
 
 # Each took effect on other requests once.
 KNOWN = (
+    Spoil("StoreNews", ("revision",), 10**15),
     Spoil("LimitNews", ("limits", 0, "age_ms"), -(2**53)),
     Spoil("SendAsk", ("limit", "age_ms"), -(2**53)),
     Spoil("SendAnswer", ("retry_after_ms",), 2**53),
