Keep one caller's token counts out of the quotas and plans of others

What callers could see: after one request with Token-Counts of 15 digits all others of its organisation got 429 for years, and the planner of its service kept two fifths of the memory free for answers of that length.

Cause: the counts were bounded for their encoding only. An empty bucket admits a request of any cost and is charged all of it; the planner takes the hint into its mean length, and the prompt into the backlog of a prefiller.

A prompt that no endpoint of its service can hold is refused at once with 413 `prompt-too-long`, before quotas and plans: it could never be served. The most tokens of an answer count as at most what fits beside the prompt. A request that a share couldn't make up for within an hour is not admitted, and delays no retry of others; a repeat of such a cost isn't charged.

--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 
 from saffronworks.forwarding.answer_times import may_begin
 from saffronworks.forwarding.generation_runner import run_generation
-from saffronworks.forwarding.messages import ENDS_ENDPOINTS, CallerRequest, Refuse
+from saffronworks.forwarding.messages import ENDS_ENDPOINTS, PROMPT_TOO_LONG, CallerRequest, Refuse
 from saffronworks.forwarding.plain_runner import run_plain
 from saffronworks.forwarding.ports import CallerReply
 from saffronworks.forwarding.quarantine.suspicions import Admission
@@ -182,6 +182,10 @@
                 await send_refusal(self._node, job, origin)
                 return
             job = attrs.evolve(job, service=origin.service, version=origin.version)
+        if _exceeds_engines(job, table):
+            # Its counts must not reach quotas and plans, which it would distort for others.
+            await send_refusal(self._node, job, PROMPT_TOO_LONG)
+            return
         now_ms = self._node.now_ms()
         self._node.budget.count_request(job.service, now_ms)
         match self._node.quarantine.admit(job.request):
@@ -210,9 +214,12 @@
         if engine is None or job.request.prompt is None:
             await run_plain(self._node, job)
             return
+        prompt = job.request.prompt.within(engine.kv_capacity_tokens)
+        if prompt is not job.request.prompt:
+            job = attrs.evolve(job, request=attrs.evolve(job.request, prompt=prompt))
         usual_ms = max(job.request.left_ms, self._usual_left_ms.get(job.route.name, 0))
         self._usual_left_ms[job.route.name] = usual_ms
-        await run_generation(self._node, job, job.request.prompt, engine, usual_ms)
+        await run_generation(self._node, job, prompt, engine, usual_ms)
 
     async def _cancel_on_disconnect(self, job: Job, scope: anyio.CancelScope) -> None:
         await job.reply.wait_disconnected()
@@ -242,3 +249,11 @@
             await send_refusal(self._node, job, STOPPING)
         else:
             await send_refusal(self._node, job, Refuse(504, reason, not_run=False))
+
+
+def _exceeds_engines(job: Job, table: RoutingTable) -> bool:
+    """Return whether a prompt is longer than the memory of any engine of its service."""
+    service, prompt = table.services.get(job.service), job.request.prompt
+    if service is None or service.engine is None or prompt is None:
+        return False
+    return prompt.prompt_tokens > service.engine.kv_capacity_tokens
--- a/saffronworks/forwarding/messages.py
+++ b/saffronworks/forwarding/messages.py
@@ -23,6 +23,7 @@
     "KvHandle",
     "KvHold",
     "NotExecuted",
+    "PROMPT_TOO_LONG",
     "PromptSize",
     "Refuse",
     "refuse_blocked",
@@ -37,6 +38,13 @@
     most_answer_tokens: int
     likely_answer_tokens: int | None
 
+    def within(self, capacity_tokens: int) -> "PromptSize":
+        """Return the size with at most as long an answer as fits beside the prompt."""
+        room_tokens = max(0, capacity_tokens - self.prompt_tokens)
+        if self.most_answer_tokens <= room_tokens:
+            return self
+        return attrs.evolve(self, most_answer_tokens=room_tokens)
+
     @property
     def likely_tokens(self) -> int:
         """The expected tokens of the answer: the caller's estimate, or the maximum without one."""
@@ -209,3 +217,5 @@
 # request was not executed nor sets a Retry-After, as both invite a retry, which would crash another
 # endpoint.
 ENDS_ENDPOINTS = Refuse(500, "ends-endpoints", not_run=False)
+# Refusal of a prompt that no endpoint of its service can hold. A retry would be refused as well.
+PROMPT_TOO_LONG = Refuse(413, "prompt-too-long", not_run=False)
--- a/saffronworks/forwarding/shares/buckets.py
+++ b/saffronworks/forwarding/shares/buckets.py
@@ -8,6 +8,7 @@
 from saffronworks.forwarding.shares.tuning import (
     COUNTED_RETENTION_MS,
     MAX_COUNTED_ASKS,
+    MAX_DEBT_MS,
     MAX_RETRY_AFTER_MS,
 )
 
@@ -62,7 +63,13 @@
 
     def fits(self, cost: int, capacity: float) -> bool:
         """Return whether a request fits; one larger than the capacity fits an empty bucket."""
-        return self.level + cost <= capacity or not self.level
+        if self.level:
+            return self.level + cost <= capacity
+        return self.may_ever_fit(cost, capacity)
+
+    def may_ever_fit(self, cost: int, capacity: float) -> bool:
+        """Return whether an empty bucket would make up for a request within `MAX_DEBT_MS`."""
+        return cost - capacity <= self.per_s * MAX_DEBT_MS / 1000
 
     def count(self, ask_id: str, cost: int, now_ms: int) -> None:
         """Add the cost of an ask, once."""
--- a/saffronworks/forwarding/shares/holder.py
+++ b/saffronworks/forwarding/shares/holder.py
@@ -14,6 +14,7 @@
 from saffronworks.forwarding.shares.tuning import (
     BUCKET_EXPIRY_INTERVAL_MS,
     EARLY_SHARE,
+    MAX_RETRY_AFTER_MS,
     NEW_HOLDER_SHARE,
     RECOVERED_SHARE,
 )
@@ -96,7 +97,8 @@
         case Ask():
             return _answer(state, bucket, event, share, now_ms)
         case ChargeAgain():
-            bucket.count(event.ask_id, event.cost, now_ms)
+            if bucket.may_ever_fit(event.cost, state.capacity(share, event.holders)):
+                bucket.count(event.ask_id, event.cost, now_ms)
         case Refund():
             bucket.refund(event.ask_id)
     return []
@@ -110,6 +112,8 @@
     after_ms = 0
     if admitted:
         bucket.count(ask.ask_id, ask.cost, now_ms)
+    elif not bucket.may_ever_fit(ask.cost, capacity):
+        after_ms = MAX_RETRY_AFTER_MS
     else:
         after_ms = bucket.room_after_ms(ask.cost, capacity)
         if state.stagger_retries:
--- a/saffronworks/forwarding/shares/tuning.py
+++ b/saffronworks/forwarding/shares/tuning.py
@@ -27,5 +27,8 @@
 # Counted asks per subject, of 0.2 KB each; older ones can't be refunded.
 MAX_COUNTED_ASKS = 4096
 BUCKET_EXPIRY_INTERVAL_MS = 5000
+# Longest time for which a single request may use up a share that it exceeds. A spoiled cost would
+# otherwise refuse all other requests of its subject.
+MAX_DEBT_MS = 3_600_000
 # Callers don't wait for longer than this, whatever the answer says.
 MAX_RETRY_AFTER_MS = 30_000
--- a/saffronworks/tests/features/spoiled_values.feature
+++ b/saffronworks/tests/features/spoiled_values.feature
@@ -10,6 +10,14 @@
     When one field of a message is spoiled, in plays drawn with a fixed seed
     Then all other requests end as without it, and no node keeps an effect of it
 
+  # Guards against a quota that one request of its organisation uses up for years, and against plans
+  # that are wrong for all because of one caller's counts.
+  Scenario: a caller states more tokens than any endpoint holds
+    Given a service whose endpoints hold 90,000 tokens, one organisation with a quota, one without
+    When a caller states a prompt or an answer of 10^15 tokens, between other requests
+    Then a prompt that fits nowhere is refused at once, and all other requests are served
+    And the planner expects answers that fit into an endpoint
+
   # Guards against an endpoint that a node sends nothing to for years, and against limits and
   # suspicions that hold for good because they seem to be of the future.
   Scenario: ages, and waits for a retry, that no sound node sends
--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -48,6 +48,8 @@
     Spoil("LimitNews", ("limits", 0, "age_ms"), -(2**53)),
     Spoil("SendAsk", ("limit", "age_ms"), -(2**53)),
     Spoil("SendAnswer", ("retry_after_ms",), 2**53),
+    Spoil("QuotaRunAgain", ("cost",), 10**15, number=1),
+    Spoil("QuotaAsk", ("cost",), 10**15),
     Spoil("MemoryReport", ("runs", 0, "age_ms"), 2**64 - 1),
     Spoil("MemoryAsk", ("likely_tokens",), 2**53 + 1),
     Spoil("SuspicionNews", ("suspicions", 0, "age_ms"), -(2**53)),
