Let a value that makes a handler or a loop raise cost only its own request

What callers could see: a request that made the planner raise stayed in its plan, so that each later step raised too, and the planner was silent for the whole service; if the first message of a plan raised, no tick followed that would have dropped the plan. A record of the store that raised as it was read failed the service that read it, at all nodes alike, and after three failures in a row all of them were not ready.

Cause: a dropped message leaves what its handler had changed; and messages were dropped alone, but steps of a service's own loop failed the service.

The planner removes the request of a message that raised, and ticks, so that a plan that can't go on is rebuilt. Services run the steps of their loops by `Kernel.attempt`, which logs, counts and leaves out one that raises.

With each part taken out alone (scratch copy) these fail: 'a request that makes the planner raise' (nothing granted), 'a report that makes the planner raise' (the plan stays) and 'a record of the store that makes its reader raise' (the record behind it is not read).

--- a/saffronworks/forwarding/endpoint_limits/service.py
+++ b/saffronworks/forwarding/endpoint_limits/service.py
@@ -100,7 +100,7 @@
         """Exchange limit updates with peers until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._publish_updates)
+            tasks.start_soon(self._publish_updates, kernel)
             await kernel.dispatch(self.name, mailbox, self._handle)
 
     # Known limits.
@@ -262,15 +262,18 @@
         if self._kernel is not None:
             self._kernel.post("peers", Outgoing(node, message))
 
-    async def _publish_updates(self) -> None:
+    async def _publish_updates(self, kernel: Kernel) -> None:
         """Publish changes to a few peers, so that few requests are sent without a permit."""
         while True:
             await self._changed.wait()
-            self._send_limits(self._neighbours.choose(GOSSIP_FANOUT), self._pending.pop_batch())
+            kernel.attempt(self.name, self._publish_batch)
             if not self._pending:
                 self._changed = anyio.Event()
             await anyio.sleep(GOSSIP_INTERVAL_MS / 1000)
 
+    def _publish_batch(self) -> None:
+        self._send_limits(self._neighbours.choose(GOSSIP_FANOUT), self._pending.pop_batch())
+
     def _send_limits(self, nodes: Iterable[str], instances: Iterable[StartId]) -> None:
         updates = [known for one in instances if (known := self._known_limit(one)) is not None]
         for node in nodes if updates else ():
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -41,7 +41,7 @@
     SAMPLE_WEIGHT,
 )
 
-__all__ = ["Event", "PlanState", "Reply", "Tick", "step"]
+__all__ = ["Event", "PlanState", "Reply", "Tick", "forget_request", "step"]
 
 
 @attrs.frozen
@@ -94,6 +94,12 @@
     return [*_drop_superseded(replies, granted), *granted, *rejected]
 
 
+def forget_request(state: PlanState, request_id: str) -> None:
+    """Remove a request that waits or runs, without a reply."""
+    state.waiters.pop(request_id, None)
+    _remove_run(state, request_id)
+
+
 def _request_reports(state: PlanState) -> list[Reply]:
     """Request a report from each node; a new plan is complete once all have answered."""
     message = ReportWanted(state.service, state.own_address)
--- a/saffronworks/forwarding/planning/service.py
+++ b/saffronworks/forwarding/planning/service.py
@@ -33,6 +33,8 @@
 
 logger = logging.getLogger(__name__)
 
+_Message = MemoryAsk | MemoryRelease | MemoryReport | ReadingEnded
+
 # Limit of the organisations of a service that are logged every five seconds.
 MAX_SHARE_LINES = 8
 
@@ -67,9 +69,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tick, kernel)
             await kernel.dispatch(
-                self.name,
-                mailbox,
-                lambda message: self._handle(kernel, message.service, message),
+                self.name, mailbox, lambda message: self._handle_message(kernel, message)
             )
 
     async def _tick(self, kernel: Kernel) -> None:
@@ -82,9 +82,21 @@
                 self._tick_plan(kernel, service)
             if not active:
                 for plan in self.plans.values():
-                    self._log_shares(plan, kernel.now_ms(), last=True)
+                    kernel.attempt(self.name, self._log_shares, plan, kernel.now_ms(), True)
                 self._active = anyio.Event()
 
+    def _handle_message(self, kernel: Kernel, message: _Message) -> None:
+        """Apply a message; one that raises leaves no request behind that would raise again."""
+        try:
+            self._handle(kernel, message.service, message)
+        except Exception:
+            plan = self.plans.get(message.service)
+            if plan is not None and not isinstance(message, MemoryReport):
+                core.forget_request(plan, message.request_id)
+            # The next tick shows whether the plan can go on.
+            self._active.set()
+            raise
+
     def _tick_plan(self, kernel: Kernel, service: str) -> None:
         """Send a tick to a plan; one that can't go on is dropped, and rebuilt from reports."""
         try:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -78,8 +78,8 @@
         """Exchange suspicions with other nodes until cancelled."""
         self._kernel = kernel
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._tick)
-            tasks.start_soon(self._read_records)
+            tasks.start_soon(self._tick, kernel)
+            tasks.start_soon(self._read_records, kernel)
             await kernel.dispatch(self.name, mailbox, self._handle)
 
     def update_nodes(self, nodes: Collection[str]) -> None:
@@ -271,14 +271,14 @@
                 return
             await anyio.sleep(RECORD_RETRY_S)
 
-    async def _read_records(self) -> None:
+    async def _read_records(self, kernel: Kernel) -> None:
         """Load the contents that were quarantined before this node started."""
         for pause_s in RECORD_READ_DELAYS_S:
             await anyio.sleep(pause_s)
             while (records := await self._records.list_all()) is None:
                 await anyio.sleep(RECORD_RETRY_S)
             for suspicion in records:
-                self._handle(events.RecordRead(suspicion))
+                kernel.attempt(self.name, self._handle, events.RecordRead(suspicion))
 
     def _on_store_restored(self) -> None:
         if not self._state.idle:
@@ -288,12 +288,12 @@
         await anyio.sleep(RESTORE_JITTER_MS / 1000 * self._state.rng.random())
         self._handle(events.RecordsLost())
 
-    async def _tick(self) -> None:
+    async def _tick(self, kernel: Kernel) -> None:
         """Apply ticks while something is suspected."""
         while True:
             await self._active.wait()
             await anyio.sleep(GOSSIP_INTERVAL_MS / 1000)
-            self._handle(events.Tick())
+            kernel.attempt(self.name, self._handle, events.Tick())
             if self._state.idle:
                 self._active = anyio.Event()
 
--- a/saffronworks/kernel.py
+++ b/saffronworks/kernel.py
@@ -137,6 +137,23 @@
             except Exception:
                 self.drop(name, message)
 
+    def attempt(self, name: str, step: Callable[..., object], *arguments: Any) -> None:
+        """Run one step of a service's own loop; a step that raises is logged, counted and left out.
+
+        A value that makes it raise is often the same at all nodes. If it failed the service, all
+        nodes would become unready at once.
+        """
+        try:
+            step(*arguments)
+        except Exception:
+            self.dropped[name] += 1
+            logger.exception(
+                "event=step_failed node=%s service=%s step=%s",
+                self.node,
+                name,
+                getattr(step, "__name__", step),
+            )
+
     def drop(self, name: str, message: object) -> None:
         """Log and count a message whose handler has raised; called from its `except`."""
         self.dropped[name] += 1
--- a/saffronworks/peers.py
+++ b/saffronworks/peers.py
@@ -205,7 +205,7 @@
             await anyio.sleep(SWEEP_INTERVAL_S)
             now_ms = kernel.now_ms()
             for address, link in list(self._links.items()):
-                self._check(kernel, address, link, now_ms)
+                kernel.attempt(self.name, self._check, kernel, address, link, now_ms)
             for address in self._backoff.due(now_ms):
                 if address not in self._links:
                     self._dial_again(address, now_ms)
--- a/saffronworks/tests/features/spoiled_values.feature
+++ b/saffronworks/tests/features/spoiled_values.feature
@@ -18,6 +18,21 @@
     Then a prompt that fits nowhere is refused at once, and all other requests are served
     And the planner expects answers that fit into an endpoint
 
+  # Guards against a planner that stays silent for all requests of a service after one of them made
+  # it raise.
+  Scenario: a request that makes the planner raise
+    When one of several requests makes the planner raise before any of them is granted
+    Then the planner grants the others
+
+  Scenario: a report that makes the planner raise
+    When a report brings a run that makes each step of its plan raise
+    Then the plan is dropped, so that a later request begins a new one
+
+  # Guards against all nodes that become unready at once, because each reads the same record.
+  Scenario: a record of the store that makes its reader raise
+    When each node reads a record that raises, between two others
+    Then both others are applied, and no service fails
+
   # Guards against an endpoint that a node sends nothing to for years, and against limits and
   # suspicions that hold for good because they seem to be of the future.
   Scenario: ages, and waits for a retry, that no sound node sends
