Avoid a silent planner or holder only if it answers nothing

What callers could see: one message that a planner or holder could not read, or that was lost, kept its node away from that planner or holder for 2 s and more, with all of its requests; two planners then granted the same memory.

Cause: each message without an answer in time counted as the silence of its receiver, though answers to others arrived meanwhile.

A node counts as silent only if nothing of it has arrived since the message was sent. With the fix taken out (scratch copy) 'a holder or planner that leaves one message without an answer' fails.

--- a/saffronworks/forwarding/node_choice.py
+++ b/saffronworks/forwarding/node_choice.py
@@ -27,8 +27,10 @@
 
 
 def _clear_ranks(choice: "NodeChoice", attribute: Any, cores: dict[str, float]) -> dict[str, float]:
-    """Clear the cached ranks when the set of nodes changes."""
+    """Clear the cached ranks, and the answers of nodes that left, when the nodes change."""
     choice._ranks.clear()
+    for node in choice._answered_ms.keys() - cores.keys():
+        del choice._answered_ms[node]
     return cores
 
 
@@ -46,6 +48,8 @@
     cores: dict[str, float] = attrs.field(factory=dict, on_setattr=_clear_ranks)
     starting_until_ms: int = 0
     _avoided: dict[str, _Avoided] = attrs.Factory(dict)
+    # When each node last answered.
+    _answered_ms: dict[str, int] = attrs.Factory(dict)
     _ranks: dict[tuple[str, frozenset[str]], list[str]] = attrs.Factory(dict)
 
     def choose(self, service: str, now_ms: int) -> str | None:
@@ -64,6 +68,10 @@
         known = self._avoided.get(node)
         return known is not None and now_ms < known.until_ms
 
+    def answered_ms(self, node: str) -> int:
+        """Return when a node last answered; 0 if it never has."""
+        return self._answered_ms.get(node, 0)
+
     def starting(self, now_ms: int) -> bool:
         """Return True while this node counts as just started."""
         return now_ms < self.starting_until_ms
@@ -85,9 +93,20 @@
         self._avoided[node] = _Avoided(now_ms + span_ms, span_ms)
         return span_ms
 
-    def record_answer(self, node: str) -> None:
+    def record_silence(self, node: str, asked_ms: int, now_ms: int) -> int:
+        """Avoid a node that left a message of `asked_ms` without an answer; return for how long.
+
+        A node that has answered other messages since then is not avoided (0 ms): that message was
+        lost, or the node could not read it.
+        """
+        if self._answered_ms.get(node, -1) >= asked_ms:
+            return 0
+        return self.avoid(node, now_ms)
+
+    def record_answer(self, node: str, now_ms: int) -> None:
         """Stop avoiding a node that answered."""
         self._avoided.pop(node, None)
+        self._answered_ms[node] = now_ms
 
     def _rank(self, service: str, avoided: frozenset[str]) -> list[str]:
         """Return the first two nodes by hash, cached, as ranking 60 nodes takes 0.1 ms."""
--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -98,8 +98,6 @@
         self._answers: dict[str, list[_Answer]] = {}
         self._arrived: dict[str, anyio.Event] = {}
         self._runs: dict[str, _Run] = {}
-        # Time of each planner's last answer to this node.
-        self._answered_ms: dict[str, int] = {}
 
     async def run(self, kernel: Kernel, mailbox: Mailbox) -> None:
         """Deliver answers and send reports until cancelled."""
@@ -110,7 +108,7 @@
 
     def _handle(self, message: _Answer | ReportWanted | PeerReached) -> None:
         if isinstance(message, PeerReached):
-            self.choice.record_answer(message.address)
+            self.choice.record_answer(message.address, self._now_ms())
         elif isinstance(message, ReportWanted):
             assert self._kernel is not None
             report = self._make_report(message.service, self._kernel.now_ms())
@@ -144,14 +142,14 @@
             elapsed_ms = self._kernel.now_ms() - began_ms
             if elapsed_ms >= ask.patience_ms:
                 return MemoryRefusal(ask.request_id, 0)
+            sent_ms = began_ms + elapsed_ms
             self._send(planner, _update_times(ask, elapsed_ms))
             limit_ms = extend_for_lag(PLANNER_SILENT_MS)
             answer = await self._next_answer(ask.request_id, limit_ms)
             if answer is None:
-                self._avoid(planner, ask, limit_ms)
+                self._record_silence(planner, ask, sent_ms, limit_ms)
                 return None
-            self.choice.record_answer(planner)
-            self._answered_ms[planner] = self._now_ms()
+            self.choice.record_answer(planner, self._now_ms())
             if isinstance(answer, MemoryQueued):
                 answer = await self._await_turn(planner, ask.request_id)
             match answer:
@@ -167,7 +165,7 @@
         """
         asked_ms = self._now_ms()
         while True:
-            silent_ms = self._now_ms() - max(asked_ms, self._answered_ms.get(planner, 0))
+            silent_ms = self._now_ms() - max(asked_ms, self.choice.answered_ms(planner))
             left_ms = min(
                 extend_for_lag(RESEND_MS) - silent_ms, asked_ms + MAX_RESEND_MS - self._now_ms()
             )
@@ -190,9 +188,8 @@
         answers, self._answers[request_id] = self._answers[request_id], []
         return answers[-1] if answers else None
 
-    def _avoid(self, planner: str, ask: MemoryAsk, limit_ms: float) -> None:
-        assert self._kernel is not None
-        avoided_ms = self.choice.avoid(planner, self._kernel.now_ms())
+    def _record_silence(self, planner: str, ask: MemoryAsk, sent_ms: int, limit_ms: float) -> None:
+        avoided_ms = self.choice.record_silence(planner, sent_ms, self._now_ms())
         logger.info(
             "event=planner_silent request=%s planner=%s after_ms=%d avoided_ms=%d",
             ask.request_id,
@@ -247,11 +244,14 @@
             await anyio.sleep(REPORT_EVERY_MS / 1000)
             services = {run.service for run in self._runs.values()}
             for service in services | reported:
-                report = self._make_report(service, kernel.now_ms())
-                for planner in self.choice.report_receivers(service, kernel.now_ms()):
-                    self._send(planner, report)
+                kernel.attempt(self.name, self._send_report, service, kernel.now_ms())
             reported = services
 
+    def _send_report(self, service: str, now_ms: int) -> None:
+        report = self._make_report(service, now_ms)
+        for planner in self.choice.report_receivers(service, now_ms):
+            self._send(planner, report)
+
     def _make_report(self, service: str, now_ms: int) -> MemoryReport:
         runs = tuple(
             LiveRun(
--- a/saffronworks/forwarding/shares/entry.py
+++ b/saffronworks/forwarding/shares/entry.py
@@ -41,12 +41,14 @@
     """The query of one request: holders left to ask, and the answers so far.
 
     `all_answered`: no holder was skipped or timed out. `retry_after_ms`: the shortest one received.
+    `asked_ms`: when the last holder was asked.
     """
 
     ask: Ask
     left: list[str] = attrs.Factory(list)
     all_answered: bool = True
     retry_after_ms: int | None = None
+    asked_ms: int = 0
 
 
 @attrs.frozen
@@ -105,16 +107,17 @@
         case QueryStarted():
             _choose(state, query, now_ms)
         case Answered(holder, answer):
-            state.choice.record_answer(holder)
+            state.choice.record_answer(holder, now_ms)
             if answer.admitted:
                 return Admitted(holder)
             known_ms = query.retry_after_ms
             offered_ms = answer.retry_after_ms
             query.retry_after_ms = offered_ms if known_ms is None else min(known_ms, offered_ms)
         case HolderTimedOut(holder):
-            state.choice.avoid(holder, now_ms)
+            state.choice.record_silence(holder, query.asked_ms, now_ms)
             query.all_answered = False
     if query.left:
+        query.asked_ms = now_ms
         return AskHolder(query.left.pop(0))
     return _decide_unadmitted(state, query, now_ms)
 
--- a/saffronworks/forwarding/shares/shared_limit.py
+++ b/saffronworks/forwarding/shares/shared_limit.py
@@ -133,7 +133,7 @@
 
     def record_reached(self, node: str) -> None:
         """Ask a holder again that could not be reached."""
-        self.entry.choice.record_answer(node)
+        self.entry.choice.record_answer(node, self._now_ms())
 
     def answer(self, node: str, ask: Ask) -> None:
         """Answer an ask of another node."""
--- a/saffronworks/tests/features/spoiled_values.feature
+++ b/saffronworks/tests/features/spoiled_values.feature
@@ -33,6 +33,9 @@
     When each node reads a record that raises, between two others
     Then both others are applied, and no service fails
 
+  Scenario: a holder or planner that leaves one message without an answer
+    Then it is avoided, unless it has answered others since
+
   # Guards against an endpoint that a node sends nothing to for years, and against limits and
   # suspicions that hold for good because they seem to be of the future.
   Scenario: ages, and waits for a retry, that no sound node sends
--- a/saffronworks/tests/features/steps/planner_choice_steps.py
+++ b/saffronworks/tests/features/steps/planner_choice_steps.py
@@ -43,7 +43,7 @@
         now_ms += spans[-1]
     assert spans == sorted(spans) and spans[0] == 2 * NODE_AVOID_MS
     assert spans[-1] == NODE_AVOID_MAX_MS
-    choice.record_answer(context.first)
+    choice.record_answer(context.first, 0)
     assert choice.avoid(context.first, now_ms) == NODE_AVOID_MS
 
 
