Explain requests from logs that have odd lines

What operators saw: `saffronctl explain` ended with KeyError at a line with an empty `event=`, and with ValueError at a number such as `--5` or a superscript digit, without a word on any other request.

Lines without an event are passed over, and what is no plain number counts as none. With each part taken out (scratch copy) 'log lines with spoiled events and numbers' fails.

--- a/saffronworks/explain.py
+++ b/saffronworks/explain.py
@@ -23,6 +23,8 @@
 
 # A value is one word, or a printed data class: a name and fields in brackets.
 _PAIR = re.compile(r"(\w+)=(\w+\([^()]*\)|\S+)")
+_EVENT = re.compile(r"\bevent=\S")
+_WHOLE = re.compile(r"-?[0-9]{1,18}", re.ASCII)
 _TIME = re.compile(r"time=(\S+ \S+)")
 
 # From here on a status tells that the endpoint failed the request.
@@ -49,7 +51,7 @@
     def number(self, key: str) -> int:
         """A whole number of the line; 0 where it has none."""
         value = self.pairs.get(key, "")
-        return int(value) if value.lstrip("-").isdigit() else 0
+        return int(value) if _WHOLE.fullmatch(value) else 0
 
 
 @attrs.frozen
@@ -183,10 +185,10 @@
 def read_lines(lines: Iterable[str]) -> Iterator[LogLine]:
     """The lines that tell of an event; other text is passed over."""
     for line in lines:
-        start = line.find("event=")
-        if start < 0:
+        start = _EVENT.search(line)
+        if start is None:
             continue
-        time, pairs = _TIME.search(line), dict(_PAIR.findall(line[start:]))
+        time, pairs = _TIME.search(line), dict(_PAIR.findall(line[start.start() :]))
         yield LogLine(time[1] if time else "", pairs["event"], pairs)
 
 
--- a/saffronworks/tests/features/spoiled_values.feature
+++ b/saffronworks/tests/features/spoiled_values.feature
@@ -41,3 +41,7 @@
   Scenario: ages, and waits for a retry, that no sound node sends
     Then a message with a negative age or a wait beyond a day is not read
     And a permit that is refused for a day is asked for again within a minute
+
+  # Guards against a command that ends at the first odd line of a log of many nodes.
+  Scenario: log lines with spoiled events and numbers
+    Then requests are explained from all other lines, whatever bytes a line has
