Let other calls to the store go on once a probe's answer begins

What callers could see: news of a drain late at a node whose store connection was lost, if the call that probes the store is a large listing over a slow link.

Cause: one wait holds back what others carry. Other callers waited for the end of the probe, 1.5 s at most, though the store had answered long before.

The circuit closes at the head of an answer; if the rest fails it opens again.

--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -75,14 +75,18 @@
         self._probe_until_ms = now_ms + PROBE_HOLD_MS
         return self._probe
 
+    def record_answer(self) -> None:
+        """Close: the store has begun to answer a call, whose rest may take its time."""
+        self.open = False
+        self._probe_until_ms = None
+
     def end(self, probe: int | None, outcome: Outcome, pause_ms: int, now_ms: int) -> None:
         """Record the end of a call; after a failure the next probe is `pause_ms` later."""
         if probe == self._probe:
             self._probe_until_ms = None
         match outcome:
             case Outcome.ANSWERED:
-                self.open = False
-                self._probe_until_ms = None
+                self.record_answer()
             case Outcome.CUT if not self.open:
                 self.open = True
                 self.next_probe_ms = max(now_ms, self._next_after_cut_ms)
@@ -148,6 +152,12 @@
         """Remove an object."""
         return await self._source.remove(kind, name)
 
+    def record_answer_begun(self) -> None:
+        """Let the other callers go on: the store answers, though a large answer is under way."""
+        if self._circuit.open:
+            self._circuit.record_answer()
+            self._notify()
+
     async def _guard(self, call: Callable[[bool], Awaitable[Result[T, E]]]) -> Result[T, E]:
         """Make a call when the circuit allows it; it is told whether it is a probe."""
         while wait_ms := self._circuit.wait_ms(self._now_ms()):
@@ -161,8 +171,11 @@
             return reply
         finally:
             self._circuit.end(probe, outcome, self._pause_ms(), self._now_ms())
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def _pause_ms(self) -> int:
         longest_ms = PEER_FED_PROBE_INTERVAL_MS if self._has_peer_updates() else PROBE_INTERVAL_MS
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -130,6 +130,7 @@
             monotonic_ms,
         )
         self._guarded_store = GuardedSource(self._store, rng, monotonic_ms, self._receives_updates)
+        self._store.on_answer = self._guarded_store.record_answer_begun
         self._kernel = Kernel(settings.node, monotonic_ms)
         self._peers = PeerService(
             settings.peer_address,
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -3,6 +3,7 @@
 import logging
 import math
 import socket
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -60,6 +61,8 @@
     httpcore.ProtocolError,
     OSError,
 )
+# Statuses of a store that serves no calls of this node now.
+_UNAVAILABLE = (429, 500, 502, 503, 504)
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
 
@@ -110,11 +113,15 @@
 
 
 class PlatformStore:
-    """Calls to the store. A malformed reply is a failure with its reason."""
+    """Calls to the store. A malformed reply is a failure with its reason.
+
+    `on_answer` is called when the store has begun to answer a call.
+    """
 
     def __init__(self, address: str, epoch: StoreEpoch):
         self._address = address
         self._epoch = epoch
+        self.on_answer: Callable[[], None] = lambda: None
         self._malformed_epoch: bytes | None = None
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=8, keepalive_expiry=20, socket_options=_KEEP_ALIVE
@@ -214,6 +221,8 @@
                 )
                 async with call as response:
                     head.deadline = math.inf
+                    if response.status not in _UNAVAILABLE:
+                        self.on_answer()
                     body = await read_body_at_rate(
                         response, MAX_BODY_BYTES, BODY_TIMEOUT_S, MIN_BODY_BYTES_PER_S
                     )
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -162,6 +162,29 @@
     assert not late, (len(late), max(late.values()), late)
 
 
+@then("other callers go on when its answer begins, and wait again if it fails")
+def answer_begins(context):
+    async def main():
+        store = GivenStore(Err(ObjectStoreFailure("status 503")))
+        source = guarded(store)
+        store.may_answer.set()
+        await source.list_objects("config")
+        source._circuit.next_probe_ms = 0
+        store.may_answer = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            for kind in ("config", "servers"):
+                tasks.start_soon(source.list_objects, kind)
+                await anyio.wait_all_tasks_blocked()
+            assert store.calls_now == 1, store.calls_now
+            source.record_answer_begun()
+            await anyio.wait_all_tasks_blocked()
+            assert store.calls_now == 2, store.calls_now
+            store.may_answer.set()
+        assert source._circuit.open
+
+    anyio.run(main)
+
+
 @then("other callers wait for a probe no longer than for its timeouts")
 def bounded_hold(context):
     circuit = StoreCircuit()
--- a/saffronworks/tests/features/store_circuit.feature
+++ b/saffronworks/tests/features/store_circuit.feature
@@ -28,6 +28,9 @@
     When a watch is reset up to 0.6 s after a change of the other kind, and then its own kind changes
     Then that change is in force within half of the time that a node has
 
+  Scenario: a probe whose answer is large
+    Then other callers go on when its answer begins, and wait again if it fails
+
   Scenario: a probe without an answer
     Then other callers wait for a probe no longer than for its timeouts
 
