Draw the items of independent collections in the properties of messages

It draws their items again, and numbers within the bounds of their type where a sound value is meant.

--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -86,8 +86,10 @@
     args = [one for one in getattr(kind, "__args__", ()) if one is not Ellipsis]
     if attrs.has(kind):
         return make(kind)
+    if hasattr(kind, "__metadata__") and kind.__origin__ not in (int, float):
+        return make_sound(kind.__origin__)
     if hasattr(kind, "__metadata__"):
-        return BOUNDED if kind.__origin__ is int else BOUNDED.map(float)
+        return in_bounds(kind) if kind.__origin__ is int else in_bounds(kind).map(float)
     if getattr(kind, "__origin__", None) is tuple:
         if len(args) == 1:
             return st.lists(make_value(args[0]), max_size=2)
@@ -98,6 +100,19 @@
     return names.get(kind, st.none() if kind is type(None) else TEXTS)
 
 
+def in_bounds(kind):
+    """The bounded numbers that a type allows."""
+    return BOUNDED.filter(lambda number: is_allowed(number, kind))
+
+
+def is_allowed(number, kind):
+    try:
+        msgspec.convert(number, kind, strict=False)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
 def message_kinds():
     found = [(name, getattr(module, name)) for module in MODULES for name in module.__all__]
     return [(name, kind) for name, kind in found if attrs.has(kind)]
