Soak: don't count connections of a surge that were closed unread against cut paths

Not the code but the check of partitioned_serve was wrong.

Such connections are left out of that check as they are of surged_serve; surge requests that a node has read still count. A case of its own shows that the check no longer fails for them; that it fails for requests that were read stays as it was.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -51,6 +51,7 @@
       | came twice in a pause of its endpoint                   |
       | failed right after the paths of its node were cut       |
       | failed as the paths of all nodes were cut               |
+      | came unread in a surge as the paths of its node were cut |
       | was one of few that failed of those read in a surge     |
       | was served                                              |
       | rested on a connection that a planned stop closed       |
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -254,6 +254,14 @@
             records.asked[name] = asked
 
 
+def unread_at_cut(records, count):
+    """The same, but an overloaded node closed the connections of a surge unread."""
+    cut_off(records, count)
+    for asked in records.asked.values():
+        if asked.status == 503:
+            asked.kind, asked.outcome, asked.status, asked.body = "surge", "unread", 0, b""
+
+
 def surged(records, served):
     """A surge comes to node 0, which serves so many of the 30 requests that it reads."""
     from_ms = SENT_MS + 100
@@ -359,6 +367,10 @@
         "once",
         lambda seen: surged(seen, 22),
     ),
+    "came unread in a surge as the paths of its node were cut": (
+        "partitioned_serve",
+        lambda seen: unread_at_cut(seen, 11),
+    ),
     "was one of few that failed of those read in a surge": (
         "once",
         lambda seen: surged(seen, 23),
