--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -227,14 +227,7 @@
 
     async def _apply_changes(self, answer: Listing, revision: StoreRevision) -> None:
         if answer.revision.epoch != revision.epoch or answer.revision < revision:
-            # Restored, or the store never reached the revision that a peer's update stated.
-            logger.warning(
-                "event=store_behind kind=%s revision=%s known_revision=%s",
-                self.kind,
-                answer.revision,
-                revision,
-            )
-            self._needs_listing = True
+            self._require_listing(answer.revision, revision)
             return
         self._note_answer()
         self._histories_gone = 0
@@ -246,6 +239,14 @@
         if answer.objects:
             await anyio.sleep(WATCH_COALESCE_MS / 1000)
 
+    def _require_listing(self, found: StoreRevision, known: StoreRevision) -> None:
+        """Require a listing after a restore, or an update of a peer that the store doesn't have."""
+        self._needs_listing = True
+        if found < known:
+            logger.warning(
+                "event=store_behind kind=%s revision=%s known_revision=%s", self.kind, found, known
+            )
+
     def _end_watch(self) -> None:
         """End the current watch after a restore of the store, because it may never return."""
         if self._watching is not None:
