--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -17,12 +17,9 @@
 
 from saffronworks.documents import Document
 from saffronworks.engines import EngineClient
-from saffronworks.forwarding import store_news
 from saffronworks.forwarding.directory import ServiceEndpoint
-from saffronworks.forwarding.endpoint_limits import messages as limit_messages
 from saffronworks.forwarding.event_streams import EventSplitter
 from saffronworks.forwarding.messages import AnswerHead, Executed, PromptSize
-from saffronworks.forwarding.origins import messages as origin_messages
 from saffronworks.forwarding.paths.messages import (
     RelayRequest,
     decode_reply,
@@ -31,8 +28,6 @@
 )
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient, RunSize
-from saffronworks.forwarding.quarantine import messages as quarantine_messages
-from saffronworks.forwarding.quotas import messages as quota_messages
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.kernel import Kernel
 from saffronworks.members import read_vms
@@ -47,16 +42,9 @@
 from saffronworks.tests.caller_fakes import FakeCaller
 from saffronworks.tests.platform_fakes import FakeServer
 from saffronworks.tests.platform_place import CONFIG, make_node, on_platform, web_servers
+from saffronworks.tests.service_nodes import MODULES
 from saffronworks.wire import Codec
 
-MODULES = (
-    planning_messages,
-    store_news,
-    quarantine_messages,
-    quota_messages,
-    limit_messages,
-    origin_messages,
-)
 HUGE = 10**18 - 1
 # One in so many fields of messages is odd.
 ODD_PICK = 30
--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -28,18 +28,8 @@
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.tests.platform_place import CONFIG, engines, on_platform, web_servers
 from saffronworks.tests.revisions import at
-from saffronworks.tests.spoiled_plays import (
-    MODULES,
-    TABLE,
-    VALUES,
-    Spoil,
-    find_fields,
-    find_spread,
-    make_endpoints,
-    make_request,
-    play,
-    put,
-)
+from saffronworks.tests.service_nodes import MODULES, TABLE, make_endpoints, make_request
+from saffronworks.tests.spoiled_plays import VALUES, Spoil, find_fields, find_spread, play, put
 from saffronworks.wire import Codec
 
 # Each took effect on other requests once.
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -104,6 +104,16 @@
     return GuardedSource(store, random.Random(1), lambda: 0, lambda: False)
 
 
+async def guarded_after_failure(store):
+    """A source whose store has failed one call and answers the next one when it may."""
+    source = guarded(store)
+    store.may_answer.set()
+    await source.list_objects("config")
+    source._circuit.next_probe_ms = 0
+    store.may_answer = anyio.Event()
+    return source
+
+
 @then("callers of an available store never wait for each other")
 def never_wait(context):
     async def main():
@@ -123,11 +133,7 @@
 def next_calls(context):
     async def main():
         store = GivenStore(Err(ObjectStoreFailure("status 503")))
-        source = guarded(store)
-        store.may_answer.set()
-        await source.list_objects("config")
-        source._circuit.next_probe_ms = 0
-        store.may_answer = anyio.Event()
+        source = await guarded_after_failure(store)
         with anyio.move_on_after(0.05):
             await source.list_objects("config")
         with anyio.fail_after(1):
@@ -166,11 +172,7 @@
 def answer_begins(context):
     async def main():
         store = GivenStore(Err(ObjectStoreFailure("status 503")))
-        source = guarded(store)
-        store.may_answer.set()
-        await source.list_objects("config")
-        source._circuit.next_probe_ms = 0
-        store.may_answer = anyio.Event()
+        source = await guarded_after_failure(store)
         async with anyio.create_task_group() as tasks:
             for kind in ("config", "servers"):
                 tasks.start_soon(source.list_objects, kind)
