--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -142,10 +142,10 @@
 def _learn_from_request(state: PlanState, ask: MemoryAsk, now_ms: int) -> None:
     """Add a new request to the statistics; a repeated one is not counted again."""
     state.order.rates.record(clip_rank(ask.priority), now_ms)
-    mean_tokens = state.mean_answer_tokens or float(ask.likely_tokens)
-    state.mean_answer_tokens = mean_tokens + LENGTH_SAMPLE_WEIGHT * (
-        ask.likely_tokens - mean_tokens
-    )
+    # Longer answers fit into no endpoint; such a hint must not distort what others get.
+    likely_tokens = min(ask.likely_tokens, state.capacity_tokens)
+    mean_tokens = state.mean_answer_tokens or float(likely_tokens)
+    state.mean_answer_tokens = mean_tokens + LENGTH_SAMPLE_WEIGHT * (likely_tokens - mean_tokens)
     for instance in ask.broken:
         state.ejections.record_failure(instance, now_ms)
 
--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -42,6 +42,7 @@
     Spoil("QuotaAsk", ("cost",), 10**15),
     Spoil("MemoryReport", ("runs", 0, "age_ms"), 2**64 - 1),
     Spoil("MemoryAsk", ("likely_tokens",), 2**53 + 1),
+    Spoil("MemoryAsk", ("likely_tokens",), 10**15),
     Spoil("SuspicionNews", ("suspicions", 0, "age_ms"), -(2**53)),
     Spoil("PartNews", ("parts", 0, "sound_age_ms"), -(2**53)),
 )
