Write the last log lines of a stopping node

The logs couldn't tell what a stopping node did to a request: lines of cuts were INFO, which the bound on lines may drop, and waited for the next batch, so that a killed process lost them.

Refusals and cuts by a stopping node are WARNING now, which the bound doesn't drop. Once the open requests have been ended, the waiting lines are written at once, within 100 ms at most, and without batches from then on. No test of its own.

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -118,7 +118,8 @@
     async def _refuse(
         self, call: Call, failure: str, sent: bool = False, request_id: str | None = None
     ) -> None:
-        logger.info(
+        logger.log(
+            logging.WARNING if self.closing else logging.INFO,
             "event=relay_refused request=%s reason=%s sent=%s open=%d",
             request_id,
             failure,
@@ -154,7 +155,7 @@
             finally:
                 self._scopes.remove(scope)
         if scope.cancelled_caught and call.started:
-            logger.info("event=relay_cut request=%s reason=stopping", request.request_id)
+            logger.warning("event=relay_cut request=%s reason=stopping", request.request_id)
             call.cut()
         elif scope.cancelled_caught:
             await self._refuse(call, "stopping", sent.is_set(), request.request_id)
--- a/saffronworks/logs.py
+++ b/saffronworks/logs.py
@@ -10,7 +10,7 @@
 
 from saffronworks.clocks import monotonic_ms
 
-__all__ = ["BoundedHandler", "set_up_logs"]
+__all__ = ["BoundedHandler", "flush_logs", "set_up_logs"]
 
 # Lines a second that one process writes at most; a request takes about six lines, and a node on
 # a tenth of a slow core serves some 60 requests a second at its peak.
@@ -34,6 +34,7 @@
         self._lines_in_second = 0
         self._waiting: queue.Queue[str] = queue.Queue(MOST_WAITING_LINES)
         self._stream = stream
+        self._flushing = threading.Event()
         self._writer = threading.Thread(target=self._write, name="log-writer", daemon=True)
         self._writer.start()
 
@@ -50,11 +51,12 @@
         except queue.Full:
             self.dropped += 1
 
-    def flush(self) -> None:
-        """Wait a moment until all lines are written; at the process's end."""
-        until_ms = monotonic_ms() + FLUSH_MS
+    def flush(self, within_ms: int = FLUSH_MS) -> None:
+        """Wait until all lines are written, at most `within_ms`; lines are no longer batched."""
+        self._flushing.set()
+        until_ms = monotonic_ms() + within_ms
         while self._waiting.unfinished_tasks and monotonic_ms() < until_ms:
-            time.sleep(0.01)
+            time.sleep(0.002)
 
     def _within_rate(self, second: int) -> bool:
         if second != self._second:
@@ -66,7 +68,7 @@
         while True:
             lines = [self._waiting.get()]
             # A wake-up and a write for each line cost more than the line.
-            time.sleep(BATCH_MS / 1000)
+            self._flushing.wait(BATCH_MS / 1000)
             with contextlib.suppress(queue.Empty):
                 while True:
                     lines.append(self._waiting.get_nowait())
@@ -79,6 +81,13 @@
                 self._waiting.task_done()
 
 
+def flush_logs(within_ms: int) -> None:
+    """Write the lines that wait, before the process may be killed; blocks up to `within_ms`."""
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedHandler):
+            handler.flush(within_ms)
+
+
 def set_up_logs(level: str, stream: TextIO = sys.stderr) -> None:
     """Log to a stream; events write their own pairs, time and module come first."""
     handler = BoundedHandler(stream)
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -252,7 +252,9 @@
             await reply.refuse(413, str(error))
             return
         if scope.cancelled_caught:
-            logger.info("event=refuse request=%s reason=stopping", call.headers.get("request-id"))
+            logger.warning(
+                "event=refuse request=%s reason=stopping", call.headers.get("request-id")
+            )
             await reply.refuse(STOPPING.status, STOPPING.reason, STOPPING.retry_after_ms)
             return
         request = read_request(call, body, self._now_ms())
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -52,6 +52,7 @@
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
 from saffronworks.http_connections import HEADER_TIMEOUT_MS, MAX_HEADER_BYTES
 from saffronworks.kernel import Kernel
+from saffronworks.logs import flush_logs
 from saffronworks.overload.gate import ConnectionGate
 from saffronworks.overload.link_budget import LinkBudget, bytes_per_ms
 from saffronworks.overload.request_cost import RequestCost
@@ -84,6 +85,8 @@
 EXIT_MARGIN_MS = 800
 # Time for the last bytes of the ended requests to reach the kernel.
 FLUSH_MS = 200
+# Longest wait for the log lines of the ended requests to be written.
+LOG_FLUSH_MS = 100
 # Delay before a failed service is restarted.
 SERVICE_PAUSE_MS = 1000
 # Processor time that a request is assumed to take on one core, until it is measured.
@@ -461,6 +464,8 @@
         self._forwarder.end_open_requests()
         self._relay_server.end_open_requests()
         await anyio.sleep(FLUSH_MS / 1000)
+        # The process may be killed from here on.
+        flush_logs(LOG_FLUSH_MS)
         serving.cancel()
 
     def _spawn(
