Begin on a stopping node only requests that can end

Callers saw streams that a stopping node had begun and then cut at the end of its grace (LOST).

Cause: an estimate counted as a guarantee. The chance that an answer ends in time rested on an assumed or a mean time per token, which slow and silent endpoints exceed.

After the notice, 2.3 s after the signal, only a request is begun whose own deadline lies before the end of the node. The same is asked before each first run, so that what waited for memory or a prefill is not begun later, and what broke before its answer began gets 502 in place of a run that the node may cut. A refused request can be repeated elsewhere; a cut one may not.

event=drain_decision tells why a request was begun or not; refusals and cuts tell the time since the signal. The planned end is one record now (planned_ends). The scenarios of planned ends that tolerate a busy machine came with this as well.

--- a/saffronworks/explain.py
+++ b/saffronworks/explain.py
@@ -123,8 +123,21 @@
                 return self._refusal_cause()
             case "no end":
                 return "its node ended or stands still"
+            case "cut" if self._cut_at_stop:
+                return f"its node stopped, begun {self._begun}"
         return self._failure() or self._longest_wait()
 
+    @property
+    def _cut_at_stop(self) -> bool:
+        cut = self._last("cut")
+        return cut is not None and cut.pairs.get("reason") == "stopping"
+
+    @property
+    def _begun(self) -> str:
+        """When a request was begun whose node stops, and by what the node decided to begin it."""
+        decision = self._last("drain_decision")
+        return f"while draining, by {decision.pairs.get('by')}" if decision else "before"
+
     def _refusal_cause(self) -> str:
         refusal, plan = self._last("refuse"), self._last("plan")
         assert refusal is not None
--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -12,27 +12,26 @@
 from saffronworks.forwarding.generation_runner import run_generation
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, PROMPT_TOO_LONG, CallerRequest, Refuse
 from saffronworks.forwarding.plain_runner import run_plain
+from saffronworks.forwarding.planned_ends import (
+    DEADLINE_SLACK_MS,
+    NO_TIME_LEFT,
+    STOPPING,
+    PlannedEnd,
+)
 from saffronworks.forwarding.ports import CallerReply
 from saffronworks.forwarding.quarantine.suspicions import Admission
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import Job, NodeState, retry_after_ms, send_refusal
-from saffronworks.forwarding.tuning import OTHER_NODE_RETRY_AFTER_MS
 
-__all__ = ["STOPPING", "Forwarder"]
+__all__ = ["Forwarder"]
 
 logger = logging.getLogger(__name__)
 
-# Time that a runner has to answer after the deadline, before the forwarder ends the request.
-DEADLINE_SLACK_MS = 150
 # Retry-After sent by a node that has just started and has no configuration yet: the store answers
 # in 4 ms, and a start takes a second.
 NO_TABLE_RETRY_MS = 500
 # A node that has no configuration after this time is waiting for an unavailable store.
 STORE_SLOW_MS = 1000
-# Refusal of a request that no endpoint can have run, at the end of this process.
-STOPPING = Refuse(503, "stopping", not_run=True, retry_after_ms=OTHER_NODE_RETRY_AFTER_MS)
-# Refusal of a request that would not end before this process.
-NO_TIME_LEFT = attrs.evolve(STOPPING, reason="node-draining")
 # Plain answers are expected within this multiple of their latency target.
 PLAIN_TARGETS = 4
 
@@ -46,8 +45,6 @@
         # Requests are no longer served, as the process ends.
         self.ended = False
         self._scopes: set[anyio.CancelScope] = set()
-        self._ends_ms = math.inf
-        self._end_announced = False
         self._serving_share: Callable[[], float] = lambda: 0.0
         self._node = node
         self._began_ms = began_ms
@@ -86,21 +83,22 @@
             finally:
                 self._scopes.remove(scope)
 
-    def drain(self, ends_ms: int, serving_share: Callable[[], float]) -> None:
-        """Refuse requests from now on that are likely to outlast `ends_ms`.
+    def drain(self, end: PlannedEnd, serving_share: Callable[[], float]) -> None:
+        """Refuse requests from now on that are likely to outlast this process.
 
+        After the notice, only those are begun whose own deadline lies before the end.
         `serving_share` returns the share of the other nodes that may serve them instead; where it
-        is low, they are begun all the same.
+        is low, requests are begun before the notice all the same.
         """
-        self._ends_ms, self._serving_share = ends_ms, serving_share
-
-    def announce_end(self) -> None:
-        """Begin only requests that are certain to end in time, as callers should not come now."""
-        self._end_announced = True
+        self._node.planned_end, self._serving_share = end, serving_share
 
     def end_open_requests(self) -> None:
         """Answer or cut all open requests, as the process ends."""
-        logger.info("event=requests_ended open_requests=%d", self.open_requests)
+        logger.warning(
+            "event=requests_ended open_requests=%d since_stop_ms=%s",
+            self.open_requests,
+            self._node.since_stop_ms,
+        )
         self.ended = True
         for scope in self._scopes:
             scope.cancel()
@@ -131,9 +129,7 @@
             return
         request = attrs.evolve(request, organisation=identified)
         job = Job(request, route, service, reply, table.version)
-        left_ms = self._ends_ms - self._node.now_ms()
-        chance = self._chance_within(left_ms, job, table)
-        if not may_begin(chance, self._serving_share(), self._end_announced):
+        if not self._begins(job, table):
             await send_refusal(self._node, job, NO_TIME_LEFT)
             return
         self.open_requests += 1
@@ -145,6 +141,33 @@
             now_ms = self._node.now_ms()
             self._node.link.end(route.name, expected_bytes, job.sent_bytes, now_ms)
 
+    def _begins(self, job: Job, table: RoutingTable) -> bool:
+        """Return whether to begin a request; log it if the node drains."""
+        end, now_ms = self._node.planned_end, self._node.now_ms()
+        if end is None:
+            return True
+        left_ms = end.ends_ms - now_ms
+        ends_in_time = end.outlasts(job.deadline_at_ms)
+        announced, serving_share = end.announced(now_ms), self._serving_share()
+        chance, samples = self._chance_within(left_ms, job, table)
+        begins = may_begin(ends_in_time, chance, serving_share, announced)
+        logger.warning(
+            "event=drain_decision request=%s route=%s begins=%s by=%s chance=%.2f samples=%s "
+            "serving_share=%.2f announced=%s left_ms=%d deadline_ms=%d since_stop_ms=%d",
+            job.request.request_id,
+            job.route.name,
+            begins,
+            "deadline" if ends_in_time or announced else "estimate",
+            chance,
+            samples,
+            serving_share,
+            announced,
+            left_ms,
+            job.deadline_at_ms - now_ms,
+            now_ms - end.stop_sent_ms,
+        )
+        return begins
+
     def _retry_without_table_ms(self, request: CallerRequest) -> int:
         """Return the Retry-After: short after a start, else the usual one."""
         if self._node.now_ms() - self._began_ms < STORE_SLOW_MS:
@@ -162,18 +185,22 @@
         if scope.cancelled_caught:
             await self._end_early(job, "stopping" if self.ended else "deadline")
 
-    def _chance_within(self, left_ms: float, job: Job, table: RoutingTable) -> float:
-        """Return the probability that a request which begins now ends in this time."""
+    def _chance_within(
+        self, left_ms: float, job: Job, table: RoutingTable
+    ) -> tuple[float, int | None]:
+        """Return the estimated probability that a request which begins now ends in this time.
+
+        Also the number of measured streams that it rests on, None for a plain request.
+        """
         request, route = job.request, job.route
-        if job.deadline_at_ms - self._node.now_ms() <= left_ms:
-            return 1.0
         service = table.services.get(job.service)
         engine = service.engine if service else None
         if engine is not None and request.prompt is not None:
             made_tokens = (request.after_event or 0) * engine.tokens_per_event
             times = self._node.answer_times.of(job.service)
-            return times.chance_within(left_ms, request.prompt, made_tokens)
-        return float(not route.streams and PLAIN_TARGETS * route.target_ms <= left_ms)
+            return times.chance_within(left_ms, request.prompt, made_tokens), times.samples
+        fits = not route.streams and PLAIN_TARGETS * route.target_ms <= left_ms
+        return float(fits), None
 
     async def _run(self, job: Job, table: RoutingTable) -> None:
         if job.route.streams and job.request.after_event is not None:
@@ -237,11 +264,14 @@
 
     async def _end_early(self, job: Job, reason: str) -> None:
         if job.reply.started:
-            logger.info(
-                "event=cut request=%s route=%s reason=%s",
+            logger.log(
+                self._node.end_level,
+                "event=cut request=%s route=%s reason=%s waited_ms=%d since_stop_ms=%s",
                 job.request.request_id,
                 job.route.name,
                 reason,
+                self._node.now_ms() - job.request.arrived_ms,
+                self._node.since_stop_ms,
             )
             self._node.figures.count("cut", job.route.name, reason)
             job.reply.cut()
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -131,7 +131,7 @@
             self._state.version,
             node.origins.is_certain,
         )
-        denial = node.denial(self._job, self._trial_began)
+        denial = node.denial(self._job, self._trial_began, answer_started)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, denial)
         if not isinstance(command, events.Wait | events.TakeHold):
             self._log_decision(event, command, pools, answer_started, now_ms)
@@ -346,12 +346,15 @@
         return events.RelayBroken(endpoint.instance, position_known, site)
 
     def _cut(self, reason: str) -> None:
-        logger.info(
-            "event=cut request=%s route=%s reason=%s last_event=%s",
+        logger.log(
+            self._node.end_level,
+            "event=cut request=%s route=%s reason=%s last_event=%s waited_ms=%d since_stop_ms=%s",
             self._job.request.request_id,
             self._job.route.name,
             reason,
             self._relay.last_event,
+            self._node.now_ms() - self._job.request.arrived_ms,
+            self._node.since_stop_ms,
         )
         self._node.figures.count("cut", self._job.route.name, reason)
         self._job.reply.cut()
@@ -385,7 +388,7 @@
             pace = StreamPace() if self._path_failed else self._relay.pace()
             self._reservation.report_end(pace, self._state.pop_broken())
             times = self._node.answer_times.of(self._job.service)
-            times.learn_pace(pace.answer_tokens, pace.stream_ms)
+            times.learn_pace(self._relay.first_event_ms, pace.answer_tokens, pace.stream_ms)
             times.learn_length(self._reservation.size.likely_tokens, pace.length_tokens)
         self._reservation.release()
         self._prefill.release()
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -218,11 +218,15 @@
                 self._proven = await relay_rest(node, job, self._endpoint, self._exchange, body)
         except ExchangeError as broken:
             await node.note_break(PLAIN, job.request, self._endpoint, broken, self._first_ms)
-            logger.info(
-                "event=cut request=%s route=%s reason=answer-broke cause=%s",
+            logger.log(
+                node.end_level,
+                "event=cut request=%s route=%s reason=answer-broke cause=%s waited_ms=%d "
+                "since_stop_ms=%s",
                 job.request.request_id,
                 job.route.name,
                 broken.cause,
+                node.now_ms() - job.request.arrived_ms,
+                node.since_stop_ms,
             )
             node.figures.count("cut", job.route.name, broken.cause.value)
             reply.cut()
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -18,6 +18,7 @@
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, AnswerHead, CallerRequest, Refuse
 from saffronworks.forwarding.origins.service import StreamOrigins
 from saffronworks.forwarding.origins.tuning import ENTRY_WRITE_MS
+from saffronworks.forwarding.planned_ends import NO_TIME_LEFT, PlannedEnd
 from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.ports import AnswerBody, CallerReply, EndpointCalls, Exchange
 from saffronworks.forwarding.quarantine.service import Quarantine
@@ -73,6 +74,8 @@
     buffers: AnswerBuffers = attrs.field()
     link: LinkBudget = attrs.Factory(lambda: LinkBudget(None))
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
+    # None until the signal to stop.
+    planned_end: PlannedEnd | None = None
 
     @origins.default
     def _keep_own_origins(self) -> StreamOrigins:
@@ -90,16 +93,45 @@
     def _make_unbounded(self) -> AnswerBuffers:
         return AnswerBuffers(None, self.figures, self.now_ms)
 
-    def denial(self, job: "Job", trial_began: bool = False) -> Refuse | None:
+    @property
+    def since_stop_ms(self) -> int | None:
+        """The time since the signal to stop; None before it."""
+        end = self.planned_end
+        return None if end is None else self.now_ms() - end.stop_sent_ms
+
+    @property
+    def end_level(self) -> int:
+        """The log level of requests that end without a whole answer.
+
+        Those of a node that stops are few, and must not be dropped by the bound on lines.
+        """
+        return logging.INFO if self.planned_end is None else logging.WARNING
+
+    def denial(
+        self, job: "Job", trial_began: bool = False, answer_started: bool = False
+    ) -> Refuse | None:
         """Return the refusal for a request that may not be sent any more, or None if it may.
 
-        Its key may have been revoked, or its content quarantined since it was admitted.
+        Its key may have been revoked, its content quarantined, or the notice of this node's end
+        have passed since it was admitted. A begun answer can only be cut or continued; before that,
+        the caller gets a whole refusal rather than another run that this node may cut.
         """
         if not self.identities.is_still_authorized(job.request, job.route):
             return KEY_REVOKED
         if not trial_began and self.quarantine.blocks(job.request, job.on_trial):
             return ENDS_ENDPOINTS
-        return None
+        return None if answer_started or self.has_time_for_run(job) else NO_TIME_LEFT
+
+    def has_time_for_run(self, job: "Job") -> bool:
+        """Return whether a run may begin now.
+
+        After the notice of this node's end it must end before the node does, which only the
+        request's own deadline guarantees.
+        """
+        end = self.planned_end
+        if end is None or not end.announced(self.now_ms()):
+            return True
+        return end.outlasts(job.deadline_at_ms)
 
     def begin_run(self, job: "Job") -> None:
         """Record a run; each one after the first is charged to the organisation's quota."""
@@ -314,9 +346,10 @@
     if refusal.not_run:
         own_ms = max(refusal.not_before_ms, retry_after_ms(job.request, now_ms))
         wait_ms = refusal.retry_after_ms or own_ms
-    logger.info(
+    logger.log(
+        node.end_level,
         "event=refuse request=%s route=%s status=%d reason=%s not_run=%s retry_after_ms=%s "
-        "waited_ms=%d config=%d endpoints_rev=%s",
+        "waited_ms=%d config=%d endpoints_rev=%s since_stop_ms=%s",
         job.request.request_id,
         job.route.name,
         refusal.status,
@@ -326,6 +359,7 @@
         now_ms - job.request.arrived_ms,
         job.config_version,
         node.directory.revision,
+        node.since_stop_ms,
     )
     node.figures.count("refused", job.route.name, refusal.reason)
     await job.reply.refuse(refusal.status, refusal.reason, wait_ms)
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -42,6 +42,11 @@
         """Return the id of the last event that the caller has, if known."""
         return self._sent.last_id
 
+    @property
+    def first_event_ms(self) -> int:
+        """Return how long after the request's arrival its answer began, 0 before."""
+        return max(0, self._first_ms - self._job.request.arrived_ms)
+
     async def await_first(self, run: StreamRun, status: int) -> None:
         """Wait for the first events of a run; raises ExchangeError.
 
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -8,9 +8,10 @@
 from result import Err, Ok, Result
 
 from saffronworks.field_numbers import read_count, read_decimal, shorten
-from saffronworks.forwarding.forwarder import STOPPING, Forwarder
+from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
 from saffronworks.forwarding.organisations import parse_key
+from saffronworks.forwarding.planned_ends import STOPPING
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -32,6 +32,11 @@
 from saffronworks.forwarding.paths.peers import RelayPeer
 from saffronworks.forwarding.paths.relay_server import RelayServer
 from saffronworks.forwarding.paths.service import make_paths
+from saffronworks.forwarding.planned_ends import (
+    DEREGISTRATION_MS,
+    FLUSH_MS,
+    plan_end,
+)
 from saffronworks.forwarding.planning import messages as planning_messages
 from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.planning.service import MemoryPlanner
@@ -76,15 +81,9 @@
 
 READINESS_PATH = "/saffronworks/readiness"
 METRICS_PATH = "/metrics"
-# The platform probes readiness once per second and sends no new callers after two failed probes.
-DEREGISTRATION_MS = 2300
 # A node that drains stops listening when no new connection has come for this long: the platform
 # goes on sending callers to a zone in which few nodes are ready.
 QUIET_MS = 1000
-# Open requests are ended this long before SIGKILL; a busy event loop gets to it late.
-EXIT_MARGIN_MS = 800
-# Time for the last bytes of the ended requests to reach the kernel.
-FLUSH_MS = 200
 # Longest wait for the log lines of the ended requests to be written.
 LOG_FLUSH_MS = 100
 # Delay before a failed service is restarted.
@@ -417,8 +416,11 @@
     def stop(self) -> None:
         """Begin a graceful shutdown; a second call changes nothing."""
         if self._ends_ms is None:
-            left_ms = max(0, self.settings.stop_grace_ms - EXIT_MARGIN_MS)
-            self._ends_ms = monotonic_ms() + left_ms
+            now_ms = monotonic_ms()
+            end = plan_end(now_ms, now_ms, self.settings.stop_grace_ms)
+            self._ends_ms = end.ends_ms
+            self._forwarder.drain(end, self._serving_share)
+            self._relay_server.closing = True
             self._stopping.set()
 
     def _serving_share(self) -> float:
@@ -448,11 +450,8 @@
             self._forwarder.open_requests,
         )
         assert self._ends_ms is not None
-        self._relay_server.closing = True
-        self._forwarder.drain(self._ends_ms, self._serving_share)
         with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
             await anyio.sleep(DEREGISTRATION_MS / 1000)
-            self._forwarder.announce_end()
             await self._census.leave()
             while (quiet_ms := monotonic_ms() - self._gate.last_accepted_ms) < QUIET_MS:
                 await anyio.sleep((QUIET_MS - quiet_ms) / 1000)
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -19,9 +19,35 @@
     Then each short request is answered, a generation that may not end in time is refused
     And the node stops soon after they stay away
 
+  # Guards against an estimate that counts as a guarantee: after the notice only a deadline does.
   Scenario: whether a draining node begins a request
     Then the surer it ends in time and the fewer other nodes serve, the rather it is begun
-    And its chance grows with the time that is left, and is whole for the longest answer
+    And after the notice it is begun only if its own deadline lies before the end
+    And its chance grows with the time that is left, and relies on no pace that was not measured
+
+  # Guards against streams that a draining node begins as likely to end in time, and then cuts.
+  Scenario Outline: the estimated chance that a stream ends in time holds for <kind> endpoints
+    When streams of <kind> endpoints are measured, and others are begun by their chance
+    Then at least nine tenths of those that are begun end in time, with few samples and with many
+    And with many samples their chance is the share that ends in time, and nowhere far above it
+
+    Examples:
+      | kind   |
+      | fast   |
+      | slow   |
+      | mixed  |
+      | paused |
+
+  # Guards against streams that wait at the notice, begin after it, and are cut at the node's end.
+  Scenario: a stream whose prompt is read beyond the notice is not begun
+    When a node is stopped, and the notice passes while the prompt of a stream is read
+    Then the stream is refused without a run
+
+  # Guards against another run for a request whose run broke, which its node cuts at its end.
+  Scenario: a request whose run breaks after the notice is answered at once
+    When a node is stopped, and runs of a page and a stream without an answer yet break later
+    Then each gets 502 without another run
+
 
   # Guards against answers without a length or chunks that the planned end of their endpoint cuts off
   # and that look complete. Its crash is noticed by a probe, which leaving endpoints did not get.
--- a/saffronworks/tests/features/steps/explain_steps.py
+++ b/saffronworks/tests/features/steps/explain_steps.py
@@ -29,6 +29,9 @@
 15.0 node-a event=refuse request=alone status=503 reason=memory-full not_run=True
 15.0 node-a event=endpoint_failed request=cut call=stream endpoint=d0 cause=reset sent=True
 15.0 node-a event=cut request=cut route=r reason=broken-answer
+15.0 node-a event=drain_decision request=late-cut route=r begins=True by=estimate chance=1.00
+15.0 node-a event=cut request=late-cut route=r reason=stopping waited_ms=3900 since_stop_ms=7200
+15.0 node-a event=cut request=early-cut route=r reason=stopping waited_ms=7900 since_stop_ms=7200
 15.0 node-a event=send request=slow endpoint=e0
 15.0 node-a event=answered request=slow route=r status=200 sends=1 took_ms=400 target_ms=300
 15.0 node-a event=endpoint_failed request=failed status=500 executed=yes
@@ -44,6 +47,8 @@
     "full": ("refused", "memory-full, planned"),
     "alone": ("refused", "memory-full, without a planner"),
     "cut": ("cut", "endpoint failed: stream reset"),
+    "late-cut": ("cut", "its node stopped, begun while draining, by estimate"),
+    "early-cut": ("cut", "its node stopped, begun before"),
     "slow": ("late", "endpoint's own time"),
     "failed": ("failed", "endpoint failed: answer status 500"),
     "gone": ("caller gone", "caller left"),
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -3,15 +3,22 @@
 import functools
 import random
 import time
+from collections import Counter
 
 import anyio
 from behave import then, when
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from saffronworks.forwarding.answer_times import ServiceTimes, may_begin
+from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.answer_times import (
+    PRIOR_MS_PER_TOKEN,
+    RETRY_VALUE,
+    ServiceTimes,
+    may_begin,
+)
 from saffronworks.forwarding.messages import PromptSize
-from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, MS_PER_TOKEN
+from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, HINT_ERROR
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
 from saffronworks.tests.cut_paths import Cut, CutPaths
@@ -26,6 +33,10 @@
 ]
 SLOW_CONFIG = CONFIG | {"routes": SLOW_ROUTES}
 SHORT_GRACE = BOUNDS | {"grace_s": 3.5}
+# The deadline of a page, and the timeout of a route for streams.
+DEADLINE_S = 3.0
+# Until requests are relayed, and from the stop of the node that relays them until they have ended.
+RELAYED_S, END_S = 10.0, 5.0
 GENERATION = {"Token-Counts": "5000,9000", "Length-Hint": "3000", "Deadline-Ms": "20000"}
 
 
@@ -169,17 +180,27 @@
 def decides_begin(context):
     @forall(SHARES, SHARES, SHARES)
     def holds(chance, serving, more):
-        assert may_begin(chance, 0, announced=False) and may_begin(1, serving, announced=True)
-        assert may_begin(0, serving, announced=False) is (serving == 0)
-        assert may_begin(chance, serving, announced=True) is (chance == 1)
-        begins = may_begin(chance, serving, announced=False)
-        assert not begins or may_begin(min(1, chance + more), serving, announced=False)
-        assert not begins or may_begin(chance, serving * more, announced=False)
+        assert may_begin(False, chance, 0, announced=False)
+        assert may_begin(False, 0, serving, announced=False) is (serving == 0)
+        begins = may_begin(False, chance, serving, announced=False)
+        assert not begins or may_begin(False, min(1, chance + more), serving, announced=False)
+        assert not begins or may_begin(False, chance, serving * more, announced=False)
 
     holds()
 
 
-@then("its chance grows with the time that is left, and is whole for the longest answer")
+@then("after the notice it is begun only if its own deadline lies before the end")
+def deadline_decides(context):
+    @forall(SHARES, SHARES, st.booleans())
+    def holds(chance, serving, announced):
+        assert may_begin(True, chance, serving, announced)
+        assert not may_begin(False, chance, serving, announced=True)
+        assert not may_begin(False, 1, 0, announced=True)
+
+    holds()
+
+
+@then("its chance grows with the time that is left, and relies on no pace that was not measured")
 def chance_grows(context):
     @forall(TIMES_MS, TIMES_MS, PROMPTS)
     def holds(left_ms, more_ms, prompt):
@@ -187,12 +208,138 @@
         chance = times.chance_within(left_ms, prompt, 0)
         assert 0 <= chance <= times.chance_within(left_ms + more_ms, prompt, 0)
         assert chance <= times.chance_within(left_ms, prompt, prompt.most_answer_tokens // 2)
-        longest_ms = FIRST_EVENT_MS + MS_PER_TOKEN * (prompt.most_answer_tokens + 1)
-        assert times.chance_within(longest_ms, prompt, 0) == 1
+        tokens = min(prompt.most_answer_tokens, prompt.likely_tokens)
+        most_ms = FIRST_EVENT_MS + tokens * SLOW_MS_PER_TOKEN / 2
+        assert times.chance_within(most_ms, prompt, 0) < RETRY_VALUE
+        slowest_ms = FIRST_EVENT_MS + max(PRIOR_MS_PER_TOKEN) * (prompt.most_answer_tokens + 1)
+        assert times.chance_within(slowest_ms, prompt, 0) == 1
 
     holds()
 
 
+# Times per token of the endpoints of the users' sheets, and of a pause.
+FAST_MS_PER_TOKEN, SLOW_MS_PER_TOKEN, PAUSE_MS = 0.6, 5.1, 1200
+PACES = {
+    "fast": lambda rng: (FAST_MS_PER_TOKEN, 0),
+    "slow": lambda rng: (SLOW_MS_PER_TOKEN, 0),
+    "mixed": lambda rng: (rng.uniform(FAST_MS_PER_TOKEN, SLOW_MS_PER_TOKEN), 0),
+    "paused": lambda rng: (FAST_MS_PER_TOKEN, rng.choice([0, PAUSE_MS])),
+}
+SAMPLE_COUNTS = (0, 1, 3, 10, 40)
+
+
+def draw_stream(rng, kind):
+    """Return a stream's prompt, its length in tokens, and its times in ms."""
+    hint = rng.randint(50, 2000)
+    length = max(1, min(4000, int(hint * rng.lognormvariate(0, HINT_ERROR))))
+    ms_per_token, pause_ms = PACES[kind](rng)
+    span_ms = int(length * ms_per_token) + pause_ms
+    return PromptSize(500, 4000, hint), length, rng.randint(100, 500), span_ms
+
+
+@when("streams of {kind} endpoints are measured, and others are begun by their chance")
+def begun_by_chance(context, kind):
+    rng, context.begun, context.chances = random.Random(kind), {}, []
+    for count in SAMPLE_COUNTS:
+        begun = context.begun[count] = []
+        for _ in range(400):
+            times = ServiceTimes()
+            for _ in range(count):
+                prompt, length, first_ms, span_ms = draw_stream(rng, kind)
+                times.learn_pace(first_ms, length, span_ms)
+                times.learn_length(prompt.likely_tokens, length)
+            prompt, _, first_ms, span_ms = draw_stream(rng, kind)
+            left_ms = rng.uniform(500, 7200)
+            ends, chance = first_ms + span_ms <= left_ms, times.chance_within(left_ms, prompt, 0)
+            if may_begin(False, chance, 1, announced=False):
+                begun.append(ends)
+            if count == max(SAMPLE_COUNTS):
+                context.chances.append((chance, ends))
+
+
+@then("at least nine tenths of those that are begun end in time, with few samples and with many")
+def begun_end_in_time(context):
+    for count, begun in context.begun.items():
+        assert begun and sum(begun) >= RETRY_VALUE * len(begun), (count, sum(begun), len(begun))
+
+
+@then("with many samples their chance is the share that ends in time, and nowhere far above it")
+def chance_is_share(context):
+    def means(least, most):
+        among = [pair for pair in context.chances if least <= pair[0] < most]
+        return [sum(values) / len(among) for values in zip(*among, strict=True)]
+
+    chance, share = means(0, 1.01)
+    assert abs(chance - share) <= 1 - RETRY_VALUE, (chance, share)
+    for least, most in ((0, 0.3), (0.3, 0.7), (0.7, 1.01)):
+        chance, share = means(least, most)
+        assert chance <= share + 1 - RETRY_VALUE, (least, chance, share)
+
+
+@when("a node is stopped, and the notice passes while the prompt of a stream is read")
+def read_beyond_notice(context):
+    servers = [*web_servers(), *engines()]
+    servers[-1].read_s = 1.0
+
+    async def play(place):
+        async def stop():
+            await anyio.sleep(0.3)
+            place.node._stop_signal.record(monotonic_ms() - 2000)
+            place.node.stop()
+
+        place.tasks.start_soon(stop)
+        context.raw = await place.ask("/gen/", "reads", GENERATION)
+        context.ran = [request_id for server in servers for request_id in server.ran]
+
+    on_platform(servers, play, SLOW_CONFIG)
+
+
+@then("the stream is refused without a run")
+def refused_unrun(context):
+    raw = context.raw.lower()
+    assert raw.startswith(b"http/1.1 503") and b"node-draining" in raw, raw
+    assert b"\r\nretry-after: " in raw and not context.ran, (raw, context.ran)
+
+
+@when("a node is stopped, and runs of a page and a stream without an answer yet break later")
+def runs_break_after_notice(context):
+    servers = [*web_servers(2), *engines()]
+    for server in servers:
+        server.silences = {"answer": 1.0}
+        server.script = ["reset" if server.stage is None else "break-1"]
+    slow = SLOW | {"max_attempts": 3}
+    routes = [
+        make_route("again", "/again/", "idempotent", "web", **slow),
+        make_route("resumable", "/res/", "streaming", "llm", resumable=True, **slow),
+    ]
+    context.raws = {}
+
+    def ran():
+        return sorted(request_id for server in servers for request_id in server.ran)
+
+    async def play(place):
+        async def ask(request_id, path, headers):
+            context.raws[request_id] = await place.ask(path, request_id, headers)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask, "page", "/again/", {"Deadline-Ms": "20000"})
+            tasks.start_soon(ask, "stream", "/res/", GENERATION)
+            assert await wait_until(lambda: ran() == ["page", "stream"], limit_s=2), ran()
+            place.node._stop_signal.record(monotonic_ms() - 2300)
+            place.node.stop()
+        context.ran = ran()
+
+    on_platform(servers, play, CONFIG | {"routes": routes})
+
+
+@then("each gets 502 without another run")
+def answered_without_another_run(context):
+    assert context.ran == ["page", "stream"], (context.ran, context.raws)
+    for raw in context.raws.values():
+        assert raw.startswith(b"HTTP/1.1 502") and b"node-draining" in raw, context.raws
+        assert b"\r\nretry-after: " not in raw.lower(), context.raws
+
+
 @when("endpoints that are {listed} end in the middle of such answers, and others go on")
 def leaving_endpoints_end(context, listed):
     ending = [CrashingServer("w0", "web", None, Arrivals(), down_s=9.0)]
@@ -293,6 +440,7 @@
         events += [(rng.uniform(0.8, 1.5), put)]
         place.tasks.start_soon(signal_all)
         context.asked = await place.ask_evenly(45, 3.2, ask)
+        context.rejected = [node._gate.rejected for node in place.nodes]
 
     # With the usual timeout of a second, a busy machine ends requests that no planned end touches.
     once = make_route("once", "/once/", "non_idempotent", "web", max_attempts=1, timeout_ms=4000)
@@ -300,12 +448,32 @@
     on_platform(servers, play, config, count=3)
 
 
+def _reached_deadline(asked):
+    """Whether a request had all of its time, and then failed as one that may have run, or was cut.
+
+    A busy machine makes requests take longer than that.
+    """
+    begun = asked.raw.startswith((b"HTTP/1.1 504", b"HTTP/1.1 200"))
+    return begun and asked.took_s >= DEADLINE_S
+
+
 @then("each request gets a whole answer, or a true refusal")
 def loses_none(context):
+    """No request that a node has read is lost; all others were closed unread by their node's gate.
+
+    A connection that the gate rejects is never read, so its caller gets nothing. If a node's count
+    of them is that of its callers without a byte, each of these was rejected.
+    """
     asked = [one for one in context.asked if one.raw is not None]
     ran = {request_id for server in context.servers for request_id in server.ran}
+    unanswered = [one for one in asked if not one.raw]
+    nodes = Counter(one.node for one in unanswered)
+    assert [nodes[node] for node in range(3)] == context.rejected, (context.rejected, unanswered)
+    assert not ran & {one.request_id for one in unanswered}, unanswered
     lost = []
     for one in asked:
+        if not one.raw or _reached_deadline(one):
+            continue
         raw = one.raw.lower()
         ends = (b"0\r\n\r\n", b"\r\n\r\n" + one.request_id.encode())
         whole = raw.startswith(b"http/1.1 200") and raw.endswith(ends)
@@ -320,15 +488,24 @@
 @when("a node is stopped that relays a stream and a page which take longer than its grace")
 def relaying_node_stopped(context):
     servers = [*web_servers(), *engines()]
-    servers[0].work_s = 10
+    servers[0].work_s = RELAYED_S + END_S
     for server in servers[1:]:
-        server.events, server.event_s = 100, 0.1
-    context.raws = {}
+        server.events, server.event_s = int(10 * (RELAYED_S + END_S)), 0.1
+    context.raws, stopped = {}, []
+
+    def run_both():
+        streams = any("stream" in server.ran for server in servers[1:])
+        return servers[0].ran and streams
 
     async def play(place):
         async def ask(request_id, path, headers):
-            asking = place.ask(path, request_id, headers, node=place.nodes[1])
-            context.raws[request_id] = await asking
+            node, limit_s = place.nodes[1], RELAYED_S + END_S
+            while True:
+                raw = await place.ask(path, request_id, headers, node=node, limit_s=limit_s)
+                # A late node may refuse a request as not run, which its caller then repeats.
+                if stopped or not raw.startswith(b"HTTP/1.1 503"):
+                    break
+            context.raws[request_id] = raw
 
         paths = CutPaths(place)
         cores = place.nodes[1]._memory.choice
@@ -337,10 +514,11 @@
         place.tasks.start_soon(ask, "page", "/once/", {"Deadline-Ms": "20000"})
         place.tasks.start_soon(ask, "stream", "/gen/", GENERATION)
         relays = place.node._relay_server
-        assert await wait_until(lambda: relays.open_requests == 2 and len(servers[0].ran), 5)
-        await anyio.sleep(0.5)
+        relayed = await wait_until(lambda: relays.open_requests == 2 and run_both(), RELAYED_S)
+        assert relayed, (context.raws, relays.open_requests)
+        stopped.append(True)
         place.node.stop()
-        assert await wait_until(lambda: len(context.raws) == 2, limit_s=5)
+        assert await wait_until(lambda: len(context.raws) == 2, limit_s=END_S)
 
     with LogLines("saffronworks") as context.lines:
         on_platform(servers, play, SLOW_CONFIG, count=2, bounds=SHORT_GRACE)
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -329,11 +329,13 @@
         writer.transport.abort()
 
 
-async def fetch(address, method, target, headers, body=b"", leaves_after_s=None):
+async def fetch(
+    address, method, target, headers, body=b"", leaves_after_s=None, limit_s=READ_LIMIT_S
+):
     """Send one request on a new connection; returns the raw bytes until it is closed.
 
-    With `leaves_after_s` the caller disconnects after that time; otherwise a connection that stays
-    open is a failure.
+    With `leaves_after_s` the caller disconnects after that time; otherwise a connection that is
+    open after `limit_s` is a failure.
     """
     host, port = address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -344,11 +346,11 @@
     raw = b""
     try:
         with contextlib.suppress(ConnectionError):
-            async with asyncio.timeout(leaves_after_s or READ_LIMIT_S):
+            async with asyncio.timeout(leaves_after_s or limit_s):
                 while chunk := await reader.read(65536):
                     raw += chunk
     except TimeoutError:
-        assert leaves_after_s, f"no end after {READ_LIMIT_S} s: {raw!r}"
+        assert leaves_after_s, f"no end after {limit_s} s: {raw!r}"
     finally:
         writer.close()
     return raw
