Count the grace of a stopping node from its signal

Callers lost all requests of a node that was killed (LOST): it outlived its grace.

Cause: the grace counted from when the signal was handled. Also, the bound on the exit was set by the event loop, which may hang.

Grace and notice count from when the signal can have been sent: when it was recorded, less the time in which the thread of the event loop did not run (steady time less its processor time). What is only an upper bound of the lateness uses up the margin of 0.8 s first, to 0.5 s. The signal handler itself sets the end, and a thread that was started before ends a process which is still there 250 ms before SIGKILL, or which has ended its work and waits for exit handlers. The log thread takes no signals.

event=drain tells recorded_late_ms, handled_late_ms and left_ms, event=exit_forced the rest.

--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -16,7 +16,14 @@
 
 from saffronworks.loop_meter import LoopMeter
 
-__all__ = ["LOOP_METER", "extend_for_lag", "monotonic_ms", "run", "wall_ms"]
+__all__ = [
+    "LOOP_METER",
+    "extend_for_lag",
+    "held_up_ms",
+    "monotonic_ms",
+    "run",
+    "wall_ms",
+]
 
 _STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
@@ -43,15 +50,20 @@
     return time.clock_gettime(_STEADY) * 1000
 
 
+def _cpu_ms() -> float:
+    """The processor time of this thread; where it isn't measured, as if it ran all the time."""
+    return time.thread_time() * 1000 if hasattr(time, "thread_time") else _steady_ms()
+
+
 class _BoundedSelector(selectors.DefaultSelector):  # type: ignore[valid-type, misc]
     """Wakes the event loop now and then, so that it reads the steady clock; measures its turns."""
 
     def select(self, timeout: float | None = None) -> Any:
         """Ready files; none after `MAX_SELECT_S` at most."""
         bounded_s = MAX_SELECT_S if timeout is None else min(timeout, MAX_SELECT_S)
-        LOOP_METER.begin_wait(_steady_ms())
+        LOOP_METER.begin_wait(_steady_ms(), _cpu_ms(), bounded_s * 1000)
         ready = super().select(bounded_s)
-        LOOP_METER.end_wait(_steady_ms(), bounded_s > 0)
+        LOOP_METER.end_wait(_steady_ms(), bounded_s > 0, _cpu_ms())
         return ready
 
 
@@ -75,6 +87,11 @@
     return limit_ms + LOOP_METER.reply_lag_ms(_steady_ms())
 
 
+def held_up_ms() -> float:
+    """Return for how long a signal that the loop's thread handles now can have been pending."""
+    return LOOP_METER.held_up_ms(_steady_ms(), _cpu_ms())
+
+
 def run(main: Callable[..., Awaitable[Any]], *arguments: object) -> Any:
     """Run a program's main coroutine on an event loop of the steady clock."""
     return anyio.run(main, *arguments, backend_options={"loop_factory": _SteadyLoop})
--- a/saffronworks/logs.py
+++ b/saffronworks/logs.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import queue
+import signal
 import sys
 import threading
 import time
@@ -65,6 +66,8 @@
         return self._lines_in_second <= self._most_per_s
 
     def _write(self) -> None:
+        # Signals are for the main thread, which must not run on while this one handles them late.
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             lines = [self._waiting.get()]
             # A wake-up and a write for each line cost more than the line.
--- a/saffronworks/loop_meter.py
+++ b/saffronworks/loop_meter.py
@@ -1,5 +1,7 @@
 """Measures how long the turns of the event loop take, and when it last had nothing to do."""
 
+import math
+
 import attrs
 
 __all__ = ["LoopMeter"]
@@ -14,6 +16,11 @@
 # from which a turn counts.
 REPLY_TURNS = 4
 LONG_TURN_MS = 5.0
+# A wait for events that ends so late is the delay of a wake-up, not a process that was held up.
+WAKE_UP_MS = 20.0
+# Any thread of a process may take its signal. After a suspension the loop's thread may run for this
+# long before it handles a signal that another thread has taken.
+SIGNAL_DELAY_MS = 100.0
 
 
 @attrs.define
@@ -30,24 +37,64 @@
     idle_ms: float = 0.0
     _turn_began_ms: float = 0.0
     _wait_began_ms: float = 0.0
+    _wait_limit_ms: float = 0.0
+    # Processor time of the loop's thread at the last recorded moment.
+    _cpu_ms: float = 0.0
     _span_began_ms: float = 0.0
     _longest_ms: float = 0.0
     _longest_before_ms: float = 0.0
+    # The last span in which the loop's thread was held up.
+    _held_up_from_ms: float = -math.inf
+    _held_up_to_ms: float = -math.inf
+
+    def begin_wait(self, now_ms: float, cpu_ms: float | None = None, limit_ms: float = 0.0) -> None:
+        """Record that a turn has ended, and the loop waits for events up to `limit_ms`.
 
-    def begin_wait(self, now_ms: float) -> None:
-        """Record that a turn has ended, and the loop waits for events."""
+        `cpu_ms` is the processor time that the loop's thread has used; None if it isn't measured.
+        """
+        cpu_ms = now_ms if cpu_ms is None else cpu_ms
+        self._record_held_up(now_ms, cpu_ms)
         if self._turn_began_ms:
             turn_ms = min(MAX_TURN_MS, now_ms - self._turn_began_ms)
             self.busy_ms += turn_ms
             self._shift_span(now_ms)
             self._longest_ms = max(self._longest_ms, turn_ms)
-        self._wait_began_ms = now_ms
+        self._wait_began_ms, self._wait_limit_ms, self._cpu_ms = now_ms, limit_ms, cpu_ms
 
-    def end_wait(self, now_ms: float, waited: bool) -> None:
+    def end_wait(self, now_ms: float, waited: bool, cpu_ms: float | None = None) -> None:
         """Record that a turn begins; `waited` if nothing was ready before."""
+        cpu_ms = now_ms if cpu_ms is None else cpu_ms
+        self._record_held_up(now_ms, cpu_ms)
         if waited and now_ms - self._wait_began_ms >= MIN_IDLE_MS:
             self.idle_ms = now_ms
-        self._turn_began_ms = now_ms
+        self._turn_began_ms, self._wait_limit_ms, self._cpu_ms = now_ms, 0.0, cpu_ms
+
+    def held_up_ms(self, now_ms: float, cpu_ms: float) -> float:
+        """Return for how long at most a signal that is handled now can have been pending.
+
+        A signal is handled as soon as the loop's thread runs, in the middle of a turn too, and ends
+        a wait for events. It is pending while the thread does not run: the steady time since the
+        last recorded moment less the thread's processor time since then. If it was held up right
+        before, the signal may be one of that time.
+        """
+        held_up_ms = self._find_held_up_ms(now_ms, cpu_ms)
+        if now_ms - self._held_up_to_ms > SIGNAL_DELAY_MS:
+            return held_up_ms
+        return max(held_up_ms, now_ms - self._held_up_from_ms)
+
+    def _record_held_up(self, now_ms: float, cpu_ms: float) -> None:
+        held_up_ms = self._find_held_up_ms(now_ms, cpu_ms)
+        if held_up_ms <= WAKE_UP_MS:
+            return
+        before_ms = self._held_up_to_ms - self._held_up_from_ms
+        if now_ms - self._held_up_to_ms > SIGNAL_DELAY_MS or held_up_ms > before_ms:
+            self._held_up_from_ms, self._held_up_to_ms = now_ms - held_up_ms, now_ms
+
+    def _find_held_up_ms(self, now_ms: float, cpu_ms: float) -> float:
+        last_ran_ms = max(self._wait_began_ms, self._turn_began_ms)
+        held_up_ms = (now_ms - last_ran_ms) - (cpu_ms - self._cpu_ms)
+        expected_ms = self._wait_limit_ms + WAKE_UP_MS if self._wait_limit_ms else 0.0
+        return held_up_ms if last_ran_ms and held_up_ms > expected_ms else 0.0
 
     def longest_turn_ms(self, now_ms: float) -> float:
         """Return the longest turn of the last half second or more."""
--- a/saffronworks/platform/__main__.py
+++ b/saffronworks/platform/__main__.py
@@ -20,6 +20,7 @@
 from saffronworks.platform.node import PlatformNode
 from saffronworks.platform.settings import SETTINGS_VARIABLE, read_platform_settings
 from saffronworks.readers import load_or_exit
+from saffronworks.stop_signal import exit_now
 
 METRICS_PORT = 9464
 
@@ -47,6 +48,7 @@
     gc.freeze()
     gc.enable()
     run(PlatformNode(checked, path, metrics_port).run)
+    exit_now()
 
 
 def main() -> None:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from saffronworks.clocks import LOOP_METER, monotonic_ms, wall_ms
+from saffronworks.clocks import LOOP_METER, held_up_ms, monotonic_ms, wall_ms
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
 from saffronworks.forwarding.buffered_answers import AnswerBuffers
@@ -35,6 +35,7 @@
 from saffronworks.forwarding.planned_ends import (
     DEREGISTRATION_MS,
     FLUSH_MS,
+    latest_exit_ms,
     plan_end,
 )
 from saffronworks.forwarding.planning import messages as planning_messages
@@ -72,6 +73,7 @@
 from saffronworks.platform.settings import PlatformSettings
 from saffronworks.platform.settings_watch import SettingsWatch
 from saffronworks.platform.store import PlatformStore
+from saffronworks.stop_signal import STOP_SIGNALS, StopSignal
 from saffronworks.web import Call, HttpServer, bind, parse_address
 from saffronworks.wire import Codec
 
@@ -103,6 +105,9 @@
         self._settings_watch = SettingsWatch(settings_file, self._apply_settings)
         self._tasks: TaskGroup | None = None
         self._stopping = anyio.Event()
+        self._stop_signal = StopSignal(
+            held_up_ms, monotonic_ms, self._begin_drain, self._latest_exit_ms
+        )
         # When the open requests are ended; set at a planned end.
         self._ends_ms: int | None = None
         self._listed_nodes = INITIAL_NODE_COUNT
@@ -415,13 +420,17 @@
 
     def stop(self) -> None:
         """Begin a graceful shutdown; a second call changes nothing."""
-        if self._ends_ms is None:
-            now_ms = monotonic_ms()
-            end = plan_end(now_ms, now_ms, self.settings.stop_grace_ms)
-            self._ends_ms = end.ends_ms
-            self._forwarder.drain(end, self._serving_share)
-            self._relay_server.closing = True
-            self._stopping.set()
+        self._stop_signal.record()
+        self._stopping.set()
+
+    def _begin_drain(self, sent_ms: int) -> None:
+        """Decide as a draining node from now on; called by the signal handler."""
+        assert self._stop_signal.recorded_ms is not None
+        grace_ms = self.settings.stop_grace_ms
+        end = plan_end(sent_ms, self._stop_signal.recorded_ms, grace_ms)
+        self._ends_ms = end.ends_ms
+        self._forwarder.drain(end, self._serving_share)
+        self._relay_server.closing = True
 
     def _serving_share(self) -> float:
         """Return the share of the other nodes known lately that have not left the census."""
@@ -431,12 +440,12 @@
 
     def _closes_connection(self, number: int) -> bool:
         """Return whether a caller's connection is closed after an answer that begins now."""
-        return self._stopping.is_set() or self._gate.closes(number)
+        return self._ends_ms is not None or self._gate.closes(number)
 
     def ready(self) -> bool:
         """Return whether this node can serve callers."""
         listed = all(follower.listed for follower in self._followers)
-        accepts = self._forwarder.table is not None and not self._stopping.is_set()
+        accepts = self._forwarder.table is not None and self._ends_ms is None
         return listed and accepts and not self._kernel.failing()
 
     async def _drain(self, serving: anyio.CancelScope) -> None:
@@ -444,15 +453,24 @@
 
         Requests that are still open at the end of the grace period are answered or cut.
         """
-        logger.info(
-            "event=drain node=%s open_requests=%d",
+        signalled = self._stop_signal
+        assert self._ends_ms is not None
+        assert signalled.sent_ms is not None and signalled.recorded_ms is not None
+        now_ms = monotonic_ms()
+        logger.warning(
+            "event=drain node=%s open_requests=%d recorded_late_ms=%d handled_late_ms=%d "
+            "left_ms=%d",
             self.settings.node,
             self._forwarder.open_requests,
+            signalled.recorded_ms - signalled.sent_ms,
+            now_ms - signalled.sent_ms,
+            self._ends_ms - now_ms,
         )
-        assert self._ends_ms is not None
         with anyio.move_on_after(_seconds_until(self._ends_ms)) as grace:
-            await anyio.sleep(DEREGISTRATION_MS / 1000)
+            await anyio.sleep(_seconds_until(signalled.sent_ms + DEREGISTRATION_MS))
             await self._census.leave()
+            # The probes of a node that handled its signal late have failed only since then.
+            await anyio.sleep(_seconds_until(now_ms + DEREGISTRATION_MS))
             while (quiet_ms := monotonic_ms() - self._gate.last_accepted_ms) < QUIET_MS:
                 await anyio.sleep((QUIET_MS - quiet_ms) / 1000)
         self._callers.stop()
@@ -581,9 +599,10 @@
         await call.reply_bytes(200, await self._metrics_page.render(), "text/plain; version=0.0.4")
 
     async def _watch_signals(self) -> None:
-        kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        kinds = (*STOP_SIGNALS, signal.SIGHUP)
         try:
             with anyio.open_signal_receiver(*kinds) as signals:
+                self._stop_signal.install()
                 async for number in signals:
                     logger.info("event=signal number=%d", number)
                     if number == signal.SIGHUP:
@@ -594,6 +613,11 @@
             # The default action would end the process before its last bytes are sent.
             signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+    def _latest_exit_ms(self) -> int:
+        assert self._stop_signal.sent_ms is not None
+        grace_ms = self.settings.stop_grace_ms
+        return latest_exit_ms(self._stop_signal.sent_ms, grace_ms, monotonic_ms())
+
     def _apply_settings(self, settings: PlatformSettings) -> None:
         """Apply the retry budget, the only setting that takes effect without a restart."""
         self.settings = settings
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -38,6 +38,11 @@
       | mixed  |
       | paused |
 
+  # Guards against requests that a node which was suspended at its stop begins as before the notice.
+  Scenario: the notice counts from the signal, not from when it was handled
+    When a node handles its signal to stop 2.5 s late, and requests come
+    Then one without a near deadline is refused, and one with a near deadline is served
+
   # Guards against streams that wait at the notice, begin after it, and are cut at the node's end.
   Scenario: a stream whose prompt is read beyond the notice is not begun
     When a node is stopped, and the notice passes while the prompt of a stream is read
@@ -48,6 +53,21 @@
     When a node is stopped, and runs of a page and a stream without an answer yet break later
     Then each gets 502 without another run
 
+  # Guards against a node that outlives its grace, and is killed with its open requests.
+  Scenario: the grace counts from the signal, not from when it was handled
+    When a node with a stream under way handles its signal to stop 1.5 s late
+    Then the stream is cut within the rest of its grace, and the log says how late it was
+
+  # Guards against requests that are cut earlier than needed, as their node may have been late.
+  Scenario Outline: a late signal uses up the margin before the end of a node's requests first
+    When a node with 3.5 s of grace handles its signal to stop <late_ms> ms late
+    Then its open requests are ended <before_ms> ms before SIGKILL
+
+    Examples:
+      | late_ms | before_ms |
+      | 0       | 800       |
+      | 250     | 550       |
+      | 1500    | 500       |
 
   # Guards against answers without a length or chunks that the planned end of their endpoint cuts off
   # and that look complete. Its crash is noticed by a probe, which leaving endpoints did not get.
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -276,6 +276,26 @@
         assert chance <= share + 1 - RETRY_VALUE, (least, chance, share)
 
 
+@when("a node handles its signal to stop 2.5 s late, and requests come")
+def late_signal(context):
+    async def play(place):
+        place.node._stop_signal.record(monotonic_ms() - 2500)
+        place.node.stop()
+        await anyio.sleep(0.05)
+        context.long = await place.ask("/gen/", "long", generation(900, 100))
+        context.near = await place.ask("/once/", "near", {"Deadline-Ms": "900"})
+        context.ran = [request_id for server in place.servers.values() for request_id in server.ran]
+
+    on_platform([*web_servers(), *engines()], play, SLOW_CONFIG)
+
+
+@then("one without a near deadline is refused, and one with a near deadline is served")
+def notice_counts_from_signal(context):
+    assert context.long.startswith(b"HTTP/1.1 503") and b"node-draining" in context.long
+    assert context.near.startswith(b"HTTP/1.1 200") and context.near.endswith(b"near")
+    assert context.ran == ["near"], context.ran
+
+
 @when("a node is stopped, and the notice passes while the prompt of a stream is read")
 def read_beyond_notice(context):
     servers = [*web_servers(), *engines()]
@@ -340,6 +360,52 @@
         assert b"\r\nretry-after: " not in raw.lower(), context.raws
 
 
+@when("a node with a stream under way handles its signal to stop 1.5 s late")
+def late_end(context):
+    servers = [*web_servers(), *engines()]
+    for server in servers[1:]:
+        server.events, server.event_s = 100, 0.1
+
+    async def play(place):
+        async def stop():
+            await anyio.sleep(0.5)
+            context.stopped_s = time.monotonic()
+            place.node._stop_signal.record(monotonic_ms() - 1500)
+            place.node.stop()
+
+        place.tasks.start_soon(stop)
+        context.raw = await place.ask("/gen/", "streams", GENERATION)
+        context.took_s = time.monotonic() - context.stopped_s
+
+    with LogLines("saffronworks") as context.lines:
+        on_platform(servers, play, SLOW_CONFIG, bounds=SHORT_GRACE)
+
+
+@then("the stream is cut within the rest of its grace, and the log says how late it was")
+def ends_within_grace(context):
+    assert b"id: 2\n" in context.raw and not context.raw.endswith(b"0\r\n\r\n"), context.raw
+    assert context.took_s < SHORT_GRACE["grace_s"] - 1.5, context.took_s
+    told = [line for line in context.lines if line.startswith("event=drain ")]
+    assert len(told) == 1 and "recorded_late_ms=1500 handled_late_ms=15" in told[0], told
+
+
+@when("a node with 3.5 s of grace handles its signal to stop {late_ms:d} ms late")
+def handled_late(context, late_ms):
+    async def play(place):
+        place.node._stop_signal.record(monotonic_ms() - late_ms)
+        place.node.stop()
+        end = place.node._state.planned_end
+        context.before_ms = SHORT_GRACE["grace_s"] * 1000 - (end.ends_ms - end.stop_sent_ms)
+
+    on_platform(web_servers(), play, SLOW_CONFIG, bounds=SHORT_GRACE)
+
+
+@then("its open requests are ended {before_ms:d} ms before SIGKILL")
+def ended_before_kill(context, before_ms):
+    # Two readings of a clock in ms.
+    assert abs(context.before_ms - before_ms) <= 5, context.before_ms
+
+
 @when("endpoints that are {listed} end in the middle of such answers, and others go on")
 def leaving_endpoints_end(context, listed):
     ending = [CrashingServer("w0", "web", None, Arrivals(), down_s=9.0)]
