Never send a request twice on one connection

Cause: a late copy of an answer was taken for the answer to the next send. An endpoint may send an answer twice. After a 503 as not run the same request went out again, with the same id, on the same pooled connection, and the copy of the 503 answered it.

A connection remembers the requests that it has carried, 8 bytes each, and never carries one of them again; after 256 it is closed. For a second after a control call an answer without an id answers no request. A failed control call restricts its connection to control calls, 20 ms later.

event=unmatched_answer and saffronworks_unmatched_answers{reason} tell of answers that can't belong to one send. The simulation draws successful prefills and late copies of any answer now; it had not drawn what makes a request return to its endpoint. The fault of copies of control calls is not separable from that of requests, as one matcher judges both.

--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -12,6 +12,7 @@
     CONNECT_TIMEOUT_MS,
     MAX_IDLE_CONNECTIONS,
 )
+from saffronworks.forwarding.unmatched_answers import UnmatchedAnswers
 from saffronworks.web import parse_address
 
 __all__ = ["ConnectionPool"]
@@ -25,15 +26,17 @@
         self._idle: dict[StartId, deque[EndpointConnection]] = {}
         self._busy: dict[StartId, set[EndpointConnection]] = {}
         self.max_idle = MAX_IDLE_CONNECTIONS
+        self.unmatched = UnmatchedAnswers()
 
     async def acquire(
-        self, endpoint: ServiceEndpoint, control_call: bool = False
+        self, endpoint: ServiceEndpoint, request_id: str | None, control_call: bool = False
     ) -> EndpointConnection:
         """Return an idle connection or open one; raises ExchangeError if that fails.
 
-        `control_call`: for a call of the router itself, not for a caller's request.
+        `request_id` is the id that the endpoint echoes. `control_call`: for a call of the router
+        itself, not for a caller's request; it has no id unless another node relays it.
         """
-        idle = self.acquire_idle(endpoint, control_call)
+        idle = self.acquire_idle(endpoint, request_id, control_call)
         if idle is not None:
             return idle
         try:
@@ -42,16 +45,16 @@
             raise ExchangeError(ExchangeErrorCause.CONNECT, sent=False) from None
 
     def acquire_idle(
-        self, endpoint: ServiceEndpoint, control_call: bool = False
+        self, endpoint: ServiceEndpoint, request_id: str | None, control_call: bool = False
     ) -> EndpointConnection | None:
-        """Return an idle connection, or None if there is none."""
-        found = self._find_idle(endpoint, control_call)
+        """Return an idle connection that has not carried this request, or None."""
+        found = self._find_idle(endpoint, request_id, control_call)
         if found is not None:
             self._busy.setdefault(endpoint.instance, set()).add(found)
         return found
 
     def _find_idle(
-        self, endpoint: ServiceEndpoint, control_call: bool = False
+        self, endpoint: ServiceEndpoint, request_id: str | None, control_call: bool
     ) -> EndpointConnection | None:
         idle = self._idle.get(endpoint.instance, deque())
         skipped: list[EndpointConnection] = []
@@ -62,10 +65,10 @@
             expired = idle_ms >= connection.keep_alive_ms
             if expired or not connection.reusable or connection.has_input:
                 connection.close()
-            elif connection.control_calls_only and not control_call:
-                skipped.append(connection)
-            else:
+            elif _may_carry(connection, request_id, control_call):
                 found = connection
+            else:
+                skipped.append(connection)
         idle.extend(reversed(skipped))
         return found
 
@@ -73,6 +76,8 @@
         """Open a connection; raises OSError, TimeoutError if there is no reply in time."""
         connection = await self._connect(endpoint, timeout_ms)
         connection.opened_ms = monotonic_ms()
+        connection.matcher.endpoint = str(endpoint.instance)
+        connection.matcher.unmatched = self.unmatched
         self._busy.setdefault(endpoint.instance, set()).add(connection)
         return connection
 
@@ -86,20 +91,21 @@
         return connection
 
     def release(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
-        """Keep a connection that is unused or whose exchange is complete; close any other."""
+        """Keep a reusable connection whose exchange, if any, is complete; close any other."""
         busy = self._busy.get(endpoint.instance, set())
         busy.discard(connection)
         if not busy:
             self._busy.pop(endpoint.instance, None)
         idle = self._idle.setdefault(endpoint.instance, deque())
-        if not connection.finished or (
-            len(idle) >= self.max_idle and connection.control_calls_only
+        if (
+            not connection.finished
+            or connection.matcher.carried.full
+            or (len(idle) >= self.max_idle and connection.control_calls_only)
         ):
             connection.close()
             return
-        # The oldest make room: connections only for control calls must not displace usable ones.
         while len(idle) >= self.max_idle:
-            idle.popleft().close()
+            _remove_least_useful(idle).close()
         connection.idle_since_ms = monotonic_ms()
         idle.append(connection)
 
@@ -136,3 +142,18 @@
     def close(self) -> None:
         """Close all idle connections."""
         self.close_except(set())
+
+
+def _remove_least_useful(idle: deque[EndpointConnection]) -> EndpointConnection:
+    """Remove the oldest connection that serves only control calls, or else the oldest one."""
+    found = next((each for each in idle if each.control_calls_only), idle[0])
+    idle.remove(found)
+    return found
+
+
+def _may_carry(connection: EndpointConnection, request_id: str | None, control_call: bool) -> bool:
+    if connection.control_calls_only and not control_call:
+        return False
+    if control_call and monotonic_ms() < connection.control_calls_from_ms:
+        return False
+    return connection.matcher.may_carry(request_id)
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -17,17 +17,21 @@
 
 from saffronworks.clocks import monotonic_ms
 from saffronworks.field_numbers import read_whole
+from saffronworks.forwarding.answer_matching import AnswerMatcher
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
+    LATE_COPY_MS,
     MAX_CALL_BODY_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
     MOST_BUFFERED_BYTES,
     PROBE_INTERVAL_S,
+    SECOND_ANSWER_MS,
     USER_TIMEOUT_MS,
 )
+from saffronworks.forwarding.unmatched_answers import Mismatch
 from saffronworks.sockets import has_input, unacknowledged_bytes
 
 __all__ = ["EndpointConnection", "ResponseHead"]
@@ -67,8 +71,7 @@
         # When reading was last resumed.
         self.resumed_ms = 0
         self._parser: httptools.HttpResponseParser | None = None
-        self._awaited_id: str | None = None
-        self._previous_id: str | None = None
+        self.matcher = AnswerMatcher()
         self._incoming = ResponseHead()
         self._head: ResponseHead | None = None
         self._discarding = False
@@ -85,6 +88,8 @@
         self.reusable = True
         # If true, only the router's own control calls may follow; their requests carry no id.
         self.control_calls_only = False
+        # Not before: if a copy answered the last control call, its own answer is still to come.
+        self.control_calls_from_ms = 0
         self.uses = 0
         self.sent_ms = 0
         # Address of the node that this connection leads to, if that node relays the request.
@@ -121,6 +126,7 @@
     def _parse(self, data: memoryview) -> bool:
         """Parse a part of the received bytes; return whether the connection stays usable."""
         if self._parser is None or self._complete:
+            self.matcher.record(Mismatch.UNREQUESTED)
             return False
         self._framing_bytes += len(data)
         try:
@@ -189,9 +195,16 @@
         # Trailer fields, which follow the body, are not part of the head.
         head, self._incoming = self._incoming, ResponseHead()
         head.status = self._parser.get_status_code()
-        self._discarding = head.status < 200 or self._belongs_to_another(head.get(self._id_field))
+        interim = head.status < 200
+        mismatch = None
+        if not interim:
+            answer_id = head.get(self._id_field)
+            mismatch = self.matcher.accept(head.status, answer_id, monotonic_ms())
+        self._discarding = interim or mismatch is not None
+        if mismatch is not None:
+            self.reusable = False
+            self._limit_wait(mismatch, head.status)
         if self._discarding:
-            self.reusable = self.reusable and head.status < 200
             return
         self._head = head
         if head.get(self._id_field) is None:
@@ -204,27 +217,28 @@
         self._complete = self._bodiless
         self._read_keep_alive(head)
 
+    def _limit_wait(self, mismatch: Mismatch, status: int) -> None:
+        """End the exchange soon if the discarded answer may have been the awaited one."""
+        if mismatch is Mismatch.NO_ID and not self.matcher.resembles_control_answer(status):
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_COPY_MS / 1000, self._end_unanswered, self.uses)
+
+    def _end_unanswered(self, uses: int) -> None:
+        if self.uses == uses and self._head is None:
+            self.abort_exchange(ExchangeErrorCause.UNMATCHED)
+
     def _restrict_reuse(self, status: int) -> None:
         """Restrict reuse after an answer without an id, or a failed control call.
 
         A late duplicate of that answer would be taken for the answer to the next request, and could
-        report that this request was not run.
+        report that this request was not run. The next control call may be answered by it.
         """
-        if self._awaited_id is not None:
+        if self.matcher.awaited_id is not None:
             self.reusable = False
         elif status >= _MIN_FAILURE_STATUS:
             self.control_calls_only = True
-
-    def _belongs_to_another(self, answer_id: str | None) -> bool:
-        """Return whether an answer has the id of another request.
-
-        A control call without an id rejects only the id of the previous request.
-        """
-        if answer_id is None:
-            return False
-        if self._awaited_id is None:
-            return answer_id == self._previous_id
-        return answer_id != self._awaited_id
+            if not self.matcher.to_node:
+                self.control_calls_from_ms = monotonic_ms() + SECOND_ANSWER_MS
 
     def _read_keep_alive(self, head: ResponseHead) -> None:
         if "close" in (head.get("connection") or "").lower():
@@ -284,9 +298,6 @@
         if self._loss_cause is not None or self._transport is None or self._transport.is_closing():
             raise self._error(ExchangeErrorCause.CLOSED, sent=False)
         self._parser = httptools.HttpResponseParser(self)
-        if self._awaited_id is not None:
-            self._previous_id = self._awaited_id
-        self._awaited_id = awaited_id
         self._bodiless = bodiless
         self._head = None
         self._complete = self._discarding = self.framed = False
@@ -299,6 +310,7 @@
         self._update_reading()
         self.uses += 1
         self.sent_ms = monotonic_ms()
+        self.matcher.begin(awaited_id, self.sent_ms)
         self._transport.write(data)
 
     async def head(self, timeout_ms: float) -> ResponseHead:
--- a/saffronworks/forwarding/exchange_errors.py
+++ b/saffronworks/forwarding/exchange_errors.py
@@ -18,6 +18,8 @@
     OVERSIZED = "oversized"
     # The answer has begun, but not ended within its time.
     ENDLESS = "endless"
+    # An answer came that may belong to an earlier call, and no other one after it.
+    UNMATCHED = "unmatched"
     OUT_OF_ORDER = "out-of-order"
     # The entry of the endpoint names another software version than before the request was sent.
     VERSION_CHANGED = "version-changed"
--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -47,26 +47,32 @@
         return self._direct.pool
 
     async def acquire(
-        self, endpoint: ServiceEndpoint, control_call: bool = False
+        self, endpoint: ServiceEndpoint, request_id: str | None, control_call: bool = False
     ) -> EndpointConnection:
-        """Return a connection; raises ExchangeError if neither way reaches the endpoint.
+        """Return a connection that has not carried this request.
+
+        Raises ExchangeError if neither way reaches the endpoint.
 
         `relayed_by` of the connection names the node that it leads through, if any.
         """
         dial = self._table.dial(endpoint.instance, self._now_ms())
         if dial.relay_after_ms is None or not self._peers.choice.peers:
-            return await self.acquire_direct(endpoint, control_call, dial.timeout_ms)
+            return await self.acquire_direct(endpoint, request_id, control_call, dial.timeout_ms)
         if dial.reuse:
-            idle = self.pool.acquire_idle(endpoint, control_call)
+            idle = self.pool.acquire_idle(endpoint, request_id, control_call)
             if idle is not None:
                 return idle
-        return _require(await self._race(endpoint, dial))
+        return _require(await self._race(endpoint, request_id, dial))
 
     async def acquire_direct(
-        self, endpoint: ServiceEndpoint, control_call: bool, timeout_ms: float
+        self,
+        endpoint: ServiceEndpoint,
+        request_id: str | None,
+        control_call: bool,
+        timeout_ms: float,
     ) -> EndpointConnection:
         """Return a direct connection; raises ExchangeError if there is none in time."""
-        idle = self.pool.acquire_idle(endpoint, control_call)
+        idle = self.pool.acquire_idle(endpoint, request_id, control_call)
         return idle or _require(await self._open_direct(endpoint, timeout_ms))
 
     def release(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
@@ -82,7 +88,7 @@
         opened = await self._direct.open(endpoint, limit_ms)
         return opened if isinstance(opened, EndpointConnection) else None
 
-    async def _race(self, endpoint: ServiceEndpoint, dial: Dial) -> _Opened:
+    async def _race(self, endpoint: ServiceEndpoint, request_id: str | None, dial: Dial) -> _Opened:
         """Connect directly and through another node, and return the first that succeeds.
 
         The other attempt goes on in the background, as its result tells the state of the path.
@@ -97,7 +103,7 @@
                 if attempts[0].done() and (opened := attempts[0].result()) is not None:
                     return self._detach(attempts, opened)
             since_ms = began_ms if dial.direct else began_ms - CONFIRMED_MS
-            attempts.append(self._start(self._open_relay(endpoint.instance, since_ms)))
+            attempts.append(self._start(self._open_relay(endpoint.instance, request_id, since_ms)))
             opened = await _first_opened(attempts)
             if opened is None and not dial.direct:
                 attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
@@ -122,14 +128,16 @@
         if (opened := attempt.result()) is not None:
             self.release(endpoint, opened)
 
-    async def _open_relay(self, instance: StartId, since_ms: int) -> _Opened:
+    async def _open_relay(
+        self, instance: StartId, request_id: str | None, since_ms: int
+    ) -> _Opened:
         """Return a connection to a node that has reached the endpoint since then, or None."""
         found = await self._peers.find_reaching(instance, since_ms)
         if found.reached_by is None:
             self.record_unreached(instance, found)
             return None
         try:
-            return await self._peers.open(found.reached_by)
+            return await self._peers.open(found.reached_by, request_id)
         except ExchangeError:
             self._peers.choice.avoid(found.reached_by, self._now_ms())
             return None
--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -219,7 +219,7 @@
         return peer, reply
 
     async def _check(self, peer: RelayPeer, instance: StartId) -> RelayReply:
-        connection = await self.open(peer.address)
+        connection = await self.open(peer.address, None)
         text = encode(RelayRequest(instance, check=True))
         lines = [f"GET {RELAY_PATH} HTTP/1.1", f"{RELAY_FIELD}: {text}", f"Host: {peer.address}"]
         try:
@@ -230,10 +230,13 @@
             self.release(connection)
         return read_relay_reply(head)
 
-    async def open(self, address: str) -> EndpointConnection:
-        """Return a connection to a node; raises ExchangeError. `release` must follow."""
+    async def open(self, address: str, request_id: str | None) -> EndpointConnection:
+        """Return a connection to a node that has not carried this request.
+
+        Raises ExchangeError. `release` must follow.
+        """
         endpoint = _as_endpoint(address)
-        connection = self.pool.acquire_idle(endpoint, control_call=True)
+        connection = self.pool.acquire_idle(endpoint, request_id, control_call=True)
         try:
             connection = connection or await self.pool.open(
                 endpoint, extend_for_lag(PEER_TIMEOUT_MS)
@@ -243,6 +246,7 @@
                 ExchangeErrorCause.CONNECT, sent=False, relayed_by=address
             ) from None
         connection.relayed_by = address
+        connection.matcher.to_node = True
         self.choice.begin(address)
         return connection
 
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -89,6 +89,11 @@
 MAX_CALL_BODY_BYTES = 65_536
 # Maximum idle connections to one endpoint.
 MAX_IDLE_CONNECTIONS = 8
+# An endpoint may repeat an answer within this time; a copy comes up to half of it late.
+LATE_COPY_MS = 1000
+# After a failed control call, its connection waits so long for another answer before it is reused:
+# about three round trips.
+SECOND_ANSWER_MS = 20
 # An idle connection is reused for this share of the keep-alive timeout that the endpoint announces.
 KEEP_ALIVE_SHARE = 0.5
 # Keep-alive timeout assumed if the endpoint announces none.
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -279,7 +279,8 @@
         control_call: bool = False,
     ) -> EndpointConnection:
         """Return a connection if the endpoint still accepts this request; raises ExchangeError."""
-        connection = await self.paths.connector.acquire(endpoint, control_call)
+        echoed_id = None if control_call else request.request_id
+        connection = await self.paths.connector.acquire(endpoint, echoed_id, control_call)
         try:
             self._eligibility.check_send(endpoint, request.request_id, reserved)
         except ExchangeError:
@@ -300,7 +301,7 @@
     ) -> EndpointConnection:
         """Send a request of another node over a direct connection; raises ExchangeError."""
         connection = await self.paths.connector.acquire_direct(
-            endpoint, relayed.control_call, CHECK_TIMEOUT_MS
+            endpoint, relayed.request_id, relayed.control_call, CHECK_TIMEOUT_MS
         )
         try:
             if not relayed.cancels:
@@ -364,9 +365,9 @@
         if request is not None:
             connection = await self._connect(endpoint, request, control_call=True)
         elif relayable:
-            connection = await connector.acquire(endpoint, control_call=True)
+            connection = await connector.acquire(endpoint, None, control_call=True)
         else:
-            connection = await connector.acquire_direct(endpoint, True, CONNECT_TIMEOUT_MS)
+            connection = await connector.acquire_direct(endpoint, None, True, CONNECT_TIMEOUT_MS)
         sent_ms = monotonic_ms()
         relay = RelayRequest(
             endpoint.instance,
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -234,6 +234,10 @@
                 Level(count, {"part": part}) for part, count in self._peers.unusable.items()
             ],
             "saffronworks_relayed_requests": lambda: [Level(self._relay_server.open_requests, {})],
+            "saffronworks_unmatched_answers": lambda: [
+                Level(count, {"reason": reason})
+                for reason, count in self._calls.pool.unmatched.counts.items()
+            ],
         }
         for name, levels in gauges.items():
             figures.register_gauge(name, levels)
--- a/saffronworks/tests/features/steps/eligibility_steps.py
+++ b/saffronworks/tests/features/steps/eligibility_steps.py
@@ -1,6 +1,7 @@
 """Steps on the recorded drains and pauses of endpoints, and the check before each send."""
 
 import anyio
+import attrs
 from behave import then
 from hypothesis import given as forall
 from hypothesis import strategies as st
@@ -233,11 +234,13 @@
             exchange.end()
             eligibility.observe(endpoint, DRAINS)
             now_ms[0] = DRAIN_MS + 1
+            # A connection never carries the same request twice.
+            later = attrs.evolve(request(), request_id="later")
             for attempt in (
-                calls.send(endpoint, request(), 900),
-                calls.prefill(endpoint, request(), 900),
-                calls.take_hold(endpoint, request(), 100, 900, 0),
-                calls.open_stream(endpoint, request(), 900, None, None, None),
+                calls.send(endpoint, later, 900),
+                calls.prefill(endpoint, later, 900),
+                calls.take_hold(endpoint, later, 100, 900, 0),
+                calls.open_stream(endpoint, later, 900, None, None, None),
             ):
                 try:
                     await attempt
--- a/saffronworks/tests/features/steps/rejections_steps.py
+++ b/saffronworks/tests/features/steps/rejections_steps.py
@@ -1,5 +1,7 @@
 """Steps on rejections that promise that a request has not run: 408, 421, 429 and 503."""
 
+import random
+
 from behave import then
 from hypothesis import given as forall
 from hypothesis import settings as limits
@@ -11,6 +13,7 @@
 from saffronworks.forwarding.plain_core import promises_not_run
 from saffronworks.platform.answer_fields import is_not_executed
 from saffronworks.tests.endpoint_fixtures import endpoints, wide_budget
+from saffronworks.tests.late_copies import REPEATED, simulate_copies
 from saffronworks.tests.rejection_plays import (
     GENERATION_TURNS,
     PLAIN_TURNS,
@@ -19,6 +22,9 @@
 )
 from saffronworks.tests.scripted_wires import REPLIES, simulate_requests
 
+# Plays of each kind of request with late copies.
+PLAYS = 150
+
 
 def check_promise(may_repeat, end):
     """Check the promise, by which a caller may repeat an unrepeatable request."""
@@ -76,11 +82,14 @@
     @forall(
         st.lists(st.sampled_from(REPLIES), min_size=2, max_size=8),
         st.lists(st.booleans(), max_size=3),
+        st.lists(st.booleans(), max_size=3),
+        st.integers(1, 2),
     )
-    def check(words, held):
-        for status, may_have_run in simulate_requests(streams, words, held, requests=3):
-            assert may_have_run <= 1, (words, held)
-            assert not (may_have_run and promises_not_run(status)), (status, words, held)
+    def check(words, held, prefills, count):
+        drawn = words, held, prefills, count
+        for status, may_have_run in simulate_requests(streams, *drawn, requests=3):
+            assert may_have_run <= 1, drawn
+            assert not (may_have_run and promises_not_run(status)), (status, drawn)
 
     check()
 
@@ -90,6 +99,42 @@
     check_path(streams=False)
 
 
+@then("a late copy of a refusal is not taken for the answer to the next run of its request")
+def refused_twice(context):
+    """Guards against a generation that is refused, or run again, while an endpoint runs it."""
+    results = simulate_requests(True, ["shed-repeated", "ok"], [], [True], count=1, requests=1)
+    ((status, may_have_run),) = results
+    assert may_have_run == 1 and not promises_not_run(status), results
+
+
 @then("whatever bytes endpoints send, a generation they may have run gets no promise")
 def generation_path(context):
     check_path(streams=True)
+
+
+def check_copies(streams):
+    """Play drawn series of replies and copies; by seeds, as each play takes real time."""
+    for seed in range(PLAYS):
+        rng = random.Random(seed)
+        words = [rng.choice(REPEATED) for _ in range(10)]
+        held, prefills = ([rng.random() < 0.9 for _ in range(6)] for _ in range(2))
+        copies = [rng.choice((None, rng.randint(0, 8))) for _ in range(24)]
+        latencies = [rng.randint(0, 6) for _ in range(24)]
+        count = rng.randint(1, 2)
+        plays = simulate_copies(streams, words, held, prefills, count, copies, latencies)
+        for request_id, caller, may_have_run in plays:
+            found = seed, request_id, caller.status, caller.body
+            assert may_have_run <= 1, found
+            assert not (may_have_run and promises_not_run(caller.status)), found
+            own = request_id.encode() in caller.body and caller.whole
+            assert own or caller.status != 200 or caller.closed, found
+
+
+@then("with late copies of any answers, plain requests run once and get their own answers")
+def plain_copies(context):
+    check_copies(streams=False)
+
+
+@then("with late copies of any answers, generations run once and get their own answers")
+def generation_copies(context):
+    check_copies(streams=True)
--- a/saffronworks/tests/features/steps/starts_steps.py
+++ b/saffronworks/tests/features/steps/starts_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from saffronworks.bundles import Role
+from saffronworks.forwarding.answer_matching import AnswerMatcher
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.directory import (
     OBSOLETE_START_TTL_MS,
@@ -173,9 +174,11 @@
     finished = True
     idle_since_ms = 0.0
     control_calls_only = False
+    single_use = False
 
     def __init__(self):
         self.closed = self.cause = None
+        self.matcher = AnswerMatcher()
 
     def close(self):
         self.closed = True
--- a/saffronworks/tests/features/steps/suspension_steps.py
+++ b/saffronworks/tests/features/steps/suspension_steps.py
@@ -51,10 +51,11 @@
     context.pool = ConnectionPool("id")
     (context.endpoint,) = endpoints(1, Role.DECODE, "d")
     context.connection = Mock(finished=True, reusable=True, has_input=False, keep_alive_ms=10_000.0)
+    context.connection.matcher.carried.full = False
     context.pool.release(context.endpoint, context.connection)
     with suspended(SUSPENDED_S):
         context.after_ms = clocks.monotonic_ms()
-        context.idle = context.pool._find_idle(context.endpoint)
+        context.idle = context.pool._find_idle(context.endpoint, None, False)
 
 
 @then("the clock of its node includes them")
--- a/saffronworks/tests/scripted_wires.py
+++ b/saffronworks/tests/scripted_wires.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import socket
 from unittest.mock import AsyncMock, Mock
 
@@ -36,7 +37,16 @@
 )
 from saffronworks.tests.revisions import at
 
-__all__ = ["REPLIES", "simulate_requests"]
+__all__ = [
+    "ENGINE",
+    "PROMPT",
+    "REPLIES",
+    "TIMEOUT_MS",
+    "Script",
+    "ScriptedConnection",
+    "make_node",
+    "simulate_requests",
+]
 
 TIMEOUT_MS = 60
 PROMPT = PromptSize(3000, 700, 600)
@@ -52,6 +62,8 @@
     "429-run": (429, SIGNED),
     "executed": (503, SIGNED + "Not-Executed: 0\r\n"),
     "shed": (503, NOT_EXECUTED),
+    # Sent a second time before the answer to the next request on the connection.
+    "shed-repeated": (503, NOT_EXECUTED),
 }
 WITHOUT_ID = {
     "408": (408, "Connection: close\r\n"),
@@ -64,7 +76,7 @@
     "shed-closed": (503, NOT_EXECUTED),
 }
 BROKEN = ("reset", "closed", "half", "garbage", "silence")
-NOT_RUN = {"shed", "421", "bare-shed", "shed-twice", "shed-closed"}
+NOT_RUN = {"shed", "shed-repeated", "421", "bare-shed", "shed-twice", "shed-closed"}
 REPLIES = (*WITH_ID, *WITHOUT_ID, *BROKEN)
 
 
@@ -81,6 +93,7 @@
 
     replies: list[str]
     held: list[bool]
+    prefills: list[bool]
     may_have_run: dict[str, int] = attrs.Factory(dict)
 
     def next_reply(self):
@@ -94,6 +107,8 @@
 # What connections are asked of the kernel: nothing has arrived that was not read.
 _QUIET_SOCKET, _OTHER_SIDE = socket.socketpair()
 
+_HOLDS = itertools.count(1)
+
 
 class ScriptedConnection(asyncio.Transport):
     """A connection to a scripted endpoint."""
@@ -104,7 +119,7 @@
         self.connection.connection_made(self)
         self._script = script
         self._closed = False
-        self._late = b""
+        self._late = self._repeated = b""
 
     def is_closing(self):
         return self._closed
@@ -128,14 +143,17 @@
         if "/saffronworks/" in text.split("\r\n")[0]:
             self._answer_control()
             return
+        repeated, self._repeated = self._repeated, b""
+        if repeated:
+            self._feed(repeated)
         request_id = text.partition(f"{ID_FIELD}: ")[2].partition("\r\n")[0]
         if "Stage: prefill" in text:
-            self._feed(encode("500", request_id))
+            self._answer_prefill(request_id)
             return
         reply = self._script.next_reply()
         self._script.note(request_id, reply)
         # Nothing follows a late copy: the request runs, and its caller waits.
-        if not late:
+        if not late and not repeated:
             self._perform(reply, request_id)
 
     def _answer_control(self):
@@ -143,7 +161,15 @@
             self._late = encode("bare-shed", "")
             self._feed(self._late)
             return
-        self._feed(b'HTTP/1.1 200 X\r\nContent-Length: 12\r\n\r\n{"hold":"h"}')
+        body = b'{"hold":"h%d"}' % next(_HOLDS)
+        self._feed(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def _answer_prefill(self, request_id):
+        if not self._script.prefills or not self._script.prefills.pop(0):
+            self._feed(encode("500", request_id))
+            return
+        fields = f"{ID_FIELD}: {request_id}\r\nContent-Length: 17"
+        self._feed(f'HTTP/1.1 200 X\r\n{fields}\r\n\r\n{{"kv_handle":"k"}}'.encode())
 
     def _perform(self, reply, request_id):
         match reply:
@@ -162,6 +188,8 @@
                 self._feed(encode(reply, request_id))
         if reply == "shed-twice":
             self._late = encode(reply, request_id)
+        if reply == "shed-repeated":
+            self._repeated = encode(reply, request_id)
         if reply == "shed-closed":
             asyncio.get_running_loop().call_later(0.001, self.connection.eof_received)
 
@@ -170,9 +198,9 @@
             self.connection.data_received(data)
 
 
-def make_node(script, streams):
+def make_node(script, streams, count, connection_type=ScriptedConnection):
     directory, limits = Directory(), limits_of_one_node(monotonic_ms)
-    found = endpoints(2, Role.DECODE if streams else None)
+    found = endpoints(count, Role.DECODE if streams else None)
     if streams:
         found += endpoints(1, Role.PREFILL, "p")
     directory.replace(found, at(1), now_ms=0)
@@ -180,7 +208,7 @@
     calls = calls_of_one_node(eligibility, directory)
 
     async def connect(endpoint, timeout_ms):
-        return ScriptedConnection(script).connection
+        return connection_type(script).connection
 
     calls.pool._connect = connect
     return NodeState(
@@ -201,9 +229,12 @@
     )
 
 
-def simulate_requests(streams, replies, held, requests):
-    """Return status and number of possible runs of each of `requests` unrepeatable requests."""
-    script = Script(list(replies), list(held))
+def simulate_requests(streams, replies, held, prefills, count, requests):
+    """Return status and number of possible runs of each of `requests` unrepeatable requests.
+
+    `held` and `prefills` tell which of these calls succeed; `count` endpoints run the requests.
+    """
+    script = Script(list(replies), list(held), list(prefills))
 
     async def ask(forwarder, request_id):
         caller = FakeCaller("POST")
@@ -216,7 +247,7 @@
         return caller.status, script.may_have_run.get(request_id, 0)
 
     async def main():
-        forwarder = Forwarder(make_node(script, streams), 0)
+        forwarder = Forwarder(make_node(script, streams, count), 0)
         only = route(timeout_ms=TIMEOUT_MS, target_ms=20, max_attempts=1, streams=streams)
         service = Service("s", 9, ENGINE if streams else None)
         forwarder.apply_table(RoutingTable(1, (only,), {"s": service}))
