Grant a reservation once, and relay control calls on connections of their own

Requests failed, and two requests could share a reservation, as a late copy of the answer to one call for memory was taken for the answer to the next.

An endpoint grants each reservation once. So an answer with a reservation that this node has got before grants nothing: the call counts as not granted, and its connection is closed, as its own answer follows. A control call of another node goes out on a connection for one exchange, because each node recognises copies only of reservations that it took itself.

The fake endpoints give each reservation an id of its own now, as real ones do.

--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -99,6 +99,7 @@
         idle = self._idle.setdefault(endpoint.instance, deque())
         if (
             not connection.finished
+            or connection.single_use
             or connection.matcher.carried.full
             or (len(idle) >= self.max_idle and connection.control_calls_only)
         ):
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -86,6 +86,8 @@
         self.idle_since_ms = 0
         self.keep_alive_ms = float(KEEP_ALIVE_DEFAULT_MS)
         self.reusable = True
+        # If true, the connection is closed after its exchange.
+        self.single_use = False
         # If true, only the router's own control calls may follow; their requests carry no id.
         self.control_calls_only = False
         # Not before: if a copy answered the last control call, its own answer is still to come.
--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -75,6 +75,17 @@
         idle = self.pool.acquire_idle(endpoint, request_id, control_call)
         return idle or _require(await self._open_direct(endpoint, timeout_ms))
 
+    async def open_single_use(
+        self, endpoint: ServiceEndpoint, timeout_ms: float
+    ) -> EndpointConnection:
+        """Open a direct connection for one exchange; raises ExchangeError if there is none in time.
+
+        No copy of an earlier answer comes on it, and none of its answer on that of another call.
+        """
+        connection = _require(await self._open_direct(endpoint, timeout_ms))
+        connection.single_use = True
+        return connection
+
     def release(self, endpoint: ServiceEndpoint, connection: EndpointConnection) -> None:
         """Keep a connection whose exchange is complete; close any other."""
         if connection.relayed_by is None:
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -1,6 +1,7 @@
 """Calls to the platform's servers: header names, bodies and the decoding of answers."""
 
 import logging
+from collections.abc import Callable
 from typing import Annotated, TypeVar
 
 import attrs
@@ -31,6 +32,7 @@
     CALL_TIMEOUT_MS,
     CONNECT_TIMEOUT_MS,
 )
+from saffronworks.forwarding.unmatched_answers import Mismatch
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS
 from saffronworks.platform.answer_fields import (
     ID_FIELD,
@@ -41,6 +43,7 @@
     is_not_executed,
     read_advertisement,
 )
+from saffronworks.platform.recent_holds import RecentHolds
 from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["PlatformCalls", "PlatformExchange", "read_reply"]
@@ -49,10 +52,13 @@
 
 # Name of the server that the request is for. Any other server answers 421 and runs nothing.
 _EXPECT_INSTANCE = "Expect-Instance"
+_CheckReply = Callable[[ServiceEndpoint, bytes], bool]
+
 # The organisation that owns the caller's key, called a tenant by the platform.
 _TENANT_FIELD = "Tenant"
 _MISDIRECTED = 421
 _MAX_STATUS = 599
+_MIN_FAILURE_STATUS = 400
 _ORDER_ACCEPTED = (200, 202)
 # Header fields of an answer that are hop-by-hop or addressed to this node only.
 _DROPPED_FIELDS = HOP_BY_HOP_FIELDS | {NOT_EXECUTED_FIELD, INSTANCE_FIELD}
@@ -78,6 +84,10 @@
 _Reply = TypeVar("_Reply", _HoldReply, _PrefillReply)
 
 
+class _UnmatchedAnswerError(Exception):
+    """An answer to one of the node's own calls that belongs to an earlier call."""
+
+
 class _AnswerReader:
     """Records what answers advertise about their servers."""
 
@@ -143,6 +153,7 @@
         self.paths = paths
         self._eligibility = eligibility
         self._answers = _AnswerReader(eligibility)
+        self._holds = RecentHolds()
 
     @property
     def pool(self) -> ConnectionPool:
@@ -194,14 +205,31 @@
         """Reserve a slot and KV cache for `tokens` on a decode server, for `ttl_ms`."""
         body = {"tokens": tokens, "ttl_ms": ttl_ms}
         path = "/saffronworks/hold-take"
-        status, content = await self._call(
-            endpoint, "POST", path, body, request, timeout_ms=timeout_ms
-        )
+        try:
+            status, content = await self._call(
+                endpoint,
+                "POST",
+                path,
+                body,
+                request,
+                timeout_ms=timeout_ms,
+                check=self._is_new_hold,
+            )
+        except _UnmatchedAnswerError:
+            return Err(NotExecuted("unmatched-answer"))
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
         reply = read_reply(content, _HoldReply)
         return reply.map(lambda found: KvHold(endpoint, found.hold, now_ms + ttl_ms))
 
+    def _is_new_hold(self, endpoint: ServiceEndpoint, content: bytes) -> bool:
+        """Return whether an answer may be the one to this call, not a copy of an earlier one.
+
+        Two requests would share the reservation, which serves once.
+        """
+        reply = read_reply(content, _HoldReply)
+        return isinstance(reply, Ok) and self._holds.add(endpoint.instance, reply.ok_value.hold)
+
     async def drop_hold(self, hold: KvHold) -> None:
         """Release a reservation; if that fails, it expires by itself."""
         await self._drop(hold.endpoint, f"/saffronworks/hold-drop/{hold.hold_id}")
@@ -300,9 +328,7 @@
         self, endpoint: ServiceEndpoint, relayed: RelayedRequest
     ) -> EndpointConnection:
         """Send a request of another node over a direct connection; raises ExchangeError."""
-        connection = await self.paths.connector.acquire_direct(
-            endpoint, relayed.request_id, relayed.control_call, CHECK_TIMEOUT_MS
-        )
+        connection = await self._connect_relayed(endpoint, relayed)
         try:
             if not relayed.cancels:
                 self._eligibility.check_send(endpoint, relayed.request_id or "", relayed.reserved)
@@ -315,6 +341,15 @@
             raise
         return connection
 
+    async def _connect_relayed(
+        self, endpoint: ServiceEndpoint, relayed: RelayedRequest
+    ) -> EndpointConnection:
+        connector = self.paths.connector
+        if relayed.control_call:
+            # A node recognises a copy of a granted reservation only if it took that itself.
+            return await connector.open_single_use(endpoint, CHECK_TIMEOUT_MS)
+        return await connector.acquire_direct(endpoint, relayed.request_id, False, CHECK_TIMEOUT_MS)
+
     async def read_relayed_head(
         self, endpoint: ServiceEndpoint, connection: EndpointConnection, relayed: RelayedRequest
     ) -> ResponseHead:
@@ -346,6 +381,7 @@
         request: CallerRequest | None = None,
         relayable: bool = True,
         timeout_ms: int = CALL_TIMEOUT_MS,
+        check: _CheckReply | None = None,
     ) -> tuple[int, bytes]:
         """Send one of the node's own calls; returns status and body, raises ExchangeError.
 
@@ -380,6 +416,12 @@
             limit_ms = extend_for_lag(timeout_ms)
             head = await self.paths.read_head(endpoint, connection, limit_ms)
             reply = await connection.body(limit_ms)
+            accepted = head.status < _MIN_FAILURE_STATUS
+            if accepted and check is not None and not check(endpoint, reply):
+                # The answer to this call follows, and must answer no other one.
+                connection.reusable = False
+                connection.matcher.record(Mismatch.OTHER_CALL, head.status)
+                raise _UnmatchedAnswerError
         finally:
             connector.release(endpoint, connection)
         # Only answers to requests can end a rate limit.
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -45,6 +45,8 @@
   Scenario: a late copy of the answer to a control call answers no other call
     Then a request after a control call gets the answer with its id
     And a control call rejects answers with the ids of all earlier requests
+    And a reservation that was granted before is not granted again
+    And a control call of another node goes out on a connection of its own
     And a node's rejection without an id is accepted after a control call
 
   # Guards against callers that wait to their deadline because the endpoint answers without an id,
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -452,6 +452,48 @@
     anyio.run(play)
 
 
+@then("a reservation that was granted before is not granted again")
+def hold_granted_once(context):
+    async def play():
+        calls, endpoint = calls_and_endpoint()
+        connection = connect()
+
+        async def open_connection(*_):
+            return connection
+
+        calls.pool._connect = open_connection
+        replies = [GRANTED, GRANTED]
+        connection._transport.write = lambda _: connection.data_received(replies.pop(0))
+        request = CallerRequest("r1", "POST", "/a", "h", (), b"", monotonic_ms(), 900, None)
+        first = await calls.take_hold(endpoint, request, 10, 900, monotonic_ms())
+        assert first.ok_value.hold_id == "h1"
+        second = await calls.take_hold(endpoint, request, 10, 900, monotonic_ms())
+        assert second.err_value.reason == "unmatched-answer", second
+        assert calls.pool.unmatched.counts == {"other-call": 1}
+        assert not connection.finished and not replies
+
+    anyio.run(play)
+
+
+@then("a control call of another node goes out on a connection of its own")
+def relayed_control_call(context):
+    """Guards against reservations of two nodes' requests that are one, granted to either node."""
+
+    async def play():
+        calls, endpoint, opened = calls_on_fakes([GRANTED, GRANTED, GRANTED.replace(b"h1", b"h2")])
+        relayed = RelayedRequest("POST", "/take", (), b"", None, True, True, False, 900)
+        own = await take_hold(calls, endpoint)
+        connection = await calls.start_relayed(endpoint, relayed)
+        assert connection is opened[1]
+        calls.paths.connector.release(endpoint, connection)
+        other = await take_hold(calls, endpoint)
+        assert (own.is_ok(), other.is_ok(), len(opened)) == (True, True, 2)
+        assert calls.pool.acquire_idle(endpoint, "r1") is opened[0]
+        assert calls.pool.acquire_idle(endpoint, "r1") is None
+
+    anyio.run(play)
+
+
 @then("a node's rejection without an id is accepted after a control call")
 def node_rejects(context):
     async def play():
--- a/saffronworks/tests/features/steps/platform_generation_steps.py
+++ b/saffronworks/tests/features/steps/platform_generation_steps.py
@@ -32,7 +32,7 @@
     assert b'"tokens":8100' in asked[0] and b'"tokens":8000' in asked[1], asked
     headers = next(headers for _, _, headers, _ in decoder.seen if "kv-hold" in headers)
     reader = context.servers_used[2]
-    assert headers["kv-hold"] == "h1"
+    assert headers["kv-hold"] == "h1-2"
     assert headers["kv-source"] == f"{reader.address}/k-g1", headers
     assert reader.seen[0][2]["stage"] == "prefill" and reader.seen[0][3] == b"prompt"
     assert context.raw.count(b"data: ") == 3 and context.raw.endswith(b"0\r\n\r\n"), context.raw
--- a/saffronworks/tests/features/steps/restarts_steps.py
+++ b/saffronworks/tests/features/steps/restarts_steps.py
@@ -132,7 +132,7 @@
     raw, _ = context.answer
     assert raw.count(b"data: ") == 3 and raw.endswith(b"0\r\n\r\n"), raw
     sent = [headers["kv-hold"] for _, _, headers, _ in context.decoder.seen if "kv-hold" in headers]
-    assert sent == ["h2"], sent
+    assert len(sent) == 1 and sent[0].startswith("h2-"), sent
 
 
 def knows_start(place, server):
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import socket
 import struct
@@ -81,6 +82,7 @@
         # Seconds of silence before the next step of a kind; the server goes on afterwards.
         self.silences = {}
         self._late = []
+        self._holds = itertools.count(1)
 
     def entry(self, state="ready"):
         entry = {
@@ -148,7 +150,9 @@
         if target.endswith("hold-take") and self.pause is not None:
             return await self._reject(writer, {})
         if target.endswith("hold-take") and not self.full:
-            return await self._reply(writer, 200, {}, b'{"hold":"h%d"}' % self.starts)
+            # Each reservation has an id of its own; it tells the start that granted it.
+            hold = b"h%d-%d" % (self.starts, next(self._holds))
+            return await self._reply(writer, 200, {}, b'{"hold":"%s"}' % hold)
         return await self._reply(writer, 503 if method == "POST" else 200, {}, b"{}")
 
     async def _request(self, reader, writer, headers):
