Check the duty when the connection for a role order is open

A node could order a role after its duty had lapsed, beside another node (ONE): the duty was checked before the connection was opened, which may take long. A late copy of another call's success could also count as the acceptance of an order.

An order goes out on a new connection for one exchange, and is withheld if that opens later than the confirmation of the duty is valid. Orders are rare, so a connection each costs little.

--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -182,9 +182,12 @@
         """Return True if the endpoint accepts connections, False if not, None without a reply."""
 
     async def order_role(
-        self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int
+        self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
-        """Order an endpoint to change its role, with the fencing token `fence`."""
+        """Order an endpoint to change its role, with the fencing token `fence`.
+
+        Raises ExchangeError, also if it can't be sent until `send_until_ms` of the steady clock.
+        """
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/role_keeper.py
+++ b/saffronworks/forwarding/role_keeper.py
@@ -117,14 +117,16 @@
         return event
 
     async def _order(self, command: OrderRole, state: RoleState) -> role_core.Event:
-        confirmed_ms_ago = self._now_ms() - state.duty_changed_ms
-        if confirmed_ms_ago > role_core.CONFIRMATION_VALID_MS:
+        send_until_ms = state.duty_changed_ms + role_core.CONFIRMATION_VALID_MS
+        now_ms = self._now_ms()
+        if now_ms > send_until_ms:
+            confirmed_ms_ago = now_ms - state.duty_changed_ms
             logger.info("event=order_dropped confirmed_ms_ago=%d", confirmed_ms_ago)
             return role_core.OrderAnswered(command.endpoint.instance, accepted=False)
         accepted: bool | None
         try:
             reply = await self._calls.order_role(
-                command.endpoint, command.role, state.node, command.fence
+                command.endpoint, command.role, state.node, command.fence, send_until_ms
             )
             accepted = isinstance(reply, Ok)
             reason = reply.err_value.reason if isinstance(reply, Err) else ""
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -258,11 +258,14 @@
         return await self.paths.listens(endpoint)
 
     async def order_role(
-        self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int
+        self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
         """Order a server to change its role; `fence` is the fencing token of `holder`.
 
+        Raises ExchangeError, also if it can't be sent until `send_until_ms` of the steady clock.
+
         Orders are never relayed: servers take those of two machines for orders of two holders.
+        They use new connections, as a copy of another call's success would count as acceptance.
         """
         body = {
             "operation": "stage",
@@ -270,7 +273,8 @@
             "holder": holder,
             "fencing_token": fence,
         }
-        status, _ = await self._call(endpoint, "POST", "/saffronworks/order", body, relayable=False)
+        path = "/saffronworks/order"
+        status, _ = await self._call(endpoint, "POST", path, body, send_until_ms=send_until_ms)
         return Ok(None) if status in _ORDER_ACCEPTED else Err(NotExecuted(f"status {status}"))
 
     async def _start(
@@ -324,6 +328,14 @@
             )
         return connection
 
+    async def _connect_until(self, endpoint: ServiceEndpoint, until_ms: int) -> EndpointConnection:
+        """Return a new connection; raises ExchangeError if it comes later than `until_ms`."""
+        connection = await self.paths.connector.open_single_use(endpoint, CONNECT_TIMEOUT_MS)
+        if monotonic_ms() > until_ms:
+            self.paths.connector.release(endpoint, connection)
+            raise ExchangeError(ExchangeErrorCause.WITHHELD, sent=False)
+        return connection
+
     async def start_relayed(
         self, endpoint: ServiceEndpoint, relayed: RelayedRequest
     ) -> EndpointConnection:
@@ -379,7 +391,7 @@
         path: str,
         body: object,
         request: CallerRequest | None = None,
-        relayable: bool = True,
+        send_until_ms: int | None = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
         check: _CheckReply | None = None,
     ) -> tuple[int, bytes]:
@@ -400,10 +412,10 @@
             lines.append("Content-Type: application/json")
         if request is not None:
             connection = await self._connect(endpoint, request, control_call=True)
-        elif relayable:
-            connection = await connector.acquire(endpoint, None, control_call=True)
+        elif send_until_ms is not None:
+            connection = await self._connect_until(endpoint, send_until_ms)
         else:
-            connection = await connector.acquire_direct(endpoint, None, True, CONNECT_TIMEOUT_MS)
+            connection = await connector.acquire(endpoint, None, control_call=True)
         sent_ms = monotonic_ms()
         relay = RelayRequest(
             endpoint.instance,
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -47,6 +47,8 @@
     And a control call rejects answers with the ids of all earlier requests
     And a reservation that was granted before is not granted again
     And a control call of another node goes out on a connection of its own
+    And an order of a role is not accepted by a copy of another call's success
+    And an order of a role is not sent if its connection is opened too late
     And a node's rejection without an id is accepted after a control call
 
   # Guards against callers that wait to their deadline because the endpoint answers without an id,
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -494,6 +494,56 @@
     anyio.run(play)
 
 
+@then("an order of a role is not accepted by a copy of another call's success")
+def order_on_its_own(context):
+    """Guards against a keeper that counts on a role that the endpoint has refused."""
+
+    async def play():
+        calls, endpoint = calls_and_endpoint()
+        opened = []
+
+        async def open_connection(*_):
+            # The first connection repeats the answer to its first call; the others reject.
+            connection, answer = connect(), CONTROL if opened else GRANTED
+            connection._transport.write = lambda _: connection.data_received(answer)
+            opened.append(connection)
+            return connection
+
+        calls.pool._connect = open_connection
+        assert (await take_hold(calls, endpoint)).is_ok()
+        for _ in range(2):
+            ordered = await calls.order_role(endpoint, Role.PREFILL, "n", 1, monotonic_ms() + 300)
+            assert ordered.is_err(), ordered
+        assert len(opened) == 3
+        assert calls.pool.acquire_idle(endpoint, None, control_call=True) is opened[0]
+
+    anyio.run(play)
+
+
+@then("an order of a role is not sent if its connection is opened too late")
+def order_too_late(context):
+    """Guards against orders of a holder whose duty expired while it connected."""
+
+    async def play():
+        calls, endpoint = calls_and_endpoint()
+        written = []
+
+        async def open_connection(*_):
+            await anyio.sleep(0.1)
+            connection = connect()
+            connection._transport.write = written.append
+            return connection
+
+        calls.pool._connect = open_connection
+        try:
+            await calls.order_role(endpoint, Role.PREFILL, "n", 1, monotonic_ms() + 50)
+        except ExchangeError as broken:
+            assert broken.withheld and not broken.sent, broken
+        assert not written and calls.pool.connected_since_ms(endpoint.instance) is None
+
+    anyio.run(play)
+
+
 @then("a node's rejection without an id is accepted after a control call")
 def node_rejects(context):
     async def play():
--- a/saffronworks/tests/features/steps/duty_steps.py
+++ b/saffronworks/tests/features/steps/duty_steps.py
@@ -193,7 +193,7 @@
         self.now_ms += suspended_ms
         return self.now_ms
 
-    async def order_role(self, endpoint, role, holder, fence):
+    async def order_role(self, endpoint, role, holder, fence, send_until_ms):
         self.orders.append(endpoint.instance)
         return Ok(None)
 
