Extend the time limits of a suspended node once, and by their own length at most

Callers were refused by a node that was suspended while it connected, and circuits of sound endpoints opened: after a suspension replies wait in the kernel, and the timers that are due fire first. Other waits were extended by the whole length of a suspension (2.7 s for 2.2), and the waits on the way to an endpoint one after the other, so that a late node refused only after 1.1 s.

running_timeout extends a limit that fires late once, by the limit at most. Heads and bodies that arrived in the turn in which their timeout ends count as arrived. All ways to an endpoint together have one bound of 0.8 s, which a late node doesn't extend; a direct attempt goes on in the background. An attempt that has not ended is nobody's failure: a sound endpoint counted as failed at all nodes.

--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -9,7 +9,8 @@
 import asyncio
 import selectors
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import anyio
@@ -22,6 +23,7 @@
     "held_up_ms",
     "monotonic_ms",
     "run",
+    "running_timeout",
     "wall_ms",
 ]
 
@@ -78,13 +80,46 @@
         return time.clock_gettime(_STEADY)
 
 
-def extend_for_lag(limit_ms: float) -> float:
-    """Return a time limit for a reply of another process, longer by this process's own lag.
+def extend_for_lag(limit_ms: float, replies: int = 1) -> float:
+    """Return a time limit for replies of another process, longer by this process's own lag.
 
-    A reply that has arrived is noticed some turns of the event loop later, and a timer that fires
-    late has proved nothing about the other side.
+    Each of `replies` is awaited after the one before it. A reply that has arrived is noticed some
+    turns of the event loop later, and a timer that fires late has proved nothing about the other
+    side.
     """
-    return limit_ms + LOOP_METER.reply_lag_ms(_steady_ms())
+    return limit_ms + replies * LOOP_METER.reply_lag_ms(_steady_ms())
+
+
+# A timer that fires later than this has waited for a process that did not run.
+LATE_TIMER_S = 0.1
+
+
+@asynccontextmanager
+async def running_timeout(limit_ms: float) -> AsyncIterator[None]:
+    """Raise TimeoutError after `limit_ms`, extended once by a suspension of this process.
+
+    After a suspension replies wait in the kernel, and the timers that are due would fire first. The
+    extension is `limit_ms` at most, however long the suspension was.
+    """
+    loop = asyncio.get_running_loop()
+    timers: list[asyncio.TimerHandle] = []
+    async with asyncio.timeout(None) as timeout:
+
+        def expire(due_s: float) -> None:
+            late_s = loop.time() - due_s
+            if late_s <= LATE_TIMER_S:
+                timeout.reschedule(loop.time())
+                return
+            until_s = loop.time() + min(late_s, limit_ms / 1000)
+            timers.append(loop.call_at(until_s, timeout.reschedule, until_s))
+
+        due_s = loop.time() + limit_ms / 1000
+        timers.append(loop.call_at(due_s, expire, due_s))
+        try:
+            yield
+        finally:
+            for timer in timers:
+                timer.cancel()
 
 
 def held_up_ms() -> float:
--- a/saffronworks/forwarding/connection_pool.py
+++ b/saffronworks/forwarding/connection_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from saffronworks.clocks import monotonic_ms
+from saffronworks.clocks import monotonic_ms, running_timeout
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
@@ -84,7 +84,7 @@
     async def _connect(self, endpoint: ServiceEndpoint, timeout_ms: float) -> EndpointConnection:
         host, port = parse_address(endpoint.address)
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_ms / 1000):
+        async with running_timeout(timeout_ms):
             _, connection = await loop.create_connection(
                 lambda: EndpointConnection(self._id_field), host, port
             )
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -315,16 +315,18 @@
         self.matcher.begin(awaited_id, self.sent_ms)
         self._transport.write(data)
 
-    async def head(self, timeout_ms: float) -> ResponseHead:
+    async def head(self, timeout_ms: float | None) -> ResponseHead:
         """Return the head of the answer; raises ExchangeError if there is none in time."""
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
                 while self._head is None:
                     if self._loss_cause is not None:
                         raise self._error(self._loss_cause)
                     await self._wait()
         except TimeoutError:
-            raise self._error(ExchangeErrorCause.SILENT) from None
+            # A node that was suspended reads the head in the turn in which the timeout ends.
+            if self._head is None:
+                raise self._error(ExchangeErrorCause.SILENT) from None
         return self._head
 
     async def next_chunk(self, timeout_ms: float | None = None) -> bytes | None:
@@ -355,23 +357,32 @@
                     await self._wait()
         return bool(self._chunks)
 
-    async def body(self, timeout_ms: float) -> bytes:
+    async def body(self, timeout_ms: float | None) -> bytes:
         """Return the rest of the body of a small answer, all of which must arrive in time.
 
         Raises ExchangeError if it ends early, stalls or has more than MAX_CALL_BODY_BYTES.
         """
         body = bytearray()
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                while (chunk := await self.next_chunk()) is not None:
-                    body += chunk
-                    if len(body) > MAX_CALL_BODY_BYTES:
-                        raise self._error(ExchangeErrorCause.OVERSIZED)
+            async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
+                await self._read_body(body)
         except TimeoutError:
-            cause = ExchangeErrorCause.ENDLESS if body else ExchangeErrorCause.SILENT
+            # The rest may have been read in the turn in which the timeout ended.
+            if self._complete:
+                await self._read_body(body)
+                return bytes(body)
+            cause = (
+                ExchangeErrorCause.ENDLESS if body or self._chunks else ExchangeErrorCause.SILENT
+            )
             raise self._error(cause) from None
         return bytes(body)
 
+    async def _read_body(self, body: bytearray) -> None:
+        while (chunk := await self.next_chunk()) is not None:
+            body += chunk
+            if len(body) > MAX_CALL_BODY_BYTES:
+                raise self._error(ExchangeErrorCause.OVERSIZED)
+
     def _error(self, cause: ExchangeErrorCause, sent: bool = True) -> ExchangeError:
         return ExchangeError(cause, sent, self.relayed_by)
 
--- a/saffronworks/forwarding/paths/connector.py
+++ b/saffronworks/forwarding/paths/connector.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from saffronworks.clocks import extend_for_lag
+from saffronworks.clocks import extend_for_lag, running_timeout
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
@@ -15,6 +15,8 @@
 from saffronworks.forwarding.paths.tuning import (
     CHECK_TIMEOUT_MS,
     CONFIRMED_MS,
+    MAX_CONNECT_MS,
+    MAX_RELAY_AFTER_MS,
     RELAY_AFTER_MS,
 )
 from saffronworks.forwarding.starts import StartId
@@ -51,18 +53,23 @@
     ) -> EndpointConnection:
         """Return a connection that has not carried this request.
 
-        Raises ExchangeError if neither way reaches the endpoint.
+        Raises ExchangeError if neither way reaches the endpoint within `MAX_CONNECT_MS`.
 
         `relayed_by` of the connection names the node that it leads through, if any.
         """
         dial = self._table.dial(endpoint.instance, self._now_ms())
-        if dial.relay_after_ms is None or not self._peers.choice.peers:
-            return await self.acquire_direct(endpoint, request_id, control_call, dial.timeout_ms)
-        if dial.reuse:
+        relays = dial.relay_after_ms is not None and bool(self._peers.choice.peers)
+        if dial.reuse or not relays:
             idle = self.pool.acquire_idle(endpoint, request_id, control_call)
             if idle is not None:
                 return idle
-        return _require(await self._race(endpoint, request_id, dial))
+        try:
+            async with running_timeout(MAX_CONNECT_MS):
+                if relays:
+                    return _require(await self._race(endpoint, request_id, dial))
+                return _require(await self._open_alone(endpoint, dial.timeout_ms))
+        except TimeoutError:
+            raise ExchangeError(ExchangeErrorCause.CONNECT, sent=False) from None
 
     async def acquire_direct(
         self,
@@ -99,6 +106,14 @@
         opened = await self._direct.open(endpoint, limit_ms)
         return opened if isinstance(opened, EndpointConnection) else None
 
+    async def _open_alone(self, endpoint: ServiceEndpoint, timeout_ms: float) -> _Opened:
+        """Connect directly; the attempt goes on in the background if its caller stops waiting."""
+        attempts = [self._start(self._open_direct(endpoint, timeout_ms))]
+        try:
+            return self._detach(attempts, await _first_opened(attempts))
+        finally:
+            self._keep_opened(endpoint, attempts)
+
     async def _race(self, endpoint: ServiceEndpoint, request_id: str | None, dial: Dial) -> _Opened:
         """Connect directly and through another node, and return the first that succeeds.
 
@@ -109,8 +124,7 @@
         try:
             if dial.direct:
                 attempts.append(self._start(self._open_direct(endpoint, dial.timeout_ms)))
-                relay_after_ms = extend_for_lag(dial.relay_after_ms) if dial.relay_after_ms else 0
-                await asyncio.wait(attempts, timeout=relay_after_ms / 1000)
+                await asyncio.wait(attempts, timeout=_relay_after_ms(dial) / 1000)
                 if attempts[0].done() and (opened := attempts[0].result()) is not None:
                     return self._detach(attempts, opened)
             since_ms = began_ms if dial.direct else began_ms - CONFIRMED_MS
@@ -124,14 +138,17 @@
                 self._start(judge)
             return self._detach(attempts, opened)
         finally:
-            for attempt in attempts:
-                attempt.add_done_callback(lambda done: self._keep(endpoint, done))
+            self._keep_opened(endpoint, attempts)
 
     def _detach(self, attempts: list[_OpenTask], opened: _Opened) -> _Opened:
         """Give a connection to the caller: it is not kept as idle with those of the others."""
         attempts[:] = [one for one in attempts if not one.done() or one.result() is not opened]
         return opened
 
+    def _keep_opened(self, endpoint: ServiceEndpoint, attempts: list[_OpenTask]) -> None:
+        for attempt in attempts:
+            attempt.add_done_callback(lambda done: self._keep(endpoint, done))
+
     def _keep(self, endpoint: ServiceEndpoint, attempt: _OpenTask) -> None:
         """Keep a connection that no request needs any more."""
         if attempt.cancelled() or attempt.exception() is not None:
@@ -175,6 +192,13 @@
         return task
 
 
+def _relay_after_ms(dial: Dial) -> float:
+    """Return when another node is used too; a late node has to wait longer for replies."""
+    if not dial.relay_after_ms:
+        return 0
+    return min(extend_for_lag(dial.relay_after_ms), MAX_RELAY_AFTER_MS)
+
+
 def _require(opened: _Opened) -> EndpointConnection:
     if opened is None:
         raise ExchangeError(ExchangeErrorCause.CONNECT, sent=False)
--- a/saffronworks/forwarding/paths/peer_calls.py
+++ b/saffronworks/forwarding/paths/peer_calls.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err
 
-from saffronworks.clocks import extend_for_lag
+from saffronworks.clocks import extend_for_lag, running_timeout
 from saffronworks.forwarding.connection_pool import ConnectionPool
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import ServiceEndpoint
@@ -201,7 +201,7 @@
     async def _ask(self, peer: RelayPeer, instance: StartId) -> tuple[RelayPeer, RelayReply]:
         """Ask one node; one that doesn't answer is avoided."""
         try:
-            async with asyncio.timeout(extend_for_lag(PEER_TIMEOUT_MS) / 1000):
+            async with running_timeout(extend_for_lag(PEER_TIMEOUT_MS)):
                 reply = await self._check(peer, instance)
         except (ExchangeError, TimeoutError) as error:
             logger.info(
@@ -219,13 +219,14 @@
         return peer, reply
 
     async def _check(self, peer: RelayPeer, instance: StartId) -> RelayReply:
+        """Return the answer of one node; the caller limits the time."""
         connection = await self.open(peer.address, None)
         text = encode(RelayRequest(instance, check=True))
         lines = [f"GET {RELAY_PATH} HTTP/1.1", f"{RELAY_FIELD}: {text}", f"Host: {peer.address}"]
         try:
             connection.send("\r\n".join([*lines, "", ""]).encode("latin-1"), None)
-            head = await connection.head(extend_for_lag(PEER_TIMEOUT_MS))
-            await connection.body(extend_for_lag(PEER_TIMEOUT_MS))
+            head = await connection.head(None)
+            await connection.body(None)
         finally:
             self.release(connection)
         return read_relay_reply(head)
--- a/saffronworks/forwarding/paths/service.py
+++ b/saffronworks/forwarding/paths/service.py
@@ -299,6 +299,9 @@
         instance = endpoint.instance
         state = self.table.state(instance, self._now_ms())
         checked = broken.cause is ExchangeErrorCause.CONNECT
+        if checked and state is PathState.DIRECT:
+            # A late node stops waiting for a connection before the attempt has ended.
+            return FaultSite.UNKNOWN
         if not checked and state in (PathState.DIRECT, PathState.SUSPECT):
             await asyncio.shield(self._start_check(endpoint))
             state = self.table.state(instance, self._now_ms())
--- a/saffronworks/forwarding/paths/tuning.py
+++ b/saffronworks/forwarding/paths/tuning.py
@@ -3,6 +3,11 @@
 # A connection attempt to an endpoint without a reply for this long is repeated through another
 # node, while the first one goes on. A round trip within a region takes 7 ms at most.
 RELAY_AFTER_MS = 150
+# Upper limit of this time at a late node, which leaves enough of `MAX_CONNECT_MS` for the relay.
+MAX_RELAY_AFTER_MS = 400
+# A request for which no way to its endpoint has been found by then is refused. A late node extends
+# each of the waits on the way, but not their sum, as callers are to be refused within a second.
+MAX_CONNECT_MS = 800
 # An endpoint that has not acknowledged a request for this long is checked with a new connection.
 UNACKNOWLEDGED_MS = 100
 # An endpoint that has acknowledged a request, but not answered it for this long, is checked too,
--- a/saffronworks/tests/features/connections.feature
+++ b/saffronworks/tests/features/connections.feature
@@ -24,6 +24,12 @@
     And a connection on which a control call was refused serves only control calls, a moment later
     And the own answer of a control call that was answered by a copy answers no other call
 
+  # Guards against requests that are sent again, reservations that leak and 504s while the answer
+  # has arrived, because the node was suspended or late.
+  Scenario: an answer that is read in the turn in which its timeout ends
+    Then its head and its body are returned
+    And a body that has only begun is endless
+
   # Guards against an overloaded endpoint that gets a new connection for each rejected reservation,
   # and against usable connections that are closed to keep those of rejected reservations.
   Scenario: connections of rejected reservations
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -99,11 +99,44 @@
     Then requests are refused as not run within a second, and all nodes stay ready
     And each node asks each other one at most 2.5 times a second
 
+  # Guards against limits that a late node extends one after the other, so that a request which no
+  # node can send is refused after more than a second.
+  Scenario: no node reaches any endpoint, and the nodes notice replies late
+    Given four nodes and one plain endpoint
+    When all nodes lose their paths to all endpoints, and take replies for up to 250 ms late
+    Then requests are refused as not run within a second, and all nodes stay ready
+
+  # Guards against requests refused as unreachable because their node did not run for a moment: it
+  # used other nodes too late, or took its own silence for theirs.
+  Scenario Outline: a node that reaches no endpoint is suspended <when>
+    Given one plain endpoint
+    When one of two nodes reaches no endpoint, and is suspended for 900 ms <when>
+    Then its callers are served through the other node
+
+    Examples:
+      | when                       |
+      | before its requests        |
+      | while it asks another node |
+
   Scenario: peers of the previous release
     Given four nodes and one plain endpoint
     When a node reaches no endpoint and no other node relays requests
     Then requests are refused as not run within a second, and all nodes stay ready
 
+  # Guards against a request that waits for its endpoint alone for as long as its node is late, and
+  # then fails as one that may have run.
+  Scenario: peers of the previous release, and a node that notices replies late
+    Given four nodes and one plain endpoint
+    When a node reaches no endpoint, no other relays requests, and replies are noticed 1 s late
+    Then requests are refused as not run within a second, and all nodes stay ready
+
+  # Guards against a sound endpoint that counts as failed at all nodes because a late node did not
+  # connect to it in time.
+  Scenario: a late node's time for connecting ends before its attempt
+    Given four nodes and one plain endpoint
+    When a node without a path to it gets no connection in time, as it notices replies 1 s late
+    Then the failure counts as nobody's
+
   Scenario: the path table under random events
     Then a path is relayed only while another node reaches the endpoint, and heals by checks
     And an endpoint counts as down only if two nodes with working paths don't reach it
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -229,6 +229,46 @@
     anyio.run(play)
 
 
+async def receive_in_late_turn(connection, data, wait):
+    """Return the result of `wait`; `data` is read after its timeout, before it is resumed."""
+    task = asyncio.create_task(wait(10))
+    await asyncio.sleep(0)
+    # Blocks the event loop beyond the timeout, as a suspension does; the timeout ends next.
+    asyncio.get_running_loop().call_soon(connection.data_received, data)
+    time.sleep(0.02)
+    return await task
+
+
+@then("its head and its body are returned")
+def late_answer_is_returned(context):
+    async def play():
+        begin, end = OWN[:-3], OWN[-3:]
+        connection = connect()
+        connection.send(b"", "r1")
+        head = await receive_in_late_turn(connection, begin, connection.head)
+        assert head.status == 200
+        assert await receive_in_late_turn(connection, end, connection.body) == b"own"
+        assert connection.finished
+
+    anyio.run(play)
+
+
+@then("a body that has only begun is endless")
+def late_part_is_endless(context):
+    async def play():
+        connection = connect()
+        connection.send(b"", "r1")
+        connection.data_received(OWN[:-3])
+        try:
+            await receive_in_late_turn(connection, b"o", connection.body)
+        except ExchangeError as error:
+            assert error.cause is ExchangeErrorCause.ENDLESS, error.cause
+        else:
+            raise AssertionError("no ExchangeError was raised")
+
+    anyio.run(play)
+
+
 @then("connections to endpoints are probed each second, and fail after more than two")
 def is_probed(context):
     async def play():
--- a/saffronworks/tests/features/steps/suspension_steps.py
+++ b/saffronworks/tests/features/steps/suspension_steps.py
@@ -1,9 +1,11 @@
 """Scenarios on a suspended VM, simulated by the clocks of this process."""
 
+import asyncio
 import re
 import time
 from contextlib import contextmanager
 from pathlib import Path
+from random import Random
 from unittest.mock import Mock, patch
 
 import anyio
@@ -14,6 +16,11 @@
 from saffronworks.bundles import Role
 from saffronworks.forwarding import role_core
 from saffronworks.forwarding.connection_pool import ConnectionPool
+from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.exchange_errors import ExchangeError
+from saffronworks.forwarding.paths.peers import RelayPeer
+from saffronworks.forwarding.paths.service import make_paths
+from saffronworks.forwarding.paths.table import PathState
 from saffronworks.forwarding.planning.core import PlanState, Tick
 from saffronworks.forwarding.planning.core import step as plan_step
 from saffronworks.tests.endpoint_fixtures import endpoints
@@ -111,3 +118,74 @@
             if CLOCKS.search(line) and WALL_TIME not in line
         ]
     assert not found, "\n".join(found)
+
+
+@when("a node is suspended for 700, 900 and 1500 ms while it connects to an endpoint that accepts")
+def suspended_while_connecting(context):
+    context.connected, context.states = [], []
+
+    async def accept(reader, writer):
+        await reader.read()
+        writer.close()
+
+    async def connect(port, suspended_s):
+        paths = make_paths(Directory(), "Request-Id", "z", Random(1), clocks.monotonic_ms)
+        paths.peers.update_peers({"127.0.0.1:1": RelayPeer("127.0.0.1:1", 1.0, "z")})
+        endpoint = ServiceEndpoint(f"i-{suspended_s}", "web", f"127.0.0.1:{port}", "z")
+        async with anyio.create_task_group() as tasks:
+            for number in range(5):
+                tasks.start_soon(acquire, paths, endpoint, f"r{number}")
+            await anyio.sleep(0)
+            time.sleep(suspended_s)
+        context.states.append(paths.table.state(endpoint.instance, clocks.monotonic_ms()))
+
+    async def acquire(paths, endpoint, request_id):
+        try:
+            connection = await paths.connector.acquire(endpoint, request_id)
+        except ExchangeError as error:
+            context.connected.append(error.cause)
+            return
+        context.connected.append("direct" if connection.relayed_by is None else "relayed")
+        connection.close()
+
+    async def play():
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        for suspended_s in (0.7, 0.9, 1.5):
+            await connect(server.sockets[0].getsockname()[1], suspended_s)
+        server.close()
+
+    clocks.run(play)
+
+
+@then("each request gets a direct connection, and the path stays in use")
+def connected_after_all(context):
+    assert context.connected == ["direct"] * 15, context.connected
+    assert context.states == [PathState.DIRECT] * 3, context.states
+
+
+@when("a process is suspended for {span_ms:d} ms {often} while nothing replies for 300 ms")
+def suspended_again(context, span_ms, often):
+    async def suspend_often():
+        while True:
+            await anyio.sleep(0.01)
+            time.sleep(span_ms / 1000)
+            if often == "once":
+                break
+
+    async def play():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(suspend_often)
+            began_ms = clocks.monotonic_ms()
+            try:
+                async with clocks.running_timeout(300):
+                    await anyio.sleep_forever()
+            except TimeoutError:
+                context.ended_ms = clocks.monotonic_ms() - began_ms
+            tasks.cancel_scope.cancel()
+
+    clocks.run(play)
+
+
+@then("its timeout ends within {limit_ms:d} ms")
+def ends_after_all(context, limit_ms):
+    assert context.ended_ms < limit_ms, context.ended_ms
