Refuse requests as not run that were not sent by their deadline

Callers got 504, after which they may not repeat an unrepeatable request, for requests of which no byte had been sent: a node that connected late ended them at their deadline, and a plain run counted as begun while its connection was being opened.

A run that is cancelled before it is sent counts no more, and a request without a run gets 503 as not run at its deadline. The scenario of a deadline that passes before the request is sent guards it.

--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -32,6 +32,8 @@
 NO_TABLE_RETRY_MS = 500
 # A node that has no configuration after this time is waiting for an unavailable store.
 STORE_SLOW_MS = 1000
+# Refusal of a request at its deadline that no endpoint can have run.
+NOT_SENT_IN_TIME = Refuse(503, "deadline", not_run=True)
 # Plain answers are expected within this multiple of their latency target.
 PLAIN_TARGETS = 4
 
@@ -275,8 +277,8 @@
             )
             self._node.figures.count("cut", job.route.name, reason)
             job.reply.cut()
-        elif self.ended and not job.runs.runs:
-            await send_refusal(self._node, job, STOPPING)
+        elif not job.runs.runs:
+            await send_refusal(self._node, job, STOPPING if self.ended else NOT_SENT_IN_TIME)
         else:
             await send_refusal(self._node, job, Refuse(504, reason, not_run=False))
 
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -1,5 +1,6 @@
 """Serves one plain request: executes the commands of `plain_core`."""
 
+import asyncio
 import logging
 
 from saffronworks.clocks import extend_for_lag
@@ -174,7 +175,12 @@
         node, job = self._node, self._job
         left_ms = job.deadline_at_ms - node.now_ms()
         until_ms = node.now_ms() + min(left_ms, extend_for_lag(wait_ms))
-        self._exchange = await node.calls.send(endpoint, job.request, left_ms)
+        try:
+            self._exchange = await node.calls.send(endpoint, job.request, left_ms)
+        except asyncio.CancelledError:
+            # It was not sent: nothing is awaited after that.
+            job.runs.uncount_run()
+            raise
         self._body.attach(self._exchange)
         self._head = await self._exchange.head(max(1, until_ms - node.now_ms()))
         self._first_ms = node.now_ms()
--- a/saffronworks/tests/features/endpoint_partition.feature
+++ b/saffronworks/tests/features/endpoint_partition.feature
@@ -137,6 +137,12 @@
     When a node without a path to it gets no connection in time, as it notices replies 1 s late
     Then the failure counts as nobody's
 
+  # Guards against a 504 for a request of which no byte was sent: its caller may not repeat it.
+  Scenario: a request whose deadline passes before it is sent
+    Given one plain endpoint
+    When the deadline of a request passes while a node without others connects to its endpoint
+    Then it is refused as not run
+
   Scenario: the path table under random events
     Then a path is relayed only while another node reaches the endpoint, and heals by checks
     And an endpoint counts as down only if two nodes with working paths don't reach it
--- a/saffronworks/tests/features/steps/endpoint_partition_steps.py
+++ b/saffronworks/tests/features/steps/endpoint_partition_steps.py
@@ -557,6 +557,21 @@
     play_paths(context, play)
 
 
+@when("the deadline of a request passes while a node without others connects to its endpoint")
+def deadline_passes(context):
+    async def play(place):
+        CutPaths(place).cut(0, Cut.HANG)
+        context.raw = await place.ask("/once/", "n0", {"Deadline-Ms": "300"})
+
+    on_platform(context.servers, play)
+
+
+@then("it is refused as not run")
+def refused_as_not_run(context):
+    raw = context.raw.lower()
+    assert raw.startswith(b"http/1.1 503") and b"\r\nretry-after: " in raw, raw
+
+
 @when("a node reaches no endpoint, no other relays requests, and replies are noticed 1 s late")
 def no_relays_late(context):
     with mock.patch.object(LoopMeter, "reply_lag_ms", return_value=1000.0):
