Do not take a suspension for the work of requests

Cause: the meter of the event loop took the time of a suspension for the cost of requests, and had no begin of its first turn, so that a process counted as busy since the begin of the steady clock. A turn of 100 ms or more for most of which its thread did not run, by its processor time, is a suspension now and counts as idle, unless another one follows within 2 s, which is a node short of its processor.

--- a/saffronworks/loop_meter.py
+++ b/saffronworks/loop_meter.py
@@ -16,6 +16,12 @@
 # from which a turn counts.
 REPLY_TURNS = 4
 LONG_TURN_MS = 5.0
+# A turn that is longer than a quota of the processor holds a thread up, and for most of which the
+# thread did not run, is a suspended process. If another one follows soon, the node is short of the
+# processor.
+SUSPENDED_TURN_MS = 100.0
+MAX_SUSPENDED_SHARE = 0.1
+SUSPENDED_AGAIN_MS = 2000.0
 # A wait for events that ends so late is the delay of a wake-up, not a process that was held up.
 WAKE_UP_MS = 20.0
 # Any thread of a process may take its signal. After a suspension the loop's thread may run for this
@@ -31,10 +37,11 @@
     the next turn, so an exchange of several steps is late by several turns.
     """
 
-    # Time spent in turns since the start.
+    # Time spent in turns since the start, without that of a suspension.
     busy_ms: float = 0.0
-    # End of the last wait for events.
+    # End of the last wait for events, or begin of the first turn; a suspension makes it later.
     idle_ms: float = 0.0
+    _resumed_ms: float = -math.inf
     _turn_began_ms: float = 0.0
     _wait_began_ms: float = 0.0
     _wait_limit_ms: float = 0.0
@@ -55,8 +62,10 @@
         cpu_ms = now_ms if cpu_ms is None else cpu_ms
         self._record_held_up(now_ms, cpu_ms)
         if self._turn_began_ms:
+            suspended_ms = self._find_suspended_ms(now_ms, cpu_ms)
+            self.idle_ms += suspended_ms
             turn_ms = min(MAX_TURN_MS, now_ms - self._turn_began_ms)
-            self.busy_ms += turn_ms
+            self.busy_ms += min(turn_ms, now_ms - self._turn_began_ms - suspended_ms)
             self._shift_span(now_ms)
             self._longest_ms = max(self._longest_ms, turn_ms)
         self._wait_began_ms, self._wait_limit_ms, self._cpu_ms = now_ms, limit_ms, cpu_ms
@@ -65,7 +74,8 @@
         """Record that a turn begins; `waited` if nothing was ready before."""
         cpu_ms = now_ms if cpu_ms is None else cpu_ms
         self._record_held_up(now_ms, cpu_ms)
-        if waited and now_ms - self._wait_began_ms >= MIN_IDLE_MS:
+        first = not self._turn_began_ms
+        if first or (waited and now_ms - self._wait_began_ms >= MIN_IDLE_MS):
             self.idle_ms = now_ms
         self._turn_began_ms, self._wait_limit_ms, self._cpu_ms = now_ms, 0.0, cpu_ms
 
@@ -110,6 +120,14 @@
         """Return for how long there has been something to do without a pause."""
         return now_ms - self.idle_ms if self._turn_began_ms else 0.0
 
+    def _find_suspended_ms(self, now_ms: float, cpu_ms: float) -> float:
+        """Return for how long the process was suspended in the turn that ends."""
+        turn_ms, ran_ms = now_ms - self._turn_began_ms, cpu_ms - self._cpu_ms
+        if turn_ms < SUSPENDED_TURN_MS or ran_ms > MAX_SUSPENDED_SHARE * turn_ms:
+            return 0.0
+        before_ms, self._resumed_ms = self._resumed_ms, now_ms
+        return turn_ms - ran_ms if self._turn_began_ms - before_ms > SUSPENDED_AGAIN_MS else 0.0
+
     def _shift_span(self, now_ms: float) -> None:
         spans = (now_ms - self._span_began_ms) // SPAN_MS
         if spans >= 1:
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -17,6 +17,18 @@
     Then nothing is rejected
     And a caller that asks again as soon as it is answered is never rejected
 
+  # Guards against a node that takes a suspension for the cost of its requests: it closed most new
+  # connections for a second afterwards.
+  Scenario: an event loop whose process was suspended once rejects nothing that it can serve
+    Given event loops on which a request takes 2, 6 and 50 ms, some with half of their processor
+    When they are suspended for 150, 300 and 1000 ms while pairs of connections come
+    Then nothing is rejected
+
+  # Guards against a process that counts as busy since the begin of the steady clock.
+  Scenario: a node that has just started is not saturated
+    When six requests of 4 ms wait in the first turn of an event loop
+    Then it has room for another one, and none once it had no pause for a second
+
   Scenario: a node whose link is full
     When a node reads requests that send more than its link can carry
     Then it rejects connections until the link has carried that, and closes those accepted since
--- a/saffronworks/tests/features/steps/overload_steps.py
+++ b/saffronworks/tests/features/steps/overload_steps.py
@@ -94,9 +94,24 @@
         context.surges.append(loop)
 
 
+@when("they are suspended for 150, 300 and 1000 ms while pairs of connections come")
+def suspended(context):
+    for cost_ms, throttled in context.shapes:
+        per_s = 1000 / cost_ms * (1 - throttled)
+        for suspended_ms in (150, 300, 1000):
+            loop = LoopModel(cost_ms, throttled)
+            loop.play(CALM_SHARE * per_s, CALM_MS)
+            # No more comes meanwhile than the loop can serve within a tenth of a second.
+            loop.play(0.05 * per_s, CALM_MS, at_once=2)
+            loop.suspend(suspended_ms)
+            loop.play(0.05 * per_s, CALM_MS, at_once=2)
+            context.surges.append(loop)
+
+
 @then("nothing is rejected")
 def none_rejected(context):
-    assert not any(loop.rejected for loop in context.surges), context.surges
+    rejected = [loop.rejected for loop in context.surges]
+    assert not any(rejected), rejected
 
 
 @then("a caller that asks again as soon as it is answered is never rejected")
@@ -331,3 +346,21 @@
         late = [one for one in surge.requests if one.at_s + one.took_s > SURGE_S + 1.0]
         late = [one for one in late if one.at_s < SURGE_S]
         assert not waiting and not late, (waiting[:3], late[:3])
+
+
+@when("six requests of 4 ms wait in the first turn of an event loop")
+def first_turn(context):
+    context.meter, context.queue = LoopMeter(), StartQueue(RequestCost(4.0))
+    context.began_ms = 1_000_000.0
+    context.meter.end_wait(context.began_ms, waited=False)
+    for key in range(6):
+        context.queue.add(key, context.began_ms)
+
+
+@then("it has room for another one, and none once it had no pause for a second")
+def not_saturated(context):
+    idle_ms, began_ms = context.meter.idle_ms, context.began_ms
+    assert context.queue.has_room(began_ms + 10, idle_ms)
+    for key in range(6, 12):
+        context.queue.add(key, began_ms + 990)
+    assert not context.queue.has_room(began_ms + 1000, idle_ms)
--- a/saffronworks/tests/surge_model.py
+++ b/saffronworks/tests/surge_model.py
@@ -44,6 +44,8 @@
         self.requests: list[ModelRequest] = []
         self._slice_ms = cost_ms / (SLICES_BEFORE + SLICES_AFTER)
         self.throttled_share = throttled_share
+        self._cpu_ms = 0.0
+        self._suspended_ms = 0.0
         self._meter = LoopMeter()
         queue = StartQueue(RequestCost(ASSUMED_COST_MS))
         self._gate = ConnectionGate(
@@ -66,6 +68,10 @@
             sent = max(sent, due)
             self._turn(arrived)
 
+    def suspend(self, for_ms: float) -> None:
+        """Do not run for a time in the middle of the next turn that serves a request."""
+        self._suspended_ms = for_ms
+
     def _turn(self, arrived: list[ModelRequest]) -> None:
         ready, self._ready = self._ready, collections.deque()
         while self._waiting and self._waiting[0][0] <= self.now_ms:
@@ -75,11 +81,14 @@
             self._accept(request)
         for request in ready:
             self._run_slice(request)
-        self._meter.begin_wait(self.now_ms)
+        if ready:
+            self.now_ms += self._suspended_ms
+            self._suspended_ms = 0.0
+        self._meter.begin_wait(self.now_ms, self._cpu_ms)
         idle = not self._ready
         if idle:
             self.now_ms += REST_MS
-        self._meter.end_wait(self.now_ms, waited=idle)
+        self._meter.end_wait(self.now_ms, waited=idle, cpu_ms=self._cpu_ms)
 
     def _accept(self, request: ModelRequest) -> None:
         request.key = len(self.requests)
@@ -113,4 +122,5 @@
                 continue
             part_ms = min(span_ms, runs_ms - into_ms)
             self.now_ms += part_ms
+            self._cpu_ms += part_ms
             span_ms -= part_ms
