Ask a silent endpoint for its report to tell whether its process goes on

A process that is suspended accepts connections and notices only on waking that an exchange was closed; until then it counts as at work. So silence is no proof of an end.

process_checks asks the endpoint for its report over a new connection, on which no copy of an earlier answer can come, at most once a second for all requests of a node.

--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -16,6 +16,7 @@
     KvHold,
     NotExecuted,
 )
+from saffronworks.forwarding.process_checks import ProcessState
 from saffronworks.forwarding.store_revisions import StoreRevision
 
 __all__ = [
@@ -181,6 +182,9 @@
     async def listens(self, endpoint: ServiceEndpoint) -> bool | None:
         """Return True if the endpoint accepts connections, False if not, None without a reply."""
 
+    async def probe_process(self, endpoint: ServiceEndpoint) -> ProcessState:
+        """Return whether the process of an endpoint goes on; never raises ExchangeError."""
+
     async def order_role(
         self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -21,6 +21,7 @@
 from saffronworks.forwarding.planned_ends import NO_TIME_LEFT, PlannedEnd
 from saffronworks.forwarding.planning.client import MemoryClient
 from saffronworks.forwarding.ports import AnswerBody, CallerReply, EndpointCalls, Exchange
+from saffronworks.forwarding.process_checks import ProcessChecks
 from saffronworks.forwarding.quarantine.service import Quarantine
 from saffronworks.forwarding.quotas.service import NOT_COUNTED, QuotaCharge, Quotas
 from saffronworks.forwarding.retry_budget import RetryBudget
@@ -72,6 +73,7 @@
     eligibility: EndpointEligibility
     origins: StreamOrigins = attrs.field()
     buffers: AnswerBuffers = attrs.field()
+    processes: ProcessChecks = attrs.field()
     link: LinkBudget = attrs.Factory(lambda: LinkBudget(None))
     answer_times: AnswerTimes = attrs.Factory(AnswerTimes)
     # None until the signal to stop.
@@ -93,6 +95,10 @@
     def _make_unbounded(self) -> AnswerBuffers:
         return AnswerBuffers(None, self.figures, self.now_ms)
 
+    @processes.default
+    def _make_process_checks(self) -> ProcessChecks:
+        return ProcessChecks(self.calls, self.now_ms)
+
     @property
     def since_stop_ms(self) -> int | None:
         """The time since the signal to stop; None before it."""
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -140,6 +140,11 @@
 STALL_TIMEOUT_GAPS = 4
 # Sound endpoints may be silent for a second or so, whatever the target gap is.
 STALL_TIMEOUT_MIN_MS = 2000
+# A silent endpoint is checked so long before its run may be replaced: longer than a connection
+# attempt of a check lasts.
+PROCESS_CHECK_LEAD_MS = 300
+# The result of such a check is used for this long.
+PROCESS_CHECK_VALID_MS = 1000
 # Minimum remaining time for an attempt to resume a stream.
 RESUME_MIN_LEFT_MS = 500
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -28,6 +28,7 @@
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.tuning import CHECK_TIMEOUT_MS
 from saffronworks.forwarding.ports import RelayedRequest
+from saffronworks.forwarding.process_checks import ProcessState
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
     CONNECT_TIMEOUT_MS,
@@ -257,6 +258,26 @@
         """Return whether the address accepts connections, None if there is no reply at all."""
         return await self.paths.listens(endpoint)
 
+    async def probe_process(self, endpoint: ServiceEndpoint) -> ProcessState:
+        """Return whether the process of an endpoint goes on, asked for its report.
+
+        The call goes out on a new connection, on which no copy of an earlier answer can come.
+        """
+        try:
+            await self._call(
+                endpoint,
+                "GET",
+                "/saffronworks/report",
+                None,
+                connect_timeout_ms=CHECK_TIMEOUT_MS,
+            )
+        except ExchangeError as broken:
+            if not broken.sent:
+                return ProcessState.UNREACHABLE
+            if broken.cause is ExchangeErrorCause.SILENT:
+                return ProcessState.SUSPENDED
+        return ProcessState.RUNS
+
     async def order_role(
         self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
@@ -394,11 +415,14 @@
         send_until_ms: int | None = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
         check: _CheckReply | None = None,
+        connect_timeout_ms: int | None = None,
     ) -> tuple[int, bytes]:
         """Send one of the node's own calls; returns status and body, raises ExchangeError.
 
-        `request` is the caller's request that the call belongs to. It is None for calls that
-        release reservations and KV caches or order a role.
+        Raises _UnmatchedAnswerError if `check` rejects the body of a success. `request` is that
+        of the caller that the call belongs to, None for calls that release reservations and KV
+        caches, order a role or ask for a report. With `send_until_ms` or `connect_timeout_ms`, it
+        goes out directly on a new connection, not later than that, or if this opens in time.
         """
         connector = self.paths.connector
         content = b"" if body is None else msgspec.json.encode(body)
@@ -414,6 +438,8 @@
             connection = await self._connect(endpoint, request, control_call=True)
         elif send_until_ms is not None:
             connection = await self._connect_until(endpoint, send_until_ms)
+        elif connect_timeout_ms is not None:
+            connection = await connector.open_single_use(endpoint, connect_timeout_ms)
         else:
             connection = await connector.acquire(endpoint, None, control_call=True)
         sent_ms = monotonic_ms()
