Give up a silent stream only if another run may take over

Callers saw resumable streams cut (LOST) with 5.6 to 11.6 s left: after 2 s of silence a run was given up though no retry was left, no memory was free elsewhere, or the node, at its stop, could not end another one. And a stream went on elsewhere while its first endpoint was suspended for over 2 s, and ran at both (TWICE).

A silent run is read on while other endpoints are asked for memory, in rounds that grow with their number (replacements). It is given up only once one of them has reserved it, the retry budget allows the run, which is counted then, and the node may begin runs (stalls); its exchange is closed before the next run's prefill. An event that comes first drops the new hold. A suspended process is waited for, as it would go on with the run as well. A run that another node relays is replaced without that check.

Without it the scenario with full memory ends after event 1 of 3, and that of a suspension of 3 s runs at both endpoints. event=stream_stalled tells what the node could do and did.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -10,6 +10,7 @@
 
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.generation_events import (
+    AdoptHold,
     AskPlanner,
     AttemptCommand,
     Command,
@@ -47,6 +48,7 @@
     AnswerHead,
     Begin,
     Executed,
+    KvHold,
     Refuse,
     refuse_blocked,
 )
@@ -215,13 +217,13 @@
         case StreamWithheld(instance):
             state.failed.add(instance)
             return _redirect(state, pools, now_ms, "endpoint-leaves")
-        case RelayBroken(instance, position_known, site):
+        case RelayBroken(instance, position_known, site, hold):
             state.mark_broken(instance, site)
             if state.delivered is Delivered.FAILURE:
                 return _broken_answer()
             if not position_known:
                 return _GiveUp(Refuse(502, "no-event-id", not_run=False))
-            return _retry_run(state, pools, now_ms, _broken_answer())
+            return _retry_run(state, pools, now_ms, _broken_answer(), hold)
 
 
 def _broken_answer(failure: AnswerHead | None = None) -> _GiveUp:
@@ -334,7 +336,8 @@
     decoder = state.hold.endpoint
     if all(decoder.instance != usable.instance for usable in pools.decoders):
         return _redirect(state, pools, now_ms, "endpoint-leaves")
-    if state.streams and not budget.withdraw(state.service, now_ms):
+    counted, state.run_counted = state.run_counted, False
+    if state.streams and not counted and not budget.withdraw(state.service, now_ms):
         return _GiveUp(_refusal(state, "retry-budget"))
     if not state.streams and state.read_rejected and state.handle is None:
         # The rejected prefill was the request's first arrival, so that this one is a further one.
@@ -369,17 +372,29 @@
     return _start_over(state, pools, now_ms)
 
 
-def _retry_run(state: GenerationState, pools: Pools, now_ms: int, fallback: _GiveUp) -> _Result:
+def _retry_run(
+    state: GenerationState,
+    pools: Pools,
+    now_ms: int,
+    fallback: _GiveUp,
+    hold: KvHold | None = None,
+) -> _Result:
     """Start another run after a failed one where that is allowed, else return `fallback`."""
-    left_ms = state.deadline_at_ms - now_ms
-    if state.may_repeat and state.runs < state.max_attempts and left_ms > RESUME_MIN_LEFT_MS:
-        return _start_over(state, pools, now_ms)
+    # A run that has taken over was allowed while the silent one went on, which is closed since.
+    min_left_ms = 0 if state.run_counted else RESUME_MIN_LEFT_MS
+    in_time = state.deadline_at_ms - now_ms > min_left_ms
+    if state.may_repeat and state.runs < state.max_attempts and in_time:
+        return _start_over(state, pools, now_ms, hold)
     return fallback
 
 
-def _start_over(state: GenerationState, pools: Pools, now_ms: int) -> _Result:
+def _start_over(
+    state: GenerationState, pools: Pools, now_ms: int, hold: KvHold | None = None
+) -> _Result:
     state.hold = None
     state.handle = None
     state.asked.clear()
     state.granted = state.reader = None
+    if hold is not None and hold.until_ms > now_ms:
+        return AdoptHold(hold)
     return _ask_planner(state, pools, now_ms)
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -8,6 +8,7 @@
 from saffronworks.forwarding.starts import StartId
 
 __all__ = [
+    "AdoptHold",
     "TakeHold",
     "AskPlanner",
     "Command",
@@ -129,12 +130,13 @@
 class RelayBroken:
     """The stream broke off; `position_known` says that the id of its last event is known.
 
-    `site` is where it failed.
+    `site` is where it failed. `hold` was taken for the next run while this one was silent.
     """
 
     instance: StartId
     position_known: bool
     site: FaultSite = FaultSite.ENDPOINT
+    hold: KvHold | None = None
 
 
 @attrs.frozen
@@ -158,6 +160,13 @@
     timeout_ms: int
 
 
+@attrs.frozen
+class AdoptHold:
+    """End the broken run, and continue with the hold that was taken in the meantime."""
+
+    hold: KvHold
+
+
 @attrs.frozen
 class ReadPrompt:
     """Send the prompt to a prefill endpoint."""
@@ -222,7 +231,7 @@
     | RelayBroken
 )
 # Commands that lead to an attempt at an endpoint; valid at any time.
-AttemptCommand = AskPlanner | TakeHold | ReadPrompt | OpenStream | Wait
+AttemptCommand = AskPlanner | TakeHold | AdoptHold | ReadPrompt | OpenStream | Wait
 # Commands that send the head of an answer; valid only before a head was sent.
 StartCommand = Refuse | StartStream | RelayFailure
 # Commands that send no head; valid only after an answer has started.
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -28,7 +28,6 @@
     Refuse,
 )
 from saffronworks.forwarding.planning.client import RunSize
-from saffronworks.forwarding.pools import rank_pools
 from saffronworks.forwarding.prefills import Prefill
 from saffronworks.forwarding.reservations import Reservation, StreamPace
 from saffronworks.forwarding.routing import EngineSpec, Route
@@ -80,8 +79,9 @@
         version=job.version,
     )
     size = RunSize(prompt.prompt_tokens, prompt.likely_tokens, prompt.most_answer_tokens)
-    relay = StreamRelay(node, job, state, engine.tokens_per_event)
-    await _GenerationRun(node, job, state, Reservation(node, job, size), relay).run()
+    reservation = Reservation(node, job, size)
+    relay = StreamRelay(node, job, state, reservation, engine.tokens_per_event)
+    await _GenerationRun(node, job, state, reservation, relay).run()
 
 
 def client_first_event_timeout_ms(route: Route) -> int:
@@ -122,15 +122,7 @@
 
     def _decide(self, event: events.Event) -> events.Command:
         node, now_ms, answer_started = self._node, self._node.now_ms(), self._state.answer_started
-        pools = rank_pools(
-            node.eligibility,
-            node.loads,
-            self._job.service,
-            self._state.tokens,
-            now_ms,
-            self._state.version,
-            node.origins.is_certain,
-        )
+        pools = node.rank_pools(self._job.service, self._state.tokens, self._state.version)
         denial = node.denial(self._job, self._trial_began, answer_started)
         command = generation_core.step(self._state, event, pools, node.budget, now_ms, denial)
         if not isinstance(command, events.Wait | events.TakeHold):
@@ -176,6 +168,11 @@
                 return await self._ask_planner(command)
             case events.TakeHold():
                 return await self._take_hold(command)
+            case events.AdoptHold(hold):
+                self._relay.replacement.hand_over()
+                self._release_if_held()
+                self._reservation.adopt(hold, self._state.tokens)
+                return events.HoldTaken(hold)
             case events.ReadPrompt(endpoint, timeout_ms):
                 return await self._read_prompt(endpoint, timeout_ms)
             case events.OpenStream(endpoint):
@@ -343,7 +340,8 @@
             self._state.version = UNCERTAIN_VERSION
         site = await self._record_break("stream", endpoint, broken)
         position_known = self._relay.last_event is not None
-        return events.RelayBroken(endpoint.instance, position_known, site)
+        hold = self._relay.replacement.hold
+        return events.RelayBroken(endpoint.instance, position_known, site, hold)
 
     def _cut(self, reason: str) -> None:
         logger.log(
@@ -390,5 +388,6 @@
             times = self._node.answer_times.of(self._job.service)
             times.learn_pace(self._relay.first_event_ms, pace.answer_tokens, pace.stream_ms)
             times.learn_length(self._reservation.size.likely_tokens, pace.length_tokens)
+        self._relay.replacement.drop()
         self._reservation.release()
         self._prefill.release()
--- a/saffronworks/forwarding/generation_state.py
+++ b/saffronworks/forwarding/generation_state.py
@@ -99,8 +99,9 @@
     refused before. `reader` is the endpoint that the planner chose for the prefill. Endpoints in
     `asked` are not asked again in this round, those in `failed` not before the next `Wait`; those
     in `broken` failed otherwise than by a rejection and are reported to the planner once.
-    `read_rejected`: a prefill endpoint has rejected the prompt. `version`
-    is that of the software that began the stream; None until an event was sent to the caller.
+    `read_rejected`: a prefill endpoint has rejected the prompt. `run_counted`: the retry budget
+    has counted the next stream already. `version` is that of the software that began the stream;
+    None until an event was sent to the caller.
     `version_certain` is whether the endpoint of the last run is known to have its listed version.
     """
 
@@ -121,6 +122,7 @@
     redirects: int = 0
     reads: int = 0
     read_rejected: bool = False
+    run_counted: bool = False
     streams: int = 0
     delivered: Delivered = Delivered.NOTHING
     planned_tokens: int = 0
--- a/saffronworks/forwarding/reservations.py
+++ b/saffronworks/forwarding/reservations.py
@@ -6,7 +6,6 @@
 from result import Err, Result
 
 from saffronworks.forwarding import generation_events as events
-from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.permits import UNCOUNTED_PERMIT, NoPermit
 from saffronworks.forwarding.exchange_errors import ExchangeError
 from saffronworks.forwarding.loads import EndpointLoad
@@ -106,13 +105,24 @@
     async def reserve(self, command: events.TakeHold) -> events.Event:
         """Reserve memory at an endpoint and return the outcome as an event.
 
+        Raises ExchangeError when the endpoint gives no answer.
+        """
+        hold = await self.request_hold(command)
+        if hold is None:
+            return events.HoldFailed(command.endpoint.instance, broken=False)
+        self.adopt(hold, command.tokens)
+        return events.HoldTaken(hold)
+
+    async def request_hold(self, command: events.TakeHold) -> KvHold | None:
+        """Take a hold without recording it; returns None if the endpoint rejects it.
+
         Raises ExchangeError when the endpoint gives no answer.
         """
         endpoint, request_id = command.endpoint, self.job.request.request_id
         permit = await self.node.limits.acquire_permit(endpoint, request_id, RESERVATION_CALLS)
         if isinstance(permit, NoPermit):
             self.node.figures.count_send("hold", "limited")
-            return events.HoldFailed(endpoint.instance, broken=False)
+            return None
         try:
             hold = await self._take_hold_with_headroom(
                 command, limited=permit is not UNCOUNTED_PERMIT
@@ -131,10 +141,9 @@
                 hold.err_value.reason,
                 self.node.eligibility.describe(endpoint.instance),
             )
-            return events.HoldFailed(endpoint.instance, broken=False)
+            return None
         self.node.figures.count_send("hold", "taken")
-        self._record_hold(hold.ok_value, endpoint, command.tokens)
-        return events.HoldTaken(hold.ok_value)
+        return hold.ok_value
 
     async def _take_hold_with_headroom(
         self, command: events.TakeHold, limited: bool
@@ -167,7 +176,9 @@
             if headroom is not None:
                 self.node.spawn(calls.drop_hold, headroom)
 
-    def _record_hold(self, hold: KvHold, endpoint: ServiceEndpoint, tokens: int) -> None:
+    def adopt(self, hold: KvHold, tokens: int) -> None:
+        """Record a hold as the one of this generation, and report its run to the planner."""
+        endpoint = hold.endpoint
         self._hold, self._tokens, self.known_to_planner = hold, tokens, True
         self._load = self.node.loads.of(endpoint.instance)
         self._load.reserved_tokens += tokens
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -13,6 +13,7 @@
 from saffronworks.forwarding.endpoint_limits.service import EndpointLimits
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.figures import MetricsRecorder
+from saffronworks.forwarding.generation_state import Pools
 from saffronworks.forwarding.identity import KEY_REVOKED, Authenticator
 from saffronworks.forwarding.loads import LoadTable
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, AnswerHead, CallerRequest, Refuse
@@ -20,6 +21,7 @@
 from saffronworks.forwarding.origins.tuning import ENTRY_WRITE_MS
 from saffronworks.forwarding.planned_ends import NO_TIME_LEFT, PlannedEnd
 from saffronworks.forwarding.planning.client import MemoryClient
+from saffronworks.forwarding.pools import rank_pools
 from saffronworks.forwarding.ports import AnswerBody, CallerReply, EndpointCalls, Exchange
 from saffronworks.forwarding.process_checks import ProcessChecks
 from saffronworks.forwarding.quarantine.service import Quarantine
@@ -139,6 +141,18 @@
             return True
         return end.outlasts(job.deadline_at_ms)
 
+    def rank_pools(self, service: str, tokens: int, version: str | None) -> Pools:
+        """Return the endpoints that a generation may use now, best first."""
+        return rank_pools(
+            self.eligibility,
+            self.loads,
+            service,
+            tokens,
+            self.now_ms(),
+            version,
+            self.origins.is_certain,
+        )
+
     def begin_run(self, job: "Job") -> None:
         """Record a run; each one after the first is charged to the organisation's quota."""
         job.runs.begin_run()
--- a/saffronworks/forwarding/stream_relays.py
+++ b/saffronworks/forwarding/stream_relays.py
@@ -10,10 +10,16 @@
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.generation_state import GenerationState
 from saffronworks.forwarding.messages import AnswerHead, EventMark
-from saffronworks.forwarding.reservations import StreamPace
+from saffronworks.forwarding.process_checks import ProcessState
+from saffronworks.forwarding.replacements import Replacement
+from saffronworks.forwarding.reservations import Reservation, StreamPace
 from saffronworks.forwarding.runners import Job, NodeState, start_answer
+from saffronworks.forwarding.stalls import replacement_holds, take_over
 from saffronworks.forwarding.stream_runs import StreamRun
 from saffronworks.forwarding.tuning import (
+    PROCESS_CHECK_LEAD_MS,
+    STALL_CHECK_INTERVAL_MS,
+    STALL_POLL_MS,
     STALL_TIMEOUT_GAPS,
     STALL_TIMEOUT_MIN_MS,
 )
@@ -26,7 +32,14 @@
 class StreamRelay:
     """Relays the events of runs to a caller and records which were sent."""
 
-    def __init__(self, node: NodeState, job: Job, state: GenerationState, tokens_per_event: int):
+    def __init__(
+        self,
+        node: NodeState,
+        job: Job,
+        state: GenerationState,
+        reservation: Reservation,
+        tokens_per_event: int,
+    ):
         self._node = node
         self._job = job
         self._state = state
@@ -36,6 +49,7 @@
         self._status: int | None = None
         self._pace_from: tuple[int, int] | None = None
         self._first_ms = 0
+        self.replacement = Replacement(reservation)
 
     @property
     def last_event(self) -> int | None:
@@ -93,9 +107,7 @@
         assert self._body is not None
         self._body.attach(run.exchange)
         try:
-            while (
-                mark := await run.next_events(self._left_ms(), self._stall_timeout_ms())
-            ) is not None:
+            while (mark := await self._next_events(run)) is not None:
                 self._record_events(mark.ids)
                 self._node.observe_progress(self._job.request, run)
                 await self._body.write(mark.data)
@@ -108,6 +120,106 @@
         self._node.quarantine.record_success(self._job.request, proven)
         self._log_end(run)
 
+    async def _next_events(self, run: StreamRun) -> EventMark | None:
+        """Return the next events of a run, None at its end; raises ExchangeError.
+
+        A silent run is read until another one may replace it and has memory, at most to the
+        deadline.
+        """
+        limit_ms, checks = self._stall_timeout_ms(), 0
+        logged: ProcessState | None = None
+        stall_ms = None if limit_ms is None else limit_ms - PROCESS_CHECK_LEAD_MS
+        while True:
+            try:
+                mark = await run.next_events(self._left_ms(), stall_ms)
+                if mark is None or mark.ids:
+                    self.replacement.drop()
+                return mark
+            except ExchangeError as broken:
+                silent = broken.cause is ExchangeErrorCause.SILENT
+                in_time = self._node.now_ms() < self._state.deadline_at_ms
+                if not silent or limit_ms is None or not in_time:
+                    raise
+                process = self._check_process(run)
+                if run.quiet_ms < limit_ms:
+                    stall_ms = limit_ms
+                    continue
+                if self._take_over(run, process):
+                    raise
+            if not checks:
+                self._node.figures.count_send("stream", "stalled")
+            if not checks or process not in (None, logged):
+                self._log_stall(run, process, taken_over=False)
+                logged = process
+            checks += 1
+            awaited = self.replacement.asking or process is None
+            pause_ms = STALL_POLL_MS if awaited else STALL_CHECK_INTERVAL_MS
+            stall_ms = int(run.quiet_ms) + pause_ms
+
+    def _check_process(self, run: StreamRun) -> ProcessState | None:
+        """Return the state of a silent run's process, None if a check is under way.
+
+        That of a relayed run is not asked for, as the node that relays it may be the silent one.
+        """
+        assert self._state.hold is not None
+        if run.exchange.connection.relayed_by is not None:
+            return ProcessState.UNREACHABLE
+        return self._node.processes.find(self._state.hold.endpoint)
+
+    def _take_over(self, run: StreamRun, process: ProcessState | None) -> bool:
+        """Return whether another run takes over from a silent one.
+
+        Without a hold elsewhere, other endpoints are asked for one and the run is read on. A
+        suspended endpoint would go on with it as well, so its run is read on in any case.
+        """
+        node, state, now_ms = self._node, self._state, self._node.now_ms()
+        allowed = (
+            self.last_event is not None
+            and node.denial(self._job, answer_started=state.answer_started) is None
+        )
+        # The new run could be cut at this node's end, the silent one may still end in time.
+        allowed = allowed and node.has_time_for_run(self._job)
+        if self.replacement.hold is not None and process is not None:
+            taken_over = allowed and take_over(state, process, node.budget, now_ms)
+            self._log_stall(run, process, taken_over=taken_over)
+            if taken_over:
+                return True
+            self.replacement.drop()
+        if allowed and self.replacement.due:
+            self._ask_others(run, process)
+        return False
+
+    def _ask_others(self, run: StreamRun, process: ProcessState | None) -> None:
+        """Ask the usable endpoints for a hold in the background."""
+        node, state = self._node, self._state
+        assert state.hold is not None
+        pools = node.rank_pools(state.service, state.tokens, state.version)
+        relayed = run.exchange.connection.relayed_by is not None
+        silent = None if relayed else state.hold.endpoint.instance
+        commands = replacement_holds(state, silent, process, pools, node.budget, node.now_ms())
+        self.replacement.usable = len(commands)
+        if commands:
+            self.replacement.begin_round(commands)
+
+    def _log_stall(self, run: StreamRun, process: ProcessState | None, taken_over: bool) -> None:
+        state, now_ms, hold = self._state, self._node.now_ms(), self.replacement.hold
+        assert state.hold is not None
+        logger.info(
+            "event=stream_stalled request=%s endpoint=%s quiet_ms=%d last_event=%s left_ms=%d "
+            "connected=%s process=%s budget=%s usable=%d next_endpoint=%s taken_over=%s",
+            self._job.request.request_id,
+            state.hold.endpoint.instance,
+            run.quiet_ms,
+            self.last_event,
+            state.deadline_at_ms - now_ms,
+            run.exchange.connection.is_open,
+            process,
+            self._node.budget.allows(state.service, now_ms),
+            self.replacement.usable,
+            hold.endpoint.instance if hold else None,
+            taken_over,
+        )
+
     def _record_events(self, ids: tuple[int, ...]) -> None:
         self._sent.record(ids)
         if ids:
--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -70,6 +70,11 @@
         self._progress_due_ms = now_ms + PROGRESS_INTERVAL_MS
         return now_ms - self.writing_since_ms
 
+    @property
+    def quiet_ms(self) -> float:
+        """Return the time waited since the last event with an id, or since the start."""
+        return self._quiet_ms
+
     async def _next(self, timeout_ms: float, stall_ms: int | None = None) -> EventMark | None:
         while (chunk := await self._next_chunk(timeout_ms, stall_ms)) is not None:
             mark = self._splitter.feed(chunk)
@@ -89,10 +94,11 @@
         if left_ms <= 0:
             raise ExchangeError(ExchangeErrorCause.SILENT, sent=True)
         began_ms = monotonic_ms()
-        chunk = await self.exchange.next_chunk(min(timeout_ms, left_ms))
-        # While reading is paused, the endpoint is not the cause of the silence.
-        self._quiet_ms += monotonic_ms() - max(began_ms, self.exchange.connection.resumed_ms)
-        return chunk
+        try:
+            return await self.exchange.next_chunk(min(timeout_ms, left_ms))
+        finally:
+            # While reading is paused, the endpoint is not the cause of the silence.
+            self._quiet_ms += monotonic_ms() - max(began_ms, self.exchange.connection.resumed_ms)
 
     def _record_progress(self, mark: EventMark) -> None:
         self._has_ids = self._has_ids or bool(mark.ids)
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -145,6 +145,10 @@
 PROCESS_CHECK_LEAD_MS = 300
 # The result of such a check is used for this long.
 PROCESS_CHECK_VALID_MS = 1000
+# Pause between two rounds of hold requests for a run that may replace a silent one.
+STALL_CHECK_INTERVAL_MS = 250
+# Interval of the checks for such a hold while endpoints are asked.
+STALL_POLL_MS = 40
 # Minimum remaining time for an attempt to resume a stream.
 RESUME_MIN_LEFT_MS = 500
 
--- a/saffronworks/tests/features/silent_endpoints.feature
+++ b/saffronworks/tests/features/silent_endpoints.feature
@@ -24,3 +24,53 @@
     When the only endpoint is silent before its event of a resumable stream
     Then the caller gets one whole answer, and the next caller too
     And it ran once
+
+  # Guards against a living run that is given up after 2 s, and cut as no retry is left for another.
+  Scenario: an endpoint is silent for 2.3 s in a resumable stream while the retry budget is used up
+    When one of two endpoints is silent for 2.3 s in a resumable stream, and no retry is left
+    Then the caller gets one whole answer, and the next caller too
+    And it ran once
+
+  # Guards against a living run that is given up before memory for another one is reserved.
+  Scenario: an endpoint is silent for 2.6 s in a resumable stream while memory is full
+    When one of two endpoints is silent for 2.6 s in a resumable stream, and none has room
+    Then the caller gets one whole answer, and the next caller too
+    And it ran once
+
+  # Guards against a silent run that is waited for although another endpoint has room.
+  Scenario: an endpoint is silent for 3.5 s in a resumable stream while the other one has room
+    When one of two endpoints is silent for 3.5 s in a resumable stream, and the other has room
+    Then the caller gets one whole answer, and the next caller too
+    And it went on at the other endpoint, after the first exchange was closed
+
+  # Guards against a stream that goes on elsewhere while its suspended endpoint is still at work on it.
+  Scenario: the process of an endpoint is suspended for 3 s in a resumable stream
+    When one of two decode endpoints is suspended for 3 s in a resumable stream
+    Then the caller gets one whole answer, and the next caller too
+    And it ran once
+
+  # Guards against a silent run that is waited for although nobody is left to go on with it.
+  Scenario: an endpoint has gone without closing its connections in a resumable stream
+    When one of two decode endpoints accepts no connection and is silent in a resumable stream
+    Then the caller gets one whole answer, and the next caller too
+    And it went on at the other endpoint once memory was reserved there
+
+  # Guards against a living run that is given up for another one which is then not begun.
+  Scenario: another run takes over when there is just time enough for it
+    Then it begins although less time is left when the silent run has been closed
+    And from the deadline on neither its hold is adopted nor its prompt read
+
+  # Guards against a run that begins elsewhere, or a retry that is counted, while the silent one may
+  # still go on.
+  Scenario: no other run takes over from a suspended process, or before its state is known
+    Then memory is reserved and a retry counted only if the silent run ends with its exchange
+
+  # Guards against silent streams that keep full endpoints of a large service busy with requests.
+  Scenario: memory for replacements is asked for ever more rarely, the more endpoints there are
+    Then rounds that ask 3, 40 and 100 endpoints begin 250, 400 and 1000 ms apart
+
+  # Guards against a living run that a stopping node gives up after 2 s of silence for one that it
+  # can't end in time.
+  Scenario: an endpoint is silent for 2.4 s in a resumable stream, beyond the notice of a stop
+    When a node is stopped during a resumable stream, and the endpoint is silent beyond the notice
+    Then the stream is whole and ran once
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -119,7 +119,7 @@
         size = PromptSize(1, 10**digits - 1, None)
         request = SimpleNamespace(request_id="r", prompt=size, after_event=None)
         node, job = SimpleNamespace(memory=client), SimpleNamespace(request=request)
-        StreamRelay(node, job, None, stride)._record_events(mark.ids)
+        StreamRelay(node, job, None, None, stride)._record_events(mark.ids)
         report = client._make_report("s", 0)
         codec.encode(report)
         # An id beyond the answer's most tokens must not distort what planners learn.
--- a/saffronworks/tests/features/steps/silent_endpoints_steps.py
+++ b/saffronworks/tests/features/steps/silent_endpoints_steps.py
@@ -1,12 +1,48 @@
 """Steps on endpoints that fall silent for a while and go on, over loopback."""
 
+import asyncio
+import time
+from unittest.mock import AsyncMock, Mock
+
+import anyio
 from behave import then, when
 
+from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.eligibility.blocks import Eligibility
+from saffronworks.forwarding.endpoint_limits.permits import Permit
+from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.generation_events import AdoptHold, Cut, HoldTaken, RelayBroken
+from saffronworks.forwarding.generation_state import Delivered
+from saffronworks.forwarding.identity import KEY_REVOKED
+from saffronworks.forwarding.messages import ENDS_ENDPOINTS, Begin, KvHold, Refuse
+from saffronworks.forwarding.node_count import NodeCount
+from saffronworks.forwarding.planned_ends import DEREGISTRATION_MS, NO_TIME_LEFT
+from saffronworks.forwarding.process_checks import ProcessState
+from saffronworks.forwarding.replacements import Replacement
+from saffronworks.forwarding.retry_budget import RetryBudget
+from saffronworks.forwarding.stalls import replacement_holds, take_over
+from saffronworks.forwarding.tuning import PREFILL_TIMEOUT_MS, RESUME_MIN_LEFT_MS
+from saffronworks.tests.connection_fakes import connect
+from saffronworks.tests.endpoint_fixtures import endpoints, head_of
+from saffronworks.tests.generation_simulation import POOLS, generation, step_generation
 from saffronworks.tests.log_lines import LogLines
-from saffronworks.tests.platform_fakes import FakeServer
-from saffronworks.tests.platform_place import CONFIG, make_route, on_platform, web_servers
+from saffronworks.tests.platform_fakes import BOUNDS, FakeServer
+from saffronworks.tests.platform_place import (
+    CONFIG,
+    ENGINE,
+    engines,
+    make_route,
+    on_platform,
+    web_servers,
+)
+from saffronworks.tests.soak.suspensions import SuspendableReader, SuspendableWriter
 
 SILENT_S = 1.3
+# Work of the other endpoint, beyond the time in which the late exchange is kept.
+OVERLAPPED_S = 0.3
+# Beyond the time after which another run takes over.
+LONG_SILENT_S = 2.4
 ROUTES = [
     make_route("once", "/once/", "non_idempotent", "web", timeout_ms=6000, max_attempts=1),
     make_route("again", "/again/", "idempotent", "web", timeout_ms=6000),
@@ -19,6 +55,8 @@
     "page": "/once/",
     "repeatable page": "/again/",
 }
+WHOLE_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\n"
+LIMITED = Eligibility(limited=frozenset(["e1"]))
 GENERATION = {"Token-Counts": "5000,9000", "Length-Hint": "3000"}
 
 
@@ -29,19 +67,251 @@
         FakeServer("d0", "llm", "decode"),
         FakeServer("p0", "llm", "prefill"),
     ]
+    play_silence(context, servers, step, kind, SILENT_S)
+
+
+@when("one of two endpoints is silent for {silent_s:g} s in a {kind}, and no retry is left")
+def silent_without_retry(context, silent_s, kind):
+    bounds = BOUNDS | {"retry_budget_ratio": 0.0, "retry_slack": 0}
+    servers, step = [*web_servers(2), *engines()], "event" if "stream" in kind else "answer"
+    play_silence(context, servers, step, kind, silent_s, bounds=bounds)
+
+
+def close_after_take_over(after_ms):
+    """Return the state, the hold and the command once the silent run of a take-over is closed.
+
+    It is closed `after_ms` after the take-over, which is just allowed.
+    """
+    state, hold = generation(True), KvHold(POOLS.decoders[1], "k2", 99_000)
+    state.delivered, state.streams = Delivered.STREAM, 1
+    state.hold = KvHold(POOLS.decoders[0], "k", 2000)
+    budget = RetryBudget(1.0, 100, 10_000, NodeCount(1))
+    left_ms = RESUME_MIN_LEFT_MS + 1
+    assert take_over(state, ProcessState.RUNS, budget, state.deadline_at_ms - left_ms)
+    closed_ms = state.deadline_at_ms - left_ms + after_ms
+    broken = RelayBroken(POOLS.decoders[0].instance, position_known=True, hold=hold)
+    return state, hold, step_generation(state, broken, closed_ms)
+
+
+@then("it begins although less time is left when the silent run has been closed")
+def begins_in_any_case(_):
+    for after_ms in (100, RESUME_MIN_LEFT_MS):
+        _, hold, command = close_after_take_over(after_ms)
+        assert command == AdoptHold(hold), command
+
+
+@then("from the deadline on neither its hold is adopted nor its prompt read")
+def given_up_at_deadline(_):
+    for late_ms in (0, 40):
+        state, hold, command = close_after_take_over(RESUME_MIN_LEFT_MS + 1 + late_ms)
+        assert isinstance(command, Cut), command
+    for late_ms in (0, 1, 150):
+        state, hold, _ = close_after_take_over(100)
+        command = step_generation(state, HoldTaken(hold), state.deadline_at_ms + late_ms)
+        assert command == Cut("deadline"), command
+
+
+@then("memory is reserved and a retry counted only if the silent run ends with its exchange")
+def replaced_if_it_ends(_):
+    ends = {ProcessState.RUNS, ProcessState.UNREACHABLE}
+    for process in (None, *ProcessState):
+        state, budget = generation(True), RetryBudget(1.0, 100, 10_000, NodeCount(1))
+        state.version = POOLS.decoders[0].version
+        silent = POOLS.decoders[0].instance
+        holds = replacement_holds(state, silent, process, POOLS, budget, 10)
+        expected = POOLS.decoders[1:] if process in ends else []
+        assert [hold.endpoint for hold in holds] == expected, (process, holds)
+        assert take_over(state, process, budget, 10) == (process in ends), process
+        assert state.run_counted == (process in ends), process
+
+
+@then("rounds that ask 3, 40 and 100 endpoints begin 250, 400 and 1000 ms apart")
+def rounds_apart(_):
+    for count, apart_ms in ((3, 250), (40, 400), (100, 1000)):
+        node = Mock(now_ms=Mock(return_value=0))
+        replacement = Replacement(Mock(node=node))
+        replacement.begin_round((Mock(),) * count)
+        replacement.asking = False
+        due = []
+        for node.now_ms.return_value in (apart_ms - 1, apart_ms):
+            due.append(replacement.due)
+        assert due == [False, True], (count, due)
+
+
+@when("a node is stopped during a resumable stream, and the endpoint is silent beyond the notice")
+def silent_beyond_notice(context):
+    servers = [*web_servers(), *engines()]
+    for server in servers:
+        server.events, server.event_s = 5, 0.3
+    # Its deadline lies behind the end of the node.
+    slow = make_route("res", "/res/", "streaming", "llm", resumable=True, timeout_ms=20_000)
+
+    async def play(place):
+        async def ask():
+            context.raw = await place.ask("/res/", "r1", GENERATION | {"Deadline-Ms": "20000"})
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(0.2)
+            place.node.stop()
+            # The stream would be taken over 2 s later, after the notice.
+            await anyio.sleep(DEREGISTRATION_MS / 1000 - 1.6)
+            for server in servers:
+                server.silences = {"event": LONG_SILENT_S}
+        context.ran = [request_id for server in servers for request_id in server.ran]
+
+    with LogLines("saffronworks") as context.lines:
+        on_platform(servers, play, CONFIG | {"routes": [slow]})
+
+
+@then("the stream is whole and ran once")
+def stream_is_whole(context):
+    lines = [line for line in context.lines if "r1" in line]
+    whole = context.raw.startswith(b"HTTP/1.1 200") and context.raw.endswith(b"0\r\n\r\n")
+    assert whole and context.ran == ["r1"], (context.raw, context.ran, lines)
+    assert any("event=stream_stalled" in line for line in lines), list(context.lines)
+
+
+@when("one of two endpoints is silent for {silent_s:g} s in a resumable stream, and {room} room")
+def silent_beside_another(context, silent_s, room):
+    context.decoders = engines()[:2]
+    servers = [*web_servers(), *context.decoders, FakeServer("p0", "llm", "prefill")]
+    for server in context.decoders:
+        server.event_s = 0.05
+    fills = room == "none has"
+    play_silence(context, servers, "event", "resumable stream", silent_s, fills, once=True)
+
+
+class SuspendableServer(FakeServer):
+    """A server that can be suspended like a process; `hangs_s` is for how long, from an event on.
+
+    `listener` accepts its connections, and is closed when it hangs if `closes` is set.
+    """
+
+    def __init__(self, instance, stage):
+        super().__init__(instance, "llm", stage)
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.hangs, self.closes, self.listener = {}, False, None
+
+    async def run(self):
+        host, port = self.address.split(":")
+        self.listener = await asyncio.start_server(self._serve, host, int(port))
+        await asyncio.sleep(60)
+
+    async def _serve(self, reader, writer):
+        await super()._serve(
+            SuspendableReader(reader, self.awake, time.monotonic),
+            SuspendableWriter(writer, self.awake),
+        )
+
+    async def _be_silent(self, step):
+        hangs_s = self.hangs.pop(step, 0)
+        if hangs_s and self.closes:
+            self.listener.close()
+            await asyncio.sleep(hangs_s)
+        elif hangs_s:
+            self.awake.clear()
+            asyncio.get_running_loop().call_later(hangs_s, self.awake.set)
+            await self.awake.wait()
+
+
+@when("one of two decode endpoints is suspended for 3 s in a resumable stream")
+def suspended_in_stream(context):
+    play_suspension(context, {"event": 3.0})
+
+
+@when("one of two decode endpoints accepts no connection and is silent in a resumable stream")
+def gone_in_stream(context):
+    play_suspension(context, {"event": 6.0}, closes=True)
+
+
+def play_suspension(context, hangs, closes=False, script=()):
+    """Send r1, and then r2; once it runs, an endpoint hangs at the first of the given steps.
+
+    `script` has the faults of the runs.
+    """
+    context.decoders = [SuspendableServer(name, "decode") for name in ("d0", "d1")]
+    context.readers = [SuspendableServer(name, "prefill") for name in ("p0", "p1")]
+    servers, faults = [*context.decoders, *context.readers], list(script)
+
+    async def hang():
+        while not any("r1" in server.ran for server in servers):
+            await asyncio.sleep(0.005)
+        for server in servers:
+            server.hangs = hangs
+
+    async def play(place):
+        for server in servers:
+            server.closes, server.event_s, server.script = closes, 0.1, faults
+        hanging = asyncio.create_task(hang())
+        context.raw = await place.ask("/res/", "r1", GENERATION | {"Deadline-Ms": "5500"})
+        await hanging
+        context.next = await place.ask("/res/", "r2", GENERATION)
+        context.ran = [request_id for server in servers for request_id in server.ran]
+
+    with LogLines("saffronworks") as context.lines:
+        on_platform([*web_servers(), *servers], play, CONFIG | {"routes": ROUTES})
+
+
+@then("it went on at the other endpoint once memory was reserved there")
+def went_on_at_once(context):
+    assert context.ran == ["r1", "r1", "r2"], (context.ran, list(context.lines))
+    stalls = [line for line in context.lines if "event=stream_stalled" in line]
+    assert len(stalls) == 2 and "process=unreachable" in stalls[0], stalls
+    assert "taken_over=True" in stalls[1], stalls
+
+
+async def fill(decoders):
+    """Let the decode endpoints reject holds as soon as one of them runs r1."""
+    while not any("r1" in server.ran for server in decoders):
+        await asyncio.sleep(0.01)
+    for server in decoders:
+        server.full = True
+
+
+async def watch_closing(context):
+    """Record whether r1's first exchange is closed when its second one begins."""
+    first, ran = None, []
+    while len(ran) < 2:
+        await asyncio.sleep(0.001)
+        ran = [server for server in context.decoders if "r1" in server.ran]
+        first = first or next(iter(ran), None)
+    reader = first.callers["r1"]
+    context.closed_first = reader.at_eof() or reader.exception() is not None
+
+
+def play_silence(
+    context, servers, step, kind, silent_s, fills=False, once=False, services=None, **settings
+):
+    """Send r1, before whose `step` its endpoint falls silent, and then r2.
+
+    With `once` only the first server that gets to the step is silent.
+    """
     fields = GENERATION if "stream" in kind else {}
+    deadline_ms = "4500" if once else "6000"
 
     async def play(place):
         await place.ask(PATHS[kind], "before", fields)
+        first = {step: silent_s}
         for server in servers:
-            server.silences = {step: SILENT_S}
+            server.silences = first if once else {step: silent_s}
             server.ran.clear()
-        context.raw = await place.ask(PATHS[kind], "r1", fields | {"Deadline-Ms": "6000"})
+        watching = None
+        if once and step == "event":
+            beside = fill(context.decoders) if fills else watch_closing(context)
+            watching = asyncio.create_task(beside)
+        context.raw = await place.ask(PATHS[kind], "r1", fields | {"Deadline-Ms": deadline_ms})
+        if watching is not None:
+            await asyncio.wait_for(watching, 1)
+        for server in servers:
+            server.full = False
         context.next = await place.ask(PATHS[kind], "r2", fields)
         context.ran = [request_id for server in servers for request_id in server.ran]
 
     with LogLines("saffronworks") as context.lines:
-        on_platform(servers, play, CONFIG | {"routes": ROUTES})
+        config = CONFIG | {"routes": ROUTES, "services": services or CONFIG["services"]}
+        on_platform(servers, play, config, **settings)
 
 
 @then("the caller gets one whole answer, and the next caller too")
@@ -56,3 +326,10 @@
 @then("it ran once")
 def ran_once(context):
     assert context.ran == ["r1", "r2"], context.ran
+
+
+@then("it went on at the other endpoint, after the first exchange was closed")
+def went_on(context):
+    assert context.ran == ["r1", "r1", "r2"], (context.ran, list(context.lines))
+    assert all("r1" in server.ran for server in context.decoders)
+    assert context.closed_first
--- a/saffronworks/tests/features/steps/streams_steps.py
+++ b/saffronworks/tests/features/steps/streams_steps.py
@@ -169,7 +169,7 @@
     job = Job(request, route, "llm", SimpleNamespace(finished=False), 1)
     state = generation(may_repeat=True)
     state.delivered = Delivered.STREAM
-    context.relay = StreamRelay(node, job, state, 64)
+    context.relay = StreamRelay(node, job, state, None, 64)
 
     async def play():
         try:
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -81,6 +81,8 @@
         self.starts = 1
         # Seconds of silence before the next step of a kind; the server goes on afterwards.
         self.silences = {}
+        # The readers of the connections on which requests came, by id.
+        self.callers = {}
         self._late = []
         self._holds = itertools.count(1)
 
@@ -161,6 +163,7 @@
             await self._head(writer, 200, own)
             return True
         request_id = headers["request-id"]
+        self.callers[request_id] = reader
         if self.pause is not None:
             return await self._reject(writer, {"Request-Id": request_id})
         if headers.get("stage") == "prefill" and self.rejects_prompts:
