Do not send a prompt elsewhere while a silent endpoint may read it

A prompt was read at two endpoints at once (TWICE): a prefill was given up after 1.5 s, or after what was left of the hold on memory, and tried again, while the first endpoint was suspended and worked on after.

A prefill has 2 s whatever is left of the hold, and memory is reserved again if the hold expired.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -61,11 +61,13 @@
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
     FAILED_RETRY_MS,
+    HOLD_MARGIN_MS,
     HOLD_POLL_MS,
     HOLD_POLL_PER_ENDPOINT_MS,
     HOLD_TTL_MS,
     LAST_CALL_TIMEOUT_MS,
     MAX_REDIRECTS,
+    OTHER_NODE_RETRY_AFTER_MS,
     PREFILL_TIMEOUT_MS,
     RESUME_MIN_LEFT_MS,
 )
@@ -153,18 +155,22 @@
             return _step_stream(state, event, pools, now_ms)
         case HoldTaken(hold):
             state.hold = hold
-            return _prefill(state, pools, budget, now_ms)
+            if now_ms >= state.deadline_at_ms:
+                return _GiveUp(_deadline_refusal(state))
+            return _use_hold(state, pools, budget, now_ms)
         case PromptRead(handle):
             state.handle = handle
-            return _open_stream(state, pools, budget, now_ms)
-        case ReadFailed(instance, broken, sent, rejected):
+            return _end_prefill(state, pools, budget, now_ms)
+        case ReadFailed(instance, broken, sent, rejected, silent):
             if not sent:
                 state.reads -= 1
             state.read_rejected = state.read_rejected or rejected
             state.failed.add(instance)
             if broken:
                 state.broken.add(instance)
-            return _prefill(state, pools, budget, now_ms)
+            if silent and not state.runs and now_ms < state.deadline_at_ms:
+                return _GiveUp(Refuse(503, "prefill-silent", True, OTHER_NODE_RETRY_AFTER_MS))
+            return _end_prefill(state, pools, budget, now_ms)
     return _step_reservation(state, event, pools, now_ms)
 
 
@@ -188,6 +194,8 @@
         case Waited():
             state.asked.clear()
         case HoldFailed(instance, broken):
+            # A KV cache lives too short for another round.
+            state.handle = None
             if broken:
                 state.mark_broken(instance)
             state.asked.add(instance)
@@ -310,6 +318,25 @@
     return Refuse(504 if state.runs else 503, "deadline", not_run=state.runs == 0)
 
 
+def _end_prefill(state: GenerationState, pools: Pools, budget: RetryBudget, now_ms: int) -> _Result:
+    """Go on after a prefill, which may have outlasted the hold: memory is reserved again then."""
+    assert state.hold is not None
+    if now_ms >= state.deadline_at_ms:
+        return _GiveUp(_deadline_refusal(state))
+    if state.hold.until_ms - now_ms > HOLD_MARGIN_MS:
+        return _use_hold(state, pools, budget, now_ms)
+    instance, state.hold = state.hold.endpoint.instance, None
+    if state.granted == instance:
+        return _take_granted(state, instance, pools, now_ms)
+    return _take_next(state, pools, now_ms)
+
+
+def _use_hold(state: GenerationState, pools: Pools, budget: RetryBudget, now_ms: int) -> _Result:
+    if state.handle is not None:
+        return _open_stream(state, pools, budget, now_ms)
+    return _prefill(state, pools, budget, now_ms)
+
+
 def _prefill(state: GenerationState, pools: Pools, budget: RetryBudget, now_ms: int) -> _Result:
     """Send the prompt to a prefill endpoint, if any.
 
@@ -319,15 +346,17 @@
     assert state.hold is not None
     if state.reader == state.hold.endpoint.instance:
         return _open_stream(state, pools, budget, now_ms)
-    left_ms = min(state.hold.until_ms, state.deadline_at_ms) - now_ms
+    left_ms = state.deadline_at_ms - now_ms
     named_first = sorted(pools.prefillers, key=lambda e: e.instance != state.reader)
     for endpoint in named_first:
-        if endpoint.instance in state.failed or left_ms <= 0 or pools.blocked(endpoint.instance):
+        if endpoint.instance in state.failed or pools.blocked(endpoint.instance):
             continue
         if state.reads and not budget.withdraw(state.service, now_ms):
             break
         state.reads += 1
-        return ReadPrompt(endpoint, min(PREFILL_TIMEOUT_MS, left_ms))
+        timeout_ms = min(PREFILL_TIMEOUT_MS, left_ms)
+        # A request that nothing has run is refused, so that its caller can repeat it sooner.
+        return ReadPrompt(endpoint, timeout_ms, left_ms if state.runs else timeout_ms)
     return _open_stream(state, pools, budget, now_ms)
 
 
--- a/saffronworks/forwarding/generation_events.py
+++ b/saffronworks/forwarding/generation_events.py
@@ -90,12 +90,14 @@
     """A prefill endpoint rejected the prompt, or (`broken`) gave no answer.
 
     `sent` is false where no call was made: its rate limit was reached, or it accepts no requests.
+    `silent`: it may still be at work, as it gave no answer in time and accepts connections.
     """
 
     instance: StartId
     broken: bool
     sent: bool = True
     rejected: bool = False
+    silent: bool = False
 
 
 @attrs.frozen
@@ -169,10 +171,14 @@
 
 @attrs.frozen
 class ReadPrompt:
-    """Send the prompt to a prefill endpoint."""
+    """Send the prompt to a prefill endpoint.
+
+    While the process of the endpoint is suspended, the call lasts up to `suspended_timeout_ms`.
+    """
 
     endpoint: ServiceEndpoint
     timeout_ms: int
+    suspended_timeout_ms: int
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/generation_runner.py
+++ b/saffronworks/forwarding/generation_runner.py
@@ -173,8 +173,8 @@
                 self._release_if_held()
                 self._reservation.adopt(hold, self._state.tokens)
                 return events.HoldTaken(hold)
-            case events.ReadPrompt(endpoint, timeout_ms):
-                return await self._read_prompt(endpoint, timeout_ms)
+            case events.ReadPrompt():
+                return await self._read_prompt(command)
             case events.OpenStream(endpoint):
                 return await self._open_stream(endpoint)
             case events.StartStream(head):
@@ -228,13 +228,11 @@
             failed = site is FaultSite.ENDPOINT and not broken.withheld
             return events.HoldFailed(command.endpoint.instance, broken=failed)
 
-    async def _read_prompt(self, endpoint: ServiceEndpoint, timeout_ms: int) -> events.Event:
-        event = await self._prefill.run(endpoint, timeout_ms)
-        self._reservation.report_reading_ended(
-            endpoint.instance, isinstance(event, events.PromptRead)
-        )
+    async def _read_prompt(self, command: events.ReadPrompt) -> events.Event:
+        event, instance = await self._prefill.run(command), command.endpoint.instance
+        self._reservation.report_reading_ended(instance, isinstance(event, events.PromptRead))
         if isinstance(event, events.ReadFailed) and event.rejected:
-            self._reservation.report_rejected_prefill(endpoint.instance)
+            self._reservation.report_rejected_prefill(instance)
         return event
 
     def _begin_trial(self) -> None:
@@ -370,15 +368,23 @@
     def _release_if_held(self) -> None:
         """Release a reservation that is held, before another one is taken.
 
+        The KV cache of a prefill that outlasted its hold is kept for the run with the next one.
         A grant without a hold is kept: the planner counts it until the memory is reserved, and a
         new request to the planner replaces it. If its end were reported in between, the planner
         would drop the run until the next report and grant the same memory and prefiller again.
         """
         if self._reservation.held:
-            self._release()
+            self._end_run()
+        if self._state.handle is None:
+            self._prefill.release()
 
     def _release(self) -> None:
-        """End the exchange, and release the reservation and an unused KV handle."""
+        """End the run, and release an unused KV handle."""
+        self._end_run()
+        self._prefill.release()
+
+    def _end_run(self) -> None:
+        """End the exchange, and release the reservation and an unused hold."""
         if self._stream is not None:
             self._stream.exchange.end()
             self._stream = None
@@ -390,4 +396,3 @@
             times.learn_length(self._reservation.size.likely_tokens, pace.length_tokens)
         self._relay.replacement.drop()
         self._reservation.release()
-        self._prefill.release()
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -35,8 +35,11 @@
 # Timeout of a hold at the last endpoint that is left to ask, which may be silent for a second or so
 # and go on.
 LAST_CALL_TIMEOUT_MS = 1500
-# Timeout of a prefill; a slower one would outlast the hold on KV memory.
-PREFILL_TIMEOUT_MS = 1500
+# A hold that expires sooner is replaced before it is used, as the run may arrive too late.
+HOLD_MARGIN_MS = 50
+# Timeout of a prefill. Sound endpoints may be silent for a second or so, and notice only afterwards
+# that the exchange was closed.
+PREFILL_TIMEOUT_MS = 2000
 # An endpoint whose KV handle could not be fetched receives no prefills for this long.
 HANDLE_FAILURE_COOLDOWN_MS = 2000
 
--- a/saffronworks/tests/features/forwarding.feature
+++ b/saffronworks/tests/features/forwarding.feature
@@ -21,6 +21,19 @@
     And a decode endpoint chosen for the prefill reads the prompt itself, until the next restart
     And a caller's first attempt is refused early, and a retry waits longer for memory
 
+  # Guards against a prompt that is sent to a second endpoint while the first one, silent for a second
+  # or so, still works on it, because the hold on memory was about to expire.
+  Scenario: a prefill outlasts the hold on memory
+    Given a generation whose hold is about to expire when its prompt is sent
+    Then the prefill has the time of any other
+    And memory is reserved again before the prompt or its KV cache is used
+    And a KV cache is not used after a failed reservation, and nothing is sent after the deadline
+
+  # Guards against a prompt that goes to another endpoint while the silent one may still work on it.
+  Scenario: a prefill endpoint is silent beyond its time
+    Then the request is refused as not run if the endpoint may go on, with a time to come again
+    And it goes elsewhere if the endpoint has ended, or the answer has begun
+
   Scenario: failed endpoints are reported to the planner once
     Given a generation rejected by one prefill endpoint and broken off by the next
     Then the one that broke off is reported to the planner, and only once
--- a/saffronworks/tests/features/silent_endpoints.feature
+++ b/saffronworks/tests/features/silent_endpoints.feature
@@ -19,6 +19,20 @@
       | answer  | page             |
       | answer  | repeatable page  |
 
+  # Guards against a prompt that two endpoints read at once, as the hold on memory left the first one
+  # too little time, and against a run with a hold that has expired.
+  Scenario: one of two prefill endpoints is silent for 1.3 s, longer than holds on memory last
+    When one of two prefill endpoints is silent for 1.3 s, and holds last 1 s
+    Then the caller gets one whole answer, and the next caller too
+    And it ran once
+    And one endpoint alone read its prompt, and the run has the newest hold
+
+  # Guards against a prompt that goes to another endpoint while the silent one may still work on it.
+  Scenario: one of two prefill endpoints is silent for 2.6 s
+    When one of two prefill endpoints is silent for 2.6 s, and holds last 2 s
+    Then the caller is told to come again, and the next one is served
+    And one endpoint alone read its prompt
+
   # Guards against a living run that is given up, and cut where no memory is free for another one.
   Scenario: the only endpoint is silent for 1.3 s between two events of a resumable stream
     When the only endpoint is silent before its event of a resumable stream
@@ -49,6 +63,13 @@
     Then the caller gets one whole answer, and the next caller too
     And it ran once
 
+  # Guards against a prompt of a begun stream that goes to another endpoint while the suspended one may
+  # still work on it.
+  Scenario: the process of a prefill endpoint is suspended for 2.8 s when a stream goes on elsewhere
+    When a resumable stream breaks, and one of two prefill endpoints is suspended for 2.8 s then
+    Then the caller gets one whole answer, and the next caller too
+    And it ran again once its prompt was read again, at one endpoint
+
   # Guards against a silent run that is waited for although nobody is left to go on with it.
   Scenario: an endpoint has gone without closing its connections in a resumable stream
     When one of two decode endpoints accepts no connection and is silent in a resumable stream
@@ -64,6 +85,7 @@
   # still go on.
   Scenario: no other run takes over from a suspended process, or before its state is known
     Then memory is reserved and a retry counted only if the silent run ends with its exchange
+    And a prefill lasts up to the deadline while its endpoint is suspended if the request has run
 
   # Guards against silent streams that keep full endpoints of a large service busy with requests.
   Scenario: memory for replacements is asked for ever more rarely, the more endpoints there are
--- a/saffronworks/tests/features/steps/generation_steps.py
+++ b/saffronworks/tests/features/steps/generation_steps.py
@@ -76,6 +76,72 @@
     assert 2500 < refused_at_ms(True) < 3600
 
 
+def prefill_in_progress(state, now_ms=1700):
+    """Return the command that sends the prompt, 300 ms before the end of the hold."""
+    return step_generation(state, gen.HoldTaken(KvHold(POOLS.decoders[0], "k", 2000)), now_ms)
+
+
+@given("a generation whose hold is about to expire when its prompt is sent")
+def send_prompt_late(context):
+    context.state = generation()
+    context.command = prefill_in_progress(context.state)
+
+
+@then("the prefill has the time of any other")
+def check_prefill_time(context):
+    in_time = prefill_in_progress(generation(), 0)
+    assert context.command.timeout_ms == in_time.timeout_ms > 1900, context.command
+
+
+@then("memory is reserved again before the prompt or its KV cache is used")
+def check_hold_renewed(context):
+    handle = KvHandle(POOLS.prefillers[0], "h", 5000)
+    for event in (gen.PromptRead(handle), gen.ReadFailed("p0", broken=True)):
+        state = generation()
+        prefill_in_progress(state)
+        renewed = step_generation(state, event, 3000)
+        assert isinstance(renewed, gen.TakeHold), renewed
+        assert renewed.endpoint == POOLS.decoders[0]
+        hold = KvHold(POOLS.decoders[0], "k2", 5000)
+        command = step_generation(state, gen.HoldTaken(hold), 3010)
+        read = isinstance(event, gen.PromptRead)
+        assert isinstance(command, gen.OpenStream if read else gen.ReadPrompt), command
+        assert state.handle == (handle if read else None) and state.hold == hold
+
+
+@then("a KV cache is not used after a failed reservation, and nothing is sent after the deadline")
+def check_prefill_ends(context):
+    step_generation(context.state, gen.PromptRead(KvHandle(POOLS.prefillers[0], "h", 5000)), 3000)
+    command = step_generation(context.state, gen.HoldFailed("d0", broken=True), 3400)
+    assert command.endpoint == POOLS.decoders[1] and context.state.handle is None
+    state = generation()
+    prefill_in_progress(state, state.deadline_at_ms - 100)
+    command = step_generation(state, gen.ReadFailed("p0", broken=True), state.deadline_at_ms)
+    assert isinstance(command, Refuse) and command.not_run, command
+
+
+@then("the request is refused as not run if the endpoint may go on, with a time to come again")
+def check_silent_prefill(context):
+    state = generation()
+    prefill_in_progress(state, 0)
+    command = step_generation(state, gen.ReadFailed("p0", broken=True, silent=True), 2000)
+    assert isinstance(command, Refuse) and command.not_run and command.retry_after_ms, command
+    assert state.pop_broken() == ("p0",)
+
+
+@then("it goes elsewhere if the endpoint has ended, or the answer has begun")
+def check_ended_prefill(context):
+    ended = generation()
+    prefill_in_progress(ended, 0)
+    command = step_generation(ended, gen.ReadFailed("p0", broken=True), 1000)
+    assert command.endpoint == POOLS.prefillers[1], command
+    begun = streaming(may_repeat=True)
+    step_generation(begun, gen.RelayBroken("d0", position_known=True), 500)
+    step_generation(begun, gen.HoldTaken(KvHold(POOLS.decoders[1], "k2", 2500)), 510)
+    command = step_generation(begun, gen.ReadFailed("p0", broken=True, silent=True), 2000)
+    assert command.endpoint == POOLS.prefillers[1], command
+
+
 @given("a generation rejected by one prefill endpoint and broken off by the next")
 def fail_prefills(context):
     state = context.state = generation()
--- a/saffronworks/tests/features/steps/silent_endpoints_steps.py
+++ b/saffronworks/tests/features/steps/silent_endpoints_steps.py
@@ -70,6 +70,40 @@
     play_silence(context, servers, step, kind, SILENT_S)
 
 
+@when("one of two prefill endpoints is silent for {silent_s:g} s, and holds last {hold_s:g} s")
+def silent_in_prefill(context, silent_s, hold_s):
+    context.readers = [FakeServer(name, "llm", "prefill") for name in ("p0", "p1")]
+    context.decoder = FakeServer("d0", "llm", "decode")
+    servers = [*web_servers(), context.decoder, *context.readers]
+    llm = {"name": "llm", "engine": ENGINE | {"hold_ms": 1000 * hold_s}}
+    services = [{"name": "web", "max_conns": 9}, llm]
+    play_silence(context, servers, "prefill", "stream", silent_s, once=True, services=services)
+
+
+@then("one endpoint alone read its prompt")
+def one_read(context):
+    seen = [[seen[2].get("request-id") for seen in each.seen] for each in context.readers]
+    assert sum("r1" in requests for requests in seen) == 1, (seen, list(context.lines))
+
+
+@then("one endpoint alone read its prompt, and the run has the newest hold")
+def one_read_newest_hold(context):
+    one_read(context)
+    seen = context.decoder.seen
+    (at,) = [at for at, each in enumerate(seen) if each[2].get("request-id") == "r1"]
+    granted = sum(target.endswith("hold-take") for _, target, _, _ in seen[:at])
+    # One for the request before it.
+    assert granted == 3, list(context.lines)
+    assert seen[at][2]["kv-hold"] == "h1-3" and "kv-source" in seen[at][2], seen[at]
+
+
+@then("the caller is told to come again, and the next one is served")
+def told_to_come_again(context):
+    head = context.raw.partition(b"\r\n\r\n")[0].lower()
+    assert head.startswith(b"http/1.1 503") and b"\nretry-after:" in head, context.raw
+    assert context.next.startswith(b"HTTP/1.1 200") and context.ran == ["r2"], context.ran
+
+
 @when("one of two endpoints is silent for {silent_s:g} s in a {kind}, and no retry is left")
 def silent_without_retry(context, silent_s, kind):
     bounds = BOUNDS | {"retry_budget_ratio": 0.0, "retry_slack": 0}
@@ -125,6 +159,17 @@
         assert state.run_counted == (process in ends), process
 
 
+@then("a prefill lasts up to the deadline while its endpoint is suspended if the request has run")
+def prefill_lasts(_):
+    for runs, lasts_ms in ((0, PREFILL_TIMEOUT_MS), (1, 13_000)):
+        state = generation(True)
+        state.runs = runs
+        held = HoldTaken(KvHold(POOLS.decoders[0], "k", 3000))
+        command = step_generation(state, held, 1000)
+        assert command.timeout_ms == PREFILL_TIMEOUT_MS, command
+        assert command.suspended_timeout_ms == lasts_ms, command
+
+
 @then("rounds that ask 3, 40 and 100 endpoints begin 250, 400 and 1000 ms apart")
 def rounds_apart(_):
     for count, apart_ms in ((3, 250), (40, 400), (100, 1000)):
@@ -226,6 +271,11 @@
     play_suspension(context, {"event": 6.0}, closes=True)
 
 
+@when("a resumable stream breaks, and one of two prefill endpoints is suspended for 2.8 s then")
+def suspended_in_second_prefill(context):
+    play_suspension(context, {"prefill": 2.8}, script=["break-2"])
+
+
 def play_suspension(context, hangs, closes=False, script=()):
     """Send r1, and then r2; once it runs, an endpoint hangs at the first of the given steps.
 
@@ -254,6 +304,13 @@
         on_platform([*web_servers(), *servers], play, CONFIG | {"routes": ROUTES})
 
 
+@then("it ran again once its prompt was read again, at one endpoint")
+def read_again_once(context):
+    assert sorted(context.ran) == ["r1", "r1", "r2"], (context.ran, list(context.lines))
+    reads = [seen[2].get("request-id") for server in context.readers for seen in server.seen]
+    assert reads.count("r1") == 2, (reads, list(context.lines))
+
+
 @then("it went on at the other endpoint once memory was reserved there")
 def went_on_at_once(context):
     assert context.ran == ["r1", "r1", "r2"], (context.ran, list(context.lines))
