Wait for a late page that can't be sent elsewhere, and deliver its answer

Callers of repeatable pages got 504 after 0.3 to 0.7 s of 2 s where no other endpoint could be tried, 502 with most of their time left as the next endpoint rejected the page or failed, and 502 or 504 though the first, late answer had come whole or might still come.

A late exchange goes on while the page may not be sent elsewhere, and is kept until the next endpoint has not rejected the page for 100 ms. An answer that has come whole is kept and delivered if the next one is silent, rejects or fails. What forbids further sends (the notice of the node's end, a revoked key, a quarantined content) ends no send that is under way. Time limits allow for both replies of a new connection, and for a node that became late after it had sent the request; both concern the loop that waits for an answer, so they are not separated. event=await_answer tells of the wait.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -172,6 +172,16 @@
         closing = self._transport is None or self._transport.is_closing()
         return not closing and self._loss_cause is None
 
+    @property
+    def answered(self) -> bool:
+        """Return whether the whole answer has arrived."""
+        return self._complete
+
+    @property
+    def may_answer(self) -> bool:
+        """Return whether the whole answer has arrived, or may still arrive."""
+        return self._complete or self.is_open
+
     def _record_loss(self, cause: ExchangeErrorCause) -> None:
         if self._loss_cause is None:
             self._loss_cause = cause
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -32,10 +32,12 @@
 
 __all__ = [
     "Answered",
+    "AwaitAnswer",
     "Broken",
     "Command",
     "Event",
     "NotPermitted",
+    "Overtaken",
     "Permitted",
     "PlainState",
     "Relay",
@@ -58,7 +60,8 @@
     """State of one plain request. `runs` counts sends that may have been executed.
 
     `rate_limited`: endpoints whose rate limit rejected the request. `reason`: why another endpoint
-    is needed. `fallback`: the answer to the last run if no other endpoint is found.
+    is needed. `fallback`: the answer to the last run if no other endpoint is found. `may_answer`:
+    when the last send ended, it or an earlier one was late and might still be answered.
     """
 
     service: str
@@ -72,7 +75,8 @@
     tried: set[StartId] = attrs.Factory(set)
     rate_limited: dict[StartId, Block] = attrs.Factory(dict)
     reason: str = ""
-    fallback: "Relay | Refuse | None" = None
+    fallback: "AwaitAnswer | Relay | Refuse | None" = None
+    may_answer: bool = False
 
 
 @attrs.frozen
@@ -92,23 +96,37 @@
 
 @attrs.frozen
 class Answered:
-    """An endpoint answered; the body of a success that is not streamed was received as well."""
+    """An endpoint answered; the body of a success that is not streamed was received as well.
+
+    `earlier_may_answer`: the exchange of an earlier send, whose answer is late, still goes on.
+    """
 
     instance: StartId
     head: AnswerHead
+    earlier_may_answer: bool = False
 
 
 @attrs.frozen
 class Broken:
     """No complete answer arrived. `sent`: the endpoint may have received the request.
 
-    `silent`: the answer timed out. `site` is where it failed.
+    `silent`: the answer timed out. `site` is where it failed. `may_answer`: the answer is late, but
+    the exchange goes on; `earlier_may_answer`: the same of an earlier send.
     """
 
     instance: StartId
     sent: bool
     silent: bool = False
     site: FaultSite = FaultSite.ENDPOINT
+    may_answer: bool = False
+    earlier_may_answer: bool = False
+
+
+@attrs.frozen
+class Overtaken:
+    """An endpoint has not answered yet, but the late answer of an earlier send is whole."""
+
+    instance: StartId
 
 
 @attrs.frozen
@@ -126,13 +144,18 @@
     endpoint: ServiceEndpoint
 
 
+@attrs.frozen
+class AwaitAnswer:
+    """Go on waiting for a late answer, up to the deadline."""
+
+
 @attrs.frozen
 class Relay:
     """Relay the endpoint's answer to the caller."""
 
 
-Event = Begin | Permitted | NotPermitted | Answered | Broken
-Command = AcquirePermit | SendTo | Relay | Refuse
+Event = Begin | Permitted | NotPermitted | Answered | Broken | Overtaken
+Command = AcquirePermit | AwaitAnswer | SendTo | Relay | Refuse
 
 
 @attrs.frozen
@@ -156,11 +179,28 @@
 ) -> Command:
     """Return the next command; `ranked` lists the usable endpoints, best first.
 
-    A `denial` forbids any further send and is returned instead. `eligibility` has the endpoints
-    that are blocked for now.
+    A `denial` forbids any further send and is returned instead; a late answer of a send that was
+    allowed is still awaited. `eligibility` has the endpoints that are blocked for now.
     """
+    if denial is not None and isinstance(event, Broken) and event.may_answer:
+        return AwaitAnswer()
+    match event:
+        case Answered():
+            state.may_answer = event.earlier_may_answer
+        case Broken():
+            state.may_answer = (event.sent and event.may_answer) or event.earlier_may_answer
+        case Permitted() | NotPermitted() if denial is not None and state.may_answer:
+            state.runs -= 1
+            return AwaitAnswer()
     permitted = event.instance if isinstance(event, Permitted) else None
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
+    sends = isinstance(command, SendTo | AcquirePermit)
+    fails = isinstance(command, Refuse) or (denial is not None and sends)
+    if fails and state.may_answer:
+        command = AwaitAnswer()
+    if isinstance(command, AwaitAnswer):
+        # The run that is awaited is counted again at its end.
+        state.runs -= 1
     if denial is None or not isinstance(command, SendTo | AcquirePermit):
         return command
     if state.runs and denial.not_run:
@@ -183,7 +223,11 @@
             state.runs += 1
             if head.success and head.signed:
                 return Relay()
-            return _retry_run(state, head, choice, now_ms)
+            return _retry_run(state, head, choice, now_ms, _final_answer(head, silent=False))
+        case Overtaken():
+            # The endpoint may have run the request.
+            state.runs += 1
+            return AwaitAnswer()
         case Broken():
             return _handle_break(state, event, choice, now_ms)
 
@@ -195,7 +239,8 @@
     if not broken.sent:
         return _redirect(state, choice, now_ms, "unreachable")
     state.runs += 1
-    return _retry_run(state, None, choice, now_ms, broken.silent)
+    end = AwaitAnswer() if broken.may_answer else _final_answer(None, broken.silent)
+    return _retry_run(state, None, choice, now_ms, end)
 
 
 def _redirect(state: PlainState, choice: _Choice, now_ms: int, reason: str) -> Command:
@@ -211,10 +256,9 @@
     head: AnswerHead | None,
     choice: _Choice,
     now_ms: int,
-    silent: bool = False,
+    end: AwaitAnswer | Relay | Refuse,
 ) -> Command:
-    """Retry a request that was or may have been executed, if it is repeatable."""
-    end = _final_answer(head, silent)
+    """Retry a request that was or may have been executed; return `end` if that is not possible."""
     final = head is not None and head.signed and head.status < 500
     if not final and state.may_repeat and state.runs < state.max_attempts:
         state.fallback = end
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import logging
+import math
+from collections.abc import Awaitable
+
+import attrs
 
 from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding import plain_core
@@ -12,8 +16,10 @@
 from saffronworks.forwarding.plain_core import (
     AcquirePermit,
     Answered,
+    AwaitAnswer,
     Broken,
     NotPermitted,
+    Overtaken,
     Permitted,
     PlainState,
     SendTo,
@@ -27,7 +33,7 @@
     send_refusal,
 )
 from saffronworks.forwarding.stream_runs import StreamRun
-from saffronworks.forwarding.tuning import MAX_PREREAD_BODY_BYTES
+from saffronworks.forwarding.tuning import HEDGE_OVERLAP_MS, MAX_PREREAD_BODY_BYTES
 
 __all__ = ["run_plain"]
 
@@ -39,6 +45,18 @@
     await _PlainRun(node, job).run()
 
 
+@attrs.frozen
+class _LateSend:
+    """A send without an answer in time, whose exchange goes on while the next one begins."""
+
+    endpoint: ServiceEndpoint
+    exchange: Exchange
+    sent_ms: int
+    first_ms: int
+    head: AnswerHead | None
+    start_of_body: bytes
+
+
 class _PlainRun:
     def __init__(self, node: NodeState, job: Job):
         self._node = node
@@ -52,7 +70,11 @@
         self._body_whole = False
         # Whether it is proven that no crash has cut off the answer.
         self._proven = False
+        self._sent_ms = 0
         self._first_ms = 0
+        # Whether the current exchange is late, and the late one before it.
+        self._is_late = False
+        self._late: _LateSend | None = None
         self._body = node.buffers.track(job.request.request_id, job.reply)
         route = job.route
         self._state = PlainState(
@@ -67,22 +89,26 @@
         """Execute commands until the answer is complete, refused or cut."""
         command = self._decide(Begin())
         try:
-            while isinstance(command, SendTo | AcquirePermit):
+            while isinstance(command, SendTo | AcquirePermit | AwaitAnswer):
                 command = self._decide(await self._execute(command))
             if isinstance(command, Refuse):
                 await send_refusal(self._node, self._job, command)
             else:
+                self._end_late()
                 await self._relay()
         finally:
             self._end_exchange()
+            self._end_late()
             self._release_permit()
 
-    async def _execute(self, command: SendTo | AcquirePermit) -> plain_core.Event:
+    async def _execute(self, command: SendTo | AcquirePermit | AwaitAnswer) -> plain_core.Event:
         match command:
             case AcquirePermit(endpoint):
                 return await self._acquire_permit(endpoint)
             case SendTo():
                 return await self._send(command)
+            case AwaitAnswer():
+                return await self._await_answer()
 
     async def _acquire_permit(self, endpoint: ServiceEndpoint) -> plain_core.Event:
         self._release_permit()
@@ -126,6 +152,7 @@
         return command
 
     async def _send(self, command: SendTo) -> plain_core.Event:
+        self._set_late_aside()
         self._end_exchange()
         node, endpoint = self._node, command.endpoint
         if not self._permit.covers(endpoint.instance):
@@ -133,26 +160,52 @@
         self._endpoint = endpoint
         if self._job.on_trial and self._state.sends == 1:
             node.quarantine.record_trial(self._job.request)
+        self._sent_ms = node.now_ms()
+        node.loads.of(endpoint.instance).circuit.take_trial(self._sent_ms)
+        node.begin_run(self._job)
+        return await self._finish(endpoint, self._exchange_with(endpoint, command.wait_ms))
+
+    async def _await_answer(self) -> plain_core.Event:
+        """Go on waiting for a late answer, that of the earlier send if there is one."""
+        self._resume_late()
+        self._release_permit()
+        assert self._endpoint is not None
+        logger.info(
+            "event=await_answer request=%s route=%s endpoint=%s waited_ms=%d",
+            self._job.request.request_id,
+            self._job.route.name,
+            self._endpoint.instance,
+            self._node.now_ms() - self._sent_ms,
+        )
+        return await self._finish(self._endpoint, self._read_answer(self._job.deadline_at_ms))
+
+    async def _finish(
+        self, endpoint: ServiceEndpoint, answer: Awaitable[AnswerHead | None]
+    ) -> plain_core.Event:
+        """Wait for an answer, record it and return the outcome as an event."""
+        node = self._node
         load = node.loads.of(endpoint.instance)
-        began_ms = node.now_ms()
-        load.circuit.take_trial(began_ms)
         load.outstanding += 1
-        node.begin_run(self._job)
+        self._is_late = False
         try:
-            head = await self._exchange_with(endpoint, command.wait_ms)
+            head = await answer
         except ExchangeError as broken:
             if not broken.sent:
                 self._job.runs.uncount_run()
                 self._release_permit()
             site = await node.note_break(PLAIN, self._job.request, endpoint, broken)
             silent = broken.cause is ExchangeErrorCause.SILENT
-            return Broken(endpoint.instance, broken.sent, silent, site)
+            self._is_late = silent and self._may_answer()
+            earlier = self._earlier_may_answer()
+            return Broken(endpoint.instance, broken.sent, silent, site, self._is_late, earlier)
         finally:
             load.outstanding -= 1
             self._permit = UNCOUNTED_PERMIT
+        if head is None:
+            return Overtaken(endpoint.instance)
         if head.executed is Executed.NO:
             self._job.runs.uncount_run()
-        took_ms = node.now_ms() - began_ms
+        took_ms = node.now_ms() - self._sent_ms
         if head.success and head.signed:
             load.record_success(took_ms, node.now_ms())
             node.figures.count_send(PLAIN, "answered")
@@ -169,12 +222,58 @@
                 head.executed,
                 head.reason,
             )
-        return Answered(endpoint.instance, head)
+        return Answered(endpoint.instance, head, self._earlier_may_answer())
+
+    def _may_answer(self) -> bool:
+        """Return whether an exchange without a complete answer so far goes on."""
+        in_time = self._node.now_ms() < self._job.deadline_at_ms
+        return in_time and self._exchange is not None and self._exchange.connection.may_answer
+
+    def _earlier_may_answer(self) -> bool:
+        """Return whether the late exchange before this one goes on, or its answer is whole."""
+        if self._late is None:
+            return False
+        connection = self._late.exchange.connection
+        in_time = self._node.now_ms() < self._job.deadline_at_ms
+        return connection.answered or (in_time and connection.may_answer)
+
+    async def _late_succeeded(self) -> bool:
+        """Return whether the late exchange before this one has a whole answer for the caller."""
+        late = self._late
+        if late is None or not (late.exchange.connection.answered and late.exchange.framed):
+            return False
+        head = late.head
+        if head is None:
+            try:
+                head = await late.exchange.head(1)
+            except ExchangeError:
+                return False
+            self._late = attrs.evolve(late, head=head, first_ms=self._node.now_ms())
+        return head.success and head.signed
 
-    async def _exchange_with(self, endpoint: ServiceEndpoint, wait_ms: int) -> AnswerHead:
+    def _set_late_aside(self) -> None:
+        """Keep a late exchange until the next endpoint has had the time to reject the request."""
+        if not self._is_late or self._exchange is None or self._endpoint is None:
+            return
+        if self._late is not None and self._late.exchange.connection.answered:
+            return
+        self._end_late()
+        self._body.detach()
+        self._late = _LateSend(
+            self._endpoint,
+            self._exchange,
+            self._sent_ms,
+            self._first_ms,
+            self._head,
+            self._start_of_body,
+        )
+        self._exchange, self._is_late = None, False
+
+    async def _exchange_with(self, endpoint: ServiceEndpoint, wait_ms: int) -> AnswerHead | None:
+        """Send the request; return None if the late answer of an earlier send comes first."""
         node, job = self._node, self._job
-        left_ms = job.deadline_at_ms - node.now_ms()
-        until_ms = node.now_ms() + min(left_ms, extend_for_lag(wait_ms))
+        began_ms = node.now_ms()
+        left_ms = job.deadline_at_ms - began_ms
         try:
             self._exchange = await node.calls.send(endpoint, job.request, left_ms)
         except asyncio.CancelledError:
@@ -182,9 +281,41 @@
             job.runs.uncount_run()
             raise
         self._body.attach(self._exchange)
-        self._head = await self._exchange.head(max(1, until_ms - node.now_ms()))
-        self._first_ms = node.now_ms()
-        self._start_of_body, self._body_whole = b"", False
+        self._head, self._start_of_body, self._body_whole = None, b"", False
+        loop = asyncio.get_running_loop()
+        overlap = loop.call_later(HEDGE_OVERLAP_MS / 1000, self._end_overlap)
+        overlap_until_ms = math.inf if self._late is None else node.now_ms() + HEDGE_OVERLAP_MS
+        try:
+            while True:
+                until_ms = began_ms + min(left_ms, self._extended_wait_ms(wait_ms))
+                try:
+                    return await self._read_answer(min(until_ms, overlap_until_ms))
+                except ExchangeError as broken:
+                    # The node may have become later since the request was sent.
+                    extended_ms = began_ms + min(left_ms, self._extended_wait_ms(wait_ms))
+                    silent = broken.cause is ExchangeErrorCause.SILENT
+                    if silent and overlap_until_ms <= node.now_ms():
+                        overlap_until_ms = math.inf
+                        if await self._late_succeeded():
+                            return None
+                    if not silent or extended_ms <= node.now_ms():
+                        raise
+        finally:
+            overlap.cancel()
+
+    def _extended_wait_ms(self, wait_ms: float) -> float:
+        """Return the time limit of a send; a new connection takes a reply of its own to open."""
+        assert self._exchange is not None
+        is_new = self._exchange.connection.uses <= 1
+        return extend_for_lag(wait_ms, replies=2 if is_new else 1)
+
+    async def _read_answer(self, until_ms: float) -> AnswerHead:
+        """Read the head, and the body unless it is streamed or long; raises ExchangeError."""
+        node, job, endpoint = self._node, self._job, self._endpoint
+        assert self._exchange is not None and endpoint is not None
+        if self._head is None:
+            self._head = await self._exchange.head(max(1, until_ms - node.now_ms()))
+            self._first_ms = node.now_ms()
         if job.route.streams and self._head.success:
             node.check_version(endpoint, continues=job.version is not None)
         while not job.route.streams and len(self._start_of_body) < MAX_PREREAD_BODY_BYTES:
@@ -269,3 +400,25 @@
             self._body.detach()
             self._exchange.end()
             self._exchange = None
+
+    def _resume_late(self) -> None:
+        """Make the late exchange the current one again, if another send followed it."""
+        late, self._late = self._late, None
+        if late is None:
+            return
+        self._end_exchange()
+        self._endpoint, self._exchange = late.endpoint, late.exchange
+        self._sent_ms, self._first_ms = late.sent_ms, late.first_ms
+        self._head, self._start_of_body = late.head, late.start_of_body
+        self._body.attach(late.exchange)
+        self._body.set_preread_bytes(len(late.start_of_body))
+
+    def _end_overlap(self) -> None:
+        """End a late exchange, unless its answer has arrived: the next endpoint may still fail."""
+        if self._late is not None and not self._late.exchange.connection.answered:
+            self._end_late()
+
+    def _end_late(self) -> None:
+        late, self._late = self._late, None
+        if late is not None:
+            late.exchange.end()
--- a/saffronworks/forwarding/tuning.py
+++ b/saffronworks/forwarding/tuning.py
@@ -60,6 +60,8 @@
 # A repeatable call without an answer after this share of its latency target is sent to another
 # endpoint.
 HEDGE_SHARE = 0.8
+# The late call is given up once the other endpoint has not rejected the request for this long.
+HEDGE_OVERLAP_MS = 100
 # Maximum sends to other endpoints after one that reports it did not run the request.
 MAX_REDIRECTS = 2
 # Cost of an endpoint in another availability zone, relative to one in this zone.
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -47,10 +47,26 @@
     Then turns of 50 ms extend them by those that a reply needs, for up to a second
     And turns of the usual length, and one of a suspended process, extend them by little
 
-  Scenario: a node that is late itself repeats no request and suspects no path
-    When turns of a node's event loop take 40 ms while it serves requests
+  Scenario Outline: a node that is late itself repeats no request and suspects no path
+    When turns of a node's event loop take <turn_ms> ms while it serves requests
     Then each request is sent once, all are answered, and no path is in doubt
 
+    Examples:
+      | turn_ms |
+      | 40      |
+      | 100     |
+
+  # Guards against a request that a late node repeats because it allowed for the delay of one reply
+  # where it awaits two, or because it became late after it had sent the request.
+  Scenario Outline: a node that is late waits longer before it repeats a request
+    When an endpoint takes 600 ms for a repeatable request, and replies are noticed <how_late>
+    Then the request is sent once
+
+    Examples:
+      | how_late                                 |
+      | 200 ms late, on a new connection         |
+      | 400 ms late from 200 ms after it is sent |
+
   Scenario: connections to an overloaded node
     When the event loop of a node is blocked again and again while many connections come
     Then most new connections are closed unread, and one is taken every quarter of a second
--- a/saffronworks/tests/features/silent_endpoints.feature
+++ b/saffronworks/tests/features/silent_endpoints.feature
@@ -76,6 +76,22 @@
     Then the caller gets one whole answer, and the next caller too
     And it went on at the other endpoint once memory was reserved there
 
+  # Guards against 504 after a third of a second of silence, where no other endpoint may be tried.
+  Scenario: an endpoint is silent for 1.3 s in a repeatable page while the retry budget is used up
+    When one of two endpoints is silent for 1.3 s in a repeatable page, and no retry is left
+    Then the caller gets one whole answer, and the next caller too
+    And it ran once
+
+  # Guards against a 502 for a late page that has arrived, as its endpoint closed the connection.
+  Scenario: a late answer comes whole and its connection is closed, and the next endpoint rejects
+    Then the late exchange may answer if its answer is whole, but not if it was cut off
+    And a whole answer is kept however long the next endpoint takes, and no other one
+
+  # Guards against a page that waits up to the deadline, and then gets 504, with a whole answer at hand.
+  Scenario: a late answer comes whole, and the next endpoint is silent
+    Then it is delivered at the end of the overlap if it is a success that is whole
+    And a failure that is whole is delivered at the deadline
+
   # Guards against a living run that is given up for another one which is then not begun.
   Scenario: another run takes over when there is just time enough for it
     Then it begins although less time is left when the silent run has been closed
@@ -91,6 +107,29 @@
   Scenario: memory for replacements is asked for ever more rarely, the more endpoints there are
     Then rounds that ask 3, 40 and 100 endpoints begin 250, 400 and 1000 ms apart
 
+  # Guards against a living run that is ended for another endpoint which then does not serve it.
+  Scenario Outline: an endpoint is silent for 2.5 s in a repeatable page, and the next one <ends> it
+    When one of two endpoints is silent for 2.5 s in a repeatable page, and the other one <ends> it
+    Then the caller gets one whole answer, and the next caller too
+    And the answer is that of the <which> endpoint, and the other exchange is closed
+
+    Examples:
+      | ends    | which  |
+      | rejects | silent |
+      | resets  | silent |
+      | serves  | other  |
+
+  # Guards against a living run that is ended although the node may begin no other one.
+  Scenario: a page is late at a node that begins no other run
+    Then a late answer is awaited while no other send is allowed, and no retry is counted
+
+  # Guards against 502 for a page whose endpoint may still answer, as the notice of the node's end came
+  # while a permit was acquired.
+  Scenario: no other run may begin any more once a permit for a late page has been acquired
+    Then its late answer is awaited, whether the permit was granted or not, and no retry is counted
+    And so it is if the next endpoint has rejected the page, and a further one grants no permit
+    And a permit that is not used is released while the late answer is awaited
+
   # Guards against a living run that a stopping node gives up after 2 s of silence for one that it
   # can't end in time.
   Scenario: an endpoint is silent for 2.4 s in a resumable stream, beyond the notice of a stop
--- a/saffronworks/tests/features/steps/overload_steps.py
+++ b/saffronworks/tests/features/steps/overload_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import anyio
 from behave import given, then, when
@@ -22,7 +23,6 @@
 CALM_MS, CALM_SHARE = 3000, 0.3
 IN_TIME_MS = 900
 CONNECT_EVERY_MS = 20
-LATE_TURN_S = 0.04
 BLOCKED_FOR_S = 3.0
 SURGE_S = 4.0
 REQUEST = (
@@ -235,18 +235,18 @@
     assert meter.reply_lag_ms(now_ms + 1000) == 0
 
 
-@when("turns of a node's event loop take 40 ms while it serves requests")
-def late_node(context):
+@when("turns of a node's event loop take {turn_ms:d} ms while it serves requests")
+def late_node(context, turn_ms):
     servers = web_servers(2)
 
     async def block():
         while True:
-            time.sleep(LATE_TURN_S)
+            time.sleep(turn_ms / 1000)
             await anyio.sleep(0)
 
     async def play(place):
         place.tasks.start_soon(block)
-        await anyio.sleep(2 * LATE_TURN_S)
+        await anyio.sleep(2 * turn_ms / 1000)
         options = {"method": "GET"}
         context.asked = await place.ask_evenly(
             4, 2.5, lambda request_id, node: place.ask("/again/a", request_id, node=node, **options)
@@ -265,6 +265,35 @@
         assert not states["suspect"] + states["relayed"] + states["down"], states
 
 
+@when("an endpoint takes 600 ms for a repeatable request, and replies are noticed {how_late}")
+def answered_late(context, how_late):
+    servers = web_servers(2)
+    for server in servers:
+        server.work_s = 0.6
+    sent_ms = []
+
+    def reply_lag_ms(_):
+        if "new connection" in how_late:
+            return 200.0
+        return 400.0 if sent_ms and monotonic_ms() >= sent_ms[0] + 200 else 0.0
+
+    async def play(place):
+        sent_ms.append(monotonic_ms())
+        context.raw = await place.ask("/again/a", "r0", method="GET")
+
+    with mock.patch.object(LoopMeter, "reply_lag_ms", side_effect=reply_lag_ms):
+        on_platform(servers, play)
+    context.ran = [request_id for server in servers for request_id in server.ran]
+
+
+@then("the request is sent once")
+def is_sent_once(context):
+    assert context.raw.startswith(b"HTTP/1.1 200") and context.ran == ["r0"], (
+        context.raw,
+        context.ran,
+    )
+
+
 async def ask_on(connection, number):
     """Send a request on a connection and return its status, or None if it was closed unread."""
     reader, writer = connection
--- a/saffronworks/tests/features/steps/silent_endpoints_steps.py
+++ b/saffronworks/tests/features/steps/silent_endpoints_steps.py
@@ -17,6 +17,20 @@
 from saffronworks.forwarding.identity import KEY_REVOKED
 from saffronworks.forwarding.messages import ENDS_ENDPOINTS, Begin, KvHold, Refuse
 from saffronworks.forwarding.node_count import NodeCount
+from saffronworks.forwarding.plain_core import (
+    AcquirePermit,
+    Answered,
+    AwaitAnswer,
+    Broken,
+    NotPermitted,
+    Overtaken,
+    Permitted,
+    PlainState,
+    Relay,
+    SendTo,
+    step,
+)
+from saffronworks.forwarding.plain_runner import _PlainRun
 from saffronworks.forwarding.planned_ends import DEREGISTRATION_MS, NO_TIME_LEFT
 from saffronworks.forwarding.process_checks import ProcessState
 from saffronworks.forwarding.replacements import Replacement
@@ -111,6 +125,122 @@
     play_silence(context, servers, step, kind, silent_s, bounds=bounds)
 
 
+@when(
+    "one of two endpoints is silent for {silent_s:g} s in a repeatable page, and the other one "
+    "{ends} it"
+)
+def silent_and_rejected(context, silent_s, ends):
+    servers = context.servers = web_servers(2)
+    # The first send gets the first entry, and the next send the second one.
+    script = [None, {"rejects": "shed", "resets": "reset", "serves": None}[ends]]
+
+    async def play(place):
+        await place.ask("/again/", "before")
+        silences = {"answer": silent_s}
+        for server in servers:
+            server.script, server.silences = script, silences
+            server.work_s = OVERLAPPED_S if ends == "serves" else 0.0
+            server.ran.clear()
+        context.raw = await place.ask("/again/", "r1", {"Deadline-Ms": "4500"})
+        await asyncio.sleep(silent_s)
+        context.readers = [server.callers.get("r1") for server in servers]
+        context.next = await place.ask("/again/", "r2")
+        context.ran = [request_id for server in servers for request_id in server.ran]
+
+    with LogLines("saffronworks") as context.lines:
+        on_platform(servers, play, CONFIG | {"routes": ROUTES})
+
+
+@then("the answer is that of the {which} endpoint, and the other exchange is closed")
+def answered_by(context, which):
+    stamp = next(line for line in context.raw.split(b"\r\n") if b"stamp-" in line)
+    silent = [s for s in context.servers if s.instance.encode() in stamp]
+    lines = [line for line in context.lines if "r1" in line]
+    awaited = any("event=await_answer" in line for line in lines)
+    assert len(silent) == 1 and awaited == (which == "silent"), (stamp, lines)
+    closed = [reader.at_eof() or reader.exception() is not None for reader in context.readers]
+    assert any(closed) or which == "silent", (closed, lines)
+
+
+def run_with_late(body):
+    """Return the run of a page with a late exchange, whose answer has come so far, and its end."""
+    connection = connect()
+    connection.send(b"", "r1")
+    connection.data_received(WHOLE_HEAD + body)
+    run = _PlainRun(Mock(now_ms=lambda: 0), Mock(deadline_at_ms=900))
+    run._late = Mock(exchange=Mock(connection=connection))
+    return run, connection
+
+
+@then("the late exchange may answer if its answer is whole, but not if it was cut off")
+def closed_after_answer(_):
+    for body, expected in ((b"own", True), (b"ow", False)):
+        run, connection = run_with_late(body)
+        assert run._earlier_may_answer()
+        connection.eof_received()
+        connection.connection_lost(None)
+        assert run._earlier_may_answer() == expected, body
+
+
+@then("a whole answer is kept however long the next endpoint takes, and no other one")
+def kept_after_overlap(_):
+    for body, expected in ((b"own", True), (b"ow", False)):
+        run, _ = run_with_late(body)
+        late = run._late
+        run._end_overlap()
+        run._is_late, run._exchange, run._endpoint = expected, Mock(), Mock()
+        run._set_late_aside()
+        assert (run._late is late) == expected, body
+        assert late.exchange.end.called != expected, body
+
+
+async def send_beside_late(body, kind):
+    """Return the event of a silent send of 300 ms, during which the late answer has come so far."""
+    run, _ = run_with_late(body)
+    run._node.now_ms = monotonic_ms
+    run._node.note_break = AsyncMock()
+    run._node.loads.of.return_value = Mock(outstanding=0)
+    run._endpoint, run._late.head = Mock(), head_of(kind)
+    run._job.deadline_at_ms = monotonic_ms() + 300
+
+    async def be_silent(timeout_ms):
+        await asyncio.sleep(timeout_ms / 1000)
+        raise ExchangeError(ExchangeErrorCause.SILENT, sent=True)
+
+    exchange = Mock(head=be_silent, connection=Mock(uses=2, may_answer=False))
+    run._node.calls.send = AsyncMock(return_value=exchange)
+    return await run._finish(Mock(instance="e1"), run._exchange_with(Mock(), 300)), run
+
+
+@then("it is delivered at the end of the overlap if it is a success that is whole")
+def delivered_at_overlap(_):
+    for body, kind, delivered in (
+        (b"own", "ok", True),
+        (b"own", "500", False),
+        (b"o", "ok", False),
+    ):
+        event, run = asyncio.run(send_beside_late(body, kind))
+        assert (event == Overtaken("e1")) == delivered, (body, kind, event)
+        # An endpoint that was silent no longer than the overlap has not failed.
+        assert run._node.note_break.called != delivered
+    state, ranked, budget = late_before_permit()
+    step(state, Permitted("e1"), ranked, budget, 340, eligibility=LIMITED)
+    assert step(state, Overtaken("e1"), ranked, budget, 440) == AwaitAnswer()
+    assert step(state, Answered("e0", head_of("ok")), ranked, budget, 440) == Relay()
+    assert (state.sends, state.runs) == (2, 2), state
+
+
+@then("a failure that is whole is delivered at the deadline")
+def failure_at_deadline(_):
+    event, _ = asyncio.run(send_beside_late(b"own", "500"))
+    assert isinstance(event, Broken) and event.earlier_may_answer, event
+    state, ranked, budget = late_before_permit()
+    step(state, Permitted("e1"), ranked, budget, 340, eligibility=LIMITED)
+    silent = Broken("e1", sent=True, silent=True, earlier_may_answer=True)
+    assert step(state, silent, ranked, budget, 3000) == AwaitAnswer()
+    assert step(state, Answered("e0", head_of("500")), ranked, budget, 3000) == Relay()
+
+
 def close_after_take_over(after_ms):
     """Return the state, the hold and the command once the silent run of a take-over is closed.
 
@@ -183,6 +313,70 @@
         assert due == [False, True], (count, due)
 
 
+@then("a late answer is awaited while no other send is allowed, and no retry is counted")
+def awaited_without_sends(_):
+    endpoints = [ServiceEndpoint(f"i-{number}", "web", f"h:{number}", "z") for number in (1, 2)]
+    budget = RetryBudget(10.0, 1000, 10_000, NodeCount(1))
+    state = PlainState("web", True, 2, 400, 2000)
+    sent = step(state, Begin(), endpoints, budget, 0)
+    late = Broken(sent.endpoint.instance, sent=True, silent=True, may_answer=True)
+    assert step(state, late, endpoints, budget, 320, NO_TIME_LEFT) == AwaitAnswer()
+    assert (state.sends, state.runs) == (1, 0), state
+    again = step(state, late, endpoints, budget, 330)
+    assert isinstance(again, SendTo) and again.endpoint != sent.endpoint, again
+
+
+def late_before_permit():
+    """Return a late page for whose next send a permit is needed, its endpoints and budget."""
+    budget = RetryBudget(10.0, 1000, 10_000, NodeCount(1))
+    state, ranked = PlainState("s", True, 3, 400, 3000), endpoints(3)
+    assert isinstance(step(state, Begin(), ranked, budget, 0, eligibility=LIMITED), SendTo)
+    late = Broken("e0", sent=True, silent=True, may_answer=True)
+    command = step(state, late, ranked, budget, 330, eligibility=LIMITED)
+    assert command == AcquirePermit(ranked[1]), command
+    return state, ranked, budget
+
+
+@then("its late answer is awaited, whether the permit was granted or not, and no retry is counted")
+def awaited_after_permit(_):
+    for denial in (NO_TIME_LEFT, KEY_REVOKED, ENDS_ENDPOINTS):
+        for event in (Permitted("e1"), NotPermitted("e1", 500)):
+            state, ranked, budget = late_before_permit()
+            withdrawn = Mock(wraps=budget)
+            command = step(state, event, ranked, withdrawn, 340, denial, LIMITED)
+            assert command == AwaitAnswer(), (denial, event, command)
+            assert (state.sends, state.runs) == (1, 0), state
+            assert not withdrawn.withdraw.called
+            # Nothing goes on any more.
+            ended = step(state, Broken("e0", sent=True), ranked, budget, 350, denial, LIMITED)
+            expected = denial if denial != NO_TIME_LEFT else Refuse(502, "node-draining", False)
+            assert ended == expected and not ended.not_run, ended
+
+
+@then("so it is if the next endpoint has rejected the page, and a further one grants no permit")
+def awaited_after_rejection(_):
+    state, ranked, budget = late_before_permit()
+    command = step(state, NotPermitted("e1", 500), ranked, budget, 340, eligibility=LIMITED)
+    assert isinstance(command, SendTo) and command.endpoint == ranked[2], command
+    limited = Eligibility(limited=frozenset(["e3"]))
+    ranked = endpoints(4)
+    rejected = Answered("e2", head_of("not-run"), earlier_may_answer=True)
+    command = step(state, rejected, ranked, budget, 350, eligibility=limited)
+    assert command == AcquirePermit(ranked[3]), command
+    command = step(state, NotPermitted("e3", 500), ranked, budget, 360, eligibility=limited)
+    assert command == AwaitAnswer() and state.runs == 0, (command, state)
+
+
+@then("a permit that is not used is released while the late answer is awaited")
+def permit_released(_):
+    run, _ = run_with_late(b"own")
+    run._permit = permit = Permit(ask=Mock())
+    run._late, run._endpoint = None, Mock()
+    run._finish, run._read_answer = AsyncMock(), Mock()
+    asyncio.run(run._execute(AwaitAnswer()))
+    run._node.limits.release_permit.assert_called_once_with(permit)
+
+
 @when("a node is stopped during a resumable stream, and the endpoint is silent beyond the notice")
 def silent_beyond_notice(context):
     servers = [*web_servers(), *engines()]
