Forget waiters for memory that their node asks for no more

A waiter expires 1.5 s after its node last asked, as nodes repeat their asks. One whose run its node reports, as it began without the planner, waits no more: it could be granted memory a second time. Two requests with one id at one node no longer end one of them as an internal error: the second one goes on without the planner, whose answers name the request alone.

--- a/saffronworks/forwarding/planning/client.py
+++ b/saffronworks/forwarding/planning/client.py
@@ -126,7 +126,8 @@
     async def ask(self, ask: MemoryAsk) -> MemoryGrant | MemoryRefusal | None:
         """Request memory; return None if the planner is silent or its plan is not complete."""
         planner = self._planner(ask.service) if self._kernel else None
-        if planner is None:
+        # Answers name the request alone, so those of two with one id are not told apart.
+        if planner is None or ask.request_id in self._answers:
             return None
         self._answers[ask.request_id] = []
         try:
--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -35,6 +35,7 @@
     MAX_SLOWDOWN,
     REPORT_LAPSE_MS,
     STALLED_RUN_MS,
+    WAITER_LAPSE_MS,
 )
 from saffronworks.forwarding.starts import StartId
 from saffronworks.forwarding.tuning import (
@@ -135,6 +136,7 @@
         now_ms - ask.waited_ms,
         now_ms + ask.in_time_ms,
         now_ms + ask.patience_ms,
+        now_ms,
         decided=known.decided if known else False,
     )
 
@@ -211,6 +213,10 @@
         if run.reply_to == report.reply_to and request_id not in reported and not may_be_newer:
             _remove_run(state, request_id)
     for live in report.runs:
+        waiter = state.waiters.get(live.request_id)
+        if waiter is not None and waiter.ask.reply_to == report.reply_to:
+            # The node got no reply in time and began the run without the planner.
+            del state.waiters[live.request_id]
         known = state.runs.get(live.request_id)
         if known is None or known.instance != live.instance:
             known = state.runs[live.request_id] = _make_run(live, report.reply_to, now_ms)
@@ -245,13 +251,17 @@
 
 
 def _expire(state: PlanState, now_ms: int) -> None:
-    """Remove runs of nodes that no longer report, and waiters past their patience deadline."""
+    """Remove the runs of nodes that no longer report, and the waiters of nodes that no longer ask.
+
+    A node repeats its ask for each waiting request, unless it has ended or is suspended. Memory
+    that is granted to such a waiter would stay reserved until the run expires.
+    """
     for request_id, run in list(state.runs.items()):
         last_known_ms = max(run.began_ms, state.reported_ms.get(run.reply_to, 0))
         if now_ms - last_known_ms > REPORT_LAPSE_MS:
             _remove_run(state, request_id)
     for request_id, waiter in list(state.waiters.items()):
-        if now_ms > waiter.patience_deadline_ms:
+        if now_ms > waiter.patience_deadline_ms or now_ms - waiter.asked_ms > WAITER_LAPSE_MS:
             del state.waiters[request_id]
 
 
--- a/saffronworks/forwarding/planning/order.py
+++ b/saffronworks/forwarding/planning/order.py
@@ -21,13 +21,14 @@
 class Waiter:
     """A request that waits for memory; times are those of the planner's own clock.
 
-    Once `decided`, it is not rejected any more.
+    Its node last asked at `asked_ms`. Once `decided`, it is not rejected any more.
     """
 
     ask: MemoryAsk
     arrived_ms: int
     target_deadline_ms: int
     patience_deadline_ms: int
+    asked_ms: int
     decided: bool = False
 
     @property
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -150,5 +150,7 @@
 # after the longer time in any case: a restarted planner has lost the request.
 RESEND_MS = 250
 MAX_RESEND_MS = 1000
+# A waiter expires this long after its node last asked for it; a late node has half a second.
+WAITER_LAPSE_MS = MAX_RESEND_MS + 500
 # Interval of the planner's ticks.
 PLAN_EVERY_MS = 20
--- a/saffronworks/tests/features/memory.feature
+++ b/saffronworks/tests/features/memory.feature
@@ -72,6 +72,16 @@
     Given a plan with runs of two nodes, of which one no longer reports
     Then only the runs of the other node remain
 
+  # Guards against a second grant to a request whose node went on without a silent planner.
+  Scenario: a request that runs does not wait
+    Given a full plan, and a request that waits for it
+    Then it stops waiting when its node reports its run, which stays where it is
+
+  # Guards against memory that is granted to requests of a node that is gone, one after the other.
+  Scenario: requests of a lost node stop waiting
+    Given a full plan, and requests of two nodes, of which one no longer asks for its own
+    Then memory that becomes free goes to the request of the other node at once
+
   Scenario: all nodes choose the same planner, a strong one
     Given a census of strong and weak nodes
     Then every node chooses the same strong node, and two nodes receive the reports
@@ -83,6 +93,11 @@
     When a node sends a request to a planner that is gone
     Then it goes on without it within a tenth of a second, and avoids that planner
 
+  # Guards against a caller that repeats its id: one of its requests failed as an internal error.
+  Scenario: two requests of one node have the same id
+    When a node sends two requests with one id to a planner that is gone
+    Then it goes on without it for both of them
+
   Scenario: nodes that start together plan without a warm-up
     When the first request reaches a planner that has just started with the other nodes
     Then it grants at once, as each node has reported no runs
--- a/saffronworks/tests/features/steps/memory_services_steps.py
+++ b/saffronworks/tests/features/steps/memory_services_steps.py
@@ -96,6 +96,33 @@
     assert context.second is None and context.second_ms < 20, context.second_ms
 
 
+@when("a node sends two requests with one id to a planner that is gone")
+def same_id(context):
+    context.answers = []
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            member = make_member(tasks)
+            await anyio.sleep(0.05)
+            member.client.choice.cores = {free_address(): 1.0}
+
+            async def send():
+                request = ask("a", reply_to=member.address)
+                context.answers.append(await member.client.ask(request))
+
+            async with anyio.create_task_group() as both:
+                both.start_soon(send)
+                both.start_soon(send)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it goes on without it for both of them")
+def goes_on_both(context):
+    assert context.answers == [None, None], context.answers
+
+
 @when("the first request reaches a planner that has just started with the other nodes")
 def first_request_of_all(context):
     async def main():
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -16,10 +16,13 @@
     LOCAL_PREFILL_MEMORY_SHARE,
     MARGIN_ANSWERS,
     MAX_MARGIN_SHARE,
+    MAX_RESEND_MS,
+    PLAN_EVERY_MS,
     PREFILL_MS_PER_TOKEN,
     REPORT_EVERY_MS,
     REPORT_LAPSE_MS,
     REPORTS_WAIT_MS,
+    WAITER_LAPSE_MS,
     WARM_UP_MS,
 )
 from saffronworks.forwarding.tuning import (
@@ -423,6 +426,54 @@
         core.step(plan, core.Tick(), {"d0": "z"}, now_ms)
 
 
+@given("a full plan, and a request that waits for it")
+def waits_for_full_plan(context):
+    context.plan = plan = warm_plan()
+    for name in ("full0", "full1"):
+        core.step(plan, ask(name, TWO_FIT, reply_to="n2"), {"d0": "z"}, START_MS)
+    core.step(plan, ask("waits", TWO_FIT), {"d0": "z"}, START_MS)
+    assert list(plan.waiters) == ["waits"]
+
+
+@then("it stops waiting when its node reports its run, which stays where it is")
+def stops_waiting(context):
+    plan = context.plan
+    run = messages.LiveRun("waits", "d1", 5000, 4000, 9000, age_ms=1)
+    core.step(plan, messages.MemoryReport("n2", "s", (run,)), {"d0": "z"}, START_MS + 1)
+    assert plan.waiters, "another request with this id runs at another node"
+    core.step(plan, messages.MemoryReport("n1", "s", (run,)), {"d0": "z"}, START_MS + 1)
+    replies = core.step(plan, messages.MemoryRelease("full0", "s"), {"d0": "z"}, START_MS + 2)
+    assert not granted(replies) and not plan.waiters, (replies, plan.waiters)
+    assert plan.runs["waits"].instance == "d1"
+
+
+@given("a full plan, and requests of two nodes, of which one no longer asks for its own")
+def waiters_of_lost_node(context):
+    """The lost node asks first, and the other one every second."""
+    plan, decoders = warm_plan(), {"d0": "z"}
+    context.plan, context.lapsed_ms = plan, START_MS + WAITER_LAPSE_MS + PLAN_EVERY_MS
+    for name in ("full0", "full1"):
+        core.step(plan, ask(name, TWO_FIT), decoders, START_MS)
+    changes = {"patience_ms": 8000, "in_time_ms": 4000, "returned": True}
+    for name in ("lost0", "lost1", "lost2"):
+        core.step(plan, ask(name, TWO_FIT, reply_to="n2", **changes), decoders, START_MS)
+    for now_ms in range(START_MS, context.lapsed_ms, PLAN_EVERY_MS):
+        core.step(plan, core.Tick(), decoders, now_ms)
+        if (now_ms - START_MS) % MAX_RESEND_MS == 0:
+            runs_of_n1 = report("n1", "full0").runs + report("n1", "full1").runs
+            core.step(plan, messages.MemoryReport("n1", "s", runs_of_n1), decoders, now_ms)
+            core.step(plan, ask("waits", TWO_FIT, **changes), decoders, now_ms)
+    assert "lost0" in plan.waiters, "its node may be late"
+
+
+@then("memory that becomes free goes to the request of the other node at once")
+def granted_to_other(context):
+    plan, decoders = context.plan, {"d0": "z"}
+    core.step(plan, core.Tick(), decoders, context.lapsed_ms)
+    replies = core.step(plan, messages.MemoryRelease("full0", "s"), decoders, context.lapsed_ms)
+    assert granted_in(replies) == ["waits"], (replies, plan.waiters)
+
+
 @then("only the runs of the other node remain")
 def only_other(context):
     assert list(context.plan.runs) == ["b"], context.plan.runs
--- a/saffronworks/tests/features/steps/priorities_steps.py
+++ b/saffronworks/tests/features/steps/priorities_steps.py
@@ -90,7 +90,7 @@
 
 def waiter(name, priority, in_time_ms, organisation="", **changes):
     asked = ask(name, priority=priority, organisation=organisation, **changes)
-    return Waiter(asked, START_MS, START_MS + in_time_ms, START_MS + 3000)
+    return Waiter(asked, START_MS, START_MS + in_time_ms, START_MS + 3000, START_MS)
 
 
 def request_ids(waiters):
--- a/saffronworks/tests/planner_load.py
+++ b/saffronworks/tests/planner_load.py
@@ -16,6 +16,7 @@
 from saffronworks.forwarding.planning.prefill import PrefillPlan
 from saffronworks.forwarding.planning.priorities import DEFAULT_RANK
 from saffronworks.forwarding.planning.tuning import (
+    MAX_RESEND_MS,
     PLAN_EVERY_MS,
     PLANNER_SILENT_MS,
     REPORT_EVERY_MS,
@@ -264,6 +265,17 @@
             target_ms=outcome.target_ms,
         )
         self._step(ask, now_ms)
+        self._at(now_ms + MAX_RESEND_MS, self._ask_again(request_id, avoid))
+
+    def _ask_again(self, request_id: str, avoid: tuple[str, ...]) -> Callable[[int], None]:
+        """Entry nodes ask again for requests that wait."""
+
+        def again(now_ms: int) -> None:
+            waiter = self.plan.waiters.get(request_id)
+            if waiter is not None and START_MS + now_ms - waiter.asked_ms >= MAX_RESEND_MS:
+                self._request(request_id, now_ms, avoid)
+
+        return again
 
     def _step(self, event: core.Event, now_ms: int) -> None:
         for reply in core.step(self.plan, event, self._decoders, START_MS + now_ms):
--- a/saffronworks/tests/share_load.py
+++ b/saffronworks/tests/share_load.py
@@ -8,7 +8,7 @@
 
 from saffronworks.forwarding.planning import core, messages
 from saffronworks.forwarding.planning.prefill import PrefillPlan
-from saffronworks.forwarding.planning.tuning import PLAN_EVERY_MS, REPORT_EVERY_MS
+from saffronworks.forwarding.planning.tuning import MAX_RESEND_MS, PLAN_EVERY_MS, REPORT_EVERY_MS
 
 START_MS = 10_000
 TARGET_MS, PATIENCE_MS, PREFILL_MS = 900, 3000, 100
@@ -84,6 +84,22 @@
         self.requests[request_id] = (ask, tries, now_ms)
         self.asked[name] += not tries
         self.step(ask, now_ms)
+        self.at(now_ms + MAX_RESEND_MS, self.ask_again, request_id)
+
+    def ask_again(self, request_id, now_ms):
+        """Entry nodes ask again for requests that wait."""
+        if request_id not in self.plan.waiters:
+            return
+        ask, _, asked_ms = self.requests[request_id]
+        waited_ms = now_ms - asked_ms
+        again = attrs.evolve(
+            ask,
+            waited_ms=waited_ms,
+            in_time_ms=ask.in_time_ms - waited_ms,
+            patience_ms=ask.patience_ms - waited_ms,
+        )
+        self.step(again, now_ms)
+        self.at(now_ms + MAX_RESEND_MS, self.ask_again, request_id)
 
     def step(self, event, now_ms):
         for reply in core.step(self.plan, event, DECODERS, START_MS + now_ms):
