Bound the request bodies of a node together

body_memory is one account for the bodies of callers and of relayed requests. A request whose body has none gets 503 at once, as not run, with a Retry-After; a body that can never fit gets 413. The rest of a refused body is discarded within bounds, because a connection that is closed unread is reset and its caller could lose the answer. There is one copy of a body. A node of the own deployment has the same account (body_memory_bytes).

event=refuse reason=bodies-full and two gauges tell of it; gauges have a module of their own now.

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -6,6 +6,7 @@
 import anyio
 from result import Err, Ok
 
+from saffronworks.body_memory import BodyMemory, BodyMemoryFull
 from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
@@ -27,7 +28,7 @@
 )
 from saffronworks.forwarding.ports import RelayCalls, RelayedRequest
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
-from saffronworks.web import BadBody, Call
+from saffronworks.web import BadBody, Call, SlowBody
 
 __all__ = ["RelayServer"]
 
@@ -50,6 +51,7 @@
         calls: RelayCalls,
         max_body_bytes: Callable[[], int],
         now_ms: Callable[[], int],
+        bodies: BodyMemory | None = None,
     ):
         self.open_requests = 0
         self.open_body_bytes = 0
@@ -61,6 +63,7 @@
         self._calls = calls
         self._max_body_bytes = max_body_bytes
         self._now_ms = now_ms
+        self._bodies = bodies or BodyMemory()
 
     async def handle(self, call: Call) -> None:
         """Answer one request of another node."""
@@ -132,10 +135,32 @@
         self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint
     ) -> None:
         """Relay a request until it is answered or the other node has closed its connection."""
+        hold = call.body_hold = self._bodies.begin(self._now_ms())
         try:
-            body = await call.body(self._max_body_bytes())
+            body = await self._read_body(call, request)
+            if body is not None:
+                await self._relay_until_left(call, request, endpoint, body)
+        finally:
+            hold.release(self._now_ms())
+
+    async def _read_body(self, call: Call, request: RelayRequest) -> bytes | None:
+        """Return the body; None if its request was refused."""
+        try:
+            return await call.body(self._max_body_bytes())
+        except SlowBody:
+            await self._refuse(call, "body-slow", request_id=request.request_id)
         except BadBody:
             await self._refuse(call, "body-too-large", request_id=request.request_id)
+        except BodyMemoryFull:
+            self._bodies.count_refusal("relayed", self._now_ms())
+            await self._refuse(call, "busy", request_id=request.request_id)
+        return None
+
+    async def _relay_until_left(
+        self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint, body: bytes
+    ) -> None:
+        if self.closing:
+            await self._refuse(call, "stopping", request_id=request.request_id)
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, call, tasks.cancel_scope)
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -1,5 +1,7 @@
 """The callers' HTTP interface of a node: completions, models, plain services, probes."""
 
+import logging
+import math
 import random
 import uuid
 from typing import Any
@@ -8,9 +10,11 @@
 from result import Err
 
 from saffronworks import claims, request_events
+from saffronworks.body_memory import BodyHold, BodyMemory, BodyMemoryFull
 from saffronworks.bundles import Model
 from saffronworks.claim_service import ClaimService
 from saffronworks.completions import (
+    OUTCOME_HEADER,
     CollectingSink,
     CompletionRequest,
     StreamingSink,
@@ -35,6 +39,8 @@
 
 __all__ = ["Frontend"]
 
+logger = logging.getLogger(__name__)
+
 MOST_TOKENS = 100_000
 
 
@@ -53,6 +59,7 @@
         self.plain = PlainProxy(settings.zone)
         self.draining = False
         self.open_calls = 0
+        self.bodies = BodyMemory(settings.body_memory_bytes)
         self._settings = settings
         self._kernel = kernel
         self._engines = engines
@@ -63,6 +70,7 @@
     async def handle(self, call: Call) -> None:
         """Answer one HTTP call of a caller."""
         self.open_calls += 1
+        hold = call.body_hold = self.bodies.begin(self._kernel.now_ms())
         try:
             match call.method, call.path:
                 case "GET", "/healthz":
@@ -78,9 +86,34 @@
                     await self._complete(call, chat=True)
                 case _:
                     await self._carry_plain(call)
+        except BodyMemoryFull:
+            await self._refuse_for_memory(call, hold)
         finally:
+            hold.release(self._kernel.now_ms())
             self.open_calls -= 1
 
+    async def _refuse_for_memory(self, call: Call, hold: BodyHold) -> None:
+        """Refuse a request whose body has no memory; it was not run."""
+        now_ms, stated_bytes = self._kernel.now_ms(), call.stated_body_bytes
+        max_bytes = self._settings.max_body_bytes
+        body_bytes = max_bytes if stated_bytes is None else stated_bytes
+        wait_s = max(1, math.ceil(self.bodies.room_after_ms(body_bytes, now_ms) / 1000))
+        hold.release(now_ms)
+        self._ends.count("body-refused")
+        if (not_logged := self.bodies.count_refusal("full", now_ms)) is not None:
+            logger.info(
+                "event=body_refused reason=bodies-full body_bytes=%s held_bytes=%d "
+                "bound_bytes=%s retry_after_s=%d not_logged=%d",
+                stated_bytes,
+                self.bodies.held_bytes,
+                self.bodies.bound_bytes,
+                wait_s,
+                not_logged,
+            )
+        body = error_body("not-run: no memory for the body", "server_error", "not-run")
+        headers = {OUTCOME_HEADER: "not-run", "retry-after": str(wait_s)}
+        await call.reply_unread(503, body, headers, max_bytes)
+
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
         accepts = not self.draining and not self._kernel.failing()
@@ -111,7 +144,12 @@
             await reply_plain_outcome(call, denied)
             return
         self.plain.leaving = entry.leaving
-        outcome = await self.plain.carry(call, route, once, self._kernel.now_ms())
+        try:
+            outcome = await self.plain.carry(call, route, once, self._kernel.now_ms())
+        except BodyMemoryFull:
+            if claim is not None:
+                self._settle(call, claim, call_id)
+            raise
         self._ends.count(f"plain-{outcome}")
         if outcome == "not-run" and claim is not None:
             self._settle(call, claim, call_id)
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from saffronworks.body_memory import BodyHold, BodyMemory, BodyMemoryFull
 from saffronworks.field_numbers import read_count, read_decimal, shorten
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
@@ -15,10 +16,12 @@
 from saffronworks.forwarding.ports import AnswerBody
 from saffronworks.forwarding.prompt_parts import MAX_SHARED_PARTS
 from saffronworks.forwarding.routing import CallerLimits
+from saffronworks.forwarding.runners import retry_after_ms
+from saffronworks.forwarding.tuning import RETRY_AFTER_MAX_MS
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
 from saffronworks.http_connections import count_field_bytes
 from saffronworks.platform.calls import ID_FIELD
-from saffronworks.web import BadBody, Call
+from saffronworks.web import BadBody, Call, SlowBody
 
 __all__ = ["CallerConnectionReply", "Ingress", "read_request"]
 
@@ -183,6 +186,20 @@
     async def refuse(self, status: int, reason: str, retry_after_ms: int | None = None) -> None:
         """Answer without an endpoint; Retry-After is in seconds, with a fraction."""
         self._finished = True
+        headers = self._refusal_fields(retry_after_ms)
+        await self._call.reply(status, {"error": reason}, headers)
+
+    async def refuse_unread(
+        self, status: int, reason: str, retry_after_ms: int, max_body_bytes: int
+    ) -> None:
+        """Answer without an endpoint a request whose body was not read, and discard the body."""
+        self._finished = True
+        # Waiting for the rest of the body takes no processor time.
+        self.record_sending()
+        headers = self._refusal_fields(retry_after_ms)
+        await self._call.reply_unread(status, {"error": reason}, headers, max_body_bytes)
+
+    def _refusal_fields(self, retry_after_ms: int | None) -> dict[str, str]:
         headers = {}
         request_id = self._call.headers.get("request-id")
         if request_id:
@@ -191,7 +208,7 @@
             headers["retry-after"] = f"{retry_after_ms / 1000:.3f}"
         if self._closing:
             headers["connection"] = "close"
-        await self._call.reply(status, {"error": reason}, headers)
+        return headers
 
     async def wait_disconnected(self) -> None:
         """Return when the caller has disconnected."""
@@ -229,9 +246,14 @@
     """Decodes callers' requests and passes them to the forwarder."""
 
     def __init__(
-        self, forwarder: Forwarder, closes: Callable[[int], bool], now_ms: Callable[[], int]
+        self,
+        forwarder: Forwarder,
+        bodies: BodyMemory,
+        closes: Callable[[int], bool],
+        now_ms: Callable[[], int],
     ):
         self._forwarder = forwarder
+        self._bodies = bodies
         # Whether a connection is closed after the answer to a request that arrives now.
         self._closes = closes
         self._now_ms = now_ms
@@ -239,6 +261,27 @@
     async def handle(self, call: Call) -> None:
         """Serve one request of a caller."""
         reply = CallerConnectionReply(call, self._closes(call.connection_number))
+        hold = call.body_hold = self._bodies.begin(self._now_ms())
+        try:
+            body = await self._read_body(call, reply, hold)
+            if body is not None:
+                await self._serve(call, reply, body)
+        finally:
+            hold.release(self._now_ms())
+
+    async def _serve(self, call: Call, reply: CallerConnectionReply, body: bytes) -> None:
+        request = read_request(call, body, self._now_ms())
+        if isinstance(request, Err):
+            text = "; ".join(request.err_value)
+            logger.info("event=bad_request reason=%r path=%s", text, call.raw_path)
+            await reply.refuse(400, text)
+            return
+        await self._forward(request.ok_value, reply)
+
+    async def _read_body(
+        self, call: Call, reply: CallerConnectionReply, hold: BodyHold
+    ) -> bytes | None:
+        """Return the body; None if its request was refused."""
         body = b""
         try:
             with self._forwarder.until_ended() as scope:
@@ -247,24 +290,52 @@
         except TimeoutError:
             logger.info("event=bad_request reason=body-timeout")
             await reply.refuse(408, "body-timeout")
-            return
+            return None
+        except SlowBody:
+            logger.info("event=bad_request reason=body-slow")
+            self._bodies.count_refusal("slow", self._now_ms())
+            await reply.refuse(408, "body-slow")
+            return None
         except BadBody as error:
             logger.info("event=bad_request reason=%r", str(error))
             await reply.refuse(413, str(error))
-            return
+            return None
+        except BodyMemoryFull:
+            await self._refuse_for_memory(call, reply, hold)
+            return None
         if scope.cancelled_caught:
             logger.warning(
                 "event=refuse request=%s reason=stopping", call.headers.get("request-id")
             )
             await reply.refuse(STOPPING.status, STOPPING.reason, STOPPING.retry_after_ms)
-            return
-        request = read_request(call, body, self._now_ms())
-        if isinstance(request, Err):
-            text = "; ".join(request.err_value)
-            logger.info("event=bad_request reason=%r path=%s", text, call.raw_path)
-            await reply.refuse(400, text)
-            return
-        await self._forward(request.ok_value, reply)
+            return None
+        return body
+
+    async def _refuse_for_memory(
+        self, call: Call, reply: CallerConnectionReply, hold: BodyHold
+    ) -> None:
+        """Refuse a request whose body has no room, and tell when there may be some."""
+        now_ms, max_bytes = self._now_ms(), self._max_body_bytes()
+        stated_bytes = call.stated_body_bytes
+        body_bytes = max_bytes if stated_bytes is None else stated_bytes
+        request = read_request(call, b"", now_ms)
+        spread_ms = retry_after_ms(request.ok_value, now_ms) if isinstance(request, Ok) else 0
+        room_ms = self._bodies.room_after_ms(body_bytes, now_ms)
+        wait_ms = min(RETRY_AFTER_MAX_MS, max(1, spread_ms, room_ms))
+        hold.release(now_ms)
+        if (not_logged := self._bodies.count_refusal("full", now_ms)) is not None:
+            logger.info(
+                "event=refuse request=%s status=503 reason=bodies-full not_run=True "
+                "retry_after_ms=%d body_bytes=%s held_bytes=%d bound_bytes=%s not_logged=%d",
+                call.headers.get("request-id"),
+                wait_ms,
+                stated_bytes,
+                self._bodies.held_bytes,
+                self._bodies.bound_bytes,
+                not_logged,
+            )
+        with self._forwarder.until_ended():
+            await reply.refuse_unread(503, "bodies-full", wait_ms, max_bytes)
 
     async def _forward(self, request: CallerRequest, reply: CallerConnectionReply) -> None:
         """Pass a request to the forwarder; a failure of its own ends as an answer or as cut."""
@@ -281,4 +352,5 @@
 
     def _max_body_bytes(self) -> int:
         table = self._forwarder.table
-        return (table.limits if table else CallerLimits()).body_bytes
+        limit_bytes = (table.limits if table else CallerLimits()).body_bytes
+        return min(limit_bytes, self._bodies.max_body_bytes or limit_bytes)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -4,13 +4,13 @@
 import math
 import random
 import signal
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
+from saffronworks.body_memory import BodyMemory, body_bound
 from saffronworks.clocks import LOOP_METER, held_up_ms, monotonic_ms, wall_ms
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
@@ -67,6 +67,11 @@
 from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.platform.calls import PlatformCalls
 from saffronworks.platform.configuration import CONFIG_KIND, ConfigurationSink
+from saffronworks.platform.gauges import (
+    levels_by,
+    register_caller_gauges,
+    register_service_gauges,
+)
 from saffronworks.platform.ingress import Ingress
 from saffronworks.platform.scrapes import MetricsPage
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
@@ -173,7 +178,10 @@
         )
         self._state = self._make_state(settings, link)
         self._forwarder = Forwarder(self._state, monotonic_ms())
-        self._ingress = Ingress(self._forwarder, self._closes_connection, monotonic_ms)
+        self._bodies = _make_body_memory(settings)
+        self._ingress = Ingress(
+            self._forwarder, self._bodies, self._closes_connection, monotonic_ms
+        )
         self._register()
         self._followers = self._make_followers(settings, rng)
         self._census = Census(
@@ -204,7 +212,12 @@
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
         self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
         self._relay_server = RelayServer(
-            self._directory, self._paths, self._calls, self._max_body_bytes, monotonic_ms
+            self._directory,
+            self._paths,
+            self._calls,
+            self._max_body_bytes,
+            monotonic_ms,
+            self._bodies,
         )
         self._relays: HttpServer | None = None
         if settings.relay_address is not None:
@@ -215,28 +228,16 @@
         self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
 
     def _register_gauges(self, figures: MetricsRecorder) -> None:
-        """Register the gauges of callers' connections, the node's load, its services and relays."""
-        gate, kernel, now_ms = self._gate, self._kernel, monotonic_ms
+        register_caller_gauges(figures, self._gate, self._callers, self._bodies)
+        register_service_gauges(figures, self._kernel, self._peers)
+        unmatched, relays = self._calls.pool.unmatched, self._relay_server
         gauges: dict[str, Callable[[], list[Level]]] = {
-            "saffronworks_rejected_connections": lambda: [Level(gate.rejected, {})],
-            "saffronworks_closed_connections": lambda: [
-                Level(count, {"reason": reason})
-                for reason, count in self._callers.closed_connections.items()
-            ],
-            "saffronworks_link_backlog_ms": lambda: [Level(gate.link.backlog_ms(now_ms()), {})],
-            "saffronworks_link_queue_ms": lambda: [Level(gate.link_queue_ms(now_ms()), {})],
-            "saffronworks_longest_loop_turn_ms": lambda: [
-                Level(LOOP_METER.longest_turn_ms(now_ms()), {})
-            ],
-            "saffronworks_service_failures": lambda: _levels(kernel.failures),
-            "saffronworks_failed_messages": lambda: _levels(kernel.dropped),
-            "saffronworks_unusable_from_peers": lambda: [
-                Level(count, {"part": part}) for part, count in self._peers.unusable.items()
-            ],
-            "saffronworks_relayed_requests": lambda: [Level(self._relay_server.open_requests, {})],
-            "saffronworks_unmatched_answers": lambda: [
-                Level(count, {"reason": reason})
-                for reason, count in self._calls.pool.unmatched.counts.items()
+            "saffronworks_unmatched_answers": lambda: levels_by("reason", unmatched.counts),
+            "saffronworks_relayed_requests": lambda: [Level(relays.open_requests, {})],
+            "saffronworks_endpoints": self._paths.levels,
+            "saffronworks_service_versions": self._count_versions,
+            "saffronworks_quarantined_parts": lambda: [
+                Level(self._quarantine.quarantined_parts(), {})
             ],
         }
         for name, levels in gauges.items():
@@ -266,12 +267,6 @@
             settings.first_start,
         )
         self._store_epoch.subscribe(lambda: self._origins.certainty.record_restore(monotonic_ms()))
-        figures.register_gauge("saffronworks_endpoints", self._paths.levels)
-        figures.register_gauge("saffronworks_service_versions", self._count_versions)
-        figures.register_gauge(
-            "saffronworks_quarantined_parts",
-            lambda: [Level(self._quarantine.quarantined_parts(), {})],
-        )
         return NodeState(
             zone=settings.zone,
             directory=self._directory,
@@ -635,10 +630,10 @@
         )
 
 
-def _seconds_until(at_ms: int) -> float:
-    return max(0, at_ms - monotonic_ms()) / 1000
+def _make_body_memory(settings: PlatformSettings) -> BodyMemory:
+    answer_bytes = buffer_bound(settings.memory_bytes) or 0
+    return BodyMemory(body_bound(settings.memory_limit_bytes, answer_bytes))
 
 
-def _levels(counts: Counter[str]) -> list[Level]:
-    """Return counts by service as the levels of a gauge."""
-    return [Level(count, {"service": name}) for name, count in counts.items()]
+def _seconds_until(at_ms: int) -> float:
+    return max(0, at_ms - monotonic_ms()) / 1000
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -51,6 +51,8 @@
     link_mbps: float
     # None without a memory limit, or if callers and endpoints never read slowly.
     memory_bytes: int | None
+    # None without a memory limit.
+    memory_limit_bytes: int | None
     quota_bounds: Tolerance
     # Region by availability zone.
     regions: dict[str, str] = attrs.Factory(dict)
@@ -101,6 +103,7 @@
         cores=limits.number("cpu_share", 1.0) * limits.number("cores", 1.0),
         link_mbps=limits.number("link_mbps", 0.0),
         memory_bytes=_memory_bytes(root, limits),
+        memory_limit_bytes=_memory_limit_bytes(limits),
         quota_bounds=_quota_bounds(bounds),
         regions=root.text_map("zones"),
         first_start=root.flag("first_start", False),
@@ -110,6 +113,10 @@
 def _memory_bytes(root: Section, limits: Section) -> int | None:
     if SLOW_READERS_CONTRACT not in root.texts("contracts"):
         return None
+    return _memory_limit_bytes(limits)
+
+
+def _memory_limit_bytes(limits: Section) -> int | None:
     return int(limits.number("memory_mb", 0.0) * BYTES_PER_MB) or None
 
 
--- a/saffronworks/settings.py
+++ b/saffronworks/settings.py
@@ -30,6 +30,8 @@
     report_every_ms: int = 1000
     streams_every_ms: int = 2000
     max_body_bytes: int = 4_000_000
+    # Memory for the bodies of all requests together.
+    body_memory_bytes: int = 64_000_000
     max_live_requests: int = 4096
     log_level: str = "INFO"
 
--- /dev/null
+++ b/saffronworks/tests/features/body_memory.feature
@@ -0,0 +1,55 @@
+Feature: the request bodies of a node take a bounded part of its memory
+
+  # Guards against a node that admits each body and outgrows its memory limit: it is killed, and
+  # loses all of its requests.
+  Scenario: the memory of bodies never exceeds its bound
+    Then bodies that begin, arrive and end in any order stay within the bound and leave nothing
+    And while large bodies are refused there is memory for small ones, and the reverse
+    And the bound grows with the memory limit, and leaves no node without any
+
+  # Guards against bodies without a common bound, against small requests that suffer for large ones,
+  # and against refusals that are lost as their connection is reset.
+  Scenario: many large bodies at once
+    When callers send more large bodies at once than a node has memory for, and small ones
+    Then the large bodies at work stay within the bound, and the others get 503 at once
+    And each refusal is whole, has a Retry-After and its request is not run
+    And all small requests are served
+    And a connection whose request was refused serves the next one
+    And the node counts and logs the refusals, and no memory is left taken
+
+  # Guards against bodies without a stated length that are not counted.
+  Scenario: a body in chunks is refused when the bound is reached
+    When large bodies fill the bound of a node, and another one comes in chunks
+    Then it gets a whole 503, and its request is not run
+
+  # Guards against memory of refused bodies that is counted as free and is still taken.
+  Scenario: the memory of a refused body is free while its rest is discarded
+    When a body in chunks is refused after most of it has arrived
+    Then nothing that handles the refusal keeps the part that has arrived
+    And a node of an own deployment counts it as free when the refusal is sent
+
+  # Guards against a refusal that waits for a body which its caller will not send.
+  Scenario: a caller that awaits 100 Continue is refused without its body
+    When large bodies fill the bound of a node, and another caller awaits 100 Continue
+    Then it gets a whole 503, and its request is not run
+
+  # Guards against a next request that is taken for the body which its caller has not sent.
+  Scenario: a caller that awaits 100 Continue is refused as its body is too large
+    When a caller of a node awaits 100 Continue for a body beyond the limit
+    Then it gets a whole 413, and its connection is closed
+
+  # Guards against callers that state a length, send nothing and keep the memory from others.
+  Scenario: bodies that hold the bound without progress
+    When callers that send nothing of their bodies fill the bound of a node
+    Then they get 408 once others are refused, and the others are served then
+
+  # Guards against bodies without a common bound in the own deployment.
+  Scenario: a node of an own deployment refuses bodies beyond its bound
+    When callers of a node of an own deployment hold its memory for bodies, and another one comes
+    Then it gets a whole 503 as not run, and is served once they have left
+
+  # Guards against logs that name the size of a body as the cause where its caller was too slow.
+  Scenario: a relayed body that arrives too slowly
+    When a body that another node relays arrives too slowly
+    Then the other node is told of a slow body, and that nothing was sent
+
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -11,18 +11,36 @@
 import anyio
 import msgspec
 import uvicorn
+from result import Ok
 
+from saffronworks.body_memory import BodyHold, BodyMemoryFull
+from saffronworks.clocks import monotonic_ms
+from saffronworks.field_numbers import read_whole
 from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
 from saffronworks.wire import DECODE_ERRORS
 
-__all__ = ["AcceptGate", "BadBody", "Call", "HttpServer", "bind", "is_address", "parse_address"]
+__all__ = [
+    "AcceptGate",
+    "BadBody",
+    "Call",
+    "HttpServer",
+    "SlowBody",
+    "bind",
+    "is_address",
+    "parse_address",
+]
 
 logger = logging.getLogger(__name__)
 
 # Interval of uvicorn's housekeeping, which renews the date header.
 TICK_INTERVAL_S = 1.0
 KEEP_ALIVE_S = 30.0
+# Bounds on reading and discarding the body of a request that was refused: the time without a part
+# of it, and the whole time.
+DISCARD_IDLE_S = 1.0
+DISCARD_TIMEOUT_S = 10.0
+CLOSE_FIELD = (b"connection", b"close")
 # Connections that a gate rejects in one turn of the event loop.
 MAX_REJECTED_PER_TURN = 256
 
@@ -31,6 +49,10 @@
     """The body of a request is too large or malformed, or the caller disconnected."""
 
 
+class SlowBody(BadBody):
+    """The body of a request arrives too slowly while others lack the memory that it holds."""
+
+
 class Call:
     """One HTTP request and its response."""
 
@@ -52,11 +74,15 @@
         self._receive = receive
         self._send = send
         self.streamed = False
+        # The memory of the body, for handlers that bound it.
+        self.body_hold: BodyHold | None = None
         self._whole = False
+        self._reading = False
         self._body = b""
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in parts; `streamed` is true then, as it can't be read again."""
+        self._reading = True
         while not self._whole:
             message = await self._receive()
             if message["type"] == "http.disconnect":
@@ -65,21 +91,62 @@
             self._whole = not message.get("more_body", False)
             yield message.get("body", b"")
 
+    @property
+    def stated_body_bytes(self) -> int | None:
+        """The length of the body as its head states it; None if the body is in chunks."""
+        if "transfer-encoding" in self.headers:
+            return None
+        length = read_whole(self.headers.get("content-length", "0"))
+        return length.ok_value if isinstance(length, Ok) else None
+
     async def body(self, most_bytes: int) -> bytes:
-        """Return the whole body, which is kept; raises BadBody beyond `most_bytes`."""
-        parts: list[bytes] = [self._body]
+        """Return the whole body, which is kept; raises BadBody beyond `most_bytes`.
+
+        Its memory is taken from `body_hold`, if there is one: raises BodyMemoryFull, before the
+        body is read if its length is stated, and SlowBody.
+        """
+        if self._whole:
+            return self._body
+        stated_bytes = self.stated_body_bytes or 0
+        if stated_bytes > most_bytes:
+            raise BadBody(f"body of more than {most_bytes} bytes")
+        if self.body_hold is None:
+            await self._read_body(stated_bytes, most_bytes, None)
+            return self._body
+        self.body_hold.reserve(stated_bytes, monotonic_ms())
+        with anyio.CancelScope() as slow:
+            self.body_hold.on_slow = slow.cancel
+            try:
+                await self._read_body(stated_bytes, most_bytes, self.body_hold)
+            finally:
+                self.body_hold.on_slow = None
+        if slow.cancelled_caught:
+            raise SlowBody("the body arrives too slowly")
+        return self._body
+
+    async def _read_body(self, stated_bytes: int, most_bytes: int, hold: BodyHold | None) -> None:
+        # One block of the stated length: parts that are joined later fragment the heap.
+        body = bytearray(stated_bytes)
         size_bytes = 0
+        self._reading = True
         while not self._whole:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise BadBody("the caller disconnected")
-            parts.append(message.get("body", b""))
-            size_bytes += len(parts[-1])
+            part = message.get("body", b"")
+            body[size_bytes : size_bytes + len(part)] = part
+            size_bytes += len(part)
             if size_bytes > most_bytes:
                 raise BadBody(f"body of more than {most_bytes} bytes")
+            if hold is not None:
+                try:
+                    hold.receive(len(part), monotonic_ms())
+                except BodyMemoryFull:
+                    # The traceback keeps this frame while the rest of the body is discarded.
+                    body.clear()
+                    raise
             self._whole = not message.get("more_body", False)
-        self._body = b"".join(parts)
-        return self._body
+        self._body = bytes(memoryview(body)[:size_bytes])
 
     async def json(self, most_bytes: int = 8_000_000) -> Any:
         """Return the body decoded from JSON; raises BadBody."""
@@ -95,6 +162,10 @@
             if message["type"] == "http.disconnect":
                 return
 
+    @property
+    def _awaits_continue(self) -> bool:
+        return not self._reading and not self._whole and "expect" in self.headers
+
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status line and headers."""
         await self.start_fields(status, headers.items())
@@ -103,6 +174,9 @@
         """Send the status line and header fields; names may repeat."""
         self.started = True
         raw = [(key.lower().encode(), value.encode("latin-1")) for key, value in fields]
+        if self._awaits_continue:
+            # The caller has not sent the body, and need not send it now.
+            raw = [field for field in raw if field[0] != b"connection"] + [CLOSE_FIELD]
         await self._send({"type": "http.response.start", "status": status, "headers": raw})
 
     async def write(self, data: bytes, more: bool = True) -> None:
@@ -159,6 +233,34 @@
         data = msgspec.json.encode(value)
         await self.reply_bytes(status, data, "application/json", headers)
 
+    async def reply_unread(
+        self, status: int, value: object, headers: Mapping[str, str], max_discarded_bytes: int
+    ) -> None:
+        """Send a complete JSON response although the body was not read, and discard the body.
+
+        A connection that is closed unread is reset, and its caller could lose the response.
+        """
+        data = msgspec.json.encode(value)
+        fields = {"content-type": "application/json", "content-length": str(len(data)), **headers}
+        await self.start(status, fields)
+        await self.write(data)
+        if not self._awaits_continue and not await self._discard_body(max_discarded_bytes):
+            self.close()
+        await self.write(b"", more=False)
+
+    async def _discard_body(self, max_bytes: int) -> bool:
+        """Read and discard the rest of the body; return whether it ended within the bounds."""
+        discarded_bytes = 0
+        with anyio.move_on_after(DISCARD_TIMEOUT_S):
+            while not self._whole and discarded_bytes <= max_bytes:
+                with anyio.move_on_after(DISCARD_IDLE_S) as idle:
+                    message = await self._receive()
+                if idle.cancelled_caught or message["type"] == "http.disconnect":
+                    break
+                discarded_bytes += len(message.get("body", b""))
+                self._whole = not message.get("more_body", False)
+        return self._whole
+
     async def reply_bytes(
         self, status: int, data: bytes, kind: str, headers: Mapping[str, str] | None = None
     ) -> None:
