Bound the time of a relayed body by that of its request

Relays were refused as busy for good: a cut path hid that the other node had left, and a body that it had not finished kept its place and its memory. The time for the answer also began only once its head had come.

A relayed body has the time that its request has left, and what remains of it is that of the rest: the relay is refused as not sent when the time is over. A body that arrives too slowly is told as such.

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 from result import Err, Ok
 
 from saffronworks.body_memory import BodyMemory, BodyMemoryFull
@@ -135,10 +136,14 @@
         self, call: Call, request: RelayRequest, endpoint: ServiceEndpoint
     ) -> None:
         """Relay a request until it is answered or the other node has closed its connection."""
-        hold = call.body_hold = self._bodies.begin(self._now_ms())
+        began_ms = self._now_ms()
+        request = attrs.evolve(request, left_ms=_clamp_ms(request.left_ms))
+        hold = call.body_hold = self._bodies.begin(began_ms)
         try:
             body = await self._read_body(call, request)
             if body is not None:
+                left_ms = _clamp_ms(request.left_ms - (self._now_ms() - began_ms))
+                request = attrs.evolve(request, left_ms=left_ms)
                 await self._relay_until_left(call, request, endpoint, body)
         finally:
             hold.release(self._now_ms())
@@ -146,7 +151,12 @@
     async def _read_body(self, call: Call, request: RelayRequest) -> bytes | None:
         """Return the body; None if its request was refused."""
         try:
-            return await call.body(self._max_body_bytes())
+            # A cut path may hide that the other node has left.
+            with anyio.fail_after(request.left_ms / 1000):
+                return await call.body(self._max_body_bytes())
+        except TimeoutError:
+            await self._refuse(call, "body-timeout", request_id=request.request_id)
+            call.close()
         except SlowBody:
             await self._refuse(call, "body-slow", request_id=request.request_id)
         except BadBody:
@@ -203,7 +213,7 @@
             reserved=request.reserved,
             control_call=request.control_call,
             cancels=request.cancels,
-            left_ms=_clamp_ms(request.left_ms),
+            left_ms=request.left_ms,
         )
         try:
             connection = await self._calls.start_relayed(endpoint, relayed)
@@ -237,10 +247,11 @@
         endpoint: ServiceEndpoint,
     ) -> None:
         """Pass an answer on as it arrives; raises ExchangeError if it does not end in time."""
+        # The other node ends at its caller's deadline; a cut path may hide that.
+        ends_s = anyio.current_time() + relayed.left_ms / 1000
         head = await self._calls.read_relayed_head(endpoint, connection, relayed)
         await call.start_fields(head.status, _reply_fields(head, connection.framed))
-        # The other node ends at its caller's deadline; a cut path may hide that.
-        with anyio.move_on_after(relayed.left_ms / 1000):
+        with anyio.CancelScope(deadline=ends_s):
             while (chunk := await connection.next_chunk()) is not None:
                 await call.write(chunk)
             await call.write(b"", more=False)
--- a/saffronworks/tests/features/body_memory.feature
+++ b/saffronworks/tests/features/body_memory.feature
@@ -53,3 +53,8 @@
     When a body that another node relays arrives too slowly
     Then the other node is told of a slow body, and that nothing was sent
 
+  # Guards against relays and memory that stay taken for good, because a cut path hides that the
+  # other node has left.
+  Scenario: a relayed body that never ends
+    When the rest of a body that another node relays does not come
+    Then the relay is refused as not sent once its time is over, and its memory is free
--- a/saffronworks/tests/features/endless_answers.feature
+++ b/saffronworks/tests/features/endless_answers.feature
@@ -51,3 +51,4 @@
   # Guards against relays that go on for good, because a cut path hides that the other node has left.
   Scenario: a relayed answer that never ends
     Then a relaying node ends an answer that goes on after the deadline
+    And it does so in the time that the request has left, however late the head came
--- a/saffronworks/tests/features/steps/body_memory_steps.py
+++ b/saffronworks/tests/features/steps/body_memory_steps.py
@@ -485,6 +485,22 @@
     anyio.run(relay_body, context, slow)
 
 
+@when("the rest of a body that another node relays does not come")
+def unfinished_relayed(context):
+    async def wait(_):
+        context.caller.call.body_hold.reserve(LARGE_BYTES, monotonic_ms())
+        await anyio.sleep_forever()
+
+    anyio.run(relay_body, context, wait)
+
+
+@then("the relay is refused as not sent once its time is over, and its memory is free")
+def unfinished_refused(context):
+    assert (context.status, context.reply.failure) == (502, "body-timeout"), context.reply
+    assert not context.reply.sent and context.caller.closed
+    assert not context.bodies.held_bytes and not context.relays.open_requests
+
+
 @then("the other node is told of a slow body, and that nothing was sent")
 def told_of_slow_body(context):
     assert (context.status, context.reply.failure) == (502, "body-slow"), context.reply
--- a/saffronworks/tests/features/steps/endless_answers_steps.py
+++ b/saffronworks/tests/features/steps/endless_answers_steps.py
@@ -444,12 +444,25 @@
 
 
 @then("a relaying node ends an answer that goes on after the deadline")
-def relay_ends(context):
+def relay_ends(_):
+    check_relay_ends(head_after_s=0, left_ms=50, limit_s=1)
+
+
+@then("it does so in the time that the request has left, however late the head came")
+def relay_ends_with_late_head(_):
+    check_relay_ends(head_after_s=0.9, left_ms=1000, limit_s=1.6)
+
+
+def check_relay_ends(head_after_s, left_ms, limit_s):
+    async def read_head(*_):
+        await anyio.sleep(head_after_s)
+        return ResponseHead(200)
+
     async def play():
         connection, relay = connect(), RelayServer.__new__(RelayServer)
         connection.send(b"", "r1")
         connection.data_received(CHUNKED)
-        relay._calls = Mock(read_relayed_head=AsyncMock(return_value=ResponseHead(200)))
+        relay._calls = Mock(read_relayed_head=read_head)
 
         async def drip():
             while True:
@@ -458,9 +471,9 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(drip)
-            with anyio.fail_after(1):
+            with anyio.fail_after(limit_s):
                 try:
-                    await relay._pass_on(AsyncMock(), connection, Mock(left_ms=50), None)
+                    await relay._pass_on(AsyncMock(), connection, Mock(left_ms=left_ms), None)
                 except ExchangeError as error:
                     assert error.cause is ExchangeErrorCause.ENDLESS, error
                 else:
