Keep nothing of a body that a connection has sent

A connection whose endpoint answers before it has the whole request is not reused: the next head would be read within the body. Assembling request heads has a module of its own.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -19,6 +19,7 @@
 from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.answer_matching import AnswerMatcher
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.request_writer import RequestWriter
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
     KEEP_ALIVE_SHARE,
@@ -60,6 +61,7 @@
     def __init__(self, id_field: str):
         self._id_field = id_field
         self._transport: asyncio.Transport | None = None
+        self._writer = RequestWriter()
         self._changed = asyncio.Event()
         self._chunks: deque[bytes] = deque()
         self.buffered_bytes = 0
@@ -155,9 +157,18 @@
         self._record_loss(ExchangeErrorCause.CLOSED)
         return False
 
+    def pause_writing(self) -> None:
+        """Write no more of a request while the transport's buffer is full."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Write the rest of a request as the transport's buffer empties."""
+        self._writer.resume()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle a reset, the end after a close, or unacknowledged data (ETIMEDOUT)."""
         self.reusable = False
+        self._writer.discard()
         if exc is None:
             self._record_loss(ExchangeErrorCause.CLOSED)
         else:
@@ -302,9 +313,12 @@
 
     # Exchange
 
-    def send(self, data: bytes, awaited_id: str | None, bodiless: bool = False) -> None:
+    def send(
+        self, head: bytes, awaited_id: str | None, bodiless: bool = False, body: bytes = b""
+    ) -> None:
         """Start an exchange; `bodiless` if the answer has no body (method HEAD).
 
+        The body is written as the endpoint takes it, and kept until then.
         Raises ExchangeError if the connection is already lost.
         """
         if self._loss_cause is not None or self._transport is None or self._transport.is_closing():
@@ -323,7 +337,7 @@
         self.uses += 1
         self.sent_ms = monotonic_ms()
         self.matcher.begin(awaited_id, self.sent_ms)
-        self._transport.write(data)
+        self._writer.write(self._transport, head, body)
 
     async def head(self, timeout_ms: float | None) -> ResponseHead:
         """Return the head of the answer; raises ExchangeError if there is none in time."""
@@ -403,7 +417,8 @@
     @property
     def finished(self) -> bool:
         """Return whether an exchange may follow: the last one, if any, is complete."""
-        complete = self._complete or not self.uses
+        # An endpoint may answer early; the next request must not follow half of a body.
+        complete = self._writer.written and (self._complete or not self.uses)
         return complete and self.reusable and self._loss_cause is None
 
     @property
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -24,7 +24,7 @@
     KvHold,
     NotExecuted,
 )
-from saffronworks.forwarding.paths.messages import RELAY_FIELD, RelayRequest, encode
+from saffronworks.forwarding.paths.messages import RelayRequest
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.tuning import CHECK_TIMEOUT_MS
 from saffronworks.forwarding.ports import RelayedRequest
@@ -45,19 +45,22 @@
     read_advertisement,
 )
 from saffronworks.platform.recent_holds import RecentHolds
+from saffronworks.platform.request_lines import (
+    EXPECT_INSTANCE,
+    MISDIRECTED,
+    add_relay,
+    join_request,
+)
 from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["PlatformCalls", "PlatformExchange", "read_reply"]
 
 logger = logging.getLogger(__name__)
 
-# Name of the server that the request is for. Any other server answers 421 and runs nothing.
-_EXPECT_INSTANCE = "Expect-Instance"
 _CheckReply = Callable[[ServiceEndpoint, bytes], bool]
 
 # The organisation that owns the caller's key, called a tenant by the platform.
 _TENANT_FIELD = "Tenant"
-_MISDIRECTED = 421
 _MAX_STATUS = 599
 _MIN_FAILURE_STATUS = 400
 _ORDER_ACCEPTED = (200, 202)
@@ -316,9 +319,10 @@
             left_ms=left_ms,
         )
         lines = _request_lines(endpoint, request, left_ms, extra)
-        data = _join(_add_relay(lines, connection, relay), request.body)
+        head = join_request(add_relay(lines, connection, relay))
+        bodiless = request.method == "HEAD"
         try:
-            connection.send(data, request.request_id, bodiless=request.method == "HEAD")
+            connection.send(head, request.request_id, bodiless, request.body)
         except ExchangeError:
             self.paths.connector.release(endpoint, connection)
             raise
@@ -367,8 +371,8 @@
                 self._eligibility.check_send(endpoint, relayed.request_id or "", relayed.reserved)
             lines = [f"{relayed.method} {relayed.target} HTTP/1.1"]
             lines += [f"{key}: {value}" for key, value in relayed.fields]
-            data = _join(lines, relayed.body)
-            connection.send(data, relayed.request_id, bodiless=relayed.method == "HEAD")
+            bodiless = relayed.method == "HEAD"
+            connection.send(join_request(lines), relayed.request_id, bodiless, relayed.body)
         except ExchangeError:
             self.paths.connector.release(endpoint, connection)
             raise
@@ -429,7 +433,7 @@
         lines = [
             f"{method} {path} HTTP/1.1",
             f"Host: {endpoint.address}",
-            f"{_EXPECT_INSTANCE}: {endpoint.name}",
+            f"{EXPECT_INSTANCE}: {endpoint.name}",
             f"Content-Length: {len(content)}",
         ]
         if content:
@@ -450,7 +454,7 @@
             left_ms=timeout_ms,
         )
         try:
-            connection.send(_join(_add_relay(lines, connection, relay), content), None)
+            connection.send(join_request(add_relay(lines, connection, relay), content), None)
             limit_ms = extend_for_lag(timeout_ms)
             head = await self.paths.read_head(endpoint, connection, limit_ms)
             reply = await connection.body(limit_ms)
@@ -487,7 +491,7 @@
     lines += [f"{key}: {value}" for key, value in extra]
     lines.append(f"{ID_FIELD}: {request.request_id}")
     lines.append(f"Deadline-Ms: {max(1, left_ms)}")
-    lines.append(f"{_EXPECT_INSTANCE}: {endpoint.name}")
+    lines.append(f"{EXPECT_INSTANCE}: {endpoint.name}")
     if request.organisation is not None:
         lines.append(f"{_TENANT_FIELD}: {request.organisation.name}")
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
@@ -495,17 +499,6 @@
     return lines
 
 
-def _add_relay(lines: list[str], connection: EndpointConnection, relay: RelayRequest) -> list[str]:
-    """Add the field for the node that relays the request, if any, before all other fields."""
-    if connection.relayed_by is None:
-        return lines
-    return [lines[0], f"{RELAY_FIELD}: {encode(relay)}", *lines[1:]]
-
-
-def _join(lines: list[str], content: bytes) -> bytes:
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + content
-
-
 def _check_status(raw: ResponseHead, connection: EndpointConnection) -> None:
     """Raise ExchangeError for a status that HTTP doesn't have, which can't be sent to a caller."""
     if raw.status > _MAX_STATUS:
@@ -525,6 +518,6 @@
         executed=Executed.NO if not_executed else Executed.YES,
         signed=signed,
         reason=f"status-{raw.status}" if not_executed else "",
-        misdirected=raw.status == _MISDIRECTED,
-        found_name=raw.get(INSTANCE_FIELD) if raw.status == _MISDIRECTED else None,
+        misdirected=raw.status == MISDIRECTED,
+        found_name=raw.get(INSTANCE_FIELD) if raw.status == MISDIRECTED else None,
     )
--- a/saffronworks/tests/features/body_memory.feature
+++ b/saffronworks/tests/features/body_memory.feature
@@ -28,6 +28,11 @@
     Then nothing that handles the refusal keeps the part that has arrived
     And a node of an own deployment counts it as free when the refusal is sent
 
+  # Guards against idle connections that keep the bodies which they have sent, beyond the bound.
+  Scenario: a connection keeps nothing of a body that it has sent
+    When a connection sends a large body with pauses, and another one is lost before its end
+    Then both bodies can be freed
+
   # Guards against a refusal that waits for a body which its caller will not send.
   Scenario: a caller that awaits 100 Continue is refused without its body
     When large bodies fill the bound of a node, and another caller awaits 100 Continue
@@ -43,6 +48,11 @@
     When callers that send nothing of their bodies fill the bound of a node
     Then they get 408 once others are refused, and the others are served then
 
+  # Guards against the head of the next request within a body that was written in part.
+  Scenario: an endpoint that answers before it has read a large body
+    When an endpoint answers requests with large bodies before it reads them
+    Then each request comes on a connection of its own, and none within a body
+
   # Guards against bodies without a common bound in the own deployment.
   Scenario: a node of an own deployment refuses bodies beyond its bound
     When callers of a node of an own deployment hold its memory for bodies, and another one comes
--- a/saffronworks/tests/features/steps/body_memory_steps.py
+++ b/saffronworks/tests/features/steps/body_memory_steps.py
@@ -25,6 +25,7 @@
 from saffronworks.forwarding.paths.messages import RELAY_FIELD, RelayRequest, decode_reply
 from saffronworks.forwarding.paths.messages import encode as relay_encode
 from saffronworks.forwarding.paths.relay_server import RelayServer
+from saffronworks.forwarding.request_writer import RequestWriter
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.caller_fakes import FakeCaller
 from saffronworks.tests.cpu_waits import cpu_wait_s
@@ -331,6 +332,27 @@
         return False
 
 
+@when("a connection sends a large body with pauses, and another one is lost before its end")
+def bodies_are_sent(context):
+    context.bodies = [bytearray(LARGE_BYTES), bytearray(LARGE_BYTES)]
+    sent, lost = context.writers = [RequestWriter() for _ in context.bodies]
+    transports = [CountingTransport() for _ in context.bodies]
+    for writer, transport, body in zip((sent, lost), transports, context.bodies, strict=True):
+        writer.pause()
+        writer.write(transport, b"", body)
+        assert not writer.written
+    sent.resume()
+    lost.discard()
+    assert sent.written and transports[0].written_bytes == LARGE_BYTES
+
+
+@then("both bodies can be freed")
+def bodies_can_be_freed(context):
+    for body in context.bodies:
+        # Raises BufferError while a view of the body is left.
+        body.clear()
+
+
 @then("a node of an own deployment counts it as free when the refusal is sent")
 def counted_as_free(_):
     path = RequestPath()
@@ -419,6 +441,27 @@
     assert context.stalled == [408] * ADMITTED, context.stalled
 
 
+@when("an endpoint answers requests with large bodies before it reads them")
+def answers_early(context):
+    context.server = Early()
+
+    async def play(place):
+        connection = await connect(place)
+        for number in range(4):
+            status, _, body = await send_large(connection, f"early{number}", UNREAD_BYTES)
+            assert (status, body) == (200, b"early"), (status, body)
+
+    on_node(context.server, play, UNREAD_BYTES, UNREAD_MEMORY_MB)
+
+
+@then("each request comes on a connection of its own, and none within a body")
+def own_connections(context):
+    heads = context.server.heads
+    large = [head for head in heads if b"Request-Id: early" in head]
+    assert len(large) == 4 and all(head.startswith(b"POST /again/") for head in heads), heads
+    assert context.server.connections >= 4, context.server.connections
+
+
 @when("callers of a node of an own deployment hold its memory for bodies, and another one comes")
 def own_deployment(context):
     path = RequestPath()
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -34,6 +34,7 @@
 from saffronworks.platform import calls
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.ingress import read_request
+from saffronworks.platform.request_lines import join_request
 from saffronworks.platform.servers import read_server
 from saffronworks.routes import RouteTable
 from saffronworks.signoffs import read_record
@@ -408,7 +409,7 @@
         read = read_request(call, b"", 0)
         if isinstance(read, Ok):
             request = read.ok_value
-            head = calls._join(calls._request_lines(endpoint, request, request.left_ms, []), b"")
+            head = join_request(calls._request_lines(endpoint, request, request.left_ms, []))
             assert head.count(b"\r\n\r\n") == 1 and head.endswith(b"\r\n\r\n")
             relay = RelayRequest(endpoint.instance, request_id=request.request_id)
             assert decode_request(encode(relay)) == Ok(relay)
