Know the end of an endpoint by who answers at its address

After the close, a health check with Expect-Instance asks who answers at the address, over an idle connection if there is one. Another id, a later start in the store or two refused checks: the endpoint has ended, and the answer is cut. A reply over a connection that is older than the close shows that the process goes on. Answers that end together share checks. health_path of a service is read from the configuration; a malformed one does not invalidate it, as it becomes part of a request line.

event=end_probed and event=endpoint_identified tell the checks. An endpoint that restarts under its id within 20 ms passes for the one before.

--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -8,6 +8,7 @@
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
 from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_identity import Identification
 from saffronworks.forwarding.exchange_errors import ExchangeError, FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
@@ -185,6 +186,9 @@
     async def probe_process(self, endpoint: ServiceEndpoint) -> ProcessState:
         """Return whether the process of an endpoint goes on; never raises ExchangeError."""
 
+    async def identify(self, endpoint: ServiceEndpoint) -> Identification:
+        """Return who answers at the address of an endpoint; never raises ExchangeError."""
+
     async def order_role(
         self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
--- a/saffronworks/forwarding/quarantine/service.py
+++ b/saffronworks/forwarding/quarantine/service.py
@@ -10,11 +10,13 @@
 
 from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding.directory import Directory, ServiceEndpoint
+from saffronworks.forwarding.endpoint_identity import AddressAnswer, IdentityChecks
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
 from saffronworks.forwarding.messages import CallerRequest
 from saffronworks.forwarding.ports import EndpointCalls, ObjectStore
 from saffronworks.forwarding.quarantine import events
 from saffronworks.forwarding.quarantine.core import QuarantineState, step
+from saffronworks.forwarding.quarantine.end_proofs import judge_end
 from saffronworks.forwarding.quarantine.events import ProbeResult
 from saffronworks.forwarding.quarantine.messages import (
     PartNews,
@@ -32,7 +34,6 @@
     RECORD_ATTEMPTS,
     RECORD_READ_DELAYS_S,
     RECORD_RETRY_S,
-    REFUSED_PROBES,
     REPROBE_REFUSED_MS,
 )
 from saffronworks.forwarding.store_revisions import StoreEpoch
@@ -69,6 +70,7 @@
         self._state = QuarantineState(own_address, rng)
         self._directory = directory
         self._calls = calls
+        self._identities = IdentityChecks(calls, now_ms)
         self._records = QuarantineRecords(store)
         self._now_ms = now_ms
         self._kernel: Kernel | None = None
@@ -157,23 +159,33 @@
 
         An endpoint that drains or is no longer listed runs on until its own end.
         """
-        gives_up_ms, refused = self._now_ms() + extend_for_lag(END_PROOF_MS), 0
+        closed_ms, refused = self._now_ms(), 0
+        gives_up_ms = closed_ms + extend_for_lag(END_PROOF_MS)
         # A process that ends closes its listener some time after the connection of the answer.
         leaving = self._is_leaving(endpoint)
         await anyio.sleep((LEAVING_END_DELAY_MS if leaving else END_DELAY_MS) / 1000)
         while True:
-            result = await self._probe_once(endpoint)
-            match result:
-                case ProbeResult.LISTENS:
-                    return False
-                case ProbeResult.RESTARTED:
-                    return True
-                case ProbeResult.REFUSES:
-                    refused += 1
-                    if refused == REFUSED_PROBES:
-                        return True
+            found = await self._identities.identify(endpoint)
+            refused += found.answer is AddressAnswer.REFUSES
+            latest = self._directory.named(endpoint.name)
+            restarted = latest is not None and latest.instance != endpoint.instance
+            ended = True if restarted else judge_end(found, closed_ms, refused)
+            logger.info(
+                "event=end_probed endpoint=%s found=%s connected_ms=%s refused=%d restarted=%s "
+                "leaving=%s ended=%s",
+                endpoint.instance,
+                found.answer.value,
+                None if found.connected_ms is None else found.connected_ms - closed_ms,
+                refused,
+                restarted,
+                leaving,
+                ended,
+            )
+            if ended is not None:
+                return ended
             if self._now_ms() >= gives_up_ms:
-                return True if result.proves_end else None
+                gone = found.answer is AddressAnswer.SILENT and latest is None
+                return True if gone else None
             await anyio.sleep(REPROBE_REFUSED_MS / 1000)
 
     def record_success(self, request: CallerRequest, proven: bool) -> None:
--- a/saffronworks/forwarding/routing.py
+++ b/saffronworks/forwarding/routing.py
@@ -77,12 +77,14 @@
 class Service:
     """A named group of endpoints; `engine` is set where they are language-model engines.
 
-    Each endpoint accepts `max_connections` from all nodes together.
+    Each endpoint accepts `max_connections` from all nodes together. A GET on `health_path`, None
+    if there is none, tells which endpoint answers.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    health_path: str | None = None
 
 
 @attrs.frozen
--- a/saffronworks/platform/answer_fields.py
+++ b/saffronworks/platform/answer_fields.py
@@ -68,7 +68,7 @@
     "server": "passed on to the caller",
     "cache-control": "passed on to the caller",
     "weight-versions": "passed on to the caller; requests never select a version",
-    "cold-ms": "set in answers to health checks only, which nodes never send",
+    "cold-ms": "set in answers to health checks only, which tell nodes nothing but the server",
 }
 
 
--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -15,6 +15,7 @@
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.advertisements import Advertisement
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
+from saffronworks.forwarding.endpoint_identity import Identification
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause, FaultSite
 from saffronworks.forwarding.messages import (
     AnswerHead,
@@ -44,6 +45,7 @@
     is_not_executed,
     read_advertisement,
 )
+from saffronworks.platform.identity_calls import identify
 from saffronworks.platform.recent_holds import RecentHolds
 from saffronworks.platform.request_lines import (
     EXPECT_INSTANCE,
@@ -153,8 +155,15 @@
 class PlatformCalls:
     """Implements the calls to endpoints in the platform's protocol."""
 
-    def __init__(self, eligibility: EndpointEligibility, paths: PathService) -> None:
+    def __init__(
+        self,
+        eligibility: EndpointEligibility,
+        paths: PathService,
+        health_path: Callable[[str], str | None] = lambda service: None,
+    ) -> None:
+        """`health_path` returns the path of a service's health checks, None if there is none."""
         self.paths = paths
+        self._health_path = health_path
         self._eligibility = eligibility
         self._answers = _AnswerReader(eligibility)
         self._holds = RecentHolds()
@@ -281,6 +290,10 @@
                 return ProcessState.SUSPENDED
         return ProcessState.RUNS
 
+    async def identify(self, endpoint: ServiceEndpoint) -> Identification:
+        """Return who answers at the address of an endpoint."""
+        return await identify(self.paths, endpoint, self._health_path(endpoint.service))
+
     async def order_role(
         self, endpoint: ServiceEndpoint, role: Role, holder: str, fence: int, send_until_ms: int
     ) -> Result[None, NotExecuted]:
--- a/saffronworks/platform/configuration.py
+++ b/saffronworks/platform/configuration.py
@@ -1,8 +1,9 @@
 """Decodes the operator's configuration object into the routing table."""
 
 import logging
+import re
 from collections.abc import Callable
-from typing import Annotated
+from typing import Annotated, Any
 
 import attrs
 import msgspec
@@ -33,6 +34,7 @@
 _IDEMPOTENT = "idempotent"
 _STREAMING = "streaming"
 _KINDS = (_IDEMPOTENT, "non_idempotent", _STREAMING)
+_HEALTH_PATH = re.compile(r"/[!-~]{0,1023}")
 _Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
 # Tokens or bytes.
 _Size = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
@@ -78,6 +80,8 @@
     name: str
     max_conns: _Count = 100
     engine: _Engine | None = None
+    # Of any type: a malformed path must not invalidate the configuration.
+    health_path: Any = None
 
 
 @attrs.frozen
@@ -176,7 +180,10 @@
         tokens_per_event=engine.stride,
         hold_most_ms=int(engine.hold_ms),
     )
-    return Service(service.name, service.max_conns, spec or None)
+    # The path becomes part of a request line.
+    path = service.health_path
+    health_path = path if isinstance(path, str) and _HEALTH_PATH.fullmatch(path) else None
+    return Service(service.name, service.max_conns, spec or None, health_path)
 
 
 class ConfigurationSink:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -130,7 +130,7 @@
             self._directory, self._limits, settings.drain_ms, monotonic_ms
         )
         self._paths = make_paths(self._directory, ID_FIELD, settings.zone, rng, monotonic_ms)
-        self._calls = PlatformCalls(self._eligibility, self._paths)
+        self._calls = PlatformCalls(self._eligibility, self._paths, self._health_path)
         self._turns = NodeOrder(settings.peer_address)
         self._memory = MemoryClient(
             settings.peer_address, monotonic_ms(), self._paths.is_path_proven
@@ -539,6 +539,11 @@
             min_connections = min(service.max_connections for service in table.services.values())
             self._calls.pool.limit_idle(self._listed_nodes, min_connections)
 
+    def _health_path(self, service: str) -> str | None:
+        table = self._forwarder.table
+        known = table.services.get(service) if table is not None else None
+        return known.health_path if known is not None else None
+
     def _apply_table(self, table: RoutingTable) -> bool:
         accepted = self._forwarder.apply_table(table)
         if accepted:
--- a/saffronworks/tests/crashing_servers.py
+++ b/saffronworks/tests/crashing_servers.py
@@ -50,6 +50,9 @@
         self.fixed = False
         # Whether a prefill of the content crashes the server as well.
         self.crashes_on_prefill = False
+        # Whether a restart brings a new id, and how much later its entry is written.
+        self.renames = False
+        self.entry_delay_s = 0.0
         self._writers = set()
         self._over = asyncio.Event()
 
@@ -65,7 +68,12 @@
                     writer.transport.abort()
             await asyncio.sleep(self.down_s)
             self.restart()
-            self.store.put("servers", self.instance, self.entry())
+            if self.renames:
+                self.instance += "n"
+            asyncio.get_running_loop().call_later(self.entry_delay_s, self._put_entry)
+
+    def _put_entry(self):
+        self.store.put("servers", self.instance, self.entry())
 
     def end(self):
         """Crash at once, with all requests in progress."""
--- a/saffronworks/tests/features/steps/unframed_answers_steps.py
+++ b/saffronworks/tests/features/steps/unframed_answers_steps.py
@@ -1,13 +1,26 @@
 """Steps on answers without length or chunks, on the whole path over loopback."""
 
+import asyncio
+import itertools
+
 from behave import then, when
 
+from saffronworks.forwarding.directory import ServiceEndpoint
+from saffronworks.forwarding.endpoint_identity import (
+    AddressAnswer,
+    Identification,
+    IdentityChecks,
+)
+from saffronworks.standins.sites import wait_until
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
-from saffronworks.tests.platform_fakes import FakeServer
-from saffronworks.tests.platform_place import engines, on_platform, web_servers
+from saffronworks.tests.platform_fakes import HEALTH_PATH, FakeServer
+from saffronworks.tests.platform_place import CONFIG, engines, on_platform, web_servers
 
 EVENT = b"id: 1\ndata: one\n\n"
 CHUNKS_END = b"0\r\n\r\n"
+HEALTH_CONFIG = CONFIG | {
+    "services": [service | {"health_path": HEALTH_PATH} for service in CONFIG["services"]]
+}
 
 
 def crashing(server):
@@ -64,6 +77,39 @@
     assert all(raw.endswith((b"r0", b"r1")) for raw in context.raws), context.raws
 
 
+@when("endpoints crash in answers and start again {down_s:f} s later with {id_kind} id")
+def crash_and_return(context, down_s, id_kind):
+    context.raws = {}
+    for unframed in (True, False):
+        servers = [
+            CrashingServer("w0", "web", None, Arrivals(), down_s),
+            CrashingServer("d0", "llm", "decode", Arrivals(), down_s),
+        ]
+        for server in servers:
+            server.head_first, server.unframed = True, unframed
+            # A start writes its entry about a second after it listens.
+            server.renames, server.entry_delay_s = id_kind == "new", 1.0
+
+        async def play(place, servers=servers, unframed=unframed):
+            for server in servers:
+                server.store = place.store
+            plain = await place.ask("/once/a", "r0", body=CRASHING)
+            stream = await place.generate("/gen/", "g0", body=CRASHING)
+            context.raws |= {("plain", unframed): plain, ("stream", unframed): stream}
+            assert [len(server.arrivals.ends_s) for server in servers] == [1, 1], context.raws
+
+        on_platform([*servers, FakeServer("p0", "llm", "prefill")], play, HEALTH_CONFIG)
+
+
+@then("no caller gets a proper end of an answer that was cut off")
+def none_looks_complete(context):
+    assert len(context.raws) == 4, context.raws
+    for case, raw in context.raws.items():
+        began = raw.startswith(b"HTTP/1.1 200 ")
+        assert not (began and raw.endswith(CHUNKS_END)), (case, raw)
+        assert not (began and b"content-length" in raw.lower()), (case, raw)
+
+
 @when("an engine crashes while it answers 500 without length or chunks")
 def failure_crashes(context):
     server = crashing(CrashingServer("d0", "llm", "decode", Arrivals(), down_s=9.0))
@@ -115,7 +161,7 @@
         await place.generate("/gen/", "g1")
         await place.ask("/again/a", "r1")
 
-    on_platform(servers, play)
+    on_platform(servers, play, HEALTH_CONFIG)
 
 
 @then("the callers get whole answers, and the answers clear what they hold")
@@ -123,3 +169,54 @@
     assert context.stream.endswith(CHUNKS_END) and b"id: 3" in context.stream, context.stream
     assert context.plain.startswith(b"HTTP/1.1 200 "), context.plain
     assert context.cleared == [("g1", True), ("r1", True)], context.cleared
+
+
+class SlowChecks:
+    """Counts checks of an identity, none of which ends before `may_end` is set.
+
+    `at_end` is called in the last turn of each.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self.may_end = asyncio.Event()
+        self.at_end = lambda: None
+
+    async def identify(self, endpoint):
+        self.count += 1
+        number = self.count
+        await self.may_end.wait()
+        await asyncio.sleep(0.02)
+        self.at_end()
+        return Identification(AddressAnswer.SAME_NAME, number)
+
+
+@when("answers of one endpoint end before, during and at the end of a check of its identity")
+def share_checks(context):
+    async def main():
+        calls, clock = SlowChecks(), itertools.count()
+        checks = IdentityChecks(calls, lambda: next(clock))
+        endpoint = ServiceEndpoint("e", "web", "127.0.0.1:1", "z")
+        first = asyncio.create_task(checks.identify(endpoint))
+        assert await wait_until(lambda: calls.count == 1)
+        during = [asyncio.create_task(checks.identify(endpoint)) for _ in range(5)]
+        await asyncio.sleep(0)
+        calls.may_end.set()
+        late = []
+
+        def ask_late():
+            if not late:
+                late.append(asyncio.create_task(checks.identify(endpoint)))
+
+        calls.at_end = ask_late
+        async with asyncio.timeout(2):
+            replies = await asyncio.gather(first, *during)
+            context.replies = [reply.connected_ms for reply in [*replies, await late[0]]]
+        context.count = calls.count
+
+    asyncio.run(main())
+
+
+@then("those that end during it share the next check, and each gets a reply that began later")
+def checks_shared(context):
+    assert context.count == 2 and context.replies == [1, *[2] * 6], context.replies
--- a/saffronworks/tests/features/unframed_answers.feature
+++ b/saffronworks/tests/features/unframed_answers.feature
@@ -20,6 +20,29 @@
     When an engine ends the chunks of a stream inside an event
     Then the caller gets nothing of it, and no success
 
+  # Guards against truncated answers that look complete as a later start listens at the address.
+  Scenario Outline: an endpoint crashes in such an answer and is back soon at its address
+    When endpoints crash in answers and start again <down_s> s later with <id> id
+    Then no caller gets a proper end of an answer that was cut off
+
+    Examples:
+      | down_s | id  |
+      | 0.0    | new |
+      | 0.05   | new |
+      | 0.1    | new |
+      | 0.25   | new |
+      | 0.5    | new |
+      | 0.05   | its |
+      | 0.1    | its |
+      | 0.25   | its |
+      | 0.5    | its |
+
   Scenario: whole answers of this kind
     When endpoints that keep running answer without length or chunks
     Then the callers get whole answers, and the answers clear what they hold
+
+  # Guards against one health check for each of many answers that end together, and against a node
+  # that stands still as one is asked for in the turn of the event loop in which another one ends.
+  Scenario: answers that end together share the checks of their endpoint
+    When answers of one endpoint end before, during and at the end of a check of its identity
+    Then those that end during it share the next check, and each gets a reply that began later
--- a/saffronworks/tests/platform_fakes.py
+++ b/saffronworks/tests/platform_fakes.py
@@ -10,7 +10,7 @@
 
 from saffronworks.standins.addresses import free_address
 
-__all__ = ["BOUNDS", "FakeServer", "fetch", "free_port_range", "settings_text"]
+__all__ = ["BOUNDS", "HEALTH_PATH", "FakeServer", "fetch", "free_port_range", "settings_text"]
 
 # Faults of a stream, besides `break-N`, which breaks it inside event N, and `stall-N`, which sends
 # nothing from event N on.
@@ -43,6 +43,7 @@
     "quota_overage": 0.1,
     "quota_slack": 12,
 }
+HEALTH_PATH = "/health"
 # Every answer must end and its connection be closed within this time.
 READ_LIMIT_S = 5.0
 
@@ -135,6 +136,8 @@
             return await self._reply(writer, 421, {"Instance-Id": self.instance}, b"")
         if target.startswith("/saffronworks/"):
             return await self._control(writer, method, target)
+        if target == HEALTH_PATH:
+            return await self._reply(writer, 200, {"Instance-Id": self.instance}, b"")
         return await self._request(reader, writer, headers)
 
     async def _reject(self, writer, own):
