Settle a claim that is cancelled

The key of a request could stay taken after a draining node had refused the request as not run: its claim was cancelled while the reply of the key's owner was under way, and nothing told the owner.

A cancelled claim is settled as not run, whether its reply has come or not, as its request can't run any more.

--- a/saffronworks/claim_service.py
+++ b/saffronworks/claim_service.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import anyio.lowlevel
 import attrs
 from result import Err, Ok, Result
 
@@ -46,7 +47,10 @@
         self._work = anyio.Event()
 
     async def claim(self, key: str, request_id: str) -> claims.Result:
-        """Claim the key, with resends; after `CLAIM_TIMEOUT_S` the result is `Unrecorded`."""
+        """Claim the key, with resends; after `CLAIM_TIMEOUT_S` the result is `Unrecorded`.
+
+        A claim that is cancelled is settled, as its request can't run any more.
+        """
         pair = (key, request_id)
         self._replies[pair] = anyio.Event()
         try:
@@ -55,9 +59,13 @@
                     self._send(key, ClaimAsk(key, request_id, self._node()))
                     with anyio.move_on_after(RESEND_INTERVAL_S):
                         await self._replies[pair].wait()
-            result = self._results.pop(pair, None)
+            await anyio.lowlevel.checkpoint_if_cancelled()
+        except anyio.get_cancelled_exc_class():
+            self.settle_not_run(key, request_id)
+            raise
         finally:
             del self._replies[pair]
+            result = self._results.pop(pair, None)
         if result is None or isinstance(result, claims.Unrecorded):
             self.settle_not_run(key, request_id)
             result = claims.Unrecorded()
--- a/saffronworks/tests/features/claims.feature
+++ b/saffronworks/tests/features/claims.feature
@@ -34,3 +34,8 @@
   Scenario: a plain call with a key is sent on once
     When one plain call with a key is sent through two nodes
     Then the service ran it once and the second is told unknown
+
+  # Guards against a request that a draining node refuses as not run, and whose key stays taken.
+  Scenario: a request is refused while its key is being claimed
+    When a claim is cancelled before and after its reply has come
+    Then the owner of the key is told each time that the request did not run
--- a/saffronworks/tests/features/steps/claims_steps.py
+++ b/saffronworks/tests/features/steps/claims_steps.py
@@ -1,5 +1,7 @@
 """Claims: the state machine under store faults, and a site with two entry nodes."""
 
+from unittest.mock import Mock
+
 import anyio
 import attrs
 import httpcore
@@ -9,7 +11,9 @@
 from hypothesis import strategies as st
 
 from saffronworks import claims
+from saffronworks.claim_service import ClaimService
 from saffronworks.claims import ClaimRecord, ClaimShard
+from saffronworks.messages import ClaimReply, ClaimSettle
 from saffronworks.standins.callers import ask, expected_answer
 from saffronworks.standins.sites import SiteShape
 from saffronworks.tests.plays import QUICK, SLOW, loaded_engine, on_site
@@ -315,3 +319,29 @@
 def plain_once(context):
     assert context.runs == 1, context.runs
     assert context.replies == [(200, "completed"), (409, "unknown")], context.replies
+
+
+@when("a claim is cancelled before and after its reply has come")
+def cancelled(context):
+    kernel, service = Mock(node="n"), ClaimService(Mock())
+    service._kernel, context.service = kernel, service
+    context.sent = kernel.find.return_value.send
+
+    async def play():
+        for replied in (False, True):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(service.claim, claims.claim_key("o", "k"), f"r{replied}")
+                await anyio.wait_all_tasks_blocked()
+                if replied:
+                    service._handle(kernel, ClaimReply(claims.claim_key("o", "k"), "rTrue", True))
+                tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+@then("the owner of the key is told each time that the request did not run")
+def told_not_run(context):
+    messages = [call.args[2] for call in context.sent.call_args_list]
+    settled = [each.request_id for each in messages if isinstance(each, ClaimSettle)]
+    assert settled == ["rFalse", "rTrue"], messages
+    assert not context.service._results, "a reply that nobody reads is kept"
