Cut plain answers of the own deployment that don't show their end

On a node of an own deployment half of an answer without length and chunks looked whole: the end of a service closes its connections as it closes one after a whole answer. Its services have no id that they could be asked for.

Such an answer is cut after its last byte. An event stream that ends with data: [DONE] has an end mark of its own, and is whole. So plain services must frame their answers. event=plain_cut has error=UnprovenEnd.

--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -1,6 +1,7 @@
 """Plain services: least outstanding within the availability zone, spill over, safe retries."""
 
 import logging
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Literal
@@ -25,12 +26,20 @@
 CLOSED_MS = 2000
 # HTTP has no higher status, and the server can't send one.
 MAX_STATUS = 599
+BODILESS_STATUSES = (204, 304)
+# The last event of an event stream, and the bytes at the end of a body that can hold it.
+_END_MARK = re.compile(rb"(?:\A|\n\r?\n)data: ?\[DONE\]\r?\n\r?\n\Z")
+END_MARK_WINDOW_BYTES = 32
 TIMEOUTS = {"connect": 1.0, "read": 30.0, "write": 30.0, "pool": 2.0}
 _HOP_HEADERS = HOP_BY_HOP_FIELDS | {"host", "content-length"}
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _BROKEN = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError)
 
 
+class UnprovenEnd(httpcore.RemoteProtocolError):
+    """A body ended with its connection, as it also does when the service crashes."""
+
+
 @attrs.define
 class PlainLoad:
     """What this node knows of plain endpoints: calls under way, and who refused lately."""
@@ -153,8 +162,7 @@
         kept = {key: value for key, value in fields.items() if key not in _HOP_HEADERS}
         await call.start(response.status, {**kept, OUTCOME_HEADER: "completed"})
         try:
-            async for chunk in response.aiter_stream():
-                await call.write(chunk)
+            await _copy_body(call, response, fields)
         except _BROKEN as error:
             logger.warning(
                 "event=plain_cut endpoint=%s method=%s path=%s error=%s",
@@ -167,3 +175,17 @@
             return "unknown"
         await call.write(b"", more=False)
         return "completed"
+
+
+async def _copy_body(call: Call, response: httpcore.Response, fields: dict[str, str]) -> None:
+    """Pass a body on; raises UnprovenEnd if nothing shows that it is whole."""
+    bodiless = call.method == "HEAD" or response.status in BODILESS_STATUSES
+    framed = bodiless or "content-length" in fields or "transfer-encoding" in fields
+    tail = b""
+    async for chunk in response.aiter_stream():
+        await call.write(chunk)
+        if not framed:
+            tail = (tail + chunk[-END_MARK_WINDOW_BYTES:])[-END_MARK_WINDOW_BYTES:]
+    is_events = fields.get("content-type", "").lower().startswith("text/event-stream")
+    if not framed and not (is_events and _END_MARK.search(tail)):
+        raise UnprovenEnd("neither a length nor chunks")
--- a/saffronworks/tests/features/framing.feature
+++ b/saffronworks/tests/features/framing.feature
@@ -15,6 +15,24 @@
     And each of these calls has an outcome to be counted
     And the log names the calls that were cut
 
+  # Guards against truncated answers that look complete: the end of a service closes its connections
+  # as it closes one after a whole answer. Only an event stream has an end mark of its own.
+  Scenario Outline: a plain answer without length and chunks of <answer> to <method>
+    When a plain service answers <method> with <answer> and closes its connection
+    Then the caller gets <proper> end of it
+
+    Examples:
+      | method | answer                             | proper    |
+      | GET    | half a text                        | no proper |
+      | GET    | no body                            | no proper |
+      | GET    | an event                           | no proper |
+      | GET    | an event and half an end mark      | no proper |
+      | GET    | an event that quotes the end mark  | no proper |
+      | GET    | a text that ends with the end mark | no proper |
+      | GET    | an event and the end mark          | a proper  |
+      | GET    | a status without a body            | a proper  |
+      | HEAD   | no body                            | a proper  |
+
   # Guards against a connection that is closed without an answer.
   Scenario: a plain answer with a status that HTTP doesn't have
     When a plain service answers with status 699
--- a/saffronworks/tests/features/steps/framing_steps.py
+++ b/saffronworks/tests/features/steps/framing_steps.py
@@ -1,5 +1,7 @@
 """Scenarios on how answers end: streams of tokens and plain calls, without sockets."""
 
+import asyncio
+import contextlib
 import json
 from itertools import product
 
@@ -8,11 +10,13 @@
 from behave import then, when
 
 from saffronworks.bundles import Endpoint, PlainRoute
+from saffronworks.clocks import monotonic_ms
 from saffronworks.completions import CompletionRequest, StreamingSink
 from saffronworks.plain import PlainProxy
 from saffronworks.request_events import Completed, NotRun, Unknown
 from saffronworks.tests.caller_fakes import FakeCaller, ScriptedUpstream
 from saffronworks.tests.log_lines import LogLines
+from saffronworks.web import HttpServer, bind
 
 OUTCOMES = (Completed(), NotRun("overload"), Unknown("engine gone"))
 DONE = b"data: [DONE]\n\n"
@@ -75,18 +79,20 @@
     b"4\r\n0123\r\n6\r\n456789\r\n",
     b"0\r\n\r\n",
 ]
-# Without a length the close is the end, and RFC 9112 calls that complete; only an error is none.
+# The end of a process closes its connections in the same way as the end of an answer.
 UNTIL_CLOSE = [HEAD + b"connection: close\r\n\r\n", BODY[:4], BODY[4:]]
+EVENTS_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+EVENT = b"data: one\n\n"
 BREAKS = (httpcore.ReadError("reset"), httpcore.ReadTimeout("silent"), OSError("gone"))
 
 
 def plain_cases():
     """Script, and whether it is a whole answer."""
     for script in (LENGTH, CHUNKED, UNTIL_CLOSE):
-        yield script, True
+        yield script, script is not UNTIL_CLOSE
         for kept, error in product(range(1, len(script)), BREAKS):
             yield [*script[:kept], error], False
-    for script, kept in product((LENGTH, CHUNKED), (1, 2)):
+    for script, kept in product((LENGTH, CHUNKED, UNTIL_CLOSE), (1, 2)):
         yield script[:kept], False
     for error in BREAKS:
         yield [*UNTIL_CLOSE, error], False
@@ -137,6 +143,56 @@
         assert len(named) == (not whole), (script, texts)
 
 
+async def ask_closing(method, answer):
+    """Ask a service that writes these bytes and closes: the body, and whether it ended whole."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    service = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = "{}:{}".format(*service.sockets[0].getsockname())
+    proxy, route = PlainProxy("z"), PlainRoute("r", "/", (Endpoint("e", address, "z"),))
+    server = HttpServer(
+        bind("127.0.0.1:0"), lambda call: proxy.carry(call, route, False, monotonic_ms())
+    )
+    body, whole = b"", False
+    async with service, anyio.create_task_group() as tasks, httpcore.AsyncConnectionPool() as pool:
+        tasks.start_soon(server.run)
+        with contextlib.suppress(httpcore.RemoteProtocolError):
+            async with pool.stream(method, f"http://{server.address}/") as response:
+                async for chunk in response.aiter_stream():
+                    body += chunk
+            whole = True
+        tasks.cancel_scope.cancel()
+    await proxy.close()
+    return body, whole
+
+
+@when("a plain service answers {method} with {answer} and closes its connection")
+def closing(context, method, answer):
+    answers = {
+        "half a text": HEAD + b"\r\n" + BODY[:4],
+        "no body": HEAD + b"\r\n",
+        "an event": EVENTS_HEAD + EVENT,
+        "an event and half an end mark": EVENTS_HEAD + EVENT + DONE[:-1],
+        "an event that quotes the end mark": EVENTS_HEAD + b"data: " + DONE,
+        "a text that ends with the end mark": HEAD + b"\r\n" + DONE,
+        "an event and the end mark": EVENTS_HEAD + EVENT + DONE,
+        "a status without a body": b"HTTP/1.1 304 Not Modified\r\n\r\n",
+    }
+    context.sent = answers[answer].partition(b"\r\n\r\n")[2]
+    context.got, context.whole = anyio.run(ask_closing, method, answers[answer])
+
+
+@then("the caller gets {proper} end of it")
+def closed_end(context, proper):
+    assert context.got == context.sent, context.got
+    assert context.whole == (proper == "a proper"), context.whole
+
+
 @when("a plain service answers with status 699")
 def odd_status(context):
     context.odd = anyio.run(carry, "/", [b"HTTP/1.1 699 X\r\ncontent-length: 0\r\n\r\n"])
