Tell each caller the outcome at the end of a drain of the own deployment

Nodes of an own deployment began requests up to the end of their drain, and what was open then was cut without its outcome.

Requests that come in the first half of drain_ms are begun, later ones are told not run, as are those that no server has got by then; no run replaces a broken one unless tokens are out. At the end of the drain each open request is told unknown or not run, or its stream tells unknown and is cut, and event=request_stopped logs it. The drain counts from when the signal can have been sent, as on the platform.

--- a/saffronworks/daemon.py
+++ b/saffronworks/daemon.py
@@ -7,11 +7,12 @@
 import anyio
 import fire
 
-from saffronworks.clocks import run
+from saffronworks.clocks import held_up_ms, monotonic_ms, run
 from saffronworks.logs import set_up_logs
 from saffronworks.nodes import Node
 from saffronworks.readers import load_or_exit
 from saffronworks.settings import Settings, read_settings
+from saffronworks.stop_signal import STOP_SIGNALS, StopSignal
 
 __all__ = ["main"]
 
@@ -53,12 +54,14 @@
 
 async def _watch_signals(node: Node) -> None:
     # SIGHUP, which ends a process by default, changes nothing: settings need a restart.
-    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    kinds = (*STOP_SIGNALS, signal.SIGHUP)
+    stop_signal = StopSignal(held_up_ms, monotonic_ms, lambda _: None)
     with anyio.open_signal_receiver(*kinds) as signals:
+        stop_signal.install()
         async for number in signals:
             logger.info("event=signal number=%d", number)
             if number != signal.SIGHUP:
-                node.stop()
+                node.stop(stop_signal.sent_ms)
 
 
 if __name__ == "__main__":
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -23,7 +23,7 @@
     reply_outcome,
     reply_plain_outcome,
 )
-from saffronworks.ends import EndRecorder
+from saffronworks.ends import EndRecorder, describe_outcome
 from saffronworks.engines import EngineClient
 from saffronworks.entries import EntryService
 from saffronworks.field_numbers import read_count
@@ -31,7 +31,7 @@
 from saffronworks.members import MemberService
 from saffronworks.plain import PlainProxy
 from saffronworks.request_events import Completed, NotRun, Outcome, Unknown
-from saffronworks.requests import Request
+from saffronworks.requests import STOPPING, Request
 from saffronworks.routes import choose_cell
 from saffronworks.runners import Job, RequestRunner
 from saffronworks.settings import Settings
@@ -58,6 +58,8 @@
     ):
         self.plain = PlainProxy(settings.zone)
         self.draining = False
+        # Begins no request any more.
+        self.refusing = False
         self.open_calls = 0
         self.bodies = BodyMemory(settings.body_memory_bytes)
         self._settings = settings
@@ -66,32 +68,82 @@
         self._claimant = claimant
         self._ends = ends
         self._rng = random.Random(seed)
+        # Calls that no runner has: their bodies are read, or a plain service has them.
+        self._scopes: dict[Call, anyio.CancelScope] = {}
 
     async def handle(self, call: Call) -> None:
         """Answer one HTTP call of a caller."""
         self.open_calls += 1
         hold = call.body_hold = self.bodies.begin(self._kernel.now_ms())
+        scope = self._scopes[call] = anyio.CancelScope()
         try:
-            match call.method, call.path:
-                case "GET", "/healthz":
-                    await call.reply(200, {"status": "ok"})
-                case "GET", "/readyz":
-                    ready = self.ready()
-                    await call.reply(200 if ready else 503, {"ready": ready})
-                case "GET", "/v1/models":
-                    await self._list_models(call)
-                case "POST", "/v1/completions":
-                    await self._complete(call, chat=False)
-                case "POST", "/v1/chat/completions":
-                    await self._complete(call, chat=True)
-                case _:
-                    await self._carry_plain(call)
+            with scope:
+                await self._answer(call)
+            if scope.cancelled_caught:
+                self._log_stopped(call, "not-run")
+                await self._refuse_to_begin(call)
         except BodyMemoryFull:
             await self._refuse_for_memory(call, hold)
         finally:
+            self._scopes.pop(call, None)
             hold.release(self._kernel.now_ms())
             self.open_calls -= 1
 
+    async def _answer(self, call: Call) -> None:
+        match call.method, call.path:
+            case "GET", "/healthz":
+                await call.reply(200, {"status": "ok"})
+            case "GET", "/readyz":
+                ready = self.ready()
+                await call.reply(200 if ready else 503, {"ready": ready})
+            case "GET", "/v1/models":
+                await self._list_models(call)
+            case _ if self.refusing:
+                await self._refuse_to_begin(call)
+            case "POST", "/v1/completions":
+                await self._complete(call, chat=False)
+            case "POST", "/v1/chat/completions":
+                await self._complete(call, chat=True)
+            case _:
+                await self._carry_plain(call)
+
+    def refuse_new(self) -> None:
+        """Begin no request any more, also none of those that no server has run yet."""
+        self.refusing = self.plain.draining = True
+        for call, scope in list(self._scopes.items()):
+            if not call.sent_on:
+                scope.cancel()
+        for runner in self._entry().runners.values():
+            runner.begin_drain()
+
+    def stop_all(self) -> None:
+        """End all open requests, and tell their callers the outcome."""
+        for scope in list(self._scopes.values()):
+            scope.cancel()
+        for runner in self._entry().runners.values():
+            runner.stop()
+
+    def _log_stopped(self, call: Call, outcome: str, request_id: str = "") -> None:
+        logger.warning(
+            "event=request_stopped reason=%s request=%s method=%s path=%s outcome=%s begun=%s",
+            STOPPING,
+            request_id,
+            call.method,
+            call.path,
+            outcome,
+            call.started,
+        )
+
+    async def _refuse_to_begin(self, call: Call) -> None:
+        """Refuse a request that this node would not end in time; it was not run."""
+        if call.started:
+            call.close()
+            return
+        self._ends.count("not-run")
+        body = error_body(f"not run: {STOPPING}", "overloaded_error", "not-run")
+        headers = {OUTCOME_HEADER: "not-run", "retry-after": "1", "connection": "close"}
+        await call.reply_unread(503, body, headers, self._settings.max_body_bytes)
+
     async def _refuse_for_memory(self, call: Call, hold: BodyHold) -> None:
         """Refuse a request whose body has no memory; it was not run."""
         now_ms, stated_bytes = self._kernel.now_ms(), call.stated_body_bytes
@@ -144,8 +196,13 @@
             await reply_plain_outcome(call, denied)
             return
         self.plain.leaving = entry.leaving
+        scope = self._scopes[call] = anyio.CancelScope()
         try:
-            outcome = await self.plain.carry(call, route, once, self._kernel.now_ms())
+            with scope:
+                outcome = await self.plain.carry(call, route, once, self._kernel.now_ms())
+            if scope.cancelled_caught:
+                self._log_stopped(call, "unknown" if call.sent_on else "not-run")
+                outcome = await self.plain.stop(call)
         except BodyMemoryFull:
             if claim is not None:
                 self._settle(call, claim, call_id)
@@ -210,6 +267,7 @@
         entry = self._entry()
         runner = self._make_runner(call, request, request_id)
         sink = (StreamingSink if request.stream else CollectingSink)(call, request_id, request)
+        del self._scopes[call]
         entry.add(runner)
         try:
             async with anyio.create_task_group() as tasks:
@@ -220,6 +278,8 @@
             entry.remove(runner)
             self._ends.record(runner.request, runner.job, self._kernel.now_ms())
         outcome = runner.request.outcome
+        if runner.stopped:
+            self._log_stopped(call, describe_outcome(outcome), request_id)
         if isinstance(outcome, Completed | NotRun | Unknown):
             await sink.finish(outcome)
         return runner.request
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -23,6 +23,7 @@
 from saffronworks.engines import EngineClient
 from saffronworks.entries import EntryService
 from saffronworks.fences import FenceKeeper
+from saffronworks.forwarding.planned_ends import PlannedEnd
 from saffronworks.frontends import Frontend
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
@@ -63,6 +64,8 @@
 NODE_CODEC = Codec(messages, membership, documents)
 LINGER_S = 0.3
 DRAIN_LOOK_S = 0.05
+# Part of a drain after which callers and balancers should know that this node is not ready.
+NOTICE_SHARE = 0.5
 
 
 class Node:
@@ -98,6 +101,8 @@
         self._operators = HttpServer(bind(settings.admin_address), operators.handle)
         self._scope: anyio.CancelScope | None = None
         self._stopping = anyio.Event()
+        # Set by `stop`.
+        self._end = PlannedEnd(0, 0, 0)
 
     @property
     def caller_address(self) -> str:
@@ -152,9 +157,17 @@
                 await self.frontend.plain.close()
         logger.info("event=node_stop node=%s", self.settings.name)
 
-    def stop(self) -> None:
-        """Begin the planned stop: nothing in flight is cut off."""
-        self._stopping.set()
+    def stop(self, sent_ms: int | None = None) -> None:
+        """Begin the planned stop, whose signal was sent at that time, by default now.
+
+        Nothing that a server has begun is cut off for `drain_ms` after it.
+        """
+        if not self._stopping.is_set():
+            began_ms = monotonic_ms() if sent_ms is None else sent_ms
+            drain_ms = self.settings.drain_ms
+            notice_ms = began_ms + int(NOTICE_SHARE * drain_ms)
+            self._end = PlannedEnd(began_ms, notice_ms, began_ms + drain_ms)
+            self._stopping.set()
 
     def kill(self) -> None:
         """End at once, as a crash does."""
@@ -162,15 +175,23 @@
             self._scope.cancel()
 
     async def _drain(self) -> None:
-        """Fail readiness, hand ownership over, let accepted requests run to their end."""
-        logger.info("event=drain node=%s live=%d", self.settings.name, len(self.entry.runners))
+        """Fail readiness, hand ownership over, let requests that have begun run to their end."""
+        logger.warning(
+            "event=drain node=%s live=%d left_ms=%d",
+            self.settings.name,
+            len(self.entry.runners),
+            self._end.ends_ms - self.kernel.now_ms(),
+        )
         self.frontend.draining = True
         self.members.leave(self.kernel, gone=False)
         self.kernel.announce(MemberChanged(self.settings.name, Status.LEAVING))
-        until_ms = self.kernel.now_ms() + self.settings.drain_ms
         quiet = 0
-        while quiet < 3 and self.kernel.now_ms() < until_ms:
+        while quiet < 3 and self.kernel.now_ms() < self._end.ends_ms:
             await anyio.sleep(DRAIN_LOOK_S)
+            if self._end.announced(self.kernel.now_ms()) and not self.frontend.refusing:
+                self.frontend.refuse_new()
             quiet = quiet + 1 if self.frontend.open_calls == 0 else 0
+        self.frontend.refuse_new()
+        self.frontend.stop_all()
         self.members.leave(self.kernel, gone=True)
         await anyio.sleep(LINGER_S)
--- a/saffronworks/plain.py
+++ b/saffronworks/plain.py
@@ -74,6 +74,8 @@
     def __init__(self, zone: str):
         self.load = PlainLoad()
         self.leaving: frozenset[str] = frozenset()
+        # No call is sent a second time any more.
+        self.draining = False
         self._zone = zone
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=500, max_keepalive_connections=64, keepalive_expiry=20
@@ -107,10 +109,17 @@
                 logger.info(
                     "event=plain_broken endpoint=%s error=%s", endpoint.name, type(error).__name__
                 )
-                if once or call.streamed:
+                if once or call.streamed or self.draining:
                     break
         return await self._refuse(call, sent)
 
+    async def stop(self, call: Call) -> PlainOutcome:
+        """End a call that was cancelled, as the node ends."""
+        if not call.started:
+            return await self._refuse(call, call.sent_on)
+        call.close()
+        return "unknown"
+
     async def _refuse(self, call: Call, sent: bool) -> PlainOutcome:
         outcome: PlainOutcome = "unknown" if sent else "not-run"
         headers: dict[str, str] = {OUTCOME_HEADER: outcome}
@@ -147,6 +156,7 @@
             body = call.chunks()
             headers.append((b"content-length", length.encode()))
         url = f"http://{endpoint.address}{path}"
+        call.sent_on = True
         async with self._pool.stream(
             call.method, url, headers=headers, content=body, extensions={"timeout": TIMEOUTS}
         ) as response:
--- a/saffronworks/request_events.py
+++ b/saffronworks/request_events.py
@@ -22,6 +22,7 @@
     "Finish",
     "GrantReceived",
     "LeaseLost",
+    "NodeStopping",
     "NotRun",
     "Outcome",
     "OwnerChanged",
@@ -197,6 +198,11 @@
     """An error that nobody foresaw ended the request's task."""
 
 
+@attrs.frozen
+class NodeStopping:
+    """The node ends, and with it each request."""
+
+
 @attrs.frozen
 class LeaseLost:
     """This node stood still past its lease: others took what the request held."""
@@ -227,6 +233,7 @@
     | DecodeBroken
     | CallerGone
     | RouterFailed
+    | NodeStopping
     | LeaseLost
     | OwnerChanged
     | Tick
--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -26,6 +26,7 @@
     Finish,
     GrantReceived,
     LeaseLost,
+    NodeStopping,
     NotRun,
     Outcome,
     OwnerChanged,
@@ -45,7 +46,7 @@
     Unknown,
 )
 
-__all__ = ["Request", "due_ms", "step"]
+__all__ = ["STOPPING", "Request", "due_ms", "step"]
 
 RESUMES_PER_ATTEMPT = 2
 MAX_ATTEMPTS = 6
@@ -56,6 +57,7 @@
 # The entry node times out a stalled transfer. The engine's own limit is this much longer, and
 # applies only when the entry node is unable to act.
 IMPORT_GRACE_MS = 500
+STOPPING = "node-stopping"
 
 
 @attrs.define
@@ -70,6 +72,8 @@
     ask_again_ms: int
     stall_ms: int = 5000
     unrepeatable: bool = False
+    # The node begins no request any more. A begun stream still continues at another engine.
+    draining: bool = False
     phase: Phase = Phase.RECEIVED
     attempt: int = 1
     dispatched: bool = False
@@ -137,6 +141,8 @@
             return _end(request, Cancelled())
         case RouterFailed():
             return _end(request, _failure_outcome(request, "router failed"))
+        case NodeStopping():
+            return _end(request, _failure_outcome(request, STOPPING))
         case Tick():
             return _tick(request, now_ms)
         case OwnerChanged():
@@ -295,6 +301,8 @@
     commands: list[Command] = _release_attempt(request, failed, failure)
     request.failed_endpoints = tuple({*request.failed_endpoints, *failed})
     too_many = request.attempt >= MAX_ATTEMPTS
+    if request.draining and not request.delivered:
+        return commands + _finish(request, _failure_outcome(request, STOPPING))
     if too_many or request.deadline_passed(now_ms) or (request.unrepeatable and executed):
         return commands + _finish(request, _failure_outcome(request, failure or "failed"))
     if request.first_token_ms is not None and request.broken_since_ms is None:
--- a/saffronworks/runners.py
+++ b/saffronworks/runners.py
@@ -77,6 +77,8 @@
         self._engines = engines
         self._answered: list[str] = []
         self._endpoints = {endpoint.name: endpoint for endpoint in job.cell.endpoints}
+        self._scope: anyio.CancelScope | None = None
+        self.stopped = False
         self._outbox, self._inbox = anyio.create_memory_object_stream[request_events.Event](
             EVENT_QUEUE_SIZE
         )
@@ -93,6 +95,18 @@
         except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
             logger.warning("event=event_dropped request=%s", self.request.request_id)
 
+    def begin_drain(self) -> None:
+        """End the request if no engine has run it; begin no other run unless tokens are out."""
+        self.request.draining = True
+        if not self.request.dispatched:
+            self.stop()
+
+    def stop(self) -> None:
+        """End the request, as its node ends; the caller is told the outcome."""
+        self.stopped = True
+        if self._scope is not None:
+            self._scope.cancel()
+
     def held(self) -> HeldKey | None:
         """The grant that this request holds at its owner, or None."""
         request = self.request
@@ -115,6 +129,9 @@
         """
         try:
             async with anyio.create_task_group() as tasks:
+                self._scope = tasks.cancel_scope
+                if self.stopped:
+                    self._scope.cancel()
                 self.post(request_events.Started())
                 async for event in self._inbox:
                     commands = requests.step(self.request, event, self._kernel.now_ms())
@@ -127,11 +144,18 @@
             logger.exception("event=request_failed request=%s", self.request.request_id)
             self._end_early(request_events.RouterFailed())
         finally:
-            self._end_early(request_events.CallerGone())
+            self._end_early(
+                request_events.NodeStopping() if self.stopped else request_events.CallerGone()
+            )
         assert self.request.outcome is not None
         return self.request.outcome
 
-    def _end_early(self, event: request_events.CallerGone | request_events.RouterFailed) -> None:
+    def _end_early(
+        self,
+        event: request_events.CallerGone
+        | request_events.RouterFailed
+        | request_events.NodeStopping,
+    ) -> None:
         """Cancel engine work and release the grant when the task ends before the request."""
         for command in requests.step(self.request, event, self._kernel.now_ms()):
             self._perform_now(command)
--- a/saffronworks/standins/standin_plain.py
+++ b/saffronworks/standins/standin_plain.py
@@ -1,5 +1,7 @@
 """A small stand-in for a plain service; it counts how often each marked call was run."""
 
+import anyio
+
 from saffronworks.web import Call, HttpServer, bind
 
 __all__ = ["StandinPlain"]
@@ -14,6 +16,7 @@
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
         self.calls: dict[str, int] = {}
         self.fail_next = 0
+        self.answer_after_ms = 0
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -27,5 +30,6 @@
             self.fail_next -= 1
             call.cut()
             return
+        await anyio.sleep(self.answer_after_ms / 1000)
         reply = {"server": self.name, "method": call.method, "path": call.path, "bytes": len(body)}
         await call.reply(200, reply)
--- a/saffronworks/tests/features/daemons.feature
+++ b/saffronworks/tests/features/daemons.feature
@@ -9,6 +9,12 @@
     When a daemon with a running stream gets SIGHUP, and SIGTERM a moment later
     Then the stream ends whole and the daemon exits 0
 
+  # Guards against streams that the end of a daemon's drain aborts without their outcome.
+  Scenario: SIGTERM cuts a stream that outlasts the drain, then the daemon exits 0
+    When a daemon with a stream that takes longer than its drain gets SIGTERM
+    Then the stream tells its outcome and is cut, and the daemon exits 0
+    And the engines hold nothing in the end
+
   Scenario: a daemon is killed in the middle of streams
     When one of three daemons is killed under streams
     Then the answers through the other daemons are whole
--- a/saffronworks/tests/features/steps/daemons_steps.py
+++ b/saffronworks/tests/features/steps/daemons_steps.py
@@ -30,7 +30,7 @@
         self.settings = []
         self.processes = []
 
-    async def start(self, count=3):
+    async def start(self, count=3, **others):
         self.site.store.put("config/bundles/letters", self.signed_bundle())
         for index in range(count):
             self.settings.append(
@@ -47,6 +47,7 @@
                     "dead_after_ms": 1200,
                     "lease_ms": 2000,
                     "log_level": "ERROR",
+                    **others,
                 }
             )
         rows = [
@@ -105,7 +106,7 @@
             process.wait()
 
 
-def with_daemons(context, play, count=3):
+def with_daemons(context, play, count=3, **settings):
     async def main():
         with tempfile.TemporaryDirectory() as folder:
             async with anyio.create_task_group() as tasks:
@@ -113,7 +114,7 @@
                 await site.start(sign_off=False)
                 daemons = DaemonSite(site, folder)
                 try:
-                    await daemons.start(count)
+                    await daemons.start(count, **settings)
                     await play(daemons, tasks)
                 finally:
                     daemons.end()
@@ -137,7 +138,7 @@
 
 
 @when("a daemon with a running stream gets SIGTERM")
-def terminate(context, *before):
+def terminate(context, *before, **settings):
     async def play(daemons, tasks):
         async with anyio.create_task_group() as both:
             both.start_soon(load, context, "answers", daemons.callers()[0], 2)
@@ -149,7 +150,19 @@
         await wait_until(lambda: daemons.processes[0].poll() is not None)
         context.exit_code = daemons.processes[0].returncode
 
-    with_daemons(context, play, count=1)
+    with_daemons(context, play, count=1, **settings)
+
+
+@when("a daemon with a stream that takes longer than its drain gets SIGTERM")
+def terminate_long(context):
+    terminate(context, drain_ms=500)
+
+
+@then("the stream tells its outcome and is cut, and the daemon exits 0")
+def cut(context):
+    assert [(a.outcome, a.whole) for a in context.answers] == [("unknown", False)] * 2
+    assert all(a.text and a.error == "RemoteProtocolError" for a in context.answers)
+    assert context.exit_code == 0, context.exit_code
 
 
 @then("the stream ends whole and the daemon exits 0")
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -69,6 +69,8 @@
         }
         self.peer = scope.get("client")
         self.started = False
+        # Whether another server may have got the request.
+        self.sent_on = False
         # Called when the request is sent on to another server.
         self.on_send: Callable[[], None] = lambda: None
         self._receive = receive
