Wait for a silent engine of an unrepeatable request up to its deadline

A transfer of such a request may be silent up to the deadline now, as no other attempt may follow. If the KV result expires meanwhile, the caller is told unknown.

--- a/saffronworks/requests.py
+++ b/saffronworks/requests.py
@@ -190,7 +190,7 @@
         case AssignReceived(), Phase.ASSIGNING:
             request.phase = Phase.TRANSFERRING
             request.decode_endpoint = event.endpoint
-            request.transfer_limit_ms = event.limit_ms
+            request.transfer_limit_ms = _transfer_limit_ms(request, event.limit_ms, now_ms)
             request.progress_ms = now_ms
             return [_start_decode(request)]
         case AssignWithdrawn(), Phase.ASSIGNING:
@@ -218,6 +218,13 @@
     return [StartPrefill(request.attempt, endpoint, request.delivered, begin_within_ms)]
 
 
+def _transfer_limit_ms(request: Request, limit_ms: int, now_ms: int) -> int:
+    """Return how long a transfer may be silent: to the deadline if no other attempt may follow."""
+    if not request.unrepeatable or request.next_due_ms is None:
+        return limit_ms
+    return max(limit_ms, request.next_due_ms - now_ms)
+
+
 def _start_decode(request: Request) -> StartDecode:
     return StartDecode(
         request.attempt,
--- a/saffronworks/tests/features/site.feature
+++ b/saffronworks/tests/features/site.feature
@@ -45,6 +45,18 @@
     Then it is told unknown
     And it was dispatched once
 
+  # Guards against the silence of an engine that is taken for its end, where nothing may follow.
+  Scenario Outline: an unrepeatable request survives an engine that is silent during its <stage>
+    When an unrepeatable request meets an engine that is silent for 1.5 s during its <stage>
+    Then every answer is whole
+    And it was dispatched once
+
+    Examples:
+      | stage    |
+      | prefill  |
+      | transfer |
+      | decode   |
+
   Scenario: a node that dies leaves no engine memory held
     When a node dies under streams
     Then no engine memory stays held
--- a/saffronworks/tests/features/steps/site_steps.py
+++ b/saffronworks/tests/features/steps/site_steps.py
@@ -234,6 +234,31 @@
     on_site(context, SiteShape(profile=SLOW, max_tokens=400), play)
 
 
+@when("an unrepeatable request meets an engine that is silent for 1.5 s during its {stage}")
+def unrepeatable_silence(context, stage):
+    async def play(site, tasks):
+        prefill, decode = site.engines["prefill-1"], site.engines["decode-1"]
+        silent = decode if stage == "decode" else prefill
+
+        async def send():
+            address, headers = site.nodes[0].caller_address, {"x-unrepeatable": "true"}
+            async with httpcore.AsyncConnectionPool() as pool:
+                context.answers.append(await ask(pool, address, "bill me", TOKENS, headers=headers))
+
+        async with anyio.create_task_group() as both:
+            silent.fault = Fault.STALL_TRANSFER if stage == "transfer" else Fault.STALL
+            both.start_soon(send)
+            work = {"prefill": prefill.dispatches, "transfer": decode.streams}
+            assert await wait_until(lambda: work.get(stage, decode.streams))
+            await anyio.sleep(1.5)
+            silent.fault = Fault.NONE
+        context.dispatches = [
+            count for engine in site.engines.values() for count in engine.dispatches.values()
+        ]
+
+    on_site(context, SiteShape(prefills=1, decodes=1, profile=QUICK), play)
+
+
 @then("it is told unknown")
 def told_unknown(context):
     answer = context.answers[0]
