Soak: suspended endpoints, late copies of any answer and long answers

The soak could not find the faults of the incident. Its answers took 0.25 s at most, so that none could outlast a grace; only plain answers came twice, heads of streams came at once and KV handles never lapsed, so that no copy could be mistaken; a silence was one of a request, not of the process.

Endpoints can be suspended like a process under SIGSTOP, send any answer a second time some time later, let handles expire at once, and work on answers of 0.7 to 1.5 thousand tokens. Callers with long answers and with pages use nodes that drain. The records hold silences, signals, lags and times without a processor.

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -59,6 +59,18 @@
       | was resumed at its version                              |
       | was resumed while one endpoint of its version served    |
       | was broken by a kill across a planned stop of its node  |
+  Scenario: a suspended endpoint behaves like a suspended process
+    When an endpoint is suspended while it is asked
+    Then it accepts the connection, answers only after it is resumed, and then sees a close
+
+  # Its proxy is another process, and refuses connections a little later.
+  Scenario: an endpoint that has ended takes no request until it restarts
+    When an endpoint is asked after its end and after its restart
+    Then only the later request runs
+
+  Scenario: an endpoint sends some answers a second time
+    When an endpoint sends each answer again on its connection
+    Then the second copy comes late, with the id of the first, and never into another answer
 
   Scenario: a stop is that of one process, whatever is started meanwhile
     When a process is killed and another one started while it is stopped as planned
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -13,7 +13,7 @@
 from saffronworks.tests.fake_store import SLOW_S, FakeStore
 from saffronworks.tests.platform_fakes import fetch
 from saffronworks.tests.soak import faults, promises
-from saffronworks.tests.soak.endpoints import EVENTS
+from saffronworks.tests.soak.answer_lengths import EVENTS
 from saffronworks.tests.soak.organisations import HOT, KEYS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.records import (
--- a/saffronworks/tests/soak/callers.py
+++ b/saffronworks/tests/soak/callers.py
@@ -7,7 +7,12 @@
 import httpcore
 
 from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
-from saffronworks.tests.soak.endpoints import EVENTS
+from saffronworks.tests.soak.answer_lengths import (
+    EVENTS,
+    LONG_KINDS,
+    LONG_PROMPT,
+    LONG_TIMEOUT_KINDS,
+)
 from saffronworks.tests.soak.records import Asked, ClosedEarly
 
 __all__ = [
@@ -23,12 +28,13 @@
 # How often each kind of request comes, and the route that it goes by.
 KINDS = {"once": 4, "again": 3, "moved": 2, "gen": 2, "res": 3}
 # Those that may run once at most, and those that are answered by a stream of events.
-ONCE_KINDS = ("once", "moved", "gen")
-STREAM_KINDS = ("gen", "res")
+ONCE_KINDS = ("once", "moved", "gen", "long", "opage")
+STREAM_KINDS = ("gen", "res", *LONG_KINDS)
 # Streams that callers may resume.
 RESUMABLE_KIND = "res"
 STREAMED = 200
 DEADLINE_MS = {"once": 3000, "again": 3000, "moved": 3000, "gen": 6000, "res": 6000}
+DEADLINE_MS |= dict.fromkeys(LONG_TIMEOUT_KINDS, 14_000)
 PAUSE_S = 0.15
 LEAVE_SHARE = 0.05
 LEAVE_AFTER_S = 0.1
@@ -165,6 +171,7 @@
         pool, deadline_ms = self._connect(), DEADLINE_MS[kind]
         asked = Asked(request_id, kind, self._node, self._site.now_ms(), deadline_ms)
         asked.resumes, asked.after_event = resumes, after_event
+        asked.kept = bool(pool.connections)
         if self._whose is not None:
             asked.organisation, asked.key = self._whose.organisation, self._whose.key
         self._records.asked[request_id] = asked
@@ -189,13 +196,17 @@
         fields |= {"Key": asked.key} if asked.key else {}
         if asked.kind in STREAM_KINDS:
             fields |= prompt_of(asked.request_id)
+            fields |= LONG_PROMPT if asked.kind in LONG_KINDS else {}
         if asked.resumes:
             fields |= {"Resumes": asked.resumes, "Last-Event-Id": str(asked.after_event)}
         lost_after = self._draw_loss(asked)
-        method = "GET" if asked.kind == "again" else "POST"
+        method = "GET" if asked.kind in ("again", "page") else "POST"
         url = f"http://{self._site.caller_addresses[asked.node]}/{asked.kind}/"
         content = b"" if method == "GET" else b"body of " + asked.request_id.encode()
-        async with pool.stream(method, url, headers=fields, content=content) as response:
+        seen = {"trace": self._note_sent(asked)}
+        async with pool.stream(
+            method, url, headers=fields, content=content, extensions=seen
+        ) as response:
             asked.status = response.status
             headers = {key.lower(): value for key, value in response.headers}
             asked.signed = b"server-stamp" in headers
@@ -208,6 +219,15 @@
                     raise _StreamLost
         asked.outcome = "answered"
 
+    def _note_sent(self, asked):
+        """Return a trace that records when the request had been sent."""
+
+        async def trace(event, info):
+            if event == "http11.send_request_body.complete":
+                asked.sent_ms = self._site.now_ms()
+
+        return trace
+
     def _draw_loss(self, asked):
         """Return after how many events the caller loses a stream; 0 if it does not."""
         if asked.kind != RESUMABLE_KIND or self._losses.random() >= LOSE_SHARE:
--- a/saffronworks/tests/soak/endpoints.py
+++ b/saffronworks/tests/soak/endpoints.py
@@ -10,15 +10,23 @@
 from saffronworks.standins.addresses import free_address
 from saffronworks.tests.crashing_servers import CRASHING, CRASHING_PART
 from saffronworks.tests.platform_fakes import FakeServer
+from saffronworks.tests.soak.answer_copies import CopiedAnswers
+from saffronworks.tests.soak.answer_lengths import (
+    LONG_SERVICE,
+    LONG_TOKENS,
+    event_count,
+    work_s,
+)
 from saffronworks.tests.soak.organisations import check_endpoint_fields
 from saffronworks.tests.soak.records import EndlessAnswer, Ran, Reached, Rejected
+from saffronworks.tests.soak.suspensions import SuspendableReader, SuspendableWriter
 
 __all__ = ["Endpoint"]
 
-PLAIN_WORK_S = 0.03
 READ_S = 0.03
 EVENT_S = 0.02
-EVENTS = 12
+# Seconds for an event of long answers at even and at odd endpoints: 5 and 2 ms a token.
+LONG_EVENT_S = (0.2, 0.08)
 # From the arrival of a deadly content to the end of its endpoint.
 DEADLY_RUNS_S = 0.05
 HANDLE_TTL_MS = 500
@@ -57,7 +65,7 @@
     until_ms: float
 
 
-class Endpoint(FakeServer):
+class Endpoint(CopiedAnswers, FakeServer):
     """One start of an endpoint; `address` is where the store says that it is."""
 
     def __init__(self, instance, service, stage, records, site, seed, version="v1"):
@@ -73,6 +81,15 @@
         self.holds = {}
         self.handles = {}
         self.running = {}
+        self.copies_until_ms = self.lapses_until_ms = 0.0
+        self.event_s = EVENT_S
+        if service == LONG_SERVICE:
+            self.event_s = LONG_EVENT_S[int(instance.rpartition("-")[2]) % len(LONG_EVENT_S)]
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self._ended = False
+        self._open_runs = []
+        self._copies = random.Random(f"{seed}/copies/{instance}")
         self._rng = random.Random(f"{seed}/{instance}")
         self._odds = random.Random(f"{seed}/odd/{instance}")
         self._numbers = 0
@@ -91,15 +108,21 @@
         """Another start under the same name: what it held and ran is lost."""
         self.crash()
         self.starts += 1
+        self._ended = False
         self.records.restarts.append((self.instance, self.site.now_ms()))
         self.grey_until_ms = self.full_until_ms = self.odd_until_ms = 0.0
+        self.copies_until_ms = self.lapses_until_ms = 0.0
         self.limit = self.pause = None
         self.drains = False
+        self.awake.set()
         self.holds.clear()
         self.handles.clear()
 
     def crash(self):
-        """Reset every connection; what runs is lost."""
+        """Reset every connection until `restart`; what runs is lost."""
+        self._ended = True
+        for run in self._open_runs:
+            run.broke = True
         for writer in list(self._writers):
             self._reset(writer)
 
@@ -110,9 +133,16 @@
         return sum(self.running.values()) + sum(hold.tokens for hold in self.holds.values())
 
     async def _serve(self, reader, writer):
+        if self._ended:
+            # Its proxy, in another process, has not refused it yet.
+            self._reset(writer)
+            return
         self._writers.add(writer)
         try:
-            await super()._serve(reader, writer)
+            await super()._serve(
+                SuspendableReader(reader, self.awake, self.site.now_ms),
+                SuspendableWriter(writer, self.awake),
+            )
         except asyncio.CancelledError:
             # The soak is over; asyncio would report a cancelled connection as an error.
             return
@@ -124,6 +154,7 @@
         return f"{prefix}-{self.instance}-{self._numbers}"
 
     async def _control(self, writer, method, target):
+        writer.request_id = self.seen[-1][2].get("request-id", "")
         name = target.rpartition("/")[2]
         if target.endswith("hold-take"):
             return await self._take_hold(writer)
@@ -148,13 +179,14 @@
 
     async def _request(self, reader, writer, headers):
         request_id, now_ms, body = headers["request-id"], self.site.now_ms(), self.seen[-1][3]
+        writer.request_id, arrived_ms = request_id, reader.arrived_ms
         self.records.wrong += check_endpoint_fields(self.records.asked[request_id], headers)
-        self.records.reached.append(Reached(self.instance, request_id, now_ms))
+        self.records.reached.append(Reached(self.instance, request_id, arrived_ms))
         if self.pause is not None:
             return await self._ask_pause(writer, request_id)
         if headers.get("stage") == "prefill":
-            return await self._read_prompt(writer, request_id)
-        self.records.arrived.append((self.service, request_id, now_ms))
+            return await self._read_prompt(reader, writer, request_id)
+        self.records.arrived.append((self.service, request_id, arrived_ms))
         if CRASHING in body:
             await asyncio.sleep(DEADLY_RUNS_S)
             self.site.end_under(self, self.records.deadly_ends_ms)
@@ -187,6 +219,7 @@
         sent = EndlessAnswer(request_id, self.instance)
         self.records.endless.append(sent)
         run = self._begin(request_id)
+        run.broke = True
         own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
         if self.odd == "endless-head":
             writer.write(b"HTTP/1.1 200 OK\r\n")
@@ -234,21 +267,38 @@
         own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
         return await self._reply(writer, 500, own, b"failed")
 
-    async def _read_prompt(self, writer, request_id):
-        await asyncio.sleep(READ_S)
+    async def _read_prompt(self, reader, writer, request_id):
+        work = Ran(request_id, self.instance, self.service, self.site.now_ms())
+        work.arrived_ms = reader.arrived_ms
+        self.records.prefilled.append(work)
+        try:
+            left = await self._leaves(reader, READ_S)
+            # A suspended process neither ends its work nor notices that its caller left.
+            await self.awake.wait()
+        finally:
+            work.ended_ms = self.site.now_ms()
+        if left:
+            return False
         handle = self._next("kv")
-        self.handles[handle] = (request_id, self.site.now_ms() + HANDLE_TTL_MS)
+        now_ms = self.site.now_ms()
+        ttl_ms = 0 if now_ms < self.lapses_until_ms else HANDLE_TTL_MS
+        self.handles[handle] = (request_id, now_ms + ttl_ms)
         body = json.dumps({"kv_handle": handle, "tokens": 5}).encode()
         return await self._reply(writer, 200, {"Request-Id": request_id}, body)
 
     async def _answer(self, reader, writer, request_id, fault):
-        run = self._begin(request_id)
+        run = self._begin(request_id, arrived_ms=reader.arrived_ms)
+        run.broke = fault not in (None, "silence")
         try:
             pause_s = PAUSE_S if fault == "silence" else 0.0
-            if await self._leaves(reader, PLAIN_WORK_S + pause_s):
-                return False
+            kind = self.records.asked[request_id].kind
+            left = await self._leaves(reader, work_s(kind, request_id) + pause_s)
+            # A suspended process neither ends its work nor notices that its caller left.
+            await self.awake.wait()
         finally:
-            run.ended_ms = self.site.now_ms()
+            self._end(run)
+        if left:
+            return False
         own = {"Request-Id": request_id, "Server-Stamp": f"stamp-{self.instance}"}
         run.whole = True
         return await self._plain(writer, own, request_id.encode(), fault)
@@ -259,37 +309,48 @@
         except TimeoutError:
             return False
 
-    def _begin(self, request_id, after_event=0):
+    def _begin(self, request_id, after_event=0, arrived_ms=None):
         run = Ran(request_id, self.instance, self.service, self.site.now_ms(), after_event)
+        run.arrived_ms = arrived_ms
         self.records.ran.append(run)
+        self._open_runs.append(run)
         return run
 
+    def _end(self, run):
+        run.ended_ms = self.site.now_ms()
+        self._open_runs = [other for other in self._open_runs if other is not run]
+
     async def _generate(self, reader, writer, headers, fault):
         request_id = headers["request-id"]
         hold = self.holds.pop(headers.get("kv-hold", ""), None)
         source = headers.get("kv-source")
         if ("kv-hold" in headers and hold is None) or (
-            source and not self._take_handle(source, request_id)
+            source and not await self._take_handle(source, request_id)
         ):
             return await self._refuse(writer, request_id)
         prompt_tokens = int(headers["token-counts"].split(",")[0])
         if not hold and self.used_tokens() + prompt_tokens > CAPACITY_TOKENS:
             return await self._refuse(writer, request_id)
-        run = self._begin(request_id, int(headers.get("last-event-id", 0)))
+        after_event = int(headers.get("last-event-id", 0))
+        run = self._begin(request_id, after_event, reader.arrived_ms)
+        run.broke = fault not in (None, "silence")
         if fault == "error":
             run.ended_ms = self.site.now_ms()
             return await self._fail(writer, request_id)
-        self.running[request_id] = prompt_tokens + ANSWER_TOKENS
+        more_tokens = LONG_TOKENS if self.service == LONG_SERVICE else ANSWER_TOKENS
+        self.running[request_id] = prompt_tokens + more_tokens
         try:
             run.whole = await self._stream_events(reader, writer, run, fault)
         finally:
             self.running.pop(request_id, None)
-            run.ended_ms = self.site.now_ms()
+            self._end(run)
         return run.whole
 
-    def _take_handle(self, source, request_id):
+    async def _take_handle(self, source, request_id):
         address, _, name = source.rpartition("/")
         reader = self.site.by_address.get(address)
+        if reader is not None:
+            await reader.awake.wait()
         handle = reader.handles.pop(name, None) if reader else None
         if handle is None or handle[1] < self.site.now_ms():
             return False
@@ -300,25 +361,31 @@
     async def _stream_events(self, reader, writer, run, fault):
         own = {"Request-Id": run.request_id, "Server-Stamp": f"stamp-{self.instance}"}
         framed = fault not in ("unframed-break", "unframed")
-        await self._head(writer, 200, own | ({"Transfer-Encoding": "chunked"} if framed else {}))
+        own |= {"Transfer-Encoding": "chunked"} if framed else {}
         after_event = 0 if fault == "restart" else run.after_event
-        for number in range(after_event + 1, EVENTS + 1):
-            if await self._leaves(reader, EVENT_S):
+        events = event_count(self.records.asked[run.request_id].kind, run.request_id)
+        for number in range(after_event + 1, events + 1):
+            if await self._leaves(reader, self.event_s):
                 return False
-            if fault == "silence" and number == EVENTS // 2:
+            if number == after_event + 1:
+                await self._head(writer, 200, own)
+            if fault == "silence" and number == events // 2:
                 await asyncio.sleep(PAUSE_S)
             if fault == "spoiled-ids" and number > 1:
                 return await self._spoil_ids(writer, run)
             text = f"{run.request_id} {number} {self.version}"
             data = f"id: {number}\ndata: {text}\n\n".encode()
-            if fault in BREAKS and number == EVENTS // 2:
+            if fault in BREAKS and number == events // 2:
                 writer.write(b"%x\r\n%s\r\n" % (6, data[:6]) if framed else data[:6])
                 await writer.drain()
                 return False
             writer.write(b"%x\r\n%s\r\n" % (len(data), data) if framed else data)
             await writer.drain()
+        if after_event >= events:
+            await self._head(writer, 200, own)
         writer.write(b"0\r\n\r\n" if framed else b"")
         await writer.drain()
+        writer.busy = False
         return framed
 
     async def _spoil_ids(self, writer, run):
--- a/saffronworks/tests/soak/records.py
+++ b/saffronworks/tests/soak/records.py
@@ -8,6 +8,7 @@
     "ClosedEarly",
     "Disturbance",
     "EndlessAnswer",
+    "Lag",
     "Need",
     "Partition",
     "Ran",
@@ -15,7 +16,10 @@
     "Records",
     "Rejected",
     "Served",
+    "Silence",
+    "Starved",
     "Surged",
+    "Terminated",
 ]
 
 ALL_NODES = -1
@@ -40,6 +44,10 @@
     drains_at: str = ""
     retry_after: str = ""
     ended_ms: float = 0.0
+    # When all bytes of the request had been sent; 0 if that did not happen.
+    sent_ms: float = 0.0
+    # Its connection had carried another request.
+    kept: bool = False
     problem: str = ""
     # A stream that the caller resumes: its first request, and the last event that the caller has.
     resumes: str = ""
@@ -60,6 +68,10 @@
     after_event: int = 0
     whole: bool = False
     ended_ms: float | None = None
+    # When it had arrived, where the endpoint was suspended before it began.
+    arrived_ms: float | None = None
+    # The endpoint failed it or broke it off.
+    broke: bool = False
 
 
 @attrs.define
@@ -112,6 +124,32 @@
     what: str
     from_ms: float
     to_ms: float
+    # Of a "path": the endpoint whose link is at fault; empty for all of them.
+    endpoint: str = ""
+
+
+@attrs.frozen
+class Silence:
+    """An endpoint was suspended in this time."""
+
+    endpoint: str
+    from_ms: float
+    to_ms: float
+
+
+@attrs.define
+class Terminated:
+    """The first SIGTERM to a process of a node, and when that process ended or was killed."""
+
+    node: int
+    sent_ms: float
+    # The signal beside it, as `EXTRA_SIGNALS` names it.
+    extra: str = "none"
+    ended_ms: float = float("inf")
+    # It still ran at the end of the grace period.
+    outlived: bool = False
+    # Its own suspension around the SIGTERM, which excuses nothing.
+    freeze: Disturbance | None = None
 
 
 @attrs.frozen
@@ -142,6 +180,25 @@
     allowed_ms: float
 
 
+@attrs.frozen
+class Lag:
+    """A process of the soak that carries the links of these nodes was late."""
+
+    nodes: range
+    due_ms: float
+    woke_ms: float
+
+
+@attrs.frozen
+class Starved:
+    """A node's main thread was ready to run and had no processor for `waited_ms` of a span."""
+
+    node: int
+    from_ms: float
+    to_ms: float
+    waited_ms: float
+
+
 @attrs.define
 class EndlessAnswer:
     """An endpoint sent an answer without end, until its connection was closed."""
@@ -157,6 +214,8 @@
 
     asked: dict[str, Asked] = attrs.Factory(dict)
     ran: list[Ran] = attrs.Factory(list)
+    # Prompts that an endpoint began to read for another one.
+    prefilled: list[Ran] = attrs.Factory(list)
     # Requests that arrived at a service, whether run or not: service, id, time.
     arrived: list[tuple[str, str, float]] = attrs.Factory(list)
     reached: list[Reached] = attrs.Factory(list)
@@ -189,6 +248,15 @@
     paused: set[str] = attrs.Factory(set)
     # Idle timeouts of callers' connections: when the store took it, in ms.
     idle_timeouts: list[tuple[float, int]] = attrs.Factory(list)
+    # Answers that came a second time.
+    copies: int = 0
+    silences: list[Silence] = attrs.Factory(list)
+    terminated: list[Terminated] = attrs.Factory(list)
+    # The lowest timeout of the routes of a kind that was ever in force, in ms.
+    least_timeout_ms: dict[str, int] = attrs.Factory(dict)
     calm_from_ms: float = 0.0
-    # How long the soak's own process stood still, each time.
+    lags: list[Lag] = attrs.Factory(list)
+    # For the trace of a finding; no check excuses it.
+    starved: list[Starved] = attrs.Factory(list)
+    # How long a process of the soak stood still, each time.
     stalls_ms: list[float] = attrs.Factory(list)
--- a/saffronworks/tests/soak/stream_promises.py
+++ b/saffronworks/tests/soak/stream_promises.py
@@ -2,8 +2,8 @@
 
 import re
 
+from saffronworks.tests.soak.answer_lengths import event_count
 from saffronworks.tests.soak.callers import RESUMABLE_KIND, STREAM_KINDS, STREAMED, count_events
-from saffronworks.tests.soak.endpoints import EVENTS
 from saffronworks.tests.soak.records import Asked, Records
 
 __all__ = ["is_whole_stream", "one_version_each", "resumed_go_on"]
@@ -24,11 +24,12 @@
     """Return whether an answer has all events after the caller's last one, of one version."""
     events = _EVENT.findall(asked.body)
     # A caller that has all events, but not the end of the answer, gets an empty one.
-    versions = 0 if asked.after_event == EVENTS else 1
+    count = event_count(asked.kind, asked.request_id)
+    versions = 0 if asked.after_event == count else 1
     numbers = [int(number) for number, *_ in events]
     own = asked.request_id.encode()
     return (
-        numbers == list(range(asked.after_event + 1, EVENTS + 1))
+        numbers == list(range(asked.after_event + 1, count + 1))
         and all(name == own and number == again for number, name, again, _ in events)
         and len(_versions(asked)) == versions
         and asked.body == b"".join(_format(event) for event in events)
