--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -1,14 +1,17 @@
 """One soak: starts everything, plays the faults of a seed, checks what was seen."""
 
 from collections import Counter
+from pathlib import Path
 
 import anyio
 import attrs
 
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.soak.callers import Caller, DeadlyCaller
-from saffronworks.tests.soak.faults import Shape, draw_deadly, draw_faults
+from saffronworks.tests.soak.faults import Shape, draw_deadly
+from saffronworks.tests.soak.long_callers import LongCaller, PageCaller
 from saffronworks.tests.soak.organisations import WIDE_CALLER, holder_of
+from saffronworks.tests.soak.planned_faults import draw_all_faults
 from saffronworks.tests.soak.promises import check_all
 from saffronworks.tests.soak.sites import SoakSite
 
@@ -27,8 +30,8 @@
 class SoakResult:
     """What broke, in words, and how often callers saw each kind of outcome.
 
-    `stalled_ms` is how long the soak's own process stood still in all: on a busy machine nothing is
-    checked of such times.
+    `stalled_ms` is how long the soak's own process and those of its proxies stood still in all: on
+    a busy machine nothing is checked of such times.
     """
 
     findings: list[str]
@@ -42,17 +45,39 @@
         site = SoakSite(seed, shape, folder, tasks)
         try:
             await site.start()
-            await _play(site, draw_faults(seed, shape))
+            await _play(site, draw_all_faults(seed, shape))
             found = check_all(site.records) + [f"memory: {text}" for text in site.memory_in_use()]
             found += [f"census: {text}" for text in site.uncounted_nodes()]
         finally:
-            for node in site.nodes:
-                node.end_now()
+            site.end_processes()
             tasks.cancel_scope.cancel()
+    if found:
+        _write_records(site.records, Path(folder) / "records.txt")
     stalled_ms = int(sum(site.records.stalls_ms))
     return SoakResult(found, _count_outcomes(site.records), stalled_ms)
 
 
+def _write_records(records, path):
+    """Write everything that was seen, a line each, for the trace of a finding."""
+    lines = [f"calm from {records.calm_from_ms:.0f}"]
+    for seen in (
+        records.asked.values(),
+        records.ran,
+        records.reached,
+        records.terminated,
+        records.silences,
+        records.disturbances,
+        records.versions,
+        records.restarts,
+        records.closed_early,
+        records.lags,
+        records.starved,
+        records.left_ms.items(),
+    ):
+        lines += map(repr, seen)
+    path.write_text("\n".join(lines) + "\n")
+
+
 def _count_outcomes(records):
     outcomes = (f"{asked.kind}-{asked.status or asked.outcome}" for asked in records.asked.values())
     return dict(sorted(Counter(outcomes).items()))
@@ -65,6 +90,14 @@
             whose = holder_of(number) if site.organisations else None
             caller = Caller(f"c{number}", site, site.records, site.seed, whose)
             callers.start_soon(caller.run, over.is_set)
+        for number in range(site.shape.long_callers):
+            whose = holder_of(WIDE_CALLER) if site.organisations else None
+            caller = LongCaller(f"l{number}", site, site.records, site.seed, whose)
+            callers.start_soon(caller.run, over.is_set)
+        for number in range(site.shape.page_callers):
+            whose = holder_of(WIDE_CALLER) if site.organisations else None
+            caller = PageCaller(f"p{number}", site, site.records, site.seed, whose)
+            callers.start_soon(caller.run, over.is_set)
         for deadly in draw_deadly(site.seed, site.shape):
             # The first caller of the organisation whose quota is wide.
             whose = holder_of(WIDE_CALLER) if site.organisations else None
