--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -4,6 +4,10 @@
     Then the same seed draws the same faults, another one others
     And over some seeds every kind of fault is drawn, and faults overlap
 
+  Scenario: long turns of nodes that stop come on top of the other faults
+    Then a seed with long turns draws the same faults, and turns that lie apart
+    And a turn takes long after its signal
+
   Scenario: each fault of the store is felt by who calls it
     Then a store that is at fault answers late, refuses, loses its answer or its history
 
@@ -42,13 +46,30 @@
       | came long after its endpoint said that it drains | draining_get_nothing     |
       | came again and again in a pause of its endpoint | pauses_hold               |
       | failed like many others as the paths of its node were cut | partitioned_serve |
+      | failed as the paths of its node were cut and another one stopped | partitioned_serve |
       | failed like many others that its node read in a surge | surged_serve       |
       | has events of two versions in one answer       | one_version_each          |
       | was resumed at another version                 | one_version_each          |
       | was refused like many others that were resumed | resumed_go_on             |
       | rested on a connection that its node closed early | kept_connections_stay  |
+      | rested on a connection that its node closed early, beside a small lag | kept_connections_stay |
+      | rested on a connection that its node closed early, beside a lag of others | kept_connections_stay |
       | got an answer without end that was read on     | endless_answers_end       |
       | was lost while its endpoint paused             | pauses_lose_nothing       |
+      | was sent long after SIGTERM, passed on and cut | stops_lose_nothing        |
+      | was cut in a stop before its last sixth        | stops_lose_nothing        |
+      | was long, cut before the last sixth and made whole by its endpoint | stops_lose_nothing |
+      | was cut in a stop though its endpoint had ended its work | stops_lose_nothing |
+      | was cut in a stop after its prompt was read    | stops_lose_nothing        |
+      | was held and closed in a stop                  | stops_lose_nothing        |
+      | was one of four that were closed without an answer | closes_lose_few       |
+      | was at a node that outlived its grace          | stops_end_in_grace        |
+      | was at a node that outlived its grace after its own freeze | stops_end_in_grace |
+      | continued elsewhere while its endpoint worked on | continued_alone         |
+      | was prefilled elsewhere while its endpoint worked on | continued_alone     |
+      | continued elsewhere while its endpoint was suspended | continued_alone     |
+      | is a page that ran again while its endpoint worked on | continued_alone    |
+      | is a page that ran again, and its suspended endpoint worked on | continued_alone |
 
   Scenario Outline: what the node has kept breaks no promise
     Given what was seen of a request that <case>
@@ -61,14 +82,33 @@
       | came twice in a pause of its endpoint                   |
       | failed right after the paths of its node were cut       |
       | failed as the paths of all nodes were cut               |
+      | failed in a planned stop of its node, whose paths were cut |
       | came unread in a surge as the paths of its node were cut |
       | was one of few that failed of those read in a surge     |
       | was served                                              |
       | rested on a connection that a planned stop closed       |
+      | rested on a connection whose last answer was read late  |
       | got an answer without end that was closed               |
       | was resumed at its version                              |
       | was resumed while one endpoint of its version served    |
       | was broken by a kill across a planned stop of its node  |
+      | was sent soon after SIGTERM and cut at the end of the grace |
+      | was long, cut at the end of the grace and made whole by its endpoint |
+      | was closed in a stop as it came                         |
+      | was held and closed in a stop on a new connection       |
+      | was one of three that were closed without an answer     |
+      | was one of four that were closed while their endpoint was suspended |
+      | was cut by a kill across a stop                         |
+      | was broken off by its endpoint in a stop                |
+      | reached its timeout in a stop                           |
+      | was cut in a stop as its endpoint had restarted         |
+      | was at a node that outlived its grace in a stall of the soak |
+      | was prefilled elsewhere and its endpoint stopped soon |
+      | continued elsewhere and its endpoint stopped soon       |
+      | continued elsewhere while the path to its endpoint was cut |
+      | is a page that ran again while its endpoint was suspended |
+      | ran on at a suspended endpoint though its caller left   |
+
   Scenario: a suspended endpoint behaves like a suspended process
     When an endpoint is suspended while it is asked
     Then it accepts the connection, answers only after it is resumed, and then sees a close
--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on the soak: its faults, its checks, and a short run of it."""
 
 import logging
+import signal
 import time
 from tempfile import TemporaryDirectory
 
@@ -12,8 +13,11 @@
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.fake_store import SLOW_S, FakeStore
 from saffronworks.tests.platform_fakes import fetch
-from saffronworks.tests.soak import faults, promises
-from saffronworks.tests.soak.answer_lengths import EVENTS
+from saffronworks.tests.soak import faults, planned_faults, promises
+from saffronworks.tests.soak.answer_lengths import EVENTS, LONG_KINDS, LONG_SERVICE, event_count
+from saffronworks.tests.soak.disturbances import CONTACT_MS
+from saffronworks.tests.soak.endpoint_promises import DRAIN_MS
+from saffronworks.tests.soak.long_turns import LONG_TURN_S, LONG_TURN_SIGNAL, add_long_turns
 from saffronworks.tests.soak.organisations import HOT, KEYS
 from saffronworks.tests.soak.processes import GRACE_S, NodeProcess
 from saffronworks.tests.soak.records import (
@@ -21,6 +25,7 @@
     ClosedEarly,
     Disturbance,
     EndlessAnswer,
+    Lag,
     Need,
     Partition,
     Ran,
@@ -31,8 +36,23 @@
     Surged,
 )
 from saffronworks.tests.soak.runs import run_soak
-
-SHORT = faults.Shape(nodes=2, plains=2, engines=3, callers=8, faults_ms=5000)
+from saffronworks.tests.soak_stop_cases import STOP_CASES
+
+# A third of the usual time has about a third of these faults.
+SHORT = faults.Shape(
+    nodes=2,
+    plains=2,
+    engines=3,
+    callers=8,
+    faults_ms=5000,
+    rolls=1,
+    silences=1,
+    copies=1,
+    short_handles=1,
+    timeout_changes=1,
+    long_callers=2,
+    page_callers=1,
+)
 # Draws a pause, a kill and a planned stop, links that are reset and silent, a store that refuses,
 # endpoints that vanish and are full, and new versions.
 SHORT_SEED = 21
@@ -42,15 +62,48 @@
 @then("the same seed draws the same faults, another one others")
 def same_faults(context):
     shape = faults.Shape()
-    assert faults.draw_faults(7, shape) == faults.draw_faults(7, shape)
-    assert faults.draw_faults(7, shape) != faults.draw_faults(8, shape)
+    for draw in (faults.draw_faults, planned_faults.draw_all_faults):
+        assert draw(7, shape) == draw(7, shape)
+        assert draw(7, shape) != draw(8, shape)
+
+
+@then("a seed with long turns draws the same faults, and turns that lie apart")
+def long_turns_drawn(context):
+    shape, begins = faults.Shape(), set()
+    for seed in range(1, 51):
+        drawn = planned_faults.draw_all_faults(seed, attrs.evolve(shape, long_turns=True))
+        rolls = [fault for fault in drawn if isinstance(fault, planned_faults.NodeRoll)]
+        for roll in rolls:
+            assert len(roll.turns) == roll.count, roll
+            for turns in roll.turns:
+                begins |= set(turns)
+                gaps_ms = [after - before for before, after in zip(turns, turns[1:], strict=False)]
+                assert turns and all(gap_ms >= 2000 * LONG_TURN_S for gap_ms in gaps_ms), turns
+        without = [
+            attrs.evolve(fault, turns=()) if isinstance(fault, planned_faults.NodeRoll) else fault
+            for fault in drawn
+        ]
+        assert without == planned_faults.draw_all_faults(seed, shape)
+    assert begins > set(planned_faults.TURNS_MS), begins
+
+
+@then("a turn takes long after its signal")
+def long_turn_taken(context):
+    before = signal.getsignal(LONG_TURN_SIGNAL)
+    try:
+        add_long_turns()
+        began_s = time.monotonic()
+        signal.raise_signal(LONG_TURN_SIGNAL)
+        assert time.monotonic() - began_s >= LONG_TURN_S
+    finally:
+        signal.signal(LONG_TURN_SIGNAL, before)
 
 
 @then("over some seeds every kind of fault is drawn, and faults overlap")
 def every_kind(context):
     kinds, overlaps = set(), 0
     for seed in range(1, 51):
-        drawn = faults.draw_faults(seed, faults.Shape())
+        drawn = planned_faults.draw_all_faults(seed, faults.Shape())
         kinds |= {(type(fault).__name__, fault.kind) for fault in drawn}
         pairs = zip(drawn, drawn[1:], strict=False)
         overlaps += any(later.at_ms < fault.at_ms + fault.for_ms for fault, later in pairs)
@@ -68,6 +121,11 @@
         *(("OddAnswers", kind) for kind in faults.ODD_KINDS),
         ("Surge", "surge"),
         ("OrganisationChange", "organisations"),
+        ("NodeRoll", "roll"),
+        *(("EndpointSilences", scope) for scope in planned_faults.SCOPES),
+        ("AnswerCopies", "copies"),
+        ("ShortHandles", "handles"),
+        ("TimeoutChange", "timeouts"),
         *(("SoftwareRelease", kind) for kind in faults.RELEASE_KINDS),
     }
     assert wanted <= kinds, wanted - kinds
@@ -119,11 +177,12 @@
 def served(kind="once"):
     """The records of one request that an endpoint ran and whose caller got its answer."""
     records = Records(versions=[(0.0, "web-a"), (5000.0, "web-b")])
-    streams = kind in ("gen", "res")
-    events = events_of("r", range(1, EVENTS + 1))
+    streams = kind in ("gen", "res", *LONG_KINDS)
+    events = events_of("r", range(1, event_count(kind, "r") + 1))
     asked = Asked("r", kind, 0, SENT_MS, 3000, "answered", 200, events if streams else b"r", True)
     asked.ended_ms = SENT_MS + 50
-    service = {"moved": "web-b", "gen": "llm", "res": "llm"}.get(kind, "web-a")
+    services = {"moved": "web-b", "gen": "llm", "res": "llm"}
+    service = (services | dict.fromkeys(LONG_KINDS, LONG_SERVICE)).get(kind, "web-a")
     run = Ran("r", "e", service, SENT_MS + 10, whole=True, ended_ms=SENT_MS + 40)
     records.asked["r"] = asked
     records.ran.append(run)
@@ -157,7 +216,7 @@
 
 
 def left_endpoint(records):
-    records.left_ms["e"] = SENT_MS - promises.DRAIN_MS - 1
+    records.left_ms["e"] = SENT_MS - DRAIN_MS - 1
 
 
 def older(records):
@@ -206,7 +265,7 @@
 def key_taken_away(records):
     asked = records.asked["r"]
     asked.organisation, asked.key = HOT, KEYS[HOT][1]
-    since_ms = SENT_MS - promises.CONFIG_APPLY_MS - promises.CONTACT_MS - 1
+    since_ms = SENT_MS - promises.CONFIG_APPLY_MS - CONTACT_MS - 1
     records.taken_away = [(since_ms, frozenset(KEYS[HOT]))]
 
 
@@ -219,7 +278,7 @@
     """The endpoint of the request takes 1 a second; so many reach it after its node was told."""
     run, asked = records.ran[0], records.asked["r"]
     records.needs = [Need(run.endpoint, 1.0, run.at_ms, run.at_ms + 20_000)]
-    from_ms = asked.ended_ms + promises.CONTACT_MS
+    from_ms = asked.ended_ms + CONTACT_MS
     later = [from_ms + number * 300 for number in range(sends)]
     records.reached = [Reached(run.endpoint, "r", at_ms) for at_ms in (run.at_ms, *later)]
 
@@ -227,7 +286,7 @@
 def drained(records, started=False):
     """The node of the request passed on before that its endpoint drains."""
     told = attrs.evolve(records.asked["r"], request_id="r0", body=b"r0", drains_at="e")
-    told.at_ms, told.ended_ms = SENT_MS - 3000, SENT_MS - promises.DRAIN_MS - 1
+    told.at_ms, told.ended_ms = SENT_MS - 3000, SENT_MS - DRAIN_MS - 1
     records.asked["r0"] = told
     records.reached.append(Reached("e", "r", SENT_MS + 10))
     if started:
@@ -254,6 +313,12 @@
             records.asked[name] = asked
 
 
+def refused_in_stop(records, count, node=0):
+    """The same, and a node is stopped as planned meanwhile."""
+    cut_off(records, count)
+    records.stops.append((node, SENT_MS + 1000, SENT_MS + 9000))
+
+
 def unread_at_cut(records, count):
     """The same, but an overloaded node closed the connections of a surge unread."""
     cut_off(records, count)
@@ -305,6 +370,14 @@
         records.stops.append((0, SENT_MS + 800, SENT_MS + 1800))
 
 
+def closed_after_lag(records, late_ms, nodes):
+    """The connection was closed 301 ms too early for who read its answer in time."""
+    closed_early(records)
+    # Of the first one, only what lies in the last second counts.
+    records.lags += [Lag(nodes, SENT_MS - 5000, SENT_MS - 1000), Lag(nodes, SENT_MS, SENT_MS + 500)]
+    records.lags.append(Lag(nodes, SENT_MS - late_ms, SENT_MS))
+
+
 def endless(records, closed_ms):
     records.endless.append(EndlessAnswer("r", "e", closed_ms))
 
@@ -316,6 +389,18 @@
 
 CASES = {
     "rested on a connection that its node closed early": ("once", closed_early),
+    "rested on a connection that its node closed early, beside a small lag": (
+        "once",
+        lambda seen: closed_after_lag(seen, 299, range(1)),
+    ),
+    "rested on a connection that its node closed early, beside a lag of others": (
+        "once",
+        lambda seen: closed_after_lag(seen, 600, range(1, 2)),
+    ),
+    "rested on a connection whose last answer was read late": (
+        "once",
+        lambda seen: closed_after_lag(seen, 301, range(1)),
+    ),
     "rested on a connection that a planned stop closed": (
         "once",
         lambda seen: closed_early(seen, stopped=True),
@@ -359,6 +444,14 @@
         "once",
         lambda seen: cut_off(seen, 11, since_ms=900),
     ),
+    "failed as the paths of its node were cut and another one stopped": (
+        "once",
+        lambda seen: refused_in_stop(seen, 11, node=2),
+    ),
+    "failed in a planned stop of its node, whose paths were cut": (
+        "once",
+        lambda seen: refused_in_stop(seen, 11),
+    ),
     "failed as the paths of all nodes were cut": (
         "once",
         lambda seen: cut_off(seen, 11, nodes=(0, 1)),
@@ -388,6 +481,7 @@
     ),
     "was served": ("moved", lambda records: None),
 }
+CASES |= STOP_CASES
 
 
 @given("what was seen of a request that {case}")
--- a/saffronworks/tests/soak/promises.py
+++ b/saffronworks/tests/soak/promises.py
@@ -1,14 +1,33 @@
 """What must hold of everything that was seen; each check returns its findings in words."""
 
+from saffronworks.tests.soak.answer_lengths import LONG_KINDS, LONG_SERVICE
 from saffronworks.tests.soak.callers import (
     DEADLY_KIND,
     ONCE_KINDS,
     PART_KIND,
     STREAM_KINDS,
 )
+from saffronworks.tests.soak.close_promises import closes_lose_few
+from saffronworks.tests.soak.disturbances import stops, undisturbed, was_silent
+from saffronworks.tests.soak.endpoint_promises import (
+    GONE_MS,
+    deadly_reach_few,
+    draining_get_nothing,
+    endless_answers_end,
+    leaving_get_nothing,
+    limits_hold,
+    parts_reach_few,
+    pauses_hold,
+    pauses_lose_nothing,
+)
 from saffronworks.tests.soak.organisations import HOT, quotas_hold
 from saffronworks.tests.soak.processes import RETRY_SLACK
-from saffronworks.tests.soak.records import ALL_NODES, Asked, Need, Partition, Records
+from saffronworks.tests.soak.records import Asked, ClosedEarly, Partition, Records
+from saffronworks.tests.soak.stop_promises import (
+    continued_alone,
+    stops_end_in_grace,
+    stops_lose_nothing,
+)
 from saffronworks.tests.soak.stream_promises import (
     is_whole_stream,
     one_version_each,
@@ -21,22 +40,10 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # As the settings of the nodes say.
 CONFIG_APPLY_MS = 2000
-DRAIN_MS = 2000
-CONTACT_MS = 3000
 RETRY_RATIO, RETRY_WINDOW_MS = 0.2, 10_000
 # A scheduler's pause and the way through two proxies.
 SLACK_MS = 500
-# A caller's close is seen, and its run ended, within this time.
-GONE_MS = 1000
-# After so many ends, and the time to tell all nodes, a content or part is sent on so often at most.
-DEADLY_ENDS, PART_ENDS, MOST_DEADLY_SENDS = 3, 5, 3
 OVER_QUOTA, UNKNOWN_KEY = 429, 401
-# What an endpoint that names a limit tolerates of nodes that were told so long before: in any 4 s,
-# half as much again and 5 requests.
-TOLD_MS, LIMIT_WINDOW_MS = 500, 4000
-LIMIT_FACTOR, LIMIT_MORE = 1.5, 5
-# An endpoint that asked a node for a pause bears so many of its requests from so long after on.
-MAX_IN_PAUSE, PAUSE_GRACE_MS = 2, 500
 # From so long after nodes lost their paths to endpoints on, they serve at least this share of what
 # the others do, or fail at most 10 and one in 50 requests.
 PARTITION_GRACE_MS = 1000
@@ -46,6 +53,8 @@
 ENDPOINT_REFUSALS = (b"endpoints-limited", b"endpoints-paused")
 # Of the requests of the calm end, at least this share is served.
 CALM_SHARE = 0.9
+# An answer is read late by what its processes were late in this time before.
+LATE_WITHIN_MS = 1000
 
 
 def check_all(records: Records) -> list[str]:
@@ -56,25 +65,29 @@
         _refusals_are_true,
         _answered_in_time,
         _gone_work_ends,
-        _leaving_get_nothing,
+        leaving_get_nothing,
         _newest_version,
         _extra_sends_bounded,
         _planned_stops_cut_nothing,
         _calm_again,
-        _deadly_reach_few,
-        _parts_reach_few,
+        deadly_reach_few,
+        parts_reach_few,
         quotas_hold,
         _taken_keys_reach_none,
-        _limits_hold,
-        _draining_get_nothing,
-        _pauses_hold,
+        limits_hold,
+        draining_get_nothing,
+        pauses_hold,
         _partitioned_serve,
         _surged_serve,
         one_version_each,
         _resumed_go_on,
         _kept_connections_stay,
-        _endless_answers_end,
-        _pauses_lose_nothing,
+        endless_answers_end,
+        pauses_lose_nothing,
+        stops_end_in_grace,
+        stops_lose_nothing,
+        continued_alone,
+        closes_lose_few,
     )
     found = [f"wrong: {text}" for text in records.wrong]
     for check in checks:
@@ -83,70 +96,32 @@
     return found
 
 
-def _undisturbed(
-    records: Records, node: int, from_ms: float, to_ms: float, *ways: str, planned: bool = True
-) -> bool:
-    """Whether nothing struck the node, or these ways of it, from `CONTACT_MS` before on.
+def _kept_connections_stay(records: Records) -> list[str]:
+    """A node closes no connection within the rest that the idle timeout allows its caller.
 
-    Without `planned`, the end of a planned stop does not count as trouble.
+    For the node the rest began earlier, by what the soak was late in reading its answer.
     """
-    struck = ("node", *(("stopped",) if planned else ()), *ways)
-    return not any(
-        trouble.node in (node, ALL_NODES)
-        and trouble.what in struck
-        and trouble.from_ms < to_ms
-        and trouble.to_ms + CONTACT_MS > from_ms
-        for trouble in records.disturbances
-    )
-
-
-def _kept_connections_stay(records: Records) -> list[str]:
-    """A node closes no connection within the rest that the idle timeout allows its caller."""
     return [
         f"node {early.node} closed a connection after {early.found_ms - early.rested_from_ms:.0f} "
         f"ms or less, {early.allowed_ms:.0f} are allowed"
         for early in records.closed_early
-        if _undisturbed(
-            records, early.node, early.rested_from_ms, early.found_ms, "caller", "store"
-        )
-        and not _stops(records, early.node, early.rested_from_ms, early.found_ms)
+        if undisturbed(records, early.node, early.rested_from_ms, early.found_ms, "caller", "store")
+        and not stops(records, early.node, early.rested_from_ms, early.found_ms)
+        and early.found_ms - early.rested_from_ms + _late_ms(records, early) <= early.allowed_ms
     ]
 
 
-def _stops(records: Records, node: int, from_ms: float, to_ms: float) -> bool:
-    return any(
-        stopped == node and begin_ms < to_ms and until_ms > from_ms
-        for stopped, begin_ms, until_ms in records.stops
+def _late_ms(records: Records, early: ClosedEarly) -> float:
+    """Return how late the processes that carried the answer were right before the rest."""
+    to_ms = early.rested_from_ms
+    from_ms = to_ms - LATE_WITHIN_MS
+    return sum(
+        min(lag.woke_ms, to_ms) - max(lag.due_ms, from_ms)
+        for lag in records.lags
+        if early.node in lag.nodes and lag.due_ms < to_ms and lag.woke_ms > from_ms
     )
 
 
-def _endless_answers_end(records: Records) -> list[str]:
-    """A node closes the connection of an answer without end by the deadline of its request."""
-    found = []
-    for answer in records.endless:
-        asked = records.asked[answer.request_id]
-        due_ms = asked.at_ms + asked.deadline_ms + GONE_MS
-        late = answer.closed_ms is None or answer.closed_ms > due_ms
-        # A close does not reach an endpoint over a path that is cut.
-        if late and _undisturbed(records, asked.node, asked.at_ms, due_ms, "path"):
-            found.append(f"{answer.request_id} was read on from {answer.endpoint}")
-    return found
-
-
-def _pauses_lose_nothing(records: Records) -> list[str]:
-    """What an endpoint ran to its end after a pause reaches the caller that waited for it."""
-    found = []
-    for run in records.ran:
-        asked = records.asked[run.request_id]
-        if run.request_id not in records.paused or not run.whole or asked.kind not in ONCE_KINDS:
-            continue
-        lost = asked.outcome == "broken" or asked.status // 100 == 5
-        ways = ("caller", "endpoint")
-        if lost and _undisturbed(records, asked.node, asked.at_ms, asked.ended_ms, *ways):
-            found.append(f"{asked.request_id} was lost in a pause of {run.endpoint}")
-    return found
-
-
 def _answers_are_whole(records: Records) -> list[str]:
     found = []
     for asked in records.asked.values():
@@ -192,7 +167,7 @@
     for asked in records.asked.values():
         due_ms = asked.at_ms + asked.deadline_ms + SLACK_MS
         waited = asked.ended_ms or float("inf")
-        if waited > due_ms and _undisturbed(records, asked.node, asked.at_ms, due_ms, "caller"):
+        if waited > due_ms and undisturbed(records, asked.node, asked.at_ms, due_ms, "caller"):
             found.append(f"{asked.request_id} got nothing until {asked.deadline_ms} ms")
     return found
 
@@ -205,7 +180,9 @@
             continue
         due_ms = asked.ended_ms + GONE_MS
         late = run.ended_ms is None or run.ended_ms > due_ms
-        if late and _undisturbed(records, asked.node, asked.at_ms, due_ms, "caller", "endpoint"):
+        if was_silent(records, run.endpoint, asked.at_ms, due_ms):
+            continue
+        if late and undisturbed(records, asked.node, asked.at_ms, due_ms, "caller", "endpoint"):
             times = f"ran {run.at_ms:.0f} to {run.ended_ms or -1:.0f}, left at {asked.ended_ms:.0f}"
             found.append(
                 f"{run.request_id} runs on at {run.endpoint} though its caller left: {times}"
@@ -213,18 +190,6 @@
     return found
 
 
-def _leaving_get_nothing(records: Records) -> list[str]:
-    found = []
-    for run in records.ran:
-        left_ms = records.left_ms.get(run.endpoint)
-        asked = records.asked[run.request_id]
-        if left_ms is None or run.at_ms <= left_ms + DRAIN_MS:
-            continue
-        if _undisturbed(records, asked.node, left_ms, run.at_ms, "store"):
-            found.append(f"{run.request_id} reached {run.endpoint} long after it left")
-    return found
-
-
 def _newest_version(records: Records) -> list[str]:
     """The service that ran a moved request tells the version that its node went by."""
     found = []
@@ -246,7 +211,7 @@
         if taken_ms > asked.ended_ms:
             continue
         over_ms = newer[0][0] + CONFIG_APPLY_MS if newer else float("inf")
-        in_touch = newer and _undisturbed(records, asked.node, newer[0][0], asked.at_ms, "store")
+        in_touch = newer and undisturbed(records, asked.node, newer[0][0], asked.at_ms, "store")
         if asked.at_ms <= over_ms or not in_touch:
             allowed.add(service)
     return allowed
@@ -275,6 +240,8 @@
 
 
 def _may_go_to(kind: str, service: str) -> bool:
+    if service == LONG_SERVICE or kind in LONG_KINDS:
+        return service == LONG_SERVICE and kind in LONG_KINDS
     return (kind in (*STREAM_KINDS, DEADLY_KIND)) == (service == "llm")
 
 
@@ -283,8 +250,11 @@
     found = []
     for node, stopped_ms, until_ms in records.stops:
         for asked in records.asked.values():
+            if asked.kind in LONG_KINDS:
+                # Their answers may outlast the grace; `stops_lose_nothing` tells which may be cut.
+                continue
             during = asked.node == node and asked.at_ms < until_ms and asked.ended_ms > stopped_ms
-            calm = _undisturbed(
+            calm = undisturbed(
                 records, node, asked.at_ms, asked.ended_ms, "caller", "endpoint", planned=False
             )
             if during and calm and asked.outcome == "broken" and _began_before_end(asked, records):
@@ -336,135 +306,20 @@
         asked = records.asked[request_id]
         for since_ms in _taken_since(asked, records, at_ms):
             late = asked.at_ms > since_ms + CONFIG_APPLY_MS
-            if late and _undisturbed(records, asked.node, since_ms, at_ms, "store"):
+            if late and undisturbed(records, asked.node, since_ms, at_ms, "store"):
                 found.append(f"{request_id} was sent on {at_ms - since_ms:.0f} ms after that")
     return found
 
 
-def _deadly_reach_few(records: Records) -> list[str]:
-    """Sends of a deadly content by nodes in touch, later than these have to know of its ends."""
-    return _late_sends(records, DEADLY_KIND, records.deadly_ends_ms, DEADLY_ENDS)
-
-
-def _parts_reach_few(records: Records) -> list[str]:
-    """The same of different requests with a part that ends endpoints."""
-    return _late_sends(records, PART_KIND, records.part_ends_ms, PART_ENDS)
-
-
-def _late_sends(records: Records, kind: str, ends_ms: list[float], after_end: int) -> list[str]:
-    if len(ends_ms) < after_end:
-        return []
-    from_ms = ends_ms[after_end - 1] + CONTACT_MS
-    late = []
-    for _, request_id, at_ms in records.arrived:
-        asked = records.asked[request_id]
-        if asked.kind != kind or at_ms <= from_ms:
-            continue
-        if _undisturbed(records, asked.node, at_ms, at_ms):
-            late.append(request_id)
-    return [f"sent on as {late}, {len(ends_ms)} ends"] if len(late) > MOST_DEADLY_SENDS else []
-
-
-def _limits_hold(records: Records) -> list[str]:
-    """From `CONTACT_MS` after an endpoint first named a limit, nodes keep it together."""
-    found = []
-    for need in records.needs:
-        counted = _sent_by_told(records, need)
-        most = max((_within(counted, at_ms, LIMIT_WINDOW_MS) for at_ms in counted), default=0)
-        if most > LIMIT_FACTOR * need.per_s * LIMIT_WINDOW_MS / 1000 + LIMIT_MORE:
-            found.append(f"{need.endpoint} got {most} requests in 4 s, it takes {need.per_s} a s")
-    return found
-
-
-def _within(times_ms: list[float], from_ms: float, window_ms: float) -> int:
-    return sum(from_ms <= at_ms < from_ms + window_ms for at_ms in times_ms)
-
-
-def _sent_by_told(records: Records, need: Need) -> list[float]:
-    """When requests reached an endpoint from nodes in touch that had passed its limit on before."""
-    told_ms: dict[int, float] = {}
-    named_ms = float("inf")
-    counted = []
-    for reached in records.reached:
-        asked = records.asked[reached.request_id]
-        if reached.endpoint != need.endpoint or not need.from_ms <= reached.at_ms < need.to_ms:
-            continue
-        named_ms = min(named_ms, asked.ended_ms or float("inf"))
-        since_ms = told_ms.get(asked.node, float("inf"))
-        late = reached.at_ms >= max(named_ms + CONTACT_MS, since_ms + TOLD_MS)
-        window_ms = max(since_ms, reached.at_ms - LIMIT_WINDOW_MS)
-        if late and _undisturbed(records, asked.node, window_ms, reached.at_ms):
-            counted.append(reached.at_ms)
-        if asked.outcome == "answered":
-            told_ms[asked.node] = min(since_ms, asked.ended_ms)
-    return counted
-
-
-def _excused(records: Records, node: int, endpoint: str, from_ms: float, to_ms: float) -> bool:
-    """Whether a node stood still or started again in that time, or the endpoint did."""
-    struck = any(
-        trouble.node in (node, ALL_NODES)
-        and trouble.what in ("node", "stopped")
-        and trouble.from_ms <= to_ms
-        and trouble.to_ms >= from_ms
-        for trouble in records.disturbances
-    )
-    return struck or any(
-        name == endpoint and from_ms <= at_ms <= to_ms for name, at_ms in records.restarts
-    )
-
-
-def _draining_get_nothing(records: Records) -> list[str]:
-    """What is sent long after its node passed on that the endpoint drains does not reach it."""
-    told: dict[tuple[int, str], list[Asked]] = {}
-    for asked in records.asked.values():
-        if asked.drains_at and asked.outcome == "answered":
-            told.setdefault((asked.node, asked.drains_at), []).append(asked)
-    found = []
-    for reached in records.reached:
-        asked = records.asked[reached.request_id]
-        late = [
-            asked.at_ms - before.ended_ms
-            for before in told.get((asked.node, reached.endpoint), [])
-            if asked.at_ms > before.ended_ms + DRAIN_MS
-            and not _excused(records, asked.node, reached.endpoint, before.at_ms, reached.at_ms)
-        ]
-        if late:
-            found.append(f"{asked.request_id} reached {reached.endpoint} {max(late):.0f} ms later")
-    return found
-
-
-def _pauses_hold(records: Records) -> list[str]:
-    """Few requests of a node reach an endpoint in the pause that it asked that node for."""
-    found = []
-    for rejected in records.rejected:
-        from_ms = rejected.at_ms + PAUSE_GRACE_MS
-        until_ms = rejected.at_ms + rejected.pause_ms
-        in_pause = [
-            reached.request_id
-            for reached in records.reached
-            if reached.endpoint == rejected.endpoint
-            and records.asked[reached.request_id].node == rejected.node
-            and from_ms <= reached.at_ms < until_ms
-            and not _excused(
-                records, rejected.node, rejected.endpoint, rejected.at_ms, reached.at_ms
-            )
-        ]
-        undisturbed = _undisturbed(records, rejected.node, rejected.at_ms, until_ms, "endpoint")
-        if len(in_pause) > MAX_IN_PAUSE and undisturbed:
-            found.append(f"{rejected.endpoint} got {in_pause} of node {rejected.node} in its pause")
-    return found
-
-
 def _resumed_go_on(records: Records) -> list[str]:
     ways = ("caller", "store", "endpoint")
-    undisturbed = [
+    judged = [
         asked
         for asked in records.asked.values()
         if asked.outcome == "answered" or asked.status
-        if _undisturbed(records, asked.node, asked.at_ms, asked.ended_ms, *ways)
+        if undisturbed(records, asked.node, asked.at_ms, asked.ended_ms, *ways)
     ]
-    return resumed_go_on(records, undisturbed)
+    return resumed_go_on(records, judged)
 
 
 def _has_working_node(records: Records, cut: Partition) -> bool:
@@ -473,17 +328,18 @@
     for other in records.partitions:
         if other.from_ms < cut.to_ms and cut.from_ms < other.to_ms:
             nodes -= other.nodes
-    return any(_undisturbed(records, node, cut.from_ms, cut.to_ms) for node in nodes)
+    return any(undisturbed(records, node, cut.from_ms, cut.to_ms) for node in nodes)
 
 
 def _surged_serve(records: Records) -> list[str]:
-    return surged_serve(records, _undisturbed)
+    return surged_serve(records, undisturbed)
 
 
 def _partitioned_serve(records: Records) -> list[str]:
     """Nodes without paths to endpoints serve first attempts of callers through the others.
 
-    Connections that an overloaded node closed unread tell nothing of its paths.
+    Connections that an overloaded node closed unread tell nothing of its paths, nor does what a
+    node refuses or closes in a planned stop.
     """
     found = []
     for cut in records.partitions:
@@ -500,7 +356,8 @@
             and not closed_unread(records, one)
             and not one.resumes
             and not any(reason in one.body for reason in ENDPOINT_REFUSALS)
-            and _undisturbed(records, one.node, one.at_ms, one.ended_ms, "caller", "store")
+            and undisturbed(records, one.node, one.at_ms, one.ended_ms, "caller", "store")
+            and not stops(records, one.node, one.at_ms, one.ended_ms)
         ]
         near, others = [], []
         for one in asked:
