Wait for the planner in the scenarios of silent endpoints

Cause: a node is ready once it has its configuration and the endpoints, and may get its first request before its first census. It then knows no planner, so it asks the endpoint itself and reserves headroom too: two reservations for one, and the step counts three. Shown by a census delayed by 60 ms: the step fails each time, with the first request decided 1 ms before event=census; the requests themselves are served as they should be. The scenario now begins once the node knows a planner; its checks are as they were. With the same delay it passes.

--- a/saffronworks/tests/features/steps/silent_endpoints_steps.py
+++ b/saffronworks/tests/features/steps/silent_endpoints_steps.py
@@ -543,6 +543,8 @@
     deadline_ms = "4500" if once else "6000"
 
     async def play(place):
+        # Without a planner, a node reserves headroom as well, which the steps do not expect.
+        await place.wait_for_planners()
         await place.ask(PATHS[kind], "before", fields)
         first = {step: silent_s}
         for server in servers:
--- a/saffronworks/tests/platform_place.py
+++ b/saffronworks/tests/platform_place.py
@@ -107,6 +107,10 @@
     async def ready(self):
         return all([await is_ready(node) for node in self.nodes])
 
+    async def wait_for_planners(self):
+        """Wait until each node knows a planner: a ready node may still await its first census."""
+        assert await wait_until(lambda: all(node._memory.choice.cores for node in self.nodes), 5)
+
 
 async def is_ready(node):
     raw = await fetch(node.settings.probe_address, "GET", READINESS_PATH, {"Host": "x"})
