Log as many refused bodies as the bound allows

An operator who adds up event=refuse reason=bodies-full and its not_logged got too small a count: each refusal of a slow or relayed body, which has a line of its own, used up one of the 20 lines a second, and such ones beyond 20 were counted as not logged. The count by reason and the bound on lines are two methods now. Before, 30 slow refusals left no line for 30 of full memory in the same second.

--- a/saffronworks/body_memory.py
+++ b/saffronworks/body_memory.py
@@ -135,9 +135,12 @@
         if hold.large:
             self._hold_ms += HOLD_SAMPLE_WEIGHT * (hold.age_ms(now_ms) - self._hold_ms)
 
-    def count_refusal(self, reason: str, now_ms: int) -> int | None:
-        """Count a refused request; return how many were not logged before, None if it isn't."""
+    def count_refusal(self, reason: str) -> None:
+        """Count a refused request."""
         self.refused[reason] += 1
+
+    def limit_refusal_log(self, now_ms: int) -> int | None:
+        """Return how many refusals were not logged before this one; None if it isn't either."""
         return self._refusal_log.record(now_ms)
 
     def room_after_ms(self, size_bytes: int, now_ms: int) -> int:
--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -162,7 +162,7 @@
         except BadBody:
             await self._refuse(call, "body-too-large", request_id=request.request_id)
         except BodyMemoryFull:
-            self._bodies.count_refusal("relayed", self._now_ms())
+            self._bodies.count_refusal("relayed")
             await self._refuse(call, "busy", request_id=request.request_id)
         return None
 
--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -152,7 +152,8 @@
         wait_s = max(1, math.ceil(self.bodies.room_after_ms(body_bytes, now_ms) / 1000))
         hold.release(now_ms)
         self._ends.count("body-refused")
-        if (not_logged := self.bodies.count_refusal("full", now_ms)) is not None:
+        self.bodies.count_refusal("full")
+        if (not_logged := self.bodies.limit_refusal_log(now_ms)) is not None:
             logger.info(
                 "event=body_refused reason=bodies-full body_bytes=%s held_bytes=%d "
                 "bound_bytes=%s retry_after_s=%d not_logged=%d",
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -293,7 +293,7 @@
             return None
         except SlowBody:
             logger.info("event=bad_request reason=body-slow")
-            self._bodies.count_refusal("slow", self._now_ms())
+            self._bodies.count_refusal("slow")
             await reply.refuse(408, "body-slow")
             return None
         except BadBody as error:
@@ -323,7 +323,8 @@
         room_ms = self._bodies.room_after_ms(body_bytes, now_ms)
         wait_ms = min(RETRY_AFTER_MAX_MS, max(1, spread_ms, room_ms))
         hold.release(now_ms)
-        if (not_logged := self._bodies.count_refusal("full", now_ms)) is not None:
+        self._bodies.count_refusal("full")
+        if (not_logged := self._bodies.limit_refusal_log(now_ms)) is not None:
             logger.info(
                 "event=refuse request=%s status=503 reason=bodies-full not_run=True "
                 "retry_after_ms=%d body_bytes=%s held_bytes=%d bound_bytes=%s not_logged=%d",
--- a/saffronworks/tests/features/body_memory.feature
+++ b/saffronworks/tests/features/body_memory.feature
@@ -7,6 +7,11 @@
     And while large bodies are refused there is memory for small ones, and the reverse
     And the bound grows with the memory limit, and leaves no node without any
 
+  # Guards against a count of refusals without a line that leaves some out.
+  Scenario: refusals with lines of their own don't use up those of refused bodies
+    When 30 slow bodies and then 30 more than fit are refused within a second
+    Then 20 of the latter are logged, and the next line says that 10 were not
+
   # Guards against bodies without a common bound, against small requests that suffer for large ones,
   # and against refusals that are lost as their connection is reset.
   Scenario: many large bodies at once
--- a/saffronworks/tests/features/steps/body_memory_steps.py
+++ b/saffronworks/tests/features/steps/body_memory_steps.py
@@ -196,6 +196,23 @@
         assert BodyMemory(bound_bytes).max_body_bytes >= SMALL_BODY_BYTES
 
 
+@when("30 slow bodies and then 30 more than fit are refused within a second")
+def refuse_slow_and_full(context):
+    memory = BodyMemory(1)
+    for _ in range(30):
+        memory.count_refusal("slow")
+    context.not_logged = []
+    for now_ms in (*range(30), 1000):
+        memory.count_refusal("full")
+        context.not_logged.append(memory.limit_refusal_log(now_ms))
+    assert memory.refused == {"slow": 30, "full": 31}
+
+
+@then("20 of the latter are logged, and the next line says that 10 were not")
+def ten_not_logged(context):
+    assert context.not_logged == [0] * 20 + [None] * 10 + [10], context.not_logged
+
+
 @when("callers send more large bodies at once than a node has memory for, and small ones")
 def many_large(context):
     server = context.server = Upload()
