Bound the lines of a stopping node on requests that it refuses as not run

Such refusals are INFO now; decisions to begin a request and ends of requests that may have run stay WARNING. The new scenario fails on the code before: the line of the refusal is a WARNING.

--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -153,7 +153,8 @@
         announced, serving_share = end.announced(now_ms), self._serving_share()
         chance, samples = self._chance_within(left_ms, job, table)
         begins = may_begin(ends_in_time, chance, serving_share, announced)
-        logger.warning(
+        logger.log(
+            logging.WARNING if begins else logging.INFO,
             "event=drain_decision request=%s route=%s begins=%s by=%s chance=%.2f samples=%s "
             "serving_share=%.2f announced=%s left_ms=%d deadline_ms=%d since_stop_ms=%d",
             job.request.request_id,
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -109,7 +109,7 @@
 
     @property
     def end_level(self) -> int:
-        """The log level of requests that end without a whole answer.
+        """The log level of requests that may have run and end without a whole answer.
 
         Those of a node that stops are few, and must not be dropped by the bound on lines.
         """
@@ -367,7 +367,7 @@
         own_ms = max(refusal.not_before_ms, retry_after_ms(job.request, now_ms))
         wait_ms = refusal.retry_after_ms or own_ms
     logger.log(
-        node.end_level,
+        logging.INFO if refusal.not_run else node.end_level,
         "event=refuse request=%s route=%s status=%d reason=%s not_run=%s retry_after_ms=%s "
         "waited_ms=%d config=%d endpoints_rev=%s since_stop_ms=%s",
         job.request.request_id,
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -6,6 +6,10 @@
     Then one that a server may have run gets 504 with its id, and one that waits a true refusal
     And a begun stream is cut, and the log gives the reason for each of the three
 
+  # Guards against lines on cut requests that are dropped, as the lines on refused ones fill the queue.
+  Scenario: a stopping node logs what may have run apart from what it refuses
+    Then the bound on lines applies to its true refusals, and not to requests that may have run
+
   # Guards against streams that a draining node begins and cuts at its end.
   Scenario: work that can't be finished before the end of a node is not begun there
     When a node that other nodes can replace is stopped, and requests arrive meanwhile
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -1,9 +1,11 @@
 """Steps on planned ends of nodes, and on answers that a planned end of an endpoint cuts off."""
 
 import functools
+import logging
 import random
 import time
 from collections import Counter
+from unittest.mock import AsyncMock, Mock
 
 import anyio
 from behave import then, when
@@ -17,8 +19,10 @@
     ServiceTimes,
     may_begin,
 )
-from saffronworks.forwarding.messages import PromptSize
+from saffronworks.forwarding.messages import PromptSize, Refuse
+from saffronworks.forwarding.planned_ends import NO_TIME_LEFT
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, HINT_ERROR
+from saffronworks.forwarding.runners import send_refusal
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
 from saffronworks.tests.cut_paths import Cut, CutPaths
@@ -86,6 +90,18 @@
     assert context.lines[-1].endswith("open_requests=0"), context.lines[-1]
 
 
+@then("the bound on lines applies to its true refusals, and not to requests that may have run")
+def bounds_refusals(_):
+    job = Mock(request=Mock(request_id="r", arrived_ms=0, left_ms=1000), config_version=1)
+    job.reply.refuse = AsyncMock()
+    node = Mock(now_ms=lambda: 10, end_level=logging.WARNING)
+    with LogLines("saffronworks", logging.WARNING) as lines:
+        anyio.run(send_refusal, node, job, NO_TIME_LEFT)
+        assert not lines, lines
+        anyio.run(send_refusal, node, job, Refuse(504, "stopping", not_run=False))
+    assert len(lines) == 1 and "reason=stopping" in lines[0], lines
+
+
 def generation(answer_tokens, hint):
     counts = {"Token-Counts": f"500,{answer_tokens}", "Length-Hint": str(hint)}
     return counts | {"Deadline-Ms": "20000"}
