--- a/saffronworks/platform/answer_fields.py
+++ b/saffronworks/platform/answer_fields.py
@@ -52,9 +52,9 @@
 # its meaning. Other fields are logged.
 ANSWER_FIELDS = {
     ID_FIELD.lower(): "connections: the request that is answered",
-    SIGNATURE_FIELD: "calls: whether the answer is signed by the server",
-    NOT_EXECUTED_FIELD: "calls: whether the request has run",
-    INSTANCE_FIELD: "calls: the server at this address, on a 421",
+    SIGNATURE_FIELD: "answers: whether the answer is signed by the server",
+    NOT_EXECUTED_FIELD: "answers: whether the request has run",
+    INSTANCE_FIELD: "answers: the server at this address, on a 421",
     _LIMIT_FIELD: "read_limit: requests per second from all nodes",
     _DRAINING_FIELD: "read_advertisement: whether the server drains",
     _RETRY_AFTER_FIELD: "read_advertisement: a pause for this node",
@@ -62,7 +62,7 @@
     "keep-alive": "connections: how long an idle connection is kept",
     "content-length": "connections: framing",
     "transfer-encoding": "connections: framing",
-    "content-encoding": "calls: an encoded body was not made by the server",
+    "content-encoding": "answers: an encoded body was not made by the server",
     "content-type": "passed on to the caller",
     "date": "passed on to the caller",
     "server": "passed on to the caller",
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -20,7 +20,7 @@
 from saffronworks.forwarding.tuning import RETRY_AFTER_MAX_MS
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
 from saffronworks.http_connections import count_field_bytes
-from saffronworks.platform.calls import ID_FIELD
+from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.web import BadBody, Call, SlowBody
 
 __all__ = ["CallerConnectionReply", "Ingress", "read_request"]
