Move the requests that other nodes relay out of platform.calls

start_relayed, _connect_relayed and read_relayed_head implement a port of their own, RelayCalls, with one user, the relay server; the other calls implement EndpointCalls. They are RelayedCalls in platform.relayed_calls now, which shares the record of answers with the node's own calls, so that an unknown field is still logged once. The code is as it was; node.py passes calls.relayed to the relay server, and the steps call it there.

--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -11,7 +11,7 @@
 from saffronworks.clocks import extend_for_lag, monotonic_ms
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connection_pool import ConnectionPool
-from saffronworks.forwarding.connections import EndpointConnection, ResponseHead
+from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_identity import Identification
@@ -25,7 +25,6 @@
 from saffronworks.forwarding.paths.messages import RelayRequest
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.tuning import CHECK_TIMEOUT_MS
-from saffronworks.forwarding.ports import RelayedRequest
 from saffronworks.forwarding.process_checks import ProcessState
 from saffronworks.forwarding.tuning import (
     CALL_TIMEOUT_MS,
@@ -33,9 +32,10 @@
 )
 from saffronworks.forwarding.unmatched_answers import Mismatch
 from saffronworks.platform.answer_fields import ID_FIELD
-from saffronworks.platform.answers import AnswerReader, PlatformExchange, check_status
+from saffronworks.platform.answers import AnswerReader, PlatformExchange
 from saffronworks.platform.identity_calls import identify
 from saffronworks.platform.recent_holds import RecentHolds
+from saffronworks.platform.relayed_calls import RelayedCalls
 from saffronworks.platform.request_lines import (
     EXPECT_INSTANCE,
     add_relay,
@@ -93,6 +93,7 @@
         self._health_path = health_path
         self._eligibility = eligibility
         self._answers = AnswerReader(eligibility)
+        self.relayed = RelayedCalls(eligibility, paths, self._answers)
         self._holds = RecentHolds()
 
     @property
@@ -301,41 +302,6 @@
             raise ExchangeError(ExchangeErrorCause.WITHHELD, sent=False)
         return connection
 
-    async def start_relayed(
-        self, endpoint: ServiceEndpoint, relayed: RelayedRequest
-    ) -> EndpointConnection:
-        """Send a request of another node over a direct connection; raises ExchangeError."""
-        connection = await self._connect_relayed(endpoint, relayed)
-        try:
-            if not relayed.cancels:
-                self._eligibility.check_send(endpoint, relayed.request_id or "", relayed.reserved)
-            lines = [f"{relayed.method} {relayed.target} HTTP/1.1"]
-            lines += [f"{key}: {value}" for key, value in relayed.fields]
-            bodiless = relayed.method == "HEAD"
-            connection.send(join_request(lines), relayed.request_id, bodiless, relayed.body)
-        except ExchangeError:
-            self.paths.connector.release(endpoint, connection)
-            raise
-        return connection
-
-    async def _connect_relayed(
-        self, endpoint: ServiceEndpoint, relayed: RelayedRequest
-    ) -> EndpointConnection:
-        connector = self.paths.connector
-        if relayed.control_call:
-            # A node recognises a copy of a granted reservation only if it took that itself.
-            return await connector.open_single_use(endpoint, CHECK_TIMEOUT_MS)
-        return await connector.acquire_direct(endpoint, relayed.request_id, False, CHECK_TIMEOUT_MS)
-
-    async def read_relayed_head(
-        self, endpoint: ServiceEndpoint, connection: EndpointConnection, relayed: RelayedRequest
-    ) -> ResponseHead:
-        """Read the status and headers of the answer to `start_relayed`; raises ExchangeError."""
-        raw = await self.paths.read_head(endpoint, connection, relayed.left_ms)
-        check_status(raw, connection)
-        self._answers.read(endpoint, raw, connection.sent_ms, not relayed.control_call)
-        return raw
-
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
             status, _ = await self._call(endpoint, "DELETE", path, None)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -214,7 +214,7 @@
         self._relay_server = RelayServer(
             self._directory,
             self._paths,
-            self._calls,
+            self._calls.relayed,
             self._max_body_bytes,
             monotonic_ms,
             self._bodies,
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -345,7 +345,7 @@
         sends = [
             lambda: calls.send(endpoint, request, 900),
             lambda: calls.open_stream(endpoint, request, 900, None, None, None),
-            lambda: calls.start_relayed(endpoint, relayed),
+            lambda: calls.relayed.start_relayed(endpoint, relayed),
             lambda: calls.open_stream(endpoint, request, 900, None, None, 3),
         ]
         used = []
@@ -523,7 +523,7 @@
         calls, endpoint, opened = calls_on_fakes([GRANTED, GRANTED, GRANTED.replace(b"h1", b"h2")])
         relayed = RelayedRequest("POST", "/take", (), b"", None, True, True, False, 900)
         own = await take_hold(calls, endpoint)
-        connection = await calls.start_relayed(endpoint, relayed)
+        connection = await calls.relayed.start_relayed(endpoint, relayed)
         assert connection is opened[1]
         calls.paths.connector.release(endpoint, connection)
         other = await take_hold(calls, endpoint)
