Move the sends of callers' requests out of platform.calls

_start, _connect and _request_lines put a caller's request on a connection, whichever call of PlatformCalls it is for; they know of no reservation's body and no reply. They are RequestSender in platform.request_sends now, and the calls say only which fields they add.

--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -31,7 +31,6 @@
     CONNECT_TIMEOUT_MS,
 )
 from saffronworks.forwarding.unmatched_answers import Mismatch
-from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.platform.answers import AnswerReader, PlatformExchange
 from saffronworks.platform.identity_calls import identify
 from saffronworks.platform.recent_holds import RecentHolds
@@ -41,6 +40,7 @@
     add_relay,
     join_request,
 )
+from saffronworks.platform.request_sends import RequestSender
 from saffronworks.wire import DECODE_ERRORS, Whole
 
 __all__ = ["PlatformCalls", "read_reply"]
@@ -49,8 +49,6 @@
 
 _CheckReply = Callable[[ServiceEndpoint, bytes], bool]
 
-# The organisation that owns the caller's key, called a tenant by the platform.
-_TENANT_FIELD = "Tenant"
 _MIN_FAILURE_STATUS = 400
 _ORDER_ACCEPTED = (200, 202)
 
@@ -91,8 +89,8 @@
         """`health_path` returns the path of a service's health checks, None if there is none."""
         self.paths = paths
         self._health_path = health_path
-        self._eligibility = eligibility
         self._answers = AnswerReader(eligibility)
+        self._sender = RequestSender(eligibility, paths, self._answers)
         self.relayed = RelayedCalls(eligibility, paths, self._answers)
         self._holds = RecentHolds()
 
@@ -109,7 +107,7 @@
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
     ) -> PlatformExchange:
         """Forward a request; `left_ms` is the time until its deadline."""
-        return await self._start(endpoint, request, left_ms, [])
+        return await self._sender.start(endpoint, request, left_ms, [])
 
     async def open_stream(
         self,
@@ -132,7 +130,9 @@
             extra.append(("Kv-Source", f"{handle.endpoint.address}/{handle.handle_id}"))
         if after_event is not None:
             extra.append(("Last-Event-Id", str(after_event)))
-        return await self._start(endpoint, request, left_ms, extra, reserved=hold is not None)
+        return await self._sender.start(
+            endpoint, request, left_ms, extra, reserved=hold is not None
+        )
 
     async def take_hold(
         self,
@@ -179,7 +179,9 @@
         self, endpoint: ServiceEndpoint, request: CallerRequest, left_ms: int
     ) -> Result[KvHandle, NotExecuted]:
         """Run the prefill of a prompt; returns the handle of its KV cache."""
-        exchange = await self._start(endpoint, request, left_ms, [("Stage", Role.PREFILL.value)])
+        exchange = await self._sender.start(
+            endpoint, request, left_ms, [("Stage", Role.PREFILL.value)]
+        )
         try:
             head = await exchange.head(left_ms)
             body = await exchange.connection.body(extend_for_lag(CALL_TIMEOUT_MS))
@@ -242,58 +244,6 @@
         status, _ = await self._call(endpoint, "POST", path, body, send_until_ms=send_until_ms)
         return Ok(None) if status in _ORDER_ACCEPTED else Err(NotExecuted(f"status {status}"))
 
-    async def _start(
-        self,
-        endpoint: ServiceEndpoint,
-        request: CallerRequest,
-        left_ms: int,
-        extra: list[tuple[str, str]],
-        reserved: bool = False,
-    ) -> PlatformExchange:
-        began_ms = monotonic_ms()
-        connection = await self._connect(endpoint, request, reserved)
-        left_ms = max(1, left_ms - (monotonic_ms() - began_ms))
-        relay = RelayRequest(
-            endpoint.instance,
-            request_id=request.request_id,
-            reserved=reserved,
-            left_ms=left_ms,
-        )
-        lines = _request_lines(endpoint, request, left_ms, extra)
-        head = join_request(add_relay(lines, connection, relay))
-        bodiless = request.method == "HEAD"
-        try:
-            connection.send(head, request.request_id, bodiless, request.body)
-        except ExchangeError:
-            self.paths.connector.release(endpoint, connection)
-            raise
-        return PlatformExchange(self.paths, endpoint, connection, self._answers)
-
-    async def _connect(
-        self,
-        endpoint: ServiceEndpoint,
-        request: CallerRequest,
-        reserved: bool = False,
-        control_call: bool = False,
-    ) -> EndpointConnection:
-        """Return a connection if the endpoint still accepts this request; raises ExchangeError."""
-        echoed_id = None if control_call else request.request_id
-        connection = await self.paths.connector.acquire(endpoint, echoed_id, control_call)
-        try:
-            self._eligibility.check_send(endpoint, request.request_id, reserved)
-        except ExchangeError:
-            self.paths.connector.release(endpoint, connection)
-            raise
-        if connection.relayed_by is not None:
-            logger.info(
-                "event=request_relayed request=%s endpoint=%s peer=%s control_call=%s",
-                request.request_id,
-                endpoint.instance,
-                connection.relayed_by,
-                control_call,
-            )
-        return connection
-
     async def _connect_until(self, endpoint: ServiceEndpoint, until_ms: int) -> EndpointConnection:
         """Return a new connection; raises ExchangeError if it comes later than `until_ms`."""
         connection = await self.paths.connector.open_single_use(endpoint, CONNECT_TIMEOUT_MS)
@@ -345,7 +295,7 @@
         if content:
             lines.append("Content-Type: application/json")
         if request is not None:
-            connection = await self._connect(endpoint, request, control_call=True)
+            connection = await self._sender.connect(endpoint, request, control_call=True)
         elif send_until_ms is not None:
             connection = await self._connect_until(endpoint, send_until_ms)
         elif connect_timeout_ms is not None:
@@ -383,23 +333,3 @@
         return Ok(msgspec.json.decode(content, type=kind))
     except DECODE_ERRORS as error:
         return Err(NotExecuted(f"unreadable: {error}"))
-
-
-def _request_lines(
-    endpoint: ServiceEndpoint,
-    request: CallerRequest,
-    left_ms: int,
-    extra: list[tuple[str, str]],
-) -> list[str]:
-    replaced = {name.lower() for name, _ in extra}
-    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
-    lines += [f"{key}: {value}" for key, value in request.headers if key.lower() not in replaced]
-    lines += [f"{key}: {value}" for key, value in extra]
-    lines.append(f"{ID_FIELD}: {request.request_id}")
-    lines.append(f"Deadline-Ms: {max(1, left_ms)}")
-    lines.append(f"{EXPECT_INSTANCE}: {endpoint.name}")
-    if request.organisation is not None:
-        lines.append(f"{_TENANT_FIELD}: {request.organisation.name}")
-    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
-        lines.append(f"Content-Length: {len(request.body)}")
-    return lines
--- a/saffronworks/tests/features/steps/boundaries_steps.py
+++ b/saffronworks/tests/features/steps/boundaries_steps.py
@@ -31,7 +31,7 @@
 from saffronworks.forwarding.stream_relays import StreamRelay
 from saffronworks.kernel import Kernel
 from saffronworks.members import read_vms
-from saffronworks.platform import calls
+from saffronworks.platform import calls, request_sends
 from saffronworks.platform.configuration import read_configuration
 from saffronworks.platform.ingress import read_request
 from saffronworks.platform.request_lines import join_request
@@ -409,7 +409,9 @@
         read = read_request(call, b"", 0)
         if isinstance(read, Ok):
             request = read.ok_value
-            head = join_request(calls._request_lines(endpoint, request, request.left_ms, []))
+            head = join_request(
+                request_sends._request_lines(endpoint, request, request.left_ms, [])
+            )
             assert head.count(b"\r\n\r\n") == 1 and head.endswith(b"\r\n\r\n")
             relay = RelayRequest(endpoint.instance, request_id=request.request_id)
             assert decode_request(encode(relay)) == Ok(relay)
