Move the exchange of the node's own calls out of platform.calls

_call and _connect_until send one call of the node's own, on the kind of connection that it needs, and read its answer whole; which calls there are, their paths, bodies and replies stay in PlatformCalls. They are ControlCaller in platform.control_calls now.

--- a/saffronworks/platform/calls.py
+++ b/saffronworks/platform/calls.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's servers: header names, bodies and the decoding of answers."""
+"""Calls to the platform's servers: paths, header fields, and bodies of calls and replies."""
 
 import logging
 from collections.abc import Callable
@@ -8,10 +8,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from saffronworks.clocks import extend_for_lag, monotonic_ms
+from saffronworks.clocks import extend_for_lag
 from saffronworks.endpoint_roles import Role
 from saffronworks.forwarding.connection_pool import ConnectionPool
-from saffronworks.forwarding.connections import EndpointConnection
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.eligibility.service import EndpointEligibility
 from saffronworks.forwarding.endpoint_identity import Identification
@@ -22,24 +21,15 @@
     KvHold,
     NotExecuted,
 )
-from saffronworks.forwarding.paths.messages import RelayRequest
 from saffronworks.forwarding.paths.service import PathService
 from saffronworks.forwarding.paths.tuning import CHECK_TIMEOUT_MS
 from saffronworks.forwarding.process_checks import ProcessState
-from saffronworks.forwarding.tuning import (
-    CALL_TIMEOUT_MS,
-    CONNECT_TIMEOUT_MS,
-)
-from saffronworks.forwarding.unmatched_answers import Mismatch
+from saffronworks.forwarding.tuning import CALL_TIMEOUT_MS
 from saffronworks.platform.answers import AnswerReader, PlatformExchange
+from saffronworks.platform.control_calls import ControlCaller, UnmatchedAnswerError
 from saffronworks.platform.identity_calls import identify
 from saffronworks.platform.recent_holds import RecentHolds
 from saffronworks.platform.relayed_calls import RelayedCalls
-from saffronworks.platform.request_lines import (
-    EXPECT_INSTANCE,
-    add_relay,
-    join_request,
-)
 from saffronworks.platform.request_sends import RequestSender
 from saffronworks.wire import DECODE_ERRORS, Whole
 
@@ -47,9 +37,6 @@
 
 logger = logging.getLogger(__name__)
 
-_CheckReply = Callable[[ServiceEndpoint, bytes], bool]
-
-_MIN_FAILURE_STATUS = 400
 _ORDER_ACCEPTED = (200, 202)
 
 
@@ -73,10 +60,6 @@
 _Reply = TypeVar("_Reply", _HoldReply, _PrefillReply)
 
 
-class _UnmatchedAnswerError(Exception):
-    """An answer to one of the node's own calls that belongs to an earlier call."""
-
-
 class PlatformCalls:
     """Implements the calls to endpoints in the platform's protocol."""
 
@@ -89,9 +72,10 @@
         """`health_path` returns the path of a service's health checks, None if there is none."""
         self.paths = paths
         self._health_path = health_path
-        self._answers = AnswerReader(eligibility)
-        self._sender = RequestSender(eligibility, paths, self._answers)
-        self.relayed = RelayedCalls(eligibility, paths, self._answers)
+        answers = AnswerReader(eligibility)
+        self._sender = RequestSender(eligibility, paths, answers)
+        self._control = ControlCaller(paths, self._sender, answers)
+        self.relayed = RelayedCalls(eligibility, paths, answers)
         self._holds = RecentHolds()
 
     @property
@@ -147,7 +131,7 @@
         body = {"tokens": tokens, "ttl_ms": ttl_ms}
         path = "/saffronworks/hold-take"
         try:
-            status, content = await self._call(
+            status, content = await self._control.call(
                 endpoint,
                 "POST",
                 path,
@@ -156,7 +140,7 @@
                 timeout_ms=timeout_ms,
                 check=self._is_new_hold,
             )
-        except _UnmatchedAnswerError:
+        except UnmatchedAnswerError:
             return Err(NotExecuted("unmatched-answer"))
         if status != 200:
             return Err(NotExecuted(f"status {status}"))
@@ -206,7 +190,7 @@
         The call goes out on a new connection, on which no copy of an earlier answer can come.
         """
         try:
-            await self._call(
+            await self._control.call(
                 endpoint,
                 "GET",
                 "/saffronworks/report",
@@ -241,20 +225,14 @@
             "fencing_token": fence,
         }
         path = "/saffronworks/order"
-        status, _ = await self._call(endpoint, "POST", path, body, send_until_ms=send_until_ms)
+        status, _ = await self._control.call(
+            endpoint, "POST", path, body, send_until_ms=send_until_ms
+        )
         return Ok(None) if status in _ORDER_ACCEPTED else Err(NotExecuted(f"status {status}"))
 
-    async def _connect_until(self, endpoint: ServiceEndpoint, until_ms: int) -> EndpointConnection:
-        """Return a new connection; raises ExchangeError if it comes later than `until_ms`."""
-        connection = await self.paths.connector.open_single_use(endpoint, CONNECT_TIMEOUT_MS)
-        if monotonic_ms() > until_ms:
-            self.paths.connector.release(endpoint, connection)
-            raise ExchangeError(ExchangeErrorCause.WITHHELD, sent=False)
-        return connection
-
     async def _drop(self, endpoint: ServiceEndpoint, path: str) -> None:
         try:
-            status, _ = await self._call(endpoint, "DELETE", path, None)
+            status, _ = await self._control.call(endpoint, "DELETE", path, None)
         except ExchangeError as broken:
             logger.info(
                 "event=drop_failed endpoint=%s path=%s cause=%s",
@@ -265,67 +243,6 @@
             return
         logger.debug("event=dropped endpoint=%s path=%s status=%d", endpoint.instance, path, status)
 
-    async def _call(
-        self,
-        endpoint: ServiceEndpoint,
-        method: str,
-        path: str,
-        body: object,
-        request: CallerRequest | None = None,
-        send_until_ms: int | None = None,
-        timeout_ms: int = CALL_TIMEOUT_MS,
-        check: _CheckReply | None = None,
-        connect_timeout_ms: int | None = None,
-    ) -> tuple[int, bytes]:
-        """Send one of the node's own calls; returns status and body, raises ExchangeError.
-
-        Raises _UnmatchedAnswerError if `check` rejects the body of a success. `request` is that
-        of the caller that the call belongs to, None for calls that release reservations and KV
-        caches, order a role or ask for a report. With `send_until_ms` or `connect_timeout_ms`, it
-        goes out directly on a new connection, not later than that, or if this opens in time.
-        """
-        connector = self.paths.connector
-        content = b"" if body is None else msgspec.json.encode(body)
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {endpoint.address}",
-            f"{EXPECT_INSTANCE}: {endpoint.name}",
-            f"Content-Length: {len(content)}",
-        ]
-        if content:
-            lines.append("Content-Type: application/json")
-        if request is not None:
-            connection = await self._sender.connect(endpoint, request, control_call=True)
-        elif send_until_ms is not None:
-            connection = await self._connect_until(endpoint, send_until_ms)
-        elif connect_timeout_ms is not None:
-            connection = await connector.open_single_use(endpoint, connect_timeout_ms)
-        else:
-            connection = await connector.acquire(endpoint, None, control_call=True)
-        sent_ms = monotonic_ms()
-        relay = RelayRequest(
-            endpoint.instance,
-            control_call=True,
-            cancels=request is None,
-            left_ms=timeout_ms,
-        )
-        try:
-            connection.send(join_request(add_relay(lines, connection, relay), content), None)
-            limit_ms = extend_for_lag(timeout_ms)
-            head = await self.paths.read_head(endpoint, connection, limit_ms)
-            reply = await connection.body(limit_ms)
-            accepted = head.status < _MIN_FAILURE_STATUS
-            if accepted and check is not None and not check(endpoint, reply):
-                # The answer to this call follows, and must answer no other one.
-                connection.reusable = False
-                connection.matcher.record(Mismatch.OTHER_CALL, head.status)
-                raise _UnmatchedAnswerError
-        finally:
-            connector.release(endpoint, connection)
-        # Only answers to requests can end a rate limit.
-        self._answers.read(endpoint, head, sent_ms, is_request=False)
-        return head.status, reply
-
 
 def read_reply(content: bytes, kind: type[_Reply]) -> Result[_Reply, NotExecuted]:
     """Decode the JSON body of a server's answer to one of the node's own calls."""
