Move the late send of a plain request out of its runner

plain_runner.py (424 lines) followed two exchanges at once: the current one, and the late one that was set aside while the next endpoint may answer. The late one has a life of its own (kept, asked whether it may answer or has succeeded, taken back, ended), which no other state of the runner decides; LateSendKeeper in forwarding.late_sends holds it now. Which exchange is set aside or resumed stays in the runner, as that is the state of the current one. The conditions are as they were; the steps reach the late send through the keeper, with the same assertions.

--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -5,13 +5,12 @@
 import math
 from collections.abc import Awaitable
 
-import attrs
-
 from saffronworks.clocks import extend_for_lag
 from saffronworks.forwarding import plain_core
 from saffronworks.forwarding.directory import ServiceEndpoint
 from saffronworks.forwarding.endpoint_limits.permits import UNCOUNTED_PERMIT, Permit
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.late_sends import LateSend, LateSendKeeper
 from saffronworks.forwarding.messages import AnswerHead, Begin, Executed, Refuse
 from saffronworks.forwarding.plain_core import (
     AcquirePermit,
@@ -45,18 +44,6 @@
     await _PlainRun(node, job).run()
 
 
-@attrs.frozen
-class _LateSend:
-    """A send without an answer in time, whose exchange goes on while the next one begins."""
-
-    endpoint: ServiceEndpoint
-    exchange: Exchange
-    sent_ms: int
-    first_ms: int
-    head: AnswerHead | None
-    start_of_body: bytes
-
-
 class _PlainRun:
     def __init__(self, node: NodeState, job: Job):
         self._node = node
@@ -74,7 +61,7 @@
         self._first_ms = 0
         # Whether the current exchange is late, and the late one before it.
         self._is_late = False
-        self._late: _LateSend | None = None
+        self._late = LateSendKeeper()
         self._body = node.buffers.track(job.request.request_id, job.reply)
         route = job.route
         self._state = PlainState(
@@ -94,11 +81,11 @@
             if isinstance(command, Refuse):
                 await send_refusal(self._node, self._job, command)
             else:
-                self._end_late()
+                self._late.end()
                 await self._relay()
         finally:
             self._end_exchange()
-            self._end_late()
+            self._late.end()
             self._release_permit()
 
     async def _execute(self, command: SendTo | AcquirePermit | AwaitAnswer) -> plain_core.Event:
@@ -196,7 +183,7 @@
             site = await node.note_break(PLAIN, self._job.request, endpoint, broken)
             silent = broken.cause is ExchangeErrorCause.SILENT
             self._is_late = silent and self._may_answer()
-            earlier = self._earlier_may_answer()
+            earlier = self._late.may_answer(node.now_ms(), self._job.deadline_at_ms)
             return Broken(endpoint.instance, broken.sent, silent, site, self._is_late, earlier)
         finally:
             load.outstanding -= 1
@@ -222,44 +209,23 @@
                 head.executed,
                 head.reason,
             )
-        return Answered(endpoint.instance, head, self._earlier_may_answer())
+        earlier = self._late.may_answer(node.now_ms(), self._job.deadline_at_ms)
+        return Answered(endpoint.instance, head, earlier)
 
     def _may_answer(self) -> bool:
         """Return whether an exchange without a complete answer so far goes on."""
         in_time = self._node.now_ms() < self._job.deadline_at_ms
         return in_time and self._exchange is not None and self._exchange.connection.may_answer
 
-    def _earlier_may_answer(self) -> bool:
-        """Return whether the late exchange before this one goes on, or its answer is whole."""
-        if self._late is None:
-            return False
-        connection = self._late.exchange.connection
-        in_time = self._node.now_ms() < self._job.deadline_at_ms
-        return connection.answered or (in_time and connection.may_answer)
-
-    async def _late_succeeded(self) -> bool:
-        """Return whether the late exchange before this one has a whole answer for the caller."""
-        late = self._late
-        if late is None or not (late.exchange.connection.answered and late.exchange.framed):
-            return False
-        head = late.head
-        if head is None:
-            try:
-                head = await late.exchange.head(1)
-            except ExchangeError:
-                return False
-            self._late = attrs.evolve(late, head=head, first_ms=self._node.now_ms())
-        return head.success and head.signed
-
     def _set_late_aside(self) -> None:
         """Keep a late exchange until the next endpoint has had the time to reject the request."""
         if not self._is_late or self._exchange is None or self._endpoint is None:
             return
-        if self._late is not None and self._late.exchange.connection.answered:
+        if self._late.answered:
             return
-        self._end_late()
+        self._late.end()
         self._body.detach()
-        self._late = _LateSend(
+        self._late.send = LateSend(
             self._endpoint,
             self._exchange,
             self._sent_ms,
@@ -283,8 +249,8 @@
         self._body.attach(self._exchange)
         self._head, self._start_of_body, self._body_whole = None, b"", False
         loop = asyncio.get_running_loop()
-        overlap = loop.call_later(HEDGE_OVERLAP_MS / 1000, self._end_overlap)
-        overlap_until_ms = math.inf if self._late is None else node.now_ms() + HEDGE_OVERLAP_MS
+        overlap = loop.call_later(HEDGE_OVERLAP_MS / 1000, self._late.end_overlap)
+        overlap_until_ms = math.inf if self._late.send is None else node.now_ms() + HEDGE_OVERLAP_MS
         try:
             while True:
                 until_ms = began_ms + min(left_ms, self._extended_wait_ms(wait_ms))
@@ -296,7 +262,7 @@
                     silent = broken.cause is ExchangeErrorCause.SILENT
                     if silent and overlap_until_ms <= node.now_ms():
                         overlap_until_ms = math.inf
-                        if await self._late_succeeded():
+                        if await self._late.succeeded(node.now_ms):
                             return None
                     if not silent or extended_ms <= node.now_ms():
                         raise
@@ -403,7 +369,7 @@
 
     def _resume_late(self) -> None:
         """Make the late exchange the current one again, if another send followed it."""
-        late, self._late = self._late, None
+        late = self._late.take()
         if late is None:
             return
         self._end_exchange()
@@ -412,13 +378,3 @@
         self._head, self._start_of_body = late.head, late.start_of_body
         self._body.attach(late.exchange)
         self._body.set_preread_bytes(len(late.start_of_body))
-
-    def _end_overlap(self) -> None:
-        """End a late exchange, unless its answer has arrived: the next endpoint may still fail."""
-        if self._late is not None and not self._late.exchange.connection.answered:
-            self._end_late()
-
-    def _end_late(self) -> None:
-        late, self._late = self._late, None
-        if late is not None:
-            late.exchange.end()
--- a/saffronworks/tests/features/steps/silent_endpoints_steps.py
+++ b/saffronworks/tests/features/steps/silent_endpoints_steps.py
@@ -168,7 +168,7 @@
     connection.send(b"", "r1")
     connection.data_received(WHOLE_HEAD + body)
     run = _PlainRun(Mock(now_ms=lambda: 0), Mock(deadline_at_ms=900))
-    run._late = Mock(exchange=Mock(connection=connection))
+    run._late.send = Mock(exchange=Mock(connection=connection))
     return run, connection
 
 
@@ -176,21 +176,21 @@
 def closed_after_answer(_):
     for body, expected in ((b"own", True), (b"ow", False)):
         run, connection = run_with_late(body)
-        assert run._earlier_may_answer()
+        assert run._late.may_answer(0, 900)
         connection.eof_received()
         connection.connection_lost(None)
-        assert run._earlier_may_answer() == expected, body
+        assert run._late.may_answer(0, 900) == expected, body
 
 
 @then("a whole answer is kept however long the next endpoint takes, and no other one")
 def kept_after_overlap(_):
     for body, expected in ((b"own", True), (b"ow", False)):
         run, _ = run_with_late(body)
-        late = run._late
-        run._end_overlap()
+        late = run._late.send
+        run._late.end_overlap()
         run._is_late, run._exchange, run._endpoint = expected, Mock(), Mock()
         run._set_late_aside()
-        assert (run._late is late) == expected, body
+        assert (run._late.send is late) == expected, body
         assert late.exchange.end.called != expected, body
 
 
@@ -200,7 +200,7 @@
     run._node.now_ms = monotonic_ms
     run._node.note_break = AsyncMock()
     run._node.loads.of.return_value = Mock(outstanding=0)
-    run._endpoint, run._late.head = Mock(), head_of(kind)
+    run._endpoint, run._late.send.head = Mock(), head_of(kind)
     run._job.deadline_at_ms = monotonic_ms() + 300
 
     async def be_silent(timeout_ms):
@@ -371,7 +371,7 @@
 def permit_released(_):
     run, _ = run_with_late(b"own")
     run._permit = permit = Permit(ask=Mock())
-    run._late, run._endpoint = None, Mock()
+    run._late.send, run._endpoint = None, Mock()
     run._finish, run._read_answer = AsyncMock(), Mock()
     asyncio.run(run._execute(AwaitAnswer()))
     run._node.limits.release_permit.assert_called_once_with(permit)
