Move the buffer of received bodies out of the connection

The buffer knows of no request and no parser; it is the counterpart of RequestWriter. ReceiveBuffer in forwarding.receive_buffer holds the parts of one body and pauses the transport now, and the connection asks it whether there is something to read. As with the writer, the transport is given with each exchange. The conditions are as they were. The bound on buffers, the clocks of streams and one step reach it as connection.received.

--- a/saffronworks/forwarding/buffered_answers.py
+++ b/saffronworks/forwarding/buffered_answers.py
@@ -51,14 +51,14 @@
         """Count the bytes of the exchange that supplies the body."""
         if self._buffers.bounded:
             self._connection = exchange.connection
-            self._connection.on_buffered_change = self._update
+            self._connection.received.on_buffered_change = self._update
             self._update()
 
     def detach(self) -> None:
         """Stop counting the exchange, which is over or no longer relayed."""
         if self._connection is not None:
             self.set_reading_paused(False)
-            self._connection.on_buffered_change = None
+            self._connection.received.on_buffered_change = None
             self._connection = None
             self._preread_bytes = 0
             self._update()
@@ -87,12 +87,12 @@
         """Pause or resume reading from the endpoint."""
         if self._connection is not None:
             self.reading_paused = reading_paused
-            self._connection.set_reading_paused(reading_paused)
+            self._connection.received.set_reading_paused(reading_paused)
 
     @property
     def buffered_bytes(self) -> int:
         """Return the bytes of the answer that are in this process."""
-        waiting_bytes = self._connection.buffered_bytes if self._connection else 0
+        waiting_bytes = self._connection.received.buffered_bytes if self._connection else 0
         return waiting_bytes + self._preread_bytes + self._writing_bytes + self.reply.buffered_bytes
 
     @property
@@ -103,7 +103,7 @@
     @property
     def endpoint_paused(self) -> bool:
         """Return whether reading from the endpoint is paused."""
-        return self._connection is not None and self._connection.paused
+        return self._connection is not None and self._connection.received.paused
 
     @property
     def unread(self) -> bool:
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -8,8 +8,6 @@
 import asyncio
 import contextlib
 import socket
-from collections import deque
-from collections.abc import Callable
 
 import attrs
 import httptools
@@ -19,6 +17,7 @@
 from saffronworks.field_numbers import read_whole
 from saffronworks.forwarding.answer_matching import AnswerMatcher
 from saffronworks.forwarding.exchange_errors import ExchangeError, ExchangeErrorCause
+from saffronworks.forwarding.receive_buffer import ReceiveBuffer
 from saffronworks.forwarding.request_writer import RequestWriter
 from saffronworks.forwarding.tuning import (
     KEEP_ALIVE_DEFAULT_MS,
@@ -27,7 +26,6 @@
     MAX_CALL_BODY_BYTES,
     MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
-    MOST_BUFFERED_BYTES,
     PROBE_INTERVAL_S,
     SECOND_ANSWER_MS,
     USER_TIMEOUT_MS,
@@ -63,15 +61,7 @@
         self._transport: asyncio.Transport | None = None
         self._writer = RequestWriter()
         self._changed = asyncio.Event()
-        self._chunks: deque[bytes] = deque()
-        self.buffered_bytes = 0
-        # Called when `buffered_bytes` has changed while an answer is relayed.
-        self.on_buffered_change: Callable[[], None] | None = None
-        self._buffer_full = False
-        self._paused_by_bound = False
-        self.paused = False
-        # When reading was last resumed.
-        self.resumed_ms = 0
+        self.received = ReceiveBuffer()
         self._parser: httptools.HttpResponseParser | None = None
         self.matcher = AnswerMatcher()
         self._incoming = ResponseHead()
@@ -281,28 +271,7 @@
         if self._complete:
             self.reusable = False
             return
-        self._chunks.append(data)
-        self.buffered_bytes += len(data)
-        self._buffer_full = self.buffered_bytes > MOST_BUFFERED_BYTES
-        self._update_reading()
-        if self.on_buffered_change is not None:
-            self.on_buffered_change()
-
-    def set_reading_paused(self, paused: bool) -> None:
-        """Pause or resume reading for the node-wide bound on buffers."""
-        self._paused_by_bound = paused
-        self._update_reading()
-
-    def _update_reading(self) -> None:
-        paused = self._buffer_full or self._paused_by_bound
-        if paused == self.paused or self._transport is None:
-            return
-        self.paused = paused
-        if paused:
-            self._transport.pause_reading()
-        else:
-            self.resumed_ms = monotonic_ms()
-            self._transport.resume_reading()
+        self.received.append(data)
 
     def on_message_complete(self) -> None:
         """Complete the answer, unless it was discarded."""
@@ -329,11 +298,7 @@
         self._complete = self._discarding = self.framed = False
         self._framing_bytes = self._discarded_bytes = 0
         self.framed_by_endpoint = True
-        self._chunks.clear()
-        self.buffered_bytes = 0
-        # An answer that was not read to its end may have left the connection paused.
-        self._buffer_full = self._paused_by_bound = False
-        self._update_reading()
+        self.received.begin(self._transport)
         self.uses += 1
         self.sent_ms = monotonic_ms()
         self.matcher.begin(awaited_id, self.sent_ms)
@@ -362,24 +327,19 @@
             if self._complete:
                 return None
             # While reading is paused, the endpoint is not the cause of the silence.
-            if not self._paused_by_bound:
+            if not self.received.paused_by_bound:
                 raise self._error(ExchangeErrorCause.SILENT)
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self.buffered_bytes = 0
-        self._buffer_full = False
-        self._update_reading()
-        return data
+        return self.received.take()
 
     async def _wait_for_chunks(self, timeout_ms: float | None) -> bool:
         """Wait for a part of the body; False at its end or after the timeout."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
-                while not self._chunks and not self._complete:
+                while self.received.empty and not self._complete:
                     if self._loss_cause is not None:
                         raise self._error(self._loss_cause)
                     await self._wait()
-        return bool(self._chunks)
+        return not self.received.empty
 
     async def body(self, timeout_ms: float | None) -> bytes:
         """Return the rest of the body of a small answer, all of which must arrive in time.
@@ -395,9 +355,8 @@
             if self._complete:
                 await self._read_body(body)
                 return bytes(body)
-            cause = (
-                ExchangeErrorCause.ENDLESS if body or self._chunks else ExchangeErrorCause.SILENT
-            )
+            began = body or not self.received.empty
+            cause = ExchangeErrorCause.ENDLESS if began else ExchangeErrorCause.SILENT
             raise self._error(cause) from None
         return bytes(body)
 
--- a/saffronworks/forwarding/runners.py
+++ b/saffronworks/forwarding/runners.py
@@ -403,7 +403,7 @@
     while True:
         left_ms = job.deadline_at_ms - node.now_ms()
         # A paused endpoint waits for the caller.
-        late = left_ms <= 0 and not exchange.connection.paused
+        late = left_ms <= 0 and not exchange.connection.received.paused
         chunk = await exchange.next_chunk(max(1, left_ms))
         if chunk is None:
             return await node.check_end(endpoint, exchange)
--- a/saffronworks/forwarding/stream_runs.py
+++ b/saffronworks/forwarding/stream_runs.py
@@ -98,7 +98,9 @@
             return await self.exchange.next_chunk(min(timeout_ms, left_ms))
         finally:
             # While reading is paused, the endpoint is not the cause of the silence.
-            self._quiet_ms += monotonic_ms() - max(began_ms, self.exchange.connection.resumed_ms)
+            self._quiet_ms += monotonic_ms() - max(
+                began_ms, self.exchange.connection.received.resumed_ms
+            )
 
     def _record_progress(self, mark: EventMark) -> None:
         self._has_ids = self._has_ids or bool(mark.ids)
--- a/saffronworks/tests/features/steps/connections_steps.py
+++ b/saffronworks/tests/features/steps/connections_steps.py
@@ -198,10 +198,10 @@
         connection = connect()
         connection.send(b"", "r1")
         connection.data_received(IN_CHUNKS)
-        connection.set_reading_paused(True)
+        connection.received.set_reading_paused(True)
         asyncio.get_running_loop().call_later(0.06, connection.data_received, b"3\r\nown\r\n")
         assert await connection.next_chunk(timeout_ms=10) == b"own"
-        connection.set_reading_paused(False)
+        connection.received.set_reading_paused(False)
         try:
             await connection.next_chunk(timeout_ms=10)
         except ExchangeError as error:
