Reset the loop meter when an event loop ends

The meter of turns belongs to the process, and the first turn of a second event loop was counted from the last turn of the first one. A node's process has one loop, so callers saw nothing of this. In the tests each play but the first began with nodes that believed replies to be noticed 2 s late: every limit for a reply (of a planner, a peer, an endpoint) was 2 s longer in the first second. So a scenario behaved differently alone and in a whole run, and a message lost at its start cost 2 s instead of the limit.

--- a/saffronworks/clocks.py
+++ b/saffronworks/clocks.py
@@ -129,4 +129,7 @@
 
 def run(main: Callable[..., Awaitable[Any]], *arguments: object) -> Any:
     """Run a program's main coroutine on an event loop of the steady clock."""
-    return anyio.run(main, *arguments, backend_options={"loop_factory": _SteadyLoop})
+    try:
+        return anyio.run(main, *arguments, backend_options={"loop_factory": _SteadyLoop})
+    finally:
+        LOOP_METER.reset()
--- a/saffronworks/loop_meter.py
+++ b/saffronworks/loop_meter.py
@@ -54,6 +54,11 @@
     _held_up_from_ms: float = -math.inf
     _held_up_to_ms: float = -math.inf
 
+    def reset(self) -> None:
+        """Forget the turns of a loop that has ended, so that another one begins like the first."""
+        for field in attrs.fields(LoopMeter):
+            setattr(self, field.name, field.default)
+
     def begin_wait(self, now_ms: float, cpu_ms: float | None = None, limit_ms: float = 0.0) -> None:
         """Record that a turn has ended, and the loop waits for events up to `limit_ms`.
 
--- a/saffronworks/tests/features/overload.feature
+++ b/saffronworks/tests/features/overload.feature
@@ -47,6 +47,12 @@
     Then turns of 50 ms extend them by those that a reply needs, for up to a second
     And turns of the usual length, and one of a suspended process, extend them by little
 
+  # Guards against a loop that takes the time since an earlier one for a turn of its own, and awaits
+  # each reply for 2 s longer in its first second.
+  Scenario: a loop that has ended makes the next one not late
+    When turns of an event loop take 50 ms until it ends
+    Then they extend limits while it runs, and neither limits nor busy times after its end
+
   Scenario Outline: a node that is late itself repeats no request and suspects no path
     When turns of a node's event loop take <turn_ms> ms while it serves requests
     Then each request is sent once, all are answered, and no path is in doubt
--- a/saffronworks/tests/features/steps/overload_steps.py
+++ b/saffronworks/tests/features/steps/overload_steps.py
@@ -7,7 +7,8 @@
 import anyio
 from behave import given, then, when
 
-from saffronworks.clocks import monotonic_ms
+from saffronworks import clocks
+from saffronworks.clocks import LOOP_METER, extend_for_lag, monotonic_ms
 from saffronworks.loop_meter import MAX_TURN_MS, REPLY_TURNS, LoopMeter
 from saffronworks.overload.connect_delay import ConnectDelay
 from saffronworks.overload.gate import ConnectionGate
@@ -235,6 +236,24 @@
     assert meter.reply_lag_ms(now_ms + 1000) == 0
 
 
+@when("turns of an event loop take 50 ms until it ends")
+def late_loop(context):
+    async def block():
+        await anyio.sleep(0)
+        time.sleep(0.05)
+        await anyio.sleep(0)
+        return extend_for_lag(0)
+
+    context.extended_ms = clocks.run(block)
+
+
+@then("they extend limits while it runs, and neither limits nor busy times after its end")
+def ended_loop_extends_nothing(context):
+    assert context.extended_ms >= REPLY_TURNS * 50, context.extended_ms
+    left_ms, busy_ms = extend_for_lag(0), LOOP_METER.busy_for_ms(monotonic_ms())
+    assert (left_ms, busy_ms) == (0, 0), (left_ms, busy_ms)
+
+
 @when("turns of a node's event loop take {turn_ms:d} ms while it serves requests")
 def late_node(context, turn_ms):
     servers = web_servers(2)
