Wait for the census in the scenario of huge token counts

The scenario asked for a quota as soon as the node was ready, which it may be before its first census. Until then a node knows no holder of a quota and refuses the request as not run (503 quota-unknown) where the step expects 429. Its checks are as they were.

--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -100,6 +100,8 @@
             fields = {"Key": key, "Token-Counts": counts, "Length-Hint": hint}
             return await place.ask("/gen/", name, fields, b"prompt")
 
+        # Until its first census a node knows no holder of a quota, and refuses what has one.
+        await place.wait_for_planners()
         planner = place.node._kernel.find("memory-planner")
         for number in range(20):
             await ask(f"w{number}", "5000,300")
