Refuse slow bodies of an own deployment as not run, and free their keys

What callers saw: at a node of the own deployment whose memory for bodies was full, a caller whose body came slowly got a 400 without an outcome, as for a malformed request. If it had sent an Idempotency-Key to a plain service, its next request with that key got 409 as unknown, though nothing had been sent.

Cause: SlowBody is a BadBody, for which the server answers 400; the node settled the claim of a key only if the memory was full, not if the reading of the body ended otherwise (too slow, too large, the caller left).

Why it works: a body is read before its request is sent on, so whatever ends the reading leaves the request not run, and its key may be claimed again. Bodies in parts that are passed on as they arrive have set `sent_on` by then; their keys stay taken, as before.

--- a/saffronworks/frontends.py
+++ b/saffronworks/frontends.py
@@ -35,7 +35,7 @@
 from saffronworks.routes import choose_cell
 from saffronworks.runners import Job, RequestRunner
 from saffronworks.settings import Settings
-from saffronworks.web import Call
+from saffronworks.web import BadBody, Call, SlowBody
 
 __all__ = ["Frontend"]
 
@@ -84,6 +84,8 @@
                 await self._refuse_to_begin(call)
         except BodyMemoryFull:
             await self._refuse_for_memory(call, hold)
+        except SlowBody:
+            await self._refuse_slow(call, hold)
         finally:
             self._scopes.pop(call, None)
             hold.release(self._kernel.now_ms())
@@ -167,6 +169,15 @@
         headers = {OUTCOME_HEADER: "not-run", "retry-after": str(wait_s)}
         await call.reply_unread(503, body, headers, max_bytes)
 
+    async def _refuse_slow(self, call: Call, hold: BodyHold) -> None:
+        """Refuse a request whose body arrives too slowly; it was not run."""
+        hold.release(self._kernel.now_ms())
+        self._ends.count("body-slow")
+        self.bodies.count_refusal("slow")
+        logger.info("event=body_refused reason=body-slow body_bytes=%s", call.stated_body_bytes)
+        body = error_body("not-run: the body arrives too slowly", "server_error", "not-run")
+        await call.reply(408, body, {OUTCOME_HEADER: "not-run", "retry-after": "1"})
+
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
         accepts = not self.draining and not self._kernel.failing()
@@ -204,8 +215,8 @@
             if scope.cancelled_caught:
                 self._log_stopped(call, "unknown" if call.sent_on else "not-run")
                 outcome = await self.plain.stop(call)
-        except BodyMemoryFull:
-            if claim is not None:
+        except (BadBody, BodyMemoryFull):
+            if claim is not None and not call.sent_on:
                 self._settle(call, claim, call_id)
             raise
         self._ends.count(f"plain-{outcome}")
--- a/saffronworks/tests/features/body_memory.feature
+++ b/saffronworks/tests/features/body_memory.feature
@@ -63,6 +63,12 @@
     When callers of a node of an own deployment hold its memory for bodies, and another one comes
     Then it gets a whole 503 as not run, and is served once they have left
 
+  # Guards against callers that are told of a bad request where they may repeat it, and against keys
+  # that stay taken though their requests were not sent.
+  Scenario: a body that arrives too slowly at a node of an own deployment
+    When a plain call with a key sends its body too slowly to a node of an own deployment
+    Then it gets a whole 408 as not run, and its key is free again
+
   # Guards against logs that name the size of a body as the cause where its caller was too slow.
   Scenario: a relayed body that arrives too slowly
     When a body that another node relays arrives too slowly
--- a/saffronworks/tests/features/steps/body_memory_steps.py
+++ b/saffronworks/tests/features/steps/body_memory_steps.py
@@ -20,6 +20,8 @@
     BodyMemoryFull,
     body_bound,
 )
+from saffronworks.bundles import Endpoint, PlainRoute
+from saffronworks.claims import Claimed
 from saffronworks.clocks import monotonic_ms
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.paths.messages import RELAY_FIELD, RelayRequest, decode_reply
@@ -519,6 +521,39 @@
     assert context.later[0] == 400 and b"not JSON" in context.later[2], context.later
 
 
+@when("a plain call with a key sends its body too slowly to a node of an own deployment")
+def slow_own(context):
+    context.path, context.claimant = RequestPath(), Mock(claim=AsyncMock(return_value=Claimed()))
+    frontend = context.path.frontend
+    frontend._claimant, frontend.bodies = context.claimant, BodyMemory(BOUND_BYTES)
+    route = PlainRoute("web", "/", (Endpoint("w", "127.0.0.1:1", "z"),))
+    context.path.entry.routes.plain.append(route)
+    context.caller = caller = FakeCaller("POST")
+    caller._request.clear()
+    caller.call.headers |= {"idempotency-key": "bill-17", "content-length": "1000"}
+
+    async def play():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.path.serve, caller)
+            await anyio.wait_all_tasks_blocked()
+            # Slow bodies are given up once others lack memory.
+            with contextlib.suppress(BodyMemoryFull):
+                frontend.bodies.begin(0).reserve(BOUND_BYTES, monotonic_ms())
+
+    anyio.run(play)
+
+
+@then("it gets a whole 408 as not run, and its key is free again")
+def slow_own_not_run(context):
+    caller, settled = context.caller, context.claimant.settle_not_run
+    assert caller.whole and caller.status == 408, (caller.status, caller.body, caller.error)
+    assert caller.headers["saffronworks-outcome"] == "not-run", caller.headers
+    assert int(caller.headers["retry-after"]) > 0, caller.headers
+    claimed_by = context.claimant.claim.await_args.args
+    settled.assert_called_once_with(*claimed_by)
+    assert not context.path.frontend.bodies.held_bytes
+
+
 async def relay_body(context, body):
     """Relay a request whose body is read as `body`, within 50 ms."""
     context.caller = caller = FakeCaller("POST")
