Count no retry for a send that a stopping node denies

What callers saw: nothing by itself; but each request that a stopping node sent no more, after the notice of its end, used up one retry of the node. A resumable stream that the node still may continue elsewhere is cut when no retry is left.

Cause: both cores choose the next send first, which counts the retry, and put the denial in its place afterwards. Denials were rare before (a revoked key, a quarantined content); since a stopping node denies what it can't end in time, each request that breaks there meets one.

Evidence: in the cores, a broken page and a generation that had read its prompt, both denied: two retries were counted, at 10 ms each.

Why it works: with a denial the cores decide by a view of the budget that counts nothing; no send follows such a decision, so none stays uncounted.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -106,6 +106,7 @@
 
     A stream continues only at endpoints with the software version of its first event.
     """
+    budget = budget if denial is None else budget.uncounted()
     result = _advance(state, event, pools.of_version(state.version), budget, now_ms)
     if denial is not None and isinstance(result, AttemptCommand):
         result = _GiveUp(denial)
--- a/saffronworks/forwarding/plain_core.py
+++ b/saffronworks/forwarding/plain_core.py
@@ -193,6 +193,7 @@
             state.runs -= 1
             return AwaitAnswer()
     permitted = event.instance if isinstance(event, Permitted) else None
+    budget = budget if denial is None else budget.uncounted()
     command = _advance(state, event, _Choice(ranked, eligibility, budget, permitted), now_ms)
     sends = isinstance(command, SendTo | AcquirePermit)
     fails = isinstance(command, Refuse) or (denial is not None and sends)
--- a/saffronworks/forwarding/retry_budget.py
+++ b/saffronworks/forwarding/retry_budget.py
@@ -72,6 +72,18 @@
         )
         return allowed
 
+    def uncounted(self) -> "RetryBudget":
+        """Return this budget for a decision whose send is denied: it counts nothing."""
+        return _UncountedBudget(
+            self.ratio,
+            self.slack,
+            self.window_ms,
+            self.nodes,
+            self.started_ms,
+            self._requests,
+            self._retries,
+        )
+
     def charge(self, service: str, now_ms: int) -> None:
         """Count a send that takes place in any case, at the expense of later retries."""
         self._recent(self._retries, service, now_ms).append(now_ms)
@@ -86,3 +98,11 @@
         while times and times[0] <= now_ms - self.window_ms:
             times.popleft()
         return times
+
+
+class _UncountedBudget(RetryBudget):
+    def withdraw(self, service: str, now_ms: int) -> bool:
+        return self.allows(service, now_ms)
+
+    def charge(self, service: str, now_ms: int) -> None:
+        pass
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -57,6 +57,11 @@
     When a node is stopped, and runs of a page and a stream without an answer yet break later
     Then each gets 502 without another run
 
+  # Guards against sends that a stopping node denies and counts as retries all the same: the streams
+  # that it still may continue elsewhere would be cut for want of a retry.
+  Scenario: a request that a stopping node sends no more
+    Then a page and a generation that may not be sent again use up no retry
+
   # Guards against a node that outlives its grace, and is killed with its open requests.
   Scenario: the grace counts from the signal, not from when it was handled
     When a node with a stream under way handles its signal to stop 1.5 s late
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -13,19 +13,23 @@
 from hypothesis import strategies as st
 
 from saffronworks.clocks import monotonic_ms
+from saffronworks.forwarding import generation_core, plain_core
 from saffronworks.forwarding.answer_times import (
     PRIOR_MS_PER_TOKEN,
     RETRY_VALUE,
     ServiceTimes,
     may_begin,
 )
-from saffronworks.forwarding.messages import PromptSize, Refuse
+from saffronworks.forwarding.generation_events import HoldTaken
+from saffronworks.forwarding.messages import Begin, KvHold, PromptSize, Refuse
 from saffronworks.forwarding.planned_ends import NO_TIME_LEFT
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, HINT_ERROR
 from saffronworks.forwarding.runners import send_refusal
 from saffronworks.standins.sites import wait_until
+from saffronworks.tests import generation_simulation
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
 from saffronworks.tests.cut_paths import Cut, CutPaths
+from saffronworks.tests.endpoint_fixtures import endpoints, wide_budget
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_fakes import BOUNDS, FakeServer
 from saffronworks.tests.platform_place import CONFIG, engines, make_route, on_platform, web_servers
@@ -616,3 +620,18 @@
     assert any("event=relay_cut request=stream" in line for line in relayed), relayed
     refused = "event=relay_refused request=page reason=stopping sent=True"
     assert any(refused in line for line in relayed), relayed
+
+
+@then("a page and a generation that may not be sent again use up no retry")
+def no_retry_used(_):
+    budget, page = wide_budget(), plain_core.PlainState("s", True, 3, 400, 3000)
+    sent = plain_core.step(page, Begin(), endpoints(2), budget, 0)
+    broken = plain_core.Broken(sent.endpoint.instance, sent=True)
+    ended = plain_core.step(page, broken, endpoints(2), budget, 10, NO_TIME_LEFT)
+    assert ended == Refuse(502, "node-draining", not_run=False), ended
+    # Its prompt was read once, and memory is reserved again.
+    state, pools = generation_simulation.generation(), generation_simulation.POOLS
+    state.reads = 1
+    held = HoldTaken(KvHold(pools.decoders[0], "h", 2000))
+    assert generation_core.step(state, held, pools, budget, 10, NO_TIME_LEFT) == NO_TIME_LEFT
+    assert budget.counts("s", 10)[0] == 0, budget
