Give up only as many slow bodies as a refused one needs

What callers saw: in a burst on a narrow link, a node whose memory for bodies was full answered all bodies under way with 408 at once, because one more had been refused.

Cause: a body that arrives at less than 32 KiB/s was taken for one whose caller sends too slowly.

Why it works: the slowest are given up until the refused body would have room, so the others get their part of the link. Bodies of which nothing has arrived for two seconds are all given up, as before: their callers keep the memory without a use. If the share of one kind is what is full, bodies of the other kind are kept, as they would free nothing for it.

--- a/saffronworks/body_memory.py
+++ b/saffronworks/body_memory.py
@@ -22,7 +22,8 @@
 SMALL_BODY_BYTES = 131_072
 # Share of the bound that bodies of one kind, small or large, may take.
 KIND_SHARE = 0.8
-# While bodies are refused, one that arrives more slowly than this is given up.
+# While bodies are refused, those that arrive more slowly than this are given up, the slowest first,
+# until there is room for the refused one; and all of which nothing has arrived for some time.
 MIN_BODY_BYTES_PER_S = 32_768
 SLOW_BODY_GRACE_MS = 2000
 # Interval at which the bodies are searched for slow ones while others are refused.
@@ -58,6 +59,7 @@
     on_slow: Callable[[], None] | None = None
     reserved_bytes: int = 0
     _received_bytes: int = 0
+    _received_ms: int = attrs.Factory(lambda self: self._began_ms, takes_self=True)
 
     def reserve(self, size_bytes: int, now_ms: int) -> None:
         """Reserve memory for a body of this size; raises BodyMemoryFull."""
@@ -68,6 +70,7 @@
     def receive(self, size_bytes: int, now_ms: int) -> None:
         """Count a part of the body that has arrived; raises BodyMemoryFull."""
         self._received_bytes += size_bytes
+        self._received_ms = now_ms
         self.reserve(self._received_bytes, now_ms)
 
     def release(self, now_ms: int) -> None:
@@ -90,6 +93,14 @@
         late = self._received_bytes < MIN_BODY_BYTES_PER_S * age_ms / 1000
         return self.on_slow is not None and age_ms >= SLOW_BODY_GRACE_MS and late
 
+    def is_stalled(self, now_ms: int) -> bool:
+        """Return whether nothing has arrived of a slow body for some time."""
+        return now_ms - self._received_ms >= SLOW_BODY_GRACE_MS
+
+    def bytes_per_ms(self, now_ms: int) -> float:
+        """Return how fast the body arrives."""
+        return self._received_bytes / max(1, self.age_ms(now_ms))
+
 
 class BodyMemory:
     """The bodies of a node. Without a bound they are counted, and none is refused."""
@@ -123,7 +134,7 @@
     def resize(self, hold: BodyHold, size_bytes: int, now_ms: int) -> None:
         """Change the memory of a hold; raises BodyMemoryFull, and gives up slow bodies then."""
         if not self._fits(hold, size_bytes):
-            self._give_up_slow(now_ms)
+            self._give_up_slow(size_bytes, now_ms)
             raise BodyMemoryFull
         self._add(hold.large, -hold.reserved_bytes)
         self._add(size_bytes > SMALL_BODY_BYTES, size_bytes)
@@ -162,10 +173,15 @@
     def _missing_bytes(self, size_bytes: int) -> float:
         if self.bound_bytes is None:
             return 0
-        large = size_bytes > SMALL_BODY_BYTES
-        kind_bytes = self._large_bytes if large else self._small_bytes
-        over_kind_bytes = kind_bytes + size_bytes - KIND_SHARE * self.bound_bytes
-        return max(over_kind_bytes, self.held_bytes + size_bytes - self.bound_bytes)
+        over_bytes = self.held_bytes + size_bytes - self.bound_bytes
+        return max(self._over_kind_bytes(size_bytes), over_bytes)
+
+    def _over_kind_bytes(self, size_bytes: int) -> float:
+        """Return by how much another body of this size would exceed the share of its kind."""
+        if self.bound_bytes is None:
+            return 0
+        kind_bytes = self._large_bytes if size_bytes > SMALL_BODY_BYTES else self._small_bytes
+        return kind_bytes + size_bytes - KIND_SHARE * self.bound_bytes
 
     def _fits(self, hold: BodyHold, size_bytes: int) -> bool:
         if self.bound_bytes is None:
@@ -182,13 +198,24 @@
         else:
             self._small_bytes += added_bytes
 
-    def _give_up_slow(self, now_ms: int) -> None:
+    def _give_up_slow(self, size_bytes: int, now_ms: int) -> None:
+        """Give up slow bodies, until one of this size has room; all of those that are stalled.
+
+        Many bodies at once are slow because they share a link: the rest is faster without some.
+        """
         if now_ms < self._next_check_ms:
             return
         self._next_check_ms = now_ms + SLOW_BODY_CHECK_INTERVAL_MS
-        for hold in list(self._holds):
-            if hold.is_slow(now_ms) and hold.on_slow is not None:
+        large, freed_bytes = size_bytes > SMALL_BODY_BYTES, 0
+        missing_bytes = self._missing_bytes(size_bytes)
+        kind_is_full = self._over_kind_bytes(size_bytes) > 0
+        slow = [hold for hold in self._holds if hold.is_slow(now_ms)]
+        slow.sort(key=lambda hold: (not hold.is_stalled(now_ms), hold.bytes_per_ms(now_ms)))
+        for hold in slow:
+            frees_room = freed_bytes < missing_bytes and (hold.large == large or not kind_is_full)
+            if hold.on_slow is not None and (frees_room or hold.is_stalled(now_ms)):
                 hold.on_slow()
+                freed_bytes += hold.reserved_bytes if frees_room else 0
 
 
 @attrs.define
--- a/saffronworks/tests/features/body_memory.feature
+++ b/saffronworks/tests/features/body_memory.feature
@@ -48,6 +48,11 @@
     When large bodies fill the bound of a node, and another caller awaits 100 Continue
     Then it gets a whole 503, and its request is not run
 
+  # Guards against a burst on a narrow link whose bodies are all given up for one that is refused.
+  Scenario: many bodies share a link
+    When other bodies are refused while 60 arrive at 20 kB/s each, and three have stalled
+    Then the three are given up first, and then only the slowest one, as the next needs no more
+
   # Guards against a next request that is taken for the body which its caller has not sent.
   Scenario: a caller that awaits 100 Continue is refused as its body is too large
     When a caller of a node awaits 100 Continue for a body beyond the limit
--- a/saffronworks/tests/features/steps/body_memory_steps.py
+++ b/saffronworks/tests/features/steps/body_memory_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 import traceback
 from unittest.mock import AsyncMock, Mock, PropertyMock, patch
@@ -238,6 +239,34 @@
     assert context.looked_at <= 10 * 1000 + 100, context.looked_at
 
 
+@when("other bodies are refused while 60 arrive at 20 kB/s each, and three have stalled")
+def share_link(context):
+    memory = BodyMemory(int(63 * 100_000 / KIND_SHARE))
+    given_up, holds = [], [memory.begin(0) for _ in range(64)]
+    # The last one is large, so that the small ones find no room in its place.
+    for number, hold in enumerate(holds):
+        hold.reserve(100_000 if number < 63 else 200_000, 0)
+        hold.on_slow = functools.partial(given_up.append, number)
+    for now_ms in range(100, 2200, 100):
+        for number, hold in enumerate(holds[3:], 3):
+            # The later ones are a little slower.
+            hold.receive(2000 - number, now_ms)
+    context.given_up = []
+    for now_ms in (2200, 2300):
+        with contextlib.suppress(BodyMemoryFull):
+            for _ in range(3):
+                memory.begin(now_ms).reserve(131_000, now_ms)
+        context.given_up.append(sorted(given_up))
+        for number in given_up:
+            holds[number].release(now_ms)
+        given_up.clear()
+
+
+@then("the three are given up first, and then only the slowest one, as the next needs no more")
+def given_up_for_one(context):
+    assert context.given_up == [[0, 1, 2], [62]], context.given_up
+
+
 @when("callers send more large bodies at once than a node has memory for, and small ones")
 def many_large(context):
     server = context.server = Upload()
