continued_alone compares each send with the next other endpoint

What the soak did not see: a request that came twice at one endpoint and then continued at another. The check compared neighbouring sends alone and skipped pairs at one endpoint, so the first send could run on unseen.

Each send, prefills included, is compared now with the next one at another endpoint. Every pair that was compared before still is. Without the change the case "came again, continued elsewhere and ran on from its first send" failed: "AssertionError: []".

--- a/saffronworks/tests/features/soak.feature
+++ b/saffronworks/tests/features/soak.feature
@@ -66,6 +66,7 @@
       | was at a node that outlived its grace          | stops_end_in_grace        |
       | was at a node that outlived its grace after its own freeze | stops_end_in_grace |
       | continued elsewhere while its endpoint worked on | continued_alone         |
+      | came again, continued elsewhere and ran on from its first send | continued_alone |
       | was prefilled elsewhere while its endpoint worked on | continued_alone     |
       | continued elsewhere while its endpoint was suspended | continued_alone     |
       | is a page that ran again while its endpoint worked on | continued_alone    |
@@ -104,6 +105,7 @@
       | was cut in a stop as its endpoint had restarted         |
       | was at a node that outlived its grace in a stall of the soak |
       | was prefilled elsewhere and its endpoint stopped soon |
+      | came again, continued elsewhere and soon ended          |
       | continued elsewhere and its endpoint stopped soon       |
       | continued elsewhere while the path to its endpoint was cut |
       | is a page that ran again while its endpoint was suspended |
--- a/saffronworks/tests/soak/stop_promises.py
+++ b/saffronworks/tests/soak/stop_promises.py
@@ -149,12 +149,17 @@
     found = []
     for request_id, several in runs.items():
         asked = records.asked[request_id]
-        for before, after in zip(several, several[1:], strict=False):
+        for index, before in enumerate(several):
+            # The endpoint may have got the request again in between.
+            others = [run for run in several[index:] if run.endpoint != before.endpoint]
+            if not others:
+                continue
+            after = others[0]
             due_ms = _arrival_ms(after) + CONTINUED_MS
             if asked.kind in REPEATED_KINDS:
                 due_ms += _suspended_ms(records, before, _arrival_ms(after))
             late = before.ended_ms is None or before.ended_ms > due_ms
-            if before.endpoint == after.endpoint or not late:
+            if not late:
                 continue
             reached = undisturbed(records, asked.node, before.at_ms, due_ms)
             if reached and not path_struck(records, before.endpoint, asked):
--- a/saffronworks/tests/soak_stop_cases.py
+++ b/saffronworks/tests/soak_stop_cases.py
@@ -127,6 +127,14 @@
     records.silences.append(Silence("e", begin_ms, begin_ms + 1000))
 
 
+def repeated_and_continued(records, works_on_ms):
+    """As `continued`, after it had come at the first endpoint again and soon ended there."""
+    continued(records, works_on_ms)
+    first, after = records.ran
+    again = attrs.evolve(first, at_ms=after.at_ms - 5, ended_ms=after.at_ms + 5)
+    records.ran.insert(1, again)
+
+
 def prefilled_twice(records, works_on_ms):
     """Another endpoint prefills it as well, and the first one works on so long after that."""
     asked = records.asked["r"]
@@ -210,6 +218,14 @@
         "res",
         lambda seen: continued(seen, 399.0),
     ),
+    "came again, continued elsewhere and ran on from its first send": (
+        "res",
+        lambda seen: repeated_and_continued(seen, 401.0),
+    ),
+    "came again, continued elsewhere and soon ended": (
+        "res",
+        lambda seen: repeated_and_continued(seen, 399.0),
+    ),
     "continued elsewhere while its endpoint was suspended": (
         "res",
         lambda seen: continued_suspended(seen, 1399.0),
