Soak: answers come twice at nodes that relay

Copies and cuts of paths overlapped by chance alone. Beside half of the cuts all endpoints of a service now send answers twice for as long as these last, drawn apart, so that all other faults of a seed stay. records.txt tells prefills as well, which continued_alone judges.

--- a/saffronworks/tests/features/steps/soak_steps.py
+++ b/saffronworks/tests/features/steps/soak_steps.py
@@ -124,6 +124,7 @@
         ("NodeRoll", "roll"),
         *(("EndpointSilences", scope) for scope in planned_faults.SCOPES),
         ("AnswerCopies", "copies"),
+        ("AnswerCopies", "relayed-copies"),
         ("ShortHandles", "handles"),
         ("TimeoutChange", "timeouts"),
         *(("SoftwareRelease", kind) for kind in faults.RELEASE_KINDS),
--- a/saffronworks/tests/soak/planned_faults.py
+++ b/saffronworks/tests/soak/planned_faults.py
@@ -8,6 +8,7 @@
 from saffronworks.tests.soak.faults import (
     IDLE_TIMEOUTS_MS,
     ConfigChange,
+    EndpointPartition,
     Fault,
     IdleTimeoutChange,
     Shape,
@@ -54,6 +55,9 @@
 # One endpoint, or all of a service with engines.
 COPY_SERVICES = ("", "llm", "llm", LONG_SERVICE)
 BESIDE_COPIES_SHARE = 0.7
+# Services whose answers come twice while nodes reach their endpoints over other nodes, and the
+# share of partitions beside which they do.
+RELAYED_COPY_SERVICES, BESIDE_PARTITION_SHARE = ("web-a", "llm", LONG_SERVICE), 0.5
 PLAIN_TIMEOUTS_MS, LONG_TIMEOUTS_MS = (2500, 3000, 4000), (10_000, 14_000)
 # Shares of the seeds that play planned work alone, and a site as large as the limits allow.
 PLANNED_SHARE, LARGE_SHARE = 0.4, 0.1
@@ -147,6 +151,7 @@
     """Return all faults of a seed, ordered by time."""
     rolls = _draw_rolls(seed, shape)
     drawn = [*draw_faults(seed, shape), *rolls]
+    drawn += _draw_relayed_copies(seed, shape, drawn)
     drawn += _draw_silences(seed, shape, rolls) + _draw_protocol(seed, shape)
     drawn += _draw_timeouts(seed, shape) + _draw_drain_pauses(seed, shape, rolls)
     return sorted(drawn, key=lambda fault: fault.at_ms)
@@ -246,6 +251,17 @@
     return drawn
 
 
+def _draw_relayed_copies(seed: int, shape: Shape, faults: list[Fault]) -> list[Fault]:
+    """Return copies of answers of a service for as long as nodes lose their paths to it."""
+    rng = random.Random(f"{seed}/relayed-copies")
+    partitions = [fault for fault in faults if isinstance(fault, EndpointPartition)]
+    return [
+        AnswerCopies(cut.at_ms, cut.for_ms, "relayed-copies", 0, rng.choice(RELAYED_COPY_SERVICES))
+        for cut in partitions
+        if shape.copies and rng.random() < BESIDE_PARTITION_SHARE
+    ]
+
+
 def _draw_timeouts(seed: int, shape: Shape) -> list[Fault]:
     rng = random.Random(f"{seed}/timeouts")
     return [
--- a/saffronworks/tests/soak/runs.py
+++ b/saffronworks/tests/soak/runs.py
@@ -63,6 +63,7 @@
     for seen in (
         records.asked.values(),
         records.ran,
+        records.prefilled,
         records.reached,
         records.terminated,
         records.silences,
