Tell an unlisted node of a quarantine when it reports an end

Cause: a restore of the store had lost the node's entry in the census (node 1 read 2 of 3 entries, 60 ms after it saw the new epoch, and all three 3.7 s later). An owner that is told of an end passes the quarantine on to the nodes that it has listed, so the node that told it did not hear of it: node 1 knew of the quarantine at 11.616, 2 ms after the report of node 0. Node 0 refused from 13.910 on, by three ends of its own, and heard of the others at 13.956, 1 ms after node 2, which was listed. An owner replies now, as it does for successful runs. Nodes that are listed get no further message.

The new step fails on the code before: "ValueError: not enough values to unpack (expected 1, got 0)", as nothing is sent to the reporter.

--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -264,16 +264,22 @@
 
 
 def _handle_news(state: QuarantineState, event: SuspicionNews, now_ms: int) -> list[Command]:
-    """Merge suspicions of another node; reply if the sender lacks a successful run."""
+    """Merge suspicions of another node; reply with what it lacks and gossip does not tell it.
+
+    That is a successful run, and also a quarantine if the sender is missing in the list of nodes.
+    """
     commands: list[Command] = []
-    cleared = []
+    lacking = []
+    listed = event.sender in state.neighbours.nodes
     for received in event.suspicions:
         commands += _merge(state, received, now_ms)
         known = state.table.find(received.content)
-        if known is not None and known.ran_well and is_quarantined(received):
-            cleared.append(known)
-    if cleared:
-        commands.append(_send_news(state, (event.sender,), cleared, now_ms))
+        if known is None or is_quarantined(known) == is_quarantined(received):
+            continue
+        if known.ran_well or not listed:
+            lacking.append(known)
+    if lacking:
+        commands.append(_send_news(state, (event.sender,), lacking, now_ms))
     return commands
 
 
--- a/saffronworks/tests/features/quarantine.feature
+++ b/saffronworks/tests/features/quarantine.feature
@@ -68,6 +68,7 @@
     And a successful run clears a content at all nodes, before and after its quarantine
     And an answer that ends with a closed connection is no success, as a crash closes it too
     And a node that missed the successful run is informed when it sends its own view
+    And a node that reports an end, and that no list has, is informed of the quarantine
     And few requests that ran beside a crashing content are quarantined, and those have an early trial
 
   Scenario: a quarantined content has one trial
--- a/saffronworks/tests/features/steps/suspicion_steps.py
+++ b/saffronworks/tests/features/steps/suspicion_steps.py
@@ -236,6 +236,21 @@
     assert fleet.refusing() == 0
 
 
+# Guards against an entry node that goes on sending a content which the nodes it reports to refuse.
+@then("a node that reports an end, and that no list has, is informed of the quarantine")
+def unlisted_reporter(context):
+    state = new_state()
+    state.update_nodes(["n1", "n2"])
+    step(state, SuspicionNews("n2", (Suspicion(CRASHING, QUARANTINED_BY[:2]),)), 1000)
+    reported = SuspicionNews("n9", (Suspicion(CRASHING, QUARANTINED_BY[2:3]),))
+    for now_ms in (1000, 9000):
+        sent = [c for c in step(state, reported, now_ms) if isinstance(c, events.SendNews)]
+        (reply,) = [each.news for each in sent if each.nodes == ("n9",)]
+        assert [each.ended for each in reply.suspicions] == [QUARANTINED_BY[:3]], reply
+    known = SuspicionNews("n9", reply.suspicions)
+    assert not step(state, known, 9100)
+
+
 @then(
     "few requests that ran beside a crashing content are quarantined, and those have an early trial"
 )
