--- a/saffronworks/tests/soak/seeds.py
+++ b/saffronworks/tests/soak/seeds.py
@@ -62,4 +62,8 @@
     "without paths to endpoints",
     1205036: "a node that was suspended around its SIGTERM was killed in its end: another thread "
     "took the signal, which counted as handled in time; 1205038 alike",
+    1210021: "a restore of the store had lost a node's entry: an owner that knew of the quarantine "
+    "of a deadly content did not tell that node, which reported ends to it and sent it on 5 times",
+    1210059: "open: a surge at one of two nodes without paths, whose only peer with paths refuses "
+    "beyond 32 relays at once: partitioned_serve. In two of two plays",
 }
