Bound the lines of a stopping node on relays that it refuses as not sent

The same fault as for requests of callers: each relay that a stopping node refused without sending it was a WARNING, which the bound on lines does not drop, so many of them could displace the lines of requests that may have run (read, not seen in a run). Only relays that were sent on are WARNING now. The new step fails on the code before: ['event=relay_refused request=None reason=stopping sent=False open=0'].

--- a/saffronworks/forwarding/paths/relay_server.py
+++ b/saffronworks/forwarding/paths/relay_server.py
@@ -123,7 +123,7 @@
         self, call: Call, failure: str, sent: bool = False, request_id: str | None = None
     ) -> None:
         logger.log(
-            logging.WARNING if self.closing else logging.INFO,
+            logging.WARNING if self.closing and sent else logging.INFO,
             "event=relay_refused request=%s reason=%s sent=%s open=%d",
             request_id,
             failure,
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -9,6 +9,7 @@
   # Guards against lines on cut requests that are dropped, as the lines on refused ones fill the queue.
   Scenario: a stopping node logs what may have run apart from what it refuses
     Then the bound on lines applies to its true refusals, and not to requests that may have run
+    And the same holds for requests that it relays
 
   # Guards against streams that a draining node begins and cuts at its end.
   Scenario: work that can't be finished before the end of a node is not begun there
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -22,6 +22,7 @@
 )
 from saffronworks.forwarding.generation_events import HoldTaken
 from saffronworks.forwarding.messages import Begin, KvHold, PromptSize, Refuse
+from saffronworks.forwarding.paths.relay_server import RelayServer
 from saffronworks.forwarding.planned_ends import NO_TIME_LEFT
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, HINT_ERROR
 from saffronworks.forwarding.runners import send_refusal
@@ -106,6 +107,17 @@
     assert len(lines) == 1 and "reason=stopping" in lines[0], lines
 
 
+@then("the same holds for requests that it relays")
+def bounds_relay_refusals(_):
+    server = RelayServer(Mock(), Mock(), Mock(), Mock(), Mock())
+    server.closing = True
+    with LogLines("saffronworks", logging.WARNING) as lines:
+        anyio.run(server._refuse, AsyncMock(), "stopping")
+        assert not lines, lines
+        anyio.run(server._refuse, AsyncMock(), "stopping", True)
+    assert len(lines) == 1 and "sent=True" in lines[0], lines
+
+
 def generation(answer_tokens, hint):
     counts = {"Token-Counts": f"500,{answer_tokens}", "Length-Hint": str(hint)}
     return counts | {"Deadline-Ms": "20000"}
