Look up the sender of news on a quarantine only if it lacks something; clearer names

At a large site each message on suspected contents searched the tuple of nodes, also where nothing was to be replied. Behaviour is unchanged. LateSendKeeper.take is pop, ReceiveBuffer.take is read, and a docstring of the bound on log lines reads in one go.

--- a/saffronworks/body_memory.py
+++ b/saffronworks/body_memory.py
@@ -154,7 +154,7 @@
         self.refused[reason] += 1
 
     def limit_refusal_log(self, now_ms: int) -> int | None:
-        """Return how many refusals were not logged before this one; None if it isn't either."""
+        """Return how many refusals before this one were not logged; None to not log this one."""
         return self._refusal_log.record(now_ms)
 
     def room_after_ms(self, size_bytes: int, now_ms: int) -> int:
--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -329,7 +329,7 @@
             # While reading is paused, the endpoint is not the cause of the silence.
             if not self.received.paused_by_bound:
                 raise self._error(ExchangeErrorCause.SILENT)
-        return self.received.take()
+        return self.received.read()
 
     async def _wait_for_chunks(self, timeout_ms: float | None) -> bool:
         """Wait for a part of the body; False at its end or after the timeout."""
--- a/saffronworks/forwarding/late_sends.py
+++ b/saffronworks/forwarding/late_sends.py
@@ -57,7 +57,7 @@
             self.send = attrs.evolve(late, head=head, first_ms=now_ms())
         return head.success and head.signed
 
-    def take(self) -> LateSend | None:
+    def pop(self) -> LateSend | None:
         """Return the late send, and keep it no longer."""
         late, self.send = self.send, None
         return late
@@ -69,6 +69,6 @@
 
     def end(self) -> None:
         """End the late exchange, if there is one."""
-        late = self.take()
+        late = self.pop()
         if late is not None:
             late.exchange.end()
--- a/saffronworks/forwarding/plain_runner.py
+++ b/saffronworks/forwarding/plain_runner.py
@@ -369,7 +369,7 @@
 
     def _resume_late(self) -> None:
         """Make the late exchange the current one again, if another send followed it."""
-        late = self._late.take()
+        late = self._late.pop()
         if late is None:
             return
         self._end_exchange()
--- a/saffronworks/forwarding/quarantine/core.py
+++ b/saffronworks/forwarding/quarantine/core.py
@@ -270,13 +270,12 @@
     """
     commands: list[Command] = []
     lacking = []
-    listed = event.sender in state.neighbours.nodes
     for received in event.suspicions:
         commands += _merge(state, received, now_ms)
         known = state.table.find(received.content)
         if known is None or is_quarantined(known) == is_quarantined(received):
             continue
-        if known.ran_well or not listed:
+        if known.ran_well or event.sender not in state.neighbours.nodes:
             lacking.append(known)
     if lacking:
         commands.append(_send_news(state, (event.sender,), lacking, now_ms))
--- a/saffronworks/forwarding/receive_buffer.py
+++ b/saffronworks/forwarding/receive_buffer.py
@@ -51,7 +51,7 @@
         if self.on_buffered_change is not None:
             self.on_buffered_change()
 
-    def take(self) -> bytes:
+    def read(self) -> bytes:
         """Return everything that was received and not read yet."""
         data = b"".join(self._chunks)
         self._chunks.clear()
