Count only listed nodes among those that may serve instead of a stopping one

A node that started lately took the others for gone: it divided the nodes of the census by the node count of the retry budget, which holds the assumed 100 for 30 s after a restart (an upper bound, right for the budget). With five of six others serving the share was .05, so a stopping node began any stream with a chance above .045 until its notice, and cut most of them: callers saw streams that broke off 7.2 s after the SIGTERM.

Forwarder now has ServingNodes: the other nodes that the census lists, over the highest number that it listed in the last 30 s. Before the first list the others count as serving, as a refused request can be repeated and a cut one may not.

--- a/saffronworks/forwarding/forwarder.py
+++ b/saffronworks/forwarding/forwarder.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 import anyio
@@ -22,6 +22,7 @@
 from saffronworks.forwarding.quarantine.suspicions import Admission
 from saffronworks.forwarding.routing import RoutingTable
 from saffronworks.forwarding.runners import Job, NodeState, retry_after_ms, send_refusal
+from saffronworks.forwarding.serving_nodes import ServingNodes
 
 __all__ = ["Forwarder"]
 
@@ -47,7 +48,7 @@
         # Requests are no longer served, as the process ends.
         self.ended = False
         self._scopes: set[anyio.CancelScope] = set()
-        self._serving_share: Callable[[], float] = lambda: 0.0
+        self.serving_nodes = ServingNodes()
         self._node = node
         self._began_ms = began_ms
         self._usual_left_ms: dict[str, int] = {}
@@ -85,14 +86,13 @@
             finally:
                 self._scopes.remove(scope)
 
-    def drain(self, end: PlannedEnd, serving_share: Callable[[], float]) -> None:
+    def drain(self, end: PlannedEnd) -> None:
         """Refuse requests from now on that are likely to outlast this process.
 
         After the notice, only those are begun whose own deadline lies before the end.
-        `serving_share` returns the share of the other nodes that may serve them instead; where it
-        is low, requests are begun before the notice all the same.
+        Where few of the other nodes serve, requests are begun before the notice all the same.
         """
-        self._node.planned_end, self._serving_share = end, serving_share
+        self._node.planned_end = end
 
     def end_open_requests(self) -> None:
         """Answer or cut all open requests, as the process ends."""
@@ -150,7 +150,7 @@
             return True
         left_ms = end.ends_ms - now_ms
         ends_in_time = end.outlasts(job.deadline_at_ms)
-        announced, serving_share = end.announced(now_ms), self._serving_share()
+        announced, serving_share = end.announced(now_ms), self.serving_nodes.share(now_ms)
         chance, samples = self._chance_within(left_ms, job, table)
         begins = may_begin(ends_in_time, chance, serving_share, announced)
         logger.log(
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -428,15 +428,9 @@
         grace_ms = self.settings.stop_grace_ms
         end = plan_end(sent_ms, self._stop_signal.recorded_ms, grace_ms)
         self._ends_ms = end.ends_ms
-        self._forwarder.drain(end, self._serving_share)
+        self._forwarder.drain(end)
         self._relay_server.closing = True
 
-    def _serving_share(self) -> float:
-        """Return the share of the other nodes known lately that have not left the census."""
-        others = len(self._memory.choice.cores.keys() - {self.settings.peer_address})
-        known = self._state.budget.nodes.at(monotonic_ms()) - 1
-        return min(1.0, others / max(1, known))
-
     def _closes_connection(self, number: int) -> bool:
         """Return whether a caller's connection is closed after an answer that begins now."""
         return self._ends_ms is not None or self._gate.closes(number)
@@ -514,6 +508,8 @@
         )
         self._listed_nodes = max(1, len(cores))
         self._state.budget.nodes.update(self._listed_nodes, monotonic_ms())
+        others = cores.keys() - {self.settings.peer_address}
+        self._forwarder.serving_nodes.update(len(others), monotonic_ms())
         self._memory.choice.cores = cores
         self._turns.update(cores)
         self._quarantine.update_nodes(cores)
--- a/saffronworks/tests/features/planned_ends.feature
+++ b/saffronworks/tests/features/planned_ends.feature
@@ -18,6 +18,13 @@
     And one that is too long is refused at once, without a run, and its connection closed
     And it is served by a node without others
 
+  # Guards against streams that a node which started lately begins at its stop, and cuts: it divided
+  # the nodes that it knew by a number assumed for the retry budget, so that the others looked gone.
+  Scenario: a node that started lately counts only listed nodes among those that may serve
+    When a node that started lately is stopped beside a serving one, and a long generation comes
+    Then it is refused without a run
+    And the share that serves is that of the latest lists, at 3 nodes as at 1600
+
   # Guards against refused connections while the platform has no better node to send callers to.
   Scenario: callers still come to a draining node after its notice
     When a node is stopped, and callers connect to it for four seconds
--- a/saffronworks/tests/features/steps/planned_ends_steps.py
+++ b/saffronworks/tests/features/steps/planned_ends_steps.py
@@ -26,6 +26,8 @@
 from saffronworks.forwarding.planned_ends import NO_TIME_LEFT
 from saffronworks.forwarding.planning.tuning import FIRST_EVENT_MS, HINT_ERROR
 from saffronworks.forwarding.runners import send_refusal
+from saffronworks.forwarding.serving_nodes import ServingNodes
+from saffronworks.forwarding.tuning import SHORTER_LIST_MS
 from saffronworks.standins.sites import wait_until
 from saffronworks.tests import generation_simulation
 from saffronworks.tests.crashing_servers import CRASHING, Arrivals, CrashingServer
@@ -169,6 +171,41 @@
     assert long.startswith(b"HTTP/1.1 200") and long.endswith(b"0\r\n\r\n"), long
 
 
+@when("a node that started lately is stopped beside a serving one, and a long generation comes")
+def restarted_node_stops(context):
+    servers = engines()
+
+    async def play(place):
+        known = place.node._memory.choice
+        assert await wait_until(lambda: len(known.cores) == 2, limit_s=5)
+        place.node.stop()
+        await anyio.sleep(0.1)
+        context.raw = await place.ask("/gen/", "long", generation(9000, 9000))
+        context.ran = [request_id for server in servers for request_id in server.ran]
+
+    on_platform(servers, play, SLOW_CONFIG, count=2, bounds=SHORT_GRACE, first_start=False)
+
+
+@then("it is refused without a run")
+def refused_without_run(context):
+    assert context.raw.startswith(b"HTTP/1.1 503") and b"node-draining" in context.raw, context.raw
+    assert not context.ran, context.ran
+
+
+@then("the share that serves is that of the latest lists, at 3 nodes as at 1600")
+def share_of_listed(_):
+    for others in (2, 1599):
+        serving = ServingNodes()
+        assert serving.share(0) == 1, "nothing speaks against the others yet"
+        serving.update(others, 0)
+        assert serving.share(1) == 1
+        serving.update(others - 1, 1000)
+        assert serving.share(1000) == (others - 1) / others
+        assert serving.share(1000 + SHORTER_LIST_MS) == 1, "the node that left is forgotten"
+        serving.update(0, 40_000)
+        assert serving.share(40_000) == 0
+
+
 @when("a node is stopped, and callers connect to it for four seconds")
 def callers_come_on(context):
     context.raws, context.quiet_s = [], 0.0
