Leave out deeply nested values of the store's answers, not whole answers

An answer that fails so is decoded again without the values nested deeper than 64, found by one pass over the bytes in time proportional to their length, in another thread. The same holds for replies to writes and for conflicts, which a node needs to replace an odd entry under its own name.

--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -22,6 +22,7 @@
     StoredObject,
 )
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
+from saffronworks.json_depth import drop_deep_values
 from saffronworks.whole_bodies import OversizedBody, read_body_at_rate
 from saffronworks.wire import DECODE_ERRORS
 
@@ -144,7 +145,7 @@
             reply = await self._call("GET", _path(kind, query=query))
             if isinstance(reply, Err):
                 return reply
-            page = _decode(reply.ok_value, _Page)
+            page = await _decode(reply.ok_value, _Page)
             if isinstance(page, Err):
                 return page
             epoch = reply.ok_value.epoch
@@ -168,7 +169,7 @@
             return Err(reply.err_value)
         if reply.ok_value.status == 410:
             return Err(HistoryGone())
-        changes = _decode(reply.ok_value, _Changes)
+        changes = await _decode(reply.ok_value, _Changes)
         if isinstance(changes, Err):
             return Err(changes.err_value)
         epoch = reply.ok_value.epoch
@@ -180,14 +181,14 @@
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
         """Write a new object; returns a Conflict if one of this name exists."""
         body = _encode(name, content, None)
-        return _read_written(await self._call("POST", _path(kind), content=body))
+        return await _read_written(await self._call("POST", _path(kind), content=body))
 
     async def replace(
         self, kind: str, name: str, content: bytes, revision: StoreRevision
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
         """Write an object if it is still at this revision; otherwise returns a Conflict."""
         body = _encode(name, content, revision.number)
-        return _read_written(await self._call("PUT", _path(kind, name), content=body))
+        return await _read_written(await self._call("PUT", _path(kind, name), content=body))
 
     async def remove(self, kind: str, name: str) -> Result[None, ObjectStoreFailure]:
         """Remove an object; succeeds if there is none."""
@@ -265,15 +266,33 @@
     return ObjectStoreFailure(f"status {reply.status}")
 
 
-def _decode(reply: _Reply, kind: type[T]) -> Result[T, ObjectStoreFailure]:
+async def _decode(reply: _Reply, kind: type[T]) -> Result[T, ObjectStoreFailure]:
     if reply.status != 200:
         return Err(_rejected(reply))
     try:
-        return Ok(msgspec.json.decode(reply.content, type=kind))
+        return Ok(await _decode_bounded(reply.content, kind))
     except DECODE_ERRORS as error:
         return Err(ObjectStoreFailure(f"malformed: {error}"))
 
 
+async def _decode_bounded(content: bytes, kind: type[T]) -> T:
+    """Decode an answer without values that are nested too deeply; raises `DECODE_ERRORS`.
+
+    One such value, in any object, would make the whole answer unreadable.
+    """
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except RecursionError:
+        # Another thread, as a megabyte of brackets takes most of a second.
+        bounded = await anyio.to_thread.run_sync(drop_deep_values, content)
+        logger.warning(
+            "event=store_values_dropped reason=nested-too-deeply bytes=%d of=%d",
+            len(content) - len(bounded),
+            len(content),
+        )
+        return msgspec.json.decode(bounded, type=kind)
+
+
 def _decode_each(
     items: list[msgspec.Raw], kind: type[_Object] | type[_Event], epoch: int
 ) -> list[StoredObject]:
@@ -289,7 +308,7 @@
     return objects
 
 
-def _read_written(
+async def _read_written(
     reply: Result[_Reply, ObjectStoreFailure],
 ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
     if isinstance(reply, Err):
@@ -298,7 +317,7 @@
     if status not in (200, 201, 409):
         return Err(_rejected(reply.ok_value))
     try:
-        found = msgspec.json.decode(content, type=_Object)
+        found = await _decode_bounded(content, _Object)
         stored: StoredObject | None = found.decode(reply.ok_value.epoch)
     except DECODE_ERRORS as error:
         if status != 409:
--- a/saffronworks/tests/features/starts.feature
+++ b/saffronworks/tests/features/starts.feature
@@ -47,6 +47,14 @@
   Scenario: an object that the store garbles
     Then a malformed object in a listing or a watch hides no other one
 
+  # Guards against one entry of another writer that ends each listing and watch at all nodes at once:
+  # a decoder that only skips a value recurses all the same.
+  Scenario: an object that is nested more deeply than decoders recurse
+    Then it hides no other one in any answer of the store
+    And deeply nested values are left out of any document, and any other bytes take no longer
+    When such an entry stands beside endpoints that come and go, at a running node and at a new one
+    Then both nodes serve by the endpoint that came
+
   Scenario: invalid entries of nodes
     Then the census ignores invalid entries, and logs each once
 
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -1,24 +1,31 @@
 """Scenarios on invalid entries in the store."""
 
+import functools
 import json
 import random
 import time
+from tempfile import TemporaryDirectory
 from unittest.mock import AsyncMock, Mock
 
 import anyio
 import msgspec
 from behave import then, when
+from hypothesis import given as forall
+from hypothesis import strategies as st
 from result import Ok
 
 from saffronworks.forwarding.census import Census, NodeInfo
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.ports import Listing, StoredObject
 from saffronworks.forwarding.store_revisions import StoreEpoch
+from saffronworks.json_depth import drop_deep_values
 from saffronworks.platform import servers
 from saffronworks.platform.servers import SERVER_KIND, ServerSink
 from saffronworks.platform.store import PlatformStore
+from saffronworks.standins.sites import wait_until
 from saffronworks.tests.fake_store import FakeStore
 from saffronworks.tests.log_lines import LogLines
+from saffronworks.tests.platform_place import make_node, on_platform, web_servers
 from saffronworks.tests.revisions import at
 
 WALL_MS = 1_700_000_000_000
@@ -170,6 +177,104 @@
     anyio.run(main)
 
 
+# Nested more deeply than decoders recurse, also where they only skip a value.
+DEEP_VALUES = [b"[" * 5000 + b"]" * 5000, b'{"a":' * 5000 + b"1" + b"}" * 5000]
+
+
+def on_store(fake, play):
+    """Run `play(store)` with a client of a stand-in store."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fake.run)
+            store = PlatformStore(fake.address, StoreEpoch())
+            await play(store)
+            await store.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("it hides no other one in any answer of the store")
+def nested_deeply(_):
+    fake = FakeStore()
+    for index, deep in enumerate(DEEP_VALUES):
+        fake.put("servers", f"deep{index}", msgspec.Raw(b'{"x":%s}' % deep))
+    fake.put("servers", "e0", {"service": "s"})
+
+    async def play(store):
+        listing = (await store.list_objects("servers")).unwrap()
+        changes = (await store.watch("servers", at(1), 100)).unwrap()
+        for received in (listing, changes):
+            contents = {item.name: item.content for item in received.objects}
+            assert contents.keys() == {"deep0", "deep1", "e0"}, contents
+            assert contents["e0"] == b'{"service":"s"}', contents
+        conflict = (await store.create("servers", "deep0", b"{}")).unwrap_err()
+        assert conflict.found.name == "deep0", conflict
+
+    on_store(fake, play)
+
+
+@forall(
+    st.recursive(
+        st.integers() | st.text(), lambda kind: st.lists(kind) | st.dictionaries(st.text(), kind)
+    ),
+    st.integers(1, 4),
+)
+def bounds_depth(value, max_depth):
+    def bound(part, depth):
+        if isinstance(part, list):
+            return [bound(each, depth + 1) for each in part] if depth < max_depth else None
+        if isinstance(part, dict):
+            bounded = {key: bound(each, depth + 1) for key, each in part.items()}
+            return bounded if depth < max_depth else None
+        return part
+
+    content = json.dumps(value).encode()
+    assert json.loads(drop_deep_values(content, max_depth)) == bound(value, 0)
+
+
+@then("deeply nested values are left out of any document, and any other bytes take no longer")
+def drops_deep_values(_):
+    bounds_depth()
+    for start in (b'"', b"[", b"[[]", b"]", b'["'):
+        for repeated in (b'\\"', b"[", b"]", b'{"":', b"\\", b'"'):
+            content = start + repeated * (200_000 // len(repeated))
+            began_s = time.process_time()
+            assert len(drop_deep_values(content)) <= len(content) + len(b"null")
+            assert time.process_time() - began_s < 2, (start, repeated)
+
+
+@when("such an entry stands beside endpoints that come and go, at a running node and at a new one")
+def deep_entry_at_nodes(context):
+    first, second = web_servers(2)
+    context.raws = []
+
+    async def play(place):
+        for index, deep in enumerate(DEEP_VALUES):
+            place.store.put("servers", f"deep{index}", msgspec.Raw(b'{"x":%s}' % deep))
+        place.tasks.start_soon(second.run)
+        place.store.put("servers", second.instance, second.entry())
+        place.store.remove("servers", first.instance)
+        with TemporaryDirectory() as folder:
+            later = make_node(folder, 2, place.store)
+            place.tasks.start_soon(later.run)
+            assert await wait_until(later.ready, limit_s=5), "a new node is not ready"
+            for node in (place.node, later):
+                known = functools.partial(node._directory.named, second.instance)
+                assert await wait_until(known, limit_s=5), "an update is missing"
+                context.raws.append(await place.ask("/again/", "r", node=node))
+
+    on_platform([first], play)
+
+
+@then("both nodes serve by the endpoint that came")
+def served_by_second(context):
+    assert len(context.raws) == 2
+    for raw in context.raws:
+        assert raw.startswith(b"HTTP/1.1 200") and b"stamp-w1" in raw, raw
+
+
 @then("the census ignores invalid entries, and logs each once")
 def census(context):
     valid = {"address": "10.0.0.1:1", "cores": 2.0}
