Continue a listing after the last name of its page, readable or not

A listing continued after the last object that could be read. A page whose objects were all unreadable, as one odd entry may fill a page of 1 MB, was fetched 200 times, each call with its price, and the listing then failed; a first page of this kind ended the listing as if it were whole, so the endpoints of all later pages counted as gone.

The name is read apart from the rest of an object. A page without any name that is new ends the listing as failed after one call.

Without the fix alone the new scenario fails: Listing(objects=()) in place of four objects.

--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -73,6 +73,18 @@
     revision: int = 0
 
 
+@attrs.frozen
+class _Name:
+    name: str
+
+
+@attrs.frozen
+class _Named:
+    """An object of which only the name is read."""
+
+    metadata: _Name
+
+
 @attrs.frozen
 class _Object:
     metadata: _Metadata
@@ -153,10 +165,14 @@
             revision = revision or StoreRevision(epoch, page.ok_value.current_rev)
             if revision.epoch != epoch:
                 return Err(ObjectStoreFailure("the store was restored between two pages"))
-            objects += _decode_each(page.ok_value.items, _Object, epoch)
-            if not page.ok_value.has_more or not objects:
+            items = page.ok_value.items
+            objects += _decode_each(items, _Object, epoch)
+            if not page.ok_value.has_more or not items:
                 return Ok(Listing(tuple(objects), revision))
-            after = objects[-1].name
+            last = _last_name(items)
+            if last is None or last == after:
+                return Err(ObjectStoreFailure("a page of the listing names no object"))
+            after = last
         return Err(ObjectStoreFailure("the listing has too many pages"))
 
     async def watch(
@@ -293,6 +309,16 @@
         return msgspec.json.decode(bounded, type=kind)
 
 
+def _last_name(items: list[msgspec.Raw]) -> str | None:
+    """Return the name of the last object of a page whose name can be read."""
+    for item in reversed(items):
+        try:
+            return msgspec.json.decode(item, type=_Named).metadata.name
+        except DECODE_ERRORS:
+            continue
+    return None
+
+
 def _decode_each(
     items: list[msgspec.Raw], kind: type[_Object] | type[_Event], epoch: int
 ) -> list[StoredObject]:
--- a/saffronworks/tests/features/starts.feature
+++ b/saffronworks/tests/features/starts.feature
@@ -55,6 +55,10 @@
     When such an entry stands beside endpoints that come and go, at a running node and at a new one
     Then both nodes serve by the endpoint that came
 
+  # Guards against a listing that asks for the same page until it fails.
+  Scenario: a page of the store without a readable object
+    Then the listing goes on after it
+
   Scenario: invalid entries of nodes
     Then the census ignores invalid entries, and logs each once
 
--- a/saffronworks/tests/features/steps/bad_entries_steps.py
+++ b/saffronworks/tests/features/steps/bad_entries_steps.py
@@ -215,6 +215,29 @@
     on_store(fake, play)
 
 
+@then("the listing goes on after it")
+def unreadable_page(_):
+    class UnreadableFirst(FakeStore):
+        """A store whose first page has names that can be read, and no readable object."""
+
+        def _show(self, kind, name):
+            shown = super()._show(kind, name)
+            if name.startswith("a"):
+                shown["metadata"]["revision"] = "none"
+            return shown
+
+    fake = UnreadableFirst()
+    for name in ("a0", "a1", "a2", "a3", "b0", "b1", "b2", "b3"):
+        fake.put("servers", name, {})
+
+    async def play(store):
+        listing = (await store.list_objects("servers")).unwrap()
+        assert [item.name for item in listing.objects] == ["b0", "b1", "b2", "b3"], listing
+        assert len(fake.calls) == 3, fake.calls
+
+    on_store(fake, play)
+
+
 @forall(
     st.recursive(
         st.integers() | st.text(), lambda kind: st.lists(kind) | st.dictionaries(st.text(), kind)
