Request missing reports of a new plan once more

A planner that was idle for 1.5 s requests the reports of all nodes once. If one of these messages is lost or can't be read, the plan is not complete for .9 s and all requests of that time go on without it, whichever node they are at.

Nodes that have not reported after 40 ms are asked once more, within the 120 ms that requests wait for them. The scenario on a lost node said that the planner sends nothing before that wait ends; it now says that this repeat, to this node, is all that it sends.

--- a/saffronworks/forwarding/planning/core.py
+++ b/saffronworks/forwarding/planning/core.py
@@ -34,6 +34,7 @@
     MAX_EXAMINED,
     MAX_SLOWDOWN,
     REPORT_LAPSE_MS,
+    REPORTS_RETRY_MS,
     STALLED_RUN_MS,
     WAITER_LAPSE_MS,
 )
@@ -62,8 +63,8 @@
     """
     replies: list[Reply] = []
     if now_ms - state.last_event_ms > REPORT_LAPSE_MS:
-        state.began_ms = now_ms
-        replies += _request_reports(state)
+        state.began_ms, state.reports_repeated = now_ms, False
+        replies += _request_reports(state, state.nodes)
     state.last_event_ms = now_ms
     match event:
         case MemoryAsk():
@@ -85,6 +86,7 @@
             _end_prefill(state, event, now_ms)
         case Tick():
             _expire(state, now_ms)
+            replies += _repeat_report_requests(state, now_ms)
     if not state.is_complete(now_ms):
         return replies if state.awaits_reports(now_ms) else [*replies, *_release_waiters(state)]
     state.shares.update(state.runs, state.waiters, now_ms)
@@ -101,10 +103,19 @@
     _remove_run(state, request_id)
 
 
-def _request_reports(state: PlanState) -> list[Reply]:
-    """Request a report from each node; a new plan is complete once all have answered."""
+def _request_reports(state: PlanState, nodes: Iterable[str]) -> list[Reply]:
+    """Request reports from nodes; a new plan is complete once all have answered."""
     message = ReportWanted(state.service, state.own_address)
-    return [Reply(node, message) for node in state.nodes]
+    return [Reply(node, message) for node in nodes]
+
+
+def _repeat_report_requests(state: PlanState, now_ms: int) -> list[Reply]:
+    """Request the missing reports of a new plan once more; a lost message would end the wait."""
+    due = now_ms - state.began_ms >= REPORTS_RETRY_MS and state.awaits_reports(now_ms)
+    if state.reports_repeated or not due:
+        return []
+    state.reports_repeated = True
+    return _request_reports(state, state.missing_reports())
 
 
 def _release_waiters(state: PlanState) -> list[Reply]:
--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -69,6 +69,7 @@
     reported_ms: dict[str, int] = attrs.Factory(dict)
     next_retry_ms: dict[int, float] = attrs.Factory(dict)
     last_event_ms: int = 0
+    reports_repeated: bool = False
     prefill: PrefillPlan = attrs.Factory(PrefillPlan)
     lengths: AnswerLengths = attrs.Factory(AnswerLengths)
     speeds: EndpointSpeeds = attrs.Factory(EndpointSpeeds)
@@ -91,8 +92,11 @@
         """
         if now_ms - self.began_ms >= WARM_UP_MS:
             return True
-        reported = (self.reported_ms.get(node, -1) for node in self.nodes)
-        return bool(self.nodes) and all(at_ms >= self.began_ms for at_ms in reported)
+        return bool(self.nodes) and not self.missing_reports()
+
+    def missing_reports(self) -> list[str]:
+        """Return the nodes that have not reported since the plan began."""
+        return [node for node in self.nodes if self.reported_ms.get(node, -1) < self.began_ms]
 
     def awaits_reports(self, now_ms: int) -> bool:
         """Return whether a new plan still waits for the reports that it requested."""
--- a/saffronworks/forwarding/planning/tuning.py
+++ b/saffronworks/forwarding/planning/tuning.py
@@ -146,6 +146,8 @@
 # How long requests wait for the reports that a new plan requests. Reports take some ten ms, or this
 # long from a slow node. The wait is too short to make a request miss its target.
 REPORTS_WAIT_MS = 120
+# Nodes that have not reported by then are asked once more, because a message may have been lost.
+REPORTS_RETRY_MS = 40
 # An entry node sends a waiting request again after this time without any answer of the planner, and
 # after the longer time in any case: a restarted planner has lost the request.
 RESEND_MS = 250
--- a/saffronworks/tests/features/steps/memory_steps.py
+++ b/saffronworks/tests/features/steps/memory_steps.py
@@ -21,6 +21,7 @@
     PREFILL_MS_PER_TOKEN,
     REPORT_EVERY_MS,
     REPORT_LAPSE_MS,
+    REPORTS_RETRY_MS,
     REPORTS_WAIT_MS,
     WAITER_LAPSE_MS,
     WARM_UP_MS,
@@ -375,6 +376,9 @@
     plan = core.PlanState(START_MS, CAPACITY, SLOTS, "s", "n1:1", nodes=("n1:1", "n2:1"))
     core.step(plan, ask("a"), {"d0": "z"}, START_MS)
     core.step(plan, messages.MemoryReport("n1:1", "s", ()), {"d0": "z"}, START_MS + 1)
+    assert not core.step(plan, core.Tick(), {"d0": "z"}, START_MS + REPORTS_RETRY_MS - 1)
+    (again,) = core.step(plan, core.Tick(), {"d0": "z"}, START_MS + REPORTS_RETRY_MS)
+    assert again == core.Reply("n2:1", messages.ReportWanted("s", "n1:1")), "asked once more"
     assert not core.step(plan, core.Tick(), {"d0": "z"}, START_MS + REPORTS_WAIT_MS - 1)
     (reply,) = core.step(plan, core.Tick(), {"d0": "z"}, START_MS + REPORTS_WAIT_MS)
     assert reply.message == messages.MemoryDirect("a") and not plan.waiters
--- a/saffronworks/tests/features/steps/spoiled_values_steps.py
+++ b/saffronworks/tests/features/steps/spoiled_values_steps.py
@@ -45,6 +45,7 @@
     Spoil("MemoryAsk", ("likely_tokens",), 10**15),
     Spoil("SuspicionNews", ("suspicions", 0, "age_ms"), -(2**53)),
     Spoil("PartNews", ("parts", 0, "sound_age_ms"), -(2**53)),
+    Spoil("ReportWanted", ("service",), 10**15, number=2),
 )
 DRAWN_PLAYS = 24
 SEED = 7
