Let a stream without a record continue only by what the store shows now

'Updated within the time in which changes must apply' was taken for 'now'.

An endpoint is listed before it begins a stream, and the stream began before its caller returned. So the candidates count only if a read of the store that began after the request came has succeeded: Follower.read_latest, one read at a time for all requests of a node. A node that cannot read asks the holders, which read before they answer. Else the stream is refused as not run: at once while the store's circuit is open, after 0.6 s at most otherwise. With two candidates nothing is read. A node that gives its history to one that has started reads first too, so that no gap is left between both.

The older scenario on a node without updates let it reach the store all the same; its node now has no answer of the store either.

--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from saffronworks.forwarding.ports import HistoryGone, Listing, ObjectStore, ObjectStoreFailure
+from saffronworks.forwarding.shared_reads import SharedRead
 from saffronworks.forwarding.store_news import NewsFeed, StoreNews
 from saffronworks.forwarding.store_revisions import StoreEpoch, StoreRevision
 from saffronworks.forwarding.tuning import (
@@ -85,6 +86,7 @@
         self._needs_listing = True
         self._watching: anyio.CancelScope | None = None
         epoch.subscribe(self._end_watch)
+        self._latest = SharedRead(self._read_changes)
         self._failures = 0
         self._histories_gone = 0
         self._last_answer_ms = now_ms()
@@ -124,6 +126,30 @@
         """Return the time since the last answer of the store or complete update from a peer."""
         return self._now_ms() - self._up_to_date_ms
 
+    async def read_latest(self) -> bool:
+        """Apply all changes made before this call; return whether the store returned them.
+
+        `age_ms` is no substitute: a change may be seconds old before every node must have it.
+        """
+        return await self._latest.run()
+
+    async def _read_changes(self) -> bool:
+        revision, sent_ms = self._revision, self._now_ms()
+        if revision is None or self._needs_listing:
+            return False
+        reply = await self._source.read_changes(self.kind, revision)
+        if isinstance(reply, Err) or self._needs_listing:
+            return False
+        answer = reply.ok_value
+        if answer.revision.epoch != revision.epoch or answer.revision < revision:
+            return False
+        if not self._is_overtaken(answer):
+            self._sink.apply(answer, self._lapse_until_ms)
+            self._revision = answer.revision
+            self._up_to_date_ms = self._now_ms()
+            self._publish(answer, revision, sent_ms)
+        return True
+
     def handle_news(self, news: StoreNews) -> None:
         """Apply an update from a peer; a node without a revision can start from a whole listing."""
         if self._revision is None and news.whole and news.objects is not None:
@@ -159,14 +185,14 @@
         if self._news is not None:
             self._peers_fresh_until_ms = self._now_ms() + self._news.pace.silent_ms
 
-    def _publish(self, answer: Listing, since: StoreRevision | None) -> None:
-        """Publish an answer of the store; `since` is None for a whole listing."""
+    def _publish(self, answer: Listing, since: StoreRevision | None, sent_ms: int) -> None:
+        """Publish the answer to a call sent at `sent_ms`; `since` is None for a whole listing."""
         self._extend_peers_fresh()
         if self._news is None:
             return
         now_ms = self._now_ms()
         lapse_ms = max(0, self._lapse_until_ms - now_ms)
-        self._news.publish(self.kind, answer, since, lapse_ms, now_ms - self._sent_ms)
+        self._news.publish(self.kind, answer, since, lapse_ms, now_ms - sent_ms)
 
     async def _list(self) -> None:
         self._sent_ms, revision_before = self._now_ms(), self._revision
@@ -184,7 +210,7 @@
         self._note_restore(answer, max(known_ms, self._last_failure_ms))
         self._sink.replace_all(answer, self._lapse_until_ms)
         self._revision = answer.revision
-        self._publish(answer, since=None)
+        self._publish(answer, None, self._sent_ms)
 
     def _note_restore(self, answer: Listing, after_ms: int) -> None:
         """Start the grace period for entries that the restored copy lacks.
@@ -235,7 +261,7 @@
             return
         self._sink.apply(answer, self._lapse_until_ms)
         self._revision = answer.revision
-        self._publish(answer, since=revision)
+        self._publish(answer, revision, self._sent_ms)
         if answer.objects:
             await anyio.sleep(WATCH_COALESCE_MS / 1000)
 
--- a/saffronworks/forwarding/origins/decisions.py
+++ b/saffronworks/forwarding/origins/decisions.py
@@ -15,6 +15,7 @@
     "SERVICE_REMOVED",
     "Resolution",
     "Resolved",
+    "candidates_of",
     "is_settled",
     "resolve",
 ]
@@ -43,11 +44,17 @@
     return any(answer.records or answer.ambiguous for answer in answers)
 
 
+def candidates_of(answers: Iterable[OriginAnswer]) -> set[Origin]:
+    """Return what may have begun a stream without a record, by all answers."""
+    return {origin for answer in answers for origin in answer.candidates}
+
+
 def resolve(answers: list[OriginAnswer], route: Route) -> Resolution:
     """Return where a stream continues; `answers` are those of this node and of holders.
 
     Without a record the stream continues only if a single origin is possible. Any endpoint would
-    accept it, and its answer would join events of two versions.
+    accept it, and its answer would join events of two versions. Its endpoint was listed before it
+    began, so only what was read from the store since the caller returned can name all candidates.
     """
     found = {origin for answer in answers for origin in answer.records}
     if len(found) > 1 or any(answer.ambiguous for answer in answers):
@@ -58,8 +65,8 @@
     if found:
         age_ms = max(answer.age_ms for answer in answers)
         return _check_route(Resolved(found.pop(), by_record=True, age_ms=age_ms), route)
-    candidates = {origin for answer in answers for origin in answer.candidates}
-    if len(candidates) != 1 or not any(answer.covers_window for answer in answers):
+    candidates = candidates_of(answers)
+    if len(candidates) != 1 or not any(answer.names_all_candidates for answer in answers):
         return ORIGIN_UNKNOWN
     return _check_route(Resolved(candidates.pop(), by_record=False), route)
 
--- a/saffronworks/forwarding/origins/lookups.py
+++ b/saffronworks/forwarding/origins/lookups.py
@@ -11,7 +11,12 @@
 from saffronworks.forwarding.origins.decisions import is_settled
 from saffronworks.forwarding.origins.messages import OriginAnswer, OriginLookup
 from saffronworks.forwarding.origins.records import StreamKey
-from saffronworks.forwarding.origins.tuning import LOOKUP_RETRY_MS, LOOKUP_TIMEOUT_MS
+from saffronworks.forwarding.origins.tuning import (
+    LOOKUP_RETRY_MS,
+    LOOKUP_TIMEOUT_MS,
+    LOOKUPS,
+    READ_TIMEOUT_MS,
+)
 
 __all__ = ["HolderLookups"]
 
@@ -35,29 +40,43 @@
         self._incarnation, self._numbers = secrets.token_hex(4), itertools.count()
         self._pending: dict[str, _Pending] = {}
 
-    async def ask(
-        self, holders: list[str], key: StreamKey, route: str, window_ms: int, rounds: int
+    async def find_record(
+        self, holders: list[str], key: StreamKey, route: str, window_ms: int
     ) -> list[OriginAnswer]:
-        """Ask holders up to `rounds` times until one has the record; return all answers."""
+        """Ask holders several times until one has the record; return all answers."""
         answers: list[OriginAnswer] = []
-        for number in range(rounds if holders else 0):
+        for number in range(LOOKUPS if holders else 0):
             if number:
                 await anyio.sleep(LOOKUP_RETRY_MS / 1000)
-            answers += await self._ask_once(holders, key, route, window_ms)
+            lookup = OriginLookup(self._next_id(), self._own_address, key, route, window_ms)
+            answers += await self._ask(holders, lookup, LOOKUP_TIMEOUT_MS)
             if is_settled(answers):
                 break
         return answers
 
-    async def _ask_once(
+    async def read_latest(
         self, holders: list[str], key: StreamKey, route: str, window_ms: int
     ) -> list[OriginAnswer]:
-        lookup_id = f"{self._incarnation}-{next(self._numbers):x}"
+        """Ask holders once for what the store shows now; return the answers up to a useful one."""
+        if not holders:
+            return []
+        lookup = OriginLookup(
+            self._next_id(), self._own_address, key, route, window_ms, latest=True
+        )
+        return await self._ask(holders, lookup, LOOKUP_TIMEOUT_MS + READ_TIMEOUT_MS)
+
+    def _next_id(self) -> str:
+        return f"{self._incarnation}-{next(self._numbers):x}"
+
+    async def _ask(
+        self, holders: list[str], lookup: OriginLookup, timeout_ms: int
+    ) -> list[OriginAnswer]:
+        lookup_id = lookup.lookup_id
         pending = self._pending[lookup_id] = _Pending(len(holders))
-        lookup = OriginLookup(lookup_id, self._own_address, key, route, window_ms)
         try:
             for holder in holders:
                 self._send(holder, lookup)
-            with anyio.move_on_after(extend_for_lag(LOOKUP_TIMEOUT_MS) / 1000):
+            with anyio.move_on_after(extend_for_lag(timeout_ms) / 1000):
                 await pending.done.wait()
             return pending.answers
         finally:
@@ -69,5 +88,6 @@
         if pending is None:
             return
         pending.answers.append(answer)
-        if is_settled([answer]) or len(pending.answers) >= pending.awaited:
+        enough = is_settled([answer]) or answer.names_all_candidates
+        if enough or len(pending.answers) >= pending.awaited:
             pending.done.set()
--- a/saffronworks/forwarding/origins/messages.py
+++ b/saffronworks/forwarding/origins/messages.py
@@ -43,7 +43,7 @@
     """Entry node to holder: what began this stream, or may have begun it?
 
     `key` is empty if the caller names no request. `route` and `window_ms` are those of the
-    `candidates` in the answer.
+    `candidates` in the answer. `latest`: the holder reads the store's changes before it answers.
     """
 
     lookup_id: str
@@ -51,13 +51,15 @@
     key: StreamKey
     route: str
     window_ms: Size
+    latest: bool = False
 
 
 @attrs.frozen
 class OriginAnswer:
     """Holder to entry node: the records of the stream, two if they conflict, and its age.
 
-    `candidates` may have begun a stream without a record; `covers_window`: all of them are named.
+    `candidates` may have begun a stream without a record; `covers_window`: all are named that the
+    sender can know of, and `latest`: it has read the store's changes since it was asked.
     `ambiguous`: the origin is not certain, and may be after `settles_in_ms`; 0 if it never will.
     """
 
@@ -69,6 +71,12 @@
     covers_window: bool = False
     ambiguous: bool = False
     settles_in_ms: Wait = 0
+    latest: bool = False
+
+    @property
+    def names_all_candidates(self) -> bool:
+        """Return whether no other service or version may have begun the stream."""
+        return self.covers_window and self.latest
 
 
 @attrs.frozen
--- a/saffronworks/forwarding/origins/service.py
+++ b/saffronworks/forwarding/origins/service.py
@@ -2,7 +2,8 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from typing import Any
 
 import anyio
 import attrs
@@ -11,7 +12,13 @@
 from saffronworks.forwarding.figures import Level, MetricsRecorder
 from saffronworks.forwarding.messages import CallerRequest, Refuse
 from saffronworks.forwarding.origins.certainty import BegunStream, Knowledge, VersionCertainty
-from saffronworks.forwarding.origins.decisions import Resolution, Resolved, is_settled, resolve
+from saffronworks.forwarding.origins.decisions import (
+    Resolution,
+    Resolved,
+    candidates_of,
+    is_settled,
+    resolve,
+)
 from saffronworks.forwarding.origins.history import OriginHistory
 from saffronworks.forwarding.origins.lookups import HolderLookups
 from saffronworks.forwarding.origins.messages import (
@@ -35,9 +42,9 @@
     HISTORY_PEERS,
     HOLDER_GROUPS,
     HOLDERS,
-    LOOKUPS,
     MAX_HISTORY_INTERVAL_MS,
     MAX_RECORD_TTL_MS,
+    READ_TIMEOUT_MS,
     SETTLE_CHECKS,
     SETTLE_INTERVAL_MS,
     SETTLED_MS,
@@ -63,13 +70,18 @@
 NO_KEY = StreamKey("")
 
 
+async def _read_nothing() -> bool:
+    return False
+
+
 class StreamOrigins:
     """Keeps records of streams' origins, of this node and of other ones.
 
     Each record is at the node that began the stream and at up to three others, chosen by hash, so
     that it outlives that node. `is_current` tells whether this node has all recent updates of
     endpoints and configuration, `updated_ms` when the endpoints were last up to date, and
-    `connected_since_ms` when the oldest open connection to an endpoint was opened.
+    `connected_since_ms` when the oldest open connection to an endpoint was opened. `read_latest`
+    applies all updates made before its call, and returns whether it could read them.
     """
 
     name = "stream-origins"
@@ -84,6 +96,7 @@
         updated_ms: Callable[[], int],
         connected_since_ms: Callable[[StartId], int | None],
         from_first_start: bool = False,
+        read_latest: Callable[[], Awaitable[bool]] = _read_nothing,
     ):
         self.table = OriginTable()
         self.history = OriginHistory(from_first_start)
@@ -94,6 +107,7 @@
         self._is_current = is_current
         self._updated_ms = updated_ms
         self._connected_since_ms = connected_since_ms
+        self._read_latest = read_latest
         self.certainty = VersionCertainty()
         self._ring = HolderRing()
         self._rng = random.Random(own_address)
@@ -173,8 +187,8 @@
         stored = await self._await_stored(key) if holders and waits else False
         if holders and waits and not stored:
             self._no_wait_until_ms = self._now_ms() + STORE_BACKOFF_MS
-        if not certain and self._kernel is not None:
-            self._kernel.spawn(self._settle, begun, service)
+        if not certain:
+            self._spawn(self._settle, begun, service)
         logger.info(
             "event=origin_recorded request=%s service=%s version=%s certain=%s entries_age_ms=%d "
             "holders=%d stored=%s waited_ms=%d",
@@ -236,19 +250,33 @@
         key = stream_key(request, request.first_request_id) if request.first_request_id else NO_KEY
         window_ms = resume_window_ms(route)
         answers = [self._answer("", key, route.name, window_ms)]
-        found = resolve(answers, route)
-        if not is_settled(answers) and (key or isinstance(found, Refuse)):
-            lookups = LOOKUPS if key else 1
-            asked = self._ring.recent_first_nodes(
-                _group(key or request.request_id), HOLDERS, self._now_ms()
+        if not is_settled(answers):
+            first_nodes = self._ring.recent_first_nodes(
+                _group(key or request.request_id), HOLDERS, began_ms
             )
-            answers += await self._lookups.ask(
-                self._others(asked), key, route.name, window_ms, lookups
-            )
-            found = resolve(answers, route)
+            holders = self._others(first_nodes)
+            if key:
+                answers += await self._lookups.find_record(holders, key, route.name, window_ms)
+            if not is_settled(answers) and len(candidates_of(answers)) <= 1:
+                answers += await self._read_candidates(holders, key, route.name, window_ms)
+        found = resolve(answers, route)
         self._log_found(request, found, answers, began_ms)
         return found if isinstance(found, Refuse) else found.origin
 
+    async def _read_candidates(
+        self, holders: list[str], key: StreamKey, route: str, window_ms: int
+    ) -> list[OriginAnswer]:
+        """Read the store's changes, and let holders do so if that doesn't name all candidates."""
+        own = await self._answer_latest("", key, route, window_ms)
+        if own.names_all_candidates or is_settled([own]):
+            return [own]
+        return [own, *await self._lookups.read_latest(holders, key, route, window_ms)]
+
+    async def _read_in_time(self) -> bool:
+        with anyio.move_on_after(READ_TIMEOUT_MS / 1000):
+            return await self._read_latest()
+        return False
+
     def _log_found(
         self,
         request: CallerRequest,
@@ -266,7 +294,7 @@
         self._figures.count_resumed(outcome)
         logger.info(
             "event=origin_found request=%s first_request=%s outcome=%s service=%s version=%s "
-            "age_ms=%s holder=%s answers=%d candidates=%d covers_window=%s waited_ms=%d",
+            "age_ms=%s holder=%s answers=%d candidates=%d covers_window=%s latest=%s waited_ms=%d",
             request.request_id,
             request.first_request_id,
             outcome,
@@ -275,8 +303,9 @@
             age_ms,
             next((answer.holder for answer in answers if answer.records), None),
             len(answers),
-            len({candidate for answer in answers for candidate in answer.candidates}),
+            len(candidates_of(answers)),
             any(answer.covers_window for answer in answers),
+            next((answer.holder for answer in answers if answer.latest), None),
             self._now_ms() - began_ms,
         )
 
@@ -305,7 +334,22 @@
 
     # Called as a holder.
 
-    def _answer(self, lookup_id: str, key: StreamKey, route: str, window_ms: int) -> OriginAnswer:
+    async def _answer_latest(
+        self, lookup_id: str, key: StreamKey, route: str, window_ms: int
+    ) -> OriginAnswer:
+        """Return what this node knows of a stream after it has read the store's changes."""
+        latest = await self._read_in_time()
+        return self._answer(lookup_id, key, route, window_ms, latest)
+
+    async def _reply_latest(self, lookup: OriginLookup) -> None:
+        answer = await self._answer_latest(
+            lookup.lookup_id, lookup.key, lookup.route, lookup.window_ms
+        )
+        self._send(lookup.reply_to, answer)
+
+    def _answer(
+        self, lookup_id: str, key: StreamKey, route: str, window_ms: int, latest: bool = False
+    ) -> OriginAnswer:
         """Return what this node knows of a stream."""
         now_ms = self._now_ms()
         record = self.table.find(key, now_ms) if key else None
@@ -327,11 +371,14 @@
             self._own_address,
             candidates=tuple(sorted(candidates)),
             covers_window=self._is_current() and self.history.covers(window_ms, now_ms),
+            latest=latest,
         )
 
-    def _export_history(self) -> HistoryAnswer:
+    async def _reply_history(self, reply_to: str) -> None:
+        """Send the history up to now, so that nothing lies between it and the receiver's start."""
+        latest = await self._read_in_time()
         exported = self.history.export(self._now_ms())
-        return exported if self._is_current() else attrs.evolve(exported, covers_ms=0)
+        self._send(reply_to, exported if latest else attrs.evolve(exported, covers_ms=0))
 
     def _merge_history(self, answer: HistoryAnswer) -> None:
         now_ms = self._now_ms()
@@ -352,7 +399,7 @@
     def _handle(self, message: _Message) -> None:
         match message:
             case HistoryRequest(reply_to):
-                self._send(reply_to, self._export_history())
+                self._spawn(self._reply_history, reply_to)
             case HistoryAnswer() if self.history.began:
                 self._merge_history(message)
             case OriginNotice(key, origin, ttl_ms, reply_to):
@@ -361,11 +408,17 @@
                     self._send(reply_to, OriginStored(key, self._own_address))
             case OriginStored(key) if key in self._unstored:
                 self._unstored[key].set()
+            case OriginLookup(latest=True):
+                self._spawn(self._reply_latest, message)
             case OriginLookup(lookup_id, reply_to, key, route, window_ms):
                 self._send(reply_to, self._answer(lookup_id, key, route, window_ms))
             case OriginAnswer():
                 self._lookups.handle_answer(message)
 
+    def _spawn(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
+        if self._kernel is not None:
+            self._kernel.spawn(task, *args)
+
     def _send(self, node: str, message: _Message) -> None:
         if self._kernel is not None:
             self._kernel.post("peers", Outgoing(node, message))
--- a/saffronworks/forwarding/origins/tuning.py
+++ b/saffronworks/forwarding/origins/tuning.py
@@ -24,6 +24,8 @@
 LOOKUP_TIMEOUT_MS = 60
 LOOKUP_RETRY_MS = 40
 LOOKUPS = 2
+# How long a node waits for the store's changes before it answers for the candidates of a stream.
+READ_TIMEOUT_MS = 600
 # Nodes that a node which has started asks at once for what served before, and the interval until
 # one of them knows.
 HISTORY_PEERS = 3
--- a/saffronworks/forwarding/ports.py
+++ b/saffronworks/forwarding/ports.py
@@ -93,6 +93,11 @@
         An answer of a later epoch than `revision` may lack changes; list the objects again then.
         """
 
+    async def read_changes(
+        self, kind: str, revision: StoreRevision
+    ) -> Result[Listing, HistoryGone | ObjectStoreFailure]:
+        """Return the changes between a revision and this call, as `watch`, without waiting."""
+
     async def create(
         self, kind: str, name: str, content: bytes
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -136,6 +136,14 @@
             )
         )
 
+    async def read_changes(
+        self, kind: str, revision: StoreRevision
+    ) -> Result[Listing, HistoryGone | ObjectStoreFailure]:
+        """Return the changes between a revision and this call; fails while the circuit is open."""
+        if self._circuit.open:
+            return Err(ObjectStoreFailure("circuit open"))
+        return await self._guard(lambda _: self._source.read_changes(kind, revision))
+
     async def create(
         self, kind: str, name: str, content: bytes
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -265,6 +265,7 @@
             self._endpoints_updated_ms,
             self._calls.pool.connected_since_ms,
             settings.first_start,
+            self._read_latest,
         )
         self._store_epoch.subscribe(lambda: self._origins.certainty.record_restore(monotonic_ms()))
         return NodeState(
@@ -306,6 +307,18 @@
         listed = all(follower.listed for follower in self._followers)
         return listed and all(follower.age_ms() <= within_ms for follower in self._followers)
 
+    async def _read_latest(self) -> bool:
+        """Apply all updates of the store made before this call; return whether it returned them."""
+        succeeded: list[bool] = []
+
+        async def read(follower: Follower) -> None:
+            succeeded.append(await follower.read_latest())
+
+        async with anyio.create_task_group() as tasks:
+            for follower in self._followers:
+                tasks.start_soon(read, follower)
+        return all(succeeded)
+
     def _endpoints_updated_ms(self) -> int:
         """Return when the endpoints were last up to date."""
         return monotonic_ms() - self._follower(SERVER_KIND).age_ms()
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -52,6 +52,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
 ]
+# Shortest wait of a watch.
+MIN_WAIT_MS = 1
 # A page of a listing has about 500 objects; more pages than this indicate an endless loop.
 MAX_PAGES = 200
 # Header of each answer with the store's epoch. A restore from a backup begins a new epoch.
@@ -192,6 +194,12 @@
         events = _decode_each(changes.ok_value.events, _Event, epoch)
         return Ok(Listing(tuple(events), StoreRevision(epoch, changes.ok_value.current_rev)))
 
+    async def read_changes(
+        self, kind: str, revision: StoreRevision
+    ) -> Result[Listing, HistoryGone | ObjectStoreFailure]:
+        """Return the changes between a revision and this call."""
+        return await self.watch(kind, revision, MIN_WAIT_MS)
+
     async def create(
         self, kind: str, name: str, content: bytes
     ) -> Result[StoredObject, Conflict | ObjectStoreFailure]:
--- a/saffronworks/tests/features/steps/stream_origins_steps.py
+++ b/saffronworks/tests/features/steps/stream_origins_steps.py
@@ -29,6 +29,7 @@
     RESTORED_ENTRIES_MS,
 )
 from saffronworks.forwarding.routing import RoutingTable, Split
+from saffronworks.forwarding.shared_reads import SharedRead
 from saffronworks.tests.endpoint_fixtures import route
 
 WINDOW_MS = 60_000
@@ -52,7 +53,7 @@
 
 
 def answer(*candidates, covers=True, records=(), ambiguous=False):
-    return OriginAnswer("", "n", records, 5, candidates, covers, ambiguous)
+    return OriginAnswer("", "n", records, 5, candidates, covers, ambiguous, latest=covers)
 
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
@@ -95,6 +96,11 @@
 def single_origin(context):
     assert resolve([answer()], route()) == ORIGIN_UNKNOWN
     assert resolve([answer(V1, V2)], route()) == ORIGIN_UNKNOWN
+    # A version may have come since the sender's last update.
+    late = attrs.evolve(answer(V1), latest=False)
+    assert resolve([late], route()) == ORIGIN_UNKNOWN
+    assert resolve([late, answer(V1)], route()) == Resolved(V1, by_record=False)
+    assert resolve([late, answer(V1, V2)], route()) == ORIGIN_UNKNOWN
     assert resolve([answer(V1), answer(V2, covers=False)], route()) == ORIGIN_UNKNOWN
     assert resolve([answer(V2), answer(records=(V1,))], route()).origin == V1
     assert resolve([answer(records=(V2,)), answer(records=(V1,))], route()) == ORIGIN_AMBIGUOUS
@@ -247,6 +253,68 @@
     assert len(certainty._begun) == 1, "streams that began long before are forgotten"
 
 
+@then("each gets the result of a read that began after it had asked, and few reads are made")
+def shared_reads(_):
+    began, results = [], []
+
+    async def read():
+        began.append(anyio.current_time())
+        await anyio.sleep(0.05)
+        return len(began) != 2
+
+    async def main():
+        shared = SharedRead(read)
+
+        async def ask(after_s):
+            await anyio.sleep(after_s)
+            asked_s, before = anyio.current_time(), len(began)
+            with anyio.move_on_after(0.02 if after_s == 0 else 9) as scope:
+                results.append((asked_s, before, await shared.run()))
+            assert scope.cancelled_caught is (after_s == 0)
+
+        async with anyio.create_task_group() as tasks:
+            for after_s in (0, 0.01, 0.015, 0.03, 0.04, 0.05):
+                tasks.start_soon(ask, after_s)
+
+    anyio.run(main)
+    # The first read is cancelled with its caller; the second one fails.
+    assert len(began) == 3 and len(results) == 5, (began, results)
+    for asked_s, before, succeeded in results:
+        first = next(number for number, at_s in enumerate(began) if at_s >= asked_s)
+        assert before <= first and succeeded is (first != 1), (asked_s, began, succeeded)
+
+
+@then("a node that can't read the latest updates gives no other node its history for complete")
+def history_of_latest(_):
+    for succeeds in (True, False):
+        sent = []
+
+        async def read(succeeds=succeeds):
+            return succeeds
+
+        origins = make_origins(Directory(), [1000], read)
+        origins.observe_endpoints()
+        origins.observe_table(RoutingTable(1, (route(streams=True),), {}))
+        origins._send = lambda _, message, sent=sent: sent.append(message)
+        anyio.run(origins._reply_history, "b")
+        assert [answer.covers_ms for answer in sent] == [MAX_RECORD_TTL_MS * succeeds], sent
+
+
+def make_origins(directory, now_ms, *read_latest):
+    """Return the origins of node `a`, up to date at any time; `now_ms` holds the present time."""
+    return StreamOrigins(
+        "a",
+        directory,
+        Mock(),
+        lambda: now_ms[0],
+        lambda: True,
+        lambda: now_ms[0],
+        Mock(),
+        True,
+        *read_latest,
+    )
+
+
 @when("an entry shows a later start of an endpoint while the record of its stream is on its way")
 def restart_while_stored(context):
     origins = StreamOrigins(
--- a/saffronworks/tests/features/steps/stream_versions_steps.py
+++ b/saffronworks/tests/features/steps/stream_versions_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import re
+import signal
 from tempfile import TemporaryDirectory
 
 import anyio
@@ -32,6 +33,7 @@
 from saffronworks.tests.platform_place import CONFIG, ENGINE, on_platform
 from saffronworks.tests.soak.path_proxies import PathProxy
 from saffronworks.tests.soak.processes import NodeProcess
+from saffronworks.tests.soak.proxies import Proxy
 
 NODES = 3
 STREAMS = 24
@@ -39,6 +41,12 @@
 COMPLETED_SHARE = 0.9
 # Callers disconnect this long after they have sent a request whose stream stalls.
 LEAVES_AFTER_S = 0.4
+REQUEST = {
+    "Host": "h.example",
+    "Deadline-Ms": "3000",
+    "Token-Counts": "5000,9000",
+    "Length-Hint": "300",
+}
 SIZE = {"Token-Counts": "5000,9000", "Length-Hint": "300"}
 
 
@@ -354,19 +362,135 @@
     assert context.raw.endswith(b"0\r\n\r\n"), context.raw
 
 
+async def fall_silent(*_):
+    await anyio.sleep_forever()
+
+
+def cut_from_store(node):
+    """Let the node's calls to the store get no answer."""
+    node._guarded_store.read_changes = fall_silent
+    delay_updates(node)
+
+
+def cut_from_nodes(place, node):
+    node._peers.cut_from.update(other.settings.peer_address for other in place.nodes)
+
+
+def delay_updates(node):
+    """Let the node's watches stay without an answer."""
+    watch = node._guarded_store.watch
+
+    async def watch_silently(*call):
+        await watch(*call)
+        await anyio.sleep_forever()
+
+    node._guarded_store.watch = watch_silently
+    for follower in node._followers:
+        follower._end_watch()
+        node._guarded_store.list_objects = fall_silent
+
+
 @when("a node without updates, and without other nodes, gets a stream of unknown origin")
 def cut_off(context):
     async def play(place):
         node = place.nodes[0]
         for follower in node._followers:
             follower.age_ms = lambda: node.settings.known_within_ms + 1
-        node._peers.cut_from.update(other.settings.peer_address for other in place.nodes)
+        cut_from_store(node)
+        cut_from_nodes(place, node)
         context.raw = await resume(place, node, "b0", "a0", 3)
         context.ran = [name for server in context.servers for name in server.ran]
 
     on_platform(context.servers, play, count=NODES)
 
 
+@when("another version joins while a node {trouble}, and a caller resumes a stream there")
+def joins_unseen(context, trouble):
+    async def play(place):
+        node, joining = place.nodes[0], FakeServer("d9", "llm", "decode", "v2")
+        context.servers.append(joining)
+        # Nodes have exchanged their addresses by then.
+        await anyio.sleep(1.0)
+        if "store" in trouble:
+            cut_from_store(node)
+        else:
+            delay_updates(node)
+        if "other nodes" in trouble:
+            cut_from_nodes(place, node)
+        place.tasks.start_soon(joining.run)
+        place.store.put("servers", joining.instance, joining.entry())
+        updated = [other._directory for other in place.nodes[1:]]
+        assert await wait_until(lambda: all(each.named("d9") for each in updated), limit_s=3)
+        assert node._directory.named("d9") is None and node._is_store_current()
+        context.raw = await resume(place, node, "b0", None, 3)
+        context.ran = [name for server in context.servers for name in server.ran]
+
+    on_platform(context.servers, play, count=NODES)
+
+
+@when("a caller resumes a stream of unknown origin at a node without the store")
+def resume_without_store(context):
+    async def play(place):
+        # Nodes have exchanged their addresses by then.
+        await anyio.sleep(1.0)
+        cut_from_store(place.node)
+        context.raw = await resume(place, place.node, "b0", None, 3)
+
+    on_platform(context.servers, play, count=NODES)
+
+
+@given("three node processes, and decode endpoints of a single software version")
+def single_version_processes(context):
+    single_version(context)
+
+
+@when("a version joins while a process {trouble}, and callers resume its streams there")
+def joins_while_out_of_step(context, trouble):
+    out_s = float(re.search(r"(\d) s", trouble)[1])
+
+    async def play(nodes, join, store_paths):
+        # Nodes have listed each other by then.
+        await anyio.sleep(1.5)
+        first, late = nodes[0], nodes[-1]
+        if "suspended" in trouble:
+            late.send(signal.SIGSTOP)
+        else:
+            store_paths[-1].begin("silent")
+        joined = await join("d9", "v2")
+        await anyio.sleep(0.5)
+        begun = []
+        script_all(context.servers, ["stall-4"])
+
+        async def begin_stream(number):
+            fields = REQUEST | {"Request-Id": f"a{number}"}
+            raw = await fetch(
+                first.caller_address, "POST", "/res/", fields, leaves_after_s=LEAVES_AFTER_S
+            )
+            begun.append(raw)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(begin_stream, number)
+        script_all(context.servers, [])
+        assert any(joined.version in versions_in(raw, context.servers) for raw in begun), begun
+        await anyio.sleep(max(0, out_s - 0.5 - LEAVES_AFTER_S))
+
+        async def take_up(number, raw):
+            ids = event_ids(raw)
+            fields = REQUEST | {"Request-Id": f"b{number}", "Last-Event-Id": str(ids[-1])}
+            rest = await fetch(late.caller_address, "POST", "/res/", fields)
+            context.streams.append((ids + event_ids(rest), raw + rest))
+
+        async with anyio.create_task_group() as tasks:
+            for number, raw in enumerate(begun):
+                if event_ids(raw):
+                    tasks.start_soon(take_up, number, raw)
+            await anyio.sleep(0.1)
+            late.send(signal.SIGCONT)
+
+    anyio.run(on_joined_processes, context.servers, play)
+
+
 @given("three node processes, and two decode endpoints of each of two software versions")
 def node_processes(context):
     two_versions(context)
@@ -415,6 +539,52 @@
                 tasks.cancel_scope.cancel()
 
 
+async def on_joined_processes(servers, play):
+    """As `on_processes`, with a proxy of the store for each node.
+
+    Runs `play(nodes, join, store_paths)`; `join(name, version)` starts another decode endpoint, and
+    the others drain.
+    """
+    store = FakeStore()
+    store.put("config", "main", CONFIG)
+    for server in servers:
+        store.put("servers", server.instance, server.entry())
+    paths = [Proxy(store.address) for _ in range(NODES)]
+    with TemporaryDirectory() as folder:
+        nodes = [NodeProcess(number, paths[number].address, folder) for number in range(NODES)]
+        async with anyio.create_task_group() as tasks:
+
+            def start(server):
+                tasks.start_soon(server.run)
+                for node in nodes:
+                    tasks.start_soon(PathProxy(node.number, server.address).run)
+
+            async def join(name, version):
+                joining = FakeServer(name, "llm", "decode", version)
+                joining.events = EVENTS
+                servers.append(joining)
+                start(joining)
+                store.put("servers", name, joining.entry())
+                for server in servers:
+                    if server.stage == "decode" and server is not joining:
+                        store.put("servers", server.instance, server.entry("draining"))
+                return joining
+
+            for task in (store, *paths):
+                tasks.start_soon(task.run)
+            for server in servers:
+                start(server)
+            try:
+                for node in nodes:
+                    node.start()
+                await ready_processes(nodes)
+                await play(nodes, join, paths)
+            finally:
+                for node in nodes:
+                    node.end_now()
+                tasks.cancel_scope.cancel()
+
+
 async def ready_processes(nodes):
     with anyio.fail_after(20):
         for node in nodes:
--- a/saffronworks/tests/features/stream_versions.feature
+++ b/saffronworks/tests/features/stream_versions.feature
@@ -86,6 +86,47 @@
     When a node without updates, and without other nodes, gets a stream of unknown origin
     Then it is refused as not run because of "stream-origin-unknown", and no endpoint gets it
 
+  # Guards against a node that takes updates of the last seconds for the present: endpoints of
+  # another version may have joined since, and begun the stream.
+  Scenario Outline: a node that is out of step for a moment resumes a stream of unknown origin
+    Given three nodes, and decode endpoints of a single software version
+    When another version joins while a node <trouble>, and a caller resumes a stream there
+    Then it is refused as not run because of "stream-origin-unknown", and no endpoint gets it
+
+    Examples:
+      | trouble                                          |
+      | has late updates                                 |
+      | is cut off from the store                        |
+      | has late updates and is cut off from other nodes |
+      | is cut off from the store and other nodes        |
+
+  # Guards against callers that are refused though other nodes reach the store.
+  Scenario: a node that is cut off from the store while a single version serves
+    Given three nodes, and decode endpoints of a single software version
+    When a caller resumes a stream of unknown origin at a node without the store
+    Then it continues
+
+  # Guards against the same where signals and network faults strike processes.
+  Scenario Outline: a node process that <trouble> takes up a stream of another version
+    Given three node processes, and decode endpoints of a single software version
+    When a version joins while a process <trouble>, and callers resume its streams there
+    Then no stream has events of two versions
+
+    Examples:
+      | trouble                           |
+      | is suspended for 1 s              |
+      | is suspended for 4 s              |
+      | is cut off from the store for 2 s |
+      | is cut off from the store for 4 s |
+
+  # Guards against reads of the store that began before a caller asked, and against one for each.
+  Scenario: callers that ask for the latest changes at the same time
+    Then each gets the result of a read that began after it had asked, and few reads are made
+
+  # Guards against a history that lacks what has happened since its node's last update.
+  Scenario: a node that has started asks another one for its history
+    Then a node that can't read the latest updates gives no other node its history for complete
+
   # Guards against an endpoint that restarts under its name with another version before the store
   # shows it: its later start accepts what is meant for the earlier one.
   Scenario: an endpoint restarts under its name with other software
