Remember versions of endpoints that join and leave within one update

The history of versions was taken from the directory after each update, so a version whose endpoints joined and left within one answer of the store was in no history, as at a node that was cut off for seconds. A stream of it that resumed without a record could continue at another version.

The directory keeps what it added since the last update. Without this part the new scenario fails (AssertionError: candidates are v1 alone).

--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -94,6 +94,7 @@
     _removed: RemovedEntries = attrs.Factory(RemovedEntries)
     _withheld: dict[str, tuple[ServiceEndpoint, int]] = attrs.Factory(dict)
     _ended: list[StartId] = attrs.Factory(list)
+    _added: list[ServiceEndpoint] = attrs.Factory(list)
 
     def replace(
         self,
@@ -155,6 +156,7 @@
             self._drop(known)
         self._ended_starts.pop(endpoint.name, None)
         self.endpoints[endpoint.instance] = endpoint
+        self._added.append(endpoint)
         self._by_name[endpoint.name] = endpoint.instance
         if before is None or before == endpoint.instance:
             return EntryUpdate.CHANGED
@@ -235,6 +237,11 @@
             if now_ms >= until_ms:
                 self._retire(self.endpoints[instance], now_ms)
 
+    def take_added(self) -> list[ServiceEndpoint]:
+        """Return the endpoints that were added or changed since the last call, also if removed."""
+        added, self._added = self._added, []
+        return added
+
     def versions(self) -> dict[str, set[str]]:
         """Return the software versions of the known endpoints, by service."""
         found: dict[str, set[str]] = {}
--- a/saffronworks/forwarding/origins/service.py
+++ b/saffronworks/forwarding/origins/service.py
@@ -142,9 +142,18 @@
         """Replace the list of node addresses."""
         self._ring.update(nodes, self._now_ms())
 
-    def observe_endpoints(self) -> None:
-        """Record the versions of endpoints after a change of the directory."""
-        self.history.observe_versions(self._directory.versions(), self._now_ms())
+    def observe_endpoints(self, added: Iterable[ServiceEndpoint] = ()) -> None:
+        """Record the versions of endpoints after a change of the directory.
+
+        `added` has those that were added since the last call, also if they were removed again.
+        """
+        now_ms, present = self._now_ms(), self._directory.versions()
+        passed = {service: set(versions) for service, versions in present.items()}
+        for endpoint in added:
+            passed.setdefault(endpoint.service, set()).add(endpoint.version)
+        if passed != present:
+            self.history.observe_versions(passed, now_ms)
+        self.history.observe_versions(present, now_ms)
 
     def observe_table(self, table: RoutingTable) -> None:
         """Record the services of routes in a configuration that comes into force."""
--- a/saffronworks/tests/features/steps/stream_origins_steps.py
+++ b/saffronworks/tests/features/steps/stream_origins_steps.py
@@ -284,6 +284,21 @@
         assert before <= first and succeeded is (first != 1), (asked_s, began, succeeded)
 
 
+@then("the history has their version")
+def joined_and_left(_):
+    directory, now_ms = Directory(), [1000]
+    origins = make_origins(directory, now_ms)
+    origins.observe_table(RoutingTable(1, (route(streams=True),), {}))
+    directory.put(attrs.evolve(NAMED, version="v1"))
+    origins.observe_endpoints(directory.take_added())
+    directory.put(attrs.evolve(NAMED, name="e9", version="v2"))
+    directory.remove("e9", 1000)
+    now_ms[0] = 2000
+    origins.observe_endpoints(directory.take_added())
+    assert origins.history.candidates("r", WINDOW_MS, 2000) == {V1, V2}
+    assert origins.history.candidates("r", WINDOW_MS, 2000 + WINDOW_MS) == {V1}
+
+
 @then("a node that can't read the latest updates gives no other node its history for complete")
 def history_of_latest(_):
     for succeeds in (True, False):
--- a/saffronworks/tests/features/stream_versions.feature
+++ b/saffronworks/tests/features/stream_versions.feature
@@ -123,6 +123,10 @@
   Scenario: callers that ask for the latest changes at the same time
     Then each gets the result of a read that began after it had asked, and few reads are made
 
+  # Guards against a history that lacks what one update adds and removes.
+  Scenario: endpoints of a version that join and leave within one update
+    Then the history has their version
+
   # Guards against a history that lacks what has happened since its node's last update.
   Scenario: a node that has started asks another one for its history
     Then a node that can't read the latest updates gives no other node its history for complete
