Fail a read of the latest changes if the store was restored meanwhile

A restore that is noticed during the read replaces the state that it was for; the listing that follows may have begun before the read's caller asked. New scenario on the read: changes are applied, a newer update of a peer stands, and silence, a lost history, a required listing and a restore fail it; without the check the last of these succeeds.

--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -138,7 +138,9 @@
         if revision is None or self._needs_listing:
             return False
         reply = await self._source.read_changes(self.kind, revision)
-        if isinstance(reply, Err) or self._needs_listing:
+        # A restore may have been noticed meanwhile; the listing that follows it may be older.
+        restored = self._revision is None or self._revision.epoch != revision.epoch
+        if isinstance(reply, Err) or self._needs_listing or restored:
             return False
         answer = reply.ok_value
         if answer.revision.epoch != revision.epoch or answer.revision < revision:
--- a/saffronworks/tests/features/steps/followers_steps.py
+++ b/saffronworks/tests/features/steps/followers_steps.py
@@ -12,7 +12,7 @@
 from saffronworks.clocks import monotonic_ms, wall_ms
 from saffronworks.forwarding.directory import Directory
 from saffronworks.forwarding.followers import Follower
-from saffronworks.forwarding.ports import Listing, ObjectStoreFailure, StoredObject
+from saffronworks.forwarding.ports import HistoryGone, Listing, ObjectStoreFailure, StoredObject
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import (
     LAPSE_AFTER_MS,
@@ -191,3 +191,59 @@
         known_ms = contact_ms + min(drain_ms, 2000)
         over_ms = settings.watch_wait_ms + ANSWER_TIMEOUT_S * 1000
         assert over_ms + LIST_ANEW_MS <= known_ms or known_ms < SHORTEST_KNOWN_MS, bounds
+
+
+def read_latest(reply, during=lambda follower: None):
+    """Return whether a follower at revision 5 has read the latest changes, it, and its sink."""
+
+    async def main():
+        sink, source = Sink(), Mock()
+
+        async def read_changes(kind, revision):
+            assert revision == at(5)
+            during(follower)
+            return reply
+
+        source.read_changes = read_changes
+        follower = Follower(
+            "servers", source, sink, random.Random(1), lambda: 9, 3000, 5000, StoreEpoch()
+        )
+        follower._revision, follower._needs_listing = at(5), False
+        return await follower.read_latest(), follower, sink
+
+    return anyio.run(main)
+
+
+@then("it applies what the store has changed since the last update")
+def applies_latest(_):
+    change = StoredObject("n", at(7), b"")
+    succeeded, follower, sink = read_latest(Ok(Listing((change,), at(7))))
+    assert succeeded and sink.revisions == [7] and follower._revision == at(7)
+    assert read_latest(Ok(Listing((), at(5))))[0], "nothing has changed"
+
+    def overtake(follower):
+        follower._revision = at(9)
+
+    succeeded, follower, sink = read_latest(Ok(Listing((change,), at(7))), overtake)
+    assert succeeded and not sink.revisions and follower._revision == at(9)
+
+
+@then("it fails if the store is silent, has lost its history or was restored meanwhile")
+def fails_latest(_):
+    def require_listing(follower):
+        follower._needs_listing = True
+
+    def restore(follower):
+        follower._revision = at(2, epoch=2)
+
+    current = Ok(Listing((), at(5)))
+    for reply, during in (
+        (Err(SILENT), lambda _: None),
+        (Err(HistoryGone()), lambda _: None),
+        (Ok(Listing((), at(6, epoch=2))), lambda _: None),
+        (Ok(Listing((), at(4))), lambda _: None),
+        (current, require_listing),
+        (current, restore),
+    ):
+        succeeded, _, sink = read_latest(reply, during)
+        assert not succeeded and not sink.revisions, (reply, sink.revisions)
--- a/saffronworks/tests/features/stream_versions.feature
+++ b/saffronworks/tests/features/stream_versions.feature
@@ -123,6 +123,12 @@
   Scenario: callers that ask for the latest changes at the same time
     Then each gets the result of a read that began after it had asked, and few reads are made
 
+  # Guards against changes that a read of the latest ones passes over, and against an old state that
+  # it takes for the present one.
+  Scenario: a read of the latest changes beside a watch that waits
+    Then it applies what the store has changed since the last update
+    And it fails if the store is silent, has lost its history or was restored meanwhile
+
   # Guards against a history that lacks what one update adds and removes.
   Scenario: endpoints of a version that join and leave within one update
     Then the history has their version
