Read the store for a history only where that helps, and at one node first

Since a node reads the store before it gives its history away, each node that started cost up to six calls at once, and as many again at each further try, also where the nodes that it asked had just started themselves.

A node whose own history is shorter than any stream's window answers without a read, and one that starts asks a single node first and three after a second.

--- a/saffronworks/forwarding/origins/service.py
+++ b/saffronworks/forwarding/origins/service.py
@@ -44,6 +44,7 @@
     HOLDERS,
     MAX_HISTORY_INTERVAL_MS,
     MAX_RECORD_TTL_MS,
+    MIN_RESUME_WINDOW_MS,
     READ_TIMEOUT_MS,
     SETTLE_CHECKS,
     SETTLE_INTERVAL_MS,
@@ -127,14 +128,16 @@
     async def _request_history(self) -> None:
         """Request the history before this node's start until another node knows it."""
         await anyio.sleep(FIRST_HISTORY_MS / 1000)
-        interval_ms = HISTORY_INTERVAL_MS
+        interval_ms, asked = HISTORY_INTERVAL_MS, 1
         while not self.history.covers(MAX_RECORD_TTL_MS, self._now_ms()):
             others = self._others(self._ring.nodes())
             if not self.history.began or not others:
                 await anyio.sleep(FIRST_HISTORY_MS / 1000)
                 continue
-            for node in self._rng.sample(others, min(HISTORY_PEERS, len(others))):
+            # Each one that is asked reads the store.
+            for node in self._rng.sample(others, min(asked, len(others))):
                 self._send(node, HistoryRequest(self._own_address))
+            asked = HISTORY_PEERS
             await anyio.sleep(interval_ms / 1000)
             interval_ms = min(2 * interval_ms, MAX_HISTORY_INTERVAL_MS)
 
@@ -384,8 +387,12 @@
         )
 
     async def _reply_history(self, reply_to: str) -> None:
-        """Send the history up to now, so that nothing lies between it and the receiver's start."""
-        latest = await self._read_in_time()
+        """Send the history up to now, so that nothing lies between it and the receiver's start.
+
+        A short history would help no stream, so the store is not read for it.
+        """
+        useful = self.history.covers(MIN_RESUME_WINDOW_MS, self._now_ms())
+        latest = useful and await self._read_in_time()
         exported = self.history.export(self._now_ms())
         self._send(reply_to, exported if latest else attrs.evolve(exported, covers_ms=0))
 
--- a/saffronworks/forwarding/origins/tuning.py
+++ b/saffronworks/forwarding/origins/tuning.py
@@ -26,8 +26,8 @@
 LOOKUPS = 2
 # How long a node waits for the store's changes before it answers for the candidates of a stream.
 READ_TIMEOUT_MS = 600
-# Nodes that a node which has started asks at once for what served before, and the interval until
-# one of them knows.
+# Nodes that a node which has started asks at once for what served before, after it has asked one,
+# and the interval until one of them knows.
 HISTORY_PEERS = 3
 FIRST_HISTORY_MS = 20
 HISTORY_INTERVAL_MS = 1000
--- a/saffronworks/tests/features/steps/stream_origins_steps.py
+++ b/saffronworks/tests/features/steps/stream_origins_steps.py
@@ -1,6 +1,6 @@
 """Steps on what nodes know of the origins of streams, without network."""
 
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import anyio
 import attrs
@@ -26,6 +26,7 @@
     ENTRY_WRITE_MS,
     MAX_RECORD_TTL_MS,
     MAX_REMEMBERED,
+    MIN_RESUME_WINDOW_MS,
     RESTORED_ENTRIES_MS,
 )
 from saffronworks.forwarding.routing import RoutingTable, Split
@@ -315,6 +316,21 @@
         assert [answer.covers_ms for answer in sent] == [MAX_RECORD_TTL_MS * succeeds], sent
 
 
+@then("a node that has started lately reads nothing for another one's history")
+def short_history(_):
+    for age_ms, reads in ((MIN_RESUME_WINDOW_MS - 1, 0), (MIN_RESUME_WINDOW_MS, 1)):
+        sent, read, now_ms = [], AsyncMock(return_value=True), [1000]
+        origins = make_origins(Directory(), now_ms, read)
+        origins.history = OriginHistory()
+        origins.observe_endpoints()
+        origins.observe_table(RoutingTable(1, (route(streams=True),), {}))
+        origins._send = lambda _, message, sent=sent: sent.append(message)
+        now_ms[0] += age_ms
+        anyio.run(origins._reply_history, "b")
+        assert read.await_count == reads, (age_ms, read.await_count)
+        assert [answer.covers_ms for answer in sent] == [age_ms * reads], sent
+
+
 def make_origins(directory, now_ms, *read_latest):
     """Return the origins of node `a`, up to date at any time; `now_ms` holds the present time."""
     return StreamOrigins(
--- a/saffronworks/tests/features/stream_versions.feature
+++ b/saffronworks/tests/features/stream_versions.feature
@@ -136,6 +136,7 @@
   # Guards against a history that lacks what has happened since its node's last update.
   Scenario: a node that has started asks another one for its history
     Then a node that can't read the latest updates gives no other node its history for complete
+    And a node that has started lately reads nothing for another one's history
 
   # Guards against an endpoint that restarts under its name with another version before the store
   # shows it: its later start accepts what is meant for the earlier one.
