Let a read of the latest changes probe the store after a cut connection

After one connection of a node was cut, the circuit is open until the next call, which may be made at once. The read took the open circuit for an outage and failed, so that streams without a record were refused, or other nodes read for them, though the store answered. It now fails only where a call would have to wait; the two kinds are read one after the other, as the first is the probe.

Without this part the new scenario fails: Err(ObjectStoreFailure(reason='circuit open')) after a cut connection.

--- a/saffronworks/forwarding/store_circuit.py
+++ b/saffronworks/forwarding/store_circuit.py
@@ -139,8 +139,8 @@
     async def read_changes(
         self, kind: str, revision: StoreRevision
     ) -> Result[Listing, HistoryGone | ObjectStoreFailure]:
-        """Return the changes between a revision and this call; fails while the circuit is open."""
-        if self._circuit.open:
+        """Return the changes between a revision and this call; fails instead of waiting to call."""
+        if self._circuit.wait_ms(self._now_ms()):
             return Err(ObjectStoreFailure("circuit open"))
         return await self._guard(lambda _: self._source.read_changes(kind, revision))
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -309,15 +309,11 @@
 
     async def _read_latest(self) -> bool:
         """Apply all updates of the store made before this call; return whether it returned them."""
-        succeeded: list[bool] = []
-
-        async def read(follower: Follower) -> None:
-            succeeded.append(await follower.read_latest())
-
-        async with anyio.create_task_group() as tasks:
-            for follower in self._followers:
-                tasks.start_soon(read, follower)
-        return all(succeeded)
+        # One after the other: after a cut connection the first read probes the store for the next.
+        for follower in self._followers:
+            if not await follower.read_latest():
+                return False
+        return True
 
     def _endpoints_updated_ms(self) -> int:
         """Return when the endpoints were last up to date."""
--- a/saffronworks/tests/features/steps/store_circuit_steps.py
+++ b/saffronworks/tests/features/steps/store_circuit_steps.py
@@ -1,6 +1,7 @@
 """Scenarios on the store's circuit breaker: its decisions on virtual time, its use on a loop."""
 
 import random
+from unittest.mock import AsyncMock
 
 import anyio
 from behave import given, then, when
@@ -104,6 +105,23 @@
     return GuardedSource(store, random.Random(1), lambda: 0, lambda: False)
 
 
+@then("after a cut connection it probes the store, and after a failure it fails without a call")
+def read_after_failure(_):
+    async def read_after(failure):
+        store = AsyncMock()
+        store.list_objects.return_value = Err(failure)
+        store.read_changes.return_value = Ok(Listing((), at(5)))
+        source = guarded(store)
+        await source.list_objects("config")
+        replies = [await source.read_changes(kind, at(5)) for kind in ("config", "servers")]
+        return replies, store.read_changes.await_count
+
+    replies, calls = anyio.run(read_after, ObjectStoreFailure("ReadError", cut=True))
+    assert all(reply.is_ok() for reply in replies) and calls == 2, replies
+    replies, calls = anyio.run(read_after, ObjectStoreFailure("ReadTimeout"))
+    assert all(reply.is_err() for reply in replies) and calls == 0, replies
+
+
 async def guarded_after_failure(store):
     """A source whose store has failed one call and answers the next one when it may."""
     source = guarded(store)
--- a/saffronworks/tests/features/store_circuit.feature
+++ b/saffronworks/tests/features/store_circuit.feature
@@ -18,6 +18,10 @@
   Scenario: an available store
     Then callers of an available store never wait for each other
 
+  # Guards against a cut connection that counts as an outage, and against callers who wait for one.
+  Scenario: a read of the latest changes after a call has ended badly
+    Then after a cut connection it probes the store, and after a failure it fails without a call
+
   Scenario: a caller that is cancelled during its call
     Then the next one calls the store, and a conditional write does not wait
 
