Stop at the first missing report when a plan is checked for completeness

Each event of a new plan built the list of all nodes without a report, 1,600 in a large fleet, where the check before stopped at the first one. Behaviour is unchanged; memory and spoiled-value scenarios pass.

--- a/saffronworks/forwarding/planning/plans.py
+++ b/saffronworks/forwarding/planning/plans.py
@@ -1,6 +1,6 @@
 """The planner's state of one service: waiters, runs and the memory use of endpoints."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -92,11 +92,11 @@
         """
         if now_ms - self.began_ms >= WARM_UP_MS:
             return True
-        return bool(self.nodes) and not self.missing_reports()
+        return bool(self.nodes) and next(self.missing_reports(), None) is None
 
-    def missing_reports(self) -> list[str]:
-        """Return the nodes that have not reported since the plan began."""
-        return [node for node in self.nodes if self.reported_ms.get(node, -1) < self.began_ms]
+    def missing_reports(self) -> Iterator[str]:
+        """Yield the nodes that have not reported since the plan began."""
+        return (node for node in self.nodes if self.reported_ms.get(node, -1) < self.began_ms)
 
     def awaits_reports(self, now_ms: int) -> bool:
         """Return whether a new plan still waits for the reports that it requested."""
