Log why the latest changes were not read; one name and one comment

A failed read left no line, so a stream refused as of unknown origin could not be traced to the store's answer. pop_added and the comment say what they do. No other change of behaviour.

--- a/saffronworks/forwarding/directory.py
+++ b/saffronworks/forwarding/directory.py
@@ -237,7 +237,7 @@
             if now_ms >= until_ms:
                 self._retire(self.endpoints[instance], now_ms)
 
-    def take_added(self) -> list[ServiceEndpoint]:
+    def pop_added(self) -> list[ServiceEndpoint]:
         """Return the endpoints that were added or changed since the last call, also if removed."""
         added, self._added = self._added, []
         return added
--- a/saffronworks/forwarding/followers.py
+++ b/saffronworks/forwarding/followers.py
@@ -138,9 +138,12 @@
         if revision is None or self._needs_listing:
             return False
         reply = await self._source.read_changes(self.kind, revision)
-        # A restore may have been noticed meanwhile; the listing that follows it may be older.
+        if isinstance(reply, Err):
+            logger.info("event=latest_not_read kind=%s reason=%s", self.kind, reply.err_value)
+            return False
+        # After a restore that was noticed meanwhile, the state may be of before this call.
         restored = self._revision is None or self._revision.epoch != revision.epoch
-        if isinstance(reply, Err) or self._needs_listing or restored:
+        if self._needs_listing or restored:
             return False
         answer = reply.ok_value
         if answer.revision.epoch != revision.epoch or answer.revision < revision:
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -576,7 +576,7 @@
 
     def _apply_endpoints(self) -> None:
         """Update what depends on the directory, after a change of it."""
-        self._origins.observe_endpoints(self._directory.take_added())
+        self._origins.observe_endpoints(self._directory.pop_added())
         self._forget_removed_endpoints()
 
     def _forget_removed_endpoints(self) -> None:
--- a/saffronworks/platform/store.py
+++ b/saffronworks/platform/store.py
@@ -307,7 +307,7 @@
     try:
         return msgspec.json.decode(content, type=kind)
     except RecursionError:
-        # Another thread, as a megabyte of brackets takes most of a second.
+        # In another thread: the event loop must not wait for a large answer.
         bounded = await anyio.to_thread.run_sync(drop_deep_values, content)
         logger.warning(
             "event=store_values_dropped reason=nested-too-deeply bytes=%d of=%d",
--- a/saffronworks/tests/features/steps/stream_origins_steps.py
+++ b/saffronworks/tests/features/steps/stream_origins_steps.py
@@ -291,11 +291,11 @@
     origins = make_origins(directory, now_ms)
     origins.observe_table(RoutingTable(1, (route(streams=True),), {}))
     directory.put(attrs.evolve(NAMED, version="v1"))
-    origins.observe_endpoints(directory.take_added())
+    origins.observe_endpoints(directory.pop_added())
     directory.put(attrs.evolve(NAMED, name="e9", version="v2"))
     directory.remove("e9", 1000)
     now_ms[0] = 2000
-    origins.observe_endpoints(directory.take_added())
+    origins.observe_endpoints(directory.pop_added())
     assert origins.history.candidates("r", WINDOW_MS, 2000) == {V1, V2}
     assert origins.history.candidates("r", WINDOW_MS, 2000 + WINDOW_MS) == {V1}
 
