Parse one request of a connection at a time

Callers saw a node killed: a few clients that send short requests without waiting for the answers took it beyond its VM's memory in two seconds, at any listener and in both deployments.

Cause: uvicorn parses all that one read brings, up to 256 KB or some 14,000 short requests, queues a cycle, scope and header list for each, and reads on after each answer, also while a handler waits for its caller to leave, though the queue is not empty.

Change: a connection reads 4 KB at a time (a body of stated length: up to 64 KB, never beyond its end) into a buffer that all connections of a server share, and passes the parser no byte behind a request that is being served. The rest of the read waits raw, and nothing more is read meanwhile. The next request is parsed in a later turn of the event loop, once the answers before it were written; a caller that takes none is closed after the idle timeout.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -4,14 +4,18 @@
 import contextlib
 import enum
 import logging
+import re
 from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
 import attrs
 import msgspec
+from result import Ok
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
+from saffronworks.field_numbers import read_whole
 from saffronworks.sockets import unread_bytes
 
 __all__ = [
@@ -43,6 +47,15 @@
 # that is closed unread, and its caller could lose the refusal.
 LINGER_MS = 1000
 MAX_LINGER_BYTES = 1_048_576
+# Bytes that are read at once. What a caller sends behind a request waits unparsed until that one
+# was answered, so a connection holds no more of it than one read.
+READ_BYTES = 4096
+# The same while a body of stated length is read, of which no read goes beyond the end.
+BODY_READ_BYTES = 65_536
+# Heads, chunked bodies and their trailers end with an empty line.
+_EMPTY_LINE = re.compile(rb"\n\r?\n")
+# Bytes before a part that an empty line may begin in.
+_LOOK_BEHIND_BYTES = 2
 # Interval of the log lines on closes that found unread bytes.
 UNREAD_LOG_INTERVAL_MS = 1000
 
@@ -84,6 +97,8 @@
     TRAILER_TOO_LARGE = "trailer_too_large"
     # After an answer with `connection: close`.
     ANSWER = "answer"
+    # The caller takes no answers, and has sent further requests.
+    UNTAKEN = "untaken"
     # In the middle of a request or of its answer.
     CUT = "cut"
     # By the caller, with and without a reset.
@@ -129,6 +144,8 @@
     header_ms: float = HEADER_TIMEOUT_MS
     echoed_field: bytes = b""
     stopping: bool = False
+    # Shared by the connections: what was read is parsed or copied in the same turn.
+    read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
     closed: ClosedConnections = attrs.Factory(ClosedConnections)
 
     @property
@@ -141,13 +158,30 @@
         return decide_close(rested_ms, 0 if self.stopping else promised_ms, self.rest_ms)
 
 
-class HttpConnection(HttpToolsProtocol):
+class _HeldFlow(FlowControl):
+    """Flow control that reads nothing while it is held, whoever resumes it."""
+
+    held = False
+
+    def resume_reading(self) -> None:
+        """Read on unless held."""
+        if not self.held:
+            super().resume_reading()
+
+
+class HttpConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
     """One connection of a caller.
 
     The timer of the base class stands for all waits for the caller. It is armed whenever no request
     is being served.
+
+    One request is parsed at a time. The base class parses all that it is given, queues each request
+    that it finds, and reads on after each answer, so a caller that sends short requests without
+    waiting fills the memory.
     """
 
+    flow: _HeldFlow  # type: ignore[assignment]
+
     def __init__(self, policy: ConnectionPolicy, **uvicorn_arguments: Any):
         super().__init__(**uvicorn_arguments)
         self._policy = policy
@@ -155,7 +189,6 @@
         self._promised_ms = 0.0
         self._in_head = False
         self._in_message = False
-        self._message_ended = False
         self._head_bytes = 0
         self._head_too_large = False
         # Bytes of chunk extensions and trailers since the last part of a body.
@@ -164,6 +197,14 @@
         self._progressed = False
         # The next request is the last one.
         self._closing = False
+        # Received bytes that are not parsed yet, as a request before them is being served.
+        self._ahead = b""
+        # The end of what was parsed last.
+        self._parsed_tail = b""
+        # The length of a body as its head states it, and what is left of it; None in heads and
+        # chunked bodies.
+        self._stated_bytes: int | None = None
+        self._body_left_bytes: int | None = None
         # A request was refused, and the rest of it is discarded.
         self._lingering = False
         self._discarded_bytes = 0
@@ -172,6 +213,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Wait for the first request."""
         super().connection_made(transport)
+        self.flow = _HeldFlow(transport)
         self._begin_wait()
         self._arm_timer(self._promised_ms)
 
@@ -189,24 +231,75 @@
         """Let the transport close the connection that its caller has closed."""
         self._close_reason = self._close_reason or CloseReason.CALLER
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are read to."""
+        size_bytes = READ_BYTES
+        if self._body_left_bytes is not None:
+            size_bytes = min(BODY_READ_BYTES, max(1, self._body_left_bytes))
+        return memoryview(self._policy.read_buffer)[:size_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that were read."""
+        self.data_received(bytes(memoryview(self._policy.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Read parts of requests."""
         if self._head_too_large or self._lingering:
             self._discard(data)
             return
-        self._message_ended = self._progressed = False
-        super().data_received(data)
+        self._ahead += data
+        self._parse_ahead()
+
+    def _parse_ahead(self) -> None:
+        """Parse what was received, up to the end of a request that is being served."""
+        data, at = self._ahead, 0
+        self._ahead = b""
+        while at < len(data) and self._parses:
+            end = self._find_part_end(data, at)
+            self._parse(data[at:end])
+            at = end
+        if self._lingering or self._head_too_large:
+            self._discard(data[at:])
+        elif not self.transport.is_closing():
+            self._ahead = data[at:]
+        self.flow.held = bool(self._ahead)
+        if self.flow.held:
+            self.flow.pause_reading()
+
+    @property
+    def _parses(self) -> bool:
+        """Whether the next bytes may be parsed: no whole request waits for its answer."""
+        refused = self._head_too_large or self._lingering or self.transport.is_closing()
+        return not refused and (self._in_message or not self._is_serving)
+
+    def _find_part_end(self, data: bytes, at: int) -> int:
+        """Return an end such that no request begins between `at` and it, but at `at`."""
+        if self._body_left_bytes is not None:
+            return min(len(data), at + max(1, self._body_left_bytes))
+        behind = (self._parsed_tail + data[:at])[-_LOOK_BEHIND_BYTES:]
+        seam = behind + data[at : at + _LOOK_BEHIND_BYTES]
+        for found in _EMPTY_LINE.finditer(seam):
+            if found.end() > len(behind):
+                return at + found.end() - len(behind)
+        ended = _EMPTY_LINE.search(data, at)
+        return ended.end() if ended else len(data)
+
+    def _parse(self, part: bytes) -> None:
+        self._progressed = False
+        super().data_received(part)
+        self._parsed_tail = (self._parsed_tail + part)[-_LOOK_BEHIND_BYTES:]
         if self._in_head:
-            self._count_head_bytes(data)
+            self._count_head_bytes(part)
         elif self._in_message:
             # A caller that sends a body doesn't rest, even if its answer is complete.
             self._begin_wait()
-            self._count_framing_bytes(data)
+            self._count_framing_bytes(part)
         self._watch()
 
     def on_message_begin(self) -> None:
         """Record the begin of a head."""
         self._in_head = self._in_message = True
+        self._stated_bytes = self._body_left_bytes = None
         self._head_bytes = 0
         if not self._is_serving:
             self._begin_wait()
@@ -216,11 +309,15 @@
         """Keep a field of a head; those of trailers are ignored."""
         if self._in_head:
             super().on_header(name, value)
+            if name.lower() == b"content-length":
+                length = read_whole(value.decode("latin-1"))
+                self._stated_bytes = length.ok_value if isinstance(length, Ok) else None
 
     def on_headers_complete(self) -> None:
         """Start the request, or queue it."""
         self._in_head = False
         self._progressed = True
+        self._body_left_bytes = self._stated_bytes
         if max(count_field_bytes(self.headers), len(self.url)) > self._policy.header_bytes:
             self._head_too_large = True
             return
@@ -231,13 +328,15 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of a request's body."""
         self._progressed = True
+        if self._body_left_bytes is not None:
+            self._body_left_bytes -= len(body)
         if not self._head_too_large:
             super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Record the end of a request."""
         self._in_message = False
-        self._message_ended = True
+        self._body_left_bytes = None
         if not self._head_too_large:
             super().on_message_complete()
 
@@ -247,8 +346,28 @@
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
         super().on_response_complete()
-        if self._head_too_large:
-            self._watch()
+        if self._ahead:
+            # In a later turn: one caller's requests leave time for those of others.
+            self.loop.call_soon(self._serve_ahead)
+
+    def _serve_ahead(self) -> None:
+        """Parse the next request, once its caller has taken the answers before it."""
+        if self.transport.is_closing() or self._is_serving:
+            return
+        if self.transport.get_write_buffer_size():
+            # The transport calls `resume_writing` when it has written all.
+            self.transport.set_write_buffer_limits(0)
+            return
+        self.flow.held = False
+        self.flow.resume_reading()
+        self._parse_ahead()
+
+    def resume_writing(self) -> None:
+        """Write on, and serve what waited for that."""
+        super().resume_writing()
+        if self._ahead and not self._is_serving:
+            self.transport.set_write_buffer_limits()
+            self.loop.call_soon(self._serve_ahead)
 
     def shutdown(self) -> None:
         """Close the connection after its last request.
@@ -275,7 +394,10 @@
         match self._decide():
             case LookAgain(after_ms):
                 self._arm_timer(after_ms)
-            case CloseNow() if unread_bytes(self.transport.get_extra_info("socket")):
+            case CloseNow() if self.transport.get_write_buffer_size() and self._ahead:
+                self._close_reason = CloseReason.UNTAKEN
+                self.transport.abort()
+            case CloseNow() if self._has_unread:
                 # The event loop reads them in its next turn.
                 self._closing = True
                 self._arm_timer(UNREAD_LOOK_MS)
@@ -293,6 +415,10 @@
     def _is_serving(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def _has_unread(self) -> bool:
+        return bool(self._ahead) or unread_bytes(self.transport.get_extra_info("socket")) > 0
+
     @property
     def _waited_ms(self) -> float:
         return self.loop.time() * 1000 - self._wait_began_ms
@@ -317,9 +443,7 @@
 
     def _count_head_bytes(self, data: bytes) -> None:
         """Count a part of a head that is not complete."""
-        # The part in which another request ended isn't counted, as it is unknown how much is its.
-        if not self._message_ended:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         max_bytes = self._policy.header_bytes
         rest_bytes = self._head_bytes - len(self.url) - REQUEST_LINE_BYTES
         self._head_too_large = max(rest_bytes, len(self.url)) > max_bytes
--- /dev/null
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -0,0 +1,101 @@
+"""Crowds of clients that keep to no limit, against real processes."""
+
+import asyncio
+import random
+import socket
+
+import anyio
+from behave import then, when
+
+from saffronworks.tests.crowds import play_crowd
+from saffronworks.web import HttpServer, bind, parse_address
+
+PLAYS = 30
+ANSWER_LIMIT_S = 10
+_FIELDS = b" / HTTP/1.1\r\nhost: x\r\n"
+_BODY = b"one\n\ntwo\r\n\r\nGET / HTTP/1.1\r\n\r\n"
+_CHUNK = b"%x\r\n%s\r\n" % (len(_BODY), _BODY)
+# Requests, and the bodies that a server is to find in them.
+AHEAD = [
+    (b"GET" + _FIELDS + b"\r\n", b""),
+    (b"\r\n\r\nPOST" + _FIELDS + b"content-length: %d\r\n\r\n" % len(_BODY) + _BODY, _BODY),
+    (b"POST" + _FIELDS + b"content-length: 0\r\n\r\n", b""),
+    (b"POST" + _FIELDS + b"transfer-encoding: chunked\r\n\r\n" + _CHUNK + b"0\r\n\r\n", _BODY),
+    (
+        b"POST" + _FIELDS + b"transfer-encoding: chunked\r\n\r\n"
+        b"2;x=y\r\n\n\n\r\n" + _CHUNK + b"0\r\ntrailer: x\r\n\r\n",
+        b"\n\n" + _BODY,
+    ),
+    (b"PUT" + _FIELDS + b"content-length: 5000\r\n\r\n" + b"\n" * 5000, b"\n" * 5000),
+    (b"GET" + _FIELDS + b"\r\n", b""),
+]
+
+
+@when('a crowd does this to a process for two seconds: "{kind}"')
+def step_crowd(context, kind):
+    context.outcome = anyio.run(play_crowd, kind)
+
+
+@then("the process lives, and keeps its bounds of memory and descriptors")
+def step_bounds(context):
+    assert context.outcome.lives, context.outcome.log[-2000:]
+    assert not context.outcome.problems(), context.outcome
+
+
+@then("an ordinary request is answered")
+def step_answered(context):
+    assert context.outcome.answered, context.outcome
+
+
+@when("requests of all framings are sent ahead in parts of any size")
+def step_ahead_in_parts(context):
+    context.expected, context.plays = [body for _, body in AHEAD], []
+    stream = b"".join(request for request, _ in AHEAD)
+
+    async def main():
+        served, at_work = [], 0
+
+        async def handle(call):
+            nonlocal at_work
+            at_work += 1
+            served.append((await call.body(10_000), at_work))
+            await anyio.sleep(0)
+            at_work -= 1
+            await call.reply(200, {})
+
+        server = HttpServer(bind("127.0.0.1:0"), handle)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            for seed in range(PLAYS):
+                served.clear()
+                answers = await _send_in_parts(server.address, stream, random.Random(seed))
+                context.plays.append((seed, list(served), answers))
+            server.stop()
+
+    anyio.run(main)
+
+
+async def _send_in_parts(address, stream, rng):
+    """Send in parts of random sizes; returns the number of answers."""
+    reader, writer = await asyncio.open_connection(*parse_address(address))
+    writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    most = rng.choice([1, 3, 40, 400, 20_000])
+    while stream:
+        size = rng.randint(1, most)
+        writer.write(stream[:size])
+        stream = stream[size:]
+        await asyncio.sleep(0)
+    answers = 0
+    with anyio.fail_after(ANSWER_LIMIT_S):
+        while answers < len(AHEAD):
+            answers += (await reader.read(65_536)).count(b"HTTP/1.1 200")
+    writer.close()
+    return answers
+
+
+@then("each is served whole and in order, after the answer to the one before it")
+def step_in_order(context):
+    for seed, served, answers in context.plays:
+        assert [body for body, _ in served] == context.expected, seed
+        assert {at_work for _, at_work in served} == {1}, seed
+        assert answers == len(context.expected), seed
--- /dev/null
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -0,0 +1,37 @@
+Feature: clients that keep to no limit end no process
+
+  # Guards against a server that queues each request which a client sends without waiting for its
+  # answers. A few such clients took a node beyond the memory of its VM in two seconds.
+  Scenario Outline: requests sent ahead wait unread
+    When a crowd does this to a process for two seconds: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                                              |
+      | ahead without headers, at a route                  |
+      | ahead, at the path for readiness, callers' address |
+      | ahead, at the path for readiness                   |
+      | ahead, at the probes' address, other path          |
+      | ahead, no route                                    |
+      | ahead, no route, answers read                      |
+      | ahead, whole requests                              |
+      | ahead, requests with 400 fields                    |
+      | ahead, metrics                                     |
+      | ahead, relays                                      |
+      | ahead, awaiting 100 Continue                       |
+      | ahead, small bodies in chunks                      |
+      | ahead, HEAD                                        |
+      | ahead, OPTIONS                                     |
+      | many clients, whole requests ahead                 |
+      | own deployment: ahead, no route                    |
+      | own deployment: ahead, a plain service             |
+      | own deployment: ahead, readiness                   |
+      | own deployment: ahead, operators                   |
+      | own deployment: ahead, metrics                     |
+
+  # Guards against a request that is run before the one ahead of it was answered, and against bytes
+  # of one that are taken for another's, wherever the parts are split that a server reads.
+  Scenario: requests sent ahead are served one after the other
+    When requests of all framings are sent ahead in parts of any size
+    Then each is served whole and in order, after the answer to the one before it
