Bound the open connections of each listener

Callers saw no answers from a node whose descriptors were used up: a crowd that only connects takes one each for the idle timeout, at any listener; accepting fails for a second at a time, and endpoints, store and peers are not reached either.

Cause: nothing but the callers' gate, which counts processor time and the link, bounds connections. Change: each listener has a limit, from max_fds and memory_mb of the settings, or max_connections and max_operator_connections in the own deployment. At the limit the connection that waits longest for its client gives way, idle ones first, requests being served never.

--- a/saffronworks/body_memory.py
+++ b/saffronworks/body_memory.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-__all__ = ["BodyHold", "BodyMemory", "BodyMemoryFull", "body_bound"]
+__all__ = ["BodyHold", "BodyMemory", "BodyMemoryFull", "body_bound", "spare_memory_bytes"]
 
 # Memory of a node without requests.
 NODE_MEMORY_BYTES = 64_000_000
@@ -46,6 +46,11 @@
     return int(max(BODY_MEMORY_SHARE * free_bytes, MIN_BODY_MEMORY_SHARE * memory_bytes))
 
 
+def spare_memory_bytes(memory_bytes: int | None) -> int | None:
+    """Return what a node's memory limit leaves beside a node without requests."""
+    return None if memory_bytes is None else max(0, memory_bytes - NODE_MEMORY_BYTES)
+
+
 class BodyMemoryFull(Exception):
     """There is no memory for a body."""
 
--- /dev/null
+++ b/saffronworks/connection_table.py
@@ -0,0 +1,146 @@
+"""The open connections of one listener, and which of them gives way to a new one."""
+
+import logging
+
+import attrs
+
+__all__ = ["ConnectionTable", "EvictableConnection", "ListenerLimits", "limit_listeners"]
+
+logger = logging.getLogger(__name__)
+
+# Interval of the log lines on a full table.
+LOG_INTERVAL_MS = 1000
+# Descriptors that a process keeps for files.
+FILE_DESCRIPTORS = 200
+# Parts of the other descriptors, by listener. The rest is for connections to endpoints, the store
+# and other nodes.
+CALLER_SHARE, RELAY_SHARE, PROBE_SHARE = 1 / 2, 1 / 8, 1 / 32
+MIN_PROBE_CONNECTIONS = 16
+# Part of the memory beside a node without requests that callers' connections may take, and the
+# memory of one that rests.
+CONNECTION_MEMORY_SHARE = 1 / 5
+CONNECTION_BYTES = 12_288
+MIN_CALLER_CONNECTIONS = 64
+# Evicted connections whose descriptors are not closed yet, before others are accepted.
+MAX_CLOSING = 16
+# Connections that are looked at for one without unread bytes.
+MAX_LOOKS = 8
+
+
+@attrs.frozen
+class ListenerLimits:
+    """Most open connections of each listener of a node; None without a limit."""
+
+    callers: int | None = None
+    relays: int | None = None
+    probes: int | None = None
+
+
+def limit_listeners(max_descriptors: int | None, spare_bytes: int | None) -> ListenerLimits:
+    """Share a process's descriptors, files included, and the memory that it has for requests."""
+    callers = relays = probes = None
+    if max_descriptors is not None:
+        sockets = max(0, max_descriptors - FILE_DESCRIPTORS)
+        callers = max(MIN_CALLER_CONNECTIONS, int(CALLER_SHARE * sockets))
+        relays, probes = (
+            max(MIN_PROBE_CONNECTIONS, int(share * sockets)) for share in (RELAY_SHARE, PROBE_SHARE)
+        )
+    if spare_bytes is not None:
+        fitting = int(CONNECTION_MEMORY_SHARE * spare_bytes / CONNECTION_BYTES)
+        callers = max(MIN_CALLER_CONNECTIONS, min(fitting, callers or fitting))
+    return ListenerLimits(callers, relays, probes)
+
+
+class EvictableConnection:
+    """A connection that may be closed while it waits for its caller."""
+
+    def evict(self) -> None:
+        """Close it, to make room for another one."""
+        raise NotImplementedError
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether a request may have arrived."""
+        raise NotImplementedError
+
+
+class ConnectionTable:
+    """Counts the connections of a listener; at its limit, the one that waits longest gives way.
+
+    Connections without any request so far go first, then those that rest. One whose request is
+    being served never does. If all are, the new connection is rejected: its caller knows that
+    nothing was read, and can go elsewhere.
+    """
+
+    def __init__(self, limit: int | None = None, name: str = ""):
+        # Of the listener, for log lines.
+        self.name = name
+        self.limit = limit
+        self.open = 0
+        self.evicted = self.rejected = 0
+        # In the order in which they began to wait.
+        self._unused: dict[EvictableConnection, None] = {}
+        self._resting: dict[EvictableConnection, None] = {}
+        self._closing: set[EvictableConnection] = set()
+        self._logged_ms: int | None = None
+
+    @property
+    def accepts(self) -> bool:
+        """Whether to accept now; if not, evicted connections are closed in the next turn."""
+        return len(self._closing) < MAX_CLOSING
+
+    def admit(self, now_ms: int) -> bool:
+        """Return whether to keep a new connection, and count it."""
+        if self.limit is not None and self.open - len(self._closing) >= self.limit:
+            evicted = self._evict()
+            self._log_full(now_ms)
+            if not evicted:
+                return False
+        self.open += 1
+        return True
+
+    def _evict(self) -> bool:
+        chosen = self._choose()
+        if chosen is None:
+            self.rejected += 1
+            return False
+        self.end_wait(chosen)
+        self._closing.add(chosen)
+        self.evicted += 1
+        chosen.evict()
+        return True
+
+    def _log_full(self, now_ms: int) -> None:
+        if self._logged_ms is None or now_ms - self._logged_ms >= LOG_INTERVAL_MS:
+            self._logged_ms = now_ms
+            logger.warning(
+                "event=connections_full listener=%s open=%d limit=%s evicted=%d rejected=%d",
+                self.name,
+                self.open,
+                self.limit,
+                self.evicted,
+                self.rejected,
+            )
+
+    def begin_wait(self, connection: EvictableConnection, used: bool) -> None:
+        """Record that a connection waits for its caller; `used`: it has had a request."""
+        self.end_wait(connection)
+        (self._resting if used else self._unused)[connection] = None
+
+    def end_wait(self, connection: EvictableConnection) -> None:
+        """Record that a request of a connection is being served."""
+        self._unused.pop(connection, None)
+        self._resting.pop(connection, None)
+
+    def close(self, connection: EvictableConnection) -> None:
+        """Record that a connection is closed."""
+        self.end_wait(connection)
+        self._closing.discard(connection)
+        self.open -= 1
+
+    def _choose(self) -> EvictableConnection | None:
+        unused = next(iter(self._unused), None)
+        if unused is not None:
+            return unused
+        looked = [one for one, _ in zip(self._resting, range(MAX_LOOKS), strict=False)]
+        return next((one for one in looked if not one.has_unread), None)
--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
+from saffronworks.connection_table import ConnectionTable, EvictableConnection
 from saffronworks.field_numbers import read_whole
 from saffronworks.sockets import unread_bytes
 
@@ -92,6 +93,8 @@
 
     IDLE = "idle"
     STOP = "stop"
+    # Another connection took its place.
+    EVICTED = "evicted"
     HEADER_TIMEOUT = "header_timeout"
     HEADER_TOO_LARGE = "header_too_large"
     TRAILER_TOO_LARGE = "trailer_too_large"
@@ -146,6 +149,7 @@
     stopping: bool = False
     # Shared by the connections: what was read is parsed or copied in the same turn.
     read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
+    table: ConnectionTable = attrs.Factory(ConnectionTable)
     closed: ClosedConnections = attrs.Factory(ClosedConnections)
 
     @property
@@ -169,7 +173,7 @@
             super().resume_reading()
 
 
-class HttpConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
+class HttpConnection(HttpToolsProtocol, asyncio.BufferedProtocol, EvictableConnection):
     """One connection of a caller.
 
     The timer of the base class stands for all waits for the caller. It is armed whenever no request
@@ -214,11 +218,13 @@
         """Wait for the first request."""
         super().connection_made(transport)
         self.flow = _HeldFlow(transport)
+        self._policy.table.begin_wait(self, used=False)
         self._begin_wait()
         self._arm_timer(self._promised_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the close."""
+        self._policy.table.close(self)
         self._policy.closed.record(
             self._close_reason or self._find_close_reason(exc),
             self._waited_ms,
@@ -321,6 +327,7 @@
         if max(count_field_bytes(self.headers), len(self.url)) > self._policy.header_bytes:
             self._head_too_large = True
             return
+        self._policy.table.end_wait(self)
         super().on_headers_complete()
         if self._closing or self._policy.stopping:
             self._announce_close()
@@ -343,6 +350,7 @@
     def on_response_complete(self) -> None:
         """Start the next request if one is queued, else let the connection rest."""
         self._begin_wait()
+        self._policy.table.begin_wait(self, used=True)
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
         super().on_response_complete()
@@ -397,7 +405,7 @@
             case CloseNow() if self.transport.get_write_buffer_size() and self._ahead:
                 self._close_reason = CloseReason.UNTAKEN
                 self.transport.abort()
-            case CloseNow() if self._has_unread:
+            case CloseNow() if self.has_unread:
                 # The event loop reads them in its next turn.
                 self._closing = True
                 self._arm_timer(UNREAD_LOOK_MS)
@@ -415,8 +423,13 @@
     def _is_serving(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    def evict(self) -> None:
+        """Close the connection, to make room for another one."""
+        self._close(CloseReason.EVICTED)
+
     @property
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
+        """Whether a request may have arrived."""
         return bool(self._ahead) or unread_bytes(self.transport.get_extra_info("socket")) > 0
 
     @property
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -96,9 +96,17 @@
             f"{settings.name}/{self.incarnation}",
         )
         self._register()
-        self._callers = HttpServer(bind(settings.caller_address), self.frontend.handle)
+        self._callers = HttpServer(
+            bind(settings.caller_address),
+            self.frontend.handle,
+            max_connections=settings.max_connections,
+        )
         operators = OperatorInterface(self.kernel, self.store, self.frontend, self.ends)
-        self._operators = HttpServer(bind(settings.admin_address), operators.handle)
+        self._operators = HttpServer(
+            bind(settings.admin_address),
+            operators.handle,
+            max_connections=settings.max_operator_connections,
+        )
         self._scope: anyio.CancelScope | None = None
         self._stopping = anyio.Event()
         # Set by `stop`.
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -10,8 +10,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from saffronworks.body_memory import BodyMemory, body_bound
+from saffronworks.body_memory import BodyMemory, body_bound, spare_memory_bytes
 from saffronworks.clocks import LOOP_METER, held_up_ms, monotonic_ms, wall_ms
+from saffronworks.connection_table import limit_listeners
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
 from saffronworks.forwarding.buffered_answers import AnswerBuffers
@@ -197,35 +198,56 @@
             relay_port=parse_address(settings.relay_address)[1] if settings.relay_address else 0,
         )
         self._roles = self._make_roles(settings)
+        self._relay_server = RelayServer(
+            self._directory,
+            self._paths,
+            self._calls.relayed,
+            self._max_body_bytes,
+            monotonic_ms,
+            self._bodies,
+        )
+        self._relays: HttpServer | None = None
+        self._listen(metrics_port)
+        self._register_gauges(self._state.figures)
+        self._metrics_page = MetricsPage(self._state.figures)
+
+    def _listen(self, metrics_port: int) -> None:
+        """Make the servers of all listeners, whose connections share the descriptors."""
+        settings = self.settings
         # The server's own limit comes after the requests were ended.
         grace_s = math.ceil(settings.stop_grace_ms / 1000)
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
+        most = limit_listeners(
+            settings.max_descriptors, spare_memory_bytes(settings.memory_limit_bytes)
+        )
         self._callers = HttpServer(
             callers,
             self._ingress.handle,
             grace_s,
             gate=self._gate,
             echoed_field=ID_FIELD.lower(),
+            max_connections=most.callers,
         )
         limits = CallerLimits()
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
-        self._probes = HttpServer(bind(settings.probe_address), self._answer_probe)
-        self._relay_server = RelayServer(
-            self._directory,
-            self._paths,
-            self._calls.relayed,
-            self._max_body_bytes,
-            monotonic_ms,
-            self._bodies,
+        self._probes = HttpServer(
+            bind(settings.probe_address), self._answer_probe, max_connections=most.probes
         )
-        self._relays: HttpServer | None = None
         if settings.relay_address is not None:
             relays = bind(settings.relay_address)
-            self._relays = HttpServer(relays, self._relay_server.handle, grace_s, date_header=False)
-        self._register_gauges(self._state.figures)
-        self._metrics_page = MetricsPage(self._state.figures)
-        self._metrics = HttpServer(bind(f"{settings.ip}:{metrics_port}"), self._answer_metrics)
+            self._relays = HttpServer(
+                relays,
+                self._relay_server.handle,
+                grace_s,
+                date_header=False,
+                max_connections=most.relays,
+            )
+        self._metrics = HttpServer(
+            bind(f"{settings.ip}:{metrics_port}"),
+            self._answer_metrics,
+            max_connections=most.probes,
+        )
 
     def _register_gauges(self, figures: MetricsRecorder) -> None:
         register_caller_gauges(figures, self._gate, self._callers, self._bodies)
--- a/saffronworks/platform/settings.py
+++ b/saffronworks/platform/settings.py
@@ -53,6 +53,8 @@
     memory_bytes: int | None
     # None without a memory limit.
     memory_limit_bytes: int | None
+    # Descriptors of the process, files included; None without a limit.
+    max_descriptors: int | None
     quota_bounds: Tolerance
     # Region by availability zone.
     regions: dict[str, str] = attrs.Factory(dict)
@@ -104,6 +106,7 @@
         link_mbps=limits.number("link_mbps", 0.0),
         memory_bytes=_memory_bytes(root, limits),
         memory_limit_bytes=_memory_limit_bytes(limits),
+        max_descriptors=limits.integer("max_fds", 0) or None,
         quota_bounds=_quota_bounds(bounds),
         regions=root.text_map("zones"),
         first_start=root.flag("first_start", False),
--- a/saffronworks/settings.py
+++ b/saffronworks/settings.py
@@ -33,6 +33,9 @@
     # Memory for the bodies of all requests together.
     body_memory_bytes: int = 64_000_000
     max_live_requests: int = 4096
+    # Open connections of callers, and of operators.
+    max_connections: int = 8192
+    max_operator_connections: int = 128
     log_level: str = "INFO"
 
 
--- a/saffronworks/tests/crowds.py
+++ b/saffronworks/tests/crowds.py
@@ -257,7 +257,7 @@
     callers, operators, peers = free_address(), free_address(), free_address()
     settings = {"name": "entry-1", "zone": ZONES[0], "region": REGION, "caller_address": callers}
     settings |= {"admin_address": operators, "peer_address": peers}
-    settings |= {"store_address": site.store.address}
+    settings |= {"store_address": site.store.address, "max_connections": 120}
     row = {"name": "entry-1", "address": peers, "zone": ZONES[0], "region": REGION}
     site.store.put("config/vms", json.dumps([row]))
     file = Path(folder) / "entry-1.yaml"
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -12,6 +12,7 @@
 
 PLAYS = 30
 ANSWER_LIMIT_S = 10
+CONNECT_PAUSE_S = 0.05
 _FIELDS = b" / HTTP/1.1\r\nhost: x\r\n"
 _BODY = b"one\n\ntwo\r\n\r\nGET / HTTP/1.1\r\n\r\n"
 _CHUNK = b"%x\r\n%s\r\n" % (len(_BODY), _BODY)
@@ -99,3 +100,57 @@
         assert [body for body, _ in served] == context.expected, seed
         assert {at_work for _, at_work in served} == {1}, seed
         assert answers == len(context.expected), seed
+
+
+@when("a server has as many connections as it may, some idle, some resting, one being served")
+def step_full_table(context):
+    async def main():
+        hold, writers = anyio.Event(), []
+
+        async def handle(call):
+            if call.path == "/hold":
+                await hold.wait()
+            await call.reply(200, {})
+
+        server = HttpServer(bind("127.0.0.1:0"), handle, max_connections=4)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+
+            async def connect(path=None):
+                reader, writer = await asyncio.open_connection(*parse_address(server.address))
+                writers.append(writer)
+                if path:
+                    writer.write(b"GET " + path + b" HTTP/1.1\r\nhost: x\r\n\r\n")
+                if path == b"/":
+                    assert (await reader.readuntil(b"{}")).startswith(b"HTTP/1.1 200")
+                await anyio.sleep(CONNECT_PAUSE_S)
+                return reader
+
+            resting, held = await connect(b"/"), await connect(b"/hold")
+            idle = [await connect(), await connect()]
+            context.closed = []
+            for _ in range(3):
+                held_too = await connect(b"/hold")
+                context.closed.append([one.at_eof() for one in (*idle, resting, held, held_too)])
+            rejected = await connect()
+            context.rejected = rejected.at_eof(), server.table.rejected, server.table.evicted
+            hold.set()
+            context.answers = [await one.readuntil(b"{}") for one in (held, held_too)]
+            server.stop()
+
+    anyio.run(main)
+
+
+@then("new ones take the place of those that wait longest, idle ones first")
+def step_made_room(context):
+    assert context.closed == [
+        [True, False, False, False, False],
+        [True, True, False, False, False],
+        [True, True, True, False, False],
+    ], context.closed
+
+
+@then("once all are being served, a new one is closed unread")
+def step_rejected(context):
+    assert context.rejected == (True, 1, 3), context.rejected
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in context.answers)
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -35,3 +35,24 @@
   Scenario: requests sent ahead are served one after the other
     When requests of all framings are sent ahead in parts of any size
     Then each is served whole and in order, after the answer to the one before it
+
+  # Guards against a process without a descriptor left: its listeners accept nothing for seconds, and
+  # it reaches neither endpoints nor the store.
+  Scenario Outline: connections leave descriptors for others
+    When a crowd does this to a process for two seconds: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                                                |
+      | many idle connections                                |
+      | many idle connections to the probes' address         |
+      | many idle connections to the metrics' address        |
+      | many idle connections to the relays' address         |
+      | own deployment: many idle connections                |
+      | own deployment: many idle connections of operators   |
+
+  Scenario: a listener at its limit makes room
+    When a server has as many connections as it may, some idle, some resting, one being served
+    Then new ones take the place of those that wait longest, idle ones first
+    And once all are being served, a new one is closed unread
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -15,6 +15,7 @@
 
 from saffronworks.body_memory import BodyHold, BodyMemoryFull
 from saffronworks.clocks import monotonic_ms
+from saffronworks.connection_table import ConnectionTable
 from saffronworks.field_numbers import read_whole
 from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
@@ -398,29 +399,39 @@
         """Record that an accepted connection was closed."""
 
 
-class _GatedListener(socket.socket):
-    """A listening socket that closes the connections which its gate rejects.
+class _BoundedListener(socket.socket):
+    """A listening socket that closes the connections for which its server has no room.
 
     Nothing is read of them, and no transport or protocol is made for them.
     """
 
-    gate: AcceptGate
+    table: ConnectionTable
+    gate: AcceptGate | None
 
     def accept(self) -> tuple[socket.socket, Any]:
-        """Return the next connection that the gate accepts; raises BlockingIOError without one."""
+        """Return the next connection that is admitted; raises BlockingIOError without one."""
         for _ in range(MAX_REJECTED_PER_TURN):
+            if not self.table.accepts:
+                break
             connection, address = super().accept()
-            if self.gate.accept(connection.fileno()):
+            if self.gate is not None and not self.gate.accept(connection.fileno()):
+                connection.close()
+            elif self.table.admit(monotonic_ms()):
                 return connection, address
-            connection.close()
+            else:
+                if self.gate is not None:
+                    self.gate.close(connection.fileno())
+                connection.close()
         raise BlockingIOError
 
 
-def _gate_listener(listener: socket.socket, gate: AcceptGate) -> _GatedListener:
-    gated = _GatedListener(fileno=listener.detach())
-    gated.gate = gate
-    gated.setblocking(False)
-    return gated
+def _bound_listener(
+    listener: socket.socket, table: ConnectionTable, gate: AcceptGate | None
+) -> _BoundedListener:
+    bounded = _BoundedListener(fileno=listener.detach())
+    bounded.table, bounded.gate = table, gate
+    bounded.setblocking(False)
+    return bounded
 
 
 class _GatedConnection(HttpConnection):
@@ -440,7 +451,8 @@
     """Serves one handler on one socket until it is stopped.
 
     `gate` decides which new connections are accepted; by default all are. `echoed_field`: the
-    header field, in lower case, that the refusal of a head repeats from it.
+    header field, in lower case, that the refusal of a head repeats from it. `max_connections`: open
+    ones; beyond it, the one that waits longest for its caller gives way.
     """
 
     def __init__(
@@ -452,11 +464,16 @@
         date_header: bool = True,
         gate: AcceptGate | None = None,
         echoed_field: str = "",
+        max_connections: int | None = None,
     ):
         self._gate = gate
-        self._listener = listener if gate is None else _gate_listener(listener, gate)
+        port = listener.getsockname()[1]
+        self.table = ConnectionTable(max_connections, f"port-{port}")
+        self._listener = _bound_listener(listener, self.table, gate)
         self._handler = handler
-        self._policy = ConnectionPolicy(idle_s * 1000, echoed_field=echoed_field.encode())
+        self._policy = ConnectionPolicy(
+            idle_s * 1000, echoed_field=echoed_field.encode(), table=self.table
+        )
         connection = (
             functools.partial(HttpConnection, self._policy)
             if gate is None
