Bound the memory of request heads over all connections

Callers saw no answers, or a node killed: heads of many short fields take thirty times their bytes on the wire, and the limit on heads counts bytes of each alone.

Change: one account for all listeners estimates what each head takes beyond a usual one, while it arrives and while its request is served. Beyond the bound the oldest requests that have not arrived whole are given up; if there is none, the new one is refused with 503, Retry-After and its id, and not run. A head of the largest size is served in calm, so there is no limit on the number of fields.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -17,6 +17,7 @@
 
 from saffronworks.connection_table import ConnectionTable, EvictableConnection
 from saffronworks.field_numbers import read_whole
+from saffronworks.head_memory import HeadHolder, HeadMemory, head_size
 from saffronworks.sockets import unread_bytes
 
 __all__ = [
@@ -57,6 +58,9 @@
 _EMPTY_LINE = re.compile(rb"\n\r?\n")
 # Bytes before a part that an empty line may begin in.
 _LOOK_BEHIND_BYTES = 2
+# A refusal of what may be sent again, and when.
+RETRY_STATUS = 503
+RETRY_AFTER_S = b"1"
 # Interval of the log lines on closes that found unread bytes.
 UNREAD_LOG_INTERVAL_MS = 1000
 
@@ -97,6 +101,8 @@
     EVICTED = "evicted"
     HEADER_TIMEOUT = "header_timeout"
     HEADER_TOO_LARGE = "header_too_large"
+    # There is no memory for the head, or it was given up for another one.
+    HEADERS_FULL = "headers_full"
     TRAILER_TOO_LARGE = "trailer_too_large"
     # After an answer with `connection: close`.
     ANSWER = "answer"
@@ -150,6 +156,7 @@
     # Shared by the connections: what was read is parsed or copied in the same turn.
     read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
     table: ConnectionTable = attrs.Factory(ConnectionTable)
+    heads: HeadMemory = attrs.Factory(HeadMemory)
     closed: ClosedConnections = attrs.Factory(ClosedConnections)
 
     @property
@@ -173,7 +180,7 @@
             super().resume_reading()
 
 
-class HttpConnection(HttpToolsProtocol, asyncio.BufferedProtocol, EvictableConnection):
+class HttpConnection(HttpToolsProtocol, asyncio.BufferedProtocol, EvictableConnection, HeadHolder):
     """One connection of a caller.
 
     The timer of the base class stands for all waits for the caller. It is armed whenever no request
@@ -194,7 +201,8 @@
         self._in_head = False
         self._in_message = False
         self._head_bytes = 0
-        self._head_too_large = False
+        # The status and cause with which a head is refused.
+        self._refusal: tuple[int, CloseReason] | None = None
         # Bytes of chunk extensions and trailers since the last part of a body.
         self._framing_bytes = 0
         # Whether the last part that was read ended a head or held a part of a body.
@@ -225,6 +233,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the close."""
         self._policy.table.close(self)
+        self._policy.heads.release(self)
         self._policy.closed.record(
             self._close_reason or self._find_close_reason(exc),
             self._waited_ms,
@@ -250,7 +259,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read parts of requests."""
-        if self._head_too_large or self._lingering:
+        if self._refusal or self._lingering:
             self._discard(data)
             return
         self._ahead += data
@@ -264,7 +273,7 @@
             end = self._find_part_end(data, at)
             self._parse(data[at:end])
             at = end
-        if self._lingering or self._head_too_large:
+        if self._lingering or self._refusal:
             self._discard(data[at:])
         elif not self.transport.is_closing():
             self._ahead = data[at:]
@@ -275,8 +284,9 @@
     @property
     def _parses(self) -> bool:
         """Whether the next bytes may be parsed: no whole request waits for its answer."""
-        refused = self._head_too_large or self._lingering or self.transport.is_closing()
-        return not refused and (self._in_message or not self._is_serving)
+        if self._refusal or self._lingering or self.transport.is_closing():
+            return False
+        return self._in_message or not self._is_serving
 
     def _find_part_end(self, data: bytes, at: int) -> int:
         """Return an end such that no request begins between `at` and it, but at `at`."""
@@ -324,8 +334,12 @@
         self._in_head = False
         self._progressed = True
         self._body_left_bytes = self._stated_bytes
-        if max(count_field_bytes(self.headers), len(self.url)) > self._policy.header_bytes:
-            self._head_too_large = True
+        fields_bytes = count_field_bytes(self.headers)
+        if max(fields_bytes, len(self.url)) > self._policy.header_bytes:
+            self._refusal = 431, CloseReason.HEADER_TOO_LARGE
+            return
+        if not self._hold_head(fields_bytes, served=True):
+            self._refusal = 503, CloseReason.HEADERS_FULL
             return
         self._policy.table.end_wait(self)
         super().on_headers_complete()
@@ -337,20 +351,21 @@
         self._progressed = True
         if self._body_left_bytes is not None:
             self._body_left_bytes -= len(body)
-        if not self._head_too_large:
+        if not self._refusal:
             super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Record the end of a request."""
         self._in_message = False
         self._body_left_bytes = None
-        if not self._head_too_large:
+        if not self._refusal:
             super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Start the next request if one is queued, else let the connection rest."""
         self._begin_wait()
         self._policy.table.begin_wait(self, used=True)
+        self._policy.heads.release(self)
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
         super().on_response_complete()
@@ -396,8 +411,8 @@
         if self._lingering:
             self.transport.close()
             return
-        if self._head_too_large:
-            self._refuse(431, CloseReason.HEADER_TOO_LARGE)
+        if self._refusal:
+            self._refuse(*self._refusal)
             return
         match self._decide():
             case LookAgain(after_ms):
@@ -459,7 +474,27 @@
         self._head_bytes += len(data)
         max_bytes = self._policy.header_bytes
         rest_bytes = self._head_bytes - len(self.url) - REQUEST_LINE_BYTES
-        self._head_too_large = max(rest_bytes, len(self.url)) > max_bytes
+        if max(rest_bytes, len(self.url)) > max_bytes:
+            self._refusal = 431, CloseReason.HEADER_TOO_LARGE
+        elif not self._hold_head(self._head_bytes, served=False):
+            self._refusal = 503, CloseReason.HEADERS_FULL
+
+    def _hold_head(self, wire_bytes: int, served: bool) -> bool:
+        size_bytes = head_size(wire_bytes, len(self.headers), served)
+        return self._policy.heads.hold(self, size_bytes)
+
+    @property
+    def awaits_caller(self) -> bool:
+        """Whether the rest of its head or body has not arrived."""
+        return self._in_message
+
+    def give_up(self) -> None:
+        """End a request of which the caller has not sent the rest."""
+        if self._is_serving:
+            self._close_reason = CloseReason.HEADERS_FULL
+            self.transport.abort()
+        else:
+            self._refuse(503, CloseReason.HEADERS_FULL)
 
     def _count_framing_bytes(self, data: bytes) -> None:
         """Abort the connection if a chunk extension or the trailers of a request don't end."""
@@ -482,6 +517,10 @@
             (b"content-length", str(len(body)).encode()),
             (b"connection", b"close"),
         ]
+        if status == RETRY_STATUS:
+            fields.append((b"retry-after", RETRY_AFTER_S))
+        self.headers.clear()
+        self._policy.heads.release(self)
         head = b"".join(b"%s: %s\r\n" % field for field in fields)
         self.transport.write(b"%s%s\r\n%s" % (STATUS_LINE[status], head, body))
         self._lingering = True
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -25,6 +25,7 @@
 from saffronworks.fences import FenceKeeper
 from saffronworks.forwarding.planned_ends import PlannedEnd
 from saffronworks.frontends import Frontend
+from saffronworks.head_memory import HeadMemory
 from saffronworks.kernel import Kernel
 from saffronworks.members import MemberService
 from saffronworks.membership import Heartbeat, HeartbeatReply, MemberChanged, Status
@@ -96,16 +97,19 @@
             f"{settings.name}/{self.incarnation}",
         )
         self._register()
+        heads = HeadMemory(settings.head_memory_bytes)
         self._callers = HttpServer(
             bind(settings.caller_address),
             self.frontend.handle,
             max_connections=settings.max_connections,
+            heads=heads,
         )
         operators = OperatorInterface(self.kernel, self.store, self.frontend, self.ends)
         self._operators = HttpServer(
             bind(settings.admin_address),
             operators.handle,
             max_connections=settings.max_operator_connections,
+            heads=heads,
         )
         self._scope: anyio.CancelScope | None = None
         self._stopping = anyio.Event()
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -57,6 +57,7 @@
 from saffronworks.forwarding.store_news import NewsFeed, NewsPace, StoreNews
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
+from saffronworks.head_memory import HeadMemory, head_memory_bound
 from saffronworks.http_connections import HEADER_TIMEOUT_MS, MAX_HEADER_BYTES
 from saffronworks.kernel import Kernel
 from saffronworks.logs import flush_logs
@@ -218,9 +219,9 @@
         grace_s = math.ceil(settings.stop_grace_ms / 1000)
         send_buffer = CALLER_SEND_BUFFER_BYTES if self._state.buffers.bounded else None
         callers = bind(settings.caller_address, send_buffer)
-        most = limit_listeners(
-            settings.max_descriptors, spare_memory_bytes(settings.memory_limit_bytes)
-        )
+        spare_bytes = spare_memory_bytes(settings.memory_limit_bytes)
+        most = limit_listeners(settings.max_descriptors, spare_bytes)
+        heads = HeadMemory(head_memory_bound(spare_bytes))
         self._callers = HttpServer(
             callers,
             self._ingress.handle,
@@ -228,11 +229,15 @@
             gate=self._gate,
             echoed_field=ID_FIELD.lower(),
             max_connections=most.callers,
+            heads=heads,
         )
         limits = CallerLimits()
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
         self._probes = HttpServer(
-            bind(settings.probe_address), self._answer_probe, max_connections=most.probes
+            bind(settings.probe_address),
+            self._answer_probe,
+            max_connections=most.probes,
+            heads=heads,
         )
         if settings.relay_address is not None:
             relays = bind(settings.relay_address)
@@ -242,11 +247,13 @@
                 grace_s,
                 date_header=False,
                 max_connections=most.relays,
+                heads=heads,
             )
         self._metrics = HttpServer(
             bind(f"{settings.ip}:{metrics_port}"),
             self._answer_metrics,
             max_connections=most.probes,
+            heads=heads,
         )
 
     def _register_gauges(self, figures: MetricsRecorder) -> None:
--- a/saffronworks/tests/crowds.py
+++ b/saffronworks/tests/crowds.py
@@ -51,6 +51,7 @@
 
 _CHUNKED = "Transfer-Encoding: chunked\r\n"
 _WHOLE = IDS.format(n="ahead")
+_LONG = _WHOLE.replace("3000", "3000000")
 _FAT = _WHOLE + "".join(f"Extra-{n}: {'x' * 20}\r\n" for n in range(400))
 
 
@@ -124,6 +125,20 @@
     "many heads that stop half way, probes' address": Crowd(
         b"a:\r\n" * 3500, b"GET / HTTP/1.1\r\n", listener="probes", clients=MANY, once=1
     ),
+    "many heads that stop half way, relays' address": Crowd(
+        b"a:\r\n" * 3500, b"GET / HTTP/1.1\r\n", listener="relays", clients=MANY, once=1
+    ),
+    "many requests with 3,500 fields": Crowd(
+        _get("/again/x", _WHOLE + "a:\r\n" * 3500), clients=MANY, once=1
+    ),
+    "many requests with 3,500 fields and half a body": Crowd(
+        _post("/again/x", _WHOLE + "a:\r\n" * 3500 + "Content-Length: 90\r\n"),
+        clients=MANY,
+        once=1,
+    ),
+    "many bodies that stop half way": Crowd(
+        _post("/again/x", _LONG + "Content-Length: 90\r\n", b"a" * 45), clients=MANY, once=1
+    ),
     "many clients, whole requests ahead": Crowd(_get("/again/x", _WHOLE), clients=MANY),
     "connections opened and closed at once": Crowd(_get("/none/x", _WHOLE), closes=True),
 }
@@ -136,6 +151,16 @@
     "own deployment: ahead, metrics": Crowd(_get("/metrics"), listener="operators"),
     "own deployment: many idle connections": Crowd(clients=MANY),
     "own deployment: many idle connections of operators": Crowd(clients=MANY, listener="operators"),
+    "own deployment: many bodies that stop half way": Crowd(
+        _post("/profiles/1", "Host: x\r\nContent-Length: 90\r\n", b"a" * 45),
+        clients=MANY,
+        once=1,
+    ),
+    "own deployment: many requests with 3,500 fields and half a body": Crowd(
+        _post("/profiles/1", "Host: x\r\n" + "a:\r\n" * 3500 + "Content-Length: 90\r\n"),
+        clients=MANY,
+        once=1,
+    ),
     "own deployment: many heads that stop half way": Crowd(
         b"a:\r\n" * 3500, b"GET /profiles/1 HTTP/1.1\r\n", clients=MANY, once=1
     ),
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -7,6 +7,7 @@
 import anyio
 from behave import then, when
 
+from saffronworks.head_memory import HeadHolder, HeadMemory, head_memory_bound, head_size
 from saffronworks.tests.crowds import play_crowd
 from saffronworks.web import HttpServer, bind, parse_address
 
@@ -154,3 +155,71 @@
 def step_rejected(context):
     assert context.rejected == (True, 1, 3), context.rejected
     assert all(answer.startswith(b"HTTP/1.1 200") for answer in context.answers)
+
+
+class Holder(HeadHolder):
+    """A connection of a model."""
+
+    def __init__(self):
+        self.arrived = self.given_up = False
+
+    @property
+    def awaits_caller(self):
+        return not self.arrived
+
+    def give_up(self):
+        self.given_up = True
+
+
+@then("heads that begin, arrive and end in any order stay within the bound or are refused")
+def step_heads_bounded(context):
+    for seed in range(PLAYS):
+        rng, heads, holders = random.Random(seed), HeadMemory(100_000), []
+        for _ in range(300):
+            if not holders or rng.random() < 0.4:
+                holders.append(Holder())
+            holder = rng.choice(holders)
+            fits = heads.hold(holder, rng.randint(0, 30_000))
+            assert fits == (heads.held_bytes <= 100_000), seed
+            holder.arrived = holder.arrived or rng.random() < 0.3
+            if not fits or rng.random() < 0.3:
+                heads.release(holder)
+                holders.remove(holder)
+            assert not any(one.given_up and one.arrived for one in holders), seed
+            holders = [one for one in holders if not one.given_up]
+            assert heads.held_bytes <= 100_000, seed
+        for holder in holders:
+            heads.release(holder)
+        assert heads.held_bytes == 0, seed
+
+
+@then("a head of the largest size is served in calm, and usual ones are not counted")
+def step_heads_in_calm(context):
+    bound_bytes = head_memory_bound(0)
+    assert head_size(16_384, 16_384 // 4, served=True) < bound_bytes / 3
+    assert head_size(1_000, 20, served=True) == 0
+
+
+@then("a refusal for want of memory is 503, with Retry-After, the id of the request and a close")
+def step_head_refused(context):
+    async def main():
+        server = HttpServer(
+            bind("127.0.0.1:0"), _answer, echoed_field="request-id", heads=HeadMemory(100_000)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.run)
+            reader, writer = await asyncio.open_connection(*parse_address(server.address))
+            writer.write(b"GET / HTTP/1.1\r\nRequest-Id: r1\r\n" + b"a:\r\n" * 3000 + b"\r\n")
+            answer = (await reader.read()).lower()
+            writer.close()
+            server.stop()
+        return answer
+
+    answer = anyio.run(main)
+    assert answer.startswith(b"http/1.1 503"), answer
+    for field in (b"request-id: r1", b"retry-after: 1", b"connection: close"):
+        assert field in answer, answer
+
+
+async def _answer(call):
+    await call.reply(200, {})
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -56,3 +56,24 @@
     When a server has as many connections as it may, some idle, some resting, one being served
     Then new ones take the place of those that wait longest, idle ones first
     And once all are being served, a new one is closed unread
+
+  # Guards against heads of many short fields, which take thirty times their bytes on the wire.
+  Scenario Outline: heads take a bounded part of the memory
+    When a crowd does this to a process for two seconds: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                                                           |
+      | many heads that stop half way                                   |
+      | many heads that stop half way, probes' address                  |
+      | many heads that stop half way, relays' address                  |
+      | many requests with 3,500 fields                                 |
+      | many requests with 3,500 fields and half a body                 |
+      | own deployment: many heads that stop half way                   |
+      | own deployment: many requests with 3,500 fields and half a body |
+
+  Scenario: heads are given up oldest first, and never one that has arrived
+    Then heads that begin, arrive and end in any order stay within the bound or are refused
+    And a head of the largest size is served in calm, and usual ones are not counted
+    And a refusal for want of memory is 503, with Retry-After, the id of the request and a close
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -17,6 +17,7 @@
 from saffronworks.clocks import monotonic_ms
 from saffronworks.connection_table import ConnectionTable
 from saffronworks.field_numbers import read_whole
+from saffronworks.head_memory import HeadMemory
 from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
 from saffronworks.wire import DECODE_ERRORS
@@ -452,7 +453,8 @@
 
     `gate` decides which new connections are accepted; by default all are. `echoed_field`: the
     header field, in lower case, that the refusal of a head repeats from it. `max_connections`: open
-    ones; beyond it, the one that waits longest for its caller gives way.
+    ones; beyond it, the one that waits longest for its caller gives way. `heads`: the memory of
+    heads, which the servers of a process share.
     """
 
     def __init__(
@@ -465,6 +467,7 @@
         gate: AcceptGate | None = None,
         echoed_field: str = "",
         max_connections: int | None = None,
+        heads: HeadMemory | None = None,
     ):
         self._gate = gate
         port = listener.getsockname()[1]
@@ -472,7 +475,10 @@
         self._listener = _bound_listener(listener, self.table, gate)
         self._handler = handler
         self._policy = ConnectionPolicy(
-            idle_s * 1000, echoed_field=echoed_field.encode(), table=self.table
+            idle_s * 1000,
+            echoed_field=echoed_field.encode(),
+            table=self.table,
+            heads=heads or HeadMemory(),
         )
         connection = (
             functools.partial(HttpConnection, self._policy)
