Let connections whose body has stopped give way to new ones

Callers of a node of the own deployment got no answer while a crowd held its connections in the middle of a body: such a connection counts as being served, and there its body has no deadline; on the platform the client states the deadline itself.

Change: a connection that waits for more of a body gives way once nothing has come for 2 s, after those that rest. Connections that are read and have sent within 2 s, and whole requests, never do.

--- a/saffronworks/connection_table.py
+++ b/saffronworks/connection_table.py
@@ -1,10 +1,11 @@
 """The open connections of one listener, and which of them gives way to a new one."""
 
+import enum
 import logging
 
 import attrs
 
-__all__ = ["ConnectionTable", "EvictableConnection", "ListenerLimits", "limit_listeners"]
+__all__ = ["ConnectionTable", "EvictableConnection", "ListenerLimits", "Wait", "limit_listeners"]
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +28,19 @@
 MAX_LOOKS = 8
 
 
+# Silence within a body after which its connection may give way.
+STALLED_BODY_MS = 2000
+
+
+class Wait(enum.Enum):
+    """What a connection waits for; the first kinds give way first."""
+
+    FIRST_REQUEST = enum.auto()
+    NEXT_REQUEST = enum.auto()
+    # More of a body.
+    BODY = enum.auto()
+
+
 @attrs.frozen
 class ListenerLimits:
     """Most open connections of each listener of a node; None without a limit."""
@@ -67,9 +81,9 @@
 class ConnectionTable:
     """Counts the connections of a listener; at its limit, the one that waits longest gives way.
 
-    Connections without any request so far go first, then those that rest. One whose request is
-    being served never does. If all are, the new connection is rejected: its caller knows that
-    nothing was read, and can go elsewhere.
+    Connections without any request so far go first, then those that rest, then those whose body has
+    stopped. One whose request has arrived whole never does. If all are such, the new connection is
+    rejected: its caller knows that nothing was read, and can go elsewhere.
     """
 
     def __init__(self, limit: int | None = None, name: str = ""):
@@ -78,9 +92,8 @@
         self.limit = limit
         self.open = 0
         self.evicted = self.rejected = 0
-        # In the order in which they began to wait.
-        self._unused: dict[EvictableConnection, None] = {}
-        self._resting: dict[EvictableConnection, None] = {}
+        # When they began to wait, in this order.
+        self._waiting: dict[Wait, dict[EvictableConnection, float]] = {wait: {} for wait in Wait}
         self._closing: set[EvictableConnection] = set()
         self._logged_ms: int | None = None
 
@@ -92,15 +105,15 @@
     def admit(self, now_ms: int) -> bool:
         """Return whether to keep a new connection, and count it."""
         if self.limit is not None and self.open - len(self._closing) >= self.limit:
-            evicted = self._evict()
+            evicted = self._evict(now_ms)
             self._log_full(now_ms)
             if not evicted:
                 return False
         self.open += 1
         return True
 
-    def _evict(self) -> bool:
-        chosen = self._choose()
+    def _evict(self, now_ms: int) -> bool:
+        chosen = self._choose(now_ms)
         if chosen is None:
             self.rejected += 1
             return False
@@ -122,15 +135,15 @@
                 self.rejected,
             )
 
-    def begin_wait(self, connection: EvictableConnection, used: bool) -> None:
-        """Record that a connection waits for its caller; `used`: it has had a request."""
+    def begin_wait(self, connection: EvictableConnection, wait: Wait, now_ms: float) -> None:
+        """Record that a connection waits for its caller from now on."""
         self.end_wait(connection)
-        (self._resting if used else self._unused)[connection] = None
+        self._waiting[wait][connection] = now_ms
 
     def end_wait(self, connection: EvictableConnection) -> None:
-        """Record that a request of a connection is being served."""
-        self._unused.pop(connection, None)
-        self._resting.pop(connection, None)
+        """Record that the request of a connection has arrived whole."""
+        for waiting in self._waiting.values():
+            waiting.pop(connection, None)
 
     def close(self, connection: EvictableConnection) -> None:
         """Record that a connection is closed."""
@@ -138,9 +151,13 @@
         self._closing.discard(connection)
         self.open -= 1
 
-    def _choose(self) -> EvictableConnection | None:
-        unused = next(iter(self._unused), None)
-        if unused is not None:
-            return unused
-        looked = [one for one, _ in zip(self._resting, range(MAX_LOOKS), strict=False)]
-        return next((one for one in looked if not one.has_unread), None)
+    def _choose(self, now_ms: int) -> EvictableConnection | None:
+        unused, resting, reading = (self._waiting[wait] for wait in Wait)
+        for connection in unused:
+            return connection
+        for connection, _ in zip(resting, range(MAX_LOOKS), strict=False):
+            if not connection.has_unread:
+                return connection
+        for connection, since_ms in reading.items():
+            return connection if now_ms - since_ms >= STALLED_BODY_MS else None
+        return None
--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -15,7 +15,8 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-from saffronworks.connection_table import ConnectionTable, EvictableConnection
+from saffronworks.clocks import monotonic_ms
+from saffronworks.connection_table import ConnectionTable, EvictableConnection, Wait
 from saffronworks.field_numbers import read_whole
 from saffronworks.head_memory import HeadHolder, HeadMemory, head_size
 from saffronworks.sockets import unread_bytes
@@ -226,7 +227,7 @@
         """Wait for the first request."""
         super().connection_made(transport)
         self.flow = _HeldFlow(transport)
-        self._policy.table.begin_wait(self, used=False)
+        self._wait_in_table(Wait.FIRST_REQUEST)
         self._begin_wait()
         self._arm_timer(self._promised_ms)
 
@@ -341,7 +342,7 @@
         if not self._hold_head(fields_bytes, served=True):
             self._refusal = 503, CloseReason.HEADERS_FULL
             return
-        self._policy.table.end_wait(self)
+        self._wait_in_table(Wait.BODY)
         super().on_headers_complete()
         if self._closing or self._policy.stopping:
             self._announce_close()
@@ -351,6 +352,8 @@
         self._progressed = True
         if self._body_left_bytes is not None:
             self._body_left_bytes -= len(body)
+        if self._is_serving:
+            self._wait_in_table(Wait.BODY)
         if not self._refusal:
             super().on_body(body)
 
@@ -358,13 +361,15 @@
         """Record the end of a request."""
         self._in_message = False
         self._body_left_bytes = None
+        if self._is_serving:
+            self._policy.table.end_wait(self)
         if not self._refusal:
             super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Start the next request if one is queued, else let the connection rest."""
         self._begin_wait()
-        self._policy.table.begin_wait(self, used=True)
+        self._wait_in_table(Wait.NEXT_REQUEST)
         self._policy.heads.release(self)
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
@@ -440,7 +445,14 @@
 
     def evict(self) -> None:
         """Close the connection, to make room for another one."""
-        self._close(CloseReason.EVICTED)
+        if self._is_serving:
+            self._close_reason = CloseReason.EVICTED
+            self.transport.abort()
+        else:
+            self._close(CloseReason.EVICTED)
+
+    def _wait_in_table(self, wait: Wait) -> None:
+        self._policy.table.begin_wait(self, wait, monotonic_ms())
 
     @property
     def has_unread(self) -> bool:
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -77,3 +77,14 @@
     Then heads that begin, arrive and end in any order stay within the bound or are refused
     And a head of the largest size is served in calm, and usual ones are not counted
     And a refusal for want of memory is 503, with Retry-After, the id of the request and a close
+
+  # Guards against connections that count as being served for as long as their clients like.
+  Scenario Outline: bodies that stop give way to new connections
+    When a crowd does this to a process for two seconds: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                                           |
+      | many bodies that stop half way                  |
+      | own deployment: many bodies that stop half way  |
