--- a/saffronworks/tests/crowds.py
+++ b/saffronworks/tests/crowds.py
@@ -24,8 +24,8 @@
 from saffronworks.standins.addresses import free_address
 from saffronworks.standins.sites import REGION, ZONES, Site, SiteShape
 from saffronworks.tests.fake_store import FakeStore
-from saffronworks.tests.platform_fakes import free_port_range, settings_text
-from saffronworks.tests.platform_place import CONFIG, engines, web_servers
+from saffronworks.tests.platform_fakes import FakeServer, free_port_range, settings_text
+from saffronworks.tests.platform_place import CONFIG, engines, make_route, web_servers
 
 __all__ = ["KINDS", "Crowd", "Outcome", "play_crowd"]
 
@@ -38,6 +38,7 @@
 START_LIMIT_S, ORDINARY_LIMIT_S = 30, 30
 POLL_S = 0.1
 BLOCK_BYTES = 65_536
+LARGE_ANSWER_BYTES = 2_000_000
 IDS = "Host: h.example\r\nRequest-Id: {n}\r\nDeadline-Ms: 3000\r\n"
 
 
@@ -139,6 +140,8 @@
     "many bodies that stop half way": Crowd(
         _post("/again/x", _LONG + "Content-Length: 90\r\n", b"a" * 45), clients=MANY, once=1
     ),
+    "large answers unread": Crowd(_get("/large/x", _WHOLE), clients=MANY, once=1, for_s=4.0),
+    "large answers unread, ahead": Crowd(_get("/large/x", _WHOLE), clients=40, for_s=4.0),
     "many clients, whole requests ahead": Crowd(_get("/again/x", _WHOLE), clients=MANY),
     "connections opened and closed at once": Crowd(_get("/none/x", _WHOLE), closes=True),
 }
@@ -167,6 +170,13 @@
 }
 
 
+class LargeServer(FakeServer):
+    """A server whose answers are large."""
+
+    async def _plain(self, writer, own, body, fault):
+        return await super()._plain(writer, own, bytes(LARGE_ANSWER_BYTES), fault)
+
+
 @attrs.frozen
 class Outcome:
     """What a crowd did to a process. `growth_mb`: of its peak resident memory."""
@@ -250,8 +260,12 @@
 async def _platform_node(tasks, folder):
     store = FakeStore()
     servers = [*web_servers(2), *engines()]
+    servers += [LargeServer(f"l{index}", "large") for index in range(2)]
     limits = {"max_body_bytes": 4_194_304, "max_header_bytes": 16_384}
     config = CONFIG | {"limits": limits | {"idle_timeout_ms": 15_000, "header_timeout_ms": 3000}}
+    large = make_route("large", "/large/", "idempotent", "large", timeout_ms=10_000)
+    config["routes"] = [*config["routes"], large]
+    config["services"] = [*config["services"], {"name": "large", "max_conns": 400}]
     store.put("config", "main", config)
     for server in servers:
         store.put("servers", server.instance, server.entry())
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -33,7 +33,7 @@
 ]
 
 
-@when('a crowd does this to a process for two seconds: "{kind}"')
+@when('a crowd does this to a process: "{kind}"')
 def step_crowd(context, kind):
     context.outcome = anyio.run(play_crowd, kind)
 
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -3,7 +3,7 @@
   # Guards against a server that queues each request which a client sends without waiting for its
   # answers. A few such clients took a node beyond the memory of its VM in two seconds.
   Scenario Outline: requests sent ahead wait unread
-    When a crowd does this to a process for two seconds: "<crowd>"
+    When a crowd does this to a process: "<crowd>"
     Then the process lives, and keeps its bounds of memory and descriptors
     And an ordinary request is answered
 
@@ -39,7 +39,7 @@
   # Guards against a process without a descriptor left: its listeners accept nothing for seconds, and
   # it reaches neither endpoints nor the store.
   Scenario Outline: connections leave descriptors for others
-    When a crowd does this to a process for two seconds: "<crowd>"
+    When a crowd does this to a process: "<crowd>"
     Then the process lives, and keeps its bounds of memory and descriptors
     And an ordinary request is answered
 
@@ -59,7 +59,7 @@
 
   # Guards against heads of many short fields, which take thirty times their bytes on the wire.
   Scenario Outline: heads take a bounded part of the memory
-    When a crowd does this to a process for two seconds: "<crowd>"
+    When a crowd does this to a process: "<crowd>"
     Then the process lives, and keeps its bounds of memory and descriptors
     And an ordinary request is answered
 
@@ -80,7 +80,7 @@
 
   # Guards against connections that count as being served for as long as their clients like.
   Scenario Outline: bodies that stop give way to new connections
-    When a crowd does this to a process for two seconds: "<crowd>"
+    When a crowd does this to a process: "<crowd>"
     Then the process lives, and keeps its bounds of memory and descriptors
     And an ordinary request is answered
 
@@ -88,3 +88,14 @@
       | crowd                                           |
       | many bodies that stop half way                  |
       | own deployment: many bodies that stop half way  |
+
+  # Guards against answers that fill the memory as their clients read nothing.
+  Scenario Outline: unread answers take a bounded part of the memory
+    When a crowd does this to a process: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                       |
+      | large answers unread        |
+      | large answers unread, ahead |
