End bodies that go on after their answer

A client could send a body for good to a node that had answered it, as with 413 or 404: 10.7 GB in two seconds from four of them; reading takes the processor time of others.

Change: after an answer a connection reads 16 MiB of the body at most, or as much as the limit on bodies if that is more, for 10 s, and is closed then. The rest of any body within the limits is still read, as its caller could lose the answer. The scenario waited in vain before, and passes.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -24,6 +24,7 @@
 __all__ = [
     "HEADER_TIMEOUT_MS",
     "MAX_HEADER_BYTES",
+    "MAX_UNWANTED_BYTES",
     "CloseNow",
     "CloseReason",
     "ConnectionPolicy",
@@ -61,6 +62,9 @@
 _BLANK = re.compile(rb"[\r\n]+")
 # Bytes before a part that an empty line may begin in.
 _LOOK_BEHIND_BYTES = 2
+# Bounds on a body that goes on after its answer.
+MAX_UNWANTED_BYTES = 16_777_216
+UNWANTED_BODY_MS = 10_000
 # A refusal of what may be sent again, and when.
 RETRY_STATUS = 503
 RETRY_AFTER_S = b"1"
@@ -117,6 +121,8 @@
     CALLER = "caller"
     # What came is no request.
     MALFORMED = "malformed"
+    # A body that went on for too long after its answer.
+    BODY_ENDLESS = "body_endless"
     RESET = "reset"
 
 
@@ -159,6 +165,8 @@
     echoed_field: bytes = b""
     stopping: bool = False
     # Shared by the connections: what was read is parsed or copied in the same turn.
+    # Bytes of a body that are read after its answer.
+    unwanted_bytes: int = MAX_UNWANTED_BYTES
     read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
     table: ConnectionTable = attrs.Factory(ConnectionTable)
     heads: HeadMemory = attrs.Factory(HeadMemory)
@@ -208,6 +216,9 @@
         self._head_bytes = 0
         # Empty lines since the last request.
         self._blank_bytes = 0
+        # Bytes of a body after its answer, and when that ended.
+        self._unwanted_bytes = 0
+        self._answered_ms = 0.0
         # The status and cause with which a head is refused.
         self._refusal: tuple[int, CloseReason] | None = None
         # Bytes of chunk extensions and trailers since the last part of a body.
@@ -323,6 +334,8 @@
             # A caller that sends a body doesn't rest, even if its answer is complete.
             self._begin_wait()
             self._count_framing_bytes(part)
+            if not self._is_serving:
+                self._count_unwanted(len(part))
         self._watch()
 
     def on_message_begin(self) -> None:
@@ -385,6 +398,7 @@
         self._begin_wait()
         self._wait_in_table(Wait.NEXT_REQUEST)
         self._policy.heads.release(self)
+        self._unwanted_bytes, self._answered_ms = 0, self.loop.time() * 1000
         # The base class arms the timer with it.
         self.timeout_keep_alive = self._promised_ms / 1000  # type: ignore[assignment]
         super().on_response_complete()
@@ -529,6 +543,17 @@
             self._refusal = 400, CloseReason.MALFORMED
             self._watch()
 
+    def _count_unwanted(self, size_bytes: int) -> None:
+        """Close a connection whose body goes on after its answer.
+
+        The rest of a body within the limits is read, as its caller could lose the answer.
+        """
+        self._unwanted_bytes += size_bytes
+        answered_ms = self.loop.time() * 1000 - self._answered_ms
+        if self._unwanted_bytes > self._policy.unwanted_bytes or answered_ms > UNWANTED_BODY_MS:
+            self._close_reason = CloseReason.BODY_ENDLESS
+            self.transport.abort()
+
     def _count_framing_bytes(self, data: bytes) -> None:
         """Abort the connection if a chunk extension or the trailers of a request don't end."""
         self._framing_bytes = 0 if self._progressed else self._framing_bytes + len(data)
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -597,6 +597,7 @@
         )
         self._callers.set_keep_alive(limits.idle_timeout_ms / 1000)
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
+        self._callers.set_body_limit(limits.body_bytes)
         if self._relays is not None:
             # A relayed request has the caller's head and fields of its own.
             self._relays.set_header_limits(
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -106,3 +106,9 @@
     When a client sends empty lines without end, on a new connection and after an answer
     Then it gets one 400 without an id each time, and its connection is closed
     And a few empty lines before a request are skipped
+
+  # Guards against bodies that are read for as long as their clients like.
+  Scenario: a body that goes on after its answer ends
+    When a client sends a chunked body without end to a server that refuses it unread
+    Then it gets the refusal, and its connection is closed after 17 MB
+    And a body of the largest size is read to its end, and the next request is served
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -18,7 +18,12 @@
 from saffronworks.connection_table import ConnectionTable
 from saffronworks.field_numbers import read_whole
 from saffronworks.head_memory import HeadMemory
-from saffronworks.http_connections import CloseReason, ConnectionPolicy, HttpConnection
+from saffronworks.http_connections import (
+    MAX_UNWANTED_BYTES,
+    CloseReason,
+    ConnectionPolicy,
+    HttpConnection,
+)
 from saffronworks.sockets import unacknowledged_bytes
 from saffronworks.wire import DECODE_ERRORS
 
@@ -531,6 +536,10 @@
         self._policy.header_bytes = max_bytes
         self._policy.header_ms = timeout_ms
 
+    def set_body_limit(self, max_bytes: int) -> None:
+        """Set the limit of a request's body; as much is read of one that was answered early."""
+        self._policy.unwanted_bytes = max(MAX_UNWANTED_BYTES, max_bytes)
+
     def stop(self) -> None:
         """Stop accepting; `run` returns when the calls in progress have ended.
 
