Repeat the id in the refusal of a malformed request

The answer to a malformed head or chunk had no Request-Id, and was sent even in the middle of an answer or behind a complete one, where it belongs to no request.

Change: such a refusal is made as those of heads that are too large or too late: the id where it is known, JSON, an announced close. After an answer has begun the connection is closed without one. The scenario failed before (no id), and passes.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -554,6 +554,17 @@
             self._close_reason = CloseReason.BODY_ENDLESS
             self.transport.abort()
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is no request; uvicorn's own answer lacks the request's id."""
+        if not self._in_message or self._in_head:
+            self._refuse(400, CloseReason.MALFORMED)
+            return
+        # In a body, whose request may have its answer already.
+        self._close_reason = CloseReason.MALFORMED
+        if not self.cycle.response_started:
+            self.transport.write(self._encode_refusal(400, CloseReason.MALFORMED))
+        self.transport.close()
+
     def _count_framing_bytes(self, data: bytes) -> None:
         """Abort the connection if a chunk extension or the trailers of a request don't end."""
         self._framing_bytes = 0 if self._progressed else self._framing_bytes + len(data)
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -112,3 +112,8 @@
     When a client sends a chunked body without end to a server that refuses it unread
     Then it gets the refusal, and its connection is closed after 17 MB
     And a body of the largest size is read to its end, and the next request is served
+
+  # Guards against refusals that a client can't match with its request.
+  Scenario: a malformed request gets one refusal with its id
+    When a client sends a head with an invalid field, and invalid chunks before and after an answer
+    Then the head and the chunk before the answer get 400 with the id, and the other one a close
