End connections whose callers take nothing of an answer

A client that reads nothing of a large answer held its connection, and the work behind it, for good: the handler waits for the write buffer, and such a connection counts as being served, so it never gives way to others.

Change: a connection whose write buffer stays full for 30 s is aborted, at all listeners. A caller that reads with pauses is served on. Without the timer the scenario waits in vain; it passes with it.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -25,6 +25,7 @@
     "HEADER_TIMEOUT_MS",
     "MAX_HEADER_BYTES",
     "MAX_UNWANTED_BYTES",
+    "UNTAKEN_MS",
     "CloseNow",
     "CloseReason",
     "ConnectionPolicy",
@@ -62,6 +63,8 @@
 _BLANK = re.compile(rb"[\r\n]+")
 # Bytes before a part that an empty line may begin in.
 _LOOK_BEHIND_BYTES = 2
+# Longest time in which a caller takes nothing worth mentioning of an answer that waits for it.
+UNTAKEN_MS = 30_000
 # Bounds on a body that goes on after its answer.
 MAX_UNWANTED_BYTES = 16_777_216
 UNWANTED_BODY_MS = 10_000
@@ -113,7 +116,7 @@
     TRAILER_TOO_LARGE = "trailer_too_large"
     # After an answer with `connection: close`.
     ANSWER = "answer"
-    # The caller takes no answers, and has sent further requests.
+    # The caller takes no answers.
     UNTAKEN = "untaken"
     # In the middle of a request or of its answer.
     CUT = "cut"
@@ -165,6 +168,8 @@
     echoed_field: bytes = b""
     stopping: bool = False
     # Shared by the connections: what was read is parsed or copied in the same turn.
+    # How long a caller may leave a full write buffer undrained.
+    untaken_ms: float = UNTAKEN_MS
     # Bytes of a body that are read after its answer.
     unwanted_bytes: int = MAX_UNWANTED_BYTES
     read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
@@ -216,6 +221,8 @@
         self._head_bytes = 0
         # Empty lines since the last request.
         self._blank_bytes = 0
+        # Set while the write buffer is full.
+        self._untaken_timer: asyncio.TimerHandle | None = None
         # Bytes of a body after its answer, and when that ended.
         self._unwanted_bytes = 0
         self._answered_ms = 0.0
@@ -252,6 +259,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the close."""
         self._policy.table.close(self)
+        self._stop_untaken_timer()
         self._policy.heads.release(self)
         self._policy.closed.record(
             self._close_reason or self._find_close_reason(exc),
@@ -418,9 +426,28 @@
         self.flow.resume_reading()
         self._parse_ahead()
 
+    def pause_writing(self) -> None:
+        """Wait until the caller has taken most of what was written."""
+        super().pause_writing()
+        self._stop_untaken_timer()
+        self._untaken_timer = self.loop.call_later(
+            self._policy.untaken_ms / 1000, self._abort_untaken
+        )
+
+    def _abort_untaken(self) -> None:
+        """End a connection, and the work for its answer, whose caller takes nothing."""
+        self._close_reason = CloseReason.UNTAKEN
+        self.transport.abort()
+
+    def _stop_untaken_timer(self) -> None:
+        if self._untaken_timer is not None:
+            self._untaken_timer.cancel()
+            self._untaken_timer = None
+
     def resume_writing(self) -> None:
         """Write on, and serve what waited for that."""
         super().resume_writing()
+        self._stop_untaken_timer()
         if self._ahead and not self._is_serving:
             self.transport.set_write_buffer_limits()
             self.loop.call_soon(self._serve_ahead)
@@ -451,8 +478,7 @@
             case LookAgain(after_ms):
                 self._arm_timer(after_ms)
             case CloseNow() if self.transport.get_write_buffer_size() and self._ahead:
-                self._close_reason = CloseReason.UNTAKEN
-                self.transport.abort()
+                self._abort_untaken()
             case CloseNow() if self.has_unread:
                 # The event loop reads them in its next turn.
                 self._closing = True
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -370,3 +370,43 @@
         assert b"connection: close" in answer, answer
     assert context.answered[0].startswith(b"HTTP/1.1 404"), context.answered
     assert context.answered[1] == b"", context.answered
+
+
+@when("a client reads nothing of an answer of 40 MB, and another one reads it with pauses")
+def step_untaken(context):
+    part, ended = bytes(1_000_000), []
+
+    async def handle(call):
+        await call.start(200, {"content-length": str(40 * len(part))})
+        for number in range(40):
+            await call.write(part, more=number < 39)
+        ended.append(call.path)
+
+    async def play(server):
+        async def get(path):
+            reader, writer = await asyncio.open_connection(*parse_address(server.address))
+            writer.write(b"GET " + path + b" HTTP/1.1\r\nconnection: close\r\n\r\n")
+            return reader, writer
+
+        # A reader of its own: asyncio's reads ahead.
+        silent = socket.create_connection(parse_address(server.address))
+        silent.sendall(b"GET /silent HTTP/1.1\r\n\r\n")
+        reader, writer = await get(b"/paused")
+        received = 0
+        while data := await reader.read(2_000_000):
+            received += len(data)
+            await asyncio.sleep(0.01)
+        writer.close()
+        while server.table.open:
+            await asyncio.sleep(0.05)
+        silent.close()
+        return received
+
+    context.received = on_server(play, handle, untaken_s=0.5)
+    context.ended = ended
+
+
+@then("the first one's connection is ended with its work, and the other one has it whole")
+def step_untaken_left(context):
+    assert context.received > 40_000_000, context.received
+    assert sorted(context.ended) == ["/paused", "/silent"], context.ended
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -117,3 +117,8 @@
   Scenario: a malformed request gets one refusal with its id
     When a client sends a head with an invalid field, and invalid chunks before and after an answer
     Then the head and the chunk before the answer get 400 with the id, and the other one a close
+
+  # Guards against connections, and work behind them, that last as long as their clients read nothing.
+  Scenario: a client that takes nothing of its answer is left
+    When a client reads nothing of an answer of 40 MB, and another one reads it with pauses
+    Then the first one's connection is ended with its work, and the other one has it whole
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -20,6 +20,7 @@
 from saffronworks.head_memory import HeadMemory
 from saffronworks.http_connections import (
     MAX_UNWANTED_BYTES,
+    UNTAKEN_MS,
     CloseReason,
     ConnectionPolicy,
     HttpConnection,
@@ -459,7 +460,8 @@
     `gate` decides which new connections are accepted; by default all are. `echoed_field`: the
     header field, in lower case, that the refusal of a head repeats from it. `max_connections`: open
     ones; beyond it, the one that waits longest for its caller gives way. `heads`: the memory of
-    heads, which the servers of a process share.
+    heads, which the servers of a process share. `untaken_s`: how long a caller may take nothing of
+    an answer that waits for it.
     """
 
     def __init__(
@@ -473,6 +475,7 @@
         echoed_field: str = "",
         max_connections: int | None = None,
         heads: HeadMemory | None = None,
+        untaken_s: float = UNTAKEN_MS / 1000,
     ):
         self._gate = gate
         port = listener.getsockname()[1]
@@ -484,6 +487,7 @@
             echoed_field=echoed_field.encode(),
             table=self.table,
             heads=heads or HeadMemory(),
+            untaken_ms=untaken_s * 1000,
         )
         connection = (
             functools.partial(HttpConnection, self._policy)
