End an exchange at once whose status can't be

A caller was told 504 only when its route's time was over, after both sends: an answer with a status of 000 to 099, or of 103 to 199 with a length, was taken for an interim answer, and the node awaited another one behind it.

Change: such a status, and an interim answer that states a body, ends the exchange as no HTTP, as higher ones do. A prompt whose prefill failed so is read by the endpoint that generates, as before.

--- a/saffronworks/forwarding/connections.py
+++ b/saffronworks/forwarding/connections.py
@@ -37,6 +37,8 @@
 
 _NO_BODY = frozenset([204, 304])
 _MIN_FAILURE_STATUS = 400
+# Lower ones don't exist, and those below the second are interim answers, which have no body.
+_MIN_STATUS, _MIN_FINAL_STATUS = 100, 200
 _PARSED_BYTES = MAX_HEAD_BYTES // 4
 
 
@@ -53,6 +55,10 @@
         return next((value for key, value in self.fields if key.lower() == wanted), None)
 
 
+def _states_body(head: ResponseHead) -> bool:
+    return head.get("content-length") is not None or head.get("transfer-encoding") is not None
+
+
 class EndpointConnection(asyncio.Protocol):
     """A connection to an endpoint; discards answers whose id differs from the request's."""
 
@@ -67,6 +73,8 @@
         self._incoming = ResponseHead()
         self._head: ResponseHead | None = None
         self._discarding = False
+        # The answer has a status that no answer can have.
+        self._impossible = False
         # Bytes received since the last part of a body, and bytes of discarded bodies.
         self._framing_bytes = 0
         self._discarded_bytes = 0
@@ -129,6 +137,9 @@
             if not self._complete:
                 self._record_loss(ExchangeErrorCause.NOT_HTTP)
             return False
+        if self._impossible:
+            self._record_loss(ExchangeErrorCause.NOT_HTTP)
+            return False
         if self._complete or not self._is_oversized:
             return True
         self._record_loss(ExchangeErrorCause.OVERSIZED)
@@ -208,7 +219,10 @@
         # Trailer fields, which follow the body, are not part of the head.
         head, self._incoming = self._incoming, ResponseHead()
         head.status = self._parser.get_status_code()
-        interim = head.status < 200
+        interim = head.status < _MIN_FINAL_STATUS
+        if head.status < _MIN_STATUS or (interim and _states_body(head)):
+            self._impossible = self._discarding = True
+            return
         mismatch = None
         if not interim:
             answer_id = head.get(self._id_field)
@@ -222,11 +236,7 @@
         self._head = head
         if head.get(self._id_field) is None:
             self._restrict_reuse(head.status)
-        self.framed = (
-            head.get("content-length") is not None
-            or head.get("transfer-encoding") is not None
-            or head.status in _NO_BODY
-        )
+        self.framed = _states_body(head) or head.status in _NO_BODY
         self._complete = self._bodiless
         self._read_keep_alive(head)
 
@@ -295,7 +305,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._bodiless = bodiless
         self._head = None
-        self._complete = self._discarding = self.framed = False
+        self._complete = self._discarding = self._impossible = self.framed = False
         self._framing_bytes = self._discarded_bytes = 0
         self.framed_by_endpoint = True
         self.received.begin(self._transport)
