Bound the length of log lines

Lines hold paths and ids that clients send, up to the size of a head, and 2,000 lines may wait for a slow reader of the log: 120 MB of lines of 60,000 characters, the scenario's, waited before (its bound is 17 MB, and failed). A line keeps its first and last 4 KB now.

--- a/saffronworks/logs.py
+++ b/saffronworks/logs.py
@@ -18,6 +18,9 @@
 MOST_LINES_PER_S = 400
 # Lines that wait for a slow reader of the pipe; further ones are counted and dropped.
 MOST_WAITING_LINES = 2000
+# Longer lines lose their middle. Paths and ids in them may be as long as a head.
+MOST_LINE_CHARS = 8192
+CUT_MARK = " ... "
 # A process that ends waits so long for its last lines at most.
 FLUSH_MS = 500
 # Lines of so long are written together. A process that is killed loses them.
@@ -48,7 +51,7 @@
             if self.dropped:
                 self._waiting.put_nowait(f"event=log_lines_dropped count={self.dropped}")
                 self.dropped = 0
-            self._waiting.put_nowait(self.format(record))
+            self._waiting.put_nowait(shorten_line(self.format(record)))
         except queue.Full:
             self.dropped += 1
 
@@ -84,6 +87,14 @@
                 self._waiting.task_done()
 
 
+def shorten_line(line: str) -> str:
+    """Return a line of bounded length, with its begin and end."""
+    if len(line) <= MOST_LINE_CHARS:
+        return line
+    half = (MOST_LINE_CHARS - len(CUT_MARK)) // 2
+    return f"{line[:half]}{CUT_MARK}{line[-half:]}"
+
+
 def flush_logs(within_ms: int) -> None:
     """Write the lines that wait, before the process may be killed; blocks up to `within_ms`."""
     for handler in logging.getLogger().handlers:
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import contextlib
+import io
+import logging
 import random
+import re
 import socket
+import threading
 
 import anyio
 from behave import then, when
 
 from saffronworks.head_memory import HeadHolder, HeadMemory, head_memory_bound, head_size
+from saffronworks.logs import BoundedHandler
 from saffronworks.tests.crowds import play_crowd
 from saffronworks.web import HttpServer, bind, parse_address
 
@@ -410,3 +415,31 @@
 def step_untaken_left(context):
     assert context.received > 40_000_000, context.received
     assert sorted(context.ended) == ["/paused", "/silent"], context.ended
+
+
+@when("lines of 60,000 characters are logged while nobody reads the log")
+def step_long_lines(context):
+    read, written = threading.Event(), []
+
+    class Stream(io.StringIO):
+        def write(self, text):
+            read.wait()
+            written.append(text)
+            return len(text)
+
+    handler = BoundedHandler(Stream(), most_per_s=10**6)
+    for number in range(3000):
+        text = f"event=bad_request number={number} path={'x' * 60_000} end={number}"
+        handler.emit(logging.LogRecord("x", logging.INFO, "x", 1, text, None, None))
+    context.waiting = list(handler._waiting.queue)
+    context.dropped = handler.dropped
+    read.set()
+
+
+@then("those that wait have 17 MB at most, each its begin and end, and the rest is counted")
+def step_long_lines_bounded(context):
+    assert sum(map(len, context.waiting)) < 17_000_000
+    assert len(context.waiting) + context.dropped > 2900
+    for line in context.waiting:
+        number = re.match(r"event=bad_request number=(\d+) ", line)[1]
+        assert line.endswith(f" end={number}"), line[-100:]
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -122,3 +122,8 @@
   Scenario: a client that takes nothing of its answer is left
     When a client reads nothing of an answer of 40 MB, and another one reads it with pauses
     Then the first one's connection is ended with its work, and the other one has it whole
+
+  # Guards against log lines as long as the heads of unruly clients, which wait for a slow reader.
+  Scenario: log lines that wait take a bounded part of the memory
+    When lines of 60,000 characters are logged while nobody reads the log
+    Then those that wait have 17 MB at most, each its begin and end, and the rest is counted
