--- a/saffronworks/tests/crowds.py
+++ b/saffronworks/tests/crowds.py
@@ -8,6 +8,7 @@
 import json
 import logging
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -35,7 +36,7 @@
 MAX_DESCRIPTORS, FILE_DESCRIPTORS = 400, 200
 MEMORY_MB = 128
 
-START_LIMIT_S, ORDINARY_LIMIT_S = 30, 30
+START_LIMIT_S, ORDINARY_LIMIT_S, STOP_LIMIT_S = 30, 30, 30
 POLL_S = 0.1
 BLOCK_BYTES = 65_536
 LARGE_ANSWER_BYTES = 2_000_000
@@ -226,6 +227,18 @@
         line = next(line for line in status.splitlines() if line.startswith(f"{field}:"))
         return int(line.split()[1]) / 1000
 
+    def growth_mb(self, before_mb):
+        return self.memory_mb("VmHWM") - before_mb if self.lives else float("inf")
+
+    async def stop(self):
+        """Return whether the process ends by itself after SIGTERM."""
+        self.process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_LIMIT_S):
+                while self.lives:
+                    await asyncio.sleep(POLL_S)
+        return self.process.poll() == 0
+
     def sockets(self):
         """Return the number of open sockets and pipes."""
         folder, count = f"/proc/{self.process.pid}/fd", 0
@@ -297,6 +310,7 @@
     settings = {"name": "entry-1", "zone": ZONES[0], "region": REGION, "caller_address": callers}
     settings |= {"admin_address": operators, "peer_address": peers}
     settings |= {"store_address": site.store.address, "max_connections": 120}
+    settings["drain_ms"] = 4000
     row = {"name": "entry-1", "address": peers, "zone": ZONES[0], "region": REGION}
     site.store.put("config/vms", json.dumps([row]))
     file = Path(folder) / "entry-1.yaml"
@@ -307,8 +321,12 @@
     yield _Process(command, Path(folder) / "log", addresses, ordinary)
 
 
-async def play_crowd(kind):
-    """Play one kind of crowd against a process of its own."""
+async def play_crowd(kind, stops=False):
+    """Play one kind of crowd against a process of its own.
+
+    With `stops` the process gets SIGTERM while the crowd is there, and `answered` is whether it
+    ended by itself.
+    """
     own = kind in OWN_KINDS
     crowd = OWN_KINDS[kind] if own else KINDS[kind]
     with tempfile.TemporaryDirectory() as folder:
@@ -316,14 +334,14 @@
             start = _own_node if own else _platform_node
             async with start(tasks, folder) as process:
                 try:
-                    outcome = await _play(crowd, process)
+                    outcome = await _play(crowd, process, stops)
                 finally:
                     process.end()
             tasks.cancel_scope.cancel()
     return outcome
 
 
-async def _play(crowd, process):
+async def _play(crowd, process, stops):
     with anyio.fail_after(START_LIMIT_S):
         assert await process.ask()
     before_mb = process.memory_mb("VmRSS")
@@ -338,13 +356,15 @@
         await asyncio.sleep(POLL_S)
         sockets = max(sockets, process.sockets()) if process.lives else sockets
     # The clients keep their connections open meanwhile.
-    answered = await process.ask()
+    lives, growth_mb = process.lives, process.growth_mb(before_mb)
+    answered = await (process.stop() if stops else process.ask())
     release.set()
     sent = await asyncio.gather(*clients)
-    answered = answered and await process.ask()
-    growth_mb = process.memory_mb("VmHWM") - before_mb if process.lives else float("inf")
+    if not stops:
+        answered = answered and await process.ask()
+        lives, growth_mb = process.lives, process.growth_mb(before_mb)
     log = process.log.read_text()
-    return Outcome(process.lives, growth_mb, sockets, answered, sum(sent) / 1e6, log)
+    return Outcome(lives, growth_mb, sockets, answered, sum(sent) / 1e6, log)
 
 
 async def _send(address, crowd, until_s, release):
@@ -393,12 +413,12 @@
     return len(block)
 
 
-def main(*kinds: str) -> None:
-    """Play crowds one after the other, all kinds by default."""
+def main(*kinds: str, stops: bool = False) -> None:
+    """Play crowds one after the other, all kinds by default; with `stops` until SIGTERM."""
     # The store's waiting calls end with the play; uvicorn reports each of them.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     for kind in kinds or (*KINDS, *OWN_KINDS):
-        outcome = anyio.run(play_crowd, kind)
+        outcome = anyio.run(play_crowd, kind, stops)
         verdict = "holds" if outcome.holds else "FAILS"
         print(f"{verdict}: {kind}: {outcome}", flush=True)
 
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -15,6 +15,7 @@
 from saffronworks.head_memory import HeadHolder, HeadMemory, head_memory_bound, head_size
 from saffronworks.logs import BoundedHandler
 from saffronworks.tests.crowds import play_crowd
+from saffronworks.tests.platform_place import on_platform, web_servers
 from saffronworks.web import HttpServer, bind, parse_address
 
 PLAYS = 30
@@ -443,3 +444,68 @@
     for line in context.waiting:
         number = re.match(r"event=bad_request number=(\d+) ", line)[1]
         assert line.endswith(f" end={number}"), line[-100:]
+
+
+@when('a crowd does this to a process that gets SIGTERM then: "{kind}"')
+def step_stopped_crowd(context, kind):
+    context.outcome = anyio.run(play_crowd, kind, True)
+
+
+@then("the process ends by itself, and keeps its bounds of memory and descriptors")
+def step_stopped(context):
+    assert context.outcome.holds, (context.outcome, context.outcome.log[-2000:])
+
+
+HIDDEN = (
+    b"GET /again/hidden HTTP/1.1\r\n"
+    b"host: h.example\r\nrequest-id: hidden\r\ndeadline-ms: 3000\r\n\r\n"
+)
+# Fields on the length of a body, and what follows the head.
+UNCLEAR = [
+    (b"content-length: 0\r\ntransfer-encoding: chunked\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked\r\ncontent-length: 5\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"content-length: 0\r\ncontent-length: 90\r\n", HIDDEN),
+    (b"content-length: 0, 90\r\n", HIDDEN),
+    (b"content-length: +90\r\n", HIDDEN),
+    (b"content-length : 90\r\n", HIDDEN),
+    (b"content-length:\r\n 90\r\n", HIDDEN),
+    (b"transfer-encoding: xchunked\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked, identity\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding : chunked\r\n", b"0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked\r\n", b"0x0\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked\r\n", b"-1\r\n\r\n" + HIDDEN),
+    (b"transfer-encoding: chunked\r\n", b"1\n" + HIDDEN),
+]
+
+
+@when("clients send requests whose lengths conflict, and further requests in what follows")
+def step_unclear(context):
+    server = web_servers(1)[0]
+    context.unclear = []
+
+    async def play(place):
+        for number, (fields, rest) in enumerate(UNCLEAR):
+            before = len(server.seen)
+            head = b"POST /again/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: u%d\r\n" % number
+            reader, writer = await asyncio.open_connection(*parse_address(place.callers))
+            writer.write(head + b"deadline-ms: 3000\r\n" + fields + b"\r\n" + rest)
+            writer.write_eof()
+            answer = await read_all(reader)
+            writer.close()
+            context.unclear.append((fields, answer, server.seen[before:]))
+
+    on_platform([server], play)
+
+
+@then("each gets a refusal, or reaches an endpoint as one request with the body that was read")
+def step_unclear_refused(context):
+    for fields, answer, seen in context.unclear:
+        assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 200")) or not answer, answer
+        for method, _, headers, body in seen:
+            # A request that follows a whole one on its connection is a request of its own.
+            assert method in ("POST", "GET"), (fields, seen)
+            assert int(headers.get("content-length", 0)) == len(body), (fields, seen)
+            assert "transfer-encoding" not in headers, (fields, seen)
+        if answer.startswith(b"HTTP/1.1 400"):
+            assert not seen, (fields, seen)
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -127,3 +127,50 @@
   Scenario: log lines that wait take a bounded part of the memory
     When lines of 60,000 characters are logged while nobody reads the log
     Then those that wait have 17 MB at most, each its begin and end, and the rest is counted
+
+  # Guards against a planned end that waits for clients which hold their connections.
+  Scenario Outline: a node that drains beside a crowd ends by itself
+    When a crowd does this to a process that gets SIGTERM then: "<crowd>"
+    Then the process ends by itself, and keeps its bounds of memory and descriptors
+
+    Examples:
+      | crowd                                          |
+      | ahead, whole requests                          |
+      | many bodies that stop half way                 |
+      | large answers unread, ahead                    |
+      | own deployment: ahead, a plain service         |
+      | own deployment: many bodies that stop half way |
+
+  # Guards against a request that an endpoint gets and no client sent: hidden in another one's body.
+  Scenario: requests of unclear length are refused, or have one body
+    When clients send requests whose lengths conflict, and further requests in what follows
+    Then each gets a refusal, or reaches an endpoint as one request with the body that was read
+
+  # These held before the limits too; they guard what bounds them.
+  Scenario Outline: other bytes without end
+    When a crowd does this to a process: "<crowd>"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
+
+    Examples:
+      | crowd                                      |
+      | ahead, HTTP/1.0 kept alive                 |
+      | ahead, behind a body that never comes      |
+      | a head without end                         |
+      | a head of empty fields without end         |
+      | a target without end                       |
+      | empty lines without end                    |
+      | chunks of one byte without end             |
+      | a body without end where no route is       |
+      | trailers without end                       |
+      | an upgrade, then bytes                     |
+      | CONNECT, then bytes                        |
+      | HTTP/2                                     |
+      | bytes that are no HTTP                     |
+      | connections opened and closed at once      |
+
+  # Guards against machines that hold connections to the address for messages between nodes.
+  Scenario: idle connections to the peers' address leave descriptors for others
+    When a crowd does this to a process: "many idle connections to the peers' address"
+    Then the process lives, and keeps its bounds of memory and descriptors
+    And an ordinary request is answered
