Bound the connections that are left unread

Bytes that a client sends ahead wait in the kernel, 126 KB a connection as measured on loopback, and count as the process's on its VM: 1,000 such connections hold more than the whole memory of a small one.

Change: all listeners of a process share a limit on connections that are left unread; beyond it the one left unread first is closed. A client that waits for its answers leaves nothing unread, so no sound one meets the limit.

--- a/saffronworks/connection_table.py
+++ b/saffronworks/connection_table.py
@@ -5,7 +5,15 @@
 
 import attrs
 
-__all__ = ["ConnectionTable", "EvictableConnection", "ListenerLimits", "Wait", "limit_listeners"]
+__all__ = [
+    "ConnectionTable",
+    "EvictableConnection",
+    "ListenerLimits",
+    "UnreadConnections",
+    "Wait",
+    "limit_listeners",
+    "limit_unread",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +36,11 @@
 MAX_LOOKS = 8
 
 
+# Part of that memory for bytes that wait in the kernel, which count as the process's, and what a
+# connection may have there.
+KERNEL_MEMORY_SHARE = 1 / 10
+KERNEL_BUFFER_BYTES = 131_072
+MIN_UNREAD_CONNECTIONS = 32
 # Silence within a body after which its connection may give way.
 STALLED_BODY_MS = 2000
 
@@ -65,6 +78,13 @@
     return ListenerLimits(callers, relays, probes)
 
 
+def limit_unread(spare_bytes: int | None) -> int | None:
+    """Return how many connections may leave bytes unread; None without a memory limit."""
+    if spare_bytes is None:
+        return None
+    return max(MIN_UNREAD_CONNECTIONS, int(KERNEL_MEMORY_SHARE * spare_bytes / KERNEL_BUFFER_BYTES))
+
+
 class EvictableConnection:
     """A connection that may be closed while it waits for its caller."""
 
@@ -72,12 +92,42 @@
         """Close it, to make room for another one."""
         raise NotImplementedError
 
+    def close_unread(self) -> None:
+        """Close it at once, although a request is being served."""
+        raise NotImplementedError
+
     @property
     def has_unread(self) -> bool:
         """Whether a request may have arrived."""
         raise NotImplementedError
 
 
+@attrs.define
+class UnreadConnections:
+    """Connections that are not read, as their clients send ahead of the answers.
+
+    A client that waits for its answer before it sends the next request has none. Beyond the limit
+    the one that was left unread first is closed.
+    """
+
+    limit: int | None = None
+    closed: int = 0
+    _unread: dict[EvictableConnection, None] = attrs.Factory(dict)
+
+    def add(self, connection: EvictableConnection) -> None:
+        """Record that a connection is not read from now on."""
+        self._unread.setdefault(connection)
+        while self.limit is not None and len(self._unread) > self.limit:
+            oldest = next(iter(self._unread))
+            del self._unread[oldest]
+            self.closed += 1
+            oldest.close_unread()
+
+    def remove(self, connection: EvictableConnection) -> None:
+        """Record that a connection is read again, or closed."""
+        self._unread.pop(connection, None)
+
+
 class ConnectionTable:
     """Counts the connections of a listener; at its limit, the one that waits longest gives way.
 
--- a/saffronworks/head_memory.py
+++ b/saffronworks/head_memory.py
@@ -11,7 +11,7 @@
 # Memory of a usual head while it is served. The limit on connections bounds the sum of these.
 USUAL_HEAD_BYTES = 16_384
 # Part of the memory beside a node without requests.
-HEAD_MEMORY_SHARE = 1 / 5
+HEAD_MEMORY_SHARE = 1 / 8
 MIN_HEAD_MEMORY_BYTES = 8_000_000
 
 
--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -16,7 +16,12 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from saffronworks.clocks import monotonic_ms
-from saffronworks.connection_table import ConnectionTable, EvictableConnection, Wait
+from saffronworks.connection_table import (
+    ConnectionTable,
+    EvictableConnection,
+    UnreadConnections,
+    Wait,
+)
 from saffronworks.field_numbers import read_whole
 from saffronworks.head_memory import HeadHolder, HeadMemory, head_size
 from saffronworks.sockets import unread_bytes
@@ -107,6 +112,8 @@
 
     IDLE = "idle"
     STOP = "stop"
+    # Too many connections had sent requests ahead.
+    SENT_AHEAD = "sent_ahead"
     # Another connection took its place.
     EVICTED = "evicted"
     HEADER_TIMEOUT = "header_timeout"
@@ -175,6 +182,7 @@
     read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
     table: ConnectionTable = attrs.Factory(ConnectionTable)
     heads: HeadMemory = attrs.Factory(HeadMemory)
+    unread: UnreadConnections = attrs.Factory(UnreadConnections)
     closed: ClosedConnections = attrs.Factory(ClosedConnections)
 
     @property
@@ -259,6 +267,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the close."""
         self._policy.table.close(self)
+        self._policy.unread.remove(self)
         self._stop_untaken_timer()
         self._policy.heads.release(self)
         self._policy.closed.record(
@@ -312,6 +321,7 @@
         self.flow.held = bool(self._ahead)
         if self.flow.held:
             self.flow.pause_reading()
+            self._policy.unread.add(self)
 
     @property
     def _parses(self) -> bool:
@@ -423,6 +433,7 @@
             self.transport.set_write_buffer_limits(0)
             return
         self.flow.held = False
+        self._policy.unread.remove(self)
         self.flow.resume_reading()
         self._parse_ahead()
 
@@ -505,6 +516,11 @@
         else:
             self._close(CloseReason.EVICTED)
 
+    def close_unread(self) -> None:
+        """Close the connection at once, with the request that is being served."""
+        self._close_reason = CloseReason.SENT_AHEAD
+        self.transport.abort()
+
     def _wait_in_table(self, wait: Wait) -> None:
         self._policy.table.begin_wait(self, wait, monotonic_ms())
 
--- a/saffronworks/nodes.py
+++ b/saffronworks/nodes.py
@@ -10,6 +10,7 @@
 from saffronworks.cancels import CancelDone, CancelService
 from saffronworks.claim_service import ClaimService
 from saffronworks.clocks import monotonic_ms, wall_ms
+from saffronworks.connection_table import UnreadConnections
 from saffronworks.documents import (
     BucketDigests,
     BucketVersions,
@@ -98,11 +99,13 @@
         )
         self._register()
         heads = HeadMemory(settings.head_memory_bytes)
+        unread = UnreadConnections(settings.max_unread_connections)
         self._callers = HttpServer(
             bind(settings.caller_address),
             self.frontend.handle,
             max_connections=settings.max_connections,
             heads=heads,
+            unread=unread,
         )
         operators = OperatorInterface(self.kernel, self.store, self.frontend, self.ends)
         self._operators = HttpServer(
@@ -110,6 +113,7 @@
             operators.handle,
             max_connections=settings.max_operator_connections,
             heads=heads,
+            unread=unread,
         )
         self._scope: anyio.CancelScope | None = None
         self._stopping = anyio.Event()
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -12,7 +12,7 @@
 
 from saffronworks.body_memory import BodyMemory, body_bound, spare_memory_bytes
 from saffronworks.clocks import LOOP_METER, held_up_ms, monotonic_ms, wall_ms
-from saffronworks.connection_table import limit_listeners
+from saffronworks.connection_table import UnreadConnections, limit_listeners, limit_unread
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
 from saffronworks.forwarding.buffered_answers import AnswerBuffers
@@ -222,6 +222,7 @@
         spare_bytes = spare_memory_bytes(settings.memory_limit_bytes)
         most = limit_listeners(settings.max_descriptors, spare_bytes)
         heads = HeadMemory(head_memory_bound(spare_bytes))
+        unread = UnreadConnections(limit_unread(spare_bytes))
         self._callers = HttpServer(
             callers,
             self._ingress.handle,
@@ -230,6 +231,7 @@
             echoed_field=ID_FIELD.lower(),
             max_connections=most.callers,
             heads=heads,
+            unread=unread,
         )
         limits = CallerLimits()
         self._callers.set_header_limits(limits.header_bytes, limits.header_timeout_ms)
@@ -238,6 +240,7 @@
             self._answer_probe,
             max_connections=most.probes,
             heads=heads,
+            unread=unread,
         )
         if settings.relay_address is not None:
             relays = bind(settings.relay_address)
@@ -248,12 +251,14 @@
                 date_header=False,
                 max_connections=most.relays,
                 heads=heads,
+                unread=unread,
             )
         self._metrics = HttpServer(
             bind(f"{settings.ip}:{metrics_port}"),
             self._answer_metrics,
             max_connections=most.probes,
             heads=heads,
+            unread=unread,
         )
 
     def _register_gauges(self, figures: MetricsRecorder) -> None:
--- a/saffronworks/tests/features/steps/unruly_clients_steps.py
+++ b/saffronworks/tests/features/steps/unruly_clients_steps.py
@@ -12,6 +12,7 @@
 import anyio
 from behave import then, when
 
+from saffronworks.connection_table import UnreadConnections
 from saffronworks.head_memory import HeadHolder, HeadMemory, head_memory_bound, head_size
 from saffronworks.logs import BoundedHandler
 from saffronworks.tests.crowds import play_crowd
@@ -509,3 +510,40 @@
             assert "transfer-encoding" not in headers, (fields, seen)
         if answer.startswith(b"HTTP/1.1 400"):
             assert not seen, (fields, seen)
+
+
+@when("20 clients send ahead of their answers to a server that leaves 4 connections unread")
+def step_unread(context):
+    hold = anyio.Event()
+
+    async def handle(call):
+        await hold.wait()
+        await call.reply(200, {})
+
+    async def play(server):
+        get, clients = b"GET / HTTP/1.1\r\n\r\n", []
+        sound_reader, sound = await asyncio.open_connection(*parse_address(server.address))
+        sound.write(get)
+        for _ in range(20):
+            clients.append(await asyncio.open_connection(*parse_address(server.address)))
+            clients[-1][1].write(get * 100)
+        with anyio.move_on_after(2):
+            while server.table.open > 5:
+                await asyncio.sleep(0.02)
+        context.open = server.table.open
+        hold.set()
+        context.answer = await sound_reader.readuntil(b"{}")
+        for _, writer in (*clients, (sound_reader, sound)):
+            writer.close()
+
+    on_server(play, handle, unread=UnreadConnections(4))
+
+
+@then("it closes all but 4 of them")
+def step_unread_closed(context):
+    assert context.open == 5, context.open
+
+
+@then("a client that waits for its answer before it sends more is served")
+def step_sound_served(context):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer
--- a/saffronworks/tests/features/unruly_clients.feature
+++ b/saffronworks/tests/features/unruly_clients.feature
@@ -146,6 +146,13 @@
     When clients send requests whose lengths conflict, and further requests in what follows
     Then each gets a refusal, or reaches an endpoint as one request with the body that was read
 
+  # Guards against bytes that nobody reads: the kernel keeps over 100 KB of each connection, and they
+  # count as the process's on its VM.
+  Scenario: few connections leave bytes unread
+    When 20 clients send ahead of their answers to a server that leaves 4 connections unread
+    Then it closes all but 4 of them
+    And a client that waits for its answer before it sends more is served
+
   # These held before the limits too; they guard what bounds them.
   Scenario Outline: other bytes without end
     When a crowd does this to a process: "<crowd>"
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -15,7 +15,7 @@
 
 from saffronworks.body_memory import BodyHold, BodyMemoryFull
 from saffronworks.clocks import monotonic_ms
-from saffronworks.connection_table import ConnectionTable
+from saffronworks.connection_table import ConnectionTable, UnreadConnections
 from saffronworks.field_numbers import read_whole
 from saffronworks.head_memory import HeadMemory
 from saffronworks.http_connections import (
@@ -459,8 +459,8 @@
 
     `gate` decides which new connections are accepted; by default all are. `echoed_field`: the
     header field, in lower case, that the refusal of a head repeats from it. `max_connections`: open
-    ones; beyond it, the one that waits longest for its caller gives way. `heads`: the memory of
-    heads, which the servers of a process share. `untaken_s`: how long a caller may take nothing of
+    ones; beyond it, the one that waits longest for its caller gives way. `heads` and `unread`:
+    bounds that the servers of a process share. `untaken_s`: how long a caller may take nothing of
     an answer that waits for it.
     """
 
@@ -475,6 +475,7 @@
         echoed_field: str = "",
         max_connections: int | None = None,
         heads: HeadMemory | None = None,
+        unread: UnreadConnections | None = None,
         untaken_s: float = UNTAKEN_MS / 1000,
     ):
         self._gate = gate
@@ -487,6 +488,7 @@
             echoed_field=echoed_field.encode(),
             table=self.table,
             heads=heads or HeadMemory(),
+            unread=unread or UnreadConnections(),
             untaken_ms=untaken_s * 1000,
         )
         connection = (
