Split the policy of callers' connections and the cutting of requests into modules

Moves, and one simplification: what was parsed last is all that an empty line can begin in. Behaviour is unchanged; the log lines of closed connections have module=connection_policy, and the scenario that reads them follows.

--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -2,197 +2,47 @@
 
 import asyncio
 import contextlib
-import enum
 import logging
-import re
-from collections import Counter
-from collections.abc import Iterable
 from typing import Any
 
-import attrs
 import msgspec
 from result import Ok
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from saffronworks.clocks import monotonic_ms
-from saffronworks.connection_table import (
-    ConnectionTable,
-    EvictableConnection,
-    UnreadConnections,
-    Wait,
+from saffronworks.connection_policy import (
+    CloseNow,
+    CloseReason,
+    ConnectionPolicy,
+    LookAgain,
+    count_field_bytes,
+    decide_close,
 )
+from saffronworks.connection_table import EvictableConnection, Wait
 from saffronworks.field_numbers import read_whole
-from saffronworks.head_memory import HeadHolder, HeadMemory, head_size
+from saffronworks.head_memory import HeadHolder, head_size
+from saffronworks.request_parts import RequestParts
 from saffronworks.sockets import unread_bytes
 
-__all__ = [
-    "HEADER_TIMEOUT_MS",
-    "MAX_HEADER_BYTES",
-    "MAX_UNWANTED_BYTES",
-    "UNTAKEN_MS",
-    "CloseNow",
-    "CloseReason",
-    "ConnectionPolicy",
-    "HttpConnection",
-    "LookAgain",
-    "count_field_bytes",
-    "decide_close",
-]
+__all__ = ["HttpConnection"]
 
 logger = logging.getLogger(__name__)
 
-MAX_HEADER_BYTES = 65_536
-HEADER_TIMEOUT_MS = 10_000
-# Bytes of a header field besides its name and value: colon, space, CR and LF.
-FIELD_OVERHEAD_BYTES = 4
 # Bytes of a request line besides its target, and of the line that ends a head.
 REQUEST_LINE_BYTES = 64
 
-# How long a server that stops waits for the next request on a connection that was just in use.
-LAST_REQUEST_MS = 250
 # When to look again at a connection that has unread bytes.
 UNREAD_LOOK_MS = 10
 # Bounds on reading and discarding the rest of a refused request. The kernel resets a connection
 # that is closed unread, and its caller could lose the refusal.
 LINGER_MS = 1000
 MAX_LINGER_BYTES = 1_048_576
-# Bytes that are read at once. What a caller sends behind a request waits unparsed until that one
-# was answered, so a connection holds no more of it than one read.
-READ_BYTES = 4096
-# The same while a body of stated length is read, of which no read goes beyond the end.
-BODY_READ_BYTES = 65_536
-# Heads, chunked bodies and their trailers end with an empty line.
-_EMPTY_LINE = re.compile(rb"\n\r?\n")
-# Empty lines before a request, which the parser skips.
-_BLANK = re.compile(rb"[\r\n]+")
-# Bytes before a part that an empty line may begin in.
-_LOOK_BEHIND_BYTES = 2
-# Longest time in which a caller takes nothing worth mentioning of an answer that waits for it.
-UNTAKEN_MS = 30_000
-# Bounds on a body that goes on after its answer.
-MAX_UNWANTED_BYTES = 16_777_216
+# How long the rest of a body is read after its answer.
 UNWANTED_BODY_MS = 10_000
 # A refusal of what may be sent again, and when.
 RETRY_STATUS = 503
 RETRY_AFTER_S = b"1"
-# Interval of the log lines on closes that found unread bytes.
-UNREAD_LOG_INTERVAL_MS = 1000
-
-
-@attrs.frozen
-class CloseNow:
-    """The time is up."""
-
-
-@attrs.frozen
-class LookAgain:
-    """The time is not up, at least not for so long."""
-
-    after_ms: float
-
-
-def decide_close(waited_ms: float, promised_ms: float, in_force_ms: float) -> CloseNow | LookAgain:
-    """Decide whether a connection that has waited for its caller may be closed.
-
-    `promised_ms` is the timeout that was in force when the wait began, and `in_force_ms` the
-    present one. The longer one holds: the caller may know either.
-    """
-    left_ms = max(promised_ms, in_force_ms) - waited_ms
-    return LookAgain(left_ms) if left_ms > 0 else CloseNow()
-
-
-def count_field_bytes(fields: Iterable[tuple[str | bytes, str | bytes]]) -> int:
-    """Return the size of header fields on the wire."""
-    return sum(len(key) + len(value) + FIELD_OVERHEAD_BYTES for key, value in fields)
-
-
-class CloseReason(enum.StrEnum):
-    """Why a connection was closed."""
-
-    IDLE = "idle"
-    STOP = "stop"
-    # Too many connections had sent requests ahead.
-    SENT_AHEAD = "sent_ahead"
-    # Another connection took its place.
-    EVICTED = "evicted"
-    HEADER_TIMEOUT = "header_timeout"
-    HEADER_TOO_LARGE = "header_too_large"
-    # There is no memory for the head, or it was given up for another one.
-    HEADERS_FULL = "headers_full"
-    TRAILER_TOO_LARGE = "trailer_too_large"
-    # After an answer with `connection: close`.
-    ANSWER = "answer"
-    # The caller takes no answers.
-    UNTAKEN = "untaken"
-    # In the middle of a request or of its answer.
-    CUT = "cut"
-    # By the caller, with and without a reset.
-    CALLER = "caller"
-    # What came is no request.
-    MALFORMED = "malformed"
-    # A body that went on for too long after its answer.
-    BODY_ENDLESS = "body_endless"
-    RESET = "reset"
-
-
-@attrs.define
-class ClosedConnections:
-    """Counts a server's closed connections, and logs those that lost bytes of their callers."""
-
-    counts: Counter[CloseReason] = attrs.Factory(Counter)
-    _logged_ms: float | None = None
-    _not_logged: int = 0
-
-    def record(self, reason: CloseReason, waited_ms: float, unread: int, now_ms: float) -> None:
-        """Record a close that left `unread` bytes in the socket."""
-        self.counts[reason] += 1
-        if not unread:
-            return
-        if self._logged_ms is not None and now_ms - self._logged_ms < UNREAD_LOG_INTERVAL_MS:
-            self._not_logged += 1
-            return
-        logger.warning(
-            "event=connection_closed reason=%s unread_bytes=%d waited_ms=%d not_logged=%d",
-            reason,
-            unread,
-            waited_ms,
-            self._not_logged,
-        )
-        self._logged_ms, self._not_logged = now_ms, 0
-
-
-@attrs.define
-class ConnectionPolicy:
-    """What is in force for all connections of a server.
-
-    `echoed_field`: the header field of a request that its refusal repeats.
-    """
-
-    idle_ms: float
-    header_bytes: int = MAX_HEADER_BYTES
-    header_ms: float = HEADER_TIMEOUT_MS
-    echoed_field: bytes = b""
-    stopping: bool = False
-    # Shared by the connections: what was read is parsed or copied in the same turn.
-    # How long a caller may leave a full write buffer undrained.
-    untaken_ms: float = UNTAKEN_MS
-    # Bytes of a body that are read after its answer.
-    unwanted_bytes: int = MAX_UNWANTED_BYTES
-    read_buffer: bytearray = attrs.Factory(lambda: bytearray(BODY_READ_BYTES))
-    table: ConnectionTable = attrs.Factory(ConnectionTable)
-    heads: HeadMemory = attrs.Factory(HeadMemory)
-    unread: UnreadConnections = attrs.Factory(UnreadConnections)
-    closed: ClosedConnections = attrs.Factory(ClosedConnections)
-
-    @property
-    def rest_ms(self) -> float:
-        """How long a connection may rest between two requests."""
-        return LAST_REQUEST_MS if self.stopping else self.idle_ms
-
-    def decide_rest(self, rested_ms: float, promised_ms: float) -> CloseNow | LookAgain:
-        """Decide whether a connection that has rested so long may be closed."""
-        return decide_close(rested_ms, 0 if self.stopping else promised_ms, self.rest_ms)
 
 
 class _HeldFlow(FlowControl):
@@ -244,12 +94,7 @@
         self._closing = False
         # Received bytes that are not parsed yet, as a request before them is being served.
         self._ahead = b""
-        # The end of what was parsed last.
-        self._parsed_tail = b""
-        # The length of a body as its head states it, and what is left of it; None in heads and
-        # chunked bodies.
-        self._stated_bytes: int | None = None
-        self._body_left_bytes: int | None = None
+        self._parts = RequestParts()
         # A request was refused, and the rest of it is discarded.
         self._lingering = False
         self._discarded_bytes = 0
@@ -284,10 +129,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are read to."""
-        size_bytes = READ_BYTES
-        if self._body_left_bytes is not None:
-            size_bytes = min(BODY_READ_BYTES, max(1, self._body_left_bytes))
-        return memoryview(self._policy.read_buffer)[:size_bytes]
+        return memoryview(self._policy.read_buffer)[: self._parts.read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take the bytes that were read."""
@@ -306,13 +148,11 @@
         data, at = self._ahead, 0
         self._ahead = b""
         while at < len(data) and self._parses:
-            blank = None if self._in_message else _BLANK.match(data, at)
-            if blank is not None:
-                at = blank.end()
-                self._count_blank(at - blank.start())
-                continue
-            end = self._find_part_end(data, at)
-            self._parse(data[at:end])
+            if not self._in_message and (end := self._parts.skip_blank(data, at)) > at:
+                self._count_blank(end - at)
+            else:
+                end = self._parts.find_end(data, at)
+                self._parse(data[at:end])
             at = end
         if self._lingering or self._refusal:
             self._discard(data[at:])
@@ -330,22 +170,10 @@
             return False
         return self._in_message or not self._is_serving
 
-    def _find_part_end(self, data: bytes, at: int) -> int:
-        """Return an end such that no request begins between `at` and it, but at `at`."""
-        if self._body_left_bytes is not None:
-            return min(len(data), at + max(1, self._body_left_bytes))
-        behind = (self._parsed_tail + data[:at])[-_LOOK_BEHIND_BYTES:]
-        seam = behind + data[at : at + _LOOK_BEHIND_BYTES]
-        for found in _EMPTY_LINE.finditer(seam):
-            if found.end() > len(behind):
-                return at + found.end() - len(behind)
-        ended = _EMPTY_LINE.search(data, at)
-        return ended.end() if ended else len(data)
-
     def _parse(self, part: bytes) -> None:
         self._progressed = False
         super().data_received(part)
-        self._parsed_tail = (self._parsed_tail + part)[-_LOOK_BEHIND_BYTES:]
+        self._parts.record_parsed(part)
         if self._in_head:
             self._count_head_bytes(part)
         elif self._in_message:
@@ -359,7 +187,7 @@
     def on_message_begin(self) -> None:
         """Record the begin of a head."""
         self._in_head = self._in_message = True
-        self._stated_bytes = self._body_left_bytes = None
+        self._parts.begin_request()
         self._head_bytes = self._blank_bytes = 0
         if not self._is_serving:
             self._begin_wait()
@@ -371,13 +199,13 @@
             super().on_header(name, value)
             if name.lower() == b"content-length":
                 length = read_whole(value.decode("latin-1"))
-                self._stated_bytes = length.ok_value if isinstance(length, Ok) else None
+                self._parts.stated_bytes = length.ok_value if isinstance(length, Ok) else None
 
     def on_headers_complete(self) -> None:
         """Start the request, or queue it."""
         self._in_head = False
         self._progressed = True
-        self._body_left_bytes = self._stated_bytes
+        self._parts.begin_body()
         fields_bytes = count_field_bytes(self.headers)
         if max(fields_bytes, len(self.url)) > self._policy.header_bytes:
             self._refusal = 431, CloseReason.HEADER_TOO_LARGE
@@ -393,8 +221,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of a request's body."""
         self._progressed = True
-        if self._body_left_bytes is not None:
-            self._body_left_bytes -= len(body)
+        self._parts.add_body(len(body))
         if self._is_serving:
             self._wait_in_table(Wait.BODY)
         if not self._refusal:
@@ -403,7 +230,7 @@
     def on_message_complete(self) -> None:
         """Record the end of a request."""
         self._in_message = False
-        self._body_left_bytes = None
+        self._parts.end_request()
         if self._is_serving:
             self._policy.table.end_wait(self)
         if not self._refusal:
--- a/saffronworks/platform/ingress.py
+++ b/saffronworks/platform/ingress.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from saffronworks.body_memory import BodyHold, BodyMemory, BodyMemoryFull
+from saffronworks.connection_policy import count_field_bytes
 from saffronworks.field_numbers import read_count, read_decimal, shorten
 from saffronworks.forwarding.forwarder import Forwarder
 from saffronworks.forwarding.messages import AnswerHead, CallerRequest, PromptSize
@@ -19,7 +20,6 @@
 from saffronworks.forwarding.runners import retry_after_ms
 from saffronworks.forwarding.tuning import RETRY_AFTER_MAX_MS
 from saffronworks.hop_by_hop import HOP_BY_HOP_FIELDS, drop_length_of_bodiless
-from saffronworks.http_connections import count_field_bytes
 from saffronworks.platform.answer_fields import ID_FIELD
 from saffronworks.web import BadBody, Call, SlowBody
 
--- a/saffronworks/platform/node.py
+++ b/saffronworks/platform/node.py
@@ -12,6 +12,7 @@
 
 from saffronworks.body_memory import BodyMemory, body_bound, spare_memory_bytes
 from saffronworks.clocks import LOOP_METER, held_up_ms, monotonic_ms, wall_ms
+from saffronworks.connection_policy import HEADER_TIMEOUT_MS, MAX_HEADER_BYTES
 from saffronworks.connection_table import UnreadConnections, limit_listeners, limit_unread
 from saffronworks.forwarding import store_news
 from saffronworks.forwarding.answer_buffers import buffer_bound
@@ -58,7 +59,6 @@
 from saffronworks.forwarding.store_revisions import StoreEpoch
 from saffronworks.forwarding.tuning import CALLER_SEND_BUFFER_BYTES
 from saffronworks.head_memory import HeadMemory, head_memory_bound
-from saffronworks.http_connections import HEADER_TIMEOUT_MS, MAX_HEADER_BYTES
 from saffronworks.kernel import Kernel
 from saffronworks.logs import flush_logs
 from saffronworks.overload.gate import ConnectionGate
--- a/saffronworks/tests/features/steps/caller_connections_steps.py
+++ b/saffronworks/tests/features/steps/caller_connections_steps.py
@@ -10,8 +10,8 @@
 import attrs
 from behave import given, then, when
 
+from saffronworks.connection_policy import LookAgain, decide_close
 from saffronworks.forwarding.routing import CallerLimits
-from saffronworks.http_connections import LookAgain, decide_close
 from saffronworks.standins.sites import SiteShape
 from saffronworks.tests.log_lines import LogLines
 from saffronworks.tests.platform_place import CONFIG, on_platform
@@ -350,7 +350,7 @@
             await anyio.sleep(0.05)
         context.closed = dict(server.closed_connections)
 
-    with LogLines("saffronworks.http_connections") as context.lines:
+    with LogLines("saffronworks.connection_policy") as context.lines:
         on_server(play, handle, idle_s=SHORT_IDLE_S)
 
 
--- a/saffronworks/web.py
+++ b/saffronworks/web.py
@@ -15,16 +15,16 @@
 
 from saffronworks.body_memory import BodyHold, BodyMemoryFull
 from saffronworks.clocks import monotonic_ms
-from saffronworks.connection_table import ConnectionTable, UnreadConnections
-from saffronworks.field_numbers import read_whole
-from saffronworks.head_memory import HeadMemory
-from saffronworks.http_connections import (
+from saffronworks.connection_policy import (
     MAX_UNWANTED_BYTES,
     UNTAKEN_MS,
     CloseReason,
     ConnectionPolicy,
-    HttpConnection,
 )
+from saffronworks.connection_table import ConnectionTable, UnreadConnections
+from saffronworks.field_numbers import read_whole
+from saffronworks.head_memory import HeadMemory
+from saffronworks.http_connections import HttpConnection
 from saffronworks.sockets import unacknowledged_bytes
 from saffronworks.wire import DECODE_ERRORS
 
