Give each refused connection its whole time to read the refusal

A head that was given up for another one kept the timer of its wait, so its connection could close before its second to read the refusal was over. The timer is stopped first now. Found by reading.

--- a/saffronworks/connection_table.py
+++ b/saffronworks/connection_table.py
@@ -141,7 +141,7 @@
         self.name = name
         self.limit = limit
         self.open = 0
-        self.evicted = self.rejected = 0
+        self.admitted = self.evicted = self.rejected = 0
         # When they began to wait, in this order.
         self._waiting: dict[Wait, dict[EvictableConnection, float]] = {wait: {} for wait in Wait}
         self._closing: set[EvictableConnection] = set()
@@ -160,6 +160,7 @@
             if not evicted:
                 return False
         self.open += 1
+        self.admitted += 1
         return True
 
     def _evict(self, now_ms: int) -> bool:
--- a/saffronworks/http_connections.py
+++ b/saffronworks/http_connections.py
@@ -202,7 +202,7 @@
                 self._parts.stated_bytes = length.ok_value if isinstance(length, Ok) else None
 
     def on_headers_complete(self) -> None:
-        """Start the request, or queue it."""
+        """Start the request, or refuse it."""
         self._in_head = False
         self._progressed = True
         self._parts.begin_body()
@@ -239,7 +239,7 @@
         self.headers, self.url = [], b""
 
     def on_response_complete(self) -> None:
-        """Start the next request if one is queued, else let the connection rest."""
+        """Let the connection rest, or serve what was sent ahead."""
         self._begin_wait()
         self._wait_in_table(Wait.NEXT_REQUEST)
         self._policy.heads.release(self)
@@ -451,6 +451,7 @@
         self.headers.clear()
         self._policy.heads.release(self)
         self._lingering = True
+        self._unset_keepalive_if_required()
         with contextlib.suppress(OSError):
             self.transport.write_eof()
         self._arm_timer(LINGER_MS)
