Keep no unused counts, and copy no body for its last bytes

Found by reading the change again: each parsed part was joined to the end of the one before it, which copied up to 64 KB of a body for two bytes; UnreadConnections.closed and HeadMemory.given_up were read by nothing, as closes are counted by reason; the comment on the share for unread connections pointed at a constant that had moved away.

--- a/saffronworks/connection_table.py
+++ b/saffronworks/connection_table.py
@@ -34,10 +34,9 @@
 MAX_CLOSING = 16
 # Connections that are looked at for one without unread bytes.
 MAX_LOOKS = 8
-
-
-# Part of that memory for connections that are left unread, and what one may have: bytes in the
-# kernel, which count as the process's, a full write buffer, and an answer that waits for it.
+# Part of the memory beside a node without requests for connections that are left unread, and what
+# one may have: bytes in the kernel, which count as the process's, a full write buffer, and an
+# answer that waits for it.
 UNREAD_MEMORY_SHARE = 1 / 10
 UNREAD_CONNECTION_BYTES = 131_072 + 65_536 + 262_144
 MIN_UNREAD_CONNECTIONS = 32
@@ -113,7 +112,6 @@
     """
 
     limit: int | None = None
-    closed: int = 0
     _unread: dict[EvictableConnection, None] = attrs.Factory(dict)
 
     def add(self, connection: EvictableConnection) -> None:
@@ -122,7 +120,6 @@
         while self.limit is not None and len(self._unread) > self.limit:
             oldest = next(iter(self._unread))
             del self._unread[oldest]
-            self.closed += 1
             oldest.close_unread()
 
     def remove(self, connection: EvictableConnection) -> None:
--- a/saffronworks/head_memory.py
+++ b/saffronworks/head_memory.py
@@ -47,7 +47,6 @@
 
     bound_bytes: int | None = None
     held_bytes: int = 0
-    given_up: int = 0
     # In the order in which they began to hold more than a usual head.
     _holds: dict[HeadHolder, int] = attrs.Factory(dict)
 
@@ -59,7 +58,6 @@
         self._set(holder, size_bytes)
         for other in list(self._holds) if self._is_over else ():
             if other is not holder and other.awaits_caller:
-                self.given_up += 1
                 other.give_up()
                 self.release(other)
                 if not self._is_over:
--- a/saffronworks/request_parts.py
+++ b/saffronworks/request_parts.py
@@ -77,4 +77,6 @@
 
     def record_parsed(self, part: bytes) -> None:
         """Record the part that was parsed last."""
-        self._tail = (self._tail + part)[-_LOOK_BEHIND_BYTES:]
+        # Bodies come in large parts, which are not copied for their end.
+        end = part[-_LOOK_BEHIND_BYTES:]
+        self._tail = (self._tail + end)[-_LOOK_BEHIND_BYTES:]
