Tell a request whose key was revoked so when the planner refuses it

A caller whose key was revoked while its request waited at a planner was told 503 memory-full and when to return, though no return can help; without a planner it got 401. Cause: the core put what forbids further attempts in place of an attempt alone, not in place of a refusal that asks to return.

--- a/saffronworks/forwarding/generation_core.py
+++ b/saffronworks/forwarding/generation_core.py
@@ -104,17 +104,23 @@
 ) -> Command:
     """Return the next command. A `denial` forbids any further attempt and is sent instead.
 
+    It is also sent in place of a refusal that asks the caller to return, which would be in vain.
+
     A stream continues only at endpoints with the software version of its first event.
     """
     budget = budget if denial is None else budget.uncounted()
     result = _advance(state, event, pools.of_version(state.version), budget, now_ms)
-    if denial is not None and isinstance(result, AttemptCommand):
+    if denial is not None and (isinstance(result, AttemptCommand) or _asks_to_return(result)):
         result = _GiveUp(denial)
     if state.answer_started:
         return _after_first_byte(result)
     return _before_first_byte(state, result)
 
 
+def _asks_to_return(result: _Result) -> bool:
+    return isinstance(result, _GiveUp) and result.refusal.not_run
+
+
 def _before_first_byte(state: GenerationState, result: _Result) -> AttemptCommand | StartCommand:
     """Before any byte was sent, start a stream, relay a failure or send a refusal."""
     match result:
